--- /dev/null
+++ b/ava.config.js
@@ -0,0 +1,6 @@
+export default {
+  files: ['packages/*/dist/test/**/*_test.js'],
+  workerThreads: false,
+  timeout: '120s',
+  concurrency: 6,
+};
--- /dev/null
+++ b/packages/bench/src/index.ts
@@ -0,0 +1,7 @@
+/**
+ * Benches: policy, slopes and load.
+ *
+ * @packageDocumentation
+ */
+
+export {};
--- /dev/null
+++ b/packages/config/src/index.ts
@@ -0,0 +1,7 @@
+/**
+ * What operators declare: resources with conflicts and watch, convergence, rollouts.
+ *
+ * @packageDocumentation
+ */
+
+export {};
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,23 @@
+/**
+ * The decisions of oathead, free of input and output: clocks and randomness are
+ * passed in. What others embed.
+ *
+ * @packageDocumentation
+ */
+export * from './lib/connection/target_link.js';
+export * from './lib/process/admission.js';
+export * from './lib/process/clock.js';
+export * from './lib/process/counters.js';
+export * from './lib/process/disposable_store.js';
+export * from './lib/process/engine_client.js';
+export * from './lib/process/hash.js';
+export * from './lib/process/load_report.js';
+export * from './lib/process/order.js';
+export * from './lib/process/outcome.js';
+export * from './lib/process/random.js';
+export * from './lib/request/batch_item.js';
+export * from './lib/request/refusal.js';
+export * from './lib/request/serve.js';
+export * from './lib/request/work.js';
+export * from './lib/version/resource.js';
+export * from './lib/version/target_config.js';
--- /dev/null
+++ b/packages/core/src/lib/version/target_config.ts
@@ -0,0 +1,35 @@
+/** The part of the configuration that one target process needs. */
+
+/** How a deployment weighs batch throughput against harm to the online tail. */
+export interface BatchPolicy {
+  /**
+   * 0: any harm to the online tail counts, throughput does not; 1: the reverse.
+   */
+  readonly throughputWeight: number;
+  /** Largest accepted ratio of online p99 with batch to without. */
+  readonly maxHarm: number;
+}
+
+/** What a target process is to know about a model or service it serves. */
+export interface PoolConfig {
+  readonly pool: string;
+  readonly kind: 'model' | 'service';
+  readonly batch: BatchPolicy;
+  /** Aim for the first token, in milliseconds. */
+  readonly firstTokenMs: number;
+  /** Aim between tokens, in milliseconds. */
+  readonly betweenTokensMs: number;
+  /** Upper bound of online requests at once; measured below it. */
+  readonly maxOnline: number;
+}
+
+/** The configuration of one target process. */
+export interface TargetConfig {
+  /** A target process adopts only a higher revision. */
+  readonly revision: number;
+  readonly pools: readonly PoolConfig[];
+  /** Share of each caller under contention; 1 where a caller is missing. */
+  readonly callerWeights: Readonly<Record<string, number>>;
+  /** Fingerprints of work that must not run. */
+  readonly blocked: readonly string[];
+}
--- /dev/null
+++ b/packages/proofs/src/index.ts
@@ -0,0 +1,7 @@
+/**
+ * The fault matrix, golden sessions and failure tests over real processes.
+ *
+ * @packageDocumentation
+ */
+
+export {};
--- /dev/null
+++ b/packages/target/src/index.ts
@@ -0,0 +1,7 @@
+/**
+ * The process beside each target, the only way into its engine.
+ *
+ * @packageDocumentation
+ */
+
+export {};
--- /dev/null
+++ b/packages/wire/src/index.ts
@@ -0,0 +1,7 @@
+/**
+ * The contract between an entry and a target process: tRPC router, schemas and link.
+ *
+ * @packageDocumentation
+ */
+
+export {};
