--- a/packages/platform/src/lib/process/table_store.ts
+++ b/packages/platform/src/lib/process/table_store.ts
@@ -58,6 +58,9 @@
   /** Over the rate; nothing was written. */
   | {readonly kind: 'throttled'; readonly retryAfterMs: number};
 
+/** Rows of a listing at the most, and by default. */
+export const MAX_LIST_LIMIT = 1000;
+
 /** A page of a listing. */
 export interface ListOptions {
   /** Only keys behind this one. */
