Add conditional commits that survive a lost answer

Cause: a store can carry a write out and lose the answer. A writer that sends it again then meets a conflict with itself.

Change: commitWithNonce stamps rows with a nonce and the nonces before it, reads back after an unknown answer and tells committed, conflict, unavailable (certainly not) and unknown apart. The history of nonces in the marker row tells a write that was overwritten since from one that never took effect.

Conclusion: unknown remains for more than eight foreign writes of the row in between, for a store that cannot be read back, and for a failed check of absence, which may hold again later.

--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -4,12 +4,14 @@
  *
  * @packageDocumentation
  */
+export * from './lib/process/commit_with_nonce.js';
 export * from './lib/process/host_list.js';
 export * from './lib/process/memory_hosts.js';
 export * from './lib/process/memory_objects.js';
 export * from './lib/process/memory_platform.js';
 export * from './lib/process/memory_table.js';
 export * from './lib/process/memory_weights.js';
+export * from './lib/process/nonces.js';
 export * from './lib/process/object_store.js';
 export * from './lib/process/platform.js';
 export * from './lib/process/table_store.js';
