Add a fake engine and a virtual clock

Cause: tests of the target process need an engine with text, versions, orders and faults, without sockets and without real waiting.

Change: FakeEngine implements EngineClient over the engine model; its text is a function of the request, so that whole, mixed-up and resumed answers can be told; markers in prompts make a request impossible, crashing or slow; switches refuse, hang or break streams; runs are counted by request id. VirtualClock fires timers at their times and lets promises settle between them.

Conclusion: ready to be used by tests of admission, retries and suspects.

--- a/packages/stand_ins/src/index.ts
+++ b/packages/stand_ins/src/index.ts
@@ -4,8 +4,13 @@
  * @packageDocumentation
  */
 export * from './lib/process/engine_events.js';
+export * from './lib/process/engine_faults.js';
 export * from './lib/process/engine_model.js';
 export * from './lib/process/engine_options.js';
 export type {ModelRequest} from './lib/process/engine_sequence.js';
+export * from './lib/process/engine_text.js';
+export * from './lib/process/fake_engine.js';
 export type {LoadSample, ModelLoad} from './lib/process/load_samples.js';
 export {prefixBlocks, type CacheExport} from './lib/process/prefix_cache.js';
+export * from './lib/process/served_models.js';
+export * from './lib/process/virtual_clock.js';
--- a/packages/stand_ins/src/lib/process/engine_model.ts
+++ b/packages/stand_ins/src/lib/process/engine_model.ts
@@ -23,13 +23,12 @@
   type ModelRequest,
 } from './engine_sequence.js';
 import {CacheJournal} from './cache_journal.js';
+import {ImportQueue} from './import_queue.js';
 import type {ModelEvent, ModelState} from './engine_events.js';
 import {LoadSamples, type LoadSample, type ModelLoad} from './load_samples.js';
 import {PrefixCache, type CacheExport} from './prefix_cache.js';
 import {invariant, type CacheEvent} from '@oathead/core';
 
-const MS_PER_SECOND = 1000;
-
 /** The model of an engine. */
 export class EngineModel {
   /** Parameters in force. */
@@ -40,7 +39,7 @@
   private readonly byId = new Map<string, EngineSequence>();
   private waiting: EngineSequence[] = [];
   private running: EngineSequence[] = [];
-  private imports: {at: number; blocks: readonly string[]}[] = [];
+  private readonly imports: ImportQueue;
   private events: ModelEvent[] = [];
   private kvUsed = 0;
   private stepEndsAt: number | undefined;
@@ -53,6 +52,7 @@
     this.options = {...DEFAULT_ENGINE_OPTIONS, ...options};
     this.journal = new CacheJournal(this.options);
     this.samples = new LoadSamples(this.options);
+    this.imports = new ImportQueue(this.options.importTokensPerSecond);
     this.cache = new PrefixCache(
       this.options.prefixCacheTokens,
       this.options.cacheBlockTokens,
@@ -96,9 +96,12 @@
     this.end(sequence, 'cancelled');
   }
 
-  /** @returns When the current step ends, or undefined when nothing runs. */
+  /**
+   * @returns When to call `advance`: at once when events wait to be read, at
+   *     the end of the current step, or undefined when nothing runs.
+   */
   nextStepAt(): number | undefined {
-    return this.stepEndsAt;
+    return this.events.length > 0 ? this.time : this.stepEndsAt;
   }
 
   /**
@@ -148,9 +151,7 @@
    */
   importCache(cache: CacheExport, now: number): void {
     this.runUntil(now);
-    const tokens = cache.blocks.length * cache.blockTokens;
-    const rate = this.options.importTokensPerSecond / MS_PER_SECOND;
-    this.imports.push({at: now + tokens / rate, blocks: cache.blocks});
+    this.imports.add(cache, now);
   }
 
   /** Makes later steps take `factor` times as long; 1 is normal. */
@@ -168,7 +169,7 @@
     this.byId.clear();
     this.waiting = [];
     this.running = [];
-    this.imports = [];
+    this.imports.clear();
     this.events = [];
     this.kvUsed = 0;
     this.stepEndsAt = undefined;
@@ -192,7 +193,7 @@
 
   private beginStepIfIdle(): void {
     if (this.stepEndsAt !== undefined) return;
-    this.finishImports();
+    for (const blocks of this.imports.due(this.time)) this.cache.store(blocks);
     this.admit();
     this.reserveKv();
     if (this.running.length === 0) return;
@@ -200,13 +201,6 @@
     this.stepEndsAt = this.time + this.stepMs;
   }
 
-  private finishImports(): void {
-    if (this.imports.length === 0) return;
-    for (const {at, blocks} of this.imports)
-      if (at <= this.time) this.cache.store(blocks);
-    this.imports = this.imports.filter(({at}) => at > this.time);
-  }
-
   private admit(): void {
     while (this.running.length < this.options.maxSequences) {
       const next = this.waiting[0];
--- a/packages/stand_ins/src/lib/process/prefix_cache.ts
+++ b/packages/stand_ins/src/lib/process/prefix_cache.ts
@@ -23,18 +23,20 @@
  * Names the blocks of a prompt. Each name covers all text before it, so that
  * equal names mean equal beginnings.
  *
- * @param text - The prompt, behind whatever else must be equal (the model).
+ * @param scope - What else must be equal: the model and its adapter.
+ * @param text - The prompt.
  * @param blockTokens - Tokens of a block, of four characters each.
  * @returns One fingerprint for each whole block.
  */
 export function prefixBlocks(
+  scope: string,
   text: string,
   blockTokens: number,
 ): readonly string[] {
   const size = blockTokens * CHARACTERS_PER_TOKEN;
   const blocks: string[] = [];
   for (let end = size; end <= text.length; end += size) {
-    const parent = blocks.at(-1) ?? '';
+    const parent = blocks.at(-1) ?? scope;
     blocks.push(fingerprint(`${parent}\n${text.slice(end - size, end)}`));
   }
   return blocks;
