Add the platform over HTTP, and a stand-in for it

Cause: daemons reach the platform over the network, where answers get lost and connections go silent.

Change: HttpPlatform over pooled, kept-alive connections with a timeout per call; answers are checked by schema; a write whose answer is missing, late or malformed is told as unknown, a refused connection or a typed refusal as not applied. On a failure the pool is replaced, since its other connections may be as silent. PlatformStandIn serves the four stores with faults and rates and can break or silence its connections. One suite of demands runs against the memory and the HTTP implementation.

Conclusion: another platform needs its own four small files and this suite.

--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -4,8 +4,10 @@
  *
  * @packageDocumentation
  */
+export {DEFAULT_STORE_CONNECTION} from './lib/connection/store_connection.js';
 export * from './lib/process/commit_with_nonce.js';
 export * from './lib/process/host_list.js';
+export * from './lib/process/http_platform.js';
 export * from './lib/process/memory_hosts.js';
 export * from './lib/process/memory_objects.js';
 export * from './lib/process/memory_platform.js';
--- a/packages/stand_ins/src/index.ts
+++ b/packages/stand_ins/src/index.ts
@@ -13,6 +13,7 @@
 export * from './lib/process/fake_service.js';
 export * from './lib/process/faulty_platform.js';
 export type {LoadSample, ModelLoad} from './lib/process/load_samples.js';
+export * from './lib/process/platform_stand_in.js';
 export {prefixBlocks, type CacheExport} from './lib/process/prefix_cache.js';
 export * from './lib/process/served_models.js';
 export * from './lib/process/store_faults.js';
