Keep declared resources in the table, and nodes current

Operators declare resources that every entry has to know within seconds, through a store that loses answers and has outages.

One transaction per change: the resource row, a row of the bounded change log, a row that names the change id, and the head. The head's version serialises changes; the change id makes a resend, and a transaction that arrives late, the same change. A cache follows the head by pulling the log, reads everything where the gap is too large (replaying what changed while it read), and asks peers at a constant rate, so that a change accepted just before an outage still reaches all.

--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -3,5 +3,13 @@
  *
  * @packageDocumentation
  */
-
-export {};
+export * from './lib/process/config_cache.js';
+export * from './lib/process/config_reader.js';
+export * from './lib/process/config_rows.js';
+export * from './lib/process/config_store.js';
+export * from './lib/version/change.js';
+export * from './lib/version/references.js';
+export * from './lib/version/spec_schema.js';
+export * from './lib/version/target_config_for.js';
+export {DEFAULT_LOG_LENGTH} from './lib/process/config_writer.js';
+export type {ConfigStoreOptions} from './lib/process/config_writer.js';
--- /dev/null
+++ b/packages/config/src/test/process/config_store_test.ts
@@ -0,0 +1,166 @@
+import {NO_COUNTERS, seededRandom} from '@oathead/core';
+import type {Outcome, Refusal} from '@oathead/core';
+import test from 'ava';
+import {ConfigStore} from '../../lib/process/config_store.js';
+import {CHANGE_PREFIX, changeKey} from '../../lib/process/config_rows.js';
+import {HEAD_ROW} from '../fakes/fake_head.js';
+import {FakeTable} from '../fakes/fake_table.js';
+import {virtualClock} from '../fakes/virtual_clock.js';
+
+function setUp(logLength?: number) {
+  const table = new FakeTable();
+  const clock = virtualClock();
+  const store = new ConfigStore({
+    store: table,
+    headRow: HEAD_ROW,
+    clock,
+    random: seededRandom(1),
+    counters: NO_COUNTERS,
+    logLength,
+  });
+  return {table, clock, store};
+}
+
+function valueOf<T>(outcome: Outcome<T, Refusal>): T {
+  if (!outcome.ok) throw new Error(JSON.stringify(outcome.err));
+  return outcome.value;
+}
+
+function refusalOf(outcome: Outcome<unknown, Refusal>): Refusal {
+  if (outcome.ok) throw new Error('was not refused');
+  return outcome.err;
+}
+
+function changesIn(table: FakeTable): number {
+  return [...table.rows.keys()].filter(k => k.startsWith(CHANGE_PREFIX)).length;
+}
+
+test('declares with defaults, reads back, changes, deletes', async t => {
+  const {store} = setUp();
+  const made = valueOf(await store.apply('models', 'review-llm', {}));
+  t.is(made.resourceVersion, 1);
+  t.is(made.spec.maxOnline, 64);
+  const changed = valueOf(
+    await store.apply('models', 'review-llm', {maxOnline: 8}, {ifMatch: 1}),
+  );
+  t.deepEqual(valueOf(await store.get('models', 'review-llm')), changed);
+  t.deepEqual(valueOf(await store.list('models')), {
+    revision: 2,
+    resources: [changed],
+  });
+  valueOf(await store.delete('models', 'review-llm', {ifMatch: 2}));
+  t.is(refusalOf(await store.get('models', 'review-llm')).kind, 'not-found');
+});
+
+// Two operators change the same resource at once. Both read version 1, both
+// write; without a condition the second would silently undo the first.
+test('the loser of a race gets a conflict with the current version', async t => {
+  const {store, table, clock} = setUp();
+  valueOf(await store.apply('models', 'm', {maxOnline: 1}));
+  table.beforeWrite = async () => {
+    valueOf(await store.apply('models', 'm', {maxOnline: 2}, {ifMatch: 1}));
+  };
+  const losing = store.apply('models', 'm', {maxOnline: 3}, {ifMatch: 1});
+  await clock.pass(1_000);
+  t.like(refusalOf(await losing), {
+    kind: 'revision-conflict',
+    currentVersion: 2,
+  });
+  t.is(valueOf(await store.get('models', 'm')).spec.maxOnline, 2);
+  const absent = await store.apply('models', 'm', {}, {ifMatch: 'absent'});
+  t.like(refusalOf(absent), {kind: 'revision-conflict', currentVersion: 2});
+});
+
+// The store writes a change and its answer is lost. The operator is told
+// nothing useful unless the writer finds out; a blind retry would change twice.
+test('a lost answer is read back, not written again', async t => {
+  const {store, table, clock} = setUp();
+  table.loseAnswers = 1;
+  const applying = store.apply('models', 'm', {});
+  await clock.pass(1_000);
+  t.is(valueOf(await applying).resourceVersion, 1);
+  t.is(changesIn(table), 1);
+});
+
+// An answer is lost and the store stays down. The operator gets no answer, a
+// colleague changes the resource, then the operator sends the change again: it
+// must not undo the colleague's.
+test('a resend with the same change id is the same change', async t => {
+  const {store, table, clock} = setUp();
+  const first = {changeId: 'op-1'};
+  table.loseAnswers = 1;
+  const applying = store.apply('models', 'm', {maxOnline: 1}, first);
+  await clock.pass(0);
+  table.down = true;
+  await clock.pass(10_000);
+  t.like(refusalOf(await applying), {
+    kind: 'store-unavailable',
+    ran: 'may-have-run',
+  });
+  table.down = false;
+  valueOf(await store.apply('models', 'm', {maxOnline: 2}));
+  const resent = await store.apply('models', 'm', {maxOnline: 1}, first);
+  t.is(valueOf(resent).resourceVersion, 1);
+  t.is(valueOf(await store.get('models', 'm')).spec.maxOnline, 2);
+  const other = await store.apply('models', 'm', {maxOnline: 3}, first);
+  t.is(refusalOf(other).kind, 'key-conflict');
+});
+
+test('a resend without an id, on the same condition, changes nothing', async t => {
+  const {store, table} = setUp();
+  valueOf(await store.apply('models', 'm', {maxOnline: 1}));
+  const wish = {maxOnline: 2};
+  const once = valueOf(await store.apply('models', 'm', wish, {ifMatch: 1}));
+  const twice = valueOf(await store.apply('models', 'm', wish, {ifMatch: 1}));
+  t.deepEqual(twice, once);
+  t.is(changesIn(table), 2);
+});
+
+test('refuses what leads nowhere, and to delete what is in use', async t => {
+  const {store} = setUp();
+  const version = {model: 'm', weights: 'm-1'};
+  t.like(refusalOf(await store.apply('versions', 'm-1', version)), {
+    kind: 'invalid-request',
+    problems: [{path: 'spec.model', message: 'models/m is not declared'}],
+  });
+  valueOf(await store.apply('models', 'm', {}));
+  valueOf(await store.apply('versions', 'm-1', version));
+  valueOf(await store.apply('models', 'm', {version: 'm-1'}));
+  t.like(refusalOf(await store.delete('models', 'm')), {
+    kind: 'invalid-request',
+    problems: [{path: 'versions/m-1.spec.model'}],
+  });
+  t.like(refusalOf(await store.delete('versions', 'm-1')), {
+    problems: [{path: 'models/m.spec.version'}],
+  });
+  t.like(
+    refusalOf(
+      await store.apply('versions', 'm-1', {model: 'm', weights: 'other'}),
+    ),
+    {problems: [{path: 'spec.weights'}]},
+  );
+});
+
+// A version is declared while another operator deletes its model. Each saw the
+// other's resource as it was before; together they would leave a dead name.
+test('a reference and the deletion of what it names cannot both happen', async t => {
+  const {store, table, clock} = setUp();
+  valueOf(await store.apply('models', 'm', {}));
+  table.beforeWrite = async () => {
+    valueOf(await store.apply('versions', 'm-1', {model: 'm', weights: 'w'}));
+  };
+  const deleting = store.delete('models', 'm');
+  await clock.pass(1_000);
+  t.is(refusalOf(await deleting).kind, 'invalid-request');
+});
+
+test('the log is bounded, with the ids of its changes', async t => {
+  const {store, table} = setUp(3);
+  for (let maxOnline = 1; maxOnline <= 10; maxOnline++) {
+    valueOf(await store.apply('models', 'm', {maxOnline}));
+  }
+  t.is(changesIn(table), 3);
+  t.false(table.rows.has(changeKey(7)));
+  // Head, resource, three changes and their ids.
+  t.is(table.rows.size, 8);
+});
