Add counters, HDR histograms, traces and checked settings

Cause: both binaries need the same observation and settings handling. Change: package observe: Prometheus text with HDR quantiles, spans over W3C trace context with off, JSON lines and OTLP exporters, JSON settings checked by schema with every problem listed.

--- a/packages/observe/src/index.ts
+++ b/packages/observe/src/index.ts
@@ -1,7 +1,10 @@
 /**
- * Counters, histograms, traces, debug logs and settings files, alike for both binaries.
+ * Counters, histograms, traces, debug logs and settings files, alike for both
+ * binaries.
  *
  * @packageDocumentation
  */
-
-export {};
+export * from './lib/process/log.js';
+export * from './lib/process/metrics.js';
+export * from './lib/process/settings.js';
+export * from './lib/process/tracing.js';
