Add admission at the target

Cause: nothing decided yet what runs when at one target. Change: a lane for the engine and one for each plain service, with a queue that is fair by caller, a step model learnt from the tokens seen, and a batch controller that keeps each step within a ratio of the online p99 alone. Tests cover admission, yield, suspects and leaving.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -6,9 +6,11 @@
  */
 export * from './lib/connection/target_link.js';
 export * from './lib/process/admission.js';
+export * from './lib/process/batch_controller.js';
 export * from './lib/process/clock.js';
 export * from './lib/process/counters.js';
 export * from './lib/process/disposable_store.js';
+export * from './lib/process/engine_admission.js';
 export * from './lib/process/engine_client.js';
 export * from './lib/process/hash.js';
 export * from './lib/process/load_report.js';
--- /dev/null
+++ b/packages/core/src/lib/process/engine_lane.ts
@@ -0,0 +1,270 @@
+/**
+ * Admission to a model engine. Online work goes in at once up to what was
+ * measured, then waits shortly, then is refused; batch work takes what is left
+ * and leaves in the same call in which online work needs its room.
+ */
+import type {
+  AdmissionAction,
+  AdmissionLoad,
+  AdmissionRequest,
+} from './admission.js';
+import {BatchController, DEFAULT_BATCH_TUNING} from './batch_controller.js';
+import type {BatchTuning} from './batch_controller.js';
+import type {EngineLoad} from './engine_client.js';
+import {HarmMeter} from './harm_meter.js';
+import type {EndKind, Lane} from './lane.js';
+import {OnlineGate} from './online_gate.js';
+import {RunningSet} from './running_set.js';
+import {StepClock} from './step_clock.js';
+import {StepModel} from './step_model.js';
+import {WaitingRoom} from './waiting_room.js';
+import {notRun} from '../request/refusal.js';
+import type {PoolConfig} from '../version/target_config.js';
+
+/** Share of the aim for the first token that may be spent waiting. */
+const WAIT_SHARE = 0.5;
+const MIN_RETRY_AFTER_MS = 50;
+/** Batch requests kept at hand, so that a free slot is filled at once. */
+const BATCH_AT_HAND = 4;
+/** Share of the time to its deadline after which a suspect gets its turn. */
+const SUSPECT_PATIENCE = 0.5;
+
+type Actions = AdmissionAction[];
+
+/** Decides what runs when at one model engine. */
+export class EngineLane implements Lane {
+  private readonly model = new StepModel();
+  private readonly steps = new StepClock();
+  private readonly running = new RunningSet();
+  private readonly meter = new HarmMeter();
+  private readonly gate = new OnlineGate(this.model, this.running);
+  private readonly room = new WaitingRoom();
+  private readonly controller: BatchController;
+  private pools = new Map<string, PoolConfig>();
+  private isLeaving = false;
+  private suspectRunning = false;
+
+  /** @param tuning - What the batch controller weighs. */
+  constructor(tuning: BatchTuning = DEFAULT_BATCH_TUNING) {
+    this.controller = new BatchController(
+      this.model,
+      this.running,
+      this.meter,
+      this.gate,
+      tuning,
+    );
+  }
+
+  configure(
+    pools: readonly PoolConfig[],
+    weights: Readonly<Record<string, number>>,
+  ): void {
+    this.pools = new Map(pools.map(cfg => [cfg.pool, cfg]));
+    this.room.setWeights(weights);
+  }
+
+  arrived(request: AdmissionRequest, now: number): readonly AdmissionAction[] {
+    if (this.isLeaving) return [turnedAway(request)];
+    if (request.class === 'online') this.meter.arrived(request.id);
+    this.room.add(request, now);
+    const actions = this.pump(now);
+    if (request.class === 'online') this.shed(request, actions);
+    return actions;
+  }
+
+  firstToken(id: string, now: number): readonly AdmissionAction[] {
+    const running = this.running.get(id);
+    if (running === undefined) return [];
+    const closed = this.closeStep(id, now);
+    this.running.firstToken(id);
+    const {request} = running;
+    this.model.prefilled(request.promptTokens + request.resumedTokens);
+    if (request.class === 'online') {
+      this.meter.firstToken(id, now - running.arrivedAt);
+    }
+    this.running.tokens(id, 1);
+    return closed ? this.pump(now) : [];
+  }
+
+  tokens(id: string, count: number, now: number): readonly AdmissionAction[] {
+    const closed = this.closeStep(id, now);
+    this.running.tokens(id, count);
+    return closed ? this.pump(now) : [];
+  }
+
+  ended(id: string, how: EndKind, now: number): readonly AdmissionAction[] {
+    const running = this.running.end(id);
+    if (running === undefined) return [];
+    const online = running.request.class === 'online';
+    if (running.request.suspect) this.suspectRunning = false;
+    if (online) this.meter.gone(id);
+    if (online && how === 'done') this.gate.finished(now - running.startedAt);
+    if (this.running.size === 0) this.steps.idle();
+    return this.pump(now);
+  }
+
+  abandoned(id: string, now: number): readonly AdmissionAction[] {
+    if (this.room.remove(id)) this.meter.gone(id);
+    return this.pump(now);
+  }
+
+  engineLoad(load: EngineLoad): void {
+    this.gate.setMemory(load.kvTokensTotal);
+  }
+
+  leaving(now: number): readonly AdmissionAction[] {
+    this.isLeaving = true;
+    return [...this.room.giveBackBatch(), ...this.pump(now)];
+  }
+
+  tick(now: number): readonly AdmissionAction[] {
+    return this.pump(now);
+  }
+
+  runs(id: string): boolean {
+    return this.running.get(id) !== undefined;
+  }
+
+  load(): AdmissionLoad {
+    const {online, batch} = this.running;
+    const cfg = [...this.pools.values()][0];
+    const streams = cfg === undefined ? 0 : this.controller.streams(cfg);
+    const room = streams + BATCH_AT_HAND - batch.running - this.room.batch.size;
+    const closed = this.isLeaving || this.alone();
+    return {
+      onlineRunning: online.running,
+      onlineQueued: this.room.online.size,
+      onlineCapacity: cfg === undefined ? 0 : this.gate.capacity(cfg),
+      batchRunning: batch.running,
+      batchQueued: this.room.batch.size,
+      batchRoom: closed ? 0 : Math.max(0, room),
+      prefillTokens: online.prefillTokens + batch.prefillTokens,
+      stepMs: this.model.predict({
+        streams: online.running + batch.running,
+        prefillTokens: 0,
+      }),
+    };
+  }
+
+  /** A suspect runs, or is due to: nothing else may start. */
+  private alone(): boolean {
+    return this.suspectRunning;
+  }
+
+  private pump(now: number): Actions {
+    const actions: Actions = [...this.room.expire(now)];
+    this.startSuspect(now, actions);
+    if (this.alone()) return actions;
+    this.startOnline(now, actions);
+    if (this.room.online.size === 0) this.startBatch(now, actions);
+    return actions;
+  }
+
+  /**
+   * A request that was in flight when a target died may have killed it. It runs
+   * with nothing beside it, so that a second death takes no other along and
+   * tells for certain that it was the cause.
+   */
+  private startSuspect(now: number, actions: Actions): void {
+    const next = this.room.peekSuspect();
+    if (next === undefined || this.suspectRunning) return;
+    const patience = (next.request.deadline - next.since) * SUSPECT_PATIENCE;
+    const due = now - next.since >= patience;
+    if (this.running.online.running > 0 && !due) return;
+    if (this.running.size > 0) {
+      for (const batch of this.running.newestBatch()) {
+        this.preempt(batch, actions);
+      }
+      return;
+    }
+    this.suspectRunning = true;
+    this.start(this.room.takeSuspect()!, now, actions);
+  }
+
+  private startOnline(now: number, actions: Actions): void {
+    const queue = this.room.online;
+    for (let next = queue.peek(); next; next = queue.peek()) {
+      const cfg = this.pools.get(next.request.pool)!;
+      if (!this.gate.admits(next.request, cfg)) return;
+      queue.take();
+      const excess = this.controller.excess(cfg, next.request);
+      const victims = this.running.newestBatch().slice(0, excess);
+      for (const victim of victims) this.preempt(victim, actions);
+      this.start(next, now, actions);
+    }
+  }
+
+  private startBatch(now: number, actions: Actions): void {
+    const queue = this.room.batch;
+    for (let next = queue.peek(); next; next = queue.peek()) {
+      const cfg = this.pools.get(next.request.pool)!;
+      if (!this.controller.admits(next.request, cfg)) return;
+      queue.take();
+      this.start(next, now, actions);
+    }
+  }
+
+  private start(
+    {
+      request,
+      since,
+    }: {readonly request: AdmissionRequest; readonly since: number},
+    now: number,
+    actions: Actions,
+  ): void {
+    if (this.running.size === 0) this.steps.begin(now);
+    this.running.start(request, since, now);
+    actions.push({kind: 'start', id: request.id});
+  }
+
+  private preempt(
+    running: ReturnType<RunningSet['newestBatch']>[number],
+    actions: Actions,
+  ): void {
+    this.running.stop(running);
+    actions.push({kind: 'preempt', id: running.request.id});
+  }
+
+  /** Refuses at once what would wait longer than makes sense. */
+  private shed(request: AdmissionRequest, actions: Actions): void {
+    const cfg = this.pools.get(request.pool)!;
+    const queue = this.room.online;
+    const longest = cfg.firstTokenMs * WAIT_SHARE;
+    while (queue.size > 0) {
+      const wait = this.gate.expectedWait(queue.size - 1, cfg);
+      const long = wait > longest || queue.size > this.gate.capacity(cfg);
+      if (!long) return;
+      const {id} = queue.heaviest()!.request;
+      queue.remove(id);
+      this.meter.gone(id);
+      actions.push({kind: 'refuse', id, refusal: overloaded(wait)});
+    }
+  }
+
+  private closeStep(id: string, now: number): boolean {
+    const durationMs = this.steps.token(id, now);
+    if (durationMs === undefined) return false;
+    const {online, batch} = this.running;
+    const streams = online.decoding + batch.decoding;
+    const prefillTokens = online.prefillTokens + batch.prefillTokens;
+    this.model.learn(durationMs, {streams, prefillTokens});
+    const alone = this.model.predict({
+      streams: online.decoding,
+      prefillTokens: online.prefillTokens,
+    });
+    this.meter.step(durationMs, alone, online.decoding);
+    return true;
+  }
+}
+
+function turnedAway(request: AdmissionRequest): AdmissionAction {
+  const {id} = request;
+  if (request.class === 'batch') return {kind: 'give-back', id};
+  const refusal = notRun('leaving', 'This target takes no new work.');
+  return {kind: 'refuse', id, refusal};
+}
+
+function overloaded(waitMs: number) {
+  const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, Math.ceil(waitMs));
+  return notRun('overloaded', 'The target has no room.', retryAfterMs);
+}
--- /dev/null
+++ b/packages/core/src/lib/process/running_set.ts
@@ -0,0 +1,181 @@
+/**
+ * What runs at the engine, with the tallies that admission decides by kept up
+ * to date, so that no decision walks over the streams.
+ */
+import type {AdmissionRequest} from './admission.js';
+import type {ServeClass} from '../request/serve.js';
+
+/** A request at the engine. */
+export interface Running {
+  readonly request: AdmissionRequest;
+  readonly startedAt: number;
+  /** When it came in, before any wait. */
+  readonly arrivedAt: number;
+  /** Counts starts; a higher one started later. */
+  readonly order: number;
+  /** Still prefilling its prompt. */
+  prefilling: boolean;
+  /** Tokens generated here. */
+  generated: number;
+  /** Told to stop; the engine has not said yet that it did. */
+  stopping: boolean;
+}
+
+/** Tallies of one class. */
+export interface Tally {
+  /** Requests that are to stay. */
+  running: number;
+  /** Of them, those that get tokens. */
+  decoding: number;
+  /** Prompt tokens not yet prefilled. */
+  prefillTokens: number;
+  /** Tokens in the engine's memory. */
+  kvTokens: number;
+  /** Tokens in the engine's memory once all have run to their end. */
+  kvAtEnd: number;
+}
+
+function emptyTally(): Tally {
+  return {
+    running: 0,
+    decoding: 0,
+    prefillTokens: 0,
+    kvTokens: 0,
+    kvAtEnd: 0,
+  };
+}
+
+function promptOf(request: AdmissionRequest): number {
+  return request.promptTokens + request.resumedTokens;
+}
+
+/** Requests at the engine. */
+export class RunningSet {
+  private readonly byId = new Map<string, Running>();
+  private readonly tallies: Readonly<Record<ServeClass, Tally>> = {
+    online: emptyTally(),
+    batch: emptyTally(),
+  };
+  private started = 0;
+
+  /** How many the engine has, those that are stopping included. */
+  get size(): number {
+    return this.byId.size;
+  }
+
+  /** Tallies of online requests. */
+  get online(): Readonly<Tally> {
+    return this.tallies.online;
+  }
+
+  /** Tallies of batch work, without what is stopping. */
+  get batch(): Readonly<Tally> {
+    return this.tallies.batch;
+  }
+
+  /**
+   * @param id - A request.
+   * @returns It, if the engine has it.
+   */
+  get(id: string): Running | undefined {
+    return this.byId.get(id);
+  }
+
+  /** @returns All, oldest first. */
+  all(): Iterable<Running> {
+    return this.byId.values();
+  }
+
+  /**
+   * @param request - What is handed to the engine.
+   * @param arrivedAt - When it came in, in milliseconds.
+   * @param now - Milliseconds.
+   */
+  start(request: AdmissionRequest, arrivedAt: number, now: number): void {
+    const running: Running = {
+      request,
+      startedAt: now,
+      arrivedAt,
+      order: this.started,
+      prefilling: true,
+      generated: 0,
+      stopping: false,
+    };
+    this.started += 1;
+    this.byId.set(request.id, running);
+    const tally = this.tallies[request.class];
+    tally.running += 1;
+    tally.prefillTokens += promptOf(request);
+    tally.kvTokens += promptOf(request);
+    tally.kvAtEnd += request.promptTokens + request.maxTokens;
+  }
+
+  /**
+   * @param id - A request whose prompt is prefilled.
+   * @returns It, if it was prefilling.
+   */
+  firstToken(id: string): Running | undefined {
+    const running = this.byId.get(id);
+    if (running === undefined || !running.prefilling) return undefined;
+    running.prefilling = false;
+    if (running.stopping) return running;
+    const tally = this.tallies[running.request.class];
+    tally.prefillTokens -= promptOf(running.request);
+    tally.decoding += 1;
+    return running;
+  }
+
+  /**
+   * @param id - A request.
+   * @param count - How many tokens it got.
+   * @returns It, if the engine has it.
+   */
+  tokens(id: string, count: number): Running | undefined {
+    const running = this.byId.get(id);
+    if (running === undefined) return undefined;
+    running.generated += count;
+    if (!running.stopping) {
+      this.tallies[running.request.class].kvTokens += count;
+    }
+    return running;
+  }
+
+  /**
+   * Takes a request out of the tallies; the engine still has it.
+   *
+   * @param running - What is told to stop.
+   */
+  stop(running: Running): void {
+    this.untally(running);
+    running.stopping = true;
+  }
+
+  /**
+   * @param id - A request that the engine is free of.
+   * @returns It, if the engine had it.
+   */
+  end(id: string): Running | undefined {
+    const running = this.byId.get(id);
+    if (running === undefined) return undefined;
+    this.byId.delete(id);
+    if (!running.stopping) this.untally(running);
+    return running;
+  }
+
+  /** @returns Batch streams that are to stay, newest first. */
+  newestBatch(): readonly Running[] {
+    return [...this.byId.values()]
+      .filter(({request, stopping}) => request.class === 'batch' && !stopping)
+      .sort((a, b) => b.order - a.order);
+  }
+
+  private untally(running: Running): void {
+    const {request} = running;
+    const tally = this.tallies[request.class];
+    tally.running -= 1;
+    tally.kvTokens -= promptOf(request) + running.generated;
+    tally.kvAtEnd -= request.promptTokens + request.maxTokens;
+    if (running.prefilling) tally.prefillTokens -= promptOf(request);
+    else tally.decoding -= 1;
+  }
+}
--- /dev/null
+++ b/packages/core/src/test/process/engine_admission_test.ts
@@ -0,0 +1,168 @@
+import test from 'ava';
+import type {
+  AdmissionAction,
+  AdmissionRequest,
+} from '../../lib/process/admission.js';
+import {EngineAdmission} from '../../lib/process/engine_admission.js';
+import type {PoolConfig} from '../../lib/version/target_config.js';
+
+const MODEL: PoolConfig = {
+  pool: 'review-llm',
+  kind: 'model',
+  batch: {throughputWeight: 0.5, maxHarm: 1.1},
+  firstTokenMs: 390,
+  betweenTokensMs: 40,
+  maxOnline: 6,
+};
+const SERVICE: PoolConfig = {...MODEL, pool: 'limit-api', kind: 'service'};
+
+function request(
+  id: string,
+  fields: Partial<AdmissionRequest> = {},
+): AdmissionRequest {
+  return {
+    id,
+    pool: 'review-llm',
+    class: 'online',
+    caller: 'bank-a',
+    promptTokens: 100,
+    maxTokens: 50,
+    deadline: 60_000,
+    suspect: false,
+    resumedTokens: 0,
+    ...fields,
+  };
+}
+
+function configured(): EngineAdmission {
+  const admission = new EngineAdmission();
+  const pools = [MODEL, SERVICE];
+  admission.handle({kind: 'config', pools, callerWeights: {}}, 0);
+  return admission;
+}
+
+function arrive(
+  admission: EngineAdmission,
+  now: number,
+  ...requests: readonly AdmissionRequest[]
+): readonly AdmissionAction[] {
+  return requests.flatMap(request =>
+    admission.handle({kind: 'arrived', request}, now),
+  );
+}
+
+const kinds = (actions: readonly AdmissionAction[]) =>
+  actions.map(action => `${action.kind} ${action.id}`);
+
+/** Runs steps of 10 ms + 0.5 ms a stream, each giving all streams a token. */
+function runSteps(
+  admission: EngineAdmission,
+  ids: readonly string[],
+  from: number,
+  count: number,
+): number {
+  let now = from;
+  for (let step = 0; step < count; step++) {
+    now += 10 + 0.5 * ids.length;
+    for (const id of ids) {
+      const kind = step === 0 ? 'first-token' : 'tokens';
+      admission.handle({kind, id, count: 1} as never, now);
+    }
+  }
+  return now;
+}
+
+test('admits online work at once, then queues, then refuses as not run', t => {
+  const admission = configured();
+  const ids = Array.from({length: 20}, (unused, i) => `r${i}`);
+  const actions = arrive(admission, 0, ...ids.map(id => request(id)));
+  const started = actions.filter(({kind}) => kind === 'start');
+  t.is(started.length, MODEL.maxOnline);
+  const refused = actions.filter(action => action.kind === 'refuse');
+  t.is(refused.length + admission.load().onlineQueued, 20 - MODEL.maxOnline);
+  t.true(refused.length > 0);
+  for (const {refusal} of refused) {
+    t.is(refusal.kind, 'overloaded');
+    t.is(refusal.ran, 'not-run');
+    t.true(refusal.retryAfterMs! > 0);
+  }
+});
+
+test('preempts the newest batch streams in the call of an online arrival', t => {
+  // A branch asks while the night batch fills the engine. If batch streams only
+  // ended by themselves, the branch would see longer steps until they do.
+  const admission = configured();
+  const batch = ['b0', 'b1', 'b2', 'b3'];
+  arrive(admission, 0, request('r0'));
+  let now = runSteps(admission, ['r0'], 0, 80);
+  admission.handle({kind: 'ended', id: 'r0', how: 'done'}, now);
+  arrive(admission, now, ...batch.map(id => request(id, {class: 'batch'})));
+  now = runSteps(admission, batch, now, 80);
+  const running = admission.load().batchRunning;
+  t.is(running, batch.length);
+  const actions = arrive(admission, now, request('r1'));
+  t.is(actions.at(-1)!.kind, 'start');
+  const preempted = actions.filter(({kind}) => kind === 'preempt');
+  t.true(preempted.length > 0);
+  t.is(admission.load().batchRunning, running - preempted.length);
+  t.false(preempted.some(({id}) => id === 'b0'));
+});
+
+test('runs a suspect with nothing beside it', t => {
+  const admission = configured();
+  arrive(admission, 0, request('b0', {class: 'batch'}));
+  const waits = arrive(admission, 1, request('s0', {suspect: true}));
+  t.deepEqual(kinds(waits), ['preempt b0']);
+  const starts = admission.handle(
+    {kind: 'ended', id: 'b0', how: 'preempted'},
+    2,
+  );
+  t.deepEqual(kinds(starts), ['start s0']);
+  t.deepEqual(kinds(arrive(admission, 3, request('r0'))), []);
+  const after = admission.handle({kind: 'ended', id: 's0', how: 'failed'}, 9);
+  t.deepEqual(kinds(after), ['start r0']);
+});
+
+test('gives back waiting batch work and refuses new work when leaving', t => {
+  const admission = configured();
+  const batch = Array.from({length: 12}, (unused, i) =>
+    request(`b${i}`, {class: 'batch'}),
+  );
+  arrive(admission, 0, ...batch);
+  const waiting = admission.load().batchQueued;
+  t.true(waiting > 0);
+  const actions = admission.handle({kind: 'leaving'}, 1);
+  t.is(actions.filter(({kind}) => kind === 'give-back').length, waiting);
+  t.is(admission.load().batchRoom, 0);
+  const [refused] = arrive(admission, 2, request('r0'));
+  t.true(refused!.kind === 'refuse' && refused!.refusal.kind === 'leaving');
+  const back = arrive(admission, 2, request('b99', {class: 'batch'}));
+  t.deepEqual(kinds(back), ['give-back b99']);
+});
+
+test('refuses in the queue as soon as the deadline cannot be met', t => {
+  const admission = configured();
+  const ids = Array.from({length: 7}, (unused, i) => `r${i}`);
+  arrive(admission, 0, ...ids.map(id => request(id, {deadline: 500})));
+  t.is(admission.load().onlineQueued, 1);
+  const [refused] = admission.handle({kind: 'tick'}, 501);
+  t.true(
+    refused!.kind === 'refuse' && refused!.refusal.kind === 'deadline-exceeded',
+  );
+});
+
+test('a plain service has places of its own, and keeps one from batch', t => {
+  const admission = configured();
+  const calls = Array.from({length: 6}, (unused, i) =>
+    request(`c${i}`, {pool: 'limit-api', class: 'batch'}),
+  );
+  const actions = arrive(admission, 0, ...calls);
+  t.is(actions.length, SERVICE.maxOnline / 2);
+  const online = arrive(admission, 1, request('r0', {pool: 'limit-api'}));
+  t.deepEqual(kinds(online), ['start r0']);
+});
+
+test('refuses a pool that it does not serve', t => {
+  const [refused] = arrive(configured(), 0, request('r0', {pool: 'other'}));
+  t.true(refused!.kind === 'refuse' && refused!.refusal.kind === 'no-target');
+});
