Add choice of target, retries and shared limits

Cause: an entry had no rules for where to send, when to send again and how much a caller may ask. Change: two random choices with own sends counted, affinity with a bound, gradual outlier handling, a pure target machine, a deterministic subset, a retry budget, limits shared by use.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -4,9 +4,14 @@
  *
  * @packageDocumentation
  */
+export * from './lib/connection/subset.js';
+export * from './lib/connection/target_choice.js';
+export * from './lib/connection/target_health.js';
 export * from './lib/connection/target_link.js';
+export * from './lib/connection/target_machine.js';
 export * from './lib/process/admission.js';
 export * from './lib/process/batch_controller.js';
+export * from './lib/process/caller_limits.js';
 export * from './lib/process/clock.js';
 export * from './lib/process/counters.js';
 export * from './lib/process/disposable_store.js';
@@ -19,6 +24,7 @@
 export * from './lib/process/random.js';
 export * from './lib/request/batch_item.js';
 export * from './lib/request/refusal.js';
+export * from './lib/request/retry_policy.js';
 export * from './lib/request/serve.js';
 export * from './lib/request/work.js';
 export * from './lib/version/resource.js';
--- /dev/null
+++ b/packages/core/src/lib/process/caller_limits.ts
@@ -0,0 +1,203 @@
+/**
+ * Limits of callers, shared among entries without a message per request. An
+ * entry begins with an equal share of each limit. With its heartbeats it tells
+ * what it used, and it learns the sum over the others; from the two, however
+ * late, it works out the share that its own traffic deserves.
+ */
+import type {LimitSpec} from '../version/resource.js';
+import type {Refusal} from '../request/refusal.js';
+import {notRun} from '../request/refusal.js';
+
+const MS_PER_SECOND = 1000;
+/** Part of every limit that is shared out equally, whoever uses it. */
+const EQUAL_PART = 0.1;
+const USE_SMOOTHING_MS = 2_000;
+
+/** What one entry used of one caller's limits, per second. */
+export interface CallerUse {
+  readonly requests: number;
+  readonly tokens: number;
+  readonly concurrent: number;
+}
+
+/** The rates that are limited by token buckets. */
+type Rate = 'requests' | 'tokens';
+
+interface Bucket {
+  level: number;
+  use: number;
+}
+
+interface CallerState {
+  spec: LimitSpec;
+  readonly buckets: Readonly<Record<Rate, Bucket>>;
+  concurrent: number;
+  updatedAt: number;
+  share: number;
+  concurrentShare: number;
+}
+
+/** The limits of all callers at one entry. */
+export class CallerLimits {
+  private readonly byCaller = new Map<string, CallerState>();
+
+  /** @param entryCount - Entries that share the limits. */
+  constructor(private entryCount: number) {}
+
+  /**
+   * @param caller - A caller.
+   * @param spec - Its declared limits, for all entries together.
+   * @param now - Milliseconds.
+   */
+  declare(caller: string, spec: LimitSpec, now: number): void {
+    const known = this.byCaller.get(caller);
+    if (known !== undefined) {
+      known.spec = spec;
+      return;
+    }
+    const share = 1 / this.entryCount;
+    this.byCaller.set(caller, {
+      spec,
+      buckets: {
+        requests: {
+          level: spec.requestsPerSecond * spec.burstSeconds * share,
+          use: 0,
+        },
+        tokens: {
+          level: spec.tokensPerSecond * spec.burstSeconds * share,
+          use: 0,
+        },
+      },
+      concurrent: 0,
+      updatedAt: now,
+      share,
+      concurrentShare: share,
+    });
+  }
+
+  /** @param caller - A caller without limits from now on. */
+  remove(caller: string): void {
+    this.byCaller.delete(caller);
+  }
+
+  /** @param count - Entries that share the limits from now on. */
+  setEntryCount(count: number): void {
+    this.entryCount = count;
+  }
+
+  /**
+   * Asks for room for one request, and takes it when there is.
+   *
+   * @param caller - The caller.
+   * @param tokens - Prompt tokens and the most that may be generated.
+   * @param now - Milliseconds.
+   * @returns The refusal, or undefined when the request may go on; then
+   *     {@link CallerLimits.ended} must follow.
+   */
+  begin(caller: string, tokens: number, now: number): Refusal | undefined {
+    const state = this.byCaller.get(caller);
+    if (state === undefined) return undefined;
+    this.refill(state, now);
+    const {requests, tokens: tokenBucket} = state.buckets;
+    const most = state.spec.concurrent * state.concurrentShare;
+    if (state.concurrent >= Math.max(1, Math.round(most))) {
+      return limited('Too many requests at once.', MS_PER_SECOND);
+    }
+    // A request that is larger than the whole bucket goes out on a full one
+    // and leaves it in debt; else it could never run.
+    if (requests.level < 1 || tokenBucket.level <= 0) {
+      return limited('Over the declared rate.', waitMs(state));
+    }
+    requests.level -= 1;
+    tokenBucket.level -= tokens;
+    requests.use += 1;
+    tokenBucket.use += tokens;
+    state.concurrent += 1;
+    return undefined;
+  }
+
+  /**
+   * @param caller - The caller.
+   * @param unusedTokens - Tokens asked for and not generated: given back.
+   */
+  ended(caller: string, unusedTokens: number): void {
+    const state = this.byCaller.get(caller);
+    if (state === undefined) return;
+    state.concurrent = Math.max(0, state.concurrent - 1);
+    state.buckets.tokens.level += unusedTokens;
+  }
+
+  /**
+   * @param now - Milliseconds.
+   * @returns What this entry used lately of each limited caller.
+   */
+  use(now: number): ReadonlyMap<string, CallerUse> {
+    const uses = new Map<string, CallerUse>();
+    for (const [caller, state] of this.byCaller) {
+      this.refill(state, now);
+      const perSecond = MS_PER_SECOND / USE_SMOOTHING_MS;
+      uses.set(caller, {
+        requests: state.buckets.requests.use * perSecond,
+        tokens: state.buckets.tokens.use * perSecond,
+        concurrent: state.concurrent,
+      });
+    }
+    return uses;
+  }
+
+  /**
+   * Takes what all other entries together used, some time ago.
+   *
+   * @param caller - The caller.
+   * @param others - The sum over the other entries.
+   * @param now - Milliseconds.
+   */
+  learn(caller: string, others: CallerUse, now: number): void {
+    const state = this.byCaller.get(caller);
+    if (state === undefined) return;
+    const own = this.use(now).get(caller)!;
+    state.share = this.shareOf(own.requests, others.requests);
+    state.concurrentShare = this.shareOf(own.concurrent, others.concurrent);
+  }
+
+  /** An equal part for everyone, the rest by use. */
+  private shareOf(own: number, others: number): number {
+    const equal = 1 / this.entryCount;
+    const all = own + others;
+    const byUse = all > 0 ? own / all : equal;
+    return EQUAL_PART * equal + (1 - EQUAL_PART) * byUse;
+  }
+
+  private refill(state: CallerState, now: number): void {
+    const elapsed = Math.max(0, now - state.updatedAt);
+    state.updatedAt = now;
+    const seconds = elapsed / MS_PER_SECOND;
+    const keep = Math.exp(-elapsed / USE_SMOOTHING_MS);
+    const {spec, buckets, share} = state;
+    fill(buckets.requests, spec.requestsPerSecond * share, spec, seconds);
+    fill(buckets.tokens, spec.tokensPerSecond * share, spec, seconds);
+    buckets.requests.use *= keep;
+    buckets.tokens.use *= keep;
+  }
+}
+
+function fill(
+  bucket: Bucket,
+  rate: number,
+  spec: LimitSpec,
+  seconds: number,
+): void {
+  const most = Math.max(1, rate * spec.burstSeconds);
+  bucket.level = Math.min(most, bucket.level + rate * seconds);
+}
+
+function waitMs({spec, share, buckets}: CallerState): number {
+  const requests =
+    (1 - buckets.requests.level) / (spec.requestsPerSecond * share);
+  const tokens = -buckets.tokens.level / (spec.tokensPerSecond * share);
+  return Math.ceil(Math.max(0, requests, tokens) * MS_PER_SECOND);
+}
+
+function limited(message: string, retryAfterMs: number): Refusal {
+  return notRun('rate-limited', message, Math.max(1, retryAfterMs));
+}
--- /dev/null
+++ b/packages/core/src/test/connection/subset_test.ts
@@ -0,0 +1,48 @@
+import test from 'ava';
+import {subsetOf} from '../../lib/connection/subset.js';
+
+const PER_TARGET = 5;
+const names = (kind: string, count: number) =>
+  Array.from({length: count}, (unused, i) => `${kind}-${i}`);
+
+function links(
+  entries: readonly string[],
+  targets: readonly string[],
+): Set<string> {
+  const all = entries.flatMap(entry =>
+    subsetOf(entry, entries, targets, PER_TARGET).map(
+      target => `${entry} ${target}`,
+    ),
+  );
+  return new Set(all);
+}
+
+const missing = (from: Set<string>, other: Set<string>) =>
+  [...from].filter(link => !other.has(link)).length;
+
+test('covers every target with the same number of entries', t => {
+  const targets = names('target', 60);
+  const all = links(names('entry', 20), targets);
+  t.is(all.size, targets.length * PER_TARGET);
+  for (const target of targets) {
+    t.is([...all].filter(x => x.endsWith(` ${target}`)).length, PER_TARGET);
+  }
+});
+
+test('one entry or target more or less moves only its own links', t => {
+  const entries = names('entry', 20);
+  const targets = names('target', 60);
+  const before = links(entries, targets);
+  const lost = [...before].filter(x => x.startsWith('entry-0 ')).length;
+  const fewerEntries = links(entries.slice(1), targets);
+  t.is(missing(before, fewerEntries), lost);
+  t.is(missing(fewerEntries, before), lost);
+  const fewerTargets = links(entries, targets.slice(1));
+  t.is(missing(before, fewerTargets), PER_TARGET);
+  t.is(missing(fewerTargets, before), 0);
+});
+
+test('few entries know all targets', t => {
+  const targets = names('target', 6);
+  t.deepEqual(subsetOf('entry-0', names('entry', 3), targets, 5), targets);
+});
--- /dev/null
+++ b/packages/core/src/test/connection/target_health_test.ts
@@ -0,0 +1,48 @@
+import test from 'ava';
+import {TargetHealth} from '../../lib/connection/target_health.js';
+
+const QUICK_MS = 20;
+const SLOW_MS = 100;
+
+function answerAll(
+  health: TargetHealth,
+  from: number,
+  seconds: number,
+  lastMs: number,
+): number {
+  const end = from + seconds * 1000;
+  for (let now = from; now < end; now += 100) {
+    health.answered('t0', QUICK_MS, now);
+    health.answered('t1', QUICK_MS, now);
+    health.answered('t2', lastMs, now);
+  }
+  return end;
+}
+
+test('a slow target loses share gradually and wins it back gradually', t => {
+  const health = new TargetHealth();
+  let now = answerAll(health, 0, 1, QUICK_MS);
+  t.is(health.share('t2'), 1);
+  now = answerAll(health, now, 1, SLOW_MS);
+  const soon = health.share('t2');
+  t.true(soon < 1 && soon > 0.4);
+  now = answerAll(health, now, 10, SLOW_MS);
+  t.true(health.share('t2') < 0.1);
+  t.true(health.outlier('t2'));
+  t.is(health.share('t0'), 1);
+  now = answerAll(health, now, 5, QUICK_MS);
+  t.true(health.share('t2') < 0.5);
+  answerAll(health, now, 30, QUICK_MS);
+  t.is(health.share('t2'), 1);
+  t.false(health.outlier('t2'));
+});
+
+test('a target that fails keeps a small share, and time gives it more', t => {
+  const health = new TargetHealth();
+  let now = 0;
+  for (; now < 10_000; now += 100) health.failed('t0', now);
+  const low = health.share('t0');
+  t.true(low > 0 && low < 0.1);
+  for (; now < 300_000; now += 1000) health.tick(now);
+  t.true(health.share('t0') > 0.9);
+});
--- /dev/null
+++ b/packages/core/src/test/connection/target_machine_test.ts
@@ -0,0 +1,34 @@
+import test from 'ava';
+import {
+  TARGET_TRAFFIC,
+  initialTargetState,
+  nextTargetState,
+} from '../../lib/connection/target_machine.js';
+import type {TargetEvent} from '../../lib/connection/target_machine.js';
+
+function after(...types: readonly TargetEvent['type'][]) {
+  return types.reduce(
+    (state, type) => nextTargetState(state, {type}),
+    initialTargetState(),
+  );
+}
+
+test('a target proves itself, stands out, recovers', t => {
+  t.is(initialTargetState(), 'probing');
+  t.is(after('replied'), 'healthy');
+  t.is(after('replied', 'outlier'), 'degraded');
+  t.is(after('replied', 'outlier', 'recovered'), 'healthy');
+});
+
+test('a silent target gets nothing new until it replies', t => {
+  t.is(after('replied', 'silent'), 'suspected');
+  t.false(TARGET_TRAFFIC[after('replied', 'silent')].takesNew);
+  t.is(after('replied', 'silent', 'replied'), 'probing');
+});
+
+test('a leaving target is not brought back by its heartbeats', t => {
+  t.is(after('replied', 'leave', 'replied', 'recovered'), 'leaving');
+  t.false(TARGET_TRAFFIC.leaving.takesNew);
+  t.is(after('replied', 'leave', 'stay'), 'probing');
+  t.is(after('replied', 'leave', 'removed', 'replied'), 'gone');
+});
