Let operators watch and change resources through typed requests

Operators' requests about resources are parsed and answered here, apart from HTTP, so that the entry only carries them. What was read can be changed and sent back; headers take If-Match, If-None-Match and Idempotency-Key.

A watch keeps nothing for a watcher but the last revision it was told of and reads from the node's memory or the log, so it resumes at any entry; a revision the log no longer reaches is gone. A starting entry asks several peers while the store is down, and a wrong hint of a revision is forgotten after one look at the head in place of endless full reads.

--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -3,13 +3,18 @@
  *
  * @packageDocumentation
  */
+export * from './lib/connection/watch.js';
+export * from './lib/connection/watch_frame.js';
 export * from './lib/process/config_cache.js';
+export type {ConfigPeers} from './lib/process/config_gossip.js';
 export * from './lib/process/config_reader.js';
 export * from './lib/process/config_rows.js';
 export * from './lib/process/config_store.js';
+export {DEFAULT_LOG_LENGTH} from './lib/process/config_writer.js';
+export type {ConfigStoreOptions} from './lib/process/config_writer.js';
+export * from './lib/request/resource_api.js';
+export * from './lib/request/resource_request.js';
 export * from './lib/version/change.js';
 export * from './lib/version/references.js';
 export * from './lib/version/spec_schema.js';
 export * from './lib/version/target_config_for.js';
-export {DEFAULT_LOG_LENGTH} from './lib/process/config_writer.js';
-export type {ConfigStoreOptions} from './lib/process/config_writer.js';
--- a/packages/config/src/lib/process/config_cache.ts
+++ b/packages/config/src/lib/process/config_cache.ts
@@ -1,29 +1,20 @@
 /** A node's view of the configuration, kept current. */
-import {ConfigSnapshot, DisposableStore, repeat, sleep} from '@oathead/core';
-import type {ConfigView, Clock, Counters, Random} from '@oathead/core';
+import {ConfigSnapshot, DisposableStore, sleep} from '@oathead/core';
+import type {Clock, ConfigView, Counters, Outcome, Random} from '@oathead/core';
 import type {Membership} from '@oathead/membership';
-import type {TableStore} from '@oathead/platform';
+import type {StoreError, TableStore} from '@oathead/platform';
 import {advance} from '../version/change.js';
 import type {Change, ConfigDelta} from '../version/change.js';
+import {ConfigGossip} from './config_gossip.js';
+import type {ConfigPeers} from './config_gossip.js';
 import {ConfigReader} from './config_reader.js';
+import type {LogGone} from './config_reader.js';
 import type {HeadRow} from './config_rows.js';
+import {RecentChanges} from './recent_changes.js';
 
 /** The polled head, as membership reads it. */
 export type HeadSource = Pick<Membership, 'head' | 'onHead'>;
 
-/** Ways to ask other entries what they know of the configuration. */
-export interface ConfigPeers {
-  /** @returns Names of the peers that can be asked now. */
-  ids(): readonly string[];
-  /**
-   * @param id - A peer.
-   * @param since - The revision that is known already.
-   * @returns What the peer knows beyond it; undefined when it knows no more or
-   *     does not answer.
-   */
-  ask(id: string, since: number): Promise<ConfigDelta | undefined>;
-}
-
 /** What a cache is made of. */
 export interface ConfigCacheOptions {
   readonly store: TableStore;
@@ -35,14 +26,10 @@
   readonly counters: Counters;
 }
 
-/** How often peers are asked, in milliseconds, whatever happens. */
-const GOSSIP_MS = 500;
-/** How many peers are asked each time. */
-const GOSSIP_FANOUT = 2;
 /** A larger gap is closed by reading everything. */
 const MAX_PULL = 1_000;
-/** Changes kept for watches and peers. */
-const RECENT_CHANGES = 1_024;
+/** How often a starting entry asks peers while the store is down. */
+const START_ROUNDS = 4;
 const FIRST_BACKOFF_MS = 50;
 const MAX_BACKOFF_MS = 1_000;
 
@@ -70,9 +57,11 @@
   private readonly listeners = new Set<(adoption: Adoption) => void>();
   /** Changes that wait for the ones before them, by revision. */
   private readonly pending = new Map<number, Change>();
-  private recent: readonly Change[] = [];
+  private readonly recent = new RecentChanges();
+  private readonly gossip: ConfigGossip;
   private snapshot = new ConfigSnapshot(0, []);
   private loaded = false;
+  private started = false;
   /** The highest revision heard of. */
   private wanted = 0;
   private pull: Promise<void> | undefined;
@@ -80,31 +69,39 @@
   /** @param options - What it is made of. */
   constructor(private readonly options: ConfigCacheOptions) {
     this.reader = new ConfigReader(options.store, options.headRow);
+    const {peers, clock, random} = options;
+    this.gossip = new ConfigGossip({
+      peers,
+      clock,
+      random,
+      known: () => (this.loaded ? this.snapshot.revision : -1),
+      onDelta: delta => this.take(delta),
+    });
   }
 
-  /** Whether the node knows a configuration at all. */
+  /** Whether the node knows a configuration that it may serve by. */
   get ready(): boolean {
-    return this.loaded;
+    return this.started;
   }
 
   /**
    * Loads the configuration and keeps it current until disposed.
    *
-   * @returns Resolves when it is loaded, from the store or from a peer; until
-   *     then the node is not ready.
+   * @returns Resolves when the node is ready, with the configuration of the
+   *     store or, while that is down, of peers.
    */
   async start(): Promise<void> {
     const {head, clock} = this.options;
     this.held.add(head.onHead(({cfg}) => this.hint(cfg)));
     let backoff = FIRST_BACKOFF_MS;
-    while (!this.loaded && !this.held.disposed) {
-      await this.load();
-      if (this.loaded) break;
+    while (!(await this.load()) && !this.held.disposed) {
       await sleep(clock, backoff);
       backoff = Math.min(2 * backoff, MAX_BACKOFF_MS);
     }
+    if (this.held.disposed) return;
+    this.started = true;
     this.hint(head.head().cfg);
-    this.held.add(repeat(clock, GOSSIP_MS, () => this.gossip()));
+    this.held.add(this.gossip.start());
   }
 
   current(): ConfigSnapshot {
@@ -137,16 +134,30 @@
   }
 
   /**
-   * Catches up with the store as it is now.
+   * Catches up with the store as it is now, once: unlike what goes on in the
+   * background it does not wait for an outage to end.
    *
-   * @returns Whether the store could be read.
+   * @returns Whether the view is as new as the store was at the call.
    */
   async refresh(): Promise<boolean> {
     const read = await this.reader.head();
     if (!read.ok) return false;
-    this.wanted = Math.max(this.wanted, read.value.head.cfg);
-    if (this.wanted > this.snapshot.revision) await this.catchUp();
-    return this.snapshot.revision >= read.value.head.cfg;
+    const {cfg} = read.value.head;
+    this.wanted = Math.max(this.wanted, cfg);
+    if (cfg > this.snapshot.revision) await this.pullOnce();
+    return this.snapshot.revision >= cfg;
+  }
+
+  /**
+   * Reads changes that are no longer in memory.
+   *
+   * @param since - The last revision that is known already.
+   * @returns All changes after it up to the current revision.
+   */
+  logSince(
+    since: number,
+  ): Promise<Outcome<readonly Change[], StoreError | LogGone>> {
+    return this.reader.changes(since, this.snapshot.revision);
   }
 
   /**
@@ -161,6 +172,7 @@
       this.pending.set(change.revision, change);
       this.wanted = Math.max(this.wanted, change.revision);
     }
+    if (!this.loaded) return;
     const next: Change[] = [];
     let revision = this.snapshot.revision;
     for (;;) {
@@ -193,24 +205,29 @@
    */
   recentSince(since: number): readonly Change[] | undefined {
     if (since >= this.snapshot.revision) return [];
-    const first = this.recent[0];
-    if (!first || first.revision > since + 1) return undefined;
-    return this.recent.slice(since + 1 - first.revision);
+    return this.recent.since(since);
   }
 
   [Symbol.dispose](): void {
     this.held[Symbol.dispose]();
   }
 
-  private async load(): Promise<void> {
+  /**
+   * Guards against a peer that is itself behind: a starting entry that served
+   * by what it says would revert for the callers it takes over. So several
+   * peers are asked, one after another, before the entry is ready.
+   */
+  private async load(): Promise<boolean> {
     const read = await this.reader.snapshot();
     if (read.ok) {
       this.adoptSnapshot(read.value);
-      return;
+      return true;
     }
     this.options.counters.count('config_load_failed', {cause: read.err.kind});
-    const {peers} = this.options;
-    await Promise.all(peers.ids().map(id => this.askPeer(id)));
+    for (let round = 0; round < START_ROUNDS; round++) {
+      await this.gossip.askSome();
+    }
+    return this.loaded;
   }
 
   private catchUp(): Promise<void> {
@@ -239,10 +256,24 @@
       }
       if (pulled.err.kind !== 'gone') return this.countFailure(pulled.err.kind);
     }
-    const read = await this.reader.snapshot();
+    return this.readAnew();
+  }
+
+  /**
+   * Reads everything, unless the store is no further than this node: then what
+   * told of a higher revision was wrong, and is forgotten.
+   */
+  private async readAnew(): Promise<boolean> {
+    const read = await this.reader.head();
     if (!read.ok) return this.countFailure(read.err.kind);
-    this.adoptSnapshot(read.value);
-    return read.value.revision > since;
+    if (read.value.head.cfg <= this.snapshot.revision) {
+      this.wanted = this.snapshot.revision;
+      return this.countFailure('wrong-hint');
+    }
+    const all = await this.reader.snapshot();
+    if (!all.ok) return this.countFailure(all.err.kind);
+    this.adoptSnapshot(all.value);
+    return true;
   }
 
   private countFailure(cause: string): false {
@@ -250,29 +281,16 @@
     return false;
   }
 
-  private async gossip(): Promise<void> {
-    const {peers, random} = this.options;
-    const ids = [...peers.ids()];
-    const chosen: string[] = [];
-    while (chosen.length < GOSSIP_FANOUT && ids.length > 0) {
-      chosen.push(...ids.splice(random.int(ids.length), 1));
-    }
-    await Promise.all(chosen.map(id => this.askPeer(id)));
-  }
-
-  private async askPeer(id: string): Promise<void> {
-    const since = this.loaded ? this.snapshot.revision : -1;
-    const delta = await this.options.peers.ask(id, since);
-    if (!delta || this.held.disposed) return;
-    if (delta.kind === 'changes' && this.loaded) this.offer(delta.changes);
+  private take(delta: ConfigDelta): void {
+    if (this.held.disposed) return;
     if (delta.kind === 'snapshot') {
       this.adoptSnapshot(new ConfigSnapshot(delta.revision, delta.resources));
-    }
+    } else if (this.loaded) this.offer(delta.changes);
   }
 
   private adoptSnapshot(snapshot: ConfigSnapshot): void {
     if (this.loaded && snapshot.revision <= this.snapshot.revision) return;
-    this.recent = [];
+    this.recent.clear();
     this.adopt(snapshot, undefined);
     this.offer([]);
   }
@@ -287,8 +305,7 @@
     for (const revision of [...this.pending.keys()]) {
       if (revision <= snapshot.revision) this.pending.delete(revision);
     }
-    if (changes)
-      this.recent = [...this.recent, ...changes].slice(-RECENT_CHANGES);
+    if (changes) this.recent.push(changes);
     this.options.counters.count('config_adoptions');
     for (const listener of [...this.listeners]) listener({snapshot, changes});
   }
--- a/packages/config/src/lib/process/config_store.ts
+++ b/packages/config/src/lib/process/config_store.ts
@@ -17,7 +17,8 @@
   userPrefixes,
   userProblems,
 } from '../version/references.js';
-import {checkSpec, invalid} from '../version/spec_schema.js';
+import {invalid} from '../version/problems.js';
+import {checkSpec} from '../version/spec_schema.js';
 import {ConfigReader} from './config_reader.js';
 import type {LogGone} from './config_reader.js';
 import {RESOURCE_PREFIX, decodeResource, resourceKey} from './config_rows.js';
--- a/packages/config/src/lib/process/config_writer.ts
+++ b/packages/config/src/lib/process/config_writer.ts
@@ -45,6 +45,8 @@
   readonly counters: Counters;
   /** Changes that the log keeps. */
   readonly logLength?: number;
+  /** Told of each change that this process knows to be committed. */
+  readonly onCommitted?: (change: Change) => void;
 }
 
 /** What a change turned out to be, against the configuration as it is. */
@@ -172,7 +174,7 @@
       const message = 'the change was made, and is no longer in the log';
       return success(failure(mayHaveRun('gone', message)));
     }
-    return success(success(decodeChange(change).change.resource));
+    return success(success(this.committed(decodeChange(change).change)));
   }
 
   /** The rows that leave the log when a revision enters it. */
@@ -218,7 +220,12 @@
     });
     if (!written.ok) return again(written.err);
     counters.count('config_changes', {type: change.type});
-    return ended(success(change.resource));
+    return ended(success(this.committed(change)));
+  }
+
+  private committed(change: Change): Resource {
+    this.options.onCommitted?.(change);
+    return change.resource;
   }
 }
 
--- a/packages/config/src/lib/version/spec_schema.ts
+++ b/packages/config/src/lib/version/spec_schema.ts
@@ -12,6 +12,7 @@
 } from '@oathead/core';
 import {isIP} from 'node:net';
 import {z} from 'zod';
+import {invalid, problemsOf} from './problems.js';
 
 const NAME_PATTERN = /^[a-z0-9][a-z0-9.-]{0,62}$/;
 const NAME_MESSAGE =
@@ -133,33 +134,6 @@
   return NAME_PATTERN.test(text) ? [] : [{path: 'name', message: NAME_MESSAGE}];
 }
 
-/**
- * @param error - What a schema found.
- * @param prefix - Path of what was checked.
- * @returns Each problem with its path.
- */
-export function problemsOf(
-  error: z.ZodError,
-  prefix: readonly PropertyKey[] = [],
-): readonly Problem[] {
-  return error.issues.map(issue => ({
-    path: [...prefix, ...issue.path].map(String).join('.'),
-    message: issue.message,
-  }));
-}
-
-/**
- * @param message - What was refused.
- * @param problems - All that is wrong with it.
- * @returns A refusal that lists them.
- */
-export function invalid(
-  message: string,
-  problems: readonly Problem[],
-): Refusal {
-  return {kind: 'invalid-request', message, ran: 'not-run', problems};
-}
-
 /**
  * Checks what an operator wrote.
  *
--- a/packages/config/src/test/process/config_cache_test.ts
+++ b/packages/config/src/test/process/config_cache_test.ts
@@ -1,34 +1,8 @@
-import {NO_COUNTERS, seededRandom} from '@oathead/core';
 import test from 'ava';
-import {ConfigCache} from '../../lib/process/config_cache.js';
-import type {ConfigPeers} from '../../lib/process/config_cache.js';
-import {ConfigStore} from '../../lib/process/config_store.js';
-import {FakeHead, HEAD_ROW} from '../fakes/fake_head.js';
-import {FakeTable} from '../fakes/fake_table.js';
-import {virtualClock} from '../fakes/virtual_clock.js';
-
-const NO_PEERS: ConfigPeers = {ids: () => [], ask: async () => undefined};
-
-function setUp() {
-  const table = new FakeTable();
-  const clock = virtualClock();
-  const common = {
-    store: table,
-    headRow: HEAD_ROW,
-    clock,
-    random: seededRandom(1),
-    counters: NO_COUNTERS,
-  };
-  const store = new ConfigStore(common);
-  const newCache = (peers = NO_PEERS) => {
-    const head = new FakeHead(table);
-    return {head, cache: new ConfigCache({...common, head, peers})};
-  };
-  return {table, clock, store, newCache};
-}
+import {configFleet} from '../fakes/config_fleet.js';
 
 test('loads at start and follows the head', async t => {
-  const {store, newCache} = setUp();
+  const {store, newCache} = configFleet();
   await store.apply('models', 'm', {});
   const {cache, head} = newCache();
   await cache.start();
@@ -50,7 +24,7 @@
 // Changes go on while a starting entry reads the pages of a large
 // configuration. Without care it would mix old and new rows.
 test('a load during changes is exact', async t => {
-  const {store, table, newCache} = setUp();
+  const {store, table, newCache} = configFleet();
   await store.apply('models', 'a', {});
   await store.apply('models', 'b', {});
   table.afterList = async () => {
@@ -72,7 +46,7 @@
 // The store goes down just after a change was accepted at one entry. The
 // others have not read it and would keep the old one until the store returns.
 test('a change accepted before an outage reaches others from peers', async t => {
-  const {store, table, clock, newCache} = setUp();
+  const {store, table, clock, newCache} = configFleet();
   const {cache: first} = newCache();
   await first.start();
   const {cache: second} = newCache({
@@ -98,7 +72,7 @@
 
 // An entry that was cut off for long answers a peer with what it last knew.
 test('never adopts an older revision, nor one with a gap before it', async t => {
-  const {store, newCache} = setUp();
+  const {store, newCache} = configFleet();
   await store.apply('models', 'a', {});
   await store.apply('models', 'b', {});
   const {cache} = newCache();
@@ -110,3 +84,31 @@
   t.is(cache.current().resources.length, 2);
   cache[Symbol.dispose]();
 });
+
+// A target of another deployment reports a revision that this one never had.
+test('forgets a revision that the store does not know', async t => {
+  const {store, table, clock, newCache} = configFleet();
+  await store.apply('models', 'a', {});
+  const {cache} = newCache();
+  await cache.start();
+  cache.hint(99);
+  await clock.pass(10_000);
+  const {reads} = table;
+  await clock.pass(10_000);
+  t.is(table.reads, reads);
+  t.is(cache.current().revision, 1);
+  cache[Symbol.dispose]();
+});
+
+test('reads everything when the log no longer reaches back', async t => {
+  const {store, newCache} = configFleet(3);
+  const {cache} = newCache();
+  await cache.start();
+  for (const name of ['a', 'b', 'c', 'd', 'e']) {
+    await store.apply('models', name, {});
+  }
+  t.true(await cache.refresh());
+  t.is(cache.current().resources.length, 5);
+  t.is(cache.recentSince(2), undefined);
+  cache[Symbol.dispose]();
+});
--- a/packages/config/src/test/process/config_store_test.ts
+++ b/packages/config/src/test/process/config_store_test.ts
@@ -1,42 +1,14 @@
-import {NO_COUNTERS, seededRandom} from '@oathead/core';
-import type {Outcome, Refusal} from '@oathead/core';
 import test from 'ava';
-import {ConfigStore} from '../../lib/process/config_store.js';
 import {CHANGE_PREFIX, changeKey} from '../../lib/process/config_rows.js';
-import {HEAD_ROW} from '../fakes/fake_head.js';
-import {FakeTable} from '../fakes/fake_table.js';
-import {virtualClock} from '../fakes/virtual_clock.js';
-
-function setUp(logLength?: number) {
-  const table = new FakeTable();
-  const clock = virtualClock();
-  const store = new ConfigStore({
-    store: table,
-    headRow: HEAD_ROW,
-    clock,
-    random: seededRandom(1),
-    counters: NO_COUNTERS,
-    logLength,
-  });
-  return {table, clock, store};
-}
-
-function valueOf<T>(outcome: Outcome<T, Refusal>): T {
-  if (!outcome.ok) throw new Error(JSON.stringify(outcome.err));
-  return outcome.value;
-}
-
-function refusalOf(outcome: Outcome<unknown, Refusal>): Refusal {
-  if (outcome.ok) throw new Error('was not refused');
-  return outcome.err;
-}
+import {configFleet, refusalOf, valueOf} from '../fakes/config_fleet.js';
+import type {FakeTable} from '../fakes/fake_table.js';
 
 function changesIn(table: FakeTable): number {
   return [...table.rows.keys()].filter(k => k.startsWith(CHANGE_PREFIX)).length;
 }
 
 test('declares with defaults, reads back, changes, deletes', async t => {
-  const {store} = setUp();
+  const {store} = configFleet();
   const made = valueOf(await store.apply('models', 'review-llm', {}));
   t.is(made.resourceVersion, 1);
   t.is(made.spec.maxOnline, 64);
@@ -55,7 +27,7 @@
 // Two operators change the same resource at once. Both read version 1, both
 // write; without a condition the second would silently undo the first.
 test('the loser of a race gets a conflict with the current version', async t => {
-  const {store, table, clock} = setUp();
+  const {store, table, clock} = configFleet();
   valueOf(await store.apply('models', 'm', {maxOnline: 1}));
   table.beforeWrite = async () => {
     valueOf(await store.apply('models', 'm', {maxOnline: 2}, {ifMatch: 1}));
@@ -74,7 +46,7 @@
 // The store writes a change and its answer is lost. The operator is told
 // nothing useful unless the writer finds out; a blind retry would change twice.
 test('a lost answer is read back, not written again', async t => {
-  const {store, table, clock} = setUp();
+  const {store, table, clock} = configFleet();
   table.loseAnswers = 1;
   const applying = store.apply('models', 'm', {});
   await clock.pass(1_000);
@@ -86,7 +58,7 @@
 // colleague changes the resource, then the operator sends the change again: it
 // must not undo the colleague's.
 test('a resend with the same change id is the same change', async t => {
-  const {store, table, clock} = setUp();
+  const {store, table, clock} = configFleet();
   const first = {changeId: 'op-1'};
   table.loseAnswers = 1;
   const applying = store.apply('models', 'm', {maxOnline: 1}, first);
@@ -107,7 +79,7 @@
 });
 
 test('a resend without an id, on the same condition, changes nothing', async t => {
-  const {store, table} = setUp();
+  const {store, table} = configFleet();
   valueOf(await store.apply('models', 'm', {maxOnline: 1}));
   const wish = {maxOnline: 2};
   const once = valueOf(await store.apply('models', 'm', wish, {ifMatch: 1}));
@@ -117,7 +89,7 @@
 });
 
 test('refuses what leads nowhere, and to delete what is in use', async t => {
-  const {store} = setUp();
+  const {store} = configFleet();
   const version = {model: 'm', weights: 'm-1'};
   t.like(refusalOf(await store.apply('versions', 'm-1', version)), {
     kind: 'invalid-request',
@@ -144,7 +116,7 @@
 // A version is declared while another operator deletes its model. Each saw the
 // other's resource as it was before; together they would leave a dead name.
 test('a reference and the deletion of what it names cannot both happen', async t => {
-  const {store, table, clock} = setUp();
+  const {store, table, clock} = configFleet();
   valueOf(await store.apply('models', 'm', {}));
   table.beforeWrite = async () => {
     valueOf(await store.apply('versions', 'm-1', {model: 'm', weights: 'w'}));
@@ -155,7 +127,7 @@
 });
 
 test('the log is bounded, with the ids of its changes', async t => {
-  const {store, table} = setUp(3);
+  const {store, table} = configFleet(3);
   for (let maxOnline = 1; maxOnline <= 10; maxOnline++) {
     valueOf(await store.apply('models', 'm', {maxOnline}));
   }
