Join entry and target process by a thin whole path

Cause: an entry needs a way into a target process, and the target process one into its engine, before anything else can be built on them. Change: wire has zod schemas of all messages, a tRPC router over WebSocket and a link that replaces a silent connection and attaches to its requests again. target has the service behind it: admission, engine calls, at-most-once memory, fences, drain, load reports. core gains two pure machines, for the connection and for the request at its target, and the additive fields Heartbeat.orderFence, TargetConfig.leaving, PoolConfig.version and AdmissionRequest.preemptible.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -4,6 +4,7 @@
  *
  * @packageDocumentation
  */
+export * from './lib/connection/connection_machine.js';
 export * from './lib/connection/target_link.js';
 export * from './lib/process/admission.js';
 export * from './lib/process/clock.js';
@@ -18,6 +19,8 @@
 export * from './lib/request/batch_item.js';
 export * from './lib/request/refusal.js';
 export * from './lib/request/serve.js';
+export * from './lib/request/target_request_machine.js';
 export * from './lib/request/work.js';
+export * from './lib/request/work_fingerprint.js';
 export * from './lib/version/resource.js';
 export * from './lib/version/target_config.js';
--- a/packages/core/src/lib/connection/target_link.ts
+++ b/packages/core/src/lib/connection/target_link.ts
@@ -14,6 +14,11 @@
   readonly cfgRevision: number;
   /** Sent when the target's last reply had an older revision. */
   readonly cfg?: TargetConfig;
+  /**
+   * The token of the current holder of orders, read from the table after this
+   * boot of the target process was known: an order with a lower one is old.
+   */
+  readonly orderFence?: {readonly token: number; readonly bootId: string};
 }
 
 /** What a target process answers to a heartbeat. */
--- a/packages/core/src/lib/process/admission.ts
+++ b/packages/core/src/lib/process/admission.ts
@@ -23,6 +23,11 @@
   readonly suspect: boolean;
   /** Tokens generated before it was preempted or given back. */
   readonly resumedTokens: number;
+  /**
+   * False: once started it can't be cancelled and resumed, as it is not
+   * idempotent or a call of a plain service; a `preempt` is not carried out.
+   */
+  readonly preemptible?: boolean;
 }
 
 /** What happened. */
--- a/packages/core/src/lib/version/target_config.ts
+++ b/packages/core/src/lib/version/target_config.ts
@@ -14,6 +14,8 @@
 export interface PoolConfig {
   readonly pool: string;
   readonly kind: 'model' | 'service';
+  /** The version that takes traffic; any that is ready when absent. */
+  readonly version?: string;
   readonly batch: BatchPolicy;
   /** Aim for the first token, in milliseconds. */
   readonly firstTokenMs: number;
@@ -32,4 +34,6 @@
   readonly callerWeights: Readonly<Record<string, number>>;
   /** Fingerprints of work that must not run. */
   readonly blocked: readonly string[];
+  /** Declared out: it finishes what it has and takes nothing new. */
+  readonly leaving?: boolean;
 }
--- a/packages/target/src/index.ts
+++ b/packages/target/src/index.ts
@@ -3,5 +3,4 @@
  *
  * @packageDocumentation
  */
-
-export {};
+export * from './lib/process/target_service.js';
--- /dev/null
+++ b/packages/target/src/lib/process/engine_watch.ts
@@ -0,0 +1,109 @@
+/** Watches whether the engine answers, and what it says of itself. */
+import {EngineError, repeat} from '@oathead/core';
+import type {Clock, Counters, EngineClient, EngineLoad} from '@oathead/core';
+import debugLogger from 'debug';
+import {CacheIndex} from './cache_index.js';
+
+const debug = debugLogger('oathead:engine');
+
+/** How often the engine is asked. */
+export interface EngineWatchSettings {
+  /** Pause between probes, in milliseconds. */
+  readonly probeMs: number;
+  /** Largest wait for an answer, in milliseconds. */
+  readonly probeTimeoutMs: number;
+}
+
+/** What the watch tells. */
+export interface EngineWatchEvents {
+  load(load: EngineLoad): void;
+  /** The engine went down, or answers again. */
+  changed(): void;
+}
+
+/** Polls the load and cache events of one engine. */
+export class EngineWatch implements Disposable {
+  readonly cache = new CacheIndex();
+  private lastLoad: EngineLoad | undefined;
+  private isDown = true;
+  private polling: Disposable | undefined;
+
+  /**
+   * @param engine - The engine.
+   * @param settings - How often it is asked.
+   * @param clock - Pauses and timeouts are measured on it.
+   * @param counters - Counts failed probes and changes.
+   * @param events - Told what is learnt.
+   */
+  constructor(
+    private readonly engine: EngineClient,
+    private readonly settings: EngineWatchSettings,
+    private readonly clock: Clock,
+    private readonly counters: Counters,
+    private readonly events: EngineWatchEvents,
+  ) {}
+
+  /** Whether the engine does not answer; true until it first has. */
+  get down(): boolean {
+    return this.isDown;
+  }
+
+  /** What the engine said last. */
+  get load(): EngineLoad | undefined {
+    return this.lastLoad;
+  }
+
+  /** Begins to poll, with a first probe at once. */
+  start(): void {
+    const {probeMs} = this.settings;
+    void this.probe();
+    this.polling = repeat(this.clock, probeMs, () => this.probe());
+  }
+
+  /** A request's connection to the engine broke: down until a probe answers. */
+  suspect(): void {
+    this.setDown(true);
+  }
+
+  /** Asks the engine once. */
+  async probe(): Promise<void> {
+    const timeout = new AbortController();
+    using timer = this.clock.after(this.settings.probeTimeoutMs, () =>
+      timeout.abort(),
+    );
+    void timer;
+    try {
+      const load = await this.engine.load(timeout.signal);
+      this.onLoad(load);
+      await this.pollCache(timeout.signal);
+    } catch (err) {
+      if (!(err instanceof EngineError)) throw err;
+      this.counters.count('engine_probe_failed', {kind: err.kind});
+      this.setDown(true);
+    }
+  }
+
+  [Symbol.dispose](): void {
+    this.polling?.[Symbol.dispose]();
+  }
+
+  private onLoad(load: EngineLoad): void {
+    this.lastLoad = load;
+    this.setDown(false);
+    this.events.load(load);
+  }
+
+  private async pollCache(signal: AbortSignal): Promise<void> {
+    const events = await this.engine.cacheEvents(this.cache.sequence, signal);
+    this.cache.apply(events);
+  }
+
+  private setDown(down: boolean): void {
+    if (down === this.isDown) return;
+    this.isDown = down;
+    if (down) this.cache.reset();
+    debug(down ? 'does not answer' : 'answers');
+    this.counters.count('engine_state', {to: down ? 'down' : 'up'});
+    this.events.changed();
+  }
+}
--- /dev/null
+++ b/packages/target/src/lib/process/run_memory.ts
@@ -0,0 +1,252 @@
+/** What this process remembers of the requests that it has had. */
+import {mayHaveRun, notRun} from '@oathead/core';
+import type {Clock, Refusal, ServeOutcome, ServeRequest} from '@oathead/core';
+import {LRUCache} from 'lru-cache';
+import {runKey} from '../request/target_run.js';
+import type {TargetRun} from '../request/target_run.js';
+
+/** Bounds of the memory. */
+export interface RunMemorySettings {
+  /** How long an ended request can still be attached to, in milliseconds. */
+  readonly attachMs: number;
+  /** How long an answer is given to a resend, in milliseconds. */
+  readonly answerMs: number;
+  readonly answerBytes: number;
+  /** How long a non-idempotent request is known as started, in milliseconds. */
+  readonly startedMs: number;
+  readonly startedCount: number;
+  /** Bytes of answers that are not written elsewhere yet. */
+  readonly heldBytes: number;
+}
+
+const MAX_ENDED = 20_000;
+const MAX_VOIDED = 20_000;
+/** An ended run without its texts, beside its answer. */
+const RUN_OVERHEAD_BYTES = 512;
+
+/**
+ * @param req - A request.
+ * @returns The name under which its outcome is known: all attempts at it, and
+ *     all its resends, have the same.
+ */
+export function outcomeName(req: ServeRequest): string {
+  return req.dedupeKey === undefined ? `id ${req.id}` : `key ${req.dedupeKey}`;
+}
+
+/** Live runs, ended ones, and marks of what must not start again. */
+export class RunMemory {
+  private readonly live = new Map<string, TargetRun>();
+  private readonly liveByName = new Map<string, TargetRun>();
+  private readonly held = new Map<string, TargetRun>();
+  private heldBytes = 0;
+  private readonly ended: LRUCache<string, TargetRun>;
+  private readonly answered: LRUCache<string, TargetRun>;
+  private readonly startedOnce: LRUCache<string, true>;
+  private readonly voided: LRUCache<string, true>;
+  /** When an ended run was last forgotten before its time. */
+  private forgotYoungAt = -Infinity;
+
+  /**
+   * @param settings - Bounds.
+   * @param clock - Ages are measured on it.
+   */
+  constructor(
+    private readonly settings: RunMemorySettings,
+    private readonly clock: Clock,
+  ) {
+    const perf = {now: () => clock.now()};
+    const common = {perf, ttlResolution: 0};
+    this.ended = new LRUCache({
+      ...common,
+      ttl: settings.attachMs,
+      max: MAX_ENDED,
+      dispose: (run, key, reason) => {
+        if (reason === 'evict') this.forgotYoungAt = clock.now();
+      },
+    });
+    this.answered = new LRUCache({
+      ...common,
+      ttl: settings.answerMs,
+      maxSize: settings.answerBytes,
+      sizeCalculation: bytesOf,
+    });
+    this.startedOnce = new LRUCache({
+      ...common,
+      ttl: settings.startedMs,
+      max: settings.startedCount,
+    });
+    this.voided = new LRUCache({
+      ...common,
+      ttl: settings.attachMs,
+      max: MAX_VOIDED,
+    });
+  }
+
+  /** The runs that have no outcome yet. */
+  get running(): Iterable<TargetRun> {
+    return this.live.values();
+  }
+
+  /** How many runs have no outcome yet. */
+  get runningCount(): number {
+    return this.live.size;
+  }
+
+  /** How many answers wait to be written elsewhere. */
+  get heldCount(): number {
+    return this.held.size;
+  }
+
+  /**
+   * @param id - A request.
+   * @param attempt - Which attempt.
+   * @returns That very attempt, running or ended not long ago.
+   */
+  byAttempt(id: string, attempt: number): TargetRun | undefined {
+    const key = runKey(id, attempt);
+    return this.live.get(key) ?? this.ended.get(key);
+  }
+
+  /**
+   * @param req - A request.
+   * @returns A run whose outcome is the request's too.
+   */
+  sameOutcome(req: ServeRequest): TargetRun | undefined {
+    const name = outcomeName(req);
+    return (
+      this.liveByName.get(name) ??
+      this.held.get(name) ??
+      this.answered.get(name)
+    );
+  }
+
+  /**
+   * @param req - A request that no run here answers.
+   * @returns Why it must not be started; undefined when it may.
+   */
+  barred(req: ServeRequest): Refusal | undefined {
+    if (this.voided.has(runKey(req.id, req.attempt))) {
+      return notRun('target-lost', 'the request came after it was given up');
+    }
+    if (this.wasStarted(req)) {
+      return mayHaveRun(
+        'outcome-unknown',
+        'the request was started here before and may run only once',
+      );
+    }
+    return this.full(req);
+  }
+
+  /** @param run - A run to be known from now on. */
+  add(run: TargetRun): void {
+    this.live.set(run.key, run);
+    this.liveByName.set(outcomeName(run.req), run);
+  }
+
+  /**
+   * Guards against a non-idempotent request that runs twice: its caller
+   * resends it, by its key or through another entry, while the outcome of the
+   * first run is unknown. The mark is set before the engine can see the
+   * request and outlives the run, whatever its outcome.
+   *
+   * @param run - A run about to be started.
+   */
+  markStarted(run: TargetRun): void {
+    if (run.req.idempotent) return;
+    for (const name of marksOf(run.req)) this.startedOnce.set(name, true);
+  }
+
+  /** @param run - A run that has just got its outcome. */
+  settle(run: TargetRun): void {
+    this.live.delete(run.key);
+    const name = outcomeName(run.req);
+    if (this.liveByName.get(name) === run) this.liveByName.delete(name);
+    this.ended.set(run.key, run);
+    if (run.outcome?.kind !== 'done') return;
+    if (run.req.dedupeKey === undefined) this.answered.set(name, run);
+    else this.hold(name, run);
+  }
+
+  /**
+   * @param dedupeKeys - Keys whose outcomes are written elsewhere.
+   */
+  release(dedupeKeys: readonly string[]): void {
+    for (const key of dedupeKeys) this.releaseName(`key ${key}`);
+  }
+
+  /**
+   * Makes sure that an attempt which has not arrived is never started here.
+   *
+   * @param id - The request.
+   * @param attempt - Which attempt.
+   * @param sentAgoMs - How long ago it was sent, in milliseconds.
+   * @returns What is known of it.
+   */
+  voidUnseen(id: string, attempt: number, sentAgoMs: number): Refusal {
+    // An attempt that ran and was forgotten looks like one that never came. It
+    // is only called "not run" while nothing that old can be forgotten.
+    const sentAt = this.clock.now() - sentAgoMs;
+    if (sentAgoMs >= this.settings.attachMs || this.forgotYoungAt >= sentAt) {
+      return mayHaveRun('outcome-unknown', 'too old to be remembered here');
+    }
+    this.voided.set(runKey(id, attempt), true);
+    return notRun('target-lost', 'the request has not arrived');
+  }
+
+  private hold(name: string, run: TargetRun): void {
+    this.held.set(name, run);
+    this.heldBytes += bytesOf(run);
+  }
+
+  private releaseName(name: string): void {
+    const run = this.held.get(name);
+    if (!run) return;
+    this.held.delete(name);
+    this.heldBytes -= bytesOf(run);
+    this.answered.set(name, run);
+  }
+
+  private wasStarted(req: ServeRequest): boolean {
+    return marksOf(req).some(name => this.startedOnce.has(name));
+  }
+
+  /**
+   * Guards against forgetting what must be remembered: rather than drop an
+   * answer that is not written yet, or the mark of a request that may run only
+   * once, new requests of the kind are refused.
+   */
+  private full(req: ServeRequest): Refusal | undefined {
+    if (!req.idempotent && this.marksAreFull()) {
+      return notRun('overloaded', 'too many requests that may run only once');
+    }
+    const holds = req.dedupeKey !== undefined;
+    if (holds && this.heldBytes >= this.settings.heldBytes) {
+      return notRun('overloaded', 'too many answers that are not written yet');
+    }
+    return undefined;
+  }
+
+  private marksAreFull(): boolean {
+    const room = () =>
+      this.startedOnce.size + this.live.size * 2 < this.settings.startedCount;
+    if (room()) return false;
+    this.startedOnce.purgeStale();
+    return !room();
+  }
+}
+
+function marksOf(req: ServeRequest): readonly string[] {
+  const byId = `id ${req.id}`;
+  return req.dedupeKey === undefined ? [byId] : [byId, `key ${req.dedupeKey}`];
+}
+
+function bytesOf(run: TargetRun): number {
+  return RUN_OVERHEAD_BYTES + outcomeBytes(run.outcome);
+}
+
+function outcomeBytes(outcome: ServeOutcome | undefined): number {
+  if (outcome?.kind !== 'done') return 0;
+  const {answer} = outcome;
+  const text = answer.kind === 'completion' ? answer.text : answer.body;
+  return 2 * text.length;
+}
--- /dev/null
+++ b/packages/target/src/lib/request/target_run.ts
@@ -0,0 +1,179 @@
+/** One request at the target process, from its arrival to its outcome. */
+import {
+  initialTargetRequest,
+  invariant,
+  isUnseen,
+  stepTargetRequest,
+} from '@oathead/core';
+import type {
+  Partial,
+  ServeOutcome,
+  ServeRequest,
+  TargetRequestEvent,
+  TargetRequestState,
+} from '@oathead/core';
+
+/**
+ * @param id - The request.
+ * @param attempt - Which attempt at it.
+ * @returns The name of that attempt in this process.
+ */
+export function runKey(id: string, attempt: number): string {
+  return `${id}#${attempt}`;
+}
+
+/** A request with its tokens, outcome and followers. */
+export class TargetRun {
+  readonly key: string;
+  /** Tokens generated here, behind those of `req.resume`. */
+  private readonly texts: string[] = [];
+  private readonly waiters = new Set<() => void>();
+  private snapshot = initialTargetRequest();
+  private ended: ServeOutcome | undefined;
+  private startedVersion: string | undefined;
+  private takeStart!: () => void;
+  private readonly startTaken = new Promise<void>(resolve => {
+    this.takeStart = resolve;
+  });
+  private followerCount = 0;
+  /** Cancels the engine's part; set while the engine has it. */
+  abort: AbortController | undefined;
+
+  /** @param req - As the entry sent it. */
+  constructor(readonly req: ServeRequest) {
+    this.key = runKey(req.id, req.attempt);
+  }
+
+  get state(): TargetRequestState {
+    return this.snapshot.value as TargetRequestState;
+  }
+
+  /** Whether no engine can have seen it. */
+  get unseen(): boolean {
+    return this.startedVersion === undefined;
+  }
+
+  /** The version that serves it, from its start on. */
+  get version(): string | undefined {
+    return this.startedVersion;
+  }
+
+  get outcome(): ServeOutcome | undefined {
+    return this.ended;
+  }
+
+  /** Whether it may be cancelled at the engine and resumed there later. */
+  get preemptible(): boolean {
+    return this.req.idempotent && this.req.work.kind === 'completion';
+  }
+
+  /** Tokens so far, with those of `req.resume`. */
+  get tokenCount(): number {
+    return this.baseTokens + this.texts.length;
+  }
+
+  /** @param event - Steps the machine. */
+  step(event: TargetRequestEvent): void {
+    this.snapshot = stepTargetRequest(this.snapshot, event);
+  }
+
+  /**
+   * Marks the start, before the engine can see the request.
+   *
+   * @param version - The version that is to serve it.
+   */
+  start(version: string): void {
+    this.step({type: 'start'});
+    this.startedVersion ??= version;
+    this.notify();
+  }
+
+  /** A follower has been handed the `started` event. */
+  startSeen(): void {
+    this.takeStart();
+  }
+
+  /**
+   * Guards against a request that has run though nobody was told that it
+   * started: the engine gets it only after a follower has the `started` event,
+   * or when none is left to be told.
+   *
+   * @returns Resolves when the engine may see it.
+   */
+  async handedOver(): Promise<void> {
+    if (this.followerCount > 0) await this.startTaken;
+  }
+
+  /** How many follow it now. */
+  get followers(): number {
+    return this.followerCount;
+  }
+
+  /** @returns A disposable that ends the following. */
+  follow(): Disposable {
+    this.followerCount++;
+    return {
+      [Symbol.dispose]: () => {
+        this.followerCount--;
+        if (this.followerCount === 0) this.takeStart();
+      },
+    };
+  }
+
+  /** @param text - The next token. */
+  add(text: string): void {
+    this.texts.push(text);
+    this.notify();
+  }
+
+  /**
+   * Sets the outcome; the first one stands.
+   *
+   * @param outcome - How it ended.
+   */
+  end(outcome: ServeOutcome): void {
+    if (this.ended) return;
+    invariant(
+      outcome.kind !== 'refused' ||
+        outcome.refusal.ran !== 'not-run' ||
+        isUnseen(this.state),
+      `${this.key} was started and can't be refused as not run`,
+    );
+    this.ended = outcome;
+    this.step({type: 'end'});
+    this.notify();
+  }
+
+  /** What was generated so far. */
+  partial(): Partial {
+    return {text: this.textFrom(0), tokens: this.tokenCount};
+  }
+
+  /**
+   * @param index - A token of the whole answer.
+   * @returns The text from that token on.
+   */
+  textFrom(index: number): string {
+    const own = this.texts.slice(Math.max(0, index - this.baseTokens)).join('');
+    return index < this.baseTokens ? this.req.resume!.text + own : own;
+  }
+
+  /**
+   * @param callback - Called once, at the next change.
+   * @returns A disposable that takes it back.
+   */
+  onceChanged(callback: () => void): Disposable {
+    this.waiters.add(callback);
+    return {[Symbol.dispose]: () => void this.waiters.delete(callback)};
+  }
+
+  private get baseTokens(): number {
+    return this.req.resume?.tokens ?? 0;
+  }
+
+  private notify(): void {
+    const waiters = [...this.waiters];
+    this.waiters.clear();
+    for (const wake of waiters) wake();
+  }
+}
--- /dev/null
+++ b/packages/target/src/test/service_fixture.ts
@@ -0,0 +1,145 @@
+/** A target service on a virtual clock, with an engine made by the test. */
+import {NO_COUNTERS, seededRandom} from '@oathead/core';
+import type {
+  Clock,
+  ServeEvent,
+  ServeRequest,
+  ServiceClient,
+  TargetConfig,
+} from '@oathead/core';
+import {createClock} from '@sinonjs/fake-timers';
+import {TargetService} from '../lib/process/target_service.js';
+import type {TargetServiceSettings} from '../lib/process/target_service.js';
+import {FakeEngine} from './fake_engine.js';
+import {FixedAdmission} from './fixed_admission.js';
+
+/** Virtual time that only the test moves. */
+export function virtualTime() {
+  const timers = createClock(1_000);
+  const clock: Clock = {
+    now: () => timers.now,
+    wallTime: () => timers.now,
+    after(delayMs, callback) {
+      const timer = timers.setTimeout(callback, delayMs);
+      return {[Symbol.dispose]: () => timers.clearTimeout(timer)};
+    },
+  };
+  const pass = (ms: number) => timers.tickAsync(ms);
+  return {clock, pass};
+}
+
+export const CONFIG: TargetConfig = {
+  revision: 1,
+  pools: [
+    {
+      pool: 'review',
+      kind: 'model',
+      batch: {throughputWeight: 0.5, maxHarm: 1.5},
+      firstTokenMs: 390,
+      betweenTokensMs: 40,
+      maxOnline: 8,
+    },
+    {
+      pool: 'limits',
+      kind: 'service',
+      batch: {throughputWeight: 0.5, maxHarm: 1.5},
+      firstTokenMs: 390,
+      betweenTokensMs: 40,
+      maxOnline: 8,
+    },
+  ],
+  callerWeights: {},
+  blocked: [],
+};
+
+export const SETTINGS: TargetServiceSettings = {
+  targetId: 'target-1',
+  dataCentre: 'hall-a',
+  fenceCheck: 'unfenced',
+  attachGraceMs: 2_000,
+  coalesceMs: 10,
+  orderTimeoutMs: 1_000,
+  memory: {
+    attachMs: 60_000,
+    answerMs: 600_000,
+    answerBytes: 1_000_000,
+    startedMs: 3_600_000,
+    startedCount: 1_000,
+    heldBytes: 100_000,
+  },
+  engine: {probeMs: 250, probeTimeoutMs: 500},
+  load: {pushMs: 50, bytesPerSecond: 10_000},
+};
+
+export interface FixtureOptions {
+  readonly capacity?: number;
+  readonly queueLimit?: number;
+  readonly settings?: Partial<TargetServiceSettings>;
+  readonly services?: ReadonlyMap<string, ServiceClient>;
+  readonly engine?: FakeEngine;
+  /** Tells one boot from another. */
+  readonly seed?: number;
+}
+
+/** Starts a service that has its configuration and an engine that answers. */
+export async function startService(options: FixtureOptions = {}) {
+  const {clock, pass} = virtualTime();
+  const engine = options.engine ?? new FakeEngine();
+  const admission = new FixedAdmission(
+    options.capacity ?? 2,
+    options.queueLimit,
+  );
+  const service = new TargetService({
+    clock,
+    random: seededRandom(options.seed ?? 1),
+    counters: NO_COUNTERS,
+    createAdmission: () => admission,
+    backends: {engine, services: options.services ?? new Map()},
+    settings: {...SETTINGS, ...options.settings},
+  });
+  service.start();
+  await service.heartbeat({entryId: 'e1', cfgRevision: 1, cfg: CONFIG});
+  await pass(0);
+  return {service, engine, admission, clock, pass};
+}
+
+let requests = 0;
+
+export function request(over: Partial<ServeRequest> = {}): ServeRequest {
+  return {
+    id: `r${++requests}`,
+    attempt: 1,
+    entryId: 'e1',
+    caller: 'bank-a',
+    class: 'online',
+    work: {
+      kind: 'completion',
+      model: 'review',
+      input: {kind: 'prompt', prompt: 'is the limit fair?'},
+      maxTokens: 16,
+    },
+    idempotent: true,
+    timeoutMs: 30_000,
+    promptTokens: 5,
+    stream: true,
+    ...over,
+  };
+}
+
+/** Collects what a follower gets, and lets it leave. */
+export function collect(
+  events: AsyncIterable<ServeEvent>,
+  signal = new AbortController(),
+) {
+  const got: ServeEvent[] = [];
+  const ended = (async () => {
+    for await (const event of events) got.push(event);
+  })();
+  return {got, ended, abort: (reason?: unknown) => signal.abort(reason)};
+}
+
+/** Sends a request to a service and collects its events. */
+export function send(service: TargetService, req: ServeRequest) {
+  const signal = new AbortController();
+  return collect(service.serve(req, signal.signal), signal);
+}
--- /dev/null
+++ b/packages/wire/src/lib/connection/link_call.ts
@@ -0,0 +1,11 @@
+/** A call on a link that outlives the connection it was first made over. */
+import type {LinkLostError} from '@oathead/core';
+import type {Channel} from './channel.js';
+
+/** A call in flight. */
+export interface LinkCall {
+  /** Makes the call over a channel, for the first time or again. */
+  use(channel: Channel): void;
+  /** Ends the call: the target can't be reached. */
+  fail(err: LinkLostError): void;
+}
--- /dev/null
+++ b/packages/wire/src/lib/connection/serve_call.ts
@@ -0,0 +1,136 @@
+/** A request in flight on a link. */
+import {isFinal, mayHaveRun} from '@oathead/core';
+import type {
+  Clock,
+  LinkLostError,
+  Refusal,
+  ServeEvent,
+  ServeRequest,
+} from '@oathead/core';
+import {TRPCClientError} from '@trpc/client';
+import type {WireProblems} from '../process/target_router.js';
+import type {Channel} from './channel.js';
+import {EventQueue} from './event_queue.js';
+import type {LinkCall} from './link_call.js';
+
+/**
+ * Sends a request once and then only ever attaches to it.
+ *
+ * Guards against a lost and against a doubled request when its connection is
+ * replaced: sent again, it would run twice at a target process that has
+ * restarted or forgotten it; given up, an answer would be lost that the target
+ * still makes. The position in the stream goes along, so that no token comes
+ * twice and none is missing.
+ */
+export class ServeCall implements LinkCall {
+  private readonly queue = new EventQueue<ServeEvent>();
+  private subscription: {unsubscribe(): void} | undefined;
+  private current: Channel | undefined;
+  private sentTo: string | undefined;
+  private sentAt = 0;
+  private startedSeen = false;
+  private tokensSeen = 0;
+  private over = false;
+
+  /**
+   * @param req - The request.
+   * @param clock - Tells how long ago it was sent.
+   */
+  constructor(
+    private readonly req: ServeRequest,
+    private readonly clock: Clock,
+  ) {}
+
+  /** @returns What the target tells, in order. @throws LinkLostError */
+  events(): AsyncGenerator<ServeEvent, void, undefined> {
+    return this.queue.read();
+  }
+
+  use(channel: Channel): void {
+    if (this.over) return;
+    this.current = channel;
+    const sinks = {
+      onData: (event: ServeEvent) => this.onEvent(channel, event),
+      onError: (err: unknown) => this.onError(channel, err as Error),
+    };
+    this.subscription =
+      this.sentTo === undefined
+        ? this.send(channel, sinks)
+        : this.attach(channel, this.sentTo, sinks);
+  }
+
+  fail(err: LinkLostError): void {
+    this.over = true;
+    this.queue.end(err);
+  }
+
+  /** Whether the request may have reached the target. */
+  get wasSent(): boolean {
+    return this.sentTo !== undefined;
+  }
+
+  /** Cancels the request at the target, if it has not ended. */
+  cancel(): void {
+    if (!this.over && this.current?.isOpen) this.subscription?.unsubscribe();
+    this.over = true;
+    this.queue.end();
+  }
+
+  private send(channel: Channel, sinks: Sinks): {unsubscribe(): void} {
+    this.sentTo = channel.hello.bootId;
+    this.sentAt = this.clock.now();
+    return channel.api.serve.subscribe(this.req, sinks);
+  }
+
+  private attach(
+    channel: Channel,
+    bootId: string,
+    sinks: Sinks,
+  ): {unsubscribe(): void} {
+    const attachment = {
+      id: this.req.id,
+      attempt: this.req.attempt,
+      bootId,
+      sentAgoMs: this.clock.now() - this.sentAt,
+      startedSeen: this.startedSeen,
+      tokensSeen: this.tokensSeen,
+    };
+    return channel.api.attach.subscribe(attachment, sinks);
+  }
+
+  private onEvent(channel: Channel, event: ServeEvent): void {
+    // A replaced connection that speaks again must not add to the stream.
+    if (this.over || channel !== this.current) return;
+    if (event.kind === 'started') this.startedSeen = true;
+    if (event.kind === 'tokens') this.tokensSeen = event.index + event.count;
+    this.queue.push(event);
+    if (!isFinal(event)) return;
+    this.over = true;
+    this.queue.end();
+  }
+
+  private onError(channel: Channel, err: Error): void {
+    if (this.over || channel !== this.current) return;
+    // Without a shape it came from no peer: the connection broke, and the
+    // link moves the call or fails it.
+    if (!(err instanceof TRPCClientError) || !err.shape) return;
+    this.onEvent(channel, {kind: 'refused', refusal: refusalOf(err)});
+  }
+}
+
+interface Sinks {
+  readonly onData: (event: ServeEvent) => void;
+  readonly onError: (err: unknown) => void;
+}
+
+/** What the peer threw instead of a value: bad input, or a broken invariant. */
+function refusalOf(err: TRPCClientError<never>): Refusal {
+  const data = err.data as ({code?: string} & WireProblems) | undefined;
+  if (data?.code !== 'BAD_REQUEST') return mayHaveRun('internal', err.message);
+  return {
+    kind: 'invalid-request',
+    message: 'the target process does not understand the request',
+    ran: 'not-run',
+    problems: data.problems,
+  };
+}
--- /dev/null
+++ b/packages/wire/src/lib/process/target_handler.ts
@@ -0,0 +1,53 @@
+/** What a target process answers over the wire. */
+import type {LoadReport, ServeEvent, TargetLink} from '@oathead/core';
+import type {Attachment} from '../request/attachment.js';
+
+/** Tells a link which process answers at the other end. */
+export interface Hello {
+  readonly targetId: string;
+  /** Changes with each start of the target process. */
+  readonly bootId: string;
+}
+
+/** A link on which the target reports its load without being asked. */
+export interface ReportingLink extends TargetLink {
+  /**
+   * Load reports, pushed when something has changed, at a bounded rate.
+   *
+   * @param signal - Ends the reports.
+   * @returns Reports in order; the first one comes at once.
+   * @throws LinkLostError
+   */
+  reports(signal: AbortSignal): AsyncIterable<LoadReport>;
+  /**
+   * Tells that the outcomes of keyed requests are written, so that the target
+   * process need not hold them any longer.
+   *
+   * @param dedupeKeys - The keys of the requests.
+   * @throws LinkLostError
+   */
+  release(dedupeKeys: readonly string[]): Promise<void>;
+}
+
+/**
+ * The target process as the wire sees it. Aborting `serve` or `attach` with a
+ * `LinkLostError` as the reason tells that the connection broke: the request
+ * then runs on for a short grace, so that the link can attach again. Any other
+ * reason, and an early end of the iteration, cancels it at once.
+ */
+export interface TargetHandler extends ReportingLink {
+  hello(): Hello;
+  /**
+   * Goes on with a request that was sent over a connection now broken. It
+   * never starts one: a request that hasn't arrived is refused as not run and
+   * will not be started if it arrives later.
+   *
+   * @param attachment - The request and what has come of its answer.
+   * @param signal - Ends the stream.
+   * @returns What is still to come of the answer.
+   */
+  attach(
+    attachment: Attachment,
+    signal: AbortSignal,
+  ): AsyncIterable<ServeEvent>;
+}
--- /dev/null
+++ b/packages/wire/src/lib/process/wire_server.ts
@@ -0,0 +1,31 @@
+/** The target's end of the wire. */
+import {applyWSSHandler} from '@trpc/server/adapters/ws';
+import type {WebSocketServer} from 'ws';
+import type {TargetHandler} from './target_handler.js';
+import {targetRouter} from './target_router.js';
+
+/** Close code that tells a peer that this process is going away. */
+const GOING_AWAY = 1001;
+
+/**
+ * Answers every connection of a WebSocket server from a handler.
+ *
+ * @param server - The server; it stays the caller's to close.
+ * @param handler - What answers.
+ * @returns A disposable that closes the connections.
+ */
+export function serveWire(
+  server: WebSocketServer,
+  handler: TargetHandler,
+): Disposable {
+  applyWSSHandler({
+    wss: server,
+    router: targetRouter,
+    createContext: ({res}) => ({handler, socket: res}),
+  });
+  return {
+    [Symbol.dispose]: () => {
+      for (const socket of server.clients) socket.close(GOING_AWAY);
+    },
+  };
+}
--- /dev/null
+++ b/packages/wire/src/test/connection/trpc_target_link_test.ts
@@ -0,0 +1,129 @@
+import {LinkLostError} from '@oathead/core';
+import type {ServeEvent} from '@oathead/core';
+import test from 'ava';
+import {once} from 'node:events';
+import {HandClock, LOAD, REQUEST, collect, startWire} from '../wire_fixture.js';
+
+const NEVER = new AbortController().signal;
+const STARTED = {kind: 'started', version: 'v1'} as const;
+const DONE: ServeEvent = {
+  kind: 'done',
+  answer: {
+    kind: 'completion',
+    text: 'yes',
+    usage: {promptTokens: 5, completionTokens: 1},
+    finishReason: 'stop',
+    version: 'v1',
+  },
+};
+
+test('carries a request and its whole answer', async t => {
+  const {handler, link} = await startWire(t);
+  const caller = collect(link.serve(REQUEST, NEVER));
+  const call = await handler.nextCall();
+  t.deepEqual(call.req, REQUEST);
+  const tokens = {kind: 'tokens', index: 0, count: 1, text: 'yes'} as const;
+  call.answer.push(STARTED);
+  call.answer.push(tokens);
+  call.answer.push(DONE);
+  call.answer.end();
+  await caller.ended;
+  t.deepEqual(caller.got, [STARTED, tokens, DONE]);
+});
+
+test('a caller that leaves cancels the request at the target', async t => {
+  const {handler, link} = await startWire(t);
+  const gone = new AbortController();
+  const caller = collect(link.serve(REQUEST, gone.signal));
+  const call = await handler.nextCall();
+  gone.abort();
+  await caller.ended;
+  await once(call.signal, 'abort');
+  t.false(call.signal.reason instanceof LinkLostError);
+});
+
+test('a request that the target does not understand has not run', async t => {
+  const {handler, link} = await startWire(t);
+  const broken = {...REQUEST, timeoutMs: -1};
+  const caller = collect(link.serve(broken, NEVER));
+  await caller.ended;
+  const [event] = caller.got;
+  t.like(event, {
+    kind: 'refused',
+    refusal: {kind: 'invalid-request', ran: 'not-run'},
+  });
+  t.like(event, {refusal: {problems: [{path: 'timeoutMs'}]}});
+  t.is(handler.calls.length, 0);
+});
+
+test('carries heartbeats, orders and releases', async t => {
+  const {handler, link} = await startWire(t);
+  const heartbeat = {entryId: 'e1', cfgRevision: 3};
+  t.deepEqual(await link.heartbeat(heartbeat, NEVER), {
+    bootId: 'boot-1',
+    load: LOAD,
+  });
+  const order = {
+    id: 'o1',
+    fence: {token: 1, holder: 'e1'},
+    action: {kind: 'set-role', role: 'mixed'},
+  } as const;
+  t.deepEqual(await link.order(order, NEVER), {kind: 'taken'});
+  await link.release(['bank-a/k1']);
+  t.deepEqual(handler.released, ['bank-a/k1']);
+});
+
+test('carries load reports as changes', async t => {
+  const {handler, link} = await startWire(t);
+  const reports = link.reports(NEVER);
+  handler.loads.push(LOAD);
+  t.deepEqual((await reports.next()).value, LOAD);
+  const next = {...LOAD, sequence: 2, leaving: true};
+  handler.loads.push(next);
+  t.deepEqual((await reports.next()).value, next);
+});
+
+test('a request whose target cannot be reached has not run', async t => {
+  const {link, proxy} = await startWire(t);
+  proxy.refusing = true;
+  const caller = collect(link.serve(REQUEST, NEVER));
+  await caller.ended;
+  t.like(caller.got[0], {
+    kind: 'refused',
+    refusal: {kind: 'target-lost', ran: 'not-run'},
+  });
+  t.is(link.state, 'lost');
+});
+
+// A caller's stream stalls in mid-sentence and would hang for good. Something
+// between entry and target has forgotten the connection: nothing comes and no
+// error either, while new connections work. The link must go on over a new one
+// from the token it had, and the target must not run the request again.
+test('a silent connection is replaced and its stream goes on', async t => {
+  const clock = new HandClock();
+  const {handler, link, proxy} = await startWire(t, {clock, silenceMs: 500});
+  const caller = collect(link.serve(REQUEST, NEVER));
+  const first = await handler.nextCall();
+  first.answer.push(STARTED);
+  first.answer.push({kind: 'tokens', index: 0, count: 2, text: 'it '});
+  while (caller.got.length < 2) await new Promise(setImmediate);
+  proxy.silence();
+  clock.advance(500);
+  t.is(link.state, 'silent');
+  clock.advance(500);
+  t.is(link.state, 'replacing');
+  const second = await handler.nextCall();
+  t.like(second.attachment, {
+    id: 'r1',
+    attempt: 1,
+    bootId: 'boot-1',
+    startedSeen: true,
+    tokensSeen: 2,
+  });
+  t.is(link.state, 'open');
+  const rest = {kind: 'tokens', index: 2, count: 1, text: 'is'} as const;
+  second.answer.push(rest);
+  second.answer.push(DONE);
+  await caller.ended;
+  t.deepEqual(caller.got.slice(2), [rest, DONE]);
+});
--- /dev/null
+++ b/packages/wire/src/test/wire_fixture.ts
@@ -0,0 +1,232 @@
+/** Both ends of the wire on loopback, with a proxy that can fall silent. */
+import {NO_COUNTERS, SYSTEM_CLOCK} from '@oathead/core';
+import type {Clock, LoadReport, ServeEvent, ServeRequest} from '@oathead/core';
+import type {ExecutionContext} from 'ava';
+import {once} from 'node:events';
+import {connect, createServer} from 'node:net';
+import type {AddressInfo, Server, Socket} from 'node:net';
+import {WebSocketServer} from 'ws';
+import {EventQueue} from '../lib/connection/event_queue.js';
+import {TrpcTargetLink} from '../lib/connection/trpc_target_link.js';
+import type {LinkOptions} from '../lib/connection/trpc_target_link.js';
+import type {TargetHandler} from '../lib/process/target_handler.js';
+import {serveWire} from '../lib/process/wire_server.js';
+import type {Attachment} from '../lib/request/attachment.js';
+
+/** A call that the handler got. */
+export interface HandlerCall {
+  readonly req?: ServeRequest;
+  readonly attachment?: Attachment;
+  readonly signal: AbortSignal;
+  /** What the test answers. */
+  readonly answer: EventQueue<ServeEvent>;
+}
+
+/** A handler whose every answer is made by the test. */
+export class ScriptedHandler implements TargetHandler {
+  readonly calls: HandlerCall[] = [];
+  readonly released: string[] = [];
+  readonly loads = new EventQueue<LoadReport>();
+  bootId = 'boot-1';
+  private readonly arrivals = new EventQueue<HandlerCall>();
+  private readonly arriving = this.arrivals.read();
+
+  hello() {
+    return {targetId: 'target-1', bootId: this.bootId};
+  }
+
+  serve(req: ServeRequest, signal: AbortSignal) {
+    return this.called({req, signal, answer: new EventQueue()});
+  }
+
+  attach(attachment: Attachment, signal: AbortSignal) {
+    return this.called({attachment, signal, answer: new EventQueue()});
+  }
+
+  async heartbeat() {
+    return {bootId: this.bootId, load: LOAD};
+  }
+
+  async order() {
+    return {kind: 'taken'} as const;
+  }
+
+  reports() {
+    return this.loads.read();
+  }
+
+  async release(dedupeKeys: readonly string[]) {
+    this.released.push(...dedupeKeys);
+  }
+
+  /** The next call that arrives. */
+  async nextCall(): Promise<HandlerCall> {
+    return (await this.arriving.next()).value as HandlerCall;
+  }
+
+  private async *called(call: HandlerCall) {
+    this.calls.push(call);
+    this.arrivals.push(call);
+    call.signal.addEventListener('abort', () => call.answer.end());
+    yield* call.answer.read();
+  }
+}
+
+export const LOAD: LoadReport = {
+  targetId: 'target-1',
+  dataCentre: 'hall-a',
+  sequence: 1,
+  leaving: false,
+  cfgRevision: 3,
+  versions: [
+    {pool: 'review', version: 'v1', adapters: ['bank-a'], state: 'ready'},
+  ],
+  onlineRunning: 1,
+  onlineQueued: 0,
+  onlineCapacity: 8,
+  batchRunning: 2,
+  batchQueued: 0,
+  batchRoom: 4,
+  prefillTokens: 120,
+  stepMs: 21.5,
+  engineDown: false,
+};
+
+export const REQUEST: ServeRequest = {
+  id: 'r1',
+  attempt: 1,
+  entryId: 'e1',
+  caller: 'bank-a',
+  class: 'online',
+  work: {
+    kind: 'completion',
+    model: 'review',
+    input: {kind: 'prompt', prompt: 'is the limit fair?'},
+    maxTokens: 16,
+  },
+  idempotent: true,
+  timeoutMs: 30_000,
+  promptTokens: 5,
+  stream: true,
+};
+
+/** Forwards connections; those open can be silenced or cut. */
+export class LossyProxy {
+  private readonly pairs = new Set<readonly [Socket, Socket]>();
+  private readonly server: Server;
+  accepted = 0;
+  refusing = false;
+
+  constructor(private readonly port: number) {
+    this.server = createServer(near => this.onConnection(near));
+  }
+
+  async listen(): Promise<number> {
+    this.server.listen(0, '127.0.0.1');
+    await once(this.server, 'listening');
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  /** Those open pass nothing on any more, and no error either. */
+  silence(): void {
+    for (const [near, far] of this.pairs) {
+      near.unpipe(far);
+      far.unpipe(near);
+      near.resume();
+      far.resume();
+    }
+  }
+
+  /** Those open break. */
+  cut(): void {
+    for (const [near, far] of this.pairs) {
+      near.destroy();
+      far.destroy();
+    }
+  }
+
+  close(): void {
+    this.cut();
+    this.server.close();
+  }
+
+  private onConnection(near: Socket): void {
+    this.accepted++;
+    if (this.refusing) {
+      near.destroy();
+      return;
+    }
+    const far = connect(this.port, '127.0.0.1');
+    this.pairs.add([near, far]);
+    near.on('error', () => {});
+    far.on('error', () => {});
+    near.on('close', () => far.destroy());
+    far.on('close', () => near.destroy());
+    near.pipe(far);
+    far.pipe(near);
+  }
+}
+
+/** A clock whose quiet timers fire when the test says so. */
+export class HandClock implements Clock {
+  private readonly timers = new Set<{at: number; callback: () => void}>();
+  private time = 1_000;
+
+  now(): number {
+    return this.time;
+  }
+
+  wallTime(): number {
+    return this.time;
+  }
+
+  after(delayMs: number, callback: () => void): Disposable {
+    const timer = {at: this.time + delayMs, callback};
+    this.timers.add(timer);
+    return {[Symbol.dispose]: () => void this.timers.delete(timer)};
+  }
+
+  advance(ms: number): void {
+    this.time += ms;
+    for (const timer of [...this.timers]) {
+      if (timer.at > this.time || !this.timers.delete(timer)) continue;
+      timer.callback();
+    }
+  }
+}
+
+/** Starts a target end, a proxy before it, and a link through the proxy. */
+export async function startWire(
+  t: ExecutionContext,
+  options: Partial<LinkOptions> = {},
+) {
+  const handler = new ScriptedHandler();
+  const server = new WebSocketServer({port: 0, host: '127.0.0.1'});
+  await once(server, 'listening');
+  const wire = serveWire(server, handler);
+  const proxy = new LossyProxy((server.address() as AddressInfo).port);
+  const port = await proxy.listen();
+  const link = new TrpcTargetLink({
+    url: `ws://127.0.0.1:${port}`,
+    clock: SYSTEM_CLOCK,
+    counters: NO_COUNTERS,
+    ...options,
+  });
+  t.teardown(() => {
+    link[Symbol.dispose]();
+    wire[Symbol.dispose]();
+    proxy.close();
+    for (const socket of server.clients) socket.terminate();
+    server.close();
+  });
+  return {handler, link, proxy, server, port};
+}
+
+/** Collects what a link tells about a request. */
+export function collect(events: AsyncIterable<ServeEvent>) {
+  const got: ServeEvent[] = [];
+  const ended = (async () => {
+    for await (const event of events) got.push(event);
+  })();
+  return {got, ended};
+}
