--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -4,6 +4,7 @@
  *
  * @packageDocumentation
  */
+export * from './lib/connection/connection_machine.js';
 export * from './lib/connection/subset.js';
 export * from './lib/connection/target_choice.js';
 export * from './lib/connection/target_health.js';
@@ -26,6 +27,8 @@
 export * from './lib/request/refusal.js';
 export * from './lib/request/retry_policy.js';
 export * from './lib/request/serve.js';
+export * from './lib/request/target_request_machine.js';
 export * from './lib/request/work.js';
+export * from './lib/request/work_fingerprint.js';
 export * from './lib/version/resource.js';
 export * from './lib/version/target_config.js';
