--- a/packages/batch/src/index.ts
+++ b/packages/batch/src/index.ts
@@ -3,5 +3,6 @@
  *
  * @packageDocumentation
  */
-
-export {};
+export * from './lib/process/batch_jobs.js';
+export * from './lib/process/batch_settings.js';
+export * from './lib/request/job.js';
--- /dev/null
+++ b/packages/batch/src/lib/process/chunk_work.ts
@@ -0,0 +1,354 @@
+/**
+ * One chunk in the memory of the entry that holds its share: what each item is
+ * at, and what is not recorded yet.
+ */
+import {
+  isFinalItemState,
+  mayHaveRun,
+  nextItemState,
+  poolOf,
+} from '@oathead/core';
+import type {
+  Answer,
+  ItemEvent,
+  ItemState,
+  Partial,
+  Refusal,
+} from '@oathead/core';
+import type {JobItem} from '../request/job.js';
+import {packStates, recordedAs, unpackStates} from '../request/job_rows.js';
+import type {ChunkRow, JobRow, RecordedState} from '../request/job_rows.js';
+
+/** What an outcome holds beyond its state. */
+export interface OutcomeBody {
+  readonly answer?: Answer;
+  readonly refusal?: Refusal;
+}
+
+/** One outcome as an object keeps it. */
+export interface StoredOutcome extends OutcomeBody {
+  /** Index of the item within its chunk. */
+  readonly index: number;
+}
+
+/** Where a chunk belongs. */
+export interface ChunkPlace {
+  /** The job, by `jobPath`. */
+  readonly path: string;
+  readonly n: number;
+  readonly share: number;
+  /** Epoch of the share under which this entry holds the chunk. */
+  readonly epoch: number;
+}
+
+/** A chunk's row as last read or written; version 0 where there is none. */
+export interface StoredChunk {
+  readonly version: number;
+  readonly row?: ChunkRow;
+}
+
+/** One chunk in memory. */
+export class ChunkWork {
+  /** Aborted when the chunk is this entry's no more. */
+  readonly dropped = new AbortController();
+  /** Abort controllers of the running items. */
+  readonly running = new Map<number, AbortController>();
+  /** Outcomes that are not recorded yet. */
+  readonly unrecorded = new Map<number, OutcomeBody>();
+  /** When the oldest unrecorded outcome came, on this process's clock. */
+  unrecordedSince = Infinity;
+  /** Something has to be recorded soon. */
+  urgent = false;
+  /** Items that are not sent before a row says that they are started. */
+  readonly claims = new Set<number>();
+  /** Nothing new of it is started. */
+  draining = false;
+  /** Its job was cancelled. */
+  cancelling = false;
+
+  private readonly states: ItemState[];
+  private recorded: RecordedState[];
+  private readonly losses = new Map<number, number>();
+  private readonly attempts = new Map<number, number>();
+  private readonly returns = new Map<number, number>();
+  private readonly partials = new Map<number, Partial>();
+  private readonly ready = new Map<string, number[]>();
+  private stored: StoredChunk;
+  private finalItems = 0;
+
+  /**
+   * @param place - Where the chunk belongs.
+   * @param job - Its job.
+   * @param items - Its items.
+   * @param stored - Its row.
+   */
+  constructor(
+    readonly place: ChunkPlace,
+    readonly job: JobRow,
+    readonly items: readonly JobItem[],
+    stored: StoredChunk,
+  ) {
+    this.stored = stored;
+    const letters = stored.row?.states;
+    this.recorded = letters
+      ? unpackStates(letters)
+      : items.map(() => 'waiting');
+    this.states = [...this.recorded];
+    for (const [index, losses] of Object.entries(stored.row?.losses ?? {})) {
+      this.losses.set(Number(index), losses);
+    }
+    this.finalItems = this.states.filter(isFinalItemState).length;
+    for (const index of items.keys()) this.inherit(index);
+  }
+
+  /** The row as last read or written. */
+  get row(): StoredChunk {
+    return this.stored;
+  }
+
+  /** Whether every item has its outcome, recorded or not. */
+  get finished(): boolean {
+    return this.finalItems === this.items.length;
+  }
+
+  /** Whether the recorded row closes the chunk. */
+  get closed(): boolean {
+    return this.stored.row?.closed ?? false;
+  }
+
+  /** Models and services with items that may run now. */
+  get readyPools(): readonly string[] {
+    return [...this.ready].flatMap(([pool, {length}]) => length ? pool : []);
+  }
+
+  /**
+   * @param index - Index of an item.
+   * @returns Its state.
+   */
+  state(index: number): ItemState {
+    return this.states[index]!;
+  }
+
+  /**
+   * @param index - Index of an item.
+   * @returns Whether its outcome stands.
+   */
+  isFinal(index: number): boolean {
+    return isFinalItemState(this.states[index]!);
+  }
+
+  /**
+   * @param index - Index of an item.
+   * @returns Whether an attempt at it was sent by this holder.
+   */
+  wasSent(index: number): boolean {
+    return this.attempts.has(index);
+  }
+
+  /**
+   * @param index - Index of an item that is about to be sent.
+   * @returns The number of this attempt. Attempts of a holder that was lost
+   *     before it recorded them are not counted.
+   */
+  nextAttempt(index: number): number {
+    const attempt = (this.attempts.get(index) ?? this.lossesOf(index)) + 1;
+    this.attempts.set(index, attempt);
+    return attempt;
+  }
+
+  /**
+   * @param index - Index of an item.
+   * @returns How many of its attempts were lost.
+   */
+  lossesOf(index: number): number {
+    return this.losses.get(index) ?? 0;
+  }
+
+  /**
+   * @param index - Index of an item.
+   * @returns How often it was given back for a reason since its last loss.
+   */
+  returnsOf(index: number): number {
+    return this.returns.get(index) ?? 0;
+  }
+
+  /**
+   * @param index - Index of an item.
+   * @returns What an earlier attempt generated.
+   */
+  partialOf(index: number): Partial | undefined {
+    return this.partials.get(index);
+  }
+
+  /**
+   * @param pool - A model or service.
+   * @returns How many items for it may run now.
+   */
+  readyCount(pool: string): number {
+    return this.ready.get(pool)?.length ?? 0;
+  }
+
+  /**
+   * @param pool - A model or service.
+   * @param allowed - Which items are allowed.
+   * @returns The first item for it that may run now; it is ready no more.
+   */
+  takeReady(
+    pool: string,
+    allowed: (index: number) => boolean,
+  ): number | undefined {
+    const queue = this.ready.get(pool) ?? [];
+    const at = queue.findIndex(allowed);
+    return at < 0 ? undefined : queue.splice(at, 1)[0];
+  }
+
+  /** @param index - An item that may run again. */
+  putReady(index: number): void {
+    const state = this.states[index];
+    if (state !== 'waiting' && state !== 'suspect') return;
+    const pool = poolOf(this.items[index]!.work);
+    const queue = this.ready.get(pool) ?? [];
+    this.ready.set(pool, queue);
+    queue.push(index);
+  }
+
+  /**
+   * Tells an item what happened to it. After an outcome nothing changes any
+   * more: the first one stands.
+   *
+   * @param index - Index of the item.
+   * @param event - What happened.
+   * @returns Whether it changed anything.
+   */
+  tell(index: number, event: ItemEvent): boolean {
+    const before = this.states[index]!;
+    const after = nextItemState(before, event);
+    if (after === before) return false;
+    this.states[index] = after;
+    if (isFinalItemState(after)) this.finalItems++;
+    return true;
+  }
+
+  /**
+   * Keeps the outcome of an item that has just come to its end.
+   *
+   * @param index - Index of the item.
+   * @param body - Its outcome.
+   * @param now - Milliseconds on this process's clock.
+   */
+  conclude(index: number, body: OutcomeBody, now: number): void {
+    this.unrecorded.set(index, body);
+    this.unrecordedSince = Math.min(this.unrecordedSince, now);
+    this.partials.delete(index);
+    if (!this.items[index]!.idempotent) this.urgent = true;
+  }
+
+  /** @param index - An item that lost an attempt. */
+  countLoss(index: number): void {
+    this.losses.set(index, this.lossesOf(index) + 1);
+    this.returns.delete(index);
+  }
+
+  /**
+   * @param index - An item that was given back.
+   * @param partial - What was generated of it.
+   * @param refused - Whether it was given back for a reason.
+   */
+  countReturn(
+    index: number,
+    partial: Partial | undefined,
+    refused: boolean,
+  ): void {
+    if (partial !== undefined) this.partials.set(index, partial);
+    if (refused) this.returns.set(index, this.returnsOf(index) + 1);
+  }
+
+  /**
+   * @param outcomes - Items whose outcomes are in the objects of the row.
+   * @param claimed - Items that are claimed by the row.
+   * @param object - Key of the object that holds the outcomes.
+   * @param nonce - Names the write.
+   * @returns The row to be written.
+   */
+  nextRow(
+    outcomes: ReadonlySet<number>,
+    claimed: ReadonlySet<number>,
+    object: string | undefined,
+    nonce: string,
+  ): ChunkRow {
+    const states = this.states.map((state, index) => {
+      const known = this.recorded[index]!;
+      if (isFinalItemState(known) || outcomes.has(index)) return state;
+      if (claimed.has(index)) return 'started';
+      if (isFinalItemState(state)) return known;
+      return this.items[index]!.idempotent ? unstarted(state) : state;
+    });
+    const recorded = states.map(recordedAs);
+    const objects = this.stored.row?.objects ?? [];
+    return {
+      epoch: this.place.epoch,
+      states: packStates(recorded),
+      losses: Object.fromEntries(this.losses),
+      objects: object === undefined ? objects : [...objects, object],
+      closed: recorded.every(isFinalItemState),
+      nonce,
+    };
+  }
+
+  /**
+   * Takes in that a row stands in the store.
+   *
+   * @param row - The row.
+   * @param version - Its version.
+   * @param outcomes - Items whose outcomes are in the objects of the row.
+   * @param now - Milliseconds on this process's clock.
+   */
+  commit(
+    row: ChunkRow,
+    version: number,
+    outcomes: ReadonlySet<number>,
+    now: number,
+  ): void {
+    this.stored = {version, row};
+    this.recorded = unpackStates(row.states);
+    for (const index of outcomes) this.unrecorded.delete(index);
+    this.unrecordedSince = this.unrecorded.size > 0 ? now : Infinity;
+  }
+
+  /**
+   * @param index - Index of an item.
+   * @returns Its state as the stored row has it.
+   */
+  recordedState(index: number): RecordedState {
+    return this.recorded[index]!;
+  }
+
+  /** Gives the chunk up: what is not recorded now never will be from here. */
+  drop(): void {
+    this.dropped.abort();
+    for (const abort of this.running.values()) abort.abort();
+  }
+
+  /**
+   * Takes an item over from a holder before, as the row has it. One that is not
+   * idempotent and was started may have run, and must not run again.
+   */
+  private inherit(index: number): void {
+    const {idempotent} = this.items[index]!;
+    this.tell(index, {type: 'orphan', idempotent});
+    const lost = this.states[index] === 'unknown';
+    if (lost && this.recorded[index] !== 'unknown') {
+      const refusal = mayHaveRun(
+        'outcome-unknown',
+        'its holder was lost after it was started',
+      );
+      this.conclude(index, {refusal}, -Infinity);
+    }
+    this.putReady(index);
+  }
+}
+
+/** That an item that may be repeated was started is nothing to remember. */
+function unstarted(state: ItemState): ItemState {
+  return state === 'started' ? 'waiting' : state;
+}
--- /dev/null
+++ b/packages/batch/src/lib/request/job_content.ts
@@ -0,0 +1,142 @@
+/**
+ * The content of jobs, in objects: the items by chunk, and the ids of all.
+ * Every key holds the hash of the whole content, so writing it again writes the
+ * same bytes to the same keys, and a resend that arrives in the middle of an
+ * accept cannot mix two contents.
+ */
+import {createHash} from 'node:crypto';
+import type {Outcome} from '@oathead/core';
+import {failure, success} from '@oathead/core';
+import type {ObjectStore, StoreError} from '@oathead/platform';
+import {stringify} from 'safe-stable-stringify';
+import type {JobItem, JobRequest} from './job.js';
+import {chunkCount} from './job_rows.js';
+import type {JobRow} from './job_rows.js';
+
+/** What the keys of a job's content are made of. */
+export type ContentName = Pick<JobRow, 'hash' | 'items' | 'chunkItems'>;
+
+const CONCURRENT_PUTS = 8;
+
+const encoder = new TextEncoder();
+const decoder = new TextDecoder();
+
+/**
+ * @param value - Anything that JSON can carry.
+ * @returns Its bytes.
+ */
+export function encodeJson(value: unknown): Uint8Array {
+  return encoder.encode(JSON.stringify(value));
+}
+
+/**
+ * @param bytes - What {@link encodeJson} made.
+ * @returns The value.
+ */
+export function decodeJson<T>(bytes: Uint8Array): T {
+  return JSON.parse(decoder.decode(bytes)) as T;
+}
+
+/**
+ * @param req - A job.
+ * @returns SHA-256 of its items and due time, in hexadecimal; the order of the
+ *     fields within an item does not matter, the order of the items does.
+ */
+export function contentHash(req: JobRequest): string {
+  const hash = createHash('sha256').update(`${req.dueAt ?? ''}\n`);
+  for (const item of req.items) hash.update(`${stringify(item)}\n`);
+  return hash.digest('hex');
+}
+
+function contentKey(path: string, name: ContentName, part: string): string {
+  return `items/${path}/${name.hash}/${name.chunkItems}/${part}`;
+}
+
+/**
+ * Writes the content of a job.
+ *
+ * @param objects - Where to.
+ * @param path - The job, by `jobPath`.
+ * @param name - Its hash and sizes.
+ * @param items - Its items.
+ * @returns The first error, if there was one.
+ */
+export async function putContent(
+  objects: ObjectStore,
+  path: string,
+  name: ContentName,
+  items: readonly JobItem[],
+): Promise<Outcome<void, StoreError>> {
+  const ids = items.map(({id}) => id);
+  const puts = [
+    () => objects.put(contentKey(path, name, 'ids'), encodeJson(ids)),
+    ...Array.from({length: chunkCount(name)}, (_, n) => () => {
+      const begin = n * name.chunkItems;
+      const chunk = items.slice(begin, begin + name.chunkItems);
+      return objects.put(contentKey(path, name, `${n}`), encodeJson(chunk));
+    }),
+  ];
+  return inParallel(puts);
+}
+
+async function inParallel(
+  puts: readonly (() => Promise<Outcome<void, StoreError>>)[],
+): Promise<Outcome<void, StoreError>> {
+  const left = puts.values();
+  let err: StoreError | undefined;
+  const work = async () => {
+    for (const put of left) {
+      const outcome = await put();
+      if (!outcome.ok) err ??= outcome.err;
+      if (err !== undefined) return;
+    }
+  };
+  await Promise.all(Array.from({length: CONCURRENT_PUTS}, work));
+  return err === undefined ? success(undefined) : failure(err);
+}
+
+/**
+ * @param objects - Where from.
+ * @param path - The job, by `jobPath`.
+ * @param name - Its hash and sizes.
+ * @param n - Number of the chunk.
+ * @returns The items of the chunk; undefined where the object is gone.
+ */
+export async function getChunkItems(
+  objects: ObjectStore,
+  path: string,
+  name: ContentName,
+  n: number,
+): Promise<Outcome<readonly JobItem[] | undefined, StoreError>> {
+  return getJson(objects, contentKey(path, name, `${n}`));
+}
+
+/**
+ * @param objects - Where from.
+ * @param path - The job, by `jobPath`.
+ * @param name - Its hash and sizes.
+ * @returns The ids of all items, in order; undefined where the object is gone.
+ */
+export async function getItemIds(
+  objects: ObjectStore,
+  path: string,
+  name: ContentName,
+): Promise<Outcome<readonly string[] | undefined, StoreError>> {
+  return getJson(objects, contentKey(path, name, 'ids'));
+}
+
+/**
+ * @param objects - Where from.
+ * @param key - Key of an object that holds JSON.
+ * @returns Its value; undefined where there is none.
+ */
+export async function getJson<T>(
+  objects: ObjectStore,
+  key: string,
+): Promise<Outcome<T | undefined, StoreError>> {
+  const read = await objects.get(key);
+  if (!read.ok) return read;
+  return success(
+    read.value === undefined ? undefined : decodeJson<T>(read.value),
+  );
+}
--- /dev/null
+++ b/packages/batch/src/lib/request/job_intake.ts
@@ -0,0 +1,259 @@
+/** Accepting and cancelling jobs. */
+import {
+  failure,
+  mayHaveRun,
+  nextJobState,
+  notRun,
+  poolOf,
+  sleep,
+  success,
+} from '@oathead/core';
+import type {
+  Clock,
+  Counters,
+  Outcome,
+  Problem,
+  Random,
+  Refusal,
+} from '@oathead/core';
+import {bumpHead, withJob} from '@oathead/membership';
+import type {
+  ObjectStore,
+  Row,
+  StoreError,
+  TableStore,
+  Transaction,
+} from '@oathead/platform';
+import type {BatchSettings} from '../process/batch_settings.js';
+import type {JobRequest} from './job.js';
+import {contentHash, putContent} from './job_content.js';
+import {jobKey, jobOf, jobPath, openKey, rowJson} from './job_rows.js';
+import type {JobRow} from './job_rows.js';
+
+/** What the parts of batch jobs work with. */
+export interface BatchDeps {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly counters: Counters;
+  readonly table: TableStore;
+  readonly objects: ObjectStore;
+}
+
+const MAX_ATTEMPTS = 4;
+const BACKOFF_MS = 200;
+const MAX_ID_LENGTH = 256;
+const MAX_PROBLEMS = 20;
+
+/** Accepts and cancels jobs. */
+export class JobIntake {
+  /**
+   * @param deps - Stores, clock, randomness and counters.
+   * @param settings - Limits.
+   */
+  constructor(
+    private readonly deps: BatchDeps,
+    private readonly settings: BatchSettings,
+  ) {}
+
+  /**
+   * Accepts a job, once: a resend of the same content is the same job.
+   *
+   * @param caller - Who sends it.
+   * @param req - The job.
+   * @returns Its row. `not-run` is only said when no transaction that accepts
+   *     the job can still take effect.
+   */
+  async accept(
+    caller: string,
+    req: JobRequest,
+  ): Promise<Outcome<JobRow, Refusal>> {
+    const problems = this.problemsOf(req);
+    if (problems.length > 0) return failure(invalid(problems));
+    const path = jobPath(caller, req.id);
+    const row = this.rowOf(caller, req);
+    const known = await this.read(path);
+    if (!known.ok) return failure(unavailable());
+    if (known.value !== undefined) return sameJob(jobOf(known.value), row);
+    const put = await this.putContent(path, row, req);
+    if (!put.ok) return failure(unavailable());
+    return this.commit(path, row);
+  }
+
+  /**
+   * Cancels a job. Cancelling again, or after its end, changes nothing.
+   *
+   * @param caller - Who asks.
+   * @param job - The job's id.
+   * @returns Its row after it.
+   */
+  async cancel(
+    caller: string,
+    job: string,
+  ): Promise<Outcome<JobRow, Refusal>> {
+    const path = jobPath(caller, job);
+    let sent = false;
+    for (let attempt = 1; attempt <= MAX_ATTEMPTS; attempt++) {
+      const read = await this.read(path);
+      if (read.ok) {
+        if (read.value === undefined) return failure(noSuchJob());
+        const before = jobOf(read.value);
+        const state = nextJobState(before.state, {type: 'cancel'});
+        if (state === before.state) return success(before);
+        const after = {...before, state, nonce: this.deps.random.id()};
+        const outcome = await this.write(path, after, read.value.version, []);
+        if (outcome.ok) return success(after);
+        sent ||= mayStand(outcome.err);
+      }
+      await this.pause(attempt);
+    }
+    return failure(sent ? unresolved() : unavailable());
+  }
+
+  private problemsOf(req: JobRequest): readonly Problem[] {
+    const {maxItems} = this.settings;
+    const problems: Problem[] = [];
+    const add = (path: string, message: string) =>
+      problems.push({path, message});
+    if (!isId(req.id)) add('id', idRule());
+    if (req.items.length === 0) add('items', 'must not be empty');
+    if (req.items.length > maxItems) add('items', `at most ${maxItems} items`);
+    if (req.dueAt !== undefined && !Number.isFinite(req.dueAt)) {
+      add('dueAt', 'must be milliseconds since the Unix epoch');
+    }
+    const seen = new Set<string>();
+    for (const [i, {id}] of req.items.entries()) {
+      if (problems.length >= MAX_PROBLEMS) break;
+      if (!isId(id)) add(`items.${i}.id`, idRule());
+      if (seen.has(id)) add(`items.${i}.id`, 'must be unique within the job');
+      seen.add(id);
+    }
+    return problems;
+  }
+
+  private rowOf(caller: string, req: JobRequest): JobRow {
+    return {
+      caller,
+      job: req.id,
+      hash: contentHash(req),
+      items: req.items.length,
+      chunkItems: this.settings.chunkItems,
+      pools: [...new Set(req.items.map(({work}) => poolOf(work)))].sort(),
+      dueAt: req.dueAt,
+      acceptedAt: this.deps.clock.wallTime(),
+      state: 'open',
+      nonce: this.deps.random.id(),
+    };
+  }
+
+  private async putContent(
+    path: string,
+    row: JobRow,
+    req: JobRequest,
+  ): Promise<Outcome<void, StoreError>> {
+    for (let attempt = 1; ; attempt++) {
+      const put = await putContent(this.deps.objects, path, row, req.items);
+      if (put.ok || attempt === MAX_ATTEMPTS) return put;
+      await this.pause(attempt);
+    }
+  }
+
+  /**
+   * Writes the row that accepts the job. When the answer is lost, the row is
+   * read back, and written again while it is not there: a write that was only
+   * delayed then meets its own row, and cannot accept the job twice.
+   */
+  private async commit(
+    path: string,
+    row: JobRow,
+  ): Promise<Outcome<JobRow, Refusal>> {
+    let sent = false;
+    for (let attempt = 1; attempt <= MAX_ATTEMPTS; attempt++) {
+      const outcome = await this.write(path, row, 0, [
+        {kind: 'put', key: openKey(path), value: {}},
+      ]);
+      if (outcome.ok) return success(row);
+      sent ||= mayStand(outcome.err);
+      const read = await this.read(path);
+      const stored = read.ok ? read.value : undefined;
+      if (stored !== undefined) return sameJob(jobOf(stored), row);
+      await this.pause(attempt);
+    }
+    return failure(sent ? unresolved() : unavailable());
+  }
+
+  private write(
+    path: string,
+    row: JobRow,
+    version: number,
+    writes: Transaction['writes'],
+  ): ReturnType<TableStore['write']> {
+    const key = jobKey(path);
+    return bumpHead(
+      this.deps,
+      {
+        checks: [{key, version}],
+        writes: [{kind: 'put', key, value: rowJson(row)}, ...writes],
+      },
+      head => withJob(head, path),
+    );
+  }
+
+  private async read(
+    path: string,
+  ): Promise<Outcome<Row | undefined, StoreError>> {
+    const read = await this.deps.table.read([jobKey(path)]);
+    return read.ok ? success(read.value[0]) : read;
+  }
+
+  private pause(attempt: number): Promise<void> {
+    const {clock, random} = this.deps;
+    return sleep(clock, BACKOFF_MS * attempt * random.float());
+  }
+}
+
+function isId(id: string): boolean {
+  return id.length > 0 && id.length <= MAX_ID_LENGTH;
+}
+
+function idRule(): string {
+  return `must have 1 to ${MAX_ID_LENGTH} characters`;
+}
+
+/**
+ * Whether a change may stand in the store all the same: written by the attempt
+ * whose answer was lost, or, after a conflict, by a resend of the same.
+ */
+function mayStand(err: StoreError): boolean {
+  if (err.kind === 'unavailable') return err.applied === 'unknown';
+  return err.kind === 'conflict';
+}
+
+function sameJob(stored: JobRow, sent: JobRow): Outcome<JobRow, Refusal> {
+  if (stored.hash === sent.hash) return success(stored);
+  return failure(
+    notRun('key-conflict', 'a job of this id has other content'),
+  );
+}
+
+function invalid(problems: readonly Problem[]): Refusal {
+  const message = 'the job is not valid';
+  return {kind: 'invalid-request', message, ran: 'not-run', problems};
+}
+
+/** @returns That a caller has no job of the id. */
+export function noSuchJob(): Refusal {
+  return notRun('not-found', 'no such job');
+}
+
+/** @returns That the store gives no answer, and nothing was changed. */
+export function unavailable(): Refusal {
+  const message = 'the store does not answer';
+  return notRun('store-unavailable', message, BACKOFF_MS * MAX_ATTEMPTS);
+}
+
+function unresolved(): Refusal {
+  return mayHaveRun(
+    'store-unavailable',
+    'the store does not answer; the change may have taken effect: send it again',
+  );
+}
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -4,4 +4,7 @@
  *
  * @packageDocumentation
  */
+export * from './lib/process/head_row.js';
+export * from './lib/process/leased_membership.js';
 export * from './lib/process/membership.js';
+export * from './lib/process/membership_settings.js';
