Compose the entry: API, dispatch, keyed answers, peers

Cause: the thin whole path needs the entry between callers and targets. Change: routes for completions, services, results, batch jobs and resources; dispatch with retries and suspects; keyed requests with one home per key and answers written in groups; links to targets and to other entries; the process around it.

--- /dev/null
+++ b/packages/entry/src/lib/connection/peer_link.ts
@@ -0,0 +1,230 @@
+/** A connection from one entry to another. */
+import {LinkLostError, sleep} from '@oathead/core';
+import type {Clock, ServeEvent, ServeOutcome} from '@oathead/core';
+import type {ConfigDelta} from '@oathead/config';
+import type {ClientTls} from '@oathead/wire';
+import {createTRPCClient, createWSClient, wsLink} from '@trpc/client';
+import type {TRPCClient} from '@trpc/client';
+import {WebSocket} from 'ws';
+import type {ForwardedCall, PeerRouter} from './peer_router.js';
+
+/** Ways to ask one other entry. */
+export interface PeerLink extends Disposable {
+  /** @throws LinkLostError */
+  serve(call: ForwardedCall, signal: AbortSignal): AsyncIterable<ServeEvent>;
+  /** @throws LinkLostError */
+  configSince(since: number): Promise<ConfigDelta | undefined>;
+  /** @throws LinkLostError */
+  findOutcome(dedupeKey: string): Promise<ServeOutcome | undefined>;
+}
+
+/** How to open a link to another entry. */
+export interface PeerLinkOptions {
+  /** `ws://host:port` or `wss://host:port`. */
+  readonly url: string;
+  readonly clock: Clock;
+  /** Quiet for so long while something is asked: the peer is lost, in ms. */
+  readonly silenceMs: number;
+  readonly tls?: ClientTls;
+}
+
+/**
+ * A link over tRPC. A connection that has gone silent for good is noticed by
+ * pings; a new one is made for the next call.
+ */
+export class TrpcPeerLink implements PeerLink {
+  private current: PeerChannel | undefined;
+
+  /** @param options - Where to, and how. */
+  constructor(private readonly options: PeerLinkOptions) {}
+
+  async *serve(
+    call: ForwardedCall,
+    signal: AbortSignal,
+  ): AsyncGenerator<ServeEvent> {
+    yield* this.channel().subscribe(call, signal);
+  }
+
+  configSince(since: number): Promise<ConfigDelta | undefined> {
+    return this.channel().ask(api => api.configSince.query(since));
+  }
+
+  findOutcome(dedupeKey: string): Promise<ServeOutcome | undefined> {
+    return this.channel().ask(api => api.findOutcome.query(dedupeKey));
+  }
+
+  [Symbol.dispose](): void {
+    this.current?.[Symbol.dispose]();
+  }
+
+  private channel(): PeerChannel {
+    if (!this.current?.isOpen) this.current = new PeerChannel(this.options);
+    return this.current;
+  }
+}
+
+type Api = TRPCClient<PeerRouter>;
+
+/** One connection; calls on it fail together when it is lost. */
+class PeerChannel implements Disposable {
+  private readonly api: Api;
+  private readonly closeClient: () => void;
+  private readonly lost = new AbortController();
+  private socket: WebSocket | undefined;
+  private lastHeardAt: number;
+  private asked = 0;
+
+  constructor(private readonly options: PeerLinkOptions) {
+    this.lastHeardAt = options.clock.now();
+    const client = createWSClient({
+      url: options.url,
+      WebSocket: this.socketClass() as unknown as typeof globalThis.WebSocket,
+      onClose: () => this.lost.abort(),
+      onError: () => this.lost.abort(),
+    });
+    this.api = createTRPCClient<PeerRouter>({links: [wsLink({client})]});
+    this.closeClient = () => void client.close();
+    this.lost.signal.addEventListener('abort', () => this.close(), {
+      once: true,
+    });
+  }
+
+  get isOpen(): boolean {
+    return !this.lost.signal.aborted;
+  }
+
+  async ask<T>(query: (api: Api) => Promise<T>): Promise<T> {
+    return this.whileWatched(async () => {
+      const lost = new Promise<never>((resolve, reject) => {
+        this.onLost(() => reject(lostError()));
+      });
+      try {
+        return await Promise.race([query(this.api), lost]);
+      } catch {
+        throw lostError();
+      }
+    });
+  }
+
+  async *subscribe(
+    call: ForwardedCall,
+    signal: AbortSignal,
+  ): AsyncGenerator<ServeEvent> {
+    const events = new EventBuffer();
+    const subscription = this.api.serve.subscribe(call, {
+      onData: event => events.push(event),
+      onComplete: () => events.end(),
+      onError: () => events.fail(lostError()),
+    });
+    this.onLost(() => events.fail(lostError()));
+    const stop = () => events.end();
+    signal.addEventListener('abort', stop, {once: true});
+    const watch = this.watch();
+    try {
+      yield* events.read();
+    } finally {
+      watch[Symbol.dispose]();
+      signal.removeEventListener('abort', stop);
+      subscription.unsubscribe();
+    }
+  }
+
+  [Symbol.dispose](): void {
+    this.lost.abort();
+  }
+
+  private async whileWatched<T>(task: () => Promise<T>): Promise<T> {
+    const watch = this.watch();
+    try {
+      return await task();
+    } finally {
+      watch[Symbol.dispose]();
+    }
+  }
+
+  /**
+   * An open connection can be silent for good because something between the
+   * two ends has lost track of it. While something is asked, pings show it.
+   */
+  private watch(): Disposable {
+    this.asked++;
+    if (this.asked === 1) void this.ping();
+    return {[Symbol.dispose]: () => void this.asked--};
+  }
+
+  private async ping(): Promise<void> {
+    const {clock, silenceMs} = this.options;
+    this.lastHeardAt = clock.now();
+    while (this.asked > 0 && this.isOpen) {
+      await sleep(clock, silenceMs / 2, this.lost.signal);
+      if (clock.now() - this.lastHeardAt > silenceMs) this.lost.abort();
+      else if (this.socket?.readyState === WebSocket.OPEN) this.socket.ping();
+    }
+  }
+
+  private onLost(callback: () => void): void {
+    if (this.lost.signal.aborted) callback();
+    else this.lost.signal.addEventListener('abort', callback, {once: true});
+  }
+
+  private close(): void {
+    this.closeClient();
+    this.socket?.terminate();
+  }
+
+  /** The client of tRPC would connect anew by itself and send calls again. */
+  private socketClass(): typeof WebSocket {
+    const channel = this.attach.bind(this);
+    const {tls} = this.options;
+    return class extends WebSocket {
+      constructor(url: string) {
+        super(url, {...tls, perMessageDeflate: false});
+        channel(this);
+      }
+    } as typeof WebSocket;
+  }
+
+  private attach(socket: WebSocket): void {
+    if (this.socket) throw lostError();
+    this.socket = socket;
+    const heard = () => (this.lastHeardAt = this.options.clock.now());
+    socket.on('message', heard);
+    socket.on('pong', heard);
+  }
+}
+
+/** Events on their way from a callback to a reader. */
+class EventBuffer {
+  private readonly events: ServeEvent[] = [];
+  private wake: (() => void) | undefined;
+  private ended = false;
+  private err: Error | undefined;
+
+  push(event: ServeEvent): void {
+    this.events.push(event);
+    this.wake?.();
+  }
+
+  end(): void {
+    this.ended = true;
+    this.wake?.();
+  }
+
+  fail(err: Error): void {
+    this.err ??= err;
+    this.wake?.();
+  }
+
+  async *read(): AsyncGenerator<ServeEvent> {
+    for (;;) {
+      while (this.events.length > 0) yield this.events.shift()!;
+      if (this.ended) return;
+      if (this.err) throw this.err;
+      await new Promise<void>(resolve => (this.wake = resolve));
+    }
+  }
+}
+
+function lostError(): LinkLostError {
+  return new LinkLostError('the other entry cannot be reached');
+}
--- /dev/null
+++ b/packages/entry/src/lib/connection/target_connection.ts
@@ -0,0 +1,154 @@
+/** One entry's view of one target: heartbeats, load reports, and its state. */
+import {
+  DisposableStore,
+  LinkLostError,
+  initialTargetState,
+  nextTargetState,
+  repeat,
+  sleep,
+} from '@oathead/core';
+import type {
+  Clock,
+  Counters,
+  HeartbeatReply,
+  LoadReport,
+  TargetConfig,
+  TargetEvent,
+  TargetState,
+} from '@oathead/core';
+import {logOf} from '@oathead/observe';
+import type {ReportingLink} from '@oathead/wire';
+
+const log = logOf('entry:targets');
+
+/** What a connection to a target needs. */
+export interface TargetConnectionOptions {
+  readonly targetId: string;
+  readonly entryId: string;
+  readonly link: ReportingLink & Disposable;
+  readonly clock: Clock;
+  readonly counters: Counters;
+  readonly heartbeatMs: number;
+  /** What the target is to know; undefined while it is not declared. */
+  readonly cfg: () => TargetConfig | undefined;
+  /** Whether the target is leaving by declaration or by the host list. */
+  readonly leaving: () => boolean;
+  readonly onReport: (report: LoadReport) => void;
+  readonly onState: (state: TargetState) => void;
+  /** The target process has started anew. */
+  readonly onRestart: () => void;
+}
+
+/** A connection to one target. */
+export class TargetConnection implements Disposable {
+  private readonly held = new DisposableStore();
+  private readonly stop = new AbortController();
+  private state = initialTargetState();
+  private bootId: string | undefined;
+  private knownRevision = 0;
+  private report: LoadReport | undefined;
+
+  /** @param options - What the connection needs. */
+  constructor(private readonly options: TargetConnectionOptions) {
+    this.held.add(options.link);
+    this.held.defer(() => this.stop.abort());
+    this.held.add(
+      repeat(options.clock, options.heartbeatMs, () => this.heartbeat()),
+    );
+    void this.heartbeat();
+    void this.followReports();
+  }
+
+  /** The way to the target. */
+  get link(): ReportingLink {
+    return this.options.link;
+  }
+
+  /** The target's state as this entry sees it. */
+  get targetState(): TargetState {
+    return this.state;
+  }
+
+  /** The last load report. */
+  get lastReport(): LoadReport | undefined {
+    return this.report;
+  }
+
+  /** Follows a new configuration or host list without waiting for a heartbeat. */
+  refresh(): void {
+    if (this.options.leaving()) this.step({type: 'leave'});
+    if (this.knownRevision < (this.options.cfg()?.revision ?? 0)) {
+      void this.heartbeat();
+    }
+  }
+
+  [Symbol.dispose](): void {
+    this.held[Symbol.dispose]();
+  }
+
+  private async heartbeat(): Promise<void> {
+    const cfg = this.options.cfg();
+    const cfgRevision = cfg?.revision ?? 0;
+    const stale = cfg !== undefined && this.knownRevision < cfgRevision;
+    try {
+      const reply = await this.options.link.heartbeat(
+        {
+          entryId: this.options.entryId,
+          cfgRevision,
+          ...(stale ? {cfg} : {}),
+        },
+        this.stop.signal,
+      );
+      this.replied(reply);
+    } catch (err) {
+      if (!(err instanceof LinkLostError)) throw err;
+      if (this.stop.signal.aborted) return;
+      this.options.counters.count('heartbeats_lost');
+      this.step({type: 'silent'});
+    }
+  }
+
+  private replied({bootId, load}: HeartbeatReply): void {
+    if (this.bootId !== undefined && this.bootId !== bootId) {
+      log('%s has restarted', this.options.targetId);
+      this.options.onRestart();
+      this.knownRevision = 0;
+      this.report = undefined;
+    }
+    this.bootId = bootId;
+    this.step({type: 'replied'});
+    this.take(load);
+  }
+
+  /** Reports are pushed on change; between them heartbeats bring the load. */
+  private async followReports(): Promise<void> {
+    const {clock, heartbeatMs, link} = this.options;
+    while (!this.stop.signal.aborted) {
+      try {
+        for await (const report of link.reports(this.stop.signal)) {
+          this.take(report);
+        }
+      } catch (err) {
+        if (!(err instanceof LinkLostError)) throw err;
+      }
+      await sleep(clock, heartbeatMs, this.stop.signal);
+    }
+  }
+
+  private take(report: LoadReport): void {
+    this.report = report;
+    this.knownRevision = report.cfgRevision;
+    const leaving = report.leaving || this.options.leaving();
+    this.step({type: leaving ? 'leave' : 'stay'});
+    this.options.onReport(report);
+  }
+
+  private step(event: TargetEvent): void {
+    const before = this.state;
+    this.state = nextTargetState(before, event);
+    if (this.state === before) return;
+    log('%s: %s -> %s', this.options.targetId, before, this.state);
+    this.options.counters.count('target_state', {to: this.state});
+    this.options.onState(this.state);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/lib/process/entry.ts
@@ -0,0 +1,348 @@
+/** One entry: everything between callers and target processes, composed. */
+import {BatchJobs} from '@oathead/batch';
+import type {BatchSettings} from '@oathead/batch';
+import {ConfigCache, ConfigStore, ResourceApi, Watch} from '@oathead/config';
+import type {ConfigDelta} from '@oathead/config';
+import {
+  DisposableStore,
+  LinkLostError,
+  RetryPolicy,
+  sleep,
+} from '@oathead/core';
+import type {
+  Clock,
+  Counters,
+  Random,
+  ServeEvent,
+  ServeOutcome,
+} from '@oathead/core';
+import {HEAD_ROW, LeasedMembership} from '@oathead/membership';
+import type {MembershipSettings} from '@oathead/membership';
+import type {Platform} from '@oathead/platform';
+import type {ReportingLink} from '@oathead/wire';
+import type {Tracer} from '@opentelemetry/api';
+import type {ForwardedCall, PeerHandler} from '../connection/peer_router.js';
+import {Peers} from '../connection/peers.js';
+import type {PeerLinkTo} from '../connection/peers.js';
+import {TargetFleet} from '../connection/target_fleet.js';
+import type {FleetSettings} from '../connection/target_fleet.js';
+import type {ApiRequest, ApiResponse} from '../request/api.js';
+import {batchRoutes} from '../request/batch_routes.js';
+import {BatchRunner} from '../request/batch_runner.js';
+import {completionRoutes} from '../request/completion_routes.js';
+import {Dispatcher} from '../request/dispatcher.js';
+import {KeyedRequests} from '../request/keyed_requests.js';
+import type {KeyedCall} from '../request/keyed_requests.js';
+import {OnlineService} from '../request/online_service.js';
+import type {ServeCall} from '../request/online_call.js';
+import {resourceRoutes} from '../request/resource_routes.js';
+import {resultRoutes} from '../request/result_routes.js';
+import {Router} from '../request/router.js';
+import {serviceRoutes} from '../request/service_routes.js';
+import {AnswerStore} from './answer_store.js';
+import type {AnswerStoreSettings} from './answer_store.js';
+import {KeyAuthenticator} from './key_authenticator.js';
+import {LocalSuspects} from './suspect_registry.js';
+
+/** What an entry is made of. */
+export interface EntryParts {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly counters: Counters;
+  readonly tracer: Tracer;
+  readonly platform: Platform;
+  readonly linkTo: (
+    targetId: string,
+    address: string,
+  ) => ReportingLink & Disposable;
+  readonly peerLinkTo: PeerLinkTo;
+  readonly settings: EntryCoreSettings;
+}
+
+/** Settings of an entry, apart from its sockets; times in milliseconds. */
+export interface EntryCoreSettings {
+  readonly membership: MembershipSettings;
+  readonly fleet: FleetSettings;
+  readonly answers: AnswerStoreSettings;
+  readonly batch: Partial<BatchSettings>;
+  readonly operatorKeyHashes: readonly string[];
+  readonly defaultDeadlineMs: number;
+  readonly maxDeadlineMs: number;
+  readonly batchItemTimeoutMs: number;
+  readonly maxJobBytes: number;
+}
+
+const STOP_CHECK_MS = 20;
+
+/** One entry. */
+export class Entry implements PeerHandler, Disposable {
+  /** Answers callers and operators. */
+  readonly router: Router;
+  private readonly held = new DisposableStore();
+  private readonly membership: LeasedMembership;
+  private readonly cache: ConfigCache;
+  private readonly fleet: TargetFleet;
+  private readonly peers: Peers;
+  private readonly answers: AnswerStore;
+  private readonly keyed: KeyedRequests;
+  private readonly online: OnlineService;
+  private readonly jobs: BatchJobs;
+  private readonly suspects: LocalSuspects;
+  private inFlight = 0;
+  private stopping = false;
+
+  /** @param parts - What it is made of. */
+  constructor(private readonly parts: EntryParts) {
+    const {clock, random, counters, platform, settings} = parts;
+    const {table, objects} = platform;
+    const base = {clock, random, counters, table, objects};
+    this.membership = new LeasedMembership(base, settings.membership);
+    this.peers = this.held.add(
+      new Peers(clock, this.membership, parts.peerLinkTo),
+    );
+    this.cache = this.held.add(this.createCache());
+    this.suspects = new LocalSuspects(counters);
+    this.fleet = this.held.add(this.createFleet());
+    const {membership} = this;
+    this.answers = new AnswerStore({...base, membership}, settings.answers);
+    const dispatcher = this.createDispatcher();
+    const dispatch = dispatcher.serve.bind(dispatcher);
+    this.keyed = new KeyedRequests({
+      ...base,
+      membership,
+      answers: this.answers,
+      dispatch,
+      recall: (call, signal) => this.recall(call, signal),
+    });
+    this.online = new OnlineService({
+      counters,
+      membership,
+      keyed: this.keyed,
+      peers: this.peers,
+      dispatch,
+    });
+    const runner = new BatchRunner({
+      clock,
+      random,
+      fleet: this.fleet,
+      dispatch,
+      itemTimeoutMs: settings.batchItemTimeoutMs,
+    });
+    this.jobs = new BatchJobs({...base, membership, runner}, settings.batch);
+    this.router = this.createRouter();
+    this.answers.onWritten(keys => void this.releaseAtTargets(keys));
+  }
+
+  /** Joins the fleet and loads the configuration. */
+  async start(): Promise<void> {
+    this.membership.start();
+    await this.cache.start();
+  }
+
+  /** Whether callers can be served. */
+  get ready(): boolean {
+    return this.cache.ready && !this.stopping;
+  }
+
+  /**
+   * Answers one request of the API.
+   *
+   * @param req - The request.
+   * @returns Its answer.
+   */
+  async handle(req: ApiRequest): Promise<ApiResponse> {
+    return this.router.handle(req);
+  }
+
+  /** @returns What `GET /v1/status` tells. */
+  async status(): Promise<unknown> {
+    const snapshot = this.cache.current();
+    return {
+      entryId: this.membership.entryId,
+      revision: snapshot.revision,
+      entries: this.membership.peers(),
+      targets: this.fleet.views(),
+      unwrittenAnswers: this.answers.unwrittenCount,
+    };
+  }
+
+  async *serve(
+    call: ForwardedCall,
+    signal: AbortSignal,
+  ): AsyncGenerator<ServeEvent> {
+    const {timeoutMs, ...rest} = call;
+    const deadline = this.parts.clock.now() + timeoutMs;
+    yield* this.counted(
+      this.keyed.serve({...rest, class: 'online', deadline}, signal),
+    );
+  }
+
+  configSince(since: number): ConfigDelta | undefined {
+    return this.cache.delta(since);
+  }
+
+  async findOutcome(dedupeKey: string): Promise<ServeOutcome | undefined> {
+    return this.keyed.find(dedupeKey);
+  }
+
+  /**
+   * Stops as planned: takes nothing new, lets what is in flight end, writes
+   * what is unwritten, and hands its shares over.
+   *
+   * @param graceMs - At most so long, in milliseconds.
+   */
+  async stop(graceMs: number): Promise<void> {
+    const {clock} = this.parts;
+    const deadline = clock.now() + graceMs;
+    this.stopping = true;
+    const batchStopped = this.jobs.stop();
+    while (this.busy && clock.now() < deadline) {
+      await sleep(clock, STOP_CHECK_MS);
+    }
+    await batchStopped;
+    await this.answers.flush();
+    await this.membership.stop(Math.max(0, deadline - clock.now()));
+    this[Symbol.dispose]();
+  }
+
+  /** Stops at once, as a process that dies would. */
+  [Symbol.dispose](): void {
+    this.jobs[Symbol.dispose]();
+    this.membership[Symbol.dispose]();
+    this.held[Symbol.dispose]();
+  }
+
+  private get busy(): boolean {
+    return this.inFlight > 0 || this.keyed.runningCount > 0;
+  }
+
+  private serveOnline(
+    call: ServeCall,
+    signal: AbortSignal,
+  ): AsyncIterable<ServeEvent> {
+    return this.counted(this.online.serve(call, signal));
+  }
+
+  /** A planned stop waits for what is counted here. */
+  private async *counted(
+    events: AsyncIterable<ServeEvent>,
+  ): AsyncGenerator<ServeEvent> {
+    this.inFlight++;
+    try {
+      yield* events;
+    } finally {
+      this.inFlight--;
+    }
+  }
+
+  private async recall(
+    call: KeyedCall,
+    signal: AbortSignal,
+  ): Promise<ServeOutcome | undefined> {
+    void call;
+    void signal;
+    return undefined;
+  }
+
+  private async findAnywhere(
+    dedupeKey: string,
+  ): Promise<ServeOutcome | undefined> {
+    const {membership} = this;
+    const owner = membership.ownerOf(membership.shareOf(dedupeKey));
+    if (owner && owner.entryId !== membership.entryId) {
+      try {
+        return await this.peers.findOutcome(owner, dedupeKey);
+      } catch (err) {
+        if (!(err instanceof LinkLostError)) throw err;
+      }
+    }
+    return this.keyed.find(dedupeKey);
+  }
+
+  private async releaseAtTargets(keys: readonly string[]): Promise<void> {
+    const releases = this.fleet.links().map(link => link.release(keys));
+    await Promise.allSettled(releases);
+  }
+
+  private createCache(): ConfigCache {
+    const {clock, random, counters, platform} = this.parts;
+    return new ConfigCache({
+      store: platform.table,
+      headRow: HEAD_ROW,
+      head: this.membership,
+      peers: this.peers,
+      clock,
+      random,
+      counters,
+    });
+  }
+
+  private createFleet(): TargetFleet {
+    const {clock, random, counters, platform, settings} = this.parts;
+    return new TargetFleet({
+      entryId: settings.membership.entryId,
+      dataCentre: settings.membership.dataCentre,
+      clock,
+      random,
+      counters,
+      cfg: this.cache,
+      membership: this.membership,
+      hosts: platform.hosts,
+      linkTo: this.parts.linkTo,
+      blocked: () => [],
+      settings: settings.fleet,
+    });
+  }
+
+  private createDispatcher(): Dispatcher {
+    const {clock, counters, tracer, settings} = this.parts;
+    return new Dispatcher({
+      clock,
+      counters,
+      tracer,
+      entryId: settings.membership.entryId,
+      fleet: this.fleet,
+      retries: new RetryPolicy(),
+      suspects: this.suspects,
+    });
+  }
+
+  private createRouter(): Router {
+    const {clock, random, counters, platform, settings} = this.parts;
+    const {cache} = this;
+    const options = {
+      clock,
+      random,
+      cfg: cache,
+      defaultDeadlineMs: settings.defaultDeadlineMs,
+      maxDeadlineMs: settings.maxDeadlineMs,
+      serve: (call: ServeCall, signal: AbortSignal) =>
+        this.serveOnline(call, signal),
+    };
+    const store = new ConfigStore({
+      store: platform.table,
+      headRow: HEAD_ROW,
+      clock,
+      random,
+      counters,
+    });
+    const watch = new Watch(cache, clock);
+    const api = new ResourceApi({store, cache, watch, conditions: () => []});
+    const routes = [
+      ...completionRoutes(options),
+      ...serviceRoutes(options),
+      ...resultRoutes(key => this.findAnywhere(key)),
+      ...batchRoutes({
+        jobs: this.jobs,
+        cfg: cache,
+        maxJobBytes: settings.maxJobBytes,
+      }),
+      ...resourceRoutes({api, status: () => this.status()}),
+    ];
+    const authenticator = new KeyAuthenticator(
+      cache,
+      settings.operatorKeyHashes,
+    );
+    return new Router(routes, authenticator, counters);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/lib/request/keyed_answer.ts
@@ -0,0 +1,56 @@
+/** Rows and objects in which the answers of keyed requests last. */
+import {z} from 'zod';
+import type {ServeOutcome} from '@oathead/core';
+
+/** The end of a keyed request, as it is kept. */
+export interface KeyedAnswer {
+  /** `caller/key`. */
+  readonly key: string;
+  /** Fingerprint of the work; a resend with another is a conflict. */
+  readonly work: string;
+  readonly outcome: ServeOutcome;
+}
+
+/** One object: all answers of one flush. */
+export interface AnswerObject {
+  readonly answers: readonly KeyedAnswer[];
+}
+
+/** One index row of a share: which keys one object holds. */
+export const ANSWER_INDEX = z.object({
+  object: z.string(),
+  /** Fingerprints of the keys. */
+  keys: z.array(z.string()),
+  /** Milliseconds since the Unix epoch. */
+  at: z.number(),
+  nonce: z.string(),
+});
+
+/** One index row of a share. */
+export type AnswerIndex = z.infer<typeof ANSWER_INDEX>;
+
+/** Claim of a non-idempotent request, written before it is sent. */
+export const CLAIM = z.object({
+  nonce: z.string(),
+  work: z.string(),
+  at: z.number(),
+});
+
+/** Claim of a non-idempotent request. */
+export type Claim = z.infer<typeof CLAIM>;
+
+/**
+ * @param share - A share.
+ * @returns Prefix of the index rows of its answers.
+ */
+export function answerIndexPrefix(share: number): string {
+  return `answer/${share}/`;
+}
+
+/**
+ * @param key - `caller/key`.
+ * @returns Key of the claim row.
+ */
+export function claimRowKey(key: string): string {
+  return `once/${key}`;
+}
--- /dev/null
+++ b/packages/entry/src/lib/request/keyed_requests.ts
@@ -0,0 +1,352 @@
+/**
+ * Requests with an `Idempotency-Key`: one outcome for each key, whichever entry
+ * a resend reaches and whenever it comes.
+ *
+ * Each key belongs to a share of work and so to one entry at a time, its home;
+ * other entries pass the request on to it. While a home cannot be reached, any
+ * entry serves in its place: targets keep the outcomes of keys too, the
+ * candidates for a key are the same two targets for everyone, and the claim of
+ * a non-idempotent request is a row of the table.
+ */
+import {isFinal, mayHaveRun, notRun, workFingerprint} from '@oathead/core';
+import type {
+  Clock,
+  Counters,
+  Random,
+  Refusal,
+  ServeEvent,
+  ServeOutcome,
+} from '@oathead/core';
+import type {Membership} from '@oathead/membership';
+import type {TableStore} from '@oathead/platform';
+import type {AnswerStore} from '../process/answer_store.js';
+import {EventLog} from './event_log.js';
+import {CLAIM, claimRowKey} from './keyed_answer.js';
+import type {Claim, KeyedAnswer} from './keyed_answer.js';
+import type {Serve, ServeCall} from './online_call.js';
+
+/** A request with its key. */
+export interface KeyedCall extends ServeCall {
+  /** `caller/key`. */
+  readonly dedupeKey: string;
+}
+
+/** What keyed requests need. */
+export interface KeyedRequestsDeps {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly counters: Counters;
+  readonly table: TableStore;
+  readonly membership: Membership;
+  readonly answers: AnswerStore;
+  /** Serves a request at a target. */
+  readonly dispatch: Serve;
+  /**
+   * Asks the targets that a key prefers for an outcome they hold.
+   *
+   * @returns Undefined when none of them knows the key.
+   */
+  recall(
+    call: KeyedCall,
+    signal: AbortSignal,
+  ): Promise<ServeOutcome | undefined>;
+}
+
+interface Running {
+  readonly work: string;
+  readonly log: EventLog;
+}
+
+/** How long a resend may meet a home that does not know all answers yet. */
+const RECOVERY_MS = 60_000;
+const STORE_RETRY_MS = 2000;
+
+type ClaimOutcome = 'claimed' | 'claimed-before' | 'unavailable';
+
+/** Serves keyed requests at their home, or in place of it. */
+export class KeyedRequests {
+  private readonly running = new Map<string, Running>();
+  /** Nonces of claims whose requests were never sent, by row key. */
+  private readonly unsent = new Map<string, string>();
+  /** Until when a share may miss answers that its last owner gave. */
+  private readonly recovering = new Map<number, number>();
+
+  /** @param deps - Stores, clock and the way to the targets. */
+  constructor(private readonly deps: KeyedRequestsDeps) {
+    const {membership, answers, clock} = deps;
+    membership.onTaken(({share}) => {
+      this.recovering.set(share, clock.now() + RECOVERY_MS);
+    });
+    // A lease that ran out in an outage of the store leaves the share here:
+    // nobody can take it over without the store either.
+    membership.onLost(({share}) => {
+      if (!this.isHome(share)) answers.drop(share);
+    });
+  }
+
+  /** Keyed requests that run now. */
+  get runningCount(): number {
+    return this.running.size;
+  }
+
+  /**
+   * Serves a request here, as its home or in place of it.
+   *
+   * @param call - The request.
+   * @param signal - Aborted when the caller has gone. The request goes on
+   *     while another caller waits for the same key.
+   * @returns Its events, from the first also for a resend.
+   */
+  async *serve(
+    call: KeyedCall,
+    signal: AbortSignal,
+  ): AsyncGenerator<ServeEvent> {
+    const work = workFingerprint(call.work);
+    const running = this.running.get(call.dedupeKey);
+    if (running) {
+      yield* this.attach(running, work, call, signal);
+      return;
+    }
+    // Set before the first wait, so that two resends at the same time meet.
+    const log = new EventLog();
+    this.running.set(call.dedupeKey, {work, log});
+    void this.run(call, work, log);
+    yield* log.read(signal);
+  }
+
+  /**
+   * @param dedupeKey - `caller/key`.
+   * @returns The outcome of a key, where it has one that is kept.
+   */
+  async find(dedupeKey: string): Promise<ServeOutcome | undefined> {
+    const {answers, membership} = this.deps;
+    const share = membership.shareOf(dedupeKey);
+    if (!answers.loaded(share)) await answers.load(share);
+    const found = await answers.find(dedupeKey);
+    if (!this.isHome(share)) answers.drop(share);
+    if (!found.ok) return refused(storeUnavailable());
+    return found.value?.outcome;
+  }
+
+  private async *attach(
+    running: Running,
+    work: string,
+    call: KeyedCall,
+    signal: AbortSignal,
+  ): AsyncGenerator<ServeEvent> {
+    if (running.work !== work) {
+      yield refused(keyConflict());
+      return;
+    }
+    this.deps.counters.count('keyed_resends', {met: 'running'});
+    yield* running.log.read(signal);
+  }
+
+  /**
+   * Runs a request to its end, also when its caller has gone: the caller sends
+   * it again, perhaps elsewhere, and must get this outcome. The deadline bounds
+   * it.
+   */
+  private async run(
+    call: KeyedCall,
+    work: string,
+    log: EventLog,
+  ): Promise<void> {
+    try {
+      const known = await this.known(call, work);
+      if (known) log.push(known);
+      else await this.runNew(call, work, log);
+    } finally {
+      if (!log.outcome) log.push(refused(mayHaveRun('internal', 'no outcome')));
+      this.running.delete(call.dedupeKey);
+    }
+  }
+
+  /** @returns The outcome that a resend gets, or undefined for a new key. */
+  private async known(
+    call: KeyedCall,
+    work: string,
+  ): Promise<ServeOutcome | undefined> {
+    const share = this.deps.membership.shareOf(call.dedupeKey);
+    const recovering = this.isRecovering(share);
+    if (!recovering && this.deps.answers.loaded(share)) {
+      return this.kept(call, work);
+    }
+    return this.lookUp(call, work);
+  }
+
+  private async kept(
+    call: KeyedCall,
+    work: string,
+  ): Promise<ServeOutcome | undefined> {
+    const found = await this.deps.answers.find(call.dedupeKey);
+    if (!found.ok) return refused(storeUnavailable());
+    return found.value && this.resent(found.value, work);
+  }
+
+  /**
+   * The last home of a key can be lost, or out of reach, with answers that it
+   * gave and that are not in the index as this entry read it: the index is read
+   * again, then the targets are asked.
+   */
+  private async lookUp(
+    call: KeyedCall,
+    work: string,
+  ): Promise<ServeOutcome | undefined> {
+    const {answers, membership} = this.deps;
+    const share = membership.shareOf(call.dedupeKey);
+    const loaded = await answers.load(share);
+    // Without the index, a key that was answered long ago would look new.
+    if (!loaded.ok && !answers.loaded(share))
+      return refused(storeUnavailable());
+    const kept = await this.kept(call, work);
+    if (!this.isHome(share)) answers.drop(share);
+    if (kept) return kept;
+    return this.deps.recall(call, NEVER);
+  }
+
+  private isHome(share: number): boolean {
+    const {membership} = this.deps;
+    return membership.ownerOf(share)?.entryId === membership.entryId;
+  }
+
+  private isRecovering(share: number): boolean {
+    if (!this.isHome(share)) return true;
+    const until = this.recovering.get(share);
+    if (until === undefined) return false;
+    if (this.deps.clock.now() < until) return true;
+    this.recovering.delete(share);
+    return false;
+  }
+
+  private resent(answer: KeyedAnswer, work: string): ServeOutcome {
+    if (answer.work !== work) return refused(keyConflict());
+    this.deps.counters.count('keyed_resends', {met: 'answered'});
+    return answer.outcome;
+  }
+
+  private async runNew(
+    call: KeyedCall,
+    work: string,
+    log: EventLog,
+  ): Promise<void> {
+    if (this.deps.answers.full) {
+      log.push(refused(storeUnavailable()));
+      return;
+    }
+    const refusal = call.idempotent ? undefined : await this.claim(call, work);
+    if (refusal) {
+      log.push(refusal);
+      return;
+    }
+    for await (const event of this.deps.dispatch(call, NEVER)) {
+      if (isFinal(event)) this.record(call, work, event);
+      log.push(event);
+    }
+    if (!call.idempotent) await this.releaseUnsent(call, log.outcome);
+  }
+
+  private record(call: KeyedCall, work: string, outcome: ServeOutcome): void {
+    if (!mayStand(outcome, call.idempotent)) return;
+    this.deps.answers.add({key: call.dedupeKey, work, outcome});
+  }
+
+  /**
+   * A resend of a non-idempotent request can reach another entry while the
+   * first runs, or after an entry was lost with it: the claim row is written
+   * once, before the request is sent, and whoever finds it there does not send.
+   */
+  private async claim(
+    call: KeyedCall,
+    work: string,
+  ): Promise<ServeOutcome | undefined> {
+    const rowKey = claimRowKey(call.dedupeKey);
+    const nonce = this.unsent.get(rowKey) ?? this.deps.random.id();
+    // Until it is known that the claim did not land, a resend uses it again.
+    this.unsent.set(rowKey, nonce);
+    const claim: Claim = {nonce, work, at: this.deps.clock.wallTime()};
+    const outcome = await this.writeClaim(rowKey, claim);
+    if (outcome === 'unavailable') return refused(storeUnavailable());
+    this.unsent.delete(rowKey);
+    if (outcome === 'claimed') return undefined;
+    this.deps.counters.count('keyed_resends', {met: 'claimed'});
+    const known = await this.lookUp(call, work);
+    return known ?? refused(outcomeUnknown());
+  }
+
+  private async writeClaim(
+    rowKey: string,
+    claim: Claim,
+  ): Promise<ClaimOutcome> {
+    const written = await this.deps.table.write({
+      checks: [{key: rowKey, version: 0}],
+      writes: [{kind: 'put', key: rowKey, value: claim}],
+    });
+    if (written.ok) return 'claimed';
+    if (written.err.kind === 'throttled') return 'unavailable';
+    // The answer of the store can be lost after the write took effect: the
+    // nonce tells this entry's claim from another's.
+    const read = await this.deps.table.read([rowKey]);
+    if (!read.ok) return 'unavailable';
+    const row = CLAIM.safeParse(read.value[0]?.value);
+    if (!row.success) return 'unavailable';
+    return row.data.nonce === claim.nonce ? 'claimed' : 'claimed-before';
+  }
+
+  /**
+   * A claim whose request was not sent after all would turn every resend away.
+   * It is deleted; when the store does not say whether that happened, it is
+   * left alone: a late deletion could otherwise open the way for a second run.
+   */
+  private async releaseUnsent(
+    call: KeyedCall,
+    outcome: ServeOutcome | undefined,
+  ): Promise<void> {
+    if (outcome?.kind !== 'refused') return;
+    if (outcome.refusal.ran !== 'not-run') return;
+    const rowKey = claimRowKey(call.dedupeKey);
+    const read = await this.deps.table.read([rowKey]);
+    const row = read.ok ? read.value[0] : undefined;
+    if (!row) return;
+    await this.deps.table.write({
+      checks: [{key: rowKey, version: row.version}],
+      writes: [{kind: 'delete', key: rowKey}],
+    });
+  }
+}
+
+/** Keyed requests run to their end whether or not their callers stay. */
+const NEVER = new AbortController().signal;
+
+/**
+ * @returns Whether an outcome is the key's outcome for good. What did not run
+ *     may be sent again; so may what is idempotent and may have run.
+ */
+function mayStand(outcome: ServeOutcome, idempotent: boolean): boolean {
+  if (outcome.kind === 'done') return true;
+  if (outcome.kind !== 'refused') return false;
+  return outcome.refusal.ran === 'may-have-run' && !idempotent;
+}
+
+function refused(refusal: Refusal): ServeOutcome {
+  return {kind: 'refused', refusal};
+}
+
+function keyConflict(): Refusal {
+  return notRun('key-conflict', 'the key was used for another request');
+}
+
+function outcomeUnknown(): Refusal {
+  return mayHaveRun(
+    'outcome-unknown',
+    'it was sent before; its end is not known',
+  );
+}
+
+function storeUnavailable(): Refusal {
+  return notRun(
+    'store-unavailable',
+    'the store that keeps answers cannot be reached',
+    STORE_RETRY_MS,
+  );
+}
