--- a/packages/config/src/lib/request/resource_api.ts
+++ b/packages/config/src/lib/request/resource_api.ts
@@ -13,6 +13,8 @@
 import type {Watch, WatchEvent} from '../connection/watch.js';
 import type {ConfigCache} from '../process/config_cache.js';
 import type {ConfigStore} from '../process/config_store.js';
+import type {StatusBoard} from '../process/status_board.js';
+import type {FleetView} from '../version/fleet_view.js';
 import {isResourceKind} from '../version/spec_schema.js';
 import {changeOptionsOf, parseBody, parseSince} from './resource_request.js';
 import type {ResourceRequest} from './resource_request.js';
@@ -45,8 +47,8 @@
   readonly store: ConfigStore;
   readonly cache: ConfigCache;
   readonly watch: Watch;
-  /** What the system says about a resource. */
-  readonly conditions: (resource: Resource) => readonly Condition[];
+  /** Says what the system has done about them. */
+  readonly board: StatusBoard;
 }
 
 type Handler = (
@@ -112,7 +114,8 @@
     const headers = await this.refresh();
     const snapshot = this.options.cache.current();
     const listed = kind ? snapshot.all(kind) : snapshot.resources;
-    const resources = listed.map(resource => this.view(resource));
+    const fleet = this.options.board.fleet();
+    const resources = listed.map(resource => this.view(resource, fleet));
     return answer({revision: snapshot.revision, resources}, headers);
   }
 
@@ -163,8 +166,8 @@
     return (await this.options.cache.refresh()) ? {} : STALE_HEADER;
   }
 
-  private view(resource: Resource): ResourceView {
-    const conditions = this.options.conditions(resource);
+  private view(resource: Resource, fleet?: FleetView): ResourceView {
+    const conditions = this.options.board.conditions(resource, fleet);
     return {...resource, status: {conditions}};
   }
 }
