--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -4,9 +4,15 @@
  *
  * @packageDocumentation
  */
+export * from './lib/connection/connection_machine.js';
+export * from './lib/connection/subset.js';
+export * from './lib/connection/target_choice.js';
+export * from './lib/connection/target_health.js';
 export * from './lib/connection/target_link.js';
+export * from './lib/connection/target_machine.js';
 export * from './lib/process/admission.js';
 export * from './lib/process/batch_controller.js';
+export * from './lib/process/caller_limits.js';
 export * from './lib/process/clock.js';
 export * from './lib/process/counters.js';
 export * from './lib/process/disposable_store.js';
@@ -14,12 +20,19 @@
 export * from './lib/process/engine_client.js';
 export * from './lib/process/hash.js';
 export * from './lib/process/load_report.js';
+export * from './lib/process/memoized_step.js';
 export * from './lib/process/order.js';
 export * from './lib/process/outcome.js';
 export * from './lib/process/random.js';
+export * from './lib/process/share_lease_machine.js';
 export * from './lib/request/batch_item.js';
+export * from './lib/request/item_machine.js';
+export * from './lib/request/job_machine.js';
 export * from './lib/request/refusal.js';
+export * from './lib/request/retry_policy.js';
 export * from './lib/request/serve.js';
+export * from './lib/request/target_request_machine.js';
 export * from './lib/request/work.js';
+export * from './lib/request/work_fingerprint.js';
 export * from './lib/version/resource.js';
 export * from './lib/version/target_config.js';
