--- a/packages/batch/src/lib/process/batch_worker.ts
+++ b/packages/batch/src/lib/process/batch_worker.ts
@@ -52,17 +52,11 @@
     );
     this.contact = new StoreContact(deps, membership);
     this.loader = new ChunkLoader(deps, membership);
-    this.recorder = new ChunkRecorder(
-      deps,
-      settings,
-      membership,
-      this.board,
-      {
-        claimed: (chunk, items) => this.onClaimed(chunk, items),
-        fenced: chunk => this.onFenced(chunk),
-        recorded: chunk => this.onRecorded(chunk),
-      },
-    );
+    this.recorder = new ChunkRecorder(deps, settings, membership, this.board, {
+      claimed: (chunk, items) => this.onClaimed(chunk, items),
+      fenced: chunk => this.onFenced(chunk),
+      recorded: chunk => this.onRecorded(chunk),
+    });
     this.runs = new ItemRuns(deps, settings, runner, chunk => {
       this.recorder.kick(chunk);
       this.pump();
@@ -276,10 +270,7 @@
     return this.chunks.has(key) || this.loading.has(key);
   }
 
-  private async load(
-    job: OpenJob,
-    place: ChunkWork['place'],
-  ): Promise<void> {
+  private async load(job: OpenJob, place: ChunkWork['place']): Promise<void> {
     const key = keyOf(place);
     this.loading.add(key);
     const loaded = await this.loader.load(job, place);
--- a/packages/batch/src/lib/process/chunk_work.ts
+++ b/packages/batch/src/lib/process/chunk_work.ts
@@ -118,7 +118,7 @@
 
   /** Models and services with items that may run now. */
   get readyPools(): readonly string[] {
-    return [...this.ready].flatMap(([pool, {length}]) => length ? pool : []);
+    return [...this.ready].flatMap(([pool, {length}]) => (length ? pool : []));
   }
 
   /**
--- a/packages/batch/src/lib/process/item_run.ts
+++ b/packages/batch/src/lib/process/item_run.ts
@@ -74,10 +74,7 @@
     chunk.tell(index, {type: 'start'});
     chunk.running.set(index, abort);
     this.deps.counters.count('batch_items_started');
-    const outcome = await this.runner.run(
-      itemOf(chunk, index),
-      abort.signal,
-    );
+    const outcome = await this.runner.run(itemOf(chunk, index), abort.signal);
     if (chunk.running.get(index) === abort) chunk.running.delete(index);
     if (chunk.dropped.signal.aborted) this.drop('not-held');
     else this.settle(chunk, index, outcome);
--- a/packages/batch/src/lib/process/job_order.ts
+++ b/packages/batch/src/lib/process/job_order.ts
@@ -11,10 +11,7 @@
 const DUE_SPAN_MS = 900_000;
 
 /** What the order of a job depends on. */
-export type Ranked = Pick<
-  JobRow,
-  'caller' | 'job' | 'dueAt' | 'acceptedAt'
->;
+export type Ranked = Pick<JobRow, 'caller' | 'job' | 'dueAt' | 'acceptedAt'>;
 
 /**
  * @param running - How many items of a caller run at this entry now.
--- a/packages/batch/src/lib/request/job.ts
+++ b/packages/batch/src/lib/request/job.ts
@@ -44,11 +44,7 @@
 
 /** Where an item stands, as its caller sees it. */
 export type ResultState =
-  | 'waiting'
-  | 'done'
-  | 'failed'
-  | 'cancelled'
-  | 'unknown';
+  'waiting' | 'done' | 'failed' | 'cancelled' | 'unknown';
 
 /** One item with its result. */
 export interface ItemResult {
--- a/packages/batch/src/lib/request/job_intake.ts
+++ b/packages/batch/src/lib/request/job_intake.ts
@@ -86,10 +86,7 @@
    * @param job - The job's id.
    * @returns Its row after it.
    */
-  async cancel(
-    caller: string,
-    job: string,
-  ): Promise<Outcome<JobRow, Refusal>> {
+  async cancel(caller: string, job: string): Promise<Outcome<JobRow, Refusal>> {
     const path = jobPath(caller, job);
     let sent = false;
     for (let attempt = 1; attempt <= MAX_ATTEMPTS; attempt++) {
@@ -230,9 +227,7 @@
 
 function sameJob(stored: JobRow, sent: JobRow): Outcome<JobRow, Refusal> {
   if (stored.hash === sent.hash) return success(stored);
-  return failure(
-    notRun('key-conflict', 'a job of this id has other content'),
-  );
+  return failure(notRun('key-conflict', 'a job of this id has other content'));
 }
 
 function invalid(problems: readonly Problem[]): Refusal {
--- a/packages/batch/src/lib/request/job_reader.ts
+++ b/packages/batch/src/lib/request/job_reader.ts
@@ -89,9 +89,7 @@
     const read = await this.deps.table.read([key]);
     if (!read.ok) return failure(unavailable());
     const stored = read.value[0];
-    return stored === undefined
-      ? failure(noSuchJob())
-      : success(jobOf(stored));
+    return stored === undefined ? failure(noSuchJob()) : success(jobOf(stored));
   }
 
   /**
--- a/packages/batch/src/lib/request/job_rows.ts
+++ b/packages/batch/src/lib/request/job_rows.ts
@@ -209,9 +209,7 @@
  * @param job - A job.
  * @returns How many chunks it has.
  */
-export function chunkCount(
-  job: Pick<JobRow, 'items' | 'chunkItems'>,
-): number {
+export function chunkCount(job: Pick<JobRow, 'items' | 'chunkItems'>): number {
   return Math.ceil(job.items / job.chunkItems);
 }
 
--- a/packages/core/src/lib/process/share_lease_machine.ts
+++ b/packages/core/src/lib/process/share_lease_machine.ts
@@ -49,7 +49,10 @@
  * @param event - What happens to it.
  * @returns The state after it; the same when the event means nothing there.
  */
-export const nextShareLeaseState = memoizedStep<ShareLeaseState, ShareLeaseEvent>((state, event) => {
+export const nextShareLeaseState = memoizedStep<
+  ShareLeaseState,
+  ShareLeaseEvent
+>((state, event) => {
   const before = SHARE_LEASE_MACHINE.resolveState({value: state});
   const [after] = transition(SHARE_LEASE_MACHINE, before, event);
   return after.value as ShareLeaseState;
--- a/packages/core/src/lib/request/item_machine.ts
+++ b/packages/core/src/lib/request/item_machine.ts
@@ -156,8 +156,10 @@
  * @returns The state after it; the same when the event means nothing there, as
  *     for every event after a final state.
  */
-export const nextItemState = memoizedStep<ItemState, ItemEvent>((state, event) => {
-  const before = ITEM_MACHINE.resolveState({value: state});
-  const [after] = transition(ITEM_MACHINE, before, event);
-  return after.value as ItemState;
-});
+export const nextItemState = memoizedStep<ItemState, ItemEvent>(
+  (state, event) => {
+    const before = ITEM_MACHINE.resolveState({value: state});
+    const [after] = transition(ITEM_MACHINE, before, event);
+    return after.value as ItemState;
+  },
+);
--- a/packages/membership/src/lib/process/leased_membership.ts
+++ b/packages/membership/src/lib/process/leased_membership.ts
@@ -341,7 +341,8 @@
     if (granted.length === 0) return;
     const read = await this.deps.table.read(granted.map(shareKey));
     if (!read.ok) return;
-    for (const [i, share] of granted.entries()) this.grant(share, read.value[i]);
+    for (const [i, share] of granted.entries())
+      this.grant(share, read.value[i]);
   }
 
   private grant(share: number, row: Row | undefined): void {
