--- /dev/null
+++ b/packages/bench/src/lib/process/policies.ts
@@ -0,0 +1,166 @@
+/**
+ * The policies that the bench compares: oathead's own, and simpler ones that
+ * stand for what others do.
+ */
+import {EngineAdmission} from '@oathead/core';
+import type {
+  Admission,
+  AdmissionAction,
+  AdmissionEvent,
+  AdmissionLoad,
+  BatchRule,
+  BatchSenses,
+  PoolConfig,
+} from '@oathead/core';
+
+/** One policy of the bench. */
+export interface Policy {
+  readonly name: string;
+  /** Whether batch work is offered. */
+  readonly batch: boolean;
+  admission(pool: PoolConfig): Admission;
+}
+
+const EVERYTHING = 96;
+const NO_ACTIONS: readonly AdmissionAction[] = [];
+
+/**
+ * Batch streams up to a fixed number; none is ever preempted. All else, online
+ * work above all, is treated as oathead does, so that only this differs.
+ */
+class FixedCap implements BatchRule {
+  constructor(
+    private readonly senses: BatchSenses,
+    private readonly cap: number,
+  ) {}
+
+  streams(): number {
+    return this.cap;
+  }
+
+  admits(): boolean {
+    return this.senses.running.batch.running < this.cap;
+  }
+
+  excess(): number {
+    return 0;
+  }
+}
+
+/** Starts batch work while the engine's own, lagging report shows room. */
+class HoldBack implements BatchRule {
+  constructor(
+    private readonly senses: BatchSenses,
+    private readonly most: number,
+  ) {}
+
+  streams(): number {
+    const {load} = this.senses.gate;
+    const busy = load === undefined || load.running + load.waiting >= this.most;
+    return busy ? 0 : this.most;
+  }
+
+  admits(): boolean {
+    return this.senses.running.batch.running < this.streams();
+  }
+
+  excess(): number {
+    return 0;
+  }
+}
+
+/** Hands everything to the engine as it comes, online work too. */
+class OpenAdmission implements Admission {
+  private batch = 0;
+  private online = 0;
+  private readonly batchIds = new Set<string>();
+
+  handle(event: AdmissionEvent): readonly AdmissionAction[] {
+    if (event.kind === 'arrived') {
+      const {id, class: kind} = event.request;
+      if (kind === 'batch') {
+        this.batchIds.add(id);
+        this.batch += 1;
+      } else {
+        this.online += 1;
+      }
+      return [{kind: 'start', id}];
+    }
+    if (event.kind === 'ended') {
+      if (this.batchIds.delete(event.id)) this.batch -= 1;
+      else this.online -= 1;
+    }
+    return NO_ACTIONS;
+  }
+
+  load(): AdmissionLoad {
+    return {
+      onlineRunning: this.online,
+      onlineQueued: 0,
+      onlineCapacity: EVERYTHING,
+      batchRunning: this.batch,
+      batchQueued: 0,
+      batchRoom: Math.max(0, EVERYTHING - this.batch),
+      prefillTokens: 0,
+      stepMs: 0,
+    };
+  }
+}
+
+function configured(
+  pool: PoolConfig,
+  buildRule?: (senses: BatchSenses) => BatchRule,
+): Admission {
+  const admission = new EngineAdmission(buildRule);
+  const pools = [pool];
+  admission.handle({kind: 'config', pools, callerWeights: {}}, 0);
+  return admission;
+}
+
+/** Oathead's own policy. */
+export const OATHEAD: Policy = {
+  name: 'oathead',
+  batch: true,
+  admission: pool => configured(pool),
+};
+
+/** Online work alone: what harm is measured against. */
+export const ALONE: Policy = {
+  name: 'alone',
+  batch: false,
+  admission: pool => configured(pool),
+};
+
+/** The engine takes everything as it comes. */
+export const EVERYTHING_AS_IT_COMES: Policy = {
+  name: 'everything',
+  batch: true,
+  admission: () => new OpenAdmission(),
+};
+
+/** Batch streams that a lagging report may show beside online ones. */
+const HOLD_BACK_RUNNING = 32;
+
+/** Batch work is held back while the engine's own report shows it busy. */
+export const HOLD_BACK: Policy = {
+  name: 'hold-back',
+  batch: true,
+  admission: pool =>
+    configured(pool, senses => new HoldBack(senses, HOLD_BACK_RUNNING)),
+};
+
+/**
+ * @param streams - Batch streams at once.
+ * @returns A policy with that fixed cap.
+ */
+export function fixedCap(streams: number): Policy {
+  return {
+    name: `cap-${streams}`,
+    batch: true,
+    admission: pool =>
+      configured(pool, senses => new FixedCap(senses, streams)),
+  };
+}
+
+/** Caps of the sweep. */
+export const CAPS: readonly number[] = [1, 2, 4, 8, 16, 24, 32, 48, 60];
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -29,3 +29,7 @@
 export * from './lib/request/work.js';
 export * from './lib/version/resource.js';
 export * from './lib/version/target_config.js';
+export * from './lib/process/harm_meter.js';
+export * from './lib/process/online_gate.js';
+export * from './lib/process/running_set.js';
+export * from './lib/process/step_model.js';
--- a/packages/core/src/lib/process/batch_controller.ts
+++ b/packages/core/src/lib/process/batch_controller.ts
@@ -31,22 +31,59 @@
   kvShare: 0.95,
 };
 
-/** Bounds batch work at the engine. */
-export class BatchController {
+/** Bounds batch work at the engine; a bench puts rivals in its place. */
+export interface BatchRule {
   /**
-   * @param model - The engine's step time.
-   * @param running - What the engine has.
-   * @param meter - What online callers see.
-   * @param gate - What the engine holds.
+   * @param cfg - The pool.
+   * @returns How many batch streams may run beside what is online now.
+   */
+  streams(cfg: PoolConfig): number;
+  /**
+   * @param request - A batch request.
+   * @param cfg - Its pool.
+   * @returns Whether it may start now.
+   */
+  admits(request: AdmissionRequest, cfg: PoolConfig): boolean;
+  /**
+   * @param request - An online request that is about to start.
+   * @param cfg - Its pool.
+   * @returns How many batch streams have to make room for it.
+   */
+  excess(request: AdmissionRequest, cfg: PoolConfig): number;
+}
+
+/** What a batch rule can go by. */
+export interface BatchSenses {
+  /** The engine's step time. */
+  readonly model: StepModel;
+  /** What the engine has. */
+  readonly running: RunningSet;
+  /** What online callers see. */
+  readonly meter: HarmMeter;
+  /** What the engine holds. */
+  readonly gate: OnlineGate;
+}
+
+/** Bounds batch work by what it does to the steps of online streams. */
+export class BatchController implements BatchRule {
+  private readonly model: StepModel;
+  private readonly running: RunningSet;
+  private readonly meter: HarmMeter;
+  private readonly gate: OnlineGate;
+
+  /**
+   * @param senses - What to go by.
    * @param tuning - What to weigh.
    */
   constructor(
-    private readonly model: StepModel,
-    private readonly running: RunningSet,
-    private readonly meter: HarmMeter,
-    private readonly gate: OnlineGate,
-    private readonly tuning: BatchTuning,
-  ) {}
+    senses: BatchSenses,
+    private readonly tuning: BatchTuning = DEFAULT_BATCH_TUNING,
+  ) {
+    this.model = senses.model;
+    this.running = senses.running;
+    this.meter = senses.meter;
+    this.gate = senses.gate;
+  }
 
   /**
    * @param cfg - The pool.
@@ -59,10 +96,6 @@
     return Math.min(cfg.betweenTokensMs, harm * aloneStepMs);
   }
 
-  /**
-   * @param cfg - The pool.
-   * @returns How many batch streams may run beside what is online now.
-   */
   streams(cfg: PoolConfig): number {
     const {online, batch} = this.running;
     if (!this.model.ready) {
@@ -77,11 +110,6 @@
     return Math.max(0, Math.min(room, batch.running + trusted));
   }
 
-  /**
-   * @param request - A batch request.
-   * @param cfg - Its pool.
-   * @returns Whether it may start now.
-   */
   admits(request: AdmissionRequest, cfg: PoolConfig): boolean {
     const {online, batch} = this.running;
     if (batch.running >= this.streams(cfg)) return false;
@@ -97,12 +125,7 @@
     return alone || this.model.predict(mix) <= this.limitNow(cfg);
   }
 
-  /**
-   * @param cfg - The pool of an online request that is about to start.
-   * @param request - The online request.
-   * @returns How many batch streams have to make room for it.
-   */
-  excess(cfg: PoolConfig, request: AdmissionRequest): number {
+  excess(request: AdmissionRequest, cfg: PoolConfig): number {
     const {batch} = this.running;
     const {perStream} = this.model;
     const limit = this.stepLimit(cfg);
--- a/packages/core/src/lib/process/engine_admission.ts
+++ b/packages/core/src/lib/process/engine_admission.ts
@@ -9,7 +9,7 @@
   AdmissionLoad,
   AdmissionRequest,
 } from './admission.js';
-import type {BatchTuning} from './batch_controller.js';
+import type {BatchRule, BatchSenses} from './batch_controller.js';
 import {EngineLane} from './engine_lane.js';
 import type {Lane} from './lane.js';
 import {ServiceLane} from './service_lane.js';
@@ -63,9 +63,12 @@
     tick: (event, now) => this.lanes().flatMap(lane => lane.tick(now)),
   };
 
-  /** @param tuning - What the batch controller weighs. */
-  constructor(tuning?: BatchTuning) {
-    this.engine = new EngineLane(tuning);
+  /**
+   * @param buildRule - Builds the rule for batch work beside a model engine;
+   *     without it, the one that goes by measured harm.
+   */
+  constructor(buildRule?: (senses: BatchSenses) => BatchRule) {
+    this.engine = new EngineLane(buildRule);
   }
 
   handle(event: AdmissionEvent, now: number): readonly AdmissionAction[] {
--- a/packages/core/src/lib/process/engine_lane.ts
+++ b/packages/core/src/lib/process/engine_lane.ts
@@ -8,8 +8,8 @@
   AdmissionLoad,
   AdmissionRequest,
 } from './admission.js';
-import {BatchController, DEFAULT_BATCH_TUNING} from './batch_controller.js';
-import type {BatchTuning} from './batch_controller.js';
+import {BatchController} from './batch_controller.js';
+import type {BatchRule, BatchSenses} from './batch_controller.js';
 import type {EngineLoad} from './engine_client.js';
 import {HarmMeter} from './harm_meter.js';
 import type {EndKind, Lane} from './lane.js';
@@ -39,20 +39,18 @@
   private readonly meter = new HarmMeter();
   private readonly gate = new OnlineGate(this.model, this.running);
   private readonly room = new WaitingRoom();
-  private readonly controller: BatchController;
+  private readonly batchRule: BatchRule;
   private pools = new Map<string, PoolConfig>();
   private isLeaving = false;
   private suspectRunning = false;
 
-  /** @param tuning - What the batch controller weighs. */
-  constructor(tuning: BatchTuning = DEFAULT_BATCH_TUNING) {
-    this.controller = new BatchController(
-      this.model,
-      this.running,
-      this.meter,
-      this.gate,
-      tuning,
-    );
+  /** @param buildRule - Builds the rule for batch work. */
+  constructor(
+    buildRule: (senses: BatchSenses) => BatchRule = senses =>
+      new BatchController(senses),
+  ) {
+    const {model, running, meter, gate} = this;
+    this.batchRule = buildRule({model, running, meter, gate});
   }
 
   configure(
@@ -109,7 +107,7 @@
   }
 
   engineLoad(load: EngineLoad): void {
-    this.gate.setMemory(load.kvTokensTotal);
+    this.gate.report(load);
   }
 
   leaving(now: number): readonly AdmissionAction[] {
@@ -128,7 +126,7 @@
   load(): AdmissionLoad {
     const {online, batch} = this.running;
     const cfg = [...this.pools.values()][0];
-    const streams = cfg === undefined ? 0 : this.controller.streams(cfg);
+    const streams = cfg === undefined ? 0 : this.batchRule.streams(cfg);
     const room = streams + BATCH_AT_HAND - batch.running - this.room.batch.size;
     const closed = this.isLeaving || this.alone();
     return {
@@ -187,7 +185,7 @@
       const cfg = this.pools.get(next.request.pool)!;
       if (!this.gate.admits(next.request, cfg)) return;
       queue.take();
-      const excess = this.controller.excess(cfg, next.request);
+      const excess = this.batchRule.excess(next.request, cfg);
       const victims = this.running.newestBatch().slice(0, excess);
       for (const victim of victims) this.preempt(victim, actions);
       this.start(next, now, actions);
@@ -198,7 +196,7 @@
     const queue = this.room.batch;
     for (let next = queue.peek(); next; next = queue.peek()) {
       const cfg = this.pools.get(next.request.pool)!;
-      if (!this.controller.admits(next.request, cfg)) return;
+      if (!this.batchRule.admits(next.request, cfg)) return;
       queue.take();
       this.start(next, now, actions);
     }
--- a/packages/core/src/lib/process/online_gate.ts
+++ b/packages/core/src/lib/process/online_gate.ts
@@ -4,6 +4,7 @@
  * prefilled within the aim for the first token, and what its memory holds.
  */
 import type {AdmissionRequest} from './admission.js';
+import type {EngineLoad} from './engine_client.js';
 import type {RunningSet} from './running_set.js';
 import type {StepModel} from './step_model.js';
 import type {PoolConfig} from '../version/target_config.js';
@@ -18,7 +19,7 @@
 
 /** Bounds online work at the engine. */
 export class OnlineGate {
-  private kvTotal = 0;
+  private lastLoad: EngineLoad | undefined;
   private busyMs = 0;
   private ended = 0;
 
@@ -31,14 +32,20 @@
     private readonly running: RunningSet,
   ) {}
 
-  /** @param tokens - Size of the engine's memory; 0 where it is not known. */
-  setMemory(tokens: number): void {
-    this.kvTotal = tokens;
+  /** The engine's own last report; it lags. */
+  get load(): EngineLoad | undefined {
+    return this.lastLoad;
+  }
+
+  /** @param load - The engine's own report. */
+  report(load: EngineLoad): void {
+    this.lastLoad = load;
   }
 
   /** Size of the engine's memory in tokens; infinite where not known. */
   get memory(): number {
-    return this.kvTotal > 0 ? this.kvTotal : Number.POSITIVE_INFINITY;
+    const total = this.lastLoad?.kvTokensTotal ?? 0;
+    return total > 0 ? total : Number.POSITIVE_INFINITY;
   }
 
   /**
