Reach engines and plain services over HTTP, with stand-ins for both

Cause: the process beside a target needs its engine and service over the network, and proofs need to know how often each request ran.

Change: EngineStandIn and ServiceStandIn serve the fakes over HTTP with fault switches, at a settable speed. HttpEngineClient and HttpServiceClient (target) use a connection of their own for each request: a silent one hurts only its own request, and no idle one is closed at the moment of writing. An error is refused only when nothing was sent or the backend says so in a typed body; failed only when it says so; anything else is lost.

--- a/packages/stand_ins/src/lib/connection/stand_in_server.ts
+++ b/packages/stand_ins/src/lib/connection/stand_in_server.ts
@@ -11,6 +11,7 @@
 
 /** A request with its body. */
 export interface StandInRequest {
+  readonly method: string;
   readonly url: URL;
   /** The last segment of the path, where the route ends with `*`. */
   readonly key: string;
@@ -27,6 +28,7 @@
 /** Handlers by method and path, as in `GET /v1/objects/*`. */
 export type Routes = Readonly<Record<string, RouteHandler>>;
 
+const STATUS_NO_CONTENT = 204;
 const STATUS_BAD_REQUEST = 400;
 const STATUS_NOT_FOUND = 404;
 const LOOPBACK = '127.0.0.1';
@@ -36,8 +38,14 @@
   private readonly server: Server;
   private readonly sockets = new Set<Socket>();
 
-  /** @param routes - What is answered, and how. */
-  constructor(private readonly routes: Routes) {
+  /**
+   * @param routes - What is answered, and how.
+   * @param fallback - Answers everything else.
+   */
+  constructor(
+    private readonly routes: Routes,
+    private readonly fallback: RouteHandler = sendNotFound,
+  ) {
     this.server = createServer((req, res) => void this.answer(req, res));
     this.server.on('connection', socket => {
       this.sockets.add(socket);
@@ -79,6 +87,16 @@
     }
   }
 
+  /**
+   * Answers, and then makes all present connections silent.
+   *
+   * @param res - The answer to the request that asked for it.
+   */
+  silenceAfter(res: ServerResponse): void {
+    res.once('close', () => this.silenceConnections());
+    res.writeHead(STATUS_NO_CONTENT, {connection: 'close'}).end();
+  }
+
   /** Breaks all present connections. */
   breakConnections(): void {
     for (const socket of this.sockets) socket.destroy();
@@ -99,16 +117,13 @@
     const url = new URL(req.url ?? '/', 'http://stand-in');
     const slash = url.pathname.lastIndexOf('/');
     const wild = `${req.method} ${url.pathname.slice(0, slash)}/*`;
-    const handle = this.routes[`${req.method} ${url.pathname}`];
-    const route = handle ?? this.routes[wild];
-    if (!route) {
-      sendJson(res, STATUS_NOT_FOUND, {message: 'no such route'});
-      return;
-    }
-    const key = decodeURIComponent(url.pathname.slice(slash + 1));
+    const exact = this.routes[`${req.method} ${url.pathname}`];
+    const route = exact ?? this.routes[wild] ?? this.fallback;
     try {
+      const {method = 'GET', headers} = req;
+      const key = decodeURIComponent(url.pathname.slice(slash + 1));
       const body = await buffer(req);
-      await route({url, key, headers: req.headers, body}, res);
+      await route({method, url, key, headers, body}, res);
     } catch (err) {
       fail(res, err);
     }
@@ -141,6 +156,11 @@
   return json.parse(text);
 }
 
+const sendNotFound: RouteHandler = (req, res) => {
+  const message = `no route for ${req.method} ${req.url.pathname}`;
+  sendJson(res, STATUS_NOT_FOUND, {kind: 'failed', message});
+};
+
 function parse(text: string, context: z.RefinementCtx): unknown {
   try {
     return JSON.parse(text);
@@ -155,5 +175,6 @@
     res.destroy();
     return;
   }
-  sendJson(res, STATUS_BAD_REQUEST, {message: z.prettifyError(err)});
+  const message = z.prettifyError(err);
+  sendJson(res, STATUS_BAD_REQUEST, {kind: 'failed', message});
 }
--- a/packages/stand_ins/src/lib/process/fake_service.ts
+++ b/packages/stand_ins/src/lib/process/fake_service.ts
@@ -56,7 +56,7 @@
     if (signal.aborted) throw new EngineError('refused', 'aborted before');
     if (fault === 'refuses')
       throw new EngineError('refused', 'the service takes no calls');
-    const run = this.countRun(callId(call.body));
+    const run = this.countRun(callId(call.body || call.path));
     await sleep(this.clock, delayMs, signal);
     if (fault === 'hangs') await aborted(signal);
     if (signal.aborted) throw new EngineError('lost', 'aborted by the reader');
--- a/packages/stand_ins/src/lib/process/platform_stand_in.ts
+++ b/packages/stand_ins/src/lib/process/platform_stand_in.ts
@@ -219,8 +219,7 @@
         res.writeHead(STATUS_NO_CONTENT).end();
       },
       ['POST /v1/admin/silence']: (req, res) => {
-        res.once('close', () => this.server.silenceConnections());
-        res.writeHead(STATUS_NO_CONTENT, {connection: 'close'}).end();
+        this.server.silenceAfter(res);
       },
     };
   }
--- /dev/null
+++ b/packages/target/src/test/connection/http_engine_client_test.ts
@@ -0,0 +1,154 @@
+import test, {type ExecutionContext} from 'ava';
+import {EngineError, type EngineEvent, type EngineRequest} from '@oathead/core';
+import {
+  EngineStandIn,
+  engineText,
+  type EngineStandInOptions,
+} from '@oathead/stand-ins';
+import {HttpEngineClient} from '../../lib/connection/http_engine_client.js';
+
+const SPEED = 20;
+
+function request(id: string, prompt: string): EngineRequest {
+  const input = {kind: 'prompt', prompt} as const;
+  const model = 'review-llm';
+  return {
+    id,
+    completion: {kind: 'completion', model, input, maxTokens: 200},
+  };
+}
+
+function never(): AbortSignal {
+  return new AbortController().signal;
+}
+
+async function create(t: ExecutionContext, options: EngineStandInOptions = {}) {
+  const standIn = new EngineStandIn({speed: SPEED, ...options});
+  await standIn.listen();
+  const client = new HttpEngineClient(standIn.server.url);
+  const read = async (req: EngineRequest, signal = never()) => {
+    const events: EngineEvent[] = [];
+    let err: EngineError | undefined;
+    try {
+      for await (const event of client.generate(req, signal))
+        events.push(event);
+    } catch (e) {
+      err = e as EngineError;
+    }
+    return {events, err};
+  };
+  t.teardown(() => standIn[Symbol.asyncDispose]());
+  return {standIn, client, read, engine: standIn.engine};
+}
+
+function textOf(events: readonly EngineEvent[]): string {
+  return events.map(e => (e.kind === 'token' ? e.text : '')).join('');
+}
+
+async function untilTrue(condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise(resolve => setImmediate(resolve));
+}
+
+test('streams whole answers, each to its own request', async t => {
+  const {read} = await create(t);
+  const requests = [...Array(20).keys()].map(i => request(`r${i}`, `ask ${i}`));
+  const answers = await Promise.all(requests.map(req => read(req)));
+  answers.forEach(({events}, i) => {
+    t.is(textOf(events), engineText(requests[i]!.completion).text);
+    t.is(events.at(-1)!.kind, 'done');
+  });
+});
+
+test('tells refused, failed and lost apart', async t => {
+  const {read, engine, standIn} = await create(t);
+  t.is((await read(request('a', '[[impossible]]'))).err?.kind, 'failed');
+  t.is(engine.runs('a').started, 1);
+  engine.setFaults({breaksAfterTokens: 3});
+  const broken = await read(request('b', 'hello'));
+  t.is(broken.err?.kind, 'lost');
+  // What was sent last may be lost with the connection.
+  t.true(broken.events.length <= 3);
+  engine.setFaults({refuses: true});
+  t.is((await read(request('c', 'hello'))).err?.kind, 'refused');
+  t.is(engine.runs('c').started, 0);
+  await standIn[Symbol.asyncDispose]();
+  t.is((await read(request('c', 'hello'))).err?.kind, 'refused');
+});
+
+test('cancels at the engine on abort and when the reader leaves', async t => {
+  const {client, engine} = await create(t);
+  const abort = new AbortController();
+  const aborted = async () => {
+    for await (const event of client.generate(
+      request('a', '[[slow]]'),
+      abort.signal,
+    ))
+      if (event.kind === 'token') abort.abort();
+  };
+  const err = await t.throwsAsync(aborted(), {instanceOf: EngineError});
+  t.is(err?.kind, 'lost');
+  for await (const event of client.generate(
+    request('b', '[[slow]]'),
+    never(),
+  )) {
+    t.is(event.kind, 'token');
+    break;
+  }
+  await untilTrue(() => engine.runs('a').cut + engine.runs('b').cut === 2);
+});
+
+test('breaks all streams when the engine crashes', async t => {
+  const {client, read} = await create(t);
+  const innocent = client.generate(request('a', '[[slow]]'), never());
+  await innocent.next();
+  t.is((await read(request('b', '[[crash]]'))).err?.kind, 'lost');
+  const rest = async () => {
+    for await (const event of innocent) t.is(event.kind, 'token');
+  };
+  const err = await t.throwsAsync(rest(), {instanceOf: EngineError});
+  t.is(err?.kind, 'lost');
+});
+
+// A user sees an answer that never comes although the engine is well: its
+// connection was open when something between the ends lost track of it.
+test('a silent connection hurts only its own stream', async t => {
+  const {standIn, client, read} = await create(t);
+  const abort = new AbortController();
+  const stream = client.generate(request('a', '[[slow]]'), abort.signal);
+  await stream.next();
+  standIn.server.silenceConnections();
+  t.is((await read(request('b', 'hello'))).err, undefined);
+  t.is((await client.load(never())).kvTokensTotal, 120_000);
+  abort.abort();
+  await t.throwsAsync(async () => {
+    for await (const event of stream) t.is(event.kind, 'token');
+  });
+});
+
+test('passes orders, load and cache on', async t => {
+  const {client, engine, read} = await create(t, {
+    model: {cacheEventLagMs: 0, cacheEventLoss: 0},
+    served: {loadAdapterMs: 0},
+  });
+  const order = (token: number) =>
+    client.order(
+      {
+        id: 'o',
+        fence: {token, holder: 'h'},
+        action: {kind: 'load-adapter', model: 'review-llm', adapter: 'bank-a'},
+      },
+      never(),
+    );
+  t.is((await order(2)).kind, 'taken');
+  t.like(await order(1), {kind: 'refused', refusal: {kind: 'fenced'}});
+  const {versions} = await client.load(never());
+  t.like(versions, {0: {version: 'v1', adapters: ['bank-a']}});
+  await read(request('a', 'x'.repeat(600)));
+  const [event] = await client.cacheEvents(0, never());
+  const cache = await client.exportCache(event!.prefix, never());
+  await client.importCache(cache, never());
+  await t.throwsAsync(client.exportCache('none', never()), {
+    message: /not cached/,
+  });
+  t.is(engine.served.orders.length, 1);
+});
