--- a/packages/entry/src/lib/connection/peer_link.ts
+++ b/packages/entry/src/lib/connection/peer_link.ts
@@ -1,5 +1,5 @@
 /** A connection from one entry to another. */
-import {LinkLostError, sleep} from '@oathead/core';
+import {DisposableStore, LinkLostError, sleep} from '@oathead/core';
 import type {Clock, ServeEvent, ServeOutcome} from '@oathead/core';
 import type {ConfigDelta} from '@oathead/config';
 import type {ClientTls} from '@oathead/wire';
@@ -70,6 +70,7 @@
   private readonly api: Api;
   private readonly closeClient: () => void;
   private readonly lost = new AbortController();
+  private readonly lostCallbacks = new Set<() => void>();
   private socket: WebSocket | undefined;
   private lastHeardAt: number;
   private asked = 0;
@@ -94,16 +95,19 @@
   }
 
   async ask<T>(query: (api: Api) => Promise<T>): Promise<T> {
-    return this.whileWatched(async () => {
-      const lost = new Promise<never>((resolve, reject) => {
-        this.onLost(() => reject(lostError()));
-      });
-      try {
-        return await Promise.race([query(this.api), lost]);
-      } catch {
-        throw lostError();
-      }
+    const watch = this.watch();
+    const held = new DisposableStore();
+    held.add(watch);
+    const lost = new Promise<never>((resolve, reject) => {
+      held.add(this.onLost(() => reject(lostError())));
     });
+    try {
+      return await Promise.race([query(this.api), lost]);
+    } catch {
+      throw lostError();
+    } finally {
+      held[Symbol.dispose]();
+    }
   }
 
   async *subscribe(
@@ -116,16 +120,17 @@
       onComplete: () => events.end(),
       onError: () => events.fail(lostError()),
     });
-    this.onLost(() => events.fail(lostError()));
+    const held = new DisposableStore();
+    held.defer(() => subscription.unsubscribe());
+    held.add(this.onLost(() => events.fail(lostError())));
+    held.add(this.watch());
     const stop = () => events.end();
     signal.addEventListener('abort', stop, {once: true});
-    const watch = this.watch();
+    held.defer(() => signal.removeEventListener('abort', stop));
     try {
       yield* events.read();
     } finally {
-      watch[Symbol.dispose]();
-      signal.removeEventListener('abort', stop);
-      subscription.unsubscribe();
+      held[Symbol.dispose]();
     }
   }
 
@@ -133,15 +138,6 @@
     this.lost.abort();
   }
 
-  private async whileWatched<T>(task: () => Promise<T>): Promise<T> {
-    const watch = this.watch();
-    try {
-      return await task();
-    } finally {
-      watch[Symbol.dispose]();
-    }
-  }
-
   /**
    * An open connection can be silent for good because something between the
    * two ends has lost track of it. While something is asked, pings show it.
@@ -162,14 +158,17 @@
     }
   }
 
-  private onLost(callback: () => void): void {
-    if (this.lost.signal.aborted) callback();
-    else this.lost.signal.addEventListener('abort', callback, {once: true});
+  private onLost(callback: () => void): Disposable {
+    if (!this.isOpen) callback();
+    else this.lostCallbacks.add(callback);
+    return {[Symbol.dispose]: () => void this.lostCallbacks.delete(callback)};
   }
 
   private close(): void {
     this.closeClient();
     this.socket?.terminate();
+    for (const callback of this.lostCallbacks) callback();
+    this.lostCallbacks.clear();
   }
 
   /** The client of tRPC would connect anew by itself and send calls again. */
--- a/packages/entry/src/lib/connection/target_fleet.ts
+++ b/packages/entry/src/lib/connection/target_fleet.ts
@@ -19,6 +19,7 @@
   TargetState,
 } from '@oathead/core';
 import {targetConfigFor} from '@oathead/config';
+import type {StatusBoard} from '@oathead/config';
 import type {Membership} from '@oathead/membership';
 import type {HostList} from '@oathead/platform';
 import type {ReportingLink} from '@oathead/wire';
@@ -42,6 +43,8 @@
   ) => ReportingLink & Disposable;
   /** Fingerprints of work that must not run. */
   readonly blocked: () => readonly string[];
+  /** Told what is heard of targets. */
+  readonly board: StatusBoard;
   readonly settings: FleetSettings;
 }
 
@@ -266,6 +269,7 @@
       onReport: report => this.reported(report),
       onState: state => {
         chooser.allow(targetId, TARGET_TRAFFIC[state].takesNew);
+        if (state === 'suspected') options.board.lostTarget(targetId);
       },
       onRestart: () => chooser.forget(targetId),
     });
@@ -277,6 +281,7 @@
   }
 
   private reported(report: LoadReport): void {
+    this.options.board.heardTarget(report.targetId, report);
     this.chooser.report(report, this.options.clock.now());
     if (report.batchRoom <= 0) return;
     for (const callback of this.roomCallbacks) callback();
--- a/packages/entry/src/lib/process/entry.ts
+++ b/packages/entry/src/lib/process/entry.ts
@@ -1,8 +1,14 @@
 /** One entry: everything between callers and target processes, composed. */
 import {BatchJobs} from '@oathead/batch';
 import type {BatchSettings} from '@oathead/batch';
-import {ConfigCache, ConfigStore, ResourceApi, Watch} from '@oathead/config';
-import type {ConfigDelta} from '@oathead/config';
+import {
+  ConfigCache,
+  ConfigStore,
+  ResourceApi,
+  StatusBoard,
+  Watch,
+} from '@oathead/config';
+import type {ConfigDelta, StatusReport} from '@oathead/config';
 import {
   DisposableStore,
   LinkLostError,
@@ -81,6 +87,7 @@
   private readonly held = new DisposableStore();
   private readonly membership: LeasedMembership;
   private readonly cache: ConfigCache;
+  private readonly board: StatusBoard;
   private readonly fleet: TargetFleet;
   private readonly peers: Peers;
   private readonly answers: AnswerStore;
@@ -101,6 +108,7 @@
       new Peers(clock, this.membership, parts.peerLinkTo),
     );
     this.cache = this.held.add(this.createCache());
+    this.board = new StatusBoard(clock, this.cache);
     this.suspects = new LocalSuspects(counters);
     this.fleet = this.held.add(this.createFleet());
     const {membership} = this;
@@ -144,6 +152,14 @@
     return this.cache.ready && !this.stopping;
   }
 
+  /**
+   * @param pool - A model or service.
+   * @returns Whether a target of this entry is ready to serve it.
+   */
+  serves(pool: string): boolean {
+    return this.fleet.serves(pool);
+  }
+
   /**
    * Answers one request of the API.
    *
@@ -155,15 +171,10 @@
   }
 
   /** @returns What `GET /v1/status` tells. */
-  async status(): Promise<unknown> {
-    const snapshot = this.cache.current();
-    return {
-      entryId: this.membership.entryId,
-      revision: snapshot.revision,
-      entries: this.membership.peers(),
-      targets: this.fleet.views(),
-      unwrittenAnswers: this.answers.unwrittenCount,
-    };
+  async status(): Promise<StatusReport> {
+    const {entryId} = this.membership;
+    this.board.heardEntry(entryId, this.cache.current().revision);
+    return this.board.report([]);
   }
 
   async *serve(
@@ -290,6 +301,7 @@
       hosts: platform.hosts,
       linkTo: this.parts.linkTo,
       blocked: () => [],
+      board: this.board,
       settings: settings.fleet,
     });
   }
@@ -327,7 +339,7 @@
       counters,
     });
     const watch = new Watch(cache, clock);
-    const api = new ResourceApi({store, cache, watch, conditions: () => []});
+    const api = new ResourceApi({store, cache, watch, board: this.board});
     const routes = [
       ...completionRoutes(options),
       ...serviceRoutes(options),
