--- a/packages/batch/src/lib/process/chunk_loader.ts
+++ b/packages/batch/src/lib/process/chunk_loader.ts
@@ -62,9 +62,9 @@
   todo(job: OpenJob): number[] {
     const known = this.todos.get(job.path);
     if (known?.generation === this.generation) return known.chunks;
-    const all = Array.from({length: chunkCount(job.row)}, (_, n) => n);
+    const all = Array(chunkCount(job.row)).keys();
     const closed = this.closed.get(job.path);
-    const chunks = all.filter(
+    const chunks = [...all].filter(
       n => this.heldEpochs.has(this.share(job, n)) && !closed?.has(n),
     );
     this.todos.set(job.path, {generation: this.generation, chunks});
--- a/packages/batch/src/lib/process/job_closer.ts
+++ b/packages/batch/src/lib/process/job_closer.ts
@@ -91,7 +91,7 @@
     count: number,
   ): Promise<Progress> {
     if (count === 0) return {next, counts};
-    const keys = Array.from({length: count}, (_, i) =>
+    const keys = [...Array(count).keys()].map(i =>
       chunkKey(job.path, next + i),
     );
     const read = await this.deps.table.read(keys);
--- a/packages/batch/src/lib/request/job_content.ts
+++ b/packages/batch/src/lib/request/job_content.ts
@@ -70,7 +70,7 @@
   const ids = items.map(({id}) => id);
   const puts = [
     () => objects.put(contentKey(path, name, 'ids'), encodeJson(ids)),
-    ...Array.from({length: chunkCount(name)}, (_, n) => () => {
+    ...[...Array(chunkCount(name)).keys()].map(n => () => {
       const begin = n * name.chunkItems;
       const chunk = items.slice(begin, begin + name.chunkItems);
       return objects.put(contentKey(path, name, `${n}`), encodeJson(chunk));
--- a/packages/batch/src/lib/request/job_reader.ts
+++ b/packages/batch/src/lib/request/job_reader.ts
@@ -149,7 +149,7 @@
     if (!bodies.ok) return bodies;
     const states = row ? unpackStates(row.states) : [];
     const begin = n * job.chunkItems;
-    const results = Array.from({length: chunkLength(job, n)}, (_, index) => {
+    const results = [...Array(chunkLength(job, n)).keys()].map(index => {
       const state = resultState(states[index] ?? 'waiting');
       const body = state === 'waiting' ? undefined : bodies.value.get(index);
       return {
--- a/packages/batch/src/test/fakes/fake_fleet.ts
+++ b/packages/batch/src/test/fakes/fake_fleet.ts
@@ -3,13 +3,13 @@
 import type {BatchItem, ItemOutcome, ItemRunner} from '@oathead/core';
 import {LeasedMembership, MEMBERSHIP_DEFAULTS} from '@oathead/membership';
 import type {MembershipSettings} from '@oathead/membership';
+import {MemoryObjects} from '@oathead/platform';
 import {
-  FakeObjects,
-  FakeTable,
+  LoggedTable,
   NO_FAULTS,
   StoreView,
-} from '../../../../membership/dist/test/fakes/fake_table.js';
-import type {Faults} from '../../../../membership/dist/test/fakes/fake_table.js';
+} from '../../../../membership/dist/test/fakes/store_view.js';
+import type {Faults} from '../../../../membership/dist/test/fakes/store_view.js';
 import {
   FakeHost,
   virtualClock,
@@ -41,8 +41,8 @@
 
 export class FakeFleet {
   readonly clock = virtualClock();
-  readonly table = new FakeTable();
-  readonly objects = new FakeObjects();
+  readonly table = new LoggedTable();
+  readonly objects = new MemoryObjects();
   readonly faults: Faults = {...NO_FAULTS};
   readonly attempts: Attempt[] = [];
   readonly entries = new Map<string, FakeEntry>();
@@ -166,7 +166,7 @@
 }
 
 export function items(count: number, idempotent = true): readonly JobItem[] {
-  return Array.from({length: count}, (_, i) => ({
+  return [...Array(count).keys()].map(i => ({
     id: `item-${i}`,
     work: {
       kind: 'completion' as const,
--- a/packages/core/src/lib/request/item_machine.ts
+++ b/packages/core/src/lib/request/item_machine.ts
@@ -53,11 +53,10 @@
 export const ITEM_MACHINE = setup({
   types: {events: {} as ItemEvent},
   guards: {
-    repeatable: (_, params: {readonly idempotent: boolean}) =>
-      params.idempotent,
-    once: (_, params: {readonly idempotent: boolean}) => !params.idempotent,
-    suspect: (_, params: {readonly suspect: boolean}) => params.suspect,
-    last: (_, params: {readonly last: boolean}) => params.last,
+    repeatable: ({event}) => 'idempotent' in event && event.idempotent,
+    once: ({event}) => 'idempotent' in event && !event.idempotent,
+    suspect: ({event}) => 'suspect' in event && event.suspect,
+    last: ({event}) => 'last' in event && event.last,
   },
 }).createMachine({
   id: 'item',
@@ -78,28 +77,13 @@
         fail: 'failed',
         return: 'waiting',
         lose: [
-          {
-            guard: {type: 'once', params: ({event}) => event},
-            target: 'unknown',
-          },
-          {
-            guard: {type: 'suspect', params: ({event}) => event},
-            target: 'suspect',
-          },
-          {guard: {type: 'last', params: ({event}) => event}, target: 'failed'},
+          {guard: 'once', target: 'unknown'},
+          {guard: 'suspect', target: 'suspect'},
+          {guard: 'last', target: 'failed'},
           {target: 'waiting'},
         ],
-        orphan: [
-          {
-            guard: {type: 'once', params: ({event}) => event},
-            target: 'unknown',
-          },
-          {target: 'waiting'},
-        ],
-        cancel: {
-          guard: {type: 'repeatable', params: ({event}) => event},
-          target: 'cancelled',
-        },
+        orphan: [{guard: 'once', target: 'unknown'}, {target: 'waiting'}],
+        cancel: {guard: 'repeatable', target: 'cancelled'},
       },
     },
     suspect: {on: {lease: 'suspectLeased', cancel: 'cancelled'}},
@@ -117,11 +101,8 @@
         fail: 'failed',
         return: 'suspect',
         lose: [
-          {
-            guard: {type: 'suspect', params: ({event}) => event},
-            target: 'failed',
-          },
-          {guard: {type: 'last', params: ({event}) => event}, target: 'failed'},
+          {guard: 'suspect', target: 'failed'},
+          {guard: 'last', target: 'failed'},
           {target: 'suspect'},
         ],
         orphan: 'suspect',
--- a/packages/membership/src/test/fakes/fake_table.ts
+++ b/packages/membership/src/test/fakes/store_view.ts
@@ -1,11 +1,11 @@
-/** The table service in memory, and what one host sees of it. */
-import {failure, sleep, success} from '@oathead/core';
+/** The stores in memory, and what one host sees of them. */
+import {failure, sleep} from '@oathead/core';
 import type {Clock, Outcome, Random} from '@oathead/core';
+import {MemoryTable} from '@oathead/platform';
 import type {
-  Committed,
   ListOptions,
   ObjectStore,
-  Row,
+  MemoryObjects,
   StoreError,
   TableStore,
   Transaction,
@@ -14,59 +14,14 @@
 
 type Result<T> = Outcome<T, StoreError>;
 
-export class FakeTable implements TableStore {
-  readonly rows = new Map<string, Row>();
+/** A table that remembers what was written. */
+export class LoggedTable extends MemoryTable {
   readonly log: Transaction[] = [];
-  private version = 0;
 
-  async read(keys: readonly string[]) {
-    return success(keys.map(key => this.rows.get(key)));
-  }
-
-  async list(prefix: string, {after = '', limit = 1_000}: ListOptions = {}) {
-    const keys = [...this.rows.keys()]
-      .filter(key => key.startsWith(prefix) && key > after)
-      .sort();
-    return success(keys.slice(0, limit).map(key => this.rows.get(key)!));
-  }
-
-  async write(transaction: Transaction): Promise<Result<Committed>> {
-    for (const {key, version} of transaction.checks) {
-      const now = this.rows.get(key)?.version ?? 0;
-      if (now !== version) {
-        return failure({kind: 'conflict', key, version: now});
-      }
-    }
-    const versions: Record<string, number> = {};
-    for (const write of transaction.writes) {
-      const {key} = write;
-      if (write.kind === 'delete') this.rows.delete(key);
-      else {
-        versions[key] = ++this.version;
-        const value = JSON.parse(JSON.stringify(write.value));
-        this.rows.set(key, {key, value, version: this.version});
-      }
-    }
-    this.log.push(transaction);
-    return success({versions});
-  }
-}
-
-export class FakeObjects implements ObjectStore {
-  readonly objects = new Map<string, Uint8Array>();
-
-  async put(key: string, bytes: Uint8Array) {
-    this.objects.set(key, bytes);
-    return success(undefined);
-  }
-
-  async get(key: string) {
-    return success(this.objects.get(key));
-  }
-
-  async delete(key: string) {
-    this.objects.delete(key);
-    return success(undefined);
+  override async write(transaction: Transaction) {
+    const outcome = await super.write(transaction);
+    if (outcome.ok) this.log.push(transaction);
+    return outcome;
   }
 }
 
@@ -100,8 +55,8 @@
     private readonly host: FakeHost,
     private readonly world: Clock,
     private readonly random: Random,
-    private readonly table: FakeTable,
-    private readonly objects: FakeObjects,
+    private readonly table: LoggedTable,
+    private readonly objects: MemoryObjects,
     private readonly faults: Faults,
   ) {}
 
