--- a/packages/batch/src/lib/process/batch_jobs.ts
+++ b/packages/batch/src/lib/process/batch_jobs.ts
@@ -125,9 +125,11 @@
   /**
    * Starts nothing more, lets running items end, and records all. Membership
    * may hand the shares over afterwards.
+   *
+   * @param timeoutMs - At most so long, in milliseconds.
    */
-  async stop(): Promise<void> {
-    await this.worker.stop();
+  async stop(timeoutMs: number): Promise<void> {
+    await this.worker.stop(timeoutMs);
     this[Symbol.dispose]();
   }
 
--- a/packages/batch/src/lib/process/batch_settings.ts
+++ b/packages/batch/src/lib/process/batch_settings.ts
@@ -43,7 +43,7 @@
   recordOutcomes: 32,
   recordMs: 30_000,
   recordPauseMs: 2_000,
-  maxUnrecorded: 5_000,
+  maxUnrecorded: 2_000,
   outageRunMs: 300_000,
   pumpMs: 500,
   closeMs: 3_000,
--- a/packages/batch/src/lib/process/cancel_sweep.ts
+++ b/packages/batch/src/lib/process/cancel_sweep.ts
@@ -112,7 +112,6 @@
       losses: before?.losses ?? {},
       objects: before?.objects ?? [],
       closed: true,
-      nonce: this.deps.random.id(),
     };
   }
 }
--- a/packages/batch/src/lib/process/chunk_loader.ts
+++ b/packages/batch/src/lib/process/chunk_loader.ts
@@ -96,8 +96,7 @@
     const read = await table.read([chunkKey(place.path, place.n)]);
     if (!read.ok) return undefined;
     const stored = read.value[0];
-    const row = stored && chunkOf(stored);
-    if (row?.closed) {
+    if (stored && chunkOf(stored).closed) {
       this.markClosed(place.path, place.n);
       return 'closed';
     }
@@ -107,8 +106,7 @@
       counters.count('batch_content_missing');
       return undefined;
     }
-    const version = stored?.version ?? 0;
-    return new ChunkWork(place, job.row, items.value, {version, row});
+    return new ChunkWork(place, job.row, items.value, stored);
   }
 
   private share(job: OpenJob, n: number): number {
--- a/packages/batch/src/lib/process/chunk_recorder.ts
+++ b/packages/batch/src/lib/process/chunk_recorder.ts
@@ -6,11 +6,17 @@
  */
 import {sleep} from '@oathead/core';
 import type {Membership} from '@oathead/membership';
-import type {RowCheck, StoreError} from '@oathead/platform';
+import {commitWithNonce, stampNonce} from '@oathead/platform';
+import type {
+  CommitOutcome,
+  JsonObject,
+  Row,
+  RowCheck,
+  StoreError,
+} from '@oathead/platform';
 import {encodeJson} from '../request/job_content.js';
 import type {BatchDeps} from '../request/job_intake.js';
-import {chunkKey, chunkOf, jobKey, rowJson} from '../request/job_rows.js';
-import type {ChunkRow} from '../request/job_rows.js';
+import {chunkKey, jobKey, rowJson} from '../request/job_rows.js';
 import type {BatchSettings} from './batch_settings.js';
 import type {ChunkWork, StoredOutcome} from './chunk_work.js';
 import type {JobBoard} from './job_board.js';
@@ -25,20 +31,12 @@
   recorded(chunk: ChunkWork): void;
 }
 
-interface PendingWrite {
-  readonly row: ChunkRow;
-  readonly outcomes: ReadonlySet<number>;
-  readonly claims: ReadonlySet<number>;
-}
-
-type Verdict = 'written' | 'again' | 'lost';
-
 const RETRY_MS = 500;
 
 /** Records what has happened in chunks. */
 export class ChunkRecorder {
   private readonly writing = new Map<ChunkWork, Promise<void>>();
-  private readonly lastWrite = new WeakMap<ChunkWork, number>();
+  private readonly lastOutcomes = new WeakMap<ChunkWork, number>();
 
   /**
    * @param deps - Stores, clock, randomness and counters.
@@ -62,7 +60,7 @@
    */
   kick(chunk: ChunkWork): void {
     if (this.writing.has(chunk) || !this.due(chunk)) return;
-    void this.run(chunk, () => this.due(chunk));
+    void this.run(chunk, false);
   }
 
   /**
@@ -72,16 +70,16 @@
    * @returns Resolves when it is done, or the chunk was dropped.
    */
   async flush(chunk: ChunkWork): Promise<void> {
-    while (!chunk.dropped.signal.aborted && this.unwritten(chunk)) {
-      await (this.writing.get(chunk) ??
-        this.run(chunk, () => this.unwritten(chunk)));
+    while (!chunk.dropped.signal.aborted && isUnwritten(chunk)) {
+      await (this.writing.get(chunk) ?? this.run(chunk, true));
     }
   }
 
-  private run(chunk: ChunkWork, more: () => boolean): Promise<void> {
+  private run(chunk: ChunkWork, all: boolean): Promise<void> {
+    const more = () => (all ? isUnwritten(chunk) : this.due(chunk));
     const work = async () => {
       while (!chunk.dropped.signal.aborted && more()) {
-        await this.writeOnce(chunk);
+        await this.writeOnce(chunk, all || this.outcomesDue(chunk));
       }
       this.writing.delete(chunk);
     };
@@ -90,48 +88,57 @@
     return done;
   }
 
-  private unwritten(chunk: ChunkWork): boolean {
-    return chunk.unrecorded.size > 0 || chunk.claims.size > 0 || chunk.urgent;
+  private due(chunk: ChunkWork): boolean {
+    return chunk.claims.size > 0 || this.outcomesDue(chunk);
   }
 
-  private due(chunk: ChunkWork): boolean {
-    if (chunk.claims.size > 0) return true;
+  private outcomesDue(chunk: ChunkWork): boolean {
     if (chunk.finished && !chunk.closed) return true;
     const now = this.deps.clock.now();
     const {recordOutcomes, recordMs, recordPauseMs} = this.settings;
-    const last = this.lastWrite.get(chunk) ?? -Infinity;
+    const last = this.lastOutcomes.get(chunk) ?? -Infinity;
     if (now - last < recordPauseMs) return false;
     if (chunk.urgent || chunk.unrecorded.size >= recordOutcomes) return true;
     return now - chunk.unrecordedSince >= recordMs;
   }
 
-  private async writeOnce(chunk: ChunkWork): Promise<void> {
-    chunk.urgent = false;
-    const nonce = this.deps.random.id();
-    const outcomes = new Set(chunk.unrecorded.keys());
+  /**
+   * @param withOutcomes - Whether outcomes go along. A claim alone does not
+   *     take them along: they would cost an object each time.
+   */
+  private async writeOnce(
+    chunk: ChunkWork,
+    withOutcomes: boolean,
+  ): Promise<void> {
+    const outcomes = new Set(withOutcomes ? chunk.unrecorded.keys() : []);
     const claims = new Set(chunk.claims);
-    const object = await this.putOutcomes(chunk, nonce);
-    if (chunk.dropped.signal.aborted) return;
-    const row = chunk.nextRow(outcomes, claims, object, nonce);
-    const pending = {row, outcomes, claims};
-    let verdict: Verdict = 'again';
-    while (verdict === 'again' && !chunk.dropped.signal.aborted) {
-      verdict = await this.tryWrite(chunk, pending);
+    if (withOutcomes) {
+      chunk.urgent = false;
+      this.lastOutcomes.set(chunk, this.deps.clock.now());
     }
-    this.lastWrite.set(chunk, this.deps.clock.now());
+    const object = await this.putOutcomes(chunk, outcomes);
+    if (chunk.dropped.signal.aborted) return;
+    const value = rowJson(chunk.nextRow(outcomes, claims, object));
+    const stored = await this.writeRow(chunk, value);
+    if (stored === undefined || chunk.dropped.signal.aborted) return;
+    chunk.commit(stored, outcomes, this.deps.clock.now());
+    for (const index of claims) chunk.claims.delete(index);
+    this.listener.claimed(chunk, [...claims]);
+    this.listener.recorded(chunk);
   }
 
   /** The key holds epoch and nonce: no holder writes over another's object. */
   private async putOutcomes(
     chunk: ChunkWork,
-    nonce: string,
+    indexes: ReadonlySet<number>,
   ): Promise<string | undefined> {
-    const outcomes: StoredOutcome[] = [...chunk.unrecorded]
-      .filter(([, body]) => Object.keys(body).length > 0)
-      .map(([index, body]) => ({index, ...body}));
-    if (outcomes.length === 0) return undefined;
+    if (indexes.size === 0) return undefined;
+    const outcomes: StoredOutcome[] = [...indexes].map(index => ({
+      index,
+      ...chunk.unrecorded.get(index)!,
+    }));
     const {path, n, epoch} = chunk.place;
-    const key = `results/${path}/${n}/${epoch}-${nonce}`;
+    const key = `results/${path}/${n}/${epoch}-${this.deps.random.id()}`;
     const bytes = encodeJson(outcomes);
     while (!chunk.dropped.signal.aborted) {
       const put = await this.deps.objects.put(key, bytes);
@@ -142,80 +149,65 @@
   }
 
   /**
-   * A write whose answer was lost is sent again as it was, nonce and all: the
-   * row read back then tells whether one of them took effect.
+   * Writes the row, however long the store is down. Of what it is conditional
+   * on only the job's row may change while the share is held: the job was
+   * cancelled, which is taken in before the row is written all the same.
    */
-  private async tryWrite(
+  private async writeRow(
     chunk: ChunkWork,
-    pending: PendingWrite,
-  ): Promise<Verdict> {
-    const {path, n, share} = chunk.place;
-    const key = chunkKey(path, n);
+    value: JsonObject,
+  ): Promise<Row | undefined> {
+    const {path, n} = chunk.place;
+    const marker = {key: chunkKey(path, n), base: chunk.row, value};
+    while (!chunk.dropped.signal.aborted) {
+      const checks = this.checks(chunk);
+      if (checks === undefined) {
+        await this.pause(chunk);
+        continue;
+      }
+      const outcome = await this.commit(chunk, marker, checks);
+      const cancelled =
+        outcome.kind === 'conflict' && outcome.key === jobKey(path);
+      if (!cancelled) return this.storedRow(chunk, marker, outcome);
+      if (!(await this.board.refresh([path]))) await this.pause(chunk);
+    }
+    return undefined;
+  }
+
+  /** @returns Undefined while the lease has lapsed. */
+  private checks(chunk: ChunkWork): readonly RowCheck[] | undefined {
+    const {path, share} = chunk.place;
     const fence = this.membership.fence(share);
     const job = this.board.get(path);
-    if (job === undefined) {
-      this.listener.fenced(chunk);
-      return 'lost';
-    }
-    if (fence === undefined) {
-      await this.pause(chunk);
-      return 'again';
-    }
-    const outcome = await this.deps.table.write({
-      checks: [
-        fence,
-        {key, version: chunk.row.version},
-        {key: jobKey(path), version: job.version},
-      ],
-      writes: [{kind: 'put', key, value: rowJson(pending.row)}],
-    });
-    if (outcome.ok) {
-      return this.written(chunk, pending, outcome.value.versions[key]!);
-    }
-    if (outcome.err.kind !== 'conflict') {
-      await this.pause(chunk, outcome.err);
-      return 'again';
-    }
-    return this.resolve(chunk, pending, fence, outcome.err.key);
+    if (fence === undefined || job === undefined) return undefined;
+    return [fence, {key: jobKey(path), version: job.version}];
   }
 
-  private async resolve(
+  private commit(
     chunk: ChunkWork,
-    pending: PendingWrite,
-    fence: RowCheck,
-    conflict: string,
-  ): Promise<Verdict> {
-    const {path, n} = chunk.place;
-    const read = await this.deps.table.read([chunkKey(path, n)]);
-    if (!read.ok) {
-      await this.pause(chunk, read.err);
-      return 'again';
-    }
-    const stored = read.value[0];
-    if (stored && chunkOf(stored).nonce === pending.row.nonce) {
-      return this.written(chunk, pending, stored.version);
-    }
-    if (conflict === jobKey(path)) {
-      if (!(await this.board.refresh([path]))) await this.pause(chunk);
-      return 'again';
-    }
-    this.deps.counters.count('batch_fenced', {
-      by: conflict === fence.key ? 'share' : 'chunk',
-    });
-    this.listener.fenced(chunk);
-    return 'lost';
+    marker: Parameters<typeof commitWithNonce>[1]['marker'],
+    checks: readonly RowCheck[],
+  ): Promise<CommitOutcome> {
+    return commitWithNonce(
+      this.deps.table,
+      {marker, checks},
+      {...this.deps, attempts: Infinity, signal: chunk.dropped.signal},
+    );
   }
 
-  private written(
+  private storedRow(
     chunk: ChunkWork,
-    {row, outcomes, claims}: PendingWrite,
-    version: number,
-  ): Verdict {
-    chunk.commit(row, version, outcomes, this.deps.clock.now());
-    for (const index of claims) chunk.claims.delete(index);
-    this.listener.claimed(chunk, [...claims]);
-    this.listener.recorded(chunk);
-    return 'written';
+    {key, base, value}: Parameters<typeof commitWithNonce>[1]['marker'],
+    outcome: CommitOutcome,
+  ): Row | undefined {
+    if (outcome.kind === 'committed' && key in outcome.versions) {
+      const version = outcome.versions[key]!;
+      return {key, version, value: stampNonce(value, outcome.nonce, base)};
+    }
+    if (chunk.dropped.signal.aborted) return undefined;
+    this.deps.counters.count('batch_records_fenced');
+    this.listener.fenced(chunk);
+    return undefined;
   }
 
   private pause(chunk: ChunkWork, err?: StoreError): Promise<void> {
@@ -227,3 +219,7 @@
     return sleep(clock, delayMs, chunk.dropped.signal);
   }
 }
+
+function isUnwritten(chunk: ChunkWork): boolean {
+  return chunk.unrecorded.size > 0 || chunk.claims.size > 0 || chunk.urgent;
+}
--- a/packages/batch/src/lib/process/chunk_work.ts
+++ b/packages/batch/src/lib/process/chunk_work.ts
@@ -15,8 +15,14 @@
   Partial,
   Refusal,
 } from '@oathead/core';
+import type {Row} from '@oathead/platform';
 import type {JobItem} from '../request/job.js';
-import {packStates, recordedAs, unpackStates} from '../request/job_rows.js';
+import {
+  chunkOf,
+  packStates,
+  recordedAs,
+  unpackStates,
+} from '../request/job_rows.js';
 import type {ChunkRow, JobRow, RecordedState} from '../request/job_rows.js';
 
 /** What an outcome holds beyond its state. */
@@ -41,12 +47,6 @@
   readonly epoch: number;
 }
 
-/** A chunk's row as last read or written; version 0 where there is none. */
-export interface StoredChunk {
-  readonly version: number;
-  readonly row?: ChunkRow;
-}
-
 /** One chunk in memory. */
 export class ChunkWork {
   /** Aborted when the chunk is this entry's no more. */
@@ -73,37 +73,39 @@
   private readonly returns = new Map<number, number>();
   private readonly partials = new Map<number, Partial>();
   private readonly ready = new Map<string, number[]>();
-  private stored: StoredChunk;
+  private stored: ChunkRow | undefined;
   private finalItems = 0;
+  private readonly inherited: boolean;
 
   /**
    * @param place - Where the chunk belongs.
    * @param job - Its job.
    * @param items - Its items.
-   * @param stored - Its row.
+   * @param base - Its row as read, if there is one.
    */
   constructor(
     readonly place: ChunkPlace,
     readonly job: JobRow,
     readonly items: readonly JobItem[],
-    stored: StoredChunk,
+    private base: Row | undefined,
   ) {
-    this.stored = stored;
-    const letters = stored.row?.states;
+    this.stored = base && chunkOf(base);
+    this.inherited = this.stored !== undefined;
+    const letters = this.stored?.states;
     this.recorded = letters
       ? unpackStates(letters)
       : items.map(() => 'waiting');
     this.states = [...this.recorded];
-    for (const [index, losses] of Object.entries(stored.row?.losses ?? {})) {
+    for (const [index, losses] of Object.entries(this.stored?.losses ?? {})) {
       this.losses.set(Number(index), losses);
     }
     this.finalItems = this.states.filter(isFinalItemState).length;
     for (const index of items.keys()) this.inherit(index);
   }
 
-  /** The row as last read or written. */
-  get row(): StoredChunk {
-    return this.stored;
+  /** The row as last read or written, if there is one. */
+  get row(): Row | undefined {
+    return this.base;
   }
 
   /** Whether every item has its outcome, recorded or not. */
@@ -113,7 +115,18 @@
 
   /** Whether the recorded row closes the chunk. */
   get closed(): boolean {
-    return this.stored.row?.closed ?? false;
+    return this.stored?.closed ?? false;
+  }
+
+  /** Items that are sent, or are about to be. */
+  get inFlight(): number {
+    return this.running.size + this.claims.size;
+  }
+
+  /** Whether giving it up costs nothing but loading it again. */
+  get isIdle(): boolean {
+    const busy = this.inFlight > 0 || this.unrecorded.size > 0;
+    return !busy && !this.urgent && !this.draining && !this.cancelling;
   }
 
   /** Models and services with items that may run now. */
@@ -138,11 +151,16 @@
   }
 
   /**
+   * An item that is not idempotent is never sent before the chunk's row says
+   * so. Without a row of a holder before, and not sent from here, it has not
+   * run; of any other item that cannot be said.
+   *
    * @param index - Index of an item.
-   * @returns Whether an attempt at it was sent by this holder.
+   * @returns Whether it has certainly not run.
    */
-  wasSent(index: number): boolean {
-    return this.attempts.has(index);
+  neverRan(index: number): boolean {
+    if (this.items[index]!.idempotent || this.inherited) return false;
+    return !this.attempts.has(index);
   }
 
   /**
@@ -267,14 +285,12 @@
    * @param outcomes - Items whose outcomes are in the objects of the row.
    * @param claimed - Items that are claimed by the row.
    * @param object - Key of the object that holds the outcomes.
-   * @param nonce - Names the write.
    * @returns The row to be written.
    */
   nextRow(
     outcomes: ReadonlySet<number>,
     claimed: ReadonlySet<number>,
     object: string | undefined,
-    nonce: string,
   ): ChunkRow {
     const states = this.states.map((state, index) => {
       const known = this.recorded[index]!;
@@ -284,14 +300,13 @@
       return this.items[index]!.idempotent ? unstarted(state) : state;
     });
     const recorded = states.map(recordedAs);
-    const objects = this.stored.row?.objects ?? [];
+    const objects = this.stored?.objects ?? [];
     return {
       epoch: this.place.epoch,
       states: packStates(recorded),
       losses: Object.fromEntries(this.losses),
       objects: object === undefined ? objects : [...objects, object],
       closed: recorded.every(isFinalItemState),
-      nonce,
     };
   }
 
@@ -299,18 +314,13 @@
    * Takes in that a row stands in the store.
    *
    * @param row - The row.
-   * @param version - Its version.
    * @param outcomes - Items whose outcomes are in the objects of the row.
    * @param now - Milliseconds on this process's clock.
    */
-  commit(
-    row: ChunkRow,
-    version: number,
-    outcomes: ReadonlySet<number>,
-    now: number,
-  ): void {
-    this.stored = {version, row};
-    this.recorded = unpackStates(row.states);
+  commit(row: Row, outcomes: ReadonlySet<number>, now: number): void {
+    this.base = row;
+    this.stored = chunkOf(row);
+    this.recorded = unpackStates(this.stored.states);
     for (const index of outcomes) this.unrecorded.delete(index);
     this.unrecordedSince = this.unrecorded.size > 0 ? now : Infinity;
   }
--- a/packages/batch/src/lib/process/item_run.ts
+++ b/packages/batch/src/lib/process/item_run.ts
@@ -1,6 +1,6 @@
 /** One attempt at an item, and what its outcome does to the item. */
 import {mayHaveRun, notRun} from '@oathead/core';
-import type {BatchItem, ItemOutcome, ItemRunner, Random} from '@oathead/core';
+import type {BatchItem, ItemOutcome, ItemRunner} from '@oathead/core';
 import type {BatchDeps} from '../request/job_intake.js';
 import type {BatchSettings} from './batch_settings.js';
 import type {ChunkWork} from './chunk_work.js';
@@ -57,10 +57,10 @@
    * @param onSettled - Called when an attempt has ended.
    */
   constructor(
-    private readonly deps: BatchDeps & {readonly random: Random},
+    private readonly deps: BatchDeps,
     private readonly settings: BatchSettings,
     private readonly runner: ItemRunner,
-    private readonly onSettled: (chunk: ChunkWork) => void,
+    private readonly onSettled: () => void,
   ) {}
 
   /**
@@ -78,7 +78,7 @@
     if (chunk.running.get(index) === abort) chunk.running.delete(index);
     if (chunk.dropped.signal.aborted) this.drop('not-held');
     else this.settle(chunk, index, outcome);
-    this.onSettled(chunk);
+    this.onSettled();
   }
 
   /**
@@ -123,7 +123,7 @@
     this.deps.clock.after(delayMs, () => {
       if (chunk.dropped.signal.aborted) return;
       chunk.putReady(index);
-      this.onSettled(chunk);
+      this.onSettled();
     });
   }
 
@@ -140,12 +140,12 @@
 
   private cancelItem(chunk: ChunkWork, index: number): void {
     const {idempotent} = chunk.items[index]!;
-    const seen = idempotent || chunk.wasSent(index);
+    const neverRan = chunk.neverRan(index);
     if (!chunk.tell(index, {type: 'cancel', idempotent})) return;
     const message = 'the job was cancelled';
-    const refusal = seen
-      ? mayHaveRun('cancelled', message)
-      : notRun('cancelled', message);
+    const refusal = neverRan
+      ? notRun('cancelled', message)
+      : mayHaveRun('cancelled', message);
     chunk.conclude(index, {refusal}, this.deps.clock.now());
     this.deps.counters.count('batch_items_ended', {how: 'cancel'});
   }
@@ -160,7 +160,7 @@
         refusal: mayHaveRun('cancelled', 'the job was cancelled as it ran'),
       });
     }
-    this.onSettled(chunk);
+    this.onSettled();
   }
 
   private drop(why: string): void {
--- a/packages/batch/src/lib/process/job_board.ts
+++ b/packages/batch/src/lib/process/job_board.ts
@@ -12,6 +12,8 @@
   /** The job, by `jobPath`. */
   readonly path: string;
   readonly row: JobRow;
+  /** The row as read. */
+  readonly stored: Row;
   /** Version of its row: it changes when the job is cancelled, or ends. */
   readonly version: number;
 }
@@ -38,7 +40,6 @@
     private readonly onChange: (path: string, job?: OpenJob) => void,
   ) {
     this.store.add(membership.onHead(head => void this.learn(head)));
-    void this.learn(membership.head());
   }
 
   /** @returns All jobs that have not ended. */
@@ -110,7 +111,7 @@
     const known = this.jobs.get(path);
     if (known?.version === stored.version) return;
     const row = jobOf(stored);
-    const job = {path, row, version: stored.version};
+    const job = {path, row, stored, version: stored.version};
     if (isFinalJobState(row.state)) {
       this.jobs.delete(path);
       this.onChange(path);
--- a/packages/batch/src/lib/process/job_closer.ts
+++ b/packages/batch/src/lib/process/job_closer.ts
@@ -108,7 +108,7 @@
   }
 
   private async close(job: OpenJob, counts: ItemCounts): Promise<void> {
-    const {path, row, version} = job;
+    const {path, row} = job;
     const fence = this.membership.fence(this.shareOf(job));
     if (fence === undefined) return;
     const ended: JobRow = {
@@ -116,19 +116,11 @@
       state: nextJobState(row.state, {type: 'close'}),
       endedAt: this.deps.clock.wallTime(),
       counts,
-      nonce: this.deps.random.id(),
     };
-    const key = jobKey(path);
-    await bumpHead(
-      this.deps,
-      {
-        checks: [fence, {key, version}],
-        writes: [
-          {kind: 'put', key, value: rowJson(ended)},
-          {kind: 'delete', key: openKey(path)},
-        ],
-      },
-      head => withJob(head, path),
+    const marker = {key: jobKey(path), base: job.stored, value: rowJson(ended)};
+    const gone = {kind: 'delete', key: openKey(path)} as const;
+    await bumpHead(this.deps, {marker, checks: [fence], writes: [gone]}, head =>
+      withJob(head, path),
     );
     // Whatever came of it, the row tells: ended, or cancelled in between.
     await this.board.refresh([path]);
--- /dev/null
+++ b/packages/batch/src/lib/process/loaded_chunks.ts
@@ -0,0 +1,78 @@
+/** The chunks that this entry has in memory. */
+import type {ChunkPlace, ChunkWork} from './chunk_work.js';
+
+/** The chunks that this entry has in memory. */
+export class LoadedChunks {
+  private readonly chunks = new Map<string, ChunkWork>();
+
+  get size(): number {
+    return this.chunks.size;
+  }
+
+  /** Outcomes in memory that are not recorded yet. */
+  get unrecorded(): number {
+    let sum = 0;
+    for (const chunk of this.all()) sum += chunk.unrecorded.size;
+    return sum;
+  }
+
+  /** @returns All of them. */
+  all(): Iterable<ChunkWork> {
+    return this.chunks.values();
+  }
+
+  /**
+   * @param which - Which ones.
+   * @returns Those, as of now.
+   */
+  filter(which: (chunk: ChunkWork) => boolean): readonly ChunkWork[] {
+    return [...this.chunks.values()].filter(which);
+  }
+
+  /**
+   * @param path - A job, by `jobPath`.
+   * @returns Its chunks.
+   */
+  ofJob(path: string): readonly ChunkWork[] {
+    return this.filter(({place}) => place.path === path);
+  }
+
+  /**
+   * @param place - A chunk.
+   * @returns Whether it is in memory.
+   */
+  has(place: Pick<ChunkPlace, 'path' | 'n'>): boolean {
+    return this.chunks.has(keyOf(place));
+  }
+
+  /** @param chunk - A chunk that was loaded. */
+  add(chunk: ChunkWork): void {
+    this.chunks.set(keyOf(chunk.place), chunk);
+  }
+
+  /** @param chunk - A chunk that is closed or given up. */
+  delete(chunk: ChunkWork): void {
+    const key = keyOf(chunk.place);
+    if (this.chunks.get(key) === chunk) this.chunks.delete(key);
+  }
+
+  /** @returns Models and services with items that may run now. */
+  readyPools(): ReadonlySet<string> {
+    const chunks = [...this.chunks.values()];
+    return new Set(chunks.flatMap(chunk => chunk.readyPools));
+  }
+
+  /** @returns How many items of each caller run at this entry now. */
+  runningByCaller(): Map<string, number> {
+    const running = new Map<string, number>();
+    for (const chunk of this.all()) {
+      const {caller} = chunk.job;
+      running.set(caller, (running.get(caller) ?? 0) + chunk.inFlight);
+    }
+    return running;
+  }
+}
+
+function keyOf({path, n}: Pick<ChunkPlace, 'path' | 'n'>): string {
+  return `${path}/${n}`;
+}
--- a/packages/batch/src/lib/process/store_contact.ts
+++ b/packages/batch/src/lib/process/store_contact.ts
@@ -8,7 +8,7 @@
 import type {Membership} from '@oathead/membership';
 import type {BatchDeps} from '../request/job_intake.js';
 
-const FRESH_MS = 3_000;
+const FRESH_MS = 6_000;
 const PROBE_AFTER_MS = 2_000;
 
 /** What is known of the store. */
--- a/packages/batch/src/lib/request/job_content.ts
+++ b/packages/batch/src/lib/request/job_content.ts
@@ -5,8 +5,8 @@
  * accept cannot mix two contents.
  */
 import {createHash} from 'node:crypto';
-import type {Outcome} from '@oathead/core';
-import {failure, success} from '@oathead/core';
+import {failure, sleep, success} from '@oathead/core';
+import type {Clock, Outcome} from '@oathead/core';
 import type {ObjectStore, StoreError} from '@oathead/platform';
 import {stringify} from 'safe-stable-stringify';
 import type {JobItem, JobRequest} from './job.js';
@@ -17,6 +17,7 @@
 export type ContentName = Pick<JobRow, 'hash' | 'items' | 'chunkItems'>;
 
 const CONCURRENT_PUTS = 8;
+const ITEMS_PER_TURN = 64;
 
 const encoder = new TextEncoder();
 const decoder = new TextDecoder();
@@ -38,13 +39,23 @@
 }
 
 /**
+ * Hashes a job, some items a turn of the event loop: 61,000 items in one turn
+ * would hold up every online request of this process.
+ *
+ * @param clock - Gives the turns.
  * @param req - A job.
  * @returns SHA-256 of its items and due time, in hexadecimal; the order of the
  *     fields within an item does not matter, the order of the items does.
  */
-export function contentHash(req: JobRequest): string {
+export async function contentHash(
+  clock: Clock,
+  req: JobRequest,
+): Promise<string> {
   const hash = createHash('sha256').update(`${req.dueAt ?? ''}\n`);
-  for (const item of req.items) hash.update(`${stringify(item)}\n`);
+  for (const [i, item] of req.items.entries()) {
+    if (i % ITEMS_PER_TURN === 0 && i > 0) await sleep(clock, 0);
+    hash.update(`${stringify(item)}\n`);
+  }
   return hash.digest('hex');
 }
 
--- a/packages/batch/src/lib/request/job_intake.ts
+++ b/packages/batch/src/lib/request/job_intake.ts
@@ -18,11 +18,12 @@
 } from '@oathead/core';
 import {bumpHead, withJob} from '@oathead/membership';
 import type {
+  CommitOutcome,
   ObjectStore,
   Row,
+  RowWrite,
   StoreError,
   TableStore,
-  Transaction,
 } from '@oathead/platform';
 import type {BatchSettings} from '../process/batch_settings.js';
 import type {JobRequest} from './job.js';
@@ -70,7 +71,7 @@
     const problems = this.problemsOf(req);
     if (problems.length > 0) return failure(invalid(problems));
     const path = jobPath(caller, req.id);
-    const row = this.rowOf(caller, req);
+    const row = await this.rowOf(caller, req);
     const known = await this.read(path);
     if (!known.ok) return failure(unavailable());
     if (known.value !== undefined) return sameJob(jobOf(known.value), row);
@@ -88,22 +89,21 @@
    */
   async cancel(caller: string, job: string): Promise<Outcome<JobRow, Refusal>> {
     const path = jobPath(caller, job);
-    let sent = false;
     for (let attempt = 1; attempt <= MAX_ATTEMPTS; attempt++) {
       const read = await this.read(path);
-      if (read.ok) {
-        if (read.value === undefined) return failure(noSuchJob());
-        const before = jobOf(read.value);
-        const state = nextJobState(before.state, {type: 'cancel'});
-        if (state === before.state) return success(before);
-        const after = {...before, state, nonce: this.deps.random.id()};
-        const outcome = await this.write(path, after, read.value.version, []);
-        if (outcome.ok) return success(after);
-        sent ||= mayStand(outcome.err);
-      }
-      await this.pause(attempt);
+      if (!read.ok) return failure(unavailable());
+      const base = read.value;
+      if (base === undefined) return failure(noSuchJob());
+      const before = jobOf(base);
+      const state = nextJobState(before.state, {type: 'cancel'});
+      if (state === before.state) return success(before);
+      const after = {...before, state};
+      const outcome = await this.write(path, base, after);
+      if (outcome.kind === 'committed') return success(after);
+      if (outcome.kind === 'unavailable') return failure(unavailable());
+      if (outcome.kind === 'unknown') return failure(unresolved());
     }
-    return failure(sent ? unresolved() : unavailable());
+    return failure(unavailable());
   }
 
   private problemsOf(req: JobRequest): readonly Problem[] {
@@ -127,18 +127,17 @@
     return problems;
   }
 
-  private rowOf(caller: string, req: JobRequest): JobRow {
+  private async rowOf(caller: string, req: JobRequest): Promise<JobRow> {
     return {
       caller,
       job: req.id,
-      hash: contentHash(req),
+      hash: await contentHash(this.deps.clock, req),
       items: req.items.length,
       chunkItems: this.settings.chunkItems,
       pools: [...new Set(req.items.map(({work}) => poolOf(work)))].sort(),
       dueAt: req.dueAt,
       acceptedAt: this.deps.clock.wallTime(),
       state: 'open',
-      nonce: this.deps.random.id(),
     };
   }
 
@@ -154,45 +153,30 @@
     }
   }
 
-  /**
-   * Writes the row that accepts the job. When the answer is lost, the row is
-   * read back, and written again while it is not there: a write that was only
-   * delayed then meets its own row, and cannot accept the job twice.
-   */
   private async commit(
     path: string,
     row: JobRow,
   ): Promise<Outcome<JobRow, Refusal>> {
-    let sent = false;
-    for (let attempt = 1; attempt <= MAX_ATTEMPTS; attempt++) {
-      const outcome = await this.write(path, row, 0, [
-        {kind: 'put', key: openKey(path), value: {}},
-      ]);
-      if (outcome.ok) return success(row);
-      sent ||= mayStand(outcome.err);
-      const read = await this.read(path);
-      const stored = read.ok ? read.value : undefined;
-      if (stored !== undefined) return sameJob(jobOf(stored), row);
-      await this.pause(attempt);
-    }
-    return failure(sent ? unresolved() : unavailable());
+    const open = {kind: 'put', key: openKey(path), value: {}} as const;
+    const outcome = await this.write(path, undefined, row, [open]);
+    if (outcome.kind === 'committed') return success(row);
+    if (outcome.kind === 'unavailable') return failure(unavailable());
+    if (outcome.kind === 'unknown') return failure(unresolved());
+    // Somebody was quicker: a resend of the same job, or another content.
+    const read = await this.read(path);
+    const stored = read.ok ? read.value : undefined;
+    if (stored === undefined) return failure(unresolved());
+    return sameJob(jobOf(stored), row);
   }
 
   private write(
     path: string,
+    base: Row | undefined,
     row: JobRow,
-    version: number,
-    writes: Transaction['writes'],
-  ): ReturnType<TableStore['write']> {
-    const key = jobKey(path);
-    return bumpHead(
-      this.deps,
-      {
-        checks: [{key, version}],
-        writes: [{kind: 'put', key, value: rowJson(row)}, ...writes],
-      },
-      head => withJob(head, path),
-    );
+    writes: readonly RowWrite[] = [],
+  ): Promise<CommitOutcome> {
+    const marker = {key: jobKey(path), base, value: rowJson(row)};
+    return bumpHead(this.deps, {marker, writes}, head => withJob(head, path));
   }
 
   private async read(
@@ -216,15 +200,6 @@
   return `must have 1 to ${MAX_ID_LENGTH} characters`;
 }
 
-/**
- * Whether a change may stand in the store all the same: written by the attempt
- * whose answer was lost, or, after a conflict, by a resend of the same.
- */
-function mayStand(err: StoreError): boolean {
-  if (err.kind === 'unavailable') return err.applied === 'unknown';
-  return err.kind === 'conflict';
-}
-
 function sameJob(stored: JobRow, sent: JobRow): Outcome<JobRow, Refusal> {
   if (stored.hash === sent.hash) return success(stored);
   return failure(notRun('key-conflict', 'a job of this id has other content'));
--- a/packages/batch/src/lib/request/job_rows.ts
+++ b/packages/batch/src/lib/request/job_rows.ts
@@ -1,7 +1,7 @@
 /** Rows of jobs and chunks, and their keys. */
 import type {ItemState} from '@oathead/core';
 import {invariant} from '@oathead/core';
-import type {Json, Row} from '@oathead/platform';
+import type {JsonObject, Row} from '@oathead/platform';
 import {z} from 'zod';
 
 const countsSchema = z
@@ -30,8 +30,6 @@
     endedAt: z.number().optional(),
     /** Set once the job has ended. */
     counts: countsSchema.optional(),
-    /** Names the last write of the row. */
-    nonce: z.string(),
   })
   .readonly();
 
@@ -46,7 +44,6 @@
     /** Keys of the objects that hold the outcomes. */
     objects: z.array(z.string()).readonly(),
     closed: z.boolean(),
-    nonce: z.string(),
   })
   .readonly();
 
@@ -201,8 +198,8 @@
  * @param value - A job or chunk.
  * @returns The same, as a row carries it.
  */
-export function rowJson(value: JobRow | ChunkRow): Json {
-  return value as unknown as Json;
+export function rowJson(value: JobRow | ChunkRow): JsonObject {
+  return {...value};
 }
 
 /**
--- a/packages/batch/src/test/fakes/fake_fleet.ts
+++ b/packages/batch/src/test/fakes/fake_fleet.ts
@@ -1,38 +1,34 @@
-/** Entries over one table, in virtual time. */
-import {NO_COUNTERS, hash32, seededRandom} from '@oathead/core';
+/** Entries that work off batch jobs over one platform, in virtual time. */
+import {hash32, seededRandom} from '@oathead/core';
 import type {BatchItem, ItemOutcome, ItemRunner} from '@oathead/core';
-import {LeasedMembership, MEMBERSHIP_DEFAULTS} from '@oathead/membership';
 import type {MembershipSettings} from '@oathead/membership';
-import {MemoryObjects} from '@oathead/platform';
-import {
-  LoggedTable,
-  NO_FAULTS,
-  StoreView,
-} from '../../../../membership/dist/test/fakes/store_view.js';
-import type {Faults} from '../../../../membership/dist/test/fakes/store_view.js';
-import {
-  FakeHost,
-  virtualClock,
-} from '../../../../membership/dist/test/fakes/virtual_clock.js';
+import {FakeMembers} from '../../../../membership/dist/test/fakes/fake_members.js';
+import type {FakeMember} from '../../../../membership/dist/test/fakes/fake_members.js';
 import {BatchJobs} from '../../lib/process/batch_jobs.js';
 import type {BatchSettings} from '../../lib/process/batch_settings.js';
-import type {JobItem} from '../../lib/request/job.js';
+import type {ItemResult, JobItem, JobStatus} from '../../lib/request/job.js';
 
 /** One attempt at an item, as the targets saw it. */
 export interface Attempt {
   readonly entry: string;
   readonly item: BatchItem;
   readonly at: number;
+  /** When the target was free of it; the entry may never have heard. */
   endedAt?: number;
 }
 
 /** Decides what becomes of an attempt. */
-export type Script = (
-  item: BatchItem,
-  attempt: Attempt,
-) => {readonly outcome: ItemOutcome; readonly afterMs: number};
+export type Script = (attempt: Attempt) => {
+  readonly outcome: ItemOutcome;
+  readonly afterMs: number;
+};
+
+export interface FakeEntry extends FakeMember {
+  readonly id: string;
+  readonly jobs: BatchJobs;
+}
 
-export const answered: ItemOutcome = {
+export const ANSWERED: ItemOutcome = {
   kind: 'done',
   answer: {kind: 'response', status: 200, body: 'ok'},
 };
@@ -40,83 +36,92 @@
 const ABORT_MS = 5;
 
 export class FakeFleet {
-  readonly clock = virtualClock();
-  readonly table = new LoggedTable();
-  readonly objects = new MemoryObjects();
-  readonly faults: Faults = {...NO_FAULTS};
+  readonly members: FakeMembers;
   readonly attempts: Attempt[] = [];
-  readonly entries = new Map<string, FakeEntry>();
-  script: Script = () => ({outcome: answered, afterMs: 100});
+  script: Script = () => ({outcome: ANSWERED, afterMs: 100});
+  /** Items that targets take at once from each entry. */
   room = 8;
 
   constructor(
-    readonly seed = 1,
-    readonly batch: Partial<BatchSettings> = {},
-    readonly membership: Partial<MembershipSettings> = {},
-  ) {}
+    seed = 1,
+    private readonly batch: Partial<BatchSettings> = {},
+    membership: Partial<MembershipSettings> = {},
+  ) {
+    this.members = new FakeMembers(seed, membership);
+  }
+
+  get clock(): FakeMembers['clock'] {
+    return this.members.clock;
+  }
 
   start(id: string): FakeEntry {
-    const entry = new FakeEntry(this, id);
-    this.entries.set(id, entry);
-    return entry;
+    const member = this.members.start(id);
+    const {seed, counters} = this.members;
+    const jobs = new BatchJobs(
+      {
+        clock: member.host.clock,
+        random: seededRandom(hash32(`batch/${seed}/${id}`)),
+        counters,
+        table: member.store,
+        objects: member.store,
+        membership: member.members,
+        runner: new FakeRunner(this, id, member),
+      },
+      this.batch,
+    );
+    return {...member, id, jobs};
   }
 
-  async until(done: () => boolean | Promise<boolean>, limitMs: number) {
-    for (let passed = 0; passed < limitMs; passed += 500) {
-      if (await done()) return true;
-      await this.clock.pass(500);
-    }
-    return false;
+  async accept(
+    entry: FakeEntry,
+    id: string,
+    jobItems: readonly JobItem[],
+    caller = 'bank-a',
+  ) {
+    const {jobs} = entry;
+    return this.members.wait(jobs.accept(caller, {id, items: jobItems}));
   }
-}
 
-export class FakeEntry {
-  readonly host: FakeHost;
-  readonly store: StoreView;
-  readonly members: LeasedMembership;
-  readonly jobs: BatchJobs;
+  async status(
+    entry: FakeEntry,
+    id: string,
+    caller = 'bank-a',
+  ): Promise<JobStatus | undefined> {
+    const status = await this.members.wait(entry.jobs.status(caller, id));
+    return status.ok ? status.value : undefined;
+  }
 
-  constructor(
-    private readonly fleet: FakeFleet,
-    readonly id: string,
-  ) {
-    const {clock: world, table, objects, faults, seed} = fleet;
-    const random = seededRandom(seed ^ hash32(id));
-    this.host = new FakeHost(world);
-    this.store = new StoreView(
-      this.host,
-      world,
-      seededRandom(hash32(`${seed}/${id}`)),
-      table,
-      objects,
-      faults,
+  /** Lets time pass until a job is in a state; says whether it came to be. */
+  reaches(entry: FakeEntry, id: string, state: string, limitMs: number) {
+    return this.members.until(
+      async () => (await this.status(entry, id))?.state === state,
+      limitMs,
+      1_000,
     );
-    const deps = {
-      clock: this.host.clock,
-      random,
-      counters: NO_COUNTERS,
-      table: this.store,
-      objects: this.store,
-    };
-    const settings = {
-      ...MEMBERSHIP_DEFAULTS,
-      ...fleet.membership,
-      entryId: id,
-      address: `${id}:1`,
-      dataCentre: 'hall-a',
-    };
-    this.members = new LeasedMembership(deps, settings);
-    const batchDeps = {
-      ...deps,
-      membership: this.members,
-      runner: new FakeRunner(fleet, this),
+  }
+
+  async results(
+    entry: FakeEntry,
+    id: string,
+    after?: string,
+    caller = 'bank-a',
+  ): Promise<readonly ItemResult[]> {
+    const {jobs} = entry;
+    const read = async () => {
+      const results = await jobs.results(caller, id, {after});
+      if (!results.ok) throw new Error(results.err.kind);
+      const lines: ItemResult[] = [];
+      for await (const line of results.value) {
+        if (line.kind === 'refused') throw new Error(line.refusal.kind);
+        lines.push(line.result);
+      }
+      return lines;
     };
-    this.jobs = new BatchJobs(batchDeps, fleet.batch);
-    this.members.start();
+    return this.members.wait(read());
   }
 
-  kill(): void {
-    this.host.kill();
+  attemptsAt(item: string): readonly Attempt[] {
+    return this.attempts.filter(attempt => attempt.item.item === item);
   }
 }
 
@@ -125,7 +130,8 @@
 
   constructor(
     private readonly fleet: FakeFleet,
-    private readonly entry: FakeEntry,
+    private readonly entry: string,
+    private readonly member: FakeMember,
   ) {}
 
   room(): number {
@@ -138,33 +144,36 @@
 
   async run(item: BatchItem, signal: AbortSignal): Promise<ItemOutcome> {
     const {clock, attempts} = this.fleet;
-    const attempt: Attempt = {entry: this.entry.id, item, at: clock.now()};
+    const attempt: Attempt = {entry: this.entry, item, at: clock.now()};
     attempts.push(attempt);
     this.running++;
-    const {outcome, afterMs} = this.fleet.script(item, attempt);
+    const {outcome, afterMs} = this.fleet.script(attempt);
     const ended = new Promise<ItemOutcome>(resolve => {
-      clock.after(afterMs, () => resolve(outcome));
-      signal.addEventListener('abort', () => {
-        const kind = item.idempotent ? 'returned' : 'lost';
-        const refusal = {
-          kind: 'cancelled',
-          message: '',
-          ran: 'may-have-run',
-        } as const;
-        const given: ItemOutcome =
-          kind === 'returned'
-            ? {kind}
-            : {kind: 'lost', refusal, suspect: false};
-        clock.after(ABORT_MS, () => resolve(given));
-      });
+      const end = (how: ItemOutcome) => {
+        attempt.endedAt ??= clock.now();
+        resolve(how);
+      };
+      clock.after(afterMs, () => end(outcome));
+      signal.addEventListener('abort', () =>
+        clock.after(ABORT_MS, () => end(aborted(item))),
+      );
     });
-    const result = await this.entry.host.hear(ended);
-    attempt.endedAt = clock.now();
+    const result = await this.member.host.hear(ended);
     this.running--;
     return result;
   }
 }
 
+export function lost(suspect: boolean): ItemOutcome {
+  const message = 'the connection broke';
+  const refusal = {kind: 'target-lost', message, ran: 'may-have-run'} as const;
+  return {kind: 'lost', refusal, suspect};
+}
+
+function aborted(item: BatchItem): ItemOutcome {
+  return item.idempotent ? {kind: 'returned'} : lost(false);
+}
+
 export function items(count: number, idempotent = true): readonly JobItem[] {
   return [...Array(count).keys()].map(i => ({
     id: `item-${i}`,
--- a/packages/batch/src/test/process/batch_jobs_test.ts
+++ b/packages/batch/src/test/process/batch_jobs_test.ts
@@ -1,83 +1,370 @@
 import test from 'ava';
-import type {ItemResult, ResultLine} from '../../lib/request/job.js';
-import {FakeFleet, items} from '../fakes/fake_fleet.js';
+import type {JobItem} from '../../lib/request/job.js';
+import {ANSWERED, FakeFleet, items, lost} from '../fakes/fake_fleet.js';
 import type {FakeEntry} from '../fakes/fake_fleet.js';
 
-async function wait<T>(fleet: FakeFleet, promise: Promise<T>): Promise<T> {
-  let settled = false;
-  const done = promise.finally(() => (settled = true));
-  await fleet.until(() => settled, 60_000);
-  return done;
-}
+const NIGHT_MS = 600_000;
+const TAKE_OVER_MS = 30_000;
 
-async function collect(
-  fleet: FakeFleet,
-  entry: FakeEntry,
-  job: string,
-  after?: string,
-): Promise<readonly ItemResult[]> {
-  const results = await wait(fleet, entry.jobs.results('a', job, {after}));
-  if (!results.ok) throw new Error(results.err.kind);
-  const lines: ResultLine[] = [];
-  const read = async () => {
-    for await (const line of results.value) lines.push(line);
-  };
-  await wait(fleet, read());
-  return lines.flatMap(line => (line.kind === 'item' ? line.result : []));
+function started(...ids: string[]) {
+  const fleet = new FakeFleet();
+  return {fleet, entries: ids.map(id => fleet.start(id))};
 }
 
-async function stateOf(fleet: FakeFleet, entry: FakeEntry, job: string) {
-  const status = await wait(fleet, entry.jobs.status('a', job));
-  return status.ok ? status.value.state : status.err.kind;
+function mixed(...idempotent: boolean[]): readonly JobItem[] {
+  return items(idempotent.length).map((item, i) => ({
+    ...item,
+    idempotent: idempotent[i]!,
+  }));
 }
 
 test('runs a job and keeps its results readable in order', async t => {
-  const fleet = new FakeFleet();
-  const entry = fleet.start('e1');
-  const accepted = await wait(
-    fleet,
-    entry.jobs.accept('a', {id: 'night', items: items(300)}),
-  );
-  t.true(accepted.ok);
-  t.true(
-    await fleet.until(
-      async () => (await stateOf(fleet, entry, 'night')) === 'done',
-      120_000,
-    ),
-  );
+  const {fleet, entries} = started('e1', 'e2', 'e3');
+  const [entry, other] = entries as [FakeEntry, FakeEntry];
+  t.true((await fleet.accept(entry, 'night', items(300))).ok);
+  t.true(await fleet.reaches(other, 'night', 'done', NIGHT_MS));
   t.is(fleet.attempts.length, 300);
-  const results = await collect(fleet, entry, 'night');
+  t.is(new Set(fleet.attempts.map(attempt => attempt.entry)).size, 3);
+  const results = await fleet.results(other, 'night');
   t.deepEqual(
     results.map(({item}) => item),
     items(300).map(({id}) => id),
   );
   t.true(results.every(({state, answer}) => state === 'done' && answer));
-  const rest = await collect(fleet, entry, 'night', 'item-297');
+  const rest = await fleet.results(entry, 'night', 'item-297');
   t.deepEqual(
     rest.map(({item}) => item),
     ['item-298', 'item-299'],
   );
+  const status = await fleet.status(entry, 'night');
+  t.deepEqual(status?.counts.done, 300);
+});
+
+test('a resend is the same job, another content is refused', async t => {
+  const {fleet, entries} = started('e1', 'e2');
+  const [entry, other] = entries as [FakeEntry, FakeEntry];
+  const [first, second] = await Promise.all([
+    fleet.accept(entry, 'night', items(20)),
+    fleet.accept(other, 'night', items(20)),
+  ]);
+  t.true(first.ok && second.ok);
+  const conflict = await fleet.accept(other, 'night', items(21));
+  t.like(conflict, {ok: false, err: {kind: 'key-conflict', ran: 'not-run'}});
+  t.true(await fleet.reaches(entry, 'night', 'done', NIGHT_MS));
+  t.like(await fleet.accept(other, 'night', items(20)), {
+    ok: true,
+    value: {state: 'done'},
+  });
+  t.is(fleet.attempts.length, 20);
+});
+
+test('a job that is not valid is refused with its problems', async t => {
+  const {fleet, entries} = started('e1');
+  const entry = entries[0]!;
+  const [item] = items(1);
+  const refused = await fleet.accept(entry, '', [item!, item!]);
+  t.like(refused, {ok: false, err: {kind: 'invalid-request', ran: 'not-run'}});
+  const problems =
+    !refused.ok && refused.err.kind === 'invalid-request'
+      ? refused.err.problems!.map(({path}) => path)
+      : [];
+  t.deepEqual(problems, ['id', 'items.1.id']);
+  t.like(await fleet.accept(entry, 'none', []), {
+    err: {kind: 'invalid-request'},
+  });
+});
+
+test("a caller sees nothing of another caller's jobs", async t => {
+  const {fleet, entries} = started('e1');
+  const entry = entries[0]!;
+  await fleet.accept(entry, 'night', items(5), 'bank-a/x');
+  t.is(await fleet.status(entry, 'night', 'bank-a'), undefined);
+  t.is(await fleet.status(entry, 'x/night', 'bank-a'), undefined);
+  for (const caller of ['bank-a', 'bank']) {
+    const list = await fleet.members.wait(entry.jobs.list(caller));
+    t.deepEqual(list, {ok: true, value: []});
+  }
+  const cancel = entry.jobs.cancel('bank-a', 'night');
+  t.like(await fleet.members.wait(cancel), {err: {kind: 'not-found'}});
 });
 
 test('a cancelled job stops, and what was done stays readable', async t => {
-  const fleet = new FakeFleet();
-  const entry = fleet.start('e1');
-  await wait(fleet, entry.jobs.accept('a', {id: 'night', items: items(1000)}));
-  await fleet.until(() => fleet.attempts.length > 50, 60_000);
-  const cancelled = await wait(fleet, entry.jobs.cancel('a', 'night'));
-  t.true(cancelled.ok);
-  await fleet.clock.pass(2_000);
-  const started = fleet.attempts.length;
-  t.true(
-    await fleet.until(
-      async () => (await stateOf(fleet, entry, 'night')) === 'cancelled',
-      60_000,
-    ),
+  const {fleet, entries} = started('e1', 'e2');
+  const [entry, other] = entries as [FakeEntry, FakeEntry];
+  await fleet.accept(entry, 'night', items(2_000));
+  await fleet.members.until(() => fleet.attempts.length > 100, 60_000);
+  const cancelled = await fleet.members.wait(
+    other.jobs.cancel('bank-a', 'night'),
   );
-  t.is(fleet.attempts.length, started);
-  const results = await collect(fleet, entry, 'night');
+  t.true(cancelled.ok);
+  await fleet.clock.pass(1_500);
+  const attempts = fleet.attempts.length;
+  t.true(await fleet.reaches(entry, 'night', 'cancelled', 30_000));
+  t.is(fleet.attempts.length, attempts, 'nothing more was started');
+  const results = await fleet.results(entry, 'night');
   const done = results.filter(({state}) => state === 'done').length;
   const ended = results.filter(({state}) => state === 'cancelled').length;
-  t.true(done > 40);
-  t.is(done + ended, 1000);
+  t.true(done > 50);
+  t.is(done + ended, 2_000);
+});
+
+test('a watch tells each state of a job to the end', async t => {
+  const {fleet, entries} = started('e1');
+  const entry = entries[0]!;
+  await fleet.accept(entry, 'night', items(100));
+  const states: string[] = [];
+  const watch = async () => {
+    const {signal} = new AbortController();
+    for await (const status of entry.jobs.watch('bank-a', 'night', signal)) {
+      states.push(status.ok ? status.value.state : status.err.kind);
+    }
+  };
+  const watching = watch();
+  await fleet.clock.pass(500);
+  await fleet.members.wait(entry.jobs.cancel('bank-a', 'night'));
+  await fleet.members.wait(watching);
+  t.deepEqual(states, ['open', 'cancelling', 'cancelled']);
+});
+
+// Story: a rostering batch has pairings that no engine will ever answer, and
+// targets that fail now and then. The job must end, with a reason for each
+// impossible item, and without giving up on the others.
+test('impossible items fail with their reason, others are retried', async t => {
+  const {fleet, entries} = started('e1');
+  const entry = entries[0]!;
+  fleet.script = ({item}) => {
+    const bad = item.item === 'item-3';
+    const flaky = item.item === 'item-4' && item.attempt < 3;
+    const failed = {
+      kind: 'failed',
+      refusal: {kind: 'engine-failed', message: 'bad', ran: 'may-have-run'},
+    } as const;
+    if (bad) return {outcome: failed, afterMs: 50};
+    return {outcome: flaky ? lost(false) : ANSWERED, afterMs: 50};
+  };
+  await fleet.accept(entry, 'night', items(10));
+  t.true(await fleet.reaches(entry, 'night', 'done', NIGHT_MS));
+  const results = await fleet.results(entry, 'night');
+  t.like(results[3], {state: 'failed', refusal: {kind: 'engine-failed'}});
+  t.is(results[4]!.state, 'done');
+  t.is(fleet.attemptsAt('item-4').length, 3);
+  t.is(fleet.attemptsAt('item-3').length, 1);
+});
+
+test('an item that is always lost fails after bounded attempts', async t => {
+  const {fleet, entries} = started('e1');
+  const entry = entries[0]!;
+  fleet.script = () => ({outcome: lost(false), afterMs: 50});
+  await fleet.accept(entry, 'night', items(1));
+  t.true(await fleet.reaches(entry, 'night', 'done', NIGHT_MS));
+  const [result] = await fleet.results(entry, 'night');
+  t.like(result, {state: 'failed', refusal: {kind: 'target-lost'}});
+  t.is(fleet.attempts.length, 5);
+});
+
+// Story: one pairing crashes each target that runs it. It takes down what runs
+// beside it, is sent again, and takes down the next target, all night long.
+test('what crashes targets runs alone, and fails on its second', async t => {
+  const {fleet, entries} = started('e1');
+  const entry = entries[0]!;
+  fleet.script = ({item}) => {
+    const together = item.suspect !== true;
+    const crashes = item.item === 'item-2';
+    const down = crashes || together;
+    return {outcome: down ? lost(true) : ANSWERED, afterMs: 50};
+  };
+  await fleet.accept(entry, 'night', items(5));
+  t.true(await fleet.reaches(entry, 'night', 'done', NIGHT_MS));
+  const results = await fleet.results(entry, 'night');
+  t.deepEqual(
+    results.map(({state}) => state),
+    ['done', 'done', 'failed', 'done', 'done'],
+  );
+  for (const {id} of items(5)) {
+    const suspects = fleet
+      .attemptsAt(id)
+      .map(({item}) => item.suspect ?? false);
+    t.deepEqual(suspects, [false, true], id);
+  }
+});
+
+// Story: the host that holds a suspect dies before it has run it alone. The
+// next holder must not send it out beside others again.
+test('the next holder knows a suspect', async t => {
+  const {fleet, entries} = started('e1', 'e2');
+  const entry = entries[0]!;
+  fleet.script = ({item}) => ({
+    outcome: item.suspect ? ANSWERED : lost(true),
+    afterMs: item.suspect ? 3_600_000 : 50,
+  });
+  await fleet.accept(entry, 'night', items(1));
+  const alone = () => fleet.attempts.some(({item}) => item.suspect);
+  t.true(await fleet.members.until(alone, 30_000));
+  const [first, second] = entries as [FakeEntry, FakeEntry];
+  const holder = fleet.attempts[0]!.entry === 'e1' ? first : second;
+  holder.host.kill();
+  fleet.script = () => ({outcome: ANSWERED, afterMs: 50});
+  const other = holder === first ? second : first;
+  t.true(await fleet.reaches(other, 'night', 'done', NIGHT_MS));
+  t.deepEqual(
+    fleet.attempts.map(({entry: id, item}) => [id, item.suspect ?? false]),
+    [
+      [holder.id, false],
+      [holder.id, true],
+      [other.id, true],
+    ],
+  );
+});
+
+// Story: a host dies with call-outs in flight. A pilot must not be called out
+// twice, so what had been sent is unknown; what had not been sent is sent.
+test('a call-out in flight on a dead host becomes unknown', async t => {
+  const {fleet, entries} = started('e1', 'e2');
+  const [first, second] = entries as [FakeEntry, FakeEntry];
+  await fleet.clock.pass(15_000);
+  fleet.room = 1;
+  fleet.script = ({entry}) => ({
+    outcome: ANSWERED,
+    afterMs: entry === 'e1' ? 3_600_000 : 50,
+  });
+  const jobs = [...Array(8).keys()].map(i => `night-${i}`);
+  for (const job of jobs) await fleet.accept(second, job, mixed(false, false));
+  const stuck = () => fleet.attempts.find(({entry}) => entry === 'e1');
+  t.true(await fleet.members.until(() => stuck() !== undefined, 30_000));
+  first.host.kill();
+  await fleet.clock.pass(TAKE_OVER_MS);
+  for (const job of jobs) {
+    t.true(await fleet.reaches(second, job, 'done', NIGHT_MS), job);
+    const results = await fleet.results(second, job);
+    for (const {item, state, refusal} of results) {
+      const runs = fleet.attempts.filter(
+        ({item: run}) => run.job === job && run.item === item,
+      );
+      t.is(runs.length, 1);
+      const unknown = runs[0] === stuck();
+      t.is(state, unknown ? 'unknown' : 'done');
+      t.is(refusal?.ran, unknown ? 'may-have-run' : undefined);
+    }
+  }
+});
+
+// Story: a host is paused in the middle of the night's work, others take its
+// shares over, the job is cancelled. The host wakes, its targets have answered
+// meanwhile, and it carries on as if nothing had been.
+test('a paused holder that wakes starts and records nothing', async t => {
+  const {fleet, entries} = started('e1', 'e2');
+  const [paused, other] = entries as [FakeEntry, FakeEntry];
+  await fleet.clock.pass(15_000);
+  await fleet.accept(other, 'night', items(2_000));
+  const runs = () => fleet.attempts.some(({entry}) => entry === 'e1');
+  t.true(await fleet.members.until(runs, 30_000));
+  paused.host.pause();
+  await fleet.clock.pass(TAKE_OVER_MS);
+  await fleet.members.wait(other.jobs.cancel('bank-a', 'night'));
+  t.true(await fleet.reaches(other, 'night', 'cancelled', NIGHT_MS));
+  const before = await fleet.results(other, 'night');
+  const attempts = fleet.attempts.length;
+  paused.host.resume();
+  await fleet.clock.pass(60_000);
+  t.is(fleet.attempts.length, attempts);
+  t.deepEqual(await fleet.results(other, 'night'), before);
+});
+
+// Story: the store is down for two minutes in the middle of a job. The entry
+// keeps its chunks going, holds what comes of them, and loses nothing.
+test('a job goes on through an outage of the store', async t => {
+  const {fleet, entries} = started('e1');
+  const entry = entries[0]!;
+  await fleet.accept(entry, 'night', items(1_000));
+  await fleet.members.until(() => fleet.attempts.length > 100, 60_000);
+  const {faults} = fleet.members;
+  faults.down = true;
+  await fleet.clock.pass(30_000);
+  const during = fleet.attempts.length;
+  t.true(during > 130, 'chunks in memory go on past the end of the lease');
+  const refused = await fleet.accept(entry, 'morning', items(1));
+  t.like(refused, {err: {kind: 'store-unavailable', ran: 'not-run'}});
+  await fleet.clock.pass(90_000);
+  faults.down = false;
+  t.true(await fleet.reaches(entry, 'night', 'done', NIGHT_MS));
+  t.is(fleet.attempts.length, 1_000, 'nothing ran twice');
+  const results = await fleet.results(entry, 'night');
+  t.true(results.every(({state}) => state === 'done'));
+});
+
+// Story: the store accepts a job, and its answer is lost. The client resends,
+// here and elsewhere, and must get one job.
+test('a job whose acknowledgement was lost is accepted once', async t => {
+  const {fleet, entries} = started('e1', 'e2');
+  const [entry, other] = entries as [FakeEntry, FakeEntry];
+  await fleet.clock.pass(15_000);
+  const {faults, table} = fleet.members;
+  faults.lostAnswers = 0.5;
+  faults.lateWrites = 0.3;
+  for (let i = 0; i < 10; i++) {
+    const first = await fleet.accept(entry, `night-${i}`, items(3));
+    if (!first.ok) t.is(first.err.ran, 'may-have-run');
+    t.true(first.ok || (await fleet.accept(other, `night-${i}`, items(3))).ok);
+  }
+  faults.lostAnswers = 0;
+  faults.lateWrites = 0;
+  for (let i = 0; i < 10; i++) {
+    t.true(await fleet.reaches(entry, `night-${i}`, 'done', NIGHT_MS));
+  }
+  const accepts = table.log.filter(({writes}) =>
+    writes.some(({key, kind}) => kind === 'put' && key.startsWith('open/')),
+  );
+  t.is(accepts.length, 10);
+  t.is(fleet.attempts.length, 30);
+});
+
+// Story: a host is stopped for an update. What runs on it ends, and nobody
+// waits for a lease to run out.
+test('a planned stop cuts nothing off', async t => {
+  const {fleet, entries} = started('e1', 'e2');
+  const [stopping, other] = entries as [FakeEntry, FakeEntry];
+  await fleet.clock.pass(15_000);
+  fleet.script = () => ({outcome: ANSWERED, afterMs: 3_000});
+  const jobItems = mixed(...[...Array(400).keys()].map(i => i % 2 === 0));
+  await fleet.accept(other, 'night', jobItems);
+  const runs = () => fleet.attempts.some(({entry}) => entry === 'e1');
+  t.true(await fleet.members.until(runs, 30_000));
+  await fleet.members.wait(stopping.jobs.stop(30_000));
+  await fleet.members.wait(stopping.members.stop(30_000));
+  stopping.host.kill();
+  t.true(await fleet.reaches(other, 'night', 'done', NIGHT_MS));
+  t.is(fleet.attempts.length, 400, 'nothing ran twice');
+  const results = await fleet.results(other, 'night');
+  t.true(results.every(({state}) => state === 'done'));
+});
+
+test('a job that is due goes before one that was sent earlier', async t => {
+  const {fleet, entries} = started('e1');
+  const entry = entries[0]!;
+  await fleet.clock.pass(15_000);
+  await fleet.accept(entry, 'later', items(5_000));
+  await fleet.clock.pass(5_000);
+  const dueAt = fleet.clock.wallTime() + 3_600_000;
+  const request = {id: 'due', items: items(300), dueAt};
+  await fleet.members.wait(entry.jobs.accept('bank-b', request));
+  t.true(await fleet.reaches(entry, 'due', 'done', 60_000).then(() => true));
+  const before = fleet.attempts.length;
+  const due = await fleet.status(entry, 'due', 'bank-b');
+  t.is(due?.counts.done, 300);
+  t.true(before < 5_000);
+});
+
+test('callers whose jobs are due together share what there is', async t => {
+  const {fleet, entries} = started('e1');
+  const entry = entries[0]!;
+  await fleet.clock.pass(15_000);
+  await fleet.accept(entry, 'big', items(5_000), 'bank-a');
+  await fleet.clock.pass(5_000);
+  await fleet.accept(entry, 'small', items(5_000), 'bank-b');
+  await fleet.clock.pass(3_000);
+  const from = fleet.attempts.length;
+  await fleet.clock.pass(10_000);
+  const later = fleet.attempts.slice(from);
+  const small = later.filter(({item}) => item.caller === 'bank-b').length;
+  t.true(Math.abs(small / later.length - 0.5) < 0.1);
 });
--- a/packages/membership/src/lib/process/directory.ts
+++ b/packages/membership/src/lib/process/directory.ts
@@ -6,7 +6,7 @@
  * its version puts all changes of ownership in one order.
  */
 import {hash32, rendezvous} from '@oathead/core';
-import type {Json, Row} from '@oathead/platform';
+import type {JsonObject, Row} from '@oathead/platform';
 import {z} from 'zod';
 
 /** Key of the directory. */
@@ -32,7 +32,6 @@
       .readonly(),
     /** Counts joins; the epoch of the last lease. */
     joins: z.number(),
-    nonce: z.string(),
   })
   .readonly();
 
@@ -56,15 +55,15 @@
     owner: NOBODY,
     epoch: 0,
   }));
-  return {entries: {}, shares, joins: 0, nonce: ''};
+  return {entries: {}, shares, joins: 0};
 }
 
 /**
  * @param directory - All entries.
  * @returns The same, as a row carries it.
  */
-export function directoryJson(directory: Directory): Json {
-  return directory as unknown as Json;
+export function directoryJson(directory: Directory): JsonObject {
+  return {...directory};
 }
 
 /**
--- a/packages/membership/src/lib/process/hand_over.ts
+++ b/packages/membership/src/lib/process/hand_over.ts
@@ -3,10 +3,14 @@
 import type {Clock} from '@oathead/core';
 import type {HeldShare} from './membership.js';
 
+interface Leaving {
+  readonly share: HeldShare;
+  finished: boolean;
+}
+
 /** Shares that are on their way out. */
 export class HandOver {
-  private readonly finishing = new Set<number>();
-  private readonly finished = new Set<number>();
+  private readonly leaving = new Map<number, Leaving>();
 
   /**
    * @param clock - The clock of this process.
@@ -20,33 +24,40 @@
   ) {}
 
   /**
-   * Begins to finish the work on a share; again while it goes on does nothing.
+   * Begins to finish the work on a share.
    *
    * @param share - The share.
    */
   begin(share: HeldShare): void {
-    if (this.finishing.has(share.share)) return;
-    this.finishing.add(share.share);
+    const leaving = {share, finished: false};
+    this.leaving.set(share.share, leaving);
     const stop = new AbortController();
     void Promise.race([
       this.finish(share),
       sleep(this.clock, this.handOverMs, stop.signal),
     ]).then(() => {
       stop.abort();
-      this.finished.add(share.share);
+      leaving.finished = true;
     });
   }
 
+  /**
+   * @param share - A share.
+   * @returns Whether its work is being finished, or is.
+   */
+  has({share, epoch}: HeldShare): boolean {
+    return this.leaving.get(share)?.share.epoch === epoch;
+  }
+
   /** @returns Shares that have nothing left to be finished. */
-  ready(): readonly number[] {
-    return [...this.finished];
+  ready(): readonly HeldShare[] {
+    return [...this.leaving.values()].flatMap(({share, finished}) =>
+      finished ? share : [],
+    );
   }
 
-  /** @param shares - Shares that went, or stay after all. */
-  end(shares: readonly number[]): void {
-    for (const share of shares) {
-      this.finishing.delete(share);
-      this.finished.delete(share);
-    }
+  /** @param share - A share that went, or stays after all. */
+  end({share}: HeldShare): void {
+    this.leaving.delete(share);
   }
 }
--- a/packages/membership/src/lib/process/head_row.ts
+++ b/packages/membership/src/lib/process/head_row.ts
@@ -3,14 +3,14 @@
  * happens, and bumped in the same transaction as each change it tells of.
  */
 import {sleep} from '@oathead/core';
-import type {Clock, Outcome, Random} from '@oathead/core';
+import type {Clock, Random} from '@oathead/core';
+import {commitWithNonce} from '@oathead/platform';
 import type {
-  Committed,
+  Commit,
+  CommitOutcome,
   Json,
   Row,
-  StoreError,
   TableStore,
-  Transaction,
 } from '@oathead/platform';
 import {z} from 'zod';
 import type {Head} from './membership.js';
@@ -76,66 +76,48 @@
 }
 
 /**
- * Writes a transaction together with a change of the head. The head is the one
- * row that all writers share, so a conflict on it alone is retried here, with
- * backoff and jitter; nothing was written then. Any other error goes back to
- * the writer, which alone can tell by the nonces of its own rows whether an
- * `unknown` write took effect.
+ * Commits a change together with a change of the head. The head is the one row
+ * that all writers share, so a conflict on it alone is retried here, with
+ * backoff and jitter: the commit before it did not take effect and never will.
  *
  * @param deps - Store, clock and randomness.
- * @param transaction - The change itself.
+ * @param commit - The change itself.
  * @param change - What the head is to tell after it.
- * @returns The versions written, or the error.
+ * @returns What became of it.
  */
 export async function bumpHead(
   deps: BumpDeps,
-  transaction: Transaction,
+  commit: Commit,
   change: (head: Head) => Head,
-): Promise<Outcome<Committed, StoreError>> {
+): Promise<CommitOutcome> {
+  const {clock, random} = deps;
   for (let attempt = 1; ; attempt++) {
-    const outcome = await tryBump(deps, transaction, change);
-    if (outcome.ok || attempt === MAX_ATTEMPTS) return outcome;
-    const delayMs = retryDelay(outcome.err, attempt, deps.random);
-    if (delayMs === undefined) return outcome;
-    await sleep(deps.clock, delayMs);
+    const outcome = await tryBump(deps, commit, change);
+    const again = outcome.kind === 'conflict' && outcome.key === HEAD_KEY;
+    if (!again || attempt === MAX_ATTEMPTS) return outcome;
+    const cap = Math.min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** attempt);
+    await sleep(clock, cap * random.float());
   }
 }
 
 async function tryBump(
-  {table}: BumpDeps,
-  transaction: Transaction,
+  deps: BumpDeps,
+  commit: Commit,
   change: (head: Head) => Head,
-): Promise<Outcome<Committed, StoreError>> {
-  const read = await table.read([HEAD_KEY]);
-  if (!read.ok) return read.err.kind === 'unavailable' ? unsent(read) : read;
+): Promise<CommitOutcome> {
+  const read = await deps.table.read([HEAD_KEY]);
+  if (!read.ok) return {kind: 'unavailable', err: read.err};
   const row = read.value[0];
   const value = HEAD_ROW.encode(change(headOf(row)));
-  return table.write({
-    checks: [
-      ...transaction.checks,
-      {key: HEAD_KEY, version: row?.version ?? 0},
-    ],
-    writes: [...transaction.writes, {kind: 'put', key: HEAD_KEY, value}],
-  });
-}
-
-/** A failed read means that nothing of the transaction was sent. */
-function unsent(read: {readonly ok: false; readonly err: StoreError}): {
-  readonly ok: false;
-  readonly err: StoreError;
-} {
-  const message =
-    read.err.kind === 'unavailable' ? read.err.message : read.err.kind;
-  return {ok: false, err: {kind: 'unavailable', applied: 'no', message}};
-}
-
-function retryDelay(
-  err: StoreError,
-  attempt: number,
-  random: Random,
-): number | undefined {
-  if (err.kind === 'throttled') return err.retryAfterMs;
-  if (err.kind !== 'conflict' || err.key !== HEAD_KEY) return undefined;
-  const cap = Math.min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** attempt);
-  return cap * random.float();
+  const version = row?.version ?? 0;
+  const {checks = [], writes = []} = commit;
+  return commitWithNonce(
+    deps.table,
+    {
+      marker: commit.marker,
+      checks: [...checks, {key: HEAD_KEY, version}],
+      writes: [...writes, {kind: 'put', key: HEAD_KEY, value}],
+    },
+    deps,
+  );
 }
--- a/packages/membership/src/lib/process/lease_row.ts
+++ b/packages/membership/src/lib/process/lease_row.ts
@@ -1,5 +1,5 @@
 /** Rows of leases and shares. */
-import type {Json, Row} from '@oathead/platform';
+import type {JsonObject, Row} from '@oathead/platform';
 import {z} from 'zod';
 
 const leaseSchema = z
@@ -21,7 +21,6 @@
     owner: z.string(),
     /** Counts owners. */
     epoch: z.number(),
-    nonce: z.string(),
   })
   .readonly();
 
@@ -67,6 +66,6 @@
  * @param value - A lease or ownership.
  * @returns The same, as a row carries it.
  */
-export function toJson(value: LeaseRow | ShareRow): Json {
-  return value as unknown as Json;
+export function rowJson(value: LeaseRow | ShareRow): JsonObject {
+  return {...value};
 }
--- a/packages/membership/src/lib/process/lease_watch.ts
+++ b/packages/membership/src/lib/process/lease_watch.ts
@@ -4,6 +4,8 @@
  * on the observer's own monotonic clock.
  */
 
+import type {Row} from '@oathead/platform';
+
 /** A lease that ran out. */
 export interface LapsedLease {
   readonly entryId: string;
@@ -11,6 +13,13 @@
   readonly version: number;
 }
 
+/** How leases are watched; times in milliseconds. */
+export interface WatchSettings {
+  readonly watchMs: number;
+  readonly leaseMs: number;
+  readonly marginMs: number;
+}
+
 interface Sighting {
   readonly version: number;
   readonly since: number;
@@ -19,28 +28,39 @@
 /** The leases that one entry watches. */
 export class LeaseWatch {
   private sightings = new Map<string, Sighting>();
+  private lastLook = -Infinity;
+
+  /** @param settings - How leases are watched. */
+  constructor(private readonly settings: WatchSettings) {}
 
   /**
-   * @param patienceMs - How long a row must stay unchanged, in milliseconds:
-   *     the duration of a lease and a margin.
+   * @param now - Milliseconds on the observer's clock.
+   * @returns Whether it is time to look at the leases; then not for a while.
    */
-  constructor(private readonly patienceMs: number) {}
+  due(now: number): boolean {
+    if (now - this.lastLook < this.settings.watchMs) return false;
+    this.lastLook = now;
+    return true;
+  }
 
   /**
    * Takes in what a read has shown. The sighting counts from after the answer,
    * the holder's lease from before its write was sent: the observer is always
    * later.
    *
-   * @param versions - The version of each watched lease; undefined where the
-   *     row is gone. A lease that is missing here is watched no more.
+   * @param entryIds - The entries whose leases were read; others are watched no
+   *     more.
+   * @param rows - The rows of their leases, in the same order.
    * @param now - Milliseconds on the observer's clock.
    */
   observe(
-    versions: ReadonlyMap<string, number | undefined>,
+    entryIds: readonly string[],
+    rows: readonly (Row | undefined)[],
     now: number,
   ): void {
     const next = new Map<string, Sighting>();
-    for (const [entryId, version] of versions) {
+    for (const [i, entryId] of entryIds.entries()) {
+      const version = rows[i]?.version;
       if (version === undefined) continue;
       const known = this.sightings.get(entryId);
       const same = known?.version === version;
@@ -63,8 +83,9 @@
    * @returns The leases that ran out.
    */
   lapsed(now: number): readonly LapsedLease[] {
+    const patienceMs = this.settings.leaseMs + this.settings.marginMs;
     return [...this.sightings]
-      .filter(([, {since}]) => now - since > this.patienceMs)
+      .filter(([, {since}]) => now - since > patienceMs)
       .map(([entryId, {version}]) => ({entryId, version}));
   }
 }
--- a/packages/membership/src/lib/process/leased_membership.ts
+++ b/packages/membership/src/lib/process/leased_membership.ts
@@ -1,37 +1,24 @@
 /**
- * Membership by leases in the platform's table. The package's page has the
- * protocol and its arithmetic.
+ * Membership by leases in the platform's table. The page of this package has
+ * the protocol and its arithmetic.
  */
 import {DisposableStore, hash32, repeat, sleep} from '@oathead/core';
 import type {Clock, Counters, Random} from '@oathead/core';
-import type {Row, RowCheck, TableStore} from '@oathead/platform';
+import type {RowCheck, TableStore} from '@oathead/platform';
 import {Callbacks} from './callbacks.js';
-import {
-  DIRECTORY_KEY,
-  directoryOf,
-  neighbours,
-  orphanShares,
-  preferredOwner,
-  reassign,
-  sharesOf,
-  stayingEntries,
-  withEntry,
-  withoutEntry,
-} from './directory.js';
-import type {Directory} from './directory.js';
-import {changeDirectory} from './directory_writer.js';
-import type {DirectoryPlan} from './directory_writer.js';
+import {neighbours} from './directory.js';
+import {DirectoryView} from './directory_view.js';
 import {HandOver} from './hand_over.js';
 import {EMPTY_HEAD, HEAD_KEY, headOf} from './head_row.js';
+import {LeaseKeeper} from './lease_keeper.js';
+import {leaseKey} from './lease_row.js';
 import {LeaseWatch} from './lease_watch.js';
-import type {LapsedLease} from './lease_watch.js';
-import {leaseKey, shareKey, shareOwnerOf} from './lease_row.js';
 import type {Head, HeldShare, Membership, Peer} from './membership.js';
 import type {MembershipSettings} from './membership_settings.js';
 import {OwnLease} from './own_lease.js';
-import type {Renewal} from './own_lease.js';
 import {readShareCount} from './share_count.js';
 import {ShareHoldings} from './share_holdings.js';
+import {SharePlacement} from './share_placement.js';
 
 /** What {@link LeasedMembership} works with. */
 export interface MembershipDeps {
@@ -41,18 +28,11 @@
   readonly table: TableStore;
 }
 
-const MAX_SHARES_PER_WRITE = 64;
-const RENEW_JITTER = 0.2;
-const RETRY_MS = 1_000;
-const SETTLE_MS = 100;
+const LEAVE_STEP_MS = 100;
 
 /** Membership by leases in the platform's table. */
 export class LeasedMembership implements Membership {
   private readonly store = new DisposableStore();
-  private readonly lease: OwnLease;
-  private readonly holdings: ShareHoldings;
-  private readonly handOver: HandOver;
-  private readonly watch: LeaseWatch;
   private readonly headCallbacks = new Callbacks<Head>();
   private readonly takenCallbacks = new Callbacks<HeldShare>();
   private readonly lostCallbacks = new Callbacks<HeldShare>();
@@ -60,16 +40,18 @@
     HeldShare,
     Promise<void>
   >();
-  private readonly stopped = new AbortController();
+  private readonly lease: OwnLease;
+  private readonly keeper: LeaseKeeper;
+  private readonly holdings: ShareHoldings;
+  private readonly watch: LeaseWatch;
+  private readonly view: DirectoryView;
+  private readonly placement: SharePlacement;
 
   private lastHead = EMPTY_HEAD;
-  private directory: Directory;
   private knownMembers = -1;
-  private joined = false;
+  private storedShareCount: number | undefined;
   private leaving = false;
-  private countKnown = false;
-  private lastWatch = -Infinity;
-  private running: Promise<void> = Promise.resolve();
+  private lastTask: Promise<void> = Promise.resolve();
 
   /**
    * @param deps - Clock, randomness, counters and store.
@@ -77,18 +59,40 @@
    */
   constructor(
     private readonly deps: MembershipDeps,
-    private settings: MembershipSettings,
+    private readonly settings: MembershipSettings,
   ) {
+    const {clock} = deps;
+    const {entryId, handOverMs, renewMs} = settings;
+    this.watch = new LeaseWatch(settings);
     this.lease = new OwnLease(deps, settings);
-    this.directory = directoryOf(undefined, settings.shareCount);
-    this.watch = new LeaseWatch(settings.leaseMs + settings.marginMs);
     this.holdings = new ShareHoldings({
       taken: share => this.takenCallbacks.call(share),
       lost: share => this.lostCallbacks.call(share),
     });
-    this.handOver = new HandOver(deps.clock, settings.handOverMs, share =>
+    this.keeper = this.store.add(
+      new LeaseKeeper(deps, this.lease, renewMs, {
+        renewed: () => this.holdings.tell({type: 'renew'}),
+        lapsed: () => this.holdings.tell({type: 'lapse'}),
+        gone: () => this.restart(),
+      }),
+    );
+    this.view = new DirectoryView(
+      deps,
+      () => this.shareCount,
+      () => this.checkHoldings(),
+    );
+    const handOver = new HandOver(clock, handOverMs, share =>
       Promise.allSettled(this.handOverCallbacks.call(share)),
     );
+    const {view, lease, holdings} = this;
+    this.placement = new SharePlacement({
+      ...deps,
+      entryId,
+      view,
+      lease,
+      holdings,
+      handOver,
+    });
   }
 
   get entryId(): string {
@@ -97,12 +101,12 @@
 
   /** As configured until the stored count was read; no share is held before. */
   get shareCount(): number {
-    return this.settings.shareCount;
+    return this.storedShareCount ?? this.settings.shareCount;
   }
 
-  /** Whether this entry has a lease that is valid now. */
+  /** Whether this entry is a member, and its lease valid. */
   get ready(): boolean {
-    return this.joined && this.lease.valid();
+    return this.keeper.keeping && this.lease.valid();
   }
 
   shareOf(key: string): number {
@@ -110,12 +114,13 @@
   }
 
   ownerOf(share: number): Peer | undefined {
-    const owner = this.directory.shares[share]?.owner;
-    return owner === undefined ? undefined : this.peer(owner);
+    const owner = this.view.current.shares[share]?.owner;
+    return owner === undefined ? undefined : this.view.peer(owner);
   }
 
   peers(): readonly Peer[] {
-    return Object.keys(this.directory.entries).map(id => this.peer(id)!);
+    const ids = Object.keys(this.view.current.entries);
+    return ids.map(id => this.view.peer(id)!);
   }
 
   held(): readonly HeldShare[] {
@@ -135,6 +140,7 @@
     return this.headCallbacks.add(callback);
   }
 
+  /** Calls back again for a share that was lost and has come back. */
   onTaken(callback: (share: HeldShare) => void): Disposable {
     return this.takenCallbacks.add(callback);
   }
@@ -154,19 +160,14 @@
 
   /** Joins as soon as the store can be reached, and keeps the lease. */
   start(): void {
-    const {clock} = this.deps;
-    void this.serial(() => this.poll());
-    this.store.add(
-      repeat(clock, this.settings.headPollMs, () =>
-        this.serial(() => this.poll()),
-      ),
-    );
-    void this.keepRenewing();
+    const poll = () => this.inTurn(() => this.poll());
+    void poll();
+    this.store.add(repeat(this.deps.clock, this.settings.headPollMs, poll));
   }
 
   /**
-   * Hands all shares over and leaves. Where the store cannot be reached in
-   * time, the lease runs out by itself.
+   * Hands all shares over and leaves. Where that cannot be done in time, the
+   * lease runs out by itself.
    *
    * @param timeoutMs - At most so long, in milliseconds.
    */
@@ -174,123 +175,104 @@
     const {clock} = this.deps;
     const deadline = clock.now() + timeoutMs;
     this.leaving = true;
-    let left = !this.joined;
+    this.keeper.leave();
+    let left = false;
     while (!left && clock.now() < deadline) {
-      await this.serial(async () => {
-        left = await this.leave();
-      });
-      if (!left) await sleep(clock, SETTLE_MS);
+      await Promise.race([
+        this.inTurn(async () => {
+          left = await this.leave();
+        }),
+        sleep(clock, deadline - clock.now()),
+      ]);
+      if (!left) await sleep(clock, LEAVE_STEP_MS);
     }
     this[Symbol.dispose]();
   }
 
   /** Stops at once, as a process that dies would; the lease runs out. */
   [Symbol.dispose](): void {
-    this.stopped.abort();
     this.store[Symbol.dispose]();
   }
 
-  /** Rows are read and changed by one task at a time, so that no older read
-   * overtakes a newer one. */
-  private serial(task: () => Promise<void>): Promise<void> {
-    this.running = this.running.then(async () => {
-      if (!this.stopped.signal.aborted) await task();
+  /** One at a time, so that no older read of rows overtakes a newer one. */
+  private inTurn(task: () => Promise<void>): Promise<void> {
+    this.lastTask = this.lastTask.then(async () => {
+      if (!this.store.disposed) await task();
     });
-    return this.running;
+    return this.lastTask;
   }
 
   private async poll(): Promise<void> {
     const {clock, table, counters} = this.deps;
-    const watched = this.watchedNow();
-    const keys = [HEAD_KEY, ...watched.map(leaseKey)];
-    const read = await table.read(keys);
+    const watched = this.watch.due(clock.now()) ? this.watched() : [];
+    const read = await table.read([HEAD_KEY, ...watched.map(leaseKey)]);
     if (!read.ok) {
-      counters.count('membership_poll_failed');
+      counters.count('membership_polls_failed');
       this.watch.reset();
       return;
     }
     const [head, ...leases] = read.value;
-    if (watched.length > 0) this.observe(watched, leases, clock.now());
+    if (watched.length > 0) this.watch.observe(watched, leases, clock.now());
     this.lastHead = headOf(head);
     this.headCallbacks.call(this.lastHead);
-    await this.settle();
+    if (await this.learnShareCount()) await this.settle();
   }
 
   private async settle(): Promise<void> {
-    if (!(await this.learnShareCount())) return;
-    if (!this.joined) await this.join();
-    if (this.lastHead.members !== this.knownMembers) await this.refresh();
+    if (!this.keeper.keeping && !this.leaving) await this.join();
+    await this.refresh();
     await this.takeOverLapsed();
-    await this.assignOrphans();
-    await this.adoptGranted();
-    await this.handOverMisplaced();
+    if (!this.keeper.keeping) return;
+    await this.placement.assignOrphans();
+    await this.placement.adoptGranted();
+    await this.placement.handOverMisplaced();
   }
 
   private async learnShareCount(): Promise<boolean> {
-    if (this.countKnown) return true;
-    const count = await readShareCount(this.deps, this.settings.shareCount);
-    if (count === undefined) return false;
-    this.settings = {...this.settings, shareCount: count};
-    this.directory = directoryOf(undefined, count);
-    this.countKnown = true;
-    return true;
+    const {deps, settings} = this;
+    this.storedShareCount ??= await readShareCount(deps, settings.shareCount);
+    return this.storedShareCount !== undefined;
   }
 
   private async join(): Promise<void> {
-    if (this.leaving) return;
-    const outcome = await this.lease.join(this.shareCount);
-    if (!outcome.ok) return;
-    const entry = outcome.value.entries[this.entryId];
-    this.joined = entry?.boot === this.lease.boot;
-    if (this.joined) this.noteRenewal(await this.lease.renew(false));
-    this.adopt(outcome.value);
+    const {address, dataCentre} = this.settings;
+    const {boot} = this.lease;
+    const entry = {address, dataCentre, leaving: false, boot};
+    if (await this.placement.join(entry)) await this.keeper.begin();
   }
 
   private async refresh(): Promise<void> {
     const {members} = this.lastHead;
-    const read = await this.deps.table.read([DIRECTORY_KEY]);
-    if (!read.ok) return;
-    this.knownMembers = members;
-    this.adopt(directoryOf(read.value[0], this.shareCount));
+    if (members === this.knownMembers) return;
+    if (await this.view.refresh()) this.knownMembers = members;
   }
 
-  private adopt(directory: Directory): void {
-    this.directory = directory;
-    const entry = directory.entries[this.entryId];
-    const mine = this.joined && entry?.boot === this.lease.boot;
-    if (this.joined && !mine) this.restart();
+  /** Gives up what the directory says is not this entry's. */
+  private checkHoldings(): void {
+    const {entries, shares} = this.view.current;
+    const mine = entries[this.entryId]?.boot === this.lease.boot;
+    if (this.keeper.keeping && !mine) this.restart();
     for (const {share, epoch} of this.holdings.all()) {
-      const now = directory.shares[share];
+      const now = shares[share];
       const kept = now?.owner === this.entryId && now.epoch === epoch;
       if (!kept) this.holdings.revoke(share);
     }
   }
 
+  /** Another entry has ended this entry's lease: it begins anew. */
   private restart(): void {
-    this.deps.counters.count('membership_lease_lost');
-    this.joined = false;
-    this.lease.restart();
+    if (!this.leaving) this.deps.counters.count('membership_lease_lost');
+    this.keeper.end();
     for (const {share} of this.holdings.all()) this.holdings.revoke(share);
   }
 
-  private watchedNow(): readonly string[] {
-    const now = this.deps.clock.now();
-    if (now - this.lastWatch < this.settings.watchMs) return [];
-    this.lastWatch = now;
-    if (!this.joined) {
-      const old = this.directory.entries[this.entryId];
-      return old === undefined ? [] : [this.entryId];
+  private watched(): readonly string[] {
+    const {current} = this.view;
+    if (this.keeper.keeping) {
+      return neighbours(current, this.entryId, this.settings.neighbours);
     }
-    return neighbours(this.directory, this.entryId, this.settings.neighbours);
-  }
-
-  private observe(
-    watched: readonly string[],
-    rows: readonly (Row | undefined)[],
-    now: number,
-  ): void {
-    const versions = watched.map((id, i) => [id, rows[i]?.version] as const);
-    this.watch.observe(new Map(versions), now);
+    const earlier = current.entries[this.entryId];
+    return earlier === undefined ? [] : [this.entryId];
   }
 
   /**
@@ -298,156 +280,20 @@
    * lapsed. An entry that cannot renew its own lease does not judge others.
    */
   private async takeOverLapsed(): Promise<void> {
-    if (this.joined && !this.lease.valid()) this.watch.reset();
+    if (this.keeper.keeping && !this.lease.valid()) this.watch.reset();
     for (const lapsed of this.watch.lapsed(this.deps.clock.now())) {
-      await this.takeOver(lapsed);
+      await this.placement.takeOver(lapsed);
     }
   }
 
-  private async takeOver({entryId, version}: LapsedLease): Promise<void> {
-    const done = await this.change(directory => {
-      if (directory.entries[entryId] === undefined) return undefined;
-      const shares = sharesOf(directory, entryId);
-      const rest = withoutEntry(directory, entryId);
-      return {
-        directory: reassign(rest, shares.slice(0, MAX_SHARES_PER_WRITE)),
-        checks: [{key: leaseKey(entryId), version}],
-        writes: [{kind: 'delete', key: leaseKey(entryId)}],
-      };
-    });
-    if (done) this.deps.counters.count('membership_take_overs');
-  }
-
-  /** One entry alone assigns what nobody owns: all at once would conflict. */
-  private async assignOrphans(): Promise<void> {
-    if (orphanShares(this.directory).length === 0) return;
-    const staying = stayingEntries(this.directory);
-    if (preferredOwner(-1, staying) !== this.entryId) return;
-    await this.change(directory => {
-      const orphans = orphanShares(directory);
-      if (orphans.length === 0) return undefined;
-      const some = orphans.slice(0, MAX_SHARES_PER_WRITE);
-      return {directory: reassign(directory, some), checks: [], writes: []};
-    });
-  }
-
-  /** Begins to act on shares that the directory gives to this entry. */
-  private async adoptGranted(): Promise<void> {
-    if (!this.ready) return;
-    const held = new Set(this.holdings.all().map(({share}) => share));
-    const granted = sharesOf(this.directory, this.entryId).filter(
-      share => !held.has(share),
-    );
-    if (granted.length === 0) return;
-    const read = await this.deps.table.read(granted.map(shareKey));
-    if (!read.ok) return;
-    for (const [i, share] of granted.entries())
-      this.grant(share, read.value[i]);
-  }
-
-  private grant(share: number, row: Row | undefined): void {
-    if (row === undefined || !this.ready) return;
-    const {owner, epoch} = shareOwnerOf(row);
-    const expected = this.directory.shares[share]!.epoch;
-    if (owner !== this.entryId || epoch !== expected) return;
-    this.holdings.grant({share, epoch}, row.version);
-  }
-
-  private async handOverMisplaced(): Promise<void> {
-    const staying = stayingEntries(this.directory);
-    for (const share of this.holdings.held()) {
-      if (preferredOwner(share.share, staying) === this.entryId) continue;
-      this.holdings.tell({type: 'handOver'}, [share.share]);
-      this.handOver.begin(share);
-    }
-    const ready = this.handOver.ready();
-    if (ready.length === 0) return;
-    const {entryId} = this;
-    await this.change(directory => {
-      const mine = ready.filter(s => directory.shares[s]?.owner === entryId);
-      if (mine.length === 0) return undefined;
-      const some = mine.slice(0, MAX_SHARES_PER_WRITE);
-      return {directory: reassign(directory, some), checks: [], writes: []};
-    });
-    this.handOver.end(ready);
-    this.holdings.tell({type: 'keep'}, ready);
-  }
-
   /** @returns Whether nothing of this entry is left. */
   private async leave(): Promise<boolean> {
-    const {entryId} = this;
-    const entry = this.directory.entries[entryId];
-    if (!this.joined || entry === undefined) return true;
-    if (!entry.leaving) await this.declareLeaving();
-    await this.handOverMisplaced();
-    if (sharesOf(this.directory, entryId).length > 0) return false;
-    return this.change(directory => {
-      const mine = directory.entries[entryId]?.boot === this.lease.boot;
-      if (!mine) return undefined;
-      return {
-        directory: withoutEntry(directory, entryId),
-        checks: [],
-        writes: [{kind: 'delete', key: leaseKey(entryId)}],
-      };
-    });
-  }
-
-  private async declareLeaving(): Promise<void> {
-    const {entryId} = this;
-    await this.change(directory => {
-      const entry = directory.entries[entryId];
-      if (entry === undefined || entry.leaving) return undefined;
-      return {
-        directory: withEntry(directory, entryId, {...entry, leaving: true}),
-        checks: [],
-        writes: [],
-      };
-    });
-  }
-
-  private async change(plan: DirectoryPlan): Promise<boolean> {
-    const outcome = await changeDirectory(this.deps, this.shareCount, plan);
-    if (outcome.ok) this.adopt(outcome.value);
-    return outcome.ok;
-  }
-
-  private async keepRenewing(): Promise<void> {
-    const {clock, random} = this.deps;
-    const {signal} = this.stopped;
-    while (!signal.aborted) {
-      const renewal = this.joined
-        ? await this.lease.renew(this.leaving)
-        : 'unsure';
-      if (this.joined) this.noteRenewal(renewal);
-      const pauseMs = renewal === 'kept' ? this.settings.renewMs : RETRY_MS;
-      const jitter = 1 + RENEW_JITTER * (random.float() - 0.5);
-      await sleep(clock, pauseMs * jitter, signal);
-    }
-  }
-
-  private noteRenewal(renewal: Renewal): void {
-    if (this.stopped.signal.aborted) return;
-    if (renewal === 'gone') this.restart();
-    else if (this.lease.valid()) this.holdings.tell({type: 'renew'});
-    this.armLapse();
-  }
-
-  private armLapse(): void {
-    const {clock} = this.deps;
-    if (!this.lease.valid()) {
-      this.holdings.tell({type: 'lapse'});
-      return;
-    }
-    const timer = clock.after(this.lease.until - clock.now(), () => {
-      if (!this.lease.valid()) this.holdings.tell({type: 'lapse'});
-    });
-    this.store.add(timer);
-  }
-
-  private peer(entryId: string): Peer | undefined {
-    const entry = this.directory.entries[entryId];
-    if (entry === undefined) return undefined;
-    const {address, dataCentre, leaving} = entry;
-    return {entryId, address, dataCentre, leaving};
+    const {placement, keeper} = this;
+    if (!keeper.keeping) return true;
+    const entry = this.view.current.entries[this.entryId];
+    if (!entry?.leaving) await placement.declareLeaving();
+    await placement.adoptGranted();
+    await placement.handOverMisplaced();
+    return placement.leave();
   }
 }
--- a/packages/membership/src/lib/process/membership_settings.ts
+++ b/packages/membership/src/lib/process/membership_settings.ts
@@ -32,7 +32,7 @@
   leaseMs: 15_000,
   marginMs: 2_000,
   neighbours: 2,
-  handOverMs: 20_000,
+  handOverMs: 120_000,
 } as const satisfies Omit<
   MembershipSettings,
   'entryId' | 'address' | 'dataCentre'
--- a/packages/membership/src/lib/process/own_lease.ts
+++ b/packages/membership/src/lib/process/own_lease.ts
@@ -1,13 +1,11 @@
-/** Joining the fleet, and keeping the lease of this entry. */
-import type {Outcome} from '@oathead/core';
-import type {RowWrite, StoreError} from '@oathead/platform';
-import {withEntry} from './directory.js';
-import type {Directory} from './directory.js';
-import {changeDirectory} from './directory_writer.js';
+/**
+ * The lease of this entry: its row, and its end as this process's own clock
+ * sees it. It counts from before the write that renewed it was sent, so it ends
+ * here before an observer may take over, however late the answer came.
+ */
+import type {RowWrite} from '@oathead/platform';
 import type {BumpDeps} from './head_row.js';
-import {LeaseHolder} from './lease_holder.js';
-import {leaseKey, leaseOf, toJson} from './lease_row.js';
-import type {LeaseRow} from './lease_row.js';
+import {leaseKey, leaseOf, rowJson} from './lease_row.js';
 import type {MembershipSettings} from './membership_settings.js';
 
 /** What came of an attempt to renew. */
@@ -18,11 +16,16 @@
   /** Another entry ended the lease. */
   | 'gone';
 
+const MAX_UNANSWERED = 16;
+
 /** The lease of this entry. */
 export class OwnLease {
-  private readonly holder: LeaseHolder;
+  /** When the writes were sent whose fate may still be learnt, by nonce. */
+  private readonly sentAt = new Map<string, number>();
   private currentBoot: string;
   private epoch = 0;
+  private version = 0;
+  private validUntil = -Infinity;
 
   /**
    * @param deps - Store, clock and randomness.
@@ -32,7 +35,6 @@
     private readonly deps: BumpDeps,
     private readonly settings: MembershipSettings,
   ) {
-    this.holder = new LeaseHolder(deps.clock, settings.leaseMs);
     this.currentBoot = deps.random.id();
   }
 
@@ -43,43 +45,29 @@
 
   /** When the lease ends by this process's clock, in milliseconds. */
   get until(): number {
-    return this.holder.until;
+    return this.validUntil;
   }
 
   /** @returns Whether this entry may act on its shares now. */
   valid(): boolean {
-    return this.holder.valid();
+    return this.deps.clock.now() < this.validUntil;
   }
 
   /** Begins a new tenure: the one before was ended by another entry. */
   restart(): void {
-    this.holder.drop();
+    this.sentAt.clear();
     this.currentBoot = this.deps.random.id();
+    this.version = 0;
+    this.validUntil = -Infinity;
   }
 
   /**
-   * Writes lease and directory. Where an earlier process of the same id still
-   * stands in the directory, its lease has to run out first, as for any other.
-   *
-   * @param shareCount - Number of shares.
-   * @returns The directory, with or without this entry, or the error.
+   * @param epoch - Epoch of the new lease.
+   * @returns The write that creates it.
    */
-  join(shareCount: number): Promise<Outcome<Directory, StoreError>> {
-    const {entryId, address, dataCentre} = this.settings;
-    const boot = this.currentBoot;
-    return changeDirectory(this.deps, shareCount, directory => {
-      if (directory.entries[entryId] !== undefined) return undefined;
-      this.epoch = directory.joins + 1;
-      const entry = {address, dataCentre, leaving: false, boot};
-      return {
-        directory: {
-          ...withEntry(directory, entryId, entry),
-          joins: this.epoch,
-        },
-        checks: [{key: leaseKey(entryId), version: 0}],
-        writes: [this.leaseWrite(this.nextNonce(), false)],
-      };
-    });
+  create(epoch: number): RowWrite {
+    this.epoch = epoch;
+    return this.write(this.send(), false);
   }
 
   /**
@@ -90,16 +78,17 @@
    * @returns What came of it.
    */
   async renew(leaving: boolean): Promise<Renewal> {
-    const {version} = this.holder;
+    const {version, boot} = this;
     if (version === 0) return this.readBack();
-    const nonce = this.nextNonce();
+    const nonce = this.send();
     const key = leaseKey(this.settings.entryId);
     const outcome = await this.deps.table.write({
       checks: [{key, version}],
-      writes: [this.leaseWrite(nonce, leaving)],
+      writes: [this.write(nonce, leaving)],
     });
+    if (boot !== this.currentBoot) return 'unsure';
     if (outcome.ok) {
-      this.holder.confirm(outcome.value.versions[key]!, {nonce});
+      this.confirm(outcome.value.versions[key]!, nonce);
       return 'kept';
     }
     const {err} = outcome;
@@ -113,26 +102,37 @@
    * that stands in it is this process's, and its nonce which of them.
    */
   private async readBack(): Promise<Renewal> {
+    const {boot} = this;
     const read = await this.deps.table.read([leaseKey(this.settings.entryId)]);
-    if (!read.ok) return 'unsure';
+    if (!read.ok || boot !== this.currentBoot) return 'unsure';
     const row = read.value[0];
     if (row === undefined) return 'gone';
     const lease = leaseOf(row);
-    if (lease.boot !== this.currentBoot) return 'gone';
-    this.holder.confirm(row.version, lease);
-    return this.holder.valid() ? 'kept' : 'unsure';
+    if (lease.boot !== boot) return 'gone';
+    this.confirm(row.version, lease.nonce);
+    return this.valid() ? 'kept' : 'unsure';
   }
 
-  private nextNonce(): string {
+  private confirm(version: number, nonce: string): void {
+    const sentAt = this.sentAt.get(nonce) ?? -Infinity;
+    this.version = version;
+    this.validUntil = Math.max(this.validUntil, sentAt + this.settings.leaseMs);
+  }
+
+  private send(): string {
     const nonce = this.deps.random.id();
-    this.holder.sending(nonce);
+    this.sentAt.set(nonce, this.deps.clock.now());
+    if (this.sentAt.size > MAX_UNANSWERED) {
+      const [oldest] = this.sentAt.keys();
+      this.sentAt.delete(oldest!);
+    }
     return nonce;
   }
 
-  private leaseWrite(nonce: string, leaving: boolean): RowWrite {
+  private write(nonce: string, leaving: boolean): RowWrite {
     const {entryId, address, dataCentre} = this.settings;
-    const {epoch, currentBoot: boot} = this;
-    const row: LeaseRow = {address, dataCentre, epoch, leaving, boot, nonce};
-    return {kind: 'put', key: leaseKey(entryId), value: toJson(row)};
+    const {epoch, boot} = this;
+    const row = {address, dataCentre, epoch, leaving, boot, nonce};
+    return {kind: 'put', key: leaseKey(entryId), value: rowJson(row)};
   }
 }
--- a/packages/membership/src/test/fakes/store_view.ts
+++ b/packages/membership/src/test/fakes/store_view.ts
@@ -49,6 +49,7 @@
 /** What one host sees of the stores. */
 export class StoreView implements TableStore, ObjectStore {
   reads = 0;
+  rowsRead = 0;
   writes = 0;
 
   constructor(
@@ -57,11 +58,13 @@
     private readonly random: Random,
     private readonly table: LoggedTable,
     private readonly objects: MemoryObjects,
-    private readonly faults: Faults,
+    /** Those of the store, and those of the way to it. */
+    private readonly faults: readonly Faults[],
   ) {}
 
   read(keys: readonly string[]) {
     this.reads++;
+    this.rowsRead += keys.length;
     return this.host.hear(this.asked(() => this.table.read(keys)));
   }
 
@@ -92,15 +95,18 @@
 
   private async asked<T>(ask: () => Promise<Result<T>>): Promise<Result<T>> {
     await sleep(this.world, LATENCY_MS);
-    return this.faults.down ? this.silence('no') : ask();
+    const down = this.faults.some(faults => faults.down);
+    return down ? this.silence('no') : ask();
   }
 
   private async changed<T>(
     change: () => Promise<Result<T>>,
   ): Promise<Result<T>> {
     await sleep(this.world, LATENCY_MS);
-    const {down, writesDown, lateWrites, lostAnswers} = this.faults;
-    if (down || writesDown) return this.silence('no');
+    const down = this.faults.some(faults => faults.down || faults.writesDown);
+    if (down) return this.silence('no');
+    const lateWrites = Math.max(...this.faults.map(f => f.lateWrites));
+    const lostAnswers = Math.max(...this.faults.map(f => f.lostAnswers));
     const draw = this.random.float();
     if (draw < lateWrites) {
       this.world.after(LATE_MS, () => void change());
