--- a/packages/target/src/lib/process/admission_driver.ts
+++ b/packages/target/src/lib/process/admission_driver.ts
@@ -3,6 +3,7 @@
   Admission,
   AdmissionAction,
   AdmissionEvent,
+  AdmissionLoad,
   Clock,
   Refusal,
 } from '@oathead/core';
@@ -43,7 +44,7 @@
    * @param orders - Carries out what it decides.
    */
   constructor(
-    readonly admission: Admission,
+    private readonly admission: Admission,
     private readonly clock: Clock,
     orders: AdmissionOrders,
   ) {
@@ -57,6 +58,11 @@
     };
   }
 
+  /** @returns The policy's part of a load report. */
+  load(): AdmissionLoad {
+    return this.admission.load();
+  }
+
   /** Whether nothing waits and the engine is free of all. */
   get idle(): boolean {
     return this.active.size === 0;
--- a/packages/target/src/lib/process/engine_watch.ts
+++ b/packages/target/src/lib/process/engine_watch.ts
@@ -1,10 +1,10 @@
 /** Watches whether the engine answers, and what it says of itself. */
 import {EngineError, repeat} from '@oathead/core';
 import type {Clock, Counters, EngineClient, EngineLoad} from '@oathead/core';
-import debugLogger from 'debug';
+import {logOf} from '@oathead/observe';
 import {CacheIndex} from './cache_index.js';
 
-const debug = debugLogger('oathead:engine');
+const log = logOf('target:engine');
 
 /** How often the engine is asked. */
 export interface EngineWatchSettings {
@@ -62,7 +62,9 @@
 
   /** A request's connection to the engine broke: down until a probe answers. */
   suspect(): void {
+    if (this.isDown) return;
     this.setDown(true);
+    void this.probe();
   }
 
   /** Asks the engine once. */
@@ -102,7 +104,7 @@
     if (down === this.isDown) return;
     this.isDown = down;
     if (down) this.cache.reset();
-    debug(down ? 'does not answer' : 'answers');
+    log(down ? 'does not answer' : 'answers');
     this.counters.count('engine_state', {to: down ? 'down' : 'up'});
     this.events.changed();
   }
--- a/packages/target/src/lib/process/gate.ts
+++ b/packages/target/src/lib/process/gate.ts
@@ -27,7 +27,7 @@
 
 /** Plain services have no versions that the system knows. */
 const SERVICE_VERSION = 'service';
-const ENGINE_RETRY_MS = 1_000;
+const RETRY_MS = 1_000;
 
 /** Finds the backend and version for a request. */
 export class Gate {
@@ -55,12 +55,9 @@
     if (this.config.isBlocked(workFingerprint(work))) {
       return notRun('suspect', 'targets have died of this request');
     }
-    if (work.kind === 'completion' && this.watch?.down) {
-      const why = 'the engine does not answer';
-      return notRun('no-target', why, ENGINE_RETRY_MS);
-    }
     if (this.route(work)) return undefined;
-    return notRun('no-target', `${name} is not ready at this target`);
+    const why = `${name} is not ready at this target`;
+    return notRun('no-target', why, RETRY_MS);
   }
 
   /**
@@ -75,6 +72,8 @@
       return {backend, version: SERVICE_VERSION};
     }
     const {engine} = this.backends;
+    // Handed to an engine that is down, it could not be called "not run".
+    if (this.watch?.down) return undefined;
     const version = this.readyVersion(work.model, work.adapter);
     if (!engine || version === undefined) return undefined;
     return {backend: {kind: 'model', engine}, version};
--- a/packages/target/src/lib/process/order_desk.ts
+++ b/packages/target/src/lib/process/order_desk.ts
@@ -1,5 +1,5 @@
 /** Orders on their way to the engine. */
-import {EngineError, mayHaveRun, notRun} from '@oathead/core';
+import {EngineError, mayHaveRun} from '@oathead/core';
 import type {Clock, EngineClient, Order, OrderOutcome} from '@oathead/core';
 import {LRUCache} from 'lru-cache';
 import type {FenceGuard} from './fence_checks.js';
@@ -14,14 +14,14 @@
   private last: Promise<unknown> = Promise.resolve();
 
   /**
-   * @param engine - The engine; absent beside plain services.
+   * @param engine - The engine.
    * @param guard - Checks the fences.
    * @param clock - Timeouts are measured on it.
    * @param timeoutMs - Largest wait for the engine, in milliseconds.
    */
   constructor(
-    private readonly engine: EngineClient | undefined,
-    readonly guard: FenceGuard,
+    private readonly engine: EngineClient,
+    private readonly guard: FenceGuard,
     private readonly clock: Clock,
     private readonly timeoutMs: number,
   ) {}
@@ -50,10 +50,6 @@
   }
 
   private async send(order: Order): Promise<OrderOutcome> {
-    if (!this.engine) {
-      const refusal = notRun('no-target', 'plain services take no orders');
-      return {kind: 'refused', refusal};
-    }
     const timeout = new AbortController();
     using timer = this.clock.after(this.timeoutMs, () => timeout.abort());
     void timer;
--- a/packages/target/src/lib/process/run_director.ts
+++ b/packages/target/src/lib/process/run_director.ts
@@ -1,39 +1,18 @@
 /** Takes runs from their arrival to their outcome, as admission decides. */
-import {
-  DisposableStore,
-  EngineError,
-  InvariantError,
-  invariant,
-  mayHaveRun,
-  notRun,
-  poolOf,
-} from '@oathead/core';
-import type {
-  AdmissionRequest,
-  Clock,
-  Counters,
-  Refusal,
-  ServeOutcome,
-  ServeRequest,
-} from '@oathead/core';
-import {callBackend, refusalOf} from '../request/backend_call.js';
-import {
-  endSpan,
-  startEngineSpan,
-  startRequestSpan,
-} from '../request/target_spans.js';
-import type {TargetSpan} from '../request/target_spans.js';
-import {TargetRun} from '../request/target_run.js';
-import type {AdmissionOrders} from './admission_driver.js';
+import {invariant, mayHaveRun, notRun} from '@oathead/core';
+import type {Refusal, ServeOutcome, ServeRequest} from '@oathead/core';
+import type {Backend} from '../request/backend_call.js';
+import {takeTurn} from '../request/backend_turn.js';
+import {LiveRun} from '../request/live_run.js';
+import type {LiveRunParts} from '../request/live_run.js';
+import type {TargetRun} from '../request/target_run.js';
 import {AdmissionDriver} from './admission_driver.js';
-import type {AdmissionFactory} from './admission_driver.js';
+import type {AdmissionFactory, AdmissionOrders} from './admission_driver.js';
 import type {Gate} from './gate.js';
 import type {RunMemory} from './run_memory.js';
 
 /** What the director needs. */
-export interface RunDirectorParts {
-  readonly clock: Clock;
-  readonly counters: Counters;
+export interface RunDirectorParts extends LiveRunParts {
   readonly createAdmission: AdmissionFactory;
   readonly memory: RunMemory;
   readonly gate: Gate;
@@ -43,12 +22,6 @@
   readonly engineLost: () => void;
 }
 
-interface LiveRun {
-  readonly run: TargetRun;
-  readonly span: TargetSpan;
-  readonly owned: DisposableStore;
-}
-
 /** Longest delay that a timer of the platform takes. */
 const MAX_DELAY_MS = 2 ** 31 - 1;
 
@@ -78,16 +51,15 @@
    * @returns Its run.
    */
   arrive(req: ServeRequest): TargetRun {
-    const {clock, memory} = this.parts;
-    const run = new TargetRun(req);
-    const owned = new DisposableStore();
-    this.live.set(run.key, {run, owned, span: startRequestSpan(req)});
-    memory.add(run);
+    const live = new LiveRun(req, this.parts);
+    const {run} = live;
+    this.live.set(run.key, live);
+    this.parts.memory.add(run);
     const timeoutMs = Math.min(req.timeoutMs, MAX_DELAY_MS);
-    owned.add(clock.after(timeoutMs, () => this.expire(run)));
+    const expire = () => this.expire(run);
+    live.owned.add(this.parts.clock.after(timeoutMs, expire));
     this.driver.begin(run.key);
-    const request = admissionRequest(run, clock.now() + req.timeoutMs);
-    this.driver.report({kind: 'arrived', request});
+    this.driver.report(live.arrival());
     this.parts.touch();
     return run;
   }
@@ -98,7 +70,7 @@
     const {run} = live;
     const route = this.parts.gate.route(run.req.work);
     if (!route) {
-      this.refuse(id, notRun('no-target', 'the version has gone'));
+      this.refuse(id, notRun('no-target', 'nothing is ready for it any more'));
       this.driver.report({kind: 'ended', id, how: 'failed'});
       return;
     }
@@ -111,7 +83,7 @@
     const run = this.live.get(id)?.run;
     if (!run?.abort) return;
     if (!run.preemptible) {
-      this.parts.counters.count('preempt_declined');
+      this.parts.metrics.count('preempt_declined');
       return;
     }
     run.step({type: 'preempt'});
@@ -128,8 +100,7 @@
 
   giveBack(id: string): void {
     const run = this.live.get(id)?.run;
-    if (!run) return;
-    this.settle(run, {kind: 'yielded', partial: run.partial()});
+    if (run) this.settle(run, {kind: 'yielded', partial: run.partial()});
   }
 
   /**
@@ -158,7 +129,6 @@
     this.isLeaving = false;
     this.driver[Symbol.dispose]();
     this.driver = this.createDriver();
-    this.parts.touch();
   }
 
   /** Ends what is left when the grace period of a stop is over. */
@@ -177,63 +147,16 @@
     return new AdmissionDriver(createAdmission(), clock, this);
   }
 
-  private async execute(
-    live: LiveRun,
-    backend: Parameters<typeof callBackend>[1],
-  ): Promise<void> {
-    const {run} = live;
-    const abort = new AbortController();
-    run.abort = abort;
-    await run.handedOver();
-    const span = startEngineSpan(live.span, run.req);
-    let outcome: ServeOutcome | undefined;
-    try {
-      abort.signal.throwIfAborted();
-      outcome = await callBackend(
-        run,
-        backend,
-        {token: () => this.onToken(run)},
-        abort.signal,
-        span.traceparent,
-      );
-    } catch (err) {
-      outcome = this.onInterrupted(run, err, abort.signal);
-    } finally {
-      run.abort = undefined;
-    }
-    endSpan(span, outcome);
-    this.onFree(run, outcome);
-  }
-
-  private onToken(run: TargetRun): void {
-    const id = run.key;
-    if (run.state === 'started') {
-      run.step({type: 'first-token'});
-      this.driver.report({kind: 'first-token', id});
-    } else {
-      this.driver.report({kind: 'tokens', id, count: 1});
-    }
-  }
-
-  /** The backend gave no answer: because it was told to stop, or by itself. */
-  private onInterrupted(
-    run: TargetRun,
-    err: unknown,
-    signal: AbortSignal,
-  ): ServeOutcome | undefined {
-    if (signal.aborted) return undefined;
-    if (err instanceof InvariantError) throw err;
-    if (!(err instanceof EngineError)) {
-      this.parts.counters.count('engine_call_error');
-      return refused(mayHaveRun('internal', String(err)));
-    }
-    this.parts.counters.count('engine_error', {kind: err.kind});
-    if (err.kind === 'lost') this.parts.engineLost();
-    return refused(refusalOf(err));
+  private async execute(live: LiveRun, backend: Backend): Promise<void> {
+    const {driver} = this;
+    const report = driver.report.bind(driver);
+    const outcome = await takeTurn(live, backend, {...this.parts, report});
+    this.onFree(live, outcome);
   }
 
   /** The engine is free of the run. */
-  private onFree(run: TargetRun, outcome: ServeOutcome | undefined): void {
+  private onFree(live: LiveRun, outcome: ServeOutcome | undefined): void {
+    const {run} = live;
     const id = run.key;
     if (outcome) {
       this.settle(run, outcome);
@@ -247,6 +170,8 @@
     } else {
       run.step({type: 'freed'});
       this.driver.report({kind: 'ended', id, how: 'preempted'});
+      // It waits again, as one that resumes behind its tokens.
+      this.driver.report(live.arrival());
     }
     if (run.outcome) this.driver.end(id);
     this.parts.touch();
@@ -281,25 +206,15 @@
 
   private settle(run: TargetRun, outcome: ServeOutcome): void {
     const live = this.live.get(run.key);
-    if (!live || run.outcome) return;
-    const withEngine = run.abort;
-    run.end(outcome);
+    if (!live) return;
     this.live.delete(run.key);
+    live.end(outcome);
     this.parts.memory.settle(run);
-    live.owned[Symbol.dispose]();
-    endSpan(live.span, outcome);
-    this.count(run, outcome);
-    if (withEngine) withEngine.abort();
+    // The engine may still have it; `ended` follows when it is free.
+    if (run.abort) run.abort.abort();
     else this.driver.end(run.key);
     this.parts.touch();
   }
-
-  private count(run: TargetRun, outcome: ServeOutcome): void {
-    const labels = {class: run.req.class, pool: poolOf(run.req.work)};
-    const kind =
-      outcome.kind === 'refused' ? outcome.refusal.kind : outcome.kind;
-    this.parts.counters.count('target_requests', {...labels, outcome: kind});
-  }
 }
 
 function isWaiting(run: TargetRun): boolean {
@@ -309,19 +224,3 @@
 function refused(refusal: Refusal): ServeOutcome {
   return {kind: 'refused', refusal};
 }
-
-function admissionRequest(run: TargetRun, deadline: number): AdmissionRequest {
-  const {req} = run;
-  return {
-    id: run.key,
-    pool: poolOf(req.work),
-    class: req.class,
-    caller: req.caller,
-    promptTokens: req.promptTokens,
-    maxTokens: req.work.kind === 'completion' ? req.work.maxTokens : 0,
-    deadline,
-    suspect: req.suspect ?? false,
-    resumedTokens: req.resume?.tokens ?? 0,
-    preemptible: run.preemptible,
-  };
-}
--- a/packages/target/src/lib/process/run_memory.ts
+++ b/packages/target/src/lib/process/run_memory.ts
@@ -1,6 +1,7 @@
 /** What this process remembers of the requests that it has had. */
 import {mayHaveRun, notRun} from '@oathead/core';
 import type {Clock, Refusal, ServeOutcome, ServeRequest} from '@oathead/core';
+import type {HeldAnswer} from '@oathead/wire';
 import {LRUCache} from 'lru-cache';
 import {runKey} from '../request/target_run.js';
 import type {TargetRun} from '../request/target_run.js';
@@ -17,12 +18,15 @@
   readonly startedCount: number;
   /** Bytes of answers that are not written elsewhere yet. */
   readonly heldBytes: number;
+  /** How long such an answer is held if its entry never asks, milliseconds. */
+  readonly heldMs: number;
 }
 
-const MAX_ENDED = 20_000;
+const MAX_ENDED_BYTES = 32 << 20;
 const MAX_VOIDED = 20_000;
-/** An ended run without its texts, beside its answer. */
-const RUN_OVERHEAD_BYTES = 512;
+/** An ended run beside its answer, and each token of it. */
+const RUN_BYTES = 512;
+const TOKEN_BYTES = 32;
 
 /**
  * @param req - A request.
@@ -33,11 +37,17 @@
   return req.dedupeKey === undefined ? `id ${req.id}` : `key ${req.dedupeKey}`;
 }
 
+interface Held {
+  readonly run: TargetRun;
+  readonly since: number;
+}
+
 /** Live runs, ended ones, and marks of what must not start again. */
 export class RunMemory {
   private readonly live = new Map<string, TargetRun>();
   private readonly liveByName = new Map<string, TargetRun>();
-  private readonly held = new Map<string, TargetRun>();
+  /** Oldest first. */
+  private readonly held = new Map<string, Held>();
   private heldBytes = 0;
   private readonly ended: LRUCache<string, TargetRun>;
   private readonly answered: LRUCache<string, TargetRun>;
@@ -59,7 +69,8 @@
     this.ended = new LRUCache({
       ...common,
       ttl: settings.attachMs,
-      max: MAX_ENDED,
+      maxSize: MAX_ENDED_BYTES,
+      sizeCalculation: bytesOf,
       dispose: (run, key, reason) => {
         if (reason === 'evict') this.forgotYoungAt = clock.now();
       },
@@ -82,21 +93,11 @@
     });
   }
 
-  /** The runs that have no outcome yet. */
-  get running(): Iterable<TargetRun> {
-    return this.live.values();
-  }
-
   /** How many runs have no outcome yet. */
   get runningCount(): number {
     return this.live.size;
   }
 
-  /** How many answers wait to be written elsewhere. */
-  get heldCount(): number {
-    return this.held.size;
-  }
-
   /**
    * @param id - A request.
    * @param attempt - Which attempt.
@@ -115,7 +116,7 @@
     const name = outcomeName(req);
     return (
       this.liveByName.get(name) ??
-      this.held.get(name) ??
+      this.held.get(name)?.run ??
       this.answered.get(name)
     );
   }
@@ -162,9 +163,9 @@
     const name = outcomeName(run.req);
     if (this.liveByName.get(name) === run) this.liveByName.delete(name);
     this.ended.set(run.key, run);
-    if (run.outcome?.kind !== 'done') return;
-    if (run.req.dedupeKey === undefined) this.answered.set(name, run);
-    else this.hold(name, run);
+    const {dedupeKey} = run.req;
+    if (run.outcome?.kind !== 'done' || dedupeKey === undefined) return;
+    this.hold(name, run);
   }
 
   /**
@@ -174,6 +175,24 @@
     for (const key of dedupeKeys) this.releaseName(`key ${key}`);
   }
 
+  /**
+   * @param entryId - An entry, perhaps one that has died.
+   * @returns The answers to its keyed requests that it has not released.
+   */
+  *heldFor(entryId: string): Generator<HeldAnswer, void, undefined> {
+    for (const {run} of [...this.held.values()]) {
+      const {req, outcome} = run;
+      if (req.entryId !== entryId || outcome?.kind !== 'done') continue;
+      yield {
+        dedupeKey: req.dedupeKey!,
+        id: req.id,
+        caller: req.caller,
+        work: req.work,
+        answer: outcome.answer,
+      };
+    }
+  }
+
   /**
    * Makes sure that an attempt which has not arrived is never started here.
    *
@@ -194,12 +213,17 @@
   }
 
   private hold(name: string, run: TargetRun): void {
-    this.held.set(name, run);
+    const now = this.clock.now();
+    this.held.set(name, {run, since: now});
     this.heldBytes += bytesOf(run);
+    for (const [oldest, {since}] of this.held) {
+      if (now - since < this.settings.heldMs) break;
+      this.releaseName(oldest);
+    }
   }
 
   private releaseName(name: string): void {
-    const run = this.held.get(name);
+    const run = this.held.get(name)?.run;
     if (!run) return;
     this.held.delete(name);
     this.heldBytes -= bytesOf(run);
@@ -241,7 +265,7 @@
 }
 
 function bytesOf(run: TargetRun): number {
-  return RUN_OVERHEAD_BYTES + outcomeBytes(run.outcome);
+  return RUN_BYTES + TOKEN_BYTES * run.tokenCount + outcomeBytes(run.outcome);
 }
 
 function outcomeBytes(outcome: ServeOutcome | undefined): number {
--- a/packages/target/src/lib/process/target_service.ts
+++ b/packages/target/src/lib/process/target_service.ts
@@ -1,15 +1,6 @@
 /** The only way into the engine or plain services beside this process. */
-import {
-  LinkLostError,
-  mayHaveRun,
-  notRun,
-  sleep,
-  workFingerprint,
-} from '@oathead/core';
+import {mayHaveRun, notRun, sleep, workFingerprint} from '@oathead/core';
 import type {
-  Clock,
-  Counters,
-  FenceCheck,
   Heartbeat,
   HeartbeatReply,
   LoadReport,
@@ -21,100 +12,84 @@
   ServeRequest,
   TargetConfig,
 } from '@oathead/core';
-import type {Attachment, Hello, TargetHandler} from '@oathead/wire';
-import {followRun} from '../request/follow_run.js';
-import type {RunPosition} from '../request/follow_run.js';
+import type {Attachment, HeldAnswer, Hello, TargetHandler} from '@oathead/wire';
+import type {LiveRunParts} from '../request/live_run.js';
+import {RunFollowers} from '../request/run_followers.js';
+import type {FollowerSettings} from '../request/run_followers.js';
 import type {TargetRun} from '../request/target_run.js';
 import {AdoptedConfig} from '../version/adopted_config.js';
 import type {AdmissionFactory} from './admission_driver.js';
-import {EngineWatch} from './engine_watch.js';
-import type {EngineWatchSettings} from './engine_watch.js';
-import {fenceGuard} from './fence_checks.js';
+import {EngineDesk} from './engine_desk.js';
+import type {EngineSettings} from './engine_desk.js';
 import {Gate} from './gate.js';
 import type {Backends} from './gate.js';
 import {LoadBoard} from './load_board.js';
 import type {LoadBoardSettings, LoadState} from './load_board.js';
-import {OrderDesk} from './order_desk.js';
 import {RunDirector} from './run_director.js';
 import {RunMemory} from './run_memory.js';
 import type {RunMemorySettings} from './run_memory.js';
 
 /** Settings of the service. */
-export interface TargetServiceSettings {
+export interface TargetServiceSettings extends FollowerSettings {
   readonly targetId: string;
   readonly dataCentre: string;
-  readonly fenceCheck: FenceCheck;
-  /** How long a request outlives its connection, in milliseconds. */
-  readonly attachGraceMs: number;
-  /** Shortest time between two frames of one stream, in milliseconds. */
-  readonly coalesceMs: number;
-  /** Largest wait for the engine to take an order, in milliseconds. */
-  readonly orderTimeoutMs: number;
   readonly memory: RunMemorySettings;
-  readonly engine: EngineWatchSettings;
+  /** Absent beside plain services alone. */
+  readonly engine?: EngineSettings;
   readonly load: LoadBoardSettings;
 }
 
 /** What the service is made of. */
-export interface TargetServiceParts {
-  readonly clock: Clock;
+export interface TargetServiceParts extends LiveRunParts {
   readonly random: Random;
-  readonly counters: Counters;
   readonly createAdmission: AdmissionFactory;
   readonly backends: Backends;
   readonly settings: TargetServiceSettings;
 }
 
 const IDLE_CHECK_MS = 10;
+const MAX_CACHED_PREFIXES = 64;
 
 /** Serves the entries of one target. */
 export class TargetService implements TargetHandler, Disposable {
   readonly bootId: string;
   private readonly config = new AdoptedConfig();
   private readonly memory: RunMemory;
-  private readonly watch: EngineWatch | undefined;
+  private readonly engine: EngineDesk | undefined;
   private readonly gate: Gate;
   private readonly director: RunDirector;
+  private readonly followers: RunFollowers;
   private readonly board: LoadBoard;
-  private readonly orders: OrderDesk;
-  private followers = 0;
   private stopping = false;
 
   /** @param parts - What it is made of. */
   constructor(private readonly parts: TargetServiceParts) {
-    const {clock, counters, backends, settings} = parts;
+    const {clock, backends, settings} = parts;
     this.bootId = parts.random.id();
     this.memory = new RunMemory(settings.memory, clock);
-    this.watch = this.createWatch();
-    this.gate = new Gate(backends, this.config, this.watch);
+    this.engine = this.createEngineDesk();
+    this.gate = new Gate(backends, this.config, this.engine?.watch);
     this.board = new LoadBoard(() => this.loadState(), settings.load, clock);
     this.director = new RunDirector({
-      clock,
-      counters,
-      createAdmission: parts.createAdmission,
+      ...parts,
       memory: this.memory,
       gate: this.gate,
       touch: () => this.onChange(),
-      engineLost: () => this.watch?.suspect(),
+      engineLost: () => this.engine?.watch.suspect(),
     });
-    const guard = fenceGuard(settings.fenceCheck);
-    this.orders = new OrderDesk(
-      backends.engine,
-      guard,
-      clock,
-      settings.orderTimeoutMs,
-    );
+    const cancel = this.director.cancel.bind(this.director);
+    this.followers = new RunFollowers(settings, clock, cancel);
   }
 
   /** Begins to watch the engine. */
   start(): void {
-    this.watch?.start();
+    this.engine?.watch.start();
   }
 
   /** Whether new work can be served. */
   get ready(): boolean {
-    const engineUp = this.watch === undefined || !this.watch.down;
-    return engineUp && this.config.revision > 0 && !this.director.leaving;
+    const configured = this.config.revision > 0;
+    return configured && !this.engine?.watch.down && !this.director.leaving;
   }
 
   hello(): Hello {
@@ -125,6 +100,7 @@
     req: ServeRequest,
     signal: AbortSignal,
   ): AsyncGenerator<ServeEvent, void, undefined> {
+    if (signal.aborted) return;
     const known = this.known(req);
     const refusal = known ? conflict(known, req) : this.refusal(req);
     if (refusal) {
@@ -132,16 +108,14 @@
       return;
     }
     const run = known ?? this.director.arrive(req);
+    // Tokens behind another beginning would not fit to it.
     const sameStart = req.resume?.text === run.req.resume?.text;
-    yield* this.follow(
-      run,
-      {
-        startedSeen: false,
-        tokensSeen: req.resume?.tokens ?? 0,
-        stream: req.stream && sameStart,
-      },
-      signal,
-    );
+    const position = {
+      startedSeen: false,
+      tokensSeen: req.resume?.tokens ?? 0,
+      stream: req.stream && sameStart,
+    };
+    yield* this.followers.follow(run, position, signal);
   }
 
   async *attach(
@@ -154,27 +128,29 @@
       yield {kind: 'refused', refusal: this.unknown(attachment)};
       return;
     }
+    this.parts.metrics.count('attached');
     const {stream, resume} = run.req;
     const position = {
       startedSeen,
       tokensSeen: Math.max(tokensSeen, resume?.tokens ?? 0),
       stream,
     };
-    this.parts.counters.count('attached');
-    yield* this.follow(run, position, signal);
+    yield* this.followers.follow(run, position, signal);
   }
 
   async heartbeat(req: Heartbeat): Promise<HeartbeatReply> {
     if (req.cfg) this.adopt(req.cfg);
     // A token read for another boot may be older than what this boot must know.
     if (req.orderFence?.bootId === this.bootId) {
-      this.orders.guard.learn(req.orderFence.token);
+      this.engine?.learnFence(req.orderFence.token);
     }
     return {bootId: this.bootId, load: this.board.report()};
   }
 
-  order(order: Order): Promise<OrderOutcome> {
-    return this.orders.give(order);
+  async order(order: Order): Promise<OrderOutcome> {
+    if (this.engine) return this.engine.order(order);
+    const refusal = notRun('no-target', 'plain services take no orders');
+    return {kind: 'refused', refusal};
   }
 
   reports(signal: AbortSignal): AsyncIterable<LoadReport> {
@@ -185,6 +161,15 @@
     this.memory.release(dedupeKeys);
   }
 
+  async *held(entryId: string): AsyncGenerator<HeldAnswer, void, undefined> {
+    yield* this.memory.heldFor(entryId);
+  }
+
+  async cachedPrefixes(): Promise<readonly string[]> {
+    const prefixes = this.engine?.watch.cache.prefixes() ?? [];
+    return prefixes.slice(0, MAX_CACHED_PREFIXES);
+  }
+
   /**
    * Stops without cutting off what is in flight: says so, takes nothing new,
    * gives batch work back and finishes the rest.
@@ -194,23 +179,23 @@
    *     or when the grace period is over.
    */
   async drain(graceMs: number): Promise<void> {
-    const until = this.parts.clock.now() + graceMs;
+    const {clock, settings} = this.parts;
     this.stopping = true;
     this.director.leave();
-    await this.idle(until);
+    await this.idle(clock.now() + graceMs);
     this.director.cutOff();
-    await this.idle(this.parts.clock.now() + this.parts.settings.attachGraceMs);
+    await this.idle(clock.now() + settings.attachGraceMs);
   }
 
   [Symbol.dispose](): void {
-    this.watch?.[Symbol.dispose]();
+    this.engine?.[Symbol.dispose]();
     this.director[Symbol.dispose]();
   }
 
-  private createWatch(): EngineWatch | undefined {
-    const {backends, settings, clock, counters} = this.parts;
-    if (!backends.engine) return undefined;
-    return new EngineWatch(backends.engine, settings.engine, clock, counters, {
+  private createEngineDesk(): EngineDesk | undefined {
+    const {backends, settings} = this.parts;
+    if (!backends.engine || !settings.engine) return undefined;
+    return new EngineDesk(backends.engine, settings.engine, this.parts, {
       load: load => {
         this.director.admission.report({kind: 'load', load});
         this.board.touch();
@@ -220,18 +205,15 @@
   }
 
   private known(req: ServeRequest): TargetRun | undefined {
-    return (
-      this.memory.byAttempt(req.id, req.attempt) ?? this.memory.sameOutcome(req)
-    );
+    const same = this.memory.byAttempt(req.id, req.attempt);
+    return same ?? this.memory.sameOutcome(req);
   }
 
   private refusal(req: ServeRequest): Refusal | undefined {
     const barred = this.memory.barred(req);
     if (barred) return barred;
-    if (this.director.leaving) {
-      return notRun('leaving', 'this target takes no new work');
-    }
-    return this.gate.refusal(req);
+    if (!this.director.leaving) return this.gate.refusal(req);
+    return notRun('leaving', 'this target takes no new work');
   }
 
   /** Nothing is known of a request that a link asks about. */
@@ -246,85 +228,52 @@
     return this.memory.voidUnseen(id, attempt, sentAgoMs);
   }
 
-  private async *follow(
-    run: TargetRun,
-    from: RunPosition,
-    signal: AbortSignal,
-  ): AsyncGenerator<ServeEvent, void, undefined> {
-    const {clock, settings} = this.parts;
-    const following = run.follow();
-    this.followers++;
-    try {
-      yield* followRun(run, from, clock, settings.coalesceMs, signal);
-    } finally {
-      following[Symbol.dispose]();
-      this.followers--;
-      this.onLeft(run, signal);
-    }
-  }
-
-  /**
-   * Guards against work for nobody, and against an answer lost with its
-   * connection: a caller that has gone ends the run, a broken connection only
-   * after a grace in which its link can attach again. A request that may run
-   * only once is not cancelled with its connection at all: its resend can still
-   * have the answer, and cancelled its outcome would be unknown for good.
-   */
-  private onLeft(run: TargetRun, signal: AbortSignal): void {
-    if (run.outcome || run.followers > 0) return;
-    if (!(signal.reason instanceof LinkLostError)) {
-      this.director.cancel(run);
-      return;
-    }
-    if (!run.req.idempotent && !run.unseen) return;
-    this.parts.clock.after(this.parts.settings.attachGraceMs, () => {
-      if (run.followers === 0) this.director.cancel(run);
-    });
-  }
-
   private adopt(config: TargetConfig): void {
     if (!this.config.offer(config)) return;
-    const {pools, callerWeights, leaving} = config;
-    this.director.admission.report({kind: 'config', pools, callerWeights});
-    if (leaving) this.director.leave();
+    this.configure();
+    if (config.leaving) this.director.leave();
     this.onChange();
   }
 
-  /** Also takes work again when a target is declared back in. */
+  private configure(): void {
+    const {pools, callerWeights} = this.config.config;
+    this.director.admission.report({kind: 'config', pools, callerWeights});
+  }
+
+  /** Also takes work again when the target was declared back in. */
   private onChange(): void {
-    const {leaving} = this.director;
-    const wanted = this.stopping || (this.config.config.leaving ?? false);
-    if (leaving && !wanted && this.director.admission.idle) {
+    const {leaving, admission} = this.director;
+    const wanted = this.stopping || this.config.config.leaving;
+    if (leaving && !wanted && admission.idle) {
       this.director.rejoin();
-      const {pools, callerWeights} = this.config.config;
-      this.director.admission.report({kind: 'config', pools, callerWeights});
+      this.configure();
     }
     this.board.touch();
   }
 
   private async idle(until: number): Promise<void> {
     const {clock} = this.parts;
-    const busy = () => this.memory.runningCount > 0 || this.followers > 0;
+    const busy = () => this.memory.runningCount + this.followers.count > 0;
     while (busy() && clock.now() < until) await sleep(clock, IDLE_CHECK_MS);
   }
 
   private loadState(): LoadState {
     const {targetId, dataCentre} = this.parts.settings;
     return {
-      ...this.director.admission.admission.load(),
+      ...this.director.admission.load(),
       targetId,
       dataCentre,
       leaving: this.director.leaving,
       cfgRevision: this.config.revision,
       versions: this.gate.versions(),
-      engineDown: this.watch?.down ?? false,
+      engineDown: this.engine?.watch.down ?? false,
     };
   }
 }
 
+/** A key names one request: another one must not get its answer. */
 function conflict(run: TargetRun, req: ServeRequest): Refusal | undefined {
-  if (workFingerprint(run.req.work) === workFingerprint(req.work)) {
-    return undefined;
-  }
+  const same = workFingerprint(run.req.work) === workFingerprint(req.work);
+  if (same) return undefined;
   return notRun('key-conflict', 'the key was used for another request');
 }
--- a/packages/target/src/lib/request/backend_call.ts
+++ b/packages/target/src/lib/request/backend_call.ts
@@ -1,10 +1,9 @@
 /** One request's time at the engine or plain service. */
-import {EngineError, invariant, mayHaveRun} from '@oathead/core';
+import {EngineError, invariant} from '@oathead/core';
 import type {
   Completion,
   EngineClient,
   EngineRequest,
-  Refusal,
   ServeOutcome,
   ServiceCall,
   ServiceClient,
@@ -16,18 +15,12 @@
   | {readonly kind: 'model'; readonly engine: EngineClient}
   | {readonly kind: 'service'; readonly service: ServiceClient};
 
-/** What a call tells while it goes on. */
-export interface CallEvents {
-  /** The run has one more token. */
-  token(): void;
-}
-
 /**
  * Has a run's work done, from where it stands.
  *
  * @param run - The run, marked as started.
  * @param backend - What serves its pool.
- * @param events - Told of tokens.
+ * @param onToken - Told after each token.
  * @param signal - Cancels the work at the backend.
  * @param traceparent - Trace context for the backend.
  * @returns How the work ended.
@@ -36,7 +29,7 @@
 export async function callBackend(
   run: TargetRun,
   backend: Backend,
-  events: CallEvents,
+  onToken: () => void,
   signal: AbortSignal,
   traceparent?: string,
 ): Promise<ServeOutcome> {
@@ -44,7 +37,7 @@
   if (work.kind === 'completion') {
     invariant(backend.kind === 'model', 'a completion needs an engine');
     const req = engineRequest(run, work, traceparent);
-    return generate(run, backend.engine, req, events, signal);
+    return generate(run, backend.engine, req, onToken, signal);
   }
   invariant(backend.kind === 'service', 'a call needs a service');
   return call(work, backend.service, signal, traceparent);
@@ -63,7 +56,7 @@
   run: TargetRun,
   engine: EngineClient,
   req: EngineRequest,
-  events: CallEvents,
+  onToken: () => void,
   signal: AbortSignal,
 ): Promise<ServeOutcome> {
   const tokens = new TokenOrder(run.tokenCount);
@@ -71,7 +64,7 @@
     if (event.kind === 'token') {
       tokens.check(event.index);
       run.add(event.text);
-      events.token();
+      onToken();
       continue;
     }
     const usage = {...event.usage, completionTokens: run.tokenCount};
@@ -120,23 +113,3 @@
     this.next = index + 1;
   }
 }
-
-const REFUSALS: Readonly<
-  Record<EngineError['kind'], (err: EngineError) => Refusal>
-> = {
-  refused: err => mayHaveRun('overloaded', err.message),
-  failed: err => ({
-    kind: 'invalid-request',
-    message: err.message,
-    ran: 'may-have-run',
-  }),
-  lost: err => mayHaveRun('engine-failed', err.message),
-};
-
-/**
- * @param err - Why a started request got no answer.
- * @returns The refusal; always as one that may have run.
- */
-export function refusalOf(err: EngineError): Refusal {
-  return REFUSALS[err.kind](err);
-}
--- a/packages/target/src/lib/request/follow_run.ts
+++ b/packages/target/src/lib/request/follow_run.ts
@@ -31,6 +31,7 @@
   signal: AbortSignal,
 ): AsyncGenerator<ServeEvent, void, undefined> {
   let started = from.startedSeen;
+  if (started) run.startSeen();
   let seen = from.tokensSeen;
   let nextFrameAt = -Infinity;
   while (!signal.aborted) {
--- a/packages/target/src/lib/request/target_run.ts
+++ b/packages/target/src/lib/request/target_run.ts
@@ -36,6 +36,7 @@
     this.takeStart = resolve;
   });
   private followerCount = 0;
+  private grace: Disposable | undefined;
   /** Cancels the engine's part; set while the engine has it. */
   abort: AbortController | undefined;
 
@@ -112,6 +113,7 @@
   /** @returns A disposable that ends the following. */
   follow(): Disposable {
     this.followerCount++;
+    this.grace?.[Symbol.dispose]();
     return {
       [Symbol.dispose]: () => {
         this.followerCount--;
@@ -120,6 +122,15 @@
     };
   }
 
+  /**
+   * The last follower left with its connection.
+   *
+   * @param timer - What ends the run unless someone follows it again.
+   */
+  orphaned(timer: Disposable): void {
+    this.grace = timer;
+  }
+
   /** @param text - The next token. */
   add(text: string): void {
     this.texts.push(text);
@@ -140,6 +151,7 @@
       `${this.key} was started and can't be refused as not run`,
     );
     this.ended = outcome;
+    this.grace?.[Symbol.dispose]();
     this.step({type: 'end'});
     this.notify();
   }
--- a/packages/target/src/test/fixed_admission.ts
+++ b/packages/target/src/test/fixed_admission.ts
@@ -30,11 +30,10 @@
       this.waiting.push(request);
       return [...this.makeRoom(request), ...this.fill()];
     },
-    ended: ({id, how}) => {
+    ended: ({id}) => {
       const index = this.running.findIndex(r => r.id === id);
-      const [request] = this.running.splice(index, index < 0 ? 0 : 1);
+      this.running.splice(index, index < 0 ? 0 : 1);
       this.preempting.delete(id);
-      if (how === 'preempted' && request) this.waiting.push(request);
       return [...this.giveBack(), ...this.fill()];
     },
     abandoned: ({id}) => {
--- a/packages/target/src/test/service_fixture.ts
+++ b/packages/target/src/test/service_fixture.ts
@@ -1,5 +1,5 @@
 /** A target service on a virtual clock, with an engine made by the test. */
-import {NO_COUNTERS, seededRandom} from '@oathead/core';
+import {seededRandom} from '@oathead/core';
 import type {
   Clock,
   ServeEvent,
@@ -7,6 +7,8 @@
   ServiceClient,
   TargetConfig,
 } from '@oathead/core';
+import {Metrics} from '@oathead/observe';
+import {trace} from '@opentelemetry/api';
 import {createClock} from '@sinonjs/fake-timers';
 import {TargetService} from '../lib/process/target_service.js';
 import type {TargetServiceSettings} from '../lib/process/target_service.js';
@@ -55,10 +57,8 @@
 export const SETTINGS: TargetServiceSettings = {
   targetId: 'target-1',
   dataCentre: 'hall-a',
-  fenceCheck: 'unfenced',
   attachGraceMs: 2_000,
   coalesceMs: 10,
-  orderTimeoutMs: 1_000,
   memory: {
     attachMs: 60_000,
     answerMs: 600_000,
@@ -66,8 +66,14 @@
     startedMs: 3_600_000,
     startedCount: 1_000,
     heldBytes: 100_000,
+    heldMs: 600_000,
+  },
+  engine: {
+    fenceCheck: 'unfenced',
+    orderTimeoutMs: 1_000,
+    probeMs: 250,
+    probeTimeoutMs: 500,
   },
-  engine: {probeMs: 250, probeTimeoutMs: 500},
   load: {pushMs: 50, bytesPerSecond: 10_000},
 };
 
@@ -89,10 +95,12 @@
     options.capacity ?? 2,
     options.queueLimit,
   );
+  const metrics = new Metrics();
   const service = new TargetService({
     clock,
     random: seededRandom(options.seed ?? 1),
-    counters: NO_COUNTERS,
+    metrics,
+    tracer: trace.getTracer('test'),
     createAdmission: () => admission,
     backends: {engine, services: options.services ?? new Map()},
     settings: {...SETTINGS, ...options.settings},
@@ -100,7 +108,7 @@
   service.start();
   await service.heartbeat({entryId: 'e1', cfgRevision: 1, cfg: CONFIG});
   await pass(0);
-  return {service, engine, admission, clock, pass};
+  return {service, engine, admission, metrics, clock, pass};
 }
 
 let requests = 0;
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -6,6 +6,7 @@
  */
 export * from './lib/connection/channel.js';
 export * from './lib/connection/heartbeat_schema.js';
+export * from './lib/connection/link_connection.js';
 export * from './lib/connection/trpc_target_link.js';
 export * from './lib/process/load_change.js';
 export * from './lib/process/load_report_schema.js';
--- a/packages/wire/src/lib/connection/link_call.ts
+++ b/packages/wire/src/lib/connection/link_call.ts
@@ -4,6 +4,8 @@
 
 /** A call in flight. */
 export interface LinkCall {
+  /** Whether something must come for it: silence is suspicious then. */
+  readonly awaited: boolean;
   /** Makes the call over a channel, for the first time or again. */
   use(channel: Channel): void;
   /** Ends the call: the target can't be reached. */
--- a/packages/wire/src/lib/connection/query_call.ts
+++ b/packages/wire/src/lib/connection/query_call.ts
@@ -1,19 +1,21 @@
 /** A call with one answer that may be repeated over another connection. */
 import {LinkLostError} from '@oathead/core';
-import {TRPCClientError} from '@trpc/client';
 import type {Channel} from './channel.js';
 import type {LinkCall} from './link_call.js';
+import {refusalOf} from './peer_error.js';
 
 /** What makes the call over a channel. */
 export type Query<T> = (channel: Channel, signal: AbortSignal) => Promise<T>;
 
 /** A heartbeat, an order or a release in flight. */
 export class QueryCall<T> implements LinkCall {
+  readonly awaited = true;
   /** The answer. */
   readonly answer: Promise<T>;
   private resolve!: (answer: T) => void;
   private reject!: (err: Error) => void;
   private current: Channel | undefined;
+  private readonly onAbort = () => this.fail(new LinkLostError('given up'));
 
   /**
    * @param query - Makes the call; the target process must take a repetition
@@ -28,8 +30,7 @@
       this.resolve = resolve;
       this.reject = reject;
     });
-    const onAbort = () => this.fail(new LinkLostError('given up'));
-    signal.addEventListener('abort', onAbort, {once: true});
+    signal.addEventListener('abort', this.onAbort, {once: true});
   }
 
   use(channel: Channel): void {
@@ -43,10 +44,14 @@
     this.reject(err);
   }
 
-  /** An error without a shape came from no peer: the connection has broken. */
+  /** Lets go of the signal, which may outlive many calls. */
+  end(): void {
+    this.signal.removeEventListener('abort', this.onAbort);
+  }
+
+  /** A broken connection is no end: the link moves the call or fails it. */
   private onError(channel: Channel, err: Error): void {
-    const fromPeer = err instanceof TRPCClientError && err.shape;
-    if (fromPeer) this.reject(err);
+    if (refusalOf(err)) this.reject(err);
     else if (channel !== this.current || !channel.isOpen) return;
     else this.reject(new LinkLostError(err.message));
   }
--- a/packages/wire/src/lib/connection/serve_call.ts
+++ b/packages/wire/src/lib/connection/serve_call.ts
@@ -1,17 +1,11 @@
 /** A request in flight on a link. */
-import {isFinal, mayHaveRun} from '@oathead/core';
-import type {
-  Clock,
-  LinkLostError,
-  Refusal,
-  ServeEvent,
-  ServeRequest,
-} from '@oathead/core';
-import {TRPCClientError} from '@trpc/client';
-import type {WireProblems} from '../process/target_router.js';
+import {LinkLostError, isFinal} from '@oathead/core';
+import type {Clock, ServeEvent, ServeRequest} from '@oathead/core';
 import type {Channel} from './channel.js';
 import {EventQueue} from './event_queue.js';
 import type {LinkCall} from './link_call.js';
+import {refusalOf} from './peer_error.js';
+import type {StreamSinks} from './stream_call.js';
 
 /**
  * Sends a request once and then only ever attaches to it.
@@ -23,6 +17,7 @@
  * twice and none is missing.
  */
 export class ServeCall implements LinkCall {
+  readonly awaited = true;
   private readonly queue = new EventQueue<ServeEvent>();
   private subscription: {unsubscribe(): void} | undefined;
   private current: Channel | undefined;
@@ -51,6 +46,7 @@
     this.current = channel;
     const sinks = {
       onData: (event: ServeEvent) => this.onEvent(channel, event),
+      onStopped: () => this.onStopped(channel),
       onError: (err: unknown) => this.onError(channel, err as Error),
     };
     this.subscription =
@@ -76,7 +72,10 @@
     this.queue.end();
   }
 
-  private send(channel: Channel, sinks: Sinks): {unsubscribe(): void} {
+  private send(
+    channel: Channel,
+    sinks: StreamSinks<ServeEvent>,
+  ): {unsubscribe(): void} {
     this.sentTo = channel.hello.bootId;
     this.sentAt = this.clock.now();
     return channel.api.serve.subscribe(this.req, sinks);
@@ -85,7 +84,7 @@
   private attach(
     channel: Channel,
     bootId: string,
-    sinks: Sinks,
+    sinks: StreamSinks<ServeEvent>,
   ): {unsubscribe(): void} {
     const attachment = {
       id: this.req.id,
@@ -109,28 +108,19 @@
     this.queue.end();
   }
 
-  private onError(channel: Channel, err: Error): void {
+  /**
+   * Guards against a cut stream that looks like a finished one: the target
+   * ended it, but without telling how the request ended.
+   */
+  private onStopped(channel: Channel): void {
     if (this.over || channel !== this.current) return;
-    // Without a shape it came from no peer: the connection broke, and the
-    // link moves the call or fails it.
-    if (!(err instanceof TRPCClientError) || !err.shape) return;
-    this.onEvent(channel, {kind: 'refused', refusal: refusalOf(err)});
+    this.fail(new LinkLostError('the stream ended without an outcome'));
   }
-}
 
-interface Sinks {
-  readonly onData: (event: ServeEvent) => void;
-  readonly onError: (err: unknown) => void;
-}
-
-/** What the peer threw instead of a value: bad input, or a broken invariant. */
-function refusalOf(err: TRPCClientError<never>): Refusal {
-  const data = err.data as ({code?: string} & WireProblems) | undefined;
-  if (data?.code !== 'BAD_REQUEST') return mayHaveRun('internal', err.message);
-  return {
-    kind: 'invalid-request',
-    message: 'the target process does not understand the request',
-    ran: 'not-run',
-    problems: data.problems,
-  };
+  private onError(channel: Channel, err: Error): void {
+    if (this.over || channel !== this.current) return;
+    const refusal = refusalOf(err);
+    // Otherwise the connection broke: the link moves the call or fails it.
+    if (refusal) this.onEvent(channel, {kind: 'refused', refusal});
+  }
 }
--- a/packages/wire/src/lib/process/target_handler.ts
+++ b/packages/wire/src/lib/process/target_handler.ts
@@ -1,5 +1,11 @@
 /** What a target process answers over the wire. */
-import type {LoadReport, ServeEvent, TargetLink} from '@oathead/core';
+import type {
+  Answer,
+  LoadReport,
+  ServeEvent,
+  TargetLink,
+  Work,
+} from '@oathead/core';
 import type {Attachment} from '../request/attachment.js';
 
 /** Tells a link which process answers at the other end. */
@@ -9,6 +15,16 @@
   readonly bootId: string;
 }
 
+/** A keyed request's answer that its entry has not released. */
+export interface HeldAnswer {
+  readonly dedupeKey: string;
+  /** The request. */
+  readonly id: string;
+  readonly caller: string;
+  readonly work: Work;
+  readonly answer: Answer;
+}
+
 /** A link on which the target reports its load without being asked. */
 export interface ReportingLink extends TargetLink {
   /**
@@ -27,6 +43,23 @@
    * @throws LinkLostError
    */
   release(dedupeKeys: readonly string[]): Promise<void>;
+  /**
+   * Asks for answers that an entry has not released. Whoever takes over from an
+   * entry that died writes them in its place, and releases them.
+   *
+   * @param entryId - The entry that sent the requests.
+   * @param signal - Gives up.
+   * @returns The answers.
+   * @throws LinkLostError
+   */
+  held(entryId: string, signal: AbortSignal): AsyncIterable<HeldAnswer>;
+  /**
+   * @param signal - Gives up.
+   * @returns Fingerprints of some prompt prefixes that the engine has cached,
+   *     those stored last first.
+   * @throws LinkLostError
+   */
+  cachedPrefixes(signal: AbortSignal): Promise<readonly string[]>;
 }
 
 /**
--- a/packages/wire/src/lib/process/target_router.ts
+++ b/packages/wire/src/lib/process/target_router.ts
@@ -65,6 +65,16 @@
   release: t.procedure
     .input(z.array(z.string()))
     .mutation(({input, ctx}) => ctx.handler.release(input)),
+  held: t.procedure.input(z.string()).subscription(async function* ({
+    input,
+    ctx,
+    signal,
+  }) {
+    yield* ctx.handler.held(input, signal!);
+  }),
+  cachedPrefixes: t.procedure.query(({ctx, signal}) =>
+    ctx.handler.cachedPrefixes(signal!),
+  ),
 });
 
 /** The type of {@link targetRouter}, for clients. */
--- a/packages/wire/src/lib/process/wire_server.ts
+++ b/packages/wire/src/lib/process/wire_server.ts
@@ -4,6 +4,14 @@
 import type {TargetHandler} from './target_handler.js';
 import {targetRouter} from './target_router.js';
 
+/**
+ * An entry that was paused, or lost without a word, must not hold its requests
+ * at the engine and its connection for good: one that sends nothing for so long
+ * and does not answer a ping is closed. In milliseconds.
+ */
+const PING_MS = 10_000;
+const PONG_WAIT_MS = 5_000;
+
 /** Close code that tells a peer that this process is going away. */
 const GOING_AWAY = 1001;
 
@@ -22,6 +30,7 @@
     wss: server,
     router: targetRouter,
     createContext: ({res}) => ({handler, socket: res}),
+    keepAlive: {enabled: true, pingMs: PING_MS, pongWaitMs: PONG_WAIT_MS},
   });
   return {
     [Symbol.dispose]: () => {
--- a/packages/wire/src/test/wire_fixture.ts
+++ b/packages/wire/src/test/wire_fixture.ts
@@ -1,6 +1,12 @@
 /** Both ends of the wire on loopback, with a proxy that can fall silent. */
 import {NO_COUNTERS, SYSTEM_CLOCK} from '@oathead/core';
-import type {Clock, LoadReport, ServeEvent, ServeRequest} from '@oathead/core';
+import type {
+  Answer,
+  Clock,
+  LoadReport,
+  ServeEvent,
+  ServeRequest,
+} from '@oathead/core';
 import type {ExecutionContext} from 'ava';
 import {once} from 'node:events';
 import {connect, createServer} from 'node:net';
@@ -8,7 +14,7 @@
 import {WebSocketServer} from 'ws';
 import {EventQueue} from '../lib/connection/event_queue.js';
 import {TrpcTargetLink} from '../lib/connection/trpc_target_link.js';
-import type {LinkOptions} from '../lib/connection/trpc_target_link.js';
+import type {LinkOptions} from '../lib/connection/link_connection.js';
 import type {TargetHandler} from '../lib/process/target_handler.js';
 import {serveWire} from '../lib/process/wire_server.js';
 import type {Attachment} from '../lib/request/attachment.js';
@@ -59,6 +65,20 @@
     this.released.push(...dedupeKeys);
   }
 
+  async *held(entryId: string) {
+    yield {
+      dedupeKey: `${entryId}/k1`,
+      id: 'r1',
+      caller: 'bank-a',
+      work: REQUEST.work,
+      answer: ANSWER,
+    };
+  }
+
+  async cachedPrefixes() {
+    return ['p1', 'p2'];
+  }
+
   /** The next call that arrives. */
   async nextCall(): Promise<HandlerCall> {
     return (await this.arriving.next()).value as HandlerCall;
@@ -110,6 +130,14 @@
   stream: true,
 };
 
+export const ANSWER: Answer = {
+  kind: 'completion',
+  text: 'yes',
+  usage: {promptTokens: 5, completionTokens: 1},
+  finishReason: 'stop',
+  version: 'v1',
+};
+
 /** Forwards connections; those open can be silenced or cut. */
 export class LossyProxy {
   private readonly pairs = new Set<readonly [Socket, Socket]>();
