Keep batch within the tail that online work shows by itself

Cause: the first controller never found room for a batch prompt. Change: the limit of a step is the p99 of the steps without batch, worked out from each step, times the accepted harm; first tokens likewise; prompts count by what is left of them; the engine's limit of streams is found out.

--- a/packages/bench/src/lib/process/policies.ts
+++ b/packages/bench/src/lib/process/policies.ts
@@ -34,6 +34,10 @@
     private readonly cap: number,
   ) {}
 
+  stepLimit(cfg: PoolConfig): number {
+    return cfg.betweenTokensMs;
+  }
+
   streams(): number {
     return this.cap;
   }
@@ -54,6 +58,10 @@
     private readonly most: number,
   ) {}
 
+  stepLimit(cfg: PoolConfig): number {
+    return cfg.betweenTokensMs;
+  }
+
   streams(): number {
     const {load} = this.senses.gate;
     const busy = load === undefined || load.running + load.waiting >= this.most;
--- a/packages/core/src/lib/process/batch_controller.ts
+++ b/packages/core/src/lib/process/batch_controller.ts
@@ -15,24 +15,33 @@
 export interface BatchTuning {
   /** Share of the accepted harm that is planned for; the rest is error. */
   readonly harmMargin: number;
-  /** Streams before the engine was measured. */
-  readonly firstStreams: number;
-  /** How far beyond the streams seen so far the model is believed. */
-  readonly trustFactor: number;
+  /** Streams beyond the most proven ones that are tried at once. */
+  readonly probeStreams: number;
   /** Share of the engine's memory that all work may fill. */
   readonly kvShare: number;
+  /** Steps' worth of prefill that is handed over ahead. */
+  readonly prefillSteps: number;
 }
 
 /** Values that held up on all traces. */
 export const DEFAULT_BATCH_TUNING: BatchTuning = {
   harmMargin: 0.8,
-  firstStreams: 4,
-  trustFactor: 1.5,
+  probeStreams: 4,
   kvShare: 0.95,
+  prefillSteps: 2,
 };
 
+/** Online tokens and requests before the measured tail is believed. */
+const MIN_TOKENS = 500;
+const MIN_REQUESTS = 20;
+
 /** Bounds batch work at the engine; a bench puts rivals in its place. */
 export interface BatchRule {
+  /**
+   * @param cfg - The pool.
+   * @returns The longest step wanted beside online streams, in milliseconds.
+   */
+  stepLimit(cfg: PoolConfig): number;
   /**
    * @param cfg - The pool.
    * @returns How many batch streams may run beside what is online now.
@@ -41,9 +50,14 @@
   /**
    * @param request - A batch request.
    * @param cfg - Its pool.
+   * @param prefillTokens - Tokens of it that have to be prefilled.
    * @returns Whether it may start now.
    */
-  admits(request: AdmissionRequest, cfg: PoolConfig): boolean;
+  admits(
+    request: AdmissionRequest,
+    cfg: PoolConfig,
+    prefillTokens: number,
+  ): boolean;
   /**
    * @param request - An online request that is about to start.
    * @param cfg - Its pool.
@@ -87,56 +101,148 @@
 
   /**
    * @param cfg - The pool.
-   * @returns The longest step that batch work may bring about, in milliseconds.
+   * @returns The longest step that batch work may bring about beside online
+   *     streams, in milliseconds.
    */
   stepLimit(cfg: PoolConfig): number {
-    const harm = 1 + (cfg.batch.maxHarm - 1) * this.tuning.harmMargin;
-    const {aloneStepMs} = this.meter;
-    if (aloneStepMs <= 0) return cfg.betweenTokensMs;
-    return Math.min(cfg.betweenTokensMs, harm * aloneStepMs);
+    if (this.meter.tokens < MIN_TOKENS) return cfg.betweenTokensMs;
+    return this.harm(cfg) * this.meter.aloneStepMs;
   }
 
   streams(cfg: PoolConfig): number {
     const {online, batch} = this.running;
-    if (!this.model.ready) {
-      return Math.max(0, this.tuning.firstStreams - online.running);
-    }
-    const within = this.model.streamsWithin(this.limitNow(cfg));
-    const trusted = Math.max(
-      this.tuning.firstStreams,
-      Math.ceil(this.model.largestSeen * this.tuning.trustFactor),
-    );
-    const room = Math.min(within, trusted) - online.running;
-    return Math.max(0, Math.min(room, batch.running + trusted));
+    const proven = this.model.largestSeen + this.tuning.probeStreams;
+    const most = Math.min(proven, this.gate.streamCeiling);
+    const within = this.within(this.limitNow(cfg), 0);
+    const room = Math.min(within, most) - online.running;
+    return Math.max(0, Math.min(room, batch.running + most));
   }
 
-  admits(request: AdmissionRequest, cfg: PoolConfig): boolean {
+  admits(request: AdmissionRequest, cfg: PoolConfig, prefill: number): boolean {
     const {online, batch} = this.running;
-    if (batch.running >= this.streams(cfg)) return false;
     if (online.prefillTokens > 0) return false;
-    const prompt = request.promptTokens + request.resumedTokens;
+    if (batch.running >= this.streams(cfg)) return false;
     const kv = this.kvAtEnd() + request.promptTokens + request.maxTokens;
     if (kv > this.gate.memory * this.tuning.kvShare) return false;
-    const mix = {
-      streams: online.running + batch.running + 1,
-      prefillTokens: batch.prefillTokens + prompt,
-    };
-    const alone = online.running + batch.running === 0;
-    return alone || this.model.predict(mix) <= this.limitNow(cfg);
+    if (online.running + batch.running === 0) return true;
+    const prefillTokens = batch.prefillTokens + prefill;
+    if (online.running === 0) return this.prefillFits(prefillTokens);
+    const streams = online.running + batch.running + 1;
+    const stepMs = this.model.predict({streams, prefillTokens});
+    if (stepMs <= this.stepLimit(cfg)) return true;
+    const first = batch.prefillTokens === 0;
+    return first && this.meter.overruns > online.running;
   }
 
   excess(request: AdmissionRequest, cfg: PoolConfig): number {
+    const {online, batch} = this.running;
+    if (batch.running === 0) return 0;
+    const streams = online.running + 1;
+    const prefillTokens = online.prefillTokens + request.promptTokens;
+    const beside = Math.min(
+      this.gate.streamCeiling - streams,
+      this.besideTokens(streams, prefillTokens, cfg),
+      this.besideFirstToken(streams, prefillTokens, cfg),
+      this.besideMemory(request),
+    );
+    const over = batch.running - Math.max(0, Math.floor(beside));
+    return Math.max(over, this.prefillingInTheWay(streams, prefillTokens, cfg));
+  }
+
+  /**
+   * Batch prompts that are being prefilled stand before the new one; they are
+   * the newest streams, so they are the first to go.
+   */
+  private prefillingInTheWay(
+    streams: number,
+    prefillTokens: number,
+    cfg: PoolConfig,
+  ): number {
+    const {online, batch} = this.running;
+    const prefilling = batch.running - batch.decoding;
+    if (prefilling === 0) return 0;
+    const stepMs = this.model.predict({
+      streams: streams + batch.running,
+      prefillTokens: prefillTokens + batch.prefillTokens,
+    });
+    const long = online.decoding > 0 && stepMs > this.stepLimit(cfg);
+    const {perPrefillToken} = this.model;
+    const waitMs = batch.prefillTokens * perPrefillToken;
+    const late = waitMs > this.spareMs(streams, prefillTokens, cfg);
+    return long || late ? prefilling : 0;
+  }
+
+  /** Batch streams that leave the steps of online streams short enough. */
+  private besideTokens(
+    streams: number,
+    prefillTokens: number,
+    cfg: PoolConfig,
+  ): number {
+    if (this.running.online.decoding === 0) return Number.POSITIVE_INFINITY;
+    return this.within(this.stepLimit(cfg), prefillTokens) - streams;
+  }
+
+  /**
+   * Batch streams that leave the first token early enough. A request far below
+   * the tail may wait until it gets near it; one in the tail may wait only the
+   * accepted ratio longer.
+   */
+  private besideFirstToken(
+    streams: number,
+    prefillTokens: number,
+    cfg: PoolConfig,
+  ): number {
+    const spare = this.spareMs(streams, prefillTokens, cfg);
+    const each = this.prefillSteps(prefillTokens) * this.model.perStream;
+    return spare / Math.max(Number.EPSILON, each);
+  }
+
+  /** Milliseconds by which batch work may delay a first token. */
+  private spareMs(
+    streams: number,
+    prefillTokens: number,
+    cfg: PoolConfig,
+  ): number {
+    const {model, meter} = this;
+    if (meter.requests < MIN_REQUESTS) return 0;
+    const stepMs = model.fixed + model.perStream * streams;
+    const alone =
+      prefillTokens * model.perPrefillToken +
+      this.prefillSteps(prefillTokens) * stepMs;
+    const harm = this.harm(cfg);
+    const tail = harm * meter.aloneFirstTokenMs - alone;
+    return Math.max(tail, (harm - 1) * alone);
+  }
+
+  /** Steps in which an engine prefills so many tokens. */
+  private prefillSteps(tokens: number): number {
+    const {perPrefillToken, largestPrefill} = this.model;
+    const steps = (tokens * perPrefillToken) / Math.max(1, largestPrefill);
+    return Math.max(1, Math.ceil(steps));
+  }
+
+  private besideMemory(request: AdmissionRequest): number {
     const {batch} = this.running;
-    const {perStream} = this.model;
-    const limit = this.stepLimit(cfg);
-    const streams = this.running.online.running + 1;
-    const within = this.model.streamsWithin(limit) - streams;
-    const over = perStream > 0 ? batch.running - Math.max(0, within) : 0;
     const kv = this.kvAtEnd() + request.promptTokens + request.maxTokens;
-    const kvOver = kv - this.gate.memory * this.tuning.kvShare;
-    const kvEach = batch.kvAtEnd / Math.max(1, batch.running);
-    const forMemory = kvOver > 0 ? Math.ceil(kvOver / Math.max(1, kvEach)) : 0;
-    return Math.min(batch.running, Math.max(0, over, forMemory));
+    const over = kv - this.gate.memory * this.tuning.kvShare;
+    if (over <= 0) return Number.POSITIVE_INFINITY;
+    const each = Math.max(1, batch.kvAtEnd / Math.max(1, batch.running));
+    return batch.running - Math.ceil(over / each);
+  }
+
+  /** Streams whose step, with so much to prefill, stays within a limit. */
+  private within(limitMs: number, prefillTokens: number): number {
+    const none = this.model.predict({streams: 1, prefillTokens});
+    const {perStream} = this.model;
+    if (perStream <= 0) return Number.POSITIVE_INFINITY;
+    return Math.max(0, 1 + Math.floor((limitMs - none) / perStream));
+  }
+
+  private prefillFits(tokens: number): boolean {
+    const {batch} = this.running;
+    if (batch.prefillTokens === 0) return true;
+    const most = this.model.largestPrefill * this.tuning.prefillSteps;
+    return tokens * this.model.perPrefillToken <= most;
   }
 
   /** With nobody online, a step harms only who comes in before it ends. */
@@ -145,6 +251,10 @@
     return online.running === 0 ? cfg.betweenTokensMs : this.stepLimit(cfg);
   }
 
+  private harm(cfg: PoolConfig): number {
+    return 1 + (cfg.batch.maxHarm - 1) * this.tuning.harmMargin;
+  }
+
   private kvAtEnd(): number {
     return this.running.online.kvAtEnd + this.running.batch.kvAtEnd;
   }
--- a/packages/core/src/lib/process/engine_lane.ts
+++ b/packages/core/src/lib/process/engine_lane.ts
@@ -17,15 +17,22 @@
 import {RunningSet} from './running_set.js';
 import {StepClock} from './step_clock.js';
 import {StepModel} from './step_model.js';
+import type {StepMix} from './step_model.js';
 import {WaitingRoom} from './waiting_room.js';
 import {notRun} from '../request/refusal.js';
 import type {PoolConfig} from '../version/target_config.js';
+import {LRUCache} from 'lru-cache';
 
 /** Share of the aim for the first token that may be spent waiting. */
 const WAIT_SHARE = 0.5;
 const MIN_RETRY_AFTER_MS = 50;
 /** Batch requests kept at hand, so that a free slot is filled at once. */
-const BATCH_AT_HAND = 4;
+const BATCH_AT_HAND = 32;
+/** A step this little longer than one that only decodes prefilled nothing. */
+const STALL_TOLERANCE = 1.03;
+const CLOCK_ERROR_MS = 1;
+/** Tokens to prefill of a stream that goes on where it was preempted. */
+const RESUME_TOKENS = 64;
 /** Share of the time to its deadline after which a suspect gets its turn. */
 const SUSPECT_PATIENCE = 0.5;
 
@@ -41,6 +48,7 @@
   private readonly room = new WaitingRoom();
   private readonly batchRule: BatchRule;
   private pools = new Map<string, PoolConfig>();
+  private readonly preempted = new LRUCache<string, true>({max: 256});
   private isLeaving = false;
   private suspectRunning = false;
 
@@ -63,7 +71,7 @@
 
   arrived(request: AdmissionRequest, now: number): readonly AdmissionAction[] {
     if (this.isLeaving) return [turnedAway(request)];
-    if (request.class === 'online') this.meter.arrived(request.id);
+    if (request.class === 'online') this.meter.arrived(request.id, now);
     this.room.add(request, now);
     const actions = this.pump(now);
     if (request.class === 'online') this.shed(request, actions);
@@ -76,7 +84,7 @@
     const closed = this.closeStep(id, now);
     this.running.firstToken(id);
     const {request} = running;
-    this.model.prefilled(request.promptTokens + request.resumedTokens);
+    this.model.prefilled(running.prefillTokens);
     if (request.class === 'online') {
       this.meter.firstToken(id, now - running.arrivedAt);
     }
@@ -94,6 +102,10 @@
     const running = this.running.end(id);
     if (running === undefined) return [];
     const online = running.request.class === 'online';
+    // Stopped while prefilling: what was computed counts, though it is lost.
+    if (running.prefilling) {
+      this.model.prefilled(running.prefillTokens - running.prefillLeft);
+    }
     if (running.request.suspect) this.suspectRunning = false;
     if (online) this.meter.gone(id);
     if (online && how === 'done') this.gate.finished(now - running.startedAt);
@@ -116,7 +128,7 @@
   }
 
   tick(now: number): readonly AdmissionAction[] {
-    return this.pump(now);
+    return [...this.room.expire(now), ...this.pump(now)];
   }
 
   runs(id: string): boolean {
@@ -150,8 +162,8 @@
   }
 
   private pump(now: number): Actions {
-    const actions: Actions = [...this.room.expire(now)];
-    this.startSuspect(now, actions);
+    const actions: Actions = [];
+    if (this.room.suspectCount > 0) this.startSuspect(now, actions);
     if (this.alone()) return actions;
     this.startOnline(now, actions);
     if (this.room.online.size === 0) this.startBatch(now, actions);
@@ -194,10 +206,11 @@
 
   private startBatch(now: number, actions: Actions): void {
     const queue = this.room.batch;
-    for (let next = queue.peek(); next; next = queue.peek()) {
-      const cfg = this.pools.get(next.request.pool)!;
-      if (!this.batchRule.admits(next.request, cfg)) return;
-      queue.take();
+    const fits = (request: AdmissionRequest) => {
+      const cfg = this.pools.get(request.pool)!;
+      return this.batchRule.admits(request, cfg, this.prefillOf(request));
+    };
+    for (let next = queue.take(fits); next; next = queue.take(fits)) {
       this.start(next, now, actions);
     }
   }
@@ -211,15 +224,26 @@
     actions: Actions,
   ): void {
     if (this.running.size === 0) this.steps.begin(now);
-    this.running.start(request, since, now);
+    this.running.start(request, since, now, this.prefillOf(request));
     actions.push({kind: 'start', id: request.id});
   }
 
+  /** What was preempted here lately is still cached, but for its last block. */
+  private prefillOf({
+    id,
+    promptTokens,
+    resumedTokens,
+  }: AdmissionRequest): number {
+    const whole = promptTokens + resumedTokens;
+    return this.preempted.has(id) ? Math.min(whole, RESUME_TOKENS) : whole;
+  }
+
   private preempt(
     running: ReturnType<RunningSet['newestBatch']>[number],
     actions: Actions,
   ): void {
     this.running.stop(running);
+    if (!running.prefilling) this.preempted.set(running.request.id, true);
     actions.push({kind: 'preempt', id: running.request.id});
   }
 
@@ -239,18 +263,57 @@
     }
   }
 
+  private measure(durationMs: number, now: number): void {
+    const {model, meter} = this;
+    const {online, batch} = this.running;
+    const tokens = model.prefilledIn(
+      durationMs,
+      online.decoding + batch.decoding,
+    );
+    const done = this.running.prefilled(tokens);
+    const doneMs = done * model.perPrefillToken;
+    const streams = online.decoding / meter.stretch;
+    const decodeMs = model.fixed + model.perStream * streams;
+    // Alone, a part of a prompt would have taken the like part of a full step.
+    const whole = online.prefillTokens <= 0;
+    const part = Math.min(1, doneMs / Math.max(1, model.largestPrefill));
+    meter.step({
+      endedAt: now,
+      durationMs,
+      aloneMs: decodeMs + doneMs,
+      alonePrefillMs: doneMs + decodeMs * (whole ? 1 : part),
+      onlineTokens: online.decoding,
+      limitMs: this.limitMs(),
+    });
+  }
+
+  private limitMs(): number {
+    const cfg = [...this.pools.values()][0];
+    return cfg === undefined ? 0 : this.batchRule.stepLimit(cfg);
+  }
+
+  /** Whether requests waited through a step that prefilled nothing. */
+  private stalled(durationMs: number, mix: StepMix, now: number): boolean {
+    const {streams, prefillTokens} = mix;
+    if (prefillTokens === 0 || streams === 0) return false;
+    const decodeMs = this.model.predict({streams, prefillTokens: 0});
+    if (durationMs > decodeMs * STALL_TOLERANCE) return false;
+    return this.running.waitsSince(now - durationMs - CLOCK_ERROR_MS);
+  }
+
   private closeStep(id: string, now: number): boolean {
     const durationMs = this.steps.token(id, now);
     if (durationMs === undefined) return false;
     const {online, batch} = this.running;
     const streams = online.decoding + batch.decoding;
-    const prefillTokens = online.prefillTokens + batch.prefillTokens;
-    this.model.learn(durationMs, {streams, prefillTokens});
-    const alone = this.model.predict({
-      streams: online.decoding,
-      prefillTokens: online.prefillTokens,
-    });
-    this.meter.step(durationMs, alone, online.decoding);
+    const prefillTokens = this.running.prefillsAny
+      ? Math.max(1, online.prefillTokens + batch.prefillTokens)
+      : 0;
+    const mix = {streams, prefillTokens};
+    const stalled = this.stalled(durationMs, mix, now);
+    this.gate.watchCeiling(stalled, streams, now);
+    if (!stalled) this.model.learn(durationMs, mix);
+    this.measure(durationMs, now);
     return true;
   }
 }
--- a/packages/core/src/lib/process/fair_queue.ts
+++ b/packages/core/src/lib/process/fair_queue.ts
@@ -75,16 +75,21 @@
     return this.nextLine()?.waiting[0];
   }
 
-  /** @returns What is to run next, taken out and charged to its caller. */
-  take(): Queued | undefined {
-    const line = this.nextLine();
-    const entry = line?.waiting[0];
-    if (line === undefined || entry === undefined) return undefined;
-    this.virtualTime = Math.max(this.virtualTime, line.virtualStart);
-    this.remove(entry.request.id);
-    const weight = this.weights[entry.request.caller] ?? 1;
-    line.virtualStart += costOf(entry.request) / weight;
-    return entry;
+  /**
+   * @param fits - Whether a request can run now.
+   * @returns The first in order that can, taken out and charged to its caller.
+   */
+  take(
+    fits: (request: AdmissionRequest) => boolean = () => true,
+  ): Queued | undefined {
+    const lines = [...this.lines.values()]
+      .filter(({waiting}) => waiting.length > 0)
+      .sort((a, b) => a.virtualStart - b.virtualStart);
+    for (const line of lines) {
+      const entry = line.waiting.find(({request}) => fits(request));
+      if (entry !== undefined) return this.takeFrom(line, entry);
+    }
+    return undefined;
   }
 
   /**
@@ -136,6 +141,14 @@
     }
   }
 
+  private takeFrom(line: CallerLine, entry: Queued): Queued {
+    const {request} = entry;
+    this.virtualTime = Math.max(this.virtualTime, line.virtualStart);
+    this.remove(request.id);
+    line.virtualStart += costOf(request) / (this.weights[request.caller] ?? 1);
+    return entry;
+  }
+
   private nextLine(): CallerLine | undefined {
     let next: CallerLine | undefined;
     for (const line of this.lines.values()) {
--- a/packages/core/src/lib/process/harm_meter.ts
+++ b/packages/core/src/lib/process/harm_meter.ts
@@ -9,14 +9,47 @@
 const TAIL = 0.99;
 /** Online tokens that stand behind a quantile of the time between tokens. */
 const TOKEN_WINDOW = 40_000;
+const TOKEN_REFRESH = 500;
 /** Requests that stand behind a quantile of the time to first token. */
 const FIRST_TOKEN_WINDOW = 1_000;
 const FIRST_TOKEN_REFRESH = 5;
+/** Share of the tail's tokens that is planned for; the rest is error. */
+const OVERRUN_SHARE = 0.8;
+const STRETCH_FORGETTING = 0.999;
+/** Online tokens beyond the limit that may be saved up. */
+const MAX_CREDIT = 200;
+
+/** One step of the engine, and what it would have been without batch work. */
+export interface MeasuredStep {
+  readonly endedAt: number;
+  readonly durationMs: number;
+  /** Its time without batch work. */
+  readonly aloneMs: number;
+  /** Time that an engine alone needs for what online prompts got done in it. */
+  readonly alonePrefillMs: number;
+  /** How many online streams got a token in it. */
+  readonly onlineTokens: number;
+  /** The longest step that was wanted. */
+  readonly limitMs: number;
+}
+
+interface Waiting {
+  readonly since: number;
+  lostMs: number;
+}
 
 /** What online callers see, and what they would see without batch work. */
 export class HarmMeter {
-  private readonly aloneStep = new RecentQuantile(TAIL, TOKEN_WINDOW);
-  private readonly actualStep = new RecentQuantile(TAIL, TOKEN_WINDOW);
+  private readonly aloneStep = new RecentQuantile(
+    TAIL,
+    TOKEN_WINDOW,
+    TOKEN_REFRESH,
+  );
+  private readonly actualStep = new RecentQuantile(
+    TAIL,
+    TOKEN_WINDOW,
+    TOKEN_REFRESH,
+  );
   private readonly aloneFirst = new RecentQuantile(
     TAIL,
     FIRST_TOKEN_WINDOW,
@@ -27,7 +60,24 @@
     FIRST_TOKEN_WINDOW,
     FIRST_TOKEN_REFRESH,
   );
-  private readonly waiting = new Map<string, number>();
+  private readonly waiting = new Map<string, Waiting>();
+  private readonly stretchMs = {actual: 0, alone: 0};
+  private credit = 0;
+
+  /** Online tokens that may still come later than the limit. */
+  get overruns(): number {
+    return this.credit;
+  }
+
+  /** Online tokens that stand behind the quantiles. */
+  get tokens(): number {
+    return this.aloneStep.samples;
+  }
+
+  /** Online requests that stand behind the quantiles. */
+  get requests(): number {
+    return this.aloneFirst.samples;
+  }
 
   /** Time between tokens at p99 without batch work, in milliseconds. */
   get aloneStepMs(): number {
@@ -50,26 +100,52 @@
   }
 
   /**
-   * @param durationMs - How long a step took.
-   * @param aloneMs - How long without the batch streams in it.
-   * @param onlineTokens - How many online streams got a token in it.
+   * How much longer online streams last with batch work than alone: by Little's
+   * law there are as many more of them at a time.
    */
-  step(durationMs: number, aloneMs: number, onlineTokens: number): void {
-    const alone = Math.min(durationMs, aloneMs);
+  get stretch(): number {
+    return this.stretchMs.alone > 0
+      ? this.stretchMs.actual / this.stretchMs.alone
+      : 1;
+  }
+
+  /** @param step - What one step was like. */
+  step(step: MeasuredStep): void {
+    const {durationMs, onlineTokens} = step;
+    const alone = Math.min(durationMs, step.aloneMs);
     if (onlineTokens > 0) {
       this.actualStep.record(durationMs, onlineTokens);
       this.aloneStep.record(alone, onlineTokens);
+      this.spend(onlineTokens, durationMs > step.limitMs);
+      this.stretched(durationMs, alone);
     }
-    if (durationMs <= 0) return;
-    const lostShare = 1 - alone / durationMs;
-    for (const [id, lost] of this.waiting) {
-      this.waiting.set(id, lost + lostShare * durationMs);
+    for (const waiting of this.waiting.values()) {
+      waiting.lostMs += lostBy(waiting.since, step);
     }
   }
 
-  /** @param id - An online request that came in. */
-  arrived(id: string): void {
-    this.waiting.set(id, 0);
+  private stretched(actual: number, alone: number): void {
+    const {stretchMs} = this;
+    stretchMs.actual = stretchMs.actual * STRETCH_FORGETTING + actual;
+    stretchMs.alone = stretchMs.alone * STRETCH_FORGETTING + alone;
+  }
+
+  /**
+   * A p99 stands while no more than one token in a hundred is later, whichever
+   * those are: what online work itself does not use up is left for batch.
+   */
+  private spend(tokens: number, late: boolean): void {
+    const earned = (1 - TAIL) * OVERRUN_SHARE * tokens;
+    const credit = this.credit + earned - (late ? tokens : 0);
+    this.credit = Math.max(-MAX_CREDIT, Math.min(MAX_CREDIT, credit));
+  }
+
+  /**
+   * @param id - An online request that came in.
+   * @param now - Milliseconds.
+   */
+  arrived(id: string, now: number): void {
+    this.waiting.set(id, {since: now, lostMs: 0});
   }
 
   /**
@@ -77,11 +153,11 @@
    * @param elapsedMs - How long that took.
    */
   firstToken(id: string, elapsedMs: number): void {
-    const lost = this.waiting.get(id);
-    if (lost === undefined) return;
+    const waiting = this.waiting.get(id);
+    if (waiting === undefined) return;
     this.waiting.delete(id);
     this.actualFirst.record(elapsedMs);
-    this.aloneFirst.record(Math.max(1, elapsedMs - lost));
+    this.aloneFirst.record(Math.max(1, elapsedMs - waiting.lostMs));
   }
 
   /** @param id - An online request that ended without a token. */
@@ -90,6 +166,19 @@
   }
 }
 
+/** The part of a step that a request waited because of batch work. */
+function lostBy(since: number, step: MeasuredStep): number {
+  const {endedAt, durationMs, aloneMs, alonePrefillMs} = step;
+  const waited = endedAt - since;
+  if (waited <= 0) return 0;
+  // It came in during the step, and waits for its end in any case.
+  if (waited < durationMs) {
+    const alone = step.onlineTokens > 0 ? aloneMs : 0;
+    return waited * Math.max(0, 1 - alone / durationMs);
+  }
+  return Math.max(0, durationMs - alonePrefillMs);
+}
+
 function ratio(actual: number, alone: number): number {
   return alone > 0 ? actual / alone : 1;
 }
--- a/packages/core/src/lib/process/online_gate.ts
+++ b/packages/core/src/lib/process/online_gate.ts
@@ -16,10 +16,16 @@
 /** Share of the engine's memory that online work may fill. */
 const KV_SHARE = 0.95;
 const RATE_FORGETTING = 0.98;
+/** Steps in a row that tell that an engine is full. */
+const STALLED_STEPS = 3;
+const CEILING_RETRY_MS = 60_000;
 
 /** Bounds online work at the engine. */
 export class OnlineGate {
   private lastLoad: EngineLoad | undefined;
+  private ceiling = Number.POSITIVE_INFINITY;
+  private ceilingAt = 0;
+  private stalledSteps = 0;
   private busyMs = 0;
   private ended = 0;
 
@@ -37,11 +43,38 @@
     return this.lastLoad;
   }
 
+  /** Streams that the engine runs at once; infinite while not known. */
+  get streamCeiling(): number {
+    return this.ceiling;
+  }
+
   /** @param load - The engine's own report. */
   report(load: EngineLoad): void {
     this.lastLoad = load;
   }
 
+  /**
+   * Looks at one step: an engine that left requests waiting, and prefilled
+   * nothing, has no place for more streams. Neither its limit nor its queue is
+   * told in time, and an online request behind that queue would wait long.
+   *
+   * @param stalled - Whether it did so in this step.
+   * @param streams - How many got a token.
+   * @param now - Milliseconds.
+   */
+  watchCeiling(stalled: boolean, streams: number, now: number): void {
+    this.stalledSteps = stalled ? this.stalledSteps + 1 : 0;
+    if (this.stalledSteps >= STALLED_STEPS) {
+      this.ceiling = Math.max(1, streams);
+      this.ceilingAt = now;
+      return;
+    }
+    // The engine may have been changed: now and then one more is tried.
+    if (now - this.ceilingAt < CEILING_RETRY_MS) return;
+    this.ceiling += 1;
+    this.ceilingAt = now;
+  }
+
   /** Size of the engine's memory in tokens; infinite where not known. */
   get memory(): number {
     const total = this.lastLoad?.kvTokensTotal ?? 0;
@@ -59,7 +92,8 @@
       FIRST_CAPACITY,
       Math.ceil(this.model.largestSeen * TRUST_FACTOR),
     );
-    return Math.max(1, Math.min(within, trusted, cfg.maxOnline));
+    const most = Math.min(within, trusted, cfg.maxOnline, this.ceiling);
+    return Math.max(1, most);
   }
 
   /**
--- a/packages/core/src/lib/process/recent_quantile.ts
+++ b/packages/core/src/lib/process/recent_quantile.ts
@@ -6,12 +6,12 @@
 import type {Histogram} from 'hdr-histogram-js';
 
 const UNITS_PER_MS = 1000;
-const SIGNIFICANT_DIGITS = 2;
+const SIGNIFICANT_DIGITS = 3;
 
 function emptyHistogram(): Histogram {
   return build({
     lowestDiscernibleValue: 1,
-    highestTrackableValue: 600_000 * UNITS_PER_MS,
+    highestTrackableValue: 120_000 * UNITS_PER_MS,
     numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
     bitBucketSize: 32,
     useWebAssembly: false,
@@ -34,7 +34,7 @@
   constructor(
     private readonly quantile: number,
     private readonly windowSamples: number,
-    private readonly refreshSamples = 50,
+    private readonly refreshSamples: number,
   ) {}
 
   /** How many samples stand behind the value. */
--- a/packages/core/src/lib/process/running_set.ts
+++ b/packages/core/src/lib/process/running_set.ts
@@ -13,6 +13,10 @@
   readonly arrivedAt: number;
   /** Counts starts; a higher one started later. */
   readonly order: number;
+  /** Tokens that had to be prefilled, as estimated. */
+  readonly prefillTokens: number;
+  /** Tokens that are still to be prefilled, as estimated. */
+  prefillLeft: number;
   /** Still prefilling its prompt. */
   prefilling: boolean;
   /** Tokens generated here. */
@@ -56,6 +60,7 @@
     online: emptyTally(),
     batch: emptyTally(),
   };
+  private readonly prefilling = new Set<Running>();
   private started = 0;
 
   /** How many the engine has, those that are stopping included. */
@@ -63,6 +68,11 @@
     return this.byId.size;
   }
 
+  /** Whether any prompt is still being prefilled. */
+  get prefillsAny(): boolean {
+    return this.prefilling.size > 0;
+  }
+
   /** Tallies of online requests. */
   get online(): Readonly<Tally> {
     return this.tallies.online;
@@ -90,22 +100,31 @@
    * @param request - What is handed to the engine.
    * @param arrivedAt - When it came in, in milliseconds.
    * @param now - Milliseconds.
+   * @param prefillTokens - Tokens that have to be prefilled, as estimated.
    */
-  start(request: AdmissionRequest, arrivedAt: number, now: number): void {
+  start(
+    request: AdmissionRequest,
+    arrivedAt: number,
+    now: number,
+    prefillTokens = promptOf(request),
+  ): void {
     const running: Running = {
       request,
       startedAt: now,
       arrivedAt,
       order: this.started,
+      prefillTokens,
+      prefillLeft: prefillTokens,
       prefilling: true,
       generated: 0,
       stopping: false,
     };
     this.started += 1;
     this.byId.set(request.id, running);
+    this.prefilling.add(running);
     const tally = this.tallies[request.class];
     tally.running += 1;
-    tally.prefillTokens += promptOf(request);
+    tally.prefillTokens += prefillTokens;
     tally.kvTokens += promptOf(request);
     tally.kvAtEnd += request.promptTokens + request.maxTokens;
   }
@@ -118,9 +137,10 @@
     const running = this.byId.get(id);
     if (running === undefined || !running.prefilling) return undefined;
     running.prefilling = false;
+    this.prefilling.delete(running);
     if (running.stopping) return running;
     const tally = this.tallies[running.request.class];
-    tally.prefillTokens -= promptOf(running.request);
+    tally.prefillTokens -= running.prefillLeft;
     tally.decoding += 1;
     return running;
   }
@@ -158,10 +178,43 @@
     const running = this.byId.get(id);
     if (running === undefined) return undefined;
     this.byId.delete(id);
+    this.prefilling.delete(running);
     if (!running.stopping) this.untally(running);
     return running;
   }
 
+  /**
+   * Notes that an engine has prefilled tokens; it does so in order of start.
+   *
+   * @param tokens - How many, of all requests together.
+   * @returns How many of them were of online prompts.
+   */
+  prefilled(tokens: number): number {
+    let left = tokens;
+    let online = 0;
+    for (const running of this.prefilling) {
+      if (left <= 0) break;
+      const part = Math.min(left, running.prefillLeft);
+      running.prefillLeft -= part;
+      left -= part;
+      const {class: kind} = running.request;
+      this.tallies[kind].prefillTokens -= part;
+      if (kind === 'online') online += part;
+    }
+    return online;
+  }
+
+  /**
+   * @param since - Milliseconds.
+   * @returns Whether a request that was started before then has no token yet.
+   */
+  waitsSince(since: number): boolean {
+    for (const {startedAt} of this.prefilling) {
+      if (startedAt < since) return true;
+    }
+    return false;
+  }
+
   /** @returns Batch streams that are to stay, newest first. */
   newestBatch(): readonly Running[] {
     return [...this.byId.values()]
@@ -175,7 +228,8 @@
     tally.running -= 1;
     tally.kvTokens -= promptOf(request) + running.generated;
     tally.kvAtEnd -= request.promptTokens + request.maxTokens;
-    if (running.prefilling) tally.prefillTokens -= promptOf(request);
+    if (running.prefilling) tally.prefillTokens -= running.prefillLeft;
     else tally.decoding -= 1;
+    this.prefilling.delete(running);
   }
 }
--- a/packages/core/src/lib/process/service_lane.ts
+++ b/packages/core/src/lib/process/service_lane.ts
@@ -87,7 +87,7 @@
   }
 
   tick(now: number): readonly AdmissionAction[] {
-    return this.pump(now);
+    return [...this.room.expire(now), ...this.pump(now)];
   }
 
   runs(id: string): boolean {
@@ -121,7 +121,7 @@
   }
 
   private pump(now: number): AdmissionAction[] {
-    const actions: AdmissionAction[] = [...this.room.expire(now)];
+    const actions: AdmissionAction[] = [];
     if (this.room.suspectCount > 0) this.startSuspect(now, actions);
     if (this.suspectRunning) return actions;
     while (this.running.size < this.places && this.room.online.size > 0) {
--- a/packages/core/src/lib/process/step_model.ts
+++ b/packages/core/src/lib/process/step_model.ts
@@ -56,6 +56,16 @@
     return Math.max(0, this.prefillMs) / this.prefillTokens;
   }
 
+  /** Milliseconds of a step's fixed part. */
+  get fixed(): number {
+    return this.base;
+  }
+
+  /** Milliseconds of the largest prefill part of a step. */
+  get largestPrefill(): number {
+    return this.largestPrefillMs;
+  }
+
   /** Milliseconds that one more stream adds to a step. */
   get perStream(): number {
     return this.slope;
@@ -98,6 +108,17 @@
     return this.base + this.slope * mix.streams + prefill;
   }
 
+  /**
+   * @param durationMs - How long a step took.
+   * @param streams - How many got a token in it.
+   * @returns Prompt tokens that it must have prefilled.
+   */
+  prefilledIn(durationMs: number, streams: number): number {
+    const extra = durationMs - this.base - this.slope * streams;
+    const each = this.perPrefillToken;
+    return each > 0 ? Math.max(0, Math.round(extra / each)) : 0;
+  }
+
   /**
    * @param limitMs - The longest step wanted.
    * @returns The most streams whose step stays within it.
