--- a/packages/platform/src/lib/process/memory_table.ts
+++ b/packages/platform/src/lib/process/memory_table.ts
@@ -15,8 +15,7 @@
 /** A table whose rows live as long as the object. */
 export class MemoryTable implements TableStore {
   private readonly rows = new Map<string, Row>();
-  /** Sorted; undefined after a key came or went. */
-  private sortedKeys: readonly string[] | undefined;
+  private readonly sortedKeys: string[] = [];
   /** One counter for all rows, so that a row made anew has a new version. */
   private lastVersion = 0;
 
@@ -31,9 +30,10 @@
     options: ListOptions = {},
   ): Promise<Outcome<readonly Row[], StoreError>> {
     const {after = '', limit = MAX_LIST_LIMIT} = options;
-    const keys = this.keysFrom(after > prefix ? after : prefix);
+    const start = this.indexOf(after > prefix ? after : prefix);
     const page: Row[] = [];
-    for (const key of keys) {
+    for (let i = start; i < this.sortedKeys.length; i++) {
+      const key = this.sortedKeys[i]!;
       if (page.length >= Math.min(limit, MAX_LIST_LIMIT)) break;
       if (!key.startsWith(prefix)) break;
       if (key > after) page.push(this.rows.get(key)!);
@@ -58,19 +58,30 @@
   private apply(write: RowWrite, versions: Record<string, number>): void {
     const {key} = write;
     if (write.kind === 'delete') {
-      if (this.rows.delete(key)) this.sortedKeys = undefined;
+      this.remove(key);
       delete versions[key];
       return;
     }
-    if (!this.rows.has(key)) this.sortedKeys = undefined;
+    if (!this.rows.has(key)) this.sortedKeys.splice(this.indexOf(key), 0, key);
     const version = ++this.lastVersion;
     this.rows.set(key, {key, value: copy(write.value), version});
     versions[key] = version;
   }
 
-  private keysFrom(start: string): Iterable<string> {
-    this.sortedKeys ??= [...this.rows.keys()].sort();
-    return slice(this.sortedKeys, firstAtLeast(this.sortedKeys, start));
+  private remove(key: string): void {
+    if (this.rows.delete(key)) this.sortedKeys.splice(this.indexOf(key), 1);
+  }
+
+  /** Where the first key is that does not come before `key`. */
+  private indexOf(key: string): number {
+    let low = 0;
+    let high = this.sortedKeys.length;
+    while (low < high) {
+      const middle = (low + high) >> 1;
+      if (this.sortedKeys[middle]! < key) low = middle + 1;
+      else high = middle;
+    }
+    return low;
   }
 }
 
@@ -78,18 +89,3 @@
 function copy(value: Json): Json {
   return JSON.parse(JSON.stringify(value)) as Json;
 }
-
-function* slice(keys: readonly string[], from: number): Iterable<string> {
-  for (let i = from; i < keys.length; i++) yield keys[i]!;
-}
-
-function firstAtLeast(keys: readonly string[], start: string): number {
-  let low = 0;
-  let high = keys.length;
-  while (low < high) {
-    const middle = (low + high) >> 1;
-    if (keys[middle]! < start) low = middle + 1;
-    else high = middle;
-  }
-  return low;
-}
--- a/packages/stand_ins/src/lib/process/engine_model.ts
+++ b/packages/stand_ins/src/lib/process/engine_model.ts
@@ -12,6 +12,9 @@
  * prefills; each sequence whose prefill is complete gains one token. What is
  * submitted or cancelled during a step counts from the next one.
  */
+import {invariant, type CacheEvent} from '@oathead/core';
+import {CacheJournal} from './cache_journal.js';
+import type {ModelEvent, ModelState} from './engine_events.js';
 import {
   DEFAULT_ENGINE_OPTIONS,
   stepTime,
@@ -19,15 +22,13 @@
 } from './engine_options.js';
 import {
   EngineSequence,
+  sharePrefill,
   tokensToPrefill,
   type ModelRequest,
 } from './engine_sequence.js';
-import {CacheJournal} from './cache_journal.js';
 import {ImportQueue} from './import_queue.js';
-import type {ModelEvent, ModelState} from './engine_events.js';
 import {LoadSamples, type LoadSample, type ModelLoad} from './load_samples.js';
 import {PrefixCache, type CacheExport} from './prefix_cache.js';
-import {invariant, type CacheEvent} from '@oathead/core';
 
 /** The model of an engine. */
 export class EngineModel {
@@ -68,11 +69,11 @@
    * @returns False when it could never fit the KV memory or generates nothing.
    */
   submit(request: ModelRequest, now: number): boolean {
+    this.runUntil(now);
     invariant(!this.byId.has(request.id), `request ${request.id} is inside`);
     const sequence = new EngineSequence(request);
     if (sequence.tokensAtEnd > this.options.kvTokens) return false;
     if (sequence.generated >= request.outputTokens) return false;
-    this.runUntil(now);
     this.byId.set(request.id, sequence);
     this.waiting.push(sequence);
     this.beginStepIfIdle();
@@ -159,11 +160,7 @@
     this.slowdown = factor;
   }
 
-  /**
-   * Loses all requests, the cache and what has not been read, as a restart.
-   *
-   * @param now - Milliseconds.
-   */
+  /** Loses all requests, the cache and unread events, as a restart does. */
   reset(now: number): void {
     this.runUntil(now);
     this.byId.clear();
@@ -234,14 +231,10 @@
     }
   }
 
-  /** Shares the prefill budget out. @returns Time of the step. */
+  /** @returns Time of the step. */
   private planStep(): number {
-    let budget = this.options.prefillTokensPerStep;
-    for (const sequence of this.running) {
-      sequence.chunk = Math.min(budget, sequence.prefillLeft);
-      budget -= sequence.chunk;
-    }
-    const prefilled = this.options.prefillTokensPerStep - budget;
+    const {prefillTokensPerStep} = this.options;
+    const prefilled = sharePrefill(this.running, prefillTokensPerStep);
     return stepTime(this.options, this.running.length, prefilled);
   }
 
@@ -261,7 +254,7 @@
     if (sequence.prefillLeft > 0) {
       sequence.prefillLeft -= sequence.chunk;
       if (sequence.prefillLeft > 0) return false;
-      this.cache.store(sequence.blocks(this.options.cacheBlockTokens));
+      this.storePrefix(sequence);
     }
     // Written out: a spread here makes the whole model ten times slower.
     this.events.push({
@@ -278,11 +271,14 @@
   private release(sequence: EngineSequence, kind: 'done' | 'cancelled'): void {
     this.kvUsed -= sequence.tokens;
     // What was computed stays cached, so that resuming here costs little.
-    if (sequence.prefillLeft === 0)
-      this.cache.store(sequence.blocks(this.options.cacheBlockTokens));
+    if (sequence.prefillLeft === 0) this.storePrefix(sequence);
     this.end(sequence, kind);
   }
 
+  private storePrefix(sequence: EngineSequence): void {
+    this.cache.store(sequence.blocks(this.options.cacheBlockTokens));
+  }
+
   private end(sequence: EngineSequence, kind: 'done' | 'cancelled'): void {
     this.byId.delete(sequence.request.id);
     this.events.push({kind, ...this.mark(sequence)});
--- a/packages/stand_ins/src/lib/process/engine_sequence.ts
+++ b/packages/stand_ins/src/lib/process/engine_sequence.ts
@@ -73,3 +73,22 @@
   const left = running.reduce((sum, s) => sum + s.prefillLeft, 0);
   return waiting.reduce((sum, s) => sum + s.tokens, left);
 }
+
+/**
+ * Gives each sequence its part of a step's prefill, first come, first served.
+ *
+ * @param running - Sequences that run, in order of admission.
+ * @param tokensPerStep - At most so many tokens are prefilled.
+ * @returns Tokens that the step prefills.
+ */
+export function sharePrefill(
+  running: readonly EngineSequence[],
+  tokensPerStep: number,
+): number {
+  let left = tokensPerStep;
+  for (const sequence of running) {
+    sequence.chunk = Math.min(left, sequence.prefillLeft);
+    left -= sequence.chunk;
+  }
+  return tokensPerStep - left;
+}
--- a/packages/stand_ins/src/test/process/engine_model_test.ts
+++ b/packages/stand_ins/src/test/process/engine_model_test.ts
@@ -76,6 +76,18 @@
   }
 });
 
+test('an evicted request is the first to be admitted again', t => {
+  const model = create({kvTokens: 100});
+  for (const id of ['a', 'b'])
+    model.submit({id, promptTokens: 40, outputTokens: 40}, 0);
+  model.submit({id: 'c', promptTokens: 40, outputTokens: 5}, 0);
+  const admitted = drain(model).filter(e => e.kind === 'admitted');
+  t.deepEqual(
+    admitted.map(e => e.id),
+    ['a', 'b', 'b', 'c'],
+  );
+});
+
 test('cancels between steps and resumes cheaply from its cache', t => {
   const model = create();
   model.submit({id: 'a', promptTokens: 80, outputTokens: 50}, 0);
--- a/packages/target/src/test/connection/http_engine_client_test.ts
+++ b/packages/target/src/test/connection/http_engine_client_test.ts
@@ -1,4 +1,6 @@
 import test, {type ExecutionContext} from 'ava';
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
 import {EngineError, type EngineEvent, type EngineRequest} from '@oathead/core';
 import {
   EngineStandIn,
@@ -75,6 +77,35 @@
   t.is((await read(request('c', 'hello'))).err?.kind, 'refused');
 });
 
+// A user gets half an answer that looks whole. The engine, or something before
+// it, closed the stream in good order after a few tokens, or answered an error
+// of its own after the engine had begun.
+test('takes nothing for an answer that does not say it is done', async t => {
+  const token = 'data: {"kind":"token","index":0,"text":"half"}\n\n';
+  const answers: ReadonlyArray<readonly [number, string]> = [
+    [200, token],
+    [200, `${token}data: {"kind":"surprise"}\n\n`],
+    [200, `${token}event: error\ndata: overloaded\n\n`],
+    [503, 'upstream is busy'],
+    [404, ''],
+  ];
+  for (const [status, body] of answers) {
+    const server = createServer((req, res) => {
+      res.writeHead(status).end(body);
+    });
+    t.teardown(() => server.close());
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+    const {port} = server.address() as AddressInfo;
+    const client = new HttpEngineClient(`http://127.0.0.1:${port}`);
+    const read = async () => {
+      for await (const event of client.generate(request('a', 'x'), never()))
+        t.is(event.kind, 'token');
+    };
+    const err = await t.throwsAsync(read(), {instanceOf: EngineError});
+    t.is(err?.kind, 'lost');
+  }
+});
+
 test('cancels at the engine on abort and when the reader leaves', async t => {
   const {client, engine} = await create(t);
   const abort = new AbortController();
