Run the demo's targets as the target process itself

Cause: the demo composed a target by hand beside the daemon's own composition. Change: the demo's targets are the daemon over an engine in the same process, and stop as planned.

--- a/packages/demo/src/lib/process/local_fleet.ts
+++ b/packages/demo/src/lib/process/local_fleet.ts
@@ -1,10 +1,8 @@
 /** Entries, target processes and a platform in one process, on loopback. */
 import {createHash} from 'node:crypto';
-import {DisposableStore, sleep} from '@oathead/core';
-import {SYSTEM_CLOCK} from '@oathead/core';
+import {SYSTEM_CLOCK, sleep} from '@oathead/core';
 import {ENTRY_SETTINGS, runEntry} from '@oathead/entry';
 import type {RunningEntry} from '@oathead/entry';
-import {Metrics} from '@oathead/observe';
 import {MemoryPlatform} from '@oathead/platform';
 import {request} from 'undici';
 import {startLocalTarget} from './local_target.js';
@@ -55,8 +53,7 @@
   options: LocalFleetOptions,
 ): Promise<LocalFleet> {
   const platform = new MemoryPlatform();
-  const held = new DisposableStore();
-  const targets = await startTargets(options, held);
+  const targets = await startTargets(options);
   const entries: RunningEntry[] = [];
   for (let i = 0; i < options.entries; i++) {
     const port = i === 0 ? (options.port ?? 0) : 0;
@@ -77,7 +74,7 @@
     urls,
     stop: async () => {
       await Promise.all(entries.map(entry => entry.stop()));
-      held[Symbol.dispose]();
+      await Promise.all(targets.map(({target}) => target.stop()));
     },
   };
 }
@@ -90,7 +87,6 @@
 
 async function startTargets(
   options: LocalFleetOptions,
-  held: DisposableStore,
 ): Promise<readonly NamedTarget[]> {
   const {modelTargets, serviceTargets} = options;
   const targets: NamedTarget[] = [];
@@ -98,17 +94,12 @@
     const isModel = i < modelTargets;
     const pool = isModel ? DEMO_POOLS.model : DEMO_POOLS.service;
     const name = `${pool}-${isModel ? i : i - modelTargets}`;
-    const target = held.add(
-      await startLocalTarget({
-        targetId: name,
-        dataCentre: DATA_CENTRES[i % DATA_CENTRES.length]!,
-        seed: i + 1,
-        metrics: new Metrics(),
-        ...(isModel
-          ? {models: [{model: pool, version: 'v1'}]}
-          : {service: pool}),
-      }),
-    );
+    const target = await startLocalTarget({
+      targetId: name,
+      dataCentre: DATA_CENTRES[i % DATA_CENTRES.length]!,
+      seed: i + 1,
+      ...(isModel ? {models: [{model: pool, version: 'v1'}]} : {service: pool}),
+    });
     targets.push({name, pool, target});
   }
   return targets;
--- a/packages/demo/src/lib/process/local_target.ts
+++ b/packages/demo/src/lib/process/local_target.ts
@@ -1,20 +1,19 @@
 /** A target process and its engine inside this process, on loopback. */
-import {createServer} from 'node:http';
-import type {AddressInfo} from 'node:net';
-import {DisposableStore, EngineAdmission, SYSTEM_CLOCK} from '@oathead/core';
-import {seededRandom} from '@oathead/core';
-import type {Metrics} from '@oathead/observe';
+import {
+  DisposableStore,
+  EngineAdmission,
+  SYSTEM_CLOCK,
+  seededRandom,
+} from '@oathead/core';
+import {Metrics} from '@oathead/observe';
 import {FakeEngine, FakeService} from '@oathead/stand-ins';
-import {TargetService} from '@oathead/target';
-import {serveWire} from '@oathead/wire';
-import {WebSocketServer} from 'ws';
+import {TARGET_SETTINGS, runDaemon} from '@oathead/target';
 
 /** How a local target is set up. */
 export interface LocalTargetOptions {
   readonly targetId: string;
   readonly dataCentre: string;
   readonly seed: number;
-  readonly metrics: Metrics;
   /** Versions that the engine serves; absent for a plain service. */
   readonly models?: readonly {
     readonly model: string;
@@ -25,10 +24,12 @@
 }
 
 /** A running local target. */
-export interface LocalTarget extends Disposable {
-  readonly service: TargetService;
+export interface LocalTarget {
   /** Host and port of its target process. */
   readonly address: string;
+  readonly metrics: Metrics;
+  /** Stops as planned. */
+  stop(): Promise<void>;
 }
 
 const HOST = '127.0.0.1';
@@ -41,58 +42,67 @@
   options: LocalTargetOptions,
 ): Promise<LocalTarget> {
   const held = new DisposableStore();
-  const service = held.add(createService(options, held));
-  const server = createServer();
-  const sockets = new WebSocketServer({server});
-  held.add(serveWire(sockets, service));
-  held.defer(() => {
-    server.close();
-    server.closeAllConnections();
-  });
-  await new Promise<void>(resolve => server.listen(0, HOST, resolve));
-  service.start();
-  const {port} = server.address() as AddressInfo;
+  const stop = new AbortController();
+  const metrics = new Metrics();
+  const {port, ended} = await listening(onPort =>
+    runDaemon(settingsOf(options), {
+      clock: SYSTEM_CLOCK,
+      random: seededRandom(options.seed),
+      metrics,
+      createAdmission: () => new EngineAdmission(),
+      createEngine: () =>
+        held.add(
+          new FakeEngine(SYSTEM_CLOCK, {
+            served: {versions: options.models ?? []},
+          }),
+        ),
+      createService: () => new FakeService(SYSTEM_CLOCK),
+      stop: stop.signal,
+      listening: ({wire}) => onPort(wire),
+    }),
+  );
   return {
-    service,
     address: `${HOST}:${port}`,
-    [Symbol.dispose]: () => held[Symbol.dispose](),
+    metrics,
+    stop: async () => {
+      stop.abort();
+      await ended;
+      held[Symbol.dispose]();
+    },
   };
 }
 
-function createService(
-  options: LocalTargetOptions,
-  held: DisposableStore,
-): TargetService {
-  const clock = SYSTEM_CLOCK;
-  const engine = options.models
-    ? held.add(new FakeEngine(clock, {served: {versions: options.models}}))
-    : undefined;
-  const services = options.service
-    ? new Map([[options.service, new FakeService(clock)]])
-    : new Map();
-  return new TargetService({
-    clock,
-    random: seededRandom(options.seed),
-    counters: options.metrics,
-    createAdmission: () => new EngineAdmission(),
-    backends: {...(engine ? {engine} : {}), services},
-    settings: {
-      targetId: options.targetId,
-      dataCentre: options.dataCentre,
-      fenceCheck: 'unfenced',
-      attachGraceMs: 2000,
-      coalesceMs: 10,
-      orderTimeoutMs: 10_000,
-      memory: {
-        attachMs: 10_000,
-        answerMs: 600_000,
-        answerBytes: 64 * 1024 * 1024,
-        startedMs: 3_600_000,
-        startedCount: 100_000,
-        heldBytes: 64 * 1024 * 1024,
-      },
-      engine: {probeMs: 200, probeTimeoutMs: 1000},
-      load: {pushMs: 50, bytesPerSecond: 10_000},
-    },
+interface Listening {
+  readonly port: number;
+  /** Settles when the daemon has stopped. */
+  readonly ended: Promise<void>;
+}
+
+/** Waits until a daemon listens; rejects when it cannot. */
+function listening(
+  run: (onPort: (port: number) => void) => Promise<void>,
+): Promise<Listening> {
+  return new Promise((resolve, reject) => {
+    const ended = run(port => resolve({port, ended}));
+    ended.catch(reject);
+  });
+}
+
+/** The engine and the service are in this process: their URLs go unused. */
+function settingsOf({
+  targetId,
+  dataCentre,
+  models,
+  service,
+}: LocalTargetOptions) {
+  const url = 'http://127.0.0.1:1';
+  return TARGET_SETTINGS.parse({
+    targetId,
+    dataCentre,
+    listen: {host: HOST, port: 0},
+    http: {host: HOST, port: 0},
+    ...(models ? {engine: {url, fenceCheck: 'unfenced'}} : {}),
+    ...(service ? {services: {[service]: {url}}} : {}),
+    graceMs: 5000,
   });
 }
--- a/packages/entry/src/lib/process/entry.ts
+++ b/packages/entry/src/lib/process/entry.ts
@@ -206,7 +206,7 @@
     const {clock} = this.parts;
     const deadline = clock.now() + graceMs;
     this.stopping = true;
-    const batchStopped = this.jobs.stop();
+    const batchStopped = this.jobs.stop(graceMs);
     while (this.busy && clock.now() < deadline) {
       await sleep(clock, STOP_CHECK_MS);
     }
