Track late tokens and how long streams would last alone

Cause: the estimate of the tail alone was too high, since slowed streams last longer and more of them run, and time left of the step in progress was not counted. Change: each online stream counts by how much longer it lasted; the residual of the step is taken off the spare time of a first token; late tokens steer how far below the limit steps are planned.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -33,3 +33,4 @@
 export * from './lib/process/online_gate.js';
 export * from './lib/process/running_set.js';
 export * from './lib/process/step_model.js';
+export * from './lib/process/step_clock.js';
--- a/packages/core/src/lib/process/batch_controller.ts
+++ b/packages/core/src/lib/process/batch_controller.ts
@@ -8,6 +8,7 @@
 import type {HarmMeter} from './harm_meter.js';
 import type {OnlineGate} from './online_gate.js';
 import type {RunningSet} from './running_set.js';
+import type {StepClock} from './step_clock.js';
 import type {StepModel} from './step_model.js';
 import type {PoolConfig} from '../version/target_config.js';
 
@@ -31,6 +32,19 @@
   prefillSteps: 2,
 };
 
+/**
+ * Steps are planned this much shorter than the limit, the more the more tokens
+ * were late lately.
+ */
+const AIM_BELOW = 0.005;
+const AIM_BELOW_IN_DEBT = 0.03;
+
+/**
+ * A late step costs as many late tokens as streams are online, so it is far
+ * cheaper while few are: late tokens are saved up for then.
+ */
+const OVERRUN_PRICE = 0.05;
+
 /** Online tokens and requests before the measured tail is believed. */
 const MIN_TOKENS = 500;
 const MIN_REQUESTS = 20;
@@ -61,9 +75,10 @@
   /**
    * @param request - An online request that is about to start.
    * @param cfg - Its pool.
+   * @param now - Milliseconds.
    * @returns How many batch streams have to make room for it.
    */
-  excess(request: AdmissionRequest, cfg: PoolConfig): number;
+  excess(request: AdmissionRequest, cfg: PoolConfig, now: number): number;
 }
 
 /** What a batch rule can go by. */
@@ -76,6 +91,8 @@
   readonly meter: HarmMeter;
   /** What the engine holds. */
   readonly gate: OnlineGate;
+  /** When its step began. */
+  readonly steps: StepClock;
 }
 
 /** Bounds batch work by what it does to the steps of online streams. */
@@ -84,6 +101,7 @@
   private readonly running: RunningSet;
   private readonly meter: HarmMeter;
   private readonly gate: OnlineGate;
+  private readonly steps: StepClock;
 
   /**
    * @param senses - What to go by.
@@ -97,6 +115,7 @@
     this.running = senses.running;
     this.meter = senses.meter;
     this.gate = senses.gate;
+    this.steps = senses.steps;
   }
 
   /**
@@ -129,47 +148,56 @@
     if (online.running === 0) return this.prefillFits(prefillTokens);
     const streams = online.running + batch.running + 1;
     const stepMs = this.model.predict({streams, prefillTokens});
-    if (stepMs <= this.stepLimit(cfg)) return true;
+    if (stepMs <= this.aimMs(cfg)) return true;
     const first = batch.prefillTokens === 0;
-    return first && this.meter.overruns > online.running;
+    return first && this.meter.credit > online.running * OVERRUN_PRICE;
   }
 
-  excess(request: AdmissionRequest, cfg: PoolConfig): number {
+  excess(request: AdmissionRequest, cfg: PoolConfig, now: number): number {
     const {online, batch} = this.running;
     if (batch.running === 0) return 0;
     const streams = online.running + 1;
     const prefillTokens = online.prefillTokens + request.promptTokens;
+    const spare = this.spareMs(streams, prefillTokens, cfg);
+    const spareMs = spare - this.residualMs(now);
     const beside = Math.min(
       this.gate.streamCeiling - streams,
       this.besideTokens(streams, prefillTokens, cfg),
-      this.besideFirstToken(streams, prefillTokens, cfg),
+      this.besideFirstToken(prefillTokens, spareMs),
       this.besideMemory(request),
     );
     const over = batch.running - Math.max(0, Math.floor(beside));
-    return Math.max(over, this.prefillingInTheWay(streams, prefillTokens, cfg));
+    const late = this.model.prefillMs(batch.prefillTokens) > spareMs;
+    const inTheWay = late || this.prefillTooLong(streams, prefillTokens, cfg);
+    // Those being prefilled are the newest, so they are the first to go.
+    return Math.max(over, inTheWay ? batch.running - batch.decoding : 0);
   }
 
-  /**
-   * Batch prompts that are being prefilled stand before the new one; they are
-   * the newest streams, so they are the first to go.
-   */
-  private prefillingInTheWay(
+  /** Whether batch prompts make the steps of online streams too long. */
+  private prefillTooLong(
     streams: number,
     prefillTokens: number,
     cfg: PoolConfig,
-  ): number {
+  ): boolean {
     const {online, batch} = this.running;
-    const prefilling = batch.running - batch.decoding;
-    if (prefilling === 0) return 0;
+    if (online.decoding === 0) return false;
     const stepMs = this.model.predict({
       streams: streams + batch.running,
       prefillTokens: prefillTokens + batch.prefillTokens,
     });
-    const long = online.decoding > 0 && stepMs > this.stepLimit(cfg);
-    const {perPrefillToken} = this.model;
-    const waitMs = batch.prefillTokens * perPrefillToken;
-    const late = waitMs > this.spareMs(streams, prefillTokens, cfg);
-    return long || late ? prefilling : 0;
+    return stepMs > this.aimMs(cfg);
+  }
+
+  /** Time that is left of the step in progress, which nothing can shorten. */
+  private residualMs(now: number): number {
+    const {online, batch} = this.running;
+    const {since} = this.steps;
+    if (since === undefined) return 0;
+    const stepMs = this.model.predict({
+      streams: online.running + batch.running,
+      prefillTokens: batch.prefillTokens,
+    });
+    return Math.max(0, since + stepMs - now);
   }
 
   /** Batch streams that leave the steps of online streams short enough. */
@@ -179,7 +207,7 @@
     cfg: PoolConfig,
   ): number {
     if (this.running.online.decoding === 0) return Number.POSITIVE_INFINITY;
-    return this.within(this.stepLimit(cfg), prefillTokens) - streams;
+    return this.within(this.aimMs(cfg), prefillTokens) - streams;
   }
 
   /**
@@ -187,14 +215,9 @@
    * the tail may wait until it gets near it; one in the tail may wait only the
    * accepted ratio longer.
    */
-  private besideFirstToken(
-    streams: number,
-    prefillTokens: number,
-    cfg: PoolConfig,
-  ): number {
-    const spare = this.spareMs(streams, prefillTokens, cfg);
+  private besideFirstToken(prefillTokens: number, spareMs: number): number {
     const each = this.prefillSteps(prefillTokens) * this.model.perStream;
-    return spare / Math.max(Number.EPSILON, each);
+    return spareMs / Math.max(Number.EPSILON, each);
   }
 
   /** Milliseconds by which batch work may delay a first token. */
@@ -207,7 +230,7 @@
     if (meter.requests < MIN_REQUESTS) return 0;
     const stepMs = model.fixed + model.perStream * streams;
     const alone =
-      prefillTokens * model.perPrefillToken +
+      model.prefillMs(prefillTokens) +
       this.prefillSteps(prefillTokens) * stepMs;
     const harm = this.harm(cfg);
     const tail = harm * meter.aloneFirstTokenMs - alone;
@@ -216,8 +239,8 @@
 
   /** Steps in which an engine prefills so many tokens. */
   private prefillSteps(tokens: number): number {
-    const {perPrefillToken, largestPrefill} = this.model;
-    const steps = (tokens * perPrefillToken) / Math.max(1, largestPrefill);
+    const {largestPrefill} = this.model;
+    const steps = this.model.prefillMs(tokens) / Math.max(1, largestPrefill);
     return Math.max(1, Math.ceil(steps));
   }
 
@@ -242,7 +265,13 @@
     const {batch} = this.running;
     if (batch.prefillTokens === 0) return true;
     const most = this.model.largestPrefill * this.tuning.prefillSteps;
-    return tokens * this.model.perPrefillToken <= most;
+    return this.model.prefillMs(tokens) <= most;
+  }
+
+  private aimMs(cfg: PoolConfig): number {
+    const debt = Math.max(0, -this.meter.credit);
+    const below = AIM_BELOW + (AIM_BELOW_IN_DEBT - AIM_BELOW) * debt;
+    return this.stepLimit(cfg) * (1 - below);
   }
 
   /** With nobody online, a step harms only who comes in before it ends. */
--- a/packages/core/src/lib/process/engine_lane.ts
+++ b/packages/core/src/lib/process/engine_lane.ts
@@ -57,8 +57,8 @@
     buildRule: (senses: BatchSenses) => BatchRule = senses =>
       new BatchController(senses),
   ) {
-    const {model, running, meter, gate} = this;
-    this.batchRule = buildRule({model, running, meter, gate});
+    const {model, running, meter, gate, steps} = this;
+    this.batchRule = buildRule({model, running, meter, gate, steps});
   }
 
   configure(
@@ -197,7 +197,7 @@
       const cfg = this.pools.get(next.request.pool)!;
       if (!this.gate.admits(next.request, cfg)) return;
       queue.take();
-      const excess = this.batchRule.excess(next.request, cfg);
+      const excess = this.batchRule.excess(next.request, cfg, now);
       const victims = this.running.newestBatch().slice(0, excess);
       for (const victim of victims) this.preempt(victim, actions);
       this.start(next, now, actions);
@@ -210,7 +210,12 @@
       const cfg = this.pools.get(request.pool)!;
       return this.batchRule.admits(request, cfg, this.prefillOf(request));
     };
-    for (let next = queue.take(fits); next; next = queue.take(fits)) {
+    // Long prompts fit only while few streams run; short ones and streams that
+    // go on fit later too, so long ones go first.
+    const size = (request: AdmissionRequest) => this.prefillOf(request);
+    for (;;) {
+      const next = queue.take(fits, size);
+      if (next === undefined) return;
       this.start(next, now, actions);
     }
   }
@@ -271,8 +276,8 @@
       online.decoding + batch.decoding,
     );
     const done = this.running.prefilled(tokens);
-    const doneMs = done * model.perPrefillToken;
-    const streams = online.decoding / meter.stretch;
+    const doneMs = model.prefillMs(done);
+    const streams = meter.aloneStreams();
     const decodeMs = model.fixed + model.perStream * streams;
     // Alone, a part of a prompt would have taken the like part of a full step.
     const whole = online.prefillTokens <= 0;
--- a/packages/core/src/lib/process/fair_queue.ts
+++ b/packages/core/src/lib/process/fair_queue.ts
@@ -77,17 +77,23 @@
 
   /**
    * @param fits - Whether a request can run now.
+   * @param size - Within a caller the largest goes first; else all are equal.
    * @returns The first in order that can, taken out and charged to its caller.
    */
   take(
     fits: (request: AdmissionRequest) => boolean = () => true,
+    size: (request: AdmissionRequest) => number = () => 0,
   ): Queued | undefined {
     const lines = [...this.lines.values()]
       .filter(({waiting}) => waiting.length > 0)
       .sort((a, b) => a.virtualStart - b.virtualStart);
     for (const line of lines) {
-      const entry = line.waiting.find(({request}) => fits(request));
-      if (entry !== undefined) return this.takeFrom(line, entry);
+      let best: Queued | undefined;
+      for (const entry of line.waiting) {
+        if (best && size(entry.request) <= size(best.request)) continue;
+        if (fits(entry.request)) best = entry;
+      }
+      if (best !== undefined) return this.takeFrom(line, best);
     }
     return undefined;
   }
--- a/packages/core/src/lib/process/harm_meter.ts
+++ b/packages/core/src/lib/process/harm_meter.ts
@@ -8,14 +8,13 @@
 
 const TAIL = 0.99;
 /** Online tokens that stand behind a quantile of the time between tokens. */
-const TOKEN_WINDOW = 40_000;
+const TOKEN_WINDOW = 200_000;
 const TOKEN_REFRESH = 500;
 /** Requests that stand behind a quantile of the time to first token. */
-const FIRST_TOKEN_WINDOW = 1_000;
+const FIRST_TOKEN_WINDOW = 4_000;
 const FIRST_TOKEN_REFRESH = 5;
 /** Share of the tail's tokens that is planned for; the rest is error. */
 const OVERRUN_SHARE = 0.8;
-const STRETCH_FORGETTING = 0.999;
 /** Online tokens beyond the limit that may be saved up. */
 const MAX_CREDIT = 200;
 
@@ -38,6 +37,12 @@
   lostMs: number;
 }
 
+/** Time of steps with online streams, as it was and without batch work. */
+interface Spent {
+  readonly actualMs: number;
+  readonly aloneMs: number;
+}
+
 /** What online callers see, and what they would see without batch work. */
 export class HarmMeter {
   private readonly aloneStep = new RecentQuantile(
@@ -61,12 +66,16 @@
     FIRST_TOKEN_REFRESH,
   );
   private readonly waiting = new Map<string, Waiting>();
-  private readonly stretchMs = {actual: 0, alone: 0};
-  private credit = 0;
+  private readonly decoding = new Map<string, Spent>();
+  private readonly spent = {actualMs: 0, aloneMs: 0};
+  private lateTokens = 0;
 
-  /** Online tokens that may still come later than the limit. */
-  get overruns(): number {
-    return this.credit;
+  /**
+   * Online tokens that may still be late, as a share of what can be saved up;
+   * negative when too many were.
+   */
+  get credit(): number {
+    return this.lateTokens / MAX_CREDIT;
   }
 
   /** Online tokens that stand behind the quantiles. */
@@ -100,13 +109,19 @@
   }
 
   /**
-   * How much longer online streams last with batch work than alone: by Little's
-   * law there are as many more of them at a time.
+   * How many online streams would be decoding without batch work. Streams that
+   * are slowed down last longer, so more of them run at a time; by how much
+   * longer each lasts, as much less it counts.
+   *
+   * @returns The streams, in fractions.
    */
-  get stretch(): number {
-    return this.stretchMs.alone > 0
-      ? this.stretchMs.actual / this.stretchMs.alone
-      : 1;
+  aloneStreams(): number {
+    let streams = 0;
+    for (const {actualMs, aloneMs} of this.decoding.values()) {
+      const actual = this.spent.actualMs - actualMs;
+      streams += actual > 0 ? (this.spent.aloneMs - aloneMs) / actual : 1;
+    }
+    return streams;
   }
 
   /** @param step - What one step was like. */
@@ -117,27 +132,22 @@
       this.actualStep.record(durationMs, onlineTokens);
       this.aloneStep.record(alone, onlineTokens);
       this.spend(onlineTokens, durationMs > step.limitMs);
-      this.stretched(durationMs, alone);
+      this.spent.actualMs += durationMs;
+      this.spent.aloneMs += alone;
     }
     for (const waiting of this.waiting.values()) {
       waiting.lostMs += lostBy(waiting.since, step);
     }
   }
 
-  private stretched(actual: number, alone: number): void {
-    const {stretchMs} = this;
-    stretchMs.actual = stretchMs.actual * STRETCH_FORGETTING + actual;
-    stretchMs.alone = stretchMs.alone * STRETCH_FORGETTING + alone;
-  }
-
   /**
    * A p99 stands while no more than one token in a hundred is later, whichever
    * those are: what online work itself does not use up is left for batch.
    */
   private spend(tokens: number, late: boolean): void {
     const earned = (1 - TAIL) * OVERRUN_SHARE * tokens;
-    const credit = this.credit + earned - (late ? tokens : 0);
-    this.credit = Math.max(-MAX_CREDIT, Math.min(MAX_CREDIT, credit));
+    const left = this.lateTokens + earned - (late ? tokens : 0);
+    this.lateTokens = Math.max(-MAX_CREDIT, Math.min(MAX_CREDIT, left));
   }
 
   /**
@@ -156,12 +166,14 @@
     const waiting = this.waiting.get(id);
     if (waiting === undefined) return;
     this.waiting.delete(id);
+    this.decoding.set(id, {...this.spent});
     this.actualFirst.record(elapsedMs);
     this.aloneFirst.record(Math.max(1, elapsedMs - waiting.lostMs));
   }
 
-  /** @param id - An online request that ended without a token. */
+  /** @param id - An online request that ended. */
   gone(id: string): void {
+    this.decoding.delete(id);
     this.waiting.delete(id);
   }
 }
--- a/packages/core/src/lib/process/step_model.ts
+++ b/packages/core/src/lib/process/step_model.ts
@@ -33,7 +33,7 @@
   private sumD = 0;
   private sumNd = 0;
   private steps = 0;
-  private prefillMs = 0;
+  private prefillTime = 0;
   private prefillTokens = 0;
   private largestPrefillMs = 0;
   private largestStreams = 0;
@@ -53,7 +53,7 @@
   /** Milliseconds per prompt token. */
   get perPrefillToken(): number {
     if (this.prefillTokens <= 0) return FIRST_PER_PREFILL_TOKEN_MS;
-    return Math.max(0, this.prefillMs) / this.prefillTokens;
+    return Math.max(0, this.prefillTime) / this.prefillTokens;
   }
 
   /** Milliseconds of a step's fixed part. */
@@ -71,6 +71,14 @@
     return this.slope;
   }
 
+  /**
+   * @param tokens - Prompt tokens.
+   * @returns How long prefilling them takes, steps' fixed parts left out.
+   */
+  prefillMs(tokens: number): number {
+    return tokens * this.perPrefillToken;
+  }
+
   /**
    * Learns from one step.
    *
@@ -94,7 +102,7 @@
 
   /** @param tokens - Prompt tokens whose prefill has ended. */
   prefilled(tokens: number): void {
-    this.prefillMs *= PREFILL_FORGETTING;
+    this.prefillTime *= PREFILL_FORGETTING;
     this.prefillTokens = this.prefillTokens * PREFILL_FORGETTING + tokens;
   }
 
@@ -130,7 +138,7 @@
 
   /** The part of one step that prefilling takes; engines do it in pieces. */
   private prefillPart(tokens: number): number {
-    const all = tokens * this.perPrefillToken;
+    const all = this.prefillMs(tokens);
     if (this.largestPrefillMs <= 0) return all;
     return Math.min(all, this.largestPrefillMs);
   }
@@ -138,7 +146,7 @@
   private learnPrefill(durationMs: number, mix: StepMix): void {
     const decode = this.base + this.slope * mix.streams;
     const extra = Math.max(0, durationMs - decode);
-    this.prefillMs += extra;
+    this.prefillTime += extra;
     if (mix.streams === 0) return;
     this.largestPrefillMs *= LARGEST_FORGETTING;
     this.largestPrefillMs = Math.max(this.largestPrefillMs, extra);
