--- a/packages/batch/src/lib/process/chunk_work.ts
+++ b/packages/batch/src/lib/process/chunk_work.ts
@@ -206,6 +206,15 @@
     return this.ready.get(pool)?.length ?? 0;
   }
 
+  /**
+   * @param pool - A model or service.
+   * @returns How many items for it wait for a row that says they are started.
+   */
+  claimedCount(pool: string): number {
+    const claims = [...this.claims];
+    return claims.filter(i => poolOf(this.items[i]!.work) === pool).length;
+  }
+
   /**
    * @param pool - A model or service.
    * @param allowed - Which items are allowed.
--- a/packages/batch/src/lib/process/item_starter.ts
+++ b/packages/batch/src/lib/process/item_starter.ts
@@ -29,7 +29,8 @@
   startAll(): void {
     const {chunks, runner, recorder} = this.deps;
     for (const pool of chunks.readyPools()) {
-      let room = runner.room(pool);
+      // The runner does not know yet of items that wait for their claim.
+      let room = runner.room(pool) - chunks.claimed(pool);
       while (room-- > 0 && this.startOne(pool));
     }
     for (const chunk of chunks.all()) recorder.kick(chunk);
--- a/packages/batch/src/lib/process/loaded_chunks.ts
+++ b/packages/batch/src/lib/process/loaded_chunks.ts
@@ -62,6 +62,16 @@
     return new Set(chunks.flatMap(chunk => chunk.readyPools));
   }
 
+  /**
+   * @param pool - A model or service.
+   * @returns How many items for it are about to be sent.
+   */
+  claimed(pool: string): number {
+    let sum = 0;
+    for (const chunk of this.all()) sum += chunk.claimedCount(pool);
+    return sum;
+  }
+
   /** @returns How many items of each caller run at this entry now. */
   runningByCaller(): Map<string, number> {
     const running = new Map<string, number>();
--- /dev/null
+++ b/packages/core/src/test/process/memoized_step_test.ts
@@ -0,0 +1,19 @@
+import test from 'ava';
+import {memoizedStep} from '../../lib/process/memoized_step.js';
+
+test('each cell of the table is worked out once', t => {
+  let worked = 0;
+  const step = memoizedStep<'on' | 'off', {readonly flip: boolean}>(
+    (state, {flip}) => {
+      worked++;
+      if (!flip) return state;
+      return state === 'on' ? 'off' : 'on';
+    },
+  );
+  for (let i = 0; i < 10; i++) {
+    t.is(step('on', {flip: true}), 'off');
+    t.is(step('on', {flip: false}), 'on');
+    t.is(step('off', {flip: true}), 'on');
+  }
+  t.is(worked, 3);
+});
