Give operators and callers the verbs of oathead

Each verb is a module in one table; all talk to an entry over HTTP, follow cut connections (a watch resumes behind the last event, results behind the last whole line, a submit and an apply send the same thing again), and end with an exit code from one table. Progress is drawn only on a terminal. `entry`, `demo`, `load` and the settings schemas have one place to register their loaders; until then they say that this build has none, and end with 2.

--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -3,5 +3,7 @@
  *
  * @packageDocumentation
  */
-
-export {};
+export {EXIT, EXIT_MEANINGS} from './lib/process/cli_error.js';
+export type {CliError, ExitCode} from './lib/process/cli_error.js';
+export {main} from './lib/process/main.js';
+export type {Terminal, VerbContext, VerbOutcome} from './lib/process/verb.js';
--- /dev/null
+++ b/packages/cli/src/lib/process/registered.ts
@@ -0,0 +1,51 @@
+/**
+ * Where other packages register what the command line only starts. Each entry
+ * imports its package when it is used, so that `oathead get` loads no server.
+ */
+import type {z} from 'zod';
+import type {VerbContext, VerbOutcome} from './verb.js';
+
+/** Settings files that can be checked. */
+export type SettingsKind = 'entry' | 'target';
+
+/** Imports the schema of a kind of settings. */
+export type SchemaLoader = () => Promise<z.ZodType>;
+
+/** Schemas by kind of settings; what is missing cannot be checked. */
+export const SETTINGS_SCHEMAS: Readonly<
+  Partial<Record<SettingsKind, SchemaLoader>>
+> = {};
+
+/** Runs until it ends by itself or the signal of the context is aborted. */
+export type Runner<T> = (args: T, context: VerbContext) => Promise<VerbOutcome>;
+
+/** Imports what carries out a verb. */
+export type RunnerLoader<T> = () => Promise<Runner<T>>;
+
+/** Arguments of `oathead entry`. */
+export interface EntryArgs {
+  readonly config: string;
+}
+
+/** Arguments of `oathead demo`. */
+export interface DemoArgs {
+  /** Stays up after its table, for requests by hand. */
+  readonly serve: boolean;
+}
+
+/** Arguments of `oathead load`. */
+export interface LoadArgs {
+  readonly url?: string;
+  readonly key?: string;
+  readonly pool: string;
+  /** Requests a second. */
+  readonly rate: number;
+  readonly seconds: number;
+}
+
+/** Verbs that other packages carry out; what is missing says so and fails. */
+export const RUNNERS: {
+  readonly entry?: RunnerLoader<EntryArgs>;
+  readonly demo?: RunnerLoader<DemoArgs>;
+  readonly load?: RunnerLoader<LoadArgs>;
+} = {};
--- /dev/null
+++ b/packages/cli/src/test/process/main_test.ts
@@ -0,0 +1,71 @@
+import test from 'ava';
+import {VERBS} from '../../lib/process/verbs.js';
+import {fakeServer, json, refusal} from '../fakes/fake_server.js';
+import {runCli} from '../fakes/run_cli.js';
+
+test('each verb has help with an example', async t => {
+  for (const {command, examples} of VERBS) {
+    const name = command.split(' ')[0]!;
+    const {exitCode, out} = await runCli([name, '--help']);
+    t.is(exitCode, 0);
+    t.true(examples.length > 0, name);
+    t.true(out.includes('Examples:'), name);
+  }
+});
+
+test('bad usage ends with 2 and shows how it is meant', async t => {
+  for (const argv of [[], ['aply'], ['delete', 'models'], ['get', '--x']]) {
+    const {exitCode, out, err} = await runCli(argv);
+    t.is(exitCode, 2, argv.join(' '));
+    t.is(out, '');
+    t.regex(err, /oathead/);
+  }
+  const {exitCode, err} = await runCli(['get', '--url', 'ftp://x']);
+  t.is(exitCode, 2);
+  t.regex(err, /not an http/);
+});
+
+test('verbs that nothing carries out yet say so', async t => {
+  for (const argv of [['entry', '--config', 'x'], ['demo'], ['load', 'm']]) {
+    const {exitCode, err} = await runCli(argv);
+    t.is(exitCode, 2);
+    t.regex(err, /this build has no/);
+  }
+});
+
+test('each refusal has its exit code', async t => {
+  const cases = [
+    [400, {kind: 'invalid-request', problems: [{path: 'a', message: 'b'}]}, 1],
+    [412, {kind: 'revision-conflict', currentVersion: 3}, 4],
+    [404, {kind: 'not-found'}, 5],
+    [401, {kind: 'unauthorized'}, 6],
+    [429, {kind: 'rate-limited'}, 7],
+    [409, {kind: 'outcome-unknown', ran: 'may-have-run'}, 8],
+  ] as const;
+  for (const [status, error, expected] of cases) {
+    await using server = await fakeServer(refusal(status, error));
+    const {exitCode, err} = await runCli(['get', '--url', server.url]);
+    t.is(exitCode, expected, error.kind);
+    t.true(err.includes(error.kind));
+  }
+});
+
+test('a server that cannot be reached is 3', async t => {
+  const server = await fakeServer();
+  await server[Symbol.asyncDispose]();
+  t.is((await runCli(['get', '--url', server.url])).exitCode, 3);
+});
+
+test('a refusal that passes is tried again; the key goes along', async t => {
+  await using server = await fakeServer(
+    refusal(503, {kind: 'store-unavailable'}),
+    json({revision: 1, resources: []}),
+  );
+  const {exitCode, out} = await runCli(['get'], {
+    OATHEAD_URL: server.url,
+    OATHEAD_KEY: 'secret',
+  });
+  t.is(exitCode, 0);
+  t.is(out, '(none)\n');
+  t.is(server.received[1]!.headers.authorization, 'Bearer secret');
+});
--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -18,6 +18,7 @@
 export * from './lib/version/change.js';
 export * from './lib/version/conditions.js';
 export * from './lib/version/fleet_view.js';
+export * from './lib/version/problems.js';
 export * from './lib/version/references.js';
 export * from './lib/version/spec_schema.js';
 export * from './lib/version/status_report.js';
