--- /dev/null
+++ b/packages/batch/src/test/fakes/fake_fleet.ts
@@ -0,0 +1,188 @@
+/** Entries that work off batch jobs over one platform, in virtual time. */
+import {hash32, seededRandom} from '@oathead/core';
+import type {BatchItem, ItemOutcome, ItemRunner} from '@oathead/core';
+import type {MembershipSettings} from '@oathead/membership';
+import {FakeMembers} from '../../../../membership/dist/test/fakes/fake_members.js';
+import type {FakeMember} from '../../../../membership/dist/test/fakes/fake_members.js';
+import {BatchJobs} from '../../lib/process/batch_jobs.js';
+import type {BatchSettings} from '../../lib/process/batch_settings.js';
+import type {ItemResult, JobItem, JobStatus} from '../../lib/request/job.js';
+
+/** One attempt at an item, as the targets saw it. */
+export interface Attempt {
+  readonly entry: string;
+  readonly item: BatchItem;
+  readonly at: number;
+  /** When the target was free of it; the entry may never have heard. */
+  endedAt?: number;
+}
+
+/** Decides what becomes of an attempt. */
+export type Script = (attempt: Attempt) => {
+  readonly outcome: ItemOutcome;
+  readonly afterMs: number;
+};
+
+export interface FakeEntry extends FakeMember {
+  readonly id: string;
+  readonly jobs: BatchJobs;
+}
+
+export const ANSWERED: ItemOutcome = {
+  kind: 'done',
+  answer: {kind: 'response', status: 200, body: 'ok'},
+};
+
+const ABORT_MS = 5;
+
+export class FakeFleet {
+  readonly members: FakeMembers;
+  readonly attempts: Attempt[] = [];
+  script: Script = () => ({outcome: ANSWERED, afterMs: 100});
+  /** Items that targets take at once from each entry. */
+  room = 8;
+
+  constructor(
+    seed = 1,
+    private readonly batch: Partial<BatchSettings> = {},
+    membership: Partial<MembershipSettings> = {},
+  ) {
+    this.members = new FakeMembers(seed, membership);
+  }
+
+  get clock(): FakeMembers['clock'] {
+    return this.members.clock;
+  }
+
+  start(id: string): FakeEntry {
+    const member = this.members.start(id);
+    const {seed, counters} = this.members;
+    const jobs = new BatchJobs(
+      {
+        clock: member.host.clock,
+        random: seededRandom(hash32(`batch/${seed}/${id}`)),
+        counters,
+        table: member.store,
+        objects: member.store,
+        membership: member.members,
+        runner: new FakeRunner(this, id, member),
+      },
+      this.batch,
+    );
+    return {...member, id, jobs};
+  }
+
+  async accept(
+    entry: FakeEntry,
+    id: string,
+    jobItems: readonly JobItem[],
+    caller = 'bank-a',
+  ) {
+    const {jobs} = entry;
+    return this.members.wait(jobs.accept(caller, {id, items: jobItems}));
+  }
+
+  async status(
+    entry: FakeEntry,
+    id: string,
+    caller = 'bank-a',
+  ): Promise<JobStatus | undefined> {
+    const status = await this.members.wait(entry.jobs.status(caller, id));
+    return status.ok ? status.value : undefined;
+  }
+
+  /** Lets time pass until a job is in a state; says whether it came to be. */
+  reaches(entry: FakeEntry, id: string, state: string, limitMs: number) {
+    return this.members.until(
+      async () => (await this.status(entry, id))?.state === state,
+      limitMs,
+      1_000,
+    );
+  }
+
+  async results(
+    entry: FakeEntry,
+    id: string,
+    after?: string,
+    caller = 'bank-a',
+  ): Promise<readonly ItemResult[]> {
+    const {jobs} = entry;
+    const read = async () => {
+      const results = await jobs.results(caller, id, {after});
+      if (!results.ok) throw new Error(results.err.kind);
+      const lines: ItemResult[] = [];
+      for await (const line of results.value) {
+        if (line.kind === 'refused') throw new Error(line.refusal.kind);
+        lines.push(line.result);
+      }
+      return lines;
+    };
+    return this.members.wait(read());
+  }
+
+  attemptsAt(item: string): readonly Attempt[] {
+    return this.attempts.filter(attempt => attempt.item.item === item);
+  }
+}
+
+class FakeRunner implements ItemRunner {
+  private running = 0;
+
+  constructor(
+    private readonly fleet: FakeFleet,
+    private readonly entry: string,
+    private readonly member: FakeMember,
+  ) {}
+
+  room(): number {
+    return this.fleet.room - this.running;
+  }
+
+  onRoom(): Disposable {
+    return {[Symbol.dispose]: () => {}};
+  }
+
+  async run(item: BatchItem, signal: AbortSignal): Promise<ItemOutcome> {
+    const {clock, attempts} = this.fleet;
+    const attempt: Attempt = {entry: this.entry, item, at: clock.now()};
+    attempts.push(attempt);
+    this.running++;
+    const {outcome, afterMs} = this.fleet.script(attempt);
+    const ended = new Promise<ItemOutcome>(resolve => {
+      const end = (how: ItemOutcome) => {
+        attempt.endedAt ??= clock.now();
+        resolve(how);
+      };
+      clock.after(afterMs, () => end(outcome));
+      signal.addEventListener('abort', () =>
+        clock.after(ABORT_MS, () => end(aborted(item))),
+      );
+    });
+    const result = await this.member.host.hear(ended);
+    this.running--;
+    return result;
+  }
+}
+
+export function lost(suspect: boolean): ItemOutcome {
+  const message = 'the connection broke';
+  const refusal = {kind: 'target-lost', message, ran: 'may-have-run'} as const;
+  return {kind: 'lost', refusal, suspect};
+}
+
+function aborted(item: BatchItem): ItemOutcome {
+  return item.idempotent ? {kind: 'returned'} : lost(false);
+}
+
+export function items(count: number, idempotent = true): readonly JobItem[] {
+  return [...Array(count).keys()].map(i => ({
+    id: `item-${i}`,
+    work: {
+      kind: 'completion' as const,
+      model: 'review-llm',
+      input: {kind: 'prompt' as const, prompt: `review ${i}`},
+      maxTokens: 16,
+    },
+    idempotent,
+  }));
+}
