Merge the demo into the verbs

The demo and the schemas of both settings files are registered where the command line looks for what it only starts. A JSON job names its own id.

--- a/packages/cli/src/lib/process/cli_error.ts
+++ b/packages/cli/src/lib/process/cli_error.ts
@@ -68,6 +68,8 @@
       /** The request was sent, and may have been carried out. */
       readonly sent: boolean;
     }
+  /** It ran, and did not come out as it should. */
+  | {readonly kind: 'failed'; readonly message: string}
   /** The answer is not what the server of this version gives. */
   | {readonly kind: 'malformed'; readonly message: string};
 
@@ -82,6 +84,7 @@
       ? EXIT.unknownOutcome
       : EXIT_OF_REFUSAL[refusal.kind],
   unreachable: () => EXIT.unreachable,
+  failed: () => EXIT.failed,
   malformed: () => EXIT.failed,
 };
 
@@ -96,6 +99,7 @@
       ? `the connection was lost, it may have been carried out: ${message}`
       : `the server cannot be reached: ${message}`,
   ],
+  failed: ({message}) => [message],
   malformed: ({message}) => [`the answer cannot be read: ${message}`],
 };
 
--- a/packages/cli/src/lib/process/registered.ts
+++ b/packages/cli/src/lib/process/registered.ts
@@ -2,7 +2,9 @@
  * Where other packages register what the command line only starts. Each entry
  * imports its package when it is used, so that `oathead get` loads no server.
  */
+import {failure, success} from '@oathead/core';
 import type {z} from 'zod';
+import {EXIT} from './cli_error.js';
 import type {VerbContext, VerbOutcome} from './verb.js';
 
 /** Settings files that can be checked. */
@@ -14,7 +16,10 @@
 /** Schemas by kind of settings; what is missing cannot be checked. */
 export const SETTINGS_SCHEMAS: Readonly<
   Partial<Record<SettingsKind, SchemaLoader>>
-> = {};
+> = {
+  entry: async () => (await import('@oathead/entry')).ENTRY_SETTINGS,
+  target: async () => (await import('@oathead/target')).TARGET_SETTINGS,
+};
 
 /** Runs until it ends by itself or the signal of the context is aborted. */
 export type Runner<T> = (args: T, context: VerbContext) => Promise<VerbOutcome>;
@@ -31,6 +36,8 @@
 export interface DemoArgs {
   /** Stays up after its table, for requests by hand. */
   readonly serve: boolean;
+  /** Port of its first entry; any free one without it. */
+  readonly port?: number;
 }
 
 /** Arguments of `oathead load`. */
@@ -48,4 +55,14 @@
   readonly entry?: RunnerLoader<EntryArgs>;
   readonly demo?: RunnerLoader<DemoArgs>;
   readonly load?: RunnerLoader<LoadArgs>;
-} = {};
+} = {
+  demo: async () => {
+    const {runDemo} = await import('@oathead/demo');
+    return async ({serve, port}) => {
+      const code = await runDemo({serve, port});
+      return code === EXIT.ok
+        ? success(undefined)
+        : failure({kind: 'failed', message: 'the demo did not come out well'});
+    };
+  },
+};
--- a/packages/cli/src/lib/process/verbs/registered_verbs.ts
+++ b/packages/cli/src/lib/process/verbs/registered_verbs.ts
@@ -35,6 +35,8 @@
   run: (args, context) => runWith('entry', RUNNERS.entry, args, context),
 };
 
+const SERVE_PORT = 8_080;
+
 /** Runs a small system in one process. */
 export const DEMO: Verb<DemoArgs> = {
   command: 'demo',
@@ -44,12 +46,18 @@
     {command: '$0 demo --serve', does: 'Stay up for requests by hand'},
   ],
   options: parser =>
-    parser.option('serve', {
-      type: 'boolean',
-      default: false,
-      describe: 'Stay up for requests by hand',
-    }),
-  run: (args, context) => runWith('demo', RUNNERS.demo, args, context),
+    parser
+      .option('serve', {
+        type: 'boolean',
+        default: false,
+        describe: 'Stay up for requests by hand',
+      })
+      .option('port', {
+        type: 'number',
+        describe: 'Port of its first entry; 8080 while it stays up',
+      }),
+  run: ({serve, port = serve ? SERVE_PORT : undefined}, context) =>
+    runWith('demo', RUNNERS.demo, {serve, port}, context),
 };
 
 const DEFAULT_RATE = 10;
--- a/packages/cli/src/lib/process/verbs/submit.ts
+++ b/packages/cli/src/lib/process/verbs/submit.ts
@@ -72,6 +72,10 @@
         describe: 'Wait for the end of the job',
       }),
   async run(args, context) {
+    if (isObject(args.file) && (args.id ?? args.due) !== undefined) {
+      const message = 'a JSON object names its id and its dueAt itself';
+      return failure(usageError(message));
+    }
     const dueAt = parseDue(args.due, context.clock.wallTime());
     if (!dueAt.ok) return dueAt;
     const file = await describe(args.file);
@@ -111,9 +115,8 @@
   {terminal}: VerbContext,
 ): Promise<Outcome<JobStatus, CliError>> {
   using progress = startProgress(terminal, 'bytes sent', file.bytes);
-  const isJson = args.file.endsWith('.json');
-  // An object may name its job itself.
-  const id = args.id ?? (isJson ? undefined : file.hash.slice(0, ID_DIGITS));
+  const isJson = isObject(args.file);
+  const id = isJson ? undefined : (args.id ?? file.hash.slice(0, ID_DIGITS));
   return api.json<JobStatus>({
     method: 'POST',
     path: withQuery(jobPath(), {id, dueAt}),
@@ -125,6 +128,10 @@
   });
 }
 
+function isObject(file: string): boolean {
+  return file.endsWith('.json');
+}
+
 function counting(progress: Progress): Transform {
   let sent = 0;
   return new Transform({
