Run an entry as a program

Cause: an entry could only be composed by other code. Change: oathead entry reads its settings file, listens, prints its port as one JSON line, and stops with grace on SIGTERM. Conclusion: wrong settings list every problem with its path and exit with 2, nothing started.

--- a/packages/cli/src/lib/process/registered.ts
+++ b/packages/cli/src/lib/process/registered.ts
@@ -4,7 +4,7 @@
  */
 import {failure, success} from '@oathead/core';
 import type {z} from 'zod';
-import {EXIT} from './cli_error.js';
+import {EXIT, usageError} from './cli_error.js';
 import type {VerbContext, VerbOutcome} from './verb.js';
 
 /** Settings files that can be checked. */
@@ -56,6 +56,18 @@
   readonly demo?: RunnerLoader<DemoArgs>;
   readonly load?: RunnerLoader<LoadArgs>;
 } = {
+  entry: async () => {
+    const {runEntryProcess} = await import('@oathead/entry');
+    return async ({config}, {signal, terminal}) => {
+      const ended = await runEntryProcess(config, signal, ({port}) =>
+        terminal.out(JSON.stringify({ready: true, port}) + '\n'),
+      );
+      if (ended.ok) return ended;
+      return failure(
+        usageError(`${config}: ${ended.err.kind}`, ended.err.problems),
+      );
+    };
+  },
   demo: async () => {
     const {runDemo} = await import('@oathead/demo');
     return async ({serve, port}) => {
