Keep callers within their limits, shared among entries

Cause: declared limits were not in force. Change: each entry admits by its share of a limit; a caller that has spent most of it here is reported once a second to its home entry, which answers what the others use. Callers far from their limits cost no message.

--- a/packages/cli/src/test/process/main_test.ts
+++ b/packages/cli/src/test/process/main_test.ts
@@ -25,15 +25,16 @@
   t.regex(err, /not an http/);
 });
 
+test('an entry without readable settings is not started', async t => {
+  const {exitCode, err} = await runCli(['entry', '--config', 'none.json']);
+  t.is(exitCode, 2);
+  t.regex(err, /none.json: unreadable/);
+});
+
 test('verbs that nothing carries out yet say so', async t => {
-  for (const argv of [
-    ['entry', '--config', 'x'],
-    ['load', 'm'],
-  ]) {
-    const {exitCode, err} = await runCli(argv);
-    t.is(exitCode, 2);
-    t.regex(err, /this build has no/);
-  }
+  const {exitCode, err} = await runCli(['load', 'm']);
+  t.is(exitCode, 2);
+  t.regex(err, /this build has no/);
 });
 
 test('each refusal has its exit code', async t => {
--- a/packages/core/src/lib/process/caller_limits.ts
+++ b/packages/core/src/lib/process/caller_limits.ts
@@ -127,6 +127,23 @@
     state.buckets.tokens.level += unusedTokens;
   }
 
+  /**
+   * @param caller - A caller.
+   * @returns Whether it has spent most of its share here: only then is it worth
+   *     a message to learn what other entries leave unused.
+   */
+  isNear(caller: string): boolean {
+    const state = this.byCaller.get(caller);
+    if (state === undefined) return false;
+    const {spec, share, concurrentShare, buckets, concurrent} = state;
+    const half = (rate: number) => (rate * share * spec.burstSeconds) / 2;
+    return (
+      buckets.requests.level < Math.max(1, half(spec.requestsPerSecond)) ||
+      buckets.tokens.level < half(spec.tokensPerSecond) ||
+      concurrent >= (spec.concurrent * concurrentShare) / 2
+    );
+  }
+
   /**
    * @param now - Milliseconds.
    * @returns What this entry used lately of each limited caller.
--- a/packages/entry/src/lib/connection/peer_link.ts
+++ b/packages/entry/src/lib/connection/peer_link.ts
@@ -6,6 +6,7 @@
 import {createTRPCClient, createWSClient, wsLink} from '@trpc/client';
 import type {TRPCClient} from '@trpc/client';
 import {WebSocket} from 'ws';
+import type {UseReport, UseReports} from '../process/limit_gate.js';
 import type {ForwardedCall, PeerRouter} from './peer_router.js';
 
 /** Ways to ask one other entry. */
@@ -16,6 +17,8 @@
   configSince(since: number): Promise<ConfigDelta | undefined>;
   /** @throws LinkLostError */
   findOutcome(dedupeKey: string): Promise<ServeOutcome | undefined>;
+  /** @throws LinkLostError */
+  reportUse(reports: UseReports): Promise<readonly UseReport[]>;
 }
 
 /** How to open a link to another entry. */
@@ -53,6 +56,11 @@
     return this.channel().ask(api => api.findOutcome.query(dedupeKey));
   }
 
+  reportUse(reports: UseReports): Promise<readonly UseReport[]> {
+    const input = {...reports, reports: [...reports.reports]};
+    return this.channel().ask(api => api.reportUse.mutate(input));
+  }
+
   [Symbol.dispose](): void {
     this.current?.[Symbol.dispose]();
   }
--- a/packages/entry/src/lib/connection/peers.ts
+++ b/packages/entry/src/lib/connection/peers.ts
@@ -3,6 +3,7 @@
 import type {Clock, ServeEvent, ServeOutcome} from '@oathead/core';
 import type {ConfigDelta, ConfigPeers} from '@oathead/config';
 import type {Membership, Peer} from '@oathead/membership';
+import type {UseReport, UseReports} from '../process/limit_gate.js';
 import type {KeyedCall} from '../request/keyed_requests.js';
 import type {PeerLinks} from '../request/online_service.js';
 import type {PeerLink} from './peer_link.js';
@@ -59,6 +60,11 @@
     return this.link(peer).findOutcome(dedupeKey);
   }
 
+  /** @throws LinkLostError */
+  reportUse(peer: Peer, reports: UseReports): Promise<readonly UseReport[]> {
+    return this.link(peer).reportUse(reports);
+  }
+
   ids(): readonly string[] {
     return this.others().map(({entryId}) => entryId);
   }
--- a/packages/entry/src/lib/process/entry.ts
+++ b/packages/entry/src/lib/process/entry.ts
@@ -40,7 +40,7 @@
 import {KeyedRequests} from '../request/keyed_requests.js';
 import type {KeyedCall} from '../request/keyed_requests.js';
 import {OnlineService} from '../request/online_service.js';
-import type {ServeCall} from '../request/online_call.js';
+import type {Serve} from '../request/online_call.js';
 import {resourceRoutes} from '../request/resource_routes.js';
 import {resultRoutes} from '../request/result_routes.js';
 import {Router} from '../request/router.js';
@@ -48,6 +48,8 @@
 import {AnswerStore} from './answer_store.js';
 import type {AnswerStoreSettings} from './answer_store.js';
 import {KeyAuthenticator} from './key_authenticator.js';
+import {LimitGate} from './limit_gate.js';
+import type {UseReport, UseReports} from './limit_gate.js';
 import {LocalSuspects} from './suspect_registry.js';
 
 /** What an entry is made of. */
@@ -95,6 +97,7 @@
   private readonly online: OnlineService;
   private readonly jobs: BatchJobs;
   private readonly suspects: LocalSuspects;
+  private readonly limits: LimitGate;
   private inFlight = 0;
   private stopping = false;
 
@@ -129,6 +132,14 @@
       peers: this.peers,
       dispatch,
     });
+    this.limits = this.held.add(
+      new LimitGate({
+        clock,
+        cfg: this.cache,
+        membership,
+        tell: (peer, reports) => this.peers.reportUse(peer, reports),
+      }),
+    );
     const runner = new BatchRunner({
       clock,
       random,
@@ -196,6 +207,10 @@
     return this.keyed.find(dedupeKey);
   }
 
+  reportUse(reports: UseReports): readonly UseReport[] {
+    return this.limits.heard(reports);
+  }
+
   /**
    * Stops as planned: takes nothing new, lets what is in flight end, writes
    * what is unwritten, and hands its shares over.
@@ -227,11 +242,11 @@
     return this.inFlight > 0 || this.keyed.runningCount > 0;
   }
 
-  private serveOnline(
-    call: ServeCall,
-    signal: AbortSignal,
-  ): AsyncIterable<ServeEvent> {
-    return this.counted(this.online.serve(call, signal));
+  private serveOnline(): Serve {
+    const limited = this.limits.limited((call, signal) =>
+      this.online.serve(call, signal),
+    );
+    return (call, signal) => this.counted(limited(call, signal));
   }
 
   /** A planned stop waits for what is counted here. */
@@ -328,8 +343,7 @@
       cfg: cache,
       defaultDeadlineMs: settings.defaultDeadlineMs,
       maxDeadlineMs: settings.maxDeadlineMs,
-      serve: (call: ServeCall, signal: AbortSignal) =>
-        this.serveOnline(call, signal),
+      serve: this.serveOnline(),
     };
     const store = new ConfigStore({
       store: platform.table,
