--- a/packages/batch/src/test/fakes/fake_fleet.ts
+++ b/packages/batch/src/test/fakes/fake_fleet.ts
@@ -2,11 +2,13 @@
 import {hash32, seededRandom} from '@oathead/core';
 import type {BatchItem, ItemOutcome, ItemRunner} from '@oathead/core';
 import type {MembershipSettings} from '@oathead/membership';
+import {MemoryPlatform} from '@oathead/platform';
 import {FakeMembers} from '../../../../membership/dist/test/fakes/fake_members.js';
 import type {FakeMember} from '../../../../membership/dist/test/fakes/fake_members.js';
 import {BatchJobs} from '../../lib/process/batch_jobs.js';
 import type {BatchSettings} from '../../lib/process/batch_settings.js';
 import type {ItemResult, JobItem, JobStatus} from '../../lib/request/job.js';
+import {CheckedTable} from './checked_table.js';
 
 /** One attempt at an item, as the targets saw it. */
 export interface Attempt {
@@ -37,6 +39,7 @@
 
 export class FakeFleet {
   readonly members: FakeMembers;
+  readonly table = new CheckedTable();
   readonly attempts: Attempt[] = [];
   script: Script = () => ({outcome: ANSWERED, afterMs: 100});
   /** Items that targets take at once from each entry. */
@@ -47,7 +50,8 @@
     private readonly batch: Partial<BatchSettings> = {},
     membership: Partial<MembershipSettings> = {},
   ) {
-    this.members = new FakeMembers(seed, membership);
+    const platform = {...new MemoryPlatform(), table: this.table};
+    this.members = new FakeMembers(seed, membership, platform);
   }
 
   get clock(): FakeMembers['clock'] {
--- a/packages/membership/src/test/fakes/fake_members.ts
+++ b/packages/membership/src/test/fakes/fake_members.ts
@@ -1,8 +1,8 @@
 /** Entries over one platform, in virtual time. */
 import {hash32, seededRandom} from '@oathead/core';
-import type {Counters} from '@oathead/core';
+import type {Counters, Labels} from '@oathead/core';
 import {MemoryPlatform} from '@oathead/platform';
-import type {ObjectStore, TableStore} from '@oathead/platform';
+import type {ObjectStore, Platform, TableStore} from '@oathead/platform';
 import {StoreFaults, VirtualClock, faultyPlatform} from '@oathead/stand-ins';
 import {LeasedMembership} from '../../lib/process/leased_membership.js';
 import {MEMBERSHIP_DEFAULTS} from '../../lib/process/membership_settings.js';
@@ -16,7 +16,7 @@
 export class CountedEvents implements Counters {
   private readonly counts = new Map<string, number>();
 
-  count(name: string, labels = {}, by = 1): void {
+  count(name: string, labels?: Labels, by = 1): void {
     this.counts.set(name, this.of(name) + by);
   }
 
@@ -38,7 +38,6 @@
 /** Entries over one platform. */
 export class FakeMembers {
   readonly clock = new VirtualClock();
-  readonly platform = new MemoryPlatform();
   /** Faults of the stores, for all. */
   readonly faults = new StoreFaults(this.clock);
   readonly counters = new CountedEvents();
@@ -47,6 +46,7 @@
   constructor(
     readonly seed = 1,
     private readonly settings: Partial<MembershipSettings> = {},
+    readonly platform: Platform = new MemoryPlatform(),
   ) {}
 
   start(id: string, settings: Partial<MembershipSettings> = {}): FakeMember {
--- a/packages/membership/src/test/process/membership_property_test.ts
+++ b/packages/membership/src/test/process/membership_property_test.ts
@@ -17,7 +17,7 @@
   'kill',
   'start',
   'stop',
-  'cut-off',
+  'cutOff',
   'down',
   'lossy',
   'heal',
@@ -90,7 +90,7 @@
   kill: (world, entry) => world.kill(entry),
   start: (world, entry) => world.start(entry),
   stop: (world, entry) => world.stop(entry),
-  'cut-off': (world, entry) =>
+  cutOff: (world, entry) =>
     void world.live[entry]?.faults.add({fault: {kind: 'down'}}),
   down: world => void world.fleet.faults.add({fault: {kind: 'down'}}),
   lossy: world => loseAnswers(world.fleet.faults, 0.3, 0.2),
