--- a/packages/config/src/lib/version/conditions.ts
+++ b/packages/config/src/lib/version/conditions.ts
@@ -111,6 +111,11 @@
     fleet.served(target, spec.model).some(({version}) => version === name),
   );
   const message = `ready at ${ready.length} of ${live.length} live targets`;
+  const failed = live.filter(target =>
+    fleet
+      .served(target, spec.model)
+      .some(({version, state}) => version === name && state === 'failed'),
+  );
   const serving =
     wanted && ready.length > 0
       ? state('Serving', 'true', 'TakesTraffic', message)
@@ -120,6 +125,10 @@
           wanted ? 'NotReadyYet' : 'NotChosen',
           message,
         );
+  if (failed.length > 0) {
+    const text = `could not be loaded at ${failed.length} targets, such as ${failed[0]}`;
+    return [serving, state('RollingOut', 'true', 'LoadFailed', text)];
+  }
   return [
     serving,
     rollingOut(wanted, ready.length, loaded.length, live.length),
--- a/packages/config/src/lib/version/target_config_for.ts
+++ b/packages/config/src/lib/version/target_config_for.ts
@@ -30,6 +30,7 @@
     }),
     callerWeights: callerWeights(snapshot),
     blocked,
+    leaving: target.spec.leaving,
   };
 }
 
@@ -37,6 +38,7 @@
   return {
     pool,
     kind: spec.type,
+    ...(spec.version === undefined ? {} : {version: spec.version}),
     batch: spec.batch,
     firstTokenMs: spec.firstTokenMs,
     betweenTokensMs: spec.betweenTokensMs,
--- a/packages/config/src/test/version/target_config_for_test.ts
+++ b/packages/config/src/test/version/target_config_for_test.ts
@@ -7,6 +7,8 @@
 test('a target is told of its own models and of unusual weights', async t => {
   const {store, newCache} = configFleet();
   await store.apply('models', 'm', {maxOnline: 3});
+  await store.apply('versions', 'm-1', {model: 'm', weights: 'w'});
+  await store.apply('models', 'm', {maxOnline: 3, version: 'm-1'});
   await store.apply('models', 'other', {});
   await store.apply('models', 'limits', {type: 'service'});
   await store.apply('callers', 'bank-a', {keyHashes: [KEY_HASH], weight: 2});
@@ -19,7 +21,13 @@
   const {cache} = newCache();
   await cache.start();
   const config = targetConfigFor(cache.current(), 't', ['f1'])!;
-  t.like(config, {revision: 6, callerWeights: {'bank-a': 2}, blocked: ['f1']});
+  t.like(config, {
+    revision: 8,
+    callerWeights: {'bank-a': 2},
+    blocked: ['f1'],
+    leaving: false,
+  });
+  t.is(config.pools[0]!.version, 'm-1');
   t.deepEqual(
     config.pools.map(({pool, kind, maxOnline}) => [pool, kind, maxOnline]),
     [
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -35,6 +35,7 @@
 export * from './lib/request/work.js';
 export * from './lib/request/work_fingerprint.js';
 export * from './lib/version/resource.js';
+export * from './lib/version/rollout_machine.js';
 export * from './lib/version/target_config.js';
 export * from './lib/process/harm_meter.js';
 export * from './lib/process/online_gate.js';
