--- a/packages/batch/src/test/fakes/fake_fleet.ts
+++ b/packages/batch/src/test/fakes/fake_fleet.ts
@@ -62,8 +62,8 @@
         clock: member.host.clock,
         random: seededRandom(hash32(`batch/${seed}/${id}`)),
         counters,
-        table: member.store,
-        objects: member.store,
+        table: member.table,
+        objects: member.objects,
         membership: member.members,
         runner: new FakeRunner(this, id, member),
       },
@@ -79,7 +79,7 @@
     caller = 'bank-a',
   ) {
     const {jobs} = entry;
-    return this.members.wait(jobs.accept(caller, {id, items: jobItems}));
+    return this.clock.until(jobs.accept(caller, {id, items: jobItems}));
   }
 
   async status(
@@ -87,14 +87,20 @@
     id: string,
     caller = 'bank-a',
   ): Promise<JobStatus | undefined> {
-    const status = await this.members.wait(entry.jobs.status(caller, id));
+    const status = await this.clock.until(entry.jobs.status(caller, id));
     return status.ok ? status.value : undefined;
   }
 
   /** Lets time pass until a job is in a state; says whether it came to be. */
-  reaches(entry: FakeEntry, id: string, state: string, limitMs: number) {
+  reaches(
+    entry: FakeEntry,
+    id: string,
+    state: string,
+    limitMs: number,
+    caller?: string,
+  ) {
     return this.members.until(
-      async () => (await this.status(entry, id))?.state === state,
+      async () => (await this.status(entry, id, caller))?.state === state,
       limitMs,
       1_000,
     );
@@ -117,7 +123,7 @@
       }
       return lines;
     };
-    return this.members.wait(read());
+    return this.clock.until(read());
   }
 
   attemptsAt(item: string): readonly Attempt[] {
