--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -40,4 +40,5 @@
 export * from './lib/request/work.js';
 export * from './lib/request/work_fingerprint.js';
 export * from './lib/version/resource.js';
+export * from './lib/version/rollout_machine.js';
 export * from './lib/version/target_config.js';
