--- a/packages/batch/src/test/fakes/fake_fleet.ts
+++ b/packages/batch/src/test/fakes/fake_fleet.ts
@@ -2,11 +2,13 @@
 import {hash32, seededRandom} from '@oathead/core';
 import type {BatchItem, ItemOutcome, ItemRunner} from '@oathead/core';
 import type {MembershipSettings} from '@oathead/membership';
+import {MemoryPlatform} from '@oathead/platform';
 import {FakeMembers} from '../../../../membership/dist/test/fakes/fake_members.js';
 import type {FakeMember} from '../../../../membership/dist/test/fakes/fake_members.js';
 import {BatchJobs} from '../../lib/process/batch_jobs.js';
 import type {BatchSettings} from '../../lib/process/batch_settings.js';
 import type {ItemResult, JobItem, JobStatus} from '../../lib/request/job.js';
+import {CheckedTable} from './checked_table.js';
 
 /** One attempt at an item, as the targets saw it. */
 export interface Attempt {
@@ -37,6 +39,7 @@
 
 export class FakeFleet {
   readonly members: FakeMembers;
+  readonly table = new CheckedTable();
   readonly attempts: Attempt[] = [];
   script: Script = () => ({outcome: ANSWERED, afterMs: 100});
   /** Items that targets take at once from each entry. */
@@ -47,7 +50,8 @@
     private readonly batch: Partial<BatchSettings> = {},
     membership: Partial<MembershipSettings> = {},
   ) {
-    this.members = new FakeMembers(seed, membership);
+    const platform = {...new MemoryPlatform(), table: this.table};
+    this.members = new FakeMembers(seed, membership, platform);
   }
 
   get clock(): FakeMembers['clock'] {
@@ -62,8 +66,8 @@
         clock: member.host.clock,
         random: seededRandom(hash32(`batch/${seed}/${id}`)),
         counters,
-        table: member.store,
-        objects: member.store,
+        table: member.table,
+        objects: member.objects,
         membership: member.members,
         runner: new FakeRunner(this, id, member),
       },
@@ -79,7 +83,7 @@
     caller = 'bank-a',
   ) {
     const {jobs} = entry;
-    return this.members.wait(jobs.accept(caller, {id, items: jobItems}));
+    return this.clock.until(jobs.accept(caller, {id, items: jobItems}));
   }
 
   async status(
@@ -87,14 +91,20 @@
     id: string,
     caller = 'bank-a',
   ): Promise<JobStatus | undefined> {
-    const status = await this.members.wait(entry.jobs.status(caller, id));
+    const status = await this.clock.until(entry.jobs.status(caller, id));
     return status.ok ? status.value : undefined;
   }
 
   /** Lets time pass until a job is in a state; says whether it came to be. */
-  reaches(entry: FakeEntry, id: string, state: string, limitMs: number) {
+  reaches(
+    entry: FakeEntry,
+    id: string,
+    state: string,
+    limitMs: number,
+    caller?: string,
+  ) {
     return this.members.until(
-      async () => (await this.status(entry, id))?.state === state,
+      async () => (await this.status(entry, id, caller))?.state === state,
       limitMs,
       1_000,
     );
@@ -117,7 +127,7 @@
       }
       return lines;
     };
-    return this.members.wait(read());
+    return this.clock.until(read());
   }
 
   attemptsAt(item: string): readonly Attempt[] {
