Keep the engine client's tests independent of speed

Cause: on a busy machine a stream of 200 tokens was over before the test crashed the engine beside it; one run of the whole suite failed so.

Change: streams that a test breaks are endless for its purposes.

Measured: eight runs of the tests of platform, stand-ins and target passed (111 tests each) at a load of 15 to 32 on 12 cores.

--- a/packages/target/src/test/connection/http_engine_client_test.ts
+++ b/packages/target/src/test/connection/http_engine_client_test.ts
@@ -10,13 +10,15 @@
 import {HttpEngineClient} from '../../lib/connection/http_engine_client.js';
 
 const SPEED = 20;
+/** More tokens than any test waits for. */
+const ENDLESS = 100_000;
 
-function request(id: string, prompt: string): EngineRequest {
+function request(id: string, prompt: string, maxTokens = 200): EngineRequest {
   const input = {kind: 'prompt', prompt} as const;
   const model = 'review-llm';
   return {
     id,
-    completion: {kind: 'completion', model, input, maxTokens: 200},
+    completion: {kind: 'completion', model, input, maxTokens},
   };
 }
 
@@ -111,7 +113,7 @@
   const abort = new AbortController();
   const aborted = async () => {
     for await (const event of client.generate(
-      request('a', '[[slow]]'),
+      request('a', '[[slow]]', ENDLESS),
       abort.signal,
     ))
       if (event.kind === 'token') abort.abort();
@@ -119,7 +121,7 @@
   const err = await t.throwsAsync(aborted(), {instanceOf: EngineError});
   t.is(err?.kind, 'lost');
   for await (const event of client.generate(
-    request('b', '[[slow]]'),
+    request('b', '[[slow]]', ENDLESS),
     never(),
   )) {
     t.is(event.kind, 'token');
@@ -130,7 +132,7 @@
 
 test('breaks all streams when the engine crashes', async t => {
   const {client, read} = await create(t);
-  const innocent = client.generate(request('a', '[[slow]]'), never());
+  const innocent = client.generate(request('a', '[[slow]]', ENDLESS), never());
   await innocent.next();
   t.is((await read(request('b', '[[crash]]'))).err?.kind, 'lost');
   const rest = async () => {
@@ -145,7 +147,10 @@
 test('a silent connection hurts only its own stream', async t => {
   const {standIn, client, read} = await create(t);
   const abort = new AbortController();
-  const stream = client.generate(request('a', '[[slow]]'), abort.signal);
+  const stream = client.generate(
+    request('a', '[[slow]]', ENDLESS),
+    abort.signal,
+  );
   await stream.next();
   standIn.server.silenceConnections();
   t.is((await read(request('b', 'hello'))).err, undefined);
