Recall answers that targets remember for a lost entry

Cause: an entry lost just after it answered took the unwritten answers with it; a resend at another entry would run again. Change: target processes answer for a key (recall), waiting for a run of it to end; a new home asks the two targets that a key prefers before it runs one, and adopts what targets hold for an entry that was lost. Batch outcomes are no longer held until written: nobody has them before they are recorded.

--- a/packages/entry/src/lib/process/entry.ts
+++ b/packages/entry/src/lib/process/entry.ts
@@ -38,9 +38,9 @@
 import {completionRoutes} from '../request/completion_routes.js';
 import {Dispatcher} from '../request/dispatcher.js';
 import {KeyedRequests} from '../request/keyed_requests.js';
-import type {KeyedCall} from '../request/keyed_requests.js';
 import {OnlineService} from '../request/online_service.js';
 import type {Serve} from '../request/online_call.js';
+import {Recall} from '../request/recall.js';
 import {resourceRoutes} from '../request/resource_routes.js';
 import {resultRoutes} from '../request/result_routes.js';
 import {Router} from '../request/router.js';
@@ -93,11 +93,13 @@
   private readonly fleet: TargetFleet;
   private readonly peers: Peers;
   private readonly answers: AnswerStore;
+  private readonly recall: Recall;
   private readonly keyed: KeyedRequests;
   private readonly online: OnlineService;
   private readonly jobs: BatchJobs;
   private readonly suspects: LocalSuspects;
   private readonly limits: LimitGate;
+  private knownPeers: ReadonlySet<string> = new Set();
   private inFlight = 0;
   private stopping = false;
 
@@ -114,6 +116,7 @@
     this.board = new StatusBoard(clock, this.cache);
     this.suspects = new LocalSuspects(counters);
     this.fleet = this.held.add(this.createFleet());
+    this.recall = new Recall({clock, counters, fleet: this.fleet});
     const {membership} = this;
     this.answers = new AnswerStore({...base, membership}, settings.answers);
     const dispatcher = this.createDispatcher();
@@ -123,7 +126,7 @@
       membership,
       answers: this.answers,
       dispatch,
-      recall: (call, signal) => this.recall(call, signal),
+      recall: call => this.recall.ofKey(call),
     });
     this.online = new OnlineService({
       counters,
@@ -150,6 +153,7 @@
     this.jobs = new BatchJobs({...base, membership, runner}, settings.batch);
     this.router = this.createRouter();
     this.answers.onWritten(keys => void this.releaseAtTargets(keys));
+    this.membership.onHead(() => void this.adoptHeld());
   }
 
   /** Joins the fleet and loads the configuration. */
@@ -261,13 +265,20 @@
     }
   }
 
-  private async recall(
-    call: KeyedCall,
-    signal: AbortSignal,
-  ): Promise<ServeOutcome | undefined> {
-    void call;
-    void signal;
-    return undefined;
+  /**
+   * An entry can be lost with answers that it gave and had not written. The
+   * targets hold them; whoever takes its shares over writes them in its place.
+   */
+  private async adoptHeld(): Promise<void> {
+    const present = new Set(this.membership.peers().map(p => p.entryId));
+    const lost = [...this.knownPeers].filter(id => !present.has(id));
+    this.knownPeers = present;
+    for (const entryId of lost) {
+      for (const answer of await this.recall.heldFor(entryId)) {
+        const share = this.membership.shareOf(answer.key);
+        if (this.membership.fence(share)) this.answers.add(answer);
+      }
+    }
   }
 
   private async findAnywhere(
--- a/packages/entry/src/lib/request/keyed_requests.ts
+++ b/packages/entry/src/lib/request/keyed_requests.ts
@@ -42,14 +42,11 @@
   /** Serves a request at a target. */
   readonly dispatch: Serve;
   /**
-   * Asks the targets that a key prefers for an outcome they hold.
+   * Asks the targets that a key prefers for an outcome they remember.
    *
    * @returns Undefined when none of them knows the key.
    */
-  recall(
-    call: KeyedCall,
-    signal: AbortSignal,
-  ): Promise<ServeOutcome | undefined>;
+  recall(call: KeyedCall): Promise<KeyedAnswer | undefined>;
 }
 
 interface Running {
@@ -202,7 +199,13 @@
     const kept = await this.kept(call, work);
     if (!this.isHome(share)) answers.drop(share);
     if (kept) return kept;
-    return this.deps.recall(call, NEVER);
+    const recalled = await this.deps.recall(call);
+    if (!recalled) return undefined;
+    const {outcome} = recalled;
+    // What has not run may be tried again.
+    if (!mayStand(outcome, call.idempotent)) return undefined;
+    if (recalled.work === work) answers.add(recalled);
+    return this.resent(recalled, work);
   }
 
   private isHome(share: number): boolean {
--- a/packages/target/src/lib/process/run_memory.ts
+++ b/packages/target/src/lib/process/run_memory.ts
@@ -34,7 +34,20 @@
  *     all its resends, have the same.
  */
 export function outcomeName(req: ServeRequest): string {
-  return req.dedupeKey === undefined ? `id ${req.id}` : `key ${req.dedupeKey}`;
+  const {dedupeKey} = req;
+  return dedupeKey === undefined ? `id ${req.id}` : keyName(dedupeKey);
+}
+
+function keyName(dedupeKey: string): string {
+  return `key ${dedupeKey}`;
+}
+
+/**
+ * Whether an answer must be held until it is written: a caller may have it and
+ * ask for it again. A batch item's outcome is nobody's before it is recorded.
+ */
+function isHeld(req: ServeRequest): boolean {
+  return req.dedupeKey !== undefined && req.class === 'online';
 }
 
 interface Held {
@@ -113,7 +126,18 @@
    * @returns A run whose outcome is the request's too.
    */
   sameOutcome(req: ServeRequest): TargetRun | undefined {
-    const name = outcomeName(req);
+    return this.byName(outcomeName(req));
+  }
+
+  /**
+   * @param dedupeKey - A key.
+   * @returns The run of it, ended or not, that is remembered.
+   */
+  byKey(dedupeKey: string): TargetRun | undefined {
+    return this.byName(keyName(dedupeKey));
+  }
+
+  private byName(name: string): TargetRun | undefined {
     return (
       this.liveByName.get(name) ??
       this.held.get(name)?.run ??
@@ -165,16 +189,14 @@
     this.ended.set(run.key, run);
     // What is too large for the cache is not kept, and no eviction is told.
     if (!this.ended.has(run.key)) this.forgotYoungAt = this.clock.now();
-    const {dedupeKey} = run.req;
-    if (run.outcome?.kind !== 'done' || dedupeKey === undefined) return;
-    this.hold(name, run);
+    if (run.outcome?.kind === 'done' && isHeld(run.req)) this.hold(name, run);
   }
 
   /**
    * @param dedupeKeys - Keys whose outcomes are written elsewhere.
    */
   release(dedupeKeys: readonly string[]): void {
-    for (const key of dedupeKeys) this.releaseName(`key ${key}`);
+    for (const key of dedupeKeys) this.releaseName(keyName(key));
   }
 
   /**
@@ -245,8 +267,7 @@
     if (!req.idempotent && this.marksAreFull()) {
       return notRun('overloaded', 'too many requests that may run only once');
     }
-    const holds = req.dedupeKey !== undefined;
-    if (holds && this.heldBytes >= this.settings.heldBytes) {
+    if (isHeld(req) && this.heldBytes >= this.settings.heldBytes) {
       return notRun('overloaded', 'too many answers that are not written yet');
     }
     return undefined;
--- a/packages/target/src/lib/process/target_service.ts
+++ b/packages/target/src/lib/process/target_service.ts
@@ -1,5 +1,12 @@
 /** The only way into the engine or plain services beside this process. */
-import {mayHaveRun, notRun, sleep, workFingerprint} from '@oathead/core';
+import {
+  LinkLostError,
+  isFinal,
+  mayHaveRun,
+  notRun,
+  sleep,
+  workFingerprint,
+} from '@oathead/core';
 import type {
   Heartbeat,
   HeartbeatReply,
@@ -12,7 +19,13 @@
   ServeRequest,
   TargetConfig,
 } from '@oathead/core';
-import type {Attachment, HeldAnswer, Hello, TargetHandler} from '@oathead/wire';
+import type {
+  Attachment,
+  HeldAnswer,
+  Hello,
+  RecalledOutcome,
+  TargetHandler,
+} from '@oathead/wire';
 import type {LiveRunParts} from '../request/live_run.js';
 import {RunFollowers} from '../request/run_followers.js';
 import type {FollowerSettings} from '../request/run_followers.js';
@@ -165,6 +178,25 @@
     yield* this.memory.heldFor(entryId);
   }
 
+  async recall(
+    dedupeKey: string,
+    signal: AbortSignal,
+  ): Promise<RecalledOutcome | undefined> {
+    const run = this.memory.byKey(dedupeKey);
+    if (!run) return undefined;
+    const asking = withoutCancel(signal);
+    const from = {
+      startedSeen: true,
+      tokensSeen: run.req.resume?.tokens ?? 0,
+      stream: false,
+    };
+    for await (const event of this.followers.follow(run, from, asking)) {
+      if (!isFinal(event)) continue;
+      return {work: workFingerprint(run.req.work), outcome: event};
+    }
+    return undefined;
+  }
+
   async cachedPrefixes(): Promise<readonly string[]> {
     const prefixes = this.engine?.watch.cache.prefixes() ?? [];
     return prefixes.slice(0, MAX_CACHED_PREFIXES);
@@ -277,3 +309,15 @@
   if (same) return undefined;
   return notRun('key-conflict', 'the key was used for another request');
 }
+
+/**
+ * Who asked only for the end of a run has no say in whether it goes on: its
+ * leaving counts as a broken connection, not as a caller that has gone.
+ */
+function withoutCancel(signal: AbortSignal): AbortSignal {
+  const asking = new AbortController();
+  const leave = () => asking.abort(new LinkLostError('asked for long enough'));
+  if (signal.aborted) leave();
+  else signal.addEventListener('abort', leave, {once: true});
+  return asking.signal;
+}
--- a/packages/wire/src/lib/connection/trpc_target_link.ts
+++ b/packages/wire/src/lib/connection/trpc_target_link.ts
@@ -12,7 +12,11 @@
 } from '@oathead/core';
 import {applyChange} from '../process/load_change.js';
 import type {LoadChange} from '../process/load_change.js';
-import type {HeldAnswer, ReportingLink} from '../process/target_handler.js';
+import type {
+  HeldAnswer,
+  RecalledOutcome,
+  ReportingLink,
+} from '../process/target_handler.js';
 import type {LinkCall} from './link_call.js';
 import {LinkConnection} from './link_connection.js';
 import type {LinkOptions} from './link_connection.js';
@@ -105,6 +109,16 @@
     return this.iterate(new StreamCall(subscribe, true), signal);
   }
 
+  recall(
+    dedupeKey: string,
+    signal: AbortSignal,
+  ): Promise<RecalledOutcome | undefined> {
+    return this.query(
+      (channel, s) => channel.api.recall.query(dedupeKey, {signal: s}),
+      signal,
+    );
+  }
+
   cachedPrefixes(signal: AbortSignal): Promise<readonly string[]> {
     return this.query(
       (channel, s) => channel.api.cachedPrefixes.query(undefined, {signal: s}),
--- a/packages/wire/src/lib/process/target_handler.ts
+++ b/packages/wire/src/lib/process/target_handler.ts
@@ -3,6 +3,7 @@
   Answer,
   LoadReport,
   ServeEvent,
+  ServeOutcome,
   TargetLink,
   Work,
 } from '@oathead/core';
@@ -25,6 +26,13 @@
   readonly answer: Answer;
 }
 
+/** The outcome of a key, as a target process remembers it. */
+export interface RecalledOutcome {
+  /** Fingerprint of the work that was asked for. */
+  readonly work: string;
+  readonly outcome: ServeOutcome;
+}
+
 /** A link on which the target reports its load without being asked. */
 export interface ReportingLink extends TargetLink {
   /**
@@ -53,6 +61,19 @@
    * @throws LinkLostError
    */
   held(entryId: string, signal: AbortSignal): AsyncIterable<HeldAnswer>;
+  /**
+   * Asks for the outcome of one key, waiting for the end of a run of it. It
+   * never starts one.
+   *
+   * @param dedupeKey - The key.
+   * @param signal - Gives up.
+   * @returns Undefined where the key is not known.
+   * @throws LinkLostError
+   */
+  recall(
+    dedupeKey: string,
+    signal: AbortSignal,
+  ): Promise<RecalledOutcome | undefined>;
   /**
    * @param signal - Gives up.
    * @returns Fingerprints of some prompt prefixes that the engine has cached,
--- a/packages/wire/src/lib/process/target_router.ts
+++ b/packages/wire/src/lib/process/target_router.ts
@@ -72,6 +72,9 @@
   }) {
     yield* ctx.handler.held(input, signal!);
   }),
+  recall: t.procedure
+    .input(z.string())
+    .query(({input, ctx, signal}) => ctx.handler.recall(input, signal!)),
   cachedPrefixes: t.procedure.query(({ctx, signal}) =>
     ctx.handler.cachedPrefixes(signal!),
   ),
--- a/packages/wire/src/test/wire_fixture.ts
+++ b/packages/wire/src/test/wire_fixture.ts
@@ -53,6 +53,10 @@
     return {bootId: this.bootId, load: LOAD};
   }
 
+  async recall() {
+    return undefined;
+  }
+
   async order() {
     return {kind: 'taken'} as const;
   }
