Hand over long batch prompts in pieces

Cause: a long prompt fits beside few streams only, so few streams ran most of the time. Change: a start may ask for only the first tokens of a prompt, which the engine then has cached; what is cached is trusted for as long as the engine's memory bears it; the step model leaves out what it cannot explain.

--- a/packages/bench/src/lib/process/engine_target.ts
+++ b/packages/bench/src/lib/process/engine_target.ts
@@ -39,7 +39,8 @@
   request: BenchRequest;
   generated: number;
   firstSeen: boolean;
-  atEngine: boolean;
+  /** The engine has only a piece of its prompt. */
+  piece: boolean;
   preemptedAt?: {readonly at: number; readonly steps: number};
 }
 
@@ -72,11 +73,16 @@
       const {promptTokens} = inside.request.admission;
       const tokens = promptTokens + inside.generated;
       const computed = tokens - cachedTokens;
+      if (inside.piece) return;
       this.sink.prefilled(inside.request, computed, cachedTokens);
     },
     token: (inside, {at}) => this.token(inside, at),
     evicted: () => {},
     done: (inside, {id, at}) => {
+      if (inside.piece) {
+        this.pieceDone(inside, at);
+        return;
+      }
       this.insides.delete(id);
       this.sink.done(inside.request, at);
       this.act(this.admission.handle({kind: 'ended', id, how: 'done'}, at), at);
@@ -85,7 +91,7 @@
   };
 
   private readonly onAction: ActionHandlers = {
-    start: (inside, action, now) => this.start(inside, now),
+    start: (inside, {prefillOnly}, now) => this.start(inside, prefillOnly, now),
     preempt: (inside, {id}, now) => {
       inside.preemptedAt = {at: now, steps: this.steps};
       this.model.cancel(id, now);
@@ -138,7 +144,7 @@
       request,
       generated: resumedTokens,
       firstSeen: false,
-      atEngine: false,
+      piece: false,
     };
     this.insides.set(id, inside);
     this.offer(inside, now);
@@ -185,21 +191,29 @@
     this.act(this.admission.handle({kind: 'arrived', request}, now), now);
   }
 
-  private start(inside: Inside, now: number): void {
+  private start(
+    inside: Inside,
+    prefillOnly: number | undefined,
+    now: number,
+  ): void {
     const {admission, outputTokens, blocks} = inside.request;
-    inside.atEngine = true;
+    inside.piece = prefillOnly !== undefined;
     inside.firstSeen = false;
     inside.preemptedAt = undefined;
-    this.model.submit(
-      {
-        id: admission.id,
-        promptTokens: admission.promptTokens,
-        blocks,
-        outputTokens,
-        resumedTokens: inside.generated,
-      },
-      now,
-    );
+    const whole = {
+      id: admission.id,
+      promptTokens: admission.promptTokens,
+      blocks,
+      outputTokens,
+      resumedTokens: inside.generated,
+    };
+    const piece = {
+      id: admission.id,
+      promptTokens: prefillOnly ?? 0,
+      blocks,
+      outputTokens: 1,
+    };
+    this.model.submit(inside.piece ? piece : whole, now);
   }
 
   private handle(event: ModelEvent): void {
@@ -212,7 +226,16 @@
     handler(inside, event);
   }
 
+  private pieceDone(inside: Inside, at: number): void {
+    const {id} = inside.request.admission;
+    inside.piece = false;
+    const how = 'preempted';
+    this.act(this.admission.handle({kind: 'ended', id, how}, at), at);
+    this.offer(inside, at);
+  }
+
   private token(inside: Inside, at: number): void {
+    if (inside.piece) return;
     const {request} = inside;
     const {id} = request.admission;
     const first = !inside.firstSeen;
@@ -228,7 +251,6 @@
 
   private cancelled(inside: Inside, at: number): void {
     const {id} = inside.request.admission;
-    inside.atEngine = false;
     if (inside.preemptedAt === undefined) {
       this.insides.delete(id);
       this.sink.failed(inside.request, at);
--- a/packages/bench/src/lib/process/policies.ts
+++ b/packages/bench/src/lib/process/policies.ts
@@ -9,7 +9,7 @@
   AdmissionEvent,
   AdmissionLoad,
   BatchRule,
-  BatchSenses,
+  EngineSenses,
   PoolConfig,
 } from '@oathead/core';
 
@@ -30,7 +30,7 @@
  */
 class FixedCap implements BatchRule {
   constructor(
-    private readonly senses: BatchSenses,
+    private readonly senses: EngineSenses,
     private readonly cap: number,
   ) {}
 
@@ -49,12 +49,16 @@
   excess(): number {
     return 0;
   }
+
+  pieceTokens(): number {
+    return 0;
+  }
 }
 
 /** Starts batch work while the engine's own, lagging report shows room. */
 class HoldBack implements BatchRule {
   constructor(
-    private readonly senses: BatchSenses,
+    private readonly senses: EngineSenses,
     private readonly most: number,
   ) {}
 
@@ -75,6 +79,10 @@
   excess(): number {
     return 0;
   }
+
+  pieceTokens(): number {
+    return 0;
+  }
 }
 
 /** Hands everything to the engine as it comes, online work too. */
@@ -117,7 +125,7 @@
 
 function configured(
   pool: PoolConfig,
-  buildRule?: (senses: BatchSenses) => BatchRule,
+  buildRule?: (senses: EngineSenses) => BatchRule,
 ): Admission {
   const admission = new EngineAdmission(buildRule);
   const pools = [pool];
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -34,3 +34,4 @@
 export * from './lib/process/running_set.js';
 export * from './lib/process/step_model.js';
 export * from './lib/process/step_clock.js';
+export * from './lib/process/engine_senses.js';
--- a/packages/core/src/lib/process/admission.ts
+++ b/packages/core/src/lib/process/admission.ts
@@ -52,7 +52,18 @@
 
 /** What is to be done, at once and in this order. */
 export type AdmissionAction =
-  | {readonly kind: 'start'; readonly id: string}
+  | {
+      readonly kind: 'start';
+      readonly id: string;
+      /**
+       * Only this many tokens of the prompt, from its beginning, are to be
+       * prefilled now, so that they are cached: the engine is asked for the
+       * shortened prompt and one token, which is dropped. `ended` as
+       * `preempted` follows, and the request arrives again. A process that
+       * cannot do so starts the request as a whole.
+       */
+      readonly prefillOnly?: number;
+    }
   /** Cancel at the engine, keep the tokens; `ended` as `preempted` follows. */
   | {readonly kind: 'preempt'; readonly id: string}
   | {readonly kind: 'refuse'; readonly id: string; readonly refusal: Refusal}
--- a/packages/core/src/lib/process/batch_controller.ts
+++ b/packages/core/src/lib/process/batch_controller.ts
@@ -5,6 +5,7 @@
  * while the many steps that are shorter than the tail leave room.
  */
 import type {AdmissionRequest} from './admission.js';
+import type {EngineSenses} from './engine_senses.js';
 import type {HarmMeter} from './harm_meter.js';
 import type {OnlineGate} from './online_gate.js';
 import type {RunningSet} from './running_set.js';
@@ -39,11 +40,8 @@
 const AIM_BELOW = 0.005;
 const AIM_BELOW_IN_DEBT = 0.03;
 
-/**
- * A late step costs as many late tokens as streams are online, so it is far
- * cheaper while few are: late tokens are saved up for then.
- */
-const OVERRUN_PRICE = 0.05;
+/** A piece of a prompt is worth its overhead from this size on. */
+const MIN_PIECE_TOKENS = 128;
 
 /** Online tokens and requests before the measured tail is believed. */
 const MIN_TOKENS = 500;
@@ -79,20 +77,12 @@
    * @returns How many batch streams have to make room for it.
    */
   excess(request: AdmissionRequest, cfg: PoolConfig, now: number): number;
-}
-
-/** What a batch rule can go by. */
-export interface BatchSenses {
-  /** The engine's step time. */
-  readonly model: StepModel;
-  /** What the engine has. */
-  readonly running: RunningSet;
-  /** What online callers see. */
-  readonly meter: HarmMeter;
-  /** What the engine holds. */
-  readonly gate: OnlineGate;
-  /** When its step began. */
-  readonly steps: StepClock;
+  /**
+   * @param cfg - The pool.
+   * @returns How many tokens of a longer batch prompt may be prefilled now; 0
+   *     for none.
+   */
+  pieceTokens(cfg: PoolConfig): number;
 }
 
 /** Bounds batch work by what it does to the steps of online streams. */
@@ -108,7 +98,7 @@
    * @param tuning - What to weigh.
    */
   constructor(
-    senses: BatchSenses,
+    senses: EngineSenses,
     private readonly tuning: BatchTuning = DEFAULT_BATCH_TUNING,
   ) {
     this.model = senses.model;
@@ -130,6 +120,10 @@
 
   streams(cfg: PoolConfig): number {
     const {online, batch} = this.running;
+    // Until then few streams run, so that steps without any prefill come.
+    if (!this.model.ready) {
+      return Math.max(0, this.tuning.probeStreams - online.running);
+    }
     const proven = this.model.largestSeen + this.tuning.probeStreams;
     const most = Math.min(proven, this.gate.streamCeiling);
     const within = this.within(this.limitNow(cfg), 0);
@@ -148,9 +142,7 @@
     if (online.running === 0) return this.prefillFits(prefillTokens);
     const streams = online.running + batch.running + 1;
     const stepMs = this.model.predict({streams, prefillTokens});
-    if (stepMs <= this.aimMs(cfg)) return true;
-    const first = batch.prefillTokens === 0;
-    return first && this.meter.credit > online.running * OVERRUN_PRICE;
+    return stepMs <= this.aimMs(cfg);
   }
 
   excess(request: AdmissionRequest, cfg: PoolConfig, now: number): number {
@@ -173,6 +165,21 @@
     return Math.max(over, inTheWay ? batch.running - batch.decoding : 0);
   }
 
+  /**
+   * Beside many streams a long prompt makes a step too long. Engines cache what
+   * they prefilled, so it is handed over in pieces that fit a step each.
+   */
+  pieceTokens(cfg: PoolConfig): number {
+    const {online, batch} = this.running;
+    if (online.prefillTokens > 0 || batch.prefillTokens > 0) return 0;
+    if (batch.running >= this.streams(cfg)) return 0;
+    const streams = online.running + batch.running + 1;
+    const decodeMs = this.model.predict({streams, prefillTokens: 0});
+    const spareMs = this.aimMs(cfg) - decodeMs;
+    const tokens = spareMs / this.model.perPrefillToken;
+    return tokens < MIN_PIECE_TOKENS ? 0 : Math.floor(tokens);
+  }
+
   /** Whether batch prompts make the steps of online streams too long. */
   private prefillTooLong(
     streams: number,
--- a/packages/core/src/lib/process/engine_admission.ts
+++ b/packages/core/src/lib/process/engine_admission.ts
@@ -9,8 +9,9 @@
   AdmissionLoad,
   AdmissionRequest,
 } from './admission.js';
-import type {BatchRule, BatchSenses} from './batch_controller.js';
+import type {BatchRule} from './batch_controller.js';
 import {EngineLane} from './engine_lane.js';
+import type {EngineSenses} from './engine_senses.js';
 import type {Lane} from './lane.js';
 import {ServiceLane} from './service_lane.js';
 import {notRun} from '../request/refusal.js';
@@ -67,7 +68,7 @@
    * @param buildRule - Builds the rule for batch work beside a model engine;
    *     without it, the one that goes by measured harm.
    */
-  constructor(buildRule?: (senses: BatchSenses) => BatchRule) {
+  constructor(buildRule?: (senses: EngineSenses) => BatchRule) {
     this.engine = new EngineLane(buildRule);
   }
 
--- a/packages/core/src/lib/process/running_set.ts
+++ b/packages/core/src/lib/process/running_set.ts
@@ -68,6 +68,12 @@
     return this.byId.size;
   }
 
+  /** Whether a batch prompt is being prefilled. */
+  get prefillsBatch(): boolean {
+    const {running, decoding} = this.tallies.batch;
+    return running > decoding;
+  }
+
   /** Whether any prompt is still being prefilled. */
   get prefillsAny(): boolean {
     return this.prefilling.size > 0;
@@ -161,7 +167,8 @@
   }
 
   /**
-   * Takes a request out of the tallies; the engine still has it.
+   * Takes a request out of the tallies; the engine still has it, and works on
+   * it until its step ends.
    *
    * @param running - What is told to stop.
    */
@@ -198,7 +205,7 @@
       running.prefillLeft -= part;
       left -= part;
       const {class: kind} = running.request;
-      this.tallies[kind].prefillTokens -= part;
+      if (!running.stopping) this.tallies[kind].prefillTokens -= part;
       if (kind === 'online') online += part;
     }
     return online;
@@ -230,6 +237,5 @@
     tally.kvAtEnd -= request.promptTokens + request.maxTokens;
     if (running.prefilling) tally.prefillTokens -= running.prefillLeft;
     else tally.decoding -= 1;
-    this.prefilling.delete(running);
   }
 }
--- a/packages/core/src/lib/process/step_model.ts
+++ b/packages/core/src/lib/process/step_model.ts
@@ -18,12 +18,17 @@
 const PREFILL_FORGETTING = 0.97;
 /** Steps before the fit is believed. */
 const MIN_STEPS = 24;
+/** Variance of the streams in them, without which their cost is unknown. */
+const MIN_VARIANCE = 0.5;
+const OUTLIER_SHARE = 0.1;
+/** Outliers in a row that are believed. */
+const CHANGED_STEPS = 20;
 /** First guesses, replaced as soon as steps are seen; in milliseconds. */
 const FIRST_BASE_MS = 10;
 const FIRST_PER_STREAM_MS = 0.1;
 const FIRST_PER_PREFILL_TOKEN_MS = 0.05;
 /** How soon the largest prefill part of a step is forgotten, per step. */
-const LARGEST_FORGETTING = 0.999;
+const LARGEST_FORGETTING = 0.9999;
 
 /** Learns how long an engine's steps take. */
 export class StepModel {
@@ -33,6 +38,10 @@
   private sumD = 0;
   private sumNd = 0;
   private steps = 0;
+  private outliers = 0;
+  private sawVariation = false;
+  private periodMs = 0;
+  private sawOnlineOnly = false;
   private prefillTime = 0;
   private prefillTokens = 0;
   private largestPrefillMs = 0;
@@ -42,7 +51,7 @@
 
   /** Whether enough steps were seen to believe the model. */
   get ready(): boolean {
-    return this.steps >= MIN_STEPS;
+    return this.steps >= MIN_STEPS && this.sawVariation;
   }
 
   /** The largest number of streams that the model was learnt from. */
@@ -91,6 +100,7 @@
       this.learnPrefill(durationMs, mix);
       return;
     }
+    if (this.outlier(durationMs, mix)) return;
     this.steps += 1;
     this.weight = this.weight * FORGETTING + 1;
     this.sumN = this.sumN * FORGETTING + mix.streams;
@@ -100,10 +110,22 @@
     this.fit();
   }
 
-  /** @param tokens - Prompt tokens whose prefill has ended. */
-  prefilled(tokens: number): void {
-    this.prefillTime *= PREFILL_FORGETTING;
-    this.prefillTokens = this.prefillTokens * PREFILL_FORGETTING + tokens;
+  /**
+   * Learns the cost of a prompt token from a time in which prompts were being
+   * prefilled without a break. What batch work has cached is only estimated, so
+   * once there were times with online prompts alone, only those count.
+   *
+   * @param tokens - Prompt tokens whose prefill ended in it.
+   * @param onlineOnly - Whether no batch prompt was among them.
+   */
+  endPrefill(tokens: number, onlineOnly: boolean): void {
+    const ms = this.periodMs;
+    this.periodMs = 0;
+    if (tokens <= 0 || (this.sawOnlineOnly && !onlineOnly)) return;
+    const keep = onlineOnly && !this.sawOnlineOnly ? 0 : PREFILL_FORGETTING;
+    this.sawOnlineOnly ||= onlineOnly;
+    this.prefillTime = this.prefillTime * keep + ms;
+    this.prefillTokens = this.prefillTokens * keep + tokens;
   }
 
   /**
@@ -146,19 +168,33 @@
   private learnPrefill(durationMs: number, mix: StepMix): void {
     const decode = this.base + this.slope * mix.streams;
     const extra = Math.max(0, durationMs - decode);
-    this.prefillTime += extra;
-    if (mix.streams === 0) return;
+    this.periodMs += extra;
+    if (mix.streams === 0 || !this.ready) return;
     this.largestPrefillMs *= LARGEST_FORGETTING;
     this.largestPrefillMs = Math.max(this.largestPrefillMs, extra);
   }
 
+  /**
+   * A step may hold work that is not known of; one such step would spoil the
+   * fit for long. When they keep coming, it is the engine that has changed.
+   */
+  private outlier(durationMs: number, mix: StepMix): boolean {
+    const expected = this.predict(mix);
+    const off = Math.abs(durationMs - expected) > expected * OUTLIER_SHARE;
+    this.outliers = off ? this.outliers + 1 : 0;
+    return this.ready && off && this.outliers < CHANGED_STEPS;
+  }
+
   private fit(): void {
     const meanN = this.sumN / this.weight;
     const meanD = this.sumD / this.weight;
     const variance = this.sumNn / this.weight - meanN * meanN;
     const covariance = this.sumNd / this.weight - meanN * meanD;
     // With hardly any variation the slope is noise: the last one is kept.
-    if (variance > 0.5) this.slope = Math.max(0, covariance / variance);
+    if (variance > MIN_VARIANCE) {
+      this.sawVariation = true;
+      this.slope = Math.max(0, covariance / variance);
+    }
     this.base = Math.max(0, meanD - this.slope * meanN);
   }
 }
--- a/packages/core/src/lib/process/waiting_room.ts
+++ b/packages/core/src/lib/process/waiting_room.ts
@@ -8,7 +8,7 @@
 import {notRun} from '../request/refusal.js';
 
 /** Batch work that waited so long goes back, so that another target can try. */
-const BATCH_WAIT_MS = 5_000;
+const BATCH_WAIT_MS = 15_000;
 
 /** Online, batch and suspect requests that wait for one lane. */
 export class WaitingRoom {
