Let the command line wait, and a drain say empty only when it is

The command line has a clock whose timers keep it up; a submit with a relative due time keeps that of the job that is there already; a target declared out counts as empty only once it has said itself that it takes nothing new.

Tests: three new ones; the one of the binary fails with the old clock. The test of verbs that nothing carries out now covers `load` only: `entry` is carried out since, and has a test of its wrong settings in its place.

--- a/packages/cli/src/lib/process/main.ts
+++ b/packages/cli/src/lib/process/main.ts
@@ -1,5 +1,6 @@
 /** The command line: finds the verb, runs it, ends with its exit code. */
 import {SYSTEM_CLOCK, seededRandom, systemSeed} from '@oathead/core';
+import type {Clock} from '@oathead/core';
 import yargs from 'yargs';
 import type {Argv} from 'yargs';
 import {EXIT, EXIT_MEANINGS, errorText, exitCodeOf} from './cli_error.js';
@@ -82,6 +83,18 @@
   return ['Exit codes:', ...lines].join('\n');
 }
 
+/**
+ * Guards against a verb that ends in the middle of a wait: the timers of the
+ * system's clock do not keep a process up, and nothing else does here.
+ */
+const WAITING_CLOCK: Clock = {
+  ...SYSTEM_CLOCK,
+  after(delayMs, callback) {
+    const timer = setTimeout(callback, delayMs);
+    return {[Symbol.dispose]: () => clearTimeout(timer)};
+  },
+};
+
 function systemContext(): VerbContext {
   const stop = new AbortController();
   for (const name of ['SIGINT', 'SIGTERM'] as const) {
@@ -94,7 +107,7 @@
       interactive: process.stderr.isTTY,
     },
     env: process.env,
-    clock: SYSTEM_CLOCK,
+    clock: WAITING_CLOCK,
     random: seededRandom(systemSeed()),
     signal: stop.signal,
   };
--- a/packages/cli/src/lib/process/verbs/submit.ts
+++ b/packages/cli/src/lib/process/verbs/submit.ts
@@ -8,6 +8,7 @@
 import {Transform} from 'node:stream';
 import type {ApiClient} from '../../connection/api_client.js';
 import {parseDue} from '../../request/due.js';
+import type {Due} from '../../request/due.js';
 import {jobPath, withQuery} from '../../request/paths.js';
 import {usageError} from '../cli_error.js';
 import type {CliError} from '../cli_error.js';
@@ -76,14 +77,14 @@
       const message = 'a JSON object names its id and its dueAt itself';
       return failure(usageError(message));
     }
-    const dueAt = parseDue(args.due, context.clock.wallTime());
-    if (!dueAt.ok) return dueAt;
+    const due = parseDue(args.due, context.clock.wallTime());
+    if (!due.ok) return due;
     const file = await describe(args.file);
     if (!file.ok) return file;
     const connected = connect(args, context);
     if (!connected.ok) return connected;
     await using api = connected.value;
-    const accepted = await send(api, args, file.value, dueAt.value, context);
+    const accepted = await send(api, args, file.value, due.value, context);
     if (!accepted.ok) return accepted;
     const job = args.wait
       ? await untilEnded(api, accepted.value, context)
@@ -111,15 +112,17 @@
   api: ApiClient,
   args: SubmitArgs,
   file: JobFile,
-  dueAt: number | undefined,
+  due: Due | undefined,
   {terminal}: VerbContext,
 ): Promise<Outcome<JobStatus, CliError>> {
   using progress = startProgress(terminal, 'bytes sent', file.bytes);
   const isJson = isObject(args.file);
   const id = isJson ? undefined : (args.id ?? file.hash.slice(0, ID_DIGITS));
+  const dueAt = await dueAtOf(api, id, due);
+  if (!dueAt.ok) return dueAt;
   return api.json<JobStatus>({
     method: 'POST',
-    path: withQuery(jobPath(), {id, dueAt}),
+    path: withQuery(jobPath(), {id, dueAt: dueAt.value}),
     headers: {
       'content-type': isJson ? JSON_TYPE : JSONL_TYPE,
       'content-length': String(file.bytes),
@@ -128,6 +131,23 @@
   });
 }
 
+/**
+ * Guards against a resend that is another job: an hour from now is not what it
+ * was an hour ago. A job that is there already keeps its own due time.
+ */
+async function dueAtOf(
+  api: ApiClient,
+  id: string | undefined,
+  due: Due | undefined,
+): Promise<Outcome<number | undefined, CliError>> {
+  if (!due?.relative || id === undefined) return success(due?.dueAt);
+  const read = await api.json<JobStatus>({method: 'GET', path: jobPath(id)});
+  if (read.ok) return success(read.value.dueAt);
+  const isNew =
+    read.err.kind === 'refused' && read.err.refusal.kind === 'not-found';
+  return isNew ? success(due.dueAt) : read;
+}
+
 function isObject(file: string): boolean {
   return file.endsWith('.json');
 }
--- a/packages/cli/src/test/process/main_test.ts
+++ b/packages/cli/src/test/process/main_test.ts
@@ -1,7 +1,11 @@
 import test from 'ava';
+import {execFile} from 'node:child_process';
+import {fileURLToPath} from 'node:url';
+import {promisify} from 'node:util';
 import {VERBS} from '../../lib/process/verbs.js';
 import {fakeServer, json, refusal} from '../fakes/fake_server.js';
 import {runCli} from '../fakes/run_cli.js';
+import {tempFile} from '../fakes/temp_file.js';
 
 test('each verb has help with an example', async t => {
   for (const {command, examples} of VERBS) {
@@ -25,15 +29,26 @@
   t.regex(err, /not an http/);
 });
 
-test('verbs that nothing carries out yet say so', async t => {
+test('a verb that nothing carries out yet says so', async t => {
+  const {exitCode, err} = await runCli(['load', 'm']);
+  t.is(exitCode, 2);
+  t.regex(err, /this build has no "load"/);
+});
+
+test('wrong settings of an entry are listed, and nothing is started', async t => {
+  using file = tempFile('entry.json', '{"entryId":"E","listen":{"port":"x"}}');
   for (const argv of [
-    ['entry', '--config', 'x'],
-    ['load', 'm'],
+    ['entry', '--config', file.path],
+    ['check-config', file.path],
   ]) {
-    const {exitCode, err} = await runCli(argv);
+    const {exitCode, out, err} = await runCli(argv);
     t.is(exitCode, 2);
-    t.regex(err, /this build has no/);
+    t.is(out, '');
+    t.regex(err, /entryId: /);
+    t.regex(err, /listen\.port: /);
+    t.regex(err, /dataCentre: /);
   }
+  t.is((await runCli(['check-config', `${file.path}.not`])).exitCode, 2);
 });
 
 test('each refusal has its exit code', async t => {
@@ -72,3 +87,18 @@
   t.is(out, '(none)\n');
   t.is(server.received[1]!.headers.authorization, 'Bearer secret');
 });
+
+// The binary waits before it tries again. Were that wait not to keep the process
+// up, it would end in the middle with an exit code that says nothing.
+test('the binary waits for its retries', async t => {
+  await using server = await fakeServer(
+    refusal(503, {kind: 'store-unavailable'}),
+    json({revision: 1, resources: []}),
+  );
+  const binary = fileURLToPath(
+    new URL('../../../bin/oathead.js', import.meta.url),
+  );
+  const argv = [binary, 'get', '--url', server.url];
+  const {stdout} = await promisify(execFile)(process.execPath, argv);
+  t.is(stdout, '(none)\n');
+});
--- a/packages/cli/src/test/process/verbs/job_verbs_test.ts
+++ b/packages/cli/src/test/process/verbs/job_verbs_test.ts
@@ -1,6 +1,12 @@
 import test from 'ava';
 import {readFileSync} from 'node:fs';
-import {cutAfter, fakeServer, json, whole} from '../../fakes/fake_server.js';
+import {
+  cutAfter,
+  fakeServer,
+  json,
+  refusal,
+  whole,
+} from '../../fakes/fake_server.js';
 import {runCli} from '../../fakes/run_cli.js';
 import {tempFile} from '../../fakes/temp_file.js';
 
@@ -17,6 +23,7 @@
 test('submit sends lines, names the job by its content, and waits', async t => {
   using file = tempFile('items.jsonl', '{"id":"1"}\n{"id":"2"}\n');
   await using server = await fakeServer(
+    refusal(404, {kind: 'not-found'}),
     res => res.destroy(),
     json(job('open', 2)),
     json(job('open', 1)),
@@ -28,7 +35,7 @@
   ]);
   t.is(exitCode, 0);
   t.regex(out, /night +done +2 +0 +2/);
-  const [first, again] = server.received;
+  const [, first, again] = server.received;
   const dueAt = Date.UTC(2030, 0, 31, 8);
   t.regex(
     first!.url,
@@ -39,6 +46,22 @@
   t.is(again!.headers['content-type'], 'application/jsonl');
 });
 
+// An operator does not know whether a submit came through and repeats it later.
+// Eight hours from now is another time then, and another content.
+test('submit again keeps the due time of the job that is there', async t => {
+  using file = tempFile('items.jsonl', '{"id":"1"}\n');
+  await using server = await fakeServer(
+    json({...job('open', 2), dueAt: 5}),
+    json(job('open', 2)),
+  );
+  const {exitCode} = await runCli([
+    ...['submit', file.path, '--id', 'night', '--due', '8h'],
+    ...['--url', server.url],
+  ]);
+  t.is(exitCode, 0);
+  t.is(server.received[1]!.url, '/v1/batch-jobs?id=night&dueAt=5');
+});
+
 test('submit refuses a due time that can be misread', async t => {
   using file = tempFile('items.jsonl', '{}');
   for (const due of ['tomorrow', '2030-01-31 06:00', '8']) {
--- a/packages/config/src/lib/version/conditions.ts
+++ b/packages/config/src/lib/version/conditions.ts
@@ -218,6 +218,10 @@
   if (!declaredOut && !report.leaving) {
     return state('Leaving', 'false', 'Serving', '');
   }
+  if (!report.leaving) {
+    const message = 'the target has not said yet that it takes nothing new';
+    return state('Leaving', 'true', 'NotToldYet', message);
+  }
   const online = report.onlineRunning + report.onlineQueued;
   const batch = report.batchRunning + report.batchQueued;
   if (online + batch === 0) {
--- a/packages/config/src/test/process/status_board_test.ts
+++ b/packages/config/src/test/process/status_board_test.ts
@@ -102,7 +102,9 @@
 test('a silent, a lost and a leaving target', async t => {
   const {board, clock, conditions} = setUp(target('t3', true));
   board.heardTarget('t1', loadReport());
-  board.heardTarget('t3', loadReport({onlineRunning: 2}));
+  board.heardTarget('t3', loadReport());
+  t.is(conditions('targets', 't3')['Leaving'], 'true NotToldYet');
+  board.heardTarget('t3', loadReport({leaving: true, onlineRunning: 2}));
   t.is(conditions('targets', 't3')['Leaving'], 'true Finishing');
   board.heardTarget('t3', loadReport({leaving: true}));
   t.is(conditions('targets', 't3')['Leaving'], 'true Empty');
