Give the target process its engine and service clients

Cause: the binary had nothing to reach an engine with. Change: engines and plain services are reached over HTTP.

--- a/packages/target/src/lib/process/main_parts.ts
+++ b/packages/target/src/lib/process/main_parts.ts
@@ -1,16 +1,14 @@
 /** What the real process is made of. */
-import {EngineAdmission, InvariantError} from '@oathead/core';
+import {EngineAdmission} from '@oathead/core';
+import {HttpEngineClient} from '../connection/http_engine_client.js';
+import {HttpServiceClient} from '../connection/http_service_client.js';
 import type {MainParts} from './main.js';
 
-function missing(): never {
-  throw new InvariantError('this build has no client for engines or services');
-}
-
 /** The parts of the real process. */
 export const MAIN_PARTS: MainParts = {
   createAdmission: () => new EngineAdmission(),
-  createEngine: missing,
-  createService: missing,
+  createEngine: url => new HttpEngineClient(url),
+  createService: url => new HttpServiceClient(url),
   print: text => void process.stdout.write(`${text}\n`),
   printError: text => void process.stderr.write(`${text}\n`),
 };
