Share suspects among entries; claim through the nonce commit

Cause: a request that kills targets could kill one more by being sent to another entry; the claim had its own reading back of lost answers beside the platform's, and deleting a claim could race a late write of it. Change: verdicts go into one row that entries read when the head tells of a change; claims go through commitWithNonce and are marked released, not deleted.

--- a/packages/config/src/test/fakes/fake_head.ts
+++ b/packages/config/src/test/fakes/fake_head.ts
@@ -5,7 +5,13 @@
 import type {HeadRow} from '../../lib/process/config_rows.js';
 import type {FakeTable} from './fake_table.js';
 
-const EMPTY: Head = {cfg: 0, jobs: 0, recentJobs: [], members: 0};
+const EMPTY: Head = {
+  cfg: 0,
+  jobs: 0,
+  recentJobs: [],
+  members: 0,
+  suspects: 0,
+};
 
 export const HEAD_ROW: HeadRow = {
   key: 'head',
--- a/packages/entry/src/lib/process/entry.ts
+++ b/packages/entry/src/lib/process/entry.ts
@@ -47,10 +47,11 @@
 import {serviceRoutes} from '../request/service_routes.js';
 import {AnswerStore} from './answer_store.js';
 import type {AnswerStoreSettings} from './answer_store.js';
+import {ClaimStore} from './claim_store.js';
 import {KeyAuthenticator} from './key_authenticator.js';
 import {LimitGate} from './limit_gate.js';
 import type {UseReport, UseReports} from './limit_gate.js';
-import {LocalSuspects} from './suspect_registry.js';
+import {SharedSuspects} from './shared_suspects.js';
 
 /** What an entry is made of. */
 export interface EntryParts {
@@ -97,7 +98,7 @@
   private readonly keyed: KeyedRequests;
   private readonly online: OnlineService;
   private readonly jobs: BatchJobs;
-  private readonly suspects: LocalSuspects;
+  private readonly suspects: SharedSuspects;
   private readonly limits: LimitGate;
   private knownPeers: ReadonlySet<string> = new Set();
   private inFlight = 0;
@@ -114,7 +115,9 @@
     );
     this.cache = this.held.add(this.createCache());
     this.board = new StatusBoard(clock, this.cache);
-    this.suspects = new LocalSuspects(counters);
+    this.suspects = this.held.add(
+      new SharedSuspects({...base, membership: this.membership}),
+    );
     this.fleet = this.held.add(this.createFleet());
     this.recall = new Recall({clock, counters, fleet: this.fleet});
     const {membership} = this;
@@ -122,7 +125,9 @@
     const dispatcher = this.createDispatcher();
     const dispatch = dispatcher.serve.bind(dispatcher);
     this.keyed = new KeyedRequests({
-      ...base,
+      clock,
+      counters,
+      claims: new ClaimStore(base),
       membership,
       answers: this.answers,
       dispatch,
@@ -326,7 +331,7 @@
       membership: this.membership,
       hosts: platform.hosts,
       linkTo: this.parts.linkTo,
-      blocked: () => [],
+      blocked: () => this.suspects.blocked,
       board: this.board,
       settings: settings.fleet,
     });
--- a/packages/entry/src/lib/process/suspect_registry.ts
+++ b/packages/entry/src/lib/process/suspect_registry.ts
@@ -32,22 +32,19 @@
   private readonly suspects = new LRUCache<string, true>({max: REMEMBERED});
   private readonly blocked = new LRUCache<string, true>({max: REMEMBERED});
 
-  /**
-   * @param counters - Counts verdicts.
-   * @param onBlocked - Told of work that is to be refused everywhere.
-   * @param onSuspect - Told of work that is to run alone everywhere.
-   */
-  constructor(
-    private readonly counters: Counters,
-    private readonly onBlocked: (work: string) => void = () => {},
-    private readonly onSuspect: (work: string) => void = () => {},
-  ) {}
+  /** @param counters - Counts verdicts. */
+  constructor(private readonly counters: Counters) {}
 
   /** Whether nothing is known against any work. */
   get empty(): boolean {
     return this.suspects.size === 0 && this.blocked.size === 0;
   }
 
+  /** Fingerprints of work that is refused for good. */
+  get blockedWork(): readonly string[] {
+    return [...this.blocked.keys()];
+  }
+
   verdict(work: string): Verdict {
     if (this.blocked.has(work)) return 'blocked';
     return this.suspects.has(work) ? 'suspect' : 'clear';
@@ -57,12 +54,10 @@
     if (alone) {
       this.counters.count('suspects_blocked');
       this.block(work);
-      this.onBlocked(work);
       return;
     }
     this.counters.count('suspects');
     this.suspect(work);
-    this.onSuspect(work);
   }
 
   completed(work: string): void {
--- a/packages/entry/src/lib/request/keyed_answer.ts
+++ b/packages/entry/src/lib/request/keyed_answer.ts
@@ -31,9 +31,10 @@
 
 /** Claim of a non-idempotent request, written before it is sent. */
 export const CLAIM = z.object({
-  nonce: z.string(),
   work: z.string(),
   at: z.number(),
+  /** `released`: the request was not sent after all; it may be claimed anew. */
+  state: z.enum(['claimed', 'released']),
 });
 
 /** Claim of a non-idempotent request. */
--- a/packages/entry/src/lib/request/keyed_requests.ts
+++ b/packages/entry/src/lib/request/keyed_requests.ts
@@ -12,17 +12,15 @@
 import type {
   Clock,
   Counters,
-  Random,
   Refusal,
   ServeEvent,
   ServeOutcome,
 } from '@oathead/core';
 import type {Membership} from '@oathead/membership';
-import type {TableStore} from '@oathead/platform';
 import type {AnswerStore} from '../process/answer_store.js';
+import type {ClaimStore} from '../process/claim_store.js';
 import {EventLog} from './event_log.js';
-import {CLAIM, claimRowKey} from './keyed_answer.js';
-import type {Claim, KeyedAnswer} from './keyed_answer.js';
+import type {KeyedAnswer} from './keyed_answer.js';
 import type {Serve, ServeCall} from './online_call.js';
 
 /** A request with its key. */
@@ -34,9 +32,8 @@
 /** What keyed requests need. */
 export interface KeyedRequestsDeps {
   readonly clock: Clock;
-  readonly random: Random;
   readonly counters: Counters;
-  readonly table: TableStore;
+  readonly claims: ClaimStore;
   readonly membership: Membership;
   readonly answers: AnswerStore;
   /** Serves a request at a target. */
@@ -58,13 +55,9 @@
 const RECOVERY_MS = 60_000;
 const STORE_RETRY_MS = 2000;
 
-type ClaimOutcome = 'claimed' | 'claimed-before' | 'unavailable';
-
 /** Serves keyed requests at their home, or in place of it. */
 export class KeyedRequests {
   private readonly running = new Map<string, Running>();
-  /** Nonces of claims whose requests were never sent, by row key. */
-  private readonly unsent = new Map<string, string>();
   /** Until when a share may miss answers that its last owner gave. */
   private readonly recovering = new Map<number, number>();
 
@@ -254,67 +247,27 @@
     this.deps.answers.add({key: call.dedupeKey, work, outcome});
   }
 
-  /**
-   * A resend of a non-idempotent request can reach another entry while the
-   * first runs, or after an entry was lost with it: the claim row is written
-   * once, before the request is sent, and whoever finds it there does not send.
-   */
+  /** @returns The outcome that stands in the way, or undefined. */
   private async claim(
     call: KeyedCall,
     work: string,
   ): Promise<ServeOutcome | undefined> {
-    const rowKey = claimRowKey(call.dedupeKey);
-    const nonce = this.unsent.get(rowKey) ?? this.deps.random.id();
-    // Until it is known that the claim did not land, a resend uses it again.
-    this.unsent.set(rowKey, nonce);
-    const claim: Claim = {nonce, work, at: this.deps.clock.wallTime()};
-    const outcome = await this.writeClaim(rowKey, claim);
-    if (outcome === 'unavailable') return refused(storeUnavailable());
-    this.unsent.delete(rowKey);
-    if (outcome === 'claimed') return undefined;
+    const claimed = await this.deps.claims.claim(call.dedupeKey, work);
+    if (claimed === 'claimed') return undefined;
+    if (claimed === 'unavailable') return refused(storeUnavailable());
     this.deps.counters.count('keyed_resends', {met: 'claimed'});
     const known = await this.lookUp(call, work);
     return known ?? refused(outcomeUnknown());
   }
 
-  private async writeClaim(
-    rowKey: string,
-    claim: Claim,
-  ): Promise<ClaimOutcome> {
-    const written = await this.deps.table.write({
-      checks: [{key: rowKey, version: 0}],
-      writes: [{kind: 'put', key: rowKey, value: claim}],
-    });
-    if (written.ok) return 'claimed';
-    if (written.err.kind === 'throttled') return 'unavailable';
-    // The answer of the store can be lost after the write took effect: the
-    // nonce tells this entry's claim from another's.
-    const read = await this.deps.table.read([rowKey]);
-    if (!read.ok) return 'unavailable';
-    const row = CLAIM.safeParse(read.value[0]?.value);
-    if (!row.success) return 'unavailable';
-    return row.data.nonce === claim.nonce ? 'claimed' : 'claimed-before';
-  }
-
-  /**
-   * A claim whose request was not sent after all would turn every resend away.
-   * It is deleted; when the store does not say whether that happened, it is
-   * left alone: a late deletion could otherwise open the way for a second run.
-   */
+  /** A claim whose request was not sent would turn every resend away. */
   private async releaseUnsent(
     call: KeyedCall,
     outcome: ServeOutcome | undefined,
   ): Promise<void> {
     if (outcome?.kind !== 'refused') return;
     if (outcome.refusal.ran !== 'not-run') return;
-    const rowKey = claimRowKey(call.dedupeKey);
-    const read = await this.deps.table.read([rowKey]);
-    const row = read.ok ? read.value[0] : undefined;
-    if (!row) return;
-    await this.deps.table.write({
-      checks: [{key: rowKey, version: row.version}],
-      writes: [{kind: 'delete', key: rowKey}],
-    });
+    await this.deps.claims.release(call.dedupeKey);
   }
 }
 
--- a/packages/membership/src/lib/process/head_row.ts
+++ b/packages/membership/src/lib/process/head_row.ts
@@ -22,7 +22,13 @@
 export const RECENT_JOBS = 64;
 
 /** The head before anything happened. */
-export const EMPTY_HEAD: Head = {cfg: 0, jobs: 0, recentJobs: [], members: 0};
+export const EMPTY_HEAD: Head = {
+  cfg: 0,
+  jobs: 0,
+  recentJobs: [],
+  members: 0,
+  suspects: 0,
+};
 
 const MAX_ATTEMPTS = 12;
 const FIRST_BACKOFF_MS = 10;
@@ -33,6 +39,7 @@
   jobs: z.number(),
   recentJobs: z.array(z.string()),
   members: z.number(),
+  suspects: z.number().default(0),
 });
 
 /**
@@ -68,6 +75,14 @@
   return {...head, members: head.members + 1};
 }
 
+/**
+ * @param head - The head so far.
+ * @returns The head that tells of a change of what kills targets.
+ */
+export function withSuspects(head: Head): Head {
+  return {...head, suspects: head.suspects + 1};
+}
+
 /** What {@link bumpHead} works with. */
 export interface BumpDeps {
   readonly table: TableStore;
--- a/packages/membership/src/lib/process/membership.ts
+++ b/packages/membership/src/lib/process/membership.ts
@@ -14,6 +14,8 @@
   readonly recentJobs: readonly string[];
   /** Counts entries that came, left or were taken over. */
   readonly members: number;
+  /** Counts changes of what is known of work that kills targets. */
+  readonly suspects: number;
 }
 
 /** An entry, as its lease row tells. */
