Test the target process by its failures

Cause: the guards of the target process and of the link had no test that fails without them. A test found that the engine could see a request before `started` was handed over: the wait now begins before the first follower comes. An answer too large for the memory of ended requests counts as forgotten early. Closing the process no longer waits for peers that never answer.

--- /dev/null
+++ b/packages/core/src/test/request/target_request_machine_test.ts
@@ -0,0 +1,40 @@
+import test from 'ava';
+import {
+  initialTargetRequest,
+  isUnseen,
+  stepTargetRequest,
+} from '../../lib/request/target_request_machine.js';
+import type {
+  TargetRequestEvent,
+  TargetRequestState,
+} from '../../lib/request/target_request_machine.js';
+
+function statesOf(...events: readonly TargetRequestEvent['type'][]) {
+  let snapshot = initialTargetRequest();
+  return events.map(type => {
+    snapshot = stepTargetRequest(snapshot, {type});
+    return snapshot.value as TargetRequestState;
+  });
+}
+
+test('streams to its end, through a preemption', t => {
+  t.deepEqual(
+    statesOf('start', 'first-token', 'preempt', 'freed', 'start', 'end'),
+    ['started', 'streaming', 'preempting', 'preempted', 'started', 'ended'],
+  );
+});
+
+test('only a request that never started is unseen', t => {
+  t.true(isUnseen(initialTargetRequest().value as TargetRequestState));
+  const states = statesOf('start', 'first-token', 'preempt', 'freed', 'end');
+  t.false(states.some(isUnseen));
+});
+
+test('what means nothing now changes nothing', t => {
+  t.deepEqual(statesOf('freed', 'preempt', 'first-token'), [
+    'waiting',
+    'waiting',
+    'waiting',
+  ]);
+  t.is(statesOf('end', 'start').at(-1), 'ended');
+});
--- a/packages/target/src/lib/process/daemon.ts
+++ b/packages/target/src/lib/process/daemon.ts
@@ -33,6 +33,8 @@
 
 /** Larger requests are refused by the connection. */
 const MAX_MESSAGE_BYTES = 16 << 20;
+/** Longest wait for peers to close, in milliseconds. */
+const CLOSE_WAIT_MS = 1_000;
 
 const log = logOf('target');
 
@@ -57,8 +59,8 @@
     ready: () => service.ready,
     metricsText: () => parts.metrics.text(),
   });
-  owned.defer(() => void wire.close());
-  owned.defer(() => void http.close());
+  owned.defer(() => closeServer(wire));
+  owned.defer(() => closeServer(http));
   const ports = {
     wire: await listen(wire, settings.listen),
     http: await listen(http, settings.http),
@@ -67,6 +69,7 @@
     server: wire,
     maxPayload: MAX_MESSAGE_BYTES,
   });
+  owned.defer(() => cutStragglers(sockets, parts.clock));
   owned.add(serveWire(sockets, service));
   service.start();
   log('listens on port %d', ports.wire);
@@ -77,6 +80,19 @@
   await tracing.shutdown();
 }
 
+function closeServer(server: Server): void {
+  server.close();
+  server.closeAllConnections();
+}
+
+/** A peer that never answers the close must not keep the process up. */
+function cutStragglers(sockets: WebSocketServer, clock: Clock): void {
+  const cut = () => {
+    for (const socket of sockets.clients) socket.terminate();
+  };
+  clock.after(CLOSE_WAIT_MS, cut);
+}
+
 function createService(
   settings: TargetSettings,
   parts: DaemonParts,
--- a/packages/target/src/lib/process/run_memory.ts
+++ b/packages/target/src/lib/process/run_memory.ts
@@ -163,6 +163,8 @@
     const name = outcomeName(run.req);
     if (this.liveByName.get(name) === run) this.liveByName.delete(name);
     this.ended.set(run.key, run);
+    // What is too large for the cache is not kept, and no eviction is told.
+    if (!this.ended.has(run.key)) this.forgotYoungAt = this.clock.now();
     const {dedupeKey} = run.req;
     if (run.outcome?.kind !== 'done' || dedupeKey === undefined) return;
     this.hold(name, run);
--- a/packages/target/src/lib/request/backend_turn.ts
+++ b/packages/target/src/lib/request/backend_turn.ts
@@ -29,7 +29,7 @@
   const {run} = live;
   const abort = new AbortController();
   run.abort = abort;
-  await run.handedOver();
+  await run.handedOver(abort.signal);
   const span = startHop(parts.tracer, 'engine', live.traceparent, live.labels);
   const traceparent = traceparentOf(span) ?? live.traceparent;
   let outcome: ServeOutcome | undefined;
--- a/packages/target/src/lib/request/target_run.ts
+++ b/packages/target/src/lib/request/target_run.ts
@@ -31,10 +31,10 @@
   private snapshot = initialTargetRequest();
   private ended: ServeOutcome | undefined;
   private startedVersion: string | undefined;
-  private takeStart!: () => void;
-  private readonly startTaken = new Promise<void>(resolve => {
-    this.takeStart = resolve;
-  });
+  private startTold = false;
+  /** A new run's first follower comes just behind its arrival. */
+  private followerDue = true;
+  private wakeHandOver = () => {};
   private followerCount = 0;
   private grace: Disposable | undefined;
   /** Cancels the engine's part; set while the engine has it. */
@@ -91,7 +91,8 @@
 
   /** A follower has been handed the `started` event. */
   startSeen(): void {
-    this.takeStart();
+    this.startTold = true;
+    this.wakeHandOver();
   }
 
   /**
@@ -99,10 +100,17 @@
    * started: the engine gets it only after a follower has the `started` event,
    * or when none is left to be told.
    *
+   * @param signal - Ends the wait: the engine is not to see it any more.
    * @returns Resolves when the engine may see it.
    */
-  async handedOver(): Promise<void> {
-    if (this.followerCount > 0) await this.startTaken;
+  async handedOver(signal: AbortSignal): Promise<void> {
+    const mustWait = () => this.followerDue || this.followerCount > 0;
+    while (!this.startTold && mustWait() && !signal.aborted) {
+      await new Promise<void>(resolve => {
+        this.wakeHandOver = resolve;
+        signal.addEventListener('abort', () => resolve(), {once: true});
+      });
+    }
   }
 
   /** How many follow it now. */
@@ -113,11 +121,12 @@
   /** @returns A disposable that ends the following. */
   follow(): Disposable {
     this.followerCount++;
+    this.followerDue = false;
     this.grace?.[Symbol.dispose]();
     return {
       [Symbol.dispose]: () => {
         this.followerCount--;
-        if (this.followerCount === 0) this.takeStart();
+        this.wakeHandOver();
       },
     };
   }
--- a/packages/target/src/test/fake_engine.ts
+++ b/packages/target/src/test/fake_engine.ts
@@ -35,6 +35,11 @@
     }
   }
 
+  /** Loses a token. */
+  skip(): void {
+    this.index++;
+  }
+
   /** Generates the end. */
   done(): void {
     const usage = {promptTokens: 3, completionTokens: this.index};
@@ -51,8 +56,11 @@
 export class FakeEngine implements EngineClient {
   readonly streams: FakeStream[] = [];
   readonly orders: Order[] = [];
-  loadError: EngineError | undefined;
+  /** Whether it does not answer. */
+  loadError = false;
   events: CacheEvent[] = [];
+  /** Orders are taken when it resolves. */
+  orderTaken: Promise<void> = Promise.resolve();
   versions: EngineLoad['versions'] = [
     {model: 'review', version: 'v1', adapters: ['bank-a'], state: 'ready'},
   ];
@@ -75,7 +83,7 @@
   }
 
   async load(): Promise<EngineLoad> {
-    if (this.loadError) throw this.loadError;
+    if (this.loadError) throw new EngineError('lost', 'no answer');
     return {
       running: 0,
       waiting: 0,
@@ -88,6 +96,7 @@
 
   async order(order: Order): Promise<OrderOutcome> {
     this.orders.push(order);
+    await this.orderTaken;
     return {kind: 'taken'};
   }
 
--- a/packages/target/src/test/fixed_admission.ts
+++ b/packages/target/src/test/fixed_admission.ts
@@ -1,5 +1,4 @@
 /** A simple policy for tests: a fixed capacity, online before batch. */
-import {notRun} from '@oathead/core';
 import type {
   Admission,
   AdmissionAction,
@@ -15,7 +14,6 @@
 
 /** Runs up to `capacity` requests; an online arrival preempts the newest batch. */
 export class FixedAdmission implements Admission {
-  readonly events: AdmissionEvent[] = [];
   private readonly waiting: AdmissionRequest[] = [];
   private readonly running: AdmissionRequest[] = [];
   private readonly preempting = new Set<string>();
@@ -47,13 +45,9 @@
     },
   };
 
-  constructor(
-    private readonly capacity: number,
-    private readonly queueLimit = Infinity,
-  ) {}
+  constructor(private readonly capacity: number) {}
 
   handle(event: AdmissionEvent): readonly AdmissionAction[] {
-    this.events.push(event);
     const handler = this.handlers[event.kind] as
       ((event: AdmissionEvent) => AdmissionAction[]) | undefined;
     return handler?.(event) ?? [];
@@ -81,14 +75,9 @@
     const victim = this.running.findLast(
       r => r.class === 'batch' && r.preemptible && !this.preempting.has(r.id),
     );
-    if (victim) {
-      this.preempting.add(victim.id);
-      return [{kind: 'preempt', id: victim.id}];
-    }
-    if (this.waiting.length <= this.queueLimit) return [];
-    this.waiting.pop();
-    const refusal = notRun('overloaded', 'full');
-    return [{kind: 'refuse', id: request.id, refusal}];
+    if (!victim) return [];
+    this.preempting.add(victim.id);
+    return [{kind: 'preempt', id: victim.id}];
   }
 
   private fill(): AdmissionAction[] {
--- /dev/null
+++ b/packages/target/src/test/process/drain_test.ts
@@ -0,0 +1,76 @@
+import test from 'ava';
+import {
+  CONFIG,
+  offer,
+  refusalText,
+  request,
+  send,
+  startService,
+} from '../service_fixture.js';
+
+// A host is to be replaced under load. Its online streams must end whole, batch
+// work goes back with its tokens, and nothing new is taken from that moment.
+test('a planned stop cuts off nothing within the grace', async t => {
+  const {service, engine, pass} = await startService({capacity: 2});
+  const branch = send(service, request());
+  const night = send(service, request({class: 'batch', stream: false}));
+  const queued = send(service, request({class: 'batch', stream: false}));
+  const [online, batch] = [await engine.stream(0), await engine.stream(1)];
+  online.tokens('a ');
+  batch.tokens('x ', 'y ');
+  await pass(0);
+  let drained = false;
+  const drain = service.drain(30_000).then(() => (drained = true));
+  t.deepEqual(await night.ended, {
+    kind: 'yielded',
+    partial: {text: 'x y ', tokens: 2},
+  });
+  t.deepEqual(await queued.ended, {
+    kind: 'yielded',
+    partial: {text: '', tokens: 0},
+  });
+  const late = send(service, request());
+  t.is(refusalText(await late.ended), 'leaving not-run');
+  await pass(29_000);
+  t.false(drained);
+  online.tokens('b');
+  online.done();
+  t.like(await branch.ended, {kind: 'done', answer: {text: 'a b'}});
+  await pass(10);
+  await drain;
+  t.true(drained);
+});
+
+test('what is left when the grace is over is told that it may have run', async t => {
+  const {service, engine, pass} = await startService({capacity: 1});
+  const running = send(service, request({timeoutMs: 90_000}));
+  const waiting = send(service, request({timeoutMs: 90_000}));
+  const stream = await engine.stream(0);
+  const drain = service.drain(30_000);
+  await pass(30_010);
+  await drain;
+  t.is(refusalText(await running.ended), 'leaving may-have-run');
+  t.is(refusalText(await waiting.ended), 'leaving not-run');
+  t.true(stream.signal.aborted);
+});
+
+// An operator declares a target out and, an hour later, back in; an entry that
+// lags offers the earlier declaration once more.
+test('a target declared out and back in serves again, and stays in', async t => {
+  const {service, engine, pass} = await startService({capacity: 1});
+  const branch = send(service, request());
+  const stream = await engine.stream(0);
+  const out = offer({...CONFIG, revision: 2, leaving: true});
+  t.true((await service.heartbeat(out)).load.leaving);
+  const back = offer({...CONFIG, revision: 3});
+  t.true((await service.heartbeat(back)).load.leaving);
+  stream.done();
+  t.is((await branch.ended)?.kind, 'done');
+  await pass(0);
+  const reply = await service.heartbeat(out);
+  t.false(reply.load.leaving);
+  t.is(reply.load.cfgRevision, 3);
+  const next = send(service, request());
+  (await engine.stream(1)).done();
+  t.is((await next.ended)?.kind, 'done');
+});
--- a/packages/target/src/test/service_fixture.ts
+++ b/packages/target/src/test/service_fixture.ts
@@ -2,6 +2,7 @@
 import {seededRandom} from '@oathead/core';
 import type {
   Clock,
+  Heartbeat,
   ServeEvent,
   ServeRequest,
   ServiceClient,
@@ -79,7 +80,6 @@
 
 export interface FixtureOptions {
   readonly capacity?: number;
-  readonly queueLimit?: number;
   readonly settings?: Partial<TargetServiceSettings>;
   readonly services?: ReadonlyMap<string, ServiceClient>;
   readonly engine?: FakeEngine;
@@ -91,28 +91,29 @@
 export async function startService(options: FixtureOptions = {}) {
   const {clock, pass} = virtualTime();
   const engine = options.engine ?? new FakeEngine();
-  const admission = new FixedAdmission(
-    options.capacity ?? 2,
-    options.queueLimit,
-  );
-  const metrics = new Metrics();
   const service = new TargetService({
     clock,
     random: seededRandom(options.seed ?? 1),
-    metrics,
+    metrics: new Metrics(),
     tracer: trace.getTracer('test'),
-    createAdmission: () => admission,
+    createAdmission: () => new FixedAdmission(options.capacity ?? 2),
     backends: {engine, services: options.services ?? new Map()},
     settings: {...SETTINGS, ...options.settings},
   });
   service.start();
-  await service.heartbeat({entryId: 'e1', cfgRevision: 1, cfg: CONFIG});
+  await service.heartbeat(offer(CONFIG));
   await pass(0);
-  return {service, engine, admission, metrics, clock, pass};
+  return {service, engine, clock, pass};
+}
+
+/** A heartbeat that brings a configuration. */
+export function offer(cfg: TargetConfig): Heartbeat {
+  return {entryId: 'e1', cfgRevision: cfg.revision, cfg};
 }
 
 let requests = 0;
 
+/** A streamed online completion, unless told otherwise. */
 export function request(over: Partial<ServeRequest> = {}): ServeRequest {
   return {
     id: `r${++requests}`,
@@ -135,19 +136,39 @@
 }
 
 /** Collects what a follower gets, and lets it leave. */
-export function collect(
-  events: AsyncIterable<ServeEvent>,
-  signal = new AbortController(),
+export function follow(
+  events: (signal: AbortSignal) => AsyncIterable<ServeEvent>,
 ) {
+  const leaving = new AbortController();
   const got: ServeEvent[] = [];
   const ended = (async () => {
-    for await (const event of events) got.push(event);
+    for await (const event of events(leaving.signal)) got.push(event);
+    return got.at(-1);
   })();
-  return {got, ended, abort: (reason?: unknown) => signal.abort(reason)};
+  const leave = (reason?: unknown) => leaving.abort(reason);
+  return {got, ended, leave};
 }
 
 /** Sends a request to a service and collects its events. */
 export function send(service: TargetService, req: ServeRequest) {
-  const signal = new AbortController();
-  return collect(service.serve(req, signal.signal), signal);
+  return follow(signal => service.serve(req, signal));
+}
+
+/** The text of the tokens that a follower got, checked to have no hole. */
+export function streamedText(got: readonly ServeEvent[], from = 0): string {
+  let next = from;
+  let text = '';
+  for (const event of got) {
+    if (event.kind !== 'tokens') continue;
+    if (event.index !== next) throw new Error(`hole at token ${next}`);
+    next += event.count;
+    text += event.text;
+  }
+  return text;
+}
+
+/** What a last event tells of a refusal, such as `leaving not-run`. */
+export function refusalText(event: ServeEvent | undefined): string {
+  if (event?.kind !== 'refused') return `no refusal: ${event?.kind}`;
+  return `${event.refusal.kind} ${event.refusal.ran}`;
 }
--- a/packages/wire/src/test/connection/trpc_target_link_test.ts
+++ b/packages/wire/src/test/connection/trpc_target_link_test.ts
@@ -2,20 +2,18 @@
 import type {ServeEvent} from '@oathead/core';
 import test from 'ava';
 import {once} from 'node:events';
-import {HandClock, LOAD, REQUEST, collect, startWire} from '../wire_fixture.js';
+import {
+  ANSWER,
+  HandClock,
+  LOAD,
+  REQUEST,
+  collect,
+  startWire,
+} from '../wire_fixture.js';
 
 const NEVER = new AbortController().signal;
 const STARTED = {kind: 'started', version: 'v1'} as const;
-const DONE: ServeEvent = {
-  kind: 'done',
-  answer: {
-    kind: 'completion',
-    text: 'yes',
-    usage: {promptTokens: 5, completionTokens: 1},
-    finishReason: 'stop',
-    version: 'v1',
-  },
-};
+const DONE: ServeEvent = {kind: 'done', answer: ANSWER};
 
 test('carries a request and its whole answer', async t => {
   const {handler, link} = await startWire(t);
@@ -56,7 +54,7 @@
   t.is(handler.calls.length, 0);
 });
 
-test('carries heartbeats, orders and releases', async t => {
+test('carries all other messages', async t => {
   const {handler, link} = await startWire(t);
   const heartbeat = {entryId: 'e1', cfgRevision: 3};
   t.deepEqual(await link.heartbeat(heartbeat, NEVER), {
@@ -71,6 +69,9 @@
   t.deepEqual(await link.order(order, NEVER), {kind: 'taken'});
   await link.release(['bank-a/k1']);
   t.deepEqual(handler.released, ['bank-a/k1']);
+  t.deepEqual(await link.cachedPrefixes(NEVER), ['p1', 'p2']);
+  const {value} = await link.held('e1', NEVER).next();
+  t.like(value, {dedupeKey: 'e1/k1', answer: ANSWER});
 });
 
 test('carries load reports as changes', async t => {
@@ -127,3 +128,50 @@
   await caller.ended;
   t.deepEqual(caller.got.slice(2), [rest, DONE]);
 });
+
+// The same with a connection that breaks: the caller must not notice, and the
+// target must be able to tell it from a caller that has gone.
+test('a request is attached to again, never sent twice', async t => {
+  const {handler, link, proxy} = await startWire(t);
+  const caller = collect(link.serve(REQUEST, NEVER));
+  const first = await handler.nextCall();
+  proxy.cut();
+  await once(first.signal, 'abort');
+  t.true(first.signal.reason instanceof LinkLostError);
+  const second = await handler.nextCall();
+  t.like(second.attachment, {startedSeen: false, tokensSeen: 0});
+  second.answer.push(STARTED);
+  second.answer.push(DONE);
+  await caller.ended;
+  t.deepEqual(caller.got, [STARTED, DONE]);
+  t.is(handler.calls.filter(({req}) => req).length, 1);
+});
+
+// The target itself is dead: its connection is silent and a new one fails too.
+// Only now is it given up, and the caller told that its request may have run.
+test('a target is given up when a new connection fails too', async t => {
+  const clock = new HandClock();
+  const {handler, link, proxy} = await startWire(t, {clock, silenceMs: 500});
+  const caller = collect(link.serve(REQUEST, NEVER));
+  await handler.nextCall();
+  proxy.refusing = true;
+  proxy.silence();
+  clock.advance(500);
+  clock.advance(500);
+  await t.throwsAsync(caller.ended, {instanceOf: LinkLostError});
+  t.is(link.state, 'lost');
+  proxy.refusing = false;
+  await link.heartbeat({entryId: 'e1', cfgRevision: 3}, NEVER);
+  t.is(link.state, 'open');
+});
+
+// A target process has a fault and ends a stream without an outcome. It must
+// not look like a finished answer.
+test('a stream that ends without an outcome is lost', async t => {
+  const {handler, link} = await startWire(t);
+  const caller = collect(link.serve(REQUEST, NEVER));
+  const call = await handler.nextCall();
+  call.answer.push(STARTED);
+  call.answer.end();
+  await t.throwsAsync(caller.ended, {instanceOf: LinkLostError});
+});
