--- a/packages/config/src/test/fakes/fake_head.ts
+++ b/packages/config/src/test/fakes/fake_head.ts
@@ -1,9 +1,8 @@
 /** The polled head, with the polling left to the test. */
 import type {Head} from '@oathead/membership';
-import type {Json} from '@oathead/platform';
+import type {Json, TableStore} from '@oathead/platform';
 import type {HeadSource} from '../../lib/process/config_cache.js';
 import type {HeadRow} from '../../lib/process/config_rows.js';
-import type {FakeTable} from './fake_table.js';
 
 const EMPTY: Head = {cfg: 0, jobs: 0, recentJobs: [], members: 0};
 
@@ -17,7 +16,7 @@
   private last = EMPTY;
   private readonly callbacks = new Set<(head: Head) => void>();
 
-  constructor(private readonly table: FakeTable) {}
+  constructor(private readonly table: TableStore) {}
 
   head(): Head {
     return this.last;
