--- a/packages/config/src/lib/process/config_cache.ts
+++ b/packages/config/src/lib/process/config_cache.ts
@@ -3,7 +3,6 @@
 import type {Clock, ConfigView, Counters, Outcome, Random} from '@oathead/core';
 import type {Membership} from '@oathead/membership';
 import type {StoreError, TableStore} from '@oathead/platform';
-import {advance} from '../version/change.js';
 import type {Change, ConfigDelta} from '../version/change.js';
 import {ConfigGossip} from './config_gossip.js';
 import type {ConfigPeers} from './config_gossip.js';
@@ -180,7 +179,7 @@
       if (!change) break;
       next.push(change);
     }
-    if (next.length > 0) this.adopt(advance(this.snapshot, next), next);
+    if (next.length > 0) this.adopt(this.snapshot.advance(next), next);
     if (this.wanted > this.snapshot.revision) this.hint(this.wanted);
   }
 
--- a/packages/config/src/lib/version/change.ts
+++ b/packages/config/src/lib/version/change.ts
@@ -2,16 +2,10 @@
  * One change of the configuration: what the log keeps, what nodes pull and
  * what a watch tells.
  */
-import type {Resource, ResourceKind} from '@oathead/core';
-import {ConfigSnapshot} from '@oathead/core';
+import type {Resource, ResourceChange, ResourceKind} from '@oathead/core';
 
-/** One change; revisions count up by one with each. */
-export interface Change {
-  readonly type: 'put' | 'delete';
-  /** As of this change; for a deletion, as it was last. */
-  readonly resource: Resource;
-  readonly revision: number;
-}
+/** One change, as the log keeps it. */
+export type Change = ResourceChange;
 
 /** What one node knows beyond the revision of another. */
 export type ConfigDelta =
@@ -54,17 +48,3 @@
   }
   return [...byId.values()];
 }
-
-/**
- * @param snapshot - The configuration before.
- * @param changes - The changes that follow it without a gap, in order.
- * @returns The configuration after them.
- */
-export function advance(
-  snapshot: ConfigSnapshot,
-  changes: readonly Change[],
-): ConfigSnapshot {
-  const last = changes.at(-1);
-  if (!last) return snapshot;
-  return new ConfigSnapshot(last.revision, replay(snapshot.resources, changes));
-}
--- a/packages/config/src/lib/version/target_config_for.ts
+++ b/packages/config/src/lib/version/target_config_for.ts
@@ -46,14 +46,21 @@
   };
 }
 
+type CallerWeights = TargetConfig['callerWeights'];
+
+/** The same for every target, and there may be tens of thousands of callers. */
+const WEIGHTS = new WeakMap<ConfigSnapshot, CallerWeights>();
+
 /** Only what differs from the default: most of many callers do not. */
-function callerWeights(
-  snapshot: ConfigSnapshot,
-): Readonly<Record<string, number>> {
-  return Object.fromEntries(
+function callerWeights(snapshot: ConfigSnapshot): CallerWeights {
+  const known = WEIGHTS.get(snapshot);
+  if (known) return known;
+  const weights = Object.fromEntries(
     snapshot
       .all('callers')
       .filter(({spec}) => spec.weight !== DEFAULT_WEIGHT)
       .map(({name, spec}) => [name, spec.weight]),
   );
+  WEIGHTS.set(snapshot, weights);
+  return weights;
 }
--- a/packages/core/src/lib/version/resource.ts
+++ b/packages/core/src/lib/version/resource.ts
@@ -104,27 +104,37 @@
   readonly spec: SpecByKind[K];
 }
 
+/** One change of the configuration; revisions count up by one with each. */
+export interface ResourceChange {
+  readonly type: 'put' | 'delete';
+  /** As of this change; for a deletion, as it was last. */
+  readonly resource: Resource;
+  readonly revision: number;
+}
+
+type ResourcesByName = ReadonlyMap<string, Resource>;
+
+type ResourcesByKind = ReadonlyMap<ResourceKind, ResourcesByName>;
+
 /** Every resource as of one revision. Never changes; a new one replaces it. */
 export class ConfigSnapshot {
-  private readonly byKind: ReadonlyMap<
-    ResourceKind,
-    ReadonlyMap<string, Resource>
-  >;
+  private flat: readonly Resource[] | undefined;
 
   /**
    * @param revision - Counts changes; 0 is the empty configuration.
    * @param resources - All resources as of that revision.
+   * @param byKind - The same resources, where they are indexed already.
    */
   constructor(
     readonly revision: number,
-    readonly resources: readonly Resource[],
-  ) {
-    this.byKind = new Map(
-      RESOURCE_KINDS.map(kind => [
-        kind,
-        new Map(resources.filter(r => r.kind === kind).map(r => [r.name, r])),
-      ]),
-    );
+    resources: Iterable<Resource>,
+    private readonly byKind: ResourcesByKind = indexed(resources),
+  ) {}
+
+  /** All resources, by kind. */
+  get resources(): readonly Resource[] {
+    this.flat ??= [...this.byKind.values()].flatMap(all => [...all.values()]);
+    return this.flat;
   }
 
   /**
@@ -143,6 +153,38 @@
   all<K extends ResourceKind>(kind: K): readonly Resource<K>[] {
     return [...this.byKind.get(kind)!.values()] as Resource<K>[];
   }
+
+  /**
+   * @param changes - The changes that follow this revision without a gap.
+   * @returns The configuration after them. Kinds that did not change are
+   *     shared, so that a change among tens of thousands of resources does not
+   *     hold up the process.
+   */
+  advance(changes: readonly ResourceChange[]): ConfigSnapshot {
+    const last = changes.at(-1);
+    if (!last) return this;
+    const byKind = new Map(this.byKind);
+    const copied = new Map<ResourceKind, Map<string, Resource>>();
+    for (const {type, resource} of changes) {
+      const {kind, name} = resource;
+      const all = copied.get(kind) ?? new Map(byKind.get(kind));
+      copied.set(kind, all);
+      if (type === 'put') all.set(name, resource);
+      else all.delete(name);
+    }
+    for (const [kind, all] of copied) byKind.set(kind, all);
+    return new ConfigSnapshot(last.revision, [], byKind);
+  }
+}
+
+function indexed(resources: Iterable<Resource>): ResourcesByKind {
+  const byKind = new Map(
+    RESOURCE_KINDS.map(kind => [kind, new Map<string, Resource>()]),
+  );
+  for (const resource of resources) {
+    byKind.get(resource.kind)?.set(resource.name, resource);
+  }
+  return byKind;
 }
 
 /** A node's view of the configuration: it only ever moves forward. */
