--- a/packages/core/src/lib/process/batch_controller.ts
+++ b/packages/core/src/lib/process/batch_controller.ts
@@ -27,7 +27,7 @@
 
 /** Values that held up on all traces. */
 export const DEFAULT_BATCH_TUNING: BatchTuning = {
-  harmMargin: 0.8,
+  harmMargin: 0.4,
   probeStreams: 4,
   kvShare: 0.95,
   prefillSteps: 2,
@@ -44,7 +44,7 @@
 const MIN_PIECE_TOKENS = 128;
 
 /** Online tokens and requests before the measured tail is believed. */
-const MIN_TOKENS = 500;
+const MIN_TOKENS = 2_000;
 const MIN_REQUESTS = 20;
 
 /** Bounds batch work at the engine; a bench puts rivals in its place. */
@@ -114,8 +114,14 @@
    *     streams, in milliseconds.
    */
   stepLimit(cfg: PoolConfig): number {
-    if (this.meter.tokens < MIN_TOKENS) return cfg.betweenTokensMs;
-    return this.harm(cfg) * this.meter.aloneStepMs;
+    const {meter, model, running} = this;
+    const known = meter.tokens >= MIN_TOKENS;
+    // Until the tail is known, the step of what is online stands for it.
+    const streams = running.online.running;
+    const alone = known
+      ? meter.aloneStepMs
+      : model.predict({streams, prefillTokens: 0});
+    return this.harm(cfg) * alone;
   }
 
   streams(cfg: PoolConfig): number {
--- a/packages/core/src/lib/process/engine_lane.ts
+++ b/packages/core/src/lib/process/engine_lane.ts
@@ -26,6 +26,10 @@
 const MIN_RETRY_AFTER_MS = 50;
 /** Batch requests kept at hand, so that a free slot is filled at once. */
 const BATCH_AT_HAND = 16;
+/** Batch work that waited so long goes before what came later. */
+const LONG_WAIT_MS = 3_000;
+/** Larger than any prompt, in tokens. */
+const MAX_SIZE = 1e9;
 /** Share of the time to its deadline after which a suspect gets its turn. */
 const SUSPECT_PATIENCE = 0.5;
 
@@ -64,7 +68,7 @@
   arrived(request: AdmissionRequest, now: number): readonly AdmissionAction[] {
     if (this.isLeaving) return [turnedAway(request)];
     const online = request.class === 'online';
-    if (online) this.senses.meter.arrived(request.id, now);
+    if (online) this.senses.arrived(request, now);
     this.room.add(request, now);
     const actions = this.pump(now);
     if (online) this.shed(request, actions);
@@ -74,12 +78,15 @@
   firstToken(id: string, now: number): readonly AdmissionAction[] {
     // It was asked for a piece of the prompt and generates all the same.
     if (this.pieces.delete(id)) this.prefillsPieces = false;
+    this.cache.add(this.running.get(id)?.prefillTokens ?? 0);
     const closed = this.senses.firstToken(id, now, this.limitMs());
+    if (closed) this.cache.check(this.senses.unexpectedTokens);
     return closed ? this.pump(now) : [];
   }
 
   tokens(id: string, count: number, now: number): readonly AdmissionAction[] {
     const closed = this.senses.tokens(id, count, now, this.limitMs());
+    if (closed) this.cache.check(this.senses.unexpectedTokens);
     return closed ? this.pump(now) : [];
   }
 
@@ -91,7 +98,8 @@
     if (pieceDone) this.cache.keep(id, piece);
     const running = this.senses.ended(id, how, pieceDone, now);
     if (running === undefined) return [];
-    this.cache.add(running.prefillTokens + running.generated);
+    const {generated, prefilling, prefillTokens} = running;
+    this.cache.add(prefilling ? prefillTokens : generated);
     if (running.request.suspect) this.suspectRunning = false;
     return this.pump(now);
   }
@@ -192,9 +200,12 @@
       return this.batchRule.admits(request, cfg, size(request));
     };
     // Long prompts fit only while few streams run; short ones and streams that
-    // go on fit later too, so long ones go first.
+    // go on fit later too, so long ones go first, and before them what has
+    // waited long.
+    const rank = ({request, since}: Queued) =>
+      now - since > LONG_WAIT_MS ? now - since : size(request) / MAX_SIZE;
     for (;;) {
-      const next = queue.take(fits, size);
+      const next = queue.take(fits, rank);
       if (next === undefined) break;
       this.start(next, now, actions);
     }
@@ -209,7 +220,7 @@
     if (tokens === 0) return;
     const longer = (request: AdmissionRequest) =>
       this.cache.left(request) > tokens;
-    const next = this.room.batch.take(longer);
+    const next = this.room.batch.take(longer, ({since}) => -since);
     if (next === undefined) return;
     const {request, since} = next;
     const {id} = request;
@@ -241,7 +252,7 @@
     while (queue.size > 0) {
       const wait = gate.expectedWait(queue.size - 1, cfg);
       if (wait <= longest && queue.size <= gate.capacity(cfg)) return;
-      const {id} = queue.heaviest()!.request;
+      const {id} = queue.last()!.request;
       queue.remove(id);
       meter.gone(id);
       actions.push({kind: 'refuse', id, refusal: overloaded(wait)});
--- a/packages/core/src/lib/process/engine_senses.ts
+++ b/packages/core/src/lib/process/engine_senses.ts
@@ -4,6 +4,7 @@
  * online callers.
  */
 import type {AdmissionRequest} from './admission.js';
+import type {AloneNeed} from './alone_queue.js';
 import {HarmMeter} from './harm_meter.js';
 import type {EndKind} from './lane.js';
 import {OnlineGate} from './online_gate.js';
@@ -30,11 +31,29 @@
   readonly meter = new HarmMeter();
   /** What it holds. */
   readonly gate = new OnlineGate(this.model, this.running);
+  /** Tokens prefilled in the last step beyond what was thought to be left. */
+  unexpectedTokens = 0;
   /** Sequences in the step in progress. */
   private inStep = 0;
   /** A time in which prompts were being prefilled without a break. */
   private period = {tokens: 0, onlineOnly: true};
 
+  /**
+   * @param request - An online request that came in.
+   * @param now - Milliseconds.
+   */
+  arrived({id, promptTokens}: AdmissionRequest, now: number): void {
+    const {model, meter} = this;
+    const alone = meter.aloneStreams();
+    const need: AloneNeed = {
+      prefillMs: model.prefillMs(promptTokens),
+      largestPrefillMs: model.largestPrefill,
+      decodeMs: model.fixed + model.perStream * (alone + 1),
+      decoding: alone > 0,
+    };
+    meter.arrived(id, need, now);
+  }
+
   /**
    * @param request - What is handed to the engine.
    * @param arrivedAt - When it came in.
@@ -131,34 +150,25 @@
     const stalled = prefills && this.stalled(durationMs, decoding);
     this.gate.watchCeiling(stalled, decoding, now);
     if (!stalled) this.model.learn(durationMs, {streams, prefillTokens});
-    this.measure(durationMs, streams, now, limitMs);
+    this.measure(durationMs, streams, limitMs);
     this.inStep = this.running.size;
     return true;
   }
 
   /** Splits a step into what online work needs and what batch work adds. */
-  private measure(
-    durationMs: number,
-    streams: number,
-    now: number,
-    limitMs: number,
-  ): void {
+  private measure(durationMs: number, streams: number, limitMs: number): void {
     const {model, meter} = this;
     const {online} = this.running;
     const prefilling = online.running - online.decoding;
     const tokens = model.prefilledIn(durationMs, streams);
-    const done = this.running.prefilled(tokens);
+    const {online: done, unexpected} = this.running.prefilled(tokens);
+    this.unexpectedTokens = unexpected;
     const doneMs = model.prefillMs(done);
     const alone = meter.aloneStreams() + (done > 0 ? prefilling : 0);
     const decodeMs = model.fixed + model.perStream * alone;
-    // Alone, a part of a prompt would have taken the like part of a full step.
-    const whole = online.prefillTokens <= 0;
-    const part = Math.min(1, doneMs / Math.max(1, model.largestPrefill));
     meter.step({
-      endedAt: now,
       durationMs,
       aloneMs: decodeMs + doneMs,
-      alonePrefillMs: doneMs + decodeMs * (whole ? 1 : part),
       onlineTokens: online.decoding,
       limitMs,
     });
--- a/packages/core/src/lib/process/fair_queue.ts
+++ b/packages/core/src/lib/process/fair_queue.ts
@@ -77,12 +77,12 @@
 
   /**
    * @param fits - Whether a request can run now.
-   * @param size - Within a caller the largest goes first; else all are equal.
+   * @param rank - Within a caller the highest goes first; else all are equal.
    * @returns The first in order that can, taken out and charged to its caller.
    */
   take(
     fits: (request: AdmissionRequest) => boolean = () => true,
-    size: (request: AdmissionRequest) => number = () => 0,
+    rank: (entry: Queued) => number = () => 0,
   ): Queued | undefined {
     const lines = [...this.lines.values()]
       .filter(({waiting}) => waiting.length > 0)
@@ -90,7 +90,7 @@
     for (const line of lines) {
       let best: Queued | undefined;
       for (const entry of line.waiting) {
-        if (best && size(entry.request) <= size(best.request)) continue;
+        if (best && rank(entry) <= rank(best)) continue;
         if (fits(entry.request)) best = entry;
       }
       if (best !== undefined) return this.takeFrom(line, best);
@@ -115,21 +115,22 @@
   }
 
   /**
-   * Who has to go when the queue is full: the last of the caller that has most
-   * waiting for its weight.
+   * Who has to go when the queue is full: the last of the caller whose turn
+   * would come last, for what it was served and has waiting.
    *
    * @returns The request, left in place.
    */
-  heaviest(): Queued | undefined {
-    let heaviest: Queued | undefined;
-    let most = 0;
+  last(): Queued | undefined {
+    let last: Queued | undefined;
+    let latest = Number.NEGATIVE_INFINITY;
     for (const [caller, line] of this.lines) {
-      const load = line.tokens / (this.weights[caller] ?? 1);
-      if (load <= most) continue;
-      most = load;
-      heaviest = line.waiting.at(-1);
+      const entry = line.waiting.at(-1);
+      const finish = line.virtualStart + line.tokens / this.weightOf(caller);
+      if (entry === undefined || finish <= latest) continue;
+      latest = finish;
+      last = entry;
     }
-    return heaviest;
+    return last;
   }
 
   /** @returns All that wait, in no particular order. */
@@ -151,7 +152,7 @@
     const {request} = entry;
     this.virtualTime = Math.max(this.virtualTime, line.virtualStart);
     this.remove(request.id);
-    line.virtualStart += costOf(request) / (this.weights[request.caller] ?? 1);
+    line.virtualStart += costOf(request) / this.weightOf(request.caller);
     return entry;
   }
 
@@ -166,6 +167,10 @@
     return next;
   }
 
+  private weightOf(caller: string): number {
+    return this.weights[caller] ?? 1;
+  }
+
   private lineOf(caller: string): CallerLine {
     let line = this.lines.get(caller);
     if (line === undefined) {
--- a/packages/core/src/lib/process/harm_meter.ts
+++ b/packages/core/src/lib/process/harm_meter.ts
@@ -4,6 +4,8 @@
  * batch streams. The quantiles of the latter are what online callers would see
  * alone; the controller keeps the former within a declared ratio of them.
  */
+import {AloneQueue} from './alone_queue.js';
+import type {AloneNeed} from './alone_queue.js';
 import {RecentQuantile} from './recent_quantile.js';
 
 const TAIL = 0.99;
@@ -20,23 +22,15 @@
 
 /** One step of the engine, and what it would have been without batch work. */
 export interface MeasuredStep {
-  readonly endedAt: number;
   readonly durationMs: number;
   /** Its time without batch work. */
   readonly aloneMs: number;
-  /** Time that an engine alone needs for what online prompts got done in it. */
-  readonly alonePrefillMs: number;
   /** How many online streams got a token in it. */
   readonly onlineTokens: number;
   /** The longest step that was wanted. */
   readonly limitMs: number;
 }
 
-interface Waiting {
-  readonly since: number;
-  lostMs: number;
-}
-
 /** Time of steps with online streams, as it was and without batch work. */
 interface Spent {
   readonly actualMs: number;
@@ -65,7 +59,7 @@
     FIRST_TOKEN_WINDOW,
     FIRST_TOKEN_REFRESH,
   );
-  private readonly waiting = new Map<string, Waiting>();
+  private readonly queue = new AloneQueue();
   private readonly decoding = new Map<string, Spent>();
   private readonly spent = {actualMs: 0, aloneMs: 0};
   private lateTokens = 0;
@@ -135,9 +129,6 @@
       this.spent.actualMs += durationMs;
       this.spent.aloneMs += alone;
     }
-    for (const waiting of this.waiting.values()) {
-      waiting.lostMs += lostBy(waiting.since, step);
-    }
   }
 
   /**
@@ -152,10 +143,11 @@
 
   /**
    * @param id - An online request that came in.
+   * @param need - What it needs of an engine alone.
    * @param now - Milliseconds.
    */
-  arrived(id: string, now: number): void {
-    this.waiting.set(id, {since: now, lostMs: 0});
+  arrived(id: string, need: AloneNeed, now: number): void {
+    this.queue.arrived(id, need, now);
   }
 
   /**
@@ -163,32 +155,18 @@
    * @param elapsedMs - How long that took.
    */
   firstToken(id: string, elapsedMs: number): void {
-    const waiting = this.waiting.get(id);
-    if (waiting === undefined) return;
-    this.waiting.delete(id);
+    const alone = this.queue.firstToken(id);
+    if (alone === undefined) return;
     this.decoding.set(id, {...this.spent});
     this.actualFirst.record(elapsedMs);
-    this.aloneFirst.record(Math.max(1, elapsedMs - waiting.lostMs));
+    this.aloneFirst.record(Math.min(elapsedMs, alone));
   }
 
   /** @param id - An online request that ended. */
   gone(id: string): void {
     this.decoding.delete(id);
-    this.waiting.delete(id);
-  }
-}
-
-/** The part of a step that a request waited because of batch work. */
-function lostBy(since: number, step: MeasuredStep): number {
-  const {endedAt, durationMs, aloneMs, alonePrefillMs} = step;
-  const waited = endedAt - since;
-  if (waited <= 0) return 0;
-  // It came in during the step, and waits for its end in any case.
-  if (waited < durationMs) {
-    const alone = step.onlineTokens > 0 ? aloneMs : 0;
-    return waited * Math.max(0, 1 - alone / durationMs);
+    this.queue.gone(id);
   }
-  return Math.max(0, durationMs - alonePrefillMs);
 }
 
 function ratio(actual: number, alone: number): number {
--- a/packages/core/src/lib/process/prompt_cache.ts
+++ b/packages/core/src/lib/process/prompt_cache.ts
@@ -4,6 +4,7 @@
  */
 import {LRUCache} from 'lru-cache';
 import type {AdmissionRequest} from './admission.js';
+import {MISS_TOKENS} from './running_set.js';
 
 /** Engines cache whole blocks; of a common size, for larger ones divide it. */
 export const BLOCK_TOKENS = 64;
@@ -16,6 +17,8 @@
  */
 const TRUSTED_SHARE = 0.2;
 const TRUSTED_TOKENS = 16_000;
+const MISS_SHRINK = 0.7;
+const HIT_GROWTH = 1.002;
 
 interface Kept {
   readonly tokens: number;
@@ -35,11 +38,24 @@
 export class PromptCache {
   private readonly kept = new LRUCache<string, Kept>({max: MAX_REQUESTS});
   private computed = 0;
+  private most = TRUSTED_TOKENS;
   private trusted = TRUSTED_TOKENS;
 
   /** @param tokens - Size of the engine's memory. */
   setMemory(tokens: number): void {
-    if (tokens > 0) this.trusted = tokens * TRUSTED_SHARE;
+    if (tokens > 0) this.most = tokens * TRUSTED_SHARE;
+  }
+
+  /**
+   * Learns how much the engine's cache holds.
+   *
+   * @param unexpected - Tokens that it prefilled in a step beyond what was
+   *     thought to be left.
+   */
+  check(unexpected: number): void {
+    const missed = unexpected > MISS_TOKENS;
+    const trusted = this.trusted * (missed ? MISS_SHRINK : HIT_GROWTH);
+    this.trusted = Math.max(BLOCK_TOKENS, Math.min(this.most, trusted));
   }
 
   /** @param tokens - Tokens that the engine computed. */
--- a/packages/core/src/lib/process/running_set.ts
+++ b/packages/core/src/lib/process/running_set.ts
@@ -5,6 +5,9 @@
 import type {AdmissionRequest} from './admission.js';
 import type {ServeClass} from '../request/serve.js';
 
+/** Prefill that nothing explains, in tokens: something was not cached. */
+export const MISS_TOKENS = 128;
+
 /** A request at the engine. */
 export interface Running {
   readonly request: AdmissionRequest;
@@ -17,6 +20,8 @@
   readonly prefillTokens: number;
   /** Tokens that are still to be prefilled, as estimated. */
   prefillLeft: number;
+  /** Its tokens to prefill were estimated anew. */
+  corrected: boolean;
   /** Still prefilling its prompt. */
   prefilling: boolean;
   /** Tokens generated here. */
@@ -121,6 +126,7 @@
       order: this.started,
       prefillTokens,
       prefillLeft: prefillTokens,
+      corrected: false,
       prefilling: true,
       generated: 0,
       stopping: false,
@@ -194,9 +200,12 @@
    * Notes that an engine has prefilled tokens; it does so in order of start.
    *
    * @param tokens - How many, of all requests together.
-   * @returns How many of them were of online prompts.
+   * @returns How many of them were of online prompts, and of none.
    */
-  prefilled(tokens: number): number {
+  prefilled(tokens: number): {
+    readonly online: number;
+    readonly unexpected: number;
+  } {
     let left = tokens;
     let online = 0;
     for (const running of this.prefilling) {
@@ -208,7 +217,23 @@
       if (!running.stopping) this.tallies[kind].prefillTokens -= part;
       if (kind === 'online') online += part;
     }
-    return online;
+    if (left > MISS_TOKENS) this.expectMore();
+    return {online, unexpected: left};
+  }
+
+  /**
+   * The engine prefills more than was thought to be left, so what was thought
+   * to be cached is not: those without a token yet have all of it to do.
+   */
+  private expectMore(): void {
+    for (const running of this.prefilling) {
+      const {request, prefillTokens, corrected, stopping} = running;
+      if (running.prefillLeft > 0 || corrected) continue;
+      running.corrected = true;
+      running.prefillLeft = Math.max(0, promptOf(request) - prefillTokens);
+      if (stopping) continue;
+      this.tallies[request.class].prefillTokens += running.prefillLeft;
+    }
   }
 
   /**
--- a/packages/core/src/lib/process/service_lane.ts
+++ b/packages/core/src/lib/process/service_lane.ts
@@ -47,7 +47,7 @@
     const actions = this.pump(now);
     const queue = this.room.online;
     while (queue.size > this.places * QUEUE_SHARE) {
-      const {id} = queue.heaviest()!.request;
+      const {id} = queue.last()!.request;
       queue.remove(id);
       actions.push({kind: 'refuse', id, refusal: this.overloaded()});
     }
