Take up again only what is worth its prefill

Change: beyond the streams that arrivals usually leave, batch work starts only while the cache can hold it; streams too many for what is measured are stopped; the limit holds for plain steps too.

--- a/packages/bench/src/lib/process/policies.ts
+++ b/packages/bench/src/lib/process/policies.ts
@@ -50,6 +50,10 @@
     return 0;
   }
 
+  surplus(): number {
+    return 0;
+  }
+
   pieceTokens(): number {
     return 0;
   }
@@ -80,6 +84,10 @@
     return 0;
   }
 
+  surplus(): number {
+    return 0;
+  }
+
   pieceTokens(): number {
     return 0;
   }
--- a/packages/core/src/lib/process/batch_controller.ts
+++ b/packages/core/src/lib/process/batch_controller.ts
@@ -8,6 +8,7 @@
 import type {EngineSenses} from './engine_senses.js';
 import type {HarmMeter} from './harm_meter.js';
 import type {OnlineGate} from './online_gate.js';
+import type {PromptCache} from './prompt_cache.js';
 import type {RunningSet} from './running_set.js';
 import type {StepClock} from './step_clock.js';
 import type {StepModel} from './step_model.js';
@@ -40,6 +41,14 @@
 const AIM_BELOW = 0.005;
 const AIM_BELOW_IN_DEBT = 0.03;
 
+/** A few streams too many are left to end by themselves. */
+const MIN_SURPLUS = 2;
+const SURPLUS_SHARE = 0.15;
+/** A prompt up to this size is cheap to prefill again. */
+const CHEAP_TOKENS = 128;
+/** Weight of one more online arrival in what batch work survives. */
+const SURVIVOR_SMOOTHING = 0.05;
+const MAX_SURVIVORS = 64;
 /** A piece of a prompt is worth its overhead from this size on. */
 const MIN_PIECE_TOKENS = 128;
 
@@ -77,6 +86,12 @@
    * @returns How many batch streams have to make room for it.
    */
   excess(request: AdmissionRequest, cfg: PoolConfig, now: number): number;
+  /**
+   * @param cfg - The pool.
+   * @returns How many batch streams are too many for what was measured since
+   *     they started.
+   */
+  surplus(cfg: PoolConfig): number;
   /**
    * @param cfg - The pool.
    * @returns How many tokens of a longer batch prompt may be prefilled now; 0
@@ -92,6 +107,9 @@
   private readonly meter: HarmMeter;
   private readonly gate: OnlineGate;
   private readonly steps: StepClock;
+  private readonly cache: PromptCache;
+  /** Batch streams that online arrivals leave, on average. */
+  private survivors = 0;
 
   /**
    * @param senses - What to go by.
@@ -106,6 +124,7 @@
     this.meter = senses.meter;
     this.gate = senses.gate;
     this.steps = senses.steps;
+    this.cache = senses.cache;
   }
 
   /**
@@ -141,6 +160,7 @@
     const {online, batch} = this.running;
     if (online.prefillTokens > 0) return false;
     if (batch.running >= this.streams(cfg)) return false;
+    if (prefill > CHEAP_TOKENS && this.wouldBeWasted()) return false;
     const kv = this.kvAtEnd() + request.promptTokens + request.maxTokens;
     if (kv > this.gate.memory * this.tuning.kvShare) return false;
     if (online.running + batch.running === 0) return true;
@@ -164,13 +184,21 @@
       this.besideFirstToken(prefillTokens, spareMs),
       this.besideMemory(request),
     );
-    const over = batch.running - Math.max(0, Math.floor(beside));
+    const left = Math.max(0, Math.floor(Math.min(beside, MAX_SURVIVORS)));
+    this.survivors += (left - this.survivors) * SURVIVOR_SMOOTHING;
+    const over = Math.max(0, batch.running - left);
     const late = this.model.prefillMs(batch.prefillTokens) > spareMs;
     const inTheWay = late || this.prefillTooLong(streams, prefillTokens, cfg);
     // Those being prefilled are the newest, so they are the first to go.
     return Math.max(over, inTheWay ? batch.running - batch.decoding : 0);
   }
 
+  surplus(cfg: PoolConfig): number {
+    const {running} = this.running.batch;
+    const over = running - this.streams(cfg);
+    return over > Math.max(MIN_SURPLUS, running * SURPLUS_SHARE) ? over : 0;
+  }
+
   /**
    * Beside many streams a long prompt makes a step too long. Engines cache what
    * they prefilled, so it is handed over in pieces that fit a step each.
@@ -179,6 +207,7 @@
     const {online, batch} = this.running;
     if (online.prefillTokens > 0 || batch.prefillTokens > 0) return 0;
     if (batch.running >= this.streams(cfg)) return 0;
+    if (this.wouldBeWasted()) return 0;
     const streams = online.running + batch.running + 1;
     const decodeMs = this.model.predict({streams, prefillTokens: 0});
     const spareMs = this.aimMs(cfg) - decodeMs;
@@ -186,6 +215,17 @@
     return tokens < MIN_PIECE_TOKENS ? 0 : Math.floor(tokens);
   }
 
+  /**
+   * Beyond the streams that arrivals usually leave, a stream is preempted soon.
+   * Where the engine's cache cannot hold it until it goes on, its whole prompt
+   * is computed again each time, which costs more than it generates.
+   */
+  private wouldBeWasted(): boolean {
+    const {batch} = this.running;
+    if (batch.running < Math.max(1, this.survivors)) return false;
+    return batch.kvTokens > this.cache.trustedTokens;
+  }
+
   /** Whether batch prompts make the steps of online streams too long. */
   private prefillTooLong(
     streams: number,
@@ -219,8 +259,12 @@
     prefillTokens: number,
     cfg: PoolConfig,
   ): number {
-    if (this.running.online.decoding === 0) return Number.POSITIVE_INFINITY;
-    return this.within(this.aimMs(cfg), prefillTokens) - streams;
+    if (!this.model.ready) return this.tuning.probeStreams - streams;
+    const aim = this.aimMs(cfg);
+    const decode = this.within(aim, 0) - streams;
+    // Nobody waits for a token while it prefills, but it will decode then.
+    if (this.running.online.decoding === 0) return decode;
+    return Math.min(decode, this.within(aim, prefillTokens) - streams);
   }
 
   /**
--- a/packages/core/src/lib/process/engine_lane.ts
+++ b/packages/core/src/lib/process/engine_lane.ts
@@ -14,7 +14,7 @@
 import {EngineSenses} from './engine_senses.js';
 import type {Queued} from './fair_queue.js';
 import type {EndKind, Lane} from './lane.js';
-import {PromptCache, wholeBlocks} from './prompt_cache.js';
+import {wholeBlocks} from './prompt_cache.js';
 import type {Running} from './running_set.js';
 import {WaitingRoom} from './waiting_room.js';
 import {notRun} from '../request/refusal.js';
@@ -40,7 +40,7 @@
   private readonly senses = new EngineSenses();
   private readonly running = this.senses.running;
   private readonly room = new WaitingRoom();
-  private readonly cache = new PromptCache();
+  private readonly cache = this.senses.cache;
   /** Requests of which only so many tokens are being prefilled. */
   private readonly pieces = new Map<string, number>();
   private readonly batchRule: BatchRule;
@@ -153,6 +153,7 @@
     if (this.room.suspectCount > 0) this.startSuspect(now, actions);
     if (this.suspectRunning) return actions;
     this.startOnline(now, actions);
+    this.stopSurplus(actions);
     if (this.room.online.size === 0) this.startBatch(now, actions);
     return actions;
   }
@@ -191,6 +192,16 @@
     }
   }
 
+  private stopSurplus(actions: Actions): void {
+    const cfg = this.anyPool();
+    if (cfg === undefined || this.running.batch.running === 0) return;
+    const surplus = this.batchRule.surplus(cfg);
+    if (surplus === 0) return;
+    for (const victim of this.running.newestBatch().slice(0, surplus)) {
+      this.preempt(victim, actions);
+    }
+  }
+
   private startBatch(now: number, actions: Actions): void {
     const queue = this.room.batch;
     if (queue.size === 0) return;
--- a/packages/core/src/lib/process/engine_senses.ts
+++ b/packages/core/src/lib/process/engine_senses.ts
@@ -8,6 +8,7 @@
 import {HarmMeter} from './harm_meter.js';
 import type {EndKind} from './lane.js';
 import {OnlineGate} from './online_gate.js';
+import {PromptCache} from './prompt_cache.js';
 import {RunningSet} from './running_set.js';
 import type {Running} from './running_set.js';
 import {StepClock} from './step_clock.js';
@@ -31,6 +32,8 @@
   readonly meter = new HarmMeter();
   /** What it holds. */
   readonly gate = new OnlineGate(this.model, this.running);
+  /** What it has cached. */
+  readonly cache = new PromptCache();
   /** Tokens prefilled in the last step beyond what was thought to be left. */
   unexpectedTokens = 0;
   /** Sequences in the step in progress. */
--- a/packages/core/src/lib/process/prompt_cache.ts
+++ b/packages/core/src/lib/process/prompt_cache.ts
@@ -15,7 +15,7 @@
  * was computed since, up to this share of its memory: believing that something
  * is cached that is not costs a long step.
  */
-const TRUSTED_SHARE = 0.2;
+const TRUSTED_SHARE = 0.35;
 const TRUSTED_TOKENS = 16_000;
 const MISS_SHRINK = 0.7;
 const HIT_GROWTH = 1.002;
@@ -58,6 +58,11 @@
     this.trusted = Math.max(BLOCK_TOKENS, Math.min(this.most, trusted));
   }
 
+  /** What was computed since, in tokens, before something is evicted. */
+  get trustedTokens(): number {
+    return this.trusted;
+  }
+
   /** @param tokens - Tokens that the engine computed. */
   add(tokens: number): void {
     this.computed += tokens;
--- a/packages/core/src/lib/process/step_model.ts
+++ b/packages/core/src/lib/process/step_model.ts
@@ -22,7 +22,7 @@
 const MIN_VARIANCE = 0.5;
 const OUTLIER_SHARE = 0.1;
 /** Outliers in a row that are believed. */
-const CHANGED_STEPS = 20;
+const CHANGED_STEPS = 10;
 /** First guesses, replaced as soon as steps are seen; in milliseconds. */
 const FIRST_BASE_MS = 10;
 const FIRST_PER_STREAM_MS = 0.1;
