--- a/packages/core/src/lib/process/batch_controller.ts
+++ b/packages/core/src/lib/process/batch_controller.ts
@@ -5,8 +5,10 @@
  * while the many steps that are shorter than the tail leave room.
  */
 import type {AdmissionRequest} from './admission.js';
+import type {EngineSenses} from './engine_senses.js';
 import type {HarmMeter} from './harm_meter.js';
 import type {OnlineGate} from './online_gate.js';
+import type {PromptCache} from './prompt_cache.js';
 import type {RunningSet} from './running_set.js';
 import type {StepClock} from './step_clock.js';
 import type {StepModel} from './step_model.js';
@@ -26,7 +28,7 @@
 
 /** Values that held up on all traces. */
 export const DEFAULT_BATCH_TUNING: BatchTuning = {
-  harmMargin: 0.8,
+  harmMargin: 0.4,
   probeStreams: 4,
   kvShare: 0.95,
   prefillSteps: 2,
@@ -39,14 +41,19 @@
 const AIM_BELOW = 0.005;
 const AIM_BELOW_IN_DEBT = 0.03;
 
-/**
- * A late step costs as many late tokens as streams are online, so it is far
- * cheaper while few are: late tokens are saved up for then.
- */
-const OVERRUN_PRICE = 0.05;
+/** A few streams too many are left to end by themselves. */
+const MIN_SURPLUS = 2;
+const SURPLUS_SHARE = 0.15;
+/** A prompt up to this size is cheap to prefill again. */
+const CHEAP_TOKENS = 128;
+/** Weight of one more online arrival in what batch work survives. */
+const SURVIVOR_SMOOTHING = 0.05;
+const MAX_SURVIVORS = 64;
+/** A piece of a prompt is worth its overhead from this size on. */
+const MIN_PIECE_TOKENS = 128;
 
 /** Online tokens and requests before the measured tail is believed. */
-const MIN_TOKENS = 500;
+const MIN_TOKENS = 2_000;
 const MIN_REQUESTS = 20;
 
 /** Bounds batch work at the engine; a bench puts rivals in its place. */
@@ -79,20 +86,18 @@
    * @returns How many batch streams have to make room for it.
    */
   excess(request: AdmissionRequest, cfg: PoolConfig, now: number): number;
-}
-
-/** What a batch rule can go by. */
-export interface BatchSenses {
-  /** The engine's step time. */
-  readonly model: StepModel;
-  /** What the engine has. */
-  readonly running: RunningSet;
-  /** What online callers see. */
-  readonly meter: HarmMeter;
-  /** What the engine holds. */
-  readonly gate: OnlineGate;
-  /** When its step began. */
-  readonly steps: StepClock;
+  /**
+   * @param cfg - The pool.
+   * @returns How many batch streams are too many for what was measured since
+   *     they started.
+   */
+  surplus(cfg: PoolConfig): number;
+  /**
+   * @param cfg - The pool.
+   * @returns How many tokens of a longer batch prompt may be prefilled now; 0
+   *     for none.
+   */
+  pieceTokens(cfg: PoolConfig): number;
 }
 
 /** Bounds batch work by what it does to the steps of online streams. */
@@ -102,13 +107,16 @@
   private readonly meter: HarmMeter;
   private readonly gate: OnlineGate;
   private readonly steps: StepClock;
+  private readonly cache: PromptCache;
+  /** Batch streams that online arrivals leave, on average. */
+  private survivors = 0;
 
   /**
    * @param senses - What to go by.
    * @param tuning - What to weigh.
    */
   constructor(
-    senses: BatchSenses,
+    senses: EngineSenses,
     private readonly tuning: BatchTuning = DEFAULT_BATCH_TUNING,
   ) {
     this.model = senses.model;
@@ -116,6 +124,7 @@
     this.meter = senses.meter;
     this.gate = senses.gate;
     this.steps = senses.steps;
+    this.cache = senses.cache;
   }
 
   /**
@@ -124,12 +133,22 @@
    *     streams, in milliseconds.
    */
   stepLimit(cfg: PoolConfig): number {
-    if (this.meter.tokens < MIN_TOKENS) return cfg.betweenTokensMs;
-    return this.harm(cfg) * this.meter.aloneStepMs;
+    const {meter, model, running} = this;
+    const known = meter.tokens >= MIN_TOKENS;
+    // Until the tail is known, the step of what is online stands for it.
+    const streams = running.online.running;
+    const alone = known
+      ? meter.aloneStepMs
+      : model.predict({streams, prefillTokens: 0});
+    return this.harm(cfg) * alone;
   }
 
   streams(cfg: PoolConfig): number {
     const {online, batch} = this.running;
+    // Until then few streams run, so that steps without any prefill come.
+    if (!this.model.ready) {
+      return Math.max(0, this.tuning.probeStreams - online.running);
+    }
     const proven = this.model.largestSeen + this.tuning.probeStreams;
     const most = Math.min(proven, this.gate.streamCeiling);
     const within = this.within(this.limitNow(cfg), 0);
@@ -141,6 +160,7 @@
     const {online, batch} = this.running;
     if (online.prefillTokens > 0) return false;
     if (batch.running >= this.streams(cfg)) return false;
+    if (prefill > CHEAP_TOKENS && this.wouldBeWasted()) return false;
     const kv = this.kvAtEnd() + request.promptTokens + request.maxTokens;
     if (kv > this.gate.memory * this.tuning.kvShare) return false;
     if (online.running + batch.running === 0) return true;
@@ -148,9 +168,7 @@
     if (online.running === 0) return this.prefillFits(prefillTokens);
     const streams = online.running + batch.running + 1;
     const stepMs = this.model.predict({streams, prefillTokens});
-    if (stepMs <= this.aimMs(cfg)) return true;
-    const first = batch.prefillTokens === 0;
-    return first && this.meter.credit > online.running * OVERRUN_PRICE;
+    return stepMs <= this.aimMs(cfg);
   }
 
   excess(request: AdmissionRequest, cfg: PoolConfig, now: number): number {
@@ -166,13 +184,48 @@
       this.besideFirstToken(prefillTokens, spareMs),
       this.besideMemory(request),
     );
-    const over = batch.running - Math.max(0, Math.floor(beside));
+    const left = Math.max(0, Math.floor(Math.min(beside, MAX_SURVIVORS)));
+    this.survivors += (left - this.survivors) * SURVIVOR_SMOOTHING;
+    const over = Math.max(0, batch.running - left);
     const late = this.model.prefillMs(batch.prefillTokens) > spareMs;
     const inTheWay = late || this.prefillTooLong(streams, prefillTokens, cfg);
     // Those being prefilled are the newest, so they are the first to go.
     return Math.max(over, inTheWay ? batch.running - batch.decoding : 0);
   }
 
+  surplus(cfg: PoolConfig): number {
+    const {running} = this.running.batch;
+    const over = running - this.streams(cfg);
+    return over > Math.max(MIN_SURPLUS, running * SURPLUS_SHARE) ? over : 0;
+  }
+
+  /**
+   * Beside many streams a long prompt makes a step too long. Engines cache what
+   * they prefilled, so it is handed over in pieces that fit a step each.
+   */
+  pieceTokens(cfg: PoolConfig): number {
+    const {online, batch} = this.running;
+    if (online.prefillTokens > 0 || batch.prefillTokens > 0) return 0;
+    if (batch.running >= this.streams(cfg)) return 0;
+    if (this.wouldBeWasted()) return 0;
+    const streams = online.running + batch.running + 1;
+    const decodeMs = this.model.predict({streams, prefillTokens: 0});
+    const spareMs = this.aimMs(cfg) - decodeMs;
+    const tokens = spareMs / this.model.perPrefillToken;
+    return tokens < MIN_PIECE_TOKENS ? 0 : Math.floor(tokens);
+  }
+
+  /**
+   * Beyond the streams that arrivals usually leave, a stream is preempted soon.
+   * Where the engine's cache cannot hold it until it goes on, its whole prompt
+   * is computed again each time, which costs more than it generates.
+   */
+  private wouldBeWasted(): boolean {
+    const {batch} = this.running;
+    if (batch.running < Math.max(1, this.survivors)) return false;
+    return batch.kvTokens > this.cache.trustedTokens;
+  }
+
   /** Whether batch prompts make the steps of online streams too long. */
   private prefillTooLong(
     streams: number,
@@ -206,8 +259,12 @@
     prefillTokens: number,
     cfg: PoolConfig,
   ): number {
-    if (this.running.online.decoding === 0) return Number.POSITIVE_INFINITY;
-    return this.within(this.aimMs(cfg), prefillTokens) - streams;
+    if (!this.model.ready) return this.tuning.probeStreams - streams;
+    const aim = this.aimMs(cfg);
+    const decode = this.within(aim, 0) - streams;
+    // Nobody waits for a token while it prefills, but it will decode then.
+    if (this.running.online.decoding === 0) return decode;
+    return Math.min(decode, this.within(aim, prefillTokens) - streams);
   }
 
   /**
--- a/packages/entry/src/lib/process/entry.ts
+++ b/packages/entry/src/lib/process/entry.ts
@@ -38,19 +38,20 @@
 import {completionRoutes} from '../request/completion_routes.js';
 import {Dispatcher} from '../request/dispatcher.js';
 import {KeyedRequests} from '../request/keyed_requests.js';
-import type {KeyedCall} from '../request/keyed_requests.js';
 import {OnlineService} from '../request/online_service.js';
 import type {Serve} from '../request/online_call.js';
+import {Recall} from '../request/recall.js';
 import {resourceRoutes} from '../request/resource_routes.js';
 import {resultRoutes} from '../request/result_routes.js';
 import {Router} from '../request/router.js';
 import {serviceRoutes} from '../request/service_routes.js';
 import {AnswerStore} from './answer_store.js';
 import type {AnswerStoreSettings} from './answer_store.js';
+import {ClaimStore} from './claim_store.js';
 import {KeyAuthenticator} from './key_authenticator.js';
 import {LimitGate} from './limit_gate.js';
 import type {UseReport, UseReports} from './limit_gate.js';
-import {LocalSuspects} from './suspect_registry.js';
+import {SharedSuspects} from './shared_suspects.js';
 
 /** What an entry is made of. */
 export interface EntryParts {
@@ -93,11 +94,13 @@
   private readonly fleet: TargetFleet;
   private readonly peers: Peers;
   private readonly answers: AnswerStore;
+  private readonly recall: Recall;
   private readonly keyed: KeyedRequests;
   private readonly online: OnlineService;
   private readonly jobs: BatchJobs;
-  private readonly suspects: LocalSuspects;
+  private readonly suspects: SharedSuspects;
   private readonly limits: LimitGate;
+  private knownPeers: ReadonlySet<string> = new Set();
   private inFlight = 0;
   private stopping = false;
 
@@ -112,18 +115,23 @@
     );
     this.cache = this.held.add(this.createCache());
     this.board = new StatusBoard(clock, this.cache);
-    this.suspects = new LocalSuspects(counters);
+    this.suspects = this.held.add(
+      new SharedSuspects({...base, membership: this.membership}),
+    );
     this.fleet = this.held.add(this.createFleet());
+    this.recall = new Recall({clock, counters, fleet: this.fleet});
     const {membership} = this;
     this.answers = new AnswerStore({...base, membership}, settings.answers);
     const dispatcher = this.createDispatcher();
     const dispatch = dispatcher.serve.bind(dispatcher);
     this.keyed = new KeyedRequests({
-      ...base,
+      clock,
+      counters,
+      claims: new ClaimStore(base),
       membership,
       answers: this.answers,
       dispatch,
-      recall: (call, signal) => this.recall(call, signal),
+      recall: call => this.recall.ofKey(call),
     });
     this.online = new OnlineService({
       counters,
@@ -150,6 +158,7 @@
     this.jobs = new BatchJobs({...base, membership, runner}, settings.batch);
     this.router = this.createRouter();
     this.answers.onWritten(keys => void this.releaseAtTargets(keys));
+    this.membership.onHead(() => void this.adoptHeld());
   }
 
   /** Joins the fleet and loads the configuration. */
@@ -261,13 +270,20 @@
     }
   }
 
-  private async recall(
-    call: KeyedCall,
-    signal: AbortSignal,
-  ): Promise<ServeOutcome | undefined> {
-    void call;
-    void signal;
-    return undefined;
+  /**
+   * An entry can be lost with answers that it gave and had not written. The
+   * targets hold them; whoever takes its shares over writes them in its place.
+   */
+  private async adoptHeld(): Promise<void> {
+    const present = new Set(this.membership.peers().map(p => p.entryId));
+    const lost = [...this.knownPeers].filter(id => !present.has(id));
+    this.knownPeers = present;
+    for (const entryId of lost) {
+      for (const answer of await this.recall.heldFor(entryId)) {
+        const share = this.membership.shareOf(answer.key);
+        if (this.membership.fence(share)) this.answers.add(answer);
+      }
+    }
   }
 
   private async findAnywhere(
@@ -315,7 +331,7 @@
       membership: this.membership,
       hosts: platform.hosts,
       linkTo: this.parts.linkTo,
-      blocked: () => [],
+      blocked: () => this.suspects.blocked,
       board: this.board,
       settings: settings.fleet,
     });
--- a/packages/target/src/test/process/run_memory_test.ts
+++ b/packages/target/src/test/process/run_memory_test.ts
@@ -154,27 +154,29 @@
   t.is((await plain.ended)?.kind, 'done');
 });
 
-// So many requests end that some are forgotten before their time. Asked about
-// one of them, the target must not say that it never came.
-test('what may have been forgotten is not called "not run"', async t => {
-  const {service, engine} = await startService();
-  const long = 'x'.repeat(12 << 20);
-  for (const nth of [0, 1]) {
-    const caller = send(service, request({id: `big${nth}`}));
-    const stream = await engine.stream(nth);
-    stream.tokens(long);
-    stream.done();
-    await caller.ended;
-  }
-  const attachment = {
-    id: 'big0',
-    attempt: 1,
-    bootId: service.bootId,
-    sentAgoMs: 10,
-    startedSeen: false,
-    tokensSeen: 0,
-  };
-  const {signal} = new AbortController();
-  const {value} = await service.attach(attachment, signal).next();
-  t.is(refusalText(value as never), 'outcome-unknown may-have-run');
-});
+// So many requests end, or so large ones, that some are forgotten before their
+// time. Asked about one, the target must not say that it never came.
+for (const millions of [[12, 12], [17]]) {
+  const name = `${millions.join(' and ')} million characters`;
+  test(`what may be forgotten is not called "not run": ${name}`, async t => {
+    const {service, engine} = await startService();
+    for (const [nth, size] of millions.entries()) {
+      const caller = send(service, request({id: `big${nth}`}));
+      const stream = await engine.stream(nth);
+      stream.tokens('x'.repeat(size << 20));
+      stream.done();
+      await caller.ended;
+    }
+    const attachment = {
+      id: 'big0',
+      attempt: 1,
+      bootId: service.bootId,
+      sentAgoMs: 10,
+      startedSeen: false,
+      tokensSeen: 0,
+    };
+    const {signal} = new AbortController();
+    const {value} = await service.attach(attachment, signal).next();
+    t.is(refusalText(value as never), 'outcome-unknown may-have-run');
+  });
+}
