--- a/packages/wire/src/lib/connection/trpc_target_link.ts
+++ b/packages/wire/src/lib/connection/trpc_target_link.ts
@@ -47,6 +47,11 @@
     return this.connection.state;
   }
 
+  /**
+   * Runs one request; see {@link TargetLink.serve}. When the target can't be
+   * reached and the request was never sent, it is refused as not run instead of
+   * lost.
+   */
   async *serve(
     req: ServeRequest,
     signal: AbortSignal,
@@ -60,6 +65,7 @@
     }
   }
 
+  /** {@inheritDoc TargetLink.heartbeat} */
   heartbeat(req: Heartbeat, signal: AbortSignal): Promise<HeartbeatReply> {
     return this.query(
       (channel, s) => channel.api.heartbeat.query(req, {signal: s}),
@@ -67,6 +73,7 @@
     );
   }
 
+  /** {@inheritDoc TargetLink.order} */
   async order(order: Order, signal: AbortSignal): Promise<OrderOutcome> {
     try {
       return await this.query(
@@ -80,6 +87,7 @@
     }
   }
 
+  /** {@inheritDoc ReportingLink.release} */
   async release(dedupeKeys: readonly string[]): Promise<void> {
     await this.query(
       channel => channel.api.release.mutate([...dedupeKeys]),
@@ -87,6 +95,7 @@
     );
   }
 
+  /** {@inheritDoc ReportingLink.reports} */
   reports(signal: AbortSignal): AsyncGenerator<LoadReport, void, undefined> {
     const subscribe: Subscribe<LoadReport> = (channel, sinks) => {
       let last: LoadReport | undefined;
@@ -100,6 +109,7 @@
     return this.iterate(new StreamCall(subscribe, false), signal);
   }
 
+  /** {@inheritDoc ReportingLink.held} */
   held(
     entryId: string,
     signal: AbortSignal,
@@ -109,6 +119,7 @@
     return this.iterate(new StreamCall(subscribe, true), signal);
   }
 
+  /** {@inheritDoc ReportingLink.recall} */
   recall(
     dedupeKey: string,
     signal: AbortSignal,
@@ -119,6 +130,7 @@
     );
   }
 
+  /** {@inheritDoc ReportingLink.cachedPrefixes} */
   cachedPrefixes(signal: AbortSignal): Promise<readonly string[]> {
     return this.query(
       (channel, s) => channel.api.cachedPrefixes.query(undefined, {signal: s}),
