--- a/packages/bench/src/lib/process/engine_target.ts
+++ b/packages/bench/src/lib/process/engine_target.ts
@@ -128,6 +128,20 @@
     return this.model.nextStepAt() ?? Number.POSITIVE_INFINITY;
   }
 
+  /** @returns Online requests that it has or that wait for it. */
+  onlineLoad(): number {
+    const {onlineRunning, onlineQueued} = this.admission.load();
+    return onlineRunning + onlineQueued;
+  }
+
+  /**
+   * @param prefix - Name of a prompt's beginning.
+   * @returns Whether its first block is in the engine's cache.
+   */
+  hasCached(prefix: string): boolean {
+    return this.model.exportCache(`${prefix}/0`) !== undefined;
+  }
+
   /** @param factor - Steps take this many times as long. */
   setSlowdown(factor: number): void {
     this.model.setSlowdown(factor);
