--- a/packages/config/src/lib/version/target_config_for.ts
+++ b/packages/config/src/lib/version/target_config_for.ts
@@ -30,6 +30,7 @@
     }),
     callerWeights: callerWeights(snapshot),
     blocked,
+    leaving: target.spec.leaving,
   };
 }
 
@@ -37,6 +38,7 @@
   return {
     pool,
     kind: spec.type,
+    ...(spec.version === undefined ? {} : {version: spec.version}),
     batch: spec.batch,
     firstTokenMs: spec.firstTokenMs,
     betweenTokensMs: spec.betweenTokensMs,
@@ -44,14 +46,21 @@
   };
 }
 
+type CallerWeights = TargetConfig['callerWeights'];
+
+/** The same for every target, and there may be tens of thousands of callers. */
+const WEIGHTS = new WeakMap<ConfigSnapshot, CallerWeights>();
+
 /** Only what differs from the default: most of many callers do not. */
-function callerWeights(
-  snapshot: ConfigSnapshot,
-): Readonly<Record<string, number>> {
-  return Object.fromEntries(
+function callerWeights(snapshot: ConfigSnapshot): CallerWeights {
+  const known = WEIGHTS.get(snapshot);
+  if (known) return known;
+  const weights = Object.fromEntries(
     snapshot
       .all('callers')
       .filter(({spec}) => spec.weight !== DEFAULT_WEIGHT)
       .map(({name, spec}) => [name, spec.weight]),
   );
+  WEIGHTS.set(snapshot, weights);
+  return weights;
 }
--- a/packages/core/src/lib/process/engine_admission.ts
+++ b/packages/core/src/lib/process/engine_admission.ts
@@ -9,8 +9,9 @@
   AdmissionLoad,
   AdmissionRequest,
 } from './admission.js';
-import type {BatchTuning} from './batch_controller.js';
+import type {BatchRule} from './batch_controller.js';
 import {EngineLane} from './engine_lane.js';
+import type {EngineSenses} from './engine_senses.js';
 import type {Lane} from './lane.js';
 import {ServiceLane} from './service_lane.js';
 import {notRun} from '../request/refusal.js';
@@ -63,9 +64,12 @@
     tick: (event, now) => this.lanes().flatMap(lane => lane.tick(now)),
   };
 
-  /** @param tuning - What the batch controller weighs. */
-  constructor(tuning?: BatchTuning) {
-    this.engine = new EngineLane(tuning);
+  /**
+   * @param buildRule - Builds the rule for batch work beside a model engine;
+   *     without it, the one that goes by measured harm.
+   */
+  constructor(buildRule?: (senses: EngineSenses) => BatchRule) {
+    this.engine = new EngineLane(buildRule);
   }
 
   handle(event: AdmissionEvent, now: number): readonly AdmissionAction[] {
--- a/packages/core/src/lib/process/harm_meter.ts
+++ b/packages/core/src/lib/process/harm_meter.ts
@@ -4,19 +4,51 @@
  * batch streams. The quantiles of the latter are what online callers would see
  * alone; the controller keeps the former within a declared ratio of them.
  */
+import {AloneQueue} from './alone_queue.js';
+import type {AloneNeed} from './alone_queue.js';
 import {RecentQuantile} from './recent_quantile.js';
 
 const TAIL = 0.99;
 /** Online tokens that stand behind a quantile of the time between tokens. */
-const TOKEN_WINDOW = 40_000;
+const TOKEN_WINDOW = 200_000;
+const TOKEN_REFRESH = 500;
 /** Requests that stand behind a quantile of the time to first token. */
-const FIRST_TOKEN_WINDOW = 1_000;
+const FIRST_TOKEN_WINDOW = 4_000;
 const FIRST_TOKEN_REFRESH = 5;
+/** Share of the tail's tokens that is planned for; the rest is error. */
+const OVERRUN_SHARE = 0.8;
+/** Online tokens beyond the limit that may be saved up. */
+const MAX_CREDIT = 200;
+
+/** One step of the engine, and what it would have been without batch work. */
+export interface MeasuredStep {
+  readonly durationMs: number;
+  /** Its time without batch work. */
+  readonly aloneMs: number;
+  /** How many online streams got a token in it. */
+  readonly onlineTokens: number;
+  /** The longest step that was wanted. */
+  readonly limitMs: number;
+}
+
+/** Time of steps with online streams, as it was and without batch work. */
+interface Spent {
+  readonly actualMs: number;
+  readonly aloneMs: number;
+}
 
 /** What online callers see, and what they would see without batch work. */
 export class HarmMeter {
-  private readonly aloneStep = new RecentQuantile(TAIL, TOKEN_WINDOW);
-  private readonly actualStep = new RecentQuantile(TAIL, TOKEN_WINDOW);
+  private readonly aloneStep = new RecentQuantile(
+    TAIL,
+    TOKEN_WINDOW,
+    TOKEN_REFRESH,
+  );
+  private readonly actualStep = new RecentQuantile(
+    TAIL,
+    TOKEN_WINDOW,
+    TOKEN_REFRESH,
+  );
   private readonly aloneFirst = new RecentQuantile(
     TAIL,
     FIRST_TOKEN_WINDOW,
@@ -27,7 +59,28 @@
     FIRST_TOKEN_WINDOW,
     FIRST_TOKEN_REFRESH,
   );
-  private readonly waiting = new Map<string, number>();
+  private readonly queue = new AloneQueue();
+  private readonly decoding = new Map<string, Spent>();
+  private readonly spent = {actualMs: 0, aloneMs: 0};
+  private lateTokens = 0;
+
+  /**
+   * Online tokens that may still be late, as a share of what can be saved up;
+   * negative when too many were.
+   */
+  get credit(): number {
+    return this.lateTokens / MAX_CREDIT;
+  }
+
+  /** Online tokens that stand behind the quantiles. */
+  get tokens(): number {
+    return this.aloneStep.samples;
+  }
+
+  /** Online requests that stand behind the quantiles. */
+  get requests(): number {
+    return this.aloneFirst.samples;
+  }
 
   /** Time between tokens at p99 without batch work, in milliseconds. */
   get aloneStepMs(): number {
@@ -50,26 +103,51 @@
   }
 
   /**
-   * @param durationMs - How long a step took.
-   * @param aloneMs - How long without the batch streams in it.
-   * @param onlineTokens - How many online streams got a token in it.
+   * How many online streams would be decoding without batch work. Streams that
+   * are slowed down last longer, so more of them run at a time; by how much
+   * longer each lasts, as much less it counts.
+   *
+   * @returns The streams, in fractions.
    */
-  step(durationMs: number, aloneMs: number, onlineTokens: number): void {
-    const alone = Math.min(durationMs, aloneMs);
+  aloneStreams(): number {
+    let streams = 0;
+    for (const {actualMs, aloneMs} of this.decoding.values()) {
+      const actual = this.spent.actualMs - actualMs;
+      streams += actual > 0 ? (this.spent.aloneMs - aloneMs) / actual : 1;
+    }
+    return streams;
+  }
+
+  /** @param step - What one step was like. */
+  step(step: MeasuredStep): void {
+    const {durationMs, onlineTokens} = step;
+    const alone = Math.min(durationMs, step.aloneMs);
     if (onlineTokens > 0) {
       this.actualStep.record(durationMs, onlineTokens);
       this.aloneStep.record(alone, onlineTokens);
-    }
-    if (durationMs <= 0) return;
-    const lostShare = 1 - alone / durationMs;
-    for (const [id, lost] of this.waiting) {
-      this.waiting.set(id, lost + lostShare * durationMs);
+      this.spend(onlineTokens, durationMs > step.limitMs);
+      this.spent.actualMs += durationMs;
+      this.spent.aloneMs += alone;
     }
   }
 
-  /** @param id - An online request that came in. */
-  arrived(id: string): void {
-    this.waiting.set(id, 0);
+  /**
+   * A p99 stands while no more than one token in a hundred is later, whichever
+   * those are: what online work itself does not use up is left for batch.
+   */
+  private spend(tokens: number, late: boolean): void {
+    const earned = (1 - TAIL) * OVERRUN_SHARE * tokens;
+    const left = this.lateTokens + earned - (late ? tokens : 0);
+    this.lateTokens = Math.max(-MAX_CREDIT, Math.min(MAX_CREDIT, left));
+  }
+
+  /**
+   * @param id - An online request that came in.
+   * @param need - What it needs of an engine alone.
+   * @param now - Milliseconds.
+   */
+  arrived(id: string, need: AloneNeed, now: number): void {
+    this.queue.arrived(id, need, now);
   }
 
   /**
@@ -77,16 +155,17 @@
    * @param elapsedMs - How long that took.
    */
   firstToken(id: string, elapsedMs: number): void {
-    const lost = this.waiting.get(id);
-    if (lost === undefined) return;
-    this.waiting.delete(id);
+    const alone = this.queue.firstToken(id);
+    if (alone === undefined) return;
+    this.decoding.set(id, {...this.spent});
     this.actualFirst.record(elapsedMs);
-    this.aloneFirst.record(Math.max(1, elapsedMs - lost));
+    this.aloneFirst.record(Math.min(elapsedMs, alone));
   }
 
-  /** @param id - An online request that ended without a token. */
+  /** @param id - An online request that ended. */
   gone(id: string): void {
-    this.waiting.delete(id);
+    this.decoding.delete(id);
+    this.queue.gone(id);
   }
 }
 
--- a/packages/core/src/lib/process/running_set.ts
+++ b/packages/core/src/lib/process/running_set.ts
@@ -5,6 +5,9 @@
 import type {AdmissionRequest} from './admission.js';
 import type {ServeClass} from '../request/serve.js';
 
+/** Prefill that nothing explains, in tokens: something was not cached. */
+export const MISS_TOKENS = 128;
+
 /** A request at the engine. */
 export interface Running {
   readonly request: AdmissionRequest;
@@ -13,6 +16,12 @@
   readonly arrivedAt: number;
   /** Counts starts; a higher one started later. */
   readonly order: number;
+  /** Tokens that had to be prefilled, as estimated. */
+  readonly prefillTokens: number;
+  /** Tokens that are still to be prefilled, as estimated. */
+  prefillLeft: number;
+  /** Its tokens to prefill were estimated anew. */
+  corrected: boolean;
   /** Still prefilling its prompt. */
   prefilling: boolean;
   /** Tokens generated here. */
@@ -56,6 +65,7 @@
     online: emptyTally(),
     batch: emptyTally(),
   };
+  private readonly prefilling = new Set<Running>();
   private started = 0;
 
   /** How many the engine has, those that are stopping included. */
@@ -63,6 +73,17 @@
     return this.byId.size;
   }
 
+  /** Whether a batch prompt is being prefilled. */
+  get prefillsBatch(): boolean {
+    const {running, decoding} = this.tallies.batch;
+    return running > decoding;
+  }
+
+  /** Whether any prompt is still being prefilled. */
+  get prefillsAny(): boolean {
+    return this.prefilling.size > 0;
+  }
+
   /** Tallies of online requests. */
   get online(): Readonly<Tally> {
     return this.tallies.online;
@@ -90,22 +111,32 @@
    * @param request - What is handed to the engine.
    * @param arrivedAt - When it came in, in milliseconds.
    * @param now - Milliseconds.
+   * @param prefillTokens - Tokens that have to be prefilled, as estimated.
    */
-  start(request: AdmissionRequest, arrivedAt: number, now: number): void {
+  start(
+    request: AdmissionRequest,
+    arrivedAt: number,
+    now: number,
+    prefillTokens = promptOf(request),
+  ): void {
     const running: Running = {
       request,
       startedAt: now,
       arrivedAt,
       order: this.started,
+      prefillTokens,
+      prefillLeft: prefillTokens,
+      corrected: false,
       prefilling: true,
       generated: 0,
       stopping: false,
     };
     this.started += 1;
     this.byId.set(request.id, running);
+    this.prefilling.add(running);
     const tally = this.tallies[request.class];
     tally.running += 1;
-    tally.prefillTokens += promptOf(request);
+    tally.prefillTokens += prefillTokens;
     tally.kvTokens += promptOf(request);
     tally.kvAtEnd += request.promptTokens + request.maxTokens;
   }
@@ -118,9 +149,10 @@
     const running = this.byId.get(id);
     if (running === undefined || !running.prefilling) return undefined;
     running.prefilling = false;
+    this.prefilling.delete(running);
     if (running.stopping) return running;
     const tally = this.tallies[running.request.class];
-    tally.prefillTokens -= promptOf(running.request);
+    tally.prefillTokens -= running.prefillLeft;
     tally.decoding += 1;
     return running;
   }
@@ -141,7 +173,8 @@
   }
 
   /**
-   * Takes a request out of the tallies; the engine still has it.
+   * Takes a request out of the tallies; the engine still has it, and works on
+   * it until its step ends.
    *
    * @param running - What is told to stop.
    */
@@ -158,10 +191,62 @@
     const running = this.byId.get(id);
     if (running === undefined) return undefined;
     this.byId.delete(id);
+    this.prefilling.delete(running);
     if (!running.stopping) this.untally(running);
     return running;
   }
 
+  /**
+   * Notes that an engine has prefilled tokens; it does so in order of start.
+   *
+   * @param tokens - How many, of all requests together.
+   * @returns How many of them were of online prompts, and of none.
+   */
+  prefilled(tokens: number): {
+    readonly online: number;
+    readonly unexpected: number;
+  } {
+    let left = tokens;
+    let online = 0;
+    for (const running of this.prefilling) {
+      if (left <= 0) break;
+      const part = Math.min(left, running.prefillLeft);
+      running.prefillLeft -= part;
+      left -= part;
+      const {class: kind} = running.request;
+      if (!running.stopping) this.tallies[kind].prefillTokens -= part;
+      if (kind === 'online') online += part;
+    }
+    if (left > MISS_TOKENS) this.expectMore();
+    return {online, unexpected: left};
+  }
+
+  /**
+   * The engine prefills more than was thought to be left, so what was thought
+   * to be cached is not: those without a token yet have all of it to do.
+   */
+  private expectMore(): void {
+    for (const running of this.prefilling) {
+      const {request, prefillTokens, corrected, stopping} = running;
+      if (running.prefillLeft > 0 || corrected) continue;
+      running.corrected = true;
+      running.prefillLeft = Math.max(0, promptOf(request) - prefillTokens);
+      if (stopping) continue;
+      this.tallies[request.class].prefillTokens += running.prefillLeft;
+    }
+  }
+
+  /**
+   * @param since - Milliseconds.
+   * @returns Whether a request that was started before then has no token yet.
+   */
+  waitsSince(since: number): boolean {
+    for (const {startedAt} of this.prefilling) {
+      if (startedAt < since) return true;
+    }
+    return false;
+  }
+
   /** @returns Batch streams that are to stay, newest first. */
   newestBatch(): readonly Running[] {
     return [...this.byId.values()]
@@ -175,7 +260,7 @@
     tally.running -= 1;
     tally.kvTokens -= promptOf(request) + running.generated;
     tally.kvAtEnd -= request.promptTokens + request.maxTokens;
-    if (running.prefilling) tally.prefillTokens -= promptOf(request);
+    if (running.prefilling) tally.prefillTokens -= running.prefillLeft;
     else tally.decoding -= 1;
   }
 }
--- a/packages/target/src/lib/process/target_service.ts
+++ b/packages/target/src/lib/process/target_service.ts
@@ -12,7 +12,13 @@
   ServeRequest,
   TargetConfig,
 } from '@oathead/core';
-import type {Attachment, HeldAnswer, Hello, TargetHandler} from '@oathead/wire';
+import type {
+  Attachment,
+  HeldAnswer,
+  Hello,
+  RecalledOutcome,
+  TargetHandler,
+} from '@oathead/wire';
 import type {LiveRunParts} from '../request/live_run.js';
 import {RunFollowers} from '../request/run_followers.js';
 import type {FollowerSettings} from '../request/run_followers.js';
@@ -188,6 +194,17 @@
     yield* this.memory.heldFor(entryId);
   }
 
+  /** {@inheritDoc ReportingLink.recall} */
+  async recall(
+    dedupeKey: string,
+    signal: AbortSignal,
+  ): Promise<RecalledOutcome | undefined> {
+    const run = this.memory.byKey(dedupeKey);
+    if (!run) return undefined;
+    const outcome = await this.followers.outcomeOf(run, signal);
+    return outcome && {work: workFingerprint(run.req.work), outcome};
+  }
+
   /** {@inheritDoc ReportingLink.cachedPrefixes} */
   async cachedPrefixes(): Promise<readonly string[]> {
     const prefixes = this.engine?.watch.cache.prefixes() ?? [];
