Be fair by recent service and keep a prefix where it went last

Change: next is who was served least lately; who had less than its share may wait longer; a prefix goes where this entry sent it last, a new one to the less busy of two that its hash prefers.

--- a/packages/core/src/lib/connection/target_choice.ts
+++ b/packages/core/src/lib/connection/target_choice.ts
@@ -3,6 +3,7 @@
  * the entry's own sends since; of two random targets the less loaded one is
  * taken, which keeps many entries with old reports from all choosing the same.
  */
+import {LRUCache} from 'lru-cache';
 import {TargetHealth} from './target_health.js';
 import {hash32} from '../process/hash.js';
 import type {LoadReport} from '../process/load_report.js';
@@ -34,11 +35,18 @@
 
 /** Values that held up on all traces. */
 export const DEFAULT_CHOICE_TUNING: ChoiceTuning = {
-  affinityBound: 1.5,
+  affinityBound: 2,
   prefillTokenMs: 0.1,
   overCapacityMs: 100,
 };
 
+/** Targets among which a new prefix chooses. */
+const AFFINITY_CHOICES = 2;
+/** Requests beyond the bound that do not yet make a target busy. */
+const AFFINITY_SLACK = 4;
+/** Prefixes that are kept in mind. */
+const MAX_HOMES = 10_000;
+
 interface Sent {
   readonly at: number;
   readonly class: ServeClass;
@@ -66,6 +74,7 @@
   readonly health = new TargetHealth();
   private readonly views = new Map<string, TargetView>();
   private readonly blocked = new Set<string>();
+  private readonly homes = new LRUCache<string, string>({max: MAX_HOMES});
   private readonly tuning: ChoiceTuning;
 
   /** @param options - The entry's surroundings. */
@@ -196,9 +205,11 @@
   }
 
   /**
-   * The prompt's beginning names an order of preference that is the same at
-   * every entry. The first target in it that is not much busier than the mean
-   * is taken: without the bound one popular prefix would overload one target.
+   * The prompt's beginning goes where this entry sent it last, unless that is
+   * much busier than the mean: without the bound one popular prefix would
+   * overload one target. A new one goes to the less busy of the two targets
+   * that its hash prefers; so entries that know nothing of each other keep it
+   * on two targets at most.
    */
   private byAffinity(
     {prefix}: ChoiceRequest,
@@ -207,17 +218,20 @@
     if (prefix === undefined) return undefined;
     const loads = eligible.map(view => this.load(view));
     const mean = loads.reduce((sum, load) => sum + load, 0) / loads.length;
-    const bound = this.tuning.affinityBound * mean;
-    const preferred = eligible
-      .map((view, at) => ({
-        view,
-        load: loads[at]!,
-        score: this.preference(prefix, view),
-      }))
-      .sort((a, b) => b.score - a.score);
-    const spare = ({view, load}: (typeof preferred)[number]) =>
-      load <= Math.max(bound, 1 / Math.max(1, view.report.onlineCapacity));
-    return preferred.find(spare)?.view;
+    const spare = (view: TargetView) =>
+      this.load(view) <=
+      this.tuning.affinityBound * mean +
+        AFFINITY_SLACK / Math.max(1, view.report.onlineCapacity);
+    const last = this.homes.get(prefix);
+    const home = eligible.find(({report}) => report.targetId === last);
+    if (home !== undefined && spare(home)) return home;
+    const preferred = [...eligible]
+      .sort((a, b) => this.preference(prefix, b) - this.preference(prefix, a))
+      .slice(0, AFFINITY_CHOICES)
+      .filter(spare);
+    const chosen = this.lessCostly(preferred);
+    if (chosen !== undefined) this.homes.set(prefix, chosen.report.targetId);
+    return chosen;
   }
 
   /** Weighted rendezvous hashing; far and failing targets weigh less. */
--- a/packages/core/src/lib/process/batch_controller.ts
+++ b/packages/core/src/lib/process/batch_controller.ts
@@ -46,8 +46,9 @@
 const SURPLUS_SHARE = 0.15;
 /** A prompt up to this size is cheap to prefill again. */
 const CHEAP_TOKENS = 128;
-/** Weight of one more online arrival in what batch work survives. */
-const SURVIVOR_SMOOTHING = 0.05;
+/** Steps that settle where one arrival in four leaves fewer streams. */
+const SURVIVOR_UP = 0.25;
+const SURVIVOR_DOWN = 0.75;
 const MAX_SURVIVORS = 64;
 /** A piece of a prompt is worth its overhead from this size on. */
 const MIN_PIECE_TOKENS = 128;
@@ -108,7 +109,7 @@
   private readonly gate: OnlineGate;
   private readonly steps: StepClock;
   private readonly cache: PromptCache;
-  /** Batch streams that online arrivals leave, on average. */
+  /** Batch streams that most online arrivals leave. */
   private survivors = 0;
 
   /**
@@ -185,7 +186,8 @@
       this.besideMemory(request),
     );
     const left = Math.max(0, Math.floor(Math.min(beside, MAX_SURVIVORS)));
-    this.survivors += (left - this.survivors) * SURVIVOR_SMOOTHING;
+    const more = left > this.survivors;
+    this.survivors += more ? SURVIVOR_UP : -SURVIVOR_DOWN;
     const over = Math.max(0, batch.running - left);
     const late = this.model.prefillMs(batch.prefillTokens) > spareMs;
     const inTheWay = late || this.prefillTooLong(streams, prefillTokens, cfg);
--- a/packages/core/src/lib/process/engine_lane.ts
+++ b/packages/core/src/lib/process/engine_lane.ts
@@ -21,8 +21,13 @@
 import type {Refusal} from '../request/refusal.js';
 import type {PoolConfig} from '../version/target_config.js';
 
-/** Share of the aim for the first token that may be spent waiting. */
+/**
+ * Share of the aim for the first token that may be spent waiting. A caller that
+ * has had less than its share may wait longer: behind a greedy one even modest
+ * callers meet, and would be refused one for the other.
+ */
 const WAIT_SHARE = 0.5;
+const LONGEST_WAIT_SHARE = 2;
 const MIN_RETRY_AFTER_MS = 50;
 /** Batch requests kept at hand, so that a free slot is filled at once. */
 const BATCH_AT_HAND = 16;
@@ -259,11 +264,15 @@
     const cfg = this.pools.get(request.pool)!;
     const {gate, meter} = this.senses;
     const queue = this.room.online;
-    const longest = cfg.firstTokenMs * WAIT_SHARE;
+    const short = cfg.firstTokenMs * WAIT_SHARE;
+    const longest = cfg.firstTokenMs * LONGEST_WAIT_SHARE;
     while (queue.size > 0) {
       const wait = gate.expectedWait(queue.size - 1, cfg);
-      if (wait <= longest && queue.size <= gate.capacity(cfg)) return;
-      const {id} = queue.last()!.request;
+      const full = wait > longest || queue.size > gate.capacity(cfg);
+      if (!full && wait <= short) return;
+      const victim = queue.last(!full);
+      if (victim === undefined) return;
+      const {id} = victim.request;
       queue.remove(id);
       meter.gone(id);
       actions.push({kind: 'refuse', id, refusal: overloaded(wait)});
--- a/packages/core/src/lib/process/fair_queue.ts
+++ b/packages/core/src/lib/process/fair_queue.ts
@@ -1,7 +1,8 @@
 /**
- * A queue that is fair by caller and, within a caller, by deadline: start-time
- * fair queueing, where the cost of a request is its tokens. A caller that sends
- * ten times as much waits behind itself, not in front of the others.
+ * A queue that is fair by caller and, within a caller, by deadline. Next is
+ * whoever was served least lately for its weight, counted in tokens, so a
+ * caller that sends ten times as much waits behind the others. What was served
+ * is forgotten with the tokens served since, so nobody pays for long.
  */
 import type {AdmissionRequest} from './admission.js';
 
@@ -14,11 +15,21 @@
 
 interface CallerLine {
   readonly waiting: Queued[];
-  /** Virtual time at which the caller's next request may start. */
-  virtualStart: number;
+  /** Tokens that wait. */
   tokens: number;
+  /** Tokens served lately, as of `servedAt`. */
+  served: number;
+  /** Tokens that all callers had been served by then. */
+  servedAt: number;
 }
 
+/** Tokens served to all after which most of what was served is forgotten. */
+const MEMORY_TOKENS = 200_000;
+/** A caller's service below this is as good as none. */
+const FORGOTTEN_TOKENS = 100;
+/** Beyond its share by so little a caller is not yet ahead. */
+const AHEAD = 1.1;
+
 /**
  * @param request - A request.
  * @returns What it costs a target, in tokens.
@@ -32,7 +43,7 @@
   private readonly lines = new Map<string, CallerLine>();
   private readonly callerOf = new Map<string, string>();
   private weights: Readonly<Record<string, number>> = {};
-  private virtualTime = 0;
+  private servedToAll = 0;
   private tokensWaiting = 0;
 
   /** How many wait. */
@@ -56,9 +67,6 @@
    */
   add(request: AdmissionRequest, now: number): void {
     const line = this.lineOf(request.caller);
-    if (line.waiting.length === 0) {
-      line.virtualStart = Math.max(line.virtualStart, this.virtualTime);
-    }
     const entry: Queued = {request, since: now};
     const after = line.waiting.findIndex(
       other => other.request.deadline > request.deadline,
@@ -72,7 +80,7 @@
 
   /** @returns What is to run next, left in place. */
   peek(): Queued | undefined {
-    return this.nextLine()?.waiting[0];
+    return this.inOrder()[0]?.waiting[0];
   }
 
   /**
@@ -84,10 +92,7 @@
     fits: (request: AdmissionRequest) => boolean = () => true,
     rank: (entry: Queued) => number = () => 0,
   ): Queued | undefined {
-    const lines = [...this.lines.values()]
-      .filter(({waiting}) => waiting.length > 0)
-      .sort((a, b) => a.virtualStart - b.virtualStart);
-    for (const line of lines) {
+    for (const line of this.inOrder()) {
       let best: Queued | undefined;
       for (const entry of line.waiting) {
         if (best && rank(entry) <= rank(best)) continue;
@@ -115,19 +120,23 @@
   }
 
   /**
-   * Who has to go when the queue is full: the last of the caller whose turn
-   * would come last, for what it was served and has waiting.
+   * Who has to go when the queue is full: the last of the caller that was
+   * served most, with what it has waiting, for its weight.
    *
+   * @param ahead - Only callers that have had more than their share.
    * @returns The request, left in place.
    */
-  last(): Queued | undefined {
+  last(ahead = false): Queued | undefined {
+    const least = ahead ? this.fairPart() * AHEAD : 0;
     let last: Queued | undefined;
-    let latest = Number.NEGATIVE_INFINITY;
+    let most = Number.NEGATIVE_INFINITY;
     for (const [caller, line] of this.lines) {
       const entry = line.waiting.at(-1);
-      const finish = line.virtualStart + line.tokens / this.weightOf(caller);
-      if (entry === undefined || finish <= latest) continue;
-      latest = finish;
+      const weight = this.weightOf(caller);
+      const served = this.servedTo(line) / weight;
+      const load = served + line.tokens / weight;
+      if (entry === undefined || served < least || load <= most) continue;
+      most = load;
       last = entry;
     }
     return last;
@@ -138,43 +147,59 @@
     for (const line of this.lines.values()) yield* line.waiting;
   }
 
-  /** Forgets callers that have nothing waiting and are owed nothing. */
+  /** Forgets callers that have nothing waiting and were not served lately. */
   compact(): void {
     for (const [caller, line] of this.lines) {
-      const idle = line.waiting.length === 0;
-      if (idle && line.virtualStart <= this.virtualTime) {
-        this.lines.delete(caller);
-      }
+      if (line.waiting.length > 0) continue;
+      if (this.servedTo(line) < FORGOTTEN_TOKENS) this.lines.delete(caller);
     }
   }
 
   private takeFrom(line: CallerLine, entry: Queued): Queued {
-    const {request} = entry;
-    this.virtualTime = Math.max(this.virtualTime, line.virtualStart);
-    this.remove(request.id);
-    line.virtualStart += costOf(request) / this.weightOf(request.caller);
+    const cost = costOf(entry.request);
+    this.remove(entry.request.id);
+    line.served = this.servedTo(line) + cost;
+    this.servedToAll += cost;
+    line.servedAt = this.servedToAll;
     return entry;
   }
 
-  private nextLine(): CallerLine | undefined {
-    let next: CallerLine | undefined;
-    for (const line of this.lines.values()) {
-      if (line.waiting.length === 0) continue;
-      if (next === undefined || line.virtualStart < next.virtualStart) {
-        next = line;
-      }
+  /** Callers with something waiting, least served first. */
+  private inOrder(): readonly CallerLine[] {
+    return [...this.lines]
+      .filter(([, {waiting}]) => waiting.length > 0)
+      .map(([caller, line]) => ({
+        line,
+        served: this.servedTo(line) / this.weightOf(caller),
+      }))
+      .sort((a, b) => a.served - b.served)
+      .map(({line}) => line);
+  }
+
+  /** Tokens for a weight of 1, had all callers been served alike. */
+  private fairPart(): number {
+    let served = 0;
+    let weights = 0;
+    for (const [caller, line] of this.lines) {
+      served += this.servedTo(line);
+      weights += this.weightOf(caller);
     }
-    return next;
+    return weights > 0 ? served / weights : 0;
+  }
+
+  private servedTo({served, servedAt}: CallerLine): number {
+    return served * Math.exp((servedAt - this.servedToAll) / MEMORY_TOKENS);
   }
 
   private weightOf(caller: string): number {
-    return this.weights[caller] ?? 1;
+    return Math.max(Number.EPSILON, this.weights[caller] ?? 1);
   }
 
   private lineOf(caller: string): CallerLine {
     let line = this.lines.get(caller);
     if (line === undefined) {
-      line = {waiting: [], virtualStart: this.virtualTime, tokens: 0};
+      const servedAt = this.servedToAll;
+      line = {waiting: [], tokens: 0, served: 0, servedAt};
       this.lines.set(caller, line);
     }
     return line;
