--- /dev/null
+++ b/packages/membership/src/test/fakes/fake_members.ts
@@ -0,0 +1,90 @@
+/** Entries over one platform, in virtual time. */
+import {hash32, seededRandom} from '@oathead/core';
+import type {Counters, Labels} from '@oathead/core';
+import {MemoryPlatform} from '@oathead/platform';
+import type {ObjectStore, Platform, TableStore} from '@oathead/platform';
+import {StoreFaults, VirtualClock, faultyPlatform} from '@oathead/stand-ins';
+import {LeasedMembership} from '../../lib/process/leased_membership.js';
+import {MEMBERSHIP_DEFAULTS} from '../../lib/process/membership_settings.js';
+import type {MembershipSettings} from '../../lib/process/membership_settings.js';
+import {FakeHost, objectsAt, tableAt} from './fake_host.js';
+
+const LATENCY_MS = 2;
+const STEP_MS = 250;
+
+/** Counters that can be read. */
+export class CountedEvents implements Counters {
+  private readonly counts = new Map<string, number>();
+
+  count(name: string, labels?: Labels, by = 1): void {
+    this.counts.set(name, this.of(name) + by);
+  }
+
+  of(name: string): number {
+    return this.counts.get(name) ?? 0;
+  }
+}
+
+/** One entry. */
+export interface FakeMember {
+  readonly host: FakeHost;
+  /** Faults of this entry's way to the stores alone. */
+  readonly faults: StoreFaults;
+  readonly table: TableStore;
+  readonly objects: ObjectStore;
+  readonly members: LeasedMembership;
+}
+
+/** Entries over one platform. */
+export class FakeMembers {
+  readonly clock = new VirtualClock();
+  /** Faults of the stores, for all. */
+  readonly faults = new StoreFaults(this.clock);
+  readonly counters = new CountedEvents();
+  private starts = 0;
+
+  constructor(
+    readonly seed = 1,
+    private readonly settings: Partial<MembershipSettings> = {},
+    readonly platform: Platform = new MemoryPlatform(),
+  ) {}
+
+  start(id: string, settings: Partial<MembershipSettings> = {}): FakeMember {
+    const process = `${this.seed}/${id}/${this.starts++}`;
+    const host = new FakeHost(this.clock);
+    const faults = new StoreFaults(this.clock);
+    faults.add({fault: {kind: 'slow', delayMs: LATENCY_MS}});
+    const shared = faultyPlatform(this.platform, this.faults);
+    const seen = faultyPlatform(shared, faults);
+    const table = tableAt(host, seen);
+    const deps = {
+      clock: host.clock,
+      random: seededRandom(hash32(process)),
+      counters: this.counters,
+      table,
+    };
+    const members = new LeasedMembership(deps, {
+      ...MEMBERSHIP_DEFAULTS,
+      ...this.settings,
+      ...settings,
+      entryId: id,
+      address: `${id}:1`,
+      dataCentre: 'hall-a',
+    });
+    members.start();
+    return {host, faults, table, objects: objectsAt(host, seen), members};
+  }
+
+  /** Lets time pass until something holds; says whether it came to hold. */
+  async until(
+    holds: () => boolean | Promise<boolean>,
+    limitMs: number,
+    stepMs = STEP_MS,
+  ): Promise<boolean> {
+    for (let passed = 0; passed < limitMs; passed += stepMs) {
+      if (await holds()) return true;
+      await this.clock.advance(stepMs);
+    }
+    return holds();
+  }
+}
--- a/packages/stand_ins/src/lib/process/engine_model.ts
+++ b/packages/stand_ins/src/lib/process/engine_model.ts
@@ -12,6 +12,9 @@
  * prefills; each sequence whose prefill is complete gains one token. What is
  * submitted or cancelled during a step counts from the next one.
  */
+import {invariant, type CacheEvent} from '@oathead/core';
+import {CacheJournal} from './cache_journal.js';
+import type {ModelEvent, ModelState} from './engine_events.js';
 import {
   DEFAULT_ENGINE_OPTIONS,
   stepTime,
@@ -19,16 +22,13 @@
 } from './engine_options.js';
 import {
   EngineSequence,
+  sharePrefill,
   tokensToPrefill,
   type ModelRequest,
 } from './engine_sequence.js';
-import {CacheJournal} from './cache_journal.js';
-import type {ModelEvent, ModelState} from './engine_events.js';
+import {ImportQueue} from './import_queue.js';
 import {LoadSamples, type LoadSample, type ModelLoad} from './load_samples.js';
 import {PrefixCache, type CacheExport} from './prefix_cache.js';
-import {invariant, type CacheEvent} from '@oathead/core';
-
-const MS_PER_SECOND = 1000;
 
 /** The model of an engine. */
 export class EngineModel {
@@ -40,7 +40,7 @@
   private readonly byId = new Map<string, EngineSequence>();
   private waiting: EngineSequence[] = [];
   private running: EngineSequence[] = [];
-  private imports: {at: number; blocks: readonly string[]}[] = [];
+  private readonly imports: ImportQueue;
   private events: ModelEvent[] = [];
   private kvUsed = 0;
   private stepEndsAt: number | undefined;
@@ -53,6 +53,7 @@
     this.options = {...DEFAULT_ENGINE_OPTIONS, ...options};
     this.journal = new CacheJournal(this.options);
     this.samples = new LoadSamples(this.options);
+    this.imports = new ImportQueue(this.options.importTokensPerSecond);
     this.cache = new PrefixCache(
       this.options.prefixCacheTokens,
       this.options.cacheBlockTokens,
@@ -68,11 +69,11 @@
    * @returns False when it could never fit the KV memory or generates nothing.
    */
   submit(request: ModelRequest, now: number): boolean {
+    this.runUntil(now);
     invariant(!this.byId.has(request.id), `request ${request.id} is inside`);
     const sequence = new EngineSequence(request);
     if (sequence.tokensAtEnd > this.options.kvTokens) return false;
     if (sequence.generated >= request.outputTokens) return false;
-    this.runUntil(now);
     this.byId.set(request.id, sequence);
     this.waiting.push(sequence);
     this.beginStepIfIdle();
@@ -96,9 +97,12 @@
     this.end(sequence, 'cancelled');
   }
 
-  /** @returns When the current step ends, or undefined when nothing runs. */
+  /**
+   * @returns When to call `advance`: at once when events wait to be read, at
+   *     the end of the current step, or undefined when nothing runs.
+   */
   nextStepAt(): number | undefined {
-    return this.stepEndsAt;
+    return this.events.length > 0 ? this.time : this.stepEndsAt;
   }
 
   /**
@@ -148,9 +152,7 @@
    */
   importCache(cache: CacheExport, now: number): void {
     this.runUntil(now);
-    const tokens = cache.blocks.length * cache.blockTokens;
-    const rate = this.options.importTokensPerSecond / MS_PER_SECOND;
-    this.imports.push({at: now + tokens / rate, blocks: cache.blocks});
+    this.imports.add(cache, now);
   }
 
   /** Makes later steps take `factor` times as long; 1 is normal. */
@@ -158,17 +160,13 @@
     this.slowdown = factor;
   }
 
-  /**
-   * Loses all requests, the cache and what has not been read, as a restart.
-   *
-   * @param now - Milliseconds.
-   */
+  /** Loses all requests, the cache and unread events, as a restart does. */
   reset(now: number): void {
     this.runUntil(now);
     this.byId.clear();
     this.waiting = [];
     this.running = [];
-    this.imports = [];
+    this.imports.clear();
     this.events = [];
     this.kvUsed = 0;
     this.stepEndsAt = undefined;
@@ -192,7 +190,7 @@
 
   private beginStepIfIdle(): void {
     if (this.stepEndsAt !== undefined) return;
-    this.finishImports();
+    for (const blocks of this.imports.due(this.time)) this.cache.store(blocks);
     this.admit();
     this.reserveKv();
     if (this.running.length === 0) return;
@@ -200,13 +198,6 @@
     this.stepEndsAt = this.time + this.stepMs;
   }
 
-  private finishImports(): void {
-    if (this.imports.length === 0) return;
-    for (const {at, blocks} of this.imports)
-      if (at <= this.time) this.cache.store(blocks);
-    this.imports = this.imports.filter(({at}) => at > this.time);
-  }
-
   private admit(): void {
     while (this.running.length < this.options.maxSequences) {
       const next = this.waiting[0];
@@ -240,14 +231,10 @@
     }
   }
 
-  /** Shares the prefill budget out. @returns Time of the step. */
+  /** @returns Time of the step. */
   private planStep(): number {
-    let budget = this.options.prefillTokensPerStep;
-    for (const sequence of this.running) {
-      sequence.chunk = Math.min(budget, sequence.prefillLeft);
-      budget -= sequence.chunk;
-    }
-    const prefilled = this.options.prefillTokensPerStep - budget;
+    const {prefillTokensPerStep} = this.options;
+    const prefilled = sharePrefill(this.running, prefillTokensPerStep);
     return stepTime(this.options, this.running.length, prefilled);
   }
 
@@ -267,7 +254,7 @@
     if (sequence.prefillLeft > 0) {
       sequence.prefillLeft -= sequence.chunk;
       if (sequence.prefillLeft > 0) return false;
-      this.cache.store(sequence.blocks(this.options.cacheBlockTokens));
+      this.storePrefix(sequence);
     }
     // Written out: a spread here makes the whole model ten times slower.
     this.events.push({
@@ -284,11 +271,14 @@
   private release(sequence: EngineSequence, kind: 'done' | 'cancelled'): void {
     this.kvUsed -= sequence.tokens;
     // What was computed stays cached, so that resuming here costs little.
-    if (sequence.prefillLeft === 0)
-      this.cache.store(sequence.blocks(this.options.cacheBlockTokens));
+    if (sequence.prefillLeft === 0) this.storePrefix(sequence);
     this.end(sequence, kind);
   }
 
+  private storePrefix(sequence: EngineSequence): void {
+    this.cache.store(sequence.blocks(this.options.cacheBlockTokens));
+  }
+
   private end(sequence: EngineSequence, kind: 'done' | 'cancelled'): void {
     this.byId.delete(sequence.request.id);
     this.events.push({kind, ...this.mark(sequence)});
