Read rows of other releases, say when an answer may be old

During an upgrade two releases share the table: a row without a newer field is read with its default, one with an unknown field is left as it is. The command line tells on standard error when an entry answers from its own view because the store cannot be read.

--- a/packages/cli/src/lib/connection/api_client.ts
+++ b/packages/cli/src/lib/connection/api_client.ts
@@ -16,6 +16,8 @@
   readonly random: Random;
   /** Ends all requests when aborted. */
   readonly signal: AbortSignal;
+  /** Told when an answer may be some seconds old. */
+  readonly onStale: () => void;
 }
 
 /** A request. Each may be sent again: by its method, or by a key it carries. */
@@ -86,6 +88,7 @@
   async json<T>(req: ApiRequest): Promise<Outcome<T, CliError>> {
     const res = await this.stream(req);
     if (!res.ok) return res;
+    if (res.value.headers['oathead-stale']) this.options.onStale();
     try {
       return success((await res.value.body.json()) as T);
     } catch (err) {
--- a/packages/cli/src/lib/process/remote_options.ts
+++ b/packages/cli/src/lib/process/remote_options.ts
@@ -10,6 +10,9 @@
 /** Used where neither flag nor environment names a server. */
 export const DEFAULT_URL = 'http://127.0.0.1:7400';
 
+const STALE_NOTICE =
+  'the store cannot be read: what follows may be some seconds old\n';
+
 /** Where the server is, and who asks. */
 export interface RemoteArgs {
   readonly url: string | undefined;
@@ -64,7 +67,7 @@
  */
 export function connect(
   {url, key}: RemoteArgs,
-  {env, clock, random, signal}: VerbContext,
+  {env, clock, random, signal, terminal}: VerbContext,
 ): Outcome<ApiClient, CliError> {
   const text = url ?? env['OATHEAD_URL'] ?? DEFAULT_URL;
   const parsed = URL.canParse(text) ? new URL(text) : undefined;
@@ -78,6 +81,7 @@
       clock,
       random,
       signal,
+      onStale: () => terminal.err(STALE_NOTICE),
     }),
   );
 }
--- a/packages/cli/src/test/process/verbs/resource_verbs_test.ts
+++ b/packages/cli/src/test/process/verbs/resource_verbs_test.ts
@@ -32,6 +32,16 @@
   );
 });
 
+test('get says when the answer may be old', async t => {
+  await using server = await fakeServer((res, req) => {
+    res.setHeader('oathead-stale', 'true');
+    json({revision: 1, resources: []})(res, req);
+  });
+  const {exitCode, err} = await runCli(['get', '--url', server.url]);
+  t.is(exitCode, 0);
+  t.regex(err, /may be some seconds old/);
+});
+
 test('apply declares a model and its version, which name each other', async t => {
   using file = tempFile(
     'fleet.json',
--- a/packages/config/src/lib/process/config_rows.ts
+++ b/packages/config/src/lib/process/config_rows.ts
@@ -4,6 +4,7 @@
 import type {Head} from '@oathead/membership';
 import type {Json, Row} from '@oathead/platform';
 import type {Change} from '../version/change.js';
+import {SPEC_SCHEMAS, isResourceKind} from '../version/spec_schema.js';
 
 const REVISION_DIGITS = 12;
 
@@ -90,12 +91,12 @@
     readonly spec: SpecByKind[ResourceKind];
   };
   return {
-    resource: {
+    resource: withDefaults({
       kind: kind as ResourceKind,
       name,
       resourceVersion: value.resourceVersion,
       spec: value.spec,
-    },
+    }),
     replaced: value.replaced,
   };
 }
@@ -113,7 +114,20 @@
  * @returns The change.
  */
 export function decodeChange(row: Row): StoredChange {
-  return row.value as unknown as StoredChange;
+  const {change, changeId} = row.value as unknown as StoredChange;
+  const resource = withDefaults(change.resource);
+  return {change: {...change, resource}, changeId};
+}
+
+/**
+ * Guards against a row that another release has written: a field that is newer
+ * than the row would be missing at run time, whatever its type says. What this
+ * release does not know it leaves as it is.
+ */
+function withDefaults(resource: Resource): Resource {
+  if (!isResourceKind(resource.kind)) return resource;
+  const parsed = SPEC_SCHEMAS[resource.kind].safeParse(resource.spec);
+  return parsed.success ? {...resource, spec: parsed.data} : resource;
 }
 
 /**
