--- a/packages/batch/src/lib/process/batch_worker.ts
+++ b/packages/batch/src/lib/process/batch_worker.ts
@@ -48,14 +48,14 @@
     runner: ItemRunner,
   ) {
     const {chunks} = this;
-    const board = new JobBoard(deps, membership, (path, job) =>
-      this.onJob(path, job),
-    );
-    const contact = new StoreContact(deps, membership);
+    const contact = new StoreContact(deps);
+    const board = new JobBoard(deps, membership, {
+      changed: (path, job) => this.onJob(path, job),
+      current: () => contact.noteCurrent(),
+    });
     const loader = new ChunkLoader(deps, membership);
     const parts = {settings, membership, runner, chunks, board, loader};
     this.board = this.store.add(board);
-    this.store.add(contact);
     this.loader = loader;
     this.keeper = new ChunkKeeper({
       ...deps,
--- a/packages/batch/src/lib/process/job_board.ts
+++ b/packages/batch/src/lib/process/job_board.ts
@@ -21,6 +21,14 @@
 const PAGE = 1_000;
 const ROWS_PER_READ = 100;
 
+/** Told what becomes of jobs. */
+export interface BoardListener {
+  /** A job came, was cancelled, or has ended: then it is undefined. */
+  changed(path: string, job: OpenJob | undefined): void;
+  /** All that the head tells is taken in. */
+  current(): void;
+}
+
 /** The jobs that have not ended. */
 export class JobBoard implements Disposable {
   private readonly jobs = new Map<string, OpenJob>();
@@ -32,12 +40,12 @@
   /**
    * @param deps - Stores and counters.
    * @param membership - Where the head comes from.
-   * @param onChange - Called when a job came, was cancelled, or has ended.
+   * @param listener - Told what becomes of jobs.
    */
   constructor(
     private readonly deps: BatchDeps,
     membership: Membership,
-    private readonly onChange: (path: string, job?: OpenJob) => void,
+    private readonly listener: BoardListener,
   ) {
     this.store.add(membership.onHead(head => void this.learn(head)));
   }
@@ -80,15 +88,22 @@
    * that missed more, or has just begun, lists all that have not ended.
    */
   private async learn(head: Head): Promise<void> {
-    if (head.jobs === this.seen || this.learning) return;
+    if (this.learning) return;
+    if (head.jobs === this.seen) {
+      this.listener.current();
+      return;
+    }
     this.learning = true;
     const missed = head.jobs - this.seen;
     const gap = this.seen < 0 || missed > head.recentJobs.length;
     const paths = gap
       ? await this.listOpen()
       : success([...new Set(head.recentJobs.slice(0, missed))]);
-    if (paths.ok && (await this.refresh(paths.value))) this.seen = head.jobs;
+    const learned = paths.ok && (await this.refresh(paths.value));
     this.learning = false;
+    if (!learned) return;
+    this.seen = head.jobs;
+    this.listener.current();
   }
 
   private async listOpen(): Promise<Outcome<readonly string[], StoreError>> {
@@ -114,10 +129,10 @@
     const job = {path, row, stored, version: stored.version};
     if (isFinalJobState(row.state)) {
       this.jobs.delete(path);
-      this.onChange(path);
+      this.listener.changed(path, undefined);
       return;
     }
     this.jobs.set(path, job);
-    this.onChange(path, job);
+    this.listener.changed(path, job);
   }
 }
--- a/packages/batch/src/test/fakes/fake_fleet.ts
+++ b/packages/batch/src/test/fakes/fake_fleet.ts
@@ -1,6 +1,7 @@
 /** Entries that work off batch jobs over one platform, in virtual time. */
 import {hash32, seededRandom} from '@oathead/core';
 import type {BatchItem, ItemOutcome, ItemRunner} from '@oathead/core';
+import {MEMBERSHIP_DEFAULTS} from '@oathead/membership';
 import type {MembershipSettings} from '@oathead/membership';
 import {MemoryPlatform} from '@oathead/platform';
 import {FakeMembers} from '../../../../membership/dist/test/fakes/fake_members.js';
@@ -39,9 +40,11 @@
 
 export class FakeFleet {
   readonly members: FakeMembers;
-  readonly table = new CheckedTable();
+  readonly table: CheckedTable;
   readonly attempts: Attempt[] = [];
   script: Script = () => ({outcome: ANSWERED, afterMs: 100});
+  /** Whether targets stop an item when told to. */
+  letsGo = true;
   /** Items that targets take at once from each entry. */
   room = 8;
 
@@ -50,7 +53,10 @@
     private readonly batch: Partial<BatchSettings> = {},
     membership: Partial<MembershipSettings> = {},
   ) {
-    const platform = {...new MemoryPlatform(), table: this.table};
+    const memory = new MemoryPlatform();
+    const {shareCount} = {...MEMBERSHIP_DEFAULTS, ...membership};
+    this.table = new CheckedTable(memory.objects, shareCount);
+    const platform = {...memory, table: this.table};
     this.members = new FakeMembers(seed, membership, platform);
   }
 
@@ -164,9 +170,10 @@
         resolve(how);
       };
       clock.after(afterMs, () => end(outcome));
-      signal.addEventListener('abort', () =>
-        clock.after(ABORT_MS, () => end(aborted(item))),
-      );
+      signal.addEventListener('abort', () => {
+        if (!this.fleet.letsGo) return;
+        clock.after(ABORT_MS, () => end(aborted(item)));
+      });
     });
     const result = await this.member.host.hear(ended);
     this.running--;
--- a/packages/batch/src/test/process/batch_jobs_test.ts
+++ b/packages/batch/src/test/process/batch_jobs_test.ts
@@ -1,3 +1,4 @@
+import type {StoreCall} from '@oathead/stand-ins';
 import test from 'ava';
 import {loseAnswers} from '../../../../membership/dist/test/fakes/lossy_answers.js';
 import type {JobItem} from '../../lib/request/job.js';
@@ -204,6 +205,10 @@
     outcome: item.suspect ? ANSWERED : lost(true),
     afterMs: item.suspect ? 3_600_000 : 50,
   });
+  fleet.members.faults.add({
+    fault: {kind: 'slow', delayMs: 2_000},
+    matches: ({writes, keys}) => writes && keys[0]!.startsWith('chunk/'),
+  });
   await fleet.accept(entry, 'night', items(1));
   const alone = () => fleet.attempts.some(({item}) => item.suspect);
   t.true(await fleet.members.until(alone, 30_000));
@@ -277,6 +282,90 @@
   t.deepEqual(await fleet.results(other, 'night'), before);
 });
 
+// Story: a host is paused for ten seconds, so its lease still stands when it
+// wakes. The job was cancelled meanwhile; what it knows is ten seconds old.
+test('a holder that wakes in its lease catches up before it starts', async t => {
+  const {fleet, entries} = started('e1', 'e2');
+  const [paused, other] = entries as [FakeEntry, FakeEntry];
+  await fleet.clock.advance(15_000);
+  await fleet.accept(other, 'night', items(2_000));
+  const runs = () => fleet.attempts.some(({entry}) => entry === 'e1');
+  t.true(await fleet.members.until(runs, 30_000));
+  paused.host.pause();
+  await fleet.clock.advance(1_000);
+  await fleet.clock.until(other.jobs.cancel('bank-a', 'night'));
+  await fleet.clock.advance(9_000);
+  const attempts = fleet.attempts.length;
+  paused.host.resume();
+  t.true(paused.members.held().length > 0);
+  t.true(await fleet.reaches(other, 'night', 'cancelled', NIGHT_MS));
+  t.is(fleet.attempts.length, attempts);
+});
+
+// Story: a desk cancels a job of call-outs. Entries hear of it by the head, up
+// to a second later; no pilot may be called out in that second.
+test('no call-out starts after its job was cancelled', async t => {
+  const {fleet, entries} = started('e1', 'e2');
+  const [entry, other] = entries as [FakeEntry, FakeEntry];
+  await fleet.clock.advance(15_000);
+  await fleet.accept(entry, 'night', mixed(...Array<boolean>(500).fill(false)));
+  await fleet.members.until(() => fleet.attempts.length > 50, 30_000);
+  await fleet.clock.until(other.jobs.cancel('bank-a', 'night'));
+  const cancelledAt = fleet.clock.now();
+  t.true(await fleet.reaches(entry, 'night', 'cancelled', NIGHT_MS));
+  const late = fleet.attempts.filter(({at}) => at > cancelledAt + 10);
+  t.deepEqual(late, []);
+});
+
+// Story: a target does not let go of an item of a cancelled job, and answers
+// it long after. The job must end, and what was said of the item must stand.
+test('a late answer does not change a cancelled item', async t => {
+  const {fleet, entries} = started('e1');
+  const entry = entries[0]!;
+  fleet.letsGo = false;
+  fleet.script = () => ({outcome: ANSWERED, afterMs: 30_000});
+  await fleet.accept(entry, 'night', mixed(true, false));
+  await fleet.members.until(() => fleet.attempts.length === 2, 30_000);
+  await fleet.clock.until(entry.jobs.cancel('bank-a', 'night'));
+  t.true(await fleet.reaches(entry, 'night', 'cancelled', 10_000));
+  const before = await fleet.results(entry, 'night');
+  t.deepEqual(
+    before.map(({state, refusal}) => [state, refusal?.ran]),
+    [
+      ['cancelled', 'may-have-run'],
+      ['unknown', 'may-have-run'],
+    ],
+  );
+  await fleet.clock.advance(60_000);
+  t.deepEqual(await fleet.results(entry, 'night'), before);
+  t.is(fleet.members.counters.of('batch_outcomes_dropped'), 2);
+});
+
+// Story: a host records what it has done, and dies. Its write is still under
+// way for longer than its lease, and arrives when another holds the share.
+test('a write of a dead holder that arrives late is refused', async t => {
+  const {fleet, entries} = started('e1', 'e2');
+  const [dead, other] = entries as [FakeEntry, FakeEntry];
+  await fleet.clock.advance(15_000);
+  let records = 0;
+  const isRecord = ({writes, keys}: StoreCall) =>
+    writes && keys[0]!.startsWith('chunk/') && ++records > 0;
+  const late = {kind: 'lands-late', delayMs: 22_000} as const;
+  dead.faults.add({fault: late, matches: isRecord});
+  fleet.script = ({entry}) => ({
+    outcome: ANSWERED,
+    afterMs: entry === 'e1' ? 100 : 3_600_000,
+  });
+  await fleet.accept(other, 'night', items(1_000));
+  t.true(await fleet.members.until(() => records > 0, 30_000));
+  dead.host.kill();
+  await fleet.clock.advance(TAKE_OVER_MS);
+  const [first] = fleet.attempts.filter(({entry}) => entry === 'e1');
+  const again = fleet.attemptsAt(first!.item.item).map(({entry}) => entry);
+  t.deepEqual(again, ['e1', 'e2'], 'the other holder had taken it up');
+  t.deepEqual(fleet.table.violations, []);
+});
+
 // Story: the store is down for two minutes in the middle of a job. The entry
 // keeps its chunks going, holds what comes of them, and loses nothing.
 test('a job goes on through an outage of the store', async t => {
--- a/packages/batch/src/test/process/batch_property_test.ts
+++ b/packages/batch/src/test/process/batch_property_test.ts
@@ -32,6 +32,7 @@
   'cutOff',
   'down',
   'lossy',
+  'stray',
   'heal',
 ] as const;
 
@@ -180,6 +181,11 @@
     void world.live[entry]?.faults.add({fault: {kind: 'down'}}),
   down: world => void world.fleet.members.faults.add({fault: {kind: 'down'}}),
   lossy: world => loseAnswers(world.fleet.members.faults, 0.3, 0.2),
+  stray: (world, entry) =>
+    void world.live[entry]?.faults.add({
+      fault: {kind: 'lands-late', delayMs: 25_000},
+      matches: ({writes}) => writes,
+    }),
   heal: world => world.fleet.members.faults.clear(),
 };
 
