--- a/packages/batch/src/test/process/batch_jobs_test.ts
+++ b/packages/batch/src/test/process/batch_jobs_test.ts
@@ -357,11 +357,14 @@
   await fleet.accept(other, 'night', items(1_000));
   t.true(await fleet.members.until(() => records > 0, 30_000));
   dead.host.kill();
+  other.faults.add({fault: {kind: 'down'}, matches: isRecord});
   await fleet.clock.advance(TAKE_OVER_MS);
   const [first] = fleet.attempts.filter(({entry}) => entry === 'e1');
   const again = fleet.attemptsAt(first!.item.item).map(({entry}) => entry);
   t.deepEqual(again, ['e1', 'e2'], 'the other holder had taken it up');
   t.deepEqual(fleet.table.violations, []);
+  other.faults.clear();
+  t.true(await fleet.reaches(other, 'night', 'done', NIGHT_MS));
 });
 
 // Story: the store is down for two minutes in the middle of a job. The entry
