--- a/packages/batch/src/lib/process/batch_worker.ts
+++ b/packages/batch/src/lib/process/batch_worker.ts
@@ -21,6 +21,9 @@
 
 const DRAIN_STEP_MS = 50;
 
+/** Items that end together are followed up together. */
+const PUMP_DELAY_MS = 2;
+
 /** Works off the chunks of the shares that this entry holds. */
 export class BatchWorker implements Disposable {
   /** The jobs that have not ended. */
@@ -33,7 +36,7 @@
   private readonly runs: ItemRuns;
   private readonly starter: ItemStarter;
   private readonly sweep: CancelSweep;
-  private pumping = false;
+  private pumpDue = false;
 
   /**
    * @param deps - Stores, clock, randomness and counters.
@@ -97,8 +100,11 @@
   }
 
   private listen(membership: Membership, runner: ItemRunner): void {
+    // At once: nothing may be done under a share that has gone, or has come
+    // back with another epoch.
     const onHeldChange = () => {
       this.loader.reset();
+      this.keeper.dropForeign();
       this.pump();
     };
     this.store.add(membership.onTaken(onHeldChange));
@@ -115,15 +121,21 @@
     onHeldChange();
   }
 
-  /** Looks at everything once, and does what can be done now. */
   private pump(): void {
-    if (this.pumping || this.store.disposed) return;
-    this.pumping = true;
+    if (this.pumpDue || this.store.disposed) return;
+    this.pumpDue = true;
+    this.deps.clock.after(PUMP_DELAY_MS, () => {
+      this.pumpDue = false;
+      if (!this.store.disposed) this.work();
+    });
+  }
+
+  /** Looks at everything once, and does what can be done now. */
+  private work(): void {
     this.keeper.dropForeign();
     this.starter.startAll();
     this.keeper.takeUp();
     this.sweepCancelled();
-    this.pumping = false;
   }
 
   private onJob(path: string, job: OpenJob | undefined): void {
--- a/packages/batch/src/lib/process/chunk_keeper.ts
+++ b/packages/batch/src/lib/process/chunk_keeper.ts
@@ -25,12 +25,19 @@
 
 const MAX_LOADING = 4;
 
+/**
+ * Looking through all open jobs takes about a millisecond where there are some
+ * hundred; once an item would be too often. What was prefetched lasts longer.
+ */
+const LOOK_MS = 50;
+
 /** Takes chunks up as targets have room for more, and gives them up. */
 export class ChunkKeeper {
   private readonly loading = new Set<string>();
   /** Epochs of shares that a record has found to be another's. */
   private readonly fenced = new Map<number, number>();
   private stopped = false;
+  private lastLook = -Infinity;
 
   /** @param deps - The parts of the worker. */
   constructor(private readonly deps: KeeperDeps) {}
@@ -55,8 +62,10 @@
    * and some more, so that work goes on while the store is slow or down.
    */
   takeUp(): void {
-    if (this.stopped) return;
-    const {board, chunks} = this.deps;
+    const {board, chunks, clock} = this.deps;
+    const now = clock.now();
+    if (this.stopped || now - this.lastLook < LOOK_MS) return;
+    this.lastLook = now;
     const running = chunks.runningByCaller();
     const order = jobOrder(caller => running.get(caller) ?? 0);
     const jobs = [...board.all()]
--- a/packages/batch/src/lib/request/job_content.ts
+++ b/packages/batch/src/lib/request/job_content.ts
@@ -17,7 +17,7 @@
 export type ContentName = Pick<JobRow, 'hash' | 'items' | 'chunkItems'>;
 
 const CONCURRENT_PUTS = 8;
-const ITEMS_PER_TURN = 64;
+const ITEMS_PER_TURN = 32;
 
 const encoder = new TextEncoder();
 const decoder = new TextDecoder();
@@ -64,8 +64,9 @@
 }
 
 /**
- * Writes the content of a job.
+ * Writes the content of a job, a chunk a turn of the event loop.
  *
+ * @param clock - Gives the turns.
  * @param objects - Where to.
  * @param path - The job, by `jobPath`.
  * @param name - Its hash and sizes.
@@ -73,6 +74,7 @@
  * @returns The first error, if there was one.
  */
 export async function putContent(
+  clock: Clock,
   objects: ObjectStore,
   path: string,
   name: ContentName,
@@ -87,16 +89,20 @@
       return objects.put(contentKey(path, name, `${n}`), encodeJson(chunk));
     }),
   ];
-  return inParallel(puts);
+  return inParallel(clock, puts);
 }
 
 async function inParallel(
+  clock: Clock,
   puts: readonly (() => Promise<Outcome<void, StoreError>>)[],
 ): Promise<Outcome<void, StoreError>> {
   const left = puts.values();
   let err: StoreError | undefined;
+  let lastTurn = Promise.resolve();
+  const nextTurn = () => (lastTurn = lastTurn.then(() => sleep(clock, 0)));
   const work = async () => {
     for (const put of left) {
+      await nextTurn();
       const outcome = await put();
       if (!outcome.ok) err ??= outcome.err;
       if (err !== undefined) return;
--- a/packages/batch/src/lib/request/job_intake.ts
+++ b/packages/batch/src/lib/request/job_intake.ts
@@ -147,7 +147,8 @@
     req: JobRequest,
   ): Promise<Outcome<void, StoreError>> {
     for (let attempt = 1; ; attempt++) {
-      const put = await putContent(this.deps.objects, path, row, req.items);
+      const {clock, objects} = this.deps;
+      const put = await putContent(clock, objects, path, row, req.items);
       if (put.ok || attempt === MAX_ATTEMPTS) return put;
       await this.pause(attempt);
     }
