--- a/packages/core/src/lib/process/batch_controller.ts
+++ b/packages/core/src/lib/process/batch_controller.ts
@@ -5,9 +5,12 @@
  * while the many steps that are shorter than the tail leave room.
  */
 import type {AdmissionRequest} from './admission.js';
+import type {EngineSenses} from './engine_senses.js';
 import type {HarmMeter} from './harm_meter.js';
 import type {OnlineGate} from './online_gate.js';
+import type {PromptCache} from './prompt_cache.js';
 import type {RunningSet} from './running_set.js';
+import type {StepClock} from './step_clock.js';
 import type {StepModel} from './step_model.js';
 import type {PoolConfig} from '../version/target_config.js';
 
@@ -25,14 +28,32 @@
 
 /** Values that held up on all traces. */
 export const DEFAULT_BATCH_TUNING: BatchTuning = {
-  harmMargin: 0.8,
+  harmMargin: 0.4,
   probeStreams: 4,
   kvShare: 0.95,
   prefillSteps: 2,
 };
 
+/**
+ * Steps are planned this much shorter than the limit, the more the more tokens
+ * were late lately.
+ */
+const AIM_BELOW = 0.005;
+const AIM_BELOW_IN_DEBT = 0.03;
+
+/** A few streams too many are left to end by themselves. */
+const MIN_SURPLUS = 2;
+const SURPLUS_SHARE = 0.15;
+/** A prompt up to this size is cheap to prefill again. */
+const CHEAP_TOKENS = 128;
+/** Weight of one more online arrival in what batch work survives. */
+const SURVIVOR_SMOOTHING = 0.05;
+const MAX_SURVIVORS = 64;
+/** A piece of a prompt is worth its overhead from this size on. */
+const MIN_PIECE_TOKENS = 128;
+
 /** Online tokens and requests before the measured tail is believed. */
-const MIN_TOKENS = 500;
+const MIN_TOKENS = 2_000;
 const MIN_REQUESTS = 20;
 
 /** Bounds batch work at the engine; a bench puts rivals in its place. */
@@ -61,21 +82,22 @@
   /**
    * @param request - An online request that is about to start.
    * @param cfg - Its pool.
+   * @param now - Milliseconds.
    * @returns How many batch streams have to make room for it.
    */
-  excess(request: AdmissionRequest, cfg: PoolConfig): number;
-}
-
-/** What a batch rule can go by. */
-export interface BatchSenses {
-  /** The engine's step time. */
-  readonly model: StepModel;
-  /** What the engine has. */
-  readonly running: RunningSet;
-  /** What online callers see. */
-  readonly meter: HarmMeter;
-  /** What the engine holds. */
-  readonly gate: OnlineGate;
+  excess(request: AdmissionRequest, cfg: PoolConfig, now: number): number;
+  /**
+   * @param cfg - The pool.
+   * @returns How many batch streams are too many for what was measured since
+   *     they started.
+   */
+  surplus(cfg: PoolConfig): number;
+  /**
+   * @param cfg - The pool.
+   * @returns How many tokens of a longer batch prompt may be prefilled now; 0
+   *     for none.
+   */
+  pieceTokens(cfg: PoolConfig): number;
 }
 
 /** Bounds batch work by what it does to the steps of online streams. */
@@ -84,19 +106,25 @@
   private readonly running: RunningSet;
   private readonly meter: HarmMeter;
   private readonly gate: OnlineGate;
+  private readonly steps: StepClock;
+  private readonly cache: PromptCache;
+  /** Batch streams that online arrivals leave, on average. */
+  private survivors = 0;
 
   /**
    * @param senses - What to go by.
    * @param tuning - What to weigh.
    */
   constructor(
-    senses: BatchSenses,
+    senses: EngineSenses,
     private readonly tuning: BatchTuning = DEFAULT_BATCH_TUNING,
   ) {
     this.model = senses.model;
     this.running = senses.running;
     this.meter = senses.meter;
     this.gate = senses.gate;
+    this.steps = senses.steps;
+    this.cache = senses.cache;
   }
 
   /**
@@ -105,12 +133,22 @@
    *     streams, in milliseconds.
    */
   stepLimit(cfg: PoolConfig): number {
-    if (this.meter.tokens < MIN_TOKENS) return cfg.betweenTokensMs;
-    return this.harm(cfg) * this.meter.aloneStepMs;
+    const {meter, model, running} = this;
+    const known = meter.tokens >= MIN_TOKENS;
+    // Until the tail is known, the step of what is online stands for it.
+    const streams = running.online.running;
+    const alone = known
+      ? meter.aloneStepMs
+      : model.predict({streams, prefillTokens: 0});
+    return this.harm(cfg) * alone;
   }
 
   streams(cfg: PoolConfig): number {
     const {online, batch} = this.running;
+    // Until then few streams run, so that steps without any prefill come.
+    if (!this.model.ready) {
+      return Math.max(0, this.tuning.probeStreams - online.running);
+    }
     const proven = this.model.largestSeen + this.tuning.probeStreams;
     const most = Math.min(proven, this.gate.streamCeiling);
     const within = this.within(this.limitNow(cfg), 0);
@@ -122,6 +160,7 @@
     const {online, batch} = this.running;
     if (online.prefillTokens > 0) return false;
     if (batch.running >= this.streams(cfg)) return false;
+    if (prefill > CHEAP_TOKENS && this.wouldBeWasted()) return false;
     const kv = this.kvAtEnd() + request.promptTokens + request.maxTokens;
     if (kv > this.gate.memory * this.tuning.kvShare) return false;
     if (online.running + batch.running === 0) return true;
@@ -129,47 +168,89 @@
     if (online.running === 0) return this.prefillFits(prefillTokens);
     const streams = online.running + batch.running + 1;
     const stepMs = this.model.predict({streams, prefillTokens});
-    if (stepMs <= this.stepLimit(cfg)) return true;
-    const first = batch.prefillTokens === 0;
-    return first && this.meter.overruns > online.running;
+    return stepMs <= this.aimMs(cfg);
   }
 
-  excess(request: AdmissionRequest, cfg: PoolConfig): number {
+  excess(request: AdmissionRequest, cfg: PoolConfig, now: number): number {
     const {online, batch} = this.running;
     if (batch.running === 0) return 0;
     const streams = online.running + 1;
     const prefillTokens = online.prefillTokens + request.promptTokens;
+    const spare = this.spareMs(streams, prefillTokens, cfg);
+    const spareMs = spare - this.residualMs(now);
     const beside = Math.min(
       this.gate.streamCeiling - streams,
       this.besideTokens(streams, prefillTokens, cfg),
-      this.besideFirstToken(streams, prefillTokens, cfg),
+      this.besideFirstToken(prefillTokens, spareMs),
       this.besideMemory(request),
     );
-    const over = batch.running - Math.max(0, Math.floor(beside));
-    return Math.max(over, this.prefillingInTheWay(streams, prefillTokens, cfg));
+    const left = Math.max(0, Math.floor(Math.min(beside, MAX_SURVIVORS)));
+    this.survivors += (left - this.survivors) * SURVIVOR_SMOOTHING;
+    const over = Math.max(0, batch.running - left);
+    const late = this.model.prefillMs(batch.prefillTokens) > spareMs;
+    const inTheWay = late || this.prefillTooLong(streams, prefillTokens, cfg);
+    // Those being prefilled are the newest, so they are the first to go.
+    return Math.max(over, inTheWay ? batch.running - batch.decoding : 0);
+  }
+
+  surplus(cfg: PoolConfig): number {
+    const {running} = this.running.batch;
+    const over = running - this.streams(cfg);
+    return over > Math.max(MIN_SURPLUS, running * SURPLUS_SHARE) ? over : 0;
   }
 
   /**
-   * Batch prompts that are being prefilled stand before the new one; they are
-   * the newest streams, so they are the first to go.
+   * Beside many streams a long prompt makes a step too long. Engines cache what
+   * they prefilled, so it is handed over in pieces that fit a step each.
    */
-  private prefillingInTheWay(
+  pieceTokens(cfg: PoolConfig): number {
+    const {online, batch} = this.running;
+    if (online.prefillTokens > 0 || batch.prefillTokens > 0) return 0;
+    if (batch.running >= this.streams(cfg)) return 0;
+    if (this.wouldBeWasted()) return 0;
+    const streams = online.running + batch.running + 1;
+    const decodeMs = this.model.predict({streams, prefillTokens: 0});
+    const spareMs = this.aimMs(cfg) - decodeMs;
+    const tokens = spareMs / this.model.perPrefillToken;
+    return tokens < MIN_PIECE_TOKENS ? 0 : Math.floor(tokens);
+  }
+
+  /**
+   * Beyond the streams that arrivals usually leave, a stream is preempted soon.
+   * Where the engine's cache cannot hold it until it goes on, its whole prompt
+   * is computed again each time, which costs more than it generates.
+   */
+  private wouldBeWasted(): boolean {
+    const {batch} = this.running;
+    if (batch.running < Math.max(1, this.survivors)) return false;
+    return batch.kvTokens > this.cache.trustedTokens;
+  }
+
+  /** Whether batch prompts make the steps of online streams too long. */
+  private prefillTooLong(
     streams: number,
     prefillTokens: number,
     cfg: PoolConfig,
-  ): number {
+  ): boolean {
     const {online, batch} = this.running;
-    const prefilling = batch.running - batch.decoding;
-    if (prefilling === 0) return 0;
+    if (online.decoding === 0) return false;
     const stepMs = this.model.predict({
       streams: streams + batch.running,
       prefillTokens: prefillTokens + batch.prefillTokens,
     });
-    const long = online.decoding > 0 && stepMs > this.stepLimit(cfg);
-    const {perPrefillToken} = this.model;
-    const waitMs = batch.prefillTokens * perPrefillToken;
-    const late = waitMs > this.spareMs(streams, prefillTokens, cfg);
-    return long || late ? prefilling : 0;
+    return stepMs > this.aimMs(cfg);
+  }
+
+  /** Time that is left of the step in progress, which nothing can shorten. */
+  private residualMs(now: number): number {
+    const {online, batch} = this.running;
+    const {since} = this.steps;
+    if (since === undefined) return 0;
+    const stepMs = this.model.predict({
+      streams: online.running + batch.running,
+      prefillTokens: batch.prefillTokens,
+    });
+    return Math.max(0, since + stepMs - now);
   }
 
   /** Batch streams that leave the steps of online streams short enough. */
@@ -178,8 +259,12 @@
     prefillTokens: number,
     cfg: PoolConfig,
   ): number {
-    if (this.running.online.decoding === 0) return Number.POSITIVE_INFINITY;
-    return this.within(this.stepLimit(cfg), prefillTokens) - streams;
+    if (!this.model.ready) return this.tuning.probeStreams - streams;
+    const aim = this.aimMs(cfg);
+    const decode = this.within(aim, 0) - streams;
+    // Nobody waits for a token while it prefills, but it will decode then.
+    if (this.running.online.decoding === 0) return decode;
+    return Math.min(decode, this.within(aim, prefillTokens) - streams);
   }
 
   /**
@@ -187,14 +272,9 @@
    * the tail may wait until it gets near it; one in the tail may wait only the
    * accepted ratio longer.
    */
-  private besideFirstToken(
-    streams: number,
-    prefillTokens: number,
-    cfg: PoolConfig,
-  ): number {
-    const spare = this.spareMs(streams, prefillTokens, cfg);
+  private besideFirstToken(prefillTokens: number, spareMs: number): number {
     const each = this.prefillSteps(prefillTokens) * this.model.perStream;
-    return spare / Math.max(Number.EPSILON, each);
+    return spareMs / Math.max(Number.EPSILON, each);
   }
 
   /** Milliseconds by which batch work may delay a first token. */
@@ -207,7 +287,7 @@
     if (meter.requests < MIN_REQUESTS) return 0;
     const stepMs = model.fixed + model.perStream * streams;
     const alone =
-      prefillTokens * model.perPrefillToken +
+      model.prefillMs(prefillTokens) +
       this.prefillSteps(prefillTokens) * stepMs;
     const harm = this.harm(cfg);
     const tail = harm * meter.aloneFirstTokenMs - alone;
@@ -216,8 +296,8 @@
 
   /** Steps in which an engine prefills so many tokens. */
   private prefillSteps(tokens: number): number {
-    const {perPrefillToken, largestPrefill} = this.model;
-    const steps = (tokens * perPrefillToken) / Math.max(1, largestPrefill);
+    const {largestPrefill} = this.model;
+    const steps = this.model.prefillMs(tokens) / Math.max(1, largestPrefill);
     return Math.max(1, Math.ceil(steps));
   }
 
@@ -242,7 +322,13 @@
     const {batch} = this.running;
     if (batch.prefillTokens === 0) return true;
     const most = this.model.largestPrefill * this.tuning.prefillSteps;
-    return tokens * this.model.perPrefillToken <= most;
+    return this.model.prefillMs(tokens) <= most;
+  }
+
+  private aimMs(cfg: PoolConfig): number {
+    const debt = Math.max(0, -this.meter.credit);
+    const below = AIM_BELOW + (AIM_BELOW_IN_DEBT - AIM_BELOW) * debt;
+    return this.stepLimit(cfg) * (1 - below);
   }
 
   /** With nobody online, a step harms only who comes in before it ends. */
--- a/packages/core/src/lib/process/running_set.ts
+++ b/packages/core/src/lib/process/running_set.ts
@@ -5,6 +5,9 @@
 import type {AdmissionRequest} from './admission.js';
 import type {ServeClass} from '../request/serve.js';
 
+/** Prefill that nothing explains, in tokens: something was not cached. */
+export const MISS_TOKENS = 128;
+
 /** A request at the engine. */
 export interface Running {
   readonly request: AdmissionRequest;
@@ -17,6 +20,8 @@
   readonly prefillTokens: number;
   /** Tokens that are still to be prefilled, as estimated. */
   prefillLeft: number;
+  /** Its tokens to prefill were estimated anew. */
+  corrected: boolean;
   /** Still prefilling its prompt. */
   prefilling: boolean;
   /** Tokens generated here. */
@@ -68,6 +73,12 @@
     return this.byId.size;
   }
 
+  /** Whether a batch prompt is being prefilled. */
+  get prefillsBatch(): boolean {
+    const {running, decoding} = this.tallies.batch;
+    return running > decoding;
+  }
+
   /** Whether any prompt is still being prefilled. */
   get prefillsAny(): boolean {
     return this.prefilling.size > 0;
@@ -115,6 +126,7 @@
       order: this.started,
       prefillTokens,
       prefillLeft: prefillTokens,
+      corrected: false,
       prefilling: true,
       generated: 0,
       stopping: false,
@@ -161,7 +173,8 @@
   }
 
   /**
-   * Takes a request out of the tallies; the engine still has it.
+   * Takes a request out of the tallies; the engine still has it, and works on
+   * it until its step ends.
    *
    * @param running - What is told to stop.
    */
@@ -187,9 +200,12 @@
    * Notes that an engine has prefilled tokens; it does so in order of start.
    *
    * @param tokens - How many, of all requests together.
-   * @returns How many of them were of online prompts.
+   * @returns How many of them were of online prompts, and of none.
    */
-  prefilled(tokens: number): number {
+  prefilled(tokens: number): {
+    readonly online: number;
+    readonly unexpected: number;
+  } {
     let left = tokens;
     let online = 0;
     for (const running of this.prefilling) {
@@ -198,10 +214,26 @@
       running.prefillLeft -= part;
       left -= part;
       const {class: kind} = running.request;
-      this.tallies[kind].prefillTokens -= part;
+      if (!running.stopping) this.tallies[kind].prefillTokens -= part;
       if (kind === 'online') online += part;
     }
-    return online;
+    if (left > MISS_TOKENS) this.expectMore();
+    return {online, unexpected: left};
+  }
+
+  /**
+   * The engine prefills more than was thought to be left, so what was thought
+   * to be cached is not: those without a token yet have all of it to do.
+   */
+  private expectMore(): void {
+    for (const running of this.prefilling) {
+      const {request, prefillTokens, corrected, stopping} = running;
+      if (running.prefillLeft > 0 || corrected) continue;
+      running.corrected = true;
+      running.prefillLeft = Math.max(0, promptOf(request) - prefillTokens);
+      if (stopping) continue;
+      this.tallies[request.class].prefillTokens += running.prefillLeft;
+    }
   }
 
   /**
@@ -230,6 +262,5 @@
     tally.kvAtEnd -= request.promptTokens + request.maxTokens;
     if (running.prefilling) tally.prefillTokens -= running.prefillLeft;
     else tally.decoding -= 1;
-    this.prefilling.delete(running);
   }
 }
