--- a/packages/batch/src/lib/process/batch_worker.ts
+++ b/packages/batch/src/lib/process/batch_worker.ts
@@ -21,6 +21,9 @@
 
 const DRAIN_STEP_MS = 50;
 
+/** The part of a stop that is left to items; the rest is for recording. */
+const DRAIN_SHARE = 0.6;
+
 /** Items that end together are followed up together. */
 const PUMP_DELAY_MS = 2;
 
@@ -87,7 +90,10 @@
     this.keeper.stop();
     const end = new AbortController();
     await Promise.race([
-      this.drain(this.chunks.filter(() => true)),
+      this.drain(
+        this.chunks.filter(() => true),
+        Math.min(this.settings.drainMs, timeoutMs * DRAIN_SHARE),
+      ),
       sleep(this.deps.clock, timeoutMs, end.signal),
     ]);
     end.abort();
@@ -111,7 +117,10 @@
     this.store.add(membership.onLost(onHeldChange));
     this.store.add(
       membership.onHandOver(({share}) =>
-        this.drain(this.chunks.filter(({place}) => place.share === share)),
+        this.drain(
+          this.chunks.filter(({place}) => place.share === share),
+          this.settings.drainMs,
+        ),
       ),
     );
     this.store.add(runner.onRoom(() => this.pump()));
@@ -171,10 +180,17 @@
     }
   }
 
-  private async drain(chunks: readonly ChunkWork[]): Promise<void> {
+  /**
+   * Finishes chunks: what runs may end, what may be repeated is given back after
+   * a while, what may not is waited for.
+   */
+  private async drain(
+    chunks: readonly ChunkWork[],
+    drainMs: number,
+  ): Promise<void> {
     for (const chunk of chunks) chunk.draining = true;
     const {clock} = this.deps;
-    const deadline = clock.now() + this.settings.drainMs;
+    const deadline = clock.now() + drainMs;
     const busy = () =>
       chunks.some(
         ({running, dropped}) => running.size > 0 && !dropped.signal.aborted,
--- a/packages/batch/src/lib/process/item_run.ts
+++ b/packages/batch/src/lib/process/item_run.ts
@@ -77,7 +77,9 @@
     const outcome = await this.runner.run(itemOf(chunk, index), abort.signal);
     if (chunk.running.get(index) === abort) chunk.running.delete(index);
     if (chunk.dropped.signal.aborted) this.drop('not-held');
-    else this.settle(chunk, index, outcome);
+    else if (abort.signal.aborted && isPlainLoss(outcome)) {
+      this.settle(chunk, index, givenUp(chunk, index));
+    } else this.settle(chunk, index, outcome);
     this.onSettled();
   }
 
@@ -154,11 +156,7 @@
   private giveUpRunning(chunk: ChunkWork): void {
     for (const index of [...chunk.running.keys()]) {
       chunk.running.delete(index);
-      this.settle(chunk, index, {
-        kind: 'lost',
-        suspect: false,
-        refusal: mayHaveRun('cancelled', 'the job was cancelled as it ran'),
-      });
+      this.settle(chunk, index, givenUp(chunk, index));
     }
     this.onSettled();
   }
@@ -174,6 +172,20 @@
   }
 }
 
+function isPlainLoss(outcome: ItemOutcome): boolean {
+  return outcome.kind === 'lost' && !outcome.suspect;
+}
+
+/**
+ * An attempt that this entry gave up is no loss of an item that may be repeated:
+ * one that is handed over again and again would fail for it.
+ */
+function givenUp(chunk: ChunkWork, index: number): ItemOutcome {
+  if (chunk.items[index]!.idempotent) return {kind: 'returned'};
+  const refusal = mayHaveRun('outcome-unknown', 'it was given up as it ran');
+  return {kind: 'lost', suspect: false, refusal};
+}
+
 function itemOf(chunk: ChunkWork, index: number): BatchItem {
   const {id, work, idempotent} = chunk.items[index]!;
   const resume = chunk.partialOf(index);
--- a/packages/batch/src/test/process/batch_jobs_test.ts
+++ b/packages/batch/src/test/process/batch_jobs_test.ts
@@ -1,6 +1,7 @@
 import type {StoreCall} from '@oathead/stand-ins';
 import test from 'ava';
 import {loseAnswers} from '../../../../membership/dist/test/fakes/lossy_answers.js';
+import type {BatchSettings} from '../../lib/process/batch_settings.js';
 import type {JobItem} from '../../lib/request/job.js';
 import {ANSWERED, FakeFleet, items, lost} from '../fakes/fake_fleet.js';
 import type {FakeEntry} from '../fakes/fake_fleet.js';
@@ -9,7 +10,11 @@
 const TAKE_OVER_MS = 30_000;
 
 function started(...ids: string[]) {
-  const fleet = new FakeFleet();
+  return startedWith({}, ...ids);
+}
+
+function startedWith(settings: Partial<BatchSettings>, ...ids: string[]) {
+  const fleet = new FakeFleet(1, settings);
   return {fleet, entries: ids.map(id => fleet.start(id))};
 }
 
@@ -438,6 +443,42 @@
   t.true(results.every(({state}) => state === 'done'));
 });
 
+// Story: an entry joins in the middle of the night, again and again, and each
+// time work goes over to it. Nothing of that may cost an item its attempts.
+test('entries that join take work over without loss', async t => {
+  const {fleet, entries} = startedWith({maxLosses: 0}, 'e1');
+  const entry = entries[0]!;
+  await fleet.clock.advance(15_000);
+  fleet.script = () => ({outcome: ANSWERED, afterMs: 15_000});
+  const jobItems = mixed(...[...Array(300).keys()].map(i => i % 3 > 0));
+  await fleet.accept(entry, 'night', jobItems);
+  for (const id of ['e2', 'e3', 'e4']) {
+    await fleet.clock.advance(20_000);
+    fleet.start(id);
+  }
+  t.true(await fleet.reaches(entry, 'night', 'done', 2 * NIGHT_MS));
+  const results = await fleet.results(entry, 'night');
+  t.true(results.every(({state}) => state === 'done'));
+  for (const {id, idempotent} of jobItems) {
+    if (!idempotent) t.is(fleet.attemptsAt(id).length, 1, id);
+  }
+  t.true(new Set(fleet.attempts.map(attempt => attempt.entry)).size > 1);
+  t.deepEqual(fleet.table.violations, []);
+});
+
+// Story: the store takes four seconds for each answer, for hours. Leases must
+// be kept, and work go on.
+test('a job goes on while the store is slow', async t => {
+  const {fleet, entries} = started('e1', 'e2');
+  const entry = entries[0]!;
+  await fleet.clock.advance(15_000);
+  fleet.members.faults.add({fault: {kind: 'slow', delayMs: 4_000}});
+  t.true((await fleet.accept(entry, 'night', items(500))).ok);
+  t.true(await fleet.reaches(entry, 'night', 'done', NIGHT_MS));
+  t.is(fleet.attempts.length, 500, 'nothing ran twice');
+  t.is(fleet.members.counters.of('membership_take_overs'), 0);
+});
+
 test('a job that is due goes before one that was sent earlier', async t => {
   const {fleet, entries} = started('e1');
   const entry = entries[0]!;
