--- a/packages/batch/src/lib/process/chunk_keeper.ts
+++ b/packages/batch/src/lib/process/chunk_keeper.ts
@@ -120,7 +120,7 @@
       chunk => !chunk.draining && order(chunk.job, job.row) <= 0,
     );
     return job.row.pools.some(pool => {
-      const ready = before.reduce((sum, c) => sum + c.readyCount(pool), 0);
+      const ready = before.reduce((sum, c) => sum + c.ready.count(pool), 0);
       return runner.room(pool) + settings.prefetchItems > ready;
     });
   }
--- a/packages/batch/src/lib/process/chunk_work.ts
+++ b/packages/batch/src/lib/process/chunk_work.ts
@@ -8,13 +8,7 @@
   nextItemState,
   poolOf,
 } from '@oathead/core';
-import type {
-  Answer,
-  ItemEvent,
-  ItemState,
-  Partial,
-  Refusal,
-} from '@oathead/core';
+import type {Answer, ItemEvent, ItemState, Refusal} from '@oathead/core';
 import type {Row} from '@oathead/platform';
 import type {JobItem} from '../request/job.js';
 import {
@@ -24,6 +18,8 @@
   unpackStates,
 } from '../request/job_rows.js';
 import type {ChunkRow, JobRow, RecordedState} from '../request/job_rows.js';
+import {ItemHistory} from './item_history.js';
+import {ReadyItems} from './ready_items.js';
 
 /** What an outcome holds beyond its state. */
 export interface OutcomeBody {
@@ -59,6 +55,10 @@
   unrecordedSince = Infinity;
   /** Something has to be recorded soon. */
   urgent = false;
+  /** What earlier attempts have come to. */
+  readonly history: ItemHistory;
+  /** Items that may run now. */
+  readonly ready = new ReadyItems();
   /** Items that are not sent before a row says that they are started. */
   readonly claims = new Set<number>();
   /** Nothing new of it is started. */
@@ -68,11 +68,6 @@
 
   private readonly states: ItemState[];
   private recorded: RecordedState[];
-  private readonly losses = new Map<number, number>();
-  private readonly attempts = new Map<number, number>();
-  private readonly returns = new Map<number, number>();
-  private readonly partials = new Map<number, Partial>();
-  private readonly ready = new Map<string, number[]>();
   private stored: ChunkRow | undefined;
   private finalItems = 0;
   private readonly inherited: boolean;
@@ -96,9 +91,7 @@
       ? unpackStates(letters)
       : items.map(() => 'waiting');
     this.states = [...this.recorded];
-    for (const [index, losses] of Object.entries(this.stored?.losses ?? {})) {
-      this.losses.set(Number(index), losses);
-    }
+    this.history = new ItemHistory(this.stored?.losses ?? {});
     this.finalItems = this.states.filter(isFinalItemState).length;
     for (const index of items.keys()) this.inherit(index);
   }
@@ -129,11 +122,6 @@
     return !busy && !this.urgent && !this.draining && !this.cancelling;
   }
 
-  /** Models and services with items that may run now. */
-  get readyPools(): readonly string[] {
-    return [...this.ready].flatMap(([pool, {length}]) => (length ? pool : []));
-  }
-
   /**
    * @param index - Index of an item.
    * @returns Its state.
@@ -160,50 +148,7 @@
    */
   neverRan(index: number): boolean {
     if (this.items[index]!.idempotent || this.inherited) return false;
-    return !this.attempts.has(index);
-  }
-
-  /**
-   * @param index - Index of an item that is about to be sent.
-   * @returns The number of this attempt. Attempts of a holder that was lost
-   *     before it recorded them are not counted.
-   */
-  nextAttempt(index: number): number {
-    const attempt = (this.attempts.get(index) ?? this.lossesOf(index)) + 1;
-    this.attempts.set(index, attempt);
-    return attempt;
-  }
-
-  /**
-   * @param index - Index of an item.
-   * @returns How many of its attempts were lost.
-   */
-  lossesOf(index: number): number {
-    return this.losses.get(index) ?? 0;
-  }
-
-  /**
-   * @param index - Index of an item.
-   * @returns How often it was given back for a reason since its last loss.
-   */
-  returnsOf(index: number): number {
-    return this.returns.get(index) ?? 0;
-  }
-
-  /**
-   * @param index - Index of an item.
-   * @returns What an earlier attempt generated.
-   */
-  partialOf(index: number): Partial | undefined {
-    return this.partials.get(index);
-  }
-
-  /**
-   * @param pool - A model or service.
-   * @returns How many items for it may run now.
-   */
-  readyCount(pool: string): number {
-    return this.ready.get(pool)?.length ?? 0;
+    return !this.history.wasSent(index);
   }
 
   /**
@@ -215,28 +160,11 @@
     return claims.filter(i => poolOf(this.items[i]!.work) === pool).length;
   }
 
-  /**
-   * @param pool - A model or service.
-   * @param allowed - Which items are allowed.
-   * @returns The first item for it that may run now; it is ready no more.
-   */
-  takeReady(
-    pool: string,
-    allowed: (index: number) => boolean,
-  ): number | undefined {
-    const queue = this.ready.get(pool) ?? [];
-    const at = queue.findIndex(allowed);
-    return at < 0 ? undefined : queue.splice(at, 1)[0];
-  }
-
   /** @param index - An item that may run again. */
   putReady(index: number): void {
     const state = this.states[index];
     if (state !== 'waiting' && state !== 'suspect') return;
-    const pool = poolOf(this.items[index]!.work);
-    const queue = this.ready.get(pool) ?? [];
-    this.ready.set(pool, queue);
-    queue.push(index);
+    this.ready.put(poolOf(this.items[index]!.work), index);
   }
 
   /**
@@ -266,30 +194,10 @@
   conclude(index: number, body: OutcomeBody, now: number): void {
     this.unrecorded.set(index, body);
     this.unrecordedSince = Math.min(this.unrecordedSince, now);
-    this.partials.delete(index);
+    this.history.forget(index);
     if (!this.items[index]!.idempotent) this.urgent = true;
   }
 
-  /** @param index - An item that lost an attempt. */
-  countLoss(index: number): void {
-    this.losses.set(index, this.lossesOf(index) + 1);
-    this.returns.delete(index);
-  }
-
-  /**
-   * @param index - An item that was given back.
-   * @param partial - What was generated of it.
-   * @param refused - Whether it was given back for a reason.
-   */
-  countReturn(
-    index: number,
-    partial: Partial | undefined,
-    refused: boolean,
-  ): void {
-    if (partial !== undefined) this.partials.set(index, partial);
-    if (refused) this.returns.set(index, this.returnsOf(index) + 1);
-  }
-
   /**
    * @param outcomes - Items whose outcomes are in the objects of the row.
    * @param claimed - Items that are claimed by the row.
@@ -313,7 +221,7 @@
     return {
       epoch: this.place.epoch,
       states: packStates(recorded),
-      losses: Object.fromEntries(this.losses),
+      losses: this.history.losses,
       objects: object === undefined ? objects : [...objects, object],
       closed: recorded.every(isFinalItemState),
     };
--- a/packages/batch/src/lib/process/item_run.ts
+++ b/packages/batch/src/lib/process/item_run.ts
@@ -29,15 +29,14 @@
     },
     returned: (chunk, index, {partial, refusal}) => {
       chunk.tell(index, {type: 'return'});
-      chunk.countReturn(index, partial, refusal !== undefined);
+      if (partial !== undefined) chunk.history.keepPartial(index, partial);
       if (refusal === undefined) return {delayMs: 0};
-      const delayMs = this.backoff(chunk.returnsOf(index));
+      const delayMs = this.backoff(chunk.history.countReturn(index));
       return {delayMs: Math.max(delayMs, refusal.retryAfterMs ?? 0)};
     },
     lost: (chunk, index, {refusal, suspect}) => {
       const {idempotent} = chunk.items[index]!;
-      chunk.countLoss(index);
-      const losses = chunk.lossesOf(index);
+      const losses = chunk.history.countLoss(index);
       const last = losses > this.settings.maxLosses;
       const event = {type: 'lose', idempotent, suspect, last} as const;
       chunk.tell(index, event);
@@ -188,14 +187,14 @@
 
 function itemOf(chunk: ChunkWork, index: number): BatchItem {
   const {id, work, idempotent} = chunk.items[index]!;
-  const resume = chunk.partialOf(index);
+  const resume = chunk.history.partial(index);
   return {
     caller: chunk.job.caller,
     job: chunk.job.job,
     item: id,
     work,
     idempotent,
-    attempt: chunk.nextAttempt(index),
+    attempt: chunk.history.nextAttempt(index),
     ...(chunk.state(index) === 'suspectStarted' ? {suspect: true} : {}),
     ...(resume === undefined ? {} : {resume}),
   };
--- a/packages/batch/src/lib/process/item_starter.ts
+++ b/packages/batch/src/lib/process/item_starter.ts
@@ -59,10 +59,10 @@
     const running = chunks.runningByCaller();
     const order = jobOrder(caller => running.get(caller) ?? 0);
     const ready = chunks
-      .filter(chunk => chunk.readyCount(pool) > 0)
+      .filter(chunk => chunk.ready.count(pool) > 0)
       .toSorted((a, b) => order(a.job, b.job) || a.place.n - b.place.n);
     for (const chunk of ready) {
-      const index = chunk.takeReady(pool, i => this.mayRun(chunk, i));
+      const index = chunk.ready.take(pool, i => this.mayRun(chunk, i));
       if (index === undefined) continue;
       this.lease(chunk, index);
       return true;
--- a/packages/batch/src/lib/process/loaded_chunks.ts
+++ b/packages/batch/src/lib/process/loaded_chunks.ts
@@ -59,7 +59,7 @@
   /** @returns Models and services with items that may run now. */
   readyPools(): ReadonlySet<string> {
     const chunks = [...this.chunks.values()];
-    return new Set(chunks.flatMap(chunk => chunk.readyPools));
+    return new Set(chunks.flatMap(chunk => chunk.ready.pools));
   }
 
   /**
--- a/packages/batch/src/test/fakes/fake_fleet.ts
+++ b/packages/batch/src/test/fakes/fake_fleet.ts
@@ -172,7 +172,7 @@
       clock.after(afterMs, () => end(outcome));
       signal.addEventListener('abort', () => {
         if (!this.fleet.letsGo) return;
-        clock.after(ABORT_MS, () => end(aborted(item)));
+        clock.after(ABORT_MS, () => end(lost(false)));
       });
     });
     const result = await this.member.host.hear(ended);
@@ -187,10 +187,6 @@
   return {kind: 'lost', refusal, suspect};
 }
 
-function aborted(item: BatchItem): ItemOutcome {
-  return item.idempotent ? {kind: 'returned'} : lost(false);
-}
-
 export function items(count: number, idempotent = true): readonly JobItem[] {
   return [...Array(count).keys()].map(i => ({
     id: `item-${i}`,
