--- a/packages/batch/src/test/process/batch_jobs_test.ts
+++ b/packages/batch/src/test/process/batch_jobs_test.ts
@@ -449,7 +449,7 @@
   const {fleet, entries} = startedWith({maxLosses: 0}, 'e1');
   const entry = entries[0]!;
   await fleet.clock.advance(15_000);
-  fleet.script = () => ({outcome: ANSWERED, afterMs: 15_000});
+  fleet.script = () => ({outcome: ANSWERED, afterMs: 25_000});
   const jobItems = mixed(...[...Array(300).keys()].map(i => i % 3 > 0));
   await fleet.accept(entry, 'night', jobItems);
   for (const id of ['e2', 'e3', 'e4']) {
