Share limits by what callers ask, refused or not

Cause: shares by what was let through starve an entry whose caller was refused. Change: entries tell and learn demand, as core's limits now take it.

--- a/packages/core/src/lib/process/caller_limits.ts
+++ b/packages/core/src/lib/process/caller_limits.ts
@@ -142,12 +142,12 @@
   isNear(caller: string): boolean {
     const state = this.byCaller.get(caller);
     if (state === undefined) return false;
-    const {spec, share, concurrentShare, buckets, concurrent} = state;
+    const {spec, share, buckets, concurrent} = state;
     const half = (rate: number) => (rate * share * spec.burstSeconds) / 2;
     return (
       buckets.requests.level < Math.max(1, half(spec.requestsPerSecond)) ||
       buckets.tokens.level < half(spec.tokensPerSecond) ||
-      concurrent >= (spec.concurrent * concurrentShare) / 2
+      concurrent >= (spec.concurrent * share) / 2
     );
   }
 
--- a/packages/entry/src/lib/connection/peer_link.ts
+++ b/packages/entry/src/lib/connection/peer_link.ts
@@ -6,7 +6,7 @@
 import {createTRPCClient, createWSClient, wsLink} from '@trpc/client';
 import type {TRPCClient} from '@trpc/client';
 import {WebSocket} from 'ws';
-import type {UseReport, UseReports} from '../process/limit_gate.js';
+import type {DemandReport, DemandReports} from '../process/limit_gate.js';
 import type {ForwardedCall, PeerRouter} from './peer_router.js';
 
 /** Ways to ask one other entry. */
@@ -18,7 +18,7 @@
   /** @throws LinkLostError */
   findOutcome(dedupeKey: string): Promise<ServeOutcome | undefined>;
   /** @throws LinkLostError */
-  reportUse(reports: UseReports): Promise<readonly UseReport[]>;
+  reportDemand(reports: DemandReports): Promise<readonly DemandReport[]>;
 }
 
 /** How to open a link to another entry. */
@@ -56,9 +56,9 @@
     return this.channel().ask(api => api.findOutcome.query(dedupeKey));
   }
 
-  reportUse(reports: UseReports): Promise<readonly UseReport[]> {
+  reportDemand(reports: DemandReports): Promise<readonly DemandReport[]> {
     const input = {...reports, reports: [...reports.reports]};
-    return this.channel().ask(api => api.reportUse.mutate(input));
+    return this.channel().ask(api => api.reportDemand.mutate(input));
   }
 
   [Symbol.dispose](): void {
--- a/packages/entry/src/lib/connection/peer_router.ts
+++ b/packages/entry/src/lib/connection/peer_router.ts
@@ -4,7 +4,7 @@
 import type {ConfigDelta} from '@oathead/config';
 import type {ServeEvent, ServeOutcome} from '@oathead/core';
 import {WORK_SCHEMA} from '@oathead/wire';
-import type {UseReport, UseReports} from '../process/limit_gate.js';
+import type {DemandReport, DemandReports} from '../process/limit_gate.js';
 
 /** A keyed request on its way to its home. */
 export const FORWARDED_CALL = z.object({
@@ -22,19 +22,15 @@
 /** A keyed request on its way to its home. */
 export type ForwardedCall = z.infer<typeof FORWARDED_CALL>;
 
-const USE_REPORTS = z.object({
+const DEMAND_REPORTS = z.object({
   entryId: z.string(),
   reports: z.array(
     z.object({
       caller: z.string(),
-      use: z.object({
-        requests: z.number(),
-        tokens: z.number(),
-        concurrent: z.number(),
-      }),
+      demand: z.object({requests: z.number(), tokens: z.number()}),
     }),
   ),
-}) satisfies z.ZodType<UseReports>;
+}) satisfies z.ZodType<DemandReports>;
 
 /** What one entry answers to others. */
 export interface PeerHandler {
@@ -43,8 +39,8 @@
   configSince(since: number): ConfigDelta | undefined;
   /** @returns The kept outcome of a key whose home this entry is. */
   findOutcome(dedupeKey: string): Promise<ServeOutcome | undefined>;
-  /** @returns What all other entries use of the same callers' limits. */
-  reportUse(reports: UseReports): readonly UseReport[];
+  /** @returns What the same callers ask of all other entries. */
+  reportDemand(reports: DemandReports): readonly DemandReport[];
 }
 
 /** What each call gets. */
@@ -69,9 +65,9 @@
   findOutcome: t.procedure
     .input(z.string())
     .query(({input, ctx}) => ctx.handler.findOutcome(input)),
-  reportUse: t.procedure
-    .input(USE_REPORTS)
-    .mutation(({input, ctx}) => ctx.handler.reportUse(input)),
+  reportDemand: t.procedure
+    .input(DEMAND_REPORTS)
+    .mutation(({input, ctx}) => ctx.handler.reportDemand(input)),
 });
 
 /** The type of {@link peerRouter}, for clients. */
--- a/packages/entry/src/lib/connection/peers.ts
+++ b/packages/entry/src/lib/connection/peers.ts
@@ -3,7 +3,7 @@
 import type {Clock, ServeEvent, ServeOutcome} from '@oathead/core';
 import type {ConfigDelta, ConfigPeers} from '@oathead/config';
 import type {Membership, Peer} from '@oathead/membership';
-import type {UseReport, UseReports} from '../process/limit_gate.js';
+import type {DemandReport, DemandReports} from '../process/limit_gate.js';
 import type {KeyedCall} from '../request/keyed_requests.js';
 import type {PeerLinks} from '../request/online_service.js';
 import type {PeerLink} from './peer_link.js';
@@ -61,8 +61,11 @@
   }
 
   /** @throws LinkLostError */
-  reportUse(peer: Peer, reports: UseReports): Promise<readonly UseReport[]> {
-    return this.link(peer).reportUse(reports);
+  reportDemand(
+    peer: Peer,
+    reports: DemandReports,
+  ): Promise<readonly DemandReport[]> {
+    return this.link(peer).reportDemand(reports);
   }
 
   ids(): readonly string[] {
--- a/packages/entry/src/lib/process/entry.ts
+++ b/packages/entry/src/lib/process/entry.ts
@@ -50,7 +50,7 @@
 import {ClaimStore} from './claim_store.js';
 import {KeyAuthenticator} from './key_authenticator.js';
 import {LimitGate} from './limit_gate.js';
-import type {UseReport, UseReports} from './limit_gate.js';
+import type {DemandReport, DemandReports} from './limit_gate.js';
 import {SharedSuspects} from './shared_suspects.js';
 
 /** What an entry is made of. */
@@ -145,7 +145,7 @@
         clock,
         cfg: this.cache,
         membership,
-        tell: (peer, reports) => this.peers.reportUse(peer, reports),
+        tell: (peer, reports) => this.peers.reportDemand(peer, reports),
       }),
     );
     const runner = new BatchRunner({
@@ -216,7 +216,7 @@
     return this.keyed.find(dedupeKey);
   }
 
-  reportUse(reports: UseReports): readonly UseReport[] {
+  reportDemand(reports: DemandReports): readonly DemandReport[] {
     return this.limits.heard(reports);
   }
 
--- a/packages/entry/src/lib/process/limit_gate.ts
+++ b/packages/entry/src/lib/process/limit_gate.ts
@@ -1,7 +1,7 @@
 /**
- * Callers' limits at one entry. Entries share each limit by its use: who is
+ * Callers' limits at one entry. Entries share each limit by demand: who is
  * near a limit tells the entry that is the caller's home, once a second, and
- * learns what the others use. Callers far from their limits cost no message.
+ * learns what is asked of the others. Callers far from their limits cost no message.
  */
 import {
   CallerLimits,
@@ -12,7 +12,7 @@
   repeat,
 } from '@oathead/core';
 import type {
-  CallerUse,
+  CallerDemand,
   Clock,
   ConfigSnapshot,
   ConfigView,
@@ -22,16 +22,16 @@
 import type {Membership, Peer} from '@oathead/membership';
 import type {Serve, ServeCall} from '../request/online_call.js';
 
-/** What one entry uses of one caller's limits. */
-export interface UseReport {
+/** What one caller asks of one entry, or of several. */
+export interface DemandReport {
   readonly caller: string;
-  readonly use: CallerUse;
+  readonly demand: CallerDemand;
 }
 
 /** What one entry tells the home of some callers. */
-export interface UseReports {
+export interface DemandReports {
   readonly entryId: string;
-  readonly reports: readonly UseReport[];
+  readonly reports: readonly DemandReport[];
 }
 
 /** What the limits need. */
@@ -46,17 +46,17 @@
    */
   readonly tell: (
     peer: Peer,
-    reports: UseReports,
-  ) => Promise<readonly UseReport[]>;
+    reports: DemandReports,
+  ) => Promise<readonly DemandReport[]>;
 }
 
 const EXCHANGE_MS = 1000;
-/** A use that was not told again for so long is over, in milliseconds. */
-const USE_LASTS_MS = 5000;
-const NO_USE: CallerUse = {requests: 0, tokens: 0, concurrent: 0};
+/** A demand that was not told again for so long is over, in milliseconds. */
+const DEMAND_LASTS_MS = 5000;
+const NO_DEMAND: CallerDemand = {requests: 0, tokens: 0};
 
-interface TimedUse {
-  readonly use: CallerUse;
+interface TimedDemand {
+  readonly demand: CallerDemand;
   readonly at: number;
 }
 
@@ -67,8 +67,8 @@
   private declared: ReadonlySet<string> = new Set();
   /** Callers that came near their limits since the last exchange. */
   private readonly near = new Set<string>();
-  /** As the home of callers: what each entry uses, by caller and entry. */
-  private readonly uses = new Map<string, Map<string, TimedUse>>();
+  /** As the home of callers: what is asked of each entry, by caller and entry. */
+  private readonly demands = new Map<string, Map<string, TimedDemand>>();
 
   /** @param deps - Clock, configuration and the way to other entries. */
   constructor(private readonly deps: LimitGateDeps) {
@@ -94,16 +94,17 @@
   /**
    * Answers another entry as the home of callers.
    *
-   * @param reports - What that entry uses.
+   * @param reports - What is asked of that entry.
    * @returns The sum over all other entries.
    */
-  heard({entryId, reports}: UseReports): readonly UseReport[] {
+  heard({entryId, reports}: DemandReports): readonly DemandReport[] {
     const at = this.deps.clock.now();
-    return reports.map(({caller, use}) => {
-      const byEntry = this.uses.get(caller) ?? new Map<string, TimedUse>();
-      byEntry.set(entryId, {use, at});
-      this.uses.set(caller, byEntry);
-      return {caller, use: sumOfOthers(byEntry, entryId, at)};
+    return reports.map(({caller, demand}) => {
+      const byEntry =
+        this.demands.get(caller) ?? new Map<string, TimedDemand>();
+      byEntry.set(entryId, {demand, at});
+      this.demands.set(caller, byEntry);
+      return {caller, demand: sumOfOthers(byEntry, entryId, at)};
     });
   }
 
@@ -157,20 +158,20 @@
 
   private async exchangeWith(
     home: Peer,
-    reports: readonly UseReport[],
+    reports: readonly DemandReport[],
   ): Promise<void> {
     const {membership, clock} = this.deps;
     const told = {entryId: membership.entryId, reports};
     const others = await this.tell(home, told);
-    for (const {caller, use} of others) {
-      this.limits.learn(caller, use, clock.now());
+    for (const {caller, demand} of others) {
+      this.limits.learn(caller, demand, clock.now());
     }
   }
 
   private async tell(
     home: Peer,
-    told: UseReports,
-  ): Promise<readonly UseReport[]> {
+    told: DemandReports,
+  ): Promise<readonly DemandReport[]> {
     if (home.entryId === this.deps.membership.entryId) return this.heard(told);
     try {
       return await this.deps.tell(home, told);
@@ -181,42 +182,41 @@
     }
   }
 
-  private reportsByHome(): ReadonlyMap<Peer, readonly UseReport[]> {
+  private reportsByHome(): ReadonlyMap<Peer, readonly DemandReport[]> {
     const {membership, clock} = this.deps;
-    const used = this.limits.use(clock.now());
-    const byHome = new Map<Peer, UseReport[]>();
+    const demands = this.limits.demand(clock.now());
+    const byHome = new Map<Peer, DemandReport[]>();
     for (const caller of this.near) {
       const home = membership.ownerOf(membership.shareOf(caller));
       if (!home) continue;
-      const report = {caller, use: used.get(caller) ?? NO_USE};
+      const report = {caller, demand: demands.get(caller) ?? NO_DEMAND};
       byHome.set(home, [...(byHome.get(home) ?? []), report]);
     }
     return byHome;
   }
 
   private forgetOld(): void {
-    const oldest = this.deps.clock.now() - USE_LASTS_MS;
-    for (const [caller, byEntry] of this.uses) {
+    const oldest = this.deps.clock.now() - DEMAND_LASTS_MS;
+    for (const [caller, byEntry] of this.demands) {
       for (const [entryId, {at}] of byEntry) {
         if (at < oldest) byEntry.delete(entryId);
       }
-      if (byEntry.size === 0) this.uses.delete(caller);
+      if (byEntry.size === 0) this.demands.delete(caller);
     }
   }
 }
 
 function sumOfOthers(
-  byEntry: ReadonlyMap<string, TimedUse>,
+  byEntry: ReadonlyMap<string, TimedDemand>,
   entryId: string,
   now: number,
-): CallerUse {
-  let sum = NO_USE;
-  for (const [other, {use, at}] of byEntry) {
-    if (other === entryId || now - at > USE_LASTS_MS) continue;
+): CallerDemand {
+  let sum = NO_DEMAND;
+  for (const [other, {demand, at}] of byEntry) {
+    if (other === entryId || now - at > DEMAND_LASTS_MS) continue;
     sum = {
-      requests: sum.requests + use.requests,
-      tokens: sum.tokens + use.tokens,
-      concurrent: sum.concurrent + use.concurrent,
+      requests: sum.requests + demand.requests,
+      tokens: sum.tokens + demand.tokens,
     };
   }
   return sum;
