End the livelock of suspects that wait for an empty engine

Cause: while the engine was being emptied for a suspect, batch work was started and preempted again in the same turn, without an end; seen as a target process that never came back after a target had died with several items in flight. A suspect of batch also kept online work waiting until its end. Ruled out: the link and the load reports, which a profile of the spinning process did not show. Change: nothing of batch starts while the engine is being emptied; a suspect of batch takes its turn only when nothing online runs or waits, and gives way. Before: both new tests fail; after: both pass.

--- a/packages/core/src/lib/process/engine_lane.ts
+++ b/packages/core/src/lib/process/engine_lane.ts
@@ -155,11 +155,14 @@
 
   private pump(now: number): Actions {
     const actions: Actions = [];
-    if (this.room.suspectCount > 0) this.startSuspect(now, actions);
-    if (this.suspectRunning) return actions;
+    const claimed = this.startSuspect(now, actions);
+    if (this.suspectRunning) {
+      this.yieldSuspect(actions);
+      return actions;
+    }
     this.startOnline(now, actions);
     this.stopSurplus(actions);
-    if (this.room.online.size === 0) this.startBatch(now, actions);
+    if (!claimed && this.room.online.size === 0) this.startBatch(now, actions);
     return actions;
   }
 
@@ -167,21 +170,40 @@
    * A request that was in flight when a target died may have killed it. It runs
    * with nothing beside it, so that a second death takes no other along and
    * tells for certain that it was the cause.
+   *
+   * @returns Whether the engine is being emptied for it: nothing of batch may
+   *     start then, or it would be started and preempted without an end.
    */
-  private startSuspect(now: number, actions: Actions): void {
+  private startSuspect(now: number, actions: Actions): boolean {
     const next = this.room.peekSuspect();
-    if (next === undefined || this.suspectRunning) return;
-    const patience = (next.request.deadline - next.since) * SUSPECT_PATIENCE;
-    const due = now - next.since >= patience;
-    if (this.running.online.running > 0 && !due) return;
+    if (next === undefined || this.suspectRunning) return false;
+    if (!this.isSuspectsTurn(next, now)) return false;
     if (this.running.size > 0) {
       for (const batch of this.running.newestBatch()) {
         this.preempt(batch, actions);
       }
-      return;
+      return true;
     }
     this.suspectRunning = true;
     this.start(this.room.takeSuspect()!, now, actions);
+    return true;
+  }
+
+  /** Online work never waits behind batch work, suspect or not. */
+  private isSuspectsTurn({request, since}: Queued, now: number): boolean {
+    const {online} = this.room;
+    if (this.running.online.running === 0 && online.size === 0) return true;
+    if (request.class === 'batch') return false;
+    const patience = (request.deadline - since) * SUSPECT_PATIENCE;
+    return now - since >= patience;
+  }
+
+  /** A suspect of batch gives way to online work as any batch stream does. */
+  private yieldSuspect(actions: Actions): void {
+    if (this.room.online.size === 0) return;
+    for (const batch of this.running.newestBatch()) {
+      this.preempt(batch, actions);
+    }
   }
 
   private startOnline(now: number, actions: Actions): void {
--- a/packages/core/src/lib/process/running_set.ts
+++ b/packages/core/src/lib/process/running_set.ts
@@ -247,10 +247,14 @@
     return false;
   }
 
-  /** @returns Batch streams that are to stay, newest first. */
+  /**
+   * @returns Batch streams that are to stay and can be preempted, newest first.
+   *     What may run only once cannot: it would look stopped and run on.
+   */
   newestBatch(): readonly Running[] {
     return [...this.byId.values()]
       .filter(({request, stopping}) => request.class === 'batch' && !stopping)
+      .filter(({request}) => request.preemptible !== false)
       .sort((a, b) => b.order - a.order);
   }
 
--- a/packages/core/src/test/process/engine_admission_test.ts
+++ b/packages/core/src/test/process/engine_admission_test.ts
@@ -129,6 +129,54 @@
   t.deepEqual(kinds(after), ['start r0']);
 });
 
+// A target dies with a whole batch in flight: every item comes back as a
+// suspect. Where batch work was started while the engine was being emptied for
+// a suspect, it was preempted for the next one and started again, without an
+// end, in one turn of the process.
+test('many suspects of batch run one after the other', t => {
+  const admission = configured();
+  const suspects = ['s0', 's1', 's2'];
+  const batch = ['b0', 'b1'];
+  const all = [...batch, ...suspects].map(id =>
+    request(id, {class: 'batch', suspect: id.startsWith('s')}),
+  );
+  const actions = [...arrive(admission, 0, ...all)];
+  const ended: string[] = [];
+  let handled = 0;
+  for (let now = 1; handled < actions.length && now < 100; now++) {
+    const {kind, id} = actions[handled++]!;
+    if (kind === 'give-back') continue;
+    const how = kind === 'preempt' ? 'preempted' : 'done';
+    const preempted = actions
+      .slice(handled)
+      .some(next => next.kind === 'preempt' && next.id === id);
+    if (kind === 'start' && preempted) continue;
+    actions.push(...admission.handle({kind: 'ended', id, how}, now));
+    if (how === 'done') ended.push(id);
+    if (how !== 'preempted') continue;
+    const again = request(id, {class: 'batch'});
+    actions.push(...admission.handle({kind: 'arrived', request: again}, now));
+  }
+  t.deepEqual(ended.toSorted(), [...batch, ...suspects].toSorted());
+});
+
+// A suspect of batch has the engine for itself when a branch asks. The branch
+// must not wait for the end of the item.
+test('a suspect of batch gives way to online work', t => {
+  const admission = configured();
+  const suspect = request('s0', {class: 'batch', suspect: true});
+  t.deepEqual(kinds(arrive(admission, 0, suspect)), ['start s0']);
+  t.deepEqual(kinds(arrive(admission, 1, request('r0'))), ['preempt s0']);
+  const freed = admission.handle(
+    {kind: 'ended', id: 's0', how: 'preempted'},
+    2,
+  );
+  t.deepEqual(kinds(freed), ['start r0']);
+  t.deepEqual(kinds(arrive(admission, 3, suspect)), []);
+  const alone = admission.handle({kind: 'ended', id: 'r0', how: 'done'}, 4);
+  t.deepEqual(kinds(alone), ['start s0']);
+});
+
 test('gives back waiting batch work and refuses new work when leaving', t => {
   const admission = configured();
   const batch = Array.from({length: 12}, (unused, i) =>
