Prefill a prompt in pieces, and hold answers apart from the memory of runs

Cause: the policy may ask for the beginning of a long prompt alone, which the target process answered by starting the whole; a configuration whose values the wire found odd would have been refused as a whole; marks that are full were purged at each request. Change: a start with a piece asks the engine for the shortened prompt and one token, which is dropped, and the request arrives again. Held answers have their own module. The wire checks the shape of a configuration only. A connection attempt takes only its own errors for a failure. Too many voids are "may have run".

--- a/packages/core/src/lib/request/target_request_machine.ts
+++ b/packages/core/src/lib/request/target_request_machine.ts
@@ -29,7 +29,13 @@
   states: {
     waiting: {on: {start: 'started', end: 'ended'}},
     started: {
-      on: {'first-token': 'streaming', preempt: 'preempting', end: 'ended'},
+      on: {
+        'first-token': 'streaming',
+        preempt: 'preempting',
+        // Only a piece of its prompt was to be prefilled.
+        freed: 'preempted',
+        end: 'ended',
+      },
     },
     streaming: {on: {preempt: 'preempting', end: 'ended'}},
     preempting: {on: {freed: 'preempted', end: 'ended'}},
--- a/packages/core/src/test/request/target_request_machine_test.ts
+++ b/packages/core/src/test/request/target_request_machine_test.ts
@@ -24,6 +24,14 @@
   );
 });
 
+test('waits again once a piece of its prompt is prefilled', t => {
+  t.deepEqual(statesOf('start', 'freed', 'start'), [
+    'started',
+    'preempted',
+    'started',
+  ]);
+});
+
 test('only a request that never started is unseen', t => {
   t.true(isUnseen(initialTargetRequest().value as TargetRequestState));
   const states = statesOf('start', 'first-token', 'preempt', 'freed', 'end');
--- a/packages/target/src/lib/process/admission_driver.ts
+++ b/packages/target/src/lib/process/admission_driver.ts
@@ -13,7 +13,8 @@
 
 /** What admission can have done to a request; `id` is the key of its run. */
 export interface AdmissionOrders {
-  start(id: string): void;
+  /** `prefillOnly`: tokens of the prompt that are to be prefilled, no more. */
+  start(id: string, prefillOnly?: number): void;
   preempt(id: string): void;
   refuse(id: string, refusal: Refusal): void;
   giveBack(id: string): void;
@@ -51,7 +52,7 @@
     const giveBack = (action: ActionOf<'give-back'>) =>
       orders.giveBack(action.id);
     this.handlers = {
-      start: action => orders.start(action.id),
+      start: action => orders.start(action.id, action.prefillOnly),
       preempt: action => orders.preempt(action.id),
       refuse: action => orders.refuse(action.id, action.refusal),
       'give-back': giveBack,
--- a/packages/target/src/lib/process/run_director.ts
+++ b/packages/target/src/lib/process/run_director.ts
@@ -64,7 +64,7 @@
     return run;
   }
 
-  start(id: string): void {
+  start(id: string, prefillOnly?: number): void {
     const live = this.live.get(id);
     if (!live || !isWaiting(live.run)) return;
     const {run} = live;
@@ -76,7 +76,7 @@
     }
     this.parts.memory.markStarted(run);
     run.start(route.version);
-    void this.execute(live, route.backend);
+    void this.execute(live, route.backend, prefillOnly);
   }
 
   preempt(id: string): void {
@@ -147,10 +147,15 @@
     return new AdmissionDriver(createAdmission(), clock, this);
   }
 
-  private async execute(live: LiveRun, backend: Backend): Promise<void> {
+  private async execute(
+    live: LiveRun,
+    backend: Backend,
+    prefillOnly: number | undefined,
+  ): Promise<void> {
     const {driver} = this;
     const report = driver.report.bind(driver);
-    const outcome = await takeTurn(live, backend, {...this.parts, report});
+    const parts = {...this.parts, report, prefillOnly};
+    const outcome = await takeTurn(live, backend, parts);
     this.onFree(live, outcome);
   }
 
--- a/packages/target/src/lib/process/run_memory.ts
+++ b/packages/target/src/lib/process/run_memory.ts
@@ -1,13 +1,15 @@
 /** What this process remembers of the requests that it has had. */
 import {mayHaveRun, notRun} from '@oathead/core';
 import type {Clock, Refusal, ServeOutcome, ServeRequest} from '@oathead/core';
-import type {HeldAnswer} from '@oathead/wire';
+import type {Attachment} from '@oathead/wire';
 import {LRUCache} from 'lru-cache';
 import {runKey} from '../request/target_run.js';
 import type {TargetRun} from '../request/target_run.js';
+import {HeldAnswers, isHeld} from './held_answers.js';
+import type {HeldAnswersSettings} from './held_answers.js';
 
 /** Bounds of the memory. */
-export interface RunMemorySettings {
+export interface RunMemorySettings extends HeldAnswersSettings {
   /** How long an ended request can still be attached to, in milliseconds. */
   readonly attachMs: number;
   /** How long an answer is given to a resend, in milliseconds. */
@@ -16,14 +18,14 @@
   /** How long a non-idempotent request is known as started, in milliseconds. */
   readonly startedMs: number;
   readonly startedCount: number;
-  /** Bytes of answers that are not written elsewhere yet. */
-  readonly heldBytes: number;
-  /** How long such an answer is held if its entry never asks, milliseconds. */
-  readonly heldMs: number;
 }
 
 const MAX_ENDED_BYTES = 32 << 20;
 const MAX_VOIDED = 20_000;
+/** A request is marked by its id and by its key. */
+const MARKS_PER_RUN = 2;
+/** A purge walks over all marks. */
+const PURGE_MS = 1_000;
 /** An ended run beside its answer, and each token of it. */
 const RUN_BYTES = 512;
 const TOKEN_BYTES = 32;
@@ -42,32 +44,19 @@
   return `key ${dedupeKey}`;
 }
 
-/**
- * Whether an answer must be held until it is written: a caller may have it and
- * ask for it again. A batch item's outcome is nobody's before it is recorded.
- */
-function isHeld(req: ServeRequest): boolean {
-  return req.dedupeKey !== undefined && req.class === 'online';
-}
-
-interface Held {
-  readonly run: TargetRun;
-  readonly since: number;
-}
-
 /** Live runs, ended ones, and marks of what must not start again. */
 export class RunMemory {
   private readonly live = new Map<string, TargetRun>();
   private readonly liveByName = new Map<string, TargetRun>();
-  /** Oldest first. */
-  private readonly held = new Map<string, Held>();
-  private heldBytes = 0;
+  /** Answers that are not written elsewhere yet. */
+  readonly held: HeldAnswers;
   private readonly ended: LRUCache<string, TargetRun>;
   private readonly answered: LRUCache<string, TargetRun>;
   private readonly startedOnce: LRUCache<string, true>;
   private readonly voided: LRUCache<string, true>;
   /** When an ended run was last forgotten before its time. */
   private forgotYoungAt = -Infinity;
+  private nextPurgeAt = -Infinity;
 
   /**
    * @param settings - Bounds.
@@ -94,6 +83,9 @@
       maxSize: settings.answerBytes,
       sizeCalculation: bytesOf,
     });
+    this.held = new HeldAnswers(settings, clock, (name, run) =>
+      this.answered.set(name, run),
+    );
     this.startedOnce = new LRUCache({
       ...common,
       ttl: settings.startedMs,
@@ -140,7 +132,7 @@
   private byName(name: string): TargetRun | undefined {
     return (
       this.liveByName.get(name) ??
-      this.held.get(name)?.run ??
+      this.held.get(name) ??
       this.answered.get(name)
     );
   }
@@ -189,69 +181,48 @@
     this.ended.set(run.key, run);
     // What is too large for the cache is not kept, and no eviction is told.
     if (!this.ended.has(run.key)) this.forgotYoungAt = this.clock.now();
-    if (run.outcome?.kind === 'done' && isHeld(run.req)) this.hold(name, run);
+    if (run.outcome?.kind !== 'done' || !isHeld(run.req)) return;
+    this.held.hold(name, run, bytesOf(run));
   }
 
   /**
    * @param dedupeKeys - Keys whose outcomes are written elsewhere.
    */
   release(dedupeKeys: readonly string[]): void {
-    for (const key of dedupeKeys) this.releaseName(keyName(key));
-  }
-
-  /**
-   * @param entryId - An entry, perhaps one that has died.
-   * @returns The answers to its keyed requests that it has not released.
-   */
-  *heldFor(entryId: string): Generator<HeldAnswer, void, undefined> {
-    for (const {run} of [...this.held.values()]) {
-      const {req, outcome} = run;
-      if (req.entryId !== entryId || outcome?.kind !== 'done') continue;
-      yield {
-        dedupeKey: req.dedupeKey!,
-        id: req.id,
-        caller: req.caller,
-        work: req.work,
-        answer: outcome.answer,
-      };
-    }
+    for (const key of dedupeKeys) this.held.release(keyName(key));
   }
 
   /**
    * Makes sure that an attempt which has not arrived is never started here.
    *
-   * @param id - The request.
-   * @param attempt - Which attempt.
-   * @param sentAgoMs - How long ago it was sent, in milliseconds.
-   * @returns What is known of it.
+   * @param attachment - An attempt that nothing is known of.
+   * @param bootId - Of this process.
+   * @returns What can be said of it.
    */
-  voidUnseen(id: string, attempt: number, sentAgoMs: number): Refusal {
-    // An attempt that ran and was forgotten looks like one that never came. It
-    // is only called "not run" while nothing that old can be forgotten.
-    const sentAt = this.clock.now() - sentAgoMs;
-    if (sentAgoMs >= this.settings.attachMs || this.forgotYoungAt >= sentAt) {
-      return mayHaveRun('outcome-unknown', 'too old to be remembered here');
+  unknown(attachment: Attachment, bootId: string): Refusal {
+    if (attachment.bootId !== bootId) {
+      return mayHaveRun('target-lost', 'the target process has restarted');
+    }
+    if (attachment.startedSeen || this.mayHaveForgotten(attachment)) {
+      return mayHaveRun('outcome-unknown', 'it is not remembered any more');
+    }
+    const {id, attempt} = attachment;
+    if (this.voided.size >= MAX_VOIDED) this.voided.purgeStale();
+    if (this.voided.size >= MAX_VOIDED) {
+      return mayHaveRun('outcome-unknown', 'too many requests were given up');
     }
     this.voided.set(runKey(id, attempt), true);
     return notRun('target-lost', 'the request has not arrived');
   }
 
-  private hold(name: string, run: TargetRun): void {
-    const now = this.clock.now();
-    this.held.set(name, {run, since: now});
-    this.heldBytes += bytesOf(run);
-    for (const [oldest, {since}] of this.held) {
-      if (now - since < this.settings.heldMs) break;
-      this.releaseName(oldest);
-    }
-  }
-
-  private releaseName(name: string): void {
-    const run = this.held.get(name)?.run;
-    if (!run) return;
-    this.held.delete(name);
-    this.heldBytes -= bytesOf(run);
-    this.answered.set(name, run);
+  /**
+   * An attempt that ran and was forgotten looks like one that never came. It is
+   * only called "not run" while nothing that old can be forgotten.
+   */
+  private mayHaveForgotten({sentAgoMs}: Attachment): boolean {
+    const sentAt = this.clock.now() - sentAgoMs;
+    const isOld = sentAgoMs >= this.settings.attachMs;
+    return isOld || this.forgotYoungAt >= sentAt;
   }
 
   private wasStarted(req: ServeRequest): boolean {
@@ -267,18 +238,22 @@
     if (!req.idempotent && this.marksAreFull()) {
       return notRun('overloaded', 'too many requests that may run only once');
     }
-    if (isHeld(req) && this.heldBytes >= this.settings.heldBytes) {
+    if (isHeld(req) && this.held.full) {
       return notRun('overloaded', 'too many answers that are not written yet');
     }
     return undefined;
   }
 
   private marksAreFull(): boolean {
-    const room = () =>
-      this.startedOnce.size + this.live.size * 2 < this.settings.startedCount;
-    if (room()) return false;
-    this.startedOnce.purgeStale();
-    return !room();
+    const {startedOnce, settings} = this;
+    const hasRoom = () =>
+      startedOnce.size + MARKS_PER_RUN * this.live.size < settings.startedCount;
+    if (hasRoom()) return false;
+    const now = this.clock.now();
+    if (now < this.nextPurgeAt) return true;
+    this.nextPurgeAt = now + PURGE_MS;
+    startedOnce.purgeStale();
+    return !hasRoom();
   }
 }
 
--- a/packages/target/src/lib/process/target_service.ts
+++ b/packages/target/src/lib/process/target_service.ts
@@ -1,5 +1,5 @@
 /** The only way into the engine or plain services beside this process. */
-import {mayHaveRun, notRun, sleep, workFingerprint} from '@oathead/core';
+import {notRun, sleep, workFingerprint} from '@oathead/core';
 import type {
   Heartbeat,
   HeartbeatReply,
@@ -149,7 +149,8 @@
     const {id, attempt, startedSeen, tokensSeen} = attachment;
     const run = this.memory.byAttempt(id, attempt);
     if (!run) {
-      yield {kind: 'refused', refusal: this.unknown(attachment)};
+      const refusal = this.memory.unknown(attachment, this.bootId);
+      yield {kind: 'refused', refusal};
       return;
     }
     this.parts.metrics.count('attached');
@@ -191,7 +192,7 @@
 
   /** {@inheritDoc ReportingLink.held} */
   async *held(entryId: string): AsyncGenerator<HeldAnswer, void, undefined> {
-    yield* this.memory.heldFor(entryId);
+    yield* this.memory.held.of(entryId);
   }
 
   /** {@inheritDoc ReportingLink.recall} */
@@ -258,18 +259,6 @@
     return notRun('leaving', 'this target takes no new work');
   }
 
-  /** Nothing is known of a request that a link asks about. */
-  private unknown(attachment: Attachment): Refusal {
-    const {id, attempt, bootId, startedSeen, sentAgoMs} = attachment;
-    if (bootId !== this.bootId) {
-      return mayHaveRun('target-lost', 'the target process has restarted');
-    }
-    if (startedSeen) {
-      return mayHaveRun('outcome-unknown', 'the outcome is forgotten');
-    }
-    return this.memory.voidUnseen(id, attempt, sentAgoMs);
-  }
-
   private adopt(config: TargetConfig): void {
     if (!this.config.offer(config)) return;
     this.configure();
--- a/packages/target/src/lib/request/backend_call.ts
+++ b/packages/target/src/lib/request/backend_call.ts
@@ -3,91 +3,111 @@
 import type {
   Completion,
   EngineClient,
-  EngineRequest,
+  EngineEvent,
   ServeOutcome,
   ServiceCall,
   ServiceClient,
 } from '@oathead/core';
+import {promptPiece} from './prompt_piece.js';
 import type {TargetRun} from './target_run.js';
 
+type EngineDone = Extract<EngineEvent, {readonly kind: 'done'}>;
+
 /** What serves one pool. */
 export type Backend =
   | {readonly kind: 'model'; readonly engine: EngineClient}
   | {readonly kind: 'service'; readonly service: ServiceClient};
 
+/** What belongs to one call. */
+export interface CallOptions {
+  /** Cancels the work at the backend. */
+  readonly signal: AbortSignal;
+  /** Trace context for the backend. */
+  readonly traceparent?: string;
+  /** Told after each token. */
+  readonly onToken: () => void;
+  /** Only so many tokens of the prompt are to be prefilled. */
+  readonly prefillOnly?: number;
+}
+
 /**
  * Has a run's work done, from where it stands.
  *
  * @param run - The run, marked as started.
  * @param backend - What serves its pool.
- * @param onToken - Told after each token.
- * @param signal - Cancels the work at the backend.
- * @param traceparent - Trace context for the backend.
- * @returns How the work ended.
+ * @param options - What belongs to the call.
+ * @returns How the work ended; undefined when only a piece of the prompt was to
+ *     be prefilled.
  * @throws EngineError when the backend gave no answer.
  */
 export async function callBackend(
   run: TargetRun,
   backend: Backend,
-  onToken: () => void,
-  signal: AbortSignal,
-  traceparent?: string,
-): Promise<ServeOutcome> {
+  options: CallOptions,
+): Promise<ServeOutcome | undefined> {
   const {work} = run.req;
-  if (work.kind === 'completion') {
-    invariant(backend.kind === 'model', 'a completion needs an engine');
-    const req = engineRequest(run, work, traceparent);
-    return generate(run, backend.engine, req, onToken, signal);
+  if (work.kind === 'call') {
+    invariant(backend.kind === 'service', 'a call needs a service');
+    return call(work, backend.service, options);
   }
-  invariant(backend.kind === 'service', 'a call needs a service');
-  return call(work, backend.service, signal, traceparent);
+  invariant(backend.kind === 'model', 'a completion needs an engine');
+  return options.prefillOnly === undefined
+    ? generate(run, work, backend.engine, options)
+    : prefill(run, work, backend.engine, options);
 }
 
-function engineRequest(
+async function generate(
   run: TargetRun,
   completion: Completion,
-  traceparent?: string,
-): EngineRequest {
+  engine: EngineClient,
+  {signal, traceparent, onToken}: CallOptions,
+): Promise<ServeOutcome> {
+  const {version} = run;
   const resume = run.tokenCount > 0 ? run.partial() : undefined;
-  return {id: run.key, completion, version: run.version, resume, traceparent};
+  const req = {id: run.key, completion, version, resume, traceparent};
+  const tokens = new TokenOrder(run.tokenCount);
+  for await (const event of engine.generate(req, signal)) {
+    if (event.kind === 'done') return answered(run, event);
+    tokens.check(event.index);
+    run.add(event.text);
+    onToken();
+  }
+  throw new EngineError('lost', 'the stream ended without an end event');
 }
 
-async function generate(
+/** Asks for one token behind the prompt's beginning, and drops it. */
+async function prefill(
   run: TargetRun,
+  completion: Completion,
   engine: EngineClient,
-  req: EngineRequest,
-  onToken: () => void,
-  signal: AbortSignal,
-): Promise<ServeOutcome> {
-  const tokens = new TokenOrder(run.tokenCount);
+  {signal, traceparent, prefillOnly}: CallOptions,
+): Promise<undefined> {
+  const piece = promptPiece(completion, prefillOnly! / run.req.promptTokens);
+  const id = `${run.key}/prefill-${prefillOnly}`;
+  const req = {id, completion: piece, version: run.version, traceparent};
   for await (const event of engine.generate(req, signal)) {
-    if (event.kind === 'token') {
-      tokens.check(event.index);
-      run.add(event.text);
-      onToken();
-      continue;
-    }
-    const usage = {...event.usage, completionTokens: run.tokenCount};
-    const {text} = run.partial();
-    return {
-      kind: 'done',
-      answer: {
-        kind: 'completion',
-        text,
-        usage,
-        finishReason: event.finishReason,
-        version: run.version!,
-      },
-    };
+    if (event.kind === 'done') return undefined;
   }
   throw new EngineError('lost', 'the stream ended without an end event');
 }
 
+function answered(run: TargetRun, done: EngineDone): ServeOutcome {
+  return {
+    kind: 'done',
+    answer: {
+      kind: 'completion',
+      text: run.partial().text,
+      usage: {...done.usage, completionTokens: run.tokenCount},
+      finishReason: done.finishReason,
+      version: run.version!,
+    },
+  };
+}
+
 async function call(
   work: ServiceCall,
   service: ServiceClient,
-  signal: AbortSignal,
-  traceparent?: string,
+  {signal, traceparent}: CallOptions,
 ): Promise<ServeOutcome> {
   const response = await service.call(work, signal, traceparent);
   return {kind: 'done', answer: {kind: 'response', ...response}};
--- a/packages/target/src/lib/request/backend_turn.ts
+++ b/packages/target/src/lib/request/backend_turn.ts
@@ -11,6 +11,8 @@
 export interface TurnParts extends LiveRunParts {
   /** Tells admission. */
   readonly report: (event: AdmissionEvent) => void;
+  /** Only so many tokens of the prompt are to be prefilled in this turn. */
+  readonly prefillOnly?: number;
   /** The engine's connection broke under the run. */
   readonly engineLost: () => void;
 }
@@ -19,7 +21,8 @@
  * @param live - A run that was started.
  * @param backend - What serves it.
  * @param parts - What the turn needs.
- * @returns Its outcome; undefined when the run was told to stop.
+ * @returns Its outcome; undefined when the run was told to stop, or only a piece
+ *     of its prompt was to be prefilled.
  */
 export async function takeTurn(
   live: LiveRun,
@@ -35,14 +38,12 @@
   let outcome: ServeOutcome | undefined;
   try {
     abort.signal.throwIfAborted();
-    const onToken = () => parts.report(live.token());
-    outcome = await callBackend(
-      run,
-      backend,
-      onToken,
-      abort.signal,
+    outcome = await callBackend(run, backend, {
+      signal: abort.signal,
       traceparent,
-    );
+      onToken: () => parts.report(live.token()),
+      prefillOnly: run.preemptible ? parts.prefillOnly : undefined,
+    });
   } catch (err) {
     outcome = abort.signal.aborted ? undefined : failed(err, parts);
   } finally {
--- a/packages/target/src/test/process/target_service_test.ts
+++ b/packages/target/src/test/process/target_service_test.ts
@@ -1,4 +1,5 @@
 import {LinkLostError, workFingerprint} from '@oathead/core';
+import type {ServeRequest} from '@oathead/core';
 import test from 'ava';
 import type {TargetService} from '../../lib/process/target_service.js';
 import {
@@ -108,6 +109,32 @@
   t.like(await night.ended, {answer: {text: 'a b c'}});
 });
 
+// A long prompt of an overnight item would hold up everybody's next token. The
+// policy has its beginning prefilled first; nothing of that shows to its caller.
+test('a piece of a prompt is prefilled and the request waits again', async t => {
+  const {service, engine, pass} = await startService({firstPiece: 10});
+  const input = {kind: 'prompt', prompt: 'x'.repeat(200)} as const;
+  const work = {...request().work, input} as ServeRequest['work'];
+  const night = send(service, request({work, promptTokens: 50}));
+  const piece = await engine.stream(0);
+  t.like(piece.req.completion, {
+    maxTokens: 1,
+    input: {prompt: 'x'.repeat(40)},
+  });
+  piece.tokens('dropped');
+  piece.done();
+  const whole = await engine.stream(1);
+  t.like(whole.req, {completion: {input}, resume: undefined});
+  whole.tokens('night');
+  await pass(0);
+  whole.done();
+  t.like(await night.ended, {answer: {text: 'night'}});
+  t.deepEqual(
+    night.got.map(({kind}) => kind),
+    ['started', 'tokens', 'done'],
+  );
+});
+
 // A call-out that may run only once holds a slot when an online burst comes.
 // Cancelled and resumed, the engine would be handed it twice.
 test('what may run only once is not preempted', async t => {
--- a/packages/wire/src/lib/connection/link_connection.ts
+++ b/packages/wire/src/lib/connection/link_connection.ts
@@ -116,29 +116,26 @@
 
   private async connect(): Promise<void> {
     const attempt = ++this.attempts;
+    const channel = await this.openChannel();
+    if (attempt !== this.attempts) channel?.[Symbol.dispose]();
+    else if (channel) this.adopt(channel);
+    else this.step({type: 'failed'});
+  }
+
+  private async openChannel(): Promise<Channel | undefined> {
+    const {url, clock, tls} = this.options;
+    const connectTimeoutMs =
+      this.options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS;
+    const events = {
+      heard: (from: Channel) => this.onHeard(from),
+      broken: (from: Channel) => this.onBroken(from),
+    };
     try {
-      const channel = await Channel.connect(
-        {
-          url: this.options.url,
-          clock: this.options.clock,
-          connectTimeoutMs:
-            this.options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS,
-          tls: this.options.tls,
-        },
-        {
-          heard: from => this.onHeard(from),
-          broken: from => this.onBroken(from),
-        },
-      );
-      if (attempt !== this.attempts || this.closed) {
-        channel[Symbol.dispose]();
-        return;
-      }
-      this.adopt(channel);
-    } catch {
-      if (attempt === this.attempts && !this.closed) {
-        this.step({type: 'failed'});
-      }
+      const options = {url, clock, tls, connectTimeoutMs};
+      return await Channel.connect(options, events);
+    } catch (err) {
+      if (!(err instanceof LinkLostError)) throw err;
+      return undefined;
     }
   }
 
--- a/packages/wire/src/lib/version/target_config_schema.ts
+++ b/packages/wire/src/lib/version/target_config_schema.ts
@@ -1,10 +1,14 @@
-/** Schema of a target process's configuration. */
+/**
+ * Schema of a target process's configuration. What values make sense is checked
+ * where operators write them: a target process that refused a whole
+ * configuration for one of them would be stuck at an old one.
+ */
 import type {BatchPolicy, PoolConfig, TargetConfig} from '@oathead/core';
 import {z} from 'zod';
 
 const BATCH_POLICY_SCHEMA = z.object({
-  throughputWeight: z.number().min(0).max(1),
-  maxHarm: z.number().min(1),
+  throughputWeight: z.number(),
+  maxHarm: z.number().nonnegative(),
 }) satisfies z.ZodType<BatchPolicy>;
 
 const POOL_CONFIG_SCHEMA = z.object({
@@ -12,8 +16,8 @@
   kind: z.enum(['model', 'service']),
   version: z.string().optional(),
   batch: BATCH_POLICY_SCHEMA,
-  firstTokenMs: z.number().positive(),
-  betweenTokensMs: z.number().positive(),
+  firstTokenMs: z.number().nonnegative(),
+  betweenTokensMs: z.number().nonnegative(),
   maxOnline: z.int().nonnegative(),
 }) satisfies z.ZodType<PoolConfig>;
 
