--- a/packages/batch/src/lib/process/batch_worker.ts
+++ b/packages/batch/src/lib/process/batch_worker.ts
@@ -21,6 +21,12 @@
 
 const DRAIN_STEP_MS = 50;
 
+/** The part of a stop that is left to items; the rest is for recording. */
+const DRAIN_SHARE = 0.6;
+
+/** Items that end together are followed up together. */
+const PUMP_DELAY_MS = 2;
+
 /** Works off the chunks of the shares that this entry holds. */
 export class BatchWorker implements Disposable {
   /** The jobs that have not ended. */
@@ -33,7 +39,7 @@
   private readonly runs: ItemRuns;
   private readonly starter: ItemStarter;
   private readonly sweep: CancelSweep;
-  private pumping = false;
+  private pumpDue = false;
 
   /**
    * @param deps - Stores, clock, randomness and counters.
@@ -48,14 +54,14 @@
     runner: ItemRunner,
   ) {
     const {chunks} = this;
-    const board = new JobBoard(deps, membership, (path, job) =>
-      this.onJob(path, job),
-    );
-    const contact = new StoreContact(deps, membership);
+    const contact = new StoreContact(deps);
+    const board = new JobBoard(deps, membership, {
+      changed: (path, job) => this.onJob(path, job),
+      current: () => contact.noteCurrent(),
+    });
     const loader = new ChunkLoader(deps, membership);
     const parts = {settings, membership, runner, chunks, board, loader};
     this.board = this.store.add(board);
-    this.store.add(contact);
     this.loader = loader;
     this.keeper = new ChunkKeeper({
       ...deps,
@@ -84,7 +90,10 @@
     this.keeper.stop();
     const end = new AbortController();
     await Promise.race([
-      this.drain(this.chunks.filter(() => true)),
+      this.drain(
+        this.chunks.filter(() => true),
+        Math.min(this.settings.drainMs, timeoutMs * DRAIN_SHARE),
+      ),
       sleep(this.deps.clock, timeoutMs, end.signal),
     ]);
     end.abort();
@@ -97,15 +106,21 @@
   }
 
   private listen(membership: Membership, runner: ItemRunner): void {
+    // At once: nothing may be done under a share that has gone, or has come
+    // back with another epoch.
     const onHeldChange = () => {
       this.loader.reset();
+      this.keeper.dropForeign();
       this.pump();
     };
     this.store.add(membership.onTaken(onHeldChange));
     this.store.add(membership.onLost(onHeldChange));
     this.store.add(
       membership.onHandOver(({share}) =>
-        this.drain(this.chunks.filter(({place}) => place.share === share)),
+        this.drain(
+          this.chunks.filter(({place}) => place.share === share),
+          this.settings.drainMs,
+        ),
       ),
     );
     this.store.add(runner.onRoom(() => this.pump()));
@@ -115,15 +130,21 @@
     onHeldChange();
   }
 
-  /** Looks at everything once, and does what can be done now. */
   private pump(): void {
-    if (this.pumping || this.store.disposed) return;
-    this.pumping = true;
+    if (this.pumpDue || this.store.disposed) return;
+    this.pumpDue = true;
+    this.deps.clock.after(PUMP_DELAY_MS, () => {
+      this.pumpDue = false;
+      if (!this.store.disposed) this.work();
+    });
+  }
+
+  /** Looks at everything once, and does what can be done now. */
+  private work(): void {
     this.keeper.dropForeign();
     this.starter.startAll();
     this.keeper.takeUp();
     this.sweepCancelled();
-    this.pumping = false;
   }
 
   private onJob(path: string, job: OpenJob | undefined): void {
@@ -159,10 +180,17 @@
     }
   }
 
-  private async drain(chunks: readonly ChunkWork[]): Promise<void> {
+  /**
+   * Finishes chunks: what runs may end, what may be repeated is given back after
+   * a while, what may not is waited for.
+   */
+  private async drain(
+    chunks: readonly ChunkWork[],
+    drainMs: number,
+  ): Promise<void> {
     for (const chunk of chunks) chunk.draining = true;
     const {clock} = this.deps;
-    const deadline = clock.now() + this.settings.drainMs;
+    const deadline = clock.now() + drainMs;
     const busy = () =>
       chunks.some(
         ({running, dropped}) => running.size > 0 && !dropped.signal.aborted,
