Keep the names by which entries share limits

Change: the names and the share of concurrent requests are back; shares of rates still follow what is asked.

--- a/packages/bench/src/lib/process/limit_error.ts
+++ b/packages/bench/src/lib/process/limit_error.ts
@@ -3,7 +3,7 @@
  * each other seconds late, or not at all.
  */
 import {CallerLimits, seededRandom} from '@oathead/core';
-import type {CallerDemand, LimitSpec, Random} from '@oathead/core';
+import type {CallerUse, LimitSpec, Random} from '@oathead/core';
 
 /** How requests spread over entries. */
 export type Spread = 'even' | 'skewed' | 'moving';
@@ -86,7 +86,7 @@
   const random = seededRandom(seed);
   const entries = Array.from({length: count}, () => new CallerLimits(count));
   for (const entry of entries) entry.declare(CALLER, SPEC, 0);
-  const news: {at: number; demands: readonly CallerDemand[]}[] = [];
+  const news: {at: number; uses: readonly CallerUse[]}[] = [];
   let asked = 0;
   let through = 0;
   let tellAt = TELL_PERIOD_MS;
@@ -99,10 +99,10 @@
     }
     if (!told || now < tellAt) continue;
     tellAt = now + TELL_PERIOD_MS;
-    const demands = entries.map(one => one.demand(now).get(CALLER)!);
-    news.push({at: now + TELL_LAG_MS, demands});
+    const uses = entries.map(one => one.use(now).get(CALLER)!);
+    news.push({at: now + TELL_LAG_MS, uses});
     while (news.length > 0 && news[0]!.at <= now) {
-      spreadNews(entries, news.shift()!.demands, now);
+      spreadNews(entries, news.shift()!.uses, now);
     }
   }
   return {passed: through, asked};
@@ -110,12 +110,12 @@
 
 function spreadNews(
   entries: readonly CallerLimits[],
-  demands: readonly CallerDemand[],
+  uses: readonly CallerUse[],
   now: number,
 ): void {
-  const all = demands.reduce((sum, {requests}) => sum + requests, 0);
+  const all = uses.reduce((sum, {requests}) => sum + requests, 0);
   for (const [at, entry] of entries.entries()) {
-    const requests = all - demands[at]!.requests;
-    entry.learn(CALLER, {requests, tokens: 0}, now);
+    const requests = all - uses[at]!.requests;
+    entry.learn(CALLER, {requests, tokens: 0, concurrent: 0}, now);
   }
 }
--- a/packages/core/src/lib/process/caller_limits.ts
+++ b/packages/core/src/lib/process/caller_limits.ts
@@ -19,10 +19,14 @@
 const MIN_BURST = 3;
 const DEMAND_SMOOTHING_MS = 5_000;
 
-/** What one caller asked of one entry, refused or not, per second. */
-export interface CallerDemand {
+/** What one caller asks of one entry; refused requests count as well. */
+export interface CallerUse {
+  /** A second. */
   readonly requests: number;
+  /** A second. */
   readonly tokens: number;
+  /** Running now. */
+  readonly concurrent: number;
 }
 
 /** The rates that are limited by token buckets. */
@@ -40,6 +44,7 @@
   concurrent: number;
   updatedAt: number;
   share: number;
+  concurrentShare: number;
 }
 
 /** The limits of all callers at one entry. */
@@ -76,6 +81,7 @@
       concurrent: 0,
       updatedAt: now,
       share,
+      concurrentShare: share,
     });
   }
 
@@ -88,6 +94,7 @@
   setEntryCount(count: number): void {
     for (const state of this.byCaller.values()) {
       state.share *= this.entryCount / count;
+      state.concurrentShare *= this.entryCount / count;
     }
     this.entryCount = count;
   }
@@ -108,7 +115,7 @@
     const {requests, tokens: tokenBucket} = state.buckets;
     requests.asked += 1;
     tokenBucket.asked += tokens;
-    const most = state.spec.concurrent * state.share;
+    const most = state.spec.concurrent * state.concurrentShare;
     if (state.concurrent >= Math.max(1, Math.round(most))) {
       return limited('Too many requests at once.', MS_PER_SECOND);
     }
@@ -155,37 +162,44 @@
    * @param now - Milliseconds.
    * @returns What limited callers asked of this entry lately.
    */
-  demand(now: number): ReadonlyMap<string, CallerDemand> {
-    const demands = new Map<string, CallerDemand>();
+  use(now: number): ReadonlyMap<string, CallerUse> {
+    const uses = new Map<string, CallerUse>();
     const perSecond = MS_PER_SECOND / DEMAND_SMOOTHING_MS;
     for (const [caller, state] of this.byCaller) {
       this.refill(state, now);
       const {requests, tokens} = state.buckets;
-      demands.set(caller, {
+      uses.set(caller, {
         requests: requests.asked * perSecond,
         tokens: tokens.asked * perSecond,
+        concurrent: state.concurrent,
       });
     }
-    return demands;
+    return uses;
   }
 
   /**
-   * Takes what a caller asked of all other entries together, some time ago.
+   * Takes what a caller asks of all other entries together, as of some time ago.
    *
    * @param caller - The caller.
    * @param others - The sum over the other entries.
    * @param now - Milliseconds.
    */
-  learn(caller: string, others: CallerDemand, now: number): void {
+  learn(caller: string, others: CallerUse, now: number): void {
     const state = this.byCaller.get(caller);
     if (state === undefined) return;
     this.refill(state, now);
     const perSecond = MS_PER_SECOND / DEMAND_SMOOTHING_MS;
     const own = state.buckets.requests.asked * perSecond;
+    state.share = this.shareOf(own, others.requests);
+    state.concurrentShare = this.shareOf(state.concurrent, others.concurrent);
+  }
+
+  /** An equal part for everyone, the rest by use. */
+  private shareOf(own: number, others: number): number {
     const equal = 1 / this.entryCount;
-    const all = own + others.requests;
-    const byDemand = all > 0 ? own / all : equal;
-    state.share = EQUAL_PART * equal + (1 - EQUAL_PART) * byDemand;
+    const all = own + others;
+    const byUse = all > 0 ? own / all : equal;
+    return EQUAL_PART * equal + (1 - EQUAL_PART) * byUse;
   }
 
   private refill(state: CallerState, now: number): void {
--- a/packages/core/src/test/process/caller_limits_test.ts
+++ b/packages/core/src/test/process/caller_limits_test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import {CallerLimits} from '../../lib/process/caller_limits.js';
-import type {CallerDemand} from '../../lib/process/caller_limits.js';
+import type {CallerUse} from '../../lib/process/caller_limits.js';
 import type {LimitSpec} from '../../lib/version/resource.js';
 
 const SPEC: LimitSpec = {
@@ -39,7 +39,7 @@
   const entries = [new CallerLimits(2), new CallerLimits(2)];
   const passed = [0, 0];
   for (const entry of entries) entry.declare('bank-a', SPEC, 0);
-  let told: readonly CallerDemand[] = [];
+  let told: readonly CallerUse[] = [];
   for (let now = 0; now < 60_000; now += 20) {
     const busy = entries[0]!;
     if (busy.begin('bank-a', 1, now) === undefined) {
@@ -51,7 +51,7 @@
       const others = told[1 - at];
       if (others !== undefined) entry.learn('bank-a', others, now);
     }
-    told = entries.map(entry => entry.demand(now).get('bank-a')!);
+    told = entries.map(entry => entry.use(now).get('bank-a')!);
   }
   const rate = passed[0]! / 60;
   t.true(rate > 9 && rate < 10.5, `${rate} a second of 10`);
