--- a/packages/bench/src/lib/process/engine_target.ts
+++ b/packages/bench/src/lib/process/engine_target.ts
@@ -66,6 +66,7 @@
   private readonly insides = new Map<string, Inside>();
   private sequence = 0;
   private steps = 0;
+  private stepEnd = Number.POSITIVE_INFINITY;
   private nextLoadAt = 0;
 
   private readonly onEvent: Handlers = {
@@ -167,9 +168,10 @@
   /** @param now - When the engine's step ends, or has something to tell. */
   advance(now: number): void {
     const events = this.model.advance(now);
-    // What only tells that requests were admitted is no end of a step.
-    const onlyAdmitted = events.every(({kind}) => kind === 'admitted');
-    if (events.length === 0 || !onlyAdmitted) this.steps += 1;
+    // The engine is also read between steps; then the step ends when it did.
+    const stepEnd = this.nextAt();
+    if (stepEnd !== this.stepEnd) this.steps += 1;
+    this.stepEnd = stepEnd;
     for (const event of events) this.handle(event);
   }
 
