--- a/packages/target/src/lib/request/run_followers.ts
+++ b/packages/target/src/lib/request/run_followers.ts
@@ -1,6 +1,6 @@
 /** Those who follow runs, and what happens when they leave. */
-import {LinkLostError} from '@oathead/core';
-import type {Clock, ServeEvent} from '@oathead/core';
+import {LinkLostError, isFinal} from '@oathead/core';
+import type {Clock, ServeEvent, ServeOutcome} from '@oathead/core';
 import {followRun} from './follow_run.js';
 import type {RunPosition} from './follow_run.js';
 import type {TargetRun} from './target_run.js';
@@ -57,6 +57,30 @@
     }
   }
 
+  /**
+   * Waits for the end of a run, without a say in whether it goes on.
+   *
+   * @param run - The run.
+   * @param signal - Ends the wait.
+   * @returns How it ended; undefined when the wait ended first.
+   */
+  async outcomeOf(
+    run: TargetRun,
+    signal: AbortSignal,
+  ): Promise<ServeOutcome | undefined> {
+    // Leaving counts as a broken connection, not as a caller that has gone.
+    const asking = new AbortController();
+    const reason = new LinkLostError('asked for long enough');
+    const leave = () => asking.abort(reason);
+    if (signal.aborted) leave();
+    else signal.addEventListener('abort', leave, {once: true});
+    const from = {startedSeen: true, tokensSeen: 0, stream: false};
+    for await (const event of this.follow(run, from, asking.signal)) {
+      if (isFinal(event)) return event;
+    }
+    return undefined;
+  }
+
   /**
    * Guards against work for nobody, and against an answer lost with its
    * connection: a caller that has gone ends the run, a broken connection only
