--- a/packages/target/src/lib/process/target_service.ts
+++ b/packages/target/src/lib/process/target_service.ts
@@ -1,12 +1,5 @@
 /** The only way into the engine or plain services beside this process. */
-import {
-  LinkLostError,
-  isFinal,
-  mayHaveRun,
-  notRun,
-  sleep,
-  workFingerprint,
-} from '@oathead/core';
+import {mayHaveRun, notRun, sleep, workFingerprint} from '@oathead/core';
 import type {
   Heartbeat,
   HeartbeatReply,
@@ -208,17 +201,8 @@
   ): Promise<RecalledOutcome | undefined> {
     const run = this.memory.byKey(dedupeKey);
     if (!run) return undefined;
-    const asking = withoutCancel(signal);
-    const from = {
-      startedSeen: true,
-      tokensSeen: run.req.resume?.tokens ?? 0,
-      stream: false,
-    };
-    for await (const event of this.followers.follow(run, from, asking)) {
-      if (!isFinal(event)) continue;
-      return {work: workFingerprint(run.req.work), outcome: event};
-    }
-    return undefined;
+    const outcome = await this.followers.outcomeOf(run, signal);
+    return outcome && {work: workFingerprint(run.req.work), outcome};
   }
 
   /** {@inheritDoc ReportingLink.cachedPrefixes} */
@@ -322,15 +306,3 @@
   if (same) return undefined;
   return notRun('key-conflict', 'the key was used for another request');
 }
-
-/**
- * Who asked only for the end of a run has no say in whether it goes on: its
- * leaving counts as a broken connection, not as a caller that has gone.
- */
-function withoutCancel(signal: AbortSignal): AbortSignal {
-  const asking = new AbortController();
-  const leave = () => asking.abort(new LinkLostError('asked for long enough'));
-  if (signal.aborted) leave();
-  else signal.addEventListener('abort', leave, {once: true});
-  return asking.signal;
-}
