Wire the configuration's leader, gossip and fences into the entry

Cause: a change accepted just before an outage did not spread, rollouts had no leader, restarted targets that ignore fences refused all orders, every entry asked every other, and each heartbeat left a listener on its signal. Change: control composes cache, store, watch, status and the leader of rollouts; committed changes are offered to peers; a new boot of a target is told the current token; an entry asks the same eight peers; queries have signals of their own. Before: a heartbeat's signal held one listener more each time; after: none.

--- a/packages/entry/src/lib/connection/peer_link.ts
+++ b/packages/entry/src/lib/connection/peer_link.ts
@@ -6,19 +6,19 @@
 import {createTRPCClient, createWSClient, wsLink} from '@trpc/client';
 import type {TRPCClient} from '@trpc/client';
 import {WebSocket} from 'ws';
-import type {DemandReport, DemandReports} from '../process/limit_gate.js';
-import type {ForwardedCall, PeerRouter} from './peer_router.js';
+import type {UseReport, UseReports} from '../process/limit_gate.js';
+import type {ConfigQuestion, ForwardedCall, PeerRouter} from './peer_router.js';
 
 /** Ways to ask one other entry. */
 export interface PeerLink extends Disposable {
   /** @throws LinkLostError */
   serve(call: ForwardedCall, signal: AbortSignal): AsyncIterable<ServeEvent>;
   /** @throws LinkLostError */
-  configSince(since: number): Promise<ConfigDelta | undefined>;
+  configSince(question: ConfigQuestion): Promise<ConfigDelta | undefined>;
   /** @throws LinkLostError */
   findOutcome(dedupeKey: string): Promise<ServeOutcome | undefined>;
   /** @throws LinkLostError */
-  reportDemand(reports: DemandReports): Promise<readonly DemandReport[]>;
+  reportUse(reports: UseReports): Promise<readonly UseReport[]>;
 }
 
 /** How to open a link to another entry. */
@@ -48,17 +48,17 @@
     yield* this.channel().subscribe(call, signal);
   }
 
-  configSince(since: number): Promise<ConfigDelta | undefined> {
-    return this.channel().ask(api => api.configSince.query(since));
+  configSince(question: ConfigQuestion): Promise<ConfigDelta | undefined> {
+    return this.channel().ask(api => api.configSince.query(question));
   }
 
   findOutcome(dedupeKey: string): Promise<ServeOutcome | undefined> {
     return this.channel().ask(api => api.findOutcome.query(dedupeKey));
   }
 
-  reportDemand(reports: DemandReports): Promise<readonly DemandReport[]> {
+  reportUse(reports: UseReports): Promise<readonly UseReport[]> {
     const input = {...reports, reports: [...reports.reports]};
-    return this.channel().ask(api => api.reportDemand.mutate(input));
+    return this.channel().ask(api => api.reportUse.mutate(input));
   }
 
   [Symbol.dispose](): void {
--- a/packages/entry/src/lib/connection/peer_router.ts
+++ b/packages/entry/src/lib/connection/peer_router.ts
@@ -4,7 +4,7 @@
 import type {ConfigDelta} from '@oathead/config';
 import type {ServeEvent, ServeOutcome} from '@oathead/core';
 import {WORK_SCHEMA} from '@oathead/wire';
-import type {DemandReport, DemandReports} from '../process/limit_gate.js';
+import type {UseReport, UseReports} from '../process/limit_gate.js';
 
 /** A keyed request on its way to its home. */
 export const FORWARDED_CALL = z.object({
@@ -22,25 +22,38 @@
 /** A keyed request on its way to its home. */
 export type ForwardedCall = z.infer<typeof FORWARDED_CALL>;
 
-const DEMAND_REPORTS = z.object({
+const CONFIG_QUESTION = z.object({
+  entryId: z.string(),
+  /** The revision that the asking entry serves by; -1 for none. */
+  since: z.int(),
+});
+
+/** A question for what an entry knows of the configuration. */
+export type ConfigQuestion = z.infer<typeof CONFIG_QUESTION>;
+
+const USE_REPORTS = z.object({
   entryId: z.string(),
   reports: z.array(
     z.object({
       caller: z.string(),
-      demand: z.object({requests: z.number(), tokens: z.number()}),
+      use: z.object({
+        requests: z.number(),
+        tokens: z.number(),
+        concurrent: z.number(),
+      }),
     }),
   ),
-}) satisfies z.ZodType<DemandReports>;
+}) satisfies z.ZodType<UseReports>;
 
 /** What one entry answers to others. */
 export interface PeerHandler {
   serve(call: ForwardedCall, signal: AbortSignal): AsyncIterable<ServeEvent>;
-  /** @returns What this entry knows of the configuration beyond `since`. */
-  configSince(since: number): ConfigDelta | undefined;
+  /** @returns What this entry knows of the configuration beyond that. */
+  configSince(question: ConfigQuestion): ConfigDelta | undefined;
   /** @returns The kept outcome of a key whose home this entry is. */
   findOutcome(dedupeKey: string): Promise<ServeOutcome | undefined>;
   /** @returns What the same callers ask of all other entries. */
-  reportDemand(reports: DemandReports): readonly DemandReport[];
+  reportUse(reports: UseReports): readonly UseReport[];
 }
 
 /** What each call gets. */
@@ -60,14 +73,14 @@
     yield* ctx.handler.serve(input, signal!);
   }),
   configSince: t.procedure
-    .input(z.int())
+    .input(CONFIG_QUESTION)
     .query(({input, ctx}) => ctx.handler.configSince(input)),
   findOutcome: t.procedure
     .input(z.string())
     .query(({input, ctx}) => ctx.handler.findOutcome(input)),
-  reportDemand: t.procedure
-    .input(DEMAND_REPORTS)
-    .mutation(({input, ctx}) => ctx.handler.reportDemand(input)),
+  reportUse: t.procedure
+    .input(USE_REPORTS)
+    .mutation(({input, ctx}) => ctx.handler.reportUse(input)),
 });
 
 /** The type of {@link peerRouter}, for clients. */
--- a/packages/entry/src/lib/connection/peers.ts
+++ b/packages/entry/src/lib/connection/peers.ts
@@ -1,13 +1,16 @@
 /** The other entries of the fleet, reached when there is something to ask. */
-import {LinkLostError} from '@oathead/core';
+import {LinkLostError, rendezvous} from '@oathead/core';
 import type {Clock, ServeEvent, ServeOutcome} from '@oathead/core';
 import type {ConfigDelta, ConfigPeers} from '@oathead/config';
 import type {Membership, Peer} from '@oathead/membership';
-import type {DemandReport, DemandReports} from '../process/limit_gate.js';
+import type {UseReport, UseReports} from '../process/limit_gate.js';
 import type {KeyedCall} from '../request/keyed_requests.js';
 import type {PeerLinks} from '../request/online_service.js';
 import type {PeerLink} from './peer_link.js';
 
+/** Entries that an entry asks for the configuration. */
+const ASKED_PEERS = 8;
+
 /** Opens a link to another entry. */
 export type PeerLinkTo = (peer: Peer) => PeerLink;
 
@@ -61,22 +64,25 @@
   }
 
   /** @throws LinkLostError */
-  reportDemand(
-    peer: Peer,
-    reports: DemandReports,
-  ): Promise<readonly DemandReport[]> {
-    return this.link(peer).reportDemand(reports);
+  reportUse(peer: Peer, reports: UseReports): Promise<readonly UseReport[]> {
+    return this.link(peer).reportUse(reports);
   }
 
+  /**
+   * The entries that this one asks for the configuration: always the same few,
+   * so that connections do not grow with the square of the fleet.
+   */
   ids(): readonly string[] {
-    return this.others().map(({entryId}) => entryId);
+    const ids = this.others().map(({entryId}) => entryId);
+    return rendezvous(this.membership.entryId, ids).slice(0, ASKED_PEERS);
   }
 
   async ask(id: string, since: number): Promise<ConfigDelta | undefined> {
     const peer = this.others().find(({entryId}) => entryId === id);
     if (!peer) return undefined;
     try {
-      return await this.link(peer).configSince(since);
+      const {entryId} = this.membership;
+      return await this.link(peer).configSince({entryId, since});
     } catch (err) {
       if (err instanceof LinkLostError) return undefined;
       throw err;
--- a/packages/entry/src/lib/connection/target_connection.ts
+++ b/packages/entry/src/lib/connection/target_connection.ts
@@ -10,6 +10,7 @@
 import type {
   Clock,
   Counters,
+  Heartbeat,
   HeartbeatReply,
   LoadReport,
   TargetConfig,
@@ -35,6 +36,8 @@
   readonly leaving: () => boolean;
   readonly onReport: (report: LoadReport) => void;
   readonly onState: (state: TargetState) => void;
+  /** Reads the token of the current holder of orders; undefined: not now. */
+  readonly readOrderFence: () => Promise<number | undefined>;
   /** The target process has started anew. */
   readonly onRestart: () => void;
 }
@@ -46,6 +49,7 @@
   private state = initialTargetState();
   private bootId: string | undefined;
   private knownRevision = 0;
+  private orderFence: Heartbeat['orderFence'];
   private report: LoadReport | undefined;
 
   /** @param options - What the connection needs. */
@@ -96,6 +100,7 @@
           entryId: this.options.entryId,
           cfgRevision,
           ...(stale ? {cfg} : {}),
+          ...(this.orderFence ? {orderFence: this.orderFence} : {}),
         },
         this.stop.signal,
       );
@@ -116,10 +121,21 @@
       this.report = undefined;
     }
     this.bootId = bootId;
+    if (this.orderFence?.bootId !== bootId) void this.learnOrderFence(bootId);
     this.step({type: 'replied'});
     this.take(load);
   }
 
+  /**
+   * A target process that starts anew has forgotten whose orders it has seen.
+   * It is told the current token, read after its start was known, so that the
+   * order of an earlier holder is refused from then on.
+   */
+  private async learnOrderFence(bootId: string): Promise<void> {
+    const token = await this.options.readOrderFence();
+    if (token !== undefined) this.orderFence = {token, bootId};
+  }
+
   /** Reports are pushed on change; between them heartbeats bring the load. */
   private async followReports(): Promise<void> {
     const {clock, heartbeatMs, link} = this.options;
--- a/packages/entry/src/lib/connection/target_fleet.ts
+++ b/packages/entry/src/lib/connection/target_fleet.ts
@@ -1,6 +1,7 @@
 /** The targets of an entry, kept as declared, listed and heard of. */
 import {
   DisposableStore,
+  LinkLostError,
   TARGET_TRAFFIC,
   TargetChooser,
   rendezvous,
@@ -13,15 +14,17 @@
   ConfigView,
   Counters,
   LoadReport,
+  Order,
+  OrderOutcome,
   Random,
   Resource,
   ServeOutcome,
   TargetState,
 } from '@oathead/core';
-import {targetConfigFor} from '@oathead/config';
+import {readOrderFence, targetConfigFor} from '@oathead/config';
 import type {StatusBoard} from '@oathead/config';
 import type {Membership} from '@oathead/membership';
-import type {HostList} from '@oathead/platform';
+import type {HostList, TableStore} from '@oathead/platform';
 import type {ReportingLink} from '@oathead/wire';
 import type {Attempt, Fleet, TargetQuery} from './fleet.js';
 import {TargetConnection} from './target_connection.js';
@@ -43,6 +46,8 @@
   ) => ReportingLink & Disposable;
   /** Fingerprints of work that must not run. */
   readonly blocked: () => readonly string[];
+  /** Where the token of the current holder of orders is read. */
+  readonly table: TableStore;
   /** Told what is heard of targets. */
   readonly board: StatusBoard;
   readonly settings: FleetSettings;
@@ -150,6 +155,24 @@
     return [...this.connections.values()].map(({link}) => link);
   }
 
+  /**
+   * Sends an order to a target of this entry.
+   *
+   * @returns Its outcome; undefined when it is not known.
+   */
+  async order(
+    targetId: string,
+    order: Order,
+    signal: AbortSignal,
+  ): Promise<OrderOutcome | undefined> {
+    try {
+      return await this.connections.get(targetId)?.link.order(order, signal);
+    } catch (err) {
+      if (err instanceof LinkLostError) return undefined;
+      throw err;
+    }
+  }
+
   /** Whether a target that serves the pool is known to be ready. */
   serves(pool: string): boolean {
     return this.views().some(({report}) =>
@@ -271,10 +294,16 @@
         chooser.allow(targetId, TARGET_TRAFFIC[state].takesNew);
         if (state === 'suspected') options.board.lostTarget(targetId);
       },
+      readOrderFence: () => this.readOrderFence(),
       onRestart: () => chooser.forget(targetId),
     });
   }
 
+  private async readOrderFence(): Promise<number | undefined> {
+    const token = await readOrderFence(this.options.table);
+    return token.ok ? token.value : undefined;
+  }
+
   private isLeaving(targetId: string): boolean {
     const target = this.options.cfg.current().get('targets', targetId);
     return (target?.spec.leaving ?? true) || this.listedLeaving.has(targetId);
--- a/packages/entry/src/lib/process/entry.ts
+++ b/packages/entry/src/lib/process/entry.ts
@@ -1,13 +1,6 @@
 /** One entry: everything between callers and target processes, composed. */
 import {BatchJobs} from '@oathead/batch';
 import type {BatchSettings} from '@oathead/batch';
-import {
-  ConfigCache,
-  ConfigStore,
-  ResourceApi,
-  StatusBoard,
-  Watch,
-} from '@oathead/config';
 import type {ConfigDelta, StatusReport} from '@oathead/config';
 import {
   DisposableStore,
@@ -22,12 +15,16 @@
   ServeEvent,
   ServeOutcome,
 } from '@oathead/core';
-import {HEAD_ROW, LeasedMembership} from '@oathead/membership';
+import {LeasedMembership} from '@oathead/membership';
 import type {MembershipSettings} from '@oathead/membership';
 import type {Platform} from '@oathead/platform';
 import type {ReportingLink} from '@oathead/wire';
 import type {Tracer} from '@opentelemetry/api';
-import type {ForwardedCall, PeerHandler} from '../connection/peer_router.js';
+import type {
+  ConfigQuestion,
+  ForwardedCall,
+  PeerHandler,
+} from '../connection/peer_router.js';
 import {Peers} from '../connection/peers.js';
 import type {PeerLinkTo} from '../connection/peers.js';
 import {TargetFleet} from '../connection/target_fleet.js';
@@ -48,9 +45,10 @@
 import {AnswerStore} from './answer_store.js';
 import type {AnswerStoreSettings} from './answer_store.js';
 import {ClaimStore} from './claim_store.js';
+import {Control} from './control.js';
 import {KeyAuthenticator} from './key_authenticator.js';
 import {LimitGate} from './limit_gate.js';
-import type {DemandReport, DemandReports} from './limit_gate.js';
+import type {UseReport, UseReports} from './limit_gate.js';
 import {SharedSuspects} from './shared_suspects.js';
 
 /** What an entry is made of. */
@@ -89,8 +87,7 @@
   readonly router: Router;
   private readonly held = new DisposableStore();
   private readonly membership: LeasedMembership;
-  private readonly cache: ConfigCache;
-  private readonly board: StatusBoard;
+  private readonly control: Control;
   private readonly fleet: TargetFleet;
   private readonly peers: Peers;
   private readonly answers: AnswerStore;
@@ -113,8 +110,20 @@
     this.peers = this.held.add(
       new Peers(clock, this.membership, parts.peerLinkTo),
     );
-    this.cache = this.held.add(this.createCache());
-    this.board = new StatusBoard(clock, this.cache);
+    this.control = this.held.add(
+      new Control({
+        clock,
+        random,
+        counters,
+        platform,
+        membership: this.membership,
+        peers: this.peers,
+        orders: {
+          send: (target, order, signal) =>
+            this.fleet.order(target, order, signal),
+        },
+      }),
+    );
     this.suspects = this.held.add(
       new SharedSuspects({...base, membership: this.membership}),
     );
@@ -143,9 +152,9 @@
     this.limits = this.held.add(
       new LimitGate({
         clock,
-        cfg: this.cache,
+        cfg: this.control.cache,
         membership,
-        tell: (peer, reports) => this.peers.reportDemand(peer, reports),
+        tell: (peer, reports) => this.peers.reportUse(peer, reports),
       }),
     );
     const runner = new BatchRunner({
@@ -164,12 +173,12 @@
   /** Joins the fleet and loads the configuration. */
   async start(): Promise<void> {
     this.membership.start();
-    await this.cache.start();
+    await this.control.start();
   }
 
   /** Whether callers can be served. */
   get ready(): boolean {
-    return this.cache.ready && !this.stopping;
+    return this.control.cache.ready && !this.stopping;
   }
 
   /**
@@ -192,9 +201,7 @@
 
   /** @returns What `GET /v1/status` tells. */
   async status(): Promise<StatusReport> {
-    const {entryId} = this.membership;
-    this.board.heardEntry(entryId, this.cache.current().revision);
-    return this.board.report([]);
+    return this.control.status();
   }
 
   async *serve(
@@ -208,15 +215,16 @@
     );
   }
 
-  configSince(since: number): ConfigDelta | undefined {
-    return this.cache.delta(since);
+  configSince({entryId, since}: ConfigQuestion): ConfigDelta | undefined {
+    this.control.board.heardEntry(entryId, Math.max(0, since));
+    return this.control.cache.delta(since);
   }
 
   async findOutcome(dedupeKey: string): Promise<ServeOutcome | undefined> {
     return this.keyed.find(dedupeKey);
   }
 
-  reportDemand(reports: DemandReports): readonly DemandReport[] {
+  reportUse(reports: UseReports): readonly UseReport[] {
     return this.limits.heard(reports);
   }
 
@@ -306,19 +314,6 @@
     await Promise.allSettled(releases);
   }
 
-  private createCache(): ConfigCache {
-    const {clock, random, counters, platform} = this.parts;
-    return new ConfigCache({
-      store: platform.table,
-      headRow: HEAD_ROW,
-      head: this.membership,
-      peers: this.peers,
-      clock,
-      random,
-      counters,
-    });
-  }
-
   private createFleet(): TargetFleet {
     const {clock, random, counters, platform, settings} = this.parts;
     return new TargetFleet({
@@ -327,12 +322,13 @@
       clock,
       random,
       counters,
-      cfg: this.cache,
+      cfg: this.control.cache,
       membership: this.membership,
       hosts: platform.hosts,
       linkTo: this.parts.linkTo,
       blocked: () => this.suspects.blocked,
-      board: this.board,
+      table: platform.table,
+      board: this.control.board,
       settings: settings.fleet,
     });
   }
@@ -351,8 +347,8 @@
   }
 
   private createRouter(): Router {
-    const {clock, random, counters, platform, settings} = this.parts;
-    const {cache} = this;
+    const {clock, random, counters, settings} = this.parts;
+    const {cache, api} = this.control;
     const options = {
       clock,
       random,
@@ -361,15 +357,6 @@
       maxDeadlineMs: settings.maxDeadlineMs,
       serve: this.serveOnline(),
     };
-    const store = new ConfigStore({
-      store: platform.table,
-      headRow: HEAD_ROW,
-      clock,
-      random,
-      counters,
-    });
-    const watch = new Watch(cache, clock);
-    const api = new ResourceApi({store, cache, watch, board: this.board});
     const routes = [
       ...completionRoutes(options),
       ...serviceRoutes(options),
--- a/packages/entry/src/lib/process/limit_gate.ts
+++ b/packages/entry/src/lib/process/limit_gate.ts
@@ -12,7 +12,7 @@
   repeat,
 } from '@oathead/core';
 import type {
-  CallerDemand,
+  CallerUse,
   Clock,
   ConfigSnapshot,
   ConfigView,
@@ -23,15 +23,15 @@
 import type {Serve, ServeCall} from '../request/online_call.js';
 
 /** What one caller asks of one entry, or of several. */
-export interface DemandReport {
+export interface UseReport {
   readonly caller: string;
-  readonly demand: CallerDemand;
+  readonly use: CallerUse;
 }
 
 /** What one entry tells the home of some callers. */
-export interface DemandReports {
+export interface UseReports {
   readonly entryId: string;
-  readonly reports: readonly DemandReport[];
+  readonly reports: readonly UseReport[];
 }
 
 /** What the limits need. */
@@ -46,17 +46,17 @@
    */
   readonly tell: (
     peer: Peer,
-    reports: DemandReports,
-  ) => Promise<readonly DemandReport[]>;
+    reports: UseReports,
+  ) => Promise<readonly UseReport[]>;
 }
 
 const EXCHANGE_MS = 1000;
 /** A demand that was not told again for so long is over, in milliseconds. */
-const DEMAND_LASTS_MS = 5000;
-const NO_DEMAND: CallerDemand = {requests: 0, tokens: 0};
+const USE_LASTS_MS = 5000;
+const NO_USE: CallerUse = {requests: 0, tokens: 0, concurrent: 0};
 
-interface TimedDemand {
-  readonly demand: CallerDemand;
+interface TimedUse {
+  readonly use: CallerUse;
   readonly at: number;
 }
 
@@ -68,7 +68,7 @@
   /** Callers that came near their limits since the last exchange. */
   private readonly near = new Set<string>();
   /** As the home of callers: what is asked of each entry, by caller and entry. */
-  private readonly demands = new Map<string, Map<string, TimedDemand>>();
+  private readonly uses = new Map<string, Map<string, TimedUse>>();
 
   /** @param deps - Clock, configuration and the way to other entries. */
   constructor(private readonly deps: LimitGateDeps) {
@@ -97,14 +97,13 @@
    * @param reports - What is asked of that entry.
    * @returns The sum over all other entries.
    */
-  heard({entryId, reports}: DemandReports): readonly DemandReport[] {
+  heard({entryId, reports}: UseReports): readonly UseReport[] {
     const at = this.deps.clock.now();
-    return reports.map(({caller, demand}) => {
-      const byEntry =
-        this.demands.get(caller) ?? new Map<string, TimedDemand>();
-      byEntry.set(entryId, {demand, at});
-      this.demands.set(caller, byEntry);
-      return {caller, demand: sumOfOthers(byEntry, entryId, at)};
+    return reports.map(({caller, use}) => {
+      const byEntry = this.uses.get(caller) ?? new Map<string, TimedUse>();
+      byEntry.set(entryId, {use, at});
+      this.uses.set(caller, byEntry);
+      return {caller, use: sumOfOthers(byEntry, entryId, at)};
     });
   }
 
@@ -158,20 +157,20 @@
 
   private async exchangeWith(
     home: Peer,
-    reports: readonly DemandReport[],
+    reports: readonly UseReport[],
   ): Promise<void> {
     const {membership, clock} = this.deps;
     const told = {entryId: membership.entryId, reports};
     const others = await this.tell(home, told);
-    for (const {caller, demand} of others) {
-      this.limits.learn(caller, demand, clock.now());
+    for (const {caller, use} of others) {
+      this.limits.learn(caller, use, clock.now());
     }
   }
 
   private async tell(
     home: Peer,
-    told: DemandReports,
-  ): Promise<readonly DemandReport[]> {
+    told: UseReports,
+  ): Promise<readonly UseReport[]> {
     if (home.entryId === this.deps.membership.entryId) return this.heard(told);
     try {
       return await this.deps.tell(home, told);
@@ -182,41 +181,42 @@
     }
   }
 
-  private reportsByHome(): ReadonlyMap<Peer, readonly DemandReport[]> {
+  private reportsByHome(): ReadonlyMap<Peer, readonly UseReport[]> {
     const {membership, clock} = this.deps;
-    const demands = this.limits.demand(clock.now());
-    const byHome = new Map<Peer, DemandReport[]>();
+    const uses = this.limits.use(clock.now());
+    const byHome = new Map<Peer, UseReport[]>();
     for (const caller of this.near) {
       const home = membership.ownerOf(membership.shareOf(caller));
       if (!home) continue;
-      const report = {caller, demand: demands.get(caller) ?? NO_DEMAND};
+      const report = {caller, use: uses.get(caller) ?? NO_USE};
       byHome.set(home, [...(byHome.get(home) ?? []), report]);
     }
     return byHome;
   }
 
   private forgetOld(): void {
-    const oldest = this.deps.clock.now() - DEMAND_LASTS_MS;
-    for (const [caller, byEntry] of this.demands) {
+    const oldest = this.deps.clock.now() - USE_LASTS_MS;
+    for (const [caller, byEntry] of this.uses) {
       for (const [entryId, {at}] of byEntry) {
         if (at < oldest) byEntry.delete(entryId);
       }
-      if (byEntry.size === 0) this.demands.delete(caller);
+      if (byEntry.size === 0) this.uses.delete(caller);
     }
   }
 }
 
 function sumOfOthers(
-  byEntry: ReadonlyMap<string, TimedDemand>,
+  byEntry: ReadonlyMap<string, TimedUse>,
   entryId: string,
   now: number,
-): CallerDemand {
-  let sum = NO_DEMAND;
-  for (const [other, {demand, at}] of byEntry) {
-    if (other === entryId || now - at > DEMAND_LASTS_MS) continue;
+): CallerUse {
+  let sum = NO_USE;
+  for (const [other, {use, at}] of byEntry) {
+    if (other === entryId || now - at > USE_LASTS_MS) continue;
     sum = {
-      requests: sum.requests + demand.requests,
-      tokens: sum.tokens + demand.tokens,
+      requests: sum.requests + use.requests,
+      tokens: sum.tokens + use.tokens,
+      concurrent: sum.concurrent + use.concurrent,
     };
   }
   return sum;
--- a/packages/wire/src/lib/connection/trpc_target_link.ts
+++ b/packages/wire/src/lib/connection/trpc_target_link.ts
@@ -160,15 +160,24 @@
     }
   }
 
+  /**
+   * Guards against listeners that pile up: tRPC leaves one on the signal of
+   * each query, and the signal of a connection's heartbeats lives as long as
+   * the process. Each query gets a signal of its own.
+   */
   private async query<T>(query: Query<T>, signal: AbortSignal): Promise<T> {
     if (signal.aborted) throw new LinkLostError('given up');
-    const call = new QueryCall(query, signal);
+    const stop = new AbortController();
+    const onAbort = () => stop.abort();
+    signal.addEventListener('abort', onAbort, {once: true});
+    const call = new QueryCall(query, stop.signal);
     this.connection.begin(call);
     try {
       return await call.answer;
     } finally {
-      call.end();
+      signal.removeEventListener('abort', onAbort);
       this.connection.end(call);
+      call.end();
     }
   }
 }
--- a/packages/wire/src/test/connection/trpc_target_link_test.ts
+++ b/packages/wire/src/test/connection/trpc_target_link_test.ts
@@ -1,7 +1,7 @@
 import {LinkLostError} from '@oathead/core';
 import type {ServeEvent} from '@oathead/core';
 import test from 'ava';
-import {once} from 'node:events';
+import {getEventListeners, once} from 'node:events';
 import {
   ANSWER,
   LOAD,
@@ -54,6 +54,17 @@
   t.is(handler.calls.length, 0);
 });
 
+// Heartbeats go on for months under one signal. Each one left a listener on it,
+// and the process grew until it was restarted.
+test('a heartbeat leaves nothing behind on its signal', async t => {
+  const {link} = await startWire(t);
+  const {signal} = new AbortController();
+  for (let nth = 0; nth < 3; nth++) {
+    await link.heartbeat({entryId: 'e1', cfgRevision: nth}, signal);
+  }
+  t.is(getEventListeners(signal, 'abort').length, 0);
+});
+
 test('carries all other messages', async t => {
   const {handler, link} = await startWire(t);
   const heartbeat = {entryId: 'e1', cfgRevision: 3};
