Go on with the batch prompt that was begun

Cause: each piece put its request at the end of the queue, so prompts were begun and pushed out of the cache before they were whole. Change: the prompt of which most is cached gets the next piece.

--- a/packages/core/src/lib/process/engine_lane.ts
+++ b/packages/core/src/lib/process/engine_lane.ts
@@ -236,7 +236,10 @@
     if (tokens === 0) return;
     const longer = (request: AdmissionRequest) =>
       this.cache.left(request) > tokens;
-    const next = this.room.batch.take(longer, ({since}) => -since);
+    // What was begun goes on first: it is not cached for long.
+    const rank = ({request: {id}, since}: Queued) =>
+      this.cache.of(id) * MAX_SIZE - since;
+    const next = this.room.batch.take(longer, rank);
     if (next === undefined) return;
     const {request, since} = next;
     const {id} = request;
