--- a/packages/wire/src/lib/request/attachment.ts
+++ b/packages/wire/src/lib/request/attachment.ts
@@ -1,5 +1,6 @@
 /** How a link asks about a request that it sent over another connection. */
 import {z} from 'zod';
+import {schemaOf} from './schema_of.js';
 
 /** A request that was sent before, and how much of its answer has come. */
 export interface Attachment {
@@ -16,11 +17,13 @@
 }
 
 /** Schema of {@link Attachment}. */
-export const ATTACHMENT_SCHEMA = z.object({
-  id: z.string().min(1),
-  attempt: z.int().positive(),
-  bootId: z.string(),
-  sentAgoMs: z.number().nonnegative(),
-  startedSeen: z.boolean(),
-  tokensSeen: z.int().nonnegative(),
-}) satisfies z.ZodType<Attachment>;
+export const ATTACHMENT_SCHEMA = schemaOf<Attachment>()(
+  z.object({
+    id: z.string().min(1),
+    attempt: z.int().positive(),
+    bootId: z.string(),
+    sentAgoMs: z.number().nonnegative(),
+    startedSeen: z.boolean(),
+    tokensSeen: z.int().nonnegative(),
+  }),
+);
--- a/packages/wire/src/lib/request/refusal_schema.ts
+++ b/packages/wire/src/lib/request/refusal_schema.ts
@@ -2,13 +2,16 @@
 import {REFUSAL_STATUS} from '@oathead/core';
 import type {PlainRefusalKind, Problem, Ran, Refusal} from '@oathead/core';
 import {z} from 'zod';
+import {schemaOf} from './schema_of.js';
 
-const PROBLEM_SCHEMA = z.object({
-  path: z.string(),
-  message: z.string(),
-}) satisfies z.ZodType<Problem>;
+const PROBLEM_SCHEMA = schemaOf<Problem>()(
+  z.object({
+    path: z.string(),
+    message: z.string(),
+  }),
+);
 
-const RAN_SCHEMA = z.enum(['not-run', 'may-have-run']) satisfies z.ZodType<Ran>;
+const RAN_SCHEMA = schemaOf<Ran>()(z.enum(['not-run', 'may-have-run']));
 
 const COMMON = {
   message: z.string(),
@@ -23,16 +26,18 @@
 ) as PlainRefusalKind[];
 
 /** Why a request was not answered. */
-export const REFUSAL_SCHEMA = z.discriminatedUnion('kind', [
-  z.object({
-    kind: z.literal('invalid-request'),
-    problems: z.array(PROBLEM_SCHEMA).readonly().optional(),
-    ...COMMON,
-  }),
-  z.object({
-    kind: z.literal('revision-conflict'),
-    currentVersion: z.number(),
-    ...COMMON,
-  }),
-  z.object({kind: z.enum(PLAIN_KINDS), ...COMMON}),
-]) satisfies z.ZodType<Refusal>;
+export const REFUSAL_SCHEMA = schemaOf<Refusal>()(
+  z.discriminatedUnion('kind', [
+    z.object({
+      kind: z.literal('invalid-request'),
+      problems: z.array(PROBLEM_SCHEMA).readonly().optional(),
+      ...COMMON,
+    }),
+    z.object({
+      kind: z.literal('revision-conflict'),
+      currentVersion: z.number(),
+      ...COMMON,
+    }),
+    z.object({kind: z.enum(PLAIN_KINDS), ...COMMON}),
+  ]),
+);
--- a/packages/wire/src/lib/request/serve_schema.ts
+++ b/packages/wire/src/lib/request/serve_schema.ts
@@ -7,50 +7,54 @@
 } from '@oathead/core';
 import {z} from 'zod';
 import {REFUSAL_SCHEMA} from './refusal_schema.js';
+import {schemaOf} from './schema_of.js';
 import {ANSWER_SCHEMA, WORK_SCHEMA} from './work_schema.js';
 
-const SERVE_CLASS_SCHEMA = z.enum([
-  'online',
-  'batch',
-]) satisfies z.ZodType<ServeClass>;
+const SERVE_CLASS_SCHEMA = schemaOf<ServeClass>()(z.enum(['online', 'batch']));
 
-const PARTIAL_SCHEMA = z.object({
-  text: z.string(),
-  tokens: z.int().nonnegative(),
-}) satisfies z.ZodType<Partial>;
+const PARTIAL_SCHEMA = schemaOf<Partial>()(
+  z.object({
+    text: z.string(),
+    tokens: z.int().nonnegative(),
+  }),
+);
 
 /** What an entry asks of a target process; parsed on each request. */
-export const SERVE_REQUEST_SCHEMA = z.object({
-  id: z.string().min(1),
-  attempt: z.int().positive(),
-  entryId: z.string(),
-  caller: z.string(),
-  class: SERVE_CLASS_SCHEMA,
-  work: WORK_SCHEMA,
-  idempotent: z.boolean(),
-  dedupeKey: z.string().min(1).optional(),
-  timeoutMs: z.number().nonnegative(),
-  promptTokens: z.int().nonnegative(),
-  stream: z.boolean(),
-  suspect: z.boolean().optional(),
-  resume: PARTIAL_SCHEMA.optional(),
-  traceparent: z.string().optional(),
-}) satisfies z.ZodType<ServeRequest>;
+export const SERVE_REQUEST_SCHEMA = schemaOf<ServeRequest>()(
+  z.object({
+    id: z.string().min(1),
+    attempt: z.int().positive(),
+    entryId: z.string(),
+    caller: z.string(),
+    class: SERVE_CLASS_SCHEMA,
+    work: WORK_SCHEMA,
+    idempotent: z.boolean(),
+    dedupeKey: z.string().min(1).optional(),
+    timeoutMs: z.number().nonnegative(),
+    promptTokens: z.int().nonnegative(),
+    stream: z.boolean(),
+    suspect: z.boolean().optional(),
+    resume: PARTIAL_SCHEMA.optional(),
+    traceparent: z.string().optional(),
+  }),
+);
 
 /**
  * What a target process tells about a request. The link does not parse each
  * event with it: between two ends of one build that would only cost
  * processor time on every token.
  */
-export const SERVE_EVENT_SCHEMA = z.discriminatedUnion('kind', [
-  z.object({kind: z.literal('started'), version: z.string()}),
-  z.object({
-    kind: z.literal('tokens'),
-    index: z.int().nonnegative(),
-    count: z.int().positive(),
-    text: z.string(),
-  }),
-  z.object({kind: z.literal('done'), answer: ANSWER_SCHEMA}),
-  z.object({kind: z.literal('yielded'), partial: PARTIAL_SCHEMA}),
-  z.object({kind: z.literal('refused'), refusal: REFUSAL_SCHEMA}),
-]) satisfies z.ZodType<ServeEvent>;
+export const SERVE_EVENT_SCHEMA = schemaOf<ServeEvent>()(
+  z.discriminatedUnion('kind', [
+    z.object({kind: z.literal('started'), version: z.string()}),
+    z.object({
+      kind: z.literal('tokens'),
+      index: z.int().nonnegative(),
+      count: z.int().positive(),
+      text: z.string(),
+    }),
+    z.object({kind: z.literal('done'), answer: ANSWER_SCHEMA}),
+    z.object({kind: z.literal('yielded'), partial: PARTIAL_SCHEMA}),
+    z.object({kind: z.literal('refused'), refusal: REFUSAL_SCHEMA}),
+  ]),
+);
