Ask the store before a job is hashed

Cause: with the store down, a job of 61,000 items was hashed for some seconds before it was refused.

Change: the job's row is read first.

--- a/packages/batch/src/lib/request/job_intake.ts
+++ b/packages/batch/src/lib/request/job_intake.ts
@@ -71,9 +71,9 @@
     const problems = this.problemsOf(req);
     if (problems.length > 0) return failure(invalid(problems));
     const path = jobPath(caller, req.id);
-    const row = await this.rowOf(caller, req);
     const known = await this.read(path);
     if (!known.ok) return failure(unavailable());
+    const row = await this.rowOf(caller, req);
     if (known.value !== undefined) return sameJob(jobOf(known.value), row);
     const put = await this.putContent(path, row, req);
     if (!put.ok) return failure(unavailable());
