Forget keys after their retention; let the first answer of a key stand

Cause: the retention in the settings did nothing, so index rows, objects and claims grew for good; a late second answer took the first one's place in the index of the entry that wrote it.

--- a/packages/entry/src/lib/process/answer_store.ts
+++ b/packages/entry/src/lib/process/answer_store.ts
@@ -4,22 +4,17 @@
  * one transaction a flush, however many requests it covers, so that writes do
  * not grow with requests.
  */
-import {fingerprint, success} from '@oathead/core';
+import {success} from '@oathead/core';
 import type {Clock, Counters, Outcome, Random} from '@oathead/core';
 import type {Membership} from '@oathead/membership';
 import type {
   ObjectStore,
-  Row,
   RowCheck,
   StoreError,
   TableStore,
 } from '@oathead/platform';
-import {ANSWER_INDEX, answerIndexPrefix} from '../request/keyed_answer.js';
-import type {
-  AnswerIndex,
-  AnswerObject,
-  KeyedAnswer,
-} from '../request/keyed_answer.js';
+import type {AnswerObject, KeyedAnswer} from '../request/keyed_answer.js';
+import {AnswerIndexes} from './answer_indexes.js';
 
 /** What the store of answers needs. */
 export interface AnswerStoreDeps {
@@ -43,17 +38,13 @@
   readonly retentionMs: number;
 }
 
-/** Objects that hold the answers, by fingerprint of the key. */
-type ShareIndex = Map<string, string>;
-
-const LIST_PAGE = 1000;
-const TIME_DIGITS = 15;
 const CACHED_OBJECTS = 64;
 
 /** Keeps the answers of keyed requests. */
 export class AnswerStore {
+  /** Which object holds the answer of a key. */
+  readonly indexes: AnswerIndexes;
   private readonly unwritten = new Map<string, KeyedAnswer>();
-  private readonly indexes = new Map<number, ShareIndex>();
   private readonly cache = new Map<string, AnswerObject>();
   private timer: Disposable | undefined;
   private flushing: Promise<void> | undefined;
@@ -68,7 +59,9 @@
   constructor(
     private readonly deps: AnswerStoreDeps,
     private readonly settings: AnswerStoreSettings,
-  ) {}
+  ) {
+    this.indexes = new AnswerIndexes(deps.table, deps.clock);
+  }
 
   /** Whether so much is unwritten that no more may be promised. */
   get full(): boolean {
@@ -80,38 +73,6 @@
     return this.unwritten.size;
   }
 
-  /**
-   * Reads the whole index of a share; reading it again finds what others added.
-   *
-   * @param share - The share.
-   */
-  async load(share: number): Promise<Outcome<void, StoreError>> {
-    const index = this.indexes.get(share) ?? new Map<string, string>();
-    let after: string | undefined;
-    for (;;) {
-      const page = await this.deps.table.list(answerIndexPrefix(share), {
-        ...(after === undefined ? {} : {after}),
-        limit: LIST_PAGE,
-      });
-      if (!page.ok) return page;
-      for (const row of page.value) addRow(index, row);
-      if (page.value.length < LIST_PAGE) break;
-      after = page.value.at(-1)?.key;
-    }
-    this.indexes.set(share, index);
-    return success(undefined);
-  }
-
-  /** @param share - A share that is no longer this entry's. */
-  drop(share: number): void {
-    this.indexes.delete(share);
-  }
-
-  /** @returns Whether the index of a share was read. */
-  loaded(share: number): boolean {
-    return this.indexes.has(share);
-  }
-
   /**
    * @param key - `caller/key`.
    * @returns The kept answer, or undefined where none is known here.
@@ -122,7 +83,7 @@
     const held = this.unwritten.get(key);
     if (held) return success(held);
     const share = this.deps.membership.shareOf(key);
-    const name = this.indexes.get(share)?.get(fingerprint(key));
+    const name = this.indexes.objectOf(share, key);
     if (name === undefined) return success(undefined);
     const object = await this.read(name);
     if (!object.ok) return object;
@@ -136,7 +97,9 @@
    * @param answer - The answer.
    */
   add(answer: KeyedAnswer): void {
-    if (this.unwritten.has(answer.key)) {
+    const share = this.deps.membership.shareOf(answer.key);
+    const written = this.indexes.objectOf(share, answer.key) !== undefined;
+    if (written || this.unwritten.has(answer.key)) {
       this.deps.counters.count('keyed_answers_late');
       return;
     }
@@ -173,6 +136,18 @@
     if (this.unwritten.size > 0) this.retryLater();
   }
 
+  /** Forgets what is older than the retention, share by share. */
+  async sweep(): Promise<void> {
+    const {membership, objects, counters} = this.deps;
+    for (const {share} of membership.held()) {
+      const {retentionMs} = this.settings;
+      for (const name of await this.indexes.sweep(share, retentionMs)) {
+        await objects.delete(name);
+        counters.count('answer_objects_expired');
+      }
+    }
+  }
+
   private retryLater(): void {
     this.timer ??= this.deps.clock.after(this.settings.flushMs, () => {
       void this.flush();
@@ -180,7 +155,7 @@
   }
 
   private async write(answers: readonly KeyedAnswer[]): Promise<void> {
-    const {clock, random, objects, table, counters} = this.deps;
+    const {random, objects, table, counters} = this.deps;
     const name = `answers/${this.deps.membership.entryId}/${random.id()}`;
     const bytes = new TextEncoder().encode(JSON.stringify({answers}));
     const put = await objects.put(name, bytes);
@@ -189,12 +164,11 @@
     const byShare = this.byShare(answers);
     const checks = await this.fences([...byShare.keys()]);
     if (!checks.ok) return void counters.count('answer_flush_failures');
-    const at = clock.wallTime();
     const nonce = random.id();
-    const rows = [...byShare].map(([share, group]) => ({
-      key: indexRowKey(share, at, nonce),
-      value: indexValue(name, group, at, nonce),
-    }));
+    const rows = [...byShare].map(([share, group]) => {
+      const keys = group.map(({key}) => key);
+      return this.indexes.row(share, name, keys, nonce);
+    });
     const committed = await table.write({
       checks: checks.value,
       writes: rows.map(row => ({kind: 'put', ...row})),
@@ -221,8 +195,7 @@
     object: string,
   ): void {
     for (const [share, group] of byShare) {
-      const index = this.indexes.get(share);
-      for (const {key} of group) index?.set(fingerprint(key), object);
+      for (const {key} of group) this.indexes.note(share, key, object);
     }
     for (const {key} of answers) this.unwritten.delete(key);
     this.remember(object, {answers});
@@ -289,31 +262,3 @@
     if (oldest !== undefined) this.cache.delete(oldest);
   }
 }
-
-function addRow(index: ShareIndex, row: Row): void {
-  const parsed = ANSWER_INDEX.safeParse(row.value);
-  if (!parsed.success) return;
-  for (const key of parsed.data.keys) {
-    // The first recorded answer of a key stands.
-    if (!index.has(key)) index.set(key, parsed.data.object);
-  }
-}
-
-function indexRowKey(share: number, at: number, nonce: string): string {
-  const time = String(Math.trunc(at)).padStart(TIME_DIGITS, '0');
-  return `${answerIndexPrefix(share)}${time}-${nonce}`;
-}
-
-function indexValue(
-  object: string,
-  answers: readonly KeyedAnswer[],
-  at: number,
-  nonce: string,
-): AnswerIndex {
-  return {
-    object,
-    keys: answers.map(({key}) => fingerprint(key)),
-    at,
-    nonce,
-  };
-}
--- a/packages/entry/src/lib/process/claim_store.ts
+++ b/packages/entry/src/lib/process/claim_store.ts
@@ -5,9 +5,10 @@
  * unique in the table, so no lease needs to be trusted.
  */
 import type {Clock, Random} from '@oathead/core';
+import type {Membership} from '@oathead/membership';
 import {commitWithNonce} from '@oathead/platform';
 import type {CommitOutcome, Row, TableStore} from '@oathead/platform';
-import {CLAIM, claimRowKey} from '../request/keyed_answer.js';
+import {CLAIM, claimPrefix} from '../request/keyed_answer.js';
 import type {Claim} from '../request/keyed_answer.js';
 
 /** What claiming needs. */
@@ -15,6 +16,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly table: TableStore;
+  readonly membership: Pick<Membership, 'shareOf'>;
 }
 
 /**
@@ -42,7 +44,7 @@
    * @returns Whether the request may be sent.
    */
   async claim(dedupeKey: string, work: string): Promise<ClaimOutcome> {
-    const key = claimRowKey(dedupeKey);
+    const key = this.rowKey(dedupeKey);
     const first = await this.write(key, work, 'claimed', undefined);
     if (first.kind !== 'conflict') return this.outcomeOf(key, first);
     const read = await this.deps.table.read([key]);
@@ -60,7 +62,7 @@
    * @param dedupeKey - `caller/key`.
    */
   async release(dedupeKey: string): Promise<void> {
-    const key = claimRowKey(dedupeKey);
+    const key = this.rowKey(dedupeKey);
     const read = await this.deps.table.read([key]);
     const row = read.ok ? read.value[0] : undefined;
     const claim = CLAIM.safeParse(row?.value);
@@ -68,6 +70,11 @@
     await this.write(key, claim.data.work, 'released', row);
   }
 
+  private rowKey(dedupeKey: string): string {
+    const share = this.deps.membership.shareOf(dedupeKey);
+    return claimPrefix(share) + dedupeKey;
+  }
+
   private write(
     key: string,
     work: string,
--- a/packages/entry/src/lib/process/entry.ts
+++ b/packages/entry/src/lib/process/entry.ts
@@ -6,6 +6,7 @@
   DisposableStore,
   LinkLostError,
   RetryPolicy,
+  repeat,
   sleep,
 } from '@oathead/core';
 import type {
@@ -80,6 +81,8 @@
 }
 
 const STOP_CHECK_MS = 20;
+/** How often old answers are looked for. */
+const SWEEP_MS = 600_000;
 
 /** One entry. */
 export class Entry implements PeerHandler, Disposable {
@@ -136,7 +139,7 @@
     this.keyed = new KeyedRequests({
       clock,
       counters,
-      claims: new ClaimStore(base),
+      claims: new ClaimStore({...base, membership}),
       membership,
       answers: this.answers,
       dispatch,
@@ -165,6 +168,7 @@
       itemTimeoutMs: settings.batchItemTimeoutMs,
     });
     this.jobs = new BatchJobs({...base, membership, runner}, settings.batch);
+    this.held.add(repeat(clock, SWEEP_MS, () => this.answers.sweep()));
     this.router = this.createRouter();
     this.answers.onWritten(keys => void this.releaseAtTargets(keys));
     this.membership.onHead(() => void this.adoptHeld());
--- a/packages/entry/src/lib/request/keyed_answer.ts
+++ b/packages/entry/src/lib/request/keyed_answer.ts
@@ -49,9 +49,9 @@
 }
 
 /**
- * @param key - `caller/key`.
- * @returns Key of the claim row.
+ * @param share - A share.
+ * @returns Prefix of the claims of its keys.
  */
-export function claimRowKey(key: string): string {
-  return `once/${key}`;
+export function claimPrefix(share: number): string {
+  return `once/${share}/`;
 }
--- a/packages/entry/src/lib/request/keyed_requests.ts
+++ b/packages/entry/src/lib/request/keyed_requests.ts
@@ -70,7 +70,7 @@
     // A lease that ran out in an outage of the store leaves the share here:
     // nobody can take it over without the store either.
     membership.onLost(({share}) => {
-      if (!this.isHome(share)) answers.drop(share);
+      if (!this.isHome(share)) answers.indexes.drop(share);
     });
   }
 
@@ -111,9 +111,9 @@
   async find(dedupeKey: string): Promise<ServeOutcome | undefined> {
     const {answers, membership} = this.deps;
     const share = membership.shareOf(dedupeKey);
-    if (!answers.loaded(share)) await answers.load(share);
+    if (!answers.indexes.loaded(share)) await answers.indexes.load(share);
     const found = await answers.find(dedupeKey);
-    if (!this.isHome(share)) answers.drop(share);
+    if (!this.isHome(share)) answers.indexes.drop(share);
     if (!found.ok) return refused(storeUnavailable());
     return found.value?.outcome;
   }
@@ -159,7 +159,7 @@
   ): Promise<ServeOutcome | undefined> {
     const share = this.deps.membership.shareOf(call.dedupeKey);
     const recovering = this.isRecovering(share);
-    if (!recovering && this.deps.answers.loaded(share)) {
+    if (!recovering && this.deps.answers.indexes.loaded(share)) {
       return this.kept(call, work);
     }
     return this.lookUp(call, work);
@@ -185,12 +185,12 @@
   ): Promise<ServeOutcome | undefined> {
     const {answers, membership} = this.deps;
     const share = membership.shareOf(call.dedupeKey);
-    const loaded = await answers.load(share);
+    const loaded = await answers.indexes.load(share);
     // Without the index, a key that was answered long ago would look new.
-    if (!loaded.ok && !answers.loaded(share))
+    if (!loaded.ok && !answers.indexes.loaded(share))
       return refused(storeUnavailable());
     const kept = await this.kept(call, work);
-    if (!this.isHome(share)) answers.drop(share);
+    if (!this.isHome(share)) answers.indexes.drop(share);
     if (kept) return kept;
     const recalled = await this.deps.recall(call);
     if (!recalled) return undefined;
--- a/packages/entry/src/test/fakes.ts
+++ b/packages/entry/src/test/fakes.ts
@@ -136,6 +136,10 @@
     };
   }
 
+  held() {
+    return this.owner === this.entryId ? [{share: 0, epoch: 1}] : [];
+  }
+
   fence() {
     return this.owner === this.entryId
       ? {key: 'share/0', version: 0}
--- a/packages/entry/src/test/request/keyed_requests_test.ts
+++ b/packages/entry/src/test/request/keyed_requests_test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import {NO_COUNTERS, seededRandom, workFingerprint} from '@oathead/core';
-import type {ServeEvent} from '@oathead/core';
+import type {ServeEvent, ServeOutcome} from '@oathead/core';
 import type {Membership} from '@oathead/membership';
 import {MemoryPlatform} from '@oathead/platform';
 import {StoreFaults, VirtualClock, faultyPlatform} from '@oathead/stand-ins';
@@ -19,6 +19,7 @@
 } from '../fakes.js';
 
 const KEY = 'bank-a/k1';
+const RETENTION_MS = 10_000;
 const SIGNAL = new AbortController().signal;
 
 interface World {
@@ -50,13 +51,13 @@
   const asMembership = membership as unknown as Membership;
   const answers = new AnswerStore(
     {...base, membership: asMembership},
-    {flushMs: 100, flushCount: 8, maxUnwritten: 4, retentionMs: 1e9},
+    {flushMs: 100, flushCount: 8, maxUnwritten: 4, retentionMs: RETENTION_MS},
   );
   let sent = 0;
   const keyed = new KeyedRequests({
     clock,
     counters: NO_COUNTERS,
-    claims: new ClaimStore(base),
+    claims: new ClaimStore({...base, membership: asMembership}),
     membership: asMembership,
     answers,
     dispatch: async function* () {
@@ -111,6 +112,34 @@
   );
 });
 
+// A target that was thought lost answers after all, when the key's answer is
+// written already. The first answer stands: the caller has been given it.
+test('a late second answer of a key is dropped', async t => {
+  const w = world();
+  const home = entry(w, 'e1');
+  await settled(w.clock, home.send());
+  await w.clock.advance(500);
+  const work = workFingerprint(serveCall().work);
+  const late = {...DONE, answer: {kind: 'response', status: 200, body: 'x'}};
+  home.answers.add({key: KEY, work, outcome: late as ServeOutcome});
+  await w.clock.advance(500);
+  t.deepEqual(await home.keyed.find(KEY), DONE);
+});
+
+test('keys are forgotten after the retention, with their claims', async t => {
+  const w = world();
+  const home = entry(w, 'e1');
+  await settled(w.clock, home.send());
+  await w.clock.advance(RETENTION_MS / 2);
+  await home.answers.sweep();
+  t.is((await home.keyed.find(KEY))?.kind, 'done');
+  await w.clock.advance(RETENTION_MS);
+  await settled(w.clock, home.answers.sweep());
+  t.is(await home.keyed.find(KEY), undefined);
+  t.is(await settled(w.clock, home.send()), 'done');
+  t.is(home.sent(), 2);
+});
+
 // An entry answers a call-out and dies before the answer is written; the
 // call-out comes again through another entry. The target that remembers the
 // answer gives it, and the pilot is not called twice.
@@ -163,7 +192,7 @@
   await settled(w.clock, home.send({dedupeKey: 'bank-a/other'}));
   w.faults.add({
     fault: {kind: 'answer-lost'},
-    matches: call => call.keys.includes(`once/${KEY}`),
+    matches: call => call.keys.includes(`once/0/${KEY}`),
     times: 1,
   });
   t.is(await settled(w.clock, home.send()), 'done');
