--- a/packages/entry/src/test/request/keyed_requests_test.ts
+++ b/packages/entry/src/test/request/keyed_requests_test.ts
@@ -20,7 +20,6 @@
 
 const KEY = 'bank-a/k1';
 const RETENTION_MS = 10_000;
-const SIGNAL = new AbortController().signal;
 
 interface World {
   readonly clock: VirtualClock;
@@ -69,7 +68,9 @@
   });
   const send = async (fields: Partial<KeyedCall> = {}) => {
     const call = {...serveCall({idempotent: false}), dedupeKey: KEY, ...fields};
-    return endText(await allOf(keyed.serve(call, SIGNAL)));
+    return endText(
+      await allOf(keyed.serve(call, new AbortController().signal)),
+    );
   };
   return {membership, answers, keyed, send, sent: () => sent};
 }
