--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -5,7 +5,9 @@
  * @packageDocumentation
  */
 export * from './lib/connection/channel.js';
+export * from './lib/connection/event_queue.js';
 export * from './lib/connection/heartbeat_schema.js';
+export * from './lib/connection/link_channel.js';
 export * from './lib/connection/link_connection.js';
 export * from './lib/connection/trpc_target_link.js';
 export * from './lib/process/load_change.js';
--- a/packages/wire/src/lib/connection/channel.ts
+++ b/packages/wire/src/lib/connection/channel.ts
@@ -6,6 +6,7 @@
 import {WebSocket} from 'ws';
 import type {Hello} from '../process/target_handler.js';
 import type {TargetRouter} from '../process/target_router.js';
+import type {ChannelEvents, LinkChannel} from './link_channel.js';
 
 /** Certificates of this end, for mutual TLS. */
 export interface ClientTls {
@@ -24,16 +25,8 @@
   readonly tls?: ClientTls;
 }
 
-/** What a channel tells its owner. */
-export interface ChannelEvents {
-  /** Something came. */
-  heard(channel: Channel): void;
-  /** The connection has closed. */
-  broken(channel: Channel): void;
-}
-
 /** An open connection whose other end has answered. */
-export class Channel implements Disposable {
+export class Channel implements LinkChannel {
   /** When something came last, on the clock of this process. */
   lastHeardAt: number;
   private open = true;
--- a/packages/wire/src/lib/connection/link_connection.ts
+++ b/packages/wire/src/lib/connection/link_connection.ts
@@ -10,6 +10,11 @@
 import {Channel} from './channel.js';
 import type {ClientTls} from './channel.js';
 import type {LinkCall} from './link_call.js';
+import type {
+  ChannelEvents,
+  ConnectChannel,
+  LinkChannel,
+} from './link_channel.js';
 
 /** Settings of a link. */
 export interface LinkOptions {
@@ -26,6 +31,8 @@
   readonly silenceMs?: number;
   /** Largest wait for a new connection's first answer, in milliseconds. */
   readonly connectTimeoutMs?: number;
+  /** Opens a connection; over a WebSocket where absent. */
+  readonly connect?: ConnectChannel;
 }
 
 const DEFAULT_SILENCE_MS = 500;
@@ -37,7 +44,7 @@
   /** Calls that wait for a connection to be open. */
   private readonly waiting = new Set<LinkCall>();
   private snapshot = initialConnection();
-  private channel: Channel | undefined;
+  private channel: LinkChannel | undefined;
   /** Counts attempts to connect, so that an abandoned one is known as such. */
   private attempts = 0;
   private quietTimer: Disposable | undefined;
@@ -110,19 +117,10 @@
   private async connect(): Promise<void> {
     const attempt = ++this.attempts;
     try {
-      const channel = await Channel.connect(
-        {
-          url: this.options.url,
-          clock: this.options.clock,
-          connectTimeoutMs:
-            this.options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS,
-          tls: this.options.tls,
-        },
-        {
-          heard: from => this.onHeard(from),
-          broken: from => this.onBroken(from),
-        },
-      );
+      const channel = await this.open({
+        heard: from => this.onHeard(from),
+        broken: from => this.onBroken(from),
+      });
       if (attempt !== this.attempts || this.closed) {
         channel[Symbol.dispose]();
         return;
@@ -135,8 +133,18 @@
     }
   }
 
+  private open(events: ChannelEvents): Promise<LinkChannel> {
+    const {connect, url, clock, connectTimeoutMs, tls} = this.options;
+    if (connect) return connect(events);
+    const timeoutMs = connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS;
+    return Channel.connect(
+      {url, clock, connectTimeoutMs: timeoutMs, tls},
+      events,
+    );
+  }
+
   /** Make before break: the calls move, then the old connection is closed. */
-  private adopt(channel: Channel): void {
+  private adopt(channel: LinkChannel): void {
     const old = this.channel;
     this.channel = channel;
     this.quietSince = channel.lastHeardAt;
@@ -149,7 +157,7 @@
     for (const call of this.calls) call.use(this.channel!);
   }
 
-  private onHeard(from: Channel): void {
+  private onHeard(from: LinkChannel): void {
     if (from !== this.channel) return;
     this.quietSince = from.lastHeardAt;
     if (this.state === 'open') return;
@@ -158,7 +166,7 @@
     this.waiting.clear();
   }
 
-  private onBroken(from: Channel): void {
+  private onBroken(from: LinkChannel): void {
     if (from !== this.channel) return;
     this.channel = undefined;
     this.step({type: 'broken'});
--- a/packages/wire/src/lib/connection/query_call.ts
+++ b/packages/wire/src/lib/connection/query_call.ts
@@ -1,11 +1,14 @@
 /** A call with one answer that may be repeated over another connection. */
 import {LinkLostError} from '@oathead/core';
-import type {Channel} from './channel.js';
 import type {LinkCall} from './link_call.js';
+import type {LinkChannel} from './link_channel.js';
 import {refusalOf} from './peer_error.js';
 
 /** What makes the call over a channel. */
-export type Query<T> = (channel: Channel, signal: AbortSignal) => Promise<T>;
+export type Query<T> = (
+  channel: LinkChannel,
+  signal: AbortSignal,
+) => Promise<T>;
 
 /** A heartbeat, an order or a release in flight. */
 export class QueryCall<T> implements LinkCall {
@@ -14,7 +17,7 @@
   readonly answer: Promise<T>;
   private resolve!: (answer: T) => void;
   private reject!: (err: Error) => void;
-  private current: Channel | undefined;
+  private current: LinkChannel | undefined;
   private readonly onAbort = () => this.fail(new LinkLostError('given up'));
 
   /**
@@ -33,7 +36,7 @@
     signal.addEventListener('abort', this.onAbort, {once: true});
   }
 
-  use(channel: Channel): void {
+  use(channel: LinkChannel): void {
     this.current = channel;
     this.query(channel, this.signal).then(this.resolve, (err: Error) =>
       this.onError(channel, err),
@@ -50,7 +53,7 @@
   }
 
   /** A broken connection is no end: the link moves the call or fails it. */
-  private onError(channel: Channel, err: Error): void {
+  private onError(channel: LinkChannel, err: Error): void {
     if (refusalOf(err)) this.reject(err);
     else if (channel !== this.current || !channel.isOpen) return;
     else this.reject(new LinkLostError(err.message));
--- a/packages/wire/src/lib/connection/serve_call.ts
+++ b/packages/wire/src/lib/connection/serve_call.ts
@@ -1,9 +1,9 @@
 /** A request in flight on a link. */
 import {LinkLostError, isFinal} from '@oathead/core';
 import type {Clock, ServeEvent, ServeRequest} from '@oathead/core';
-import type {Channel} from './channel.js';
 import {EventQueue} from './event_queue.js';
 import type {LinkCall} from './link_call.js';
+import type {LinkChannel} from './link_channel.js';
 import {refusalOf} from './peer_error.js';
 import type {StreamSinks} from './stream_call.js';
 
@@ -20,7 +20,7 @@
   readonly awaited = true;
   private readonly queue = new EventQueue<ServeEvent>();
   private subscription: {unsubscribe(): void} | undefined;
-  private current: Channel | undefined;
+  private current: LinkChannel | undefined;
   private sentTo: string | undefined;
   private sentAt = 0;
   private startedSeen = false;
@@ -41,7 +41,7 @@
     return this.queue.read();
   }
 
-  use(channel: Channel): void {
+  use(channel: LinkChannel): void {
     if (this.over) return;
     this.current = channel;
     const sinks = {
@@ -73,7 +73,7 @@
   }
 
   private send(
-    channel: Channel,
+    channel: LinkChannel,
     sinks: StreamSinks<ServeEvent>,
   ): {unsubscribe(): void} {
     this.sentTo = channel.hello.bootId;
@@ -82,7 +82,7 @@
   }
 
   private attach(
-    channel: Channel,
+    channel: LinkChannel,
     bootId: string,
     sinks: StreamSinks<ServeEvent>,
   ): {unsubscribe(): void} {
@@ -97,7 +97,7 @@
     return channel.api.attach.subscribe(attachment, sinks);
   }
 
-  private onEvent(channel: Channel, event: ServeEvent): void {
+  private onEvent(channel: LinkChannel, event: ServeEvent): void {
     // A replaced connection that speaks again must not add to the stream.
     if (this.over || channel !== this.current) return;
     if (event.kind === 'started') this.startedSeen = true;
@@ -112,12 +112,12 @@
    * Guards against a cut stream that looks like a finished one: the target
    * ended it, but without telling how the request ended.
    */
-  private onStopped(channel: Channel): void {
+  private onStopped(channel: LinkChannel): void {
     if (this.over || channel !== this.current) return;
     this.fail(new LinkLostError('the stream ended without an outcome'));
   }
 
-  private onError(channel: Channel, err: Error): void {
+  private onError(channel: LinkChannel, err: Error): void {
     if (this.over || channel !== this.current) return;
     const refusal = refusalOf(err);
     // Otherwise the connection broke: the link moves the call or fails it.
--- a/packages/wire/src/lib/connection/stream_call.ts
+++ b/packages/wire/src/lib/connection/stream_call.ts
@@ -1,8 +1,8 @@
 /** A subscription on a link that begins anew on each connection. */
 import type {LinkLostError} from '@oathead/core';
-import type {Channel} from './channel.js';
 import {EventQueue} from './event_queue.js';
 import type {LinkCall} from './link_call.js';
+import type {LinkChannel} from './link_channel.js';
 import {refusalOf} from './peer_error.js';
 
 /** What a subscription tells. */
@@ -14,7 +14,7 @@
 
 /** Subscribes over a channel. */
 export type Subscribe<T> = (
-  channel: Channel,
+  channel: LinkChannel,
   sinks: StreamSinks<T>,
 ) => {unsubscribe(): void};
 
@@ -22,7 +22,7 @@
 export class StreamCall<T> implements LinkCall {
   private readonly queue = new EventQueue<T>();
   private subscription: {unsubscribe(): void} | undefined;
-  private current: Channel | undefined;
+  private current: LinkChannel | undefined;
 
   /**
    * @param subscribe - Begins the stream over a channel.
@@ -38,7 +38,7 @@
     return this.queue.read();
   }
 
-  use(channel: Channel): void {
+  use(channel: LinkChannel): void {
     this.current = channel;
     const isCurrent = () => channel === this.current;
     this.subscription = this.subscribe(channel, {
