--- a/packages/batch/src/lib/process/item_run.ts
+++ b/packages/batch/src/lib/process/item_run.ts
@@ -29,15 +29,14 @@
     },
     returned: (chunk, index, {partial, refusal}) => {
       chunk.tell(index, {type: 'return'});
-      chunk.countReturn(index, partial, refusal !== undefined);
+      if (partial !== undefined) chunk.history.keepPartial(index, partial);
       if (refusal === undefined) return {delayMs: 0};
-      const delayMs = this.backoff(chunk.returnsOf(index));
+      const delayMs = this.backoff(chunk.history.countReturn(index));
       return {delayMs: Math.max(delayMs, refusal.retryAfterMs ?? 0)};
     },
     lost: (chunk, index, {refusal, suspect}) => {
       const {idempotent} = chunk.items[index]!;
-      chunk.countLoss(index);
-      const losses = chunk.lossesOf(index);
+      const losses = chunk.history.countLoss(index);
       const last = losses > this.settings.maxLosses;
       const event = {type: 'lose', idempotent, suspect, last} as const;
       chunk.tell(index, event);
@@ -77,7 +76,9 @@
     const outcome = await this.runner.run(itemOf(chunk, index), abort.signal);
     if (chunk.running.get(index) === abort) chunk.running.delete(index);
     if (chunk.dropped.signal.aborted) this.drop('not-held');
-    else this.settle(chunk, index, outcome);
+    else if (abort.signal.aborted && isPlainLoss(outcome)) {
+      this.settle(chunk, index, givenUp(chunk, index));
+    } else this.settle(chunk, index, outcome);
     this.onSettled();
   }
 
@@ -154,11 +155,7 @@
   private giveUpRunning(chunk: ChunkWork): void {
     for (const index of [...chunk.running.keys()]) {
       chunk.running.delete(index);
-      this.settle(chunk, index, {
-        kind: 'lost',
-        suspect: false,
-        refusal: mayHaveRun('cancelled', 'the job was cancelled as it ran'),
-      });
+      this.settle(chunk, index, givenUp(chunk, index));
     }
     this.onSettled();
   }
@@ -174,16 +171,30 @@
   }
 }
 
+function isPlainLoss(outcome: ItemOutcome): boolean {
+  return outcome.kind === 'lost' && !outcome.suspect;
+}
+
+/**
+ * An attempt that this entry gave up is no loss of an item that may be repeated:
+ * one that is handed over again and again would fail for it.
+ */
+function givenUp(chunk: ChunkWork, index: number): ItemOutcome {
+  if (chunk.items[index]!.idempotent) return {kind: 'returned'};
+  const refusal = mayHaveRun('outcome-unknown', 'it was given up as it ran');
+  return {kind: 'lost', suspect: false, refusal};
+}
+
 function itemOf(chunk: ChunkWork, index: number): BatchItem {
   const {id, work, idempotent} = chunk.items[index]!;
-  const resume = chunk.partialOf(index);
+  const resume = chunk.history.partial(index);
   return {
     caller: chunk.job.caller,
     job: chunk.job.job,
     item: id,
     work,
     idempotent,
-    attempt: chunk.nextAttempt(index),
+    attempt: chunk.history.nextAttempt(index),
     ...(chunk.state(index) === 'suspectStarted' ? {suspect: true} : {}),
     ...(resume === undefined ? {} : {resume}),
   };
--- a/packages/batch/src/test/fakes/fake_fleet.ts
+++ b/packages/batch/src/test/fakes/fake_fleet.ts
@@ -1,12 +1,15 @@
 /** Entries that work off batch jobs over one platform, in virtual time. */
 import {hash32, seededRandom} from '@oathead/core';
 import type {BatchItem, ItemOutcome, ItemRunner} from '@oathead/core';
+import {MEMBERSHIP_DEFAULTS} from '@oathead/membership';
 import type {MembershipSettings} from '@oathead/membership';
+import {MemoryPlatform} from '@oathead/platform';
 import {FakeMembers} from '../../../../membership/dist/test/fakes/fake_members.js';
 import type {FakeMember} from '../../../../membership/dist/test/fakes/fake_members.js';
 import {BatchJobs} from '../../lib/process/batch_jobs.js';
 import type {BatchSettings} from '../../lib/process/batch_settings.js';
 import type {ItemResult, JobItem, JobStatus} from '../../lib/request/job.js';
+import {CheckedTable} from './checked_table.js';
 
 /** One attempt at an item, as the targets saw it. */
 export interface Attempt {
@@ -37,8 +40,11 @@
 
 export class FakeFleet {
   readonly members: FakeMembers;
+  readonly table: CheckedTable;
   readonly attempts: Attempt[] = [];
   script: Script = () => ({outcome: ANSWERED, afterMs: 100});
+  /** Whether targets stop an item when told to. */
+  letsGo = true;
   /** Items that targets take at once from each entry. */
   room = 8;
 
@@ -47,7 +53,11 @@
     private readonly batch: Partial<BatchSettings> = {},
     membership: Partial<MembershipSettings> = {},
   ) {
-    this.members = new FakeMembers(seed, membership);
+    const memory = new MemoryPlatform();
+    const {shareCount} = {...MEMBERSHIP_DEFAULTS, ...membership};
+    this.table = new CheckedTable(memory.objects, shareCount);
+    const platform = {...memory, table: this.table};
+    this.members = new FakeMembers(seed, membership, platform);
   }
 
   get clock(): FakeMembers['clock'] {
@@ -160,9 +170,10 @@
         resolve(how);
       };
       clock.after(afterMs, () => end(outcome));
-      signal.addEventListener('abort', () =>
-        clock.after(ABORT_MS, () => end(aborted(item))),
-      );
+      signal.addEventListener('abort', () => {
+        if (!this.fleet.letsGo) return;
+        clock.after(ABORT_MS, () => end(lost(false)));
+      });
     });
     const result = await this.member.host.hear(ended);
     this.running--;
@@ -176,10 +187,6 @@
   return {kind: 'lost', refusal, suspect};
 }
 
-function aborted(item: BatchItem): ItemOutcome {
-  return item.idempotent ? {kind: 'returned'} : lost(false);
-}
-
 export function items(count: number, idempotent = true): readonly JobItem[] {
   return [...Array(count).keys()].map(i => ({
     id: `item-${i}`,
--- a/packages/config/src/lib/version/conditions.ts
+++ b/packages/config/src/lib/version/conditions.ts
@@ -44,10 +44,9 @@
 }
 
 /** Whether every entry that is heard of serves by the resource as it is. */
-function inForce(resource: Resource, {entries}: FleetView): ConditionState {
-  const behind = entries.filter(
-    ({revision}) => revision < resource.resourceVersion,
-  );
+function inForce(resource: Resource, fleet: FleetView): ConditionState {
+  const {entries} = fleet;
+  const behind = fleet.entriesBehind(resource.resourceVersion);
   const message = `${entries.length - behind.length} of ${entries.length} entries serve by it`;
   if (entries.length === 0) {
     return state('InForce', 'unknown', 'NoEntryHeard', message);
@@ -106,10 +105,11 @@
   const wanted =
     fleet.snapshot.get('models', spec.model)?.spec.version === name;
   const {live} = fleet.poolTargets(spec.model);
-  const ready = fleet.readyTargets(spec.model, name);
-  const loaded = live.filter(target =>
-    fleet.served(target, spec.model).some(({version}) => version === name),
-  );
+  const loaded = fleet
+    .loadedVersions(spec.model)
+    .filter(({served}) => served.version === name);
+  const ready = loaded.filter(({served}) => served.state === 'ready');
+  const failed = loaded.filter(({served}) => served.state === 'failed');
   const message = `ready at ${ready.length} of ${live.length} live targets`;
   const serving =
     wanted && ready.length > 0
@@ -120,6 +120,10 @@
           wanted ? 'NotReadyYet' : 'NotChosen',
           message,
         );
+  if (failed.length > 0) {
+    const text = `could not be loaded at ${failed.length} targets, such as ${failed[0]!.target}`;
+    return [serving, state('RollingOut', 'true', 'LoadFailed', text)];
+  }
   return [
     serving,
     rollingOut(wanted, ready.length, loaded.length, live.length),
@@ -152,13 +156,11 @@
   fleet: FleetView,
 ): readonly ConditionState[] {
   const {live} = fleet.poolTargets(spec.model);
-  const ready = live.filter(target =>
-    fleet
-      .served(target, spec.model)
-      .some(
-        ({state, adapters}) => state === 'ready' && adapters.includes(name),
-      ),
-  );
+  const ready = fleet
+    .loadedVersions(spec.model)
+    .filter(
+      ({served}) => served.state === 'ready' && served.adapters.includes(name),
+    );
   const message = `loaded at ${ready.length} of ${live.length} live targets`;
   return [
     ready.length > 0
@@ -209,6 +211,10 @@
   if (!declaredOut && !report.leaving) {
     return state('Leaving', 'false', 'Serving', '');
   }
+  if (!report.leaving) {
+    const message = 'the target has not said yet that it takes nothing new';
+    return state('Leaving', 'true', 'NotToldYet', message);
+  }
   const online = report.onlineRunning + report.onlineQueued;
   const batch = report.batchRunning + report.batchQueued;
   if (online + batch === 0) {
--- a/packages/target/src/test/connection/http_engine_client_test.ts
+++ b/packages/target/src/test/connection/http_engine_client_test.ts
@@ -1,4 +1,6 @@
 import test, {type ExecutionContext} from 'ava';
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
 import {EngineError, type EngineEvent, type EngineRequest} from '@oathead/core';
 import {
   EngineStandIn,
@@ -8,13 +10,15 @@
 import {HttpEngineClient} from '../../lib/connection/http_engine_client.js';
 
 const SPEED = 20;
+/** More tokens than any test waits for. */
+const ENDLESS = 100_000;
 
-function request(id: string, prompt: string): EngineRequest {
+function request(id: string, prompt: string, maxTokens = 200): EngineRequest {
   const input = {kind: 'prompt', prompt} as const;
   const model = 'review-llm';
   return {
     id,
-    completion: {kind: 'completion', model, input, maxTokens: 200},
+    completion: {kind: 'completion', model, input, maxTokens},
   };
 }
 
@@ -75,12 +79,41 @@
   t.is((await read(request('c', 'hello'))).err?.kind, 'refused');
 });
 
+// A user gets half an answer that looks whole. The engine, or something before
+// it, closed the stream in good order after a few tokens, or answered an error
+// of its own after the engine had begun.
+test('takes nothing for an answer that does not say it is done', async t => {
+  const token = 'data: {"kind":"token","index":0,"text":"half"}\n\n';
+  const answers: ReadonlyArray<readonly [number, string]> = [
+    [200, token],
+    [200, `${token}data: {"kind":"surprise"}\n\n`],
+    [200, `${token}event: error\ndata: overloaded\n\n`],
+    [503, 'upstream is busy'],
+    [404, ''],
+  ];
+  for (const [status, body] of answers) {
+    const server = createServer((req, res) => {
+      res.writeHead(status).end(body);
+    });
+    t.teardown(() => server.close());
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+    const {port} = server.address() as AddressInfo;
+    const client = new HttpEngineClient(`http://127.0.0.1:${port}`);
+    const read = async () => {
+      for await (const event of client.generate(request('a', 'x'), never()))
+        t.is(event.kind, 'token');
+    };
+    const err = await t.throwsAsync(read(), {instanceOf: EngineError});
+    t.is(err?.kind, 'lost');
+  }
+});
+
 test('cancels at the engine on abort and when the reader leaves', async t => {
   const {client, engine} = await create(t);
   const abort = new AbortController();
   const aborted = async () => {
     for await (const event of client.generate(
-      request('a', '[[slow]]'),
+      request('a', '[[slow]]', ENDLESS),
       abort.signal,
     ))
       if (event.kind === 'token') abort.abort();
@@ -88,7 +121,7 @@
   const err = await t.throwsAsync(aborted(), {instanceOf: EngineError});
   t.is(err?.kind, 'lost');
   for await (const event of client.generate(
-    request('b', '[[slow]]'),
+    request('b', '[[slow]]', ENDLESS),
     never(),
   )) {
     t.is(event.kind, 'token');
@@ -99,7 +132,7 @@
 
 test('breaks all streams when the engine crashes', async t => {
   const {client, read} = await create(t);
-  const innocent = client.generate(request('a', '[[slow]]'), never());
+  const innocent = client.generate(request('a', '[[slow]]', ENDLESS), never());
   await innocent.next();
   t.is((await read(request('b', '[[crash]]'))).err?.kind, 'lost');
   const rest = async () => {
@@ -114,7 +147,10 @@
 test('a silent connection hurts only its own stream', async t => {
   const {standIn, client, read} = await create(t);
   const abort = new AbortController();
-  const stream = client.generate(request('a', '[[slow]]'), abort.signal);
+  const stream = client.generate(
+    request('a', '[[slow]]', ENDLESS),
+    abort.signal,
+  );
   await stream.next();
   standIn.server.silenceConnections();
   t.is((await read(request('b', 'hello'))).err, undefined);
