--- a/packages/core/src/lib/process/engine_lane.ts
+++ b/packages/core/src/lib/process/engine_lane.ts
@@ -159,7 +159,10 @@
     if (this.suspectRunning) return actions;
     this.startOnline(now, actions);
     this.stopSurplus(actions);
-    if (this.room.online.size === 0) this.startBatch(now, actions);
+    // A suspect waits until nothing runs. Batch work started meanwhile would be
+    // preempted for it at once, and start again, in turns without an end.
+    const waits = this.room.online.size > 0 || this.room.suspectCount > 0;
+    if (!waits) this.startBatch(now, actions);
     return actions;
   }
 
--- a/packages/core/src/test/process/engine_admission_test.ts
+++ b/packages/core/src/test/process/engine_admission_test.ts
@@ -129,6 +129,25 @@
   t.deepEqual(kinds(after), ['start r0']);
 });
 
+test('starts no batch work while a suspect waits for the engine', t => {
+  // A user sees a target that hangs at full processor time and answers nobody.
+  // A target dies with batch items in flight, so they come back as suspects.
+  // Two items run; a suspect arrives, both are preempted for it. The first to
+  // be free arrives again, starts at once, and is preempted at once in turn.
+  const admission = configured();
+  const waiting = request('b0', {class: 'batch'});
+  arrive(admission, 0, waiting, request('b1', {class: 'batch'}));
+  const suspect = request('s0', {class: 'batch', suspect: true});
+  const stops = arrive(admission, 1, suspect);
+  t.deepEqual(kinds(stops).toSorted(), ['preempt b0', 'preempt b1']);
+  admission.handle({kind: 'ended', id: 'b0', how: 'preempted'}, 2);
+  t.deepEqual(kinds(arrive(admission, 2, waiting)), []);
+  const free = {kind: 'ended', id: 'b1', how: 'preempted'} as const;
+  t.deepEqual(kinds(admission.handle(free, 2)), ['start s0']);
+  const after = admission.handle({kind: 'ended', id: 's0', how: 'done'}, 3);
+  t.deepEqual(kinds(after), ['start b0']);
+});
+
 test('gives back waiting batch work and refuses new work when leaving', t => {
   const admission = configured();
   const batch = Array.from({length: 12}, (unused, i) =>
--- a/packages/proofs/src/lib/connection/direct_peer_link.ts
+++ b/packages/proofs/src/lib/connection/direct_peer_link.ts
@@ -55,6 +55,12 @@
     return this.ask('findOutcome', dedupeKey);
   }
 
+  reportDemand(
+    ...[reports]: Parameters<PeerLink['reportDemand']>
+  ): ReturnType<PeerLink['reportDemand']> {
+    return this.ask('reportDemand', reports);
+  }
+
   [Symbol.dispose](): void {
     this.end?.close();
     this.fail();
--- a/packages/proofs/src/lib/process/declared_fleet.ts
+++ b/packages/proofs/src/lib/process/declared_fleet.ts
@@ -2,6 +2,7 @@
 import type {VirtualClock} from '@oathead/stand-ins';
 import {send} from '../request/caller.js';
 import type {ScriptRequest} from '../request/caller.js';
+import {shareOwners} from '../request/home_of.js';
 import {ProofFleet} from './proof_fleet.js';
 import type {ProofFleetOptions} from './proof_fleet.js';
 import {CALLER, KEYS, POOLS, sha256} from './proof_settings.js';
@@ -22,13 +23,20 @@
   await clock.advance(JOIN_MS);
   for (const req of declarations(fleet)) await declare(fleet, clock, req);
   const pools = poolsOf(options);
-  const ready = () =>
-    fleet.entries.every(({entry}) => pools.every(pool => entry.serves(pool)));
-  for (let i = 0; i < READY_CHECKS && !ready(); i++) {
+  const ready = async () =>
+    fleet.entries.every(({entry}) => pools.every(p => entry.serves(p))) &&
+    (await isBalanced(fleet));
+  for (let i = 0; i < READY_CHECKS; i++) {
+    if (await ready()) return fleet;
     await clock.advance(READY_CHECK_MS);
   }
-  if (!ready()) throw new Error('the fleet is not ready in time');
-  return fleet;
+  throw new Error('the fleet is not ready in time');
+}
+
+/** @returns Whether every entry has shares. */
+async function isBalanced(fleet: ProofFleet): Promise<boolean> {
+  const owners = await shareOwners(fleet);
+  return fleet.entries.every(({id}) => owners.includes(id));
 }
 
 function poolsOf(options: ProofFleetOptions): readonly string[] {
--- a/packages/proofs/src/lib/process/proof_settings.ts
+++ b/packages/proofs/src/lib/process/proof_settings.ts
@@ -95,6 +95,8 @@
       dataCentre: 'hall-a',
       listen,
       http: listen,
+      // A memory of the usual size costs most of the time of a short story.
+      memory: {startedCount: 500},
       ...backend,
     }),
   );
--- a/packages/proofs/src/lib/request/home_of.ts
+++ b/packages/proofs/src/lib/request/home_of.ts
@@ -7,6 +7,19 @@
   readonly shares: readonly {readonly owner: string}[];
 }
 
+/**
+ * @param fleet - The fleet.
+ * @returns The owner of each share, by its number.
+ */
+export async function shareOwners(
+  fleet: ProofFleet,
+): Promise<readonly string[]> {
+  const read = await fleet.memory.table.read(['members']);
+  if (!read.ok || !read.value[0]) return [];
+  const {shares} = read.value[0].value as unknown as Directory;
+  return shares.map(({owner}) => owner);
+}
+
 /**
  * @param fleet - The fleet.
  * @param key - A key, or the key of a chunk's row.
@@ -16,10 +29,8 @@
   fleet: ProofFleet,
   key: string,
 ): Promise<EntryProcess | undefined> {
-  const read = await fleet.memory.table.read(['members']);
-  if (!read.ok || !read.value[0]) return undefined;
-  const {shares} = read.value[0].value as unknown as Directory;
-  const owner = shares[hash32(key) % shares.length]!.owner;
+  const owners = await shareOwners(fleet);
+  const owner = owners[hash32(key) % owners.length];
   return fleet.entries.find(({id}) => id === owner);
 }
 
