--- a/packages/bench/src/lib/process/engine_target.ts
+++ b/packages/bench/src/lib/process/engine_target.ts
@@ -66,6 +66,7 @@
   private readonly insides = new Map<string, Inside>();
   private sequence = 0;
   private steps = 0;
+  private stepEnd = Number.POSITIVE_INFINITY;
   private nextLoadAt = 0;
 
   private readonly onEvent: Handlers = {
@@ -123,7 +124,7 @@
     this.model = new EngineModel(options);
   }
 
-  /** @returns When the engine's step ends, if one runs. */
+  /** @returns When to advance; infinite while the engine is idle. */
   nextAt(): number {
     return this.model.nextStepAt() ?? Number.POSITIVE_INFINITY;
   }
@@ -164,10 +165,14 @@
     this.offer(inside, now);
   }
 
-  /** @param now - When the engine's step ends. */
+  /** @param now - When the engine's step ends, or has something to tell. */
   advance(now: number): void {
-    this.steps += 1;
-    for (const event of this.model.advance(now)) this.handle(event);
+    const events = this.model.advance(now);
+    // The engine is also read between steps; then the step ends when it did.
+    const stepEnd = this.nextAt();
+    if (stepEnd !== this.stepEnd) this.steps += 1;
+    this.stepEnd = stepEnd;
+    for (const event of events) this.handle(event);
   }
 
   /** @param now - Milliseconds. */
--- a/packages/entry/src/lib/request/online_service.ts
+++ b/packages/entry/src/lib/request/online_service.ts
@@ -95,10 +95,23 @@
       if (!(err instanceof LinkLostError)) throw err;
     }
     this.deps.counters.count('keyed_homes_unreachable');
-    yield* delivered.rest(this.deps.keyed.serve(call, signal));
+    for await (const event of delivered.rest(
+      this.deps.keyed.serve(call, signal),
+    )) {
+      yield unsure(event);
+    }
   }
 }
 
+/**
+ * The home that was lost may have sent the request on before it was: that it
+ * was not sent from here does not make "not run" true.
+ */
+function unsure(event: ServeEvent): ServeEvent {
+  if (event.kind !== 'refused') return event;
+  return {...event, refusal: {...event.refusal, ran: 'may-have-run'}};
+}
+
 const BROKEN: ServeEvent = {
   kind: 'refused',
   refusal: mayHaveRun('internal', 'the stream ended without an outcome'),
--- a/packages/proofs/src/lib/process/observer.ts
+++ b/packages/proofs/src/lib/process/observer.ts
@@ -89,6 +89,13 @@
     }
   }
 
+  /** A target process has died: what waited there waits no more. */
+  died(target: string): void {
+    for (const arrival of this.arrivals) {
+      if (arrival.target === target) this.arrivals.delete(arrival);
+    }
+  }
+
   /** @returns How often engines and services took an item. */
   startsOf(item: string): number {
     return this.runs.filter(run => run.item === item).length;
--- a/packages/proofs/src/lib/process/processes.ts
+++ b/packages/proofs/src/lib/process/processes.ts
@@ -77,7 +77,8 @@
         url: to,
         clock: host.clock,
         counters,
-        connect: events => connectDirectly(network, host, to, events),
+        connect: (options, events) =>
+          connectDirectly(network, host, to, events),
       }),
     peerLinkTo: peer => new DirectPeerLink(network, host, peer.address),
     settings: entrySettings(id, address),
@@ -113,6 +114,7 @@
   watch: Watch,
 ): TargetProcess {
   const host = new Host(id, clock);
+  host.died.addEventListener('abort', () => watch.observer.died(id));
   const {engine, service} = backend;
   const services = service && [
     [serviceName!, serviceAt(host, service, watch)] as const,
--- a/packages/proofs/src/lib/request/batch_work.ts
+++ b/packages/proofs/src/lib/request/batch_work.ts
@@ -39,7 +39,7 @@
 export const BATCH: WorkKind = {
   name: 'batch',
   title: 'a batch job',
-  fleet: {entries: 2, modelTargets: 2, serviceTargets: 1},
+  fleet: {entries: 2, modelTargets: 2, serviceTargets: 2},
   without: {},
   async start(fleet, {cancels}) {
     for (const item of ITEMS) {
--- a/packages/target/src/lib/process/target_service.ts
+++ b/packages/target/src/lib/process/target_service.ts
@@ -1,5 +1,5 @@
 /** The only way into the engine or plain services beside this process. */
-import {mayHaveRun, notRun, sleep, workFingerprint} from '@oathead/core';
+import {notRun, sleep, workFingerprint} from '@oathead/core';
 import type {
   Heartbeat,
   HeartbeatReply,
@@ -54,6 +54,11 @@
 }
 
 const IDLE_CHECK_MS = 10;
+/**
+ * A request that was on its way when the stop began is refused as not run. Had
+ * the process ended by then, nobody could say that it has not run it.
+ */
+const LINGER_MS = 1_000;
 const MAX_CACHED_PREFIXES = 64;
 
 /** Serves the entries of one target. */
@@ -149,7 +154,8 @@
     const {id, attempt, startedSeen, tokensSeen} = attachment;
     const run = this.memory.byAttempt(id, attempt);
     if (!run) {
-      yield {kind: 'refused', refusal: this.unknown(attachment)};
+      const refusal = this.memory.unknown(attachment, this.bootId);
+      yield {kind: 'refused', refusal};
       return;
     }
     this.parts.metrics.count('attached');
@@ -191,7 +197,7 @@
 
   /** {@inheritDoc ReportingLink.held} */
   async *held(entryId: string): AsyncGenerator<HeldAnswer, void, undefined> {
-    yield* this.memory.heldFor(entryId);
+    yield* this.memory.held.of(entryId);
   }
 
   /** {@inheritDoc ReportingLink.recall} */
@@ -223,7 +229,9 @@
     const {clock, settings} = this.parts;
     this.stopping = true;
     this.director.leave();
-    await this.idle(clock.now() + graceMs);
+    const deadline = clock.now() + graceMs;
+    await sleep(clock, Math.min(LINGER_MS, graceMs));
+    await this.idle(deadline);
     this.director.cutOff();
     await this.idle(clock.now() + settings.attachGraceMs);
   }
@@ -258,18 +266,6 @@
     return notRun('leaving', 'this target takes no new work');
   }
 
-  /** Nothing is known of a request that a link asks about. */
-  private unknown(attachment: Attachment): Refusal {
-    const {id, attempt, bootId, startedSeen, sentAgoMs} = attachment;
-    if (bootId !== this.bootId) {
-      return mayHaveRun('target-lost', 'the target process has restarted');
-    }
-    if (startedSeen) {
-      return mayHaveRun('outcome-unknown', 'the outcome is forgotten');
-    }
-    return this.memory.voidUnseen(id, attempt, sentAgoMs);
-  }
-
   private adopt(config: TargetConfig): void {
     if (!this.config.offer(config)) return;
     this.configure();
--- a/packages/wire/src/lib/connection/link_channel.ts
+++ b/packages/wire/src/lib/connection/link_channel.ts
@@ -2,6 +2,7 @@
 import type {TRPCClient} from '@trpc/client';
 import type {Hello} from '../process/target_handler.js';
 import type {TargetRouter} from '../process/target_router.js';
+import type {ChannelOptions} from './channel.js';
 
 /** An open connection whose other end has answered. */
 export interface LinkChannel extends Disposable {
@@ -29,4 +30,7 @@
  *
  * @throws LinkLostError when the other end doesn't answer in time.
  */
-export type ConnectChannel = (events: ChannelEvents) => Promise<LinkChannel>;
+export type ConnectChannel = (
+  options: ChannelOptions,
+  events: ChannelEvents,
+) => Promise<LinkChannel>;
--- a/packages/wire/src/lib/connection/link_connection.ts
+++ b/packages/wire/src/lib/connection/link_connection.ts
@@ -123,33 +123,28 @@
 
   private async connect(): Promise<void> {
     const attempt = ++this.attempts;
+    const channel = await this.openChannel();
+    if (attempt !== this.attempts) channel?.[Symbol.dispose]();
+    else if (channel) this.adopt(channel);
+    else this.step({type: 'failed'});
+  }
+
+  private async openChannel(): Promise<LinkChannel | undefined> {
+    const {url, clock, tls, connect = Channel.connect} = this.options;
+    const connectTimeoutMs =
+      this.options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS;
+    const events = {
+      heard: (from: LinkChannel) => this.onHeard(from),
+      broken: (from: LinkChannel) => this.onBroken(from),
+    };
     try {
-      const channel = await this.open({
-        heard: from => this.onHeard(from),
-        broken: from => this.onBroken(from),
-      });
-      if (attempt !== this.attempts || this.closed) {
-        channel[Symbol.dispose]();
-        return;
-      }
-      this.adopt(channel);
-    } catch {
-      if (attempt === this.attempts && !this.closed) {
-        this.step({type: 'failed'});
-      }
+      return await connect({url, clock, tls, connectTimeoutMs}, events);
+    } catch (err) {
+      if (!(err instanceof LinkLostError)) throw err;
+      return undefined;
     }
   }
 
-  private open(events: ChannelEvents): Promise<LinkChannel> {
-    const {connect, url, clock, connectTimeoutMs, tls} = this.options;
-    if (connect) return connect(events);
-    const timeoutMs = connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS;
-    return Channel.connect(
-      {url, clock, connectTimeoutMs: timeoutMs, tls},
-      events,
-    );
-  }
-
   /** Make before break: the calls move, then the old connection is closed. */
   private adopt(channel: LinkChannel): void {
     const old = this.channel;
