--- a/packages/proofs/src/lib/process/processes.ts
+++ b/packages/proofs/src/lib/process/processes.ts
@@ -3,7 +3,7 @@
 import type {Counters, Work} from '@oathead/core';
 import {Entry, peerRouter} from '@oathead/entry';
 import type {Platform} from '@oathead/platform';
-import {FakeEngine, FakeService} from '@oathead/stand-ins';
+import type {FakeEngine, FakeService} from '@oathead/stand-ins';
 import type {VirtualClock} from '@oathead/stand-ins';
 import {TargetService} from '@oathead/target';
 import {TrpcTargetLink, targetRouter} from '@oathead/wire';
--- a/packages/proofs/src/lib/process/proof_fleet.ts
+++ b/packages/proofs/src/lib/process/proof_fleet.ts
@@ -57,9 +57,8 @@
   readonly targets: TargetProcess[] = [];
   readonly counts = new Map<string, number>();
   private readonly counters: Counters = {
-    count: (name, labels = {}, by = 1) => {
-      this.counts.set(name, (this.counts.get(name) ?? 0) + by);
-    },
+    count: (name, labels, by = 1) =>
+      void this.counts.set(name, (this.counts.get(name) ?? 0) + by),
   };
   readonly rowSteps = new RowSteps(this);
   private readonly boots = new Map<string, number>();
--- a/packages/proofs/src/lib/process/story.ts
+++ b/packages/proofs/src/lib/process/story.ts
@@ -31,7 +31,7 @@
 /** Steps that need something besides the work itself. */
 const PREPARE: Readonly<Partial<Record<Step, (fleet: ProofFleet) => void>>> = {
   // A third entry joins in the middle: shares move to it.
-  'hand-over': fleet => {
+  ['hand-over']: fleet => {
     fleet.rowSteps.countsHandOver = true;
     fleet.steps.on('accept', () => void fleet.addEntry());
   },
--- a/packages/proofs/src/lib/request/batch_work.ts
+++ b/packages/proofs/src/lib/request/batch_work.ts
@@ -30,9 +30,9 @@
 }
 
 const ITEMS: readonly string[] = [
-  ...Array.from({length: REPEATABLE}, (_, i) => `item-${i}`),
+  ...[...Array(REPEATABLE).keys()].map(i => `item-${i}`),
   HOPELESS,
-  ...Array.from({length: ONCE_ONLY}, (_, i) => `once-${i}`),
+  ...[...Array(ONCE_ONLY).keys()].map(i => `once-${i}`),
 ];
 
 /** A batch job. */
--- a/packages/target/src/lib/process/target_service.ts
+++ b/packages/target/src/lib/process/target_service.ts
@@ -54,11 +54,6 @@
 }
 
 const IDLE_CHECK_MS = 10;
-/**
- * A request that was on its way when the stop began is refused as not run. Had
- * the process ended by then, nobody could say that it has not run it.
- */
-const LINGER_MS = 1_000;
 const MAX_CACHED_PREFIXES = 64;
 
 /** Serves the entries of one target. */
@@ -229,9 +224,7 @@
     const {clock, settings} = this.parts;
     this.stopping = true;
     this.director.leave();
-    const deadline = clock.now() + graceMs;
-    await sleep(clock, Math.min(LINGER_MS, graceMs));
-    await this.idle(deadline);
+    await this.idle(clock.now() + graceMs);
     this.director.cutOff();
     await this.idle(clock.now() + settings.attachGraceMs);
   }
@@ -289,10 +282,22 @@
     this.board.touch();
   }
 
+  /**
+   * Guards against a process that ends while a link still asks for it: a request
+   * was on its way when the stop began, or an outcome went over a connection
+   * that had gone silent. With the process gone, nobody could say any more what
+   * became of the request. So it stays until it was idle for as long as a link
+   * may take to attach again.
+   */
   private async idle(until: number): Promise<void> {
-    const {clock} = this.parts;
+    const {clock, settings} = this.parts;
     const busy = () => this.memory.runningCount + this.followers.count > 0;
-    while (busy() && clock.now() < until) await sleep(clock, IDLE_CHECK_MS);
+    let busyAt = clock.now();
+    while (clock.now() < until) {
+      if (busy()) busyAt = clock.now();
+      else if (clock.now() - busyAt >= settings.attachGraceMs) return;
+      await sleep(clock, IDLE_CHECK_MS);
+    }
   }
 }
 
--- a/packages/wire/src/lib/connection/link_connection.ts
+++ b/packages/wire/src/lib/connection/link_connection.ts
@@ -10,11 +10,7 @@
 import {Channel} from './channel.js';
 import type {ClientTls} from './channel.js';
 import type {LinkCall} from './link_call.js';
-import type {
-  ChannelEvents,
-  ConnectChannel,
-  LinkChannel,
-} from './link_channel.js';
+import type {ConnectChannel, LinkChannel} from './link_channel.js';
 
 /** Settings of a link. */
 export interface LinkOptions {
