--- a/packages/batch/src/lib/process/item_starter.ts
+++ b/packages/batch/src/lib/process/item_starter.ts
@@ -48,6 +48,9 @@
       else {
         chunk.tell(index, {type: 'release'});
         chunk.putReady(index);
+        // The row says that it is started. Left so, the next holder would take
+        // an item for lost in flight that was never sent.
+        chunk.urgent = true;
       }
     }
   }
--- a/packages/entry/src/lib/process/entry.ts
+++ b/packages/entry/src/lib/process/entry.ts
@@ -243,12 +243,11 @@
     const deadline = clock.now() + graceMs;
     this.stopping = true;
     const batchStopped = this.jobs.stop(graceMs);
-    while (this.busy && clock.now() < deadline) {
-      await sleep(clock, STOP_CHECK_MS);
-    }
+    await this.settle(deadline);
     await batchStopped;
-    await this.answers.flush();
     await this.membership.stop(Math.max(0, deadline - clock.now()));
+    // A request that was on its way when the stop began came in meanwhile.
+    await this.settle(deadline);
     this[Symbol.dispose]();
   }
 
@@ -259,6 +258,15 @@
     this.held[Symbol.dispose]();
   }
 
+  /** Waits until nothing is in flight, and writes what is unwritten. */
+  private async settle(deadline: number): Promise<void> {
+    const {clock} = this.parts;
+    while (this.busy && clock.now() < deadline) {
+      await sleep(clock, STOP_CHECK_MS);
+    }
+    await this.answers.flush();
+  }
+
   private get busy(): boolean {
     return this.inFlight > 0 || this.keyed.runningCount > 0;
   }
@@ -305,7 +313,8 @@
     const owner = membership.ownerOf(membership.shareOf(dedupeKey));
     if (owner && owner.entryId !== membership.entryId) {
       try {
-        return await this.peers.findOutcome(owner, dedupeKey);
+        const found = await this.peers.findOutcome(owner, dedupeKey);
+        if (found) return found;
       } catch (err) {
         if (!(err instanceof LinkLostError)) throw err;
       }
--- a/packages/entry/src/lib/request/dispatcher.ts
+++ b/packages/entry/src/lib/request/dispatcher.ts
@@ -126,7 +126,7 @@
       const refusal = refusalOfEnd(end);
       if (!refusal || !this.mayRetry(refusal)) return this.finalOutcome(end);
       last = refusal;
-      this.tried.add(attempt.targetId);
+      if (!neverArrived(refusal)) this.tried.add(attempt.targetId);
     }
   }
 
@@ -306,6 +306,14 @@
   return ran === 'may-have-run' && DEATHS.has(kind);
 }
 
+/**
+ * A request that got lost with a silent connection says nothing against its
+ * target: where the others were tried, it is sent there again over a new one.
+ */
+function neverArrived({kind, ran}: Refusal): boolean {
+  return kind === 'target-lost' && ran === 'not-run';
+}
+
 const DEATHS: ReadonlySet<Refusal['kind']> = new Set([
   'engine-failed',
   'target-lost',
--- a/packages/entry/src/lib/request/keyed_requests.ts
+++ b/packages/entry/src/lib/request/keyed_requests.ts
@@ -112,7 +112,13 @@
     const {answers, membership} = this.deps;
     const share = membership.shareOf(dedupeKey);
     if (!answers.indexes.loaded(share)) await answers.indexes.load(share);
-    const found = await answers.find(dedupeKey);
+    let found = await answers.find(dedupeKey);
+    if (found.ok && !found.value) {
+      // Another entry, that could not reach this one, may have served the key
+      // in its place; its rows are not in the index as it was read.
+      await answers.indexes.load(share);
+      found = await answers.find(dedupeKey);
+    }
     if (!this.isHome(share)) answers.indexes.drop(share);
     if (!found.ok) return refused(storeUnavailable());
     return found.value?.outcome;
--- a/packages/target/src/lib/process/target_service.ts
+++ b/packages/target/src/lib/process/target_service.ts
@@ -282,10 +282,22 @@
     this.board.touch();
   }
 
+  /**
+   * Guards against a process that ends while a link still asks for it: a request
+   * was on its way when the stop began, or an outcome went over a connection
+   * that had gone silent. With the process gone, nobody could say any more what
+   * became of the request. So it stays until it was idle for as long as a link
+   * may take to attach again.
+   */
   private async idle(until: number): Promise<void> {
-    const {clock} = this.parts;
+    const {clock, settings} = this.parts;
     const busy = () => this.memory.runningCount + this.followers.count > 0;
-    while (busy() && clock.now() < until) await sleep(clock, IDLE_CHECK_MS);
+    let busyAt = clock.now();
+    while (clock.now() < until) {
+      if (busy()) busyAt = clock.now();
+      else if (clock.now() - busyAt >= settings.attachGraceMs) return;
+      await sleep(clock, IDLE_CHECK_MS);
+    }
   }
 }
 
