Read answers back from the targets of a home that was lost

Change: reading a key asks the targets too while its share is recovering; held answers are adopted by who owns their shares in the directory. Heartbeats go every 2 s: load is pushed, and at 73 targets one a second would cost more than 4 % of a core.

--- a/packages/entry/src/lib/process/entry.ts
+++ b/packages/entry/src/lib/process/entry.ts
@@ -131,7 +131,12 @@
       new SharedSuspects({...base, membership: this.membership}),
     );
     this.fleet = this.held.add(this.createFleet());
-    this.recall = new Recall({clock, counters, fleet: this.fleet});
+    this.recall = new Recall({
+      clock,
+      counters,
+      fleet: this.fleet,
+      cfg: this.control.cache,
+    });
     const {membership} = this;
     this.answers = new AnswerStore({...base, membership}, settings.answers);
     const dispatcher = this.createDispatcher();
@@ -143,7 +148,7 @@
       membership,
       answers: this.answers,
       dispatch,
-      recall: call => this.recall.ofKey(call),
+      recall: this.recall,
     });
     this.online = new OnlineService({
       counters,
@@ -301,7 +306,9 @@
     for (const entryId of lost) {
       for (const answer of await this.recall.heldFor(entryId)) {
         const share = this.membership.shareOf(answer.key);
-        if (this.membership.fence(share)) this.answers.add(answer);
+        const owner = this.membership.ownerOf(share);
+        if (owner?.entryId === this.membership.entryId)
+          this.answers.add(answer);
       }
     }
   }
--- a/packages/entry/src/lib/process/entry_settings.ts
+++ b/packages/entry/src/lib/process/entry_settings.ts
@@ -72,7 +72,7 @@
     .prefault({}),
   fleet: z
     .strictObject({
-      heartbeatMs: MS.default(1000),
+      heartbeatMs: MS.default(2000),
       hostListMs: MS.default(2000),
       entriesPerTarget: z.int().positive().default(8),
       farRoundTripMs: MS.default(2.5),
--- a/packages/entry/src/lib/request/keyed_requests.ts
+++ b/packages/entry/src/lib/request/keyed_requests.ts
@@ -38,12 +38,13 @@
   readonly answers: AnswerStore;
   /** Serves a request at a target. */
   readonly dispatch: Serve;
-  /**
-   * Asks the targets that a key prefers for an outcome they remember.
-   *
-   * @returns Undefined when none of them knows the key.
-   */
-  recall(call: KeyedCall): Promise<KeyedAnswer | undefined>;
+  /** Asks targets for the outcomes of keys that they remember. */
+  readonly recall: {
+    /** @returns Undefined when no target that the key prefers knows it. */
+    ofCall(call: KeyedCall): Promise<KeyedAnswer | undefined>;
+    /** @returns The same for a key whose work is not known. */
+    ofKey(dedupeKey: string): Promise<KeyedAnswer | undefined>;
+  };
 }
 
 interface Running {
@@ -121,7 +122,18 @@
     }
     if (!this.isHome(share)) answers.indexes.drop(share);
     if (!found.ok) return refused(storeUnavailable());
-    return found.value?.outcome;
+    return (found.value ?? (await this.recalled(dedupeKey)))?.outcome;
+  }
+
+  /** The last home of a key can be lost with answers that it had not written. */
+  private async recalled(dedupeKey: string): Promise<KeyedAnswer | undefined> {
+    const share = this.deps.membership.shareOf(dedupeKey);
+    if (!this.isRecovering(share)) return undefined;
+    const recalled = await this.deps.recall.ofKey(dedupeKey);
+    // The end of a request that may be sent again is no answer to keep.
+    if (recalled?.outcome.kind !== 'done') return undefined;
+    this.deps.answers.add(recalled);
+    return recalled;
   }
 
   private async *attach(
@@ -198,7 +210,7 @@
     const kept = await this.kept(call, work);
     if (!this.isHome(share)) answers.indexes.drop(share);
     if (kept) return kept;
-    const recalled = await this.deps.recall(call);
+    const recalled = await this.deps.recall.ofCall(call);
     if (!recalled) return undefined;
     const {outcome} = recalled;
     // What has not run may be tried again.
--- a/packages/entry/src/lib/request/recall.ts
+++ b/packages/entry/src/lib/request/recall.ts
@@ -3,7 +3,7 @@
  * lost, or is out of reach, before it wrote them.
  */
 import {LinkLostError, poolOf, workFingerprint} from '@oathead/core';
-import type {Clock, Counters} from '@oathead/core';
+import type {Clock, ConfigView, Counters} from '@oathead/core';
 import type {HeldAnswer, ReportingLink} from '@oathead/wire';
 import type {KeyedAnswer} from './keyed_answer.js';
 import type {KeyedCall} from './keyed_requests.js';
@@ -12,6 +12,7 @@
 export interface RecallDeps {
   readonly clock: Clock;
   readonly counters: Counters;
+  readonly cfg: ConfigView;
   readonly fleet: {
     targetsOfKey(pool: string, dedupeKey: string): readonly ReportingLink[];
     links(): readonly ReportingLink[];
@@ -31,16 +32,24 @@
    * @returns What a target remembers of the key. A run of it that is still
    *     going on is waited for, until the deadline of the request.
    */
-  async ofKey(call: KeyedCall): Promise<KeyedAnswer | undefined> {
-    const {clock, fleet, counters} = this.deps;
-    const {dedupeKey: key, deadline, work} = call;
-    const links = fleet.targetsOfKey(poolOf(work), key);
-    const answers = await withTimeout(clock, deadline - clock.now(), signal =>
-      Promise.all(links.map(link => recallAt(link, key, signal))),
+  ofCall(call: KeyedCall): Promise<KeyedAnswer | undefined> {
+    const {clock, fleet} = this.deps;
+    const {dedupeKey, deadline, work} = call;
+    const links = fleet.targetsOfKey(poolOf(work), dedupeKey);
+    return this.first(dedupeKey, links, deadline - clock.now());
+  }
+
+  /**
+   * @param dedupeKey - A key, of whatever model or service.
+   * @returns What a target remembers of it.
+   */
+  ofKey(dedupeKey: string): Promise<KeyedAnswer | undefined> {
+    const {fleet, cfg} = this.deps;
+    const pools = cfg.current().all('models');
+    const links = pools.flatMap(({name}) =>
+      fleet.targetsOfKey(name, dedupeKey),
     );
-    const found = answers.find(answer => answer !== undefined);
-    if (found) counters.count('keyed_answers_recalled');
-    return found && {key, ...found};
+    return this.first(dedupeKey, [...new Set(links)], HELD_TIMEOUT_MS);
   }
 
   /**
@@ -58,6 +67,20 @@
       outcome: {kind: 'done', answer},
     }));
   }
+
+  private async first(
+    key: string,
+    links: readonly ReportingLink[],
+    timeoutMs: number,
+  ): Promise<KeyedAnswer | undefined> {
+    const {clock, counters} = this.deps;
+    const answers = await withTimeout(clock, timeoutMs, signal =>
+      Promise.all(links.map(link => recallAt(link, key, signal))),
+    );
+    const found = answers.find(answer => answer !== undefined);
+    if (found) counters.count('keyed_answers_recalled');
+    return found && {key, ...found};
+  }
 }
 
 async function recallAt(
--- a/packages/entry/src/test/request/keyed_requests_test.ts
+++ b/packages/entry/src/test/request/keyed_requests_test.ts
@@ -64,7 +64,7 @@
       yield {kind: 'started', version: 'v1'};
       yield end();
     },
-    recall: async () => recalled(),
+    recall: {ofCall: async () => recalled(), ofKey: async () => recalled()},
   });
   const send = async (fields: Partial<KeyedCall> = {}) => {
     const call = {...serveCall({idempotent: false}), dedupeKey: KEY, ...fields};
@@ -156,6 +156,16 @@
   t.is(second.sent(), 0);
 });
 
+// The same, but the caller only reads its answer again.
+test('an answer that its home had not written is read at the targets', async t => {
+  const w = world();
+  const work = workFingerprint(serveCall().work);
+  const remembered = {key: KEY, work, outcome: DONE};
+  const second = entry(w, 'e2', undefined, () => remembered);
+  second.membership.take();
+  t.deepEqual(await settled(w.clock, second.keyed.find(KEY)), DONE);
+});
+
 // The same, but the target is lost with its memory too. Whether the pilot was
 // called is not known: the resend is told so, and nobody is called.
 test('a claim whose outcome is lost bars every resend', async t => {
