Hold the drain's tests to the wait for links that attach again

Cause: since a stopping target stays until it was idle for as long as a link may take to attach again, two tests that moved the clock by 10 ms waited for good. Change: they demand that it has not ended after half of that time and has after all of it; what callers see is asserted as before.

--- a/packages/target/src/test/process/drain_test.ts
+++ b/packages/target/src/test/process/drain_test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import {
+  ATTACH_GRACE_MS,
   CONFIG,
   offer,
   refusalText,
@@ -36,7 +37,10 @@
   online.tokens('b');
   online.done();
   t.like(await branch.ended, {kind: 'done', answer: {text: 'a b'}});
-  await pass(10);
+  // A link may yet attach again and ask for the outcome.
+  await pass(ATTACH_GRACE_MS / 2);
+  t.false(drained);
+  await pass(ATTACH_GRACE_MS);
   await drain;
   t.true(drained);
 });
@@ -48,6 +52,7 @@
   const stream = await engine.stream(0);
   const drain = service.drain(30_000);
   await pass(30_010);
+  await pass(ATTACH_GRACE_MS);
   await drain;
   t.is(refusalText(await running.ended), 'leaving may-have-run');
   t.is(refusalText(await waiting.ended), 'leaving not-run');
--- a/packages/target/src/test/service_fixture.ts
+++ b/packages/target/src/test/service_fixture.ts
@@ -16,6 +16,9 @@
 import {FakeEngine} from './fake_engine.js';
 import {FixedAdmission} from './fixed_admission.js';
 
+/** How long a request outlives its connection, in milliseconds. */
+export const ATTACH_GRACE_MS = 2_000;
+
 /** Virtual time that only the test moves. */
 export function virtualTime() {
   const timers = createClock(1_000);
@@ -58,7 +61,7 @@
 export const SETTINGS: TargetServiceSettings = {
   targetId: 'target-1',
   dataCentre: 'hall-a',
-  attachGraceMs: 2_000,
+  attachGraceMs: ATTACH_GRACE_MS,
   coalesceMs: 10,
   memory: {
     attachMs: 60_000,
