--- a/packages/wire/src/lib/connection/link_connection.ts
+++ b/packages/wire/src/lib/connection/link_connection.ts
@@ -10,6 +10,7 @@
 import {Channel} from './channel.js';
 import type {ClientTls} from './channel.js';
 import type {LinkCall} from './link_call.js';
+import type {ConnectChannel, LinkChannel} from './link_channel.js';
 
 /** Settings of a link. */
 export interface LinkOptions {
@@ -26,6 +27,8 @@
   readonly silenceMs?: number;
   /** Largest wait for a new connection's first answer, in milliseconds. */
   readonly connectTimeoutMs?: number;
+  /** Opens a connection; over a WebSocket where absent. */
+  readonly connect?: ConnectChannel;
 }
 
 const DEFAULT_SILENCE_MS = 500;
@@ -37,7 +40,7 @@
   /** Calls that wait for a connection to be open. */
   private readonly waiting = new Set<LinkCall>();
   private snapshot = initialConnection();
-  private channel: Channel | undefined;
+  private channel: LinkChannel | undefined;
   /** Counts attempts to connect, so that an abandoned one is known as such. */
   private attempts = 0;
   private quietTimer: Disposable | undefined;
@@ -122,17 +125,16 @@
     else this.step({type: 'failed'});
   }
 
-  private async openChannel(): Promise<Channel | undefined> {
-    const {url, clock, tls} = this.options;
+  private async openChannel(): Promise<LinkChannel | undefined> {
+    const {url, clock, tls, connect = Channel.connect} = this.options;
     const connectTimeoutMs =
       this.options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS;
     const events = {
-      heard: (from: Channel) => this.onHeard(from),
-      broken: (from: Channel) => this.onBroken(from),
+      heard: (from: LinkChannel) => this.onHeard(from),
+      broken: (from: LinkChannel) => this.onBroken(from),
     };
     try {
-      const options = {url, clock, tls, connectTimeoutMs};
-      return await Channel.connect(options, events);
+      return await connect({url, clock, tls, connectTimeoutMs}, events);
     } catch (err) {
       if (!(err instanceof LinkLostError)) throw err;
       return undefined;
@@ -140,7 +142,7 @@
   }
 
   /** Make before break: the calls move, then the old connection is closed. */
-  private adopt(channel: Channel): void {
+  private adopt(channel: LinkChannel): void {
     const old = this.channel;
     this.channel = channel;
     this.quietSince = channel.lastHeardAt;
@@ -153,7 +155,7 @@
     for (const call of this.calls) call.use(this.channel!);
   }
 
-  private onHeard(from: Channel): void {
+  private onHeard(from: LinkChannel): void {
     if (from !== this.channel) return;
     this.quietSince = from.lastHeardAt;
     if (this.state === 'open') return;
@@ -162,7 +164,7 @@
     this.waiting.clear();
   }
 
-  private onBroken(from: Channel): void {
+  private onBroken(from: LinkChannel): void {
     if (from !== this.channel) return;
     this.channel = undefined;
     this.step({type: 'broken'});
