--- a/packages/cli/src/lib/process/registered.ts
+++ b/packages/cli/src/lib/process/registered.ts
@@ -45,9 +45,21 @@
   readonly url?: string;
   readonly key?: string;
   readonly pool: string;
+  /** Path behind the name of a plain service; a model is called without it. */
+  readonly path?: string;
   /** Requests a second. */
   readonly rate: number;
   readonly seconds: number;
+  /** Decides the times of sending. */
+  readonly seed: number;
+  readonly promptTokens: number;
+  readonly maxTokens: number;
+  readonly stream: boolean;
+  /** Items of a batch job that runs beside it; none where 0. */
+  readonly batchItems: number;
+  /** File for a chart. */
+  readonly svg?: string;
+  readonly output: 'table' | 'json';
 }
 
 /** Verbs that other packages carry out; what is missing says so and fails. */
@@ -77,4 +89,5 @@
         : failure({kind: 'failed', message: 'the demo did not come out well'});
     };
   },
+  load: async () => (await import('./load_runner.js')).runLoadVerb,
 };
--- a/packages/cli/src/lib/process/verbs/registered_verbs.ts
+++ b/packages/cli/src/lib/process/verbs/registered_verbs.ts
@@ -1,6 +1,7 @@
 /** Verbs that other packages carry out: `entry`, `demo`, `load`. */
 import {failure} from '@oathead/core';
 import {usageError} from '../cli_error.js';
+import {outputOption, remoteOptions} from '../remote_options.js';
 import {RUNNERS} from '../registered.js';
 import type {
   DemoArgs,
@@ -9,6 +10,7 @@
   RunnerLoader,
 } from '../registered.js';
 import type {Verb, VerbContext, VerbOutcome} from '../verb.js';
+import type {Argv} from 'yargs';
 
 async function runWith<T>(
   name: string,
@@ -60,8 +62,13 @@
     runWith('demo', RUNNERS.demo, {serve, port}, context),
 };
 
-const DEFAULT_RATE = 10;
-const DEFAULT_SECONDS = 10;
+const LOAD_DEFAULTS = {
+  rate: 10,
+  seconds: 10,
+  seed: 1,
+  promptTokens: 128,
+  maxTokens: 128,
+} as const;
 
 /** Sends load and reports what came of it. */
 export const LOAD: Verb<LoadArgs> = {
@@ -72,25 +79,65 @@
       command: '$0 load review-llm --rate 20 --seconds 30',
       does: 'Twenty requests a second for half a minute',
     },
+    {
+      command: '$0 load review-llm --batch-items 2000 --svg load.svg',
+      does: 'The same with a batch job beside it, and a chart',
+    },
+    {
+      command: '$0 load limit-api --path review',
+      does: 'Calls of a plain service',
+    },
   ],
   options: parser =>
-    parser
-      .positional('pool', {
-        type: 'string',
-        demandOption: true,
-        describe: 'Name of the model or service',
-      })
-      .option('url', {type: 'string', describe: 'The server'})
-      .option('key', {type: 'string', describe: 'Your bearer key'})
-      .option('rate', {
-        type: 'number',
-        default: DEFAULT_RATE,
-        describe: 'Requests a second',
-      })
-      .option('seconds', {
-        type: 'number',
-        default: DEFAULT_SECONDS,
-        describe: 'For how long',
-      }),
+    outputOption(loadOptions(remoteOptions(parser))).positional('pool', {
+      type: 'string',
+      demandOption: true,
+      describe: 'Name of the model or service',
+    }),
   run: (args, context) => runWith('load', RUNNERS.load, args, context),
 };
+
+function loadOptions(parser: Argv): Argv {
+  const {rate, seconds, seed, promptTokens, maxTokens} = LOAD_DEFAULTS;
+  return parser
+    .option('path', {
+      type: 'string',
+      describe: 'Path of a plain service; without it, the pool is a model',
+    })
+    .option('rate', {
+      type: 'number',
+      default: rate,
+      describe: 'Requests a second, as Poisson arrivals',
+    })
+    .option('seconds', {
+      type: 'number',
+      default: seconds,
+      describe: 'For how long',
+    })
+    .option('seed', {
+      type: 'number',
+      default: seed,
+      describe: 'Decides the times of sending',
+    })
+    .option('prompt-tokens', {
+      type: 'number',
+      default: promptTokens,
+      describe: 'Length of the prompts, about',
+    })
+    .option('max-tokens', {
+      type: 'number',
+      default: maxTokens,
+      describe: 'Longest answer',
+    })
+    .option('stream', {
+      type: 'boolean',
+      default: true,
+      describe: 'Read answers token by token',
+    })
+    .option('batch-items', {
+      type: 'number',
+      default: 0,
+      describe: 'Items of a batch job to run beside it',
+    })
+    .option('svg', {type: 'string', describe: 'Write a chart to this file'});
+}
