Work out an entry's targets only when entries or targets change

Cause: still 108 ms of a core a second at 340 entries and 3,100 targets, since each poll of the head row works the subset out again. Change: the subset is kept until the entries or the declared targets differ.

--- a/packages/entry/src/lib/connection/target_fleet.ts
+++ b/packages/entry/src/lib/connection/target_fleet.ts
@@ -79,6 +79,8 @@
   private readonly chooser: TargetChooser;
   private readonly roomCallbacks = new Set<() => void>();
   private listedLeaving: ReadonlySet<string> = new Set();
+  /** Worked out from all entries and targets, so only when these change. */
+  private subset: Subset | undefined;
 
   /** @param options - What the fleet needs. */
   constructor(private readonly options: TargetFleetOptions) {
@@ -232,9 +234,22 @@
   }
 
   private mine(declared: readonly Resource<'targets'>[]): readonly string[] {
-    const {entryId, membership, settings} = this.options;
-    const entries = membership.peers().map(peer => peer.entryId);
+    const entries = this.options.membership.peers().map(peer => peer.entryId);
     const names = declared.map(({name}) => name);
+    const known = this.subset;
+    if (known && isSame(known.entries, entries) && isSame(known.names, names)) {
+      return known.mine;
+    }
+    const mine = this.subsetFrom(entries, names);
+    this.subset = {entries, names, mine};
+    return mine;
+  }
+
+  private subsetFrom(
+    entries: readonly string[],
+    names: readonly string[],
+  ): readonly string[] {
+    const {entryId, settings} = this.options;
     if (!entries.includes(entryId)) return names;
     return subsetOf(entryId, entries, names, settings.entriesPerTarget);
   }
@@ -306,3 +321,14 @@
   'target-lost',
   'internal',
 ]);
+
+/** Which targets are this entry's, and what that was worked out from. */
+interface Subset {
+  readonly entries: readonly string[];
+  readonly names: readonly string[];
+  readonly mine: readonly string[];
+}
+
+function isSame(a: readonly string[], b: readonly string[]): boolean {
+  return a.length === b.length && a.every((name, i) => name === b[i]);
+}
