--- a/packages/config/src/lib/version/target_config_for.ts
+++ b/packages/config/src/lib/version/target_config_for.ts
@@ -46,10 +46,24 @@
   };
 }
 
+type CallerWeights = TargetConfig['callerWeights'];
+
+/**
+ * Each heartbeat to each target asks for these, and finding them means looking
+ * at every caller; a snapshot never changes.
+ */
+const weightsOf = new WeakMap<ConfigSnapshot, CallerWeights>();
+
+function callerWeights(snapshot: ConfigSnapshot): CallerWeights {
+  const known = weightsOf.get(snapshot);
+  if (known) return known;
+  const weights = findCallerWeights(snapshot);
+  weightsOf.set(snapshot, weights);
+  return weights;
+}
+
 /** Only what differs from the default: most of many callers do not. */
-function callerWeights(
-  snapshot: ConfigSnapshot,
-): Readonly<Record<string, number>> {
+function findCallerWeights(snapshot: ConfigSnapshot): CallerWeights {
   return Object.fromEntries(
     snapshot
       .all('callers')
