--- a/packages/target/src/index.ts
+++ b/packages/target/src/index.ts
@@ -9,6 +9,7 @@
 export * from './lib/process/admission_driver.js';
 export * from './lib/process/daemon.js';
 export * from './lib/process/main.js';
+export * from './lib/process/main_parts.js';
 export * from './lib/process/target_service.js';
 export * from './lib/process/target_settings.js';
 
