--- a/packages/core/src/lib/process/online_gate.ts
+++ b/packages/core/src/lib/process/online_gate.ts
@@ -64,7 +64,7 @@
    */
   watchCeiling(stalled: boolean, streams: number, now: number): void {
     this.stalledSteps = stalled ? this.stalledSteps + 1 : 0;
-    if (this.stalledSteps >= STALLED_STEPS) {
+    if (this.stalledSteps >= STALLED_STEPS && this.mayQueue) {
       this.ceiling = Math.max(1, streams);
       this.ceilingAt = now;
       return;
@@ -75,6 +75,16 @@
     this.ceilingAt = now;
   }
 
+  /**
+   * A stream without a token for some steps may wait inside the engine, or its
+   * connection was slow to open. Taken for the first, the second closed a target
+   * to almost all online work for many minutes. An engine that says that
+   * nothing waits in it is believed.
+   */
+  private get mayQueue(): boolean {
+    return this.lastLoad === undefined || this.lastLoad.waiting > 0;
+  }
+
   /** Size of the engine's memory in tokens; infinite where not known. */
   get memory(): number {
     const total = this.lastLoad?.kvTokensTotal ?? 0;
--- a/packages/entry/src/lib/process/answer_store.ts
+++ b/packages/entry/src/lib/process/answer_store.ts
@@ -159,11 +159,17 @@
     const name = `answers/${this.deps.membership.entryId}/${random.id()}`;
     const bytes = new TextEncoder().encode(JSON.stringify({answers}));
     const put = await objects.put(name, bytes);
-    if (!put.ok) return void counters.count('answer_flush_failures');
+    if (!put.ok) {
+      counters.count('answer_flush_failures', {kind: put.err.kind});
+      return;
+    }
 
     const byShare = this.byShare(answers);
     const checks = await this.fences([...byShare.keys()]);
-    if (!checks.ok) return void counters.count('answer_flush_failures');
+    if (!checks.ok) {
+      counters.count('answer_flush_failures', {kind: checks.err.kind});
+      return;
+    }
     const nonce = random.id();
     const rows = [...byShare].map(([share, group]) => {
       const keys = group.map(({key}) => key);
--- a/packages/observe/src/lib/process/metrics.ts
+++ b/packages/observe/src/lib/process/metrics.ts
@@ -25,16 +25,29 @@
 export class Metrics implements Counters {
   private readonly registry = new Registry();
   private readonly counters = new Map<string, Counter>();
+  private readonly labelNames = new Map<string, string>();
   private readonly histograms = new Map<string, LabelledHistogram>();
 
-  /** {@inheritDoc Counters.count} */
+  /**
+   * {@inheritDoc Counters.count}
+   *
+   * Label names are part of the counter's identity here: Prometheus refuses to
+   * add one to a counter that exists, and a call that counts must never fail.
+   */
   count(name: string, labels: Labels = {}, by = 1): void {
+    const names = Object.keys(labels);
+    const known = this.labelNames.get(name) ?? names.join();
+    this.labelNames.set(name, known);
+    if (known !== names.join()) {
+      this.count('counter_label_mismatches', {name}, by);
+      return;
+    }
     let counter = this.counters.get(name);
     if (!counter) {
       counter = new Counter({
         name: `${PREFIX}${name}_total`,
         help: name.replaceAll('_', ' '),
-        labelNames: Object.keys(labels),
+        labelNames: names,
         registers: [this.registry],
       });
       this.counters.set(name, counter);
--- a/packages/observe/src/test/process/metrics_test.ts
+++ b/packages/observe/src/test/process/metrics_test.ts
@@ -21,3 +21,15 @@
   t.true(Math.abs(Number(p999?.[1]) - 5000) < 5);
   t.true(text.includes('oathead_first_token_ms_count 1001'));
 });
+
+// A store fails first in one way, then in another, and the second way is counted
+// with a label that the first had not. Counting threw, nobody caught it, and an
+// outage of the store ended the process.
+test('counting with other labels does not fail', async t => {
+  const metrics = new Metrics();
+  metrics.count('failures');
+  metrics.count('failures', {kind: 'down'});
+  const text = await metrics.text();
+  t.true(text.includes('oathead_failures_total 1'));
+  t.true(text.includes('mismatches_total{name="failures"} 1'));
+});
