Let the declared throughput weight act

Cause: throughputWeight was declared and did nothing; every deployment got the step limit that holds the p99 and leaves the median and p95 to batch.

Change: a step and a first token may take as long without batch work as the next guarded quantile above it (weight 0), up to the p99 (weight 1), by the square of the weight between; the harm planned for follows the weight. Quantiles guarded: p50, p90, p93, p95 to p99.

--- a/packages/bench/src/lib/process/frontier_plot.ts
+++ b/packages/bench/src/lib/process/frontier_plot.ts
@@ -11,7 +11,8 @@
 const MOST_HARM = 6;
 
 function familyOf(policy: string): string {
-  return policy.startsWith('cap-') ? 'fixed cap' : policy;
+  if (policy.startsWith('cap-')) return 'fixed cap';
+  return policy.startsWith('weight-') ? 'oathead by weight' : policy;
 }
 
 /**
--- a/packages/bench/src/lib/process/policies.ts
+++ b/packages/bench/src/lib/process/policies.ts
@@ -148,6 +148,22 @@
   admission: pool => configured(pool),
 };
 
+/** Weights for which the frontier of one trace is shown. */
+export const WEIGHTS: readonly number[] = [0, 0.25, 0.5, 0.75, 1];
+
+/**
+ * @param throughputWeight - From 0 to 1, in place of what the trace declares.
+ * @returns Oathead's own policy with that weight.
+ */
+export function weighted(throughputWeight: number): Policy {
+  return {
+    name: `weight-${throughputWeight}`,
+    batch: true,
+    admission: pool =>
+      configured({...pool, batch: {...pool.batch, throughputWeight}}),
+  };
+}
+
 /** Online work alone: what harm is measured against. */
 export const ALONE: Policy = {
   name: 'alone',
--- a/packages/bench/src/lib/process/run_summary.ts
+++ b/packages/bench/src/lib/process/run_summary.ts
@@ -1,6 +1,7 @@
 /** One run of the policy bench as plain numbers, for tables and threads. */
 import {ALONE, CAPS, EVERYTHING_AS_IT_COMES} from './policies.js';
-import {HOLD_BACK, OATHEAD, fixedCap} from './policies.js';
+import {HOLD_BACK, OATHEAD, WEIGHTS} from './policies.js';
+import {fixedCap, weighted} from './policies.js';
 import type {Policy} from './policies.js';
 import {PERCENTILES} from './figures.js';
 import type {Figures} from './figures.js';
@@ -59,6 +60,14 @@
   ...CAPS.map(fixedCap),
 ];
 
+/** The trace for which the frontier over the weights is shown. */
+export const WEIGHED_TRACE: TraceKey = 'a';
+
+/** Policies that run on that trace besides. */
+export const WEIGHTED_POLICIES: readonly Policy[] = WEIGHTS.map(weighted);
+
+const ALL_POLICIES = [...POLICIES, ...WEIGHTED_POLICIES];
+
 /** Online work alone, each request sent where its prefix is cached. */
 export const ALL_KNOWING = 'all-knowing';
 
@@ -70,7 +79,7 @@
   const {trace: key, policy: name, seed} = order;
   const trace = buildTrace(key, seed);
   const knowing = name === ALL_KNOWING;
-  const policy = POLICIES.find(one => one.name === name) ?? ALONE;
+  const policy = ALL_POLICIES.find(one => one.name === name) ?? ALONE;
   const router = knowing ? allKnowing : undefined;
   const figures = new PolicyRun(trace, policy, seed, router).run();
   return summarise(order, trace, figures);
--- a/packages/bench/src/lib/process/traces.ts
+++ b/packages/bench/src/lib/process/traces.ts
@@ -166,7 +166,7 @@
 const REVIEW_POOL: PoolConfig = {
   pool: 'review-llm',
   kind: 'model',
-  batch: {throughputWeight: 0.2, maxHarm: 1.05},
+  batch: {throughputWeight: 0.5, maxHarm: 1.05},
   firstTokenMs: 390,
   betweenTokensMs: 40,
   maxOnline: 256,
--- a/packages/bench/src/policy_main.ts
+++ b/packages/bench/src/policy_main.ts
@@ -8,6 +8,7 @@
 import type {ReportRow} from './lib/process/policy_report.js';
 import {runAll} from './lib/process/run_pool.js';
 import {ALL_KNOWING, POLICIES} from './lib/process/run_summary.js';
+import {WEIGHED_TRACE, WEIGHTED_POLICIES} from './lib/process/run_summary.js';
 import type {RunOrder} from './lib/process/run_summary.js';
 import {TRACE_KEYS, buildTrace} from './lib/process/traces.js';
 import type {TraceKey} from './lib/process/traces.js';
@@ -19,15 +20,19 @@
   .option('json', {type: 'boolean', default: false})
   .option('seed', {type: 'number', default: 1})
   .option('trace', {choices: TRACE_KEYS})
-  .option('policy', {choices: POLICIES.map(({name}) => name)})
+  .option('policy', {
+    choices: [...POLICIES, ...WEIGHTED_POLICIES].map(({name}) => name),
+  })
   .strict()
   .parse();
 
 function ordersOf(trace: TraceKey): readonly RunOrder[] {
   const {seed} = args;
-  const chosen = POLICIES.map(({name}) => name).filter(
-    name => !args.policy || name === 'alone' || name === args.policy,
-  );
+  const weights = trace === WEIGHED_TRACE ? WEIGHTED_POLICIES : [];
+  const policies = [...POLICIES, ...weights];
+  const chosen = policies
+    .map(({name}) => name)
+    .filter(name => !args.policy || name === 'alone' || name === args.policy);
   const names = trace === 'g' ? [...chosen, ALL_KNOWING] : chosen;
   return names.map(policy => ({trace, policy, seed}));
 }
--- a/packages/bench/src/test/process/policy_run_test.ts
+++ b/packages/bench/src/test/process/policy_run_test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {ALONE, OATHEAD} from '../../lib/process/policies.js';
+import {ALONE, OATHEAD, weighted} from '../../lib/process/policies.js';
 import {PolicyRun} from '../../lib/process/policy_run.js';
 import {idleBound} from '../../lib/process/idle_bound.js';
 import {buildTrace} from '../../lib/process/traces.js';
@@ -38,3 +38,22 @@
   t.is(alone.batchTokens, 0);
   t.true(figures.batchTokens < bound.batchTokens);
 });
+
+// A deployment declares that throughput does not count. Once the weight did
+// nothing, its callers got their tokens at half the pace all the same.
+test('the declared weight moves batch work against online tokens', t => {
+  const trace = shortTrace();
+  const run = (weight: number) =>
+    new PolicyRun(trace, weighted(weight), SEED).run();
+  const [least, middle, most] = [0, 0.6, 1].map(run);
+  t.true(least!.batchTokens < middle!.batchTokens);
+  t.true(middle!.batchTokens < most!.batchTokens);
+  const alone = new PolicyRun(trace, ALONE, SEED).run();
+  const harm = (figures: typeof alone, percentile: number) =>
+    figures.betweenTokens.at(percentile) / alone.betweenTokens.at(percentile);
+  for (const percentile of [50, 95, 99]) {
+    t.true(harm(least!, percentile) < 1.02);
+  }
+  t.true(harm(most!, 50) > 1.1);
+  t.true(harm(most!, 95) > 2);
+});
--- a/packages/core/src/lib/process/batch_controller.ts
+++ b/packages/core/src/lib/process/batch_controller.ts
@@ -6,6 +6,7 @@
  */
 import type {AdmissionRequest} from './admission.js';
 import type {EngineSenses} from './engine_senses.js';
+import {allowedMs, plannedHarm} from './harm_guard.js';
 import type {HarmMeter} from './harm_meter.js';
 import type {OnlineGate} from './online_gate.js';
 import type {PromptCache} from './prompt_cache.js';
@@ -131,7 +132,7 @@
   /**
    * @param cfg - The pool.
    * @returns The longest step that batch work may bring about beside online
-   *     streams, in milliseconds.
+   *     streams without harm to the p99, in milliseconds.
    */
   stepLimit(cfg: PoolConfig): number {
     const {meter, model, running} = this;
@@ -169,7 +170,7 @@
     if (online.running === 0) return this.prefillFits(prefillTokens);
     const streams = online.running + batch.running + 1;
     const stepMs = this.model.predict({streams, prefillTokens});
-    return stepMs <= this.aimMs(cfg);
+    return stepMs <= this.aimMs(cfg, online.running, 0);
   }
 
   excess(request: AdmissionRequest, cfg: PoolConfig, now: number): number {
@@ -212,7 +213,7 @@
     if (this.wouldBeWasted()) return 0;
     const streams = online.running + batch.running + 1;
     const decodeMs = this.model.predict({streams, prefillTokens: 0});
-    const spareMs = this.aimMs(cfg) - decodeMs;
+    const spareMs = this.aimMs(cfg, online.running, 0) - decodeMs;
     const tokens = spareMs / this.model.perPrefillToken;
     return tokens < MIN_PIECE_TOKENS ? 0 : Math.floor(tokens);
   }
@@ -240,7 +241,7 @@
       streams: streams + batch.running,
       prefillTokens: prefillTokens + batch.prefillTokens,
     });
-    return stepMs > this.aimMs(cfg);
+    return stepMs > this.aimMs(cfg, streams, prefillTokens);
   }
 
   /** Time that is left of the step in progress, which nothing can shorten. */
@@ -262,7 +263,7 @@
     cfg: PoolConfig,
   ): number {
     if (!this.model.ready) return this.tuning.probeStreams - streams;
-    const aim = this.aimMs(cfg);
+    const aim = this.aimMs(cfg, streams, prefillTokens);
     const decode = this.within(aim, 0) - streams;
     // Nobody waits for a token while it prefills, but it will decode then.
     if (this.running.online.decoding === 0) return decode;
@@ -292,8 +293,8 @@
       model.prefillMs(prefillTokens) +
       this.prefillSteps(prefillTokens) * stepMs;
     const harm = this.harm(cfg);
-    const tail = harm * meter.aloneFirstTokenMs - alone;
-    return Math.max(tail, (harm - 1) * alone);
+    const allowed = allowedMs(cfg.batch, alone, meter.aloneFirstTokens);
+    return harm * allowed - alone;
   }
 
   /** Steps in which an engine prefills so many tokens. */
@@ -327,20 +328,43 @@
     return this.model.prefillMs(tokens) <= most;
   }
 
-  private aimMs(cfg: PoolConfig): number {
+  /** The step to plan for beside so much online work. */
+  private aimMs(
+    cfg: PoolConfig,
+    streams: number,
+    prefillTokens: number,
+  ): number {
     const debt = Math.max(0, -this.meter.credit);
     const below = AIM_BELOW + (AIM_BELOW_IN_DEBT - AIM_BELOW) * debt;
-    return this.stepLimit(cfg) * (1 - below);
+    return this.plannedMs(cfg, streams, prefillTokens) * (1 - below);
+  }
+
+  /** The longest step that the declared weight leaves to so much online work. */
+  private plannedMs(
+    cfg: PoolConfig,
+    streams: number,
+    prefillTokens: number,
+  ): number {
+    const {meter, model, running} = this;
+    if (meter.tokens < MIN_TOKENS) return this.stepLimit(cfg);
+    // Slowed streams last longer: alone fewer of them would run at a time.
+    const fewer = running.online.decoding - meter.aloneStreams();
+    const alone = model.predict({
+      streams: Math.max(0, streams - fewer),
+      prefillTokens,
+    });
+    return this.harm(cfg) * allowedMs(cfg.batch, alone, meter.aloneSteps);
   }
 
   /** With nobody online, a step harms only who comes in before it ends. */
   private limitNow(cfg: PoolConfig): number {
-    const {online} = this.running;
-    return online.running === 0 ? cfg.betweenTokensMs : this.stepLimit(cfg);
+    const {running, prefillTokens} = this.running.online;
+    if (running === 0) return cfg.betweenTokensMs;
+    return this.plannedMs(cfg, running, prefillTokens);
   }
 
   private harm(cfg: PoolConfig): number {
-    return 1 + (cfg.batch.maxHarm - 1) * this.tuning.harmMargin;
+    return plannedHarm(cfg.batch, this.tuning.harmMargin);
   }
 
   private kvAtEnd(): number {
--- a/packages/core/src/lib/process/harm_meter.ts
+++ b/packages/core/src/lib/process/harm_meter.ts
@@ -9,6 +9,11 @@
 import {RecentQuantile} from './recent_quantile.js';
 
 const TAIL = 0.99;
+/**
+ * What a cautious deployment wants held: p50, p95 and p99. Above the p95 they
+ * lie close, as a step that crosses one by error may then grow to the next.
+ */
+const GUARDED = [0.5, 0.9, 0.93, 0.95, 0.96, 0.97, 0.98, TAIL];
 /** Online tokens that stand behind a quantile of the time between tokens. */
 const TOKEN_WINDOW = 200_000;
 const TOKEN_REFRESH = 500;
@@ -40,22 +45,22 @@
 /** What online callers see, and what they would see without batch work. */
 export class HarmMeter {
   private readonly aloneStep = new RecentQuantile(
-    TAIL,
+    GUARDED,
     TOKEN_WINDOW,
     TOKEN_REFRESH,
   );
   private readonly actualStep = new RecentQuantile(
-    TAIL,
+    [TAIL],
     TOKEN_WINDOW,
     TOKEN_REFRESH,
   );
   private readonly aloneFirst = new RecentQuantile(
-    TAIL,
+    GUARDED,
     FIRST_TOKEN_WINDOW,
     FIRST_TOKEN_REFRESH,
   );
   private readonly actualFirst = new RecentQuantile(
-    TAIL,
+    [TAIL],
     FIRST_TOKEN_WINDOW,
     FIRST_TOKEN_REFRESH,
   );
@@ -92,6 +97,16 @@
     return this.aloneFirst.value;
   }
 
+  /** Quantiles of the time between tokens, the p99 last, without batch work. */
+  get aloneSteps(): readonly number[] {
+    return this.aloneStep.values;
+  }
+
+  /** Quantiles of the time to first token, the p99 last, without batch work. */
+  get aloneFirstTokens(): readonly number[] {
+    return this.aloneFirst.values;
+  }
+
   /** Ratio of the time between tokens at p99 to that without batch work. */
   get stepHarm(): number {
     return ratio(this.actualStep.value, this.aloneStep.value);
--- a/packages/core/src/lib/process/recent_quantile.ts
+++ b/packages/core/src/lib/process/recent_quantile.ts
@@ -18,21 +18,21 @@
   });
 }
 
-/** A quantile of the last samples, of durations in milliseconds. */
+/** Quantiles of the last samples, of durations in milliseconds. */
 export class RecentQuantile {
   private newer = emptyHistogram();
   private older = emptyHistogram();
-  private cached = 0;
+  private cached: readonly number[] = [];
   private sinceCached = 0;
 
   /**
-   * @param quantile - Which, from 0 to 1.
+   * @param quantiles - Which, from 0 to 1, in ascending order.
    * @param windowSamples - Samples after which older ones are dropped.
-   * @param refreshSamples - Samples after which the quantile is worked out
+   * @param refreshSamples - Samples after which the quantiles are worked out
    *     again.
    */
   constructor(
-    private readonly quantile: number,
+    private readonly quantiles: readonly number[],
     private readonly windowSamples: number,
     private readonly refreshSamples: number,
   ) {}
@@ -55,9 +55,9 @@
     this.newer = emptyHistogram();
   }
 
-  /** The quantile, in milliseconds; 0 before the first sample. */
-  get value(): number {
-    if (this.sinceCached < this.refreshSamples && this.cached > 0) {
+  /** The quantiles, in milliseconds; empty before the first sample. */
+  get values(): readonly number[] {
+    if (this.sinceCached < this.refreshSamples && this.cached.length > 0) {
       return this.cached;
     }
     this.sinceCached = 0;
@@ -65,11 +65,18 @@
     return this.cached;
   }
 
-  private measure(): number {
-    if (this.samples === 0) return 0;
+  /** The highest of the quantiles, in milliseconds; 0 before the first sample. */
+  get value(): number {
+    return this.values.at(-1) ?? 0;
+  }
+
+  private measure(): readonly number[] {
+    if (this.samples === 0) return [];
     const all = emptyHistogram();
     all.add(this.newer);
     all.add(this.older);
-    return all.getValueAtPercentile(this.quantile * 100) / UNITS_PER_MS;
+    return this.quantiles.map(
+      quantile => all.getValueAtPercentile(quantile * 100) / UNITS_PER_MS,
+    );
   }
 }
--- a/packages/core/src/lib/version/target_config.ts
+++ b/packages/core/src/lib/version/target_config.ts
@@ -3,7 +3,12 @@
 /** How a deployment weighs batch throughput against harm to the online tail. */
 export interface BatchPolicy {
   /**
-   * 0: any harm to the online tail counts, throughput does not; 1: the reverse.
+   * From 0 to 1. At 0 batch work takes only what changes neither the p50, the
+   * p95 nor the p99 of online work, in time to first token and between tokens.
+   * At 1 it takes all that keeps the p99 within `maxHarm`; most online tokens
+   * come later then than without batch work. Between, the time that a step or a
+   * first token may take lies by the square of the weight between these two,
+   * and the harm that is planned for by the weight itself.
    */
   readonly throughputWeight: number;
   /** Largest accepted ratio of online p99 with batch to without. */
