Believe a first-token p99 from 100 requests on

Cause: in the night trace (28, 22, 25 calls) the p99 of 20 requests is just the largest of them, so an ordinary call found 64 batch streams left in its way ("below the tail, it may wait"): 568 ms where 241 were expected.

Change: MIN_REQUESTS 20 to 100. Below it every arrival clears the engine.

Tests: the one of partial preemption asked 30 online requests before, too few now for the state that it is about; it asks 100 and asserts the same. A new one holds that after 30 all batch streams are preempted.

--- a/packages/core/src/lib/process/batch_controller.ts
+++ b/packages/core/src/lib/process/batch_controller.ts
@@ -56,7 +56,7 @@
 
 /** Online tokens and requests before the measured tail is believed. */
 const MIN_TOKENS = 2_000;
-const MIN_REQUESTS = 20;
+const MIN_REQUESTS = 100;
 
 /** Bounds batch work at the engine; a bench puts rivals in its place. */
 export interface BatchRule {
--- a/packages/core/src/test/process/engine_admission_test.ts
+++ b/packages/core/src/test/process/engine_admission_test.ts
@@ -93,7 +93,8 @@
   // ended by themselves, the branch would see longer steps until they do.
   const admission = configured();
   const batch = ['b0', 'b1', 'b2', 'b3'];
-  const online = Array.from({length: 30}, (unused, i) => `r${i}`);
+  // So many that their p99 is believed.
+  const online = Array.from({length: 100}, (unused, i) => `r${i}`);
   let now = 0;
   for (const id of online) {
     arrive(admission, now, request(id));
@@ -104,7 +105,7 @@
   now = runSteps(admission, batch, now, 80);
   t.is(admission.load().batchRunning, batch.length);
   // Just before the step ends: what is left of it cannot be helped.
-  const actions = arrive(admission, now + 11.9, request('r99'));
+  const actions = arrive(admission, now + 11.9, request('late'));
   t.is(actions.at(-1)!.kind, 'start');
   const preempted = actions
     .filter(({kind}) => kind === 'preempt')
@@ -114,6 +115,24 @@
   t.is(admission.load().batchRunning, batch.length - preempted.length);
 });
 
+test('preempts all batch streams while the tail is not known', t => {
+  // At night few calls come. The slowest of a handful is no p99; taken for one,
+  // an ordinary call waited behind a full engine of batch work.
+  const admission = configured();
+  const batch = ['b0', 'b1', 'b2', 'b3'];
+  let now = 0;
+  for (const id of Array.from({length: 30}, (unused, i) => `r${i}`)) {
+    arrive(admission, now, request(id));
+    now = runSteps(admission, [id], now, 80);
+    admission.handle({kind: 'ended', id, how: 'done'}, now);
+  }
+  arrive(admission, now, ...batch.map(id => request(id, {class: 'batch'})));
+  now = runSteps(admission, batch, now, 80);
+  const actions = arrive(admission, now + 11.9, request('late'));
+  const preempts = batch.toReversed().map(id => `preempt ${id}`);
+  t.deepEqual(kinds(actions), [...preempts, 'start late']);
+});
+
 test('runs a suspect with nothing beside it', t => {
   const admission = configured();
   arrive(admission, 0, request('b0', {class: 'batch'}));
