Leave batch work out of what an online request costs a target

Cause: the report's step time and prompt tokens held batch work, which gives way at once.

Change: the report counts online streams and prompts only.

--- a/packages/core/src/lib/process/engine_lane.ts
+++ b/packages/core/src/lib/process/engine_lane.ts
@@ -145,9 +145,10 @@
       batchRunning: batch.running,
       batchQueued: this.room.batch.size,
       batchRoom: closed ? 0 : Math.max(0, room),
-      prefillTokens: online.prefillTokens + batch.prefillTokens,
+      // Batch work gives way, so it is no reason to go elsewhere.
+      prefillTokens: online.prefillTokens,
       stepMs: this.senses.model.predict({
-        streams: online.running + batch.running,
+        streams: online.running,
         prefillTokens: 0,
       }),
     };
