--- a/packages/bench/src/test/process/policy_run_test.ts
+++ b/packages/bench/src/test/process/policy_run_test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
-import {ALONE, OATHEAD} from '../../lib/process/policies.js';
+import {ALONE, OATHEAD, weighted} from '../../lib/process/policies.js';
+import type {Policy} from '../../lib/process/policies.js';
 import {PolicyRun} from '../../lib/process/policy_run.js';
 import {idleBound} from '../../lib/process/idle_bound.js';
 import {buildTrace} from '../../lib/process/traces.js';
@@ -38,3 +39,30 @@
   t.is(alone.batchTokens, 0);
   t.true(figures.batchTokens < bound.batchTokens);
 });
+
+// A deployment declares that throughput does not count. Once the weight did
+// nothing, its callers got their tokens at half the pace all the same.
+test('the declared weight moves batch work against online tokens', t => {
+  const trace = shortTrace();
+  const run = (weight: number) =>
+    new PolicyRun(trace, weighted(weight), SEED).run();
+  const [least, middle, most] = [0, 0.6, 1].map(run);
+  t.true(least!.batchTokens < middle!.batchTokens);
+  t.true(middle!.batchTokens < most!.batchTokens);
+  const alone = new PolicyRun(trace, ALONE, SEED).run();
+  const harm = (figures: typeof alone, percentile: number) =>
+    figures.betweenTokens.at(percentile) / alone.betweenTokens.at(percentile);
+  for (const percentile of [50, 95, 99]) {
+    t.true(harm(least!, percentile) < 1.02);
+  }
+  t.true(harm(most!, 95) > 2);
+});
+
+test('at weight 1 the online median pays, at weight 0 it does not', t => {
+  const trace = {...buildTrace('a', SEED), durationMs: 2 * DURATION_MS};
+  const median = (policy: Policy) =>
+    new PolicyRun(trace, policy, SEED).run().betweenTokens.at(50);
+  const alone = median(ALONE);
+  t.true(median(weighted(0)) < 1.02 * alone);
+  t.true(median(weighted(1)) > 1.4 * alone);
+});
