--- a/packages/bench/src/lib/slopes/declared_rows.ts
+++ b/packages/bench/src/lib/slopes/declared_rows.ts
@@ -40,7 +40,7 @@
       })),
     });
   }
-  const head = {cfg: 1, jobs: 0, recentJobs: [], members: 0};
+  const head = {cfg: 1, jobs: 0, recentJobs: [], members: 0, suspects: 0};
   const value = HEAD_ROW.encode(head);
   await table.write({
     checks: [],
