--- a/packages/bench/src/lib/slopes/work_slopes.ts
+++ b/packages/bench/src/lib/slopes/work_slopes.ts
@@ -157,7 +157,7 @@
 /** Size of the row that every entry reads each second. */
 function headSlope(): Slope {
   const points = HEAD_JOBS.map(jobs => {
-    let head: Head = {cfg: 1, jobs: 0, recentJobs: [], members: 1};
+    let head: Head = {cfg: 1, jobs: 0, recentJobs: [], members: 1, suspects: 0};
     for (let i = 0; i < jobs; i++) head = withJob(head, JOB_PATH);
     return {x: jobs, y: JSON.stringify(HEAD_ROW.encode(head)).length};
   });
