--- a/packages/proofs/src/lib/connection/direct_peer_link.ts
+++ b/packages/proofs/src/lib/connection/direct_peer_link.ts
@@ -1,7 +1,6 @@
 /** A link from one entry to another, without sockets. */
 import {DisposableStore, LinkLostError, repeat} from '@oathead/core';
 import type {ServeEvent, ServeOutcome} from '@oathead/core';
-import type {ConfigDelta} from '@oathead/config';
 import type {ForwardedCall, PeerLink} from '@oathead/entry';
 import {EventQueue} from '@oathead/wire';
 import type {Host} from '../process/host.js';
@@ -47,7 +46,9 @@
     yield* queue.read();
   }
 
-  configSince(since: number): Promise<ConfigDelta | undefined> {
+  configSince(
+    ...[since]: Parameters<PeerLink['configSince']>
+  ): ReturnType<PeerLink['configSince']> {
     return this.ask('configSince', since);
   }
 
@@ -55,10 +56,10 @@
     return this.ask('findOutcome', dedupeKey);
   }
 
-  reportDemand(
-    ...[reports]: Parameters<PeerLink['reportDemand']>
-  ): ReturnType<PeerLink['reportDemand']> {
-    return this.ask('reportDemand', reports);
+  reportUse(
+    ...[reports]: Parameters<PeerLink['reportUse']>
+  ): ReturnType<PeerLink['reportUse']> {
+    return this.ask('reportUse', reports);
   }
 
   [Symbol.dispose](): void {
--- a/packages/target/src/lib/process/target_service.ts
+++ b/packages/target/src/lib/process/target_service.ts
@@ -224,7 +224,7 @@
     const {clock, settings} = this.parts;
     this.stopping = true;
     this.director.leave();
-    await this.idle(clock.now() + graceMs);
+    if (await this.idle(clock.now() + graceMs)) return;
     this.director.cutOff();
     await this.idle(clock.now() + settings.attachGraceMs);
   }
@@ -288,16 +288,19 @@
    * that had gone silent. With the process gone, nobody could say any more what
    * became of the request. So it stays until it was idle for as long as a link
    * may take to attach again.
+   *
+   * @returns Whether it was idle for so long; else the time was over.
    */
-  private async idle(until: number): Promise<void> {
+  private async idle(until: number): Promise<boolean> {
     const {clock, settings} = this.parts;
     const busy = () => this.memory.runningCount + this.followers.count > 0;
     let busyAt = clock.now();
     while (clock.now() < until) {
       if (busy()) busyAt = clock.now();
-      else if (clock.now() - busyAt >= settings.attachGraceMs) return;
+      else if (clock.now() - busyAt >= settings.attachGraceMs) return true;
       await sleep(clock, IDLE_CHECK_MS);
     }
+    return false;
   }
 }
 
--- a/packages/target/src/test/process/drain_test.ts
+++ b/packages/target/src/test/process/drain_test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import {
   CONFIG,
+  SETTINGS,
   offer,
   refusalText,
   request,
@@ -20,7 +21,7 @@
   batch.tokens('x ', 'y ');
   await pass(0);
   let drained = false;
-  const drain = service.drain(30_000).then(() => (drained = true));
+  const drain = service.drain(32_000).then(() => (drained = true));
   t.deepEqual(await night.ended, {
     kind: 'yielded',
     partial: {text: 'x y ', tokens: 2},
@@ -36,7 +37,25 @@
   online.tokens('b');
   online.done();
   t.like(await branch.ended, {kind: 'done', answer: {text: 'a b'}});
-  await pass(10);
+  await pass(SETTINGS.attachGraceMs - 20);
+  t.false(drained);
+  await pass(40);
+  await drain;
+  t.true(drained);
+});
+
+// A host is to be replaced; its target has nothing to do. An entry that has not
+// heard of it sends a request. Had the process ended, the entry could not tell
+// whether it ran, and a call that may run only once would be unknown for good.
+test('an idle target that is told to stop stays to refuse what comes', async t => {
+  const {service, pass} = await startService({capacity: 1});
+  let drained = false;
+  const drain = service.drain(30_000).then(() => (drained = true));
+  await pass(SETTINGS.attachGraceMs - 20);
+  t.false(drained);
+  const late = send(service, request({idempotent: false}));
+  t.is(refusalText(await late.ended), 'leaving not-run');
+  await pass(40);
   await drain;
   t.true(drained);
 });
@@ -48,8 +67,10 @@
   const stream = await engine.stream(0);
   const drain = service.drain(30_000);
   await pass(30_010);
-  await drain;
+  // What has its outcome is not told to wait for the process to end.
   t.is(refusalText(await running.ended), 'leaving may-have-run');
+  await pass(SETTINGS.attachGraceMs);
+  await drain;
   t.is(refusalText(await waiting.ended), 'leaving not-run');
   t.true(stream.signal.aborted);
 });
