--- a/packages/entry/src/lib/process/entry.ts
+++ b/packages/entry/src/lib/process/entry.ts
@@ -131,7 +131,12 @@
       new SharedSuspects({...base, membership: this.membership}),
     );
     this.fleet = this.held.add(this.createFleet());
-    this.recall = new Recall({clock, counters, fleet: this.fleet});
+    this.recall = new Recall({
+      clock,
+      counters,
+      fleet: this.fleet,
+      cfg: this.control.cache,
+    });
     const {membership} = this;
     this.answers = new AnswerStore({...base, membership}, settings.answers);
     const dispatcher = this.createDispatcher();
@@ -143,7 +148,7 @@
       membership,
       answers: this.answers,
       dispatch,
-      recall: call => this.recall.ofKey(call),
+      recall: this.recall,
     });
     this.online = new OnlineService({
       counters,
@@ -301,16 +306,24 @@
     for (const entryId of lost) {
       for (const answer of await this.recall.heldFor(entryId)) {
         const share = this.membership.shareOf(answer.key);
-        if (this.membership.fence(share)) this.answers.add(answer);
+        const owner = this.membership.ownerOf(share);
+        if (owner?.entryId === this.membership.entryId)
+          this.answers.add(answer);
       }
     }
   }
 
+  /**
+   * A caller who has its answer reads it again just after the home of its key
+   * was lost, before anyone has taken over: the targets hold the answer, and
+   * "no answer is kept" would be wrong.
+   */
   private async findAnywhere(
     dedupeKey: string,
   ): Promise<ServeOutcome | undefined> {
     const {membership} = this;
-    const owner = membership.ownerOf(membership.shareOf(dedupeKey));
+    const share = membership.shareOf(dedupeKey);
+    const owner = membership.ownerOf(share);
     if (owner && owner.entryId !== membership.entryId) {
       try {
         const found = await this.peers.findOutcome(owner, dedupeKey);
@@ -319,7 +332,9 @@
         if (!(err instanceof LinkLostError)) throw err;
       }
     }
-    return this.keyed.find(dedupeKey);
+    const kept = await this.keyed.find(dedupeKey);
+    if (kept?.kind === 'done' || !this.keyed.isRecovering(share)) return kept;
+    return (await this.recall.ofName(dedupeKey))?.outcome ?? kept;
   }
 
   private async releaseAtTargets(keys: readonly string[]): Promise<void> {
--- a/packages/target/src/test/process/drain_test.ts
+++ b/packages/target/src/test/process/drain_test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import {
   CONFIG,
-  SETTINGS,
+  ATTACH_GRACE_MS,
   offer,
   refusalText,
   request,
@@ -37,7 +37,7 @@
   online.tokens('b');
   online.done();
   t.like(await branch.ended, {kind: 'done', answer: {text: 'a b'}});
-  await pass(SETTINGS.attachGraceMs - 20);
+  await pass(ATTACH_GRACE_MS - 20);
   t.false(drained);
   await pass(40);
   await drain;
@@ -51,7 +51,7 @@
   const {service, pass} = await startService({capacity: 1});
   let drained = false;
   const drain = service.drain(30_000).then(() => (drained = true));
-  await pass(SETTINGS.attachGraceMs - 20);
+  await pass(ATTACH_GRACE_MS - 20);
   t.false(drained);
   const late = send(service, request({idempotent: false}));
   t.is(refusalText(await late.ended), 'leaving not-run');
@@ -69,7 +69,7 @@
   await pass(30_010);
   // What has its outcome is not told to wait for the process to end.
   t.is(refusalText(await running.ended), 'leaving may-have-run');
-  await pass(SETTINGS.attachGraceMs);
+  await pass(ATTACH_GRACE_MS);
   await drain;
   t.is(refusalText(await waiting.ended), 'leaving not-run');
   t.true(stream.signal.aborted);
