--- a/packages/entry/src/lib/process/entry.ts
+++ b/packages/entry/src/lib/process/entry.ts
@@ -313,11 +313,17 @@
     }
   }
 
+  /**
+   * A caller who has its answer reads it again just after the home of its key
+   * was lost, before anyone has taken over: the targets hold the answer, and
+   * "no answer is kept" would be wrong.
+   */
   private async findAnywhere(
     dedupeKey: string,
   ): Promise<ServeOutcome | undefined> {
     const {membership} = this;
-    const owner = membership.ownerOf(membership.shareOf(dedupeKey));
+    const share = membership.shareOf(dedupeKey);
+    const owner = membership.ownerOf(share);
     if (owner && owner.entryId !== membership.entryId) {
       try {
         const found = await this.peers.findOutcome(owner, dedupeKey);
@@ -326,7 +332,9 @@
         if (!(err instanceof LinkLostError)) throw err;
       }
     }
-    return this.keyed.find(dedupeKey);
+    const kept = await this.keyed.find(dedupeKey);
+    if (kept?.kind === 'done' || !this.keyed.isRecovering(share)) return kept;
+    return (await this.recall.ofName(dedupeKey))?.outcome ?? kept;
   }
 
   private async releaseAtTargets(keys: readonly string[]): Promise<void> {
--- a/packages/entry/src/lib/request/keyed_requests.ts
+++ b/packages/entry/src/lib/request/keyed_requests.ts
@@ -224,7 +224,12 @@
     return membership.ownerOf(share)?.entryId === membership.entryId;
   }
 
-  private isRecovering(share: number): boolean {
+  /**
+   * @param share - A share.
+   * @returns Whether answers of it may be held by targets alone: its home is
+   *     another entry, or was until a short while ago.
+   */
+  isRecovering(share: number): boolean {
     if (!this.isHome(share)) return true;
     const until = this.recovering.get(share);
     if (until === undefined) return false;
--- a/packages/entry/src/lib/request/recall.ts
+++ b/packages/entry/src/lib/request/recall.ts
@@ -52,6 +52,20 @@
     return this.first(dedupeKey, [...new Set(links)], HELD_TIMEOUT_MS);
   }
 
+  /**
+   * @param key - A key whose work is not known, so that any target may have it.
+   * @returns What a target remembers of the key.
+   */
+  async ofName(key: string): Promise<KeyedAnswer | undefined> {
+    const {clock, fleet} = this.deps;
+    const links = fleet.links();
+    const answers = await withTimeout(clock, HELD_TIMEOUT_MS, signal =>
+      Promise.all(links.map(link => recallAt(link, key, signal))),
+    );
+    const found = answers.find(answer => answer !== undefined);
+    return found && {key, ...found};
+  }
+
   /**
    * @param entryId - An entry that was lost.
    * @returns The answers that this entry's targets hold for it.
--- a/packages/proofs/src/lib/connection/direct_peer_link.ts
+++ b/packages/proofs/src/lib/connection/direct_peer_link.ts
@@ -1,7 +1,6 @@
 /** A link from one entry to another, without sockets. */
 import {DisposableStore, LinkLostError, repeat} from '@oathead/core';
 import type {ServeEvent, ServeOutcome} from '@oathead/core';
-import type {ConfigDelta} from '@oathead/config';
 import type {ForwardedCall, PeerLink} from '@oathead/entry';
 import {EventQueue} from '@oathead/wire';
 import type {Host} from '../process/host.js';
@@ -48,9 +47,9 @@
   }
 
   configSince(
-    ...[question]: Parameters<PeerLink['configSince']>
-  ): Promise<ConfigDelta | undefined> {
-    return this.ask('configSince', question);
+    ...[since]: Parameters<PeerLink['configSince']>
+  ): ReturnType<PeerLink['configSince']> {
+    return this.ask('configSince', since);
   }
 
   findOutcome(dedupeKey: string): Promise<ServeOutcome | undefined> {
