--- a/packages/batch/src/lib/process/cancel_sweep.ts
+++ b/packages/batch/src/lib/process/cancel_sweep.ts
@@ -4,7 +4,7 @@
  */
 import {nextItemState} from '@oathead/core';
 import type {Membership} from '@oathead/membership';
-import type {Row, RowCheck, RowWrite} from '@oathead/platform';
+import type {Row, RowCheck, RowWrite} from '@oathead/stores';
 import type {BatchDeps} from '../request/job_intake.js';
 import {
   chunkKey,
--- a/packages/batch/src/lib/process/chunk_recorder.ts
+++ b/packages/batch/src/lib/process/chunk_recorder.ts
@@ -6,14 +6,14 @@
  */
 import {sleep} from '@oathead/core';
 import type {Membership} from '@oathead/membership';
-import {commitWithNonce, stampNonce} from '@oathead/platform';
+import {commitWithNonce, stampNonce} from '@oathead/stores';
 import type {
   CommitOutcome,
   JsonObject,
   Row,
   RowCheck,
   StoreError,
-} from '@oathead/platform';
+} from '@oathead/stores';
 import {encodeJson} from '../request/job_content.js';
 import type {BatchDeps} from '../request/job_intake.js';
 import {chunkKey, jobKey, rowJson} from '../request/job_rows.js';
--- a/packages/batch/src/lib/process/chunk_work.ts
+++ b/packages/batch/src/lib/process/chunk_work.ts
@@ -9,7 +9,7 @@
   poolOf,
 } from '@oathead/core';
 import type {Answer, ItemEvent, ItemState, Refusal} from '@oathead/core';
-import type {Row} from '@oathead/platform';
+import type {Row} from '@oathead/stores';
 import type {JobItem} from '../request/job.js';
 import {
   chunkOf,
--- a/packages/batch/src/lib/process/job_board.ts
+++ b/packages/batch/src/lib/process/job_board.ts
@@ -2,7 +2,7 @@
 import {DisposableStore, isFinalJobState, success} from '@oathead/core';
 import type {Outcome} from '@oathead/core';
 import type {Head, Membership} from '@oathead/membership';
-import type {Row, StoreError} from '@oathead/platform';
+import type {Row, StoreError} from '@oathead/stores';
 import type {BatchDeps} from '../request/job_intake.js';
 import {OPEN_PREFIX, jobKey, jobOf} from '../request/job_rows.js';
 import type {JobRow} from '../request/job_rows.js';
--- a/packages/batch/src/lib/request/job_content.ts
+++ b/packages/batch/src/lib/request/job_content.ts
@@ -7,7 +7,7 @@
 import {createHash} from 'node:crypto';
 import {failure, sleep, success} from '@oathead/core';
 import type {Clock, Outcome} from '@oathead/core';
-import type {ObjectStore, StoreError} from '@oathead/platform';
+import type {ObjectStore, StoreError} from '@oathead/stores';
 import {stringify} from 'safe-stable-stringify';
 import type {JobItem, JobRequest} from './job.js';
 import {chunkCount} from './job_rows.js';
--- a/packages/batch/src/lib/request/job_intake.ts
+++ b/packages/batch/src/lib/request/job_intake.ts
@@ -24,7 +24,7 @@
   RowWrite,
   StoreError,
   TableStore,
-} from '@oathead/platform';
+} from '@oathead/stores';
 import type {BatchSettings} from '../process/batch_settings.js';
 import type {JobRequest} from './job.js';
 import {contentHash, putContent} from './job_content.js';
--- a/packages/batch/src/lib/request/job_reader.ts
+++ b/packages/batch/src/lib/request/job_reader.ts
@@ -1,7 +1,7 @@
 /** Reading jobs: status, lists and results. */
 import {failure, mayHaveRun, notRun, success} from '@oathead/core';
 import type {Outcome, Refusal} from '@oathead/core';
-import type {Row, StoreError} from '@oathead/platform';
+import type {Row, StoreError} from '@oathead/stores';
 import type {StoredOutcome} from '../process/chunk_work.js';
 import {NO_ITEMS, addCounts, countStates, resultState} from './item_counts.js';
 import type {ItemResult, JobStatus, ResultLine} from './job.js';
--- a/packages/batch/src/lib/request/job_rows.ts
+++ b/packages/batch/src/lib/request/job_rows.ts
@@ -1,7 +1,7 @@
 /** Rows of jobs and chunks, and their keys. */
 import type {ItemState} from '@oathead/core';
 import {invariant} from '@oathead/core';
-import type {JsonObject, Row} from '@oathead/platform';
+import type {JsonObject, Row} from '@oathead/stores';
 import {z} from 'zod';
 
 const countsSchema = z
--- a/packages/batch/src/test/fakes/checked_table.ts
+++ b/packages/batch/src/test/fakes/checked_table.ts
@@ -1,7 +1,7 @@
 /** A table that objects to records that no holder of a share may write. */
 import {hash32} from '@oathead/core';
-import {MemoryTable} from '@oathead/platform';
-import type {ObjectStore, Row, Transaction} from '@oathead/platform';
+import {MemoryTable} from '@oathead/stores';
+import type {ObjectStore, Row, Transaction} from '@oathead/stores';
 import {
   shareKey,
   shareOwnerOf,
--- a/packages/batch/src/test/fakes/fake_fleet.ts
+++ b/packages/batch/src/test/fakes/fake_fleet.ts
@@ -3,7 +3,7 @@
 import type {BatchItem, ItemOutcome, ItemRunner} from '@oathead/core';
 import {MEMBERSHIP_DEFAULTS} from '@oathead/membership';
 import type {MembershipSettings} from '@oathead/membership';
-import {MemoryPlatform} from '@oathead/platform';
+import {MemoryPlatform} from '@oathead/stores';
 import {FakeMembers} from '../../../../membership/dist/test/fakes/fake_members.js';
 import type {FakeMember} from '../../../../membership/dist/test/fakes/fake_members.js';
 import {BatchJobs} from '../../lib/process/batch_jobs.js';
--- a/packages/bench/src/lib/slopes/counted_fleet.ts
+++ b/packages/bench/src/lib/slopes/counted_fleet.ts
@@ -1,5 +1,5 @@
 /** A fleet in virtual time whose calls to the stores are counted. */
-import {MemoryPlatform} from '@oathead/platform';
+import {MemoryPlatform} from '@oathead/stores';
 import {callsOf, countingPlatform, UseCounter} from './counting_platform.js';
 import type {StoreUses} from './counting_platform.js';
 import {declareRows, targetName} from './declared_rows.js';
--- a/packages/bench/src/lib/slopes/counting_platform.ts
+++ b/packages/bench/src/lib/slopes/counting_platform.ts
@@ -1,6 +1,6 @@
 /** A platform that counts what is asked of it, by the kind of row. */
 import type {Outcome} from '@oathead/core';
-import {MemoryPlatform} from '@oathead/platform';
+import {MemoryPlatform} from '@oathead/stores';
 import type {
   Committed,
   Host,
@@ -12,7 +12,7 @@
   StoreError,
   TableStore,
   Transaction,
-} from '@oathead/platform';
+} from '@oathead/stores';
 
 /** Calls to a store, and what they carried. */
 export interface StoreUse {
--- a/packages/bench/src/lib/slopes/declared_rows.ts
+++ b/packages/bench/src/lib/slopes/declared_rows.ts
@@ -2,7 +2,7 @@
 import {encodeResource, resourceKey} from '@oathead/config';
 import type {Resource} from '@oathead/core';
 import {HEAD_KEY, HEAD_ROW} from '@oathead/membership';
-import type {TableStore} from '@oathead/platform';
+import type {TableStore} from '@oathead/stores';
 import {BENCH_MODEL} from './virtual_fleet.js';
 
 const ROWS_PER_WRITE = 1_000;
--- a/packages/bench/src/lib/slopes/node_host.ts
+++ b/packages/bench/src/lib/slopes/node_host.ts
@@ -5,7 +5,7 @@
 import {SYSTEM_CLOCK, seededRandom, systemSeed} from '@oathead/core';
 import {ENTRY_SETTINGS, runEntry} from '@oathead/entry';
 import {Metrics} from '@oathead/observe';
-import {HttpPlatform} from '@oathead/platform';
+import {HttpPlatform} from '@oathead/stores';
 import {EngineStandIn, FakeEngine, PlatformStandIn} from '@oathead/stand-ins';
 import {MAIN_PARTS, TARGET_SETTINGS, runDaemon} from '@oathead/target';
 import {FixedAdmission} from '../../../../target/dist/test/fixed_admission.js';
--- a/packages/bench/src/lib/slopes/virtual_fleet.ts
+++ b/packages/bench/src/lib/slopes/virtual_fleet.ts
@@ -18,7 +18,7 @@
 import {MEMBERSHIP_DEFAULTS} from '@oathead/membership';
 import type {Peer} from '@oathead/membership';
 import {Metrics} from '@oathead/observe';
-import type {Platform} from '@oathead/platform';
+import type {Platform} from '@oathead/stores';
 import {FakeEngine, VirtualClock} from '@oathead/stand-ins';
 import {TARGET_SETTINGS, TargetService, serviceSettings} from '@oathead/target';
 import type {ReportingLink} from '@oathead/wire';
--- a/packages/bench/src/lib/slopes/work_slopes.ts
+++ b/packages/bench/src/lib/slopes/work_slopes.ts
@@ -4,8 +4,8 @@
  */
 import {HEAD_KEY, HEAD_ROW, RECENT_JOBS, withJob} from '@oathead/membership';
 import type {Head} from '@oathead/membership';
-import {MemoryPlatform} from '@oathead/platform';
-import type {Platform} from '@oathead/platform';
+import {MemoryPlatform} from '@oathead/stores';
+import type {Platform} from '@oathead/stores';
 import {declareRows} from './declared_rows.js';
 import {median, slopeOf} from './slope.js';
 import type {Point, Slope} from './slope.js';
--- a/packages/config/src/lib/process/config_cache.ts
+++ b/packages/config/src/lib/process/config_cache.ts
@@ -2,7 +2,7 @@
 import {ConfigSnapshot, DisposableStore, sleep} from '@oathead/core';
 import type {Clock, ConfigView, Counters, Outcome, Random} from '@oathead/core';
 import type {Membership} from '@oathead/membership';
-import type {StoreError, TableStore} from '@oathead/platform';
+import type {StoreError, TableStore} from '@oathead/stores';
 import type {Change, ConfigDelta} from '../version/change.js';
 import {ConfigGossip} from './config_gossip.js';
 import type {ConfigPeers} from './config_gossip.js';
--- a/packages/config/src/lib/process/config_reader.ts
+++ b/packages/config/src/lib/process/config_reader.ts
@@ -2,7 +2,7 @@
 import {ConfigSnapshot, failure, success} from '@oathead/core';
 import type {Outcome, Resource} from '@oathead/core';
 import type {Head} from '@oathead/membership';
-import type {Row, StoreError, TableStore} from '@oathead/platform';
+import type {Row, StoreError, TableStore} from '@oathead/stores';
 import type {Change} from '../version/change.js';
 import {replay} from '../version/change.js';
 import {
--- a/packages/config/src/lib/process/config_rows.ts
+++ b/packages/config/src/lib/process/config_rows.ts
@@ -2,7 +2,7 @@
 import {InvariantError} from '@oathead/core';
 import type {Resource, ResourceKind, SpecByKind} from '@oathead/core';
 import type {Head} from '@oathead/membership';
-import type {Json, Row} from '@oathead/platform';
+import type {Json, Row} from '@oathead/stores';
 import type {Change} from '../version/change.js';
 import {SPEC_SCHEMAS, isResourceKind} from '../version/spec_schema.js';
 
--- a/packages/config/src/lib/process/config_store.ts
+++ b/packages/config/src/lib/process/config_store.ts
@@ -8,7 +8,7 @@
   ResourceKind,
   SpecByKind,
 } from '@oathead/core';
-import type {Row, RowCheck, StoreError} from '@oathead/platform';
+import type {Row, RowCheck, StoreError} from '@oathead/stores';
 import {isDeepStrictEqual} from 'node:util';
 import {
   fixedFieldProblems,
--- a/packages/config/src/lib/process/config_writer.ts
+++ b/packages/config/src/lib/process/config_writer.ts
@@ -9,12 +9,7 @@
   Resource,
 } from '@oathead/core';
 import {success} from '@oathead/core';
-import type {
-  RowCheck,
-  RowWrite,
-  StoreError,
-  TableStore,
-} from '@oathead/platform';
+import type {RowCheck, RowWrite, StoreError, TableStore} from '@oathead/stores';
 import type {Change} from '../version/change.js';
 import type {ConfigReader, ReadHead} from './config_reader.js';
 import {
--- a/packages/config/src/lib/process/order_fence.ts
+++ b/packages/config/src/lib/process/order_fence.ts
@@ -1,8 +1,8 @@
 /** The counter that tells orders of one holder from those of an earlier one. */
 import {failure, success} from '@oathead/core';
 import type {Clock, Fence, Outcome, Random} from '@oathead/core';
-import {commitWithNonce} from '@oathead/platform';
-import type {Row, RowCheck, StoreError, TableStore} from '@oathead/platform';
+import {commitWithNonce} from '@oathead/stores';
+import type {Row, RowCheck, StoreError, TableStore} from '@oathead/stores';
 import {z} from 'zod';
 
 /**
--- a/packages/config/src/lib/process/rollout_leader.ts
+++ b/packages/config/src/lib/process/rollout_leader.ts
@@ -10,7 +10,7 @@
   RolloutEvent,
 } from '@oathead/core';
 import type {Membership} from '@oathead/membership';
-import type {TableStore, WeightStore} from '@oathead/platform';
+import type {TableStore, WeightStore} from '@oathead/stores';
 import type {FleetView} from '../version/fleet_view.js';
 import {chooseOrders, modelsToRollOut} from '../version/rollout_plan.js';
 import {
--- a/packages/config/src/test/fakes/config_fleet.ts
+++ b/packages/config/src/test/fakes/config_fleet.ts
@@ -2,7 +2,7 @@
 import {NO_COUNTERS, seededRandom} from '@oathead/core';
 import type {Outcome, Refusal} from '@oathead/core';
 import {HEAD_ROW} from '@oathead/membership';
-import {MemoryTable} from '@oathead/platform';
+import {MemoryTable} from '@oathead/stores';
 import {FaultyTable, StoreFaults, VirtualClock} from '@oathead/stand-ins';
 import {ConfigCache} from '../../lib/process/config_cache.js';
 import type {ConfigPeers} from '../../lib/process/config_gossip.js';
--- a/packages/config/src/test/fakes/convergence_run.ts
+++ b/packages/config/src/test/fakes/convergence_run.ts
@@ -8,7 +8,7 @@
 } from '@oathead/core';
 import type {Random} from '@oathead/core';
 import {HEAD_ROW} from '@oathead/membership';
-import {MemoryTable} from '@oathead/platform';
+import {MemoryTable} from '@oathead/stores';
 import {FaultyTable, StoreFaults, VirtualClock} from '@oathead/stand-ins';
 import {build} from 'hdr-histogram-js';
 import type {Histogram} from 'hdr-histogram-js';
--- a/packages/config/src/test/fakes/fake_head.ts
+++ b/packages/config/src/test/fakes/fake_head.ts
@@ -1,7 +1,7 @@
 /** The polled head, with the polling left to the test. */
 import {EMPTY_HEAD, HEAD_ROW} from '@oathead/membership';
 import type {Head} from '@oathead/membership';
-import type {TableStore} from '@oathead/platform';
+import type {TableStore} from '@oathead/stores';
 import type {HeadSource} from '../../lib/process/config_cache.js';
 
 export class FakeHead implements HeadSource {
--- a/packages/config/src/test/fakes/hooked_table.ts
+++ b/packages/config/src/test/fakes/hooked_table.ts
@@ -1,5 +1,5 @@
 /** A table that lets something happen in the middle of a call. */
-import type {TableStore} from '@oathead/platform';
+import type {TableStore} from '@oathead/stores';
 
 export class HookedTable implements TableStore {
   /** Called once, before the next write. */
--- a/packages/config/src/test/process/config_rows_test.ts
+++ b/packages/config/src/test/process/config_rows_test.ts
@@ -1,4 +1,4 @@
-import type {Json} from '@oathead/platform';
+import type {Json} from '@oathead/stores';
 import test from 'ava';
 import {
   changeKey,
--- a/packages/config/src/test/process/rollout_leader_test.ts
+++ b/packages/config/src/test/process/rollout_leader_test.ts
@@ -1,7 +1,7 @@
 import {ConfigSnapshot, NO_COUNTERS, repeat, seededRandom} from '@oathead/core';
 import type {ConfigView, Resource} from '@oathead/core';
-import {MemoryTable, MemoryWeights} from '@oathead/platform';
-import type {RowCheck} from '@oathead/platform';
+import {MemoryTable, MemoryWeights} from '@oathead/stores';
+import type {RowCheck} from '@oathead/stores';
 import {VirtualClock} from '@oathead/stand-ins';
 import test from 'ava';
 import {readOrderFence} from '../../lib/process/order_fence.js';
--- a/packages/demo/src/lib/process/local_fleet.ts
+++ b/packages/demo/src/lib/process/local_fleet.ts
@@ -3,7 +3,7 @@
 import {SYSTEM_CLOCK, sleep} from '@oathead/core';
 import {ENTRY_SETTINGS, runEntry} from '@oathead/entry';
 import type {RunningEntry} from '@oathead/entry';
-import {MemoryPlatform} from '@oathead/platform';
+import {MemoryPlatform} from '@oathead/stores';
 import {request} from 'undici';
 import {startLocalTarget} from './local_target.js';
 import type {LocalTarget} from './local_target.js';
--- a/packages/entry/src/lib/connection/target_fleet.ts
+++ b/packages/entry/src/lib/connection/target_fleet.ts
@@ -24,7 +24,7 @@
 import {readOrderFence, targetConfigFor} from '@oathead/config';
 import type {StatusBoard} from '@oathead/config';
 import type {Membership} from '@oathead/membership';
-import type {HostList, TableStore} from '@oathead/platform';
+import type {HostList, TableStore} from '@oathead/stores';
 import type {ReportingLink} from '@oathead/wire';
 import type {Attempt, Fleet, TargetQuery} from './fleet.js';
 import {TargetConnection} from './target_connection.js';
--- a/packages/entry/src/lib/process/answer_indexes.ts
+++ b/packages/entry/src/lib/process/answer_indexes.ts
@@ -4,7 +4,7 @@
  */
 import {fingerprint, success} from '@oathead/core';
 import type {Clock, Outcome} from '@oathead/core';
-import type {Row, RowWrite, StoreError, TableStore} from '@oathead/platform';
+import type {Row, RowWrite, StoreError, TableStore} from '@oathead/stores';
 import {
   ANSWER_INDEX,
   answerIndexPrefix,
--- a/packages/entry/src/lib/process/answer_store.ts
+++ b/packages/entry/src/lib/process/answer_store.ts
@@ -12,7 +12,7 @@
   RowCheck,
   StoreError,
   TableStore,
-} from '@oathead/platform';
+} from '@oathead/stores';
 import type {AnswerObject, KeyedAnswer} from '../request/keyed_answer.js';
 import {AnswerIndexes} from './answer_indexes.js';
 
--- a/packages/entry/src/lib/process/claim_store.ts
+++ b/packages/entry/src/lib/process/claim_store.ts
@@ -6,8 +6,8 @@
  */
 import type {Clock, Random} from '@oathead/core';
 import type {Membership} from '@oathead/membership';
-import {commitWithNonce} from '@oathead/platform';
-import type {CommitOutcome, Row, TableStore} from '@oathead/platform';
+import {commitWithNonce} from '@oathead/stores';
+import type {CommitOutcome, Row, TableStore} from '@oathead/stores';
 import {CLAIM, claimPrefix} from '../request/keyed_answer.js';
 import type {Claim} from '../request/keyed_answer.js';
 
--- a/packages/entry/src/lib/process/control.ts
+++ b/packages/entry/src/lib/process/control.ts
@@ -15,7 +15,7 @@
 import type {Clock, Counters, Random} from '@oathead/core';
 import {HEAD_ROW} from '@oathead/membership';
 import type {Membership} from '@oathead/membership';
-import type {Platform} from '@oathead/platform';
+import type {Platform} from '@oathead/stores';
 
 /** What the configuration needs. */
 export interface ControlDeps {
--- a/packages/entry/src/lib/process/entry.ts
+++ b/packages/entry/src/lib/process/entry.ts
@@ -18,7 +18,7 @@
 } from '@oathead/core';
 import {LeasedMembership} from '@oathead/membership';
 import type {MembershipSettings} from '@oathead/membership';
-import type {Platform} from '@oathead/platform';
+import type {Platform} from '@oathead/stores';
 import type {ReportingLink} from '@oathead/wire';
 import type {Tracer} from '@opentelemetry/api';
 import type {
--- a/packages/entry/src/lib/process/run_entry.ts
+++ b/packages/entry/src/lib/process/run_entry.ts
@@ -14,7 +14,7 @@
 import {MEMBERSHIP_DEFAULTS} from '@oathead/membership';
 import {Metrics, logOf, startTracing} from '@oathead/observe';
 import type {Tracing} from '@oathead/observe';
-import type {Platform} from '@oathead/platform';
+import type {Platform} from '@oathead/stores';
 import {TrpcTargetLink} from '@oathead/wire';
 import type {ClientTls} from '@oathead/wire';
 import {applyWSSHandler} from '@trpc/server/adapters/ws';
--- a/packages/entry/src/lib/process/shared_suspects.ts
+++ b/packages/entry/src/lib/process/shared_suspects.ts
@@ -7,7 +7,7 @@
 import type {Clock, Counters, Random} from '@oathead/core';
 import {bumpHead, withSuspects} from '@oathead/membership';
 import type {Membership} from '@oathead/membership';
-import type {Row, TableStore} from '@oathead/platform';
+import type {Row, TableStore} from '@oathead/stores';
 import {z} from 'zod';
 import {LocalSuspects} from './suspect_registry.js';
 import type {SuspectRegistry, Verdict} from './suspect_registry.js';
--- a/packages/entry/src/test/request/keyed_requests_test.ts
+++ b/packages/entry/src/test/request/keyed_requests_test.ts
@@ -2,7 +2,7 @@
 import {NO_COUNTERS, seededRandom, workFingerprint} from '@oathead/core';
 import type {ServeEvent, ServeOutcome} from '@oathead/core';
 import type {Membership} from '@oathead/membership';
-import {MemoryPlatform} from '@oathead/platform';
+import {MemoryPlatform} from '@oathead/stores';
 import {StoreFaults, VirtualClock, faultyPlatform} from '@oathead/stand-ins';
 import {AnswerStore} from '../../lib/process/answer_store.js';
 import {ClaimStore} from '../../lib/process/claim_store.js';
--- a/packages/membership/src/lib/process/directory.ts
+++ b/packages/membership/src/lib/process/directory.ts
@@ -6,7 +6,7 @@
  * its version puts all changes of ownership in one order.
  */
 import {hash32, rendezvous} from '@oathead/core';
-import type {JsonObject, Row} from '@oathead/platform';
+import type {JsonObject, Row} from '@oathead/stores';
 import {z} from 'zod';
 
 /** Key of the directory. */
--- a/packages/membership/src/lib/process/directory_view.ts
+++ b/packages/membership/src/lib/process/directory_view.ts
@@ -3,7 +3,7 @@
  * transaction with the leases and shares that it repeats.
  */
 import {sleep} from '@oathead/core';
-import type {CommitOutcome, Row, RowCheck, RowWrite} from '@oathead/platform';
+import type {CommitOutcome, Row, RowCheck, RowWrite} from '@oathead/stores';
 import {DIRECTORY_KEY, directoryJson, directoryOf} from './directory.js';
 import type {Directory} from './directory.js';
 import {bumpHead, withMembers} from './head_row.js';
--- a/packages/membership/src/lib/process/head_row.ts
+++ b/packages/membership/src/lib/process/head_row.ts
@@ -4,14 +4,14 @@
  */
 import {sleep} from '@oathead/core';
 import type {Clock, Random} from '@oathead/core';
-import {commitWithNonce} from '@oathead/platform';
+import {commitWithNonce} from '@oathead/stores';
 import type {
   Commit,
   CommitOutcome,
   Json,
   Row,
   TableStore,
-} from '@oathead/platform';
+} from '@oathead/stores';
 import {z} from 'zod';
 import type {Head} from './membership.js';
 
--- a/packages/membership/src/lib/process/lease_row.ts
+++ b/packages/membership/src/lib/process/lease_row.ts
@@ -1,5 +1,5 @@
 /** Rows of leases and shares. */
-import type {JsonObject, Row} from '@oathead/platform';
+import type {JsonObject, Row} from '@oathead/stores';
 import {z} from 'zod';
 
 const leaseSchema = z
--- a/packages/membership/src/lib/process/lease_watch.ts
+++ b/packages/membership/src/lib/process/lease_watch.ts
@@ -4,7 +4,7 @@
  * on the observer's own monotonic clock.
  */
 
-import type {Row} from '@oathead/platform';
+import type {Row} from '@oathead/stores';
 
 /** A lease that ran out. */
 export interface LapsedLease {
--- a/packages/membership/src/lib/process/leased_membership.ts
+++ b/packages/membership/src/lib/process/leased_membership.ts
@@ -4,7 +4,7 @@
  */
 import {DisposableStore, hash32, repeat, sleep} from '@oathead/core';
 import type {Clock, Counters, Random} from '@oathead/core';
-import type {RowCheck, TableStore} from '@oathead/platform';
+import type {RowCheck, TableStore} from '@oathead/stores';
 import {Callbacks} from './callbacks.js';
 import {neighbours} from './directory.js';
 import {DirectoryView} from './directory_view.js';
--- a/packages/membership/src/lib/process/membership.ts
+++ b/packages/membership/src/lib/process/membership.ts
@@ -2,7 +2,7 @@
  * What the other parts of an entry know about the fleet of entries: who lives,
  * who owns which share of work, and whether this entry may still write.
  */
-import type {RowCheck} from '@oathead/platform';
+import type {RowCheck} from '@oathead/stores';
 
 /** Revisions of the one row that every entry reads once a second. */
 export interface Head {
--- a/packages/membership/src/lib/process/own_lease.ts
+++ b/packages/membership/src/lib/process/own_lease.ts
@@ -3,7 +3,7 @@
  * sees it. It counts from before the write that renewed it was sent, so it ends
  * here before an observer may take over, however late the answer came.
  */
-import type {RowWrite} from '@oathead/platform';
+import type {RowWrite} from '@oathead/stores';
 import type {BumpDeps} from './head_row.js';
 import {leaseKey, leaseOf, rowJson} from './lease_row.js';
 import type {MembershipSettings} from './membership_settings.js';
--- a/packages/membership/src/lib/process/share_count.ts
+++ b/packages/membership/src/lib/process/share_count.ts
@@ -1,6 +1,6 @@
 /** The number of shares: fixed when the fleet first starts. */
 import type {Random} from '@oathead/core';
-import type {TableStore} from '@oathead/platform';
+import type {TableStore} from '@oathead/stores';
 import {z} from 'zod';
 
 /** Key of the row that holds the number of shares. */
--- a/packages/membership/src/lib/process/share_holdings.ts
+++ b/packages/membership/src/lib/process/share_holdings.ts
@@ -1,7 +1,7 @@
 /** The shares of this entry: state, epoch, and the row version that fences. */
 import {nextShareLeaseState} from '@oathead/core';
 import type {ShareLeaseEvent, ShareLeaseState} from '@oathead/core';
-import type {RowCheck} from '@oathead/platform';
+import type {RowCheck} from '@oathead/stores';
 import {shareKey} from './lease_row.js';
 import type {HeldShare} from './membership.js';
 
--- a/packages/membership/src/lib/process/share_placement.ts
+++ b/packages/membership/src/lib/process/share_placement.ts
@@ -4,7 +4,7 @@
  * entry comes to the same conclusion, and done by whom it concerns.
  */
 import type {Counters} from '@oathead/core';
-import type {Row, TableStore} from '@oathead/platform';
+import type {Row, TableStore} from '@oathead/stores';
 import {
   orphanShares,
   preferredOwner,
--- a/packages/membership/src/test/fakes/fake_host.ts
+++ b/packages/membership/src/test/fakes/fake_host.ts
@@ -1,7 +1,7 @@
 /** Hosts that can be paused and lost, as the processes on them notice it. */
 import type {Clock} from '@oathead/core';
-import type {ListOptions, Platform, Transaction} from '@oathead/platform';
-import type {ObjectStore, TableStore} from '@oathead/platform';
+import type {ListOptions, Platform, Transaction} from '@oathead/stores';
+import type {ObjectStore, TableStore} from '@oathead/stores';
 
 /**
  * What a process sees of the world: while its host is paused, time goes on and
--- a/packages/membership/src/test/fakes/fake_members.ts
+++ b/packages/membership/src/test/fakes/fake_members.ts
@@ -1,8 +1,8 @@
 /** Entries over one platform, in virtual time. */
 import {hash32, seededRandom} from '@oathead/core';
 import type {Counters, Labels} from '@oathead/core';
-import {MemoryPlatform} from '@oathead/platform';
-import type {ObjectStore, Platform, TableStore} from '@oathead/platform';
+import {MemoryPlatform} from '@oathead/stores';
+import type {ObjectStore, Platform, TableStore} from '@oathead/stores';
 import {StoreFaults, VirtualClock, faultyPlatform} from '@oathead/stand-ins';
 import {LeasedMembership} from '../../lib/process/leased_membership.js';
 import {MEMBERSHIP_DEFAULTS} from '../../lib/process/membership_settings.js';
--- a/packages/proofs/src/lib/process/platform_at.ts
+++ b/packages/proofs/src/lib/process/platform_at.ts
@@ -6,7 +6,7 @@
   RowWrite,
   TableStore,
   Transaction,
-} from '@oathead/platform';
+} from '@oathead/stores';
 import type {Host} from './host.js';
 
 /**
--- a/packages/proofs/src/lib/process/processes.ts
+++ b/packages/proofs/src/lib/process/processes.ts
@@ -2,7 +2,7 @@
 import {EngineAdmission, hash32, seededRandom} from '@oathead/core';
 import type {Counters, Work} from '@oathead/core';
 import {Entry, peerRouter} from '@oathead/entry';
-import type {Platform} from '@oathead/platform';
+import type {Platform} from '@oathead/stores';
 import type {FakeEngine, FakeService} from '@oathead/stand-ins';
 import type {VirtualClock} from '@oathead/stand-ins';
 import {TargetService} from '@oathead/target';
--- a/packages/proofs/src/lib/process/proof_fleet.ts
+++ b/packages/proofs/src/lib/process/proof_fleet.ts
@@ -1,8 +1,8 @@
 /** A small fleet in virtual time, with its platform, engines and faults. */
 import {hash32} from '@oathead/core';
 import type {Counters} from '@oathead/core';
-import type {Host as ListedHost, Platform, RowWrite} from '@oathead/platform';
-import {MemoryHosts, MemoryPlatform} from '@oathead/platform';
+import type {Host as ListedHost, Platform, RowWrite} from '@oathead/stores';
+import {MemoryHosts, MemoryPlatform} from '@oathead/stores';
 import {
   FakeEngine,
   FakeService,
--- a/packages/proofs/src/lib/process/row_steps.ts
+++ b/packages/proofs/src/lib/process/row_steps.ts
@@ -1,5 +1,5 @@
 /** Which steps the writes of rows stand for. */
-import type {RowWrite} from '@oathead/platform';
+import type {RowWrite} from '@oathead/stores';
 import type {Step, Steps} from './steps.js';
 
 /** What the steps of rows are read from. */
--- a/packages/stand_ins/src/lib/process/faulty_platform.ts
+++ b/packages/stand_ins/src/lib/process/faulty_platform.ts
@@ -13,7 +13,7 @@
   Transaction,
   WeightInfo,
   WeightStore,
-} from '@oathead/platform';
+} from '@oathead/stores';
 import type {StoreFaults} from './store_faults.js';
 
 /** A table behind fault switches. */
--- a/packages/stand_ins/src/lib/process/platform_stand_in.ts
+++ b/packages/stand_ins/src/lib/process/platform_stand_in.ts
@@ -12,7 +12,7 @@
   type Platform,
   type StoreError,
   type WeightInfo,
-} from '@oathead/platform';
+} from '@oathead/stores';
 import type {ServerResponse} from 'node:http';
 import {z} from 'zod';
 import {
--- a/packages/stand_ins/src/lib/process/store_faults.ts
+++ b/packages/stand_ins/src/lib/process/store_faults.ts
@@ -4,7 +4,7 @@
  * clock only.
  */
 import {failure, sleep, type Clock, type Outcome} from '@oathead/core';
-import type {StoreError} from '@oathead/platform';
+import type {StoreError} from '@oathead/stores';
 import {RateLimit} from './rate_limit.js';
 
 /** One call of a store. */
--- a/packages/stand_ins/src/test/process/platform_conformance.ts
+++ b/packages/stand_ins/src/test/process/platform_conformance.ts
@@ -1,5 +1,5 @@
 /** What every implementation of the platform must do. */
-import type {Platform, Transaction} from '@oathead/platform';
+import type {Platform, Transaction} from '@oathead/stores';
 import type {ExecutionContext} from 'ava';
 
 /** One demand on a platform. */
--- a/packages/stand_ins/src/test/process/platform_stand_in_test.ts
+++ b/packages/stand_ins/src/test/process/platform_stand_in_test.ts
@@ -7,7 +7,7 @@
   MemoryPlatform,
   MemoryWeights,
   type Host,
-} from '@oathead/platform';
+} from '@oathead/stores';
 import {PlatformStandIn} from '../../lib/process/platform_stand_in.js';
 import type {FaultRule} from '../../lib/process/store_faults.js';
 import {VirtualClock} from '../../lib/process/virtual_clock.js';
--- a/packages/stand_ins/src/test/process/store_faults_test.ts
+++ b/packages/stand_ins/src/test/process/store_faults_test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {MemoryPlatform, type Transaction} from '@oathead/platform';
+import {MemoryPlatform, type Transaction} from '@oathead/stores';
 import {faultyPlatform} from '../../lib/process/faulty_platform.js';
 import {StoreFaults, type StoreRates} from '../../lib/process/store_faults.js';
 import {VirtualClock} from '../../lib/process/virtual_clock.js';
