--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -19,6 +19,7 @@
 export * from './lib/process/engine_admission.js';
 export * from './lib/process/engine_client.js';
 export * from './lib/process/engine_senses.js';
+export * from './lib/process/event_log.js';
 export * from './lib/process/harm_meter.js';
 export * from './lib/process/hash.js';
 export * from './lib/process/load_report.js';
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,28 @@
+/**
+ * Online requests by route to the targets of a service: choice of target,
+ * retries, streams, readiness, planned stops. The configuration, the list of
+ * targets and the headers on the wire come in through interfaces.
+ *
+ * @packageDocumentation
+ */
+export * from './lib/connection/connection_pool.js';
+export * from './lib/connection/load_exchange.js';
+export * from './lib/connection/load_message.js';
+export * from './lib/connection/target.js';
+export * from './lib/connection/target_connection.js';
+export * from './lib/process/front_server.js';
+export * from './lib/process/lifecycle.js';
+export * from './lib/process/load_table.js';
+export * from './lib/process/membership.js';
+export * from './lib/process/ready_server.js';
+export * from './lib/process/target_chooser.js';
+export * from './lib/process/target_directory.js';
+export * from './lib/process/target_suspensions.js';
+export * from './lib/request/exchange.js';
+export * from './lib/request/online_request.js';
+export * from './lib/request/stream_events.js';
+export * from './lib/request/target_protocol.js';
+export * from './lib/request/target_send.js';
+export * from './lib/version/route_matcher.js';
+export * from './lib/version/routing_state.js';
+export * from './lib/version/routing_table.js';
--- /dev/null
+++ b/packages/gateway/src/lib/connection/load_exchange.ts
@@ -0,0 +1,151 @@
+/**
+ * Tells other hosts of the own requests in flight, several times a second, and
+ * takes in theirs. Datagrams: a lost one is made good by the next, and one
+ * that is late is worth nothing.
+ */
+import {createSocket, type Socket} from 'node:dgram';
+import {
+  DisposableStore,
+  type Clock,
+  type Counters,
+  type EventLog,
+} from '@oathead/core';
+import type {LoadTable} from '../process/load_table.js';
+import {decodeLoad, encodeLoad} from './load_message.js';
+
+/** How often loads are told. */
+export interface LoadExchangeOptions {
+  /** The least time between two messages to a host, in milliseconds. */
+  readonly periodMs: number;
+  /** Datagrams that one host sends a second at the most: with more hosts each
+   * hears less often, so that the bytes of a host don't grow with their number. */
+  readonly maxDatagramsPerSecond: number;
+  /** How long a host stays silent while nothing changes, in milliseconds. */
+  readonly quietMs: number;
+}
+
+/** 60 ms: an item that gives way is told within the time of three stream
+ * events. 150 datagrams of some 150 bytes are 23 KB a second. */
+export const DEFAULT_LOAD_EXCHANGE: LoadExchangeOptions = {
+  periodMs: 60,
+  maxDatagramsPerSecond: 150,
+  quietMs: 1000,
+};
+
+const MS_PER_SECOND = 1000;
+
+/** Where a host listens for loads. */
+export interface LoadPeer {
+  readonly id: string;
+  readonly ip: string;
+  readonly port: number;
+}
+
+/** What a {@link LoadExchange} needs. */
+export interface LoadExchangeContext {
+  readonly self: LoadPeer;
+  readonly table: LoadTable;
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly counters: Counters;
+  /** The hosts to tell, this one not among them. */
+  readonly peers: () => readonly LoadPeer[];
+  readonly configVersion: () => number;
+  /** Called with each host's version of the configuration. */
+  readonly onConfigVersion: (host: string, version: number) => void;
+}
+
+/** Sends and receives loads until disposed. */
+export class LoadExchange implements Disposable {
+  private readonly held = new DisposableStore();
+  private readonly heard = new Map<string, number>();
+  private readonly socket: Socket = createSocket('udp4');
+  private sequence = 0;
+  private sentAt = -Infinity;
+  private sentText = '';
+
+  /**
+   * @param context - The table and whom to tell.
+   * @param options - How often.
+   */
+  constructor(
+    private readonly context: LoadExchangeContext,
+    private readonly options: LoadExchangeOptions = DEFAULT_LOAD_EXCHANGE,
+  ) {}
+
+  /** Begins to listen and to tell. */
+  start(): void {
+    const {self, log} = this.context;
+    this.socket.on('message', datagram => this.receive(datagram));
+    this.socket.on('error', err =>
+      log.event('load-socket-failed', {message: err.message}),
+    );
+    this.socket.bind(self.port, self.ip);
+    this.held.defer(() => this.socket.close());
+    const timer = setInterval(() => this.tick(), this.options.periodMs);
+    this.held.defer(() => clearInterval(timer));
+  }
+
+  /** Stops telling and listening. */
+  [Symbol.dispose](): void {
+    this.held[Symbol.dispose]();
+  }
+
+  private tick(): void {
+    this.context.table.expire();
+    const peers = this.context.peers();
+    const now = this.context.clock.now();
+    const sinceSent = now - this.sentAt;
+    if (peers.length === 0 || sinceSent < this.spacingMs(peers.length)) return;
+    const text = this.ownText();
+    if (text === this.sentText && sinceSent < this.options.quietMs) return;
+    this.sentAt = now;
+    this.sentText = text;
+    this.tell(peers);
+  }
+
+  /** @returns The least time between two messages, in milliseconds. */
+  private spacingMs(peers: number): number {
+    const {periodMs, maxDatagramsPerSecond} = this.options;
+    const bounded = (peers * MS_PER_SECOND) / maxDatagramsPerSecond;
+    // Half a period less: timers fire late, and a tick must not be missed.
+    return Math.max(periodMs, bounded) - periodMs / 2;
+  }
+
+  private ownText(): string {
+    return JSON.stringify([
+      this.context.configVersion(),
+      ...this.context.table.ownLoad,
+    ]);
+  }
+
+  private tell(peers: readonly LoadPeer[]): void {
+    const {self, table, counters} = this.context;
+    const datagram = encodeLoad({
+      host: self.id,
+      sequence: ++this.sequence,
+      configVersion: this.context.configVersion(),
+      load: table.ownLoad,
+    });
+    for (const {ip, port} of peers) {
+      this.socket.send(datagram, port, ip, err => {
+        if (err) counters.count('load_datagrams_unsent');
+      });
+    }
+    counters.count('load_datagrams_sent', {}, peers.length);
+    counters.count('load_bytes_sent', {}, peers.length * datagram.length);
+  }
+
+  private receive(datagram: Uint8Array): void {
+    const message = decodeLoad(datagram);
+    if (!message) {
+      this.context.counters.count('load_datagrams_unreadable');
+      return;
+    }
+    const {host, sequence, load, configVersion} = message;
+    if (sequence <= (this.heard.get(host) ?? 0)) return;
+    this.heard.set(host, sequence);
+    this.context.table.hear(host, load);
+    this.context.onConfigVersion(host, configVersion);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/process/membership.ts
@@ -0,0 +1,197 @@
+/**
+ * Which hosts of this system are alive. Each keeps one row with a heartbeat;
+ * a row that has not changed for the time of a lease is of a host that is gone.
+ * Time is the store's own steady clock, as its answers tell it: hosts' clocks
+ * may jump, and while the store gives no answers nobody is declared dead.
+ */
+import {DisposableStore, type Clock, type EventLog} from '@oathead/core';
+import {
+  decodeJson,
+  encodeJson,
+  type RowStore,
+  type TableUpdate,
+  type VersionedRow,
+} from '@oathead/stores';
+import {z} from 'zod';
+
+/** One run of a process on a host. */
+export interface Member {
+  /** New with each start. */
+  readonly id: string;
+  readonly host: string;
+  readonly ip: string;
+  /** Where it takes other hosts' loads. */
+  readonly loadPort: number;
+}
+
+/** The table of heartbeats. */
+export const MEMBER_TABLE = 'members';
+
+const MEMBER = z.object({
+  id: z.string(),
+  host: z.string(),
+  ip: z.string(),
+  loadPort: z.number().int(),
+});
+
+/** A heartbeat's row may be written so many times a second by all hosts, a tenth
+ * of what the store takes; with more hosts each beats less often. */
+const BEATS_PER_SECOND = 80;
+/** The least time between two heartbeats, in milliseconds. */
+const LEAST_BEAT_MS = 1000;
+/** A lease ends after so many heartbeats without one. */
+const BEATS_PER_LEASE = 3.5;
+/** A longer time between two answers of the store is an outage: leases are
+ * prolonged by it, in milliseconds. */
+const OUTAGE_MS = 1500;
+const MS_PER_SECOND = 1000;
+
+interface SeenMember {
+  readonly member: Member;
+  readonly version: number;
+  /** The store's time of the answer that brought the row. */
+  seenAt: number;
+}
+
+/** What a {@link Membership} needs. */
+export interface MembershipContext {
+  readonly store: RowStore;
+  readonly clock: Clock;
+  readonly log: EventLog;
+}
+
+/** Keeps this host's row, and the list of live hosts. */
+export class Membership implements Disposable {
+  private readonly held = new DisposableStore();
+  private readonly seen = new Map<string, SeenMember>();
+  private readonly lapsed = new Set<string>();
+  private storeTimeMs = 0;
+  private beating = false;
+
+  /**
+   * @param self - This process.
+   * @param context - The store, the clock and the log.
+   */
+  constructor(
+    readonly self: Member,
+    private readonly context: MembershipContext,
+  ) {}
+
+  /** Begins to beat. */
+  start(): void {
+    void this.beat();
+    this.schedule();
+  }
+
+  /** Ends the heartbeat. */
+  [Symbol.dispose](): void {
+    this.held[Symbol.dispose]();
+  }
+
+  /** @param update - What the watch of {@link MEMBER_TABLE} has brought. */
+  update({put, removed, storeTimeMs}: TableUpdate): void {
+    const gap = storeTimeMs - this.storeTimeMs;
+    if (this.storeTimeMs > 0 && gap > OUTAGE_MS) this.prolong(gap);
+    this.storeTimeMs = Math.max(this.storeTimeMs, storeTimeMs);
+    for (const row of put) this.see(row);
+    for (const row of removed) this.seen.delete(row.key);
+  }
+
+  /** Whether the list of hosts has been read at least once. */
+  get known(): boolean {
+    return this.storeTimeMs > 0;
+  }
+
+  /** @returns All live hosts, this one included. */
+  live(): readonly Member[] {
+    const others = [...this.seen.values()].filter(
+      ({member}) => member.host !== this.self.host,
+    );
+    const live = others.filter(seen => this.isLive(seen));
+    return [this.self, ...live.map(({member}) => member)];
+  }
+
+  /** @returns The live hosts but this one. */
+  peers(): readonly Member[] {
+    return this.live().slice(1);
+  }
+
+  /**
+   * @param id - One run of a process.
+   * @returns Whether it holds its lease, as far as this host knows.
+   */
+  holdsLease(id: string): boolean {
+    return this.live().some(member => member.id === id);
+  }
+
+  private leaseMs(): number {
+    return this.beatMs() * BEATS_PER_LEASE;
+  }
+
+  private beatMs(): number {
+    const spread = (this.seen.size / BEATS_PER_SECOND) * MS_PER_SECOND;
+    return Math.max(LEAST_BEAT_MS, spread);
+  }
+
+  private isLive(seen: SeenMember): boolean {
+    const silentMs = this.storeTimeMs - seen.seenAt;
+    const live = silentMs <= this.leaseMs();
+    const {id} = seen.member;
+    if (live) this.lapsed.delete(id);
+    else if (!this.lapsed.has(id)) {
+      this.lapsed.add(id);
+      this.context.log.event('member-lapsed', {
+        member: id,
+        silentMs: Math.round(silentMs),
+      });
+    }
+    return live;
+  }
+
+  private prolong(byMs: number): void {
+    for (const seen of this.seen.values()) seen.seenAt += byMs;
+  }
+
+  private see(row: VersionedRow): void {
+    const decoded = decodeJson(row.value, MEMBER);
+    if (!decoded.ok) {
+      this.context.log.event('member-unreadable', {
+        key: row.key,
+        message: decoded.err.message,
+      });
+      return;
+    }
+    const known = this.seen.get(row.key);
+    if (known?.member.id !== decoded.value.id)
+      this.context.log.event('member-seen', {member: decoded.value.id});
+    this.seen.set(row.key, {
+      member: decoded.value,
+      version: row.version,
+      seenAt: this.storeTimeMs,
+    });
+  }
+
+  private schedule(): void {
+    if (this.held.disposed) return;
+    this.context.clock.after(this.beatMs(), () => {
+      void this.beat();
+      this.schedule();
+    });
+  }
+
+  private async beat(): Promise<void> {
+    // A beat that waits for a slow store must not be joined by others.
+    if (this.beating || this.held.disposed) return;
+    this.beating = true;
+    const ref = {table: MEMBER_TABLE, partition: '', key: this.self.host};
+    const value = encodeJson(this.self);
+    const written = await this.context.store.transact({
+      expect: [],
+      puts: [{...ref, value}],
+      removes: [],
+    });
+    this.beating = false;
+    if (!written.ok)
+      this.context.log.event('heartbeat-failed', {reason: written.err.kind});
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/request/exchange.ts
@@ -0,0 +1,266 @@
+/**
+ * One request on one connection to a target, and what came of it. Answers that
+ * are not the target's whole answer to this very request never get out: those
+ * of another request, without seal, in an unasked coding, cut or reset.
+ */
+import type {IncomingHttpHeaders} from 'node:http';
+import {errors, type Dispatcher} from 'undici';
+import type {TargetConnection} from '../connection/target_connection.js';
+import {EventSplitter, type StreamEvent} from './stream_events.js';
+import type {AnswerFacts, Headers, TargetProtocol} from './target_protocol.js';
+
+/** What is sent to a target. */
+export interface TargetRequest {
+  readonly requestId: string | undefined;
+  readonly method: string;
+  /** Path and query, as the caller sent them. */
+  readonly path: string;
+  readonly headers: Headers;
+  readonly body: Buffer;
+  /** The number of the first event of a stream; undefined: unknown. */
+  readonly firstEventId: number | undefined;
+}
+
+/** Takes the events of a stream as they come. */
+export interface EventSink {
+  /**
+   * @param events - The next events, whole and in order.
+   * @param head - The head of the answer they belong to.
+   * @returns Whether more are wanted now; if not, `resume` is called later.
+   */
+  events(events: readonly StreamEvent[], head: AnswerHead): boolean;
+  /** @param resume - To be called when more events are wanted. */
+  paused(resume: () => void): void;
+}
+
+/** Status and headers of an answer. */
+export interface AnswerHead {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+}
+
+/** Why a request was ended from this side. */
+export type EndedBy = 'caller-left' | 'timeout' | 'yield' | 'stop' | 'silent';
+
+/** What came of a request at a target. */
+export type ExchangeEnd =
+  /** The target's whole answer. */
+  | {readonly kind: 'answered'; readonly head: AnswerHead; readonly body: Buffer}
+  /** A stream, to its end; its events went to the sink. */
+  | {readonly kind: 'streamed'; readonly head: AnswerHead}
+  /** The target says that it did not run the request. */
+  | {readonly kind: 'declined'; readonly status: number}
+  /** No connection could be made: it can't have run. */
+  | {readonly kind: 'unsent'; readonly reason: string}
+  /** It may have run. */
+  | {readonly kind: 'broken'; readonly reason: string}
+  /** It was ended from this side and may have run. */
+  | {readonly kind: 'ended'; readonly by: EndedBy};
+
+/** Answers larger than this are no answers of ours, in bytes: twice the largest
+ * body that callers may send by default. */
+const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+
+/** Ends a request from this side. */
+export interface ExchangeControl {
+  /** @param by - Why; the target sees its connection closed. */
+  end(by: EndedBy): void;
+  /** Milliseconds since the last byte came, or since it was sent. */
+  silentMs(now: number): number;
+}
+
+/** A request that is under way at a target. */
+export class Exchange implements ExchangeControl, Dispatcher.DispatchHandler {
+  private readonly splitter = new EventSplitter();
+  private readonly chunks: Buffer[] = [];
+  private bytes = 0;
+  private head: AnswerHead | undefined;
+  private facts: AnswerFacts | undefined;
+  private nextEventId: number | undefined;
+  private settled = false;
+  private heardAt: number;
+  private settle!: (end: ExchangeEnd) => void;
+
+  /** What came of it; never rejects. */
+  readonly end$: Promise<ExchangeEnd>;
+
+  /**
+   * @param connection - A connection with no request on it.
+   * @param req - What is sent.
+   * @param protocol - Reads the answer's head.
+   * @param sink - Takes the events of a stream.
+   * @param now - A steady clock, in milliseconds.
+   */
+  constructor(
+    private readonly connection: TargetConnection,
+    private readonly req: TargetRequest,
+    private readonly protocol: TargetProtocol,
+    private readonly sink: EventSink,
+    private readonly now: () => number,
+  ) {
+    this.heardAt = now();
+    this.nextEventId = req.firstEventId;
+    this.end$ = new Promise(resolve => {
+      this.settle = resolve;
+    });
+  }
+
+  /** Sends the request. */
+  start(): void {
+    const {method, path, headers, body} = this.req;
+    const options: Dispatcher.DispatchOptions = {
+      method: method as Dispatcher.HttpMethod,
+      path,
+      headers: headers as Record<string, string | string[]>,
+      body: body.length > 0 ? body : undefined,
+      // undici would otherwise hold back what follows a request that it takes
+      // for one with side effects.
+      idempotent: true,
+      blocking: false,
+    };
+    try {
+      this.connection.client.dispatch(options, this);
+    } catch (err) {
+      this.finish({kind: 'unsent', reason: reasonOf(err)});
+    }
+  }
+
+  /** {@inheritDoc ExchangeControl.end} */
+  end(by: EndedBy): void {
+    this.finish({kind: 'ended', by});
+  }
+
+  /** {@inheritDoc ExchangeControl.silentMs} */
+  silentMs(now: number): number {
+    return now - this.heardAt;
+  }
+
+  /** Whether all of the answer came and the connection can be used again. */
+  get leavesConnectionUsable(): boolean {
+    return this.settled && this.connection.usable;
+  }
+
+  /** Called by undici when the request is taken up. */
+  onRequestStart(): void {}
+
+  /** Called by undici with the head of the answer. */
+  onResponseStart(
+    _controller: Dispatcher.DispatchController,
+    status: number,
+    headers: IncomingHttpHeaders,
+  ): void {
+    if (this.settled || status < 200) return;
+    this.heardAt = this.now();
+    this.head = {status, headers};
+    this.facts = this.protocol.readAnswer(status, headers);
+    const flaw = this.flawOfHead(this.facts, status);
+    if (flaw) this.finish({kind: 'broken', reason: flaw});
+  }
+
+  /** Called by undici with bytes of the body. */
+  onResponseData(
+    controller: Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    if (this.settled) return;
+    this.heardAt = this.now();
+    if (this.streams()) this.pass(controller, chunk);
+    else this.collect(chunk);
+  }
+
+  /** Called by undici at the end of the answer. */
+  onResponseEnd(): void {
+    if (this.settled) return;
+    if (this.connection.wasReset) {
+      this.finish({kind: 'broken', reason: 'reset during the answer'});
+      return;
+    }
+    if (this.facts!.notRun) {
+      this.finish({kind: 'declined', status: this.head!.status}, true);
+      return;
+    }
+    if (!this.streams()) {
+      const body = Buffer.concat(this.chunks);
+      this.finish({kind: 'answered', head: this.head!, body}, true);
+      return;
+    }
+    if (this.splitter.hasPartialEvent)
+      this.finish({kind: 'broken', reason: 'ended inside an event'});
+    else this.finish({kind: 'streamed', head: this.head!}, true);
+  }
+
+  /** Called by undici when there will be no whole answer. */
+  onResponseError(
+    _controller: Dispatcher.DispatchController | undefined,
+    err: Error,
+  ): void {
+    const reason = reasonOf(err);
+    if (this.connection.connected) this.finish({kind: 'broken', reason});
+    else this.finish({kind: 'unsent', reason});
+  }
+
+  private streams(): boolean {
+    return this.facts!.eventStream && this.head!.status === 200;
+  }
+
+  private flawOfHead(facts: AnswerFacts, status: number): string | undefined {
+    if (facts.notRun) return undefined;
+    const {requestId} = this.req;
+    if (facts.requestId !== undefined && facts.requestId !== requestId)
+      return 'answer to another request';
+    const success = status >= 200 && status < 300;
+    if (!success) return undefined;
+    if (facts.requestId === undefined) return 'answer without a request id';
+    if (!facts.sealed) return 'success without a seal';
+    if (facts.encoded) return 'body in an unasked coding';
+    return undefined;
+  }
+
+  private pass(
+    controller: Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    const events = this.splitter.push(chunk);
+    if (events.length === 0) return;
+    const flaw = this.flawOfOrder(events);
+    if (flaw) {
+      this.finish({kind: 'broken', reason: flaw});
+      return;
+    }
+    if (this.sink.events(events, this.head!)) return;
+    controller.pause();
+    this.sink.paused(() => controller.resume());
+  }
+
+  /** A stream whose events are not numbered one after another is spoilt. */
+  private flawOfOrder(events: readonly StreamEvent[]): string | undefined {
+    for (const {id} of events) {
+      if (id === undefined) continue;
+      const expected = this.nextEventId ?? id;
+      if (id !== expected) return `event ${id} in place of ${expected}`;
+      this.nextEventId = id + 1;
+    }
+    return undefined;
+  }
+
+  private collect(chunk: Buffer): void {
+    this.bytes += chunk.length;
+    if (this.bytes > MAX_ANSWER_BYTES)
+      this.finish({kind: 'broken', reason: 'answer too large'});
+    else this.chunks.push(chunk);
+  }
+
+  /** The connection is closed unless the answer was whole. */
+  private finish(end: ExchangeEnd, whole = false): void {
+    if (this.settled) return;
+    this.settled = true;
+    if (!whole) this.connection[Symbol.dispose]();
+    this.settle(end);
+  }
+}
+
+function reasonOf(err: unknown): string {
+  if (err instanceof errors.UndiciError) return err.code;
+  if (err instanceof Error && 'code' in err) return String(err.code);
+  return String(err);
+}
--- /dev/null
+++ b/packages/gateway/src/lib/request/online_request.ts
@@ -0,0 +1,279 @@
+/**
+ * One caller's request: tried at one target after another, as far as its route
+ * allows, until it has a whole answer or its time is over.
+ */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {sleep, type EventLog, type Random} from '@oathead/core';
+import type {Target} from '../connection/target.js';
+import type {TargetChooser} from '../process/target_chooser.js';
+import type {Route} from '../version/routing_table.js';
+import {AnswerWriter} from './answer_writer.js';
+import type {EndedBy, ExchangeEnd} from './exchange.js';
+import {endToEndHeaders} from './forwarded_headers.js';
+import {sendToTarget, type SendContext, type Sending} from './target_send.js';
+import type {Headers, RequestFacts} from './target_protocol.js';
+
+/** What all online requests of a process share. */
+export interface OnlineContext extends SendContext {
+  readonly chooser: TargetChooser;
+  readonly random: Random;
+  readonly log: EventLog;
+}
+
+/** Share of the objective after which a request that got no target is refused:
+ * a caller that is told so early can still be served in time elsewhere. */
+const REFUSE_AFTER_SHARE = 0.2;
+/** When to come back after a refusal, in milliseconds: a slot of a stream gets
+ * free about every 90 ms at a full target. */
+const RETRY_AFTER_MS = 250;
+/** How often a request that waits for a target looks again, in milliseconds. */
+const LOOK_AGAIN_MS = 10;
+/** How often targets may say that they are full before the request is refused. */
+const MAX_DECLINES = 4;
+/** How long a target may say nothing before a request that may be repeated
+ * goes elsewhere, in milliseconds: well beyond a pause of a loaded engine. */
+const SILENCE_MS = 1200;
+/** How long a cut stream waits for a target to go on at, in milliseconds. */
+const RESUME_WAIT_MS = 1500;
+
+const STATUS_BAD_GATEWAY = 502;
+const STATUS_UNAVAILABLE = 503;
+const STATUS_GATEWAY_TIMEOUT = 504;
+
+/** Serves one request. */
+export class OnlineRequest {
+  private readonly startedAt: number;
+  private readonly endsAt: number;
+  private readonly facts: RequestFacts;
+  private readonly headers: Headers;
+  private readonly answer: AnswerWriter;
+  private readonly tried = new Set<string>();
+  private readonly service: string;
+  private sending: Sending | undefined;
+  private endedBy: EndedBy | undefined;
+  private runs = 0;
+  private declines = 0;
+
+  /**
+   * @param context - Shared by all requests.
+   * @param route - The route it came by.
+   * @param req - The caller's request.
+   * @param res - Where its answer goes.
+   * @param body - The caller's body, whole.
+   * @param startedAt - When its head had come, on the steady clock.
+   */
+  constructor(
+    private readonly context: OnlineContext,
+    private readonly route: Route,
+    private readonly req: IncomingMessage,
+    private readonly res: ServerResponse,
+    private readonly body: Buffer,
+    startedAt: number,
+  ) {
+    this.startedAt = startedAt;
+    this.facts = context.protocol.readRequest(req.headers);
+    const waits = this.facts.deadlineMs ?? route.timeoutMs;
+    this.endsAt = startedAt + Math.min(waits, route.timeoutMs);
+    this.headers = endToEndHeaders(req.headers);
+    this.answer = new AnswerWriter(res, this.facts.lastEventId);
+    this.service = pickService(route, context.random);
+  }
+
+  /** Serves the request; never rejects. */
+  async serve(): Promise<void> {
+    this.res.on('close', () => {
+      if (!this.res.writableFinished) this.endBy('caller-left');
+    });
+    const leftMs = Math.max(0, this.endsAt - this.now());
+    using _timer = this.context.clock.after(leftMs, () =>
+      this.endBy('timeout'),
+    );
+    using _watch = this.watchSilence();
+    while (!(await this.attempt()));
+  }
+
+  /** @returns Whether the request is over. */
+  private async attempt(): Promise<boolean> {
+    const target = await this.findTarget();
+    if (this.endedBy) return this.giveUp(this.endedBy);
+    if (!target) return this.giveUp('no target');
+    const end = await this.send(target);
+    return this.settle(end, target);
+  }
+
+  private async findTarget(): Promise<Target | undefined> {
+    const {chooser, clock} = this.context;
+    const until = this.now() + this.patienceMs();
+    for (;;) {
+      const target = chooser.choose(this.service, 'online', this.tried);
+      if (target || this.endedBy) return target;
+      if (this.now() >= until) return undefined;
+      await sleep(clock, LOOK_AGAIN_MS);
+    }
+  }
+
+  private patienceMs(): number {
+    if (this.answer.begun) return RESUME_WAIT_MS;
+    const refuseAt = this.startedAt + this.route.goalMs * REFUSE_AFTER_SHARE;
+    return refuseAt - this.now();
+  }
+
+  private async send(target: Target): Promise<ExchangeEnd> {
+    const {context, answer} = this;
+    this.tried.add(target.id);
+    context.log.event('request-sent', {
+      request: this.facts.requestId,
+      route: this.route.name,
+      target: target.id,
+      run: this.runs + 1,
+      afterEvent: answer.lastEventId,
+      waitedMs: Math.round(this.now() - this.startedAt),
+    });
+    const facts = {
+      requestId: this.facts.requestId,
+      targetId: target.id,
+      deadlineMs: Math.max(1, Math.floor(this.endsAt - this.now())),
+      lastEventId: answer.lastEventId,
+    };
+    const req = {
+      requestId: this.facts.requestId,
+      method: this.req.method ?? 'GET',
+      path: this.req.url ?? '/',
+      headers: context.protocol.requestHeaders(this.headers, facts),
+      body: this.body,
+      firstEventId: answer.nextEventId,
+    };
+    this.sending = sendToTarget(context, target, 'online', req, answer);
+    const end = await this.sending.end;
+    this.sending = undefined;
+    return end;
+  }
+
+  /** @returns Whether the request is over. */
+  private settle(end: ExchangeEnd, target: Target): boolean {
+    switch (end.kind) {
+      case 'answered':
+        // A run that should have gone on with a stream refused to.
+        if (this.answer.begun) return this.runAgain('failed', target);
+        this.answer.whole(end.head, end.body);
+        return this.done('answered', end.head.status, target);
+      case 'streamed':
+        this.answer.end(end.head);
+        return this.done('streamed', undefined, target);
+      case 'declined':
+        this.declines++;
+        this.tried.delete(target.id);
+        this.note('request-declined', end.kind, target);
+        return this.declines > MAX_DECLINES ? this.giveUp('declined') : false;
+      case 'unsent':
+        this.note('request-unsent', end.reason, target);
+        return this.declines++ > MAX_DECLINES ? this.giveUp('unsent') : false;
+      case 'broken':
+        return this.runAgain(end.reason, target);
+      case 'ended':
+        return end.by === 'silent'
+          ? this.runAgain(end.by, target)
+          : this.giveUp(end.by);
+    }
+  }
+
+  /** After a run that gave no answer. @returns Whether the request is over. */
+  private runAgain(reason: string, target: Target): boolean {
+    this.runs++;
+    this.note('request-broken', reason, target);
+    if (!this.mayRunAgain()) return this.giveUp(reason);
+    return false;
+  }
+
+  private mayRunAgain(): boolean {
+    const {route} = this;
+    const repeatable = route.idempotent || route.resumable;
+    return repeatable && this.runs < route.maxAttempts && !this.endedBy;
+  }
+
+  /**
+   * Answers at once that there will be no answer: "not run" only where no
+   * target may have run it. A stream that has begun is broken off, which no
+   * caller takes for its end.
+   *
+   * @returns That the request is over.
+   */
+  private giveUp(reason: string): boolean {
+    if (reason === 'caller-left') return this.done(reason);
+    if (this.answer.begun) {
+      this.answer.breakOff();
+      return this.done(reason);
+    }
+    const status = this.failureStatus(reason);
+    const retry =
+      status === STATUS_UNAVAILABLE
+        ? this.context.protocol.retryAfter(RETRY_AFTER_MS)
+        : {};
+    this.answer.failure(status, retry);
+    return this.done(reason, status);
+  }
+
+  private failureStatus(reason: string): number {
+    const mayHaveRun = this.runs > 0 || reason === 'timeout';
+    if (!mayHaveRun) return STATUS_UNAVAILABLE;
+    return reason === 'timeout' ? STATUS_GATEWAY_TIMEOUT : STATUS_BAD_GATEWAY;
+  }
+
+  private endBy(by: EndedBy): void {
+    this.endedBy ??= by;
+    this.sending?.control.end(by);
+  }
+
+  /** Ends a run at a target that has gone silent, if it may go on elsewhere. */
+  private watchSilence(): Disposable {
+    const repeatable = this.route.idempotent || this.route.resumable;
+    if (!repeatable) return {[Symbol.dispose]: () => {}};
+    const timer = setInterval(() => {
+      const control = this.sending?.control;
+      if (!control || this.runs + 1 >= this.route.maxAttempts) return;
+      if (control.silentMs(this.now()) > SILENCE_MS) control.end('silent');
+    }, SILENCE_MS / 4);
+    return {[Symbol.dispose]: () => clearInterval(timer)};
+  }
+
+  private note(event: string, reason: string, target: Target): void {
+    this.context.log.event(event, {
+      request: this.facts.requestId,
+      target: target.id,
+      reason,
+      runs: this.runs,
+      afterEvent: this.answer.lastEventId,
+    });
+  }
+
+  private done(outcome: string, status?: number, target?: Target): true {
+    const ms = this.now() - this.startedAt;
+    this.context.counters.count('online_requests', {outcome});
+    this.context.log.event('request-ended', {
+      request: this.facts.requestId,
+      route: this.route.name,
+      outcome,
+      status,
+      target: target?.id,
+      runs: this.runs,
+      declines: this.declines,
+      ms: Math.round(ms),
+    });
+    return true;
+  }
+
+  private now(): number {
+    return this.context.clock.now();
+  }
+}
+
+/** Draws one of a route's services by their weights. */
+function pickService(route: Route, random: Random): string {
+  const total = route.services.reduce((sum, {weight}) => sum + weight, 0);
+  let rest = random.float() * total;
+  for (const {service, weight} of route.services) {
+    rest -= weight;
+    if (rest < 0) return service;
+  }
+  return route.services.at(-1)!.service;
+}
--- /dev/null
+++ b/packages/jobs/src/lib/process/batch_scheduler.ts
@@ -0,0 +1,178 @@
+/**
+ * Decides which items run: those that are due first, where targets have room
+ * beside online requests; and which give way when a target fills up.
+ */
+import {DisposableStore, type Random} from '@oathead/core';
+import type {
+  Route,
+  RoutingState,
+  Target,
+  TargetChooser,
+  TargetDirectory,
+} from '@oathead/gateway';
+import type {ItemWork} from './item_work.js';
+import {runItem, type ItemRunContext} from './item_runner.js';
+import type {OwnedJob} from './owned_job.js';
+
+/** What a {@link BatchScheduler} needs. */
+export interface SchedulerContext extends ItemRunContext {
+  readonly chooser: TargetChooser;
+  readonly directory: TargetDirectory;
+  readonly routing: RoutingState;
+  readonly random: Random;
+  /** This host's run, as other hosts know it from its loads. */
+  readonly self: string;
+  /** The store's steady clock, in milliseconds. */
+  readonly storeTimeMs: () => number | undefined;
+}
+
+/** How often places are looked for, in milliseconds: a place that is free for a
+ * tick costs an item of five seconds nothing. */
+const TICK_MS = 25;
+/** Items that are started at one tick at the most. Other hosts' loads are as
+ * old as their last message; a host that filled all it sees free would meet
+ * others that do the same. */
+const STARTS_PER_TICK = 3;
+/** How long a route must be missing before its items are given up, in ms: the
+ * time within which a configuration is in force everywhere, doubled. */
+const ROUTE_MISSING_MS = 5000;
+
+interface Candidate {
+  readonly job: OwnedJob;
+  readonly work: ItemWork;
+}
+
+/** Starts and ends runs of items until disposed. */
+export class BatchScheduler implements Disposable {
+  private readonly held = new DisposableStore();
+  private readonly missingSince = new Map<string, number>();
+  private paused = false;
+
+  /**
+   * @param context - Targets, loads and routes.
+   * @param jobs - The jobs that this host works on now.
+   */
+  constructor(
+    private readonly context: SchedulerContext,
+    private readonly jobs: () => Iterable<OwnedJob>,
+  ) {}
+
+  /** Begins to run items. */
+  start(): void {
+    const timer = setInterval(() => this.tick(), TICK_MS);
+    this.held.defer(() => clearInterval(timer));
+    this.context.loads.onChange(() => this.yieldItems());
+  }
+
+  /** Starts nothing more: a planned stop is under way. */
+  pause(): void {
+    this.paused = true;
+  }
+
+  /** Ends the decisions; runs go on until their jobs are closed. */
+  [Symbol.dispose](): void {
+    this.held[Symbol.dispose]();
+  }
+
+  private tick(): void {
+    this.yieldItems();
+    if (!this.paused) this.startItems();
+  }
+
+  private startItems(): void {
+    const full = new Set<string>();
+    let started = 0;
+    for (const candidate of this.candidates()) {
+      const route = this.routeOf(candidate);
+      if (!route || full.has(route.name)) continue;
+      const target = this.targetFor(route);
+      if (!target) {
+        full.add(route.name);
+        continue;
+      }
+      const {job, work} = candidate;
+      runItem(this.context, job, work, route, target);
+      if (++started >= STARTS_PER_TICK) return;
+    }
+  }
+
+  private targetFor(route: Route): Target | undefined {
+    const {chooser, random} = this.context;
+    const services = route.services.map(({service}) => service);
+    const first = random.int(services.length);
+    return chooser.choose(services[first]!, 'batch', new Set());
+  }
+
+  /** @returns Items that may start now, the most urgent first. */
+  private candidates(): readonly Candidate[] {
+    const now = this.context.clock.now();
+    const candidates: Candidate[] = [];
+    for (const job of this.jobs()) {
+      this.giveUpExpired(job);
+      for (const work of job.work) {
+        const {stage} = work;
+        if (stage.kind === 'waiting' && stage.notBefore <= now)
+          candidates.push({job, work});
+      }
+    }
+    return candidates.sort((a, b) => a.job.dueAtMs - b.job.dueAtMs);
+  }
+
+  private giveUpExpired(job: OwnedJob): void {
+    const {acceptedAtMs, retentionMs} = job.head;
+    const now = this.context.storeTimeMs() ?? 0;
+    if (now < acceptedAtMs + retentionMs) return;
+    for (const work of job.work)
+      if (work.stage.kind === 'waiting') job.finish(work, 'failed');
+  }
+
+  /** @returns The route of an item; its item is given up if it stays away. */
+  private routeOf({job, work}: Candidate): Route | undefined {
+    const {routing, clock} = this.context;
+    const {hostName} = job.head;
+    const {path} = work.item;
+    const route = routing.current?.match(hostName, path);
+    const key = `${hostName} ${path}`;
+    if (route) {
+      this.missingSince.delete(key);
+      return route;
+    }
+    const since = this.missingSince.get(key) ?? clock.now();
+    this.missingSince.set(key, since);
+    if (clock.now() - since < ROUTE_MISSING_MS) return undefined;
+    this.missingSince.delete(key);
+    job.finish(work, 'failed');
+    return undefined;
+  }
+
+  private yieldItems(): void {
+    const running = this.runningByTarget();
+    for (const [targetId, candidates] of running) {
+      const target = this.context.directory.get(targetId);
+      if (!target) continue;
+      const {chooser, self} = this.context;
+      const excess = chooser.itemsToYield(target, self);
+      if (excess > 0) this.endLatestDue(candidates, excess);
+    }
+  }
+
+  private runningByTarget(): ReadonlyMap<string, Candidate[]> {
+    const running = new Map<string, Candidate[]>();
+    for (const job of this.jobs()) {
+      for (const work of job.work) {
+        if (work.stage.kind !== 'running') continue;
+        const {targetId} = work.stage;
+        const here = running.get(targetId) ?? [];
+        running.set(targetId, here);
+        here.push({job, work});
+      }
+    }
+    return running;
+  }
+
+  private endLatestDue(candidates: Candidate[], count: number): void {
+    candidates.sort((a, b) => b.job.dueAtMs - a.job.dueAtMs);
+    for (const {work} of candidates.slice(0, count))
+      if (work.stage.kind === 'running') work.stage.control.end('yield');
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/lib/process/job_keeper.ts
@@ -0,0 +1,247 @@
+/**
+ * Which jobs this host works on: those it has accepted, those handed to it, and
+ * its share of those whose owner's lease has ended.
+ */
+import {
+  DisposableStore,
+  rendezvous,
+  repeat,
+  type Clock,
+  type Counters,
+} from '@oathead/core';
+import type {Membership} from '@oathead/gateway';
+import {
+  decodeJson,
+  encodeJson,
+  type TableUpdate,
+  type VersionedRow,
+} from '@oathead/stores';
+import {z} from 'zod';
+import type {JobReader} from '../request/job_reader.js';
+import {
+  headRef,
+  indexOfKey,
+  JOB_HEAD,
+  jobRowRange,
+  PARTIAL_TABLE,
+  type JobHead,
+  type VersionedHead,
+} from '../request/job_rows.js';
+import {newItemWork, type ItemWork, type PartialText} from './item_work.js';
+import {OwnedJob, type OwnedJobContext} from './owned_job.js';
+
+/** What a {@link JobKeeper} needs. */
+export interface JobKeeperContext extends OwnedJobContext {
+  readonly reader: JobReader;
+  readonly membership: Membership;
+  readonly counters: Counters;
+}
+
+/** How often jobs without an owner are looked for, in milliseconds. */
+const SWEEP_MS = 500;
+/** How long a job must be without an owner before it is taken, in ms: a host
+ * that has just started may be known by its job before it is by its heartbeat. */
+const ORPHAN_MS = 1500;
+
+const PARTIAL = z.object({
+  lastEventId: z.number().optional(),
+  texts: z.array(z.string()),
+});
+
+/** Keeps the jobs of this host. */
+export class JobKeeper implements Disposable {
+  private readonly held = new DisposableStore();
+  private readonly heads = new Map<string, VersionedHead>();
+  private readonly owned = new Map<string, OwnedJob>();
+  private readonly loading = new Set<string>();
+  private readonly orphanSince = new Map<string, number>();
+  private stopping = false;
+
+  /** @param context - The store, the reader and the members. */
+  constructor(private readonly context: JobKeeperContext) {}
+
+  /** Begins to look for jobs without an owner. */
+  start(): void {
+    this.held.add(repeat(this.clock, SWEEP_MS, () => this.sweep()));
+  }
+
+  /** Ends all work here; nothing is handed over. */
+  [Symbol.dispose](): void {
+    this.held[Symbol.dispose]();
+    for (const job of [...this.owned.values()]) job[Symbol.dispose]();
+  }
+
+  /** @returns The jobs that this host works on now. */
+  jobs(): Iterable<OwnedJob> {
+    return this.owned.values();
+  }
+
+  /** @param accepted - A job that this host has just accepted. */
+  accepted(accepted: VersionedHead): void {
+    void this.adopt(accepted, 'accepted');
+  }
+
+  /** @returns Who is to work on a job that is accepted now. */
+  ownerOfNew(): string {
+    if (!this.stopping) return this.self;
+    const peers = this.context.membership.peers();
+    return peers[this.context.random.int(peers.length)]?.id ?? '';
+  }
+
+  /** @param update - What the watch of the heads has brought. */
+  update({put, removed}: TableUpdate): void {
+    for (const row of put) this.see(row);
+    for (const {key} of removed) this.heads.delete(key);
+  }
+
+  /** Hands all jobs to other hosts, for a planned stop. */
+  async handOverAll(): Promise<void> {
+    this.stopping = true;
+    this.held[Symbol.dispose]();
+    const peers = this.context.membership.peers().map(({id}) => id);
+    const jobs = [...this.owned.values()];
+    await Promise.all(
+      jobs.map(job => job.handOver(rendezvous(job.head.id, peers)[0] ?? '')),
+    );
+  }
+
+  private get clock(): Clock {
+    return this.context.clock;
+  }
+
+  private get self(): string {
+    return this.context.membership.self.id;
+  }
+
+  private see(row: VersionedRow): void {
+    const decoded = decodeJson(row.value, JOB_HEAD);
+    if (!decoded.ok) {
+      this.context.log.event('job-head-unreadable', {
+        job: row.key,
+        message: decoded.err.message,
+      });
+      return;
+    }
+    const head = decoded.value;
+    if (head.state !== 'open') {
+      this.heads.delete(head.id);
+      this.orphanSince.delete(head.id);
+      this.letGo(head);
+      return;
+    }
+    this.heads.set(head.id, {head, version: row.version});
+    if (head.owner !== this.self) this.letGo(head);
+    else void this.adopt({head, version: row.version}, 'handed over');
+  }
+
+  private letGo(head: JobHead): void {
+    const job = this.owned.get(head.id);
+    // The watch may show this owner's own last write before it has the answer.
+    if (!job || (head.owner === this.self && head.state === 'done')) return;
+    this.context.log.event('job-let-go', {
+      job: head.id,
+      state: head.state,
+      owner: head.owner,
+    });
+    job[Symbol.dispose]();
+  }
+
+  private async sweep(): Promise<void> {
+    const {membership} = this.context;
+    if (!membership.known) return;
+    const live = membership.live().map(({id}) => id);
+    for (const found of [...this.heads.values()]) {
+      const {id, owner} = found.head;
+      if (live.includes(owner)) {
+        this.orphanSince.delete(id);
+        if (owner === this.self) await this.adopt(found, 'found');
+        continue;
+      }
+      if (!this.isOrphan(id) || rendezvous(id, live)[0] !== this.self) continue;
+      await this.claim(found);
+    }
+  }
+
+  private isOrphan(id: string): boolean {
+    const now = this.clock.now();
+    const since = this.orphanSince.get(id) ?? now;
+    this.orphanSince.set(id, since);
+    return now - since >= ORPHAN_MS;
+  }
+
+  private async claim({head, version}: VersionedHead): Promise<void> {
+    const {store, random, log} = this.context;
+    const next = {...head, owner: this.self, nonce: random.id()};
+    const ref = headRef(head.id);
+    const written = await store.transact({
+      expect: [{...ref, version}],
+      puts: [{...ref, value: encodeJson(next)}],
+      removes: [],
+    });
+    log.event('job-claimed', {
+      job: head.id,
+      from: head.owner,
+      outcome: written.ok ? 'written' : written.err.kind,
+    });
+    // Without an answer the watch shows whether it was written.
+    if (!written.ok) return;
+    await this.adopt({head: next, version: written.value.version}, 'claimed');
+  }
+
+  private async adopt(found: VersionedHead, how: string): Promise<void> {
+    const {id} = found.head;
+    if (this.stopping || this.owned.has(id) || this.loading.has(id)) return;
+    this.loading.add(id);
+    const work = await this.load(found.head, how === 'accepted');
+    this.loading.delete(id);
+    if (!work || this.stopping) return;
+    const latest = this.heads.get(id) ?? found;
+    const head = latest.version > found.version ? latest : found;
+    if (head.head.owner !== this.self) return;
+    this.context.counters.count('jobs_adopted', {how});
+    this.context.log.event('job-adopted', {
+      job: id,
+      how,
+      items: head.head.items,
+      left: work.length,
+    });
+    const drop = (job: OwnedJob) => this.owned.delete(job.head.id);
+    this.owned.set(id, new OwnedJob(this.context, head, work, drop));
+  }
+
+  /** @returns The items without a result; undefined: the store can't say. */
+  private async load(
+    head: JobHead,
+    fresh: boolean,
+  ): Promise<readonly ItemWork[] | undefined> {
+    const {reader} = this.context;
+    const items = await reader.items(head.id);
+    if (!items.ok) return undefined;
+    const results = fresh ? undefined : await reader.allResults(head.id);
+    if (results && !results.ok) return undefined;
+    const listed = new Set(results?.value.map(({id}) => id));
+    const partials = fresh ? new Map() : await this.partials(head);
+    return items.value
+      .map((item, i) =>
+        newItemWork(i, item, head.failures[i] ?? 0, partials.get(i)),
+      )
+      .filter(({item}) => !listed.has(item.id));
+  }
+
+  private async partials(
+    head: JobHead,
+  ): Promise<ReadonlyMap<number, PartialText>> {
+    const texts = new Map<number, PartialText>();
+    const range = jobRowRange(PARTIAL_TABLE, head.id);
+    const page = await this.context.store.read(range);
+    // Without them the items run from the start.
+    if (!page.ok) return texts;
+    for (const {key, value} of page.value.rows) {
+      const partial = decodeJson(value, PARTIAL);
+      if (!partial.ok) continue;
+      const {lastEventId, texts: so} = partial.value;
+      texts.set(indexOfKey(key), {lastEventId, texts: so});
+    }
+    return texts;
+  }
+}
--- a/packages/observe/src/index.ts
+++ b/packages/observe/src/index.ts
@@ -8,3 +8,4 @@
 export * from './lib/process/metrics.js';
 export * from './lib/process/settings.js';
 export * from './lib/process/tracing.js';
+export * from './lib/process/json_event_log.js';
--- /dev/null
+++ b/packages/serving/src/index.ts
@@ -0,0 +1,8 @@
+/**
+ * A process that serves online requests and batch jobs: gateway and jobs put
+ * together over a store and a wire protocol.
+ *
+ * @packageDocumentation
+ */
+export * from './lib/process/serving_host.js';
+export * from './lib/process/serving_process.js';
--- /dev/null
+++ b/packages/serving/src/lib/process/serving_host.ts
@@ -0,0 +1,59 @@
+/** What a serving process learns from where it runs, through its adapter. */
+import type {Outcome} from '@oathead/core';
+import type {
+  BatchFront,
+  RoutingTable,
+  Target,
+  TargetProtocol,
+} from '@oathead/gateway';
+import type {JobIntake, JobReader, StoreLimits} from '@oathead/jobs';
+import type {RowStore, UnreadableRow, VersionedRow} from '@oathead/stores';
+
+/** An address of this process. */
+export interface ListenAddress {
+  readonly ip: string;
+  readonly port: number;
+}
+
+/** A table of the store that somebody else writes. */
+export interface SourceTable<T> {
+  readonly table: string;
+  /** @returns What a row says; undefined where it is none of ours. */
+  decode(row: VersionedRow): Outcome<T, UnreadableRow> | undefined;
+}
+
+/** What callers can do with batch jobs. */
+export interface JobCalls {
+  readonly reader: JobReader;
+  /** @returns What came of ending a job. */
+  end(jobId: string): Promise<'ended' | 'not-found' | 'unsure'>;
+  /** Accepts a job once, however often it is handed in. */
+  readonly handIn: JobIntake['accept'];
+}
+
+/** Addresses, names and bounds of this process. */
+export interface ServingIdentity {
+  /** The host's name, the same after each start. */
+  readonly host: string;
+  readonly dataCentre: string;
+  readonly front: ListenAddress;
+  readonly ready: ListenAddress;
+  /** Where other hosts send their loads. */
+  readonly loads: ListenAddress;
+  /** How long a planned stop may take, in milliseconds. */
+  readonly stopMs: number;
+}
+
+/** The adapter's side of a serving process. */
+export interface ServingHost {
+  readonly identity: ServingIdentity;
+  readonly store: RowStore;
+  readonly storeLimits: StoreLimits;
+  readonly protocol: TargetProtocol;
+  readonly config: SourceTable<RoutingTable>;
+  readonly targets: SourceTable<Target>;
+  /** The path at which readiness is asked for. */
+  readonly readyPath: string;
+  /** @returns The batch interface as callers speak it. */
+  batchFront(calls: JobCalls): BatchFront;
+}
--- a/packages/stores/src/index.ts
+++ b/packages/stores/src/index.ts
@@ -18,3 +18,6 @@
 export * from './lib/process/platform.js';
 export * from './lib/process/table_store.js';
 export * from './lib/process/weight_store.js';
+export * from './lib/process/row_store.js';
+export * from './lib/process/row_json.js';
+export * from './lib/process/table_watch.js';
