--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -19,7 +19,7 @@
   outExtension: {'.js': '.mjs'},
   // Libraries in CommonJS ask for Node's own modules by `require`.
   banner: {
-    js: "import {createRequire} from 'node:module'; const require = createRequire(import.meta.url);",
+    js: "import {createRequire as bundleRequire} from 'node:module'; const require = bundleRequire(import.meta.url);",
   },
   logLevel: 'warning',
 });
