Items that can be in time go before those that are late; stand-ins and tests

The order by due time ran late items first, which made all others late, and targets were filled to five of eight slots while batch needed more. Change: items are pressed, relaxed or late by what is left of their time and by how long items take; pressed ones fill targets to seven of eight slots; items give way when more than eight requests are at a target. Log lines were no JSON: mended.

--- a/packages/gateway/src/lib/process/load_table.ts
+++ b/packages/gateway/src/lib/process/load_table.ts
@@ -50,6 +50,8 @@
    */
   begin(targetKey: string, lane: Lane): Disposable {
     this.add(targetKey, lane, 1);
+    // An item beside it may have to give way at once.
+    if (lane === 'online') this.changed();
     return {
       [Symbol.dispose]: () => {
         this.add(targetKey, lane, -1);
--- a/packages/gateway/src/lib/process/target_chooser.ts
+++ b/packages/gateway/src/lib/process/target_chooser.ts
@@ -2,7 +2,7 @@
 import type {Random} from '@oathead/core';
 import {targetKey} from '../connection/load_message.js';
 import type {Target} from '../connection/target.js';
-import type {Lane, LoadTable} from './load_table.js';
+import type {Lane, LoadTable, TargetLoad} from './load_table.js';
 import type {TargetDirectory} from './target_directory.js';
 import type {TargetSuspensions} from './target_suspensions.js';
 
@@ -16,19 +16,25 @@
   readonly queueShare: number;
   /** Up to which share of its slots a target is filled with batch items: the
    * rest is free for the first requests of a burst. */
-  readonly batchStartShare: number;
-  /** From which share of its slots on batch items give way. */
+  readonly batchStartShare: Readonly<Record<BatchPressure, number>>;
+  /** Beyond which share of its slots batch items give way. */
   readonly batchYieldShare: number;
 }
 
-/** Five of eight slots are filled with items, which give way at seven. */
+/** Whether items have time to wait for a quiet moment, or are due soon. */
+export type BatchPressure = 'relaxed' | 'pressed';
+
+/** Five of eight slots are filled with items that have time, seven with those
+ * that are due soon; items give way when an online request would have to wait. */
 export const DEFAULT_CHOICE_WEIGHTS: ChoiceWeights = {
   remotePenalty: {online: 1.5, batch: 3},
   queueShare: 0.5,
-  batchStartShare: 0.625,
-  batchYieldShare: 0.875,
+  batchStartShare: {relaxed: 0.625, pressed: 0.875},
+  batchYieldShare: 1,
 };
 
+const NONE: ReadonlySet<string> = new Set();
+
 /** What a {@link TargetChooser} needs. */
 export interface TargetChooserContext {
   readonly dataCentre: string;
@@ -51,28 +57,26 @@
 
   /**
    * @param service - Whose targets can do it.
-   * @param lane - What it is for.
    * @param tried - Targets that had their try.
    * @returns The target with the lowest score; undefined: none has room.
    */
-  choose(
-    service: string,
-    lane: Lane,
-    tried: ReadonlySet<string>,
-  ): Target | undefined {
-    const {directory, suspensions} = this.context;
-    const open = directory
-      .ofService(service)
-      .filter(({id}) => !tried.has(id) && !suspensions.has(id));
-    let best: Target | undefined;
-    let bestScore = Infinity;
-    for (const target of open) {
-      const score = this.score(target, lane);
-      if (score >= bestScore) continue;
-      best = target;
-      bestScore = score;
-    }
-    return best;
+  forRequest(service: string, tried: ReadonlySet<string>): Target | undefined {
+    const {queueShare} = this.weights;
+    return this.best(service, 'online', tried, ({slots}, {online}) => {
+      return online < slots * (1 + queueShare);
+    });
+  }
+
+  /**
+   * @param service - Whose targets can do it.
+   * @param pressure - Whether the item is due soon.
+   * @returns The target with the lowest score; undefined: none has room.
+   */
+  forItem(service: string, pressure: BatchPressure): Target | undefined {
+    const share = this.weights.batchStartShare[pressure];
+    return this.best(service, 'batch', NONE, ({slots}, {online, batch}) => {
+      return online + batch < slots * share;
+    });
   }
 
   /** @returns Whether any target of a service exists, full or not. */
@@ -106,25 +110,32 @@
     return 0;
   }
 
-  private score(target: Target, lane: Lane): number {
-    const {loads, dataCentre, random} = this.context;
-    const load = loads.at(targetKey(target.id));
-    if (!this.hasRoom(target, lane, load)) return Infinity;
+  private best(
+    service: string,
+    lane: Lane,
+    tried: ReadonlySet<string>,
+    hasRoom: (target: Target, load: TargetLoad) => boolean,
+  ): Target | undefined {
+    const {directory, suspensions, loads} = this.context;
+    let best: Target | undefined;
+    let bestScore = Infinity;
+    for (const target of directory.ofService(service)) {
+      if (tried.has(target.id) || suspensions.has(target.id)) continue;
+      const load = loads.at(targetKey(target.id));
+      const score = this.score(target, lane, load);
+      if (score >= bestScore || !hasRoom(target, load)) continue;
+      best = target;
+      bestScore = score;
+    }
+    return best;
+  }
+
+  private score(target: Target, lane: Lane, load: TargetLoad): number {
+    const {dataCentre, random} = this.context;
     const {remotePenalty} = this.weights;
     const far = target.dataCentre === dataCentre ? 0 : remotePenalty[lane];
     // Half a request of chance keeps hosts that see the same loads from all
     // choosing the same target.
     return load.online + load.batch + far + random.float() / 2;
   }
-
-  private hasRoom(
-    target: Target,
-    lane: Lane,
-    load: {readonly online: number; readonly batch: number},
-  ): boolean {
-    const {queueShare, batchStartShare} = this.weights;
-    if (lane === 'online')
-      return load.online < target.slots * (1 + queueShare);
-    return load.online + load.batch < target.slots * batchStartShare;
-  }
 }
--- a/packages/gateway/src/lib/process/target_directory.ts
+++ b/packages/gateway/src/lib/process/target_directory.ts
@@ -45,11 +45,14 @@
     this.targets.set(target.id, target);
     this.index(target.service);
     if (known?.leaving === target.leaving) return;
-    this.context.log.event(target.leaving ? 'target-leaving' : 'target-listed', {
-      target: target.id,
-      service: target.service,
-      address: target.address,
-    });
+    this.context.log.event(
+      target.leaving ? 'target-leaving' : 'target-listed',
+      {
+        target: target.id,
+        service: target.service,
+        address: target.address,
+      },
+    );
   }
 
   /**
--- a/packages/gateway/src/lib/request/answer_writer.ts
+++ b/packages/gateway/src/lib/request/answer_writer.ts
@@ -94,7 +94,10 @@
 
   private begin(head: AnswerHead): void {
     this.started = true;
-    this.res.writeHead(head.status, toNodeHeaders(endToEndHeaders(head.headers)));
+    this.res.writeHead(
+      head.status,
+      toNodeHeaders(endToEndHeaders(head.headers)),
+    );
   }
 }
 
--- a/packages/gateway/src/lib/request/exchange.ts
+++ b/packages/gateway/src/lib/request/exchange.ts
@@ -45,7 +45,11 @@
 /** What came of a request at a target. */
 export type ExchangeEnd =
   /** The target's whole answer. */
-  | {readonly kind: 'answered'; readonly head: AnswerHead; readonly body: Buffer}
+  | {
+      readonly kind: 'answered';
+      readonly head: AnswerHead;
+      readonly body: Buffer;
+    }
   /** A stream, to its end; its events went to the sink. */
   | {readonly kind: 'streamed'; readonly head: AnswerHead}
   /** The target says that it did not run the request. */
@@ -216,10 +220,7 @@
     return undefined;
   }
 
-  private pass(
-    controller: Dispatcher.DispatchController,
-    chunk: Buffer,
-  ): void {
+  private pass(controller: Dispatcher.DispatchController, chunk: Buffer): void {
     const events = this.splitter.push(chunk);
     if (events.length === 0) return;
     const flaw = this.flawOfOrder(events);
--- a/packages/gateway/src/lib/request/online_request.ts
+++ b/packages/gateway/src/lib/request/online_request.ts
@@ -3,7 +3,12 @@
  * allows, until it has a whole answer or its time is over.
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {sleep, type EventLog, type Random} from '@oathead/core';
+import {
+  DisposableStore,
+  sleep,
+  type EventLog,
+  type Random,
+} from '@oathead/core';
 import type {Target} from '../connection/target.js';
 import type {TargetChooser} from '../process/target_chooser.js';
 import type {Route} from '../version/routing_table.js';
@@ -85,10 +90,9 @@
       if (!this.res.writableFinished) this.endBy('caller-left');
     });
     const leftMs = Math.max(0, this.endsAt - this.now());
-    using _timer = this.context.clock.after(leftMs, () =>
-      this.endBy('timeout'),
-    );
-    using _watch = this.watchSilence();
+    using held = new DisposableStore();
+    held.add(this.context.clock.after(leftMs, () => this.endBy('timeout')));
+    held.add(this.watchSilence());
     while (!(await this.attempt()));
   }
 
@@ -105,7 +109,7 @@
     const {chooser, clock} = this.context;
     const until = this.now() + this.patienceMs();
     for (;;) {
-      const target = chooser.choose(this.service, 'online', this.tried);
+      const target = chooser.forRequest(this.service, this.tried);
       if (target || this.endedBy) return target;
       if (this.now() >= until) return undefined;
       await sleep(clock, LOOK_AGAIN_MS);
--- /dev/null
+++ b/packages/gateway/src/test/request/stream_events_test.ts
@@ -0,0 +1,42 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {dataOf, EventSplitter} from '../../lib/request/stream_events.js';
+
+test('events come out whole, however the stream is cut into chunks', t => {
+  const text = fc.stringMatching(/^[a-z0-9 :]{0,12}$/);
+  fc.assert(
+    fc.property(
+      fc.array(text, {minLength: 1}),
+      fc.array(fc.nat({max: 200})),
+      (texts, cuts) => {
+        const stream = texts
+          .map((data, i) => `id: ${i + 1}\ndata: ${data}\n\n`)
+          .join('');
+        const splitter = new EventSplitter();
+        const events = chunksOf(Buffer.from(stream), cuts).flatMap(chunk =>
+          splitter.push(chunk),
+        );
+        t.deepEqual(events.map(dataOf), texts);
+        t.deepEqual(
+          events.map(({id}) => id),
+          [...texts.keys()].map(i => i + 1),
+        );
+        t.is(Buffer.concat(events.map(e => e.bytes)).toString(), stream);
+        t.false(splitter.hasPartialEvent);
+      },
+    ),
+  );
+});
+
+test('an event without an end is held back', t => {
+  const splitter = new EventSplitter();
+  t.is(splitter.push(Buffer.from('id: 1\ndata: a\n')).length, 0);
+  t.true(splitter.hasPartialEvent);
+});
+
+function chunksOf(bytes: Buffer, cuts: readonly number[]): readonly Buffer[] {
+  const at = [...new Set([0, ...cuts, bytes.length])]
+    .filter(cut => cut <= bytes.length)
+    .sort((a, b) => a - b);
+  return at.slice(1).map((end, i) => bytes.subarray(at[i], end));
+}
--- a/packages/jobs/src/lib/process/batch_scheduler.ts
+++ b/packages/jobs/src/lib/process/batch_scheduler.ts
@@ -4,6 +4,7 @@
  */
 import {DisposableStore, type Random} from '@oathead/core';
 import type {
+  BatchPressure,
   Route,
   RoutingState,
   Target,
@@ -11,6 +12,7 @@
   TargetDirectory,
 } from '@oathead/gateway';
 import type {ItemWork} from './item_work.js';
+import {ItemDurations, type Urgency} from './item_durations.js';
 import {runItem, type ItemRunContext} from './item_runner.js';
 import type {OwnedJob} from './owned_job.js';
 
@@ -40,12 +42,33 @@
 interface Candidate {
   readonly job: OwnedJob;
   readonly work: ItemWork;
+  readonly urgency: Urgency;
+}
+
+/** What is late already waits for places that nothing else needs. */
+const PRESSURE: Readonly<Record<Urgency, BatchPressure>> = {
+  pressed: 'pressed',
+  relaxed: 'relaxed',
+  late: 'relaxed',
+};
+
+/** Items that can be done in time go before those that are late: in overload an
+ * order by due time alone runs late items first and makes all others late. */
+const ORDER: Readonly<Record<Urgency, number>> = {
+  pressed: 0,
+  relaxed: 1,
+  late: 2,
+};
+
+function moreUrgentFirst(a: Candidate, b: Candidate): number {
+  return ORDER[a.urgency] - ORDER[b.urgency] || a.job.dueAtMs - b.job.dueAtMs;
 }
 
 /** Starts and ends runs of items until disposed. */
 export class BatchScheduler implements Disposable {
   private readonly held = new DisposableStore();
   private readonly missingSince = new Map<string, number>();
+  private readonly durations = new ItemDurations();
   private paused = false;
 
   /**
@@ -85,22 +108,24 @@
     for (const candidate of this.candidates()) {
       const route = this.routeOf(candidate);
       if (!route || full.has(route.name)) continue;
-      const target = this.targetFor(route);
+      const target = this.targetFor(route, candidate);
       if (!target) {
         full.add(route.name);
         continue;
       }
       const {job, work} = candidate;
-      runItem(this.context, job, work, route, target);
+      runItem(this.context, job, work, route, target, ranMs =>
+        this.durations.add(job, ranMs),
+      );
       if (++started >= STARTS_PER_TICK) return;
     }
   }
 
-  private targetFor(route: Route): Target | undefined {
+  private targetFor(route: Route, {urgency}: Candidate): Target | undefined {
     const {chooser, random} = this.context;
     const services = route.services.map(({service}) => service);
     const first = random.int(services.length);
-    return chooser.choose(services[first]!, 'batch', new Set());
+    return chooser.forItem(services[first]!, PRESSURE[urgency]);
   }
 
   /** @returns Items that may start now, the most urgent first. */
@@ -112,10 +137,16 @@
       for (const work of job.work) {
         const {stage} = work;
         if (stage.kind === 'waiting' && stage.notBefore <= now)
-          candidates.push({job, work});
+          candidates.push(this.candidate(job, work));
       }
     }
-    return candidates.sort((a, b) => a.job.dueAtMs - b.job.dueAtMs);
+    return candidates.sort(moreUrgentFirst);
+  }
+
+  private candidate(job: OwnedJob, work: ItemWork): Candidate {
+    const leftMs = job.dueAtMs - (this.context.storeTimeMs() ?? 0);
+    const urgency = this.durations.urgencyOf(job, work, leftMs);
+    return {job, work, urgency};
   }
 
   private giveUpExpired(job: OwnedJob): void {
@@ -164,14 +195,14 @@
         const {targetId} = work.stage;
         const here = running.get(targetId) ?? [];
         running.set(targetId, here);
-        here.push({job, work});
+        here.push(this.candidate(job, work));
       }
     }
     return running;
   }
 
   private endLatestDue(candidates: Candidate[], count: number): void {
-    candidates.sort((a, b) => b.job.dueAtMs - a.job.dueAtMs);
+    candidates.sort((a, b) => moreUrgentFirst(b, a));
     for (const {work} of candidates.slice(0, count))
       if (work.stage.kind === 'running') work.stage.control.end('yield');
   }
--- a/packages/jobs/src/lib/process/item_runner.ts
+++ b/packages/jobs/src/lib/process/item_runner.ts
@@ -46,6 +46,8 @@
  * @param work - The item, waiting.
  * @param route - The route of its path.
  * @param target - Where it runs.
+ * @param onDone - Called with the time at targets, in milliseconds, of an item
+ *     that has its whole text.
  */
 export function runItem(
   context: ItemRunContext,
@@ -53,8 +55,10 @@
   work: ItemWork,
   route: Route,
   target: Target,
+  onDone: (ranMs: number) => void,
 ): void {
   const {item} = work;
+  const startedAt = context.clock.now();
   const headers = {...item.headers, host: job.head.hostName};
   work.runs++;
   const req = {
@@ -86,7 +90,11 @@
     targetId: target.id,
     control: sending.control,
   };
-  void sending.end.then(end => settle(context, job, work, end, target));
+  void sending.end.then(end => {
+    work.ranMs += context.clock.now() - startedAt;
+    if (end.kind === 'streamed') onDone(work.ranMs);
+    settle(context, job, work, end, target);
+  });
 }
 
 /** Collects the text of an item. */
--- a/packages/jobs/src/lib/process/item_work.ts
+++ b/packages/jobs/src/lib/process/item_work.ts
@@ -35,6 +35,8 @@
   texts: string[];
   /** How often it was sent to a target. */
   runs: number;
+  /** How long it was at targets, in milliseconds. */
+  ranMs: number;
 }
 
 /**
@@ -58,5 +60,6 @@
     lastEventId: partial?.lastEventId,
     texts: [...(partial?.texts ?? [])],
     runs: 0,
+    ranMs: 0,
   };
 }
--- a/packages/jobs/src/lib/process/owned_job.ts
+++ b/packages/jobs/src/lib/process/owned_job.ts
@@ -170,7 +170,11 @@
     this.finished.splice(0, results.length);
     for (const work of failed) work.stage = {kind: 'waiting', notBefore: 0};
     for (const {id, state} of results)
-      this.context.log.event('item-listed', {job: this.head.id, item: id, state});
+      this.context.log.event('item-listed', {
+        job: this.head.id,
+        item: id,
+        state,
+      });
     if (done) this[Symbol.dispose]();
   }
 
--- a/packages/jobs/src/lib/request/job_intake.ts
+++ b/packages/jobs/src/lib/request/job_intake.ts
@@ -2,15 +2,14 @@
  * Accepts batch jobs: once, however often and wherever they are handed in.
  * Whoever hands one in learns whether it was accepted, was not, or may be.
  */
-import {
-  sleep,
-  type Clock,
-  type EventLog,
-  type Random,
-} from '@oathead/core';
+import {sleep, type Clock, type EventLog, type Random} from '@oathead/core';
 import {encodeJson, type RowStore, type RowTransaction} from '@oathead/stores';
 import type {JobSubmission} from './job.js';
-import {cutContent, type StoreLimits, type StoredObject} from './job_content.js';
+import {
+  cutContent,
+  type StoreLimits,
+  type StoredObject,
+} from './job_content.js';
 import {headRef, type JobHead, type VersionedHead} from './job_rows.js';
 
 /** What came of handing in a job. */
--- a/packages/jobs/src/lib/request/job_rows.ts
+++ b/packages/jobs/src/lib/request/job_rows.ts
@@ -22,10 +22,9 @@
 const POSITION_DIGITS = 6;
 
 /** All partitions of the tables of jobs. */
-export const JOB_PARTITIONS: readonly string[] = Array.from(
-  {length: PARTITIONS},
-  (_, i) => `p${String(i).padStart(PARTITION_DIGITS, '0')}`,
-);
+export const JOB_PARTITIONS: readonly string[] = [
+  ...Array(PARTITIONS).keys(),
+].map(i => `p${String(i).padStart(PARTITION_DIGITS, '0')}`);
 
 const COUNT = z.number().int().nonnegative();
 
--- /dev/null
+++ b/packages/jobs/src/test/process/head_writer_test.ts
@@ -0,0 +1,83 @@
+import {failure, seededRandom, SYSTEM_CLOCK} from '@oathead/core';
+import {
+  encodeJson,
+  MemoryRowStore,
+  type RowStore,
+  type RowTransaction,
+} from '@oathead/stores';
+import test from 'ava';
+import {HeadWriter} from '../../lib/process/head_writer.js';
+import {headRef, type JobHead} from '../../lib/request/job_rows.js';
+
+const HEAD: JobHead = {
+  id: 'j',
+  hostName: 'h',
+  items: 2,
+  acceptedAtMs: 0,
+  completionGoalMs: 1,
+  retentionMs: 1,
+  maxAttempts: 1,
+  owner: 'me',
+  state: 'open',
+  listed: 0,
+  failures: {},
+  nonce: 'first',
+  content: {kind: 'rows', pieces: 1},
+};
+
+/** A store that does what it is told and loses the answers of some writes. */
+class LossyStore extends MemoryRowStore {
+  lose = 0;
+
+  override async transact(transaction: RowTransaction) {
+    const done = await super.transact(transaction);
+    if (this.lose-- <= 0) return done;
+    return failure({kind: 'unknown', message: 'lost'} as const);
+  }
+}
+
+async function acceptedIn(store: RowStore): Promise<number> {
+  const row = {...headRef('j'), value: encodeJson(HEAD)};
+  const done = await store.transact({expect: [], puts: [row], removes: []});
+  return done.ok ? done.value.version : 0;
+}
+
+// The clock's timers don't keep a process up; this one does, while tests wait.
+const keepAlive = setInterval(() => {}, 1000);
+test.after.always(() => clearInterval(keepAlive));
+
+function writerOf(store: RowStore, version: number, seed = 1): HeadWriter {
+  const context = {store, clock: SYSTEM_CLOCK, random: seededRandom(seed)};
+  const {signal} = new AbortController();
+  return new HeadWriter(context, {head: HEAD, version}, signal);
+}
+
+// A result stands twice in the list: the store wrote it, the answer was lost,
+// and the owner wrote it again at the next position. The owner must see that
+// its first write took effect.
+test('a write whose answer is lost takes effect once', async t => {
+  const store = new LossyStore(SYSTEM_CLOCK);
+  const writer = writerOf(store, await acceptedIn(store));
+  store.lose = 1;
+  t.true((await writer.write({listed: 1}, [])).ok);
+  t.is(writer.head.listed, 1);
+  t.true((await writer.write({listed: 2}, [])).ok);
+  t.is(writer.head.listed, 2);
+});
+
+// Two hosts list results for one job: its owner was frozen, another host took
+// the job over, and the first one woke up and went on. What it writes then must
+// be refused.
+test('an owner whose job was taken over writes nothing more', async t => {
+  const store = new MemoryRowStore(SYSTEM_CLOCK);
+  const version = await acceptedIn(store);
+  const frozen = writerOf(store, version);
+  const other = writerOf(store, version, 2);
+  t.true((await other.write({owner: 'other'}, [])).ok);
+  const late = await frozen.write({listed: 1}, []);
+  t.deepEqual(late.ok ? undefined : late.err, {
+    kind: 'ownership-lost',
+    state: 'open',
+    owner: 'other',
+  });
+});
--- a/packages/observe/src/lib/process/json_event_log.ts
+++ b/packages/observe/src/lib/process/json_event_log.ts
@@ -47,7 +47,6 @@
       base: options.process,
       timestamp: stdTimeFunctions.isoTime,
       messageKey: 'event',
-      formatters: {level: () => ({})},
     },
     output,
   );
--- a/packages/serving/src/lib/process/serving_process.ts
+++ b/packages/serving/src/lib/process/serving_process.ts
@@ -146,9 +146,7 @@
       ),
     );
     this.exchange = this.held.add(this.newExchange());
-    this.lifecycle = this.held.add(
-      new Lifecycle(state => this.entered(state)),
-    );
+    this.lifecycle = this.held.add(new Lifecycle(state => this.entered(state)));
     this.front = new FrontServer({
       online,
       routing: this.routing,
--- a/packages/stores/src/lib/process/table_watch.ts
+++ b/packages/stores/src/lib/process/table_watch.ts
@@ -7,12 +7,7 @@
  * repairs it. A row is replaced only by one of a higher version, so an answer
  * that was delayed on the way never brings an older row back.
  */
-import {
-  sleep,
-  type Clock,
-  type Counters,
-  type EventLog,
-} from '@oathead/core';
+import {sleep, type Clock, type Counters, type EventLog} from '@oathead/core';
 import type {
   RowChange,
   RowStore,
--- /dev/null
+++ b/packages/stores/src/test/process/table_watch_test.ts
@@ -0,0 +1,97 @@
+import {setTimeout} from 'node:timers/promises';
+import {failure, NO_COUNTERS, NO_EVENT_LOG, SYSTEM_CLOCK} from '@oathead/core';
+import test from 'ava';
+import {MemoryRowStore} from '../../lib/process/memory_row_store.js';
+import type {RowStore} from '../../lib/process/row_store.js';
+import {TableWatch, type TableUpdate} from '../../lib/process/table_watch.js';
+
+const OPTIONS = {
+  table: 't',
+  partitions: ['', 'p'],
+  waitMs: 20,
+  pauseMs: 0,
+  fullReadMs: 60_000,
+  pageRows: 2,
+};
+
+function put(store: MemoryRowStore, key: string, partition = '') {
+  const row = {table: 't', partition, key, value: Buffer.from(key)};
+  return store.transact({expect: [], puts: [row], removes: []});
+}
+
+function remove(store: MemoryRowStore, key: string) {
+  const ref = {table: 't', partition: '', key};
+  return store.transact({expect: [], puts: [], removes: [ref]});
+}
+
+function follow(store: RowStore) {
+  const context = {
+    store,
+    clock: SYSTEM_CLOCK,
+    log: NO_EVENT_LOG,
+    counters: NO_COUNTERS,
+  };
+  const updates: TableUpdate[] = [];
+  const watch = new TableWatch(OPTIONS, context, update =>
+    updates.push(update),
+  );
+  watch.start();
+  const keys = () =>
+    watch
+      .all()
+      .map(({key}) => key)
+      .sort();
+  return {watch, updates, keys};
+}
+
+test('a watch knows what was there, and what comes and goes', async t => {
+  const store = new MemoryRowStore(SYSTEM_CLOCK);
+  for (const key of ['a', 'b', 'c', 'd', 'e']) await put(store, key);
+  await put(store, 'x', 'p');
+  const {watch, keys} = follow(store);
+  await setTimeout(60);
+  t.deepEqual(keys(), ['a', 'b', 'c', 'd', 'e', 'x']);
+  await put(store, 'f');
+  await remove(store, 'a');
+  await setTimeout(60);
+  t.deepEqual(keys(), ['b', 'c', 'd', 'e', 'f', 'x']);
+  watch[Symbol.dispose]();
+});
+
+// A host routes by a configuration that was replaced long ago: the store has
+// dropped its history while the host was not reading, and the feed can't tell
+// what has changed. The watch must read the table whole.
+test('a watch reads the table whole when the history is lost', async t => {
+  const store = new MemoryRowStore(SYSTEM_CLOCK);
+  await put(store, 'a');
+  await put(store, 'b');
+  let lost = false;
+  const forgetful: RowStore = {
+    ...bound(store),
+    changes: async (table, after, waitMs) => {
+      if (!lost) return store.changes(table, after, waitMs);
+      lost = false;
+      return failure({kind: 'history-lost'});
+    },
+  };
+  const {watch, keys} = follow(forgetful);
+  await setTimeout(60);
+  await remove(store, 'a');
+  store.loseHistory();
+  lost = true;
+  await setTimeout(100);
+  t.deepEqual(keys(), ['b']);
+  watch[Symbol.dispose]();
+});
+
+function bound(store: MemoryRowStore): RowStore {
+  return {
+    transact: transaction => store.transact(transaction),
+    read: query => store.read(query),
+    changes: (table, after, waitMs) => store.changes(table, after, waitMs),
+    storeTimeMs: () => store.storeTimeMs(),
+    putObject: (name, bytes) => store.putObject(name, bytes),
+    getObject: name => store.getObject(name),
+    removeObject: name => store.removeObject(name),
+  };
+}
