Reach the store through other hosts, keep the texts of items

Change: calls that the store refuses go through a live peer; a starting host learns configuration and targets from peers while the store is down; the texts of items are kept each second and a new owner goes on from them; targets are filled to seven of eight slots, eight for items that are due soon.

--- a/packages/gateway/src/lib/process/membership.ts
+++ b/packages/gateway/src/lib/process/membership.ts
@@ -22,6 +22,8 @@
   readonly ip: string;
   /** Where it takes other hosts' loads. */
   readonly loadPort: number;
+  /** Where it answers other hosts' questions. */
+  readonly controlAddress: string;
 }
 
 /** The table of heartbeats. */
@@ -32,6 +34,7 @@
   host: z.string(),
   ip: z.string(),
   loadPort: z.number().int(),
+  controlAddress: z.string(),
 });
 
 /** A heartbeat's row may be written so many times a second by all hosts, a tenth
--- a/packages/gateway/src/lib/process/target_chooser.ts
+++ b/packages/gateway/src/lib/process/target_chooser.ts
@@ -29,7 +29,7 @@
 export const DEFAULT_CHOICE_WEIGHTS: ChoiceWeights = {
   remotePenalty: {online: 1.5, batch: 3},
   queueShare: 0.5,
-  batchStartShare: {relaxed: 0.625, pressed: 0.875},
+  batchStartShare: {relaxed: 0.875, pressed: 1},
   batchYieldShare: 1,
 };
 
--- a/packages/gateway/src/lib/request/exchange.ts
+++ b/packages/gateway/src/lib/request/exchange.ts
@@ -149,9 +149,9 @@
 
   /** Called by undici with the head of the answer. */
   onResponseStart(
-    _controller: Dispatcher.DispatchController,
-    status: number,
-    headers: IncomingHttpHeaders,
+    ...[, status, headers]: Parameters<
+      NonNullable<Dispatcher.DispatchHandler['onResponseStart']>
+    >
   ): void {
     if (this.settled || status < 200) return;
     this.heardAt = this.now();
@@ -195,8 +195,9 @@
 
   /** Called by undici when there will be no whole answer. */
   onResponseError(
-    _controller: Dispatcher.DispatchController | undefined,
-    err: Error,
+    ...[, err]: Parameters<
+      NonNullable<Dispatcher.DispatchHandler['onResponseError']>
+    >
   ): void {
     const reason = reasonOf(err);
     if (this.connection.connected) this.finish({kind: 'broken', reason});
--- a/packages/jobs/src/lib/process/batch_scheduler.ts
+++ b/packages/jobs/src/lib/process/batch_scheduler.ts
@@ -31,6 +31,9 @@
 /** How often places are looked for, in milliseconds: a place that is free for a
  * tick costs an item of five seconds nothing. */
 const TICK_MS = 25;
+/** How often the texts so far are kept, in milliseconds: what a lost host costs
+ * of each of its items at the most, a fifth of an item of five seconds. */
+const CHECKPOINT_MS = 1000;
 /** Items that are started at one tick at the most. Other hosts' loads are as
  * old as their last message; a host that filled all it sees free would meet
  * others that do the same. */
@@ -84,6 +87,8 @@
   start(): void {
     const timer = setInterval(() => this.tick(), TICK_MS);
     this.held.defer(() => clearInterval(timer));
+    const keep = setInterval(() => this.checkpoint(), CHECKPOINT_MS);
+    this.held.defer(() => clearInterval(keep));
     this.context.loads.onChange(() => this.yieldItems());
   }
 
@@ -97,6 +102,10 @@
     this.held[Symbol.dispose]();
   }
 
+  private checkpoint(): void {
+    for (const job of this.jobs()) void job.checkpoint();
+  }
+
   private tick(): void {
     this.yieldItems();
     if (!this.paused) this.startItems();
--- a/packages/jobs/src/lib/process/item_work.ts
+++ b/packages/jobs/src/lib/process/item_work.ts
@@ -33,6 +33,8 @@
   failures: number;
   lastEventId: number | undefined;
   texts: string[];
+  /** How many of `texts` are in the store already. */
+  keptTexts: number;
   /** How often it was sent to a target. */
   runs: number;
   /** How long it was at targets, in milliseconds. */
@@ -59,6 +61,7 @@
     failures,
     lastEventId: partial?.lastEventId,
     texts: [...(partial?.texts ?? [])],
+    keptTexts: partial?.texts.length ?? 0,
     runs: 0,
     ranMs: 0,
   };
--- a/packages/jobs/src/lib/process/owned_job.ts
+++ b/packages/jobs/src/lib/process/owned_job.ts
@@ -20,9 +20,10 @@
   readonly log: EventLog;
 }
 
-/** How long a handover to another host may take, in milliseconds. */
-const HANDOVER_PARTIALS = 80;
-/** Rows of a transaction beside the head at the most. */
+/** Texts that are not whole in one transaction at the most; it may have 100
+ * rows. */
+const PARTIALS_PER_WRITE = 80;
+/** Results in one transaction at the most. */
 const RESULTS_PER_WRITE = 40;
 
 /** Works on one job until it is done, ended or another's. */
@@ -32,6 +33,7 @@
   private readonly finished: ItemResult[] = [];
   private readonly failed: ItemWork[] = [];
   private writing: Promise<void> | undefined;
+  private checkpointing = false;
 
   /**
    * @param context - The store and the log.
@@ -123,18 +125,42 @@
     this[Symbol.dispose]();
   }
 
+  /**
+   * Keeps the text that there is so far, so that a host that takes the job over
+   * goes on from there. Nothing fences these rows: each holds the first events
+   * of an item up to a number, whoever has written it.
+   */
+  async checkpoint(): Promise<void> {
+    const puts = this.partialRows();
+    if (this.checkpointing || this.closed || puts.length === 0) return;
+    this.checkpointing = true;
+    const {store, log} = this.context;
+    const written = await store.transact({expect: [], puts, removes: []});
+    this.checkpointing = false;
+    if (!written.ok)
+      log.event('checkpoint-failed', {
+        job: this.head.id,
+        reason: written.err.kind,
+      });
+  }
+
+  /** @returns Texts that have grown since they were written last. */
   private partialRows(): readonly RowPut[] {
     const puts: RowPut[] = [];
     let bytes = 0;
-    for (const {index, stage, lastEventId, texts} of this.work) {
-      if (stage.kind === 'finished' || texts.length === 0) continue;
+    for (const work of this.work) {
+      const {index, stage, lastEventId, texts} = work;
+      if (stage.kind === 'finished' || texts.length === work.keptTexts)
+        continue;
       const value = encodeJson({lastEventId, texts});
       bytes += value.length;
       const {rowBytes, transactionBytes} = this.context.limits;
       if (value.length > rowBytes || bytes > transactionBytes) continue;
+      if (puts.length >= PARTIALS_PER_WRITE) break;
+      work.keptTexts = texts.length;
       puts.push({...jobRowRef(PARTIAL_TABLE, this.head.id, index), value});
     }
-    return puts.slice(0, HANDOVER_PARTIALS);
+    return puts;
   }
 
   private flush(): void {
--- a/packages/serving/src/lib/process/serving_host.ts
+++ b/packages/serving/src/lib/process/serving_host.ts
@@ -38,6 +38,10 @@
   readonly dataCentre: string;
   readonly front: ListenAddress;
   readonly ready: ListenAddress;
+  /** Where other hosts' questions are answered. */
+  readonly control: ListenAddress;
+  /** Where some hosts' questions are answered; they may be gone. */
+  readonly seeds: readonly string[];
   /** Where other hosts send their loads. */
   readonly loads: ListenAddress;
   /** How long a planned stop may take, in milliseconds. */
--- a/packages/serving/src/lib/process/serving_process.ts
+++ b/packages/serving/src/lib/process/serving_process.ts
@@ -35,8 +35,15 @@
   JobKeeper,
   JobReader,
 } from '@oathead/jobs';
-import {TableWatch, type TableUpdate} from '@oathead/stores';
-import type {JobCalls, ServingHost} from './serving_host.js';
+import {
+  RelayedRowStore,
+  TableWatch,
+  type RowStore,
+  type TableUpdate,
+} from '@oathead/stores';
+import {PeerLinks} from '../connection/peer_links.js';
+import {servePeers} from '../connection/peer_router.js';
+import type {JobCalls, ListenAddress, ServingHost} from './serving_host.js';
 
 /** What every part of the process uses. */
 export interface ServingContext {
@@ -64,6 +71,9 @@
 const LAPSED_TARGET_GRACE_MS = 2200;
 /** A longer time between two answers of the store is an outage, in ms. */
 const OUTAGE_MS = 1500;
+/** How long a starting process waits for the store before it asks its peers, and
+ * between two such questions, in milliseconds. */
+const ASK_PEERS_MS = 400;
 /** For how long callers may still come by a readiness seen before, in ms:
  * the balancer asks once a second and needs two misses. */
 const LINGER_MS = 3000;
@@ -85,6 +95,9 @@
   private readonly readiness: ReadyServer;
   private readonly exchange: LoadExchange;
   private readonly lifecycle: Lifecycle;
+  private readonly watches = new Map<string, TableWatch>();
+  private readonly peers: PeerLinks;
+  private readonly store: RowStore;
   private targetsReadAt = -Infinity;
   private stopped: (() => void) | undefined;
 
@@ -97,7 +110,13 @@
     private readonly context: ServingContext,
   ) {
     const {clock, log, random, counters} = context;
-    const {identity, store, protocol} = host;
+    const {identity, protocol} = host;
+    this.peers = new PeerLinks(identity.seeds, () => this.membership.peers());
+    this.store = new RelayedRowStore(host.store, {
+      ...context,
+      relays: () => this.peers.links(),
+      probe: {table: MEMBER_TABLE, partition: ''},
+    });
     this.routing = new RoutingState(log);
     this.directory = new TargetDirectory({clock, log});
     this.loads = new LoadTable(() => clock.now());
@@ -123,11 +142,11 @@
       suspensions,
       chooser,
     };
-    const reader = new JobReader(store);
+    const reader = new JobReader(this.store);
     this.keeper = this.held.add(
       new JobKeeper({
         ...context,
-        store,
+        store: this.store,
         limits: host.storeLimits,
         reader,
         membership: this.membership,
@@ -140,7 +159,7 @@
           directory: this.directory,
           routing: this.routing,
           self: this.membership.self.id,
-          storeTimeMs: () => store.storeTimeMs(),
+          storeTimeMs: () => this.store.storeTimeMs(),
         },
         () => this.keeper.jobs(),
       ),
@@ -169,6 +188,8 @@
     });
     this.routing.onAdopted(() => this.prepare());
     this.watchTables();
+    this.held.add(this.answerPeers());
+    void this.askPeers();
     this.membership.start();
     this.exchange.start();
     this.keeper.start();
@@ -195,7 +216,8 @@
   }
 
   private newMembership(): Membership {
-    const {identity, store} = this.host;
+    const {store} = this;
+    const {identity} = this.host;
     const {clock, log, random} = this.context;
     const {ip, port} = identity.loads;
     const self = {
@@ -203,6 +225,7 @@
       host: identity.host,
       ip,
       loadPort: port,
+      controlAddress: addressOf(identity.control),
     };
     return new Membership(self, {store, clock, log});
   }
@@ -223,7 +246,8 @@
   }
 
   private jobCalls(reader: JobReader): JobCalls {
-    const {store, storeLimits: limits} = this.host;
+    const {store} = this;
+    const {storeLimits: limits} = this.host;
     const intake = new JobIntake({
       ...this.context,
       store,
@@ -244,6 +268,46 @@
     };
   }
 
+  private answerPeers(): Disposable {
+    const {ip, port} = this.host.identity.control;
+    const snapshot = () => {
+      const tables = this.sharedTables();
+      return Object.fromEntries(
+        tables.map(table => [table, this.watches.get(table)!.all()]),
+      );
+    };
+    return servePeers({store: this.host.store, snapshot}, ip, port);
+  }
+
+  /**
+   * Learns from other hosts what the store can't tell.
+   *
+   * Guards against a start while the store is down for all: without this the
+   * process would know no configuration and no targets until the store is back,
+   * while the hosts beside it serve by what they have.
+   */
+  private async askPeers(): Promise<void> {
+    const {clock, log} = this.context;
+    while (this.lifecycle.state === 'starting') {
+      await sleep(clock, ASK_PEERS_MS);
+      const unread = this.sharedTables().filter(
+        table => !this.watches.get(table)!.hasRead,
+      );
+      if (unread.length === 0) return;
+      const answer = await this.peers.firstSnapshot();
+      if (!answer) continue;
+      const {address, snapshot} = answer;
+      log.event('peer-snapshot-taken', {peer: address, tables: unread});
+      for (const table of unread)
+        this.watches.get(table)!.seed(snapshot[table] ?? []);
+    }
+  }
+
+  private sharedTables(): readonly string[] {
+    const {config, targets} = this.host;
+    return [config.table, targets.table, MEMBER_TABLE];
+  }
+
   private watchTables(): void {
     const {config, targets} = this.host;
     this.watch(config.table, [''], WATCHES.config, update =>
@@ -267,8 +331,10 @@
     onUpdate: (update: TableUpdate) => void,
   ): void {
     const options = {table, partitions, ...pace};
-    const context = {...this.context, store: this.host.store};
-    this.held.add(new TableWatch(options, context, onUpdate)).start();
+    const context = {...this.context, store: this.store};
+    const watch = this.held.add(new TableWatch(options, context, onUpdate));
+    this.watches.set(table, watch);
+    watch.start();
   }
 
   private updateConfig({put}: TableUpdate): void {
@@ -339,3 +405,7 @@
     });
   }
 }
+
+function addressOf({ip, port}: ListenAddress): string {
+  return `${ip}:${port}`;
+}
--- a/packages/stores/src/index.ts
+++ b/packages/stores/src/index.ts
@@ -18,6 +18,7 @@
 export * from './lib/process/platform.js';
 export * from './lib/process/table_store.js';
 export * from './lib/process/weight_store.js';
+export * from './lib/process/relayed_row_store.js';
 export * from './lib/process/row_store.js';
 export * from './lib/process/row_json.js';
 export * from './lib/process/table_watch.js';
--- a/packages/stores/src/lib/process/table_watch.ts
+++ b/packages/stores/src/lib/process/table_watch.ts
@@ -84,6 +84,22 @@
     this.stop.abort();
   }
 
+  /**
+   * Takes over rows that another host knows, while the store can't be asked.
+   * The next whole read corrects them.
+   *
+   * @param rows - Rows of this table.
+   */
+  seed(rows: readonly VersionedRow[]): void {
+    const put = rows.filter(row => this.adopt(row));
+    if (put.length > 0) this.onUpdate({put, removed: [], storeTimeMs: 0});
+  }
+
+  /** Whether the store has answered at least once. */
+  get hasRead(): boolean {
+    return this.readAt > -Infinity;
+  }
+
   /** @returns All rows that are known now. */
   all(): readonly VersionedRow[] {
     return [...this.rows.values()];
