--- a/packages/gateway/src/lib/process/membership.ts
+++ b/packages/gateway/src/lib/process/membership.ts
@@ -29,6 +29,19 @@
 /** The table of heartbeats. */
 export const MEMBER_TABLE = 'members';
 
+/**
+ * @param host - The name of a host.
+ * @param nonce - Tells this run of its process from all others.
+ * @returns The id of the run.
+ */
+export function memberId(host: string, nonce: string): string {
+  return `${host}.${nonce}`;
+}
+
+function hostOfMember(id: string): string {
+  return id.slice(0, id.lastIndexOf('.'));
+}
+
 const MEMBER = z.object({
   id: z.string(),
   host: z.string(),
@@ -127,6 +140,17 @@
     return this.live().some(member => member.id === id);
   }
 
+  /**
+   * @param id - One run of a process.
+   * @returns Whether its host runs another one now, so that it has surely ended.
+   */
+  isReplaced(id: string): boolean {
+    const host = hostOfMember(id);
+    const now =
+      host === this.self.host ? this.self : this.seen.get(host)?.member;
+    return now !== undefined && now.id !== id;
+  }
+
   private leaseMs(): number {
     return this.beatMs() * BEATS_PER_LEASE;
   }
--- a/packages/jobs/src/lib/process/job_keeper.ts
+++ b/packages/jobs/src/lib/process/job_keeper.ts
@@ -157,7 +157,8 @@
         if (owner === this.self) await this.adopt(found, 'found');
         continue;
       }
-      if (!this.isOrphan(id) || rendezvous(id, live)[0] !== this.self) continue;
+      if (rendezvous(id, live)[0] !== this.self) continue;
+      if (!membership.isReplaced(owner) && !this.isOrphan(id)) continue;
       await this.claim(found);
     }
   }
--- a/packages/serving/src/lib/process/serving_process.ts
+++ b/packages/serving/src/lib/process/serving_process.ts
@@ -17,6 +17,7 @@
   LoadExchange,
   LoadTable,
   MEMBER_TABLE,
+  memberId,
   Membership,
   ReadyServer,
   RoutingState,
@@ -221,7 +222,7 @@
     const {clock, log, random} = this.context;
     const {ip, port} = identity.loads;
     const self = {
-      id: `${identity.host}.${random.id()}`,
+      id: memberId(identity.host, random.id()),
       host: identity.host,
       ip,
       loadPort: port,
