Learn from failing, silent and crashing targets; remove closed jobs

Cause: a target that fails part of its requests answers quickly and so had the least load; one that has gone dark kept getting requests that may not be repeated; a request that crashes targets was sent again for ever; rows of closed jobs stayed for ever.

--- /dev/null
+++ b/packages/gateway/src/lib/process/crash_suspects.ts
@@ -0,0 +1,111 @@
+/**
+ * Requests that seem to crash the targets that run them.
+ *
+ * Guards against a request that takes down one target after another: its run
+ * ends with a broken connection before anything was answered, its caller sends
+ * it again to any host, and each run costs a target and all that runs on it.
+ * Runs that end so are counted by what is asked, in the store, so that all hosts
+ * know; after three of them the request is not sent any more. An innocent
+ * request that ran beside it is counted, too, but its next run succeeds, which
+ * clears it.
+ */
+import {fingerprint, type Clock, type EventLog} from '@oathead/core';
+import {
+  decodeJson,
+  encodeJson,
+  type RowStore,
+  type TableUpdate,
+} from '@oathead/stores';
+import {z} from 'zod';
+
+/** The table of counts, by fingerprint. */
+export const SUSPECT_TABLE = 'suspects';
+
+const SUSPECT = z.object({
+  /** Runs that broke off. */
+  breaks: z.number().int(),
+  /** When the last one did, on the store's clock in milliseconds. */
+  at: z.number(),
+});
+type Suspect = Readonly<z.infer<typeof SUSPECT>>;
+
+/** So many runs may break off: two could be the fault of their targets. */
+const BREAKS_TO_BLOCK = 3;
+/** A suspect is forgotten after so long, in milliseconds: time for the targets
+ * to be back, and then one run to see whether it crashes them still. */
+const SUSPECT_LIFETIME_MS = 60_000;
+/** Suspects that are remembered at the most. */
+const MAX_SUSPECTS = 4096;
+
+/** What {@link CrashSuspects} need. */
+export interface SuspectContext {
+  readonly store: RowStore;
+  readonly clock: Clock;
+  readonly log: EventLog;
+}
+
+/** Counts runs that broke off before an answer. */
+export class CrashSuspects {
+  private readonly suspects = new Map<string, Suspect>();
+
+  /** @param context - The store in which hosts share what they know. */
+  constructor(private readonly context: SuspectContext) {}
+
+  /** @returns What names a request by what it asks. */
+  static fingerprintOf(path: string, body: Uint8Array): string {
+    return fingerprint(`${path}\n${Buffer.from(body).toString('latin1')}`);
+  }
+
+  /** @returns Whether the request is not to be sent any more. */
+  isBlocked(print: string): boolean {
+    const suspect = this.suspects.get(print);
+    if (!suspect || suspect.breaks < BREAKS_TO_BLOCK) return false;
+    return this.now() - suspect.at < SUSPECT_LIFETIME_MS;
+  }
+
+  /** @param print - A request whose run broke off before any answer. */
+  broke(print: string): void {
+    const breaks = (this.suspects.get(print)?.breaks ?? 0) + 1;
+    const suspect = {breaks, at: this.now()};
+    this.remember(print, suspect);
+    this.context.log.event('request-suspect', {fingerprint: print, breaks});
+    const ref = {table: SUSPECT_TABLE, partition: '', key: print};
+    // Without an answer the other hosts learn of it by their own next run.
+    void this.context.store.transact({
+      expect: [],
+      puts: [{...ref, value: encodeJson(suspect)}],
+      removes: [],
+    });
+  }
+
+  /** @param print - A request that was answered. */
+  answered(print: string): void {
+    this.suspects.delete(print);
+  }
+
+  /** @param update - What the watch of {@link SUSPECT_TABLE} has brought. */
+  update({put}: TableUpdate): void {
+    for (const {key, value} of put) {
+      const suspect = decodeJson(value, SUSPECT);
+      if (!suspect.ok) {
+        const {message} = suspect.err;
+        this.context.log.event('suspect-unreadable', {key, message});
+        continue;
+      }
+      const known = this.suspects.get(key)?.breaks ?? 0;
+      if (suspect.value.breaks > known) this.remember(key, suspect.value);
+    }
+  }
+
+  private remember(print: string, suspect: Suspect): void {
+    this.suspects.delete(print);
+    this.suspects.set(print, suspect);
+    if (this.suspects.size <= MAX_SUSPECTS) return;
+    const [oldest] = this.suspects.keys();
+    this.suspects.delete(oldest!);
+  }
+
+  private now(): number {
+    return this.context.store.storeTimeMs() ?? this.context.clock.now();
+  }
+}
--- a/packages/gateway/src/lib/process/target_chooser.ts
+++ b/packages/gateway/src/lib/process/target_chooser.ts
@@ -3,6 +3,7 @@
 import {targetKey} from '../connection/load_message.js';
 import type {Target} from '../connection/target.js';
 import type {Lane, LoadTable, TargetLoad} from './load_table.js';
+import type {ServiceHealth} from './service_health.js';
 import type {TargetDirectory} from './target_directory.js';
 import type {TargetSuspensions} from './target_suspensions.js';
 
@@ -40,6 +41,7 @@
   readonly dataCentre: string;
   readonly directory: TargetDirectory;
   readonly suspensions: TargetSuspensions;
+  readonly health: ServiceHealth;
   readonly loads: LoadTable;
   readonly random: Random;
 }
@@ -131,11 +133,13 @@
   }
 
   private score(target: Target, lane: Lane, load: TargetLoad): number {
-    const {dataCentre, random} = this.context;
+    const {dataCentre, random, health} = this.context;
     const {remotePenalty} = this.weights;
     const far = target.dataCentre === dataCentre ? 0 : remotePenalty[lane];
     // Half a request of chance keeps hosts that see the same loads from all
-    // choosing the same target.
-    return load.online + load.batch + far + random.float() / 2;
+    // choosing the same target. One more request weighs the more, the smaller
+    // the share that the target deserves.
+    const inFlight = load.online + load.batch + 1 + random.float() / 2;
+    return inFlight / health.share(target) + far;
   }
 }
--- a/packages/gateway/src/lib/request/exchange.ts
+++ b/packages/gateway/src/lib/request/exchange.ts
@@ -39,17 +39,19 @@
   readonly headers: IncomingHttpHeaders;
 }
 
+/** All of an answer. */
+export interface WholeAnswer {
+  readonly head: AnswerHead;
+  readonly body: Buffer;
+}
+
 /** Why a request was ended from this side. */
 export type EndedBy = 'caller-left' | 'timeout' | 'yield' | 'stop' | 'silent';
 
 /** What came of a request at a target. */
 export type ExchangeEnd =
   /** The target's whole answer. */
-  | {
-      readonly kind: 'answered';
-      readonly head: AnswerHead;
-      readonly body: Buffer;
-    }
+  | ({readonly kind: 'answered'} & WholeAnswer)
   /** A stream, to its end; its events went to the sink. */
   | {readonly kind: 'streamed'; readonly head: AnswerHead}
   /** The target says that it did not run the request. */
@@ -82,7 +84,9 @@
   private facts: AnswerFacts | undefined;
   private nextEventId: number | undefined;
   private settled = false;
+  private readonly startedAt: number;
   private heardAt: number;
+  private firstByte: number | undefined;
   private settle!: (end: ExchangeEnd) => void;
 
   /** What came of it; never rejects. */
@@ -102,7 +106,8 @@
     private readonly sink: EventSink,
     private readonly now: () => number,
   ) {
-    this.heardAt = now();
+    this.startedAt = now();
+    this.heardAt = this.startedAt;
     this.nextEventId = req.firstEventId;
     this.end$ = new Promise(resolve => {
       this.settle = resolve;
@@ -139,6 +144,11 @@
     return now - this.heardAt;
   }
 
+  /** Until the head of the answer came, in milliseconds; undefined: not yet. */
+  get firstByteMs(): number | undefined {
+    return this.firstByte;
+  }
+
   /** Whether all of the answer came and the connection can be used again. */
   get leavesConnectionUsable(): boolean {
     return this.settled && this.connection.usable;
@@ -155,6 +165,7 @@
   ): void {
     if (this.settled || status < 200) return;
     this.heardAt = this.now();
+    this.firstByte = this.heardAt - this.startedAt;
     this.head = {status, headers};
     this.facts = this.protocol.readAnswer(status, headers);
     const flaw = this.flawOfHead(this.facts, status);
--- a/packages/gateway/src/lib/request/online_request.ts
+++ b/packages/gateway/src/lib/request/online_request.ts
@@ -10,10 +10,11 @@
   type Random,
 } from '@oathead/core';
 import type {Target} from '../connection/target.js';
+import {CrashSuspects} from '../process/crash_suspects.js';
 import type {TargetChooser} from '../process/target_chooser.js';
 import type {Route} from '../version/routing_table.js';
 import {AnswerWriter} from './answer_writer.js';
-import type {EndedBy, ExchangeEnd} from './exchange.js';
+import type {EndedBy, ExchangeEnd, WholeAnswer} from './exchange.js';
 import {endToEndHeaders} from './forwarded_headers.js';
 import {sendToTarget, type SendContext, type Sending} from './target_send.js';
 import type {Headers, RequestFacts} from './target_protocol.js';
@@ -23,6 +24,7 @@
   readonly chooser: TargetChooser;
   readonly random: Random;
   readonly log: EventLog;
+  readonly crashes: CrashSuspects;
 }
 
 /** Share of the objective after which a request that got no target is refused:
@@ -41,6 +43,7 @@
 /** How long a cut stream waits for a target to go on at, in milliseconds. */
 const RESUME_WAIT_MS = 1500;
 
+const STATUS_SERVER_ERROR = 500;
 const STATUS_BAD_GATEWAY = 502;
 const STATUS_UNAVAILABLE = 503;
 const STATUS_GATEWAY_TIMEOUT = 504;
@@ -54,6 +57,8 @@
   private readonly answer: AnswerWriter;
   private readonly tried = new Set<string>();
   private readonly service: string;
+  private readonly print: string;
+  private failedAnswer: WholeAnswer | undefined;
   private sending: Sending | undefined;
   private endedBy: EndedBy | undefined;
   private runs = 0;
@@ -81,6 +86,7 @@
     this.endsAt = startedAt + Math.min(waits, route.timeoutMs);
     this.headers = endToEndHeaders(req.headers);
     this.answer = new AnswerWriter(res, this.facts.lastEventId);
+    this.print = CrashSuspects.fingerprintOf(req.url ?? '/', body);
     this.service = pickService(route, context.random);
   }
 
@@ -98,6 +104,8 @@
 
   /** @returns Whether the request is over. */
   private async attempt(): Promise<boolean> {
+    if (this.context.crashes.isBlocked(this.print))
+      return this.giveUp('suspect');
     const target = await this.findTarget();
     if (this.endedBy) return this.giveUp(this.endedBy);
     if (!target) return this.giveUp('no target');
@@ -159,6 +167,9 @@
       case 'answered':
         // A run that should have gone on with a stream refused to.
         if (this.answer.begun) return this.runAgain('failed', target);
+        if (end.head.status >= STATUS_SERVER_ERROR && this.mayRunOnceMore())
+          return this.afterFailure(end, target);
+        this.context.crashes.answered(this.print);
         this.answer.whole(end.head, end.body);
         return this.done('answered', end.head.status, target);
       case 'streamed':
@@ -173,6 +184,7 @@
         this.note('request-unsent', end.reason, target);
         return this.declines++ > MAX_DECLINES ? this.giveUp('unsent') : false;
       case 'broken':
+        if (!this.answer.begun) this.context.crashes.broke(this.print);
         return this.runAgain(end.reason, target);
       case 'ended':
         return end.by === 'silent'
@@ -181,18 +193,27 @@
     }
   }
 
+  /** A target that fails a request, which may be repeated: another one may not.
+   * What it answered is kept for the case that none does better. */
+  private afterFailure(answer: WholeAnswer, target: Target): false {
+    this.runs++;
+    this.failedAnswer = answer;
+    this.note('request-failed', String(answer.head.status), target);
+    return false;
+  }
+
   /** After a run that gave no answer. @returns Whether the request is over. */
   private runAgain(reason: string, target: Target): boolean {
-    this.runs++;
     this.note('request-broken', reason, target);
-    if (!this.mayRunAgain()) return this.giveUp(reason);
-    return false;
+    const more = this.mayRunOnceMore();
+    this.runs++;
+    return more ? false : this.giveUp(reason);
   }
 
-  private mayRunAgain(): boolean {
+  private mayRunOnceMore(): boolean {
     const {route} = this;
     const repeatable = route.idempotent || route.resumable;
-    return repeatable && this.runs < route.maxAttempts && !this.endedBy;
+    return repeatable && this.runs + 1 < route.maxAttempts && !this.endedBy;
   }
 
   /**
@@ -208,6 +229,11 @@
       this.answer.breakOff();
       return this.done(reason);
     }
+    if (this.failedAnswer && reason !== 'timeout') {
+      const {head, body} = this.failedAnswer;
+      this.answer.whole(head, body);
+      return this.done(reason, head.status);
+    }
     const status = this.failureStatus(reason);
     const retry =
       status === STATUS_UNAVAILABLE
@@ -234,7 +260,7 @@
     if (!repeatable) return {[Symbol.dispose]: () => {}};
     const timer = setInterval(() => {
       const control = this.sending?.control;
-      if (!control || this.runs + 1 >= this.route.maxAttempts) return;
+      if (!control || !this.mayRunOnceMore()) return;
       if (control.silentMs(this.now()) > SILENCE_MS) control.end('silent');
     }, SILENCE_MS / 4);
     return {[Symbol.dispose]: () => clearInterval(timer)};
--- a/packages/gateway/src/lib/request/target_send.ts
+++ b/packages/gateway/src/lib/request/target_send.ts
@@ -4,6 +4,7 @@
 import {targetKey} from '../connection/load_message.js';
 import type {Target} from '../connection/target.js';
 import type {Lane, LoadTable} from '../process/load_table.js';
+import type {ServiceHealth} from '../process/service_health.js';
 import type {TargetSuspensions} from '../process/target_suspensions.js';
 import {
   Exchange,
@@ -14,12 +15,19 @@
 } from './exchange.js';
 import type {TargetProtocol} from './target_protocol.js';
 
+/** A target that has said nothing for so long gets nothing new for a while, in
+ * milliseconds: it may have gone dark, and who waits for it can't go elsewhere
+ * where a request may run once only. Beyond the longest wait for a slot. */
+const SILENT_TARGET_MS = 1000;
+const STATUS_SERVER_ERROR = 500;
+
 /** What sending needs, the same for all requests of a process. */
 export interface SendContext {
   readonly protocol: TargetProtocol;
   readonly pool: ConnectionPool;
   readonly loads: LoadTable;
   readonly suspensions: TargetSuspensions;
+  readonly health: ServiceHealth;
   readonly clock: Clock;
   readonly counters: Counters;
 }
@@ -51,32 +59,53 @@
   const now = () => clock.now();
   const exchange = new Exchange(connection, req, protocol, sink, now);
   exchange.start();
+  const silence = clock.after(SILENT_TARGET_MS, () => {
+    if (exchange.firstByteMs === undefined) suspect(context, target, 'silent');
+  });
   const end = exchange.end$.then(outcome => {
+    silence[Symbol.dispose]();
     load[Symbol.dispose]();
     if (exchange.leavesConnectionUsable) pool.keep(target.id, connection);
-    judge(context, target, outcome);
+    judge(context, target, lane, outcome, exchange.firstByteMs);
     return outcome;
   });
   return {control: exchange, end};
 }
 
-/** What an end says of the target's health. */
-function judge(context: SendContext, target: Target, end: ExchangeEnd): void {
-  const {suspensions, counters} = context;
-  counters.count('target_exchanges', {end: end.kind});
+/** What an end says of the target. */
+function judge(
+  context: SendContext,
+  target: Target,
+  lane: Lane,
+  end: ExchangeEnd,
+  firstByteMs: number | undefined,
+): void {
+  const {suspensions, health, counters} = context;
+  counters.count('target_exchanges', {end: end.kind, lane});
   switch (end.kind) {
     case 'answered':
     case 'streamed':
       suspensions.succeeded(target.id);
+      if (isTargetError(end)) health.failed(target);
+      else if (lane === 'online') health.answered(target, firstByteMs ?? 0);
       return;
     case 'declined':
       suspensions.declined(target.id);
       return;
     case 'unsent':
     case 'broken':
-      suspensions.failed(target.id, end.reason);
+      suspect(context, target, end.reason);
       return;
     case 'ended':
-      if (end.by === 'silent') suspensions.failed(target.id, end.by);
+      if (end.by === 'silent') suspect(context, target, end.by);
   }
 }
+
+function isTargetError(end: ExchangeEnd): boolean {
+  return end.kind === 'answered' && end.head.status >= STATUS_SERVER_ERROR;
+}
+
+function suspect(context: SendContext, target: Target, reason: string): void {
+  context.suspensions.failed(target.id, reason);
+  context.health.failed(target);
+}
--- a/packages/gateway/src/test/process/target_chooser_test.ts
+++ b/packages/gateway/src/test/process/target_chooser_test.ts
@@ -2,6 +2,7 @@
 import test from 'ava';
 import {targetKey} from '../../lib/connection/load_message.js';
 import type {Target} from '../../lib/connection/target.js';
+import {ServiceHealth} from '../../lib/process/service_health.js';
 import {LoadTable} from '../../lib/process/load_table.js';
 import {TargetChooser} from '../../lib/process/target_chooser.js';
 import {TargetDirectory} from '../../lib/process/target_directory.js';
@@ -19,12 +20,14 @@
   for (const one of targets) directory.put(one);
   const loads = new LoadTable(() => 0);
   const suspensions = new TargetSuspensions(SYSTEM_CLOCK, NO_EVENT_LOG);
+  const health = new ServiceHealth(SYSTEM_CLOCK);
   const random = seededRandom(1);
   const dataCentre = 'a';
   const chooser = new TargetChooser({
     dataCentre,
     directory,
     suspensions,
+    health,
     loads,
     random,
   });
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -8,6 +8,7 @@
 export * from './lib/process/head_writer.js';
 export * from './lib/process/item_runner.js';
 export * from './lib/process/item_work.js';
+export * from './lib/process/job_janitor.js';
 export * from './lib/process/job_keeper.js';
 export * from './lib/process/owned_job.js';
 export * from './lib/request/job.js';
--- a/packages/jobs/src/lib/process/batch_scheduler.ts
+++ b/packages/jobs/src/lib/process/batch_scheduler.ts
@@ -117,6 +117,7 @@
     for (const candidate of this.candidates()) {
       const route = this.routeOf(candidate);
       if (!route || full.has(route.name)) continue;
+      if (this.context.crashes.isBlocked(candidate.work.print)) continue;
       const target = this.targetFor(route, candidate);
       if (!target) {
         full.add(route.name);
--- a/packages/jobs/src/lib/process/item_runner.ts
+++ b/packages/jobs/src/lib/process/item_runner.ts
@@ -3,6 +3,7 @@
   dataOf,
   sendToTarget,
   type AnswerHead,
+  type CrashSuspects,
   type EventSink,
   type ExchangeEnd,
   type Route,
@@ -18,6 +19,7 @@
 export interface ItemRunContext extends SendContext {
   readonly log: EventLog;
   readonly counters: Counters;
+  readonly crashes: CrashSuspects;
 }
 
 /** How long an item waits after an end that says nothing against it, in ms:
@@ -93,16 +95,33 @@
   void sending.end.then(end => {
     work.ranMs += context.clock.now() - startedAt;
     if (end.kind === 'streamed') onDone(work.ranMs);
+    countCrash(context, work, end, sink.received);
     settle(context, job, work, end, target);
   });
 }
 
+/** Only a run that broke before its first event may have crashed its target. */
+function countCrash(
+  {crashes}: ItemRunContext,
+  work: ItemWork,
+  end: ExchangeEnd,
+  received: boolean,
+): void {
+  const {print} = work;
+  if (received || end.kind === 'answered') crashes.answered(print);
+  else if (end.kind === 'broken') crashes.broke(print);
+}
+
 /** Collects the text of an item. */
 class TextSink implements EventSink {
+  /** Whether this run has brought anything. */
+  received = false;
+
   constructor(private readonly work: ItemWork) {}
 
   events(events: readonly StreamEvent[], head: AnswerHead): boolean {
     if (head.status !== STATUS_OK) return true;
+    this.received = true;
     for (const event of events) {
       this.work.texts.push(dataOf(event));
       this.work.lastEventId = event.id ?? this.work.lastEventId;
--- a/packages/jobs/src/lib/process/item_work.ts
+++ b/packages/jobs/src/lib/process/item_work.ts
@@ -1,5 +1,5 @@
 /** The state of one item while its job is being worked on. */
-import type {ExchangeControl} from '@oathead/gateway';
+import {CrashSuspects, type ExchangeControl} from '@oathead/gateway';
 import type {JobItem} from '../request/job.js';
 
 /** Text of an item that was cut, and where it goes on. */
@@ -29,6 +29,8 @@
 export interface ItemWork {
   readonly index: number;
   readonly item: JobItem;
+  /** Names the item by what it asks. */
+  readonly print: string;
   stage: ItemStage;
   failures: number;
   lastEventId: number | undefined;
@@ -57,6 +59,7 @@
   return {
     index,
     item,
+    print: CrashSuspects.fingerprintOf(item.path, item.body),
     stage: {kind: 'waiting', notBefore: 0},
     failures,
     lastEventId: partial?.lastEventId,
--- /dev/null
+++ b/packages/jobs/src/test/process/job_janitor_test.ts
@@ -0,0 +1,84 @@
+import {NO_EVENT_LOG, SYSTEM_CLOCK} from '@oathead/core';
+import {Membership, memberId} from '@oathead/gateway';
+import {encodeJson, MemoryRowStore, type TableUpdate} from '@oathead/stores';
+import test from 'ava';
+import {JobJanitor} from '../../lib/process/job_janitor.js';
+import {
+  CONTENT_TABLE,
+  HEAD_TABLE,
+  headRef,
+  jobRowRange,
+  jobRowRef,
+  partitionOf,
+  RESULT_TABLE,
+  type JobHead,
+} from '../../lib/request/job_rows.js';
+
+const KEEP_MS = 1000;
+
+async function closedJob(store: MemoryRowStore, id: string, ageMs: number) {
+  const head: JobHead = {
+    id,
+    hostName: 'h',
+    items: 120,
+    acceptedAtMs: 0,
+    completionGoalMs: 1,
+    retentionMs: 1,
+    maxAttempts: 1,
+    owner: '',
+    state: 'done',
+    listed: 120,
+    failures: {},
+    nonce: '',
+    closedAtMs: store.storeTimeMs() - ageMs,
+    content: {kind: 'rows', pieces: 1},
+  };
+  const value = Buffer.from('x');
+  const results = [...Array(120).keys()].map(i => ({
+    ...jobRowRef(RESULT_TABLE, id, i),
+    value,
+  }));
+  const content = {...jobRowRef(CONTENT_TABLE, id, 0), value};
+  const puts = [{...headRef(id), value: encodeJson(head)}, content, ...results];
+  await store.transact({expect: [], puts, removes: []});
+}
+
+async function rowsOf(store: MemoryRowStore, id: string): Promise<number> {
+  const head = await store.read({
+    table: HEAD_TABLE,
+    partition: partitionOf(id),
+    from: id,
+    to: `${id}!`,
+  });
+  const results = await store.read(jobRowRange(RESULT_TABLE, id));
+  const content = await store.read(jobRowRange(CONTENT_TABLE, id));
+  return [head, results, content].reduce(
+    (sum, page) => sum + (page.ok ? page.value.rows.length : 0),
+    0,
+  );
+}
+
+test('a job is removed whole once it is long closed, and not before', async t => {
+  const store = new MemoryRowStore(SYSTEM_CLOCK);
+  await closedJob(store, 'old', KEEP_MS + 500);
+  await closedJob(store, 'new', 0);
+  const self = {
+    id: memberId('me', '1'),
+    host: 'me',
+    ip: '',
+    loadPort: 1,
+    controlAddress: '',
+  };
+  const context = {store, clock: SYSTEM_CLOCK, log: NO_EVENT_LOG};
+  const membership = new Membership(self, context);
+  const janitor = new JobJanitor({...context, membership, keepMs: KEEP_MS});
+  const changes = await store.changes(HEAD_TABLE, 0, 0);
+  const put = changes.ok
+    ? changes.value.changes.flatMap(c => (c.kind === 'put' ? [c.row] : []))
+    : [];
+  const update: TableUpdate = {put, removed: [], storeTimeMs: 0};
+  janitor.update(update);
+  await janitor.sweep();
+  t.is(await rowsOf(store, 'old'), 0);
+  t.is(await rowsOf(store, 'new'), 122);
+});
--- a/packages/serving/src/lib/process/serving_host.ts
+++ b/packages/serving/src/lib/process/serving_host.ts
@@ -44,6 +44,8 @@
   readonly seeds: readonly string[];
   /** Where other hosts send their loads. */
   readonly loads: ListenAddress;
+  /** How long a closed job stays readable, in milliseconds. */
+  readonly keepJobsMs: number;
   /** How long a planned stop may take, in milliseconds. */
   readonly stopMs: number;
 }
--- a/packages/serving/src/lib/process/serving_process.ts
+++ b/packages/serving/src/lib/process/serving_process.ts
@@ -4,6 +4,7 @@
  */
 import {
   DisposableStore,
+  repeat,
   sleep,
   type Clock,
   type Counters,
@@ -12,6 +13,7 @@
 } from '@oathead/core';
 import {
   ConnectionPool,
+  CrashSuspects,
   FrontServer,
   Lifecycle,
   LoadExchange,
@@ -21,6 +23,8 @@
   Membership,
   ReadyServer,
   RoutingState,
+  ServiceHealth,
+  SUSPECT_TABLE,
   TargetChooser,
   TargetDirectory,
   TargetSuspensions,
@@ -33,6 +37,7 @@
   HEAD_TABLE,
   JOB_PARTITIONS,
   JobIntake,
+  JobJanitor,
   JobKeeper,
   JobReader,
 } from '@oathead/jobs';
@@ -64,6 +69,7 @@
   config: {waitMs: 600, pauseMs: 0, fullReadMs: 10_000, pageRows: 500},
   targets: {waitMs: 600, pauseMs: 250, fullReadMs: 10_000, pageRows: 500},
   members: {waitMs: 900, pauseMs: 500, fullReadMs: 30_000, pageRows: 500},
+  suspects: {waitMs: 1500, pauseMs: 500, fullReadMs: 60_000, pageRows: 500},
   heads: {waitMs: 900, pauseMs: 300, fullReadMs: 60_000, pageRows: 500},
 } as const;
 
@@ -75,6 +81,8 @@
 /** How long a starting process waits for the store before it asks its peers, and
  * between two such questions, in milliseconds. */
 const ASK_PEERS_MS = 400;
+/** How often the marks of targets fade a little, in milliseconds. */
+const HEALTH_TICK_MS = 1000;
 /** For how long callers may still come by a readiness seen before, in ms:
  * the balancer asks once a second and needs two misses. */
 const LINGER_MS = 3000;
@@ -87,10 +95,12 @@
 export class ServingProcess {
   private readonly held = new DisposableStore();
   private readonly routing: RoutingState;
+  private readonly crashes: CrashSuspects;
   private readonly directory: TargetDirectory;
   private readonly loads: LoadTable;
   private readonly membership: Membership;
   private readonly keeper: JobKeeper;
+  private readonly janitor: JobJanitor;
   private readonly scheduler: BatchScheduler;
   private readonly front: FrontServer;
   private readonly readiness: ReadyServer;
@@ -127,13 +137,18 @@
       suspensions.forget(id);
       pool.forget(id);
     });
+    const health = new ServiceHealth(clock);
+    this.held.add(repeat(clock, HEALTH_TICK_MS, () => health.tick()));
+    this.directory.onGone(id => health.forget(id));
     const chooser = new TargetChooser({
       dataCentre: identity.dataCentre,
       directory: this.directory,
       suspensions,
+      health,
       loads: this.loads,
       random,
     });
+    this.crashes = new CrashSuspects({store: this.store, clock, log});
     this.membership = this.held.add(this.newMembership());
     const online: OnlineContext = {
       ...context,
@@ -141,7 +156,9 @@
       pool,
       loads: this.loads,
       suspensions,
+      health,
       chooser,
+      crashes: this.crashes,
     };
     const reader = new JobReader(this.store);
     this.keeper = this.held.add(
@@ -153,6 +170,14 @@
         membership: this.membership,
       }),
     );
+    this.janitor = this.held.add(
+      new JobJanitor({
+        ...context,
+        store: this.store,
+        membership: this.membership,
+        keepMs: identity.keepJobsMs,
+      }),
+    );
     this.scheduler = this.held.add(
       new BatchScheduler(
         {
@@ -194,6 +219,7 @@
     this.membership.start();
     this.exchange.start();
     this.keeper.start();
+    this.janitor.start();
     this.scheduler.start();
     await this.readiness.listen(identity.ready.ip, identity.ready.port);
     await this.front.listen(identity.front.ip, identity.front.port);
@@ -320,9 +346,13 @@
     this.watch(MEMBER_TABLE, [''], WATCHES.members, update =>
       this.membership.update(update),
     );
-    this.watch(HEAD_TABLE, JOB_PARTITIONS, WATCHES.heads, update =>
-      this.keeper.update(update),
+    this.watch(SUSPECT_TABLE, [''], WATCHES.suspects, update =>
+      this.crashes.update(update),
     );
+    this.watch(HEAD_TABLE, JOB_PARTITIONS, WATCHES.heads, update => {
+      this.keeper.update(update);
+      this.janitor.update(update);
+    });
   }
 
   private watch(
