--- a/packages/gateway/src/lib/process/target_chooser.ts
+++ b/packages/gateway/src/lib/process/target_chooser.ts
@@ -34,6 +34,14 @@
   batchYieldShare: 1,
 };
 
+/** What a choice goes by. */
+export interface ChoiceView {
+  readonly targets: number;
+  readonly suspended: number;
+  /** The fewest online requests in flight at any of them. */
+  readonly leastOnline: number | undefined;
+}
+
 const NONE: ReadonlySet<string> = new Set();
 
 /** What a {@link TargetChooser} needs. */
@@ -81,9 +89,16 @@
     });
   }
 
-  /** @returns Whether any target of a service exists, full or not. */
-  hasTargets(service: string): boolean {
-    return this.context.directory.ofService(service).length > 0;
+  /** @returns What a choice among a service's targets goes by, for the log. */
+  view(service: string): ChoiceView {
+    const {directory, suspensions, loads} = this.context;
+    const targets = directory.ofService(service);
+    const online = targets.map(({id}) => loads.at(targetKey(id)).online);
+    return {
+      targets: targets.length,
+      suspended: targets.filter(({id}) => suspensions.has(id)).length,
+      leastOnline: online.length > 0 ? Math.min(...online) : undefined,
+    };
   }
 
   /**
--- a/packages/gateway/src/lib/request/online_request.ts
+++ b/packages/gateway/src/lib/request/online_request.ts
@@ -9,6 +9,7 @@
   type EventLog,
   type Random,
 } from '@oathead/core';
+import {targetKey} from '../connection/load_message.js';
 import type {Target} from '../connection/target.js';
 import {CrashSuspects} from '../process/crash_suspects.js';
 import type {TargetChooser} from '../process/target_chooser.js';
@@ -138,6 +139,7 @@
       route: this.route.name,
       target: target.id,
       run: this.runs + 1,
+      inFlight: context.loads.at(targetKey(target.id)).online,
       afterEvent: answer.lastEventId,
       waitedMs: Math.round(this.now() - this.startedAt),
     });
@@ -234,6 +236,13 @@
       this.answer.whole(head, body);
       return this.done(reason, head.status);
     }
+    const {chooser, log} = this.context;
+    log.event('request-given-up', {
+      request: this.facts.requestId,
+      service: this.service,
+      reason,
+      ...chooser.view(this.service),
+    });
     const status = this.failureStatus(reason);
     const retry =
       status === STATUS_UNAVAILABLE
