Split the serving process by what its parts do

Cause: one file of 442 lines put the parts together, followed tables, asked peers and drained; the load message carried a version that nobody read.

--- a/packages/gateway/src/lib/connection/load_exchange.ts
+++ b/packages/gateway/src/lib/connection/load_exchange.ts
@@ -50,9 +50,6 @@
   readonly counters: Counters;
   /** The hosts to tell, this one not among them. */
   readonly peers: () => readonly LoadPeer[];
-  readonly configVersion: () => number;
-  /** Called with each host's version of the configuration. */
-  readonly onConfigVersion: (host: string, version: number) => void;
 }
 
 /** Sends and receives loads until disposed. */
@@ -113,10 +110,7 @@
   }
 
   private ownText(): string {
-    return JSON.stringify([
-      this.context.configVersion(),
-      ...this.context.table.ownLoad,
-    ]);
+    return JSON.stringify([...this.context.table.ownLoad]);
   }
 
   private tell(peers: readonly LoadPeer[]): void {
@@ -124,7 +118,6 @@
     const datagram = encodeLoad({
       host: self.id,
       sequence: ++this.sequence,
-      configVersion: this.context.configVersion(),
       load: table.ownLoad,
     });
     for (const {ip, port} of peers) {
@@ -142,10 +135,9 @@
       this.context.counters.count('load_datagrams_unreadable');
       return;
     }
-    const {host, sequence, load, configVersion} = message;
+    const {host, sequence, load} = message;
     if (sequence <= (this.heard.get(host) ?? 0)) return;
     this.heard.set(host, sequence);
     this.context.table.hear(host, load);
-    this.context.onConfigVersion(host, configVersion);
   }
 }
--- a/packages/gateway/src/lib/connection/load_message.ts
+++ b/packages/gateway/src/lib/connection/load_message.ts
@@ -10,13 +10,11 @@
   readonly host: string;
   /** Grows with each message of the sender: late ones are dropped. */
   readonly sequence: number;
-  /** The version of the configuration that the sender goes by. */
-  readonly configVersion: number;
   readonly load: HostLoad;
 }
 
 const COUNT = z.number().int().nonnegative();
-const MESSAGE = z.tuple([z.string(), COUNT, COUNT, z.array(COUNT)]);
+const MESSAGE = z.tuple([z.string(), COUNT, z.array(COUNT)]);
 /** A target's entry: its key, online requests, items of batch jobs. */
 const ENTRY_FIELDS = 3;
 
@@ -42,7 +40,7 @@
     online,
     batch,
   ]);
-  return pack([message.host, message.sequence, message.configVersion, flat]);
+  return pack([message.host, message.sequence, flat]);
 }
 
 /**
@@ -52,11 +50,11 @@
 export function decodeLoad(datagram: Uint8Array): LoadMessage | undefined {
   const parsed = MESSAGE.safeParse(unpacked(datagram));
   if (!parsed.success) return undefined;
-  const [host, sequence, configVersion, flat] = parsed.data;
+  const [host, sequence, flat] = parsed.data;
   const load = new Map<string, TargetLoad>();
   for (let i = 0; i + ENTRY_FIELDS <= flat.length; i += ENTRY_FIELDS)
     load.set(String(flat[i]), {online: flat[i + 1]!, batch: flat[i + 2]!});
-  return {host, sequence, configVersion, load};
+  return {host, sequence, load};
 }
 
 function unpacked(datagram: Uint8Array): unknown {
--- a/packages/serving/src/lib/process/serving_host.ts
+++ b/packages/serving/src/lib/process/serving_host.ts
@@ -1,5 +1,5 @@
 /** What a serving process learns from where it runs, through its adapter. */
-import type {Outcome} from '@oathead/core';
+import type {Clock, Counters, EventLog, Outcome, Random} from '@oathead/core';
 import type {
   BatchFront,
   RoutingTable,
@@ -63,3 +63,11 @@
   /** @returns The batch interface as callers speak it. */
   batchFront(calls: JobCalls): BatchFront;
 }
+
+/** What every part of the process uses. */
+export interface ServingContext {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: EventLog;
+  readonly counters: Counters;
+}
--- /dev/null
+++ b/packages/serving/src/lib/process/serving_parts.ts
@@ -0,0 +1,198 @@
+/** The parts of a serving process, put together over one store. */
+import {repeat, type DisposableStore} from '@oathead/core';
+import {
+  ConnectionPool,
+  CrashSuspects,
+  LoadExchange,
+  LoadTable,
+  MEMBER_TABLE,
+  memberId,
+  Membership,
+  RoutingState,
+  ServiceHealth,
+  TargetChooser,
+  TargetDirectory,
+  TargetSuspensions,
+  type OnlineContext,
+} from '@oathead/gateway';
+import {
+  BatchScheduler,
+  endJob,
+  JobIntake,
+  JobJanitor,
+  JobKeeper,
+  JobReader,
+} from '@oathead/jobs';
+import {RelayedRowStore, type RowStore} from '@oathead/stores';
+import {PeerLinks} from '../connection/peer_links.js';
+import type {
+  JobCalls,
+  ListenAddress,
+  ServingContext,
+  ServingHost,
+  ServingIdentity,
+} from './serving_host.js';
+
+/** What a serving process is made of. */
+export interface ServingParts {
+  readonly store: RowStore;
+  readonly peers: PeerLinks;
+  readonly routing: RoutingState;
+  readonly directory: TargetDirectory;
+  readonly membership: Membership;
+  readonly exchange: LoadExchange;
+  readonly crashes: CrashSuspects;
+  readonly online: OnlineContext;
+  readonly keeper: JobKeeper;
+  readonly janitor: JobJanitor;
+  readonly scheduler: BatchScheduler;
+  readonly jobCalls: JobCalls;
+}
+
+/** How often the marks of targets fade a little, in milliseconds. */
+const HEALTH_TICK_MS = 1000;
+
+/**
+ * @param host - The adapter's side.
+ * @param context - Clock, randomness, log and counters.
+ * @param held - Owns the parts.
+ * @returns The parts, none of them started.
+ */
+export function servingParts(
+  host: ServingHost,
+  context: ServingContext,
+  held: DisposableStore,
+): ServingParts {
+  const {clock, log, random} = context;
+  const {identity} = host;
+  const self = selfOf(identity, random.id());
+  const peers = new PeerLinks(identity.seeds, () => membership.peers());
+  const store = new RelayedRowStore(host.store, {
+    ...context,
+    relays: () => peers.links(),
+    probe: {table: MEMBER_TABLE, partition: ''},
+  });
+  const membership: Membership = held.add(
+    new Membership(self, {store, clock, log}),
+  );
+  const routing = new RoutingState(log);
+  const directory = new TargetDirectory({clock, log});
+  const loads = new LoadTable(() => clock.now());
+  const exchange = held.add(
+    new LoadExchange({
+      ...context,
+      self: {id: self.id, ...identity.loads},
+      table: loads,
+      peers: () =>
+        membership
+          .peers()
+          .map(({id, ip, loadPort}) => ({id, ip, port: loadPort})),
+    }),
+  );
+  const crashes = new CrashSuspects({store, clock, log});
+  const online = onlineContext(
+    {host, context, held},
+    directory,
+    loads,
+    crashes,
+  );
+  const reader = new JobReader(store);
+  const {storeLimits: limits} = host;
+  const jobs = {...context, store, limits, reader, membership};
+  const keeper = held.add(new JobKeeper(jobs));
+  const keepMs = identity.keepJobsMs;
+  const janitor = held.add(new JobJanitor({...jobs, keepMs}));
+  const scheduling = {
+    ...online,
+    directory,
+    routing,
+    self: self.id,
+    storeTimeMs: () => store.storeTimeMs(),
+  };
+  const scheduler = held.add(
+    new BatchScheduler(scheduling, () => keeper.jobs()),
+  );
+  return {
+    store,
+    peers,
+    routing,
+    directory,
+    membership,
+    exchange,
+    crashes,
+    online,
+    keeper,
+    janitor,
+    scheduler,
+    jobCalls: jobCallsOf(jobs, keeper),
+  };
+}
+
+interface Base {
+  readonly host: ServingHost;
+  readonly context: ServingContext;
+  readonly held: DisposableStore;
+}
+
+/** What requests and items share: connections, health and choice of targets. */
+function onlineContext(
+  {host, context, held}: Base,
+  directory: TargetDirectory,
+  loads: LoadTable,
+  crashes: CrashSuspects,
+): OnlineContext {
+  const {clock, log, random, counters} = context;
+  const {protocol} = host;
+  const {dataCentre} = host.identity;
+  const suspensions = new TargetSuspensions(clock, log);
+  const health = new ServiceHealth(clock);
+  const pool = held.add(new ConnectionPool(counters));
+  held.add(repeat(clock, HEALTH_TICK_MS, () => health.tick()));
+  directory.onGone(id => {
+    suspensions.forget(id);
+    health.forget(id);
+    pool.forget(id);
+  });
+  const known = {directory, suspensions, health, loads};
+  const chooser = new TargetChooser({dataCentre, ...known, random});
+  return {...context, protocol, pool, ...known, chooser, crashes};
+}
+
+function jobCallsOf(
+  context: ServingContext & {
+    readonly store: RowStore;
+    readonly limits: ServingHost['storeLimits'];
+    readonly reader: JobReader;
+  },
+  keeper: JobKeeper,
+): JobCalls {
+  const {reader} = context;
+  const owner = () => keeper.ownerOfNew();
+  const intake = new JobIntake({...context, owner});
+  return {
+    reader,
+    end: jobId => endJob(context, jobId),
+    handIn: async submission => {
+      const result = await intake.accept(submission);
+      if (result.kind === 'accepted' && result.written) {
+        reader.remember(submission.id, submission.items);
+        keeper.accepted(result.written);
+      }
+      return result;
+    },
+  };
+}
+
+function selfOf({host, loads, control}: ServingIdentity, nonce: string) {
+  return {
+    id: memberId(host, nonce),
+    host,
+    ip: loads.ip,
+    loadPort: loads.port,
+    controlAddress: addressOf(control),
+  };
+}
+
+function addressOf({ip, port}: ListenAddress): string {
+  return `${ip}:${port}`;
+}
