Retry where others were tried; refuse the less urgent first

Cause: read in the code: a request whose run was cut was given up at once when no other target was open; with all targets suspended nothing was tried at all; the route's priority had no effect. Change: a cut request waits up to 1.5 s for another target, and tries one again when all were tried; suspended targets serve when no other is open; each step of lower priority finds a target full a tenth of its slots earlier. Ruled out: waiting when all targets were tried (a crashing request then ended in 504 after its route's timeout; the test of crashing requests showed it).

--- a/packages/gateway/src/lib/process/target_chooser.ts
+++ b/packages/gateway/src/lib/process/target_chooser.ts
@@ -15,6 +15,9 @@
   /** Online requests beyond a target's slots, as a share of them: a stream
    * takes under a second, so a slot gets free within its objective. */
   readonly queueShare: number;
+  /** How much smaller that share is for each step of lower priority: what is
+   * less urgent is refused first. */
+  readonly queueShareStep: number;
   /** Up to which share of its slots a target is filled with batch items: the
    * rest is free for the first requests of a burst. */
   readonly batchStartShare: Readonly<Record<BatchPressure, number>>;
@@ -30,10 +33,14 @@
 export const DEFAULT_CHOICE_WEIGHTS: ChoiceWeights = {
   remotePenalty: {online: 1.5, batch: 3},
   queueShare: 0.5,
+  queueShareStep: 0.1,
   batchStartShare: {relaxed: 0.875, pressed: 1},
   batchYieldShare: 1,
 };
 
+/** Priorities below this one are treated alike. */
+const LOWEST_PRIORITY = 4;
+
 /** What a choice goes by. */
 export interface ChoiceView {
   readonly targets: number;
@@ -42,7 +49,7 @@
   readonly leastOnline: number | undefined;
 }
 
-const NONE: ReadonlySet<string> = new Set();
+type HasRoom = (target: Target, load: TargetLoad) => boolean;
 
 /** What a {@link TargetChooser} needs. */
 export interface TargetChooserContext {
@@ -67,14 +74,27 @@
 
   /**
    * @param service - Whose targets can do it.
+   * @param priority - Of its route; 0 is the most urgent.
    * @param tried - Targets that had their try.
    * @returns The target with the lowest score; undefined: none has room.
    */
-  forRequest(service: string, tried: ReadonlySet<string>): Target | undefined {
-    const {queueShare} = this.weights;
-    return this.best(service, 'online', tried, ({slots}, {online}) => {
-      return online < slots * (1 + queueShare);
-    });
+  forRequest(
+    service: string,
+    priority: number,
+    tried: ReadonlySet<string>,
+  ): Target | undefined {
+    const {queueShare, queueShareStep} = this.weights;
+    const steps = Math.min(priority, LOWEST_PRIORITY);
+    const share = 1 + queueShare - steps * queueShareStep;
+    const hasRoom: HasRoom = ({slots}, {online}) => online < slots * share;
+    const isOpen = ({id}: Target) => !this.context.suspensions.has(id);
+    const targets = this.context.directory
+      .ofService(service)
+      .filter(({id}) => !tried.has(id));
+    // When all have failed lately, the fault may be on the way to them: to wait
+    // for the end of their suspensions would refuse what they could do.
+    const open = targets.some(isOpen) ? targets.filter(isOpen) : targets;
+    return this.best(open, 'online', hasRoom);
   }
 
   /**
@@ -83,12 +103,22 @@
    * @returns The target with the lowest score; undefined: none has room.
    */
   forItem(service: string, pressure: BatchPressure): Target | undefined {
+    const {directory, suspensions} = this.context;
     const share = this.weights.batchStartShare[pressure];
-    return this.best(service, 'batch', NONE, ({slots}, {online, batch}) => {
+    const open = directory
+      .ofService(service)
+      .filter(({id}) => !suspensions.has(id));
+    return this.best(open, 'batch', ({slots}, {online, batch}) => {
       return online + batch < slots * share;
     });
   }
 
+  /** @returns Whether a service has a target, full or not, that was not tried. */
+  hasOther(service: string, tried: ReadonlySet<string>): boolean {
+    const targets = this.context.directory.ofService(service);
+    return targets.some(({id}) => !tried.has(id));
+  }
+
   /** @returns What a choice among a service's targets goes by, for the log. */
   view(service: string): ChoiceView {
     const {directory, suspensions, loads} = this.context;
@@ -128,17 +158,14 @@
   }
 
   private best(
-    service: string,
+    targets: readonly Target[],
     lane: Lane,
-    tried: ReadonlySet<string>,
-    hasRoom: (target: Target, load: TargetLoad) => boolean,
+    hasRoom: HasRoom,
   ): Target | undefined {
-    const {directory, suspensions, loads} = this.context;
     let best: Target | undefined;
     let bestScore = Infinity;
-    for (const target of directory.ofService(service)) {
-      if (tried.has(target.id) || suspensions.has(target.id)) continue;
-      const load = loads.at(targetKey(target.id));
+    for (const target of targets) {
+      const load = this.context.loads.at(targetKey(target.id));
       const score = this.score(target, lane, load);
       if (score >= bestScore || !hasRoom(target, load)) continue;
       best = target;
--- a/packages/gateway/src/lib/request/online_request.ts
+++ b/packages/gateway/src/lib/request/online_request.ts
@@ -17,6 +17,7 @@
 import {AnswerWriter} from './answer_writer.js';
 import type {EndedBy, ExchangeEnd, WholeAnswer} from './exchange.js';
 import {endToEndHeaders} from './forwarded_headers.js';
+import {pickService} from './pick_service.js';
 import {sendToTarget, type SendContext, type Sending} from './target_send.js';
 import type {Headers, RequestFacts} from './target_protocol.js';
 
@@ -41,8 +42,9 @@
 /** How long a target may say nothing before a request that may be repeated
  * goes elsewhere, in milliseconds: well beyond a pause of a loaded engine. */
 const SILENCE_MS = 1200;
-/** How long a cut stream waits for a target to go on at, in milliseconds. */
-const RESUME_WAIT_MS = 1500;
+/** How long a request whose run was cut waits for another target, in ms: it can't
+ * be refused as not run any more, and targets are back within a second. */
+const RETRY_WAIT_MS = 1500;
 
 const STATUS_SERVER_ERROR = 500;
 const STATUS_BAD_GATEWAY = 502;
@@ -116,9 +118,13 @@
 
   private async findTarget(): Promise<Target | undefined> {
     const {chooser, clock} = this.context;
+    const {service, tried} = this;
+    const {priority} = this.route;
+    // With few targets all may have been tried; the run there has ended.
+    if (!chooser.hasOther(service, tried)) tried.clear();
     const until = this.now() + this.patienceMs();
     for (;;) {
-      const target = chooser.forRequest(this.service, this.tried);
+      const target = chooser.forRequest(service, priority, tried);
       if (target || this.endedBy) return target;
       if (this.now() >= until) return undefined;
       await sleep(clock, LOOK_AGAIN_MS);
@@ -126,7 +132,7 @@
   }
 
   private patienceMs(): number {
-    if (this.answer.begun) return RESUME_WAIT_MS;
+    if (this.answer.begun || this.runs > 0) return RETRY_WAIT_MS;
     const refuseAt = this.startedAt + this.route.goalMs * REFUSE_AFTER_SHARE;
     return refuseAt - this.now();
   }
@@ -305,14 +311,3 @@
     return this.context.clock.now();
   }
 }
-
-/** Draws one of a route's services by their weights. */
-function pickService(route: Route, random: Random): string {
-  const total = route.services.reduce((sum, {weight}) => sum + weight, 0);
-  let rest = random.float() * total;
-  for (const {service, weight} of route.services) {
-    rest -= weight;
-    if (rest < 0) return service;
-  }
-  return route.services.at(-1)!.service;
-}
