A shorter queue at targets, and silence only where nothing at all comes

And requests that take longer than their route allows had their targets, which answered others, suspended 30 times. Change: three waiting requests at a target of eight slots in place of four; a target counts as silent only if nothing came from it since the request was sent.

--- a/packages/gateway/src/lib/process/target_chooser.ts
+++ b/packages/gateway/src/lib/process/target_chooser.ts
@@ -12,8 +12,9 @@
   /** How much less loaded a target in another data centre must be: bytes
    * between data centres are dear. */
   readonly remotePenalty: Readonly<Record<Lane, number>>;
-  /** Online requests beyond a target's slots, as a share of them: a stream
-   * takes under a second, so a slot gets free within its objective. */
+  /** Online requests beyond a target's slots, as a share of them: with eight
+   * slots and streams of 0.6 s a slot gets free each 80 ms, so that three
+   * waiting ones still begin within an objective of 300 ms. */
   readonly queueShare: number;
   /** How much smaller that share is for each step of lower priority: what is
    * less urgent is refused first. */
@@ -32,7 +33,7 @@
  * that are due soon; items give way when an online request would have to wait. */
 export const DEFAULT_CHOICE_WEIGHTS: ChoiceWeights = {
   remotePenalty: {online: 1.5, batch: 3},
-  queueShare: 0.5,
+  queueShare: 0.3,
   queueShareStep: 0.1,
   batchStartShare: {relaxed: 0.875, pressed: 1},
   batchYieldShare: 1,
--- a/packages/gateway/src/lib/process/target_suspensions.ts
+++ b/packages/gateway/src/lib/process/target_suspensions.ts
@@ -23,6 +23,7 @@
 /** Who is suspended, and until when. */
 export class TargetSuspensions {
   private readonly suspended = new Map<string, Suspension>();
+  private readonly heardAt = new Map<string, number>();
 
   /**
    * @param clock - Time for the pauses.
@@ -33,6 +34,20 @@
     private readonly log: EventLog,
   ) {}
 
+  /** @param id - A target from which something came. */
+  heard(id: string): void {
+    this.heardAt.set(id, this.clock.now());
+  }
+
+  /**
+   * @param id - A target.
+   * @param since - A time of the clock.
+   * @returns Whether anything came from it since then.
+   */
+  heardSince(id: string, since: number): boolean {
+    return (this.heardAt.get(id) ?? -Infinity) > since;
+  }
+
   /** @returns Whether the target should get nothing now. */
   has(id: string): boolean {
     const until = this.suspended.get(id)?.until;
@@ -67,6 +82,7 @@
 
   /** @param id - A target that is gone. */
   forget(id: string): void {
+    this.heardAt.delete(id);
     this.suspended.delete(id);
   }
 }
--- a/packages/gateway/src/lib/request/exchange.ts
+++ b/packages/gateway/src/lib/request/exchange.ts
@@ -75,6 +75,18 @@
   silentMs(now: number): number;
 }
 
+/** What an exchange needs beside its request. */
+export interface ExchangeContext {
+  /** Reads the answer's head. */
+  readonly protocol: TargetProtocol;
+  /** Takes the events of a stream. */
+  readonly sink: EventSink;
+  /** A steady clock, in milliseconds. */
+  readonly now: () => number;
+  /** Called whenever something comes from the target. */
+  readonly onHeard: () => void;
+}
+
 /** A request that is under way at a target. */
 export class Exchange implements ExchangeControl, Dispatcher.DispatchHandler {
   private readonly splitter = new EventSplitter();
@@ -95,18 +107,14 @@
   /**
    * @param connection - A connection with no request on it.
    * @param req - What is sent.
-   * @param protocol - Reads the answer's head.
-   * @param sink - Takes the events of a stream.
-   * @param now - A steady clock, in milliseconds.
+   * @param context - Who reads the answer, and the time.
    */
   constructor(
     private readonly connection: TargetConnection,
     private readonly req: TargetRequest,
-    private readonly protocol: TargetProtocol,
-    private readonly sink: EventSink,
-    private readonly now: () => number,
+    private readonly context: ExchangeContext,
   ) {
-    this.startedAt = now();
+    this.startedAt = context.now();
     this.heardAt = this.startedAt;
     this.nextEventId = req.firstEventId;
     this.end$ = new Promise(resolve => {
@@ -164,10 +172,11 @@
     >
   ): void {
     if (this.settled || status < 200) return;
-    this.heardAt = this.now();
+    this.heardAt = this.context.now();
     this.firstByte = this.heardAt - this.startedAt;
+    this.context.onHeard();
     this.head = {status, headers};
-    this.facts = this.protocol.readAnswer(status, headers);
+    this.facts = this.context.protocol.readAnswer(status, headers);
     const flaw = this.flawOfHead(this.facts, status);
     if (flaw) this.finish({kind: 'broken', reason: flaw});
   }
@@ -178,7 +187,8 @@
     chunk: Buffer,
   ): void {
     if (this.settled) return;
-    this.heardAt = this.now();
+    this.heardAt = this.context.now();
+    this.context.onHeard();
     if (this.streams()) this.pass(controller, chunk);
     else this.collect(chunk);
   }
@@ -240,9 +250,9 @@
       this.finish({kind: 'broken', reason: flaw});
       return;
     }
-    if (this.sink.events(events, this.head!)) return;
+    if (this.context.sink.events(events, this.head!)) return;
     controller.pause();
-    this.sink.paused(() => controller.resume());
+    this.context.sink.paused(() => controller.resume());
   }
 
   /** A stream whose events are not numbered one after another is spoilt. */
--- a/packages/gateway/src/lib/request/target_send.ts
+++ b/packages/gateway/src/lib/request/target_send.ts
@@ -57,10 +57,19 @@
   const load = loads.begin(targetKey(target.id), lane);
   const connection = pool.take(target.id, target.address);
   const now = () => clock.now();
-  const exchange = new Exchange(connection, req, protocol, sink, now);
+  const onHeard = () => context.suspensions.heard(target.id);
+  const exchange = new Exchange(connection, req, {
+    protocol,
+    sink,
+    now,
+    onHeard,
+  });
   exchange.start();
+  const sentAt = clock.now();
   const silence = clock.after(SILENT_TARGET_MS, () => {
-    if (exchange.firstByteMs === undefined) suspect(context, target, 'silent');
+    // A request that takes long at a target which answers others is no sign.
+    if (!context.suspensions.heardSince(target.id, sentAt))
+      suspect(context, target, 'silent');
   });
   const end = exchange.end$.then(outcome => {
     silence[Symbol.dispose]();
