Refuse jobs at once on a host that is cut off

Change: with no answer of the store for 1.6 s a job is refused at once; nothing was sent, so the promise is true.

--- a/packages/jobs/src/lib/request/job_intake.ts
+++ b/packages/jobs/src/lib/request/job_intake.ts
@@ -30,8 +30,17 @@
   readonly log: EventLog;
   /** The run of the process that works on what is accepted now. */
   readonly owner: () => string;
+  /** Milliseconds since the store last answered anything. */
+  readonly sinceAnswerMs: () => number;
 }
 
+/**
+ * A store that has answered nothing for so long is away, in milliseconds: its
+ * tables are asked for all the time, and each such call ends within 1.2 s. A
+ * caller that is refused at once can still hand its job in elsewhere in time,
+ * where one that waits for the write to time out can not.
+ */
+const STORE_AWAY_MS = 1600;
 /** How often a write without an answer is sent: a second of patience. */
 const MAX_TRIES = 4;
 /** Between two tries, in milliseconds. */
@@ -49,8 +58,11 @@
   async accept(submission: JobSubmission): Promise<IntakeResult> {
     const {store, limits, log} = this.context;
     const acceptedAtMs = store.storeTimeMs();
-    if (acceptedAtMs === undefined)
-      return {kind: 'refused', reason: 'the store has not answered yet'};
+    const silentMs = this.context.sinceAnswerMs();
+    if (acceptedAtMs === undefined || silentMs > STORE_AWAY_MS) {
+      log.event('job-refused', {job: submission.id, silentMs});
+      return {kind: 'refused', reason: 'the store does not answer'};
+    }
     const {content, puts, objects} = cutContent(
       submission.id,
       submission.items,
--- a/packages/serving/src/lib/process/serving_parts.ts
+++ b/packages/serving/src/lib/process/serving_parts.ts
@@ -160,7 +160,7 @@
 
 function jobCallsOf(
   context: ServingContext & {
-    readonly store: RowStore;
+    readonly store: RelayedRowStore;
     readonly limits: ServingHost['storeLimits'];
     readonly reader: JobReader;
   },
@@ -168,7 +168,8 @@
 ): JobCalls {
   const {reader} = context;
   const owner = () => keeper.ownerOfNew();
-  const intake = new JobIntake({...context, owner});
+  const sinceAnswerMs = () => context.store.sinceAnswerMs;
+  const intake = new JobIntake({...context, owner, sinceAnswerMs});
   return {
     reader,
     end: jobId => endJob(context, jobId),
--- a/packages/stores/src/lib/process/relayed_row_store.ts
+++ b/packages/stores/src/lib/process/relayed_row_store.ts
@@ -58,6 +58,7 @@
 export class RelayedRowStore implements RowStore {
   private noRelayUntil = -Infinity;
   private relaying = false;
+  private answeredAt = -Infinity;
 
   /**
    * @param direct - The own way to the store.
@@ -68,6 +69,11 @@
     private readonly context: RelayContext,
   ) {}
 
+  /** Milliseconds since the store last answered, by whichever way. */
+  get sinceAnswerMs(): number {
+    return this.context.clock.now() - this.answeredAt;
+  }
+
   /** {@inheritDoc RowStore.transact} */
   transact(transaction: RowTransaction): RowStoreOutcome<StoreMoment> {
     return this.call(store => store.transact(transaction));
@@ -108,6 +114,12 @@
   }
 
   private async call<T>(call: Call<T>): RowStoreOutcome<T> {
+    const outcome = await this.eitherWay(call);
+    if (!isAway(outcome)) this.answeredAt = this.context.clock.now();
+    return outcome;
+  }
+
+  private async eitherWay<T>(call: Call<T>): RowStoreOutcome<T> {
     if (this.relaying) {
       const relayed = await this.relay(call);
       if (relayed && !isAway(relayed)) return relayed;
