--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,15 @@
 import checkFile from 'eslint-plugin-check-file';
 
 export default [
-  {ignores: ['**/dist/**', '**/node_modules/**', '**/bin/*.js', '*.config.js']},
+  {
+    ignores: [
+      'target/**',
+      '**/dist/**',
+      '**/node_modules/**',
+      '**/bin/*.js',
+      '*.config.js',
+    ],
+  },
   ...gts,
   {
     files: ['**/*.ts'],
