A late heartbeat does not replace the run that followed

Cause: heartbeats are written without a condition, so one that the store carries out seconds late covers the row of the process that runs now. Other hosts then took the live process for replaced and claimed its jobs at once, whose items ran twice.

Change: a run that was followed by another one of the same host never comes back. Found by reading; the test failed before (run: membership_test).

--- a/packages/gateway/src/lib/process/membership.ts
+++ b/packages/gateway/src/lib/process/membership.ts
@@ -12,6 +12,7 @@
   type TableUpdate,
   type VersionedRow,
 } from '@oathead/stores';
+import {LRUCache} from 'lru-cache';
 import {z} from 'zod';
 
 /** One run of a process on a host. */
@@ -61,6 +62,9 @@
  * prolonged by it, in milliseconds. */
 const OUTAGE_MS = 1500;
 const MS_PER_SECOND = 1000;
+/** Ended runs that are remembered at the most: more than two days of restarts of
+ * a fleet in which 490 hosts restart a day. */
+const MAX_ENDED_RUNS = 1024;
 
 interface SeenMember {
   readonly member: Member;
@@ -81,6 +85,7 @@
   private readonly held = new DisposableStore();
   private readonly seen = new Map<string, SeenMember>();
   private readonly lapsed = new Set<string>();
+  private readonly ended = new LRUCache<string, true>({max: MAX_ENDED_RUNS});
   private storeTimeMs = 0;
   private beating = false;
 
@@ -188,14 +193,27 @@
       });
       return;
     }
-    const known = this.seen.get(row.key);
-    if (known?.member.id !== decoded.value.id)
-      this.context.log.event('member-seen', {member: decoded.value.id});
-    this.seen.set(row.key, {
-      member: decoded.value,
-      version: row.version,
-      seenAt: this.storeTimeMs,
-    });
+    const member = decoded.value;
+    if (this.ended.has(member.id)) {
+      this.context.log.event('member-stale', {member: member.id});
+      return;
+    }
+    this.noteRun(row.key, member.id);
+    const {version} = row;
+    this.seen.set(row.key, {member, version, seenAt: this.storeTimeMs});
+  }
+
+  /**
+   * Guards against a heartbeat that the store carries out seconds late, after
+   * its process has ended and its host runs another one: the live process would
+   * look replaced, and other hosts would take its jobs from it. A run that was
+   * followed by another one never comes back.
+   */
+  private noteRun(host: string, id: string): void {
+    const known = this.seen.get(host)?.member.id;
+    if (known === id) return;
+    if (known !== undefined) this.ended.set(known, true);
+    this.context.log.event('member-seen', {member: id, before: known});
   }
 
   private schedule(): void {
--- a/packages/gateway/src/test/process/membership_test.ts
+++ b/packages/gateway/src/test/process/membership_test.ts
@@ -85,3 +85,19 @@
   t.true(members.isReplaced(memberId('me', '0')));
   t.false(members.isReplaced(memberId('unknown', '1')));
 });
+
+// All jobs of a live host are taken from it and run twice: a heartbeat of the
+// process before is carried out by the store seconds after that process has
+// ended, and covers the row of the one that runs now. It must not count.
+test('a heartbeat that arrives late does not replace the run that followed', t => {
+  const members = newMembership();
+  const tell = feed(members);
+  const before = member('other', '1');
+  const now = member('other', '2');
+  tell(1, before);
+  tell(2, now);
+  tell(3, before);
+  t.false(members.isReplaced(now.id));
+  t.true(members.holdsLease(now.id));
+  t.false(members.holdsLease(before.id));
+});
