Targets that leave some requests without a word lose share

Cause: a request that waits at a target which answers others was no sign against it, so a target that hangs part of its requests kept its whole share until each request timed out, and a timeout counted for nothing.

Change: a request without a first byte after a second marks its target. The target is not suspended. target_send_test failed before.

--- a/packages/gateway/src/lib/request/target_send.ts
+++ b/packages/gateway/src/lib/request/target_send.ts
@@ -67,9 +67,12 @@
   exchange.start();
   const sentAt = clock.now();
   const silence = clock.after(SILENT_TARGET_MS, () => {
-    // A request that takes long at a target which answers others is no sign.
     if (!context.suspensions.heardSince(target.id, sentAt))
       suspect(context, target, 'silent');
+    // Guards against a target that answers most requests and leaves some
+    // without a word: its health check is good, and only who was sent to it
+    // sees what is missing. It loses share, but is not suspended.
+    else if (exchange.firstByteMs === undefined) context.health.failed(target);
   });
   const end = exchange.end$.then(outcome => {
     silence[Symbol.dispose]();
--- /dev/null
+++ b/packages/gateway/src/test/fakes/raw_target.ts
@@ -0,0 +1,45 @@
+/** A target that writes bytes of the test's choice, and headers to read them. */
+import {once} from 'node:events';
+import {createServer, type AddressInfo, type Socket} from 'node:net';
+import type {TargetProtocol} from '../../lib/request/target_protocol.js';
+
+/** Headers with short names. */
+export const PROTOCOL: TargetProtocol = {
+  readRequest: () => ({
+    requestId: undefined,
+    deadlineMs: undefined,
+    lastEventId: undefined,
+  }),
+  requestHeaders: headers => headers,
+  readAnswer: (status, headers) => ({
+    requestId: headers['id'] as string | undefined,
+    sealed: headers['seal'] !== undefined,
+    notRun: headers['not-run'] !== undefined || status === 421,
+    encoded: headers['content-encoding'] !== undefined,
+    eventStream: headers['content-type'] === 'text/event-stream',
+  }),
+  retryAfter: () => ({}),
+};
+
+/**
+ * @param onConnection - Plays the target.
+ * @returns Where it listens, until disposed.
+ */
+export async function listen(onConnection: (socket: Socket) => void) {
+  const sockets = new Set<Socket>();
+  const server = createServer(socket => {
+    sockets.add(socket);
+    onConnection(socket);
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const {port} = server.address() as AddressInfo;
+  return {
+    address: `127.0.0.1:${port}`,
+    async [Symbol.asyncDispose]() {
+      for (const socket of sockets) socket.destroy();
+      server.close();
+      await once(server, 'close');
+    },
+  };
+}
--- a/packages/gateway/src/test/request/exchange_test.ts
+++ b/packages/gateway/src/test/request/exchange_test.ts
@@ -1,29 +1,10 @@
-import {once} from 'node:events';
-import {createServer, type AddressInfo, type Socket} from 'node:net';
-import type {IncomingHttpHeaders} from 'node:http';
+import type {Socket} from 'node:net';
 import test, {type ExecutionContext} from 'ava';
 import {ConnectionPool} from '../../lib/connection/connection_pool.js';
 import {Exchange, type ExchangeEnd} from '../../lib/request/exchange.js';
 import type {StreamEvent} from '../../lib/request/stream_events.js';
-import type {TargetProtocol} from '../../lib/request/target_protocol.js';
 import {NO_COUNTERS} from '@oathead/core';
-
-const PROTOCOL: TargetProtocol = {
-  readRequest: () => ({
-    requestId: undefined,
-    deadlineMs: undefined,
-    lastEventId: undefined,
-  }),
-  requestHeaders: headers => headers,
-  readAnswer: (status, headers: IncomingHttpHeaders) => ({
-    requestId: headers['id'] as string | undefined,
-    sealed: headers['seal'] !== undefined,
-    notRun: headers['not-run'] !== undefined || status === 421,
-    encoded: headers['content-encoding'] !== undefined,
-    eventStream: headers['content-type'] === 'text/event-stream',
-  }),
-  retryAfter: () => ({}),
-};
+import {listen, PROTOCOL} from '../fakes/raw_target.js';
 
 const HEAD = 'HTTP/1.1 200 OK\r\nid: r1\r\nseal: s\r\n';
 const STREAM = `${HEAD}content-type: text/event-stream\r\n`;
@@ -240,22 +221,3 @@
     });
   });
 }
-
-async function listen(onConnection: (socket: Socket) => void) {
-  const sockets = new Set<Socket>();
-  const server = createServer(socket => {
-    sockets.add(socket);
-    onConnection(socket);
-  });
-  server.listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const {port} = server.address() as AddressInfo;
-  return {
-    address: `127.0.0.1:${port}`,
-    async [Symbol.asyncDispose]() {
-      for (const socket of sockets) socket.destroy();
-      server.close();
-      await once(server, 'close');
-    },
-  };
-}
--- /dev/null
+++ b/packages/gateway/src/test/request/target_send_test.ts
@@ -0,0 +1,82 @@
+import {setTimeout} from 'node:timers/promises';
+import {NO_COUNTERS, NO_EVENT_LOG, SYSTEM_CLOCK} from '@oathead/core';
+import test from 'ava';
+import {ConnectionPool} from '../../lib/connection/connection_pool.js';
+import type {Target} from '../../lib/connection/target.js';
+import {LoadTable} from '../../lib/process/load_table.js';
+import {ServiceHealth} from '../../lib/process/service_health.js';
+import {TargetSuspensions} from '../../lib/process/target_suspensions.js';
+import {sendToTarget} from '../../lib/request/target_send.js';
+import {listen, PROTOCOL} from '../fakes/raw_target.js';
+
+const SINK = {events: () => true, paused: () => {}};
+const WHOLE =
+  'HTTP/1.1 200 OK\r\nid: r1\r\nseal: s\r\ncontent-length: 2\r\n\r\nok';
+/** Longer than a target may say nothing. */
+const LONG_MS = 1300;
+
+function targetAt(address: string): Target {
+  return {
+    id: 't',
+    service: 's',
+    address,
+    dataCentre: 'd',
+    slots: 8,
+    leaving: false,
+  };
+}
+
+function newContext() {
+  const clock = SYSTEM_CLOCK;
+  return {
+    protocol: PROTOCOL,
+    pool: new ConnectionPool(NO_COUNTERS),
+    loads: new LoadTable(() => clock.now()),
+    suspensions: new TargetSuspensions(clock, NO_EVENT_LOG),
+    health: new ServiceHealth(clock),
+    clock,
+    counters: NO_COUNTERS,
+  };
+}
+
+function requestTo(path: string) {
+  return {
+    requestId: 'r1',
+    method: 'POST',
+    path,
+    headers: {host: 'h'},
+    body: Buffer.from('question'),
+    firstEventId: undefined,
+  };
+}
+
+// Some callers wait for nothing while all looks well: a target answers most
+// requests, its health check among them, and leaves others without a word. It
+// must lose share, but not be taken for dead.
+test('a target that leaves some requests without a word loses share', async t => {
+  await using raw = await listen(socket => {
+    socket.on('error', () => socket.destroy());
+    socket.on('data', bytes => {
+      if (!bytes.includes('/mute')) socket.write(WHOLE);
+    });
+  });
+  const context = newContext();
+  const target = targetAt(raw.address);
+  const mute = sendToTarget(
+    context,
+    target,
+    'online',
+    requestTo('/mute'),
+    SINK,
+  );
+  await setTimeout(100);
+  const {end} = sendToTarget(context, target, 'online', requestTo('/a'), SINK);
+  t.is((await end).kind, 'answered');
+  t.is(context.health.share(target), 1);
+  await setTimeout(LONG_MS);
+  context.health.tick();
+  t.true(context.health.share(target) < 1);
+  t.false(context.suspensions.has(target.id));
+  mute.control.end('timeout');
+  t.is((await mute.end).kind, 'ended');
+});
