Settings that change count without a restart; a span for each hop

The settings file is read on SIGHUP and looked at every two seconds: seeds, the time of a planned stop and how long jobs are kept count from then on; what names the process or its addresses is told of as needing a restart; a wrong file changes nothing and its problems are logged. Before, SIGHUP only checked it.

The program has settings of its own (JSON, checked, named by OATHEAD_SETTINGS). With `traces: log` each request, each item and each send to a target is a span in the log, under the caller's trace context. Off by default.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -22,6 +22,7 @@
 export * from './lib/process/target_suspensions.js';
 export * from './lib/request/exchange.js';
 export * from './lib/request/online_request.js';
+export * from './lib/request/request_trace.js';
 export * from './lib/request/stream_events.js';
 export * from './lib/request/target_protocol.js';
 export * from './lib/request/target_send.js';
--- a/packages/gateway/src/lib/request/online_request.ts
+++ b/packages/gateway/src/lib/request/online_request.ts
@@ -3,12 +3,7 @@
  * allows, until it has a whole answer or its time is over.
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {
-  DisposableStore,
-  sleep,
-  type EventLog,
-  type Random,
-} from '@oathead/core';
+import {DisposableStore, sleep, type Random} from '@oathead/core';
 import {targetKey} from '../connection/load_message.js';
 import type {Target} from '../connection/target.js';
 import {CrashSuspects} from '../process/crash_suspects.js';
@@ -18,14 +13,18 @@
 import type {EndedBy, ExchangeEnd, WholeAnswer} from './exchange.js';
 import {endToEndHeaders} from './forwarded_headers.js';
 import {pickService} from './pick_service.js';
+import {
+  RequestReport,
+  type ReportContext,
+  type RequestProgress,
+} from './request_report.js';
 import {sendToTarget, type SendContext, type Sending} from './target_send.js';
-import type {Headers, RequestFacts} from './target_protocol.js';
+import type {RequestFacts} from './target_protocol.js';
 
 /** What all online requests of a process share. */
-export interface OnlineContext extends SendContext {
+export interface OnlineContext extends SendContext, ReportContext {
   readonly chooser: TargetChooser;
   readonly random: Random;
-  readonly log: EventLog;
   readonly crashes: CrashSuspects;
 }
 
@@ -56,7 +55,7 @@
   private readonly startedAt: number;
   private readonly endsAt: number;
   private readonly facts: RequestFacts;
-  private readonly headers: Headers;
+  private readonly report: RequestReport;
   private readonly answer: AnswerWriter;
   private readonly tried = new Set<string>();
   private readonly service: string;
@@ -87,7 +86,8 @@
     this.facts = context.protocol.readRequest(req.headers);
     const waits = this.facts.deadlineMs ?? route.timeoutMs;
     this.endsAt = startedAt + Math.min(waits, route.timeoutMs);
-    this.headers = endToEndHeaders(req.headers);
+    const headers = endToEndHeaders(req.headers);
+    this.report = new RequestReport(context, route, this.facts, headers);
     this.answer = new AnswerWriter(res, this.facts.lastEventId);
     this.print = CrashSuspects.fingerprintOf(req.url ?? '/', body);
     this.service = pickService(route, context.random);
@@ -140,15 +140,9 @@
   private async send(target: Target): Promise<ExchangeEnd> {
     const {context, answer} = this;
     this.tried.add(target.id);
-    context.log.event('request-sent', {
-      request: this.facts.requestId,
-      route: this.route.name,
-      target: target.id,
-      run: this.runs + 1,
-      inFlight: context.loads.at(targetKey(target.id)).online,
-      afterEvent: answer.lastEventId,
-      waitedMs: Math.round(this.now() - this.startedAt),
-    });
+    const {online} = context.loads.at(targetKey(target.id));
+    this.report.sent(target, online, this.progress());
+    const hop = this.report.trace.toTarget(target.id, this.runs + 1);
     const facts = {
       requestId: this.facts.requestId,
       targetId: target.id,
@@ -159,13 +153,14 @@
       requestId: this.facts.requestId,
       method: this.req.method ?? 'GET',
       path: this.req.url ?? '/',
-      headers: context.protocol.requestHeaders(this.headers, facts),
+      headers: context.protocol.requestHeaders(hop.headers, facts),
       body: this.body,
       firstEventId: answer.nextEventId,
     };
     this.sending = sendToTarget(context, target, 'online', req, answer);
     const end = await this.sending.end;
     this.sending = undefined;
+    hop.end(end.kind);
     return end;
   }
 
@@ -242,13 +237,8 @@
       this.answer.whole(head, body);
       return this.done(reason, head.status);
     }
-    const {chooser, log} = this.context;
-    log.event('request-given-up', {
-      request: this.facts.requestId,
-      service: this.service,
-      reason,
-      ...chooser.view(this.service),
-    });
+    const {service} = this;
+    this.report.givenUp(service, reason, this.context.chooser.view(service));
     const status = this.failureStatus(reason);
     const retry =
       status === STATUS_UNAVAILABLE
@@ -282,31 +272,20 @@
   }
 
   private note(event: string, reason: string, target: Target): void {
-    this.context.log.event(event, {
-      request: this.facts.requestId,
-      target: target.id,
-      reason,
-      runs: this.runs,
-      afterEvent: this.answer.lastEventId,
-    });
+    this.report.run(event, reason, target, this.progress());
   }
 
   private done(outcome: string, status?: number, target?: Target): true {
-    const ms = this.now() - this.startedAt;
-    this.context.counters.count('online_requests', {outcome});
-    this.context.log.event('request-ended', {
-      request: this.facts.requestId,
-      route: this.route.name,
-      outcome,
-      status,
-      target: target?.id,
-      runs: this.runs,
-      declines: this.declines,
-      ms: Math.round(ms),
-    });
+    this.report.ended(outcome, this.progress(), status, target);
     return true;
   }
 
+  private progress(): RequestProgress {
+    const {runs, declines} = this;
+    const ms = this.now() - this.startedAt;
+    return {runs, declines, ms, afterEvent: this.answer.lastEventId};
+  }
+
   private now(): number {
     return this.context.clock.now();
   }
--- a/packages/jobs/src/lib/process/item_runner.ts
+++ b/packages/jobs/src/lib/process/item_runner.ts
@@ -1,6 +1,8 @@
 /** Runs one item once at one target, and says what that means for the item. */
+import type {Tracer} from '@opentelemetry/api';
 import {
   dataOf,
+  RequestTrace,
   sendToTarget,
   type AnswerHead,
   type CrashSuspects,
@@ -20,6 +22,7 @@
   readonly log: EventLog;
   readonly counters: Counters;
   readonly crashes: CrashSuspects;
+  readonly tracer: Tracer;
 }
 
 /** How long an item waits after an end that says nothing against it, in ms:
@@ -63,11 +66,16 @@
   const startedAt = context.clock.now();
   const headers = {...item.headers, host: job.head.hostName};
   work.runs++;
+  const trace = new RequestTrace(context.tracer, 'item', headers, {
+    job: job.head.id,
+    item: item.id,
+  });
+  const hop = trace.toTarget(target.id, work.runs);
   const req = {
     requestId: item.id,
     method: 'POST',
     path: item.path,
-    headers: context.protocol.requestHeaders(headers, {
+    headers: context.protocol.requestHeaders(hop.headers, {
       requestId: item.id,
       targetId: target.id,
       deadlineMs: LONGEST_RUN_MS,
@@ -94,6 +102,8 @@
   };
   void sending.end.then(end => {
     work.ranMs += context.clock.now() - startedAt;
+    hop.end(end.kind);
+    trace.end(end.kind === 'streamed' ? undefined : end.kind);
     if (end.kind === 'streamed') onDone(work.ranMs);
     countCrash(context, work, end, sink.received);
     settle(context, job, work, end, target);
--- a/packages/jobs/src/lib/process/job_janitor.ts
+++ b/packages/jobs/src/lib/process/job_janitor.ts
@@ -30,8 +30,8 @@
   readonly clock: Clock;
   readonly log: EventLog;
   readonly membership: Membership;
-  /** How long a closed job stays readable, in milliseconds. */
-  readonly keepMs: number;
+  /** @returns How long a closed job stays readable, in milliseconds. */
+  readonly keepMs: () => number;
 }
 
 /** How often closed jobs are looked through, in milliseconds. */
@@ -79,7 +79,7 @@
     const now = store.storeTimeMs() ?? 0;
     const live = membership.live().map(({id}) => id);
     const due = [...this.closed.values()]
-      .filter(({head}) => now > (head.closedAtMs ?? now) + keepMs)
+      .filter(({head}) => now > (head.closedAtMs ?? now) + keepMs())
       .filter(({head}) => rendezvous(head.id, live)[0] === membership.self.id);
     for (const found of due.slice(0, JOBS_PER_SWEEP)) await this.remove(found);
   }
--- a/packages/jobs/src/test/process/job_janitor_test.ts
+++ b/packages/jobs/src/test/process/job_janitor_test.ts
@@ -71,7 +71,11 @@
   };
   const context = {store, clock: SYSTEM_CLOCK, log: NO_EVENT_LOG};
   const membership = new Membership(self, context);
-  const janitor = new JobJanitor({...context, membership, keepMs: KEEP_MS});
+  const janitor = new JobJanitor({
+    ...context,
+    membership,
+    keepMs: () => KEEP_MS,
+  });
   const changes = await store.changes(HEAD_TABLE, 0, 0);
   const put = changes.ok
     ? changes.value.changes.flatMap(c => (c.kind === 'put' ? [c.row] : []))
--- a/packages/observe/src/lib/process/tracing.ts
+++ b/packages/observe/src/lib/process/tracing.ts
@@ -1,7 +1,5 @@
-/** Traces: one span for each hop, carried by W3C trace context. */
-import {SpanKind, SpanStatusCode, TraceFlags, trace} from '@opentelemetry/api';
-import {ROOT_CONTEXT} from '@opentelemetry/api';
-import type {Attributes, Context, Span, Tracer} from '@opentelemetry/api';
+/** Where the spans of a process go: nowhere, to lines of JSON, or to a collector. */
+import {trace, type Tracer} from '@opentelemetry/api';
 import {OTLPTraceExporter} from '@opentelemetry/exporter-trace-otlp-http';
 import {resourceFromAttributes} from '@opentelemetry/resources';
 import {
@@ -15,6 +13,7 @@
   SpanProcessor,
 } from '@opentelemetry/sdk-trace-base';
 import {z} from 'zod';
+import {spanLine} from './span_line.js';
 
 /** Where traces go. */
 export const TRACING_SETTINGS = z
@@ -88,78 +87,3 @@
     shutdown: () => provider.shutdown(),
   };
 }
-
-const TRACEPARENT = /^00-([0-9a-f]{32})-([0-9a-f]{16})-([0-9a-f]{2})$/;
-
-/**
- * Starts the span of one hop.
- *
- * @param tracer - The process's tracer.
- * @param name - What the hop does.
- * @param traceparent - The hop before, as W3C trace context; one that cannot
- *     be read starts a new trace.
- * @param attributes - Never prompts or keys.
- * @returns The span; whoever started it ends it.
- */
-export function startHop(
-  tracer: Tracer,
-  name: string,
-  traceparent: string | undefined,
-  attributes: Attributes = {},
-): Span {
-  return tracer.startSpan(
-    name,
-    {kind: SpanKind.SERVER, attributes},
-    contextOf(traceparent),
-  );
-}
-
-/**
- * @param span - The span of this hop.
- * @returns W3C trace context for the next hop; undefined when traces are off.
- */
-export function traceparentOf(span: Span): string | undefined {
-  const {traceId, spanId, traceFlags} = span.spanContext();
-  if (!trace.isSpanContextValid(span.spanContext())) return undefined;
-  const flags = traceFlags.toString(16).padStart(2, '0');
-  return `00-${traceId}-${spanId}-${flags}`;
-}
-
-/**
- * Ends the span of a hop.
- *
- * @param span - The span.
- * @param errorKind - The kind of refusal it ended with, if any.
- */
-export function endHop(span: Span, errorKind?: string): void {
-  if (errorKind !== undefined) {
-    span.setStatus({code: SpanStatusCode.ERROR, message: errorKind});
-  }
-  span.end();
-}
-
-function contextOf(traceparent: string | undefined): Context {
-  const match = TRACEPARENT.exec(traceparent ?? '');
-  if (!match) return ROOT_CONTEXT;
-  const [, traceId, spanId, flags] = match;
-  return trace.setSpanContext(ROOT_CONTEXT, {
-    traceId: traceId!,
-    spanId: spanId!,
-    traceFlags: Number.parseInt(flags!, 16) & TraceFlags.SAMPLED,
-    isRemote: true,
-  });
-}
-
-function spanLine(span: ReadableSpan): Readonly<Record<string, unknown>> {
-  const [seconds, nanoseconds] = span.duration;
-  const durationMs = seconds * 1e3 + nanoseconds / 1e6;
-  return {
-    traceId: span.spanContext().traceId,
-    spanId: span.spanContext().spanId,
-    parentSpanId: span.parentSpanContext?.spanId,
-    name: span.name,
-    durationMs,
-    status: span.status.message ?? 'ok',
-    attributes: span.attributes,
-  };
-}
--- a/packages/observe/src/test/process/tracing_test.ts
+++ b/packages/observe/src/test/process/tracing_test.ts
@@ -3,12 +3,8 @@
   BasicTracerProvider,
   SimpleSpanProcessor,
 } from '@opentelemetry/sdk-trace-base';
-import {
-  JsonLineExporter,
-  endHop,
-  startHop,
-  traceparentOf,
-} from '../../lib/process/tracing.js';
+import {endHop, startHop, traceparentOf} from '../../lib/process/hops.js';
+import {JsonLineExporter} from '../../lib/process/tracing.js';
 
 test('a hop continues the trace of the hop before', t => {
   const lines: string[] = [];
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -5,4 +5,6 @@
  * @packageDocumentation
  */
 export * from './lib/process/serving_host.js';
+export * from './lib/process/serving_options.js';
 export * from './lib/process/serving_process.js';
+export * from './lib/process/settings_watch.js';
--- a/packages/serving/src/lib/connection/peer_links.ts
+++ b/packages/serving/src/lib/connection/peer_links.ts
@@ -13,18 +13,18 @@
   private readonly peers = new Map<string, Peer>();
 
   /**
-   * @param seeds - Addresses that were given at the start.
+   * @param seeds - Addresses that the settings give.
    * @param members - The live members but this process.
    */
   constructor(
-    private readonly seeds: readonly string[],
+    private readonly seeds: () => readonly string[],
     private readonly members: () => readonly Member[],
   ) {}
 
   /** @returns The peers that can be asked now. */
   links(): readonly Peer[] {
     const members = this.members().map(({controlAddress}) => controlAddress);
-    const addresses = members.length > 0 ? members : this.seeds;
+    const addresses = members.length > 0 ? members : this.seeds();
     for (const known of this.peers.keys())
       if (!addresses.includes(known)) this.peers.delete(known);
     return addresses.map(address => this.link(address));
--- a/packages/serving/src/lib/process/serving_host.ts
+++ b/packages/serving/src/lib/process/serving_host.ts
@@ -7,6 +7,7 @@
   TargetProtocol,
 } from '@oathead/gateway';
 import type {JobIntake, JobReader, StoreLimits} from '@oathead/jobs';
+import type {Tracer} from '@opentelemetry/api';
 import type {RowStore, UnreadableRow, VersionedRow} from '@oathead/stores';
 
 /** An address of this process. */
@@ -40,10 +41,14 @@
   readonly ready: ListenAddress;
   /** Where other hosts' questions are answered. */
   readonly control: ListenAddress;
-  /** Where some hosts' questions are answered; they may be gone. */
-  readonly seeds: readonly string[];
   /** Where other hosts send their loads. */
   readonly loads: ListenAddress;
+}
+
+/** Settings that may change while the process runs. */
+export interface ServingTunables {
+  /** Where some hosts' questions are answered; they may be gone. */
+  readonly seeds: readonly string[];
   /** How long a closed job stays readable, in milliseconds. */
   readonly keepJobsMs: number;
   /** How long a planned stop may take, in milliseconds. */
@@ -53,6 +58,8 @@
 /** The adapter's side of a serving process. */
 export interface ServingHost {
   readonly identity: ServingIdentity;
+  /** @returns What the settings say now; they are asked for at each use. */
+  tunables(): ServingTunables;
   readonly store: RowStore;
   readonly storeLimits: StoreLimits;
   readonly protocol: TargetProtocol;
@@ -70,4 +77,6 @@
   readonly random: Random;
   readonly log: EventLog;
   readonly counters: Counters;
+  /** Records a span for each hop; one that records nothing where traces are off. */
+  readonly tracer: Tracer;
 }
--- a/packages/serving/src/lib/process/serving_parts.ts
+++ b/packages/serving/src/lib/process/serving_parts.ts
@@ -66,7 +66,10 @@
   const {clock, log, random} = context;
   const {identity} = host;
   const self = selfOf(identity, random.id());
-  const peers = new PeerLinks(identity.seeds, () => membership.peers());
+  const peers = new PeerLinks(
+    () => host.tunables().seeds,
+    () => membership.peers(),
+  );
   const store = new RelayedRowStore(host.store, {
     ...context,
     relays: () => peers.links(),
@@ -100,7 +103,7 @@
   const {storeLimits: limits} = host;
   const jobs = {...context, store, limits, reader, membership};
   const keeper = held.add(new JobKeeper(jobs));
-  const keepMs = identity.keepJobsMs;
+  const keepMs = () => host.tunables().keepJobsMs;
   const janitor = held.add(new JobJanitor({...jobs, keepMs}));
   const scheduling = {
     ...online,
--- a/packages/serving/src/lib/process/serving_process.ts
+++ b/packages/serving/src/lib/process/serving_process.ts
@@ -128,7 +128,7 @@
     const {clock, log} = this.context;
     const {scheduler, keeper} = this.parts;
     const startedAt = clock.now();
-    const endsAt = startedAt + this.host.identity.stopMs - EXIT_MARGIN_MS;
+    const endsAt = startedAt + this.host.tunables().stopMs - EXIT_MARGIN_MS;
     scheduler.pause();
     await keeper.handOverAll();
     for (;;) {
