A randomized fault soak over the real programs

Eleven promises are checked from what callers and servers saw, and that all programs serve again afterwards. Clients keep their connections.

Not covered: clocks, which the programs use only as steady ones; links between programs, which have no proxy between them.

--- /dev/null
+++ b/packages/soak/src/lib/process/fault_handlers.ts
@@ -0,0 +1,225 @@
+/** What each kind of fault does, and how it is undone. */
+import {sleep, SYSTEM_CLOCK, type Random} from '@oathead/core';
+import type {ServerFault, StoreFault} from '@oathead/platform/stand_ins';
+import type {ProxyMode} from '../connection/fault_proxy.js';
+import type {ProgramPlace, ServerPlace, SoakFleet} from './soak_fleet.js';
+import type {FaultKind} from './soak_plan.js';
+
+/** What a fault strikes, and for how long. */
+export interface FaultCall {
+  readonly fleet: SoakFleet;
+  readonly random: Random;
+  readonly forMs: number;
+}
+
+/** Brings a fault about; resolves when it is undone. */
+export type FaultHandler = (call: FaultCall) => Promise<void>;
+
+/** A server that leaves serves so long after the store knows, in ms. */
+const DRAIN_MS = 3000;
+const LINK_MODES: readonly ProxyMode[] = [
+  'delay',
+  'drop-requests',
+  'drop-answers',
+  'cut',
+];
+const SERVER_FAULTS: readonly ServerFault[] = [
+  'extra-answer',
+  'cut',
+  'wrong-id',
+  'unsealed',
+  'answer-lost',
+];
+const STORE_AWAY: readonly StoreFault[] = ['down', 'busy', 'silent', 'reset'];
+const SLOW_STORE_MS = 200;
+
+/** The handlers by kind. */
+export const FAULT_HANDLERS: Readonly<Record<FaultKind, FaultHandler>> = {
+  'program-kill': killOne,
+  'programs-kill-all': killAll,
+  'program-pause': pauseProgram,
+  'program-stop': stopProgram,
+  'program-hup': hangUp,
+  'store-away': storeAway,
+  'store-refuses-one': refuseOne,
+  'store-lost-answers': loseStoreAnswers,
+  'store-late-writes': writeLate,
+  'store-slow': slowStore,
+  'store-history': loseHistory,
+  'store-link': spoilStoreLink,
+  'server-link': spoilServerLink,
+  'server-crash': crashServer,
+  'server-replace': replaceServer,
+  'server-answers': spoilAnswers,
+  'connections-reset': resetConnections,
+  'connections-silent': silenceConnections,
+  'config-change': changeConfig,
+};
+
+function killOne(call: FaultCall): Promise<void> {
+  return kill(call, [pick(call, call.fleet.programs)]);
+}
+
+function killAll(call: FaultCall): Promise<void> {
+  return kill(call, call.fleet.programs);
+}
+
+async function hangUp(call: FaultCall): Promise<void> {
+  pick(call, call.fleet.programs).program.signal('SIGHUP');
+}
+
+function storeAway(call: FaultCall): Promise<void> {
+  return allDoors(call, STORE_AWAY[call.random.int(STORE_AWAY.length)]!);
+}
+
+function loseStoreAnswers(call: FaultCall): Promise<void> {
+  return allDoors(call, 'lost-answers');
+}
+
+function writeLate(call: FaultCall): Promise<void> {
+  return allDoors(call, 'late-writes');
+}
+
+async function loseHistory({fleet}: FaultCall): Promise<void> {
+  fleet.store.rows.loseHistory();
+}
+
+function spoilStoreLink(call: FaultCall): Promise<void> {
+  return link(call, pick(call, call.fleet.programs).storeProxy);
+}
+
+function spoilServerLink(call: FaultCall): Promise<void> {
+  return link(call, pick(call, call.fleet.servers).proxy);
+}
+
+async function resetConnections(call: FaultCall): Promise<void> {
+  proxyOf(call).reset();
+}
+
+async function silenceConnections(call: FaultCall): Promise<void> {
+  proxyOf(call).silence();
+}
+
+async function changeConfig({fleet}: FaultCall): Promise<void> {
+  await fleet.addRoute();
+}
+
+async function kill(
+  {fleet, forMs}: FaultCall,
+  places: readonly ProgramPlace[],
+): Promise<void> {
+  const struck = places.filter(({ending}) => !ending);
+  for (const place of struck) {
+    place.ending = true;
+    place.program.signal('SIGKILL');
+  }
+  await sleep(SYSTEM_CLOCK, forMs);
+  await Promise.all(struck.map(place => fleet.restart(place)));
+}
+
+async function pauseProgram(call: FaultCall): Promise<void> {
+  const place = pick(call, call.fleet.programs);
+  const {program} = place;
+  if (place.ending || place.paused) return;
+  place.paused = true;
+  program.signal('SIGSTOP');
+  await sleep(SYSTEM_CLOCK, call.forMs);
+  program.signal('SIGCONT');
+  place.paused = false;
+}
+
+async function stopProgram(call: FaultCall): Promise<void> {
+  const place = pick(call, call.fleet.programs);
+  if (place.ending) return;
+  place.ending = true;
+  place.program.signal('SIGTERM');
+  await call.fleet.restart(place);
+}
+
+async function allDoors(
+  {fleet, forMs}: FaultCall,
+  fault: StoreFault,
+): Promise<void> {
+  fleet.store.failAll(fault);
+  await sleep(SYSTEM_CLOCK, forMs);
+  fleet.store.failAll('none');
+}
+
+async function refuseOne(call: FaultCall): Promise<void> {
+  const {door} = pick(call, call.fleet.programs);
+  door.fault = STORE_AWAY[call.random.int(STORE_AWAY.length)]!;
+  await sleep(SYSTEM_CLOCK, call.forMs);
+  door.fault = 'none';
+}
+
+async function slowStore({fleet, forMs}: FaultCall): Promise<void> {
+  for (const {door} of fleet.programs) door.delayMs = SLOW_STORE_MS;
+  await sleep(SYSTEM_CLOCK, forMs);
+  for (const {door} of fleet.programs) door.delayMs = 0;
+}
+
+async function link(
+  {random, forMs}: FaultCall,
+  proxy: {mode: ProxyMode},
+): Promise<void> {
+  proxy.mode = LINK_MODES[random.int(LINK_MODES.length)]!;
+  await sleep(SYSTEM_CLOCK, forMs);
+  proxy.mode = 'pass';
+}
+
+async function crashServer(call: FaultCall): Promise<void> {
+  const place = upServer(call);
+  if (!place) return;
+  place.up = false;
+  const {server} = place;
+  await server.crash();
+  await sleep(SYSTEM_CLOCK, call.forMs);
+  await server.unlist();
+  await call.fleet.renew(place);
+}
+
+/** The new one starts first; the old one says that it leaves, serves on for a
+ * while, and is gone. */
+async function replaceServer(call: FaultCall): Promise<void> {
+  const place = upServer(call);
+  if (!place) return;
+  const {server, id} = place;
+  await server.list('draining');
+  call.fleet.leavingSince.set(id, Date.now());
+  await call.fleet.renew(place);
+  await sleep(SYSTEM_CLOCK, DRAIN_MS + call.forMs);
+  await server.unlist();
+  await server.crash();
+}
+
+async function spoilAnswers(call: FaultCall): Promise<void> {
+  const place = upServer(call);
+  if (!place) return;
+  const {server} = place;
+  server.fault = SERVER_FAULTS[call.random.int(SERVER_FAULTS.length)]!;
+  await sleep(SYSTEM_CLOCK, call.forMs);
+  server.fault = 'none';
+}
+
+/** One server of each service stays, so that there is something to go on with. */
+function upServer(call: FaultCall): ServerPlace | undefined {
+  const {servers} = call.fleet;
+  const place = pick(call, servers);
+  const others = servers.filter(
+    other => other !== place && other.service === place.service && other.up,
+  );
+  return place.up && others.length > 0 ? place : undefined;
+}
+
+function proxyOf(call: FaultCall) {
+  const {programs, servers} = call.fleet;
+  const proxies = [
+    ...programs.map(({storeProxy}) => storeProxy),
+    ...servers.map(({proxy}) => proxy),
+  ];
+  return pick(call, proxies);
+}
+
+function pick<T>({random}: FaultCall, items: readonly T[]): T {
+  return items[random.int(items.length)]!;
+}
--- /dev/null
+++ b/packages/soak/src/lib/process/promises.ts
@@ -0,0 +1,149 @@
+/** The promises of the system, checked by what callers and targets saw. */
+import type {SeenRequest} from '@oathead/platform/stand_ins';
+import type {JobRecord} from '../request/batch_load.js';
+import type {OnlineRecord} from '../request/online_load.js';
+import {wholeStream, wholeText, type SoakFleet} from './soak_fleet.js';
+
+/** What a run is judged by. */
+export interface Evidence {
+  readonly fleet: SoakFleet;
+  readonly online: readonly OnlineRecord[];
+  readonly jobs: readonly JobRecord[];
+  /** Planned stops with no other fault around them, by process. */
+  readonly calmStops: ReadonlyMap<number, number>;
+}
+
+/** A promise: says what broke it. */
+export type PromiseCheck = (evidence: Evidence) => readonly string[];
+
+/** Answers that promise that the request has not run and never will. */
+const NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+/** The longest time for which a run keeps a program from hearing of a change,
+ * the bound of two seconds, and a second for a busy machine, in milliseconds. */
+const LEAVING_BOUND_MS = 12_000;
+const END_BOUND_MS = 12_000;
+
+/** All promises by name. */
+export const PROMISES: Readonly<Record<string, PromiseCheck>> = {
+  'each caller gets the whole answer to its own request': wholeAnswers,
+  'a request that may run once only runs at most once': runsOnce,
+  'what was refused as not run has not run': refusalsAreTrue,
+  'an accepted item has one outcome, and its whole text': itemsAreWhole,
+  'what readers of a job see never changes': readersAgree,
+  'a job that was refused at every try does not run': refusedJobsRest,
+  'an ended job stops': endedJobsStop,
+  'a leaving target gets nothing new': leavingTargetsRest,
+  'a configuration never goes back': configurationsStay,
+  'a planned stop cuts off nothing': stopsCutNothing,
+  'no program ends by itself': programsLive,
+};
+
+function readersAgree({jobs}: Evidence): readonly string[] {
+  return jobs.flatMap(({id, flaws}) => flaws.map(flaw => `${id}: ${flaw}`));
+}
+
+function programsLive({fleet}: Evidence): readonly string[] {
+  return fleet.deaths;
+}
+
+function allRuns({fleet}: Evidence): readonly SeenRequest[] {
+  return fleet.incarnations.flatMap(({server}) => server.ran);
+}
+
+function wholeAnswers({online}: Evidence): readonly string[] {
+  return online
+    .filter(({status}) => status === 200)
+    .flatMap(record => flawsOf(record));
+}
+
+function flawsOf(record: OnlineRecord): readonly string[] {
+  const {id, kind, path, text, answeredId, seal} = record;
+  const streams = kind === 'notes' || kind === 'flags';
+  const expected = streams ? wholeStream(path) : 'answer to question';
+  const flaws: string[] = [];
+  if (text !== expected) flaws.push(`${id} ${path}: other text: ${text}`);
+  if (answeredId !== id) flaws.push(`${id}: answer to ${answeredId}`);
+  if (seal !== `seal-${id}`) flaws.push(`${id}: seal ${seal}`);
+  return flaws;
+}
+
+function runsOnce(evidence: Evidence): readonly string[] {
+  const counts = new Map<string, number>();
+  for (const {id, path} of allRuns(evidence))
+    if (path.startsWith('/flags/')) counts.set(id, (counts.get(id) ?? 0) + 1);
+  return [...counts]
+    .filter(([, count]) => count > 1)
+    .map(([id, count]) => `${id} ran ${count} times`);
+}
+
+function refusalsAreTrue(evidence: Evidence): readonly string[] {
+  const ran = new Set(allRuns(evidence).map(({id}) => id));
+  return evidence.online
+    .filter(({id, status}) => NOT_RUN.has(status ?? 0) && ran.has(id))
+    .map(({id, status}) => `${id} was answered ${status} and ran`);
+}
+
+function itemsAreWhole({jobs}: Evidence): readonly string[] {
+  return jobs.flatMap(job => {
+    const flaws = job.results.flatMap(({id, state, text}) => {
+      const path = `/files/${job.id}/${id.slice(job.id.length + 1)}`;
+      const whole = state === 'succeeded' && text === wholeText(path);
+      const given = state !== 'succeeded' && job.endedAt !== undefined;
+      return whole || given ? [] : [`${id} is ${state}: ${text}`];
+    });
+    const ids = job.results.map(({id}) => id);
+    if (new Set(ids).size < ids.length) flaws.push(`${job.id}: ${ids}`);
+    const open = job.acceptedAt !== undefined && job.endedAt === undefined;
+    if (open && ids.length < job.items)
+      flaws.push(`${job.id}: ${ids.length} of ${job.items} results`);
+    return flaws;
+  });
+}
+
+function refusedJobsRest(evidence: Evidence): readonly string[] {
+  const ran = new Set(allRuns(evidence).map(({path}) => path.split('/')[2]));
+  return evidence.jobs
+    .filter(({tries}) => tries.every(status => NOT_RUN.has(status ?? 0)))
+    .filter(({id, tries}) => tries.length > 0 && ran.has(id))
+    .map(({id}) => `${id} was refused and ran`);
+}
+
+function endedJobsStop(evidence: Evidence): readonly string[] {
+  const ended = new Map(evidence.jobs.map(({id, endedAt}) => [id, endedAt]));
+  return allRuns(evidence)
+    .filter(({path, at}) => {
+      const endedAt = ended.get(path.split('/')[2] ?? '');
+      return endedAt !== undefined && at > endedAt + END_BOUND_MS;
+    })
+    .map(({path}) => `${path} ran after its job was ended`);
+}
+
+function leavingTargetsRest({fleet}: Evidence): readonly string[] {
+  return fleet.incarnations.flatMap(({id, server}) => {
+    const since = fleet.leavingSince.get(id) ?? Infinity;
+    return server.ran
+      .filter(({at}) => at > since + LEAVING_BOUND_MS)
+      .map(({path, at}) => `${id} got ${path} ${at - since} ms after`);
+  });
+}
+
+function configurationsStay({online}: Evidence): readonly string[] {
+  const known = new Set<string>();
+  const flaws: string[] = [];
+  for (const {kind, pid, path, status, place} of online) {
+    if (kind !== 'extra' || status === undefined) continue;
+    const route = `${pid} ${path.split('/')[1]}`;
+    if (status === 200) known.add(route);
+    if (status === 404 && known.has(route))
+      flaws.push(`${place} forgot ${path}`);
+  }
+  return flaws;
+}
+
+function stopsCutNothing(evidence: Evidence): readonly string[] {
+  const ran = new Set(allRuns(evidence).map(({id}) => id));
+  return evidence.online
+    .filter(({pid}) => evidence.calmStops.has(pid))
+    .filter(({id, status}) => status === undefined && ran.has(id))
+    .map(({id, place}) => `${id} was cut at ${place}`);
+}
--- /dev/null
+++ b/packages/soak/src/lib/process/run_soak.ts
@@ -0,0 +1,162 @@
+/** One run of the soak: load, faults that overlap, calm, and the promises. */
+import {seededRandom, sleep, SYSTEM_CLOCK} from '@oathead/core';
+import {BatchLoad} from '../request/batch_load.js';
+import {OnlineLoad, type OnlineKind} from '../request/online_load.js';
+import {FAULT_HANDLERS} from './fault_handlers.js';
+import {PROMISES, type Evidence} from './promises.js';
+import {SoakFleet} from './soak_fleet.js';
+import {planFaults, type PlannedFault, type SoakOptions} from './soak_plan.js';
+
+/** A promise that was broken. */
+export interface Violation {
+  readonly promise: string;
+  readonly found: readonly string[];
+}
+
+/** What a run came to. */
+export interface SoakReport {
+  readonly options: SoakOptions;
+  readonly faults: readonly PlannedFault[];
+  /** Online requests by kind and status. */
+  readonly requests: Readonly<Record<string, number>>;
+  readonly jobs: {readonly accepted: number; readonly ended: number};
+  readonly violations: readonly Violation[];
+  /** What each program has written, if a promise was broken. */
+  readonly logs: Readonly<Record<string, string>>;
+}
+
+/** After the last fault all programs are to serve again, in milliseconds. */
+const CALM_MS = 6000;
+/** For the items that are left when the load ends, in milliseconds. */
+const FINISH_MS = 20_000;
+const READ_PAUSE_MS = 100;
+/** Requests to each program in the calm at the end. */
+const LAST_REQUESTS = 20;
+/** One in ten may fail in the calm: a share that no fault explains. */
+const LAST_SHARE = 0.9;
+/** No other fault so long before a planned stop makes it a calm one, in ms. */
+const CALM_BEFORE_MS = 5000;
+const CALM_AFTER_MS = 9000;
+
+/**
+ * @param options - Seed, time and size.
+ * @returns What it came to; all processes have ended.
+ */
+export async function runSoak(options: SoakOptions): Promise<SoakReport> {
+  await using fleet = new SoakFleet();
+  await fleet.start(options.programs, options.engines);
+  const random = seededRandom(options.seed + 1);
+  const online = new OnlineLoad(fleet, random);
+  const batch = new BatchLoad(fleet, random);
+  const faults = planFaults(options);
+  const calmStops = new Map<number, number>();
+  online.start();
+  batch.start();
+  await strike(fleet, faults, calmStops);
+  await sleep(SYSTEM_CLOCK, CALM_MS);
+  await batch.finish();
+  await online.stop();
+  await readAll(batch);
+  const last = await lastRequests(fleet, online);
+  const evidence: Evidence = {
+    fleet,
+    online: online.records,
+    jobs: batch.jobs,
+    calmStops,
+  };
+  const violations = [...violationsOf(evidence), ...last];
+  return {
+    options,
+    faults,
+    requests: countsOf(evidence),
+    jobs: {
+      accepted: batch.jobs.filter(job => job.acceptedAt !== undefined).length,
+      ended: batch.jobs.filter(job => job.endedAt !== undefined).length,
+    },
+    violations,
+    logs: violations.length > 0 ? logsOf(fleet) : {},
+  };
+}
+
+/** Brings all faults about, each at its time, and waits until all are undone. */
+async function strike(
+  fleet: SoakFleet,
+  faults: readonly PlannedFault[],
+  calmStops: Map<number, number>,
+): Promise<void> {
+  const startedAt = SYSTEM_CLOCK.now();
+  const undone: Array<Promise<void>> = [];
+  for (const fault of faults) {
+    const waitMs = startedAt + fault.atMs - SYSTEM_CLOCK.now();
+    await sleep(SYSTEM_CLOCK, Math.max(0, waitMs));
+    const pids = new Set(fleet.programs.map(({program}) => program.pid));
+    const random = seededRandom(fault.seed);
+    const {forMs} = fault;
+    undone.push(FAULT_HANDLERS[fault.kind]({fleet, random, forMs}));
+    if (fault.kind === 'program-stop' && isCalm(fault, faults))
+      for (const {ending, program} of fleet.programs)
+        if (ending && pids.has(program.pid))
+          calmStops.set(program.pid, fault.atMs);
+  }
+  await Promise.all(undone);
+}
+
+function isCalm(stop: PlannedFault, faults: readonly PlannedFault[]): boolean {
+  return faults.every(
+    fault =>
+      fault === stop ||
+      fault.atMs + fault.forMs < stop.atMs - CALM_BEFORE_MS ||
+      fault.atMs > stop.atMs + CALM_AFTER_MS,
+  );
+}
+
+async function readAll(batch: BatchLoad): Promise<void> {
+  const until = Date.now() + FINISH_MS;
+  while (batch.unfinished().length > 0 && Date.now() < until) {
+    for (const job of batch.unfinished()) await batch.read(job);
+    await sleep(SYSTEM_CLOCK, READ_PAUSE_MS);
+  }
+  for (const job of batch.jobs) await batch.read(job);
+}
+
+async function lastRequests(
+  fleet: SoakFleet,
+  online: OnlineLoad,
+): Promise<readonly Violation[]> {
+  const kinds: readonly OnlineKind[] = ['notes', 'flags', 'limits', 'extra'];
+  const found: string[] = [];
+  for (const place of fleet.programs) {
+    let served = 0;
+    for (let i = 0; i < LAST_REQUESTS; i++) {
+      const record = await online.once(place, kinds[i % kinds.length]!);
+      if (record.status === 200) served++;
+    }
+    if (served < LAST_REQUESTS * LAST_SHARE)
+      found.push(`${place.name} served ${served} of ${LAST_REQUESTS}`);
+  }
+  const promise = 'all programs serve again after the faults';
+  return found.length > 0 ? [{promise, found}] : [];
+}
+
+function violationsOf(evidence: Evidence): readonly Violation[] {
+  return Object.entries(PROMISES).flatMap(([promise, check]) => {
+    const found = check(evidence);
+    return found.length > 0 ? [{promise, found}] : [];
+  });
+}
+
+function countsOf({online}: Evidence): Readonly<Record<string, number>> {
+  const counts: Record<string, number> = {};
+  for (const {kind, status} of online) {
+    const name = `${kind} ${status ?? 'broken'}`;
+    counts[name] = (counts[name] ?? 0) + 1;
+  }
+  return counts;
+}
+
+function logsOf(fleet: SoakFleet): Readonly<Record<string, string>> {
+  const texts = fleet.programs.map(
+    ({name, program}) => [name, program.text] as const,
+  );
+  return Object.fromEntries(texts);
+}
--- /dev/null
+++ b/packages/soak/src/lib/process/soak_fleet.ts
@@ -0,0 +1,237 @@
+/** The system under soak: real programs, and stand-ins behind proxies. */
+import type {ChildProcess} from 'node:child_process';
+import {
+  eventOf,
+  FIRST_CONFIG,
+  ServerStandIn,
+  ServingProgram,
+  StoreStandIn,
+  type ProgramOptions,
+  type ServerOptions,
+  type StoreDoor,
+} from '@oathead/platform/stand_ins';
+import {FaultProxy} from '../connection/fault_proxy.js';
+
+/** Signals that a run sends. */
+export type SoakSignal = Parameters<ChildProcess['kill']>[0] & string;
+
+/** A place for one program: it is started there again and again. */
+export interface ProgramPlace {
+  readonly name: string;
+  readonly door: StoreDoor;
+  readonly storeProxy: FaultProxy;
+  program: ServingProgram;
+  /** Whether its end is wanted: a signal of the run's ends it. */
+  ending: boolean;
+  paused: boolean;
+}
+
+/** A place for one server: each start has a new id. */
+export interface ServerPlace {
+  readonly service: string;
+  server: ServerStandIn;
+  proxy: FaultProxy;
+  id: string;
+  up: boolean;
+}
+
+/** Time from SIGTERM to the end of a program, in seconds. */
+const GRACE_S = 8;
+const ZONES = ['hall-a', 'hall-b'] as const;
+const EVENTS = 12;
+const EVENT_MS = 20;
+const PLAIN_ANSWER_MS = 10;
+const SLOTS = 6;
+const QUEUE = 16;
+const PLAIN_SERVERS = 2;
+
+/**
+ * @param path - Of a request for tokens.
+ * @returns The text of its whole stream.
+ */
+export function wholeStream(path: string): string {
+  return eventNumbers()
+    .map(n => eventOf(n, wordOf(path, n)))
+    .join('');
+}
+
+/**
+ * @param path - Of an item.
+ * @returns The item's text.
+ */
+export function wholeText(path: string): string {
+  return eventNumbers()
+    .map(n => wordOf(path, n))
+    .join('\n');
+}
+
+function eventNumbers(): readonly number[] {
+  return [...Array(EVENTS).keys()].map(i => i + 1);
+}
+
+function wordOf(path: string, n: number): string {
+  return `${path}#${n}`;
+}
+
+/** All that runs. */
+export class SoakFleet implements AsyncDisposable {
+  readonly store = new StoreStandIn();
+  readonly programs: ProgramPlace[] = [];
+  readonly servers: ServerPlace[] = [];
+  /** Every start of a server, for what each has seen. */
+  readonly incarnations: Array<Pick<ServerPlace, 'server' | 'id'>> = [];
+  /** When the store accepted that a server leaves, by its id. */
+  readonly leavingSince = new Map<string, number>();
+  /** Routes that were added, in order. */
+  readonly addedRoutes: string[] = [];
+  /** Programs that ended by themselves, with what they wrote last. */
+  readonly deaths: string[] = [];
+  private readonly held: AsyncDisposable[] = [this.store];
+  private version = FIRST_CONFIG.version;
+  private starts = 0;
+
+  /**
+   * Starts everything and waits until all programs take callers.
+   *
+   * @param programs - How many programs.
+   * @param engines - How many engines.
+   */
+  async start(programs: number, engines: number): Promise<void> {
+    await this.configure();
+    for (let i = 0; i < engines; i++) await this.addServer('llm');
+    for (let i = 0; i < PLAIN_SERVERS; i++) await this.addServer('api');
+    for (let i = 0; i < programs; i++) await this.addProgram(i);
+    await Promise.all(this.programs.map(({program}) => program.untilReady()));
+  }
+
+  /** Adds a route to the configuration. @returns Its prefix. */
+  async addRoute(): Promise<string> {
+    const prefix = `/extra${this.addedRoutes.length}/`;
+    this.addedRoutes.push(prefix);
+    await this.configure();
+    return prefix;
+  }
+
+  /** @param place - Where a program has ended; it is started again. */
+  async restart(place: ProgramPlace): Promise<void> {
+    await place.program.ended();
+    const options = place.program.startedWith;
+    await place.program[Symbol.asyncDispose]();
+    place.program = await this.launch(place.name, options);
+    place.ending = false;
+    place.paused = false;
+    this.watch(place);
+  }
+
+  /** @param place - Where the server has ended; a new one starts. */
+  async renew(place: ServerPlace): Promise<void> {
+    const next = await this.newServer(place.service);
+    Object.assign(place, next, {up: true});
+    this.note(place);
+  }
+
+  /** Ends everything that it has started, by its id. */
+  async [Symbol.asyncDispose](): Promise<void> {
+    for (const place of this.programs) {
+      place.ending = true;
+      place.program.signal('SIGCONT');
+      await place.program[Symbol.asyncDispose]();
+    }
+    for (const item of this.held.reverse()) await item[Symbol.asyncDispose]();
+  }
+
+  private async configure(): Promise<void> {
+    const extra = this.addedRoutes.map(prefix => ({
+      name: prefix,
+      host: 'bank.example',
+      prefix,
+      kind: 'safe',
+      service: 'api',
+      timeout_ms: 1500,
+      latency_goal_ms: 100,
+      max_attempts: 3,
+    }));
+    const routes = [...FIRST_CONFIG.routes, ...extra];
+    this.version += 3;
+    const config = {...FIRST_CONFIG, version: this.version, routes};
+    await this.store.put('op', 'config', config);
+  }
+
+  private async addProgram(i: number): Promise<void> {
+    const door = await this.store.openDoor();
+    const storeProxy = await FaultProxy.before(door.address);
+    this.held.push(storeProxy);
+    const name = `host-${i}`;
+    const program = await this.launch(name, {
+      node: name,
+      zone: ZONES[i % ZONES.length]!,
+      storeAddress: storeProxy.address,
+      graceS: GRACE_S,
+      seeds: this.programs.slice(0, 3).map(place => place.program.control),
+    });
+    const place: ProgramPlace = {
+      name,
+      door,
+      storeProxy,
+      program,
+      ending: false,
+      paused: false,
+    };
+    this.programs.push(place);
+    this.watch(place);
+  }
+
+  private launch(
+    node: string,
+    options: ProgramOptions,
+  ): Promise<ServingProgram> {
+    return ServingProgram.start({...options, node});
+  }
+
+  private watch(place: ProgramPlace): void {
+    const {program} = place;
+    void program.ended().then(code => {
+      if (place.ending || place.program !== program) return;
+      const last = program.text.slice(-2000);
+      this.deaths.push(`${place.name} ended with ${code}: ${last}`);
+    });
+  }
+
+  private async addServer(service: string): Promise<void> {
+    const started = await this.newServer(service);
+    const place: ServerPlace = {
+      service,
+      ...started,
+      up: true,
+    };
+    this.servers.push(place);
+    this.note(place);
+  }
+
+  private note({server, id}: ServerPlace): void {
+    this.incarnations.push({server, id});
+  }
+
+  private async newServer(service: string) {
+    const id = `${service}-${++this.starts}`;
+    let proxy: FaultProxy | undefined;
+    const options: Partial<ServerOptions> = {
+      id,
+      service,
+      zone: ZONES[this.starts % ZONES.length]!,
+      slots: SLOTS,
+      queue: QUEUE,
+      events: EVENTS,
+      eventMs: service === 'llm' ? EVENT_MS : PLAIN_ANSWER_MS,
+      word: wordOf,
+      via: async address => {
+        proxy = await FaultProxy.before(address);
+        return proxy.address;
+      },
+    };
+    const server = new ServerStandIn(this.store, options);
+    await server.start();
+    this.held.push(server, proxy!);
+    return {server, proxy: proxy!, id};
+  }
+}
--- /dev/null
+++ b/packages/soak/src/lib/process/soak_plan.ts
@@ -0,0 +1,85 @@
+/** Which faults a run has, drawn from its seed. */
+import {seededRandom, type Random} from '@oathead/core';
+
+/** Everything that a run can do to the system. */
+export const FAULT_KINDS = [
+  'program-kill',
+  'program-pause',
+  'program-stop',
+  'program-hup',
+  'programs-kill-all',
+  'store-away',
+  'store-refuses-one',
+  'store-lost-answers',
+  'store-late-writes',
+  'store-slow',
+  'store-history',
+  'store-link',
+  'server-crash',
+  'server-replace',
+  'server-answers',
+  'server-link',
+  'connections-reset',
+  'connections-silent',
+  'config-change',
+] as const;
+
+/** One kind of fault. */
+export type FaultKind = (typeof FAULT_KINDS)[number];
+
+/** One fault of a run. */
+export interface PlannedFault {
+  readonly kind: FaultKind;
+  /** From the start of the load, in milliseconds. */
+  readonly atMs: number;
+  readonly forMs: number;
+  /** Draws what the fault strikes. */
+  readonly seed: number;
+}
+
+/** How long a run is, and how large. */
+export interface SoakOptions {
+  readonly seed: number;
+  /** Of load with faults, in milliseconds; calm seconds follow. */
+  readonly loadMs: number;
+  readonly programs: number;
+  readonly engines: number;
+  /** Kinds that are drawn; all by default. */
+  readonly kinds?: readonly FaultKind[];
+}
+
+/** The first fault comes when the load runs already, in milliseconds. */
+const FIRST_MS = 2000;
+/** Between two faults, in milliseconds: shorter than most last, so that they
+ * overlap. */
+const GAP_MS = {least: 200, most: 1800} as const;
+const LASTS_MS = {least: 300, most: 4000} as const;
+const SEEDS = 0x7fffffff;
+
+/**
+ * @param options - The seed, and for how long.
+ * @returns The faults in the order in which they come.
+ */
+export function planFaults(options: SoakOptions): readonly PlannedFault[] {
+  const random = seededRandom(options.seed);
+  const kinds = options.kinds ?? FAULT_KINDS;
+  const faults: PlannedFault[] = [];
+  let atMs = FIRST_MS;
+  while (atMs < options.loadMs) {
+    faults.push({
+      kind: kinds[random.int(kinds.length)]!,
+      atMs,
+      forMs: between(random, LASTS_MS),
+      seed: random.int(SEEDS),
+    });
+    atMs += between(random, GAP_MS);
+  }
+  return faults;
+}
+
+function between(
+  random: Random,
+  {least, most}: {readonly least: number; readonly most: number},
+): number {
+  return least + random.int(most - least);
+}
--- /dev/null
+++ b/packages/soak/src/lib/request/batch_load.ts
@@ -0,0 +1,162 @@
+/** Callers who hand in batch jobs, read them at any program, and end some. */
+import {sleep, SYSTEM_CLOCK, type Random} from '@oathead/core';
+import {Caller, type ReadResult} from '@oathead/platform/stand_ins';
+import type {SoakFleet} from '../process/soak_fleet.js';
+
+/** One job, as its callers saw it. */
+export interface JobRecord {
+  readonly id: string;
+  readonly items: number;
+  /** Statuses of all tries to hand it in; undefined: no answer. */
+  readonly tries: Array<number | undefined>;
+  acceptedAt: number | undefined;
+  /** When its end was acknowledged; undefined: it was not ended. */
+  endedAt: number | undefined;
+  /** The longest list that was read. */
+  results: readonly ReadResult[];
+  /** What readers saw that must not be. */
+  readonly flaws: string[];
+}
+
+const PAUSE_MS = 700;
+const READ_PAUSE_MS = 120;
+const MAX_TRIES = 12;
+const RETRY_MS = 300;
+/** One job in so many is ended by its caller. */
+const ENDED_SHARE = 6;
+const MOST_ITEMS = 5;
+/** For so long after its acceptance a job may be unknown, in milliseconds. */
+const SETTLE_MS = 1000;
+
+/** Hands in jobs until stopped. */
+export class BatchLoad {
+  /** All jobs that were handed in. */
+  readonly jobs: JobRecord[] = [];
+  private readonly stopping = new AbortController();
+  private running: Array<Promise<void>> = [];
+
+  /**
+   * @param fleet - Whom to ask.
+   * @param random - Draws sizes, readers and what is ended.
+   */
+  constructor(
+    private readonly fleet: SoakFleet,
+    private readonly random: Random,
+  ) {}
+
+  /** Begins to hand in and to read. */
+  start(): void {
+    this.running = [this.handIn(), this.readOn()];
+  }
+
+  /** Hands in nothing more; reading goes on until `finish`. */
+  async finish(): Promise<void> {
+    this.stopping.abort();
+    await Promise.all(this.running);
+  }
+
+  /** @returns Jobs that were accepted, not ended, and are not whole yet. */
+  unfinished(): readonly JobRecord[] {
+    return this.jobs.filter(
+      job =>
+        job.acceptedAt !== undefined &&
+        job.endedAt === undefined &&
+        job.results.length < job.items,
+    );
+  }
+
+  /** @param job - To be read once, at any program. */
+  async read(job: JobRecord): Promise<void> {
+    const asked = Date.now();
+    const answer = await this.attempt(caller => caller.results(job.id));
+    if (answer?.status === 404 && isSettled(job, asked))
+      job.flaws.push('an accepted job is not known');
+    if (answer?.status !== 200) return;
+    const {total, results} = JSON.parse(answer.text) as {
+      readonly total: number;
+      readonly results: readonly ReadResult[];
+    };
+    if (total !== job.items) job.flaws.push(`total ${total}`);
+    this.compare(job, results);
+  }
+
+  private compare(job: JobRecord, results: readonly ReadResult[]): void {
+    const known = Math.min(results.length, job.results.length);
+    for (let i = 0; i < known; i++)
+      if (JSON.stringify(results[i]) !== JSON.stringify(job.results[i]))
+        job.flaws.push(`position ${i} has changed`);
+    if (results.length > job.results.length) job.results = results;
+  }
+
+  private async handIn(): Promise<void> {
+    while (!this.stopping.signal.aborted) {
+      const id = `job-${this.jobs.length}`;
+      const items = 1 + this.random.int(MOST_ITEMS);
+      const job: JobRecord = {
+        id,
+        items,
+        tries: [],
+        acceptedAt: undefined,
+        endedAt: undefined,
+        results: [],
+        flaws: [],
+      };
+      this.jobs.push(job);
+      const ends = this.random.int(ENDED_SHARE) === 0;
+      this.running.push(this.accept(job, ends));
+      await sleep(SYSTEM_CLOCK, PAUSE_MS);
+    }
+  }
+
+  private async accept(job: JobRecord, ends: boolean): Promise<void> {
+    for (let i = 0; i < MAX_TRIES; i++) {
+      const answer = await this.attempt(caller =>
+        caller.handIn(job.id, job.items),
+      );
+      job.tries.push(answer?.status);
+      if (answer?.status === 202) {
+        job.acceptedAt ??= Date.now();
+        break;
+      }
+      await sleep(SYSTEM_CLOCK, RETRY_MS);
+    }
+    if (ends && job.acceptedAt !== undefined) await this.end(job);
+  }
+
+  private async end(job: JobRecord): Promise<void> {
+    for (let i = 0; i < MAX_TRIES; i++) {
+      const answer = await this.attempt(caller => caller.end(job.id));
+      if (answer?.status === 200) {
+        job.endedAt = Date.now();
+        return;
+      }
+      await sleep(SYSTEM_CLOCK, RETRY_MS);
+    }
+    // Nobody acknowledged it: the job may go on, and its results count.
+  }
+
+  private async readOn(): Promise<void> {
+    while (!this.stopping.signal.aborted) {
+      const job = this.jobs[this.random.int(this.jobs.length)];
+      if (job) await this.read(job);
+      await sleep(SYSTEM_CLOCK, READ_PAUSE_MS);
+    }
+  }
+
+  private async attempt<T>(
+    ask: (caller: Caller) => Promise<T>,
+  ): Promise<T | undefined> {
+    const {programs} = this.fleet;
+    const place = programs[this.random.int(programs.length)]!;
+    try {
+      return await ask(new Caller(place.program.front));
+    } catch {
+      // No answer: the next try may meet another program.
+      return undefined;
+    }
+  }
+}
+
+function isSettled({acceptedAt}: JobRecord, now: number): boolean {
+  return acceptedAt !== undefined && now > acceptedAt + SETTLE_MS;
+}
--- /dev/null
+++ b/packages/soak/src/lib/request/online_load.ts
@@ -0,0 +1,136 @@
+/** Callers of online requests, who keep using their connections. */
+import {sleep, SYSTEM_CLOCK, type Random} from '@oathead/core';
+import {Caller} from '@oathead/platform/stand_ins';
+import type {ProgramPlace, SoakFleet} from '../process/soak_fleet.js';
+
+/** What a request asks for, and how often it may run. */
+export type OnlineKind =
+  /** A stream that may go on at another target. */
+  | 'notes'
+  /** A stream that may run once only. */
+  | 'flags'
+  /** A plain request that may be repeated. */
+  | 'limits'
+  /** The like on a route that was added during the run. */
+  | 'extra';
+
+/** One request, as its caller saw it. */
+export interface OnlineRecord {
+  readonly id: string;
+  readonly kind: OnlineKind;
+  readonly path: string;
+  readonly place: string;
+  /** The process that was asked. */
+  readonly pid: number;
+  readonly sentAt: number;
+  readonly endedAt: number;
+  /** Undefined: the connection broke. */
+  readonly status: number | undefined;
+  readonly text: string;
+  readonly answeredId: string | undefined;
+  readonly seal: string | undefined;
+}
+
+/** Between two requests to a program, in milliseconds. */
+const PAUSE_MS = 25;
+const KINDS: readonly OnlineKind[] = ['notes', 'flags', 'limits', 'extra'];
+
+/** Sends requests until stopped. */
+export class OnlineLoad {
+  /** All requests that have ended. */
+  readonly records: OnlineRecord[] = [];
+  private readonly stopping = new AbortController();
+  private readonly open = new Set<Promise<void>>();
+  private sent = 0;
+
+  /**
+   * @param fleet - Whom to ask.
+   * @param random - Draws what is asked.
+   */
+  constructor(
+    private readonly fleet: SoakFleet,
+    private readonly random: Random,
+  ) {}
+
+  /** Begins to ask all programs. */
+  start(): void {
+    for (const place of this.fleet.programs) void this.ask(place);
+  }
+
+  /** Ends it; resolves when all requests have ended. */
+  async stop(): Promise<void> {
+    this.stopping.abort();
+    while (this.open.size > 0) await Promise.all(this.open);
+  }
+
+  /**
+   * @param place - Whom to ask.
+   * @param kind - What to ask for.
+   * @returns What came of it.
+   */
+  async once(place: ProgramPlace, kind: OnlineKind): Promise<OnlineRecord> {
+    const id = `r${++this.sent}`;
+    const path = this.pathOf(kind, id);
+    const sentAt = Date.now();
+    const {pid, front} = place.program;
+    const base = {id, kind, path, place: place.name, pid, sentAt};
+    const record = {...base, ...(await answerOf(front, kind, path, id))};
+    const whole = {...record, endedAt: Date.now()};
+    this.records.push(whole);
+    return whole;
+  }
+
+  private async ask(place: ProgramPlace): Promise<void> {
+    while (!this.stopping.signal.aborted) {
+      const kind = KINDS[this.random.int(KINDS.length)]!;
+      const request = this.once(place, kind).then(() => {
+        this.open.delete(request);
+      });
+      this.open.add(request);
+      await sleep(SYSTEM_CLOCK, PAUSE_MS);
+    }
+  }
+
+  private pathOf(kind: OnlineKind, id: string): string {
+    if (kind !== 'extra') return `/${kind}/${id}`;
+    // A route that is older than any bound: it must be known everywhere.
+    const {addedRoutes} = this.fleet;
+    const [first = '/limits/'] = addedRoutes;
+    return `${first}${id}`;
+  }
+}
+
+async function answerOf(
+  front: string,
+  kind: OnlineKind,
+  path: string,
+  id: string,
+): Promise<Pick<OnlineRecord, 'status' | 'text' | 'answeredId' | 'seal'>> {
+  const caller = new Caller(front);
+  const headers = {'x-attempt-id': id};
+  const streams = kind === 'notes' || kind === 'flags';
+  try {
+    const answer = streams
+      ? await caller.stream(path, headers)
+      : await caller.post(path, headers);
+    return {
+      status: answer.status,
+      text: answer.text,
+      answeredId: textOf(answer.headers['x-attempt-id']),
+      seal: textOf(answer.headers['x-server-seal']),
+    };
+  } catch {
+    // The connection broke, which callers see as no answer; the promises say
+    // when that is allowed.
+    return {
+      status: undefined,
+      text: '',
+      answeredId: undefined,
+      seal: undefined,
+    };
+  }
+}
+
+function textOf(value: string | string[] | undefined): string | undefined {
+  return Array.isArray(value) ? value[0] : value;
+}
