oathead explain: the story of an id from the logs of several processes

Reads the lines of JSON of any number of processes and prints, in order, those that name a request, an item or a job, what became of the job, and what hosts learnt of the same targets at that time. Lines cut by a kill are counted.

--- a/packages/cli/src/lib/process/verbs.ts
+++ b/packages/cli/src/lib/process/verbs.ts
@@ -5,6 +5,7 @@
 import {CHECK_CONFIG} from './verbs/check_config.js';
 import {DELETE} from './verbs/delete.js';
 import {DRAIN} from './verbs/drain.js';
+import {EXPLAIN} from './verbs/explain.js';
 import {GET} from './verbs/get.js';
 import {DEMO, ENTRY, LOAD} from './verbs/registered_verbs.js';
 import {RESULTS} from './verbs/results.js';
@@ -28,6 +29,7 @@
   CANCEL,
   ENTRY,
   CHECK_CONFIG,
+  EXPLAIN,
   DEMO,
   LOAD,
 ];
--- /dev/null
+++ b/packages/cli/src/test/process/log_story_test.ts
@@ -0,0 +1,56 @@
+import test from 'ava';
+import {storyOf, storyText} from '../../lib/process/log_story.js';
+
+function line(ms: number, host: string, event: string, fields: object): string {
+  const time = new Date(ms).toISOString();
+  return JSON.stringify({level: 30, time, host, pid: '1', ...fields, event});
+}
+
+const ONE = [
+  line(1000, 'one', 'request-sent', {request: 'r1', target: 'i-a', run: 1}),
+  line(1200, 'one', 'request-broken', {request: 'r1', target: 'i-a'}),
+  line(1300, 'one', 'request-sent', {request: 'other', target: 'i-b'}),
+  line(1500, 'one', 'request-ended', {request: 'r1', status: 502}),
+  line(9000, 'one', 'target-suspended', {target: 'i-a', reason: 'late'}),
+].join('\n');
+const TWO = [
+  line(1100, 'two', 'target-suspended', {target: 'i-a', reason: 'reset'}),
+  line(1100, 'two', 'target-suspended', {target: 'i-b', reason: 'reset'}),
+  '{"level":30,"time":"2026-',
+].join('\n');
+
+// A caller complains of a failed request. Its lines are spread over the logs of
+// hosts, one of which was killed in the middle of a line; what another host
+// learnt of the same target at that time belongs to the story.
+test('the story of a request has its lines and its target’s, in order', t => {
+  const story = storyOf('r1', [TWO, ONE]);
+  t.deepEqual(
+    story.lines.map(({host, event}) => `${host} ${event}`),
+    [
+      'one request-sent',
+      'two target-suspended',
+      'one request-broken',
+      'one request-ended',
+    ],
+  );
+  t.is(story.unreadable, 1);
+  t.is(
+    storyText(story).split('\n')[1],
+    '    100 ms  two  target-suspended  target=i-a reason=reset',
+  );
+});
+
+test('the story of an item has what became of its job', t => {
+  const log = [
+    line(10, 'one', 'job-adopted', {job: 'j1', how: 'accepted'}),
+    line(20, 'one', 'item-sent', {job: 'j1', item: 'j1-0', target: 'i-a'}),
+    line(25, 'one', 'item-sent', {job: 'j1', item: 'j1-1', target: 'i-a'}),
+    line(30, 'two', 'job-claimed', {job: 'j1', from: 'one'}),
+  ].join('\n');
+  const events = storyOf('j1-0', [log]).lines.map(({event}) => event);
+  t.deepEqual(events, ['job-adopted', 'item-sent', 'job-claimed']);
+});
+
+test('an id that nobody knows has no story', t => {
+  t.deepEqual(storyOf('nobody', [ONE]).lines, []);
+});
