Each host has targets of its own for items that have time

Items that have time now start at eight or so targets of the host's own, near ones first; those that are due soon go anywhere.

An entry of the list that says nothing new no longer rebuilds the list.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -12,6 +12,7 @@
 export * from './lib/connection/target_connection.js';
 export * from './lib/process/crash_suspects.js';
 export * from './lib/process/front_server.js';
+export * from './lib/process/home_targets.js';
 export * from './lib/process/lifecycle.js';
 export * from './lib/process/load_table.js';
 export * from './lib/process/membership.js';
--- a/packages/gateway/src/lib/process/target_chooser.ts
+++ b/packages/gateway/src/lib/process/target_chooser.ts
@@ -2,6 +2,7 @@
 import type {Random} from '@oathead/core';
 import {targetKey} from '../connection/load_message.js';
 import type {Target} from '../connection/target.js';
+import type {HomeTargets} from './home_targets.js';
 import type {Lane, LoadTable, TargetLoad} from './load_table.js';
 import type {ServiceHealth} from './service_health.js';
 import type {TargetDirectory} from './target_directory.js';
@@ -59,6 +60,7 @@
   readonly suspensions: TargetSuspensions;
   readonly health: ServiceHealth;
   readonly loads: LoadTable;
+  readonly homes: HomeTargets;
   readonly random: Random;
 }
 
@@ -104,11 +106,11 @@
    * @returns The target with the lowest score; undefined: none has room.
    */
   forItem(service: string, pressure: BatchPressure): Target | undefined {
-    const {directory, suspensions} = this.context;
+    const {directory, suspensions, homes} = this.context;
     const share = this.weights.batchStartShare[pressure];
-    const open = directory
-      .ofService(service)
-      .filter(({id}) => !suspensions.has(id));
+    const all = directory.ofService(service);
+    const mine = pressure === 'relaxed' ? homes.among(all) : all;
+    const open = mine.filter(({id}) => !suspensions.has(id));
     return this.best(open, 'batch', ({slots}, {online, batch}) => {
       return online + batch < slots * share;
     });
--- a/packages/gateway/src/lib/process/target_directory.ts
+++ b/packages/gateway/src/lib/process/target_directory.ts
@@ -1,4 +1,5 @@
 /** The targets that are known, by id and by service. */
+import {isDeepStrictEqual} from 'node:util';
 import type {Clock, EventLog} from '@oathead/core';
 import type {Target} from '../connection/target.js';
 
@@ -42,6 +43,9 @@
   put(target: Target): void {
     this.keep(target.id);
     const known = this.targets.get(target.id);
+    // Most changes of an entry say nothing new about the target, and there may
+    // be thousands of targets to go through.
+    if (known && isDeepStrictEqual(known, target)) return;
     this.targets.set(target.id, target);
     this.index(target.service);
     if (known?.leaving === target.leaving) return;
--- a/packages/gateway/src/test/process/target_chooser_test.ts
+++ b/packages/gateway/src/test/process/target_chooser_test.ts
@@ -3,6 +3,7 @@
 import {targetKey} from '../../lib/connection/load_message.js';
 import type {Target} from '../../lib/connection/target.js';
 import {ServiceHealth} from '../../lib/process/service_health.js';
+import {HomeTargets} from '../../lib/process/home_targets.js';
 import {LoadTable} from '../../lib/process/load_table.js';
 import {TargetChooser} from '../../lib/process/target_chooser.js';
 import {TargetDirectory} from '../../lib/process/target_directory.js';
@@ -29,6 +30,7 @@
     suspensions,
     health,
     loads,
+    homes: new HomeTargets({self: 'h', dataCentre, hosts: () => 1}),
     random,
   });
   const load = (id: string, online: number, batch: number) =>
--- a/packages/serving/src/lib/process/serving_parts.ts
+++ b/packages/serving/src/lib/process/serving_parts.ts
@@ -3,6 +3,7 @@
 import {
   ConnectionPool,
   CrashSuspects,
+  HomeTargets,
   LoadExchange,
   LoadTable,
   MEMBER_TABLE,
@@ -93,11 +94,14 @@
     }),
   );
   const crashes = new CrashSuspects({store, clock, log});
+  const homes = new HomeTargets({
+    self: self.id,
+    dataCentre: identity.dataCentre,
+    hosts: () => membership.live().length,
+  });
   const online = onlineContext(
     {host, context, held},
-    directory,
-    loads,
-    crashes,
+    {directory, loads, homes, crashes},
   );
   const reader = new JobReader(store);
   const {storeLimits: limits} = host;
@@ -137,12 +141,17 @@
   readonly held: DisposableStore;
 }
 
+interface Known {
+  readonly directory: TargetDirectory;
+  readonly loads: LoadTable;
+  readonly homes: HomeTargets;
+  readonly crashes: CrashSuspects;
+}
+
 /** What requests and items share: connections, health and choice of targets. */
 function onlineContext(
   {host, context, held}: Base,
-  directory: TargetDirectory,
-  loads: LoadTable,
-  crashes: CrashSuspects,
+  {directory, loads, homes, crashes}: Known,
 ): OnlineContext {
   const {clock, log, random, counters} = context;
   const {protocol} = host;
@@ -157,7 +166,7 @@
     pool.forget(id);
   });
   const known = {directory, suspensions, health, loads};
-  const chooser = new TargetChooser({dataCentre, ...known, random});
+  const chooser = new TargetChooser({dataCentre, ...known, homes, random});
   return {...context, protocol, pool, ...known, chooser, crashes};
 }
 
