A target that only fails does not make others look slow

Cause: the latency of a target without any answer was moved towards the typical one like every other, so it grew from zero, became the lowest known, and with few targets the typical one. The targets that answered then looked many times slower than that and lost their shares as fast as the failing one: nobody was preferred.

It was neither load nor a stale build.

Change: what has no latency gets none.

--- a/packages/core/src/lib/connection/target_health.ts
+++ b/packages/core/src/lib/connection/target_health.ts
@@ -99,7 +99,10 @@
     const typical = this.typicalLatency();
     const fade = Math.min(1, FADE_PER_SECOND * seconds);
     health.failures -= health.failures * fade;
-    health.latencyMs += (typical - health.latencyMs) * fade;
+    // A target that has only failed has no latency: one that grew from zero
+    // would be the lowest of all, and make targets that answer look slow.
+    if (health.latencyMs > 0)
+      health.latencyMs += (typical - health.latencyMs) * fade;
     const wanted = this.wantedShare(health, typical);
     const change = wanted - health.share;
     const most = change < 0 ? -LOSS_PER_SECOND : GAIN_PER_SECOND;
--- a/packages/core/src/test/connection/target_health_test.ts
+++ b/packages/core/src/test/connection/target_health_test.ts
@@ -46,3 +46,18 @@
   for (; now < 300_000; now += 1000) health.tick(now);
   t.true(health.share('t0') > 0.9);
 });
+
+// Users get errors although other targets are well: one of two targets fails all
+// it is sent, and still gets half of everything. The latency of a target that
+// never answered grew from zero, so that the one that answers looked slow, and
+// lost its share as fast.
+test('a target that only fails does not make others look slow', t => {
+  const health = new TargetHealth();
+  for (let now = 0; now < 4000; now += 50) {
+    health.answered('well', QUICK_MS, now);
+    health.failed('failing', now);
+    if (now % 1000 === 0) health.tick(now);
+  }
+  t.is(health.share('well'), 1);
+  t.true(health.share('failing') < 0.1);
+});
