Near hosts hear loads sooner once there are too many for all

Beyond nine hosts the bound of 150 datagrams a second set the same pace for all: 187 ms at 29 hosts, whichever targets they share. With up to nine hosts nothing changes. Members tell their data centre for it.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -8,6 +8,7 @@
 export * from './lib/connection/connection_pool.js';
 export * from './lib/connection/load_exchange.js';
 export * from './lib/connection/load_message.js';
+export * from './lib/connection/load_pace.js';
 export * from './lib/connection/target.js';
 export * from './lib/connection/target_connection.js';
 export * from './lib/process/crash_suspects.js';
--- a/packages/gateway/src/lib/connection/load_exchange.ts
+++ b/packages/gateway/src/lib/connection/load_exchange.ts
@@ -10,16 +10,12 @@
   type Counters,
   type EventLog,
 } from '@oathead/core';
+import {loadSpacing, type LoadPaceOptions} from './load_pace.js';
 import type {LoadTable} from '../process/load_table.js';
 import {decodeLoad, encodeLoad} from './load_message.js';
 
 /** How often loads are told. */
-export interface LoadExchangeOptions {
-  /** The least time between two messages to a host, in milliseconds. */
-  readonly periodMs: number;
-  /** Datagrams that one host sends a second at the most: with more hosts each
-   * hears less often, so that the bytes of a host don't grow with their number. */
-  readonly maxDatagramsPerSecond: number;
+export interface LoadExchangeOptions extends LoadPaceOptions {
   /** How long a host stays silent while nothing changes, in milliseconds. */
   readonly quietMs: number;
 }
@@ -32,15 +28,20 @@
   quietMs: 1000,
 };
 
-const MS_PER_SECOND = 1000;
-
 /** Where a host listens for loads. */
 export interface LoadPeer {
   readonly id: string;
+  readonly dataCentre: string;
   readonly ip: string;
   readonly port: number;
 }
 
+/** Hosts that are told at the same times, and what they were told last. */
+interface ToldGroup {
+  sentAt: number;
+  sentText: string;
+}
+
 /** What a {@link LoadExchange} needs. */
 export interface LoadExchangeContext {
   readonly self: LoadPeer;
@@ -58,8 +59,8 @@
   private readonly heard = new Map<string, number>();
   private readonly socket: Socket = createSocket('udp4');
   private sequence = 0;
-  private sentAt = -Infinity;
-  private sentText = '';
+  private readonly near: ToldGroup = {sentAt: -Infinity, sentText: ''};
+  private readonly far: ToldGroup = {sentAt: -Infinity, sentText: ''};
 
   /**
    * @param context - The table and whom to tell.
@@ -89,24 +90,32 @@
   }
 
   private tick(): void {
-    this.context.table.expire();
-    const peers = this.context.peers();
-    const now = this.context.clock.now();
-    const sinceSent = now - this.sentAt;
-    if (peers.length === 0 || sinceSent < this.spacingMs(peers.length)) return;
+    const {table, self, peers} = this.context;
+    table.expire();
+    const all = peers();
+    const near = all.filter(({dataCentre}) => dataCentre === self.dataCentre);
+    const far = all.filter(({dataCentre}) => dataCentre !== self.dataCentre);
+    const spacing = loadSpacing(near.length, far.length, this.options);
     const text = this.ownText();
-    if (text === this.sentText && sinceSent < this.options.quietMs) return;
-    this.sentAt = now;
-    this.sentText = text;
-    this.tell(peers);
+    this.tellGroup(this.near, near, spacing.nearMs, text);
+    this.tellGroup(this.far, far, spacing.farMs, text);
   }
 
-  /** @returns The least time between two messages, in milliseconds. */
-  private spacingMs(peers: number): number {
-    const {periodMs, maxDatagramsPerSecond} = this.options;
-    const bounded = (peers * MS_PER_SECOND) / maxDatagramsPerSecond;
+  private tellGroup(
+    group: ToldGroup,
+    peers: readonly LoadPeer[],
+    spacingMs: number,
+    text: string,
+  ): void {
+    const {periodMs, quietMs} = this.options;
+    const now = this.context.clock.now();
+    const sinceSent = now - group.sentAt;
     // Half a period less: timers fire late, and a tick must not be missed.
-    return Math.max(periodMs, bounded) - periodMs / 2;
+    if (peers.length === 0 || sinceSent < spacingMs - periodMs / 2) return;
+    if (text === group.sentText && sinceSent < quietMs) return;
+    group.sentAt = now;
+    group.sentText = text;
+    this.tell(peers);
   }
 
   private ownText(): string {
--- a/packages/gateway/src/lib/process/membership.ts
+++ b/packages/gateway/src/lib/process/membership.ts
@@ -20,6 +20,7 @@
   /** New with each start. */
   readonly id: string;
   readonly host: string;
+  readonly dataCentre: string;
   readonly ip: string;
   /** Where it takes other hosts' loads. */
   readonly loadPort: number;
@@ -46,6 +47,7 @@
 const MEMBER = z.object({
   id: z.string(),
   host: z.string(),
+  dataCentre: z.string(),
   ip: z.string(),
   loadPort: z.number().int(),
   controlAddress: z.string(),
--- a/packages/gateway/src/test/process/membership_test.ts
+++ b/packages/gateway/src/test/process/membership_test.ts
@@ -12,7 +12,7 @@
 
 function member(host: string, nonce: string): Member {
   const id = memberId(host, nonce);
-  return {id, host, ip: '', loadPort: 1, controlAddress: ''};
+  return {id, host, dataCentre: 'a', ip: '', loadPort: 1, controlAddress: ''};
 }
 
 function beat(from: Member): VersionedRow {
--- a/packages/jobs/src/test/process/job_janitor_test.ts
+++ b/packages/jobs/src/test/process/job_janitor_test.ts
@@ -65,6 +65,7 @@
   const self = {
     id: memberId('me', '1'),
     host: 'me',
+    dataCentre: 'a',
     ip: '',
     loadPort: 1,
     controlAddress: '',
--- a/packages/serving/src/lib/process/serving_parts.ts
+++ b/packages/serving/src/lib/process/serving_parts.ts
@@ -14,6 +14,7 @@
   TargetChooser,
   TargetDirectory,
   TargetSuspensions,
+  type Member,
   type OnlineContext,
 } from '@oathead/gateway';
 import {
@@ -85,12 +86,19 @@
   const exchange = held.add(
     new LoadExchange({
       ...context,
-      self: {id: self.id, ...identity.loads},
+      self: {
+        id: self.id,
+        dataCentre: identity.dataCentre,
+        ...identity.loads,
+      },
       table: loads,
       peers: () =>
-        membership
-          .peers()
-          .map(({id, ip, loadPort}) => ({id, ip, port: loadPort})),
+        membership.peers().map(({id, dataCentre, ip, loadPort}) => ({
+          id,
+          dataCentre,
+          ip,
+          port: loadPort,
+        })),
     }),
   );
   const crashes = new CrashSuspects({store, clock, log});
@@ -196,10 +204,14 @@
   };
 }
 
-function selfOf({host, loads, control}: ServingIdentity, nonce: string) {
+function selfOf(
+  {host, dataCentre, loads, control}: ServingIdentity,
+  nonce: string,
+): Member {
   return {
     id: memberId(host, nonce),
     host,
+    dataCentre,
     ip: loads.ip,
     loadPort: loads.port,
     controlAddress: addressOf(control),
