The store in memory looks at new changes only

Cause: each call that waits for changes went through the whole history every 5 ms, so the stand-in's work grew with the square of a run.

Change: the history is read from its end, up to what was seen before.

--- a/packages/stores/src/lib/process/memory_row_store.ts
+++ b/packages/stores/src/lib/process/memory_row_store.ts
@@ -75,13 +75,13 @@
     waitMs: number,
   ): RowStoreOutcome<RowChanges> {
     const until = this.clock.now() + waitMs;
+    let looked = after;
     for (;;) {
       if (after < this.historyFrom) return failure({kind: 'history-lost'});
-      const changes = this.history.filter(
-        change => versionOf(change) > after && tableOf(change) === table,
-      );
+      const changes = this.changesOf(table, looked);
       if (changes.length > 0 || this.clock.now() >= until)
         return success({...this.moment(), changes});
+      looked = this.version;
       await sleep(this.clock, LOOK_MS);
     }
   }
@@ -104,6 +104,17 @@
     return success(undefined);
   }
 
+  /** Looks from the end: the history is long, and what is new is short. */
+  private changesOf(table: string, after: number): readonly RowChange[] {
+    const changes: RowChange[] = [];
+    for (let i = this.history.length - 1; i >= 0; i--) {
+      const change = this.history[i]!;
+      if (versionOf(change) <= after) break;
+      if (tableOf(change) === table) changes.push(change);
+    }
+    return changes.reverse();
+  }
+
   private moment(): StoreMoment {
     return {version: this.version, storeTimeMs: this.storeTimeMs()};
   }
