--- a/packages/gateway/src/lib/request/target_send.ts
+++ b/packages/gateway/src/lib/request/target_send.ts
@@ -71,8 +71,10 @@
       suspect(context, target, 'silent');
     // Guards against a target that answers most requests and leaves some
     // without a word: its health check is good, and only who was sent to it
-    // sees what is missing. It loses share, but is not suspended.
-    else if (exchange.firstByteMs === undefined) context.health.failed(target);
+    // sees what is missing. It loses share, but is not suspended. At a full
+    // target a request may just be waiting for its turn.
+    else if (exchange.firstByteMs === undefined && !isFull(loads, target))
+      context.health.failed(target);
   });
   const end = exchange.end$.then(outcome => {
     silence[Symbol.dispose]();
@@ -84,6 +86,11 @@
   return {control: exchange, end};
 }
 
+function isFull(loads: LoadTable, {id, slots}: Target): boolean {
+  const {online, batch} = loads.at(targetKey(id));
+  return online + batch > slots;
+}
+
 /** What an end says of the target. */
 function judge(
   context: SendContext,
