--- /dev/null
+++ b/packages/gateway/src/test/request/parsers_fuzz_test.ts
@@ -0,0 +1,66 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {decodeLoad, encodeLoad} from '../../lib/connection/load_message.js';
+import {EventSplitter} from '../../lib/request/stream_events.js';
+
+const RUNS = 2000;
+const COUNT = fc.nat(1000);
+const LOAD = fc.array(fc.tuple(fc.nat(2 ** 32 - 1).map(String), COUNT, COUNT), {
+  maxLength: 20,
+});
+const EVENTS = fc.array(
+  fc.record({id: COUNT, data: fc.stringMatching(/^[a-z ]{0,20}$/)}),
+  {maxLength: 10},
+);
+
+test('bytes of anyone on the network never stop a host', t => {
+  const property = fc.property(fc.uint8Array({maxLength: 200}), bytes => {
+    decodeLoad(bytes);
+  });
+  fc.assert(property, {numRuns: RUNS, seed: 7});
+  t.pass();
+});
+
+test('a load message says what was put into it', t => {
+  const property = fc.property(LOAD, COUNT, (entries, sequence) => {
+    const load = new Map(
+      entries.map(([key, online, batch]) => [key, {online, batch}]),
+    );
+    const decoded = decodeLoad(encodeLoad({host: 'h', sequence, load}));
+    t.deepEqual(decoded, {host: 'h', sequence, load});
+  });
+  fc.assert(property, {numRuns: RUNS / 10, seed: 7});
+});
+
+test('however a stream is cut, its events come out once and whole', t => {
+  const property = fc.property(EVENTS, fc.array(fc.nat(9)), (events, cuts) => {
+    const text = events
+      .map(({id, data}) => `id: ${id}\ndata: ${data}\n\n`)
+      .join('');
+    const splitter = new EventSplitter();
+    const found: Array<number | undefined> = [];
+    let rest = Buffer.from(text);
+    for (const cut of [...cuts, rest.length]) {
+      const piece = rest.subarray(0, cut + 1);
+      rest = rest.subarray(cut + 1);
+      found.push(...splitter.push(piece).map(({id}) => id));
+    }
+    t.deepEqual(
+      found,
+      events.map(({id}) => id),
+    );
+    t.false(splitter.hasPartialEvent);
+  });
+  fc.assert(property, {numRuns: RUNS, seed: 7});
+});
+
+test('any bytes can come in a stream', t => {
+  const pieces = fc.array(fc.uint8Array({maxLength: 60}), {maxLength: 10});
+  const property = fc.property(pieces, all => {
+    const splitter = new EventSplitter();
+    const events = all.flatMap(piece => splitter.push(Buffer.from(piece)));
+    const bytes = events.reduce((sum, event) => sum + event.bytes.length, 0);
+    t.true(bytes <= all.reduce((sum, piece) => sum + piece.length, 0));
+  });
+  fc.assert(property, {numRuns: RUNS, seed: 7});
+});
