Stand-ins don't reset a socket whose end is being sent

Seen in a stack of the hanging test worker: CleanupHandles calls uv_run without end, and the sockets' shutdown was pending in the resources of an earlier run.

Change: a socket that has ended is closed, not reset.

--- a/packages/soak/src/lib/connection/fault_proxy.ts
+++ b/packages/soak/src/lib/connection/fault_proxy.ts
@@ -7,6 +7,7 @@
   type Server,
   type Socket,
 } from 'node:net';
+import {resetSocket} from '@oathead/platform/stand_ins';
 
 /** How new bytes are treated, on old and new connections alike. */
 export type ProxyMode =
@@ -72,8 +73,8 @@
   /** Resets all connections that are open now. */
   reset(): void {
     for (const {near, far} of this.links) {
-      near.resetAndDestroy();
-      far.resetAndDestroy();
+      resetSocket(near);
+      resetSocket(far);
     }
   }
 
@@ -119,7 +120,7 @@
       else write();
     });
     // A reset or a refused connection at one side is one at the other.
-    from.on('error', () => this.close(link, () => to.resetAndDestroy()));
+    from.on('error', () => this.close(link, () => resetSocket(to)));
     from.on('end', () => this.close(link, () => to.end()));
     from.on('close', () => this.close(link, () => to.destroy()));
   }
