No request waits behind the rest of one that was answered early

Cause: a target may refuse a long request before it has read it, keep the connection and read on slowly. undici takes a body for sent once the socket holds it, so the connection went back to the pool with the rest of the body unsent, and the next request waited behind it until its timeout.

Change: a connection with unsent bytes is not usable and is closed; a connection that is not kept is always closed.

Before: a request of 16 MB refused early by a target that reads no more, and the next request has no answer after 1.3 s. After: answered on a connection of its own.

--- a/packages/gateway/src/lib/connection/target_connection.ts
+++ b/packages/gateway/src/lib/connection/target_connection.ts
@@ -70,9 +70,16 @@
     return this.socket !== undefined;
   }
 
-  /** Whether another request can be sent on it. */
+  /**
+   * Whether another request can be sent on it at once.
+   *
+   * Guards against a request that waits behind the rest of an earlier one: a
+   * target may answer a long request before it has read it, and read on slowly
+   * or not at all. undici takes a body for sent once the socket holds it.
+   */
   get usable(): boolean {
-    return !this.lost && !this.client.destroyed;
+    const unsent = this.socket?.writableLength ?? 0;
+    return !this.lost && !this.client.destroyed && unsent === 0;
   }
 
   /**
--- a/packages/gateway/src/lib/request/target_send.ts
+++ b/packages/gateway/src/lib/request/target_send.ts
@@ -80,6 +80,7 @@
     silence[Symbol.dispose]();
     load[Symbol.dispose]();
     if (exchange.leavesConnectionUsable) pool.keep(target.id, connection);
+    else connection[Symbol.dispose]();
     judge(context, target, lane, outcome, exchange.firstByteMs);
     return outcome;
   });
--- a/packages/gateway/src/test/request/target_send_test.ts
+++ b/packages/gateway/src/test/request/target_send_test.ts
@@ -12,6 +12,9 @@
 const SINK = {events: () => true, paused: () => {}};
 const WHOLE =
   'HTTP/1.1 200 OK\r\nid: r1\r\nseal: s\r\ncontent-length: 2\r\n\r\nok';
+const DECLINED = 'HTTP/1.1 503 Busy\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n';
+/** More than the system keeps of what was sent and not read. */
+const LONG_BODY_BYTES = 16 * 1024 * 1024;
 /** Longer than a target may say nothing. */
 const LONG_MS = 1300;
 
@@ -96,6 +99,34 @@
   await Promise.all(waiting.map(one => one.end));
 });
 
+// A caller gets a timeout although targets are idle: one refused a long request
+// before it had read it, and reads the rest of it slowly. The next request was
+// sent on the same connection, behind that rest.
+test('no request waits behind the rest of one that was answered early', async t => {
+  await using raw = await listenEarly();
+  const context = newContext();
+  const target = targetAt(raw.address);
+  const long = {...requestTo('/long'), body: Buffer.alloc(LONG_BODY_BYTES)};
+  const early = sendToTarget(context, target, 'online', long, SINK);
+  t.is((await early.end).kind, 'declined');
+  await setTimeout(20);
+  const next = sendToTarget(context, target, 'online', requestTo('/a'), SINK);
+  const end = await Promise.race([next.end, setTimeout(LONG_MS)]);
+  t.is(end?.kind, 'answered');
+  next.control.end('timeout');
+});
+
+/** @returns A target that refuses long requests and reads on no more. */
+function listenEarly() {
+  return listen(socket => {
+    socket.on('error', () => socket.destroy());
+    socket.on('data', bytes => {
+      if (!bytes.includes('/long')) socket.write(WHOLE);
+      else socket.pause().write(DECLINED);
+    });
+  });
+}
+
 /** @returns A target that answers nothing at one path. */
 function listenMute() {
   return listen(socket => {
