Leave out servers whose entry names no address

Cause: undici throws when it is to connect to something that is no address, in the middle of sending a request, which ends the process. Found by reading; an entry such as "1.2.3.4" was taken for a target before.

Change: the list of servers takes IP numbers with a port only, by the check that the product's own configuration had; it moved to core, so that there is one.

--- a/packages/config/src/lib/version/spec_schema.ts
+++ b/packages/config/src/lib/version/spec_schema.ts
@@ -2,7 +2,7 @@
  * Schemas of what operators write: every field checked, every problem listed
  * with its path, defaults filled in, so that a first `model` needs no field.
  */
-import {failure, notRun, success} from '@oathead/core';
+import {failure, isSocketAddress, notRun, success} from '@oathead/core';
 import type {
   Outcome,
   Problem,
@@ -10,7 +10,6 @@
   ResourceKind,
   SpecByKind,
 } from '@oathead/core';
-import {isIP} from 'node:net';
 import {z} from 'zod';
 import {invalid, problemsOf} from './problems.js';
 
@@ -18,7 +17,6 @@
 const NAME_MESSAGE =
   'must be 1 to 63 of a-z, 0-9, "." and "-", beginning with a letter or digit';
 const KEY_HASH_PATTERN = /^[0-9a-f]{64}$/;
-const MAX_PORT = 65_535;
 /** Two while a key is rotated. */
 const MAX_KEY_HASHES = 2;
 const MAX_POOLS = 64;
@@ -69,7 +67,7 @@
     .refine(pools => new Set(pools).size === pools.length, {
       message: 'names a model or service twice',
     }),
-  address: z.string().refine(isAddress, {
+  address: z.string().refine(isSocketAddress, {
     message: 'must be an IP number and a port, such as 10.0.0.7:7410',
   }),
   dataCentre: name,
@@ -105,19 +103,6 @@
   limits,
 };
 
-/**
- * @param text - Host and port.
- * @returns Whether it is an IP number with a port, such as `[::1]:7410`.
- */
-function isAddress(text: string): boolean {
-  const match = /^(?:\[([^\]]+)\]|([^:]+)):(\d{1,5})$/.exec(text);
-  if (!match) return false;
-  const port = Number(match[3]);
-  const host = match[1] ?? match[2]!;
-  const family = match[1] === undefined ? 4 : 6;
-  return isIP(host) === family && port > 0 && port <= MAX_PORT;
-}
-
 /**
  * @param kind - What an operator wrote as a kind.
  * @returns Whether resources of the kind exist.
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -5,6 +5,7 @@
  * @packageDocumentation
  */
 export * from './lib/connection/connection_machine.js';
+export * from './lib/connection/socket_address.js';
 export * from './lib/connection/subset.js';
 export * from './lib/connection/target_choice.js';
 export * from './lib/connection/target_health.js';
