Hosts give way in another order at each target

Cause: of items that are too many at a target, those of the host whose name comes first gave way first, at every target and in every burst.

Change: rendezvous order by target.

--- a/packages/gateway/src/lib/process/target_chooser.ts
+++ b/packages/gateway/src/lib/process/target_chooser.ts
@@ -1,5 +1,5 @@
 /** Which target gets the next request: the least loaded, near ones first. */
-import type {Random} from '@oathead/core';
+import {rendezvous, type Random} from '@oathead/core';
 import {targetKey} from '../connection/load_message.js';
 import type {Target} from '../connection/target.js';
 import type {HomeTargets} from './home_targets.js';
@@ -30,7 +30,7 @@
 /** Whether items have time to wait for a quiet moment, or are due soon. */
 export type BatchPressure = 'relaxed' | 'pressed';
 
-/** Five of eight slots are filled with items that have time, seven with those
+/** Seven of eight slots are filled with items that have time, all with those
  * that are due soon; items give way when an online request would have to wait. */
 export const DEFAULT_CHOICE_WEIGHTS: ChoiceWeights = {
   remotePenalty: {online: 1.5, batch: 3},
@@ -151,8 +151,12 @@
     const {online, batch} = loads.at(key);
     const limit = Math.floor(target.slots * this.weights.batchYieldShare);
     let excess = online + batch - limit;
+    if (excess <= 0) return 0;
     const counts = new Map(loads.batchOfOthers(key)).set(host, own);
-    for (const name of [...counts.keys()].sort()) {
+    // Another order at each target. In one order for all, items of the first
+    // host gave way at each target in each burst: with equal traffic one data
+    // centre had 0.55 of its worth and the last in the order 0.90.
+    for (const name of rendezvous(target.id, [...counts.keys()])) {
       if (excess <= 0) return 0;
       if (name === host) return Math.min(own, excess);
       excess -= counts.get(name)!;
