What is nearly done gives way last, across hosts

Cause: the order of giving way within a host says nothing of the items of other hosts.

Change: loads say how many items of a host at a target are nearly done (in time, half or more of the text there), and those of all hosts give way after the others. Messages have a format number, so that a host of another release is not misread during a rollout.

--- a/packages/gateway/src/lib/connection/load_message.ts
+++ b/packages/gateway/src/lib/connection/load_message.ts
@@ -2,7 +2,7 @@
 import {hash32} from '@oathead/core';
 import {pack, unpack} from 'msgpackr';
 import {z} from 'zod';
-import type {HostLoad, TargetLoad} from '../process/load_table.js';
+import type {HostLoad, HostTargetLoad} from '../process/load_table.js';
 
 /** What a datagram says. */
 export interface LoadMessage {
@@ -14,9 +14,13 @@
 }
 
 const COUNT = z.number().int().nonnegative();
-const MESSAGE = z.tuple([z.string(), COUNT, z.array(COUNT)]);
-/** A target's entry: its key, online requests, items of batch jobs. */
-const ENTRY_FIELDS = 3;
+/** Changes with the fields: a host of another release is not misread, it counts
+ * as idle until it is replaced. */
+const FORMAT = 2;
+const MESSAGE = z.tuple([z.literal(FORMAT), z.string(), COUNT, z.array(COUNT)]);
+/** A target's entry: its key, online requests, items of batch jobs, and how
+ * many of these are nearly done. */
+const ENTRY_FIELDS = 4;
 
 /**
  * A target's id is a text of a dozen bytes that stands in each message; its
@@ -35,12 +39,15 @@
  * @returns The datagram.
  */
 export function encodeLoad(message: LoadMessage): Uint8Array {
-  const flat = [...message.load].flatMap(([key, {online, batch}]) => [
-    Number(key),
-    online,
-    batch,
-  ]);
-  return pack([message.host, message.sequence, flat]);
+  const flat = [...message.load].flatMap(
+    ([key, {online, batch, nearlyDone = 0}]) => [
+      Number(key),
+      online,
+      batch,
+      nearlyDone,
+    ],
+  );
+  return pack([FORMAT, message.host, message.sequence, flat]);
 }
 
 /**
@@ -50,10 +57,12 @@
 export function decodeLoad(datagram: Uint8Array): LoadMessage | undefined {
   const parsed = MESSAGE.safeParse(unpacked(datagram));
   if (!parsed.success) return undefined;
-  const [host, sequence, flat] = parsed.data;
-  const load = new Map<string, TargetLoad>();
-  for (let i = 0; i + ENTRY_FIELDS <= flat.length; i += ENTRY_FIELDS)
-    load.set(String(flat[i]), {online: flat[i + 1]!, batch: flat[i + 2]!});
+  const [, host, sequence, flat] = parsed.data;
+  const load = new Map<string, HostTargetLoad>();
+  for (let i = 0; i + ENTRY_FIELDS <= flat.length; i += ENTRY_FIELDS) {
+    const [key, online, batch, nearlyDone] = flat.slice(i, i + ENTRY_FIELDS);
+    load.set(String(key), {online: online!, batch: batch!, nearlyDone});
+  }
   return {host, sequence, load};
 }
 
--- a/packages/gateway/src/lib/process/load_table.ts
+++ b/packages/gateway/src/lib/process/load_table.ts
@@ -13,8 +13,14 @@
   readonly batch: number;
 }
 
+/** One host's requests in flight at one target. */
+export interface HostTargetLoad extends TargetLoad {
+  /** Of its batch items, those that give way last; left out: none. */
+  readonly nearlyDone?: number;
+}
+
 /** One host's requests in flight, by target. */
-export type HostLoad = ReadonlyMap<string, TargetLoad>;
+export type HostLoad = ReadonlyMap<string, HostTargetLoad>;
 
 /** What another host said of a target. */
 interface HeardLoad {
@@ -30,7 +36,7 @@
 
 /** Loads by target, kept up to date by {@link begin} and {@link hear}. */
 export class LoadTable {
-  private readonly own = new Map<string, TargetLoad>();
+  private readonly own = new Map<string, HostTargetLoad>();
   private readonly others = new Map<string, HeardLoad>();
   private readonly totals = new Map<string, TargetLoad>();
   private readonly listeners: Array<() => void> = [];
@@ -60,6 +66,15 @@
     };
   }
 
+  /**
+   * @param targetKey - A target with items of this host.
+   * @param nearlyDone - How many of them give way last.
+   */
+  markNearlyDone(targetKey: string, nearlyDone: number): void {
+    const own = this.own.get(targetKey);
+    if (own) this.own.set(targetKey, {...own, nearlyDone});
+  }
+
   /** This host's own requests in flight; targets without any are left out. */
   get ownLoad(): HostLoad {
     return this.own;
@@ -95,26 +110,23 @@
   }
 
   /** @returns This host's own share of it. */
-  ownAt(targetKey: string): TargetLoad {
+  ownAt(targetKey: string): HostTargetLoad {
     return this.own.get(targetKey) ?? NO_LOAD;
   }
 
-  /** @returns Batch items in flight at a target by host, this host not among them. */
-  batchOfOthers(targetKey: string): ReadonlyMap<string, number> {
-    const counts = new Map<string, number>();
+  /** @returns The load of a target by host, of hosts that have items there. */
+  hostsWithItems(targetKey: string): ReadonlyMap<string, HostTargetLoad> {
+    const loads = new Map<string, HostTargetLoad>();
     for (const [host, {load}] of this.others) {
-      const batch = load.get(targetKey)?.batch ?? 0;
-      if (batch > 0) counts.set(host, batch);
+      const here = load.get(targetKey);
+      if (here && here.batch > 0) loads.set(host, here);
     }
-    return counts;
+    return loads;
   }
 
   private add(targetKey: string, lane: Lane, by: number): void {
-    const {online, batch} = this.ownAt(targetKey);
-    const next: TargetLoad =
-      lane === 'online'
-        ? {online: online + by, batch}
-        : {online, batch: batch + by};
+    const own = this.ownAt(targetKey);
+    const next: HostTargetLoad = {...own, [lane]: own[lane] + by};
     if (next.online + next.batch === 0) this.own.delete(targetKey);
     else this.own.set(targetKey, next);
     if (lane === 'online') this.shift(targetKey, by, 0);
--- a/packages/gateway/src/lib/process/target_chooser.ts
+++ b/packages/gateway/src/lib/process/target_chooser.ts
@@ -3,7 +3,12 @@
 import {targetKey} from '../connection/load_message.js';
 import type {Target} from '../connection/target.js';
 import type {HomeTargets} from './home_targets.js';
-import type {Lane, LoadTable, TargetLoad} from './load_table.js';
+import type {
+  HostTargetLoad,
+  Lane,
+  LoadTable,
+  TargetLoad,
+} from './load_table.js';
 import type {ServiceHealth} from './service_health.js';
 import type {TargetDirectory} from './target_directory.js';
 import type {TargetSuspensions} from './target_suspensions.js';
@@ -43,6 +48,13 @@
 /** Priorities below this one are treated alike. */
 const LOWEST_PRIORITY = 4;
 
+/** The items of a host in the order in which they give way. What is nearly done
+ * goes last: time of targets for a text that is never finished is lost. */
+const YIELD_ORDER: ReadonlyArray<(load: HostTargetLoad) => number> = [
+  load => load.batch - nearlyDoneOf(load),
+  nearlyDoneOf,
+];
+
 /** What a choice goes by. */
 export interface ChoiceView {
   readonly targets: number;
@@ -146,22 +158,14 @@
   itemsToYield(target: Target, host: string): number {
     const key = targetKey(target.id);
     const {loads} = this.context;
-    const own = loads.ownAt(key).batch;
-    if (own === 0) return 0;
+    const own = loads.ownAt(key);
+    if (own.batch === 0) return 0;
     const {online, batch} = loads.at(key);
     const limit = Math.floor(target.slots * this.weights.batchYieldShare);
-    let excess = online + batch - limit;
+    const excess = online + batch - limit;
     if (excess <= 0) return 0;
-    const counts = new Map(loads.batchOfOthers(key)).set(host, own);
-    // Another order at each target. In one order for all, items of the first
-    // host gave way at each target in each burst: with equal traffic one data
-    // centre had 0.55 of its worth and the last in the order 0.90.
-    for (const name of rendezvous(target.id, [...counts.keys()])) {
-      if (excess <= 0) return 0;
-      if (name === host) return Math.min(own, excess);
-      excess -= counts.get(name)!;
-    }
-    return 0;
+    const shares = new Map(loads.hostsWithItems(key)).set(host, own);
+    return shareOfExcess(target.id, shares, host, excess);
   }
 
   private best(
@@ -192,3 +196,30 @@
     return inFlight / health.share(target) + far;
   }
 }
+
+/** Another order of hosts at each target. In one order for all, items of the
+ * first host gave way at each target in each burst: with equal traffic one data
+ * centre had 0.55 of its worth and the last in the order 0.90. */
+function shareOfExcess(
+  targetId: string,
+  loads: ReadonlyMap<string, HostTargetLoad>,
+  host: string,
+  excess: number,
+): number {
+  const order = rendezvous(targetId, [...loads.keys()]);
+  let left = excess;
+  let mine = 0;
+  for (const itemsOf of YIELD_ORDER) {
+    for (const name of order) {
+      const count = Math.min(itemsOf(loads.get(name)!), left);
+      if (name === host) mine += count;
+      left -= count;
+    }
+  }
+  return mine;
+}
+
+/** An item may have ended since the others were counted. */
+function nearlyDoneOf({batch, nearlyDone = 0}: HostTargetLoad): number {
+  return Math.min(batch, nearlyDone);
+}
--- a/packages/gateway/src/test/process/target_chooser_test.ts
+++ b/packages/gateway/src/test/process/target_chooser_test.ts
@@ -105,6 +105,40 @@
     t.true(first.filter(one => one === host).length >= 5, `${first}`);
 });
 
+// Much time of targets goes into texts that are never finished in time: in each
+// burst a host ended items that were nearly done, while items of another that
+// had just begun went on.
+test('what is nearly done gives way last, on all hosts', t => {
+  const key = targetKey('only');
+  const loadOf = (host: string) => ({
+    online: 0,
+    batch: 5,
+    nearlyDone: host === 'h1' ? 5 : 2,
+  });
+  const hosts = ['h1', 'h2'];
+  const yields = hosts.map(self => {
+    const {chooser, loads} = fleet(target('only'));
+    for (let i = 0; i < 5; i++) loads.begin(key, 'batch');
+    loads.markNearlyDone(key, loadOf(self).nearlyDone);
+    for (const host of hosts)
+      if (host !== self) loads.hear(host, new Map([[key, loadOf(host)]]));
+    return chooser.itemsToYield(target('only'), self);
+  });
+  t.deepEqual(yields, [0, 2]);
+});
+
+// An item that was nearly done has ended since the host counted them; it must
+// not end more items than it has.
+test('a count that is older than the load counts for no more than there is', t => {
+  const {chooser, loads, load} = fleet(target('only'));
+  const key = targetKey('only');
+  const items = [1, 2].map(() => loads.begin(key, 'batch'));
+  loads.markNearlyDone(key, 2);
+  items[0]![Symbol.dispose]();
+  load('only', 20, 0);
+  t.is(chooser.itemsToYield(target('only'), 'h'), 1);
+});
+
 test('what is less urgent finds a target full first', t => {
   const {chooser, load} = fleet(target('only'));
   load('only', 10, 0);
--- a/packages/jobs/src/lib/process/batch_scheduler.ts
+++ b/packages/jobs/src/lib/process/batch_scheduler.ts
@@ -3,13 +3,14 @@
  * beside online requests; and which give way when a target fills up.
  */
 import {DisposableStore, type Random} from '@oathead/core';
-import type {
-  BatchPressure,
-  Route,
-  RoutingState,
-  Target,
-  TargetChooser,
-  TargetDirectory,
+import {
+  targetKey,
+  type BatchPressure,
+  type Route,
+  type RoutingState,
+  type Target,
+  type TargetChooser,
+  type TargetDirectory,
 } from '@oathead/gateway';
 import type {ItemWork} from './item_work.js';
 import {
@@ -188,7 +189,9 @@
     for (const [targetId, candidates] of running) {
       const target = this.context.directory.get(targetId);
       if (!target) continue;
-      const {chooser, self} = this.context;
+      const {chooser, loads, self} = this.context;
+      const nearlyDone = candidates.filter(one => one.outlook.nearlyDone);
+      loads.markNearlyDone(targetKey(targetId), nearlyDone.length);
       const excess = chooser.itemsToYield(target, self);
       if (excess > 0) this.endLeastUrgent(candidates, excess);
     }
--- a/packages/jobs/src/lib/process/item_durations.ts
+++ b/packages/jobs/src/lib/process/item_durations.ts
@@ -21,6 +21,8 @@
   readonly needsMs: number;
   /** Until it is due, in milliseconds; negative: it is overdue. */
   readonly leftMs: number;
+  /** Half of it or more is done, and it can be in time. */
+  readonly nearlyDone: boolean;
 }
 
 /** What an item's duration goes by. */
@@ -36,6 +38,8 @@
 const NEWEST_WEIGHT = 0.1;
 /** Before any item was done, it is taken to need this share of its job's time. */
 const FIRST_GUESS_SHARE = 0.25;
+/** With so much of it left or less, an item counts as nearly done. */
+const NEARLY_DONE_SHARE = 0.5;
 /** What is left of an item that was cut is at least this share of the mean. */
 const LEAST_LEFT_SHARE = 0.1;
 /** An item is pressed when less than so many times its duration is left: room
@@ -69,22 +73,24 @@
    * @returns How it stands.
    */
   outlookOf(kind: ItemKind, work: ItemWork, leftMs: number): ItemOutlook {
-    const needsMs = this.needsMs(kind, work);
-    return {urgency: urgencyOf(needsMs, leftMs), needsMs, leftMs};
+    const wholeMs = this.wholeMs(kind);
+    const leftShare = Math.max(this.leftShare(kind, work), LEAST_LEFT_SHARE);
+    const needsMs = wholeMs * leftShare;
+    const urgency = urgencyOf(needsMs, leftMs);
+    const nearlyDone = urgency !== 'late' && leftShare <= NEARLY_DONE_SHARE;
+    return {urgency, needsMs, leftMs, nearlyDone};
   }
 
-  private needsMs(
-    {hostName, completionGoalMs}: ItemKind,
-    work: ItemWork,
-  ): number {
+  private wholeMs({hostName, completionGoalMs}: ItemKind): number {
     const known = this.known.get(hostName);
-    if (!known) {
-      const guess = completionGoalMs * FIRST_GUESS_SHARE;
-      return Math.max(guess - work.ranMs, guess * LEAST_LEFT_SHARE);
-    }
-    const {texts, msPerText} = known;
-    const left = Math.max(texts - work.texts.length, texts * LEAST_LEFT_SHARE);
-    return left * msPerText;
+    if (!known) return completionGoalMs * FIRST_GUESS_SHARE;
+    return known.texts * known.msPerText;
+  }
+
+  private leftShare(kind: ItemKind, work: ItemWork): number {
+    const known = this.known.get(kind.hostName);
+    if (!known) return 1 - work.ranMs / this.wholeMs(kind);
+    return 1 - work.texts.length / known.texts;
   }
 }
 
