Soak: planned changes in the calm after the faults, with tight bounds

Three checks could hardly fail: planned stops were judged only where no other fault was near, which drawn plans never left room for; leaving servers had 12 s; of the configuration only the first added route was followed. After the faults a program is now stopped, a server replaced and a route added, one after another. The check of calm stops in drawn plans is gone, as this one takes its place; while faults overlap the bounds are as before.

Not run yet with this change: the soak itself.

--- a/packages/soak/src/lib/process/promises.ts
+++ b/packages/soak/src/lib/process/promises.ts
@@ -2,6 +2,7 @@
 import type {SeenRequest} from '@oathead/platform/stand_ins';
 import type {JobRecord} from '../request/batch_load.js';
 import type {OnlineRecord} from '../request/online_load.js';
+import {CALM_BOUND_MS, type CalmChanges} from './calm_changes.js';
 import {wholeStream, wholeText, type SoakFleet} from './soak_fleet.js';
 
 /** What a run is judged by. */
@@ -9,8 +10,8 @@
   readonly fleet: SoakFleet;
   readonly online: readonly OnlineRecord[];
   readonly jobs: readonly JobRecord[];
-  /** Planned stops with no other fault around them, by process. */
-  readonly calmStops: ReadonlyMap<number, number>;
+  /** Planned changes with no fault around them. */
+  readonly calm: CalmChanges;
 }
 
 /** A promise: says what broke it. */
@@ -34,6 +35,7 @@
   'an ended job stops': endedJobsStop,
   'a leaving target gets nothing new': leavingTargetsRest,
   'a configuration never goes back': configurationsStay,
+  'a configuration is in force everywhere in time': configurationsArrive,
   'a planned stop cuts off nothing': stopsCutNothing,
   'no program ends by itself': programsLive,
 };
@@ -118,11 +120,12 @@
     .map(({path}) => `${path} ran after its job was ended`);
 }
 
-function leavingTargetsRest({fleet}: Evidence): readonly string[] {
+function leavingTargetsRest({fleet, calm}: Evidence): readonly string[] {
   return fleet.incarnations.flatMap(({id, server}) => {
     const since = fleet.leavingSince.get(id) ?? Infinity;
+    const boundMs = calm.left.has(id) ? CALM_BOUND_MS : LEAVING_BOUND_MS;
     return server.ran
-      .filter(({at}) => at > since + LEAVING_BOUND_MS)
+      .filter(({at}) => at > since + boundMs)
       .map(({path, at}) => `${id} got ${path} ${at - since} ms after`);
   });
 }
@@ -140,10 +143,16 @@
   return flaws;
 }
 
+function configurationsArrive({online, calm}: Evidence): readonly string[] {
+  return online
+    .filter(({path, status}) => path.startsWith(calm.route) && status === 404)
+    .map(({place, path}) => `${place} does not know ${path}`);
+}
+
 function stopsCutNothing(evidence: Evidence): readonly string[] {
   const ran = new Set(allRuns(evidence).map(({id}) => id));
   return evidence.online
-    .filter(({pid}) => evidence.calmStops.has(pid))
+    .filter(({pid}) => evidence.calm.stopped.has(pid))
     .filter(({id, status}) => status === undefined && ran.has(id))
     .map(({id, place}) => `${id} was cut at ${place}`);
 }
--- a/packages/soak/src/lib/process/run_soak.ts
+++ b/packages/soak/src/lib/process/run_soak.ts
@@ -1,7 +1,9 @@
-/** One run of the soak: load, faults that overlap, calm, and the promises. */
+/** One run of the soak: load, faults that overlap, planned changes in the calm
+ * that follows, and the promises. */
 import {seededRandom, sleep, SYSTEM_CLOCK} from '@oathead/core';
 import {BatchLoad} from '../request/batch_load.js';
 import {OnlineLoad, type OnlineKind} from '../request/online_load.js';
+import {makeCalmChanges} from './calm_changes.js';
 import {FAULT_HANDLERS} from './fault_handlers.js';
 import {PROMISES, type Evidence} from './promises.js';
 import {SoakFleet} from './soak_fleet.js';
@@ -34,9 +36,6 @@
 const LAST_REQUESTS = 20;
 /** One in ten may fail in the calm: a share that no fault explains. */
 const LAST_SHARE = 0.9;
-/** No other fault so long before a planned stop makes it a calm one, in ms. */
-const CALM_BEFORE_MS = 5000;
-const CALM_AFTER_MS = 9000;
 
 /**
  * @param options - Seed, time and size.
@@ -49,11 +48,11 @@
   const online = new OnlineLoad(fleet, random);
   const batch = new BatchLoad(fleet, random);
   const faults = planFaults(options);
-  const calmStops = new Map<number, number>();
   online.start();
   batch.start();
-  await strike(fleet, faults, calmStops);
+  await strike(fleet, faults);
   await sleep(SYSTEM_CLOCK, CALM_MS);
+  const calm = await makeCalmChanges(fleet, random);
   await batch.finish();
   await online.stop();
   await readAll(batch);
@@ -62,7 +61,7 @@
     fleet,
     online: online.records,
     jobs: batch.jobs,
-    calmStops,
+    calm,
   };
   const violations = [...violationsOf(evidence), ...last];
   return {
@@ -82,34 +81,18 @@
 async function strike(
   fleet: SoakFleet,
   faults: readonly PlannedFault[],
-  calmStops: Map<number, number>,
 ): Promise<void> {
   const startedAt = SYSTEM_CLOCK.now();
   const undone: Array<Promise<void>> = [];
-  for (const fault of faults) {
-    const waitMs = startedAt + fault.atMs - SYSTEM_CLOCK.now();
+  for (const {kind, atMs, forMs, seed} of faults) {
+    const waitMs = startedAt + atMs - SYSTEM_CLOCK.now();
     await sleep(SYSTEM_CLOCK, Math.max(0, waitMs));
-    const pids = new Set(fleet.programs.map(({program}) => program.pid));
-    const random = seededRandom(fault.seed);
-    const {forMs} = fault;
-    undone.push(FAULT_HANDLERS[fault.kind]({fleet, random, forMs}));
-    if (fault.kind === 'program-stop' && isCalm(fault, faults))
-      for (const {ending, program} of fleet.programs)
-        if (ending && pids.has(program.pid))
-          calmStops.set(program.pid, fault.atMs);
+    const random = seededRandom(seed);
+    undone.push(FAULT_HANDLERS[kind]({fleet, random, forMs}));
   }
   await Promise.all(undone);
 }
 
-function isCalm(stop: PlannedFault, faults: readonly PlannedFault[]): boolean {
-  return faults.every(
-    fault =>
-      fault === stop ||
-      fault.atMs + fault.forMs < stop.atMs - CALM_BEFORE_MS ||
-      fault.atMs > stop.atMs + CALM_AFTER_MS,
-  );
-}
-
 async function readAll(batch: BatchLoad): Promise<void> {
   const until = Date.now() + FINISH_MS;
   while (batch.unfinished().length > 0 && Date.now() < until) {
--- a/packages/soak/src/lib/process/soak_fleet.ts
+++ b/packages/soak/src/lib/process/soak_fleet.ts
@@ -84,6 +84,9 @@
   readonly leavingSince = new Map<string, number>();
   /** Routes that were added, in order. */
   readonly addedRoutes: string[] = [];
+  /** The prefix of the route that callers follow: the first that was added, to
+   * see whether it stays. */
+  knownRoute = '/limits/';
   /** Programs that ended by themselves, with what they wrote last. */
   readonly deaths: string[] = [];
   private readonly held: AsyncDisposable[] = [this.store];
@@ -108,6 +111,7 @@
   async addRoute(): Promise<string> {
     const prefix = `/extra${this.addedRoutes.length}/`;
     this.addedRoutes.push(prefix);
+    this.knownRoute = this.addedRoutes[0]!;
     await this.configure();
     return prefix;
   }
--- a/packages/soak/src/lib/request/online_load.ts
+++ b/packages/soak/src/lib/request/online_load.ts
@@ -93,10 +93,7 @@
 
   private pathOf(kind: OnlineKind, id: string): string {
     if (kind !== 'extra') return `/${kind}/${id}`;
-    // A route that is older than any bound: it must be known everywhere.
-    const {addedRoutes} = this.fleet;
-    const [first = '/limits/'] = addedRoutes;
-    return `${first}${id}`;
+    return `${this.fleet.knownRoute}${id}`;
   }
 }
 
