--- a/packages/batch/src/test/fakes/fake_fleet.ts
+++ b/packages/batch/src/test/fakes/fake_fleet.ts
@@ -204,3 +204,27 @@
     idempotent: typeof idempotent === 'boolean' ? idempotent : idempotent(i),
   }));
 }
+
+/** Long enough for any job of these tests, in milliseconds. */
+export const NIGHT_MS = 600_000;
+
+/**
+ * @param ids - Of the entries.
+ * @returns A fleet, and its entries, started.
+ */
+export function started(...ids: string[]) {
+  return startedWith({}, ...ids);
+}
+
+/**
+ * @param settings - Those that differ from the defaults.
+ * @param ids - Of the entries.
+ * @returns A fleet, and its entries, started.
+ */
+export function startedWith(
+  settings: Partial<BatchSettings>,
+  ...ids: string[]
+) {
+  const fleet = new FakeFleet(1, settings);
+  return {fleet, entries: ids.map(id => fleet.start(id))};
+}
