--- a/packages/soak/src/lib/process/calm_changes.ts
+++ b/packages/soak/src/lib/process/calm_changes.ts
@@ -16,6 +16,8 @@
   readonly left: ReadonlySet<string>;
   /** The prefix of a route that all programs must know by now. */
   readonly route: string;
+  /** Since when, on the time of day in milliseconds. */
+  readonly routeKnownAt: number;
 }
 
 /** Within which a change is in force everywhere, and a second for a busy
@@ -41,7 +43,7 @@
   const route = await fleet.addRoute();
   await sleep(SYSTEM_CLOCK, CALM_BOUND_MS);
   fleet.knownRoute = route;
-  return {stopped, left: new Set(left), route};
+  return {stopped, left: new Set(left), route, routeKnownAt: Date.now()};
 }
 
 async function stopOne(
--- a/packages/soak/src/lib/process/promises.ts
+++ b/packages/soak/src/lib/process/promises.ts
@@ -145,6 +145,7 @@
 
 function configurationsArrive({online, calm}: Evidence): readonly string[] {
   return online
+    .filter(({sentAt}) => sentAt >= calm.routeKnownAt)
     .filter(({path, status}) => path.startsWith(calm.route) && status === 404)
     .map(({place, path}) => `${place} does not know ${path}`);
 }
--- a/packages/soak/src/lib/process/run_soak.ts
+++ b/packages/soak/src/lib/process/run_soak.ts
@@ -141,5 +141,5 @@
   const texts = fleet.programs.map(
     ({name, program}) => [name, program.text] as const,
   );
-  return Object.fromEntries(texts);
+  return Object.fromEntries([...fleet.formerLogs, ...texts]);
 }
--- a/packages/soak/src/lib/process/soak_fleet.ts
+++ b/packages/soak/src/lib/process/soak_fleet.ts
@@ -87,6 +87,8 @@
   /** The prefix of the route that callers follow: the first that was added, to
    * see whether it stays. */
   knownRoute = '/limits/';
+  /** What programs wrote that have ended, by place and process. */
+  readonly formerLogs = new Map<string, string>();
   /** Programs that ended by themselves, with what they wrote last. */
   readonly deaths: string[] = [];
   private readonly held: AsyncDisposable[] = [this.store];
@@ -119,6 +121,8 @@
   /** @param place - Where a program has ended; it is started again. */
   async restart(place: ProgramPlace): Promise<void> {
     await place.program.ended();
+    const {pid, text} = place.program;
+    this.formerLogs.set(`${place.name}-${pid}`, text);
     const options = place.program.startedWith;
     await place.program[Symbol.asyncDispose]();
     place.program = await this.launch(place.name, options);
