--- a/packages/gateway/src/lib/connection/connection_pool.ts
+++ b/packages/gateway/src/lib/connection/connection_pool.ts
@@ -34,10 +34,11 @@
   }
 
   /**
-   * Keeps a connection whose answer was whole and whose request was sent. It can be taken a turn of the
-   * event loop later: bytes that follow an answer in the same packet belong to
-   * no request, and undici would take them for the answer to a request that is
-   * queued already. With none queued it drops the connection.
+   * Keeps a connection whose answer was whole and whose request was sent. It can
+   * be taken a turn of the event loop later: bytes that follow an answer in the
+   * same packet belong to no request, and undici would take them for the answer
+   * to a request that is queued already. With none queued it drops the
+   * connection.
    *
    * @param targetId - Whose connection it is.
    * @param connection - The connection, with no request on it.
