--- a/packages/gateway/src/lib/connection/target.ts
+++ b/packages/gateway/src/lib/connection/target.ts
@@ -2,8 +2,14 @@
 
 /** A target that requests can be sent to. */
 export interface Target {
-  /** New with each start of the target's server. */
+  /** Names this run of the server: what is kept by it (connections, load, health,
+   * suspensions) never counts for a later run. */
   readonly id: string;
+  /** The id under which the server lists itself. A later run may have it again. */
+  readonly serverId: string;
+  /** When this run began, on the server's time of day in Unix milliseconds;
+   * undefined: it says nothing of it, and has a new `serverId` at each start. */
+  readonly startedAtMs: number | undefined;
   readonly service: string;
   /** IP address and port. */
   readonly address: string;
--- a/packages/gateway/src/lib/process/crash_suspects.ts
+++ b/packages/gateway/src/lib/process/crash_suspects.ts
@@ -4,10 +4,12 @@
  * Guards against a request that takes down one target after another: its run
  * ends with a broken connection before anything was answered, its caller sends
  * it again to any host, and each run costs a target and all that runs on it.
- * Runs that end so are counted by what is asked, in the store, so that all hosts
- * know; after three of them the request is not sent any more. An innocent
- * request that ran beside it is counted, too, but its next run succeeds, which
- * clears it.
+ * The targets at which runs ended so are kept by what is asked, in the store, so
+ * that all hosts know; after three of them the request is not sent any more. An
+ * innocent request that ran beside it is counted, too, but its next run succeeds,
+ * which clears it. A target counts once: one that crashed is back as another run
+ * of its server, so that several breaks at one run are lost answers of a target
+ * that lives.
  */
 import {fingerprint, type Clock, type EventLog} from '@oathead/core';
 import {
@@ -18,19 +20,22 @@
 } from '@oathead/stores';
 import {z} from 'zod';
 
-/** The table of counts, by fingerprint. */
+/** The table of suspects, by fingerprint. */
 export const SUSPECT_TABLE = 'suspects';
 
 const SUSPECT = z.object({
-  /** Runs that broke off. */
-  breaks: z.number().int(),
-  /** When the last one did, on the store's clock in milliseconds. */
+  /** Targets at which a run broke off; see `Target.id`. */
+  targets: z.array(z.string()),
+  /** When the last run did, on the store's clock in milliseconds. */
   at: z.number(),
 });
-type Suspect = Readonly<z.infer<typeof SUSPECT>>;
+interface Suspect {
+  readonly targets: readonly string[];
+  readonly at: number;
+}
 
-/** So many runs may break off: two could be the fault of their targets. */
-const BREAKS_TO_BLOCK = 3;
+/** At so many targets runs may break off: two could fail by themselves. */
+const TARGETS_TO_BLOCK = 3;
 /** A suspect is forgotten after so long, in milliseconds: time for the targets
  * to be back, and then one run to see whether it crashes them still. */
 const SUSPECT_LIFETIME_MS = 60_000;
@@ -59,16 +64,21 @@
   /** @returns Whether the request is not to be sent any more. */
   isBlocked(print: string): boolean {
     const suspect = this.suspects.get(print);
-    if (!suspect || suspect.breaks < BREAKS_TO_BLOCK) return false;
+    if (!suspect || suspect.targets.length < TARGETS_TO_BLOCK) return false;
     return this.now() - suspect.at < SUSPECT_LIFETIME_MS;
   }
 
-  /** @param print - A request whose run broke off before any answer. */
-  broke(print: string): void {
-    const breaks = (this.suspects.get(print)?.breaks ?? 0) + 1;
-    const suspect = {breaks, at: this.now()};
+  /**
+   * @param print - A request whose run broke off before any answer.
+   * @param targetId - Where it ran.
+   */
+  broke(print: string, targetId: string): void {
+    const known = this.suspects.get(print)?.targets ?? [];
+    if (known.includes(targetId)) return;
+    const suspect = {targets: [...known, targetId], at: this.now()};
     this.remember(print, suspect);
-    this.context.log.event('request-suspect', {fingerprint: print, breaks});
+    const {targets} = suspect;
+    this.context.log.event('request-suspect', {fingerprint: print, targets});
     const ref = {table: SUSPECT_TABLE, partition: '', key: print};
     // Without an answer the other hosts learn of it by their own next run.
     void this.context.store.transact({
@@ -92,11 +102,19 @@
         this.context.log.event('suspect-unreadable', {key, message});
         continue;
       }
-      const known = this.suspects.get(key)?.breaks ?? 0;
-      if (suspect.value.breaks > known) this.remember(key, suspect.value);
+      this.merge(key, suspect.value);
     }
   }
 
+  /** Two hosts may write at once, each what it knows. */
+  private merge(print: string, heard: Suspect): void {
+    const known = this.suspects.get(print);
+    const targets = new Set([...(known?.targets ?? []), ...heard.targets]);
+    if (targets.size === known?.targets.length) return;
+    const at = Math.max(known?.at ?? 0, heard.at);
+    this.remember(print, {targets: [...targets], at});
+  }
+
   private remember(print: string, suspect: Suspect): void {
     this.suspects.delete(print);
     this.suspects.set(print, suspect);
--- a/packages/gateway/src/lib/process/front_server.ts
+++ b/packages/gateway/src/lib/process/front_server.ts
@@ -94,6 +94,18 @@
     this.server.closeIdleConnections();
   }
 
+  /**
+   * Takes no new connections; those that are open stay.
+   *
+   * Guards against a planned stop that never comes to its end and then cuts what
+   * is under way: a balancer that has not seen the readiness goes on bringing
+   * connections, and there is always a request open. A connection that is refused
+   * has asked nothing, so that its caller can ask elsewhere at once.
+   */
+  stopListening(): void {
+    if (this.server.listening) this.server.close();
+  }
+
   /** Closes everything. */
   close(): void {
     this.server.close();
--- a/packages/gateway/src/lib/process/target_directory.ts
+++ b/packages/gateway/src/lib/process/target_directory.ts
@@ -1,6 +1,7 @@
 /** The targets that are known, by id and by service. */
 import {isDeepStrictEqual} from 'node:util';
 import type {Clock, EventLog} from '@oathead/core';
+import {LRUCache} from 'lru-cache';
 import type {Target} from '../connection/target.js';
 
 /** What a {@link TargetDirectory} needs. */
@@ -9,12 +10,22 @@
   readonly log: EventLog;
 }
 
+/** Servers whose newest run is remembered after it has left the list: three times
+ * the 3,100 targets of the design size. */
+const MAX_REMEMBERED_RUNS = 10_000;
+
 /** Keeps the list of targets. */
 export class TargetDirectory {
   private readonly targets = new Map<string, Target>();
   private readonly services = new Map<string, readonly Target[]>();
   private readonly removals = new Map<string, Disposable>();
   private readonly goneListeners: Array<(id: string) => void> = [];
+  /** The newest run of each server, by server id, listed or not. */
+  private readonly newestRuns = new LRUCache<string, Target>({
+    max: MAX_REMEMBERED_RUNS,
+  });
+  /** Who waits for the end of a run, by server id. */
+  private readonly runEnds = new Map<string, Map<() => void, string>>();
 
   /** @param context - Time, and where changes are written. */
   constructor(private readonly context: TargetDirectoryContext) {}
@@ -24,6 +35,29 @@
     this.goneListeners.push(listener);
   }
 
+  /**
+   * Guards against a wait for a run that is over: a server that lost its power
+   * and came back under its id resets nothing, and what was sent to the run
+   * before would wait for its answer until the caller's time is over.
+   *
+   * @param target - The run that is waited for.
+   * @param listener - Called when its server is known to run anew.
+   * @returns To be disposed when nothing is waited for any more.
+   */
+  onceRestarted(target: Target, listener: () => void): Disposable {
+    const {serverId} = target;
+    const waiting = this.runEnds.get(serverId) ?? new Map<() => void, string>();
+    this.runEnds.set(serverId, waiting);
+    waiting.set(listener, target.id);
+    return {
+      [Symbol.dispose]: () => {
+        waiting.delete(listener);
+        if (waiting.size === 0 && this.runEnds.get(serverId) === waiting)
+          this.runEnds.delete(serverId);
+      },
+    };
+  }
+
   /** How many targets are known, leaving ones included. */
   get size(): number {
     return this.targets.size;
@@ -41,13 +75,24 @@
 
   /** @param target - A target that is new or has changed. */
   put(target: Target): void {
-    this.keep(target.id);
+    const newest = this.newestRuns.get(target.serverId);
+    if (newest && isOlderRun(target, newest)) {
+      this.context.log.event('target-stale', {
+        target: target.id,
+        newest: newest.id,
+      });
+      return;
+    }
+    this.keep(target.serverId);
+    this.newestRuns.set(target.serverId, target);
+    if (newest && newest.id !== target.id) this.restarted(newest, target);
     const known = this.targets.get(target.id);
     // Most changes of an entry say nothing new about the target, and there may
     // be thousands of targets to go through.
     if (known && isDeepStrictEqual(known, target)) return;
     this.targets.set(target.id, target);
     this.index(target.service);
+    if (known && known.service !== target.service) this.index(known.service);
     if (known?.leaving === target.leaving) return;
     this.context.log.event(
       target.leaving ? 'target-leaving' : 'target-listed',
@@ -60,41 +105,59 @@
   }
 
   /**
-   * Takes a target off the list.
+   * Takes a server off the list.
    *
    * Guards against the loss of live targets after an outage of the list's
    * store: their entries lapse while they can't renew them, and are back
    * shortly after. With `graceMs` the target stays until then.
    *
-   * @param id - The target.
+   * @param serverId - The server.
    * @param graceMs - How long it is still used, in milliseconds; 0: not at all.
    */
-  remove(id: string, graceMs: number): void {
-    if (!this.targets.has(id) || this.removals.has(id)) return;
+  remove(serverId: string, graceMs: number): void {
+    const target = this.listedRun(serverId);
+    if (!target || this.removals.has(serverId)) return;
     if (graceMs === 0) {
-      this.drop(id, graceMs);
+      this.drop(target, graceMs);
       return;
     }
     const {clock} = this.context;
     this.removals.set(
-      id,
-      clock.after(graceMs, () => this.drop(id, graceMs)),
+      serverId,
+      clock.after(graceMs, () => this.drop(target, graceMs)),
     );
   }
 
-  private drop(id: string, graceMs: number): void {
-    this.keep(id);
-    const target = this.targets.get(id);
-    if (!target) return;
+  private listedRun(serverId: string): Target | undefined {
+    const newest = this.newestRuns.get(serverId);
+    return newest && this.targets.get(newest.id);
+  }
+
+  private restarted(before: Target, now: Target): void {
+    const {serverId} = now;
+    this.context.log.event('target-restarted', {
+      target: now.id,
+      before: before.id,
+    });
+    if (this.targets.has(before.id)) this.drop(before, 0);
+    for (const [listener, runId] of [...(this.runEnds.get(serverId) ?? [])])
+      if (runId !== now.id) listener();
+  }
+
+  private drop(target: Target, graceMs: number): void {
+    const {id, serverId} = target;
+    this.keep(serverId);
+    const listed = this.targets.get(id);
+    if (!listed) return;
     this.targets.delete(id);
-    this.index(target.service);
+    this.index(listed.service);
     this.context.log.event('target-gone', {target: id, graceMs});
     for (const listener of this.goneListeners) listener(id);
   }
 
-  private keep(id: string): void {
-    this.removals.get(id)?.[Symbol.dispose]();
-    this.removals.delete(id);
+  private keep(serverId: string): void {
+    this.removals.get(serverId)?.[Symbol.dispose]();
+    this.removals.delete(serverId);
   }
 
   private index(service: string): void {
@@ -104,3 +167,13 @@
     this.services.set(service, usable);
   }
 }
+
+/** An entry that was written by the run before may arrive after the one of the
+ * run that is alive: a write without an answer is carried out seconds late. */
+function isOlderRun(
+  {startedAtMs}: Target,
+  {startedAtMs: newestStartMs}: Target,
+): boolean {
+  if (startedAtMs === undefined || newestStartMs === undefined) return false;
+  return startedAtMs < newestStartMs;
+}
--- a/packages/gateway/src/lib/request/exchange.ts
+++ b/packages/gateway/src/lib/request/exchange.ts
@@ -46,7 +46,15 @@
 }
 
 /** Why a request was ended from this side. */
-export type EndedBy = 'caller-left' | 'timeout' | 'yield' | 'stop' | 'silent';
+export type EndedBy =
+  | 'caller-left'
+  | 'timeout'
+  | 'yield'
+  | 'stop'
+  /** Nothing came from the target for too long. */
+  | 'silent'
+  /** The target's server runs anew and knows nothing of the request. */
+  | 'restarted';
 
 /** What came of a request at a target. */
 export type ExchangeEnd =
--- a/packages/gateway/src/lib/request/online_request.ts
+++ b/packages/gateway/src/lib/request/online_request.ts
@@ -45,6 +45,9 @@
  * be refused as not run any more, and targets are back within a second. */
 const RETRY_WAIT_MS = 1500;
 
+/** Ends after which the request may go on at another target. */
+const RUN_IS_OVER: ReadonlySet<EndedBy> = new Set(['silent', 'restarted']);
+
 const STATUS_SERVER_ERROR = 500;
 const STATUS_BAD_GATEWAY = 502;
 const STATUS_UNAVAILABLE = 503;
@@ -142,10 +145,10 @@
     this.tried.add(target.id);
     const {online} = context.loads.at(targetKey(target.id));
     this.report.sent(target, online, this.progress());
-    const hop = this.report.trace.toTarget(target.id, this.runs + 1);
+    const hop = this.report.trace.toTarget(target.serverId, this.runs + 1);
     const facts = {
       requestId: this.facts.requestId,
-      targetId: target.id,
+      serverId: target.serverId,
       deadlineMs: Math.max(1, Math.floor(this.endsAt - this.now())),
       lastEventId: answer.lastEventId,
     };
@@ -187,12 +190,14 @@
         this.note('request-unsent', end.reason, target);
         return this.declines++ > MAX_DECLINES ? this.giveUp('unsent') : false;
       case 'broken':
-        if (!this.answer.begun) this.context.crashes.broke(this.print);
+        if (!this.answer.begun)
+          this.context.crashes.broke(this.print, target.id);
         return this.runAgain(end.reason, target);
       case 'ended':
-        return end.by === 'silent'
-          ? this.runAgain(end.by, target)
-          : this.giveUp(end.by);
+        if (!RUN_IS_OVER.has(end.by)) return this.giveUp(end.by);
+        if (end.by === 'restarted' && !this.answer.begun)
+          this.context.crashes.broke(this.print, target.id);
+        return this.runAgain(end.by, target);
     }
   }
 
--- a/packages/gateway/src/lib/request/target_protocol.ts
+++ b/packages/gateway/src/lib/request/target_protocol.ts
@@ -3,6 +3,7 @@
  * request or an answer says; the implementation knows how it is said.
  */
 import type {IncomingHttpHeaders} from 'node:http';
+import type {Target} from '../connection/target.js';
 
 /** Headers of a request or an answer, by lower-case name. */
 export type Headers = Readonly<Record<string, string | readonly string[]>>;
@@ -21,8 +22,8 @@
 export interface SendFacts {
   /** Names the request; undefined: its sender gave it no name. */
   readonly requestId: string | undefined;
-  /** Any other target refuses the request. */
-  readonly targetId: string;
+  /** Any other server refuses the request. */
+  readonly serverId: Target['serverId'];
   /** What is left of the caller's time, in milliseconds. */
   readonly deadlineMs: number;
   /** The last event that is known of a stream which is resumed. */
--- a/packages/gateway/src/lib/request/target_send.ts
+++ b/packages/gateway/src/lib/request/target_send.ts
@@ -5,6 +5,7 @@
 import type {Target} from '../connection/target.js';
 import type {Lane, LoadTable} from '../process/load_table.js';
 import type {ServiceHealth} from '../process/service_health.js';
+import type {TargetDirectory} from '../process/target_directory.js';
 import type {TargetSuspensions} from '../process/target_suspensions.js';
 import {
   Exchange,
@@ -28,6 +29,7 @@
   readonly loads: LoadTable;
   readonly suspensions: TargetSuspensions;
   readonly health: ServiceHealth;
+  readonly directory: TargetDirectory;
   readonly clock: Clock;
   readonly counters: Counters;
 }
@@ -76,8 +78,12 @@
     else if (exchange.firstByteMs === undefined && !isFull(loads, target))
       context.health.failed(target);
   });
+  const restart = context.directory.onceRestarted(target, () =>
+    exchange.end('restarted'),
+  );
   const end = exchange.end$.then(outcome => {
     silence[Symbol.dispose]();
+    restart[Symbol.dispose]();
     load[Symbol.dispose]();
     if (exchange.leavesConnectionUsable) pool.keep(target.id, connection);
     else connection[Symbol.dispose]();
--- a/packages/gateway/src/test/process/home_targets_test.ts
+++ b/packages/gateway/src/test/process/home_targets_test.ts
@@ -1,18 +1,16 @@
 import test from 'ava';
 import type {Target} from '../../lib/connection/target.js';
 import {HomeTargets} from '../../lib/process/home_targets.js';
+import {targetOf} from '../fakes/targets.js';
 
 const DATA_CENTRES = ['a', 'b', 'c', 'd'];
 
 function targetsOf(count: number): readonly Target[] {
-  return [...Array(count).keys()].map(i => ({
-    id: `target ${i}`,
-    service: 's',
-    address: '',
-    dataCentre: DATA_CENTRES[i % DATA_CENTRES.length]!,
-    slots: 8,
-    leaving: false,
-  }));
+  return [...Array(count).keys()].map(i =>
+    targetOf(`target ${i}`, {
+      dataCentre: DATA_CENTRES[i % DATA_CENTRES.length]!,
+    }),
+  );
 }
 
 function homesOf(
--- a/packages/gateway/src/test/process/target_chooser_test.ts
+++ b/packages/gateway/src/test/process/target_chooser_test.ts
@@ -8,11 +8,12 @@
 import {TargetChooser} from '../../lib/process/target_chooser.js';
 import {TargetDirectory} from '../../lib/process/target_directory.js';
 import {TargetSuspensions} from '../../lib/process/target_suspensions.js';
+import {targetOf} from '../fakes/targets.js';
 
 const NONE: ReadonlySet<string> = new Set();
 
 function target(id: string, dataCentre = 'a', leaving = false): Target {
-  return {id, service: 's', address: '', dataCentre, slots: 8, leaving};
+  return targetOf(id, {dataCentre, leaving});
 }
 
 function fleet(...targets: readonly Target[]) {
--- a/packages/gateway/src/test/request/target_send_test.ts
+++ b/packages/gateway/src/test/request/target_send_test.ts
@@ -2,12 +2,15 @@
 import {NO_COUNTERS, NO_EVENT_LOG, SYSTEM_CLOCK} from '@oathead/core';
 import test from 'ava';
 import {ConnectionPool} from '../../lib/connection/connection_pool.js';
+import {targetKey} from '../../lib/connection/load_message.js';
 import type {Target} from '../../lib/connection/target.js';
 import {LoadTable} from '../../lib/process/load_table.js';
 import {ServiceHealth} from '../../lib/process/service_health.js';
+import {TargetDirectory} from '../../lib/process/target_directory.js';
 import {TargetSuspensions} from '../../lib/process/target_suspensions.js';
 import {sendToTarget} from '../../lib/request/target_send.js';
 import {listen, PROTOCOL} from '../fakes/raw_target.js';
+import {runOf, targetOf} from '../fakes/targets.js';
 
 const SINK = {events: () => true, paused: () => {}};
 const WHOLE =
@@ -19,14 +22,7 @@
 const LONG_MS = 1300;
 
 function targetAt(address: string): Target {
-  return {
-    id: 't',
-    service: 's',
-    address,
-    dataCentre: 'd',
-    slots: 8,
-    leaving: false,
-  };
+  return targetOf('t', {address});
 }
 
 function newContext() {
@@ -37,6 +33,7 @@
     loads: new LoadTable(() => clock.now()),
     suspensions: new TargetSuspensions(clock, NO_EVENT_LOG),
     health: new ServiceHealth(clock),
+    directory: new TargetDirectory({clock, log: NO_EVENT_LOG}),
     clock,
     counters: NO_COUNTERS,
   };
@@ -136,3 +133,32 @@
     });
   });
 }
+
+// A caller waits until its time is over: its request was sent to a server that
+// lost its power, which closes no connection, and is back under the id it had.
+// What was sent to the run before is over as soon as the list tells of the new one.
+test('what was sent to a run that is over does not wait for it', async t => {
+  await using raw = await listenMute();
+  const context = newContext();
+  const before = runOf('i-1', 1000, {address: raw.address});
+  context.directory.put(before);
+  const {end} = sendToTarget(context, before, 'online', requestTo('/1'), SINK);
+  context.directory.put(runOf('i-1', 2000, {address: raw.address}));
+  t.deepEqual(await end, {kind: 'ended', by: 'restarted'});
+  t.is(context.loads.at(targetKey(before.id)).online, 0);
+});
+
+// A sound answer is lost: the list tells once more of the run that makes it, or,
+// late, of the run before.
+test('a run goes on when the list repeats it or tells of an older one', async t => {
+  await using raw = await listen(socket => {
+    void setTimeout(100).then(() => socket.write(WHOLE));
+  });
+  const context = newContext();
+  const now = runOf('i-1', 2000, {address: raw.address});
+  context.directory.put(now);
+  const {end} = sendToTarget(context, now, 'online', requestTo('/1'), SINK);
+  context.directory.put({...now, leaving: true});
+  context.directory.put(runOf('i-1', 1000, {address: raw.address}));
+  t.is((await end).kind, 'answered');
+});
--- a/packages/jobs/src/lib/process/item_runner.ts
+++ b/packages/jobs/src/lib/process/item_runner.ts
@@ -69,14 +69,14 @@
     job: job.head.id,
     item: item.id,
   });
-  const hop = trace.toTarget(target.id, work.runs);
+  const hop = trace.toTarget(target.serverId, work.runs);
   const req = {
     requestId: item.id,
     method: 'POST',
     path: item.path,
     headers: context.protocol.requestHeaders(hop.headers, {
       requestId: item.id,
-      targetId: target.id,
+      serverId: target.serverId,
       deadlineMs: LONGEST_RUN_MS,
       lastEventId: work.lastEventId,
     }),
@@ -104,21 +104,17 @@
     hop.end(end.kind);
     trace.end(end.kind === 'streamed' ? undefined : end.kind);
     if (end.kind === 'streamed') onDone();
-    countCrash(context, work, end, sink.received);
+    if (sink.received || end.kind === 'answered')
+      context.crashes.answered(work.print);
+    else if (mayHaveCrashed(end)) context.crashes.broke(work.print, target.id);
     settle(context, job, work, end, target);
   });
 }
 
-/** Only a run that broke before its first event may have crashed its target. */
-function countCrash(
-  {crashes}: ItemRunContext,
-  work: ItemWork,
-  end: ExchangeEnd,
-  received: boolean,
-): void {
-  const {print} = work;
-  if (received || end.kind === 'answered') crashes.answered(print);
-  else if (end.kind === 'broken') crashes.broke(print);
+function mayHaveCrashed(end: ExchangeEnd): boolean {
+  return (
+    end.kind === 'broken' || (end.kind === 'ended' && end.by === 'restarted')
+  );
 }
 
 /** Collects the text of an item. */
--- a/packages/serving/src/lib/process/serving_process.ts
+++ b/packages/serving/src/lib/process/serving_process.ts
@@ -135,7 +135,10 @@
       const now = clock.now();
       const lingers = now < startedAt + LINGER_MS;
       if (now >= endsAt) break;
-      if (!lingers) this.front.closeIdle();
+      if (!lingers) {
+        this.front.stopListening();
+        this.front.closeIdle();
+      }
       if (!lingers && this.front.openRequests === 0) break;
       await sleep(clock, IDLE_CHECK_MS);
     }
--- a/packages/serving/src/lib/process/table_feeds.ts
+++ b/packages/serving/src/lib/process/table_feeds.ts
@@ -18,6 +18,7 @@
   type JobKeeper,
 } from '@oathead/jobs';
 import {TableWatch, type RowStore, type TableUpdate} from '@oathead/stores';
+import {LRUCache} from 'lru-cache';
 import type {PeerLinks} from '../connection/peer_links.js';
 import type {Snapshot} from '../connection/peer_router.js';
 import type {ServingContext, ServingHost} from './serving_host.js';
@@ -62,6 +63,8 @@
 /** How long a starting process waits for the store before it asks its peers, and
  * between two such questions, in milliseconds. */
 const ASK_PEERS_MS = 400;
+/** Unreadable rows that are remembered, so that each is logged once. */
+const MAX_UNREADABLE_ROWS = 1000;
 /** Tables without subdivision have this one partition. */
 const WHOLE = [''] as const;
 
@@ -70,6 +73,10 @@
   private readonly held = new DisposableStore();
   private readonly watches = new Map<string, TableWatch>();
   private targetsReadAt = -Infinity;
+  /** Why a row could not be read when it was last logged. */
+  private readonly unreadableRows = new LRUCache<string, string>({
+    max: MAX_UNREADABLE_ROWS,
+  });
 
   /**
    * @param host - Which tables are the platform's, and how to read their rows.
@@ -184,14 +191,28 @@
     for (const row of put) {
       const target = this.host.targets.decode(row);
       if (!target) continue;
-      if (target.ok) directory.put(target.value);
-      else this.unreadable('target', row.key, target.err.message);
+      if (target.ok) {
+        directory.put(target.value);
+        this.unreadableRows.delete(rowName('target', row.key));
+        continue;
+      }
+      // What is not an entry of a server names none that could be used.
+      directory.remove(row.key, 0);
+      this.unreadable('target', row.key, target.err.message);
     }
     this.onTargets();
   }
 
   private unreadable(what: string, key: string, message: string): void {
     this.context.counters.count('rows_unreadable', {what});
+    // The writer of a bad row may write it again with each of its heartbeats.
+    const name = rowName(what, key);
+    if (this.unreadableRows.get(name) === message) return;
+    this.unreadableRows.set(name, message);
     this.context.log.event('row-unreadable', {what, key, message});
   }
 }
+
+function rowName(what: string, key: string): string {
+  return `${what} ${key}`;
+}
