--- a/packages/gateway/src/lib/connection/target_connection.ts
+++ b/packages/gateway/src/lib/connection/target_connection.ts
@@ -3,7 +3,7 @@
  * was made, and whether the other end reset it.
  */
 import type {Socket} from 'node:net';
-import {buildConnector, Client} from 'undici';
+import {buildConnector, Client, errors} from 'undici';
 
 /** Timeouts of a connection to a target. */
 export interface ConnectionTimeouts {
@@ -17,11 +17,14 @@
 
 /**
  * A connection inside a data centre or between near ones is made within a few
- * milliseconds; a lost first packet is sent again after a second. A target's
- * own idle time has whole seconds, and one without a hint may be short.
+ * milliseconds. A lost first packet is sent again after a second, later than it
+ * takes to go elsewhere: nothing was sent yet. With 1200 ms a request to a target
+ * that had gone dark knew of it after 1516 ms, as undici's own timeouts are coarse (one
+ * request to a listener that takes no connections). A target's own idle time has
+ * whole seconds, and one without a hint may be short.
  */
 export const DEFAULT_CONNECTION_TIMEOUTS: ConnectionTimeouts = {
-  connectMs: 1200,
+  connectMs: 400,
   idleMs: 700,
   idleMarginMs: 400,
 };
@@ -54,11 +57,17 @@
       bodyTimeout: 0,
       keepAliveTimeout: timeouts.idleMs,
       keepAliveTimeoutThreshold: timeouts.idleMarginMs,
-      connect: (options, callback) =>
+      connect: (options, callback) => {
+        const late = setTimeout(
+          () => void this.client.destroy(new errors.ConnectTimeoutError()),
+          timeouts.connectMs,
+        );
         connect(options, (...made) => {
+          clearTimeout(late);
           if (made[1]) this.watch(made[1] as Socket);
           callback(...made);
-        }),
+        });
+      },
     });
     this.client.on('disconnect', () => {
       this.lost = true;
