A job that ends while its items are read is not taken up

Cause: an owner reads a job's items before it takes it up; the end that came meanwhile took the head off the list, and the head from before was used in its place. The items ran until the next write was refused. Change: closed jobs are remembered and not taken up.

--- a/packages/jobs/src/lib/process/job_keeper.ts
+++ b/packages/jobs/src/lib/process/job_keeper.ts
@@ -16,6 +16,7 @@
   type TableUpdate,
   type VersionedRow,
 } from '@oathead/stores';
+import {LRUCache} from 'lru-cache';
 import {z} from 'zod';
 import type {JobReader} from '../request/job_reader.js';
 import {
@@ -42,6 +43,8 @@
 /** How long a job must be without an owner before it is taken, in ms: a host
  * that has just started may be known by its job before it is by its heartbeat. */
 const ORPHAN_MS = 1500;
+/** Closed jobs that are remembered: far more than close while one is read. */
+const MAX_CLOSED_JOBS = 4096;
 
 const PARTIAL = z.object({
   lastEventId: z.number().optional(),
@@ -54,6 +57,8 @@
   private readonly heads = new Map<string, VersionedHead>();
   private readonly owned = new Map<string, OwnedJob>();
   private readonly loading = new Set<string>();
+  /** Jobs that were done or ended; none of them is opened again. */
+  private readonly closed = new LRUCache<string, true>({max: MAX_CLOSED_JOBS});
   private readonly orphanSince = new Map<string, number>();
   private stopping = false;
 
@@ -124,6 +129,7 @@
     }
     const head = decoded.value;
     if (head.state !== 'open') {
+      this.closed.set(head.id, true);
       this.heads.delete(head.id);
       this.orphanSince.delete(head.id);
       this.letGo(head);
@@ -196,6 +202,9 @@
     const work = await this.load(found.head, how === 'accepted');
     this.loading.delete(id);
     if (!work || this.stopping) return;
+    // Guards against items of an ended job that run on: the end may come while the
+    // items are read, or between a sweep's look at the heads and this job's turn.
+    if (this.closed.has(id)) return;
     const latest = this.heads.get(id) ?? found;
     const head = latest.version > found.version ? latest : found;
     if (head.head.owner !== this.self) return;
