Tests of a stop that is asked for again, failing

Symptom: a host that is stopping is sent SIGTERM once more, and each stream that it was serving to its end breaks.

--- a/packages/target/src/test/process/main_test.ts
+++ b/packages/target/src/test/process/main_test.ts
@@ -118,6 +118,25 @@
   link[Symbol.dispose]();
 });
 
+// The stream of a customer breaks in the middle: a supervisor and an operator both
+// ask the process to stop. It must take the second signal for the first one said
+// again; the handler was taken off with the first, and a signal without one ends
+// the process at once.
+test('a stop that is asked for again cuts off no stream', async t => {
+  const {child, link} = await startProcess(SETTINGS);
+  t.teardown(() => child.kill('SIGKILL'));
+  await link.heartbeat(offer(CONFIG), NEVER);
+  const got: ServeEvent[] = [];
+  for await (const event of link.serve(request(), NEVER)) {
+    got.push(event);
+    if (got.length > 2 && got.length < 6) child.kill('SIGTERM');
+  }
+  t.is(got.at(-1)?.kind, 'done');
+  t.is(streamedText(got).split(' ').length, 17);
+  t.deepEqual(await once(child, 'exit'), [0, null]);
+  link[Symbol.dispose]();
+});
+
 test('metrics tell how requests ended', async t => {
   const {child, ports, link} = await startProcess(SETTINGS);
   t.teardown(() => child.kill('SIGKILL'));
