--- a/packages/cli/src/test/process/main_test.ts
+++ b/packages/cli/src/test/process/main_test.ts
@@ -1,5 +1,8 @@
 import test from 'ava';
-import {execFile} from 'node:child_process';
+import {execFile, spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {connect} from 'node:net';
+import {setTimeout} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 import {promisify} from 'node:util';
 import {VERBS} from '../../lib/process/verbs.js';
@@ -7,6 +10,20 @@
 import {runCli} from '../fakes/run_cli.js';
 import {tempFile} from '../fakes/temp_file.js';
 
+const BINARY = fileURLToPath(
+  new URL('../../../bin/oathead.js', import.meta.url),
+);
+/** An entry whose store is away. */
+const ENTRY_SETTINGS = {
+  entryId: 'entry-0',
+  dataCentre: 'hall-a',
+  listen: {port: 0},
+  peers: {port: 0},
+  platform: {kind: 'http', url: 'http://127.0.0.1:9'},
+  graceMs: 5000,
+};
+const SIGNAL_PAUSE_MS = 200;
+
 test('each verb has help with an example', async t => {
   for (const {command, examples} of VERBS) {
     const name = command.split(' ')[0]!;
@@ -113,10 +130,30 @@
     refusal(503, {kind: 'store-unavailable'}),
     json({revision: 1, resources: []}),
   );
-  const binary = fileURLToPath(
-    new URL('../../../bin/oathead.js', import.meta.url),
-  );
-  const argv = [binary, 'get', '--url', server.url];
+  const argv = [BINARY, 'get', '--url', server.url];
   const {stdout} = await promisify(execFile)(process.execPath, argv);
   t.is(stdout, '(none)\n');
 });
+
+// Whoever is still connected to a host that is being replaced is cut off: a
+// supervisor and an operator both ask its entry to stop. The entry must end by
+// itself, once its callers have left; the handler was taken off with the first
+// signal, and a signal without one ends the process at once.
+test('an entry that is asked to stop again ends by itself', async t => {
+  using settings = tempFile('entry.json', JSON.stringify(ENTRY_SETTINGS));
+  const argv = [BINARY, 'entry', '--config', settings.path];
+  const entry = spawn(process.execPath, argv);
+  t.teardown(() => entry.kill('SIGKILL'));
+  const ended = once(entry, 'exit');
+  const [line] = (await once(entry.stdout, 'data')) as [Buffer];
+  const {port} = JSON.parse(String(line)) as {readonly port: number};
+  const caller = connect({host: '127.0.0.1', port});
+  caller.write('POST /v1/chat/completions HTTP/1.1\r\nhost: oathead\r\n');
+  for (let i = 0; i < 3; i++) {
+    await setTimeout(SIGNAL_PAUSE_MS);
+    entry.kill('SIGTERM');
+  }
+  await setTimeout(SIGNAL_PAUSE_MS);
+  caller.destroy();
+  t.deepEqual(await ended, [0, null]);
+});
