A stop that is asked for again cuts off nothing

What callers saw: streams of a host that was stopping as planned broke in the middle when it was sent SIGTERM once more. Cause: the handler of SIGTERM was taken off with the first signal; a signal without a handler ends the process at once. Had it stayed, the second call of stop would have resolved at once and ended the process, too.

--- a/packages/serving/src/lib/process/serving_process.ts
+++ b/packages/serving/src/lib/process/serving_process.ts
@@ -30,7 +30,7 @@
   private readonly front: FrontServer;
   private readonly readiness: ReadyServer;
   private readonly lifecycle: Lifecycle;
-  private stopped: (() => void) | undefined;
+  private stopping: Promise<void> | undefined;
 
   /**
    * @param host - The adapter's side.
@@ -82,17 +82,20 @@
    * A planned stop: no new connections, jobs to other hosts, and what is under
    * way to its end.
    *
+   * Guards against a stop that is asked for twice and cuts off what the first one
+   * lets end: who asks again waits for the stop that is under way.
+   *
    * @returns Resolves when the process may exit.
    */
-  async stop(): Promise<void> {
-    if (this.stopped) return;
-    const done = new Promise<void>(resolve => {
-      this.stopped = resolve;
-    });
+  stop(): Promise<void> {
+    this.stopping ??= this.stopOnce();
+    return this.stopping;
+  }
+
+  private async stopOnce(): Promise<void> {
     this.lifecycle.send({type: 'STOP'});
     await this.drain();
     this.lifecycle.send({type: 'IDLE'});
-    await done;
   }
 
   private answerPeers(): Disposable {
@@ -121,7 +124,6 @@
     this.front.close();
     this.readiness.close();
     this.held[Symbol.dispose]();
-    this.stopped?.();
   }
 
   private async drain(): Promise<void> {
