A target and an entry that are asked to stop again go on with their stop

Mend: SIGTERM keeps its handler. A second Ctrl-C still ends the process at once, which is what a person means by it.

--- a/packages/cli/src/lib/process/registered.ts
+++ b/packages/cli/src/lib/process/registered.ts
@@ -71,6 +71,7 @@
   entry: async () => {
     const {runEntryProcess} = await import('@oathead/entry');
     return async ({config}, {signal, terminal}) => {
+      outliveSigterm();
       const ended = await runEntryProcess(config, signal, ({port}) =>
         terminal.out(JSON.stringify({ready: true, port}) + '\n'),
       );
@@ -91,3 +92,12 @@
   },
   load: async () => (await import('./load_runner.js')).runLoadVerb,
 };
+
+/**
+ * Guards against a second SIGTERM, which cuts off the callers of an entry that is
+ * stopping: the handler that begins the stop is there for one signal, and without
+ * a handler the next one ends the process at once.
+ */
+function outliveSigterm(): void {
+  process.on('SIGTERM', () => {});
+}
--- a/packages/target/src/lib/process/main.ts
+++ b/packages/target/src/lib/process/main.ts
@@ -83,10 +83,15 @@
   };
 }
 
+/**
+ * Guards against a second SIGTERM, which breaks all streams of a process that lets
+ * them end: without a handler it ends the process at once, so that the handler
+ * stays after the first one. Who presses Ctrl-C twice wants the process to end.
+ */
 function stopSignal(): AbortSignal {
   const stop = new AbortController();
   const onSignal = () => stop.abort();
-  process.once('SIGTERM', onSignal);
+  process.on('SIGTERM', onSignal);
   process.once('SIGINT', onSignal);
   return stop.signal;
 }
