Answers of live targets that are spoilt do not make a request a suspect

What callers saw: an item, or a request that is sent again, was not sent for a minute after three servers each gave it the answer to another request. Cause: each end without an answer counted as a possible crash, also where the server had sent bytes: a wrong id, no seal, bytes that are no HTTP, an event left out. Mend: an end tells whether the target spoke; only a lost connection and a server that runs anew can come from a crash. Online requests and items ask the same function.

--- a/packages/gateway/src/lib/request/exchange.ts
+++ b/packages/gateway/src/lib/request/exchange.ts
@@ -67,7 +67,12 @@
   /** No connection could be made: it can't have run. */
   | {readonly kind: 'unsent'; readonly reason: string}
   /** It may have run. */
-  | {readonly kind: 'broken'; readonly reason: string}
+  | {
+      readonly kind: 'broken';
+      readonly reason: string;
+      /** Whether the target sent what is not its answer: it lives. */
+      readonly targetSpoke: boolean;
+    }
   /** It was ended from this side and may have run. */
   | {readonly kind: 'ended'; readonly by: EndedBy};
 
@@ -186,7 +191,7 @@
     this.head = {status, headers};
     this.facts = this.context.protocol.readAnswer(status, headers);
     const flaw = this.flawOfHead(this.facts, status);
-    if (flaw) this.finish({kind: 'broken', reason: flaw});
+    if (flaw) this.spoilt(flaw);
   }
 
   /** Called by undici with bytes of the body. */
@@ -205,7 +210,7 @@
   onResponseEnd(): void {
     if (this.settled) return;
     if (this.connection.wasReset) {
-      this.finish({kind: 'broken', reason: 'reset during the answer'});
+      this.lost('reset during the answer');
       return;
     }
     if (this.facts!.notRun) {
@@ -217,8 +222,7 @@
       this.finish({kind: 'answered', head: this.head!, body}, true);
       return;
     }
-    if (this.splitter.hasPartialEvent)
-      this.finish({kind: 'broken', reason: 'ended inside an event'});
+    if (this.splitter.hasPartialEvent) this.lost('ended inside an event');
     else this.finish({kind: 'streamed', head: this.head!}, true);
   }
 
@@ -229,8 +233,9 @@
     >
   ): void {
     const reason = reasonOf(err);
-    if (this.connection.connected) this.finish({kind: 'broken', reason});
-    else this.finish({kind: 'unsent', reason});
+    if (!this.connection.connected) this.finish({kind: 'unsent', reason});
+    else if (err instanceof errors.HTTPParserError) this.spoilt(reason);
+    else this.lost(reason);
   }
 
   private streams(): boolean {
@@ -255,7 +260,7 @@
     if (events.length === 0) return;
     const flaw = this.flawOfOrder(events);
     if (flaw) {
-      this.finish({kind: 'broken', reason: flaw});
+      this.spoilt(flaw);
       return;
     }
     if (this.context.sink.events(events, this.head!)) return;
@@ -276,11 +281,20 @@
 
   private collect(chunk: Buffer): void {
     this.bytes += chunk.length;
-    if (this.bytes > MAX_ANSWER_BYTES)
-      this.finish({kind: 'broken', reason: 'answer too large'});
+    if (this.bytes > MAX_ANSWER_BYTES) this.spoilt('answer too large');
     else this.chunks.push(chunk);
   }
 
+  /** What the target sent is not its whole answer to this request. */
+  private spoilt(reason: string): void {
+    this.finish({kind: 'broken', reason, targetSpoke: true});
+  }
+
+  /** The connection ended before the answer did. */
+  private lost(reason: string): void {
+    this.finish({kind: 'broken', reason, targetSpoke: false});
+  }
+
   /** The connection is closed unless the answer was whole. */
   private finish(end: ExchangeEnd, whole = false): void {
     if (this.settled) return;
@@ -290,6 +304,19 @@
   }
 }
 
+/**
+ * Guards against a request that is taken for one that crashes targets, and held for
+ * a minute, for answers that live targets spoilt: only a connection that was lost,
+ * or a server that runs anew, can come from a crash.
+ *
+ * @param end - What came of a request that got nothing of its answer.
+ * @returns Whether the request may have crashed its target.
+ */
+export function mayHaveCrashed(end: ExchangeEnd): boolean {
+  if (end.kind === 'broken') return !end.targetSpoke;
+  return end.kind === 'ended' && end.by === 'restarted';
+}
+
 function reasonOf(err: unknown): string {
   if (err instanceof errors.UndiciError) return err.code;
   if (err instanceof Error && 'code' in err) return String(err.code);
--- a/packages/gateway/src/lib/request/online_request.ts
+++ b/packages/gateway/src/lib/request/online_request.ts
@@ -17,7 +17,12 @@
 import type {TargetChooser} from '../process/target_chooser.js';
 import type {Route} from '../version/routing_table.js';
 import {AnswerWriter} from './answer_writer.js';
-import type {EndedBy, ExchangeEnd, WholeAnswer} from './exchange.js';
+import {
+  mayHaveCrashed,
+  type EndedBy,
+  type ExchangeEnd,
+  type WholeAnswer,
+} from './exchange.js';
 import {endToEndHeaders} from './forwarded_headers.js';
 import {pickService} from './pick_service.js';
 import {
@@ -174,6 +179,8 @@
 
   /** @returns Whether the request is over. */
   private settle(end: ExchangeEnd, target: Target): boolean {
+    if (!this.answer.begun && mayHaveCrashed(end))
+      this.context.crashes.broke(this.print, target.id);
     switch (end.kind) {
       case 'answered':
         // A run that should have gone on with a stream refused to.
@@ -195,14 +202,11 @@
         this.note('request-unsent', end.reason, target);
         return this.declines++ > MAX_DECLINES ? this.giveUp('unsent') : false;
       case 'broken':
-        if (!this.answer.begun)
-          this.context.crashes.broke(this.print, target.id);
         return this.runAgain(end.reason, target);
       case 'ended':
-        if (!RUN_IS_OVER.has(end.by)) return this.giveUp(end.by);
-        if (end.by === 'restarted' && !this.answer.begun)
-          this.context.crashes.broke(this.print, target.id);
-        return this.runAgain(end.by, target);
+        return RUN_IS_OVER.has(end.by)
+          ? this.runAgain(end.by, target)
+          : this.giveUp(end.by);
     }
   }
 
--- a/packages/gateway/src/test/request/exchange_test.ts
+++ b/packages/gateway/src/test/request/exchange_test.ts
@@ -1,7 +1,11 @@
 import type {Socket} from 'node:net';
 import test, {type ExecutionContext} from 'ava';
 import {ConnectionPool} from '../../lib/connection/connection_pool.js';
-import {Exchange, type ExchangeEnd} from '../../lib/request/exchange.js';
+import {
+  Exchange,
+  mayHaveCrashed,
+  type ExchangeEnd,
+} from '../../lib/request/exchange.js';
 import type {StreamEvent} from '../../lib/request/stream_events.js';
 import {NO_COUNTERS} from '@oathead/core';
 import {listen, PROTOCOL} from '../fakes/raw_target.js';
@@ -111,6 +115,27 @@
   });
 }
 
+/** What a target that crashes can look like; anything else was sent by a target
+ * that lives. */
+const LIKE_A_CRASH: ReadonlySet<string> = new Set([
+  'an answer that is cut short',
+  'an answer without length whose connection is reset',
+  'a stream that ends inside an event',
+  'no answer at all',
+]);
+
+// A request that may be repeated is held for a minute as one that crashes servers,
+// although they live: they sent bytes that are not its answer.
+for (const script of SCRIPTS) {
+  const crashed = LIKE_A_CRASH.has(script.name);
+  const what = crashed ? 'may be a crash' : 'is no crash';
+  test(`${script.name} ${what}`, async t => {
+    await using target = await listen(socket => answer(socket, script));
+    const {end} = await exchangeWith(t, target.address);
+    t.is(mayHaveCrashed(end), crashed, JSON.stringify(end));
+  });
+}
+
 test('a connection that can not be made leaves the request unsent', async t => {
   const target = await listen(() => {});
   await target[Symbol.asyncDispose]();
--- a/packages/jobs/src/lib/process/item_runner.ts
+++ b/packages/jobs/src/lib/process/item_runner.ts
@@ -2,6 +2,7 @@
 import type {Tracer} from '@opentelemetry/api';
 import {
   dataOf,
+  mayHaveCrashed,
   RequestTrace,
   sendToTarget,
   type AnswerHead,
@@ -111,12 +112,6 @@
   });
 }
 
-function mayHaveCrashed(end: ExchangeEnd): boolean {
-  return (
-    end.kind === 'broken' || (end.kind === 'ended' && end.by === 'restarted')
-  );
-}
-
 /** Collects the text of an item. */
 class TextSink implements EventSink {
   /** Whether this run has brought anything. */
