Targets that stay listed do not count as crashed

What callers saw: an item was not run for a minute, and was late, after three live servers had each lost one answer. Cause: a lost connection counts against the request at each target; that the target lived on was not looked at. Counting each run of a server once had only mended the case of one server that loses several answers. Mend: the entry of a run that crashed lapses after three heartbeats, or is replaced by the next run. A run that is still listed beyond that time, while the list was read without a gap, lives and is struck off. After an outage of the store nothing is struck off until the list has been read for as long again.

--- a/packages/gateway/src/lib/process/crash_suspects.ts
+++ b/packages/gateway/src/lib/process/crash_suspects.ts
@@ -19,6 +19,7 @@
   type TableUpdate,
 } from '@oathead/stores';
 import {z} from 'zod';
+import type {TargetDirectory} from './target_directory.js';
 
 /** The table of suspects, by fingerprint. */
 export const SUSPECT_TABLE = 'suspects';
@@ -42,11 +43,19 @@
 /** Suspects that are remembered at the most. */
 const MAX_SUSPECTS = 4096;
 
+/** Until hosts have read that an entry has lapsed, in milliseconds: the waits and
+ * pauses of the list's readers, doubled, and a second for a slow store. */
+const LIST_MARGIN_MS = 2700;
+
 /** What {@link CrashSuspects} need. */
 export interface SuspectContext {
   readonly store: RowStore;
   readonly clock: Clock;
   readonly log: EventLog;
+  /** Tells which runs of targets are listed. */
+  readonly directory: Pick<TargetDirectory, 'isListedFor'>;
+  /** @returns Until the entry of a target that crashed lapses, in milliseconds. */
+  readonly lapseMs: () => number;
 }
 
 /** Counts runs that broke off before an answer. */
@@ -65,7 +74,15 @@
   isBlocked(print: string): boolean {
     const suspect = this.suspects.get(print);
     if (!suspect || suspect.targets.length < TARGETS_TO_BLOCK) return false;
-    return this.now() - suspect.at < SUSPECT_LIFETIME_MS;
+    const sinceMs = this.now() - suspect.at;
+    if (sinceMs >= SUSPECT_LIFETIME_MS) return false;
+    const {directory, lapseMs} = this.context;
+    const knownAfterMs = lapseMs() + LIST_MARGIN_MS;
+    if (sinceMs < knownAfterMs) return true;
+    const crashed = suspect.targets.filter(
+      id => !directory.isListedFor(id, knownAfterMs),
+    );
+    return crashed.length >= TARGETS_TO_BLOCK;
   }
 
   /**
--- a/packages/gateway/src/lib/process/target_directory.ts
+++ b/packages/gateway/src/lib/process/target_directory.ts
@@ -13,6 +13,9 @@
 /** Servers whose newest run is remembered after it has left the list: three times
  * the 3,100 targets of the design size. */
 const MAX_REMEMBERED_RUNS = 10_000;
+/** A longer time between two readings of the list is an outage, in milliseconds:
+ * beyond the longest wait for a change of it. */
+const OUTAGE_MS = 1500;
 
 /** Keeps the list of targets. */
 export class TargetDirectory {
@@ -27,9 +30,38 @@
   /** Who waits for the end of a run, by server id. */
   private readonly runEnds = new Map<string, Map<() => void, string>>();
 
+  private readAt = -Infinity;
+  /** Since when the list has been read without an outage. */
+  private followedSince = Infinity;
+
   /** @param context - Time, and where changes are written. */
   constructor(private readonly context: TargetDirectoryContext) {}
 
+  /**
+   * To be called with each reading of the list, before what it says.
+   *
+   * @returns Whether there was an outage before it.
+   */
+  listRead(): boolean {
+    const now = this.context.clock.now();
+    const afterOutage = now - this.readAt > OUTAGE_MS;
+    if (afterOutage) this.followedSince = now;
+    this.readAt = now;
+    return afterOutage;
+  }
+
+  /**
+   * @param id - A run of a server.
+   * @param forMs - In milliseconds.
+   * @returns Whether it is listed, and the list has been read for that long.
+   */
+  isListedFor(id: string, forMs: number): boolean {
+    const now = this.context.clock.now();
+    const followed = now - this.readAt <= OUTAGE_MS;
+    const longEnough = now - this.followedSince >= forMs;
+    return followed && longEnough && this.targets.has(id);
+  }
+
   /** @param listener - Called with the id of each target that is gone. */
   onGone(listener: (id: string) => void): void {
     this.goneListeners.push(listener);
--- a/packages/gateway/src/test/process/crash_suspects_test.ts
+++ b/packages/gateway/src/test/process/crash_suspects_test.ts
@@ -1,14 +1,42 @@
-import {NO_EVENT_LOG, SYSTEM_CLOCK} from '@oathead/core';
+import {NO_EVENT_LOG, SYSTEM_CLOCK, type Clock} from '@oathead/core';
 import {MemoryRowStore} from '@oathead/stores';
 import test from 'ava';
 import {
   CrashSuspects,
   SUSPECT_TABLE,
 } from '../../lib/process/crash_suspects.js';
+import {TargetDirectory} from '../../lib/process/target_directory.js';
+import {targetOf} from '../fakes/targets.js';
 
+/** Three heartbeats of 1.2 s. */
+const LAPSE_MS = 3600;
+/** Beyond the lapse and the time in which hosts read of it. */
+const KNOWN_LATER_MS = 8000;
+const READ_EVERY_MS = 250;
+const TARGETS = ['i-1', 'i-2', 'i-3'] as const;
+
+/** Suspects, the list of targets, and a time that a test sets. */
 function newSuspects() {
-  const store = new MemoryRowStore(SYSTEM_CLOCK);
-  return new CrashSuspects({store, clock: SYSTEM_CLOCK, log: NO_EVENT_LOG});
+  let now = 0;
+  const clock: Clock = {...SYSTEM_CLOCK, now: () => now};
+  const store = new MemoryRowStore(clock);
+  const log = NO_EVENT_LOG;
+  const directory = new TargetDirectory({clock, log});
+  const lapseMs = () => LAPSE_MS;
+  return {
+    suspects: new CrashSuspects({store, clock, log, directory, lapseMs}),
+    directory,
+    pass: (ms: number) => {
+      now += ms;
+    },
+    /** Lets time pass in which the list is read again and again. */
+    follow: (ms: number) => {
+      for (let i = 0; i < ms; i += READ_EVERY_MS) {
+        now += READ_EVERY_MS;
+        directory.listRead();
+      }
+    },
+  };
 }
 
 function heardOf(print: string, targets: readonly string[]) {
@@ -26,7 +54,7 @@
 // One request takes down server after server, each of which is back under the id
 // it had: every run of a server counts.
 test('runs of one server that crashed are counted each', t => {
-  const suspects = newSuspects();
+  const {suspects} = newSuspects();
   for (const id of ['i-1@1', 'i-1@2']) suspects.broke('p', id);
   t.false(suspects.isBlocked('p'));
   suspects.broke('p', 'i-1@3');
@@ -36,10 +64,52 @@
 // Two hosts saw the same request crash different targets and wrote it down at the
 // same time: neither may take away what the other knows.
 test('what two hosts know of a request adds up', t => {
-  const suspects = newSuspects();
+  const {suspects} = newSuspects();
   suspects.broke('p', 'a');
   suspects.update(heardOf('p', ['a', 'b']));
   t.false(suspects.isBlocked('p'));
   suspects.update(heardOf('p', ['c']));
   t.true(suspects.isBlocked('p'));
 });
+
+/** Three targets are listed, and the same request breaks at each of them. */
+function brokenAtThree() {
+  const parts = newSuspects();
+  parts.directory.listRead();
+  for (const id of TARGETS) parts.directory.put(targetOf(id));
+  for (const id of TARGETS) parts.suspects.broke('p', id);
+  return parts;
+}
+
+// An item is late by a minute although nothing is wrong with it: three servers that
+// live lost its answers. They are still listed when the entry of a server that
+// crashed would have lapsed.
+test('targets that stay listed were not crashed', t => {
+  const {suspects, follow} = brokenAtThree();
+  t.true(suspects.isBlocked('p'));
+  follow(KNOWN_LATER_MS);
+  t.false(suspects.isBlocked('p'));
+});
+
+// A request that crashes servers is sent again too soon: only those of its three
+// servers that live on may be taken off what counts against it.
+test('targets that left the list count on', t => {
+  const {suspects, directory, follow} = brokenAtThree();
+  directory.remove('i-1', 0);
+  follow(KNOWN_LATER_MS);
+  t.false(suspects.isBlocked('p'));
+  for (const id of ['i-2', 'i-3']) directory.remove(id, 0);
+  t.true(suspects.isBlocked('p'));
+});
+
+// Server after server falls to one request while the list can't be read: that a
+// server still stands in what was read before proves nothing.
+test('a list that is not followed proves no life', t => {
+  const {suspects, directory, follow, pass} = brokenAtThree();
+  pass(KNOWN_LATER_MS);
+  t.true(suspects.isBlocked('p'));
+  directory.listRead();
+  t.true(suspects.isBlocked('p'));
+  follow(KNOWN_LATER_MS);
+  t.false(suspects.isBlocked('p'));
+});
--- a/packages/serving/src/lib/process/serving_host.ts
+++ b/packages/serving/src/lib/process/serving_host.ts
@@ -53,6 +53,8 @@
   readonly keepJobsMs: number;
   /** How long a planned stop may take, in milliseconds. */
   readonly stopMs: number;
+  /** Until the entry of a target that crashed is off the list, in milliseconds. */
+  readonly targetLapseMs: number;
 }
 
 /** The adapter's side of a serving process. */
--- a/packages/serving/src/lib/process/serving_parts.ts
+++ b/packages/serving/src/lib/process/serving_parts.ts
@@ -103,7 +103,13 @@
         })),
     }),
   );
-  const crashes = new CrashSuspects({store, clock, log});
+  const crashes = new CrashSuspects({
+    store,
+    clock,
+    log,
+    directory,
+    lapseMs: () => host.tunables().targetLapseMs,
+  });
   const hosts = () => membership.live().length;
   const homes = new HomeTargets({
     self: self.id,
--- a/packages/serving/src/lib/process/table_feeds.ts
+++ b/packages/serving/src/lib/process/table_feeds.ts
@@ -58,8 +58,6 @@
 /** After an outage, targets' entries that have lapsed are waited for so long,
  * in milliseconds: live targets renew them within two seconds. */
 const LAPSED_TARGET_GRACE_MS = 2200;
-/** A longer time between two answers of the store is an outage, in ms. */
-const OUTAGE_MS = 1500;
 /** How long a starting process waits for the store before it asks its peers, and
  * between two such questions, in milliseconds. */
 const ASK_PEERS_MS = 400;
@@ -72,7 +70,6 @@
 export class TableFeeds implements Disposable {
   private readonly held = new DisposableStore();
   private readonly watches = new Map<string, TableWatch>();
-  private targetsReadAt = -Infinity;
   /** Why a row could not be read when it was last logged. */
   private readonly unreadableRows = new LRUCache<string, string>({
     max: MAX_UNREADABLE_ROWS,
@@ -183,10 +180,7 @@
 
   private updateTargets({put, removed}: TableUpdate): void {
     const {directory} = this.readers;
-    const now = this.context.clock.now();
-    const outage = now - this.targetsReadAt > OUTAGE_MS;
-    const graceMs = outage ? LAPSED_TARGET_GRACE_MS : 0;
-    this.targetsReadAt = now;
+    const graceMs = directory.listRead() ? LAPSED_TARGET_GRACE_MS : 0;
     for (const {key} of removed) directory.remove(key, graceMs);
     for (const row of put) {
       const target = this.host.targets.decode(row);
