A host that stands still says so; the request of 1 MB traced to it

What callers saw: beside other load one of twelve requests of 1 MB was answered 504 after its route's 1.5 s. Nothing told a host that was starved from slow servers before.

--- a/packages/cli/src/lib/process/log_story.ts
+++ b/packages/cli/src/lib/process/log_story.ts
@@ -12,7 +12,7 @@
 
 /** What a set of logs says of one id. */
 export interface LogStory {
-  /** Lines that name the id, or a target or job that it had to do with. */
+  /** Lines that name the id, or a target, job or host that it had to do with. */
   readonly lines: readonly StoryLine[];
   /** Lines that could not be read: cut off, or not of this system. */
   readonly unreadable: number;
@@ -34,6 +34,8 @@
   'target-leaving',
   'target-gone',
 ]);
+/** A host that stood still answers nothing in time. */
+const HOST_EVENT = 'process-stalled';
 /** What happened to a job decides over its items. */
 const JOB_EVENT = /^job-/;
 /** Lines of targets count if they are so near to the story, in milliseconds. */
@@ -51,11 +53,13 @@
   const own = all.filter(line => namesOf(line).includes(id));
   const jobs = idsIn(own, 'job');
   const targets = idsIn(own, 'target');
+  const hosts = new Set(own.map(({host}) => host));
   const near = nearTo(own);
   const lines = all.filter(
     line =>
       own.includes(line) ||
       (JOB_EVENT.test(line.event) && jobs.has(line.fields['job'])) ||
+      (line.event === HOST_EVENT && hosts.has(line.host) && near(line)) ||
       (TARGET_EVENTS.has(line.event) &&
         targets.has(line.fields['target']) &&
         near(line)),
--- a/packages/cli/src/test/process/log_story_test.ts
+++ b/packages/cli/src/test/process/log_story_test.ts
@@ -51,6 +51,19 @@
   t.deepEqual(events, ['job-adopted', 'item-sent', 'job-claimed']);
 });
 
+// A request is late and its targets look slow: the host that had it stood still.
+// What other hosts did is not its story.
+test('the story of a request tells that its host stood still', t => {
+  const logs = [
+    line(10, 'one', 'request-sent', {request: 'r1', target: 'i-a'}),
+    line(900, 'one', 'process-stalled', {ms: 800}),
+    line(900, 'two', 'process-stalled', {ms: 700}),
+    line(910, 'one', 'request-ended', {request: 'r1', status: 504}),
+  ];
+  const events = storyOf('r1', logs).lines.map(({event}) => event);
+  t.deepEqual(events, ['request-sent', 'process-stalled', 'request-ended']);
+});
+
 test('an id that nobody knows has no story', t => {
   t.deepEqual(storyOf('nobody', [ONE]).lines, []);
 });
--- a/packages/observe/src/index.ts
+++ b/packages/observe/src/index.ts
@@ -11,3 +11,4 @@
 export * from './lib/process/log_tracing.js';
 export * from './lib/process/tracing.js';
 export * from './lib/process/json_event_log.js';
+export * from './lib/process/stall_watch.js';
