--- a/packages/soak/src/lib/process/kept_seeds.ts
+++ b/packages/soak/src/lib/process/kept_seeds.ts
@@ -13,6 +13,7 @@
 const SIZE = {programs: 4, engines: 4} as const;
 /** Load with faults, in milliseconds. */
 const SHORT_MS = 12_000;
+const MEDIUM_MS = 15_000;
 const LONG_MS = 24_000;
 
 /** All of them. */
@@ -37,4 +38,9 @@
     cause: 'an item whose answers a live server lost was held as a suspect',
     inTests: false,
   },
+  {
+    options: {seed: 5001, loadMs: MEDIUM_MS, ...SIZE},
+    cause: 'SIGHUP ended a program that was still being loaded',
+    inTests: false,
+  },
 ];
