Soak: items of a job that is ended in the calm have a bound of their own

While faults overlap an ended job is given 12 s. In the calm after them nothing keeps a host from hearing of the end: the bound is 3 s, and a second for a busy machine. The check is shown to fail on broken evidence.

--- a/packages/soak/src/lib/process/calm_changes.ts
+++ b/packages/soak/src/lib/process/calm_changes.ts
@@ -10,6 +10,8 @@
 
 /** What was changed. */
 export interface CalmChanges {
+  /** Since when nothing else is wrong, on the time of day in milliseconds. */
+  readonly since: number;
   /** When each process was told to stop, on the time of day in milliseconds, by
    * its id. */
   readonly stoppedAt: ReadonlyMap<number, number>;
@@ -39,6 +41,7 @@
   fleet: SoakFleet,
   random: Random,
 ): Promise<CalmChanges> {
+  const since = Date.now();
   const stoppedAt = await stopOne(fleet, random);
   const before = new Set(fleet.leavingSince.keys());
   // It serves on beyond the bound, so that a late request is seen.
@@ -47,7 +50,13 @@
   const route = await fleet.addRoute();
   await sleep(SYSTEM_CLOCK, CALM_BOUND_MS);
   fleet.knownRoute = route;
-  return {stoppedAt, left: new Set(left), route, routeKnownAt: Date.now()};
+  return {
+    since,
+    stoppedAt,
+    left: new Set(left),
+    route,
+    routeKnownAt: Date.now(),
+  };
 }
 
 /** Tells one program to stop, and says so again while it does, as a supervisor, an
--- a/packages/soak/src/lib/process/promises.ts
+++ b/packages/soak/src/lib/process/promises.ts
@@ -23,6 +23,9 @@
  * the bound of two seconds, and a second for a busy machine, in milliseconds. */
 const LEAVING_BOUND_MS = 12_000;
 const END_BOUND_MS = 12_000;
+/** An ended job's items may begin to run for so long with no fault at work, in
+ * milliseconds: the bound of three seconds, and a second for a busy machine. */
+const CALM_END_BOUND_MS = 4000;
 /** A connection may be closed that has brought a request for less, in milliseconds:
  * the two cross on their way. A second for a busy machine is in it. */
 const LOSS_SLACK_MS = 1200;
@@ -118,7 +121,9 @@
   return allRuns(evidence)
     .filter(({path, at}) => {
       const endedAt = ended.get(path.split('/')[2] ?? '');
-      return endedAt !== undefined && at > endedAt + END_BOUND_MS;
+      if (endedAt === undefined) return false;
+      const calm = endedAt >= evidence.calm.since;
+      return at > endedAt + (calm ? CALM_END_BOUND_MS : END_BOUND_MS);
     })
     .map(({path}) => `${path} ran after its job was ended`);
 }
--- a/packages/soak/src/test/process/promises_test.ts
+++ b/packages/soak/src/test/process/promises_test.ts
@@ -4,6 +4,7 @@
 const LEFT_AT = 1000;
 const KNOWN_AT = 2000;
 const STOPPED_AT = 3000;
+const ENDED_AT = 500;
 const REQUEST = {kind: 'notes', path: '/notes/r1', place: 'host-0', pid: 7};
 
 const TIMES = {sentAt: KNOWN_AT, endedAt: STOPPED_AT + 100};
@@ -20,8 +21,18 @@
       deaths: [],
     },
     online: [{id: 'r1', status: 200, ...TIMES, ...REQUEST, ...online}],
-    jobs: [],
+    jobs: [
+      {
+        id: 'r1',
+        items: 0,
+        tries: [],
+        results: [],
+        flaws: [],
+        endedAt: ENDED_AT,
+      },
+    ],
     calm: {
+      since: ENDED_AT,
       stoppedAt: new Map([[REQUEST.pid, STOPPED_AT]]),
       left: new Set(['llm-1']),
       route: '/extra0/',
@@ -33,6 +44,7 @@
 /** Each check must fail where its promise is broken, or it shows nothing. */
 const BROKEN = [
   ['a leaving target gets nothing new', {at: LEFT_AT + 3500}, {}],
+  ['an ended job stops', {at: ENDED_AT + 4100, path: '/files/r1/0'}, {}],
   [STOP_PROMISE, {}, BROKEN_OFF],
   // Read, not sent on, and cut when the time for the stop was over.
   [STOP_PROMISE, {id: 'other'}, {...BROKEN_OFF, endedAt: STOPPED_AT + 7600}],
