Test of an item on servers that crash for other reasons, a known red

By the logs its item 3 broke at llm-4, llm-7 and llm-2 within three seconds, all three of which the run had crashed, and was not sent again: it was taken for an item that crashes servers. Not mended: a further run of such an item has to be measured against requests that do crash servers.

--- a/packages/soak/src/lib/process/kept_seeds.ts
+++ b/packages/soak/src/lib/process/kept_seeds.ts
@@ -43,4 +43,10 @@
     cause: 'SIGHUP ended a program that was still being loaded',
     inTests: false,
   },
+  {
+    options: {seed: 5010, loadMs: MEDIUM_MS, ...SIZE},
+    cause:
+      'an item that ran on three servers that crashed was held as a suspect',
+    inTests: false,
+  },
 ];
