--- a/packages/observe/src/lib/process/stall_watch.ts
+++ b/packages/observe/src/lib/process/stall_watch.ts
@@ -3,7 +3,7 @@
  * processor, or busy with one thing for too long. Nothing that it does can be in
  * time then, and the lines of its requests look as if their targets were slow: a
  * request of 1 MB was answered 504 after 2.1 s by a process that was stopped for
- * 250 of each 255 ms, and took 0.03 s while only its targets' readers stood still.
+ * 250 of each 255 ms, and 200 after 0.5 to 0.8 s while only its targets stood still.
  */
 import type {Clock, Counters, EventLog} from '@oathead/core';
 
@@ -14,7 +14,7 @@
  * and most of the objective of a short request. */
 const STALL_MS = 150;
 
-/** What a {@link watchStalls} needs. */
+/** What {@link watchStalls} needs. */
 export interface StallContext {
   readonly clock: Clock;
   readonly counters: Counters;
