--- a/packages/soak/src/lib/process/kept_seeds.ts
+++ b/packages/soak/src/lib/process/kept_seeds.ts
@@ -43,6 +43,11 @@
     cause: 'SIGHUP ended a program that was still being loaded',
     inTests: false,
   },
+  {
+    options: {seed: 5023, loadMs: MEDIUM_MS, ...SIZE},
+    cause: 'the same, after a planned stop',
+    inTests: false,
+  },
   {
     options: {seed: 5010, loadMs: MEDIUM_MS, ...SIZE},
     cause:
