Items that have time hold back none that are due soon

Callers got items late that targets had room for. Since places may be asked of a coordinator, a route without a place was left alone for 50 ms, to spare messages: for items of both pressures, and on fleets without a coordinator too. There a look costs nothing, and was made at each tick of 25 ms before. Now a route is full by pressure, and for 50 ms only where another host is asked.

--- a/packages/gateway/src/lib/process/placement.ts
+++ b/packages/gateway/src/lib/process/placement.ts
@@ -58,7 +58,7 @@
 export type RequestPlacement = Pick<Placement<LoadPeer>, 'forRequest'>;
 
 /** Places items of batch jobs. */
-export type ItemPlacement = Pick<Placement<LoadPeer>, 'forItem'>;
+export type ItemPlacement = Pick<Placement<LoadPeer>, 'forItem' | 'asksOthers'>;
 
 type Answer = (targetId: string | undefined) => void;
 
@@ -72,6 +72,11 @@
   /** @param context - Whom to ask, and the own view. */
   constructor(private readonly context: PlacementContext<P>) {}
 
+  /** Whether another host is asked for places now. */
+  get asksOthers(): boolean {
+    return this.coordinator() !== undefined;
+  }
+
   /**
    * @param service - Whose targets can do it.
    * @param demand - How long it may wait there.
--- a/packages/jobs/src/lib/process/batch_scheduler.ts
+++ b/packages/jobs/src/lib/process/batch_scheduler.ts
@@ -47,9 +47,13 @@
  * old as their last message; a host that filled all it sees free would meet
  * others that do the same. */
 const STARTS_PER_TICK = 3;
-/** A route for which there was no place is left alone for so long, in ms: a try may
- * be a question to another host. */
-const FULL_MS = 50;
+/** A route for which there was no place is left alone for so long, in milliseconds. */
+const FULL_MS = {
+  /** The own view changes with the next loads: to the next tick. */
+  ownView: TICK_MS / 2,
+  /** A try is a question to another host. */
+  coordinator: 50,
+} as const;
 /** How long a route must be missing before its items are given up, in ms: the
  * time within which a configuration is in force everywhere, doubled. */
 const ROUTE_MISSING_MS = 5000;
@@ -67,6 +71,11 @@
   late: 'relaxed',
 };
 
+/** Items that are due soon have places which others may not take. */
+function fullKey({name}: Route, {outlook}: Candidate): string {
+  return `${PRESSURE[outlook.urgency]} ${name}`;
+}
+
 function moreUrgentFirst(a: Candidate, b: Candidate): number {
   return compareOutlooks(a.outlook, b.outlook);
 }
@@ -76,7 +85,7 @@
   private readonly held = new DisposableStore();
   private readonly missingSince = new Map<string, number>();
   private readonly durations = new ItemDurations();
-  /** Until when a route is taken to have no place, by its name. */
+  /** Until when a route is taken to have no place, by pressure and its name. */
   private readonly fullUntil = new Map<string, number>();
   private paused = false;
   private starting = false;
@@ -157,25 +166,26 @@
     let started = 0;
     for (const candidate of this.candidates()) {
       const route = this.routeOf(candidate);
-      if (!route || this.isFull(route)) continue;
+      if (!route || this.isFull(route, candidate)) continue;
       if (this.context.crashes.isItemBlocked(candidate.work.print)) continue;
       await this.startItem(candidate, route);
       if (++started >= STARTS_PER_TICK) return;
     }
   }
 
-  private isFull({name}: Route): boolean {
-    const until = this.fullUntil.get(name);
+  private isFull(route: Route, candidate: Candidate): boolean {
+    const until = this.fullUntil.get(fullKey(route, candidate));
     return until !== undefined && until > this.context.clock.now();
   }
 
   private async startItem(candidate: Candidate, route: Route): Promise<void> {
-    const {clock, crashes} = this.context;
+    const {clock, crashes, placement} = this.context;
     const {job, work} = candidate;
     const {stage} = work;
     const target = await this.targetFor(route, candidate);
     if (!target) {
-      this.fullUntil.set(route.name, clock.now() + FULL_MS);
+      const forMs = FULL_MS[placement.asksOthers ? 'coordinator' : 'ownView'];
+      this.fullUntil.set(fullKey(route, candidate), clock.now() + forMs);
       return;
     }
     // It was given up, or its job ended or went to another host meanwhile.
