--- a/packages/entry/src/lib/process/key_authenticator.ts
+++ b/packages/entry/src/lib/process/key_authenticator.ts
@@ -1,19 +1,13 @@
 /** Bearer keys, of which only hashes are known. */
-import {createHash, timingSafeEqual} from 'node:crypto';
-import type {ConfigSnapshot, ConfigView} from '@oathead/core';
+import {KeyIndex, type ConfigSnapshot, type ConfigView} from '@oathead/core';
 import type {Identity} from '../request/api.js';
 import type {Authenticator} from '../request/router.js';
 
 const SCHEME = /^Bearer +([\x21-\x7e]{1,512})$/i;
 
-interface KnownKey {
-  readonly hash: Buffer;
-  readonly identity: Identity;
-}
-
 /** Tells callers by their bearer keys, as declared now. */
 export class KeyAuthenticator implements Authenticator {
-  private keys: ReadonlyMap<string, KnownKey>;
+  private keys: KeyIndex<Identity>;
 
   /**
    * @param cfg - The configuration; rotated keys are followed.
@@ -32,23 +26,17 @@
   identify(authorization: string | undefined): Identity | undefined {
     const key = SCHEME.exec(authorization ?? '')?.[1];
     if (key === undefined) return undefined;
-    const hash = createHash('sha256').update(key).digest();
-    // Looking up a hash leaks no more than how many bits of the hash agree,
-    // and those cannot be chosen; the whole is compared in constant time.
-    const known = this.keys.get(hash.toString('hex'));
-    if (!known || !timingSafeEqual(known.hash, hash)) return undefined;
-    return known.identity;
+    return this.keys.ownerOf(key);
   }
 
-  private keysOf(snapshot: ConfigSnapshot): ReadonlyMap<string, KnownKey> {
-    const keys = new Map<string, KnownKey>();
-    const add = (hex: string, identity: Identity) =>
-      keys.set(hex.toLowerCase(), {hash: Buffer.from(hex, 'hex'), identity});
+  private keysOf(snapshot: ConfigSnapshot): KeyIndex<Identity> {
+    const keys = new KeyIndex<Identity>();
+    // First, so that they stay an operator's whatever is declared.
+    const operator: Identity = {name: 'bootstrap', role: 'operator'};
+    for (const hash of this.bootstrap) keys.add(hash, operator);
     for (const {name, spec} of snapshot.all('callers')) {
-      for (const hex of spec.keyHashes) add(hex, {name, role: spec.role});
-    }
-    for (const hex of this.bootstrap) {
-      add(hex, {name: 'bootstrap', role: 'operator'});
+      const identity: Identity = {name, role: spec.role};
+      for (const hash of spec.keyHashes) keys.add(hash, identity);
     }
     return keys;
   }
