Client accounts on the serving path: keys, withdrawal, quotas

Cause: the accounts of the configuration were not read.

Now a host admits by key only while its configuration was known to be the newest within 0.6 of the bound of withdrawal; otherwise it answers 503 with Connection: close and is not ready. The key is looked at again right before a request is sent. Key and claimed account are dropped, the account's name is set, for items of batch jobs too; jobs have ids within their account. A request beyond its quota gets 429 at once with the time at which there is room; one host per account counts, asked by datagram.

--- a/packages/gateway/src/lib/process/front_server.ts
+++ b/packages/gateway/src/lib/process/front_server.ts
@@ -2,11 +2,13 @@
 import {
   createServer,
   type IncomingMessage,
+  type OutgoingHttpHeaders,
   type Server,
   type ServerResponse,
 } from 'node:http';
-import type {EventLog} from '@oathead/core';
+import type {ClientAccount, EventLog} from '@oathead/core';
 import {OnlineRequest, type OnlineContext} from '../request/online_request.js';
+import type {AdmissionRefusal} from './caller_admission.js';
 import {readBody} from '../request/read_body.js';
 import type {RouteMatcher} from '../version/route_matcher.js';
 import type {RoutingState} from '../version/routing_state.js';
@@ -18,12 +20,14 @@
   readonly res: ServerResponse;
   readonly matcher: RouteMatcher;
   readonly route: Route | undefined;
+  /** Whose request it is; undefined where none is needed. */
+  readonly account: ClientAccount | undefined;
 }
 
 /** Takes requests that are not online ones; the batch interface. */
 export interface BatchFront {
   /** @returns Whether the request is one of the batch interface. */
-  accepts(request: RoutedRequest): boolean;
+  accepts(request: Omit<RoutedRequest, 'account'>): boolean;
   /**
    * Answers such a request; never rejects.
    *
@@ -49,8 +53,13 @@
 /** For a client that never finishes its request, in milliseconds. */
 const REQUEST_TIMEOUT_MS = 30_000;
 const MAX_HEADER_BYTES = 64 * 1024;
+/** When to ask again, elsewhere, after a host that has not heard from the store for
+ * too long, in milliseconds: at once. */
+const STALE_RETURN_MS = 50;
+const STATUS_UNAUTHORIZED = 401;
 const STATUS_NOT_FOUND = 404;
 const STATUS_TOO_LARGE = 413;
+const STATUS_OVER_QUOTA = 429;
 const STATUS_UNAVAILABLE = 503;
 
 /** Serves callers until closed. */
@@ -128,13 +137,31 @@
     const matcher = this.context.routing.current;
     if (!matcher) return this.refuse(req, res, STATUS_UNAVAILABLE, 'no config');
     const route = matcher.match(req.headers.host, req.url ?? '/');
-    const routed: RoutedRequest = {req, res, matcher, route};
-    if (this.context.batch.accepts(routed))
-      return this.handleBatch(routed, matcher);
-    if (!route) return this.refuse(req, res, STATUS_NOT_FOUND, 'no route');
+    const found = {req, res, matcher, route};
+    const isBatch = this.context.batch.accepts(found);
+    if (!isBatch && !route)
+      return this.refuse(req, res, STATUS_NOT_FOUND, 'no route');
+    const {admission, protocol} = this.context.online;
+    const {key} = protocol.readRequest(req.headers);
+    const admitted = admission.admit(key, route);
+    if (admitted.kind === 'refused')
+      return this.turnAway(found, admitted.reason);
+    const routed: RoutedRequest = {...found, account: admitted.account};
+    if (isBatch || !route) return this.handleBatch(routed, matcher);
     return this.handleOnline(routed, route, matcher);
   }
 
+  /** A host that can't say whose key it is sends the caller to another one. */
+  private turnAway(
+    {req, res}: Pick<RoutedRequest, 'req' | 'res'>,
+    reason: AdmissionRefusal,
+  ): void {
+    if (reason !== 'stale')
+      return this.refuse(req, res, STATUS_UNAUTHORIZED, reason);
+    res.setHeader('connection', 'close');
+    this.refuse(req, res, STATUS_UNAVAILABLE, reason, STALE_RETURN_MS);
+  }
+
   private async handleBatch(
     routed: RoutedRequest,
     matcher: RouteMatcher,
@@ -152,8 +179,19 @@
     const body = await this.bodyOf(routed, matcher);
     if (!body) return;
     const {online} = this.context;
-    const {req, res} = routed;
-    await new OnlineRequest(online, route, req, res, body, startedAt).serve();
+    const {req, res, account} = routed;
+    const quota = await online.admission.takeQuota(account);
+    if (quota.kind === 'over')
+      return this.refuse(
+        req,
+        res,
+        STATUS_OVER_QUOTA,
+        'over-quota',
+        quota.waitMs,
+        account?.name,
+      );
+    const admitted = {req, res, route, body, startedAt, account};
+    await new OnlineRequest(online, admitted).serve();
   }
 
   /** @returns The body; undefined when there is none to go on with. */
@@ -174,8 +212,10 @@
     res: ServerResponse,
     status: number,
     reason: string,
+    returnAfterMs?: number,
+    account?: string,
   ): void {
-    const {online, log, routing} = this.context;
+    const {online, log} = this.context;
     const {requestId} = online.protocol.readRequest(req.headers);
     log.event('request-refused', {
       request: requestId,
@@ -183,9 +223,16 @@
       host: req.headers.host,
       status,
       reason,
-      configVersion: routing.current?.table.version,
+      account,
+      returnAfterMs,
+      ...online.admission.view,
     });
-    res.writeHead(status, {'content-length': 0}).end();
+    const retry =
+      returnAfterMs === undefined
+        ? {}
+        : online.protocol.retryAfter(returnAfterMs);
+    const headers = {...retry, 'content-length': 0} as OutgoingHttpHeaders;
+    res.writeHead(status, headers).end();
     req.resume();
   }
 }
--- a/packages/gateway/src/lib/request/online_request.ts
+++ b/packages/gateway/src/lib/request/online_request.ts
@@ -7,11 +7,16 @@
   DisposableStore,
   patienceMs,
   sleep,
+  type ClientAccount,
   type Random,
   type WaitDemand,
 } from '@oathead/core';
 import {targetKey} from '../connection/load_message.js';
 import type {Target} from '../connection/target.js';
+import type {
+  AdmissionRefusal,
+  CallerAdmission,
+} from '../process/caller_admission.js';
 import type {CallerPatience} from '../process/caller_patience.js';
 import {CrashSuspects} from '../process/crash_suspects.js';
 import type {RequestPlacement} from '../process/placement.js';
@@ -32,7 +37,7 @@
   type RequestProgress,
 } from './request_report.js';
 import {sendToTarget, type SendContext, type Sending} from './target_send.js';
-import type {RequestFacts} from './target_protocol.js';
+import type {RequestFacts, SenderAccount} from './target_protocol.js';
 
 /** What all online requests of a process share. */
 export interface OnlineContext extends SendContext, ReportContext {
@@ -41,6 +46,21 @@
   readonly random: Random;
   readonly crashes: CrashSuspects;
   readonly patience: CallerPatience;
+  readonly admission: CallerAdmission;
+}
+
+/** A caller's request that was admitted. */
+export interface AdmittedRequest {
+  readonly req: IncomingMessage;
+  /** Where its answer goes. */
+  readonly res: ServerResponse;
+  readonly route: Route;
+  /** The caller's body, whole. */
+  readonly body: Buffer;
+  /** When its head had come, on the steady clock. */
+  readonly startedAt: number;
+  /** Whose request it is. */
+  readonly account: ClientAccount | undefined;
 }
 
 /** How often a request that waits for a target looks again, in milliseconds. */
@@ -57,11 +77,18 @@
 /** Ends after which the request may go on at another target. */
 const RUN_IS_OVER: ReadonlySet<EndedBy> = new Set(['silent', 'restarted']);
 
+const STATUS_UNAUTHORIZED = 401;
 const STATUS_SERVER_ERROR = 500;
 const STATUS_BAD_GATEWAY = 502;
 const STATUS_UNAVAILABLE = 503;
 const STATUS_GATEWAY_TIMEOUT = 504;
 
+/** What callers whose request has not run are told, where that is not 503. */
+const NOT_RUN_STATUS: Readonly<Record<string, number>> = {
+  'no-key': STATUS_UNAUTHORIZED,
+  'unknown-key': STATUS_UNAUTHORIZED,
+};
+
 /** Serves one request. */
 export class OnlineRequest {
   private readonly startedAt: number;
@@ -73,6 +100,10 @@
   private readonly service: string;
   private readonly demand: WaitDemand;
   private readonly print: string;
+  private readonly route: Route;
+  private readonly req: IncomingMessage;
+  private readonly res: ServerResponse;
+  private readonly body: Buffer;
   private failedAnswer: WholeAnswer | undefined;
   private sending: Sending | undefined;
   private endedBy: EndedBy | undefined;
@@ -81,31 +112,35 @@
 
   /**
    * @param context - Shared by all requests.
-   * @param route - The route it came by.
-   * @param req - The caller's request.
-   * @param res - Where its answer goes.
-   * @param body - The caller's body, whole.
-   * @param startedAt - When its head had come, on the steady clock.
+   * @param admitted - The request.
    */
   constructor(
     private readonly context: OnlineContext,
-    private readonly route: Route,
-    private readonly req: IncomingMessage,
-    private readonly res: ServerResponse,
-    private readonly body: Buffer,
-    startedAt: number,
+    private readonly admitted: AdmittedRequest,
   ) {
+    const {req, res, route, body, startedAt, account} = admitted;
+    this.req = req;
+    this.res = res;
+    this.route = route;
+    this.body = body;
     this.startedAt = startedAt;
     this.facts = context.protocol.readRequest(req.headers);
     const waits = this.facts.deadlineMs ?? route.timeoutMs;
     this.endsAt = startedAt + Math.min(waits, route.timeoutMs);
     const headers = endToEndHeaders(req.headers);
-    this.report = new RequestReport(context, route, this.facts, headers);
+    this.report = new RequestReport(
+      context,
+      route,
+      this.facts,
+      headers,
+      account?.name,
+    );
     const now = () => this.now();
     this.answer = new AnswerWriter(res, this.facts.lastEventId, now);
     this.print = CrashSuspects.fingerprintOf(req.url ?? '/', body);
     this.service = pickService(route, context.random);
-    const {name, goalMs, priority} = route;
+    const {name, goalMs} = route;
+    const priority = account?.priority ?? route.priority;
     const {deadlineMs} = this.facts;
     const returning = context.patience.isReturning(name, deadlineMs);
     this.demand = {goalMs, priority, returning};
@@ -129,6 +164,8 @@
       return this.giveUp('suspect');
     const target = await this.findTarget();
     if (this.endedBy) return this.giveUp(this.endedBy);
+    const refusal = this.refusalNow();
+    if (refusal) return this.giveUp(refusal);
     if (!target) return this.giveUp('no target');
     const end = await this.send(target);
     return this.settle(end, target);
@@ -148,6 +185,25 @@
     }
   }
 
+  /**
+   * Guards against a key that is withdrawn, or a host that stands still, while the
+   * request waits: what was true when it came may not be true when it is sent. A
+   * stream that has begun goes on.
+   */
+  private refusalNow(): AdmissionRefusal | undefined {
+    if (this.answer.begun) return undefined;
+    const {admission} = this.context;
+    const now = admission.admit(this.facts.key, this.route);
+    if (now.kind === 'refused') return now.reason;
+    const isSame = now.account?.name === this.admitted.account?.name;
+    return isSame ? undefined : 'unknown-key';
+  }
+
+  private senderAccount(): SenderAccount | undefined {
+    if (!this.context.admission.inForce) return undefined;
+    return {name: this.admitted.account?.name};
+  }
+
   private patienceMs(): number {
     if (this.answer.begun || this.runs > 0) return RETRY_WAIT_MS;
     return this.startedAt + patienceMs(this.demand) - this.now();
@@ -164,6 +220,7 @@
       serverId: target.serverId,
       deadlineMs: Math.max(1, Math.floor(this.endsAt - this.now())),
       lastEventId: answer.lastEventId,
+      account: this.senderAccount(),
     };
     const req = {
       requestId: this.facts.requestId,
@@ -257,6 +314,8 @@
     const {service} = this;
     this.report.givenUp(service, reason, this.context.chooser.view(service));
     const status = this.failureStatus(reason);
+    if (this.runs === 0)
+      this.context.admission.giveBackQuota(this.admitted.account);
     const retry =
       status === STATUS_UNAVAILABLE
         ? this.context.protocol.retryAfter(this.returnAfterMs())
@@ -274,7 +333,7 @@
 
   private failureStatus(reason: string): number {
     const mayHaveRun = this.runs > 0 || reason === 'timeout';
-    if (!mayHaveRun) return STATUS_UNAVAILABLE;
+    if (!mayHaveRun) return NOT_RUN_STATUS[reason] ?? STATUS_UNAVAILABLE;
     return reason === 'timeout' ? STATUS_GATEWAY_TIMEOUT : STATUS_BAD_GATEWAY;
   }
 
--- a/packages/gateway/src/lib/request/request_report.ts
+++ b/packages/gateway/src/lib/request/request_report.ts
@@ -42,12 +42,14 @@
    * @param route - The route it came by.
    * @param facts - What it says of itself.
    * @param headers - Those that go on to targets.
+   * @param account - Whose request it is.
    */
   constructor(
     private readonly context: ReportContext,
     private readonly route: Route,
     private readonly facts: RequestFacts,
     headers: Headers,
+    private readonly account: string | undefined,
   ) {
     this.trace = new RequestTrace(context.tracer, 'request', headers, {
       request: facts.requestId,
@@ -126,6 +128,7 @@
     this.context.log.event('request-ended', {
       request: this.facts.requestId,
       route: this.route.name,
+      account: this.account,
       outcome,
       status,
       target: target?.id,
--- a/packages/gateway/src/lib/request/target_protocol.ts
+++ b/packages/gateway/src/lib/request/target_protocol.ts
@@ -16,6 +16,15 @@
   readonly deadlineMs: number | undefined;
   /** The last event that the caller has of a stream it resumes. */
   readonly lastEventId: number | undefined;
+  /** The key of the caller's client account; undefined: it sent none that could
+   * be one. */
+  readonly key: string | undefined;
+}
+
+/** Whose request it is, while the configuration has client accounts. */
+export interface SenderAccount {
+  /** Undefined: the route needs no key, and none was sent. */
+  readonly name: string | undefined;
 }
 
 /** What is said to a target beside the caller's own headers. */
@@ -28,6 +37,9 @@
   readonly deadlineMs: number;
   /** The last event that is known of a stream which is resumed. */
   readonly lastEventId: number | undefined;
+  /** Takes the place of the caller's key and of any account that it claims;
+   * undefined: there are no accounts. */
+  readonly account: SenderAccount | undefined;
 }
 
 /** What the head of a target's answer says. */
--- a/packages/gateway/src/lib/version/routing_state.ts
+++ b/packages/gateway/src/lib/version/routing_state.ts
@@ -38,6 +38,7 @@
       replaced: known,
       source,
       routes: table.routes.length,
+      accounts: table.accounts?.size,
     });
     for (const listener of this.listeners) listener(table);
     return true;
--- a/packages/gateway/src/lib/version/routing_table.ts
+++ b/packages/gateway/src/lib/version/routing_table.ts
@@ -1,4 +1,5 @@
 /** What an operator's configuration says of routes: one version, read-only. */
+import type {AccountTable} from './account_table.js';
 
 /** What a route carries. */
 export type RouteKind = 'call' | 'stream' | 'batch';
@@ -29,6 +30,8 @@
   /** At how many targets one request may run. */
   readonly maxAttempts: number;
   readonly services: readonly WeightedService[];
+  /** Whether callers need no key. */
+  readonly isPublic: boolean;
   /** When a batch job's results are due after it was sent, in milliseconds. */
   readonly completionGoalMs: number;
   /** When an item of a batch job may be given up, in milliseconds. */
@@ -47,4 +50,6 @@
   readonly version: number;
   readonly routes: readonly Route[];
   readonly bounds: CallerBounds;
+  /** Undefined: callers need no keys. */
+  readonly accounts: AccountTable | undefined;
 }
--- a/packages/gateway/src/test/fakes/raw_target.ts
+++ b/packages/gateway/src/test/fakes/raw_target.ts
@@ -9,6 +9,7 @@
     requestId: undefined,
     deadlineMs: undefined,
     lastEventId: undefined,
+    key: undefined,
   }),
   requestHeaders: headers => headers,
   readAnswer: (status, headers) => ({
--- a/packages/jobs/src/lib/process/item_runner.ts
+++ b/packages/jobs/src/lib/process/item_runner.ts
@@ -11,6 +11,7 @@
   type ExchangeEnd,
   type Route,
   type SendContext,
+  type SenderAccount,
   type StreamEvent,
   type Target,
 } from '@oathead/gateway';
@@ -80,6 +81,7 @@
       serverId: target.serverId,
       deadlineMs: LONGEST_RUN_MS,
       lastEventId: work.lastEventId,
+      account: senderOf(job),
     }),
     body: Buffer.from(item.body),
     firstEventId:
@@ -112,6 +114,10 @@
   });
 }
 
+function senderOf({head: {account}}: OwnedJob): SenderAccount | undefined {
+  return account === undefined ? undefined : {name: account};
+}
+
 /** Collects the text of an item. */
 class TextSink implements EventSink {
   /** Whether this run has brought anything. */
--- a/packages/jobs/src/lib/request/job.ts
+++ b/packages/jobs/src/lib/request/job.ts
@@ -11,9 +11,24 @@
   readonly tokens: number;
 }
 
+/**
+ * Callers choose the ids of their jobs, and two client accounts may choose the same:
+ * each account has its own jobs, and reaches no others.
+ *
+ * @param account - The client account; undefined: there are none.
+ * @param callerId - As the caller names the job.
+ * @returns The job's id in the store and in the log.
+ */
+export function jobIdOf(account: string | undefined, callerId: string): string {
+  if (account === undefined) return callerId;
+  return `${encodeURIComponent(account)}:${callerId}`;
+}
+
 /** A batch job as it was handed in. */
 export interface JobSubmission {
   readonly id: string;
+  /** The client account under which its items run; undefined: there are none. */
+  readonly account: string | undefined;
   /** The host name by which it came, and by which its items go on. */
   readonly hostName: string;
   readonly items: readonly JobItem[];
--- a/packages/jobs/src/lib/request/job_intake.ts
+++ b/packages/jobs/src/lib/request/job_intake.ts
@@ -95,6 +95,7 @@
     return {
       id: submission.id,
       hostName: submission.hostName,
+      account: submission.account,
       items: submission.items.length,
       acceptedAtMs,
       completionGoalMs: submission.completionGoalMs,
--- a/packages/jobs/src/lib/request/job_rows.ts
+++ b/packages/jobs/src/lib/request/job_rows.ts
@@ -32,6 +32,8 @@
 export const JOB_HEAD = z.object({
   id: z.string(),
   hostName: z.string(),
+  /** The client account under which its items run; none: there were no accounts. */
+  account: z.string().optional(),
   items: COUNT,
   /** On the store's steady clock, in milliseconds. */
   acceptedAtMs: z.number(),
--- a/packages/serving/src/lib/process/serving_host.ts
+++ b/packages/serving/src/lib/process/serving_host.ts
@@ -1,5 +1,12 @@
 /** What a serving process learns from where it runs, through its adapter. */
-import type {Clock, Counters, EventLog, Outcome, Random} from '@oathead/core';
+import type {
+  Clock,
+  Counters,
+  EventLog,
+  Outcome,
+  QuotaTolerance,
+  Random,
+} from '@oathead/core';
 import type {
   BatchFront,
   RoutingTable,
@@ -56,6 +63,11 @@
   readonly stopMs: number;
   /** Until the entry of a target that crashed is off the list, in milliseconds. */
   readonly targetLapseMs: number;
+  /** For how long callers are admitted by key after the configuration was last known
+   * to be the newest, in milliseconds; undefined: without a bound. */
+  readonly keyLeaseMs: number | undefined;
+  /** How exactly quotas of client accounts are kept. */
+  readonly quotaTolerance: QuotaTolerance;
 }
 
 /** The adapter's side of a serving process. */
--- a/packages/serving/src/lib/process/serving_parts.ts
+++ b/packages/serving/src/lib/process/serving_parts.ts
@@ -1,6 +1,12 @@
 /** The parts of a serving process, put together over one store. */
-import {repeat, type DisposableStore} from '@oathead/core';
 import {
+  FreshnessLease,
+  readClocks,
+  repeat,
+  type DisposableStore,
+} from '@oathead/core';
+import {
+  CallerAdmission,
   CallerPatience,
   ConnectionPool,
   Coordinator,
@@ -13,12 +19,15 @@
   memberId,
   Membership,
   placementOver,
+  quotasOver,
   RoutingState,
   ServiceHealth,
   ServiceOverload,
   TargetChooser,
   TargetDirectory,
   TargetSuspensions,
+  type AccountQuotas,
+  type CountingHost,
   type HostPeer,
   type Member,
   type OnlineContext,
@@ -51,6 +60,8 @@
   readonly socket: HostSocket;
   readonly exchange: LoadExchange;
   readonly crashes: CrashSuspects;
+  readonly freshness: FreshnessLease;
+  readonly quotas: AccountQuotas;
   readonly online: OnlineContext;
   readonly keeper: JobKeeper;
   readonly janitor: JobJanitor;
@@ -134,7 +145,29 @@
     },
     onYield: (targetId, items) => scheduler.giveWay(targetId, items),
   });
-  const online = {...sending, placement};
+  const freshness = new FreshnessLease({
+    readClocks: () => readClocks(clock),
+    newestVersion: () => store.newestVersion,
+    leaseMs: () => host.tunables().keyLeaseMs,
+  });
+  const quotas = held.add(
+    quotasOver(socket, {
+      ...context,
+      self: countingHostOf(self),
+      hosts: () =>
+        membership.known ? membership.live().map(countingHostOf) : undefined,
+      tolerance: () => host.tunables().quotaTolerance,
+      quotaOf: name => routing.current?.table.accounts?.named(name)?.quota,
+    }),
+  );
+  const {counters} = context;
+  const admission = new CallerAdmission({
+    routing,
+    freshness,
+    quotas,
+    counters,
+  });
+  const online = {...sending, placement, admission};
   const reader = new JobReader(store);
   const {storeLimits: limits} = host;
   const jobs = {...context, store, limits, reader, membership};
@@ -160,6 +193,8 @@
     socket,
     exchange,
     crashes,
+    freshness,
+    quotas,
     online,
     keeper,
     janitor,
@@ -186,7 +221,7 @@
 function onlineContext(
   {host, context, held}: Base,
   {directory, loads, homes, overload, crashes}: Known,
-): Omit<OnlineContext, 'placement'> {
+): Omit<OnlineContext, 'placement' | 'admission'> {
   const {clock, log, random, counters} = context;
   const {protocol} = host;
   const {dataCentre} = host.identity;
@@ -245,6 +280,10 @@
   };
 }
 
+function countingHostOf({id, host, ip, loadPort}: Member): CountingHost {
+  return {id, host, ip, port: loadPort};
+}
+
 function hostPeerOf({id, dataCentre, ip, loadPort}: Member): HostPeer {
   return {id, dataCentre, ip, port: loadPort};
 }
--- a/packages/serving/src/lib/process/serving_process.ts
+++ b/packages/serving/src/lib/process/serving_process.ts
@@ -55,7 +55,7 @@
     });
     this.readiness = new ReadyServer(
       host.readyPath,
-      () => this.lifecycle.state === 'ready',
+      () => this.lifecycle.state === 'ready' && online.admission.isOpen,
     );
   }
 
@@ -64,7 +64,7 @@
     await hashesReady;
     const {identity} = this.host;
     const {routing, membership, keeper, janitor, scheduler, peers} = this.parts;
-    const {socket, exchange} = this.parts;
+    const {socket, exchange, quotas} = this.parts;
     this.context.log.event('process-started', {
       member: membership.self.id,
       dataCentre: identity.dataCentre,
@@ -77,6 +77,7 @@
       membership,
       socket,
       exchange,
+      quotas,
       keeper,
       janitor,
       scheduler,
--- a/packages/serving/src/lib/process/table_feeds.ts
+++ b/packages/serving/src/lib/process/table_feeds.ts
@@ -2,7 +2,7 @@
  * The tables that a serving process follows, and who learns of their changes.
  * While the store can't be asked at a start, peers are.
  */
-import {DisposableStore, sleep} from '@oathead/core';
+import {DisposableStore, sleep, type FreshnessLease} from '@oathead/core';
 import {
   MEMBER_TABLE,
   SUSPECT_TABLE,
@@ -25,6 +25,8 @@
 
 /** Who learns of changes. */
 export interface FeedReaders {
+  /** Whether the configuration is the newest. */
+  readonly freshness: FreshnessLease;
   readonly routing: RoutingState;
   readonly directory: TargetDirectory;
   readonly membership: Membership;
@@ -94,8 +96,13 @@
   start(): void {
     const {config, targets} = this.host;
     const {membership, crashes, keeper, janitor} = this.readers;
-    this.follow(config.table, WHOLE, PACES.config, update =>
-      this.updateConfig(update),
+    const {freshness} = this.readers;
+    this.follow(
+      config.table,
+      WHOLE,
+      PACES.config,
+      update => this.updateConfig(update),
+      freshness,
     );
     this.follow(targets.table, WHOLE, PACES.targets, update =>
       this.updateTargets(update),
@@ -161,9 +168,10 @@
     partitions: readonly string[],
     pace: Pace,
     onUpdate: (update: TableUpdate) => void,
+    freshness?: FreshnessLease,
   ): void {
     const options = {table, partitions, ...pace};
-    const context = {...this.context, store: this.store};
+    const context = {...this.context, store: this.store, freshness};
     const watch = this.held.add(new TableWatch(options, context, onUpdate));
     this.watches.set(table, watch);
     watch.start();
--- a/packages/stores/src/lib/process/relayed_row_store.ts
+++ b/packages/stores/src/lib/process/relayed_row_store.ts
@@ -59,6 +59,7 @@
   private noRelayUntil = -Infinity;
   private relaying = false;
   private answeredAt = -Infinity;
+  private newest = 0;
 
   /**
    * @param direct - The own way to the store.
@@ -74,6 +75,11 @@
     return this.context.clock.now() - this.answeredAt;
   }
 
+  /** The newest version that any answer has shown. */
+  get newestVersion(): number {
+    return this.newest;
+  }
+
   /** {@inheritDoc RowStore.transact} */
   transact(transaction: RowTransaction): RowStoreOutcome<StoreMoment> {
     return this.call(store => store.transact(transaction));
@@ -113,9 +119,10 @@
     return this.direct.removeObject(name);
   }
 
-  private async call<T>(call: Call<T>): RowStoreOutcome<T> {
+  private async call<T extends StoreMoment>(call: Call<T>): RowStoreOutcome<T> {
     const outcome = await this.eitherWay(call);
     if (!isAway(outcome)) this.answeredAt = this.context.clock.now();
+    if (outcome.ok) this.newest = Math.max(this.newest, outcome.value.version);
     return outcome;
   }
 
--- a/packages/stores/src/lib/process/table_watch.ts
+++ b/packages/stores/src/lib/process/table_watch.ts
@@ -7,7 +7,14 @@
  * repairs it. A row is replaced only by one of a higher version, so an answer
  * that was delayed on the way never brings an older row back.
  */
-import {sleep, type Clock, type Counters, type EventLog} from '@oathead/core';
+import {
+  sleep,
+  type Clock,
+  type Counters,
+  type EventLog,
+  type FreshnessLease,
+  type FreshnessQuestion,
+} from '@oathead/core';
 import type {
   RowChange,
   RowStore,
@@ -48,6 +55,8 @@
   readonly clock: Clock;
   readonly log: EventLog;
   readonly counters: Counters;
+  /** Renewed by each answer, once what it brings is adopted. */
+  readonly freshness?: FreshnessLease;
 }
 
 /** Pause after a call that failed, in milliseconds: half a second's budget of a
@@ -129,6 +138,7 @@
 
   private async readChanges(): Promise<boolean> {
     const {table, waitMs} = this.options;
+    const question = this.context.freshness?.ask();
     const answer = await this.context.store.changes(
       table,
       this.version,
@@ -142,9 +152,19 @@
     const removed: VersionedRow[] = [];
     for (const change of changes) this.apply(change, put, removed);
     this.onUpdate({put, removed, storeTimeMs});
+    this.prove(question, version);
     return true;
   }
 
+  private prove(
+    question: FreshnessQuestion | undefined,
+    version: number,
+  ): void {
+    if (!question || this.context.freshness!.prove(question, version)) return;
+    const {table} = this.options;
+    this.context.counters.count('table_answers_out_of_date', {table});
+  }
+
   private apply(
     change: RowChange,
     put: VersionedRow[],
@@ -173,6 +193,7 @@
     const found = new Map<string, VersionedRow>();
     let version = Infinity;
     let storeTimeMs = 0;
+    const question = this.context.freshness?.ask();
     for (const partition of this.options.partitions) {
       let from: string | undefined;
       do {
@@ -194,6 +215,7 @@
     this.succeeded();
     this.fullReadAt = this.context.clock.now();
     this.replace(found, version, storeTimeMs);
+    this.prove(question, version);
     return true;
   }
 
