A host that is relayed itself refuses to relay at once

A host without a way to the store asked others at random; one that had none either waited for its own timeouts, 1.5 s, before the host tried its own way for 1.2 s more. Now such a host says so at once, up to three are asked, and who answered last is asked first.

--- a/packages/serving/src/lib/connection/peer_router.ts
+++ b/packages/serving/src/lib/connection/peer_router.ts
@@ -1,6 +1,6 @@
 /** What serving processes ask each other, over tRPC. */
 import {failure} from '@oathead/core';
-import type {RowStore, RowStoreRelay, VersionedRow} from '@oathead/stores';
+import type {RowStoreRelay, VersionedRow} from '@oathead/stores';
 import {createTRPCClient, httpLink} from '@trpc/client';
 import {initTRPC} from '@trpc/server';
 import {createHTTPServer} from '@trpc/server/adapters/standalone';
@@ -13,7 +13,7 @@
 /** What a process answers others with. */
 export interface PeerAnswers {
   /** The own way to the store: a relay never relays. */
-  readonly store: RowStore;
+  readonly store: RowStoreRelay;
   /** @returns The tables that it follows. */
   readonly snapshot: () => Snapshot;
 }
--- a/packages/serving/src/lib/process/serving_parts.ts
+++ b/packages/serving/src/lib/process/serving_parts.ts
@@ -40,7 +40,7 @@
   JobKeeper,
   JobReader,
 } from '@oathead/jobs';
-import {RelayedRowStore, type RowStore} from '@oathead/stores';
+import {RelayedRowStore} from '@oathead/stores';
 import {PeerLinks} from '../connection/peer_links.js';
 import type {
   JobCalls,
@@ -52,7 +52,7 @@
 
 /** What a serving process is made of. */
 export interface ServingParts {
-  readonly store: RowStore;
+  readonly store: RelayedRowStore;
   readonly peers: PeerLinks;
   readonly routing: RoutingState;
   readonly directory: TargetDirectory;
--- a/packages/serving/src/lib/process/serving_process.ts
+++ b/packages/serving/src/lib/process/serving_process.ts
@@ -108,7 +108,8 @@
   }
 
   private answerPeers(): Disposable {
-    const {store, identity} = this.host;
+    const {identity} = this.host;
+    const store = this.parts.store.forPeers;
     const snapshot = () => this.feeds.snapshot();
     const {ip, port} = identity.control;
     return servePeers({store, snapshot}, ip, port);
--- a/packages/stores/src/lib/process/relayed_row_store.ts
+++ b/packages/stores/src/lib/process/relayed_row_store.ts
@@ -51,6 +51,13 @@
 /** After a relay failed, too, none is asked for so long, in milliseconds: the
  * store is down for all, and calls it refuses have a price. */
 const RELAY_PAUSE_MS = 400;
+/** Relays that are asked for one call at the most, one after another: those that
+ * have no way either say so at once. */
+const RELAY_TRIES = 3;
+const NO_OWN_WAY: RowStoreError = {
+  kind: 'refused',
+  message: 'this host has no way to the store of its own',
+};
 
 type Call<T> = (store: RowStoreRelay) => RowStoreOutcome<T>;
 
@@ -60,6 +67,21 @@
   private relaying = false;
   private answeredAt = -Infinity;
   private newest = 0;
+  /** Who answered last. */
+  private lastRelay: RowStoreRelay | undefined;
+
+  /**
+   * What other hosts may use: the own way to the store, while there is one.
+   *
+   * Guards against a call that goes from one cut off host to another and waits for
+   * the timeouts of both.
+   */
+  readonly forPeers: RowStoreRelay = {
+    transact: transaction => this.ownWay(store => store.transact(transaction)),
+    read: query => this.ownWay(store => store.read(query)),
+    changes: (table, after, waitMs) =>
+      this.ownWay(store => store.changes(table, after, waitMs)),
+  };
 
   /**
    * @param direct - The own way to the store.
@@ -144,15 +166,30 @@
     call: Call<T>,
   ): Promise<Outcome<T, RowStoreError> | undefined> {
     const {clock, random, counters, relays} = this.context;
-    const hosts = relays();
+    const hosts = [...relays()];
     if (hosts.length === 0 || clock.now() < this.noRelayUntil) return undefined;
-    const relayed = await call(hosts[random.int(hosts.length)]!);
-    const away = isAway(relayed);
-    counters.count('store_relays', {outcome: away ? 'failed' : 'done'});
-    if (away) this.noRelayUntil = clock.now() + RELAY_PAUSE_MS;
+    const last = this.lastRelay ? hosts.indexOf(this.lastRelay) : -1;
+    let at = last >= 0 ? last : random.int(hosts.length);
+    let relayed: Outcome<T, RowStoreError>;
+    for (let tries = 1; ; tries++) {
+      const [host] = hosts.splice(at, 1);
+      relayed = await call(host!);
+      const away = isAway(relayed);
+      counters.count('store_relays', {outcome: away ? 'failed' : 'done'});
+      this.lastRelay = away ? undefined : host;
+      if (!away) return relayed;
+      const saidAtOnce = !relayed.ok && relayed.err.kind === 'refused';
+      if (!saidAtOnce || tries === RELAY_TRIES || hosts.length === 0) break;
+      at = random.int(hosts.length);
+    }
+    this.noRelayUntil = clock.now() + RELAY_PAUSE_MS;
     return relayed;
   }
 
+  private async ownWay<T>(call: Call<T>): RowStoreOutcome<T> {
+    return this.relaying ? failure(NO_OWN_WAY) : call(this.direct);
+  }
+
   private beginRelaying(): void {
     if (this.relaying) return;
     this.relaying = true;
