--- a/packages/cli/src/lib/process/log_story.ts
+++ b/packages/cli/src/lib/process/log_story.ts
@@ -50,7 +50,9 @@
   const rows = texts.flatMap(text => text.split('\n')).filter(Boolean);
   const parsed = rows.map(parseLine);
   const all = parsed.filter(line => line !== undefined);
-  const own = all.filter(line => namesOf(line).includes(id));
+  const own = all.filter(line =>
+    namesOf(line).some(name => isNameOf(name, id)),
+  );
   const jobs = idsIn(own, 'job');
   const targets = idsIn(own, 'target');
   const hosts = new Set(own.map(({host}) => host));
@@ -102,6 +104,11 @@
   }
 }
 
+/** Callers name their jobs without the client account, which the log puts first. */
+function isNameOf(name: unknown, id: string): boolean {
+  return name === id || String(name).endsWith(`:${id}`);
+}
+
 function namesOf({fields}: StoryLine): readonly unknown[] {
   return NAMES.map(name => fields[name]);
 }
--- a/packages/cli/src/test/process/log_story_test.ts
+++ b/packages/cli/src/test/process/log_story_test.ts
@@ -51,6 +51,14 @@
   t.deepEqual(events, ['job-adopted', 'item-sent', 'job-claimed']);
 });
 
+// A caller asks for its job by the id that it chose; the log has its account's, too.
+test('the story of a job is found by the id that its caller knows', t => {
+  const log = line(10, 'one', 'job-adopted', {job: 'bank-one:j1'});
+  t.is(storyOf('j1', [log]).lines.length, 1);
+  t.is(storyOf('bank-one:j1', [log]).lines.length, 1);
+  t.is(storyOf('1', [log]).lines.length, 0);
+});
+
 // A request is late and its targets look slow: the host that had it stood still.
 // What other hosts did is not its story.
 test('the story of a request tells that its host stood still', t => {
--- a/packages/gateway/src/test/fakes/quota_fleet.ts
+++ b/packages/gateway/src/test/fakes/quota_fleet.ts
@@ -31,6 +31,27 @@
   /** Called at each millisecond; changes the fleet. */
   readonly onTick?: (fleet: QuotaFleet, atMs: number) => void;
   readonly seed?: number;
+  /** Decides in place of {@link AccountQuotas}, to compare ways. */
+  readonly way?: QuotaWay;
+}
+
+/** Another way to keep quotas. */
+export interface QuotaWay {
+  /**
+   * @param host - Its number.
+   * @param account - Whose request came.
+   * @param at - In milliseconds.
+   * @param counted - Asks the host that counts.
+   * @returns Whether it may run.
+   */
+  take(
+    host: number,
+    account: string,
+    at: number,
+    counted: () => Promise<boolean>,
+  ): boolean | Promise<boolean>;
+  /** Called at each millisecond. @returns Datagrams that were sent. */
+  tick(fleet: QuotaFleet, at: number): number;
 }
 
 /** A request that was granted or refused. */
@@ -161,6 +182,7 @@
     const {lengthMs, quotas, onTick} = this.play;
     for (let at = 0; at < lengthMs; at++) {
       onTick?.(this, at);
+      this.messages += this.play.way?.tick(this, at) ?? 0;
       for (const account of Object.keys(quotas)) this.arrive(account, at);
       this.clock.pass(1);
       await new Promise(resolve => setImmediate(resolve));
@@ -181,8 +203,15 @@
 
   private async ask(account: string, host: number): Promise<void> {
     const {quotas} = this.hosts[host]!;
-    const verdict = await quotas.take(account, this.play.quotas[account]!);
-    const granted = verdict.kind === 'granted';
+    const counted = async () => {
+      const verdict = await quotas.take(account, this.play.quotas[account]!);
+      return verdict.kind === 'granted';
+    };
+    const now = this.clock.now();
+    const {way} = this.play;
+    const granted = await (way
+      ? way.take(host, account, now, counted)
+      : counted());
     this.requests.push({account, host, at: this.clock.now(), granted});
   }
 }
