--- a/packages/gateway/src/test/experiments/quota_ways.ts
+++ b/packages/gateway/src/test/experiments/quota_ways.ts
@@ -53,7 +53,7 @@
   return {
     take: (host, account, at) =>
       limits[host]!.begin(account, 1, at) === undefined,
-    tick: (_, at) => {
+    tick: (fleet, at) => {
       if (at % TELL_MS !== 0) return 0;
       const uses = limits.map(limit => limit.use(at));
       let messages = 0;
@@ -103,9 +103,9 @@
 const DEMANDS: Readonly<Record<string, Pick<QuotaPlay, 'hostOf'>>> = {
   even: {},
   skewed: {
-    hostOf: (_, __, random) => (random.float() < 0.9 ? 2 : random.int(9)),
+    hostOf: (account, at, random) => (random.float() < 0.9 ? 2 : random.int(9)),
   },
-  moving: {hostOf: (_, at) => Math.floor(at / 1500) % 9},
+  moving: {hostOf: (account, at) => Math.floor(at / 1500) % 9},
 };
 
 /** @returns The most in a window, as a share of the quota of a window. */
