--- a/packages/gateway/src/lib/connection/load_message.ts
+++ b/packages/gateway/src/lib/connection/load_message.ts
@@ -22,13 +22,15 @@
 /** The first field of each message. It changes with the fields: a host of another
  * release is not misread, it counts as idle until it is replaced. */
 export const LOAD_FORMAT = 3;
+/** Hundreds of numbers a second from each host: one look at each, and no more. */
+const COUNTS = z.custom<readonly number[]>(isCounts);
 const MESSAGE = z.tuple([
   z.literal(LOAD_FORMAT),
   z.string(),
   z.string(),
   COUNT,
   COUNT,
-  z.array(COUNT),
+  COUNTS,
 ]);
 /** A target's entry: its key, online requests, items of batch jobs, and how
  * many of these are nearly done. */
@@ -73,12 +75,22 @@
   const [, host, dataCentre, sequence, sumOf, flat] = parsed.data;
   const load = new Map<string, HostTargetLoad>();
   for (let i = 0; i + ENTRY_FIELDS <= flat.length; i += ENTRY_FIELDS) {
-    const [key, online, batch, nearlyDone] = flat.slice(i, i + ENTRY_FIELDS);
-    load.set(String(key), {online: online!, batch: batch!, nearlyDone});
+    load.set(String(flat[i]), {
+      online: flat[i + 1]!,
+      batch: flat[i + 2]!,
+      nearlyDone: flat[i + 3]!,
+    });
   }
   return {host, dataCentre, sequence, sumOf, load};
 }
 
+function isCounts(value: unknown): boolean {
+  return (
+    Array.isArray(value) &&
+    value.every(count => Number.isSafeInteger(count) && count >= 0)
+  );
+}
+
 function unpacked(datagram: Uint8Array): unknown {
   try {
     return unpack(datagram);
