The soak takes keys away and checks what runs by them

Callers of the soak have a client account, whose key is replaced each 3 s of the load beside all faults; each eighth request is sent by the key before. New promises, from what callers and targets see: nothing runs by a key later than its bound, nothing that was answered 401 has run, targets see the account and no key.

--- a/packages/soak/src/lib/process/promises.ts
+++ b/packages/soak/src/lib/process/promises.ts
@@ -3,7 +3,13 @@
 import type {JobRecord} from '../request/batch_load.js';
 import type {OnlineRecord} from '../request/online_load.js';
 import {CALM_BOUND_MS, type CalmChanges} from './calm_changes.js';
-import {wholeStream, wholeText, type SoakFleet} from './soak_fleet.js';
+import {
+  ACCOUNT,
+  REVOKE_MS,
+  wholeStream,
+  wholeText,
+  type SoakFleet,
+} from './soak_fleet.js';
 
 /** What a run is judged by. */
 export interface Evidence {
@@ -19,6 +25,7 @@
 
 /** Answers that promise that the request has not run and never will. */
 const NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+const STATUS_UNAUTHORIZED = 401;
 /** The longest time for which a run keeps a program from hearing of a change,
  * the bound of two seconds, and a second for a busy machine, in milliseconds. */
 const LEAVING_BOUND_MS = 12_000;
@@ -42,6 +49,8 @@
   'a leaving target gets nothing new': leavingTargetsRest,
   'a configuration never goes back': configurationsStay,
   'a configuration is in force everywhere in time': configurationsArrive,
+  'a key that was taken away runs nothing': withdrawnKeysRest,
+  'targets see accounts and no keys': accountsAreSet,
   'a planned stop cuts off nothing': stopsCutNothing,
   'no program ends by itself': programsLive,
 };
@@ -158,6 +167,27 @@
     .map(({place, path}) => `${place} does not know ${path}`);
 }
 
+/** An answer of 401 says that a request has not run; a key is out of use in time. */
+function withdrawnKeysRest(evidence: Evidence): readonly string[] {
+  const {withdrawnAt} = evidence.fleet;
+  const ran = new Set(allRuns(evidence).map(({id}) => id));
+  return evidence.online
+    .filter(({id}) => ran.has(id))
+    .filter(({key, sentAt, status}) => {
+      const at = withdrawnAt.get(key) ?? Infinity;
+      return status === STATUS_UNAUTHORIZED || sentAt > at + REVOKE_MS;
+    })
+    .map(({id, key, place}) => `${id} ran by ${key} at ${place}`);
+}
+
+function accountsAreSet(evidence: Evidence): readonly string[] {
+  return allRuns(evidence)
+    .filter(({headers}) => {
+      return headers['x-tenant'] !== ACCOUNT || headers.authorization;
+    })
+    .map(({id, headers}) => `${id} ran under ${headers['x-tenant']}`);
+}
+
 /**
  * What broke before a process was told to stop was not cut by its stop: a stream
  * that a target's reset broke off came to its end 12 s before the signal, and one
--- a/packages/soak/src/lib/process/run_soak.ts
+++ b/packages/soak/src/lib/process/run_soak.ts
@@ -1,6 +1,6 @@
 /** One run of the soak: load, faults that overlap, planned changes in the calm
  * that follows, and the promises. */
-import {seededRandom, sleep, SYSTEM_CLOCK} from '@oathead/core';
+import {repeat, seededRandom, sleep, SYSTEM_CLOCK} from '@oathead/core';
 import {BatchLoad} from '../request/batch_load.js';
 import {OnlineLoad, type OnlineKind} from '../request/online_load.js';
 import {makeCalmChanges} from './calm_changes.js';
@@ -30,6 +30,9 @@
 /** After the last fault all programs are to serve again, in milliseconds. */
 const CALM_MS = 6000;
 /** For the items that are left when the load ends, in milliseconds. */
+/** How often callers get another key, in milliseconds: several times while a key that
+ * was taken away may still be served. */
+const ROTATE_MS = 3000;
 const FINISH_MS = 20_000;
 const READ_PAUSE_MS = 100;
 /** Requests to each program in the calm at the end. */
@@ -50,7 +53,9 @@
   const faults = planFaults(options);
   online.start();
   batch.start();
+  const rotation = repeat(SYSTEM_CLOCK, ROTATE_MS, () => fleet.rotateKey());
   await strike(fleet, faults);
+  rotation[Symbol.dispose]();
   await sleep(SYSTEM_CLOCK, CALM_MS);
   const calm = await makeCalmChanges(fleet, random);
   await batch.finish();
--- a/packages/soak/src/lib/process/soak_fleet.ts
+++ b/packages/soak/src/lib/process/soak_fleet.ts
@@ -35,6 +35,10 @@
   up: boolean;
 }
 
+/** The client account of all callers. */
+export const ACCOUNT = 'bank';
+/** After a key was taken away nothing may run by it, in milliseconds. */
+export const REVOKE_MS = 8000;
 /** Time from SIGTERM to the end of a program, in seconds. */
 const GRACE_S = 8;
 const ZONES = ['hall-a', 'hall-b'] as const;
@@ -91,7 +95,11 @@
   readonly formerLogs = new Map<string, string>();
   /** Programs that ended by themselves, with what they wrote last. */
   readonly deaths: string[] = [];
+  /** When the store accepted that a key was taken away, by key, on the time of day
+   * in milliseconds. */
+  readonly withdrawnAt = new Map<string, number>();
   private readonly held: AsyncDisposable[] = [this.store];
+  private keys = 1;
   private version = FIRST_CONFIG.version;
   private starts = 0;
 
@@ -109,6 +117,19 @@
     await Promise.all(this.programs.map(({program}) => program.untilReady()));
   }
 
+  /** The key that callers have now. */
+  get key(): string {
+    return `key-${this.keys}`;
+  }
+
+  /** Takes the key away and gives out another one. */
+  async rotateKey(): Promise<void> {
+    const {key} = this;
+    this.keys++;
+    await this.configure();
+    this.withdrawnAt.set(key, Date.now());
+  }
+
   /** Adds a route to the configuration. @returns Its prefix. */
   async addRoute(): Promise<string> {
     const prefix = `/extra${this.addedRoutes.length}/`;
@@ -161,7 +182,8 @@
     }));
     const routes = [...FIRST_CONFIG.routes, ...extra];
     this.version += 3;
-    const config = {...FIRST_CONFIG, version: this.version, routes};
+    const tenants = [{name: ACCOUNT, api_keys: [this.key]}];
+    const config = {...FIRST_CONFIG, version: this.version, routes, tenants};
     await this.store.put('op', 'config', config);
   }
 
@@ -176,6 +198,7 @@
       storeAddress: storeProxy.address,
       graceS: GRACE_S,
       seeds: this.programs.slice(0, 3).map(place => place.program.control),
+      bounds: {strict_revoke: true, revoke_ms: REVOKE_MS},
     });
     const place: ProgramPlace = {
       name,
--- a/packages/soak/src/lib/request/batch_load.ts
+++ b/packages/soak/src/lib/request/batch_load.ts
@@ -149,7 +149,7 @@
     const {programs} = this.fleet;
     const place = programs[this.random.int(programs.length)]!;
     try {
-      return await ask(new Caller(place.program.front));
+      return await ask(new Caller(place.program.front, this.fleet.key));
     } catch {
       // No answer: the next try may meet another program.
       return undefined;
--- a/packages/soak/src/lib/request/online_load.ts
+++ b/packages/soak/src/lib/request/online_load.ts
@@ -26,6 +26,8 @@
   readonly id: string;
   readonly kind: OnlineKind;
   readonly path: string;
+  /** The key it was sent with. */
+  readonly key: string;
   readonly place: string;
   /** The process that was asked. */
   readonly pid: number;
@@ -42,6 +44,8 @@
 
 /** Between two requests to a program, in milliseconds. */
 const PAUSE_MS = 25;
+/** Each so many requests one is sent by a key that was taken away. */
+const WITHDRAWN_EACH = 8;
 /** Codes of connections that were never made. */
 const UNCONNECTED: ReadonlySet<unknown> = new Set([
   'ECONNREFUSED',
@@ -80,15 +84,21 @@
   /**
    * @param place - Whom to ask.
    * @param kind - What to ask for.
+   * @param key - Of the account.
    * @returns What came of it.
    */
-  async once(place: ProgramPlace, kind: OnlineKind): Promise<OnlineRecord> {
+  async once(
+    place: ProgramPlace,
+    kind: OnlineKind,
+    key = this.fleet.key,
+  ): Promise<OnlineRecord> {
     const id = `r${++this.sent}`;
     const path = this.pathOf(kind, id);
     const sentAt = Date.now();
     const {pid, front} = place.program;
-    const base = {id, kind, path, place: place.name, pid, sentAt};
-    const record = {...base, ...(await answerOf(front, kind, path, id))};
+    const base = {id, kind, path, key, place: place.name, pid, sentAt};
+    const caller = new Caller(front, key);
+    const record = {...base, ...(await answerOf(caller, kind, path, id))};
     const whole = {...record, endedAt: Date.now()};
     this.records.push(whole);
     return whole;
@@ -97,7 +107,7 @@
   private async ask(place: ProgramPlace): Promise<void> {
     while (!this.stopping.signal.aborted) {
       const kind = KINDS[this.random.int(KINDS.length)]!;
-      const request = this.once(place, kind).then(() => {
+      const request = this.once(place, kind, this.nextKey()).then(() => {
         this.open.delete(request);
       });
       this.open.add(request);
@@ -105,6 +115,12 @@
     }
   }
 
+  private nextKey(): string {
+    const withdrawn = [...this.fleet.withdrawnAt.keys()];
+    const isTurn = this.sent % WITHDRAWN_EACH === 0;
+    return (isTurn && withdrawn.at(-1)) || this.fleet.key;
+  }
+
   private pathOf(kind: OnlineKind, id: string): string {
     if (kind !== 'extra') return `/${kind}/${id}`;
     return `${this.fleet.knownRoute}${id}`;
@@ -112,14 +128,13 @@
 }
 
 async function answerOf(
-  front: string,
+  caller: Caller,
   kind: OnlineKind,
   path: string,
   id: string,
 ): Promise<
   Pick<OnlineRecord, 'status' | 'failure' | 'text' | 'answeredId' | 'seal'>
 > {
-  const caller = new Caller(front);
   const headers = {'x-attempt-id': id};
   const streams = kind === 'notes' || kind === 'flags';
   try {
--- a/packages/soak/src/test/process/promises_test.ts
+++ b/packages/soak/src/test/process/promises_test.ts
@@ -5,6 +5,7 @@
 const KNOWN_AT = 2000;
 const STOPPED_AT = 3000;
 const ENDED_AT = 500;
+const WITHDRAWN_AT = 600;
 const REQUEST = {kind: 'notes', path: '/notes/r1', place: 'host-0', pid: 7};
 
 const TIMES = {sentAt: KNOWN_AT, endedAt: STOPPED_AT + 100};
@@ -13,12 +14,14 @@
 
 /** What a run saw of one server and one request, spoilt by a test. */
 function evidence(ran: object, online: object): Evidence {
-  const seen = {id: 'r1', path: '/notes/r1', at: 0, ...ran};
+  const headers = {'x-tenant': 'bank'};
+  const seen = {id: 'r1', path: '/notes/r1', at: 0, headers, ...ran};
   return {
     fleet: {
       incarnations: [{id: 'llm-1', server: {ran: [seen]}}],
       leavingSince: new Map([['llm-1', LEFT_AT]]),
       deaths: [],
+      withdrawnAt: new Map([['old', WITHDRAWN_AT]]),
     },
     online: [{id: 'r1', status: 200, ...TIMES, ...REQUEST, ...online}],
     jobs: [
@@ -45,6 +48,14 @@
 const BROKEN = [
   ['a leaving target gets nothing new', {at: LEFT_AT + 3500}, {}],
   ['an ended job stops', {at: ENDED_AT + 4100, path: '/files/r1/0'}, {}],
+  ['a key that was taken away runs nothing', {}, {key: 'old', sentAt: 8700}],
+  ['a key that was taken away runs nothing', {}, {status: 401}],
+  ['targets see accounts and no keys', {headers: {'x-tenant': 'other'}}, {}],
+  [
+    'targets see accounts and no keys',
+    {headers: {'x-tenant': 'bank', authorization: 'Token k'}},
+    {},
+  ],
   [STOP_PROMISE, {}, BROKEN_OFF],
   // Read, not sent on, and cut when the time for the stop was over.
   [STOP_PROMISE, {id: 'other'}, {...BROKEN_OFF, endedAt: STOPPED_AT + 7600}],
