A place in another data centre is asked of the coordinator there

Cause: data centres that have more requests than slots send them to targets of others, and know what the rest sent there as of 200 ms ago. Now the coordinator of the other data centre is asked where among its own targets the request goes, and counts it until the sum of the data centre that sent it tells it.

--- a/packages/gateway/src/lib/connection/load_exchange.ts
+++ b/packages/gateway/src/lib/connection/load_exchange.ts
@@ -62,6 +62,11 @@
     return this.telling.coordinator;
   }
 
+  /** @returns Who places the requests of another data centre; undefined: nobody. */
+  coordinatorOf(dataCentre: string): HostPeer | undefined {
+    return this.telling.coordinatorOf(dataCentre);
+  }
+
   private tick(): void {
     const {socket, peers} = this.context;
     for (const sending of this.telling.due(peers())) {
--- a/packages/gateway/src/lib/connection/placement_message.ts
+++ b/packages/gateway/src/lib/connection/placement_message.ts
@@ -4,7 +4,7 @@
 
 /** The first number of these datagrams; see `host_socket.ts`. It changes with the
  * fields, so that a host of another release is not misread. */
-export const PLACEMENT_FORMAT = 10;
+export const PLACEMENT_FORMAT = 12;
 
 const COUNT = z.number().int().nonnegative();
 
@@ -18,6 +18,8 @@
       priority: COUNT,
       returning: z.boolean(),
     }),
+    /** Whether only targets of the data centre of who is asked will do. */
+    near: z.boolean(),
   }),
   z.object({
     lane: z.literal('batch'),
--- a/packages/gateway/src/lib/process/coordinator.ts
+++ b/packages/gateway/src/lib/process/coordinator.ts
@@ -34,6 +34,7 @@
 export interface CoordinatorContext {
   /** This host's run, as its loads name it. */
   readonly self: string;
+  readonly dataCentre: string;
   readonly chooser: TargetChooser;
   readonly loads: LoadTable;
   /** A steady clock, in milliseconds. */
@@ -53,9 +54,10 @@
 
   /**
    * @param ask - A host's question.
+   * @param dataCentre - Where the host is.
    * @returns Where to send it; the load counts from now on.
    */
-  place({host, service, wish, excluded}: PlaceAsk): Placed {
+  place({host, service, wish, excluded}: PlaceAsk, dataCentre: string): Placed {
     this.avoided.report(host, excluded);
     const avoided = new Set([...excluded, ...this.avoided.current()]);
     const target =
@@ -63,7 +65,9 @@
       this.choose(service, wish, new Set(excluded));
     if (!target) return {target, itemsToEnd: NONE_TO_END};
     const key = targetKey(target.id);
-    this.context.loads.cause(host, key, wish.lane, 1);
+    const {loads, dataCentre: own} = this.context;
+    if (dataCentre === own) loads.cause(host, key, wish.lane, 1);
+    else loads.causeFar(dataCentre, key, wish.lane, 1);
     const itemsToEnd =
       wish.lane === 'online' ? this.makeRoom(target, key) : NONE_TO_END;
     return {target, itemsToEnd};
@@ -75,9 +79,11 @@
     excluded: ReadonlySet<string>,
   ): Target | undefined {
     const {chooser} = this.context;
-    return wish.lane === 'online'
-      ? chooser.forRequest(service, wish.demand, excluded)
-      : chooser.forItemOfDataCentre(service, wish.pressure, excluded);
+    if (wish.lane === 'batch')
+      return chooser.forItemOfDataCentre(service, wish.pressure, excluded);
+    return wish.near
+      ? chooser.forRequestNear(service, wish.demand, excluded)
+      : chooser.forRequest(service, wish.demand, excluded);
   }
 
   private makeRoom(target: Target, key: string): readonly ItemsToEnd[] {
--- a/packages/gateway/src/lib/process/load_table.ts
+++ b/packages/gateway/src/lib/process/load_table.ts
@@ -59,6 +59,9 @@
 /** What a host tells so long after something was caused there tells of it, too, in
  * milliseconds: some round trips inside a data centre. */
 const TOLD_AFTER_MS = 30;
+/** What another data centre tells so long after something was caused by it tells of
+ * it, too, in milliseconds: its coordinator has heard of it by then. */
+const FAR_TOLD_AFTER_MS = 80;
 /** Until something caused counts as told in any case, in milliseconds. */
 const CAUSED_LIFETIME_MS = 500;
 
@@ -70,6 +73,7 @@
   private readonly others = new Map<string, HeardLoad>();
   private readonly dataCentres = new Map<string, HeardDataCentre>();
   private readonly caused = new Map<string, readonly Caused[]>();
+  private readonly causedFar = new Map<string, readonly Caused[]>();
   private readonly totals = new Map<string, TargetLoad>();
   private readonly listeners: Array<() => void> = [];
 
@@ -117,7 +121,7 @@
    * @param load - All its requests in flight.
    */
   hear(host: string, load: HostLoad): void {
-    this.settle(host, TOLD_AFTER_MS);
+    this.settle(this.caused, host, TOLD_AFTER_MS);
     this.unsay(this.others.get(host));
     this.others.set(host, {load, heardAt: this.now()});
     this.say(load);
@@ -132,11 +136,38 @@
    * @param by - How many requests begin; negative: end.
    */
   cause(host: string, targetKey: string, lane: Lane, by: number): void {
+    this.note(this.caused, host, targetKey, lane, by);
+  }
+
+  /**
+   * The same for a host of another data centre, until that tells its sum.
+   *
+   * @param dataCentre - Where the host is.
+   * @param targetKey - Where the request goes.
+   * @param lane - Which lane it is of.
+   * @param by - How many requests begin; negative: end.
+   */
+  causeFar(
+    dataCentre: string,
+    targetKey: string,
+    lane: Lane,
+    by: number,
+  ): void {
+    this.note(this.causedFar, dataCentre, targetKey, lane, by);
+  }
+
+  private note(
+    causes: Map<string, readonly Caused[]>,
+    name: string,
+    key: string,
+    lane: Lane,
+    by: number,
+  ): void {
     const online = lane === 'online' ? by : 0;
     const batch = lane === 'batch' ? by : 0;
-    const caused = {key: targetKey, online, batch, at: this.now()};
-    this.caused.set(host, [...(this.caused.get(host) ?? []), caused]);
-    this.shift(targetKey, online, batch);
+    const caused = {key, online, batch, at: this.now()};
+    causes.set(name, [...(causes.get(name) ?? []), caused]);
+    this.shift(key, online, batch);
     if (by > 0 && lane === 'online') this.changed();
   }
 
@@ -154,6 +185,7 @@
     const heardAt = this.now();
     const isRecent = before && heardAt - before.heardAt < SUM_KEPT_MS;
     if (isRecent && hosts < before.hosts * LEAST_SUM_SHARE) return;
+    this.settle(this.causedFar, dataCentre, FAR_TOLD_AFTER_MS);
     this.unsay(before);
     this.dataCentres.set(dataCentre, {load, heardAt, hosts});
     this.say(load);
@@ -175,7 +207,7 @@
 
   /** @param host - A host that is gone. */
   forget(host: string): void {
-    this.settle(host, 0);
+    this.settle(this.caused, host, 0);
     this.unsay(this.others.get(host));
     this.others.delete(host);
   }
@@ -190,8 +222,9 @@
   /** Forgets hosts and data centres that have been silent for
    * {@link LOAD_LIFETIME_MS}. */
   expire(): void {
-    for (const host of [...this.caused.keys()])
-      this.settle(host, CAUSED_LIFETIME_MS);
+    for (const causes of [this.caused, this.causedFar])
+      for (const name of [...causes.keys()])
+        this.settle(causes, name, CAUSED_LIFETIME_MS);
     const oldest = this.now() - LOAD_LIFETIME_MS;
     for (const [host, {heardAt}] of this.others)
       if (heardAt < oldest) this.forget(host);
@@ -233,17 +266,21 @@
     else this.shift(targetKey, 0, by);
   }
 
-  /** Drops what was caused at a host so long ago or longer. */
-  private settle(host: string, olderThanMs: number): void {
-    const caused = this.caused.get(host);
+  /** Drops what was caused so long ago or longer. */
+  private settle(
+    causes: Map<string, readonly Caused[]>,
+    name: string,
+    olderThanMs: number,
+  ): void {
+    const caused = causes.get(name);
     if (!caused) return;
     const latest = this.now() - olderThanMs;
     const left = caused.filter(({at}) => at > latest);
     if (left.length === caused.length) return;
     for (const {key, online, batch, at} of caused)
       if (at <= latest) this.shift(key, -online, -batch);
-    if (left.length > 0) this.caused.set(host, left);
-    else this.caused.delete(host);
+    if (left.length > 0) causes.set(name, left);
+    else causes.delete(name);
   }
 
   private say(load: HostLoad): void {
--- a/packages/gateway/src/lib/process/load_telling.ts
+++ b/packages/gateway/src/lib/process/load_telling.ts
@@ -130,6 +130,14 @@
     return this.relayed ? this.elected.get(dataCentre)?.peer : undefined;
   }
 
+  /**
+   * @param dataCentre - Another one.
+   * @returns Who places the requests there; undefined: nobody, or it is not known.
+   */
+  coordinatorOf(dataCentre: string): P | undefined {
+    return this.relayed ? this.elected.get(dataCentre)?.peer : undefined;
+  }
+
   /** @param message - What another host tells. */
   hear(message: LoadMessage): void {
     const {host, dataCentre, sequence, sumOf, load} = message;
--- a/packages/gateway/src/lib/process/placement.ts
+++ b/packages/gateway/src/lib/process/placement.ts
@@ -47,6 +47,8 @@
   readonly own: Coordinator;
   /** @returns Who coordinates; undefined: this host, or nobody. */
   readonly coordinator: () => P | undefined;
+  /** @returns Who coordinates another data centre; undefined: nobody. */
+  readonly coordinatorOf: (dataCentre: string) => P | undefined;
   /** @returns A host of this data centre. */
   readonly peer: (id: string) => P | undefined;
   readonly send: (message: PlacementMessage, to: P) => void;
@@ -66,8 +68,9 @@
 export class Placement<P extends LoadPeer> {
   private readonly waiting = new Map<number, Answer>();
   private askId = 0;
-  private failures = 0;
-  private pausedUntil = -Infinity;
+  /** Questions in a row without an answer, by the host that was asked. */
+  private readonly failures = new Map<string, number>();
+  private readonly pausedUntil = new Map<string, number>();
 
   /** @param context - Whom to ask, and the own view. */
   constructor(private readonly context: PlacementContext<P>) {}
@@ -87,22 +90,49 @@
     service: string,
     demand: WaitDemand,
     tried: ReadonlySet<string>,
+  ): Promise<Target | undefined> {
+    const first = await this.byOwnDataCentre(service, demand, tried);
+    return first && this.byOther(first, service, demand, tried);
+  }
+
+  private async byOwnDataCentre(
+    service: string,
+    demand: WaitDemand,
+    tried: ReadonlySet<string>,
   ): Promise<Target | undefined> {
     const {chooser} = this.context;
     const own = chooser.forRequest(service, demand, tried);
     const coordinator = this.coordinator();
     if (!coordinator || (own && chooser.isCalm(own, CALM_SHARE))) return own;
-    const answer = await this.ask(
-      coordinator,
-      service,
-      {lane: 'online', demand},
-      tried,
-    );
+    const wish = {lane: 'online', demand, near: false} as const;
+    const answer = await this.ask(coordinator, service, wish, tried);
     return answer === 'silent'
       ? chooser.forRequest(service, demand, tried)
       : answer;
   }
 
+  /**
+   * Guards against targets of another data centre that several data centres fill at
+   * the same time: each knows what the others sent there as of a fifth of a second
+   * ago. The coordinator there knows what it has placed itself.
+   */
+  private async byOther(
+    first: Target,
+    service: string,
+    demand: WaitDemand,
+    tried: ReadonlySet<string>,
+  ): Promise<Target | undefined> {
+    const {self, coordinatorOf, chooser} = this.context;
+    const {dataCentre} = first;
+    const other =
+      dataCentre === self.dataCentre ? undefined : coordinatorOf(dataCentre);
+    if (!other || this.isPaused(other)) return first;
+    const wish = {lane: 'online', demand, near: true} as const;
+    const answer = await this.ask(other, service, wish, tried);
+    if (answer === 'silent') return first;
+    return answer ?? chooser.forRequestNear(service, demand, tried);
+  }
+
   /**
    * @param service - Whose targets can do it.
    * @param pressure - Whether the item is due soon.
@@ -140,8 +170,12 @@
   }
 
   private coordinator(): P | undefined {
-    const {clock, coordinator} = this.context;
-    return clock.now() < this.pausedUntil ? undefined : coordinator();
+    const coordinator = this.context.coordinator();
+    return coordinator && this.isPaused(coordinator) ? undefined : coordinator;
+  }
+
+  private isPaused({id}: P): boolean {
+    return this.context.clock.now() < (this.pausedUntil.get(id) ?? -Infinity);
   }
 
   private async ask(
@@ -160,7 +194,7 @@
     const outcome = answer === 'silent' ? 'silent' : answer ? 'place' : 'full';
     counters.count('placement_asks', {lane: wish.lane, outcome});
     if (answer === 'silent') this.failed(coordinator);
-    else this.failures = 0;
+    else this.failures.delete(coordinator.id);
     if (answer === undefined || answer === 'silent') return answer;
     return this.usable(answer, service) ?? 'silent';
   }
@@ -202,9 +236,11 @@
 
   private failed({id}: P): void {
     const {clock, log} = this.context;
-    if (++this.failures < FAILURES_TO_PAUSE) return;
-    this.failures = 0;
-    this.pausedUntil = clock.now() + PAUSE_MS;
+    const failures = (this.failures.get(id) ?? 0) + 1;
+    this.failures.set(id, failures);
+    if (failures < FAILURES_TO_PAUSE) return;
+    this.failures.delete(id);
+    this.pausedUntil.set(id, clock.now() + PAUSE_MS);
     log.event('coordinator-silent', {coordinator: id, pauseMs: PAUSE_MS});
   }
 
@@ -213,7 +249,7 @@
     const to = peer(ask.host);
     // A host that is not known yet falls back to its own view.
     if (!to) return;
-    const {target, itemsToEnd} = own.place(ask);
+    const {target, itemsToEnd} = own.place(ask, to.dataCentre);
     send({kind: 'grant', askId: ask.askId, targetId: target?.id}, to);
     if (!target) return;
     for (const {host, items} of itemsToEnd) {
--- a/packages/gateway/src/lib/process/target_chooser.ts
+++ b/packages/gateway/src/lib/process/target_chooser.ts
@@ -102,6 +102,25 @@
     return this.bestForItem(mine, pressure);
   }
 
+  /**
+   * @param service - Whose targets can do it.
+   * @param demand - How long it may wait there.
+   * @param excluded - Targets, by id, that are out of the question.
+   * @returns The near target with the lowest score; undefined: none has room.
+   */
+  forRequestNear(
+    service: string,
+    demand: WaitDemand,
+    excluded: ReadonlySet<string>,
+  ): Target | undefined {
+    const {directory, dataCentre} = this.context;
+    const far = directory
+      .ofService(service)
+      .filter(target => target.dataCentre !== dataCentre);
+    const ids = [...excluded, ...far.map(({id}) => id)];
+    return this.forRequest(service, demand, new Set(ids));
+  }
+
   private bestForItem(
     targets: readonly Target[],
     pressure: BatchPressure,
--- a/packages/gateway/src/test/fakes/wide_fleet.ts
+++ b/packages/gateway/src/test/fakes/wide_fleet.ts
@@ -63,6 +63,9 @@
   /** Arrivals a second in a burst and before it. */
   readonly burstRate: number;
   readonly calmRate: number;
+  /** How many times as many callers come to the first data centre as to others; as
+   * many by default. */
+  readonly crowding?: number;
   /** When the burst begins, and the end, in milliseconds. */
   readonly burstAtMs: number;
   readonly lengthMs: number;
@@ -71,6 +74,8 @@
 /** How hosts tell their loads, and whether a data centre has a coordinator. */
 export interface WideOptions extends LoadTellingOptions {
   readonly coordinated: boolean;
+  /** Whether a place in another data centre is asked of its coordinator. */
+  readonly asksOthers?: boolean;
   /** From when on those who coordinate answer nobody, in milliseconds. */
   readonly coordinatorsLostAtMs?: number;
 }
@@ -240,9 +245,11 @@
       counters: NO_COUNTERS,
       chooser,
       directory,
-      own: new Coordinator({self: id, chooser, loads, now}),
+      own: new Coordinator({self: id, dataCentre, chooser, loads, now}),
       coordinator: () =>
         this.options.coordinated ? telling.coordinator : undefined,
+      coordinatorOf: name =>
+        this.options.asksOthers ? telling.coordinatorOf(name) : undefined,
       peer: peer => this.hosts.find(one => one.id === peer),
       send: (message, to) => this.post(message, to),
       onYield: (targetId, items) => this.giveWay(id, targetId, items),
@@ -305,7 +312,10 @@
   }
 
   private anyHost(): Host {
-    return this.hosts[this.random.int(this.hosts.length)]!;
+    const {hosts, dataCentres, crowding = 1} = this.load;
+    const place = this.random.float() * (dataCentres - 1 + crowding) - crowding;
+    const dataCentre = place < 0 ? 0 : 1 + Math.floor(place);
+    return this.hosts[dataCentre * hosts + this.random.int(hosts)]!;
   }
 
   private async place(caller: Caller): Promise<void> {
--- a/packages/gateway/src/test/process/placement_test.ts
+++ b/packages/gateway/src/test/process/placement_test.ts
@@ -48,8 +48,15 @@
     counters: NO_COUNTERS,
     chooser,
     directory,
-    own: new Coordinator({self: id, chooser, loads, now: () => clock.now()}),
+    own: new Coordinator({
+      self: id,
+      dataCentre,
+      chooser,
+      loads,
+      now: () => clock.now(),
+    }),
     coordinator: () => (id === LEADER.id ? undefined : LEADER),
+    coordinatorOf: () => undefined,
     peer: peer => ({id: peer, dataCentre}),
     send: (message, to) => sent.push([message, to.id]),
     onYield: (targetId, items) => yielded.push([targetId, items]),
@@ -118,7 +125,7 @@
 });
 
 function askOf(host: string, excluded: readonly string[]): PlacementMessage {
-  const wish = {lane: 'online', demand: DEMAND} as const;
+  const wish = {lane: 'online', demand: DEMAND, near: false} as const;
   return {kind: 'ask', host, askId: 1, service: 's', wish, excluded};
 }
 
--- a/packages/gateway/src/test/process/wide_burst_replay_test.ts
+++ b/packages/gateway/src/test/process/wide_burst_replay_test.ts
@@ -66,6 +66,36 @@
   t.true(coordinated.late < inSums.late / 2);
 });
 
+/** A fleet of four data centres, to the first of which twice as many callers come. */
+const CROWDED: WideLoad = {
+  ...BURST,
+  dataCentres: 4,
+  hosts: 7,
+  targets: 7,
+  slots: 8,
+  runMs: 650,
+  calmRate: 55,
+  burstRate: 264,
+  crowding: 2,
+};
+
+async function lateInThreeSeeds(options: WideOptions): Promise<number> {
+  let late = 0;
+  for (const seed of [1, 2, 3])
+    late += (await play({...CROWDED, seed}, options)).late;
+  return late;
+}
+
+// Callers of a data centre with more requests than slots are late although others have
+// room: each data centre sends there what does not fit at home, and knows what the rest
+// sent as of a fifth of a second ago.
+test('data centres that help out do not fill the same targets', async t => {
+  const alone = await lateInThreeSeeds(COORDINATED);
+  const asked = await lateInThreeSeeds({...COORDINATED, asksOthers: true});
+  t.log(`${alone} late, and ${asked}`);
+  t.true(asked < alone / 2);
+});
+
 // The coordinator of each data centre is lost for good in the burst: hosts ask it,
 // get no answer, and have to go on by their own view at once.
 test('a burst goes on when the coordinators are lost', async t => {
--- a/packages/gateway/src/test/request/parsers_fuzz_test.ts
+++ b/packages/gateway/src/test/request/parsers_fuzz_test.ts
@@ -55,6 +55,7 @@
       priority: COUNT,
       returning: fc.boolean(),
     }),
+    near: fc.boolean(),
   }),
   fc.record({
     lane: fc.constant('batch' as const),
--- a/packages/serving/src/lib/process/serving_parts.ts
+++ b/packages/serving/src/lib/process/serving_parts.ts
@@ -135,10 +135,15 @@
     own: new Coordinator({
       ...sending,
       self: self.id,
+      dataCentre: self.dataCentre,
       now: () => clock.now(),
     }),
     coordinator: () =>
       host.options.coordinators === 'auto' ? exchange.coordinator : undefined,
+    coordinatorOf: name =>
+      host.options.coordinators === 'auto'
+        ? exchange.coordinatorOf(name)
+        : undefined,
     peer: id => {
       const member = membership.peer(id);
       return member && hostPeerOf(member);
