--- a/packages/gateway/src/lib/process/placement.ts
+++ b/packages/gateway/src/lib/process/placement.ts
@@ -29,7 +29,7 @@
 const PAUSE_MS = 1000;
 /** While so much of a near target's slots or less is in use, as a share, the own
  * view decides: what others have sent meanwhile fits beside it. */
-const CALM_SHARE = 0.1;
+const CALM_SHARE = 0.5;
 
 /** Targets that a question names at the most: it has to fit into a datagram. */
 const MAX_EXCLUDED = 30;
