--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -34,6 +34,7 @@
 export * from './lib/process/target_chooser.js';
 export * from './lib/process/target_directory.js';
 export * from './lib/process/target_suspensions.js';
+export * from './lib/request/admitted_request.js';
 export * from './lib/request/exchange.js';
 export * from './lib/request/online_request.js';
 export * from './lib/request/request_trace.js';
--- a/packages/gateway/src/lib/process/load_table.ts
+++ b/packages/gateway/src/lib/process/load_table.ts
@@ -3,6 +3,7 @@
  * hosts and whole data centres have last told of theirs. Their sum stands in for
  * probes of the target, which cost it a slot.
  */
+import {CausedLoads} from './caused_loads.js';
 
 /** Online requests go before items of batch jobs. */
 export type Lane = 'online' | 'batch';
@@ -40,14 +41,6 @@
   readonly hosts: number;
 }
 
-/** What this host has caused at another one, which does not tell it yet. */
-interface Caused {
-  readonly key: string;
-  readonly online: number;
-  readonly batch: number;
-  readonly at: number;
-}
-
 /** A host that has said nothing for so long counts as idle, in milliseconds:
  * three of the messages that are sent while nothing changes. */
 export const LOAD_LIFETIME_MS = 3000;
@@ -72,8 +65,8 @@
   private readonly own = new Map<string, HostTargetLoad>();
   private readonly others = new Map<string, HeardLoad>();
   private readonly dataCentres = new Map<string, HeardDataCentre>();
-  private readonly caused = new Map<string, readonly Caused[]>();
-  private readonly causedFar = new Map<string, readonly Caused[]>();
+  private readonly caused = new CausedLoads();
+  private readonly causedFar = new CausedLoads();
   private readonly totals = new Map<string, TargetLoad>();
   private readonly listeners: Array<() => void> = [];
 
@@ -157,16 +150,13 @@
   }
 
   private note(
-    causes: Map<string, readonly Caused[]>,
+    causes: CausedLoads,
     name: string,
     key: string,
     lane: Lane,
     by: number,
   ): void {
-    const online = lane === 'online' ? by : 0;
-    const batch = lane === 'batch' ? by : 0;
-    const caused = {key, online, batch, at: this.now()};
-    causes.set(name, [...(causes.get(name) ?? []), caused]);
+    const {online, batch} = causes.add(name, key, lane, by, this.now());
     this.shift(key, online, batch);
     if (by > 0 && lane === 'online') this.changed();
   }
@@ -200,7 +190,7 @@
     for (const other of this.others.values())
       for (const [key, more] of other.load)
         load.set(key, sumOf(load.get(key), more));
-    for (const {key, online, batch} of [...this.caused.values()].flat())
+    for (const {key, online, batch} of this.caused.all())
       load.set(key, sumOf(load.get(key), {online, batch}));
     return {dataCentre, hosts: this.others.size + 1, load};
   }
@@ -223,7 +213,7 @@
    * {@link LOAD_LIFETIME_MS}. */
   expire(): void {
     for (const causes of [this.caused, this.causedFar])
-      for (const name of [...causes.keys()])
+      for (const name of causes.names())
         this.settle(causes, name, CAUSED_LIFETIME_MS);
     const oldest = this.now() - LOAD_LIFETIME_MS;
     for (const [host, {heardAt}] of this.others)
@@ -267,20 +257,9 @@
   }
 
   /** Drops what was caused so long ago or longer. */
-  private settle(
-    causes: Map<string, readonly Caused[]>,
-    name: string,
-    olderThanMs: number,
-  ): void {
-    const caused = causes.get(name);
-    if (!caused) return;
-    const latest = this.now() - olderThanMs;
-    const left = caused.filter(({at}) => at > latest);
-    if (left.length === caused.length) return;
-    for (const {key, online, batch, at} of caused)
-      if (at <= latest) this.shift(key, -online, -batch);
-    if (left.length > 0) causes.set(name, left);
-    else causes.delete(name);
+  private settle(causes: CausedLoads, name: string, olderThanMs: number): void {
+    const told = causes.settle(name, this.now() - olderThanMs);
+    for (const {key, online, batch} of told) this.shift(key, -online, -batch);
   }
 
   private say(load: HostLoad): void {
--- a/packages/gateway/src/lib/request/online_request.ts
+++ b/packages/gateway/src/lib/request/online_request.ts
@@ -2,12 +2,10 @@
  * One caller's request: tried at one target after another, as far as its route
  * allows, until it has a whole answer or its time is over.
  */
-import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
   DisposableStore,
   patienceMs,
   sleep,
-  type ClientAccount,
   type Random,
   type WaitDemand,
 } from '@oathead/core';
@@ -21,7 +19,7 @@
 import {CrashSuspects} from '../process/crash_suspects.js';
 import type {RequestPlacement} from '../process/placement.js';
 import type {TargetChooser} from '../process/target_chooser.js';
-import type {Route} from '../version/routing_table.js';
+import type {AdmittedRequest} from './admitted_request.js';
 import {AnswerWriter} from './answer_writer.js';
 import {
   mayHaveCrashed,
@@ -29,6 +27,7 @@
   type ExchangeEnd,
   type WholeAnswer,
 } from './exchange.js';
+import {failureStatus, STATUS_UNAVAILABLE} from './failure_status.js';
 import {endToEndHeaders} from './forwarded_headers.js';
 import {pickService} from './pick_service.js';
 import {
@@ -49,20 +48,6 @@
   readonly admission: CallerAdmission;
 }
 
-/** A caller's request that was admitted. */
-export interface AdmittedRequest {
-  readonly req: IncomingMessage;
-  /** Where its answer goes. */
-  readonly res: ServerResponse;
-  readonly route: Route;
-  /** The caller's body, whole. */
-  readonly body: Buffer;
-  /** When its head had come, on the steady clock. */
-  readonly startedAt: number;
-  /** Whose request it is. */
-  readonly account: ClientAccount | undefined;
-}
-
 /** How often a request that waits for a target looks again, in milliseconds. */
 const LOOK_AGAIN_MS = 10;
 /** How often targets may say that they are full before the request is refused. */
@@ -77,17 +62,7 @@
 /** Ends after which the request may go on at another target. */
 const RUN_IS_OVER: ReadonlySet<EndedBy> = new Set(['silent', 'restarted']);
 
-const STATUS_UNAUTHORIZED = 401;
 const STATUS_SERVER_ERROR = 500;
-const STATUS_BAD_GATEWAY = 502;
-const STATUS_UNAVAILABLE = 503;
-const STATUS_GATEWAY_TIMEOUT = 504;
-
-/** What callers whose request has not run are told, where that is not 503. */
-const NOT_RUN_STATUS: Readonly<Record<string, number>> = {
-  'no-key': STATUS_UNAUTHORIZED,
-  'unknown-key': STATUS_UNAUTHORIZED,
-};
 
 /** Serves one request. */
 export class OnlineRequest {
@@ -100,10 +75,6 @@
   private readonly service: string;
   private readonly demand: WaitDemand;
   private readonly print: string;
-  private readonly route: Route;
-  private readonly req: IncomingMessage;
-  private readonly res: ServerResponse;
-  private readonly body: Buffer;
   private failedAnswer: WholeAnswer | undefined;
   private sending: Sending | undefined;
   private endedBy: EndedBy | undefined;
@@ -119,10 +90,6 @@
     private readonly admitted: AdmittedRequest,
   ) {
     const {req, res, route, body, startedAt, account} = admitted;
-    this.req = req;
-    this.res = res;
-    this.route = route;
-    this.body = body;
     this.startedAt = startedAt;
     this.facts = context.protocol.readRequest(req.headers);
     const waits = this.facts.deadlineMs ?? route.timeoutMs;
@@ -148,8 +115,8 @@
 
   /** Serves the request; never rejects. */
   async serve(): Promise<void> {
-    this.res.on('close', () => {
-      if (!this.res.writableFinished) this.endBy('caller-left');
+    this.admitted.res.on('close', () => {
+      if (!this.admitted.res.writableFinished) this.endBy('caller-left');
     });
     const leftMs = Math.max(0, this.endsAt - this.now());
     using held = new DisposableStore();
@@ -193,7 +160,7 @@
   private refusalNow(): AdmissionRefusal | undefined {
     if (this.answer.begun) return undefined;
     const {admission} = this.context;
-    const now = admission.admit(this.facts.key, this.route);
+    const now = admission.admit(this.facts.key, this.admitted.route);
     if (now.kind === 'refused') return now.reason;
     const isSame = now.account?.name === this.admitted.account?.name;
     return isSame ? undefined : 'unknown-key';
@@ -224,10 +191,10 @@
     };
     const req = {
       requestId: this.facts.requestId,
-      method: this.req.method ?? 'GET',
-      path: this.req.url ?? '/',
+      method: this.admitted.req.method ?? 'GET',
+      path: this.admitted.req.url ?? '/',
       headers: context.protocol.requestHeaders(hop.headers, facts),
-      body: this.body,
+      body: this.admitted.body,
       firstEventId: answer.nextEventId,
     };
     this.sending = sendToTarget(context, target, 'online', req, answer);
@@ -288,7 +255,7 @@
   }
 
   private mayRunOnceMore(): boolean {
-    const {route} = this;
+    const {route} = this.admitted;
     const repeatable = route.idempotent || route.resumable;
     return repeatable && this.runs + 1 < route.maxAttempts && !this.endedBy;
   }
@@ -313,7 +280,7 @@
     }
     const {service} = this;
     this.report.givenUp(service, reason, this.context.chooser.view(service));
-    const status = this.failureStatus(reason);
+    const status = failureStatus(reason, this.runs);
     if (this.runs === 0)
       this.context.admission.giveBackQuota(this.admitted.account);
     const retry =
@@ -331,12 +298,6 @@
     return overload.returnAfterMs(this.service, latestMs);
   }
 
-  private failureStatus(reason: string): number {
-    const mayHaveRun = this.runs > 0 || reason === 'timeout';
-    if (!mayHaveRun) return NOT_RUN_STATUS[reason] ?? STATUS_UNAVAILABLE;
-    return reason === 'timeout' ? STATUS_GATEWAY_TIMEOUT : STATUS_BAD_GATEWAY;
-  }
-
   private endBy(by: EndedBy): void {
     this.endedBy ??= by;
     this.sending?.control.end(by);
@@ -344,8 +305,8 @@
 
   /** Ends a run at a target that has gone silent, if it may go on elsewhere. */
   private watchSilence(): Disposable {
-    const repeatable = this.route.idempotent || this.route.resumable;
-    if (!repeatable) return {[Symbol.dispose]: () => {}};
+    const {idempotent, resumable} = this.admitted.route;
+    if (!idempotent && !resumable) return {[Symbol.dispose]: () => {}};
     const timer = setInterval(() => {
       const control = this.sending?.control;
       if (!control || !this.mayRunOnceMore()) return;
--- a/packages/stores/src/lib/process/relayed_row_store.ts
+++ b/packages/stores/src/lib/process/relayed_row_store.ts
@@ -165,27 +165,39 @@
   private async relay<T>(
     call: Call<T>,
   ): Promise<Outcome<T, RowStoreError> | undefined> {
-    const {clock, random, counters, relays} = this.context;
+    const {clock, relays} = this.context;
+    if (clock.now() < this.noRelayUntil) return undefined;
     const hosts = [...relays()];
-    if (hosts.length === 0 || clock.now() < this.noRelayUntil) return undefined;
-    const last = this.lastRelay ? hosts.indexOf(this.lastRelay) : -1;
-    let at = last >= 0 ? last : random.int(hosts.length);
-    let relayed: Outcome<T, RowStoreError>;
-    for (let tries = 1; ; tries++) {
-      const [host] = hosts.splice(at, 1);
-      relayed = await call(host!);
-      const away = isAway(relayed);
-      counters.count('store_relays', {outcome: away ? 'failed' : 'done'});
-      this.lastRelay = away ? undefined : host;
-      if (!away) return relayed;
-      const saidAtOnce = !relayed.ok && relayed.err.kind === 'refused';
-      if (!saidAtOnce || tries === RELAY_TRIES || hosts.length === 0) break;
-      at = random.int(hosts.length);
+    let relayed: Outcome<T, RowStoreError> | undefined;
+    for (let tries = 0; tries < RELAY_TRIES && hosts.length > 0; tries++) {
+      relayed = await this.relayBy(this.takeRelay(hosts), call);
+      if (!wasRefused(relayed)) break;
     }
-    this.noRelayUntil = clock.now() + RELAY_PAUSE_MS;
+    if (relayed && isAway(relayed))
+      this.noRelayUntil = clock.now() + RELAY_PAUSE_MS;
+    return relayed;
+  }
+
+  private async relayBy<T>(
+    host: RowStoreRelay,
+    call: Call<T>,
+  ): RowStoreOutcome<T> {
+    const relayed = await call(host);
+    const away = isAway(relayed);
+    this.context.counters.count('store_relays', {
+      outcome: away ? 'failed' : 'done',
+    });
+    this.lastRelay = away ? undefined : host;
     return relayed;
   }
 
+  /** Takes one out of the list: who answered last, or any. */
+  private takeRelay(hosts: RowStoreRelay[]): RowStoreRelay {
+    const last = this.lastRelay ? hosts.indexOf(this.lastRelay) : -1;
+    const at = last >= 0 ? last : this.context.random.int(hosts.length);
+    return hosts.splice(at, 1)[0]!;
+  }
+
   private async ownWay<T>(call: Call<T>): RowStoreOutcome<T> {
     return this.relaying ? failure(NO_OWN_WAY) : call(this.direct);
   }
@@ -208,6 +220,11 @@
   }
 }
 
+/** Whether it said at once that it did nothing. */
+function wasRefused<T>(outcome: Outcome<T, RowStoreError>): boolean {
+  return !outcome.ok && outcome.err.kind === 'refused';
+}
+
 /** Whether the store could not be asked. */
 function isAway<T>(outcome: Outcome<T, RowStoreError>): boolean {
   if (outcome.ok) return false;
