A caller that leaves while its quota is asked for is noticed

A server worked on for a caller that had left: the host that counts the account gave no answer for up to 120 ms, the caller went meanwhile, and the request looked for its leaving only from then on, when the event was past. Now it also looks whether the answer can still be written. Refusals of the front have a type in place of six parameters.

--- a/packages/gateway/src/lib/process/front_server.ts
+++ b/packages/gateway/src/lib/process/front_server.ts
@@ -37,6 +37,15 @@
   handle(request: RoutedRequest, body: Buffer): Promise<void>;
 }
 
+/** An answer of the host's own, to a request that has not run. */
+interface Refusal {
+  readonly status: number;
+  readonly reason: string;
+  /** When to come back, in milliseconds. */
+  readonly returnAfterMs?: number;
+  readonly account?: string;
+}
+
 /** What a {@link FrontServer} needs. */
 export interface FrontContext {
   readonly online: OnlineContext;
@@ -62,6 +71,12 @@
 const STATUS_OVER_QUOTA = 429;
 const STATUS_UNAVAILABLE = 503;
 
+const NO_CONFIG: Refusal = {status: STATUS_UNAVAILABLE, reason: 'no config'};
+const NO_ROUTE: Refusal = {status: STATUS_NOT_FOUND, reason: 'no route'};
+
+/** A request and where its answer goes. */
+type Call = Pick<RoutedRequest, 'req' | 'res'>;
+
 /** Serves callers until closed. */
 export class FrontServer {
   private readonly server: Server;
@@ -135,12 +150,11 @@
     // A connection that is told so opens no further request on this host.
     if (this.context.draining()) res.setHeader('connection', 'close');
     const matcher = this.context.routing.current;
-    if (!matcher) return this.refuse(req, res, STATUS_UNAVAILABLE, 'no config');
+    if (!matcher) return this.refuse({req, res}, NO_CONFIG);
     const route = matcher.match(req.headers.host, req.url ?? '/');
     const found = {req, res, matcher, route};
     const isBatch = this.context.batch.accepts(found);
-    if (!isBatch && !route)
-      return this.refuse(req, res, STATUS_NOT_FOUND, 'no route');
+    if (!isBatch && !route) return this.refuse({req, res}, NO_ROUTE);
     const {admission, protocol} = this.context.online;
     const {key} = protocol.readRequest(req.headers);
     const admitted = admission.admit(key, route);
@@ -152,14 +166,12 @@
   }
 
   /** A host that can't say whose key it is sends the caller to another one. */
-  private turnAway(
-    {req, res}: Pick<RoutedRequest, 'req' | 'res'>,
-    reason: AdmissionRefusal,
-  ): void {
+  private turnAway(call: Call, reason: AdmissionRefusal): void {
     if (reason !== 'stale')
-      return this.refuse(req, res, STATUS_UNAUTHORIZED, reason);
-    res.setHeader('connection', 'close');
-    this.refuse(req, res, STATUS_UNAVAILABLE, reason, STALE_RETURN_MS);
+      return this.refuse(call, {status: STATUS_UNAUTHORIZED, reason});
+    call.res.setHeader('connection', 'close');
+    const returnAfterMs = STALE_RETURN_MS;
+    this.refuse(call, {status: STATUS_UNAVAILABLE, reason, returnAfterMs});
   }
 
   private async handleBatch(
@@ -182,38 +194,32 @@
     const {req, res, account} = routed;
     const quota = await online.admission.takeQuota(account);
     if (quota.kind === 'over')
-      return this.refuse(
-        req,
-        res,
-        STATUS_OVER_QUOTA,
-        'over-quota',
-        quota.waitMs,
-        account?.name,
-      );
+      return this.refuse(routed, {
+        status: STATUS_OVER_QUOTA,
+        reason: 'over-quota',
+        returnAfterMs: quota.waitMs,
+        account: account?.name,
+      });
     const admitted = {req, res, route, body, startedAt, account};
     await new OnlineRequest(online, admitted).serve();
   }
 
   /** @returns The body; undefined when there is none to go on with. */
   private async bodyOf(
-    {req, res}: RoutedRequest,
+    call: Call,
     matcher: RouteMatcher,
   ): Promise<Buffer | undefined> {
     const {maxBodyBytes} = matcher.table.bounds;
-    const body = await readBody(req, maxBodyBytes);
+    const body = await readBody(call.req, maxBodyBytes);
     if (body.ok) return body.value;
     if (body.err === 'too-large')
-      this.refuse(req, res, STATUS_TOO_LARGE, body.err);
+      this.refuse(call, {status: STATUS_TOO_LARGE, reason: body.err});
     return undefined;
   }
 
   private refuse(
-    req: IncomingMessage,
-    res: ServerResponse,
-    status: number,
-    reason: string,
-    returnAfterMs?: number,
-    account?: string,
+    {req, res}: Call,
+    {status, reason, returnAfterMs, account}: Refusal,
   ): void {
     const {online, log} = this.context;
     const {requestId} = online.protocol.readRequest(req.headers);
--- a/packages/gateway/src/lib/request/online_request.ts
+++ b/packages/gateway/src/lib/request/online_request.ts
@@ -115,9 +115,12 @@
 
   /** Serves the request; never rejects. */
   async serve(): Promise<void> {
-    this.admitted.res.on('close', () => {
-      if (!this.admitted.res.writableFinished) this.endBy('caller-left');
+    const {res} = this.admitted;
+    res.on('close', () => {
+      if (!res.writableFinished) this.endBy('caller-left');
     });
+    // It may have left while its quota was asked for.
+    if (res.closed) this.endBy('caller-left');
     const leftMs = Math.max(0, this.endsAt - this.now());
     using held = new DisposableStore();
     held.add(this.context.clock.after(leftMs, () => this.endBy('timeout')));
