--- a/packages/core/src/lib/version/key_index.ts
+++ b/packages/core/src/lib/version/key_index.ts
@@ -1,5 +1,5 @@
 /** Finds what belongs to a key of which only a hash is kept. */
-import {createHash, timingSafeEqual} from 'node:crypto';
+import {hash as hashAtOnce, timingSafeEqual} from 'node:crypto';
 
 interface KnownKey<T> {
   readonly hash: Buffer;
@@ -35,11 +35,12 @@
    * @returns Whose it is; undefined: nobody's.
    */
   ownerOf(key: string): T | undefined {
-    const hash = createHash('sha256').update(key).digest();
+    const digits = hashOfKey(key);
     // Looking up a hash leaks no more than how many bits of the hash agree,
     // and those cannot be chosen; the whole is compared in constant time.
-    const known = this.byHash.get(hash.toString('hex'));
-    if (!known || known.hash.length !== hash.length) return undefined;
+    const known = this.byHash.get(digits);
+    if (!known) return undefined;
+    const hash = Buffer.from(digits, 'hex');
     return timingSafeEqual(known.hash, hash) ? known.owner : undefined;
   }
 }
@@ -49,5 +50,5 @@
  * @returns Its SHA-256 as hexadecimal digits.
  */
 export function hashOfKey(key: string): string {
-  return createHash('sha256').update(key).digest('hex');
+  return hashAtOnce('sha256', key, 'hex');
 }
--- a/packages/gateway/src/lib/version/route_matcher.ts
+++ b/packages/gateway/src/lib/version/route_matcher.ts
@@ -3,17 +3,20 @@
 
 /** Routes by host name, the longest prefix first. */
 export class RouteMatcher {
-  private readonly byHost = new Map<string, readonly Route[]>();
+  private readonly byHost: ReadonlyMap<string, readonly Route[]>;
 
   /** @param table - The version whose routes are matched. */
   constructor(readonly table: RoutingTable) {
     const longestFirst = [...table.routes].sort(
       (a, b) => b.pathPrefix.length - a.pathPrefix.length,
     );
+    const byHost = new Map<string, Route[]>();
     for (const route of longestFirst) {
-      const known = this.byHost.get(route.hostName) ?? [];
-      this.byHost.set(route.hostName, [...known, route]);
+      const known = byHost.get(route.hostName);
+      if (known) known.push(route);
+      else byHost.set(route.hostName, [route]);
     }
+    this.byHost = byHost;
   }
 
   /**
