Answers are attributed to a request for every status, or not at all

Callers saw: a request that was refused with 503 ran at the target, and a request got the failure of another one.

Cause: the exchange compared the request ID only after the check for "not run", so a refusal counted whatever ID it bore; and a failure or refusal without an ID counted for whatever request was on the connection, also one that had carried other requests. A target may send an answer again, late, where the next answer is expected.

Fix: attribution is a step of its own, before anything else of the answer is looked at. An answer belongs to a request if it bears its ID, or if it bears none, isn't a success and the connection never carried another request. All others count as broken: the request may have run, and the connection is closed. A new counter tells them by reason.

--- a/packages/gateway/src/lib/connection/target_connection.ts
+++ b/packages/gateway/src/lib/connection/target_connection.ts
@@ -47,6 +47,7 @@
   private socket: Socket | undefined;
   private peerReset = false;
   private lost = false;
+  private requestCount = 0;
 
   /**
    * @param address - IP address and port of the target.
@@ -108,6 +109,15 @@
     return this.peerReset;
   }
 
+  /**
+   * Records that a request is sent on the connection.
+   *
+   * @returns Whether it is the first one.
+   */
+  beginRequest(): boolean {
+    return this.requestCount++ === 0;
+  }
+
   /**
    * Closes the connection immediately, so that the target can cancel the
    * request.
--- a/packages/gateway/src/lib/request/exchange.ts
+++ b/packages/gateway/src/lib/request/exchange.ts
@@ -7,6 +7,7 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import {errors, type Dispatcher} from 'undici';
 import type {TargetConnection} from '../connection/target_connection.js';
+import {unattributedReason, type UnattributedReason} from './attribution.js';
 import {EventSplitter, type StreamEvent} from './stream_events.js';
 import type {
   ResponseMetadata,
@@ -80,6 +81,8 @@
       readonly reason: string;
       /** Whether the target sent invalid data, which shows that it is alive. */
       readonly sentInvalidData: boolean;
+      /** Set if the response may belong to another request. */
+      readonly unattributed?: UnattributedReason;
     }
   /** The gateway aborted the request; it may have run. */
   | {readonly kind: 'ended'; readonly by: AbortReason};
@@ -90,6 +93,12 @@
  */
 const MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
 
+/** What the log says of a response that can't be attributed. */
+const UNATTRIBUTED_TEXT: Readonly<Record<UnattributedReason, string>> = {
+  'other-id': 'answer to another request',
+  'no-id': 'answer without a request id',
+};
+
 /** Controls a request in flight. */
 export interface ExchangeControl {
   /**
@@ -126,6 +135,7 @@
   private head: ResponseHead | undefined;
   private metadata: ResponseMetadata | undefined;
   private nextEventId: number | undefined;
+  private isFirstRequest = false;
   private settled = false;
   private readonly startedAt: number;
   private lastActivityAt: number;
@@ -166,6 +176,7 @@
       idempotent: true,
       blocking: false,
     };
+    this.isFirstRequest = this.connection.beginRequest();
     try {
       this.connection.client.dispatch(options, this);
     } catch (err) {
@@ -213,8 +224,14 @@
     this.context.onActivity();
     this.head = {status, headers};
     this.metadata = this.context.protocol.readResponse(status, headers);
-    const error = this.headError(this.metadata, status);
-    if (error) this.failInvalid(error);
+    const unattributed = unattributedReason({
+      responseId: this.metadata.requestId,
+      requestId: this.req.requestId,
+      isFirstRequest: this.isFirstRequest,
+      success: isSuccess(status) && !this.metadata.notRun,
+    });
+    if (unattributed) this.failUnattributed(unattributed);
+    else this.checkSuccess(this.metadata, status);
   }
 
   /** Called by undici with a chunk of the body. */
@@ -266,20 +283,12 @@
     return this.metadata!.isEventStream && this.head!.status === 200;
   }
 
-  private headError(
-    metadata: ResponseMetadata,
-    status: number,
-  ): string | undefined {
-    if (metadata.notRun) return undefined;
-    const {requestId} = this.req;
-    if (metadata.requestId !== undefined && metadata.requestId !== requestId)
-      return 'answer to another request';
-    const success = status >= 200 && status < 300;
-    if (!success) return undefined;
-    if (metadata.requestId === undefined) return 'answer without a request id';
-    if (!metadata.sealed) return 'success without a seal';
-    if (metadata.hasUnexpectedEncoding) return 'body in an unasked coding';
-    return undefined;
+  /** Rejects a success whose body the target does not vouch for. */
+  private checkSuccess(metadata: ResponseMetadata, status: number): void {
+    if (metadata.notRun || !isSuccess(status)) return;
+    if (!metadata.sealed) this.failInvalid('success without a seal');
+    else if (metadata.hasUnexpectedEncoding)
+      this.failInvalid('body in an unasked coding');
   }
 
   private forwardEvents(
@@ -320,6 +329,12 @@
     this.finish({kind: 'broken', reason, sentInvalidData: true});
   }
 
+  /** Ends the exchange because the response may belong to another request. */
+  private failUnattributed(unattributed: UnattributedReason): void {
+    const reason = UNATTRIBUTED_TEXT[unattributed];
+    this.finish({kind: 'broken', reason, sentInvalidData: true, unattributed});
+  }
+
   /**
    * Ends the exchange because the connection closed before the response was
    * complete.
@@ -354,6 +369,10 @@
   return outcome.kind === 'ended' && outcome.by === 'restarted';
 }
 
+function isSuccess(status: number): boolean {
+  return status >= 200 && status < 300;
+}
+
 function reasonOf(err: unknown): string {
   if (err instanceof errors.UndiciError) return err.code;
   if (err instanceof Error && 'code' in err) return String(err.code);
--- a/packages/gateway/src/lib/request/target_send.ts
+++ b/packages/gateway/src/lib/request/target_send.ts
@@ -139,8 +139,12 @@
     case 'declined':
       suspensions.recordDecline(target.id);
       return;
-    case 'unsent':
     case 'broken':
+      if (outcome.unattributed)
+        counters.count('unattributed_answers', {reason: outcome.unattributed});
+      recordFailure(context, target, outcome.reason);
+      return;
+    case 'unsent':
       recordFailure(context, target, outcome.reason);
       return;
     case 'ended':
--- a/packages/gateway/src/test/request/target_send_test.ts
+++ b/packages/gateway/src/test/request/target_send_test.ts
@@ -1,21 +1,10 @@
 import {setTimeout} from 'node:timers/promises';
-import {
-  NO_COUNTERS,
-  NO_EVENT_LOG,
-  seededRandom,
-  SYSTEM_CLOCK,
-} from '@oathead/core';
 import test from 'ava';
-import {ConnectionPool} from '../../lib/connection/connection_pool.js';
 import {targetKey} from '../../lib/connection/load_message.js';
 import type {Target} from '../../lib/connection/target.js';
-import {LoadTable} from '../../lib/process/load_table.js';
-import {ServiceHealth} from '../../lib/process/service_health.js';
-import {ServiceOverload} from '../../lib/process/service_overload.js';
-import {TargetDirectory} from '../../lib/process/target_directory.js';
-import {TargetSuspensions} from '../../lib/process/target_suspensions.js';
 import {sendToTarget} from '../../lib/request/target_send.js';
-import {listen, PROTOCOL} from '../fakes/raw_target.js';
+import {listen} from '../fakes/raw_target.js';
+import {newSendContext} from '../fakes/send_context.js';
 import {newIncarnation, newTarget} from '../fakes/targets.js';
 
 const SINK = {events: () => true, paused: () => {}};
@@ -35,24 +24,6 @@
   return newTarget('t', {address});
 }
 
-function newContext() {
-  const clock = SYSTEM_CLOCK;
-  const directory = new TargetDirectory({clock, log: NO_EVENT_LOG});
-  const random = seededRandom(1);
-  const hosts = () => 1;
-  return {
-    protocol: PROTOCOL,
-    pool: new ConnectionPool(NO_COUNTERS),
-    loads: new LoadTable(() => clock.now()),
-    suspensions: new TargetSuspensions(clock, NO_EVENT_LOG),
-    health: new ServiceHealth(clock),
-    directory,
-    overload: new ServiceOverload({clock, random, directory, hosts}),
-    clock,
-    counters: NO_COUNTERS,
-  };
-}
-
 function requestTo(path: string) {
   return {
     requestId: 'r1',
@@ -69,7 +40,7 @@
 // must lose traffic share without being suspended.
 test('a target that ignores some requests loses traffic share', async t => {
   await using raw = await listenUnresponsive();
-  const context = newContext();
+  const context = newSendContext();
   const target = targetAt(raw.address);
   const unanswered = sendToTarget(
     context,
@@ -96,7 +67,7 @@
 // other, and all of them would look faulty.
 test('a full target keeps its share while requests are queued', async t => {
   await using raw = await listenUnresponsive();
-  const context = newContext();
+  const context = newSendContext();
   const target = targetAt(raw.address);
   const waiting = [...Array(target.slots + 1).keys()].map(() =>
     sendToTarget(context, target, 'online', requestTo('/mute'), SINK),
@@ -117,7 +88,7 @@
 // the rest.
 test('no request waits behind the unread body of a declined one', async t => {
   await using raw = await listenEarlyDecline();
-  const context = newContext();
+  const context = newSendContext();
   const target = targetAt(raw.address);
   const long = {...requestTo('/long'), body: Buffer.alloc(LONG_BODY_BYTES)};
   const early = sendToTarget(context, target, 'online', long, SINK);
@@ -156,7 +127,7 @@
 // as the list of targets contains the new one.
 test('a request ends when the target server is restarted', async t => {
   await using raw = await listenUnresponsive();
-  const context = newContext();
+  const context = newSendContext();
   const before = newIncarnation('i-1', 1000, {address: raw.address});
   context.directory.put(before);
   const {end} = sendToTarget(context, before, 'online', requestTo('/1'), SINK);
@@ -172,7 +143,7 @@
   await using raw = await listen(socket => {
     void setTimeout(100).then(() => socket.write(COMPLETE_RESPONSE));
   });
-  const context = newContext();
+  const context = newSendContext();
   const now = newIncarnation('i-1', 2000, {address: raw.address});
   context.directory.put(now);
   const {end} = sendToTarget(context, now, 'online', requestTo('/1'), SINK);
