A connection never carries two requests with one ID

Callers saw: a request that its target ran and answered with 200 ended with the failure of its first run, or was refused although it ran. For an item, one failure counted as two of its attempts.

Cause: a request whose first run failed or was refused went out again on the same connection, since the pool hands out the most recently used one. A late copy of the first answer bears the same ID as the second run's answer.

Evidence, before the change (late_answer_test, real sockets):

✘ a late failure of the first run does not end the second - 500 + 200 ✘ a late refusal of the first run does not end the second - false + 200

Fix: a connection keeps the hashes of the IDs that it has carried, and the pool hands it out only for a request that it has not carried. Which answer came first doesn't matter, so there is no state for outcomes. A refusal closes no connection: it serves all other requests.

A request without an ID takes a connection that has carried none, since a refusal of it bears no ID either.

--- a/packages/gateway/src/lib/connection/connection_pool.ts
+++ b/packages/gateway/src/lib/connection/connection_pool.ts
@@ -8,6 +8,7 @@
   TargetConnection,
   type ConnectionTimeouts,
 } from './target_connection.js';
+import type {Target} from './target.js';
 
 /** Idle connections by target ID. */
 export class ConnectionPool implements Disposable {
@@ -23,17 +24,24 @@
   ) {}
 
   /**
-   * @param targetId - ID of the target. Connections are pooled by ID, because
-   *     an address can be reused by another target.
-   * @param address - IP address and port at which the target listens.
+   * A connection never carries two requests with one ID: a late response to the
+   * first one would count as the response to the second.
+   *
+   * @param target - The target. Connections are pooled by its ID, because an
+   *     address can be reused by another target.
+   * @param requestId - ID of the request to be sent; undefined if it has none.
    * @returns An idle connection, or a new one that is opened with its first
    *     request.
    */
-  acquire(targetId: string, address: string): TargetConnection {
-    const idleConnections = this.idle.get(targetId);
-    let connection = idleConnections?.pop();
-    while (connection && !connection.usable)
-      connection = idleConnections?.pop();
+  acquire(
+    {id, address}: Pick<Target, 'id' | 'address'>,
+    requestId: string | undefined,
+  ): TargetConnection {
+    const usable = (this.idle.get(id) ?? []).filter(idle => idle.usable);
+    const at = usable.findLastIndex(({carried}) => carried.canTell(requestId));
+    const [connection] = at < 0 ? [] : usable.splice(at, 1);
+    if (usable.length > 0) this.idle.set(id, usable);
+    else this.idle.delete(id);
     if (connection) return connection;
     this.counters.count('target_connections');
     return new TargetConnection(address, this.timeouts);
@@ -54,6 +62,10 @@
   release(targetId: string, connection: TargetConnection): void {
     setImmediate(() => {
       if (!connection.usable) return;
+      if (connection.carried.isFull) {
+        connection[Symbol.dispose]();
+        return;
+      }
       const idleConnections = this.idle.get(targetId) ?? [];
       this.idle.set(targetId, idleConnections);
       idleConnections.push(connection);
--- a/packages/gateway/src/lib/connection/target_connection.ts
+++ b/packages/gateway/src/lib/connection/target_connection.ts
@@ -4,6 +4,7 @@
  */
 import type {Socket} from 'node:net';
 import {buildConnector, Client, errors} from 'undici';
+import {CarriedRequests} from './carried_requests.js';
 
 /** Timeouts of a connection to a target. */
 export interface ConnectionTimeouts {
@@ -42,13 +43,13 @@
 
 /** A connection that carries one request at a time. */
 export class TargetConnection implements Disposable {
+  /** The requests that were sent on the connection. */
+  readonly carried = new CarriedRequests();
   /** Sends the requests; limited to this one connection. */
   readonly client: Client;
   private socket: Socket | undefined;
   private peerReset = false;
   private lost = false;
-  private requestCount = 0;
-
   /**
    * @param address - IP address and port of the target.
    * @param timeouts - Connect and idle timeouts.
@@ -109,15 +110,6 @@
     return this.peerReset;
   }
 
-  /**
-   * Records that a request is sent on the connection.
-   *
-   * @returns Whether it is the first one.
-   */
-  beginRequest(): boolean {
-    return this.requestCount++ === 0;
-  }
-
   /**
    * Closes the connection immediately, so that the target can cancel the
    * request.
--- a/packages/gateway/src/lib/request/exchange.ts
+++ b/packages/gateway/src/lib/request/exchange.ts
@@ -176,7 +176,7 @@
       idempotent: true,
       blocking: false,
     };
-    this.isFirstRequest = this.connection.beginRequest();
+    this.isFirstRequest = this.connection.carried.add(this.req.requestId);
     try {
       this.connection.client.dispatch(options, this);
     } catch (err) {
--- a/packages/gateway/src/lib/request/target_send.ts
+++ b/packages/gateway/src/lib/request/target_send.ts
@@ -66,7 +66,7 @@
   const {pool, loads, clock, protocol} = context;
   const hadFreeSlot = hasFreeSlot(loads, target);
   const load = loads.begin(targetKey(target.id), lane);
-  const connection = pool.acquire(target.id, target.address);
+  const connection = pool.acquire(target, req.requestId);
   const now = () => clock.now();
   const onActivity = () => context.suspensions.recordActivity(target.id);
   const exchange = new Exchange(connection, req, {
--- a/packages/gateway/src/test/connection/connect_hang_test.ts
+++ b/packages/gateway/src/test/connection/connect_hang_test.ts
@@ -49,7 +49,9 @@
   };
   const now = () => performance.now();
   const startedAt = now();
-  const exchange = new Exchange(pool.acquire('t', `127.0.0.1:${port}`), req, {
+  const target = {id: 't', address: `127.0.0.1:${port}`};
+  const connection = pool.acquire(target, req.requestId);
+  const exchange = new Exchange(connection, req, {
     protocol: PROTOCOL,
     sink: SINK,
     now,
--- a/packages/gateway/src/test/request/exchange_test.ts
+++ b/packages/gateway/src/test/request/exchange_test.ts
@@ -165,7 +165,7 @@
   t.is(end.kind, 'answered');
   pool.release('t', connection);
   await new Promise(resolve => setTimeout(resolve, 20));
-  t.not(pool.acquire('t', target.address), connection);
+  t.not(pool.acquire({id: 't', address: target.address}, 'r2'), connection);
 });
 
 test('a connection is reused after a complete response', async t => {
@@ -176,7 +176,7 @@
   const {connection} = await exchangeWith(t, target.address, pool);
   pool.release('t', connection);
   await new Promise(resolve => setTimeout(resolve, 20));
-  t.is(pool.acquire('t', target.address), connection);
+  t.is(pool.acquire({id: 't', address: target.address}, 'r2'), connection);
 });
 
 // Guards against a target that continues to work for a caller that has
@@ -191,7 +191,7 @@
     socket.on('close', onClosed).resume(),
   );
   using pool = new ConnectionPool(NO_COUNTERS);
-  const connection = pool.acquire('t', target.address);
+  const connection = pool.acquire({id: 't', address: target.address}, 'r1');
   const exchange = newExchange(connection, []);
   exchange.start();
   await new Promise(resolve => setTimeout(resolve, 50));
@@ -233,7 +233,7 @@
   address: string,
   pool = new ConnectionPool(NO_COUNTERS),
 ) {
-  const connection = pool.acquire('t', address);
+  const connection = pool.acquire({id: 't', address}, 'r1');
   t.teardown(() => connection[Symbol.dispose]());
   const exchange = newExchange(connection, []);
   exchange.start();
--- a/packages/gateway/src/test/request/late_answer_test.ts
+++ b/packages/gateway/src/test/request/late_answer_test.ts
@@ -77,6 +77,7 @@
   t: ExecutionContext,
   first: Response,
   late: Response,
+  own = success,
 ) {
   const received: Received[] = [];
   let connections = 0;
@@ -85,13 +86,13 @@
     let previousId: string | undefined;
     socket.on('error', () => socket.destroy());
     socket.on('data', bytes => {
-      const id = ID_LINE.exec(bytes.toString('latin1'))![1]!;
+      const id = ID_LINE.exec(bytes.toString('latin1'))?.[1] ?? '';
       received.push({id, connection});
       if (received.length === 1) {
         socket.write(first(id));
       } else {
         if (previousId !== undefined) socket.write(late(previousId));
-        void setTimeout(OWN_RESPONSE_MS).then(() => socket.write(success(id)));
+        void setTimeout(OWN_RESPONSE_MS).then(() => socket.write(own(id)));
       }
       previousId = id;
     });
@@ -101,12 +102,12 @@
   const context = newSendContext();
   t.teardown(() => context.pool[Symbol.dispose]());
   const target = newTarget('t', {address: raw.address});
-  const send = async (id: string): Promise<ExchangeOutcome> => {
+  const send = async (id: string | undefined): Promise<ExchangeOutcome> => {
     const req = {
       requestId: id,
       method: 'POST',
       path: '/a',
-      headers: {host: 'h', id},
+      headers: {host: 'h', ...(id === undefined ? {} : {id})},
       body: Buffer.from('question'),
       firstEventId: undefined,
     };
@@ -159,3 +160,27 @@
     t.is((await send('a')).kind, onNewConnection);
   });
 }
+
+for (const [name, first] of Object.entries({failure, refusal})) {
+  // Guards against a second run of a request that is taken for failed or
+  // refused: the response to its first run comes once more, with the same ID.
+  test(`a late ${name} of the first run does not end the second`, async t => {
+    const {received, send} = await startTarget(t, first, first);
+    await send('a');
+    const second = await send('a');
+    t.is(second.kind === 'answered' && second.head.status, 200);
+    t.deepEqual(connectionsOf(received), [0, 1]);
+  });
+}
+
+// Guards against a request without an ID that is answered with a failure of the
+// gateway although its target refused it: the refusal bears no ID either, so
+// the request needs a connection of its own.
+test('a request without an ID is sent on a new connection', async t => {
+  const noId: Response = id =>
+    id ? success(id) : response(400, ['not-run: 1']);
+  const {received, send} = await startTarget(t, success, noId, noId);
+  t.is((await send('a')).kind, 'answered');
+  t.is((await send(undefined)).kind, 'declined');
+  t.deepEqual(connectionsOf(received), [0, 1]);
+});
