An answer without a length is passed on without one

Callers saw: a 200 with a server's seal and a length, whose body was a part of the server's.

Cause: a target may send an answer without a length, which ends with its connection. A target that breaks such an answer off closes the connection in an orderly way: the host's socket reports the end and no error, as for a whole answer. The gateway read the body to that end and gave it a length of its own, or the end of a chunked stream, and so vouched for a body that nobody had vouched for.

Fix: the gateway states the end of an answer only where the target has stated it. Else the answer to the caller ends with its connection, too, so that a caller sees as much as the gateway. A stream that began with a stated end and whose last run has none is broken off.

--- a/packages/gateway/src/lib/request/response_writer.ts
+++ b/packages/gateway/src/lib/request/response_writer.ts
@@ -5,6 +5,7 @@
 import type {ServerResponse} from 'node:http';
 import type {ResponseHead, EventSink} from './exchange.js';
 import {endToEndHeaders} from './forwarded_headers.js';
+import {endsWithConnection} from './response_framing.js';
 import type {StreamEvent} from './stream_events.js';
 import type {Headers} from './target_protocol.js';
 
@@ -12,6 +13,8 @@
 export class ResponseWriter implements EventSink {
   private lastWrittenId: number | undefined;
   private startTime: number | undefined;
+  /** Whether the response to the caller ends with its connection. */
+  private unframed = false;
 
   /**
    * @param res - The response to the caller.
@@ -72,14 +75,22 @@
   }
 
   /**
-   * Ends a complete stream.
+   * Ends a stream that was received to its end. If the last run leaves open
+   * whether that is the end of the stream, the caller must not be told that it
+   * is.
    *
    * @param head - Status and headers of the last run, written now if the stream
    *     had no events.
+   * @returns Whether the end was written; false if the stream was aborted.
    */
-  endStream(head: ResponseHead): void {
+  endStream(head: ResponseHead): boolean {
     if (!this.hasStarted) this.writeHead(head);
+    if (endsWithConnection(head) && !this.unframed) {
+      this.abort();
+      return false;
+    }
     this.res.end();
+    return true;
   }
 
   /**
@@ -91,16 +102,15 @@
   }
 
   /**
+   * Sends a body that was received to its end. It gets a length only if the
+   * target has stated one.
+   *
    * @param head - Status and headers of the target's response.
-   * @param body - The complete body.
+   * @param body - The body.
    */
   sendComplete(head: ResponseHead, body: Buffer): void {
-    this.startTime = this.now();
-    const headers = {...endToEndHeaders(head.headers)};
-    this.res.writeHead(head.status, {
-      ...toNodeHeaders(headers),
-      'content-length': body.length,
-    });
+    if (endsWithConnection(head)) this.writeHead(head);
+    else this.writeHead(head, {'content-length': String(body.length)});
     this.res.end(body);
   }
 
@@ -121,12 +131,19 @@
     this.res.end();
   }
 
-  private writeHead(head: ResponseHead): void {
+  /**
+   * Guards against a truncated response that looks complete: without a length
+   * from the target, the response to the caller ends with its connection, too.
+   */
+  private writeHead(head: ResponseHead, framing: Headers = {}): void {
     this.startTime = this.now();
-    this.res.writeHead(
-      head.status,
-      toNodeHeaders(endToEndHeaders(head.headers)),
-    );
+    this.unframed = endsWithConnection(head);
+    if (this.unframed) {
+      this.res.useChunkedEncodingByDefault = false;
+      this.res.shouldKeepAlive = false;
+    }
+    const headers = {...endToEndHeaders(head.headers), ...framing};
+    this.res.writeHead(head.status, toNodeHeaders(headers));
   }
 }
 
