An item's text is whole only if its end is stated or confirmed

Callers saw: an item listed as succeeded with the beginning of its text.

Cause: as for online requests: a stream without a length that is broken off between two events ends in an orderly way, and counted as complete.

Evidence, before the change (open_end_test):

x an item is whole although its stream without a length was broken off - two + two, three, four

Fix: after such an end the item runs once more from its last event. Its text is complete when a run that resumes there brings nothing more, or states its end.

--- a/packages/jobs/src/lib/process/item_runner.ts
+++ b/packages/jobs/src/lib/process/item_runner.ts
@@ -1,6 +1,7 @@
 /** Runs one item once on one target and applies the outcome to the item. */
 import type {Tracer} from '@opentelemetry/api';
 import {
+  endsWithConnection,
   eventData,
   mayHaveCrashed,
   RequestTrace,
@@ -39,6 +40,8 @@
   unsent: 60,
   broken: 100,
   unexpectedStatus: 500,
+  /** The stream may be complete; the next run confirms it. */
+  streamed: 0,
 } as const;
 /**
  * Deadline sent to the target, in milliseconds: several times the duration of
@@ -100,6 +103,7 @@
     run: work.runs,
     afterEvent: work.lastEventId,
   });
+  const resumed = work.lastEventId !== undefined;
   const sink = new TextSink(work);
   const activeSend = sendToTarget(context, target, 'batch', req, sink);
   work.stage = {
@@ -111,12 +115,13 @@
     work.runTimeMs += context.clock.now() - startedAt;
     hop.end(end.kind);
     trace.end(end.kind === 'streamed' ? undefined : end.kind);
-    if (end.kind === 'streamed') onDone();
+    const whole = isWholeText(end, resumed && !sink.received);
+    if (whole) onDone();
     if (sink.received || end.kind === 'answered')
       context.crashSuspects.recordAnswer(work.fingerprint);
     else if (mayHaveCrashed(end))
       context.crashSuspects.recordBrokenRun(work.fingerprint, target.id);
-    handleRunEnd(context, job, work, end, target);
+    handleRunEnd(context, job, work, {end, whole, target});
   });
 }
 
@@ -146,12 +151,29 @@
   paused(): void {}
 }
 
+/**
+ * Guards against a truncated text of an item: a target breaks off a stream
+ * without a length between two events, which looks like its end. Such an end is
+ * confirmed by a run that resumes after it and brings nothing more.
+ */
+function isWholeText(end: ExchangeOutcome, confirms: boolean): boolean {
+  if (end.kind !== 'streamed') return false;
+  return confirms || !endsWithConnection(end.head);
+}
+
+/** How a run of an item ended. */
+interface RunEnd {
+  readonly end: ExchangeOutcome;
+  /** Whether the text of the item is complete. */
+  readonly whole: boolean;
+  readonly target: Target;
+}
+
 function handleRunEnd(
   context: ItemRunContext,
   job: OwnedJob,
   work: ItemWork,
-  end: ExchangeOutcome,
-  target: Target,
+  {end, whole, target}: RunEnd,
 ): void {
   const now = context.clock.now();
   context.counters.count('item_runs', {end: end.kind});
@@ -160,10 +182,10 @@
     item: work.item.id,
     target: target.id,
     end: end.kind,
-    reason: endReasonOf(end),
+    reason: endReasonOf(end, whole),
     afterEvent: work.lastEventId,
   });
-  if (end.kind === 'streamed') {
+  if (whole) {
     job.finish(work, 'succeeded');
     return;
   }
@@ -192,7 +214,8 @@
     };
 }
 
-function endReasonOf(end: ExchangeOutcome): string | undefined {
+function endReasonOf(end: ExchangeOutcome, whole: boolean): string | undefined {
+  if (end.kind === 'streamed') return whole ? undefined : 'open end';
   if (end.kind === 'ended') return end.by;
   if (end.kind === 'answered') return String(end.head.status);
   return 'reason' in end ? end.reason : undefined;
