Jobs: an item doesn't fail for its route while a host has no configuration

What callers saw: items of an accepted job listed as failed without a failed run, after a host that had just started took the job over.

Cause: the scheduler starts before the first configuration is adopted, and took "no configuration" for "the configuration has no such route". A host whose configuration came later than five seconds after the first look at an item gave the item up.

Evidence: the new test, on the code before:

no item fails for its route while there is no configuration Difference (- actual, + expected): [ - 'one', ]

Why it works: without a configuration nothing is known about routes, so the item waits and no time is counted. A second test keeps that an item whose route is missing from a configuration for five seconds does fail.

--- a/packages/jobs/src/lib/process/batch_scheduler.ts
+++ b/packages/jobs/src/lib/process/batch_scheduler.ts
@@ -274,15 +274,17 @@
 
   /**
    * Resolves the route of an item. The item fails if its route has been missing
-   * for {@link ROUTE_MISSING_TIMEOUT_MS}.
+   * for {@link ROUTE_MISSING_TIMEOUT_MS}. Until a host has a configuration, it
+   * cannot tell whether a route is missing.
    *
-   * @returns The route; undefined if the configuration has none.
+   * @returns The route; undefined if there is none or no configuration.
    */
   private resolveRoute({job, work}: Candidate): Route | undefined {
     const {routing, clock} = this.context;
     const {hostName} = job.head;
     const {path} = work.item;
-    const route = routing.current?.match(hostName, path);
+    if (!routing.current) return undefined;
+    const route = routing.current.match(hostName, path);
     const key = `${hostName} ${path}`;
     if (route) {
       this.routeMissingSince.delete(key);
--- a/packages/jobs/src/test/process/batch_scheduler_test.ts
+++ b/packages/jobs/src/test/process/batch_scheduler_test.ts
@@ -17,6 +17,8 @@
 const ROUTE = {name: 'files', services: [{service: 'llm', weight: 1}]};
 const GOAL_MS = 10_000;
 const RUN_MS = 300;
+/** The scheduling interval, in milliseconds. */
+const INTERVAL_MS = 25;
 
 /**
  * Creates a job with one item, which is due in `untilDueMs` and has run for
@@ -65,7 +67,7 @@
     counters: NO_COUNTERS,
     random: seededRandom(1),
     placement,
-    routing: {current: {match: () => ROUTE}},
+    routing: {current: {match: () => ROUTE}, onAdopted: () => {}},
     crashSuspects: {isItemBlocked: () => false},
     loads: {onChange: () => {}},
     storeTimeMs: () => 0,
@@ -106,3 +108,75 @@
     `${local.relaxed} ${coordinated.relaxed}`,
   );
 });
+
+/** A scheduler without targets, whose clock and routes the test sets. */
+class RouteFixture implements Disposable {
+  nowMs = 0;
+  jobs: readonly OwnedJob[] = [];
+  readonly failedJobs: string[] = [];
+  private readonly listeners: Array<() => void> = [];
+  private readonly routing = {
+    current: undefined as {match: () => unknown} | undefined,
+    onAdopted: (listener: () => void) => void this.listeners.push(listener),
+  };
+  private readonly scheduler: BatchScheduler;
+
+  constructor() {
+    const context = {
+      clock: {...SYSTEM_CLOCK, now: () => this.nowMs},
+      random: seededRandom(1),
+      placement: {forItem: async () => undefined},
+      routing: this.routing,
+      crashSuspects: {isItemBlocked: () => false},
+      loads: {onChange: () => {}},
+      storeTimeMs: () => 0,
+    } as unknown as SchedulerContext;
+    this.scheduler = new BatchScheduler(context, () => this.jobs);
+    this.scheduler.start();
+  }
+
+  /** Adopts a configuration with or without the route of all items. */
+  adopt(hasRoute: boolean): void {
+    this.routing.current = {match: () => (hasRoute ? ROUTE : undefined)};
+    for (const listener of this.listeners) listener();
+  }
+
+  /** Creates a waiting item of a job that records its failure. */
+  job(id: string): OwnedJob {
+    const finish = () => {
+      if (!this.failedJobs.includes(id)) this.failedJobs.push(id);
+    };
+    return Object.assign(jobDueIn(id, Infinity), {finish});
+  }
+
+  /** Lets the scheduler look at its items at the given time. */
+  async runAt(nowMs: number): Promise<void> {
+    this.nowMs = nowMs;
+    await setTimeout(4 * INTERVAL_MS);
+  }
+
+  [Symbol.dispose](): void {
+    this.scheduler[Symbol.dispose]();
+  }
+}
+
+test('an item fails once its route has been missing for five seconds', async t => {
+  using fixture = new RouteFixture();
+  fixture.jobs = [fixture.job('one')];
+  fixture.adopt(false);
+  await fixture.runAt(0);
+  await fixture.runAt(4900);
+  t.deepEqual(fixture.failedJobs, []);
+  await fixture.runAt(5100);
+  t.deepEqual(fixture.failedJobs, ['one']);
+});
+
+// Guards against items that are given up by a host that has just started: it
+// takes jobs over before it has any configuration, and no route is known then.
+test('no item fails for its route while there is no configuration', async t => {
+  using fixture = new RouteFixture();
+  fixture.jobs = [fixture.job('one')];
+  await fixture.runAt(0);
+  await fixture.runAt(60_000);
+  t.deepEqual(fixture.failedJobs, []);
+});
