Jobs: the time without a route counts for each item and ends when the route is back

What callers saw: an item listed as failed without a failed run, shortly after an operator had taken its route away for the second time, or right after its job had been taken over by a host whose configuration was not the newest yet.

Cause: the time since when a route is missing was kept by path, and was only forgotten when the scheduler looked at an item with that path while the route was there. An item that was running then, or far back in the queue, was not looked at. An item of another job with the same path took over the old time.

Why it works: the time belongs to the item as this host works on it, so a job that is taken over starts anew, and each configuration that is adopted ends the time of the items whose route it has. The map no longer grows with the paths of jobs that are gone.

--- a/packages/jobs/src/lib/process/batch_scheduler.ts
+++ b/packages/jobs/src/lib/process/batch_scheduler.ts
@@ -103,7 +103,8 @@
 /** Starts and preempts runs of items until it is disposed. */
 export class BatchScheduler implements Disposable {
   private readonly disposables = new DisposableStore();
-  private readonly routeMissingSince = new Map<string, number>();
+  /** Time since which no configuration had a route for an item. */
+  private readonly routeMissingSince = new WeakMap<ItemWork, number>();
   private readonly durations = new ItemDurations();
   /** Time until which a route is considered full, by {@link fullRouteKey}. */
   private readonly routeFullUntil = new Map<string, number>();
@@ -132,6 +133,7 @@
     );
     this.disposables.defer(() => clearInterval(checkpointTimer));
     this.context.loads.onChange(() => this.preemptExcessItems());
+    this.context.routing.onAdopted(() => this.forgetRoutesThatCameBack());
   }
 
   /** Starts no further items, for a graceful shutdown. */
@@ -281,23 +283,34 @@
    */
   private resolveRoute({job, work}: Candidate): Route | undefined {
     const {routing, clock} = this.context;
-    const {hostName} = job.head;
-    const {path} = work.item;
     if (!routing.current) return undefined;
-    const route = routing.current.match(hostName, path);
-    const key = `${hostName} ${path}`;
+    const route = this.routeOf(job, work);
     if (route) {
-      this.routeMissingSince.delete(key);
+      this.routeMissingSince.delete(work);
       return route;
     }
-    const since = this.routeMissingSince.get(key) ?? clock.now();
-    this.routeMissingSince.set(key, since);
+    const since = this.routeMissingSince.get(work) ?? clock.now();
+    this.routeMissingSince.set(work, since);
     if (clock.now() - since < ROUTE_MISSING_TIMEOUT_MS) return undefined;
-    this.routeMissingSince.delete(key);
     job.finish(work, 'failed');
     return undefined;
   }
 
+  private routeOf(job: OwnedJob, {item}: ItemWork): Route | undefined {
+    return this.context.routing.current?.match(job.head.hostName, item.path);
+  }
+
+  /**
+   * Restarts the time of the items whose route is there again. An item that is
+   * running or far back in the queue is not looked at under each version.
+   */
+  private forgetRoutesThatCameBack(): void {
+    for (const job of this.jobs())
+      for (const work of job.work)
+        if (this.routeMissingSince.has(work) && this.routeOf(job, work))
+          this.routeMissingSince.delete(work);
+  }
+
   private preemptExcessItems(): void {
     const running = this.runningByTarget();
     for (const [targetId, candidates] of running) {
--- a/packages/jobs/src/test/process/batch_scheduler_test.ts
+++ b/packages/jobs/src/test/process/batch_scheduler_test.ts
@@ -180,3 +180,40 @@
   await fixture.runAt(60_000);
   t.deepEqual(fixture.failedJobs, []);
 });
+
+// Guards against an item that is given up at once when its route is missing a
+// second time: the route came back while the item was running, and the time
+// still counted from the first time.
+test('a route that came back has to be missing for five seconds again', async t => {
+  using fixture = new RouteFixture();
+  const job = fixture.job('one');
+  const [work] = job.work;
+  fixture.jobs = [job];
+  fixture.adopt(false);
+  await fixture.runAt(0);
+  const {stage} = work!;
+  work!.stage = {kind: 'recording'};
+  fixture.adopt(true);
+  await fixture.runAt(1000);
+  fixture.adopt(false);
+  work!.stage = stage;
+  await fixture.runAt(10_000);
+  t.deepEqual(fixture.failedJobs, []);
+  await fixture.runAt(15_100);
+  t.deepEqual(fixture.failedJobs, ['one']);
+});
+
+// Guards against items of a new job that are given up at once: the time counted
+// from the first item with the same path, whose job had been cancelled. The
+// configuration with the route of the new job may still be on its way.
+test('the time without a route counts for each item apart', async t => {
+  using fixture = new RouteFixture();
+  fixture.jobs = [fixture.job('one')];
+  fixture.adopt(false);
+  await fixture.runAt(0);
+  fixture.jobs = [];
+  await fixture.runAt(1000);
+  fixture.jobs = [fixture.job('one')];
+  await fixture.runAt(10_000);
+  t.deepEqual(fixture.failedJobs, []);
+});
