Jobs: a job whose head changes while it is read is read again

What callers saw: an item at two positions of a job, or one that was given up after more failed runs than its route allows, after a job had changed hands twice within the time that a host takes to read it.

Cause: on adoption a host read the results and the failures under the head that it had found, and then went on with the newest head that had been reported meanwhile. Writes are fenced by the version of the head, so a result that another owner had listed in between was listed again, and the failed runs that it had recorded were forgotten.

Evidence: the new test, on the code before:

a job that changes while it is read is read again - failures: 0, + failures: 2, - id: 'a', + id: 'b', - { - failures: 0, - id: 'b', - },

Why it works: head and items are used together only if no newer head was known after the items were read; a newer head that is unknown here fences the first write. If another host owns the job by then, it is left to it.

--- a/packages/jobs/src/lib/process/job_ownership.ts
+++ b/packages/jobs/src/lib/process/job_ownership.ts
@@ -57,6 +57,12 @@
   texts: z.array(z.string()),
 });
 
+/** A head and the items that have no result under it. */
+interface LoadedJob {
+  readonly head: VersionedHead;
+  readonly work: readonly ItemWork[];
+}
+
 /** Tracks the jobs that this host owns. */
 export class JobOwnership implements Disposable {
   private readonly disposables = new DisposableStore();
@@ -219,15 +225,14 @@
     const {id} = found.head;
     if (this.stopping || this.owned.has(id) || this.loading.has(id)) return;
     this.loading.add(id);
-    const work = await this.load(found.head, how === 'accepted');
+    const loaded = await this.loadNewest(found, how === 'accepted');
     this.loading.delete(id);
-    if (!work || this.stopping) return;
+    if (!loaded || this.stopping) return;
+    const {head, work} = loaded;
     // Guards against running items of a cancelled job: it may be cancelled
     // while its items are read, or after a sweep has taken its copy of the
     // heads and before it gets to this job.
     if (this.closed.has(id)) return;
-    const latest = this.heads.get(id) ?? found;
-    const head = latest.version > found.version ? latest : found;
     if (head.head.owner !== this.self) return;
     this.context.counters.count('jobs_adopted', {how});
     this.context.log.event('job-adopted', {
@@ -240,6 +245,28 @@
     this.owned.set(id, new OwnedJob(this.context, head, work, drop));
   }
 
+  /**
+   * Reads the items again if the head has changed meanwhile. Guards against
+   * results and failed runs that another owner recorded while they were read.
+   * Under the newer head, this host could list an item a second time.
+   *
+   * @returns The newest head and the items that are left under it; undefined if
+   *   the store cannot be read or another host owns the job by now.
+   */
+  private async loadNewest(
+    found: VersionedHead,
+    isNew: boolean,
+  ): Promise<LoadedJob | undefined> {
+    for (let head = found; ;) {
+      const work = await this.load(head.head, isNew && head === found);
+      if (!work) return undefined;
+      const newest = this.heads.get(found.head.id);
+      if (!newest || newest.version <= head.version) return {head, work};
+      if (newest.head.owner !== this.self) return undefined;
+      head = newest;
+    }
+  }
+
   /**
    * @returns The items without a result; undefined if the store cannot be read.
    */
--- a/packages/jobs/src/test/process/job_ownership_test.ts
+++ b/packages/jobs/src/test/process/job_ownership_test.ts
@@ -10,6 +10,7 @@
 import {encodeJson, MemoryRowStore} from '@oathead/stores';
 import test from 'ava';
 import {JobOwnership} from '../../lib/process/job_ownership.js';
+import type {ItemResult} from '../../lib/request/job.js';
 import type {JobReader} from '../../lib/request/job_reader.js';
 import {headRef, type JobHead} from '../../lib/request/job_rows.js';
 
@@ -35,6 +36,20 @@
   return {put: [row], removed: [], storeTimeMs: 1};
 }
 
+function ownershipWith(reader: JobReader): JobOwnership {
+  const membership = {self: {id: 'me'}, peers: () => []} as unknown;
+  return new JobOwnership({
+    store: new MemoryRowStore(SYSTEM_CLOCK),
+    clock: SYSTEM_CLOCK,
+    random: seededRandom(1),
+    log: NO_EVENT_LOG,
+    counters: NO_COUNTERS,
+    limits: {rowBytes: 1024, transactionBytes: 1024, objectBytes: 1024},
+    reader,
+    membership: membership as Membership,
+  });
+}
+
 // An item of a cancelled job ran on a target seconds after the cancellation:
 // the owner received the change while it read the job's items, and then adopted
 // the job with the older head.
@@ -46,20 +61,42 @@
     },
     allResults: async () => success([]),
   } as unknown as JobReader;
-  const membership = {self: {id: 'me'}, peers: () => []} as unknown;
-  const jobOwnership = new JobOwnership({
-    store: new MemoryRowStore(SYSTEM_CLOCK),
-    clock: SYSTEM_CLOCK,
-    random: seededRandom(1),
-    log: NO_EVENT_LOG,
-    counters: NO_COUNTERS,
-    limits: {rowBytes: 1024, transactionBytes: 1024, objectBytes: 1024},
-    reader,
-    membership: membership as Membership,
-  });
+  const jobOwnership = ownershipWith(reader);
   t.teardown(() => jobOwnership[Symbol.dispose]());
   jobOwnership.update(updateOf(OPEN, 1));
   jobOwnership.update(updateOf({...OPEN, state: 'ended', nonce: 'end'}, 2));
   await setTimeout(2 * LOAD_MS);
   t.deepEqual([...jobOwnership.jobs()], []);
 });
+
+// Guards against an item that is listed twice: while a host read which results
+// a job had, another host owned it, listed one more and handed it back. The
+// host went on with the head of now and the results of before.
+test('a job that changes while it is read is read again', async t => {
+  const item = {path: '/', headers: {}, body: new Uint8Array(), tokens: 1};
+  const items = ['a', 'b'].map(id => ({...item, id}));
+  const listed: ItemResult[] = [];
+  const reader = {
+    items: async () => success(items),
+    allResults: async () => {
+      const results = [...listed];
+      await setTimeout(LOAD_MS);
+      return success(results);
+    },
+  } as unknown as JobReader;
+  const jobOwnership = ownershipWith(reader);
+  t.teardown(() => jobOwnership[Symbol.dispose]());
+  const head = {...OPEN, items: items.length};
+  jobOwnership.update(updateOf(head, 1));
+  await setTimeout(LOAD_MS / 2);
+  listed.push({id: 'a', state: 'succeeded', text: ''});
+  const handedBack = {...head, listed: 1, failures: {1: 2}, nonce: 'back'};
+  jobOwnership.update(updateOf(handedBack, 3));
+  await setTimeout(4 * LOAD_MS);
+  const [job] = [...jobOwnership.jobs()];
+  t.is(job?.head.listed, 1);
+  t.deepEqual(
+    job?.work.map(({item: {id}, failures}) => ({id, failures})),
+    [{id: 'b', failures: 2}],
+  );
+});
