Gateway: only CR and LF end a line of an event's data

What callers saw: a result marked as succeeded whose text lacked the rest of an event after U+2028 or U+2029, or went on with a line of its own in the middle of the data.

Cause: the data lines were found by a regular expression in multiline mode, whose $, ^ and dot also take U+2028 and U+2029 for line ends. In an event stream only LF, CR and CR LF end a line. Online streams pass their bytes on and weren't touched.

Evidence: the new test, on the code before:

only a line feed or a carriage return ends a line of data - 'a' + 'a b' (U+2028 between a and b)

Why it works: the text is split at the line ends of the format, and the fields are then matched at the start of each line. A property over such characters, several data lines and both line ends holds.

--- a/packages/gateway/src/lib/request/stream_events.ts
+++ b/packages/gateway/src/lib/request/stream_events.ts
@@ -14,7 +14,8 @@
 const LINE_FEED = 0x0a;
 const EVENT_END = '\n\n';
 const ID_LINE = /^id: ?(\d+)\r?$/m;
-const DATA_LINE = /^data: ?(.*?)\r?$/gm;
+const LINE_END = /\r\n|\n|\r/;
+const DATA_FIELD = /^data: ?/;
 
 /** Splits a byte stream at the ends of its events. */
 export class EventSplitter {
@@ -52,8 +53,11 @@
  * @returns Its `data` lines, joined by line feeds.
  */
 export function eventData(event: StreamEvent): string {
-  const lines = event.bytes.toString('utf8').matchAll(DATA_LINE);
-  return [...lines].map(line => line[1]!).join('\n');
+  const lines = event.bytes.toString('utf8').split(LINE_END);
+  return lines
+    .filter(line => DATA_FIELD.test(line))
+    .map(line => line.replace(DATA_FIELD, ''))
+    .join('\n');
 }
 
 function parseEvent(bytes: Buffer): StreamEvent {
--- a/packages/gateway/src/test/request/stream_events_test.ts
+++ b/packages/gateway/src/test/request/stream_events_test.ts
@@ -34,6 +34,26 @@
   t.true(splitter.hasPartialEvent);
 });
 
+// Guards against results that lack a part of the target's text: characters that
+// end a line in a regular expression, but not in a stream, cut the data off.
+test('only a line feed or a carriage return ends a line of data', t => {
+  const event = {id: 1, bytes: Buffer.from('id: 1\ndata: a\u2028b\n\n')};
+  t.is(eventData(event), 'a\u2028b');
+  const data = fc.string({
+    unit: fc.constantFrom(...'a: \t\v\u0085\u2028\u2029'),
+  });
+  const lines = fc.array(data, {minLength: 1, maxLength: 3});
+  const lineEnd = fc.constantFrom('\n', '\r\n');
+  fc.assert(
+    fc.property(lines, lineEnd, (texts, end) => {
+      const fields = ['id: 1', ...texts.map(text => `data: ${text}`), ''];
+      const bytes = Buffer.from(`${fields.join(end)}\n`);
+      t.is(eventData({id: 1, bytes}), texts.join('\n'));
+    }),
+    {seed: 7},
+  );
+});
+
 function splitAt(bytes: Buffer, cuts: readonly number[]): readonly Buffer[] {
   const offsets = [...new Set([0, ...cuts, bytes.length])]
     .filter(cut => cut <= bytes.length)
