--- /dev/null
+++ b/packages/gateway/src/test/request/reset_with_data_test.ts
@@ -0,0 +1,60 @@
+import type {Socket} from 'node:net';
+import {NO_COUNTERS} from '@oathead/core';
+import test, {type ExecutionContext} from 'ava';
+import {ConnectionPool} from '../../lib/connection/connection_pool.js';
+import {Exchange, type ExchangeOutcome} from '../../lib/request/exchange.js';
+import {listen, PROTOCOL} from '../fakes/raw_target.js';
+
+const HEAD = 'HTTP/1.1 200 OK\r\nid: r1\r\nseal: s\r\nconnection: close\r\n';
+const BODIES = {
+  stream: `${HEAD}content-type: text/event-stream\r\n\r\nid: 1\ndata: a\n\n`,
+  body: `${HEAD}\r\nok`,
+} as const;
+
+/** Sends a request to a target that handles its socket with `respond`. */
+async function outcomeOf(
+  t: ExecutionContext,
+  respond: (socket: Socket) => void,
+): Promise<ExchangeOutcome> {
+  const target = await listen(socket => {
+    socket.on('error', () => socket.destroy());
+    socket.once('data', () => respond(socket));
+  });
+  t.teardown(() => target[Symbol.asyncDispose]());
+  const pool = new ConnectionPool(NO_COUNTERS);
+  t.teardown(() => pool[Symbol.dispose]());
+  const req = {
+    requestId: 'r1',
+    method: 'POST',
+    path: '/a',
+    headers: {host: 'h', id: 'r1'},
+    body: Buffer.from('question'),
+    firstEventId: undefined,
+  };
+  const exchange = new Exchange(pool.acquire('t', target.address), req, {
+    protocol: PROTOCOL,
+    sink: {events: () => true, paused: () => {}},
+    now: () => performance.now(),
+    onActivity: () => {},
+  });
+  exchange.start();
+  return exchange.outcome$;
+}
+
+// Guards against a truncated response that is passed on as complete. The host
+// reads the last bytes and the reset at the same time, for instance after it
+// stood still, and the reset is then reported as an orderly end.
+for (const [kind, bytes] of Object.entries(BODIES))
+  test(`a ${kind} without length whose last bytes come with a reset is broken`, async t => {
+    const outcome = await outcomeOf(t, socket => {
+      socket.write(bytes);
+      socket.resetAndDestroy();
+    });
+    t.is(outcome.kind, 'broken', JSON.stringify(outcome));
+  });
+
+for (const [kind, bytes] of Object.entries(BODIES))
+  test(`a ${kind} without length whose last bytes come with the end is complete`, async t => {
+    const outcome = await outcomeOf(t, socket => socket.end(bytes));
+    t.is(outcome.kind, kind === 'stream' ? 'streamed' : 'answered');
+  });
