Jobs: the log says which runs of an item failed and why it is given up

What an operator saw: an item listed as failed, and no line that told whether its target had refused it for good, too many runs had failed, its time was over or its route was gone. After an item was given up too early the log alone could not name the cause.

The line item-run-ended carries the number of failed runs if the run counts as one, and item-given-up names the reason. Results are recorded by two methods, succeed and giveUp, and the latter asks for the reason.

The test of the scheduler stubs giveUp in place of finish, unchanged otherwise.

--- a/packages/jobs/src/lib/process/batch_scheduler.ts
+++ b/packages/jobs/src/lib/process/batch_scheduler.ts
@@ -271,7 +271,7 @@
     const now = this.context.storeTimeMs() ?? 0;
     if (now < acceptedAtMs + retentionMs) return;
     for (const work of job.work)
-      if (work.stage.kind === 'waiting') job.finish(work, 'failed');
+      if (work.stage.kind === 'waiting') job.giveUp(work, 'retention');
   }
 
   /**
@@ -292,7 +292,7 @@
     const since = this.routeMissingSince.get(work) ?? clock.now();
     this.routeMissingSince.set(work, since);
     if (clock.now() - since < ROUTE_MISSING_TIMEOUT_MS) return undefined;
-    job.finish(work, 'failed');
+    job.giveUp(work, 'no-route');
     return undefined;
   }
 
--- a/packages/jobs/src/lib/process/item_runner.ts
+++ b/packages/jobs/src/lib/process/item_runner.ts
@@ -161,10 +161,11 @@
     target: target.id,
     end: end.kind,
     reason: endReasonOf(end),
+    failures: countsAsFailure(end) ? work.failures + 1 : undefined,
     afterEvent: work.lastEventId,
   });
   if (end.kind === 'streamed') {
-    job.finish(work, 'succeeded');
+    job.succeed(work);
     return;
   }
   if (end.kind === 'answered') {
@@ -183,7 +184,7 @@
   status: number,
   now: number,
 ): void {
-  if (status === STATUS_UNPROCESSABLE) job.finish(work, 'failed');
+  if (status === STATUS_UNPROCESSABLE) job.giveUp(work, 'unprocessable');
   else if (status === STATUS_SERVER_ERROR) job.fail(work);
   else
     work.stage = {
@@ -192,6 +193,10 @@
     };
 }
 
+function countsAsFailure(end: ExchangeOutcome): boolean {
+  return end.kind === 'answered' && end.head.status === STATUS_SERVER_ERROR;
+}
+
 function endReasonOf(end: ExchangeOutcome): string | undefined {
   if (end.kind === 'ended') return end.by;
   if (end.kind === 'answered') return String(end.head.status);
--- a/packages/jobs/src/lib/process/owned_job.ts
+++ b/packages/jobs/src/lib/process/owned_job.ts
@@ -28,6 +28,17 @@
 /** Maximum number of results in one transaction. */
 const MAX_RESULTS_PER_TRANSACTION = 40;
 
+/** Why an item is given up. */
+export type GiveUpReason =
+  /** As many runs failed as the job allows. */
+  | 'failed-runs'
+  /** The target stated that the item can never be done. */
+  | 'unprocessable'
+  /** The time for which the job is kept is over. */
+  | 'retention'
+  /** No configuration had a route for the item for some time. */
+  | 'no-route';
+
 /** Processes one job until it is done, cancelled or owned by another host. */
 export class OwnedJob implements Disposable {
   private readonly stop = new AbortController();
@@ -71,18 +82,29 @@
   }
 
   /**
-   * Records the result of an item.
+   * Records the text of an item that is complete.
+   *
+   * @param work - Item of the job.
+   */
+  succeed(work: ItemWork): void {
+    this.finish(work, 'succeeded', work.texts.join('\n'));
+  }
+
+  /**
+   * Records that an item is not run again.
    *
    * @param work - Item of the job.
-   * @param state - Outcome of the item.
+   * @param reason - Why it is given up, for the log.
    */
-  finish(work: ItemWork, state: ItemResult['state']): void {
+  giveUp(work: ItemWork, reason: GiveUpReason): void {
     if (this.closed || work.stage.kind === 'finished') return;
-    work.stage = {kind: 'finished'};
-    const text = state === 'succeeded' ? work.texts.join('\n') : '';
-    work.texts = [];
-    this.finished.push({id: work.item.id, state, text});
-    this.flush();
+    this.context.log.event('item-given-up', {
+      job: this.head.id,
+      item: work.item.id,
+      reason,
+      failures: work.failures,
+    });
+    this.finish(work, 'failed', '');
   }
 
   /**
@@ -95,7 +117,7 @@
   fail(work: ItemWork): void {
     work.failures++;
     if (work.failures >= this.head.maxAttempts) {
-      this.finish(work, 'failed');
+      this.giveUp(work, 'failed-runs');
       return;
     }
     work.stage = {kind: 'recording'};
@@ -174,6 +196,18 @@
     return puts;
   }
 
+  private finish(
+    work: ItemWork,
+    state: ItemResult['state'],
+    text: string,
+  ): void {
+    if (this.closed || work.stage.kind === 'finished') return;
+    work.stage = {kind: 'finished'};
+    work.texts = [];
+    this.finished.push({id: work.item.id, state, text});
+    this.flush();
+  }
+
   private flush(): void {
     if (this.writing || this.closed) return;
     if (this.finished.length === 0 && this.failed.length === 0) return;
--- a/packages/jobs/src/test/process/batch_scheduler_test.ts
+++ b/packages/jobs/src/test/process/batch_scheduler_test.ts
@@ -143,10 +143,10 @@
 
   /** Creates a waiting item of a job that records its failure. */
   job(id: string): OwnedJob {
-    const finish = () => {
+    const giveUp = () => {
       if (!this.failedJobs.includes(id)) this.failedJobs.push(id);
     };
-    return Object.assign(jobDueIn(id, Infinity), {finish});
+    return Object.assign(jobDueIn(id, Infinity), {giveUp});
   }
 
   /** Lets the scheduler look at its items at the given time. */
--- /dev/null
+++ b/packages/jobs/src/test/process/owned_job_test.ts
@@ -0,0 +1,87 @@
+import {setTimeout} from 'node:timers/promises';
+import {seededRandom, SYSTEM_CLOCK, type EventFields} from '@oathead/core';
+import {encodeJson, MemoryRowStore} from '@oathead/stores';
+import test from 'ava';
+import {newItemWork, type ItemWork} from '../../lib/process/item_work.js';
+import {OwnedJob, type GiveUpReason} from '../../lib/process/owned_job.js';
+import {headRef, type JobHead} from '../../lib/request/job_rows.js';
+
+const MAX_ATTEMPTS = 2;
+const WRITE_MS = 30;
+const HEAD: JobHead = {
+  id: 'j',
+  hostName: 'h',
+  items: 1,
+  acceptedAtMs: 0,
+  completionGoalMs: 1,
+  retentionMs: 1,
+  maxAttempts: MAX_ATTEMPTS,
+  owner: 'me',
+  state: 'open',
+  listed: 0,
+  failures: {},
+  nonce: 'first',
+  content: {kind: 'rows', pieces: 1},
+};
+
+/** Creates a job with one item, and its log. */
+async function startJob() {
+  const store = new MemoryRowStore(SYSTEM_CLOCK);
+  const puts = [{...headRef('j'), value: encodeJson(HEAD)}];
+  const written = await store.transact({expect: [], puts, removes: []});
+  if (!written.ok) throw new Error(written.err.kind);
+  const item = {id: 'i', path: '/', headers: {}, body: Buffer.of(), tokens: 1};
+  const work: ItemWork = newItemWork(0, item, 0, undefined);
+  const lines: Array<EventFields & {readonly event: string}> = [];
+  const context = {
+    store,
+    clock: SYSTEM_CLOCK,
+    random: seededRandom(1),
+    limits: {rowBytes: 1024, transactionBytes: 1024, objectBytes: 1024},
+    log: {
+      event: (event: string, fields: EventFields = {}) =>
+        void lines.push({event, ...fields}),
+    },
+  };
+  const head = {head: HEAD, version: written.value.version};
+  const job = new OwnedJob(context, head, [work], () => {});
+  return {job, work, lines};
+}
+
+const REASONS: readonly GiveUpReason[] = [
+  'unprocessable',
+  'retention',
+  'no-route',
+];
+
+// Guards against an incident that the log does not explain: an item was given
+// up, and nothing said whether its target, its route or the time was the reason.
+for (const reason of REASONS)
+  test(`the log says that an item was given up for ${reason}`, async t => {
+    const {job, work, lines} = await startJob();
+    job.giveUp(work, reason);
+    await setTimeout(WRITE_MS);
+    t.deepEqual(lines, [
+      {event: 'item-given-up', job: 'j', item: 'i', reason, failures: 0},
+      {event: 'item-listed', job: 'j', item: 'i', state: 'failed'},
+    ]);
+  });
+
+test('an item is given up after as many failed runs as its job allows', async t => {
+  const {job, work, lines} = await startJob();
+  job.fail(work);
+  await setTimeout(WRITE_MS);
+  t.deepEqual([work.stage.kind, job.head.failures], ['waiting', {0: 1}]);
+  job.fail(work);
+  await setTimeout(WRITE_MS);
+  t.deepEqual(lines, [
+    {
+      event: 'item-given-up',
+      job: 'j',
+      item: 'i',
+      reason: 'failed-runs',
+      failures: MAX_ATTEMPTS,
+    },
+    {event: 'item-listed', job: 'j', item: 'i', state: 'failed'},
+  ]);
+});
