--- a/packages/gateway/src/test/request/reset_with_data_test.ts
+++ b/packages/gateway/src/test/request/reset_with_data_test.ts
@@ -1,7 +1,9 @@
 import type {Socket} from 'node:net';
-import {NO_COUNTERS} from '@oathead/core';
 import test, {type ExecutionContext} from 'ava';
-import {ConnectionPool} from '../../lib/connection/connection_pool.js';
+import {
+  DEFAULT_CONNECTION_TIMEOUTS,
+  TargetConnection,
+} from '../../lib/connection/target_connection.js';
 import {Exchange, type ExchangeOutcome} from '../../lib/request/exchange.js';
 import {listen, PROTOCOL} from '../fakes/raw_target.js';
 
@@ -21,8 +23,11 @@
     socket.once('data', () => respond(socket));
   });
   t.teardown(() => target[Symbol.asyncDispose]());
-  const pool = new ConnectionPool(NO_COUNTERS);
-  t.teardown(() => pool[Symbol.dispose]());
+  const connection = new TargetConnection(
+    target.address,
+    DEFAULT_CONNECTION_TIMEOUTS,
+  );
+  t.teardown(() => connection[Symbol.dispose]());
   const req = {
     requestId: 'r1',
     method: 'POST',
@@ -31,7 +36,7 @@
     body: Buffer.from('question'),
     firstEventId: undefined,
   };
-  const exchange = new Exchange(pool.acquire('t', target.address), req, {
+  const exchange = new Exchange(connection, req, {
     protocol: PROTOCOL,
     sink: {events: () => true, paused: () => {}},
     now: () => performance.now(),
