Jobs: no result is listed whose text is not stored

What callers would see: reads of a job that fail for good at one position, and a job that no host can take over, since its results can't be read.

Cause: a text that is too large for a row is stored as an object before the row that names it. If the job was let go while the store refused the object, the row was written all the same. This takes effect while the head still names this host, as when the process ends; that it has happened isn't shown.

Evidence: the new test, on the code before:

no result is listed whose text is not stored - { - key: 'j/000000', - table: 'job_results', (the row named an object that the store had refused)

Why it works: a job that was let go while its rows were prepared writes nothing, as its disposal promises.

Checked: build, prettier, eslint; tests of packages/jobs.

--- a/packages/jobs/src/lib/process/owned_job.ts
+++ b/packages/jobs/src/lib/process/owned_job.ts
@@ -219,6 +219,8 @@
 
   private async writeNext(): Promise<void> {
     const {puts, results} = await this.nextRows();
+    // A result whose text is not stored must not be listed.
+    if (this.closed) return;
     const failed = this.failed.splice(0);
     const listed = this.head.listed + results.length;
     const done = listed === this.head.items;
--- a/packages/jobs/src/test/process/owned_job_test.ts
+++ b/packages/jobs/src/test/process/owned_job_test.ts
@@ -1,13 +1,24 @@
-import {setTimeout} from 'node:timers/promises';
-import {seededRandom, SYSTEM_CLOCK, type EventFields} from '@oathead/core';
+import {setImmediate, setTimeout} from 'node:timers/promises';
+import {
+  failure,
+  seededRandom,
+  SYSTEM_CLOCK,
+  type EventFields,
+} from '@oathead/core';
 import {encodeJson, MemoryRowStore} from '@oathead/stores';
 import test from 'ava';
 import {newItemWork, type ItemWork} from '../../lib/process/item_work.js';
 import {OwnedJob, type GiveUpReason} from '../../lib/process/owned_job.js';
-import {headRef, type JobHead} from '../../lib/request/job_rows.js';
+import {
+  headRef,
+  jobRowRange,
+  RESULT_TABLE,
+  type JobHead,
+} from '../../lib/request/job_rows.js';
 
 const MAX_ATTEMPTS = 2;
 const WRITE_MS = 30;
+const ROW_BYTES = 1024;
 const HEAD: JobHead = {
   id: 'j',
   hostName: 'h',
@@ -24,9 +35,16 @@
   content: {kind: 'rows', pieces: 1},
 };
 
+/** Refuses objects, as a store that is busy or unavailable. */
+class ObjectRefusingStore extends MemoryRowStore {
+  override async putObject() {
+    await setImmediate();
+    return failure({kind: 'refused', message: 'busy'} as const);
+  }
+}
+
 /** Creates a job with one item, and its log. */
-async function startJob() {
-  const store = new MemoryRowStore(SYSTEM_CLOCK);
+async function startJob(store = new MemoryRowStore(SYSTEM_CLOCK)) {
   const puts = [{...headRef('j'), value: encodeJson(HEAD)}];
   const written = await store.transact({expect: [], puts, removes: []});
   if (!written.ok) throw new Error(written.err.kind);
@@ -37,7 +55,11 @@
     store,
     clock: SYSTEM_CLOCK,
     random: seededRandom(1),
-    limits: {rowBytes: 1024, transactionBytes: 1024, objectBytes: 1024},
+    limits: {
+      rowBytes: ROW_BYTES,
+      transactionBytes: ROW_BYTES,
+      objectBytes: ROW_BYTES,
+    },
     log: {
       event: (event: string, fields: EventFields = {}) =>
         void lines.push({event, ...fields}),
@@ -85,3 +107,17 @@
     {event: 'item-listed', job: 'j', item: 'i', state: 'failed'},
   ]);
 });
+
+// Guards against a result without a text: the job was let go before the object
+// with the text was stored, and the row that names it was written all the same.
+test('no result is listed whose text is not stored', async t => {
+  const store = new ObjectRefusingStore(SYSTEM_CLOCK);
+  const {job, work} = await startJob(store);
+  work.texts.push('x'.repeat(ROW_BYTES));
+  job.succeed(work);
+  await setTimeout(WRITE_MS);
+  job[Symbol.dispose]();
+  await setTimeout(10 * WRITE_MS);
+  const page = await store.read(jobRowRange(RESULT_TABLE, 'j'));
+  t.deepEqual(page.ok && page.value.rows, []);
+});
