Jobs: a text that the store refuses is sent again after a pause

What an operator would see: a host that calls the store as fast as it refuses, hundreds of calls a second for each job, as long as objects are not accepted.

Cause: the write of a text that is too large for a row was repeated at once. Writes of the head pause between attempts.

Evidence: the new test, on the code before:

a text that the store refuses is tried again after a pause 80805 attempts (in 0.3 s, against a store in memory)

Why it works: the same pause as between writes of the head, ended early when the job is let go.

Checked: build, prettier, eslint; tests of packages/jobs.

--- a/packages/jobs/src/lib/process/owned_job.ts
+++ b/packages/jobs/src/lib/process/owned_job.ts
@@ -1,5 +1,5 @@
 /** A job that this host owns: its items and the list of its results. */
-import type {EventLog} from '@oathead/core';
+import {sleep, type EventLog} from '@oathead/core';
 import {encodeJson, type RowPut} from '@oathead/stores';
 import type {ItemResult} from '../request/job.js';
 import type {StoreLimits} from '../request/job_content.js';
@@ -27,6 +27,8 @@
 const MAX_PARTIALS_PER_TRANSACTION = 80;
 /** Maximum number of results in one transaction. */
 const MAX_RESULTS_PER_TRANSACTION = 40;
+/** Delay before a text that was not stored is sent again, in milliseconds. */
+const OBJECT_RETRY_DELAY_MS = 250;
 
 /** Why an item is given up. */
 export type GiveUpReason =
@@ -273,16 +275,18 @@
 
   private async resultValue(result: ItemResult): Promise<Uint8Array> {
     const inline = encodeJson({kind: 'here', ...result} satisfies StoredResult);
-    if (inline.length <= this.context.limits.rowBytes) return inline;
+    const {store, clock, limits} = this.context;
+    if (inline.length <= limits.rowBytes) return inline;
     // The same item may have run twice: the nonce of the head keeps the objects
     // of its runs apart.
     const name = `text-${encodeURIComponent(result.id)}-${this.head.nonce}`;
-    for (;;) {
-      const put = await this.context.store.putObject(name, inline);
-      const stored = put.ok || put.err.kind === 'conflict';
-      if (stored || this.closed)
-        return encodeJson({kind: 'object', name} satisfies StoredResult);
+    const value = encodeJson({kind: 'object', name} satisfies StoredResult);
+    while (!this.closed) {
+      const put = await store.putObject(name, inline);
+      if (put.ok || put.err.kind === 'conflict') break;
+      await sleep(clock, OBJECT_RETRY_DELAY_MS, this.stop.signal);
     }
+    return value;
   }
 }
 
--- a/packages/jobs/src/test/process/owned_job_test.ts
+++ b/packages/jobs/src/test/process/owned_job_test.ts
@@ -37,7 +37,10 @@
 
 /** Refuses objects, as a store that is busy or unavailable. */
 class ObjectRefusingStore extends MemoryRowStore {
+  attempts = 0;
+
   override async putObject() {
+    this.attempts++;
     await setImmediate();
     return failure({kind: 'refused', message: 'busy'} as const);
   }
@@ -108,6 +111,18 @@
   ]);
 });
 
+// Guards against a store that is called as fast as it refuses: the text of a
+// result is too large for a row, and its object is not accepted.
+test('a text that the store refuses is tried again after a pause', async t => {
+  const store = new ObjectRefusingStore(SYSTEM_CLOCK);
+  const {job, work} = await startJob(store);
+  work.texts.push('x'.repeat(ROW_BYTES));
+  job.succeed(work);
+  await setTimeout(10 * WRITE_MS);
+  job[Symbol.dispose]();
+  t.true(store.attempts <= 3, `${store.attempts} attempts`);
+});
+
 // Guards against a result without a text: the job was let go before the object
 // with the text was stored, and the row that names it was written all the same.
 test('no result is listed whose text is not stored', async t => {
