Jobs: the size of a page of results counts bytes

What callers saw: a response with more than 1 MB of results, which the batch interface doesn't allow, if the texts hold characters of several bytes or such as JSON escapes.

Cause: the limit was compared with the number of characters of the texts.

Why it works: a result is counted with the size of its JSON as stored, which is its size in the response but for the names of the states.

--- a/packages/jobs/src/lib/request/job_reader.ts
+++ b/packages/jobs/src/lib/request/job_reader.ts
@@ -41,10 +41,16 @@
 /** A result as stored in its row. */
 export type StoredResult = Readonly<z.infer<typeof RESULT>>;
 
+/** A result and its size as JSON, in bytes. */
+interface ReadResult {
+  readonly result: ItemResult;
+  readonly bytes: number;
+}
+
 /** Maximum number of results per page. */
 const MAX_PAGE_RESULTS = 50;
 /**
- * Maximum size of the texts of a page, in bytes: below the limit of 1 MB of the
+ * Maximum size of the results of a page, in bytes: below the limit of 1 MB of the
  * batch interface.
  */
 const MAX_PAGE_BYTES = 700_000;
@@ -191,26 +197,28 @@
     let bytes = 0;
     for (const row of rows) {
       if (indexOfKey(row.key) !== from + results.length) break;
-      const result = await this.resultOf(row);
-      if (!result.ok) return result;
-      bytes += result.value.text.length;
+      const found = await this.resultOf(row);
+      if (!found.ok) return found;
+      bytes += found.value.bytes;
       if (results.length > 0 && bytes > MAX_PAGE_BYTES) break;
-      results.push(result.value);
+      results.push(found.value.result);
     }
     return success(results);
   }
 
   private async resultOf(
     row: VersionedRow,
-  ): Promise<Outcome<ItemResult, JobReadError>> {
+  ): Promise<Outcome<ReadResult, JobReadError>> {
     const stored = decodeJson(row.value, RESULT);
     if (!stored.ok) return failure(toReadError(stored.err));
-    if (stored.value.kind === 'here') return success(stored.value);
+    if (stored.value.kind === 'here')
+      return success({result: stored.value, bytes: row.value.length});
     const object = await this.store.getObject(stored.value.name);
     if (!object.ok) return failure(toReadError(object.err));
     const objectResult = decodeJson(object.value, RESULT);
     if (!objectResult.ok) return failure(toReadError(objectResult.err));
-    if (objectResult.value.kind === 'here') return success(objectResult.value);
+    if (objectResult.value.kind === 'here')
+      return success({result: objectResult.value, bytes: object.value.length});
     return failure({
       kind: 'unsure',
       reason: 'the result object contains no text',
