--- a/packages/jobs/src/lib/process/item_runner.ts
+++ b/packages/jobs/src/lib/process/item_runner.ts
@@ -183,10 +183,11 @@
     target: target.id,
     end: end.kind,
     reason: endReasonOf(end, whole),
+    failures: countsAsFailure(end) ? work.failures + 1 : undefined,
     afterEvent: work.lastEventId,
   });
   if (whole) {
-    job.finish(work, 'succeeded');
+    job.succeed(work);
     return;
   }
   if (end.kind === 'answered') {
@@ -205,7 +206,7 @@
   status: number,
   now: number,
 ): void {
-  if (status === STATUS_UNPROCESSABLE) job.finish(work, 'failed');
+  if (status === STATUS_UNPROCESSABLE) job.giveUp(work, 'unprocessable');
   else if (status === STATUS_SERVER_ERROR) job.fail(work);
   else
     work.stage = {
@@ -214,6 +215,10 @@
     };
 }
 
+function countsAsFailure(end: ExchangeOutcome): boolean {
+  return end.kind === 'answered' && end.head.status === STATUS_SERVER_ERROR;
+}
+
 function endReasonOf(end: ExchangeOutcome, whole: boolean): string | undefined {
   if (end.kind === 'streamed') return whole ? undefined : 'open end';
   if (end.kind === 'ended') return end.by;
--- a/packages/jobs/src/lib/process/owned_job.ts
+++ b/packages/jobs/src/lib/process/owned_job.ts
@@ -1,5 +1,5 @@
 /** A job that this host owns: its items and the list of its results. */
-import type {EventLog} from '@oathead/core';
+import {sleep, type EventLog} from '@oathead/core';
 import {encodeJson, type RowPut} from '@oathead/stores';
 import type {ItemResult} from '../request/job.js';
 import type {StoreLimits} from '../request/job_content.js';
@@ -27,6 +27,19 @@
 const MAX_PARTIALS_PER_TRANSACTION = 80;
 /** Maximum number of results in one transaction. */
 const MAX_RESULTS_PER_TRANSACTION = 40;
+/** Delay before a text that was not stored is sent again, in milliseconds. */
+const OBJECT_RETRY_DELAY_MS = 250;
+
+/** Why an item is given up. */
+export type GiveUpReason =
+  /** As many runs failed as the job allows. */
+  | 'failed-runs'
+  /** The target stated that the item can never be done. */
+  | 'unprocessable'
+  /** The time for which the job is kept is over. */
+  | 'retention'
+  /** No configuration had a route for the item for some time. */
+  | 'no-route';
 
 /** Processes one job until it is done, cancelled or owned by another host. */
 export class OwnedJob implements Disposable {
@@ -71,18 +84,29 @@
   }
 
   /**
-   * Records the result of an item.
+   * Records the text of an item that is complete.
    *
    * @param work - Item of the job.
-   * @param state - Outcome of the item.
    */
-  finish(work: ItemWork, state: ItemResult['state']): void {
+  succeed(work: ItemWork): void {
+    this.finish(work, 'succeeded', work.texts.join('\n'));
+  }
+
+  /**
+   * Records that an item is not run again.
+   *
+   * @param work - Item of the job.
+   * @param reason - Why it is given up, for the log.
+   */
+  giveUp(work: ItemWork, reason: GiveUpReason): void {
     if (this.closed || work.stage.kind === 'finished') return;
-    work.stage = {kind: 'finished'};
-    const text = state === 'succeeded' ? work.texts.join('\n') : '';
-    work.texts = [];
-    this.finished.push({id: work.item.id, state, text});
-    this.flush();
+    this.context.log.event('item-given-up', {
+      job: this.head.id,
+      item: work.item.id,
+      reason,
+      failures: work.failures,
+    });
+    this.finish(work, 'failed', '');
   }
 
   /**
@@ -95,7 +119,7 @@
   fail(work: ItemWork): void {
     work.failures++;
     if (work.failures >= this.head.maxAttempts) {
-      this.finish(work, 'failed');
+      this.giveUp(work, 'failed-runs');
       return;
     }
     work.stage = {kind: 'recording'};
@@ -174,6 +198,18 @@
     return puts;
   }
 
+  private finish(
+    work: ItemWork,
+    state: ItemResult['state'],
+    text: string,
+  ): void {
+    if (this.closed || work.stage.kind === 'finished') return;
+    work.stage = {kind: 'finished'};
+    work.texts = [];
+    this.finished.push({id: work.item.id, state, text});
+    this.flush();
+  }
+
   private flush(): void {
     if (this.writing || this.closed) return;
     if (this.finished.length === 0 && this.failed.length === 0) return;
@@ -185,6 +221,8 @@
 
   private async writeNext(): Promise<void> {
     const {puts, results} = await this.nextRows();
+    // A result whose text is not stored must not be listed.
+    if (this.closed) return;
     const failed = this.failed.splice(0);
     const listed = this.head.listed + results.length;
     const done = listed === this.head.items;
@@ -237,16 +275,18 @@
 
   private async resultValue(result: ItemResult): Promise<Uint8Array> {
     const inline = encodeJson({kind: 'here', ...result} satisfies StoredResult);
-    if (inline.length <= this.context.limits.rowBytes) return inline;
+    const {store, clock, limits} = this.context;
+    if (inline.length <= limits.rowBytes) return inline;
     // The same item may have run twice: the nonce of the head keeps the objects
     // of its runs apart.
     const name = `text-${encodeURIComponent(result.id)}-${this.head.nonce}`;
-    for (;;) {
-      const put = await this.context.store.putObject(name, inline);
-      const stored = put.ok || put.err.kind === 'conflict';
-      if (stored || this.closed)
-        return encodeJson({kind: 'object', name} satisfies StoredResult);
+    const value = encodeJson({kind: 'object', name} satisfies StoredResult);
+    while (!this.closed) {
+      const put = await store.putObject(name, inline);
+      if (put.ok || put.err.kind === 'conflict') break;
+      await sleep(clock, OBJECT_RETRY_DELAY_MS, this.stop.signal);
     }
+    return value;
   }
 }
 
--- /dev/null
+++ b/packages/jobs/src/test/process/owned_job_test.ts
@@ -0,0 +1,138 @@
+import {setImmediate, setTimeout} from 'node:timers/promises';
+import {
+  failure,
+  seededRandom,
+  SYSTEM_CLOCK,
+  type EventFields,
+} from '@oathead/core';
+import {encodeJson, MemoryRowStore} from '@oathead/stores';
+import test from 'ava';
+import {newItemWork, type ItemWork} from '../../lib/process/item_work.js';
+import {OwnedJob, type GiveUpReason} from '../../lib/process/owned_job.js';
+import {
+  headRef,
+  jobRowRange,
+  RESULT_TABLE,
+  type JobHead,
+} from '../../lib/request/job_rows.js';
+
+const MAX_ATTEMPTS = 2;
+const WRITE_MS = 30;
+const ROW_BYTES = 1024;
+const HEAD: JobHead = {
+  id: 'j',
+  hostName: 'h',
+  items: 1,
+  acceptedAtMs: 0,
+  completionGoalMs: 1,
+  retentionMs: 1,
+  maxAttempts: MAX_ATTEMPTS,
+  owner: 'me',
+  state: 'open',
+  listed: 0,
+  failures: {},
+  nonce: 'first',
+  content: {kind: 'rows', pieces: 1},
+};
+
+/** Refuses objects, as a store that is busy or unavailable. */
+class ObjectRefusingStore extends MemoryRowStore {
+  attempts = 0;
+
+  override async putObject() {
+    this.attempts++;
+    await setImmediate();
+    return failure({kind: 'refused', message: 'busy'} as const);
+  }
+}
+
+/** Creates a job with one item, and its log. */
+async function startJob(store = new MemoryRowStore(SYSTEM_CLOCK)) {
+  const puts = [{...headRef('j'), value: encodeJson(HEAD)}];
+  const written = await store.transact({expect: [], puts, removes: []});
+  if (!written.ok) throw new Error(written.err.kind);
+  const item = {id: 'i', path: '/', headers: {}, body: Buffer.of(), tokens: 1};
+  const work: ItemWork = newItemWork(0, item, 0, undefined);
+  const lines: Array<EventFields & {readonly event: string}> = [];
+  const context = {
+    store,
+    clock: SYSTEM_CLOCK,
+    random: seededRandom(1),
+    limits: {
+      rowBytes: ROW_BYTES,
+      transactionBytes: ROW_BYTES,
+      objectBytes: ROW_BYTES,
+    },
+    log: {
+      event: (event: string, fields: EventFields = {}) =>
+        void lines.push({event, ...fields}),
+    },
+  };
+  const head = {head: HEAD, version: written.value.version};
+  const job = new OwnedJob(context, head, [work], () => {});
+  return {job, work, lines};
+}
+
+const REASONS: readonly GiveUpReason[] = [
+  'unprocessable',
+  'retention',
+  'no-route',
+];
+
+// Guards against an incident that the log does not explain: an item was given
+// up, and nothing said whether its target, its route or the time was the reason.
+for (const reason of REASONS)
+  test(`the log says that an item was given up for ${reason}`, async t => {
+    const {job, work, lines} = await startJob();
+    job.giveUp(work, reason);
+    await setTimeout(WRITE_MS);
+    t.deepEqual(lines, [
+      {event: 'item-given-up', job: 'j', item: 'i', reason, failures: 0},
+      {event: 'item-listed', job: 'j', item: 'i', state: 'failed'},
+    ]);
+  });
+
+test('an item is given up after as many failed runs as its job allows', async t => {
+  const {job, work, lines} = await startJob();
+  job.fail(work);
+  await setTimeout(WRITE_MS);
+  t.deepEqual([work.stage.kind, job.head.failures], ['waiting', {0: 1}]);
+  job.fail(work);
+  await setTimeout(WRITE_MS);
+  t.deepEqual(lines, [
+    {
+      event: 'item-given-up',
+      job: 'j',
+      item: 'i',
+      reason: 'failed-runs',
+      failures: MAX_ATTEMPTS,
+    },
+    {event: 'item-listed', job: 'j', item: 'i', state: 'failed'},
+  ]);
+});
+
+// Guards against a store that is called as fast as it refuses: the text of a
+// result is too large for a row, and its object is not accepted.
+test('a text that the store refuses is tried again after a pause', async t => {
+  const store = new ObjectRefusingStore(SYSTEM_CLOCK);
+  const {job, work} = await startJob(store);
+  work.texts.push('x'.repeat(ROW_BYTES));
+  job.succeed(work);
+  await setTimeout(10 * WRITE_MS);
+  job[Symbol.dispose]();
+  t.true(store.attempts <= 3, `${store.attempts} attempts`);
+});
+
+// Guards against a result without a text: the job was let go before the object
+// with the text was stored, and the row that names it was written all the same.
+test('no result is listed whose text is not stored', async t => {
+  const store = new ObjectRefusingStore(SYSTEM_CLOCK);
+  const {job, work} = await startJob(store);
+  work.texts.push('x'.repeat(ROW_BYTES));
+  job.succeed(work);
+  await setTimeout(WRITE_MS);
+  job[Symbol.dispose]();
+  await setTimeout(10 * WRITE_MS);
+  const page = await store.read(jobRowRange(RESULT_TABLE, 'j'));
+  t.deepEqual(page.ok && page.value.rows, []);
+});
