A response that waits for a slow caller is never paused

Callers saw: the host's process ended, and with it all that its callers were getting, when a target ended or reset a connection while a slow caller left part of its stream unread.

Cause: the exchange paused undici when the response to the caller had too much unsent. For a response that ends with its connection (no length, or "Connection: close"), undici's handlers of "end", "error" and "close" then run `assert(!this.paused)`, outside of any handler of ours.

Fix: nothing is paused. What a slow caller leaves unread waits in the process, up to 1 MB a stream; beyond that the stream ends as "caller-slow". The host pays with memory for what the target was held up by before.

--- a/packages/gateway/src/lib/request/exchange.ts
+++ b/packages/gateway/src/lib/request/exchange.ts
@@ -34,12 +34,10 @@
   /**
    * @param events - The next complete events, in order.
    * @param head - Status and headers of the response that the events belong to.
-   * @returns Whether more events can be accepted now. If not, `resume` is
-   *     called later.
+   * @returns Whether the stream may go on; false if too much of it waits for
+   *     its receiver.
    */
   events(events: readonly StreamEvent[], head: ResponseHead): boolean;
-  /** @param resume - To be called once when more events can be accepted. */
-  paused(resume: () => void): void;
 }
 
 /** Status and headers of a response. */
@@ -63,7 +61,9 @@
   /** The target sent nothing for longer than the silence timeout. */
   | 'silent'
   /** The target server was restarted and has lost the request. */
-  | 'restarted';
+  | 'restarted'
+  /** The caller has left too much of its stream unread. */
+  | 'caller-slow';
 
 /** Outcome of a request at a target. */
 export type ExchangeOutcome =
@@ -234,15 +234,22 @@
     else this.checkSuccess(this.metadata, status);
   }
 
-  /** Called by undici with a chunk of the body. */
+  /**
+   * Called by undici with a chunk of the body.
+   *
+   * Responses are never paused. Guards against a process that ends: undici
+   * throws in an event handler of the socket if a connection ends or breaks
+   * while a response that ends with it is paused.
+   */
   onResponseData(
-    controller: Dispatcher.DispatchController,
-    chunk: Buffer,
+    ...[, chunk]: Parameters<
+      NonNullable<Dispatcher.DispatchHandler['onResponseData']>
+    >
   ): void {
     if (this.settled) return;
     this.lastActivityAt = this.context.now();
     this.context.onActivity();
-    if (this.isEventStream()) this.forwardEvents(controller, chunk);
+    if (this.isEventStream()) this.forwardEvents(chunk);
     else this.bufferChunk(chunk);
   }
 
@@ -291,10 +298,7 @@
       this.failInvalid('body in an unasked coding');
   }
 
-  private forwardEvents(
-    controller: Dispatcher.DispatchController,
-    chunk: Buffer,
-  ): void {
+  private forwardEvents(chunk: Buffer): void {
     const events = this.splitter.push(chunk);
     if (events.length === 0) return;
     const error = this.eventOrderError(events);
@@ -302,9 +306,7 @@
       this.failInvalid(error);
       return;
     }
-    if (this.context.sink.events(events, this.head!)) return;
-    controller.pause();
-    this.context.sink.paused(() => controller.resume());
+    if (!this.context.sink.events(events, this.head!)) this.end('caller-slow');
   }
 
   /** Rejects a stream whose events are not numbered consecutively. */
--- a/packages/gateway/src/lib/request/response_writer.ts
+++ b/packages/gateway/src/lib/request/response_writer.ts
@@ -8,6 +8,13 @@
 import type {StreamEvent} from './stream_events.js';
 import type {Headers} from './target_protocol.js';
 
+/**
+ * How much of a stream may wait in this process for a slow caller, in bytes.
+ * Bounds the memory that callers can take by not reading; larger than most
+ * streams.
+ */
+const MAX_UNREAD_BYTES = 1024 * 1024;
+
 /** Writes the response to one request. */
 export class ResponseWriter implements EventSink {
   private lastWrittenId: number | undefined;
@@ -63,12 +70,8 @@
     if (!this.hasStarted) this.writeHead(head);
     this.lastWrittenId = events.at(-1)!.id ?? this.lastWrittenId;
     const bytes = events.map(event => event.bytes);
-    return this.res.write(bytes.length === 1 ? bytes[0] : Buffer.concat(bytes));
-  }
-
-  /** @param resume - Called once when the buffered events were sent. */
-  paused(resume: () => void): void {
-    this.res.once('drain', resume);
+    this.res.write(bytes.length === 1 ? bytes[0] : Buffer.concat(bytes));
+    return this.res.writableLength <= MAX_UNREAD_BYTES;
   }
 
   /**
--- a/packages/gateway/src/test/connection/connect_hang_test.ts
+++ b/packages/gateway/src/test/connection/connect_hang_test.ts
@@ -20,7 +20,7 @@
   });
 `;
 const BACKLOG_CONNECTIONS = 8;
-const SINK = {events: () => true, paused: () => {}};
+const SINK = {events: () => true};
 
 // Guards against requests that wait for more than a second while other targets
 // are idle. A target became unresponsive without closing its listener, and each
--- a/packages/gateway/src/test/request/exchange_test.ts
+++ b/packages/gateway/src/test/request/exchange_test.ts
@@ -218,7 +218,6 @@
       events.push(...newEvents);
       return true;
     },
-    paused: () => {},
   };
   return new Exchange(connection, req, {
     protocol: PROTOCOL,
--- a/packages/gateway/src/test/request/late_answer_test.ts
+++ b/packages/gateway/src/test/request/late_answer_test.ts
@@ -7,7 +7,7 @@
 import {newSendContext} from '../fakes/send_context.js';
 import {newTarget} from '../fakes/targets.js';
 
-const SINK = {events: () => true, paused: () => {}};
+const SINK = {events: () => true};
 /**
  * Time from a request to its own response, in milliseconds. Long enough that a
  * late response is read on its own.
--- a/packages/gateway/src/test/request/target_send_test.ts
+++ b/packages/gateway/src/test/request/target_send_test.ts
@@ -7,7 +7,7 @@
 import {newSendContext} from '../fakes/send_context.js';
 import {newIncarnation, newTarget} from '../fakes/targets.js';
 
-const SINK = {events: () => true, paused: () => {}};
+const SINK = {events: () => true};
 const COMPLETE_RESPONSE =
   'HTTP/1.1 200 OK\r\nid: r1\r\nseal: s\r\ncontent-length: 2\r\n\r\nok';
 const DECLINED_RESPONSE =
--- a/packages/jobs/src/lib/process/item_runner.ts
+++ b/packages/jobs/src/lib/process/item_runner.ts
@@ -142,8 +142,6 @@
     }
     return true;
   }
-
-  paused(): void {}
 }
 
 function handleRunEnd(
