A reset that Node.js reports as an orderly end is no end of a response

Callers saw: the beginning of an answer without length as the whole answer, a stream without its last events or a body that was cut, after the target reset the connection.

Cause: the exchange took a connection for reset if its socket had an error. If data and a reset are read in one turn of the event loop, as after a stall or freeze of the host, Node.js 20 reports an orderly end and no error.

Fix: what counts is the orderly end. A socket that was destroyed before its end has no orderly end either, whoever destroyed it.

--- a/packages/gateway/src/lib/connection/target_connection.ts
+++ b/packages/gateway/src/lib/connection/target_connection.ts
@@ -1,6 +1,6 @@
 /**
  * One connection to a target, with state that undici does not expose: whether
- * the connection was established, and whether the peer reset it.
+ * the connection was established, and whether it was broken off.
  */
 import type {Socket} from 'node:net';
 import {buildConnector, Client, errors} from 'undici';
@@ -48,7 +48,7 @@
   /** Sends the requests; limited to this one connection. */
   readonly client: Client;
   private socket: Socket | undefined;
-  private peerReset = false;
+  private endedByReset = false;
   private lost = false;
   /**
    * @param address - IP address and port of the target.
@@ -102,12 +102,14 @@
   }
 
   /**
-   * Whether the peer reset the connection. For a response without a content
-   * length, undici treats a reset as the end of the body, but such a response
-   * may be truncated; only an orderly close marks its end.
+   * Whether the connection ended in another way than by an orderly end of the
+   * peer. undici treats every end as the end of a response without a content
+   * length, but only an orderly one marks its end.
    */
-  get wasReset(): boolean {
-    return this.peerReset;
+  get wasBrokenOff(): boolean {
+    if (!this.socket) return false;
+    const {destroyed, readableEnded} = this.socket;
+    return this.endedByReset || (destroyed && !readableEnded);
   }
 
   /**
@@ -122,8 +124,21 @@
   private observeSocket(socket: Socket): void {
     this.socket = socket;
     // Registered before undici's own listener, so that it is called first.
-    socket.on('error', () => {
-      this.peerReset = true;
+    socket.on('end', () => {
+      this.endedByReset = !hasPeer(socket);
     });
   }
 }
+
+/**
+ * Guards against a reset that is taken for an orderly end: if data and a reset
+ * are read in one turn of the event loop, Node.js reports an end and no error.
+ * The operating system knows the peer of a connection that ended in an orderly
+ * way, and none after a reset.
+ *
+ * @param socket - A connection whose remote address was not asked for before;
+ *     Node.js remembers it.
+ */
+function hasPeer(socket: Socket): boolean {
+  return socket.remoteAddress !== undefined;
+}
--- a/packages/gateway/src/lib/request/exchange.ts
+++ b/packages/gateway/src/lib/request/exchange.ts
@@ -256,7 +256,7 @@
   /** Called by undici at the end of the response. */
   onResponseEnd(): void {
     if (this.settled) return;
-    if (this.connection.wasReset) {
+    if (this.connection.wasBrokenOff) {
       this.failDisconnected('reset during the answer');
       return;
     }
