--- a/packages/jobs/src/lib/process/item_runner.ts
+++ b/packages/jobs/src/lib/process/item_runner.ts
@@ -147,8 +147,6 @@
     }
     return true;
   }
-
-  paused(): void {}
 }
 
 /**
