--- a/packages/gateway/src/test/request/reset_with_data_test.ts
+++ b/packages/gateway/src/test/request/reset_with_data_test.ts
@@ -38,7 +38,7 @@
   };
   const exchange = new Exchange(connection, req, {
     protocol: PROTOCOL,
-    sink: {events: () => true, paused: () => {}},
+    sink: {events: () => true},
     now: () => performance.now(),
     onActivity: () => {},
   });
