Soak: answers that come late, twice, without a length, or as failures

What it could not show: its servers sent no answer too many but one with a foreign ID in the packet of the answer before, failed no run, and refused only when they were full. An item that was given up counted as a broken promise whatever targets had answered, and failures were not compared with what targets gave.

A new kind of fault, `server-answer-mixes`, has about half of the servers answer by one of ten sets of the new faults of the stand-in; the kinds before it play what they played.

Promises that see it, each shown to fail on broken evidence: an item may be given up after three real 500s or a 422 only, counted at the servers; a failure with a seal must be one that a server gave to that request, and no answer of any status may bear another ID; what arrives of an answer that breaks off must be its beginning, also where a stream went on elsewhere.

It checks at least as much as before: all promises stay, and only an item that servers failed three times is newly allowed to be given up, since no server of the soak failed runs until now.

--- a/packages/soak/src/lib/process/fault_handlers.ts
+++ b/packages/soak/src/lib/process/fault_handlers.ts
@@ -30,6 +30,21 @@
   'unsealed',
   'answer-lost',
 ];
+/** Faults of answers that strike together. */
+const ANSWER_MIXES: ReadonlyArray<readonly ServerFault[]> = [
+  ['late-answer'],
+  ['late-answer-idle'],
+  ['errors'],
+  ['unframed'],
+  ['late-answer', 'errors'],
+  ['late-answer-idle', 'errors'],
+  ['late-answer', 'refusals'],
+  ['late-answer-idle', 'refusals'],
+  ['unframed', 'errors'],
+  ['late-answer', 'unframed', 'errors', 'refusals'],
+];
+/** One server in so many answers badly, drawn for each. */
+const MIXED_SHARE = 2;
 const STORE_AWAY: readonly StoreFault[] = ['down', 'busy', 'silent', 'reset'];
 const SLOW_STORE_MS = 200;
 
@@ -51,6 +66,7 @@
   'server-crash': crashServer,
   'server-replace': replaceServer,
   'server-answers': spoilAnswers,
+  'server-answer-mixes': mixAnswers,
   'connections-reset': resetConnections,
   'connections-silent': silenceConnections,
   'config-change': changeConfig,
@@ -201,6 +217,17 @@
   server.fault = 'none';
 }
 
+/** Several servers answer badly: a request meets them at its next run again. */
+async function mixAnswers({fleet, random, forMs}: FaultCall): Promise<void> {
+  const mix = ANSWER_MIXES[random.int(ANSWER_MIXES.length)]!;
+  const struck = fleet.servers
+    .filter(() => random.int(MIXED_SHARE) === 0)
+    .map(({server}) => server);
+  for (const server of struck) server.faults = new Set(mix);
+  await sleep(SYSTEM_CLOCK, forMs);
+  for (const server of struck) server.fault = 'none';
+}
+
 /** One server of each service stays, so that there is something to go on with. */
 function upServer(call: FaultCall): ServerPlace | undefined {
   const {servers} = call.fleet;
--- a/packages/soak/src/lib/process/kept_seeds.ts
+++ b/packages/soak/src/lib/process/kept_seeds.ts
@@ -1,5 +1,5 @@
 /** Seeds that broke a promise once; each is played again, as it was. */
-import type {SoakOptions} from './soak_plan.js';
+import {FIRST_FAULT_KINDS, type SoakOptions} from './soak_plan.js';
 
 /** A seed with what was found by it. */
 export interface KeptSeed {
@@ -10,7 +10,12 @@
   readonly inTests: boolean;
 }
 
-const SIZE = {programs: 4, engines: 4} as const;
+/** Size of a run and its kinds of faults. */
+const COMMON = {
+  programs: 4,
+  engines: 4,
+  kinds: FIRST_FAULT_KINDS,
+} as const;
 /** Load with faults, in milliseconds. */
 const SHORT_MS = 12_000;
 const MEDIUM_MS = 15_000;
@@ -19,37 +24,37 @@
 /** All of them. */
 export const KEPT_SEEDS: readonly KeptSeed[] = [
   {
-    options: {seed: 90_417, loadMs: LONG_MS, ...SIZE},
+    options: {seed: 90_417, loadMs: LONG_MS, ...COMMON},
     cause: 'requests that targets broke off were blamed on a later stop',
     inTests: true,
   },
   {
-    options: {seed: 210, loadMs: LONG_MS, ...SIZE},
+    options: {seed: 210, loadMs: LONG_MS, ...COMMON},
     cause: 'requests on silent connections were blamed on a later stop',
     inTests: false,
   },
   {
-    options: {seed: 200, loadMs: SHORT_MS, ...SIZE},
+    options: {seed: 200, loadMs: SHORT_MS, ...COMMON},
     cause: 'a host that stops went on taking connections',
     inTests: false,
   },
   {
-    options: {seed: 211, loadMs: SHORT_MS, ...SIZE},
+    options: {seed: 211, loadMs: SHORT_MS, ...COMMON},
     cause: 'an item whose answers a live server lost was held as a suspect',
     inTests: false,
   },
   {
-    options: {seed: 5001, loadMs: MEDIUM_MS, ...SIZE},
+    options: {seed: 5001, loadMs: MEDIUM_MS, ...COMMON},
     cause: 'SIGHUP ended a program that was still being loaded',
     inTests: false,
   },
   {
-    options: {seed: 5023, loadMs: MEDIUM_MS, ...SIZE},
+    options: {seed: 5023, loadMs: MEDIUM_MS, ...COMMON},
     cause: 'the same, after a planned stop',
     inTests: false,
   },
   {
-    options: {seed: 5010, loadMs: MEDIUM_MS, ...SIZE},
+    options: {seed: 5010, loadMs: MEDIUM_MS, ...COMMON},
     cause:
       'an item that ran on three servers that crashed was held as a suspect',
     inTests: false,
--- a/packages/soak/src/lib/process/promises.ts
+++ b/packages/soak/src/lib/process/promises.ts
@@ -25,7 +25,15 @@
 
 /** Answers that promise that the request has not run and never will. */
 const NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+const STATUS_OK = 200;
 const STATUS_UNAUTHORIZED = 401;
+/** Runs that fail before an item is given up, by its route. */
+const MAX_ATTEMPTS = 3;
+/** As how many failed runs an answer counts: one 422 is enough. */
+const FAILURE_WEIGHTS: ReadonlyMap<number | undefined, number> = new Map([
+  [500, 1],
+  [422, MAX_ATTEMPTS],
+]);
 /** The longest time for which a run keeps a program from hearing of a change,
  * the bound of two seconds, and a second for a busy machine, in milliseconds. */
 const LEAVING_BOUND_MS = 12_000;
@@ -40,6 +48,9 @@
 /** All promises by name. */
 export const PROMISES: Readonly<Record<string, PromiseCheck>> = {
   'each caller gets the whole answer to its own request': wholeAnswers,
+  'what arrives of a broken answer is its beginning': brokenAnswersBegin,
+  'a failure with a seal or an ID is the own one of its request':
+    failuresAreOwn,
   'a request that may run once only runs at most once': runsOnce,
   'what was refused as not run has not run': refusalsAreTrue,
   'an accepted item has one outcome, and its whole text': itemsAreWhole,
@@ -69,14 +80,18 @@
 
 function wholeAnswers({online}: Evidence): readonly string[] {
   return online
-    .filter(({status}) => status === 200)
+    .filter(({status}) => status === STATUS_OK)
     .flatMap(record => flawsOf(record));
 }
 
-function flawsOf(record: OnlineRecord): readonly string[] {
-  const {id, kind, path, text, answeredId, seal} = record;
+function bodyOf({kind, path}: OnlineRecord): string {
   const streams = kind === 'notes' || kind === 'flags';
-  const expected = streams ? wholeStream(path) : 'answer to question';
+  return streams ? wholeStream(path) : 'answer to question';
+}
+
+function flawsOf(record: OnlineRecord): readonly string[] {
+  const {id, path, text, answeredId, seal} = record;
+  const expected = bodyOf(record);
   const flaws: string[] = [];
   if (text !== expected) flaws.push(`${id} ${path}: other text: ${text}`);
   if (answeredId !== id) flaws.push(`${id}: answer to ${answeredId}`);
@@ -84,6 +99,31 @@
   return flaws;
 }
 
+/** What came before an answer broke off is its beginning, also where a stream
+ * went on at another target. */
+function brokenAnswersBegin({online}: Evidence): readonly string[] {
+  return online
+    .filter(({status}) => status === undefined)
+    .filter(record => !bodyOf(record).startsWith(record.text))
+    .map(({id, text}) => `${id} broke off after ${text}`);
+}
+
+/** A program's own failures have no seal. */
+function failuresAreOwn(evidence: Evidence): readonly string[] {
+  const given = new Set(
+    allRuns(evidence).map(({id, status}) => `${id} ${status}`),
+  );
+  return evidence.online.flatMap(({id, status, answeredId, seal}) => {
+    if (status === undefined || status === STATUS_OK) return [];
+    const flaws: string[] = [];
+    if (answeredId !== undefined && answeredId !== id)
+      flaws.push(`${id}: ${status} to ${answeredId}`);
+    if (seal !== undefined && !given.has(`${id} ${status}`))
+      flaws.push(`${id}: ${status} with ${seal}, which no target gave`);
+    return flaws;
+  });
+}
+
 function runsOnce(evidence: Evidence): readonly string[] {
   const counts = new Map<string, number>();
   for (const {id, path} of allRuns(evidence))
@@ -100,13 +140,15 @@
     .map(({id, status}) => `${id} was answered ${status} and ran`);
 }
 
-function itemsAreWhole({jobs}: Evidence): readonly string[] {
-  return jobs.flatMap(job => {
+function itemsAreWhole(evidence: Evidence): readonly string[] {
+  const failed = failedItems(evidence);
+  return evidence.jobs.flatMap(job => {
     const flaws = job.results.flatMap(({id, state, text}) => {
       const path = `/files/${job.id}/${id.slice(job.id.length + 1)}`;
       const whole = state === 'succeeded' && text === wholeText(path);
-      const given = state !== 'succeeded' && job.endedAt !== undefined;
-      return whole || given ? [] : [`${id} is ${state}: ${text}`];
+      const givenUp = job.endedAt !== undefined || failed.has(id);
+      const isTrue = whole || (state !== 'succeeded' && givenUp);
+      return isTrue ? [] : [`${id} is ${state}: ${text}`];
     });
     const ids = job.results.map(({id}) => id);
     if (new Set(ids).size < ids.length) flaws.push(`${job.id}: ${ids}`);
@@ -117,6 +159,18 @@
   });
 }
 
+/** @returns The items that targets have failed so often that they may be given
+ * up. */
+function failedItems(evidence: Evidence): ReadonlySet<string> {
+  const failures = new Map<string, number>();
+  for (const {id, status} of allRuns(evidence)) {
+    const weight = FAILURE_WEIGHTS.get(status) ?? 0;
+    failures.set(id, (failures.get(id) ?? 0) + weight);
+  }
+  const over = [...failures].filter(([, count]) => count >= MAX_ATTEMPTS);
+  return new Set(over.map(([id]) => id));
+}
+
 function refusedJobsRest(evidence: Evidence): readonly string[] {
   const ran = new Set(allRuns(evidence).map(({path}) => path.split('/')[2]));
   return evidence.jobs
--- a/packages/soak/src/lib/process/soak_plan.ts
+++ b/packages/soak/src/lib/process/soak_plan.ts
@@ -1,8 +1,8 @@
 /** Which faults a run has, drawn from its seed. */
 import {seededRandom, type Random} from '@oathead/core';
 
-/** Everything that a run can do to the system. */
-export const FAULT_KINDS = [
+/** Kinds that kept seeds draw from: their draws must stay as they are. */
+export const FIRST_FAULT_KINDS = [
   'program-kill',
   'program-pause',
   'program-stop',
@@ -24,6 +24,12 @@
   'config-change',
 ] as const;
 
+/** Everything that a run can do to the system. */
+export const FAULT_KINDS = [
+  ...FIRST_FAULT_KINDS,
+  'server-answer-mixes',
+] as const;
+
 /** One kind of fault. */
 export type FaultKind = (typeof FAULT_KINDS)[number];
 
--- a/packages/soak/src/lib/request/online_load.ts
+++ b/packages/soak/src/lib/request/online_load.ts
@@ -1,6 +1,6 @@
 /** Callers of online requests, who keep using their connections. */
 import {sleep, SYSTEM_CLOCK, type Random} from '@oathead/core';
-import {Caller} from '@oathead/platform/stand_ins';
+import {BrokenResponseError, Caller} from '@oathead/platform/stand_ins';
 import type {ProgramPlace, SoakFleet} from '../process/soak_fleet.js';
 
 /** What a request asks for, and how often it may run. */
@@ -37,6 +37,7 @@
   readonly status: number | undefined;
   /** Why there was none. */
   readonly failure: CallFailure | undefined;
+  /** The body, or the part of a success that arrived. */
   readonly text: string;
   readonly answeredId: string | undefined;
   readonly seal: string | undefined;
@@ -46,6 +47,7 @@
 const PAUSE_MS = 25;
 /** Each so many requests one is sent by a key that was taken away. */
 const WITHDRAWN_EACH = 8;
+const STATUS_OK = 200;
 /** Codes of connections that were never made. */
 const UNCONNECTED: ReadonlySet<unknown> = new Set([
   'ECONNREFUSED',
@@ -153,13 +155,19 @@
     return {
       status: undefined,
       failure: UNCONNECTED.has(codeOf(err)) ? 'unconnected' : 'broken',
-      text: '',
+      text: partOf(err),
       answeredId: undefined,
       seal: undefined,
     };
   }
 }
 
+/** @returns The part of a successful answer that arrived. */
+function partOf(err: unknown): string {
+  const isPart = err instanceof BrokenResponseError;
+  return isPart && err.status === STATUS_OK ? err.text : '';
+}
+
 function codeOf(err: unknown): unknown {
   return err instanceof Error && 'code' in err ? err.code : undefined;
 }
--- a/packages/soak/src/test/process/promises_test.ts
+++ b/packages/soak/src/test/process/promises_test.ts
@@ -10,10 +10,12 @@
 
 const TIMES = {sentAt: KNOWN_AT, endedAt: STOPPED_AT + 100};
 const BROKEN_OFF = {status: undefined, failure: 'broken'};
+const FAILURE_PROMISE =
+  'a failure with a seal or an ID is the own one of its request';
 const STOP_PROMISE = 'a planned stop cuts off nothing';
 
 /** What a run saw of one server and one request, spoilt by a test. */
-function evidence(ran: object, online: object): Evidence {
+function evidence(ran: object, online: object, job: object = {}): Evidence {
   const headers = {'x-tenant': 'bank'};
   const seen = {id: 'r1', path: '/notes/r1', at: 0, headers, ...ran};
   return {
@@ -23,7 +25,9 @@
       deaths: [],
       withdrawnAt: new Map([['old', WITHDRAWN_AT]]),
     },
-    online: [{id: 'r1', status: 200, ...TIMES, ...REQUEST, ...online}],
+    online: [
+      {id: 'r1', status: 200, text: '', ...TIMES, ...REQUEST, ...online},
+    ],
     jobs: [
       {
         id: 'r1',
@@ -32,6 +36,7 @@
         results: [],
         flaws: [],
         endedAt: ENDED_AT,
+        ...job,
       },
     ],
     calm: {
@@ -59,6 +64,13 @@
   [STOP_PROMISE, {}, BROKEN_OFF],
   // Read, not sent on, and cut when the time for the stop was over.
   [STOP_PROMISE, {id: 'other'}, {...BROKEN_OFF, endedAt: STOPPED_AT + 7600}],
+  [
+    'what arrives of a broken answer is its beginning',
+    {},
+    {...BROKEN_OFF, text: 'id: 2'},
+  ],
+  [FAILURE_PROMISE, {status: 200}, {status: 500, seal: 'seal-r1'}],
+  [FAILURE_PROMISE, {}, {status: 503, answeredId: 'r0'}],
   [
     'a configuration is in force everywhere in time',
     {},
@@ -74,6 +86,29 @@
   });
 }
 
+const ITEM_PROMISE = 'an accepted item has one outcome, and its whole text';
+const GIVEN_UP = {
+  id: 'j1',
+  items: 1,
+  endedAt: undefined,
+  results: [{id: 'j1-0', state: 'dead_letter', text: ''}],
+};
+
+// An item that is given up after failures that no target gave is lost for its
+// caller: the late copy of one failure counts as two.
+test('the soak sees an item that is given up before targets failed it', t => {
+  const flawsWith = (...statuses: ReadonlyArray<number | undefined>) => {
+    const runs = statuses.map(status => ({id: 'j1-0', path: '/x', status}));
+    const base = evidence({}, {}, GIVEN_UP);
+    const fleet = {incarnations: [{id: 'llm-1', server: {ran: runs}}]};
+    return PROMISES[ITEM_PROMISE]!({...base, fleet} as unknown as Evidence);
+  };
+  t.deepEqual(flawsWith(500, 200, 500), ['j1-0 is dead_letter: ']);
+  t.deepEqual(flawsWith(500, undefined, 500), ['j1-0 is dead_letter: ']);
+  t.deepEqual(flawsWith(500, 200, 500, 500), []);
+  t.deepEqual(flawsWith(422), []);
+});
+
 /** What a stop did not cut: each was taken for its fault, or may be. */
 const NOT_CUT = [
   [
--- a/packages/soak/src/test/process/soak_test.ts
+++ b/packages/soak/src/test/process/soak_test.ts
@@ -21,13 +21,14 @@
  * it found: sockets that were reset can keep a process from exiting.
  */
 async function brokenRuns(options: SoakOptions): Promise<string> {
-  const {seed, loadMs, programs, engines} = options;
+  const {seed, loadMs, programs, engines, kinds = []} = options;
   const child = spawn(process.execPath, [
     COMMAND,
     `--seed=${seed}`,
     `--minutes=${loadMs / MS_PER_MINUTE}`,
     `--programs=${programs}`,
     `--engines=${engines}`,
+    ...kinds.map(kind => `--kinds=${kind}`),
   ]);
   let text = '';
   for await (const piece of child.stdout) {
