Soak: a proxy passes a reset on as a reset

The proxy before the server is the next to read the reset: if the bytes and the reset are read at once, Node reports an orderly end, and the proxy ended the connection to the program in order. The program could not know of the reset.

Cause and fix: after such a reset the connection has no peer, after an orderly end it has one; the proxy now asks at the end. The soak can show no less: a reset that was hidden from the program now reaches it.

--- a/packages/soak/src/lib/connection/fault_proxy.ts
+++ b/packages/soak/src/lib/connection/fault_proxy.ts
@@ -7,7 +7,7 @@
   type Server,
   type Socket,
 } from 'node:net';
-import {resetSocket} from '@oathead/platform/stand_ins';
+import {endedByReset, resetSocket} from '@oathead/platform/stand_ins';
 
 /** How new bytes are treated, on old and new connections alike. */
 export type ProxyMode =
@@ -121,7 +121,10 @@
     });
     // A reset or a refused connection at one side is one at the other.
     from.on('error', () => this.close(link, () => resetSocket(to)));
-    from.on('end', () => this.close(link, () => to.end()));
+    from.on('end', () => {
+      const isReset = endedByReset(from);
+      this.close(link, () => (isReset ? resetSocket(to) : to.end()));
+    });
     from.on('close', () => this.close(link, () => to.destroy()));
   }
 
