A repeated Connection header of a target no longer throws

Callers saw (read in the code, not played): the process ends, since the promise that serves a request rejects while the answer is written, and nothing handles it.

Cause: undici hands on a header that is sent twice as a list, and `endToEndHeaders` called `toLowerCase` on it.

Fix: all values are taken together, as RFC 9110 says of repeated headers.

--- a/packages/gateway/src/lib/request/forwarded_headers.ts
+++ b/packages/gateway/src/lib/request/forwarded_headers.ts
@@ -24,7 +24,8 @@
  *     that `Connection` lists.
  */
 export function endToEndHeaders(headers: IncomingHttpHeaders): Headers {
-  const connectionOptions = (headers.connection ?? '')
+  // A list of values if a target repeats the header, despite its type.
+  const connectionOptions = String(headers.connection ?? '')
     .toLowerCase()
     .split(/\s*,\s*/);
   const forwarded: Record<string, string | readonly string[]> = {};
