Items: the orderly end of a stream is its end again

An orderly end between two events by a target that breaks off stays open: nothing on the wire tells it from the end.

--- a/packages/jobs/src/lib/process/item_runner.ts
+++ b/packages/jobs/src/lib/process/item_runner.ts
@@ -1,7 +1,6 @@
 /** Runs one item once on one target and applies the outcome to the item. */
 import type {Tracer} from '@opentelemetry/api';
 import {
-  endsWithConnection,
   eventData,
   mayHaveCrashed,
   RequestTrace,
@@ -40,8 +39,6 @@
   unsent: 60,
   broken: 100,
   unexpectedStatus: 500,
-  /** The stream may be complete; the next run confirms it. */
-  streamed: 0,
 } as const;
 /**
  * Deadline sent to the target, in milliseconds: several times the duration of
@@ -103,7 +100,6 @@
     run: work.runs,
     afterEvent: work.lastEventId,
   });
-  const resumed = work.lastEventId !== undefined;
   const sink = new TextSink(work);
   const activeSend = sendToTarget(context, target, 'batch', req, sink);
   work.stage = {
@@ -115,13 +111,12 @@
     work.runTimeMs += context.clock.now() - startedAt;
     hop.end(end.kind);
     trace.end(end.kind === 'streamed' ? undefined : end.kind);
-    const whole = isWholeText(end, resumed && !sink.received);
-    if (whole) onDone();
+    if (end.kind === 'streamed') onDone();
     if (sink.received || end.kind === 'answered')
       context.crashSuspects.recordAnswer(work.fingerprint);
     else if (mayHaveCrashed(end))
       context.crashSuspects.recordBrokenRun(work.fingerprint, target.id);
-    handleRunEnd(context, job, work, {end, whole, target});
+    handleRunEnd(context, job, work, end, target);
   });
 }
 
@@ -149,29 +144,12 @@
   }
 }
 
-/**
- * Guards against a truncated text of an item: a target breaks off a stream
- * without a length between two events, which looks like its end. Such an end is
- * confirmed by a run that resumes after it and brings nothing more.
- */
-function isWholeText(end: ExchangeOutcome, confirms: boolean): boolean {
-  if (end.kind !== 'streamed') return false;
-  return confirms || !endsWithConnection(end.head);
-}
-
-/** How a run of an item ended. */
-interface RunEnd {
-  readonly end: ExchangeOutcome;
-  /** Whether the text of the item is complete. */
-  readonly whole: boolean;
-  readonly target: Target;
-}
-
 function handleRunEnd(
   context: ItemRunContext,
   job: OwnedJob,
   work: ItemWork,
-  {end, whole, target}: RunEnd,
+  end: ExchangeOutcome,
+  target: Target,
 ): void {
   const now = context.clock.now();
   context.counters.count('item_runs', {end: end.kind});
@@ -180,11 +158,11 @@
     item: work.item.id,
     target: target.id,
     end: end.kind,
-    reason: endReasonOf(end, whole),
+    reason: endReasonOf(end),
     failures: countsAsFailure(end) ? work.failures + 1 : undefined,
     afterEvent: work.lastEventId,
   });
-  if (whole) {
+  if (end.kind === 'streamed') {
     job.succeed(work);
     return;
   }
@@ -217,8 +195,7 @@
   return end.kind === 'answered' && end.head.status === STATUS_SERVER_ERROR;
 }
 
-function endReasonOf(end: ExchangeOutcome, whole: boolean): string | undefined {
-  if (end.kind === 'streamed') return whole ? undefined : 'open end';
+function endReasonOf(end: ExchangeOutcome): string | undefined {
   if (end.kind === 'ended') return end.by;
   if (end.kind === 'answered') return String(end.head.status);
   return 'reason' in end ? end.reason : undefined;
