Streams keep their chunks when the target has stated no length

Callers saw (server_answers_test, unframed with errors): a stream of which a part had come with status 200 looked whole, since its caller's connection ended without any mark.

Cause: 'An answer without a length is passed on without one' did so for streams, too. The gateway sees the reset of a target's connection and breaks the caller's connection off, but without chunks the caller can't tell that from the end.

Fix: only a plain body, which is sent when it was read to its end, goes without a length.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -39,7 +39,6 @@
 export * from './lib/request/exchange.js';
 export * from './lib/request/online_request.js';
 export * from './lib/request/request_trace.js';
-export * from './lib/request/response_framing.js';
 export * from './lib/request/stream_events.js';
 export * from './lib/request/target_protocol.js';
 export * from './lib/request/target_send.js';
--- a/packages/gateway/src/lib/request/online_request.ts
+++ b/packages/gateway/src/lib/request/online_request.ts
@@ -26,7 +26,6 @@
   type AbortReason,
   type ExchangeOutcome,
   type CompleteResponse,
-  type ResponseHead,
 } from './exchange.js';
 import {failureStatus, STATUS_UNAVAILABLE} from './failure_status.js';
 import {endToEndHeaders} from './forwarded_headers.js';
@@ -252,7 +251,8 @@
         this.writer.sendComplete(outcome.head, outcome.body);
         return this.finish('answered', outcome.head.status, target);
       case 'streamed':
-        return this.endStream(outcome.head, target);
+        this.writer.endStream(outcome.head);
+        return this.finish('streamed', undefined, target);
       case 'declined':
         this.declines++;
         this.tried.delete(target.id);
@@ -270,12 +270,6 @@
     }
   }
 
-  /** @returns True: the request is finished. */
-  private endStream(head: ResponseHead, target: Target): true {
-    const ended = this.writer.endStream(head);
-    return this.finish(ended ? 'streamed' : 'open end', undefined, target);
-  }
-
   /**
    * Keeps the error response of a target for a request that can be retried. It
    * is sent to the caller only if no other target succeeds.
--- a/packages/gateway/src/lib/request/response_writer.ts
+++ b/packages/gateway/src/lib/request/response_writer.ts
@@ -20,8 +20,6 @@
 export class ResponseWriter implements EventSink {
   private lastWrittenId: number | undefined;
   private startTime: number | undefined;
-  /** Whether the response to the caller ends with its connection. */
-  private unframed = false;
 
   /**
    * @param res - The response to the caller.
@@ -78,22 +76,14 @@
   }
 
   /**
-   * Ends a stream that was received to its end. If the last run leaves open
-   * whether that is the end of the stream, the caller must not be told that it
-   * is.
+   * Ends a complete stream.
    *
    * @param head - Status and headers of the last run, written now if the stream
    *     had no events.
-   * @returns Whether the end was written; false if the stream was aborted.
    */
-  endStream(head: ResponseHead): boolean {
+  endStream(head: ResponseHead): void {
     if (!this.hasStarted) this.writeHead(head);
-    if (endsWithConnection(head) && !this.unframed) {
-      this.abort();
-      return false;
-    }
     this.res.end();
-    return true;
   }
 
   /**
@@ -112,8 +102,9 @@
    * @param body - The body.
    */
   sendComplete(head: ResponseHead, body: Buffer): void {
-    if (endsWithConnection(head)) this.writeHead(head);
-    else this.writeHead(head, {'content-length': String(body.length)});
+    if (endsWithConnection(head)) this.endWithConnection();
+    else this.res.setHeader('content-length', body.length);
+    this.writeHead(head);
     this.res.end(body);
   }
 
@@ -135,18 +126,22 @@
   }
 
   /**
-   * Guards against a truncated response that looks complete: without a length
-   * from the target, the response to the caller ends with its connection, too.
+   * Guards against a truncated body that looks complete: without a length from
+   * the target, the response to the caller ends with its connection, too. A
+   * stream keeps its chunks, since their missing end is how a caller learns that
+   * it was broken off.
    */
-  private writeHead(head: ResponseHead, framing: Headers = {}): void {
+  private endWithConnection(): void {
+    this.res.useChunkedEncodingByDefault = false;
+    this.res.shouldKeepAlive = false;
+  }
+
+  private writeHead(head: ResponseHead): void {
     this.startTime = this.now();
-    this.unframed = endsWithConnection(head);
-    if (this.unframed) {
-      this.res.useChunkedEncodingByDefault = false;
-      this.res.shouldKeepAlive = false;
-    }
-    const headers = {...endToEndHeaders(head.headers), ...framing};
-    this.res.writeHead(head.status, toNodeHeaders(headers));
+    this.res.writeHead(
+      head.status,
+      toNodeHeaders(endToEndHeaders(head.headers)),
+    );
   }
 }
 
