Only a last chunk states the end of a body with transfer codings

Callers saw: the beginning of an answer with a length, as if it were whole.

Cause: any transfer coding counted as a stated end of the body. If chunked isn't the last coding, the body ends with its connection, as one without a length.

Evidence, before the change (response_framing_test):

x a body in transfer coding identity has no stated end x a body in transfer coding gzip has no stated end x a body in transfer coding chunked, gzip has no stated end

Fix: the end is stated if chunked is the last transfer coding, as in RFC 9112, 6.3.

--- a/packages/gateway/src/lib/request/response_framing.ts
+++ b/packages/gateway/src/lib/request/response_framing.ts
@@ -7,6 +7,8 @@
 
 /** Status codes of responses that have no body. */
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+/** A transfer coding marks the end of a body only if chunked is the last one. */
+const ENDS_CHUNKED = /(?:^|,)\s*chunked\s*$/i;
 
 /**
  * @param head - Status and headers of a response.
@@ -17,6 +19,6 @@
   if (BODILESS_STATUSES.has(status)) return false;
   return (
     headers['content-length'] === undefined &&
-    headers['transfer-encoding'] === undefined
+    !ENDS_CHUNKED.test(headers['transfer-encoding'] ?? '')
   );
 }
--- a/packages/gateway/src/test/request/response_framing_test.ts
+++ b/packages/gateway/src/test/request/response_framing_test.ts
@@ -56,6 +56,23 @@
   t.true(text.endsWith(`\r\n\r\n${BODY}`));
 });
 
+// Guards against a truncated answer that looks complete: only the last chunk
+// marks the end of a body with transfer codings.
+for (const coding of ['identity', 'gzip', 'chunked, gzip'])
+  test(`a body in transfer coding ${coding} has no stated end`, async t => {
+    const headers = {...UNFRAMED.headers, 'transfer-encoding': coding};
+    const head = {...UNFRAMED, headers};
+    const text = await received(t, writer => writer.sendComplete(head, BODY));
+    t.notRegex(text, /content-length/i);
+  });
+
+for (const coding of ['chunked', 'Chunked', 'gzip, chunked'])
+  test(`a body in transfer coding ${coding} has a stated end`, async t => {
+    const head = {status: 200, headers: {'transfer-encoding': coding}};
+    const text = await received(t, writer => writer.sendComplete(head, BODY));
+    t.regex(text, /^content-length: 14\r$/im);
+  });
+
 test('a body with a stated end gets a length', async t => {
   const text = await received(t, writer => writer.sendComplete(FRAMED, BODY));
   t.regex(text, /^content-length: 14\r$/im);
