A refusal counts although its connection is reset

Callers saw: 502 for a request that its target had refused as not run, so that a request that may run once was not sent again.

Cause: an end that turns out to be a reset made every response without a length broken, also a refusal. A target that refuses a long request before it has read all of it closes a connection with unread bytes, and that is a reset.

Fix: the headers state the refusal, and nothing of its body is passed on. It is looked at before the end of the connection, which isn't used again.

--- a/packages/gateway/src/lib/request/exchange.ts
+++ b/packages/gateway/src/lib/request/exchange.ts
@@ -256,12 +256,15 @@
   /** Called by undici at the end of the response. */
   onResponseEnd(): void {
     if (this.settled) return;
-    if (this.connection.wasBrokenOff) {
-      this.failDisconnected('reset during the answer');
+    const {wasBrokenOff} = this.connection;
+    // The headers alone state a refusal. A target that refuses a request before
+    // it has read all of it resets the connection.
+    if (this.metadata!.notRun) {
+      this.finish({kind: 'declined', status: this.head!.status}, !wasBrokenOff);
       return;
     }
-    if (this.metadata!.notRun) {
-      this.finish({kind: 'declined', status: this.head!.status}, true);
+    if (wasBrokenOff) {
+      this.failDisconnected('reset during the answer');
       return;
     }
     if (!this.isEventStream()) {
--- a/packages/gateway/src/test/request/reset_with_data_test.ts
+++ b/packages/gateway/src/test/request/reset_with_data_test.ts
@@ -13,10 +13,16 @@
   body: `${HEAD}\r\nok`,
 } as const;
 
+const REFUSAL =
+  'HTTP/1.1 503 No\r\nid: r1\r\nnot-run: 1\r\nconnection: close\r\n\r\n';
+/** More than the sockets of both sides hold. */
+const LONG_BODY_BYTES = 8 * 1024 * 1024;
+
 /** Sends a request to a target that handles its socket with `respond`. */
 async function outcomeOf(
   t: ExecutionContext,
   respond: (socket: Socket) => void,
+  body = Buffer.from('question'),
 ): Promise<ExchangeOutcome> {
   const target = await listen(socket => {
     socket.on('error', () => socket.destroy());
@@ -33,7 +39,7 @@
     method: 'POST',
     path: '/a',
     headers: {host: 'h', id: 'r1'},
-    body: Buffer.from('question'),
+    body,
     firstEventId: undefined,
   };
   const exchange = new Exchange(connection, req, {
@@ -63,3 +69,16 @@
     const outcome = await outcomeOf(t, socket => socket.end(bytes));
     t.is(outcome.kind, kind === 'stream' ? 'streamed' : 'answered');
   });
+
+// Guards against a request that is answered with a failure of the gateway
+// although its target refused it: a target that refuses a long request before
+// it has read all of it resets the connection.
+test('a refusal whose last bytes come with a reset is a refusal', async t => {
+  const refuse = (socket: Socket) => {
+    socket.pause();
+    socket.write(REFUSAL);
+    socket.resetAndDestroy();
+  };
+  const outcome = await outcomeOf(t, refuse, Buffer.alloc(LONG_BODY_BYTES));
+  t.deepEqual(outcome, {kind: 'declined', status: 503});
+});
