What is just written to a caller doesn't count as left unread

Callers saw: a stream that broke off after an event of more than 1 MB, although they read all the time.

Cause: the bound on what waits for a slow caller was compared after the write. The bytes of an event wait until the next turn of the event loop, however fast the caller is.

Evidence, before the change (slow_caller_test):

x a single long event in chunks that ends its connection arrives whole at a slow caller - 'ended' + 'streamed'

Fix: the bound is compared with what waited before the write. A caller that doesn't read costs the bound and what one read from the target brings.

--- a/packages/gateway/src/lib/request/response_writer.ts
+++ b/packages/gateway/src/lib/request/response_writer.ts
@@ -10,9 +10,9 @@
 import type {Headers} from './target_protocol.js';
 
 /**
- * How much of a stream may wait in this process for a slow caller, in bytes.
- * Bounds the memory that callers can take by not reading; larger than most
- * streams.
+ * How much of a stream may wait in this process for a slow caller when more of
+ * it arrives, in bytes. Bounds the memory that callers can take by not reading;
+ * larger than most streams.
  */
 const MAX_UNREAD_BYTES = 1024 * 1024;
 
@@ -71,8 +71,10 @@
     if (!this.hasStarted) this.writeHead(head);
     this.lastWrittenId = events.at(-1)!.id ?? this.lastWrittenId;
     const bytes = events.map(event => event.bytes);
+    // What is written now doesn't count: the caller had no time to read it.
+    const unreadBytes = this.res.writableLength;
     this.res.write(bytes.length === 1 ? bytes[0] : Buffer.concat(bytes));
-    return this.res.writableLength <= MAX_UNREAD_BYTES;
+    return unreadBytes <= MAX_UNREAD_BYTES;
   }
 
   /**
--- a/packages/gateway/src/test/request/slow_caller_test.ts
+++ b/packages/gateway/src/test/request/slow_caller_test.ts
@@ -23,6 +23,8 @@
 );
 /** An event that is read at once, so that nothing of it waits in the socket. */
 const SHORT_EVENT = `id: 1\ndata: ${'x'.repeat(20 * 1024)}\n\n`;
+/** An event that is longer than what may wait for a caller. */
+const LONG_EVENT = `id: 1\ndata: ${'x'.repeat(1500 * 1024)}\n\n`;
 /** Many more events than a host buffers for one caller. */
 const ENDLESS_EVENTS = 64;
 /** Time between two pieces of a response, in milliseconds. */
@@ -70,6 +72,14 @@
     then: 'reset',
     isWhole: false,
   },
+  {
+    name: 'a single long event in chunks that ends its connection',
+    headers: [CHUNKED, CLOSE],
+    pieces: [chunk(LONG_EVENT), LAST_CHUNK],
+    then: 'end',
+    isWhole: true,
+    body: LONG_EVENT,
+  },
   {
     name: 'a stream without length that ends',
     headers: [],
