Log and metrics of items name the stage that takes the time

Callers saw items of batch jobs done after their due time. The log told each run, but not where the time of an item went: the lines of one item had to be joined over hosts, and the time until the acceptance of its job, the queue of targets, the loss by runs ended early and the write of the result were nowhere. Hypotheses that differ in the stage could not be told apart.

The line of a listed item now carries the time of each stage, `job-adopted` how old the job was and how many items go on from a stored text, and `job-handed-in` the time to accept or refuse the job. A host on which items wait writes one line a second with their urgency and the outcome of placements. The same is exported as histograms and counters.

Lines per item stay as they were; the new line is bounded by one a second and host.

--- a/packages/core/src/lib/process/counters.ts
+++ b/packages/core/src/lib/process/counters.ts
@@ -1,6 +1,7 @@
 /**
- * Counters for the decision logic. The daemons pass counters that are exported
- * at `/metrics`; tests pass a map or {@link NO_COUNTERS}.
+ * Counters and latencies for the decision logic. The daemons pass receivers that
+ * are exported at `/metrics`; tests pass a map, {@link NO_COUNTERS} or
+ * {@link NO_LATENCIES}.
  */
 
 /**
@@ -23,3 +24,19 @@
 
 /** Counters that discard all increments. */
 export const NO_COUNTERS: Counters = {count: () => {}};
+
+/** Receiver of latencies. */
+export interface Latencies {
+  /**
+   * Records a latency.
+   *
+   * @param name - Name of the histogram in snake_case, without prefix or unit.
+   * @param ms - Latency in milliseconds.
+   * @param labels - Labels that distinguish this latency from others of the
+   *     name.
+   */
+  record(name: string, ms: number, labels?: Labels): void;
+}
+
+/** Latencies that are not recorded. */
+export const NO_LATENCIES: Latencies = {record: () => {}};
--- a/packages/jobs/src/lib/process/batch_scheduler.ts
+++ b/packages/jobs/src/lib/process/batch_scheduler.ts
@@ -24,6 +24,7 @@
 import {runItem, type ItemRunContext} from './item_runner.js';
 import {idleTimeoutMs} from './item_idle_timeout.js';
 import type {OwnedJob} from './owned_job.js';
+import {WaitingReport} from './waiting_report.js';
 
 /** Dependencies of a {@link BatchScheduler}. */
 export interface SchedulerContext extends ItemRunContext {
@@ -52,6 +53,8 @@
  * seconds.
  */
 const CHECKPOINT_INTERVAL_MS = 1000;
+/** Interval of the log line about waiting items, in milliseconds. */
+const REPORT_INTERVAL_MS = 1000;
 /**
  * Maximum number of items started per scheduling interval. Load reports of
  * other hosts are as old as their last message, so hosts that fill every slot
@@ -105,6 +108,7 @@
   private readonly disposables = new DisposableStore();
   private readonly routeMissingSince = new Map<string, number>();
   private readonly durations = new ItemDurations();
+  private readonly waitingReport: WaitingReport;
   /** Time until which a route is considered full, by {@link fullRouteKey}. */
   private readonly routeFullUntil = new Map<string, number>();
   private paused = false;
@@ -117,7 +121,9 @@
   constructor(
     private readonly context: SchedulerContext,
     private readonly jobs: () => Iterable<OwnedJob>,
-  ) {}
+  ) {
+    this.waitingReport = new WaitingReport(context);
+  }
 
   /** Starts scheduling. */
   start(): void {
@@ -131,6 +137,11 @@
       CHECKPOINT_INTERVAL_MS,
     );
     this.disposables.defer(() => clearInterval(checkpointTimer));
+    const reportTimer = setInterval(
+      () => this.waitingReport.write(this.unfinishedItems()),
+      REPORT_INTERVAL_MS,
+    );
+    this.disposables.defer(() => clearInterval(reportTimer));
     this.context.loads.onChange(() => this.preemptExcessItems());
   }
 
@@ -213,6 +224,8 @@
     const {job, work} = candidate;
     const {stage} = work;
     const target = await this.targetFor(route, candidate);
+    const {urgency} = candidate.estimate;
+    this.waitingReport.countPlacement(urgency, target ? 'placed' : 'full');
     if (!target) {
       const backoffMs =
         FULL_ROUTE_BACKOFF_MS[
@@ -258,6 +271,14 @@
     return candidates.sort(byPriority);
   }
 
+  private unfinishedItems(): readonly Candidate[] {
+    return [...this.jobs()].flatMap(job =>
+      job.work
+        .filter(({stage}) => stage.kind !== 'finished')
+        .map(work => this.candidate(job, work)),
+    );
+  }
+
   private candidate(job: OwnedJob, work: ItemWork): Candidate {
     const untilDueMs = job.dueAtMs - (this.context.storeTimeMs() ?? 0);
     const estimate = this.durations.estimate(job.head, work, untilDueMs);
--- a/packages/jobs/src/lib/process/item_runner.ts
+++ b/packages/jobs/src/lib/process/item_runner.ts
@@ -5,6 +5,7 @@
   mayHaveCrashed,
   RequestTrace,
   sendToTarget,
+  type AbortReason,
   type ResponseHead,
   type CrashSuspects,
   type EventSink,
@@ -15,7 +16,7 @@
   type StreamEvent,
   type Target,
 } from '@oathead/gateway';
-import type {Counters, EventLog} from '@oathead/core';
+import type {Clock, Counters, EventLog} from '@oathead/core';
 import type {ItemWork} from './item_work.js';
 import type {OwnedJob} from './owned_job.js';
 
@@ -100,7 +101,7 @@
     run: work.runs,
     afterEvent: work.lastEventId,
   });
-  const sink = new TextSink(work);
+  const sink = new TextSink(work, context.clock);
   const activeSend = sendToTarget(context, target, 'batch', req, sink);
   work.stage = {
     kind: 'running',
@@ -108,11 +109,18 @@
     control: activeSend.control,
   };
   void activeSend.end.then(end => {
-    work.runTimeMs += context.clock.now() - startedAt;
+    const endedAt = context.clock.now();
+    work.runTimeMs += endedAt - startedAt;
+    work.timeline.add({
+      sentAtMs: startedAt,
+      firstEventAtMs: sink.firstEventAtMs,
+      endedAtMs: endedAt,
+      isComplete: end.kind === 'streamed',
+    });
     hop.end(end.kind);
     trace.end(end.kind === 'streamed' ? undefined : end.kind);
     if (end.kind === 'streamed') onDone();
-    if (sink.received || end.kind === 'answered')
+    if (sink.firstEventAtMs !== undefined || end.kind === 'answered')
       context.crashSuspects.recordAnswer(work.fingerprint);
     else if (mayHaveCrashed(end))
       context.crashSuspects.recordBrokenRun(work.fingerprint, target.id);
@@ -128,14 +136,17 @@
 
 /** Appends the events of a run to the text of its item. */
 class TextSink implements EventSink {
-  /** Whether this run has received any events. */
-  received = false;
+  /** When this run received its first event; undefined before it. */
+  firstEventAtMs: number | undefined;
 
-  constructor(private readonly work: ItemWork) {}
+  constructor(
+    private readonly work: ItemWork,
+    private readonly clock: Clock,
+  ) {}
 
   events(events: readonly StreamEvent[], head: ResponseHead): boolean {
     if (head.status !== STATUS_OK) return true;
-    this.received = true;
+    this.firstEventAtMs ??= this.clock.now();
     for (const event of events) {
       this.work.texts.push(eventData(event));
       this.work.lastEventId = event.id ?? this.work.lastEventId;
@@ -173,10 +184,20 @@
   }
   const delayMs =
     end.kind === 'ended' ? RETRY_DELAY_MS.yield : RETRY_DELAY_MS[end.kind];
-  if (end.kind === 'ended' && end.by === 'silent') work.idleTimeouts++;
+  if (end.kind === 'ended') recordAbort(context, work, end.by);
   work.stage = {kind: 'waiting', notBefore: now + delayMs};
 }
 
+function recordAbort(
+  {counters}: ItemRunContext,
+  work: ItemWork,
+  by: AbortReason,
+): void {
+  counters.count('item_runs_aborted', {by});
+  if (by === 'silent') work.idleTimeouts++;
+  if (by === 'yield') work.preemptions++;
+}
+
 function handleAnswer(
   job: OwnedJob,
   work: ItemWork,
--- a/packages/jobs/src/lib/process/item_work.ts
+++ b/packages/jobs/src/lib/process/item_work.ts
@@ -1,6 +1,7 @@
 /** State of one item while its job is processed. */
 import {CrashSuspects, type ExchangeControl} from '@oathead/gateway';
 import type {JobItem} from '../request/job.js';
+import {ItemTimeline} from './item_timeline.js';
 
 /** Partial text of an interrupted item and the event after which it resumes. */
 export interface PartialText {
@@ -41,10 +42,14 @@
   checkpointedTexts: number;
   /** Number of runs on targets. */
   runs: number;
+  /** Number of runs that ended by preemption. */
+  preemptions: number;
   /** Number of runs that ended by idle timeout. */
   idleTimeouts: number;
   /** Total time on targets, in milliseconds. */
   runTimeMs: number;
+  /** Times of the runs under the current owner. */
+  readonly timeline: ItemTimeline;
 }
 
 /**
@@ -73,7 +78,9 @@
     inheritedTexts: partial?.texts.length ?? 0,
     checkpointedTexts: partial?.texts.length ?? 0,
     runs: 0,
+    preemptions: 0,
     idleTimeouts: 0,
     runTimeMs: 0,
+    timeline: new ItemTimeline(),
   };
 }
--- a/packages/jobs/src/lib/process/job_ownership.ts
+++ b/packages/jobs/src/lib/process/job_ownership.ts
@@ -235,11 +235,18 @@
       how,
       items: head.head.items,
       left: work.length,
+      sinceAcceptedMs: this.sinceAcceptedMs(head.head),
+      resumed: work.filter(({inheritedTexts}) => inheritedTexts > 0).length,
     });
     const drop = (job: OwnedJob) => this.owned.delete(job.head.id);
     this.owned.set(id, new OwnedJob(this.context, head, work, drop));
   }
 
+  private sinceAcceptedMs({acceptedAtMs}: JobHead): number | undefined {
+    const now = this.context.store.storeTimeMs();
+    return now === undefined ? undefined : Math.round(now - acceptedAtMs);
+  }
+
   /**
    * @returns The items without a result; undefined if the store cannot be read.
    */
--- a/packages/jobs/src/lib/process/owned_job.ts
+++ b/packages/jobs/src/lib/process/owned_job.ts
@@ -1,5 +1,4 @@
 /** A job that this host owns: its items and the list of its results. */
-import type {EventLog} from '@oathead/core';
 import {encodeJson, type RowPut} from '@oathead/stores';
 import type {ItemResult} from '../request/job.js';
 import type {StoreLimits} from '../request/job_content.js';
@@ -12,12 +11,20 @@
   type VersionedHead,
 } from '../request/job_rows.js';
 import {HeadWriter, type HeadWriterContext} from './head_writer.js';
+import {reportListedItem, type ItemReportContext} from './item_report.js';
 import type {ItemWork} from './item_work.js';
 
 /** Dependencies of an {@link OwnedJob}. */
-export interface OwnedJobContext extends HeadWriterContext {
+export interface OwnedJobContext extends HeadWriterContext, ItemReportContext {
   readonly limits: StoreLimits;
-  readonly log: EventLog;
+}
+
+/** An item whose result is not written yet. */
+interface FinishedItem {
+  readonly work: ItemWork;
+  readonly result: ItemResult;
+  /** On the host's monotonic clock, in milliseconds. */
+  readonly finishedAtMs: number;
 }
 
 /**
@@ -32,7 +39,8 @@
 export class OwnedJob implements Disposable {
   private readonly stop = new AbortController();
   private readonly writer: HeadWriter;
-  private readonly finished: ItemResult[] = [];
+  private readonly adoptedAtMs: number;
+  private readonly finished: FinishedItem[] = [];
   private readonly failed: ItemWork[] = [];
   private writing: Promise<void> | undefined;
   private checkpointing = false;
@@ -51,6 +59,7 @@
     private readonly onClosed: (job: OwnedJob) => void,
   ) {
     this.writer = new HeadWriter(context, head, this.stop.signal);
+    this.adoptedAtMs = context.clock.now();
   }
 
   /** The head after this owner's last write. */
@@ -81,7 +90,11 @@
     work.stage = {kind: 'finished'};
     const text = state === 'succeeded' ? work.texts.join('\n') : '';
     work.texts = [];
-    this.finished.push({id: work.item.id, state, text});
+    this.finished.push({
+      work,
+      result: {id: work.item.id, state, text},
+      finishedAtMs: this.context.clock.now(),
+    });
     this.flush();
   }
 
@@ -184,9 +197,9 @@
   }
 
   private async writeNext(): Promise<void> {
-    const {puts, results} = await this.nextRows();
+    const {puts, items} = await this.nextRows();
     const failed = this.failed.splice(0);
-    const listed = this.head.listed + results.length;
+    const listed = this.head.listed + items.length;
     const done = listed === this.head.items;
     const written = await this.writer.write(
       {
@@ -204,35 +217,40 @@
       this[Symbol.dispose]();
       return;
     }
-    this.finished.splice(0, results.length);
+    this.finished.splice(0, items.length);
     for (const work of failed) work.stage = {kind: 'waiting', notBefore: 0};
-    for (const {id, state} of results)
-      this.context.log.event('item-listed', {
-        job: this.head.id,
-        item: id,
-        state,
-      });
+    for (const item of items) this.reportListed(item);
     if (done) this[Symbol.dispose]();
   }
 
+  private reportListed({work, result, finishedAtMs}: FinishedItem): void {
+    const {clock, store} = this.context;
+    reportListedItem(this.context, this.head, work, result.state, {
+      adoptedAtMs: this.adoptedAtMs,
+      finishedAtMs,
+      listedAtMs: clock.now(),
+      storeTimeMs: store.storeTimeMs(),
+    });
+  }
+
   private async nextRows(): Promise<{
     readonly puts: readonly RowPut[];
-    readonly results: readonly ItemResult[];
+    readonly items: readonly FinishedItem[];
   }> {
     const puts: RowPut[] = [];
-    const results: ItemResult[] = [];
+    const items: FinishedItem[] = [];
     let bytes = 0;
-    for (const result of this.finished.slice(0, MAX_RESULTS_PER_TRANSACTION)) {
-      const position = this.head.listed + results.length;
-      const value = await this.resultValue(result);
+    for (const item of this.finished.slice(0, MAX_RESULTS_PER_TRANSACTION)) {
+      const position = this.head.listed + items.length;
+      const value = await this.resultValue(item.result);
       bytes += value.length;
-      if (results.length > 0 && bytes > this.context.limits.transactionBytes)
+      if (items.length > 0 && bytes > this.context.limits.transactionBytes)
         break;
       const ref = jobRowRef(RESULT_TABLE, this.head.id, position);
       puts.push({...ref, value});
-      results.push(result);
+      items.push(item);
     }
-    return {puts, results};
+    return {puts, items};
   }
 
   private async resultValue(result: ItemResult): Promise<Uint8Array> {
--- a/packages/jobs/src/lib/request/job_intake.ts
+++ b/packages/jobs/src/lib/request/job_intake.ts
@@ -3,7 +3,13 @@
  * often and on whichever host it is submitted. The caller learns whether the
  * job was accepted, was refused, or may have been accepted.
  */
-import {sleep, type Clock, type EventLog, type Random} from '@oathead/core';
+import {
+  sleep,
+  type Clock,
+  type EventLog,
+  type Latencies,
+  type Random,
+} from '@oathead/core';
 import {encodeJson, type RowStore, type RowTransaction} from '@oathead/stores';
 import type {JobSubmission} from './job.js';
 import {
@@ -29,6 +35,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly log: EventLog;
+  readonly latencies: Latencies;
   /** Returns the member ID of the host that owns jobs accepted now. */
   readonly owner: () => string;
   /** Time since the store's last response of any kind, in milliseconds. */
@@ -65,6 +72,26 @@
    * @returns Whether the job was accepted.
    */
   async accept(submission: JobSubmission): Promise<IntakeResult> {
+    const {clock, latencies} = this.context;
+    const startedAt = clock.now();
+    const result = await this.storeJob(submission);
+    const ms = clock.now() - startedAt;
+    latencies.record('job_intake', ms, {outcome: result.kind});
+    this.context.log.event('job-handed-in', {
+      job: submission.id,
+      items: submission.items.length,
+      content:
+        result.kind === 'accepted'
+          ? result.written?.head.content.kind
+          : undefined,
+      outcome: result.kind,
+      reason: 'reason' in result ? result.reason : undefined,
+      ms: Math.round(ms),
+    });
+    return result;
+  }
+
+  private async storeJob(submission: JobSubmission): Promise<IntakeResult> {
     const {store, limits, log} = this.context;
     const acceptedAtMs = store.storeTimeMs();
     const silentMs = this.context.sinceAnswerMs();
@@ -81,19 +108,11 @@
     if (objectFailure) return objectFailure;
     const head = this.newHead(submission, content, acceptedAtMs);
     const ref = headRef(submission.id);
-    const result = await this.write(head, {
+    return this.write(head, {
       expect: [{...ref, version: 0}],
       puts: [{...ref, value: encodeJson(head)}, ...puts],
       removes: [],
     });
-    log.event('job-handed-in', {
-      job: submission.id,
-      items: submission.items.length,
-      content: content.kind,
-      outcome: result.kind,
-      reason: 'reason' in result ? result.reason : undefined,
-    });
-    return result;
   }
 
   private newHead(
--- a/packages/jobs/src/test/process/job_ownership_test.ts
+++ b/packages/jobs/src/test/process/job_ownership_test.ts
@@ -2,6 +2,7 @@
 import {
   NO_COUNTERS,
   NO_EVENT_LOG,
+  NO_LATENCIES,
   seededRandom,
   success,
   SYSTEM_CLOCK,
@@ -53,6 +54,7 @@
     random: seededRandom(1),
     log: NO_EVENT_LOG,
     counters: NO_COUNTERS,
+    latencies: NO_LATENCIES,
     limits: {rowBytes: 1024, transactionBytes: 1024, objectBytes: 1024},
     reader,
     membership: membership as Membership,
--- a/packages/observe/src/lib/process/metrics.ts
+++ b/packages/observe/src/lib/process/metrics.ts
@@ -6,7 +6,7 @@
 import {build} from 'hdr-histogram-js';
 import type {Histogram} from 'hdr-histogram-js';
 import {Counter, Gauge, Registry} from 'prom-client';
-import type {Counters, Labels} from '@oathead/core';
+import type {Counters, Labels, Latencies} from '@oathead/core';
 
 const PREFIX = 'oathead_';
 const MICROS_PER_MS = 1000;
@@ -23,7 +23,7 @@
 }
 
 /** The metrics of one process. */
-export class Metrics implements Counters {
+export class Metrics implements Counters, Latencies {
   private readonly registry = new Registry();
   private readonly counters = new Map<string, Counter>();
   private readonly labelNames = new Map<string, string>();
@@ -58,13 +58,7 @@
     counter.inc(labels, by);
   }
 
-  /**
-   * Records a latency.
-   *
-   * @param name - Metric name in snake_case, without the unit suffix.
-   * @param ms - Latency in milliseconds.
-   * @param labels - Labels of the time series.
-   */
+  /** {@inheritDoc Latencies.record} */
   record(name: string, ms: number, labels: Labels = {}): void {
     const key = name + JSON.stringify(labels);
     let entry = this.histograms.get(key);
--- a/packages/serving/src/lib/process/serving_platform.ts
+++ b/packages/serving/src/lib/process/serving_platform.ts
@@ -3,6 +3,7 @@
   Clock,
   Counters,
   EventLog,
+  Latencies,
   Outcome,
   QuotaTolerance,
   Random,
@@ -110,6 +111,7 @@
   readonly random: Random;
   readonly log: EventLog;
   readonly counters: Counters;
+  readonly latencies: Latencies;
   /** Records a span for each hop; a no-op if traces are off. */
   readonly tracer: Tracer;
 }
