Claim jobs of a lost host when its lease lapses

Callers whose job was owned by a host that was lost had their items later than needed: no host worked on the job for two seconds after the lease of its owner had lapsed, beside the four seconds until the lapse.

Cause: the time for which a job without a live owner is left alone guards against an owner that has just started and whose first heartbeat is not seen yet. It was applied to every owner that is not live, also to one that was seen alive and whose lease has lapsed, where there is nothing to wait for: the head of the job fences the former owner at its next write.

The time stays for owners that this host has never seen.

Tests: job_ownership_test, membership_test.

--- a/packages/gateway/src/lib/process/membership.ts
+++ b/packages/gateway/src/lib/process/membership.ts
@@ -181,6 +181,15 @@
     return now !== undefined && now.id !== id;
   }
 
+  /**
+   * @param id - ID of a process incarnation.
+   * @returns Whether this host has seen it alive and its lease has expired.
+   */
+  hasLapsed(id: string): boolean {
+    const record = this.members.get(hostOfMember(id));
+    return record?.member.id === id && !this.isLive(record);
+  }
+
   private leaseMs(): number {
     return this.heartbeatIntervalMs() * HEARTBEATS_PER_LEASE;
   }
--- a/packages/gateway/src/test/process/membership_test.ts
+++ b/packages/gateway/src/test/process/membership_test.ts
@@ -53,7 +53,10 @@
   applyHeartbeats(1, silent, live);
   for (const second of [2, 3, 4, 5]) applyHeartbeats(second, live);
   t.false(members.holdsLease(silent.id));
+  t.true(members.hasLapsed(silent.id));
   t.true(members.holdsLease(live.id));
+  t.false(members.hasLapsed(live.id));
+  t.false(members.hasLapsed(memberId('unknown', '1')));
   t.deepEqual(
     members.peers().map(({id}) => id),
     [live.id],
--- a/packages/jobs/src/lib/process/job_ownership.ts
+++ b/packages/jobs/src/lib/process/job_ownership.ts
@@ -42,8 +42,9 @@
 const SWEEP_INTERVAL_MS = 500;
 /**
  * How long a job must be without a live owner before another host claims it, in
- * milliseconds. A host that has just started may show up as the owner of a job
- * before its first heartbeat is seen.
+ * milliseconds, if that host has never seen the owner alive. A host that has
+ * just started may show up as the owner of a job before its first heartbeat is
+ * seen.
  */
 const ORPHAN_GRACE_MS = 1500;
 /**
@@ -184,11 +185,20 @@
         continue;
       }
       if (rendezvous(id, live)[0] !== this.self) continue;
-      if (!membership.isReplaced(owner) && !this.isOrphan(id)) continue;
+      if (!this.hasEnded(owner) && !this.isOrphan(id)) continue;
       await this.claim(found);
     }
   }
 
+  /**
+   * @returns Whether the owner was alive and no longer is; false if this host
+   *   has never seen it.
+   */
+  private hasEnded(owner: string): boolean {
+    const {membership} = this.context;
+    return membership.isReplaced(owner) || membership.hasLapsed(owner);
+  }
+
   private isOrphan(id: string): boolean {
     const now = this.clock.now();
     const since = this.orphanSince.get(id) ?? now;
--- a/packages/jobs/src/test/process/job_ownership_test.ts
+++ b/packages/jobs/src/test/process/job_ownership_test.ts
@@ -13,6 +13,7 @@
 import {JobOwnership} from '../../lib/process/job_ownership.js';
 import type {JobReader} from '../../lib/request/job_reader.js';
 import {headRef, type JobHead} from '../../lib/request/job_rows.js';
+import {RecordedEvents} from '../fakes/recorded_events.js';
 
 const OPEN: JobHead = {
   id: 'j',
@@ -65,3 +66,61 @@
   await setTimeout(2 * LOAD_MS);
   t.deepEqual([...jobOwnership.jobs()], []);
 });
+
+const SWEEP_MS = 500;
+/** Time of two sweeps, below the time for which an unknown owner is awaited. */
+const TWO_SWEEPS_MS = 2 * SWEEP_MS + 200;
+
+/** @returns Outcomes of claims of a job whose owner holds no lease. */
+async function claimsWithin(ms: number, ownerHasLapsed: boolean) {
+  const log = new RecordedEvents();
+  const membership = {
+    self: {id: 'me'},
+    isInitialized: true,
+    live: () => [{id: 'me'}],
+    peers: () => [],
+    isReplaced: () => false,
+    hasLapsed: () => ownerHasLapsed,
+  } as unknown;
+  const store = new MemoryRowStore(SYSTEM_CLOCK);
+  const head = {...OPEN, owner: 'other'};
+  const ref = headRef(head.id);
+  const written = await store.transact({
+    expect: [],
+    puts: [{...ref, value: encodeJson(head)}],
+    removes: [],
+  });
+  const jobOwnership = new JobOwnership({
+    store,
+    clock: SYSTEM_CLOCK,
+    random: seededRandom(1),
+    log,
+    counters: NO_COUNTERS,
+    latencies: NO_LATENCIES,
+    limits: {rowBytes: 1024, transactionBytes: 1024, objectBytes: 1024},
+    reader: {
+      items: async () => success([]),
+      allResults: async () => success([]),
+    } as unknown as JobReader,
+    membership: membership as Membership,
+  });
+  jobOwnership.update(updateOf(head, written.ok ? written.value.version : 0));
+  jobOwnership.start();
+  await setTimeout(ms);
+  jobOwnership[Symbol.dispose]();
+  const claims = log.events.filter(({name}) => name === 'job-claimed');
+  return claims.map(({outcome}) => outcome);
+}
+
+// Items of a lost host were late: its jobs waited for 1.5 s more after its lease
+// had lapsed, as if it had just started and its first heartbeat were to come.
+test('a job is claimed as soon as the lease of its owner has lapsed', async t => {
+  const [first] = await claimsWithin(TWO_SWEEPS_MS, true);
+  t.is(first, 'written');
+});
+
+// A host that has just started accepts a job before others see its first
+// heartbeat, and its job would be taken from it.
+test('a job of an owner that is not known yet is not claimed at once', async t => {
+  t.deepEqual(await claimsWithin(TWO_SWEEPS_MS, false), []);
+});
