--- a/packages/gateway/src/lib/process/membership.ts
+++ b/packages/gateway/src/lib/process/membership.ts
@@ -126,7 +126,8 @@
   /** @param update - Changes of {@link MEMBER_TABLE}. */
   update({put, removed, storeTimeMs}: TableUpdate): void {
     const gap = storeTimeMs - this.storeTimeMs;
-    if (this.storeTimeMs > 0 && gap > OUTAGE_MS) this.extendLeases(gap);
+    // Before the first response, the leases of seeded hosts start with it.
+    if (gap > OUTAGE_MS) this.extendLeases(gap);
     this.storeTimeMs = Math.max(this.storeTimeMs, storeTimeMs);
     for (const row of put) this.applyRow(row);
     for (const row of removed) this.members.delete(row.key);
--- a/packages/gateway/src/test/process/membership_test.ts
+++ b/packages/gateway/src/test/process/membership_test.ts
@@ -77,6 +77,21 @@
   t.false(members.holdsLease(other.id));
 });
 
+// A host that started while the store was down took all others for dead with the
+// first response of the store, and claimed all of their jobs: it knew them from
+// the snapshot of a peer, and the store had no newer heartbeats yet.
+test('hosts known from the snapshot of a peer hold a lease at first', t => {
+  const members = newMembership();
+  const applyHeartbeats = feed(members);
+  const other = member('other', '1');
+  applyHeartbeats(0, other);
+  applyHeartbeats(100);
+  t.false(members.hasLapsed(other.id));
+  t.true(members.holdsLease(other.id));
+  for (const second of [101, 102, 103, 104]) applyHeartbeats(second);
+  t.true(members.hasLapsed(other.id));
+});
+
 // The items of a restarted host wait until its lease ends, although the new
 // incarnation of its process proves at once that the previous one has ended.
 test('a process is known to have ended once its host runs another one', t => {
