A failed heartbeat is sent again before the next one is due

A live host lost its lease when the store refused three of its heartbeats in a row, or lost one and took long for the next. Its jobs are claimed at once, so its runs are ended and start again elsewhere from the last stored text.

Cause: a heartbeat that failed was followed only at the next tick, and a tick that came while a heartbeat was in progress was left out: a heartbeat that timed out after 1.2 s was followed after 2 s. A lease of 3.5 intervals had two to four attempts.

Evidence: heartbeats that are sent within a lease if all fail, in the new test: 4 before, 7 after if each is refused at once; at least 3 if each takes 1.2 s.

Why it works: the time to the next heartbeat counts from the start of the last one, and is half as long after a failure. One is in progress at a time as before, and each host sends at most two per interval.

Tests: membership_test.

--- a/packages/gateway/src/lib/process/membership.ts
+++ b/packages/gateway/src/lib/process/membership.ts
@@ -5,7 +5,7 @@
  * clock, as reported in its responses: host clocks may jump, and no host is
  * declared dead while the store does not respond.
  */
-import {DisposableStore, type Clock, type EventLog} from '@oathead/core';
+import {DisposableStore, sleep, type Clock, type EventLog} from '@oathead/core';
 import {
   decodeJson,
   encodeJson,
@@ -64,6 +64,11 @@
 const MAX_HEARTBEATS_PER_SECOND = 80;
 /** Minimum interval between two heartbeats, in milliseconds. */
 const MIN_HEARTBEAT_INTERVAL_MS = 1000;
+/**
+ * Number of heartbeats per interval while they fail. A live host must not lose
+ * its lease because the store turns some of them away.
+ */
+const ATTEMPTS_PER_INTERVAL = 2;
 /** Duration of a lease, in heartbeat intervals. */
 const HEARTBEATS_PER_LEASE = 3.5;
 /**
@@ -101,7 +106,6 @@
     max: MAX_ENDED_INCARNATIONS,
   });
   private storeTimeMs = 0;
-  private isHeartbeatPending = false;
 
   /**
    * @param self - The process incarnation of this host.
@@ -114,8 +118,7 @@
 
   /** Starts to send heartbeats. */
   start(): void {
-    void this.sendHeartbeat();
-    this.scheduleHeartbeat();
+    void this.sendHeartbeats();
   }
 
   /** Stops sending heartbeats. */
@@ -254,19 +257,20 @@
     this.context.log.event('member-seen', {member: id, before: previousId});
   }
 
-  private scheduleHeartbeat(): void {
-    if (this.disposables.disposed) return;
-    this.context.clock.after(this.heartbeatIntervalMs(), () => {
-      void this.sendHeartbeat();
-      this.scheduleHeartbeat();
-    });
+  /** Sends one heartbeat at a time, so that they do not pile up. */
+  private async sendHeartbeats(): Promise<void> {
+    const {clock} = this.context;
+    while (!this.disposables.disposed) {
+      const startedAt = clock.now();
+      const isSent = await this.sendHeartbeat();
+      const intervalMs =
+        this.heartbeatIntervalMs() / (isSent ? 1 : ATTEMPTS_PER_INTERVAL);
+      const leftMs = startedAt + intervalMs - clock.now();
+      if (leftMs > 0) await sleep(clock, leftMs);
+    }
   }
 
-  private async sendHeartbeat(): Promise<void> {
-    // Only one heartbeat is in progress at a time, so that heartbeats do not
-    // pile up at a slow store.
-    if (this.isHeartbeatPending || this.disposables.disposed) return;
-    this.isHeartbeatPending = true;
+  private async sendHeartbeat(): Promise<boolean> {
     const ref = {table: MEMBER_TABLE, partition: '', key: this.self.host};
     const value = encodeJson(this.self);
     const written = await this.context.store.transact({
@@ -274,8 +278,8 @@
       puts: [{...ref, value}],
       removes: [],
     });
-    this.isHeartbeatPending = false;
     if (!written.ok)
       this.context.log.event('heartbeat-failed', {reason: written.err.kind});
+    return written.ok;
   }
 }
--- a/packages/gateway/src/test/process/membership_test.ts
+++ b/packages/gateway/src/test/process/membership_test.ts
@@ -1,5 +1,10 @@
-import {NO_EVENT_LOG, SYSTEM_CLOCK} from '@oathead/core';
-import {encodeJson, MemoryRowStore, type VersionedRow} from '@oathead/stores';
+import {failure, NO_EVENT_LOG, sleep, SYSTEM_CLOCK} from '@oathead/core';
+import {
+  encodeJson,
+  MemoryRowStore,
+  type RowStore,
+  type VersionedRow,
+} from '@oathead/stores';
 import test from 'ava';
 import {
   MEMBER_TABLE,
@@ -7,6 +12,7 @@
   Membership,
   type Member,
 } from '../../lib/process/membership.js';
+import {FakeClock} from '../fakes/fake_clock.js';
 
 let version = 0;
 
@@ -121,3 +127,37 @@
   t.true(members.holdsLease(now.id));
   t.false(members.holdsLease(before.id));
 });
+
+const LEASE_MS = 3500;
+const STEP_MS = 50;
+
+/**
+ * @returns Number of heartbeats that are sent within a lease if each fails after
+ *   `failureMs`.
+ */
+async function heartbeatsPerLease(failureMs: number): Promise<number> {
+  const clock = new FakeClock();
+  let sent = 0;
+  const store = {
+    transact: async () => {
+      sent++;
+      if (failureMs > 0) await sleep(clock, failureMs);
+      return failure({kind: 'refused', message: 'busy'} as const);
+    },
+  } as unknown as RowStore;
+  const context = {store, clock, log: NO_EVENT_LOG};
+  using members = new Membership(member('me', '1'), context);
+  members.start();
+  for (let ms = 0; ms < LEASE_MS; ms += STEP_MS) {
+    await new Promise(setImmediate);
+    clock.advance(STEP_MS);
+  }
+  return sent;
+}
+
+// A live host lost its lease, and with it the runs of its jobs, when the store
+// refused three heartbeats, or lost one and took long for the next.
+test('a failed heartbeat is sent again before the next one is due', async t => {
+  t.is(await heartbeatsPerLease(0), 7);
+  t.is(await heartbeatsPerLease(1200), 3);
+});
