Jobs of a lost host are claimed while others are being read

What callers saw: nothing reported; shown by a test. The items of a lost host's jobs wait longer the more jobs it had, above all at a slow store.

Evidence: the new test has eight jobs whose items take 200 ms each to read.

Why it works: up to four jobs are claimed and read at a time. Writes stay fenced by the version of the head. The limit keeps the burst on the store small.

Tests: job_ownership_test, ownership_model_test.

--- a/packages/jobs/src/lib/process/job_ownership.ts
+++ b/packages/jobs/src/lib/process/job_ownership.ts
@@ -47,6 +47,11 @@
  * seen.
  */
 const ORPHAN_GRACE_MS = 1500;
+/**
+ * Maximum number of jobs that are claimed and read at a time. A job must not
+ * wait for all others of a lost host, nor must their reads load the store.
+ */
+const MAX_CONCURRENT_CLAIMS = 4;
 /**
  * Maximum number of closed jobs remembered: far more than close while the items
  * of one job are read.
@@ -183,17 +188,26 @@
     const {membership} = this.context;
     if (!membership.isInitialized) return;
     const live = membership.live().map(({id}) => id);
-    for (const found of [...this.heads.values()]) {
-      const {id, owner} = found.head;
-      if (live.includes(owner)) {
-        this.orphanSince.delete(id);
-        if (owner === this.self) await this.adopt(found, 'found');
-        continue;
-      }
-      if (rendezvous(id, live)[0] !== this.self) continue;
-      if (!this.hasEnded(owner) && !this.isOrphan(id)) continue;
-      await this.claim(found);
+    const heads = [...this.heads.values()].values();
+    const takeShare = async () => {
+      for (const found of heads) await this.takeUp(found, live);
+    };
+    await Promise.all(Array.from({length: MAX_CONCURRENT_CLAIMS}, takeShare));
+  }
+
+  private async takeUp(
+    found: VersionedHead,
+    live: readonly string[],
+  ): Promise<void> {
+    const {id, owner} = found.head;
+    if (live.includes(owner)) {
+      this.orphanSince.delete(id);
+      if (owner === this.self) await this.adopt(found, 'found');
+      return;
     }
+    if (rendezvous(id, live)[0] !== this.self) return;
+    if (!this.hasEnded(owner) && !this.isOrphan(id)) return;
+    await this.claim(found);
   }
 
   /**
--- a/packages/jobs/src/test/process/job_ownership_test.ts
+++ b/packages/jobs/src/test/process/job_ownership_test.ts
@@ -108,8 +108,15 @@
 /** Time of two sweeps, below the time for which an unknown owner is awaited. */
 const TWO_SWEEPS_MS = 2 * SWEEP_MS + 200;
 
-/** @returns Outcomes of claims of a job whose owner holds no lease. */
-async function claimsWithin(ms: number, ownerHasLapsed: boolean) {
+/**
+ * @returns Outcomes of claims of jobs whose owner holds no lease. Reading a job
+ *   takes `loadMs`.
+ */
+async function claimsWithin(
+  ms: number,
+  ownerHasLapsed: boolean,
+  {jobs = 1, loadMs = 0} = {},
+) {
   const log = new RecordedEvents();
   const membership = {
     self: {id: 'me'},
@@ -120,13 +127,6 @@
     hasLapsed: () => ownerHasLapsed,
   } as unknown;
   const store = new MemoryRowStore(SYSTEM_CLOCK);
-  const head = {...OPEN, owner: 'other'};
-  const ref = headRef(head.id);
-  const written = await store.transact({
-    expect: [],
-    puts: [{...ref, value: encodeJson(head)}],
-    removes: [],
-  });
   const jobOwnership = new JobOwnership({
     store,
     clock: SYSTEM_CLOCK,
@@ -136,12 +136,24 @@
     latencies: NO_LATENCIES,
     limits: {rowBytes: 1024, transactionBytes: 1024, objectBytes: 1024},
     reader: {
-      items: async () => success([]),
+      items: async () => {
+        await setTimeout(loadMs);
+        return success([]);
+      },
       allResults: async () => success([]),
     } as unknown as JobReader,
     membership: membership as Membership,
   });
-  jobOwnership.update(updateOf(head, written.ok ? written.value.version : 0));
+  for (let i = 0; i < jobs; i++) {
+    const head = {...OPEN, id: `j${i}`, owner: 'other'};
+    const ref = headRef(head.id);
+    const written = await store.transact({
+      expect: [],
+      puts: [{...ref, value: encodeJson(head)}],
+      removes: [],
+    });
+    jobOwnership.update(updateOf(head, written.ok ? written.value.version : 0));
+  }
   jobOwnership.start();
   await setTimeout(ms);
   jobOwnership[Symbol.dispose]();
@@ -161,3 +173,11 @@
 test('a job of an owner that is not known yet is not claimed at once', async t => {
   t.deepEqual(await claimsWithin(TWO_SWEEPS_MS, false), []);
 });
+
+// The jobs of a lost host waited for each other: each was claimed only when the
+// items of the one before it had been read, which takes long at a slow store.
+test('jobs of a lost host are claimed while others are being read', async t => {
+  const slow = {jobs: 8, loadMs: 200};
+  const claims = await claimsWithin(TWO_SWEEPS_MS, true, slow);
+  t.deepEqual(claims, Array(slow.jobs).fill('written'));
+});
