Relayed responses tell the time of the store

What callers saw: nothing reported; shown by a test. A host that has never had a way to the store of its own refuses all jobs ("the store is unreachable"), although its relays reach the store.

Cause: intake needs the store's time, and only direct responses told it. With none, the scheduler also takes the store's time for 0, so no item is urgent.

Evidence: the new test; on the code before the time is undefined after a relayed response that succeeded.

Why it works: each response carries the time, whichever way it came. The newest one counts, and a delayed response never sets the time back.

Tests: relayed_row_store_test.

--- a/packages/stores/src/lib/process/relayed_row_store.ts
+++ b/packages/stores/src/lib/process/relayed_row_store.ts
@@ -77,6 +77,8 @@
   private relaying = false;
   private lastResponseAt = -Infinity;
   private newest = 0;
+  /** The newest store time of any response and when it arrived. */
+  private storeTime: {readonly ms: number; readonly at: number} | undefined;
   /** The relay that last succeeded; tried first. */
   private lastSuccessfulRelay: RowStoreRelay | undefined;
 
@@ -134,7 +136,10 @@
 
   /** {@inheritDoc RowStore.storeTimeMs} */
   storeTimeMs(): number | undefined {
-    return this.direct.storeTimeMs();
+    const direct = this.direct.storeTimeMs();
+    if (!this.storeTime) return direct;
+    const {ms, at} = this.storeTime;
+    return Math.max(direct ?? -Infinity, ms + this.context.clock.now() - at);
   }
 
   /** {@inheritDoc RowStore.putObject} */
@@ -157,10 +162,19 @@
   ): RowStoreOutcome<T> {
     const outcome = await this.callDirectOrRelayed(call);
     if (!isUnreachable(outcome)) this.lastResponseAt = this.context.clock.now();
-    if (outcome.ok) this.newest = Math.max(this.newest, outcome.value.version);
+    if (outcome.ok) {
+      this.newest = Math.max(this.newest, outcome.value.version);
+      this.recordStoreTime(outcome.value.storeTimeMs);
+    }
     return outcome;
   }
 
+  private recordStoreTime(ms: number): void {
+    // A delayed response must not set the store time back.
+    if (ms > (this.storeTimeMs() ?? -Infinity))
+      this.storeTime = {ms, at: this.context.clock.now()};
+  }
+
   private async callDirectOrRelayed<T>(call: Call<T>): RowStoreOutcome<T> {
     if (this.relaying) {
       const relayed = await this.relay(call);
--- a/packages/stores/src/test/process/relayed_row_store_test.ts
+++ b/packages/stores/src/test/process/relayed_row_store_test.ts
@@ -33,6 +33,11 @@
 
   read = this.changes;
   transact = this.changes;
+
+  /** No response has ever told this host the time of the store. */
+  storeTimeMs(): number | undefined {
+    return undefined;
+  }
 }
 
 function newStore(direct: FakeStore, relays: readonly FakeStore[]) {
@@ -78,3 +83,15 @@
   t.is(relays[0]!.calls, 6);
   t.is(direct.calls, before);
 });
+
+// A host that started without a way to the store of its own refused all jobs as
+// long as it had none, although its relays reached the store: only direct
+// responses told it the store's time.
+test('relayed responses tell the time of the store', async t => {
+  const direct = new FakeStore();
+  direct.err = TIMED_OUT;
+  const store = newStore(direct, [new FakeStore()]);
+  t.is(store.storeTimeMs(), undefined);
+  t.true((await store.changes('t', 0, 0)).ok);
+  t.true((store.storeTimeMs() ?? 0) >= NO_CHANGES.storeTimeMs);
+});
