--- a/packages/gateway/src/lib/connection/target_connection.ts
+++ b/packages/gateway/src/lib/connection/target_connection.ts
@@ -50,6 +50,7 @@
   private socket: Socket | undefined;
   private endedByReset = false;
   private lost = false;
+
   /**
    * @param address - IP address and port of the target.
    * @param timeouts - Connect and idle timeouts.
