Count the time without a route only while it is known

What callers saw: an item may be listed as given up although its route is there, since the host that works on it looks at an old configuration.

Cause: an item is given up if its host has had no route for it for five seconds. The host measured that between any two looks of its own, on a configuration of any age: a host that was stopped for six seconds, or that was cut off from the store, counted the time in which it could not have learned of the route.

Why it holds: the scheduler notes in each interval whether it has looked within the last second and whether the lease of the configuration is younger than two seconds, the time within which a change must be known. Otherwise the time without a route starts again, for all items at once.

--- a/packages/jobs/src/lib/process/batch_scheduler.ts
+++ b/packages/jobs/src/lib/process/batch_scheduler.ts
@@ -3,7 +3,7 @@
  * targets that have free slots beside online requests, and preempts running
  * items when a target fills up.
  */
-import {DisposableStore, type Random} from '@oathead/core';
+import {DisposableStore, type FreshnessLease, type Random} from '@oathead/core';
 import {
   targetKey,
   type BatchPressure,
@@ -32,6 +32,8 @@
   readonly placement: ItemPlacement;
   readonly directory: TargetDirectory;
   readonly routing: RoutingState;
+  /** Tracks whether the configuration is the newest. */
+  readonly freshness: Pick<FreshnessLease, 'ageMs'>;
   readonly random: Random;
   /** Member ID of this host's incarnation, as in its load reports. */
   readonly self: string;
@@ -76,6 +78,16 @@
  * twice the time within which a configuration takes effect on all hosts.
  */
 const ROUTE_MISSING_TIMEOUT_MS = 5000;
+/**
+ * Maximum age of the configuration while the time without a route counts, in
+ * milliseconds: the time within which a host knows of a change.
+ */
+const MAX_CONFIG_AGE_MS = 2000;
+/**
+ * Maximum interval between two looks while the time without a route counts, in
+ * milliseconds. After a longer one, this host was stopped.
+ */
+const MAX_LOOK_INTERVAL_MS = 1000;
 
 interface Candidate {
   readonly job: OwnedJob;
@@ -108,6 +120,9 @@
   private readonly disposables = new DisposableStore();
   /** Time since which no configuration had a route for an item. */
   private readonly routeMissingSince = new WeakMap<ItemWork, number>();
+  /** Time since which this host has known the newest configuration. */
+  private configKnownSince = Infinity;
+  private lastLookAt = -Infinity;
   private readonly durations = new ItemDurations();
   private readonly waitingReport: WaitingReport;
   /** Time until which a route is considered full, by {@link fullRouteKey}. */
@@ -174,6 +189,7 @@
   }
 
   private tick(): void {
+    this.checkConfigAge();
     this.endIdleRuns();
     this.preemptExcessItems();
     if (!this.paused) void this.startItems();
@@ -295,10 +311,24 @@
       if (work.stage.kind === 'waiting') job.giveUp(work, 'retention');
   }
 
+  /**
+   * Restarts the time without a route, for all items, while this host cannot
+   * know the newest configuration.
+   */
+  private checkConfigAge(): void {
+    const {clock, freshness} = this.context;
+    const now = clock.now();
+    const wasStopped = now - this.lastLookAt > MAX_LOOK_INTERVAL_MS;
+    this.lastLookAt = now;
+    if (wasStopped || freshness.ageMs > MAX_CONFIG_AGE_MS)
+      this.configKnownSince = now;
+  }
+
   /**
    * Resolves the route of an item. The item fails if its route has been missing
-   * for {@link ROUTE_MISSING_TIMEOUT_MS}. Until a host has a configuration, it
-   * cannot tell whether a route is missing.
+   * for {@link ROUTE_MISSING_TIMEOUT_MS}, during all of which this host has
+   * known the newest configuration. Until a host has a configuration, it cannot
+   * tell whether a route is missing.
    *
    * @returns The route; undefined if there is none or no configuration.
    */
@@ -312,7 +342,8 @@
     }
     const since = this.routeMissingSince.get(work) ?? clock.now();
     this.routeMissingSince.set(work, since);
-    if (clock.now() - since < ROUTE_MISSING_TIMEOUT_MS) return undefined;
+    const countFrom = Math.max(since, this.configKnownSince);
+    if (clock.now() - countFrom < ROUTE_MISSING_TIMEOUT_MS) return undefined;
     job.giveUp(work, 'no-route');
     return undefined;
   }
--- a/packages/serving/src/lib/process/serving_components.ts
+++ b/packages/serving/src/lib/process/serving_components.ts
@@ -193,6 +193,7 @@
     ...online,
     directory,
     routing,
+    freshness,
     self: self.id,
     storeTimeMs: () => store.storeTimeMs(),
   };
