Log which failures an item was given up for

What callers saw: an item was listed as given up, and nothing that a host wrote said for which failures: the line `item-given-up` named a reason and a number, not the targets, their answers or their times, and nothing of the configuration that had no route. What an earlier owner of the job had counted was in the log of that owner only, which is lost with its machine.

Evidence: the test of the line failed on the code before, since the line held no more than `reason` and `failures`.

Why it holds: each run that failed or may have failed is described in words: status, what is in doubt, target, number, owner and time since acceptance. The descriptions are written into the head of the job together with the counts, so that they survive a change of owner; they are bounded at 100 a head (some 11 kB), and an item that has a result needs none. The field is optional: a head without it is read as before. `item-given-up` says them all, and for a missing route the version of the configuration and how old it was; `item-kept` says that such an item waits again.

--- a/packages/jobs/src/lib/process/batch_scheduler.ts
+++ b/packages/jobs/src/lib/process/batch_scheduler.ts
@@ -345,7 +345,11 @@
     this.routeMissingSince.set(work, since);
     const countFrom = Math.max(since, this.configKnownSince);
     if (clock.now() - countFrom < ROUTE_MISSING_TIMEOUT_MS) return undefined;
-    job.giveUp(work, 'no-route', routing.row);
+    const {row} = routing;
+    if (!row) return undefined;
+    const {version} = routing.current.table;
+    const {ageMs} = this.context.freshness;
+    job.giveUp(work, 'no-route', {row, version, ageMs});
     return undefined;
   }
 
--- a/packages/jobs/src/lib/process/item_runner.ts
+++ b/packages/jobs/src/lib/process/item_runner.ts
@@ -180,7 +180,7 @@
     return;
   }
   if (end.kind === 'answered') {
-    handleAnswer(job, work, end, now);
+    handleAnswer(job, work, target, end, now);
     return;
   }
   const delayMs =
@@ -202,13 +202,15 @@
 function handleAnswer(
   job: OwnedJob,
   work: ItemWork,
+  target: Target,
   {head: {status}, doubt}: CompleteResponse,
   now: number,
 ): void {
-  if (status === STATUS_UNPROCESSABLE && doubt) job.doubtProcessable(work);
+  const run = {target: target.id, status, doubt};
+  if (status === STATUS_UNPROCESSABLE && doubt) job.doubtProcessable(work, run);
   else if (status === STATUS_UNPROCESSABLE) job.giveUp(work, 'unprocessable');
-  else if (status === STATUS_SERVER_ERROR && doubt) job.doubt(work);
-  else if (status === STATUS_SERVER_ERROR) job.fail(work);
+  else if (status === STATUS_SERVER_ERROR && doubt) job.doubt(work, run);
+  else if (status === STATUS_SERVER_ERROR) job.fail(work, run);
   else
     work.stage = {
       kind: 'waiting',
--- a/packages/jobs/src/lib/process/item_work.ts
+++ b/packages/jobs/src/lib/process/item_work.ts
@@ -36,6 +36,8 @@
   failures: number;
   /** Number of runs of which it is in doubt whether they failed. */
   doubts: number;
+  /** These runs in words, for the log; the first ones may be missing. */
+  failedRuns: readonly string[];
   lastEventId: number | undefined;
   texts: string[];
   /** Number of entries of `texts` received under earlier owners. */
@@ -78,6 +80,7 @@
     stage: {kind: 'waiting', notBefore: 0},
     failures,
     doubts,
+    failedRuns: [],
     lastEventId: partial?.lastEventId,
     texts: [...(partial?.texts ?? [])],
     inheritedTexts: partial?.texts.length ?? 0,
--- a/packages/jobs/src/lib/process/job_ownership.ts
+++ b/packages/jobs/src/lib/process/job_ownership.ts
@@ -316,7 +316,9 @@
       .map((item, i) => {
         const {[i]: failures = 0} = head.failures;
         const {[i]: doubts = 0} = head.doubts ?? {};
-        return newItemWork(i, item, failures, partials.get(i), doubts);
+        const failedRuns = head.failedRuns?.[i] ?? [];
+        const work = newItemWork(i, item, failures, partials.get(i), doubts);
+        return {...work, failedRuns};
       })
       .filter(({item}) => !listed.has(item.id));
   }
--- a/packages/jobs/src/lib/process/owned_job.ts
+++ b/packages/jobs/src/lib/process/owned_job.ts
@@ -46,6 +46,11 @@
  * at each run reaches targets.
  */
 const MAX_ATTEMPTS_FACTOR_IN_DOUBT = 2;
+/**
+ * Maximum number of runs described in a head, so that it fits into a row. Each
+ * takes some hundred bytes.
+ */
+const MAX_FAILED_RUNS_IN_HEAD = 100;
 /** Number of doubtful statements that an item can't be done that suffice. */
 const MAX_UNPROCESSABLE_IN_DOUBT = 2;
 
@@ -60,6 +65,22 @@
   /** No configuration had a route for the item for some time. */
   | 'no-route';
 
+/** A response that states, or may state, that a run failed. */
+export interface FailedRun {
+  readonly target: string;
+  readonly status: number;
+  readonly doubt: string | undefined;
+}
+
+/** The configuration under which an item has no route. */
+export interface MissingRoute {
+  /** The row that holds the configuration. */
+  readonly row: ExpectedRow;
+  readonly version: number;
+  /** How long ago it was last known to be the newest, in milliseconds. */
+  readonly ageMs: number;
+}
+
 /** Processes one job until it is done, cancelled or owned by another host. */
 export class OwnedJob implements Disposable {
   private readonly stop = new AbortController();
@@ -118,18 +139,22 @@
    *
    * @param work - Item of the job.
    * @param reason - Why it is given up, for the log.
-   * @param basis - Row on which that is based. If it has changed before the
-   *   result is written, the item waits again.
+   * @param missing - Configuration without a route for it. If it has changed
+   *   before the result is written, the item waits again.
    */
-  giveUp(work: ItemWork, reason: GiveUpReason, basis?: ExpectedRow): void {
+  giveUp(work: ItemWork, reason: GiveUpReason, missing?: MissingRoute): void {
     if (this.closed || work.stage.kind === 'finished') return;
     this.context.log.event('item-given-up', {
       job: this.head.id,
       item: work.item.id,
       reason,
       failures: work.failures,
+      doubts: work.doubts || undefined,
+      failedRuns: work.failedRuns.length > 0 ? work.failedRuns : undefined,
+      config: missing?.version,
+      configAgeMs: missing && Math.round(missing.ageMs),
     });
-    this.finish(work, {state: 'failed', text: ''}, basis);
+    this.finish(work, {state: 'failed', text: ''}, missing?.row);
   }
 
   /**
@@ -138,10 +163,11 @@
    * again.
    *
    * @param work - Item of the job.
+   * @param run - The response.
    */
-  fail(work: ItemWork): void {
+  fail(work: ItemWork, run: FailedRun): void {
     work.failures++;
-    this.recordRun(work);
+    this.recordRun(work, run);
   }
 
   /**
@@ -149,24 +175,27 @@
    * foreign one. It uses up no attempt, but an item is not run without end.
    *
    * @param work - Item of the job.
+   * @param run - The response.
    */
-  doubt(work: ItemWork): void {
+  doubt(work: ItemWork, run: FailedRun): void {
     work.doubts++;
-    this.recordRun(work);
+    this.recordRun(work, run);
   }
 
   /**
    * Counts a response that may state that the item can never be done.
    *
    * @param work - Item of the job.
+   * @param run - The response.
    */
-  doubtProcessable(work: ItemWork): void {
+  doubtProcessable(work: ItemWork, run: FailedRun): void {
     if (work.doubts + 1 >= MAX_UNPROCESSABLE_IN_DOUBT)
       this.giveUp(work, 'unprocessable');
-    else this.doubt(work);
+    else this.doubt(work, run);
   }
 
-  private recordRun(work: ItemWork): void {
+  private recordRun(work: ItemWork, run: FailedRun): void {
+    work.failedRuns = [...work.failedRuns, this.describe(work, run)];
     const {failures, doubts} = work;
     const {maxAttempts} = this.head;
     const maxInDoubt = maxAttempts * MAX_ATTEMPTS_FACTOR_IN_DOUBT;
@@ -179,6 +208,18 @@
     this.flush();
   }
 
+  private describe(work: ItemWork, {target, status, doubt}: FailedRun): string {
+    const atMs = Math.round(this.context.store.storeTimeMs() ?? 0);
+    const fields = {
+      status: doubt ? `${status} (${doubt})` : status,
+      target,
+      run: work.runs,
+      owner: this.head.owner,
+      sinceAcceptedMs: atMs - Math.round(this.head.acceptedAtMs),
+    };
+    return Object.entries(fields).flat().join(' ');
+  }
+
   /** Ends all runs; nothing more is written. */
   [Symbol.dispose](): void {
     if (this.closed) return;
@@ -288,6 +329,7 @@
         listed,
         failures: withCounts(this.head.failures, failed, 'failures'),
         doubts: withCounts(this.head.doubts, failed, 'doubts'),
+        failedRuns: this.failedRuns(),
         ...(done
           ? {state: 'done', closedAtMs: this.context.store.storeTimeMs()}
           : {}),
@@ -335,6 +377,20 @@
     });
   }
 
+  /** A limited number of failed runs of the items that have no result. */
+  private failedRuns(): JobHead['failedRuns'] {
+    const byItem: Record<string, readonly string[]> = {};
+    let left = MAX_FAILED_RUNS_IN_HEAD;
+    for (const {index, stage, failedRuns} of this.work) {
+      if (stage.kind === 'finished' || failedRuns.length === 0) continue;
+      const newest = failedRuns.slice(-left);
+      byItem[index] = newest;
+      left -= newest.length;
+      if (left === 0) break;
+    }
+    return byItem as JobHead['failedRuns'];
+  }
+
   private async nextRows(): Promise<{
     readonly puts: readonly RowPut[];
     readonly items: readonly FinishedItem[];
--- a/packages/jobs/src/lib/request/job_rows.ts
+++ b/packages/jobs/src/lib/request/job_rows.ts
@@ -61,6 +61,11 @@
    * absent for items without such runs.
    */
   doubts: z.record(z.string(), COUNT).optional(),
+  /**
+   * What is known of these runs by item index, for the log: a limited number,
+   * and none of items that have a result.
+   */
+  failedRuns: z.record(z.string(), z.array(z.string())).optional(),
   /** Random value that identifies one write of the head. */
   nonce: z.string(),
   /** Time at which the job was done or cancelled, on the store's clock. */
--- a/packages/jobs/src/test/process/batch_scheduler_test.ts
+++ b/packages/jobs/src/test/process/batch_scheduler_test.ts
@@ -130,7 +130,10 @@
   private readonly freshness = {ageMs: 0};
   private readonly listeners: Array<() => void> = [];
   private readonly routing = {
-    current: undefined as {match: () => unknown} | undefined,
+    row: {table: 'op', partition: '', key: 'config', version: 1},
+    current: undefined as
+      | {readonly table: {readonly version: number}; match: () => unknown}
+      | undefined,
     onAdopted: (listener: () => void) => void this.listeners.push(listener),
   };
   private readonly scheduler: BatchScheduler;
@@ -159,7 +162,10 @@
 
   /** Adopts a configuration with or without the route of all items. */
   adopt(hasRoute: boolean): void {
-    this.routing.current = {match: () => (hasRoute ? ROUTE : undefined)};
+    this.routing.current = {
+      table: {version: 1},
+      match: () => (hasRoute ? ROUTE : undefined),
+    };
     for (const listener of this.listeners) listener();
   }
 
--- a/packages/jobs/src/test/process/job_ownership_test.ts
+++ b/packages/jobs/src/test/process/job_ownership_test.ts
@@ -98,6 +98,7 @@
     listed: 1,
     failures: {1: 2},
     doubts: {1: 1},
+    failedRuns: {1: ['a', 'b', 'c']},
     nonce: 'back',
   };
   jobOwnership.update(updateOf(handedBack, 3));
@@ -105,8 +106,13 @@
   const [job] = [...jobOwnership.jobs()];
   t.is(job?.head.listed, 1);
   t.deepEqual(
-    job?.work.map(({item: {id}, failures, doubts}) => ({id, failures, doubts})),
-    [{id: 'b', failures: 2, doubts: 1}],
+    job?.work.map(({item: {id}, failures, doubts, failedRuns}) => ({
+      id,
+      failures,
+      doubts,
+      failedRuns,
+    })),
+    [{id: 'b', failures: 2, doubts: 1, failedRuns: ['a', 'b', 'c']}],
   );
 });
 
--- a/packages/jobs/src/test/process/owned_job_test.ts
+++ b/packages/jobs/src/test/process/owned_job_test.ts
@@ -20,6 +20,7 @@
 
 const MAX_ATTEMPTS = 2;
 const WRITE_MS = 30;
+const RUN = {target: 'i-a', status: 500, doubt: undefined};
 const ROW_BYTES = 1024;
 const HEAD: JobHead = {
   id: 'j',
@@ -86,6 +87,14 @@
   return {job, works, lines};
 }
 
+/** The fields that are written to the log. */
+function definedIn(line: EventFields): EventFields {
+  const written = Object.entries(line).filter(
+    ([, value]) => value !== undefined,
+  );
+  return Object.fromEntries(written);
+}
+
 /** Line of the result, without the times of its stages. */
 const LISTED_LINE = {
   event: 'item-listed',
@@ -107,32 +116,37 @@
     job.giveUp(work, reason);
     await setTimeout(WRITE_MS);
     const [givenUp, listed, ...others] = lines;
-    t.deepEqual(
-      {...givenUp},
-      {event: 'item-given-up', job: 'j', item: 'i', reason, failures: 0},
-    );
+    t.deepEqual(definedIn(givenUp!), {
+      event: 'item-given-up',
+      job: 'j',
+      item: 'i',
+      reason,
+      failures: 0,
+    });
     t.like(listed, LISTED_LINE);
     t.deepEqual(others, []);
   });
 
 test('an item is given up after as many failed runs as its job allows', async t => {
   const {job, work, lines} = await startJob();
-  job.fail(work);
+  job.fail(work, RUN);
   await setTimeout(WRITE_MS);
   t.deepEqual([work.stage.kind, job.head.failures], ['waiting', {0: 1}]);
-  job.fail(work);
+  job.fail(work, RUN);
   await setTimeout(WRITE_MS);
   const [givenUp, listed, ...others] = lines;
-  t.deepEqual(
-    {...givenUp},
-    {
-      event: 'item-given-up',
-      job: 'j',
-      item: 'i',
-      reason: 'failed-runs',
-      failures: MAX_ATTEMPTS,
-    },
-  );
+  const {failedRuns, ...line} = givenUp!;
+  t.deepEqual(definedIn(line), {
+    event: 'item-given-up',
+    job: 'j',
+    item: 'i',
+    reason: 'failed-runs',
+    failures: MAX_ATTEMPTS,
+  });
+  const described =
+    /^status 500 target i-a run 0 owner me sinceAcceptedMs \d+$/;
+  t.is((failedRuns as readonly string[]).length, MAX_ATTEMPTS);
+  for (const run of failedRuns as readonly string[]) t.regex(run, described);
   t.like(listed, LISTED_LINE);
   t.deepEqual(others, []);
 });
@@ -140,12 +154,12 @@
 test('runs in doubt use up no attempt, but are counted and bounded', async t => {
   const {job, work} = await startJob();
   for (let runs = 1; runs < 2 * MAX_ATTEMPTS; runs++) {
-    job.doubt(work);
+    job.doubt(work, {...RUN, doubt: 'no-length'});
     await setTimeout(WRITE_MS);
     t.deepEqual([work.stage.kind, job.head.doubts], ['waiting', {0: runs}]);
     t.deepEqual(job.head.failures, {});
   }
-  job.doubt(work);
+  job.doubt(work, {...RUN, doubt: 'no-length'});
   await setTimeout(WRITE_MS);
   t.deepEqual([work.stage.kind, job.head.state], ['finished', 'done']);
 });
@@ -190,17 +204,22 @@
 // read it from a store that lags, or was stopped right before its write.
 test('no item is given up for a route of a configuration that was replaced', async t => {
   const store = new MemoryRowStore(SYSTEM_CLOCK);
-  const {job, work} = await startJob(store);
+  const {job, work, lines} = await startJob(store);
   work.texts.push('kept');
   const old = await writeConfig(store);
   const newest = await writeConfig(store);
-  job.giveUp(work, 'no-route', old);
+  job.giveUp(work, 'no-route', {row: old, version: 7, ageMs: 1});
   await setTimeout(WRITE_MS);
   t.deepEqual([work.stage.kind, work.texts], ['waiting', ['kept']]);
   t.deepEqual([job.closed, job.head.listed], [false, 0]);
-  job.giveUp(work, 'no-route', newest);
+  job.giveUp(work, 'no-route', {row: newest, version: 8, ageMs: 1});
   await setTimeout(WRITE_MS);
   t.deepEqual([job.closed, job.head.listed], [true, 1]);
+  t.deepEqual(lines.map(({event, config}) => [event, config]).slice(0, 3), [
+    ['item-given-up', 7],
+    ['item-kept', undefined],
+    ['item-given-up', 8],
+  ]);
 });
 
 // Guards against results and failures that are lost with a write that also
@@ -213,8 +232,8 @@
   const old = await writeConfig(store);
   await writeConfig(store);
   job.succeed(done!);
-  job.giveUp(kept!, 'no-route', old);
-  job.fail(failed!);
+  job.giveUp(kept!, 'no-route', {row: old, version: 7, ageMs: 1});
+  job.fail(failed!, RUN);
   await setTimeout(WRITE_MS);
   t.deepEqual(
     works.map(({stage}) => stage.kind),
@@ -222,3 +241,16 @@
   );
   t.deepEqual([job.head.listed, job.head.failures], [1, {2: 1}]);
 });
+
+// Guards against a head that no longer fits into a row and is never written.
+test('the head describes a bounded number of failed runs', async t => {
+  const ids = [...Array(200).keys()].map(i => `item-${i}`);
+  const {job, works} = await startJobWith(
+    new MemoryRowStore(SYSTEM_CLOCK),
+    ids,
+  );
+  for (const work of works) job.fail(work, RUN);
+  await setTimeout(2 * WRITE_MS);
+  t.is(Object.keys(job.head.failures).length, ids.length);
+  t.is(Object.keys(job.head.failedRuns ?? {}).length, 100);
+});
