Keep the estimated time of the store from running ahead of it

What callers saw: nothing yet.

Cause: a host takes the time of the store from its responses and counts on by its own clock. A response set the estimate forward only, so that a delayed one doesn't set it back.

Evidence: the new test fails on the code before: with a clock that is 0.1 % fast and calls of 10 ms, the estimate is more than 10 ms ahead after 15 s and goes on from there.

Why it holds: a response bounds the time of the store on both sides: it is no less than what the response says, and no more than that and the duration of the call. The estimate is moved into these bounds. A delayed response has wide bounds and moves nothing.

--- a/packages/stores/src/index.ts
+++ b/packages/stores/src/index.ts
@@ -20,6 +20,7 @@
 export * from './lib/process/weight_store.js';
 export * from './lib/process/relayed_row_store.js';
 export * from './lib/process/row_store.js';
+export * from './lib/process/store_time.js';
 export * from './lib/process/row_json.js';
 export * from './lib/process/table_watch.js';
 export * from './lib/process/memory_row_store.js';
--- a/packages/stores/src/lib/process/relayed_row_store.ts
+++ b/packages/stores/src/lib/process/relayed_row_store.ts
@@ -30,6 +30,7 @@
   RowTransaction,
   StoreTimestamp,
 } from './row_store.js';
+import {StoreTime} from './store_time.js';
 
 /** Another host that forwards calls to the store. */
 export type RowStoreRelay = Pick<RowStore, 'transact' | 'read' | 'changes'>;
@@ -77,8 +78,7 @@
   private relaying = false;
   private lastResponseAt = -Infinity;
   private newest = 0;
-  /** The newest store time of any response and when it arrived. */
-  private storeTime: {readonly ms: number; readonly at: number} | undefined;
+  private readonly storeTime: StoreTime;
   /** The relay that last succeeded; tried first. */
   private lastSuccessfulRelay: RowStoreRelay | undefined;
 
@@ -103,7 +103,9 @@
   constructor(
     private readonly direct: RowStore,
     private readonly context: RelayContext,
-  ) {}
+  ) {
+    this.storeTime = new StoreTime(context.clock);
+  }
 
   /** Milliseconds since the store last responded, directly or by relay. */
   get sinceResponseMs(): number {
@@ -136,10 +138,7 @@
 
   /** {@inheritDoc RowStore.storeTimeMs} */
   storeTimeMs(): number | undefined {
-    const direct = this.direct.storeTimeMs();
-    if (!this.storeTime) return direct;
-    const {ms, at} = this.storeTime;
-    return Math.max(direct ?? -Infinity, ms + this.context.clock.now() - at);
+    return this.storeTime.currentMs ?? this.direct.storeTimeMs();
   }
 
   /** {@inheritDoc RowStore.putObject} */
@@ -160,21 +159,16 @@
   private async call<T extends StoreTimestamp>(
     call: Call<T>,
   ): RowStoreOutcome<T> {
+    const startedAt = this.context.clock.now();
     const outcome = await this.callDirectOrRelayed(call);
     if (!isUnreachable(outcome)) this.lastResponseAt = this.context.clock.now();
     if (outcome.ok) {
       this.newest = Math.max(this.newest, outcome.value.version);
-      this.recordStoreTime(outcome.value.storeTimeMs);
+      this.storeTime.record(outcome.value.storeTimeMs, startedAt);
     }
     return outcome;
   }
 
-  private recordStoreTime(ms: number): void {
-    // A delayed response must not set the store time back.
-    if (ms > (this.storeTimeMs() ?? -Infinity))
-      this.storeTime = {ms, at: this.context.clock.now()};
-  }
-
   private async callDirectOrRelayed<T>(call: Call<T>): RowStoreOutcome<T> {
     if (this.relaying) {
       const relayed = await this.relay(call);
--- a/packages/stores/src/test/process/relayed_row_store_test.ts
+++ b/packages/stores/src/test/process/relayed_row_store_test.ts
@@ -5,6 +5,7 @@
   seededRandom,
   success,
   SYSTEM_CLOCK,
+  type Clock,
 } from '@oathead/core';
 import test from 'ava';
 import {
@@ -40,9 +41,13 @@
   }
 }
 
-function newStore(direct: FakeStore, relays: readonly FakeStore[]) {
+function newStore(
+  direct: FakeStore,
+  relays: readonly FakeStore[],
+  clock: Clock = SYSTEM_CLOCK,
+) {
   return new RelayedRowStore(direct as unknown as RowStore, {
-    clock: SYSTEM_CLOCK,
+    clock,
     random: seededRandom(1),
     log: NO_EVENT_LOG,
     counters: NO_COUNTERS,
@@ -95,3 +100,31 @@
   t.true((await store.changes('t', 0, 0)).ok);
   t.true((store.storeTimeMs() ?? 0) >= NO_CHANGES.storeTimeMs);
 });
+
+// Guards against items that are given up too early after days: the clock of a
+// host runs ahead a little, and each response set the estimate forward only.
+test('the estimated time of the store does not drift ahead of it', async t => {
+  let storeMs = 0;
+  let hostMs = 0;
+  const pass = (ms: number) => {
+    storeMs += ms;
+    hostMs += 1.001 * ms;
+  };
+  const direct = new FakeStore();
+  const respond = async () => {
+    pass(5);
+    const storeTimeMs = storeMs;
+    pass(5);
+    return success({...NO_CHANGES, storeTimeMs});
+  };
+  const store = newStore(Object.assign(direct, {transact: respond}), [], {
+    ...SYSTEM_CLOCK,
+    now: () => hostMs,
+  });
+  for (let i = 0; i < 1000; i++) {
+    pass(1000);
+    await store.transact({expect: [], puts: [], removes: []});
+    const aheadMs = store.storeTimeMs()! - storeMs;
+    t.true(aheadMs <= 10 && aheadMs >= -10, `${aheadMs} ms after ${i} s`);
+  }
+});
