Repeat a full read that is older than the feed

What callers saw: a host may go by an old configuration for up to ten seconds, long enough to find no route for an item and to give it up.

Cause: when the feed of a table has lost its history, the whole table is read again. If that read is older than what the feed had shown, a change that the feed missed isn't in it; the feed then goes on after that change, and nothing asks for it until the next periodic read (10 s for the configuration).

Evidence: the new test fails on the code before: the feed misses a row, loses its history, and reads lag for 60 ms; the row is still missing 600 ms after the reads are whole again.

Why it holds: each response names the newest version of the store. A page whose version is below the one that the feed has shown is not used, and the full read stays due: it is tried again with each round, by one call, while the feed is followed on.

--- a/packages/stores/src/lib/process/table_watch.ts
+++ b/packages/stores/src/lib/process/table_watch.ts
@@ -4,8 +4,9 @@
  * periodically and when the feed has lost its history.
  *
  * The periodic full read repairs the copy if the feed has silently missed a
- * change. A row is replaced only by one with a higher version, so a delayed
- * response never restores an older row.
+ * change. It is repeated if it is older than what the feed has shown. A row is
+ * replaced only by one with a higher version, so a delayed response never
+ * restores an older row.
  */
 import {
   sleep,
@@ -138,8 +139,13 @@
 
   private async poll(): Promise<boolean> {
     const due = this.lastFullReadAt + this.options.fullReadMs;
-    if (this.context.clock.now() >= due) return this.readAll();
-    return this.readChanges();
+    if (this.context.clock.now() < due) return this.readChanges();
+    const read = await this.readAll();
+    if (read !== 'out-of-date') return read === 'done';
+    const {table} = this.options;
+    this.context.counters.count('table_answers_out_of_date', {table});
+    // The feed is followed meanwhile, unless it has lost its history.
+    return (await this.readChanges()) && this.lastFullReadAt > -Infinity;
   }
 
   private async readChanges(): Promise<boolean> {
@@ -195,7 +201,7 @@
     return true;
   }
 
-  private async readAll(): Promise<boolean> {
+  private async readAll(): Promise<'done' | 'failed' | 'out-of-date'> {
     const found = new Map<string, VersionedRow>();
     let version = Infinity;
     let storeTimeMs = 0;
@@ -210,7 +216,11 @@
           from,
           limit,
         });
-        if (!result.ok) return this.recordFailure(result.err);
+        if (!result.ok) {
+          this.recordFailure(result.err);
+          return 'failed';
+        }
+        if (result.value.version < this.version) return 'out-of-date';
         const {rows, hasMore} = result.value;
         for (const row of rows) found.set(rowKey(partition, row.key), row);
         version = Math.min(version, result.value.version);
@@ -222,7 +232,7 @@
     this.lastFullReadAt = this.context.clock.now();
     this.replaceRows(found, version, storeTimeMs);
     this.renewFreshness(renewal, version);
-    return true;
+    return 'done';
   }
 
   private replaceRows(
--- a/packages/stores/src/test/process/table_watch_test.ts
+++ b/packages/stores/src/test/process/table_watch_test.ts
@@ -1,5 +1,11 @@
 import {setTimeout} from 'node:timers/promises';
-import {failure, NO_COUNTERS, NO_EVENT_LOG, SYSTEM_CLOCK} from '@oathead/core';
+import {
+  failure,
+  NO_COUNTERS,
+  NO_EVENT_LOG,
+  success,
+  SYSTEM_CLOCK,
+} from '@oathead/core';
 import test from 'ava';
 import {MemoryRowStore} from '../../lib/process/memory_row_store.js';
 import type {RowStore} from '../../lib/process/row_store.js';
@@ -84,6 +90,43 @@
   watch[Symbol.dispose]();
 });
 
+// Guards against a host that goes by an old configuration until its next full
+// read: the feed misses a change, the store drops its history, and its reads lag
+// for a while.
+test('a read that is older than the feed is repeated', async t => {
+  const store = new MemoryRowStore(SYSTEM_CLOCK);
+  await put(store, 'a');
+  const old = await store.read({table: 't', partition: ''});
+  let feed: 'whole' | 'deaf' | 'lost' = 'whole';
+  let readsLag = false;
+  const laggingStore: RowStore = {
+    ...delegateTo(store),
+    changes: async (table, after, waitMs) => {
+      const changes = await store.changes(table, after, waitMs);
+      if (feed === 'whole' || !changes.ok) return changes;
+      if (feed === 'deaf') return success({...changes.value, changes: []});
+      return failure({kind: 'history-lost'});
+    },
+    read: async query =>
+      readsLag && query.partition === '' ? old : store.read(query),
+  };
+  const {watch, keys} = follow(laggingStore);
+  t.teardown(() => watch[Symbol.dispose]());
+  await setTimeout(60);
+  feed = 'deaf';
+  await put(store, 'b');
+  await setTimeout(60);
+  readsLag = true;
+  feed = 'lost';
+  await setTimeout(60);
+  feed = 'whole';
+  await setTimeout(60);
+  t.deepEqual(keys(), ['a']);
+  readsLag = false;
+  await setTimeout(600);
+  t.deepEqual(keys(), ['a', 'b']);
+});
+
 function delegateTo(store: MemoryRowStore): RowStore {
   return {
     transact: transaction => store.transact(transaction),
