A failed item is not run again where it failed

What callers saw: items listed as given up although most targets of their service worked and the item was due many seconds later.

Cause: nothing remembered which target had failed an item, and placement asked the coordinator without exclusions. A target that fails its runs at once has free slots at once, so it is the first to get the item again.

Why the fix holds: an item keeps the IDs of the targets that failed it, and placement excludes those that are available, both by the local view and by the coordinator. One target is always left, the one whose failure is oldest, so that a service with one target, or of which all fail, still runs items. If no other target has a free slot, an item that is due soon, or whose job expires soon, runs where it failed rather than wait.

What follows from it: - An item that avoids targets and finds no slot backs off by itself. By the back-off of the route, a few such items would hold back all others (test: 33 placements for the failed items, none for the other one). - The coordinator no longer takes what items exclude for reports of failing targets. An item excludes its targets for as long as it waits, and may be the reason why they failed: two items that fail everywhere would take working targets from online requests (test fails without it). Targets that a host suspends are still excluded from placements of its items; for other hosts they are avoided by the reports of online requests alone. - The memory is `ItemWork.failedTargets`; another owner starts without it.

--- a/packages/gateway/src/lib/connection/placement_message.ts
+++ b/packages/gateway/src/lib/connection/placement_message.ts
@@ -48,7 +48,7 @@
   wish: CRITERIA,
   /**
    * IDs of targets that must not be chosen, because they just failed a request
-   * of this host.
+   * of this host, or have failed the item.
    */
   excluded: z.array(z.string()).readonly(),
 });
--- a/packages/gateway/src/lib/process/coordinator.ts
+++ b/packages/gateway/src/lib/process/coordinator.ts
@@ -70,7 +70,9 @@
     {host, service, wish, excluded}: PlacementRequest,
     dataCentre: string,
   ): PlacementDecision {
-    this.avoided.report(host, excluded);
+    // An item excludes the targets that failed it for as long as it waits, and
+    // may itself be the reason why they did.
+    if (wish.lane === 'online') this.avoided.report(host, excluded);
     const avoided = new Set([...excluded, ...this.avoided.avoidedIds()]);
     const target =
       this.choose(service, wish, avoided) ??
--- a/packages/gateway/src/lib/process/placement.ts
+++ b/packages/gateway/src/lib/process/placement.ts
@@ -49,8 +49,6 @@
  */
 const MAX_EXCLUDED = 30;
 
-const NO_TARGETS: ReadonlySet<string> = new Set();
-
 /** Dependencies of {@link Placement}. */
 export interface PlacementContext<P extends LoadPeer> {
   readonly self: LoadPeer;
@@ -171,24 +169,28 @@
   /**
    * @param service - Service that the target must provide.
    * @param pressure - Whether the item is urgent.
+   * @param avoided - IDs of targets that must not be selected.
    * @returns The selected target; undefined if none has a free slot. Never
    *     rejects.
    */
   async forItem(
     service: string,
     pressure: BatchPressure,
+    avoided: ReadonlySet<string>,
   ): Promise<Target | undefined> {
     const {chooser} = this.context;
-    const own = chooser.forItem(service, pressure);
+    const own = chooser.forItem(service, pressure, avoided);
     const coordinator = this.coordinator();
     if (!coordinator || !own) return own;
     const answer = await this.requestPlacement(
       coordinator,
       service,
       {lane: 'batch', pressure},
-      NO_TARGETS,
+      avoided,
     );
-    return answer === 'silent' ? chooser.forItem(service, pressure) : answer;
+    return answer === 'silent'
+      ? chooser.forItem(service, pressure, avoided)
+      : answer;
   }
 
   /** @param message - A message from another host. */
--- a/packages/gateway/src/lib/process/target_chooser.ts
+++ b/packages/gateway/src/lib/process/target_chooser.ts
@@ -113,14 +113,25 @@
   /**
    * @param service - Service that the target must provide.
    * @param pressure - Whether the item is urgent.
+   * @param excluded - IDs of targets that must not be selected.
    * @returns The target with the lowest score; undefined if none has a free
    *     slot.
    */
-  forItem(service: string, pressure: BatchPressure): Target | undefined {
+  forItem(
+    service: string,
+    pressure: BatchPressure,
+    excluded: ReadonlySet<string>,
+  ): Target | undefined {
     const {directory, preferredTargets: preferred} = this.context;
+    const isAllowed = ({id}: Target) => !excluded.has(id);
     const all = directory.ofService(service);
-    const candidates = pressure === 'relaxed' ? preferred.select(all) : all;
-    return this.bestForItem(candidates, pressure);
+    if (pressure === 'pressed')
+      return this.bestForItem(all.filter(isAllowed), pressure);
+    const allowed = preferred.select(all).filter(isAllowed);
+    return this.bestForItem(
+      allowed.length > 0 ? allowed : all.filter(isAllowed),
+      pressure,
+    );
   }
 
   /**
@@ -201,6 +212,16 @@
     return ids.filter(id => suspensions.isSuspended(id));
   }
 
+  /**
+   * @returns IDs of the targets of a service that are not suspended by this
+   *     host, whether they have free slots or not.
+   */
+  available(service: string): readonly string[] {
+    const {directory, suspensions} = this.context;
+    const ids = directory.ofService(service).map(({id}) => id);
+    return ids.filter(id => !suspensions.isSuspended(id));
+  }
+
   /**
    * @returns Whether a service has a target, full or not, that was not tried.
    */
--- a/packages/gateway/src/test/fakes/fleet_simulator.ts
+++ b/packages/gateway/src/test/fakes/fleet_simulator.ts
@@ -464,7 +464,11 @@
       const next = host.itemsWaiting.findIndex(at => at <= this.now);
       if (next < 0) break;
       const {pressure} = this.load;
-      const target = await host.placement.forItem(SERVICE, pressure);
+      const target = await host.placement.forItem(
+        SERVICE,
+        pressure,
+        NO_TARGETS,
+      );
       if (!target) {
         host.fullUntil = this.now + FULL_BACKOFF_MS;
         break;
--- a/packages/gateway/src/test/process/placement_test.ts
+++ b/packages/gateway/src/test/process/placement_test.ts
@@ -159,6 +159,33 @@
   t.is(placedFor('h3', []), 't1');
 });
 
+// An item is placed again and again where it failed: such a target has free
+// slots at once.
+test('an item is not placed at a target that it avoids', async t => {
+  const {requester, coordinator} = newPair();
+  const avoided = new Set(['t1']);
+  const placed = requester.placement.forItem('s', 'pressed', avoided);
+  coordinator.placement.receive(requester.sent.at(-1)![0]);
+  requester.placement.receive(coordinator.sent.at(-1)![0]);
+  t.is((await placed)?.id, 't2');
+  requester.fill('y', 't2', 8, 0);
+  t.is(await requester.placement.forItem('s', 'pressed', avoided), undefined);
+});
+
+// Two items that every target fails would take their targets from all requests.
+test('a target that failed two items is not avoided for all hosts', t => {
+  const {coordinator} = newPair();
+  const wish = {lane: 'batch', pressure: 'pressed'} as const;
+  for (const host of ['h1', 'h2'])
+    coordinator.placement.receive({
+      ...{kind: 'ask', host, askId: 1, service: 's', wish},
+      excluded: ['t1'],
+    });
+  coordinator.fill('y', 't2', 7, 0);
+  coordinator.placement.receive(requestFrom('h3', []));
+  t.like(coordinator.sent.at(-1)![0], {kind: 'grant', targetId: 't1'});
+});
+
 // Every request of a data centre waits for its failed coordinator.
 test('an unresponsive coordinator delays few requests and is not asked for a while', async t => {
   const {requester, clock} = newPair();
--- a/packages/jobs/src/lib/process/batch_scheduler.ts
+++ b/packages/jobs/src/lib/process/batch_scheduler.ts
@@ -14,6 +14,7 @@
   type TargetChooser,
   type TargetDirectory,
 } from '@oathead/gateway';
+import {avoidedItemTargets, mayRunAnywhere} from './avoided_item_targets.js';
 import type {ItemWork} from './item_work.js';
 import {
   compareEstimates,
@@ -77,6 +78,8 @@
  */
 const ROUTE_MISSING_TIMEOUT_MS = 5000;
 
+const NO_TARGETS: ReadonlySet<string> = new Set();
+
 interface Candidate {
   readonly job: OwnedJob;
   readonly work: ItemWork;
@@ -99,6 +102,10 @@
   return `${PRESSURE[estimate.urgency]} ${name}`;
 }
 
+function hasFailed({work}: Candidate): boolean {
+  return work.failedTargets.length > 0;
+}
+
 function byPriority(a: Candidate, b: Candidate): number {
   return compareEstimates(a.estimate, b.estimate);
 }
@@ -211,7 +218,10 @@
       if (!route || this.isFull(route, candidate)) continue;
       if (this.context.crashSuspects.isItemBlocked(candidate.work.fingerprint))
         continue;
-      await this.startItem(candidate, route);
+      const isPlaced = await this.startItem(candidate, route);
+      // Otherwise a few items that wait for other targets than those that
+      // failed them would hold back all that come after them.
+      if (!isPlaced && hasFailed(candidate)) continue;
       if (++started >= MAX_STARTS_PER_TICK) return;
     }
   }
@@ -221,41 +231,65 @@
     return until !== undefined && until > this.context.clock.now();
   }
 
-  private async startItem(candidate: Candidate, route: Route): Promise<void> {
-    const {clock, crashSuspects, placement} = this.context;
+  /** @returns Whether a target has a free slot for the item. */
+  private async startItem(
+    candidate: Candidate,
+    route: Route,
+  ): Promise<boolean> {
+    const {crashSuspects} = this.context;
     const {job, work} = candidate;
     const {stage} = work;
     const target = await this.targetFor(route, candidate);
     const {urgency} = candidate.estimate;
     this.waitingReport.countPlacement(urgency, target ? 'placed' : 'full');
-    if (!target) {
-      const backoffMs =
-        FULL_ROUTE_BACKOFF_MS[
-          placement.usesPeerCoordinator ? 'coordinator' : 'localView'
-        ];
-      this.routeFullUntil.set(
-        fullRouteKey(route, candidate),
-        clock.now() + backoffMs,
-      );
-      return;
-    }
     // While the placement was pending, the item may have failed, or its job may
     // have been cancelled or handed over.
-    if (work.stage !== stage || job.closed || this.paused) return;
+    const isStale = work.stage !== stage || job.closed || this.paused;
+    if (!target) {
+      const until = this.fullUntil();
+      // The route may have slots for items that avoid no target.
+      if (!hasFailed(candidate))
+        this.routeFullUntil.set(fullRouteKey(route, candidate), until);
+      else if (!isStale) work.stage = {kind: 'waiting', notBefore: until};
+      return false;
+    }
+    if (isStale) return true;
     crashSuspects.recordItemStart(work.fingerprint);
     runItem(this.context, job, work, route, target, () =>
       this.durations.add(job.head, work),
     );
+    return true;
   }
 
-  private targetFor(
+  private fullUntil(): number {
+    const {clock, placement} = this.context;
+    const by = placement.usesPeerCoordinator ? 'coordinator' : 'localView';
+    return clock.now() + FULL_ROUTE_BACKOFF_MS[by];
+  }
+
+  private async targetFor(
     route: Route,
-    {estimate}: Candidate,
+    candidate: Candidate,
   ): Promise<Target | undefined> {
     const {placement, random} = this.context;
     const services = route.services.map(({service}) => service);
-    const first = random.int(services.length);
-    return placement.forItem(services[first]!, PRESSURE[estimate.urgency]);
+    const service = services[random.int(services.length)]!;
+    const pressure = PRESSURE[candidate.estimate.urgency];
+    const avoided = this.avoidedTargets(service, candidate);
+    const target = await placement.forItem(service, pressure, avoided);
+    if (target || avoided.size === 0) return target;
+    return mayRunAnywhere(candidate.estimate, this.untilExpiryMs(candidate.job))
+      ? placement.forItem(service, pressure, NO_TARGETS)
+      : undefined;
+  }
+
+  private avoidedTargets(
+    service: string,
+    {work: {failedTargets}}: Candidate,
+  ): ReadonlySet<string> {
+    if (failedTargets.length === 0) return NO_TARGETS;
+    const available = this.context.chooser.available(service);
+    return avoidedItemTargets(failedTargets, available);
   }
 
   /** @returns The items that may start now, in order of priority. */
@@ -287,10 +321,13 @@
     return {job, work, estimate};
   }
 
-  private failExpiredItems(job: OwnedJob): void {
-    const {acceptedAtMs, retentionMs} = job.head;
+  private untilExpiryMs({head}: OwnedJob): number {
     const now = this.context.storeTimeMs() ?? 0;
-    if (now < acceptedAtMs + retentionMs) return;
+    return head.acceptedAtMs + head.retentionMs - now;
+  }
+
+  private failExpiredItems(job: OwnedJob): void {
+    if (this.untilExpiryMs(job) > 0) return;
     for (const work of job.work)
       if (work.stage.kind === 'waiting') job.giveUp(work, 'retention');
   }
--- a/packages/jobs/src/lib/process/item_runner.ts
+++ b/packages/jobs/src/lib/process/item_runner.ts
@@ -178,6 +178,7 @@
     return;
   }
   if (end.kind === 'answered') {
+    if (countsAsFailure(end)) recordFailedTarget(work, target);
     handleAnswer(job, work, end.head.status, now);
     return;
   }
@@ -187,6 +188,11 @@
   work.stage = {kind: 'waiting', notBefore: now + delayMs};
 }
 
+function recordFailedTarget(work: ItemWork, {id}: Target): void {
+  const others = work.failedTargets.filter(failed => failed !== id);
+  work.failedTargets = [...others, id];
+}
+
 function recordAbort(
   {counters}: ItemRunContext,
   work: ItemWork,
--- a/packages/jobs/src/lib/process/item_work.ts
+++ b/packages/jobs/src/lib/process/item_work.ts
@@ -34,6 +34,8 @@
   readonly fingerprint: string;
   stage: ItemStage;
   failures: number;
+  /** IDs of the targets that failed it, the latest last. */
+  failedTargets: readonly string[];
   lastEventId: number | undefined;
   texts: string[];
   /** Number of entries of `texts` received under earlier owners. */
@@ -73,6 +75,7 @@
     fingerprint: CrashSuspects.fingerprintOf(item.path, item.body),
     stage: {kind: 'waiting', notBefore: 0},
     failures,
+    failedTargets: [],
     lastEventId: partial?.lastEventId,
     texts: [...(partial?.texts ?? [])],
     inheritedTexts: partial?.texts.length ?? 0,
--- a/packages/jobs/src/test/process/batch_scheduler_test.ts
+++ b/packages/jobs/src/test/process/batch_scheduler_test.ts
@@ -48,34 +48,39 @@
   } as unknown as OwnedJob;
 }
 
-/** Counts placement attempts while no target has a free slot. */
-async function countPlacementAttempts(
-  jobs: readonly OwnedJob[],
-  usesPeerCoordinator: boolean,
-) {
-  const counts: Record<BatchPressure, number> = {relaxed: 0, pressed: 0};
-  const placement = {
-    usesPeerCoordinator,
-    forItem: async (service: string, pressure: BatchPressure) => {
-      counts[pressure]++;
-      return undefined as Target | undefined;
-    },
-  };
+/** Runs a scheduler with one route for {@link RUN_MS}. */
+async function runScheduler(jobs: readonly OwnedJob[], parts: object) {
   const context = {
     clock: SYSTEM_CLOCK,
     log: NO_EVENT_LOG,
     counters: NO_COUNTERS,
     random: seededRandom(1),
-    placement,
     routing: {current: {match: () => ROUTE}, onAdopted: () => {}},
     crashSuspects: {isItemBlocked: () => false},
     loads: {onChange: () => {}},
     storeTimeMs: () => 0,
+    ...parts,
   } as unknown as SchedulerContext;
   const scheduler = new BatchScheduler(context, () => jobs);
   scheduler.start();
   await setTimeout(RUN_MS);
   scheduler[Symbol.dispose]();
+}
+
+/** Counts placement attempts while no target has a free slot. */
+async function countPlacementAttempts(
+  jobs: readonly OwnedJob[],
+  usesPeerCoordinator: boolean,
+) {
+  const counts: Record<BatchPressure, number> = {relaxed: 0, pressed: 0};
+  const placement = {
+    usesPeerCoordinator,
+    forItem: async (service: string, pressure: BatchPressure) => {
+      counts[pressure]++;
+      return undefined as Target | undefined;
+    },
+  };
+  await runScheduler(jobs, {placement});
   return counts;
 }
 
@@ -109,6 +114,35 @@
   );
 });
 
+// Guards against items that are not started although targets have free slots:
+// those with a higher priority wait for other targets than those that failed
+// them.
+test('failed items that find no other target do not hold back others', async t => {
+  const failed = ['f1', 'f2', 'f3', 'f4'].map(id => {
+    const job = jobDueIn(id, GOAL_MS, GOAL_MS / 8);
+    job.work[0]!.failedTargets = ['failing'];
+    return job;
+  });
+  const counts = {failed: 0, others: 0};
+  const placement = {
+    usesPeerCoordinator: false,
+    forItem: async (
+      service: string,
+      pressure: BatchPressure,
+      avoided: ReadonlySet<string>,
+    ) => {
+      counts[avoided.has('failing') ? 'failed' : 'others']++;
+      return undefined as Target | undefined;
+    },
+  };
+  const chooser = {available: () => ['failing', 'full']};
+  await runScheduler([...failed, jobDueIn('other', GOAL_MS)], {
+    placement,
+    chooser,
+  });
+  t.true(counts.failed > 0 && counts.others > 0, JSON.stringify(counts));
+});
+
 /** A scheduler without targets, whose clock and routes the test sets. */
 class RouteFixture implements Disposable {
   nowMs = 0;
