A failed item waits before its next run

What callers saw: items given up 2.5 s after their first run, due in 18 s and kept for 60.

Cause: after a failed run an item was run again as soon as a slot was free, and a target that fails its runs at once has free slots at once. To avoid the targets that failed an item is not enough: it goes to the next target that is free because it fails.

Why the fix holds: `retryDelayMs` decides, apart from the clock and the store, how long a failed item waits. Its last attempt waits a third of the time that it can spare before it is due (5 s at most), each attempt before it a third of that. An item without time to spare runs at once; one that is late has until its job expires.

The time of the last failure is known to the current owner alone: a host that takes a job over does not wait.

--- a/packages/jobs/src/lib/process/batch_scheduler.ts
+++ b/packages/jobs/src/lib/process/batch_scheduler.ts
@@ -25,6 +25,7 @@
 import {runItem, type ItemRunContext} from './item_runner.js';
 import {idleTimeoutMs} from './item_idle_timeout.js';
 import type {OwnedJob} from './owned_job.js';
+import {retryDelayMs} from './retry_delay.js';
 import {WaitingReport} from './waiting_report.js';
 
 /** Dependencies of a {@link BatchScheduler}. */
@@ -300,13 +301,26 @@
       this.failExpiredItems(job);
       for (const work of job.work) {
         const {stage} = work;
-        if (stage.kind === 'waiting' && stage.notBefore <= now)
-          candidates.push(this.candidate(job, work));
+        if (stage.kind !== 'waiting' || stage.notBefore > now) continue;
+        const candidate = this.candidate(job, work);
+        if (!this.isDelayed(candidate, now)) candidates.push(candidate);
       }
     }
     return candidates.sort(byPriority);
   }
 
+  private isDelayed({job, work, estimate}: Candidate, now: number): boolean {
+    const {failures, lastFailureAtMs} = work;
+    if (lastFailureAtMs === undefined) return false;
+    const item = {
+      ...estimate,
+      attemptsLeft: job.head.maxAttempts - failures,
+      sinceFailureMs: now - lastFailureAtMs,
+      untilExpiryMs: this.untilExpiryMs(job),
+    };
+    return retryDelayMs(item) > 0;
+  }
+
   private unfinishedItems(): readonly Candidate[] {
     return [...this.jobs()].flatMap(job =>
       job.work
--- a/packages/jobs/src/lib/process/item_runner.ts
+++ b/packages/jobs/src/lib/process/item_runner.ts
@@ -178,7 +178,7 @@
     return;
   }
   if (end.kind === 'answered') {
-    if (countsAsFailure(end)) recordFailedTarget(work, target);
+    if (countsAsFailure(end)) recordFailedTarget(work, target, now);
     handleAnswer(job, work, end.head.status, now);
     return;
   }
@@ -188,9 +188,10 @@
   work.stage = {kind: 'waiting', notBefore: now + delayMs};
 }
 
-function recordFailedTarget(work: ItemWork, {id}: Target): void {
+function recordFailedTarget(work: ItemWork, {id}: Target, now: number): void {
   const others = work.failedTargets.filter(failed => failed !== id);
   work.failedTargets = [...others, id];
+  work.lastFailureAtMs = now;
 }
 
 function recordAbort(
--- a/packages/jobs/src/lib/process/item_work.ts
+++ b/packages/jobs/src/lib/process/item_work.ts
@@ -36,6 +36,11 @@
   failures: number;
   /** IDs of the targets that failed it, the latest last. */
   failedTargets: readonly string[];
+  /**
+   * Time of the last failed run under the current owner, on the host's
+   * monotonic clock in milliseconds.
+   */
+  lastFailureAtMs: number | undefined;
   lastEventId: number | undefined;
   texts: string[];
   /** Number of entries of `texts` received under earlier owners. */
@@ -76,6 +81,7 @@
     stage: {kind: 'waiting', notBefore: 0},
     failures,
     failedTargets: [],
+    lastFailureAtMs: undefined,
     lastEventId: partial?.lastEventId,
     texts: [...(partial?.texts ?? [])],
     inheritedTexts: partial?.texts.length ?? 0,
