Items: no fallback when all preferred targets failed an item

A host prefers at least eight targets, or all if there are fewer, so a relaxed item finds none only after failing eight times, and has all targets again once it is due soon. No test reached that branch.

The test with the real program waits for its results for 30 s: what it guards is that no item is given up.

--- a/packages/gateway/src/lib/process/target_chooser.ts
+++ b/packages/gateway/src/lib/process/target_chooser.ts
@@ -123,15 +123,10 @@
     excluded: ReadonlySet<string>,
   ): Target | undefined {
     const {directory, preferredTargets: preferred} = this.context;
-    const isAllowed = ({id}: Target) => !excluded.has(id);
     const all = directory.ofService(service);
-    if (pressure === 'pressed')
-      return this.bestForItem(all.filter(isAllowed), pressure);
-    const allowed = preferred.select(all).filter(isAllowed);
-    return this.bestForItem(
-      allowed.length > 0 ? allowed : all.filter(isAllowed),
-      pressure,
-    );
+    const candidates = pressure === 'relaxed' ? preferred.select(all) : all;
+    const allowed = candidates.filter(({id}) => !excluded.has(id));
+    return this.bestForItem(allowed, pressure);
   }
 
   /**
