Results no longer wait for the text of another item

A caller read a job whose items were done at their targets, and got none of their results; failed items of the job were not run again either. This lasts as long as the store refuses one object: when its objects cannot be reached, or for a host that reaches the store's rows through others only (objects are not relayed), or when the store has no room left.

Cause: before each write the owner prepared the next results one after another, and a text that is too large for a row was stored on the way and tried again without end. All other results, and the failures of items in stage 'recording', waited behind it.

Evidence: in the test a store refuses objects while a long text, a short one and a failed run come in.

A long text is now stored first, one at a time for each job, and its result takes a position only when it is. No result is listed whose text is not stored, as before. A job that is handed over still waits for the texts that are being stored.

--- a/packages/jobs/src/lib/process/owned_job.ts
+++ b/packages/jobs/src/lib/process/owned_job.ts
@@ -20,10 +20,12 @@
   readonly limits: StoreLimits;
 }
 
-/** An item whose result is not written yet. */
+/** An item whose result is not written yet, though its text is stored. */
 interface FinishedItem {
   readonly work: ItemWork;
-  readonly result: ItemResult;
+  readonly state: ItemResult['state'];
+  /** Value of the result's row. */
+  readonly value: Uint8Array;
   /** On the host's monotonic clock, in milliseconds. */
   readonly finishedAtMs: number;
 }
@@ -57,6 +59,8 @@
   private readonly finished: FinishedItem[] = [];
   private readonly failed: ItemWork[] = [];
   private writing: Promise<void> | undefined;
+  /** Settles when all texts that are too large for a row are stored. */
+  private storing = Promise.resolve();
   private checkpointing = false;
 
   /**
@@ -154,6 +158,7 @@
   async handOver(owner: string): Promise<void> {
     for (const {stage} of this.work)
       if (stage.kind === 'running') stage.control.end('stop');
+    await this.storing;
     while (this.writing) await this.writing;
     if (this.closed) return;
     const puts = this.partialRows();
@@ -216,11 +221,23 @@
     if (this.closed || work.stage.kind === 'finished') return;
     work.stage = {kind: 'finished'};
     work.texts = [];
-    this.finished.push({
-      work,
-      result: {id: work.item.id, state, text},
-      finishedAtMs: this.context.clock.now(),
+    const result: ItemResult = {id: work.item.id, state, text};
+    const finishedAtMs = this.context.clock.now();
+    const value = encodeJson({kind: 'here', ...result} satisfies StoredResult);
+    if (value.length <= this.context.limits.rowBytes) {
+      this.enlist({work, state, value, finishedAtMs});
+      return;
+    }
+    // Guards against results, and failures, that wait for the text of another
+    // item: a host may reach the rows of the store, but not its objects.
+    this.storing = this.storing.then(async () => {
+      const reference = await this.storeText(result.id, value);
+      if (reference) this.enlist({work, state, value: reference, finishedAtMs});
     });
+  }
+
+  private enlist(item: FinishedItem): void {
+    this.finished.push(item);
     this.flush();
   }
 
@@ -234,9 +251,7 @@
   }
 
   private async writeNext(): Promise<void> {
-    const {puts, items} = await this.nextRows();
-    // A result whose text is not stored must not be listed.
-    if (this.closed) return;
+    const {puts, items} = this.nextRows();
     const failed = this.failed.splice(0);
     const listed = this.head.listed + items.length;
     const done = listed === this.head.items;
@@ -262,9 +277,9 @@
     if (done) this[Symbol.dispose]();
   }
 
-  private reportListed({work, result, finishedAtMs}: FinishedItem): void {
+  private reportListed({work, state, finishedAtMs}: FinishedItem): void {
     const {clock, store} = this.context;
-    reportListedItem(this.context, this.head, work, result.state, {
+    reportListedItem(this.context, this.head, work, state, {
       adoptedAtMs: this.adoptedAtMs,
       finishedAtMs,
       listedAtMs: clock.now(),
@@ -272,16 +287,16 @@
     });
   }
 
-  private async nextRows(): Promise<{
+  private nextRows(): {
     readonly puts: readonly RowPut[];
     readonly items: readonly FinishedItem[];
-  }> {
+  } {
     const puts: RowPut[] = [];
     const items: FinishedItem[] = [];
     let bytes = 0;
     for (const item of this.finished.slice(0, MAX_RESULTS_PER_TRANSACTION)) {
       const position = this.head.listed + items.length;
-      const value = await this.resultValue(item.result);
+      const {value} = item;
       bytes += value.length;
       if (items.length > 0 && bytes > this.context.limits.transactionBytes)
         break;
@@ -292,20 +307,29 @@
     return {puts, items};
   }
 
-  private async resultValue(result: ItemResult): Promise<Uint8Array> {
-    const inline = encodeJson({kind: 'here', ...result} satisfies StoredResult);
-    const {store, clock, limits} = this.context;
-    if (inline.length <= limits.rowBytes) return inline;
+  /**
+   * Stores a text as an object.
+   *
+   * @param itemId - ID of the item.
+   * @param bytes - The result with its text.
+   * @returns Value of the row that refers to the object; undefined if the job
+   *   was let go before the object was stored.
+   */
+  private async storeText(
+    itemId: string,
+    bytes: Uint8Array,
+  ): Promise<Uint8Array | undefined> {
+    const {store, clock} = this.context;
     // The same item may have run twice: the nonce of the head keeps the objects
     // of its runs apart.
-    const name = `text-${encodeURIComponent(result.id)}-${this.head.nonce}`;
-    const value = encodeJson({kind: 'object', name} satisfies StoredResult);
+    const name = `text-${encodeURIComponent(itemId)}-${this.head.nonce}`;
     while (!this.closed) {
-      const put = await store.putObject(name, inline);
-      if (put.ok || put.err.kind === 'conflict') break;
+      const put = await store.putObject(name, bytes);
+      if (put.ok || put.err.kind === 'conflict')
+        return encodeJson({kind: 'object', name} satisfies StoredResult);
       await sleep(clock, OBJECT_RETRY_DELAY_MS, this.stop.signal);
     }
-    return value;
+    return undefined;
   }
 }
 
--- a/packages/jobs/src/test/process/owned_job_test.ts
+++ b/packages/jobs/src/test/process/owned_job_test.ts
@@ -9,7 +9,7 @@
 } from '@oathead/core';
 import {encodeJson, MemoryRowStore} from '@oathead/stores';
 import test from 'ava';
-import {newItemWork, type ItemWork} from '../../lib/process/item_work.js';
+import {newItemWork} from '../../lib/process/item_work.js';
 import {OwnedJob, type GiveUpReason} from '../../lib/process/owned_job.js';
 import {
   headRef,
@@ -48,13 +48,19 @@
   }
 }
 
-/** Creates a job with one item, and its log. */
-async function startJob(store = new MemoryRowStore(SYSTEM_CLOCK)) {
-  const puts = [{...headRef('j'), value: encodeJson(HEAD)}];
+/** Creates a job, and its log. */
+async function startJob(
+  store = new MemoryRowStore(SYSTEM_CLOCK),
+  items: readonly [string, ...string[]] = ['i'],
+) {
+  const newHead = {...HEAD, items: items.length};
+  const puts = [{...headRef('j'), value: encodeJson(newHead)}];
   const written = await store.transact({expect: [], puts, removes: []});
   if (!written.ok) throw new Error(written.err.kind);
-  const item = {id: 'i', path: '/', headers: {}, body: Buffer.of(), tokens: 1};
-  const work: ItemWork = newItemWork(0, item, 0, undefined);
+  const item = {path: '/', headers: {}, body: Buffer.of(), tokens: 1};
+  const works = items.map((id, i) =>
+    newItemWork(i, {...item, id}, 0, undefined),
+  );
   const lines: Array<EventFields & {readonly event: string}> = [];
   const context = {
     store,
@@ -72,9 +78,9 @@
         void lines.push({event, ...fields}),
     },
   };
-  const head = {head: HEAD, version: written.value.version};
-  const job = new OwnedJob(context, head, [work], () => {});
-  return {job, work, lines};
+  const head = {head: newHead, version: written.value.version};
+  const job = new OwnedJob(context, head, works, () => {});
+  return {job, work: works[0]!, works, lines};
 }
 
 /** Line of the result, without the times of its stages. */
@@ -153,3 +159,21 @@
   const page = await store.read(jobRowRange(RESULT_TABLE, 'j'));
   t.deepEqual(page.ok && page.value.rows, []);
 });
+
+// Guards against finished items that are never listed, and failed ones that are
+// never run again: they waited for the text of another item, which the store
+// did not accept.
+test('no item waits for the text of another one to be stored', async t => {
+  const store = new ObjectRefusingStore(SYSTEM_CLOCK);
+  const {job, works} = await startJob(store, ['long', 'short', 'failed']);
+  const [long, short, failed] = works;
+  long!.texts.push('x'.repeat(ROW_BYTES));
+  job.succeed(long!);
+  job.succeed(short!);
+  job.fail(failed!);
+  await setTimeout(WRITE_MS);
+  t.is(job.head.listed, 1);
+  t.deepEqual(job.head.failures, {2: 1});
+  t.is(failed!.stage.kind, 'waiting');
+  job[Symbol.dispose]();
+});
