A host that stops hands over jobs that it does not process yet

A caller's job was accepted by a host, or handed over to it, just as the host was stopped as planned. None of its items ran until the host had ended (up to grace_s, 8 s) and its lease had lapsed.

Cause: a stopping host handed over the jobs that it processed. A job whose items were still being read was dropped when they had been read, and one that arrived later, from another stopping host or by an acceptance under way, was ignored. In both cases the head went on naming a host that is alive, so that no other host took the job.

Evidence: the tests stop a host while it reads a job, and give it a job after its stop. In both the head's owner stayed 'me' before and is the peer now.

adopt() now passes a job on in place of dropping it, by a write that expects the version of the head, so that a newer owner, an end of the job and the host's own handover win. The new owner is a random peer: two hosts that stop at the same time pass a job back and forth at most until one has found another host or has ended.

--- a/packages/jobs/src/lib/process/job_ownership.ts
+++ b/packages/jobs/src/lib/process/job_ownership.ts
@@ -247,11 +247,13 @@
 
   private async adopt(found: VersionedHead, how: string): Promise<void> {
     const {id} = found.head;
-    if (this.stopping || this.owned.has(id) || this.loading.has(id)) return;
+    if (this.owned.has(id) || this.loading.has(id)) return;
+    if (this.stopping) return this.passOn(found);
     this.loading.add(id);
     const loaded = await this.loadNewest(found, how === 'accepted');
     this.loading.delete(id);
-    if (!loaded || this.stopping) return;
+    if (this.stopping) return this.passOn(this.heads.get(id) ?? found);
+    if (!loaded) return;
     const {head, work} = loaded;
     // Guards against running items of a cancelled job: it may be cancelled
     // while its items are read, or after a sweep has taken its copy of the
@@ -271,6 +273,28 @@
     this.owned.set(id, new OwnedJob(this.context, head, work, drop));
   }
 
+  /**
+   * Hands over a job that this host owns but does not process. Guards against a
+   * job that nobody processes until this host has ended and its lease lapsed: it
+   * was accepted, read or handed over while the shutdown began.
+   */
+  private async passOn({head, version}: VersionedHead): Promise<void> {
+    if (head.owner !== this.self || this.closed.has(head.id)) return;
+    const {store, random, log} = this.context;
+    const next = {...head, owner: this.ownerForNewJob(), nonce: random.id()};
+    const ref = headRef(head.id);
+    const written = await store.transact({
+      expect: [{...ref, version}],
+      puts: [{...ref, value: encodeJson(next)}],
+      removes: [],
+    });
+    log.event('job-passed-on', {
+      job: head.id,
+      to: next.owner,
+      outcome: written.ok ? 'written' : written.err.kind,
+    });
+  }
+
   private sinceAcceptedMs({acceptedAtMs}: JobHead): number | undefined {
     const now = this.context.store.storeTimeMs();
     return now === undefined ? undefined : Math.round(now - acceptedAtMs);
--- a/packages/jobs/src/test/process/job_ownership_test.ts
+++ b/packages/jobs/src/test/process/job_ownership_test.ts
@@ -38,10 +38,14 @@
   return {put: [row], removed: [], storeTimeMs: 1};
 }
 
-function ownershipWith(reader: JobReader): JobOwnership {
-  const membership = {self: {id: 'me'}, peers: () => []} as unknown;
+function ownershipWith(
+  reader: JobReader,
+  store = new MemoryRowStore(SYSTEM_CLOCK),
+  peers: ReadonlyArray<{readonly id: string}> = [],
+): JobOwnership {
+  const membership = {self: {id: 'me'}, peers: () => peers} as unknown;
   return new JobOwnership({
-    store: new MemoryRowStore(SYSTEM_CLOCK),
+    store,
     clock: SYSTEM_CLOCK,
     random: seededRandom(1),
     log: NO_EVENT_LOG,
@@ -181,3 +185,41 @@
   const claims = await claimsWithin(TWO_SWEEPS_MS, true, slow);
   t.deepEqual(claims, Array(slow.jobs).fill('written'));
 });
+
+/** A host that owns the job of {@link OPEN} and takes `LOAD_MS` to read it. */
+async function stoppingOwner() {
+  const store = new MemoryRowStore(SYSTEM_CLOCK);
+  const ref = headRef(OPEN.id);
+  const puts = [{...ref, value: encodeJson(OPEN)}];
+  const written = await store.transact({expect: [], puts, removes: []});
+  const version = written.ok ? written.value.version : 0;
+  const reader = {
+    items: async () => {
+      await setTimeout(LOAD_MS);
+      return success([]);
+    },
+    allResults: async () => success([]),
+  } as unknown as JobReader;
+  const jobOwnership = ownershipWith(reader, store, [{id: 'peer'}]);
+  const owner = async () => {
+    const {table, partition, key} = ref;
+    const page = await store.read({table, partition, from: key});
+    const [row] = page.ok ? page.value.rows : [];
+    return (JSON.parse(Buffer.from(row!.value).toString()) as JobHead).owner;
+  };
+  return {jobOwnership, owner, update: updateOf(OPEN, version)};
+}
+
+// Guards against items that nobody runs for seconds: a host that was stopped
+// while it read a job, or to which the job was handed over after that, kept it
+// until it had ended and its lease had lapsed.
+for (const when of ['before', 'after'])
+  test(`a job that an owner gets ${when} its stop is handed over`, async t => {
+    const {jobOwnership, owner, update} = await stoppingOwner();
+    t.teardown(() => jobOwnership[Symbol.dispose]());
+    if (when === 'before') jobOwnership.update(update);
+    await jobOwnership.handOverAll();
+    if (when === 'after') jobOwnership.update(update);
+    await setTimeout(2 * LOAD_MS);
+    t.is(await owner(), 'peer');
+  });
