A planned stop no longer waits for the store

Callers of a host that was stopped as planned while the store did not respond had their connections cut in the middle of a request: the host still took new connections 3.5 s after SIGTERM, when callers should have left, and went on until it was killed at the end of grace_s.

Cause: the stop first handed over all jobs and only then began to close the front. A handover is written until the store reports its outcome, so with the store away it has no end.

Evidence: in the test a host owns a job, the store answers 503 to all, and the host is stopped while a stream is open. Before, it answered a new caller with 200 after 3.5 s; now it refuses the connection, ends the stream whole and exits with code 0 within the grace period.

Handing over and draining now go on side by side. The host still uses all of its time for the handover if it needs it, as jobs that are not handed over wait for its lease to lapse; process-drained says whether all were (handedOver).

--- a/packages/serving/src/lib/process/serving_process.ts
+++ b/packages/serving/src/lib/process/serving_process.ts
@@ -177,7 +177,12 @@
     const deadline =
       startedAt + this.platform.tunables().shutdownTimeoutMs - EXIT_MARGIN_MS;
     scheduler.pause();
-    await jobOwnership.handOverAll();
+    // Jobs cannot be handed over while the store does not respond. Callers must
+    // not notice: they leave and their requests end in the meantime.
+    let handedOver = false;
+    void jobOwnership.handOverAll().then(() => {
+      handedOver = true;
+    });
     for (;;) {
       const now = clock.now();
       const lingering = now < startedAt + DRAIN_LINGER_MS;
@@ -186,12 +191,14 @@
         this.front.stopListening();
         this.front.closeIdle();
       }
-      if (!lingering && this.front.openRequests === 0) break;
+      const idle = this.front.openRequests === 0 && handedOver;
+      if (!lingering && idle) break;
       await sleep(clock, DRAIN_POLL_INTERVAL_MS);
     }
     log.event('process-drained', {
       ms: Math.round(clock.now() - startedAt),
       open: this.front.openRequests,
+      handedOver,
     });
   }
 }
