Headers of an item that cannot be sent no longer hold its job up

A caller's job was accepted (202) and never ended, and other callers of the same service lost their targets at that host: one of the job's items had a header with a character that HTTP does not allow, or one that belongs to the connection, such as Transfer-Encoding or a second Host.

Cause: headers of items come from a JSON body and were passed on as they were. The HTTP client refuses such a request before it is sent; that counted as 'unsent', that is as a failure of the target, which was suspended, and the item was tried again at the next one until its retention time.

Evidence: in 2.5 s five runs ended with UND_ERR_INVALID_ARG and five times a sound target was suspended.

Of the others the end-to-end headers are sent, as for online requests: names in lower case, so that none is sent twice, without those of the connection, and with the Host of the route.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -37,6 +37,7 @@
 export * from './lib/process/target_suspensions.js';
 export * from './lib/request/admitted_request.js';
 export * from './lib/request/exchange.js';
+export * from './lib/request/forwarded_headers.js';
 export * from './lib/request/online_request.js';
 export * from './lib/request/request_trace.js';
 export * from './lib/request/stream_events.js';
--- a/packages/gateway/src/lib/request/forwarded_headers.ts
+++ b/packages/gateway/src/lib/request/forwarded_headers.ts
@@ -19,17 +19,20 @@
 ]);
 
 /**
- * @param headers - The headers as received.
- * @returns The end-to-end headers, without hop-by-hop headers and without those
- *     that `Connection` lists.
+ * @param headers - The headers as received; names in any case.
+ * @returns The end-to-end headers with names in lower case, without hop-by-hop
+ *     headers and without those that `Connection` lists.
  */
 export function endToEndHeaders(headers: IncomingHttpHeaders): Headers {
+  const lowerCase = Object.fromEntries(
+    Object.entries(headers).map(([name, value]) => [name.toLowerCase(), value]),
+  );
   // A list of values if a target repeats the header, despite its type.
-  const connectionOptions = String(headers.connection ?? '')
+  const connectionOptions = String(lowerCase['connection'] ?? '')
     .toLowerCase()
     .split(/\s*,\s*/);
   const forwarded: Record<string, string | readonly string[]> = {};
-  for (const [name, value] of Object.entries(headers)) {
+  for (const [name, value] of Object.entries(lowerCase)) {
     if (value === undefined || HOP_BY_HOP_HEADERS.has(name)) continue;
     if (connectionOptions.includes(name)) continue;
     forwarded[name] = value;
--- a/packages/jobs/src/lib/process/item_runner.ts
+++ b/packages/jobs/src/lib/process/item_runner.ts
@@ -1,6 +1,7 @@
 /** Runs one item once on one target and applies the outcome to the item. */
 import type {Tracer} from '@opentelemetry/api';
 import {
+  endToEndHeaders,
   eventData,
   mayHaveCrashed,
   RequestTrace,
@@ -71,7 +72,10 @@
 ): void {
   const {item} = work;
   const startedAt = context.clock.now();
-  const headers = {...item.headers, host: job.head.hostName};
+  const headers = {
+    ...endToEndHeaders(item.headers),
+    host: job.head.hostName,
+  };
   work.runs++;
   const trace = new RequestTrace(context.tracer, 'item', headers, {
     job: job.head.id,
