A target that still reads a long request is not silent

A caller's long request was taken from a target that was reading it and was given to another one; it ran at both, or was answered 504 as too little time was left. The target was suspended as silent, too.

Cause: silence was counted from the first byte sent until the target answers. A target cannot answer before it has read the request, and one that reads little at a time accepts it in portions: on a new connection about 95 KB a turn until the operating system has widened the window.

The test holds a target's reads up for 0.6 s: before, the host saw no activity at all; now it does when its bytes are taken.

That the operating system takes bytes which the host still held counts as activity of the target. A target that stands still takes what fits into its buffers at once and no more, so that it is found silent as before.

--- a/packages/gateway/src/lib/connection/target_connection.ts
+++ b/packages/gateway/src/lib/connection/target_connection.ts
@@ -47,6 +47,11 @@
   readonly carried = new CarriedRequests();
   /** Sends the requests; limited to this one connection. */
   readonly client: Client;
+  /**
+   * Called when the operating system has taken over all bytes of a request that
+   * it did not take at once.
+   */
+  onDrained: () => void = () => {};
   private socket: Socket | undefined;
   private endedByReset = false;
   private lost = false;
@@ -124,6 +129,7 @@
 
   private observeSocket(socket: Socket): void {
     this.socket = socket;
+    socket.on('drain', () => this.onDrained());
     // Registered before undici's own listener, so that it is called first.
     socket.on('end', () => {
       this.endedByReset = !hasPeer(socket);
--- a/packages/gateway/src/lib/request/exchange.ts
+++ b/packages/gateway/src/lib/request/exchange.ts
@@ -109,8 +109,8 @@
   end(by: AbortReason): void;
   /**
    * @param now - The current time on the monotonic clock, in milliseconds.
-   * @returns Milliseconds since the target last sent data, or since the request
-   *     was sent.
+   * @returns Milliseconds since the target last sent data, or since the whole
+   *     request was sent.
    */
   silentMs(now: number): number;
 }
@@ -176,6 +176,8 @@
       idempotent: true,
       blocking: false,
     };
+    // A target that reads a long request slowly is not silent.
+    this.connection.onDrained = () => this.recordActivity();
     this.isFirstRequest = this.connection.carried.add(this.req.requestId);
     try {
       this.connection.client.dispatch(options, this);
@@ -219,9 +221,8 @@
     >
   ): void {
     if (this.settled || status < 200) return;
-    this.lastActivityAt = this.context.now();
+    this.recordActivity();
     this.headAfterMs = this.lastActivityAt - this.startedAt;
-    this.context.onActivity();
     this.head = {status, headers};
     this.metadata = this.context.protocol.readResponse(status, headers);
     const unattributed = unattributedReason({
@@ -247,8 +248,7 @@
     >
   ): void {
     if (this.settled) return;
-    this.lastActivityAt = this.context.now();
-    this.context.onActivity();
+    this.recordActivity();
     if (this.isEventStream()) this.forwardEvents(chunk);
     else this.bufferChunk(chunk);
   }
@@ -289,6 +289,12 @@
     else this.failDisconnected(reason);
   }
 
+  private recordActivity(): void {
+    if (this.settled) return;
+    this.lastActivityAt = this.context.now();
+    this.context.onActivity();
+  }
+
   private isEventStream(): boolean {
     return this.metadata!.isEventStream && this.head!.status === 200;
   }
--- a/packages/gateway/src/test/request/exchange_test.ts
+++ b/packages/gateway/src/test/request/exchange_test.ts
@@ -251,3 +251,46 @@
     });
   });
 }
+
+/** More than the operating system buffers of unread data, in bytes. */
+const LONG_BODY_BYTES = 16 * 1024 * 1024;
+/** Pause before a target reads a request, in milliseconds. */
+const READ_DELAY_MS = 600;
+
+// Guards against a request that is taken from a target which was still reading
+// it, and runs twice: its silence was counted from the first byte sent.
+test('a target that reads a long request slowly is not silent', async t => {
+  await using target = await listen(socket => {
+    socket.pause();
+    socket.on('data', () => {});
+    setTimeout(() => socket.resume(), READ_DELAY_MS);
+  });
+  const pool = new ConnectionPool(NO_COUNTERS);
+  t.teardown(() => pool[Symbol.dispose]());
+  const {address} = target;
+  let activities = 0;
+  const exchange = new Exchange(
+    pool.acquire({id: 't', address}, 'r1'),
+    {
+      requestId: 'r1',
+      method: 'POST',
+      path: '/',
+      headers: {host: 'h'},
+      body: Buffer.alloc(LONG_BODY_BYTES),
+      firstEventId: undefined,
+    },
+    {
+      protocol: PROTOCOL,
+      sink: {events: () => true},
+      now: () => performance.now(),
+      onActivity: () => activities++,
+    },
+  );
+  exchange.start();
+  const startedAt = performance.now();
+  while (activities === 0 && performance.now() < startedAt + 8 * READ_DELAY_MS)
+    await new Promise(resolve => setTimeout(resolve, READ_DELAY_MS / 20));
+  t.true(activities > 0);
+  t.true(exchange.silentMs(performance.now()) < READ_DELAY_MS);
+  exchange.end('stop');
+});
