A request that was answered is no longer a crash suspect on other hosts

A caller's item was not run for up to a minute though servers had room: it had been on servers that crashed for other reasons, was then answered at the host that owned its job, and that host was lost. A caller's online request that had been served at one host was refused with 503 at the others.

Cause: an answer removed the suspect only from the memory of the host that got it. The row that tells the others stayed in the store, for good.

Evidence: in the test two hosts know a request that broke at three servers which then left the list. One gets an answer; at the other the request was still blocked, and is not any more.

The answer now removes the row, and hosts forget a suspect whose row is gone. Only an answer does so, and a request that crashes its servers never gets one.

--- a/packages/gateway/src/lib/process/crash_suspects.ts
+++ b/packages/gateway/src/lib/process/crash_suspects.ts
@@ -15,6 +15,7 @@
 import {
   decodeJson,
   encodeJson,
+  type RowRef,
   type RowStore,
   type TableUpdate,
 } from '@oathead/stores';
@@ -150,7 +151,7 @@
       fingerprint: requestFingerprint,
       targets,
     });
-    const ref = {table: SUSPECT_TABLE, partition: '', key: requestFingerprint};
+    const ref = suspectRef(requestFingerprint);
     // If the write fails, the other hosts learn of the suspect through broken
     // runs of their own.
     void this.context.store.transact({
@@ -160,15 +161,30 @@
     });
   }
 
-  /** @param requestFingerprint - Fingerprint of a request that was answered. */
+  /**
+   * Clears a request on all hosts. Guards against a harmless item that stays
+   * blocked on the host that takes its job over.
+   *
+   * @param requestFingerprint - Fingerprint of a request that was answered.
+   */
   recordAnswer(requestFingerprint: string): void {
-    this.suspects.delete(requestFingerprint);
-    this.lastExtraRunAt.delete(requestFingerprint);
+    if (!this.suspects.has(requestFingerprint)) return;
+    this.forget(requestFingerprint);
+    // If the write fails, the other hosts forget the suspect after its lifetime.
+    void this.context.store.transact({
+      expect: [],
+      puts: [],
+      removes: [suspectRef(requestFingerprint)],
+    });
   }
 
   /** @param update - Changes of {@link SUSPECT_TABLE}. */
-  update({put}: TableUpdate): void {
-    for (const {key, value} of put) {
+  update({put, removed}: TableUpdate): void {
+    for (const {key} of removed) this.forget(key);
+    const removedAt = new Map(removed.map(({key, version}) => [key, version]));
+    for (const {key, value, version} of put) {
+      // An update may report a row and its removal after that.
+      if (version <= (removedAt.get(key) ?? 0)) continue;
       const suspect = decodeJson(value, SUSPECT);
       if (!suspect.ok) {
         const {message} = suspect.err;
@@ -191,13 +207,17 @@
     this.setSuspect(requestFingerprint, {targets: [...targets], at});
   }
 
+  private forget(requestFingerprint: string): void {
+    this.suspects.delete(requestFingerprint);
+    this.lastExtraRunAt.delete(requestFingerprint);
+  }
+
   private setSuspect(requestFingerprint: string, suspect: Suspect): void {
     this.suspects.delete(requestFingerprint);
     this.suspects.set(requestFingerprint, suspect);
     if (this.suspects.size <= MAX_SUSPECTS) return;
     const [oldest] = this.suspects.keys();
-    this.suspects.delete(oldest!);
-    this.lastExtraRunAt.delete(oldest!);
+    this.forget(oldest!);
   }
 
   /**
@@ -212,3 +232,7 @@
     return this.context.store.storeTimeMs() ?? this.context.clock.now();
   }
 }
+
+function suspectRef(requestFingerprint: string): RowRef {
+  return {table: SUSPECT_TABLE, partition: '', key: requestFingerprint};
+}
--- a/packages/gateway/src/test/process/crash_suspects_test.ts
+++ b/packages/gateway/src/test/process/crash_suspects_test.ts
@@ -19,10 +19,10 @@
 const TARGETS = ['i-1', 'i-2', 'i-3'] as const;
 
 /** Creates suspects and a target list with a clock that the test controls. */
-function newSuspects() {
+function newSuspects(sharedStore?: MemoryRowStore) {
   let now = 0;
   const clock: Clock = {...SYSTEM_CLOCK, now: () => now};
-  const store = new MemoryRowStore(clock);
+  const store = sharedStore ?? new MemoryRowStore(clock);
   const log = NO_EVENT_LOG;
   const directory = new TargetDirectory({clock, log});
   const expiryMs = () => EXPIRY_MS;
@@ -35,6 +35,7 @@
       expiryMs,
     }),
     directory,
+    store,
     advance: (ms: number) => {
       now += ms;
     },
@@ -170,3 +171,36 @@
   t.false(suspects.isItemBlocked('p'));
   t.true(suspects.isBlocked('p'));
 });
+
+/** Reads the changes of the suspects after a version, as their watch does. */
+async function updateFrom(store: MemoryRowStore, after: number) {
+  const page = await store.changes(SUSPECT_TABLE, after, 0);
+  const {changes, version} = page.ok
+    ? page.value
+    : {changes: [], version: after};
+  const put = changes.flatMap(c => (c.kind === 'put' ? [c.row] : []));
+  const removed = changes.flatMap(c =>
+    c.kind === 'removed'
+      ? [{...c.ref, value: Buffer.of(), version: c.version}]
+      : [],
+  );
+  return {update: {put, removed, storeTimeMs: 0}, version};
+}
+
+// Guards against a harmless item that is not run for a minute: it had been
+// answered at the host that recorded its crashes, and the host that took its
+// job over did not know.
+test('a request that is answered is cleared on all hosts', async t => {
+  const {suspects, store} = crashedThree();
+  const other = newSuspects(store);
+  const crashed = await updateFrom(store, 0);
+  other.suspects.update(crashed.update);
+  t.true(other.suspects.isBlocked('p'));
+  suspects.recordAnswer('p');
+  const answered = await updateFrom(store, crashed.version);
+  other.suspects.update(answered.update);
+  t.false(other.suspects.isBlocked('p'));
+  const late = newSuspects(store);
+  late.suspects.update((await updateFrom(store, 0)).update);
+  t.false(late.suspects.isBlocked('p'));
+});
