The texts of a removed job are removed, too

Callers' items would be done and never be listed once the store holds as much as it accepts (507): the objects with texts that are too large for a row stayed when their job was removed after its retention time, for good.

Cause: the removal of a job knew the rows and the objects of what was submitted, not those to which results refer. Objects whose removal failed were forgotten, too.

Evidence: the test removes a job with such a result; before, the object was still there.

--- a/packages/jobs/src/lib/process/job_garbage_collector.ts
+++ b/packages/jobs/src/lib/process/job_garbage_collector.ts
@@ -13,8 +13,10 @@
   type RowRef,
   type RowStore,
   type TableUpdate,
+  type VersionedRow,
 } from '@oathead/stores';
 import {contentObjectName} from '../request/job_content.js';
+import {STORED_RESULT} from '../request/job_reader.js';
 import {
   CONTENT_TABLE,
   headRef,
@@ -102,7 +104,7 @@
       if (!(await this.removeRows(table, head.id))) return;
     if (head.content.kind === 'objects')
       for (let i = 0; i < head.content.pieces; i++)
-        await store.removeObject(contentObjectName(head.id, i));
+        if (!(await this.removeObject(contentObjectName(head.id, i)))) return;
     const ref = headRef(head.id);
     const expect = [{...ref, version}];
     const done = await store.transact({expect, puts: [], removes: [ref]});
@@ -124,8 +126,22 @@
         ({partition, key}) => ({table, partition, key}),
       );
       if (removes.length === 0) return true;
+      // The rows go last: their objects are found through them.
+      for (const name of page.value.rows.flatMap(textObjectOf))
+        if (!(await this.removeObject(name))) return false;
       const done = await store.transact({expect: [], puts: [], removes});
       if (!done.ok) return false;
     }
   }
+
+  private async removeObject(name: string): Promise<boolean> {
+    return (await this.context.store.removeObject(name)).ok;
+  }
+}
+
+/** @returns Name of the object to which the row of a result refers, if any. */
+function textObjectOf({table, value}: VersionedRow): readonly string[] {
+  if (table !== RESULT_TABLE) return [];
+  const result = decodeJson(value, STORED_RESULT);
+  return result.ok && result.value.kind === 'object' ? [result.value.name] : [];
 }
--- a/packages/jobs/src/lib/request/job_reader.ts
+++ b/packages/jobs/src/lib/request/job_reader.ts
@@ -27,7 +27,8 @@
   /** The store did not respond, or its data could not be decoded. */
   | {readonly kind: 'unsure'; readonly reason: string};
 
-const RESULT = z.discriminatedUnion('kind', [
+/** Schema of the row of a result. */
+export const STORED_RESULT = z.discriminatedUnion('kind', [
   z.object({
     kind: z.literal('here'),
     id: z.string(),
@@ -39,7 +40,7 @@
 ]);
 
 /** A result as stored in its row. */
-export type StoredResult = Readonly<z.infer<typeof RESULT>>;
+export type StoredResult = Readonly<z.infer<typeof STORED_RESULT>>;
 
 /** A result and its size as JSON, in bytes. */
 interface ReadResult {
@@ -209,13 +210,13 @@
   private async resultOf(
     row: VersionedRow,
   ): Promise<Outcome<ReadResult, JobReadError>> {
-    const stored = decodeJson(row.value, RESULT);
+    const stored = decodeJson(row.value, STORED_RESULT);
     if (!stored.ok) return failure(toReadError(stored.err));
     if (stored.value.kind === 'here')
       return success({result: stored.value, bytes: row.value.length});
     const object = await this.store.getObject(stored.value.name);
     if (!object.ok) return failure(toReadError(object.err));
-    const objectResult = decodeJson(object.value, RESULT);
+    const objectResult = decodeJson(object.value, STORED_RESULT);
     if (!objectResult.ok) return failure(toReadError(objectResult.err));
     if (objectResult.value.kind === 'here')
       return success({result: objectResult.value, bytes: object.value.length});
--- a/packages/jobs/src/test/process/job_garbage_collector_test.ts
+++ b/packages/jobs/src/test/process/job_garbage_collector_test.ts
@@ -62,10 +62,8 @@
   );
 }
 
-test('a job is removed completely after its retention period only', async t => {
-  const store = new MemoryRowStore(SYSTEM_CLOCK);
-  await insertClosedJob(store, 'old', RETENTION_MS + 500);
-  await insertClosedJob(store, 'new', 0);
+/** Sweeps once on the only host, which has read all heads. */
+async function sweepOnce(store: MemoryRowStore) {
   const self = {
     id: memberId('me', '1'),
     host: 'me',
@@ -88,6 +86,27 @@
   const update: TableUpdate = {put, removed: [], storeTimeMs: 0};
   collector.update(update);
   await collector.sweep();
+}
+
+test('a job is removed completely after its retention period only', async t => {
+  const store = new MemoryRowStore(SYSTEM_CLOCK);
+  await insertClosedJob(store, 'old', RETENTION_MS + 500);
+  await insertClosedJob(store, 'new', 0);
+  await sweepOnce(store);
   t.is(await countRows(store, 'old'), 0);
   t.is(await countRows(store, 'new'), 122);
 });
+
+// Guards against a store that fills up until it accepts nothing more: the texts
+// of removed jobs that were too large for a row stayed.
+test('the texts of a removed job are removed, too', async t => {
+  const store = new MemoryRowStore(SYSTEM_CLOCK);
+  await insertClosedJob(store, 'old', RETENTION_MS + 500);
+  await store.putObject('text', Buffer.from('x'));
+  const value = encodeJson({kind: 'object', name: 'text'});
+  const puts = [{...jobRowRef(RESULT_TABLE, 'old', 0), value}];
+  await store.transact({expect: [], puts, removes: []});
+  await sweepOnce(store);
+  t.is(await countRows(store, 'old'), 0);
+  t.false((await store.getObject('text')).ok);
+});
