Count the text of an earlier owner before any item has completed

Cause: until a host has completed an item, the estimate of what is left of one counted the time of its own runs only. A host that has taken jobs over, or that has just started, took all items for new: those that its predecessor had nearly completed went behind new ones, and counted as late too early.

After all hosts were lost at 34.5 s, their jobs were claimed with 91 items left, 44 of these with a text. From 36 to 54 s 323 of 326 runs were started by hosts that had completed no item since their start, and from 36 to 52 s none was completed. 94 items were begun and unfinished at 52 s, at a mean of 0.27 of their text. Both new tests fail on the code before.

Why it holds: the time per text is learnt from each run, whether it completed its item or not, and the text at hand counts at that speed. Before the first run, of two equal estimates the item with more text goes first.

The report of waiting items names only the fields that it reads.

--- a/packages/jobs/src/lib/process/batch_scheduler.ts
+++ b/packages/jobs/src/lib/process/batch_scheduler.ts
@@ -243,9 +243,10 @@
     // have been cancelled or handed over.
     if (work.stage !== stage || job.closed || this.paused) return;
     crashSuspects.recordItemStart(work.fingerprint);
-    runItem(this.context, job, work, route, target, () =>
-      this.durations.add(job.head, work),
-    );
+    runItem(this.context, job, work, route, target, run => {
+      this.durations.addRun(job.head, run);
+      if (run.isComplete) this.durations.add(job.head, work);
+    });
   }
 
   private targetFor(
--- a/packages/jobs/src/lib/process/item_durations.ts
+++ b/packages/jobs/src/lib/process/item_durations.ts
@@ -19,6 +19,8 @@
   readonly urgency: Urgency;
   /** Remaining time on a target, in milliseconds. */
   readonly remainingMs: number;
+  /** Number of texts received so far. */
+  readonly texts: number;
   /** Time until the item is due, in milliseconds; negative if it is overdue. */
   readonly untilDueMs: number;
   /**
@@ -30,6 +32,12 @@
 /** Fields of a job head that the estimates depend on. */
 export type ItemKind = Pick<JobHead, 'hostName' | 'completionGoalMs'>;
 
+/** Texts that a run has received, and the time from the first to its end. */
+export interface RunSpeed {
+  readonly texts: number;
+  readonly streamedMs: number;
+}
+
 /** Moving averages over the items of a host name. */
 interface ItemStats {
   /** Texts per item. */
@@ -48,6 +56,8 @@
  * the completion goal of its job.
  */
 const INITIAL_ESTIMATE_FRACTION = 0.25;
+/** Number of texts from which a run tells how long one takes. */
+const MIN_TEXTS_OF_RUN = 5;
 /** Remaining fraction at or below which an item counts as nearly done. */
 const NEARLY_DONE_FRACTION = 0.5;
 /** Lower bound for the remaining fraction of an item that was interrupted. */
@@ -62,6 +72,8 @@
 /** Keeps the average size and speed of items by host name. */
 export class ItemDurations {
   private readonly statsByHostName = new Map<string, ItemStats>();
+  /** Time per text over all runs, in milliseconds, by host name. */
+  private readonly msPerTextByHostName = new Map<string, number>();
 
   /**
    * Adds a completed item to the averages.
@@ -81,6 +93,21 @@
     });
   }
 
+  /**
+   * Adds a run, whether it completed its item or not, to the averages. A host
+   * that has taken jobs over, or whose items all give way, has no completed
+   * item for a long time.
+   *
+   * @param kind - Head of the item's job.
+   * @param run - The run.
+   */
+  addRun({hostName}: ItemKind, {texts, streamedMs}: RunSpeed): void {
+    if (texts < MIN_TEXTS_OF_RUN) return;
+    const newest = streamedMs / texts;
+    const mean = this.msPerTextByHostName.get(hostName) ?? newest;
+    this.msPerTextByHostName.set(hostName, movingAverage(mean, newest));
+  }
+
   /**
    * Estimates the remaining time and the urgency of an item.
    *
@@ -99,7 +126,8 @@
     const urgency = urgencyOf(remainingMs, untilDueMs);
     const nearlyDone =
       urgency !== 'late' && remainingFraction <= NEARLY_DONE_FRACTION;
-    return {urgency, remainingMs, untilDueMs, nearlyDone};
+    const texts = work.texts.length;
+    return {urgency, remainingMs, texts, untilDueMs, nearlyDone};
   }
 
   private totalMs({hostName, completionGoalMs}: ItemKind): number {
@@ -110,8 +138,11 @@
 
   private remainingFraction(kind: ItemKind, work: ItemWork): number {
     const stats = this.statsByHostName.get(kind.hostName);
-    if (!stats) return 1 - work.runTimeMs / this.totalMs(kind);
-    return 1 - work.texts.length / stats.texts;
+    if (stats) return 1 - work.texts.length / stats.texts;
+    const msPerText = this.msPerTextByHostName.get(kind.hostName);
+    const doneMs =
+      msPerText === undefined ? work.runTimeMs : work.texts.length * msPerText;
+    return 1 - doneMs / this.totalMs(kind);
   }
 }
 
@@ -132,7 +163,8 @@
  * all others late. Among them, the shortest remaining time goes first: ordered
  * by due time alone, a preempted item lost its slot to a new item of its own
  * job, and in overload 229 of 532 s of target time were spent on items that did
- * not finish.
+ * not finish. Of two items with the same estimate, as on a host that has run
+ * none yet, the one with more text goes first.
  *
  * @param a - Estimate of an item.
  * @param b - Estimate of another item.
@@ -142,6 +174,7 @@
   return (
     Number(a.urgency === 'late') - Number(b.urgency === 'late') ||
     a.remainingMs - b.remainingMs ||
+    b.texts - a.texts ||
     a.untilDueMs - b.untilDueMs
   );
 }
--- a/packages/jobs/src/lib/process/item_runner.ts
+++ b/packages/jobs/src/lib/process/item_runner.ts
@@ -17,9 +17,16 @@
   type Target,
 } from '@oathead/gateway';
 import type {Clock, Counters, EventLog} from '@oathead/core';
+import type {RunSpeed} from './item_durations.js';
 import type {ItemWork} from './item_work.js';
 import type {OwnedJob} from './owned_job.js';
 
+/** What a run of an item has received when it ends. */
+export interface EndedRun extends RunSpeed {
+  /** Whether the text of the item is complete. */
+  readonly isComplete: boolean;
+}
+
 /** Dependencies for running items. */
 export interface ItemRunContext extends SendContext {
   readonly log: EventLog;
@@ -59,7 +66,7 @@
  * @param work - The item, in stage `waiting`.
  * @param route - Route of the item's path.
  * @param target - Target that runs the item.
- * @param onDone - Called when the text of the item is complete.
+ * @param onEnd - Called when the run has ended, before its outcome is applied.
  */
 export function runItem(
   context: ItemRunContext,
@@ -67,7 +74,7 @@
   work: ItemWork,
   route: Route,
   target: Target,
-  onDone: () => void,
+  onEnd: (run: EndedRun) => void,
 ): void {
   const {item} = work;
   const startedAt = context.clock.now();
@@ -119,7 +126,11 @@
     });
     hop.end(end.kind);
     trace.end(end.kind === 'streamed' ? undefined : end.kind);
-    if (end.kind === 'streamed') onDone();
+    onEnd({
+      texts: sink.texts,
+      streamedMs: endedAt - (sink.firstEventAtMs ?? endedAt),
+      isComplete: end.kind === 'streamed',
+    });
     if (sink.firstEventAtMs !== undefined || end.kind === 'answered')
       context.crashSuspects.recordAnswer(work.fingerprint);
     else if (mayHaveCrashed(end))
@@ -138,6 +149,8 @@
 class TextSink implements EventSink {
   /** When this run received its first event; undefined before it. */
   firstEventAtMs: number | undefined;
+  /** Number of texts that this run has received. */
+  texts = 0;
 
   constructor(
     private readonly work: ItemWork,
@@ -147,6 +160,7 @@
   events(events: readonly StreamEvent[], head: ResponseHead): boolean {
     if (head.status !== STATUS_OK) return true;
     this.firstEventAtMs ??= this.clock.now();
+    this.texts += events.length;
     for (const event of events) {
       this.work.texts.push(eventData(event));
       this.work.lastEventId = event.id ?? this.work.lastEventId;
--- a/packages/jobs/src/lib/process/waiting_report.ts
+++ b/packages/jobs/src/lib/process/waiting_report.ts
@@ -10,7 +10,7 @@
 /** An item and its estimate. */
 export interface ReportedItem {
   readonly work: {readonly stage: ItemStage};
-  readonly estimate: ItemEstimate;
+  readonly estimate: Pick<ItemEstimate, 'urgency' | 'remainingMs'>;
 }
 
 /** Dependencies of a {@link WaitingReport}. */
--- a/packages/jobs/src/test/process/item_durations_test.ts
+++ b/packages/jobs/src/test/process/item_durations_test.ts
@@ -78,3 +78,22 @@
   const late = durations.estimate(KIND, workWith(0), 4000);
   t.is(late.urgency, 'late');
 });
+
+// A host that had taken jobs over completed no item for 15 s, and until then
+// began new items in place of those that its predecessor had nearly completed.
+test('texts of an earlier owner go first before any item has completed', t => {
+  const durations = new ItemDurations();
+  const inherited = durations.estimate(KIND, workWith(80, 80), 9000);
+  const fresh = durations.estimate(KIND, workWith(0), 8000);
+  t.true(compareEstimates(inherited, fresh) < 0);
+});
+
+// On such a host, those items counted as late until one had completed.
+test('a run that is cut tells how much of each item is done', t => {
+  const durations = new ItemDurations();
+  durations.addRun(KIND, {texts: 10, streamedMs: 10 * TEXT_MS});
+  const estimate = durations.estimate(KIND, workWith(80, 80), 1500);
+  const doneMs = 80 * TEXT_MS;
+  t.is(Math.round(estimate.remainingMs), KIND.completionGoalMs / 4 - doneMs);
+  t.is(estimate.urgency, 'pressed');
+});
