Hand jobs over to hosts that stay

What callers saw: in a roll of all hosts, jobs rested for 2.4 to 3 s of the 18 s in which they are due, with no host working on them.

Cause: a host that shuts down keeps its lease until its requests have ended, some 3 s, and hands its own jobs over at the beginning. Other hosts took it for a successor like any other. A job that it was given, or that it was its turn to claim, was left alone until its process had been replaced.

Both tests of ownership fail on the code before.

Why it holds: a host that shuts down says so in its heartbeat, at once. It stays the owner of what it has, and gets no jobs while another host stays. Rows without the field, of hosts of an earlier version, read as before.

--- a/packages/gateway/src/lib/process/membership.ts
+++ b/packages/gateway/src/lib/process/membership.ts
@@ -30,6 +30,8 @@
   readonly loadPort: number;
   /** Address on which it serves requests of other hosts. */
   readonly controlAddress: string;
+  /** Whether it is shutting down and takes no jobs; false if omitted. */
+  readonly isLeaving?: boolean | undefined;
 }
 
 /** Table of heartbeats. */
@@ -55,6 +57,7 @@
   ip: z.string(),
   loadPort: z.number().int(),
   controlAddress: z.string(),
+  isLeaving: z.boolean().optional(),
 });
 
 /**
@@ -106,6 +109,7 @@
     max: MAX_ENDED_INCARNATIONS,
   });
   private storeTimeMs = 0;
+  private isLeaving = false;
 
   /**
    * @param self - The process incarnation of this host.
@@ -121,6 +125,16 @@
     void this.sendHeartbeats();
   }
 
+  /**
+   * Tells other hosts that this one is shutting down. It keeps its lease.
+   *
+   * @returns Resolves when one attempt to tell them has ended.
+   */
+  async leave(): Promise<void> {
+    this.isLeaving = true;
+    await this.sendHeartbeat();
+  }
+
   /** Stops sending heartbeats. */
   [Symbol.dispose](): void {
     this.disposables[Symbol.dispose]();
@@ -272,7 +286,9 @@
 
   private async sendHeartbeat(): Promise<boolean> {
     const ref = {table: MEMBER_TABLE, partition: '', key: this.self.host};
-    const value = encodeJson(this.self);
+    const value = encodeJson(
+      this.isLeaving ? {...this.self, isLeaving: true} : this.self,
+    );
     const written = await this.context.store.transact({
       expect: [],
       puts: [{...ref, value}],
--- a/packages/gateway/src/test/process/membership_test.ts
+++ b/packages/gateway/src/test/process/membership_test.ts
@@ -161,3 +161,19 @@
   t.is(await heartbeatsPerLease(0), 7);
   t.is(await heartbeatsPerLease(1200), 3);
 });
+
+test('other hosts learn that a host is leaving, and it keeps its lease', async t => {
+  const store = new MemoryRowStore(SYSTEM_CLOCK);
+  const context = {store, clock: SYSTEM_CLOCK, log: NO_EVENT_LOG};
+  using leaving = new Membership(member('other', '1'), context);
+  await leaving.leave();
+  const page = await store.read({table: MEMBER_TABLE, partition: ''});
+  const members = newMembership();
+  const put = page.ok ? page.value.rows : [];
+  members.update({put, removed: [], storeTimeMs: 1000});
+  t.deepEqual(
+    members.peers().map(({id, isLeaving}) => ({id, isLeaving})),
+    [{id: leaving.self.id, isLeaving: true}],
+  );
+  t.true(members.holdsLease(leaving.self.id));
+});
--- a/packages/jobs/src/lib/process/job_ownership.ts
+++ b/packages/jobs/src/lib/process/job_ownership.ts
@@ -9,7 +9,7 @@
   type Clock,
   type Counters,
 } from '@oathead/core';
-import type {Membership} from '@oathead/gateway';
+import type {Member, Membership} from '@oathead/gateway';
 import {
   decodeJson,
   encodeJson,
@@ -116,7 +116,7 @@
    */
   ownerForNewJob(): string {
     if (!this.stopping) return this.self;
-    const peers = this.context.membership.peers();
+    const peers = staying(this.context.membership.peers());
     return peers[this.context.random.int(peers.length)]?.id ?? '';
   }
 
@@ -134,7 +134,7 @@
   async handOverAll(): Promise<void> {
     this.stopping = true;
     this.disposables[Symbol.dispose]();
-    const peers = this.context.membership.peers().map(({id}) => id);
+    const peers = staying(this.context.membership.peers()).map(({id}) => id);
     const jobs = [...this.owned.values()];
     await Promise.all(
       jobs.map(job => job.handOver(rendezvous(job.head.id, peers)[0] ?? '')),
@@ -187,7 +187,7 @@
   private async sweep(): Promise<void> {
     const {membership} = this.context;
     if (!membership.isInitialized) return;
-    const live = membership.live().map(({id}) => id);
+    const live = membership.live();
     const heads = [...this.heads.values()].values();
     const takeShare = async () => {
       for (const found of heads) await this.takeUp(found, live);
@@ -197,15 +197,16 @@
 
   private async takeUp(
     found: VersionedHead,
-    live: readonly string[],
+    live: readonly Member[],
   ): Promise<void> {
     const {id, owner} = found.head;
-    if (live.includes(owner)) {
+    if (live.some(member => member.id === owner)) {
       this.orphanSince.delete(id);
       if (owner === this.self) await this.adopt(found, 'found');
       return;
     }
-    if (rendezvous(id, live)[0] !== this.self) return;
+    const claimants = staying(live).map(member => member.id);
+    if (rendezvous(id, claimants)[0] !== this.self) return;
     if (!this.hasEnded(owner) && !this.isOrphan(id)) return;
     await this.claim(found);
   }
@@ -336,3 +337,12 @@
     return texts;
   }
 }
+
+/**
+ * Leaves out hosts that are shutting down, unless all are: a job that one of
+ * them gets rests until its process has ended.
+ */
+function staying(members: readonly Member[]): readonly Member[] {
+  const stay = members.filter(({isLeaving}) => !isLeaving);
+  return stay.length > 0 ? stay : members;
+}
--- a/packages/jobs/src/test/process/job_ownership_test.ts
+++ b/packages/jobs/src/test/process/job_ownership_test.ts
@@ -6,8 +6,9 @@
   seededRandom,
   success,
   SYSTEM_CLOCK,
+  type EventLog,
 } from '@oathead/core';
-import type {Membership} from '@oathead/gateway';
+import type {Member, Membership} from '@oathead/gateway';
 import {encodeJson, MemoryRowStore} from '@oathead/stores';
 import test from 'ava';
 import {JobOwnership} from '../../lib/process/job_ownership.js';
@@ -38,18 +39,21 @@
   return {put: [row], removed: [], storeTimeMs: 1};
 }
 
-function ownershipWith(reader: JobReader): JobOwnership {
-  const membership = {self: {id: 'me'}, peers: () => []} as unknown;
+function ownershipWith(
+  reader: JobReader,
+  membership = {self: {id: 'me'}, peers: () => []} as unknown as Membership,
+  log: EventLog = NO_EVENT_LOG,
+): JobOwnership {
   return new JobOwnership({
     store: new MemoryRowStore(SYSTEM_CLOCK),
     clock: SYSTEM_CLOCK,
     random: seededRandom(1),
-    log: NO_EVENT_LOG,
+    log,
     counters: NO_COUNTERS,
     latencies: NO_LATENCIES,
     limits: {rowBytes: 1024, transactionBytes: 1024, objectBytes: 1024},
     reader,
-    membership: membership as Membership,
+    membership,
   });
 }
 
@@ -108,6 +112,12 @@
 /** Time of two sweeps, below the time for which an unknown owner is awaited. */
 const TWO_SWEEPS_MS = 2 * SWEEP_MS + 200;
 
+type MemberState = Pick<Member, 'id' | 'isLeaving'>;
+const LEAVING: readonly MemberState[] = ['a', 'b', 'c'].map(id => ({
+  id,
+  isLeaving: true,
+}));
+
 /**
  * @returns Outcomes of claims of jobs whose owner holds no lease. Reading a job
  *   takes `loadMs`.
@@ -115,13 +125,13 @@
 async function claimsWithin(
   ms: number,
   ownerHasLapsed: boolean,
-  {jobs = 1, loadMs = 0} = {},
+  {jobs = 1, loadMs = 0, others = [] as readonly MemberState[]} = {},
 ) {
   const log = new RecordedEvents();
   const membership = {
     self: {id: 'me'},
     isInitialized: true,
-    live: () => [{id: 'me'}],
+    live: () => [{id: 'me'}, ...others],
     peers: () => [],
     isReplaced: () => false,
     hasLapsed: () => ownerHasLapsed,
@@ -181,3 +191,33 @@
   const claims = await claimsWithin(TWO_SWEEPS_MS, true, slow);
   t.deepEqual(claims, Array(slow.jobs).fill('written'));
 });
+
+// A job of a lost host rested for seconds: the host whose turn it was to claim
+// it was shutting down.
+test('no job waits for a host that is leaving to claim it', async t => {
+  const options = {jobs: 8, loadMs: 200, others: LEAVING};
+  const claims = await claimsWithin(TWO_SWEEPS_MS, true, options);
+  t.deepEqual(claims, Array(options.jobs).fill('written'));
+});
+
+// In a roll of all hosts, three of five jobs that were handed over went to a
+// host that was shutting down itself, and rested until its process had ended.
+test('a job is handed over to a host that stays', async t => {
+  const log = new RecordedEvents();
+  const reader = {items: async () => success([])} as unknown as JobReader;
+  const membership = {
+    self: {id: 'me'},
+    peers: () => [...LEAVING, {id: 'stays'}],
+  } as unknown;
+  const jobOwnership = ownershipWith(reader, membership as Membership, log);
+  const heads = [...'abcdefgh'].map(id => ({...OPEN, id}));
+  for (const head of heads) jobOwnership.adoptAccepted({head, version: 1});
+  await setTimeout(LOAD_MS);
+  await jobOwnership.handOverAll();
+  const handedOver = log.events.filter(({name}) => name === 'job-handed-over');
+  t.deepEqual(
+    handedOver.map(({to}) => to),
+    heads.map(() => 'stays'),
+  );
+  t.is(jobOwnership.ownerForNewJob(), 'stays');
+});
--- a/packages/serving/src/lib/process/serving_process.ts
+++ b/packages/serving/src/lib/process/serving_process.ts
@@ -172,11 +172,12 @@
 
   private async drain(): Promise<void> {
     const {clock, log} = this.context;
-    const {scheduler, jobOwnership} = this.components;
+    const {scheduler, jobOwnership, membership} = this.components;
     const startedAt = clock.now();
     const deadline =
       startedAt + this.platform.tunables().shutdownTimeoutMs - EXIT_MARGIN_MS;
     scheduler.pause();
+    void membership.leave();
     await jobOwnership.handOverAll();
     for (;;) {
       const now = clock.now();
