Soak: no item is given up early, and its body is kept

What callers saw: an item that had been accepted was listed as given up before it might be. The soak could miss that: it counted each 500 or 422 that a server had begun to send, also one that broke off, and any given-up item of a job that was ended later was taken as allowed.

An item may now be given up only by what servers know over all their incarnations: one whole 422, max_attempts whole 500s, or if its job had been asked to end (and the end was acknowledged) or its retention was over when the result was read first. No other state than `succeeded` and `dead_letter` is taken. Two more checks: the body of an item that no target has finished can be read, with the bytes that were sent; and at the end each program lists each accepted job, with the positions that were read before.

The checks are stricter than before: what moved from one promise to another keeps its cases in the test, and the test adds false reports that passed: two whole 500s and one that broke off, a 422 that broke off, an item given up before its job was asked to end or a millisecond before its retention was over.

--- a/packages/soak/src/lib/process/promises.ts
+++ b/packages/soak/src/lib/process/promises.ts
@@ -29,7 +29,12 @@
 const STATUS_UNAUTHORIZED = 401;
 /** Runs that fail before an item is given up, by its route. */
 const MAX_ATTEMPTS = 3;
-/** As how many failed runs an answer counts: one 422 is enough. */
+/** How long after its job was first sent an item may be given up, by its route,
+ * in milliseconds. */
+const RETENTION_MS = 60_000;
+/** State of an item that is never run again. */
+const GIVEN_UP = 'dead_letter';
+/** As how many failed runs a whole answer counts: one 422 is enough. */
 const FAILURE_WEIGHTS: ReadonlyMap<number | undefined, number> = new Map([
   [500, 1],
   [422, MAX_ATTEMPTS],
@@ -54,6 +59,8 @@
   'a request that may run once only runs at most once': runsOnce,
   'what was refused as not run has not run': refusalsAreTrue,
   'an accepted item has one outcome, and its whole text': itemsAreWhole,
+  'no item is given up before it may be': itemsAreNotGivenUpEarly,
+  'the body of an open item can be read': bodiesAreKept,
   'what readers of a job see never changes': readersAgree,
   'a job that was refused at every try does not run': refusedJobsRest,
   'an ended job stops': endedJobsStop,
@@ -141,13 +148,12 @@
 }
 
 function itemsAreWhole(evidence: Evidence): readonly string[] {
-  const failed = failedItems(evidence);
   return evidence.jobs.flatMap(job => {
     const flaws = job.results.flatMap(({id, state, text}) => {
       const path = `/files/${job.id}/${id.slice(job.id.length + 1)}`;
-      const whole = state === 'succeeded' && text === wholeText(path);
-      const givenUp = job.endedAt !== undefined || failed.has(id);
-      const isTrue = whole || (state !== 'succeeded' && givenUp);
+      const isTrue =
+        state === GIVEN_UP ||
+        (state === 'succeeded' && text === wholeText(path));
       return isTrue ? [] : [`${id} is ${state}: ${text}`];
     });
     const ids = job.results.map(({id}) => id);
@@ -159,16 +165,69 @@
   });
 }
 
-/** @returns The items that targets have failed so often that they may be given
+/**
+ * What targets have said decides, over all their incarnations: a failure that
+ * broke off, or was repeated on its connection, is not one more attempt.
+ */
+function itemsAreNotGivenUpEarly(evidence: Evidence): readonly string[] {
+  const runs = runsByItem(evidence);
+  return evidence.jobs.flatMap(job =>
+    job.results
+      .filter(({id, state}, i) => {
+        const mayBe = isFailed(runs.get(id) ?? []) || isOver(job, i);
+        return state === GIVEN_UP && !mayBe;
+      })
+      .map(({id}) => `${id}: ${answersOf(runs.get(id) ?? [])}`),
+  );
+}
+
+function runsByItem(
+  evidence: Evidence,
+): ReadonlyMap<string, readonly ReceivedRequest[]> {
+  const runs = new Map<string, ReceivedRequest[]>();
+  for (const run of allRuns(evidence))
+    runs.set(run.id, [...(runs.get(run.id) ?? []), run]);
+  return runs;
+}
+
+/** @returns Whether targets have failed an item so often that it may be given
  * up. */
-function failedItems(evidence: Evidence): ReadonlySet<string> {
-  const failures = new Map<string, number>();
-  for (const {id, status} of allRuns(evidence)) {
-    const weight = FAILURE_WEIGHTS.get(status) ?? 0;
-    failures.set(id, (failures.get(id) ?? 0) + weight);
-  }
-  const over = [...failures].filter(([, count]) => count >= MAX_ATTEMPTS);
-  return new Set(over.map(([id]) => id));
+function isFailed(runs: readonly ReceivedRequest[]): boolean {
+  const weights = runs
+    .filter(({whole}) => whole)
+    .map(({status}) => FAILURE_WEIGHTS.get(status) ?? 0);
+  return weights.reduce((sum, weight) => sum + weight, 0) >= MAX_ATTEMPTS;
+}
+
+/** @returns Whether a job had ended, or its time was over, when its result at
+ * this position was read first. */
+function isOver(job: JobRecord, position: number): boolean {
+  const {sentAt, endAskedAt, endedAt} = job;
+  const listedAt = job.listedAt[position]!;
+  const wasEnded = endedAt !== undefined && listedAt >= endAskedAt!;
+  return wasEnded || listedAt >= sentAt + RETENTION_MS;
+}
+
+function answersOf(runs: readonly ReceivedRequest[]): string {
+  const answers = runs.map(({at, status, whole}) => {
+    return `${status ?? 'none'}${whole ? '' : ' broken off'} at ${at}`;
+  });
+  return `given up after ${answers.join(', ') || 'no run'}`;
+}
+
+/** An item that no target has finished may still have to run. */
+function bodiesAreKept(evidence: Evidence): readonly string[] {
+  const runs = runsByItem(evidence);
+  return evidence.jobs.flatMap(({endAskedAt, bodyFlaws}) =>
+    bodyFlaws
+      .filter(({id, at, status}) => {
+        const own = runs.get(id) ?? [];
+        const isDone = own.some(run => run.whole && run.status === STATUS_OK);
+        const wasEnded = at >= (endAskedAt ?? Infinity);
+        return status === STATUS_OK || !(isDone || wasEnded || isFailed(own));
+      })
+      .map(({id, at, status}) => `${id}: ${status} at ${at}`),
+  );
 }
 
 function refusedJobsRest(evidence: Evidence): readonly string[] {
--- a/packages/soak/src/lib/process/run_soak.ts
+++ b/packages/soak/src/lib/process/run_soak.ts
@@ -104,7 +104,7 @@
     for (const job of batch.unfinished()) await batch.read(job);
     await sleep(SYSTEM_CLOCK, READ_PAUSE_MS);
   }
-  for (const job of batch.jobs) await batch.read(job);
+  await batch.readEverywhere();
 }
 
 async function lastRequests(
--- a/packages/soak/src/lib/request/batch_load.ts
+++ b/packages/soak/src/lib/request/batch_load.ts
@@ -1,7 +1,15 @@
 /** Callers who hand in batch jobs, read them at any program, and end some. */
 import {sleep, SYSTEM_CLOCK, type Random} from '@oathead/core';
 import {Caller, type ReadResult} from '@oathead/platform/stand_ins';
-import type {SoakFleet} from '../process/soak_fleet.js';
+import type {ProgramPlace, SoakFleet} from '../process/soak_fleet.js';
+
+/** A request for the body of an item that got something else. */
+export interface BodyFlaw {
+  readonly id: string;
+  /** When the response had come. */
+  readonly at: number;
+  readonly status: number;
+}
 
 /** One job, as its callers saw it. */
 export interface JobRecord {
@@ -9,11 +17,18 @@
   readonly items: number;
   /** Statuses of all tries to hand it in; undefined: no answer. */
   readonly tries: Array<number | undefined>;
+  /** When it was first sent. */
+  readonly sentAt: number;
   acceptedAt: number | undefined;
+  /** When its end was first asked for; undefined: it was not. */
+  endAskedAt: number | undefined;
   /** When its end was acknowledged; undefined: it was not ended. */
   endedAt: number | undefined;
   /** The longest list that was read. */
   results: readonly ReadResult[];
+  /** When each of these results was read first. */
+  readonly listedAt: number[];
+  readonly bodyFlaws: BodyFlaw[];
   /** What readers saw that must not be. */
   readonly flaws: string[];
 }
@@ -21,12 +36,16 @@
 const PAUSE_MS = 700;
 const READ_PAUSE_MS = 120;
 const MAX_TRIES = 12;
+/** Tries to read a job from one program when nothing is wrong. */
+const CALM_TRIES = 3;
 const RETRY_MS = 300;
 /** One job in so many is ended by its caller. */
 const ENDED_SHARE = 6;
 const MOST_ITEMS = 5;
 /** For so long after its acceptance a job may be unknown, in milliseconds. */
 const SETTLE_MS = 1000;
+/** Statuses that say that there is no such item. */
+const GONE: ReadonlySet<number> = new Set([404, 410]);
 
 /** Hands in jobs until stopped. */
 export class BatchLoad {
@@ -65,19 +84,51 @@
     );
   }
 
-  /** @param job - To be read once, at any program. */
-  async read(job: JobRecord): Promise<void> {
+  /**
+   * Reads a job once.
+   *
+   * @param job - To be read.
+   * @param place - Where; at any program by default.
+   * @returns Whether its results were read.
+   */
+  async read(job: JobRecord, place?: ProgramPlace): Promise<boolean> {
     const asked = Date.now();
-    const answer = await this.attempt(caller => caller.results(job.id));
+    const answer = await this.attempt(caller => caller.results(job.id), place);
     if (answer?.status === 404 && isSettled(job, asked))
       job.flaws.push('an accepted job is not known');
-    if (answer?.status !== 200) return;
+    if (answer?.status !== 200) return false;
     const {total, results} = JSON.parse(answer.text) as {
       readonly total: number;
       readonly results: readonly ReadResult[];
     };
     if (total !== job.items) job.flaws.push(`total ${total}`);
     this.compare(job, results);
+    return true;
+  }
+
+  /** Reads each accepted job at each program, when nothing is wrong. */
+  async readEverywhere(): Promise<void> {
+    for (const job of this.jobs.filter(isAccepted))
+      for (const place of this.fleet.programs) {
+        let tries = 0;
+        while (tries < CALM_TRIES && !(await this.read(job, place))) tries++;
+        if (tries === CALM_TRIES)
+          job.flaws.push(`${place.name} does not list it`);
+      }
+  }
+
+  /** Reads the body of one item that is not listed yet. */
+  private async readBody(job: JobRecord): Promise<void> {
+    const asked = Date.now();
+    const index = this.random.int(job.items);
+    const id = `${job.id}-${index}`;
+    if (!isSettled(job, asked) || job.results.some(known => known.id === id))
+      return;
+    const answer = await this.attempt(caller => caller.itemBody(job.id, id));
+    const isWhole = answer?.status === 200 && answer.text === `body ${index}`;
+    const isGone = answer !== undefined && GONE.has(answer.status);
+    if (answer && !isWhole && (isGone || answer.status === 200))
+      job.bodyFlaws.push({id, at: Date.now(), status: answer.status});
   }
 
   private compare(job: JobRecord, results: readonly ReadResult[]): void {
@@ -85,7 +136,10 @@
     for (let i = 0; i < known; i++)
       if (JSON.stringify(results[i]) !== JSON.stringify(job.results[i]))
         job.flaws.push(`position ${i} has changed`);
-    if (results.length > job.results.length) job.results = results;
+    if (results.length <= job.results.length) return;
+    const now = Date.now();
+    for (let i = known; i < results.length; i++) job.listedAt.push(now);
+    job.results = results;
   }
 
   private async handIn(): Promise<void> {
@@ -96,9 +150,13 @@
         id,
         items,
         tries: [],
+        sentAt: Date.now(),
         acceptedAt: undefined,
+        endAskedAt: undefined,
         endedAt: undefined,
         results: [],
+        listedAt: [],
+        bodyFlaws: [],
         flaws: [],
       };
       this.jobs.push(job);
@@ -124,6 +182,7 @@
   }
 
   private async end(job: JobRecord): Promise<void> {
+    job.endAskedAt = Date.now();
     for (let i = 0; i < MAX_TRIES; i++) {
       const answer = await this.attempt(caller => caller.cancel(job.id));
       if (answer?.status === 200) {
@@ -138,18 +197,19 @@
   private async readOn(): Promise<void> {
     while (!this.stopping.signal.aborted) {
       const job = this.jobs[this.random.int(this.jobs.length)];
-      if (job) await this.read(job);
+      if (job) await Promise.all([this.read(job), this.readBody(job)]);
       await sleep(SYSTEM_CLOCK, READ_PAUSE_MS);
     }
   }
 
   private async attempt<T>(
     ask: (caller: Caller) => Promise<T>,
+    place?: ProgramPlace,
   ): Promise<T | undefined> {
     const {programs} = this.fleet;
-    const place = programs[this.random.int(programs.length)]!;
+    const asked = place ?? programs[this.random.int(programs.length)]!;
     try {
-      return await ask(new Caller(place.program.front, this.fleet.key));
+      return await ask(new Caller(asked.program.front, this.fleet.key));
     } catch {
       // No answer: the next try may meet another program.
       return undefined;
@@ -157,6 +217,10 @@
   }
 }
 
+function isAccepted({acceptedAt}: JobRecord): boolean {
+  return acceptedAt !== undefined;
+}
+
 function isSettled({acceptedAt}: JobRecord, now: number): boolean {
   return acceptedAt !== undefined && now > acceptedAt + SETTLE_MS;
 }
--- a/packages/soak/src/test/process/promises_test.ts
+++ b/packages/soak/src/test/process/promises_test.ts
@@ -34,6 +34,7 @@
         items: 0,
         tries: [],
         results: [],
+        bodyFlaws: [],
         flaws: [],
         endedAt: ENDED_AT,
         ...job,
@@ -86,27 +87,80 @@
   });
 }
 
-const ITEM_PROMISE = 'an accepted item has one outcome, and its whole text';
+const SENT_AT = 100;
 const GIVEN_UP = {
   id: 'j1',
   items: 1,
+  sentAt: SENT_AT,
   endedAt: undefined,
   results: [{id: 'j1-0', state: 'dead_letter', text: ''}],
+  listedAt: [900],
+  bodyFlaws: [],
 };
 
+function flawsOfItem(
+  promise: string,
+  answers: ReadonlyArray<readonly [status?: number, end?: 'broken off']>,
+  job: object = {},
+): readonly string[] {
+  const ran = answers.map(([status, end]) => {
+    return {id: 'j1-0', path: '/x', at: 1, status, whole: !end};
+  });
+  const base = evidence({}, {}, {...GIVEN_UP, ...job});
+  const fleet = {incarnations: [{id: 'llm-1', server: {ran}}]};
+  return PROMISES[promise]!({...base, fleet} as unknown as Evidence);
+}
+
+/** Whether an item may be given up by what targets and callers saw. */
+const ANSWERS = [
+  [false, [], {}],
+  [false, [[500], [200], [500]], {}],
+  [false, [[500], [], [500]], {}],
+  [false, [[500], [500], [500, 'broken off']], {}],
+  [false, [[422, 'broken off']], {}],
+  [false, [], {endAskedAt: 901, endedAt: 950}],
+  [false, [], {endAskedAt: 800}],
+  [false, [], {listedAt: [SENT_AT + 59_999]}],
+  [true, [[500], [200], [500], [500]], {}],
+  [true, [[422]], {}],
+  [true, [], {endAskedAt: 800, endedAt: 950}],
+  [true, [], {listedAt: [SENT_AT + 60_000]}],
+] as const;
+
 // An item that is given up after failures that no target gave is lost for its
-// caller: the late copy of one failure counts as two.
-test('the soak sees an item that is given up before targets failed it', t => {
-  const flawsWith = (...statuses: ReadonlyArray<number | undefined>) => {
-    const runs = statuses.map(status => ({id: 'j1-0', path: '/x', status}));
-    const base = evidence({}, {}, GIVEN_UP);
-    const fleet = {incarnations: [{id: 'llm-1', server: {ran: runs}}]};
-    return PROMISES[ITEM_PROMISE]!({...base, fleet} as unknown as Evidence);
-  };
-  t.deepEqual(flawsWith(500, 200, 500), ['j1-0 is dead_letter: ']);
-  t.deepEqual(flawsWith(500, undefined, 500), ['j1-0 is dead_letter: ']);
-  t.deepEqual(flawsWith(500, 200, 500, 500), []);
-  t.deepEqual(flawsWith(422), []);
+// caller: a late copy counts as a second failure, or one that broke off as whole.
+for (const [mayBe, answers, job] of ANSWERS) {
+  const how = JSON.stringify({answers, ...job});
+  test(`the soak sees whether an item may be given up: ${how}`, t => {
+    const promise = 'no item is given up before it may be';
+    t.is(flawsOfItem(promise, answers, job).length, mayBe ? 0 : 1);
+  });
+}
+
+/** Responses to readers of the body, and whether they are allowed. */
+const BODIES = [
+  [false, [], {status: 404, at: 5}],
+  [false, [[200, 'broken off']], {status: 410, at: 5}],
+  [false, [[200]], {status: 200, at: 5}],
+  [true, [[200]], {status: 404, at: 5}],
+  [true, [[422]], {status: 404, at: 5}],
+  [true, [], {status: 404, at: 20}],
+] as const;
+
+for (const [mayBe, answers, flaw] of BODIES) {
+  const how = JSON.stringify({answers, ...flaw});
+  test(`the soak sees whether the body of an item is kept: ${how}`, t => {
+    const job = {endAskedAt: 20, bodyFlaws: [{id: 'j1-0', ...flaw}]};
+    const promise = 'the body of an open item can be read';
+    t.is(flawsOfItem(promise, answers, job).length, mayBe ? 0 : 1);
+  });
+}
+
+test('the soak sees a result that is neither whole nor given up', t => {
+  const promise = 'an accepted item has one outcome, and its whole text';
+  const results = [{id: 'j1-0', state: 'succeeded', text: 'other'}];
+  t.is(flawsOfItem(promise, [[422]], {results}).length, 1);
+  t.is(flawsOfItem(promise, [[422]]).length, 0);
 });
 
 /** What a stop did not cut: each was taken for its fault, or may be. */
