--- a/packages/gateway/src/lib/version/route_matcher.ts
+++ b/packages/gateway/src/lib/version/route_matcher.ts
@@ -30,14 +30,6 @@
     const pathOnly = path.split('?', 1)[0]!;
     return routes?.find(route => pathOnly.startsWith(route.pathPrefix));
   }
-
-  /**
-   * @param hostHeader - The `Host` header, with or without a port.
-   * @returns All routes of this host name.
-   */
-  routesOf(hostHeader: string | undefined): readonly Route[] {
-    return this.byHost.get(hostNameOf(hostHeader)) ?? [];
-  }
 }
 
 function hostNameOf(hostHeader: string | undefined): string {
