--- a/packages/gateway/src/lib/process/target_chooser.ts
+++ b/packages/gateway/src/lib/process/target_chooser.ts
@@ -113,14 +113,20 @@
   /**
    * @param service - Service that the target must provide.
    * @param pressure - Whether the item is urgent.
+   * @param excluded - IDs of targets that must not be selected.
    * @returns The target with the lowest score; undefined if none has a free
    *     slot.
    */
-  forItem(service: string, pressure: BatchPressure): Target | undefined {
+  forItem(
+    service: string,
+    pressure: BatchPressure,
+    excluded: ReadonlySet<string>,
+  ): Target | undefined {
     const {directory, preferredTargets: preferred} = this.context;
     const all = directory.ofService(service);
     const candidates = pressure === 'relaxed' ? preferred.select(all) : all;
-    return this.bestForItem(candidates, pressure);
+    const allowed = candidates.filter(({id}) => !excluded.has(id));
+    return this.bestForItem(allowed, pressure);
   }
 
   /**
@@ -201,6 +207,16 @@
     return ids.filter(id => suspensions.isSuspended(id));
   }
 
+  /**
+   * @returns IDs of the targets of a service that are not suspended by this
+   *     host, whether they have free slots or not.
+   */
+  available(service: string): readonly string[] {
+    const {directory, suspensions} = this.context;
+    const ids = directory.ofService(service).map(({id}) => id);
+    return ids.filter(id => !suspensions.isSuspended(id));
+  }
+
   /**
    * @returns Whether a service has a target, full or not, that was not tried.
    */
--- a/packages/gateway/src/lib/request/exchange.ts
+++ b/packages/gateway/src/lib/request/exchange.ts
@@ -46,10 +46,23 @@
   readonly headers: IncomingHttpHeaders;
 }
 
+/** Why a failure may be less, or another one, than the target stated. */
+export type FailureDoubt =
+  /** It ended with its connection, so that its end may be missing. */
+  | 'no-length'
+  /** It does not name the request. */
+  | 'no-id'
+  /** The target does not vouch for it. */
+  | 'no-seal'
+  /** Its body has a content encoding that was not requested. */
+  | 'unasked-coding';
+
 /** A response with its complete body. */
 export interface CompleteResponse {
   readonly head: ResponseHead;
   readonly body: Buffer;
+  /** Set if the target may not have stated this failure. */
+  readonly doubt?: FailureDoubt;
 }
 
 /** Why the gateway aborted a request. */
@@ -109,8 +122,8 @@
   end(by: AbortReason): void;
   /**
    * @param now - The current time on the monotonic clock, in milliseconds.
-   * @returns Milliseconds since the target last sent data, or since the request
-   *     was sent.
+   * @returns Milliseconds since the target last sent data, or since the whole
+   *     request was sent.
    */
   silentMs(now: number): number;
 }
@@ -176,6 +189,8 @@
       idempotent: true,
       blocking: false,
     };
+    // A target that reads a long request slowly is not silent.
+    this.connection.onDrained = () => this.recordActivity();
     this.isFirstRequest = this.connection.carried.add(this.req.requestId);
     try {
       this.connection.client.dispatch(options, this);
@@ -219,9 +234,8 @@
     >
   ): void {
     if (this.settled || status < 200) return;
-    this.lastActivityAt = this.context.now();
+    this.recordActivity();
     this.headAfterMs = this.lastActivityAt - this.startedAt;
-    this.context.onActivity();
     this.head = {status, headers};
     this.metadata = this.context.protocol.readResponse(status, headers);
     const unattributed = unattributedReason({
@@ -247,8 +261,7 @@
     >
   ): void {
     if (this.settled) return;
-    this.lastActivityAt = this.context.now();
-    this.context.onActivity();
+    this.recordActivity();
     if (this.isEventStream()) this.forwardEvents(chunk);
     else this.bufferChunk(chunk);
   }
@@ -269,7 +282,9 @@
     }
     if (!this.isEventStream()) {
       const body = Buffer.concat(this.chunks);
-      this.finish({kind: 'answered', head: this.head!, body}, true);
+      const head = this.head!;
+      const doubt = failureDoubt(head, this.metadata!);
+      this.finish({kind: 'answered', head, body, doubt}, true);
       return;
     }
     if (this.splitter.hasPartialEvent)
@@ -289,6 +304,12 @@
     else this.failDisconnected(reason);
   }
 
+  private recordActivity(): void {
+    if (this.settled) return;
+    this.lastActivityAt = this.context.now();
+    this.context.onActivity();
+  }
+
   private isEventStream(): boolean {
     return this.metadata!.isEventStream && this.head!.status === 200;
   }
@@ -374,6 +395,20 @@
   return outcome.kind === 'ended' && outcome.by === 'restarted';
 }
 
+function failureDoubt(
+  {status, headers}: ResponseHead,
+  metadata: ResponseMetadata,
+): FailureDoubt | undefined {
+  if (isSuccess(status)) return undefined;
+  if (metadata.requestId === undefined) return 'no-id';
+  if (!metadata.sealed) return 'no-seal';
+  if (metadata.hasUnexpectedEncoding) return 'unasked-coding';
+  const hasLength =
+    headers['content-length'] !== undefined ||
+    headers['transfer-encoding'] !== undefined;
+  return hasLength ? undefined : 'no-length';
+}
+
 function isSuccess(status: number): boolean {
   return status >= 200 && status < 300;
 }
--- a/packages/jobs/src/lib/process/batch_scheduler.ts
+++ b/packages/jobs/src/lib/process/batch_scheduler.ts
@@ -3,7 +3,7 @@
  * targets that have free slots beside online requests, and preempts running
  * items when a target fills up.
  */
-import {DisposableStore, type Random} from '@oathead/core';
+import {DisposableStore, type FreshnessLease, type Random} from '@oathead/core';
 import {
   targetKey,
   type BatchPressure,
@@ -14,6 +14,7 @@
   type TargetChooser,
   type TargetDirectory,
 } from '@oathead/gateway';
+import {avoidedItemTargets, mayRunAnywhere} from './avoided_item_targets.js';
 import type {ItemWork} from './item_work.js';
 import {
   compareEstimates,
@@ -24,6 +25,7 @@
 import {runItem, type ItemRunContext} from './item_runner.js';
 import {idleTimeoutMs} from './item_idle_timeout.js';
 import type {OwnedJob} from './owned_job.js';
+import {retryDelayMs} from './retry_delay.js';
 import {WaitingReport} from './waiting_report.js';
 
 /** Dependencies of a {@link BatchScheduler}. */
@@ -32,6 +34,8 @@
   readonly placement: ItemPlacement;
   readonly directory: TargetDirectory;
   readonly routing: RoutingState;
+  /** Tracks whether the configuration is the newest. */
+  readonly freshness: Pick<FreshnessLease, 'ageMs'>;
   readonly random: Random;
   /** Member ID of this host's incarnation, as in its load reports. */
   readonly self: string;
@@ -76,6 +80,18 @@
  * twice the time within which a configuration takes effect on all hosts.
  */
 const ROUTE_MISSING_TIMEOUT_MS = 5000;
+/**
+ * Maximum age of the configuration while the time without a route counts, in
+ * milliseconds: the time within which a host knows of a change.
+ */
+const MAX_CONFIG_AGE_MS = 2000;
+/**
+ * Maximum interval between two looks while the time without a route counts, in
+ * milliseconds. After a longer one, this host was stopped.
+ */
+const MAX_LOOK_INTERVAL_MS = 1000;
+
+const NO_TARGETS: ReadonlySet<string> = new Set();
 
 interface Candidate {
   readonly job: OwnedJob;
@@ -99,6 +115,10 @@
   return `${PRESSURE[estimate.urgency]} ${name}`;
 }
 
+function hasFailed({work}: Candidate): boolean {
+  return work.failedTargets.length > 0;
+}
+
 function byPriority(a: Candidate, b: Candidate): number {
   return compareEstimates(a.estimate, b.estimate);
 }
@@ -108,6 +128,9 @@
   private readonly disposables = new DisposableStore();
   /** Time since which no configuration had a route for an item. */
   private readonly routeMissingSince = new WeakMap<ItemWork, number>();
+  /** Time since which this host has known the newest configuration. */
+  private configKnownSince = Infinity;
+  private lastLookAt = -Infinity;
   private readonly durations = new ItemDurations();
   private readonly waitingReport: WaitingReport;
   /** Time until which a route is considered full, by {@link fullRouteKey}. */
@@ -174,6 +197,7 @@
   }
 
   private tick(): void {
+    this.checkConfigAge();
     this.endIdleRuns();
     this.preemptExcessItems();
     if (!this.paused) void this.startItems();
@@ -211,7 +235,10 @@
       if (!route || this.isFull(route, candidate)) continue;
       if (this.context.crashSuspects.isItemBlocked(candidate.work.fingerprint))
         continue;
-      await this.startItem(candidate, route);
+      const isPlaced = await this.startItem(candidate, route);
+      // Otherwise a few items that wait for other targets than those that
+      // failed them would hold back all that come after them.
+      if (!isPlaced && hasFailed(candidate)) continue;
       if (++started >= MAX_STARTS_PER_TICK) return;
     }
   }
@@ -221,41 +248,66 @@
     return until !== undefined && until > this.context.clock.now();
   }
 
-  private async startItem(candidate: Candidate, route: Route): Promise<void> {
-    const {clock, crashSuspects, placement} = this.context;
+  /** @returns Whether a target has a free slot for the item. */
+  private async startItem(
+    candidate: Candidate,
+    route: Route,
+  ): Promise<boolean> {
+    const {crashSuspects} = this.context;
     const {job, work} = candidate;
     const {stage} = work;
     const target = await this.targetFor(route, candidate);
     const {urgency} = candidate.estimate;
     this.waitingReport.countPlacement(urgency, target ? 'placed' : 'full');
-    if (!target) {
-      const backoffMs =
-        FULL_ROUTE_BACKOFF_MS[
-          placement.usesPeerCoordinator ? 'coordinator' : 'localView'
-        ];
-      this.routeFullUntil.set(
-        fullRouteKey(route, candidate),
-        clock.now() + backoffMs,
-      );
-      return;
-    }
     // While the placement was pending, the item may have failed, or its job may
     // have been cancelled or handed over.
-    if (work.stage !== stage || job.closed || this.paused) return;
+    const isStale = work.stage !== stage || job.closed || this.paused;
+    if (!target) {
+      const until = this.fullUntil();
+      // The route may have slots for items that avoid no target.
+      if (!hasFailed(candidate))
+        this.routeFullUntil.set(fullRouteKey(route, candidate), until);
+      else if (!isStale) work.stage = {kind: 'waiting', notBefore: until};
+      return false;
+    }
+    if (isStale) return true;
     crashSuspects.recordItemStart(work.fingerprint);
-    runItem(this.context, job, work, route, target, () =>
-      this.durations.add(job.head, work),
-    );
+    runItem(this.context, job, work, route, target, run => {
+      this.durations.addRun(job.head, run);
+      if (run.isComplete) this.durations.add(job.head, work);
+    });
+    return true;
   }
 
-  private targetFor(
+  private fullUntil(): number {
+    const {clock, placement} = this.context;
+    const by = placement.usesPeerCoordinator ? 'coordinator' : 'localView';
+    return clock.now() + FULL_ROUTE_BACKOFF_MS[by];
+  }
+
+  private async targetFor(
     route: Route,
-    {estimate}: Candidate,
+    candidate: Candidate,
   ): Promise<Target | undefined> {
     const {placement, random} = this.context;
     const services = route.services.map(({service}) => service);
-    const first = random.int(services.length);
-    return placement.forItem(services[first]!, PRESSURE[estimate.urgency]);
+    const service = services[random.int(services.length)]!;
+    const pressure = PRESSURE[candidate.estimate.urgency];
+    const avoided = this.avoidedTargets(service, candidate);
+    const target = await placement.forItem(service, pressure, avoided);
+    if (target || avoided.size === 0) return target;
+    return mayRunAnywhere(candidate.estimate, this.untilExpiryMs(candidate.job))
+      ? placement.forItem(service, pressure, NO_TARGETS)
+      : undefined;
+  }
+
+  private avoidedTargets(
+    service: string,
+    {work: {failedTargets}}: Candidate,
+  ): ReadonlySet<string> {
+    if (failedTargets.length === 0) return NO_TARGETS;
+    const available = this.context.chooser.available(service);
+    return avoidedItemTargets(failedTargets, available);
   }
 
   /** @returns The items that may start now, in order of priority. */
@@ -266,13 +318,26 @@
       this.failExpiredItems(job);
       for (const work of job.work) {
         const {stage} = work;
-        if (stage.kind === 'waiting' && stage.notBefore <= now)
-          candidates.push(this.candidate(job, work));
+        if (stage.kind !== 'waiting' || stage.notBefore > now) continue;
+        const candidate = this.candidate(job, work);
+        if (!this.isDelayed(candidate, now)) candidates.push(candidate);
       }
     }
     return candidates.sort(byPriority);
   }
 
+  private isDelayed({job, work, estimate}: Candidate, now: number): boolean {
+    const {failures, lastFailureAtMs} = work;
+    if (lastFailureAtMs === undefined) return false;
+    const item = {
+      ...estimate,
+      attemptsLeft: job.head.maxAttempts - failures,
+      sinceFailureMs: now - lastFailureAtMs,
+      untilExpiryMs: this.untilExpiryMs(job),
+    };
+    return retryDelayMs(item) > 0;
+  }
+
   private unfinishedItems(): readonly Candidate[] {
     return [...this.jobs()].flatMap(job =>
       job.work
@@ -287,18 +352,36 @@
     return {job, work, estimate};
   }
 
-  private failExpiredItems(job: OwnedJob): void {
-    const {acceptedAtMs, retentionMs} = job.head;
+  private untilExpiryMs({head}: OwnedJob): number {
     const now = this.context.storeTimeMs() ?? 0;
-    if (now < acceptedAtMs + retentionMs) return;
+    return head.acceptedAtMs + head.retentionMs - now;
+  }
+
+  private failExpiredItems(job: OwnedJob): void {
+    if (this.untilExpiryMs(job) > 0) return;
     for (const work of job.work)
       if (work.stage.kind === 'waiting') job.giveUp(work, 'retention');
   }
 
+  /**
+   * Restarts the time without a route, for all items, while this host cannot
+   * know the newest configuration.
+   */
+  private checkConfigAge(): void {
+    const {clock, freshness} = this.context;
+    const now = clock.now();
+    const wasStopped = now - this.lastLookAt > MAX_LOOK_INTERVAL_MS;
+    this.lastLookAt = now;
+    if (wasStopped || freshness.ageMs > MAX_CONFIG_AGE_MS)
+      this.configKnownSince = now;
+  }
+
   /**
    * Resolves the route of an item. The item fails if its route has been missing
-   * for {@link ROUTE_MISSING_TIMEOUT_MS}. Until a host has a configuration, it
-   * cannot tell whether a route is missing.
+   * for {@link ROUTE_MISSING_TIMEOUT_MS}, during all of which this host has
+   * known the newest configuration. Until a host has a configuration, it cannot
+   * tell whether a route is missing. The result is only written if no newer
+   * configuration is stored by then.
    *
    * @returns The route; undefined if there is none or no configuration.
    */
@@ -312,8 +395,13 @@
     }
     const since = this.routeMissingSince.get(work) ?? clock.now();
     this.routeMissingSince.set(work, since);
-    if (clock.now() - since < ROUTE_MISSING_TIMEOUT_MS) return undefined;
-    job.giveUp(work, 'no-route');
+    const countFrom = Math.max(since, this.configKnownSince);
+    if (clock.now() - countFrom < ROUTE_MISSING_TIMEOUT_MS) return undefined;
+    const {row} = routing;
+    if (!row) return undefined;
+    const {version} = routing.current.table;
+    const {ageMs} = this.context.freshness;
+    job.giveUp(work, 'no-route', {row, version, ageMs});
     return undefined;
   }
 
--- a/packages/jobs/src/lib/process/item_runner.ts
+++ b/packages/jobs/src/lib/process/item_runner.ts
@@ -1,11 +1,13 @@
 /** Runs one item once on one target and applies the outcome to the item. */
 import type {Tracer} from '@opentelemetry/api';
 import {
+  endToEndHeaders,
   eventData,
   mayHaveCrashed,
   RequestTrace,
   sendToTarget,
   type AbortReason,
+  type CompleteResponse,
   type ResponseHead,
   type CrashSuspects,
   type EventSink,
@@ -17,9 +19,16 @@
   type Target,
 } from '@oathead/gateway';
 import type {Clock, Counters, EventLog} from '@oathead/core';
+import type {RunSpeed} from './item_durations.js';
 import type {ItemWork} from './item_work.js';
 import type {OwnedJob} from './owned_job.js';
 
+/** What a run of an item has received when it ends. */
+export interface EndedRun extends RunSpeed {
+  /** Whether the text of the item is complete. */
+  readonly isComplete: boolean;
+}
+
 /** Dependencies for running items. */
 export interface ItemRunContext extends SendContext {
   readonly log: EventLog;
@@ -59,7 +68,7 @@
  * @param work - The item, in stage `waiting`.
  * @param route - Route of the item's path.
  * @param target - Target that runs the item.
- * @param onDone - Called when the text of the item is complete.
+ * @param onEnd - Called when the run has ended, before its outcome is applied.
  */
 export function runItem(
   context: ItemRunContext,
@@ -67,11 +76,14 @@
   work: ItemWork,
   route: Route,
   target: Target,
-  onDone: () => void,
+  onEnd: (run: EndedRun) => void,
 ): void {
   const {item} = work;
   const startedAt = context.clock.now();
-  const headers = {...item.headers, host: job.head.hostName};
+  const headers = {
+    ...endToEndHeaders(item.headers),
+    host: job.head.hostName,
+  };
   work.runs++;
   const trace = new RequestTrace(context.tracer, 'item', headers, {
     job: job.head.id,
@@ -119,7 +131,11 @@
     });
     hop.end(end.kind);
     trace.end(end.kind === 'streamed' ? undefined : end.kind);
-    if (end.kind === 'streamed') onDone();
+    onEnd({
+      texts: sink.texts,
+      streamedMs: endedAt - (sink.firstEventAtMs ?? endedAt),
+      isComplete: end.kind === 'streamed',
+    });
     if (sink.firstEventAtMs !== undefined || end.kind === 'answered')
       context.crashSuspects.recordAnswer(work.fingerprint);
     else if (mayHaveCrashed(end))
@@ -138,6 +154,8 @@
 class TextSink implements EventSink {
   /** When this run received its first event; undefined before it. */
   firstEventAtMs: number | undefined;
+  /** Number of texts that this run has received. */
+  texts = 0;
 
   constructor(
     private readonly work: ItemWork,
@@ -147,6 +165,7 @@
   events(events: readonly StreamEvent[], head: ResponseHead): boolean {
     if (head.status !== STATUS_OK) return true;
     this.firstEventAtMs ??= this.clock.now();
+    this.texts += events.length;
     for (const event of events) {
       this.work.texts.push(eventData(event));
       this.work.lastEventId = event.id ?? this.work.lastEventId;
@@ -170,6 +189,7 @@
     target: target.id,
     end: end.kind,
     reason: endReasonOf(end),
+    doubt: end.kind === 'answered' ? end.doubt : undefined,
     failures: countsAsFailure(end) ? work.failures + 1 : undefined,
     afterEvent: work.lastEventId,
   });
@@ -178,7 +198,8 @@
     return;
   }
   if (end.kind === 'answered') {
-    handleAnswer(job, work, end.head.status, now);
+    if (isFailure(end)) recordFailedTarget(work, target, now);
+    handleAnswer(job, work, target, end, now);
     return;
   }
   const delayMs =
@@ -187,6 +208,12 @@
   work.stage = {kind: 'waiting', notBefore: now + delayMs};
 }
 
+function recordFailedTarget(work: ItemWork, {id}: Target, now: number): void {
+  const others = work.failedTargets.filter(failed => failed !== id);
+  work.failedTargets = [...others, id];
+  work.lastFailureAtMs = now;
+}
+
 function recordAbort(
   {counters}: ItemRunContext,
   work: ItemWork,
@@ -200,11 +227,15 @@
 function handleAnswer(
   job: OwnedJob,
   work: ItemWork,
-  status: number,
+  target: Target,
+  {head: {status}, doubt}: CompleteResponse,
   now: number,
 ): void {
-  if (status === STATUS_UNPROCESSABLE) job.giveUp(work, 'unprocessable');
-  else if (status === STATUS_SERVER_ERROR) job.fail(work);
+  const run = {target: target.id, status, doubt};
+  if (status === STATUS_UNPROCESSABLE && doubt) job.doubtProcessable(work, run);
+  else if (status === STATUS_UNPROCESSABLE) job.giveUp(work, 'unprocessable');
+  else if (status === STATUS_SERVER_ERROR && doubt) job.doubt(work, run);
+  else if (status === STATUS_SERVER_ERROR) job.fail(work, run);
   else
     work.stage = {
       kind: 'waiting',
@@ -213,6 +244,13 @@
 }
 
 function countsAsFailure(end: ExchangeOutcome): boolean {
+  return isFailure(end) && !end.doubt;
+}
+
+/** Whether the run may have failed, in doubt or not. */
+function isFailure(
+  end: ExchangeOutcome,
+): end is ExchangeOutcome & {readonly kind: 'answered'} {
   return end.kind === 'answered' && end.head.status === STATUS_SERVER_ERROR;
 }
 
--- a/packages/jobs/src/lib/process/item_work.ts
+++ b/packages/jobs/src/lib/process/item_work.ts
@@ -34,6 +34,17 @@
   readonly fingerprint: string;
   stage: ItemStage;
   failures: number;
+  /** Number of runs of which it is in doubt whether they failed. */
+  doubts: number;
+  /** IDs of the targets that failed it, the latest last. */
+  failedTargets: readonly string[];
+  /**
+   * Time of the last failed run under the current owner, on the host's
+   * monotonic clock in milliseconds.
+   */
+  lastFailureAtMs: number | undefined;
+  /** These runs in words, for the log; the first ones may be missing. */
+  failedRuns: readonly string[];
   lastEventId: number | undefined;
   texts: string[];
   /** Number of entries of `texts` received under earlier owners. */
@@ -59,6 +70,7 @@
  * @param item - The item as submitted.
  * @param failures - Number of failed runs under earlier owners.
  * @param partial - Partial text stored by earlier owners.
+ * @param doubts - Number of runs under earlier owners that may have failed.
  * @returns The item in stage `waiting`.
  */
 export function newItemWork(
@@ -66,6 +78,7 @@
   item: JobItem,
   failures: number,
   partial: PartialText | undefined,
+  doubts = 0,
 ): ItemWork {
   return {
     index,
@@ -73,6 +86,10 @@
     fingerprint: CrashSuspects.fingerprintOf(item.path, item.body),
     stage: {kind: 'waiting', notBefore: 0},
     failures,
+    doubts,
+    failedTargets: [],
+    lastFailureAtMs: undefined,
+    failedRuns: [],
     lastEventId: partial?.lastEventId,
     texts: [...(partial?.texts ?? [])],
     inheritedTexts: partial?.texts.length ?? 0,
--- a/packages/jobs/src/lib/process/job_ownership.ts
+++ b/packages/jobs/src/lib/process/job_ownership.ts
@@ -9,7 +9,7 @@
   type Clock,
   type Counters,
 } from '@oathead/core';
-import type {Membership} from '@oathead/gateway';
+import type {Member, Membership} from '@oathead/gateway';
 import {
   decodeJson,
   encodeJson,
@@ -116,7 +116,7 @@
    */
   ownerForNewJob(): string {
     if (!this.stopping) return this.self;
-    const peers = this.context.membership.peers();
+    const peers = staying(this.context.membership.peers());
     return peers[this.context.random.int(peers.length)]?.id ?? '';
   }
 
@@ -134,7 +134,7 @@
   async handOverAll(): Promise<void> {
     this.stopping = true;
     this.disposables[Symbol.dispose]();
-    const peers = this.context.membership.peers().map(({id}) => id);
+    const peers = staying(this.context.membership.peers()).map(({id}) => id);
     const jobs = [...this.owned.values()];
     await Promise.all(
       jobs.map(job => job.handOver(rendezvous(job.head.id, peers)[0] ?? '')),
@@ -187,7 +187,7 @@
   private async sweep(): Promise<void> {
     const {membership} = this.context;
     if (!membership.isInitialized) return;
-    const live = membership.live().map(({id}) => id);
+    const live = membership.live();
     const heads = [...this.heads.values()].values();
     const takeShare = async () => {
       for (const found of heads) await this.takeUp(found, live);
@@ -197,15 +197,16 @@
 
   private async takeUp(
     found: VersionedHead,
-    live: readonly string[],
+    live: readonly Member[],
   ): Promise<void> {
     const {id, owner} = found.head;
-    if (live.includes(owner)) {
+    if (live.some(member => member.id === owner)) {
       this.orphanSince.delete(id);
       if (owner === this.self) await this.adopt(found, 'found');
       return;
     }
-    if (rendezvous(id, live)[0] !== this.self) return;
+    const claimants = staying(live).map(member => member.id);
+    if (rendezvous(id, claimants)[0] !== this.self) return;
     if (!this.hasEnded(owner) && !this.isOrphan(id)) return;
     await this.claim(found);
   }
@@ -247,11 +248,13 @@
 
   private async adopt(found: VersionedHead, how: string): Promise<void> {
     const {id} = found.head;
-    if (this.stopping || this.owned.has(id) || this.loading.has(id)) return;
+    if (this.owned.has(id) || this.loading.has(id)) return;
+    if (this.stopping) return this.passOn(found);
     this.loading.add(id);
     const loaded = await this.loadNewest(found, how === 'accepted');
     this.loading.delete(id);
-    if (!loaded || this.stopping) return;
+    if (this.stopping) return this.passOn(this.heads.get(id) ?? found);
+    if (!loaded) return;
     const {head, work} = loaded;
     // Guards against running items of a cancelled job: it may be cancelled
     // while its items are read, or after a sweep has taken its copy of the
@@ -271,6 +274,28 @@
     this.owned.set(id, new OwnedJob(this.context, head, work, drop));
   }
 
+  /**
+   * Hands over a job that this host owns but does not process. Guards against a
+   * job that nobody processes until this host has ended and its lease lapsed: it
+   * was accepted, read or handed over while the shutdown began.
+   */
+  private async passOn({head, version}: VersionedHead): Promise<void> {
+    if (head.owner !== this.self || this.closed.has(head.id)) return;
+    const {store, random, log} = this.context;
+    const next = {...head, owner: this.ownerForNewJob(), nonce: random.id()};
+    const ref = headRef(head.id);
+    const written = await store.transact({
+      expect: [{...ref, version}],
+      puts: [{...ref, value: encodeJson(next)}],
+      removes: [],
+    });
+    log.event('job-passed-on', {
+      job: head.id,
+      to: next.owner,
+      outcome: written.ok ? 'written' : written.err.kind,
+    });
+  }
+
   private sinceAcceptedMs({acceptedAtMs}: JobHead): number | undefined {
     const now = this.context.store.storeTimeMs();
     return now === undefined ? undefined : Math.round(now - acceptedAtMs);
@@ -313,9 +338,13 @@
     const listed = new Set(results?.value.map(({id}) => id));
     const partials = isNew ? new Map() : await this.partials(head);
     return items.value
-      .map((item, i) =>
-        newItemWork(i, item, head.failures[i] ?? 0, partials.get(i)),
-      )
+      .map((item, i) => {
+        const {[i]: failures = 0} = head.failures;
+        const {[i]: doubts = 0} = head.doubts ?? {};
+        const failedRuns = head.failedRuns?.[i] ?? [];
+        const work = newItemWork(i, item, failures, partials.get(i), doubts);
+        return {...work, failedRuns};
+      })
       .filter(({item}) => !listed.has(item.id));
   }
 
@@ -336,3 +365,12 @@
     return texts;
   }
 }
+
+/**
+ * Leaves out hosts that are shutting down, unless all are: a job that one of
+ * them gets rests until its process has ended.
+ */
+function staying(members: readonly Member[]): readonly Member[] {
+  const stay = members.filter(({isLeaving}) => !isLeaving);
+  return stay.length > 0 ? stay : members;
+}
--- a/packages/jobs/src/lib/process/owned_job.ts
+++ b/packages/jobs/src/lib/process/owned_job.ts
@@ -1,6 +1,6 @@
 /** A job that this host owns: its items and the list of its results. */
 import {sleep} from '@oathead/core';
-import {encodeJson, type RowPut} from '@oathead/stores';
+import {encodeJson, type ExpectedRow, type RowPut} from '@oathead/stores';
 import type {ItemResult} from '../request/job.js';
 import type {StoreLimits} from '../request/job_content.js';
 import type {StoredResult} from '../request/job_reader.js';
@@ -20,10 +20,14 @@
   readonly limits: StoreLimits;
 }
 
-/** An item whose result is not written yet. */
+/** An item whose result is not written yet, though its text is stored. */
 interface FinishedItem {
   readonly work: ItemWork;
-  readonly result: ItemResult;
+  readonly state: ItemResult['state'];
+  /** Value of the result's row. */
+  readonly value: Uint8Array;
+  /** Row on which the result is based; it must not have changed. */
+  readonly basis: ExpectedRow | undefined;
   /** On the host's monotonic clock, in milliseconds. */
   readonly finishedAtMs: number;
 }
@@ -38,6 +42,20 @@
 /** Delay before a text that was not stored is sent again, in milliseconds. */
 const OBJECT_RETRY_DELAY_MS = 250;
 
+/**
+ * An item is given up after this many times its maximum number of failed runs
+ * if runs that are in doubt count, too. It bounds how often an item that fails
+ * at each run reaches targets.
+ */
+const MAX_ATTEMPTS_FACTOR_IN_DOUBT = 2;
+/**
+ * Maximum number of runs described in a head, so that it fits into a row. Each
+ * takes some hundred bytes.
+ */
+const MAX_FAILED_RUNS_IN_HEAD = 100;
+/** Number of doubtful statements that an item can't be done that suffice. */
+const MAX_UNPROCESSABLE_IN_DOUBT = 2;
+
 /** Why an item is given up. */
 export type GiveUpReason =
   /** As many runs failed as the job allows. */
@@ -49,6 +67,22 @@
   /** No configuration had a route for the item for some time. */
   | 'no-route';
 
+/** A response that states, or may state, that a run failed. */
+export interface FailedRun {
+  readonly target: string;
+  readonly status: number;
+  readonly doubt: string | undefined;
+}
+
+/** The configuration under which an item has no route. */
+export interface MissingRoute {
+  /** The row that holds the configuration. */
+  readonly row: ExpectedRow;
+  readonly version: number;
+  /** How long ago it was last known to be the newest, in milliseconds. */
+  readonly ageMs: number;
+}
+
 /** Processes one job until it is done, cancelled or owned by another host. */
 export class OwnedJob implements Disposable {
   private readonly stop = new AbortController();
@@ -57,6 +91,8 @@
   private readonly finished: FinishedItem[] = [];
   private readonly failed: ItemWork[] = [];
   private writing: Promise<void> | undefined;
+  /** Settles when all texts that are too large for a row are stored. */
+  private storing = Promise.resolve();
   private checkpointing = false;
 
   /**
@@ -99,7 +135,7 @@
    * @param work - Item of the job.
    */
   succeed(work: ItemWork): void {
-    this.finish(work, 'succeeded', work.texts.join('\n'));
+    this.finish(work, {state: 'succeeded', text: work.texts.join('\n')});
   }
 
   /**
@@ -107,16 +143,22 @@
    *
    * @param work - Item of the job.
    * @param reason - Why it is given up, for the log.
+   * @param missing - Configuration without a route for it. If it has changed
+   *   before the result is written, the item waits again.
    */
-  giveUp(work: ItemWork, reason: GiveUpReason): void {
+  giveUp(work: ItemWork, reason: GiveUpReason, missing?: MissingRoute): void {
     if (this.closed || work.stage.kind === 'finished') return;
     this.context.log.event('item-given-up', {
       job: this.head.id,
       item: work.item.id,
       reason,
       failures: work.failures,
+      doubts: work.doubts || undefined,
+      failedRuns: work.failedRuns.length > 0 ? work.failedRuns : undefined,
+      config: missing?.version,
+      configAgeMs: missing && Math.round(missing.ageMs),
     });
-    this.finish(work, 'failed', '');
+    this.finish(work, {state: 'failed', text: ''}, missing?.row);
   }
 
   /**
@@ -125,10 +167,43 @@
    * again.
    *
    * @param work - Item of the job.
+   * @param run - The response.
    */
-  fail(work: ItemWork): void {
+  fail(work: ItemWork, run: FailedRun): void {
     work.failures++;
-    if (work.failures >= this.head.maxAttempts) {
+    this.recordRun(work, run);
+  }
+
+  /**
+   * Counts a run whose response may be less than a failure, as a broken off or
+   * foreign one. It uses up no attempt, but an item is not run without end.
+   *
+   * @param work - Item of the job.
+   * @param run - The response.
+   */
+  doubt(work: ItemWork, run: FailedRun): void {
+    work.doubts++;
+    this.recordRun(work, run);
+  }
+
+  /**
+   * Counts a response that may state that the item can never be done.
+   *
+   * @param work - Item of the job.
+   * @param run - The response.
+   */
+  doubtProcessable(work: ItemWork, run: FailedRun): void {
+    if (work.doubts + 1 >= MAX_UNPROCESSABLE_IN_DOUBT)
+      this.giveUp(work, 'unprocessable');
+    else this.doubt(work, run);
+  }
+
+  private recordRun(work: ItemWork, run: FailedRun): void {
+    work.failedRuns = [...work.failedRuns, this.describe(work, run)];
+    const {failures, doubts} = work;
+    const {maxAttempts} = this.head;
+    const maxInDoubt = maxAttempts * MAX_ATTEMPTS_FACTOR_IN_DOUBT;
+    if (failures >= maxAttempts || failures + doubts >= maxInDoubt) {
       this.giveUp(work, 'failed-runs');
       return;
     }
@@ -137,6 +212,18 @@
     this.flush();
   }
 
+  private describe(work: ItemWork, {target, status, doubt}: FailedRun): string {
+    const atMs = Math.round(this.context.store.storeTimeMs() ?? 0);
+    const fields = {
+      status: doubt ? `${status} (${doubt})` : status,
+      target,
+      run: work.runs,
+      owner: this.head.owner,
+      sinceAcceptedMs: atMs - Math.round(this.head.acceptedAtMs),
+    };
+    return Object.entries(fields).flat().join(' ');
+  }
+
   /** Ends all runs; nothing more is written. */
   [Symbol.dispose](): void {
     if (this.closed) return;
@@ -154,6 +241,7 @@
   async handOver(owner: string): Promise<void> {
     for (const {stage} of this.work)
       if (stage.kind === 'running') stage.control.end('stop');
+    await this.storing;
     while (this.writing) await this.writing;
     if (this.closed) return;
     const puts = this.partialRows();
@@ -210,17 +298,30 @@
 
   private finish(
     work: ItemWork,
-    state: ItemResult['state'],
-    text: string,
+    {state, text}: Pick<ItemResult, 'state' | 'text'>,
+    basis?: ExpectedRow,
   ): void {
     if (this.closed || work.stage.kind === 'finished') return;
     work.stage = {kind: 'finished'};
-    work.texts = [];
-    this.finished.push({
-      work,
-      result: {id: work.item.id, state, text},
-      finishedAtMs: this.context.clock.now(),
+    if (!basis) work.texts = [];
+    const result: ItemResult = {id: work.item.id, state, text};
+    const finishedAtMs = this.context.clock.now();
+    const item = {work, state, basis, finishedAtMs};
+    const value = encodeJson({kind: 'here', ...result} satisfies StoredResult);
+    if (value.length <= this.context.limits.rowBytes) {
+      this.enlist({...item, value});
+      return;
+    }
+    // Guards against results, and failures, that wait for the text of another
+    // item: a host may reach the rows of the store, but not its objects.
+    this.storing = this.storing.then(async () => {
+      const reference = await this.storeText(result.id, value);
+      if (reference) this.enlist({...item, value: reference});
     });
+  }
+
+  private enlist(item: FinishedItem): void {
+    this.finished.push(item);
     this.flush();
   }
 
@@ -234,23 +335,29 @@
   }
 
   private async writeNext(): Promise<void> {
-    const {puts, items} = await this.nextRows();
-    // A result whose text is not stored must not be listed.
-    if (this.closed) return;
+    const {puts, items} = this.nextRows();
     const failed = this.failed.splice(0);
     const listed = this.head.listed + items.length;
     const done = listed === this.head.items;
     const written = await this.writer.write(
       {
         listed,
-        failures: withFailures(this.head.failures, failed),
+        failures: withCounts(this.head.failures, failed, 'failures'),
+        doubts: withCounts(this.head.doubts, failed, 'doubts'),
+        failedRuns: this.failedRuns(),
         ...(done
           ? {state: 'done', closedAtMs: this.context.store.storeTimeMs()}
           : {}),
       },
       puts,
+      items.flatMap(({basis}) => basis ?? []),
     );
     if (!written.ok) {
+      if (written.err.kind === 'basis-changed') {
+        this.failed.unshift(...failed);
+        this.keepItems(items.filter(({basis}) => basis));
+        return;
+      }
       const {state, owner} = written.err;
       this.context.log.event('job-lost', {job: this.head.id, state, owner});
       this[Symbol.dispose]();
@@ -262,9 +369,22 @@
     if (done) this[Symbol.dispose]();
   }
 
-  private reportListed({work, result, finishedAtMs}: FinishedItem): void {
+  /** Lets items wait again that were to be given up. */
+  private keepItems(items: readonly FinishedItem[]): void {
+    for (const item of items) {
+      const {work} = item;
+      this.finished.splice(this.finished.indexOf(item), 1);
+      work.stage = {kind: 'waiting', notBefore: 0};
+      this.context.log.event('item-kept', {
+        job: this.head.id,
+        item: work.item.id,
+      });
+    }
+  }
+
+  private reportListed({work, state, finishedAtMs}: FinishedItem): void {
     const {clock, store} = this.context;
-    reportListedItem(this.context, this.head, work, result.state, {
+    reportListedItem(this.context, this.head, work, state, {
       adoptedAtMs: this.adoptedAtMs,
       finishedAtMs,
       listedAtMs: clock.now(),
@@ -272,16 +392,30 @@
     });
   }
 
-  private async nextRows(): Promise<{
+  /** A limited number of failed runs of the items that have no result. */
+  private failedRuns(): JobHead['failedRuns'] {
+    const byItem: Record<string, readonly string[]> = {};
+    let left = MAX_FAILED_RUNS_IN_HEAD;
+    for (const {index, stage, failedRuns} of this.work) {
+      if (stage.kind === 'finished' || failedRuns.length === 0) continue;
+      const newest = failedRuns.slice(-left);
+      byItem[index] = newest;
+      left -= newest.length;
+      if (left === 0) break;
+    }
+    return byItem as JobHead['failedRuns'];
+  }
+
+  private nextRows(): {
     readonly puts: readonly RowPut[];
     readonly items: readonly FinishedItem[];
-  }> {
+  } {
     const puts: RowPut[] = [];
     const items: FinishedItem[] = [];
     let bytes = 0;
     for (const item of this.finished.slice(0, MAX_RESULTS_PER_TRANSACTION)) {
       const position = this.head.listed + items.length;
-      const value = await this.resultValue(item.result);
+      const {value} = item;
       bytes += value.length;
       if (items.length > 0 && bytes > this.context.limits.transactionBytes)
         break;
@@ -292,28 +426,39 @@
     return {puts, items};
   }
 
-  private async resultValue(result: ItemResult): Promise<Uint8Array> {
-    const inline = encodeJson({kind: 'here', ...result} satisfies StoredResult);
-    const {store, clock, limits} = this.context;
-    if (inline.length <= limits.rowBytes) return inline;
+  /**
+   * Stores a text as an object.
+   *
+   * @param itemId - ID of the item.
+   * @param bytes - The result with its text.
+   * @returns Value of the row that refers to the object; undefined if the job
+   *   was let go before the object was stored.
+   */
+  private async storeText(
+    itemId: string,
+    bytes: Uint8Array,
+  ): Promise<Uint8Array | undefined> {
+    const {store, clock} = this.context;
     // The same item may have run twice: the nonce of the head keeps the objects
     // of its runs apart.
-    const name = `text-${encodeURIComponent(result.id)}-${this.head.nonce}`;
-    const value = encodeJson({kind: 'object', name} satisfies StoredResult);
+    const name = `text-${encodeURIComponent(itemId)}-${this.head.nonce}`;
     while (!this.closed) {
-      const put = await store.putObject(name, inline);
-      if (put.ok || put.err.kind === 'conflict') break;
+      const put = await store.putObject(name, bytes);
+      if (put.ok || put.err.kind === 'conflict')
+        return encodeJson({kind: 'object', name} satisfies StoredResult);
       await sleep(clock, OBJECT_RETRY_DELAY_MS, this.stop.signal);
     }
-    return value;
+    return undefined;
   }
 }
 
-function withFailures(
-  known: JobHead['failures'],
+function withCounts(
+  known: JobHead['doubts'],
   failed: readonly ItemWork[],
+  kind: 'failures' | 'doubts',
 ): JobHead['failures'] {
-  const failures = {...known};
-  for (const {index, failures: count} of failed) failures[index] = count;
-  return failures;
+  const counts = {...known};
+  for (const work of failed)
+    if (work[kind] > 0) counts[work.index] = work[kind];
+  return counts;
 }
--- a/packages/jobs/src/test/process/job_ownership_test.ts
+++ b/packages/jobs/src/test/process/job_ownership_test.ts
@@ -6,8 +6,9 @@
   seededRandom,
   success,
   SYSTEM_CLOCK,
+  type EventLog,
 } from '@oathead/core';
-import type {Membership} from '@oathead/gateway';
+import type {Member, Membership} from '@oathead/gateway';
 import {encodeJson, MemoryRowStore} from '@oathead/stores';
 import test from 'ava';
 import {JobOwnership} from '../../lib/process/job_ownership.js';
@@ -38,13 +39,27 @@
   return {put: [row], removed: [], storeTimeMs: 1};
 }
 
-function ownershipWith(reader: JobReader): JobOwnership {
-  const membership = {self: {id: 'me'}, peers: () => []} as unknown;
+/** Parts of an ownership that a test may choose. */
+interface OwnershipOptions {
+  readonly store?: MemoryRowStore;
+  readonly peers?: ReadonlyArray<{readonly id: string}>;
+  readonly log?: EventLog;
+}
+
+function ownershipWith(
+  reader: JobReader,
+  {
+    store = new MemoryRowStore(SYSTEM_CLOCK),
+    peers = [],
+    log = NO_EVENT_LOG,
+  }: OwnershipOptions = {},
+): JobOwnership {
+  const membership = {self: {id: 'me'}, peers: () => peers} as unknown;
   return new JobOwnership({
-    store: new MemoryRowStore(SYSTEM_CLOCK),
+    store,
     clock: SYSTEM_CLOCK,
     random: seededRandom(1),
-    log: NO_EVENT_LOG,
+    log,
     counters: NO_COUNTERS,
     latencies: NO_LATENCIES,
     limits: {rowBytes: 1024, transactionBytes: 1024, objectBytes: 1024},
@@ -93,14 +108,26 @@
   jobOwnership.update(updateOf(head, 1));
   await setTimeout(LOAD_MS / 2);
   listed.push({id: 'a', state: 'succeeded', text: ''});
-  const handedBack = {...head, listed: 1, failures: {1: 2}, nonce: 'back'};
+  const handedBack = {
+    ...head,
+    listed: 1,
+    failures: {1: 2},
+    doubts: {1: 1},
+    failedRuns: {1: ['a', 'b', 'c']},
+    nonce: 'back',
+  };
   jobOwnership.update(updateOf(handedBack, 3));
   await setTimeout(4 * LOAD_MS);
   const [job] = [...jobOwnership.jobs()];
   t.is(job?.head.listed, 1);
   t.deepEqual(
-    job?.work.map(({item: {id}, failures}) => ({id, failures})),
-    [{id: 'b', failures: 2}],
+    job?.work.map(({item: {id}, failures, doubts, failedRuns}) => ({
+      id,
+      failures,
+      doubts,
+      failedRuns,
+    })),
+    [{id: 'b', failures: 2, doubts: 1, failedRuns: ['a', 'b', 'c']}],
   );
 });
 
@@ -108,6 +135,12 @@
 /** Time of two sweeps, below the time for which an unknown owner is awaited. */
 const TWO_SWEEPS_MS = 2 * SWEEP_MS + 200;
 
+type MemberState = Pick<Member, 'id' | 'isLeaving'>;
+const LEAVING: readonly MemberState[] = ['a', 'b', 'c'].map(id => ({
+  id,
+  isLeaving: true,
+}));
+
 /**
  * @returns Outcomes of claims of jobs whose owner holds no lease. Reading a job
  *   takes `loadMs`.
@@ -115,13 +148,13 @@
 async function claimsWithin(
   ms: number,
   ownerHasLapsed: boolean,
-  {jobs = 1, loadMs = 0} = {},
+  {jobs = 1, loadMs = 0, others = [] as readonly MemberState[]} = {},
 ) {
   const log = new RecordedEvents();
   const membership = {
     self: {id: 'me'},
     isInitialized: true,
-    live: () => [{id: 'me'}],
+    live: () => [{id: 'me'}, ...others],
     peers: () => [],
     isReplaced: () => false,
     hasLapsed: () => ownerHasLapsed,
@@ -181,3 +214,68 @@
   const claims = await claimsWithin(TWO_SWEEPS_MS, true, slow);
   t.deepEqual(claims, Array(slow.jobs).fill('written'));
 });
+
+/** A host that owns the job of {@link OPEN} and takes `LOAD_MS` to read it. */
+async function stoppingOwner() {
+  const store = new MemoryRowStore(SYSTEM_CLOCK);
+  const ref = headRef(OPEN.id);
+  const puts = [{...ref, value: encodeJson(OPEN)}];
+  const written = await store.transact({expect: [], puts, removes: []});
+  const version = written.ok ? written.value.version : 0;
+  const reader = {
+    items: async () => {
+      await setTimeout(LOAD_MS);
+      return success([]);
+    },
+    allResults: async () => success([]),
+  } as unknown as JobReader;
+  const jobOwnership = ownershipWith(reader, {store, peers: [{id: 'peer'}]});
+  const owner = async () => {
+    const {table, partition, key} = ref;
+    const page = await store.read({table, partition, from: key});
+    const [row] = page.ok ? page.value.rows : [];
+    return (JSON.parse(Buffer.from(row!.value).toString()) as JobHead).owner;
+  };
+  return {jobOwnership, owner, update: updateOf(OPEN, version)};
+}
+
+// Guards against items that nobody runs for seconds: a host that was stopped
+// while it read a job, or to which the job was handed over after that, kept it
+// until it had ended and its lease had lapsed.
+for (const when of ['before', 'after'])
+  test(`a job that an owner gets ${when} its stop is handed over`, async t => {
+    const {jobOwnership, owner, update} = await stoppingOwner();
+    t.teardown(() => jobOwnership[Symbol.dispose]());
+    if (when === 'before') jobOwnership.update(update);
+    await jobOwnership.handOverAll();
+    if (when === 'after') jobOwnership.update(update);
+    await setTimeout(2 * LOAD_MS);
+    t.is(await owner(), 'peer');
+  });
+
+// A job of a lost host rested for seconds: the host whose turn it was to claim
+// it was shutting down.
+test('no job waits for a host that is leaving to claim it', async t => {
+  const options = {jobs: 8, loadMs: 200, others: LEAVING};
+  const claims = await claimsWithin(TWO_SWEEPS_MS, true, options);
+  t.deepEqual(claims, Array(options.jobs).fill('written'));
+});
+
+// In a roll of all hosts, three of five jobs that were handed over went to a
+// host that was shutting down itself, and rested until its process had ended.
+test('a job is handed over to a host that stays', async t => {
+  const log = new RecordedEvents();
+  const reader = {items: async () => success([])} as unknown as JobReader;
+  const peers = [...LEAVING, {id: 'stays'}];
+  const jobOwnership = ownershipWith(reader, {peers, log});
+  const heads = [...'abcdefgh'].map(id => ({...OPEN, id}));
+  for (const head of heads) jobOwnership.adoptAccepted({head, version: 1});
+  await setTimeout(LOAD_MS);
+  await jobOwnership.handOverAll();
+  const handedOver = log.events.filter(({name}) => name === 'job-handed-over');
+  t.deepEqual(
+    handedOver.map(({to}) => to),
+    heads.map(() => 'stays'),
+  );
+  t.is(jobOwnership.ownerForNewJob(), 'stays');
+});
--- a/packages/jobs/src/test/process/owned_job_test.ts
+++ b/packages/jobs/src/test/process/owned_job_test.ts
@@ -9,7 +9,7 @@
 } from '@oathead/core';
 import {encodeJson, MemoryRowStore} from '@oathead/stores';
 import test from 'ava';
-import {newItemWork, type ItemWork} from '../../lib/process/item_work.js';
+import {newItemWork} from '../../lib/process/item_work.js';
 import {OwnedJob, type GiveUpReason} from '../../lib/process/owned_job.js';
 import {
   headRef,
@@ -20,6 +20,7 @@
 
 const MAX_ATTEMPTS = 2;
 const WRITE_MS = 30;
+const RUN = {target: 'i-a', status: 500, doubt: undefined};
 const ROW_BYTES = 1024;
 const HEAD: JobHead = {
   id: 'j',
@@ -48,13 +49,19 @@
   }
 }
 
-/** Creates a job with one item, and its log. */
-async function startJob(store = new MemoryRowStore(SYSTEM_CLOCK)) {
-  const puts = [{...headRef('j'), value: encodeJson(HEAD)}];
+/** Creates a job, and its log. */
+async function startJob(
+  store = new MemoryRowStore(SYSTEM_CLOCK),
+  items: readonly string[] = ['i'],
+) {
+  const newHead = {...HEAD, items: items.length};
+  const puts = [{...headRef('j'), value: encodeJson(newHead)}];
   const written = await store.transact({expect: [], puts, removes: []});
   if (!written.ok) throw new Error(written.err.kind);
-  const item = {id: 'i', path: '/', headers: {}, body: Buffer.of(), tokens: 1};
-  const work: ItemWork = newItemWork(0, item, 0, undefined);
+  const item = {path: '/', headers: {}, body: Buffer.of(), tokens: 1};
+  const works = items.map((id, i) =>
+    newItemWork(i, {...item, id}, 0, undefined),
+  );
   const lines: Array<EventFields & {readonly event: string}> = [];
   const context = {
     store,
@@ -72,9 +79,17 @@
         void lines.push({event, ...fields}),
     },
   };
-  const head = {head: HEAD, version: written.value.version};
-  const job = new OwnedJob(context, head, [work], () => {});
-  return {job, work, lines};
+  const head = {head: newHead, version: written.value.version};
+  const job = new OwnedJob(context, head, works, () => {});
+  return {job, work: works[0]!, works, lines};
+}
+
+/** The fields that are written to the log. */
+function definedIn(line: EventFields): EventFields {
+  const written = Object.entries(line).filter(
+    ([, value]) => value !== undefined,
+  );
+  return Object.fromEntries(written);
 }
 
 /** Line of the result, without the times of its stages. */
@@ -98,36 +113,54 @@
     job.giveUp(work, reason);
     await setTimeout(WRITE_MS);
     const [givenUp, listed, ...others] = lines;
-    t.deepEqual(
-      {...givenUp},
-      {event: 'item-given-up', job: 'j', item: 'i', reason, failures: 0},
-    );
+    t.deepEqual(definedIn(givenUp!), {
+      event: 'item-given-up',
+      job: 'j',
+      item: 'i',
+      reason,
+      failures: 0,
+    });
     t.like(listed, LISTED_LINE);
     t.deepEqual(others, []);
   });
 
 test('an item is given up after as many failed runs as its job allows', async t => {
   const {job, work, lines} = await startJob();
-  job.fail(work);
+  job.fail(work, RUN);
   await setTimeout(WRITE_MS);
   t.deepEqual([work.stage.kind, job.head.failures], ['waiting', {0: 1}]);
-  job.fail(work);
+  job.fail(work, RUN);
   await setTimeout(WRITE_MS);
   const [givenUp, listed, ...others] = lines;
-  t.deepEqual(
-    {...givenUp},
-    {
-      event: 'item-given-up',
-      job: 'j',
-      item: 'i',
-      reason: 'failed-runs',
-      failures: MAX_ATTEMPTS,
-    },
-  );
+  const {failedRuns, ...line} = givenUp!;
+  t.deepEqual(definedIn(line), {
+    event: 'item-given-up',
+    job: 'j',
+    item: 'i',
+    reason: 'failed-runs',
+    failures: MAX_ATTEMPTS,
+  });
+  const described =
+    /^status 500 target i-a run 0 owner me sinceAcceptedMs \d+$/;
+  t.is((failedRuns as readonly string[]).length, MAX_ATTEMPTS);
+  for (const run of failedRuns as readonly string[]) t.regex(run, described);
   t.like(listed, LISTED_LINE);
   t.deepEqual(others, []);
 });
 
+test('runs in doubt use up no attempt, but are counted and bounded', async t => {
+  const {job, work} = await startJob();
+  for (let runs = 1; runs < 2 * MAX_ATTEMPTS; runs++) {
+    job.doubt(work, {...RUN, doubt: 'no-length'});
+    await setTimeout(WRITE_MS);
+    t.deepEqual([work.stage.kind, job.head.doubts], ['waiting', {0: runs}]);
+    t.deepEqual(job.head.failures, {});
+  }
+  job.doubt(work, {...RUN, doubt: 'no-length'});
+  await setTimeout(WRITE_MS);
+  t.deepEqual([work.stage.kind, job.head.state], ['finished', 'done']);
+});
+
 // Guards against a store that is called as fast as it refuses: the text of a
 // result is too large for a row, and its object is not accepted.
 test('a text that the store refuses is tried again after a pause', async t => {
@@ -153,3 +186,83 @@
   const page = await store.read(jobRowRange(RESULT_TABLE, 'j'));
   t.deepEqual(page.ok && page.value.rows, []);
 });
+
+const CONFIG_REF = {table: 'op', partition: '', key: 'config'};
+
+/** Writes a version of the operator's configuration. */
+async function writeConfig(store: MemoryRowStore) {
+  const puts = [{...CONFIG_REF, value: encodeJson({})}];
+  const written = await store.transact({expect: [], puts, removes: []});
+  if (!written.ok) throw new Error(written.err.kind);
+  return {...CONFIG_REF, version: written.value.version};
+}
+
+// Guards against an item that is given up under an old configuration: the host
+// read it from a store that lags, or was stopped right before its write.
+test('no item is given up for a route of a configuration that was replaced', async t => {
+  const store = new MemoryRowStore(SYSTEM_CLOCK);
+  const {job, work, lines} = await startJob(store);
+  work.texts.push('kept');
+  const old = await writeConfig(store);
+  const newest = await writeConfig(store);
+  job.giveUp(work, 'no-route', {row: old, version: 7, ageMs: 1});
+  await setTimeout(WRITE_MS);
+  t.deepEqual([work.stage.kind, work.texts], ['waiting', ['kept']]);
+  t.deepEqual([job.closed, job.head.listed], [false, 0]);
+  job.giveUp(work, 'no-route', {row: newest, version: 8, ageMs: 1});
+  await setTimeout(WRITE_MS);
+  t.deepEqual([job.closed, job.head.listed], [true, 1]);
+  t.deepEqual(lines.map(({event, config}) => [event, config]).slice(0, 3), [
+    ['item-given-up', 7],
+    ['item-kept', undefined],
+    ['item-given-up', 8],
+  ]);
+});
+
+// Guards against results and failures that are lost with a write that also
+// gives an item up under an old configuration.
+test('what else was to be written is written without the item that is kept', async t => {
+  const store = new MemoryRowStore(SYSTEM_CLOCK);
+  const items = ['kept', 'done', 'failed'] as const;
+  const {job, works} = await startJob(store, items);
+  const [kept, done, failed] = works;
+  const old = await writeConfig(store);
+  await writeConfig(store);
+  job.succeed(done!);
+  job.giveUp(kept!, 'no-route', {row: old, version: 7, ageMs: 1});
+  job.fail(failed!, RUN);
+  await setTimeout(WRITE_MS);
+  t.deepEqual(
+    works.map(({stage}) => stage.kind),
+    ['waiting', 'finished', 'waiting'],
+  );
+  t.deepEqual([job.head.listed, job.head.failures], [1, {2: 1}]);
+});
+
+// Guards against finished items that are never listed, and failed ones that are
+// never run again: they waited for the text of another item, which the store
+// did not accept.
+test('no item waits for the text of another one to be stored', async t => {
+  const store = new ObjectRefusingStore(SYSTEM_CLOCK);
+  const {job, works} = await startJob(store, ['long', 'short', 'failed']);
+  const [long, short, failed] = works;
+  long!.texts.push('x'.repeat(ROW_BYTES));
+  job.succeed(long!);
+  job.succeed(short!);
+  job.fail(failed!, RUN);
+  await setTimeout(WRITE_MS);
+  t.is(job.head.listed, 1);
+  t.deepEqual(job.head.failures, {2: 1});
+  t.is(failed!.stage.kind, 'waiting');
+  job[Symbol.dispose]();
+});
+
+// Guards against a head that no longer fits into a row and is never written.
+test('the head describes a bounded number of failed runs', async t => {
+  const ids = [...Array(200).keys()].map(i => `item-${i}`);
+  const {job, works} = await startJob(new MemoryRowStore(SYSTEM_CLOCK), ids);
+  for (const work of works) job.fail(work, RUN);
+  await setTimeout(2 * WRITE_MS);
+  t.is(Object.keys(job.head.failures).length, ids.length);
+  t.is(Object.keys(job.head.failedRuns ?? {}).length, 100);
+});
