Coordinators hear again of targets that items found suspended

A placement request now carries the targets that the item avoids apart from those that its host has suspended; only the latter are reports. The new test fails on the code before ('t1' in place of 't2'); an older coordinator ignores the new field.

--- a/packages/gateway/src/lib/connection/placement_message.ts
+++ b/packages/gateway/src/lib/connection/placement_message.ts
@@ -34,6 +34,8 @@
     lane: z.literal('batch'),
     /** How urgent the item is. */
     pressure: z.enum(['relaxed', 'pressed']),
+    /** IDs of targets that must not be chosen, because they failed the item. */
+    avoided: z.array(z.string()).readonly().default([]),
   }),
 ]);
 
@@ -48,7 +50,7 @@
   wish: CRITERIA,
   /**
    * IDs of targets that must not be chosen, because they just failed a request
-   * of this host, or have failed the item.
+   * of this host.
    */
   excluded: z.array(z.string()).readonly(),
 });
--- a/packages/gateway/src/lib/process/coordinator.ts
+++ b/packages/gateway/src/lib/process/coordinator.ts
@@ -70,13 +70,15 @@
     {host, service, wish, excluded}: PlacementRequest,
     dataCentre: string,
   ): PlacementDecision {
-    // An item excludes the targets that failed it for as long as it waits, and
-    // may itself be the reason why they did.
-    if (wish.lane === 'online') this.avoided.report(host, excluded);
-    const avoided = new Set([...excluded, ...this.avoided.avoidedIds()]);
+    this.avoided.report(host, excluded);
+    // What an item avoids is not reported: it avoids the targets that failed it
+    // for as long as it waits, and may itself be the reason why they did.
+    const mustNot =
+      wish.lane === 'batch' ? [...excluded, ...wish.avoided] : excluded;
+    const avoided = new Set([...mustNot, ...this.avoided.avoidedIds()]);
     const target =
       this.choose(service, wish, avoided) ??
-      this.choose(service, wish, new Set(excluded));
+      this.choose(service, wish, new Set(mustNot));
     if (!target) return {target, itemsToPreempt: NO_ITEMS};
     const key = targetKey(target.id);
     const {loads, dataCentre: own} = this.context;
--- a/packages/gateway/src/lib/process/placement.ts
+++ b/packages/gateway/src/lib/process/placement.ts
@@ -49,6 +49,8 @@
  */
 const MAX_EXCLUDED = 30;
 
+const NO_TARGETS: ReadonlySet<string> = new Set();
+
 /** Dependencies of {@link Placement}. */
 export interface PlacementContext<P extends LoadPeer> {
   readonly self: LoadPeer;
@@ -185,8 +187,8 @@
     const answer = await this.requestPlacement(
       coordinator,
       service,
-      {lane: 'batch', pressure},
-      avoided,
+      {lane: 'batch', pressure, avoided: [...avoided].slice(0, MAX_EXCLUDED)},
+      NO_TARGETS,
     );
     return answer === 'silent'
       ? chooser.forItem(service, pressure, avoided)
--- a/packages/gateway/src/test/process/placement_test.ts
+++ b/packages/gateway/src/test/process/placement_test.ts
@@ -175,17 +175,31 @@
 // Two items that every target fails would take their targets from all requests.
 test('a target that failed two items is not avoided for all hosts', t => {
   const {coordinator} = newPair();
-  const wish = {lane: 'batch', pressure: 'pressed'} as const;
+  const avoided = ['t1'];
   for (const host of ['h1', 'h2'])
     coordinator.placement.receive({
-      ...{kind: 'ask', host, askId: 1, service: 's', wish},
-      excluded: ['t1'],
+      ...{kind: 'ask', host, askId: 1, service: 's', excluded: []},
+      wish: {lane: 'batch', pressure: 'pressed', avoided},
     });
   coordinator.fill('y', 't2', 7, 0);
   coordinator.placement.receive(requestFrom('h3', []));
   t.like(coordinator.sent.at(-1)![0], {kind: 'grant', targetId: 't1'});
 });
 
+// Online requests are placed at targets that only items have found full or
+// gone.
+test('a target that two hosts suspended is avoided although items report it', async t => {
+  const {coordinator} = newPair();
+  for (const host of ['h1', 'h2'])
+    coordinator.placement.receive({
+      ...{kind: 'ask', host, askId: 1, service: 's', excluded: ['t1']},
+      wish: {lane: 'batch', pressure: 'pressed', avoided: []},
+    });
+  coordinator.fill('y', 't2', 6, 0);
+  coordinator.placement.receive(requestFrom('h3', []));
+  t.like(coordinator.sent.at(-1)![0], {kind: 'grant', targetId: 't2'});
+});
+
 // Every request of a data centre waits for its failed coordinator.
 test('an unresponsive coordinator delays few requests and is not asked for a while', async t => {
   const {requester, clock} = newPair();
--- a/packages/gateway/src/test/request/parsers_fuzz_test.ts
+++ b/packages/gateway/src/test/request/parsers_fuzz_test.ts
@@ -60,6 +60,7 @@
   fc.record({
     lane: fc.constant('batch' as const),
     pressure: fc.constantFrom('relaxed' as const, 'pressed' as const),
+    avoided: fc.array(fc.string(), {maxLength: 4}),
   }),
 ) satisfies fc.Arbitrary<PlacementCriteria>;
 const PLACEMENT = fc.oneof(
