Count a failure that is broken off as one in doubt

What callers saw: nothing; an item that fails at each run reaches servers for ever if each of its 500 (or 422) is broken off before its end.

Cause: such a run ended as any broken connection does: it counted neither as failed nor as in doubt, and the item ran again after 100 ms, also where it had just failed.

Evidence: two new cases of the test of doubtful failures, 'broken off' with 500 and with 422, fail on the code before: no result within 12 s. Those in which later runs succeed pass on both.

Why it holds: an exchange whose headers stated a failure says so when it breaks, or when its target falls silent. Such a run counts as one in doubt (`incomplete`), with its bound, delay and avoided target. An item now also avoids the target of a doubtful 422. Runs that the host ends itself for other reasons count as before.

--- a/packages/gateway/src/lib/request/exchange.ts
+++ b/packages/gateway/src/lib/request/exchange.ts
@@ -48,6 +48,8 @@
 
 /** Why a failure may be less, or another one, than the target stated. */
 export type FailureDoubt =
+  /** Its connection ended before its end. */
+  | 'incomplete'
   /** It ended with its connection, so that its end may be missing. */
   | 'no-length'
   /** It does not name the request. */
@@ -96,9 +98,16 @@
       readonly sentInvalidData: boolean;
       /** Set if the response may belong to another request. */
       readonly unattributed?: UnattributedReason;
+      /** Status of a failure that is incomplete. */
+      readonly failedStatus?: number;
     }
   /** The gateway aborted the request; it may have run. */
-  | {readonly kind: 'ended'; readonly by: AbortReason};
+  | {
+      readonly kind: 'ended';
+      readonly by: AbortReason;
+      /** Status of a failure that is incomplete. */
+      readonly failedStatus?: number;
+    };
 
 /**
  * Maximum size of a buffered response body, in bytes: twice the default limit
@@ -201,7 +210,7 @@
 
   /** {@inheritDoc ExchangeControl.end} */
   end(by: AbortReason): void {
-    this.finish({kind: 'ended', by});
+    this.finish({kind: 'ended', by, ...this.failurePart()});
   }
 
   /** {@inheritDoc ExchangeControl.silentMs} */
@@ -352,7 +361,7 @@
 
   /** Ends the exchange because the target sent an invalid response. */
   private failInvalid(reason: string): void {
-    this.finish({kind: 'broken', reason, sentInvalidData: true});
+    this.failBroken(reason, true);
   }
 
   /** Ends the exchange because the response may belong to another request. */
@@ -366,7 +375,19 @@
    * complete.
    */
   private failDisconnected(reason: string): void {
-    this.finish({kind: 'broken', reason, sentInvalidData: false});
+    this.failBroken(reason, false);
+  }
+
+  private failBroken(reason: string, sentInvalidData: boolean): void {
+    const part = this.failurePart();
+    this.finish({kind: 'broken', reason, sentInvalidData, ...part});
+  }
+
+  /** What is known of a failure that is incomplete. */
+  private failurePart(): {readonly failedStatus?: number} {
+    if (!this.head || this.metadata!.notRun) return {};
+    const {status} = this.head;
+    return isSuccess(status) ? {} : {failedStatus: status};
   }
 
   /**
--- a/packages/jobs/src/lib/process/item_runner.ts
+++ b/packages/jobs/src/lib/process/item_runner.ts
@@ -7,11 +7,11 @@
   RequestTrace,
   sendToTarget,
   type AbortReason,
-  type CompleteResponse,
   type ResponseHead,
   type CrashSuspects,
   type EventSink,
   type ExchangeOutcome,
+  type FailureDoubt,
   type Route,
   type SendContext,
   type SenderAccount,
@@ -21,7 +21,7 @@
 import type {Clock, Counters, EventLog} from '@oathead/core';
 import type {RunSpeed} from './item_durations.js';
 import type {ItemWork} from './item_work.js';
-import type {OwnedJob} from './owned_job.js';
+import type {FailedRun, OwnedJob} from './owned_job.js';
 
 /** What a run of an item has received when it ends. */
 export interface EndedRun extends RunSpeed {
@@ -182,6 +182,7 @@
   target: Target,
 ): void {
   const now = context.clock.now();
+  const failed = failedRunOf(end, target);
   context.counters.count('item_runs', {end: end.kind});
   context.log.event('item-run-ended', {
     job: job.head.id,
@@ -189,23 +190,21 @@
     target: target.id,
     end: end.kind,
     reason: endReasonOf(end),
-    doubt: end.kind === 'answered' ? end.doubt : undefined,
-    failures: countsAsFailure(end) ? work.failures + 1 : undefined,
+    doubt: failed?.doubt,
+    failures: failed && !failed.doubt ? work.failures + 1 : undefined,
     afterEvent: work.lastEventId,
   });
   if (end.kind === 'streamed') {
     job.succeed(work);
     return;
   }
-  if (end.kind === 'answered') {
-    if (isFailure(end)) recordFailedTarget(work, target, now);
-    handleAnswer(job, work, target, end, now);
+  if (end.kind === 'ended') recordAbort(context, work, end.by);
+  if (failed) {
+    recordFailedTarget(work, target, now);
+    handleFailedRun(job, work, failed);
     return;
   }
-  const delayMs =
-    end.kind === 'ended' ? RETRY_DELAY_MS.yield : RETRY_DELAY_MS[end.kind];
-  if (end.kind === 'ended') recordAbort(context, work, end.by);
-  work.stage = {kind: 'waiting', notBefore: now + delayMs};
+  work.stage = {kind: 'waiting', notBefore: now + retryDelayMsAfter(end)};
 }
 
 function recordFailedTarget(work: ItemWork, {id}: Target, now: number): void {
@@ -224,34 +223,44 @@
   if (by === 'yield') work.preemptions++;
 }
 
-function handleAnswer(
-  job: OwnedJob,
-  work: ItemWork,
-  target: Target,
-  {head: {status}, doubt}: CompleteResponse,
-  now: number,
-): void {
-  const run = {target: target.id, status, doubt};
+function handleFailedRun(job: OwnedJob, work: ItemWork, run: FailedRun): void {
+  const {status, doubt} = run;
   if (status === STATUS_UNPROCESSABLE && doubt) job.doubtProcessable(work, run);
   else if (status === STATUS_UNPROCESSABLE) job.giveUp(work, 'unprocessable');
-  else if (status === STATUS_SERVER_ERROR && doubt) job.doubt(work, run);
-  else if (status === STATUS_SERVER_ERROR) job.fail(work, run);
-  else
-    work.stage = {
-      kind: 'waiting',
-      notBefore: now + RETRY_DELAY_MS.unexpectedStatus,
-    };
+  else if (doubt) job.doubt(work, run);
+  else job.fail(work, run);
 }
 
-function countsAsFailure(end: ExchangeOutcome): boolean {
-  return isFailure(end) && !end.doubt;
+/**
+ * @returns The failure that a target has stated, completely or in part;
+ *   undefined if it has stated none. Guards against an item that reaches
+ *   targets without end because each of its failures is broken off.
+ */
+function failedRunOf(
+  end: ExchangeOutcome,
+  {id}: Target,
+): FailedRun | undefined {
+  if (end.kind === 'answered')
+    return failedRunWith(id, end.head.status, end.doubt);
+  if (end.kind === 'broken' || (end.kind === 'ended' && end.by === 'silent'))
+    return failedRunWith(id, end.failedStatus, 'incomplete');
+  return undefined;
 }
 
-/** Whether the run may have failed, in doubt or not. */
-function isFailure(
-  end: ExchangeOutcome,
-): end is ExchangeOutcome & {readonly kind: 'answered'} {
-  return end.kind === 'answered' && end.head.status === STATUS_SERVER_ERROR;
+function failedRunWith(
+  target: string,
+  status: number | undefined,
+  doubt: FailureDoubt | undefined,
+): FailedRun | undefined {
+  return status === STATUS_SERVER_ERROR || status === STATUS_UNPROCESSABLE
+    ? {target, status, doubt}
+    : undefined;
+}
+
+function retryDelayMsAfter({kind}: ExchangeOutcome): number {
+  if (kind === 'answered' || kind === 'streamed')
+    return RETRY_DELAY_MS.unexpectedStatus;
+  return kind === 'ended' ? RETRY_DELAY_MS.yield : RETRY_DELAY_MS[kind];
 }
 
 function endReasonOf(end: ExchangeOutcome): string | undefined {
--- a/packages/jobs/src/lib/process/owned_job.ts
+++ b/packages/jobs/src/lib/process/owned_job.ts
@@ -1,5 +1,6 @@
 /** A job that this host owns: its items and the list of its results. */
 import {sleep} from '@oathead/core';
+import type {FailureDoubt} from '@oathead/gateway';
 import {encodeJson, type ExpectedRow, type RowPut} from '@oathead/stores';
 import type {ItemResult} from '../request/job.js';
 import type {StoreLimits} from '../request/job_content.js';
@@ -71,7 +72,7 @@
 export interface FailedRun {
   readonly target: string;
   readonly status: number;
-  readonly doubt: string | undefined;
+  readonly doubt: FailureDoubt | undefined;
 }
 
 /** The configuration under which an item has no route. */
