A result that depends on the configuration doesn't hold up the others

What callers saw: nothing yet. Where the store, or a host that forwards its calls, refuses each transaction over several partitions, one item without a route keeps all later results and failures of its job from being written.

Cause: the write that gives the item up expects the configuration's row, in another partition, and was repeated until it got an answer other than a refusal.

Evidence: two new tests of the head's writer don't end on the code before: one against a store that refuses such a write, one that reads the basis first.

Why it holds: a write with such a basis that was only ever refused had no effect and is not repeated; its item waits again, the others are written without it. If the settings say that the store has no such transactions (`platform.across`), the row is read right before the write, by a read no older than the head. After a write without an answer nothing changes: it may yet take effect.

--- a/packages/jobs/src/lib/process/head_writer.ts
+++ b/packages/jobs/src/lib/process/head_writer.ts
@@ -20,6 +20,7 @@
   type RowStore,
   type VersionedRow,
 } from '@oathead/stores';
+import type {StoreLimits} from '../request/job_content.js';
 import {
   HEAD_TABLE,
   headRef,
@@ -43,11 +44,23 @@
   readonly kind: 'basis-changed';
 }
 
+/**
+ * Error of a write that was based on a row whose state the store did not check.
+ * This host still owns the job, and the write can no longer take effect.
+ */
+export interface BasisUnchecked {
+  readonly kind: 'basis-unchecked';
+}
+
+/** Error of a write of a head. */
+export type HeadWriteError = OwnershipLost | BasisChanged | BasisUnchecked;
+
 /** Dependencies of a {@link HeadWriter}. */
 export interface HeadWriterContext {
   readonly store: RowStore;
   readonly clock: Clock;
   readonly random: Random;
+  readonly limits: Pick<StoreLimits, 'acrossPartitions'>;
 }
 
 /** Delay between attempts while the store does not respond, in milliseconds. */
@@ -79,40 +92,74 @@
    * conflict with a head that carries the nonce of this write means that an
    * earlier attempt succeeded.
    *
+   * A write with a basis is not retried if the store refuses it. Guards against
+   * results that wait for ever: the store, or another host that forwards the
+   * call, may refuse each transaction over several partitions.
+   *
    * @param change - Changed fields of the head.
    * @param puts - Rows written in the same transaction.
    * @param basis - Other rows that must not have changed.
    * @returns Success once written; a failure means that ownership is lost or
-   *   that the basis has changed.
+   *   that the basis has changed or was not checked.
    */
   async write(
     change: Partial<JobHead>,
     puts: readonly RowPut[],
     basis: readonly ExpectedRow[] = [],
-  ): Promise<Outcome<void, OwnershipLost | BasisChanged>> {
-    const {store, clock, random} = this.context;
+  ): Promise<Outcome<void, HeadWriteError>> {
+    const {store, clock, random, limits} = this.context;
+    const expectsBasis = basis.length > 0 && limits.acrossPartitions;
+    if (!expectsBasis) {
+      const error = await this.basisError(basis);
+      if (error) return failure(error);
+    }
     const nonce = random.id();
     const next: JobHead = {...this.current.head, ...change, nonce};
     const ref = headRef(next.id);
     const transaction = {
-      expect: [{...ref, version: this.current.version}, ...basis],
+      expect: [
+        {...ref, version: this.current.version},
+        ...(expectsBasis ? basis : []),
+      ],
       puts: [{...ref, value: encodeJson(next)}, ...puts],
       removes: [],
     };
-    for (;;) {
+    for (let hadNoEffect = true; ;) {
       const written = await store.transact(transaction);
       if (written.ok) return this.adopt(next, written.value.version);
       if (written.err.kind === 'conflict')
         return this.resolveConflict(next, written.err.rows);
+      hadNoEffect &&= written.err.kind === 'refused';
+      if (expectsBasis && hadNoEffect)
+        return failure({kind: 'basis-unchecked'});
       if (this.signal.aborted) return failure(this.ownershipLost());
       await sleep(clock, RETRY_DELAY_MS, this.signal);
     }
   }
 
+  /**
+   * Reads the basis of a write, right before it, from a store that cannot check
+   * it with the write.
+   */
+  private async basisError(
+    basis: readonly ExpectedRow[],
+  ): Promise<BasisChanged | BasisUnchecked | undefined> {
+    for (const {table, partition, key, version} of basis) {
+      const to = `${key}\0`;
+      const query = {table, partition, from: key, to};
+      const page = await this.context.store.read(query);
+      if (!page.ok || page.value.version < this.current.version)
+        return {kind: 'basis-unchecked'};
+      if (page.value.rows[0]?.version !== version)
+        return {kind: 'basis-changed'};
+    }
+    return undefined;
+  }
+
   private resolveConflict(
     next: JobHead,
     rows: readonly VersionedRow[],
-  ): Outcome<void, OwnershipLost | BasisChanged> {
+  ): Outcome<void, HeadWriteError> {
     const row = rows.find(
       ({table, key}) => table === HEAD_TABLE && key === next.id,
     );
--- a/packages/jobs/src/lib/process/owned_job.ts
+++ b/packages/jobs/src/lib/process/owned_job.ts
@@ -354,9 +354,12 @@
       items.flatMap(({basis}) => basis ?? []),
     );
     if (!written.ok) {
-      if (written.err.kind === 'basis-changed') {
+      if (written.err.kind !== 'ownership-lost') {
         this.failed.unshift(...failed);
-        this.keepItems(items.filter(({basis}) => basis));
+        this.keepItems(
+          items.filter(({basis}) => basis),
+          written.err.kind,
+        );
         return;
       }
       const {state, owner} = written.err;
@@ -371,7 +374,7 @@
   }
 
   /** Lets items wait again that were to be given up. */
-  private keepItems(items: readonly FinishedItem[]): void {
+  private keepItems(items: readonly FinishedItem[], reason: string): void {
     for (const item of items) {
       const {work} = item;
       this.finished.splice(this.finished.indexOf(item), 1);
@@ -379,6 +382,7 @@
       this.context.log.event('item-kept', {
         job: this.head.id,
         item: work.item.id,
+        reason,
       });
     }
   }
--- a/packages/jobs/src/lib/request/job_content.ts
+++ b/packages/jobs/src/lib/request/job_content.ts
@@ -19,7 +19,7 @@
   type JobHead,
 } from './job_rows.js';
 
-/** Size limits of the store. */
+/** Limits of the store. */
 export interface StoreLimits {
   /** Maximum size of a row's value, in bytes. */
   readonly rowBytes: number;
@@ -27,6 +27,8 @@
   readonly transactionBytes: number;
   /** Maximum size of an object, in bytes. */
   readonly objectBytes: number;
+  /** Whether a transaction may hold rows of several partitions. */
+  readonly acrossPartitions: boolean;
 }
 
 /** Content of a job that is ready to be written. */
--- a/packages/jobs/src/test/process/head_writer_test.ts
+++ b/packages/jobs/src/test/process/head_writer_test.ts
@@ -47,8 +47,15 @@
 const keepAlive = setInterval(() => {}, 1000);
 test.after.always(() => clearInterval(keepAlive));
 
-function writerOf(store: RowStore, version: number, seed = 1): HeadWriter {
-  const context = {store, clock: SYSTEM_CLOCK, random: seededRandom(seed)};
+function writerOf(
+  store: RowStore,
+  version: number,
+  seed = 1,
+  acrossPartitions = true,
+): HeadWriter {
+  const limits = {acrossPartitions};
+  const random = seededRandom(seed);
+  const context = {store, clock: SYSTEM_CLOCK, random, limits};
   const {signal} = new AbortController();
   return new HeadWriter(context, {head: HEAD, version}, signal);
 }
@@ -81,3 +88,43 @@
     owner: 'other',
   });
 });
+
+const BASIS_REF = {table: 'op', partition: '', key: 'config'};
+
+/** Refuses transactions over several partitions. */
+class OnePartitionStore extends MemoryRowStore {
+  override async transact(transaction: RowTransaction) {
+    const {expect, puts} = transaction;
+    const partitions = [...expect, ...puts].map(({partition}) => partition);
+    if (new Set(partitions).size <= 1) return super.transact(transaction);
+    return failure({kind: 'refused', message: 'several parts'} as const);
+  }
+
+  async putBasis() {
+    const puts = [{...BASIS_REF, value: encodeJson({})}];
+    const written = await super.transact({expect: [], puts, removes: []});
+    return {...BASIS_REF, version: written.ok ? written.value.version : 0};
+  }
+}
+
+// Guards against results and failures that wait for ever behind a result whose
+// write the store, or another host that forwards it, refuses each time.
+test('a write with a basis is not repeated if it is refused', async t => {
+  const store = new OnePartitionStore(SYSTEM_CLOCK);
+  const writer = writerOf(store, await insertHead(store));
+  const basis = await store.putBasis();
+  const refused = await writer.write({listed: 1}, [], [basis]);
+  t.is(refused.ok ? undefined : refused.err.kind, 'basis-unchecked');
+  t.true((await writer.write({listed: 2}, [])).ok);
+});
+
+test('a basis is read if the store cannot check it with the write', async t => {
+  const store = new OnePartitionStore(SYSTEM_CLOCK);
+  const writer = writerOf(store, await insertHead(store), 1, false);
+  const old = await store.putBasis();
+  const newest = await store.putBasis();
+  const changed = await writer.write({listed: 1}, [], [old]);
+  t.is(changed.ok ? undefined : changed.err.kind, 'basis-changed');
+  t.true((await writer.write({listed: 1}, [], [newest])).ok);
+  t.is(writer.head.listed, 1);
+});
--- a/packages/jobs/src/test/process/job_ownership_test.ts
+++ b/packages/jobs/src/test/process/job_ownership_test.ts
@@ -62,7 +62,12 @@
     log,
     counters: NO_COUNTERS,
     latencies: NO_LATENCIES,
-    limits: {rowBytes: 1024, transactionBytes: 1024, objectBytes: 1024},
+    limits: {
+      rowBytes: 1024,
+      transactionBytes: 1024,
+      objectBytes: 1024,
+      acrossPartitions: true,
+    },
     reader,
     membership: membership as Membership,
   });
@@ -167,7 +172,12 @@
     log,
     counters: NO_COUNTERS,
     latencies: NO_LATENCIES,
-    limits: {rowBytes: 1024, transactionBytes: 1024, objectBytes: 1024},
+    limits: {
+      rowBytes: 1024,
+      transactionBytes: 1024,
+      objectBytes: 1024,
+      acrossPartitions: true,
+    },
     reader: {
       items: async () => {
         await setTimeout(loadMs);
--- a/packages/jobs/src/test/process/owned_job_test.ts
+++ b/packages/jobs/src/test/process/owned_job_test.ts
@@ -73,6 +73,7 @@
       rowBytes: ROW_BYTES,
       transactionBytes: ROW_BYTES,
       objectBytes: ROW_BYTES,
+      acrossPartitions: true,
     },
     log: {
       event: (event: string, fields: EventFields = {}) =>
--- a/packages/jobs/src/test/process/ownership_model_test.ts
+++ b/packages/jobs/src/test/process/ownership_model_test.ts
@@ -134,7 +134,9 @@
 
   private newWriter(found: VersionedHead): HeadWriter {
     const {store, seed} = this;
-    const context = {store, clock: IMMEDIATE_CLOCK, random: seededRandom(seed)};
+    const random = seededRandom(seed);
+    const limits = {acrossPartitions: true};
+    const context = {store, clock: IMMEDIATE_CLOCK, random, limits};
     return new HeadWriter(context, found, new AbortController().signal);
   }
 }
--- a/packages/jobs/src/test/request/job_intake_test.ts
+++ b/packages/jobs/src/test/request/job_intake_test.ts
@@ -4,7 +4,12 @@
 import {JobIntake} from '../../lib/request/job_intake.js';
 import {RecordedEvents} from '../fakes/recorded_events.js';
 
-const LIMITS = {rowBytes: 1024, transactionBytes: 4096, objectBytes: 4096};
+const LIMITS = {
+  rowBytes: 1024,
+  transactionBytes: 4096,
+  objectBytes: 4096,
+  acrossPartitions: true,
+};
 const SUBMISSION = {
   id: 'j',
   account: undefined,
