An item that is kept waits before it can be given up again

What callers saw: nothing; results of other jobs may be written late.

Cause: an item that was not given up, since a newer configuration is stored, was given up again at the next look, 25 ms later, by a host that doesn't learn of that configuration: for as long as its feed is silent, or for good if it can't read that configuration. Each time is a write over two partitions.

Evidence: the new test fails on the code before: the item may be looked at again at once.

Why it holds: a kept item waits for half a second, a quarter of the time within which a host knows of a change. A route that comes back can't be used sooner than the host learns of it.

--- a/packages/jobs/src/lib/process/owned_job.ts
+++ b/packages/jobs/src/lib/process/owned_job.ts
@@ -42,6 +42,11 @@
 const MAX_RESULTS_PER_TRANSACTION = 40;
 /** Delay before a text that was not stored is sent again, in milliseconds. */
 const OBJECT_RETRY_DELAY_MS = 250;
+/**
+ * Delay before an item that was kept is looked at again, in milliseconds: a
+ * quarter of the time within which a host knows of a new configuration.
+ */
+const KEPT_ITEM_DELAY_MS = 500;
 
 /**
  * An item is given up after this many times its maximum number of failed runs
@@ -375,10 +380,11 @@
 
   /** Lets items wait again that were to be given up. */
   private keepItems(items: readonly FinishedItem[], reason: string): void {
+    const notBefore = this.context.clock.now() + KEPT_ITEM_DELAY_MS;
     for (const item of items) {
       const {work} = item;
       this.finished.splice(this.finished.indexOf(item), 1);
-      work.stage = {kind: 'waiting', notBefore: 0};
+      work.stage = {kind: 'waiting', notBefore};
       this.context.log.event('item-kept', {
         job: this.head.id,
         item: work.item.id,
--- a/packages/jobs/src/test/process/owned_job_test.ts
+++ b/packages/jobs/src/test/process/owned_job_test.ts
@@ -20,6 +20,7 @@
 
 const MAX_ATTEMPTS = 2;
 const WRITE_MS = 30;
+const KEPT_MS = 500;
 const RUN = {target: 'i-a', status: 500, doubt: undefined};
 const ROW_BYTES = 1024;
 const HEAD: JobHead = {
@@ -220,6 +221,20 @@
   ]);
 });
 
+// Guards against a store that is called in each scheduling interval by a host
+// that does not know the newest configuration.
+test('an item that is kept waits before it can be given up again', async t => {
+  const store = new MemoryRowStore(SYSTEM_CLOCK);
+  const {job, work} = await startJob(store);
+  const old = await writeConfig(store);
+  await writeConfig(store);
+  const earliest = SYSTEM_CLOCK.now() + KEPT_MS;
+  job.giveUp(work, 'no-route', {row: old, version: 7, ageMs: 1});
+  await setTimeout(WRITE_MS);
+  const {stage} = work;
+  t.true(stage.kind === 'waiting' && stage.notBefore >= earliest);
+});
+
 // Guards against results and failures that are lost with a write that also
 // gives an item up under an old configuration.
 test('what else was to be written is written without the item that is kept', async t => {
