A host that takes a job over knows which targets failed its items

What callers saw: an item may run again on the target that failed it, with the attempts left, after its job has changed its owner.

Cause: the targets that failed an item were kept in memory only; the head described the failed runs in words for the log.

Evidence: the test of a job that is read again now expects the targets, the latest last. With the targets of a new item empty, as before, it fails. The test that a head in another form stays readable fails without the guard in the schema.

Why it holds: a failed run is a record in the head and in the log, and the targets of an item are taken from it when a job is adopted. A head whose records have another form loses them and not its job.

The test of the log compares each field of the records with the values; it matched a text before.

--- a/packages/core/src/lib/process/event_log.ts
+++ b/packages/core/src/lib/process/event_log.ts
@@ -3,9 +3,19 @@
  * affects a request or changes the state that the process acts on.
  */
 
-/** Fields of an event: flat values that a log query can filter by. */
+type EventValue = string | number | boolean | undefined;
+
+/**
+ * Fields of an event: values that a log query can filter by, or lists of texts
+ * or of flat records.
+ */
 export type EventFields = Readonly<
-  Record<string, string | number | boolean | readonly string[] | undefined>
+  Record<
+    string,
+    | EventValue
+    | readonly string[]
+    | ReadonlyArray<Readonly<Record<string, EventValue>>>
+  >
 >;
 
 /** Receiver of log events. Writing never blocks and never fails. */
--- a/packages/jobs/src/lib/process/item_runner.ts
+++ b/packages/jobs/src/lib/process/item_runner.ts
@@ -21,7 +21,7 @@
 import type {Clock, Counters, EventLog} from '@oathead/core';
 import type {RunSpeed} from './item_durations.js';
 import type {ItemWork} from './item_work.js';
-import type {FailedRun, OwnedJob} from './owned_job.js';
+import type {FailedResponse, OwnedJob} from './owned_job.js';
 
 /** What a run of an item has received when it ends. */
 export interface EndedRun extends RunSpeed {
@@ -223,7 +223,11 @@
   if (by === 'yield') work.preemptions++;
 }
 
-function handleFailedRun(job: OwnedJob, work: ItemWork, run: FailedRun): void {
+function handleFailedRun(
+  job: OwnedJob,
+  work: ItemWork,
+  run: FailedResponse,
+): void {
   const {status, doubt} = run;
   if (status === STATUS_UNPROCESSABLE && doubt) job.doubtProcessable(work, run);
   else if (status === STATUS_UNPROCESSABLE) job.giveUp(work, 'unprocessable');
@@ -239,7 +243,7 @@
 function failedRunOf(
   end: ExchangeOutcome,
   {id}: Target,
-): FailedRun | undefined {
+): FailedResponse | undefined {
   if (end.kind === 'answered')
     return failedRunWith(id, end.head.status, end.doubt);
   if (end.kind === 'broken' || (end.kind === 'ended' && end.by === 'silent'))
@@ -251,7 +255,7 @@
   target: string,
   status: number | undefined,
   doubt: FailureDoubt | undefined,
-): FailedRun | undefined {
+): FailedResponse | undefined {
   return status === STATUS_SERVER_ERROR || status === STATUS_UNPROCESSABLE
     ? {target, status, doubt}
     : undefined;
--- a/packages/jobs/src/lib/process/item_work.ts
+++ b/packages/jobs/src/lib/process/item_work.ts
@@ -1,6 +1,7 @@
 /** State of one item while its job is processed. */
 import {CrashSuspects, type ExchangeControl} from '@oathead/gateway';
 import type {JobItem} from '../request/job.js';
+import type {FailedRun} from '../request/job_rows.js';
 import {ItemTimeline} from './item_timeline.js';
 
 /** Partial text of an interrupted item and the event after which it resumes. */
@@ -43,8 +44,8 @@
    * monotonic clock in milliseconds.
    */
   lastFailureAtMs: number | undefined;
-  /** These runs in words, for the log; the first ones may be missing. */
-  failedRuns: readonly string[];
+  /** These runs, also under earlier owners; the first ones may be missing. */
+  failedRuns: readonly FailedRun[];
   lastEventId: number | undefined;
   texts: string[];
   /** Number of entries of `texts` received under earlier owners. */
@@ -71,6 +72,7 @@
  * @param failures - Number of failed runs under earlier owners.
  * @param partial - Partial text stored by earlier owners.
  * @param doubts - Number of runs under earlier owners that may have failed.
+ * @param failedRuns - What is known of the failed runs under earlier owners.
  * @returns The item in stage `waiting`.
  */
 export function newItemWork(
@@ -79,6 +81,7 @@
   failures: number,
   partial: PartialText | undefined,
   doubts = 0,
+  failedRuns: readonly FailedRun[] = [],
 ): ItemWork {
   return {
     index,
@@ -87,9 +90,9 @@
     stage: {kind: 'waiting', notBefore: 0},
     failures,
     doubts,
-    failedTargets: [],
+    failedTargets: failedTargetsOf(failedRuns),
     lastFailureAtMs: undefined,
-    failedRuns: [],
+    failedRuns,
     lastEventId: partial?.lastEventId,
     texts: [...(partial?.texts ?? [])],
     inheritedTexts: partial?.texts.length ?? 0,
@@ -101,3 +104,9 @@
     timeline: new ItemTimeline(),
   };
 }
+
+/** The targets of failed runs, each once, the latest last. */
+function failedTargetsOf(runs: readonly FailedRun[]): readonly string[] {
+  const latestFirst = runs.map(({target}) => target).reverse();
+  return [...new Set(latestFirst)].reverse();
+}
--- a/packages/jobs/src/lib/process/job_ownership.ts
+++ b/packages/jobs/src/lib/process/job_ownership.ts
@@ -342,8 +342,8 @@
         const {[i]: failures = 0} = head.failures;
         const {[i]: doubts = 0} = head.doubts ?? {};
         const failedRuns = head.failedRuns?.[i] ?? [];
-        const work = newItemWork(i, item, failures, partials.get(i), doubts);
-        return {...work, failedRuns};
+        const partial = partials.get(i);
+        return newItemWork(i, item, failures, partial, doubts, failedRuns);
       })
       .filter(({item}) => !listed.has(item.id));
   }
--- a/packages/jobs/src/lib/process/owned_job.ts
+++ b/packages/jobs/src/lib/process/owned_job.ts
@@ -9,6 +9,7 @@
   jobRowRef,
   PARTIAL_TABLE,
   RESULT_TABLE,
+  type FailedRun,
   type JobHead,
   type VersionedHead,
 } from '../request/job_rows.js';
@@ -74,11 +75,9 @@
   | 'no-route';
 
 /** A response that states, or may state, that a run failed. */
-export interface FailedRun {
-  readonly target: string;
-  readonly status: number;
+export type FailedResponse = Pick<FailedRun, 'target' | 'status'> & {
   readonly doubt: FailureDoubt | undefined;
-}
+};
 
 /** The configuration under which an item has no route. */
 export interface MissingRoute {
@@ -175,7 +174,7 @@
    * @param work - Item of the job.
    * @param run - The response.
    */
-  fail(work: ItemWork, run: FailedRun): void {
+  fail(work: ItemWork, run: FailedResponse): void {
     work.failures++;
     this.recordRun(work, run);
   }
@@ -187,7 +186,7 @@
    * @param work - Item of the job.
    * @param run - The response.
    */
-  doubt(work: ItemWork, run: FailedRun): void {
+  doubt(work: ItemWork, run: FailedResponse): void {
     work.doubts++;
     this.recordRun(work, run);
   }
@@ -198,13 +197,13 @@
    * @param work - Item of the job.
    * @param run - The response.
    */
-  doubtProcessable(work: ItemWork, run: FailedRun): void {
+  doubtProcessable(work: ItemWork, run: FailedResponse): void {
     if (work.doubts + 1 >= MAX_UNPROCESSABLE_IN_DOUBT)
       this.giveUp(work, 'unprocessable');
     else this.doubt(work, run);
   }
 
-  private recordRun(work: ItemWork, run: FailedRun): void {
+  private recordRun(work: ItemWork, run: FailedResponse): void {
     work.failedRuns = [...work.failedRuns, this.describe(work, run)];
     const {failures, doubts} = work;
     const {maxAttempts} = this.head;
@@ -218,16 +217,11 @@
     this.flush();
   }
 
-  private describe(work: ItemWork, {target, status, doubt}: FailedRun): string {
+  private describe({runs}: ItemWork, response: FailedResponse): FailedRun {
+    const {owner, acceptedAtMs} = this.head;
     const atMs = Math.round(this.context.store.storeTimeMs() ?? 0);
-    const fields = {
-      status: doubt ? `${status} (${doubt})` : status,
-      target,
-      run: work.runs,
-      owner: this.head.owner,
-      sinceAcceptedMs: atMs - Math.round(this.head.acceptedAtMs),
-    };
-    return Object.entries(fields).flat().join(' ');
+    const sinceAcceptedMs = atMs - Math.round(acceptedAtMs);
+    return {...response, run: runs, owner, sinceAcceptedMs};
   }
 
   /** Ends all runs; nothing more is written. */
@@ -405,7 +399,7 @@
 
   /** A limited number of failed runs of the items that have no result. */
   private failedRuns(): JobHead['failedRuns'] {
-    const byItem: Record<string, readonly string[]> = {};
+    const byItem: Record<string, readonly FailedRun[]> = {};
     let left = MAX_FAILED_RUNS_IN_HEAD;
     for (const {index, stage, failedRuns} of this.work) {
       if (stage.kind === 'finished' || failedRuns.length === 0) continue;
@@ -414,7 +408,7 @@
       left -= newest.length;
       if (left === 0) break;
     }
-    return byItem as JobHead['failedRuns'];
+    return byItem;
   }
 
   private nextRows(): {
--- a/packages/jobs/src/lib/request/job_rows.ts
+++ b/packages/jobs/src/lib/request/job_rows.ts
@@ -29,6 +29,20 @@
 
 const COUNT = z.number().int().nonnegative();
 
+const FAILED_RUN = z.object({
+  target: z.string(),
+  status: z.number().int(),
+  /** Why it may be less than a failure; absent if it is none. */
+  doubt: z.string().optional(),
+  /** Number of the run under its owner. */
+  run: COUNT,
+  owner: z.string(),
+  sinceAcceptedMs: z.number(),
+});
+
+/** A run of an item that failed or may have failed. */
+export type FailedRun = Readonly<z.infer<typeof FAILED_RUN>>;
+
 /** Schema of a job head. */
 export const JOB_HEAD = z.object({
   id: z.string(),
@@ -62,10 +76,15 @@
    */
   doubts: z.record(z.string(), COUNT).optional(),
   /**
-   * What is known of these runs by item index, for the log: a limited number,
-   * and none of items that have a result.
+   * What is known of these runs by item index, the latest last: a limited
+   * number, and none of items that have a result. A job must not be lost for
+   * them, so they are left out if a host of another build wrote them in another
+   * form.
    */
-  failedRuns: z.record(z.string(), z.array(z.string())).optional(),
+  failedRuns: z
+    .record(z.string(), z.array(FAILED_RUN).readonly())
+    .optional()
+    .catch(undefined),
   /** Random value that identifies one write of the head. */
   nonce: z.string(),
   /** Time at which the job was done or cancelled, on the store's clock. */
--- a/packages/jobs/src/test/process/job_ownership_test.ts
+++ b/packages/jobs/src/test/process/job_ownership_test.ts
@@ -14,7 +14,12 @@
 import {JobOwnership} from '../../lib/process/job_ownership.js';
 import type {ItemResult} from '../../lib/request/job.js';
 import type {JobReader} from '../../lib/request/job_reader.js';
-import {headRef, type JobHead} from '../../lib/request/job_rows.js';
+import {
+  headRef,
+  JOB_HEAD,
+  type FailedRun,
+  type JobHead,
+} from '../../lib/request/job_rows.js';
 import {RecordedEvents} from '../fakes/recorded_events.js';
 
 const OPEN: JobHead = {
@@ -92,6 +97,17 @@
   t.deepEqual([...jobOwnership.jobs()], []);
 });
 
+const FAILED_RUNS: readonly FailedRun[] = ['i-a', 'i-b', 'i-a'].map(
+  (target, run) => ({
+    target,
+    status: 500,
+    doubt: 'no-seal',
+    run,
+    owner: 'other',
+    sinceAcceptedMs: 100 * run,
+  }),
+);
+
 // Guards against an item that is listed twice: while a host read which results
 // a job had, another host owned it, listed one more and handed it back. The
 // host went on with the head of now and the results of before.
@@ -118,7 +134,7 @@
     listed: 1,
     failures: {1: 2},
     doubts: {1: 1},
-    failedRuns: {1: ['a', 'b', 'c']},
+    failedRuns: {1: FAILED_RUNS},
     nonce: 'back',
   };
   jobOwnership.update(updateOf(handedBack, 3));
@@ -126,13 +142,35 @@
   const [job] = [...jobOwnership.jobs()];
   t.is(job?.head.listed, 1);
   t.deepEqual(
-    job?.work.map(({item: {id}, failures, doubts, failedRuns}) => ({
-      id,
-      failures,
-      doubts,
-      failedRuns,
-    })),
-    [{id: 'b', failures: 2, doubts: 1, failedRuns: ['a', 'b', 'c']}],
+    job?.work.map(
+      ({item: {id}, failures, doubts, failedRuns, failedTargets}) => ({
+        id,
+        failures,
+        doubts,
+        failedRuns,
+        failedTargets,
+      }),
+    ),
+    [
+      {
+        id: 'b',
+        failures: 2,
+        doubts: 1,
+        failedRuns: FAILED_RUNS,
+        failedTargets: ['i-b', 'i-a'],
+      },
+    ],
+  );
+});
+
+// Guards against a job that is lost since its owner notes failed runs in
+// another form.
+test('a head is readable without what is known of failed runs', t => {
+  const failedRuns = {0: ['status 500 target i-a']};
+  const head = JOB_HEAD.safeParse({...OPEN, failures: {0: 1}, failedRuns});
+  t.deepEqual(
+    [head.data?.failures, head.data?.failedRuns],
+    [{0: 1}, undefined],
   );
 });
 
--- a/packages/jobs/src/test/process/owned_job_test.ts
+++ b/packages/jobs/src/test/process/owned_job_test.ts
@@ -15,6 +15,7 @@
   headRef,
   jobRowRange,
   RESULT_TABLE,
+  type FailedRun,
   type JobHead,
 } from '../../lib/request/job_rows.js';
 
@@ -142,10 +143,12 @@
     reason: 'failed-runs',
     failures: MAX_ATTEMPTS,
   });
-  const described =
-    /^status 500 target i-a run 0 owner me sinceAcceptedMs \d+$/;
-  t.is((failedRuns as readonly string[]).length, MAX_ATTEMPTS);
-  for (const run of failedRuns as readonly string[]) t.regex(run, described);
+  const runs = failedRuns as readonly FailedRun[];
+  t.is(runs.length, MAX_ATTEMPTS);
+  for (const {sinceAcceptedMs, ...run} of runs) {
+    t.deepEqual(run, {...RUN, run: 0, owner: 'me'});
+    t.true(Number.isInteger(sinceAcceptedMs));
+  }
   t.like(listed, LISTED_LINE);
   t.deepEqual(others, []);
 });
