One doubtful 422 no longer ends an item that had other doubtful failures

What callers saw: an item may be listed as given up after a single 422 that is in doubt, if a 500 in doubt came before it.

Cause: both kinds were counted together, so that the 422 was taken for the second one.

Evidence: the new test fails on the code before: the item is finished after a 500 and one 422, each without a length.

Why it holds: the statements are counted by the status of the recorded runs. The bound on all doubtful runs together stays. If a host takes the job over and the head had no room for these runs, the count of 422 starts again.

--- a/packages/jobs/src/lib/process/owned_job.ts
+++ b/packages/jobs/src/lib/process/owned_job.ts
@@ -198,7 +198,8 @@
    * @param run - The response.
    */
   doubtProcessable(work: ItemWork, run: FailedResponse): void {
-    if (work.doubts + 1 >= MAX_UNPROCESSABLE_IN_DOUBT)
+    const earlier = work.failedRuns.filter(({status}) => status === run.status);
+    if (earlier.length + 1 >= MAX_UNPROCESSABLE_IN_DOUBT)
       this.giveUp(work, 'unprocessable');
     else this.doubt(work, run);
   }
--- a/packages/jobs/src/test/process/owned_job_test.ts
+++ b/packages/jobs/src/test/process/owned_job_test.ts
@@ -166,6 +166,21 @@
   t.deepEqual([work.stage.kind, job.head.state], ['finished', 'done']);
 });
 
+// Guards against an item that is given up after one statement, in doubt, that
+// it can never be done.
+test('doubtful failures do not count as statements that an item cannot be done', async t => {
+  const {job, work} = await startJob();
+  job.doubt(work, {...RUN, doubt: 'no-length'});
+  await setTimeout(WRITE_MS);
+  const unprocessable = {...RUN, status: 422, doubt: 'no-length'} as const;
+  job.doubtProcessable(work, unprocessable);
+  await setTimeout(WRITE_MS);
+  t.is(work.stage.kind, 'waiting');
+  job.doubtProcessable(work, unprocessable);
+  await setTimeout(WRITE_MS);
+  t.deepEqual([work.stage.kind, job.head.state], ['finished', 'done']);
+});
+
 // Guards against a store that is called as fast as it refuses: the text of a
 // result is too large for a row, and its object is not accepted.
 test('a text that the store refuses is tried again after a pause', async t => {
