Failures that are broken off delay an item and never end it

What callers saw: an item may be listed as given up although no target stated to the end that it failed: six failures that were all broken off, or two of 422, ended it.

Cause: the bound on runs in doubt counted them, too. It is meant for responses that look complete. The two checks at hand disagreed about a server that breaks off each of its failures: one asked for as many whole ones as the route allows, the other for an end after six.

A failure that is broken off is now no statement at all.

--- a/packages/jobs/src/lib/process/batch_scheduler.ts
+++ b/packages/jobs/src/lib/process/batch_scheduler.ts
@@ -327,11 +327,12 @@
   }
 
   private isDelayed({job, work, estimate}: Candidate, now: number): boolean {
-    const {failures, lastFailureAtMs} = work;
+    const {failures, doubts, incompleteFailures, lastFailureAtMs} = work;
     if (lastFailureAtMs === undefined) return false;
+    const used = failures + doubts + incompleteFailures;
     const item = {
       ...estimate,
-      attemptsLeft: job.head.maxAttempts - failures,
+      attemptsLeft: job.head.maxAttempts - used,
       sinceFailureMs: now - lastFailureAtMs,
       untilExpiryMs: this.untilExpiryMs(job),
     };
--- a/packages/jobs/src/lib/process/item_runner.ts
+++ b/packages/jobs/src/lib/process/item_runner.ts
@@ -201,7 +201,7 @@
   if (end.kind === 'ended') recordAbort(context, work, end.by);
   if (failed) {
     recordFailedTarget(work, target, now);
-    handleFailedRun(job, work, failed);
+    handleFailedRun(job, work, failed, now);
     return;
   }
   work.stage = {kind: 'waiting', notBefore: now + retryDelayMsAfter(end)};
@@ -227,9 +227,14 @@
   job: OwnedJob,
   work: ItemWork,
   run: FailedResponse,
+  now: number,
 ): void {
   const {status, doubt} = run;
-  if (status === STATUS_UNPROCESSABLE && doubt) job.doubtProcessable(work, run);
+  if (doubt === 'incomplete') {
+    work.incompleteFailures++;
+    work.stage = {kind: 'waiting', notBefore: now};
+  } else if (status === STATUS_UNPROCESSABLE && doubt)
+    job.doubtProcessable(work, run);
   else if (status === STATUS_UNPROCESSABLE) job.giveUp(work, 'unprocessable');
   else if (doubt) job.doubt(work, run);
   else job.fail(work, run);
@@ -237,8 +242,8 @@
 
 /**
  * @returns The failure that a target has stated, completely or in part;
- *   undefined if it has stated none. Guards against an item that reaches
- *   targets without end because each of its failures is broken off.
+ *   undefined if it has stated none. One that is incomplete states nothing that
+ *   an item could be given up for, but delays its next run.
  */
 function failedRunOf(
   end: ExchangeOutcome,
--- a/packages/jobs/src/lib/process/item_work.ts
+++ b/packages/jobs/src/lib/process/item_work.ts
@@ -37,6 +37,8 @@
   failures: number;
   /** Number of runs of which it is in doubt whether they failed. */
   doubts: number;
+  /** Number of failures under the current owner that were broken off. */
+  incompleteFailures: number;
   /** IDs of the targets that failed it, the latest last. */
   failedTargets: readonly string[];
   /**
@@ -90,6 +92,7 @@
     stage: {kind: 'waiting', notBefore: 0},
     failures,
     doubts,
+    incompleteFailures: 0,
     failedTargets: failedTargetsOf(failedRuns),
     lastFailureAtMs: undefined,
     failedRuns,
