A request whose handling throws ends only that request

What callers saw: all requests on a host were cut when the handling of one of them threw; two such cases were found in the batch API (a job ID whose percent-encoding is invalid, a path that is no URL).

Cause: nothing takes up what the handling of a request throws, and a promise that is rejected so ends the process.

Evidence: the new test has no response on the code before (ended after 60 s).

The request is answered 500, or its connection is closed if its response has begun. 500 does not state that the request has not run, as a target may have got it. The line `request-handling-failed` has the stack. What is thrown outside the handling of a request, in timers and callbacks of sockets, still ends the process.

--- a/packages/gateway/src/lib/process/front_server.ts
+++ b/packages/gateway/src/lib/process/front_server.ts
@@ -75,6 +75,7 @@
 const STATUS_NOT_FOUND = 404;
 const STATUS_TOO_LARGE = 413;
 const STATUS_OVER_QUOTA = 429;
+const STATUS_SERVER_ERROR = 500;
 const STATUS_UNAVAILABLE = 503;
 
 const NO_CONFIG: Refusal = {status: STATUS_UNAVAILABLE, reason: 'no config'};
@@ -92,7 +93,11 @@
   constructor(private readonly context: FrontServerContext) {
     this.server = createServer(
       {maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: REQUEST_TIMEOUT_MS},
-      (req, res) => void this.handle(req, res),
+      (req, res) => {
+        this.handle(req, res).catch((err: unknown) =>
+          this.failUnexpectedly({req, res}, err),
+        );
+      },
     );
     this.server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
       context.online.counters.count('front_client_errors', {
@@ -217,6 +222,27 @@
     await new OnlineRequest(online, admitted).serve();
   }
 
+  /**
+   * Ends one request whose handling has thrown. Guards against a process that
+   * ends, with all requests on it, because of one of them. The response does not
+   * state that the request has not run, since a target may have got it.
+   */
+  private failUnexpectedly({req, res}: Call, err: unknown): void {
+    const {online, log} = this.context;
+    log.event('request-handling-failed', {
+      request: online.protocol.readRequest(req.headers).requestId,
+      path: req.url,
+      host: req.headers.host,
+      error: err instanceof Error ? err.stack : String(err),
+    });
+    if (res.headersSent) {
+      res.destroy();
+      return;
+    }
+    res.writeHead(STATUS_SERVER_ERROR, {'content-length': 0}).end();
+    req.resume();
+  }
+
   /**
    * @returns The request body; undefined if it could not be read. A body that
    *     is too large is answered with an error.
--- /dev/null
+++ b/packages/gateway/src/test/process/front_server_test.ts
@@ -0,0 +1,59 @@
+import {randomUUID} from 'node:crypto';
+import {request} from 'undici';
+import test from 'ava';
+import type {EventFields} from '@oathead/core';
+import {
+  FrontServer,
+  type RoutedRequest,
+} from '../../lib/process/front_server.js';
+import {PROTOCOL} from '../fakes/raw_target.js';
+
+const IP = '127.0.0.1';
+const PORT = 20_000 + (parseInt(randomUUID().slice(0, 4), 16) % 10_000);
+
+// Guards against a process that ends, with all requests on it, because handling
+// one request throws.
+test('a request whose handling throws gets status 500 and is logged', async t => {
+  const lines: EventFields[] = [];
+  const context = {
+    online: {
+      protocol: PROTOCOL,
+      admission: {admit: () => ({kind: 'admitted', account: undefined})},
+    },
+    routing: {
+      current: {match: () => undefined, table: {bounds: {maxBodyBytes: 100}}},
+      onAdopted: () => {},
+    },
+    batch: {
+      accepts: () => true,
+      handle: async ({req, res}: RoutedRequest) => {
+        if (req.url === '/after') res.writeHead(200).write('part');
+        throw new Error('unexpected');
+      },
+    },
+    log: {
+      event: (event: string, fields: EventFields) =>
+        lines.push({event, ...fields}),
+    },
+    draining: () => false,
+  };
+  const front = new FrontServer(context as never);
+  await front.listen(IP, PORT);
+  t.teardown(() => front.close());
+  const origin = `http://${IP}:${PORT}`;
+  const {statusCode, headers} = await request(`${origin}/before`);
+  t.is(statusCode, 500);
+  t.is(headers['x-not-run'], undefined);
+  await t.throwsAsync(async () => {
+    const {body} = await request(`${origin}/after`);
+    await body.text();
+  });
+  t.deepEqual(
+    lines.map(({event, path}) => [event, path]),
+    [
+      ['request-handling-failed', '/before'],
+      ['request-handling-failed', '/after'],
+    ],
+  );
+  t.true(String(lines[0]!['error']).includes('unexpected'));
+});
