Jobs can be read beside a route that covers all paths

What callers saw: an accepted job could not be read or ended where an online route has the prefix `/` or `/v1/`: the calls went to one of its servers, which answered them. A batch route with the prefix `/` answers them with 405 (by the code; not run).

Cause: the paths of the batch API counted only where no route matches.

The paths of the batch API are now matched like those of routes: the longest prefix wins. This holds for the methods that the batch API has for them, and for host names with a batch route, so that a service with such paths of its own loses none where there are no jobs. Such a call is admitted without the route that it would have matched, so that it needs a key even if that route is public. While a host name has no batch route but such an online route, its jobs are still not readable.

--- a/packages/gateway/src/lib/process/front_server.ts
+++ b/packages/gateway/src/lib/process/front_server.ts
@@ -26,6 +26,13 @@
 
 /** Handles the requests of the batch API. */
 export interface BatchApi {
+  /**
+   * @param req - A request.
+   * @param matcher - The configuration that applies to it.
+   * @returns Whether a path of the batch API itself is more specific than the
+   *     route that matches the request.
+   */
+  overridesRoute(req: IncomingMessage, matcher: RouteMatcher): boolean;
   /** @returns Whether the request belongs to the batch API. */
   accepts(request: Omit<RoutedRequest, 'account'>): boolean;
   /**
@@ -166,7 +173,9 @@
     if (this.context.draining()) res.setHeader('connection', 'close');
     const matcher = this.context.routing.current;
     if (!matcher) return this.refuse({req, res}, NO_CONFIG);
-    const route = matcher.match(req.headers.host, req.url ?? '/');
+    const route = this.context.batch.overridesRoute(req, matcher)
+      ? undefined
+      : matcher.match(req.headers.host, req.url ?? '/');
     const found = {req, res, matcher, route};
     const isBatch = this.context.batch.accepts(found);
     if (!isBatch && !route) return this.refuse({req, res}, NO_ROUTE);
--- a/packages/gateway/src/test/process/front_server_test.ts
+++ b/packages/gateway/src/test/process/front_server_test.ts
@@ -25,6 +25,7 @@
       onAdopted: () => {},
     },
     batch: {
+      overridesRoute: () => false,
       accepts: () => true,
       handle: async ({req, res}: RoutedRequest) => {
         if (req.url === '/after') res.writeHead(200).write('part');
