Partial texts are kept beside a large one and over several pages

What callers saw: nothing wrong; items of a job that changed its owner were run again from the beginning, and so were later than they had to be.

Cause: the size of a partial text that is too large for a row counted towards the limit of the transaction, so that the texts after it were left out. A new owner read the first page of the partial texts only, and the store limits pages by size, too.

Evidence: both new tests fail on the code before (no row for the small text; 0 in place of 1 text for the third item).

Only what is written counts, and the pages are read until the last one. If a page can't be read, those before it are used. What one transaction can't hold when a job is handed over is still not stored.

--- a/packages/jobs/src/lib/process/job_ownership.ts
+++ b/packages/jobs/src/lib/process/job_ownership.ts
@@ -352,17 +352,22 @@
     head: JobHead,
   ): Promise<ReadonlyMap<number, PartialText>> {
     const texts = new Map<number, PartialText>();
-    const range = jobRowRange(PARTIAL_TABLE, head.id);
-    const page = await this.context.store.read(range);
-    // Without partial texts the items start from the beginning.
-    if (!page.ok) return texts;
-    for (const {key, value} of page.value.rows) {
-      const partial = decodeJson(value, PARTIAL);
-      if (!partial.ok) continue;
-      const {lastEventId, texts: partialTexts} = partial.value;
-      texts.set(indexOfKey(key), {lastEventId, texts: partialTexts});
+    for (let from = 0; ;) {
+      const range = jobRowRange(PARTIAL_TABLE, head.id, from);
+      const page = await this.context.store.read(range);
+      // Without partial texts the items start from the beginning.
+      if (!page.ok) return texts;
+      const {rows, hasMore} = page.value;
+      for (const {key, value} of rows) {
+        const partial = decodeJson(value, PARTIAL);
+        if (!partial.ok) continue;
+        const {lastEventId, texts: partialTexts} = partial.value;
+        texts.set(indexOfKey(key), {lastEventId, texts: partialTexts});
+      }
+      const last = rows.at(-1);
+      if (!hasMore || !last) return texts;
+      from = indexOfKey(last.key) + 1;
     }
-    return texts;
   }
 }
 
--- a/packages/jobs/src/lib/process/owned_job.ts
+++ b/packages/jobs/src/lib/process/owned_job.ts
@@ -287,10 +287,11 @@
       if (stage.kind === 'finished' || texts.length === work.checkpointedTexts)
         continue;
       const value = encodeJson({lastEventId, texts});
-      bytes += value.length;
       const {rowBytes, transactionBytes} = this.context.limits;
-      if (value.length > rowBytes || bytes > transactionBytes) continue;
+      if (value.length > rowBytes) continue;
+      if (bytes + value.length > transactionBytes) continue;
       if (puts.length >= MAX_PARTIALS_PER_TRANSACTION) break;
+      bytes += value.length;
       work.checkpointedTexts = texts.length;
       puts.push({...jobRowRef(PARTIAL_TABLE, this.head.id, index), value});
     }
--- a/packages/jobs/src/test/process/job_ownership_test.ts
+++ b/packages/jobs/src/test/process/job_ownership_test.ts
@@ -9,7 +9,7 @@
   type EventLog,
 } from '@oathead/core';
 import type {Member, Membership} from '@oathead/gateway';
-import {encodeJson, MemoryRowStore} from '@oathead/stores';
+import {encodeJson, MemoryRowStore, type RowQuery} from '@oathead/stores';
 import test from 'ava';
 import {JobOwnership} from '../../lib/process/job_ownership.js';
 import type {ItemResult} from '../../lib/request/job.js';
@@ -17,6 +17,8 @@
 import {
   headRef,
   JOB_HEAD,
+  jobRowRef,
+  PARTIAL_TABLE,
   type FailedRun,
   type JobHead,
 } from '../../lib/request/job_rows.js';
@@ -327,3 +329,35 @@
   );
   t.is(jobOwnership.ownerForNewJob(), 'stays');
 });
+
+/** Returns one row per page, as a store whose pages are limited by size. */
+class OneRowPageStore extends MemoryRowStore {
+  override read(query: RowQuery) {
+    return super.read({...query, limit: 1});
+  }
+}
+
+// Guards against items that start from the beginning under a new owner: only
+// the first page of their partial texts was read.
+test('a new owner reads the partial texts of all items', async t => {
+  const store = new OneRowPageStore(SYSTEM_CLOCK);
+  const value = encodeJson({lastEventId: 1, texts: ['x']});
+  const rows = [0, 2].map(i => jobRowRef(PARTIAL_TABLE, OPEN.id, i));
+  const puts = rows.map(ref => ({...ref, value}));
+  await store.transact({expect: [], puts, removes: []});
+  const item = {path: '/', headers: {}, body: new Uint8Array(), tokens: 1};
+  const items = ['a', 'b', 'c'].map(id => ({...item, id}));
+  const reader = {
+    items: async () => success(items),
+    allResults: async () => success([]),
+  } as unknown as JobReader;
+  const jobOwnership = ownershipWith(reader, {store});
+  t.teardown(() => jobOwnership[Symbol.dispose]());
+  jobOwnership.update(updateOf({...OPEN, items: items.length}, 1));
+  await setTimeout(LOAD_MS);
+  const [job] = [...jobOwnership.jobs()];
+  t.deepEqual(
+    job?.work.map(({inheritedTexts}) => inheritedTexts),
+    [1, 0, 1],
+  );
+});
--- a/packages/jobs/src/test/process/owned_job_test.ts
+++ b/packages/jobs/src/test/process/owned_job_test.ts
@@ -13,7 +13,9 @@
 import {OwnedJob, type GiveUpReason} from '../../lib/process/owned_job.js';
 import {
   headRef,
+  indexOfKey,
   jobRowRange,
+  PARTIAL_TABLE,
   RESULT_TABLE,
   type FailedRun,
   type JobHead,
@@ -300,3 +302,15 @@
   t.is(Object.keys(job.head.failures).length, ids.length);
   t.is(Object.keys(job.head.failedRuns ?? {}).length, 100);
 });
+
+// Guards against items that start from the beginning under a new owner, because
+// another item of their job has a partial text that is too large for a row.
+test('a partial text is stored beside one that is too large', async t => {
+  const store = new MemoryRowStore(SYSTEM_CLOCK);
+  const {job, works} = await startJob(store, ['large', 'small']);
+  works[0]!.texts.push('x'.repeat(ROW_BYTES));
+  works[1]!.texts.push('x');
+  await job.checkpoint();
+  const page = await store.read(jobRowRange(PARTIAL_TABLE, 'j'));
+  t.deepEqual(page.ok && page.value.rows.map(({key}) => indexOfKey(key)), [1]);
+});
