A handover no longer waits without end for a text to be stored

What callers saw: the items of a job rested after a planned stop of its owner, until its process had ended and its lease had lapsed.

Cause: a handover waits for the texts that are being stored as objects, and these are tried until the store takes them. It may take rows and no objects, as for a host that reaches the store through others only.

Evidence: on the code before, the steps of the new test (run as a trial, not as this test) still wait after 5 s, with a store that refuses objects.

A handover now waits for 2 s. After that, a text that is not stored is given up and is not listed, so that writes of the head still don't overlap; its item is run again by the next owner from the text that it stored before, as it would be after the lease had lapsed.

--- a/packages/jobs/src/lib/process/owned_job.ts
+++ b/packages/jobs/src/lib/process/owned_job.ts
@@ -48,6 +48,11 @@
  * quarter of the time within which a host knows of a new configuration.
  */
 const KEPT_ITEM_DELAY_MS = 500;
+/**
+ * How long a handover waits for texts that are being stored, in milliseconds. An
+ * item whose text is not stored by then is run again by the next owner.
+ */
+const HANDOVER_STORING_MS = 2000;
 
 /**
  * An item is given up after this many times its maximum number of failed runs
@@ -98,6 +103,8 @@
   private writing: Promise<void> | undefined;
   /** Settles when all texts that are too large for a row are stored. */
   private storing = Promise.resolve();
+  /** Whether texts that are not stored yet are no longer waited for. */
+  private storingEnded = false;
   private checkpointing = false;
 
   /**
@@ -242,7 +249,10 @@
   async handOver(owner: string): Promise<void> {
     for (const {stage} of this.work)
       if (stage.kind === 'running') stage.control.end('stop');
-    await this.storing;
+    const {clock} = this.context;
+    const timeout = sleep(clock, HANDOVER_STORING_MS, this.stop.signal);
+    await Promise.race([this.storing, timeout]);
+    this.storingEnded = true;
     while (this.writing) await this.writing;
     if (this.closed) return;
     const puts = this.partialRows();
@@ -318,7 +328,8 @@
     // item: a host may reach the rows of the store, but not its objects.
     this.storing = this.storing.then(async () => {
       const reference = await this.storeText(result.id, value);
-      if (reference) this.enlist({...item, value: reference});
+      if (reference && !this.storingEnded)
+        this.enlist({...item, value: reference});
     });
   }
 
@@ -449,7 +460,7 @@
     // The same item may have run twice: the nonce of the head keeps the objects
     // of its runs apart.
     const name = `text-${encodeURIComponent(itemId)}-${this.head.nonce}`;
-    while (!this.closed) {
+    while (!this.closed && !this.storingEnded) {
       const put = await store.putObject(name, bytes);
       if (put.ok || put.err.kind === 'conflict')
         return encodeJson({kind: 'object', name} satisfies StoredResult);
--- a/packages/jobs/src/test/process/owned_job_test.ts
+++ b/packages/jobs/src/test/process/owned_job_test.ts
@@ -24,6 +24,7 @@
 const MAX_ATTEMPTS = 2;
 const WRITE_MS = 30;
 const KEPT_MS = 500;
+const MAX_HANDOVER_MS = 5000;
 const RUN = {target: 'i-a', status: 500, doubt: undefined};
 const ROW_BYTES = 1024;
 const HEAD: JobHead = {
@@ -314,3 +315,17 @@
   const page = await store.read(jobRowRange(PARTIAL_TABLE, 'j'));
   t.deepEqual(page.ok && page.value.rows.map(({key}) => indexOfKey(key)), [1]);
 });
+
+// Guards against a job that nobody processes until the lease of its owner has
+// lapsed: its owner stops, and the store does not take a text.
+test('a job is handed over although a text cannot be stored', async t => {
+  const {job, work, lines} = await startJob(
+    new ObjectRefusingStore(SYSTEM_CLOCK),
+  );
+  t.teardown(() => job[Symbol.dispose]());
+  work.texts.push('x'.repeat(ROW_BYTES));
+  job.succeed(work);
+  await Promise.race([job.handOver('peer'), setTimeout(MAX_HANDOVER_MS)]);
+  const handedOver = lines.find(({event}) => event === 'job-handed-over');
+  t.is(handedOver?.['outcome'], 'written');
+});
