Hosts that all shut down do not pass jobs back and forth

What callers saw: nothing yet; the store gets a write for each job at each round trip of its feed while all hosts shut down at once.

Cause: a host that has stopped passes on a job that it is given. If no host stays, it chose one that shuts down too, which did the same.

The new test fails on the code before: the owner is a host that is leaving.

Such a job gets no owner now, which heads allow for, and the next host that starts claims it after the grace period for unknown owners (1.5 s).

--- a/packages/jobs/src/lib/process/job_ownership.ts
+++ b/packages/jobs/src/lib/process/job_ownership.ts
@@ -277,12 +277,15 @@
   /**
    * Hands over a job that this host owns but does not process. Guards against a
    * job that nobody processes until this host has ended and its lease lapsed: it
-   * was accepted, read or handed over while the shutdown began.
+   * was accepted, read or handed over while the shutdown began. Hosts that all
+   * shut down would pass it back and forth, so that it gets no owner then.
    */
   private async passOn({head, version}: VersionedHead): Promise<void> {
     if (head.owner !== this.self || this.closed.has(head.id)) return;
     const {store, random, log} = this.context;
-    const next = {...head, owner: this.ownerForNewJob(), nonce: random.id()};
+    const canPassOn = this.context.membership.peers().some(staysOn);
+    const owner = canPassOn ? this.ownerForNewJob() : '';
+    const next = {...head, owner, nonce: random.id()};
     const ref = headRef(head.id);
     const written = await store.transact({
       expect: [{...ref, version}],
@@ -376,6 +379,10 @@
  * them gets rests until its process has ended.
  */
 function staying(members: readonly Member[]): readonly Member[] {
-  const stay = members.filter(({isLeaving}) => !isLeaving);
+  const stay = members.filter(staysOn);
   return stay.length > 0 ? stay : members;
 }
+
+function staysOn({isLeaving}: Member): boolean {
+  return !isLeaving;
+}
--- a/packages/jobs/src/test/process/job_ownership_test.ts
+++ b/packages/jobs/src/test/process/job_ownership_test.ts
@@ -266,7 +266,7 @@
 });
 
 /** A host that owns the job of {@link OPEN} and takes `LOAD_MS` to read it. */
-async function stoppingOwner() {
+async function stoppingOwner(peers: readonly MemberState[] = [{id: 'peer'}]) {
   const store = new MemoryRowStore(SYSTEM_CLOCK);
   const ref = headRef(OPEN.id);
   const puts = [{...ref, value: encodeJson(OPEN)}];
@@ -279,7 +279,7 @@
     },
     allResults: async () => success([]),
   } as unknown as JobReader;
-  const jobOwnership = ownershipWith(reader, {store, peers: [{id: 'peer'}]});
+  const jobOwnership = ownershipWith(reader, {store, peers});
   const owner = async () => {
     const {table, partition, key} = ref;
     const page = await store.read({table, partition, from: key});
@@ -361,3 +361,14 @@
     [1, 0, 1],
   );
 });
+
+// Guards against a store that is kept busy by hosts that all shut down: each
+// passed a job on as soon as another one had passed it on to it.
+test('a job is not passed on to a host that is leaving', async t => {
+  const {jobOwnership, owner, update} = await stoppingOwner(LEAVING);
+  t.teardown(() => jobOwnership[Symbol.dispose]());
+  await jobOwnership.handOverAll();
+  jobOwnership.update(update);
+  await setTimeout(2 * LOAD_MS);
+  t.is(await owner(), '');
+});
