A run that fails during a handover no longer undoes it

What callers saw: a job of a host that was stopped as planned rested until the host had ended and its lease had lapsed.

Cause: the handover's write of the head did not count as a write in progress. A run that failed meanwhile was written beside it, and whichever came first fenced the other. If that was the failure, the job stayed with the host that stops.

Evidence: found by a review of the code; the new test fails before (the handover ends with 'basis-changed', without effect).

The handover is now the last write. The failure is not counted, which costs one run more at the next owner.

--- a/packages/jobs/src/lib/process/owned_job.ts
+++ b/packages/jobs/src/lib/process/owned_job.ts
@@ -255,6 +255,14 @@
     this.storingEnded = true;
     while (this.writing) await this.writing;
     if (this.closed) return;
+    // Writes of the head must not overlap: a run that ends meanwhile is not
+    // written any more.
+    this.writing = this.writeOwner(owner);
+    await this.writing;
+    this[Symbol.dispose]();
+  }
+
+  private async writeOwner(owner: string): Promise<void> {
     const puts = this.partialRows();
     const written = await this.writer.write({owner}, puts);
     this.context.log.event('job-handed-over', {
@@ -263,7 +271,6 @@
       partials: puts.length,
       outcome: written.ok ? 'written' : written.err.kind,
     });
-    this[Symbol.dispose]();
   }
 
   /**
--- a/packages/jobs/src/test/process/owned_job_test.ts
+++ b/packages/jobs/src/test/process/owned_job_test.ts
@@ -7,7 +7,13 @@
   SYSTEM_CLOCK,
   type EventFields,
 } from '@oathead/core';
-import {encodeJson, MemoryRowStore} from '@oathead/stores';
+import {
+  encodeJson,
+  MemoryRowStore,
+  type RowStoreOutcome,
+  type RowTransaction,
+  type StoreTimestamp,
+} from '@oathead/stores';
 import test from 'ava';
 import {newItemWork} from '../../lib/process/item_work.js';
 import {OwnedJob, type GiveUpReason} from '../../lib/process/owned_job.js';
@@ -329,3 +335,35 @@
   const handedOver = lines.find(({event}) => event === 'job-handed-over');
   t.is(handedOver?.['outcome'], 'written');
 });
+
+/** Takes long for the next write and none for the one after it. */
+class ReorderingStore extends MemoryRowStore {
+  delayMs = 0;
+
+  override async transact(
+    transaction: RowTransaction,
+  ): RowStoreOutcome<StoreTimestamp> {
+    const {delayMs} = this;
+    this.delayMs = 0;
+    await setTimeout(delayMs);
+    return super.transact(transaction);
+  }
+}
+
+// Guards against a job that rests at a host that stops: a run that failed during
+// the handover was written at the same time, and the handover was refused.
+test('a run that fails during the handover does not undo it', async t => {
+  const store = new ReorderingStore(SYSTEM_CLOCK);
+  const {job, works, lines} = await startJob(store, ['i', 'j']);
+  store.delayMs = 2 * WRITE_MS;
+  const handover = job.handOver('peer');
+  await setTimeout(WRITE_MS / 2);
+  job.fail(works[0]!, RUN);
+  await handover;
+  await setTimeout(2 * WRITE_MS);
+  t.like(
+    lines.find(({event}) => event === 'job-handed-over'),
+    {to: 'peer', outcome: 'written'},
+  );
+  t.false(lines.some(({event}) => event === 'job-lost'));
+});
