Late requests wait for slots that nothing else needs

Cause: a caller that came back once and met the same rise was refused for good after 60 ms, although targets were idle before its deadline.

Change: such a request waits at its host, first by priority, then by the time at which it must start. One queue for each host and service asks for a slot on behalf of its first request. A slot is taken only from a target with a quarter of its slots free, and only if no request in time was refused within half a run. What can no longer end before its deadline is refused at once, on arrival too. A quota grant older than 300 ms is replaced before the request is sent. Active where the configuration has client accounts (setting lateSlots).

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -42,6 +42,7 @@
 export * from './lib/request/batch_item.js';
 export * from './lib/request/item_machine.js';
 export * from './lib/request/job_machine.js';
+export * from './lib/request/late_slots.js';
 export * from './lib/request/refusal.js';
 export * from './lib/request/retry_policy.js';
 export * from './lib/request/serve.js';
--- a/packages/core/src/lib/request/queue_limits.ts
+++ b/packages/core/src/lib/request/queue_limits.ts
@@ -26,6 +26,11 @@
    * configuration has no accounts or the route is public.
    */
   readonly account?: string | undefined;
+  /**
+   * Whether the request can no longer be answered within its latency objective.
+   * It gets only slots that requests in time do not need.
+   */
+  readonly late?: boolean | undefined;
 }
 
 /**
@@ -65,6 +70,12 @@
  */
 const DEFAULT_QUEUE_FRACTION = 0.3;
 const DEFAULT_QUEUE_FRACTION_STEP = 0.1;
+/**
+ * Fraction of the slots of a target that must stay free beside a late request.
+ * A rise in which requests are refused leaves single slots free for moments;
+ * requests that are still in time need these.
+ */
+const LATE_FREE_FRACTION = 0.25;
 /** Priorities lower than this one (larger numbers) are treated like it. */
 const LOWEST_PRIORITY = 4;
 
@@ -73,13 +84,15 @@
  * @param demand - The request.
  * @param latency - Observed latency of the service; undefined if unknown.
  * @returns The maximum number of requests, including this one, that may wait
- *     for the target.
+ *     for the target; for a late request, minus the number of slots that must
+ *     stay free.
  */
 export function maxQueueLength(
   slots: number,
   demand: WaitDemand,
   latency: ServiceLatency | undefined,
 ): number {
+  if (demand.late) return -Math.floor(slots * LATE_FREE_FRACTION);
   const steps = Math.min(demand.priority, LOWEST_PRIORITY);
   if (!latency)
     return Math.ceil(
--- a/packages/core/src/test/fakes/burst_fleet.ts
+++ b/packages/core/src/test/fakes/burst_fleet.ts
@@ -5,7 +5,13 @@
  */
 import {
   ServiceLatencyEstimator,
+  expectedRunMs,
+  isServiceFull,
+  lateSlotIntervalMs,
+  latestStart,
+  orderLate,
   seededRandom,
+  type LateRequest,
   type Random,
   type ServiceLatency,
   type WaitDemand,
@@ -33,6 +39,10 @@
   readonly periodMs: number;
   readonly burstMs: number;
   readonly lengthMs: number;
+  /**
+   * Whether starts of other hosts are known at once, as a coordinator does.
+   */
+  readonly coordinated?: boolean;
 }
 
 /** Policy under test; each host has its own instance. */
@@ -43,6 +53,8 @@
   ): number;
   maxQueueWaitMs(demand: WaitDemand): number;
   returnAfterMs(now: number, maxDelayMs: number, runMs?: number): number;
+  /** Whether callers that came back wait for a slot that nobody needs. */
+  readonly waitsLate?: boolean;
 }
 
 /** Number of requests by outcome. */
@@ -62,6 +74,10 @@
   readonly host: number;
 }
 
+interface LateCaller extends LateRequest {
+  readonly caller: Caller;
+}
+
 interface Run {
   readonly caller: Caller;
   readonly runMs: number;
@@ -85,6 +101,8 @@
   policyOf: (random: Random) => BurstPolicy,
 ): BurstOutcome {
   const random = seededRandom(load.seed);
+  // Of its own, so that all policies of a seed get the same arrivals.
+  const arrivals = seededRandom(load.seed + 1_000_000);
   const policies = [...Array(load.hosts).keys()].map(() => policyOf(random));
   const latencyEstimators = policies.map(() => new ServiceLatencyEstimator());
   const running: Run[][] = [...Array(load.targets).keys()].map(() => []);
@@ -97,17 +115,22 @@
   };
   /** Number of runs by target and host, as of the last load report. */
   let reportedRuns: ReadonlyArray<readonly number[]> = running.map(() => []);
+  /** Number of runs by target that ended after the last load report. */
+  let endedRuns = running.map(() => 0);
   let waiting: Caller[] = [];
   let returning: Caller[] = [];
+  const lateQueues = policies.map((): readonly LateCaller[] => []);
+  const lastRefusals = policies.map(() => -Infinity);
+  const nextLateStart = policies.map(() => 0);
 
   const demandOf = ({returning}: Caller): WaitDemand => ({
     goalMs: load.goalMs,
     priority: 0,
     returning,
   });
-  const tryStart = (caller: Caller, now: number): boolean => {
+  const tryStart = (caller: Caller, now: number, late = false): boolean => {
     const latency = latencyEstimators[caller.host]!.latency;
-    const demand = demandOf(caller);
+    const demand = {...demandOf(caller), late};
     const capacity =
       load.slots + policies[caller.host]!.maxQueueLength(demand, latency);
     // Up to half a request of jitter, as hosts select among equal targets.
@@ -135,6 +158,7 @@
   const countOf = (runs: readonly Run[], host: number) =>
     runs.filter(run => run.caller.host === host).length;
   const loadSeenBy = (host: number, target: number, runs: readonly Run[]) => {
+    if (load.coordinated) return runs.length + endedRuns[target]!;
     const others = (reportedRuns[target] ?? []).filter(
       (count, i) => i !== host,
     );
@@ -145,9 +169,33 @@
     else if (caller.returning) outcome.inTimeOnRetry++;
     else outcome.inTime++;
   };
+  const runMsAt = (host: number) =>
+    expectedRunMs(latencyEstimators[host]!.latency, load.goalMs);
+  const waitLate = (caller: Caller, now: number) => {
+    const {arrivedAt, host} = caller;
+    const deadlineAt = arrivedAt + load.callerTimeoutMs;
+    const startBy = latestStart(now, deadlineAt, runMsAt(host));
+    lateQueues[host] = [...lateQueues[host]!, {caller, priority: 0, startBy}];
+  };
+  const serveLate = (host: number, now: number) => {
+    const slots = load.slots * load.targets;
+    const room = {runMs: runMsAt(host), slots, hosts: load.hosts};
+    const {waiting, refused} = orderLate(lateQueues[host]!, room, now);
+    lateQueues[host] = waiting;
+    outcome.failed += refused.length;
+    const [first] = waiting;
+    const fullAt = lastRefusals[load.coordinated ? 0 : host]!;
+    if (isServiceFull(fullAt, room.runMs, now)) return;
+    if (!first || now < nextLateStart[host]!) return;
+    if (!tryStart(first.caller, now, true)) return;
+    nextLateStart[host] = now + lateSlotIntervalMs(room);
+    lateQueues[host] = waiting.slice(1);
+  };
   const refuse = (caller: Caller, now: number) => {
+    lastRefusals[load.coordinated ? 0 : caller.host] = now;
     if (caller.returning) {
-      outcome.failed++;
+      if (policies[caller.host]!.waitsLate) waitLate(caller, now);
+      else outcome.failed++;
       return;
     }
     const leftMs = load.callerTimeoutMs - (now - caller.arrivedAt);
@@ -167,19 +215,23 @@
   };
 
   for (let now = 0; now < load.lengthMs; now += STEP_MS) {
-    for (const runs of running) {
+    for (const [target, runs] of running.entries()) {
       const left = runs.filter(run => run.startsAt + run.runMs > now);
+      endedRuns[target]! += runs.length - left.length;
       runs.splice(0, runs.length, ...left);
     }
-    if (now % REPORT_INTERVAL_MS === 0)
+    if (now % REPORT_INTERVAL_MS === 0) {
+      endedRuns = running.map(() => 0);
       reportedRuns = running.map(runs =>
         policies.map((policy, i) => countOf(runs, i)),
       );
+    }
     const rate =
       now % load.periodMs < load.burstMs ? load.burstRate : load.calmRate;
-    if (random.float() < (rate * STEP_MS) / 1000) {
+    for (let expected = (rate * STEP_MS) / 1000; expected > 0; expected--) {
+      if (arrivals.float() >= expected) continue;
       outcome.requests++;
-      const host = random.int(load.hosts);
+      const host = arrivals.int(load.hosts);
       waiting.push({arrivedAt: now, returning: false, attemptedAt: now, host});
     }
     waiting.push(...returning.filter(({attemptedAt}) => attemptedAt <= now));
@@ -193,6 +245,7 @@
       refuse(caller, now);
       return false;
     });
+    for (const host of policies.keys()) serveLate(host, now);
   }
   return outcome;
 }
--- a/packages/core/src/test/request/burst_replay_test.ts
+++ b/packages/core/src/test/request/burst_replay_test.ts
@@ -62,6 +62,21 @@
   calmRate: 60,
 };
 
+/**
+ * A larger fleet with a coordinator. One account floods it on top of the rises
+ * of all others.
+ */
+const FLOOD: Omit<BurstLoad, 'seed'> = {
+  ...FEW_TARGETS,
+  hosts: 13,
+  targets: 12,
+  burstRate: 240,
+  calmRate: 50,
+  periodMs: 6000,
+  lengthMs: 60_000,
+  coordinated: true,
+};
+
 /**
  * Value of an answer in time on a retry and of a late answer, relative to 1 for
  * an answer in time at the first attempt.
@@ -86,10 +101,11 @@
 });
 
 const adaptivePolicy =
-  ({slots, targets, hosts}: Omit<BurstLoad, 'seed'>) =>
+  ({slots, targets, hosts}: Omit<BurstLoad, 'seed'>, waitsLate = false) =>
   (random: Random): BurstPolicy => {
     const retries = new RetryScheduler(random);
     return {
+      waitsLate,
       maxQueueLength: (demand: WaitDemand, latency?: ServiceLatency) =>
         maxQueueLength(slots, demand, latency),
       maxQueueWaitMs: maxQueueWaitMs,
@@ -132,3 +148,31 @@
     t.true(now > before);
   }
 });
+
+/** @returns The share of each outcome among the requests of all seeds. */
+function sharesOf(load: Omit<BurstLoad, 'seed'>, waitsLate: boolean) {
+  const outcomes = SEEDS.map(seed =>
+    simulateBursts({...load, seed}, adaptivePolicy(load, waitsLate)),
+  );
+  const total = (key: keyof BurstOutcome) =>
+    outcomes.reduce((sum, outcome) => sum + outcome[key], 0);
+  const shareOf = (key: keyof BurstOutcome) => total(key) / total('requests');
+  return {
+    inTime: shareOf('inTime') + shareOf('inTimeOnRetry'),
+    first: shareOf('inTime'),
+    late: shareOf('late'),
+    failed: shareOf('failed'),
+  };
+}
+
+// Callers that came back are refused for good although targets are idle before
+// their deadline. Guards also against late requests that take the slots of
+// requests in time.
+for (const [name, load] of Object.entries({FLOOD, FEW_TARGETS}))
+  test(`requests that came back wait for free slots: ${name}`, t => {
+    const before = sharesOf(load, false);
+    const now = sharesOf(load, true);
+    t.log('before', before, 'now', now);
+    t.true(now.failed < before.failed / 1.5);
+    t.true(now.inTime > before.inTime - 0.01);
+  });
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -24,6 +24,7 @@
 export * from './lib/process/crash_suspects.js';
 export * from './lib/process/front_server.js';
 export * from './lib/process/preferred_targets.js';
+export * from './lib/process/late_queue.js';
 export * from './lib/process/lifecycle.js';
 export * from './lib/process/load_table.js';
 export * from './lib/process/load_reporter.js';
--- a/packages/gateway/src/lib/connection/placement_message.ts
+++ b/packages/gateway/src/lib/connection/placement_message.ts
@@ -25,6 +25,8 @@
       returning: z.boolean(),
       /** Absent in requests of hosts with an older release. */
       account: z.string().optional(),
+      /** Set only for requests past their latency objective. */
+      late: z.boolean().optional(),
     }),
     /**
      * Whether the target must be in the data centre of the host that receives
--- a/packages/gateway/src/lib/process/coordinator.ts
+++ b/packages/gateway/src/lib/process/coordinator.ts
@@ -19,6 +19,7 @@
 import {AvoidedTargets} from './avoided_targets.js';
 import type {LoadTable} from './load_table.js';
 import {placementOutcome, type PlacementOutcome} from './placement_outcome.js';
+import type {ServiceOverload} from './service_overload.js';
 import type {TargetChooser} from './target_chooser.js';
 
 /** Batch items that another host has to preempt. */
@@ -45,6 +46,7 @@
   readonly dataCentre: string;
   readonly chooser: TargetChooser;
   readonly loads: LoadTable;
+  readonly overload: ServiceOverload;
   /** Returns the monotonic time, in milliseconds. */
   readonly now: () => number;
 }
@@ -81,7 +83,11 @@
       this.choose(service, wish, avoided) ??
       this.choose(service, wish, new Set(mustNot));
     const outcome = placementOutcome(target);
-    if (!target) return {outcome, itemsToPreempt: NO_ITEMS};
+    if (!target) {
+      if (wish.lane === 'online' && !wish.demand.late)
+        this.context.overload.recordFull(service);
+      return {outcome, itemsToPreempt: NO_ITEMS};
+    }
     const key = targetKey(target.id);
     const {loads, dataCentre: own} = this.context;
     if (dataCentre === own) loads.addPendingChange(host, key, wish.lane, 1);
@@ -96,12 +102,15 @@
     wish: PlacementCriteria,
     excluded: ReadonlySet<string>,
   ): Target | undefined {
-    const {chooser} = this.context;
+    const {chooser, overload} = this.context;
     if (wish.lane === 'batch')
       return chooser.forCoordinatedItem(service, wish.pressure, excluded);
+    const {demand} = wish;
+    if (demand.late && overload.isFull(service, demand.goalMs))
+      return undefined;
     return wish.near
-      ? chooser.forLocalRequest(service, wish.demand, excluded)
-      : chooser.forRequest(service, wish.demand, excluded);
+      ? chooser.forLocalRequest(service, demand, excluded)
+      : chooser.forRequest(service, demand, excluded);
   }
 
   private preemptItems(target: Target, key: string): readonly ItemsToPreempt[] {
--- a/packages/gateway/src/lib/process/service_overload.ts
+++ b/packages/gateway/src/lib/process/service_overload.ts
@@ -4,6 +4,8 @@
  */
 import {
   ServiceLatencyEstimator,
+  expectedRunMs,
+  isServiceFull,
   RetryScheduler,
   maxQueueLength,
   type Clock,
@@ -24,6 +26,8 @@
 }
 
 interface ServiceObservations {
+  /** When a request in time last found no room, in monotonic milliseconds. */
+  fullAt: number;
   readonly latencyEstimator: ServiceLatencyEstimator;
   readonly retryScheduler: RetryScheduler;
 }
@@ -43,10 +47,32 @@
     this.observationsOf(service).latencyEstimator.add(run);
   }
 
+  /** @param service - Service without room for a request in time. */
+  recordFull(service: string): void {
+    this.observationsOf(service).fullAt = this.context.clock.now();
+  }
+
+  /**
+   * @param service - A service.
+   * @param goalMs - Latency objective of its requests, in milliseconds.
+   * @returns Whether requests in time need all its slots.
+   */
+  isFull(service: string, goalMs: number): boolean {
+    const fullAt = this.services.get(service)?.fullAt ?? -Infinity;
+    const runMs = expectedRunMs(this.latencyOf(service), goalMs);
+    return isServiceFull(fullAt, runMs, this.context.clock.now());
+  }
+
+  /**
+   * @returns Observed latency of a service; undefined if too few runs are known.
+   */
+  latencyOf(service: string): ServiceLatency | undefined {
+    return this.services.get(service)?.latencyEstimator.latency;
+  }
+
   /** @returns How many requests with this demand may be queued at a target. */
   maxQueued({service, slots}: Target, demand: WaitDemand): number {
-    const latency = this.services.get(service)?.latencyEstimator.latency;
-    return maxQueueLength(slots, demand, latency);
+    return maxQueueLength(slots, demand, this.latencyOf(service));
   }
 
   /**
@@ -59,8 +85,7 @@
   returnAfterMs(service: string, maxDelayMs: number): number {
     const {clock, directory, hosts} = this.context;
     const {latencyEstimator, retryScheduler} = this.observationsOf(service);
-    const targets = directory.ofService(service);
-    const slots = targets.reduce((sum, target) => sum + target.slots, 0);
+    const slots = directory.slotsOf(service);
     const runMs = latencyEstimator.latency?.runMs;
     return retryScheduler.scheduleRetry(clock.now(), {
       runMs,
@@ -74,6 +99,7 @@
     const known = this.services.get(service);
     if (known) return known;
     const observed: ServiceObservations = {
+      fullAt: -Infinity,
       latencyEstimator: new ServiceLatencyEstimator(),
       retryScheduler: new RetryScheduler(this.context.random),
     };
--- a/packages/gateway/src/lib/process/target_directory.ts
+++ b/packages/gateway/src/lib/process/target_directory.ts
@@ -118,6 +118,12 @@
     return this.services.get(service) ?? [];
   }
 
+  /** @returns Total number of slots of the targets of a service. */
+  slotsOf(service: string): number {
+    const targets = this.ofService(service);
+    return targets.reduce((sum, {slots}) => sum + slots, 0);
+  }
+
   /**
    * Adds or updates a target. An entry of an earlier incarnation is ignored.
    *
--- a/packages/gateway/src/lib/request/failure_status.ts
+++ b/packages/gateway/src/lib/request/failure_status.ts
@@ -1,6 +1,7 @@
 /** HTTP status codes for requests that get no response from a target. */
 
 const STATUS_UNAUTHORIZED = 401;
+const STATUS_OVER_QUOTA = 429;
 const STATUS_BAD_GATEWAY = 502;
 /** The request did not run and will not run. */
 export const STATUS_UNAVAILABLE = 503;
@@ -13,13 +14,14 @@
 const NOT_RUN_STATUS: Readonly<Record<string, number>> = {
   'no-key': STATUS_UNAUTHORIZED,
   'unknown-key': STATUS_UNAUTHORIZED,
+  'over-quota': STATUS_OVER_QUOTA,
 };
 
 /**
  * @param reason - Why there is no response.
  * @param runs - Number of targets that may have run the request.
- * @returns The HTTP status. 401 and 503 state that the request did not run, and
- *     are used only if no target may have run it.
+ * @returns The HTTP status. 401, 429 and 503 state that the request did not run,
+ *     and are used only if no target may have run it.
  */
 export function failureStatus(reason: string, runs: number): number {
   if (reason === 'timeout') return STATUS_GATEWAY_TIMEOUT;
--- a/packages/gateway/src/lib/request/online_request.ts
+++ b/packages/gateway/src/lib/request/online_request.ts
@@ -2,13 +2,7 @@
  * Serves one request of a caller. Tries one target after another, as far as the
  * route allows, until there is a complete response or the deadline has passed.
  */
-import {
-  DisposableStore,
-  maxQueueWaitMs,
-  sleep,
-  type Random,
-  type WaitDemand,
-} from '@oathead/core';
+import {DisposableStore, type Random} from '@oathead/core';
 import {targetKey} from '../connection/load_message.js';
 import type {Target} from '../connection/target.js';
 import type {
@@ -17,8 +11,8 @@
 } from '../process/caller_admission.js';
 import type {CallerRetryDetector} from '../process/caller_retry_detector.js';
 import {CrashSuspects} from '../process/crash_suspects.js';
+import type {LateQueue} from '../process/late_queue.js';
 import type {RequestPlacement} from '../process/placement.js';
-import type {NotPlaced} from '../process/placement_outcome.js';
 import type {TargetChooser} from '../process/target_chooser.js';
 import type {AdmittedRequest} from './admitted_request.js';
 import {ResponseWriter} from './response_writer.js';
@@ -31,6 +25,7 @@
 import {failureStatus, STATUS_UNAVAILABLE} from './failure_status.js';
 import {endToEndHeaders} from './forwarded_headers.js';
 import {pickService} from './pick_service.js';
+import {QuotaHold} from './quota_hold.js';
 import {
   RequestReport,
   type ReportContext,
@@ -41,22 +36,20 @@
   type SendContext,
   type ActiveSend,
 } from './target_send.js';
+import {TargetSearch} from './target_search.js';
 import type {RequestMetadata, SenderAccount} from './target_protocol.js';
 
 /** Dependencies shared by all online requests of a process. */
 export interface OnlineContext extends SendContext, ReportContext {
   readonly chooser: TargetChooser;
   readonly placement: RequestPlacement;
+  readonly lateQueue: LateQueue;
   readonly random: Random;
   readonly crashSuspects: CrashSuspects;
   readonly retryDetector: CallerRetryDetector;
   readonly admission: CallerAdmission;
 }
 
-/**
- * Interval at which a waiting request looks for a free target, in milliseconds.
- */
-const TARGET_POLL_INTERVAL_MS = 10;
 /** How many times targets may decline a request before it is refused. */
 const MAX_DECLINES = 4;
 /**
@@ -65,12 +58,6 @@
  * under load.
  */
 const TARGET_SILENCE_TIMEOUT_MS = 1200;
-/**
- * How long a request whose run was interrupted waits for another target, in
- * milliseconds. It can no longer be refused as not run, and targets are usually
- * available again within a second.
- */
-const RETRY_TARGET_WAIT_MS = 1500;
 
 /**
  * Reasons for an abort after which the request may be retried at another
@@ -90,14 +77,12 @@
   private readonly metadata: RequestMetadata;
   private readonly report: RequestReport;
   private readonly writer: ResponseWriter;
-  private readonly tried = new Set<string>();
+  private readonly search: TargetSearch;
+  private readonly quota: QuotaHold;
   private readonly service: string;
-  private readonly demand: WaitDemand;
   private readonly fingerprint: string;
   private lastFailedResponse: CompleteResponse | undefined;
   private activeSend: ActiveSend | undefined;
-  /** Outcome of the latest search for a target that found none. */
-  private notPlaced: NotPlaced | undefined;
   private abortReason: AbortReason | undefined;
   private runs = 0;
   private declines = 0;
@@ -131,7 +116,14 @@
     const priority = account?.priority ?? route.priority;
     const {deadlineMs} = this.metadata;
     const returning = context.retryDetector.isRetry(name, deadlineMs);
-    this.demand = {goalMs, priority, returning, account: account?.name};
+    this.search = new TargetSearch(context, {
+      requestId: this.metadata.requestId,
+      service: this.service,
+      demand: {goalMs, priority, returning, account: account?.name},
+      startedAt,
+      deadlineAt: this.deadlineAt,
+    });
+    this.quota = new QuotaHold(context, account, context.clock.now());
   }
 
   /** Serves the request; never rejects. */
@@ -155,31 +147,18 @@
   private async attempt(): Promise<boolean> {
     if (this.context.crashSuspects.isBlocked(this.fingerprint))
       return this.giveUp('suspect');
-    const target = await this.findTarget();
+    const hasRun = this.writer.hasStarted || this.runs > 0;
+    const target = await this.search.find(hasRun);
     if (this.abortReason) return this.giveUp(this.abortReason);
     const refusal = this.recheckAdmission();
     if (refusal) return this.giveUp(refusal);
     if (!target) return this.giveUp('no target');
+    const quotaRefusal = hasRun ? undefined : await this.renewQuota();
+    if (quotaRefusal) return this.giveUp(quotaRefusal);
     const outcome = await this.send(target);
     return this.handleOutcome(outcome, target);
   }
 
-  private async findTarget(): Promise<Target | undefined> {
-    const {chooser, placement, clock} = this.context;
-    const {service, demand, tried} = this;
-    // With few targets, all of them may have been tried. The runs there have
-    // ended, so they may be tried again.
-    if (!chooser.hasUntried(service, tried)) tried.clear();
-    const until = this.now() + this.targetWaitMs();
-    for (;;) {
-      const outcome = await placement.forRequest(service, demand, tried);
-      if (outcome.kind === 'placed') return outcome.target;
-      this.notPlaced = outcome;
-      if (this.abortReason || this.now() >= until) return undefined;
-      await sleep(clock, TARGET_POLL_INTERVAL_MS);
-    }
-  }
-
   /**
    * Checks admission again just before the request is sent. A key may have been
    * revoked, or the process may have stalled, while the request waited. A
@@ -196,19 +175,26 @@
     return isSame ? undefined : 'unknown-key';
   }
 
+  /** @returns Why the request must not be sent; undefined if it may be sent. */
+  private async renewQuota(): Promise<string | undefined> {
+    switch (await this.quota.renew()) {
+      case 'kept':
+        return undefined;
+      case 'over':
+        return 'over-quota';
+      case 'renewed':
+        return this.abortReason ?? this.recheckAdmission();
+    }
+  }
+
   private senderAccount(): SenderAccount | undefined {
     if (!this.context.admission.hasAccounts) return undefined;
     return {name: this.admitted.account?.name};
   }
 
-  private targetWaitMs(): number {
-    if (this.writer.hasStarted || this.runs > 0) return RETRY_TARGET_WAIT_MS;
-    return this.startedAt + maxQueueWaitMs(this.demand) - this.now();
-  }
-
   private async send(target: Target): Promise<ExchangeOutcome> {
     const {context, writer} = this;
-    this.tried.add(target.id);
+    this.search.tried.add(target.id);
     const load = context.loads.totalAt(targetKey(target.id));
     this.report.sent(target, load, this.progress());
     const targetSpan = this.report.trace.startTargetSpan(
@@ -259,7 +245,7 @@
         return this.finish('streamed', undefined, target);
       case 'declined':
         this.declines++;
-        this.tried.delete(target.id);
+        this.search.tried.delete(target.id);
         this.logRun('request-declined', outcome.kind, target);
         return this.declines > MAX_DECLINES ? this.giveUp('declined') : false;
       case 'unsent':
@@ -330,28 +316,18 @@
     const {service} = this;
     this.report.givenUp(service, reason, this.context.chooser.view(service));
     const status = failureStatus(reason, this.runs);
-    if (this.runs === 0)
-      this.context.admission.refundQuota(this.admitted.account);
+    if (this.runs === 0) this.quota.refund();
     const retry =
       status === STATUS_UNAVAILABLE
-        ? this.context.protocol.retryAfter(this.retryDelayMs())
+        ? this.context.protocol.retryAfter(this.search.retryDelayMs())
         : {};
     this.writer.sendFailure(status, retry);
     return this.finish(reason, status);
   }
 
-  private retryDelayMs(): number {
-    const {protocol, overload} = this.context;
-    const leftMs = this.deadlineAt - this.now();
-    const maxDelayMs = protocol.maxRetryAfterMs(leftMs);
-    const scheduledMs = this.notPlaced?.retryAfterMs;
-    return scheduledMs === undefined
-      ? overload.returnAfterMs(this.service, maxDelayMs)
-      : Math.min(scheduledMs, maxDelayMs);
-  }
-
   private abort(by: AbortReason): void {
     this.abortReason ??= by;
+    this.search.stop();
     this.activeSend?.control.end(by);
   }
 
--- /dev/null
+++ b/packages/gateway/src/lib/request/target_search.ts
@@ -0,0 +1,123 @@
+/**
+ * Finds the target of one online request: the best one with free capacity, and,
+ * for a caller that does not come back a second time, one that becomes free
+ * after the latency objective.
+ */
+import {
+  maxQueueWaitMs,
+  sleep,
+  type Clock,
+  type WaitDemand,
+} from '@oathead/core';
+import type {Target} from '../connection/target.js';
+import type {LateQueue, LateWait} from '../process/late_queue.js';
+import type {RequestPlacement} from '../process/placement.js';
+import type {NotPlaced} from '../process/placement_outcome.js';
+import type {ServiceOverload} from '../process/service_overload.js';
+import type {TargetChooser} from '../process/target_chooser.js';
+import type {TargetProtocol} from './target_protocol.js';
+
+/** Dependencies of {@link TargetSearch}. */
+export interface TargetSearchContext {
+  readonly clock: Clock;
+  readonly chooser: Pick<TargetChooser, 'hasUntried'>;
+  readonly placement: RequestPlacement;
+  readonly overload: Pick<ServiceOverload, 'returnAfterMs' | 'recordFull'>;
+  readonly protocol: Pick<TargetProtocol, 'maxRetryAfterMs'>;
+  readonly lateQueue: Pick<LateQueue, 'wait'>;
+}
+
+/** The request that needs a target. */
+export interface SearchedRequest {
+  readonly requestId: string | undefined;
+  readonly service: string;
+  readonly demand: WaitDemand;
+  /** When its headers were received, in monotonic milliseconds. */
+  readonly startedAt: number;
+  /** When its caller gives up, in monotonic milliseconds. */
+  readonly deadlineAt: number;
+}
+
+/**
+ * Interval at which a waiting request looks for a free target, in milliseconds.
+ */
+const POLL_INTERVAL_MS = 10;
+/**
+ * How long a request whose run was interrupted waits for another target, in
+ * milliseconds. It can no longer be refused as not run, and targets are usually
+ * available again within a second.
+ */
+const RETRY_WAIT_MS = 1500;
+
+/** Searches targets for one request until it is finished. */
+export class TargetSearch {
+  /** IDs of targets that are not selected again while there are others. */
+  readonly tried = new Set<string>();
+  /** Outcome of the latest search that found no target. */
+  private notPlaced: NotPlaced | undefined;
+  private lateWait: LateWait | undefined;
+  private isStopped = false;
+
+  /**
+   * @param context - Target selection.
+   * @param request - The request.
+   */
+  constructor(
+    private readonly context: TargetSearchContext,
+    private readonly request: SearchedRequest,
+  ) {}
+
+  /**
+   * @param hasRun - Whether the request may have run at a target.
+   * @returns The selected target; undefined if there is none in time. Never
+   *     rejects.
+   */
+  async find(hasRun: boolean): Promise<Target | undefined> {
+    const target = await this.findInTime(hasRun);
+    if (!target) this.context.overload.recordFull(this.request.service);
+    const mayWait = this.request.demand.returning && !hasRun;
+    return target || this.isStopped || !mayWait ? target : this.findLate();
+  }
+
+  /** Stops the search, because the request has been aborted. */
+  stop(): void {
+    this.isStopped = true;
+    this.lateWait?.leave();
+  }
+
+  /** @returns When the caller of this request should retry, in milliseconds. */
+  retryDelayMs(): number {
+    const {protocol, overload, clock} = this.context;
+    const {service, deadlineAt} = this.request;
+    const maxDelayMs = protocol.maxRetryAfterMs(deadlineAt - clock.now());
+    const scheduledMs = this.notPlaced?.retryAfterMs;
+    return scheduledMs === undefined
+      ? overload.returnAfterMs(service, maxDelayMs)
+      : Math.min(scheduledMs, maxDelayMs);
+  }
+
+  private async findInTime(hasRun: boolean): Promise<Target | undefined> {
+    const {chooser, placement, clock} = this.context;
+    const {service, demand, startedAt} = this.request;
+    // With few targets, all of them may have been tried. The runs there have
+    // ended, so they may be tried again.
+    if (!chooser.hasUntried(service, this.tried)) this.tried.clear();
+    const until = hasRun
+      ? clock.now() + RETRY_WAIT_MS
+      : startedAt + maxQueueWaitMs(demand);
+    for (;;) {
+      const outcome = await placement.forRequest(service, demand, this.tried);
+      if (outcome.kind === 'placed') return outcome.target;
+      this.notPlaced = outcome;
+      if (this.isStopped || clock.now() >= until) return undefined;
+      await sleep(clock, POLL_INTERVAL_MS);
+    }
+  }
+
+  private async findLate(): Promise<Target | undefined> {
+    const {tried, request} = this;
+    this.lateWait = this.context.lateQueue.wait({...request, tried});
+    const end = await this.lateWait.end;
+    return end.kind === 'placed' ? end.target : undefined;
+  }
+}
--- a/packages/gateway/src/test/fakes/fleet_simulator.ts
+++ b/packages/gateway/src/test/fakes/fleet_simulator.ts
@@ -267,6 +267,7 @@
         dataCentre,
         chooser,
         loads,
+        overload,
         now,
       }),
       coordinator: () =>
--- a/packages/gateway/src/test/process/placement_test.ts
+++ b/packages/gateway/src/test/process/placement_test.ts
@@ -34,12 +34,13 @@
   const hosts = () => 30;
   const dataCentre = 'a';
   const suspensions = new TargetSuspensions(clock, log);
+  const overload = new ServiceOverload({clock, random, directory, hosts});
   const chooser = new TargetChooser({
     dataCentre,
     directory,
     suspensions,
     health: new ServiceHealth(clock),
-    overload: new ServiceOverload({clock, random, directory, hosts}),
+    overload,
     loads,
     preferredTargets: new PreferredTargets({self: id, dataCentre, hosts}),
     random,
@@ -58,6 +59,7 @@
       dataCentre,
       chooser,
       loads,
+      overload,
       now: () => clock.now(),
     }),
     coordinator: () => (id === COORDINATOR.id ? undefined : COORDINATOR),
--- a/packages/serving/src/lib/process/serving_components.ts
+++ b/packages/serving/src/lib/process/serving_components.ts
@@ -13,6 +13,7 @@
   CrashSuspects,
   PreferredTargets,
   HostSocket,
+  LateQueue,
   LoadExchange,
   LoadTable,
   MEMBER_TABLE,
@@ -180,7 +181,13 @@
     quotas,
     counters,
   });
-  const online = {...requestContext, placement, admission};
+  const lateQueue = new LateQueue({
+    ...requestContext,
+    placement,
+    hosts,
+    isEnabled: () => waitsLate(platform, admission),
+  });
+  const online = {...requestContext, placement, admission, lateQueue};
   const reader = new JobReader(store);
   const {storeLimits: limits} = platform;
   const jobContext = {...context, store, limits, reader, membership};
@@ -240,7 +247,7 @@
 function onlineContext(
   {platform, context, disposables}: ComponentContext,
   {directory, loads, preferredTargets, overload, crashSuspects}: TargetState,
-): Omit<OnlineContext, 'placement' | 'admission'> {
+): Omit<OnlineContext, 'placement' | 'admission' | 'lateQueue'> {
   const {clock, log, random, counters} = context;
   const {protocol} = platform;
   const {dataCentre} = platform.identity;
@@ -272,6 +279,14 @@
   };
 }
 
+function waitsLate(
+  {options}: ServingPlatform,
+  {hasAccounts}: CallerAdmission,
+): boolean {
+  const {lateSlots} = options;
+  return lateSlots === 'always' || (lateSlots === 'accounts' && hasAccounts);
+}
+
 function createJobOperations(
   context: ServingContext & {
     readonly store: RelayedRowStore;
--- a/packages/serving/src/lib/process/serving_options.ts
+++ b/packages/serving/src/lib/process/serving_options.ts
@@ -19,6 +19,12 @@
    * centre on a large fleet. It replies to those of other hosts in any case.
    */
   coordinators: z.enum(['auto', 'off']).default('auto'),
+  /**
+   * Where a request that came back after a refusal, and can no longer be
+   * answered within its latency objective, waits for a free slot: only while
+   * the configuration has client accounts, always or never.
+   */
+  lateSlots: z.enum(['accounts', 'always', 'never']).default('accounts'),
 });
 
 /** Settings of a serving program, with defaults filled in. */
--- a/packages/serving/src/lib/process/serving_process.ts
+++ b/packages/serving/src/lib/process/serving_process.ts
@@ -172,11 +172,12 @@
 
   private async drain(): Promise<void> {
     const {clock, log} = this.context;
-    const {scheduler, jobOwnership, membership} = this.components;
+    const {scheduler, jobOwnership, membership, online} = this.components;
     const startedAt = clock.now();
     const deadline =
       startedAt + this.platform.tunables().shutdownTimeoutMs - EXIT_MARGIN_MS;
     scheduler.pause();
+    online.lateQueue.close(deadline);
     void membership.leave();
     // Jobs cannot be handed over while the store does not respond. Callers must
     // not notice: they leave and their requests end in the meantime.
