Fair shares of client accounts: division of the room

Nothing in the placement of requests knows the client account, so that in a flood of one account all others are refused as often. Max-min shares over the last second, decided by the host that places the requests of a data centre.

--- a/packages/core/src/lib/request/queue_limits.ts
+++ b/packages/core/src/lib/request/queue_limits.ts
@@ -26,6 +26,16 @@
    * configuration has no accounts or the route is public.
    */
   readonly account?: string | undefined;
+  /**
+   * Whether this search for a target repeats one for the same request, which
+   * has then been counted as demand of its account.
+   */
+  readonly isRepeated?: boolean | undefined;
+  /**
+   * Whether the request may only have a free slot, because its account is over
+   * its share.
+   */
+  readonly mustNotQueue?: boolean;
 }
 
 /**
@@ -80,6 +90,7 @@
   demand: WaitDemand,
   latency: ServiceLatency | undefined,
 ): number {
+  if (demand.mustNotQueue) return 0;
   const steps = Math.min(demand.priority, LOWEST_PRIORITY);
   if (!latency)
     return Math.ceil(
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -32,6 +32,7 @@
 export * from './lib/process/readiness_server.js';
 export * from './lib/process/service_health.js';
 export * from './lib/process/service_overload.js';
+export * from './lib/process/share_admission.js';
 export * from './lib/process/target_chooser.js';
 export * from './lib/process/target_directory.js';
 export * from './lib/process/target_suspensions.js';
--- a/packages/gateway/src/lib/connection/load_exchange.ts
+++ b/packages/gateway/src/lib/connection/load_exchange.ts
@@ -58,6 +58,11 @@
     this.timer?.[Symbol.dispose]();
   }
 
+  /** Whether one host of each data centre places its requests. */
+  get hasCoordinators(): boolean {
+    return this.reporter.hasCoordinators;
+  }
+
   /**
    * The coordinator of this data centre; undefined if it is this host or if
    * there is none.
--- a/packages/gateway/src/lib/connection/placement_message.ts
+++ b/packages/gateway/src/lib/connection/placement_message.ts
@@ -25,6 +25,8 @@
       returning: z.boolean(),
       /** Absent in requests of hosts with an older release. */
       account: z.string().optional(),
+      /** Absent in requests of hosts with an older release. */
+      isRepeated: z.boolean().optional(),
     }),
     /**
      * Whether the target must be in the data centre of the host that receives
@@ -76,6 +78,11 @@
    * target and the coordinator schedules retries.
    */
   retryAfterMs: COUNT.optional(),
+  /**
+   * Use and share of the account and the room of all accounts, in slots. Set
+   * only if the cause is the share.
+   */
+  figures: z.object({use: COUNT, share: COUNT, room: COUNT}).optional(),
 });
 
 /**
--- a/packages/gateway/src/lib/process/coordinator.ts
+++ b/packages/gateway/src/lib/process/coordinator.ts
@@ -10,6 +10,7 @@
  * host receives, and the hosts that send the placed requests report them as
  * part of their load.
  */
+import type {WaitDemand} from '@oathead/core';
 import type {Target} from '../connection/target.js';
 import {targetKey} from '../connection/load_message.js';
 import type {
@@ -19,6 +20,7 @@
 import {AvoidedTargets} from './avoided_targets.js';
 import type {LoadTable} from './load_table.js';
 import {placementOutcome, type PlacementOutcome} from './placement_outcome.js';
+import type {ShareAdmission, TargetSearch} from './share_admission.js';
 import type {TargetChooser} from './target_chooser.js';
 
 /** Batch items that another host has to preempt. */
@@ -45,6 +47,8 @@
   readonly dataCentre: string;
   readonly chooser: TargetChooser;
   readonly loads: LoadTable;
+  /** Shares of the client accounts; undefined to place without them. */
+  readonly shares?: ShareAdmission | undefined;
   /** Returns the monotonic time, in milliseconds. */
   readonly now: () => number;
 }
@@ -72,16 +76,9 @@
     dataCentre: string,
   ): PlacementDecision {
     this.avoided.report(host, excluded);
-    // What an item avoids is not reported: it avoids the targets that failed it
-    // for as long as it waits, and may itself be the reason why they did.
-    const mustNot =
-      wish.lane === 'batch' ? [...excluded, ...wish.avoided] : excluded;
-    const avoided = new Set([...mustNot, ...this.avoided.avoidedIds()]);
-    const target =
-      this.choose(service, wish, avoided) ??
-      this.choose(service, wish, new Set(mustNot));
-    const outcome = placementOutcome(target);
-    if (!target) return {outcome, itemsToPreempt: NO_ITEMS};
+    const outcome = this.search(service, wish, excluded);
+    if (outcome.kind === 'full') return {outcome, itemsToPreempt: NO_ITEMS};
+    const {target} = outcome;
     const key = targetKey(target.id);
     const {loads, dataCentre: own} = this.context;
     if (dataCentre === own) loads.addPendingChange(host, key, wish.lane, 1);
@@ -91,17 +88,75 @@
     return {outcome, itemsToPreempt};
   }
 
-  private choose(
+  /**
+   * Selects a target for a request of this host, which reports it as part of
+   * its own load.
+   *
+   * @param service - Service that the target must provide.
+   * @param demand - Determines how many requests may be queued at the target.
+   * @param near - Whether the target must be in this data centre.
+   * @param excluded - IDs of targets that must not be selected.
+   * @returns The selected target, or why there is none.
+   */
+  placeOwn(
+    service: string,
+    demand: WaitDemand,
+    near: boolean,
+    excluded: ReadonlySet<string>,
+  ): PlacementOutcome {
+    const search: TargetSearch = (searched, without) =>
+      this.chooseOnline(service, searched, near, without);
+    const {shares} = this.context;
+    return shares
+      ? shares.place(service, demand, excluded, search)
+      : placementOutcome(search(demand, excluded));
+  }
+
+  private search(
     service: string,
     wish: PlacementCriteria,
+    excluded: readonly string[],
+  ): PlacementOutcome {
+    const {chooser, shares} = this.context;
+    if (wish.lane === 'batch') {
+      // What an item avoids is not reported: it avoids the targets that failed
+      // it for as long as it waits, and may itself be the reason why they did.
+      const mustNot = new Set([...excluded, ...wish.avoided]);
+      return placementOutcome(
+        this.preferNotAvoided(mustNot, without =>
+          chooser.forCoordinatedItem(service, wish.pressure, without),
+        ),
+      );
+    }
+    const {demand, near} = wish;
+    const search: TargetSearch = (searched, mustNot) =>
+      this.preferNotAvoided(mustNot, without =>
+        this.chooseOnline(service, searched, near, without),
+      );
+    const mustNot = new Set(excluded);
+    return shares
+      ? shares.place(service, demand, mustNot, search)
+      : placementOutcome(search(demand, mustNot));
+  }
+
+  private preferNotAvoided(
+    mustNot: ReadonlySet<string>,
+    choose: (excluded: ReadonlySet<string>) => Target | undefined,
+  ): Target | undefined {
+    const avoided = new Set([...mustNot, ...this.avoided.avoidedIds()]);
+    return choose(avoided) ?? choose(mustNot);
+  }
+
+  private chooseOnline(
+    service: string,
+    demand: WaitDemand,
+    near: boolean,
     excluded: ReadonlySet<string>,
   ): Target | undefined {
     const {chooser} = this.context;
-    if (wish.lane === 'batch')
-      return chooser.forCoordinatedItem(service, wish.pressure, excluded);
-    return wish.near
-      ? chooser.forLocalRequest(service, wish.demand, excluded)
-      : chooser.forRequest(service, wish.demand, excluded);
+    return near
+      ? chooser.forLocalRequest(service, demand, excluded)
+      : chooser.forRequest(service, demand, excluded);
   }
 
   private preemptItems(target: Target, key: string): readonly ItemsToPreempt[] {
--- a/packages/gateway/src/lib/process/load_reporter.ts
+++ b/packages/gateway/src/lib/process/load_reporter.ts
@@ -160,6 +160,11 @@
     ];
   }
 
+  /** Whether one host of each data centre places its requests. */
+  get hasCoordinators(): boolean {
+    return this.isRelayed === true;
+  }
+
   /**
    * The host that places the requests of this data centre; undefined if that is
    * this host. A fleet that is small enough to exchange all loads directly has
--- a/packages/gateway/src/lib/process/placement.ts
+++ b/packages/gateway/src/lib/process/placement.ts
@@ -20,6 +20,7 @@
 import type {Coordinator} from './coordinator.js';
 import type {LoadPeer} from './load_reporter.js';
 import {placementOutcome, type PlacementOutcome} from './placement_outcome.js';
+import {SilentCoordinators} from './silent_coordinators.js';
 import type {BatchPressure, TargetChooser} from './target_chooser.js';
 import type {TargetDirectory} from './target_directory.js';
 
@@ -28,16 +29,6 @@
  * data centre, and a small fraction of any latency objective.
  */
 const REQUEST_TIMEOUT_MS = 25;
-/**
- * Number of consecutive timeouts after which a coordinator gets no requests for
- * a while.
- */
-const FAILURES_TO_PAUSE = 3;
-/**
- * How long an unresponsive coordinator gets no requests, in milliseconds. By
- * then it has recovered, or another host is about to be elected.
- */
-const PAUSE_MS = 1000;
 /**
  * A local target with less than this share of its slots in use is selected by
  * the local view: requests that other hosts have sent in the meantime fit
@@ -93,12 +84,12 @@
 export class Placement<P extends LoadPeer> {
   private readonly pendingAnswers = new Map<number, AnswerHandler>();
   private askId = 0;
-  /** Consecutive timeouts, by ID of the coordinator. */
-  private readonly failures = new Map<string, number>();
-  private readonly pausedUntil = new Map<string, number>();
+  private readonly silent: SilentCoordinators;
 
   /** @param context - Target selection on this host, and the coordinators. */
-  constructor(private readonly context: PlacementContext<P>) {}
+  constructor(private readonly context: PlacementContext<P>) {
+    this.silent = new SilentCoordinators(context);
+  }
 
   /** Whether placement requests currently go to another host. */
   get usesPeerCoordinator(): boolean {
@@ -127,23 +118,22 @@
     demand: WaitDemand,
     tried: ReadonlySet<string>,
   ): Promise<PlacementOutcome> {
-    const {chooser} = this.context;
-    const own = chooser.forRequest(service, demand, tried);
+    const {chooser, localCoordinator} = this.context;
     const coordinator = this.coordinator();
-    if (
-      !coordinator ||
-      (own && chooser.isLoadBelow(own, LOCAL_VIEW_LOAD_SHARE))
-    )
+    if (!coordinator)
+      return localCoordinator.placeOwn(service, demand, false, tried);
+    const own = chooser.forRequest(service, demand, tried);
+    if (own && chooser.isLoadBelow(own, LOCAL_VIEW_LOAD_SHARE))
       return placementOutcome(own);
-    const criteria = {lane: 'online', demand, near: false} as const;
+    const wish = {lane: 'online', demand, near: false} as const;
     const answer = await this.requestPlacement(
       coordinator,
       service,
-      criteria,
+      wish,
       tried,
     );
     return answer === 'silent'
-      ? placementOutcome(chooser.forRequest(service, demand, tried))
+      ? localCoordinator.placeOwn(service, demand, false, tried)
       : answer;
   }
 
@@ -160,17 +150,39 @@
     demand: WaitDemand,
     tried: ReadonlySet<string>,
   ): Promise<PlacementOutcome> {
-    const {self, coordinatorOf, chooser} = this.context;
+    const {self, coordinatorOf} = this.context;
     const {dataCentre} = first;
     const other =
       dataCentre === self.dataCentre ? undefined : coordinatorOf(dataCentre);
-    if (!other || this.isPaused(other)) return placementOutcome(first);
-    const criteria = {lane: 'online', demand, near: true} as const;
-    const answer = await this.requestPlacement(other, service, criteria, tried);
+    if (!other || this.silent.isPaused(other.id))
+      return placementOutcome(first);
+    const wish = {lane: 'online', demand, near: true} as const;
+    const answer = await this.requestPlacement(other, service, wish, tried);
     if (answer === 'silent') return placementOutcome(first);
     if (answer.kind === 'placed') return answer;
-    const local = chooser.forLocalRequest(service, demand, tried);
-    return local ? placementOutcome(local) : answer;
+    const local = await this.placeNear(service, demand, tried);
+    return local.kind === 'placed' ? local : answer;
+  }
+
+  /**
+   * Searches for a target of this data centre. A request of a client account
+   * gets only what the coordinator grants it there.
+   */
+  private async placeNear(
+    service: string,
+    demand: WaitDemand,
+    tried: ReadonlySet<string>,
+  ): Promise<PlacementOutcome> {
+    const again = {...demand, isRepeated: true};
+    const wish = {lane: 'online', demand: again, near: true} as const;
+    const coordinator = this.coordinator();
+    const answer =
+      coordinator && demand.account !== undefined
+        ? await this.requestPlacement(coordinator, service, wish, tried)
+        : 'silent';
+    return answer === 'silent'
+      ? this.context.localCoordinator.placeOwn(service, again, true, tried)
+      : answer;
   }
 
   /**
@@ -215,11 +227,9 @@
 
   private coordinator(): P | undefined {
     const coordinator = this.context.coordinator();
-    return coordinator && this.isPaused(coordinator) ? undefined : coordinator;
-  }
-
-  private isPaused({id}: P): boolean {
-    return this.context.clock.now() < (this.pausedUntil.get(id) ?? -Infinity);
+    return coordinator && this.silent.isPaused(coordinator.id)
+      ? undefined
+      : coordinator;
   }
 
   private async requestPlacement(
@@ -238,12 +248,13 @@
     const outcome = outcomeLabel(answer);
     counters.count('placement_asks', {lane: criteria.lane, outcome});
     if (answer === 'silent') {
-      this.recordTimeout(coordinator);
+      this.silent.recordTimeout(coordinator.id);
       return answer;
     }
-    this.failures.delete(coordinator.id);
-    const {targetId, cause = 'room', retryAfterMs} = answer;
-    if (targetId === undefined) return {kind: 'full', cause, retryAfterMs};
+    this.silent.recordReply(coordinator.id);
+    const {targetId, cause = 'room', retryAfterMs, figures} = answer;
+    if (targetId === undefined)
+      return {kind: 'full', cause, retryAfterMs, figures};
     const target = this.findUsable(targetId, service);
     return target ? placementOutcome(target) : 'silent';
   }
@@ -284,16 +295,6 @@
     });
   }
 
-  private recordTimeout({id}: P): void {
-    const {clock, log} = this.context;
-    const failures = (this.failures.get(id) ?? 0) + 1;
-    this.failures.set(id, failures);
-    if (failures < FAILURES_TO_PAUSE) return;
-    this.failures.delete(id);
-    this.pausedUntil.set(id, clock.now() + PAUSE_MS);
-    log.event('coordinator-silent', {coordinator: id, pauseMs: PAUSE_MS});
-  }
-
   private handleRequest(request: PlacementRequest): void {
     const {localCoordinator: coordinator, peer, send} = this.context;
     const to = peer(request.host);
@@ -302,8 +303,8 @@
     const {outcome, itemsToPreempt} = coordinator.place(request, to.dataCentre);
     const {askId} = request;
     if (outcome.kind === 'full') {
-      const {cause, retryAfterMs} = outcome;
-      send({kind: 'grant', askId, cause, retryAfterMs}, to);
+      const {cause, retryAfterMs, figures} = outcome;
+      send({kind: 'grant', askId, cause, retryAfterMs, figures}, to);
       return;
     }
     const {target} = outcome;
--- a/packages/gateway/src/lib/process/placement_outcome.ts
+++ b/packages/gateway/src/lib/process/placement_outcome.ts
@@ -1,4 +1,5 @@
 /** Outcome of the search for a target of an online request. */
+import type {ShareFigures} from '@oathead/core';
 import type {FullCause} from '../connection/placement_message.js';
 import type {Target} from '../connection/target.js';
 
@@ -17,6 +18,8 @@
    * scheduled a retry for this request.
    */
   readonly retryAfterMs: number | undefined;
+  /** Share of the account, if it was over it. */
+  readonly figures?: ShareFigures | undefined;
 }
 
 /** Outcome of the search for a target of an online request. */
--- a/packages/gateway/src/lib/process/service_overload.ts
+++ b/packages/gateway/src/lib/process/service_overload.ts
@@ -43,6 +43,14 @@
     this.observationsOf(service).latencyEstimator.add(run);
   }
 
+  /**
+   * @param service - A service.
+   * @returns Mean duration of its runs, in milliseconds; undefined if unknown.
+   */
+  runMs(service: string): number | undefined {
+    return this.services.get(service)?.latencyEstimator.latency?.runMs;
+  }
+
   /** @returns How many requests with this demand may be queued at a target. */
   maxQueued({service, slots}: Target, demand: WaitDemand): number {
     const latency = this.services.get(service)?.latencyEstimator.latency;
--- /dev/null
+++ b/packages/gateway/src/lib/process/share_admission.ts
@@ -0,0 +1,214 @@
+/**
+ * Applies fair shares of client accounts to the search for a target.
+ *
+ * The host that places the requests of a data centre divides the slots of that
+ * data centre only. A request that it sends elsewhere is counted by the host
+ * that places requests there. Without such hosts, each host divides what its
+ * own requests get of all slots.
+ */
+import {
+  AccountShares,
+  type Counters,
+  type EventLog,
+  type ServiceRoom,
+  type ShareAsk,
+  type ShareFigures,
+  type WaitDemand,
+} from '@oathead/core';
+import {targetKey} from '../connection/load_message.js';
+import type {Target} from '../connection/target.js';
+import type {LoadTable} from './load_table.js';
+import {placementOutcome, type PlacementOutcome} from './placement_outcome.js';
+import type {ServiceOverload} from './service_overload.js';
+import type {TargetDirectory} from './target_directory.js';
+import type {TargetSuspensions} from './target_suspensions.js';
+
+/** Dependencies of {@link ShareAdmission}. */
+export interface ShareAdmissionContext {
+  readonly dataCentre: string;
+  readonly directory: TargetDirectory;
+  readonly suspensions: Pick<TargetSuspensions, 'isSuspended'>;
+  readonly loads: Pick<LoadTable, 'totalAt'>;
+  readonly overload: Pick<ServiceOverload, 'runMs'>;
+  readonly counters: Counters;
+  readonly log: EventLog;
+  /** Returns the monotonic time, in milliseconds. */
+  readonly now: () => number;
+  /**
+   * @returns Weight of an account in this host's configuration; undefined if it
+   *     has none.
+   */
+  readonly weightOf: (account: string) => number | undefined;
+  /** @returns Whether one host of each data centre places its requests. */
+  readonly hasCoordinators: () => boolean;
+}
+
+/**
+ * Searches for a target.
+ *
+ * @param demand - Determines how many requests may be queued at the target.
+ * @param excluded - IDs of targets that must not be selected.
+ * @returns The selected target; undefined if none has free capacity.
+ */
+export type TargetSearch = (
+  demand: WaitDemand,
+  excluded: ReadonlySet<string>,
+) => Target | undefined;
+
+interface UsableRoom extends ServiceRoom {
+  /** Number of slots without an online request. */
+  readonly free: number;
+  readonly targets: readonly Target[];
+}
+
+/**
+ * Interval of the log line about a contended service, in milliseconds.
+ */
+const REPORT_INTERVAL_MS = 2000;
+/** Number of accounts in that line. */
+const REPORTED_ACCOUNTS = 10;
+
+/** Shares of the client accounts in the services of this host's scope. */
+export class ShareAdmission {
+  private readonly services = new Map<string, AccountShares>();
+  private readonly reportedAt = new Map<string, number>();
+
+  /** @param context - Targets, loads and weights. */
+  constructor(private readonly context: ShareAdmissionContext) {}
+
+  /**
+   * Selects a target unless the account of the request is over its share.
+   *
+   * @param service - Service that the target must provide.
+   * @param demand - The request.
+   * @param excluded - IDs of targets that must not be selected.
+   * @param search - Searches for a target.
+   * @returns The outcome.
+   */
+  place(
+    service: string,
+    demand: WaitDemand,
+    excluded: ReadonlySet<string>,
+    search: TargetSearch,
+  ): PlacementOutcome {
+    const {account} = demand;
+    if (account === undefined)
+      return placementOutcome(search(demand, excluded));
+    const {now, counters} = this.context;
+    const shares = this.sharesOf(service);
+    const ask = this.askOf(service, account, demand);
+    const room = this.roomOf(service, excluded);
+    const verdict = shares.ask(ask, room, now());
+    if (verdict.kind === 'in-share') {
+      const target = search(demand, excluded);
+      this.recordGrant(shares, ask, target);
+      if (verdict.isContended)
+        counters.count('share_decisions', {
+          share: 'below',
+          outcome: outcomeLabel(target),
+        });
+      return placementOutcome(target);
+    }
+    const target = search(
+      {...demand, mustNotQueue: true},
+      room.free > verdict.reserve
+        ? excluded
+        : new Set([...excluded, ...room.targets.map(({id}) => id)]),
+    );
+    this.recordGrant(shares, ask, target);
+    counters.count('share_decisions', {
+      share: 'over',
+      outcome: outcomeLabel(target),
+    });
+    this.report(service, shares);
+    if (target) return placementOutcome(target);
+    const figures = rounded(verdict.figures);
+    return {kind: 'full', cause: 'share', retryAfterMs: undefined, figures};
+  }
+
+  private sharesOf(service: string): AccountShares {
+    const known = this.services.get(service);
+    if (known) return known;
+    const shares = new AccountShares();
+    this.services.set(service, shares);
+    return shares;
+  }
+
+  private askOf(
+    service: string,
+    account: string,
+    {priority, isRepeated = false}: WaitDemand,
+  ): ShareAsk {
+    const {overload, weightOf} = this.context;
+    const costMs = overload.runMs(service) ?? NaN;
+    const weight = weightOf(account);
+    return {account, priority, weight, costMs, isRepeated};
+  }
+
+  private roomOf(service: string, excluded: ReadonlySet<string>): UsableRoom {
+    const {directory, loads, suspensions} = this.context;
+    const targets = directory
+      .ofService(service)
+      .filter(target => this.isInScope(target));
+    let slots = 0;
+    let online = 0;
+    let free = 0;
+    for (const target of targets) {
+      const {id} = target;
+      if (excluded.has(id) || suspensions.isSuspended(id)) continue;
+      const load = loads.totalAt(targetKey(id));
+      slots += target.slots;
+      online += load.online;
+      free += Math.max(0, target.slots - load.online);
+    }
+    return {targets, slots, online, free};
+  }
+
+  private isInScope({dataCentre}: Target): boolean {
+    const {hasCoordinators, dataCentre: own} = this.context;
+    return dataCentre === own || !hasCoordinators();
+  }
+
+  private recordGrant(
+    shares: AccountShares,
+    ask: ShareAsk,
+    target: Target | undefined,
+  ): void {
+    if (target && this.isInScope(target)) shares.grant(ask, this.context.now());
+  }
+
+  private report(service: string, shares: AccountShares): void {
+    const {log, now} = this.context;
+    const at = now();
+    const before = this.reportedAt.get(service) ?? -Infinity;
+    if (at - before < REPORT_INTERVAL_MS) return;
+    this.reportedAt.set(service, at);
+    const {demand, use} = shares.total(at);
+    const largest = shares.largest(REPORTED_ACCOUNTS, at);
+    const restUse = largest.reduce((left, one) => left - one.use, use);
+    log.event('account-shares', {
+      service,
+      demand: Math.round(demand),
+      use: Math.round(use),
+      restUse: Math.round(Math.max(0, restUse)),
+      accounts: shares.size,
+      largest: largest.map(({account, ...one}) => ({
+        account,
+        demand: Math.round(one.demand),
+        use: Math.round(one.use),
+      })),
+    });
+  }
+}
+
+function outcomeLabel(target: Target | undefined): string {
+  return target ? 'placed' : 'full';
+}
+
+function rounded({use, share, room}: ShareFigures): ShareFigures {
+  return {
+    use: Math.round(use),
+    share: Math.round(share),
+    room: Math.round(room),
+  };
+}
--- a/packages/gateway/src/lib/request/online_request.ts
+++ b/packages/gateway/src/lib/request/online_request.ts
@@ -94,6 +94,8 @@
   private readonly service: string;
   private readonly demand: WaitDemand;
   private readonly fingerprint: string;
+  /** Whether a target was searched for before. */
+  private hasSearched = false;
   private lastFailedResponse: CompleteResponse | undefined;
   private activeSend: ActiveSend | undefined;
   /** Outcome of the latest search for a target that found none. */
@@ -166,20 +168,32 @@
 
   private async findTarget(): Promise<Target | undefined> {
     const {chooser, placement, clock} = this.context;
-    const {service, demand, tried} = this;
+    const {service, tried} = this;
     // With few targets, all of them may have been tried. The runs there have
     // ended, so they may be tried again.
     if (!chooser.hasUntried(service, tried)) tried.clear();
     const until = this.now() + this.targetWaitMs();
     for (;;) {
-      const outcome = await placement.forRequest(service, demand, tried);
+      const outcome = await placement.forRequest(
+        service,
+        this.nextDemand(),
+        tried,
+      );
       if (outcome.kind === 'placed') return outcome.target;
       this.notPlaced = outcome;
       if (this.abortReason || this.now() >= until) return undefined;
+      // Others may wait for a slot; this account already has its share of them.
+      if (outcome.cause === 'share' && this.runs === 0) return undefined;
       await sleep(clock, TARGET_POLL_INTERVAL_MS);
     }
   }
 
+  private nextDemand(): WaitDemand {
+    const {demand, hasSearched: isRepeated} = this;
+    this.hasSearched = true;
+    return demand.account === undefined ? demand : {...demand, isRepeated};
+  }
+
   /**
    * Checks admission again just before the request is sent. A key may have been
    * revoked, or the process may have stalled, while the request waited. A
@@ -328,7 +342,8 @@
       return this.finish(reason, head.status);
     }
     const {service} = this;
-    this.report.givenUp(service, reason, this.context.chooser.view(service));
+    const view = this.context.chooser.view(service);
+    this.report.givenUp(service, reason, view, this.notPlaced);
     const status = failureStatus(reason, this.runs);
     if (this.runs === 0)
       this.context.admission.refundQuota(this.admitted.account);
--- a/packages/gateway/src/lib/request/request_report.ts
+++ b/packages/gateway/src/lib/request/request_report.ts
@@ -3,6 +3,7 @@
 import type {Tracer} from '@opentelemetry/api';
 import type {Target} from '../connection/target.js';
 import type {TargetLoad} from '../process/load_table.js';
+import type {NotPlaced} from '../process/placement_outcome.js';
 import type {ChoiceView} from '../process/target_chooser.js';
 import type {Route} from '../version/routing_table.js';
 import {RequestTrace} from './request_trace.js';
@@ -116,10 +117,18 @@
    * @param service - The service whose targets were considered.
    * @param reason - Why there is no response.
    * @param view - State of the targets that the choice was based on.
+   * @param notPlaced - Outcome of the latest search for a target that found
+   *     none.
    */
-  givenUp(service: string, reason: string, view: ChoiceView): void {
+  givenUp(
+    service: string,
+    reason: string,
+    view: ChoiceView,
+    notPlaced: NotPlaced | undefined,
+  ): void {
     const request = this.metadata.requestId;
-    const fields = {request, service, reason, ...view};
+    const {cause, figures} = notPlaced ?? {};
+    const fields = {request, service, reason, ...view, cause, ...figures};
     this.context.log.event('request-given-up', fields);
   }
 
--- a/packages/gateway/src/test/fakes/fleet_simulator.ts
+++ b/packages/gateway/src/test/fakes/fleet_simulator.ts
@@ -31,6 +31,7 @@
   type LoadReportOptions,
 } from '../../lib/process/load_reporter.js';
 import {Placement} from '../../lib/process/placement.js';
+import {ShareAdmission} from '../../lib/process/share_admission.js';
 import {ServiceHealth} from '../../lib/process/service_health.js';
 import {ServiceOverload} from '../../lib/process/service_overload.js';
 import {
@@ -42,6 +43,29 @@
 import {FakeClock} from './fake_clock.js';
 import {newTarget} from './targets.js';
 
+/** Load of one client account. */
+export interface AccountLoad {
+  readonly name: string;
+  /** @returns Arrivals per second. */
+  readonly rateAt: (ms: number) => number;
+  /** Where its callers are; all data centres by default. */
+  readonly dataCentre?: number;
+  /** 0 by default. */
+  readonly priority?: number;
+}
+
+/** Outcomes of the requests of one client account. */
+export interface AccountOutcome {
+  requests: number;
+  /** Requests that were refused at their first attempt, and for good. */
+  refused: number;
+  failed: number;
+  late: number;
+  served: number;
+  /** Total time from arrival to a placement or refusal, in milliseconds. */
+  waitedMs: number;
+}
+
 /** The simulated fleet and its load. */
 export interface FleetScenario {
   readonly seed: number;
@@ -68,6 +92,8 @@
    * 1 by default.
    */
   readonly firstDataCentreWeight?: number;
+  /** Client accounts, which then send all requests. */
+  readonly accounts?: readonly AccountLoad[];
   /** Start of the burst and end of the simulation, in milliseconds. */
   readonly burstAtMs: number;
   readonly lengthMs: number;
@@ -84,6 +110,15 @@
   readonly usesRemoteCoordinators?: boolean;
   /** Time after which coordinators no longer reply, in milliseconds. */
   readonly coordinatorsFailAtMs?: number;
+  /** Whether the room is divided among client accounts. */
+  readonly usesShares?: boolean;
+  /**
+   * Time at which the coordinators are replaced by hosts that know nothing of
+   * the shares, in milliseconds.
+   */
+  readonly sharesLostAtMs?: number;
+  /** @returns Weight of an account. */
+  readonly weightAt?: (account: string, ms: number) => number | undefined;
 }
 
 /** Outcomes of the requests and batch items, and number of messages. */
@@ -106,6 +141,8 @@
    */
   messages: number;
   remoteBytes: number;
+  /** By name of the client account. */
+  readonly accounts: Map<string, AccountOutcome>;
 }
 
 interface Caller {
@@ -113,6 +150,9 @@
   readonly lastArrivalAt: number;
   readonly returning: boolean;
   readonly host: Host;
+  readonly account?: AccountLoad | undefined;
+  /** Whether it has searched for a target since its last arrival. */
+  hasSearched: boolean;
 }
 
 interface Run {
@@ -169,6 +209,7 @@
     itemsDone: 0,
     messages: 0,
     remoteBytes: 0,
+    accounts: new Map(),
   };
   private waiting: Caller[] = [];
   private retrying: Caller[] = [];
@@ -236,10 +277,11 @@
       directory,
       hosts: hostCount,
     });
+    const suspensions = new TargetSuspensions(clock, log);
     const chooser = new TargetChooser({
       dataCentre,
       directory,
-      suspensions: new TargetSuspensions(clock, log),
+      suspensions,
       health: new ServiceHealth(clock),
       overload,
       loads,
@@ -251,6 +293,23 @@
       random,
     });
     const self = {id, dataCentre};
+    const newShares = () =>
+      new ShareAdmission({
+        dataCentre,
+        directory,
+        suspensions,
+        loads,
+        overload,
+        counters: NO_COUNTERS,
+        log,
+        now,
+        weightOf: name => this.options.weightAt?.(name, this.now),
+        hasCoordinators: () => this.options.coordinated,
+      });
+    let shares = this.options.usesShares ? newShares() : undefined;
+    const {sharesLostAtMs} = this.options;
+    if (shares && sharesLostAtMs !== undefined)
+      clock.after(sharesLostAtMs, () => (shares = newShares()));
     const reporter = new LoadReporter<Host>(
       {self, table: loads, now, random},
       this.options,
@@ -268,6 +327,9 @@
         chooser,
         loads,
         now,
+        get shares() {
+          return shares;
+        },
       }),
       coordinator: () =>
         this.options.coordinated ? reporter.coordinator : undefined,
@@ -322,31 +384,57 @@
   }
 
   private generateArrivals(): void {
-    const {burstAtMs, burstRate, calmRate} = this.load;
+    const {burstAtMs, burstRate, calmRate, accounts} = this.load;
     const rate = this.now >= burstAtMs ? burstRate : calmRate;
+    if (!accounts) this.generateArrivalsAt(rate);
+    for (const account of accounts ?? [])
+      this.generateArrivalsAt(account.rateAt(this.now), account);
+    this.waiting.push(
+      ...this.retrying.filter(({lastArrivalAt}) => lastArrivalAt <= this.now),
+    );
+    this.retrying = this.retrying.filter(
+      ({lastArrivalAt}) => lastArrivalAt > this.now,
+    );
+  }
+
+  private generateArrivalsAt(rate: number, account?: AccountLoad): void {
     let expected = (rate * STEP_MS) / 1000;
     for (; expected > 0; expected--) {
       if (this.random.float() >= expected) continue;
       this.outcome.requests++;
+      if (account) this.outcomeOf(account).requests++;
       const {now} = this;
-      const host = this.pickHost();
       this.waiting.push({
         arrivedAt: now,
         lastArrivalAt: now,
         returning: false,
-        host,
+        host: this.pickHost(account),
+        account,
+        hasSearched: false,
       });
     }
-    this.waiting.push(
-      ...this.retrying.filter(({lastArrivalAt}) => lastArrivalAt <= this.now),
-    );
-    this.retrying = this.retrying.filter(
-      ({lastArrivalAt}) => lastArrivalAt > this.now,
-    );
   }
 
-  private pickHost(): Host {
+  private outcomeOf({name}: AccountLoad): AccountOutcome {
+    const {accounts} = this.outcome;
+    const known = accounts.get(name);
+    if (known) return known;
+    const none: AccountOutcome = {
+      requests: 0,
+      refused: 0,
+      failed: 0,
+      late: 0,
+      served: 0,
+      waitedMs: 0,
+    };
+    accounts.set(name, none);
+    return none;
+  }
+
+  private pickHost(account?: AccountLoad): Host {
     const {hosts, dataCentres, firstDataCentreWeight = 1} = this.load;
+    if (account?.dataCentre !== undefined)
+      return this.hosts[account.dataCentre * hosts + this.random.int(hosts)]!;
     const position =
       this.random.float() * (dataCentres - 1 + firstDataCentreWeight) -
       firstDataCentreWeight;
@@ -356,24 +444,39 @@
 
   private async place(caller: Caller): Promise<void> {
     const {goalMs} = this.load;
-    const {host, returning, lastArrivalAt} = caller;
-    const demand = {goalMs, priority: 0, returning};
+    const {host, returning, lastArrivalAt, account} = caller;
+    const demand = {
+      goalMs,
+      priority: account?.priority ?? 0,
+      returning,
+      account: account?.name,
+      isRepeated: caller.hasSearched,
+    };
+    caller.hasSearched = true;
     const outcome = await host.placement.forRequest(
       SERVICE,
       demand,
       NO_TARGETS,
     );
     if (outcome.kind === 'placed') this.send(host, outcome.target, caller);
-    else if (this.now < lastArrivalAt + maxQueueWaitMs(demand))
+    else if (
+      outcome.cause === 'room' &&
+      this.now < lastArrivalAt + maxQueueWaitMs(demand)
+    )
       this.waiting.push(caller);
     else this.refuse(caller);
   }
 
   private refuse(caller: Caller): void {
+    const {account} = caller;
+    const outcome = account && this.outcomeOf(account);
+    if (outcome) outcome.waitedMs += this.now - caller.lastArrivalAt;
     if (caller.returning) {
       this.outcome.failed++;
+      if (outcome) outcome.failed++;
       return;
     }
+    if (outcome) outcome.refused++;
     const leftMs = this.load.callerTimeoutMs - (this.now - caller.arrivedAt);
     const maxDelayMs = leftMs * MAX_RETRY_DELAY_SHARE;
     const retryDelayMs = caller.host.overload.returnAfterMs(
@@ -381,10 +484,11 @@
       maxDelayMs,
     );
     const lastArrivalAt = this.now + retryDelayMs;
-    const host = this.pickHost();
+    const host = this.pickHost(account);
     this.retrying.push({
       ...caller,
       returning: true,
+      hasSearched: false,
       lastArrivalAt,
       host,
     });
@@ -426,8 +530,15 @@
     run.startsAt = this.now;
     if (!run.caller) return;
     const {goalMs, firstByteMs} = this.load;
-    const {lastArrivalAt, returning} = run.caller;
-    if (this.now + firstByteMs - lastArrivalAt > goalMs) this.outcome.late++;
+    const {lastArrivalAt, returning, account} = run.caller;
+    const isLate = this.now + firstByteMs - lastArrivalAt > goalMs;
+    const outcome = account && this.outcomeOf(account);
+    if (outcome) {
+      outcome.waitedMs += this.now - lastArrivalAt;
+      if (isLate) outcome.late++;
+      else outcome.served++;
+    }
+    if (isLate) this.outcome.late++;
     else if (returning) this.outcome.inTimeOnRetry++;
     else this.outcome.inTime++;
   }
--- a/packages/serving/src/lib/process/serving_components.ts
+++ b/packages/serving/src/lib/process/serving_components.ts
@@ -23,6 +23,7 @@
   RoutingState,
   ServiceHealth,
   ServiceOverload,
+  ShareAdmission,
   TargetChooser,
   TargetDirectory,
   TargetSuspensions,
@@ -133,6 +134,15 @@
     {platform, context, disposables},
     {directory, loads, preferredTargets, overload, crashSuspects},
   );
+  const isCoordinated = () => platform.options.coordinators === 'auto';
+  const shares = new ShareAdmission({
+    ...requestContext,
+    dataCentre: self.dataCentre,
+    now: () => clock.now(),
+    weightOf: name =>
+      routing.current?.table.accounts?.findByName(name)?.quota?.perSecond,
+    hasCoordinators: () => isCoordinated() && exchange.hasCoordinators,
+  });
   const placement = createPlacement(socket, {
     ...requestContext,
     self,
@@ -141,15 +151,11 @@
       self: self.id,
       dataCentre: self.dataCentre,
       now: () => clock.now(),
+      shares,
     }),
-    coordinator: () =>
-      platform.options.coordinators === 'auto'
-        ? exchange.coordinator
-        : undefined,
+    coordinator: () => (isCoordinated() ? exchange.coordinator : undefined),
     coordinatorOf: name =>
-      platform.options.coordinators === 'auto'
-        ? exchange.coordinatorOf(name)
-        : undefined,
+      isCoordinated() ? exchange.coordinatorOf(name) : undefined,
     peer: id => {
       const member = membership.peer(id);
       return member && hostPeerOf(member);
