Shares: requests below their account's share may queue like retries

Without a queue place they were refused although accounts over theirs ran. Free slots are kept only where no request may queue.

--- a/packages/gateway/src/lib/process/share_admission.ts
+++ b/packages/gateway/src/lib/process/share_admission.ts
@@ -29,7 +29,7 @@
   readonly directory: TargetDirectory;
   readonly suspensions: Pick<TargetSuspensions, 'isSuspended'>;
   readonly loads: Pick<LoadTable, 'totalAt'>;
-  readonly overload: Pick<ServiceOverload, 'runMs'>;
+  readonly overload: Pick<ServiceOverload, 'runMs' | 'maxQueued'>;
   readonly counters: Counters;
   readonly log: EventLog;
   /** Returns the monotonic time, in milliseconds. */
@@ -99,8 +99,13 @@
     const ask = this.askOf(service, account, demand);
     const room = this.roomOf(service, excluded);
     const verdict = shares.ask(ask, room, now());
+    const preferred = {...demand, returning: true};
     if (verdict.kind === 'in-share') {
-      const target = search(demand, excluded);
+      // Accounts over their share join no queue, so it may be as long for a new
+      // request as for one that was refused before.
+      const target =
+        search(demand, excluded) ??
+        (verdict.isContended ? search(preferred, excluded) : undefined);
       this.recordGrant(shares, ask, target);
       if (verdict.isContended)
         counters.count('share_decisions', {
@@ -109,11 +114,17 @@
         });
       return placementOutcome(target);
     }
+    const {targets, free} = room;
+    // Free slots are only kept for requests that cannot wait for one.
+    const mayQueue = targets.some(
+      target => this.context.overload.maxQueued(target, preferred) > 0,
+    );
+    const reserve = mayQueue ? 0 : verdict.reserve;
     const target = search(
       {...demand, mustNotQueue: true},
-      room.free > verdict.reserve
+      free > reserve
         ? excluded
-        : new Set([...excluded, ...room.targets.map(({id}) => id)]),
+        : new Set([...excluded, ...targets.map(({id}) => id)]),
     );
     this.recordGrant(shares, ask, target);
     counters.count('share_decisions', {
--- a/packages/gateway/src/lib/request/online_request.ts
+++ b/packages/gateway/src/lib/request/online_request.ts
@@ -182,12 +182,19 @@
       if (outcome.kind === 'placed') return outcome.target;
       this.notPlaced = outcome;
       if (this.abortReason || this.now() >= until) return undefined;
-      // Others may wait for a slot; this account already has its share of them.
-      if (outcome.cause === 'share' && this.runs === 0) return undefined;
+      if (this.isOverShare(outcome)) return undefined;
       await sleep(clock, TARGET_POLL_INTERVAL_MS);
     }
   }
 
+  /**
+   * A request beyond the share of its account is refused at once, unless that
+   * would be its last chance.
+   */
+  private isOverShare({cause}: NotPlaced): boolean {
+    return cause === 'share' && this.runs === 0 && !this.demand.returning;
+  }
+
   private nextDemand(): WaitDemand {
     const {demand, hasSearched: isRepeated} = this;
     this.hasSearched = true;
--- a/packages/gateway/src/test/fakes/fleet_simulator.ts
+++ b/packages/gateway/src/test/fakes/fleet_simulator.ts
@@ -460,7 +460,7 @@
     );
     if (outcome.kind === 'placed') this.send(host, outcome.target, caller);
     else if (
-      outcome.cause === 'room' &&
+      (outcome.cause === 'room' || returning) &&
       this.now < lastArrivalAt + maxQueueWaitMs(demand)
     )
       this.waiting.push(caller);
