--- a/packages/core/src/lib/process/account_shares.ts
+++ b/packages/core/src/lib/process/account_shares.ts
@@ -133,10 +133,10 @@
    * @returns The verdict.
    */
   ask(ask: ShareAsk, room: ServiceRoom, now: number): ShareVerdict {
-    const entry = this.entryOf(ask);
     const slots = this.slotsOf(ask.costMs);
-    if (!ask.isRepeated) this.addDemand(entry, slots, now);
     const division = this.divide(room, now);
+    const entry = this.entryOf(ask);
+    if (!ask.isRepeated) this.addDemand(entry, slots, now);
     if (division.levels.length === 0) return IN_SHARE;
     const share = shareIn(division, entry);
     const use = entry.use.valueAt(now, this.memoryMs);
@@ -164,6 +164,17 @@
     if (missing > 0) this.addDemand(entry, missing, now);
   }
 
+  /**
+   * Takes back the demand of a request that got a slot elsewhere, where it is
+   * counted.
+   *
+   * @param ask - The request.
+   * @param now - Time on a monotonic clock, in milliseconds.
+   */
+  passOn(ask: ShareAsk, now: number): void {
+    this.addDemand(this.entryOf(ask), -this.slotsOf(ask.costMs), now);
+  }
+
   /**
    * @param count - Maximum number of accounts.
    * @param now - Time on a monotonic clock, in milliseconds.
--- a/packages/core/src/lib/process/decayed_sum.ts
+++ b/packages/core/src/lib/process/decayed_sum.ts
@@ -4,12 +4,12 @@
   private addedAt = -Infinity;
 
   /**
-   * @param amount - What to add.
+   * @param amount - What to add; negative to take it back, down to 0.
    * @param now - Time on a monotonic clock, in milliseconds.
    * @param memoryMs - Age at which a part counts 1/e of its amount.
    */
   add(amount: number, now: number, memoryMs: number): void {
-    this.sum = this.valueAt(now, memoryMs) + amount;
+    this.sum = Math.max(0, this.valueAt(now, memoryMs) + amount);
     this.addedAt = now;
   }
 
--- a/packages/gateway/src/lib/process/share_admission.ts
+++ b/packages/gateway/src/lib/process/share_admission.ts
@@ -185,7 +185,10 @@
     ask: ShareAsk,
     target: Target | undefined,
   ): void {
-    if (target && this.isInScope(target)) shares.grant(ask, this.context.now());
+    if (!target) return;
+    const now = this.context.now();
+    if (this.isInScope(target)) shares.grant(ask, now);
+    else shares.passOn(ask, now);
   }
 
   private report(service: string, shares: AccountShares): void {
--- a/packages/gateway/src/test/fakes/fleet_simulator.ts
+++ b/packages/gateway/src/test/fakes/fleet_simulator.ts
@@ -304,7 +304,8 @@
         log,
         now,
         weightOf: name => this.options.weightAt?.(name, this.now),
-        hasCoordinators: () => this.options.coordinated,
+        hasCoordinators: () =>
+          this.options.coordinated && reporter.hasCoordinators,
       });
     let shares = this.options.usesShares ? newShares() : undefined;
     const {sharesLostAtMs} = this.options;
