Join the shares of accounts and the late slots

A request refused because its account is over its share doesn't count as a sign that the service is full: late requests may have the slots that it must not take.

--- a/packages/core/src/lib/request/queue_limits.ts
+++ b/packages/core/src/lib/request/queue_limits.ts
@@ -31,6 +31,16 @@
    * It gets only slots that requests in time do not need.
    */
   readonly late?: boolean | undefined;
+  /**
+   * Whether this search for a target repeats one for the same request, which
+   * has then been counted as demand of its account.
+   */
+  readonly isRepeated?: boolean | undefined;
+  /**
+   * Whether the request may only have a free slot, because its account is over
+   * its share.
+   */
+  readonly mustNotQueue?: boolean;
 }
 
 /**
@@ -93,6 +103,7 @@
   latency: ServiceLatency | undefined,
 ): number {
   if (demand.late) return -Math.floor(slots * LATE_FREE_FRACTION);
+  if (demand.mustNotQueue) return 0;
   const steps = Math.min(demand.priority, LOWEST_PRIORITY);
   if (!latency)
     return Math.ceil(
--- a/packages/gateway/src/lib/process/service_overload.ts
+++ b/packages/gateway/src/lib/process/service_overload.ts
@@ -14,6 +14,7 @@
   type WaitDemand,
 } from '@oathead/core';
 import type {Target} from '../connection/target.js';
+import type {NotPlaced} from './placement_outcome.js';
 import type {TargetDirectory} from './target_directory.js';
 
 /** Dependencies of {@link ServiceOverload}. */
@@ -47,8 +48,13 @@
     this.observationsOf(service).latencyEstimator.add(run);
   }
 
-  /** @param service - Service without room for a request in time. */
-  recordFull(service: string): void {
+  /**
+   * @param service - A service.
+   * @param outcome - Why a request in time got none of its slots. One that is
+   *     over the share of its account says nothing of the room.
+   */
+  recordNotPlaced(service: string, {cause}: NotPlaced): void {
+    if (cause !== 'room') return;
     this.observationsOf(service).fullAt = this.context.clock.now();
   }
 
--- a/packages/gateway/src/lib/request/online_request.ts
+++ b/packages/gateway/src/lib/request/online_request.ts
@@ -314,7 +314,8 @@
       return this.finish(reason, head.status);
     }
     const {service} = this;
-    this.report.givenUp(service, reason, this.context.chooser.view(service));
+    const view = this.context.chooser.view(service);
+    this.report.givenUp(service, reason, view, this.search.notPlaced);
     const status = failureStatus(reason, this.runs);
     if (this.runs === 0) this.quota.refund();
     const retry =
--- a/packages/gateway/src/lib/request/target_search.ts
+++ b/packages/gateway/src/lib/request/target_search.ts
@@ -22,7 +22,7 @@
   readonly clock: Clock;
   readonly chooser: Pick<TargetChooser, 'hasUntried'>;
   readonly placement: RequestPlacement;
-  readonly overload: Pick<ServiceOverload, 'returnAfterMs' | 'recordFull'>;
+  readonly overload: Pick<ServiceOverload, 'returnAfterMs' | 'recordNotPlaced'>;
   readonly protocol: Pick<TargetProtocol, 'maxRetryAfterMs'>;
   readonly lateQueue: Pick<LateQueue, 'wait'>;
 }
@@ -53,10 +53,11 @@
 export class TargetSearch {
   /** IDs of targets that are not selected again while there are others. */
   readonly tried = new Set<string>();
-  /** Outcome of the latest search that found no target. */
-  private notPlaced: NotPlaced | undefined;
+  private latestNotPlaced: NotPlaced | undefined;
   private lateWait: LateWait | undefined;
   private isStopped = false;
+  /** Whether the demand of the request has been counted. */
+  private hasSearched = false;
 
   /**
    * @param context - Target selection.
@@ -67,6 +68,11 @@
     private readonly request: SearchedRequest,
   ) {}
 
+  /** Outcome of the latest search that found no target. */
+  get notPlaced(): NotPlaced | undefined {
+    return this.latestNotPlaced;
+  }
+
   /**
    * @param hasRun - Whether the request may have run at a target.
    * @returns The selected target; undefined if there is none in time. Never
@@ -74,7 +80,11 @@
    */
   async find(hasRun: boolean): Promise<Target | undefined> {
     const target = await this.findInTime(hasRun);
-    if (!target) this.context.overload.recordFull(this.request.service);
+    if (!target && this.latestNotPlaced)
+      this.context.overload.recordNotPlaced(
+        this.request.service,
+        this.latestNotPlaced,
+      );
     const mayWait = this.request.demand.returning && !hasRun;
     return target || this.isStopped || !mayWait ? target : this.findLate();
   }
@@ -90,7 +100,7 @@
     const {protocol, overload, clock} = this.context;
     const {service, deadlineAt} = this.request;
     const maxDelayMs = protocol.maxRetryAfterMs(deadlineAt - clock.now());
-    const scheduledMs = this.notPlaced?.retryAfterMs;
+    const scheduledMs = this.latestNotPlaced?.retryAfterMs;
     return scheduledMs === undefined
       ? overload.returnAfterMs(service, maxDelayMs)
       : Math.min(scheduledMs, maxDelayMs);
@@ -106,17 +116,38 @@
       ? clock.now() + RETRY_WAIT_MS
       : startedAt + maxQueueWaitMs(demand);
     for (;;) {
-      const outcome = await placement.forRequest(service, demand, this.tried);
+      const outcome = await placement.forRequest(
+        service,
+        this.nextDemand(),
+        this.tried,
+      );
       if (outcome.kind === 'placed') return outcome.target;
-      this.notPlaced = outcome;
+      this.latestNotPlaced = outcome;
       if (this.isStopped || clock.now() >= until) return undefined;
+      if (!hasRun && this.isOverShare(outcome)) return undefined;
       await sleep(clock, POLL_INTERVAL_MS);
     }
   }
 
+  /**
+   * A request beyond the share of its account is refused at once, unless that
+   * would be its last chance.
+   */
+  private isOverShare({cause}: NotPlaced): boolean {
+    return cause === 'share' && !this.request.demand.returning;
+  }
+
+  private nextDemand(): WaitDemand {
+    const {demand} = this.request;
+    const isRepeated = this.hasSearched;
+    this.hasSearched = true;
+    return demand.account === undefined ? demand : {...demand, isRepeated};
+  }
+
   private async findLate(): Promise<Target | undefined> {
     const {tried, request} = this;
-    this.lateWait = this.context.lateQueue.wait({...request, tried});
+    const demand = this.nextDemand();
+    this.lateWait = this.context.lateQueue.wait({...request, demand, tried});
     const end = await this.lateWait.end;
     return end.kind === 'placed' ? end.target : undefined;
   }
