Shares: who decides when a coordinator does not reply

A request that another data centre refuses asks its own coordinator again, so that its share holds there, too. Waiting for replies and silent coordinators are modules of their own.

--- a/packages/gateway/src/lib/process/coordinator.ts
+++ b/packages/gateway/src/lib/process/coordinator.ts
@@ -20,7 +20,11 @@
 import {AvoidedTargets} from './avoided_targets.js';
 import type {LoadTable} from './load_table.js';
 import {placementOutcome, type PlacementOutcome} from './placement_outcome.js';
-import type {ShareAdmission, TargetSearch} from './share_admission.js';
+import type {
+  ShareAdmission,
+  ShareRequest,
+  TargetSearch,
+} from './share_admission.js';
 import type {TargetChooser} from './target_chooser.js';
 
 /** Batch items that another host has to preempt. */
@@ -53,6 +57,16 @@
   readonly now: () => number;
 }
 
+/** How a host searches for a target itself. */
+export interface OwnPlacement {
+  /** Whether the target must be in its data centre. */
+  readonly near: boolean;
+  /** IDs of targets that must not be selected. */
+  readonly tried: ReadonlySet<string>;
+  /** Whether the host that should search for it does not reply. */
+  readonly isSubstitute: boolean;
+}
+
 const NO_ITEMS: readonly ItemsToPreempt[] = [];
 
 /** Selects targets on behalf of other hosts. */
@@ -94,22 +108,18 @@
    *
    * @param service - Service that the target must provide.
    * @param demand - Determines how many requests may be queued at the target.
-   * @param near - Whether the target must be in this data centre.
-   * @param excluded - IDs of targets that must not be selected.
+   * @param options - Which targets may be selected.
    * @returns The selected target, or why there is none.
    */
   placeOwn(
     service: string,
     demand: WaitDemand,
-    near: boolean,
-    excluded: ReadonlySet<string>,
+    {near, tried, isSubstitute}: OwnPlacement,
   ): PlacementOutcome {
     const search: TargetSearch = (searched, without) =>
       this.chooseOnline(service, searched, near, without);
-    const {shares} = this.context;
-    return shares
-      ? shares.place(service, demand, excluded, search)
-      : placementOutcome(search(demand, excluded));
+    const request = {service, demand, excluded: tried, isSubstitute};
+    return this.placeOnline(request, search);
   }
 
   private search(
@@ -117,7 +127,7 @@
     wish: PlacementCriteria,
     excluded: readonly string[],
   ): PlacementOutcome {
-    const {chooser, shares} = this.context;
+    const {chooser} = this.context;
     if (wish.lane === 'batch') {
       // What an item avoids is not reported: it avoids the targets that failed
       // it for as long as it waits, and may itself be the reason why they did.
@@ -133,10 +143,18 @@
       this.preferNotAvoided(mustNot, without =>
         this.chooseOnline(service, searched, near, without),
       );
-    const mustNot = new Set(excluded);
-    return shares
-      ? shares.place(service, demand, mustNot, search)
-      : placementOutcome(search(demand, mustNot));
+    const without = new Set(excluded);
+    const request = {service, demand, excluded: without, isSubstitute: false};
+    return this.placeOnline(request, search);
+  }
+
+  private placeOnline(
+    request: ShareRequest,
+    search: TargetSearch,
+  ): PlacementOutcome {
+    const {shares} = this.context;
+    if (shares) return shares.place(request, search);
+    return placementOutcome(search(request.demand, request.excluded));
   }
 
   private preferNotAvoided(
--- a/packages/gateway/src/lib/process/placement.ts
+++ b/packages/gateway/src/lib/process/placement.ts
@@ -17,18 +17,14 @@
   PlacementMessage,
   PlacementCriteria,
 } from '../connection/placement_message.js';
-import type {Coordinator} from './coordinator.js';
+import type {Coordinator, OwnPlacement} from './coordinator.js';
 import type {LoadPeer} from './load_reporter.js';
+import {PendingReplies} from './pending_replies.js';
 import {placementOutcome, type PlacementOutcome} from './placement_outcome.js';
 import {SilentCoordinators} from './silent_coordinators.js';
 import type {BatchPressure, TargetChooser} from './target_chooser.js';
 import type {TargetDirectory} from './target_directory.js';
 
-/**
- * Timeout of a placement request, in milliseconds: several round trips inside a
- * data centre, and a small fraction of any latency objective.
- */
-const REQUEST_TIMEOUT_MS = 25;
 /**
  * A local target with less than this share of its slots in use is selected by
  * the local view: requests that other hosts have sent in the meantime fit
@@ -78,17 +74,16 @@
   'forItem' | 'usesPeerCoordinator'
 >;
 
-type AnswerHandler = (grant: PlacementGrant) => void;
-
 /** Sends placement requests, and replies to those of other hosts. */
 export class Placement<P extends LoadPeer> {
-  private readonly pendingAnswers = new Map<number, AnswerHandler>();
+  private readonly replies: PendingReplies;
   private askId = 0;
   private readonly silent: SilentCoordinators;
 
   /** @param context - Target selection on this host, and the coordinators. */
   constructor(private readonly context: PlacementContext<P>) {
     this.silent = new SilentCoordinators(context);
+    this.replies = new PendingReplies(context.clock);
   }
 
   /** Whether placement requests currently go to another host. */
@@ -120,8 +115,8 @@
   ): Promise<PlacementOutcome> {
     const {chooser, localCoordinator} = this.context;
     const coordinator = this.coordinator();
-    if (!coordinator)
-      return localCoordinator.placeOwn(service, demand, false, tried);
+    const view = this.ownView(tried, false);
+    if (!coordinator) return localCoordinator.placeOwn(service, demand, view);
     const own = chooser.forRequest(service, demand, tried);
     if (own && chooser.isLoadBelow(own, LOCAL_VIEW_LOAD_SHARE))
       return placementOutcome(own);
@@ -133,7 +128,7 @@
       tried,
     );
     return answer === 'silent'
-      ? localCoordinator.placeOwn(service, demand, false, tried)
+      ? localCoordinator.placeOwn(service, demand, view)
       : answer;
   }
 
@@ -161,7 +156,9 @@
     if (answer === 'silent') return placementOutcome(first);
     if (answer.kind === 'placed') return answer;
     const local = await this.placeNear(service, demand, tried);
-    return local.kind === 'placed' ? local : answer;
+    return local.kind === 'placed' || demand.account !== undefined
+      ? local
+      : answer;
   }
 
   /**
@@ -180,9 +177,14 @@
       coordinator && demand.account !== undefined
         ? await this.requestPlacement(coordinator, service, wish, tried)
         : 'silent';
-    return answer === 'silent'
-      ? this.context.localCoordinator.placeOwn(service, again, true, tried)
-      : answer;
+    if (answer !== 'silent') return answer;
+    const view = this.ownView(tried, true);
+    return this.context.localCoordinator.placeOwn(service, again, view);
+  }
+
+  private ownView(tried: ReadonlySet<string>, near: boolean): OwnPlacement {
+    const isSubstitute = this.context.coordinator() !== undefined;
+    return {near, tried, isSubstitute};
   }
 
   /**
@@ -218,7 +220,7 @@
         this.handleRequest(message);
         return;
       case 'grant':
-        this.pendingAnswers.get(message.askId)?.(message);
+        this.replies.receive(message);
         return;
       case 'yield':
         this.context.onPreempt(message.targetId, message.items);
@@ -242,7 +244,7 @@
     const askId = ++this.askId;
     const excluded = this.excludedTargets(service, tried);
     const request = {host: self.id, askId, service, wish: criteria, excluded};
-    const answered = this.awaitAnswer(askId);
+    const answered = this.replies.next(askId);
     send({kind: 'ask', ...request}, coordinator);
     const answer = await answered;
     const outcome = outcomeLabel(answer);
@@ -281,20 +283,6 @@
     return [...new Set([...tried, ...suspended])].slice(0, MAX_EXCLUDED);
   }
 
-  private awaitAnswer(askId: number): Promise<PlacementGrant | 'silent'> {
-    return new Promise(resolve => {
-      const timer = this.context.clock.after(REQUEST_TIMEOUT_MS, () => {
-        this.pendingAnswers.delete(askId);
-        resolve('silent');
-      });
-      this.pendingAnswers.set(askId, grant => {
-        this.pendingAnswers.delete(askId);
-        timer[Symbol.dispose]();
-        resolve(grant);
-      });
-    });
-  }
-
   private handleRequest(request: PlacementRequest): void {
     const {localCoordinator: coordinator, peer, send} = this.context;
     const to = peer(request.host);
--- a/packages/gateway/src/lib/process/share_admission.ts
+++ b/packages/gateway/src/lib/process/share_admission.ts
@@ -55,6 +55,17 @@
   excluded: ReadonlySet<string>,
 ) => Target | undefined;
 
+/** A request that needs a target. */
+export interface ShareRequest {
+  /** Service that the target must provide. */
+  readonly service: string;
+  readonly demand: WaitDemand;
+  /** IDs of targets that must not be selected. */
+  readonly excluded: ReadonlySet<string>;
+  /** Whether this host decides because the one that should does not reply. */
+  readonly isSubstitute: boolean;
+}
+
 interface UsableRoom extends ServiceRoom {
   /** Number of slots without an online request. */
   readonly free: number;
@@ -79,18 +90,12 @@
   /**
    * Selects a target unless the account of the request is over its share.
    *
-   * @param service - Service that the target must provide.
-   * @param demand - The request.
-   * @param excluded - IDs of targets that must not be selected.
+   * @param request - The request.
    * @param search - Searches for a target.
    * @returns The outcome.
    */
-  place(
-    service: string,
-    demand: WaitDemand,
-    excluded: ReadonlySet<string>,
-    search: TargetSearch,
-  ): PlacementOutcome {
+  place(request: ShareRequest, search: TargetSearch): PlacementOutcome {
+    const {service, demand, excluded} = request;
     const {account} = demand;
     if (account === undefined)
       return placementOutcome(search(demand, excluded));
@@ -102,10 +107,12 @@
     const preferred = {...demand, returning: true};
     if (verdict.kind === 'in-share') {
       // Accounts over their share join no queue, so it may be as long for a new
-      // request as for one that was refused before.
+      // request as for one that was refused before. A substitute knows too
+      // little of the queues for that.
+      const mayQueueLonger = verdict.isContended && !request.isSubstitute;
       const target =
         search(demand, excluded) ??
-        (verdict.isContended ? search(preferred, excluded) : undefined);
+        (mayQueueLonger ? search(preferred, excluded) : undefined);
       this.recordGrant(shares, ask, target);
       if (verdict.isContended)
         counters.count('share_decisions', {
