A readiness probe no longer overtakes SIGTERM

Symptom: beside other load a host said that it was ready 50 ms after SIGTERM, so that callers were still sent to it.

Cause: libuv handles signals after all connections of the same poll. A host that got no processor time found the signal and the later probe on a kept connection at once, and answered the probe first.

Change: the readiness server reads the readiness two immediates after the probe, thus after one more poll.

--- a/packages/gateway/src/lib/process/readiness_server.ts
+++ b/packages/gateway/src/lib/process/readiness_server.ts
@@ -5,6 +5,19 @@
 const STATUS_UNAVAILABLE = 503;
 const STATUS_NOT_FOUND = 404;
 
+/**
+ * Calls back once the event loop has polled again.
+ *
+ * The event loop handles signals after all connections whose data it found in
+ * the same poll, or only in the next poll. A probe that arrives after SIGTERM at
+ * a process that stood still would otherwise be answered before the signal.
+ *
+ * @param callback - Called after all signals that have arrived by now.
+ */
+function afterPendingSignals(callback: () => void): void {
+  setImmediate(() => setImmediate(callback));
+}
+
 /** HTTP server that reports whether the process is ready. */
 export class ReadinessServer {
   private readonly server: Server;
@@ -16,9 +29,11 @@
   constructor(path: string, ready: () => boolean) {
     this.server = createServer((req, res) => {
       const known = req.url === path;
-      const status = ready() ? STATUS_OK : STATUS_UNAVAILABLE;
-      res.writeHead(known ? status : STATUS_NOT_FOUND, {'content-length': 0});
-      res.end();
+      afterPendingSignals(() => {
+        const status = ready() ? STATUS_OK : STATUS_UNAVAILABLE;
+        res.writeHead(known ? status : STATUS_NOT_FOUND, {'content-length': 0});
+        res.end();
+      });
     });
   }
 
