explain: a refusal and a late wait in words

Cause: the lines of a refusal held their fields only, and other releases log other ones, so that a reader had to know what each stands for.

Change: below a refusal or a late wait stands what it says: cause, use and share of the account, promised return, time waited. A field that is missing, unknown or of another type leaves its words out.

--- a/packages/cli/src/lib/process/log_story.ts
+++ b/packages/cli/src/lib/process/log_story.ts
@@ -1,4 +1,5 @@
 /** Reads the structured logs of several processes as the story of one id. */
+import {refusalText} from './refusal_text.js';
 
 /** A line of a log, as a process wrote it. */
 export interface StoryLine {
@@ -40,6 +41,8 @@
 const JOB_EVENT = /^job-/;
 /** Lines of targets count if they are so near to the story, in milliseconds. */
 const NEAR_MS = 3000;
+/** Sets words apart from the line that they explain. */
+const EXPLANATION_INDENT = ' '.repeat(12);
 
 /**
  * @param id - Of a request, an item, a job or a request's fingerprint.
@@ -74,7 +77,8 @@
 
 /**
  * @param story - Of one id.
- * @returns It as text, a line for each decision, times from the first one on.
+ * @returns It as text, a line for each decision, times from the first one on,
+ *     and below a refusal or a wait one that says it in words.
  */
 export function storyText({lines}: LogStory): string {
   const startedAt = Date.parse(lines[0]?.time ?? '');
@@ -84,7 +88,9 @@
       const inputs = Object.entries(fields)
         .map(([name, value]) => `${name}=${textOf(value)}`)
         .join(' ');
-      return `${ms} ms  ${host}  ${event}  ${inputs}\n`;
+      const words = refusalText(event, fields);
+      const told = words === undefined ? '' : `${EXPLANATION_INDENT}${words}\n`;
+      return `${ms} ms  ${host}  ${event}  ${inputs}\n${told}`;
     })
     .join('');
 }
--- a/packages/cli/src/test/process/log_story_test.ts
+++ b/packages/cli/src/test/process/log_story_test.ts
@@ -75,3 +75,63 @@
 test('an id that nobody knows has no story', t => {
   t.deepEqual(storyOf('nobody', [ONE]).lines, []);
 });
+
+/** A refusal by a full fleet, one by a share, one by a quota, and a wait. */
+const REFUSALS = [
+  line(0, 'one', 'request-given-up', {request: 'r1', cause: 'room'}),
+  line(10, 'one', 'request-given-up', {
+    request: 'r1',
+    account: 'bank',
+    cause: 'share',
+    use: 12,
+    share: 8,
+    room: 40,
+    retryAfterMs: 1400,
+  }),
+  line(20, 'two', 'request-refused', {request: 'r1', returnAfterMs: 300}),
+  line(30, 'two', 'request-late-wait', {
+    request: 'r1',
+    waitedMs: 250,
+    outcome: 'placed',
+  }),
+];
+
+// A caller asks why it was refused: cause, share, use and promise must be told
+// beside the fields, and how long it waited.
+test('the story of a refusal says why, and what was promised', t => {
+  const text = storyText(storyOf('r1', REFUSALS));
+  t.is(
+    text,
+    `      0 ms  one  request-given-up  request=r1 cause=room
+            no target had room
+     10 ms  one  request-given-up  request=r1 account=bank cause=share use=12 share=8 room=40 retryAfterMs=1400
+            its account was over its share; its use: 12; its share: 8; use of all accounts: 40; told to return after, ms: 1400
+     20 ms  two  request-refused  request=r1 returnAfterMs=300
+            told to return after, ms: 300
+     30 ms  two  request-late-wait  request=r1 waitedMs=250 outcome=placed
+            waited for a late slot, ms: 250; outcome: placed
+`,
+  );
+});
+
+// Hosts of another release log fewer, other or unlike fields: the story of a
+// request must not break off or tell of what is not there.
+test('the story of a refusal leaves out what its host does not log', t => {
+  const texts = [
+    line(0, 'one', 'request-given-up', {request: 'r1', reason: 'full'}),
+    line(0, 'one', 'request-given-up', {
+      request: 'r1',
+      cause: 'moon',
+      share: 'x',
+    }),
+    line(0, 'one', 'request-late-wait', {request: 'r1', waitedMs: null}),
+  ];
+  t.is(
+    storyText(storyOf('r1', texts)),
+    `      0 ms  one  request-given-up  request=r1 reason=full
+      0 ms  one  request-given-up  request=r1 cause=moon share=x
+            refused: moon
+      0 ms  one  request-late-wait  request=r1 waitedMs=null
+`,
+  );
+});
