Soak: accounts that flood, and servers of unlike speed

Cause: the soak had one client account and servers of one speed, so that it said nothing of quotas, nor of who pays for an overload.

Change: the faults account-flood and server-speeds, drawn in new plans only; callers of an account with a quota, one without and one that asks for little; two promises, checked by what callers sent and targets received. Types that handlers and promises share stand in files of their own.

--- /dev/null
+++ b/packages/soak/src/lib/process/evidence.ts
@@ -0,0 +1,26 @@
+/** What callers and targets saw in a run. */
+import type {ReceivedRequest} from '@oathead/platform/stand_ins';
+import type {JobRecord} from '../request/batch_load.js';
+import type {OnlineRecord} from '../request/online_load.js';
+import type {CalmChanges} from './calm_changes.js';
+import type {SoakFleet} from './soak_fleet.js';
+
+/** What a run is judged by. */
+export interface Evidence {
+  readonly fleet: SoakFleet;
+  readonly online: readonly OnlineRecord[];
+  readonly jobs: readonly JobRecord[];
+  /** Planned changes with no fault around them. */
+  readonly calm: CalmChanges;
+}
+
+/** A promise: says what broke it. */
+export type PromiseCheck = (evidence: Evidence) => readonly string[];
+
+/**
+ * @param evidence - What was seen.
+ * @returns All runs, over all incarnations of the servers.
+ */
+export function allRuns({fleet}: Evidence): readonly ReceivedRequest[] {
+  return fleet.incarnations.flatMap(({server}) => server.ran);
+}
--- a/packages/soak/src/lib/process/fault_handlers.ts
+++ b/packages/soak/src/lib/process/fault_handlers.ts
@@ -1,5 +1,5 @@
 /** What each kind of fault does, and how it is undone. */
-import {sleep, SYSTEM_CLOCK, type Random} from '@oathead/core';
+import {sleep, SYSTEM_CLOCK} from '@oathead/core';
 import {
   DEFAULT_ERRORS,
   DEFAULT_LATE_WRITES,
@@ -7,19 +7,11 @@
   type StoreFault,
 } from '@oathead/platform/stand_ins';
 import type {ProxyMode} from '../connection/fault_proxy.js';
-import type {ProgramPlace, ServerPlace, SoakFleet} from './soak_fleet.js';
+import type {FaultCall, FaultHandler} from './fault_call.js';
+import {floodByAccount, unlikeSpeeds} from './overload_handlers.js';
+import type {ProgramPlace, ServerPlace} from './soak_fleet.js';
 import type {FaultKind} from './soak_plan.js';
 
-/** What a fault strikes, and for how long. */
-export interface FaultCall {
-  readonly fleet: SoakFleet;
-  readonly random: Random;
-  readonly forMs: number;
-}
-
-/** Brings a fault about; resolves when it is undone. */
-export type FaultHandler = (call: FaultCall) => Promise<void>;
-
 /** A server that leaves serves so long after the store knows, in ms. */
 const DRAIN_MS = 3000;
 const LINK_MODES: readonly ProxyMode[] = [
@@ -103,6 +95,8 @@
   'store-half': refuseHalf,
   'store-later-writes': writeLater,
   'store-stale-feeds': holdFeeds,
+  'account-flood': floodByAccount,
+  'server-speeds': unlikeSpeeds,
 };
 
 function killOne(call: FaultCall): Promise<void> {
--- a/packages/soak/src/lib/process/promises.ts
+++ b/packages/soak/src/lib/process/promises.ts
@@ -1,32 +1,15 @@
 /** The promises of the system, checked by what callers and targets saw. */
 import type {ReceivedRequest} from '@oathead/platform/stand_ins';
 import type {JobRecord} from '../request/batch_load.js';
+import {wholeStream, wholeText} from '../request/expected_text.js';
 import type {OnlineRecord} from '../request/online_load.js';
-import {CALM_BOUND_MS, type CalmChanges} from './calm_changes.js';
-import {
-  ACCOUNT,
-  REVOKE_MS,
-  wholeStream,
-  wholeText,
-  type SoakFleet,
-} from './soak_fleet.js';
-
-/** What a run is judged by. */
-export interface Evidence {
-  readonly fleet: SoakFleet;
-  readonly online: readonly OnlineRecord[];
-  readonly jobs: readonly JobRecord[];
-  /** Planned changes with no fault around them. */
-  readonly calm: CalmChanges;
-}
-
-/** A promise: says what broke it. */
-export type PromiseCheck = (evidence: Evidence) => readonly string[];
+import {ACCOUNT_PROMISES} from './account_promises.js';
+import {CALM_BOUND_MS} from './calm_changes.js';
+import {allRuns, type Evidence, type PromiseCheck} from './evidence.js';
 
 /** Answers that promise that the request has not run and never will. */
 const NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const STATUS_OK = 200;
-const STATUS_UNAUTHORIZED = 401;
 /** Runs that fail before an item is given up, by its route. */
 const MAX_ATTEMPTS = 3;
 /** How long after its job was first sent an item may be given up, by its route,
@@ -67,8 +50,7 @@
   'a leaving target gets nothing new': leavingTargetsRest,
   'a configuration never goes back': configurationsStay,
   'a configuration is in force everywhere in time': configurationsArrive,
-  'a key that was taken away runs nothing': withdrawnKeysRest,
-  'targets see accounts and no keys': accountsAreSet,
+  ...ACCOUNT_PROMISES,
   'a planned stop cuts off nothing': stopsCutNothing,
   'no program ends by itself': programsLive,
 };
@@ -81,10 +63,6 @@
   return fleet.deaths;
 }
 
-function allRuns({fleet}: Evidence): readonly ReceivedRequest[] {
-  return fleet.incarnations.flatMap(({server}) => server.ran);
-}
-
 function wholeAnswers({online}: Evidence): readonly string[] {
   return online
     .filter(({status}) => status === STATUS_OK)
@@ -280,27 +258,6 @@
     .map(({place, path}) => `${place} does not know ${path}`);
 }
 
-/** An answer of 401 says that a request has not run; a key is out of use in time. */
-function withdrawnKeysRest(evidence: Evidence): readonly string[] {
-  const {withdrawnAt} = evidence.fleet;
-  const ran = new Set(allRuns(evidence).map(({id}) => id));
-  return evidence.online
-    .filter(({id}) => ran.has(id))
-    .filter(({key, sentAt, status}) => {
-      const at = withdrawnAt.get(key) ?? Infinity;
-      return status === STATUS_UNAUTHORIZED || sentAt > at + REVOKE_MS;
-    })
-    .map(({id, key, place}) => `${id} ran by ${key} at ${place}`);
-}
-
-function accountsAreSet(evidence: Evidence): readonly string[] {
-  return allRuns(evidence)
-    .filter(({headers}) => {
-      return headers['x-tenant'] !== ACCOUNT || headers.authorization;
-    })
-    .map(({id, headers}) => `${id} ran under ${headers['x-tenant']}`);
-}
-
 /**
  * What broke before a process was told to stop was not cut by its stop: a stream
  * that a target's reset broke off came to its end 12 s before the signal, and one
--- a/packages/soak/src/lib/process/run_soak.ts
+++ b/packages/soak/src/lib/process/run_soak.ts
@@ -1,11 +1,14 @@
 /** One run of the soak: load, faults that overlap, planned changes in the calm
  * that follows, and the promises. */
 import {repeat, seededRandom, sleep, SYSTEM_CLOCK} from '@oathead/core';
+import {AccountLoad} from '../request/account_load.js';
 import {BatchLoad} from '../request/batch_load.js';
 import {OnlineLoad, type OnlineKind} from '../request/online_load.js';
 import {makeCalmChanges} from './calm_changes.js';
 import {FAULT_HANDLERS} from './fault_handlers.js';
-import {PROMISES, type Evidence} from './promises.js';
+import type {Evidence} from './evidence.js';
+import {PROMISES} from './promises.js';
+import {ACCOUNT, accountOf} from './soak_accounts.js';
 import {SoakFleet} from './soak_fleet.js';
 import {planFaults, type PlannedFault, type SoakOptions} from './soak_plan.js';
 
@@ -19,7 +22,7 @@
 export interface SoakReport {
   readonly options: SoakOptions;
   readonly faults: readonly PlannedFault[];
-  /** Online requests by kind and status. */
+  /** Online requests by status, and by kind or flooded account. */
   readonly requests: Readonly<Record<string, number>>;
   readonly jobs: {readonly accepted: number; readonly ended: number};
   readonly violations: readonly Violation[];
@@ -50,12 +53,15 @@
   const random = seededRandom(options.seed + 1);
   const online = new OnlineLoad(fleet, random);
   const batch = new BatchLoad(fleet, random);
+  const accounts = new AccountLoad(fleet, online);
   const faults = planFaults(options);
   online.start();
+  accounts.start();
   batch.start();
   const rotation = repeat(SYSTEM_CLOCK, ROTATE_MS, () => fleet.rotateKey());
   await strike(fleet, faults);
   rotation[Symbol.dispose]();
+  await accounts.stop();
   await sleep(SYSTEM_CLOCK, CALM_MS);
   const calm = await makeCalmChanges(fleet, random);
   await batch.finish();
@@ -135,8 +141,10 @@
 
 function countsOf({online}: Evidence): Readonly<Record<string, number>> {
   const counts: Record<string, number> = {};
-  for (const {kind, status} of online) {
-    const name = `${kind} ${status ?? 'broken'}`;
+  for (const {key, kind, status} of online) {
+    const account = accountOf(key);
+    const of = account === ACCOUNT ? kind : account;
+    const name = `${of} ${status ?? 'broken'}`;
     counts[name] = (counts[name] ?? 0) + 1;
   }
   return counts;
--- a/packages/soak/src/lib/process/soak_fleet.ts
+++ b/packages/soak/src/lib/process/soak_fleet.ts
@@ -1,7 +1,6 @@
 /** The system under soak: real programs, and stand-ins behind proxies. */
 import type {ChildProcess} from 'node:child_process';
 import {
-  formatEvent,
   INITIAL_CONFIG,
   ServerStandIn,
   ServingProgram,
@@ -11,6 +10,8 @@
   type StoreEndpoint,
 } from '@oathead/platform/stand_ins';
 import {FaultProxy} from '../connection/fault_proxy.js';
+import {EVENTS, wordOf} from '../request/expected_text.js';
+import {ACCOUNT, ACCOUNTS, QUOTA_BOUNDS} from './soak_accounts.js';
 
 /** Signals that a run sends. */
 export type SoakSignal = Parameters<ChildProcess['kill']>[0] & string;
@@ -35,49 +36,18 @@
   up: boolean;
 }
 
-/** The client account of all callers. */
-export const ACCOUNT = 'bank';
 /** After a key was taken away nothing may run by it, in milliseconds. */
 export const REVOKE_MS = 8000;
 /** Time from SIGTERM to the end of a program, in seconds. */
 const GRACE_S = 8;
 const BATCH_SERVICE = 'llm';
 const ZONES = ['hall-a', 'hall-b'] as const;
-const EVENTS = 12;
 const EVENT_MS = 20;
 const PLAIN_ANSWER_MS = 10;
 const SLOTS = 6;
 const QUEUE = 16;
 const PLAIN_SERVERS = 2;
 
-/**
- * @param path - Of a request for tokens.
- * @returns The text of its whole stream.
- */
-export function wholeStream(path: string): string {
-  return eventNumbers()
-    .map(n => formatEvent(n, wordOf(path, n)))
-    .join('');
-}
-
-/**
- * @param path - Of an item.
- * @returns The item's text.
- */
-export function wholeText(path: string): string {
-  return eventNumbers()
-    .map(n => wordOf(path, n))
-    .join('\n');
-}
-
-function eventNumbers(): readonly number[] {
-  return [...Array(EVENTS).keys()].map(i => i + 1);
-}
-
-function wordOf(path: string, n: number): string {
-  return `${path}#${n}`;
-}
-
 /** All that runs. */
 export class SoakFleet implements AsyncDisposable {
   readonly store = new StoreStandIn();
@@ -99,6 +69,10 @@
   /** When the store accepted that a key was taken away, by key, on the time of day
    * in milliseconds. */
   readonly withdrawnAt = new Map<string, number>();
+  /** How many callers of each flooding account send now. */
+  floodingCallers = 0;
+  /** Whether there are accounts besides the usual one. */
+  private hasAccounts = false;
   /** The service of the batch route; undefined: there is no such route. */
   private batchService: string | undefined = BATCH_SERVICE;
   private readonly held: AsyncDisposable[] = [this.store];
@@ -144,6 +118,13 @@
     return prefix;
   }
 
+  /** Adds the accounts that flood or ask for little, once. */
+  async openAccounts(): Promise<void> {
+    if (this.hasAccounts) return;
+    this.hasAccounts = true;
+    await this.configure();
+  }
+
   /**
    * Takes the batch route away, or has another service run its items.
    *
@@ -211,7 +192,13 @@
     });
     const routes = [...usual, ...extra];
     this.version += 3;
-    const tenants = [{name: ACCOUNT, api_keys: [this.key]}];
+    const others = this.hasAccounts ? ACCOUNTS : [];
+    const tenants = [
+      {name: ACCOUNT, api_keys: [this.key]},
+      ...others.map(({name, key, quota}) => {
+        return {name, api_keys: [key], ...quota};
+      }),
+    ];
     const config = {...INITIAL_CONFIG, version: this.version, routes, tenants};
     await this.store.put('op', 'config', config);
   }
@@ -227,7 +214,7 @@
       storeAddress: storeProxy.address,
       graceS: GRACE_S,
       seeds: this.programs.slice(0, 3).map(place => place.program.control),
-      bounds: {strict_revoke: true, revoke_ms: REVOKE_MS},
+      bounds: {strict_revoke: true, revoke_ms: REVOKE_MS, ...QUOTA_BOUNDS},
     });
     const place: ProgramPlace = {
       name,
--- a/packages/soak/src/lib/process/soak_plan.ts
+++ b/packages/soak/src/lib/process/soak_plan.ts
@@ -36,11 +36,15 @@
   'store-stale-feeds',
 ] as const;
 
+/** Kinds that ask for more than there is room for. */
+export const OVERLOAD_FAULT_KINDS = ['account-flood', 'server-speeds'] as const;
+
 /** Everything that a run can do to the system. */
 export const FAULT_KINDS = [
   ...FIRST_FAULT_KINDS,
   'server-answer-mixes',
   ...GIVING_UP_FAULT_KINDS,
+  ...OVERLOAD_FAULT_KINDS,
 ] as const;
 
 /** One kind of fault. */
--- a/packages/soak/src/test/process/promises_test.ts
+++ b/packages/soak/src/test/process/promises_test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
-import {PROMISES, type Evidence} from '../../lib/process/promises.js';
+import type {Evidence} from '../../lib/process/evidence.js';
+import {PROMISES} from '../../lib/process/promises.js';
 
 const LEFT_AT = 1000;
 const KNOWN_AT = 2000;
@@ -163,6 +164,59 @@
   t.is(flawsOfItem(promise, [[422]]).length, 0);
 });
 
+const FLOOD_PROMISE = 'no account exceeds its quota';
+const MODEST_PROMISE =
+  'an account that asks for little is not refused more than one that floods';
+/** 20 a second and 20 at once, over 5 s, with a tenth and 10 more. */
+const MOST_IN_WINDOW = 142;
+
+interface Seen {
+  readonly key: string;
+  readonly sentAt: number;
+  readonly status: number;
+}
+
+/** Requests that reached a target 1 ms after they were sent, unless refused. */
+function seenRequests(seen: readonly Seen[]): Evidence {
+  const online = seen.map((one, i) => ({id: `r${i}`, ...one}));
+  const ran = online
+    .filter(({status}) => status === 200)
+    .map(({id, sentAt}) => ({id, at: sentAt + 1}));
+  const fleet = {incarnations: [{id: 'llm-1', server: {ran}}]};
+  return {fleet, online} as unknown as Evidence;
+}
+
+function requests(key: string, count: number, refusedEach = Infinity): Seen[] {
+  return [...Array(count).keys()].map(i => {
+    return {key, sentAt: i, status: i % refusedEach === 0 && i > 0 ? 503 : 200};
+  });
+}
+
+// Callers of an account that floods take what others are owed: its quota must
+// be missed by one request, and only by those within one window.
+test('the soak sees when an account exceeds its quota', t => {
+  const check = PROMISES[FLOOD_PROMISE]!;
+  const within = requests('key-flooding', MOST_IN_WINDOW);
+  const next = {key: 'key-flooding', sentAt: 4998, status: 200};
+  t.deepEqual(check(seenRequests(within)), []);
+  t.is(check(seenRequests([...within, next])).length, 1);
+  t.deepEqual(check(seenRequests([...within, {...next, sentAt: 5001}])), []);
+  t.deepEqual(check(seenRequests([...within, {...next, status: 429}])), []);
+  t.deepEqual(check(seenRequests(requests('key-crowding', 500))), []);
+});
+
+// Callers of an account that asks for little are refused for the flood of
+// another one.
+test('the soak sees when an account that asks for little is refused more', t => {
+  const check = PROMISES[MODEST_PROMISE]!;
+  const flooding = requests('key-crowding', 400, 4);
+  const modest = (refusedEach: number) =>
+    seenRequests([...flooding, ...requests('key-modest', 100, refusedEach)]);
+  t.deepEqual(check(modest(4)), []);
+  t.deepEqual(check(modest(Infinity)), []);
+  t.is(check(modest(2)).length, 1);
+});
+
 /** What a stop did not cut: each was taken for its fault, or may be. */
 const NOT_CUT = [
   [
--- a/packages/soak/src/test/process/soak_test.ts
+++ b/packages/soak/src/test/process/soak_test.ts
@@ -5,6 +5,7 @@
 import {
   FIRST_FAULT_KINDS,
   GIVING_UP_FAULT_KINDS,
+  OVERLOAD_FAULT_KINDS,
   planFaults,
   type SoakOptions,
 } from '../../lib/process/soak_plan.js';
@@ -20,6 +21,7 @@
   kinds: [...FIRST_FAULT_KINDS, 'server-answer-mixes'],
 };
 const GIVING_UP: SoakOptions = {...SHORT, kinds: GIVING_UP_FAULT_KINDS};
+const OVERLOAD: SoakOptions = {...SHORT, kinds: OVERLOAD_FAULT_KINDS};
 
 const STOP_PROMISE = 'a planned stop cuts off nothing';
 
@@ -71,6 +73,12 @@
   t.regex(await brokenRuns(GIVING_UP), /1 runs, 0 with a broken promise/);
 });
 
+// Callers of an account that asks for little pay for the flood of another one, or
+// an account gets more than its quota, while servers differ in speed.
+test('a short run with floods and unlike servers keeps all promises', async t => {
+  t.regex(await brokenRuns(OVERLOAD), /1 runs, 0 with a broken promise/);
+});
+
 // Callers see their connection break in the middle of an answer: a program is
 // stopped as planned, new connections go on coming, and at the end of its time
 // it cuts what is under way. It had gone on listening after callers should have
