Loads of targets: no import cycle

Cause: load_table and pending_loads imported each other, by a type only.

Change: what is in flight at one target stands in target_load; load_table passes its names on, so that importers stay as they are.

--- a/packages/gateway/src/lib/process/load_table.ts
+++ b/packages/gateway/src/lib/process/load_table.ts
@@ -4,24 +4,9 @@
  * the targets, each of which would occupy a slot.
  */
 import {PendingLoads} from './pending_loads.js';
+import type {HostTargetLoad, Lane, TargetLoad} from './target_load.js';
 
-/** Traffic class. Online requests have priority over items of batch jobs. */
-export type Lane = 'online' | 'batch';
-
-/** Number of requests in flight at one target. */
-export interface TargetLoad {
-  readonly online: number;
-  readonly batch: number;
-}
-
-/** Number of requests of one host in flight at one target. */
-export interface HostTargetLoad extends TargetLoad {
-  /**
-   * Number of batch items that are nearly completed and therefore preempted
-   * last; 0 if omitted.
-   */
-  readonly nearlyDone?: number;
-}
+export type {HostTargetLoad, Lane, TargetLoad} from './target_load.js';
 
 /** Requests of one host in flight, by load key of the target. */
 export type HostLoad = ReadonlyMap<string, HostTargetLoad>;
--- a/packages/gateway/src/lib/process/pending_loads.ts
+++ b/packages/gateway/src/lib/process/pending_loads.ts
@@ -2,7 +2,7 @@
  * Load that this host has placed on or removed from other hosts and that those
  * hosts have not reported yet.
  */
-import type {Lane, TargetLoad} from './load_table.js';
+import type {Lane, TargetLoad} from './target_load.js';
 
 /**
  * A change of load that another host makes at the request of this host. Counts
