An estimate of each target's speed relative to its service

Cause: nothing knows that a target is slower or faster than its service; traffic shares follow times to the first byte only, and only beyond 1.5 times the median.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -5,12 +5,16 @@
  * @packageDocumentation
  */
 export * from './lib/connection/connection_machine.js';
+export * from './lib/connection/load_baselines.js';
+export * from './lib/connection/pace_meter.js';
+export * from './lib/connection/service_speeds.js';
 export * from './lib/connection/socket_address.js';
 export * from './lib/connection/subset.js';
 export * from './lib/connection/target_choice.js';
 export * from './lib/connection/target_health.js';
 export * from './lib/connection/target_link.js';
 export * from './lib/connection/target_machine.js';
+export * from './lib/connection/target_speed.js';
 export * from './lib/process/admission.js';
 export * from './lib/process/batch_controller.js';
 export * from './lib/process/caller_limits.js';
--- /dev/null
+++ b/packages/core/src/lib/connection/target_speed.ts
@@ -0,0 +1,133 @@
+/**
+ * What is known of the speed of one target, relative to its service: alone and
+ * while nearly full, from runs of this host and from what other hosts tell.
+ */
+import {SlownessFilter} from './slowness_filter.js';
+
+/** Runs at one target relative to what its service usually takes. */
+export interface SpeedEvidence {
+  /** Mean logarithm of their times, relative to the service. */
+  readonly logRatio: number;
+  /** Number of measured parts of runs. */
+  readonly count: number;
+  /** Whether the target was nearly full. */
+  readonly nearlyFull: boolean;
+}
+
+/** Logarithms of the slowness of a target. */
+export interface LogSlowness {
+  readonly regular: number;
+  /** What is added while the target is nearly full. */
+  readonly extraWhenFull: number;
+}
+
+/** Name of this host as a source of evidence. */
+export const OWN_RUNS = '';
+
+/** Number of samples before an estimate is used. */
+const MIN_SAMPLES = 5;
+/** Number of samples that may be a hint. */
+const MIN_HINT_SAMPLES = 2;
+/**
+ * Largest logarithm that another host's word counts with, while no second
+ * source has runs at the target: its link to the target may be what is slow.
+ */
+const MAX_SINGLE_SOURCE_LOG = 0.1;
+/** How long a second source counts, in milliseconds. */
+const SOURCE_LIFETIME_MS = 5000;
+
+/** Estimate for one target. */
+export class TargetSpeed {
+  private readonly regular = new SlownessFilter();
+  private readonly extra = new SlownessFilter();
+  private lastSource: string | undefined;
+  private lastSourceAt = -Infinity;
+  /** Last evidence of a source other than the last one. */
+  private otherSourceAt = -Infinity;
+  private changedAt = -Infinity;
+
+  /** Whether there are enough samples. */
+  get isKnown(): boolean {
+    return this.regular.samples >= MIN_SAMPLES;
+  }
+
+  /** Time of the last sample, in milliseconds. */
+  get lastSampleAt(): number {
+    return this.changedAt;
+  }
+
+  /**
+   * @param now - Current time, in milliseconds.
+   * @returns The estimate; 0 for what is not known.
+   */
+  valueAt(now: number): LogSlowness {
+    return {
+      regular: this.isKnown ? this.regular.valueAt(now) : 0,
+      extraWhenFull:
+        this.extra.samples >= MIN_SAMPLES ? this.extra.valueAt(now) : 0,
+    };
+  }
+
+  /**
+   * @param now - Current time, in milliseconds.
+   * @returns Logarithm of the slowness from a few samples; 0 without any.
+   */
+  hintAt(now: number): number {
+    return this.regular.samples >= MIN_HINT_SAMPLES
+      ? this.regular.valueAt(now)
+      : 0;
+  }
+
+  /**
+   * @param nearlyFull - Whether the target is nearly full.
+   * @param now - Current time, in milliseconds.
+   * @returns The logarithm that a run is expected to have, known or not.
+   */
+  expectedAt(nearlyFull: boolean, now: number): number {
+    const regular = this.regular.valueAt(now);
+    return nearlyFull && this.isKnown
+      ? regular + this.extra.valueAt(now)
+      : regular;
+  }
+
+  /**
+   * @param evidence - Runs at this target.
+   * @param source - Host that tells of them; {@link OWN_RUNS} for this host.
+   * @param now - Current time, in milliseconds.
+   */
+  add(evidence: SpeedEvidence, source: string, now: number): void {
+    const {count, nearlyFull} = evidence;
+    const limit =
+      source === OWN_RUNS || this.hasOtherSource(source, now)
+        ? Infinity
+        : MAX_SINGLE_SOURCE_LOG;
+    const logRatio = Math.max(-limit, Math.min(limit, evidence.logRatio));
+    this.recordSource(source, now);
+    this.changedAt = now;
+    // Until the speed of the target alone is known, all its runs tell of that.
+    if (nearlyFull && this.isKnown)
+      this.extra.add(logRatio - this.regular.valueAt(now), count, now);
+    else this.regular.add(logRatio, count, now);
+  }
+
+  /**
+   * Moves the estimate because its reference has moved.
+   *
+   * @param by - Added to the logarithm.
+   */
+  shift(by: number): void {
+    this.regular.shift(by);
+  }
+
+  private hasOtherSource(source: string, now: number): boolean {
+    const at =
+      this.lastSource === source ? this.otherSourceAt : this.lastSourceAt;
+    return now - at < SOURCE_LIFETIME_MS;
+  }
+
+  private recordSource(source: string, now: number): void {
+    if (source !== this.lastSource) this.otherSourceAt = this.lastSourceAt;
+    this.lastSource = source;
+    this.lastSourceAt = now;
+  }
+}
