Requests weigh more at slow targets, and hosts tell each other speeds

Cause: a target's score divides requests in flight by its health; queue lengths and Retry-After follow one mean latency of unlike targets. A host has a run in ten seconds at each target, too few to know its speed by itself.

Change: scores move to target_score.ts; where targets of a service differ, a request in flight weighs by slowness to the power of 0.3, an urgent item by its slowness. Queue lengths follow the target's own run time, Retry-After the slots that are left by speed, health what is slow beyond that. Hosts tell the coordinator and five others in turn what their runs have shown, each half second and only while targets differ, in datagrams of a type of their own.

--- a/packages/gateway/src/lib/process/placement.ts
+++ b/packages/gateway/src/lib/process/placement.ts
@@ -20,8 +20,9 @@
 import type {Coordinator} from './coordinator.js';
 import type {LoadPeer} from './load_reporter.js';
 import {placementOutcome, type PlacementOutcome} from './placement_outcome.js';
-import type {BatchPressure, TargetChooser} from './target_chooser.js';
+import type {TargetChooser} from './target_chooser.js';
 import type {TargetDirectory} from './target_directory.js';
+import type {BatchPressure} from './target_score.js';
 
 /**
  * Timeout of a placement request, in milliseconds: several round trips inside a
--- a/packages/gateway/src/lib/process/service_overload.ts
+++ b/packages/gateway/src/lib/process/service_overload.ts
@@ -13,6 +13,7 @@
 } from '@oathead/core';
 import type {Target} from '../connection/target.js';
 import type {TargetDirectory} from './target_directory.js';
+import {TargetSpeeds} from './target_speeds.js';
 
 /** Dependencies of {@link ServiceOverload}. */
 export interface ServiceOverloadContext {
@@ -21,6 +22,8 @@
   readonly directory: TargetDirectory;
   /** @returns Number of live hosts, including this one. */
   readonly hosts: () => number;
+  /** Speeds of the targets; learned by default. */
+  readonly speeds?: TargetSpeeds;
 }
 
 interface ServiceObservations {
@@ -31,22 +34,40 @@
 /** Observations by service. */
 export class ServiceOverload {
   private readonly services = new Map<string, ServiceObservations>();
+  /** Speeds of the targets relative to their services. */
+  readonly speeds: TargetSpeeds;
 
   /** @param context - Time, targets and hosts. */
-  constructor(private readonly context: ServiceOverloadContext) {}
+  constructor(private readonly context: ServiceOverloadContext) {
+    const {clock, speeds} = context;
+    this.speeds = speeds ?? new TargetSpeeds({clock, isLearning: true});
+  }
 
   /**
    * @param service - Service of the target.
    * @param run - Latencies of a run that found a free slot.
+   * @param slowness - Slowness of the target relative to its service.
    */
-  recordRun(service: string, run: ServiceLatency): void {
-    this.observationsOf(service).latencyEstimator.add(run);
+  recordRun(service: string, run: ServiceLatency, slowness = 1): void {
+    const {latencyEstimator} = this.observationsOf(service);
+    latencyEstimator.add(scaled(run, 1 / slowness));
+  }
+
+  /**
+   * @param service - A service.
+   * @returns Mean latency of a run at a target that is like its service;
+   *     undefined if it is not known.
+   */
+  latencyOf(service: string): ServiceLatency | undefined {
+    return this.services.get(service)?.latencyEstimator.latency;
   }
 
   /** @returns How many requests with this demand may be queued at a target. */
-  maxQueued({service, slots}: Target, demand: WaitDemand): number {
-    const latency = this.services.get(service)?.latencyEstimator.latency;
-    return maxQueueLength(slots, demand, latency);
+  maxQueued(target: Target, demand: WaitDemand): number {
+    const {service, slots} = target;
+    const latency = this.latencyOf(service);
+    const slowness = this.speeds.slownessOf(target).nearlyFull;
+    return maxQueueLength(slots, demand, latency && scaled(latency, slowness));
   }
 
   /**
@@ -60,7 +81,11 @@
     const {clock, directory, hosts} = this.context;
     const {latencyEstimator, retryScheduler} = this.observationsOf(service);
     const targets = directory.ofService(service);
-    const slots = targets.reduce((sum, target) => sum + target.slots, 0);
+    const slots = targets.reduce(
+      (sum, target) =>
+        sum + target.slots / this.speeds.slownessOf(target).nearlyFull,
+      0,
+    );
     const runMs = latencyEstimator.latency?.runMs;
     return retryScheduler.scheduleRetry(clock.now(), {
       runMs,
@@ -81,3 +106,10 @@
     return observed;
   }
 }
+
+function scaled(
+  {firstByteMs, runMs}: ServiceLatency,
+  by: number,
+): ServiceLatency {
+  return {firstByteMs: firstByteMs * by, runMs: runMs * by};
+}
--- a/packages/gateway/src/lib/process/target_chooser.ts
+++ b/packages/gateway/src/lib/process/target_chooser.ts
@@ -2,27 +2,25 @@
  * Selects the least loaded target for a request, with a preference for local
  * ones.
  */
-import type {Random, WaitDemand} from '@oathead/core';
+import type {WaitDemand} from '@oathead/core';
 import {targetKey} from '../connection/load_message.js';
 import type {Target} from '../connection/target.js';
 import type {PreferredTargets} from './preferred_targets.js';
-import type {Lane, LoadTable, TargetLoad} from './load_table.js';
-import type {ServiceHealth} from './service_health.js';
-import type {ServiceOverload} from './service_overload.js';
+import type {LoadTable, TargetLoad} from './load_table.js';
 import type {TargetDirectory} from './target_directory.js';
+import {
+  TargetScore,
+  slowsWhenNearlyFull,
+  type BatchPressure,
+  type ChoicePurpose,
+  type RemotePenalties,
+  type TargetScoreContext,
+} from './target_score.js';
 import type {TargetSuspensions} from './target_suspensions.js';
 import {preemptionsByHost} from './preemption_order.js';
 
-/**
- * Weights and limits of target selection. Penalties are numbers of requests in
- * flight.
- */
-export interface ChoiceWeights {
-  /**
-   * How much less loaded a target in another data centre must be to be
-   * preferred over a local one: traffic between data centres is expensive.
-   */
-  readonly remotePenalty: Readonly<Record<Lane, number>>;
+/** Weights and limits of target selection. */
+export interface ChoiceWeights extends RemotePenalties {
   /**
    * Share of a target's slots up to which batch items are started. The
    * remaining slots are free for the first requests of a burst.
@@ -32,9 +30,6 @@
   readonly batchPreemptionShare: number;
 }
 
-/** Whether batch items can wait for a time of low load or are urgent. */
-export type BatchPressure = 'relaxed' | 'pressed';
-
 /**
  * Batch items that can wait fill seven of eight slots, and urgent ones fill
  * all. Items are preempted when an online request would otherwise have to wait.
@@ -59,19 +54,17 @@
 type HasCapacity = (target: Target, load: TargetLoad) => boolean;
 
 /** Dependencies of {@link TargetChooser}. */
-export interface TargetChooserContext {
-  readonly dataCentre: string;
+export interface TargetChooserContext extends TargetScoreContext {
   readonly directory: TargetDirectory;
   readonly suspensions: TargetSuspensions;
-  readonly health: ServiceHealth;
-  readonly overload: ServiceOverload;
   readonly loads: LoadTable;
   readonly preferredTargets: PreferredTargets;
-  readonly random: Random;
 }
 
 /** Selects targets based on the loads of all hosts. */
 export class TargetChooser {
+  private readonly score: TargetScore;
+
   /**
    * @param context - State of the targets.
    * @param weights - Weights and limits of the selection.
@@ -79,7 +72,9 @@
   constructor(
     private readonly context: TargetChooserContext,
     private readonly weights: ChoiceWeights = DEFAULT_CHOICE_WEIGHTS,
-  ) {}
+  ) {
+    this.score = new TargetScore(context, weights);
+  }
 
   /**
    * @param service - Service that the target must provide.
@@ -107,7 +102,7 @@
     const available = targets.some(isAvailable)
       ? targets.filter(isAvailable)
       : targets;
-    return this.best(available, 'online', hasCapacity);
+    return this.best(service, available, {lane: 'online'}, hasCapacity);
   }
 
   /**
@@ -126,7 +121,7 @@
     const all = directory.ofService(service);
     const candidates = pressure === 'relaxed' ? preferred.select(all) : all;
     const allowed = candidates.filter(({id}) => !excluded.has(id));
-    return this.bestForItem(allowed, pressure);
+    return this.bestForItem(service, allowed, pressure);
   }
 
   /**
@@ -152,15 +147,19 @@
   }
 
   private bestForItem(
+    service: string,
     targets: readonly Target[],
     pressure: BatchPressure,
   ): Target | undefined {
     const {suspensions} = this.context;
     const share = this.weights.batchStartShare[pressure];
     const available = targets.filter(({id}) => !suspensions.isSuspended(id));
-    return this.best(available, 'batch', ({slots}, {online, batch}) => {
-      return online + batch < slots * share;
-    });
+    const {speeds} = this.context.overload;
+    const hasCapacity: HasCapacity = (target, load) =>
+      load.online + load.batch < target.slots * share &&
+      !slowsWhenNearlyFull(target, load, speeds.slownessOf(target));
+    const purpose = {lane: 'batch', pressure} as const;
+    return this.best(service, available, purpose, hasCapacity);
   }
 
   /**
@@ -183,7 +182,8 @@
       .ofService(service)
       .filter(({id}) => !excluded.has(id));
     const local = all.filter(target => target.dataCentre === dataCentre);
-    return this.bestForItem(pressure === 'relaxed' ? local : all, pressure);
+    const candidates = pressure === 'relaxed' ? local : all;
+    return this.bestForItem(service, candidates, pressure);
   }
 
   /**
@@ -278,30 +278,21 @@
   }
 
   private best(
+    service: string,
     targets: readonly Target[],
-    lane: Lane,
+    purpose: ChoicePurpose,
     hasCapacity: HasCapacity,
   ): Target | undefined {
+    const scoreOf = this.score.scorer(service, purpose);
     let best: Target | undefined;
     let bestScore = Infinity;
     for (const target of targets) {
       const load = this.context.loads.totalAt(targetKey(target.id));
-      const score = this.score(target, lane, load);
+      const score = scoreOf(target, load);
       if (score >= bestScore || !hasCapacity(target, load)) continue;
       best = target;
       bestScore = score;
     }
     return best;
   }
-
-  private score(target: Target, lane: Lane, load: TargetLoad): number {
-    const {dataCentre, random, health} = this.context;
-    const {remotePenalty} = this.weights;
-    const penalty = target.dataCentre === dataCentre ? 0 : remotePenalty[lane];
-    // A random term of up to half a request keeps hosts that see the same loads
-    // from all choosing the same target. One more request weighs more the
-    // smaller the target's share is.
-    const inFlight = load.online + load.batch + 1 + random.float() / 2;
-    return inFlight / health.trafficShare(target) + penalty;
-  }
 }
--- a/packages/gateway/src/lib/request/target_send.ts
+++ b/packages/gateway/src/lib/request/target_send.ts
@@ -18,6 +18,7 @@
   type ExchangeOutcome,
   type TargetRequest,
 } from './exchange.js';
+import {RunMeasurement} from './run_measurement.js';
 import type {TargetProtocol} from './target_protocol.js';
 
 /**
@@ -64,14 +65,14 @@
   sink: EventSink,
 ): ActiveSend {
   const {pool, loads, clock, protocol} = context;
-  const hadFreeSlot = hasFreeSlot(loads, target);
+  const run = new RunMeasurement(context, target, lane);
   const load = loads.begin(targetKey(target.id), lane);
   const connection = pool.acquire(target, req.requestId);
   const now = () => clock.now();
   const onActivity = () => context.suspensions.recordActivity(target.id);
   const exchange = new Exchange(connection, req, {
     protocol,
-    sink,
+    sink: run.measured(sink),
     now,
     onActivity,
   });
@@ -96,21 +97,25 @@
     load[Symbol.dispose]();
     if (exchange.isConnectionReusable) pool.release(target.id, connection);
     else connection[Symbol.dispose]();
-    recordOutcome(context, target, lane, outcome, exchange.firstByteMs);
-    const firstByteMs = exchange.firstByteMs;
-    if (lane === 'online' && hadFreeSlot && isComplete(outcome) && firstByteMs)
-      context.overload.recordRun(target.service, {
-        firstByteMs,
-        runMs: clock.now() - sentAt,
-      });
+    recordOutcome(context, target, lane, outcome, firstByteMsOf(run, exchange));
+    if (isComplete(outcome)) run.complete(outcome, exchange.firstByteMs);
     return outcome;
   });
   return {control: exchange, end};
 }
 
-function hasFreeSlot(loads: LoadTable, {id, slots}: Target): boolean {
-  const {online, batch} = loads.totalAt(targetKey(id));
-  return online + batch < slots;
+/**
+ * Time to the first byte relative to the known speed of the target, in
+ * milliseconds: a slow target is not faulty, and its lower speed counts
+ * already.
+ */
+function firstByteMsOf(
+  run: RunMeasurement,
+  {firstByteMs}: Exchange,
+): number | undefined {
+  return firstByteMs === undefined
+    ? undefined
+    : run.relativeToTarget(firstByteMs);
 }
 
 function isFull(loads: LoadTable, {id, slots}: Target): boolean {
--- a/packages/gateway/src/test/fakes/fleet_simulator.ts
+++ b/packages/gateway/src/test/fakes/fleet_simulator.ts
@@ -7,6 +7,7 @@
 import {
   NO_COUNTERS,
   NO_EVENT_LOG,
+  PaceMeter,
   maxQueueWaitMs,
   seededRandom,
   type Random,
@@ -21,6 +22,10 @@
   encodePlacement,
   type PlacementMessage,
 } from '../../lib/connection/placement_message.js';
+import {
+  decodeSpeeds,
+  encodeSpeeds,
+} from '../../lib/connection/speed_message.js';
 import type {Target} from '../../lib/connection/target.js';
 import {Coordinator} from '../../lib/process/coordinator.js';
 import {PreferredTargets} from '../../lib/process/preferred_targets.js';
@@ -33,11 +38,14 @@
 import {Placement} from '../../lib/process/placement.js';
 import {ServiceHealth} from '../../lib/process/service_health.js';
 import {ServiceOverload} from '../../lib/process/service_overload.js';
-import {
-  TargetChooser,
-  type BatchPressure,
-} from '../../lib/process/target_chooser.js';
+import {TargetChooser} from '../../lib/process/target_chooser.js';
 import {TargetDirectory} from '../../lib/process/target_directory.js';
+import {
+  SPEED_REPORT_MS,
+  SpeedReporter,
+} from '../../lib/process/speed_reporter.js';
+import type {BatchPressure} from '../../lib/process/target_score.js';
+import {TargetSpeeds} from '../../lib/process/target_speeds.js';
 import {TargetSuspensions} from '../../lib/process/target_suspensions.js';
 import {FakeClock} from './fake_clock.js';
 import {newTarget} from './targets.js';
@@ -68,6 +76,19 @@
    * 1 by default.
    */
   readonly firstDataCentreWeight?: number;
+  /** Speeds of the targets of each data centre in turn; all 1 by default. */
+  readonly speeds?: readonly number[];
+  /** A time in which the first target is slower, by this factor. */
+  readonly slowFirstTarget?: {
+    readonly by: number;
+    readonly fromMs: number;
+    readonly toMs: number;
+  };
+  /**
+   * Time at which the last target of each data centre is added, empty; from the
+   * start by default.
+   */
+  readonly lastTargetAddedAtMs?: number;
   /** Start of the burst and end of the simulation, in milliseconds. */
   readonly burstAtMs: number;
   readonly lengthMs: number;
@@ -84,6 +105,10 @@
   readonly usesRemoteCoordinators?: boolean;
   /** Time after which coordinators no longer reply, in milliseconds. */
   readonly coordinatorsFailAtMs?: number;
+  /** Whether hosts learn the speeds of targets; true by default. */
+  readonly learnsSpeeds?: boolean;
+  /** Whether they tell each other; true by default. */
+  readonly sharesSpeeds?: boolean;
 }
 
 /** Outcomes of the requests and batch items, and number of messages. */
@@ -106,6 +131,10 @@
    */
   messages: number;
   remoteBytes: number;
+  /** Requests in time and late by speed of their target, if those differ. */
+  bySpeed?: Record<string, {inTime: number; late: number}>;
+  /** Bytes of what hosts tell each other of speeds. */
+  speedBytes?: number;
 }
 
 interface Caller {
@@ -119,18 +148,22 @@
   readonly caller: Caller | undefined;
   readonly load: Disposable;
   readonly host: Host;
-  readonly runMs: number;
   readonly sentAt: number;
   readonly hadFreeSlot: boolean;
+  runMs: number;
+  firstByteMs: number;
   startsAt: number | undefined;
+  paceMeter: PaceMeter | undefined;
 }
 
 interface Host extends LoadPeer {
   readonly loads: LoadTable;
   readonly reporter: LoadReporter<Host>;
   readonly chooser: TargetChooser;
+  readonly directory: TargetDirectory;
   readonly placement: Placement<Host>;
   readonly overload: ServiceOverload;
+  readonly speedReporter: SpeedReporter<Host>;
   readonly tickPhaseMs: number;
   /** Times at which the waiting items of this host may be sent again. */
   itemsWaiting: number[];
@@ -148,6 +181,9 @@
 const FULL_BACKOFF_MS = 50;
 const MAX_RETRY_DELAY_SHARE = 1 / 3;
 const RUN_TIME_SPREAD = 0.25;
+/** Numbers of events of an online stream and of an item. */
+const REQUEST_EVENTS = 25;
+const ITEM_EVENTS = 150;
 const SERVICE = 's';
 const NO_TARGETS: ReadonlySet<string> = new Set();
 
@@ -227,7 +263,8 @@
     const log = NO_EVENT_LOG;
     const now = () => this.now;
     const directory = new TargetDirectory({clock, log});
-    for (const target of this.targets) directory.put(target);
+    for (const target of this.targets)
+      if (!this.isAddedLater(target)) directory.put(target);
     const loads = new LoadTable(now);
     const hostCount = () => this.hosts.length;
     const overload = new ServiceOverload({
@@ -235,6 +272,10 @@
       random,
       directory,
       hosts: hostCount,
+      speeds: new TargetSpeeds({
+        clock,
+        isLearning: this.options.learnsSpeeds ?? true,
+      }),
     });
     const chooser = new TargetChooser({
       dataCentre,
@@ -255,6 +296,16 @@
       {self, table: loads, now, random},
       this.options,
     );
+    const speedReporter = new SpeedReporter<Host>({
+      self,
+      speeds: overload.speeds,
+      directory,
+      counters: NO_COUNTERS,
+      // Not the random numbers of the fleet, which stay the same without it.
+      random: seededRandom(this.hosts?.length ?? 0),
+      now,
+      coordinator: () => reporter.coordinator,
+    });
     const placement = new Placement<Host>({
       self,
       clock,
@@ -286,8 +337,10 @@
       loads,
       reporter,
       chooser,
+      directory,
       placement,
       overload,
+      speedReporter,
       tickPhaseMs,
       itemsWaiting,
       isStartingItems: false,
@@ -295,7 +348,36 @@
     };
   }
 
+  private isAddedLater({id}: Target): boolean {
+    const {targets, lastTargetAddedAtMs = 0} = this.load;
+    return lastTargetAddedAtMs > this.now && id.endsWith(`-t${targets - 1}`);
+  }
+
+  private addTargets(): void {
+    const {lastTargetAddedAtMs} = this.load;
+    if (lastTargetAddedAtMs !== this.now) return;
+    for (const {directory} of this.hosts)
+      for (const target of this.targets) directory.put(target);
+  }
+
+  private speedOf({id}: Target): number {
+    const {speeds = [1]} = this.load;
+    return speeds[Number(id.split('-t')[1]) % speeds.length]!;
+  }
+
+  /** How much longer a run that begins now takes at the target. */
+  private slownessOf(target: Target): number {
+    const slow = this.load.slowFirstTarget;
+    const isSlow =
+      slow &&
+      target === this.targets[0] &&
+      slow.fromMs <= this.now &&
+      this.now < slow.toMs;
+    return (isSlow ? slow.by : 1) / this.speedOf(target);
+  }
+
   private step(): void {
+    this.addTargets();
     this.deliver();
     this.generateArrivals();
     for (const target of this.targets) this.advanceRuns(target);
@@ -402,9 +484,11 @@
       load,
       host,
       runMs: (caller ? runMs : itemMs) * spread,
+      firstByteMs: this.load.firstByteMs,
       sentAt: this.now,
       hadFreeSlot,
       startsAt: undefined,
+      paceMeter: undefined,
     });
   }
 
@@ -418,23 +502,51 @@
       startsAt !== undefined && startsAt + runMs <= this.now;
     for (const run of runs.filter(isDone)) this.end(target, run);
     const left = this.runs.get(target.id)!;
-    for (const run of left.slice(0, target.slots)) this.begin(run);
+    for (const run of left.slice(0, target.slots)) this.begin(target, run);
+    for (const run of left) this.measurePace(target, run);
   }
 
-  private begin(run: Run): void {
+  private begin(target: Target, run: Run): void {
     if (run.startsAt !== undefined) return;
+    const slowness = this.slownessOf(target);
+    run.runMs *= slowness;
+    run.firstByteMs *= slowness;
     run.startsAt = this.now;
+    run.paceMeter = new PaceMeter();
     if (!run.caller) return;
-    const {goalMs, firstByteMs} = this.load;
+    const {goalMs} = this.load;
     const {lastArrivalAt, returning} = run.caller;
-    if (this.now + firstByteMs - lastArrivalAt > goalMs) this.outcome.late++;
+    const isLate = this.now + run.firstByteMs - lastArrivalAt > goalMs;
+    if (isLate) this.outcome.late++;
     else if (returning) this.outcome.inTimeOnRetry++;
     else this.outcome.inTime++;
+    this.countBySpeed(target, isLate);
+  }
+
+  private countBySpeed(target: Target, isLate: boolean): void {
+    if (!this.load.speeds) return;
+    const speed = String(this.speedOf(target));
+    const bySpeed = (this.outcome.bySpeed ??= {});
+    const counts = (bySpeed[speed] ??= {inTime: 0, late: 0});
+    if (isLate) counts.late++;
+    else counts.inTime++;
+  }
+
+  private measurePace(target: Target, run: Run): void {
+    const msPerEvent = run.runMs / (run.caller ? REQUEST_EVENTS : ITEM_EVENTS);
+    // Events are counted in fractions, as steps are shorter than pauses.
+    const ms = run.paceMeter?.add(STEP_MS / msPerEvent, this.now);
+    if (ms === undefined) return;
+    const {online, batch} = run.host.loads.totalAt(targetKey(target.id));
+    run.host.overload.speeds.record(target, {
+      kind: run.caller ? 'online pace' : 'batch pace',
+      ms,
+      inFlight: online + batch,
+    });
   }
 
   private end(target: Target, run: Run): void {
     this.remove(target, run);
-    const {firstByteMs} = this.load;
     if (!run.caller) {
       this.outcome.itemsDone++;
       run.host.itemsWaiting.push(this.now);
@@ -442,8 +554,10 @@
     if (run.caller && run.hadFreeSlot) {
       const runMs = this.now - run.sentAt;
       const waitedMs = run.startsAt! - run.sentAt;
-      const latency = {firstByteMs: waitedMs + firstByteMs, runMs};
-      run.host.overload.recordRun(SERVICE, latency);
+      const latency = {firstByteMs: waitedMs + run.firstByteMs, runMs};
+      const {overload} = run.host;
+      const slowness = overload.speeds.slownessAt(target, 1);
+      overload.recordRun(SERVICE, latency, slowness);
     }
   }
 
@@ -456,6 +570,7 @@
   private tick(host: Host): void {
     const sinceStart = this.now + host.tickPhaseMs;
     if (sinceStart % this.options.periodMs === 0) this.reportLoad(host);
+    if (sinceStart % SPEED_REPORT_MS === 0) this.reportSpeeds(host);
     if (sinceStart % TICK_MS !== 0) return;
     this.preemptExcessItems(host);
     void this.startItems(host);
@@ -498,6 +613,22 @@
     }
   }
 
+  private reportSpeeds(host: Host): void {
+    if (this.options.sharesSpeeds === false) return;
+    const peers = this.hosts.filter(one => one !== host);
+    for (const {message, peers: to} of host.speedReporter.takeDueReports(
+      peers,
+    )) {
+      const bytes = encodeSpeeds(message);
+      this.outcome.speedBytes ??= 0;
+      this.outcome.speedBytes += bytes.length * to.length;
+      for (const peer of to)
+        this.undeliveredMessages.push(() =>
+          peer.speedReporter.receive(decodeSpeeds(bytes)!),
+        );
+    }
+  }
+
   private preemptExcessItems(host: Host): void {
     for (const target of this.targets) {
       const count = host.chooser.itemsToPreempt(target, host.id);
--- a/packages/serving/src/lib/process/serving_components.ts
+++ b/packages/serving/src/lib/process/serving_components.ts
@@ -23,8 +23,10 @@
   RoutingState,
   ServiceHealth,
   ServiceOverload,
+  SpeedExchange,
   TargetChooser,
   TargetDirectory,
+  TargetSpeeds,
   TargetSuspensions,
   type AccountQuotas,
   type QuotaHost,
@@ -59,6 +61,7 @@
   readonly membership: Membership;
   readonly socket: HostSocket;
   readonly exchange: LoadExchange;
+  readonly speedExchange: SpeedExchange;
   readonly crashSuspects: CrashSuspects;
   readonly freshness: FreshnessLease;
   readonly quotas: AccountQuotas;
@@ -128,7 +131,29 @@
     dataCentre: identity.dataCentre,
     hosts,
   });
-  const overload = new ServiceOverload({clock, random, directory, hosts});
+  const speeds = new TargetSpeeds({
+    clock,
+    isLearning: platform.options.targetSpeeds === 'learned',
+  });
+  directory.onRemoved(id => speeds.remove(id));
+  const speedExchange = disposables.add(
+    new SpeedExchange({
+      ...context,
+      self,
+      speeds,
+      directory,
+      socket,
+      peers: () => membership.peers().map(hostPeerOf),
+      coordinator: () => exchange.coordinator,
+    }),
+  );
+  const overload = new ServiceOverload({
+    clock,
+    random,
+    directory,
+    hosts,
+    speeds,
+  });
   const requestContext = onlineContext(
     {platform, context, disposables},
     {directory, loads, preferredTargets, overload, crashSuspects},
@@ -208,6 +233,7 @@
     membership,
     socket,
     exchange,
+    speedExchange,
     crashSuspects,
     freshness,
     quotas,
--- a/packages/serving/src/lib/process/serving_options.ts
+++ b/packages/serving/src/lib/process/serving_options.ts
@@ -19,6 +19,12 @@
    * centre on a large fleet. It replies to those of other hosts in any case.
    */
   coordinators: z.enum(['auto', 'off']).default('auto'),
+  /**
+   * Whether this host learns how fast each target is relative to its service,
+   * from its own runs and from what other hosts tell, and sends fewer requests
+   * to slow targets. Where all targets are alike, nothing depends on it.
+   */
+  targetSpeeds: z.enum(['learned', 'off']).default('learned'),
 });
 
 /** Settings of a serving program, with defaults filled in. */
--- a/packages/serving/src/lib/process/serving_process.ts
+++ b/packages/serving/src/lib/process/serving_process.ts
@@ -95,7 +95,7 @@
       scheduler,
       peers,
     } = this.components;
-    const {socket, exchange, quotas} = this.components;
+    const {socket, exchange, speedExchange, quotas} = this.components;
     this.context.log.event('process-started', {
       member: membership.self.id,
       dataCentre: identity.dataCentre,
@@ -111,6 +111,7 @@
       membership,
       socket,
       exchange,
+      speedExchange,
       quotas,
       jobOwnership,
       garbageCollector,
