--- a/packages/gateway/src/lib/process/placement.ts
+++ b/packages/gateway/src/lib/process/placement.ts
@@ -22,8 +22,9 @@
 import {PendingReplies} from './pending_replies.js';
 import {placementOutcome, type PlacementOutcome} from './placement_outcome.js';
 import {SilentCoordinators} from './silent_coordinators.js';
-import type {BatchPressure, TargetChooser} from './target_chooser.js';
+import type {TargetChooser} from './target_chooser.js';
 import type {TargetDirectory} from './target_directory.js';
+import type {BatchPressure} from './target_score.js';
 
 /**
  * A local target with less than this share of its slots in use is selected by
--- a/packages/serving/src/lib/process/serving_components.ts
+++ b/packages/serving/src/lib/process/serving_components.ts
@@ -25,8 +25,10 @@
   ServiceHealth,
   ServiceOverload,
   ShareAdmission,
+  SpeedExchange,
   TargetChooser,
   TargetDirectory,
+  TargetSpeeds,
   TargetSuspensions,
   type AccountQuotas,
   type QuotaHost,
@@ -61,6 +63,7 @@
   readonly membership: Membership;
   readonly socket: HostSocket;
   readonly exchange: LoadExchange;
+  readonly speedExchange: SpeedExchange;
   readonly crashSuspects: CrashSuspects;
   readonly freshness: FreshnessLease;
   readonly quotas: AccountQuotas;
@@ -130,7 +133,29 @@
     dataCentre: identity.dataCentre,
     hosts,
   });
-  const overload = new ServiceOverload({clock, random, directory, hosts});
+  const speeds = new TargetSpeeds({
+    clock,
+    isLearning: platform.options.targetSpeeds === 'learned',
+  });
+  directory.onRemoved(id => speeds.remove(id));
+  const speedExchange = disposables.add(
+    new SpeedExchange({
+      ...context,
+      self,
+      speeds,
+      directory,
+      socket,
+      peers: () => membership.peers().map(hostPeerOf),
+      coordinator: () => exchange.coordinator,
+    }),
+  );
+  const overload = new ServiceOverload({
+    clock,
+    random,
+    directory,
+    hosts,
+    speeds,
+  });
   const requestContext = onlineContext(
     {platform, context, disposables},
     {directory, loads, preferredTargets, overload, crashSuspects},
@@ -221,6 +246,7 @@
     membership,
     socket,
     exchange,
+    speedExchange,
     crashSuspects,
     freshness,
     quotas,
--- a/packages/serving/src/lib/process/serving_options.ts
+++ b/packages/serving/src/lib/process/serving_options.ts
@@ -25,6 +25,12 @@
    * the configuration has client accounts, always or never.
    */
   lateSlots: z.enum(['accounts', 'always', 'never']).default('accounts'),
+  /**
+   * Whether this host learns how fast each target is relative to its service,
+   * from its own runs and from what other hosts tell, and sends fewer requests
+   * to slow targets. Where all targets are alike, nothing depends on it.
+   */
+  targetSpeeds: z.enum(['learned', 'off']).default('learned'),
 });
 
 /** Settings of a serving program, with defaults filled in. */
