Quotas are counted in a sliding window

Cause: the quota owner refilled a bucket evenly. An account at several times its usual got a burst and two seconds of its rate in a rise of two seconds; the rest was refused although it was within the count of a window.

Change: the owner grants as long as the window has room, counted in 100 parts. What it grants ahead of the even pace is recorded in the store before, for 3 s at a time, because a new owner that knows nothing could only refuse everything for a window, or exceed it: with the record it keeps the even pace for accounts that kept it, and assumes the window used for the others. A new owner starts with two requests and takes up the even pace after one second, in which the hosts learn of the change. A grant counts 250 ms beyond the window, the time in which it may be sent, and a refund goes back to its part. An owner that stood still takes itself for new.

--- /dev/null
+++ b/packages/core/src/lib/process/quota_promises.ts
@@ -0,0 +1,89 @@
+/**
+ * Room in the quota of one account that is reserved for callers who were
+ * refused and told when to return.
+ *
+ * Guards against callers who return at the time they were told and find that
+ * later requests have taken the room. Reservations are only counted: any
+ * returning caller takes the earliest. One that nobody takes lapses.
+ */
+
+/**
+ * How long room is held after its time, in milliseconds: the delay of a caller
+ * that opens a new connection, and of a busy host.
+ */
+const LAPSE_MS = 300;
+/** Reservations within this time are counted together, in milliseconds. */
+const PART_MS = 25;
+
+interface Promised {
+  readonly at: number;
+  count: number;
+}
+
+/** Reservations of one account. */
+export class QuotaPromises {
+  /** Earliest first. */
+  private promised: Promised[] = [];
+  private total = 0;
+  /** Number of reservations that nobody has taken in time. */
+  private lapsed = 0;
+
+  /**
+   * @param now - Time on a monotonic clock, in milliseconds.
+   * @returns The number of reservations.
+   */
+  count(now: number): number {
+    while (this.promised.length > 0 && this.promised[0]!.at + LAPSE_MS < now) {
+      const {count} = this.promised.shift()!;
+      this.total -= count;
+      this.lapsed += count;
+    }
+    return this.total;
+  }
+
+  /**
+   * @param now - Time on a monotonic clock, in milliseconds.
+   * @returns The number of reservations whose time has come.
+   */
+  due(now: number): number {
+    let due = 0;
+    for (const {at, count} of this.promised) if (at <= now) due += count;
+    return due;
+  }
+
+  /** Time of the latest reservation; undefined if there is none. */
+  get lastAt(): number | undefined {
+    return this.promised.at(-1)?.at;
+  }
+
+  /** @param at - Time at which room is reserved for one more request. */
+  add(at: number): void {
+    const last = this.promised.at(-1);
+    const time = Math.max(at, last?.at ?? at);
+    if (last && time < last.at + PART_MS) last.count++;
+    else this.promised.push({at: time, count: 1});
+    this.total++;
+  }
+
+  /**
+   * Takes the earliest reservation.
+   *
+   * @param now - Time on a monotonic clock, in milliseconds.
+   * @returns Whether there was one whose time has come.
+   */
+  take(now: number): boolean {
+    const first = this.promised[0];
+    if (!first || first.at > now) return false;
+    first.count--;
+    this.total--;
+    if (first.count === 0) this.promised.shift();
+    return true;
+  }
+
+  /** @returns The number of lapsed reservations since the last call. */
+  takeLapsed(): number {
+    const {lapsed} = this;
+    this.lapsed = 0;
+    return lapsed;
+  }
+}
--- a/packages/core/src/lib/process/quota_reserve.ts
+++ b/packages/core/src/lib/process/quota_reserve.ts
@@ -7,7 +7,7 @@
  */
 import type {RequestQuota} from '../version/client_account.js';
 import type {Random} from './random.js';
-import {toleratedExcess, type QuotaTolerance} from './quota_bucket.js';
+import {toleratedExcess, type QuotaTolerance} from './quota_tolerance.js';
 
 /** Inputs of a {@link QuotaReserve}. */
 export interface ReserveContext {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -18,6 +18,7 @@
 export * from './lib/connection/target.js';
 export * from './lib/connection/target_connection.js';
 export * from './lib/process/account_quotas.js';
+export * from './lib/process/ahead_record.js';
 export * from './lib/process/caller_admission.js';
 export * from './lib/process/caller_retry_detector.js';
 export * from './lib/process/coordinator.js';
--- a/packages/gateway/src/lib/connection/quota_message.ts
+++ b/packages/gateway/src/lib/connection/quota_message.ts
@@ -22,6 +22,13 @@
   /** Identifies the request to its sender; the reply repeats it. */
   askId: COUNT,
   account: z.string(),
+  /** Whether the caller returns after a refusal. */
+  returning: z.boolean().optional(),
+  /**
+   * Longest time after which the caller would return, in milliseconds, if it
+   * would be recognized then.
+   */
+  maxWaitMs: COUNT.optional(),
 });
 
 /** Reply to a quota request. */
@@ -35,12 +42,16 @@
   verdict: z.enum(['granted', 'over', 'elsewhere']),
   /** Time until the quota allows another request, in milliseconds. */
   waitMs: COUNT,
+  /** Whether room is reserved for the caller if it returns then. */
+  reserved: z.boolean().optional(),
 });
 
 /** Refunds a granted request that did not run. */
 const REFUND = z.object({
   kind: z.literal('give-back'),
   account: z.string(),
+  /** Time since the grant, in milliseconds. */
+  ageMs: COUNT.optional(),
 });
 
 const MESSAGE = z.discriminatedUnion('kind', [REQUEST, REPLY, REFUND]);
--- a/packages/gateway/src/lib/process/account_quotas.ts
+++ b/packages/gateway/src/lib/process/account_quotas.ts
@@ -9,14 +9,10 @@
  * host that is not the owner by its own list grants nothing.
  */
 import {
-  QuotaEnforcer,
   QuotaReserve,
   rendezvous,
   repeat,
-  type Clock,
-  type Counters,
-  type EventLog,
-  type QuotaTolerance,
+  type QuotaDemand,
   type QuotaVerdict,
   type Random,
   type RequestQuota,
@@ -27,6 +23,8 @@
   QuotaRequest,
   QuotaMessage,
 } from '../connection/quota_message.js';
+import {QuotaAsker} from './quota_asker.js';
+import {QuotaOwner, type QuotaOwnerContext} from './quota_owner.js';
 
 /** A host that may own accounts. */
 export interface QuotaHost extends HostAddress {
@@ -37,18 +35,14 @@
 }
 
 /** Dependencies of {@link AccountQuotas}. */
-export interface AccountQuotasContext {
+export interface AccountQuotasContext extends QuotaOwnerContext {
   readonly self: QuotaHost;
-  readonly clock: Clock;
   readonly random: Random;
-  readonly log: EventLog;
-  readonly counters: Counters;
   /**
    * @returns The live hosts, including this one; undefined if they are not
    *     known yet.
    */
   readonly hosts: () => readonly QuotaHost[] | undefined;
-  readonly tolerance: () => QuotaTolerance;
   /**
    * @returns The quota of an account in this host's configuration; undefined if
    *     it has none.
@@ -57,17 +51,6 @@
   readonly send: (message: QuotaMessage, to: HostAddress) => void;
 }
 
-/**
- * Timeout of a quota request, in milliseconds: several round trips between data
- * centres plus the queueing delay of a busy host.
- */
-const REQUEST_TIMEOUT_MS = 60;
-/**
- * Number of times that a quota request is sent, because datagrams may be lost.
- */
-const MAX_SENDS = 2;
-/** How long an unresponsive owner gets no requests, in milliseconds. */
-const UNRESPONSIVE_PAUSE_MS = 500;
 /**
  * Interval at which the list of hosts is checked for changes, in milliseconds.
  */
@@ -78,7 +61,11 @@
  */
 const UNCOUNTED_RETRY_DELAY_MS = 1000;
 
-type AnswerHandler = (answer: QuotaReply | undefined) => void;
+interface AccountDemand {
+  readonly account: string;
+  readonly quota: RequestQuota;
+  readonly demand: QuotaDemand;
+}
 
 const GRANTED: QuotaVerdict = {kind: 'granted'};
 
@@ -87,20 +74,18 @@
  * host owns.
  */
 export class AccountQuotas implements Disposable {
-  private readonly enforcer: QuotaEnforcer;
+  private readonly owner: QuotaOwner;
   private readonly reserve: QuotaReserve;
-  private readonly pendingAnswers = new Map<number, AnswerHandler>();
-  /** Time until which a host is considered unresponsive, by host name. */
-  private readonly pausedUntil = new Map<string, number>();
+  private readonly asker: QuotaAsker;
   private readonly owners = new Map<string, QuotaHost>();
   private hosts: readonly QuotaHost[] = [];
   private hostIds = '';
-  private askId = 0;
   private timer: Disposable | undefined;
 
   /** @param context - Hosts, quotas and the transport to other hosts. */
   constructor(private readonly context: AccountQuotasContext) {
-    this.enforcer = new QuotaEnforcer(context.tolerance, context.clock.now());
+    this.owner = new QuotaOwner(context.self.host, context);
+    this.asker = new QuotaAsker(context.self.id, context);
     this.reserve = new QuotaReserve(context.random);
   }
 
@@ -122,29 +107,43 @@
    *
    * @param account - Name of an account with a quota.
    * @param quota - Its quota.
+   * @param demand - The request.
    * @returns Whether the request may run. Never rejects.
    */
-  async take(account: string, quota: RequestQuota): Promise<QuotaVerdict> {
+  async take(
+    account: string,
+    quota: RequestQuota,
+    demand: QuotaDemand = {},
+  ): Promise<QuotaVerdict> {
     const owner = this.ownerOf(account);
     const {clock, self} = this.context;
+    // The owner grants it no earlier.
+    const grantedAt = clock.now();
     const verdict =
       owner?.host === self.host
-        ? this.enforcer.take(account, quota, clock.now())
-        : await this.requestOrReserve(owner, account, quota);
+        ? this.owner.take(account, quota, demand)
+        : await this.requestOrReserve(owner, {account, quota, demand});
     this.countVerdict(verdict.kind);
-    return verdict;
+    return verdict.kind === 'granted' ? {...verdict, grantedAt} : verdict;
   }
 
   /**
    * Refunds a request that was granted and did not run.
    *
    * @param account - Name of the account.
+   * @param grantedAt - Time of the grant as returned by {@link take}; undefined
+   *     if unknown.
    */
-  refund(account: string): void {
+  refund(account: string, grantedAt?: number): void {
     const owner = this.ownerOf(account);
     if (!owner) return;
-    if (owner.host === this.context.self.host) this.enforcer.refund(account);
-    else this.context.send({kind: 'give-back', account}, owner);
+    const {clock, self, send} = this.context;
+    const ageMs =
+      grantedAt === undefined
+        ? undefined
+        : Math.max(0, Math.round(clock.now() - grantedAt));
+    if (owner.host === self.host) this.owner.refund(account, ageMs);
+    else send({kind: 'give-back', account, ageMs}, owner);
   }
 
   /** @param message - A message from another host. */
@@ -154,96 +153,60 @@
         this.handleRequest(message);
         return;
       case 'answer':
-        this.pendingAnswers.get(message.askId)?.(message);
+        this.asker.receive(message);
         return;
       case 'give-back':
-        this.enforcer.refund(message.account);
+        this.owner.refund(message.account, message.ageMs);
     }
   }
 
   private async requestOrReserve(
     owner: QuotaHost | undefined,
-    account: string,
-    quota: RequestQuota,
+    {account, quota, demand}: AccountDemand,
   ): Promise<QuotaVerdict> {
-    const answer = owner && (await this.requestVerdict(owner, account));
+    const answer = owner && (await this.asker.ask(owner, account, demand));
     if (answer?.verdict === 'granted') return GRANTED;
     if (answer?.verdict === 'over') {
-      const {waitMs} = answer;
-      return {kind: 'over', waitMs};
+      const {waitMs, reserved: isReserved = false} = answer;
+      return {kind: 'over', waitMs, isReserved};
     }
-    return this.takeFromReserve(account, quota);
+    return this.takeFromReserve(account, quota, demand);
   }
 
-  private takeFromReserve(account: string, quota: RequestQuota): QuotaVerdict {
+  private takeFromReserve(
+    account: string,
+    quota: RequestQuota,
+    {maxWaitMs = UNCOUNTED_RETRY_DELAY_MS}: QuotaDemand,
+  ): QuotaVerdict {
     const {clock, tolerance} = this.context;
     const hosts = Math.max(1, this.hosts.length);
     const view = {quota, tolerance: tolerance(), hosts};
     const isGranted =
       this.hosts.length > 0 && this.reserve.take(account, view, clock.now());
     this.countVerdict(isGranted ? 'reserve' : 'no-reserve');
-    return isGranted
-      ? GRANTED
-      : {kind: 'over', waitMs: UNCOUNTED_RETRY_DELAY_MS};
-  }
-
-  private async requestVerdict(
-    owner: QuotaHost,
-    account: string,
-  ): Promise<QuotaReply | undefined> {
-    const {clock, self, send} = this.context;
-    if ((this.pausedUntil.get(owner.host) ?? 0) > clock.now()) return undefined;
-    for (let i = 0; i < MAX_SENDS; i++) {
-      const askId = ++this.askId;
-      const answered = this.awaitAnswer(askId);
-      send({kind: 'ask', host: self.id, askId, account}, owner);
-      const answer = await answered;
-      if (answer) return answer;
-    }
-    this.pauseOwner(owner);
-    return undefined;
+    if (isGranted) return GRANTED;
+    // The owner may be reachable again by then.
+    const waitMs = Math.min(maxWaitMs, UNCOUNTED_RETRY_DELAY_MS);
+    return {kind: 'over', waitMs, isReserved: false};
   }
 
-  private pauseOwner({host}: QuotaHost): void {
-    const {clock, log} = this.context;
-    const until = clock.now() + UNRESPONSIVE_PAUSE_MS;
-    if ((this.pausedUntil.get(host) ?? 0) <= clock.now())
-      log.event('quota-host-silent', {
-        silent: host,
-        pauseMs: UNRESPONSIVE_PAUSE_MS,
-      });
-    this.pausedUntil.set(host, until);
-  }
-
-  private awaitAnswer(askId: number): Promise<QuotaReply | undefined> {
-    return new Promise(resolve => {
-      const settle: AnswerHandler = answer => {
-        this.pendingAnswers.delete(askId);
-        timer[Symbol.dispose]();
-        resolve(answer);
-      };
-      const timer = this.context.clock.after(REQUEST_TIMEOUT_MS, () =>
-        settle(undefined),
-      );
-      this.pendingAnswers.set(askId, settle);
-    });
-  }
-
-  private handleRequest({host, askId, account}: QuotaRequest): void {
-    const {clock, self, quotaOf, send} = this.context;
+  private handleRequest(request: QuotaRequest): void {
+    const {host, askId, account} = request;
+    const {self, quotaOf, send} = this.context;
     const to = this.hosts.find(({id}) => id === host);
     // A sender that is not in the list yet times out and uses its reserve.
     if (!to) return;
-    const reply = (verdict: QuotaReply['verdict'], waitMs = 0) =>
-      send({kind: 'answer', askId, verdict, waitMs}, to);
+    const reply = (verdict: QuotaReply['verdict'], waitMs = 0, reserved = {}) =>
+      send({kind: 'answer', askId, verdict, waitMs, ...reserved}, to);
     if (this.ownerOf(account)?.host !== self.host) return reply('elsewhere');
     const quota = quotaOf(account);
     // The configuration of the two hosts differs, and this one has no limit for
     // the account.
     if (!quota) return reply('granted');
-    const verdict = this.enforcer.take(account, quota, clock.now());
+    const verdict = this.owner.take(account, quota, request);
     if (verdict.kind === 'granted') return reply('granted');
-    return reply('over', verdict.waitMs);
+    const {waitMs, isReserved} = verdict;
+    return reply('over', waitMs, isReserved ? {reserved: true} : {});
   }
 
   private ownerOf(account: string): QuotaHost | undefined {
@@ -262,14 +225,15 @@
       .map(({id}) => id)
       .sort()
       .join(' ');
-    if (ids === this.hostIds) return;
-    this.hostIds = ids;
-    this.hosts = hosts;
-    this.owners.clear();
-    const {self, clock} = this.context;
-    this.enforcer.retain(
-      name => this.ownerOf(name)?.host === self.host,
-      clock.now(),
+    if (ids !== this.hostIds) {
+      this.hostIds = ids;
+      this.hosts = hosts;
+      this.owners.clear();
+    }
+    const {self} = this.context;
+    this.owner.check(
+      this.hosts.map(({host}) => host),
+      account => this.ownerOf(account)?.host === self.host,
     );
   }
 
--- a/packages/gateway/src/lib/process/caller_admission.ts
+++ b/packages/gateway/src/lib/process/caller_admission.ts
@@ -6,11 +6,13 @@
  * configuration was the latest one a short time ago. Otherwise it refuses them
  * at once, so that callers go to another host.
  */
-import type {
-  ClientAccount,
-  Counters,
-  FreshnessLease,
-  QuotaVerdict,
+import {
+  isGrantGood,
+  type ClientAccount,
+  type Counters,
+  type FreshnessLease,
+  type QuotaDemand,
+  type QuotaVerdict,
 } from '@oathead/core';
 import type {RoutingState} from '../version/routing_state.js';
 import type {Route} from '../version/routing_table.js';
@@ -40,6 +42,8 @@
   readonly freshness: FreshnessLease;
   readonly quotas: AccountQuotas;
   readonly counters: Counters;
+  /** @returns The time on a monotonic clock, in milliseconds. */
+  readonly now: () => number;
 }
 
 const ADMITTED_WITHOUT_ACCOUNT: Admission = {
@@ -81,21 +85,51 @@
   }
 
   /**
+   * Consumes one request of an account's quota. The grant is good for
+   * {@link GRANT_VALIDITY_MS}; a request that is sent later needs a new one.
+   *
    * @param account - Account of a request that is about to run.
+   * @param demand - What the quota owner has to know of the request.
    * @returns Whether the request is within the account's quota.
    */
-  async takeQuota(account: ClientAccount | undefined): Promise<QuotaVerdict> {
+  async takeQuota(
+    account: ClientAccount | undefined,
+    demand?: QuotaDemand,
+  ): Promise<QuotaVerdict> {
+    if (!account?.quota) return WITHIN_QUOTA;
+    return this.context.quotas.take(account.name, account.quota, demand);
+  }
+
+  /**
+   * Exchanges a grant that is no longer good. To be called right before a
+   * request is sent that has waited.
+   *
+   * @param account - Account of the request.
+   * @param grantedAt - Time of its grant, as in its {@link QuotaVerdict}.
+   * @param demand - What the quota owner has to know of the request.
+   * @returns The verdict; granted with the same time if the grant is still
+   *     good. If the quota is exceeded, the request has no grant any more.
+   */
+  async renewQuota(
+    account: ClientAccount | undefined,
+    grantedAt: number | undefined,
+    demand?: QuotaDemand,
+  ): Promise<QuotaVerdict> {
     if (!account?.quota) return WITHIN_QUOTA;
-    return this.context.quotas.take(account.name, account.quota);
+    if (isGrantGood(grantedAt, this.context.now()))
+      return {kind: 'granted', grantedAt};
+    if (grantedAt !== undefined) this.refundQuota(account, grantedAt);
+    return this.takeQuota(account, demand);
   }
 
   /**
    * Refunds the quota of a request that was granted and did not run.
    *
    * @param account - Account of the request.
+   * @param grantedAt - Time of its grant; undefined if unknown.
    */
-  refundQuota(account: ClientAccount | undefined): void {
-    if (account?.quota) this.context.quotas.refund(account.name);
+  refundQuota(account: ClientAccount | undefined, grantedAt?: number): void {
+    if (account?.quota) this.context.quotas.refund(account.name, grantedAt);
   }
 
   /** Configuration version and age, for log lines. */
--- /dev/null
+++ b/packages/gateway/src/lib/process/ownership_history.ts
@@ -0,0 +1,66 @@
+/**
+ * Remembers recent lists of hosts, to tell since when this host has been the
+ * quota owner of an account.
+ *
+ * Guards against an owner that takes itself for new, and refuses requests, each
+ * time another host joins or leaves.
+ */
+import {ranksWithin} from '@oathead/core';
+
+interface HostList {
+  readonly names: readonly string[];
+  readonly adoptedAt: number;
+}
+
+/**
+ * Number of lists that are remembered. If they change more often, accounts seem
+ * to have changed their owner more recently than they have.
+ */
+const MAX_LISTS = 16;
+
+/** Recent lists of the hosts that may own accounts. */
+export class OwnershipHistory {
+  /** Latest first. */
+  private lists: readonly HostList[] = [];
+
+  /** @param self - Name of this host. */
+  constructor(private readonly self: string) {}
+
+  /**
+   * @param names - Names of the live hosts.
+   * @param now - Time on a monotonic clock, in milliseconds.
+   */
+  adopt(names: readonly string[], now: number): void {
+    const latest = this.lists[0]?.names;
+    const isSame =
+      latest?.length === names.length &&
+      latest.every((name, i) => name === names[i]);
+    if (isSame) return;
+    const list = {names: [...names], adoptedAt: now};
+    this.lists = [list, ...this.lists].slice(0, MAX_LISTS);
+  }
+
+  /**
+   * Forgets all lists but the latest, which counts as adopted now.
+   *
+   * @param now - Time on a monotonic clock, in milliseconds.
+   */
+  restart(now: number): void {
+    const latest = this.lists[0];
+    this.lists = latest ? [{...latest, adoptedAt: now}] : [];
+  }
+
+  /**
+   * @param account - Account that this host owns by the latest list.
+   * @returns The time since which it has owned it, on a monotonic clock in
+   *     milliseconds.
+   */
+  ownedSince(account: string): number {
+    let since = this.lists[0]?.adoptedAt ?? Infinity;
+    for (const {names, adoptedAt} of this.lists) {
+      if (!ranksWithin(1, account, this.self, names)) break;
+      since = adoptedAt;
+    }
+    return since;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/process/quota_owner.ts
@@ -0,0 +1,193 @@
+/**
+ * The part of a quota owner: counts the accounts that this host owns, and sees
+ * to it that it knows enough to grant what their quotas allow.
+ */
+import {
+  QuotaEnforcer,
+  sleep,
+  type Clock,
+  type Counters,
+  type EarlierGrants,
+  type EventLog,
+  type QuotaDemand,
+  type QuotaNeed,
+  type QuotaTolerance,
+  type QuotaVerdict,
+  type RequestQuota,
+} from '@oathead/core';
+import type {AheadRecord} from './ahead_record.js';
+import {OwnershipHistory} from './ownership_history.js';
+
+/** Dependencies of a {@link QuotaOwner}. */
+export interface QuotaOwnerContext {
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly counters: Counters;
+  readonly tolerance: () => QuotaTolerance;
+  /**
+   * Accounts ahead of an even pace; undefined if no host goes ahead of it.
+   */
+  readonly aheadRecord?: AheadRecord | undefined;
+}
+
+/** How long before its end a mark is renewed, in milliseconds. */
+const RENEW_MS = 1000;
+/**
+ * Minimum pause between two calls to the record by all hosts together, in
+ * milliseconds: a twentieth of the calls that the store can take.
+ */
+const MIN_CALL_INTERVAL_MS = 25;
+/** Minimum pause between two calls of one host, in milliseconds. */
+const MIN_HOST_CALL_INTERVAL_MS = 100;
+/**
+ * A host that has not checked the list of hosts for this long, in milliseconds,
+ * was suspended. It is shorter than the time after which other hosts replace a
+ * host that they do not hear of.
+ */
+const SUSPENDED_MS = 1500;
+
+const NOT_AHEAD: EarlierGrants = {kind: 'even'};
+
+/** Counts the accounts that this host owns. */
+export class QuotaOwner {
+  private readonly enforcer: QuotaEnforcer;
+  private readonly history: OwnershipHistory;
+  private hostCount = 1;
+  private checkedAt: readonly [number, number];
+  /** Kinds of calls to the record that are not to be made yet. */
+  private readonly pausedCalls = new Set<QuotaNeed>();
+
+  /**
+   * @param self - Name of this host.
+   * @param context - Clock, tolerance and the record.
+   */
+  constructor(
+    self: string,
+    private readonly context: QuotaOwnerContext,
+  ) {
+    const {clock, tolerance} = context;
+    this.history = new OwnershipHistory(self);
+    this.enforcer = new QuotaEnforcer({
+      tolerance,
+      since: account => this.history.ownedSince(account),
+    });
+    this.checkedAt = [clock.now(), clock.wallTime()];
+  }
+
+  /**
+   * Applies the current list of hosts. To be called often, also if the list has
+   * not changed.
+   *
+   * @param names - Names of the live hosts.
+   * @param owns - Whether this host is the owner of an account by that list.
+   */
+  check(names: readonly string[], owns: (account: string) => boolean): void {
+    this.checkSuspension();
+    this.hostCount = names.length;
+    this.history.adopt(names, this.context.clock.now());
+    this.enforcer.retain(owns);
+  }
+
+  /**
+   * Consumes one request of the quota of an account that this host owns.
+   *
+   * @param account - Name of the account.
+   * @param quota - Its quota.
+   * @param demand - The request.
+   * @returns The decision.
+   */
+  take(
+    account: string,
+    quota: RequestQuota,
+    demand: QuotaDemand,
+  ): QuotaVerdict {
+    this.checkSuspension();
+    const now = this.context.clock.now();
+    const verdict = this.enforcer.take(account, quota, demand, now);
+    this.countLapsed();
+    this.meetNeed(account, now);
+    return verdict;
+  }
+
+  /**
+   * Refunds a request that did not run.
+   *
+   * @param account - Name of the account.
+   * @param ageMs - Time since the grant, in milliseconds; undefined if unknown.
+   */
+  refund(account: string, ageMs: number | undefined): void {
+    const now = this.context.clock.now();
+    this.enforcer.refund(account, ageMs === undefined ? ageMs : now - ageMs);
+  }
+
+  /**
+   * Detects that this host was suspended: others may have taken its place. The
+   * monotonic clock may not count a suspension, the time of day does.
+   */
+  private checkSuspension(): void {
+    const {clock, log, counters} = this.context;
+    const now = [clock.now(), clock.wallTime()] as const;
+    const pauseMs = Math.max(...now.map((at, i) => at - this.checkedAt[i]!));
+    if (pauseMs > SUSPENDED_MS) {
+      this.history.restart(now[0]);
+      this.enforcer.distrust(now[0]);
+      log.event('quota-owner-resumed', {pauseMs: Math.round(pauseMs)});
+      counters.count('quota_owner', {event: 'resumed'});
+    }
+    this.checkedAt = now;
+  }
+
+  private meetNeed(account: string, now: number): void {
+    const {aheadRecord, clock} = this.context;
+    const need = this.enforcer.needOf(account, RENEW_MS, now);
+    if (!need || this.pausedCalls.has(need)) return;
+    if (!aheadRecord) {
+      if (need === 'knowledge') this.enforcer.learn(() => NOT_AHEAD, now);
+      return;
+    }
+    this.pausedCalls.add(need);
+    const call =
+      need === 'ahead'
+        ? this.mark(aheadRecord, account)
+        : this.readMarks(aheadRecord);
+    const pauseMs = Math.max(
+      MIN_HOST_CALL_INTERVAL_MS,
+      MIN_CALL_INTERVAL_MS * this.hostCount,
+    );
+    void call
+      .then(() => sleep(clock, pauseMs))
+      .then(() => this.pausedCalls.delete(need));
+  }
+
+  private async mark(record: AheadRecord, account: string): Promise<void> {
+    const {clock, counters, log} = this.context;
+    const startedAt = clock.now();
+    const forMs = await record.mark(account);
+    counters.count('quota_owner', {event: forMs > 0 ? 'marked' : 'unmarked'});
+    if (forMs === 0) return;
+    log.event('quota-ahead', {account, forMs: Math.round(forMs)});
+    this.enforcer.allowAhead(account, startedAt + forMs);
+  }
+
+  private async readMarks(record: AheadRecord): Promise<void> {
+    const {clock, counters, log} = this.context;
+    const startedAt = clock.now();
+    const marks = await record.read();
+    counters.count('quota_owner', {event: marks ? 'read' : 'unread'});
+    if (!marks) return;
+    const now = clock.now();
+    this.enforcer.learn(account => {
+      const leftMs = marks.get(account);
+      if (leftMs === undefined) return NOT_AHEAD;
+      log.event('quota-taken-over', {account, aheadMs: Math.round(leftMs)});
+      return {kind: 'ahead', until: now + leftMs};
+    }, startedAt);
+  }
+
+  private countLapsed(): void {
+    const {counters} = this.context;
+    const lapsed = this.enforcer.takeLapsed();
+    if (lapsed > 0)
+      counters.count('quota_promises', {outcome: 'lapsed'}, lapsed);
+  }
+}
--- a/packages/gateway/src/test/fakes/quota_fleet.ts
+++ b/packages/gateway/src/test/fakes/quota_fleet.ts
@@ -6,16 +6,24 @@
 import {
   NO_COUNTERS,
   NO_EVENT_LOG,
+  rendezvous,
   seededRandom,
+  sleep,
+  type Clock,
   type QuotaTolerance,
   type Random,
   type RequestQuota,
 } from '@oathead/core';
+import {MemoryRowStore} from '@oathead/stores';
 import {decodeQuota, encodeQuota} from '../../lib/connection/quota_message.js';
 import {
   AccountQuotas,
   type QuotaHost,
 } from '../../lib/process/account_quotas.js';
+import {
+  StoredAheadRecord,
+  type AheadRecord,
+} from '../../lib/process/ahead_record.js';
 import {FakeClock} from './fake_clock.js';
 
 /** A simulation scenario. */
@@ -34,6 +42,17 @@
   /** Called every millisecond; may change the fleet. */
   readonly onTick?: (fleet: QuotaFleetSimulator, atMs: number) => void;
   readonly seed?: number;
+  /**
+   * Deadline of callers in milliseconds. They return after a refusal, if told
+   * to within a third of the time that they have left; by default they do not.
+   */
+  readonly deadlineMs?: number;
+  /** How long a granted request waits at most until it is sent, in ms. */
+  readonly maxSendDelayMs?: number;
+  /** Whether the store works at a given time; it does by default. */
+  readonly isStoreUp?: (atMs: number) => boolean;
+  /** Whether hosts of the release before are without the record. */
+  readonly hasRecord?: boolean;
   /** Decides instead of {@link AccountQuotas}, to compare strategies. */
   readonly strategy?: QuotaStrategy;
 }
@@ -61,34 +80,89 @@
   tick(fleet: QuotaFleetSimulator, at: number): number;
 }
 
-/** A request that was granted or refused. */
+/** One attempt of a request, which was granted or refused. */
 export interface SimulatedRequest {
   readonly account: string;
   readonly host: number;
+  /** When it was refused or sent, in milliseconds. */
   readonly at: number;
   readonly granted: boolean;
+  /** Number of earlier attempts of the same request. */
+  readonly attempt: number;
+  /** Whether it was refused and the caller does not return. */
+  readonly isRefusedForGood: boolean;
 }
 
+/** Maximum number of attempts of one request. */
+const MAX_ATTEMPTS = 4;
+/** Duration of a call to the store, in milliseconds. */
+const STORE_CALL_MS = 20;
 /** One-way network latency between hosts, in milliseconds. */
 const LATENCY_MS = 1;
 const SECOND_MS = 1000;
 
+/** A clock whose time of day advances with it. */
+class VirtualClock extends FakeClock {
+  override wallTime(): number {
+    return this.now();
+  }
+}
+
+/** The clock of one host, whose timers wait while it is frozen. */
+class HostClock implements Clock {
+  /** What is to run when the host wakes; undefined if it is not frozen. */
+  deferred: (() => void)[] | undefined;
+
+  constructor(private readonly shared: Clock) {}
+
+  now(): number {
+    return this.shared.now();
+  }
+
+  wallTime(): number {
+    return this.shared.wallTime();
+  }
+
+  after(delayMs: number, callback: () => void): Disposable {
+    return this.shared.after(delayMs, () => this.run(callback));
+  }
+
+  run(callback: () => void): void {
+    if (this.deferred) this.deferred.push(callback);
+    else callback();
+  }
+}
+
 interface SimulatedHost {
   readonly address: QuotaHost;
+  readonly clock: HostClock;
   quotas: AccountQuotas;
   alive: boolean;
   /** Indices of the hosts that this host considers live. */
   view: readonly number[];
 }
 
+/**
+ * @param account - Name of an account.
+ * @param hosts - Number of hosts.
+ * @returns Index of the host that counts the account if all hosts are live.
+ */
+export function ownerOf(account: string, hosts: number): number {
+  const names = [...Array(hosts).keys()].map(i => `h${i}`);
+  return names.indexOf(rendezvous(account, names)[0]!);
+}
+
 /** A simulated fleet and the requests that it handled. */
 export class QuotaFleetSimulator {
   readonly requests: SimulatedRequest[] = [];
   /** Number of datagrams sent. */
   messages = 0;
+  /** Number of calls to the store. */
+  storeCalls = 0;
   /** Whether a datagram from one host reaches another. */
   isReachable: (from: number, to: number) => boolean = () => true;
-  private readonly clock = new FakeClock();
+  private readonly clock = new VirtualClock();
+  private readonly store = new MemoryRowStore(this.clock);
   private readonly random: Random;
   private readonly hosts: SimulatedHost[] = [];
 
@@ -122,11 +196,29 @@
     this.hosts[host]!.alive = false;
   }
 
+  /** @param host - Host that other hosts consider live again. */
+  setAlive(host: number): void {
+    this.hosts[host]!.alive = true;
+  }
+
+  /** @param host - Host that stands still; what reaches it waits. */
+  freeze(host: number): void {
+    this.hosts[host]!.clock.deferred ??= [];
+  }
+
+  /** @param host - Frozen host that continues. */
+  wake(host: number): void {
+    const {clock} = this.hosts[host]!;
+    const deferred = clock.deferred ?? [];
+    clock.deferred = undefined;
+    for (const run of deferred) run();
+  }
+
   /** @param host - Host that restarts without any state. */
   restart(host: number): void {
     const restarted = this.hosts[host]!;
     restarted.alive = true;
-    restarted.quotas = this.newQuotas(host, restarted.address);
+    restarted.quotas = this.newQuotas(host, restarted);
     restarted.quotas.start();
   }
 
@@ -134,13 +226,9 @@
   addHost(): void {
     const i = this.hosts.length;
     const address = {id: `h${i}.1`, host: `h${i}`, ip: '127.0.0.1', port: i};
-    const added = {
-      address,
-      quotas: this.newQuotas(i, address),
-      alive: true,
-      view: [i],
-    };
-    this.hosts.push(added);
+    const clock = new HostClock(this.clock);
+    const quotas = this.newQuotas(i, {address, clock});
+    this.hosts.push({address, clock, quotas, alive: true, view: [i]});
   }
 
   /**
@@ -151,7 +239,8 @@
   maxGrantedInWindow(account: string, windowMs: number): number {
     const times = this.requests
       .filter(one => one.account === account && one.granted)
-      .map(({at}) => at);
+      .map(({at}) => at)
+      .sort((a, b) => a - b);
     let max = 0;
     let first = 0;
     for (let last = 0; last < times.length; last++) {
@@ -171,26 +260,48 @@
     return own.length === 0 ? 0 : refused / own.length;
   }
 
-  private newQuotas(i: number, self: QuotaHost): AccountQuotas {
+  private newQuotas(
+    i: number,
+    {address: self, clock}: Pick<SimulatedHost, 'address' | 'clock'>,
+  ): AccountQuotas {
     return new AccountQuotas({
       self,
-      clock: this.clock,
+      clock,
       random: this.random,
       log: NO_EVENT_LOG,
       counters: NO_COUNTERS,
       hosts: () => this.hosts[i]!.view.map(other => this.hosts[other]!.address),
       tolerance: () => this.scenario.tolerance,
       quotaOf: account => this.scenario.quotas[account],
+      aheadRecord:
+        (this.scenario.hasRecord ?? true) ? this.aheadRecord() : undefined,
       send: (message, to) => this.send(i, to.port, encodeQuota(message)),
     });
   }
 
+  private aheadRecord(): AheadRecord {
+    const stored = new StoredAheadRecord(this.store, NO_EVENT_LOG);
+    const call = async <T>(run: () => Promise<T>, failed: T): Promise<T> => {
+      this.storeCalls++;
+      await sleep(this.clock, STORE_CALL_MS);
+      const {isStoreUp = () => true} = this.scenario;
+      return isStoreUp(this.clock.now()) ? run() : failed;
+    };
+    return {
+      mark: account => call(() => stored.mark(account), 0),
+      read: () => call(() => stored.read(), undefined),
+    };
+  }
+
   private send(from: number, to: number, datagram: Uint8Array): void {
     this.messages++;
     if (!this.hosts[from]!.alive || !this.isReachable(from, to)) return;
     this.clock.after(LATENCY_MS, () => {
       const host = this.hosts[to]!;
-      if (host.alive) host.quotas.receive(decodeQuota(datagram)!);
+      const message = decodeQuota(datagram)!;
+      host.clock.run(() => {
+        if (host.alive) host.quotas.receive(message);
+      });
     });
   }
 
@@ -214,24 +325,44 @@
       const host =
         hostOf?.(account, at, this.random) ??
         this.random.int(this.hosts.length);
-      if (this.hosts[host]!.alive) void this.requestQuota(account, host);
+      const {alive, clock} = this.hosts[host]!;
+      if (alive) clock.run(() => void this.requestQuota(account, host));
     }
   }
 
-  private async requestQuota(account: string, host: number): Promise<void> {
+  private async requestQuota(
+    account: string,
+    host: number,
+    attempt = 0,
+    leftMs = this.scenario.deadlineMs,
+  ): Promise<void> {
     const {quotas} = this.hosts[host]!;
+    const {clock} = this;
+    const startedAt = clock.now();
+    const maxWaitMs = leftMs === undefined ? undefined : leftMs / 3;
+    const demand = {returning: attempt > 0, maxWaitMs};
+    let waitMs = 0;
     const counted = async () => {
-      const verdict = await quotas.take(
-        account,
-        this.scenario.quotas[account]!,
-      );
+      const quota = this.scenario.quotas[account]!;
+      const verdict = await quotas.take(account, quota, demand);
+      if (verdict.kind === 'over') waitMs = verdict.waitMs;
       return verdict.kind === 'granted';
     };
-    const now = this.clock.now();
-    const {strategy} = this.scenario;
+    const {strategy, maxSendDelayMs = 0} = this.scenario;
     const granted = await (strategy
-      ? strategy.take(host, account, now, counted)
+      ? strategy.take(host, account, startedAt, counted)
       : counted());
-    this.requests.push({account, host, at: this.clock.now(), granted});
+    const isRefusedForGood =
+      !granted && (maxWaitMs === undefined || attempt + 1 === MAX_ATTEMPTS);
+    const delayMs = granted ? this.random.float() * maxSendDelayMs : 0;
+    const at = Math.max(clock.now(), startedAt + delayMs);
+    const request = {account, host, at, granted, attempt, isRefusedForGood};
+    this.requests.push(request);
+    if (granted || isRefusedForGood || maxWaitMs === undefined) return;
+    // Callers come back no later than this, whatever they are told.
+    const backInMs = Math.min(waitMs, maxWaitMs);
+    const left = leftMs! - (clock.now() - startedAt) - backInMs;
+    await sleep(clock, backInMs);
+    await this.requestQuota(account, host, attempt + 1, left);
   }
 }
--- a/packages/gateway/src/test/process/account_quotas_test.ts
+++ b/packages/gateway/src/test/process/account_quotas_test.ts
@@ -1,6 +1,11 @@
-import type {QuotaTolerance, RequestQuota} from '@oathead/core';
+import {
+  GRANT_VALIDITY_MS,
+  type QuotaTolerance,
+  type Random,
+  type RequestQuota,
+} from '@oathead/core';
 import test from 'ava';
-import {QuotaFleetSimulator} from '../fakes/quota_fleet.js';
+import {ownerOf, QuotaFleetSimulator} from '../fakes/quota_fleet.js';
 
 const TOLERANCE: QuotaTolerance = {windowMs: 5000, overage: 0.1, slack: 20};
 const LARGE: RequestQuota = {perSecond: 64, burst: 64};
@@ -129,3 +134,129 @@
   assertWithin(t, fleet);
   t.true(fleet.refusedShare('calm') < 0.05, `${fleet.refusedShare('calm')}`);
 });
+
+// An account at five times its usual in rises of 2.4 s sends within its quota of
+// a window what an even pace does not allow; its callers come back in vain.
+test('the quota of a window is granted in a rise', async t => {
+  const usual = LARGE.perSecond / 1.6;
+  const fleet = await QuotaFleetSimulator.run({
+    ...FLEET,
+    hosts: 39,
+    deadlineMs: 5000,
+    perSecond: (account, at) => {
+      if (account === 'calm') return perSecond(account, at);
+      if (account !== 'large' || at < 6000 || at >= 16_000) return 0;
+      return usual * 5 * (at % 6000 < 2400 ? 1.91 : 0.38);
+    },
+    lengthMs: 20_000,
+  });
+  assertWithin(t, fleet);
+  const perWindow = LARGE.perSecond * 5 + LARGE.burst;
+  const granted = fleet.requests.filter(
+    ({account, granted, at}) => account === 'large' && granted && at < 8000,
+  );
+  t.true(granted.length >= 0.95 * perWindow, `${granted.length}`);
+  t.true(fleet.storeCalls <= 10, `${fleet.storeCalls}`);
+  t.is(fleet.refusedShare('calm'), 0);
+});
+
+/**
+ * An account uses up its window at once while something happens to the hosts
+ * that count it. All owners have counted for a whole window before.
+ */
+const RISE_AT_MS = 7000;
+const DISTURBED_AT_MS = 8300;
+const LARGE_OWNER = ownerOf('large', 28);
+const RISE = {
+  ...FLEET,
+  hosts: 28,
+  deadlineMs: 5000,
+  maxSendDelayMs: GRANT_VALIDITY_MS,
+  // The host that counts the large account gets a third of its requests.
+  hostOf: (account: string, at: number, random: Random) =>
+    random.float() < 0.33 ? LARGE_OWNER : random.int(28),
+  perSecond: (account: string, at: number) =>
+    at < RISE_AT_MS && account !== 'calm' ? 0 : perSecond(account, at),
+  lengthMs: 21_000,
+};
+
+type Disturbance = (fleet: QuotaFleetSimulator, at: number) => void;
+
+/** What happens to the fleet, with the failure that each guards against. */
+const DISTURBANCES: ReadonlyMap<string, Disturbance> = new Map<
+  string,
+  Disturbance
+>([
+  // The quota is counted when granted, and sent later.
+  ['nothing, but all is sent late', () => {}],
+  // All owners lose what they have counted.
+  [
+    'all hosts fail and restart',
+    (fleet, at) => {
+      if (at === DISTURBED_AT_MS)
+        for (let i = 0; i < RISE.hosts; i++) fleet.crash(i);
+      if (at === DISTURBED_AT_MS + 900)
+        for (let i = 0; i < RISE.hosts; i++) fleet.restart(i);
+    },
+  ],
+  // The same, several times within a window.
+  [
+    'the owner restarts again and again',
+    (fleet, at) => {
+      if (at < DISTURBED_AT_MS || (at - DISTURBED_AT_MS) % 1000 !== 0) return;
+      fleet.crash(LARGE_OWNER);
+      fleet.restart(LARGE_OWNER);
+    },
+  ],
+  // The next owner has not counted what the lost one granted.
+  [
+    'the owner is lost and replaced',
+    (fleet, at) => {
+      if (at === DISTURBED_AT_MS) fleet.crash(LARGE_OWNER);
+      if (at === DISTURBED_AT_MS + 3500) fleet.updateViews();
+    },
+  ],
+  // The owner wakes, takes itself for the owner and has the window for itself.
+  [
+    'the owner freezes, is replaced and wakes',
+    (fleet, at) => {
+      if (at === DISTURBED_AT_MS) fleet.freeze(LARGE_OWNER);
+      if (at === DISTURBED_AT_MS + 3500) {
+        fleet.crash(LARGE_OWNER);
+        fleet.updateViews();
+        fleet.setAlive(LARGE_OWNER);
+      }
+      if (at === DISTURBED_AT_MS + 10_000) fleet.wake(LARGE_OWNER);
+      if (at === DISTURBED_AT_MS + 10_500) fleet.updateViews();
+    },
+  ],
+  // Hosts join that do not know the others for a while.
+  [
+    'hosts join',
+    (fleet, at) => {
+      if (at === DISTURBED_AT_MS) for (let i = 0; i < 8; i++) fleet.addHost();
+      if (at === DISTURBED_AT_MS + 700) fleet.updateViews();
+    },
+  ],
+  [
+    'half of the hosts are cut off',
+    (fleet, at) => {
+      const isCut = at >= DISTURBED_AT_MS && at < DISTURBED_AT_MS + 5000;
+      fleet.isReachable = (from, to) => !isCut || from % 2 === to % 2;
+    },
+  ],
+]);
+
+for (const [what, onTick] of DISTURBANCES)
+  test(`a used-up window holds: ${what}`, async t =>
+    assertWithin(t, await QuotaFleetSimulator.run({...RISE, onTick})));
+
+// If it cannot be recorded that an account goes ahead, the even pace remains.
+test('without the store a quota is granted at an even pace', async t => {
+  const isStoreUp = (at: number) => at < RISE_AT_MS;
+  const fleet = await QuotaFleetSimulator.run({...RISE, isStoreUp});
+  assertWithin(t, fleet);
+  const most = fleet.maxGrantedInWindow('large', 5000);
+  t.true(most >= LARGE.perSecond * 5, `${most}`);
+  t.is(fleet.refusedShare('calm'), 0);
+});
--- a/packages/serving/src/lib/process/serving_components.ts
+++ b/packages/serving/src/lib/process/serving_components.ts
@@ -23,6 +23,7 @@
   RoutingState,
   ServiceHealth,
   ServiceOverload,
+  StoredAheadRecord,
   TargetChooser,
   TargetDirectory,
   TargetSuspensions,
@@ -171,6 +172,7 @@
           : undefined,
       tolerance: () => platform.tunables().quotaTolerance,
       quotaOf: name => routing.current?.table.accounts?.findByName(name)?.quota,
+      aheadRecord: new StoredAheadRecord(store, log),
     }),
   );
   const {counters} = context;
@@ -179,6 +181,7 @@
     freshness,
     quotas,
     counters,
+    now: () => clock.now(),
   });
   const online = {...requestContext, placement, admission};
   const reader = new JobReader(store);
