A caller refused by quota returns to room that is kept for it

Cause: the Retry-After of a 429 could be longer than callers obey, so they came too soon and were refused again, while later requests took the room.

Change: the quota request says how long its caller would wait, and whether it returns after a refusal. If there is no room in the time the caller waits, it is told the true time and nothing is kept. Fields of messages are optional, so hosts of the release before understand them. Whether a caller returns is now found out before the quota request, once.

--- a/packages/gateway/src/lib/process/front_server.ts
+++ b/packages/gateway/src/lib/process/front_server.ts
@@ -6,9 +6,10 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
-import type {ClientAccount, EventLog} from '@oathead/core';
+import type {ClientAccount, EventLog, QuotaVerdict} from '@oathead/core';
 import {OnlineRequest, type OnlineContext} from '../request/online_request.js';
 import type {AdmissionRefusal} from './caller_admission.js';
+import {quotaDemand} from '../request/quota_demand.js';
 import {readBody} from '../request/read_body.js';
 import type {RouteMatcher} from '../version/route_matcher.js';
 import type {RoutingState} from '../version/routing_state.js';
@@ -50,6 +51,8 @@
   readonly reason: string;
   /** Delay after which the caller should retry, in milliseconds. */
   readonly returnAfterMs?: number;
+  /** Whether room in the quota is reserved for the returning caller. */
+  readonly isReserved?: boolean;
   readonly account?: string;
 }
 
@@ -219,16 +222,32 @@
     if (!body) return;
     const {online} = this.context;
     const {req, res, account} = routed;
-    const quota = await online.admission.takeQuota(account);
-    if (quota.kind === 'over')
-      return this.refuse(routed, {
-        status: STATUS_OVER_QUOTA,
-        reason: 'over-quota',
-        returnAfterMs: quota.waitMs,
-        account: account?.name,
-      });
-    const admitted = {req, res, route, body, startedAt, account};
-    await new OnlineRequest(online, admitted).serve();
+    const {deadlineMs} = online.protocol.readRequest(req.headers);
+    const returning = online.retryDetector.isRetry(route.name, deadlineMs);
+    const request = {req, res, route, body, startedAt, account, returning};
+    const demand = quotaDemand(request, online);
+    const quota = await online.admission.takeQuota(account, demand);
+    if (quota.kind === 'over') return this.refuseOverQuota(routed, quota);
+    const {grantedAt} = quota;
+    await new OnlineRequest(online, {...request, grantedAt}).serve();
+  }
+
+  /**
+   * Refuses a request beyond its quota. A caller that returns in time finds the
+   * room that is reserved for it. If there is no room within the time after
+   * which it would return, it is told the true time: with a shorter one it
+   * would return to be refused again.
+   */
+  private refuseOverQuota(
+    routed: RoutedRequest,
+    {waitMs: returnAfterMs, isReserved}: Extract<QuotaVerdict, {kind: 'over'}>,
+  ): void {
+    const outcome = isReserved ? 'made' : 'none';
+    this.context.online.counters.count('quota_promises', {outcome});
+    const account = routed.account?.name;
+    const reason = 'over-quota';
+    const refusal = {status: STATUS_OVER_QUOTA, reason, returnAfterMs};
+    this.refuse(routed, {...refusal, isReserved, account});
   }
 
   /**
@@ -270,7 +289,7 @@
 
   private refuse(
     {req, res}: Call,
-    {status, reason, returnAfterMs, account}: Refusal,
+    {status, reason, returnAfterMs, isReserved, account}: Refusal,
   ): void {
     const {online, log} = this.context;
     const {requestId} = online.protocol.readRequest(req.headers);
@@ -282,6 +301,7 @@
       reason,
       account,
       returnAfterMs,
+      isReserved,
       ...online.admission.logFields,
     });
     const retry =
--- a/packages/gateway/src/lib/request/admitted_request.ts
+++ b/packages/gateway/src/lib/request/admitted_request.ts
@@ -18,4 +18,11 @@
   readonly startedAt: number;
   /** The account of the caller; undefined if it sent no key. */
   readonly account: ClientAccount | undefined;
+  /**
+   * Time of its quota grant on the monotonic clock, in milliseconds; undefined
+   * if the account has no quota.
+   */
+  readonly grantedAt?: number | undefined;
+  /** Whether the caller returns after a refusal. */
+  readonly returning: boolean;
 }
--- a/packages/gateway/src/lib/request/online_request.ts
+++ b/packages/gateway/src/lib/request/online_request.ts
@@ -127,10 +127,9 @@
     this.writer = new ResponseWriter(res, this.metadata.lastEventId, now);
     this.fingerprint = CrashSuspects.fingerprintOf(req.url ?? '/', body);
     this.service = pickService(route, context.random);
-    const {name, goalMs} = route;
+    const {goalMs} = route;
     const priority = account?.priority ?? route.priority;
-    const {deadlineMs} = this.metadata;
-    const returning = context.retryDetector.isRetry(name, deadlineMs);
+    const {returning} = admitted;
     this.demand = {goalMs, priority, returning, account: account?.name};
   }
 
@@ -331,7 +330,10 @@
     this.report.givenUp(service, reason, this.context.chooser.view(service));
     const status = failureStatus(reason, this.runs);
     if (this.runs === 0)
-      this.context.admission.refundQuota(this.admitted.account);
+      this.context.admission.refundQuota(
+        this.admitted.account,
+        this.admitted.grantedAt,
+      );
     const retry =
       status === STATUS_UNAVAILABLE
         ? this.context.protocol.retryAfter(this.retryDelayMs())
--- a/packages/gateway/src/test/process/front_server_test.ts
+++ b/packages/gateway/src/test/process/front_server_test.ts
@@ -1,11 +1,12 @@
 import {randomUUID} from 'node:crypto';
 import {request} from 'undici';
 import test from 'ava';
-import type {EventFields} from '@oathead/core';
+import {NO_COUNTERS, type EventFields} from '@oathead/core';
 import {
   FrontServer,
   type RoutedRequest,
 } from '../../lib/process/front_server.js';
+import {FakeClock} from '../fakes/fake_clock.js';
 import {PROTOCOL} from '../fakes/raw_target.js';
 
 const IP = '127.0.0.1';
@@ -58,3 +59,52 @@
   );
   t.true(String(lines[0]!['error']).includes('unexpected'));
 });
+
+// A caller that is refused for its quota returns at the time it is told; without
+// the true one it comes in vain.
+test('a refusal by quota carries the time of the quota owner', async t => {
+  const demands: unknown[] = [];
+  const lines: EventFields[] = [];
+  const metadata = {...PROTOCOL.readRequest({}), deadlineMs: 3000};
+  const context = {
+    online: {
+      protocol: {
+        ...PROTOCOL,
+        readRequest: () => metadata,
+        retryAfter: (ms: number) => ({'retry-after': String(ms / 1000)}),
+        maxRetryAfterMs: () => 1000,
+      },
+      clock: new FakeClock(),
+      counters: NO_COUNTERS,
+      retryDetector: {isRetry: () => true},
+      admission: {
+        admit: () => ({kind: 'admitted', account: {name: 'account'}}),
+        takeQuota: async (account: unknown, demand: unknown) => {
+          demands.push(account, demand);
+          return {kind: 'over', waitMs: 800, isReserved: true};
+        },
+      },
+    },
+    routing: {
+      current: {
+        match: () => ({name: 'route', timeoutMs: 5000}),
+        table: {bounds: {maxBodyBytes: 100}},
+      },
+      onAdopted: () => {},
+    },
+    batch: {overridesRoute: () => false, accepts: () => false},
+    log: {
+      event: (event: string, fields: EventFields) =>
+        lines.push({event, ...fields}),
+    },
+    draining: () => false,
+  };
+  const front = new FrontServer(context as never);
+  await front.listen(IP, PORT + 1);
+  t.teardown(() => front.close());
+  const {statusCode, headers} = await request(`http://${IP}:${PORT + 1}/`);
+  t.is(statusCode, 429);
+  t.is(headers['retry-after'], '0.8');
+  t.deepEqual(demands[1], {returning: true, maxWaitMs: 1000});
+  t.like(lines[0], {event: 'request-refused', isReserved: true});
+});
