--- a/packages/gateway/src/lib/request/online_request.ts
+++ b/packages/gateway/src/lib/request/online_request.ts
@@ -112,10 +112,9 @@
     this.writer = new ResponseWriter(res, this.metadata.lastEventId, now);
     this.fingerprint = CrashSuspects.fingerprintOf(req.url ?? '/', body);
     this.service = pickService(route, context.random);
-    const {name, goalMs} = route;
+    const {goalMs} = route;
     const priority = account?.priority ?? route.priority;
-    const {deadlineMs} = this.metadata;
-    const returning = context.retryDetector.isRetry(name, deadlineMs);
+    const {returning} = admitted;
     this.search = new TargetSearch(context, {
       requestId: this.metadata.requestId,
       service: this.service,
@@ -123,7 +122,7 @@
       startedAt,
       deadlineAt: this.deadlineAt,
     });
-    this.quota = new QuotaHold(context, account, context.clock.now());
+    this.quota = new QuotaHold(context, admitted);
   }
 
   /** Serves the request; never rejects. */
--- a/packages/gateway/src/lib/request/quota_hold.ts
+++ b/packages/gateway/src/lib/request/quota_hold.ts
@@ -5,20 +5,17 @@
  * its grant must not be sent with it: an account could otherwise save up grants
  * and send more at once than its quota permits.
  */
-import type {ClientAccount, Clock} from '@oathead/core';
+import type {Clock} from '@oathead/core';
 import type {CallerAdmission} from '../process/caller_admission.js';
-
-/**
- * Age of a grant up to which the request is sent with it, in milliseconds:
- * longer than the wait of a request that is sent within its latency objective,
- * and a small fraction of the windows in which quotas are counted.
- */
-const GRANT_LIFETIME_MS = 300;
+import type {AdmittedRequest} from './admitted_request.js';
+import {quotaDemand} from './quota_demand.js';
+import type {TargetProtocol} from './target_protocol.js';
 
 /** Dependencies of {@link QuotaHold}. */
 export interface QuotaHoldContext {
   readonly clock: Clock;
-  readonly admission: Pick<CallerAdmission, 'refundQuota' | 'takeQuota'>;
+  readonly protocol: TargetProtocol;
+  readonly admission: Pick<CallerAdmission, 'refundQuota' | 'renewQuota'>;
 }
 
 /** Whether a request may be sent, and with which grant. */
@@ -27,17 +24,18 @@
 /** Holds the quota of one request. */
 export class QuotaHold {
   private isHeld = true;
+  private grantedAt: number | undefined;
 
   /**
    * @param context - Time, and the quotas of accounts.
-   * @param account - Account of the request, whose quota was granted.
-   * @param grantedAt - When it was granted, in monotonic milliseconds.
+   * @param admitted - The request, whose quota was granted.
    */
   constructor(
     private readonly context: QuotaHoldContext,
-    private readonly account: ClientAccount | undefined,
-    private grantedAt: number,
-  ) {}
+    private readonly admitted: AdmittedRequest,
+  ) {
+    this.grantedAt = admitted.grantedAt;
+  }
 
   /**
    * Replaces a grant that is too old, right before the request is sent.
@@ -45,19 +43,22 @@
    * @returns Whether it may be sent; after `over` it holds no quota.
    */
   async renew(): Promise<QuotaRenewal> {
-    const {admission, clock} = this.context;
-    if (!this.account?.quota) return 'kept';
-    if (clock.now() - this.grantedAt <= GRANT_LIFETIME_MS) return 'kept';
-    this.refund();
-    const verdict = await admission.takeQuota(this.account);
+    const {grantedAt} = this;
+    const verdict = await this.context.admission.renewQuota(
+      this.admitted.account,
+      grantedAt,
+      quotaDemand(this.admitted, this.context),
+    );
     this.isHeld = verdict.kind === 'granted';
-    this.grantedAt = clock.now();
-    return this.isHeld ? 'renewed' : 'over';
+    if (verdict.kind === 'over') return 'over';
+    this.grantedAt = verdict.grantedAt;
+    return verdict.grantedAt === grantedAt ? 'kept' : 'renewed';
   }
 
   /** Refunds the grant, because the request was not sent. */
   refund(): void {
-    if (this.isHeld) this.context.admission.refundQuota(this.account);
+    if (this.isHeld)
+      this.context.admission.refundQuota(this.admitted.account, this.grantedAt);
     this.isHeld = false;
   }
 }
--- a/packages/serving/src/lib/process/serving_components.ts
+++ b/packages/serving/src/lib/process/serving_components.ts
@@ -26,6 +26,7 @@
   ServiceOverload,
   ShareAdmission,
   SpeedExchange,
+  StoredAheadRecord,
   TargetChooser,
   TargetDirectory,
   TargetSpeeds,
@@ -203,6 +204,7 @@
           : undefined,
       tolerance: () => platform.tunables().quotaTolerance,
       quotaOf: name => routing.current?.table.accounts?.findByName(name)?.quota,
+      aheadRecord: new StoredAheadRecord(store, log),
     }),
   );
   const {counters} = context;
@@ -211,6 +213,7 @@
     freshness,
     quotas,
     counters,
+    now: () => clock.now(),
   });
   const lateQueue = new LateQueue({
     ...requestContext,
