Exchange: outcome, request and content stand in files of their own

Change: outcomes to exchange_outcome, the request and the receiver of its stream to target_request, buffered body and order of events to response_content, the text of an unattributed response to attribution. exchange.ts passes the names on that others import. No behaviour changes.

--- a/packages/gateway/src/lib/request/attribution.ts
+++ b/packages/gateway/src/lib/request/attribution.ts
@@ -11,6 +11,12 @@
   /** It bears no ID, and an earlier request may have caused it. */
   | 'no-id';
 
+/** What the log says of a response that can't be attributed. */
+export const UNATTRIBUTED_TEXT: Readonly<Record<UnattributedReason, string>> = {
+  'other-id': 'answer to another request',
+  'no-id': 'answer without a request id',
+};
+
 /** What is known of a response and its connection. */
 export interface ResponseOrigin {
   /** ID in the response; undefined if it bears none. */
--- a/packages/gateway/src/lib/request/exchange.ts
+++ b/packages/gateway/src/lib/request/exchange.ts
@@ -4,122 +4,34 @@
  * responses to other requests, successes without a seal, bodies in an encoding
  * that was not requested, and responses that were truncated or reset.
  */
-import type {IncomingHttpHeaders} from 'node:http';
 import {errors, type Dispatcher} from 'undici';
 import type {TargetConnection} from '../connection/target_connection.js';
-import {unattributedReason, type UnattributedReason} from './attribution.js';
-import {EventSplitter, type StreamEvent} from './stream_events.js';
-import type {
-  ResponseMetadata,
-  Headers,
-  TargetProtocol,
-} from './target_protocol.js';
-
-/** The request that is sent to a target. */
-export interface TargetRequest {
-  readonly requestId: string | undefined;
-  readonly method: string;
-  /** Path and query, as the caller sent them. */
-  readonly path: string;
-  readonly headers: Headers;
-  readonly body: Buffer;
-  /**
-   * Number that the first event of a stream must have; undefined if unknown.
-   */
-  readonly firstEventId: number | undefined;
-}
-
-/** Receives the events of a stream as they arrive. */
-export interface EventSink {
-  /**
-   * @param events - The next complete events, in order.
-   * @param head - Status and headers of the response that the events belong to.
-   * @returns Whether the stream may go on; false if too much of it waits for
-   *     its receiver.
-   */
-  events(events: readonly StreamEvent[], head: ResponseHead): boolean;
-}
-
-/** Status and headers of a response. */
-export interface ResponseHead {
-  readonly status: number;
-  readonly headers: IncomingHttpHeaders;
-}
-
-/** Why a failure may be less, or another one, than the target stated. */
-export type FailureDoubt =
-  /** Its connection ended before its end. */
-  | 'incomplete'
-  /** It ended with its connection, so that its end may be missing. */
-  | 'no-length'
-  /** It does not name the request. */
-  | 'no-id'
-  /** The target does not vouch for it. */
-  | 'no-seal'
-  /** Its body has a content encoding that was not requested. */
-  | 'unasked-coding';
-
-/** A response with its complete body. */
-export interface CompleteResponse {
-  readonly head: ResponseHead;
-  readonly body: Buffer;
-  /** Set if the target may not have stated this failure. */
-  readonly doubt?: FailureDoubt;
-}
-
-/** Why the gateway aborted a request. */
-export type AbortReason =
-  | 'caller-left'
-  | 'timeout'
-  | 'yield'
-  | 'stop'
-  /** The target sent nothing for longer than the silence timeout. */
-  | 'silent'
-  /** The target server was restarted and has lost the request. */
-  | 'restarted'
-  /** The caller has left too much of its stream unread. */
-  | 'caller-slow';
-
-/** Outcome of a request at a target. */
-export type ExchangeOutcome =
-  /** The target sent a complete response. */
-  | ({readonly kind: 'answered'} & CompleteResponse)
-  /** A stream was received to its end; the sink received its events. */
-  | {readonly kind: 'streamed'; readonly head: ResponseHead}
-  /** The target reported that it did not run the request. */
-  | {readonly kind: 'declined'; readonly status: number}
-  /** No connection could be established, so the request cannot have run. */
-  | {readonly kind: 'unsent'; readonly reason: string}
-  /** The response was invalid or incomplete; the request may have run. */
-  | {
-      readonly kind: 'broken';
-      readonly reason: string;
-      /** Whether the target sent invalid data, which shows that it is alive. */
-      readonly sentInvalidData: boolean;
-      /** Set if the response may belong to another request. */
-      readonly unattributed?: UnattributedReason;
-      /** Status of a failure that is incomplete. */
-      readonly failedStatus?: number;
-    }
-  /** The gateway aborted the request; it may have run. */
-  | {
-      readonly kind: 'ended';
-      readonly by: AbortReason;
-      /** Status of a failure that is incomplete. */
-      readonly failedStatus?: number;
-    };
-
-/**
- * Maximum size of a buffered response body, in bytes: twice the default limit
- * for request bodies.
- */
-const MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
-
-/** What the log says of a response that can't be attributed. */
-const UNATTRIBUTED_TEXT: Readonly<Record<UnattributedReason, string>> = {
-  'other-id': 'answer to another request',
-  'no-id': 'answer without a request id',
-};
+import {
+  UNATTRIBUTED_TEXT,
+  unattributedReason,
+  type UnattributedReason,
+} from './attribution.js';
+import {
+  failureDoubt,
+  isSuccess,
+  reasonOf,
+  type AbortReason,
+  type ExchangeOutcome,
+  type ResponseHead,
+} from './exchange_outcome.js';
+import {ResponseContent} from './response_content.js';
+import type {ResponseMetadata, TargetProtocol} from './target_protocol.js';
+import type {EventSink, TargetRequest} from './target_request.js';
+
+export {
+  mayHaveCrashed,
+  type AbortReason,
+  type CompleteResponse,
+  type ExchangeOutcome,
+  type FailureDoubt,
+  type ResponseHead,
+} from './exchange_outcome.js';
+export type {EventSink, TargetRequest} from './target_request.js';
 
 /** Controls a request in flight. */
 export interface ExchangeControl {
@@ -151,12 +63,9 @@
 
 /** A request in flight at a target. */
 export class Exchange implements ExchangeControl, Dispatcher.DispatchHandler {
-  private readonly splitter = new EventSplitter();
-  private readonly chunks: Buffer[] = [];
-  private bytes = 0;
+  private readonly content: ResponseContent;
   private head: ResponseHead | undefined;
   private metadata: ResponseMetadata | undefined;
-  private nextEventId: number | undefined;
   private isFirstRequest = false;
   private settled = false;
   private readonly startedAt: number;
@@ -179,7 +88,7 @@
   ) {
     this.startedAt = context.now();
     this.lastActivityAt = this.startedAt;
-    this.nextEventId = req.firstEventId;
+    this.content = new ResponseContent(req.firstEventId);
     this.outcome$ = new Promise(resolve => {
       this.resolveOutcome = resolve;
     });
@@ -290,13 +199,13 @@
       return;
     }
     if (!this.isEventStream()) {
-      const body = Buffer.concat(this.chunks);
+      const {body} = this.content;
       const head = this.head!;
       const doubt = failureDoubt(head, this.metadata!);
       this.finish({kind: 'answered', head, body, doubt}, true);
       return;
     }
-    if (this.splitter.hasPartialEvent)
+    if (this.content.hasPartialEvent)
       this.failDisconnected('ended inside an event');
     else this.finish({kind: 'streamed', head: this.head!}, true);
   }
@@ -332,31 +241,18 @@
   }
 
   private forwardEvents(chunk: Buffer): void {
-    const events = this.splitter.push(chunk);
-    if (events.length === 0) return;
-    const error = this.eventOrderError(events);
-    if (error) {
-      this.failInvalid(error);
+    const events = this.content.split(chunk);
+    if (!events.ok) {
+      this.failInvalid(events.err);
       return;
     }
-    if (!this.context.sink.events(events, this.head!)) this.end('caller-slow');
-  }
-
-  /** Rejects a stream whose events are not numbered consecutively. */
-  private eventOrderError(events: readonly StreamEvent[]): string | undefined {
-    for (const {id} of events) {
-      if (id === undefined) continue;
-      const expected = this.nextEventId ?? id;
-      if (id !== expected) return `event ${id} in place of ${expected}`;
-      this.nextEventId = id + 1;
-    }
-    return undefined;
+    if (events.value.length === 0) return;
+    if (!this.context.sink.events(events.value, this.head!))
+      this.end('caller-slow');
   }
 
   private bufferChunk(chunk: Buffer): void {
-    this.bytes += chunk.length;
-    if (this.bytes > MAX_RESPONSE_BYTES) this.failInvalid('answer too large');
-    else this.chunks.push(chunk);
+    if (!this.content.buffer(chunk)) this.failInvalid('answer too large');
   }
 
   /** Ends the exchange because the target sent an invalid response. */
@@ -401,41 +297,3 @@
     this.resolveOutcome(outcome);
   }
 }
-
-/**
- * Tells a lost connection or a restarted server, which a crash can cause, from
- * an invalid response of a live target. Without the distinction, a request
- * could be blocked for a minute as the cause of a crash although its target is
- * alive.
- *
- * @param outcome - Outcome of a request of whose response nothing was received.
- * @returns Whether the request may have crashed the target.
- */
-export function mayHaveCrashed(outcome: ExchangeOutcome): boolean {
-  if (outcome.kind === 'broken') return !outcome.sentInvalidData;
-  return outcome.kind === 'ended' && outcome.by === 'restarted';
-}
-
-function failureDoubt(
-  {status, headers}: ResponseHead,
-  metadata: ResponseMetadata,
-): FailureDoubt | undefined {
-  if (isSuccess(status)) return undefined;
-  if (metadata.requestId === undefined) return 'no-id';
-  if (!metadata.sealed) return 'no-seal';
-  if (metadata.hasUnexpectedEncoding) return 'unasked-coding';
-  const hasLength =
-    headers['content-length'] !== undefined ||
-    headers['transfer-encoding'] !== undefined;
-  return hasLength ? undefined : 'no-length';
-}
-
-function isSuccess(status: number): boolean {
-  return status >= 200 && status < 300;
-}
-
-function reasonOf(err: unknown): string {
-  if (err instanceof errors.UndiciError) return err.code;
-  if (err instanceof Error && 'code' in err) return String(err.code);
-  return String(err);
-}
--- /dev/null
+++ b/packages/gateway/src/lib/request/response_content.ts
@@ -0,0 +1,60 @@
+/** Content of a response as it arrives: a body, or the events of a stream. */
+import {failure, success, type Outcome} from '@oathead/core';
+import {EventSplitter, type StreamEvent} from './stream_events.js';
+
+/**
+ * Maximum size of a buffered response body, in bytes: twice the default limit
+ * for request bodies.
+ */
+const MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
+
+/** Buffers a body, or splits a stream and checks the order of its events. */
+export class ResponseContent {
+  private readonly splitter = new EventSplitter();
+  private readonly chunks: Buffer[] = [];
+  private bytes = 0;
+
+  /**
+   * @param nextEventId - Number that the first event of a stream must have;
+   *     undefined if unknown.
+   */
+  constructor(private nextEventId: number | undefined) {}
+
+  /** The buffered body. */
+  get body(): Buffer {
+    return Buffer.concat(this.chunks);
+  }
+
+  /** Whether the bytes of an incomplete event are buffered. */
+  get hasPartialEvent(): boolean {
+    return this.splitter.hasPartialEvent;
+  }
+
+  /**
+   * @param chunk - The next bytes of a body.
+   * @returns Whether the body is short enough so far.
+   */
+  buffer(chunk: Buffer): boolean {
+    this.bytes += chunk.length;
+    if (this.bytes > MAX_RESPONSE_BYTES) return false;
+    this.chunks.push(chunk);
+    return true;
+  }
+
+  /**
+   * @param chunk - The next bytes of a stream.
+   * @returns The events that this chunk completes; what is wrong if they are
+   *     not numbered consecutively.
+   */
+  split(chunk: Buffer): Outcome<readonly StreamEvent[], string> {
+    const events = this.splitter.push(chunk);
+    for (const {id} of events) {
+      if (id === undefined) continue;
+      const expected = this.nextEventId ?? id;
+      if (id !== expected)
+        return failure(`event ${id} in place of ${expected}`);
+      this.nextEventId = id + 1;
+    }
+    return success(events);
+  }
+}
