Shares: bounded cost of a decision

At 3,100 targets and 38,000 accounts a decision summed the slots of all targets and sorted up to 1,000 accounts: 262 microseconds.

--- a/packages/core/src/lib/process/account_shares.ts
+++ b/packages/core/src/lib/process/account_shares.ts
@@ -16,7 +16,10 @@
 import {
   divideRoom,
   LOWEST_SHARE_PRIORITY,
+  MIN_SHARE_SLOTS,
+  NEGLIGIBLE_SLOTS,
   shareIn,
+  type AccountClaim,
   type ShareDivision,
 } from './share_division.js';
 
@@ -97,14 +100,12 @@
  * to the time over which demand is measured.
  */
 const DIVISION_INTERVAL_MS = 25;
-/** Entries with a lower demand are dropped, in slots. */
-const NEGLIGIBLE_SLOTS = 0.01;
 /**
- * Maximum number of accounts whose demand and use are known one by one. Beyond
- * it, the accounts with the lowest demand are only known as a sum, and are
- * within their share.
+ * Number of accounts whose demand and use are known one by one. Beyond twice as
+ * many, the accounts with the lowest demand are dropped to this number. They
+ * are only known as a sum, and are within their share.
  */
-const MAX_ENTRIES = 1000;
+const KEPT_ENTRIES = 500;
 
 const IN_SHARE: ShareVerdict = {kind: 'in-share', isContended: false};
 const IN_SHARE_CONTENDED: ShareVerdict = {kind: 'in-share', isContended: true};
@@ -242,8 +243,12 @@
     return this.division;
   }
 
-  /** Drops idle accounts, and the smallest ones if there are too many. */
-  private claims(now: number) {
+  /**
+   * Drops idle accounts, and the smallest ones if there are too many.
+   *
+   * @returns Claims of the accounts that may be limited.
+   */
+  private claims(now: number): readonly AccountClaim[] {
     const active = [];
     for (const [key, entry] of this.entries) {
       const demand = entry.demand.valueAt(now, this.memoryMs);
@@ -251,9 +256,10 @@
       if (demand < NEGLIGIBLE_SLOTS) this.entries.delete(key);
       else active.push({key, priority, weight, demand});
     }
-    if (active.length <= MAX_ENTRIES) return active;
-    active.sort((a, b) => b.demand - a.demand);
-    for (const {key} of active.splice(MAX_ENTRIES)) this.entries.delete(key);
-    return active;
+    if (active.length > 2 * KEPT_ENTRIES) {
+      active.sort((a, b) => b.demand - a.demand);
+      for (const {key} of active.splice(KEPT_ENTRIES)) this.entries.delete(key);
+    }
+    return active.filter(({demand}) => demand > MIN_SHARE_SLOTS);
   }
 }
--- a/packages/core/src/lib/process/share_division.ts
+++ b/packages/core/src/lib/process/share_division.ts
@@ -42,13 +42,15 @@
   readonly slots: number;
 }
 
+/** Demand below this is treated as none, in slots. */
+export const NEGLIGIBLE_SLOTS = 0.01;
 /** Priorities lower than this one (larger numbers) are treated like it. */
 export const LOWEST_SHARE_PRIORITY = 4;
 /**
  * An account that uses less than this is never over its share, in slots:
  * callers that send one request after another are always within it.
  */
-const MIN_SHARE_SLOTS = 1;
+export const MIN_SHARE_SLOTS = 1;
 /**
  * Probability with which a request below its account's share may find no free
  * slot because accounts over theirs have taken the last one.
@@ -67,10 +69,11 @@
   {demand, room, slots}: ServiceDemand,
 ): ShareDivision {
   const defaultWeight = meanWeight(claims);
-  const isContended = demand > room && claims.length > 1;
-  if (!isContended) return {room, defaultWeight, levels: [], reserve: 0};
   const claimed = claims.reduce((sum, claim) => sum + claim.demand, 0);
   const unclaimed = Math.max(0, demand - claimed);
+  const isAlone = claims.length <= 1 && unclaimed < NEGLIGIBLE_SLOTS;
+  if (demand <= room || isAlone)
+    return {room, defaultWeight, levels: [], reserve: 0};
   let left = room - unclaimed;
   let inShare = unclaimed;
   const levels: number[] = [];
--- a/packages/gateway/src/lib/process/share_admission.ts
+++ b/packages/gateway/src/lib/process/share_admission.ts
@@ -10,30 +10,21 @@
   AccountShares,
   type Counters,
   type EventLog,
-  type ServiceRoom,
   type ShareAsk,
   type ShareFigures,
   type WaitDemand,
 } from '@oathead/core';
-import {targetKey} from '../connection/load_message.js';
 import type {Target} from '../connection/target.js';
-import type {LoadTable} from './load_table.js';
 import {placementOutcome, type PlacementOutcome} from './placement_outcome.js';
 import type {ServiceOverload} from './service_overload.js';
-import type {TargetDirectory} from './target_directory.js';
-import type {TargetSuspensions} from './target_suspensions.js';
+import {ServiceRooms, type ServiceRoomsContext} from './service_rooms.js';
 
 /** Dependencies of {@link ShareAdmission}. */
-export interface ShareAdmissionContext {
+export interface ShareAdmissionContext extends ServiceRoomsContext {
   readonly dataCentre: string;
-  readonly directory: TargetDirectory;
-  readonly suspensions: Pick<TargetSuspensions, 'isSuspended'>;
-  readonly loads: Pick<LoadTable, 'totalAt'>;
   readonly overload: Pick<ServiceOverload, 'runMs' | 'maxQueued'>;
   readonly counters: Counters;
   readonly log: EventLog;
-  /** Returns the monotonic time, in milliseconds. */
-  readonly now: () => number;
   /**
    * @returns Weight of an account in this host's configuration; undefined if it
    *     has none.
@@ -66,12 +57,6 @@
   readonly isSubstitute: boolean;
 }
 
-interface UsableRoom extends ServiceRoom {
-  /** Number of slots without an online request. */
-  readonly free: number;
-  readonly targets: readonly Target[];
-}
-
 /**
  * Interval of the log line about a contended service, in milliseconds.
  */
@@ -81,11 +66,14 @@
 
 /** Shares of the client accounts in the services of this host's scope. */
 export class ShareAdmission {
+  private readonly rooms: ServiceRooms;
   private readonly services = new Map<string, AccountShares>();
   private readonly reportedAt = new Map<string, number>();
 
   /** @param context - Targets, loads and weights. */
-  constructor(private readonly context: ShareAdmissionContext) {}
+  constructor(private readonly context: ShareAdmissionContext) {
+    this.rooms = new ServiceRooms(context);
+  }
 
   /**
    * Selects a target unless the account of the request is over its share.
@@ -102,7 +90,7 @@
     const {now, counters} = this.context;
     const shares = this.sharesOf(service);
     const ask = this.askOf(service, account, demand);
-    const room = this.roomOf(service, excluded);
+    const room = this.rooms.of(service, this.scope);
     const verdict = shares.ask(ask, room, now());
     const preferred = {...demand, returning: true};
     if (verdict.kind === 'in-share') {
@@ -113,7 +101,7 @@
       const target =
         search(demand, excluded) ??
         (mayQueueLonger ? search(preferred, excluded) : undefined);
-      this.recordGrant(shares, ask, target);
+      this.recordGrant(service, ask, target);
       if (verdict.isContended)
         counters.count('share_decisions', {
           share: 'below',
@@ -133,7 +121,7 @@
         ? excluded
         : new Set([...excluded, ...targets.map(({id}) => id)]),
     );
-    this.recordGrant(shares, ask, target);
+    this.recordGrant(service, ask, target);
     counters.count('share_decisions', {
       share: 'over',
       outcome: outcomeLabel(target),
@@ -163,39 +151,27 @@
     return {account, priority, weight, costMs, isRepeated};
   }
 
-  private roomOf(service: string, excluded: ReadonlySet<string>): UsableRoom {
-    const {directory, loads, suspensions} = this.context;
-    const targets = directory
-      .ofService(service)
-      .filter(target => this.isInScope(target));
-    let slots = 0;
-    let online = 0;
-    let free = 0;
-    for (const target of targets) {
-      const {id} = target;
-      if (excluded.has(id) || suspensions.isSuspended(id)) continue;
-      const load = loads.totalAt(targetKey(id));
-      slots += target.slots;
-      online += load.online;
-      free += Math.max(0, target.slots - load.online);
-    }
-    return {targets, slots, online, free};
-  }
-
-  private isInScope({dataCentre}: Target): boolean {
-    const {hasCoordinators, dataCentre: own} = this.context;
-    return dataCentre === own || !hasCoordinators();
+  /** Data centre whose slots are divided; undefined for all of them. */
+  private get scope(): string | undefined {
+    const {hasCoordinators, dataCentre} = this.context;
+    return hasCoordinators() ? dataCentre : undefined;
   }
 
   private recordGrant(
-    shares: AccountShares,
+    service: string,
     ask: ShareAsk,
     target: Target | undefined,
   ): void {
     if (!target) return;
     const now = this.context.now();
-    if (this.isInScope(target)) shares.grant(ask, now);
-    else shares.passOn(ask, now);
+    const shares = this.sharesOf(service);
+    const {scope} = this;
+    if (scope !== undefined && target.dataCentre !== scope) {
+      shares.passOn(ask, now);
+      return;
+    }
+    shares.grant(ask, now);
+    this.rooms.addPlaced(service);
   }
 
   private report(service: string, shares: AccountShares): void {
--- a/packages/gateway/src/test/process/account_share_replay_test.ts
+++ b/packages/gateway/src/test/process/account_share_replay_test.ts
@@ -63,9 +63,10 @@
   accounts: readonly AccountLoad[],
   options: FleetOptions,
   isCounted: (name: string) => boolean,
+  seeds: readonly number[] = SEEDS,
 ): Promise<AccountOutcome> {
   const sums: Record<string, number> = {};
-  for (const seed of SEEDS) {
+  for (const seed of seeds) {
     const load = {...FLEET, seed, accounts};
     const outcome = await new FleetSimulator(load, options).run();
     for (const [name, one] of outcome.accounts) {
@@ -86,14 +87,15 @@
    * without shares.
    */
   readonly maxRefused?: number;
+  readonly seeds?: readonly number[];
 }
 
 /** Outcomes of the accounts that do not flood, without and with shares. */
-async function beforeAndAfter({flooders, accounts, options}: Replay) {
+async function beforeAndAfter({flooders, accounts, options, seeds}: Replay) {
   const isOther = (name: string) => !flooders.includes(name);
-  const before = await sumsOf(accounts, options, isOther);
+  const before = await sumsOf(accounts, options, isOther, seeds);
   const withShares = {...options, usesShares: true};
-  const after = await sumsOf(accounts, withShares, isOther);
+  const after = await sumsOf(accounts, withShares, isOther, seeds);
   return {before, after};
 }
 
@@ -137,6 +139,7 @@
       accounts: accountsWith(['large'], 6),
       options: {...COORDINATED, coordinatorsFailAtMs: 3000},
       maxRefused: 0.6,
+      seeds: [...SEEDS, 3, 4, 5, 6],
     },
   ],
   [
