A second host keeps the reserve of an account

Cause: while the quota owner does not reply, each host had an equal part of the reserve. Of an account with a small quota that is less than a request, so most hosts refused all of its requests, although it was well within its quota.

Change: the next host in the order of an account keeps most of the reserve and is asked if the owner does not reply. It needs no agreement with the owner: the reserve is a part of the tolerance that the owner never uses. A keeper that has not been it for a window grants nothing, as the one before may have used up the reserve. A host that cannot reach the keeper either has a small part of its own.

--- a/packages/core/src/lib/process/quota_reserve.ts
+++ b/packages/core/src/lib/process/quota_reserve.ts
@@ -1,5 +1,7 @@
 /**
- * Requests that a host admits for an account whose quota owner it cannot reach.
+ * Requests that are admitted for an account whose quota owner is out of reach:
+ * by one other host, the reserve keeper, and by each host that cannot reach
+ * that one either.
  *
  * Guards against a network partition that refuses all requests of an account,
  * and against one in which each host grants the whole quota. All unreachable
@@ -13,6 +15,8 @@
 export interface ReserveContext {
   readonly quota: RequestQuota;
   readonly tolerance: QuotaTolerance;
+  /** The part of the tolerance that is used. */
+  readonly part: 'keeper' | 'outOfTouch';
   /**
    * Number of hosts, including this one, that may be unreachable at the same
    * time.
@@ -44,8 +48,8 @@
    *     counted.
    */
   take(account: string, context: ReserveContext, now: number): boolean {
-    const {quota, tolerance, hosts} = context;
-    const perWindow = toleratedExcess(quota, tolerance, 'outOfTouch') / hosts;
+    const {quota, tolerance, part, hosts} = context;
+    const perWindow = toleratedExcess(quota, tolerance, part) / hosts;
     // Half of the share is available at once, and half accrues over a window.
     const halfShare = perWindow / 2;
     const reserve =
--- a/packages/core/src/lib/process/quota_tolerance.ts
+++ b/packages/core/src/lib/process/quota_tolerance.ts
@@ -37,10 +37,15 @@
    */
   start: 0.25,
   /**
-   * For all hosts together if none can reach the quota owner; half of it is
-   * available at once.
+   * Granted by the reserve keeper of an account to hosts that cannot reach its
+   * quota owner; half of it is available at once.
    */
-  outOfTouch: 0.5,
+  keeper: 0.4,
+  /**
+   * For all hosts together if they reach neither the quota owner nor the
+   * reserve keeper; half of it is available at once.
+   */
+  outOfTouch: 0.1,
 } as const;
 
 /** Purpose of a part of the tolerance. */
--- a/packages/gateway/src/lib/connection/quota_message.ts
+++ b/packages/gateway/src/lib/connection/quota_message.ts
@@ -29,6 +29,8 @@
    * would be recognized then.
    */
   maxWaitMs: COUNT.optional(),
+  /** Whether the host is asked as the reserve keeper of the account. */
+  reserve: z.boolean().optional(),
 });
 
 /** Reply to a quota request. */
--- a/packages/gateway/src/lib/process/account_quotas.ts
+++ b/packages/gateway/src/lib/process/account_quotas.ts
@@ -77,7 +77,8 @@
   private readonly owner: QuotaOwner;
   private readonly reserve: QuotaReserve;
   private readonly asker: QuotaAsker;
-  private readonly owners = new Map<string, QuotaHost>();
+  /** Quota owner and reserve keeper by account. */
+  private readonly ranked = new Map<string, readonly QuotaHost[]>();
   private hosts: readonly QuotaHost[] = [];
   private hostIds = '';
   private timer: Disposable | undefined;
@@ -124,7 +125,7 @@
         ? this.owner.take(account, quota, demand)
         : await this.requestOrReserve(owner, {account, quota, demand});
     this.countVerdict(verdict.kind);
-    return verdict.kind === 'granted' ? {...verdict, grantedAt} : verdict;
+    return verdict.kind === 'granted' ? {grantedAt, ...verdict} : verdict;
   }
 
   /**
@@ -170,26 +171,44 @@
       const {waitMs, reserved: isReserved = false} = answer;
       return {kind: 'over', waitMs, isReserved};
     }
-    return this.takeFromReserve(account, quota, demand);
+    return this.takeFromReserve({account, quota, demand});
   }
 
-  private takeFromReserve(
-    account: string,
-    quota: RequestQuota,
-    {maxWaitMs = UNCOUNTED_RETRY_DELAY_MS}: QuotaDemand,
-  ): QuotaVerdict {
-    const {clock, tolerance} = this.context;
-    const hosts = Math.max(1, this.hosts.length);
-    const view = {quota, tolerance: tolerance(), hosts};
-    const isGranted =
-      this.hosts.length > 0 && this.reserve.take(account, view, clock.now());
-    this.countVerdict(isGranted ? 'reserve' : 'no-reserve');
-    if (isGranted) return GRANTED;
+  private async takeFromReserve(wanted: AccountDemand): Promise<QuotaVerdict> {
+    const {maxWaitMs = UNCOUNTED_RETRY_DELAY_MS} = wanted.demand;
+    const grantedAt = this.context.clock.now();
+    const source = await this.reserveFor(wanted);
+    this.countVerdict(source ?? 'no-reserve');
+    if (source) return {kind: 'granted', grantedAt};
     // The owner may be reachable again by then.
     const waitMs = Math.min(maxWaitMs, UNCOUNTED_RETRY_DELAY_MS);
     return {kind: 'over', waitMs, isReserved: false};
   }
 
+  /** @returns Where the request was granted; undefined if nowhere. */
+  private async reserveFor({
+    account,
+    quota,
+    demand,
+  }: AccountDemand): Promise<'kept-reserve' | 'reserve' | undefined> {
+    const {clock, self, tolerance} = this.context;
+    const keeper = this.keeperOf(account);
+    if (keeper?.host === self.host)
+      return this.owner.takeReserve(account, quota)
+        ? 'kept-reserve'
+        : undefined;
+    const answer =
+      keeper && (await this.asker.ask(keeper, account, demand, true));
+    if (answer?.verdict === 'granted') return 'kept-reserve';
+    if (answer?.verdict === 'over' || this.hosts.length === 0) return undefined;
+    const hosts = this.hosts.length;
+    const part = 'outOfTouch';
+    const reserve = {quota, tolerance: tolerance(), part, hosts} as const;
+    return this.reserve.take(account, reserve, clock.now())
+      ? 'reserve'
+      : undefined;
+  }
+
   private handleRequest(request: QuotaRequest): void {
     const {host, askId, account} = request;
     const {self, quotaOf, send} = this.context;
@@ -198,11 +217,15 @@
     if (!to) return;
     const reply = (verdict: QuotaReply['verdict'], waitMs = 0, reserved = {}) =>
       send({kind: 'answer', askId, verdict, waitMs, ...reserved}, to);
-    if (this.ownerOf(account)?.host !== self.host) return reply('elsewhere');
+    const isReserve = request.reserve ?? false;
+    const counts = isReserve ? this.keeperOf(account) : this.ownerOf(account);
+    if (counts?.host !== self.host) return reply('elsewhere');
     const quota = quotaOf(account);
     // The configuration of the two hosts differs, and this one has no limit for
     // the account.
     if (!quota) return reply('granted');
+    if (isReserve)
+      return reply(this.owner.takeReserve(account, quota) ? 'granted' : 'over');
     const verdict = this.owner.take(account, quota, request);
     if (verdict.kind === 'granted') return reply('granted');
     const {waitMs, isReserved} = verdict;
@@ -210,13 +233,22 @@
   }
 
   private ownerOf(account: string): QuotaHost | undefined {
-    const known = this.owners.get(account);
+    return this.rankedFor(account)[0];
+  }
+
+  private keeperOf(account: string): QuotaHost | undefined {
+    return this.rankedFor(account)[1];
+  }
+
+  private rankedFor(account: string): readonly QuotaHost[] {
+    const known = this.ranked.get(account);
     if (known) return known;
     const names = this.hosts.map(({host}) => host);
-    const [first] = rendezvous(account, names);
-    const owner = this.hosts.find(({host}) => host === first);
-    if (owner) this.owners.set(account, owner);
-    return owner;
+    const ranked = rendezvous(account, names)
+      .slice(0, 2)
+      .map(name => this.hosts.find(({host}) => host === name)!);
+    this.ranked.set(account, ranked);
+    return ranked;
   }
 
   private refresh(): void {
@@ -228,7 +260,7 @@
     if (ids !== this.hostIds) {
       this.hostIds = ids;
       this.hosts = hosts;
-      this.owners.clear();
+      this.ranked.clear();
     }
     const {self} = this.context;
     this.owner.check(
--- a/packages/gateway/src/lib/process/ownership_history.ts
+++ b/packages/gateway/src/lib/process/ownership_history.ts
@@ -51,14 +51,16 @@
   }
 
   /**
-   * @param account - Account that this host owns by the latest list.
-   * @returns The time since which it has owned it, on a monotonic clock in
-   *     milliseconds.
+   * @param account - Name of an account.
+   * @param rank - Number of hosts that are considered: 1 for the quota owner, 2
+   *     to include the reserve keeper.
+   * @returns The time since which this host has been among them, on a monotonic
+   *     clock in milliseconds; infinite if it is not.
    */
-  ownedSince(account: string): number {
-    let since = this.lists[0]?.adoptedAt ?? Infinity;
+  heldSince(account: string, rank: 1 | 2): number {
+    let since = Infinity;
     for (const {names, adoptedAt} of this.lists) {
-      if (!ranksWithin(1, account, this.self, names)) break;
+      if (!ranksWithin(rank, account, this.self, names)) break;
       since = adoptedAt;
     }
     return since;
--- a/packages/gateway/src/lib/process/quota_asker.ts
+++ b/packages/gateway/src/lib/process/quota_asker.ts
@@ -20,8 +20,9 @@
  * Number of times that a quota request is sent, because datagrams may be lost.
  */
 const MAX_SENDS = 3;
-/** How long an unresponsive owner gets no requests, in milliseconds. */
+/** How long an unresponsive host gets no requests, in milliseconds. */
 const UNRESPONSIVE_PAUSE_MS = 500;
+
 type AnswerHandler = (answer: QuotaReply | undefined) => void;
 
 /** Sends quota requests of one host. */
@@ -46,38 +47,41 @@
   }
 
   /**
-   * @param owner - The host to ask.
+   * @param to - The host to ask.
    * @param account - Name of the account.
    * @param demand - The request.
+   * @param reserve - Whether it is asked as the reserve keeper.
    * @returns The reply; undefined if the host does not reply, or has not
    *     replied a short time ago. Never rejects.
    */
   async ask(
-    owner: QuotaHost,
+    to: QuotaHost,
     account: string,
     {returning, maxWaitMs}: QuotaDemand,
+    reserve = false,
   ): Promise<QuotaReply | undefined> {
     const {clock, send} = this.context;
-    if ((this.pausedUntil.get(owner.host) ?? 0) > clock.now()) return undefined;
+    if ((this.pausedUntil.get(to.host) ?? 0) > clock.now()) return undefined;
     const request = {
       kind: 'ask',
       host: this.self,
       account,
+      ...(reserve && {reserve}),
       ...(returning && {returning}),
       ...(maxWaitMs !== undefined && {maxWaitMs: Math.floor(maxWaitMs)}),
     } as const;
     for (let i = 0; i < MAX_SENDS; i++) {
       const askId = ++this.askId;
       const answered = this.awaitAnswer(askId);
-      send({...request, askId}, owner);
+      send({...request, askId}, to);
       const answer = await answered;
       if (answer) return answer;
     }
-    this.pauseOwner(owner);
+    this.pauseHost(to);
     return undefined;
   }
 
-  private pauseOwner({host}: QuotaHost): void {
+  private pauseHost({host}: QuotaHost): void {
     const {clock, log} = this.context;
     const until = clock.now() + UNRESPONSIVE_PAUSE_MS;
     if ((this.pausedUntil.get(host) ?? 0) <= clock.now())
--- a/packages/gateway/src/lib/process/quota_owner.ts
+++ b/packages/gateway/src/lib/process/quota_owner.ts
@@ -4,6 +4,7 @@
  */
 import {
   QuotaEnforcer,
+  QuotaReserve,
   sleep,
   type Clock,
   type Counters,
@@ -13,6 +14,7 @@
   type QuotaNeed,
   type QuotaTolerance,
   type QuotaVerdict,
+  type Random,
   type RequestQuota,
 } from '@oathead/core';
 import type {AheadRecord} from './ahead_record.js';
@@ -21,6 +23,7 @@
 /** Dependencies of a {@link QuotaOwner}. */
 export interface QuotaOwnerContext {
   readonly clock: Clock;
+  readonly random: Random;
   readonly log: EventLog;
   readonly counters: Counters;
   readonly tolerance: () => QuotaTolerance;
@@ -51,6 +54,7 @@
 /** Counts the accounts that this host owns. */
 export class QuotaOwner {
   private readonly enforcer: QuotaEnforcer;
+  private readonly keptReserve: QuotaReserve;
   private readonly history: OwnershipHistory;
   private hostCount = 1;
   private checkedAt: readonly [number, number];
@@ -65,11 +69,12 @@
     self: string,
     private readonly context: QuotaOwnerContext,
   ) {
-    const {clock, tolerance} = context;
+    const {clock, random, tolerance} = context;
+    this.keptReserve = new QuotaReserve(random);
     this.history = new OwnershipHistory(self);
     this.enforcer = new QuotaEnforcer({
       tolerance,
-      since: account => this.history.ownedSince(account),
+      since: account => this.history.heldSince(account, 1),
     });
     this.checkedAt = [clock.now(), clock.wallTime()];
   }
@@ -109,6 +114,25 @@
     return verdict;
   }
 
+  /**
+   * Consumes one request of the reserve of an account whose quota owner another
+   * host does not reach. A keeper of less than a window grants nothing: the one
+   * before may have used up the reserve.
+   *
+   * @param account - Name of the account.
+   * @param quota - Its quota.
+   * @returns Whether the request may run.
+   */
+  takeReserve(account: string, quota: RequestQuota): boolean {
+    this.checkSuspension();
+    const now = this.context.clock.now();
+    const tolerance = this.context.tolerance();
+    const keptMs = now - this.history.heldSince(account, 2);
+    if (keptMs < tolerance.windowMs) return false;
+    const reserve = {quota, tolerance, part: 'keeper', hosts: 1} as const;
+    return this.keptReserve.take(account, reserve, now);
+  }
+
   /**
    * Refunds a request that did not run.
    *
--- a/packages/gateway/src/test/experiments/quota_strategies.ts
+++ b/packages/gateway/src/test/experiments/quota_strategies.ts
@@ -100,7 +100,7 @@
     take: (host, account, at, counted) =>
       reserves[host]!.take(
         account,
-        {quota: QUOTAS[account]!, tolerance, hosts},
+        {quota: QUOTAS[account]!, tolerance, part: 'outOfTouch', hosts},
         at,
       ) || counted(),
     tick: () => 0,
--- a/packages/gateway/src/test/process/account_quotas_test.ts
+++ b/packages/gateway/src/test/process/account_quotas_test.ts
@@ -260,3 +260,32 @@
   t.true(most >= LARGE.perSecond * 5, `${most}`);
   t.is(fleet.refusedShare('calm'), 0);
 });
+
+// Each host's part of the reserve is less than a request; most requests of small
+// accounts would be refused while the host that counts them stands still.
+test('an account within its quota is served while its owner stands still', async t => {
+  const accounts = [...Array(12).keys()].map(i => `small${i}`);
+  const frozen = accounts.slice(0, 3).map(name => ownerOf(name, 39));
+  const fleet = await QuotaFleetSimulator.run({
+    hosts: 39,
+    quotas: Object.fromEntries(accounts.map(name => [name, SMALL])),
+    tolerance: TOLERANCE,
+    perSecond: (account, at) => (at < 2500 ? 0 : SMALL.perSecond * CALM),
+    deadlineMs: 5000,
+    onTick: (fleet, at) => {
+      if (at === 8000) frozen.forEach(host => fleet.freeze(host));
+      if (at === 11_500) frozen.forEach(host => fleet.wake(host));
+    },
+    lengthMs: 16_000,
+  });
+  const refused = fleet.requests.filter(
+    ({granted, host, at, account}) =>
+      !granted &&
+      !frozen.includes(host) &&
+      at > 8000 &&
+      frozen.includes(ownerOf(account, 39)),
+  );
+  const lost = refused.filter(({isRefusedForGood}) => isRefusedForGood);
+  t.is(lost.length, 0);
+  t.true(refused.length < 20, `${refused.length}`);
+});
--- a/packages/gateway/src/test/process/quota_owner_test.ts
+++ b/packages/gateway/src/test/process/quota_owner_test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {NO_COUNTERS, NO_EVENT_LOG} from '@oathead/core';
+import {NO_COUNTERS, NO_EVENT_LOG, seededRandom} from '@oathead/core';
 import {QuotaOwner} from '../../lib/process/quota_owner.js';
 import {FakeClock} from '../fakes/fake_clock.js';
 
@@ -11,6 +11,7 @@
 function ownerAt(clock: FakeClock): QuotaOwner {
   const owner = new QuotaOwner(SELF, {
     clock,
+    random: seededRandom(1),
     log: NO_EVENT_LOG,
     counters: NO_COUNTERS,
     tolerance: () => TOLERANCE,
