A host takes over accounts of a lost host without a pause

Cause: a new quota owner waits a second before it takes up the even pace, as the hosts learn of a change at different times. If the owner before is not in the list any more, it has been silent for longer than that.

Change: the history of host lists tells whether the owner before is lost.

--- a/packages/gateway/src/lib/process/ownership_history.ts
+++ b/packages/gateway/src/lib/process/ownership_history.ts
@@ -5,7 +5,7 @@
  * Guards against an owner that takes itself for new, and refuses requests, each
  * time another host joins or leaves.
  */
-import {ranksWithin} from '@oathead/core';
+import {OWNER_CHANGE_MARGIN_MS, ranksWithin, rendezvous} from '@oathead/core';
 
 interface HostList {
   readonly names: readonly string[];
@@ -58,11 +58,31 @@
    *     clock in milliseconds; infinite if it is not.
    */
   heldSince(account: string, rank: 1 | 2): number {
-    let since = Infinity;
-    for (const {names, adoptedAt} of this.lists) {
-      if (!ranksWithin(rank, account, this.self, names)) break;
-      since = adoptedAt;
+    return this.oldestHeld(account, rank)?.adoptedAt ?? Infinity;
+  }
+
+  /**
+   * @param account - Account that this host owns by the latest list.
+   * @returns The time since which this host has been the only owner, on a
+   *     monotonic clock in milliseconds, infinite if it is not. If the owner
+   *     before is not in the list any more, it has been silent for long, and
+   *     the hosts need no time to learn of the change.
+   */
+  ownedSince(account: string): number {
+    const oldest = this.oldestHeld(account, 1);
+    if (!oldest) return Infinity;
+    const before = this.lists[this.lists.indexOf(oldest) + 1];
+    const [previous] = before ? rendezvous(account, before.names) : [];
+    const isLost = previous !== undefined && !oldest.names.includes(previous);
+    return oldest.adoptedAt - (isLost ? OWNER_CHANGE_MARGIN_MS : 0);
+  }
+
+  private oldestHeld(account: string, rank: 1 | 2): HostList | undefined {
+    let oldest: HostList | undefined;
+    for (const list of this.lists) {
+      if (!ranksWithin(rank, account, this.self, list.names)) break;
+      oldest = list;
     }
-    return since;
+    return oldest;
   }
 }
--- a/packages/gateway/src/lib/process/quota_owner.ts
+++ b/packages/gateway/src/lib/process/quota_owner.ts
@@ -74,7 +74,7 @@
     this.history = new OwnershipHistory(self);
     this.enforcer = new QuotaEnforcer({
       tolerance,
-      since: account => this.history.heldSince(account, 1),
+      since: account => this.history.ownedSince(account),
     });
     this.checkedAt = [clock.now(), clock.wallTime()];
   }
