One order of return, kept by the coordinator

Cause: each host guessed the returns that others schedule by their number, and a caller that returned competed with requests that came after it.

Change: with its last placement request a host states how long the caller waits. The coordinator keeps the room promised for each interval of 100 ms, at most half of the slots that become free, less for lower priorities and for accounts over their share. The reply carries the time. Requests that come for the first time, and late ones, do not get room that is promised and due; a promise that is not taken lapses after 100 ms. Without a coordinator the hosts guess as before.

--- a/packages/core/src/lib/request/queue_limits.ts
+++ b/packages/core/src/lib/request/queue_limits.ts
@@ -31,6 +31,12 @@
    * It gets only slots that requests in time do not need.
    */
   readonly late?: boolean | undefined;
+  /**
+   * Longest retry delay that the caller accepts, in milliseconds. Set only if
+   * the request is refused now unless it gets a target, and its caller may
+   * return.
+   */
+  readonly returnWithinMs?: number | undefined;
 }
 
 /**
--- a/packages/core/src/test/fakes/burst_fleet.ts
+++ b/packages/core/src/test/fakes/burst_fleet.ts
@@ -43,6 +43,8 @@
    * Whether starts of other hosts are known at once, as a coordinator does.
    */
   readonly coordinated?: boolean;
+  /** How unevenly callers are spread over the hosts; 1 is evenly. */
+  readonly hostSkew?: number;
 }
 
 /** Policy under test; each host has its own instance. */
@@ -55,6 +57,10 @@
   returnAfterMs(now: number, maxDelayMs: number, runMs?: number): number;
   /** Whether callers that came back wait for a slot that nobody needs. */
   readonly waitsLate?: boolean;
+  /** Promised returns that have not come; their room is kept from others. */
+  due?(now: number): number;
+  /** Called when a caller that came back got a slot. */
+  take?(now: number): void;
 }
 
 /** Number of requests by outcome. */
@@ -123,6 +129,8 @@
   const lastRefusals = policies.map(() => -Infinity);
   const nextLateStart = policies.map(() => 0);
 
+  const pickHost = (source: Random) =>
+    Math.floor(source.float() ** (load.hostSkew ?? 1) * load.hosts);
   const demandOf = ({returning}: Caller): WaitDemand => ({
     goalMs: load.goalMs,
     priority: 0,
@@ -139,6 +147,13 @@
     );
     const lowestScore = Math.min(...scores);
     if (Math.floor(lowestScore) >= capacity) return false;
+    const due = policies[caller.host]!.due?.(now) ?? 0;
+    if (due > 0 && (late || !caller.returning)) {
+      const rooms = scores.map(score => capacity - Math.floor(score));
+      const room = rooms.reduce((sum, one) => sum + Math.max(0, one), 0);
+      if (room <= due) return false;
+    }
+    if (caller.returning) policies[caller.host]!.take?.(now);
     const runs = running[scores.indexOf(lowestScore)]!;
     const runMs = load.runMs * (1 + RUN_SPREAD * (2 * random.float() - 1));
     const ends = runs
@@ -205,7 +220,7 @@
       leftMs * MAX_RETRY_DELAY_FRACTION,
       runMs,
     );
-    const host = random.int(load.hosts);
+    const host = pickHost(random);
     returning.push({
       ...caller,
       returning: true,
@@ -231,7 +246,7 @@
     for (let expected = (rate * STEP_MS) / 1000; expected > 0; expected--) {
       if (arrivals.float() >= expected) continue;
       outcome.requests++;
-      const host = arrivals.int(load.hosts);
+      const host = pickHost(arrivals);
       waiting.push({arrivedAt: now, returning: false, attemptedAt: now, host});
     }
     waiting.push(...returning.filter(({attemptedAt}) => attemptedAt <= now));
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -31,6 +31,7 @@
 export * from './lib/process/membership.js';
 export * from './lib/process/placement.js';
 export * from './lib/process/readiness_server.js';
+export * from './lib/process/return_promises.js';
 export * from './lib/process/service_health.js';
 export * from './lib/process/service_overload.js';
 export * from './lib/process/target_chooser.js';
--- a/packages/gateway/src/lib/connection/load_exchange.ts
+++ b/packages/gateway/src/lib/connection/load_exchange.ts
@@ -66,6 +66,11 @@
     return this.reporter.coordinator;
   }
 
+  /** Whether this host is the coordinator of its data centre. */
+  get isCoordinator(): boolean {
+    return this.reporter.isCoordinator;
+  }
+
   /**
    * @param dataCentre - Name of another data centre.
    * @returns Its coordinator; undefined if there is none.
--- a/packages/gateway/src/lib/connection/placement_message.ts
+++ b/packages/gateway/src/lib/connection/placement_message.ts
@@ -27,6 +27,8 @@
       account: z.string().optional(),
       /** Set only for requests past their latency objective. */
       late: z.boolean().optional(),
+      /** Set only for requests that are refused without a target. */
+      returnWithinMs: z.number().nonnegative().optional(),
     }),
     /**
      * Whether the target must be in the data centre of the host that receives
--- a/packages/gateway/src/lib/process/coordinator.ts
+++ b/packages/gateway/src/lib/process/coordinator.ts
@@ -10,6 +10,7 @@
  * host receives, and the hosts that send the placed requests report them as
  * part of their load.
  */
+import type {WaitDemand} from '@oathead/core';
 import type {Target} from '../connection/target.js';
 import {targetKey} from '../connection/load_message.js';
 import type {
@@ -19,6 +20,7 @@
 import {AvoidedTargets} from './avoided_targets.js';
 import type {LoadTable} from './load_table.js';
 import {placementOutcome, type PlacementOutcome} from './placement_outcome.js';
+import type {ReturnPromises} from './return_promises.js';
 import type {ServiceOverload} from './service_overload.js';
 import type {TargetChooser} from './target_chooser.js';
 
@@ -46,7 +48,11 @@
   readonly dataCentre: string;
   readonly chooser: TargetChooser;
   readonly loads: LoadTable;
-  readonly overload: ServiceOverload;
+  readonly overload: Pick<ServiceOverload, 'isFull' | 'recordFull'>;
+  readonly promises: Pick<
+    ReturnPromises,
+    'isPromisedToOthers' | 'promise' | 'recordPlaced'
+  >;
   /** Returns the monotonic time, in milliseconds. */
   readonly now: () => number;
 }
@@ -82,12 +88,11 @@
     const target =
       this.choose(service, wish, avoided) ??
       this.choose(service, wish, new Set(mustNot));
-    const outcome = placementOutcome(target);
-    if (!target) {
-      if (wish.lane === 'online' && !wish.demand.late)
-        this.context.overload.recordFull(service);
-      return {outcome, itemsToPreempt: NO_ITEMS};
-    }
+    const outcome =
+      wish.lane === 'online' && !wish.near
+        ? this.outcomeOf(service, wish.demand, target)
+        : placementOutcome(target);
+    if (!target) return {outcome, itemsToPreempt: NO_ITEMS};
     const key = targetKey(target.id);
     const {loads, dataCentre: own} = this.context;
     if (dataCentre === own) loads.addPendingChange(host, key, wish.lane, 1);
@@ -97,19 +102,53 @@
     return {outcome, itemsToPreempt};
   }
 
+  /**
+   * Selects a target for an online request of this host.
+   *
+   * @param service - Service that the target must provide.
+   * @param demand - The request.
+   * @param tried - IDs of targets that were tried already.
+   * @returns The selected target, or why there is none.
+   */
+  placeOwn(
+    service: string,
+    demand: WaitDemand,
+    tried: ReadonlySet<string>,
+  ): PlacementOutcome {
+    const wish = {lane: 'online', demand, near: false} as const;
+    const target = this.choose(service, wish, tried);
+    return this.outcomeOf(service, demand, target);
+  }
+
+  private outcomeOf(
+    service: string,
+    demand: WaitDemand,
+    target: Target | undefined,
+  ): PlacementOutcome {
+    const {overload, promises} = this.context;
+    if (target) {
+      promises.recordPlaced(service, demand);
+      return {kind: 'placed', target};
+    }
+    if (!demand.late) overload.recordFull(service);
+    const retryAfterMs = promises.promise(service, demand, 'room');
+    return {kind: 'full', cause: 'room', retryAfterMs};
+  }
+
   private choose(
     service: string,
     wish: PlacementCriteria,
     excluded: ReadonlySet<string>,
   ): Target | undefined {
-    const {chooser, overload} = this.context;
+    const {chooser, overload, promises} = this.context;
     if (wish.lane === 'batch')
       return chooser.forCoordinatedItem(service, wish.pressure, excluded);
     const {demand} = wish;
     if (demand.late && overload.isFull(service, demand.goalMs))
       return undefined;
-    return wish.near
-      ? chooser.forLocalRequest(service, demand, excluded)
+    if (wish.near) return chooser.forLocalRequest(service, demand, excluded);
+    return promises.isPromisedToOthers(service, demand, excluded)
+      ? undefined
       : chooser.forRequest(service, demand, excluded);
   }
 
--- a/packages/gateway/src/lib/process/load_reporter.ts
+++ b/packages/gateway/src/lib/process/load_reporter.ts
@@ -170,6 +170,12 @@
     return this.isRelayed ? this.elections.get(dataCentre)?.peer : undefined;
   }
 
+  /** Whether this host places the requests of its data centre. */
+  get isCoordinator(): boolean {
+    const elected = this.elections.get(this.context.self.dataCentre);
+    return !!this.isRelayed && !!elected && !elected.peer;
+  }
+
   /**
    * @param dataCentre - Another data centre.
    * @returns The host that places requests there; undefined if there is none or
--- a/packages/gateway/src/lib/process/placement.ts
+++ b/packages/gateway/src/lib/process/placement.ts
@@ -127,13 +127,11 @@
     demand: WaitDemand,
     tried: ReadonlySet<string>,
   ): Promise<PlacementOutcome> {
-    const {chooser} = this.context;
-    const own = chooser.forRequest(service, demand, tried);
+    const {chooser, localCoordinator} = this.context;
     const coordinator = this.coordinator();
-    if (
-      !coordinator ||
-      (own && chooser.isLoadBelow(own, LOCAL_VIEW_LOAD_SHARE))
-    )
+    if (!coordinator) return localCoordinator.placeOwn(service, demand, tried);
+    const own = chooser.forRequest(service, demand, tried);
+    if (own && chooser.isLoadBelow(own, LOCAL_VIEW_LOAD_SHARE))
       return placementOutcome(own);
     const criteria = {lane: 'online', demand, near: false} as const;
     const answer = await this.requestPlacement(
--- a/packages/gateway/src/lib/request/online_request.ts
+++ b/packages/gateway/src/lib/request/online_request.ts
@@ -314,14 +314,14 @@
       return this.finish(reason, head.status);
     }
     const {service} = this;
-    this.report.givenUp(service, reason, this.context.chooser.view(service));
     const status = failureStatus(reason, this.runs);
-    if (this.runs === 0) this.quota.refund();
     const retry =
-      status === STATUS_UNAVAILABLE
-        ? this.context.protocol.retryAfter(this.search.retryDelayMs())
-        : {};
-    this.writer.sendFailure(status, retry);
+      status === STATUS_UNAVAILABLE ? this.search.retry() : undefined;
+    const view = this.context.chooser.view(service);
+    this.report.givenUp(service, reason, view, retry);
+    if (this.runs === 0) this.quota.refund();
+    const headers = retry && this.context.protocol.retryAfter(retry.delayMs);
+    this.writer.sendFailure(status, headers ?? {});
     return this.finish(reason, status);
   }
 
--- a/packages/gateway/src/lib/request/request_report.ts
+++ b/packages/gateway/src/lib/request/request_report.ts
@@ -7,6 +7,7 @@
 import type {Route} from '../version/routing_table.js';
 import {RequestTrace} from './request_trace.js';
 import type {Headers, RequestMetadata} from './target_protocol.js';
+import type {RetryAdvice} from './target_search.js';
 
 /** Destinations of the reports. */
 export interface ReportContext {
@@ -116,11 +117,23 @@
    * @param service - The service whose targets were considered.
    * @param reason - Why there is no response.
    * @param view - State of the targets that the choice was based on.
+   * @param retry - When the caller should retry; undefined if it should not.
    */
-  givenUp(service: string, reason: string, view: ChoiceView): void {
-    const request = this.metadata.requestId;
-    const fields = {request, service, reason, ...view};
-    this.context.log.event('request-given-up', fields);
+  givenUp(
+    service: string,
+    reason: string,
+    view: ChoiceView,
+    retry: RetryAdvice | undefined,
+  ): void {
+    this.context.log.event('request-given-up', {
+      request: this.metadata.requestId,
+      service,
+      reason,
+      ...view,
+      cause: retry?.cause,
+      retryAfterMs: retry && Math.round(retry.delayMs),
+      promised: retry?.isPromised,
+    });
   }
 
   /**
--- a/packages/gateway/src/lib/request/target_search.ts
+++ b/packages/gateway/src/lib/request/target_search.ts
@@ -12,7 +12,8 @@
 import type {Target} from '../connection/target.js';
 import type {LateQueue, LateWait} from '../process/late_queue.js';
 import type {RequestPlacement} from '../process/placement.js';
-import type {NotPlaced} from '../process/placement_outcome.js';
+import type {FullCause} from '../connection/placement_message.js';
+import {NO_ROOM, type NotPlaced} from '../process/placement_outcome.js';
 import type {ServiceOverload} from '../process/service_overload.js';
 import type {TargetChooser} from '../process/target_chooser.js';
 import type {TargetProtocol} from './target_protocol.js';
@@ -24,7 +25,7 @@
   readonly placement: RequestPlacement;
   readonly overload: Pick<ServiceOverload, 'returnAfterMs' | 'recordFull'>;
   readonly protocol: Pick<TargetProtocol, 'maxRetryAfterMs'>;
-  readonly lateQueue: Pick<LateQueue, 'wait'>;
+  readonly lateQueue: Pick<LateQueue, 'wait' | 'isEnabled'>;
 }
 
 /** The request that needs a target. */
@@ -38,6 +39,14 @@
   readonly deadlineAt: number;
 }
 
+/** When the caller of a refused request should retry. */
+export interface RetryAdvice {
+  readonly delayMs: number;
+  /** Whether the coordinator has promised room at that time. */
+  readonly isPromised: boolean;
+  readonly cause: FullCause;
+}
+
 /**
  * Interval at which a waiting request looks for a free target, in milliseconds.
  */
@@ -85,15 +94,15 @@
     this.lateWait?.leave();
   }
 
-  /** @returns When the caller of this request should retry, in milliseconds. */
-  retryDelayMs(): number {
-    const {protocol, overload, clock} = this.context;
-    const {service, deadlineAt} = this.request;
-    const maxDelayMs = protocol.maxRetryAfterMs(deadlineAt - clock.now());
-    const scheduledMs = this.notPlaced?.retryAfterMs;
-    return scheduledMs === undefined
-      ? overload.returnAfterMs(service, maxDelayMs)
-      : Math.min(scheduledMs, maxDelayMs);
+  /** @returns When the caller of this request should retry, and why. */
+  retry(): RetryAdvice {
+    const maxDelayMs = this.maxRetryDelayMs();
+    const {cause, retryAfterMs: promisedMs} = this.notPlaced ?? NO_ROOM;
+    const isPromised = promisedMs !== undefined;
+    const delayMs = isPromised
+      ? Math.min(promisedMs, maxDelayMs)
+      : this.context.overload.returnAfterMs(this.request.service, maxDelayMs);
+    return {delayMs, isPromised, cause};
   }
 
   private async findInTime(hasRun: boolean): Promise<Target | undefined> {
@@ -106,14 +115,35 @@
       ? clock.now() + RETRY_WAIT_MS
       : startedAt + maxQueueWaitMs(demand);
     for (;;) {
-      const outcome = await placement.forRequest(service, demand, this.tried);
+      const isLast = clock.now() >= until;
+      const asked = isLast && !hasRun ? this.withReturn() : demand;
+      const outcome = await placement.forRequest(service, asked, this.tried);
       if (outcome.kind === 'placed') return outcome.target;
       this.notPlaced = outcome;
-      if (this.isStopped || clock.now() >= until) return undefined;
+      if (this.isStopped || isLast) return undefined;
+      if (clock.now() >= until && !this.mayReturn) return undefined;
       await sleep(clock, POLL_INTERVAL_MS);
     }
   }
 
+  /** Whether the caller can be promised room for a return. */
+  private get mayReturn(): boolean {
+    return !this.request.demand.returning && this.context.lateQueue.isEnabled;
+  }
+
+  /** @returns The demand, with what a promise of room needs to know. */
+  private withReturn(): WaitDemand {
+    const {demand} = this.request;
+    if (!this.mayReturn) return demand;
+    return {...demand, returnWithinMs: this.maxRetryDelayMs()};
+  }
+
+  private maxRetryDelayMs(): number {
+    const {protocol, clock} = this.context;
+    const leftMs = this.request.deadlineAt - clock.now();
+    return Math.max(0, protocol.maxRetryAfterMs(leftMs));
+  }
+
   private async findLate(): Promise<Target | undefined> {
     const {tried, request} = this;
     this.lateWait = this.context.lateQueue.wait({...request, tried});
--- a/packages/gateway/src/test/fakes/fleet_simulator.ts
+++ b/packages/gateway/src/test/fakes/fleet_simulator.ts
@@ -31,6 +31,7 @@
   type LoadReportOptions,
 } from '../../lib/process/load_reporter.js';
 import {Placement} from '../../lib/process/placement.js';
+import {ReturnPromises} from '../../lib/process/return_promises.js';
 import {ServiceHealth} from '../../lib/process/service_health.js';
 import {ServiceOverload} from '../../lib/process/service_overload.js';
 import {
@@ -268,6 +269,16 @@
         chooser,
         loads,
         overload,
+        promises: new ReturnPromises({
+          clock,
+          random,
+          counters: NO_COUNTERS,
+          loads,
+          directory,
+          overload,
+          hostShare: () => 1 / this.load.dataCentres,
+          isCoordinator: () => reporter.isCoordinator,
+        }),
         now,
       }),
       coordinator: () =>
--- a/packages/gateway/src/test/process/placement_test.ts
+++ b/packages/gateway/src/test/process/placement_test.ts
@@ -9,6 +9,7 @@
 import type {Target} from '../../lib/connection/target.js';
 import {Placement} from '../../lib/process/placement.js';
 import type {PlacementOutcome} from '../../lib/process/placement_outcome.js';
+import {ReturnPromises} from '../../lib/process/return_promises.js';
 import {ServiceHealth} from '../../lib/process/service_health.js';
 import {ServiceOverload} from '../../lib/process/service_overload.js';
 import {TargetChooser} from '../../lib/process/target_chooser.js';
@@ -60,6 +61,16 @@
       chooser,
       loads,
       overload,
+      promises: new ReturnPromises({
+        clock,
+        random,
+        counters: NO_COUNTERS,
+        loads,
+        directory,
+        overload,
+        hostShare: () => 1,
+        isCoordinator: () => id === COORDINATOR.id,
+      }),
       now: () => clock.now(),
     }),
     coordinator: () => (id === COORDINATOR.id ? undefined : COORDINATOR),
--- a/packages/serving/src/lib/process/serving_components.ts
+++ b/packages/serving/src/lib/process/serving_components.ts
@@ -21,6 +21,7 @@
   Membership,
   createPlacement,
   createAccountQuotas,
+  ReturnPromises,
   RoutingState,
   ServiceHealth,
   ServiceOverload,
@@ -134,11 +135,18 @@
     {platform, context, disposables},
     {directory, loads, preferredTargets, overload, crashSuspects},
   );
+  const promises = new ReturnPromises({
+    ...requestContext,
+    hostShare: () => hostShare(membership.live(), self.dataCentre),
+    isCoordinator: () =>
+      platform.options.coordinators === 'auto' && exchange.isCoordinator,
+  });
   const placement = createPlacement(socket, {
     ...requestContext,
     self,
     localCoordinator: new Coordinator({
       ...requestContext,
+      promises,
       self: self.id,
       dataCentre: self.dataCentre,
       now: () => clock.now(),
@@ -279,6 +287,12 @@
   };
 }
 
+/** @returns Part of the hosts that is in a data centre, from 0 to 1. */
+function hostShare(hosts: readonly Member[], dataCentre: string): number {
+  const own = hosts.filter(host => host.dataCentre === dataCentre).length;
+  return own / Math.max(1, hosts.length);
+}
+
 function waitsLate(
   {options}: ServingPlatform,
   {hasAccounts}: CallerAdmission,
