Join the order of return

A request over the share of its account is refused after one more question to the coordinator, which promises it a time to return, after those that there was no room for. The log line of a refusal names cause, share, use and promise.

--- a/packages/core/src/lib/request/queue_limits.ts
+++ b/packages/core/src/lib/request/queue_limits.ts
@@ -41,6 +41,12 @@
    * its share.
    */
   readonly mustNotQueue?: boolean;
+  /**
+   * Longest retry delay that the caller accepts, in milliseconds. Set only if
+   * the request is refused now unless it gets a target, and its caller may
+   * return.
+   */
+  readonly returnWithinMs?: number | undefined;
 }
 
 /**
--- a/packages/gateway/src/lib/connection/placement_message.ts
+++ b/packages/gateway/src/lib/connection/placement_message.ts
@@ -29,6 +29,8 @@
       late: z.boolean().optional(),
       /** Absent in requests of hosts with an older release. */
       isRepeated: z.boolean().optional(),
+      /** Set only for requests that are refused without a target. */
+      returnWithinMs: z.number().nonnegative().optional(),
     }),
     /**
      * Whether the target must be in the data centre of the host that receives
--- a/packages/gateway/src/lib/process/coordinator.ts
+++ b/packages/gateway/src/lib/process/coordinator.ts
@@ -20,6 +20,7 @@
 import {AvoidedTargets} from './avoided_targets.js';
 import type {LoadTable} from './load_table.js';
 import {placementOutcome, type PlacementOutcome} from './placement_outcome.js';
+import type {ReturnPromises} from './return_promises.js';
 import type {ServiceOverload} from './service_overload.js';
 import type {
   ShareAdmission,
@@ -52,9 +53,13 @@
   readonly dataCentre: string;
   readonly chooser: TargetChooser;
   readonly loads: LoadTable;
-  readonly overload: ServiceOverload;
+  readonly overload: Pick<ServiceOverload, 'isFull' | 'recordNotPlaced'>;
   /** Shares of the client accounts; undefined to place without them. */
   readonly shares?: ShareAdmission | undefined;
+  readonly promises: Pick<
+    ReturnPromises,
+    'isPromisedToOthers' | 'promise' | 'recordPlaced'
+  >;
   /** Returns the monotonic time, in milliseconds. */
   readonly now: () => number;
 }
@@ -93,11 +98,7 @@
   ): PlacementDecision {
     this.avoided.report(host, excluded);
     const outcome = this.search(service, wish, excluded);
-    if (outcome.kind === 'full') {
-      if (wish.lane === 'online' && !wish.demand.late)
-        this.context.overload.recordNotPlaced(service, outcome);
-      return {outcome, itemsToPreempt: NO_ITEMS};
-    }
+    if (outcome.kind === 'full') return {outcome, itemsToPreempt: NO_ITEMS};
     const {target} = outcome;
     const key = targetKey(target.id);
     const {loads, dataCentre: own} = this.context;
@@ -125,7 +126,7 @@
     const search: TargetSearch = (searched, without) =>
       this.chooseOnline(service, searched, near, without);
     const request = {service, demand, excluded: tried, isSubstitute};
-    return this.placeOnline(request, search);
+    return this.placeOnline(request, near, search);
   }
 
   private search(
@@ -151,16 +152,36 @@
       );
     const without = new Set(excluded);
     const request = {service, demand, excluded: without, isSubstitute: false};
-    return this.placeOnline(request, search);
+    return this.placeOnline(request, near, search);
   }
 
   private placeOnline(
     request: ShareRequest,
+    near: boolean,
     search: TargetSearch,
   ): PlacementOutcome {
     const {shares} = this.context;
-    if (shares) return shares.place(request, search);
-    return placementOutcome(search(request.demand, request.excluded));
+    const {service, demand, excluded} = request;
+    const outcome = shares
+      ? shares.place(request, search)
+      : placementOutcome(search(demand, excluded));
+    return near ? outcome : this.withReturn(service, demand, outcome);
+  }
+
+  /** Records what the outcome says of the room, and promises a return. */
+  private withReturn(
+    service: string,
+    demand: WaitDemand,
+    outcome: PlacementOutcome,
+  ): PlacementOutcome {
+    const {overload, promises} = this.context;
+    if (outcome.kind === 'placed') {
+      promises.recordPlaced(service, demand);
+      return outcome;
+    }
+    if (!demand.late) overload.recordNotPlaced(service, outcome);
+    const retryAfterMs = promises.promise(service, demand, outcome.cause);
+    return {...outcome, retryAfterMs};
   }
 
   private preferNotAvoided(
@@ -177,11 +198,12 @@
     near: boolean,
     excluded: ReadonlySet<string>,
   ): Target | undefined {
-    const {chooser, overload} = this.context;
+    const {chooser, overload, promises} = this.context;
     if (demand.late && overload.isFull(service, demand.goalMs))
       return undefined;
-    return near
-      ? chooser.forLocalRequest(service, demand, excluded)
+    if (near) return chooser.forLocalRequest(service, demand, excluded);
+    return promises.isPromisedToOthers(service, demand, excluded)
+      ? undefined
       : chooser.forRequest(service, demand, excluded);
   }
 
--- a/packages/gateway/src/lib/request/request_report.ts
+++ b/packages/gateway/src/lib/request/request_report.ts
@@ -8,6 +8,7 @@
 import type {Route} from '../version/routing_table.js';
 import {RequestTrace} from './request_trace.js';
 import type {Headers, RequestMetadata} from './target_protocol.js';
+import type {RetryAdvice} from './target_search.js';
 
 /** Destinations of the reports. */
 export interface ReportContext {
@@ -16,6 +17,14 @@
   readonly tracer: Tracer;
 }
 
+/** Why a request has no target. */
+export interface FailedSearch {
+  /** Undefined if no search has failed. */
+  readonly notPlaced: NotPlaced | undefined;
+  /** When the caller should retry; undefined if it should not. */
+  readonly retry: RetryAdvice | undefined;
+}
+
 /** Progress of a request. */
 export interface RequestProgress {
   /** Number of runs that have ended. */
@@ -117,19 +126,24 @@
    * @param service - The service whose targets were considered.
    * @param reason - Why there is no response.
    * @param view - State of the targets that the choice was based on.
-   * @param notPlaced - Outcome of the latest search for a target that found
-   *     none.
+   * @param search - What the latest search for a target said.
    */
   givenUp(
     service: string,
     reason: string,
     view: ChoiceView,
-    notPlaced: NotPlaced | undefined,
+    {notPlaced, retry}: FailedSearch,
   ): void {
-    const request = this.metadata.requestId;
-    const {cause, figures} = notPlaced ?? {};
-    const fields = {request, service, reason, ...view, cause, ...figures};
-    this.context.log.event('request-given-up', fields);
+    this.context.log.event('request-given-up', {
+      request: this.metadata.requestId,
+      service,
+      reason,
+      ...view,
+      cause: notPlaced?.cause,
+      ...notPlaced?.figures,
+      retryAfterMs: retry && Math.round(retry.delayMs),
+      promised: retry?.isPromised,
+    });
   }
 
   /**
--- a/packages/gateway/src/lib/request/target_search.ts
+++ b/packages/gateway/src/lib/request/target_search.ts
@@ -12,7 +12,8 @@
 import type {Target} from '../connection/target.js';
 import type {LateQueue, LateWait} from '../process/late_queue.js';
 import type {RequestPlacement} from '../process/placement.js';
-import type {NotPlaced} from '../process/placement_outcome.js';
+import type {FullCause} from '../connection/placement_message.js';
+import {NO_ROOM, type NotPlaced} from '../process/placement_outcome.js';
 import type {ServiceOverload} from '../process/service_overload.js';
 import type {TargetChooser} from '../process/target_chooser.js';
 import type {TargetProtocol} from './target_protocol.js';
@@ -24,7 +25,7 @@
   readonly placement: RequestPlacement;
   readonly overload: Pick<ServiceOverload, 'returnAfterMs' | 'recordNotPlaced'>;
   readonly protocol: Pick<TargetProtocol, 'maxRetryAfterMs'>;
-  readonly lateQueue: Pick<LateQueue, 'wait'>;
+  readonly lateQueue: Pick<LateQueue, 'wait' | 'isEnabled'>;
 }
 
 /** The request that needs a target. */
@@ -38,6 +39,14 @@
   readonly deadlineAt: number;
 }
 
+/** When the caller of a refused request should retry. */
+export interface RetryAdvice {
+  readonly delayMs: number;
+  /** Whether the coordinator has promised room at that time. */
+  readonly isPromised: boolean;
+  readonly cause: FullCause;
+}
+
 /**
  * Interval at which a waiting request looks for a free target, in milliseconds.
  */
@@ -95,36 +104,39 @@
     this.lateWait?.leave();
   }
 
-  /** @returns When the caller of this request should retry, in milliseconds. */
-  retryDelayMs(): number {
-    const {protocol, overload, clock} = this.context;
-    const {service, deadlineAt} = this.request;
-    const maxDelayMs = protocol.maxRetryAfterMs(deadlineAt - clock.now());
-    const scheduledMs = this.latestNotPlaced?.retryAfterMs;
-    return scheduledMs === undefined
-      ? overload.returnAfterMs(service, maxDelayMs)
-      : Math.min(scheduledMs, maxDelayMs);
+  /** @returns When the caller of this request should retry, and why. */
+  retry(): RetryAdvice {
+    const maxDelayMs = this.maxRetryDelayMs();
+    const {cause, retryAfterMs: promisedMs} = this.latestNotPlaced ?? NO_ROOM;
+    const isPromised = promisedMs !== undefined;
+    const delayMs = isPromised
+      ? Math.min(promisedMs, maxDelayMs)
+      : this.context.overload.returnAfterMs(this.request.service, maxDelayMs);
+    return {delayMs, isPromised, cause};
   }
 
   private async findInTime(hasRun: boolean): Promise<Target | undefined> {
     const {chooser, placement, clock} = this.context;
-    const {service, demand, startedAt} = this.request;
+    const {service, startedAt} = this.request;
     // With few targets, all of them may have been tried. The runs there have
     // ended, so they may be tried again.
     if (!chooser.hasUntried(service, this.tried)) this.tried.clear();
     const until = hasRun
       ? clock.now() + RETRY_WAIT_MS
-      : startedAt + maxQueueWaitMs(demand);
+      : startedAt + maxQueueWaitMs(this.request.demand);
+    let isRefused = false;
     for (;;) {
-      const outcome = await placement.forRequest(
-        service,
-        this.nextDemand(),
-        this.tried,
-      );
+      const isLast = isRefused || clock.now() >= until;
+      const demand = this.nextDemand();
+      const asked = isLast && !hasRun ? this.withReturn(demand) : demand;
+      const outcome = await placement.forRequest(service, asked, this.tried);
       if (outcome.kind === 'placed') return outcome.target;
       this.latestNotPlaced = outcome;
-      if (this.isStopped || clock.now() >= until) return undefined;
-      if (!hasRun && this.isOverShare(outcome)) return undefined;
+      if (this.isStopped || isLast) return undefined;
+      // The last search, if it makes no sense to wait, is for a time to return.
+      isRefused = !hasRun && this.isOverShare(outcome);
+      if (isRefused) continue;
+      if (clock.now() >= until && !this.mayReturn) return undefined;
       await sleep(clock, POLL_INTERVAL_MS);
     }
   }
@@ -144,6 +156,23 @@
     return demand.account === undefined ? demand : {...demand, isRepeated};
   }
 
+  /** Whether the caller can be promised room for a return. */
+  private get mayReturn(): boolean {
+    return !this.request.demand.returning && this.context.lateQueue.isEnabled;
+  }
+
+  /** @returns The demand, with what a promise of room needs to know. */
+  private withReturn(demand: WaitDemand): WaitDemand {
+    if (!this.mayReturn) return demand;
+    return {...demand, returnWithinMs: this.maxRetryDelayMs()};
+  }
+
+  private maxRetryDelayMs(): number {
+    const {protocol, clock} = this.context;
+    const leftMs = this.request.deadlineAt - clock.now();
+    return Math.max(0, protocol.maxRetryAfterMs(leftMs));
+  }
+
   private async findLate(): Promise<Target | undefined> {
     const {tried, request} = this;
     const demand = this.nextDemand();
--- a/packages/gateway/src/test/fakes/fleet_simulator.ts
+++ b/packages/gateway/src/test/fakes/fleet_simulator.ts
@@ -37,6 +37,7 @@
 } from '../../lib/process/load_reporter.js';
 import {Placement} from '../../lib/process/placement.js';
 import {ShareAdmission} from '../../lib/process/share_admission.js';
+import {ReturnPromises} from '../../lib/process/return_promises.js';
 import {ServiceHealth} from '../../lib/process/service_health.js';
 import {ServiceOverload} from '../../lib/process/service_overload.js';
 import {TargetChooser} from '../../lib/process/target_chooser.js';
@@ -379,6 +380,16 @@
         chooser,
         loads,
         overload,
+        promises: new ReturnPromises({
+          clock,
+          random,
+          counters: NO_COUNTERS,
+          loads,
+          directory,
+          overload,
+          hostShare: () => 1 / this.load.dataCentres,
+          isCoordinator: () => reporter.isCoordinator,
+        }),
         now,
         get shares() {
           return shares;
--- a/packages/serving/src/lib/process/serving_components.ts
+++ b/packages/serving/src/lib/process/serving_components.ts
@@ -21,6 +21,7 @@
   Membership,
   createPlacement,
   createAccountQuotas,
+  ReturnPromises,
   RoutingState,
   ServiceHealth,
   ServiceOverload,
@@ -170,11 +171,17 @@
       routing.current?.table.accounts?.findByName(name)?.quota?.perSecond,
     hasCoordinators: () => isCoordinated() && exchange.hasCoordinators,
   });
+  const promises = new ReturnPromises({
+    ...requestContext,
+    hostShare: () => hostShare(membership.live(), self.dataCentre),
+    isCoordinator: () => isCoordinated() && exchange.isCoordinator,
+  });
   const placement = createPlacement(socket, {
     ...requestContext,
     self,
     localCoordinator: new Coordinator({
       ...requestContext,
+      promises,
       self: self.id,
       dataCentre: self.dataCentre,
       now: () => clock.now(),
@@ -314,6 +321,12 @@
   };
 }
 
+/** @returns Part of the hosts that is in a data centre, from 0 to 1. */
+function hostShare(hosts: readonly Member[], dataCentre: string): number {
+  const own = hosts.filter(host => host.dataCentre === dataCentre).length;
+  return own / Math.max(1, hosts.length);
+}
+
 function waitsLate(
   {options}: ServingPlatform,
   {hasAccounts}: CallerAdmission,
