--- a/packages/cli/src/lib/process/refusal_text.ts
+++ b/packages/cli/src/lib/process/refusal_text.ts
@@ -24,8 +24,10 @@
   ({room}) => numberText('use of all accounts: ', room),
   ({retryAfterMs, returnAfterMs}) =>
     numberText('told to return after, ms: ', retryAfterMs ?? returnAfterMs),
-  ({isReserved}) =>
-    isReserved === true ? 'room is reserved for its return' : undefined,
+  ({promised, isReserved}) =>
+    promised === true || isReserved === true
+      ? 'room is kept for its return'
+      : undefined,
 ];
 
 const LATE_WAIT: readonly Phrase[] = [
--- a/packages/cli/src/test/process/log_story_test.ts
+++ b/packages/cli/src/test/process/log_story_test.ts
@@ -87,6 +87,7 @@
     share: 8,
     room: 40,
     retryAfterMs: 1400,
+    promised: true,
   }),
   line(20, 'two', 'request-refused', {request: 'r1', returnAfterMs: 300}),
   line(30, 'two', 'request-late-wait', {
@@ -104,8 +105,8 @@
     text,
     `      0 ms  one  request-given-up  request=r1 cause=room
             no target had room
-     10 ms  one  request-given-up  request=r1 account=bank cause=share use=12 share=8 room=40 retryAfterMs=1400
-            its account was over its share; its use: 12; its share: 8; use of all accounts: 40; told to return after, ms: 1400
+     10 ms  one  request-given-up  request=r1 account=bank cause=share use=12 share=8 room=40 retryAfterMs=1400 promised=true
+            its account was over its share; its use: 12; its share: 8; use of all accounts: 40; told to return after, ms: 1400; room is kept for its return
      20 ms  two  request-refused  request=r1 returnAfterMs=300
             told to return after, ms: 300
      30 ms  two  request-late-wait  request=r1 waitedMs=250 outcome=placed
