No account goes ahead beside hosts that do not know the record

Cause: a host of the release before that becomes the quota owner keeps the even pace at once, also for an account that has used up its window.

Change: the membership row says whether a host heeds the record; an owner goes ahead only if all live hosts do.

--- a/packages/gateway/src/lib/process/account_quotas.ts
+++ b/packages/gateway/src/lib/process/account_quotas.ts
@@ -32,6 +32,8 @@
   readonly id: string;
   /** Name of the host, which is the same after each restart. */
   readonly host: string;
+  /** Whether it heeds the {@link AheadRecord}; false if omitted. */
+  readonly readsAheadRecord?: boolean | undefined;
 }
 
 /** Dependencies of {@link AccountQuotas}. */
@@ -264,7 +266,7 @@
     }
     const {self} = this.context;
     this.owner.check(
-      this.hosts.map(({host}) => host),
+      this.hosts,
       account => this.ownerOf(account)?.host === self.host,
     );
   }
--- a/packages/gateway/src/lib/process/membership.ts
+++ b/packages/gateway/src/lib/process/membership.ts
@@ -32,6 +32,11 @@
   readonly controlAddress: string;
   /** Whether it is shutting down and takes no jobs; false if omitted. */
   readonly isLeaving?: boolean | undefined;
+  /**
+   * Whether it heeds the record of accounts ahead of their even pace when it
+   * becomes a quota owner; false if omitted.
+   */
+  readonly readsAheadRecord?: boolean | undefined;
 }
 
 /** Table of heartbeats. */
@@ -58,6 +63,7 @@
   loadPort: z.number().int(),
   controlAddress: z.string(),
   isLeaving: z.boolean().optional(),
+  readsAheadRecord: z.boolean().optional(),
 });
 
 /**
--- a/packages/gateway/src/lib/process/quota_owner.ts
+++ b/packages/gateway/src/lib/process/quota_owner.ts
@@ -17,6 +17,7 @@
   type Random,
   type RequestQuota,
 } from '@oathead/core';
+import type {QuotaHost} from './account_quotas.js';
 import type {AheadRecord} from './ahead_record.js';
 import {OwnershipHistory} from './ownership_history.js';
 
@@ -57,6 +58,7 @@
   private readonly keptReserve: QuotaReserve;
   private readonly history: OwnershipHistory;
   private hostCount = 1;
+  private mayGoAhead = false;
   private checkedAt: readonly [number, number];
   /** Kinds of calls to the record that are not to be made yet. */
   private readonly pausedCalls = new Set<QuotaNeed>();
@@ -83,12 +85,18 @@
    * Applies the current list of hosts. To be called often, also if the list has
    * not changed.
    *
-   * @param names - Names of the live hosts.
+   * @param hosts - The live hosts.
    * @param owns - Whether this host is the owner of an account by that list.
    */
-  check(names: readonly string[], owns: (account: string) => boolean): void {
+  check(
+    hosts: readonly Pick<QuotaHost, 'host' | 'readsAheadRecord'>[],
+    owns: (account: string) => boolean,
+  ): void {
     this.checkSuspension();
-    this.hostCount = names.length;
+    this.hostCount = hosts.length;
+    // Any of them may be the next owner.
+    this.mayGoAhead = hosts.every(({readsAheadRecord}) => readsAheadRecord);
+    const names = hosts.map(({host}) => host);
     this.history.adopt(names, this.context.clock.now());
     this.enforcer.retain(owns);
   }
@@ -165,6 +173,7 @@
     const {aheadRecord, clock} = this.context;
     const need = this.enforcer.needOf(account, RENEW_MS, now);
     if (!need || this.pausedCalls.has(need)) return;
+    if (need === 'ahead' && !this.mayGoAhead) return;
     if (!aheadRecord) {
       if (need === 'knowledge') this.enforcer.learn(() => NOT_AHEAD, now);
       return;
--- a/packages/gateway/src/test/fakes/quota_fleet.ts
+++ b/packages/gateway/src/test/fakes/quota_fleet.ts
@@ -51,8 +51,8 @@
   readonly maxSendDelayMs?: number;
   /** Whether the store works at a given time; it does by default. */
   readonly isStoreUp?: (atMs: number) => boolean;
-  /** Whether hosts of the release before are without the record. */
-  readonly hasRecord?: boolean;
+  /** Whether the last host is of a release that does not heed the record. */
+  readonly hasOldHost?: boolean;
   /** Decides instead of {@link AccountQuotas}, to compare strategies. */
   readonly strategy?: QuotaStrategy;
 }
@@ -225,7 +225,14 @@
   /** Adds a host. The other hosts know it only after {@link updateViews}. */
   addHost(): void {
     const i = this.hosts.length;
-    const address = {id: `h${i}.1`, host: `h${i}`, ip: '127.0.0.1', port: i};
+    const isOld = this.scenario.hasOldHost && i === this.scenario.hosts - 1;
+    const address = {
+      id: `h${i}.1`,
+      host: `h${i}`,
+      ip: '127.0.0.1',
+      port: i,
+      readsAheadRecord: !isOld,
+    };
     const clock = new HostClock(this.clock);
     const quotas = this.newQuotas(i, {address, clock});
     this.hosts.push({address, clock, quotas, alive: true, view: [i]});
@@ -273,8 +280,7 @@
       hosts: () => this.hosts[i]!.view.map(other => this.hosts[other]!.address),
       tolerance: () => this.scenario.tolerance,
       quotaOf: account => this.scenario.quotas[account],
-      aheadRecord:
-        (this.scenario.hasRecord ?? true) ? this.aheadRecord() : undefined,
+      aheadRecord: this.aheadRecord(),
       send: (message, to) => this.send(i, to.port, encodeQuota(message)),
     });
   }
--- a/packages/gateway/src/test/process/account_quotas_test.ts
+++ b/packages/gateway/src/test/process/account_quotas_test.ts
@@ -261,6 +261,16 @@
   t.is(fleet.refusedShare('calm'), 0);
 });
 
+// A new owner of a release that does not heed the record would grant a second
+// window after the first.
+test('nobody goes ahead of the even pace beside a host that does not know of it', async t => {
+  const fleet = await QuotaFleetSimulator.run({...RISE, hasOldHost: true});
+  assertWithin(t, fleet);
+  const {perSecond, burst} = LARGE;
+  const most = fleet.maxGrantedInWindow('large', 1000);
+  t.true(most <= perSecond + burst * 1.3, `${most}`);
+});
+
 // Each host's part of the reserve is less than a request; most requests of small
 // accounts would be refused while the host that counts them stands still.
 test('an account within its quota is served while its owner stands still', async t => {
--- a/packages/gateway/src/test/process/quota_owner_test.ts
+++ b/packages/gateway/src/test/process/quota_owner_test.ts
@@ -5,7 +5,7 @@
 
 const TOLERANCE = {windowMs: 5000, overage: 0.1, slack: 20};
 const QUOTA = {perSecond: 64, burst: 64};
-const HOSTS = ['a', 'b'];
+const HOSTS = [{host: 'a'}, {host: 'b'}];
 const SELF = 'a';
 
 function ownerAt(clock: FakeClock): QuotaOwner {
@@ -51,7 +51,7 @@
   advance(clock, owner, 10_000);
   // By these names, each list has the same owner of the account.
   for (const host of ['c', 'd', 'e']) {
-    owner.check([...HOSTS, host], () => true);
+    owner.check([...HOSTS, {host}], () => true);
     clock.advance(100);
   }
   t.is(grantsOf(owner), 78);
--- a/packages/serving/src/lib/process/serving_components.ts
+++ b/packages/serving/src/lib/process/serving_components.ts
@@ -312,11 +312,13 @@
     ip: loads.ip,
     loadPort: loads.port,
     controlAddress: addressOf(control),
+    readsAheadRecord: true,
   };
 }
 
-function quotaHostOf({id, host, ip, loadPort}: Member): QuotaHost {
-  return {id, host, ip, port: loadPort};
+function quotaHostOf(member: Member): QuotaHost {
+  const {id, host, ip, loadPort: port, readsAheadRecord} = member;
+  return {id, host, ip, port, readsAheadRecord};
 }
 
 function hostPeerOf({id, dataCentre, ip, loadPort}: Member): HostPeer {
