Marks of accounts ahead of their pace are removed a minute after their end

Cause: the table would keep a row for each account that ever went ahead, and every new owner reads all of it.

Change: a reader removes up to 40 old marks at once, unless they were renewed. A page without rows that has more counts as unreadable.

--- a/packages/gateway/src/lib/process/ahead_record.ts
+++ b/packages/gateway/src/lib/process/ahead_record.ts
@@ -5,7 +5,12 @@
  */
 import {z} from 'zod';
 import type {EventLog} from '@oathead/core';
-import {decodeJson, encodeJson, type RowStore} from '@oathead/stores';
+import {
+  decodeJson,
+  encodeJson,
+  type RowStore,
+  type VersionedRow,
+} from '@oathead/stores';
 
 /** Marks accounts, and tells which are marked. */
 export interface AheadRecord {
@@ -23,10 +28,14 @@
   read(): Promise<ReadonlyMap<string, number> | undefined>;
 }
 
-/** Table of the marks, with one row for each account that was ever marked. */
+/** Table of the marks, with one row for each account that was marked recently. */
 export const AHEAD_TABLE = 'quota_ahead';
 /** How long a mark holds, in milliseconds. */
 const MARK_MS = 3000;
+/** How long marks are kept after their end, in milliseconds. */
+const KEPT_MS = 60_000;
+/** Maximum number of marks that are removed at once. */
+const MAX_REMOVES = 40;
 const PARTITION = '';
 
 const MARK = z.object({
@@ -70,15 +79,27 @@
       const page = await this.store.read(query);
       if (!page.ok) return undefined;
       const {rows, hasMore, storeTimeMs} = page.value;
-      for (const {key, value} of rows) {
-        const mark = decodeJson(value, MARK);
-        // A row of an unknown form may be a mark that holds.
-        if (!mark.ok) this.log.event('quota-mark-unreadable', {account: key});
-        const untilMs = mark.ok ? mark.value.untilMs : storeTimeMs + MARK_MS;
-        marks.set(key, untilMs - storeTimeMs);
-      }
-      from = hasMore ? `${rows.at(-1)!.key}\u0000` : undefined;
+      for (const row of rows) marks.set(row.key, this.leftMs(row, storeTimeMs));
+      this.removeOld(rows.filter(({key}) => marks.get(key)! < -KEPT_MS));
+      const last = rows.at(-1);
+      if (hasMore && !last) return undefined;
+      from = hasMore ? `${last!.key}\u0000` : undefined;
     }
     return marks;
   }
+
+  private leftMs({key, value}: VersionedRow, storeTimeMs: number): number {
+    const mark = decodeJson(value, MARK);
+    if (mark.ok) return mark.value.untilMs - storeTimeMs;
+    // It may be a mark that holds.
+    this.log.event('quota-mark-unreadable', {account: key});
+    return MARK_MS;
+  }
+
+  /** Removes marks; one that was renewed meanwhile makes this fail. */
+  private removeOld(rows: readonly VersionedRow[]): void {
+    const removes = rows.slice(0, MAX_REMOVES);
+    if (removes.length > 0)
+      void this.store.transact({expect: removes, puts: [], removes});
+  }
 }
