A target that turns slow is known within a second or two

Requests weigh little by speed between usual targets (exponent 0.15) and by its square beyond twice the usual time. A new result looks at all targets less often the more there are.

--- a/packages/core/src/lib/connection/service_speeds.ts
+++ b/packages/core/src/lib/connection/service_speeds.ts
@@ -7,7 +7,12 @@
  * count as exactly equal, so that nothing changes for them.
  */
 import {LoadBaselines, NEARLY_FULL, type LoadBand} from './load_baselines.js';
-import {OWN_RUNS, TargetSpeed, type SpeedEvidence} from './target_speed.js';
+import {
+  OWN_RUNS,
+  TargetSpeed,
+  type LogSlowness,
+  type SpeedEvidence,
+} from './target_speed.js';
 
 /** Time that a part of a run took. */
 export interface SpeedSample {
@@ -29,8 +34,12 @@
 /** Slowness of a target that is like its service, or not known. */
 export const LIKE_ITS_SERVICE: Slowness = {regular: 1, nearlyFull: 1};
 
-/** Maximum age of the result that decisions use, in milliseconds. */
+/**
+ * Maximum age of the result that decisions use, in milliseconds, and what it
+ * may be older for each target: a new result looks at all of them.
+ */
 const REFRESH_MS = 250;
+const REFRESH_MS_PER_TARGET = 0.25;
 /** Smallest dead band, as a logarithm: a fifth. */
 const MIN_DEAD_BAND = 0.2;
 /** Dead band relative to the mean deviation of a run from its estimate. */
@@ -51,6 +60,12 @@
  */
 const TELL_MS = 5000;
 
+/**
+ * Distance of a single sample from what is expected at which they tell each
+ * other at once: twice as slow or as fast.
+ */
+const TELL_DISTANCE = 0.7;
+
 /** Estimates and decides which targets of one service are unlike the others. */
 export class ServiceSpeeds {
   private readonly baselines = new LoadBaselines();
@@ -78,7 +93,9 @@
     const expected = speed.expectedAt(nearlyFull, now);
     const logRatio = this.baselines.add(kind, band, Math.log(ms), expected);
     if (logRatio === undefined) return undefined;
-    if (speed.isKnown) this.recordDeviation(logRatio - expected);
+    const distance = logRatio - expected;
+    if (speed.isKnown) this.recordDeviation(distance);
+    if (Math.abs(distance) > TELL_DISTANCE) this.tellUntil = now + TELL_MS;
     const evidence = {logRatio, count: 1, nearlyFull};
     speed.add(evidence, OWN_RUNS, now);
     return evidence;
@@ -143,16 +160,18 @@
   }
 
   private refresh(now: number): void {
-    if (now - this.refreshedAt < REFRESH_MS) return;
+    const intervalMs = REFRESH_MS + this.targets.size * REFRESH_MS_PER_TARGET;
+    if (now - this.refreshedAt < intervalMs) return;
     this.refreshedAt = now;
     for (const [target, speed] of this.targets)
       if (now - speed.lastSampleAt > TARGET_LIFETIME_MS) this.remove(target);
     this.alignToMedian(now);
     const unlike = new Map<string, Slowness>();
     for (const [target, speed] of this.targets) {
-      const slowness = this.outsideDeadBand(target, speed, now);
+      const value = speed.valueAt(now);
+      const slowness = this.outsideDeadBand(target, value);
       if (slowness) unlike.set(target, slowness);
-      if (slowness || this.isOutside(Math.abs(speed.hintAt(now)), false))
+      if (slowness || this.isOutside(Math.abs(value.regular), false))
         this.tellUntil = now + TELL_MS;
     }
     this.unlike = unlike;
@@ -160,15 +179,14 @@
 
   private outsideDeadBand(
     target: string,
-    speed: TargetSpeed,
-    now: number,
+    {regular, extraWhenFull, uncertainty}: LogSlowness,
   ): Slowness | undefined {
-    const {regular, extraWhenFull} = speed.valueAt(now);
     const before = this.unlike.get(target);
     const wasUnlike = before !== undefined && before.regular !== 1;
     const wasSlowWhenFull =
       before !== undefined && before.nearlyFull > before.regular;
-    const base = this.isOutside(Math.abs(regular), wasUnlike) ? regular : 0;
+    const distance = Math.abs(regular) / uncertainty;
+    const base = this.isOutside(distance, wasUnlike) ? regular : 0;
     const extra = this.isOutside(extraWhenFull, wasSlowWhenFull)
       ? extraWhenFull
       : 0;
@@ -186,12 +204,14 @@
    * tell each other, however fast their own links are.
    */
   private alignToMedian(now: number): void {
-    const known = [...this.targets.values()]
-      .filter(({isKnown}) => isKnown)
-      .map(speed => speed.valueAt(now).regular)
-      .sort((a, b) => a - b);
-    const median = known[Math.floor((known.length - 1) / 2)];
-    if (median === undefined || known.length < 2) return;
+    const known = new Float64Array(this.targets.size);
+    let count = 0;
+    for (const speed of this.targets.values())
+      if (speed.isKnown) known[count++] = speed.valueAt(now).regular;
+    if (count < 2) return;
+    const median = known.subarray(0, count).sort()[
+      Math.floor((count - 1) / 2)
+    ]!;
     for (const speed of this.targets.values()) speed.shift(-median);
     this.baselines.shift(median);
   }
--- a/packages/core/src/lib/connection/slowness_filter.ts
+++ b/packages/core/src/lib/connection/slowness_filter.ts
@@ -52,7 +52,8 @@
    * @returns The estimate, 0 if nothing is known.
    */
   valueAt(now: number): number {
-    const fadingMs = Math.max(0, now - this.fadesFrom);
+    const fadingMs = now - this.fadesFrom;
+    if (fadingMs <= 0) return this.estimate;
     return this.estimate * 2 ** (-fadingMs / FADE_HALF_LIFE_MS);
   }
 
--- a/packages/core/src/lib/connection/target_speed.ts
+++ b/packages/core/src/lib/connection/target_speed.ts
@@ -19,15 +19,23 @@
   readonly regular: number;
   /** What is added while the target is nearly full. */
   readonly extraWhenFull: number;
+  /**
+   * How far from the truth `regular` may be, relative to an estimate from many
+   * samples.
+   */
+  readonly uncertainty: number;
 }
 
 /** Name of this host as a source of evidence. */
 export const OWN_RUNS = '';
 
-/** Number of samples before an estimate is used. */
-const MIN_SAMPLES = 5;
-/** Number of samples that may be a hint. */
-const MIN_HINT_SAMPLES = 2;
+/** Number of samples after which an estimate has its usual accuracy. */
+const USUAL_SAMPLES = 5;
+/** Numbers of samples before the estimates are used at all. */
+const MIN_SAMPLES = 2;
+const MIN_EXTRA_SAMPLES = 3;
+/** How long a run at a target that isn't nearly full tells of it, in ms. */
+const RECENT_MS = 2000;
 /**
  * Largest logarithm that another host's word counts with, while no second
  * source has runs at the target: its link to the target may be what is slow.
@@ -45,10 +53,12 @@
   /** Last evidence of a source other than the last one. */
   private otherSourceAt = -Infinity;
   private changedAt = -Infinity;
+  /** Last evidence from a time at which the target was not nearly full. */
+  private regularAt = -Infinity;
 
-  /** Whether there are enough samples. */
+  /** Whether there are enough samples for the usual accuracy. */
   get isKnown(): boolean {
-    return this.regular.samples >= MIN_SAMPLES;
+    return this.regular.samples >= USUAL_SAMPLES;
   }
 
   /** Time of the last sample, in milliseconds. */
@@ -61,23 +71,19 @@
    * @returns The estimate; 0 for what is not known.
    */
   valueAt(now: number): LogSlowness {
+    const {samples} = this.regular;
+    const regular = samples >= MIN_SAMPLES ? this.regular.valueAt(now) : 0;
+    const extra =
+      this.extra.samples >= MIN_EXTRA_SAMPLES ? this.extra.valueAt(now) : 0;
+    // While all runs find the target nearly full, it may be slow at any load.
+    const isFullOnly = now - this.regularAt > RECENT_MS;
     return {
-      regular: this.isKnown ? this.regular.valueAt(now) : 0,
-      extraWhenFull:
-        this.extra.samples >= MIN_SAMPLES ? this.extra.valueAt(now) : 0,
+      regular: isFullOnly ? regular + extra : regular,
+      extraWhenFull: isFullOnly ? 0 : extra,
+      uncertainty: Math.sqrt(Math.max(1, USUAL_SAMPLES / samples)),
     };
   }
 
-  /**
-   * @param now - Current time, in milliseconds.
-   * @returns Logarithm of the slowness from a few samples; 0 without any.
-   */
-  hintAt(now: number): number {
-    return this.regular.samples >= MIN_HINT_SAMPLES
-      ? this.regular.valueAt(now)
-      : 0;
-  }
-
   /**
    * @param nearlyFull - Whether the target is nearly full.
    * @param now - Current time, in milliseconds.
@@ -104,6 +110,7 @@
     const logRatio = Math.max(-limit, Math.min(limit, evidence.logRatio));
     this.recordSource(source, now);
     this.changedAt = now;
+    if (!nearlyFull) this.regularAt = now;
     // Until the speed of the target alone is known, all its runs tell of that.
     if (nearlyFull && this.isKnown)
       this.extra.add(logRatio - this.regular.valueAt(now), count, now);
--- a/packages/gateway/src/lib/process/target_score.ts
+++ b/packages/gateway/src/lib/process/target_score.ts
@@ -38,18 +38,23 @@
 }
 
 /**
- * Exponent with which slowness weighs in the choice for an online request. With
- * 1, fast targets would be filled to their last slot before slow ones are half
- * full, and a request that another host has sent meanwhile would make the next
- * one wait. With 0, slow targets, at which a wait is longest, would be as full
- * as fast ones.
+ * Exponent with which slowness weighs in the choice for an online request: it
+ * decides between targets with nearly as many requests. With 1, fast targets
+ * would be filled to their last slot before slow ones are half full, and a
+ * request that another host has sent meanwhile would make the next one wait.
  */
-const SPEED_EXPONENT = 0.3;
+const SPEED_EXPONENT = 0.15;
 /**
- * Slowness beyond which a target takes no item that can wait before others: an
- * item counts as urgent when less than twice its usual time is left.
+ * Slowness beyond which a target is no longer merely one of the slower ones.
+ * Items that can wait would not be in time there: an item is urgent when less
+ * than twice its usual time is left.
  */
-const MAX_SLOWNESS_FOR_ITEMS = 2;
+const MAX_USUAL_SLOWNESS = 2;
+/**
+ * Exponent for what exceeds that, as for targets that lose their traffic share
+ * for being slow.
+ */
+const EXCESS_EXPONENT = 2;
 
 type Weigher = (target: Target, load: TargetLoad) => number;
 
@@ -83,7 +88,7 @@
     const {speeds} = this.context.overload;
     if (purpose.lane === 'online')
       return (target, {online, batch}) =>
-        speeds.slownessAt(target, online + batch + 1) ** SPEED_EXPONENT;
+        requestWeight(speeds.slownessAt(target, online + batch + 1));
     return target => itemWeight(speeds.slownessOf(target), purpose.pressure);
   }
 
@@ -122,13 +127,15 @@
   );
 }
 
+function requestWeight(slowness: number): number {
+  const usual = Math.min(slowness, MAX_USUAL_SLOWNESS);
+  return usual ** SPEED_EXPONENT * (slowness / usual) ** EXCESS_EXPONENT;
+}
+
 /**
  * Items that can wait are spread by their number only. Urgent ones prefer fast
- * targets, and all avoid targets at which an item that can wait would not be in
- * time.
+ * targets, and all avoid those that are much slower.
  */
 function itemWeight({regular}: Slowness, pressure: BatchPressure): number {
-  return pressure === 'relaxed' && regular <= MAX_SLOWNESS_FOR_ITEMS
-    ? 1
-    : regular;
+  return pressure === 'relaxed' && regular <= MAX_USUAL_SLOWNESS ? 1 : regular;
 }
--- a/packages/gateway/src/test/fakes/fleet_simulator.ts
+++ b/packages/gateway/src/test/fakes/fleet_simulator.ts
@@ -152,6 +152,7 @@
   readonly hadFreeSlot: boolean;
   runMs: number;
   firstByteMs: number;
+  msPerEvent: number;
   startsAt: number | undefined;
   paceMeter: PaceMeter | undefined;
 }
@@ -376,8 +377,26 @@
     return (isSlow ? slow.by : 1) / this.speedOf(target);
   }
 
+  /** Makes the runs at the first target slower, or as fast as before. */
+  private changeFirstTarget(): void {
+    const {slowFirstTarget: slow} = this.load;
+    if (slow?.fromMs === this.now) this.stretchRuns(this.targets[0]!, slow.by);
+    if (slow?.toMs === this.now)
+      this.stretchRuns(this.targets[0]!, 1 / slow.by);
+  }
+
+  private stretchRuns({id}: Target, by: number): void {
+    for (const run of this.runs.get(id)!) {
+      if (run.startsAt === undefined) continue;
+      const doneMs = this.now - run.startsAt;
+      run.runMs = doneMs + (run.runMs - doneMs) * by;
+      run.msPerEvent *= by;
+    }
+  }
+
   private step(): void {
     this.addTargets();
+    this.changeFirstTarget();
     this.deliver();
     this.generateArrivals();
     for (const target of this.targets) this.advanceRuns(target);
@@ -485,6 +504,7 @@
       host,
       runMs: (caller ? runMs : itemMs) * spread,
       firstByteMs: this.load.firstByteMs,
+      msPerEvent: 0,
       sentAt: this.now,
       hadFreeSlot,
       startsAt: undefined,
@@ -512,6 +532,7 @@
     run.runMs *= slowness;
     run.firstByteMs *= slowness;
     run.startsAt = this.now;
+    run.msPerEvent = run.runMs / (run.caller ? REQUEST_EVENTS : ITEM_EVENTS);
     run.paceMeter = new PaceMeter();
     if (!run.caller) return;
     const {goalMs} = this.load;
@@ -533,9 +554,8 @@
   }
 
   private measurePace(target: Target, run: Run): void {
-    const msPerEvent = run.runMs / (run.caller ? REQUEST_EVENTS : ITEM_EVENTS);
     // Events are counted in fractions, as steps are shorter than pauses.
-    const ms = run.paceMeter?.add(STEP_MS / msPerEvent, this.now);
+    const ms = run.paceMeter?.add(STEP_MS / run.msPerEvent, this.now);
     if (ms === undefined) return;
     const {online, batch} = run.host.loads.totalAt(targetKey(target.id));
     run.host.overload.speeds.record(target, {
