Shares: items of accounts take turns

Ordered by remaining time alone, all short items of a flood go before the due items of other accounts. Accounts take turns by the weight of their quota and their running items at this host; one account, or none, keeps its order.

--- a/packages/core/src/lib/process/share_division.ts
+++ b/packages/core/src/lib/process/share_division.ts
@@ -68,7 +68,7 @@
   claims: readonly AccountClaim[],
   {demand, room, slots}: ServiceDemand,
 ): ShareDivision {
-  const defaultWeight = meanWeight(claims);
+  const defaultWeight = meanWeight(claims.map(({weight}) => weight));
   const claimed = claims.reduce((sum, claim) => sum + claim.demand, 0);
   const unclaimed = Math.max(0, demand - claimed);
   const isAlone = claims.length <= 1 && unclaimed < NEGLIGIBLE_SLOTS;
@@ -109,6 +109,18 @@
   return shareOf(level, validWeight(weight) ?? defaultWeight);
 }
 
+/**
+ * @param weights - Weights of the accounts; undefined, or not a positive number,
+ *     for the mean of the others.
+ * @returns The weights in force, in the same order.
+ */
+export function sharingWeights(
+  weights: ReadonlyArray<number | undefined>,
+): readonly number[] {
+  const defaultWeight = meanWeight(weights);
+  return weights.map(weight => validWeight(weight) ?? defaultWeight);
+}
+
 function shareOf(level: number, weight: number): number {
   return Math.max(MIN_SHARE_SLOTS, level * weight);
 }
@@ -118,10 +130,8 @@
   return isValid ? weight : undefined;
 }
 
-function meanWeight(claims: readonly AccountClaim[]): number {
-  const valid = claims
-    .map(({weight}) => validWeight(weight))
-    .filter(weight => weight !== undefined);
+function meanWeight(weights: ReadonlyArray<number | undefined>): number {
+  const valid = weights.map(validWeight).filter(one => one !== undefined);
   if (valid.length === 0) return 1;
   return valid.reduce((sum, weight) => sum + weight, 0) / valid.length;
 }
--- a/packages/gateway/src/lib/version/routing_state.ts
+++ b/packages/gateway/src/lib/version/routing_state.ts
@@ -26,6 +26,16 @@
     return this.storedRow;
   }
 
+  /**
+   * @param account - Name of a client account.
+   * @returns Its weight where accounts share capacity: the rate of its quota;
+   *     undefined if it has none or there is no such account.
+   */
+  weightOf(account: string): number | undefined {
+    const {accounts} = this.matcher?.table ?? {};
+    return accounts?.findByName(account)?.quota?.perSecond;
+  }
+
   /** @param listener - Called with each version that is adopted. */
   onAdopted(listener: (table: RoutingTable) => void): void {
     this.listeners.push(listener);
--- a/packages/jobs/src/lib/process/batch_scheduler.ts
+++ b/packages/jobs/src/lib/process/batch_scheduler.ts
@@ -14,6 +14,11 @@
   type TargetChooser,
   type TargetDirectory,
 } from '@oathead/gateway';
+import {
+  inAccountTurns,
+  runningByAccount,
+  type AccountItem,
+} from './account_turns.js';
 import {avoidedItemTargets, mayRunAnywhere} from './avoided_item_targets.js';
 import type {ItemWork} from './item_work.js';
 import {
@@ -93,7 +98,7 @@
 
 const NO_TARGETS: ReadonlySet<string> = new Set();
 
-interface Candidate {
+interface Candidate extends AccountItem {
   readonly job: OwnedJob;
   readonly work: ItemWork;
   readonly estimate: ItemEstimate;
@@ -323,7 +328,11 @@
         if (!this.isDelayed(candidate, now)) candidates.push(candidate);
       }
     }
-    return candidates.sort(byPriority);
+    return inAccountTurns(
+      candidates.sort(byPriority),
+      runningByAccount(this.jobs()),
+      name => this.context.routing.weightOf(name),
+    );
   }
 
   private isDelayed({job, work, estimate}: Candidate, now: number): boolean {
@@ -350,7 +359,8 @@
   private candidate(job: OwnedJob, work: ItemWork): Candidate {
     const untilDueMs = job.dueAtMs - (this.context.storeTimeMs() ?? 0);
     const estimate = this.durations.estimate(job.head, work, untilDueMs);
-    return {job, work, estimate};
+    const isLate = estimate.urgency === 'late';
+    return {job, work, estimate, account: job.head.account, isLate};
   }
 
   private untilExpiryMs({head}: OwnedJob): number {
--- a/packages/serving/src/lib/process/serving_components.ts
+++ b/packages/serving/src/lib/process/serving_components.ts
@@ -139,8 +139,7 @@
     ...requestContext,
     dataCentre: self.dataCentre,
     now: () => clock.now(),
-    weightOf: name =>
-      routing.current?.table.accounts?.findByName(name)?.quota?.perSecond,
+    weightOf: name => routing.weightOf(name),
     hasCoordinators: () => isCoordinated() && exchange.hasCoordinators,
   });
   const placement = createPlacement(socket, {
