--- a/packages/gateway/src/lib/request/online_request.ts
+++ b/packages/gateway/src/lib/request/online_request.ts
@@ -30,6 +30,7 @@
 } from './exchange.js';
 import {failureStatus, STATUS_UNAVAILABLE} from './failure_status.js';
 import {endToEndHeaders} from './forwarded_headers.js';
+import {TargetSearch} from './target_search.js';
 import {pickService} from './pick_service.js';
 import {
   RequestReport,
@@ -94,8 +95,7 @@
   private readonly service: string;
   private readonly demand: WaitDemand;
   private readonly fingerprint: string;
-  /** Whether a target was searched for before. */
-  private hasSearched = false;
+  private readonly search: TargetSearch;
   private lastFailedResponse: CompleteResponse | undefined;
   private activeSend: ActiveSend | undefined;
   /** Outcome of the latest search for a target that found none. */
@@ -134,6 +134,7 @@
     const {deadlineMs} = this.metadata;
     const returning = context.retryDetector.isRetry(name, deadlineMs);
     this.demand = {goalMs, priority, returning, account: account?.name};
+    this.search = new TargetSearch(this.demand);
   }
 
   /** Serves the request; never rejects. */
@@ -168,7 +169,7 @@
 
   private async findTarget(): Promise<Target | undefined> {
     const {chooser, placement, clock} = this.context;
-    const {service, tried} = this;
+    const {service, search, tried} = this;
     // With few targets, all of them may have been tried. The runs there have
     // ended, so they may be tried again.
     if (!chooser.hasUntried(service, tried)) tried.clear();
@@ -176,31 +177,17 @@
     for (;;) {
       const outcome = await placement.forRequest(
         service,
-        this.nextDemand(),
+        search.nextDemand(),
         tried,
       );
+      const isLast = search.endsAfter(outcome);
       if (outcome.kind === 'placed') return outcome.target;
       this.notPlaced = outcome;
-      if (this.abortReason || this.now() >= until) return undefined;
-      if (this.isOverShare(outcome)) return undefined;
+      if (isLast || this.abortReason || this.now() >= until) return undefined;
       await sleep(clock, TARGET_POLL_INTERVAL_MS);
     }
   }
 
-  /**
-   * A request beyond the share of its account is refused at once, unless that
-   * would be its last chance.
-   */
-  private isOverShare({cause}: NotPlaced): boolean {
-    return cause === 'share' && this.runs === 0 && !this.demand.returning;
-  }
-
-  private nextDemand(): WaitDemand {
-    const {demand, hasSearched: isRepeated} = this;
-    this.hasSearched = true;
-    return demand.account === undefined ? demand : {...demand, isRepeated};
-  }
-
   /**
    * Checks admission again just before the request is sent. A key may have been
    * revoked, or the process may have stalled, while the request waited. A
