--- a/packages/gateway/src/lib/request/online_request.ts
+++ b/packages/gateway/src/lib/request/online_request.ts
@@ -24,6 +24,7 @@
 } from './exchange.js';
 import {failureStatus, STATUS_UNAVAILABLE} from './failure_status.js';
 import {endToEndHeaders} from './forwarded_headers.js';
+import {TargetSearch} from './target_search.js';
 import {pickService} from './pick_service.js';
 import {QuotaHold} from './quota_hold.js';
 import {
--- a/packages/gateway/src/lib/request/target_search.ts
+++ b/packages/gateway/src/lib/request/target_search.ts
@@ -16,6 +16,7 @@
 import {NO_ROOM, type NotPlaced} from '../process/placement_outcome.js';
 import type {ServiceOverload} from '../process/service_overload.js';
 import type {TargetChooser} from '../process/target_chooser.js';
+import {ClaimedDemand} from './claimed_demand.js';
 import type {TargetProtocol} from './target_protocol.js';
 
 /** Dependencies of {@link TargetSearch}. */
@@ -65,8 +66,7 @@
   private latestNotPlaced: NotPlaced | undefined;
   private lateWait: LateWait | undefined;
   private isStopped = false;
-  /** Whether the demand of the request has been counted. */
-  private hasSearched = false;
+  private readonly claimed: ClaimedDemand;
 
   /**
    * @param context - Target selection.
@@ -75,7 +75,9 @@
   constructor(
     private readonly context: TargetSearchContext,
     private readonly request: SearchedRequest,
-  ) {}
+  ) {
+    this.claimed = new ClaimedDemand(request.demand);
+  }
 
   /** Outcome of the latest search that found no target. */
   get notPlaced(): NotPlaced | undefined {
@@ -127,35 +129,20 @@
     let isRefused = false;
     for (;;) {
       const isLast = isRefused || clock.now() >= until;
-      const demand = this.nextDemand();
+      const demand = this.claimed.nextDemand();
       const asked = isLast && !hasRun ? this.withReturn(demand) : demand;
       const outcome = await placement.forRequest(service, asked, this.tried);
+      // The search after that one is only for a time to return.
+      isRefused = this.claimed.endsAfter(outcome);
       if (outcome.kind === 'placed') return outcome.target;
       this.latestNotPlaced = outcome;
       if (this.isStopped || isLast) return undefined;
-      // The last search, if it makes no sense to wait, is for a time to return.
-      isRefused = !hasRun && this.isOverShare(outcome);
       if (isRefused) continue;
       if (clock.now() >= until && !this.mayReturn) return undefined;
       await sleep(clock, POLL_INTERVAL_MS);
     }
   }
 
-  /**
-   * A request beyond the share of its account is refused at once, unless that
-   * would be its last chance.
-   */
-  private isOverShare({cause}: NotPlaced): boolean {
-    return cause === 'share' && !this.request.demand.returning;
-  }
-
-  private nextDemand(): WaitDemand {
-    const {demand} = this.request;
-    const isRepeated = this.hasSearched;
-    this.hasSearched = true;
-    return demand.account === undefined ? demand : {...demand, isRepeated};
-  }
-
   /** Whether the caller can be promised room for a return. */
   private get mayReturn(): boolean {
     return !this.request.demand.returning && this.context.lateQueue.isEnabled;
@@ -175,7 +162,7 @@
 
   private async findLate(): Promise<Target | undefined> {
     const {tried, request} = this;
-    const demand = this.nextDemand();
+    const demand = this.claimed.nextDemand();
     this.lateWait = this.context.lateQueue.wait({...request, demand, tried});
     const end = await this.lateWait.end;
     return end.kind === 'placed' ? end.target : undefined;
