--- a/packages/core/src/lib/request/late_slots.ts
+++ b/packages/core/src/lib/request/late_slots.ts
@@ -63,6 +63,8 @@
  * in runs: until then a good part of its slots have become free once.
  */
 const FULL_RUNS = 0.5;
+/** The same at a host that knows only what it has refused itself. */
+const FULL_RUNS_ALONE = 1.5;
 /**
  * Maximum number of requests that wait at a host for one service. Bounds the
  * memory for their bodies and the time to order them.
@@ -110,6 +112,7 @@
  *     clock, in milliseconds.
  * @param runMs - Expected duration of a run, in milliseconds.
  * @param now - Time on the same clock.
+ * @param isAlone - Whether the requests of other hosts are not known.
  * @returns Whether requests in time need all slots, so that late ones must not
  *     take any.
  */
@@ -117,8 +120,9 @@
   fullAt: number,
   runMs: number,
   now: number,
+  isAlone: boolean,
 ): boolean {
-  return now - fullAt < runMs * FULL_RUNS;
+  return now - fullAt < runMs * (isAlone ? FULL_RUNS_ALONE : FULL_RUNS);
 }
 
 /**
--- a/packages/gateway/src/lib/process/coordinator.ts
+++ b/packages/gateway/src/lib/process/coordinator.ts
@@ -144,7 +144,7 @@
     if (wish.lane === 'batch')
       return chooser.forCoordinatedItem(service, wish.pressure, excluded);
     const {demand} = wish;
-    if (demand.late && overload.isFull(service, demand.goalMs))
+    if (demand.late && overload.isFull(service, demand.goalMs, false))
       return undefined;
     if (wish.near) return chooser.forLocalRequest(service, demand, excluded);
     return promises.isPromisedToOthers(service, demand, excluded)
--- a/packages/gateway/src/lib/process/late_queue.ts
+++ b/packages/gateway/src/lib/process/late_queue.ts
@@ -35,7 +35,10 @@
   readonly chooser: Pick<TargetChooser, 'forRequest'>;
   readonly directory: Pick<TargetDirectory, 'slotsOf'>;
   readonly overload: Pick<ServiceOverload, 'latencyOf' | 'isFull'>;
-  readonly placement: Pick<Placement<LoadPeer>, 'forRequest'>;
+  readonly placement: Pick<
+    Placement<LoadPeer>,
+    'forRequest' | 'usesPeerCoordinator'
+  >;
   /** @returns Number of live hosts, including this one. */
   readonly hosts: () => number;
   /** @returns Whether requests may wait here at all. */
@@ -214,7 +217,8 @@
     const {chooser, overload, placement} = this.context;
     const {service, tried} = asked;
     const demand: WaitDemand = {...asked.demand, late: true};
-    if (overload.isFull(service, demand.goalMs)) return undefined;
+    const isAlone = !placement.usesPeerCoordinator;
+    if (overload.isFull(service, demand.goalMs, isAlone)) return undefined;
     // Without a free slot in the local view, the coordinator is not asked.
     if (!chooser.forRequest(service, demand, tried)) return undefined;
     const outcome = await placement.forRequest(service, demand, tried);
--- a/packages/gateway/src/lib/process/service_overload.ts
+++ b/packages/gateway/src/lib/process/service_overload.ts
@@ -55,12 +55,13 @@
   /**
    * @param service - A service.
    * @param goalMs - Latency objective of its requests, in milliseconds.
+   * @param isAlone - Whether this host does not know the requests of others.
    * @returns Whether requests in time need all its slots.
    */
-  isFull(service: string, goalMs: number): boolean {
+  isFull(service: string, goalMs: number, isAlone: boolean): boolean {
     const fullAt = this.services.get(service)?.fullAt ?? -Infinity;
     const runMs = expectedRunMs(this.latencyOf(service), goalMs);
-    return isServiceFull(fullAt, runMs, this.context.clock.now());
+    return isServiceFull(fullAt, runMs, this.context.clock.now(), isAlone);
   }
 
   /**
--- a/packages/gateway/src/test/process/late_queue_test.ts
+++ b/packages/gateway/src/test/process/late_queue_test.ts
@@ -39,6 +39,7 @@
       isFull: () => state.isFull,
     },
     placement: {
+      usesPeerCoordinator: true,
       forRequest: async (service, demand) => {
         state.asked.push(demand);
         return state.hasFreeSlot ? {kind: 'placed', target: TARGET} : NO_ROOM;
