Smaller OnlineRequest, queue limits by the objective

Change: admission right before sending, the watch for silent targets and the request for a target are modules of their own. The limits follow from the objective and from the time within which a refusal is early.

Tests of core's requests and the gateway pass.

--- a/packages/core/src/lib/request/late_slots.ts
+++ b/packages/core/src/lib/request/late_slots.ts
@@ -10,6 +10,7 @@
  * once, because its caller gains nothing by waiting.
  */
 import type {ServiceLatency} from '../process/service_latency.js';
+import {DEFAULT_RUN_OBJECTIVES} from './queue_limits.js';
 
 /** A request that waits for a slot, or asks to. */
 export interface LateRequest {
@@ -48,11 +49,6 @@
  * enough for the caller to turn elsewhere after a refusal.
  */
 const MAX_WAIT_SHARE = 0.5;
-/**
- * Assumed duration of a run while it is unknown, in latency objectives: an
- * objective is rarely shorter than a third of a run.
- */
-const DEFAULT_RUN_OBJECTIVES = 3;
 /**
  * Fraction of the slots that become free which late requests can expect; the
  * others are needed by requests within their latency objective.
--- a/packages/core/src/lib/request/queue_limits.ts
+++ b/packages/core/src/lib/request/queue_limits.ts
@@ -41,38 +41,44 @@
 
 /**
  * Fraction of the wait permitted by a latency objective that a queue may use.
- * The rest is kept for requests of other hosts that are not reported yet: with
- * loads 60 ms old, 0.7 instead of 0.35 made 24 instead of 15 of 100 requests
- * late, on three targets with eight slots in bursts of 65 requests per second
- * (the load of burst_replay_test).
+ * The rest covers requests that other hosts have sent and not reported yet, and
+ * runs that are longer than the mean.
  */
 const QUEUE_WAIT_FRACTION = 0.35;
 /**
  * Decrease of that fraction per step of lower priority, so that less urgent
- * requests are refused first.
+ * requests are refused first: the lowest priority has a fifth of it left.
  */
 const QUEUE_WAIT_FRACTION_STEP = 0.07;
 /**
- * Increase of that fraction for a retry: without it 9 instead of 7 of 100
- * requests were refused for good (burst_replay_test).
+ * Increase of that fraction for a retry, so that it is not refused while
+ * requests that came later are admitted.
  */
 const RETRY_QUEUE_WAIT_BONUS = 0.1;
 /**
- * Fraction of the latency objective that a request waits before it is refused.
- * The waiting requests of all hosts see the same free slot and all take it:
- * 0.05 instead of 0.2 left 15 instead of 20 of 100 requests late
- * (burst_replay_test).
+ * Fraction of the latency objective after which a refusal no longer counts as
+ * early.
  */
-const MAX_WAIT_FRACTION = 0.05;
+const EARLY_REFUSAL_FRACTION = 0.25;
 /**
- * The same for a retry, which is not retried again. A refusal within a quarter
- * of the latency objective counts as early.
+ * Fraction of the latency objective that a retry waits before it is refused:
+ * that of an early refusal, less the time until the caller has it.
  */
-const RETRY_MAX_WAIT_FRACTION = 0.2;
+const RETRY_MAX_WAIT_FRACTION = EARLY_REFUSAL_FRACTION * 0.8;
+/**
+ * The same for a first attempt, a quarter of it. The waiting requests of all
+ * hosts see the same free slot, and a caller that is refused sooner can return
+ * sooner.
+ */
+const MAX_WAIT_FRACTION = RETRY_MAX_WAIT_FRACTION / 4;
+/**
+ * Expected duration of a run while the latency of the service is unknown, in
+ * latency objectives: an objective is rarely shorter than a third of a run.
+ */
+export const DEFAULT_RUN_OBJECTIVES = 3;
 /**
  * Queue length as a fraction of the slots, and its decrease per step of lower
- * priority, while the latency of the service is unknown. A latency objective is
- * rarely shorter than a third of a run.
+ * priority, while the latency of the service is unknown.
  */
 const DEFAULT_QUEUE_FRACTION = 0.3;
 const DEFAULT_QUEUE_FRACTION_STEP = 0.1;
--- a/packages/gateway/src/lib/request/online_request.ts
+++ b/packages/gateway/src/lib/request/online_request.ts
@@ -5,10 +5,7 @@
 import {DisposableStore, type Random} from '@oathead/core';
 import {targetKey} from '../connection/load_message.js';
 import type {Target} from '../connection/target.js';
-import type {
-  AdmissionRefusal,
-  CallerAdmission,
-} from '../process/caller_admission.js';
+import type {CallerAdmission} from '../process/caller_admission.js';
 import type {CallerRetryDetector} from '../process/caller_retry_detector.js';
 import {CrashSuspects} from '../process/crash_suspects.js';
 import type {LateQueue} from '../process/late_queue.js';
@@ -23,21 +20,23 @@
   type CompleteResponse,
 } from './exchange.js';
 import {failureStatus, STATUS_UNAVAILABLE} from './failure_status.js';
+import {forwardedRequest} from './forwarded_request.js';
 import {endToEndHeaders} from './forwarded_headers.js';
 import {pickService} from './pick_service.js';
-import {QuotaHold} from './quota_hold.js';
 import {
   RequestReport,
   type ReportContext,
   type RequestProgress,
 } from './request_report.js';
+import {SendAdmission} from './send_admission.js';
+import {watchSilence} from './silence_watch.js';
 import {
   sendToTarget,
   type SendContext,
   type ActiveSend,
 } from './target_send.js';
 import {TargetSearch} from './target_search.js';
-import type {RequestMetadata, SenderAccount} from './target_protocol.js';
+import type {RequestMetadata} from './target_protocol.js';
 
 /** Dependencies shared by all online requests of a process. */
 export interface OnlineContext extends SendContext, ReportContext {
@@ -52,13 +51,6 @@
 
 /** How many times targets may decline a request before it is refused. */
 const MAX_DECLINES = 4;
-/**
- * How long a target may send nothing before a request that can be retried is
- * moved to another target, in milliseconds. Well above the pauses of an engine
- * under load.
- */
-const TARGET_SILENCE_TIMEOUT_MS = 1200;
-
 /**
  * Reasons for an abort after which the request may be retried at another
  * target.
@@ -78,7 +70,7 @@
   private readonly report: RequestReport;
   private readonly writer: ResponseWriter;
   private readonly search: TargetSearch;
-  private readonly quota: QuotaHold;
+  private readonly admission: SendAdmission;
   private readonly service: string;
   private readonly fingerprint: string;
   private lastFailedResponse: CompleteResponse | undefined;
@@ -123,7 +115,7 @@
       startedAt,
       deadlineAt: this.deadlineAt,
     });
-    this.quota = new QuotaHold(context, account, context.clock.now());
+    this.admission = new SendAdmission(context, admitted, this.metadata.key);
   }
 
   /** Serves the request; never rejects. */
@@ -139,7 +131,7 @@
     disposables.add(
       this.context.clock.after(leftMs, () => this.abort('timeout')),
     );
-    disposables.add(this.startSilenceWatch());
+    if (this.isRepeatable) disposables.add(this.startSilenceWatch());
     while (!(await this.attempt()));
   }
 
@@ -150,48 +142,19 @@
     const hasRun = this.writer.hasStarted || this.runs > 0;
     const target = await this.search.find(hasRun);
     if (this.abortReason) return this.giveUp(this.abortReason);
-    const refusal = this.recheckAdmission();
+    // A stream that has started continues.
+    const refusal = this.writer.hasStarted
+      ? undefined
+      : this.admission.recheck();
     if (refusal) return this.giveUp(refusal);
     if (!target) return this.giveUp('no target');
-    const quotaRefusal = hasRun ? undefined : await this.renewQuota();
-    if (quotaRefusal) return this.giveUp(quotaRefusal);
+    const late = hasRun ? undefined : await this.admission.renewQuota();
+    const reason = this.abortReason ?? late;
+    if (reason) return this.giveUp(reason);
     const outcome = await this.send(target);
     return this.handleOutcome(outcome, target);
   }
 
-  /**
-   * Checks admission again just before the request is sent. A key may have been
-   * revoked, or the process may have stalled, while the request waited. A
-   * stream that has started continues.
-   *
-   * @returns Why the request must be refused; undefined if it may be sent.
-   */
-  private recheckAdmission(): AdmissionRefusal | undefined {
-    if (this.writer.hasStarted) return undefined;
-    const {admission} = this.context;
-    const now = admission.admit(this.metadata.key, this.admitted.route);
-    if (now.kind === 'refused') return now.reason;
-    const isSame = now.account?.name === this.admitted.account?.name;
-    return isSame ? undefined : 'unknown-key';
-  }
-
-  /** @returns Why the request must not be sent; undefined if it may be sent. */
-  private async renewQuota(): Promise<string | undefined> {
-    switch (await this.quota.renew()) {
-      case 'kept':
-        return undefined;
-      case 'over':
-        return 'over-quota';
-      case 'renewed':
-        return this.abortReason ?? this.recheckAdmission();
-    }
-  }
-
-  private senderAccount(): SenderAccount | undefined {
-    if (!this.context.admission.hasAccounts) return undefined;
-    return {name: this.admitted.account?.name};
-  }
-
   private async send(target: Target): Promise<ExchangeOutcome> {
     const {context, writer} = this;
     this.search.tried.add(target.id);
@@ -201,24 +164,13 @@
       target.serverId,
       this.runs + 1,
     );
-    const forwardMetadata = {
-      requestId: this.metadata.requestId,
-      serverId: target.serverId,
-      deadlineMs: Math.max(1, Math.floor(this.deadlineAt - this.now())),
-      lastEventId: writer.lastEventId,
-      account: this.senderAccount(),
-    };
-    const req = {
-      requestId: this.metadata.requestId,
-      method: this.admitted.req.method ?? 'GET',
-      path: this.admitted.req.url ?? '/',
-      headers: context.protocol.requestHeaders(
-        targetSpan.headers,
-        forwardMetadata,
-      ),
-      body: this.admitted.body,
-      firstEventId: writer.nextEventId,
-    };
+    const req = forwardedRequest(context.protocol, this.admitted, target, {
+      metadata: this.metadata,
+      headers: targetSpan.headers,
+      leftMs: this.deadlineAt - this.now(),
+      account: this.admission.senderAccount,
+      writer,
+    });
     this.activeSend = sendToTarget(context, target, 'online', req, writer);
     const outcome = await this.activeSend.end;
     this.activeSend = undefined;
@@ -288,10 +240,17 @@
     return retry ? false : this.giveUp(reason);
   }
 
+  private get isRepeatable(): boolean {
+    return this.admitted.route.idempotent || this.admitted.route.resumable;
+  }
+
   private canRetry(): boolean {
     const {route} = this.admitted;
-    const repeatable = route.idempotent || route.resumable;
-    return repeatable && this.runs + 1 < route.maxAttempts && !this.abortReason;
+    return (
+      this.isRepeatable &&
+      this.runs + 1 < route.maxAttempts &&
+      !this.abortReason
+    );
   }
 
   /**
@@ -319,7 +278,7 @@
       status === STATUS_UNAVAILABLE ? this.search.retry() : undefined;
     const view = this.context.chooser.view(service);
     this.report.givenUp(service, reason, view, retry);
-    if (this.runs === 0) this.quota.refund();
+    if (this.runs === 0) this.admission.refundQuota();
     const headers = retry && this.context.protocol.retryAfter(retry.delayMs);
     this.writer.sendFailure(status, headers ?? {});
     return this.finish(reason, status);
@@ -331,20 +290,10 @@
     this.activeSend?.control.end(by);
   }
 
-  /**
-   * Aborts a run at a target that has sent nothing for too long, if the request
-   * can be retried elsewhere.
-   */
   private startSilenceWatch(): Disposable {
-    const {idempotent, resumable} = this.admitted.route;
-    if (!idempotent && !resumable) return {[Symbol.dispose]: () => {}};
-    const timer = setInterval(() => {
-      const control = this.activeSend?.control;
-      if (!control || !this.canRetry()) return;
-      if (control.silentMs(this.now()) > TARGET_SILENCE_TIMEOUT_MS)
-        control.end('silent');
-    }, TARGET_SILENCE_TIMEOUT_MS / 4);
-    return {[Symbol.dispose]: () => clearInterval(timer)};
+    const movableRun = () =>
+      this.canRetry() ? this.activeSend?.control : undefined;
+    return watchSilence(movableRun, () => this.now());
   }
 
   private logRun(event: string, reason: string, target: Target): void {
