--- a/packages/core/src/lib/request/late_slots.ts
+++ b/packages/core/src/lib/request/late_slots.ts
@@ -10,6 +10,7 @@
  * once, because its caller gains nothing by waiting.
  */
 import type {ServiceLatency} from '../process/service_latency.js';
+import {DEFAULT_RUN_OBJECTIVES} from './queue_limits.js';
 
 /** A request that waits for a slot, or asks to. */
 export interface LateRequest {
@@ -48,11 +49,6 @@
  * enough for the caller to turn elsewhere after a refusal.
  */
 const MAX_WAIT_SHARE = 0.5;
-/**
- * Assumed duration of a run while it is unknown, in latency objectives: an
- * objective is rarely shorter than a third of a run.
- */
-const DEFAULT_RUN_OBJECTIVES = 3;
 /**
  * Fraction of the slots that become free which late requests can expect; the
  * others are needed by requests within their latency objective.
@@ -63,6 +59,8 @@
  * in runs: until then a good part of its slots have become free once.
  */
 const FULL_RUNS = 0.5;
+/** The same at a host that knows only what it has refused itself. */
+const FULL_RUNS_ALONE = 1.5;
 /**
  * Maximum number of requests that wait at a host for one service. Bounds the
  * memory for their bodies and the time to order them.
@@ -110,6 +108,7 @@
  *     clock, in milliseconds.
  * @param runMs - Expected duration of a run, in milliseconds.
  * @param now - Time on the same clock.
+ * @param isAlone - Whether the requests of other hosts are not known.
  * @returns Whether requests in time need all slots, so that late ones must not
  *     take any.
  */
@@ -117,8 +116,9 @@
   fullAt: number,
   runMs: number,
   now: number,
+  isAlone: boolean,
 ): boolean {
-  return now - fullAt < runMs * FULL_RUNS;
+  return now - fullAt < runMs * (isAlone ? FULL_RUNS_ALONE : FULL_RUNS);
 }
 
 /**
--- a/packages/gateway/src/lib/process/coordinator.ts
+++ b/packages/gateway/src/lib/process/coordinator.ts
@@ -199,7 +199,7 @@
     excluded: ReadonlySet<string>,
   ): Target | undefined {
     const {chooser, overload, promises} = this.context;
-    if (demand.late && overload.isFull(service, demand.goalMs))
+    if (demand.late && overload.isFull(service, demand.goalMs, false))
       return undefined;
     if (near) return chooser.forLocalRequest(service, demand, excluded);
     return promises.isPromisedToOthers(service, demand, excluded)
--- a/packages/gateway/src/test/process/share_admission_test.ts
+++ b/packages/gateway/src/test/process/share_admission_test.ts
@@ -28,7 +28,10 @@
     directory: {ofService: () => [NEAR, FAR]},
     suspensions: {isSuspended: () => false},
     loads,
-    overload: {runMs: () => 500, maxQueued: () => queueLength},
+    overload: {
+      latencyOf: () => ({firstByteMs: 50, runMs: 500}),
+      maxQueued: () => queueLength,
+    },
     counters: {
       count: (name, labels = {}) =>
         counted.push([name, ...Object.values(labels)].join(' ')),
