--- a/packages/serving/src/lib/process/serving_components.ts
+++ b/packages/serving/src/lib/process/serving_components.ts
@@ -219,7 +219,6 @@
     freshness,
     quotas,
     counters,
-    now: () => clock.now(),
   });
   const lateQueue = new LateQueue({
     ...requestContext,
