--- a/packages/core/src/lib/process/account_shares.ts
+++ b/packages/core/src/lib/process/account_shares.ts
@@ -38,6 +38,8 @@
   readonly costMs: number;
   /** Whether the request has been counted as demand before. */
   readonly isRepeated: boolean;
+  /** Whether its caller has come back after a refusal, for the last time. */
+  readonly isReturning: boolean;
 }
 
 /** Slots that the requests compete for. */
@@ -100,6 +102,12 @@
  * to the time over which demand is measured.
  */
 const DIVISION_INTERVAL_MS = 25;
+/**
+ * Factor by which returning requests may exceed the share of their account. New
+ * requests of the account are refused until it is below its share again: they
+ * can come back, returning ones cannot.
+ */
+const RETURNING_SHARE_FACTOR = 1.25;
 /**
  * Number of accounts whose demand and use are known one by one. Beyond twice as
  * many, the accounts with the lowest demand are dropped to this number. They
@@ -141,7 +149,8 @@
     if (division.levels.length === 0) return IN_SHARE;
     const share = shareIn(division, entry);
     const use = entry.use.valueAt(now, this.memoryMs);
-    if (use < share) return IN_SHARE_CONTENDED;
+    const factor = ask.isReturning ? RETURNING_SHARE_FACTOR : 1;
+    if (use < share * factor) return IN_SHARE_CONTENDED;
     const {reserve} = division;
     const figures = {use, share, room: division.room};
     return {kind: 'over-share', figures, reserve};
--- a/packages/gateway/src/lib/process/share_admission.ts
+++ b/packages/gateway/src/lib/process/share_admission.ts
@@ -143,12 +143,12 @@
   private askOf(
     service: string,
     account: string,
-    {priority, isRepeated = false}: WaitDemand,
+    {priority, isRepeated = false, returning: isReturning}: WaitDemand,
   ): ShareAsk {
     const {overload, weightOf} = this.context;
     const costMs = overload.runMs(service) ?? NaN;
     const weight = weightOf(account);
-    return {account, priority, weight, costMs, isRepeated};
+    return {account, priority, weight, costMs, isRepeated, isReturning};
   }
 
   /** Data centre whose slots are divided; undefined for all of them. */
