--- a/packages/gateway/src/lib/process/share_admission.ts
+++ b/packages/gateway/src/lib/process/share_admission.ts
@@ -98,9 +98,7 @@
       // request as for one that was refused before. A substitute knows too
       // little of the queues for that.
       const mayQueueLonger = verdict.isContended && !request.isSubstitute;
-      const target =
-        search(demand, excluded) ??
-        (mayQueueLonger ? search(preferred, excluded) : undefined);
+      const target = search(mayQueueLonger ? preferred : demand, excluded);
       this.recordGrant(service, ask, target);
       if (verdict.isContended)
         counters.count('share_decisions', {
