--- a/packages/gateway/src/lib/process/share_admission.ts
+++ b/packages/gateway/src/lib/process/share_admission.ts
@@ -98,9 +98,7 @@
       // request as for one that was refused before. A substitute knows too
       // little of the queues for that.
       const mayQueueLonger = verdict.isContended && !request.isSubstitute;
-      const target =
-        search(demand, excluded) ??
-        (mayQueueLonger ? search(preferred, excluded) : undefined);
+      const target = search(mayQueueLonger ? preferred : demand, excluded);
       this.recordGrant(service, ask, target);
       if (verdict.isContended)
         counters.count('share_decisions', {
@@ -143,12 +141,12 @@
   private askOf(
     service: string,
     account: string,
-    {priority, isRepeated = false}: WaitDemand,
+    {priority, isRepeated = false, returning: isReturning}: WaitDemand,
   ): ShareAsk {
     const {overload, weightOf} = this.context;
     const costMs = overload.latencyOf(service)?.runMs ?? NaN;
     const weight = weightOf(account);
-    return {account, priority, weight, costMs, isRepeated};
+    return {account, priority, weight, costMs, isRepeated, isReturning};
   }
 
   /** Data centre whose slots are divided; undefined for all of them. */
