No run or host alone makes a target count as unlike

Change: accuracy counts by runs and not by their parts; a host that tells of a target twice in a row counts once; one odd sample counts little; the dead band is 2.8 mean deviations. One of six reports goes to another data centre.

--- a/packages/core/src/lib/connection/service_speeds.ts
+++ b/packages/core/src/lib/connection/service_speeds.ts
@@ -22,6 +22,8 @@
   readonly ms: number;
   /** How full the target was. */
   readonly band: LoadBand;
+  /** Whether it is the first part of its run that is measured. */
+  readonly isNewRun: boolean;
 }
 
 /** Slowness of a target: 1 if it is like its service, 2 if it takes twice. */
@@ -43,7 +45,7 @@
 /** Smallest dead band, as a logarithm: a fifth. */
 const MIN_DEAD_BAND = 0.2;
 /** Dead band relative to the mean deviation of a run from its estimate. */
-const DEAD_BAND_DEVIATIONS = 2.2;
+const DEAD_BAND_DEVIATIONS = 2.8;
 /** Share of the dead band below which a target is like its service again. */
 const LEAVE_SHARE = 0.6;
 /** Weight of the newest deviation. */
@@ -84,7 +86,7 @@
    */
   record(
     target: string,
-    {kind, ms, band}: SpeedSample,
+    {kind, ms, band, isNewRun}: SpeedSample,
     now: number,
   ): SpeedEvidence | undefined {
     if (!(ms > 0) || !Number.isFinite(ms)) return undefined;
@@ -97,7 +99,7 @@
     if (speed.isKnown) this.recordDeviation(distance);
     if (Math.abs(distance) > TELL_DISTANCE) this.tellUntil = now + TELL_MS;
     const evidence = {logRatio, count: 1, nearlyFull};
-    speed.add(evidence, OWN_RUNS, now);
+    speed.add(evidence, OWN_RUNS, now, isNewRun);
     return evidence;
   }
 
--- a/packages/core/src/lib/connection/slowness_filter.ts
+++ b/packages/core/src/lib/connection/slowness_filter.ts
@@ -17,8 +17,11 @@
 const MAX_WEIGHT = 0.6;
 /** Distance from the estimate beyond which a sample is odd: a third more. */
 const ODD_DISTANCE = 0.3;
-/** Largest distance that a single odd sample counts with. */
-const MAX_SINGLE_DISTANCE = 0.5;
+/**
+ * Largest distance that a single odd sample counts with. Of two sources of
+ * which one sees each run as odd, it keeps the estimate near the other.
+ */
+const MAX_SINGLE_DISTANCE = 0.15;
 /** Largest distance of any sample: e times as slow or as fast. */
 const MAX_DISTANCE = 1;
 /** Estimates are bounded to a factor of about seven. */
@@ -75,7 +78,8 @@
       // target is like its peers.
       1 / (this.samplesSeen + 2),
     );
-    const weight = 1 - (1 - single) ** Math.min(count, MAX_COUNT);
+    const counted = streak === 1 ? 1 : Math.min(count, MAX_COUNT);
+    const weight = 1 - (1 - single) ** counted;
     this.estimate = clamp(before + clipped * weight, MAX_ESTIMATE);
     this.samplesSeen++;
     this.fadesFrom = now + FADE_AFTER_MS;
--- a/packages/core/src/lib/connection/target_speed.ts
+++ b/packages/core/src/lib/connection/target_speed.ts
@@ -29,7 +29,10 @@
 /** Name of this host as a source of evidence. */
 export const OWN_RUNS = '';
 
-/** Number of samples after which an estimate has its usual accuracy. */
+/**
+ * Number of samples, and of runs, after which an estimate has its usual
+ * accuracy. Parts of one run have in common what is odd about it.
+ */
 const USUAL_SAMPLES = 5;
 /** Numbers of samples before the estimates are used at all. */
 const MIN_SAMPLES = 2;
@@ -53,6 +56,7 @@
   /** Last evidence of a source other than the last one. */
   private otherSourceAt = -Infinity;
   private changedAt = -Infinity;
+  private runs = 0;
   /** Last evidence from a time at which the target was not nearly full. */
   private regularAt = -Infinity;
 
@@ -80,7 +84,7 @@
     return {
       regular: isFullOnly ? regular + extra : regular,
       extraWhenFull: isFullOnly ? 0 : extra,
-      uncertainty: Math.sqrt(Math.max(1, USUAL_SAMPLES / samples)),
+      uncertainty: Math.sqrt(Math.max(1, USUAL_SAMPLES / this.runs)),
     };
   }
 
@@ -100,8 +104,15 @@
    * @param evidence - Runs at this target.
    * @param source - Host that tells of them; {@link OWN_RUNS} for this host.
    * @param now - Current time, in milliseconds.
+   * @param isNewRun - Whether it is the first that is told of these runs.
    */
-  add(evidence: SpeedEvidence, source: string, now: number): void {
+  add(
+    evidence: SpeedEvidence,
+    source: string,
+    now: number,
+    isNewRun = true,
+  ): void {
+    if (this.isRepeated(source, now)) return;
     const {count, nearlyFull} = evidence;
     const limit =
       source === OWN_RUNS || this.hasOtherSource(source, now)
@@ -110,6 +121,7 @@
     const logRatio = Math.max(-limit, Math.min(limit, evidence.logRatio));
     this.recordSource(source, now);
     this.changedAt = now;
+    if (isNewRun) this.runs++;
     if (!nearlyFull) this.regularAt = now;
     // Until the speed of the target alone is known, all its runs tell of that.
     if (nearlyFull && this.isKnown)
@@ -126,6 +138,19 @@
     this.regular.shift(by);
   }
 
+  /**
+   * Whether another host tells of the target again before any other source. A
+   * host that stands still by turns would otherwise outweigh all that have
+   * fewer runs there.
+   */
+  private isRepeated(source: string, now: number): boolean {
+    return (
+      source !== OWN_RUNS &&
+      source === this.lastSource &&
+      now - this.lastSourceAt < SOURCE_LIFETIME_MS
+    );
+  }
+
   private hasOtherSource(source: string, now: number): boolean {
     const at =
       this.lastSource === source ? this.otherSourceAt : this.lastSourceAt;
--- a/packages/core/src/test/connection/service_speeds_test.ts
+++ b/packages/core/src/test/connection/service_speeds_test.ts
@@ -27,7 +27,11 @@
       for (const [target, slowness] of this.slowness) {
         const noise = 1 + this.noise * (2 * this.random.float() - 1);
         const ms = PACE_MS * slowness * noise * bandFactor;
-        this.speeds.record(target, {kind: KIND, ms, band}, this.now);
+        this.speeds.record(
+          target,
+          {kind: KIND, ms, band, isNewRun: true},
+          this.now,
+        );
       }
     }
   }
@@ -96,12 +100,16 @@
 test('one odd run changes nothing', t => {
   const fleet = new Fleet(alike(9), 0.1);
   fleet.run(40);
-  const odd = {kind: KIND, ms: PACE_MS * 50, band: ALONE};
+  const odd = {kind: KIND, ms: PACE_MS * 50, band: ALONE, isNewRun: true};
   fleet.speeds.record('t0', odd, fleet.now);
   fleet.run(1);
   t.is(fleet.speeds.unlikeAt(fleet.now).size, 0);
   for (const ms of [0, -1, NaN, Infinity])
-    fleet.speeds.record('t0', {kind: KIND, ms, band: ALONE}, fleet.now);
+    fleet.speeds.record(
+      't0',
+      {kind: KIND, ms, band: ALONE, isNewRun: true},
+      fleet.now,
+    );
   fleet.run(1);
   t.is(fleet.speeds.unlikeAt(fleet.now).size, 0);
 });
@@ -120,10 +128,14 @@
     const ms = PACE_MS * 4;
     fleet.speeds.record(
       't9',
-      {kind: KIND, ms: PACE_MS, band: ALONE},
+      {kind: KIND, ms: PACE_MS, band: ALONE, isNewRun: true},
+      fleet.now,
+    );
+    fleet.speeds.record(
+      't9',
+      {kind: KIND, ms, band: full, isNewRun: true},
       fleet.now,
     );
-    fleet.speeds.record('t9', {kind: KIND, ms, band: full}, fleet.now);
   }
   const {regular, nearlyFull} = fleet.speeds.slownessOf('t9', fleet.now + 250);
   t.is(regular, 1);
@@ -150,6 +162,21 @@
   t.true(fleet.regular('told') > 3);
 });
 
+// Guards against a host that stands still by turns, sees all streams in lumps
+// and makes all others think that its targets are slow.
+test('one other host does not outweigh own runs that are fewer', t => {
+  const fleet = new Fleet(alike(9), 0.1);
+  fleet.run(40);
+  const evidence = {logRatio: 2, count: 4, nearlyFull: false};
+  for (let i = 0; i < 60; i++) {
+    fleet.now += STEP_MS;
+    for (const target of ['t0', 't1', 't2'])
+      fleet.speeds.addReported(target, evidence, 'slow host', fleet.now);
+    if (i % 8 === 0) fleet.run(1);
+    t.is(fleet.speeds.unlikeAt(fleet.now).size, 0);
+  }
+});
+
 // Guards against a restarted server that gets few requests because the one
 // before was slow.
 test('a target that is gone is forgotten', t => {
--- a/packages/gateway/src/lib/process/speed_reporter.ts
+++ b/packages/gateway/src/lib/process/speed_reporter.ts
@@ -23,10 +23,12 @@
 /** Interval between two reports, in milliseconds. */
 export const SPEED_REPORT_MS = 500;
 /**
- * Number of hosts that a report goes to. With some ten targets in each, the
- * reports take a kilobyte and a half a second.
+ * Numbers of hosts that a report goes to, in this data centre and in others.
+ * With some ten targets in each, the reports take a kilobyte and a half a
+ * second.
  */
-const RECIPIENTS = 6;
+const NEAR_RECIPIENTS = 5;
+const FAR_RECIPIENTS = 1;
 /** Runs that are older are not told any more, in milliseconds. */
 const MAX_AGE_MS = 3 * SPEED_REPORT_MS;
 /** Number of hosts whose last report is remembered; exceeds any fleet. */
@@ -55,6 +57,22 @@
 
 type Mean = Omit<SpeedEntry, 'key'>;
 
+/** Takes some hosts of a list at a time, each in its turn. */
+class Turns {
+  /** @param next - Position of the first host. */
+  constructor(private next: number) {}
+
+  take<P>(hosts: readonly P[], count: number): readonly P[] {
+    const start = hosts.length > 0 ? this.next % hosts.length : 0;
+    const taken = [...hosts.slice(start), ...hosts.slice(0, start)].slice(
+      0,
+      count,
+    );
+    this.next += taken.length;
+    return taken;
+  }
+}
+
 /** Collects what this host has measured, and applies what others tell. */
 export class SpeedReporter<P extends LoadPeer> {
   /** Measurements to be told, by load key and band, by service. */
@@ -64,13 +82,15 @@
   });
   private readonly keys = new WeakMap<readonly Target[], ReadonlySet<string>>();
   private sequence = 0;
-  private round: number;
+  private readonly nearTurns: Turns;
+  private readonly farTurns: Turns;
   private takenAt: number;
 
   /** @param context - This host, its measurements and the targets. */
   constructor(private readonly context: SpeedReporterContext<P>) {
     const {speeds, random, now} = context;
-    this.round = random.int(MAX_INITIAL_ROUND);
+    this.nearTurns = new Turns(random.int(MAX_INITIAL_ROUND));
+    this.farTurns = new Turns(random.int(MAX_INITIAL_ROUND));
     this.takenAt = now();
     speeds.onEvidence((target, evidence) => {
       this.collect(target.service, {key: targetKey(target.id), ...evidence});
@@ -147,23 +167,22 @@
   }
 
   /**
-   * The coordinator, which places most requests in a burst, and some others in
-   * turn: hosts of this data centre, whose runs are at the same targets, and
-   * others only if there are few of those.
+   * The coordinator, which places most requests in a burst, and other hosts in
+   * turn: most of them of this data centre, whose runs are at the same targets.
    */
   private recipients(peers: readonly P[]): readonly P[] {
     const {self, coordinator} = this.context;
-    const chosen = new Set<P>();
     const first = coordinator();
-    if (first) chosen.add(first);
     const isNear = ({dataCentre}: P) => dataCentre === self.dataCentre;
-    const near = peers.filter(isNear);
+    const near = peers.filter(peer => isNear(peer) && peer !== first);
     const far = peers.filter(peer => !isNear(peer));
-    for (const group of [near, far])
-      for (let i = 0; i < group.length && chosen.size < RECIPIENTS; i++)
-        chosen.add(group[(this.round + i) % group.length]!);
-    this.round += RECIPIENTS;
-    return [...chosen];
+    const known = first ? [first] : [];
+    const chosen = [
+      ...known,
+      ...this.nearTurns.take(near, NEAR_RECIPIENTS - known.length),
+    ];
+    const left = NEAR_RECIPIENTS + FAR_RECIPIENTS - chosen.length;
+    return [...chosen, ...this.farTurns.take(far, left)];
   }
 
   private keysOf(service: string): ReadonlySet<string> {
--- a/packages/gateway/src/lib/process/target_speeds.ts
+++ b/packages/gateway/src/lib/process/target_speeds.ts
@@ -22,6 +22,8 @@
   readonly kind: string;
   /** Time for one unit of work, in milliseconds. */
   readonly ms: number;
+  /** Whether it is the first part of its run that is measured. */
+  readonly isNewRun: boolean;
   /** Requests of all hosts in flight at the target. */
   readonly inFlight: number;
 }
@@ -56,13 +58,13 @@
    * @param target - A target that runs a request of this host.
    * @param sample - What the run has shown.
    */
-  record(target: Target, {kind, ms, inFlight}: RunSample): void {
+  record(target: Target, {inFlight, ...sample}: RunSample): void {
     if (!this.context.isLearning) return;
     const band = loadBand(inFlight, target.slots);
     const key = targetKey(target.id);
     const now = this.context.clock.now();
     const speeds = this.speedsOf(target.service);
-    const evidence = speeds.record(key, {kind, ms, band}, now);
+    const evidence = speeds.record(key, {...sample, band}, now);
     if (evidence) this.listener?.(target, evidence);
   }
 
--- a/packages/gateway/src/lib/request/run_measurement.ts
+++ b/packages/gateway/src/lib/request/run_measurement.ts
@@ -24,6 +24,7 @@
   private readonly sentAt: number;
   private readonly hadFreeSlot: boolean;
   private readonly slowness: number;
+  private isMeasured = false;
 
   /**
    * @param context - Clock, loads and estimates.
@@ -87,7 +88,9 @@
   private recordSpeed(what: 'pace' | 'answer', ms: number): void {
     const kind = `${this.lane} ${what}`;
     const inFlight = this.inFlight();
-    this.context.overload.speeds.record(this.target, {kind, ms, inFlight});
+    const sample = {kind, ms, inFlight, isNewRun: !this.isMeasured};
+    this.isMeasured = true;
+    this.context.overload.speeds.record(this.target, sample);
   }
 
   private inFlight(): number {
--- a/packages/gateway/src/test/fakes/fleet_simulator.ts
+++ b/packages/gateway/src/test/fakes/fleet_simulator.ts
@@ -155,6 +155,7 @@
   msPerEvent: number;
   startsAt: number | undefined;
   paceMeter: PaceMeter | undefined;
+  isMeasured: boolean;
 }
 
 interface Host extends LoadPeer {
@@ -509,6 +510,7 @@
       hadFreeSlot,
       startsAt: undefined,
       paceMeter: undefined,
+      isMeasured: false,
     });
   }
 
@@ -562,7 +564,9 @@
       kind: run.caller ? 'online pace' : 'batch pace',
       ms,
       inFlight: online + batch,
+      isNewRun: !run.isMeasured,
     });
+    run.isMeasured = true;
   }
 
   private end(target: Target, run: Run): void {
--- a/packages/gateway/src/test/process/speed_reporter_test.ts
+++ b/packages/gateway/src/test/process/speed_reporter_test.ts
@@ -43,7 +43,12 @@
   const run = (slowness: number) => {
     for (const target of TARGETS) {
       const ms = PACE_MS * (target === SLOW ? slowness : 1);
-      speeds.record(target, {kind: 'online pace', ms, inFlight: 1});
+      speeds.record(target, {
+        kind: 'online pace',
+        ms,
+        inFlight: 1,
+        isNewRun: true,
+      });
     }
   };
   return {clock, directory, speeds, reporter, counted, run};
@@ -80,13 +85,11 @@
     for (const {message, peers} of host.reporter.takeDueReports(PEERS)) {
       t.true(peers.length <= 6);
       t.true(encodeSpeeds(message).length < 200);
+      t.is(peers.filter(({dataCentre}) => dataCentre === 'a').length, 5);
       for (const {id} of peers) reported.add(id);
     }
   }
-  t.deepEqual(
-    [...reported].sort(),
-    PEERS.slice(0, 10).map(({id}) => id),
-  );
+  t.is(reported.size, PEERS.length);
 });
 
 // Guards against a host that needs minutes to learn what others know, as it has
@@ -136,7 +139,12 @@
   const host = newHost('h');
   const before = newIncarnation('i', 1000);
   host.directory.put(before);
-  const slow = {kind: 'online pace', ms: PACE_MS * 4, inFlight: 1};
+  const slow = {
+    kind: 'online pace',
+    ms: PACE_MS * 4,
+    inFlight: 1,
+    isNewRun: true,
+  };
   for (let round = 0; round < 10; round++) {
     host.run(1);
     host.speeds.record(before, slow);
--- a/packages/gateway/src/test/process/target_score_test.ts
+++ b/packages/gateway/src/test/process/target_score_test.ts
@@ -46,7 +46,12 @@
   for (let i = 0; i < 60; i++) {
     clock.advance(250);
     for (const [target, slowness] of SLOWNESS)
-      speeds.record(target, {kind: 'p', ms: 26 * slowness, inFlight: 1});
+      speeds.record(target, {
+        kind: 'p',
+        ms: 26 * slowness,
+        inFlight: 1,
+        isNewRun: true,
+      });
     overload.recordRun('s', LATENCY);
   }
   const health = new ServiceHealth(clock);
