--- a/packages/gateway/src/test/fakes/fleet_simulator.ts
+++ b/packages/gateway/src/test/fakes/fleet_simulator.ts
@@ -199,6 +199,7 @@
   msPerEvent: number;
   startsAt: number | undefined;
   paceMeter: PaceMeter | undefined;
+  isMeasured: boolean;
 }
 
 interface Host extends LoadPeer {
@@ -631,6 +632,7 @@
       hadFreeSlot,
       startsAt: undefined,
       paceMeter: undefined,
+      isMeasured: false,
     });
   }
 
@@ -690,7 +692,9 @@
       kind: run.caller ? 'online pace' : 'batch pace',
       ms,
       inFlight: online + batch,
+      isNewRun: !run.isMeasured,
     });
+    run.isMeasured = true;
   }
 
   private end(target: Target, run: Run): void {
