--- a/packages/gateway/src/lib/request/quota_hold.ts
+++ b/packages/gateway/src/lib/request/quota_hold.ts
@@ -5,7 +5,7 @@
  * its grant must not be sent with it: an account could otherwise save up grants
  * and send more at once than its quota permits.
  */
-import type {Clock} from '@oathead/core';
+import {isGrantGood, type Clock} from '@oathead/core';
 import type {CallerAdmission} from '../process/caller_admission.js';
 import type {AdmittedRequest} from './admitted_request.js';
 import {quotaDemand} from './quota_demand.js';
@@ -15,7 +15,7 @@
 export interface QuotaHoldContext {
   readonly clock: Clock;
   readonly protocol: TargetProtocol;
-  readonly admission: Pick<CallerAdmission, 'refundQuota' | 'renewQuota'>;
+  readonly admission: Pick<CallerAdmission, 'refundQuota' | 'takeQuota'>;
 }
 
 /** Whether a request may be sent, and with which grant. */
@@ -43,16 +43,17 @@
    * @returns Whether it may be sent; after `over` it holds no quota.
    */
   async renew(): Promise<QuotaRenewal> {
-    const {grantedAt} = this;
-    const verdict = await this.context.admission.renewQuota(
-      this.admitted.account,
-      grantedAt,
-      quotaDemand(this.admitted, this.context),
-    );
-    this.isHeld = verdict.kind === 'granted';
+    const {admission, clock} = this.context;
+    const {account} = this.admitted;
+    if (!account?.quota || isGrantGood(this.grantedAt, clock.now()))
+      return 'kept';
+    this.refund();
+    const demand = quotaDemand(this.admitted, this.context);
+    const verdict = await admission.takeQuota(account, demand);
     if (verdict.kind === 'over') return 'over';
+    this.isHeld = true;
     this.grantedAt = verdict.grantedAt;
-    return verdict.grantedAt === grantedAt ? 'kept' : 'renewed';
+    return 'renewed';
   }
 
   /** Refunds the grant, because the request was not sent. */
--- a/packages/gateway/src/test/request/quota_hold_test.ts
+++ b/packages/gateway/src/test/request/quota_hold_test.ts
@@ -1,3 +1,4 @@
+import {GRANT_VALIDITY_MS} from '@oathead/core';
 import test from 'ava';
 import type {AdmittedRequest} from '../../lib/request/admitted_request.js';
 import {QuotaHold} from '../../lib/request/quota_hold.js';
@@ -5,7 +6,6 @@
 import {PROTOCOL} from '../fakes/raw_target.js';
 
 const ACCOUNT = {name: 'a', priority: 0, quota: {perSecond: 1, burst: 1}};
-const RENEWED_AT_MS = 400;
 
 function newHold(isGranted: boolean) {
   const clock = new FakeClock();
@@ -13,10 +13,10 @@
   const admission = {
     refundQuota: (account: unknown, grantedAt?: number) =>
       void calls.push(`refund ${grantedAt}`),
-    renewQuota: async (account: unknown, grantedAt?: number) => {
-      calls.push(`renew ${grantedAt}`);
+    takeQuota: async () => {
+      calls.push('take');
       return isGranted
-        ? ({kind: 'granted', grantedAt: RENEWED_AT_MS} as const)
+        ? ({kind: 'granted', grantedAt: clock.now()} as const)
         : ({kind: 'over', waitMs: 100, isReserved: false} as const);
     },
   };
@@ -29,17 +29,20 @@
     returning: true,
   } as unknown as AdmittedRequest;
   const hold = new QuotaHold({clock, protocol: PROTOCOL, admission}, admitted);
-  return {hold, calls};
+  return {hold, clock, calls};
 }
 
 // Guards against a quota that is exceeded by requests that were granted long
 // before they are sent, all at once.
-test('a request that has waited is sent with its latest grant only', async t => {
-  const {hold, calls} = newHold(true);
+test('a request that has waited takes a new grant before it is sent', async t => {
+  const {hold, clock, calls} = newHold(true);
+  clock.advance(GRANT_VALIDITY_MS);
+  t.is(await hold.renew(), 'kept');
+  clock.advance(1);
   t.is(await hold.renew(), 'renewed');
   t.is(await hold.renew(), 'kept');
   hold.refund();
-  t.deepEqual(calls, ['renew 0', 'renew 400', 'refund 400']);
+  t.deepEqual(calls, ['refund 0', 'take', `refund ${GRANT_VALIDITY_MS + 1}`]);
 });
 
 // Guards against a quota that grows by refunds of one grant.
@@ -49,7 +52,8 @@
   granted.hold.refund();
   t.deepEqual(granted.calls, ['refund 0']);
   const over = newHold(false);
+  over.clock.advance(GRANT_VALIDITY_MS + 1);
   t.is(await over.hold.renew(), 'over');
   over.hold.refund();
-  t.deepEqual(over.calls, ['renew 0']);
+  t.deepEqual(over.calls, ['refund 0', 'take']);
 });
