--- a/packages/gateway/src/lib/process/share_admission.ts
+++ b/packages/gateway/src/lib/process/share_admission.ts
@@ -17,7 +17,11 @@
 import type {Target} from '../connection/target.js';
 import {placementOutcome, type PlacementOutcome} from './placement_outcome.js';
 import type {ServiceOverload} from './service_overload.js';
-import {ServiceRooms, type ServiceRoomsContext} from './service_rooms.js';
+import {
+  ServiceRooms,
+  type ServiceRoomsContext,
+  type UsableRoom,
+} from './service_rooms.js';
 
 /** Dependencies of {@link ShareAdmission}. */
 export interface ShareAdmissionContext extends ServiceRoomsContext {
@@ -87,49 +91,51 @@
     const {account} = demand;
     if (account === undefined)
       return placementOutcome(search(demand, excluded));
-    const {now, counters} = this.context;
+    const {now} = this.context;
     const shares = this.sharesOf(service);
     const ask = this.askOf(service, account, demand);
     const room = this.rooms.of(service, this.scope);
     const verdict = shares.ask(ask, room, now());
-    const preferred = {...demand, returning: true};
+    const target =
+      verdict.kind === 'in-share'
+        ? searchInShare(request, verdict.isContended, search)
+        : this.searchOverShare(request, room, verdict.reserve, search);
+    this.recordGrant(service, ask, target);
     if (verdict.kind === 'in-share') {
-      // Accounts over their share join no queue, so it may be as long for a new
-      // request as for one that was refused before. A substitute knows too
-      // little of the queues for that.
-      const mayQueueLonger = verdict.isContended && !request.isSubstitute;
-      const target = search(mayQueueLonger ? preferred : demand, excluded);
-      this.recordGrant(service, ask, target);
-      if (verdict.isContended)
-        counters.count('share_decisions', {
-          share: 'below',
-          outcome: outcomeLabel(target),
-        });
+      if (verdict.isContended) this.countDecision('below', target);
       return placementOutcome(target);
     }
-    const {targets, free} = room;
-    // Free slots are only kept for requests that cannot wait for one.
-    const mayQueue = targets.some(
-      target => this.context.overload.maxQueued(target, preferred) > 0,
-    );
-    const reserve = mayQueue ? 0 : verdict.reserve;
-    const target = search(
-      {...demand, mustNotQueue: true},
-      free > reserve
-        ? excluded
-        : new Set([...excluded, ...targets.map(({id}) => id)]),
-    );
-    this.recordGrant(service, ask, target);
-    counters.count('share_decisions', {
-      share: 'over',
-      outcome: outcomeLabel(target),
-    });
+    this.countDecision('over', target);
     this.report(service, shares);
     if (target) return placementOutcome(target);
     const figures = rounded(verdict.figures);
     return {kind: 'full', cause: 'share', retryAfterMs: undefined, figures};
   }
 
+  private searchOverShare(
+    {demand, excluded}: ShareRequest,
+    {targets, free}: UsableRoom,
+    reserve: number,
+    search: TargetSearch,
+  ): Target | undefined {
+    const {overload} = this.context;
+    const preferred = asPreferred(demand);
+    // Free slots are only kept for requests that cannot wait for one.
+    const mayOthersQueue = targets.some(
+      target => overload.maxQueued(target, preferred) > 0,
+    );
+    const without =
+      mayOthersQueue || free > reserve
+        ? excluded
+        : new Set([...excluded, ...targets.map(({id}) => id)]);
+    return search({...demand, mustNotQueue: true}, without);
+  }
+
+  private countDecision(share: string, target: Target | undefined): void {
+    const outcome = target ? 'placed' : 'full';
+    this.context.counters.count('share_decisions', {share, outcome});
+  }
+
   private sharesOf(service: string): AccountShares {
     const known = this.services.get(service);
     if (known) return known;
@@ -196,8 +202,22 @@
   }
 }
 
-function outcomeLabel(target: Target | undefined): string {
-  return target ? 'placed' : 'full';
+/**
+ * Accounts over their share join no queue, so it may be as long for a new
+ * request of the others as for one that was refused before. A substitute knows
+ * too little of the queues for that.
+ */
+function searchInShare(
+  {demand, excluded, isSubstitute}: ShareRequest,
+  isContended: boolean,
+  search: TargetSearch,
+): Target | undefined {
+  const mayQueueLonger = isContended && !isSubstitute;
+  return search(mayQueueLonger ? asPreferred(demand) : demand, excluded);
+}
+
+function asPreferred(demand: WaitDemand): WaitDemand {
+  return {...demand, returning: true};
 }
 
 function rounded({use, share, room}: ShareFigures): ShareFigures {
--- a/packages/gateway/src/test/process/account_share_replay_test.ts
+++ b/packages/gateway/src/test/process/account_share_replay_test.ts
@@ -194,9 +194,8 @@
   });
 }
 
-// An account that sends a request now and then is refused because it has used
-// nothing yet.
-test('accounts with one request a minute are not refused', async t => {
+// An account that sends a request now and then pays for a flood.
+test('accounts with one request a minute are never over their share', async t => {
   const rare = [...Array(400).keys()].map(i => `rare${i}`);
   const accounts = [
     ...accountsWith(['large'], 6),
