--- a/packages/gateway/src/lib/process/coordinator.ts
+++ b/packages/gateway/src/lib/process/coordinator.ts
@@ -23,7 +23,7 @@
 import type {
   ShareAdmission,
   ShareRequest,
-  TargetSearch,
+  FindTarget,
 } from './share_admission.js';
 import type {TargetChooser} from './target_chooser.js';
 
@@ -116,7 +116,7 @@
     demand: WaitDemand,
     {near, tried, isSubstitute}: OwnPlacement,
   ): PlacementOutcome {
-    const search: TargetSearch = (searched, without) =>
+    const search: FindTarget = (searched, without) =>
       this.chooseOnline(service, searched, near, without);
     const request = {service, demand, excluded: tried, isSubstitute};
     return this.placeOnline(request, search);
@@ -139,7 +139,7 @@
       );
     }
     const {demand, near} = wish;
-    const search: TargetSearch = (searched, mustNot) =>
+    const search: FindTarget = (searched, mustNot) =>
       this.preferNotAvoided(mustNot, without =>
         this.chooseOnline(service, searched, near, without),
       );
@@ -150,7 +150,7 @@
 
   private placeOnline(
     request: ShareRequest,
-    search: TargetSearch,
+    search: FindTarget,
   ): PlacementOutcome {
     const {shares} = this.context;
     if (shares) return shares.place(request, search);
--- a/packages/gateway/src/lib/process/share_admission.ts
+++ b/packages/gateway/src/lib/process/share_admission.ts
@@ -45,7 +45,7 @@
  * @param excluded - IDs of targets that must not be selected.
  * @returns The selected target; undefined if none has free capacity.
  */
-export type TargetSearch = (
+export type FindTarget = (
   demand: WaitDemand,
   excluded: ReadonlySet<string>,
 ) => Target | undefined;
@@ -86,7 +86,7 @@
    * @param search - Searches for a target.
    * @returns The outcome.
    */
-  place(request: ShareRequest, search: TargetSearch): PlacementOutcome {
+  place(request: ShareRequest, search: FindTarget): PlacementOutcome {
     const {service, demand, excluded} = request;
     const {account} = demand;
     if (account === undefined)
@@ -116,7 +116,7 @@
     {demand, excluded}: ShareRequest,
     {targets, free}: UsableRoom,
     reserve: number,
-    search: TargetSearch,
+    search: FindTarget,
   ): Target | undefined {
     const {overload} = this.context;
     const preferred = asPreferred(demand);
@@ -210,7 +210,7 @@
 function searchInShare(
   {demand, excluded, isSubstitute}: ShareRequest,
   isContended: boolean,
-  search: TargetSearch,
+  search: FindTarget,
 ): Target | undefined {
   const mayQueueLonger = isContended && !isSubstitute;
   return search(mayQueueLonger ? asPreferred(demand) : demand, excluded);
--- a/packages/gateway/src/test/process/share_admission_test.ts
+++ b/packages/gateway/src/test/process/share_admission_test.ts
@@ -10,7 +10,7 @@
 import {LoadTable} from '../../lib/process/load_table.js';
 import {
   ShareAdmission,
-  type TargetSearch,
+  type FindTarget,
 } from '../../lib/process/share_admission.js';
 import {newTarget} from '../fakes/targets.js';
 
@@ -39,13 +39,13 @@
     hasCoordinators: () => true,
   });
   const searches: Array<readonly [WaitDemand, ReadonlySet<string>]> = [];
-  const search: TargetSearch = (demand, excluded) => {
+  const search: FindTarget = (demand, excluded) => {
     searches.push([demand, excluded]);
     return excluded.has('near') ? undefined : NEAR;
   };
   const place = (
     account: string | undefined,
-    found: TargetSearch = search,
+    found: FindTarget = search,
     isSubstitute = false,
   ) => {
     const demand = {goalMs: 300, priority: 0, returning: false, account};
@@ -96,7 +96,7 @@
 // An account below its share is refused while others run beyond theirs.
 test('an account below its share may wait as long as one that was refused', t => {
   const {place, searches} = newContended();
-  const find: TargetSearch = (demand, excluded) => {
+  const find: FindTarget = (demand, excluded) => {
     searches.push([demand, excluded]);
     return demand.returning ? NEAR : undefined;
   };
