--- a/packages/gateway/src/lib/process/coordinator.ts
+++ b/packages/gateway/src/lib/process/coordinator.ts
@@ -25,7 +25,7 @@
 import type {
   ShareAdmission,
   ShareRequest,
-  TargetSearch,
+  FindTarget,
 } from './share_admission.js';
 import type {TargetChooser} from './target_chooser.js';
 
@@ -123,7 +123,7 @@
     demand: WaitDemand,
     {near, tried, isSubstitute}: OwnPlacement,
   ): PlacementOutcome {
-    const search: TargetSearch = (searched, without) =>
+    const search: FindTarget = (searched, without) =>
       this.chooseOnline(service, searched, near, without);
     const request = {service, demand, excluded: tried, isSubstitute};
     return this.placeOnline(request, near, search);
@@ -146,7 +146,7 @@
       );
     }
     const {demand, near} = wish;
-    const search: TargetSearch = (searched, mustNot) =>
+    const search: FindTarget = (searched, mustNot) =>
       this.preferNotAvoided(mustNot, without =>
         this.chooseOnline(service, searched, near, without),
       );
@@ -158,7 +158,7 @@
   private placeOnline(
     request: ShareRequest,
     near: boolean,
-    search: TargetSearch,
+    search: FindTarget,
   ): PlacementOutcome {
     const {shares} = this.context;
     const {service, demand, excluded} = request;
