Free room is counted at most each 5 ms

Cause: while promises are due, each new request counted the free slots of all targets: 1.7 ms with 3,100 targets.

Change: the count is kept for 5 ms, less what has been placed since.

--- a/packages/gateway/src/lib/process/return_promises.ts
+++ b/packages/gateway/src/lib/process/return_promises.ts
@@ -36,9 +36,24 @@
   readonly isCoordinator: () => boolean;
 }
 
+/**
+ * How long the free room of a service is remembered, in milliseconds. With
+ * thousands of targets, counting it takes longer than placing a request.
+ */
+const ROOM_LIFETIME_MS = 5;
+
+/** Free room of a service for requests of one kind. */
+interface CountedRoom {
+  readonly countedAt: number;
+  /** Without what has been placed since. */
+  left: number;
+}
+
 /** Promises of one host by service. */
 export class ReturnPromises {
   private readonly schedules = new Map<string, ReturnSchedule>();
+  /** By service and kind of request. */
+  private readonly rooms = new Map<string, Map<string, CountedRoom>>();
 
   /** @param context - Room of the services, and the role of this host. */
   constructor(private readonly context: ReturnPromisesContext) {}
@@ -69,6 +84,7 @@
    * @param demand - The request.
    */
   recordPlaced(service: string, demand: WaitDemand): void {
+    for (const room of this.rooms.get(service)?.values() ?? []) room.left--;
     if (!demand.returning || demand.late) return;
     if (this.schedules.get(service)?.take(this.context.clock.now()))
       this.count('taken');
@@ -107,6 +123,23 @@
     service: string,
     demand: WaitDemand,
     excluded: ReadonlySet<string>,
+  ): number {
+    const now = this.context.clock.now();
+    const rooms = this.rooms.get(service) ?? new Map<string, CountedRoom>();
+    const kind = `${demand.priority} ${demand.late ?? false} ${demand.goalMs}`;
+    const known = rooms.get(kind);
+    if (known && now - known.countedAt < ROOM_LIFETIME_MS) return known.left;
+    for (const [key, {countedAt}] of rooms)
+      if (now - countedAt >= ROOM_LIFETIME_MS) rooms.delete(key);
+    const left = this.countRoom(service, demand, excluded);
+    this.rooms.set(service, rooms.set(kind, {countedAt: now, left}));
+    return left;
+  }
+
+  private countRoom(
+    service: string,
+    demand: WaitDemand,
+    excluded: ReadonlySet<string>,
   ): number {
     const {directory, loads, overload} = this.context;
     let room = 0;
