--- a/packages/core/src/lib/process/quota_enforcer.ts
+++ b/packages/core/src/lib/process/quota_enforcer.ts
@@ -75,9 +75,15 @@
    * @param account - Name of the account.
    * @param grantedAt - Time of the grant on a monotonic clock, in milliseconds;
    *     undefined if unknown.
+   * @param returnsAt - Time at which its caller returns, on the same clock;
+   *     undefined if it does not.
    */
-  refund(account: string, grantedAt: number | undefined): void {
-    this.accounts.get(account)?.ledger.refund(grantedAt);
+  refund(
+    account: string,
+    grantedAt: number | undefined,
+    returnsAt?: number,
+  ): void {
+    this.accounts.get(account)?.ledger.refund(grantedAt, returnsAt);
   }
 
   /**
--- a/packages/core/src/lib/process/quota_ledger.ts
+++ b/packages/core/src/lib/process/quota_ledger.ts
@@ -103,9 +103,13 @@
    *
    * @param grantedAt - Time of the grant, on a monotonic clock in milliseconds;
    *     undefined if unknown.
+   * @param returnsAt - Time at which its caller returns, on the same clock; the
+   *     room is reserved for it. Undefined if it does not return.
    */
-  refund(grantedAt: number | undefined): void {
-    if (this.window.remove(grantedAt)) this.level++;
+  refund(grantedAt: number | undefined, returnsAt?: number): void {
+    if (!this.window.remove(grantedAt)) return;
+    this.level++;
+    if (returnsAt !== undefined) this.promises.add(returnsAt);
   }
 
   /**
--- a/packages/core/src/lib/process/quota_promises.ts
+++ b/packages/core/src/lib/process/quota_promises.ts
@@ -58,10 +58,11 @@
 
   /** @param at - Time at which room is reserved for one more request. */
   add(at: number): void {
-    const last = this.promised.at(-1);
-    const time = Math.max(at, last?.at ?? at);
-    if (last && time < last.at + PART_MS) last.count++;
-    else this.promised.push({at: time, count: 1});
+    const later = this.promised.findIndex(one => one.at > at);
+    const index = later < 0 ? this.promised.length : later;
+    const before = this.promised[index - 1];
+    if (before && at < before.at + PART_MS) before.count++;
+    else this.promised.splice(index, 0, {at, count: 1});
     this.total++;
   }
 
--- a/packages/core/src/test/process/quota_ledger_test.ts
+++ b/packages/core/src/test/process/quota_ledger_test.ts
@@ -118,6 +118,26 @@
   t.is(takeAll(firstLeaves + 1), 0);
 });
 
+// A request within the quota that was refused for want of slots returns, and
+// later requests, beyond the quota, have taken its room.
+test('a refunded request finds its room when it returns', t => {
+  const limits = quotaLimits(QUOTA, EXACT);
+  const ledger = new QuotaLedger(LONG_AGO, limits, 0);
+  ledger.allowAhead(LENGTH_MS);
+  const take = (now: number, returning = false) =>
+    ledger.take(limits, {returning}, now).kind;
+  while (take(0) === 'granted');
+  ledger.refund(0, 800);
+  ledger.refund(0, 500);
+  t.is(take(100), 'over');
+  t.is(take(500), 'over');
+  t.is(take(500, true), 'granted');
+  t.is(take(600, true), 'over');
+  t.is(take(800, true), 'granted');
+  ledger.refund(0, 900);
+  t.is(take(1300), 'granted', 'the caller has not returned');
+});
+
 // If all refused requests are retried at the same time, or later requests take
 // their room, they are refused again.
 test('a request that returns at its time is granted although others flood', t => {
--- a/packages/gateway/src/lib/connection/quota_message.ts
+++ b/packages/gateway/src/lib/connection/quota_message.ts
@@ -54,6 +54,11 @@
   account: z.string(),
   /** Time since the grant, in milliseconds. */
   ageMs: COUNT.optional(),
+  /**
+   * Time until the caller returns, in milliseconds; absent if it does not, and
+   * in messages of hosts with an older release.
+   */
+  returnsInMs: COUNT.optional(),
 });
 
 const MESSAGE = z.discriminatedUnion('kind', [REQUEST, REPLY, REFUND]);
@@ -63,6 +68,11 @@
 export type QuotaRequest = Readonly<z.infer<typeof REQUEST>>;
 /** Reply to a quota request. */
 export type QuotaReply = Readonly<z.infer<typeof REPLY>>;
+/** A granted request that did not run. */
+export type GrantRefund = Pick<
+  Readonly<z.infer<typeof REFUND>>,
+  'ageMs' | 'returnsInMs'
+>;
 /** All messages about quotas. */
 export type QuotaMessage = Readonly<z.infer<typeof MESSAGE>>;
 
--- a/packages/gateway/src/lib/process/account_quotas.ts
+++ b/packages/gateway/src/lib/process/account_quotas.ts
@@ -136,8 +136,10 @@
    * @param account - Name of the account.
    * @param grantedAt - Time of the grant as returned by {@link take}; undefined
    *     if unknown.
+   * @param returnsInMs - Time until its caller returns, in milliseconds, for
+   *     which the quota is reserved; undefined if it does not return.
    */
-  refund(account: string, grantedAt?: number): void {
+  refund(account: string, grantedAt?: number, returnsInMs?: number): void {
     const owner = this.ownerOf(account);
     if (!owner) return;
     const {clock, self, send} = this.context;
@@ -145,8 +147,12 @@
       grantedAt === undefined
         ? undefined
         : Math.max(0, Math.round(clock.now() - grantedAt));
-    if (owner.host === self.host) this.owner.refund(account, ageMs);
-    else send({kind: 'give-back', account, ageMs}, owner);
+    const refund =
+      returnsInMs === undefined
+        ? {ageMs}
+        : {ageMs, returnsInMs: Math.round(returnsInMs)};
+    if (owner.host === self.host) this.owner.refund(account, refund);
+    else send({kind: 'give-back', account, ...refund}, owner);
   }
 
   /** @param message - A message from another host. */
@@ -159,7 +165,7 @@
         this.asker.receive(message);
         return;
       case 'give-back':
-        this.owner.refund(message.account, message.ageMs);
+        this.owner.refund(message.account, message);
     }
   }
 
--- a/packages/gateway/src/lib/process/caller_admission.ts
+++ b/packages/gateway/src/lib/process/caller_admission.ts
@@ -102,9 +102,16 @@
    *
    * @param account - Account of the request.
    * @param grantedAt - Time of its grant; undefined if unknown.
+   * @param returnsInMs - Time until its caller returns, in milliseconds;
+   *     undefined if it does not.
    */
-  refundQuota(account: ClientAccount | undefined, grantedAt?: number): void {
-    if (account?.quota) this.context.quotas.refund(account.name, grantedAt);
+  refundQuota(
+    account: ClientAccount | undefined,
+    grantedAt?: number,
+    returnsInMs?: number,
+  ): void {
+    if (!account?.quota) return;
+    this.context.quotas.refund(account.name, grantedAt, returnsInMs);
   }
 
   /** Configuration version and age, for log lines. */
--- a/packages/gateway/src/lib/process/coordinator.ts
+++ b/packages/gateway/src/lib/process/coordinator.ts
@@ -165,21 +165,23 @@
     const outcome = shares
       ? shares.place(request, search)
       : placementOutcome(search(demand, excluded));
+    if (outcome.kind === 'full' && !demand.late)
+      this.context.overload.recordNotPlaced(service, outcome);
+    // The coordinator of the data centre of the request knows its promises.
     return near ? outcome : this.withReturn(service, demand, outcome);
   }
 
-  /** Records what the outcome says of the room, and promises a return. */
+  /** Promises a return to a request without a target. */
   private withReturn(
     service: string,
     demand: WaitDemand,
     outcome: PlacementOutcome,
   ): PlacementOutcome {
-    const {overload, promises} = this.context;
+    const {promises} = this.context;
     if (outcome.kind === 'placed') {
       promises.recordPlaced(service, demand);
       return outcome;
     }
-    if (!demand.late) overload.recordNotPlaced(service, outcome);
     const retryAfterMs = promises.promise(service, demand, outcome.cause);
     return {...outcome, retryAfterMs};
   }
--- a/packages/gateway/src/lib/process/quota_owner.ts
+++ b/packages/gateway/src/lib/process/quota_owner.ts
@@ -17,6 +17,7 @@
   type Random,
   type RequestQuota,
 } from '@oathead/core';
+import type {GrantRefund} from '../connection/quota_message.js';
 import type {QuotaHost} from './account_quotas.js';
 import type {AheadRecord} from './ahead_record.js';
 import {OwnershipHistory} from './ownership_history.js';
@@ -145,11 +146,13 @@
    * Refunds a request that did not run.
    *
    * @param account - Name of the account.
-   * @param ageMs - Time since the grant, in milliseconds; undefined if unknown.
+   * @param refund - Its grant, and when its caller returns.
    */
-  refund(account: string, ageMs: number | undefined): void {
+  refund(account: string, {ageMs, returnsInMs}: GrantRefund): void {
     const now = this.context.clock.now();
-    this.enforcer.refund(account, ageMs === undefined ? ageMs : now - ageMs);
+    const grantedAt = ageMs === undefined ? undefined : now - ageMs;
+    const returnsAt = returnsInMs === undefined ? undefined : now + returnsInMs;
+    this.enforcer.refund(account, grantedAt, returnsAt);
   }
 
   /**
--- a/packages/gateway/src/lib/request/online_request.ts
+++ b/packages/gateway/src/lib/request/online_request.ts
@@ -43,6 +43,8 @@
   readonly chooser: TargetChooser;
   readonly placement: RequestPlacement;
   readonly lateQueue: LateQueue;
+  /** @returns Whether coordinators schedule the returns of callers. */
+  readonly schedulesReturns: () => boolean;
   readonly random: Random;
   readonly crashSuspects: CrashSuspects;
   readonly retryDetector: CallerRetryDetector;
@@ -280,7 +282,7 @@
       retry,
       notPlaced: this.search.notPlaced,
     });
-    if (this.runs === 0) this.admission.refundQuota();
+    if (this.runs === 0) this.admission.refundQuota(retry?.delayMs);
     const headers = retry && this.context.protocol.retryAfter(retry.delayMs);
     this.writer.sendFailure(status, headers ?? {});
     return this.finish(reason, status);
--- a/packages/gateway/src/lib/request/quota_hold.ts
+++ b/packages/gateway/src/lib/request/quota_hold.ts
@@ -47,19 +47,29 @@
     const {account} = this.admitted;
     if (!account?.quota || isGrantGood(this.grantedAt, clock.now()))
       return 'kept';
-    this.refund();
+    // The room of the old grant is kept for the new one.
+    this.refund(0);
     const demand = quotaDemand(this.admitted, this.context);
-    const verdict = await admission.takeQuota(account, demand);
+    const verdict = await admission.takeQuota(account, {
+      ...demand,
+      returning: true,
+    });
     if (verdict.kind === 'over') return 'over';
     this.isHeld = true;
     this.grantedAt = verdict.grantedAt;
     return 'renewed';
   }
 
-  /** Refunds the grant, because the request was not sent. */
-  refund(): void {
+  /**
+   * Refunds the grant, because the request was not sent.
+   *
+   * @param returnsInMs - Time until its caller returns, in milliseconds;
+   *     undefined if it does not.
+   */
+  refund(returnsInMs?: number): void {
+    const {account} = this.admitted;
     if (this.isHeld)
-      this.context.admission.refundQuota(this.admitted.account, this.grantedAt);
+      this.context.admission.refundQuota(account, this.grantedAt, returnsInMs);
     this.isHeld = false;
   }
 }
--- a/packages/gateway/src/lib/request/send_admission.ts
+++ b/packages/gateway/src/lib/request/send_admission.ts
@@ -66,8 +66,14 @@
     }
   }
 
-  /** Refunds the quota, because the request was not sent. */
-  refundQuota(): void {
-    this.quota.refund();
+  /**
+   * Refunds the quota, because the request was not sent.
+   *
+   * @param returnsInMs - When its caller was told to return, in milliseconds;
+   *     undefined if it was not.
+   */
+  refundQuota(returnsInMs?: number): void {
+    const {returning} = this.admitted;
+    this.quota.refund(returning ? undefined : returnsInMs);
   }
 }
--- a/packages/gateway/src/lib/request/target_search.ts
+++ b/packages/gateway/src/lib/request/target_search.ts
@@ -26,7 +26,9 @@
   readonly placement: RequestPlacement;
   readonly overload: Pick<ServiceOverload, 'returnAfterMs' | 'recordNotPlaced'>;
   readonly protocol: Pick<TargetProtocol, 'maxRetryAfterMs'>;
-  readonly lateQueue: Pick<LateQueue, 'wait' | 'isEnabled'>;
+  readonly lateQueue: Pick<LateQueue, 'wait'>;
+  /** @returns Whether coordinators schedule the returns of callers. */
+  readonly schedulesReturns: () => boolean;
 }
 
 /** The request that needs a target. */
@@ -145,7 +147,7 @@
 
   /** Whether the caller can be promised room for a return. */
   private get mayReturn(): boolean {
-    return !this.request.demand.returning && this.context.lateQueue.isEnabled;
+    return !this.request.demand.returning && this.context.schedulesReturns();
   }
 
   /** @returns The demand, with what a promise of room needs to know. */
--- a/packages/gateway/src/test/fakes/fleet_simulator.ts
+++ b/packages/gateway/src/test/fakes/fleet_simulator.ts
@@ -11,6 +11,7 @@
   maxQueueWaitMs,
   seededRandom,
   type Random,
+  type WaitDemand,
 } from '@oathead/core';
 import {
   decodeLoad,
@@ -20,7 +21,6 @@
 import {
   decodePlacement,
   encodePlacement,
-  type FullCause,
   type PlacementMessage,
 } from '../../lib/connection/placement_message.js';
 import {
@@ -30,6 +30,7 @@
 import type {Target} from '../../lib/connection/target.js';
 import {Coordinator} from '../../lib/process/coordinator.js';
 import {PreferredTargets} from '../../lib/process/preferred_targets.js';
+import {LateQueue} from '../../lib/process/late_queue.js';
 import {LoadTable} from '../../lib/process/load_table.js';
 import {
   LoadReporter,
@@ -37,6 +38,7 @@
   type LoadReportOptions,
 } from '../../lib/process/load_reporter.js';
 import {Placement} from '../../lib/process/placement.js';
+import {NO_ROOM, type NotPlaced} from '../../lib/process/placement_outcome.js';
 import {ShareAdmission} from '../../lib/process/share_admission.js';
 import {ReturnPromises} from '../../lib/process/return_promises.js';
 import {ServiceHealth} from '../../lib/process/service_health.js';
@@ -121,6 +123,12 @@
   readonly lastTargetAddedAtMs?: number;
   /** Start of the burst and end of the simulation, in milliseconds. */
   readonly burstAtMs: number;
+  /**
+   * Length of the burst and interval until the next one, in milliseconds; one
+   * endless burst by default.
+   */
+  readonly burstMs?: number;
+  readonly periodMs?: number;
   readonly lengthMs: number;
 }
 
@@ -133,6 +141,10 @@
    * Whether slots in other data centres are requested from their coordinators.
    */
   readonly usesRemoteCoordinators?: boolean;
+  /** Whether callers that were refused twice wait for a free slot. */
+  readonly hasLateSlots?: boolean;
+  /** Whether coordinators promise room to callers that are refused. */
+  readonly schedulesReturns?: boolean;
   /** Time after which coordinators no longer reply, in milliseconds. */
   readonly coordinatorsFailAtMs?: number;
   /** Whether the room is divided among client accounts. */
@@ -213,6 +225,7 @@
   readonly placement: Placement<Host>;
   readonly overload: ServiceOverload;
   readonly speedReporter: SpeedReporter<Host>;
+  readonly lateQueue: LateQueue;
   readonly tickPhaseMs: number;
   /** Times at which the waiting items of this host may be sent again. */
   itemsWaiting: number[];
@@ -239,6 +252,8 @@
 /** Simulates a fleet. */
 export class FleetSimulator {
   private readonly random: Random;
+  /** Of its own, so that all options of a seed get the same arrivals. */
+  private readonly arrivals: Random;
   private readonly clock = new FakeClock();
   private readonly targets: readonly Target[];
   private readonly hosts: readonly Host[];
@@ -269,6 +284,7 @@
     private readonly options: FleetOptions,
   ) {
     this.random = seededRandom(load.seed);
+    this.arrivals = seededRandom(load.seed + 1_000_000);
     const dataCentreNames = [...Array(load.dataCentres).keys()].map(
       i => `dc${i}`,
     );
@@ -413,6 +429,17 @@
       send: (message, to) => this.post(message, to),
       onPreempt: (targetId, items) => this.preemptItems(id, targetId, items),
     });
+    const lateQueue = new LateQueue({
+      clock,
+      log,
+      counters: NO_COUNTERS,
+      chooser,
+      directory,
+      overload,
+      placement,
+      hosts: hostCount,
+      isEnabled: () => this.options.hasLateSlots ?? false,
+    });
     const tickPhaseMs = random.int(this.options.periodMs / STEP_MS) * STEP_MS;
     const itemsWaiting = [...Array(this.load.items).keys()].map(() => 0);
     return {
@@ -424,6 +451,7 @@
       placement,
       overload,
       speedReporter,
+      lateQueue,
       tickPhaseMs,
       itemsWaiting,
       isStartingItems: false,
@@ -505,8 +533,8 @@
   }
 
   private generateArrivals(): void {
-    const {burstAtMs, burstRate, calmRate, accounts} = this.load;
-    const rate = this.now >= burstAtMs ? burstRate : calmRate;
+    const {burstRate, calmRate, accounts} = this.load;
+    const rate = this.isBurst ? burstRate : calmRate;
     if (!accounts) this.generateArrivalsAt(rate);
     for (const account of accounts ?? [])
       this.generateArrivalsAt(account.rateAt(this.now), account);
@@ -519,9 +547,10 @@
   }
 
   private generateArrivalsAt(rate: number, account?: AccountLoad): void {
+    const random = account ? this.random : this.arrivals;
     let expected = (rate * STEP_MS) / 1000;
     for (; expected > 0; expected--) {
-      if (this.random.float() >= expected) continue;
+      if (random.float() >= expected) continue;
       this.outcome.requests++;
       if (account) this.outcomeOf(account).requests++;
       const {now} = this;
@@ -529,7 +558,7 @@
         arrivedAt: now,
         lastArrivalAt: now,
         returning: false,
-        host: this.pickHost(account),
+        host: this.pickHost(random, account),
         account,
         hasSearched: false,
       });
@@ -553,15 +582,21 @@
     return none;
   }
 
-  private pickHost(account?: AccountLoad): Host {
+  private get isBurst(): boolean {
+    const {burstAtMs, burstMs = Infinity, periodMs = Infinity} = this.load;
+    const sinceMs = this.now - burstAtMs;
+    return sinceMs >= 0 && sinceMs % periodMs < burstMs;
+  }
+
+  private pickHost(random: Random, account?: AccountLoad): Host {
     const {hosts, dataCentres, firstDataCentreWeight = 1} = this.load;
     if (account?.dataCentre !== undefined)
       return this.hosts[account.dataCentre * hosts + this.random.int(hosts)]!;
     const position =
-      this.random.float() * (dataCentres - 1 + firstDataCentreWeight) -
+      random.float() * (dataCentres - 1 + firstDataCentreWeight) -
       firstDataCentreWeight;
     const dataCentre = position < 0 ? 0 : 1 + Math.floor(position);
-    return this.hosts[dataCentre * hosts + this.random.int(hosts)]!;
+    return this.hosts[dataCentre * hosts + random.int(hosts)]!;
   }
 
   private async place(caller: Caller): Promise<void> {
@@ -575,9 +610,15 @@
       isRepeated: caller.hasSearched,
     };
     caller.hasSearched = true;
+    const isLast = this.now >= lastArrivalAt + maxQueueWaitMs(demand);
+    const {hasLateSlots, schedulesReturns} = this.options;
+    const returnWithinMs =
+      isLast && schedulesReturns && !returning
+        ? this.maxDelayMs(caller)
+        : undefined;
     const outcome = await host.placement.forRequest(
       SERVICE,
-      demand,
+      {...demand, returnWithinMs},
       NO_TARGETS,
     );
     if (outcome.kind === 'placed') this.send(host, outcome.target, caller);
@@ -586,10 +627,33 @@
       this.now < lastArrivalAt + maxQueueWaitMs(demand)
     )
       this.waiting.push(caller);
-    else this.refuse(caller, outcome.cause);
+    else if (schedulesReturns && !isLast) this.waiting.push(caller);
+    else if (hasLateSlots && returning) await this.waitLate(caller, demand);
+    else this.refuse(caller, outcome);
+  }
+
+  private async waitLate(caller: Caller, demand: WaitDemand): Promise<void> {
+    caller.host.overload.recordNotPlaced(SERVICE, NO_ROOM);
+    const end = await caller.host.lateQueue.wait({
+      requestId: undefined,
+      service: SERVICE,
+      demand,
+      deadlineAt: caller.arrivedAt + this.load.callerTimeoutMs,
+      tried: NO_TARGETS,
+    }).end;
+    if (end.kind === 'placed') this.send(caller.host, end.target, caller);
+    else this.outcome.failed++;
+  }
+
+  private maxDelayMs({arrivedAt}: Caller): number {
+    const leftMs = this.load.callerTimeoutMs - (this.now - arrivedAt);
+    return leftMs * MAX_RETRY_DELAY_SHARE;
   }
 
-  private refuse(caller: Caller, cause: FullCause): void {
+  private refuse(
+    caller: Caller,
+    {cause, retryAfterMs: promisedMs}: NotPlaced,
+  ): void {
     const {account} = caller;
     const outcome = account && this.outcomeOf(account);
     if (outcome) outcome.waitedMs += this.now - caller.lastArrivalAt;
@@ -600,14 +664,11 @@
       return;
     }
     if (outcome) outcome.refused++;
-    const leftMs = this.load.callerTimeoutMs - (this.now - caller.arrivedAt);
-    const maxDelayMs = leftMs * MAX_RETRY_DELAY_SHARE;
-    const retryDelayMs = caller.host.overload.returnAfterMs(
-      SERVICE,
-      maxDelayMs,
-    );
+    const retryDelayMs =
+      promisedMs ??
+      caller.host.overload.returnAfterMs(SERVICE, this.maxDelayMs(caller));
     const lastArrivalAt = this.now + retryDelayMs;
-    const host = this.pickHost(account);
+    const host = this.pickHost(this.random, account);
     this.retrying.push({
       ...caller,
       returning: true,
--- a/packages/gateway/src/test/request/quota_hold_test.ts
+++ b/packages/gateway/src/test/request/quota_hold_test.ts
@@ -11,8 +11,8 @@
   const clock = new FakeClock();
   const calls: string[] = [];
   const admission = {
-    refundQuota: (account: unknown, grantedAt?: number) =>
-      void calls.push(`refund ${grantedAt}`),
+    refundQuota: (account: unknown, grantedAt?: number, returnsIn?: number) =>
+      void calls.push(`refund ${grantedAt}, returns in ${returnsIn}`),
     takeQuota: async () => {
       calls.push('take');
       return isGranted
@@ -41,8 +41,12 @@
   clock.advance(1);
   t.is(await hold.renew(), 'renewed');
   t.is(await hold.renew(), 'kept');
-  hold.refund();
-  t.deepEqual(calls, ['refund 0', 'take', `refund ${GRANT_VALIDITY_MS + 1}`]);
+  hold.refund(50);
+  t.deepEqual(calls, [
+    'refund 0, returns in 0',
+    'take',
+    `refund ${GRANT_VALIDITY_MS + 1}, returns in 50`,
+  ]);
 });
 
 // Guards against a quota that grows by refunds of one grant.
@@ -50,10 +54,10 @@
   const granted = newHold(true);
   granted.hold.refund();
   granted.hold.refund();
-  t.deepEqual(granted.calls, ['refund 0']);
+  t.deepEqual(granted.calls, ['refund 0, returns in undefined']);
   const over = newHold(false);
   over.clock.advance(GRANT_VALIDITY_MS + 1);
   t.is(await over.hold.renew(), 'over');
   over.hold.refund();
-  t.deepEqual(over.calls, ['refund 0', 'take']);
+  t.deepEqual(over.calls, ['refund 0, returns in 0', 'take']);
 });
