--- a/packages/gateway/src/lib/connection/quota_message.ts
+++ b/packages/gateway/src/lib/connection/quota_message.ts
@@ -22,6 +22,15 @@
   /** Identifies the request to its sender; the reply repeats it. */
   askId: COUNT,
   account: z.string(),
+  /** Whether the caller returns after a refusal. */
+  returning: z.boolean().optional(),
+  /**
+   * Longest time after which the caller would return, in milliseconds, if it
+   * would be recognized then.
+   */
+  maxWaitMs: COUNT.optional(),
+  /** Whether the host is asked as the reserve keeper of the account. */
+  reserve: z.boolean().optional(),
 });
 
 /** Reply to a quota request. */
@@ -35,12 +44,21 @@
   verdict: z.enum(['granted', 'over', 'elsewhere']),
   /** Time until the quota allows another request, in milliseconds. */
   waitMs: COUNT,
+  /** Whether room is reserved for the caller if it returns then. */
+  reserved: z.boolean().optional(),
 });
 
 /** Refunds a granted request that did not run. */
 const REFUND = z.object({
   kind: z.literal('give-back'),
   account: z.string(),
+  /** Time since the grant, in milliseconds. */
+  ageMs: COUNT.optional(),
+  /**
+   * Time until the caller returns, in milliseconds; absent if it does not, and
+   * in messages of hosts with an older release.
+   */
+  returnsInMs: COUNT.optional(),
 });
 
 const MESSAGE = z.discriminatedUnion('kind', [REQUEST, REPLY, REFUND]);
@@ -50,6 +68,11 @@
 export type QuotaRequest = Readonly<z.infer<typeof REQUEST>>;
 /** Reply to a quota request. */
 export type QuotaReply = Readonly<z.infer<typeof REPLY>>;
+/** A granted request that did not run. */
+export type GrantRefund = Pick<
+  Readonly<z.infer<typeof REFUND>>,
+  'ageMs' | 'returnsInMs'
+>;
 /** All messages about quotas. */
 export type QuotaMessage = Readonly<z.infer<typeof MESSAGE>>;
 
--- a/packages/gateway/src/lib/process/caller_admission.ts
+++ b/packages/gateway/src/lib/process/caller_admission.ts
@@ -10,6 +10,7 @@
   ClientAccount,
   Counters,
   FreshnessLease,
+  QuotaDemand,
   QuotaVerdict,
 } from '@oathead/core';
 import type {RoutingState} from '../version/routing_state.js';
@@ -81,21 +82,36 @@
   }
 
   /**
+   * Consumes one request of an account's quota. The grant is good while
+   * `isGrantGood` says so; a request that is sent later needs a new one.
+   *
    * @param account - Account of a request that is about to run.
+   * @param demand - What the quota owner has to know of the request.
    * @returns Whether the request is within the account's quota.
    */
-  async takeQuota(account: ClientAccount | undefined): Promise<QuotaVerdict> {
+  async takeQuota(
+    account: ClientAccount | undefined,
+    demand?: QuotaDemand,
+  ): Promise<QuotaVerdict> {
     if (!account?.quota) return WITHIN_QUOTA;
-    return this.context.quotas.take(account.name, account.quota);
+    return this.context.quotas.take(account.name, account.quota, demand);
   }
 
   /**
    * Refunds the quota of a request that was granted and did not run.
    *
    * @param account - Account of the request.
+   * @param grantedAt - Time of its grant; undefined if unknown.
+   * @param returnsInMs - Time until its caller returns, in milliseconds;
+   *     undefined if it does not.
    */
-  refundQuota(account: ClientAccount | undefined): void {
-    if (account?.quota) this.context.quotas.refund(account.name);
+  refundQuota(
+    account: ClientAccount | undefined,
+    grantedAt?: number,
+    returnsInMs?: number,
+  ): void {
+    if (!account?.quota) return;
+    this.context.quotas.refund(account.name, grantedAt, returnsInMs);
   }
 
   /** Configuration version and age, for log lines. */
--- a/packages/gateway/src/lib/request/online_request.ts
+++ b/packages/gateway/src/lib/request/online_request.ts
@@ -2,23 +2,14 @@
  * Serves one request of a caller. Tries one target after another, as far as the
  * route allows, until there is a complete response or the deadline has passed.
  */
-import {
-  DisposableStore,
-  maxQueueWaitMs,
-  sleep,
-  type Random,
-  type WaitDemand,
-} from '@oathead/core';
+import {DisposableStore, type Random} from '@oathead/core';
 import {targetKey} from '../connection/load_message.js';
 import type {Target} from '../connection/target.js';
-import type {
-  AdmissionRefusal,
-  CallerAdmission,
-} from '../process/caller_admission.js';
+import type {CallerAdmission} from '../process/caller_admission.js';
 import type {CallerRetryDetector} from '../process/caller_retry_detector.js';
 import {CrashSuspects} from '../process/crash_suspects.js';
+import type {LateQueue} from '../process/late_queue.js';
 import type {RequestPlacement} from '../process/placement.js';
-import type {NotPlaced} from '../process/placement_outcome.js';
 import type {TargetChooser} from '../process/target_chooser.js';
 import type {AdmittedRequest} from './admitted_request.js';
 import {ResponseWriter} from './response_writer.js';
@@ -29,6 +20,7 @@
   type CompleteResponse,
 } from './exchange.js';
 import {failureStatus, STATUS_UNAVAILABLE} from './failure_status.js';
+import {forwardedRequest} from './forwarded_request.js';
 import {endToEndHeaders} from './forwarded_headers.js';
 import {pickService} from './pick_service.js';
 import {
@@ -36,42 +28,31 @@
   type ReportContext,
   type RequestProgress,
 } from './request_report.js';
+import {SendAdmission} from './send_admission.js';
+import {watchSilence} from './silence_watch.js';
 import {
   sendToTarget,
   type SendContext,
   type ActiveSend,
 } from './target_send.js';
-import type {RequestMetadata, SenderAccount} from './target_protocol.js';
+import {TargetSearch} from './target_search.js';
+import type {RequestMetadata} from './target_protocol.js';
 
 /** Dependencies shared by all online requests of a process. */
 export interface OnlineContext extends SendContext, ReportContext {
   readonly chooser: TargetChooser;
   readonly placement: RequestPlacement;
+  readonly lateQueue: LateQueue;
+  /** @returns Whether coordinators schedule the returns of callers. */
+  readonly schedulesReturns: () => boolean;
   readonly random: Random;
   readonly crashSuspects: CrashSuspects;
   readonly retryDetector: CallerRetryDetector;
   readonly admission: CallerAdmission;
 }
 
-/**
- * Interval at which a waiting request looks for a free target, in milliseconds.
- */
-const TARGET_POLL_INTERVAL_MS = 10;
 /** How many times targets may decline a request before it is refused. */
 const MAX_DECLINES = 4;
-/**
- * How long a target may send nothing before a request that can be retried is
- * moved to another target, in milliseconds. Well above the pauses of an engine
- * under load.
- */
-const TARGET_SILENCE_TIMEOUT_MS = 1200;
-/**
- * How long a request whose run was interrupted waits for another target, in
- * milliseconds. It can no longer be refused as not run, and targets are usually
- * available again within a second.
- */
-const RETRY_TARGET_WAIT_MS = 1500;
-
 /**
  * Reasons for an abort after which the request may be retried at another
  * target.
@@ -90,14 +71,12 @@
   private readonly metadata: RequestMetadata;
   private readonly report: RequestReport;
   private readonly writer: ResponseWriter;
-  private readonly tried = new Set<string>();
+  private readonly search: TargetSearch;
+  private readonly admission: SendAdmission;
   private readonly service: string;
-  private readonly demand: WaitDemand;
   private readonly fingerprint: string;
   private lastFailedResponse: CompleteResponse | undefined;
   private activeSend: ActiveSend | undefined;
-  /** Outcome of the latest search for a target that found none. */
-  private notPlaced: NotPlaced | undefined;
   private abortReason: AbortReason | undefined;
   private runs = 0;
   private declines = 0;
@@ -127,11 +106,17 @@
     this.writer = new ResponseWriter(res, this.metadata.lastEventId, now);
     this.fingerprint = CrashSuspects.fingerprintOf(req.url ?? '/', body);
     this.service = pickService(route, context.random);
-    const {name, goalMs} = route;
+    const {goalMs} = route;
     const priority = account?.priority ?? route.priority;
-    const {deadlineMs} = this.metadata;
-    const returning = context.retryDetector.isRetry(name, deadlineMs);
-    this.demand = {goalMs, priority, returning, account: account?.name};
+    const {returning} = admitted;
+    this.search = new TargetSearch(context, {
+      requestId: this.metadata.requestId,
+      service: this.service,
+      demand: {goalMs, priority, returning, account: account?.name},
+      startedAt,
+      deadlineAt: this.deadlineAt,
+    });
+    this.admission = new SendAdmission(context, admitted, this.metadata.key);
   }
 
   /** Serves the request; never rejects. */
@@ -147,7 +132,7 @@
     disposables.add(
       this.context.clock.after(leftMs, () => this.abort('timeout')),
     );
-    disposables.add(this.startSilenceWatch());
+    if (this.isRepeatable) disposables.add(this.startSilenceWatch());
     while (!(await this.attempt()));
   }
 
@@ -155,84 +140,38 @@
   private async attempt(): Promise<boolean> {
     if (this.context.crashSuspects.isBlocked(this.fingerprint))
       return this.giveUp('suspect');
-    const target = await this.findTarget();
+    const hasRun = this.writer.hasStarted || this.runs > 0;
+    const target = await this.search.find(hasRun);
     if (this.abortReason) return this.giveUp(this.abortReason);
-    const refusal = this.recheckAdmission();
+    // A stream that has started continues.
+    const refusal = this.writer.hasStarted
+      ? undefined
+      : this.admission.recheck();
     if (refusal) return this.giveUp(refusal);
     if (!target) return this.giveUp('no target');
+    const late = hasRun ? undefined : await this.admission.renewQuota();
+    const reason = this.abortReason ?? late;
+    if (reason) return this.giveUp(reason);
     const outcome = await this.send(target);
     return this.handleOutcome(outcome, target);
   }
 
-  private async findTarget(): Promise<Target | undefined> {
-    const {chooser, placement, clock} = this.context;
-    const {service, demand, tried} = this;
-    // With few targets, all of them may have been tried. The runs there have
-    // ended, so they may be tried again.
-    if (!chooser.hasUntried(service, tried)) tried.clear();
-    const until = this.now() + this.targetWaitMs();
-    for (;;) {
-      const outcome = await placement.forRequest(service, demand, tried);
-      if (outcome.kind === 'placed') return outcome.target;
-      this.notPlaced = outcome;
-      if (this.abortReason || this.now() >= until) return undefined;
-      await sleep(clock, TARGET_POLL_INTERVAL_MS);
-    }
-  }
-
-  /**
-   * Checks admission again just before the request is sent. A key may have been
-   * revoked, or the process may have stalled, while the request waited. A
-   * stream that has started continues.
-   *
-   * @returns Why the request must be refused; undefined if it may be sent.
-   */
-  private recheckAdmission(): AdmissionRefusal | undefined {
-    if (this.writer.hasStarted) return undefined;
-    const {admission} = this.context;
-    const now = admission.admit(this.metadata.key, this.admitted.route);
-    if (now.kind === 'refused') return now.reason;
-    const isSame = now.account?.name === this.admitted.account?.name;
-    return isSame ? undefined : 'unknown-key';
-  }
-
-  private senderAccount(): SenderAccount | undefined {
-    if (!this.context.admission.hasAccounts) return undefined;
-    return {name: this.admitted.account?.name};
-  }
-
-  private targetWaitMs(): number {
-    if (this.writer.hasStarted || this.runs > 0) return RETRY_TARGET_WAIT_MS;
-    return this.startedAt + maxQueueWaitMs(this.demand) - this.now();
-  }
-
   private async send(target: Target): Promise<ExchangeOutcome> {
     const {context, writer} = this;
-    this.tried.add(target.id);
+    this.search.tried.add(target.id);
     const load = context.loads.totalAt(targetKey(target.id));
     this.report.sent(target, load, this.progress());
     const targetSpan = this.report.trace.startTargetSpan(
       target.serverId,
       this.runs + 1,
     );
-    const forwardMetadata = {
-      requestId: this.metadata.requestId,
-      serverId: target.serverId,
-      deadlineMs: Math.max(1, Math.floor(this.deadlineAt - this.now())),
-      lastEventId: writer.lastEventId,
-      account: this.senderAccount(),
-    };
-    const req = {
-      requestId: this.metadata.requestId,
-      method: this.admitted.req.method ?? 'GET',
-      path: this.admitted.req.url ?? '/',
-      headers: context.protocol.requestHeaders(
-        targetSpan.headers,
-        forwardMetadata,
-      ),
-      body: this.admitted.body,
-      firstEventId: writer.nextEventId,
-    };
+    const req = forwardedRequest(context.protocol, this.admitted, target, {
+      metadata: this.metadata,
+      headers: targetSpan.headers,
+      leftMs: this.deadlineAt - this.now(),
+      account: this.admission.senderAccount,
+      writer,
+    });
     this.activeSend = sendToTarget(context, target, 'online', req, writer);
     const outcome = await this.activeSend.end;
     this.activeSend = undefined;
@@ -259,7 +198,7 @@
         return this.finish('streamed', undefined, target);
       case 'declined':
         this.declines++;
-        this.tried.delete(target.id);
+        this.search.tried.delete(target.id);
         this.logRun('request-declined', outcome.kind, target);
         return this.declines > MAX_DECLINES ? this.giveUp('declined') : false;
       case 'unsent':
@@ -302,10 +241,17 @@
     return retry ? false : this.giveUp(reason);
   }
 
+  private get isRepeatable(): boolean {
+    return this.admitted.route.idempotent || this.admitted.route.resumable;
+  }
+
   private canRetry(): boolean {
     const {route} = this.admitted;
-    const repeatable = route.idempotent || route.resumable;
-    return repeatable && this.runs + 1 < route.maxAttempts && !this.abortReason;
+    return (
+      this.isRepeatable &&
+      this.runs + 1 < route.maxAttempts &&
+      !this.abortReason
+    );
   }
 
   /**
@@ -328,47 +274,30 @@
       return this.finish(reason, head.status);
     }
     const {service} = this;
-    this.report.givenUp(service, reason, this.context.chooser.view(service));
     const status = failureStatus(reason, this.runs);
-    if (this.runs === 0)
-      this.context.admission.refundQuota(this.admitted.account);
     const retry =
-      status === STATUS_UNAVAILABLE
-        ? this.context.protocol.retryAfter(this.retryDelayMs())
-        : {};
-    this.writer.sendFailure(status, retry);
+      status === STATUS_UNAVAILABLE ? this.search.retry() : undefined;
+    const view = this.context.chooser.view(service);
+    this.report.givenUp(service, reason, view, {
+      retry,
+      notPlaced: this.search.notPlaced,
+    });
+    if (this.runs === 0) this.admission.refundQuota(retry?.delayMs);
+    const headers = retry && this.context.protocol.retryAfter(retry.delayMs);
+    this.writer.sendFailure(status, headers ?? {});
     return this.finish(reason, status);
   }
 
-  private retryDelayMs(): number {
-    const {protocol, overload} = this.context;
-    const leftMs = this.deadlineAt - this.now();
-    const maxDelayMs = protocol.maxRetryAfterMs(leftMs);
-    const scheduledMs = this.notPlaced?.retryAfterMs;
-    return scheduledMs === undefined
-      ? overload.returnAfterMs(this.service, maxDelayMs)
-      : Math.min(scheduledMs, maxDelayMs);
-  }
-
   private abort(by: AbortReason): void {
     this.abortReason ??= by;
+    this.search.stop();
     this.activeSend?.control.end(by);
   }
 
-  /**
-   * Aborts a run at a target that has sent nothing for too long, if the request
-   * can be retried elsewhere.
-   */
   private startSilenceWatch(): Disposable {
-    const {idempotent, resumable} = this.admitted.route;
-    if (!idempotent && !resumable) return {[Symbol.dispose]: () => {}};
-    const timer = setInterval(() => {
-      const control = this.activeSend?.control;
-      if (!control || !this.canRetry()) return;
-      if (control.silentMs(this.now()) > TARGET_SILENCE_TIMEOUT_MS)
-        control.end('silent');
-    }, TARGET_SILENCE_TIMEOUT_MS / 4);
-    return {[Symbol.dispose]: () => clearInterval(timer)};
+    const movableRun = () =>
+      this.canRetry() ? this.activeSend?.control : undefined;
+    return watchSilence(movableRun, () => this.now());
   }
 
   private logRun(event: string, reason: string, target: Target): void {
--- a/packages/gateway/src/lib/request/request_report.ts
+++ b/packages/gateway/src/lib/request/request_report.ts
@@ -3,10 +3,12 @@
 import type {Tracer} from '@opentelemetry/api';
 import type {Target} from '../connection/target.js';
 import type {TargetLoad} from '../process/load_table.js';
+import type {NotPlaced} from '../process/placement_outcome.js';
 import type {ChoiceView} from '../process/target_chooser.js';
 import type {Route} from '../version/routing_table.js';
 import {RequestTrace} from './request_trace.js';
 import type {Headers, RequestMetadata} from './target_protocol.js';
+import type {RetryAdvice} from './target_search.js';
 
 /** Destinations of the reports. */
 export interface ReportContext {
@@ -15,6 +17,14 @@
   readonly tracer: Tracer;
 }
 
+/** Why a request has no target. */
+export interface FailedSearch {
+  /** Undefined if no search has failed. */
+  readonly notPlaced: NotPlaced | undefined;
+  /** When the caller should retry; undefined if it should not. */
+  readonly retry: RetryAdvice | undefined;
+}
+
 /** Progress of a request. */
 export interface RequestProgress {
   /** Number of runs that have ended. */
@@ -116,11 +126,24 @@
    * @param service - The service whose targets were considered.
    * @param reason - Why there is no response.
    * @param view - State of the targets that the choice was based on.
+   * @param search - What the latest search for a target said.
    */
-  givenUp(service: string, reason: string, view: ChoiceView): void {
-    const request = this.metadata.requestId;
-    const fields = {request, service, reason, ...view};
-    this.context.log.event('request-given-up', fields);
+  givenUp(
+    service: string,
+    reason: string,
+    view: ChoiceView,
+    {notPlaced, retry}: FailedSearch,
+  ): void {
+    this.context.log.event('request-given-up', {
+      request: this.metadata.requestId,
+      service,
+      reason,
+      ...view,
+      cause: notPlaced?.cause,
+      ...notPlaced?.figures,
+      retryAfterMs: retry && Math.round(retry.delayMs),
+      promised: retry?.isPromised,
+    });
   }
 
   /**
--- a/packages/gateway/src/test/fakes/fleet_simulator.ts
+++ b/packages/gateway/src/test/fakes/fleet_simulator.ts
@@ -7,9 +7,11 @@
 import {
   NO_COUNTERS,
   NO_EVENT_LOG,
+  PaceMeter,
   maxQueueWaitMs,
   seededRandom,
   type Random,
+  type WaitDemand,
 } from '@oathead/core';
 import {
   decodeLoad,
@@ -21,9 +23,14 @@
   encodePlacement,
   type PlacementMessage,
 } from '../../lib/connection/placement_message.js';
+import {
+  decodeSpeeds,
+  encodeSpeeds,
+} from '../../lib/connection/speed_message.js';
 import type {Target} from '../../lib/connection/target.js';
 import {Coordinator} from '../../lib/process/coordinator.js';
 import {PreferredTargets} from '../../lib/process/preferred_targets.js';
+import {LateQueue} from '../../lib/process/late_queue.js';
 import {LoadTable} from '../../lib/process/load_table.js';
 import {
   LoadReporter,
@@ -31,17 +38,48 @@
   type LoadReportOptions,
 } from '../../lib/process/load_reporter.js';
 import {Placement} from '../../lib/process/placement.js';
+import {NO_ROOM, type NotPlaced} from '../../lib/process/placement_outcome.js';
+import {ShareAdmission} from '../../lib/process/share_admission.js';
+import {ReturnPromises} from '../../lib/process/return_promises.js';
 import {ServiceHealth} from '../../lib/process/service_health.js';
 import {ServiceOverload} from '../../lib/process/service_overload.js';
-import {
-  TargetChooser,
-  type BatchPressure,
-} from '../../lib/process/target_chooser.js';
+import {TargetChooser} from '../../lib/process/target_chooser.js';
 import {TargetDirectory} from '../../lib/process/target_directory.js';
+import {
+  SPEED_REPORT_MS,
+  SpeedReporter,
+} from '../../lib/process/speed_reporter.js';
+import type {BatchPressure} from '../../lib/process/target_score.js';
+import {TargetSpeeds} from '../../lib/process/target_speeds.js';
 import {TargetSuspensions} from '../../lib/process/target_suspensions.js';
 import {FakeClock} from './fake_clock.js';
 import {newTarget} from './targets.js';
 
+/** Load of one client account. */
+export interface AccountLoad {
+  readonly name: string;
+  /** @returns Arrivals per second. */
+  readonly rateAt: (ms: number) => number;
+  /** Where its callers are; all data centres by default. */
+  readonly dataCentre?: number;
+  /** 0 by default. */
+  readonly priority?: number;
+}
+
+/** Outcomes of the requests of one client account. */
+export interface AccountOutcome {
+  requests: number;
+  /** Requests that were refused at their first attempt, and for good. */
+  refused: number;
+  failed: number;
+  /** Refusals because the account was over its share. */
+  overShare: number;
+  late: number;
+  served: number;
+  /** Total time from arrival to a placement or refusal, in milliseconds. */
+  waitedMs: number;
+}
+
 /** The simulated fleet and its load. */
 export interface FleetScenario {
   readonly seed: number;
@@ -68,8 +106,29 @@
    * 1 by default.
    */
   readonly firstDataCentreWeight?: number;
+  /** Client accounts, which then send all requests. */
+  readonly accounts?: readonly AccountLoad[];
+  /** Speeds of the targets of each data centre in turn; all 1 by default. */
+  readonly speeds?: readonly number[];
+  /** A time in which the first target is slower, by this factor. */
+  readonly slowFirstTarget?: {
+    readonly by: number;
+    readonly fromMs: number;
+    readonly toMs: number;
+  };
+  /**
+   * Time at which the last target of each data centre is added, empty; from the
+   * start by default.
+   */
+  readonly lastTargetAddedAtMs?: number;
   /** Start of the burst and end of the simulation, in milliseconds. */
   readonly burstAtMs: number;
+  /**
+   * Length of the burst and interval until the next one, in milliseconds; one
+   * endless burst by default.
+   */
+  readonly burstMs?: number;
+  readonly periodMs?: number;
   readonly lengthMs: number;
 }
 
@@ -82,8 +141,25 @@
    * Whether slots in other data centres are requested from their coordinators.
    */
   readonly usesRemoteCoordinators?: boolean;
+  /** Whether callers that were refused twice wait for a free slot. */
+  readonly hasLateSlots?: boolean;
+  /** Whether coordinators promise room to callers that are refused. */
+  readonly schedulesReturns?: boolean;
   /** Time after which coordinators no longer reply, in milliseconds. */
   readonly coordinatorsFailAtMs?: number;
+  /** Whether the room is divided among client accounts. */
+  readonly usesShares?: boolean;
+  /**
+   * Time at which the coordinators are replaced by hosts that know nothing of
+   * the shares, in milliseconds.
+   */
+  readonly sharesLostAtMs?: number;
+  /** @returns Weight of an account. */
+  readonly weightAt?: (account: string, ms: number) => number | undefined;
+  /** Whether hosts learn the speeds of targets; true by default. */
+  readonly learnsSpeeds?: boolean;
+  /** Whether they tell each other; true by default. */
+  readonly sharesSpeeds?: boolean;
 }
 
 /** Outcomes of the requests and batch items, and number of messages. */
@@ -106,6 +182,15 @@
    */
   messages: number;
   remoteBytes: number;
+  /** By name of the client account. */
+  readonly accounts: Map<string, AccountOutcome>;
+  /**
+   * Requests in time and late by speed of their target, if those differ; `slow`
+   * for one that is slower for a while.
+   */
+  bySpeed?: Record<string, {inTime: number; late: number}>;
+  /** Bytes of what hosts tell each other of speeds. */
+  speedBytes?: number;
 }
 
 interface Caller {
@@ -113,24 +198,34 @@
   readonly lastArrivalAt: number;
   readonly returning: boolean;
   readonly host: Host;
+  readonly account?: AccountLoad | undefined;
+  /** Whether it has searched for a target since its last arrival. */
+  hasSearched: boolean;
 }
 
 interface Run {
   readonly caller: Caller | undefined;
   readonly load: Disposable;
   readonly host: Host;
-  readonly runMs: number;
   readonly sentAt: number;
   readonly hadFreeSlot: boolean;
+  runMs: number;
+  firstByteMs: number;
+  msPerEvent: number;
   startsAt: number | undefined;
+  paceMeter: PaceMeter | undefined;
+  isMeasured: boolean;
 }
 
 interface Host extends LoadPeer {
   readonly loads: LoadTable;
   readonly reporter: LoadReporter<Host>;
   readonly chooser: TargetChooser;
+  readonly directory: TargetDirectory;
   readonly placement: Placement<Host>;
   readonly overload: ServiceOverload;
+  readonly speedReporter: SpeedReporter<Host>;
+  readonly lateQueue: LateQueue;
   readonly tickPhaseMs: number;
   /** Times at which the waiting items of this host may be sent again. */
   itemsWaiting: number[];
@@ -148,12 +243,17 @@
 const FULL_BACKOFF_MS = 50;
 const MAX_RETRY_DELAY_SHARE = 1 / 3;
 const RUN_TIME_SPREAD = 0.25;
+/** Numbers of events of an online stream and of an item. */
+const REQUEST_EVENTS = 25;
+const ITEM_EVENTS = 150;
 const SERVICE = 's';
 const NO_TARGETS: ReadonlySet<string> = new Set();
 
 /** Simulates a fleet. */
 export class FleetSimulator {
   private readonly random: Random;
+  /** Of its own, so that all options of a seed get the same arrivals. */
+  private readonly arrivals: Random;
   private readonly clock = new FakeClock();
   private readonly targets: readonly Target[];
   private readonly hosts: readonly Host[];
@@ -169,6 +269,7 @@
     itemsDone: 0,
     messages: 0,
     remoteBytes: 0,
+    accounts: new Map(),
   };
   private waiting: Caller[] = [];
   private retrying: Caller[] = [];
@@ -183,6 +284,7 @@
     private readonly options: FleetOptions,
   ) {
     this.random = seededRandom(load.seed);
+    this.arrivals = seededRandom(load.seed + 1_000_000);
     const dataCentreNames = [...Array(load.dataCentres).keys()].map(
       i => `dc${i}`,
     );
@@ -227,7 +329,8 @@
     const log = NO_EVENT_LOG;
     const now = () => this.now;
     const directory = new TargetDirectory({clock, log});
-    for (const target of this.targets) directory.put(target);
+    for (const target of this.targets)
+      if (!this.isAddedLater(target)) directory.put(target);
     const loads = new LoadTable(now);
     const hostCount = () => this.hosts.length;
     const overload = new ServiceOverload({
@@ -235,11 +338,16 @@
       random,
       directory,
       hosts: hostCount,
+      speeds: new TargetSpeeds({
+        clock,
+        isLearning: this.options.learnsSpeeds ?? true,
+      }),
     });
+    const suspensions = new TargetSuspensions(clock, log);
     const chooser = new TargetChooser({
       dataCentre,
       directory,
-      suspensions: new TargetSuspensions(clock, log),
+      suspensions,
       health: new ServiceHealth(clock),
       overload,
       loads,
@@ -251,10 +359,38 @@
       random,
     });
     const self = {id, dataCentre};
+    const newShares = () =>
+      new ShareAdmission({
+        dataCentre,
+        directory,
+        suspensions,
+        loads,
+        overload,
+        counters: NO_COUNTERS,
+        log,
+        now,
+        weightOf: name => this.options.weightAt?.(name, this.now),
+        hasCoordinators: () =>
+          this.options.coordinated && reporter.hasCoordinators,
+      });
+    let shares = this.options.usesShares ? newShares() : undefined;
+    const {sharesLostAtMs} = this.options;
+    if (shares && sharesLostAtMs !== undefined)
+      clock.after(sharesLostAtMs, () => (shares = newShares()));
     const reporter = new LoadReporter<Host>(
       {self, table: loads, now, random},
       this.options,
     );
+    const speedReporter = new SpeedReporter<Host>({
+      self,
+      speeds: overload.speeds,
+      directory,
+      counters: NO_COUNTERS,
+      // Not the random numbers of the fleet, which stay the same without it.
+      random: seededRandom(this.hosts?.length ?? 0),
+      now,
+      coordinator: () => reporter.coordinator,
+    });
     const placement = new Placement<Host>({
       self,
       clock,
@@ -267,7 +403,21 @@
         dataCentre,
         chooser,
         loads,
+        overload,
+        promises: new ReturnPromises({
+          clock,
+          random,
+          counters: NO_COUNTERS,
+          loads,
+          directory,
+          overload,
+          hostShare: () => 1 / this.load.dataCentres,
+          isCoordinator: () => reporter.isCoordinator,
+        }),
         now,
+        get shares() {
+          return shares;
+        },
       }),
       coordinator: () =>
         this.options.coordinated ? reporter.coordinator : undefined,
@@ -279,6 +429,17 @@
       send: (message, to) => this.post(message, to),
       onPreempt: (targetId, items) => this.preemptItems(id, targetId, items),
     });
+    const lateQueue = new LateQueue({
+      clock,
+      log,
+      counters: NO_COUNTERS,
+      chooser,
+      directory,
+      overload,
+      placement,
+      hosts: hostCount,
+      isEnabled: () => this.options.hasLateSlots ?? false,
+    });
     const tickPhaseMs = random.int(this.options.periodMs / STEP_MS) * STEP_MS;
     const itemsWaiting = [...Array(this.load.items).keys()].map(() => 0);
     return {
@@ -286,8 +447,11 @@
       loads,
       reporter,
       chooser,
+      directory,
       placement,
       overload,
+      speedReporter,
+      lateQueue,
       tickPhaseMs,
       itemsWaiting,
       isStartingItems: false,
@@ -295,7 +459,54 @@
     };
   }
 
+  private isAddedLater({id}: Target): boolean {
+    const {targets, lastTargetAddedAtMs = 0} = this.load;
+    return lastTargetAddedAtMs > this.now && id.endsWith(`-t${targets - 1}`);
+  }
+
+  private addTargets(): void {
+    const {lastTargetAddedAtMs} = this.load;
+    if (lastTargetAddedAtMs !== this.now) return;
+    for (const {directory} of this.hosts)
+      for (const target of this.targets) directory.put(target);
+  }
+
+  private speedOf({id}: Target): number {
+    const {speeds = [1]} = this.load;
+    return speeds[Number(id.split('-t')[1]) % speeds.length]!;
+  }
+
+  /** How much longer a run that begins now takes at the target. */
+  private slownessOf(target: Target): number {
+    const slow = this.load.slowFirstTarget;
+    const isSlow =
+      slow &&
+      target === this.targets[0] &&
+      slow.fromMs <= this.now &&
+      this.now < slow.toMs;
+    return (isSlow ? slow.by : 1) / this.speedOf(target);
+  }
+
+  /** Makes the runs at the first target slower, or as fast as before. */
+  private changeFirstTarget(): void {
+    const {slowFirstTarget: slow} = this.load;
+    if (slow?.fromMs === this.now) this.stretchRuns(this.targets[0]!, slow.by);
+    if (slow?.toMs === this.now)
+      this.stretchRuns(this.targets[0]!, 1 / slow.by);
+  }
+
+  private stretchRuns({id}: Target, by: number): void {
+    for (const run of this.runs.get(id)!) {
+      if (run.startsAt === undefined) continue;
+      const doneMs = this.now - run.startsAt;
+      run.runMs = doneMs + (run.runMs - doneMs) * by;
+      run.msPerEvent *= by;
+    }
+  }
+
   private step(): void {
+    this.addTargets();
+    this.changeFirstTarget();
     this.deliver();
     this.generateArrivals();
     for (const target of this.targets) this.advanceRuns(target);
@@ -322,69 +533,146 @@
   }
 
   private generateArrivals(): void {
-    const {burstAtMs, burstRate, calmRate} = this.load;
-    const rate = this.now >= burstAtMs ? burstRate : calmRate;
+    const {burstRate, calmRate, accounts} = this.load;
+    const rate = this.isBurst ? burstRate : calmRate;
+    if (!accounts) this.generateArrivalsAt(rate);
+    for (const account of accounts ?? [])
+      this.generateArrivalsAt(account.rateAt(this.now), account);
+    this.waiting.push(
+      ...this.retrying.filter(({lastArrivalAt}) => lastArrivalAt <= this.now),
+    );
+    this.retrying = this.retrying.filter(
+      ({lastArrivalAt}) => lastArrivalAt > this.now,
+    );
+  }
+
+  private generateArrivalsAt(rate: number, account?: AccountLoad): void {
+    const random = account ? this.random : this.arrivals;
     let expected = (rate * STEP_MS) / 1000;
     for (; expected > 0; expected--) {
-      if (this.random.float() >= expected) continue;
+      if (random.float() >= expected) continue;
       this.outcome.requests++;
+      if (account) this.outcomeOf(account).requests++;
       const {now} = this;
-      const host = this.pickHost();
       this.waiting.push({
         arrivedAt: now,
         lastArrivalAt: now,
         returning: false,
-        host,
+        host: this.pickHost(random, account),
+        account,
+        hasSearched: false,
       });
     }
-    this.waiting.push(
-      ...this.retrying.filter(({lastArrivalAt}) => lastArrivalAt <= this.now),
-    );
-    this.retrying = this.retrying.filter(
-      ({lastArrivalAt}) => lastArrivalAt > this.now,
-    );
   }
 
-  private pickHost(): Host {
+  private outcomeOf({name}: AccountLoad): AccountOutcome {
+    const {accounts} = this.outcome;
+    const known = accounts.get(name);
+    if (known) return known;
+    const none: AccountOutcome = {
+      requests: 0,
+      refused: 0,
+      failed: 0,
+      overShare: 0,
+      late: 0,
+      served: 0,
+      waitedMs: 0,
+    };
+    accounts.set(name, none);
+    return none;
+  }
+
+  private get isBurst(): boolean {
+    const {burstAtMs, burstMs = Infinity, periodMs = Infinity} = this.load;
+    const sinceMs = this.now - burstAtMs;
+    return sinceMs >= 0 && sinceMs % periodMs < burstMs;
+  }
+
+  private pickHost(random: Random, account?: AccountLoad): Host {
     const {hosts, dataCentres, firstDataCentreWeight = 1} = this.load;
+    if (account?.dataCentre !== undefined)
+      return this.hosts[account.dataCentre * hosts + this.random.int(hosts)]!;
     const position =
-      this.random.float() * (dataCentres - 1 + firstDataCentreWeight) -
+      random.float() * (dataCentres - 1 + firstDataCentreWeight) -
       firstDataCentreWeight;
     const dataCentre = position < 0 ? 0 : 1 + Math.floor(position);
-    return this.hosts[dataCentre * hosts + this.random.int(hosts)]!;
+    return this.hosts[dataCentre * hosts + random.int(hosts)]!;
   }
 
   private async place(caller: Caller): Promise<void> {
     const {goalMs} = this.load;
-    const {host, returning, lastArrivalAt} = caller;
-    const demand = {goalMs, priority: 0, returning};
+    const {host, returning, lastArrivalAt, account} = caller;
+    const demand = {
+      goalMs,
+      priority: account?.priority ?? 0,
+      returning,
+      account: account?.name,
+      isRepeated: caller.hasSearched,
+    };
+    caller.hasSearched = true;
+    const isLast = this.now >= lastArrivalAt + maxQueueWaitMs(demand);
+    const {hasLateSlots, schedulesReturns} = this.options;
+    const returnWithinMs =
+      isLast && schedulesReturns && !returning
+        ? this.maxDelayMs(caller)
+        : undefined;
     const outcome = await host.placement.forRequest(
       SERVICE,
-      demand,
+      {...demand, returnWithinMs},
       NO_TARGETS,
     );
     if (outcome.kind === 'placed') this.send(host, outcome.target, caller);
-    else if (this.now < lastArrivalAt + maxQueueWaitMs(demand))
+    else if (
+      (outcome.cause === 'room' || returning) &&
+      this.now < lastArrivalAt + maxQueueWaitMs(demand)
+    )
       this.waiting.push(caller);
-    else this.refuse(caller);
+    else if (schedulesReturns && !isLast) this.waiting.push(caller);
+    else if (hasLateSlots && returning) await this.waitLate(caller, demand);
+    else this.refuse(caller, outcome);
+  }
+
+  private async waitLate(caller: Caller, demand: WaitDemand): Promise<void> {
+    caller.host.overload.recordNotPlaced(SERVICE, NO_ROOM);
+    const end = await caller.host.lateQueue.wait({
+      requestId: undefined,
+      service: SERVICE,
+      demand,
+      deadlineAt: caller.arrivedAt + this.load.callerTimeoutMs,
+      tried: NO_TARGETS,
+    }).end;
+    if (end.kind === 'placed') this.send(caller.host, end.target, caller);
+    else this.outcome.failed++;
   }
 
-  private refuse(caller: Caller): void {
+  private maxDelayMs({arrivedAt}: Caller): number {
+    const leftMs = this.load.callerTimeoutMs - (this.now - arrivedAt);
+    return leftMs * MAX_RETRY_DELAY_SHARE;
+  }
+
+  private refuse(
+    caller: Caller,
+    {cause, retryAfterMs: promisedMs}: NotPlaced,
+  ): void {
+    const {account} = caller;
+    const outcome = account && this.outcomeOf(account);
+    if (outcome) outcome.waitedMs += this.now - caller.lastArrivalAt;
+    if (outcome && cause === 'share') outcome.overShare++;
     if (caller.returning) {
       this.outcome.failed++;
+      if (outcome) outcome.failed++;
       return;
     }
-    const leftMs = this.load.callerTimeoutMs - (this.now - caller.arrivedAt);
-    const maxDelayMs = leftMs * MAX_RETRY_DELAY_SHARE;
-    const retryDelayMs = caller.host.overload.returnAfterMs(
-      SERVICE,
-      maxDelayMs,
-    );
+    if (outcome) outcome.refused++;
+    const retryDelayMs =
+      promisedMs ??
+      caller.host.overload.returnAfterMs(SERVICE, this.maxDelayMs(caller));
     const lastArrivalAt = this.now + retryDelayMs;
-    const host = this.pickHost();
+    const host = this.pickHost(this.random, account);
     this.retrying.push({
       ...caller,
       returning: true,
+      hasSearched: false,
       lastArrivalAt,
       host,
     });
@@ -402,9 +690,13 @@
       load,
       host,
       runMs: (caller ? runMs : itemMs) * spread,
+      firstByteMs: this.load.firstByteMs,
+      msPerEvent: 0,
       sentAt: this.now,
       hadFreeSlot,
       startsAt: undefined,
+      paceMeter: undefined,
+      isMeasured: false,
     });
   }
 
@@ -418,23 +710,61 @@
       startsAt !== undefined && startsAt + runMs <= this.now;
     for (const run of runs.filter(isDone)) this.end(target, run);
     const left = this.runs.get(target.id)!;
-    for (const run of left.slice(0, target.slots)) this.begin(run);
+    for (const run of left.slice(0, target.slots)) this.begin(target, run);
+    for (const run of left) this.measurePace(target, run);
   }
 
-  private begin(run: Run): void {
+  private begin(target: Target, run: Run): void {
     if (run.startsAt !== undefined) return;
+    const slowness = this.slownessOf(target);
+    run.runMs *= slowness;
+    run.firstByteMs *= slowness;
     run.startsAt = this.now;
+    run.msPerEvent = run.runMs / (run.caller ? REQUEST_EVENTS : ITEM_EVENTS);
+    run.paceMeter = new PaceMeter();
     if (!run.caller) return;
-    const {goalMs, firstByteMs} = this.load;
-    const {lastArrivalAt, returning} = run.caller;
-    if (this.now + firstByteMs - lastArrivalAt > goalMs) this.outcome.late++;
+    const {goalMs} = this.load;
+    const {lastArrivalAt, returning, account} = run.caller;
+    const isLate = this.now + run.firstByteMs - lastArrivalAt > goalMs;
+    const outcome = account && this.outcomeOf(account);
+    if (outcome) {
+      outcome.waitedMs += this.now - lastArrivalAt;
+      if (isLate) outcome.late++;
+      else outcome.served++;
+    }
+    if (isLate) this.outcome.late++;
     else if (returning) this.outcome.inTimeOnRetry++;
     else this.outcome.inTime++;
+    this.countBySpeed(target, isLate);
+  }
+
+  private countBySpeed(target: Target, isLate: boolean): void {
+    const {speeds, slowFirstTarget} = this.load;
+    if (!speeds && !slowFirstTarget) return;
+    const isSlowForAWhile = slowFirstTarget && target === this.targets[0];
+    const speed = isSlowForAWhile ? 'slow' : String(this.speedOf(target));
+    const bySpeed = (this.outcome.bySpeed ??= {});
+    const counts = (bySpeed[speed] ??= {inTime: 0, late: 0});
+    if (isLate) counts.late++;
+    else counts.inTime++;
+  }
+
+  private measurePace(target: Target, run: Run): void {
+    // Events are counted in fractions, as steps are shorter than pauses.
+    const ms = run.paceMeter?.add(STEP_MS / run.msPerEvent, this.now);
+    if (ms === undefined) return;
+    const {online, batch} = run.host.loads.totalAt(targetKey(target.id));
+    run.host.overload.speeds.record(target, {
+      kind: run.caller ? 'online pace' : 'batch pace',
+      ms,
+      inFlight: online + batch,
+      isNewRun: !run.isMeasured,
+    });
+    run.isMeasured = true;
   }
 
   private end(target: Target, run: Run): void {
     this.remove(target, run);
-    const {firstByteMs} = this.load;
     if (!run.caller) {
       this.outcome.itemsDone++;
       run.host.itemsWaiting.push(this.now);
@@ -442,8 +772,10 @@
     if (run.caller && run.hadFreeSlot) {
       const runMs = this.now - run.sentAt;
       const waitedMs = run.startsAt! - run.sentAt;
-      const latency = {firstByteMs: waitedMs + firstByteMs, runMs};
-      run.host.overload.recordRun(SERVICE, latency);
+      const latency = {firstByteMs: waitedMs + run.firstByteMs, runMs};
+      const {overload} = run.host;
+      const slowness = overload.speeds.slownessAt(target, 1);
+      overload.recordRun(SERVICE, latency, slowness);
     }
   }
 
@@ -456,6 +788,7 @@
   private tick(host: Host): void {
     const sinceStart = this.now + host.tickPhaseMs;
     if (sinceStart % this.options.periodMs === 0) this.reportLoad(host);
+    if (sinceStart % SPEED_REPORT_MS === 0) this.reportSpeeds(host);
     if (sinceStart % TICK_MS !== 0) return;
     this.preemptExcessItems(host);
     void this.startItems(host);
@@ -498,6 +831,22 @@
     }
   }
 
+  private reportSpeeds(host: Host): void {
+    if (this.options.sharesSpeeds === false) return;
+    const peers = this.hosts.filter(one => one !== host);
+    for (const {message, peers: to} of host.speedReporter.takeDueReports(
+      peers,
+    )) {
+      const bytes = encodeSpeeds(message);
+      this.outcome.speedBytes ??= 0;
+      this.outcome.speedBytes += bytes.length * to.length;
+      for (const peer of to)
+        this.undeliveredMessages.push(() =>
+          peer.speedReporter.receive(decodeSpeeds(bytes)!),
+        );
+    }
+  }
+
   private preemptExcessItems(host: Host): void {
     for (const target of this.targets) {
       const count = host.chooser.itemsToPreempt(target, host.id);
--- a/packages/gateway/src/test/process/placement_test.ts
+++ b/packages/gateway/src/test/process/placement_test.ts
@@ -9,6 +9,7 @@
 import type {Target} from '../../lib/connection/target.js';
 import {Placement} from '../../lib/process/placement.js';
 import type {PlacementOutcome} from '../../lib/process/placement_outcome.js';
+import {ReturnPromises} from '../../lib/process/return_promises.js';
 import {ServiceHealth} from '../../lib/process/service_health.js';
 import {ServiceOverload} from '../../lib/process/service_overload.js';
 import {TargetChooser} from '../../lib/process/target_chooser.js';
@@ -34,12 +35,13 @@
   const hosts = () => 30;
   const dataCentre = 'a';
   const suspensions = new TargetSuspensions(clock, log);
+  const overload = new ServiceOverload({clock, random, directory, hosts});
   const chooser = new TargetChooser({
     dataCentre,
     directory,
     suspensions,
     health: new ServiceHealth(clock),
-    overload: new ServiceOverload({clock, random, directory, hosts}),
+    overload,
     loads,
     preferredTargets: new PreferredTargets({self: id, dataCentre, hosts}),
     random,
@@ -58,6 +60,17 @@
       dataCentre,
       chooser,
       loads,
+      overload,
+      promises: new ReturnPromises({
+        clock,
+        random,
+        counters: NO_COUNTERS,
+        loads,
+        directory,
+        overload,
+        hostShare: () => 1,
+        isCoordinator: () => id === COORDINATOR.id,
+      }),
       now: () => clock.now(),
     }),
     coordinator: () => (id === COORDINATOR.id ? undefined : COORDINATOR),
--- a/packages/serving/src/lib/process/serving_components.ts
+++ b/packages/serving/src/lib/process/serving_components.ts
@@ -13,6 +13,7 @@
   CrashSuspects,
   PreferredTargets,
   HostSocket,
+  LateQueue,
   LoadExchange,
   LoadTable,
   MEMBER_TABLE,
@@ -20,11 +21,16 @@
   Membership,
   createPlacement,
   createAccountQuotas,
+  ReturnPromises,
   RoutingState,
   ServiceHealth,
   ServiceOverload,
+  ShareAdmission,
+  SpeedExchange,
+  StoredAheadRecord,
   TargetChooser,
   TargetDirectory,
+  TargetSpeeds,
   TargetSuspensions,
   type AccountQuotas,
   type QuotaHost,
@@ -42,6 +48,7 @@
 } from '@oathead/jobs';
 import {RelayedRowStore} from '@oathead/stores';
 import {PeerClients} from '../connection/peer_clients.js';
+import type {ServingOptions} from './serving_options.js';
 import type {
   JobOperations,
   ListenAddress,
@@ -59,6 +66,7 @@
   readonly membership: Membership;
   readonly socket: HostSocket;
   readonly exchange: LoadExchange;
+  readonly speedExchange: SpeedExchange;
   readonly crashSuspects: CrashSuspects;
   readonly freshness: FreshnessLease;
   readonly quotas: AccountQuotas;
@@ -128,28 +136,60 @@
     dataCentre: identity.dataCentre,
     hosts,
   });
-  const overload = new ServiceOverload({clock, random, directory, hosts});
+  const speeds = new TargetSpeeds({
+    clock,
+    isLearning: platform.options.targetSpeeds === 'learned',
+  });
+  directory.onRemoved(id => speeds.remove(id));
+  const speedExchange = disposables.add(
+    new SpeedExchange({
+      ...context,
+      self,
+      speeds,
+      directory,
+      socket,
+      peers: () => membership.peers().map(hostPeerOf),
+      coordinator: () => exchange.coordinator,
+    }),
+  );
+  const overload = new ServiceOverload({
+    clock,
+    random,
+    directory,
+    hosts,
+    speeds,
+  });
   const requestContext = onlineContext(
     {platform, context, disposables},
     {directory, loads, preferredTargets, overload, crashSuspects},
   );
+  const isCoordinated = () => platform.options.coordinators === 'auto';
+  const shares = new ShareAdmission({
+    ...requestContext,
+    dataCentre: self.dataCentre,
+    now: () => clock.now(),
+    weightOf: name => routing.weightOf(name),
+    hasCoordinators: () => isCoordinated() && exchange.hasCoordinators,
+  });
+  const promises = new ReturnPromises({
+    ...requestContext,
+    hostShare: () => hostShare(membership.live(), self.dataCentre),
+    isCoordinator: () => isCoordinated() && exchange.isCoordinator,
+  });
   const placement = createPlacement(socket, {
     ...requestContext,
     self,
     localCoordinator: new Coordinator({
       ...requestContext,
+      promises,
       self: self.id,
       dataCentre: self.dataCentre,
       now: () => clock.now(),
+      shares,
     }),
-    coordinator: () =>
-      platform.options.coordinators === 'auto'
-        ? exchange.coordinator
-        : undefined,
+    coordinator: () => (isCoordinated() ? exchange.coordinator : undefined),
     coordinatorOf: name =>
-      platform.options.coordinators === 'auto'
-        ? exchange.coordinatorOf(name)
-        : undefined,
+      isCoordinated() ? exchange.coordinatorOf(name) : undefined,
     peer: id => {
       const member = membership.peer(id);
       return member && hostPeerOf(member);
@@ -171,6 +211,7 @@
           : undefined,
       tolerance: () => platform.tunables().quotaTolerance,
       quotaOf: name => routing.current?.table.accounts?.findByName(name)?.quota,
+      aheadRecord: new StoredAheadRecord(store, log),
     }),
   );
   const {counters} = context;
@@ -180,7 +221,21 @@
     quotas,
     counters,
   });
-  const online = {...requestContext, placement, admission};
+  const lateQueue = new LateQueue({
+    ...requestContext,
+    placement,
+    hosts,
+    isEnabled: () => isActive(platform.options.lateSlots, admission),
+  });
+  const schedulesReturns = () =>
+    isActive(platform.options.returnSchedule, admission);
+  const online = {
+    ...requestContext,
+    placement,
+    admission,
+    lateQueue,
+    schedulesReturns,
+  };
   const reader = new JobReader(store);
   const {storeLimits: limits} = platform;
   const jobContext = {...context, store, limits, reader, membership};
@@ -208,6 +263,7 @@
     membership,
     socket,
     exchange,
+    speedExchange,
     crashSuspects,
     freshness,
     quotas,
@@ -240,7 +296,10 @@
 function onlineContext(
   {platform, context, disposables}: ComponentContext,
   {directory, loads, preferredTargets, overload, crashSuspects}: TargetState,
-): Omit<OnlineContext, 'placement' | 'admission'> {
+): Omit<
+  OnlineContext,
+  'placement' | 'admission' | 'lateQueue' | 'schedulesReturns'
+> {
   const {clock, log, random, counters} = context;
   const {protocol} = platform;
   const {dataCentre} = platform.identity;
@@ -272,6 +331,19 @@
   };
 }
 
+/** @returns Part of the hosts that is in a data centre, from 0 to 1. */
+function hostShare(hosts: readonly Member[], dataCentre: string): number {
+  const own = hosts.filter(host => host.dataCentre === dataCentre).length;
+  return own / Math.max(1, hosts.length);
+}
+
+function isActive(
+  setting: ServingOptions['lateSlots'],
+  {hasAccounts}: CallerAdmission,
+): boolean {
+  return setting === 'always' || (setting === 'accounts' && hasAccounts);
+}
+
 function createJobOperations(
   context: ServingContext & {
     readonly store: RelayedRowStore;
@@ -309,11 +381,13 @@
     ip: loads.ip,
     loadPort: loads.port,
     controlAddress: addressOf(control),
+    readsAheadRecord: true,
   };
 }
 
-function quotaHostOf({id, host, ip, loadPort}: Member): QuotaHost {
-  return {id, host, ip, port: loadPort};
+function quotaHostOf(member: Member): QuotaHost {
+  const {id, host, ip, loadPort: port, readsAheadRecord} = member;
+  return {id, host, ip, port, readsAheadRecord};
 }
 
 function hostPeerOf({id, dataCentre, ip, loadPort}: Member): HostPeer {
--- a/packages/serving/src/lib/process/serving_options.ts
+++ b/packages/serving/src/lib/process/serving_options.ts
@@ -19,6 +19,24 @@
    * centre on a large fleet. It replies to those of other hosts in any case.
    */
   coordinators: z.enum(['auto', 'off']).default('auto'),
+  /**
+   * Where a request that came back after a refusal, and can no longer be
+   * answered within its latency objective, waits for a free slot: only while
+   * the configuration has client accounts, always or never.
+   */
+  lateSlots: z.enum(['accounts', 'always', 'never']).default('accounts'),
+  /**
+   * Whether this host learns how fast each target is relative to its service,
+   * from its own runs and from what other hosts tell, and sends fewer requests
+   * to slow targets. Where all targets are alike, nothing depends on it.
+   */
+  targetSpeeds: z.enum(['learned', 'off']).default('learned'),
+  /**
+   * Where coordinators promise room to callers that are refused, and keep it
+   * for their return: only while the configuration has client accounts, always
+   * or never. Otherwise each host schedules the returns of its callers.
+   */
+  returnSchedule: z.enum(['accounts', 'always', 'never']).default('never'),
 });
 
 /** Settings of a serving program, with defaults filled in. */
