Quota that a refusal keeps is taken by the same request only

Change: the fingerprint of path and body, which a returning caller repeats, names the reservation. The fields are optional in the messages. Tests of the demand and of the refusal by quota expect the name, too.

Result: its tests, and those of the quota and of requests, pass.

--- a/packages/core/src/lib/process/quota_enforcer.ts
+++ b/packages/core/src/lib/process/quota_enforcer.ts
@@ -8,6 +8,7 @@
   quotaLimits,
   type QuotaDemand,
   type QuotaLimits,
+  type QuotaReturn,
   type QuotaTolerance,
   type QuotaVerdict,
 } from './quota_tolerance.js';
@@ -75,15 +76,14 @@
    * @param account - Name of the account.
    * @param grantedAt - Time of the grant on a monotonic clock, in milliseconds;
    *     undefined if unknown.
-   * @param returnsAt - Time at which its caller returns, on the same clock;
-   *     undefined if it does not.
+   * @param returning - When its caller returns; undefined if it does not.
    */
   refund(
     account: string,
     grantedAt: number | undefined,
-    returnsAt?: number,
+    returning?: QuotaReturn,
   ): void {
-    this.accounts.get(account)?.ledger.refund(grantedAt, returnsAt);
+    this.accounts.get(account)?.ledger.refund(grantedAt, returning);
   }
 
   /**
--- a/packages/core/src/lib/process/quota_ledger.ts
+++ b/packages/core/src/lib/process/quota_ledger.ts
@@ -14,6 +14,7 @@
   GRANT_VALIDITY_MS,
   type QuotaDemand,
   type QuotaLimits,
+  type QuotaReturn,
   type QuotaVerdict,
 } from './quota_tolerance.js';
 import {QuotaWindow} from './quota_window.js';
@@ -103,13 +104,13 @@
    *
    * @param grantedAt - Time of the grant, on a monotonic clock in milliseconds;
    *     undefined if unknown.
-   * @param returnsAt - Time at which its caller returns, on the same clock; the
-   *     room is reserved for it. Undefined if it does not return.
+   * @param returning - When its caller returns; the room is reserved for it.
+   *     Undefined if it does not return.
    */
-  refund(grantedAt: number | undefined, returnsAt?: number): void {
+  refund(grantedAt: number | undefined, returning?: QuotaReturn): void {
     if (!this.window.remove(grantedAt)) return;
     this.level++;
-    if (returnsAt !== undefined) this.promises.add(returnsAt);
+    if (returning) this.promises.add(returning.at, returning.key);
   }
 
   /**
@@ -240,13 +241,13 @@
   private mayUse(
     room: number,
     limits: QuotaLimits,
-    {returning}: QuotaDemand,
+    {returning, key}: QuotaDemand,
     now: number,
   ): boolean {
     const {promises} = this;
     const reserved = promises.count(now);
     if (reserved === 0) return true;
-    if (returning && promises.take(now)) return true;
+    if (returning && promises.take(now, key)) return true;
     if (room >= reserved + 1) return true;
     // Later reservations may wait for room that is still to come.
     const lastAt = Math.max(now, promises.lastAt ?? now);
@@ -258,7 +259,7 @@
 
   private scheduleReturn(
     limits: QuotaLimits,
-    {maxWaitMs}: QuotaDemand,
+    {maxWaitMs, key}: QuotaDemand,
     now: number,
   ): QuotaVerdict {
     const {promises, unheldRetries} = this;
@@ -267,7 +268,7 @@
     const waitMs = Math.ceil(Math.max(1, Math.min(at - now, MAX_WAIT_MS)));
     if (maxWaitMs === undefined) unheldRetries.add(now + waitMs);
     const isReserved = maxWaitMs !== undefined && waitMs <= maxWaitMs;
-    if (isReserved) promises.add(now + waitMs);
+    if (isReserved) promises.add(now + waitMs, key);
     return {kind: 'over', waitMs, isReserved};
   }
 
--- a/packages/core/src/lib/process/quota_promises.ts
+++ b/packages/core/src/lib/process/quota_promises.ts
@@ -3,8 +3,9 @@
  * refused and told when to return.
  *
  * Guards against callers who return at the time they were told and find that
- * later requests have taken the room. Reservations are only counted: any
- * returning caller takes the earliest. One that nobody takes lapses.
+ * others have taken the room: later requests, or callers who return without a
+ * reservation. A reservation with a key is only taken with that key; any
+ * returning caller takes the others. One that nobody takes lapses.
  */
 
 /**
@@ -17,6 +18,8 @@
 
 interface Promised {
   readonly at: number;
+  /** Tells the request apart; undefined if it is not known. */
+  readonly key: number | undefined;
   count: number;
 }
 
@@ -56,28 +59,38 @@
     return this.promised.at(-1)?.at;
   }
 
-  /** @param at - Time at which room is reserved for one more request. */
-  add(at: number): void {
+  /**
+   * @param at - Time at which room is reserved for one more request.
+   * @param key - Tells the request apart from others of its account.
+   */
+  add(at: number, key?: number): void {
     const later = this.promised.findIndex(one => one.at > at);
     const index = later < 0 ? this.promised.length : later;
     const before = this.promised[index - 1];
-    if (before && at < before.at + PART_MS) before.count++;
-    else this.promised.splice(index, 0, {at, count: 1});
+    const isSame = before?.key === undefined && key === undefined;
+    if (before && isSame && at < before.at + PART_MS) before.count++;
+    else this.promised.splice(index, 0, {at, key, count: 1});
     this.total++;
   }
 
   /**
-   * Takes the earliest reservation.
+   * Takes the reservation of a request, or else the earliest that has no key.
    *
    * @param now - Time on a monotonic clock, in milliseconds.
+   * @param key - Tells the request apart from others of its account.
    * @returns Whether there was one whose time has come.
    */
-  take(now: number): boolean {
-    const first = this.promised[0];
-    if (!first || first.at > now) return false;
-    first.count--;
+  take(now: number, key?: number): boolean {
+    const own = this.promised.findIndex(
+      one => key !== undefined && one.key === key,
+    );
+    const index =
+      own >= 0 ? own : this.promised.findIndex(one => one.key === undefined);
+    const taken = this.promised[index];
+    if (!taken || taken.at > now) return false;
+    taken.count--;
     this.total--;
-    if (first.count === 0) this.promised.shift();
+    if (taken.count === 0) this.promised.splice(index, 1);
     return true;
   }
 
--- a/packages/core/src/lib/process/quota_tolerance.ts
+++ b/packages/core/src/lib/process/quota_tolerance.ts
@@ -131,6 +131,19 @@
    * milliseconds; a whole window if undefined.
    */
   readonly maxWaitMs?: number | undefined;
+  /**
+   * Tells the request apart from others of its account, the same when its
+   * caller returns; undefined if unknown.
+   */
+  readonly key?: number | undefined;
+}
+
+/** Return of a caller whose request was granted and did not run. */
+export interface QuotaReturn {
+  /** On a monotonic clock, in milliseconds. */
+  readonly at: number;
+  /** As in its {@link QuotaDemand}. */
+  readonly key?: number | undefined;
 }
 
 /** Decision on one request of an account. */
--- a/packages/core/src/test/process/quota_ledger_test.ts
+++ b/packages/core/src/test/process/quota_ledger_test.ts
@@ -127,17 +127,31 @@
   const take = (now: number, returning = false) =>
     ledger.take(limits, {returning}, now).kind;
   while (take(0) === 'granted');
-  ledger.refund(0, 800);
-  ledger.refund(0, 500);
+  ledger.refund(0, {at: 800});
+  ledger.refund(0, {at: 500});
   t.is(take(100), 'over');
   t.is(take(500), 'over');
   t.is(take(500, true), 'granted');
   t.is(take(600, true), 'over');
   t.is(take(800, true), 'granted');
-  ledger.refund(0, 900);
+  ledger.refund(0, {at: 900});
   t.is(take(1300), 'granted', 'the caller has not returned');
 });
 
+// Callers who were told to return without room for them take that of others.
+test('room for a certain request is not taken by another that returns', t => {
+  const limits = quotaLimits(QUOTA, EXACT);
+  const ledger = new QuotaLedger(LONG_AGO, limits, 0);
+  ledger.allowAhead(LENGTH_MS);
+  const take = (now: number, key: number) =>
+    ledger.take(limits, {returning: true, key}, now).kind;
+  while (ledger.take(limits, {}, 0).kind === 'granted');
+  ledger.refund(0, {at: 500, key: 1});
+  t.is(take(500, 2), 'over');
+  t.is(take(500, 1), 'granted');
+  t.is(take(500, 1), 'over');
+});
+
 // If all refused requests are retried at the same time, or later requests take
 // their room, they are refused again.
 test('a request that returns at its time is granted although others flood', t => {
--- a/packages/gateway/src/lib/connection/quota_message.ts
+++ b/packages/gateway/src/lib/connection/quota_message.ts
@@ -29,6 +29,8 @@
    * would be recognized then.
    */
   maxWaitMs: COUNT.optional(),
+  /** Tells the request apart from others of the account. */
+  key: COUNT.optional(),
   /** Whether the host is asked as the reserve keeper of the account. */
   reserve: z.boolean().optional(),
 });
@@ -59,6 +61,8 @@
    * in messages of hosts with an older release.
    */
   returnsInMs: COUNT.optional(),
+  /** Tells the request apart from others of the account. */
+  key: COUNT.optional(),
 });
 
 const MESSAGE = z.discriminatedUnion('kind', [REQUEST, REPLY, REFUND]);
@@ -71,7 +75,7 @@
 /** A granted request that did not run. */
 export type GrantRefund = Pick<
   Readonly<z.infer<typeof REFUND>>,
-  'ageMs' | 'returnsInMs'
+  'ageMs' | 'returnsInMs' | 'key'
 >;
 /** All messages about quotas. */
 export type QuotaMessage = Readonly<z.infer<typeof MESSAGE>>;
--- a/packages/gateway/src/lib/process/account_quotas.ts
+++ b/packages/gateway/src/lib/process/account_quotas.ts
@@ -36,6 +36,14 @@
   readonly readsAheadRecord?: boolean | undefined;
 }
 
+/** Return of a caller whose request was granted and did not run. */
+export interface CallerReturn {
+  /** In milliseconds from now. */
+  readonly inMs: number;
+  /** Tells the request apart from others of its account. */
+  readonly key: number;
+}
+
 /** Dependencies of {@link AccountQuotas}. */
 export interface AccountQuotasContext extends QuotaOwnerContext {
   readonly self: QuotaHost;
@@ -136,10 +144,10 @@
    * @param account - Name of the account.
    * @param grantedAt - Time of the grant as returned by {@link take}; undefined
    *     if unknown.
-   * @param returnsInMs - Time until its caller returns, in milliseconds, for
-   *     which the quota is reserved; undefined if it does not return.
+   * @param returning - When its caller returns, for which the quota is
+   *     reserved; undefined if it does not return.
    */
-  refund(account: string, grantedAt?: number, returnsInMs?: number): void {
+  refund(account: string, grantedAt?: number, returning?: CallerReturn): void {
     const owner = this.ownerOf(account);
     if (!owner) return;
     const {clock, self, send} = this.context;
@@ -147,10 +155,9 @@
       grantedAt === undefined
         ? undefined
         : Math.max(0, Math.round(clock.now() - grantedAt));
-    const refund =
-      returnsInMs === undefined
-        ? {ageMs}
-        : {ageMs, returnsInMs: Math.round(returnsInMs)};
+    const refund = returning
+      ? {ageMs, returnsInMs: Math.round(returning.inMs), key: returning.key}
+      : {ageMs};
     if (owner.host === self.host) this.owner.refund(account, refund);
     else send({kind: 'give-back', account, ...refund}, owner);
   }
--- a/packages/gateway/src/lib/process/caller_admission.ts
+++ b/packages/gateway/src/lib/process/caller_admission.ts
@@ -15,7 +15,7 @@
 } from '@oathead/core';
 import type {RoutingState} from '../version/routing_state.js';
 import type {Route} from '../version/routing_table.js';
-import type {AccountQuotas} from './account_quotas.js';
+import type {AccountQuotas, CallerReturn} from './account_quotas.js';
 
 /** Reason for which a caller is not admitted. */
 export type AdmissionRefusal =
@@ -102,16 +102,15 @@
    *
    * @param account - Account of the request.
    * @param grantedAt - Time of its grant; undefined if unknown.
-   * @param returnsInMs - Time until its caller returns, in milliseconds;
-   *     undefined if it does not.
+   * @param returning - When its caller returns; undefined if it does not.
    */
   refundQuota(
     account: ClientAccount | undefined,
     grantedAt?: number,
-    returnsInMs?: number,
+    returning?: CallerReturn,
   ): void {
     if (!account?.quota) return;
-    this.context.quotas.refund(account.name, grantedAt, returnsInMs);
+    this.context.quotas.refund(account.name, grantedAt, returning);
   }
 
   /** Configuration version and age, for log lines. */
--- a/packages/gateway/src/lib/process/front_server.ts
+++ b/packages/gateway/src/lib/process/front_server.ts
@@ -9,6 +9,7 @@
 import type {ClientAccount, EventLog, QuotaVerdict} from '@oathead/core';
 import {OnlineRequest, type OnlineContext} from '../request/online_request.js';
 import type {AdmissionRefusal} from './caller_admission.js';
+import {CrashSuspects} from './crash_suspects.js';
 import {quotaDemand} from '../request/quota_demand.js';
 import {readBody} from '../request/read_body.js';
 import type {RouteMatcher} from '../version/route_matcher.js';
@@ -224,7 +225,9 @@
     const {req, res, account} = routed;
     const {deadlineMs} = online.protocol.readRequest(req.headers);
     const returning = online.retryDetector.isRetry(route.name, deadlineMs);
-    const request = {req, res, route, body, startedAt, account, returning};
+    const fingerprint = CrashSuspects.fingerprintOf(req.url ?? '/', body);
+    const caller = {account, returning, fingerprint};
+    const request = {req, res, route, body, startedAt, ...caller};
     const demand = quotaDemand(request, online);
     const quota = await online.admission.takeQuota(account, demand);
     if (quota.kind === 'over') return this.refuseOverQuota(routed, quota);
--- a/packages/gateway/src/lib/process/quota_asker.ts
+++ b/packages/gateway/src/lib/process/quota_asker.ts
@@ -57,7 +57,7 @@
   async ask(
     to: QuotaHost,
     account: string,
-    {returning, maxWaitMs}: QuotaDemand,
+    {returning, maxWaitMs, key}: QuotaDemand,
     reserve = false,
   ): Promise<QuotaReply | undefined> {
     const {clock, send} = this.context;
@@ -68,6 +68,7 @@
       account,
       ...(reserve && {reserve}),
       ...(returning && {returning}),
+      ...(key !== undefined && {key}),
       ...(maxWaitMs !== undefined && {
         maxWaitMs: Math.max(0, Math.floor(maxWaitMs)),
       }),
--- a/packages/gateway/src/lib/process/quota_owner.ts
+++ b/packages/gateway/src/lib/process/quota_owner.ts
@@ -148,11 +148,12 @@
    * @param account - Name of the account.
    * @param refund - Its grant, and when its caller returns.
    */
-  refund(account: string, {ageMs, returnsInMs}: GrantRefund): void {
+  refund(account: string, {ageMs, returnsInMs, key}: GrantRefund): void {
     const now = this.context.clock.now();
     const grantedAt = ageMs === undefined ? undefined : now - ageMs;
-    const returnsAt = returnsInMs === undefined ? undefined : now + returnsInMs;
-    this.enforcer.refund(account, grantedAt, returnsAt);
+    const returning =
+      returnsInMs === undefined ? undefined : {at: now + returnsInMs, key};
+    this.enforcer.refund(account, grantedAt, returning);
   }
 
   /**
--- a/packages/gateway/src/lib/request/admitted_request.ts
+++ b/packages/gateway/src/lib/request/admitted_request.ts
@@ -23,6 +23,8 @@
    * if the account has no quota.
    */
   readonly grantedAt?: number | undefined;
+  /** Fingerprint of path and body, which are the same when a caller returns. */
+  readonly fingerprint: string;
   /** Whether the caller returns after a refusal. */
   readonly returning: boolean;
 }
--- a/packages/gateway/src/lib/request/online_request.ts
+++ b/packages/gateway/src/lib/request/online_request.ts
@@ -7,7 +7,7 @@
 import type {Target} from '../connection/target.js';
 import type {CallerAdmission} from '../process/caller_admission.js';
 import type {CallerRetryDetector} from '../process/caller_retry_detector.js';
-import {CrashSuspects} from '../process/crash_suspects.js';
+import type {CrashSuspects} from '../process/crash_suspects.js';
 import type {LateQueue} from '../process/late_queue.js';
 import type {RequestPlacement} from '../process/placement.js';
 import type {TargetChooser} from '../process/target_chooser.js';
@@ -89,7 +89,7 @@
     private readonly context: OnlineContext,
     private readonly admitted: AdmittedRequest,
   ) {
-    const {req, res, route, body, startedAt, account} = admitted;
+    const {req, res, route, startedAt, account} = admitted;
     this.startedAt = startedAt;
     this.metadata = context.protocol.readRequest(req.headers);
     const requestedMs = this.metadata.deadlineMs ?? route.timeoutMs;
@@ -104,7 +104,7 @@
     );
     const now = () => this.now();
     this.writer = new ResponseWriter(res, this.metadata.lastEventId, now);
-    this.fingerprint = CrashSuspects.fingerprintOf(req.url ?? '/', body);
+    this.fingerprint = admitted.fingerprint;
     this.service = pickService(route, context.random);
     const {goalMs} = route;
     const priority = account?.priority ?? route.priority;
--- a/packages/gateway/src/lib/request/quota_demand.ts
+++ b/packages/gateway/src/lib/request/quota_demand.ts
@@ -1,5 +1,5 @@
 /** What a quota owner has to know of a request. */
-import type {Clock, QuotaDemand} from '@oathead/core';
+import {hash32, type Clock, type QuotaDemand} from '@oathead/core';
 import type {AdmittedRequest} from './admitted_request.js';
 import type {TargetProtocol} from './target_protocol.js';
 
@@ -12,14 +12,30 @@
  * @returns The demand on the quota of its account.
  */
 export function quotaDemand(
-  request: Pick<AdmittedRequest, 'req' | 'route' | 'startedAt' | 'returning'>,
+  request: Pick<
+    AdmittedRequest,
+    'req' | 'route' | 'startedAt' | 'returning' | 'fingerprint'
+  >,
   context: {readonly clock: Clock; readonly protocol: TargetProtocol},
 ): QuotaDemand {
   const {req, route, startedAt, returning} = request;
+  const key = quotaKey(request.fingerprint);
   const {clock, protocol} = context;
   const {deadlineMs} = protocol.readRequest(req.headers);
-  if (deadlineMs === undefined) return {returning};
+  if (deadlineMs === undefined) return {returning, key};
   const spentMs = clock.now() - startedAt;
   const leftMs = Math.min(deadlineMs, route.timeoutMs) - spentMs;
-  return {returning, maxWaitMs: protocol.maxRetryAfterMs(Math.max(0, leftMs))};
+  return {
+    returning,
+    key,
+    maxWaitMs: protocol.maxRetryAfterMs(Math.max(0, leftMs)),
+  };
+}
+
+/**
+ * @param fingerprint - Fingerprint of a request.
+ * @returns What tells it apart from others of its account.
+ */
+export function quotaKey(fingerprint: string): number {
+  return hash32(fingerprint);
 }
--- a/packages/gateway/src/lib/request/quota_hold.ts
+++ b/packages/gateway/src/lib/request/quota_hold.ts
@@ -8,7 +8,7 @@
 import {isGrantGood, type Clock} from '@oathead/core';
 import type {CallerAdmission} from '../process/caller_admission.js';
 import type {AdmittedRequest} from './admitted_request.js';
-import {quotaDemand} from './quota_demand.js';
+import {quotaDemand, quotaKey} from './quota_demand.js';
 import type {TargetProtocol} from './target_protocol.js';
 
 /** Dependencies of {@link QuotaHold}. */
@@ -67,9 +67,13 @@
    *     undefined if it does not.
    */
   refund(returnsInMs?: number): void {
-    const {account} = this.admitted;
+    const {account, fingerprint} = this.admitted;
+    const returning =
+      returnsInMs === undefined
+        ? undefined
+        : {inMs: returnsInMs, key: quotaKey(fingerprint)};
     if (this.isHeld)
-      this.context.admission.refundQuota(account, this.grantedAt, returnsInMs);
+      this.context.admission.refundQuota(account, this.grantedAt, returning);
     this.isHeld = false;
   }
 }
--- a/packages/gateway/src/test/process/front_server_test.ts
+++ b/packages/gateway/src/test/process/front_server_test.ts
@@ -6,6 +6,8 @@
   FrontServer,
   type RoutedRequest,
 } from '../../lib/process/front_server.js';
+import {CrashSuspects} from '../../lib/process/crash_suspects.js';
+import {quotaKey} from '../../lib/request/quota_demand.js';
 import {FakeClock} from '../fakes/fake_clock.js';
 import {PROTOCOL} from '../fakes/raw_target.js';
 
@@ -105,6 +107,7 @@
   const {statusCode, headers} = await request(`http://${IP}:${PORT + 1}/`);
   t.is(statusCode, 429);
   t.is(headers['retry-after'], '0.8');
-  t.deepEqual(demands[1], {returning: true, maxWaitMs: 1000});
+  const key = quotaKey(CrashSuspects.fingerprintOf('/', Buffer.alloc(0)));
+  t.deepEqual(demands[1], {returning: true, key, maxWaitMs: 1000});
   t.like(lines[0], {event: 'request-refused', isReserved: true});
 });
--- a/packages/gateway/src/test/request/quota_hold_test.ts
+++ b/packages/gateway/src/test/request/quota_hold_test.ts
@@ -1,6 +1,7 @@
 import {GRANT_VALIDITY_MS} from '@oathead/core';
 import test from 'ava';
 import type {AdmittedRequest} from '../../lib/request/admitted_request.js';
+import type {CallerReturn} from '../../lib/process/account_quotas.js';
 import {QuotaHold} from '../../lib/request/quota_hold.js';
 import {FakeClock} from '../fakes/fake_clock.js';
 import {PROTOCOL} from '../fakes/raw_target.js';
@@ -11,8 +12,11 @@
   const clock = new FakeClock();
   const calls: string[] = [];
   const admission = {
-    refundQuota: (account: unknown, grantedAt?: number, returnsIn?: number) =>
-      void calls.push(`refund ${grantedAt}, returns in ${returnsIn}`),
+    refundQuota: (
+      account: unknown,
+      grantedAt?: number,
+      returning?: CallerReturn,
+    ) => void calls.push(`refund ${grantedAt}, returns in ${returning?.inMs}`),
     takeQuota: async () => {
       calls.push('take');
       return isGranted
@@ -27,6 +31,7 @@
     startedAt: 0,
     grantedAt: 0,
     returning: true,
+    fingerprint: 'f',
   } as unknown as AdmittedRequest;
   const hold = new QuotaHold({clock, protocol: PROTOCOL, admission}, admitted);
   return {hold, clock, calls};
