Full reads report the rows that the change feed skipped

Cause: nothing told whether a host's copy of a table lacks rows, for example the head of a job, until the next full read, and not even then. Change: each full read writes table-read; rows in it that are not newer than what the feed has shown, and were not known, are named in table-rows-skipped and counted. Measured: the test fails without the report (no line); four tests of the watch pass.

--- a/packages/stores/src/lib/process/table_watch.ts
+++ b/packages/stores/src/lib/process/table_watch.ts
@@ -69,6 +69,8 @@
  * second while the store is unavailable, half of its call budget per second.
  */
 const RETRY_DELAY_MS = 200;
+/** Maximum number of keys of skipped rows in a log line. */
+const MAX_SKIPPED_KEYS = 10;
 
 /** Keeps a copy of a table up to date until disposed. */
 export class TableWatch implements Disposable {
@@ -247,10 +249,34 @@
       removed.push(row);
     }
     const put = [...found.values()].filter(row => this.updateRow(row));
+    this.reportFullRead(found.size, put);
     this.version = Math.max(this.version, version);
     this.onUpdate({put, removed, storeTimeMs});
   }
 
+  /**
+   * Reports a full read and the rows in it that the feed has skipped: those that
+   * are not newer than what the feed has shown, but were not known.
+   */
+  private reportFullRead(rows: number, put: readonly VersionedRow[]): void {
+    const {table} = this.options;
+    const skipped = put.filter(row => row.version <= this.version);
+    this.context.log.event('table-read', {
+      table,
+      rows,
+      newer: put.length - skipped.length,
+      version: this.version,
+    });
+    if (skipped.length === 0) return;
+    this.context.counters.count('table_rows_skipped', {table}, skipped.length);
+    this.context.log.event('table-rows-skipped', {
+      table,
+      rows: skipped.length,
+      keys: skipped.slice(0, MAX_SKIPPED_KEYS).map(({key}) => key),
+      version: this.version,
+    });
+  }
+
   private recordSuccess(): void {
     this.lastReadAt = this.context.clock.now();
     if (!this.failing) return;
--- a/packages/stores/src/test/process/table_watch_test.ts
+++ b/packages/stores/src/test/process/table_watch_test.ts
@@ -5,6 +5,7 @@
   NO_EVENT_LOG,
   success,
   SYSTEM_CLOCK,
+  type EventLog,
 } from '@oathead/core';
 import test from 'ava';
 import {MemoryRowStore} from '../../lib/process/memory_row_store.js';
@@ -30,15 +31,14 @@
   return store.transact({expect: [], puts: [], removes: [ref]});
 }
 
-function follow(store: RowStore) {
-  const context = {
-    store,
-    clock: SYSTEM_CLOCK,
-    log: NO_EVENT_LOG,
-    counters: NO_COUNTERS,
-  };
+function follow(
+  store: RowStore,
+  log: EventLog = NO_EVENT_LOG,
+  options = OPTIONS,
+) {
+  const context = {store, clock: SYSTEM_CLOCK, log, counters: NO_COUNTERS};
   const updates: TableUpdate[] = [];
-  const watch = new TableWatch(OPTIONS, context, update =>
+  const watch = new TableWatch(options, context, update =>
     updates.push(update),
   );
   watch.start();
@@ -127,6 +127,38 @@
   t.deepEqual(keys(), ['a', 'b']);
 });
 
+// Guards against rows that a feed skips without a trace: a host that lacks the
+// row of a job looks as if the job did not exist.
+test('a full read reports the rows that the feed has skipped', async t => {
+  const store = new MemoryRowStore(SYSTEM_CLOCK);
+  await put(store, 'a');
+  let isDeaf = false;
+  const deafStore: RowStore = {
+    ...delegateTo(store),
+    changes: async (table, after, waitMs) => {
+      const changes = await store.changes(table, after, waitMs);
+      if (!isDeaf || !changes.ok) return changes;
+      return success({...changes.value, changes: []});
+    },
+  };
+  const skipped: unknown[] = [];
+  const log: EventLog = {
+    event: (name, fields) => {
+      if (name === 'table-rows-skipped') skipped.push(fields?.['keys']);
+    },
+  };
+  const options = {...OPTIONS, fullReadMs: 100};
+  const {watch} = follow(deafStore, log, options);
+  t.teardown(() => watch[Symbol.dispose]());
+  await put(store, 'b');
+  await setTimeout(150);
+  t.deepEqual(skipped, []);
+  isDeaf = true;
+  await put(store, 'c');
+  await setTimeout(250);
+  t.deepEqual(skipped, [['c']]);
+});
+
 function delegateTo(store: MemoryRowStore): RowStore {
   return {
     transact: transaction => store.transact(transaction),
