A lost history of one table makes all tables be read in full

Cause: an answer without changes moves a feed to the store's newest version. If the store had kept changes back and loses its history right then, the next poll is not refused, and the host lacks the rows for up to a minute: a job whose first host lacks its head is run by nobody. Change: the store has one history, so a feed that is told of its loss schedules full reads of the other tables.

--- a/packages/stores/src/lib/process/table_watch.ts
+++ b/packages/stores/src/lib/process/table_watch.ts
@@ -62,6 +62,8 @@
   readonly counters: Counters;
   /** Renewed by each response, after its changes have been applied. */
   readonly freshness?: FreshnessLease;
+  /** Called when the feed has lost its history. */
+  readonly onHistoryLost?: () => void;
 }
 
 /**
@@ -113,6 +115,11 @@
     if (put.length > 0) this.onUpdate({put, removed: [], storeTimeMs: 0});
   }
 
+  /** Reads the table in full with the next call. */
+  scheduleFullRead(): void {
+    this.lastFullReadAt = -Infinity;
+  }
+
   /** Whether at least one response has been received from the store. */
   get hasRead(): boolean {
     return this.lastReadAt > -Infinity;
@@ -286,11 +293,12 @@
 
   private recordFailure(err: RowStoreError): boolean {
     if (err.kind === 'history-lost') {
-      this.lastFullReadAt = -Infinity;
+      this.scheduleFullRead();
       this.context.log.event('table-history-lost', {
         table: this.options.table,
         version: this.version,
       });
+      this.context.onHistoryLost?.();
       return this.lastReadAt > -Infinity;
     }
     this.context.counters.count('table_feed_failures', {
