A change that the feed kept back is not lost

Cause: an answer without changes moved a feed to the store's newest version. If the store keeps changes back for a while and loses its history right then, the next poll is neither refused nor does it bring them, and the host lacks the rows for up to a minute: a job whose first host lacks its head is run by nobody, and a key that was taken away goes on being served. Change: a feed resumes from its last change or full read, and from an answer without changes only when that is two seconds old. It takes the place of the full reads of the other tables. Measured: the new test fails without the change (b is missing) and passes with it, as do the other four. The fake of the report test now skips one row for good, as before it did by answering nothing.

--- a/packages/serving/src/lib/process/table_feeds.ts
+++ b/packages/serving/src/lib/process/table_feeds.ts
@@ -198,13 +198,7 @@
     freshness?: FreshnessLease,
   ): void {
     const options = {table, partitions, ...settings};
-    const onHistoryLost = () => this.readOthersInFull(table);
-    const context = {
-      ...this.context,
-      store: this.store,
-      freshness,
-      onHistoryLost,
-    };
+    const context = {...this.context, store: this.store, freshness};
     const watch = this.disposables.add(
       new TableWatch(options, context, onUpdate),
     );
@@ -212,16 +206,6 @@
     watch.start();
   }
 
-  /**
-   * Guards against rows that a feed has skipped: the store has one history, and
-   * a feed that had just been told of its newest version is not told that
-   * changes before it are lost.
-   */
-  private readOthersInFull(lost: string): void {
-    for (const [table, watch] of this.watches)
-      if (table !== lost) watch.scheduleFullRead();
-  }
-
   private updateConfig({put}: TableUpdate): void {
     for (const row of put) {
       const table = this.platform.config.decode(row);
--- a/packages/stores/src/lib/process/table_watch.ts
+++ b/packages/stores/src/lib/process/table_watch.ts
@@ -62,8 +62,6 @@
   readonly counters: Counters;
   /** Renewed by each response, after its changes have been applied. */
   readonly freshness?: FreshnessLease;
-  /** Called when the feed has lost its history. */
-  readonly onHistoryLost?: () => void;
 }
 
 /**
@@ -74,11 +72,31 @@
 /** Maximum number of keys of skipped rows in a log line. */
 const MAX_SKIPPED_KEYS = 10;
 
+/**
+ * How long ago a response without changes must be before the feed is resumed
+ * from its version, in milliseconds. Guards against changes that the store
+ * reports late: a feed that may have kept changes back for a second is asked for
+ * them again, or is told that its history is lost.
+ */
+const RESUME_DELAY_MS = 2000;
+
+/** A response without changes. */
+interface EmptyResponse {
+  readonly version: number;
+  /** On the host's monotonic clock, in milliseconds. */
+  readonly receivedAt: number;
+}
+
 /** Keeps a copy of a table up to date until disposed. */
 export class TableWatch implements Disposable {
   private readonly rows = new Map<string, VersionedRow>();
   private readonly stop = new AbortController();
+  /** Version after which the feed is resumed. */
   private version = 0;
+  /** Highest version in any response. */
+  private newestVersion = 0;
+  /** Responses without changes since the last change, the oldest first. */
+  private empty: readonly EmptyResponse[] = [];
   private lastFullReadAt = -Infinity;
   private failing = false;
   private lastReadAt = -Infinity;
@@ -115,11 +133,6 @@
     if (put.length > 0) this.onUpdate({put, removed: [], storeTimeMs: 0});
   }
 
-  /** Reads the table in full with the next call. */
-  scheduleFullRead(): void {
-    this.lastFullReadAt = -Infinity;
-  }
-
   /** Whether at least one response has been received from the store. */
   get hasRead(): boolean {
     return this.lastReadAt > -Infinity;
@@ -141,11 +154,17 @@
       const startedAt = clock.now();
       const ok = await this.poll();
       const spent = clock.now() - startedAt;
-      const pause = ok ? this.options.pauseMs - spent : RETRY_DELAY_MS;
+      const pause = ok ? this.minimumIntervalMs - spent : RETRY_DELAY_MS;
       if (pause > 0) await sleep(clock, pause, this.stop.signal);
     }
   }
 
+  /** A response without changes may also come sooner than it was asked for. */
+  private get minimumIntervalMs(): number {
+    const {pauseMs, waitMs} = this.options;
+    return this.empty.length > 0 ? Math.max(pauseMs, waitMs) : pauseMs;
+  }
+
   private async poll(): Promise<boolean> {
     const due = this.lastFullReadAt + this.options.fullReadMs;
     if (this.context.clock.now() < due) return this.readChanges();
@@ -168,7 +187,7 @@
     if (!result.ok) return this.recordFailure(result.err);
     this.recordSuccess();
     const {changes, version, storeTimeMs} = result.value;
-    this.version = Math.max(this.version, version);
+    this.advance(changes, version);
     const put: VersionedRow[] = [];
     const removed: VersionedRow[] = [];
     for (const change of changes) this.apply(change, put, removed);
@@ -177,6 +196,25 @@
     return true;
   }
 
+  /** Sets the version after which the feed is resumed. */
+  private advance(changes: readonly RowChange[], version: number): void {
+    this.newestVersion = Math.max(this.newestVersion, version);
+    if (changes.length > 0) {
+      this.empty = [];
+      this.version = Math.max(this.version, ...changes.map(versionOf));
+      return;
+    }
+    const now = this.context.clock.now();
+    const isOld = ({receivedAt}: EmptyResponse) =>
+      now - receivedAt >= RESUME_DELAY_MS;
+    const old = this.empty.filter(isOld).map(response => response.version);
+    this.version = Math.max(this.version, ...old);
+    this.empty = [
+      ...this.empty.filter(response => !isOld(response)),
+      {version, receivedAt: now},
+    ];
+  }
+
   private renewFreshness(
     renewal: LeaseRenewal | undefined,
     version: number,
@@ -229,7 +267,7 @@
           this.recordFailure(result.err);
           return 'failed';
         }
-        if (result.value.version < this.version) return 'out-of-date';
+        if (result.value.version < this.newestVersion) return 'out-of-date';
         const {rows, hasMore} = result.value;
         for (const row of rows) found.set(rowKey(partition, row.key), row);
         version = Math.min(version, result.value.version);
@@ -258,6 +296,8 @@
     const put = [...found.values()].filter(row => this.updateRow(row));
     this.reportFullRead(found.size, put);
     this.version = Math.max(this.version, version);
+    this.newestVersion = Math.max(this.newestVersion, version);
+    this.empty = [];
     this.onUpdate({put, removed, storeTimeMs});
   }
 
@@ -293,12 +333,11 @@
 
   private recordFailure(err: RowStoreError): boolean {
     if (err.kind === 'history-lost') {
-      this.scheduleFullRead();
+      this.lastFullReadAt = -Infinity;
       this.context.log.event('table-history-lost', {
         table: this.options.table,
         version: this.version,
       });
-      this.context.onHistoryLost?.();
       return this.lastReadAt > -Infinity;
     }
     this.context.counters.count('table_feed_failures', {
@@ -324,6 +363,10 @@
   return `${key}!`;
 }
 
+function versionOf(change: RowChange): number {
+  return change.kind === 'put' ? change.row.version : change.version;
+}
+
 function rowKey(partition: string, key: string): string {
   return `${partition}\n${key}`;
 }
--- a/packages/stores/src/test/process/table_watch_test.ts
+++ b/packages/stores/src/test/process/table_watch_test.ts
@@ -127,9 +127,9 @@
   t.deepEqual(keys(), ['a', 'b']);
 });
 
-// Guards against rows that a feed skips without a trace: a host that lacks the
-// row of a job looks as if the job did not exist.
-test('a full read reports the rows that the feed has skipped', async t => {
+// Guards against a host that lacks a row, as the head of a job, until its next
+// full read: the feed keeps a change back, and the history starts right after it.
+test('a change that the feed has kept back is not lost', async t => {
   const store = new MemoryRowStore(SYSTEM_CLOCK);
   await put(store, 'a');
   let isDeaf = false;
@@ -141,6 +141,35 @@
       return success({...changes.value, changes: []});
     },
   };
+  const {watch, keys} = follow(deafStore);
+  t.teardown(() => watch[Symbol.dispose]());
+  await setTimeout(60);
+  isDeaf = true;
+  await put(store, 'b');
+  await setTimeout(1000);
+  t.deepEqual(keys(), ['a']);
+  store.discardHistory();
+  isDeaf = false;
+  await setTimeout(200);
+  t.deepEqual(keys(), ['a', 'b']);
+});
+
+// Guards against rows that a feed skips without a trace: a host that lacks the
+// row of a job looks as if the job did not exist.
+test('a full read reports the rows that the feed has skipped', async t => {
+  const store = new MemoryRowStore(SYSTEM_CLOCK);
+  await put(store, 'a');
+  const skippingStore: RowStore = {
+    ...delegateTo(store),
+    changes: async (table, after, waitMs) => {
+      const result = await store.changes(table, after, waitMs);
+      if (!result.ok) return result;
+      const changes = result.value.changes.filter(
+        change => change.kind !== 'put' || change.row.key !== 'c',
+      );
+      return success({...result.value, changes});
+    },
+  };
   const skipped: unknown[] = [];
   const log: EventLog = {
     event: (name, fields) => {
@@ -148,13 +177,13 @@
     },
   };
   const options = {...OPTIONS, fullReadMs: 100};
-  const {watch} = follow(deafStore, log, options);
+  const {watch} = follow(skippingStore, log, options);
   t.teardown(() => watch[Symbol.dispose]());
   await put(store, 'b');
   await setTimeout(150);
   t.deepEqual(skipped, []);
-  isDeaf = true;
   await put(store, 'c');
+  await put(store, 'd');
   await setTimeout(250);
   t.deepEqual(skipped, [['c']]);
 });
