Incarnations of a host are ordered by their start on the store's clock

Cause: a heartbeat that the store performs late, read after the first one of the next incarnation by a host that knew neither, counted as its successor, and the live incarnation was never accepted again. After a loss of all hosts no host knows the incarnations before. The live host is then shut out for good by some hosts: its jobs are taken, its placement requests dropped. Change: a heartbeat carries startedAtMs, the store's clock when the process first knew of it, and is sent only then; Incarnations orders by it, in whatever order rows arrive. Rows of the build before lack it: the order of arrival counts as before, but an incarnation that is ignored counts again once its supposed successor has lost its lease. member-stale is written once for each ended incarnation, with both IDs and start times.

--- /dev/null
+++ b/packages/gateway/src/lib/process/incarnations.ts
@@ -0,0 +1,90 @@
+/**
+ * Decides which incarnation of its process a host runs, from heartbeats in any
+ * order.
+ *
+ * The store may perform a heartbeat seconds after its process has given up on it
+ * or has ended, and so after heartbeats of the next incarnation. After a loss of
+ * all hosts, no host has seen the incarnations before, so that the order in
+ * which heartbeats are seen tells nothing. What counts is the time at which an
+ * incarnation started, by the store's clock. Rows of builds that do not announce
+ * it are taken in the order in which they are seen; an incarnation that is
+ * ignored by mistake counts again once the other one has lost its lease.
+ */
+import {LRUCache} from 'lru-cache';
+import type {Member} from './member.js';
+
+/**
+ * Maximum number of ended incarnations in memory: more than two days of
+ * restarts in a fleet in which 490 hosts restart per day.
+ */
+const MAX_ENDED_INCARNATIONS = 1024;
+
+/** What a heartbeat shows. */
+export type HeartbeatMeaning =
+  /** The host runs the same incarnation as before. */
+  | {readonly kind: 'same'}
+  /** The host runs another incarnation than was known, if any. */
+  | {readonly kind: 'new'; readonly before: Member | undefined}
+  /** The heartbeat came late: its incarnation has ended. */
+  | {
+      readonly kind: 'stale';
+      readonly current: Member;
+      /** Whether this was not known of the incarnation yet. */
+      readonly isFirst: boolean;
+    };
+
+/** The current incarnation of each host. */
+export class Incarnations {
+  private readonly current = new Map<string, Member>();
+  private readonly endedIds = new LRUCache<string, true>({
+    max: MAX_ENDED_INCARNATIONS,
+  });
+
+  /**
+   * @param member - Sender of a heartbeat.
+   * @param currentIsLive - Whether the current incarnation of its host holds its
+   *     lease.
+   * @returns What the heartbeat shows.
+   */
+  record(member: Member, currentIsLive: boolean): HeartbeatMeaning {
+    const current = this.current.get(member.host);
+    if (current && current.id !== member.id) {
+      if (!this.follows(member, current, currentIsLive)) {
+        const isFirst = !this.endedIds.has(member.id);
+        this.endedIds.set(member.id, true);
+        return {kind: 'stale', current, isFirst};
+      }
+      this.endedIds.set(current.id, true);
+    }
+    this.endedIds.delete(member.id);
+    this.current.set(member.host, member);
+    return current?.id === member.id
+      ? {kind: 'same'}
+      : {kind: 'new', before: current};
+  }
+
+  /** @param host - Name of a host whose row has been removed. */
+  remove(host: string): void {
+    this.current.delete(host);
+  }
+
+  private follows(
+    member: Member,
+    current: Member,
+    currentIsLive: boolean,
+  ): boolean {
+    const order = startOrder(member, current);
+    if (order !== 0) return order > 0;
+    return !currentIsLive || !this.endedIds.has(member.id);
+  }
+}
+
+/**
+ * @returns Positive if the first incarnation of a host started after the second
+ *     one, negative if before it, 0 if they do not tell.
+ */
+function startOrder(first: Member, second: Member): number {
+  if (first.startedAtMs === undefined || second.startedAtMs === undefined)
+    return 0;
+  return first.startedAtMs - second.startedAtMs;
+}
--- a/packages/gateway/src/lib/process/member.ts
+++ b/packages/gateway/src/lib/process/member.ts
@@ -15,6 +15,14 @@
   readonly loadPort: number;
   /** Address on which it serves requests of other hosts. */
   readonly controlAddress: string;
+  /**
+   * The store's monotonic clock when its process first knew of it, in
+   * milliseconds. It increases with each incarnation of a host. Omitted by
+   * builds that do not announce it.
+   */
+  readonly startedAtMs?: number | undefined;
+  /** ID of the incarnation of its host before it, if it knows of one. */
+  readonly replaces?: string | undefined;
   /** Whether it is shutting down and takes no jobs; false if omitted. */
   readonly isLeaving?: boolean | undefined;
   /**
@@ -52,6 +60,8 @@
   ip: z.string(),
   loadPort: z.number().int(),
   controlAddress: z.string(),
+  startedAtMs: z.number().optional(),
+  replaces: z.string().optional(),
   isLeaving: z.boolean().optional(),
   readsAheadRecord: z.boolean().optional(),
 });
--- a/packages/gateway/src/lib/process/membership.ts
+++ b/packages/gateway/src/lib/process/membership.ts
@@ -13,7 +13,7 @@
   type TableUpdate,
   type VersionedRow,
 } from '@oathead/stores';
-import {LRUCache} from 'lru-cache';
+import {Incarnations, type HeartbeatMeaning} from './incarnations.js';
 import {hostOfMember, MEMBER, MEMBER_TABLE, type Member} from './member.js';
 
 /**
@@ -37,10 +37,10 @@
 const OUTAGE_MS = 1500;
 const MS_PER_SECOND = 1000;
 /**
- * Maximum number of ended incarnations in memory: more than two days of
- * restarts in a fleet in which 490 hosts restart per day.
+ * Interval at which a process that has just started looks whether it knows the
+ * store's time, in milliseconds. It announces itself only then.
  */
-const MAX_ENDED_INCARNATIONS = 1024;
+const START_POLL_INTERVAL_MS = 50;
 
 interface MemberRecord {
   readonly member: Member;
@@ -61,11 +61,10 @@
   private readonly disposables = new DisposableStore();
   private readonly members = new Map<string, MemberRecord>();
   private readonly expired = new Set<string>();
-  private readonly endedIds = new LRUCache<string, true>({
-    max: MAX_ENDED_INCARNATIONS,
-  });
+  private readonly incarnations = new Incarnations();
   private storeTimeMs = 0;
   private isLeaving = false;
+  private startedAtMs: number | undefined;
 
   /**
    * @param self - The process incarnation of this host.
@@ -103,7 +102,10 @@
     if (gap > OUTAGE_MS) this.extendLeases(gap);
     this.storeTimeMs = Math.max(this.storeTimeMs, storeTimeMs);
     for (const row of put) this.applyRow(row);
-    for (const row of removed) this.members.delete(row.key);
+    for (const row of removed) {
+      this.members.delete(row.key);
+      this.incarnations.remove(row.key);
+    }
   }
 
   /** Whether the list of hosts has been read at least once. */
@@ -203,28 +205,30 @@
       return;
     }
     const member = decoded.value;
-    if (this.endedIds.has(member.id)) {
-      this.context.log.event('member-stale', {member: member.id});
-      return;
-    }
-    this.recordIncarnation(row.key, member.id);
+    const known = this.members.get(row.key);
+    const isLive = known !== undefined && this.isLive(known);
+    const meaning = this.incarnations.record(member, isLive);
+    this.logMeaning(member, meaning);
+    if (meaning.kind === 'stale') return;
     const {version} = row;
     this.members.set(row.key, {member, version, updatedAt: this.storeTimeMs});
   }
 
-  /**
-   * Records a change of incarnation.
-   *
-   * The store may apply a heartbeat seconds late, when its process has ended
-   * and the host runs a new incarnation. The live process would then appear
-   * replaced, and other hosts would take over its jobs. An incarnation that was
-   * followed by another one is therefore never accepted again.
-   */
-  private recordIncarnation(host: string, id: string): void {
-    const previousId = this.members.get(host)?.member.id;
-    if (previousId === id) return;
-    if (previousId !== undefined) this.endedIds.set(previousId, true);
-    this.context.log.event('member-seen', {member: id, before: previousId});
+  private logMeaning(member: Member, meaning: HeartbeatMeaning): void {
+    const {log} = this.context;
+    const {id, startedAtMs} = member;
+    if (meaning.kind === 'new') {
+      const {before} = meaning;
+      log.event('member-seen', {member: id, startedAtMs, before: before?.id});
+    } else if (meaning.kind === 'stale' && meaning.isFirst) {
+      const {current} = meaning;
+      log.event('member-stale', {
+        member: id,
+        startedAtMs,
+        current: current.id,
+        currentStartedAtMs: current.startedAtMs,
+      });
+    }
   }
 
   /** Sends one heartbeat at a time, so that they do not pile up. */
@@ -233,25 +237,34 @@
     while (!this.disposables.disposed) {
       const startedAt = clock.now();
       const isSent = await this.sendHeartbeat();
-      const intervalMs =
-        this.heartbeatIntervalMs() / (isSent ? 1 : ATTEMPTS_PER_INTERVAL);
-      const leftMs = startedAt + intervalMs - clock.now();
+      const leftMs = startedAt + this.pauseMs(isSent) - clock.now();
       if (leftMs > 0) await sleep(clock, leftMs);
     }
   }
 
+  private pauseMs(isSent: boolean): number {
+    if (this.startedAtMs === undefined) return START_POLL_INTERVAL_MS;
+    return this.heartbeatIntervalMs() / (isSent ? 1 : ATTEMPTS_PER_INTERVAL);
+  }
+
   private async sendHeartbeat(): Promise<boolean> {
+    const {store, log} = this.context;
+    const storeTimeMs = store.storeTimeMs();
+    if (storeTimeMs === undefined) return false;
+    this.startedAtMs ??= Math.floor(storeTimeMs);
     const ref = {table: MEMBER_TABLE, partition: '', key: this.self.host};
-    const value = encodeJson(
-      this.isLeaving ? {...this.self, isLeaving: true} : this.self,
-    );
-    const written = await this.context.store.transact({
+    const value = encodeJson(this.announced(this.startedAtMs));
+    const written = await store.transact({
       expect: [],
       puts: [{...ref, value}],
       removes: [],
     });
-    if (!written.ok)
-      this.context.log.event('heartbeat-failed', {reason: written.err.kind});
+    if (!written.ok) log.event('heartbeat-failed', {reason: written.err.kind});
     return written.ok;
   }
+
+  private announced(startedAtMs: number): Member {
+    const member = {...this.self, startedAtMs};
+    return this.isLeaving ? {...member, isLeaving: true} : member;
+  }
 }
--- a/packages/gateway/src/test/process/membership_test.ts
+++ b/packages/gateway/src/test/process/membership_test.ts
@@ -1,57 +1,16 @@
 import {failure, NO_EVENT_LOG, sleep, SYSTEM_CLOCK} from '@oathead/core';
-import {
-  encodeJson,
-  MemoryRowStore,
-  type RowStore,
-  type VersionedRow,
-} from '@oathead/stores';
+import {MemoryRowStore, type RowStore} from '@oathead/stores';
 import test from 'ava';
-import {MEMBER_TABLE, memberId, type Member} from '../../lib/process/member.js';
+import {MEMBER_TABLE, memberId} from '../../lib/process/member.js';
 import {Membership} from '../../lib/process/membership.js';
 import {FakeClock} from '../fakes/fake_clock.js';
-
-let version = 0;
-
-function member(host: string, nonce: string): Member {
-  const id = memberId(host, nonce);
-  return {id, host, dataCentre: 'a', ip: '', loadPort: 1, controlAddress: ''};
-}
-
-function heartbeat(from: Member): VersionedRow {
-  return {
-    table: MEMBER_TABLE,
-    partition: '',
-    key: from.host,
-    value: encodeJson(from),
-    version: ++version,
-  };
-}
-
-function newMembership(): Membership {
-  return new Membership(member('me', '1'), {
-    store: new MemoryRowStore(SYSTEM_CLOCK),
-    clock: SYSTEM_CLOCK,
-    log: NO_EVENT_LOG,
-  });
-}
-
-/**
- * @returns Function that applies heartbeats read at a store time, in seconds.
- */
-function feed(members: Membership) {
-  return (seconds: number, ...from: readonly Member[]) =>
-    members.update({
-      put: from.map(heartbeat),
-      removed: [],
-      storeTimeMs: seconds * 1000,
-    });
-}
+import {feed, incarnation, newMembership} from '../fakes/heartbeats.js';
 
 test('a host without heartbeats loses its lease and others keep theirs', t => {
   const members = newMembership();
   const applyHeartbeats = feed(members);
-  const silent = member('silent', '1');
-  const live = member('live', '1');
+  const silent = incarnation('silent', '1');
+  const live = incarnation('live', '1');
   applyHeartbeats(1, silent, live);
   for (const second of [2, 3, 4, 5]) applyHeartbeats(second, live);
   t.false(members.holdsLease(silent.id));
@@ -71,7 +30,7 @@
 test('no host is declared dead because of a store outage', t => {
   const members = newMembership();
   const applyHeartbeats = feed(members);
-  const other = member('other', '1');
+  const other = incarnation('other', '1');
   applyHeartbeats(1, other);
   applyHeartbeats(30);
   t.true(members.holdsLease(other.id));
@@ -85,7 +44,7 @@
 test('hosts known from the snapshot of a peer hold a lease at first', t => {
   const members = newMembership();
   const applyHeartbeats = feed(members);
-  const other = member('other', '1');
+  const other = incarnation('other', '1');
   applyHeartbeats(0, other);
   applyHeartbeats(100);
   t.false(members.hasLapsed(other.id));
@@ -99,10 +58,10 @@
 test('a process is known to have ended once its host runs another one', t => {
   const members = newMembership();
   const applyHeartbeats = feed(members);
-  const before = member('other', '1');
+  const before = incarnation('other', '1');
   applyHeartbeats(1, before);
   t.false(members.isReplaced(before.id));
-  applyHeartbeats(2, member('other', '2'));
+  applyHeartbeats(2, incarnation('other', '2'));
   t.true(members.isReplaced(before.id));
   t.true(members.isReplaced(memberId('me', '0')));
   t.false(members.isReplaced(memberId('unknown', '1')));
@@ -114,8 +73,8 @@
 test('a late heartbeat does not replace the next process incarnation', t => {
   const members = newMembership();
   const applyHeartbeats = feed(members);
-  const before = member('other', '1');
-  const now = member('other', '2');
+  const before = incarnation('other', '1');
+  const now = incarnation('other', '2');
   applyHeartbeats(1, before);
   applyHeartbeats(2, now);
   applyHeartbeats(3, before);
@@ -135,6 +94,7 @@
   const clock = new FakeClock();
   let sent = 0;
   const store = {
+    storeTimeMs: () => 1,
     transact: async () => {
       sent++;
       if (failureMs > 0) await sleep(clock, failureMs);
@@ -142,7 +102,7 @@
     },
   } as unknown as RowStore;
   const context = {store, clock, log: NO_EVENT_LOG};
-  using members = new Membership(member('me', '1'), context);
+  using members = new Membership(incarnation('me', '1'), context);
   members.start();
   for (let ms = 0; ms < LEASE_MS; ms += STEP_MS) {
     await new Promise(setImmediate);
@@ -161,7 +121,7 @@
 test('other hosts learn that a host is leaving, and it keeps its lease', async t => {
   const store = new MemoryRowStore(SYSTEM_CLOCK);
   const context = {store, clock: SYSTEM_CLOCK, log: NO_EVENT_LOG};
-  using leaving = new Membership(member('other', '1'), context);
+  using leaving = new Membership(incarnation('other', '1'), context);
   await leaving.leave();
   const page = await store.read({table: MEMBER_TABLE, partition: ''});
   const members = newMembership();
