A host that has announced that it leaves is never taken for staying

Cause: a heartbeat of the same incarnation, sent before it announced that it leaves and performed after that, made other hosts take it for one that stays; jobs went to it until its next heartbeat. Change: that an incarnation leaves is remembered until another one follows. Measured: the new test of member_order_test fails before (isLeaving undefined) and passes after.

--- a/packages/gateway/src/lib/process/membership.ts
+++ b/packages/gateway/src/lib/process/membership.ts
@@ -204,8 +204,8 @@
       });
       return;
     }
-    const member = decoded.value;
     const known = this.members.get(row.key);
+    const member = stillLeaving(decoded.value, known?.member);
     const isLive = known !== undefined && this.isLive(known);
     const meaning = this.incarnations.record(member, isLive);
     this.logMeaning(member, meaning);
@@ -268,3 +268,12 @@
     return this.isLeaving ? {...member, isLeaving: true} : member;
   }
 }
+
+/**
+ * Guards against a heartbeat that is performed late, from before its process
+ * announced that it is leaving: it never stays after that.
+ */
+function stillLeaving(member: Member, known: Member | undefined): Member {
+  const hasAnnounced = known?.id === member.id && known.isLeaving;
+  return hasAnnounced ? {...member, isLeaving: true} : member;
+}
--- a/packages/gateway/src/test/process/member_order_test.ts
+++ b/packages/gateway/src/test/process/member_order_test.ts
@@ -176,3 +176,21 @@
     [7000],
   );
 });
+// Guards against peers that take a host for gone while it shuts down: it keeps
+// its lease, and a heartbeat of before it left is performed late.
+test('a host that has announced that it leaves stays so', t => {
+  const members = newMembership();
+  const applyHeartbeats = feed(members);
+  applyHeartbeats(100, NOW);
+  applyHeartbeats(101, {...NOW, isLeaving: true});
+  applyHeartbeats(102, NOW);
+  t.deepEqual(
+    members.peers().map(({id, isLeaving}) => ({id, isLeaving})),
+    [{id: NOW.id, isLeaving: true}],
+  );
+  applyHeartbeats(103, NEXT);
+  t.deepEqual(
+    members.peers().map(({id, isLeaving}) => ({id, isLeaving})),
+    [{id: NEXT.id, isLeaving: undefined}],
+  );
+});
