An incarnation that has not been seen yet does not count as ended

Cause: any ID other than that of the incarnation known of a host counted as ended. A host that has restarted and accepts a job before others see its first heartbeat lost the job at once, without the grace period, to a host that still knew the incarnation before. Change: an incarnation has ended if a later one was seen, or names it. So that a host that knows only the later one needs no grace period, heartbeats name the incarnation before, if its row was read, for a minute; this also orders it against rows of the build before, without a start time. What is lost: a job of an incarnation that no row names waits for the grace period of 1.5 s. No further calls; some 50 bytes a heartbeat for a minute after a restart.

--- a/packages/gateway/src/lib/process/incarnations.ts
+++ b/packages/gateway/src/lib/process/incarnations.ts
@@ -6,8 +6,8 @@
  * or has ended, and so after heartbeats of the next incarnation. After a loss of
  * all hosts, no host has seen the incarnations before, so that the order in
  * which heartbeats are seen tells nothing. What counts is the time at which an
- * incarnation started, by the store's clock. Rows of builds that do not announce
- * it are taken in the order in which they are seen; an incarnation that is
+ * incarnation started, by the store's clock, or that one names the other as the
+ * one before it. Rows of builds that do not announce this are taken in the order in which they are seen; an incarnation that is
  * ignored by mistake counts again once the other one has lost its lease.
  */
 import {LRUCache} from 'lru-cache';
@@ -57,12 +57,22 @@
       this.endedIds.set(current.id, true);
     }
     this.endedIds.delete(member.id);
+    if (member.replaces !== undefined) this.endedIds.set(member.replaces, true);
     this.current.set(member.host, member);
     return current?.id === member.id
       ? {kind: 'same'}
       : {kind: 'new', before: current};
   }
 
+  /**
+   * @param id - ID of an incarnation.
+   * @returns Whether it is known to have ended; false for one that is not known,
+   *     which may be the successor of the current one.
+   */
+  hasEnded(id: string): boolean {
+    return this.endedIds.has(id);
+  }
+
   /** @param host - Name of a host whose row has been removed. */
   remove(host: string): void {
     this.current.delete(host);
@@ -80,11 +90,13 @@
 }
 
 /**
- * @returns Positive if the first incarnation of a host started after the second
- *     one, negative if before it, 0 if they do not tell.
+ * @param first - An incarnation of a host.
+ * @param second - Another one of the same host.
+ * @returns Positive if the first one started after the second one, negative if before it, 0 if they do not tell.
  */
-function startOrder(first: Member, second: Member): number {
-  if (first.startedAtMs === undefined || second.startedAtMs === undefined)
-    return 0;
-  return first.startedAtMs - second.startedAtMs;
+export function startOrder(first: Member, second: Member): number {
+  if (first.startedAtMs !== undefined && second.startedAtMs !== undefined)
+    return first.startedAtMs - second.startedAtMs;
+  if (first.replaces === second.id) return 1;
+  return second.replaces === first.id ? -1 : 0;
 }
--- a/packages/gateway/src/lib/process/membership.ts
+++ b/packages/gateway/src/lib/process/membership.ts
@@ -13,7 +13,11 @@
   type TableUpdate,
   type VersionedRow,
 } from '@oathead/stores';
-import {Incarnations, type HeartbeatMeaning} from './incarnations.js';
+import {
+  Incarnations,
+  startOrder,
+  type HeartbeatMeaning,
+} from './incarnations.js';
 import {hostOfMember, MEMBER, MEMBER_TABLE, type Member} from './member.js';
 
 /**
@@ -36,6 +40,11 @@
  */
 const OUTAGE_MS = 1500;
 const MS_PER_SECOND = 1000;
+/**
+ * How long heartbeats name the incarnation before, after its row was last read,
+ * in milliseconds. By then other hosts have taken over its jobs.
+ */
+const PREDECESSOR_NAMED_MS = 60_000;
 /**
  * Interval at which a process that has just started looks whether it knows the
  * store's time, in milliseconds. It announces itself only then.
@@ -49,6 +58,13 @@
   updatedAt: number;
 }
 
+/** The incarnation of this host before this one. */
+interface Predecessor {
+  readonly member: Member;
+  /** Store time at which its row was last read. */
+  readonly seenAtMs: number;
+}
+
 /** Dependencies of {@link Membership}. */
 export interface MembershipContext {
   readonly store: RowStore;
@@ -65,6 +81,7 @@
   private storeTimeMs = 0;
   private isLeaving = false;
   private startedAtMs: number | undefined;
+  private predecessor: Predecessor | undefined;
 
   /**
    * @param self - The process incarnation of this host.
@@ -147,14 +164,12 @@
 
   /**
    * @param id - ID of a process incarnation.
-   * @returns Whether its host runs another incarnation, which proves that it
-   *     has ended.
+   * @returns Whether its host is known to run a later incarnation, which proves
+   *     that it has ended.
    */
   isReplaced(id: string): boolean {
-    const host = hostOfMember(id);
-    const now =
-      host === this.self.host ? this.self : this.members.get(host)?.member;
-    return now !== undefined && now.id !== id;
+    const isOwn = hostOfMember(id) === this.self.host;
+    return isOwn ? id !== this.self.id : this.incarnations.hasEnded(id);
   }
 
   /**
@@ -206,6 +221,7 @@
     }
     const known = this.members.get(row.key);
     const member = stillLeaving(decoded.value, known?.member);
+    this.notePredecessor(member);
     const isLive = known !== undefined && this.isLive(known);
     const meaning = this.incarnations.record(member, isLive);
     this.logMeaning(member, meaning);
@@ -214,6 +230,14 @@
     this.members.set(row.key, {member, version, updatedAt: this.storeTimeMs});
   }
 
+  private notePredecessor(member: Member): void {
+    const {id, host} = this.self;
+    if (member.host !== host || member.id === id) return;
+    const known = this.predecessor?.member;
+    if (known && startOrder(member, known) < 0) return;
+    this.predecessor = {member, seenAtMs: this.storeTimeMs};
+  }
+
   private logMeaning(member: Member, meaning: HeartbeatMeaning): void {
     const {log} = this.context;
     const {id, startedAtMs} = member;
@@ -264,9 +288,18 @@
   }
 
   private announced(startedAtMs: number): Member {
-    const member = {...this.self, startedAtMs};
+    const replaces = this.predecessorId(startedAtMs);
+    const member = {...this.self, startedAtMs, replaces};
     return this.isLeaving ? {...member, isLeaving: true} : member;
   }
+
+  private predecessorId(startedAtMs: number): string | undefined {
+    const {member, seenAtMs} = this.predecessor ?? {};
+    if (!member || seenAtMs === undefined) return undefined;
+    const isOld = this.storeTimeMs - seenAtMs > PREDECESSOR_NAMED_MS;
+    const isLater = (member.startedAtMs ?? -Infinity) >= startedAtMs;
+    return isOld || isLater ? undefined : member.id;
+  }
 }
 
 /**
--- a/packages/gateway/src/test/process/member_order_test.ts
+++ b/packages/gateway/src/test/process/member_order_test.ts
@@ -1,5 +1,5 @@
 /** Heartbeats of several incarnations of one host arrive in any order. */
-import {NO_EVENT_LOG, type Clock} from '@oathead/core';
+import {NO_EVENT_LOG, SYSTEM_CLOCK, type Clock} from '@oathead/core';
 import {decodeJson, MemoryRowStore, type RowTransaction} from '@oathead/stores';
 import test from 'ava';
 import {MEMBER, type Member} from '../../lib/process/member.js';
@@ -194,3 +194,38 @@
     [{id: NEXT.id, isLeaving: undefined}],
   );
 });
+// Guards against a job that is taken from a live host: the host has accepted it
+// before others see its first heartbeat, while they still know the incarnation
+// before it.
+test('an incarnation that has not been seen yet does not count as ended', t => {
+  const members = knownAfter([[100, BEFORE]]);
+  t.false(members.isReplaced(NOW.id));
+  t.true(members.isReplaced('me.0'));
+});
+
+// Guards against a wait for the jobs of a host that has restarted: a host that
+// knows only the new incarnation cannot tell that the one before has ended.
+test('an incarnation names the one that it follows', async t => {
+  const store = new LateStore(SYSTEM_CLOCK);
+  store.timeMs = 90_000;
+  const context = {store, clock: SYSTEM_CLOCK, log: NO_EVENT_LOG};
+  using other = new Membership(incarnation('other', 'b'), context);
+  feed(other)(90, BEFORE);
+  await other.leave();
+  const members = knownAfter([[91, store.written[0]!]]);
+  t.true(members.isReplaced(BEFORE.id));
+  t.true(members.holdsLease(other.self.id));
+});
+
+// Guards against a live host that hosts of this build shut out during a rollout:
+// the row of the incarnation before, of the earlier build, tells no start time.
+test('an incarnation that names the one before it is known again at once', t => {
+  const unstamped = incarnation('other', 'u');
+  const members = knownAfter([
+    [100, NOW],
+    [101, unstamped],
+    [102, {...NOW, replaces: unstamped.id}],
+  ]);
+  t.true(members.holdsLease(NOW.id));
+  t.true(members.isReplaced(unstamped.id));
+});
