--- a/packages/gateway/src/lib/process/membership.ts
+++ b/packages/gateway/src/lib/process/membership.ts
@@ -5,20 +5,16 @@
  * clock, as reported in its responses: host clocks may jump, and no host is
  * declared dead while the store does not respond.
  */
-import {DisposableStore, sleep, type Clock, type EventLog} from '@oathead/core';
+import type {Clock, EventLog} from '@oathead/core';
 import {
   decodeJson,
-  encodeJson,
   type RowStore,
   type TableUpdate,
   type VersionedRow,
 } from '@oathead/stores';
-import {
-  Incarnations,
-  startOrder,
-  type HeartbeatMeaning,
-} from './incarnations.js';
-import {hostOfMember, MEMBER, MEMBER_TABLE, type Member} from './member.js';
+import {HeartbeatSender} from './heartbeat_sender.js';
+import {Incarnations, type HeartbeatMeaning} from './incarnations.js';
+import {hostOfMember, MEMBER, type Member} from './member.js';
 
 /**
  * Maximum rate of heartbeat writes by all hosts together, per second: a tenth
@@ -27,11 +23,6 @@
 const MAX_HEARTBEATS_PER_SECOND = 80;
 /** Minimum interval between two heartbeats, in milliseconds. */
 const MIN_HEARTBEAT_INTERVAL_MS = 1000;
-/**
- * Number of heartbeats per interval while they fail. A live host must not lose
- * its lease because the store turns some of them away.
- */
-const ATTEMPTS_PER_INTERVAL = 2;
 /** Duration of a lease, in heartbeat intervals. */
 const HEARTBEATS_PER_LEASE = 3.5;
 /**
@@ -40,16 +31,6 @@
  */
 const OUTAGE_MS = 1500;
 const MS_PER_SECOND = 1000;
-/**
- * How long heartbeats name the incarnation before, after its row was last read,
- * in milliseconds. By then other hosts have taken over its jobs.
- */
-const PREDECESSOR_NAMED_MS = 60_000;
-/**
- * Interval at which a process that has just started looks whether it knows the
- * store's time, in milliseconds. It announces itself only then.
- */
-const START_POLL_INTERVAL_MS = 50;
 
 interface MemberRecord {
   readonly member: Member;
@@ -58,13 +39,6 @@
   updatedAt: number;
 }
 
-/** The incarnation of this host before this one. */
-interface Predecessor {
-  readonly member: Member;
-  /** Store time at which its row was last read. */
-  readonly seenAtMs: number;
-}
-
 /** Dependencies of {@link Membership}. */
 export interface MembershipContext {
   readonly store: RowStore;
@@ -74,14 +48,11 @@
 
 /** Maintains the row of this host and the set of live hosts. */
 export class Membership implements Disposable {
-  private readonly disposables = new DisposableStore();
+  private readonly heartbeats: HeartbeatSender;
   private readonly members = new Map<string, MemberRecord>();
   private readonly expired = new Set<string>();
   private readonly incarnations = new Incarnations();
   private storeTimeMs = 0;
-  private isLeaving = false;
-  private startedAtMs: number | undefined;
-  private predecessor: Predecessor | undefined;
 
   /**
    * @param self - The process incarnation of this host.
@@ -90,11 +61,14 @@
   constructor(
     readonly self: Member,
     private readonly context: MembershipContext,
-  ) {}
+  ) {
+    const intervalMs = () => this.heartbeatIntervalMs();
+    this.heartbeats = new HeartbeatSender(self, {...context, intervalMs});
+  }
 
   /** Starts to send heartbeats. */
   start(): void {
-    void this.sendHeartbeats();
+    this.heartbeats.start();
   }
 
   /**
@@ -102,17 +76,16 @@
    *
    * @returns Resolves when one attempt to tell them has ended.
    */
-  async leave(): Promise<void> {
-    this.isLeaving = true;
-    await this.sendHeartbeat();
+  leave(): Promise<void> {
+    return this.heartbeats.leave();
   }
 
   /** Stops sending heartbeats. */
   [Symbol.dispose](): void {
-    this.disposables[Symbol.dispose]();
+    this.heartbeats[Symbol.dispose]();
   }
 
-  /** @param update - Changes of {@link MEMBER_TABLE}. */
+  /** @param update - Changes of the table of members. */
   update({put, removed, storeTimeMs}: TableUpdate): void {
     const gap = storeTimeMs - this.storeTimeMs;
     // Before the first response, the leases of seeded hosts start with it.
@@ -221,7 +194,7 @@
     }
     const known = this.members.get(row.key);
     const member = stillLeaving(decoded.value, known?.member);
-    this.notePredecessor(member);
+    this.heartbeats.notePredecessor(member);
     const isLive = known !== undefined && this.isLive(known);
     const meaning = this.incarnations.record(member, isLive);
     this.logMeaning(member, meaning);
@@ -230,14 +203,6 @@
     this.members.set(row.key, {member, version, updatedAt: this.storeTimeMs});
   }
 
-  private notePredecessor(member: Member): void {
-    const {id, host} = this.self;
-    if (member.host !== host || member.id === id) return;
-    const known = this.predecessor?.member;
-    if (known && startOrder(member, known) < 0) return;
-    this.predecessor = {member, seenAtMs: this.storeTimeMs};
-  }
-
   private logMeaning(member: Member, meaning: HeartbeatMeaning): void {
     const {log} = this.context;
     const {id, startedAtMs} = member;
@@ -254,52 +219,6 @@
       });
     }
   }
-
-  /** Sends one heartbeat at a time, so that they do not pile up. */
-  private async sendHeartbeats(): Promise<void> {
-    const {clock} = this.context;
-    while (!this.disposables.disposed) {
-      const startedAt = clock.now();
-      const isSent = await this.sendHeartbeat();
-      const leftMs = startedAt + this.pauseMs(isSent) - clock.now();
-      if (leftMs > 0) await sleep(clock, leftMs);
-    }
-  }
-
-  private pauseMs(isSent: boolean): number {
-    if (this.startedAtMs === undefined) return START_POLL_INTERVAL_MS;
-    return this.heartbeatIntervalMs() / (isSent ? 1 : ATTEMPTS_PER_INTERVAL);
-  }
-
-  private async sendHeartbeat(): Promise<boolean> {
-    const {store, log} = this.context;
-    const storeTimeMs = store.storeTimeMs();
-    if (storeTimeMs === undefined) return false;
-    this.startedAtMs ??= Math.floor(storeTimeMs);
-    const ref = {table: MEMBER_TABLE, partition: '', key: this.self.host};
-    const value = encodeJson(this.announced(this.startedAtMs));
-    const written = await store.transact({
-      expect: [],
-      puts: [{...ref, value}],
-      removes: [],
-    });
-    if (!written.ok) log.event('heartbeat-failed', {reason: written.err.kind});
-    return written.ok;
-  }
-
-  private announced(startedAtMs: number): Member {
-    const replaces = this.predecessorId(startedAtMs);
-    const member = {...this.self, startedAtMs, replaces};
-    return this.isLeaving ? {...member, isLeaving: true} : member;
-  }
-
-  private predecessorId(startedAtMs: number): string | undefined {
-    const {member, seenAtMs} = this.predecessor ?? {};
-    if (!member || seenAtMs === undefined) return undefined;
-    const isOld = this.storeTimeMs - seenAtMs > PREDECESSOR_NAMED_MS;
-    const isLater = (member.startedAtMs ?? -Infinity) >= startedAtMs;
-    return isOld || isLater ? undefined : member.id;
-  }
 }
 
 /**
