Dead hosts lapse where responses of the store are seldom

Cause: each time of over 1.5 s without a response extended all leases by itself. A host whose calls are relayed after a timeout gets all responses so far apart: no lease ever lapsed there. It awaits dead hosts as the ones to take a job over, and leaves them their jobs. Change: a response after such a time shows how many of the hosts that sent heartbeats until then have renewed their leases. By the fourth power of their share of what is expected without an outage, up to a heartbeat interval of the time counts against those that have not, from the third such time in a row on. If nobody has renewed, nothing counts, as before. Measured: four tests of lease_gaps_test fail before and pass after (2 to 28 hosts: lapse after 9.6 s with responses 1.6 s apart; 340: within two leases); its eight tests of outages pass before and after, as do those of membership_test.

--- a/packages/gateway/src/lib/process/membership.ts
+++ b/packages/gateway/src/lib/process/membership.ts
@@ -14,6 +14,7 @@
 } from '@oathead/stores';
 import {HeartbeatSender} from './heartbeat_sender.js';
 import {Incarnations, type HeartbeatMeaning} from './incarnations.js';
+import {silentMsIn} from './lease_gap.js';
 import {hostOfMember, MEMBER, type Member} from './member.js';
 
 /**
@@ -26,17 +27,35 @@
 /** Duration of a lease, in heartbeat intervals. */
 const HEARTBEATS_PER_LEASE = 3.5;
 /**
- * A longer gap between two responses of the store counts as an outage, in
- * milliseconds. Leases are extended by its duration.
+ * A longer gap between two responses of the store may be an outage, in
+ * milliseconds. Leases are extended by the part of it that does not count
+ * against them.
  */
 const OUTAGE_MS = 1500;
+/**
+ * A host that has not renewed its lease for longer counts no more as one that
+ * sends heartbeats, in heartbeat intervals. One of them may have failed.
+ */
+const INTERVALS_WHILE_SENDING = 2;
+/**
+ * Number of gaps in a row by which a lease is extended in full although others
+ * have renewed theirs. After an outage, the heartbeat of a host may get through
+ * later than those of others.
+ */
+const MAX_GAPS_EXTENDED = 2;
 const MS_PER_SECOND = 1000;
 
 interface MemberRecord {
   readonly member: Member;
   readonly version: number;
   /** Store time of the response that delivered the row. */
+  readonly renewedAt: number;
+  /** Store time from which the lease counts. */
   updatedAt: number;
+  /**
+   * Number of gaps since then in which others have renewed their leases.
+   */
+  gapsPassedOver: number;
 }
 
 /** Dependencies of {@link Membership}. */
@@ -87,15 +106,19 @@
 
   /** @param update - Changes of the table of members. */
   update({put, removed, storeTimeMs}: TableUpdate): void {
-    const gap = storeTimeMs - this.storeTimeMs;
+    const gapMs = storeTimeMs - this.storeTimeMs;
+    const isGap = gapMs > OUTAGE_MS;
+    const before = isGap ? [...this.members.values()] : [];
+    const sending = before.filter(record => this.isSending(record));
     // Before the first response, the leases of seeded hosts start with it.
-    if (gap > OUTAGE_MS) this.extendLeases(gap);
+    if (isGap) this.extendLeases(gapMs);
     this.storeTimeMs = Math.max(this.storeTimeMs, storeTimeMs);
     for (const row of put) this.applyRow(row);
     for (const row of removed) {
       this.members.delete(row.key);
       this.incarnations.remove(row.key);
     }
+    if (isGap) this.countSilence(gapMs, before, sending);
   }
 
   /** Whether the list of hosts has been read at least once. */
@@ -183,6 +206,35 @@
     for (const record of this.members.values()) record.updatedAt += byMs;
   }
 
+  private isSending({renewedAt}: MemberRecord): boolean {
+    const silentMs = this.storeTimeMs - renewedAt;
+    return silentMs <= this.heartbeatIntervalMs() * INTERVALS_WHILE_SENDING;
+  }
+
+  /**
+   * Takes back a part of the extension from hosts that have not renewed their
+   * leases in gaps in which others have.
+   */
+  private countSilence(
+    gapMs: number,
+    before: readonly MemberRecord[],
+    sending: readonly MemberRecord[],
+  ): void {
+    const now = new Set(this.members.values());
+    const renewed = sending.filter(record => !now.has(record)).length;
+    if (renewed === 0) return;
+    const silentMs = silentMsIn({
+      gapMs,
+      sending: sending.length,
+      renewed,
+      heartbeatIntervalMs: this.heartbeatIntervalMs(),
+    });
+    for (const record of before) {
+      if (++record.gapsPassedOver > MAX_GAPS_EXTENDED)
+        record.updatedAt -= silentMs;
+    }
+  }
+
   private applyRow(row: VersionedRow): void {
     const decoded = decodeJson(row.value, MEMBER);
     if (!decoded.ok) {
@@ -199,8 +251,13 @@
     const meaning = this.incarnations.record(member, isLive);
     this.logMeaning(member, meaning);
     if (meaning.kind === 'stale') return;
-    const {version} = row;
-    this.members.set(row.key, {member, version, updatedAt: this.storeTimeMs});
+    this.members.set(row.key, {
+      member,
+      version: row.version,
+      renewedAt: this.storeTimeMs,
+      updatedAt: this.storeTimeMs,
+      gapsPassedOver: 0,
+    });
   }
 
   private logMeaning(member: Member, meaning: HeartbeatMeaning): void {
