A host announces itself once it knows the other hosts

Cause: a host whose first read of the members fails sent heartbeats all the same. It takes no job over, counts no quota and answers no placement request before that read, and the others wait for it: no second host takes over a job of which it comes first. Change: the first heartbeat waits for that read, which is under way from the start. It then names the incarnation before at once, too, so that the jobs of that one need no grace period. Two tests of membership_test apply such a read before they start; their assertions are as before. Measured: the new test of member_order_test fails before (three heartbeats) and passes after; 31 tests of membership, leases and disagreement pass. What it costs: a host whose first read is slow counts as live that much later.

--- a/packages/gateway/src/lib/process/heartbeat_sender.ts
+++ b/packages/gateway/src/lib/process/heartbeat_sender.ts
@@ -9,6 +9,8 @@
   readonly store: RowStore;
   readonly clock: Clock;
   readonly log: EventLog;
+  /** @returns Whether this host knows the others. */
+  readonly knowsHosts: () => boolean;
   /** @returns Interval between two heartbeats, in milliseconds. */
   readonly intervalMs: () => number;
 }
@@ -24,8 +26,8 @@
  */
 const PREDECESSOR_NAMED_MS = 60_000;
 /**
- * Interval at which a process that has just started looks whether it knows the
- * store's time, in milliseconds. It announces itself only then.
+ * Interval at which a process that has just started looks whether it can
+ * announce itself, in milliseconds.
  */
 const START_POLL_INTERVAL_MS = 50;
 
@@ -103,9 +105,8 @@
 
   private async sendHeartbeat(): Promise<boolean> {
     const {store, log} = this.context;
-    const storeTimeMs = store.storeTimeMs();
-    if (storeTimeMs === undefined) return false;
-    this.startedAtMs ??= Math.floor(storeTimeMs);
+    this.startedAtMs ??= this.startTimeMs();
+    if (this.startedAtMs === undefined) return false;
     const ref = {table: MEMBER_TABLE, partition: '', key: this.self.host};
     const value = encodeJson(this.announced(this.startedAtMs));
     const written = await store.transact({
@@ -117,6 +118,20 @@
     return written.ok;
   }
 
+  /**
+   * Guards against a host that others wait for in vain: until it knows them, it
+   * takes no job over, counts no quota and answers no placement request. It also
+   * names the incarnation before it at once, whose row it has read by then.
+   *
+   * @returns The store's time in milliseconds; undefined if this host is not to
+   *     announce itself yet.
+   */
+  private startTimeMs(): number | undefined {
+    const {store, knowsHosts} = this.context;
+    const storeTimeMs = knowsHosts() ? store.storeTimeMs() : undefined;
+    return storeTimeMs === undefined ? undefined : Math.floor(storeTimeMs);
+  }
+
   private announced(startedAtMs: number): Member {
     const replaces = this.predecessorId(startedAtMs);
     const member = {...this.self, startedAtMs, replaces};
--- a/packages/gateway/src/lib/process/membership.ts
+++ b/packages/gateway/src/lib/process/membership.ts
@@ -81,8 +81,11 @@
     readonly self: Member,
     private readonly context: MembershipContext,
   ) {
-    const intervalMs = () => this.heartbeatIntervalMs();
-    this.heartbeats = new HeartbeatSender(self, {...context, intervalMs});
+    this.heartbeats = new HeartbeatSender(self, {
+      ...context,
+      knowsHosts: () => this.isInitialized,
+      intervalMs: () => this.heartbeatIntervalMs(),
+    });
   }
 
   /** Starts to send heartbeats. */
--- a/packages/gateway/src/test/process/member_order_test.ts
+++ b/packages/gateway/src/test/process/member_order_test.ts
@@ -165,6 +165,7 @@
   await run(1000);
   await members.leave();
   t.deepEqual(store.written, []);
+  feed(members)(7);
   store.timeMs = 7000.75;
   await run(2 * STEP_MS);
   t.is(store.written.length, 1);
@@ -194,6 +195,27 @@
     [{id: NEXT.id, isLeaving: undefined}],
   );
 });
+// Guards against a host that others wait for in vain: until it knows them, it
+// takes no job over, counts no quota and answers no placement request.
+test('a process announces itself once it knows the other hosts', async t => {
+  const clock = new FakeClock();
+  const store = new LateStore(clock);
+  store.timeMs = 7000;
+  const self = incarnation('me', '1');
+  using members = new Membership(self, {store, clock, log: NO_EVENT_LOG});
+  members.start();
+  feed(members)(0, NOW);
+  for (let ms = 0; ms < 1000; ms += STEP_MS) {
+    await new Promise(setImmediate);
+    clock.advance(STEP_MS);
+  }
+  await members.leave();
+  t.deepEqual(store.written, []);
+  feed(members)(7, NOW);
+  await members.leave();
+  t.is(store.written.length, 1);
+});
+
 // Guards against a job that is taken from a live host: the host has accepted it
 // before others see its first heartbeat, while they still know the incarnation
 // before it.
--- a/packages/gateway/src/test/process/membership_test.ts
+++ b/packages/gateway/src/test/process/membership_test.ts
@@ -103,6 +103,7 @@
   } as unknown as RowStore;
   const context = {store, clock, log: NO_EVENT_LOG};
   using members = new Membership(incarnation('me', '1'), context);
+  feed(members)(1);
   members.start();
   for (let ms = 0; ms < LEASE_MS; ms += STEP_MS) {
     await new Promise(setImmediate);
@@ -122,6 +123,7 @@
   const store = new MemoryRowStore(SYSTEM_CLOCK);
   const context = {store, clock: SYSTEM_CLOCK, log: NO_EVENT_LOG};
   using leaving = new Membership(incarnation('other', '1'), context);
+  feed(leaving)(1);
   await leaving.leave();
   const page = await store.read({table: MEMBER_TABLE, partition: ''});
   const members = newMembership();
