--- a/packages/serving/src/lib/process/serving_process.ts
+++ b/packages/serving/src/lib/process/serving_process.ts
@@ -136,6 +136,11 @@
     return this.stopping;
   }
 
+  /** Number of hosts that this one takes for live, with itself. */
+  get liveHosts(): number {
+    return this.components.membership.live().length;
+  }
+
   private async stopOnce(): Promise<void> {
     this.lifecycle.send({type: 'STOP'});
     await this.drain();
