A late removal of a job's rows doesn't touch a new job of the same ID

Cause: rows of a removed job were deleted without a condition. Performed late, or by a second host that takes itself for the one to remove the job, such a deletion takes items or results of a job that was accepted under the same ID since. Change: each deletion expects the head that was found; it is in the same partition. Objects (bodies and texts that are too large for rows) can't be fenced so; not changed.

--- a/packages/jobs/src/lib/process/job_garbage_collector.ts
+++ b/packages/jobs/src/lib/process/job_garbage_collector.ts
@@ -10,6 +10,7 @@
 import type {Membership} from '@oathead/gateway';
 import {
   decodeJson,
+  type ExpectedRow,
   type RowRef,
   type RowStore,
   type TableUpdate,
@@ -100,20 +101,29 @@
 
   private async remove({head, version}: VersionedHead): Promise<void> {
     const {store, log} = this.context;
+    const ref = headRef(head.id);
+    const expect = [{...ref, version}];
     for (const table of JOB_TABLES)
-      if (!(await this.removeRows(table, head.id))) return;
+      if (!(await this.removeRows(table, head.id, expect))) return;
     if (head.content.kind === 'objects')
       for (let i = 0; i < head.content.pieces; i++)
         if (!(await this.removeObject(contentObjectName(head.id, i)))) return;
-    const ref = headRef(head.id);
-    const expect = [{...ref, version}];
     const done = await store.transact({expect, puts: [], removes: [ref]});
     const outcome = done.ok ? 'removed' : done.err.kind;
     log.event('job-removed', {job: head.id, outcome});
   }
 
-  /** @returns Whether all rows of the job have been removed from the table. */
-  private async removeRows(table: string, jobId: string): Promise<boolean> {
+  /**
+   * Removes rows as long as the head is the one that was found. Guards against a
+   * removal that is performed late, when there is a new job of this ID.
+   *
+   * @returns Whether all rows of the job have been removed from the table.
+   */
+  private async removeRows(
+    table: string,
+    jobId: string,
+    expect: readonly ExpectedRow[],
+  ): Promise<boolean> {
     const {store} = this.context;
     for (;;) {
       const range = {
@@ -129,7 +139,7 @@
       // The rows go last: their objects are found through them.
       for (const name of page.value.rows.flatMap(textObjectOf))
         if (!(await this.removeObject(name))) return false;
-      const done = await store.transact({expect: [], puts: [], removes});
+      const done = await store.transact({expect, puts: [], removes});
       if (!done.ok) return false;
     }
   }
--- a/packages/jobs/src/test/process/job_garbage_collector_test.ts
+++ b/packages/jobs/src/test/process/job_garbage_collector_test.ts
@@ -1,6 +1,11 @@
-import {NO_EVENT_LOG, SYSTEM_CLOCK} from '@oathead/core';
+import {failure, NO_EVENT_LOG, SYSTEM_CLOCK} from '@oathead/core';
 import {Membership, memberId} from '@oathead/gateway';
-import {encodeJson, MemoryRowStore, type TableUpdate} from '@oathead/stores';
+import {
+  encodeJson,
+  MemoryRowStore,
+  type RowTransaction,
+  type TableUpdate,
+} from '@oathead/stores';
 import test from 'ava';
 import {JobGarbageCollector} from '../../lib/process/job_garbage_collector.js';
 import {
@@ -110,3 +115,33 @@
   t.is(await countRows(store, 'old'), 0);
   t.false((await store.getObject('text')).ok);
 });
+
+/** Performs its first removal only when the test asks for it. */
+class LateStore extends MemoryRowStore {
+  private late: RowTransaction | undefined;
+
+  override async transact(transaction: RowTransaction) {
+    if (this.late || transaction.removes.length === 0)
+      return super.transact(transaction);
+    this.late = transaction;
+    return failure({kind: 'unknown', message: 'timeout'} as const);
+  }
+
+  async performLate(): Promise<void> {
+    if (this.late) await super.transact(this.late);
+  }
+}
+
+// Guards against items and results of an accepted job that are lost: a removal
+// of the job of this ID before it is performed late, or by another host that
+// takes itself for the one to remove it.
+test('a late removal leaves the rows of a new job of the same ID', async t => {
+  const store = new LateStore(SYSTEM_CLOCK);
+  await insertClosedJob(store, 'j', RETENTION_MS + 500);
+  await sweepOnce(store);
+  await sweepOnce(store);
+  t.is(await countRows(store, 'j'), 0);
+  await insertClosedJob(store, 'j', 0);
+  await store.performLate();
+  t.is(await countRows(store, 'j'), 122);
+});
