A host that renews its lease in time is not reported as lapsed

Cause: the order of incarnations asked for the lease of a host before its heartbeat of the same response was applied, so that member-lapsed was written for hosts that never lapsed. Change: it asks only if the heartbeat is of another incarnation. Measured: the new test of member_order_test fails before (member-lapsed) and passes after; 63 tests of members, leases and ownership pass.

--- a/packages/gateway/src/lib/process/incarnations.ts
+++ b/packages/gateway/src/lib/process/incarnations.ts
@@ -7,8 +7,9 @@
  * all hosts, no host has seen the incarnations before, so that the order in
  * which heartbeats are seen tells nothing. What counts is the time at which an
  * incarnation started, by the store's clock, or that one names the other as the
- * one before it. Rows of builds that do not announce this are taken in the order in which they are seen; an incarnation that is
- * ignored by mistake counts again once the other one has lost its lease.
+ * one before it. Rows of builds that do not announce this are taken in the order
+ * in which they are seen; an incarnation that is ignored by mistake counts again
+ * once the other one has lost its lease.
  */
 import {LRUCache} from 'lru-cache';
 import type {Member} from './member.js';
@@ -42,11 +43,11 @@
 
   /**
    * @param member - Sender of a heartbeat.
-   * @param currentIsLive - Whether the current incarnation of its host holds its
-   *     lease.
+   * @param currentIsLive - Returns whether the current incarnation of its host
+   *     holds its lease; called only for another one.
    * @returns What the heartbeat shows.
    */
-  record(member: Member, currentIsLive: boolean): HeartbeatMeaning {
+  record(member: Member, currentIsLive: () => boolean): HeartbeatMeaning {
     const current = this.current.get(member.host);
     if (current && current.id !== member.id) {
       if (!this.follows(member, current, currentIsLive)) {
@@ -81,18 +82,19 @@
   private follows(
     member: Member,
     current: Member,
-    currentIsLive: boolean,
+    currentIsLive: () => boolean,
   ): boolean {
     const order = startOrder(member, current);
     if (order !== 0) return order > 0;
-    return !currentIsLive || !this.endedIds.has(member.id);
+    return !this.endedIds.has(member.id) || !currentIsLive();
   }
 }
 
 /**
  * @param first - An incarnation of a host.
  * @param second - Another one of the same host.
- * @returns Positive if the first one started after the second one, negative if before it, 0 if they do not tell.
+ * @returns Positive if the first one started after the second one, negative if
+ *     before it, 0 if they do not tell.
  */
 export function startOrder(first: Member, second: Member): number {
   if (first.startedAtMs !== undefined && second.startedAtMs !== undefined)
--- a/packages/gateway/src/lib/process/membership.ts
+++ b/packages/gateway/src/lib/process/membership.ts
@@ -53,7 +53,7 @@
   /** Store time from which the lease counts. */
   updatedAt: number;
   /**
-   * Number of gaps since then in which others have renewed their leases.
+   * Number of gaps since its renewal in which others have renewed their leases.
    */
   gapsPassedOver: number;
 }
@@ -233,7 +233,8 @@
       heartbeatIntervalMs: this.heartbeatIntervalMs(),
     });
     for (const record of before) {
-      if (++record.gapsPassedOver > MAX_GAPS_EXTENDED)
+      record.gapsPassedOver++;
+      if (record.gapsPassedOver > MAX_GAPS_EXTENDED)
         record.updatedAt -= silentMs;
     }
   }
@@ -250,7 +251,7 @@
     const known = this.members.get(row.key);
     const member = stillLeaving(decoded.value, known?.member);
     this.heartbeats.notePredecessor(member);
-    const isLive = known !== undefined && this.isLive(known);
+    const isLive = () => known !== undefined && this.isLive(known);
     const meaning = this.incarnations.record(member, isLive);
     this.logMeaning(member, meaning);
     if (meaning.kind === 'stale') return;
--- a/packages/gateway/src/test/process/member_order_test.ts
+++ b/packages/gateway/src/test/process/member_order_test.ts
@@ -122,6 +122,19 @@
   ]);
 });
 
+// Guards against log lines of a lapse that never was: the response that would
+// have ended the lease brings the heartbeat that renews it.
+test('a host that renews its lease in time is not reported as lapsed', t => {
+  const names: string[] = [];
+  const event = (name: string) => void names.push(name);
+  const applyHeartbeats = feed(newMembership({event}));
+  applyHeartbeats(100, NOW);
+  applyHeartbeats(101.4);
+  applyHeartbeats(102.8);
+  applyHeartbeats(104.2, NOW);
+  t.deepEqual(names, ['member-seen']);
+});
+
 /** Reports the store's time only once a test has set it. */
 class LateStore extends MemoryRowStore {
   timeMs: number | undefined;
