Design note on members: what the start time is

Cause: a sentence that a newcomer stumbles over, and a comment of before the first read. Change: words only. Measured: nothing to measure; build and lint pass.

--- a/packages/gateway/src/lib/process/member.ts
+++ b/packages/gateway/src/lib/process/member.ts
@@ -16,8 +16,8 @@
   /** Address on which it serves requests of other hosts. */
   readonly controlAddress: string;
   /**
-   * The store's monotonic clock when its process first knew of it, in
-   * milliseconds. It increases with each incarnation of a host. Omitted by
+   * The store's monotonic clock when its process had first read the rows of all
+   * hosts, in milliseconds. It increases with each incarnation of a host. Omitted by
    * builds that do not announce it.
    */
   readonly startedAtMs?: number | undefined;
