--- a/packages/gateway/src/lib/process/membership.ts
+++ b/packages/gateway/src/lib/process/membership.ts
@@ -5,66 +5,17 @@
  * clock, as reported in its responses: host clocks may jump, and no host is
  * declared dead while the store does not respond.
  */
-import {DisposableStore, sleep, type Clock, type EventLog} from '@oathead/core';
+import type {Clock, EventLog} from '@oathead/core';
 import {
   decodeJson,
-  encodeJson,
   type RowStore,
   type TableUpdate,
   type VersionedRow,
 } from '@oathead/stores';
-import {LRUCache} from 'lru-cache';
-import {z} from 'zod';
-
-/** A process incarnation on a host. */
-export interface Member {
-  /** Unique for each start of the process. */
-  readonly id: string;
-  readonly host: string;
-  readonly dataCentre: string;
-  readonly ip: string;
-  /**
-   * UDP port on which it receives load reports and other messages between
-   * hosts.
-   */
-  readonly loadPort: number;
-  /** Address on which it serves requests of other hosts. */
-  readonly controlAddress: string;
-  /** Whether it is shutting down and takes no jobs; false if omitted. */
-  readonly isLeaving?: boolean | undefined;
-  /**
-   * Whether it heeds the record of accounts ahead of their even pace when it
-   * becomes a quota owner; false if omitted.
-   */
-  readonly readsAheadRecord?: boolean | undefined;
-}
-
-/** Table of heartbeats. */
-export const MEMBER_TABLE = 'members';
-
-/**
- * @param host - Name of a host.
- * @param nonce - Distinguishes this incarnation of its process from all others.
- * @returns ID of the incarnation.
- */
-export function memberId(host: string, nonce: string): string {
-  return `${host}.${nonce}`;
-}
-
-function hostOfMember(id: string): string {
-  return id.slice(0, id.lastIndexOf('.'));
-}
-
-const MEMBER = z.object({
-  id: z.string(),
-  host: z.string(),
-  dataCentre: z.string(),
-  ip: z.string(),
-  loadPort: z.number().int(),
-  controlAddress: z.string(),
-  isLeaving: z.boolean().optional(),
-  readsAheadRecord: z.boolean().optional(),
-});
+import {HeartbeatSender} from './heartbeat_sender.js';
+import {Incarnations, type HeartbeatMeaning} from './incarnations.js';
+import {silentMsIn} from './lease_gap.js';
+import {hostOfMember, MEMBER, type Member} from './member.js';
 
 /**
  * Maximum rate of heartbeat writes by all hosts together, per second: a tenth
@@ -73,30 +24,38 @@
 const MAX_HEARTBEATS_PER_SECOND = 80;
 /** Minimum interval between two heartbeats, in milliseconds. */
 const MIN_HEARTBEAT_INTERVAL_MS = 1000;
-/**
- * Number of heartbeats per interval while they fail. A live host must not lose
- * its lease because the store turns some of them away.
- */
-const ATTEMPTS_PER_INTERVAL = 2;
 /** Duration of a lease, in heartbeat intervals. */
 const HEARTBEATS_PER_LEASE = 3.5;
 /**
- * A longer gap between two responses of the store counts as an outage, in
- * milliseconds. Leases are extended by its duration.
+ * A longer gap between two responses of the store may be an outage, in
+ * milliseconds. Leases are extended by the part of it that does not count
+ * against them.
  */
 const OUTAGE_MS = 1500;
-const MS_PER_SECOND = 1000;
 /**
- * Maximum number of ended incarnations in memory: more than two days of
- * restarts in a fleet in which 490 hosts restart per day.
+ * A host that has not renewed its lease for longer counts no more as one that
+ * sends heartbeats, in heartbeat intervals. One of them may have failed.
+ */
+const INTERVALS_WHILE_SENDING = 2;
+/**
+ * Number of gaps in a row by which a lease is extended in full although others
+ * have renewed theirs. After an outage, the heartbeat of a host may get through
+ * later than those of others.
  */
-const MAX_ENDED_INCARNATIONS = 1024;
+const MAX_GAPS_EXTENDED = 2;
+const MS_PER_SECOND = 1000;
 
 interface MemberRecord {
   readonly member: Member;
   readonly version: number;
   /** Store time of the response that delivered the row. */
+  readonly renewedAt: number;
+  /** Store time from which the lease counts. */
   updatedAt: number;
+  /**
+   * Number of gaps since its renewal in which others have renewed their leases.
+   */
+  gapsPassedOver: number;
 }
 
 /** Dependencies of {@link Membership}. */
@@ -108,14 +67,11 @@
 
 /** Maintains the row of this host and the set of live hosts. */
 export class Membership implements Disposable {
-  private readonly disposables = new DisposableStore();
+  private readonly heartbeats: HeartbeatSender;
   private readonly members = new Map<string, MemberRecord>();
   private readonly expired = new Set<string>();
-  private readonly endedIds = new LRUCache<string, true>({
-    max: MAX_ENDED_INCARNATIONS,
-  });
+  private readonly incarnations = new Incarnations();
   private storeTimeMs = 0;
-  private isLeaving = false;
 
   /**
    * @param self - The process incarnation of this host.
@@ -124,11 +80,17 @@
   constructor(
     readonly self: Member,
     private readonly context: MembershipContext,
-  ) {}
+  ) {
+    this.heartbeats = new HeartbeatSender(self, {
+      ...context,
+      knowsHosts: () => this.isInitialized,
+      intervalMs: () => this.heartbeatIntervalMs(),
+    });
+  }
 
   /** Starts to send heartbeats. */
   start(): void {
-    void this.sendHeartbeats();
+    this.heartbeats.start();
   }
 
   /**
@@ -136,24 +98,30 @@
    *
    * @returns Resolves when one attempt to tell them has ended.
    */
-  async leave(): Promise<void> {
-    this.isLeaving = true;
-    await this.sendHeartbeat();
+  leave(): Promise<void> {
+    return this.heartbeats.leave();
   }
 
   /** Stops sending heartbeats. */
   [Symbol.dispose](): void {
-    this.disposables[Symbol.dispose]();
+    this.heartbeats[Symbol.dispose]();
   }
 
-  /** @param update - Changes of {@link MEMBER_TABLE}. */
+  /** @param update - Changes of the table of members. */
   update({put, removed, storeTimeMs}: TableUpdate): void {
-    const gap = storeTimeMs - this.storeTimeMs;
+    const gapMs = storeTimeMs - this.storeTimeMs;
+    const isGap = gapMs > OUTAGE_MS;
+    const before = isGap ? [...this.members.values()] : [];
+    const sending = before.filter(record => this.isSending(record));
     // Before the first response, the leases of seeded hosts start with it.
-    if (gap > OUTAGE_MS) this.extendLeases(gap);
+    if (isGap) this.extendLeases(gapMs);
     this.storeTimeMs = Math.max(this.storeTimeMs, storeTimeMs);
     for (const row of put) this.applyRow(row);
-    for (const row of removed) this.members.delete(row.key);
+    for (const row of removed) {
+      this.members.delete(row.key);
+      this.incarnations.remove(row.key);
+    }
+    if (isGap) this.countSilence(gapMs, before, sending);
   }
 
   /** Whether the list of hosts has been read at least once. */
@@ -195,14 +163,12 @@
 
   /**
    * @param id - ID of a process incarnation.
-   * @returns Whether its host runs another incarnation, which proves that it
-   *     has ended.
+   * @returns Whether its host is known to run a later incarnation, which proves
+   *     that it has ended.
    */
   isReplaced(id: string): boolean {
-    const host = hostOfMember(id);
-    const now =
-      host === this.self.host ? this.self : this.members.get(host)?.member;
-    return now !== undefined && now.id !== id;
+    const isOwn = hostOfMember(id) === this.self.host;
+    return isOwn ? id !== this.self.id : this.incarnations.hasEnded(id);
   }
 
   /**
@@ -243,6 +209,36 @@
     for (const record of this.members.values()) record.updatedAt += byMs;
   }
 
+  private isSending({renewedAt}: MemberRecord): boolean {
+    const silentMs = this.storeTimeMs - renewedAt;
+    return silentMs <= this.heartbeatIntervalMs() * INTERVALS_WHILE_SENDING;
+  }
+
+  /**
+   * Takes back a part of the extension from hosts that have not renewed their
+   * leases in gaps in which others have.
+   */
+  private countSilence(
+    gapMs: number,
+    before: readonly MemberRecord[],
+    sending: readonly MemberRecord[],
+  ): void {
+    const now = new Set(this.members.values());
+    const renewed = sending.filter(record => !now.has(record)).length;
+    if (renewed === 0) return;
+    const silentMs = silentMsIn({
+      gapMs,
+      sending: sending.length,
+      renewed,
+      heartbeatIntervalMs: this.heartbeatIntervalMs(),
+    });
+    for (const record of before) {
+      record.gapsPassedOver++;
+      if (record.gapsPassedOver > MAX_GAPS_EXTENDED)
+        record.updatedAt -= silentMs;
+    }
+  }
+
   private applyRow(row: VersionedRow): void {
     const decoded = decodeJson(row.value, MEMBER);
     if (!decoded.ok) {
@@ -252,56 +248,45 @@
       });
       return;
     }
-    const member = decoded.value;
-    if (this.endedIds.has(member.id)) {
-      this.context.log.event('member-stale', {member: member.id});
-      return;
-    }
-    this.recordIncarnation(row.key, member.id);
-    const {version} = row;
-    this.members.set(row.key, {member, version, updatedAt: this.storeTimeMs});
-  }
-
-  /**
-   * Records a change of incarnation.
-   *
-   * The store may apply a heartbeat seconds late, when its process has ended
-   * and the host runs a new incarnation. The live process would then appear
-   * replaced, and other hosts would take over its jobs. An incarnation that was
-   * followed by another one is therefore never accepted again.
-   */
-  private recordIncarnation(host: string, id: string): void {
-    const previousId = this.members.get(host)?.member.id;
-    if (previousId === id) return;
-    if (previousId !== undefined) this.endedIds.set(previousId, true);
-    this.context.log.event('member-seen', {member: id, before: previousId});
+    const known = this.members.get(row.key);
+    const member = stillLeaving(decoded.value, known?.member);
+    this.heartbeats.notePredecessor(member);
+    const isLive = () => known !== undefined && this.isLive(known);
+    const meaning = this.incarnations.record(member, isLive);
+    this.logMeaning(member, meaning);
+    if (meaning.kind === 'stale') return;
+    this.members.set(row.key, {
+      member,
+      version: row.version,
+      renewedAt: this.storeTimeMs,
+      updatedAt: this.storeTimeMs,
+      gapsPassedOver: 0,
+    });
   }
 
-  /** Sends one heartbeat at a time, so that they do not pile up. */
-  private async sendHeartbeats(): Promise<void> {
-    const {clock} = this.context;
-    while (!this.disposables.disposed) {
-      const startedAt = clock.now();
-      const isSent = await this.sendHeartbeat();
-      const intervalMs =
-        this.heartbeatIntervalMs() / (isSent ? 1 : ATTEMPTS_PER_INTERVAL);
-      const leftMs = startedAt + intervalMs - clock.now();
-      if (leftMs > 0) await sleep(clock, leftMs);
+  private logMeaning(member: Member, meaning: HeartbeatMeaning): void {
+    const {log} = this.context;
+    const {id, startedAtMs} = member;
+    if (meaning.kind === 'new') {
+      const {before} = meaning;
+      log.event('member-seen', {member: id, startedAtMs, before: before?.id});
+    } else if (meaning.kind === 'stale' && meaning.isFirst) {
+      const {current} = meaning;
+      log.event('member-stale', {
+        member: id,
+        startedAtMs,
+        current: current.id,
+        currentStartedAtMs: current.startedAtMs,
+      });
     }
   }
+}
 
-  private async sendHeartbeat(): Promise<boolean> {
-    const ref = {table: MEMBER_TABLE, partition: '', key: this.self.host};
-    const value = encodeJson(
-      this.isLeaving ? {...this.self, isLeaving: true} : this.self,
-    );
-    const written = await this.context.store.transact({
-      expect: [],
-      puts: [{...ref, value}],
-      removes: [],
-    });
-    if (!written.ok)
-      this.context.log.event('heartbeat-failed', {reason: written.err.kind});
-    return written.ok;
-  }
+/**
+ * Guards against a heartbeat that is performed late, from before its process
+ * announced that it is leaving: it never stays after that.
+ */
+function stillLeaving(member: Member, known: Member | undefined): Member {
+  const hasAnnounced = known?.id === member.id && known.isLeaving;
+  return hasAnnounced ? {...member, isLeaving: true} : member;
 }
