The next hosts step in when the first one doesn't claim a job

Cause: only the first host by rendezvous ever claimed a job without a live owner. Where it lacked the head, or was alive and got no claim through, the job lay until its next full read, up to 60 s. Change: the host of rank n may claim n times 2.5 s after the first one (claim_turns.ts, without clock), for four turns; the first one never stops, and after the last host it is the second one's turn again. Each host tracks how long a job has had no live owner, also if it isn't first; the time starts anew with each version of the head, so that a live owner that a host takes for dead keeps its job from the next hosts while it writes.

--- a/packages/jobs/src/lib/process/orphan_search.ts
+++ b/packages/jobs/src/lib/process/orphan_search.ts
@@ -3,13 +3,15 @@
  * them.
  */
 import {
+  ranksWithin,
   rendezvous,
   type Clock,
   type Counters,
   type EventLog,
 } from '@oathead/core';
 import type {Member, Membership} from '@oathead/gateway';
-import type {VersionedHead} from '../request/job_rows.js';
+import type {JobHead, VersionedHead} from '../request/job_rows.js';
+import {claimRanks} from './claim_turns.js';
 import type {KnownHeads} from './known_heads.js';
 import {OrphanReport, type OwnerAbsence} from './orphan_report.js';
 import {OrphanTimes} from './orphan_times.js';
@@ -37,13 +39,6 @@
   owned(): number;
 }
 
-/**
- * How long a job must be without a live owner before another host claims it, in
- * milliseconds, if that host has never seen the owner alive. A host that has
- * just started may show up as the owner of a job before its first heartbeat is
- * seen.
- */
-const ORPHAN_GRACE_MS = 1500;
 /**
  * Maximum number of jobs that are claimed and read at a time. A job must not
  * wait for all others of a lost host, nor must their reads load the store.
@@ -52,7 +47,6 @@
 
 /** Claims jobs without a live owner. */
 export class OrphanSearch {
-  private readonly orphanSince = new Map<string, number>();
   private readonly times = new OrphanTimes();
   private readonly report: OrphanReport;
 
@@ -71,7 +65,6 @@
 
   /** @param id - ID of a job that is closed or gone. */
   forget(id: string): void {
-    this.orphanSince.delete(id);
     this.times.clear(id);
   }
 
@@ -137,14 +130,27 @@
   ): Promise<void> {
     const {id, owner} = found.head;
     if (live.some(member => member.id === owner)) {
-      this.orphanSince.delete(id);
       if (owner === this.self) await this.jobs.adopt(found, 'found');
       return;
     }
     const claimants = staying(live).map(member => member.id);
-    if (rendezvous(id, claimants)[0] !== this.self) return;
-    if (!this.hasEnded(owner) && !this.isOrphan(id)) return;
-    await this.claim(found);
+    if (this.isOwnTurn(found.head, claimants)) await this.claim(found);
+  }
+
+  private isOwnTurn(
+    {id, owner}: JobHead,
+    claimants: readonly string[],
+  ): boolean {
+    const ranks = claimRanks({
+      orphanedForMs: this.times.ageMs(id, this.context.clock.now()),
+      ownerHasEnded: this.hasEnded(owner),
+      hosts: claimants.length,
+    });
+    if (!ranks) return false;
+    const isWithin = (count: number) =>
+      ranksWithin(count, id, this.self, claimants);
+    if (!isWithin(ranks.to)) return false;
+    return ranks.from === 0 || !isWithin(ranks.from) || isWithin(1);
   }
 
   /**
@@ -156,13 +162,6 @@
     return membership.isReplaced(owner) || membership.hasLapsed(owner);
   }
 
-  private isOrphan(id: string): boolean {
-    const now = this.context.clock.now();
-    const since = this.orphanSince.get(id) ?? now;
-    this.orphanSince.set(id, since);
-    return now - since >= ORPHAN_GRACE_MS;
-  }
-
   private async claim(found: VersionedHead): Promise<void> {
     const written = await writeOwner(this.context, found, this.self);
     this.context.log.event('job-claimed', {
