A host's copy of a head only goes forward, by version

Cause: an update's rows were applied first and its removals after them, whatever their versions, and a row always replaced the known one. A job handed in again under the ID of one whose rows had been removed was forgotten if one response told both, and was never adopted at a host that remembered the closed one. Change: KnownHeads compares versions: of heads, of removals, and of closed jobs, which are remembered with their version.

--- a/packages/jobs/src/lib/process/job_ownership.ts
+++ b/packages/jobs/src/lib/process/job_ownership.ts
@@ -101,10 +101,8 @@
    */
   update({put, removed}: TableUpdate): void {
     for (const row of put) this.handleHeadRow(row);
-    for (const {key} of removed) {
-      this.heads.remove(key);
-      this.search.forget(key);
-    }
+    for (const {key, version} of removed)
+      if (this.heads.remove(key, version)) this.search.forget(key);
   }
 
   /** Hands all jobs over to other hosts, for a graceful shutdown. */
@@ -137,7 +135,7 @@
     }
     const head = decoded.value;
     const found = {head, version: row.version};
-    this.heads.put(found);
+    if (!this.heads.put(found)) return;
     if (head.state !== 'open') this.search.forget(head.id);
     if (head.state !== 'open' || head.owner !== this.self) this.release(head);
     else void this.adopt(found, 'handed over');
@@ -164,7 +162,7 @@
     const loaded = await this.loader.loadNewest(found, how === 'accepted');
     this.loading.delete(id);
     if (this.stopping) return this.passOn(this.heads.get(id) ?? found);
-    const job = this.stillOwned(id, how, loaded);
+    const job = this.stillOwned(found, how, loaded);
     if (job) this.own(job, how);
   }
 
@@ -173,10 +171,11 @@
    *   this host's.
    */
   private stillOwned(
-    id: string,
+    found: VersionedHead,
     how: string,
     loaded: Outcome<LoadedJob, LoadError>,
   ): LoadedJob | undefined {
+    const {id} = found.head;
     if (!loaded.ok && loaded.err.kind !== 'other-owner') {
       const {err} = loaded;
       const reason = 'reason' in err ? err.reason : err.kind;
@@ -186,7 +185,7 @@
     // Guards against running items of a cancelled job: it may be cancelled
     // while its items are read, or after a sweep has taken its copy of the
     // heads and before it gets to this job.
-    const isClosed = this.heads.isClosed(id);
+    const isClosed = this.heads.isClosed(loaded.ok ? loaded.value.head : found);
     const isOwn = loaded.ok && loaded.value.head.head.owner === this.self;
     if (!isClosed && isOwn) return loaded.value;
     this.report.dropped(id, how, isClosed ? 'closed' : 'other-owner');
@@ -217,7 +216,7 @@
    */
   private async passOn(found: VersionedHead): Promise<void> {
     const {id, owner} = found.head;
-    if (owner !== this.self || this.heads.isClosed(id)) return;
+    if (owner !== this.self || this.heads.isClosed(found)) return;
     const canPassOn = this.context.membership.peers().some(staysOn);
     const to = canPassOn ? this.ownerForNewJob() : '';
     const written = await writeOwner(this.context, found, to);
--- a/packages/jobs/src/lib/process/orphan_search.ts
+++ b/packages/jobs/src/lib/process/orphan_search.ts
@@ -128,7 +128,7 @@
     found: VersionedHead,
     live: readonly Member[],
   ): Promise<void> {
-    const {id, owner} = found.head;
+    const {owner} = found.head;
     if (live.some(member => member.id === owner)) {
       if (owner === this.self) await this.jobs.adopt(found, 'found');
       return;
