A host learns the newer head from a conflict

Cause: a claim that conflicted threw the row away that it conflicted with. The same where a stopping host passes a job on: it conflicted once and kept the job until its end. Change: writeOwner hands back the head of the conflict, which is applied by version as if the feed had brought it; so are heads that this host has written.

--- a/packages/jobs/src/lib/process/job_ownership.ts
+++ b/packages/jobs/src/lib/process/job_ownership.ts
@@ -53,6 +53,7 @@
     this.report = new AdoptionReport(context);
     this.search = new OrphanSearch(context, this.heads, {
       adopt: (found, how) => this.adopt(found, how),
+      learn: (found, how) => this.learn(found, how),
       owned: () => this.owned.size,
     });
   }
@@ -81,7 +82,7 @@
    * @param accepted - Head as written on acceptance.
    */
   adoptAccepted(accepted: VersionedHead): void {
-    void this.adopt(accepted, 'accepted');
+    void this.learn(accepted, 'accepted');
   }
 
   /**
@@ -133,12 +134,20 @@
       });
       return;
     }
-    const head = decoded.value;
-    const found = {head, version: row.version};
+    const found = {head: decoded.value, version: row.version};
+    void this.learn(found, 'handed over');
+  }
+
+  /**
+   * Applies a head unless a newer one is known, and adopts its job if this host
+   * is the owner.
+   */
+  private async learn(found: VersionedHead, how: string): Promise<void> {
     if (!this.heads.put(found)) return;
-    if (head.state !== 'open') this.search.forget(head.id);
-    if (head.state !== 'open' || head.owner !== this.self) this.release(head);
-    else void this.adopt(found, 'handed over');
+    const {id, state, owner} = found.head;
+    if (state !== 'open') this.search.forget(id);
+    if (state !== 'open' || owner !== this.self) this.release(found.head);
+    else await this.adopt(found, how);
   }
 
   private release(head: JobHead): void {
@@ -225,6 +234,8 @@
       to,
       outcome: written.ok ? 'written' : written.err.kind,
     });
+    const newest = written.ok ? written.value : written.err.newest;
+    if (newest) await this.learn(newest, 'conflict');
   }
 
   private sinceAcceptedMs({acceptedAtMs}: JobHead): number | undefined {
--- a/packages/jobs/src/lib/process/orphan_search.ts
+++ b/packages/jobs/src/lib/process/orphan_search.ts
@@ -35,6 +35,13 @@
    * @param how - How it became the owner.
    */
   adopt(found: VersionedHead, how: string): Promise<void>;
+  /**
+   * Applies a head that the store has told outside of the feed.
+   *
+   * @param found - Head of a job.
+   * @param how - How this host became the owner, if it is.
+   */
+  learn(found: VersionedHead, how: string): Promise<void>;
   /** @returns Number of jobs that this host processes. */
   owned(): number;
 }
@@ -169,7 +176,10 @@
       from: found.head.owner,
       outcome: written.ok ? 'written' : written.err.kind,
     });
-    // Without a response, the watch shows whether the claim was written.
-    if (written.ok) await this.jobs.adopt(written.value, 'claimed');
+    // Without a response, the watch or the next claim, which then conflicts,
+    // shows whether the claim was written.
+    if (written.ok) await this.jobs.learn(written.value, 'claimed');
+    else if (written.err.newest)
+      await this.jobs.learn(written.err.newest, 'conflict');
   }
 }
--- a/packages/jobs/src/lib/process/owner_write.ts
+++ b/packages/jobs/src/lib/process/owner_write.ts
@@ -1,7 +1,7 @@
 /** Writes a new owner into the head of a job that this host does not process. */
 import {failure, success, type Outcome, type Random} from '@oathead/core';
-import {encodeJson, type RowStore, type RowStoreError} from '@oathead/stores';
-import {headRef, type VersionedHead} from '../request/job_rows.js';
+import {encodeJson, type RowStore} from '@oathead/stores';
+import {headIn, headRef, type VersionedHead} from '../request/job_rows.js';
 
 /** Dependencies of {@link writeOwner}. */
 export interface OwnerWriteContext {
@@ -9,6 +9,14 @@
   readonly random: Random;
 }
 
+/** Why a new owner may not be written. */
+export interface OwnerWriteError {
+  /** Kind of the store's error. */
+  readonly kind: string;
+  /** The head that the store has instead of the expected one, if it told. */
+  readonly newest?: VersionedHead | undefined;
+}
+
 /**
  * Writes a new owner once.
  *
@@ -21,7 +29,7 @@
   {store, random}: OwnerWriteContext,
   {head, version}: VersionedHead,
   owner: string,
-): Promise<Outcome<VersionedHead, RowStoreError>> {
+): Promise<Outcome<VersionedHead, OwnerWriteError>> {
   const next = {...head, owner, nonce: random.id()};
   const ref = headRef(head.id);
   const written = await store.transact({
@@ -29,6 +37,9 @@
     puts: [{...ref, value: encodeJson(next)}],
     removes: [],
   });
-  if (!written.ok) return failure(written.err);
-  return success({head: next, version: written.value.version});
+  if (written.ok) return success({head: next, version: written.value.version});
+  const {err} = written;
+  const newest =
+    err.kind === 'conflict' ? headIn(err.rows, head.id) : undefined;
+  return failure({kind: err.kind, newest});
 }
--- a/packages/jobs/src/lib/request/job_rows.ts
+++ b/packages/jobs/src/lib/request/job_rows.ts
@@ -6,7 +6,7 @@
  * of each partition.
  */
 import {hash32} from '@oathead/core';
-import type {RowRef} from '@oathead/stores';
+import {decodeJson, type RowRef, type VersionedRow} from '@oathead/stores';
 import {z} from 'zod';
 
 /** Heads: one small row per job, which holds its state. */
@@ -111,6 +111,23 @@
   return {table: HEAD_TABLE, partition: partitionOf(jobId), key: jobId};
 }
 
+/**
+ * @param rows - Rows of a conflict.
+ * @param jobId - ID of the job.
+ * @returns The job's head among them; undefined if it is missing or cannot be
+ *   decoded.
+ */
+export function headIn(
+  rows: readonly VersionedRow[],
+  jobId: string,
+): VersionedHead | undefined {
+  const row = rows.find(
+    ({table, key}) => table === HEAD_TABLE && key === jobId,
+  );
+  const head = row && decodeJson(row.value, JOB_HEAD);
+  return head?.ok ? {head: head.value, version: row!.version} : undefined;
+}
+
 /**
  * @param table - A table with several rows per job.
  * @param jobId - ID of the job.
--- a/packages/jobs/src/test/fakes/ownership_fleet.ts
+++ b/packages/jobs/src/test/fakes/ownership_fleet.ts
@@ -43,7 +43,7 @@
   readonly store?: RowStore;
   readonly reader?: JobReader;
   /** Whether the host's feed skips the row of this version. */
-  readonly skips?: (jobId: string, version: number) => boolean;
+  readonly skips?: (version: number) => boolean;
 }
 
 /** A host of the fleet. */
@@ -93,7 +93,7 @@
     this.version = version;
     const put = changes
       .flatMap(change => (change.kind === 'put' ? change.row : []))
-      .filter(row => !this.options.skips?.(row.key, row.version));
+      .filter(row => !this.options.skips?.(row.version));
     this.ownership.update({put, removed: [], storeTimeMs});
   }
 
