A host that loses a job learns the head that it lost it to

Change: HeadWriter keeps the head of the conflict; a closed OwnedJob leaves its newest head in the host's copy.

--- a/packages/jobs/src/lib/process/head_writer.ts
+++ b/packages/jobs/src/lib/process/head_writer.ts
@@ -13,7 +13,6 @@
   type Random,
 } from '@oathead/core';
 import {
-  decodeJson,
   encodeJson,
   type ExpectedRow,
   type RowPut,
@@ -22,9 +21,8 @@
 } from '@oathead/stores';
 import type {StoreLimits} from '../request/job_content.js';
 import {
-  HEAD_TABLE,
+  headIn,
   headRef,
-  JOB_HEAD,
   type JobHead,
   type VersionedHead,
 } from '../request/job_rows.js';
@@ -68,6 +66,9 @@
 
 /** Writes the head of one job. Writes must not overlap. */
 export class HeadWriter {
+  /** The head with which the last write conflicted. */
+  private foreign: VersionedHead | undefined;
+
   /**
    * @param context - Store, clock and randomness.
    * @param current - Head that makes this host the owner.
@@ -84,6 +85,12 @@
     return this.current.head;
   }
 
+  /** The newest head that is known to be stored, whichever host wrote it. */
+  get newest(): VersionedHead {
+    const {foreign, current} = this;
+    return foreign && foreign.version > current.version ? foreign : current;
+  }
+
   /**
    * Writes the head and retries until the store reports the outcome.
    *
@@ -160,15 +167,13 @@
     next: JobHead,
     rows: readonly VersionedRow[],
   ): Outcome<void, HeadWriteError> {
-    const row = rows.find(
-      ({table, key}) => table === HEAD_TABLE && key === next.id,
-    );
-    if (row?.version === this.current.version)
+    const found = headIn(rows, next.id);
+    if (found?.version === this.current.version)
       return failure({kind: 'basis-changed'});
-    const head = row && decodeJson(row.value, JOB_HEAD);
-    if (row && head?.ok && head.value.nonce === next.nonce)
-      return this.adopt(next, row.version);
-    return failure(this.ownershipLost(head?.ok ? head.value : undefined));
+    if (found?.head.nonce === next.nonce)
+      return this.adopt(next, found.version);
+    this.foreign = found;
+    return failure(this.ownershipLost(found?.head));
   }
 
   private adopt(head: JobHead, version: number): Outcome<void, never> {
--- a/packages/jobs/src/lib/process/item_work.ts
+++ b/packages/jobs/src/lib/process/item_work.ts
@@ -113,3 +113,20 @@
   const latestFirst = runs.map(({target}) => target).reverse();
   return [...new Set(latestFirst)].reverse();
 }
+
+/**
+ * @param known - Counts of failed or doubtful runs by item index.
+ * @param failed - Items of which another run has failed.
+ * @param kind - Which of the two counts.
+ * @returns The counts with those of the items.
+ */
+export function withCounts(
+  known: Readonly<Record<string, number>> | undefined,
+  failed: readonly ItemWork[],
+  kind: 'failures' | 'doubts',
+): Readonly<Record<string, number>> {
+  const counts: Record<string, number> = {...known};
+  for (const work of failed)
+    if (work[kind] > 0) counts[work.index] = work[kind];
+  return counts;
+}
--- a/packages/jobs/src/lib/process/job_ownership.ts
+++ b/packages/jobs/src/lib/process/job_ownership.ts
@@ -143,13 +143,20 @@
    * is the owner.
    */
   private async learn(found: VersionedHead, how: string): Promise<void> {
-    if (!this.heads.put(found)) return;
-    const {id, state, owner} = found.head;
-    if (state !== 'open') this.search.forget(id);
+    if (!this.record(found)) return;
+    const {state, owner} = found.head;
     if (state !== 'open' || owner !== this.self) this.release(found.head);
     else await this.adopt(found, how);
   }
 
+  /** @returns Whether the head is newer than the known one. */
+  private record(found: VersionedHead): boolean {
+    const isNewer = this.heads.put(found);
+    const {id, state} = found.head;
+    if (isNewer && state !== 'open') this.search.forget(id);
+    return isNewer;
+  }
+
   private release(head: JobHead): void {
     const job = this.owned.get(head.id);
     // The watch may report this owner's own last write before the store's
@@ -213,7 +220,10 @@
       sinceAcceptedMs: this.sinceAcceptedMs(head.head),
       resumed: work.filter(({inheritedTexts}) => inheritedTexts > 0).length,
     });
-    const drop = (job: OwnedJob) => this.owned.delete(job.head.id);
+    const drop = (job: OwnedJob) => {
+      this.owned.delete(id);
+      this.record(job.newestHead);
+    };
     this.owned.set(id, new OwnedJob(this.context, head, work, drop));
   }
 
--- a/packages/jobs/src/lib/process/owned_job.ts
+++ b/packages/jobs/src/lib/process/owned_job.ts
@@ -15,7 +15,7 @@
 } from '../request/job_rows.js';
 import {HeadWriter, type HeadWriterContext} from './head_writer.js';
 import {reportListedItem, type ItemReportContext} from './item_report.js';
-import type {ItemWork} from './item_work.js';
+import {withCounts, type ItemWork} from './item_work.js';
 
 /** Dependencies of an {@link OwnedJob}. */
 export interface OwnedJobContext extends HeadWriterContext, ItemReportContext {
@@ -129,6 +129,11 @@
     return this.writer.head;
   }
 
+  /** The newest head that is known to be stored, whichever host wrote it. */
+  get newestHead(): VersionedHead {
+    return this.writer.newest;
+  }
+
   /**
    * Time at which the results are due, on the store's clock in milliseconds.
    */
@@ -476,14 +481,3 @@
     return undefined;
   }
 }
-
-function withCounts(
-  known: JobHead['doubts'],
-  failed: readonly ItemWork[],
-  kind: 'failures' | 'doubts',
-): JobHead['failures'] {
-  const counts = {...known};
-  for (const work of failed)
-    if (work[kind] > 0) counts[work.index] = work[kind];
-  return counts;
-}
--- a/packages/jobs/src/test/fakes/ownership_fleet.ts
+++ b/packages/jobs/src/test/fakes/ownership_fleet.ts
@@ -38,6 +38,15 @@
   allResults: async () => success([]),
 } as unknown as JobReader;
 
+/** A job with one item and no results. */
+export const ONE_ITEM_READER = {
+  items: async () =>
+    success([
+      {id: 'i', path: '/', headers: {}, body: new Uint8Array(), tokens: 1},
+    ]),
+  allResults: async () => success([]),
+} as unknown as JobReader;
+
 /** How a host of the fleet differs from the others. */
 export interface FleetHostOptions {
   readonly store?: RowStore;
--- a/packages/jobs/src/test/process/ownership_conflict_test.ts
+++ b/packages/jobs/src/test/process/ownership_conflict_test.ts
@@ -2,7 +2,11 @@
 import {failure} from '@oathead/core';
 import {MemoryRowStore, type RowTransaction} from '@oathead/stores';
 import test from 'ava';
-import {OPEN_JOB, OwnershipFleet} from '../fakes/ownership_fleet.js';
+import {
+  ONE_ITEM_READER,
+  OPEN_JOB,
+  OwnershipFleet,
+} from '../fakes/ownership_fleet.js';
 import {VirtualClock} from '../fakes/virtual_clock.js';
 
 /** Time of some sweeps, in milliseconds. */
@@ -82,3 +86,23 @@
     ['conflict', 'written'],
   );
 });
+
+// Guards against a job that two hosts work on: a host whose feed had skipped the
+// row of the new owner lost the job at its next write, and adopted it again
+// under its old copy of the head, up to a minute.
+test('a host that loses a job does not adopt it again', async t => {
+  using fleet = new OwnershipFleet();
+  const found = await fleet.write({...OPEN_JOB, owner: 'a'});
+  const host = fleet.add('a', {
+    reader: ONE_ITEM_READER,
+    skips: version => version > found.version,
+  });
+  fleet.add('b', {skips: () => true});
+  await fleet.advance(SWEEPS_MS);
+  await fleet.write({...OPEN_JOB, owner: 'b', nonce: 'claim'});
+  const [job] = [...host.ownership.jobs()];
+  job!.succeed(job!.work[0]!);
+  await fleet.advance(SWEEPS_MS);
+  t.is(host.lines('job-lost').length, 1);
+  t.is(host.lines('job-adopted').length, 1);
+});
