A submission learns from its conflict which head is stored

Cause: a submission whose first response was lost conflicted with its own write and counted as accepted without it, so that its owner, this very host, relied on its feed to tell it of the job; so did a job submitted again after no attempt had got a response. Change: JobIntake reads the head of the conflict. With the nonce of this submission it was written by it; any other is handed on as found and applied by version: an owner adopts the job, another host knows it, also if an earlier incarnation owned it.

--- a/packages/jobs/src/lib/process/job_ownership.ts
+++ b/packages/jobs/src/lib/process/job_ownership.ts
@@ -85,6 +85,16 @@
     void this.learn(accepted, 'accepted');
   }
 
+  /**
+   * Applies the head of a job that was submitted again. Guards against a job
+   * that rests since the feed of its owner has skipped it.
+   *
+   * @param found - Head as the store told it.
+   */
+  learnSubmitted(found: VersionedHead): void {
+    void this.learn(found, 'submitted again');
+  }
+
   /**
    * @returns Owner of a job that is accepted now: this host, or another host
    *   during shutdown.
--- a/packages/jobs/src/lib/request/job_intake.ts
+++ b/packages/jobs/src/lib/request/job_intake.ts
@@ -17,12 +17,21 @@
   type StoreLimits,
   type StoredObject,
 } from './job_content.js';
-import {headRef, type JobHead, type VersionedHead} from './job_rows.js';
+import {headIn, headRef, type JobHead, type VersionedHead} from './job_rows.js';
 
 /** Outcome of submitting a job. */
 export type IntakeResult =
-  /** The job is stored; `written` is set if this call wrote its head. */
-  | {readonly kind: 'accepted'; readonly written?: VersionedHead}
+  /** The job is stored. */
+  | {
+      readonly kind: 'accepted';
+      /** The head of the job, if this call wrote it. */
+      readonly written?: VersionedHead;
+      /**
+       * The head of the job as the store told it, if another submission wrote
+       * it, here or at another host, or it has changed since this call wrote it.
+       */
+      readonly found?: VersionedHead | undefined;
+    }
   /** Nothing was written and nothing will be. */
   | {readonly kind: 'refused'; readonly reason: string}
   /** The job may have been accepted. */
@@ -158,7 +167,8 @@
    * Writes the head and the content rows. Guards against lost responses: the
    * same write is sent again. It takes effect at most once, since it expects
    * that there is no head. A head that exists already belongs to the same job,
-   * whichever attempt wrote it.
+   * whichever attempt wrote it; if it carries the nonce of this write, an
+   * earlier attempt of it did.
    */
   private async write(
     head: JobHead,
@@ -173,7 +183,12 @@
         const {version} = done.value;
         return {kind: 'accepted', written: {head, version}};
       }
-      if (done.err.kind === 'conflict') return {kind: 'accepted'};
+      if (done.err.kind === 'conflict') {
+        const found = headIn(done.err.rows, head.id);
+        return found?.head.nonce === head.nonce
+          ? {kind: 'accepted', written: found}
+          : {kind: 'accepted', found};
+      }
       if (done.err.kind === 'unknown') mayBeApplied = true;
       reason = done.err.kind;
     }
--- a/packages/jobs/src/test/process/ownership_conflict_test.ts
+++ b/packages/jobs/src/test/process/ownership_conflict_test.ts
@@ -106,3 +106,15 @@
   t.is(host.lines('job-lost').length, 1);
   t.is(host.lines('job-adopted').length, 1);
 });
+
+// Guards against a job that rests although its caller submits it again to its
+// owner, whose feed had skipped it.
+test('a host adopts its own job when it is submitted again', async t => {
+  using fleet = new OwnershipFleet();
+  const found = await fleet.write({...OPEN_JOB, owner: 'a'});
+  const host = fleet.add('a', {skips: () => true});
+  host.ownership.learnSubmitted(found);
+  host.ownership.learnSubmitted(found);
+  await fleet.advance(SWEEPS_MS);
+  t.like(host.lines('job-adopted'), [{job: 'j', how: 'submitted again'}]);
+});
--- a/packages/serving/src/lib/process/serving_components.ts
+++ b/packages/serving/src/lib/process/serving_components.ts
@@ -361,10 +361,12 @@
     cancel: jobId => cancelJob(context, jobId),
     submit: async submission => {
       const result = await intake.accept(submission);
-      if (result.kind === 'accepted' && result.written) {
+      if (result.kind !== 'accepted') return result;
+      const {written, found} = result;
+      if (written) {
         reader.cacheItems(submission.id, submission.items);
-        jobOwnership.adoptAccepted(result.written);
-      }
+        jobOwnership.adoptAccepted(written);
+      } else if (found) jobOwnership.learnSubmitted(found);
       return result;
     },
   };
