The content of a job is read in as many pages as the store returns

Cause: loadContent took the first page for the whole. Content over one page counted as incomplete at each attempt, so the job could never be run by a host that had not accepted it. Change: it reads on while there are more rows, as the partial texts are read.

--- a/packages/jobs/src/lib/request/job_content.ts
+++ b/packages/jobs/src/lib/request/job_content.ts
@@ -14,6 +14,7 @@
 import type {JobItem} from './job.js';
 import {
   CONTENT_TABLE,
+  indexOfKey,
   jobRowRange,
   jobRowRef,
   type JobHead,
@@ -122,9 +123,17 @@
 
 const LOADERS: Readonly<Record<JobHead['content']['kind'], Loader>> = {
   async rows(store, head) {
-    const page = await store.read(jobRowRange(CONTENT_TABLE, head.id));
-    if (!page.ok) return page;
-    return success(page.value.rows.map(row => row.value));
+    const pieces: Uint8Array[] = [];
+    for (let from = 0; ;) {
+      const range = jobRowRange(CONTENT_TABLE, head.id, from);
+      const page = await store.read(range);
+      if (!page.ok) return page;
+      const {rows, hasMore} = page.value;
+      pieces.push(...rows.map(row => row.value));
+      const last = rows.at(-1);
+      if (!hasMore || !last) return success(pieces);
+      from = indexOfKey(last.key) + 1;
+    }
   },
   async objects(store, head) {
     const pieces: Uint8Array[] = [];
