A job whose rows throw holds up neither the process nor other jobs

Cause: an exception while a job was read left its ID in the set of jobs that are being read, so it was never tried again, and became an unhandled rejection, which ends the process: of each host in turn that takes the job over. One in a handover ended the handover of all jobs.

--- a/packages/jobs/src/lib/process/job_ownership.ts
+++ b/packages/jobs/src/lib/process/job_ownership.ts
@@ -6,7 +6,6 @@
   DisposableStore,
   rendezvous,
   repeat,
-  type Clock,
   type Counters,
   type Outcome,
 } from '@oathead/core';
@@ -54,6 +53,7 @@
     this.search = new OrphanSearch(context, this.heads, {
       adopt: (found, how) => this.adopt(found, how),
       learn: (found, how) => this.learn(found, how),
+      recordFailure: (id, how, reason) => this.report.failed(id, how, reason),
       owned: () => this.owned.size,
     });
   }
@@ -61,7 +61,7 @@
   /** Starts the periodic search for orphaned jobs. */
   start(): void {
     this.disposables.add(
-      repeat(this.clock, SWEEP_INTERVAL_MS, () => this.search.sweep()),
+      repeat(this.context.clock, SWEEP_INTERVAL_MS, () => this.search.sweep()),
     );
   }
 
@@ -122,13 +122,22 @@
     this.disposables[Symbol.dispose]();
     const peers = staying(this.context.membership.peers()).map(({id}) => id);
     const jobs = [...this.owned.values()];
-    await Promise.all(
-      jobs.map(job => job.handOver(rendezvous(job.head.id, peers)[0] ?? '')),
-    );
+    await Promise.all(jobs.map(job => this.handOver(job, peers)));
   }
 
-  private get clock(): Clock {
-    return this.context.clock;
+  private async handOver(
+    job: OwnedJob,
+    peers: readonly string[],
+  ): Promise<void> {
+    const {id} = job.head;
+    try {
+      await job.handOver(rendezvous(id, peers)[0] ?? '');
+    } catch (err) {
+      this.context.log.event('job-hand-over-failed', {
+        job: id,
+        error: String(err),
+      });
+    }
   }
 
   private get self(): string {
@@ -180,18 +189,43 @@
     job[Symbol.dispose]();
   }
 
+  /**
+   * Adopts a job unless this host processes or reads it already. Guards against
+   * a job that ends each process that takes it over: if its rows throw, the
+   * next sweep tries again.
+   */
   private async adopt(found: VersionedHead, how: string): Promise<void> {
     const {id} = found.head;
     if (this.owned.has(id) || this.loading.has(id)) return;
+    try {
+      await this.readAndOwn(found, how);
+    } catch (err) {
+      this.report.failed(id, how, String(err));
+    }
+  }
+
+  private async readAndOwn(found: VersionedHead, how: string): Promise<void> {
+    const {id} = found.head;
     if (this.stopping) return this.passOn(found);
-    this.loading.add(id);
-    const loaded = await this.loader.loadNewest(found, how === 'accepted');
-    this.loading.delete(id);
+    const loaded = await this.load(found, how);
     if (this.stopping) return this.passOn(this.heads.get(id) ?? found);
     const job = this.stillOwned(found, how, loaded);
     if (job) this.own(job, how);
   }
 
+  private async load(
+    found: VersionedHead,
+    how: string,
+  ): Promise<Outcome<LoadedJob, LoadError>> {
+    const {id} = found.head;
+    this.loading.add(id);
+    try {
+      return await this.loader.loadNewest(found, how === 'accepted');
+    } finally {
+      this.loading.delete(id);
+    }
+  }
+
   /**
    * @returns The job that was read, unless it could not be read or is no longer
    *   this host's.
--- a/packages/jobs/src/lib/process/orphan_search.ts
+++ b/packages/jobs/src/lib/process/orphan_search.ts
@@ -42,6 +42,14 @@
    * @param how - How this host became the owner, if it is.
    */
   learn(found: VersionedHead, how: string): Promise<void>;
+  /**
+   * Reports an attempt to take up a job that has thrown.
+   *
+   * @param id - ID of the job.
+   * @param how - What was tried.
+   * @param reason - The error.
+   */
+  recordFailure(id: string, how: string, reason: string): void;
   /** @returns Number of jobs that this host processes. */
   owned(): number;
 }
@@ -141,7 +149,12 @@
       return;
     }
     const claimants = staying(live).map(member => member.id);
-    if (this.isOwnTurn(found.head, claimants)) await this.claim(found);
+    if (!this.isOwnTurn(found.head, claimants)) return;
+    try {
+      await this.claim(found);
+    } catch (err) {
+      this.jobs.recordFailure(found.head.id, 'claimed', String(err));
+    }
   }
 
   private isOwnTurn(
