--- a/packages/jobs/src/lib/process/job_loader.ts
+++ b/packages/jobs/src/lib/process/job_loader.ts
@@ -37,6 +37,8 @@
 
 /** Reads jobs for their owner. */
 export class JobLoader {
+  private readonly loading = new Set<string>();
+
   /**
    * @param context - The store and a reader of jobs.
    * @param self - Member ID of this host.
@@ -49,21 +51,45 @@
   ) {}
 
   /**
-   * Reads the items again if the head has changed meanwhile. Guards against
-   * results and failed runs that another owner recorded while they were read.
-   * Under the newer head, this host could list an item a second time.
+   * @param id - ID of a job.
+   * @returns Whether it is being read.
+   */
+  isLoading(id: string): boolean {
+    return this.loading.has(id);
+  }
+
+  /**
+   * Reads a job.
    *
    * @param found - Head that makes this host the owner.
    * @param isNew - Whether this host has just accepted the job, so that it has
    *   no results.
    * @returns The newest head and the items that are left under it.
    */
-  async loadNewest(
+  async load(
+    found: VersionedHead,
+    isNew: boolean,
+  ): Promise<Outcome<LoadedJob, LoadError>> {
+    const {id} = found.head;
+    this.loading.add(id);
+    try {
+      return await this.loadNewest(found, isNew);
+    } finally {
+      this.loading.delete(id);
+    }
+  }
+
+  /**
+   * Reads the items again if the head has changed meanwhile. Guards against
+   * results and failed runs that another owner recorded while they were read.
+   * Under the newer head, this host could list an item a second time.
+   */
+  private async loadNewest(
     found: VersionedHead,
     isNew: boolean,
   ): Promise<Outcome<LoadedJob, LoadError>> {
     for (let head = found; ;) {
-      const work = await this.load(head.head, isNew && head === found);
+      const work = await this.itemsLeft(head.head, isNew && head === found);
       if (!work.ok) return work;
       const newest = this.newestHead(found.head.id);
       if (!newest || newest.version <= head.version)
@@ -75,7 +101,7 @@
   }
 
   /** @returns The items without a result. */
-  private async load(
+  private async itemsLeft(
     head: JobHead,
     isNew: boolean,
   ): Promise<Outcome<readonly ItemWork[], JobReadError>> {
--- a/packages/jobs/src/lib/process/job_ownership.ts
+++ b/packages/jobs/src/lib/process/job_ownership.ts
@@ -1,6 +1,6 @@
 /**
- * Determines which jobs this host owns: jobs it has accepted, jobs handed over
- * to it, and its share of the jobs whose owner's lease has expired.
+ * Tracks the jobs that this host owns: those it has accepted, those handed over
+ * to it, and its share of those whose owner is not alive.
  */
 import {
   DisposableStore,
@@ -35,12 +35,11 @@
 /** Interval between checks for orphaned jobs, in milliseconds. */
 const SWEEP_INTERVAL_MS = 500;
 
-/** Tracks the jobs that this host owns. */
+/** The jobs that this host owns. */
 export class JobOwnership implements Disposable {
   private readonly disposables = new DisposableStore();
   private readonly heads = new KnownHeads();
   private readonly owned = new Map<string, OwnedJob>();
-  private readonly loading = new Set<string>();
   private readonly loader: JobLoader;
   private readonly search: OrphanSearch;
   private readonly report: AdoptionReport;
@@ -50,12 +49,14 @@
   constructor(private readonly context: JobOwnershipContext) {
     this.loader = new JobLoader(context, this.self, id => this.heads.get(id));
     this.report = new AdoptionReport(context);
-    this.search = new OrphanSearch(context, this.heads, {
+    const search = new OrphanSearch(context, this.heads, {
       adopt: (found, how) => this.adopt(found, how),
       learn: (found, how) => this.learn(found, how),
       recordFailure: (id, how, reason) => this.report.failed(id, how, reason),
+      isHeld: id => this.isHeld(id),
       owned: () => this.owned.size,
     });
+    this.search = this.disposables.add(search);
   }
 
   /** Starts the periodic search for orphaned jobs. */
@@ -140,6 +141,10 @@
     }
   }
 
+  private isHeld(id: string): boolean {
+    return this.owned.has(id) || this.loader.isLoading(id);
+  }
+
   private get self(): string {
     return this.context.membership.self.id;
   }
@@ -170,10 +175,9 @@
 
   /** @returns Whether the head is newer than the known one. */
   private record(found: VersionedHead): boolean {
-    const isNewer = this.heads.put(found);
-    const {id, state} = found.head;
-    if (isNewer && state !== 'open') this.search.forget(id);
-    return isNewer;
+    if (!this.heads.put(found)) return false;
+    if (found.head.state !== 'open') this.search.forget(found.head.id);
+    return true;
   }
 
   private release(head: JobHead): void {
@@ -196,7 +200,7 @@
    */
   private async adopt(found: VersionedHead, how: string): Promise<void> {
     const {id} = found.head;
-    if (this.owned.has(id) || this.loading.has(id)) return;
+    if (this.isHeld(id)) return;
     try {
       await this.readAndOwn(found, how);
     } catch (err) {
@@ -205,27 +209,14 @@
   }
 
   private async readAndOwn(found: VersionedHead, how: string): Promise<void> {
-    const {id} = found.head;
     if (this.stopping) return this.passOn(found);
-    const loaded = await this.load(found, how);
-    if (this.stopping) return this.passOn(this.heads.get(id) ?? found);
+    const loaded = await this.loader.load(found, how === 'accepted');
+    if (this.stopping)
+      return this.passOn(this.heads.get(found.head.id) ?? found);
     const job = this.stillOwned(found, how, loaded);
     if (job) this.own(job, how);
   }
 
-  private async load(
-    found: VersionedHead,
-    how: string,
-  ): Promise<Outcome<LoadedJob, LoadError>> {
-    const {id} = found.head;
-    this.loading.add(id);
-    try {
-      return await this.loader.loadNewest(found, how === 'accepted');
-    } finally {
-      this.loading.delete(id);
-    }
-  }
-
   /**
    * @returns The job that was read, unless it could not be read or is no longer
    *   this host's.
@@ -264,9 +255,9 @@
       sinceAcceptedMs: this.sinceAcceptedMs(head.head),
       resumed: work.filter(({inheritedTexts}) => inheritedTexts > 0).length,
     });
-    const drop = (job: OwnedJob) => {
+    const drop = ({newestHead}: OwnedJob) => {
       this.owned.delete(id);
-      this.record(job.newestHead);
+      this.record(newestHead);
     };
     this.owned.set(id, new OwnedJob(this.context, head, work, drop));
   }
--- a/packages/jobs/src/lib/process/orphan_search.ts
+++ b/packages/jobs/src/lib/process/orphan_search.ts
@@ -3,15 +3,17 @@
  * them.
  */
 import {
+  DisposableStore,
   ranksWithin,
   rendezvous,
   type Clock,
   type Counters,
   type EventLog,
 } from '@oathead/core';
-import type {Member, Membership} from '@oathead/gateway';
+import type {Membership} from '@oathead/gateway';
 import type {JobHead, VersionedHead} from '../request/job_rows.js';
 import {claimRanks} from './claim_turns.js';
+import {JobPool} from './job_pool.js';
 import type {KnownHeads} from './known_heads.js';
 import {OrphanReport, type OwnerAbsence} from './orphan_report.js';
 import {OrphanTimes} from './orphan_times.js';
@@ -50,18 +52,27 @@
    * @param reason - The error.
    */
   recordFailure(id: string, how: string, reason: string): void;
+  /**
+   * @param id - ID of a job.
+   * @returns Whether this host processes or reads it.
+   */
+  isHeld(id: string): boolean;
   /** @returns Number of jobs that this host processes. */
   owned(): number;
 }
 
 /**
- * Maximum number of jobs that are claimed and read at a time. A job must not
- * wait for all others of a lost host, nor must their reads load the store.
+ * Maximum number of jobs that are claimed and read at a time, and of those that
+ * this host owns and reads again. A job must not wait for all others of a lost
+ * host, nor must their reads load the store.
  */
 const MAX_CONCURRENT_CLAIMS = 4;
 
 /** Claims jobs without a live owner. */
-export class OrphanSearch {
+export class OrphanSearch implements Disposable {
+  private readonly disposables = new DisposableStore();
+  private readonly claims: JobPool;
+  private readonly reads: JobPool;
   private readonly times = new OrphanTimes();
   private readonly report: OrphanReport;
 
@@ -76,6 +87,17 @@
     private readonly jobs: OwnJobs,
   ) {
     this.report = new OrphanReport(context);
+    this.claims = this.disposables.add(
+      new JobPool(MAX_CONCURRENT_CLAIMS, found => this.claim(found)),
+    );
+    this.reads = this.disposables.add(
+      new JobPool(MAX_CONCURRENT_CLAIMS, found => jobs.adopt(found, 'found')),
+    );
+  }
+
+  /** Claims nothing more. */
+  [Symbol.dispose](): void {
+    this.disposables[Symbol.dispose]();
   }
 
   /** @param id - ID of a job that is closed or gone. */
@@ -83,31 +105,36 @@
     this.times.clear(id);
   }
 
-  /** Looks at all jobs once; resolves when the share of this host is read. */
-  async sweep(): Promise<void> {
+  /** Looks at all jobs once, and begins to claim the share of this host. */
+  sweep(): void {
     const {membership} = this.context;
     if (!membership.isInitialized) return;
     const live = membership.live();
-    this.noteOrphans(live);
-    const heads = [...this.heads.all()].values();
-    const takeShare = async () => {
-      for (const found of heads) await this.takeUp(found, live);
-    };
-    await Promise.all(Array.from({length: MAX_CONCURRENT_CLAIMS}, takeShare));
+    const liveIds = new Set(live.map(({id}) => id));
+    const claimants = staying(live).map(({id}) => id);
+    const now = this.context.clock.now();
+    const orphans: VersionedHead[] = [];
+    const own: VersionedHead[] = [];
+    for (const found of this.heads.all()) {
+      const {id, owner} = found.head;
+      if (!liveIds.has(owner)) {
+        this.noteOrphan(found, now, claimants);
+        if (this.isOwnTurn(found.head, now, claimants)) orphans.push(found);
+        continue;
+      }
+      this.times.clear(id);
+      if (owner === this.self && !this.jobs.isHeld(id)) own.push(found);
+    }
+    this.claims.offer(orphans);
+    this.reads.offer(own);
+    this.summarize(now);
   }
 
   private get self(): string {
     return this.context.membership.self.id;
   }
 
-  private noteOrphans(live: readonly Member[]): void {
-    const now = this.context.clock.now();
-    const liveIds = new Set(live.map(({id}) => id));
-    for (const found of this.heads.all()) {
-      const {id, owner} = found.head;
-      if (liveIds.has(owner)) this.times.clear(id);
-      else if (this.times.note(found, now)) this.reportOrphan(found, now, live);
-    }
+  private summarize(now: number): void {
     if (this.times.size === 0) return;
     this.report.summarize(now, () => ({
       open: this.heads.size,
@@ -117,15 +144,16 @@
     }));
   }
 
-  private reportOrphan(
-    {head: {id, owner}, version}: VersionedHead,
+  private noteOrphan(
+    found: VersionedHead,
     now: number,
-    live: readonly Member[],
+    claimants: readonly string[],
   ): void {
-    const absence = this.absenceOf(owner);
-    const orphan = {job: id, owner, version, absence};
+    if (!this.times.note(found, now)) return;
+    const {id, owner} = found.head;
+    const {version} = found;
+    const orphan = {job: id, owner, version, absence: this.absenceOf(owner)};
     this.report.found(orphan, now, () => {
-      const claimants = staying(live).map(member => member.id);
       const order = rendezvous(id, claimants);
       const rank = order.indexOf(this.self);
       return {first: order[0] ?? '', rank, hosts: order.length};
@@ -139,30 +167,13 @@
     return membership.hasLapsed(owner) ? 'lapsed' : 'unknown';
   }
 
-  private async takeUp(
-    found: VersionedHead,
-    live: readonly Member[],
-  ): Promise<void> {
-    const {owner} = found.head;
-    if (live.some(member => member.id === owner)) {
-      if (owner === this.self) await this.jobs.adopt(found, 'found');
-      return;
-    }
-    const claimants = staying(live).map(member => member.id);
-    if (!this.isOwnTurn(found.head, claimants)) return;
-    try {
-      await this.claim(found);
-    } catch (err) {
-      this.jobs.recordFailure(found.head.id, 'claimed', String(err));
-    }
-  }
-
   private isOwnTurn(
     {id, owner}: JobHead,
+    now: number,
     claimants: readonly string[],
   ): boolean {
     const ranks = claimRanks({
-      orphanedForMs: this.times.ageMs(id, this.context.clock.now()),
+      orphanedForMs: this.times.ageMs(id, now),
       ownerHasEnded: this.hasEnded(owner),
       hosts: claimants.length,
     });
@@ -183,6 +194,17 @@
   }
 
   private async claim(found: VersionedHead): Promise<void> {
+    const {id} = found.head;
+    // The head may have changed while the job waited.
+    if (this.heads.get(id)?.version !== found.version) return;
+    try {
+      await this.writeClaim(found);
+    } catch (err) {
+      this.jobs.recordFailure(id, 'claimed', String(err));
+    }
+  }
+
+  private async writeClaim(found: VersionedHead): Promise<void> {
     const written = await writeOwner(this.context, found, this.self);
     this.context.log.event('job-claimed', {
       job: found.head.id,
