A job isn't adopted on results that are older than its head

Cause: a new owner took the results that it read for all there were. A response older than the head that the host goes by has fewer than the head counts; the owner would run those items again and list them a second time.

--- a/packages/jobs/src/lib/process/job_loader.ts
+++ b/packages/jobs/src/lib/process/job_loader.ts
@@ -110,6 +110,10 @@
     if (!items.ok) return items;
     const results = isNew ? undefined : await reader.allResults(head.id);
     if (results && !results.ok) return results;
+    // Guards against an item that is listed twice, from a response that is older
+    // than the head.
+    if (results && results.value.length < head.listed)
+      return failure({kind: 'unsure', reason: 'results older than the head'});
     const listed = new Set(results?.value.map(({id}) => id));
     const partials = isNew ? new Map() : await this.partials(head);
     const work = items.value
