A host claims those jobs first of which it comes first

Cause: hosts that step in for each other went through the jobs in the same order, so that most of their claims were in vain when all had more jobs to claim than they could in a turn. Change: what a host comes first for goes before what it steps in for.

--- a/packages/jobs/src/lib/process/orphan_search.ts
+++ b/packages/jobs/src/lib/process/orphan_search.ts
@@ -68,6 +68,9 @@
  */
 const MAX_CONCURRENT_CLAIMS = 4;
 
+/** Whether a host is the first one to claim a job, or steps in for others. */
+type Turn = 'first' | 'later';
+
 /** Claims jobs without a live owner. */
 export class OrphanSearch implements Disposable {
   private readonly disposables = new DisposableStore();
@@ -113,19 +116,21 @@
     const liveIds = new Set(live.map(({id}) => id));
     const claimants = staying(live).map(({id}) => id);
     const now = this.context.clock.now();
-    const orphans: VersionedHead[] = [];
+    const turns: Record<Turn, VersionedHead[]> = {first: [], later: []};
     const own: VersionedHead[] = [];
     for (const found of this.heads.all()) {
       const {id, owner} = found.head;
       if (!liveIds.has(owner)) {
         this.noteOrphan(found, now, claimants);
-        if (this.isOwnTurn(found.head, now, claimants)) orphans.push(found);
+        const turn = this.turnOf(found.head, now, claimants);
+        if (turn) turns[turn].push(found);
         continue;
       }
       this.times.clear(id);
       if (owner === this.self && !this.jobs.isHeld(id)) own.push(found);
     }
-    this.claims.offer(orphans);
+    // Others are most likely about to claim those of which they come first.
+    this.claims.offer([...turns.first, ...turns.later]);
     this.reads.offer(own);
     this.summarize(now);
   }
@@ -167,21 +172,23 @@
     return membership.hasLapsed(owner) ? 'lapsed' : 'unknown';
   }
 
-  private isOwnTurn(
+  /** @returns As what this host may claim the job now, if it may. */
+  private turnOf(
     {id, owner}: JobHead,
     now: number,
     claimants: readonly string[],
-  ): boolean {
+  ): Turn | undefined {
     const ranks = claimRanks({
       orphanedForMs: this.times.ageMs(id, now),
       ownerHasEnded: this.hasEnded(owner),
       hosts: claimants.length,
     });
-    if (!ranks) return false;
+    if (!ranks) return undefined;
     const isWithin = (count: number) =>
       ranksWithin(count, id, this.self, claimants);
-    if (!isWithin(ranks.to)) return false;
-    return ranks.from === 0 || !isWithin(ranks.from) || isWithin(1);
+    if (!isWithin(ranks.to)) return undefined;
+    if (isWithin(1)) return 'first';
+    return ranks.from > 0 && isWithin(ranks.from) ? undefined : 'later';
   }
 
   /**
--- a/packages/jobs/src/test/process/ownership_slow_store_test.ts
+++ b/packages/jobs/src/test/process/ownership_slow_store_test.ts
@@ -87,3 +87,40 @@
   await fleet.advance(2 * CALL_MS);
   t.is(host.lines('job-claimed').length, before);
 });
+
+const MANY_JOBS = 400;
+const STORE_MS = 100;
+/** Time for all claims and reads by four hosts, with room, in milliseconds. */
+const ALL_CLAIMED_MS = 12_000;
+
+/** A store whose transactions take a while. */
+class BusyStore extends MemoryRowStore {
+  fleet: OwnershipFleet | undefined;
+
+  override async transact(transaction: RowTransaction) {
+    if (this.fleet) await sleep(this.fleet.clock, STORE_MS);
+    return super.transact(transaction);
+  }
+}
+
+// Guards against a store that is kept busy by hosts that step in for each other
+// when all have more jobs to claim than they can in a turn: most claims were in
+// vain, since the hosts went through the jobs in the same order.
+test('hosts with many jobs to claim make few claims in vain', async t => {
+  const store = new BusyStore(new VirtualClock());
+  using fleet = new OwnershipFleet(store);
+  for (let i = 0; i < MANY_JOBS; i++)
+    await fleet.write({...OPEN_JOB, id: `job-${i}`});
+  store.fleet = fleet;
+  const pause = () => sleep(fleet.clock, STORE_MS);
+  const read = async () => pause().then(() => success([]));
+  const reader = {items: read, allResults: read} as unknown as JobReader;
+  for (const name of ['a', 'b', 'c', 'd']) fleet.add(name, {reader});
+  await fleet.advance(ALL_CLAIMED_MS);
+  const jobs = fleet.hosts.flatMap(host => host.jobs);
+  t.is(jobs.length, MANY_JOBS);
+  t.is(new Set(jobs).size, MANY_JOBS);
+  const claims = fleet.hosts.flatMap(host => host.lines('job-claimed'));
+  const inVain = claims.filter(({outcome}) => outcome !== 'written');
+  t.true(inVain.length <= MANY_JOBS / 4, `${inVain.length} claims in vain`);
+});
