While an owner writes heads, only the first host claims its jobs

Cause: hosts that step in do so by their own view of who is alive. Change: the age of a job without a live owner starts anew with each head that this owner writes, of any job (not with a cancellation, which any host may write). An owner that writes no head for 2.5 s isn't protected.

--- a/packages/jobs/src/lib/process/job_ownership.ts
+++ b/packages/jobs/src/lib/process/job_ownership.ts
@@ -176,7 +176,7 @@
   /** @returns Whether the head is newer than the known one. */
   private record(found: VersionedHead): boolean {
     if (!this.heads.put(found)) return false;
-    if (found.head.state !== 'open') this.search.forget(found.head.id);
+    this.search.recordHead(found.head);
     return true;
   }
 
--- a/packages/jobs/src/lib/process/orphan_search.ts
+++ b/packages/jobs/src/lib/process/orphan_search.ts
@@ -103,7 +103,15 @@
     this.disposables[Symbol.dispose]();
   }
 
-  /** @param id - ID of a job that is closed or gone. */
+  /** @param head - A head that is newer than the known one. */
+  recordHead({id, owner, state}: JobHead): void {
+    if (state !== 'open') this.times.clear(id);
+    // Any host may write that a job was cancelled.
+    if (state !== 'ended' && owner !== '')
+      this.times.recordWrite(owner, this.context.clock.now());
+  }
+
+  /** @param id - ID of a job that is gone. */
   forget(id: string): void {
     this.times.clear(id);
   }
--- a/packages/jobs/src/test/fakes/ownership_fleet.ts
+++ b/packages/jobs/src/test/fakes/ownership_fleet.ts
@@ -51,6 +51,8 @@
 export interface FleetHostOptions {
   readonly store?: RowStore;
   readonly reader?: JobReader;
+  /** Live hosts that the host takes for dead. */
+  readonly takesForDead?: readonly string[];
   /** Whether the host's feed skips the row of this version. */
   readonly skips?: (version: number) => boolean;
 }
@@ -67,12 +69,15 @@
     private readonly options: FleetHostOptions,
   ) {
     const {clock, store} = fleet;
+    const dead = ['ended', ...(options.takesForDead ?? [])];
+    const live = () =>
+      fleet.live().flatMap(id => (dead.includes(id) ? [] : {id}));
     const membership = {
       self: {id: name},
       isInitialized: true,
-      live: () => fleet.live().map(id => ({id})),
-      peers: () => fleet.live().flatMap(id => (id === name ? [] : {id})),
-      isReplaced: (id: string) => id === 'ended',
+      live,
+      peers: () => live().filter(({id}) => id !== name),
+      isReplaced: (id: string) => dead.includes(id),
       hasLapsed: () => false,
     } as unknown;
     this.ownership = new JobOwnership({
--- a/packages/jobs/src/test/process/orphan_times_test.ts
+++ b/packages/jobs/src/test/process/orphan_times_test.ts
@@ -25,11 +25,21 @@
   t.is(times.ageMs('j', 1100), 0);
 });
 
-// Guards against a job that is taken from a live owner, which some hosts wrongly
-// take for dead, by each of them in turn.
-test('the age starts anew with each write of the owner, which is told once', t => {
+test('the age starts anew with another version, which is told once', t => {
   const times = new OrphanTimes();
   times.note(ORPHAN, 100);
   t.false(times.note({...ORPHAN, version: 2}, 1100));
   t.is(times.ageMs('j', 1100), 0);
 });
+
+// Guards against a job that is taken from a live owner, which some hosts wrongly
+// take for dead, by each of them in turn.
+test('the age starts anew with each head that the owner writes', t => {
+  const times = new OrphanTimes();
+  times.note(ORPHAN, 100);
+  times.recordWrite('another', 1000);
+  t.is(times.ageMs('j', 1100), 1000);
+  times.recordWrite(OPEN_JOB.owner, 1000);
+  t.is(times.ageMs('j', 1100), 100);
+  t.is(times.longestMs(1100), 1000);
+});
--- a/packages/jobs/src/test/process/ownership_takeover_test.ts
+++ b/packages/jobs/src/test/process/ownership_takeover_test.ts
@@ -76,3 +76,27 @@
     ['written'],
   );
 });
+
+/** Interval at which a live host writes some head, in milliseconds. */
+const WRITE_MS = 2000;
+const WRITES = 10;
+
+// Guards against jobs that are taken from a live host, whose runs then end, by
+// one other that takes it for dead, though all others know better.
+test('a host that writes heads keeps its jobs from those that do not come first', async t => {
+  const names = HOSTS.filter(name => name !== 'host-5');
+  const wrong = rendezvous(OPEN_JOB.id, names)[1]!;
+  using fleet = restartedFleet({[wrong]: {takesForDead: ['host-5']}});
+  await fleet.write({...OPEN_JOB, owner: 'host-5'});
+  for (let i = 0; i < WRITES; i++) {
+    const state = i % 2 === 0 ? 'open' : 'done';
+    const other = {...OPEN_JOB, id: 'other', owner: 'host-5', state} as const;
+    await fleet.write(other);
+    await fleet.advance(WRITE_MS);
+  }
+  const claims = fleet.hosts.flatMap(host => host.lines('job-claimed'));
+  t.deepEqual(
+    claims.filter(({job}) => job === OPEN_JOB.id),
+    [],
+  );
+});
