The test of a job that changes while it is read has no timers to race

Cause: the test relied on a timer of 25 ms to fire before one of 50 ms. It failed once at a load of 22 on 8 cores, where the process can stand still for longer; a script shows that Node fires all timers of 50 ms first if another one of 50 ms was due before. That this was the cause of the one failure is a guess. Change: the first read ends when the test says so, after the job has changed. What is expected is unchanged.

--- a/packages/jobs/src/test/process/job_ownership_test.ts
+++ b/packages/jobs/src/test/process/job_ownership_test.ts
@@ -117,11 +117,13 @@
   const item = {path: '/', headers: {}, body: new Uint8Array(), tokens: 1};
   const items = ['a', 'b'].map(id => ({...item, id}));
   const listed: ItemResult[] = [];
+  let endRead = () => {};
+  const changed = new Promise<void>(resolve => (endRead = resolve));
   const reader = {
     items: async () => success(items),
     allResults: async () => {
       const results = [...listed];
-      await setTimeout(LOAD_MS);
+      await changed;
       return success(results);
     },
   } as unknown as JobReader;
@@ -140,6 +142,7 @@
     nonce: 'back',
   };
   jobOwnership.update(updateOf(handedBack, 3));
+  endRead();
   await setTimeout(4 * LOAD_MS);
   const [job] = [...jobOwnership.jobs()];
   t.is(job?.head.listed, 1);
