--- a/packages/jobs/src/lib/process/job_ownership.ts
+++ b/packages/jobs/src/lib/process/job_ownership.ts
@@ -1,35 +1,29 @@
 /**
- * Determines which jobs this host owns: jobs it has accepted, jobs handed over
- * to it, and its share of the jobs whose owner's lease has expired.
+ * Tracks the jobs that this host owns: those it has accepted, those handed over
+ * to it, and its share of those whose owner is not alive.
  */
 import {
   DisposableStore,
   rendezvous,
   repeat,
-  type Clock,
   type Counters,
+  type Outcome,
 } from '@oathead/core';
-import type {Member, Membership} from '@oathead/gateway';
-import {
-  decodeJson,
-  encodeJson,
-  type TableUpdate,
-  type VersionedRow,
-} from '@oathead/stores';
-import {LRUCache} from 'lru-cache';
-import {z} from 'zod';
+import type {Membership} from '@oathead/gateway';
+import {decodeJson, type TableUpdate, type VersionedRow} from '@oathead/stores';
 import type {JobReader} from '../request/job_reader.js';
 import {
-  headRef,
-  indexOfKey,
   JOB_HEAD,
-  jobRowRange,
-  PARTIAL_TABLE,
   type JobHead,
   type VersionedHead,
 } from '../request/job_rows.js';
-import {newItemWork, type ItemWork, type PartialText} from './item_work.js';
+import {AdoptionReport} from './adoption_report.js';
+import {JobLoader, type LoadedJob, type LoadError} from './job_loader.js';
+import {KnownHeads} from './known_heads.js';
+import {OrphanSearch} from './orphan_search.js';
 import {OwnedJob, type OwnedJobContext} from './owned_job.js';
+import {writeOwner} from './owner_write.js';
+import {staying, staysOn} from './staying_hosts.js';
 
 /** Dependencies of {@link JobOwnership}. */
 export interface JobOwnershipContext extends OwnedJobContext {
@@ -40,53 +34,35 @@
 
 /** Interval between checks for orphaned jobs, in milliseconds. */
 const SWEEP_INTERVAL_MS = 500;
-/**
- * How long a job must be without a live owner before another host claims it, in
- * milliseconds, if that host has never seen the owner alive. A host that has
- * just started may show up as the owner of a job before its first heartbeat is
- * seen.
- */
-const ORPHAN_GRACE_MS = 1500;
-/**
- * Maximum number of jobs that are claimed and read at a time. A job must not
- * wait for all others of a lost host, nor must their reads load the store.
- */
-const MAX_CONCURRENT_CLAIMS = 4;
-/**
- * Maximum number of closed jobs remembered: far more than close while the items
- * of one job are read.
- */
-const MAX_CLOSED_JOBS = 4096;
-
-const PARTIAL = z.object({
-  lastEventId: z.number().optional(),
-  texts: z.array(z.string()),
-});
 
-/** A head and the items that have no result under it. */
-interface LoadedJob {
-  readonly head: VersionedHead;
-  readonly work: readonly ItemWork[];
-}
-
-/** Tracks the jobs that this host owns. */
+/** The jobs that this host owns. */
 export class JobOwnership implements Disposable {
   private readonly disposables = new DisposableStore();
-  private readonly heads = new Map<string, VersionedHead>();
+  private readonly heads = new KnownHeads();
   private readonly owned = new Map<string, OwnedJob>();
-  private readonly loading = new Set<string>();
-  /** Jobs that are done or cancelled; they are never adopted again. */
-  private readonly closed = new LRUCache<string, true>({max: MAX_CLOSED_JOBS});
-  private readonly orphanSince = new Map<string, number>();
+  private readonly loader: JobLoader;
+  private readonly search: OrphanSearch;
+  private readonly report: AdoptionReport;
   private stopping = false;
 
   /** @param context - Store, reader and membership. */
-  constructor(private readonly context: JobOwnershipContext) {}
+  constructor(private readonly context: JobOwnershipContext) {
+    this.loader = new JobLoader(context, this.self, id => this.heads.get(id));
+    this.report = new AdoptionReport(context);
+    const search = new OrphanSearch(context, this.heads, {
+      adopt: (found, how) => this.adopt(found, how),
+      learn: (found, how) => this.learn(found, how),
+      recordFailure: (id, how, reason) => this.report.failed(id, how, reason),
+      isHeld: id => this.isHeld(id),
+      owned: () => this.owned.size,
+    });
+    this.search = this.disposables.add(search);
+  }
 
   /** Starts the periodic search for orphaned jobs. */
   start(): void {
     this.disposables.add(
-      repeat(this.clock, SWEEP_INTERVAL_MS, () => this.sweep()),
+      repeat(this.context.clock, SWEEP_INTERVAL_MS, () => this.search.sweep()),
     );
   }
 
@@ -107,7 +83,17 @@
    * @param accepted - Head as written on acceptance.
    */
   adoptAccepted(accepted: VersionedHead): void {
-    void this.adopt(accepted, 'accepted');
+    void this.learn(accepted, 'accepted');
+  }
+
+  /**
+   * Applies the head of a job that was submitted again. Guards against a job
+   * that rests since the feed of its owner has skipped it.
+   *
+   * @param found - Head as the store told it.
+   */
+  learnSubmitted(found: VersionedHead): void {
+    void this.learn(found, 'submitted again');
   }
 
   /**
@@ -127,7 +113,8 @@
    */
   update({put, removed}: TableUpdate): void {
     for (const row of put) this.handleHeadRow(row);
-    for (const {key} of removed) this.heads.delete(key);
+    for (const {key, version} of removed)
+      if (this.heads.remove(key, version)) this.search.forget(key);
   }
 
   /** Hands all jobs over to other hosts, for a graceful shutdown. */
@@ -136,13 +123,26 @@
     this.disposables[Symbol.dispose]();
     const peers = staying(this.context.membership.peers()).map(({id}) => id);
     const jobs = [...this.owned.values()];
-    await Promise.all(
-      jobs.map(job => job.handOver(rendezvous(job.head.id, peers)[0] ?? '')),
-    );
+    await Promise.all(jobs.map(job => this.handOver(job, peers)));
+  }
+
+  private async handOver(
+    job: OwnedJob,
+    peers: readonly string[],
+  ): Promise<void> {
+    const {id} = job.head;
+    try {
+      await job.handOver(rendezvous(id, peers)[0] ?? '');
+    } catch (err) {
+      this.context.log.event('job-hand-over-failed', {
+        job: id,
+        error: String(err),
+      });
+    }
   }
 
-  private get clock(): Clock {
-    return this.context.clock;
+  private isHeld(id: string): boolean {
+    return this.owned.has(id) || this.loader.isLoading(id);
   }
 
   private get self(): string {
@@ -158,17 +158,26 @@
       });
       return;
     }
-    const head = decoded.value;
-    if (head.state !== 'open') {
-      this.closed.set(head.id, true);
-      this.heads.delete(head.id);
-      this.orphanSince.delete(head.id);
-      this.release(head);
-      return;
-    }
-    this.heads.set(head.id, {head, version: row.version});
-    if (head.owner !== this.self) this.release(head);
-    else void this.adopt({head, version: row.version}, 'handed over');
+    const found = {head: decoded.value, version: row.version};
+    void this.learn(found, 'handed over');
+  }
+
+  /**
+   * Applies a head unless a newer one is known, and adopts its job if this host
+   * is the owner.
+   */
+  private async learn(found: VersionedHead, how: string): Promise<void> {
+    if (!this.record(found)) return;
+    const {state, owner} = found.head;
+    if (state !== 'open' || owner !== this.self) this.release(found.head);
+    else await this.adopt(found, how);
+  }
+
+  /** @returns Whether the head is newer than the known one. */
+  private record(found: VersionedHead): boolean {
+    if (!this.heads.put(found)) return false;
+    this.search.recordHead(found.head);
+    return true;
   }
 
   private release(head: JobHead): void {
@@ -184,83 +193,59 @@
     job[Symbol.dispose]();
   }
 
-  private async sweep(): Promise<void> {
-    const {membership} = this.context;
-    if (!membership.isInitialized) return;
-    const live = membership.live();
-    const heads = [...this.heads.values()].values();
-    const takeShare = async () => {
-      for (const found of heads) await this.takeUp(found, live);
-    };
-    await Promise.all(Array.from({length: MAX_CONCURRENT_CLAIMS}, takeShare));
-  }
-
-  private async takeUp(
-    found: VersionedHead,
-    live: readonly Member[],
-  ): Promise<void> {
-    const {id, owner} = found.head;
-    if (live.some(member => member.id === owner)) {
-      this.orphanSince.delete(id);
-      if (owner === this.self) await this.adopt(found, 'found');
-      return;
-    }
-    const claimants = staying(live).map(member => member.id);
-    if (rendezvous(id, claimants)[0] !== this.self) return;
-    if (!this.hasEnded(owner) && !this.isOrphan(id)) return;
-    await this.claim(found);
-  }
-
   /**
-   * @returns Whether the owner was alive and no longer is; false if this host
-   *   has never seen it.
+   * Adopts a job unless this host processes or reads it already. Guards against
+   * a job that ends each process that takes it over: if its rows throw, the
+   * next sweep tries again.
    */
-  private hasEnded(owner: string): boolean {
-    const {membership} = this.context;
-    return membership.isReplaced(owner) || membership.hasLapsed(owner);
-  }
-
-  private isOrphan(id: string): boolean {
-    const now = this.clock.now();
-    const since = this.orphanSince.get(id) ?? now;
-    this.orphanSince.set(id, since);
-    return now - since >= ORPHAN_GRACE_MS;
+  private async adopt(found: VersionedHead, how: string): Promise<void> {
+    const {id} = found.head;
+    if (this.isHeld(id)) return;
+    try {
+      await this.readAndOwn(found, how);
+    } catch (err) {
+      this.report.failed(id, how, String(err));
+    }
   }
 
-  private async claim({head, version}: VersionedHead): Promise<void> {
-    const {store, random, log} = this.context;
-    const next = {...head, owner: this.self, nonce: random.id()};
-    const ref = headRef(head.id);
-    const written = await store.transact({
-      expect: [{...ref, version}],
-      puts: [{...ref, value: encodeJson(next)}],
-      removes: [],
-    });
-    log.event('job-claimed', {
-      job: head.id,
-      from: head.owner,
-      outcome: written.ok ? 'written' : written.err.kind,
-    });
-    // Without a response, the watch shows whether the claim was written.
-    if (!written.ok) return;
-    await this.adopt({head: next, version: written.value.version}, 'claimed');
+  private async readAndOwn(found: VersionedHead, how: string): Promise<void> {
+    if (this.stopping) return this.passOn(found);
+    const loaded = await this.loader.load(found, how === 'accepted');
+    if (this.stopping)
+      return this.passOn(this.heads.get(found.head.id) ?? found);
+    const job = this.stillOwned(found, how, loaded);
+    if (job) this.own(job, how);
   }
 
-  private async adopt(found: VersionedHead, how: string): Promise<void> {
+  /**
+   * @returns The job that was read, unless it could not be read or is no longer
+   *   this host's.
+   */
+  private stillOwned(
+    found: VersionedHead,
+    how: string,
+    loaded: Outcome<LoadedJob, LoadError>,
+  ): LoadedJob | undefined {
     const {id} = found.head;
-    if (this.owned.has(id) || this.loading.has(id)) return;
-    if (this.stopping) return this.passOn(found);
-    this.loading.add(id);
-    const loaded = await this.loadNewest(found, how === 'accepted');
-    this.loading.delete(id);
-    if (this.stopping) return this.passOn(this.heads.get(id) ?? found);
-    if (!loaded) return;
-    const {head, work} = loaded;
+    if (!loaded.ok && loaded.err.kind !== 'other-owner') {
+      const {err} = loaded;
+      const reason = 'reason' in err ? err.reason : err.kind;
+      this.report.failed(id, how, reason);
+      return undefined;
+    }
     // Guards against running items of a cancelled job: it may be cancelled
     // while its items are read, or after a sweep has taken its copy of the
     // heads and before it gets to this job.
-    if (this.closed.has(id)) return;
-    if (head.head.owner !== this.self) return;
+    const isClosed = this.heads.isClosed(loaded.ok ? loaded.value.head : found);
+    const isOwn = loaded.ok && loaded.value.head.head.owner === this.self;
+    if (!isClosed && isOwn) return loaded.value;
+    this.report.dropped(id, how, isClosed ? 'closed' : 'other-owner');
+    return undefined;
+  }
+
+  private own({head, work}: LoadedJob, how: string): void {
+    const {id} = head.head;
+    this.report.succeeded(id);
     this.context.counters.count('jobs_adopted', {how});
     this.context.log.event('job-adopted', {
       job: id,
@@ -270,7 +255,10 @@
       sinceAcceptedMs: this.sinceAcceptedMs(head.head),
       resumed: work.filter(({inheritedTexts}) => inheritedTexts > 0).length,
     });
-    const drop = (job: OwnedJob) => this.owned.delete(job.head.id);
+    const drop = ({newestHead}: OwnedJob) => {
+      this.owned.delete(id);
+      this.record(newestHead);
+    };
     this.owned.set(id, new OwnedJob(this.context, head, work, drop));
   }
 
@@ -280,109 +268,23 @@
    * was accepted, read or handed over while the shutdown began. Hosts that all
    * shut down would pass it back and forth, so that it gets no owner then.
    */
-  private async passOn({head, version}: VersionedHead): Promise<void> {
-    if (head.owner !== this.self || this.closed.has(head.id)) return;
-    const {store, random, log} = this.context;
+  private async passOn(found: VersionedHead): Promise<void> {
+    const {id, owner} = found.head;
+    if (owner !== this.self || this.heads.isClosed(found)) return;
     const canPassOn = this.context.membership.peers().some(staysOn);
-    const owner = canPassOn ? this.ownerForNewJob() : '';
-    const next = {...head, owner, nonce: random.id()};
-    const ref = headRef(head.id);
-    const written = await store.transact({
-      expect: [{...ref, version}],
-      puts: [{...ref, value: encodeJson(next)}],
-      removes: [],
-    });
-    log.event('job-passed-on', {
-      job: head.id,
-      to: next.owner,
+    const to = canPassOn ? this.ownerForNewJob() : '';
+    const written = await writeOwner(this.context, found, to);
+    this.context.log.event('job-passed-on', {
+      job: id,
+      to,
       outcome: written.ok ? 'written' : written.err.kind,
     });
+    const newest = written.ok ? written.value : written.err.newest;
+    if (newest) await this.learn(newest, 'conflict');
   }
 
   private sinceAcceptedMs({acceptedAtMs}: JobHead): number | undefined {
     const now = this.context.store.storeTimeMs();
     return now === undefined ? undefined : Math.round(now - acceptedAtMs);
   }
-
-  /**
-   * Reads the items again if the head has changed meanwhile. Guards against
-   * results and failed runs that another owner recorded while they were read.
-   * Under the newer head, this host could list an item a second time.
-   *
-   * @returns The newest head and the items that are left under it; undefined if
-   *   the store cannot be read or another host owns the job by now.
-   */
-  private async loadNewest(
-    found: VersionedHead,
-    isNew: boolean,
-  ): Promise<LoadedJob | undefined> {
-    for (let head = found; ;) {
-      const work = await this.load(head.head, isNew && head === found);
-      if (!work) return undefined;
-      const newest = this.heads.get(found.head.id);
-      if (!newest || newest.version <= head.version) return {head, work};
-      if (newest.head.owner !== this.self) return undefined;
-      head = newest;
-    }
-  }
-
-  /**
-   * @returns The items without a result; undefined if the store cannot be read.
-   */
-  private async load(
-    head: JobHead,
-    isNew: boolean,
-  ): Promise<readonly ItemWork[] | undefined> {
-    const {reader} = this.context;
-    const items = await reader.items(head.id);
-    if (!items.ok) return undefined;
-    const results = isNew ? undefined : await reader.allResults(head.id);
-    if (results && !results.ok) return undefined;
-    const listed = new Set(results?.value.map(({id}) => id));
-    const partials = isNew ? new Map() : await this.partials(head);
-    return items.value
-      .map((item, i) => {
-        const {[i]: failures = 0} = head.failures;
-        const {[i]: doubts = 0} = head.doubts ?? {};
-        const failedRuns = head.failedRuns?.[i] ?? [];
-        const partial = partials.get(i);
-        return newItemWork(i, item, failures, partial, doubts, failedRuns);
-      })
-      .filter(({item}) => !listed.has(item.id));
-  }
-
-  private async partials(
-    head: JobHead,
-  ): Promise<ReadonlyMap<number, PartialText>> {
-    const texts = new Map<number, PartialText>();
-    for (let from = 0; ;) {
-      const range = jobRowRange(PARTIAL_TABLE, head.id, from);
-      const page = await this.context.store.read(range);
-      // Without partial texts the items start from the beginning.
-      if (!page.ok) return texts;
-      const {rows, hasMore} = page.value;
-      for (const {key, value} of rows) {
-        const partial = decodeJson(value, PARTIAL);
-        if (!partial.ok) continue;
-        const {lastEventId, texts: partialTexts} = partial.value;
-        texts.set(indexOfKey(key), {lastEventId, texts: partialTexts});
-      }
-      const last = rows.at(-1);
-      if (!hasMore || !last) return texts;
-      from = indexOfKey(last.key) + 1;
-    }
-  }
-}
-
-/**
- * Leaves out hosts that are shutting down, unless all are: a job that one of
- * them gets rests until its process has ended.
- */
-function staying(members: readonly Member[]): readonly Member[] {
-  const stay = members.filter(staysOn);
-  return stay.length > 0 ? stay : members;
-}
-
-function staysOn({isLeaving}: Member): boolean {
-  return !isLeaving;
 }
