Scheduler of batch items: route look-up and search for targets in files of their own

Change: ItemRoutes and ItemTargetSearch take over the code as it was; a candidate carries the time until its job expires.

--- a/packages/jobs/src/lib/process/batch_scheduler.ts
+++ b/packages/jobs/src/lib/process/batch_scheduler.ts
@@ -3,45 +3,34 @@
  * targets that have free slots beside online requests, and preempts running
  * items when a target fills up.
  */
-import {DisposableStore, type FreshnessLease, type Random} from '@oathead/core';
+import {DisposableStore} from '@oathead/core';
 import {
   targetKey,
-  type BatchPressure,
-  type ItemPlacement,
   type Route,
-  type RoutingState,
-  type Target,
   type TargetChooser,
   type TargetDirectory,
 } from '@oathead/gateway';
-import {
-  inAccountTurns,
-  runningByAccount,
-  type AccountItem,
-} from './account_turns.js';
-import {avoidedItemTargets, mayRunAnywhere} from './avoided_item_targets.js';
+import {inAccountTurns, runningByAccount} from './account_turns.js';
 import type {ItemWork} from './item_work.js';
-import {
-  compareEstimates,
-  ItemDurations,
-  type ItemEstimate,
-  type Urgency,
-} from './item_durations.js';
+import {compareEstimates, ItemDurations} from './item_durations.js';
 import {runItem, type ItemRunContext} from './item_runner.js';
 import {idleTimeoutMs} from './item_idle_timeout.js';
+import {ItemRoutes, type ItemRoutesContext} from './item_routes.js';
+import {
+  avoidsTargets,
+  ItemTargetSearch,
+  type ItemCandidate,
+  type ItemSearchContext,
+} from './item_target_search.js';
 import type {OwnedJob} from './owned_job.js';
 import {retryDelayMs} from './retry_delay.js';
 import {WaitingReport} from './waiting_report.js';
 
 /** Dependencies of a {@link BatchScheduler}. */
-export interface SchedulerContext extends ItemRunContext {
+export interface SchedulerContext
+  extends ItemRunContext, ItemSearchContext, ItemRoutesContext {
   readonly chooser: TargetChooser;
-  readonly placement: ItemPlacement;
   readonly directory: TargetDirectory;
-  readonly routing: RoutingState;
-  /** Tracks whether the configuration is the newest. */
-  readonly freshness: Pick<FreshnessLease, 'ageMs'>;
-  readonly random: Random;
   /** Member ID of this host's incarnation, as in its load reports. */
   readonly self: string;
   /**
@@ -70,76 +59,18 @@
  * they see free would overload the same targets.
  */
 const MAX_STARTS_PER_TICK = 3;
-/** How long a route without a free slot is skipped, in milliseconds. */
-const FULL_ROUTE_BACKOFF_MS = {
-  /**
-   * The local load table changes with the next load report, so the route is
-   * tried again in the next interval.
-   */
-  localView: SCHEDULING_INTERVAL_MS / 2,
-  /** Each attempt sends a placement request to another host. */
-  coordinator: 50,
-} as const;
-/**
- * How long a route must be missing before its items fail, in milliseconds:
- * twice the time within which a configuration takes effect on all hosts.
- */
-const ROUTE_MISSING_TIMEOUT_MS = 5000;
-/**
- * Maximum age of the configuration while the time without a route counts, in
- * milliseconds: the time within which a host knows of a change.
- */
-const MAX_CONFIG_AGE_MS = 2000;
-/**
- * Maximum interval between two looks while the time without a route counts, in
- * milliseconds. After a longer one, this host was stopped.
- */
-const MAX_LOOK_INTERVAL_MS = 1000;
-
-const NO_TARGETS: ReadonlySet<string> = new Set();
 
-interface Candidate extends AccountItem {
-  readonly job: OwnedJob;
-  readonly work: ItemWork;
-  readonly estimate: ItemEstimate;
-}
-
-/** Items that are already late only use slots that nothing else needs. */
-const PRESSURE: Readonly<Record<Urgency, BatchPressure>> = {
-  pressed: 'pressed',
-  relaxed: 'relaxed',
-  late: 'relaxed',
-};
-
-/**
- * Key of the backoff of a route. It includes the pressure, since slots are
- * reserved for urgent items: a route that is full for relaxed items may have
- * slots for urgent ones.
- */
-function fullRouteKey({name}: Route, {estimate}: Candidate): string {
-  return `${PRESSURE[estimate.urgency]} ${name}`;
-}
-
-function hasFailed({work}: Candidate): boolean {
-  return work.failedTargets.length > 0;
-}
-
-function byPriority(a: Candidate, b: Candidate): number {
+function byPriority(a: ItemCandidate, b: ItemCandidate): number {
   return compareEstimates(a.estimate, b.estimate);
 }
 
 /** Starts and preempts runs of items until it is disposed. */
 export class BatchScheduler implements Disposable {
   private readonly disposables = new DisposableStore();
-  /** Time since which no configuration had a route for an item. */
-  private readonly routeMissingSince = new WeakMap<ItemWork, number>();
-  /** Time since which this host has known the newest configuration. */
-  private configKnownSince = Infinity;
-  private lastLookAt = -Infinity;
   private readonly durations = new ItemDurations();
   private readonly waitingReport: WaitingReport;
-  /** Time until which a route is considered full, by {@link fullRouteKey}. */
-  private readonly routeFullUntil = new Map<string, number>();
+  private readonly routes: ItemRoutes;
+  private readonly search: ItemTargetSearch;
   private paused = false;
   private starting = false;
 
@@ -152,6 +83,8 @@
     private readonly jobs: () => Iterable<OwnedJob>,
   ) {
     this.waitingReport = new WaitingReport(context);
+    this.routes = new ItemRoutes(context);
+    this.search = new ItemTargetSearch(context);
   }
 
   /** Starts scheduling. */
@@ -172,7 +105,9 @@
     );
     this.disposables.defer(() => clearInterval(reportTimer));
     this.context.loads.onChange(() => this.preemptExcessItems());
-    this.context.routing.onAdopted(() => this.forgetRoutesThatCameBack());
+    this.context.routing.onAdopted(() =>
+      this.routes.forgetReturned(this.jobs()),
+    );
   }
 
   /** Starts no further items, for a graceful shutdown. */
@@ -202,7 +137,7 @@
   }
 
   private tick(): void {
-    this.checkConfigAge();
+    this.routes.checkConfigAge();
     this.endIdleRuns();
     this.preemptExcessItems();
     if (!this.paused) void this.startItems();
@@ -236,89 +171,50 @@
   private async startMostUrgent(): Promise<void> {
     let started = 0;
     for (const candidate of this.candidates()) {
-      const route = this.resolveRoute(candidate);
-      if (!route || this.isFull(route, candidate)) continue;
+      const route = this.routes.resolve(candidate);
+      if (!route || this.search.isFull(route, candidate)) continue;
       if (this.context.crashSuspects.isItemBlocked(candidate.work.fingerprint))
         continue;
       const isPlaced = await this.startItem(candidate, route);
       // Otherwise a few items that wait for other targets than those that
       // failed them would hold back all that come after them.
-      if (!isPlaced && hasFailed(candidate)) continue;
+      if (!isPlaced && avoidsTargets(candidate)) continue;
       if (++started >= MAX_STARTS_PER_TICK) return;
     }
   }
 
-  private isFull(route: Route, candidate: Candidate): boolean {
-    const until = this.routeFullUntil.get(fullRouteKey(route, candidate));
-    return until !== undefined && until > this.context.clock.now();
-  }
-
   /** @returns Whether a target has a free slot for the item. */
   private async startItem(
-    candidate: Candidate,
+    candidate: ItemCandidate,
     route: Route,
   ): Promise<boolean> {
     const {crashSuspects} = this.context;
     const {job, work} = candidate;
     const {stage} = work;
-    const target = await this.targetFor(route, candidate);
+    const found = await this.search.search(route, candidate);
     const {urgency} = candidate.estimate;
-    this.waitingReport.countPlacement(urgency, target ? 'placed' : 'full');
+    this.waitingReport.countPlacement(urgency, found.kind);
     // While the placement was pending, the item may have failed, or its job may
     // have been cancelled or handed over.
     const isStale = work.stage !== stage || job.closed || this.paused;
-    if (!target) {
-      const until = this.fullUntil();
-      // The route may have slots for items that avoid no target.
-      if (!hasFailed(candidate))
-        this.routeFullUntil.set(fullRouteKey(route, candidate), until);
-      else if (!isStale) work.stage = {kind: 'waiting', notBefore: until};
+    if (found.kind === 'full') {
+      if (avoidsTargets(candidate) && !isStale)
+        work.stage = {kind: 'waiting', notBefore: found.until};
       return false;
     }
     if (isStale) return true;
     crashSuspects.recordItemStart(work.fingerprint);
-    runItem(this.context, job, work, route, target, run => {
+    runItem(this.context, job, work, route, found.target, run => {
       this.durations.addRun(job.head, run);
       if (run.isComplete) this.durations.add(job.head, work);
     });
     return true;
   }
 
-  private fullUntil(): number {
-    const {clock, placement} = this.context;
-    const by = placement.usesPeerCoordinator ? 'coordinator' : 'localView';
-    return clock.now() + FULL_ROUTE_BACKOFF_MS[by];
-  }
-
-  private async targetFor(
-    route: Route,
-    candidate: Candidate,
-  ): Promise<Target | undefined> {
-    const {placement, random} = this.context;
-    const services = route.services.map(({service}) => service);
-    const service = services[random.int(services.length)]!;
-    const pressure = PRESSURE[candidate.estimate.urgency];
-    const avoided = this.avoidedTargets(service, candidate);
-    const target = await placement.forItem(service, pressure, avoided);
-    if (target || avoided.size === 0) return target;
-    return mayRunAnywhere(candidate.estimate, this.untilExpiryMs(candidate.job))
-      ? placement.forItem(service, pressure, NO_TARGETS)
-      : undefined;
-  }
-
-  private avoidedTargets(
-    service: string,
-    {work: {failedTargets}}: Candidate,
-  ): ReadonlySet<string> {
-    if (failedTargets.length === 0) return NO_TARGETS;
-    const available = this.context.chooser.available(service);
-    return avoidedItemTargets(failedTargets, available);
-  }
-
   /** @returns The items that may start now, in order of priority. */
-  private candidates(): readonly Candidate[] {
+  private candidates(): readonly ItemCandidate[] {
     const now = this.context.clock.now();
-    const candidates: Candidate[] = [];
+    const candidates: ItemCandidate[] = [];
     for (const job of this.jobs()) {
       this.failExpiredItems(job);
       for (const work of job.work) {
@@ -335,7 +231,10 @@
     );
   }
 
-  private isDelayed({job, work, estimate}: Candidate, now: number): boolean {
+  private isDelayed(
+    {job, work, estimate, untilExpiryMs}: ItemCandidate,
+    now: number,
+  ): boolean {
     const {failures, doubts, incompleteFailures, lastFailureAtMs} = work;
     if (lastFailureAtMs === undefined) return false;
     const used = failures + doubts + incompleteFailures;
@@ -343,12 +242,12 @@
       ...estimate,
       attemptsLeft: job.head.maxAttempts - used,
       sinceFailureMs: now - lastFailureAtMs,
-      untilExpiryMs: this.untilExpiryMs(job),
+      untilExpiryMs,
     };
     return retryDelayMs(item) > 0;
   }
 
-  private unfinishedItems(): readonly Candidate[] {
+  private unfinishedItems(): readonly ItemCandidate[] {
     return [...this.jobs()].flatMap(job =>
       job.work
         .filter(({stage}) => stage.kind !== 'finished')
@@ -356,11 +255,13 @@
     );
   }
 
-  private candidate(job: OwnedJob, work: ItemWork): Candidate {
+  private candidate(job: OwnedJob, work: ItemWork): ItemCandidate {
     const untilDueMs = job.dueAtMs - (this.context.storeTimeMs() ?? 0);
     const estimate = this.durations.estimate(job.head, work, untilDueMs);
     const isLate = estimate.urgency === 'late';
-    return {job, work, estimate, account: job.head.account, isLate};
+    const {account} = job.head;
+    const untilExpiryMs = this.untilExpiryMs(job);
+    return {job, work, estimate, account, isLate, untilExpiryMs};
   }
 
   private untilExpiryMs({head}: OwnedJob): number {
@@ -374,63 +275,6 @@
       if (work.stage.kind === 'waiting') job.giveUp(work, 'retention');
   }
 
-  /**
-   * Restarts the time without a route, for all items, while this host cannot
-   * know the newest configuration.
-   */
-  private checkConfigAge(): void {
-    const {clock, freshness} = this.context;
-    const now = clock.now();
-    const wasStopped = now - this.lastLookAt > MAX_LOOK_INTERVAL_MS;
-    this.lastLookAt = now;
-    if (wasStopped || freshness.ageMs > MAX_CONFIG_AGE_MS)
-      this.configKnownSince = now;
-  }
-
-  /**
-   * Resolves the route of an item. The item fails if its route has been missing
-   * for {@link ROUTE_MISSING_TIMEOUT_MS}, during all of which this host has
-   * known the newest configuration. Until a host has a configuration, it cannot
-   * tell whether a route is missing. The result is only written if no newer
-   * configuration is stored by then.
-   *
-   * @returns The route; undefined if there is none or no configuration.
-   */
-  private resolveRoute({job, work}: Candidate): Route | undefined {
-    const {routing, clock} = this.context;
-    if (!routing.current) return undefined;
-    const route = this.routeOf(job, work);
-    if (route) {
-      this.routeMissingSince.delete(work);
-      return route;
-    }
-    const since = this.routeMissingSince.get(work) ?? clock.now();
-    this.routeMissingSince.set(work, since);
-    const countFrom = Math.max(since, this.configKnownSince);
-    if (clock.now() - countFrom < ROUTE_MISSING_TIMEOUT_MS) return undefined;
-    const {row} = routing;
-    if (!row) return undefined;
-    const {version} = routing.current.table;
-    const {ageMs} = this.context.freshness;
-    job.giveUp(work, 'no-route', {row, version, ageMs});
-    return undefined;
-  }
-
-  private routeOf(job: OwnedJob, {item}: ItemWork): Route | undefined {
-    return this.context.routing.current?.match(job.head.hostName, item.path);
-  }
-
-  /**
-   * Restarts the time of the items whose route is there again. An item that is
-   * running or far back in the queue is not looked at under each version.
-   */
-  private forgetRoutesThatCameBack(): void {
-    for (const job of this.jobs())
-      for (const work of job.work)
-        if (this.routeMissingSince.has(work) && this.routeOf(job, work))
-          this.routeMissingSince.delete(work);
-  }
-
   private preemptExcessItems(): void {
     const running = this.runningByTarget();
     for (const [targetId, candidates] of running) {
@@ -446,8 +290,8 @@
     }
   }
 
-  private runningByTarget(): ReadonlyMap<string, Candidate[]> {
-    const running = new Map<string, Candidate[]>();
+  private runningByTarget(): ReadonlyMap<string, ItemCandidate[]> {
+    const running = new Map<string, ItemCandidate[]>();
     for (const job of this.jobs()) {
       for (const work of job.work) {
         if (work.stage.kind !== 'running') continue;
@@ -460,7 +304,7 @@
     return running;
   }
 
-  private preemptLeastUrgent(candidates: Candidate[], count: number): void {
+  private preemptLeastUrgent(candidates: ItemCandidate[], count: number): void {
     candidates.sort((a, b) => byPriority(b, a));
     for (const {work} of candidates.slice(0, count))
       if (work.stage.kind === 'running') work.stage.control.end('yield');
--- /dev/null
+++ b/packages/jobs/src/lib/process/item_target_search.ts
@@ -0,0 +1,145 @@
+/**
+ * Searches for targets with free slots for items, and skips routes that have
+ * had none a moment ago.
+ */
+import type {Clock, Random} from '@oathead/core';
+import type {
+  BatchPressure,
+  ItemPlacement,
+  Route,
+  Target,
+  TargetChooser,
+} from '@oathead/gateway';
+import type {AccountItem} from './account_turns.js';
+import {avoidedItemTargets, mayRunAnywhere} from './avoided_item_targets.js';
+import type {ItemEstimate, Urgency} from './item_durations.js';
+import type {ItemWork} from './item_work.js';
+import type {OwnedJob} from './owned_job.js';
+
+/** Dependencies of {@link ItemTargetSearch}. */
+export interface ItemSearchContext {
+  readonly clock: Clock;
+  readonly chooser: Pick<TargetChooser, 'available'>;
+  readonly placement: ItemPlacement;
+  readonly random: Random;
+}
+
+/** An item that is to be started. */
+export interface ItemCandidate extends AccountItem {
+  readonly job: OwnedJob;
+  readonly work: ItemWork;
+  readonly estimate: ItemEstimate;
+  /** Time until its job is no longer kept, in milliseconds. */
+  readonly untilExpiryMs: number;
+}
+
+/** Outcome of a search. */
+export type ItemSearchOutcome =
+  | {readonly kind: 'placed'; readonly target: Target}
+  /** No target has a free slot; the next search is due at `until`. */
+  | {readonly kind: 'full'; readonly until: number};
+
+/** How long a route without a free slot is skipped, in milliseconds. */
+const FULL_ROUTE_BACKOFF_MS = {
+  /**
+   * The local load table changes with the next load report, so the route is
+   * tried again in the next scheduling interval.
+   */
+  localView: 12.5,
+  /** Each attempt sends a placement request to another host. */
+  coordinator: 50,
+} as const;
+
+/** Items that are already late only use slots that nothing else needs. */
+const PRESSURE: Readonly<Record<Urgency, BatchPressure>> = {
+  pressed: 'pressed',
+  relaxed: 'relaxed',
+  late: 'relaxed',
+};
+
+const NO_TARGETS: ReadonlySet<string> = new Set();
+
+/**
+ * @param candidate - A waiting item.
+ * @returns Whether it should run on other targets than those that failed it.
+ */
+export function avoidsTargets({work}: Pick<ItemCandidate, 'work'>): boolean {
+  return work.failedTargets.length > 0;
+}
+
+/**
+ * Key of the backoff of a route. It includes the pressure, since slots are
+ * reserved for urgent items: a route that is full for relaxed items may have
+ * slots for urgent ones.
+ */
+function fullRouteKey({name}: Route, {estimate}: ItemCandidate): string {
+  return `${PRESSURE[estimate.urgency]} ${name}`;
+}
+
+/** Searches one after another, for all items of this host. */
+export class ItemTargetSearch {
+  /** Time until which a route is considered full, by {@link fullRouteKey}. */
+  private readonly fullUntil = new Map<string, number>();
+
+  /** @param context - Target selection and placement. */
+  constructor(private readonly context: ItemSearchContext) {}
+
+  /**
+   * @param route - Route of the item.
+   * @param candidate - The item.
+   * @returns Whether the route has had no free slot for such an item a moment
+   *     ago.
+   */
+  isFull(route: Route, candidate: ItemCandidate): boolean {
+    const until = this.fullUntil.get(fullRouteKey(route, candidate));
+    return until !== undefined && until > this.context.clock.now();
+  }
+
+  /**
+   * @param route - Route of the item.
+   * @param candidate - The item.
+   * @returns A target with a free slot for it, if there is one.
+   */
+  async search(
+    route: Route,
+    candidate: ItemCandidate,
+  ): Promise<ItemSearchOutcome> {
+    const target = await this.targetFor(route, candidate);
+    if (target) return {kind: 'placed', target};
+    const until = this.backoffEnd();
+    // The route may have slots for items that avoid no target.
+    if (!avoidsTargets(candidate))
+      this.fullUntil.set(fullRouteKey(route, candidate), until);
+    return {kind: 'full', until};
+  }
+
+  private backoffEnd(): number {
+    const {clock, placement} = this.context;
+    const by = placement.usesPeerCoordinator ? 'coordinator' : 'localView';
+    return clock.now() + FULL_ROUTE_BACKOFF_MS[by];
+  }
+
+  private async targetFor(
+    {services}: Route,
+    candidate: ItemCandidate,
+  ): Promise<Target | undefined> {
+    const {placement, random} = this.context;
+    const {service} = services[random.int(services.length)]!;
+    const pressure = PRESSURE[candidate.estimate.urgency];
+    const avoided = this.avoidedTargets(service, candidate);
+    const target = await placement.forItem(service, pressure, avoided);
+    if (target || avoided.size === 0) return target;
+    return mayRunAnywhere(candidate.estimate, candidate.untilExpiryMs)
+      ? placement.forItem(service, pressure, NO_TARGETS)
+      : undefined;
+  }
+
+  private avoidedTargets(
+    service: string,
+    {work: {failedTargets}}: ItemCandidate,
+  ): ReadonlySet<string> {
+    if (failedTargets.length === 0) return NO_TARGETS;
+    const available = this.context.chooser.available(service);
+    return avoidedItemTargets(failedTargets, available);
+  }
+}
