The line about waiting items names the longest wait and its reason

Cause: no log line said why an item waits. An item that lay beside free slots until the end of its job left no trace of what kept its owner from starting it. Change: items-waiting names, once a second, the item that has received nothing for longest (over 1 s): job, item, time, urgency, runs, the reason, and how many targets of its service are listed, suspended and under half full. A placement of an item tells who found no free slot, this host or the coordinator. A counter by reason, items_waiting_long. No change of what is started.

--- a/packages/gateway/src/lib/process/placement.ts
+++ b/packages/gateway/src/lib/process/placement.ts
@@ -20,7 +20,11 @@
 import type {Coordinator, OwnPlacement} from './coordinator.js';
 import type {LoadPeer} from './load_reporter.js';
 import {PendingReplies} from './pending_replies.js';
-import {placementOutcome, type PlacementOutcome} from './placement_outcome.js';
+import {
+  placementOutcome,
+  type ItemPlacementOutcome,
+  type PlacementOutcome,
+} from './placement_outcome.js';
 import {SilentCoordinators} from './silent_coordinators.js';
 import type {TargetChooser} from './target_chooser.js';
 import type {TargetDirectory} from './target_directory.js';
@@ -192,26 +196,28 @@
    * @param service - Service that the target must provide.
    * @param pressure - Whether the item is urgent.
    * @param avoided - IDs of targets that must not be selected.
-   * @returns The selected target; undefined if none has a free slot. Never
-   *     rejects.
+   * @returns The selected target, or who has found none. Never rejects.
    */
   async forItem(
     service: string,
     pressure: BatchPressure,
     avoided: ReadonlySet<string>,
-  ): Promise<Target | undefined> {
+  ): Promise<ItemPlacementOutcome> {
     const {chooser} = this.context;
     const own = chooser.forItem(service, pressure, avoided);
     const coordinator = this.coordinator();
-    if (!coordinator || !own) return own;
+    if (!coordinator || !own) return byOwnView(own);
     const answer = await this.requestPlacement(
       coordinator,
       service,
       {lane: 'batch', pressure, avoided: [...avoided].slice(0, MAX_EXCLUDED)},
       NO_TARGETS,
     );
-    if (answer === 'silent') return chooser.forItem(service, pressure, avoided);
-    return answer.kind === 'placed' ? answer.target : undefined;
+    if (answer === 'silent')
+      return byOwnView(chooser.forItem(service, pressure, avoided));
+    return answer.kind === 'placed'
+      ? answer
+      : {kind: 'full', by: 'coordinator'};
   }
 
   /** @param message - A message from another host. */
@@ -305,6 +311,10 @@
   }
 }
 
+function byOwnView(target: Target | undefined): ItemPlacementOutcome {
+  return target ? {kind: 'placed', target} : {kind: 'full', by: 'own-view'};
+}
+
 function outcomeLabel(answer: PlacementGrant | 'silent'): string {
   if (answer === 'silent') return answer;
   return answer.targetId === undefined ? 'full' : 'place';
--- a/packages/gateway/src/lib/process/placement_outcome.ts
+++ b/packages/gateway/src/lib/process/placement_outcome.ts
@@ -1,4 +1,4 @@
-/** Outcome of the search for a target of an online request. */
+/** Outcomes of the search for a target of an online request or an item. */
 import type {ShareFigures} from '@oathead/core';
 import type {FullCause} from '../connection/placement_message.js';
 import type {Target} from '../connection/target.js';
@@ -25,6 +25,14 @@
 /** Outcome of the search for a target of an online request. */
 export type PlacementOutcome = Placed | NotPlaced;
 
+/** Outcome of the search for a target of a batch item. */
+export type ItemPlacementOutcome =
+  | Placed
+  /** No target has a free slot for it, by the view of this host. */
+  | {readonly kind: 'full'; readonly by: 'own-view'}
+  /** The coordinator that was asked grants none. */
+  | {readonly kind: 'full'; readonly by: 'coordinator'};
+
 /** No target has free capacity, and no retry is scheduled. */
 export const NO_ROOM: NotPlaced = {
   kind: 'full',
--- a/packages/gateway/src/test/fakes/fleet_simulator.ts
+++ b/packages/gateway/src/test/fakes/fleet_simulator.ts
@@ -801,17 +801,17 @@
       const next = host.itemsWaiting.findIndex(at => at <= this.now);
       if (next < 0) break;
       const {pressure} = this.load;
-      const target = await host.placement.forItem(
+      const placed = await host.placement.forItem(
         SERVICE,
         pressure,
         NO_TARGETS,
       );
-      if (!target) {
+      if (placed.kind === 'full') {
         host.fullUntil = this.now + FULL_BACKOFF_MS;
         break;
       }
       host.itemsWaiting.splice(next, 1);
-      this.send(host, target, undefined);
+      this.send(host, placed.target, undefined);
     }
     host.isStartingItems = false;
   }
--- a/packages/gateway/src/test/process/placement_test.ts
+++ b/packages/gateway/src/test/process/placement_test.ts
@@ -6,9 +6,11 @@
 import {PreferredTargets} from '../../lib/process/preferred_targets.js';
 import {LoadTable} from '../../lib/process/load_table.js';
 import {targetKey} from '../../lib/connection/load_message.js';
-import type {Target} from '../../lib/connection/target.js';
 import {Placement} from '../../lib/process/placement.js';
-import type {PlacementOutcome} from '../../lib/process/placement_outcome.js';
+import type {
+  ItemPlacementOutcome,
+  PlacementOutcome,
+} from '../../lib/process/placement_outcome.js';
 import {ReturnPromises} from '../../lib/process/return_promises.js';
 import {ServiceHealth} from '../../lib/process/service_health.js';
 import {ServiceOverload} from '../../lib/process/service_overload.js';
@@ -84,8 +86,7 @@
   return {placement, directory, suspensions, loads, sent, preempted, fill};
 }
 
-function idOf(outcome: PlacementOutcome | Target | undefined) {
-  if (!outcome || 'id' in outcome) return outcome?.id;
+function idOf(outcome: PlacementOutcome | ItemPlacementOutcome) {
   return outcome.kind === 'placed' ? outcome.target.id : undefined;
 }
 
@@ -189,7 +190,10 @@
   requester.placement.receive(coordinator.sent.at(-1)![0]);
   t.is(idOf(await placed), 't2');
   requester.fill('y', 't2', 8, 0);
-  t.is(await requester.placement.forItem('s', 'pressed', avoided), undefined);
+  t.deepEqual(await requester.placement.forItem('s', 'pressed', avoided), {
+    kind: 'full',
+    by: 'own-view',
+  });
 });
 
 // Two items that every target fails would take their targets from all requests.
--- a/packages/jobs/src/lib/process/batch_scheduler.ts
+++ b/packages/jobs/src/lib/process/batch_scheduler.ts
@@ -12,18 +12,21 @@
 } from '@oathead/gateway';
 import {inAccountTurns, runningByAccount} from './account_turns.js';
 import type {ItemWork} from './item_work.js';
+import {
+  avoidsTargets,
+  isDelayedByFailure,
+  type ItemCandidate,
+} from './item_candidate.js';
 import {compareEstimates, ItemDurations} from './item_durations.js';
 import {runItem, type ItemRunContext} from './item_runner.js';
 import {idleTimeoutMs} from './item_idle_timeout.js';
 import {ItemRoutes, type ItemRoutesContext} from './item_routes.js';
 import {
-  avoidsTargets,
   ItemTargetSearch,
-  type ItemCandidate,
   type ItemSearchContext,
 } from './item_target_search.js';
 import type {OwnedJob} from './owned_job.js';
-import {retryDelayMs} from './retry_delay.js';
+import {WaitExplainer} from './wait_explainer.js';
 import {WaitingReport} from './waiting_report.js';
 
 /** Dependencies of a {@link BatchScheduler}. */
@@ -71,6 +74,7 @@
   private readonly waitingReport: WaitingReport;
   private readonly routes: ItemRoutes;
   private readonly search: ItemTargetSearch;
+  private readonly explainer: WaitExplainer;
   private paused = false;
   private starting = false;
 
@@ -85,6 +89,12 @@
     this.waitingReport = new WaitingReport(context);
     this.routes = new ItemRoutes(context);
     this.search = new ItemTargetSearch(context);
+    this.explainer = new WaitExplainer({
+      ...context,
+      routes: this.routes,
+      search: this.search,
+      isPaused: () => this.paused,
+    });
   }
 
   /** Starts scheduling. */
@@ -100,7 +110,7 @@
     );
     this.disposables.defer(() => clearInterval(checkpointTimer));
     const reportTimer = setInterval(
-      () => this.waitingReport.write(this.unfinishedItems()),
+      () => this.reportWaiting(),
       REPORT_INTERVAL_MS,
     );
     this.disposables.defer(() => clearInterval(reportTimer));
@@ -132,6 +142,11 @@
     this.disposables[Symbol.dispose]();
   }
 
+  private reportWaiting(): void {
+    const items = this.unfinishedItems();
+    this.waitingReport.write(items, this.explainer.longest(items));
+  }
+
   private checkpoint(): void {
     for (const job of this.jobs()) void job.checkpoint();
   }
@@ -221,7 +236,7 @@
         const {stage} = work;
         if (stage.kind !== 'waiting' || stage.notBefore > now) continue;
         const candidate = this.candidate(job, work);
-        if (!this.isDelayed(candidate, now)) candidates.push(candidate);
+        if (!isDelayedByFailure(candidate, now)) candidates.push(candidate);
       }
     }
     return inAccountTurns(
@@ -231,22 +246,6 @@
     );
   }
 
-  private isDelayed(
-    {job, work, estimate, untilExpiryMs}: ItemCandidate,
-    now: number,
-  ): boolean {
-    const {failures, doubts, incompleteFailures, lastFailureAtMs} = work;
-    if (lastFailureAtMs === undefined) return false;
-    const used = failures + doubts + incompleteFailures;
-    const item = {
-      ...estimate,
-      attemptsLeft: job.head.maxAttempts - used,
-      sinceFailureMs: now - lastFailureAtMs,
-      untilExpiryMs,
-    };
-    return retryDelayMs(item) > 0;
-  }
-
   private unfinishedItems(): readonly ItemCandidate[] {
     return [...this.jobs()].flatMap(job =>
       job.work
--- a/packages/jobs/src/lib/process/item_target_search.ts
+++ b/packages/jobs/src/lib/process/item_target_search.ts
@@ -6,15 +6,14 @@
 import type {
   BatchPressure,
   ItemPlacement,
+  ItemPlacementOutcome,
   Route,
   Target,
   TargetChooser,
 } from '@oathead/gateway';
-import type {AccountItem} from './account_turns.js';
 import {avoidedItemTargets, mayRunAnywhere} from './avoided_item_targets.js';
-import type {ItemEstimate, Urgency} from './item_durations.js';
-import type {ItemWork} from './item_work.js';
-import type {OwnedJob} from './owned_job.js';
+import {avoidsTargets, type ItemCandidate} from './item_candidate.js';
+import type {Urgency} from './item_durations.js';
 
 /** Dependencies of {@link ItemTargetSearch}. */
 export interface ItemSearchContext {
@@ -24,21 +23,15 @@
   readonly random: Random;
 }
 
-/** An item that is to be started. */
-export interface ItemCandidate extends AccountItem {
-  readonly job: OwnedJob;
-  readonly work: ItemWork;
-  readonly estimate: ItemEstimate;
-  /** Time until its job is no longer kept, in milliseconds. */
-  readonly untilExpiryMs: number;
-}
-
 /** Outcome of a search. */
 export type ItemSearchOutcome =
   | {readonly kind: 'placed'; readonly target: Target}
   /** No target has a free slot; the next search is due at `until`. */
   | {readonly kind: 'full'; readonly until: number};
 
+/** Who has found no free slot; see `ItemPlacementOutcome`. */
+type RefusedBy = Extract<ItemPlacementOutcome, {kind: 'full'}>['by'];
+
 /** How long a route without a free slot is skipped, in milliseconds. */
 const FULL_ROUTE_BACKOFF_MS = {
   /**
@@ -59,14 +52,6 @@
 
 const NO_TARGETS: ReadonlySet<string> = new Set();
 
-/**
- * @param candidate - A waiting item.
- * @returns Whether it should run on other targets than those that failed it.
- */
-export function avoidsTargets({work}: Pick<ItemCandidate, 'work'>): boolean {
-  return work.failedTargets.length > 0;
-}
-
 /**
  * Key of the backoff of a route. It includes the pressure, since slots are
  * reserved for urgent items: a route that is full for relaxed items may have
@@ -80,6 +65,9 @@
 export class ItemTargetSearch {
   /** Time until which a route is considered full, by {@link fullRouteKey}. */
   private readonly fullUntil = new Map<string, number>();
+  /** Who refused the last search, by {@link fullRouteKey}. */
+  private readonly refusals = new Map<string, RefusedBy>();
+  private pendingSince: number | undefined;
 
   /** @param context - Target selection and placement. */
   constructor(private readonly context: ItemSearchContext) {}
@@ -104,15 +92,43 @@
     route: Route,
     candidate: ItemCandidate,
   ): Promise<ItemSearchOutcome> {
-    const target = await this.targetFor(route, candidate);
-    if (target) return {kind: 'placed', target};
+    const {clock} = this.context;
+    this.pendingSince = clock.now();
+    const placed = await this.targetFor(route, candidate);
+    this.pendingSince = undefined;
+    const key = fullRouteKey(route, candidate);
+    if (placed.kind === 'placed') {
+      this.refusals.delete(key);
+      return placed;
+    }
+    this.refusals.set(key, placed.by);
     const until = this.backoffEnd();
     // The route may have slots for items that avoid no target.
-    if (!avoidsTargets(candidate))
-      this.fullUntil.set(fullRouteKey(route, candidate), until);
+    if (!avoidsTargets(candidate)) this.fullUntil.set(key, until);
     return {kind: 'full', until};
   }
 
+  /**
+   * @param route - Route of an item.
+   * @param candidate - The item.
+   * @returns Who found no free slot for such an item last; undefined if a
+   *     target was found, or none was searched for.
+   */
+  refusedBy(route: Route, candidate: ItemCandidate): RefusedBy | undefined {
+    return this.refusals.get(fullRouteKey(route, candidate));
+  }
+
+  /**
+   * @returns How long the current search has taken, in milliseconds; 0 if there
+   *     is none.
+   */
+  pendingMs(): number {
+    const {pendingSince} = this;
+    return pendingSince === undefined
+      ? 0
+      : this.context.clock.now() - pendingSince;
+  }
+
   private backoffEnd(): number {
     const {clock, placement} = this.context;
     const by = placement.usesPeerCoordinator ? 'coordinator' : 'localView';
@@ -122,16 +138,16 @@
   private async targetFor(
     {services}: Route,
     candidate: ItemCandidate,
-  ): Promise<Target | undefined> {
+  ): Promise<ItemPlacementOutcome> {
     const {placement, random} = this.context;
     const {service} = services[random.int(services.length)]!;
     const pressure = PRESSURE[candidate.estimate.urgency];
     const avoided = this.avoidedTargets(service, candidate);
-    const target = await placement.forItem(service, pressure, avoided);
-    if (target || avoided.size === 0) return target;
+    const placed = await placement.forItem(service, pressure, avoided);
+    if (placed.kind === 'placed' || avoided.size === 0) return placed;
     return mayRunAnywhere(candidate.estimate, candidate.untilExpiryMs)
       ? placement.forItem(service, pressure, NO_TARGETS)
-      : undefined;
+      : placed;
   }
 
   private avoidedTargets(
--- a/packages/jobs/src/lib/process/item_timeline.ts
+++ b/packages/jobs/src/lib/process/item_timeline.ts
@@ -17,6 +17,7 @@
 /** Collects the times of the runs of one item. */
 export class ItemTimeline {
   private firstSentAt: number | undefined;
+  private progressAt: number | undefined;
   private untilFirstEvents = 0;
   private lost = 0;
   private total = 0;
@@ -26,6 +27,11 @@
     return this.firstSentAt;
   }
 
+  /** End of the last run that received an event; undefined before it. */
+  get progressAtMs(): number | undefined {
+    return this.progressAt;
+  }
+
   /**
    * Time from the send to the first event over all runs, in milliseconds: the
    * queue of the target and the reading of the prompt.
@@ -55,6 +61,7 @@
   add({sentAtMs, firstEventAtMs, endedAtMs, isComplete}: RunTimes): void {
     const untilFirstEvent = (firstEventAtMs ?? endedAtMs) - sentAtMs;
     this.firstSentAt ??= sentAtMs;
+    if (firstEventAtMs !== undefined) this.progressAt = endedAtMs;
     this.total += endedAtMs - sentAtMs;
     this.untilFirstEvents += untilFirstEvent;
     if (!isComplete) this.lost += untilFirstEvent;
--- a/packages/jobs/src/lib/process/owned_job.ts
+++ b/packages/jobs/src/lib/process/owned_job.ts
@@ -97,7 +97,10 @@
 export class OwnedJob implements Disposable {
   private readonly stop = new AbortController();
   private readonly writer: HeadWriter;
-  private readonly adoptedAtMs: number;
+  /**
+   * When this host became the owner, on its monotonic clock in milliseconds.
+   */
+  readonly adoptedAtMs: number;
   private readonly finished: FinishedItem[] = [];
   private readonly failed: ItemWork[] = [];
   private writing: Promise<void> | undefined;
--- a/packages/jobs/src/lib/process/waiting_report.ts
+++ b/packages/jobs/src/lib/process/waiting_report.ts
@@ -1,11 +1,13 @@
 /**
  * Reports the items that wait on this host: how urgent they are and whether
- * they find targets with free slots. One log line per interval, and none while
- * no item waits, so that the volume does not grow with the items.
+ * they find targets with free slots, and why the one that has waited longest is
+ * not running. One log line per interval, and none while no item waits, so that
+ * the volume does not grow with the items.
  */
 import type {Counters, EventLog} from '@oathead/core';
 import type {ItemEstimate, Urgency} from './item_durations.js';
 import type {ItemStage} from './item_work.js';
+import type {LongestWait} from './wait_explainer.js';
 
 /** An item and its estimate. */
 export interface ReportedItem {
@@ -43,12 +45,17 @@
    * Writes one line about the time since the previous call.
    *
    * @param items - The items that wait or run now.
+   * @param longest - The longest wait, if it is long.
    */
-  write(items: readonly ReportedItem[]): void {
+  write(items: readonly ReportedItem[], longest?: LongestWait): void {
     const {placed, full} = this.placements;
     this.placements = {placed: 0, full: 0};
     const waiting = items.filter(({work}) => work.stage.kind === 'waiting');
-    if (waiting.length === 0) return;
+    if (longest)
+      this.context.counters.count('items_waiting_long', {
+        reason: longest.reason,
+      });
+    if (waiting.length === 0 && !longest) return;
     const count = (urgency: Urgency) =>
       waiting.filter(({estimate}) => estimate.urgency === urgency).length;
     const remaining = waiting.map(({estimate}) => estimate.remainingMs);
@@ -59,7 +66,8 @@
       running: items.length - waiting.length,
       placed,
       full,
-      longestRemainingMs: Math.round(Math.max(...remaining)),
+      longestRemainingMs: Math.round(Math.max(0, ...remaining)),
+      ...longest,
     });
   }
 }
--- a/packages/jobs/src/test/process/batch_scheduler_test.ts
+++ b/packages/jobs/src/test/process/batch_scheduler_test.ts
@@ -5,7 +5,7 @@
   seededRandom,
   SYSTEM_CLOCK,
 } from '@oathead/core';
-import type {BatchPressure, Target} from '@oathead/gateway';
+import type {BatchPressure, ItemPlacementOutcome} from '@oathead/gateway';
 import test from 'ava';
 import {
   BatchScheduler,
@@ -15,6 +15,7 @@
 import type {OwnedJob} from '../../lib/process/owned_job.js';
 
 const ROUTE = {name: 'files', services: [{service: 'llm', weight: 1}]};
+const FULL: ItemPlacementOutcome = {kind: 'full', by: 'own-view'};
 const GOAL_MS = 10_000;
 const RUN_MS = 300;
 /** The scheduling interval, in milliseconds. */
@@ -82,7 +83,7 @@
     usesPeerCoordinator,
     forItem: async (service: string, pressure: BatchPressure) => {
       counts[pressure]++;
-      return undefined as Target | undefined;
+      return FULL;
     },
   };
   await runScheduler(jobs, {placement});
@@ -143,7 +144,7 @@
       avoided: ReadonlySet<string>,
     ) => {
       counts[avoided.has('failing') ? 'failed' : 'others']++;
-      return undefined as Target | undefined;
+      return FULL;
     },
   };
   const chooser = {available: () => ['failing', 'full']};
@@ -181,7 +182,7 @@
       directory: {get: () => undefined},
       clock: {...SYSTEM_CLOCK, now: () => this.nowMs},
       random: seededRandom(1),
-      placement: {forItem: async () => undefined},
+      placement: {forItem: async () => FULL},
       routing: this.routing,
       crashSuspects: {isItemBlocked: () => false},
       loads: {onChange: () => {}},
--- a/packages/jobs/src/test/process/waiting_report_test.ts
+++ b/packages/jobs/src/test/process/waiting_report_test.ts
@@ -51,3 +51,24 @@
   report.write([itemOf('relaxed', {kind: 'recording'})]);
   t.deepEqual(recorded.events, []);
 });
+
+// One line a second tells everything that is known about the waits of a host.
+test('the longest wait is a part of the line and counted by its reason', t => {
+  const recorded = new RecordedEvents();
+  const report = new WaitingReport({log: recorded, counters: recorded});
+  report.write([itemOf('late', WAITING)], {
+    job: 'j',
+    item: 'i',
+    waitedMs: 3000,
+    urgency: 'late',
+    reason: 'all-suspended',
+    runs: 1,
+    service: 's',
+    targets: 2,
+    suspended: 2,
+    underHalf: 0,
+  });
+  t.is(recorded.events.length, 1);
+  t.like(recorded.events[0], {late: 1, item: 'i', reason: 'all-suspended'});
+  t.is(recorded.counts['items_waiting_long all-suspended'], 1);
+});
