--- a/packages/gateway/src/lib/process/placement.ts
+++ b/packages/gateway/src/lib/process/placement.ts
@@ -13,19 +13,17 @@
 import type {Target} from '../connection/target.js';
 import type {
   PlacementRequest,
-  PlacementGrant,
   PlacementMessage,
-  PlacementCriteria,
 } from '../connection/placement_message.js';
 import type {Coordinator, OwnPlacement} from './coordinator.js';
+import {ItemPlacer} from './item_placer.js';
 import type {LoadPeer} from './load_reporter.js';
-import {PendingReplies} from './pending_replies.js';
+import {PlacementAsker} from './placement_asker.js';
 import {
   placementOutcome,
   type ItemPlacementOutcome,
   type PlacementOutcome,
 } from './placement_outcome.js';
-import {SilentCoordinators} from './silent_coordinators.js';
 import type {TargetChooser} from './target_chooser.js';
 import type {TargetDirectory} from './target_directory.js';
 import type {BatchPressure} from './target_score.js';
@@ -37,14 +35,6 @@
  */
 const LOCAL_VIEW_LOAD_SHARE = 0.5;
 
-/**
- * Maximum number of excluded targets in a placement request, which must fit
- * into a datagram.
- */
-const MAX_EXCLUDED = 30;
-
-const NO_TARGETS: ReadonlySet<string> = new Set();
-
 /** Dependencies of {@link Placement}. */
 export interface PlacementContext<P extends LoadPeer> {
   readonly self: LoadPeer;
@@ -81,14 +71,17 @@
 
 /** Sends placement requests, and replies to those of other hosts. */
 export class Placement<P extends LoadPeer> {
-  private readonly replies: PendingReplies;
-  private askId = 0;
-  private readonly silent: SilentCoordinators;
+  private readonly asker: PlacementAsker<P>;
+  private readonly items: ItemPlacer<P>;
 
   /** @param context - Target selection on this host, and the coordinators. */
   constructor(private readonly context: PlacementContext<P>) {
-    this.silent = new SilentCoordinators(context);
-    this.replies = new PendingReplies(context.clock);
+    this.asker = new PlacementAsker(context);
+    this.items = new ItemPlacer({
+      ...context,
+      asker: this.asker,
+      coordinator: () => this.coordinator(),
+    });
   }
 
   /** Whether placement requests currently go to another host. */
@@ -126,12 +119,7 @@
     if (own && chooser.isLoadBelow(own, LOCAL_VIEW_LOAD_SHARE))
       return placementOutcome(own);
     const wish = {lane: 'online', demand, near: false} as const;
-    const answer = await this.requestPlacement(
-      coordinator,
-      service,
-      wish,
-      tried,
-    );
+    const answer = await this.asker.request(coordinator, service, wish, tried);
     return answer === 'silent'
       ? localCoordinator.placeOwn(service, demand, view)
       : answer;
@@ -154,10 +142,9 @@
     const {dataCentre} = first;
     const other =
       dataCentre === self.dataCentre ? undefined : coordinatorOf(dataCentre);
-    if (!other || this.silent.isPaused(other.id))
-      return placementOutcome(first);
+    if (!other || this.asker.isPaused(other)) return placementOutcome(first);
     const wish = {lane: 'online', demand, near: true} as const;
-    const answer = await this.requestPlacement(other, service, wish, tried);
+    const answer = await this.asker.request(other, service, wish, tried);
     if (answer === 'silent') return placementOutcome(first);
     if (answer.kind === 'placed') return answer;
     const local = await this.placeNear(service, demand, tried);
@@ -180,7 +167,7 @@
     const coordinator = this.coordinator();
     const answer =
       coordinator && demand.account !== undefined
-        ? await this.requestPlacement(coordinator, service, wish, tried)
+        ? await this.asker.request(coordinator, service, wish, tried)
         : 'silent';
     if (answer !== 'silent') return answer;
     const view = this.ownView(tried, true);
@@ -203,21 +190,7 @@
     pressure: BatchPressure,
     avoided: ReadonlySet<string>,
   ): Promise<ItemPlacementOutcome> {
-    const {chooser} = this.context;
-    const own = chooser.forItem(service, pressure, avoided);
-    const coordinator = this.coordinator();
-    if (!coordinator || !own) return byOwnView(own);
-    const answer = await this.requestPlacement(
-      coordinator,
-      service,
-      {lane: 'batch', pressure, avoided: [...avoided].slice(0, MAX_EXCLUDED)},
-      NO_TARGETS,
-    );
-    if (answer === 'silent')
-      return byOwnView(chooser.forItem(service, pressure, avoided));
-    return answer.kind === 'placed'
-      ? answer
-      : {kind: 'full', by: 'coordinator'};
+    return this.items.place(service, pressure, avoided);
   }
 
   /** @param message - A message from another host. */
@@ -227,7 +200,7 @@
         this.handleRequest(message);
         return;
       case 'grant':
-        this.replies.receive(message);
+        this.asker.receive(message);
         return;
       case 'yield':
         this.context.onPreempt(message.targetId, message.items);
@@ -236,60 +209,11 @@
 
   private coordinator(): P | undefined {
     const coordinator = this.context.coordinator();
-    return coordinator && this.silent.isPaused(coordinator.id)
+    return coordinator && this.asker.isPaused(coordinator)
       ? undefined
       : coordinator;
   }
 
-  private async requestPlacement(
-    coordinator: P,
-    service: string,
-    criteria: PlacementCriteria,
-    tried: ReadonlySet<string>,
-  ): Promise<PlacementOutcome | 'silent'> {
-    const {self, send, counters} = this.context;
-    const askId = ++this.askId;
-    const excluded = this.excludedTargets(service, tried);
-    const request = {host: self.id, askId, service, wish: criteria, excluded};
-    const answered = this.replies.next(askId);
-    send({kind: 'ask', ...request}, coordinator);
-    const answer = await answered;
-    const outcome = outcomeLabel(answer);
-    counters.count('placement_asks', {lane: criteria.lane, outcome});
-    if (answer === 'silent') {
-      this.silent.recordTimeout(coordinator.id);
-      return answer;
-    }
-    this.silent.recordReply(coordinator.id);
-    const {targetId, cause = 'room', retryAfterMs, figures} = answer;
-    if (targetId === undefined)
-      return {kind: 'full', cause, retryAfterMs, figures};
-    const target = this.findUsable(targetId, service);
-    return target ? placementOutcome(target) : 'silent';
-  }
-
-  /**
-   * Returns the target unless it is draining or was removed. The coordinator
-   * may have read an earlier state of the target list.
-   */
-  private findUsable(targetId: string, service: string): Target | undefined {
-    const targets = this.context.directory.ofService(service);
-    return targets.find(({id}) => id === targetId);
-  }
-
-  /**
-   * Lists the targets that the coordinator must not select. A target that
-   * crashed has failed this host repeatedly, but has the lowest load of all
-   * from the point of view of a coordinator that has not tried it.
-   */
-  private excludedTargets(
-    service: string,
-    tried: ReadonlySet<string>,
-  ): readonly string[] {
-    const suspended = this.context.chooser.suspended(service);
-    return [...new Set([...tried, ...suspended])].slice(0, MAX_EXCLUDED);
-  }
-
   private handleRequest(request: PlacementRequest): void {
     const {localCoordinator: coordinator, peer, send} = this.context;
     const to = peer(request.host);
@@ -310,12 +234,3 @@
     }
   }
 }
-
-function byOwnView(target: Target | undefined): ItemPlacementOutcome {
-  return target ? {kind: 'placed', target} : {kind: 'full', by: 'own-view'};
-}
-
-function outcomeLabel(answer: PlacementGrant | 'silent'): string {
-  if (answer === 'silent') return answer;
-  return answer.targetId === undefined ? 'full' : 'place';
-}
