Choice of targets for batch items in a file of its own

Change: ItemTargetChooser takes over forItem and forCoordinatedItem. Result: no change of behaviour; the tests of chooser, score and placement pass with the new name of the calls only.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -41,6 +41,7 @@
 export * from './lib/process/service_overload.js';
 export * from './lib/process/share_admission.js';
 export * from './lib/process/speed_reporter.js';
+export * from './lib/process/item_target_chooser.js';
 export * from './lib/process/target_chooser.js';
 export * from './lib/process/target_directory.js';
 export * from './lib/process/target_score.js';
--- a/packages/gateway/src/lib/process/item_placer.ts
+++ b/packages/gateway/src/lib/process/item_placer.ts
@@ -11,7 +11,7 @@
 
 /** Dependencies of {@link ItemPlacer}. */
 export interface ItemPlacerContext<P extends LoadPeer> {
-  readonly chooser: Pick<TargetChooser, 'forItem'>;
+  readonly chooser: Pick<TargetChooser, 'items'>;
   readonly asker: Pick<PlacementAsker<P>, 'request'>;
   /**
    * @returns The coordinator to ask; undefined if it is this host, there is
@@ -39,7 +39,7 @@
     avoided: ReadonlySet<string>,
   ): Promise<ItemPlacementOutcome> {
     const {chooser, asker, coordinator: coordinatorNow} = this.context;
-    const own = chooser.forItem(service, pressure, avoided);
+    const own = chooser.items.forItem(service, pressure, avoided);
     const coordinator = coordinatorNow();
     if (!coordinator || !own) return byOwnView(own);
     const answer = await asker.request(
@@ -49,7 +49,7 @@
       NO_TARGETS,
     );
     if (answer === 'silent')
-      return byOwnView(chooser.forItem(service, pressure, avoided));
+      return byOwnView(chooser.items.forItem(service, pressure, avoided));
     return answer.kind === 'placed'
       ? answer
       : {kind: 'full', by: 'coordinator'};
--- a/packages/gateway/src/lib/process/target_chooser.ts
+++ b/packages/gateway/src/lib/process/target_chooser.ts
@@ -5,14 +5,15 @@
 import type {WaitDemand} from '@oathead/core';
 import {targetKey} from '../connection/load_message.js';
 import type {Target} from '../connection/target.js';
+import {ItemTargetChooser} from './item_target_chooser.js';
 import type {PreferredTargets} from './preferred_targets.js';
-import type {LoadTable, TargetLoad} from './load_table.js';
+import type {LoadTable} from './load_table.js';
 import type {TargetDirectory} from './target_directory.js';
 import {
+  lowestScored,
   TargetScore,
-  slowsWhenNearlyFull,
   type BatchPressure,
-  type ChoicePurpose,
+  type HasCapacity,
   type RemotePenalties,
   type TargetScoreContext,
 } from './target_score.js';
@@ -51,8 +52,6 @@
   readonly leastOnline: number | undefined;
 }
 
-type HasCapacity = (target: Target, load: TargetLoad) => boolean;
-
 /** Dependencies of {@link TargetChooser}. */
 export interface TargetChooserContext extends TargetScoreContext {
   readonly directory: TargetDirectory;
@@ -63,6 +62,8 @@
 
 /** Selects targets based on the loads of all hosts. */
 export class TargetChooser {
+  /** Selects targets for batch items. */
+  readonly items: ItemTargetChooser;
   private readonly score: TargetScore;
 
   /**
@@ -74,6 +75,11 @@
     private readonly weights: ChoiceWeights = DEFAULT_CHOICE_WEIGHTS,
   ) {
     this.score = new TargetScore(context, weights);
+    this.items = new ItemTargetChooser(
+      context,
+      this.score,
+      weights.batchStartShare,
+    );
   }
 
   /**
@@ -88,7 +94,7 @@
     demand: WaitDemand,
     tried: ReadonlySet<string>,
   ): Target | undefined {
-    const {overload} = this.context;
+    const {overload, loads} = this.context;
     const hasCapacity: HasCapacity = (target, {online}) =>
       online < target.slots + overload.maxQueued(target, demand);
     const isAvailable = ({id}: Target) =>
@@ -102,26 +108,8 @@
     const available = targets.some(isAvailable)
       ? targets.filter(isAvailable)
       : targets;
-    return this.best(service, available, {lane: 'online'}, hasCapacity);
-  }
-
-  /**
-   * @param service - Service that the target must provide.
-   * @param pressure - Whether the item is urgent.
-   * @param excluded - IDs of targets that must not be selected.
-   * @returns The target with the lowest score; undefined if none has a free
-   *     slot.
-   */
-  forItem(
-    service: string,
-    pressure: BatchPressure,
-    excluded: ReadonlySet<string>,
-  ): Target | undefined {
-    const {directory, preferredTargets: preferred} = this.context;
-    const all = directory.ofService(service);
-    const candidates = pressure === 'relaxed' ? preferred.select(all) : all;
-    const allowed = candidates.filter(({id}) => !excluded.has(id));
-    return this.bestForItem(service, allowed, pressure);
+    const scoreOf = this.score.scorer(service, {lane: 'online'});
+    return lowestScored(available, {loads, scoreOf, hasCapacity});
   }
 
   /**
@@ -146,46 +134,6 @@
     return this.forRequest(service, demand, new Set(ids));
   }
 
-  private bestForItem(
-    service: string,
-    targets: readonly Target[],
-    pressure: BatchPressure,
-  ): Target | undefined {
-    const {suspensions} = this.context;
-    const share = this.weights.batchStartShare[pressure];
-    const available = targets.filter(({id}) => !suspensions.isSuspended(id));
-    const {speeds} = this.context.overload;
-    const hasCapacity: HasCapacity = (target, load) =>
-      load.online + load.batch < target.slots * share &&
-      !slowsWhenNearlyFull(target, load, speeds.slownessOf(target));
-    const purpose = {lane: 'batch', pressure} as const;
-    return this.best(service, available, purpose, hasCapacity);
-  }
-
-  /**
-   * Selects a target for an item of any host of this data centre; used by the
-   * coordinator.
-   *
-   * @param service - Service that the target must provide.
-   * @param pressure - Whether the item is urgent.
-   * @param excluded - IDs of targets that must not be selected.
-   * @returns The target with the lowest score; undefined if none has a free
-   *     slot.
-   */
-  forCoordinatedItem(
-    service: string,
-    pressure: BatchPressure,
-    excluded: ReadonlySet<string>,
-  ): Target | undefined {
-    const {directory, dataCentre} = this.context;
-    const all = directory
-      .ofService(service)
-      .filter(({id}) => !excluded.has(id));
-    const local = all.filter(target => target.dataCentre === dataCentre);
-    const candidates = pressure === 'relaxed' ? local : all;
-    return this.bestForItem(service, candidates, pressure);
-  }
-
   /**
    * @param target - A target.
    * @param share - Share of its slots, from 0 to 1.
@@ -276,23 +224,4 @@
       excess,
     );
   }
-
-  private best(
-    service: string,
-    targets: readonly Target[],
-    purpose: ChoicePurpose,
-    hasCapacity: HasCapacity,
-  ): Target | undefined {
-    const scoreOf = this.score.scorer(service, purpose);
-    let best: Target | undefined;
-    let bestScore = Infinity;
-    for (const target of targets) {
-      const load = this.context.loads.totalAt(targetKey(target.id));
-      const score = scoreOf(target, load);
-      if (score >= bestScore || !hasCapacity(target, load)) continue;
-      best = target;
-      bestScore = score;
-    }
-    return best;
-  }
 }
--- a/packages/gateway/src/lib/process/target_score.ts
+++ b/packages/gateway/src/lib/process/target_score.ts
@@ -6,8 +6,9 @@
  * differ in speed, a request in flight weighs more at a slow one.
  */
 import {loadBand, NEARLY_FULL, type Random, type Slowness} from '@oathead/core';
+import {targetKey} from '../connection/load_message.js';
 import type {Target} from '../connection/target.js';
-import type {Lane, TargetLoad} from './load_table.js';
+import type {Lane, LoadTable, TargetLoad} from './load_table.js';
 import type {ServiceHealth} from './service_health.js';
 import type {ServiceOverload} from './service_overload.js';
 
@@ -110,6 +111,37 @@
   }
 }
 
+/** Whether a target takes one more request or item. */
+export type HasCapacity = (target: Target, load: TargetLoad) => boolean;
+
+/** How targets are compared. */
+export interface Comparison {
+  readonly loads: Pick<LoadTable, 'totalAt'>;
+  readonly scoreOf: Scorer;
+  readonly hasCapacity: HasCapacity;
+}
+
+/**
+ * @param targets - Targets to choose from.
+ * @param comparison - How they are compared.
+ * @returns The one with the lowest score; undefined if none has free capacity.
+ */
+export function lowestScored(
+  targets: readonly Target[],
+  {loads, scoreOf, hasCapacity}: Comparison,
+): Target | undefined {
+  let best: Target | undefined;
+  let bestScore = Infinity;
+  for (const target of targets) {
+    const load = loads.totalAt(targetKey(target.id));
+    const score = scoreOf(target, load);
+    if (score >= bestScore || !hasCapacity(target, load)) continue;
+    best = target;
+    bestScore = score;
+  }
+  return best;
+}
+
 /**
  * @param target - A target.
  * @param load - Requests in flight there.
--- a/packages/gateway/src/test/process/target_chooser_test.ts
+++ b/packages/gateway/src/test/process/target_chooser_test.ts
@@ -77,8 +77,8 @@
 test('batch items leave slots free for online requests', t => {
   const {chooser, load} = newFleet(target('only'));
   load('only', 2, 5);
-  t.is(chooser.forItem('s', 'relaxed', NONE), undefined);
-  t.is(chooser.forItem('s', 'pressed', NONE)?.id, 'only');
+  t.is(chooser.items.forItem('s', 'relaxed', NONE), undefined);
+  t.is(chooser.items.forItem('s', 'pressed', NONE)?.id, 'only');
   t.is(chooser.forRequest('s', URGENT, NONE)?.id, 'only');
 });
 
