A host prefers targets that it can use now

Cause: items that can wait, and late ones, start on the eight or so targets that their host prefers. The set did not change while the host could not reach them: the items waited beside free slots of all other targets. Test: 'targets that fail a host are not among those that it prefers' found 8 of 12 targets before the change. Change: targets that have just failed the host make room for the next ones in its order. Targets that are only full keep their place, so that hosts do not move to each other's targets under load (second test, passes before and after). Result: 12 of 12; tests of preferred targets, chooser and placement pass.

--- a/packages/gateway/src/lib/process/item_target_chooser.ts
+++ b/packages/gateway/src/lib/process/item_target_chooser.ts
@@ -50,9 +50,12 @@
     pressure: BatchPressure,
     excluded: ReadonlySet<string>,
   ): Target | undefined {
-    const {directory, preferredTargets: preferred} = this.context;
+    const {directory, preferredTargets: preferred, suspensions} = this.context;
     const all = directory.ofService(service);
-    const candidates = pressure === 'relaxed' ? preferred.select(all) : all;
+    const candidates =
+      pressure === 'relaxed'
+        ? preferred.select(all, ({id}) => !suspensions.isFailing(id))
+        : all;
     return this.best(service, candidates, pressure, excluded);
   }
 
--- a/packages/gateway/src/lib/process/preferred_targets.ts
+++ b/packages/gateway/src/lib/process/preferred_targets.ts
@@ -30,46 +30,68 @@
   readonly hosts: () => number;
 }
 
-interface CachedSelection {
+interface CachedOrder {
   readonly hosts: number;
-  readonly preferred: readonly Target[];
+  /** Number of preferred targets. */
+  readonly count: number;
+  /** All targets; the preferred ones are the first usable ones. */
+  readonly order: readonly Target[];
 }
 
+/** Tells whether a host can use a target now. */
+export type IsUsable = (target: Target) => boolean;
+
 /** Selects and caches the preferred targets of a host. */
 export class PreferredTargets {
-  private readonly cache = new WeakMap<readonly Target[], CachedSelection>();
+  private readonly cache = new WeakMap<readonly Target[], CachedOrder>();
 
   /** @param context - This host and the number of live hosts. */
   constructor(private readonly context: PreferredTargetsContext) {}
 
   /**
-   * @param targets - All targets of a service. The result is cached by array
+   * Targets that the host cannot use make room for the next ones. Guards
+   * against items that wait beside free slots while their host cannot reach the
+   * few targets that it prefers.
+   *
+   * @param targets - All targets of a service. Their order is cached by array
    *     identity, so the same array must be passed until its content changes.
+   * @param isUsable - Whether this host can use a target now.
    * @returns The targets that this host fills first, local ones before remote
    *     ones.
    */
-  select(targets: readonly Target[]): readonly Target[] {
+  select(
+    targets: readonly Target[],
+    isUsable: IsUsable = () => true,
+  ): readonly Target[] {
+    const {count, order} = this.cachedOrder(targets);
+    const preferred: Target[] = [];
+    for (const target of order) {
+      if (preferred.length >= count) break;
+      if (isUsable(target)) preferred.push(target);
+    }
+    return preferred;
+  }
+
+  private cachedOrder(targets: readonly Target[]): CachedOrder {
     const hosts = this.context.hosts();
     const cached = this.cache.get(targets);
-    if (cached?.hosts === hosts) return cached.preferred;
-    const preferred = this.selectPreferred(targets, hosts);
-    this.cache.set(targets, {hosts, preferred});
-    return preferred;
+    if (cached?.hosts === hosts) return cached;
+    const computed = this.orderOf(targets, hosts);
+    this.cache.set(targets, computed);
+    return computed;
   }
 
-  private selectPreferred(
-    targets: readonly Target[],
-    hosts: number,
-  ): readonly Target[] {
+  private orderOf(targets: readonly Target[], hosts: number): CachedOrder {
     const share = Math.ceil((targets.length * HOSTS_PER_TARGET) / hosts);
     const count = Math.max(MIN_PREFERRED_TARGETS, share);
-    if (count >= targets.length) return targets;
+    if (count >= targets.length) return {hosts, count, order: targets};
     const byId = new Map(targets.map(target => [target.id, target]));
     const order = rendezvous(this.context.self, [...byId.keys()]);
     const isLocal = (id: string) =>
       byId.get(id)!.dataCentre === this.context.dataCentre;
     const local = order.filter(isLocal);
     const remote = order.filter(id => !isLocal(id));
-    return [...local, ...remote].slice(0, count).map(id => byId.get(id)!);
+    const ordered = [...local, ...remote].map(id => byId.get(id)!);
+    return {hosts, count, order: ordered};
   }
 }
--- a/packages/gateway/src/lib/process/target_suspensions.ts
+++ b/packages/gateway/src/lib/process/target_suspensions.ts
@@ -69,6 +69,14 @@
     return until !== undefined && until > this.clock.now();
   }
 
+  /**
+   * @returns Whether the target is suspended because it failed this host, and
+   *     not only because it is full.
+   */
+  isFailing(id: string): boolean {
+    return this.isSuspended(id) && this.suspended.get(id)!.declines === 0;
+  }
+
   /** @param id - ID of a target that completed a response. */
   recordSuccess(id: string): void {
     this.suspended.delete(id);
--- /dev/null
+++ b/packages/jobs/src/test/process/item_target_search_test.ts
@@ -0,0 +1,42 @@
+import test from 'ava';
+import {newCandidate, PlacingFleet, targetIn} from '../fakes/placing_fleet.js';
+
+const COORDINATORS = {a: 'a-lead', b: 'b-lead'};
+const NEAR = [...Array(12).keys()].map(i => targetIn('a', `t${i}`));
+const FAR = [targetIn('b', 'far')];
+
+/** A host of data centre `a`, and the coordinators that are named. */
+function newFleet(targets = [...NEAR, ...FAR], leads = ['a-lead', 'b-lead']) {
+  const fleet = new PlacingFleet(targets, COORDINATORS);
+  const host = fleet.add('a-host', 'a');
+  const coordinators = leads.map(id => fleet.add(id, id.split('-')[0]!));
+  return {fleet, host, all: [host, ...coordinators]};
+}
+
+// Items of a host lie beside free slots while it can't reach the few targets that
+// it prefers.
+test('targets that fail a host are not among those that it prefers', async t => {
+  const {host} = newFleet(NEAR, []);
+  const found = new Set<string>();
+  for (;;) {
+    const next = await host.findUntil(0, newCandidate('relaxed'));
+    if (!next || found.has(next.id)) break;
+    found.add(next.id);
+    host.suspensions.recordFailure(next.id, 'ECONNREFUSED');
+  }
+  t.is(found.size, NEAR.length);
+});
+
+// Guards against hosts that fill the same free slots: a host that finds its
+// targets full must not go to those of others.
+test('targets that are full stay among those that a host prefers', async t => {
+  const {host} = newFleet(NEAR, []);
+  const found = new Set<string>();
+  for (;;) {
+    const next = await host.findUntil(0, newCandidate('relaxed'));
+    if (!next || found.has(next.id)) break;
+    found.add(next.id);
+    host.suspensions.recordDecline(next.id);
+  }
+  t.is(found.size, 8);
+});
