A coordinator that all targets have failed still grants them to items

Cause: a coordinator left out the targets that had failed it. One whose own path to the targets is broken, while its path to the hosts is sound, refused the items of its whole data centre; online requests were granted such targets already. Test: 'a coordinator that all targets have failed still grants them' found no target before the change. Change: if no target of the data centre is left, those that have failed the coordinator are granted; not those that are only full, and not those that the asking host names.

--- a/packages/gateway/src/lib/process/item_target_chooser.ts
+++ b/packages/gateway/src/lib/process/item_target_chooser.ts
@@ -56,7 +56,8 @@
       pressure === 'relaxed'
         ? preferred.select(all, ({id}) => !suspensions.isFailing(id))
         : all;
-    return this.best(service, candidates, pressure, excluded);
+    const available = candidates.filter(({id}) => !suspensions.isSuspended(id));
+    return this.best(service, available, pressure, excluded);
   }
 
   /**
@@ -74,11 +75,16 @@
     pressure: BatchPressure,
     excluded: ReadonlySet<string>,
   ): Target | undefined {
-    const {directory, dataCentre} = this.context;
+    const {directory, dataCentre, suspensions} = this.context;
     const all = directory.ofService(service);
     const local = all.filter(target => target.dataCentre === dataCentre);
     const candidates = pressure === 'relaxed' ? local : all;
-    return this.best(service, candidates, pressure, excluded);
+    const usable = candidates.filter(({id}) => !suspensions.isSuspended(id));
+    // If all have failed the coordinator lately, the cause may be its own path
+    // to them. The asking hosts name the targets that fail them.
+    const failing = candidates.filter(({id}) => suspensions.isFailing(id));
+    const asked = usable.length > 0 ? usable : failing;
+    return this.best(service, asked, pressure, excluded);
   }
 
   private best(
@@ -87,12 +93,10 @@
     pressure: BatchPressure,
     excluded: ReadonlySet<string>,
   ): Target | undefined {
-    const {suspensions, loads, overload} = this.context;
+    const {loads, overload} = this.context;
     const {speeds} = overload;
     const share = this.startShare[pressure];
-    const available = targets.filter(
-      ({id}) => !excluded.has(id) && !suspensions.isSuspended(id),
-    );
+    const available = targets.filter(({id}) => !excluded.has(id));
     const hasCapacity: HasCapacity = (target, load) =>
       load.online + load.batch < target.slots * share &&
       !slowsWhenNearlyFull(target, load, speeds.slownessOf(target));
--- a/packages/jobs/src/test/process/item_target_search_test.ts
+++ b/packages/jobs/src/test/process/item_target_search_test.ts
@@ -40,3 +40,16 @@
   }
   t.is(found.size, 8);
 });
+
+// All items of a data centre lie beside free slots while its coordinator can't
+// reach any target of their service.
+test('a coordinator that all targets have failed still grants them', async t => {
+  const {host, all} = newFleet(NEAR);
+  const [, lead] = all;
+  for (const {id} of NEAR) lead!.suspensions.recordFailure(id, 'reset');
+  t.truthy(await host.findUntil(0, newCandidate('relaxed')));
+  const failing = NEAR.slice(1);
+  for (const {id} of failing) host.suspensions.recordFailure(id, 'reset');
+  const found = await host.findUntil(0, newCandidate('relaxed'));
+  t.is(found?.id, NEAR[0]!.id, 'not where the host that asks was failed');
+});
