Items of a data centre without targets ask the coordinator that has them

Cause: an item that can wait is granted only targets of the coordinator's own data centre. The coordinator of a data centre without usable targets of a service refuses all items of its hosts, which lie beside free slots elsewhere. Change: if no target of the own data centre can be used, the coordinator of the data centre whose target the host has chosen is asked. Messages keep their form.

--- a/packages/gateway/src/lib/process/item_placer.ts
+++ b/packages/gateway/src/lib/process/item_placer.ts
@@ -1,6 +1,6 @@
 /**
  * Selects the targets of batch items of this host: by the local view, and if
- * that finds a free slot, by the coordinator.
+ * that finds a free slot, by the coordinator of the data centre that has it.
  */
 import type {Target} from '../connection/target.js';
 import type {LoadPeer} from './load_reporter.js';
@@ -11,13 +11,19 @@
 
 /** Dependencies of {@link ItemPlacer}. */
 export interface ItemPlacerContext<P extends LoadPeer> {
+  readonly self: LoadPeer;
   readonly chooser: Pick<TargetChooser, 'items'>;
-  readonly asker: Pick<PlacementAsker<P>, 'request'>;
+  readonly asker: Pick<PlacementAsker<P>, 'request' | 'isPaused'>;
   /**
    * @returns The coordinator to ask; undefined if it is this host, there is
    *     none, or it does not reply.
    */
   readonly coordinator: () => P | undefined;
+  /**
+   * @returns The coordinator of another data centre; undefined if there is
+   *     none.
+   */
+  readonly coordinatorOf: (dataCentre: string) => P | undefined;
 }
 
 const NO_TARGETS: ReadonlySet<string> = new Set();
@@ -38,9 +44,9 @@
     pressure: BatchPressure,
     avoided: ReadonlySet<string>,
   ): Promise<ItemPlacementOutcome> {
-    const {chooser, asker, coordinator: coordinatorNow} = this.context;
+    const {chooser, asker} = this.context;
     const own = chooser.items.forItem(service, pressure, avoided);
-    const coordinator = coordinatorNow();
+    const coordinator = own && this.coordinatorFor(service, own);
     if (!coordinator || !own) return byOwnView(own);
     const answer = await asker.request(
       coordinator,
@@ -54,6 +60,18 @@
       ? answer
       : {kind: 'full', by: 'coordinator'};
   }
+
+  /**
+   * Guards against items that never start: the coordinator of a data centre
+   * without usable targets of the service grants none to items that can wait.
+   */
+  private coordinatorFor(service: string, own: Target): P | undefined {
+    const {self, chooser, asker, coordinator, coordinatorOf} = this.context;
+    const isLocal = own.dataCentre === self.dataCentre;
+    if (isLocal || chooser.items.hasLocal(service)) return coordinator();
+    const other = coordinatorOf(own.dataCentre);
+    return other && asker.isPaused(other) ? undefined : other;
+  }
 }
 
 function byOwnView(target: Target | undefined): ItemPlacementOutcome {
--- a/packages/gateway/src/lib/process/item_target_chooser.ts
+++ b/packages/gateway/src/lib/process/item_target_chooser.ts
@@ -87,6 +87,18 @@
     return this.best(service, asked, pressure, excluded);
   }
 
+  /**
+   * @returns Whether a target of this data centre, full or not, is listed for a
+   *     service and has not just failed this host.
+   */
+  hasLocal(service: string): boolean {
+    const {directory, dataCentre, suspensions} = this.context;
+    const isLocal = (target: Target) => target.dataCentre === dataCentre;
+    return directory
+      .ofService(service)
+      .some(target => isLocal(target) && !suspensions.isFailing(target.id));
+  }
+
   private best(
     service: string,
     targets: readonly Target[],
--- a/packages/jobs/src/test/process/item_target_search_test.ts
+++ b/packages/jobs/src/test/process/item_target_search_test.ts
@@ -53,3 +53,12 @@
   const found = await host.findUntil(0, newCandidate('relaxed'));
   t.is(found?.id, NEAR[0]!.id, 'not where the host that asks was failed');
 });
+
+// Items of a data centre lie beside free slots elsewhere if it has no target of
+// their service.
+test('an item starts at once where its data centre has no targets', async t => {
+  const {host, fleet} = newFleet(FAR);
+  const found = await host.findUntil(5000, newCandidate('relaxed'));
+  t.is(found?.id, 'b-far');
+  t.deepEqual(fleet.asked, ['b-lead']);
+});
