Items of a split route go to their services by weight

Cause: the search for a target took each service of a split route equally often, also one that the operator has given no weight. Online requests go by weight. Change: the search selects the service as online requests do.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -51,6 +51,7 @@
 export * from './lib/request/exchange.js';
 export * from './lib/request/forwarded_headers.js';
 export * from './lib/request/online_request.js';
+export * from './lib/request/pick_service.js';
 export * from './lib/request/request_trace.js';
 export * from './lib/request/stream_events.js';
 export * from './lib/request/target_protocol.js';
--- a/packages/jobs/src/lib/process/item_target_search.ts
+++ b/packages/jobs/src/lib/process/item_target_search.ts
@@ -3,13 +3,14 @@
  * had none a moment ago.
  */
 import type {Clock, Random} from '@oathead/core';
-import type {
-  BatchPressure,
-  ItemPlacement,
-  ItemPlacementOutcome,
-  Route,
-  Target,
-  TargetChooser,
+import {
+  pickService,
+  type BatchPressure,
+  type ItemPlacement,
+  type ItemPlacementOutcome,
+  type Route,
+  type Target,
+  type TargetChooser,
 } from '@oathead/gateway';
 import {avoidedItemTargets, mayRunAnywhere} from './avoided_item_targets.js';
 import {avoidsTargets, type ItemCandidate} from './item_candidate.js';
@@ -136,11 +137,11 @@
   }
 
   private async targetFor(
-    {services}: Route,
+    route: Route,
     candidate: ItemCandidate,
   ): Promise<ItemPlacementOutcome> {
     const {placement, random} = this.context;
-    const {service} = services[random.int(services.length)]!;
+    const service = pickService(route, random);
     const pressure = PRESSURE[candidate.estimate.urgency];
     const avoided = this.avoidedTargets(service, candidate);
     const placed = await placement.forItem(service, pressure, avoided);
--- a/packages/jobs/src/test/fakes/placing_fleet.ts
+++ b/packages/jobs/src/test/fakes/placing_fleet.ts
@@ -32,7 +32,10 @@
 const SLOTS = 8;
 /** The scheduling interval, in milliseconds. */
 const INTERVAL_MS = 25;
-const ROUTE = {name: 'r', services: [{service: 's'}]} as unknown as Route;
+const ROUTE = {
+  name: 'r',
+  services: [{service: 's', weight: 1}],
+} as unknown as Route;
 
 type HostPlacement = Placement<LoadPeer>;
 
--- a/packages/jobs/src/test/process/item_target_search_test.ts
+++ b/packages/jobs/src/test/process/item_target_search_test.ts
@@ -1,4 +1,10 @@
+import {seededRandom, SYSTEM_CLOCK} from '@oathead/core';
+import type {Route} from '@oathead/gateway';
 import test from 'ava';
+import {
+  ItemTargetSearch,
+  type ItemSearchContext,
+} from '../../lib/process/item_target_search.js';
 import {newCandidate, PlacingFleet, targetIn} from '../fakes/placing_fleet.js';
 
 const COORDINATORS = {a: 'a-lead', b: 'b-lead'};
@@ -62,3 +68,29 @@
   t.is(found?.id, 'b-far');
   t.deepEqual(fleet.asked, ['b-lead']);
 });
+
+// Items go to a service that the operator has taken out of a split route, or half
+// of them to one that should get a tenth.
+test('items of a split route go to its services by weight', async t => {
+  const asked: Record<string, number> = {old: 0, new: 0, off: 0};
+  const placement = {
+    usesPeerCoordinator: false,
+    forItem: async (service: string) => {
+      asked[service]!++;
+      return {kind: 'placed'};
+    },
+  };
+  const search = new ItemTargetSearch({
+    ...{clock: SYSTEM_CLOCK, random: seededRandom(1), placement},
+  } as unknown as ItemSearchContext);
+  const services = [
+    {service: 'old', weight: 9},
+    {service: 'off', weight: 0},
+    {service: 'new', weight: 1},
+  ];
+  const route = {name: 'r', services} as unknown as Route;
+  for (let i = 0; i < 1000; i++)
+    await search.search(route, newCandidate('relaxed'));
+  t.is(asked['off'], 0);
+  t.true(asked['new']! > 50 && asked['new']! < 200, JSON.stringify(asked));
+});
