Test: a harmless item that broke off at four live targets is not blocked for good

Rules out that an owner that has just started never runs such an item: it is free 6.3 s after the start if the list of targets can be read, and after its lifetime of 60 s if that is interrupted every 6 s.

--- a/packages/gateway/src/test/process/crash_suspects_test.ts
+++ b/packages/gateway/src/test/process/crash_suspects_test.ts
@@ -172,6 +172,30 @@
   t.true(suspects.isBlocked('p'));
 });
 
+// Guards against a harmless item that nobody runs any more: runs of it broke off
+// at four targets that are alive, and its owner has just started and does not
+// know for how long they have been listed.
+test('an item that broke off at four live targets is not blocked for good', t => {
+  const ids = [...TARGETS, 'i-4'];
+  const startedOwner = () => {
+    const parts = newSuspects();
+    parts.directory.recordListRead();
+    for (const id of ids) parts.directory.put(newTarget(id));
+    for (const id of ids) parts.suspects.recordBrokenRun('p', id);
+    t.true(parts.suspects.isItemBlocked('p'));
+    return parts;
+  };
+  const followed = startedOwner();
+  followed.advanceWithReads(EXPIRY_KNOWN_MS);
+  t.false(followed.suspects.isItemBlocked('p'));
+  const interrupted = startedOwner();
+  for (let ms = 0; ms < 60_000; ms += 6000) {
+    interrupted.advanceWithReads(4000);
+    interrupted.advance(2000);
+  }
+  t.false(interrupted.suspects.isItemBlocked('p'), 'after its lifetime');
+});
+
 /** Reads the changes of the suspects after a version, as their watch does. */
 async function updateFrom(store: MemoryRowStore, after: number) {
   const page = await store.changes(SUSPECT_TABLE, after, 0);
