--- /dev/null
+++ b/packages/jobs/src/lib/process/item_target_search.ts
@@ -0,0 +1,162 @@
+/**
+ * Searches for targets with free slots for items, and skips routes that have
+ * had none a moment ago.
+ */
+import type {Clock, Random} from '@oathead/core';
+import {
+  pickService,
+  type BatchPressure,
+  type ItemPlacement,
+  type ItemPlacementOutcome,
+  type Route,
+  type Target,
+  type TargetChooser,
+} from '@oathead/gateway';
+import {avoidedItemTargets, mayRunAnywhere} from './avoided_item_targets.js';
+import {avoidsTargets, type ItemCandidate} from './item_candidate.js';
+import type {Urgency} from './item_durations.js';
+
+/** Dependencies of {@link ItemTargetSearch}. */
+export interface ItemSearchContext {
+  readonly clock: Clock;
+  readonly chooser: Pick<TargetChooser, 'available'>;
+  readonly placement: ItemPlacement;
+  readonly random: Random;
+}
+
+/** Outcome of a search. */
+export type ItemSearchOutcome =
+  | {readonly kind: 'placed'; readonly target: Target}
+  /** No target has a free slot; the next search is due at `until`. */
+  | {readonly kind: 'full'; readonly until: number};
+
+/** Who has found no free slot; see `ItemPlacementOutcome`. */
+type RefusedBy = Extract<ItemPlacementOutcome, {kind: 'full'}>['by'];
+
+/** How long a route without a free slot is skipped, in milliseconds. */
+const FULL_ROUTE_BACKOFF_MS = {
+  /**
+   * The local load table changes with the next load report, so the route is
+   * tried again in the next scheduling interval.
+   */
+  localView: 12.5,
+  /** Each attempt sends a placement request to another host. */
+  coordinator: 50,
+} as const;
+
+/** Items that are already late only use slots that nothing else needs. */
+const PRESSURE: Readonly<Record<Urgency, BatchPressure>> = {
+  pressed: 'pressed',
+  relaxed: 'relaxed',
+  late: 'relaxed',
+};
+
+const NO_TARGETS: ReadonlySet<string> = new Set();
+
+/**
+ * Key of the backoff of a route. It includes the pressure, since slots are
+ * reserved for urgent items: a route that is full for relaxed items may have
+ * slots for urgent ones.
+ */
+function fullRouteKey({name}: Route, {estimate}: ItemCandidate): string {
+  return `${PRESSURE[estimate.urgency]} ${name}`;
+}
+
+/** Searches one after another, for all items of this host. */
+export class ItemTargetSearch {
+  /** Time until which a route is considered full, by {@link fullRouteKey}. */
+  private readonly fullUntil = new Map<string, number>();
+  /** Who refused the last search, by {@link fullRouteKey}. */
+  private readonly refusals = new Map<string, RefusedBy>();
+  private pendingSince: number | undefined;
+
+  /** @param context - Target selection and placement. */
+  constructor(private readonly context: ItemSearchContext) {}
+
+  /**
+   * @param route - Route of the item.
+   * @param candidate - The item.
+   * @returns Whether the route has had no free slot for such an item a moment
+   *     ago.
+   */
+  isFull(route: Route, candidate: ItemCandidate): boolean {
+    const until = this.fullUntil.get(fullRouteKey(route, candidate));
+    return until !== undefined && until > this.context.clock.now();
+  }
+
+  /**
+   * @param route - Route of the item.
+   * @param candidate - The item.
+   * @returns A target with a free slot for it, if there is one.
+   */
+  async search(
+    route: Route,
+    candidate: ItemCandidate,
+  ): Promise<ItemSearchOutcome> {
+    const {clock} = this.context;
+    this.pendingSince = clock.now();
+    const placed = await this.targetFor(route, candidate);
+    this.pendingSince = undefined;
+    const key = fullRouteKey(route, candidate);
+    if (placed.kind === 'placed') {
+      this.refusals.delete(key);
+      return placed;
+    }
+    this.refusals.set(key, placed.by);
+    const until = this.backoffEnd();
+    // The route may have slots for items that avoid no target.
+    if (!avoidsTargets(candidate)) this.fullUntil.set(key, until);
+    return {kind: 'full', until};
+  }
+
+  /**
+   * @param route - Route of an item.
+   * @param candidate - The item.
+   * @returns Who found no free slot for such an item last; undefined if a
+   *     target was found, or none was searched for.
+   */
+  refusedBy(route: Route, candidate: ItemCandidate): RefusedBy | undefined {
+    return this.refusals.get(fullRouteKey(route, candidate));
+  }
+
+  /**
+   * @returns How long the current search has taken, in milliseconds; 0 if there
+   *     is none.
+   */
+  pendingMs(): number {
+    const {pendingSince} = this;
+    return pendingSince === undefined
+      ? 0
+      : this.context.clock.now() - pendingSince;
+  }
+
+  private backoffEnd(): number {
+    const {clock, placement} = this.context;
+    const by = placement.usesPeerCoordinator ? 'coordinator' : 'localView';
+    return clock.now() + FULL_ROUTE_BACKOFF_MS[by];
+  }
+
+  private async targetFor(
+    route: Route,
+    candidate: ItemCandidate,
+  ): Promise<ItemPlacementOutcome> {
+    const {placement, random} = this.context;
+    const service = pickService(route, random);
+    const pressure = PRESSURE[candidate.estimate.urgency];
+    const avoided = this.avoidedTargets(service, candidate);
+    const placed = await placement.forItem(service, pressure, avoided);
+    if (placed.kind === 'placed' || avoided.size === 0) return placed;
+    return mayRunAnywhere(candidate.estimate, candidate.untilExpiryMs)
+      ? placement.forItem(service, pressure, NO_TARGETS)
+      : placed;
+  }
+
+  private avoidedTargets(
+    service: string,
+    {work: {failedTargets}}: ItemCandidate,
+  ): ReadonlySet<string> {
+    if (failedTargets.length === 0) return NO_TARGETS;
+    const available = this.context.chooser.available(service);
+    return avoidedItemTargets(failedTargets, available);
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/test/process/item_target_search_test.ts
@@ -0,0 +1,96 @@
+import {seededRandom, SYSTEM_CLOCK} from '@oathead/core';
+import type {Route} from '@oathead/gateway';
+import test from 'ava';
+import {
+  ItemTargetSearch,
+  type ItemSearchContext,
+} from '../../lib/process/item_target_search.js';
+import {newCandidate, PlacingFleet, targetIn} from '../fakes/placing_fleet.js';
+
+const COORDINATORS = {a: 'a-lead', b: 'b-lead'};
+const NEAR = [...Array(12).keys()].map(i => targetIn('a', `t${i}`));
+const FAR = [targetIn('b', 'far')];
+
+/** A host of data centre `a`, and the coordinators that are named. */
+function newFleet(targets = [...NEAR, ...FAR], leads = ['a-lead', 'b-lead']) {
+  const fleet = new PlacingFleet(targets, COORDINATORS);
+  const host = fleet.add('a-host', 'a');
+  const coordinators = leads.map(id => fleet.add(id, id.split('-')[0]!));
+  return {fleet, host, all: [host, ...coordinators]};
+}
+
+// Items of a host lie beside free slots while it can't reach the few targets that
+// it prefers.
+test('targets that fail a host are not among those that it prefers', async t => {
+  const {host} = newFleet(NEAR, []);
+  const found = new Set<string>();
+  for (;;) {
+    const next = await host.findUntil(0, newCandidate('relaxed'));
+    if (!next || found.has(next.id)) break;
+    found.add(next.id);
+    host.suspensions.recordFailure(next.id, 'ECONNREFUSED');
+  }
+  t.is(found.size, NEAR.length);
+});
+
+// Guards against hosts that fill the same free slots: a host that finds its
+// targets full must not go to those of others.
+test('targets that are full stay among those that a host prefers', async t => {
+  const {host} = newFleet(NEAR, []);
+  const found = new Set<string>();
+  for (;;) {
+    const next = await host.findUntil(0, newCandidate('relaxed'));
+    if (!next || found.has(next.id)) break;
+    found.add(next.id);
+    host.suspensions.recordDecline(next.id);
+  }
+  t.is(found.size, 8);
+});
+
+// All items of a data centre lie beside free slots while its coordinator can't
+// reach any target of their service.
+test('a coordinator that all targets have failed still grants them', async t => {
+  const {host, all} = newFleet(NEAR);
+  const [, lead] = all;
+  for (const {id} of NEAR) lead!.suspensions.recordFailure(id, 'reset');
+  t.truthy(await host.findUntil(0, newCandidate('relaxed')));
+  const failing = NEAR.slice(1);
+  for (const {id} of failing) host.suspensions.recordFailure(id, 'reset');
+  const found = await host.findUntil(0, newCandidate('relaxed'));
+  t.is(found?.id, NEAR[0]!.id, 'not where the host that asks was failed');
+});
+
+// Items of a data centre lie beside free slots elsewhere if it has no target of
+// their service.
+test('an item starts at once where its data centre has no targets', async t => {
+  const {host, fleet} = newFleet(FAR);
+  const found = await host.findUntil(5000, newCandidate('relaxed'));
+  t.is(found?.id, 'b-far');
+  t.deepEqual(fleet.asked, ['b-lead']);
+});
+
+// Items go to a service that the operator has taken out of a split route, or half
+// of them to one that should get a tenth.
+test('items of a split route go to its services by weight', async t => {
+  const asked: Record<string, number> = {old: 0, new: 0, off: 0};
+  const placement = {
+    usesPeerCoordinator: false,
+    forItem: async (service: string) => {
+      asked[service]!++;
+      return {kind: 'placed'};
+    },
+  };
+  const search = new ItemTargetSearch({
+    ...{clock: SYSTEM_CLOCK, random: seededRandom(1), placement},
+  } as unknown as ItemSearchContext);
+  const services = [
+    {service: 'old', weight: 9},
+    {service: 'off', weight: 0},
+    {service: 'new', weight: 1},
+  ];
+  const route = {name: 'r', services} as unknown as Route;
+  for (let i = 0; i < 1000; i++)
+    await search.search(route, newCandidate('relaxed'));
+  t.is(asked['off'], 0);
+  t.true(asked['new']! > 50 && asked['new']! < 200, JSON.stringify(asked));
+});
