--- a/packages/stores/src/lib/process/memory_row_store.ts
+++ b/packages/stores/src/lib/process/memory_row_store.ts
@@ -38,6 +38,11 @@
     this.historyStart = this.version;
   }
 
+  /** @returns The newest version and the time. */
+  timestamp(): StoreTimestamp {
+    return {version: this.version, storeTimeMs: this.storeTimeMs()};
+  }
+
   /** {@inheritDoc RowStore.storeTimeMs} */
   storeTimeMs(): number {
     return this.clock.now();
@@ -121,10 +126,6 @@
     return changes.reverse();
   }
 
-  private timestamp(): StoreTimestamp {
-    return {version: this.version, storeTimeMs: this.storeTimeMs()};
-  }
-
   private put(ref: RowRef, value: Uint8Array): void {
     const {table, partition, key} = ref;
     const row = {table, partition, key, value, version: this.version};
