Soak: lost jobs, late writes over a loss of all programs, and jobs that are left lying

Cause: the soak looked at jobs only at its end, and could not bring about feeds that hear nothing, writes that outlive their programs, nor a loss of all programs right after a 202. Change: four kinds of faults; a promise that an open job is at a target within 10 s of calm, by the users' rule and a takeover; answers' faults and the added route in files of their own.

--- a/packages/soak/src/lib/process/evidence.ts
+++ b/packages/soak/src/lib/process/evidence.ts
@@ -12,6 +12,8 @@
   readonly jobs: readonly JobRecord[];
   /** Planned changes with no fault around them. */
   readonly calm: CalmChanges;
+  /** When the run ended, on the time of day in milliseconds. */
+  readonly endedAt: number;
 }
 
 /** A promise: says what broke it. */
--- a/packages/soak/src/lib/process/fault_handlers.ts
+++ b/packages/soak/src/lib/process/fault_handlers.ts
@@ -1,13 +1,19 @@
 /** What each kind of fault does, and how it is undone. */
 import {sleep, SYSTEM_CLOCK} from '@oathead/core';
 import {
-  DEFAULT_ERRORS,
   DEFAULT_LATE_WRITES,
   type ServerFault,
   type StoreFault,
 } from '@oathead/platform/stand_ins';
 import type {ProxyMode} from '../connection/fault_proxy.js';
+import {failRuns, mixAnswers} from './answer_handlers.js';
 import type {FaultCall, FaultHandler} from './fault_call.js';
+import {
+  hearNothing,
+  killAfterAcceptance,
+  killMixed,
+  killUnderLateWrites,
+} from './lost_job_handlers.js';
 import {floodByAccount, unlikeSpeeds} from './overload_handlers.js';
 import type {ProgramPlace, ServerPlace} from './soak_fleet.js';
 import type {FaultKind} from './soak_plan.js';
@@ -27,32 +33,6 @@
   'unsealed',
   'answer-lost',
 ];
-/** Faults of answers that strike together. */
-const ANSWER_MIXES: ReadonlyArray<readonly ServerFault[]> = [
-  ['late-answer'],
-  ['late-answer-idle'],
-  ['errors'],
-  ['unframed'],
-  ['late-answer', 'errors'],
-  ['late-answer-idle', 'errors'],
-  ['late-answer', 'refusals'],
-  ['late-answer-idle', 'refusals'],
-  ['unframed', 'errors'],
-  ['late-answer', 'unframed', 'errors', 'refusals'],
-];
-/** What else befalls failures. */
-const FAILURE_MIXES: ReadonlyArray<readonly ServerFault[]> = [
-  ['errors'],
-  ['errors', 'broken-failures'],
-  ['errors', 'broken-failures'],
-  ['errors', 'broken-failures', 'late-answer'],
-  ['errors', 'unsealed'],
-];
-/** Which runs fail, and how: an item fails at some targets and not at others. */
-const FAILURE_SHARES = [0.2, 0.4, 0.7, 1] as const;
-const FAILURE_STATUSES = [500, 500, 500, 422] as const;
-/** One server in so many answers badly, drawn for each. */
-const MIXED_SHARE = 2;
 const STORE_AWAY: readonly StoreFault[] = ['down', 'busy', 'silent', 'reset'];
 const SLOW_STORE_MS = 200;
 const STORE_HALVES: readonly StoreFault[] = ['reads-down', 'writes-down'];
@@ -97,6 +77,10 @@
   'store-stale-feeds': holdFeeds,
   'account-flood': floodByAccount,
   'server-speeds': unlikeSpeeds,
+  'store-deaf-feeds': hearNothing,
+  'programs-kill-late-writes': killUnderLateWrites,
+  'programs-kill-accepted': killAfterAcceptance,
+  'programs-kill-mixed': killMixed,
 };
 
 function killOne(call: FaultCall): Promise<void> {
@@ -244,36 +228,6 @@
   server.fault = 'none';
 }
 
-/** Several servers answer badly: a request meets them at its next run again. */
-async function mixAnswers({fleet, random, forMs}: FaultCall): Promise<void> {
-  const mix = ANSWER_MIXES[random.int(ANSWER_MIXES.length)]!;
-  const struck = fleet.servers
-    .filter(() => random.int(MIXED_SHARE) === 0)
-    .map(({server}) => server);
-  for (const server of struck) server.faults = new Set(mix);
-  await sleep(SYSTEM_CLOCK, forMs);
-  for (const server of struck) server.fault = 'none';
-}
-
-/** Several servers fail a share of their runs at once, some with broken answers. */
-async function failRuns({fleet, random, forMs}: FaultCall): Promise<void> {
-  const mix = FAILURE_MIXES[random.int(FAILURE_MIXES.length)]!;
-  const share = FAILURE_SHARES[random.int(FAILURE_SHARES.length)]!;
-  const status = FAILURE_STATUSES[random.int(FAILURE_STATUSES.length)]!;
-  const struck = fleet.servers
-    .filter(() => random.int(MIXED_SHARE) === 0)
-    .map(({server}) => server);
-  for (const server of struck) {
-    server.errors = {share, status};
-    server.faults = new Set(mix);
-  }
-  await sleep(SYSTEM_CLOCK, forMs);
-  for (const server of struck) {
-    server.errors = DEFAULT_ERRORS;
-    server.fault = 'none';
-  }
-}
-
 function refuseHalf(call: FaultCall): Promise<void> {
   return allDoors(call, STORE_HALVES[call.random.int(STORE_HALVES.length)]!);
 }
--- a/packages/soak/src/lib/process/promises.ts
+++ b/packages/soak/src/lib/process/promises.ts
@@ -6,15 +6,14 @@
 import {ACCOUNT_PROMISES} from './account_promises.js';
 import {CALM_BOUND_MS} from './calm_changes.js';
 import {allRuns, type Evidence, type PromiseCheck} from './evidence.js';
+import {JOB_PROMISES} from './job_promises.js';
+import {RETENTION_MS} from './promise_bounds.js';
 
 /** Answers that promise that the request has not run and never will. */
 const NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const STATUS_OK = 200;
 /** Runs that fail before an item is given up, by its route. */
 const MAX_ATTEMPTS = 3;
-/** How long after its job was first sent an item may be given up, by its route,
- * in milliseconds. */
-const RETENTION_MS = 60_000;
 /** State of an item that is never run again. */
 const GIVEN_UP = 'dead_letter';
 /** As how many failed runs a whole answer counts: one 422 is enough. */
@@ -47,6 +46,7 @@
   'what readers of a job see never changes': readersAgree,
   'a job that was refused at every try does not run': refusedJobsRest,
   'an ended job stops': endedJobsStop,
+  ...JOB_PROMISES,
   'a leaving target gets nothing new': leavingTargetsRest,
   'a configuration never goes back': configurationsStay,
   'a configuration is in force everywhere in time': configurationsArrive,
--- a/packages/soak/src/lib/process/run_soak.ts
+++ b/packages/soak/src/lib/process/run_soak.ts
@@ -73,6 +73,7 @@
     online: online.records,
     jobs: batch.jobs,
     calm,
+    endedAt: Date.now(),
   };
   const violations = [...violationsOf(evidence), ...last];
   return {
@@ -99,7 +100,9 @@
     const waitMs = startedAt + atMs - SYSTEM_CLOCK.now();
     await sleep(SYSTEM_CLOCK, Math.max(0, waitMs));
     const random = seededRandom(seed);
-    undone.push(FAULT_HANDLERS[kind]({fleet, random, forMs}));
+    const fault = FAULT_HANDLERS[kind]({fleet, random, forMs});
+    undone.push(fault);
+    void fleet.disturbances.during(fault.then(() => fleet.untilReady()));
   }
   await Promise.all(undone);
 }
--- a/packages/soak/src/lib/process/soak_fleet.ts
+++ b/packages/soak/src/lib/process/soak_fleet.ts
@@ -1,5 +1,6 @@
 /** The system under soak: real programs, and stand-ins behind proxies. */
 import type {ChildProcess} from 'node:child_process';
+import {sleep, SYSTEM_CLOCK} from '@oathead/core';
 import {
   INITIAL_CONFIG,
   ServerStandIn,
@@ -11,6 +12,8 @@
 } from '@oathead/platform/stand_ins';
 import {FaultProxy} from '../connection/fault_proxy.js';
 import {EVENTS, wordOf} from '../request/expected_text.js';
+import {Disturbances} from './disturbances.js';
+import {addedRoute} from './added_route.js';
 import {ACCOUNT, ACCOUNTS, QUOTA_BOUNDS} from './soak_accounts.js';
 
 /** Signals that a run sends. */
@@ -40,13 +43,16 @@
 export const REVOKE_MS = 8000;
 /** Time from SIGTERM to the end of a program, in seconds. */
 const GRACE_S = 8;
-const BATCH_SERVICE = 'llm';
+/** The service whose servers run items. */
+export const BATCH_SERVICE = 'llm';
 const ZONES = ['hall-a', 'hall-b'] as const;
 const EVENT_MS = 20;
 const PLAIN_ANSWER_MS = 10;
-const SLOTS = 6;
+/** Slots of each server. */
+export const SLOTS = 6;
 const QUEUE = 16;
 const PLAIN_SERVERS = 2;
+const READY_POLL_MS = 50;
 
 /** All that runs. */
 export class SoakFleet implements AsyncDisposable {
@@ -54,7 +60,8 @@
   readonly programs: ProgramPlace[] = [];
   readonly servers: ServerPlace[] = [];
   /** Every start of a server, for what each has seen. */
-  readonly incarnations: Array<Pick<ServerPlace, 'server' | 'id'>> = [];
+  readonly incarnations: Array<Pick<ServerPlace, 'server' | 'id' | 'service'>> =
+    [];
   /** When the store accepted that a server leaves, by its id. */
   readonly leavingSince = new Map<string, number>();
   /** Routes that were added, in order. */
@@ -69,6 +76,9 @@
   /** When the store accepted that a key was taken away, by key, on the time of day
    * in milliseconds. */
   readonly withdrawnAt = new Map<string, number>();
+  readonly disturbances = new Disturbances();
+  /** Called when the next job is accepted, before its caller does anything. */
+  onAccepted: (() => void) | undefined;
   /** How many callers of each flooding account send now. */
   floodingCallers = 0;
   /** Whether there are accounts besides the usual one. */
@@ -156,6 +166,14 @@
     this.watch(place);
   }
 
+  /** Resolves when all programs that run now are ready or have ended. */
+  async untilReady(): Promise<void> {
+    const running = this.programs.map(({program}) => program);
+    for (const program of running)
+      while (!program.hasExited && !(await program.isReady()))
+        await sleep(SYSTEM_CLOCK, READY_POLL_MS);
+  }
+
   /** @param place - Where the server has ended; a new one starts. */
   async renew(place: ServerPlace): Promise<void> {
     const next = await this.newServer(place.service);
@@ -174,16 +192,7 @@
   }
 
   private async configure(): Promise<void> {
-    const extra = this.addedRoutes.map(prefix => ({
-      name: prefix,
-      host: 'bank.example',
-      prefix,
-      kind: 'safe',
-      service: 'api',
-      timeout_ms: 1500,
-      latency_goal_ms: 100,
-      max_attempts: 3,
-    }));
+    const extra = this.addedRoutes.map(addedRoute);
     const service = this.batchService;
     const usual = INITIAL_CONFIG.routes.flatMap(route => {
       const isBatch = 'kind' in route && route.kind === 'bulk';
@@ -255,8 +264,8 @@
     this.note(place);
   }
 
-  private note({server, id}: ServerPlace): void {
-    this.incarnations.push({server, id});
+  private note({server, id, service}: ServerPlace): void {
+    this.incarnations.push({server, id, service});
   }
 
   private async newServer(service: string) {
--- a/packages/soak/src/lib/process/soak_plan.ts
+++ b/packages/soak/src/lib/process/soak_plan.ts
@@ -39,12 +39,22 @@
 /** Kinds that ask for more than there is room for. */
 export const OVERLOAD_FAULT_KINDS = ['account-flood', 'server-speeds'] as const;
 
+/** Kinds after which nobody may know an accepted job, or hosts differ on who is
+ * alive. */
+export const LOST_JOB_FAULT_KINDS = [
+  'store-deaf-feeds',
+  'programs-kill-late-writes',
+  'programs-kill-accepted',
+  'programs-kill-mixed',
+] as const;
+
 /** Everything that a run can do to the system. */
 export const FAULT_KINDS = [
   ...FIRST_FAULT_KINDS,
   'server-answer-mixes',
   ...GIVING_UP_FAULT_KINDS,
   ...OVERLOAD_FAULT_KINDS,
+  ...LOST_JOB_FAULT_KINDS,
 ] as const;
 
 /** One kind of fault. */
--- a/packages/soak/src/lib/request/batch_load.ts
+++ b/packages/soak/src/lib/request/batch_load.ts
@@ -174,6 +174,7 @@
       job.tries.push(answer?.status);
       if (answer?.status === 202) {
         job.acceptedAt ??= Date.now();
+        this.fleet.onAccepted?.();
         break;
       }
       await sleep(SYSTEM_CLOCK, RETRY_MS);
