Soak: reports keep the jobs' records and heads; an end is asked for until it is acknowledged

Change: reports of broken promises keep what callers saw and the heads in the store; in the calm at the end callers ask again for ends that nobody acknowledged, and one that stays unknown is a flaw.

--- a/packages/soak/src/lib/process/run_soak.ts
+++ b/packages/soak/src/lib/process/run_soak.ts
@@ -10,6 +10,7 @@
 import {PROMISES} from './promises.js';
 import {ACCOUNT, accountOf} from './soak_accounts.js';
 import {SoakFleet} from './soak_fleet.js';
+import {storedHeads} from './stored_heads.js';
 import {planFaults, type PlannedFault, type SoakOptions} from './soak_plan.js';
 
 /** A promise that was broken. */
@@ -26,6 +27,9 @@
   readonly requests: Readonly<Record<string, number>>;
   readonly jobs: {readonly accepted: number; readonly ended: number};
   readonly violations: readonly Violation[];
+  /** What callers saw of each job, with its row in the store as it was at the
+   * end, if a promise was broken. */
+  readonly jobRecords: readonly object[];
   /** What each program has written, if a promise was broken. */
   readonly logs: Readonly<Record<string, string>>;
 }
@@ -85,6 +89,7 @@
       ended: batch.jobs.filter(job => job.endedAt !== undefined).length,
     },
     violations,
+    jobRecords: violations.length > 0 ? await jobRecords(fleet, batch) : [],
     logs: violations.length > 0 ? logsOf(fleet) : {},
   };
 }
@@ -153,6 +158,14 @@
   return counts;
 }
 
+async function jobRecords(
+  fleet: SoakFleet,
+  {jobs}: BatchLoad,
+): Promise<readonly object[]> {
+  const heads = await storedHeads(fleet.store);
+  return jobs.map(job => ({...job, head: heads.get(job.id)}));
+}
+
 function logsOf(fleet: SoakFleet): Readonly<Record<string, string>> {
   const texts = fleet.programs.map(
     ({name, program}) => [name, program.text] as const,
--- a/packages/soak/src/lib/request/batch_load.ts
+++ b/packages/soak/src/lib/request/batch_load.ts
@@ -68,10 +68,16 @@
     this.running = [this.handIn(), this.readOn()];
   }
 
-  /** Hands in nothing more; reading goes on until `finish`. */
+  /** Hands in nothing more, and has ended what was to end. */
   async finish(): Promise<void> {
     this.stopping.abort();
     await Promise.all(this.running);
+    // Nothing is wrong by now: what was not acknowledged before must be.
+    for (const job of this.jobs)
+      if (job.endAskedAt !== undefined && job.endedAt === undefined) {
+        await this.end(job);
+        if (job.endedAt === undefined) job.flaws.push('its end is not known');
+      }
   }
 
   /** @returns Jobs that were accepted, not ended, and are not whole yet. */
@@ -183,7 +189,7 @@
   }
 
   private async end(job: JobRecord): Promise<void> {
-    job.endAskedAt = Date.now();
+    job.endAskedAt ??= Date.now();
     for (let i = 0; i < MAX_TRIES; i++) {
       const answer = await this.attempt(caller => caller.cancel(job.id));
       if (answer?.status === 200) {
@@ -192,7 +198,7 @@
       }
       await sleep(SYSTEM_CLOCK, RETRY_MS);
     }
-    // Nobody acknowledged it: the job may go on, and its results count.
+    // Nobody acknowledged it: the job may go on, or may have ended all the same.
   }
 
   private async readOn(): Promise<void> {
