Soak: the owner of a job is killed while the feeds of all others do not report it

Cause: programs were killed all together only, so that each read all jobs anew when it started. Change: a kind of fault kills the program that has just accepted a job while feeds hear nothing, and drops the history afterwards.

--- a/packages/soak/src/lib/process/fault_handlers.ts
+++ b/packages/soak/src/lib/process/fault_handlers.ts
@@ -12,6 +12,7 @@
   hearNothing,
   killAfterAcceptance,
   killMixed,
+  killOwnerUnheard,
   killUnderLateWrites,
 } from './lost_job_handlers.js';
 import {floodByAccount, unlikeSpeeds} from './overload_handlers.js';
@@ -78,6 +79,7 @@
   'account-flood': floodByAccount,
   'server-speeds': unlikeSpeeds,
   'store-deaf-feeds': hearNothing,
+  'owner-kill-deaf-feeds': killOwnerUnheard,
   'programs-kill-late-writes': killUnderLateWrites,
   'programs-kill-accepted': killAfterAcceptance,
   'programs-kill-mixed': killMixed,
--- a/packages/soak/src/lib/process/lost_job_handlers.ts
+++ b/packages/soak/src/lib/process/lost_job_handlers.ts
@@ -41,12 +41,23 @@
   strikeEach(call, ['none']);
 }
 
+/** The program that accepts a job is killed, and the feeds of the others do not
+ * report the job. */
+export async function killOwnerUnheard(call: FaultCall): Promise<void> {
+  strikeEach(call, ['deaf-feeds']);
+  const {restarted} = await killWhenAccepted(call, by => [by]);
+  await sleep(SYSTEM_CLOCK, DEAF_MS);
+  dropHistory(call);
+  strikeEach(call, ['none']);
+  await restarted;
+}
+
 /** Writes of ended incarnations are performed after the new ones have started. */
 export async function killUnderLateWrites(call: FaultCall): Promise<void> {
   writeLate(call);
   strikeEach(call, ['late-writes']);
   await sleep(SYSTEM_CLOCK, HEARTBEAT_MS);
-  const restarted = killAll(call);
+  const restarted = kill(call, call.fleet.programs);
   const {random, fleet} = call;
   fleet.store.failAll(AFTER_LATE[random.int(AFTER_LATE.length)]!);
   await Promise.all([restarted, sleep(SYSTEM_CLOCK, call.forMs)]);
@@ -96,19 +107,25 @@
 }
 
 /**
- * Kills all programs as soon as the next job is accepted, before its caller does
+ * Kills programs as soon as the next job is accepted, before its caller does
  * anything else; without one in time they live on.
  *
- * @returns Resolves when all are killed, to what resolves when all are started.
+ * @param call - The fault.
+ * @param struck - Which programs, by the one that has accepted it; all by
+ *     default.
+ * @returns Resolves when they are killed, to what resolves when they are
+ *     started.
  */
 async function killWhenAccepted(
   call: FaultCall,
+  struck: (by: ProgramPlace) => readonly ProgramPlace[] = () =>
+    call.fleet.programs,
 ): Promise<{readonly restarted: Promise<void>}> {
   let restarted: Promise<void> = Promise.resolve();
   const accepted = new Promise<void>(resolve => {
-    call.fleet.onAccepted = () => {
+    call.fleet.onAccepted = by => {
       call.fleet.onAccepted = undefined;
-      restarted = killAll(call);
+      restarted = kill(call, struck(by));
       resolve();
     };
   });
@@ -117,14 +134,17 @@
   return {restarted};
 }
 
-async function killAll({fleet, random}: FaultCall): Promise<void> {
-  const struck = fleet.programs.filter(({ending}) => !ending);
+async function kill(
+  {fleet, random}: FaultCall,
+  places: readonly ProgramPlace[],
+): Promise<void> {
+  const struck = places.filter(({ending}) => !ending);
   for (const place of struck) {
     place.ending = true;
     place.program.signal('SIGKILL');
   }
   await Promise.all(
-    struck.map(async (place: ProgramPlace) => {
+    struck.map(async place => {
       await sleep(SYSTEM_CLOCK, random.int(MAX_DOWN_MS));
       await fleet.restart(place);
     }),
--- a/packages/soak/src/lib/process/soak_fleet.ts
+++ b/packages/soak/src/lib/process/soak_fleet.ts
@@ -77,8 +77,8 @@
    * in milliseconds. */
   readonly withdrawnAt = new Map<string, number>();
   readonly disturbances = new Disturbances();
-  /** Called when the next job is accepted, before its caller does anything. */
-  onAccepted: (() => void) | undefined;
+  /** Called when a job is accepted, before its caller does anything else. */
+  onAccepted: ((by: ProgramPlace) => void) | undefined;
   /** How many callers of each flooding account send now. */
   floodingCallers = 0;
   /** Whether there are accounts besides the usual one. */
--- a/packages/soak/src/lib/process/soak_plan.ts
+++ b/packages/soak/src/lib/process/soak_plan.ts
@@ -43,6 +43,7 @@
  * alive. */
 export const LOST_JOB_FAULT_KINDS = [
   'store-deaf-feeds',
+  'owner-kill-deaf-feeds',
   'programs-kill-late-writes',
   'programs-kill-accepted',
   'programs-kill-mixed',
--- a/packages/soak/src/lib/request/batch_load.ts
+++ b/packages/soak/src/lib/request/batch_load.ts
@@ -174,13 +174,15 @@
 
   private async accept(job: JobRecord, ends: boolean): Promise<void> {
     for (let i = 0; i < MAX_TRIES; i++) {
-      const answer = await this.attempt(caller =>
-        caller.submit(job.id, job.items),
+      const place = this.anyPlace();
+      const answer = await this.attempt(
+        caller => caller.submit(job.id, job.items),
+        place,
       );
       job.tries.push(answer?.status);
       if (answer?.status === 202) {
         job.acceptedAt ??= Date.now();
-        this.fleet.onAccepted?.();
+        this.fleet.onAccepted?.(place);
         break;
       }
       await sleep(SYSTEM_CLOCK, RETRY_MS);
@@ -209,14 +211,17 @@
     }
   }
 
+  private anyPlace(): ProgramPlace {
+    const {programs} = this.fleet;
+    return programs[this.random.int(programs.length)]!;
+  }
+
   private async attempt<T>(
     ask: (caller: Caller) => Promise<T>,
-    place?: ProgramPlace,
+    place = this.anyPlace(),
   ): Promise<T | undefined> {
-    const {programs} = this.fleet;
-    const asked = place ?? programs[this.random.int(programs.length)]!;
     try {
-      return await ask(new Caller(asked.program.front, this.fleet.key));
+      return await ask(new Caller(place.program.front, this.fleet.key));
     } catch {
       // No answer: the next try may meet another program.
       return undefined;
