--- a/packages/soak/src/lib/process/kept_seeds.ts
+++ b/packages/soak/src/lib/process/kept_seeds.ts
@@ -16,9 +16,29 @@
   engines: 4,
   kinds: FIRST_FAULT_KINDS,
 } as const;
+/** What was played when jobs that hosts have not heard of were looked for. */
+const UNHEARD = {
+  programs: 4,
+  engines: 4,
+  kinds: [
+    'store-deaf-feeds',
+    'programs-kill-late-writes',
+    'programs-kill-accepted',
+    'programs-kill-mixed',
+    'program-kill',
+    'programs-kill-all',
+    'store-away',
+    'store-lost-answers',
+    'store-history',
+    'program-pause',
+    'server-crash',
+    'store-refuses-one',
+  ],
+} as const;
 /** Load with faults, in milliseconds. */
 const SHORT_MS = 12_000;
 const MEDIUM_MS = 15_000;
+const UNHEARD_MS = 18_000;
 const LONG_MS = 24_000;
 
 /** All of them. */
@@ -59,4 +79,10 @@
       'an item that ran on three servers that crashed was held as a suspect',
     inTests: false,
   },
+  {
+    options: {seed: 47_107, loadMs: UNHEARD_MS, ...UNHEARD},
+    cause:
+      'a host had not heard of a configuration until it read all of them again',
+    inTests: false,
+  },
 ];
--- a/packages/soak/src/test/process/soak_plan_test.ts
+++ b/packages/soak/src/test/process/soak_plan_test.ts
@@ -12,6 +12,7 @@
   [5001, '34dbbab2af79c9fd'],
   [5023, 'c0dc50476c99d0e8'],
   [5010, '8936453442255778'],
+  [47107, '673445ff5c65b595'],
 ]);
 const HASH_LENGTH = 16;
 
--- a/packages/soak/src/test/process/soak_test.ts
+++ b/packages/soak/src/test/process/soak_test.ts
@@ -5,6 +5,7 @@
 import {
   FIRST_FAULT_KINDS,
   GIVING_UP_FAULT_KINDS,
+  LOST_JOB_FAULT_KINDS,
   OVERLOAD_FAULT_KINDS,
   planFaults,
   type SoakOptions,
@@ -21,6 +22,7 @@
   kinds: [...FIRST_FAULT_KINDS, 'server-answer-mixes'],
 };
 const GIVING_UP: SoakOptions = {...SHORT, kinds: GIVING_UP_FAULT_KINDS};
+const LOST_JOBS: SoakOptions = {...SHORT, kinds: LOST_JOB_FAULT_KINDS};
 const OVERLOAD: SoakOptions = {...SHORT, kinds: OVERLOAD_FAULT_KINDS};
 
 const STOP_PROMISE = 'a planned stop cuts off nothing';
@@ -73,6 +75,13 @@
   t.regex(await brokenRuns(GIVING_UP), /1 runs, 0 with a broken promise/);
 });
 
+// Users lose a job that was accepted: programs are killed together or by
+// themselves, and those that live or start next have not heard of the job, or
+// differ on who is alive, since feeds hear nothing and writes come late.
+test('a short run with jobs that hosts have not heard of keeps all promises', async t => {
+  t.regex(await brokenRuns(LOST_JOBS), /1 runs, 0 with a broken promise/);
+});
+
 // Callers of an account that asks for little pay for the flood of another one, or
 // an account gets more than its quota, while servers differ in speed.
 test('a short run with floods and unlike servers keeps all promises', async t => {
