Soak: the last fault has hosts miss an accepted job, with none to follow

Cause: lost jobs were made up for by the faults that followed, after which hosts read all heads again: seven heads were missing at one host for ten seconds, and one job waited 24 s, in a run that kept all promises. Change: the kill of an owner under feeds that hear nothing does not overlap itself, always ends where the history starts, and comes once more after all other faults in runs that have the kind.

--- a/packages/soak/src/lib/process/lost_job_handlers.ts
+++ b/packages/soak/src/lib/process/lost_job_handlers.ts
@@ -42,12 +42,13 @@
 }
 
 /** The program that accepts a job is killed, and the feeds of the others do not
- * report the job. */
+ * report the job, nor that they have missed something. */
 export async function killOwnerUnheard(call: FaultCall): Promise<void> {
+  if (call.fleet.onAccepted) return;
   strikeEach(call, ['deaf-feeds']);
   const {restarted} = await killWhenAccepted(call, by => [by]);
   await sleep(SYSTEM_CLOCK, DEAF_MS);
-  dropHistory(call);
+  call.fleet.store.deafFeeds.dropHistory('at-history-start');
   strikeEach(call, ['none']);
   await restarted;
 }
--- a/packages/soak/src/lib/process/run_soak.ts
+++ b/packages/soak/src/lib/process/run_soak.ts
@@ -11,7 +11,13 @@
 import {ACCOUNT, accountOf} from './soak_accounts.js';
 import {SoakFleet} from './soak_fleet.js';
 import {storedHeads} from './stored_heads.js';
-import {planFaults, type PlannedFault, type SoakOptions} from './soak_plan.js';
+import {
+  FAULT_KINDS,
+  planFaults,
+  type FaultKind,
+  type PlannedFault,
+  type SoakOptions,
+} from './soak_plan.js';
 
 /** A promise that was broken. */
 export interface Violation {
@@ -42,6 +48,8 @@
 const ROTATE_MS = 3000;
 const FINISH_MS = 20_000;
 const READ_PAUSE_MS = 100;
+/** What comes last, by itself, in runs that have it. */
+const LAST_KIND: FaultKind = 'owner-kill-deaf-feeds';
 /** Requests to each program in the calm at the end. */
 const LAST_REQUESTS = 20;
 /** One in ten may fail in the calm: a share that no fault explains. */
@@ -65,6 +73,7 @@
   const rotation = repeat(SYSTEM_CLOCK, ROTATE_MS, () => fleet.rotateKey());
   await strike(fleet, faults);
   rotation[Symbol.dispose]();
+  await strikeLast(fleet, options);
   await accounts.stop();
   await sleep(SYSTEM_CLOCK, CALM_MS);
   const calm = await makeCalmChanges(fleet, random);
@@ -104,14 +113,31 @@
   for (const {kind, atMs, forMs, seed} of faults) {
     const waitMs = startedAt + atMs - SYSTEM_CLOCK.now();
     await sleep(SYSTEM_CLOCK, Math.max(0, waitMs));
-    const random = seededRandom(seed);
-    const fault = FAULT_HANDLERS[kind]({fleet, random, forMs});
-    undone.push(fault);
-    void fleet.disturbances.during(fault.then(() => fleet.untilReady()));
+    undone.push(bringAbout(fleet, {kind, forMs, seed}));
   }
   await Promise.all(undone);
 }
 
+/** Has hosts miss an accepted job, with no fault to follow that would have them
+ * read all jobs again. */
+async function strikeLast(
+  fleet: SoakFleet,
+  {kinds = FAULT_KINDS, seed}: SoakOptions,
+): Promise<void> {
+  if (!kinds.includes(LAST_KIND)) return;
+  await bringAbout(fleet, {kind: LAST_KIND, forMs: 0, seed});
+}
+
+function bringAbout(
+  fleet: SoakFleet,
+  {kind, forMs, seed}: Omit<PlannedFault, 'atMs'>,
+): Promise<void> {
+  const random = seededRandom(seed);
+  const fault = FAULT_HANDLERS[kind]({fleet, random, forMs});
+  void fleet.disturbances.during(fault.then(() => fleet.untilReady()));
+  return fault;
+}
+
 async function readAll(batch: BatchLoad): Promise<void> {
   const until = Date.now() + FINISH_MS;
   while (batch.unfinished().length > 0 && Date.now() < until) {
