Soak: kept seed 47506

Cause: a seed that broke a promise is kept. Change: seed 47506 with the kinds of lost jobs, its cause and the hash of its plan.

--- a/packages/soak/src/lib/process/kept_seeds.ts
+++ b/packages/soak/src/lib/process/kept_seeds.ts
@@ -1,5 +1,9 @@
 /** Seeds that broke a promise once; each is played again, as it was. */
-import {FIRST_FAULT_KINDS, type SoakOptions} from './soak_plan.js';
+import {
+  FIRST_FAULT_KINDS,
+  LOST_JOB_FAULT_KINDS,
+  type SoakOptions,
+} from './soak_plan.js';
 
 /** A seed with what was found by it. */
 export interface KeptSeed {
@@ -85,4 +89,15 @@
       'a host had not heard of a configuration until it read all of them again',
     inTests: false,
   },
+  {
+    options: {
+      seed: 47_506,
+      loadMs: UNHEARD_MS,
+      programs: 4,
+      engines: 4,
+      kinds: LOST_JOB_FAULT_KINDS,
+    },
+    cause: 'the only host that would have taken a job over had not heard of it',
+    inTests: false,
+  },
 ];
--- a/packages/soak/src/test/process/soak_plan_test.ts
+++ b/packages/soak/src/test/process/soak_plan_test.ts
@@ -13,6 +13,7 @@
   [5023, 'c0dc50476c99d0e8'],
   [5010, '8936453442255778'],
   [47107, '673445ff5c65b595'],
+  [47506, '426da450f90c78e2'],
 ]);
 const HASH_LENGTH = 16;
 
