--- a/packages/soak/src/lib/process/run_soak.ts
+++ b/packages/soak/src/lib/process/run_soak.ts
@@ -10,7 +10,14 @@
 import {PROMISES} from './promises.js';
 import {ACCOUNT, accountOf} from './soak_accounts.js';
 import {SoakFleet} from './soak_fleet.js';
-import {planFaults, type PlannedFault, type SoakOptions} from './soak_plan.js';
+import {storedHeads} from './stored_heads.js';
+import {
+  FAULT_KINDS,
+  planFaults,
+  type FaultKind,
+  type PlannedFault,
+  type SoakOptions,
+} from './soak_plan.js';
 
 /** A promise that was broken. */
 export interface Violation {
@@ -26,6 +33,9 @@
   readonly requests: Readonly<Record<string, number>>;
   readonly jobs: {readonly accepted: number; readonly ended: number};
   readonly violations: readonly Violation[];
+  /** What callers saw of each job, with its row in the store as it was at the
+   * end, if a promise was broken. */
+  readonly jobRecords: readonly object[];
   /** What each program has written, if a promise was broken. */
   readonly logs: Readonly<Record<string, string>>;
 }
@@ -38,6 +48,8 @@
 const ROTATE_MS = 3000;
 const FINISH_MS = 20_000;
 const READ_PAUSE_MS = 100;
+/** What comes last, by itself, in runs that have it. */
+const LAST_KIND: FaultKind = 'owner-kill-deaf-feeds';
 /** Requests to each program in the calm at the end. */
 const LAST_REQUESTS = 20;
 /** One in ten may fail in the calm: a share that no fault explains. */
@@ -61,6 +73,7 @@
   const rotation = repeat(SYSTEM_CLOCK, ROTATE_MS, () => fleet.rotateKey());
   await strike(fleet, faults);
   rotation[Symbol.dispose]();
+  await strikeLast(fleet, options);
   await accounts.stop();
   await sleep(SYSTEM_CLOCK, CALM_MS);
   const calm = await makeCalmChanges(fleet, random);
@@ -73,6 +86,7 @@
     online: online.records,
     jobs: batch.jobs,
     calm,
+    endedAt: Date.now(),
   };
   const violations = [...violationsOf(evidence), ...last];
   return {
@@ -84,6 +98,7 @@
       ended: batch.jobs.filter(job => job.endedAt !== undefined).length,
     },
     violations,
+    jobRecords: violations.length > 0 ? await jobRecords(fleet, batch) : [],
     logs: violations.length > 0 ? logsOf(fleet) : {},
   };
 }
@@ -98,12 +113,31 @@
   for (const {kind, atMs, forMs, seed} of faults) {
     const waitMs = startedAt + atMs - SYSTEM_CLOCK.now();
     await sleep(SYSTEM_CLOCK, Math.max(0, waitMs));
-    const random = seededRandom(seed);
-    undone.push(FAULT_HANDLERS[kind]({fleet, random, forMs}));
+    undone.push(bringAbout(fleet, {kind, forMs, seed}));
   }
   await Promise.all(undone);
 }
 
+/** Has hosts miss an accepted job, with no fault to follow that would have them
+ * read all jobs again. */
+async function strikeLast(
+  fleet: SoakFleet,
+  {kinds = FAULT_KINDS, seed}: SoakOptions,
+): Promise<void> {
+  if (!kinds.includes(LAST_KIND)) return;
+  await bringAbout(fleet, {kind: LAST_KIND, forMs: 0, seed});
+}
+
+function bringAbout(
+  fleet: SoakFleet,
+  {kind, forMs, seed}: Omit<PlannedFault, 'atMs'>,
+): Promise<void> {
+  const random = seededRandom(seed);
+  const fault = FAULT_HANDLERS[kind]({fleet, random, forMs});
+  void fleet.disturbances.during(fault.then(() => fleet.untilReady()));
+  return fault;
+}
+
 async function readAll(batch: BatchLoad): Promise<void> {
   const until = Date.now() + FINISH_MS;
   while (batch.unfinished().length > 0 && Date.now() < until) {
@@ -150,6 +184,14 @@
   return counts;
 }
 
+async function jobRecords(
+  fleet: SoakFleet,
+  {jobs}: BatchLoad,
+): Promise<readonly object[]> {
+  const heads = await storedHeads(fleet.store);
+  return jobs.map(job => ({...job, head: heads.get(job.id)}));
+}
+
 function logsOf(fleet: SoakFleet): Readonly<Record<string, string>> {
   const texts = fleet.programs.map(
     ({name, program}) => [name, program.text] as const,
--- a/packages/soak/src/lib/request/batch_load.ts
+++ b/packages/soak/src/lib/request/batch_load.ts
@@ -68,10 +68,16 @@
     this.running = [this.handIn(), this.readOn()];
   }
 
-  /** Hands in nothing more; reading goes on until `finish`. */
+  /** Hands in nothing more, and has ended what was to end. */
   async finish(): Promise<void> {
     this.stopping.abort();
     await Promise.all(this.running);
+    // Nothing is wrong by now: what was not acknowledged before must be.
+    for (const job of this.jobs)
+      if (job.endAskedAt !== undefined && job.endedAt === undefined) {
+        await this.end(job);
+        if (job.endedAt === undefined) job.flaws.push('its end is not known');
+      }
   }
 
   /** @returns Jobs that were accepted, not ended, and are not whole yet. */
@@ -168,12 +174,15 @@
 
   private async accept(job: JobRecord, ends: boolean): Promise<void> {
     for (let i = 0; i < MAX_TRIES; i++) {
-      const answer = await this.attempt(caller =>
-        caller.submit(job.id, job.items),
+      const place = this.anyPlace();
+      const answer = await this.attempt(
+        caller => caller.submit(job.id, job.items),
+        place,
       );
       job.tries.push(answer?.status);
       if (answer?.status === 202) {
         job.acceptedAt ??= Date.now();
+        this.fleet.onAccepted?.(place);
         break;
       }
       await sleep(SYSTEM_CLOCK, RETRY_MS);
@@ -182,7 +191,7 @@
   }
 
   private async end(job: JobRecord): Promise<void> {
-    job.endAskedAt = Date.now();
+    job.endAskedAt ??= Date.now();
     for (let i = 0; i < MAX_TRIES; i++) {
       const answer = await this.attempt(caller => caller.cancel(job.id));
       if (answer?.status === 200) {
@@ -191,7 +200,7 @@
       }
       await sleep(SYSTEM_CLOCK, RETRY_MS);
     }
-    // Nobody acknowledged it: the job may go on, and its results count.
+    // Nobody acknowledged it: the job may go on, or may have ended all the same.
   }
 
   private async readOn(): Promise<void> {
@@ -202,14 +211,17 @@
     }
   }
 
+  private anyPlace(): ProgramPlace {
+    const {programs} = this.fleet;
+    return programs[this.random.int(programs.length)]!;
+  }
+
   private async attempt<T>(
     ask: (caller: Caller) => Promise<T>,
-    place?: ProgramPlace,
+    place = this.anyPlace(),
   ): Promise<T | undefined> {
-    const {programs} = this.fleet;
-    const asked = place ?? programs[this.random.int(programs.length)]!;
     try {
-      return await ask(new Caller(asked.program.front, this.fleet.key));
+      return await ask(new Caller(place.program.front, this.fleet.key));
     } catch {
       // No answer: the next try may meet another program.
       return undefined;
