Callers of the proofs stop listening once a request has ended

Cause: the MaxListenersExceededWarning of the test runs came from the caller of the proofs. Each request added a listener to the caller's signal and to the entry's, which both outlive it, and removed neither. `sleep` removes its own; no module that serves requests printed the warning. Change: the listeners and the timer of a request are disposed of when it ends.

--- a/packages/proofs/src/lib/request/caller.ts
+++ b/packages/proofs/src/lib/request/caller.ts
@@ -1,5 +1,5 @@
 /** A caller: sends requests to entries as its client library would. */
-import {sleep} from '@oathead/core';
+import {DisposableStore, sleep} from '@oathead/core';
 import type {Refusal} from '@oathead/core';
 import type {ApiRequest, ApiResponse} from '@oathead/entry';
 import type {EntryProcess} from '../process/processes.js';
@@ -92,13 +92,14 @@
     await sleep(clock, WAY_MS);
     if (!host.alive || this.entry.stopping) return this.reply('unreachable');
     const end = new Promise<Reply['end']>(resolve => {
-      const timer = clock.after(GIVE_UP_MS, () => resolve('hung'));
+      const pending = new DisposableStore();
       const over = (how: Reply['end']) => {
-        timer[Symbol.dispose]();
+        pending[Symbol.dispose]();
         resolve(how);
       };
-      host.died.addEventListener('abort', () => over('broken'), {once: true});
-      signal.addEventListener('abort', () => over('left'), {once: true});
+      pending.add(clock.after(GIVE_UP_MS, () => over('hung')));
+      pending.add(onAbort(host.died, () => over('broken')));
+      pending.add(onAbort(signal, () => over('left')));
       host.enter(() => void this.serve().then(() => over('ended')));
     });
     const how = await end;
@@ -166,6 +167,14 @@
   }
 }
 
+/** @returns A disposable that stops listening. */
+function onAbort(signal: AbortSignal, listener: () => void): Disposable {
+  signal.addEventListener('abort', listener, {once: true});
+  return {
+    [Symbol.dispose]: () => signal.removeEventListener('abort', listener),
+  };
+}
+
 /** @returns The refusal that a reply tells, also at the end of a stream. */
 export function refusalOf(reply: Reply): Refusal | undefined {
   const line = reply.text
