The log of a stall tells own work from a missing processor

Cause: `process-stalled` says that a host stood still, not whether its own work kept it or the machine gave it no processor. Change: the line has `processorMs`, the processor time that the process used meanwhile (one getrusage each 100 ms).

--- a/packages/observe/src/lib/process/stall_watch.ts
+++ b/packages/observe/src/lib/process/stall_watch.ts
@@ -6,6 +6,7 @@
  * after 2.1 s; with only its targets suspended, it answered with 200 after 0.5
  * to 0.8 s.
  */
+import {cpuUsage} from 'node:process';
 import type {Clock, Counters, EventLog} from '@oathead/core';
 
 /**
@@ -22,28 +23,44 @@
 /** Dependencies of {@link watchStalls}. */
 export interface StallContext {
   readonly clock: Clock;
+  /** @returns Processor time used by this process so far, in milliseconds. */
+  readonly processorTimeMs: () => number;
   readonly counters: Counters;
   readonly log: EventLog;
 }
 
+/**
+ * @returns Processor time that all threads of this process have used, in their
+ *     own code and in the kernel, in milliseconds.
+ */
+export function processorTimeMs(): number {
+  const {user, system} = cpuUsage();
+  return (user + system) / 1000;
+}
+
 /**
  * Starts to detect stalls.
  *
- * @param context - The clock, and the counters and log that stalls are reported
- *     to. A stall produces one log line, so there is at most one line for each
+ * @param context - The clock, the processor time, and the counters and log that
+ *     stalls are reported to. A stall produces one log line, so there is at most one line for each
  *     {@link STALL_THRESHOLD_MS} of stalled time.
  * @returns Stops the detection when disposed.
  */
-export function watchStalls({clock, counters, log}: StallContext): Disposable {
+export function watchStalls(context: StallContext): Disposable {
+  const {clock, counters, log} = context;
   let lastCheckAt = clock.now();
+  let lastProcessorMs = context.processorTimeMs();
   const timer = setInterval(() => {
     const now = clock.now();
     const stalledMs = Math.round(now - lastCheckAt - CHECK_INTERVAL_MS);
     lastCheckAt = now;
+    const totalProcessorMs = context.processorTimeMs();
+    const processorMs = Math.round(totalProcessorMs - lastProcessorMs);
+    lastProcessorMs = totalProcessorMs;
     if (stalledMs < STALL_THRESHOLD_MS) return;
     counters.count('process_stalls');
     counters.count('process_stalled_ms', {}, stalledMs);
-    log.event('process-stalled', {ms: stalledMs});
+    log.event('process-stalled', {ms: stalledMs, processorMs});
   }, CHECK_INTERVAL_MS);
   timer.unref();
   return {[Symbol.dispose]: () => clearInterval(timer)};
