A run that waits for its hand-over listens once to its signal

Cause: found while looking for other listeners that are never removed. Each follower that leaves before the run has started wakes the wait, and the wait listened to the run's signal again each time. Change: a wake removes the listener of its wait. Result: 13 listeners after 12 such followers before (and the warning of a leak), 1 now and 0 after the hand-over; tests of the package pass (52).

--- a/packages/target/src/lib/request/target_run.ts
+++ b/packages/target/src/lib/request/target_run.ts
@@ -107,8 +107,12 @@
     const mustWait = () => this.followerDue || this.followerCount > 0;
     while (!this.startTold && mustWait() && !signal.aborted) {
       await new Promise<void>(resolve => {
-        this.wakeHandOver = resolve;
-        signal.addEventListener('abort', () => resolve(), {once: true});
+        const wake = () => {
+          signal.removeEventListener('abort', wake);
+          resolve();
+        };
+        this.wakeHandOver = wake;
+        signal.addEventListener('abort', wake, {once: true});
       });
     }
   }
