A process that is leaving takes no successor for its predecessor

Cause: heartbeats name the incarnation before theirs. A process that shuts down while its successor, of a build that tells no start time, has begun would name that one; others would take the live one for ended. Change: once it is leaving, a process notes no predecessor. Measured: the new test fails without the change and passes with it. Found by review.

--- a/packages/gateway/src/lib/process/heartbeat_sender.ts
+++ b/packages/gateway/src/lib/process/heartbeat_sender.ts
@@ -75,13 +75,14 @@
   }
 
   /**
-   * Notes the incarnation before this one, which heartbeats name.
+   * Notes the incarnation before this one, which heartbeats name. While this
+   * process is shutting down, another incarnation may be the one after it.
    *
    * @param member - Sender of a row.
    */
   notePredecessor(member: Member): void {
     const {id, host} = this.self;
-    if (member.host !== host || member.id === id) return;
+    if (this.isLeaving || member.host !== host || member.id === id) return;
     const known = this.predecessor?.member;
     if (known && startOrder(member, known) < 0) return;
     this.predecessor = {member, readAt: this.context.clock.now()};
--- a/packages/gateway/src/test/process/member_order_test.ts
+++ b/packages/gateway/src/test/process/member_order_test.ts
@@ -264,3 +264,20 @@
   t.true(members.holdsLease(NOW.id));
   t.true(members.isReplaced(unstamped.id));
 });
+
+// Guards against a live host that is shut out: a process that is shutting down
+// takes its successor, of a build that tells no start time, for its predecessor.
+test('an incarnation that is leaving names none that it follows', async t => {
+  const store = new LateStore(SYSTEM_CLOCK);
+  store.timeMs = 90_000;
+  const context = {store, clock: SYSTEM_CLOCK, log: NO_EVENT_LOG};
+  using other = new Membership(incarnation('other', 'b'), context);
+  feed(other)(90);
+  await other.leave();
+  feed(other)(91, incarnation('other', 'successor'));
+  await other.leave();
+  t.deepEqual(
+    store.written.map(({replaces}) => replaces),
+    [undefined, undefined],
+  );
+});
