A host that finds a job gone forgets it

Change: a write that has found no head tells of none. Measured: the new test fails without the change (adopted again) and passes with it. Found by review.

--- a/packages/jobs/src/lib/process/head_writer.ts
+++ b/packages/jobs/src/lib/process/head_writer.ts
@@ -68,6 +68,8 @@
 export class HeadWriter {
   /** The head with which the last write conflicted. */
   private foreign: VersionedHead | undefined;
+  /** Whether the last write has found no head. */
+  private isGone = false;
 
   /**
    * @param context - Store, clock and randomness.
@@ -85,9 +87,13 @@
     return this.current.head;
   }
 
-  /** The newest head that is known to be stored, whichever host wrote it. */
-  get newest(): VersionedHead {
+  /**
+   * The newest head that is known to be stored, whichever host wrote it;
+   * undefined if the last write has found none.
+   */
+  get newest(): VersionedHead | undefined {
     const {foreign, current} = this;
+    if (this.isGone) return undefined;
     return foreign && foreign.version > current.version ? foreign : current;
   }
 
@@ -173,6 +179,7 @@
     if (found?.head.nonce === next.nonce)
       return this.adopt(next, found.version);
     this.foreign = found;
+    this.isGone = !found;
     return failure(this.ownershipLost(found?.head));
   }
 
--- a/packages/jobs/src/lib/process/job_ownership.ts
+++ b/packages/jobs/src/lib/process/job_ownership.ts
@@ -257,7 +257,7 @@
     });
     const drop = ({newestHead}: OwnedJob) => {
       this.owned.delete(id);
-      this.record(newestHead);
+      if (newestHead) this.record(newestHead);
     };
     this.owned.set(id, new OwnedJob(this.context, head, work, drop));
   }
--- a/packages/jobs/src/lib/process/owned_job.ts
+++ b/packages/jobs/src/lib/process/owned_job.ts
@@ -132,8 +132,11 @@
     return this.writer.head;
   }
 
-  /** The newest head that is known to be stored, whichever host wrote it. */
-  get newestHead(): VersionedHead {
+  /**
+   * The newest head that is known to be stored, whichever host wrote it;
+   * undefined if the job is gone.
+   */
+  get newestHead(): VersionedHead | undefined {
     return this.writer.newest;
   }
 
--- a/packages/jobs/src/test/process/ownership_conflict_test.ts
+++ b/packages/jobs/src/test/process/ownership_conflict_test.ts
@@ -1,7 +1,8 @@
 /** What a host learns from a conflict with a row that its feed has skipped. */
 import {failure} from '@oathead/core';
-import {MemoryRowStore, type RowTransaction} from '@oathead/stores';
+import {encodeJson, MemoryRowStore, type RowTransaction} from '@oathead/stores';
 import test from 'ava';
+import {headRef} from '../../lib/request/job_rows.js';
 import {
   ONE_ITEM_READER,
   OPEN_JOB,
@@ -118,3 +119,22 @@
   await fleet.advance(SWEEPS_MS);
   t.like(host.lines('job-adopted'), [{job: 'j', how: 'submitted again'}]);
 });
+
+// Guards against a job that its former owner tries to adopt again and again: the
+// feed told of the removal of its rows before a write of the owner found them gone.
+test('a host that finds a job gone forgets it', async t => {
+  using fleet = new OwnershipFleet();
+  const found = await fleet.write({...OPEN_JOB, owner: 'a'});
+  const host = fleet.add('a', {reader: ONE_ITEM_READER});
+  await fleet.advance(SWEEPS_MS);
+  const [job] = [...host.ownership.jobs()];
+  const ref = headRef('j');
+  await fleet.store.transact({expect: [], puts: [], removes: [ref]});
+  const row = {...ref, value: encodeJson(found.head), version: found.version};
+  host.ownership.update({put: [], removed: [row], storeTimeMs: 0});
+  job!.succeed(job!.work[0]!);
+  await fleet.advance(SWEEPS_MS);
+  t.is(host.lines('job-lost').length, 1);
+  t.is(host.lines('job-adopted').length, 1);
+  t.deepEqual(host.jobs, []);
+});
