--- a/packages/stores/src/lib/process/table_watch.ts
+++ b/packages/stores/src/lib/process/table_watch.ts
@@ -16,6 +16,7 @@
   type FreshnessLease,
   type LeaseRenewal,
 } from '@oathead/core';
+import {FeedPosition} from './feed_position.js';
 import type {
   RowChange,
   RowStore,
@@ -72,31 +73,11 @@
 /** Maximum number of keys of skipped rows in a log line. */
 const MAX_SKIPPED_KEYS = 10;
 
-/**
- * How long ago a response without changes must be before the feed is resumed
- * from its version, in milliseconds. Guards against changes that the store
- * reports late: a feed that may have kept changes back for a second is asked for
- * them again, or is told that its history is lost.
- */
-const RESUME_DELAY_MS = 2000;
-
-/** A response without changes. */
-interface EmptyResponse {
-  readonly version: number;
-  /** On the host's monotonic clock, in milliseconds. */
-  readonly receivedAt: number;
-}
-
 /** Keeps a copy of a table up to date until disposed. */
 export class TableWatch implements Disposable {
   private readonly rows = new Map<string, VersionedRow>();
   private readonly stop = new AbortController();
-  /** Version after which the feed is resumed. */
-  private version = 0;
-  /** Highest version in any response. */
-  private newestVersion = 0;
-  /** Responses without changes since the last change, the oldest first. */
-  private empty: readonly EmptyResponse[] = [];
+  private readonly position = new FeedPosition();
   private lastFullReadAt = -Infinity;
   private failing = false;
   private lastReadAt = -Infinity;
@@ -162,7 +143,7 @@
   /** A response without changes may also come sooner than it was asked for. */
   private get minimumIntervalMs(): number {
     const {pauseMs, waitMs} = this.options;
-    return this.empty.length > 0 ? Math.max(pauseMs, waitMs) : pauseMs;
+    return this.position.isQuiet ? Math.max(pauseMs, waitMs) : pauseMs;
   }
 
   private async poll(): Promise<boolean> {
@@ -181,13 +162,14 @@
     const renewal = this.context.freshness?.startRenewal();
     const result = await this.context.store.changes(
       table,
-      this.version,
+      this.position.version,
       waitMs,
     );
     if (!result.ok) return this.recordFailure(result.err);
     this.recordSuccess();
     const {changes, version, storeTimeMs} = result.value;
-    this.advance(changes, version);
+    const now = this.context.clock.now();
+    this.position.recordChanges(changes, version, now);
     const put: VersionedRow[] = [];
     const removed: VersionedRow[] = [];
     for (const change of changes) this.apply(change, put, removed);
@@ -196,25 +178,6 @@
     return true;
   }
 
-  /** Sets the version after which the feed is resumed. */
-  private advance(changes: readonly RowChange[], version: number): void {
-    this.newestVersion = Math.max(this.newestVersion, version);
-    if (changes.length > 0) {
-      this.empty = [];
-      this.version = Math.max(this.version, ...changes.map(versionOf));
-      return;
-    }
-    const now = this.context.clock.now();
-    const isOld = ({receivedAt}: EmptyResponse) =>
-      now - receivedAt >= RESUME_DELAY_MS;
-    const old = this.empty.filter(isOld).map(response => response.version);
-    this.version = Math.max(this.version, ...old);
-    this.empty = [
-      ...this.empty.filter(response => !isOld(response)),
-      {version, receivedAt: now},
-    ];
-  }
-
   private renewFreshness(
     renewal: LeaseRenewal | undefined,
     version: number,
@@ -267,7 +230,8 @@
           this.recordFailure(result.err);
           return 'failed';
         }
-        if (result.value.version < this.newestVersion) return 'out-of-date';
+        if (result.value.version < this.position.newestVersion)
+          return 'out-of-date';
         const {rows, hasMore} = result.value;
         for (const row of rows) found.set(rowKey(partition, row.key), row);
         version = Math.min(version, result.value.version);
@@ -295,9 +259,7 @@
     }
     const put = [...found.values()].filter(row => this.updateRow(row));
     this.reportFullRead(found.size, put);
-    this.version = Math.max(this.version, version);
-    this.newestVersion = Math.max(this.newestVersion, version);
-    this.empty = [];
+    this.position.recordFullRead(version);
     this.onUpdate({put, removed, storeTimeMs});
   }
 
@@ -307,12 +269,12 @@
    */
   private reportFullRead(rows: number, put: readonly VersionedRow[]): void {
     const {table} = this.options;
-    const skipped = put.filter(row => row.version <= this.version);
+    const skipped = put.filter(row => row.version <= this.position.version);
     this.context.log.event('table-read', {
       table,
       rows,
       newer: put.length - skipped.length,
-      version: this.version,
+      version: this.position.version,
     });
     if (skipped.length === 0) return;
     this.context.counters.count('table_rows_skipped', {table}, skipped.length);
@@ -320,7 +282,7 @@
       table,
       rows: skipped.length,
       keys: skipped.slice(0, MAX_SKIPPED_KEYS).map(({key}) => key),
-      version: this.version,
+      version: this.position.version,
     });
   }
 
@@ -334,10 +296,10 @@
   private recordFailure(err: RowStoreError): boolean {
     if (err.kind === 'history-lost') {
       this.lastFullReadAt = -Infinity;
-      this.empty = [];
+      this.position.recordLostHistory();
       this.context.log.event('table-history-lost', {
         table: this.options.table,
-        version: this.version,
+        version: this.position.version,
       });
       return this.lastReadAt > -Infinity;
     }
@@ -350,7 +312,7 @@
       table: this.options.table,
       reason: err.kind,
       message: 'message' in err ? err.message : undefined,
-      version: this.version,
+      version: this.position.version,
     });
     return false;
   }
@@ -364,10 +326,6 @@
   return `${key}!`;
 }
 
-function versionOf(change: RowChange): number {
-  return change.kind === 'put' ? change.row.version : change.version;
-}
-
 function rowKey(partition: string, key: string): string {
   return `${partition}\n${key}`;
 }
