Logs name the software version of targets

Cause: the version in the list entry of a target was decoded and dropped, so that no log line could tell which versions served one stream. Change: targets carry it; target-listed, request-sent and item-sent name it. Decisions are unchanged.

--- a/packages/gateway/src/lib/connection/target.ts
+++ b/packages/gateway/src/lib/connection/target.ts
@@ -20,6 +20,11 @@
    */
   readonly startedAtMs: number | undefined;
   readonly service: string;
+  /**
+   * Version of the server's software. What targets of two versions stream for
+   * one request does not fit together.
+   */
+  readonly softwareVersion: string;
   /** IP address and port. */
   readonly address: string;
   readonly dataCentre: string;
--- a/packages/gateway/src/lib/process/target_directory.ts
+++ b/packages/gateway/src/lib/process/target_directory.ts
@@ -155,6 +155,7 @@
       {
         target: target.id,
         service: target.service,
+        softwareVersion: target.softwareVersion,
         address: target.address,
       },
     );
--- a/packages/gateway/src/lib/request/request_report.ts
+++ b/packages/gateway/src/lib/request/request_report.ts
@@ -89,6 +89,7 @@
       request: this.metadata.requestId,
       route: this.route.name,
       target: target.id,
+      softwareVersion: target.softwareVersion,
       run: progress.runs + 1,
       inFlight: online,
       items: batch,
--- a/packages/gateway/src/test/fakes/targets.ts
+++ b/packages/gateway/src/test/fakes/targets.ts
@@ -6,6 +6,7 @@
   serverId: 't',
   startedAtMs: undefined,
   service: 's',
+  softwareVersion: 'v1',
   address: '',
   dataCentre: 'a',
   slots: 8,
--- a/packages/jobs/src/lib/process/item_runner.ts
+++ b/packages/jobs/src/lib/process/item_runner.ts
@@ -110,6 +110,7 @@
     item: item.id,
     route: route.name,
     target: target.id,
+    softwareVersion: target.softwareVersion,
     run: work.runs,
     afterEvent: work.lastEventId,
   });
--- a/packages/jobs/src/test/fakes/placing_fleet.ts
+++ b/packages/jobs/src/test/fakes/placing_fleet.ts
@@ -47,6 +47,7 @@
     serverId: id,
     startedAtMs: undefined,
     service: 's',
+    softwareVersion: 'v1',
     address: '',
     dataCentre,
     slots: SLOTS,
