A stream goes on at the software version that began it

Callers saw streams whose first events came from one software version of a service and the rest from another. Cause: after a run that broke off, the search for the next target took any target of the service, by the own view, its coordinator or another one; no decision knew the version. Change: from its first event on, a request searches only among targets of the version that sent it. The demand and the placement request carry the version; a grant of another version, as an older release may give, counts as no reply. If no target of the version is listed, the stream is broken off at once.

--- a/packages/core/src/lib/request/queue_limits.ts
+++ b/packages/core/src/lib/request/queue_limits.ts
@@ -47,6 +47,11 @@
    * return.
    */
   readonly returnWithinMs?: number | undefined;
+  /**
+   * Software version that the target must have, because the stream of the
+   * request began at a target of that version; undefined if any will do.
+   */
+  readonly softwareVersion?: string | undefined;
 }
 
 /**
--- a/packages/gateway/src/lib/connection/placement_message.ts
+++ b/packages/gateway/src/lib/connection/placement_message.ts
@@ -31,6 +31,8 @@
       isRepeated: z.boolean().optional(),
       /** Set only for requests that are refused without a target. */
       returnWithinMs: z.number().nonnegative().optional(),
+      /** Set only for streams that have begun; unknown to older releases. */
+      softwareVersion: z.string().optional(),
     }),
     /**
      * Whether the target must be in the data centre of the host that receives
--- a/packages/gateway/src/lib/process/placement_asker.ts
+++ b/packages/gateway/src/lib/process/placement_asker.ts
@@ -1,5 +1,5 @@
 /** Asks coordinators for placements and waits for their replies. */
-import type {Clock, Counters, EventLog} from '@oathead/core';
+import type {Clock, Counters, EventLog, WaitDemand} from '@oathead/core';
 import type {
   PlacementCriteria,
   PlacementGrant,
@@ -10,7 +10,7 @@
 import {PendingReplies} from './pending_replies.js';
 import {placementOutcome, type PlacementOutcome} from './placement_outcome.js';
 import {SilentCoordinators} from './silent_coordinators.js';
-import type {TargetChooser} from './target_chooser.js';
+import {hasWantedVersion, type TargetChooser} from './target_chooser.js';
 import type {TargetDirectory} from './target_directory.js';
 
 /** Dependencies of {@link PlacementAsker}. */
@@ -87,7 +87,9 @@
     if (targetId === undefined)
       return {kind: 'full', cause, retryAfterMs, figures};
     const target = this.findUsable(targetId, service);
-    return target ? placementOutcome(target) : 'silent';
+    // A host with an older release does not know the demand for a version.
+    const isSuitable = target && hasWantedVersion(target, versionOf(criteria));
+    return isSuitable ? placementOutcome(target) : 'silent';
   }
 
   /**
@@ -113,6 +115,12 @@
   }
 }
 
+function versionOf(
+  criteria: PlacementCriteria,
+): Pick<WaitDemand, 'softwareVersion'> {
+  return criteria.lane === 'online' ? criteria.demand : {};
+}
+
 function outcomeLabel(answer: PlacementGrant | 'silent'): string {
   if (answer === 'silent') return answer;
   return answer.targetId === undefined ? 'full' : 'place';
--- /dev/null
+++ b/packages/gateway/src/lib/process/service_versions.ts
@@ -0,0 +1,56 @@
+/**
+ * Software versions of the targets of each service, as listed now and a short
+ * time ago.
+ */
+
+/**
+ * How long a stream can still be taken up after it has begun, in milliseconds:
+ * longer than callers wait for all of their attempts together.
+ */
+export const STREAM_LIFETIME_MS = 10_000;
+
+const NO_VERSIONS: ReadonlySet<string> = new Set();
+
+/** The versions by service. */
+export class ServiceVersions {
+  private readonly current = new Map<string, ReadonlySet<string>>();
+  /** Time at which a version left the list, by service and version. */
+  private readonly leftAt = new Map<string, Map<string, number>>();
+
+  /** @param now - Returns the monotonic time, in milliseconds. */
+  constructor(private readonly now: () => number) {}
+
+  /**
+   * @param service - A service.
+   * @param listed - Versions of all targets that are listed for it now.
+   * @returns Whether one of them was not among {@link seen} before.
+   */
+  update(service: string, listed: ReadonlySet<string>): boolean {
+    const seen = this.seen(service);
+    const before = this.listed(service);
+    const left = this.leftAt.get(service) ?? new Map<string, number>();
+    for (const version of before)
+      if (!listed.has(version)) left.set(version, this.now());
+    for (const version of listed) left.delete(version);
+    this.current.set(service, listed);
+    this.leftAt.set(service, left);
+    return [...listed].some(version => !seen.has(version));
+  }
+
+  /** @returns The versions of the targets that are listed for a service. */
+  listed(service: string): ReadonlySet<string> {
+    return this.current.get(service) ?? NO_VERSIONS;
+  }
+
+  /**
+   * @returns The versions that have been listed for a service within
+   *     {@link STREAM_LIFETIME_MS}.
+   */
+  seen(service: string): ReadonlySet<string> {
+    const left = this.leftAt.get(service);
+    if (!left || left.size === 0) return this.listed(service);
+    const since = this.now() - STREAM_LIFETIME_MS;
+    for (const [version, at] of left) if (at < since) left.delete(version);
+    return new Set([...this.listed(service), ...left.keys()]);
+  }
+}
--- a/packages/gateway/src/lib/process/target_chooser.ts
+++ b/packages/gateway/src/lib/process/target_chooser.ts
@@ -60,6 +60,22 @@
   readonly preferredTargets: PreferredTargets;
 }
 
+const NO_TARGETS: ReadonlySet<string> = new Set();
+
+/**
+ * @param target - A target.
+ * @param demand - Determines which targets are suitable.
+ * @returns Whether the target has the software version that is wanted, if any.
+ */
+export function hasWantedVersion(
+  target: Pick<Target, 'softwareVersion'>,
+  {softwareVersion}: Pick<WaitDemand, 'softwareVersion'>,
+): boolean {
+  return (
+    softwareVersion === undefined || target.softwareVersion === softwareVersion
+  );
+}
+
 /** Selects targets based on the loads of all hosts. */
 export class TargetChooser {
   /** Selects targets for batch items. */
@@ -101,7 +117,8 @@
       !this.context.suspensions.isSuspended(id);
     const targets = this.context.directory
       .ofService(service)
-      .filter(({id}) => !tried.has(id));
+      .filter(({id}) => !tried.has(id))
+      .filter(target => hasWantedVersion(target, demand));
     // If all targets have failed lately, the cause may be the network path to
     // them. Waiting for their suspensions to end would refuse requests that
     // they could serve.
@@ -166,11 +183,32 @@
   }
 
   /**
-   * @returns Whether a service has a target, full or not, that was not tried.
+   * @param service - A service.
+   * @param tried - IDs of targets that were tried already.
+   * @param demand - Determines which targets are suitable.
+   * @returns Whether it has a suitable target, full or not, that was not tried.
    */
-  hasUntried(service: string, tried: ReadonlySet<string>): boolean {
+  hasUntried(
+    service: string,
+    tried: ReadonlySet<string>,
+    demand: Pick<WaitDemand, 'softwareVersion'> = {},
+  ): boolean {
     const targets = this.context.directory.ofService(service);
-    return targets.some(({id}) => !tried.has(id));
+    return targets.some(
+      target => !tried.has(target.id) && hasWantedVersion(target, demand),
+    );
+  }
+
+  /**
+   * @param service - A service.
+   * @param demand - Determines which targets are suitable.
+   * @returns Whether it has a suitable target, full or not.
+   */
+  hasSuitable(
+    service: string,
+    demand: Pick<WaitDemand, 'softwareVersion'>,
+  ): boolean {
+    return this.hasUntried(service, NO_TARGETS, demand);
   }
 
   /**
--- a/packages/gateway/src/lib/process/target_directory.ts
+++ b/packages/gateway/src/lib/process/target_directory.ts
@@ -3,6 +3,7 @@
 import type {Clock, EventLog} from '@oathead/core';
 import {LRUCache} from 'lru-cache';
 import type {Target} from '../connection/target.js';
+import {ServiceVersions, STREAM_LIFETIME_MS} from './service_versions.js';
 
 /** Dependencies of {@link TargetDirectory}. */
 export interface TargetDirectoryContext {
@@ -23,10 +24,13 @@
 
 /** Maintains the set of targets from updates of the target list. */
 export class TargetDirectory {
+  /** Software versions of the listed targets. */
+  readonly versions: ServiceVersions;
   private readonly targets = new Map<string, Target>();
   private readonly services = new Map<string, readonly Target[]>();
   private readonly pendingRemovals = new Map<string, Disposable>();
   private readonly removalListeners: Array<(id: string) => void> = [];
+  private readonly versionListeners: Array<() => void> = [];
   /** Latest incarnation of each server, listed or not, by server ID. */
   private readonly latestIncarnations = new LRUCache<string, Target>({
     max: MAX_REMEMBERED_INCARNATIONS,
@@ -42,7 +46,9 @@
   private uninterruptedSince = Infinity;
 
   /** @param context - The clock, and the log for changes. */
-  constructor(private readonly context: TargetDirectoryContext) {}
+  constructor(private readonly context: TargetDirectoryContext) {
+    this.versions = new ServiceVersions(() => context.clock.now());
+  }
 
   /**
    * Records a read of the list; to be called before its entries are applied.
@@ -64,10 +70,38 @@
    *     outage for at least that long.
    */
   isListedFor(id: string, forMs: number): boolean {
-    const now = this.context.clock.now();
-    const isFollowed = now - this.lastReadAt <= OUTAGE_MS;
-    const isLongEnough = now - this.uninterruptedSince >= forMs;
-    return isFollowed && isLongEnough && this.targets.has(id);
+    return this.isFollowedFor(forMs) && this.targets.has(id);
+  }
+
+  /**
+   * @param service - A service.
+   * @returns The only software version that its targets have had for
+   *     {@link STREAM_LIFETIME_MS}; undefined if there were others, or if the
+   *     list has not been read without an outage for that long.
+   */
+  onlyVersion(service: string): string | undefined {
+    if (!this.isFollowedFor(STREAM_LIFETIME_MS)) return undefined;
+    const [first, ...others] = this.versions.seen(service);
+    return others.length === 0 ? first : undefined;
+  }
+
+  /**
+   * @param service - A service.
+   * @param softwareVersion - A version of its software.
+   * @returns Whether a target of that version accepts new requests.
+   */
+  hasVersion(service: string, softwareVersion: string): boolean {
+    return this.ofService(service).some(
+      target => target.softwareVersion === softwareVersion,
+    );
+  }
+
+  /**
+   * @param listener - Called when a software version is listed for a service
+   *     that has not had it lately.
+   */
+  onVersionListed(listener: () => void): void {
+    this.versionListeners.push(listener);
   }
 
   /** @param listener - Called with the ID of each target that is removed. */
@@ -222,11 +256,23 @@
     this.pendingRemovals.delete(serverId);
   }
 
+  private isFollowedFor(forMs: number): boolean {
+    const now = this.context.clock.now();
+    const isFollowed = now - this.lastReadAt <= OUTAGE_MS;
+    return isFollowed && now - this.uninterruptedSince >= forMs;
+  }
+
   private rebuildIndex(service: string): void {
-    const usable = [...this.targets.values()].filter(
-      target => target.service === service && !target.leaving,
+    const listed = [...this.targets.values()].filter(
+      target => target.service === service,
+    );
+    this.services.set(
+      service,
+      listed.filter(target => !target.leaving),
     );
-    this.services.set(service, usable);
+    const versions = new Set(listed.map(target => target.softwareVersion));
+    if (!this.versions.update(service, versions)) return;
+    for (const listener of this.versionListeners) listener();
   }
 }
 
--- a/packages/gateway/src/lib/request/online_request.ts
+++ b/packages/gateway/src/lib/request/online_request.ts
@@ -16,6 +16,7 @@
 import {
   mayHaveCrashed,
   type AbortReason,
+  type EventSink,
   type ExchangeOutcome,
   type CompleteResponse,
 } from './exchange.js';
@@ -63,6 +64,10 @@
 ]);
 
 const STATUS_SERVER_ERROR = 500;
+/** No target is left of the software version that began the stream. */
+const VERSION_GONE = 'software version gone';
+/** Refusals of requests that nobody can serve later either. */
+const FINAL_REASONS: ReadonlySet<string> = new Set([VERSION_GONE]);
 
 /** Serves one online request. */
 export class OnlineRequest {
@@ -148,7 +153,10 @@
       ? undefined
       : this.admission.recheck();
     if (refusal) return this.giveUp(refusal);
-    if (!target) return this.giveUp('no target');
+    if (!target)
+      return this.giveUp(
+        this.search.isVersionGone ? VERSION_GONE : 'no target',
+      );
     const late = hasRun ? undefined : await this.admission.renewQuota();
     const reason = this.abortReason ?? late;
     if (reason) return this.giveUp(reason);
@@ -172,13 +180,29 @@
       account: this.admission.senderAccount,
       writer,
     });
-    this.activeSend = sendToTarget(context, target, 'online', req, writer);
+    const sink = this.versionedSink(target);
+    this.activeSend = sendToTarget(context, target, 'online', req, sink);
     const outcome = await this.activeSend.end;
     this.activeSend = undefined;
     targetSpan.end(outcome.kind);
     return outcome;
   }
 
+  /**
+   * Guards against a stream that holds events of two software versions: from its
+   * first event on, the request goes only to targets of the version that sent
+   * it.
+   */
+  private versionedSink({softwareVersion}: Target): EventSink {
+    const {writer, search} = this;
+    return {
+      events: (events, head) => {
+        if (!writer.hasStarted) search.restrictTo(softwareVersion);
+        return writer.events(events, head);
+      },
+    };
+  }
+
   /** @returns Whether the request is finished. */
   private handleOutcome(outcome: ExchangeOutcome, target: Target): boolean {
     if (!this.writer.hasStarted && mayHaveCrashed(outcome))
@@ -275,8 +299,9 @@
     }
     const {service} = this;
     const status = failureStatus(reason, this.runs);
-    const retry =
-      status === STATUS_UNAVAILABLE ? this.search.retry() : undefined;
+    const mayReturn =
+      status === STATUS_UNAVAILABLE && !FINAL_REASONS.has(reason);
+    const retry = mayReturn ? this.search.retry() : undefined;
     const view = this.context.chooser.view(service);
     this.report.givenUp(service, reason, view, {
       retry,
--- a/packages/gateway/src/lib/request/target_search.ts
+++ b/packages/gateway/src/lib/request/target_search.ts
@@ -22,7 +22,7 @@
 /** Dependencies of {@link TargetSearch}. */
 export interface TargetSearchContext {
   readonly clock: Clock;
-  readonly chooser: Pick<TargetChooser, 'hasUntried'>;
+  readonly chooser: Pick<TargetChooser, 'hasUntried' | 'hasSuitable'>;
   readonly placement: RequestPlacement;
   readonly overload: Pick<ServiceOverload, 'returnAfterMs' | 'recordNotPlaced'>;
   readonly protocol: Pick<TargetProtocol, 'maxRetryAfterMs'>;
@@ -68,6 +68,7 @@
   private latestNotPlaced: NotPlaced | undefined;
   private lateWait: LateWait | undefined;
   private isStopped = false;
+  private softwareVersion: string | undefined;
   private readonly claimed: ClaimedDemand;
 
   /**
@@ -102,6 +103,23 @@
     return target || this.isStopped || !mayWait ? target : this.findLate();
   }
 
+  /**
+   * Restricts the search to targets of one software version.
+   *
+   * @param softwareVersion - The version that began the stream of the request.
+   */
+  restrictTo(softwareVersion: string): void {
+    this.softwareVersion = softwareVersion;
+  }
+
+  /** Whether no target is left of the version that it is restricted to. */
+  get isVersionGone(): boolean {
+    const {softwareVersion} = this;
+    if (softwareVersion === undefined) return false;
+    const {service} = this.request;
+    return !this.context.chooser.hasSuitable(service, {softwareVersion});
+  }
+
   /** Stops the search, because the request has been aborted. */
   stop(): void {
     this.isStopped = true;
@@ -124,14 +142,17 @@
     const {service, startedAt} = this.request;
     // With few targets, all of them may have been tried. The runs there have
     // ended, so they may be tried again.
-    if (!chooser.hasUntried(service, this.tried)) this.tried.clear();
+    const {softwareVersion} = this;
+    if (!chooser.hasUntried(service, this.tried, {softwareVersion}))
+      this.tried.clear();
     const until = hasRun
       ? clock.now() + RETRY_WAIT_MS
       : startedAt + maxQueueWaitMs(this.request.demand);
     let isRefused = false;
     for (;;) {
+      if (this.isVersionGone) return undefined;
       const isLast = isRefused || clock.now() >= until;
-      const demand = this.claimed.nextDemand();
+      const demand = this.nextDemand();
       const asked = isLast && !hasRun ? this.withReturn(demand) : demand;
       const outcome = await placement.forRequest(service, asked, this.tried);
       // The search after that one is only for a time to return.
@@ -145,6 +166,14 @@
     }
   }
 
+  private nextDemand(): WaitDemand {
+    const demand = this.claimed.nextDemand();
+    const {softwareVersion} = this;
+    return softwareVersion === undefined
+      ? demand
+      : {...demand, softwareVersion};
+  }
+
   /** Whether the caller can be promised room for a return. */
   private get mayReturn(): boolean {
     return !this.request.demand.returning && this.context.schedulesReturns();
@@ -164,7 +193,7 @@
 
   private async findLate(): Promise<Target | undefined> {
     const {tried, request} = this;
-    const demand = this.claimed.nextDemand();
+    const demand = this.nextDemand();
     this.lateWait = this.context.lateQueue.wait({...request, demand, tried});
     const end = await this.lateWait.end;
     return end.kind === 'placed' ? end.target : undefined;
--- a/packages/gateway/src/test/process/placement_test.ts
+++ b/packages/gateway/src/test/process/placement_test.ts
@@ -285,3 +285,24 @@
   loads.expire();
   t.is(loads.totalAt('t').online, 1);
 });
+
+// Guards against a stream that goes on at another software version: the
+// coordinator runs an older release and does not know the demand for one.
+test('a placement at a target of another software version is not used', async t => {
+  const {requester, coordinator} = newPair();
+  for (const {directory} of [requester, coordinator])
+    directory.put(newTarget('t2', {softwareVersion: 'v2'}));
+  const demand = {...DEMAND, softwareVersion: 'v2'};
+  const placed = requester.placement.forRequest('s', demand, NONE);
+  const [ask] = requester.sent.at(-1)!;
+  t.true(ask.kind === 'ask' && ask.wish.lane === 'online');
+  t.like(ask, {wish: {demand: {softwareVersion: 'v2'}}});
+  if (ask.kind !== 'ask' || ask.wish.lane !== 'online') return;
+  const {softwareVersion: unknown, ...known} = ask.wish.demand;
+  coordinator.placement.receive({...ask, wish: {...ask.wish, demand: known}});
+  t.is(unknown, 'v2');
+  const [grant] = coordinator.sent.at(-1)!;
+  t.is(grant.kind === 'grant' && grant.targetId, 't1');
+  requester.placement.receive(grant);
+  t.is(idOf(await placed), 't2');
+});
--- a/packages/gateway/src/test/process/target_chooser_test.ts
+++ b/packages/gateway/src/test/process/target_chooser_test.ts
@@ -164,3 +164,23 @@
   t.is(chooser.forRequest('s', URGENT, NONE)?.id, 'only');
   t.is(chooser.forRequest('s', LESS_URGENT, NONE), undefined);
 });
+
+// Guards against a stream that goes on at a target of another software version,
+// be that one full, suspended or tried.
+test('only targets of the wanted software version are selected', t => {
+  const {chooser, load, suspensions} = newFleet(
+    newTarget('one', {softwareVersion: 'v1'}),
+    newTarget('two', {softwareVersion: 'v2'}),
+  );
+  const first = {...URGENT, softwareVersion: 'v1'};
+  load('one', 4, 0);
+  t.is(chooser.forRequest('s', URGENT, NONE)?.id, 'two');
+  t.is(chooser.forRequest('s', first, NONE)?.id, 'one');
+  suspensions.recordFailure('one', 'reset');
+  t.is(chooser.forRequest('s', first, NONE)?.id, 'one');
+  load('one', 50, 0);
+  t.is(chooser.forRequest('s', first, NONE), undefined);
+  t.false(chooser.hasUntried('s', new Set(['one']), first));
+  t.true(chooser.hasSuitable('s', first));
+  t.false(chooser.hasSuitable('s', {softwareVersion: 'v3'}));
+});
