A caller's stream goes on at the software version that began it

Callers whose host was killed took their streams up at another host, and got the rest from another software version of the service. Cause: the header that names the attempt with the first event was not read, and only the host of that attempt knew the version. Change: hosts tell four others, by a ring over the IDs of streams, at which version a stream begins, before its first event leaves; only while several versions may be about. A host that has to go on with a stream asks six. What no host knows is refused at once unless only one version is listed, and what has no target of its version left is refused or broken off at once.

--- a/packages/gateway/src/lib/request/online_request.ts
+++ b/packages/gateway/src/lib/request/online_request.ts
@@ -10,6 +10,7 @@
 import type {CrashSuspects} from '../process/crash_suspects.js';
 import type {LateQueue} from '../process/late_queue.js';
 import type {RequestPlacement} from '../process/placement.js';
+import type {StreamVersions} from '../process/stream_versions.js';
 import type {TargetChooser} from '../process/target_chooser.js';
 import type {AdmittedRequest} from './admitted_request.js';
 import {ResponseWriter} from './response_writer.js';
@@ -50,6 +51,7 @@
   readonly crashSuspects: CrashSuspects;
   readonly retryDetector: CallerRetryDetector;
   readonly admission: CallerAdmission;
+  readonly streamVersions: Pick<StreamVersions, 'record' | 'continuationOf'>;
 }
 
 /** How many times targets may decline a request before it is refused. */
@@ -66,8 +68,13 @@
 const STATUS_SERVER_ERROR = 500;
 /** No target is left of the software version that began the stream. */
 const VERSION_GONE = 'software version gone';
+/** Several versions may have begun the stream, and no host knows which one. */
+const VERSION_UNKNOWN = 'software version unknown';
 /** Refusals of requests that nobody can serve later either. */
-const FINAL_REASONS: ReadonlySet<string> = new Set([VERSION_GONE]);
+const FINAL_REASONS: ReadonlySet<string> = new Set([
+  VERSION_GONE,
+  VERSION_UNKNOWN,
+]);
 
 /** Serves one online request. */
 export class OnlineRequest {
@@ -138,9 +145,38 @@
       this.context.clock.after(leftMs, () => this.abort('timeout')),
     );
     if (this.isRepeatable) disposables.add(this.startSilenceWatch());
+    if (!(await this.isContinuable())) {
+      this.giveUp(this.abortReason ?? VERSION_UNKNOWN);
+      return;
+    }
     while (!(await this.attempt()));
   }
 
+  /**
+   * Restricts a stream that its caller takes up to the software version that
+   * began it.
+   *
+   * @returns Whether the version is known, as far as it matters.
+   */
+  private async isContinuable(): Promise<boolean> {
+    const {lastEventId, resumes} = this.metadata;
+    if (lastEventId === undefined) return true;
+    const {streamVersions} = this.context;
+    const found = await streamVersions.continuationOf(this.service, resumes);
+    if (found.kind === 'at-version')
+      this.search.restrictTo(found.softwareVersion);
+    return found.kind !== 'unknown';
+  }
+
+  /** Records where the stream begins, before its caller gets anything of it. */
+  private beginStream({service, softwareVersion}: Target): void {
+    this.search.restrictTo(softwareVersion);
+    const {requestId, lastEventId, resumes} = this.metadata;
+    const stream = lastEventId === undefined ? requestId : resumes;
+    if (stream === undefined || !this.admitted.route.resumable) return;
+    this.context.streamVersions.record(stream, {service, softwareVersion});
+  }
+
   /** @returns Whether the request is finished. */
   private async attempt(): Promise<boolean> {
     if (this.context.crashSuspects.isBlocked(this.fingerprint))
@@ -193,11 +229,11 @@
    * first event on, the request goes only to targets of the version that sent
    * it.
    */
-  private versionedSink({softwareVersion}: Target): EventSink {
-    const {writer, search} = this;
+  private versionedSink(target: Target): EventSink {
+    const {writer} = this;
     return {
       events: (events, head) => {
-        if (!writer.hasStarted) search.restrictTo(softwareVersion);
+        if (!writer.hasStarted) this.beginStream(target);
         return writer.events(events, head);
       },
     };
--- a/packages/gateway/src/lib/request/target_protocol.ts
+++ b/packages/gateway/src/lib/request/target_protocol.ts
@@ -22,6 +22,11 @@
    * resumes.
    */
   readonly lastEventId: number | undefined;
+  /**
+   * ID of the request that brought the first event of that stream; undefined
+   * if the caller does not name it.
+   */
+  readonly resumes: string | undefined;
   /**
    * Key of the caller's client account; undefined if the request has no valid
    * key.
--- a/packages/gateway/src/lib/request/target_search.ts
+++ b/packages/gateway/src/lib/request/target_search.ts
@@ -56,8 +56,10 @@
 const POLL_INTERVAL_MS = 10;
 /**
  * How long a request whose run was interrupted waits for another target, in
- * milliseconds. It can no longer be refused as not run, and targets are usually
- * available again within a second.
+ * milliseconds, and a stream that is bound to a software version for one of its
+ * targets. What has run can no longer be refused as not run, what has begun
+ * cannot begin elsewhere, and targets are usually available again within a
+ * second.
  */
 const RETRY_WAIT_MS = 1500;
 
@@ -145,7 +147,8 @@
     const {softwareVersion} = this;
     if (!chooser.hasUntried(service, this.tried, {softwareVersion}))
       this.tried.clear();
-    const until = hasRun
+    const isContinued = hasRun || softwareVersion !== undefined;
+    const until = isContinued
       ? clock.now() + RETRY_WAIT_MS
       : startedAt + maxQueueWaitMs(this.request.demand);
     let isRefused = false;
--- a/packages/gateway/src/test/fakes/raw_target.ts
+++ b/packages/gateway/src/test/fakes/raw_target.ts
@@ -12,6 +12,7 @@
     requestId: undefined,
     deadlineMs: undefined,
     lastEventId: undefined,
+    resumes: undefined,
     key: undefined,
   }),
   requestHeaders: headers => headers,
--- /dev/null
+++ b/packages/gateway/src/test/process/stream_versions_test.ts
@@ -0,0 +1,299 @@
+import {NO_COUNTERS, NO_EVENT_LOG} from '@oathead/core';
+import test from 'ava';
+import {
+  decodeStreamVersion,
+  encodeStreamVersion,
+  type StreamVersionMessage,
+} from '../../lib/connection/stream_version_message.js';
+import {HostRing} from '../../lib/process/host_ring.js';
+import type {LoadPeer} from '../../lib/process/load_reporter.js';
+import {STREAM_LIFETIME_MS} from '../../lib/process/service_versions.js';
+import {StreamVersions} from '../../lib/process/stream_versions.js';
+import {TargetDirectory} from '../../lib/process/target_directory.js';
+import {FakeClock} from '../fakes/fake_clock.js';
+import {newTarget} from '../fakes/targets.js';
+
+const SERVICE = 's';
+const READ_INTERVAL_MS = 500;
+const STREAMS = 200;
+const FIRST = {service: SERVICE, softwareVersion: 'v1'};
+/** Datagrams of two bytes and more that are no message. */
+const BAD_DATAGRAMS = [
+  [0x92, 15],
+  [0x92, 15, 0x80],
+  [0x91, 15, 1],
+  [0xff, 0xff],
+];
+
+/** Hosts that read the same list of targets and reach each other at once. */
+class Fleet {
+  readonly clock = new FakeClock();
+  readonly hosts = new Map<string, Host>();
+  readonly sent: StreamVersionMessage[] = [];
+  isDelivered: (message: StreamVersionMessage, to: string) => boolean = () =>
+    true;
+  private started = 0;
+
+  constructor(count: number) {
+    for (let i = 0; i < count; i++) this.start(`h${i}`);
+  }
+
+  /** Starts a host, which forgets what it knew before. */
+  start(name: string): Host {
+    const host = new Host(this, {
+      id: `${name}.${this.started++}`,
+      dataCentre: 'a',
+    });
+    this.hosts.set(name, host);
+    return host;
+  }
+
+  get(name: string): Host {
+    return this.hosts.get(name)!;
+  }
+
+  /** Lists a target of a software version at all hosts. */
+  list(softwareVersion: string): void {
+    for (const host of this.hosts.values()) host.list(softwareVersion);
+  }
+
+  /** Lets all hosts read an unchanged list for some time. */
+  follow(ms: number): void {
+    for (let i = 0; i < ms; i += READ_INTERVAL_MS) {
+      this.clock.advance(READ_INTERVAL_MS);
+      for (const {directory} of this.hosts.values()) directory.recordListRead();
+    }
+  }
+}
+
+class Host {
+  readonly directory: TargetDirectory;
+  readonly versions: StreamVersions;
+
+  constructor(
+    fleet: Fleet,
+    readonly self: LoadPeer,
+  ) {
+    const {clock} = fleet;
+    const log = NO_EVENT_LOG;
+    this.directory = new TargetDirectory({clock, log});
+    this.directory.recordListRead();
+    const peers = () =>
+      [...fleet.hosts.values()]
+        .map(host => host.self)
+        .filter(peer => peer !== self);
+    this.versions = new StreamVersions({
+      self,
+      clock,
+      log,
+      counters: NO_COUNTERS,
+      directory: this.directory,
+      peers,
+      peer: id => peers().find(peer => peer.id === id),
+      send: (message, to) => {
+        const datagram = encodeStreamVersion(message);
+        for (const {id} of to) {
+          fleet.sent.push(message);
+          const host = fleet.hosts.get(id.split('.')[0]!);
+          if (host?.self.id !== id || !fleet.isDelivered(message, id)) continue;
+          host.versions.receive(decodeStreamVersion(datagram)!);
+        }
+      },
+    });
+  }
+
+  list(softwareVersion: string): void {
+    const id = `t-${softwareVersion}`;
+    this.directory.put(newTarget(id, {service: SERVICE, softwareVersion}));
+  }
+
+  /** What may be done with a stream; asks that get no answer time out. */
+  async continuationOf(fleet: Fleet, stream: string | undefined) {
+    let isSettled = false;
+    const found = this.versions
+      .continuationOf(SERVICE, stream)
+      .finally(() => (isSettled = true));
+    await settlePromises();
+    while (!isSettled) {
+      fleet.clock.advance(80);
+      await settlePromises();
+    }
+    return found;
+  }
+}
+
+async function settlePromises(): Promise<void> {
+  for (let turn = 0; turn < 10; turn++) await Promise.resolve();
+}
+
+/** A fleet that follows a list of two software versions. */
+function newMixedFleet(hosts = 9): Fleet {
+  const fleet = new Fleet(hosts);
+  fleet.list('v1');
+  fleet.list('v2');
+  fleet.follow(STREAM_LIFETIME_MS);
+  return fleet;
+}
+
+function streamIds(): readonly string[] {
+  return [...Array(STREAMS).keys()].map(i => `stream-${i}`);
+}
+
+const AT_FIRST = {kind: 'at-version', softwareVersion: 'v1'} as const;
+
+test('with one software version nothing is told or asked', async t => {
+  const fleet = new Fleet(9);
+  fleet.list('v1');
+  fleet.follow(STREAM_LIFETIME_MS);
+  fleet.get('h0').versions.record('one', FIRST);
+  const found = await fleet.get('h1').continuationOf(fleet, 'one');
+  t.deepEqual(found, {kind: 'anywhere'});
+  t.deepEqual(fleet.sent, []);
+});
+
+// Guards against streams that change their version when their host is killed.
+test('any host learns where the streams of a killed host began', async t => {
+  const fleet = newMixedFleet();
+  for (const id of streamIds()) fleet.get('h0').versions.record(id, FIRST);
+  t.is(fleet.sent.length, 4 * STREAMS);
+  fleet.hosts.delete('h0');
+  for (const [i, id] of streamIds().entries()) {
+    const found = await fleet.get(`h${1 + (i % 8)}`).continuationOf(fleet, id);
+    t.deepEqual(found, AT_FIRST);
+  }
+});
+
+// Guards against refused streams after a loss of most hosts at once.
+test('most streams are known after six of nine hosts are lost', async t => {
+  const fleet = newMixedFleet();
+  for (const id of streamIds()) fleet.get('h0').versions.record(id, FIRST);
+  for (let i = 0; i < 6; i++) fleet.start(`h${i}`).list('v1');
+  for (let i = 0; i < 6; i++) fleet.get(`h${i}`).list('v2');
+  let known = 0;
+  for (const id of streamIds()) {
+    const found = await fleet.get('h0').continuationOf(fleet, id);
+    t.not(found.kind, 'anywhere');
+    if (found.kind === 'at-version') known++;
+  }
+  t.true(known > STREAMS / 2, `${known} of ${STREAMS}`);
+});
+
+test('lost datagrams do not lose the version of a stream', async t => {
+  const fleet = newMixedFleet();
+  let sent = 0;
+  fleet.isDelivered = () => sent++ % 2 === 0;
+  for (const id of streamIds()) fleet.get('h0').versions.record(id, FIRST);
+  fleet.hosts.delete('h0');
+  fleet.isDelivered = ({kind}) => kind === 'told' || sent++ % 5 > 0;
+  for (const id of streamIds())
+    t.deepEqual(await fleet.get('h1').continuationOf(fleet, id), AT_FIRST);
+});
+
+// Guards against streams that nobody was told of, because there was only one
+// version when they began.
+test('streams from before a second version are told when it is listed', async t => {
+  const fleet = new Fleet(9);
+  fleet.list('v1');
+  fleet.follow(STREAM_LIFETIME_MS);
+  for (const id of streamIds()) fleet.get('h0').versions.record(id, FIRST);
+  t.deepEqual(fleet.sent, []);
+  fleet.list('v2');
+  fleet.hosts.delete('h0');
+  for (const id of streamIds())
+    t.deepEqual(await fleet.get('h1').continuationOf(fleet, id), AT_FIRST);
+});
+
+// Guards against streams that nobody was told of by a host that is cut off from
+// the list of targets, and therefore does not see the second version.
+test('streams are told when the list is not followed any more', async t => {
+  const fleet = new Fleet(9);
+  fleet.list('v1');
+  fleet.follow(STREAM_LIFETIME_MS);
+  const cutOff = fleet.get('h0');
+  cutOff.versions.record('before', FIRST);
+  fleet.clock.advance(2000);
+  cutOff.versions.record('after', FIRST);
+  fleet.hosts.delete('h0');
+  fleet.list('v2');
+  for (const id of ['before', 'after'])
+    t.deepEqual(await fleet.get('h1').continuationOf(fleet, id), AT_FIRST);
+});
+
+// Guards against a stream that is joined with one of another version by chance,
+// and against a caller that waits for an answer that nobody has.
+test('a stream that no host knows is refused in bounded time', async t => {
+  const fleet = newMixedFleet();
+  const unknown = {kind: 'unknown'};
+  const {clock} = fleet;
+  t.deepEqual(await fleet.get('h1').continuationOf(fleet, 'lost'), unknown);
+  t.deepEqual(await fleet.get('h1').continuationOf(fleet, undefined), unknown);
+  fleet.isDelivered = () => false;
+  const since = clock.now();
+  const found = fleet.get('h1').versions.continuationOf(SERVICE, 'lost');
+  for (let i = 0; i < 2; i++) {
+    clock.advance(80);
+    await settlePromises();
+  }
+  t.deepEqual(await found, unknown);
+  t.is(clock.now() - since, 160);
+});
+
+// Guards against refusals by a host that has just started and has not followed
+// the list for long enough, while all others know that there is one version.
+test('a host that has just started relies on what others have seen', async t => {
+  const fleet = new Fleet(3);
+  fleet.list('v1');
+  fleet.follow(STREAM_LIFETIME_MS);
+  const started = fleet.start('h1');
+  started.list('v1');
+  started.list('v2');
+  t.deepEqual(await started.continuationOf(fleet, 'one'), AT_FIRST);
+});
+
+// Guards against refusals where all hosts have just started: nothing can be
+// joined wrongly if there is one version only.
+test('a stream goes on at the only version that is listed', async t => {
+  const fleet = new Fleet(3);
+  fleet.list('v1');
+  const {kind} = await fleet.get('h1').continuationOf(fleet, 'one');
+  t.is(kind, 'anywhere');
+});
+
+test('a stream that has moved to another service may go on anywhere', async t => {
+  const fleet = newMixedFleet();
+  fleet.get('h0').versions.record('one', {...FIRST, service: 'other'});
+  const {kind} = await fleet.get('h1').continuationOf(fleet, 'one');
+  t.is(kind, 'anywhere');
+});
+
+test('a stream is forgotten when it cannot be taken up any more', async t => {
+  const fleet = newMixedFleet();
+  fleet.get('h0').versions.record('one', FIRST);
+  fleet.follow(STREAM_LIFETIME_MS + READ_INTERVAL_MS);
+  const {kind} = await fleet.get('h1').continuationOf(fleet, 'one');
+  t.is(kind, 'unknown');
+});
+
+test('bytes that are no message are refused', t => {
+  for (const bytes of BAD_DATAGRAMS)
+    t.is(decodeStreamVersion(Uint8Array.from(bytes)), undefined);
+});
+
+// Guards against a stream of which the hosts that are asked were not told,
+// because hosts differ on who is alive.
+test('most hosts of a key stay when hosts come and go', t => {
+  const hosts = [...Array(40).keys()].map(i => ({
+    id: `h${i}.0`,
+    dataCentre: 'a',
+  }));
+  const all = new HostRing(hosts);
+  const fewer = new HostRing(hosts.slice(2));
+  for (const id of streamIds()) {
+    const told = all.after(id, 4);
+    t.is(new Set(told).size, 4);
+    const asked = fewer.after(id, 6);
+    t.true(told.filter(host => asked.includes(host)).length >= 2);
+  }
+  t.is(new HostRing(hosts.slice(0, 2)).after('key', 4).length, 2);
+  t.is(new HostRing([]).after('key', 4).length, 0);
+});
--- a/packages/serving/src/lib/process/serving_components.ts
+++ b/packages/serving/src/lib/process/serving_components.ts
@@ -21,6 +21,7 @@
   Membership,
   createPlacement,
   createAccountQuotas,
+  createStreamVersions,
   ReturnPromises,
   RoutingState,
   ServiceHealth,
@@ -37,6 +38,7 @@
   type HostPeer,
   type Member,
   type OnlineContext,
+  type StreamVersions,
 } from '@oathead/gateway';
 import {
   BatchScheduler,
@@ -70,6 +72,7 @@
   readonly crashSuspects: CrashSuspects;
   readonly freshness: FreshnessLease;
   readonly quotas: AccountQuotas;
+  readonly streamVersions: StreamVersions<HostPeer>;
   readonly online: OnlineContext;
   readonly jobOwnership: JobOwnership;
   readonly garbageCollector: JobGarbageCollector;
@@ -176,6 +179,10 @@
     hostShare: () => hostShare(membership.live(), self.dataCentre),
     isCoordinator: () => isCoordinated() && exchange.isCoordinator,
   });
+  const peer = (id: string) => {
+    const member = membership.peer(id);
+    return member && hostPeerOf(member);
+  };
   const placement = createPlacement(socket, {
     ...requestContext,
     self,
@@ -190,10 +197,7 @@
     coordinator: () => (isCoordinated() ? exchange.coordinator : undefined),
     coordinatorOf: name =>
       isCoordinated() ? exchange.coordinatorOf(name) : undefined,
-    peer: id => {
-      const member = membership.peer(id);
-      return member && hostPeerOf(member);
-    },
+    peer,
     onPreempt: (targetId, items) => scheduler.preemptItems(targetId, items),
   });
   const freshness = new FreshnessLease({
@@ -221,6 +225,15 @@
     quotas,
     counters,
   });
+  const streamVersions = disposables.add(
+    createStreamVersions(socket, {
+      ...context,
+      self,
+      directory,
+      peers: () => membership.peers().map(hostPeerOf),
+      peer,
+    }),
+  );
   const lateQueue = new LateQueue({
     ...requestContext,
     placement,
@@ -235,6 +248,7 @@
     admission,
     lateQueue,
     schedulesReturns,
+    streamVersions,
   };
   const reader = new JobReader(store);
   const {storeLimits: limits} = platform;
@@ -267,6 +281,7 @@
     crashSuspects,
     freshness,
     quotas,
+    streamVersions,
     online,
     jobOwnership,
     garbageCollector,
@@ -298,7 +313,11 @@
   {directory, loads, preferredTargets, overload, crashSuspects}: TargetState,
 ): Omit<
   OnlineContext,
-  'placement' | 'admission' | 'lateQueue' | 'schedulesReturns'
+  | 'placement'
+  | 'admission'
+  | 'lateQueue'
+  | 'schedulesReturns'
+  | 'streamVersions'
 > {
   const {clock, log, random, counters} = context;
   const {protocol} = platform;
--- a/packages/serving/src/lib/process/serving_process.ts
+++ b/packages/serving/src/lib/process/serving_process.ts
@@ -95,7 +95,8 @@
       scheduler,
       peers,
     } = this.components;
-    const {socket, exchange, speedExchange, quotas} = this.components;
+    const {socket, exchange, speedExchange, quotas, streamVersions} =
+      this.components;
     this.context.log.event('process-started', {
       member: membership.self.id,
       dataCentre: identity.dataCentre,
@@ -113,6 +114,7 @@
       exchange,
       speedExchange,
       quotas,
+      streamVersions,
       jobOwnership,
       garbageCollector,
       scheduler,
