The text of an item comes from one software version

The protocol lets an item go on anywhere; what two versions write still does not fit together. Cause: neither the texts in memory nor the stored ones knew their version. Change: they do, in hand-overs too. An item looks for a target of its version for a second, not at all if it is urgent or none is left, and starts afresh elsewhere otherwise. Items that wait so do not hold back others. Texts that an older build has stored go on only while the service has one version.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -51,6 +51,7 @@
 export * from './lib/process/target_score.js';
 export * from './lib/process/target_speeds.js';
 export * from './lib/process/target_suspensions.js';
+export * from './lib/process/wanted_version.js';
 export * from './lib/request/admitted_request.js';
 export * from './lib/request/exchange.js';
 export * from './lib/request/forwarded_headers.js';
--- a/packages/gateway/src/lib/connection/placement_message.ts
+++ b/packages/gateway/src/lib/connection/placement_message.ts
@@ -46,6 +46,8 @@
     pressure: z.enum(['relaxed', 'pressed']),
     /** IDs of targets that must not be chosen, because they failed the item. */
     avoided: z.array(z.string()).readonly().default([]),
+    /** Set only for items with a part of their text. */
+    softwareVersion: z.string().optional(),
   }),
 ]);
 
--- a/packages/gateway/src/lib/process/coordinator.ts
+++ b/packages/gateway/src/lib/process/coordinator.ts
@@ -141,7 +141,12 @@
       const mustNot = new Set([...excluded, ...wish.avoided]);
       return placementOutcome(
         this.preferNotAvoided(mustNot, without =>
-          chooser.items.forCoordinatedItem(service, wish.pressure, without),
+          chooser.items.forCoordinatedItem(
+            service,
+            wish.pressure,
+            without,
+            wish,
+          ),
         ),
       );
     }
--- a/packages/gateway/src/lib/process/item_target_chooser.ts
+++ b/packages/gateway/src/lib/process/item_target_chooser.ts
@@ -12,6 +12,11 @@
   type TargetScore,
 } from './target_score.js';
 import type {TargetSuspensions} from './target_suspensions.js';
+import {
+  ANY_VERSION,
+  hasWantedVersion,
+  type WantedVersion,
+} from './wanted_version.js';
 
 /** Dependencies of {@link ItemTargetChooser}. */
 export interface ItemChooserContext {
@@ -42,6 +47,7 @@
    * @param service - Service that the target must provide.
    * @param pressure - Whether the item is urgent.
    * @param excluded - IDs of targets that must not be selected.
+   * @param wanted - Software version that the target must have, if any.
    * @returns The target with the lowest score; undefined if none has a free
    *     slot.
    */
@@ -49,9 +55,10 @@
     service: string,
     pressure: BatchPressure,
     excluded: ReadonlySet<string>,
+    wanted = ANY_VERSION,
   ): Target | undefined {
-    const {directory, preferredTargets: preferred, suspensions} = this.context;
-    const all = directory.ofService(service);
+    const {preferredTargets: preferred, suspensions} = this.context;
+    const all = this.targetsOf(service, wanted);
     const candidates =
       pressure === 'relaxed'
         ? preferred.select(all, ({id}) => !suspensions.isFailing(id))
@@ -67,6 +74,7 @@
    * @param service - Service that the target must provide.
    * @param pressure - Whether the item is urgent.
    * @param excluded - IDs of targets that must not be selected.
+   * @param wanted - Software version that the target must have, if any.
    * @returns The target with the lowest score; undefined if none has a free
    *     slot.
    */
@@ -74,9 +82,10 @@
     service: string,
     pressure: BatchPressure,
     excluded: ReadonlySet<string>,
+    wanted = ANY_VERSION,
   ): Target | undefined {
-    const {directory, dataCentre, suspensions} = this.context;
-    const all = directory.ofService(service);
+    const {dataCentre, suspensions} = this.context;
+    const all = this.targetsOf(service, wanted);
     const local = all.filter(target => target.dataCentre === dataCentre);
     const candidates = pressure === 'relaxed' ? local : all;
     const usable = candidates.filter(({id}) => !suspensions.isSuspended(id));
@@ -89,14 +98,21 @@
 
   /**
    * @returns Whether a target of this data centre, full or not, is listed for a
-   *     service and has not just failed this host.
+   *     service, has the wanted version, and has not just failed this host.
    */
-  hasLocal(service: string): boolean {
-    const {directory, dataCentre, suspensions} = this.context;
+  hasLocal(service: string, wanted = ANY_VERSION): boolean {
+    const {dataCentre, suspensions} = this.context;
     const isLocal = (target: Target) => target.dataCentre === dataCentre;
-    return directory
-      .ofService(service)
-      .some(target => isLocal(target) && !suspensions.isFailing(target.id));
+    return this.targetsOf(service, wanted).some(
+      target => isLocal(target) && !suspensions.isFailing(target.id),
+    );
+  }
+
+  private targetsOf(service: string, wanted: WantedVersion): readonly Target[] {
+    const all = this.context.directory.ofService(service);
+    return wanted.softwareVersion === undefined
+      ? all
+      : all.filter(target => hasWantedVersion(target, wanted));
   }
 
   private best(
--- a/packages/gateway/src/lib/process/placement.ts
+++ b/packages/gateway/src/lib/process/placement.ts
@@ -27,6 +27,7 @@
 import type {TargetChooser} from './target_chooser.js';
 import type {TargetDirectory} from './target_directory.js';
 import type {BatchPressure} from './target_score.js';
+import {ANY_VERSION, type WantedVersion} from './wanted_version.js';
 
 /**
  * A local target with less than this share of its slots in use is selected by
@@ -183,14 +184,16 @@
    * @param service - Service that the target must provide.
    * @param pressure - Whether the item is urgent.
    * @param avoided - IDs of targets that must not be selected.
+   * @param wanted - Software version that the target must have, if any.
    * @returns The selected target, or who has found none. Never rejects.
    */
   async forItem(
     service: string,
     pressure: BatchPressure,
     avoided: ReadonlySet<string>,
+    wanted: WantedVersion = ANY_VERSION,
   ): Promise<ItemPlacementOutcome> {
-    return this.items.place(service, pressure, avoided);
+    return this.items.place(service, pressure, avoided, wanted);
   }
 
   /** @param message - A message from another host. */
--- a/packages/gateway/src/lib/process/placement_asker.ts
+++ b/packages/gateway/src/lib/process/placement_asker.ts
@@ -1,5 +1,5 @@
 /** Asks coordinators for placements and waits for their replies. */
-import type {Clock, Counters, EventLog, WaitDemand} from '@oathead/core';
+import type {Clock, Counters, EventLog} from '@oathead/core';
 import type {
   PlacementCriteria,
   PlacementGrant,
@@ -10,8 +10,9 @@
 import {PendingReplies} from './pending_replies.js';
 import {placementOutcome, type PlacementOutcome} from './placement_outcome.js';
 import {SilentCoordinators} from './silent_coordinators.js';
-import {hasWantedVersion, type TargetChooser} from './target_chooser.js';
+import type {TargetChooser} from './target_chooser.js';
 import type {TargetDirectory} from './target_directory.js';
+import {hasWantedVersion, type WantedVersion} from './wanted_version.js';
 
 /** Dependencies of {@link PlacementAsker}. */
 export interface PlacementAskerContext<P extends LoadPeer> {
@@ -115,10 +116,8 @@
   }
 }
 
-function versionOf(
-  criteria: PlacementCriteria,
-): Pick<WaitDemand, 'softwareVersion'> {
-  return criteria.lane === 'online' ? criteria.demand : {};
+function versionOf(criteria: PlacementCriteria): WantedVersion {
+  return criteria.lane === 'online' ? criteria.demand : criteria;
 }
 
 function outcomeLabel(answer: PlacementGrant | 'silent'): string {
--- a/packages/gateway/src/lib/process/target_chooser.ts
+++ b/packages/gateway/src/lib/process/target_chooser.ts
@@ -19,6 +19,7 @@
 } from './target_score.js';
 import type {TargetSuspensions} from './target_suspensions.js';
 import {preemptionsByHost} from './preemption_order.js';
+import {hasWantedVersion, type WantedVersion} from './wanted_version.js';
 
 /** Weights and limits of target selection. */
 export interface ChoiceWeights extends RemotePenalties {
@@ -62,20 +63,6 @@
 
 const NO_TARGETS: ReadonlySet<string> = new Set();
 
-/**
- * @param target - A target.
- * @param demand - Determines which targets are suitable.
- * @returns Whether the target has the software version that is wanted, if any.
- */
-export function hasWantedVersion(
-  target: Pick<Target, 'softwareVersion'>,
-  {softwareVersion}: Pick<WaitDemand, 'softwareVersion'>,
-): boolean {
-  return (
-    softwareVersion === undefined || target.softwareVersion === softwareVersion
-  );
-}
-
 /** Selects targets based on the loads of all hosts. */
 export class TargetChooser {
   /** Selects targets for batch items. */
@@ -191,7 +178,7 @@
   hasUntried(
     service: string,
     tried: ReadonlySet<string>,
-    demand: Pick<WaitDemand, 'softwareVersion'> = {},
+    demand: WantedVersion = {},
   ): boolean {
     const targets = this.context.directory.ofService(service);
     return targets.some(
@@ -204,13 +191,15 @@
    * @param demand - Determines which targets are suitable.
    * @returns Whether it has a suitable target, full or not.
    */
-  hasSuitable(
-    service: string,
-    demand: Pick<WaitDemand, 'softwareVersion'>,
-  ): boolean {
+  hasSuitable(service: string, demand: WantedVersion): boolean {
     return this.hasUntried(service, NO_TARGETS, demand);
   }
 
+  /** @returns Whether targets of several software versions are listed. */
+  hasSeveralVersions(service: string): boolean {
+    return this.context.directory.versions.listed(service).size > 1;
+  }
+
   /**
    * @returns State on which a selection among the targets of a service is
    *     based, for the log.
--- a/packages/jobs/src/lib/process/batch_scheduler.ts
+++ b/packages/jobs/src/lib/process/batch_scheduler.ts
@@ -12,11 +12,7 @@
 } from '@oathead/gateway';
 import {inAccountTurns, runningByAccount} from './account_turns.js';
 import type {ItemWork} from './item_work.js';
-import {
-  avoidsTargets,
-  isDelayedByFailure,
-  type ItemCandidate,
-} from './item_candidate.js';
+import {isDelayedByFailure, type ItemCandidate} from './item_candidate.js';
 import {compareEstimates, ItemDurations} from './item_durations.js';
 import {runItem, type ItemRunContext} from './item_runner.js';
 import {idleTimeoutMs} from './item_idle_timeout.js';
@@ -190,19 +186,21 @@
       if (!route || this.search.isFull(route, candidate)) continue;
       if (this.context.crashSuspects.isItemBlocked(candidate.work.fingerprint))
         continue;
-      const isPlaced = await this.startItem(candidate, route);
-      // Otherwise a few items that wait for other targets than those that
-      // failed them would hold back all that come after them.
-      if (!isPlaced && avoidsTargets(candidate)) continue;
+      // A few items that wait for certain targets must not hold back all that
+      // come after them.
+      if ((await this.startItem(candidate, route)) === 'selective') continue;
       if (++started >= MAX_STARTS_PER_TICK) return;
     }
   }
 
-  /** @returns Whether a target has a free slot for the item. */
+  /**
+   * @returns Whether a target has a free slot for the item; 'selective' if only
+   *     those that it avoids may have one.
+   */
   private async startItem(
     candidate: ItemCandidate,
     route: Route,
-  ): Promise<boolean> {
+  ): Promise<'placed' | 'full' | 'selective'> {
     const {crashSuspects} = this.context;
     const {job, work} = candidate;
     const {stage} = work;
@@ -213,17 +211,17 @@
     // have been cancelled or handed over.
     const isStale = work.stage !== stage || job.closed || this.paused;
     if (found.kind === 'full') {
-      if (avoidsTargets(candidate) && !isStale)
+      if (found.isSelective && !isStale)
         work.stage = {kind: 'waiting', notBefore: found.until};
-      return false;
+      return found.isSelective ? 'selective' : 'full';
     }
-    if (isStale) return true;
+    if (isStale) return 'placed';
     crashSuspects.recordItemStart(work.fingerprint);
     runItem(this.context, job, work, route, found.target, run => {
       this.durations.addRun(job.head, run);
       if (run.isComplete) this.durations.add(job.head, work);
     });
-    return true;
+    return 'placed';
   }
 
   /** @returns The items that may start now, in order of priority. */
--- a/packages/jobs/src/lib/process/item_runner.ts
+++ b/packages/jobs/src/lib/process/item_runner.ts
@@ -20,7 +20,7 @@
 } from '@oathead/gateway';
 import type {Clock, Counters, EventLog} from '@oathead/core';
 import type {RunSpeed} from './item_durations.js';
-import type {ItemWork} from './item_work.js';
+import {continueAt, type ItemWork} from './item_work.js';
 import type {FailedResponse, OwnedJob} from './owned_job.js';
 
 /** What a run of an item has received when it ends. */
@@ -85,6 +85,9 @@
     host: job.head.hostName,
   };
   work.runs++;
+  const {softwareVersion, service} = target;
+  const onlyVersion = context.directory.onlyVersion(service);
+  const isAfresh = continueAt(work, softwareVersion, onlyVersion);
   const trace = new RequestTrace(context.tracer, 'item', headers, {
     job: job.head.id,
     item: item.id,
@@ -110,7 +113,8 @@
     item: item.id,
     route: route.name,
     target: target.id,
-    softwareVersion: target.softwareVersion,
+    softwareVersion,
+    isAfresh: isAfresh || undefined,
     run: work.runs,
     afterEvent: work.lastEventId,
   });
--- a/packages/jobs/src/lib/process/item_target_search.ts
+++ b/packages/jobs/src/lib/process/item_target_search.ts
@@ -4,6 +4,7 @@
  */
 import type {Clock, Random} from '@oathead/core';
 import {
+  ANY_VERSION,
   pickService,
   type BatchPressure,
   type ItemPlacement,
@@ -11,6 +12,7 @@
   type Route,
   type Target,
   type TargetChooser,
+  type WantedVersion,
 } from '@oathead/gateway';
 import {avoidedItemTargets, mayRunAnywhere} from './avoided_item_targets.js';
 import {avoidsTargets, type ItemCandidate} from './item_candidate.js';
@@ -19,7 +21,10 @@
 /** Dependencies of {@link ItemTargetSearch}. */
 export interface ItemSearchContext {
   readonly clock: Clock;
-  readonly chooser: Pick<TargetChooser, 'available'>;
+  readonly chooser: Pick<
+    TargetChooser,
+    'available' | 'hasSeveralVersions' | 'hasSuitable'
+  >;
   readonly placement: ItemPlacement;
   readonly random: Random;
 }
@@ -28,7 +33,12 @@
 export type ItemSearchOutcome =
   | {readonly kind: 'placed'; readonly target: Target}
   /** No target has a free slot; the next search is due at `until`. */
-  | {readonly kind: 'full'; readonly until: number};
+  | {
+      readonly kind: 'full';
+      readonly until: number;
+      /** Whether there may be free slots at targets that the item avoids. */
+      readonly isSelective: boolean;
+    };
 
 /** Who has found no free slot; see `ItemPlacementOutcome`. */
 type RefusedBy = Extract<ItemPlacementOutcome, {kind: 'full'}>['by'];
@@ -44,6 +54,12 @@
   coordinator: 50,
 } as const;
 
+/**
+ * How long an item waits for a target that can go on with its text before it
+ * starts afresh elsewhere, in milliseconds.
+ */
+const MAX_VERSION_WAIT_MS = 1000;
+
 /** Items that are already late only use slots that nothing else needs. */
 const PRESSURE: Readonly<Record<Urgency, BatchPressure>> = {
   pressed: 'pressed',
@@ -105,8 +121,9 @@
     this.refusals.set(key, placed.by);
     const until = this.backoffEnd();
     // The route may have slots for items that avoid no target.
-    if (!avoidsTargets(candidate)) this.fullUntil.set(key, until);
-    return {kind: 'full', until};
+    const isSelective = this.isSelective(candidate, placed.service);
+    if (!isSelective) this.fullUntil.set(key, until);
+    return {kind: 'full', until, isSelective};
   }
 
   /**
@@ -139,18 +156,67 @@
   private async targetFor(
     route: Route,
     candidate: ItemCandidate,
+  ): Promise<ItemPlacementOutcome & {readonly service: string}> {
+    const service = pickService(route, this.context.random);
+    const bound = await this.targetOfItsVersion(service, candidate);
+    if (bound) return {...bound, service};
+    const placed = await this.place(service, candidate, ANY_VERSION);
+    return {...placed, service};
+  }
+
+  /**
+   * Searches among the targets that can go on with the text of an item.
+   *
+   * @returns The outcome; undefined if the item should rather start afresh.
+   */
+  private async targetOfItsVersion(
+    service: string,
+    candidate: ItemCandidate,
+  ): Promise<ItemPlacementOutcome | undefined> {
+    const {work, estimate} = candidate;
+    if (!this.isBoundToVersion(service, candidate)) return undefined;
+    const {softwareVersion} = work;
+    const placed = await this.place(service, candidate, {softwareVersion});
+    if (placed.kind === 'placed') return placed;
+    const now = this.context.clock.now();
+    work.versionFullSinceMs ??= now;
+    const isUrgent = estimate.urgency === 'pressed';
+    const hasWaited = now - work.versionFullSinceMs >= MAX_VERSION_WAIT_MS;
+    return isUrgent || hasWaited ? undefined : placed;
+  }
+
+  private async place(
+    service: string,
+    candidate: ItemCandidate,
+    wanted: WantedVersion,
   ): Promise<ItemPlacementOutcome> {
-    const {placement, random} = this.context;
-    const service = pickService(route, random);
+    const {placement} = this.context;
     const pressure = PRESSURE[candidate.estimate.urgency];
     const avoided = this.avoidedTargets(service, candidate);
-    const placed = await placement.forItem(service, pressure, avoided);
+    const placed = await placement.forItem(service, pressure, avoided, wanted);
     if (placed.kind === 'placed' || avoided.size === 0) return placed;
     return mayRunAnywhere(candidate.estimate, candidate.untilExpiryMs)
-      ? placement.forItem(service, pressure, NO_TARGETS)
+      ? placement.forItem(service, pressure, NO_TARGETS, wanted)
       : placed;
   }
 
+  private isSelective(candidate: ItemCandidate, service: string): boolean {
+    return (
+      avoidsTargets(candidate) || this.isBoundToVersion(service, candidate)
+    );
+  }
+
+  private isBoundToVersion(service: string, {work}: ItemCandidate): boolean {
+    const {softwareVersion, lastEventId} = work;
+    if (softwareVersion === undefined || lastEventId === undefined)
+      return false;
+    const {chooser} = this.context;
+    return (
+      chooser.hasSeveralVersions(service) &&
+      chooser.hasSuitable(service, {softwareVersion})
+    );
+  }
+
   private avoidedTargets(
     service: string,
     {work: {failedTargets}}: ItemCandidate,
--- a/packages/jobs/src/lib/process/item_work.ts
+++ b/packages/jobs/src/lib/process/item_work.ts
@@ -7,9 +7,14 @@
 /** Partial text of an interrupted item and the event after which it resumes. */
 export interface PartialText {
   /** ID of the last event contained in `texts`. */
-  readonly lastEventId: number | undefined;
+  readonly lastEventId?: number | undefined;
   /** Data of the events received so far. */
   readonly texts: readonly string[];
+  /**
+   * Software version of the targets that sent them; undefined if a build that
+   * does not record it has stored them.
+   */
+  readonly softwareVersion?: string | undefined;
 }
 
 /** Stage of an item. */
@@ -50,8 +55,15 @@
   failedRuns: readonly FailedRun[];
   lastEventId: number | undefined;
   texts: string[];
+  /** Software version of the targets that sent `texts`, if it is known. */
+  softwareVersion: string | undefined;
+  /**
+   * Since when no target of that version has had a free slot, on the host's
+   * monotonic clock in milliseconds.
+   */
+  versionFullSinceMs: number | undefined;
   /** Number of entries of `texts` received under earlier owners. */
-  readonly inheritedTexts: number;
+  inheritedTexts: number;
   /** Number of entries of `texts` that are already in the store. */
   checkpointedTexts: number;
   /** Number of runs on targets. */
@@ -98,6 +110,8 @@
     failedRuns,
     lastEventId: partial?.lastEventId,
     texts: [...(partial?.texts ?? [])],
+    softwareVersion: partial?.softwareVersion,
+    versionFullSinceMs: undefined,
     inheritedTexts: partial?.texts.length ?? 0,
     checkpointedTexts: partial?.texts.length ?? 0,
     runs: 0,
@@ -108,6 +122,35 @@
   };
 }
 
+/**
+ * Prepares an item for a run at a target. What targets of two software versions
+ * send for one item does not fit together, so its text starts afresh if another
+ * version has begun it.
+ *
+ * @param work - An item that is about to run.
+ * @param softwareVersion - Version of the target.
+ * @param onlyVersion - The only version that its service has had lately;
+ *   undefined if there were others.
+ * @returns Whether a part of a text was dropped.
+ */
+export function continueAt(
+  work: ItemWork,
+  softwareVersion: string,
+  onlyVersion: string | undefined,
+): boolean {
+  const begunAt = work.softwareVersion ?? onlyVersion;
+  const isDropped = work.texts.length > 0 && begunAt !== softwareVersion;
+  if (isDropped) {
+    work.lastEventId = undefined;
+    work.texts = [];
+    work.inheritedTexts = 0;
+    work.checkpointedTexts = 0;
+  }
+  work.softwareVersion = softwareVersion;
+  work.versionFullSinceMs = undefined;
+  return isDropped;
+}
+
 /** The targets of failed runs, each once, the latest last. */
 function failedTargetsOf(runs: readonly FailedRun[]): readonly string[] {
   const latestFirst = runs.map(({target}) => target).reverse();
--- a/packages/jobs/src/lib/process/job_loader.ts
+++ b/packages/jobs/src/lib/process/job_loader.ts
@@ -33,6 +33,8 @@
 const PARTIAL = z.object({
   lastEventId: z.number().optional(),
   texts: z.array(z.string()),
+  /** Absent in rows of builds that do not record it. */
+  softwareVersion: z.string().optional(),
 });
 
 /** Reads jobs for their owner. */
@@ -141,8 +143,7 @@
       for (const {key, value} of rows) {
         const partial = decodeJson(value, PARTIAL);
         if (!partial.ok) continue;
-        const {lastEventId, texts: partialTexts} = partial.value;
-        texts.set(indexOfKey(key), {lastEventId, texts: partialTexts});
+        texts.set(indexOfKey(key), partial.value);
       }
       const last = rows.at(-1);
       if (!hasMore || !last) return texts;
--- a/packages/jobs/src/lib/process/owned_job.ts
+++ b/packages/jobs/src/lib/process/owned_job.ts
@@ -311,10 +311,10 @@
     const puts: RowPut[] = [];
     let bytes = 0;
     for (const work of this.work) {
-      const {index, stage, lastEventId, texts} = work;
+      const {index, stage, lastEventId, texts, softwareVersion} = work;
       if (stage.kind === 'finished' || texts.length === work.checkpointedTexts)
         continue;
-      const value = encodeJson({lastEventId, texts});
+      const value = encodeJson({lastEventId, texts, softwareVersion});
       const {rowBytes, transactionBytes} = this.context.limits;
       if (value.length > rowBytes) continue;
       if (bytes + value.length > transactionBytes) continue;
--- a/packages/jobs/src/test/process/item_target_search_test.ts
+++ b/packages/jobs/src/test/process/item_target_search_test.ts
@@ -1,10 +1,12 @@
 import {seededRandom, SYSTEM_CLOCK} from '@oathead/core';
-import type {Route} from '@oathead/gateway';
+import type {Route, Target} from '@oathead/gateway';
 import test from 'ava';
 import {
   ItemTargetSearch,
   type ItemSearchContext,
 } from '../../lib/process/item_target_search.js';
+import type {ItemCandidate} from '../../lib/process/item_candidate.js';
+import type {Urgency} from '../../lib/process/item_durations.js';
 import {newCandidate, PlacingFleet, targetIn} from '../fakes/placing_fleet.js';
 
 const COORDINATORS = {a: 'a-lead', b: 'b-lead'};
@@ -94,3 +96,53 @@
   t.is(asked['off'], 0);
   t.true(asked['new']! > 50 && asked['new']! < 200, JSON.stringify(asked));
 });
+
+/** A fleet of two software versions in which the first one has no free slot. */
+function newDividedFleet() {
+  const [first, second] = NEAR as [Target, Target];
+  const {host, fleet} = newFleet(
+    [first, {...second, softwareVersion: 'v2'}],
+    [],
+  );
+  fleet.fill([host], first.id, first.slots);
+  return {host, full: first.id, free: second.id};
+}
+
+function candidateWithText(urgency: Urgency): ItemCandidate {
+  const candidate = newCandidate(urgency);
+  const text = {texts: ['word1'], lastEventId: 1, softwareVersion: 'v1'};
+  Object.assign(candidate.work, text);
+  return candidate;
+}
+
+// Guards against items that lose their text at once, or that wait beside free
+// slots for targets that can go on with it.
+test('an item waits a second for a target that can go on with its text', async t => {
+  const {host, free} = newDividedFleet();
+  const relaxed = await host.findUntil(5000, candidateWithText('relaxed'));
+  t.deepEqual(relaxed, {id: free, atMs: 1000});
+});
+
+test('an urgent item does not wait for a target that can go on with its text', async t => {
+  const {host, free} = newDividedFleet();
+  const pressed = await host.findUntil(5000, candidateWithText('pressed'));
+  t.deepEqual(pressed, {id: free, atMs: 0});
+});
+
+// Guards against items that are held back by one that waits for its version.
+test('a route without slots of one version has slots for other items', async t => {
+  const {host, free} = newDividedFleet();
+  t.is(await host.findUntil(0, candidateWithText('relaxed')), undefined);
+  const other = await host.findUntil(100, newCandidate('relaxed'));
+  t.deepEqual(other, {id: free, atMs: 25});
+});
+
+test('an item goes on at its software version while that has free slots', async t => {
+  const {host, full, free} = newDividedFleet();
+  const candidate = candidateWithText('relaxed');
+  candidate.work.softwareVersion = 'v2';
+  t.is((await host.findUntil(0, candidate))?.id, free);
+  candidate.work.softwareVersion = 'gone';
+  t.is((await host.findUntil(0, candidate))?.id, free);
+  t.not(full, free);
+});
