Logs name the parts of the prompt of a broken run

Cause: the header with the parts of a prompt was read nowhere, so that no log line could tell what the requests share under which targets end. Change: it is decoded; request-broken names the parts that other requests may have. Decisions are unchanged.

--- a/packages/gateway/src/lib/request/request_report.ts
+++ b/packages/gateway/src/lib/request/request_report.ts
@@ -118,6 +118,7 @@
       reason,
       runs,
       afterEvent,
+      sharedParts: this.metadata.sharedParts,
     });
   }
 
--- a/packages/gateway/src/lib/request/target_protocol.ts
+++ b/packages/gateway/src/lib/request/target_protocol.ts
@@ -27,6 +27,10 @@
    * if the caller does not name it.
    */
   readonly resumes: string | undefined;
+  /**
+   * IDs of the parts of the prompt that other requests may have, too, in order.
+   */
+  readonly sharedParts: readonly string[];
   /**
    * Key of the caller's client account; undefined if the request has no valid
    * key.
--- a/packages/gateway/src/test/fakes/raw_target.ts
+++ b/packages/gateway/src/test/fakes/raw_target.ts
@@ -13,6 +13,7 @@
     deadlineMs: undefined,
     lastEventId: undefined,
     resumes: undefined,
+    sharedParts: [],
     key: undefined,
   }),
   requestHeaders: headers => headers,
