A part of a prompt that crashes targets is blocked

Callers saw 502 and broken streams: requests of one kind, no two alike, ended target after target, each with all that ran on it. Cause: suspects are known by path and body, so what is never alike is never held back; a run counted only if nothing of it had been written; and each host saw one or two of the crashes. Change: a crash counts against the parts of the prompts of the runs that it broke off, written or not, through rows in the store. A part is guilty if only runs without it get through after three crashes, or after five if targets crash faster than anything gets through, and if no other part explains them better. A guilty part is refused at once on all hosts, after a loss of all hosts too; one request of the fleet tries again after 10, 40 and 160 s. Items count and wait likewise. See docs/design/prompt-suspects.md.

--- /dev/null
+++ b/packages/core/src/lib/process/part_suspicion.ts
@@ -0,0 +1,272 @@
+/**
+ * Decides which part of the prompts of a service crashes its targets. Answers a
+ * load in which each request with that part ends a target and all that runs
+ * there, while sound requests share all other parts.
+ */
+import {LRUCache} from 'lru-cache';
+
+/** A crash of a target at which a run with some part broke off. */
+export interface PartCrash {
+  /** Identifies the crash: the incarnation of the target. */
+  readonly target: string;
+  /** When it was noticed, in milliseconds. */
+  readonly atMs: number;
+}
+
+/**
+ * What shows that a part is guilty: so many crashes, and then so long a time, in
+ * milliseconds, in which nothing with the part gets through and others do.
+ */
+interface Evidence {
+  readonly crashes: number;
+  readonly silentMs: number;
+}
+
+/**
+ * A part that is not guilty gets through on other targets within a second, and
+ * hosts learn of that within half a second.
+ */
+const EVIDENCE: readonly Evidence[] = [
+  {crashes: 3, silentMs: 2500},
+  {crashes: 5, silentMs: 2000},
+];
+/** The same for a part that has not got through lately. */
+const EVIDENCE_OF_NEW_PART: readonly Evidence[] = [{crashes: 3, silentMs: 700}];
+/**
+ * Number of other runs that must get through in that time. Otherwise the
+ * service itself is down, and the part may have nothing to do with it.
+ */
+const MIN_COMPLETED_RUNS = 2;
+/**
+ * Part of the latest crashes of a service that the part must stand in: one that
+ * is not guilty stands in some of them.
+ */
+const MIN_COVERAGE = 0.5;
+/**
+ * A new part is also guilty if targets keep crashing and it stands in nearly all
+ * of these crashes: targets may then crash faster than anything gets through.
+ */
+const LASTING = {crashes: 5, spanMs: 1500, coverage: 0.8} as const;
+/**
+ * A part is new if it has not got through for this long, in milliseconds, and
+ * if runs have been observed for long enough to know that.
+ */
+const NEW_PART_MS = 60_000;
+const MIN_OBSERVED_MS = 10_000;
+/** Crashes that are older do not count, in milliseconds. */
+export const PART_CRASH_LIFETIME_MS = 30_000;
+/** Bounds of the memory for parts, and for crashes of one part. */
+const MAX_PARTS = 4096;
+const MAX_CRASHES = 16;
+/** Bounds of what is remembered of a service. */
+const MAX_COMPLETED_RUNS = 256;
+const MAX_CRASHED_TARGETS = 256;
+
+/** Crashes under one part, in order of time. */
+interface SuspectedPart {
+  readonly service: string;
+  readonly crashes: readonly PartCrash[];
+}
+
+const NO_CRASHES: readonly PartCrash[] = [];
+
+/** Runs and crashes of one service. */
+class ServiceHistory {
+  private readonly completedAt: number[] = [];
+  private readonly crashedAt = new Map<string, number>();
+
+  /** @param since - When its first run was observed. */
+  constructor(readonly since: number) {}
+
+  addCompleted(atMs: number): void {
+    this.completedAt.push(atMs);
+    if (this.completedAt.length > MAX_COMPLETED_RUNS) this.completedAt.shift();
+  }
+
+  addCrash({target, atMs}: PartCrash): void {
+    if (this.crashedAt.has(target)) return;
+    this.crashedAt.set(target, atMs);
+    const [oldest] = this.crashedAt.keys();
+    if (this.crashedAt.size > MAX_CRASHED_TARGETS)
+      this.crashedAt.delete(oldest!);
+  }
+
+  completedWithin(fromMs: number, toMs: number): number {
+    return this.completedAt.filter(at => at > fromMs && at <= toMs).length;
+  }
+
+  crashesSince(fromMs: number): number {
+    return [...this.crashedAt.values()].filter(at => at >= fromMs).length;
+  }
+}
+
+/** Crashes and completed runs by part, as one host knows them. */
+export class PartSuspicion {
+  private readonly suspected = new LRUCache<string, SuspectedPart>({
+    max: MAX_PARTS,
+  });
+  /** When a run with a part last got through. */
+  private readonly completedAt = new LRUCache<string, number>({max: MAX_PARTS});
+  private readonly services = new Map<string, ServiceHistory>();
+
+  /**
+   * @param service - A service.
+   * @param part - A part of the prompt of a run that broke off there.
+   * @param crash - The crash.
+   * @returns Whether it was not known.
+   */
+  recordCrash(service: string, part: string, crash: PartCrash): boolean {
+    this.historyOf(service, crash.atMs).addCrash(crash);
+    const known = this.crashesOf(part);
+    if (known.some(({target}) => target === crash.target)) return false;
+    const all = [...known, crash].sort((a, b) => a.atMs - b.atMs);
+    this.suspected.set(part, {service, crashes: all.slice(-MAX_CRASHES)});
+    return true;
+  }
+
+  /**
+   * Forgets one crash, because the part has got through elsewhere.
+   *
+   * @param part - A part.
+   * @param target - The target whose crash does not count any more.
+   */
+  forgetCrash(part: string, target: string): void {
+    const known = this.suspected.get(part);
+    if (!known) return;
+    const crashes = known.crashes.filter(one => one.target !== target);
+    if (crashes.length > 0) this.suspected.set(part, {...known, crashes});
+    else this.suspected.delete(part);
+  }
+
+  /**
+   * @param service - Service of a run that got through.
+   * @param parts - The parts of its prompt.
+   * @param nowMs - The current time, in milliseconds.
+   * @returns The crashes that do not count any more, by part.
+   */
+  recordCompletedRun(
+    service: string,
+    parts: readonly string[],
+    nowMs: number,
+  ): ReadonlyMap<string, readonly PartCrash[]> {
+    this.historyOf(service, nowMs).addCompleted(nowMs);
+    const cleared = new Map<string, readonly PartCrash[]>();
+    for (const part of parts) {
+      const crashes = this.crashesOf(part);
+      if (crashes.length > 0) cleared.set(part, crashes);
+      this.suspected.delete(part);
+      this.completedAt.set(part, nowMs);
+    }
+    return cleared;
+  }
+
+  /**
+   * @param nowMs - The current time, in milliseconds.
+   * @returns The parts that may come to be guilty without another crash, with
+   *     their services.
+   */
+  suspects(nowMs: number): ReadonlyArray<readonly [string, string]> {
+    return [...this.suspected.entries()]
+      .filter(([part]) => {
+        const {length} = this.countingCrashes(part, nowMs);
+        return length >= EVIDENCE[0]!.crashes;
+      })
+      .map(([part, {service}]) => [part, service]);
+  }
+
+  /**
+   * @param part - A part of a prompt.
+   * @param nowMs - The current time, in milliseconds.
+   * @returns The crashes of which the part is guilty; undefined if it is not.
+   */
+  guiltyOf(part: string, nowMs: number): readonly PartCrash[] | undefined {
+    const crashes = this.countingCrashes(part, nowMs);
+    const service = this.suspected.peek(part)?.service ?? '';
+    const history = this.services.get(service);
+    if (crashes.length < EVIDENCE[0]!.crashes || !history) return undefined;
+    const first = crashes[0]!.atMs;
+    const ofService = Math.min(MAX_CRASHES, history.crashesSince(first));
+    const coverage = crashes.length / ofService;
+    const isNew = this.isNew(part, history, first);
+    const isShown =
+      (coverage >= MIN_COVERAGE &&
+        (isNew ? EVIDENCE_OF_NEW_PART : EVIDENCE).some(evidence =>
+          isShownBy(evidence, crashes, history, nowMs),
+        )) ||
+      (isNew && coverage >= LASTING.coverage && isLasting(crashes));
+    if (!isShown || this.isExplained(part, crashes, nowMs)) return undefined;
+    return crashes;
+  }
+
+  /**
+   * Whether another part stands in all of these crashes and is more suspect:
+   * the runs beside a request that crashes its target break off with it, and
+   * its other parts are in each of its runs.
+   */
+  private isExplained(
+    part: string,
+    crashes: readonly PartCrash[],
+    nowMs: number,
+  ): boolean {
+    const lastAt = (one: string) => this.completedAt.peek(one) ?? -Infinity;
+    return [...this.suspected.keys()].some(other => {
+      if (other === part) return false;
+      const targets = this.countingCrashes(other, nowMs).map(
+        ({target}) => target,
+      );
+      const isMoreSuspect =
+        targets.length > crashes.length || lastAt(other) < lastAt(part);
+      return (
+        isMoreSuspect && crashes.every(({target}) => targets.includes(target))
+      );
+    });
+  }
+
+  private countingCrashes(part: string, nowMs: number): readonly PartCrash[] {
+    const completedAt = this.completedAt.peek(part) ?? -Infinity;
+    const since = Math.max(completedAt, nowMs - PART_CRASH_LIFETIME_MS);
+    return this.crashesOf(part).filter(({atMs}) => atMs > since);
+  }
+
+  private crashesOf(part: string): readonly PartCrash[] {
+    return this.suspected.peek(part)?.crashes ?? NO_CRASHES;
+  }
+
+  /** Whether the part has not got through for long before its first crash. */
+  private isNew(
+    part: string,
+    history: ServiceHistory,
+    firstCrashMs: number,
+  ): boolean {
+    const completedAt = this.completedAt.get(part) ?? -Infinity;
+    const isKnownEnough = firstCrashMs - history.since >= MIN_OBSERVED_MS;
+    return isKnownEnough && firstCrashMs - completedAt >= NEW_PART_MS;
+  }
+
+  private historyOf(service: string, nowMs: number): ServiceHistory {
+    const known = this.services.get(service);
+    if (known) return known;
+    const history = new ServiceHistory(nowMs);
+    this.services.set(service, history);
+    return history;
+  }
+}
+
+/** Whether only runs without the part got through after one of the crashes. */
+function isShownBy(
+  {crashes: count, silentMs}: Evidence,
+  crashes: readonly PartCrash[],
+  history: ServiceHistory,
+  nowMs: number,
+): boolean {
+  return crashes.slice(count - 1).some(({atMs}) => {
+    const endMs = atMs + silentMs;
+    const completed = history.completedWithin(atMs, endMs);
+    return nowMs >= endMs && completed >= MIN_COMPLETED_RUNS;
+  });
+}
+
+function isLasting(crashes: readonly PartCrash[]): boolean {
+  const spanMs = crashes.at(-1)!.atMs - crashes[0]!.atMs;
+  return crashes.length >= LASTING.crashes && spanMs >= LASTING.spanMs;
+}
--- /dev/null
+++ b/packages/core/src/test/process/part_suspicion_test.ts
@@ -0,0 +1,198 @@
+import test from 'ava';
+import {PartSuspicion} from '../../lib/process/part_suspicion.js';
+import {seededRandom} from '../../lib/process/random.js';
+
+const SERVICE = 's';
+const STEP_MS = 10;
+const RUN_MS = 700;
+const REPLAY_MS = 30_000;
+/** When the bad requests begin, in milliseconds. */
+const BAD_FROM_MS = 12_000;
+
+/** Crashes of targets under a part, 200 ms apart. */
+function crash(suspicion: PartSuspicion, part: string, count: number): void {
+  for (let i = 0; i < count; i++)
+    suspicion.recordCrash(SERVICE, part, {
+      target: `${part} ${i}`,
+      atMs: i * 200,
+    });
+}
+
+/** Lets runs with a part get through every 300 ms. */
+function complete(
+  suspicion: PartSuspicion,
+  part: string,
+  fromMs: number,
+  toMs: number,
+): void {
+  for (let at = fromMs; at <= toMs; at += 300)
+    suspicion.recordCompletedRun(SERVICE, [part], at);
+}
+
+test('a part is guilty if only others get through after its crashes', t => {
+  const suspicion = new PartSuspicion();
+  crash(suspicion, 'bad', 3);
+  complete(suspicion, 'first', 100, 4000);
+  t.is(suspicion.guiltyOf('bad', 2890), undefined);
+  t.is(suspicion.guiltyOf('bad', 2900)?.length, 3);
+  t.is(suspicion.guiltyOf('first', 2900), undefined);
+});
+
+test('five crashes show a part sooner', t => {
+  const suspicion = new PartSuspicion();
+  crash(suspicion, 'bad', 5);
+  complete(suspicion, 'first', 100, 4000);
+  t.is(suspicion.guiltyOf('bad', 2790), undefined);
+  t.is(suspicion.guiltyOf('bad', 2800)?.length, 5);
+});
+
+test('a crash that breaks several runs counts once', t => {
+  const suspicion = new PartSuspicion();
+  for (let i = 0; i < 5; i++)
+    suspicion.recordCrash(SERVICE, 'bad', {target: 'one', atMs: i});
+  complete(suspicion, 'first', 100, 4000);
+  t.is(suspicion.guiltyOf('bad', 4000), undefined);
+});
+
+// Guards against a route that is refused because its targets crash for another
+// reason: nothing gets through for some seconds, and then all parts do.
+test('no part is guilty while the whole service is down', t => {
+  const suspicion = new PartSuspicion();
+  crash(suspicion, 'first', 5);
+  for (const at of [4000, 4010, 4020, 4030])
+    suspicion.recordCompletedRun(SERVICE, ['other'], at);
+  t.is(suspicion.guiltyOf('first', 4040), undefined);
+  t.is(suspicion.guiltyOf('first', 8000), undefined);
+});
+
+// Guards against verdicts on old evidence: a write may be performed seconds
+// after another run with the part has got through.
+test('crashes from before a run that got through do not count', t => {
+  const suspicion = new PartSuspicion();
+  complete(suspicion, 'part', 3000, 3000);
+  crash(suspicion, 'part', 5);
+  complete(suspicion, 'other', 100, 6000);
+  t.is(suspicion.guiltyOf('part', 6000), undefined);
+});
+
+test('a part that another host has cleared is not guilty', t => {
+  const suspicion = new PartSuspicion();
+  crash(suspicion, 'part', 3);
+  complete(suspicion, 'other', 100, 4000);
+  suspicion.forgetCrash('part', 'part 0');
+  t.is(suspicion.guiltyOf('part', 4000), undefined);
+});
+
+test('crashes that are long past do not count', t => {
+  const suspicion = new PartSuspicion();
+  crash(suspicion, 'part', 3);
+  complete(suspicion, 'other', 100, 4000);
+  t.is(suspicion.guiltyOf('part', 31_000), undefined);
+});
+
+/** What befalls the fleet of a replay. */
+interface Replay {
+  readonly soundPerSecond: number;
+  /** Requests that crash what runs them, from {@link BAD_FROM_MS} on. */
+  readonly badPerSecond: number;
+  /** Targets that crash at once for another reason, every four seconds. */
+  readonly otherCrashes: number;
+}
+
+/**
+ * Replays a load on targets that are back 3 s after a crash. Sound requests
+ * have one of nine first parts, one of which half of them have; bad ones have
+ * that, too.
+ *
+ * @returns When the bad part was found guilty, how many targets it had crashed
+ *     by then, and how often another part was guilty.
+ */
+function replay(
+  seed: number,
+  {soundPerSecond, badPerSecond, otherCrashes}: Replay,
+) {
+  const random = seededRandom(seed);
+  const suspicion = new PartSuspicion();
+  const targets = Array.from({length: 13}, () => ({starts: 0, upAt: 0}));
+  let runs: Array<{target: number; parts: string[]; endAt: number}> = [];
+  let crashes = 0;
+  let innocentsRefused = 0;
+  let foundAt: number | undefined;
+  const crashAt = (target: number, now: number, parts: readonly string[]) => {
+    const broken = runs.filter(run => run.target === target);
+    runs = runs.filter(run => run.target !== target);
+    const id = `${target} ${targets[target]!.starts++}`;
+    for (const part of [...parts, ...broken.flatMap(run => run.parts)])
+      suspicion.recordCrash(SERVICE, part, {target: id, atMs: now});
+    targets[target]!.upAt = now + 3000;
+  };
+  for (let now = 0; now < REPLAY_MS; now += STEP_MS) {
+    for (const {parts} of runs.filter(run => run.endAt <= now))
+      suspicion.recordCompletedRun(SERVICE, parts, now);
+    runs = runs.filter(run => run.endAt > now);
+    if (now % 4000 === 2000)
+      for (let i = 0; i < otherCrashes; i++) crashAt(random.int(13), now, []);
+    const up = [...targets.keys()].filter(i => targets[i]!.upAt <= now);
+    if (up.length === 0) continue;
+    const target = up[random.int(up.length)]!;
+    const isDue = (perSecond: number) =>
+      random.float() < (perSecond * STEP_MS) / 1000;
+    if (isDue(soundPerSecond)) {
+      const part = `first ${Math.max(0, random.int(16) - 7)}`;
+      if (suspicion.guiltyOf(part, now)) innocentsRefused++;
+      const endAt = now + RUN_MS * (0.7 + 0.6 * random.float());
+      runs.push({target, parts: [part], endAt});
+    }
+    if (now < BAD_FROM_MS || foundAt !== undefined || !isDue(badPerSecond))
+      continue;
+    if (suspicion.guiltyOf('bad', now)) foundAt = now;
+    else {
+      crashAt(target, now, ['first 0', 'bad']);
+      crashes++;
+    }
+  }
+  return {foundAt, crashes, innocentsRefused};
+}
+
+const SEEDS = Array.from({length: 30}, (unused, i) => i + 1);
+
+// Guards against a part that ends a whole fleet, and against routes that are
+// refused for one of their parts, at the rates of a lull and of a rise.
+for (const soundPerSecond of [6, 56, 110]) {
+  for (const badPerSecond of [1, 4, 10]) {
+    test(`a bad part is found: ${badPerSecond} beside ${soundPerSecond} a second`, t => {
+      const load = {soundPerSecond, badPerSecond, otherCrashes: 0};
+      const found = SEEDS.map(seed => replay(seed, load));
+      t.deepEqual(
+        found.filter(one => one.innocentsRefused > 0),
+        [],
+      );
+      t.true(found.every(one => one.foundAt !== undefined));
+      const crashes = found.map(one => one.crashes).sort((a, b) => a - b);
+      t.log(`crashes until found: ${crashes.join(' ')}`);
+    });
+  }
+}
+
+// Guards against routes that are refused because targets crash for other
+// reasons, some or all of them at once.
+for (const otherCrashes of [4, 8, 13, 40]) {
+  test(`no part is guilty if ${otherCrashes} crashes come at once`, t => {
+    const load = {soundPerSecond: 56, badPerSecond: 0, otherCrashes};
+    const found = SEEDS.map(seed => replay(seed, load));
+    t.deepEqual(
+      found.filter(one => one.innocentsRefused > 0),
+      [],
+    );
+  });
+}
+
+test('a bad part is found while targets crash for other reasons, too', t => {
+  const load = {soundPerSecond: 56, badPerSecond: 4, otherCrashes: 3};
+  const found = SEEDS.map(seed => replay(seed, load));
+  t.true(found.every(one => one.foundAt !== undefined));
+  t.log(`crashes until found: ${found.map(one => one.crashes).join(' ')}`);
+  const refused = found.reduce((sum, one) => sum + one.innocentsRefused, 0);
+  const sent = (SEEDS.length * load.soundPerSecond * REPLAY_MS) / 1000;
+  t.true(refused < sent / 100, `${refused} of some ${sent}`);
+});
--- a/packages/gateway/src/lib/process/crash_suspects.ts
+++ b/packages/gateway/src/lib/process/crash_suspects.ts
@@ -20,11 +20,9 @@
   type TableUpdate,
 } from '@oathead/stores';
 import {z} from 'zod';
+import {isPartKey, SUSPECT_TABLE} from './suspect_table.js';
 import type {TargetDirectory} from './target_directory.js';
 
-/** Table of suspects, with the request fingerprint as key. */
-export const SUSPECT_TABLE = 'suspects';
-
 const SUSPECT = z.object({
   /** IDs of targets at which a run broke off; see `Target.id`. */
   targets: z.array(z.string()),
@@ -183,6 +181,7 @@
     for (const {key} of removed) this.forget(key);
     const removedAt = new Map(removed.map(({key, version}) => [key, version]));
     for (const {key, value, version} of put) {
+      if (isPartKey(key)) continue;
       // An update may report a row and its removal after that.
       if (version <= (removedAt.get(key) ?? 0)) continue;
       const suspect = decodeJson(value, SUSPECT);
--- /dev/null
+++ b/packages/gateway/src/lib/process/prompt_suspects.ts
@@ -0,0 +1,435 @@
+/**
+ * Detects parts of prompts that crash the targets of a service, and refuses
+ * requests that have them. See `docs/design/prompt-suspects.md`; `PartSuspicion`
+ * decides, this module shares its evidence and its verdicts through the store.
+ */
+import {
+  fingerprint,
+  PART_CRASH_LIFETIME_MS,
+  PartSuspicion,
+  type Clock,
+  type Counters,
+  type EventLog,
+  type PartCrash,
+} from '@oathead/core';
+import {
+  decodeJson,
+  encodeJson,
+  type RowPut,
+  type RowRef,
+  type RowStore,
+  type TableUpdate,
+  type VersionedRow,
+} from '@oathead/stores';
+import {LRUCache} from 'lru-cache';
+import {z} from 'zod';
+import {isPartKey, PART_KEY_PREFIX, SUSPECT_TABLE} from './suspect_table.js';
+import type {TargetDirectory} from './target_directory.js';
+
+/** The parts of the prompt of a request, and the service that it goes to. */
+export interface PromptParts {
+  readonly service: string;
+  /** IDs of the parts that other requests may have, too. */
+  readonly sharedParts: readonly string[];
+}
+
+/** Whether a request may run. */
+export type PromptAdmission =
+  | 'free'
+  /** It tries whether a part of its prompt still crashes targets. */
+  | 'trial'
+  | 'blocked';
+
+/** Dependencies of {@link PromptSuspects}. */
+export interface PromptSuspectsContext {
+  readonly store: Pick<RowStore, 'transact' | 'storeTimeMs'>;
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly counters: Counters;
+  readonly directory: Pick<TargetDirectory, 'isListedFor'>;
+  /**
+   * Returns the time after which the entry of a crashed target expires, in
+   * milliseconds.
+   */
+  readonly expiryMs: () => number;
+}
+
+/** One crash under a part. The key of its row names the part. */
+const CRASH = z.object({
+  service: z.string(),
+  targets: z.tuple([z.string()]),
+  at: z.number(),
+});
+/** A verdict. */
+const VERDICT = z.object({
+  service: z.string(),
+  /** IDs of the crashed targets. */
+  targets: z.array(z.string()).readonly(),
+  /** Time of the verdict, in store time in milliseconds. */
+  at: z.number(),
+  /** Number of requests that have been let through since, to try again. */
+  trials: z.number().int().nonnegative(),
+  /** Time of the last of them, in store time in milliseconds. */
+  triedAt: z.number().optional(),
+});
+type Verdict = Readonly<z.infer<typeof VERDICT>>;
+
+interface KnownVerdict extends Verdict {
+  /** Version of its row; undefined until the row is read. */
+  readonly version: number | undefined;
+}
+
+/** Number of crashed targets that a verdict needs. */
+const MIN_TARGETS = 3;
+/**
+ * Time from a verdict to the first request that tries again, in milliseconds,
+ * and the growth of that time with each further one.
+ */
+const FIRST_TRIAL_MS = 10_000;
+const TRIAL_GROWTH = 4;
+/** How long a verdict lasts, in milliseconds. */
+const VERDICT_LIFETIME_MS = 600_000;
+/** Time until hosts have read that an entry has expired, in milliseconds. */
+const LIST_READ_MARGIN_MS = 2700;
+/** When a host removes the evidence that it has written, in milliseconds. */
+const ROW_LIFETIME_MS = 2 * PART_CRASH_LIFETIME_MS;
+/** Evidence of this long is written at once, in milliseconds. */
+const WRITE_INTERVAL_MS = 20;
+/** Interval between two looks at suspected parts, in milliseconds. */
+const WATCH_INTERVAL_MS = 200;
+const MAX_ROWS_PER_TRANSACTION = 100;
+const MAX_VERDICTS = 1024;
+
+/** Parts that crash targets, as one host knows them. */
+export class PromptSuspects {
+  private readonly suspicion = new PartSuspicion();
+  private readonly verdicts = new LRUCache<string, KnownVerdict>({
+    max: MAX_VERDICTS,
+  });
+  private pendingPuts: RowPut[] = [];
+  private isWriteDue = false;
+  private isWatching = false;
+
+  /** @param context - The store, and the list of targets. */
+  constructor(private readonly context: PromptSuspectsContext) {}
+
+  /**
+   * @param prompt - Parts of a request.
+   * @returns Whether the request may run. Never rejects.
+   */
+  async admit({service, sharedParts}: PromptParts): Promise<PromptAdmission> {
+    let admission: PromptAdmission = 'free';
+    for (const part of sharedParts) {
+      const key = keyOf(service, part);
+      const verdict = this.verdictOn(service, key);
+      if (!verdict) continue;
+      admission = (await this.mayTry(key, verdict)) ? 'trial' : 'blocked';
+      if (admission === 'blocked') break;
+    }
+    if (admission !== 'free')
+      this.context.counters.count('prompt_parts', {outcome: admission});
+    return admission;
+  }
+
+  /**
+   * @param prompt - Parts of a request.
+   * @returns Whether one of them is known to crash targets. Unlike
+   *     {@link admit}, it lets no request through to try again.
+   */
+  isBlocked({service, sharedParts}: PromptParts): boolean {
+    return sharedParts.some(part =>
+      this.verdictOn(service, keyOf(service, part)),
+    );
+  }
+
+  /**
+   * @param prompt - Parts of a request whose run broke off as a crash breaks it
+   *     off.
+   * @param target - ID of the target.
+   */
+  recordBrokenRun({service, sharedParts}: PromptParts, target: string): void {
+    const at = this.now();
+    for (const part of sharedParts) {
+      const key = keyOf(service, part);
+      const isNew = this.suspicion.recordCrash(service, key, {
+        target,
+        atMs: at,
+      });
+      if (!isNew) continue;
+      const value = encodeJson({service, targets: [target], at});
+      this.put({...crashRef(key, target), value});
+    }
+    this.watchSuspects();
+  }
+
+  /** @param prompt - Parts of a request whose run came to its end. */
+  recordCompletedRun({service, sharedParts}: PromptParts): void {
+    const keys = sharedParts.map(part => keyOf(service, part));
+    const cleared = this.suspicion.recordCompletedRun(
+      service,
+      keys,
+      this.now(),
+    );
+    const refs = [...cleared].flatMap(([key, crashes]) =>
+      crashes.map(({target}) => crashRef(key, target)),
+    );
+    const acquitted = keys.filter(key => this.verdicts.has(key));
+    for (const key of acquitted) {
+      this.verdicts.delete(key);
+      this.context.log.event('prompt-part-cleared', {service, part: key});
+    }
+    const removes = [...refs, ...acquitted.map(verdictRef)];
+    if (removes.length > 0) void this.write([], removes);
+  }
+
+  /** @param update - Changes of {@link SUSPECT_TABLE}. */
+  update({put, removed}: TableUpdate): void {
+    const removedAt = new Map(removed.map(({key, version}) => [key, version]));
+    for (const {key} of removed) if (isPartKey(key)) this.remove(key);
+    for (const row of put) {
+      // An update may report a row and its removal after that.
+      const isGone = row.version <= (removedAt.get(row.key) ?? 0);
+      if (isPartKey(row.key) && !isGone) this.apply(row);
+    }
+    this.watchSuspects();
+  }
+
+  /**
+   * Looks at suspected parts until none is left. Guards against a part that is
+   * not found because the hosts whose other requests get through have none with
+   * it.
+   */
+  private watchSuspects(): void {
+    const {clock} = this.context;
+    const suspects = this.suspicion.suspects(this.now());
+    if (this.isWatching || suspects.length === 0) return;
+    this.isWatching = true;
+    clock.after(WATCH_INTERVAL_MS, () => {
+      this.isWatching = false;
+      for (const [key, service] of this.suspicion.suspects(this.now()))
+        this.verdictOn(service, key);
+      this.watchSuspects();
+    });
+  }
+
+  private remove(rowKey: string): void {
+    const {part, target} = parseKey(rowKey);
+    if (target !== undefined) this.suspicion.forgetCrash(part, target);
+    else this.verdicts.delete(part);
+  }
+
+  private apply(row: VersionedRow): void {
+    const {part, target} = parseKey(row.key);
+    const outcome =
+      target === undefined
+        ? this.applyVerdict(part, row)
+        : this.applyCrash(part, row);
+    if (outcome === undefined) return;
+    this.context.log.event('suspect-unreadable', {
+      key: row.key,
+      message: outcome,
+    });
+  }
+
+  /** @returns Why the row is unreadable; undefined if it is not. */
+  private applyCrash(part: string, {value}: VersionedRow): string | undefined {
+    const crash = decodeJson(value, CRASH);
+    if (!crash.ok) return crash.err.message;
+    const {service, at} = crash.value;
+    const [target] = crash.value.targets;
+    if (this.now() - at <= PART_CRASH_LIFETIME_MS)
+      this.suspicion.recordCrash(service, part, {target, atMs: at});
+    return undefined;
+  }
+
+  /** @returns Why the row is unreadable; undefined if it is not. */
+  private applyVerdict(
+    part: string,
+    {value, version}: VersionedRow,
+  ): string | undefined {
+    const verdict = decodeJson(value, VERDICT);
+    if (!verdict.ok) return verdict.err.message;
+    if (this.now() - verdict.value.at < VERDICT_LIFETIME_MS)
+      this.verdicts.set(part, {...verdict.value, version});
+    else void this.write([], [verdictRef(part)]);
+    return undefined;
+  }
+
+  private verdictOn(service: string, key: string): KnownVerdict | undefined {
+    const known = this.verdicts.get(key);
+    if (known && this.isInForce(known)) return known;
+    if (known) this.strikeOff(key, known);
+    const crashes = this.suspicion.guiltyOf(key, this.now());
+    if (!crashes) return undefined;
+    const alive = crashes.filter(crash => this.isStillListed(crash));
+    if (alive.length === 0) return this.pass(service, key, crashes);
+    for (const {target} of alive) this.suspicion.forgetCrash(key, target);
+    return this.verdictOn(service, key);
+  }
+
+  /** Whether the target has lost a connection, but has not crashed. */
+  private isStillListed({target, atMs}: PartCrash): boolean {
+    const knownAfterMs = this.expiryKnownAfterMs();
+    const isKnown = this.now() - atMs >= knownAfterMs;
+    return isKnown && this.context.directory.isListedFor(target, knownAfterMs);
+  }
+
+  /** Time until hosts know whether the entry of a target has expired. */
+  private expiryKnownAfterMs(): number {
+    return this.context.expiryMs() + LIST_READ_MARGIN_MS;
+  }
+
+  /** Drops a verdict that is over, or whose targets have not crashed. */
+  private strikeOff(key: string, {service, targets}: Verdict): void {
+    this.verdicts.delete(key);
+    for (const target of targets) this.suspicion.forgetCrash(key, target);
+    this.context.log.event('prompt-part-cleared', {service, part: key});
+    void this.write([], [verdictRef(key)]);
+  }
+
+  private pass(
+    service: string,
+    key: string,
+    crashes: readonly PartCrash[],
+  ): KnownVerdict {
+    const targets = crashes.map(({target}) => target);
+    const verdict = {service, targets, at: this.now(), trials: 0};
+    const known = {...verdict, version: undefined};
+    this.verdicts.set(key, known);
+    this.context.log.event('prompt-part-blocked', {
+      service,
+      part: key,
+      targets,
+    });
+    void this.publish(key, verdict);
+    return known;
+  }
+
+  private async publish(key: string, verdict: Verdict): Promise<void> {
+    const ref = verdictRef(key);
+    const written = await this.context.store.transact({
+      expect: [{...ref, version: 0}],
+      puts: [{...ref, value: encodeJson(verdict)}],
+      removes: [],
+    });
+    if (written.ok || written.err.kind === 'conflict') return;
+    const reason = written.err.kind;
+    this.context.log.event('suspects-unwritten', {rows: 1, reason});
+    // Nobody can try again whether a part crashes targets whose verdict is
+    // nowhere, so it ends by itself.
+    this.context.clock.after(FIRST_TRIAL_MS, () => {
+      if (this.verdicts.get(key)?.version === undefined)
+        this.verdicts.delete(key);
+    });
+  }
+
+  /** Whether enough of the targets of a verdict have crashed indeed. */
+  private isInForce({targets, at}: Verdict): boolean {
+    const sinceMs = this.now() - at;
+    if (sinceMs >= VERDICT_LIFETIME_MS) return false;
+    const knownAfterMs = this.expiryKnownAfterMs();
+    if (sinceMs < knownAfterMs) return true;
+    const {directory} = this.context;
+    const crashed = targets.filter(
+      id => !directory.isListedFor(id, knownAfterMs),
+    );
+    return crashed.length >= MIN_TARGETS;
+  }
+
+  /**
+   * Whether this request is the one that tries whether a part still crashes
+   * targets. The write decides, so that there is one on the whole fleet.
+   */
+  private async mayTry(key: string, verdict: KnownVerdict): Promise<boolean> {
+    const {version, ...last} = verdict;
+    const pauseMs = FIRST_TRIAL_MS * TRIAL_GROWTH ** last.trials;
+    const now = this.now();
+    const isDue = now - (last.triedAt ?? last.at) >= pauseMs;
+    if (!isDue || version === undefined) return false;
+    const next = {...last, trials: last.trials + 1, triedAt: now};
+    this.verdicts.set(key, {...next, version: undefined});
+    const ref = verdictRef(key);
+    const written = await this.context.store.transact({
+      expect: [{...ref, version}],
+      puts: [{...ref, value: encodeJson(next)}],
+      removes: [],
+    });
+    this.context.log.event('prompt-part-tried-again', {
+      service: last.service,
+      part: key,
+      trials: next.trials,
+      outcome: written.ok ? 'written' : written.err.kind,
+    });
+    if (!written.ok && written.err.kind !== 'conflict')
+      this.verdicts.set(key, {...verdict, triedAt: now});
+    return written.ok;
+  }
+
+  private put(row: RowPut): void {
+    this.pendingPuts.push(row);
+    if (this.isWriteDue) return;
+    this.isWriteDue = true;
+    this.context.clock.after(WRITE_INTERVAL_MS, () => {
+      this.isWriteDue = false;
+      const puts = this.pendingPuts;
+      this.pendingPuts = [];
+      void this.write(puts, []);
+      this.context.clock.after(
+        ROW_LIFETIME_MS,
+        () => void this.write([], puts),
+      );
+    });
+  }
+
+  private async write(
+    puts: readonly RowPut[],
+    removes: readonly RowRef[],
+  ): Promise<void> {
+    const rows = Math.max(puts.length, removes.length);
+    for (let i = 0; i < rows; i += MAX_ROWS_PER_TRANSACTION) {
+      const end = i + MAX_ROWS_PER_TRANSACTION;
+      const written = await this.context.store.transact({
+        expect: [],
+        puts: puts.slice(i, end),
+        removes: removes.slice(i, end),
+      });
+      if (written.ok) continue;
+      // Other hosts then know only what they see themselves.
+      const reason = written.err.kind;
+      this.context.log.event('suspects-unwritten', {rows, reason});
+    }
+  }
+
+  private now(): number {
+    return this.context.store.storeTimeMs() ?? this.context.clock.now();
+  }
+}
+
+/** Keys are short and of known characters, whatever callers send. */
+function keyOf(service: string, part: string): string {
+  return fingerprint(`${service}\n${part}`);
+}
+
+function verdictRef(part: string): RowRef {
+  return {
+    table: SUSPECT_TABLE,
+    partition: '',
+    key: `${PART_KEY_PREFIX}${part}`,
+  };
+}
+
+function crashRef(part: string, target: string): RowRef {
+  const {key, ...ref} = verdictRef(part);
+  return {...ref, key: `${key} ${target}`};
+}
+
+function parseKey(key: string): {
+  readonly part: string;
+  readonly target: string | undefined;
+} {
+  const rest = key.slice(PART_KEY_PREFIX.length);
+  const space = rest.indexOf(' ');
+  return space < 0
+    ? {part: rest, target: undefined}
+    : {part: rest.slice(0, space), target: rest.slice(space + 1)};
+}
--- a/packages/gateway/src/lib/request/online_request.ts
+++ b/packages/gateway/src/lib/request/online_request.ts
@@ -10,6 +10,7 @@
 import type {CrashSuspects} from '../process/crash_suspects.js';
 import type {LateQueue} from '../process/late_queue.js';
 import type {RequestPlacement} from '../process/placement.js';
+import type {PromptParts, PromptSuspects} from '../process/prompt_suspects.js';
 import type {StreamVersions} from '../process/stream_versions.js';
 import type {TargetChooser} from '../process/target_chooser.js';
 import type {AdmittedRequest} from './admitted_request.js';
@@ -49,6 +50,10 @@
   readonly schedulesReturns: () => boolean;
   readonly random: Random;
   readonly crashSuspects: CrashSuspects;
+  readonly promptSuspects: Pick<
+    PromptSuspects,
+    'admit' | 'isBlocked' | 'recordBrokenRun' | 'recordCompletedRun'
+  >;
   readonly retryDetector: CallerRetryDetector;
   readonly admission: CallerAdmission;
   readonly streamVersions: Pick<StreamVersions, 'record' | 'continuationOf'>;
@@ -70,10 +75,13 @@
 const VERSION_GONE = 'software version gone';
 /** Several versions may have begun the stream, and no host knows which one. */
 const VERSION_UNKNOWN = 'software version unknown';
+/** A part of the prompt crashes the targets that run it. */
+const PART_BLOCKED = 'prompt part blocked';
 /** Refusals of requests that nobody can serve later either. */
 const FINAL_REASONS: ReadonlySet<string> = new Set([
   VERSION_GONE,
   VERSION_UNKNOWN,
+  PART_BLOCKED,
 ]);
 
 /** Serves one online request. */
@@ -87,6 +95,7 @@
   private readonly admission: SendAdmission;
   private readonly service: string;
   private readonly fingerprint: string;
+  private readonly prompt: PromptParts;
   private lastFailedResponse: CompleteResponse | undefined;
   private activeSend: ActiveSend | undefined;
   private abortReason: AbortReason | undefined;
@@ -118,6 +127,8 @@
     this.writer = new ResponseWriter(res, this.metadata.lastEventId, now);
     this.fingerprint = admitted.fingerprint;
     this.service = pickService(route, context.random);
+    const {sharedParts} = this.metadata;
+    this.prompt = {service: this.service, sharedParts};
     const {goalMs} = route;
     const priority = account?.priority ?? route.priority;
     const {returning} = admitted;
@@ -179,8 +190,11 @@
 
   /** @returns Whether the request is finished. */
   private async attempt(): Promise<boolean> {
-    if (this.context.crashSuspects.isBlocked(this.fingerprint))
+    const {crashSuspects, promptSuspects} = this.context;
+    if (crashSuspects.isBlocked(this.fingerprint))
       return this.giveUp('suspect');
+    const admission = await promptSuspects.admit(this.prompt);
+    if (admission === 'blocked') return this.giveUp(PART_BLOCKED);
     const hasRun = this.writer.hasStarted || this.runs > 0;
     const target = await this.search.find(hasRun);
     if (this.abortReason) return this.giveUp(this.abortReason);
@@ -196,6 +210,9 @@
     const late = hasRun ? undefined : await this.admission.renewQuota();
     const reason = this.abortReason ?? late;
     if (reason) return this.giveUp(reason);
+    // Crashes have come to be known while the request waited.
+    if (admission === 'free' && promptSuspects.isBlocked(this.prompt))
+      return this.giveUp(PART_BLOCKED);
     const outcome = await this.send(target);
     return this.handleOutcome(outcome, target);
   }
@@ -241,8 +258,7 @@
 
   /** @returns Whether the request is finished. */
   private handleOutcome(outcome: ExchangeOutcome, target: Target): boolean {
-    if (!this.writer.hasStarted && mayHaveCrashed(outcome))
-      this.context.crashSuspects.recordBrokenRun(this.fingerprint, target.id);
+    this.recordEvidence(outcome, target);
     switch (outcome.kind) {
       case 'answered':
         // The target was asked to resume a stream and sent another response
@@ -273,6 +289,16 @@
     }
   }
 
+  private recordEvidence(outcome: ExchangeOutcome, target: Target): void {
+    const {crashSuspects, promptSuspects} = this.context;
+    if (outcome.kind === 'streamed' || outcome.kind === 'answered')
+      promptSuspects.recordCompletedRun(this.prompt);
+    if (!mayHaveCrashed(outcome)) return;
+    promptSuspects.recordBrokenRun(this.prompt, target.id);
+    if (!this.writer.hasStarted)
+      crashSuspects.recordBrokenRun(this.fingerprint, target.id);
+  }
+
   /**
    * Keeps the error response of a target for a request that can be retried. It
    * is sent to the caller only if no other target succeeds.
--- a/packages/gateway/src/test/process/crash_suspects_test.ts
+++ b/packages/gateway/src/test/process/crash_suspects_test.ts
@@ -1,10 +1,8 @@
 import {NO_EVENT_LOG, SYSTEM_CLOCK, type Clock} from '@oathead/core';
 import {MemoryRowStore} from '@oathead/stores';
 import test from 'ava';
-import {
-  CrashSuspects,
-  SUSPECT_TABLE,
-} from '../../lib/process/crash_suspects.js';
+import {CrashSuspects} from '../../lib/process/crash_suspects.js';
+import {SUSPECT_TABLE} from '../../lib/process/suspect_table.js';
 import {TargetDirectory} from '../../lib/process/target_directory.js';
 import {newTarget} from '../fakes/targets.js';
 
--- a/packages/jobs/src/lib/process/batch_scheduler.ts
+++ b/packages/jobs/src/lib/process/batch_scheduler.ts
@@ -14,7 +14,7 @@
 import type {ItemWork} from './item_work.js';
 import {isDelayedByFailure, type ItemCandidate} from './item_candidate.js';
 import {compareEstimates, ItemDurations} from './item_durations.js';
-import {runItem, type ItemRunContext} from './item_runner.js';
+import {promptOf, runItem, type ItemRunContext} from './item_runner.js';
 import {idleTimeoutMs} from './item_idle_timeout.js';
 import {ItemRoutes, type ItemRoutesContext} from './item_routes.js';
 import {
@@ -59,6 +59,12 @@
  */
 const MAX_STARTS_PER_TICK = 3;
 
+/**
+ * How long an item waits after it was not started for a part of its prompt that
+ * crashes targets, in milliseconds.
+ */
+const BLOCKED_ITEM_DELAY_MS = 1000;
+
 function byPriority(a: ItemCandidate, b: ItemCandidate): number {
   return compareEstimates(a.estimate, b.estimate);
 }
@@ -216,6 +222,13 @@
       return found.isSelective ? 'selective' : 'full';
     }
     if (isStale) return 'placed';
+    const prompt = promptOf(this.context, work, found.target);
+    if ((await this.context.promptSuspects.admit(prompt)) === 'blocked') {
+      const notBefore = this.context.clock.now() + BLOCKED_ITEM_DELAY_MS;
+      work.stage = {kind: 'waiting', notBefore};
+      return 'selective';
+    }
+    if (work.stage !== stage || job.closed) return 'placed';
     crashSuspects.recordItemStart(work.fingerprint);
     runItem(this.context, job, work, route, found.target, run => {
       this.durations.addRun(job.head, run);
--- a/packages/jobs/src/lib/process/item_runner.ts
+++ b/packages/jobs/src/lib/process/item_runner.ts
@@ -1,4 +1,5 @@
 /** Runs one item once on one target and applies the outcome to the item. */
+import type {IncomingHttpHeaders} from 'node:http';
 import type {Tracer} from '@opentelemetry/api';
 import {
   endToEndHeaders,
@@ -12,6 +13,8 @@
   type EventSink,
   type ExchangeOutcome,
   type FailureDoubt,
+  type PromptParts,
+  type PromptSuspects,
   type Route,
   type SendContext,
   type SenderAccount,
@@ -34,6 +37,10 @@
   readonly log: EventLog;
   readonly counters: Counters;
   readonly crashSuspects: CrashSuspects;
+  readonly promptSuspects: Pick<
+    PromptSuspects,
+    'admit' | 'recordBrokenRun' | 'recordCompletedRun'
+  >;
   readonly tracer: Tracer;
 }
 
@@ -141,6 +148,7 @@
       streamedMs: endedAt - (sink.firstEventAtMs ?? endedAt),
       isComplete: end.kind === 'streamed',
     });
+    recordPromptEvidence(context, promptOf(context, work, target), end, target);
     if (sink.firstEventAtMs !== undefined || end.kind === 'answered')
       context.crashSuspects.recordAnswer(work.fingerprint);
     else if (mayHaveCrashed(end))
@@ -149,6 +157,34 @@
   });
 }
 
+/**
+ * @param context - Protocol of the headers.
+ * @param work - An item.
+ * @param target - Where it is to run.
+ * @returns The parts of its prompt.
+ */
+export function promptOf(
+  {protocol}: Pick<ItemRunContext, 'protocol'>,
+  work: ItemWork,
+  {service}: Pick<Target, 'service'>,
+): PromptParts {
+  work.sharedParts ??= protocol.readRequest(
+    endToEndHeaders(work.item.headers) as IncomingHttpHeaders,
+  ).sharedParts;
+  return {service, sharedParts: work.sharedParts};
+}
+
+function recordPromptEvidence(
+  {promptSuspects}: ItemRunContext,
+  prompt: PromptParts,
+  end: ExchangeOutcome,
+  {id}: Target,
+): void {
+  if (end.kind === 'streamed' || end.kind === 'answered')
+    promptSuspects.recordCompletedRun(prompt);
+  else if (mayHaveCrashed(end)) promptSuspects.recordBrokenRun(prompt, id);
+}
+
 function senderAccountOf({
   head: {account},
 }: OwnedJob): SenderAccount | undefined {
--- a/packages/jobs/src/lib/process/item_work.ts
+++ b/packages/jobs/src/lib/process/item_work.ts
@@ -38,6 +38,8 @@
   readonly item: JobItem;
   /** Fingerprint of the item's path and body. */
   readonly fingerprint: string;
+  /** Shared parts of its prompt; undefined until they are needed. */
+  sharedParts: readonly string[] | undefined;
   stage: ItemStage;
   failures: number;
   /** Number of runs of which it is in doubt whether they failed. */
@@ -101,6 +103,7 @@
     index,
     item,
     fingerprint: CrashSuspects.fingerprintOf(item.path, item.body),
+    sharedParts: undefined,
     stage: {kind: 'waiting', notBefore: 0},
     failures,
     doubts,
--- a/packages/serving/src/lib/process/serving_components.ts
+++ b/packages/serving/src/lib/process/serving_components.ts
@@ -12,6 +12,7 @@
   Coordinator,
   CrashSuspects,
   PreferredTargets,
+  PromptSuspects,
   HostSocket,
   LateQueue,
   LoadExchange,
@@ -70,6 +71,7 @@
   readonly exchange: LoadExchange;
   readonly speedExchange: SpeedExchange;
   readonly crashSuspects: CrashSuspects;
+  readonly promptSuspects: PromptSuspects;
   readonly freshness: FreshnessLease;
   readonly quotas: AccountQuotas;
   readonly streamVersions: StreamVersions<HostPeer>;
@@ -126,13 +128,14 @@
       peers: () => membership.peers().map(hostPeerOf),
     }),
   );
-  const crashSuspects = new CrashSuspects({
+  const suspectContext = {
+    ...context,
     store,
-    clock,
-    log,
     directory,
     expiryMs: () => platform.tunables().targetExpiryMs,
-  });
+  };
+  const crashSuspects = new CrashSuspects(suspectContext);
+  const promptSuspects = new PromptSuspects(suspectContext);
   const hosts = () => membership.live().length;
   const preferredTargets = new PreferredTargets({
     self: self.id,
@@ -164,7 +167,14 @@
   });
   const requestContext = onlineContext(
     {platform, context, disposables},
-    {directory, loads, preferredTargets, overload, crashSuspects},
+    {
+      directory,
+      loads,
+      preferredTargets,
+      overload,
+      crashSuspects,
+      promptSuspects,
+    },
   );
   const isCoordinated = () => platform.options.coordinators === 'auto';
   const shares = new ShareAdmission({
@@ -279,6 +289,7 @@
     exchange,
     speedExchange,
     crashSuspects,
+    promptSuspects,
     freshness,
     quotas,
     streamVersions,
@@ -302,6 +313,7 @@
   readonly preferredTargets: PreferredTargets;
   readonly overload: ServiceOverload;
   readonly crashSuspects: CrashSuspects;
+  readonly promptSuspects: PromptSuspects;
 }
 
 /**
@@ -310,7 +322,7 @@
  */
 function onlineContext(
   {platform, context, disposables}: ComponentContext,
-  {directory, loads, preferredTargets, overload, crashSuspects}: TargetState,
+  state: TargetState,
 ): Omit<
   OnlineContext,
   | 'placement'
@@ -319,6 +331,8 @@
   | 'schedulesReturns'
   | 'streamVersions'
 > {
+  const {directory, loads, preferredTargets, overload} = state;
+  const {crashSuspects, promptSuspects} = state;
   const {clock, log, random, counters} = context;
   const {protocol} = platform;
   const {dataCentre} = platform.identity;
@@ -346,6 +360,7 @@
     ...targetState,
     chooser,
     crashSuspects,
+    promptSuspects,
     retryDetector,
   };
 }
--- a/packages/serving/src/lib/process/table_feeds.ts
+++ b/packages/serving/src/lib/process/table_feeds.ts
@@ -9,6 +9,7 @@
   SUSPECT_TABLE,
   type CrashSuspects,
   type Membership,
+  type PromptSuspects,
   type RoutingState,
   type TargetDirectory,
 } from '@oathead/gateway';
@@ -32,6 +33,7 @@
   readonly directory: TargetDirectory;
   readonly membership: Membership;
   readonly crashSuspects: CrashSuspects;
+  readonly promptSuspects: PromptSuspects;
   readonly jobOwnership: JobOwnership;
   readonly garbageCollector: JobGarbageCollector;
 }
@@ -59,7 +61,7 @@
   config: {waitMs: 600, pauseMs: 0, fullReadMs: 10_000, pageRows: 500},
   targets: {waitMs: 600, pauseMs: 250, fullReadMs: 10_000, pageRows: 500},
   members: {waitMs: 900, pauseMs: 500, fullReadMs: 30_000, pageRows: 500},
-  suspects: {waitMs: 1500, pauseMs: 500, fullReadMs: 60_000, pageRows: 500},
+  suspects: {waitMs: 1500, pauseMs: 200, fullReadMs: 60_000, pageRows: 500},
   heads: {waitMs: 900, pauseMs: 300, fullReadMs: 60_000, pageRows: 500},
 } as const satisfies Record<string, FeedSettings>;
 
@@ -107,9 +109,8 @@
   /** Starts watching all tables. */
   start(): void {
     const {config, targets} = this.platform;
-    const {membership, crashSuspects, jobOwnership, garbageCollector} =
-      this.consumers;
-    const {freshness} = this.consumers;
+    const {membership, crashSuspects, promptSuspects} = this.consumers;
+    const {jobOwnership, garbageCollector, freshness} = this.consumers;
     this.watchTable(
       config.table,
       SINGLE_PARTITION,
@@ -133,7 +134,10 @@
       SUSPECT_TABLE,
       SINGLE_PARTITION,
       FEED_SETTINGS.suspects,
-      update => crashSuspects.update(update),
+      update => {
+        crashSuspects.update(update);
+        promptSuspects.update(update);
+      },
     );
     this.watchTable(HEAD_TABLE, JOB_PARTITIONS, FEED_SETTINGS.heads, update => {
       jobOwnership.update(update);
