Soak: servers of two software versions, and a part that crashes servers

The soak could not make either incident: all servers were of one version, no event told who had sent it, callers never took a stream up, and requests that crash servers came from nobody. Now server-release changes versions, events name theirs, callers take broken streams up, and bad-part sends requests with one part that ends servers.

--- a/packages/soak/src/lib/process/fault_handlers.ts
+++ b/packages/soak/src/lib/process/fault_handlers.ts
@@ -18,6 +18,7 @@
 import {floodByAccount, unlikeSpeeds} from './overload_handlers.js';
 import type {ProgramPlace, ServerPlace} from './soak_fleet.js';
 import type {FaultKind} from './soak_plan.js';
+import {releaseServers, sendBadPart} from './version_handlers.js';
 
 /** A server that leaves serves so long after the store knows, in ms. */
 const DRAIN_MS = 3000;
@@ -83,6 +84,8 @@
   'programs-kill-late-writes': killUnderLateWrites,
   'programs-kill-accepted': killAfterAcceptance,
   'programs-kill-mixed': killMixed,
+  'server-release': releaseServers(replacePlace),
+  'bad-part': sendBadPart,
 };
 
 function killOne(call: FaultCall): Promise<void> {
@@ -211,7 +214,13 @@
  * while, and is gone. */
 async function replaceServer(call: FaultCall): Promise<void> {
   const place = upServer(call);
-  if (!place) return;
+  if (place) await replacePlace(call, place);
+}
+
+async function replacePlace(
+  call: FaultCall,
+  place: ServerPlace,
+): Promise<void> {
   const {server, id} = place;
   await server.list('draining');
   call.fleet.leavingSince.set(id, Date.now());
--- a/packages/soak/src/lib/process/promises.ts
+++ b/packages/soak/src/lib/process/promises.ts
@@ -2,12 +2,13 @@
 import type {ReceivedRequest} from '@oathead/platform/stand_ins';
 import type {JobRecord} from '../request/batch_load.js';
 import {wholeStream, wholeText} from '../request/expected_text.js';
-import type {OnlineRecord} from '../request/online_load.js';
+import {eventsIn, type OnlineRecord} from '../request/online_load.js';
 import {ACCOUNT_PROMISES} from './account_promises.js';
 import {CALM_BOUND_MS} from './calm_changes.js';
 import {allRuns, type Evidence, type PromiseCheck} from './evidence.js';
 import {JOB_PROMISES} from './job_promises.js';
 import {RETENTION_MS} from './promise_bounds.js';
+import {VERSION_PROMISES} from './version_promises.js';
 
 /** Answers that promise that the request has not run and never will. */
 const NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -47,6 +48,7 @@
   'a job that was refused at every try does not run': refusedJobsRest,
   'an ended job stops': endedJobsStop,
   ...JOB_PROMISES,
+  ...VERSION_PROMISES,
   'a leaving target gets nothing new': leavingTargetsRest,
   'a configuration never goes back': configurationsStay,
   'a configuration is in force everywhere in time': configurationsArrive,
@@ -69,9 +71,10 @@
     .flatMap(record => flawsOf(record));
 }
 
-function bodyOf({kind, path}: OnlineRecord): string {
+function bodyOf({kind, path, takesUp}: OnlineRecord): string {
   const streams = kind === 'notes' || kind === 'flags';
-  return streams ? wholeStream(path) : 'answer to question';
+  if (!streams) return 'answer to question';
+  return wholeStream(path, takesUp ? eventsIn(takesUp) : 0);
 }
 
 function flawsOf(record: OnlineRecord): readonly string[] {
--- a/packages/soak/src/lib/process/run_soak.ts
+++ b/packages/soak/src/lib/process/run_soak.ts
@@ -49,7 +49,7 @@
 const FINISH_MS = 20_000;
 const READ_PAUSE_MS = 100;
 /** What comes last, by itself, in runs that have it. */
-const LAST_KIND: FaultKind = 'owner-kill-deaf-feeds';
+const LAST_KINDS: readonly FaultKind[] = ['owner-kill-deaf-feeds', 'bad-part'];
 /** Requests to each program in the calm at the end. */
 const LAST_REQUESTS = 20;
 /** One in ten may fail in the calm: a share that no fault explains. */
@@ -124,8 +124,11 @@
   fleet: SoakFleet,
   {kinds = FAULT_KINDS, seed}: SoakOptions,
 ): Promise<void> {
-  if (!kinds.includes(LAST_KIND)) return;
-  await bringAbout(fleet, {kind: LAST_KIND, forMs: 0, seed});
+  for (const kind of LAST_KINDS) {
+    if (!kinds.includes(kind)) continue;
+    await fleet.untilReady();
+    await bringAbout(fleet, {kind, forMs: 0, seed});
+  }
 }
 
 function bringAbout(
--- a/packages/soak/src/lib/process/soak_fleet.ts
+++ b/packages/soak/src/lib/process/soak_fleet.ts
@@ -11,7 +11,7 @@
   type StoreEndpoint,
 } from '@oathead/platform/stand_ins';
 import {FaultProxy} from '../connection/fault_proxy.js';
-import {EVENTS, wordOf} from '../request/expected_text.js';
+import {EVENTS, markedWord} from '../request/expected_text.js';
 import {Disturbances} from './disturbances.js';
 import {addedRoute} from './added_route.js';
 import {ACCOUNT, ACCOUNTS, QUOTA_BOUNDS} from './soak_accounts.js';
@@ -33,6 +33,7 @@
 /** A place for one server: each start has a new id. */
 export interface ServerPlace {
   readonly service: string;
+  softwareVersion: string;
   server: ServerStandIn;
   proxy: FaultProxy;
   id: string;
@@ -45,6 +46,8 @@
 const GRACE_S = 8;
 /** The service whose servers run items. */
 export const BATCH_SERVICE = 'llm';
+/** Software version of all servers at the start. */
+export const FIRST_VERSION = 'v1';
 const ZONES = ['hall-a', 'hall-b'] as const;
 const EVENT_MS = 20;
 const PLAIN_ANSWER_MS = 10;
@@ -76,6 +79,10 @@
   /** When the store accepted that a key was taken away, by key, on the time of day
    * in milliseconds. */
   readonly withdrawnAt = new Map<string, number>();
+  /** When requests with a part that crashes servers were sent, on the time of day
+   * in milliseconds. */
+  readonly badPartTimes: Array<{readonly from: number; readonly to: number}> =
+    [];
   readonly disturbances = new Disturbances();
   /** Called when a job is accepted, before its caller does anything else. */
   onAccepted: ((by: ProgramPlace) => void) | undefined;
@@ -176,7 +183,7 @@
 
   /** @param place - Where the server has ended; a new one starts. */
   async renew(place: ServerPlace): Promise<void> {
-    const next = await this.newServer(place.service);
+    const next = await this.newServer(place.service, place.softwareVersion);
     Object.assign(place, next, {up: true});
     this.note(place);
   }
@@ -254,9 +261,10 @@
   }
 
   private async addServer(service: string): Promise<void> {
-    const started = await this.newServer(service);
+    const started = await this.newServer(service, FIRST_VERSION);
     const place: ServerPlace = {
       service,
+      softwareVersion: FIRST_VERSION,
       ...started,
       up: true,
     };
@@ -268,18 +276,19 @@
     this.incarnations.push({server, id, service});
   }
 
-  private async newServer(service: string) {
+  private async newServer(service: string, softwareVersion: string) {
     const id = `${service}-${++this.starts}`;
     let proxy: FaultProxy | undefined;
     const options: Partial<ServerOptions> = {
       id,
       service,
+      softwareVersion,
       zone: ZONES[this.starts % ZONES.length]!,
       slots: SLOTS,
       maxQueueLength: QUEUE,
       events: EVENTS,
       eventMs: service === 'llm' ? EVENT_MS : PLAIN_ANSWER_MS,
-      eventData: wordOf,
+      eventData: (path, n) => markedWord(softwareVersion, path, n),
       listedAddress: async address => {
         proxy = await FaultProxy.before(address);
         return proxy.address;
--- a/packages/soak/src/lib/process/soak_plan.ts
+++ b/packages/soak/src/lib/process/soak_plan.ts
@@ -49,6 +49,10 @@
   'programs-kill-mixed',
 ] as const;
 
+/** Kinds that concern which targets go on with a stream, and which requests end
+ * targets. */
+export const VERSION_FAULT_KINDS = ['server-release', 'bad-part'] as const;
+
 /** Everything that a run can do to the system. */
 export const FAULT_KINDS = [
   ...FIRST_FAULT_KINDS,
@@ -56,6 +60,7 @@
   ...GIVING_UP_FAULT_KINDS,
   ...OVERLOAD_FAULT_KINDS,
   ...LOST_JOB_FAULT_KINDS,
+  ...VERSION_FAULT_KINDS,
 ] as const;
 
 /** One kind of fault. */
--- a/packages/soak/src/lib/request/batch_load.ts
+++ b/packages/soak/src/lib/request/batch_load.ts
@@ -1,8 +1,12 @@
 /** Callers who hand in batch jobs, read them at any program, and end some. */
 import {sleep, SYSTEM_CLOCK, type Random} from '@oathead/core';
 import {Caller, type ReadResult} from '@oathead/platform/stand_ins';
+import {readMarks, type MarkedText} from './expected_text.js';
 import type {ProgramPlace, SoakFleet} from '../process/soak_fleet.js';
 
+/** A result, whose text has no marks. */
+export type SeenResult = ReadResult & MarkedText;
+
 /** A request for the body of an item that got something else. */
 export interface BodyFlaw {
   readonly id: string;
@@ -25,7 +29,7 @@
   /** When its end was acknowledged; undefined: it was not ended. */
   endedAt: number | undefined;
   /** The longest list that was read. */
-  results: readonly ReadResult[];
+  results: readonly SeenResult[];
   /** When each of these results was read first. */
   readonly listedAt: number[];
   readonly bodyFlaws: BodyFlaw[];
@@ -108,7 +112,7 @@
       readonly results: readonly ReadResult[];
     };
     if (total !== job.items) job.flaws.push(`total ${total}`);
-    this.compare(job, results);
+    this.compare(job, results.map(withoutMarks));
     return true;
   }
 
@@ -137,7 +141,7 @@
       job.bodyFlaws.push({id, at: Date.now(), status: answer.status});
   }
 
-  private compare(job: JobRecord, results: readonly ReadResult[]): void {
+  private compare(job: JobRecord, results: readonly SeenResult[]): void {
     const known = Math.min(results.length, job.results.length);
     for (let i = 0; i < known; i++)
       if (JSON.stringify(results[i]) !== JSON.stringify(job.results[i]))
@@ -236,3 +240,7 @@
 function isSettled({acceptedAt}: JobRecord, now: number): boolean {
   return acceptedAt !== undefined && now > acceptedAt + SETTLE_MS;
 }
+
+function withoutMarks(result: ReadResult): SeenResult {
+  return {...result, ...readMarks(result.text)};
+}
--- a/packages/soak/src/lib/request/expected_text.ts
+++ b/packages/soak/src/lib/request/expected_text.ts
@@ -4,12 +4,39 @@
 /** Events of a stream. */
 export const EVENTS = 12;
 
+/** Ends the data of each event, and names the version of the server's software. */
+const VERSION_MARK = /@(v\d+)$/gm;
+
+/** A text without its marks, and the software versions that they name. */
+export interface MarkedText {
+  readonly text: string;
+  readonly softwareVersions: readonly string[];
+}
+
+/** @returns The data of event `n` by a server of some software version. */
+export function markedWord(
+  softwareVersion: string,
+  path: string,
+  n: number,
+): string {
+  return `${wordOf(path, n)}@${softwareVersion}`;
+}
+
+/** @returns What a text says without its marks. */
+export function readMarks(marked: string): MarkedText {
+  const versions = [...marked.matchAll(VERSION_MARK)].map(([, name]) => name!);
+  const text = marked.replaceAll(VERSION_MARK, '');
+  return {text, softwareVersions: [...new Set(versions)]};
+}
+
 /**
  * @param path - Of a request for tokens.
- * @returns The text of its whole stream.
+ * @param after - Number of the event after which the stream goes on.
+ * @returns The text of the whole rest of its stream.
  */
-export function wholeStream(path: string): string {
+export function wholeStream(path: string, after = 0): string {
   return eventNumbers()
+    .slice(after)
     .map(n => formatEvent(n, wordOf(path, n)))
     .join('');
 }
--- a/packages/soak/src/lib/request/online_load.ts
+++ b/packages/soak/src/lib/request/online_load.ts
@@ -2,6 +2,7 @@
 import {sleep, SYSTEM_CLOCK, type Random} from '@oathead/core';
 import {BrokenResponseError, Caller} from '@oathead/platform/stand_ins';
 import type {ProgramPlace, SoakFleet} from '../process/soak_fleet.js';
+import {readMarks, type MarkedText} from './expected_text.js';
 
 /** What a request asks for, and how often it may run. */
 export type OnlineKind =
@@ -37,8 +38,12 @@
   readonly status: number | undefined;
   /** Why there was none. */
   readonly failure: CallFailure | undefined;
-  /** The body, or the part of a success that arrived. */
+  /** The body, or the part of a success that arrived, without marks. */
   readonly text: string;
+  /** Software versions of the servers that sent it. */
+  readonly softwareVersions: readonly string[];
+  /** The request whose stream this one goes on with. */
+  readonly takesUp?: OnlineRecord;
   readonly answeredId: string | undefined;
   readonly seal: string | undefined;
 }
@@ -48,6 +53,7 @@
 /** Each so many requests one is sent by a key that was taken away. */
 const WITHDRAWN_EACH = 8;
 const STATUS_OK = 200;
+const EVENT_END = '\n\n';
 /** Codes of connections that were never made. */
 const UNCONNECTED: ReadonlySet<unknown> = new Set([
   'ECONNREFUSED',
@@ -95,12 +101,38 @@
     key = this.fleet.key,
   ): Promise<OnlineRecord> {
     const id = `r${++this.sent}`;
-    const path = this.pathOf(kind, id);
+    const first = await this.send(place, {
+      id,
+      kind,
+      key,
+      path: this.pathOf(kind, id),
+    });
+    const isBroken = first.failure === 'broken' && first.text !== '';
+    if (kind === 'notes' && isBroken) void this.takeUp(first);
+    return first;
+  }
+
+  /** Goes on with a stream that has broken off, at another program. */
+  private takeUp(first: OnlineRecord): Promise<OnlineRecord> {
+    const id = `r${++this.sent}`;
+    const {programs} = this.fleet;
+    const place = programs[this.sent % programs.length]!;
+    const {kind, key, path} = first;
+    const going = this.send(place, {id, kind, key, path, takesUp: first});
+    const done = going.then(() => void this.open.delete(done));
+    this.open.add(done);
+    return going;
+  }
+
+  private async send(
+    place: ProgramPlace,
+    asked: Pick<OnlineRecord, 'id' | 'kind' | 'key' | 'path' | 'takesUp'>,
+  ): Promise<OnlineRecord> {
     const sentAt = Date.now();
     const {pid, front} = place.program;
-    const base = {id, kind, path, key, place: place.name, pid, sentAt};
-    const caller = new Caller(front, key);
-    const record = {...base, ...(await answerOf(caller, kind, path, id))};
+    const base = {...asked, place: place.name, pid, sentAt};
+    const caller = new Caller(front, asked.key);
+    const record = {...base, ...(await answerOf(caller, asked))};
     const whole = {...record, endedAt: Date.now()};
     this.records.push(whole);
     return whole;
@@ -131,13 +163,16 @@
 
 async function answerOf(
   caller: Caller,
-  kind: OnlineKind,
-  path: string,
-  id: string,
+  {
+    id,
+    kind,
+    path,
+    takesUp,
+  }: Pick<OnlineRecord, 'id' | 'kind' | 'path' | 'takesUp'>,
 ): Promise<
-  Pick<OnlineRecord, 'status' | 'failure' | 'text' | 'answeredId' | 'seal'>
+  MarkedText & Pick<OnlineRecord, 'status' | 'failure' | 'answeredId' | 'seal'>
 > {
-  const headers = {'x-attempt-id': id};
+  const headers = {'x-attempt-id': id, ...resumption(takesUp)};
   const streams = kind === 'notes' || kind === 'flags';
   try {
     const answer = streams
@@ -146,7 +181,7 @@
     return {
       status: answer.status,
       failure: undefined,
-      text: answer.text,
+      ...readMarks(answer.text),
       answeredId: textOf(answer.headers['x-attempt-id']),
       seal: textOf(answer.headers['x-server-seal']),
     };
@@ -155,13 +190,25 @@
     return {
       status: undefined,
       failure: UNCONNECTED.has(codeOf(err)) ? 'unconnected' : 'broken',
-      text: partOf(err),
+      ...readMarks(partOf(err)),
       answeredId: undefined,
       seal: undefined,
     };
   }
 }
 
+function resumption(
+  takesUp: OnlineRecord | undefined,
+): Readonly<Record<string, string>> {
+  if (!takesUp) return {};
+  return {'last-event-id': String(eventsIn(takesUp)), resumes: takesUp.id};
+}
+
+/** @returns The number of events of a stream that arrived. */
+export function eventsIn({text}: Pick<OnlineRecord, 'text'>): number {
+  return text.split(EVENT_END).length - 1;
+}
+
 /** @returns The part of a successful answer that arrived. */
 function partOf(err: unknown): string {
   const isPart = err instanceof BrokenResponseError;
--- a/packages/soak/src/test/process/promises_test.ts
+++ b/packages/soak/src/test/process/promises_test.ts
@@ -24,10 +24,16 @@
       incarnations: [{id: 'llm-1', server: {ran: [seen]}}],
       leavingSince: new Map([['llm-1', LEFT_AT]]),
       deaths: [],
+      badPartTimes: [{from: 0, to: 20_000}],
       withdrawnAt: new Map([['old', WITHDRAWN_AT]]),
     },
     online: [
-      {id: 'r1', status: 200, text: '', ...TIMES, ...REQUEST, ...online},
+      {
+        ...{id: 'r1', status: 200, text: '', softwareVersions: []},
+        ...TIMES,
+        ...REQUEST,
+        ...online,
+      },
     ],
     jobs: [
       {
@@ -78,6 +84,19 @@
     {},
     {kind: 'extra', path: '/extra0/r1', status: 404},
   ],
+  [
+    'a stream and an item hold one software version',
+    {},
+    {softwareVersions: ['v1', 'v2']},
+  ],
+  [
+    'a stream and an item hold one software version',
+    {},
+    {
+      softwareVersions: ['v2'],
+      takesUp: {id: 'r0', text: '', softwareVersions: ['v1']},
+    },
+  ],
 ] as const;
 
 for (const [promise, ran, online] of BROKEN) {
@@ -242,3 +261,18 @@
     t.deepEqual(PROMISES[STOP_PROMISE]!(evidence(ran, online)), []);
   });
 }
+
+test('the soak sees requests with a part that crashes targets', t => {
+  const headers = {'x-prompt-prefix': 'a:1,bad:1,own:1'};
+  const times = [0, 1, 2, 3, 100, 5000, 5001, 5002, 5003];
+  const ran = times.map(at => ({id: 'b', path: '/flags/b', at, headers}));
+  const promise = 'a part that crashes targets is held back';
+  const base = evidence({}, {});
+  const flawsOf = (runs: readonly object[]) => {
+    const incarnations = [{id: 'llm-1', server: {ran: runs}}];
+    const fleet = {...base.fleet, incarnations};
+    return PROMISES[promise]!({...base, fleet} as unknown as Evidence);
+  };
+  t.is(flawsOf(ran).length, 1);
+  t.deepEqual(flawsOf(ran.slice(0, -1)), []);
+});
--- a/packages/soak/src/test/process/soak_test.ts
+++ b/packages/soak/src/test/process/soak_test.ts
@@ -8,6 +8,7 @@
   LOST_JOB_FAULT_KINDS,
   OVERLOAD_FAULT_KINDS,
   planFaults,
+  VERSION_FAULT_KINDS,
   type SoakOptions,
 } from '../../lib/process/soak_plan.js';
 
@@ -25,6 +26,21 @@
 const LOST_JOBS: SoakOptions = {...SHORT, kinds: LOST_JOB_FAULT_KINDS};
 const OVERLOAD: SoakOptions = {...SHORT, kinds: OVERLOAD_FAULT_KINDS};
 
+const VERSIONS: SoakOptions = {
+  ...SHORT,
+  programs: 4,
+  engines: 6,
+  kinds: [
+    ...VERSION_FAULT_KINDS,
+    'server-release',
+    'program-kill',
+    'programs-kill-all',
+    'program-stop',
+    'server-crash',
+    'connections-reset',
+  ],
+};
+
 const STOP_PROMISE = 'a planned stop cuts off nothing';
 
 /**
@@ -88,6 +104,12 @@
   t.regex(await brokenRuns(OVERLOAD), /1 runs, 0 with a broken promise/);
 });
 
+// Callers get streams of two software versions, or lose target after target to
+// requests that share one part of their prompts.
+test('a short run with several software versions and a bad part keeps all promises', async t => {
+  t.regex(await brokenRuns(VERSIONS), /1 runs, 0 with a broken promise/);
+});
+
 // Callers see their connection break in the middle of an answer: a program is
 // stopped as planned, new connections go on coming, and at the end of its time
 // it cuts what is under way. It had gone on listening after callers should have
