Streams, crashes and rows of suspected parts in files of their own

What keeps a stream at its version, what holds back a request that crashes targets, and the rows about parts are now modules with one job each. Behaviour is unchanged.

--- a/packages/gateway/src/lib/process/prompt_suspects.ts
+++ b/packages/gateway/src/lib/process/prompt_suspects.ts
@@ -4,7 +4,6 @@
  * decides, this module shares its evidence and its verdicts through the store.
  */
 import {
-  fingerprint,
   PART_CRASH_LIFETIME_MS,
   PartSuspicion,
   type Clock,
@@ -22,8 +21,16 @@
   type VersionedRow,
 } from '@oathead/stores';
 import {LRUCache} from 'lru-cache';
-import {z} from 'zod';
-import {isPartKey, PART_KEY_PREFIX, SUSPECT_TABLE} from './suspect_table.js';
+import {
+  CRASH,
+  crashRef,
+  parseRowKey,
+  partKeyOf,
+  VERDICT,
+  verdictRef,
+  type Verdict,
+} from './prompt_suspect_rows.js';
+import {isPartKey} from './suspect_table.js';
 import type {TargetDirectory} from './target_directory.js';
 
 /** The parts of the prompt of a request, and the service that it goes to. */
@@ -54,26 +61,6 @@
   readonly expiryMs: () => number;
 }
 
-/** One crash under a part. The key of its row names the part. */
-const CRASH = z.object({
-  service: z.string(),
-  targets: z.tuple([z.string()]),
-  at: z.number(),
-});
-/** A verdict. */
-const VERDICT = z.object({
-  service: z.string(),
-  /** IDs of the crashed targets. */
-  targets: z.array(z.string()).readonly(),
-  /** Time of the verdict, in store time in milliseconds. */
-  at: z.number(),
-  /** Number of requests that have been let through since, to try again. */
-  trials: z.number().int().nonnegative(),
-  /** Time of the last of them, in store time in milliseconds. */
-  triedAt: z.number().optional(),
-});
-type Verdict = Readonly<z.infer<typeof VERDICT>>;
-
 interface KnownVerdict extends Verdict {
   /** Version of its row; undefined until the row is read. */
   readonly version: number | undefined;
@@ -120,7 +107,7 @@
   async admit({service, sharedParts}: PromptParts): Promise<PromptAdmission> {
     let admission: PromptAdmission = 'free';
     for (const part of sharedParts) {
-      const key = keyOf(service, part);
+      const key = partKeyOf(service, part);
       const verdict = this.verdictOn(service, key);
       if (!verdict) continue;
       admission = (await this.mayTry(key, verdict)) ? 'trial' : 'blocked';
@@ -138,7 +125,7 @@
    */
   isBlocked({service, sharedParts}: PromptParts): boolean {
     return sharedParts.some(part =>
-      this.verdictOn(service, keyOf(service, part)),
+      this.verdictOn(service, partKeyOf(service, part)),
     );
   }
 
@@ -150,7 +137,7 @@
   recordBrokenRun({service, sharedParts}: PromptParts, target: string): void {
     const at = this.now();
     for (const part of sharedParts) {
-      const key = keyOf(service, part);
+      const key = partKeyOf(service, part);
       const isNew = this.suspicion.recordCrash(service, key, {
         target,
         atMs: at,
@@ -164,7 +151,7 @@
 
   /** @param prompt - Parts of a request whose run came to its end. */
   recordCompletedRun({service, sharedParts}: PromptParts): void {
-    const keys = sharedParts.map(part => keyOf(service, part));
+    const keys = sharedParts.map(part => partKeyOf(service, part));
     const cleared = this.suspicion.recordCompletedRun(
       service,
       keys,
@@ -213,13 +200,13 @@
   }
 
   private remove(rowKey: string): void {
-    const {part, target} = parseKey(rowKey);
+    const {part, target} = parseRowKey(rowKey);
     if (target !== undefined) this.suspicion.forgetCrash(part, target);
     else this.verdicts.delete(part);
   }
 
   private apply(row: VersionedRow): void {
-    const {part, target} = parseKey(row.key);
+    const {part, target} = parseRowKey(row.key);
     const outcome =
       target === undefined
         ? this.applyVerdict(part, row)
@@ -404,32 +391,3 @@
     return this.context.store.storeTimeMs() ?? this.context.clock.now();
   }
 }
-
-/** Keys are short and of known characters, whatever callers send. */
-function keyOf(service: string, part: string): string {
-  return fingerprint(`${service}\n${part}`);
-}
-
-function verdictRef(part: string): RowRef {
-  return {
-    table: SUSPECT_TABLE,
-    partition: '',
-    key: `${PART_KEY_PREFIX}${part}`,
-  };
-}
-
-function crashRef(part: string, target: string): RowRef {
-  const {key, ...ref} = verdictRef(part);
-  return {...ref, key: `${key} ${target}`};
-}
-
-function parseKey(key: string): {
-  readonly part: string;
-  readonly target: string | undefined;
-} {
-  const rest = key.slice(PART_KEY_PREFIX.length);
-  const space = rest.indexOf(' ');
-  return space < 0
-    ? {part: rest, target: undefined}
-    : {part: rest.slice(0, space), target: rest.slice(space + 1)};
-}
--- a/packages/gateway/src/lib/request/online_request.ts
+++ b/packages/gateway/src/lib/request/online_request.ts
@@ -7,21 +7,21 @@
 import type {Target} from '../connection/target.js';
 import type {CallerAdmission} from '../process/caller_admission.js';
 import type {CallerRetryDetector} from '../process/caller_retry_detector.js';
-import type {CrashSuspects} from '../process/crash_suspects.js';
 import type {LateQueue} from '../process/late_queue.js';
 import type {RequestPlacement} from '../process/placement.js';
-import type {PromptParts, PromptSuspects} from '../process/prompt_suspects.js';
-import type {StreamVersions} from '../process/stream_versions.js';
 import type {TargetChooser} from '../process/target_chooser.js';
 import type {AdmittedRequest} from './admitted_request.js';
 import {ResponseWriter} from './response_writer.js';
 import {
-  mayHaveCrashed,
   type AbortReason,
-  type EventSink,
   type ExchangeOutcome,
   type CompleteResponse,
 } from './exchange.js';
+import {
+  CrashCheck,
+  type CrashCheckContext,
+  type CrashRefusal,
+} from './crash_check.js';
 import {failureStatus, STATUS_UNAVAILABLE} from './failure_status.js';
 import {forwardedRequest} from './forwarded_request.js';
 import {endToEndHeaders} from './forwarded_headers.js';
@@ -33,6 +33,10 @@
 } from './request_report.js';
 import {SendAdmission} from './send_admission.js';
 import {watchSilence} from './silence_watch.js';
+import {
+  StreamContinuation,
+  type StreamContinuationContext,
+} from './stream_continuation.js';
 import {
   sendToTarget,
   type SendContext,
@@ -42,21 +46,20 @@
 import type {RequestMetadata} from './target_protocol.js';
 
 /** Dependencies shared by all online requests of a process. */
-export interface OnlineContext extends SendContext, ReportContext {
+export interface OnlineContext
+  extends
+    SendContext,
+    ReportContext,
+    StreamContinuationContext,
+    CrashCheckContext {
   readonly chooser: TargetChooser;
   readonly placement: RequestPlacement;
   readonly lateQueue: LateQueue;
   /** @returns Whether coordinators schedule the returns of callers. */
   readonly schedulesReturns: () => boolean;
   readonly random: Random;
-  readonly crashSuspects: CrashSuspects;
-  readonly promptSuspects: Pick<
-    PromptSuspects,
-    'admit' | 'isBlocked' | 'recordBrokenRun' | 'recordCompletedRun'
-  >;
   readonly retryDetector: CallerRetryDetector;
   readonly admission: CallerAdmission;
-  readonly streamVersions: Pick<StreamVersions, 'record' | 'continuationOf'>;
 }
 
 /** How many times targets may decline a request before it is refused. */
@@ -75,8 +78,7 @@
 const VERSION_GONE = 'software version gone';
 /** Several versions may have begun the stream, and no host knows which one. */
 const VERSION_UNKNOWN = 'software version unknown';
-/** A part of the prompt crashes the targets that run it. */
-const PART_BLOCKED = 'prompt part blocked';
+const PART_BLOCKED: CrashRefusal = 'prompt part blocked';
 /** Refusals of requests that nobody can serve later either. */
 const FINAL_REASONS: ReadonlySet<string> = new Set([
   VERSION_GONE,
@@ -94,8 +96,8 @@
   private readonly search: TargetSearch;
   private readonly admission: SendAdmission;
   private readonly service: string;
-  private readonly fingerprint: string;
-  private readonly prompt: PromptParts;
+  private readonly stream: StreamContinuation;
+  private readonly crashes: CrashCheck;
   private lastFailedResponse: CompleteResponse | undefined;
   private activeSend: ActiveSend | undefined;
   private abortReason: AbortReason | undefined;
@@ -125,10 +127,12 @@
     );
     const now = () => this.now();
     this.writer = new ResponseWriter(res, this.metadata.lastEventId, now);
-    this.fingerprint = admitted.fingerprint;
     this.service = pickService(route, context.random);
     const {sharedParts} = this.metadata;
-    this.prompt = {service: this.service, sharedParts};
+    this.crashes = new CrashCheck(context, admitted.fingerprint, {
+      service: this.service,
+      sharedParts,
+    });
     const {goalMs} = route;
     const priority = account?.priority ?? route.priority;
     const {returning} = admitted;
@@ -139,6 +143,12 @@
       startedAt,
       deadlineAt: this.deadlineAt,
     });
+    this.stream = new StreamContinuation(context, {
+      metadata: this.metadata,
+      isResumable: route.resumable,
+      search: this.search,
+      writer: this.writer,
+    });
     this.admission = new SendAdmission(context, admitted, this.metadata.key);
   }
 
@@ -156,45 +166,17 @@
       this.context.clock.after(leftMs, () => this.abort('timeout')),
     );
     if (this.isRepeatable) disposables.add(this.startSilenceWatch());
-    if (!(await this.isContinuable())) {
+    if (!(await this.stream.learnVersion(this.service))) {
       this.giveUp(this.abortReason ?? VERSION_UNKNOWN);
       return;
     }
     while (!(await this.attempt()));
   }
 
-  /**
-   * Restricts a stream that its caller takes up to the software version that
-   * began it.
-   *
-   * @returns Whether the version is known, as far as it matters.
-   */
-  private async isContinuable(): Promise<boolean> {
-    const {lastEventId, resumes} = this.metadata;
-    if (lastEventId === undefined) return true;
-    const {streamVersions} = this.context;
-    const found = await streamVersions.continuationOf(this.service, resumes);
-    if (found.kind === 'at-version')
-      this.search.restrictTo(found.softwareVersion);
-    return found.kind !== 'unknown';
-  }
-
-  /** Records where the stream begins, before its caller gets anything of it. */
-  private beginStream({service, softwareVersion}: Target): void {
-    this.search.restrictTo(softwareVersion);
-    const {requestId, lastEventId, resumes} = this.metadata;
-    const stream = lastEventId === undefined ? requestId : resumes;
-    if (stream === undefined || !this.admitted.route.resumable) return;
-    this.context.streamVersions.record(stream, {service, softwareVersion});
-  }
-
   /** @returns Whether the request is finished. */
   private async attempt(): Promise<boolean> {
-    const {crashSuspects, promptSuspects} = this.context;
-    if (crashSuspects.isBlocked(this.fingerprint))
-      return this.giveUp('suspect');
-    const admission = await promptSuspects.admit(this.prompt);
-    if (admission === 'blocked') return this.giveUp(PART_BLOCKED);
+    const blocked = await this.crashes.refusal();
+    if (blocked) return this.giveUp(blocked);
     const hasRun = this.writer.hasStarted || this.runs > 0;
     const target = await this.search.find(hasRun);
     if (this.abortReason) return this.giveUp(this.abortReason);
@@ -208,11 +190,8 @@
         this.search.isVersionGone ? VERSION_GONE : 'no target',
       );
     const late = hasRun ? undefined : await this.admission.renewQuota();
-    const reason = this.abortReason ?? late;
+    const reason = this.abortReason ?? late ?? this.crashes.recheck();
     if (reason) return this.giveUp(reason);
-    // Crashes have come to be known while the request waited.
-    if (admission === 'free' && promptSuspects.isBlocked(this.prompt))
-      return this.giveUp(PART_BLOCKED);
     const outcome = await this.send(target);
     return this.handleOutcome(outcome, target);
   }
@@ -233,7 +212,7 @@
       account: this.admission.senderAccount,
       writer,
     });
-    const sink = this.versionedSink(target);
+    const sink = this.stream.sinkFor(target);
     this.activeSend = sendToTarget(context, target, 'online', req, sink);
     const outcome = await this.activeSend.end;
     this.activeSend = undefined;
@@ -241,24 +220,9 @@
     return outcome;
   }
 
-  /**
-   * Guards against a stream that holds events of two software versions: from its
-   * first event on, the request goes only to targets of the version that sent
-   * it.
-   */
-  private versionedSink(target: Target): EventSink {
-    const {writer} = this;
-    return {
-      events: (events, head) => {
-        if (!writer.hasStarted) this.beginStream(target);
-        return writer.events(events, head);
-      },
-    };
-  }
-
   /** @returns Whether the request is finished. */
   private handleOutcome(outcome: ExchangeOutcome, target: Target): boolean {
-    this.recordEvidence(outcome, target);
+    this.crashes.recordOutcome(outcome, target, this.writer.hasStarted);
     switch (outcome.kind) {
       case 'answered':
         // The target was asked to resume a stream and sent another response
@@ -266,7 +230,7 @@
         if (this.writer.hasStarted) return this.retryOrGiveUp('failed', target);
         if (outcome.head.status >= STATUS_SERVER_ERROR && this.canRetry())
           return this.recordFailedResponse(outcome, target);
-        this.context.crashSuspects.recordAnswer(this.fingerprint);
+        this.context.crashSuspects.recordAnswer(this.admitted.fingerprint);
         this.writer.sendComplete(outcome.head, outcome.body);
         return this.finish('answered', outcome.head.status, target);
       case 'streamed':
@@ -289,16 +253,6 @@
     }
   }
 
-  private recordEvidence(outcome: ExchangeOutcome, target: Target): void {
-    const {crashSuspects, promptSuspects} = this.context;
-    if (outcome.kind === 'streamed' || outcome.kind === 'answered')
-      promptSuspects.recordCompletedRun(this.prompt);
-    if (!mayHaveCrashed(outcome)) return;
-    promptSuspects.recordBrokenRun(this.prompt, target.id);
-    if (!this.writer.hasStarted)
-      crashSuspects.recordBrokenRun(this.fingerprint, target.id);
-  }
-
   /**
    * Keeps the error response of a target for a request that can be retried. It
    * is sent to the caller only if no other target succeeds.
--- /dev/null
+++ b/packages/gateway/src/lib/request/stream_continuation.ts
@@ -0,0 +1,80 @@
+/**
+ * Keeps a stream at the software version that began it, within one response and
+ * when its caller takes it up.
+ */
+import type {Target} from '../connection/target.js';
+import type {StreamVersions} from '../process/stream_versions.js';
+import type {EventSink} from './exchange.js';
+import type {ResponseWriter} from './response_writer.js';
+import type {RequestMetadata} from './target_protocol.js';
+import type {TargetSearch} from './target_search.js';
+
+/** Dependencies of {@link StreamContinuation}. */
+export interface StreamContinuationContext {
+  readonly streamVersions: Pick<StreamVersions, 'record' | 'continuationOf'>;
+}
+
+/** The request whose response may be a stream. */
+export interface StreamRequest {
+  readonly metadata: RequestMetadata;
+  /** Whether its caller may take the stream up after it broke off. */
+  readonly isResumable: boolean;
+  readonly search: Pick<TargetSearch, 'restrictTo'>;
+  readonly writer: ResponseWriter;
+}
+
+/** The stream of one request. */
+export class StreamContinuation {
+  /**
+   * @param context - What the hosts know of streams.
+   * @param request - The request.
+   */
+  constructor(
+    private readonly context: StreamContinuationContext,
+    private readonly request: StreamRequest,
+  ) {}
+
+  /**
+   * Restricts a stream that its caller takes up to the software version that
+   * began it.
+   *
+   * @param service - Service that is to go on with it.
+   * @returns Whether the version is known, as far as it matters. Never rejects.
+   */
+  async learnVersion(service: string): Promise<boolean> {
+    const {metadata, search} = this.request;
+    const {lastEventId, resumes} = metadata;
+    if (lastEventId === undefined) return true;
+    const {streamVersions} = this.context;
+    const found = await streamVersions.continuationOf(service, resumes);
+    if (found.kind === 'at-version') search.restrictTo(found.softwareVersion);
+    return found.kind !== 'unknown';
+  }
+
+  /**
+   * From its first event on, the request goes only to targets of the version
+   * that sent it.
+   *
+   * @param target - Where the request is sent.
+   * @returns Receives the events of that run.
+   */
+  sinkFor(target: Target): EventSink {
+    const {writer} = this.request;
+    return {
+      events: (events, head) => {
+        if (!writer.hasStarted) this.begin(target);
+        return writer.events(events, head);
+      },
+    };
+  }
+
+  /** Records where the stream begins, before its caller gets anything of it. */
+  private begin({service, softwareVersion}: Target): void {
+    const {metadata, isResumable, search} = this.request;
+    const {requestId, lastEventId, resumes} = metadata;
+    search.restrictTo(softwareVersion);
+    const stream = lastEventId === undefined ? requestId : resumes;
+    if (stream === undefined || !isResumable) return;
+    this.context.streamVersions.record(stream, {service, softwareVersion});
+  }
+}
