An item whose additional run was ended gets it again

It had run on three targets that requests with a bad part crashed, so it was held as a suspect and due for one run that decides. Requests took its slot 50 ms into that run, and the next one was due only 6.3 s later, again and again. Cause: the run counted as used although it had shown nothing. Change: a run that we end, or that a target declines, grants it again.

--- a/packages/gateway/src/lib/process/crash_suspects.ts
+++ b/packages/gateway/src/lib/process/crash_suspects.ts
@@ -134,6 +134,17 @@
     });
   }
 
+  /**
+   * Grants a blocked item its additional run again. Guards against an item that
+   * waits for seconds each time a request takes its slot.
+   *
+   * @param requestFingerprint - Fingerprint of an item whose run was ended
+   *     before it showed whether it crashes its target.
+   */
+  recordUndecidedRun(requestFingerprint: string): void {
+    this.lastExtraRunAt.delete(requestFingerprint);
+  }
+
   /**
    * @param requestFingerprint - Fingerprint of a request whose run broke off
    *     before any response.
--- a/packages/gateway/src/test/process/crash_suspects_test.ts
+++ b/packages/gateway/src/test/process/crash_suspects_test.ts
@@ -226,3 +226,18 @@
   late.suspects.update((await updateFrom(store, 0)).update);
   t.false(late.suspects.isBlocked('p'));
 });
+
+// Guards against a harmless item that waits six seconds again and again: requests
+// take its slot before its additional run has shown anything.
+test('an item whose additional run was ended gets it again', t => {
+  const {suspects, advanceWithReads} = crashedThree();
+  advanceWithReads(EXPIRY_KNOWN_MS);
+  suspects.recordItemStart('p');
+  t.true(suspects.isItemBlocked('p'));
+  suspects.recordUndecidedRun('p');
+  t.false(suspects.isItemBlocked('p'));
+  suspects.recordItemStart('p');
+  suspects.recordBrokenRun('p', 'i-4');
+  suspects.recordUndecidedRun('p');
+  t.true(suspects.isItemBlocked('p'), 'it has crashed a fourth target');
+});
--- a/packages/jobs/src/lib/process/item_runner.ts
+++ b/packages/jobs/src/lib/process/item_runner.ts
@@ -149,10 +149,9 @@
       isComplete: end.kind === 'streamed',
     });
     recordPromptEvidence(context, promptOf(context, work, target), end, target);
-    if (sink.firstEventAtMs !== undefined || end.kind === 'answered')
-      context.crashSuspects.recordAnswer(work.fingerprint);
-    else if (mayHaveCrashed(end))
-      context.crashSuspects.recordBrokenRun(work.fingerprint, target.id);
+    const hasAnswered =
+      sink.firstEventAtMs !== undefined || end.kind === 'answered';
+    recordSuspicion(context, work, end, target, hasAnswered);
     handleRunEnd(context, job, work, end, target);
   });
 }
@@ -174,6 +173,18 @@
   return {service, sharedParts: work.sharedParts};
 }
 
+function recordSuspicion(
+  {crashSuspects}: ItemRunContext,
+  {fingerprint}: ItemWork,
+  end: ExchangeOutcome,
+  {id}: Target,
+  hasAnswered: boolean,
+): void {
+  if (hasAnswered) crashSuspects.recordAnswer(fingerprint);
+  else if (mayHaveCrashed(end)) crashSuspects.recordBrokenRun(fingerprint, id);
+  else crashSuspects.recordUndecidedRun(fingerprint);
+}
+
 function recordPromptEvidence(
   {promptSuspects}: ItemRunContext,
   prompt: PromptParts,
--- a/packages/soak/src/lib/process/kept_seeds.ts
+++ b/packages/soak/src/lib/process/kept_seeds.ts
@@ -1,7 +1,10 @@
 /** Seeds that broke a promise once; each is played again, as it was. */
 import {
   FIRST_FAULT_KINDS,
+  GIVING_UP_FAULT_KINDS,
   LOST_JOB_FAULT_KINDS,
+  OVERLOAD_FAULT_KINDS,
+  VERSION_FAULT_KINDS,
   type SoakOptions,
 } from './soak_plan.js';
 
@@ -39,7 +42,21 @@
     'store-refuses-one',
   ],
 } as const;
+/** What was played when parts that crash servers were looked for. */
+const CRASHES = {
+  programs: 5,
+  engines: 5,
+  kinds: [
+    ...FIRST_FAULT_KINDS,
+    'server-answer-mixes',
+    ...GIVING_UP_FAULT_KINDS,
+    ...OVERLOAD_FAULT_KINDS,
+    ...LOST_JOB_FAULT_KINDS,
+    ...VERSION_FAULT_KINDS,
+  ],
+} as const;
 /** Load with faults, in milliseconds. */
+const BRIEF_MS = 9000;
 const SHORT_MS = 12_000;
 const MEDIUM_MS = 15_000;
 const UNHEARD_MS = 18_000;
@@ -100,4 +117,10 @@
     cause: 'the only host that would have taken a job over had not heard of it',
     inTests: false,
   },
+  {
+    options: {seed: 50_303, loadMs: BRIEF_MS, ...CRASHES},
+    cause:
+      'requests took the slot of an item before its run showed whether it crashes targets',
+    inTests: false,
+  },
 ];
--- a/packages/soak/src/test/process/soak_plan_test.ts
+++ b/packages/soak/src/test/process/soak_plan_test.ts
@@ -14,6 +14,7 @@
   [5010, '8936453442255778'],
   [47107, '673445ff5c65b595'],
   [47506, '426da450f90c78e2'],
+  [50303, '57c1f0f2c85f7e94'],
 ]);
 const HASH_LENGTH = 16;
 
