Crashes that a guilty part explains do not hold other requests back

It had run on four targets that requests with a bad part crashed, and the suspects by path and body hold back for a minute what broke off at four. Cause: a crash counted against each request that ran there, also when it is known which one made it. Change: targets in the verdict on a part, and those that it crashes later, no longer count against other requests. Evidence: a new test of the suspects; poison_part_test and poison_request_test pass.

--- a/packages/gateway/src/lib/process/crash_suspects.ts
+++ b/packages/gateway/src/lib/process/crash_suspects.ts
@@ -65,6 +65,8 @@
    * @returns Time until the entry of a crashed target expires, in milliseconds.
    */
   readonly expiryMs: () => number;
+  /** @returns Whether it is known that other requests crashed the target. */
+  readonly isExplained: (targetId: string) => boolean;
 }
 
 /** Tracks requests whose runs broke off before a response. */
@@ -89,18 +91,28 @@
   /** @returns Whether the request must not be sent. */
   isBlocked(requestFingerprint: string): boolean {
     const suspect = this.suspects.get(requestFingerprint);
-    if (!suspect || suspect.targets.length < TARGETS_TO_BLOCK) return false;
+    if (!suspect) return false;
+    const targets = this.unexplained(suspect);
+    if (targets.length < TARGETS_TO_BLOCK) return false;
     const sinceMs = this.now() - suspect.at;
     if (sinceMs >= SUSPECT_LIFETIME_MS) return false;
     const {directory} = this.context;
     const knownAfterMs = this.expiryKnownAfterMs();
     if (sinceMs < knownAfterMs) return true;
-    const crashed = suspect.targets.filter(
+    const crashed = targets.filter(
       id => !directory.isListedFor(id, knownAfterMs),
     );
     return crashed.length >= TARGETS_TO_BLOCK;
   }
 
+  /**
+   * Guards against harmless requests that are held for a minute because they
+   * ran beside others with a part of a prompt that crashes targets.
+   */
+  private unexplained({targets}: Suspect): readonly string[] {
+    return targets.filter(id => !this.context.isExplained(id));
+  }
+
   /**
    * Whether a batch item is blocked. A blocked item gets one more run.
    *
@@ -116,7 +128,9 @@
    */
   isItemBlocked(requestFingerprint: string): boolean {
     if (!this.isBlocked(requestFingerprint)) return false;
-    const {targets, at} = this.suspects.get(requestFingerprint)!;
+    const suspect = this.suspects.get(requestFingerprint)!;
+    const {at} = suspect;
+    const targets = this.unexplained(suspect);
     const lastRunAt = Math.max(
       at,
       this.lastExtraRunAt.get(requestFingerprint) ?? 0,
--- a/packages/gateway/src/lib/process/prompt_suspects.ts
+++ b/packages/gateway/src/lib/process/prompt_suspects.ts
@@ -86,6 +86,7 @@
 const WATCH_INTERVAL_MS = 200;
 const MAX_ROWS_PER_TRANSACTION = 100;
 const MAX_VERDICTS = 1024;
+const MAX_EXPLAINED_TARGETS = 4096;
 
 /** Parts that crash targets, as one host knows them. */
 export class PromptSuspects {
@@ -93,6 +94,10 @@
   private readonly verdicts = new LRUCache<string, KnownVerdict>({
     max: MAX_VERDICTS,
   });
+  /** Targets that a guilty part has crashed. */
+  private readonly explained = new LRUCache<string, true>({
+    max: MAX_EXPLAINED_TARGETS,
+  });
   private pendingPuts: RowPut[] = [];
   private isWriteDue = false;
   private isWatching = false;
@@ -129,6 +134,11 @@
     );
   }
 
+  /** @returns Whether a part that is known to be guilty crashed the target. */
+  isExplained(target: string): boolean {
+    return this.explained.has(target);
+  }
+
   /**
    * @param prompt - Parts of a request whose run broke off as a crash breaks it
    *     off.
@@ -142,6 +152,7 @@
         target,
         atMs: at,
       });
+      if (this.verdicts.has(key)) this.explained.set(target, true);
       if (!isNew) continue;
       const value = encodeJson({service, targets: [target], at});
       this.put({...crashRef(key, target), value});
@@ -224,6 +235,7 @@
     if (!crash.ok) return crash.err.message;
     const {service, at} = crash.value;
     const [target] = crash.value.targets;
+    if (this.verdicts.has(part)) this.explained.set(target, true);
     if (this.now() - at <= PART_CRASH_LIFETIME_MS)
       this.suspicion.recordCrash(service, part, {target, atMs: at});
     return undefined;
@@ -237,7 +249,7 @@
     const verdict = decodeJson(value, VERDICT);
     if (!verdict.ok) return verdict.err.message;
     if (this.now() - verdict.value.at < VERDICT_LIFETIME_MS)
-      this.verdicts.set(part, {...verdict.value, version});
+      this.setVerdict(part, {...verdict.value, version});
     else void this.write([], [verdictRef(part)]);
     return undefined;
   }
@@ -269,7 +281,10 @@
   /** Drops a verdict that is over, or whose targets have not crashed. */
   private strikeOff(key: string, {service, targets}: Verdict): void {
     this.verdicts.delete(key);
-    for (const target of targets) this.suspicion.forgetCrash(key, target);
+    for (const target of targets) {
+      this.suspicion.forgetCrash(key, target);
+      this.explained.delete(target);
+    }
     this.context.log.event('prompt-part-cleared', {service, part: key});
     void this.write([], [verdictRef(key)]);
   }
@@ -282,7 +297,7 @@
     const targets = crashes.map(({target}) => target);
     const verdict = {service, targets, at: this.now(), trials: 0};
     const known = {...verdict, version: undefined};
-    this.verdicts.set(key, known);
+    this.setVerdict(key, known);
     this.context.log.event('prompt-part-blocked', {
       service,
       part: key,
@@ -292,6 +307,11 @@
     return known;
   }
 
+  private setVerdict(key: string, verdict: KnownVerdict): void {
+    this.verdicts.set(key, verdict);
+    for (const target of verdict.targets) this.explained.set(target, true);
+  }
+
   private async publish(key: string, verdict: Verdict): Promise<void> {
     const ref = verdictRef(key);
     const written = await this.context.store.transact({
--- a/packages/gateway/src/test/process/crash_suspects_test.ts
+++ b/packages/gateway/src/test/process/crash_suspects_test.ts
@@ -24,8 +24,11 @@
   const log = NO_EVENT_LOG;
   const directory = new TargetDirectory({clock, log});
   const expiryMs = () => EXPIRY_MS;
+  const explained = new Set<string>();
   return {
+    explained,
     suspects: new CrashSuspects({
+      isExplained: id => explained.has(id),
       store,
       clock,
       log,
@@ -241,3 +244,17 @@
   suspects.recordUndecidedRun('p');
   t.true(suspects.isItemBlocked('p'), 'it has crashed a fourth target');
 });
+
+// Guards against a harmless item that is held for a minute because it ran on four
+// targets that requests with a bad part of their prompts have crashed.
+test('crashes that a guilty part explains do not block other requests', t => {
+  const {suspects, explained} = newSuspects();
+  const ids = [...TARGETS, 'i-4'];
+  for (const id of ids) suspects.recordBrokenRun('p', id);
+  t.true(suspects.isItemBlocked('p'));
+  for (const id of ids.slice(2)) explained.add(id);
+  t.false(suspects.isBlocked('p'));
+  t.false(suspects.isItemBlocked('p'));
+  suspects.recordBrokenRun('p', 'i-5');
+  t.true(suspects.isBlocked('p'), 'three crashes that nothing explains');
+});
--- a/packages/gateway/src/test/process/prompt_suspects_test.ts
+++ b/packages/gateway/src/test/process/prompt_suspects_test.ts
@@ -109,6 +109,8 @@
   await fleet.run(3000);
   t.deepEqual(new Set(await admissionsAt(fleet.hosts)), new Set(['blocked']));
   for (const {suspects} of fleet.hosts) {
+    t.true(suspects.isExplained('t0'));
+    t.false(suspects.isExplained('other'));
     t.is(await suspects.admit(SOUND), 'free');
     t.is(await suspects.admit({...BAD, service: 'other'}), 'free');
   }
--- a/packages/serving/src/lib/process/serving_components.ts
+++ b/packages/serving/src/lib/process/serving_components.ts
@@ -134,8 +134,11 @@
     directory,
     expiryMs: () => platform.tunables().targetExpiryMs,
   };
-  const crashSuspects = new CrashSuspects(suspectContext);
   const promptSuspects = new PromptSuspects(suspectContext);
+  const crashSuspects = new CrashSuspects({
+    ...suspectContext,
+    isExplained: target => promptSuspects.isExplained(target),
+  });
   const hosts = () => membership.live().length;
   const preferredTargets = new PreferredTargets({
     self: self.id,
