An item whose job ends while its prompt is looked at is left alone

Found in review: whether a part of the prompt crashes targets is asked in a step of its own, in which a job may be ended, handed over or paused. The item was set to wait afterwards, also if it had come to its end. Change: what may have changed is looked at again first.

--- a/packages/jobs/src/lib/process/batch_scheduler.ts
+++ b/packages/jobs/src/lib/process/batch_scheduler.ts
@@ -215,20 +215,21 @@
     this.waitingReport.countPlacement(urgency, found.kind);
     // While the placement was pending, the item may have failed, or its job may
     // have been cancelled or handed over.
-    const isStale = work.stage !== stage || job.closed || this.paused;
+    const isStale = () => work.stage !== stage || job.closed || this.paused;
     if (found.kind === 'full') {
-      if (found.isSelective && !isStale)
+      if (found.isSelective && !isStale())
         work.stage = {kind: 'waiting', notBefore: found.until};
       return found.isSelective ? 'selective' : 'full';
     }
-    if (isStale) return 'placed';
+    if (isStale()) return 'placed';
     const prompt = promptOf(this.context, work, found.target);
-    if ((await this.context.promptSuspects.admit(prompt)) === 'blocked') {
+    const admission = await this.context.promptSuspects.admit(prompt);
+    if (isStale()) return 'placed';
+    if (admission === 'blocked') {
       const notBefore = this.context.clock.now() + BLOCKED_ITEM_DELAY_MS;
       work.stage = {kind: 'waiting', notBefore};
       return 'selective';
     }
-    if (work.stage !== stage || job.closed) return 'placed';
     crashSuspects.recordItemStart(work.fingerprint);
     runItem(this.context, job, work, route, found.target, run => {
       this.durations.addRun(job.head, run);
