Logs name the version at which a stream that is taken up may go on

Cause: a caller's return was counted by outcome, but no line named the stream, the request that began it and the version found. Change: stream-taken-up does. Decisions are unchanged.

--- a/packages/gateway/src/lib/request/stream_continuation.ts
+++ b/packages/gateway/src/lib/request/stream_continuation.ts
@@ -2,6 +2,7 @@
  * Keeps a stream at the software version that began it, within one response and
  * when its caller takes it up.
  */
+import type {EventLog} from '@oathead/core';
 import type {Target} from '../connection/target.js';
 import type {StreamVersions} from '../process/stream_versions.js';
 import type {EventSink} from './exchange.js';
@@ -11,6 +12,7 @@
 
 /** Dependencies of {@link StreamContinuation}. */
 export interface StreamContinuationContext {
+  readonly log: EventLog;
   readonly streamVersions: Pick<StreamVersions, 'record' | 'continuationOf'>;
 }
 
@@ -45,8 +47,15 @@
     const {metadata, search} = this.request;
     const {lastEventId, resumes} = metadata;
     if (lastEventId === undefined) return true;
-    const {streamVersions} = this.context;
+    const {log, streamVersions} = this.context;
     const found = await streamVersions.continuationOf(service, resumes);
+    log.event('stream-taken-up', {
+      request: metadata.requestId,
+      resumes,
+      afterEvent: lastEventId,
+      service,
+      ...found,
+    });
     if (found.kind === 'at-version') search.restrictTo(found.softwareVersion);
     return found.kind !== 'unknown';
   }
