Logs say why a request under which targets have crashed is let through

Cause: the logs of the incident could not tell which targets were left out of a request's record, because of which part of a prompt, and how the verdict on that part had ended. Change: suspect-let-through with the reason and the parts, suspect-cleared, and reason and targets in prompt-part-cleared, also when another host removed the verdict. No decision changes.

--- a/packages/gateway/src/lib/process/crash_suspects.ts
+++ b/packages/gateway/src/lib/process/crash_suspects.ts
@@ -65,10 +65,22 @@
    * @returns Time until the entry of a crashed target expires, in milliseconds.
    */
   readonly expiryMs: () => number;
-  /** @returns Whether it is known that other requests crashed the target. */
-  readonly isExplained: (targetId: string) => boolean;
+  /**
+   * @returns The part of prompts that is known to have crashed the target;
+   *     undefined if none is.
+   */
+  readonly explanationOf: (targetId: string) => string | undefined;
 }
 
+/** Why a request may run although targets have crashed under it. */
+type ReleaseReason =
+  /** Parts of prompts are known to have crashed the targets. */
+  | 'explained'
+  /** Its last crash is older than the lifetime of a suspect. */
+  | 'expired'
+  /** The targets are listed still, so they have not crashed. */
+  | 'listed';
+
 /** Tracks requests whose runs broke off before a response. */
 export class CrashSuspects {
   private readonly suspects = new Map<string, Suspect>();
@@ -76,6 +88,8 @@
    * Time at which a blocked item was last given another run, by fingerprint.
    */
   private readonly lastExtraRunAt = new Map<string, number>();
+  /** What was last logged of why a request may run, by fingerprint. */
+  private readonly loggedReleases = new Map<string, string>();
 
   /**
    * @param context - The store through which hosts share suspects, and the
@@ -91,18 +105,42 @@
   /** @returns Whether the request must not be sent. */
   isBlocked(requestFingerprint: string): boolean {
     const suspect = this.suspects.get(requestFingerprint);
-    if (!suspect) return false;
+    if (!suspect || suspect.targets.length < TARGETS_TO_BLOCK) return false;
+    const reason = this.releaseReason(suspect);
+    if (reason) this.logRelease(requestFingerprint, suspect, reason);
+    return !reason;
+  }
+
+  private releaseReason(suspect: Suspect): ReleaseReason | undefined {
     const targets = this.unexplained(suspect);
-    if (targets.length < TARGETS_TO_BLOCK) return false;
+    if (targets.length < TARGETS_TO_BLOCK) return 'explained';
     const sinceMs = this.now() - suspect.at;
-    if (sinceMs >= SUSPECT_LIFETIME_MS) return false;
+    if (sinceMs >= SUSPECT_LIFETIME_MS) return 'expired';
     const {directory} = this.context;
     const knownAfterMs = this.expiryKnownAfterMs();
-    if (sinceMs < knownAfterMs) return true;
+    if (sinceMs < knownAfterMs) return undefined;
     const crashed = targets.filter(
       id => !directory.isListedFor(id, knownAfterMs),
     );
-    return crashed.length >= TARGETS_TO_BLOCK;
+    return crashed.length >= TARGETS_TO_BLOCK ? undefined : 'listed';
+  }
+
+  /** Logs once for each reason and set of targets: items are asked about often. */
+  private logRelease(
+    requestFingerprint: string,
+    {targets}: Suspect,
+    reason: ReleaseReason,
+  ): void {
+    const release = `${reason} ${targets.length}`;
+    if (this.loggedReleases.get(requestFingerprint) === release) return;
+    this.loggedReleases.set(requestFingerprint, release);
+    const explanations = targets.map(this.context.explanationOf);
+    this.context.log.event('suspect-let-through', {
+      fingerprint: requestFingerprint,
+      targets,
+      reason,
+      parts: [...new Set(explanations)].filter(part => part !== undefined),
+    });
   }
 
   /**
@@ -110,7 +148,7 @@
    * ran beside others with a part of a prompt that crashes targets.
    */
   private unexplained({targets}: Suspect): readonly string[] {
-    return targets.filter(id => !this.context.isExplained(id));
+    return targets.filter(id => this.context.explanationOf(id) === undefined);
   }
 
   /**
@@ -191,8 +229,14 @@
    * @param requestFingerprint - Fingerprint of a request that was answered.
    */
   recordAnswer(requestFingerprint: string): void {
-    if (!this.suspects.has(requestFingerprint)) return;
+    const suspect = this.suspects.get(requestFingerprint);
+    if (!suspect) return;
     this.forget(requestFingerprint);
+    const {targets} = suspect;
+    this.context.log.event('suspect-cleared', {
+      fingerprint: requestFingerprint,
+      targets,
+    });
     // If the write fails, the other hosts forget the suspect after its lifetime.
     void this.context.store.transact({
       expect: [],
@@ -234,6 +278,7 @@
   private forget(requestFingerprint: string): void {
     this.suspects.delete(requestFingerprint);
     this.lastExtraRunAt.delete(requestFingerprint);
+    this.loggedReleases.delete(requestFingerprint);
   }
 
   private setSuspect(requestFingerprint: string, suspect: Suspect): void {
--- a/packages/gateway/src/lib/process/prompt_suspects.ts
+++ b/packages/gateway/src/lib/process/prompt_suspects.ts
@@ -66,6 +66,18 @@
   readonly version: number | undefined;
 }
 
+/** How a verdict ends. */
+type VerdictEnd =
+  /** A run with the part got through at this host. */
+  | 'got-through'
+  /** Another host has removed it. */
+  | 'removed'
+  | 'expired'
+  /** Its targets are listed still, so they have not crashed. */
+  | 'listed'
+  /** It could not be written, so that nobody could try the part again. */
+  | 'unwritten';
+
 /** Number of crashed targets that a verdict needs. */
 const MIN_TARGETS = 3;
 /**
@@ -94,8 +106,8 @@
   private readonly verdicts = new LRUCache<string, KnownVerdict>({
     max: MAX_VERDICTS,
   });
-  /** Targets that a guilty part has crashed. */
-  private readonly explained = new LRUCache<string, true>({
+  /** Targets that a guilty part has crashed, with that part. */
+  private readonly explained = new LRUCache<string, string>({
     max: MAX_EXPLAINED_TARGETS,
   });
   private pendingPuts: RowPut[] = [];
@@ -134,9 +146,13 @@
     );
   }
 
-  /** @returns Whether a part that is known to be guilty crashed the target. */
-  isExplained(target: string): boolean {
-    return this.explained.has(target);
+  /**
+   * @param target - ID of a target.
+   * @returns The key of the guilty part that crashed it; undefined if none is
+   *     known.
+   */
+  explanationOf(target: string): string | undefined {
+    return this.explained.peek(target);
   }
 
   /**
@@ -152,7 +168,7 @@
         target,
         atMs: at,
       });
-      if (this.verdicts.has(key)) this.explained.set(target, true);
+      if (this.verdicts.has(key)) this.explained.set(target, key);
       if (!isNew) continue;
       const value = encodeJson({service, targets: [target], at});
       this.put({...crashRef(key, target), value});
@@ -172,10 +188,7 @@
       crashes.map(({target}) => crashRef(key, target)),
     );
     const acquitted = keys.filter(key => this.verdicts.has(key));
-    for (const key of acquitted) {
-      this.verdicts.delete(key);
-      this.context.log.event('prompt-part-cleared', {service, part: key});
-    }
+    for (const key of acquitted) this.endVerdict(key, 'got-through');
     const removes = [...refs, ...acquitted.map(verdictRef)];
     if (removes.length > 0) void this.write([], removes);
   }
@@ -213,7 +226,20 @@
   private remove(rowKey: string): void {
     const {part, target} = parseRowKey(rowKey);
     if (target !== undefined) this.suspicion.forgetCrash(part, target);
-    else this.verdicts.delete(part);
+    else this.endVerdict(part, 'removed');
+  }
+
+  private endVerdict(key: string, reason: VerdictEnd): void {
+    const known = this.verdicts.peek(key);
+    if (!known) return;
+    this.verdicts.delete(key);
+    const {service, targets} = known;
+    this.context.log.event('prompt-part-cleared', {
+      service,
+      part: key,
+      targets,
+      reason,
+    });
   }
 
   private apply(row: VersionedRow): void {
@@ -235,7 +261,7 @@
     if (!crash.ok) return crash.err.message;
     const {service, at} = crash.value;
     const [target] = crash.value.targets;
-    if (this.verdicts.has(part)) this.explained.set(target, true);
+    if (this.verdicts.has(part)) this.explained.set(target, part);
     if (this.now() - at <= PART_CRASH_LIFETIME_MS)
       this.suspicion.recordCrash(service, part, {target, atMs: at});
     return undefined;
@@ -279,13 +305,13 @@
   }
 
   /** Drops a verdict that is over, or whose targets have not crashed. */
-  private strikeOff(key: string, {service, targets}: Verdict): void {
-    this.verdicts.delete(key);
+  private strikeOff(key: string, {targets, at}: Verdict): void {
+    const isExpired = this.now() - at >= VERDICT_LIFETIME_MS;
+    this.endVerdict(key, isExpired ? 'expired' : 'listed');
     for (const target of targets) {
       this.suspicion.forgetCrash(key, target);
       this.explained.delete(target);
     }
-    this.context.log.event('prompt-part-cleared', {service, part: key});
     void this.write([], [verdictRef(key)]);
   }
 
@@ -309,7 +335,7 @@
 
   private setVerdict(key: string, verdict: KnownVerdict): void {
     this.verdicts.set(key, verdict);
-    for (const target of verdict.targets) this.explained.set(target, true);
+    for (const target of verdict.targets) this.explained.set(target, key);
   }
 
   private async publish(key: string, verdict: Verdict): Promise<void> {
@@ -326,7 +352,7 @@
     // nowhere, so it ends by itself.
     this.context.clock.after(FIRST_TRIAL_MS, () => {
       if (this.verdicts.get(key)?.version === undefined)
-        this.verdicts.delete(key);
+        this.endVerdict(key, 'unwritten');
     });
   }
 
--- a/packages/gateway/src/test/process/crash_suspects_test.ts
+++ b/packages/gateway/src/test/process/crash_suspects_test.ts
@@ -28,7 +28,7 @@
   return {
     explained,
     suspects: new CrashSuspects({
-      isExplained: id => explained.has(id),
+      explanationOf: id => (explained.has(id) ? 'part' : undefined),
       store,
       clock,
       log,
--- a/packages/gateway/src/test/process/prompt_suspects_test.ts
+++ b/packages/gateway/src/test/process/prompt_suspects_test.ts
@@ -1,6 +1,7 @@
 import {failure, NO_COUNTERS, NO_EVENT_LOG} from '@oathead/core';
 import {MemoryRowStore, type RowStore} from '@oathead/stores';
 import test from 'ava';
+import {partKeyOf} from '../../lib/process/prompt_suspect_rows.js';
 import {PromptSuspects} from '../../lib/process/prompt_suspects.js';
 import {SUSPECT_TABLE} from '../../lib/process/suspect_table.js';
 import {TargetDirectory} from '../../lib/process/target_directory.js';
@@ -109,8 +110,8 @@
   await fleet.run(3000);
   t.deepEqual(new Set(await admissionsAt(fleet.hosts)), new Set(['blocked']));
   for (const {suspects} of fleet.hosts) {
-    t.true(suspects.isExplained('t0'));
-    t.false(suspects.isExplained('other'));
+    t.is(suspects.explanationOf('t0'), partKeyOf('s', 'bad'));
+    t.is(suspects.explanationOf('other'), undefined);
     t.is(await suspects.admit(SOUND), 'free');
     t.is(await suspects.admit({...BAD, service: 'other'}), 'free');
   }
--- a/packages/serving/src/lib/process/serving_components.ts
+++ b/packages/serving/src/lib/process/serving_components.ts
@@ -137,7 +137,7 @@
   const promptSuspects = new PromptSuspects(suspectContext);
   const crashSuspects = new CrashSuspects({
     ...suspectContext,
-    isExplained: target => promptSuspects.isExplained(target),
+    explanationOf: target => promptSuspects.explanationOf(target),
   });
   const hosts = () => membership.live().length;
   const preferredTargets = new PreferredTargets({
