Failing tests: a request that crashes targets is let through again

Callers' requests broke off with four more targets each time: a request under which three targets had crashed was blocked, and free again when a part of its prompt, to which the crashes had been put down, got through.

--- /dev/null
+++ b/packages/gateway/src/test/process/suspects_together_test.ts
@@ -0,0 +1,117 @@
+import test from 'ava';
+import {
+  SOUND,
+  STEP_MS,
+  SuspectFleet,
+  type FakeRequest,
+} from '../fakes/suspect_fleet.js';
+
+const SUSPECT = 'suspect';
+const PART_BLOCKED = 'prompt part blocked';
+/** Longer than any evidence against a part is waited for, in milliseconds. */
+const DECIDED_MS = 4000;
+/** Time after which crashes do not count against a part, in milliseconds. */
+const FORGOTTEN_MS = 36_000;
+
+function requestOf(fingerprint: string): FakeRequest {
+  const prompt = {service: 's', sharedParts: ['first', 'middle']};
+  return {fingerprint, prompt};
+}
+
+/** Crashes each target that runs it. */
+const POISON = requestOf('poison');
+/** Shares all parts of its prompt with the poison request. */
+const NEIGHBOUR = requestOf('neighbour');
+const OTHERS = [requestOf('other-1'), requestOf('other-2')] as const;
+
+async function newFleet(hosts = 3): Promise<SuspectFleet> {
+  const fleet = new SuspectFleet();
+  for (let i = 0; i < hosts; i++) fleet.add();
+  await fleet.run(1000);
+  return fleet;
+}
+
+/** One target after another crashes under the poison request. */
+async function crashUnderPoison(fleet: SuspectFleet): Promise<void> {
+  for (const [i, host] of fleet.hosts.entries()) {
+    host.crash(POISON, `t${i}`);
+    await fleet.run(STEP_MS);
+  }
+}
+
+/**
+ * The same, and two more crash under two others with the same part, so that the
+ * part is blocked.
+ */
+async function newFleetWithVerdict(): Promise<SuspectFleet> {
+  const fleet = await newFleet();
+  await crashUnderPoison(fleet);
+  for (const [i, other] of OTHERS.entries()) {
+    fleet.hosts[i]!.crash(other, `u${i}`);
+    await fleet.run(STEP_MS);
+  }
+  await fleet.run(DECIDED_MS);
+  return fleet;
+}
+
+function all(fleet: SuspectFleet, refusal: string): readonly string[] {
+  return fleet.hosts.map(() => refusal);
+}
+
+// Guards against sound requests that are refused because one request, with which
+// they share a part of their prompts, crashes targets.
+test('crashes under one request are not put down to a part of its prompt', async t => {
+  const fleet = await newFleet();
+  await crashUnderPoison(fleet);
+  await fleet.run(DECIDED_MS);
+  t.deepEqual(await fleet.refusals(POISON), all(fleet, SUSPECT));
+  t.deepEqual(await fleet.refusals(NEIGHBOUR), all(fleet, 'none'));
+});
+
+// Guards against a part that crashes targets and is not blocked, since requests
+// that are sent again crash several targets each.
+test('a part is blocked when several requests with it crash targets', async t => {
+  const fleet = await newFleetWithVerdict();
+  t.deepEqual(await fleet.refusals(NEIGHBOUR), all(fleet, PART_BLOCKED));
+  t.deepEqual(await fleet.refusals(SOUND), all(fleet, 'none'));
+});
+
+// Guards against a poison request that is let through again once the part to
+// which its crashes were put down has got through.
+test('a request stays blocked when the verdict on its part ends: got through', async t => {
+  const fleet = await newFleetWithVerdict();
+  fleet.hosts[0]!.complete(NEIGHBOUR);
+  await fleet.run(1000);
+  t.deepEqual(await fleet.refusals(NEIGHBOUR), all(fleet, 'none'));
+  t.deepEqual(await fleet.refusals(POISON), all(fleet, SUSPECT));
+});
+
+// The same for a verdict that its host could not write.
+test('a request stays blocked when the verdict on its part ends: unwritten', async t => {
+  const fleet = await newFleet(1);
+  const [host] = fleet.hosts;
+  fleet.isStoreUp = false;
+  for (let i = 0; i < 4; i++) host!.crash(POISON, `t${i}`);
+  for (const [i, other] of OTHERS.entries()) host!.crash(other, `u${i}`);
+  await fleet.run(DECIDED_MS);
+  t.is(await host!.refusal(NEIGHBOUR), PART_BLOCKED);
+  await fleet.run(FORGOTTEN_MS);
+  t.is(await host!.refusal(NEIGHBOUR), 'none');
+  t.is(await host!.refusal(POISON), SUSPECT);
+});
+
+// Guards against hosts that disagree on what holds a request: one has started
+// anew, and reads crashes and verdicts from the store.
+test('a host that starts holds the same requests as the others', async t => {
+  const fleet = await newFleetWithVerdict();
+  const started = fleet.add();
+  await started.read();
+  t.is(await started.refusal(NEIGHBOUR), PART_BLOCKED);
+  fleet.hosts[0]!.complete(NEIGHBOUR);
+  await fleet.run(1000);
+  t.deepEqual(await fleet.refusals(POISON), all(fleet, SUSPECT));
+  const last = fleet.add();
+  await last.read();
+  t.is(await last.refusal(POISON), SUSPECT);
+  t.is(await last.refusal(NEIGHBOUR), 'none');
+});
