Crashes count against a request again when the verdict that explained them ends

Callers saw up to four more targets end, with all that ran there, under a request that had been blocked for three crashes. Cause: a verdict on a part of its prompt put the crashed targets into a set of explained ones, which the request's record leaves out. When a run with the part got through, the verdict ended, and so it did for four other reasons, but only one of them took its targets out of that set again. Neither judge held the request from then on, on any host. Change: there is no such set any more. A verdict carries the targets that crashed under its part, and a crash is explained as long as such a verdict is in force; a host that starts gets the same from the rows of both.

--- a/packages/core/src/lib/process/part_suspicion.ts
+++ b/packages/core/src/lib/process/part_suspicion.ts
@@ -160,6 +160,14 @@
     return cleared;
   }
 
+  /**
+   * @param part - A part of a prompt.
+   * @returns The targets whose crashes under it are remembered.
+   */
+  targetsOf(part: string): readonly string[] {
+    return this.crashesOf(part).map(({target}) => target);
+  }
+
   /**
    * @param nowMs - The current time, in milliseconds.
    * @returns The parts that may come to be guilty without another crash, with
--- a/packages/gateway/src/lib/process/prompt_suspects.ts
+++ b/packages/gateway/src/lib/process/prompt_suspects.ts
@@ -64,6 +64,8 @@
 interface KnownVerdict extends Verdict {
   /** Version of its row; undefined until the row is read. */
   readonly version: number | undefined;
+  /** IDs of all targets that are known to have crashed under its part. */
+  readonly crashed: ReadonlySet<string>;
 }
 
 /** How a verdict ends. */
@@ -98,7 +100,7 @@
 const WATCH_INTERVAL_MS = 200;
 const MAX_ROWS_PER_TRANSACTION = 100;
 const MAX_VERDICTS = 1024;
-const MAX_EXPLAINED_TARGETS = 4096;
+const MAX_CRASHED_TARGETS = 1024;
 
 /** Parts that crash targets, as one host knows them. */
 export class PromptSuspects {
@@ -106,10 +108,6 @@
   private readonly verdicts = new LRUCache<string, KnownVerdict>({
     max: MAX_VERDICTS,
   });
-  /** Targets that a guilty part has crashed, with that part. */
-  private readonly explained = new LRUCache<string, string>({
-    max: MAX_EXPLAINED_TARGETS,
-  });
   private pendingPuts: RowPut[] = [];
   private isWriteDue = false;
   private isWatching = false;
@@ -147,12 +145,17 @@
   }
 
   /**
+   * Looks at the verdicts in force, so that a crash counts against requests
+   * again as soon as the verdict that accounts for it ends, however it does.
+   *
    * @param target - ID of a target.
    * @returns The key of the guilty part that crashed it; undefined if none is
    *     known.
    */
   explanationOf(target: string): string | undefined {
-    return this.explained.peek(target);
+    for (const [part, verdict] of this.verdicts.entries())
+      if (verdict.crashed.has(target) && this.isInForce(verdict)) return part;
+    return undefined;
   }
 
   /**
@@ -168,7 +171,7 @@
         target,
         atMs: at,
       });
-      if (this.verdicts.has(key)) this.explained.set(target, key);
+      this.addCrash(key, target);
       if (!isNew) continue;
       const value = encodeJson({service, targets: [target], at});
       this.put({...crashRef(key, target), value});
@@ -261,7 +264,7 @@
     if (!crash.ok) return crash.err.message;
     const {service, at} = crash.value;
     const [target] = crash.value.targets;
-    if (this.verdicts.has(part)) this.explained.set(target, part);
+    this.addCrash(part, target);
     if (this.now() - at <= PART_CRASH_LIFETIME_MS)
       this.suspicion.recordCrash(service, part, {target, atMs: at});
     return undefined;
@@ -275,7 +278,7 @@
     const verdict = decodeJson(value, VERDICT);
     if (!verdict.ok) return verdict.err.message;
     if (this.now() - verdict.value.at < VERDICT_LIFETIME_MS)
-      this.setVerdict(part, {...verdict.value, version});
+      this.setVerdict(part, verdict.value, version);
     else void this.write([], [verdictRef(part)]);
     return undefined;
   }
@@ -308,10 +311,7 @@
   private strikeOff(key: string, {targets, at}: Verdict): void {
     const isExpired = this.now() - at >= VERDICT_LIFETIME_MS;
     this.endVerdict(key, isExpired ? 'expired' : 'listed');
-    for (const target of targets) {
-      this.suspicion.forgetCrash(key, target);
-      this.explained.delete(target);
-    }
+    for (const target of targets) this.suspicion.forgetCrash(key, target);
     void this.write([], [verdictRef(key)]);
   }
 
@@ -322,8 +322,7 @@
   ): KnownVerdict {
     const targets = crashes.map(({target}) => target);
     const verdict = {service, targets, at: this.now(), trials: 0};
-    const known = {...verdict, version: undefined};
-    this.setVerdict(key, known);
+    const known = this.setVerdict(key, verdict, undefined);
     this.context.log.event('prompt-part-blocked', {
       service,
       part: key,
@@ -333,9 +332,27 @@
     return known;
   }
 
-  private setVerdict(key: string, verdict: KnownVerdict): void {
-    this.verdicts.set(key, verdict);
-    for (const target of verdict.targets) this.explained.set(target, key);
+  private setVerdict(
+    key: string,
+    verdict: Verdict,
+    version: number | undefined,
+  ): KnownVerdict {
+    const before = this.verdicts.peek(key)?.crashed ?? [];
+    const known = this.suspicion.targetsOf(key);
+    const crashed = new Set([...before, ...known, ...verdict.targets]);
+    const set = {...verdict, version, crashed};
+    this.verdicts.set(key, set);
+    return set;
+  }
+
+  /** Adds a crash to the verdict on a part, if there is one. */
+  private addCrash(key: string, target: string): void {
+    const known = this.verdicts.peek(key);
+    if (!known || known.crashed.has(target)) return;
+    const crashed = new Set([...known.crashed, target]);
+    const [oldest] = crashed;
+    if (crashed.size > MAX_CRASHED_TARGETS) crashed.delete(oldest!);
+    this.verdicts.set(key, {...known, crashed});
   }
 
   private async publish(key: string, verdict: Verdict): Promise<void> {
@@ -374,13 +391,13 @@
    * targets. The write decides, so that there is one on the whole fleet.
    */
   private async mayTry(key: string, verdict: KnownVerdict): Promise<boolean> {
-    const {version, ...last} = verdict;
+    const {version, crashed, ...last} = verdict;
     const pauseMs = FIRST_TRIAL_MS * TRIAL_GROWTH ** last.trials;
     const now = this.now();
     const isDue = now - (last.triedAt ?? last.at) >= pauseMs;
     if (!isDue || version === undefined) return false;
     const next = {...last, trials: last.trials + 1, triedAt: now};
-    this.verdicts.set(key, {...next, version: undefined});
+    this.verdicts.set(key, {...next, version: undefined, crashed});
     const ref = verdictRef(key);
     const written = await this.context.store.transact({
       expect: [{...ref, version}],
