Crash records in a module of their own, with the parts of the prompt

Cause: one class kept the crashes under requests, wrote them to the store and judged them, so that no other judge could look at them. Change: CrashRecords keeps and shares them; CrashSuspects judges. A record names the parts of its request's prompt, which hosts of earlier builds neither write nor read (they pass over unknown fields). What is decided does not change.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -21,6 +21,7 @@
 export * from './lib/process/caller_limits.js';
 export * from './lib/process/clock.js';
 export * from './lib/process/counters.js';
+export * from './lib/process/crash_attribution.js';
 export * from './lib/process/disposable_store.js';
 export * from './lib/process/target_admission.js';
 export * from './lib/process/engine_client.js';
--- a/packages/gateway/src/lib/process/crash_suspects.ts
+++ b/packages/gateway/src/lib/process/crash_suspects.ts
@@ -12,28 +12,12 @@
  * target are lost responses of a target that is alive.
  */
 import {fingerprint, type Clock, type EventLog} from '@oathead/core';
-import {
-  decodeJson,
-  encodeJson,
-  type RowRef,
-  type RowStore,
-  type TableUpdate,
-} from '@oathead/stores';
-import {z} from 'zod';
-import {isPartKey, SUSPECT_TABLE} from './suspect_table.js';
+import type {RowStore, TableUpdate} from '@oathead/stores';
+import {LRUCache} from 'lru-cache';
+import type {CrashRecord, CrashRecords} from './crash_records.js';
+import {partKeysOf, type PromptParts} from './prompt_parts.js';
 import type {TargetDirectory} from './target_directory.js';
 
-const SUSPECT = z.object({
-  /** IDs of targets at which a run broke off; see `Target.id`. */
-  targets: z.array(z.string()),
-  /** Time of the last such run, in store time in milliseconds. */
-  at: z.number(),
-});
-interface Suspect {
-  readonly targets: readonly string[];
-  readonly at: number;
-}
-
 /**
  * Number of targets that block a request. Two targets may fail for other
  * reasons.
@@ -44,7 +28,7 @@
  * to be back before a new run shows whether the request still crashes them.
  */
 const SUSPECT_LIFETIME_MS = 60_000;
-/** Maximum number of suspects in memory. */
+/** Maximum number of requests of which more than the crashes is known. */
 const MAX_SUSPECTS = 4096;
 
 /**
@@ -56,7 +40,8 @@
 
 /** Dependencies of {@link CrashSuspects}. */
 export interface CrashSuspectsContext {
-  readonly store: RowStore;
+  readonly store: Pick<RowStore, 'storeTimeMs'>;
+  readonly records: CrashRecords;
   readonly clock: Clock;
   readonly log: EventLog;
   /** Tells which targets are listed. */
@@ -83,18 +68,18 @@
 
 /** Tracks requests whose runs broke off before a response. */
 export class CrashSuspects {
-  private readonly suspects = new Map<string, Suspect>();
   /**
    * Time at which a blocked item was last given another run, by fingerprint.
    */
-  private readonly lastExtraRunAt = new Map<string, number>();
+  private readonly lastExtraRunAt = new LRUCache<string, number>({
+    max: MAX_SUSPECTS,
+  });
   /** What was last logged of why a request may run, by fingerprint. */
-  private readonly loggedReleases = new Map<string, string>();
+  private readonly loggedReleases = new LRUCache<string, string>({
+    max: MAX_SUSPECTS,
+  });
 
-  /**
-   * @param context - The store through which hosts share suspects, and the
-   *     target list.
-   */
+  /** @param context - The crashes under requests, and the target list. */
   constructor(private readonly context: CrashSuspectsContext) {}
 
   /** @returns The fingerprint of a request, derived from its path and body. */
@@ -104,14 +89,14 @@
 
   /** @returns Whether the request must not be sent. */
   isBlocked(requestFingerprint: string): boolean {
-    const suspect = this.suspects.get(requestFingerprint);
+    const suspect = this.context.records.get(requestFingerprint);
     if (!suspect || suspect.targets.length < TARGETS_TO_BLOCK) return false;
     const reason = this.releaseReason(suspect);
     if (reason) this.logRelease(requestFingerprint, suspect, reason);
     return !reason;
   }
 
-  private releaseReason(suspect: Suspect): ReleaseReason | undefined {
+  private releaseReason(suspect: CrashRecord): ReleaseReason | undefined {
     const targets = this.unexplained(suspect);
     if (targets.length < TARGETS_TO_BLOCK) return 'explained';
     const sinceMs = this.now() - suspect.at;
@@ -128,7 +113,7 @@
   /** Logs once for each reason and set of targets: items are asked about often. */
   private logRelease(
     requestFingerprint: string,
-    {targets}: Suspect,
+    {targets}: CrashRecord,
     reason: ReleaseReason,
   ): void {
     const release = `${reason} ${targets.length}`;
@@ -147,7 +132,7 @@
    * Guards against harmless requests that are held for a minute because they
    * ran beside others with a part of a prompt that crashes targets.
    */
-  private unexplained({targets}: Suspect): readonly string[] {
+  private unexplained({targets}: CrashRecord): readonly string[] {
     return targets.filter(id => this.context.explanationOf(id) === undefined);
   }
 
@@ -166,7 +151,7 @@
    */
   isItemBlocked(requestFingerprint: string): boolean {
     if (!this.isBlocked(requestFingerprint)) return false;
-    const suspect = this.suspects.get(requestFingerprint)!;
+    const suspect = this.context.records.get(requestFingerprint)!;
     const {at} = suspect;
     const targets = this.unexplained(suspect);
     const lastRunAt = Math.max(
@@ -201,25 +186,14 @@
    * @param requestFingerprint - Fingerprint of a request whose run broke off
    *     before any response.
    * @param targetId - ID of the target of the run.
+   * @param prompt - Parts of the prompt of the request.
    */
-  recordBrokenRun(requestFingerprint: string, targetId: string): void {
-    const known = this.suspects.get(requestFingerprint)?.targets ?? [];
-    if (known.includes(targetId)) return;
-    const suspect = {targets: [...known, targetId], at: this.now()};
-    this.setSuspect(requestFingerprint, suspect);
-    const {targets} = suspect;
-    this.context.log.event('request-suspect', {
-      fingerprint: requestFingerprint,
-      targets,
-    });
-    const ref = suspectRef(requestFingerprint);
-    // If the write fails, the other hosts learn of the suspect through broken
-    // runs of their own.
-    void this.context.store.transact({
-      expect: [],
-      puts: [{...ref, value: encodeJson(suspect)}],
-      removes: [],
-    });
+  recordBrokenRun(
+    requestFingerprint: string,
+    targetId: string,
+    prompt: PromptParts,
+  ): void {
+    this.context.records.add(requestFingerprint, targetId, partKeysOf(prompt));
   }
 
   /**
@@ -229,66 +203,21 @@
    * @param requestFingerprint - Fingerprint of a request that was answered.
    */
   recordAnswer(requestFingerprint: string): void {
-    const suspect = this.suspects.get(requestFingerprint);
-    if (!suspect) return;
+    this.context.records.clear(requestFingerprint);
     this.forget(requestFingerprint);
-    const {targets} = suspect;
-    this.context.log.event('suspect-cleared', {
-      fingerprint: requestFingerprint,
-      targets,
-    });
-    // If the write fails, the other hosts forget the suspect after its lifetime.
-    void this.context.store.transact({
-      expect: [],
-      puts: [],
-      removes: [suspectRef(requestFingerprint)],
-    });
   }
 
   /** @param update - Changes of {@link SUSPECT_TABLE}. */
-  update({put, removed}: TableUpdate): void {
-    for (const {key} of removed) this.forget(key);
-    const removedAt = new Map(removed.map(({key, version}) => [key, version]));
-    for (const {key, value, version} of put) {
-      if (isPartKey(key)) continue;
-      // An update may report a row and its removal after that.
-      if (version <= (removedAt.get(key) ?? 0)) continue;
-      const suspect = decodeJson(value, SUSPECT);
-      if (!suspect.ok) {
-        const {message} = suspect.err;
-        this.context.log.event('suspect-unreadable', {key, message});
-        continue;
-      }
-      this.merge(key, suspect.value);
-    }
-  }
-
-  /**
-   * Forms the union of the targets, because two hosts may write a suspect
-   * concurrently, each with only the targets that it knows.
-   */
-  private merge(requestFingerprint: string, reported: Suspect): void {
-    const known = this.suspects.get(requestFingerprint);
-    const targets = new Set([...(known?.targets ?? []), ...reported.targets]);
-    if (targets.size === known?.targets.length) return;
-    const at = Math.max(known?.at ?? 0, reported.at);
-    this.setSuspect(requestFingerprint, {targets: [...targets], at});
+  update(update: TableUpdate): void {
+    this.context.records.update(update);
+    for (const {key} of update.removed) this.forget(key);
   }
 
   private forget(requestFingerprint: string): void {
-    this.suspects.delete(requestFingerprint);
     this.lastExtraRunAt.delete(requestFingerprint);
     this.loggedReleases.delete(requestFingerprint);
   }
 
-  private setSuspect(requestFingerprint: string, suspect: Suspect): void {
-    this.suspects.delete(requestFingerprint);
-    this.suspects.set(requestFingerprint, suspect);
-    if (this.suspects.size <= MAX_SUSPECTS) return;
-    const [oldest] = this.suspects.keys();
-    this.forget(oldest!);
-  }
-
   /**
    * Time until every host knows whether the entry of a crashed target has
    * expired, in milliseconds.
@@ -301,7 +230,3 @@
     return this.context.store.storeTimeMs() ?? this.context.clock.now();
   }
 }
-
-function suspectRef(requestFingerprint: string): RowRef {
-  return {table: SUSPECT_TABLE, partition: '', key: requestFingerprint};
-}
--- a/packages/gateway/src/lib/process/prompt_suspect_rows.ts
+++ b/packages/gateway/src/lib/process/prompt_suspect_rows.ts
@@ -1,5 +1,4 @@
 /** Rows about parts of prompts in the table of suspects. */
-import {fingerprint} from '@oathead/core';
 import type {RowRef} from '@oathead/stores';
 import {z} from 'zod';
 import {PART_KEY_PREFIX, SUSPECT_TABLE} from './suspect_table.js';
@@ -25,15 +24,6 @@
 /** A part that is guilty, and when it was tried again. */
 export type Verdict = Readonly<z.infer<typeof VERDICT>>;
 
-/**
- * @param service - A service.
- * @param part - ID of a part, as callers send it.
- * @returns A key for both, which is short and of known characters.
- */
-export function partKeyOf(service: string, part: string): string {
-  return fingerprint(`${service}\n${part}`);
-}
-
 /** @returns The row of the verdict on a part. */
 export function verdictRef(part: string): RowRef {
   return {
--- a/packages/gateway/src/lib/process/prompt_suspects.ts
+++ b/packages/gateway/src/lib/process/prompt_suspects.ts
@@ -21,11 +21,11 @@
   type VersionedRow,
 } from '@oathead/stores';
 import {LRUCache} from 'lru-cache';
+import {partKeysOf, type PromptParts} from './prompt_parts.js';
 import {
   CRASH,
   crashRef,
   parseRowKey,
-  partKeyOf,
   VERDICT,
   verdictRef,
   type Verdict,
@@ -33,13 +33,6 @@
 import {isPartKey} from './suspect_table.js';
 import type {TargetDirectory} from './target_directory.js';
 
-/** The parts of the prompt of a request, and the service that it goes to. */
-export interface PromptParts {
-  readonly service: string;
-  /** IDs of the parts that other requests may have, too. */
-  readonly sharedParts: readonly string[];
-}
-
 /** Whether a request may run. */
 export type PromptAdmission =
   | 'free'
@@ -119,10 +112,10 @@
    * @param prompt - Parts of a request.
    * @returns Whether the request may run. Never rejects.
    */
-  async admit({service, sharedParts}: PromptParts): Promise<PromptAdmission> {
+  async admit(prompt: PromptParts): Promise<PromptAdmission> {
+    const {service} = prompt;
     let admission: PromptAdmission = 'free';
-    for (const part of sharedParts) {
-      const key = partKeyOf(service, part);
+    for (const key of partKeysOf(prompt)) {
       const verdict = this.verdictOn(service, key);
       if (!verdict) continue;
       admission = (await this.mayTry(key, verdict)) ? 'trial' : 'blocked';
@@ -138,10 +131,9 @@
    * @returns Whether one of them is known to crash targets. Unlike
    *     {@link admit}, it lets no request through to try again.
    */
-  isBlocked({service, sharedParts}: PromptParts): boolean {
-    return sharedParts.some(part =>
-      this.verdictOn(service, partKeyOf(service, part)),
-    );
+  isBlocked(prompt: PromptParts): boolean {
+    const {service} = prompt;
+    return partKeysOf(prompt).some(key => this.verdictOn(service, key));
   }
 
   /**
@@ -163,10 +155,10 @@
    *     off.
    * @param target - ID of the target.
    */
-  recordBrokenRun({service, sharedParts}: PromptParts, target: string): void {
+  recordBrokenRun(prompt: PromptParts, target: string): void {
+    const {service} = prompt;
     const at = this.now();
-    for (const part of sharedParts) {
-      const key = partKeyOf(service, part);
+    for (const key of partKeysOf(prompt)) {
       const isNew = this.suspicion.recordCrash(service, key, {
         target,
         atMs: at,
@@ -180,8 +172,9 @@
   }
 
   /** @param prompt - Parts of a request whose run came to its end. */
-  recordCompletedRun({service, sharedParts}: PromptParts): void {
-    const keys = sharedParts.map(part => partKeyOf(service, part));
+  recordCompletedRun(prompt: PromptParts): void {
+    const {service} = prompt;
+    const keys = partKeysOf(prompt);
     const cleared = this.suspicion.recordCompletedRun(
       service,
       keys,
--- a/packages/gateway/src/lib/request/crash_check.ts
+++ b/packages/gateway/src/lib/request/crash_check.ts
@@ -4,7 +4,8 @@
  */
 import type {Target} from '../connection/target.js';
 import type {CrashSuspects} from '../process/crash_suspects.js';
-import type {PromptParts, PromptSuspects} from '../process/prompt_suspects.js';
+import type {PromptParts} from '../process/prompt_parts.js';
+import type {PromptSuspects} from '../process/prompt_suspects.js';
 import {mayHaveCrashed, type ExchangeOutcome} from './exchange.js';
 
 /** Dependencies of {@link CrashCheck}. */
@@ -76,6 +77,7 @@
       promptSuspects.recordCompletedRun(this.prompt);
     if (!mayHaveCrashed(outcome)) return;
     promptSuspects.recordBrokenRun(this.prompt, target.id);
-    if (!hasStarted) crashSuspects.recordBrokenRun(this.fingerprint, target.id);
+    if (!hasStarted)
+      crashSuspects.recordBrokenRun(this.fingerprint, target.id, this.prompt);
   }
 }
--- a/packages/gateway/src/test/fakes/suspect_fleet.ts
+++ b/packages/gateway/src/test/fakes/suspect_fleet.ts
@@ -3,9 +3,10 @@
  */
 import {failure, NO_COUNTERS, type EventLog} from '@oathead/core';
 import {MemoryRowStore, type RowStore} from '@oathead/stores';
+import {CrashRecords} from '../../lib/process/crash_records.js';
 import {CrashSuspects} from '../../lib/process/crash_suspects.js';
 import {PromptSuspects} from '../../lib/process/prompt_suspects.js';
-import type {PromptParts} from '../../lib/process/prompt_suspects.js';
+import type {PromptParts} from '../../lib/process/prompt_parts.js';
 import {SUSPECT_TABLE} from '../../lib/process/suspect_table.js';
 import {TargetDirectory} from '../../lib/process/target_directory.js';
 import {CrashCheck} from '../../lib/request/crash_check.js';
@@ -94,9 +95,11 @@
       directory: this.directory,
       expiryMs: () => EXPIRY_MS,
     };
+    const records = new CrashRecords(context);
     this.promptSuspects = new PromptSuspects(context);
     this.crashSuspects = new CrashSuspects({
       ...context,
+      records,
       explanationOf: target => this.promptSuspects.explanationOf(target),
     });
   }
--- a/packages/gateway/src/test/process/crash_suspects_test.ts
+++ b/packages/gateway/src/test/process/crash_suspects_test.ts
@@ -1,6 +1,7 @@
 import {NO_EVENT_LOG, SYSTEM_CLOCK, type Clock} from '@oathead/core';
 import {MemoryRowStore} from '@oathead/stores';
 import test from 'ava';
+import {CrashRecords} from '../../lib/process/crash_records.js';
 import {CrashSuspects} from '../../lib/process/crash_suspects.js';
 import {SUSPECT_TABLE} from '../../lib/process/suspect_table.js';
 import {TargetDirectory} from '../../lib/process/target_directory.js';
@@ -14,6 +15,7 @@
  */
 const EXPIRY_KNOWN_MS = 8000;
 const READ_EVERY_MS = 250;
+const PROMPT = {service: 's', sharedParts: ['first']};
 const TARGETS = ['i-1', 'i-2', 'i-3'] as const;
 
 /** Creates suspects and a target list with a clock that the test controls. */
@@ -25,11 +27,13 @@
   const directory = new TargetDirectory({clock, log});
   const expiryMs = () => EXPIRY_MS;
   const explained = new Set<string>();
+  const records = new CrashRecords({store, clock, log});
   return {
     explained,
     suspects: new CrashSuspects({
       explanationOf: id => (explained.has(id) ? 'part' : undefined),
       store,
+      records,
       clock,
       log,
       directory,
@@ -66,9 +70,10 @@
 // its ID. Every incarnation of a server must count.
 test('each crashed incarnation of one server counts', t => {
   const {suspects} = newSuspects();
-  for (const id of ['i-1@1', 'i-1@2']) suspects.recordBrokenRun('p', id);
+  for (const id of ['i-1@1', 'i-1@2'])
+    suspects.recordBrokenRun('p', id, PROMPT);
   t.false(suspects.isBlocked('p'));
-  suspects.recordBrokenRun('p', 'i-1@3');
+  suspects.recordBrokenRun('p', 'i-1@3', PROMPT);
   t.true(suspects.isBlocked('p'));
 });
 
@@ -76,7 +81,7 @@
 // concurrently. Neither write may discard what the other host knows.
 test('targets that two hosts recorded for a request are merged', t => {
   const {suspects} = newSuspects();
-  suspects.recordBrokenRun('p', 'a');
+  suspects.recordBrokenRun('p', 'a', PROMPT);
   suspects.update(updateOf('p', ['a', 'b']));
   t.false(suspects.isBlocked('p'));
   suspects.update(updateOf('p', ['c']));
@@ -88,7 +93,7 @@
   const parts = newSuspects();
   parts.directory.recordListRead();
   for (const id of TARGETS) parts.directory.put(newTarget(id));
-  for (const id of TARGETS) parts.suspects.recordBrokenRun('p', id);
+  for (const id of TARGETS) parts.suspects.recordBrokenRun('p', id, PROMPT);
   return parts;
 }
 
@@ -159,7 +164,7 @@
   const {suspects, advanceWithReads} = crashedThree();
   advanceWithReads(EXPIRY_KNOWN_MS);
   suspects.recordItemStart('p');
-  suspects.recordBrokenRun('p', 'i-4');
+  suspects.recordBrokenRun('p', 'i-4', PROMPT);
   advanceWithReads(2 * EXPIRY_KNOWN_MS);
   t.true(suspects.isItemBlocked('p'));
 });
@@ -182,7 +187,7 @@
     const parts = newSuspects();
     parts.directory.recordListRead();
     for (const id of ids) parts.directory.put(newTarget(id));
-    for (const id of ids) parts.suspects.recordBrokenRun('p', id);
+    for (const id of ids) parts.suspects.recordBrokenRun('p', id, PROMPT);
     t.true(parts.suspects.isItemBlocked('p'));
     return parts;
   };
@@ -240,7 +245,7 @@
   suspects.recordUndecidedRun('p');
   t.false(suspects.isItemBlocked('p'));
   suspects.recordItemStart('p');
-  suspects.recordBrokenRun('p', 'i-4');
+  suspects.recordBrokenRun('p', 'i-4', PROMPT);
   suspects.recordUndecidedRun('p');
   t.true(suspects.isItemBlocked('p'), 'it has crashed a fourth target');
 });
@@ -250,11 +255,11 @@
 test('crashes that a guilty part explains do not block other requests', t => {
   const {suspects, explained} = newSuspects();
   const ids = [...TARGETS, 'i-4'];
-  for (const id of ids) suspects.recordBrokenRun('p', id);
+  for (const id of ids) suspects.recordBrokenRun('p', id, PROMPT);
   t.true(suspects.isItemBlocked('p'));
   for (const id of ids.slice(2)) explained.add(id);
   t.false(suspects.isBlocked('p'));
   t.false(suspects.isItemBlocked('p'));
-  suspects.recordBrokenRun('p', 'i-5');
+  suspects.recordBrokenRun('p', 'i-5', PROMPT);
   t.true(suspects.isBlocked('p'), 'three crashes that nothing explains');
 });
--- a/packages/gateway/src/test/process/prompt_suspects_test.ts
+++ b/packages/gateway/src/test/process/prompt_suspects_test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {partKeyOf} from '../../lib/process/prompt_suspect_rows.js';
+import {partKeyOf} from '../../lib/process/prompt_parts.js';
 import {
   EXPIRY_MS,
   STEP_MS,
--- a/packages/jobs/src/lib/process/item_runner.ts
+++ b/packages/jobs/src/lib/process/item_runner.ts
@@ -174,14 +174,18 @@
 }
 
 function recordSuspicion(
-  {crashSuspects}: ItemRunContext,
-  {fingerprint}: ItemWork,
+  context: ItemRunContext,
+  work: ItemWork,
   end: ExchangeOutcome,
-  {id}: Target,
+  target: Target,
   hasAnswered: boolean,
 ): void {
+  const {crashSuspects} = context;
+  const {fingerprint} = work;
+  const prompt = promptOf(context, work, target);
   if (hasAnswered) crashSuspects.recordAnswer(fingerprint);
-  else if (mayHaveCrashed(end)) crashSuspects.recordBrokenRun(fingerprint, id);
+  else if (mayHaveCrashed(end))
+    crashSuspects.recordBrokenRun(fingerprint, target.id, prompt);
   else crashSuspects.recordUndecidedRun(fingerprint);
 }
 
--- a/packages/serving/src/lib/process/serving_components.ts
+++ b/packages/serving/src/lib/process/serving_components.ts
@@ -10,6 +10,7 @@
   CallerRetryDetector,
   ConnectionPool,
   Coordinator,
+  CrashRecords,
   CrashSuspects,
   PreferredTargets,
   PromptSuspects,
@@ -134,9 +135,11 @@
     directory,
     expiryMs: () => platform.tunables().targetExpiryMs,
   };
+  const crashRecords = new CrashRecords(suspectContext);
   const promptSuspects = new PromptSuspects(suspectContext);
   const crashSuspects = new CrashSuspects({
     ...suspectContext,
+    records: crashRecords,
     explanationOf: target => promptSuspects.explanationOf(target),
   });
   const hosts = () => membership.live().length;
