Crashes under one request are not put down to a part of its prompt

Cause: each crash counted against all parts of the request's prompt, whoever else had them; four crashes under one request looked like four requests. Change: a part is not guilty of crashes that one request with it accounts for, but for one; each host decides by the records it knows, so that late evidence corrects a verdict without writes.

--- a/packages/gateway/src/lib/process/prompt_suspects.ts
+++ b/packages/gateway/src/lib/process/prompt_suspects.ts
@@ -6,6 +6,7 @@
 import {
   PART_CRASH_LIFETIME_MS,
   PartSuspicion,
+  isUnderOneRequest,
   type Clock,
   type Counters,
   type EventLog,
@@ -21,6 +22,7 @@
   type VersionedRow,
 } from '@oathead/stores';
 import {LRUCache} from 'lru-cache';
+import type {CrashRecords} from './crash_records.js';
 import {partKeysOf, type PromptParts} from './prompt_parts.js';
 import {
   CRASH,
@@ -43,6 +45,8 @@
 /** Dependencies of {@link PromptSuspects}. */
 export interface PromptSuspectsContext {
   readonly store: Pick<RowStore, 'transact' | 'storeTimeMs'>;
+  /** The crashes under requests. */
+  readonly records: Pick<CrashRecords, 'withPart'>;
   readonly clock: Clock;
   readonly log: EventLog;
   readonly counters: Counters;
@@ -101,6 +105,10 @@
   private readonly verdicts = new LRUCache<string, KnownVerdict>({
     max: MAX_VERDICTS,
   });
+  /** Number of crashes at which a part was last logged as spared. */
+  private readonly loggedSpared = new LRUCache<string, number>({
+    max: MAX_VERDICTS,
+  });
   private pendingPuts: RowPut[] = [];
   private isWriteDue = false;
   private isWatching = false;
@@ -146,7 +154,8 @@
    */
   explanationOf(target: string): string | undefined {
     for (const [part, verdict] of this.verdicts.entries())
-      if (verdict.crashed.has(target) && this.isInForce(verdict)) return part;
+      if (verdict.crashed.has(target) && this.isInForce(part, verdict))
+        return part;
     return undefined;
   }
 
@@ -278,8 +287,8 @@
 
   private verdictOn(service: string, key: string): KnownVerdict | undefined {
     const known = this.verdicts.get(key);
-    if (known && this.isInForce(known)) return known;
-    if (known) this.strikeOff(key, known);
+    if (known && this.isOver(known)) this.strikeOff(key, known);
+    else if (known) return this.isInForce(key, known) ? known : undefined;
     const crashes = this.suspicion.guiltyOf(key, this.now());
     if (!crashes) return undefined;
     const alive = crashes.filter(crash => this.isStillListed(crash));
@@ -312,8 +321,12 @@
     service: string,
     key: string,
     crashes: readonly PartCrash[],
-  ): KnownVerdict {
+  ): KnownVerdict | undefined {
     const targets = crashes.map(({target}) => target);
+    if (this.areUnderOneRequest(key, targets)) {
+      this.logSpared(service, key, targets);
+      return undefined;
+    }
     const verdict = {service, targets, at: this.now(), trials: 0};
     const known = this.setVerdict(key, verdict, undefined);
     this.context.log.event('prompt-part-blocked', {
@@ -366,17 +379,47 @@
     });
   }
 
-  /** Whether enough of the targets of a verdict have crashed indeed. */
-  private isInForce({targets, at}: Verdict): boolean {
-    const sinceMs = this.now() - at;
-    if (sinceMs >= VERDICT_LIFETIME_MS) return false;
+  /**
+   * Whether a verdict holds by what this host knows. Guards against sound
+   * requests that are refused for crashes of which one request is the cause,
+   * also if another host passed the verdict before it knew.
+   */
+  private isInForce(key: string, verdict: Verdict): boolean {
+    const crashed = this.crashedOf(verdict);
+    return !this.isOver(verdict) && !this.areUnderOneRequest(key, crashed);
+  }
+
+  /** Whether a verdict is too old, or its targets have not crashed. */
+  private isOver(verdict: Verdict): boolean {
+    const isExpired = this.now() - verdict.at >= VERDICT_LIFETIME_MS;
+    return isExpired || this.crashedOf(verdict).length < MIN_TARGETS;
+  }
+
+  /** The targets of a verdict that are not known to live. */
+  private crashedOf({targets, at}: Verdict): readonly string[] {
     const knownAfterMs = this.expiryKnownAfterMs();
-    if (sinceMs < knownAfterMs) return true;
+    if (this.now() - at < knownAfterMs) return targets;
     const {directory} = this.context;
-    const crashed = targets.filter(
-      id => !directory.isListedFor(id, knownAfterMs),
+    return targets.filter(id => !directory.isListedFor(id, knownAfterMs));
+  }
+
+  private areUnderOneRequest(key: string, crashes: readonly string[]): boolean {
+    const requests = this.context.records.withPart(key);
+    return isUnderOneRequest(
+      crashes,
+      requests.map(({targets}) => targets),
     );
-    return crashed.length >= MIN_TARGETS;
+  }
+
+  /** Logs once for each number of crashes: parts are looked at often. */
+  private logSpared(
+    service: string,
+    part: string,
+    targets: readonly string[],
+  ): void {
+    if (this.loggedSpared.get(part) === targets.length) return;
+    this.loggedSpared.set(part, targets.length);
+    this.context.log.event('prompt-part-spared', {service, part, targets});
   }
 
   /**
--- a/packages/gateway/src/test/fakes/suspect_fleet.ts
+++ b/packages/gateway/src/test/fakes/suspect_fleet.ts
@@ -96,7 +96,7 @@
       expiryMs: () => EXPIRY_MS,
     };
     const records = new CrashRecords(context);
-    this.promptSuspects = new PromptSuspects(context);
+    this.promptSuspects = new PromptSuspects({...context, records});
     this.crashSuspects = new CrashSuspects({
       ...context,
       records,
--- a/packages/serving/src/lib/process/serving_components.ts
+++ b/packages/serving/src/lib/process/serving_components.ts
@@ -136,7 +136,10 @@
     expiryMs: () => platform.tunables().targetExpiryMs,
   };
   const crashRecords = new CrashRecords(suspectContext);
-  const promptSuspects = new PromptSuspects(suspectContext);
+  const promptSuspects = new PromptSuspects({
+    ...suspectContext,
+    records: crashRecords,
+  });
   const crashSuspects = new CrashSuspects({
     ...suspectContext,
     records: crashRecords,
