Crashes that hosts record at once are all in the store, also after an outage

A host that has started since would let a request through under which three targets had crashed. Cause: each host wrote its own union of the crashed targets over the row, without an expectation. Of hosts that noticed crashes at the same time, the row held what the last one knew, and a write that the store did not take was neither repeated nor logged. Change: a write expects the row as its host knows it, takes in what it finds there on a conflict, and is repeated when it fails; removing a row forgets what the row held, and no crash that was not in it. A test of crash_suspects_test waits until the writes have ended before it reads them, as there is one after the other now; what it expects is unchanged.

--- a/packages/gateway/src/lib/process/crash_records.ts
+++ b/packages/gateway/src/lib/process/crash_records.ts
@@ -3,13 +3,14 @@
  * fingerprint, and each host sees only its own runs, so the records are shared
  * through the store. What they mean is decided elsewhere.
  */
-import type {Clock, EventLog} from '@oathead/core';
+import {sleep, type Clock, type EventLog} from '@oathead/core';
 import {
   decodeJson,
   encodeJson,
   type RowRef,
   type RowStore,
   type TableUpdate,
+  type VersionedRow,
 } from '@oathead/stores';
 import {LRUCache} from 'lru-cache';
 import {z} from 'zod';
@@ -29,8 +30,24 @@
 /** Crashes under one request. */
 export type CrashRecord = Readonly<z.infer<typeof RECORD>>;
 
+/** A record, and what is known of its row. */
+interface KnownRecord extends CrashRecord {
+  /** Version of the row as it was last seen; 0 if it does not exist. */
+  readonly version: number;
+  /** The targets that the row holds. */
+  readonly stored: readonly string[];
+}
+
 /** Maximum number of requests in memory. */
 const MAX_RECORDS = 4096;
+/** Maximum number of writes for one crash, conflicts included. */
+const MAX_WRITES = 24;
+/**
+ * Delay after the first failed write of a record, in milliseconds, and the
+ * largest one.
+ */
+const FIRST_RETRY_MS = 250;
+const MAX_RETRY_MS = 4000;
 
 /** Dependencies of {@link CrashRecords}. */
 export interface CrashRecordsContext {
@@ -39,14 +56,24 @@
   readonly log: EventLog;
 }
 
+const NO_CRASHES: KnownRecord = {
+  targets: [],
+  at: 0,
+  parts: [],
+  version: 0,
+  stored: [],
+};
+
 /** Crashes by request, as one host knows them. */
 export class CrashRecords {
-  private readonly records = new LRUCache<string, CrashRecord>({
+  private readonly records = new LRUCache<string, KnownRecord>({
     max: MAX_RECORDS,
     dispose: (record, key) => this.removeFromIndex(key, record),
   });
   /** Fingerprints of the requests that have a part. */
   private readonly byPart = new Map<string, Set<string>>();
+  /** Requests whose records are being written. */
+  private readonly writing = new Set<string>();
 
   /** @param context - The store through which hosts share the records. */
   constructor(private readonly context: CrashRecordsContext) {}
@@ -76,23 +103,15 @@
     target: string,
     parts: readonly string[],
   ): void {
-    const known = this.records.get(requestFingerprint)?.targets ?? [];
-    if (known.includes(target)) return;
-    const record = {targets: [...known, target], at: this.now(), parts};
-    this.set(requestFingerprint, record);
-    const {targets} = record;
+    const known = this.records.get(requestFingerprint) ?? NO_CRASHES;
+    if (known.targets.includes(target)) return;
+    const targets = [...known.targets, target];
+    this.set(requestFingerprint, {...known, targets, at: this.now(), parts});
     this.context.log.event('request-suspect', {
       fingerprint: requestFingerprint,
       targets,
     });
-    const ref = recordRef(requestFingerprint);
-    // If the write fails, the other hosts learn of the crash through broken
-    // runs of their own.
-    void this.context.store.transact({
-      expect: [],
-      puts: [{...ref, value: encodeJson(record)}],
-      removes: [],
-    });
+    void this.write(requestFingerprint);
   }
 
   /**
@@ -119,39 +138,110 @@
 
   /** @param update - Changes of {@link SUSPECT_TABLE}. */
   update({put, removed}: TableUpdate): void {
-    for (const {key} of removed) this.records.delete(key);
+    for (const {key} of removed) this.removeStored(key);
     const removedAt = new Map(removed.map(({key, version}) => [key, version]));
-    for (const {key, value, version} of put) {
-      if (isPartKey(key)) continue;
+    for (const row of put) {
       // An update may report a row and its removal after that.
-      if (version <= (removedAt.get(key) ?? 0)) continue;
-      const record = decodeJson(value, RECORD);
-      if (!record.ok) {
-        const {message} = record.err;
-        this.context.log.event('suspect-unreadable', {key, message});
-        continue;
-      }
-      this.merge(key, record.value);
+      const isGone = row.version <= (removedAt.get(row.key) ?? 0);
+      if (!isPartKey(row.key) && !isGone) this.merge(row);
     }
   }
 
   /**
-   * Forms the union of the targets, because two hosts may write a record
-   * concurrently, each with only the targets that it knows.
+   * Writes a record until its row holds all its targets. Guards against hosts
+   * that notice crashes at the same time: each write builds on the row that it
+   * replaces, so that none discards what another host has written.
    */
-  private merge(requestFingerprint: string, reported: CrashRecord): void {
-    const known = this.records.get(requestFingerprint);
-    const targets = new Set([...(known?.targets ?? []), ...reported.targets]);
-    const at = Math.max(known?.at ?? 0, reported.at);
-    const parts = new Set([...(known?.parts ?? []), ...reported.parts]);
-    this.set(requestFingerprint, {
-      targets: [...targets],
-      at,
-      parts: [...parts],
+  private async write(requestFingerprint: string): Promise<void> {
+    if (this.writing.has(requestFingerprint)) return;
+    this.writing.add(requestFingerprint);
+    let delayMs = FIRST_RETRY_MS;
+    for (let i = 0; i < MAX_WRITES; i++) {
+      const record = this.records.peek(requestFingerprint);
+      if (!record || isWritten(record)) break;
+      if (await this.writeOnce(requestFingerprint, record)) continue;
+      await sleep(this.context.clock, delayMs);
+      delayMs = Math.min(2 * delayMs, MAX_RETRY_MS);
+    }
+    this.writing.delete(requestFingerprint);
+  }
+
+  /** @returns Whether the store has answered, by a conflict also. */
+  private async writeOnce(
+    requestFingerprint: string,
+    {targets, at, parts, version}: KnownRecord,
+  ): Promise<boolean> {
+    const ref = recordRef(requestFingerprint);
+    const written = await this.context.store.transact({
+      expect: [{...ref, version}],
+      puts: [{...ref, value: encodeJson({targets, at, parts})}],
+      removes: [],
+    });
+    if (written.ok) {
+      this.noteRow(requestFingerprint, written.value.version, targets);
+      return true;
+    }
+    if (written.err.kind === 'conflict') {
+      const [row] = written.err.rows;
+      if (row) this.merge(row);
+      else this.removeStored(requestFingerprint);
+      return true;
+    }
+    // Until it is written, other hosts know only what they see themselves.
+    const reason = written.err.kind;
+    this.context.log.event('suspects-unwritten', {rows: 1, reason});
+    return false;
+  }
+
+  /**
+   * Forms the union of the targets: this host may know of some that are not
+   * written yet.
+   */
+  private merge({key, value, version}: VersionedRow): void {
+    const row = decodeJson(value, RECORD);
+    if (!row.ok) {
+      const {message} = row.err;
+      this.context.log.event('suspect-unreadable', {key, message});
+      this.noteRow(key, version, []);
+      return;
+    }
+    const known = this.records.get(key) ?? NO_CRASHES;
+    const {targets, at, parts} = row.value;
+    this.set(key, {
+      targets: [...new Set([...known.targets, ...targets])],
+      at: Math.max(known.at, at),
+      parts: [...new Set([...known.parts, ...parts])],
+      version,
+      stored: targets,
     });
   }
 
-  private set(requestFingerprint: string, record: CrashRecord): void {
+  private noteRow(
+    requestFingerprint: string,
+    version: number,
+    stored: readonly string[],
+  ): void {
+    const known = this.records.peek(requestFingerprint);
+    if (known) this.set(requestFingerprint, {...known, version, stored});
+  }
+
+  /** Forgets what a row held that is gone; unwritten crashes still count. */
+  private removeStored(requestFingerprint: string): void {
+    const known = this.records.peek(requestFingerprint);
+    if (!known) return;
+    const {stored} = known;
+    const targets = known.targets.filter(target => !stored.includes(target));
+    if (targets.length === 0) this.records.delete(requestFingerprint);
+    else
+      this.set(requestFingerprint, {
+        ...known,
+        targets,
+        version: 0,
+        stored: [],
+      });
+  }
+
+  private set(requestFingerprint: string, record: KnownRecord): void {
     this.records.set(requestFingerprint, record);
     for (const part of record.parts) {
       const fingerprints = this.byPart.get(part) ?? new Set();
@@ -175,6 +265,10 @@
   }
 }
 
+function isWritten({targets, stored}: KnownRecord): boolean {
+  return targets.every(target => stored.includes(target));
+}
+
 function recordRef(requestFingerprint: string): RowRef {
   return {table: SUSPECT_TABLE, partition: '', key: requestFingerprint};
 }
--- a/packages/gateway/src/test/fakes/suspect_fleet.ts
+++ b/packages/gateway/src/test/fakes/suspect_fleet.ts
@@ -2,7 +2,7 @@
  * Hosts that share what they know of crashes through a store, in virtual time.
  */
 import {failure, NO_COUNTERS, type EventLog} from '@oathead/core';
-import {MemoryRowStore, type RowStore} from '@oathead/stores';
+import {MemoryRowStore, type RowStore, type TableUpdate} from '@oathead/stores';
 import {CrashRecords} from '../../lib/process/crash_records.js';
 import {CrashSuspects} from '../../lib/process/crash_suspects.js';
 import {PromptSuspects} from '../../lib/process/prompt_suspects.js';
@@ -78,6 +78,7 @@
 
 /** One host. */
 export class SuspectHost {
+  readonly records: CrashRecords;
   readonly crashSuspects: CrashSuspects;
   readonly promptSuspects: PromptSuspects;
   readonly directory: TargetDirectory;
@@ -96,6 +97,7 @@
       expiryMs: () => EXPIRY_MS,
     };
     const records = new CrashRecords(context);
+    this.records = records;
     this.promptSuspects = new PromptSuspects({...context, records});
     this.crashSuspects = new CrashSuspects({
       ...context,
@@ -117,7 +119,20 @@
         ? [{...one.ref, version: one.version, value: new Uint8Array()}]
         : [],
     );
-    const update = {put, removed, storeTimeMs: 0};
+    this.update({put, removed, storeTimeMs: 0});
+  }
+
+  /** Reads the rows that the store holds now, as a host does that starts. */
+  async readRows(): Promise<void> {
+    const query = {table: SUSPECT_TABLE, partition: ''};
+    const read = await this.fleet.store.read(query);
+    if (!read.ok) return;
+    const {rows, version} = read.value;
+    this.version = version;
+    this.update({put: rows, removed: [], storeTimeMs: 0});
+  }
+
+  private update(update: TableUpdate): void {
     this.crashSuspects.update(update);
     this.promptSuspects.update(update);
   }
--- a/packages/gateway/src/test/process/crash_suspects_test.ts
+++ b/packages/gateway/src/test/process/crash_suspects_test.ts
@@ -5,6 +5,7 @@
 import {CrashSuspects} from '../../lib/process/crash_suspects.js';
 import {SUSPECT_TABLE} from '../../lib/process/suspect_table.js';
 import {TargetDirectory} from '../../lib/process/target_directory.js';
+import {settlePromises} from '../fakes/suspect_fleet.js';
 import {newTarget} from '../fakes/targets.js';
 
 /** Three heartbeat intervals of 1.2 s. */
@@ -222,6 +223,7 @@
 // job over did not know.
 test('a request that is answered is cleared on all hosts', async t => {
   const {suspects, store} = crashedThree();
+  await settlePromises();
   const other = newSuspects(store);
   const crashed = await updateFrom(store, 0);
   other.suspects.update(crashed.update);
