A part is found also while targets crash fast

Callers would see targets end for seconds longer than the service's bound: more than three requests with a part of their prompts that crashes targets reached targets later than 3 s after the fifth crash. Cause: of the crashes under a part the latest sixteen were remembered. What shows a part is a crash two seconds old since which only runs without it got through; at more than some five crashes a second none of the sixteen was ever that old, until fewer came. Change: the first five crashes are kept, and of those since, 27 spread in time. Evidence: part_suspicion_test at a crash every 20, 60 and 125 ms failed before and passes.

--- a/packages/core/src/lib/process/part_suspicion.ts
+++ b/packages/core/src/lib/process/part_suspicion.ts
@@ -57,7 +57,9 @@
 export const PART_CRASH_LIFETIME_MS = 30_000;
 /** Bounds of the memory for parts, and for crashes of one part. */
 const MAX_PARTS = 4096;
-const MAX_CRASHES = 16;
+const MAX_CRASHES = 32;
+/** Number of the first crashes of a part, which are all remembered. */
+const FIRST_CRASHES = 5;
 /** Bounds of what is remembered of a service. */
 const MAX_COMPLETED_RUNS = 256;
 const MAX_CRASHED_TARGETS = 256;
@@ -120,7 +122,7 @@
     const known = this.crashesOf(part);
     if (known.some(({target}) => target === crash.target)) return false;
     const all = [...known, crash].sort((a, b) => a.atMs - b.atMs);
-    this.suspected.set(part, {service, crashes: all.slice(-MAX_CRASHES)});
+    this.suspected.set(part, {service, crashes: thinned(all)});
     return true;
   }
 
@@ -260,6 +262,20 @@
   }
 }
 
+/**
+ * Drops the crash that follows its predecessor most closely, if there are too
+ * many, but none of the first. Guards against a part that is not found while
+ * targets crash fast: what shows it are the first crashes, two seconds later.
+ */
+function thinned(crashes: readonly PartCrash[]): readonly PartCrash[] {
+  if (crashes.length <= MAX_CRASHES) return crashes;
+  const gaps = crashes.map(({atMs}, i) =>
+    i < FIRST_CRASHES ? Infinity : atMs - crashes[i - 1]!.atMs,
+  );
+  const closest = gaps.indexOf(Math.min(...gaps));
+  return crashes.filter((crash, i) => i !== closest);
+}
+
 /** Whether only runs without the part got through after one of the crashes. */
 function isShownBy(
   {crashes: count, silentMs}: Evidence,
--- a/packages/core/src/test/process/part_suspicion_test.ts
+++ b/packages/core/src/test/process/part_suspicion_test.ts
@@ -46,6 +46,19 @@
   t.is(suspicion.guiltyOf('bad', 2800)?.length, 5);
 });
 
+// Guards against a part that is not found while many targets crash: of its crashes
+// only those were remembered that were too recent to show anything.
+for (const gapMs of [20, 60, 125, 180])
+  test(`five crashes show a part also if one follows every ${gapMs} ms`, t => {
+    const suspicion = new PartSuspicion();
+    const fifthAt = 4 * gapMs;
+    for (let at = 0; at <= fifthAt + 2000; at += gapMs)
+      suspicion.recordCrash(SERVICE, 'bad', {target: `${at}`, atMs: at});
+    complete(suspicion, 'first', 100, fifthAt + 2000);
+    t.is(suspicion.guiltyOf('bad', fifthAt + 1990), undefined);
+    t.not(suspicion.guiltyOf('bad', fifthAt + 2000), undefined);
+  });
+
 test('a crash that breaks several runs counts once', t => {
   const suspicion = new PartSuspicion();
   for (let i = 0; i < 5; i++)
