Only a success of a run that began after the last crash clears a request

A request under which three targets had crashed would reach targets again. Cause: any complete answer cleared it on all hosts: a 500 or 504 of a target that had not begun to run it, the success of a run that began before the crashes, and an item's run whose target crashed after its first event. The removal took a row away that another host had written to meanwhile. Change: RunEvidence says what one run shows, for requests and items alike (two places did before); a success clears crashes from before its run began, and only if no later one is in the row. Whole streams clear now, too.

--- a/packages/gateway/src/lib/process/crash_records.ts
+++ b/packages/gateway/src/lib/process/crash_records.ts
@@ -115,25 +115,25 @@
   }
 
   /**
-   * Removes a record on all hosts.
+   * Removes a record on all hosts, unless a crash has been noticed since.
    *
    * @param requestFingerprint - Fingerprint of a request that was answered.
+   * @param beforeMs - Time before which crashes do not count any more, in store
+   *     time in milliseconds.
+   * @returns Whether this host has no record of the request any more.
    */
-  clear(requestFingerprint: string): void {
+  clear(requestFingerprint: string, beforeMs: number): boolean {
     const record = this.records.get(requestFingerprint);
-    if (!record) return;
+    if (!record) return true;
+    const {at, targets, version} = record;
+    if (at > beforeMs) return false;
     this.records.delete(requestFingerprint);
-    const {targets} = record;
     this.context.log.event('suspect-cleared', {
       fingerprint: requestFingerprint,
       targets,
     });
-    // If the write fails, the other hosts forget the record after its lifetime.
-    void this.context.store.transact({
-      expect: [],
-      puts: [],
-      removes: [recordRef(requestFingerprint)],
-    });
+    void this.removeRow(requestFingerprint, version, beforeMs);
+    return true;
   }
 
   /** @param update - Changes of {@link SUSPECT_TABLE}. */
@@ -188,11 +188,43 @@
       return true;
     }
     // Until it is written, other hosts know only what they see themselves.
-    const reason = written.err.kind;
-    this.context.log.event('suspects-unwritten', {rows: 1, reason});
+    this.logUnwritten(written.err.kind);
     return false;
   }
 
+  /** Removes a row, unless another host has written a later crash there. */
+  private async removeRow(
+    requestFingerprint: string,
+    version: number,
+    beforeMs: number,
+  ): Promise<void> {
+    const ref = recordRef(requestFingerprint);
+    let expected = version;
+    let delayMs = FIRST_RETRY_MS;
+    for (let i = 0; i < MAX_WRITES; i++) {
+      const removed = await this.context.store.transact({
+        expect: [{...ref, version: expected}],
+        puts: [],
+        removes: [ref],
+      });
+      if (removed.ok) return;
+      if (removed.err.kind === 'conflict') {
+        const [row] = removed.err.rows;
+        if (!row) return;
+        this.merge(row);
+        const isLater = (this.records.peek(row.key)?.at ?? 0) > beforeMs;
+        if (isLater) return;
+        this.records.delete(row.key);
+        expected = row.version;
+        continue;
+      }
+      // Until it is removed, the other hosts hold the request.
+      this.logUnwritten(removed.err.kind);
+      await sleep(this.context.clock, delayMs);
+      delayMs = Math.min(2 * delayMs, MAX_RETRY_MS);
+    }
+  }
+
   /**
    * Forms the union of the targets: this host may know of some that are not
    * written yet.
@@ -260,6 +292,10 @@
     }
   }
 
+  private logUnwritten(reason: string): void {
+    this.context.log.event('suspects-unwritten', {rows: 1, reason});
+  }
+
   private now(): number {
     return this.context.store.storeTimeMs() ?? this.context.clock.now();
   }
--- a/packages/gateway/src/lib/process/crash_suspects.ts
+++ b/packages/gateway/src/lib/process/crash_suspects.ts
@@ -198,13 +198,15 @@
 
   /**
    * Clears a request on all hosts. Guards against a harmless item that stays
-   * blocked on the host that takes its job over.
+   * blocked on the host that takes its job over. A run that began before the
+   * last crash clears nothing: its target may have held it all the while.
    *
    * @param requestFingerprint - Fingerprint of a request that was answered.
+   * @param startedAtMs - When the run began; see {@link CrashSuspects.now}.
    */
-  recordAnswer(requestFingerprint: string): void {
-    this.context.records.clear(requestFingerprint);
-    this.forget(requestFingerprint);
+  recordCompletedRun(requestFingerprint: string, startedAtMs: number): void {
+    if (this.context.records.clear(requestFingerprint, startedAtMs))
+      this.forget(requestFingerprint);
   }
 
   /** @param update - Changes of {@link SUSPECT_TABLE}. */
@@ -218,6 +220,11 @@
     this.loggedReleases.delete(requestFingerprint);
   }
 
+  /** @returns The time by which crashes are dated, in milliseconds. */
+  now(): number {
+    return this.context.store.storeTimeMs() ?? this.context.clock.now();
+  }
+
   /**
    * Time until every host knows whether the entry of a crashed target has
    * expired, in milliseconds.
@@ -225,8 +232,4 @@
   private expiryKnownAfterMs(): number {
     return this.context.expiryMs() + LIST_READ_MARGIN_MS;
   }
-
-  private now(): number {
-    return this.context.store.storeTimeMs() ?? this.context.clock.now();
-  }
 }
--- a/packages/gateway/src/lib/request/crash_check.ts
+++ b/packages/gateway/src/lib/request/crash_check.ts
@@ -1,20 +1,18 @@
-/**
- * Holds a request back that is known to crash targets, and records what its own
- * runs show.
- */
-import type {Target} from '../connection/target.js';
+/** Holds a request back that is known to crash targets. */
 import type {CrashSuspects} from '../process/crash_suspects.js';
-import type {PromptParts} from '../process/prompt_parts.js';
 import type {PromptSuspects} from '../process/prompt_suspects.js';
-import {mayHaveCrashed, type ExchangeOutcome} from './exchange.js';
+import {
+  RunEvidence,
+  type CrashJudges,
+  type JudgedRequest,
+} from './run_evidence.js';
 
 /** Dependencies of {@link CrashCheck}. */
 export interface CrashCheckContext {
-  readonly crashSuspects: CrashSuspects;
-  readonly promptSuspects: Pick<
-    PromptSuspects,
-    'admit' | 'isBlocked' | 'recordBrokenRun' | 'recordCompletedRun'
-  >;
+  readonly crashSuspects: CrashJudges['crashSuspects'] &
+    Pick<CrashSuspects, 'isBlocked'>;
+  readonly promptSuspects: CrashJudges['promptSuspects'] &
+    Pick<PromptSuspects, 'admit' | 'isBlocked'>;
 }
 
 /** Why a request must not run. */
@@ -30,13 +28,11 @@
 
   /**
    * @param context - What the hosts know of crashes.
-   * @param fingerprint - Fingerprint of the path and body of the request.
-   * @param prompt - Parts of its prompt.
+   * @param request - The request.
    */
   constructor(
     private readonly context: CrashCheckContext,
-    private readonly fingerprint: string,
-    private readonly prompt: PromptParts,
+    private readonly request: JudgedRequest,
   ) {}
 
   /**
@@ -44,8 +40,9 @@
    */
   async refusal(): Promise<CrashRefusal | undefined> {
     const {crashSuspects, promptSuspects} = this.context;
-    if (crashSuspects.isBlocked(this.fingerprint)) return 'suspect';
-    const admission = await promptSuspects.admit(this.prompt);
+    const {fingerprint, prompt} = this.request;
+    if (crashSuspects.isBlocked(fingerprint)) return 'suspect';
+    const admission = await promptSuspects.admit(prompt);
     this.isTrial = admission === 'trial';
     return admission === 'blocked' ? 'prompt part blocked' : undefined;
   }
@@ -57,27 +54,14 @@
    * @returns Why the request must not run any more; undefined if it may.
    */
   recheck(): CrashRefusal | undefined {
+    const {promptSuspects} = this.context;
     const isBlocked =
-      !this.isTrial && this.context.promptSuspects.isBlocked(this.prompt);
+      !this.isTrial && promptSuspects.isBlocked(this.request.prompt);
     return isBlocked ? 'prompt part blocked' : undefined;
   }
 
-  /**
-   * @param outcome - Outcome of a run.
-   * @param target - Where it was.
-   * @param hasStarted - Whether anything was written to the caller.
-   */
-  recordOutcome(
-    outcome: ExchangeOutcome,
-    target: Pick<Target, 'id'>,
-    hasStarted: boolean,
-  ): void {
-    const {crashSuspects, promptSuspects} = this.context;
-    if (outcome.kind === 'streamed' || outcome.kind === 'answered')
-      promptSuspects.recordCompletedRun(this.prompt);
-    if (!mayHaveCrashed(outcome)) return;
-    promptSuspects.recordBrokenRun(this.prompt, target.id);
-    if (!hasStarted)
-      crashSuspects.recordBrokenRun(this.fingerprint, target.id, this.prompt);
+  /** @returns What a run shows that begins now. */
+  beginRun(): RunEvidence {
+    return new RunEvidence(this.context, this.request);
   }
 }
--- a/packages/gateway/src/lib/request/online_request.ts
+++ b/packages/gateway/src/lib/request/online_request.ts
@@ -129,9 +129,9 @@
     this.writer = new ResponseWriter(res, this.metadata.lastEventId, now);
     this.service = pickService(route, context.random);
     const {sharedParts} = this.metadata;
-    this.crashes = new CrashCheck(context, admitted.fingerprint, {
-      service: this.service,
-      sharedParts,
+    this.crashes = new CrashCheck(context, {
+      fingerprint: admitted.fingerprint,
+      prompt: {service: this.service, sharedParts},
     });
     const {goalMs} = route;
     const priority = account?.priority ?? route.priority;
@@ -212,17 +212,18 @@
       account: this.admission.senderAccount,
       writer,
     });
-    const sink = this.stream.sinkFor(target);
+    const evidence = this.crashes.beginRun();
+    const sink = evidence.watched(this.stream.sinkFor(target));
     this.activeSend = sendToTarget(context, target, 'online', req, sink);
     const outcome = await this.activeSend.end;
     this.activeSend = undefined;
     targetSpan.end(outcome.kind);
+    evidence.recordOutcome(outcome, target);
     return outcome;
   }
 
   /** @returns Whether the request is finished. */
   private handleOutcome(outcome: ExchangeOutcome, target: Target): boolean {
-    this.crashes.recordOutcome(outcome, target, this.writer.hasStarted);
     switch (outcome.kind) {
       case 'answered':
         // The target was asked to resume a stream and sent another response
@@ -230,7 +231,6 @@
         if (this.writer.hasStarted) return this.retryOrGiveUp('failed', target);
         if (outcome.head.status >= STATUS_SERVER_ERROR && this.canRetry())
           return this.recordFailedResponse(outcome, target);
-        this.context.crashSuspects.recordAnswer(this.admitted.fingerprint);
         this.writer.sendComplete(outcome.head, outcome.body);
         return this.finish('answered', outcome.head.status, target);
       case 'streamed':
--- /dev/null
+++ b/packages/gateway/src/lib/request/run_evidence.ts
@@ -0,0 +1,88 @@
+/** What one run of a request shows of crashes. */
+import type {Target} from '../connection/target.js';
+import type {CrashSuspects} from '../process/crash_suspects.js';
+import type {PromptParts} from '../process/prompt_parts.js';
+import type {PromptSuspects} from '../process/prompt_suspects.js';
+import {
+  isSuccess,
+  mayHaveCrashed,
+  type ExchangeOutcome,
+} from './exchange_outcome.js';
+import type {EventSink} from './target_request.js';
+
+/** Who judges crashes: by request, and by parts of prompts. */
+export interface CrashJudges {
+  readonly crashSuspects: Pick<
+    CrashSuspects,
+    'now' | 'recordCompletedRun' | 'recordBrokenRun' | 'recordUndecidedRun'
+  >;
+  readonly promptSuspects: Pick<
+    PromptSuspects,
+    'recordCompletedRun' | 'recordBrokenRun'
+  >;
+}
+
+/** A request by what its crashes are known by. */
+export interface JudgedRequest {
+  /** Fingerprint of its path and body. */
+  readonly fingerprint: string;
+  readonly prompt: PromptParts;
+}
+
+/** A run that has just begun. */
+export class RunEvidence {
+  private readonly startedAtMs: number;
+  private firstEventAtMs: number | undefined;
+
+  /**
+   * @param judges - Told of what the run shows.
+   * @param request - The request.
+   */
+  constructor(
+    private readonly judges: CrashJudges,
+    private readonly request: JudgedRequest,
+  ) {
+    this.startedAtMs = judges.crashSuspects.now();
+  }
+
+  /**
+   * @param sink - Receives the events of the run.
+   * @returns A sink that passes them on and notes when they begin.
+   */
+  watched(sink: EventSink): EventSink {
+    return {
+      events: (events, head) => {
+        this.firstEventAtMs ??= this.judges.crashSuspects.now();
+        return sink.events(events, head);
+      },
+    };
+  }
+
+  /**
+   * @param outcome - Outcome of the run.
+   * @param target - Where it was.
+   */
+  recordOutcome(outcome: ExchangeOutcome, target: Pick<Target, 'id'>): void {
+    const {crashSuspects, promptSuspects} = this.judges;
+    const {fingerprint, prompt} = this.request;
+    if (isWholeSuccess(outcome)) {
+      promptSuspects.recordCompletedRun(prompt);
+      crashSuspects.recordCompletedRun(fingerprint, this.startedAtMs);
+      return;
+    }
+    const hasCrashed = mayHaveCrashed(outcome);
+    if (hasCrashed) promptSuspects.recordBrokenRun(prompt, target.id);
+    if (hasCrashed && this.firstEventAtMs === undefined)
+      crashSuspects.recordBrokenRun(fingerprint, target.id, prompt);
+    else crashSuspects.recordUndecidedRun(fingerprint);
+  }
+}
+
+/**
+ * Whether a run shows that its request can be answered. A failure does not: a
+ * target that is held up or out of order may send it without having begun.
+ */
+function isWholeSuccess(outcome: ExchangeOutcome): boolean {
+  if (outcome.kind === 'streamed') return true;
+  return outcome.kind === 'answered' && isSuccess(outcome.head.status);
+}
--- a/packages/gateway/src/test/fakes/suspect_fleet.ts
+++ b/packages/gateway/src/test/fakes/suspect_fleet.ts
@@ -6,11 +6,14 @@
 import {CrashRecords} from '../../lib/process/crash_records.js';
 import {CrashSuspects} from '../../lib/process/crash_suspects.js';
 import {PromptSuspects} from '../../lib/process/prompt_suspects.js';
-import type {PromptParts} from '../../lib/process/prompt_parts.js';
 import {SUSPECT_TABLE} from '../../lib/process/suspect_table.js';
 import {TargetDirectory} from '../../lib/process/target_directory.js';
 import {CrashCheck} from '../../lib/request/crash_check.js';
 import type {ExchangeOutcome} from '../../lib/request/exchange.js';
+import type {
+  JudgedRequest,
+  RunEvidence,
+} from '../../lib/request/run_evidence.js';
 import {FakeClock} from './fake_clock.js';
 
 /** Time after which the entry of a crashed target expires, in milliseconds. */
@@ -18,24 +21,20 @@
 /** Interval between two reads of the list and of the store, in milliseconds. */
 export const STEP_MS = 100;
 
-/** A request as the hosts know it. */
-export interface FakeRequest {
-  readonly fingerprint: string;
-  readonly prompt: PromptParts;
-}
-
 /** A request that all hosts have in each step, and that gets through. */
-export const SOUND: FakeRequest = {
+export const SOUND: JudgedRequest = {
   fingerprint: 'sound',
   prompt: {service: 's', sharedParts: ['first']},
 };
 
-const CRASHED: ExchangeOutcome = {
+/** The end of a run under which its target has crashed. */
+export const CRASHED: ExchangeOutcome = {
   kind: 'broken',
   reason: 'UND_ERR_SOCKET',
   sentInvalidData: false,
 };
-const STREAMED: ExchangeOutcome = {
+/** The end of a run that got through. */
+export const STREAMED: ExchangeOutcome = {
   kind: 'streamed',
   head: {status: 200, headers: {}},
 };
@@ -70,7 +69,7 @@
   }
 
   /** @returns How each host treats a request, in order. */
-  async refusals(request: FakeRequest): Promise<ReadonlyArray<string>> {
+  async refusals(request: JudgedRequest): Promise<ReadonlyArray<string>> {
     const refusals = this.hosts.map(host => host.refusal(request));
     return Promise.all(refusals);
   }
@@ -138,24 +137,29 @@
   }
 
   /** A run of the request breaks off at a target as a crash breaks it off. */
-  crash(request: FakeRequest, target: string): void {
-    this.checkOf(request).recordOutcome(CRASHED, {id: target}, false);
+  crash(request: JudgedRequest, target: string): void {
+    this.beginRun(request).recordOutcome(CRASHED, {id: target});
   }
 
   /** A run of the request gets through. */
-  complete(request: FakeRequest): void {
-    this.checkOf(request).recordOutcome(STREAMED, {id: 'alive'}, true);
+  complete(request: JudgedRequest): void {
+    this.beginRun(request).recordOutcome(STREAMED, {id: 'alive'});
+  }
+
+  /** @returns What a run of the request shows that begins now. */
+  beginRun(request: JudgedRequest): RunEvidence {
+    return this.checkOf(request).beginRun();
   }
 
   /** @returns Why the request must not run; 'none' if it may. */
-  async refusal(request: FakeRequest): Promise<string> {
+  async refusal(request: JudgedRequest): Promise<string> {
     return (await this.checkOf(request).refusal()) ?? 'none';
   }
 
-  /** @returns The evidence of a request, as it begins. */
-  checkOf({fingerprint, prompt}: FakeRequest): CrashCheck {
+  /** @returns The check of a request that a caller has sent. */
+  checkOf(request: JudgedRequest): CrashCheck {
     const {crashSuspects, promptSuspects} = this;
-    return new CrashCheck({crashSuspects, promptSuspects}, fingerprint, prompt);
+    return new CrashCheck({crashSuspects, promptSuspects}, request);
   }
 
   private guarded(store: MemoryRowStore): RowStore {
--- a/packages/gateway/src/test/process/crash_records_test.ts
+++ b/packages/gateway/src/test/process/crash_records_test.ts
@@ -1,12 +1,8 @@
 import test from 'ava';
-import {
-  settlePromises,
-  STEP_MS,
-  SuspectFleet,
-  type FakeRequest,
-} from '../fakes/suspect_fleet.js';
+import type {JudgedRequest} from '../../lib/request/run_evidence.js';
+import {settlePromises, STEP_MS, SuspectFleet} from '../fakes/suspect_fleet.js';
 
-const POISON: FakeRequest = {
+const POISON: JudgedRequest = {
   fingerprint: 'poison',
   prompt: {service: 's', sharedParts: ['first']},
 };
@@ -61,7 +57,7 @@
   second!.crash(POISON, 't1');
   await settlePromises();
   fleet.isStoreUp = true;
-  first!.crashSuspects.recordAnswer(POISON.fingerprint);
+  first!.complete(POISON);
   await fleet.run(REPEATED_MS);
   t.deepEqual(await targetsAtStart(fleet), ['t1']);
   t.deepEqual(first!.records.get(POISON.fingerprint)?.targets, ['t1']);
--- a/packages/gateway/src/test/process/crash_suspects_test.ts
+++ b/packages/gateway/src/test/process/crash_suspects_test.ts
@@ -155,7 +155,7 @@
     suspects.isItemBlocked('p'),
     'no second additional run beside the first',
   );
-  suspects.recordAnswer('p');
+  suspects.recordCompletedRun('p', suspects.now());
   t.false(suspects.isItemBlocked('p'));
 });
 
@@ -228,7 +228,7 @@
   const crashed = await updateFrom(store, 0);
   other.suspects.update(crashed.update);
   t.true(other.suspects.isBlocked('p'));
-  suspects.recordAnswer('p');
+  suspects.recordCompletedRun('p', suspects.now());
   const answered = await updateFrom(store, crashed.version);
   other.suspects.update(answered.update);
   t.false(other.suspects.isBlocked('p'));
--- a/packages/gateway/src/test/process/suspects_together_test.ts
+++ b/packages/gateway/src/test/process/suspects_together_test.ts
@@ -1,10 +1,6 @@
 import test from 'ava';
-import {
-  SOUND,
-  STEP_MS,
-  SuspectFleet,
-  type FakeRequest,
-} from '../fakes/suspect_fleet.js';
+import type {JudgedRequest} from '../../lib/request/run_evidence.js';
+import {SOUND, STEP_MS, SuspectFleet} from '../fakes/suspect_fleet.js';
 
 const SUSPECT = 'suspect';
 const PART_BLOCKED = 'prompt part blocked';
@@ -13,7 +9,7 @@
 /** Time after which crashes do not count against a part, in milliseconds. */
 const FORGOTTEN_MS = 36_000;
 
-function requestOf(fingerprint: string): FakeRequest {
+function requestOf(fingerprint: string): JudgedRequest {
   const prompt = {service: 's', sharedParts: ['first', 'middle']};
   return {fingerprint, prompt};
 }
--- /dev/null
+++ b/packages/gateway/src/test/request/run_evidence_test.ts
@@ -0,0 +1,86 @@
+import test from 'ava';
+import type {ExchangeOutcome} from '../../lib/request/exchange.js';
+import type {JudgedRequest} from '../../lib/request/run_evidence.js';
+import {
+  CRASHED,
+  STEP_MS,
+  STREAMED,
+  SuspectFleet,
+} from '../fakes/suspect_fleet.js';
+
+const POISON: JudgedRequest = {
+  fingerprint: 'poison',
+  prompt: {service: 's', sharedParts: ['first']},
+};
+const TARGETS = ['t0', 't1', 't2'] as const;
+
+async function newFleet(): Promise<SuspectFleet> {
+  const fleet = new SuspectFleet();
+  fleet.add();
+  fleet.add();
+  await fleet.run(STEP_MS);
+  return fleet;
+}
+
+async function crashThree(fleet: SuspectFleet): Promise<void> {
+  for (const target of TARGETS) fleet.hosts[0]!.crash(POISON, target);
+  await fleet.run(STEP_MS);
+}
+
+function answered(status: number): ExchangeOutcome {
+  const head = {status, headers: {}};
+  return {kind: 'answered', head, body: Buffer.of()};
+}
+
+// Guards against a poison request that is let through on all hosts, because a
+// target that held one of its copies gave an answer in the end.
+test('a run that began before the last crash clears nothing', async t => {
+  const fleet = await newFleet();
+  const [first, second] = fleet.hosts;
+  const early = second!.beginRun(POISON);
+  await fleet.run(STEP_MS);
+  await crashThree(fleet);
+  early.recordOutcome(STREAMED, {id: 'alive'});
+  await fleet.run(STEP_MS);
+  t.is(await first!.refusal(POISON), 'suspect');
+  t.is(await second!.refusal(POISON), 'suspect');
+  const late = second!.beginRun(POISON);
+  late.recordOutcome(STREAMED, {id: 'alive'});
+  await fleet.run(STEP_MS);
+  t.is(await first!.refusal(POISON), 'none');
+});
+
+// Guards against a poison request that is let through because a target that has
+// not begun to run it answered with a failure.
+for (const status of [422, 500, 504])
+  test(`an answer with status ${status} clears nothing`, async t => {
+    const fleet = await newFleet();
+    await crashThree(fleet);
+    fleet.hosts[1]!.beginRun(POISON).recordOutcome(answered(status), {
+      id: 'alive',
+    });
+    await fleet.run(STEP_MS);
+    t.deepEqual(await fleet.refusals(POISON), ['suspect', 'suspect']);
+  });
+
+// Guards against a poison request that is let through because the host that has
+// an answer does not know of a crash that another one has noticed since.
+test('a crash that another host has written outlasts an answer', async t => {
+  const fleet = await newFleet();
+  const [first, second] = fleet.hosts;
+  first!.crash(POISON, TARGETS[0]);
+  await fleet.run(STEP_MS);
+  const answeredRun = second!.beginRun(POISON);
+  fleet.clock.advance(STEP_MS);
+  for (const target of TARGETS.slice(1)) first!.crash(POISON, target);
+  answeredRun.recordOutcome(STREAMED, {id: 'alive'});
+  await fleet.run(10 * STEP_MS);
+  t.deepEqual(await fleet.refusals(POISON), ['suspect', 'suspect']);
+});
+
+test('a run whose target crashed counts against its request', async t => {
+  const fleet = await newFleet();
+  for (const target of TARGETS)
+    fleet.hosts[0]!.beginRun(POISON).recordOutcome(CRASHED, {id: target});
+  t.is(await fleet.hosts[0]!.refusal(POISON), 'suspect');
+});
--- a/packages/jobs/src/lib/process/item_runner.ts
+++ b/packages/jobs/src/lib/process/item_runner.ts
@@ -4,8 +4,8 @@
 import {
   endToEndHeaders,
   eventData,
-  mayHaveCrashed,
   RequestTrace,
+  RunEvidence,
   sendToTarget,
   type AbortReason,
   type ResponseHead,
@@ -126,7 +126,12 @@
     afterEvent: work.lastEventId,
   });
   const sink = new TextSink(work, context.clock);
-  const activeSend = sendToTarget(context, target, 'batch', req, sink);
+  const evidence = new RunEvidence(context, {
+    fingerprint: work.fingerprint,
+    prompt: promptOf(context, work, target),
+  });
+  const watched = evidence.watched(sink);
+  const activeSend = sendToTarget(context, target, 'batch', req, watched);
   work.stage = {
     kind: 'running',
     targetId: target.id,
@@ -148,10 +153,7 @@
       streamedMs: endedAt - (sink.firstEventAtMs ?? endedAt),
       isComplete: end.kind === 'streamed',
     });
-    recordPromptEvidence(context, promptOf(context, work, target), end, target);
-    const hasAnswered =
-      sink.firstEventAtMs !== undefined || end.kind === 'answered';
-    recordSuspicion(context, work, end, target, hasAnswered);
+    evidence.recordOutcome(end, target);
     handleRunEnd(context, job, work, end, target);
   });
 }
@@ -173,33 +175,6 @@
   return {service, sharedParts: work.sharedParts};
 }
 
-function recordSuspicion(
-  context: ItemRunContext,
-  work: ItemWork,
-  end: ExchangeOutcome,
-  target: Target,
-  hasAnswered: boolean,
-): void {
-  const {crashSuspects} = context;
-  const {fingerprint} = work;
-  const prompt = promptOf(context, work, target);
-  if (hasAnswered) crashSuspects.recordAnswer(fingerprint);
-  else if (mayHaveCrashed(end))
-    crashSuspects.recordBrokenRun(fingerprint, target.id, prompt);
-  else crashSuspects.recordUndecidedRun(fingerprint);
-}
-
-function recordPromptEvidence(
-  {promptSuspects}: ItemRunContext,
-  prompt: PromptParts,
-  end: ExchangeOutcome,
-  {id}: Target,
-): void {
-  if (end.kind === 'streamed' || end.kind === 'answered')
-    promptSuspects.recordCompletedRun(prompt);
-  else if (mayHaveCrashed(end)) promptSuspects.recordBrokenRun(prompt, id);
-}
-
 function senderAccountOf({
   head: {account},
 }: OwnedJob): SenderAccount | undefined {
--- a/packages/serving/src/lib/process/serving_components.ts
+++ b/packages/serving/src/lib/process/serving_components.ts
@@ -279,6 +279,7 @@
   );
   const schedulerContext = {
     ...online,
+    crashSuspects,
     directory,
     routing,
     freshness,
