A request that waits for a slot is held when it comes to be blocked

One more target for each copy that had been admitted before the third crash and waited for a slot, or for a coordinator, when it came. Cause: right before a run only the parts of the prompt were looked at again, and of items nothing. Change: the request's own record is looked at there, too, and an item's before it is started. Evidence: suspects_together_test 'a request that waits is held when it comes to be blocked' failed before; batch_scheduler_test 'an item that comes to be blocked is not started' fails without the check.

--- a/packages/gateway/src/lib/request/crash_check.ts
+++ b/packages/gateway/src/lib/request/crash_check.ts
@@ -54,9 +54,10 @@
    * @returns Why the request must not run any more; undefined if it may.
    */
   recheck(): CrashRefusal | undefined {
-    const {promptSuspects} = this.context;
-    const isBlocked =
-      !this.isTrial && promptSuspects.isBlocked(this.request.prompt);
+    const {crashSuspects, promptSuspects} = this.context;
+    const {fingerprint, prompt} = this.request;
+    if (crashSuspects.isBlocked(fingerprint)) return 'suspect';
+    const isBlocked = !this.isTrial && promptSuspects.isBlocked(prompt);
     return isBlocked ? 'prompt part blocked' : undefined;
   }
 
--- a/packages/gateway/src/test/process/suspects_together_test.ts
+++ b/packages/gateway/src/test/process/suspects_together_test.ts
@@ -111,3 +111,14 @@
   t.is(await last.refusal(POISON), SUSPECT);
   t.is(await last.refusal(NEIGHBOUR), 'none');
 });
+
+// Guards against a poison request that reaches a target although it is blocked: it
+// was admitted before the third crash and has waited for a slot since.
+test('a request that waits is held when it comes to be blocked', async t => {
+  const fleet = await newFleet();
+  const waiting = fleet.hosts[0]!.checkOf(POISON);
+  t.is(await waiting.refusal(), undefined);
+  t.is(waiting.recheck(), undefined);
+  await crashUnderPoison(fleet);
+  t.is(waiting.recheck(), SUSPECT);
+});
--- a/packages/jobs/src/lib/process/batch_scheduler.ts
+++ b/packages/jobs/src/lib/process/batch_scheduler.ts
@@ -222,6 +222,8 @@
       return found.isSelective ? 'selective' : 'full';
     }
     if (isStale()) return 'placed';
+    // Guards against one that came to be blocked while it was being placed.
+    if (crashSuspects.isItemBlocked(work.fingerprint)) return 'selective';
     const prompt = promptOf(this.context, work, found.target);
     const admission = await this.context.promptSuspects.admit(prompt);
     if (isStale()) return 'placed';
--- a/packages/jobs/src/test/process/batch_scheduler_test.ts
+++ b/packages/jobs/src/test/process/batch_scheduler_test.ts
@@ -161,6 +161,28 @@
   },
 );
 
+// Guards against a poison item that reaches one more target: it comes to be
+// blocked while a coordinator is asked for its slot.
+test.serial('an item that comes to be blocked is not started', async t => {
+  let isBlocked = false;
+  let admissions = 0;
+  const placement = {
+    usesPeerCoordinator: true,
+    forItem: async () => {
+      isBlocked = true;
+      return {kind: 'placed', target: {id: 't', service: 's'}};
+    },
+  };
+  await runScheduler([jobDueIn('one', GOAL_MS)], {
+    placement,
+    crashSuspects: {isItemBlocked: () => isBlocked},
+    protocol: {readRequest: () => ({sharedParts: []})},
+    promptSuspects: {admit: async () => (admissions++, 'blocked')},
+  });
+  t.true(isBlocked);
+  t.is(admissions, 0);
+});
+
 /** A scheduler without targets, whose clock and routes the test sets. */
 class RouteFixture implements Disposable {
   nowMs = 0;
