Crashes right after the first event count against the request

A request whose targets send their first event before they crash was never blocked by itself: each copy of it cost a target. Cause: a crash counted against a request only if its caller had got nothing. Change: it counts within a second of the run's first event. Evidence: run_evidence_test 'a crash right after the first event counts against the request' and 'a run that lasts clears its request' failed before; all nine pass, and the tests of gateway suspects, front server and jobs (177).

--- a/packages/gateway/src/lib/request/run_evidence.ts
+++ b/packages/gateway/src/lib/request/run_evidence.ts
@@ -29,10 +29,18 @@
   readonly prompt: PromptParts;
 }
 
+/**
+ * A request that crashes its target does so when the target begins to answer it,
+ * at most this long after its first event, in milliseconds. A run that has
+ * lasted longer was broken by another one.
+ */
+const CRASH_WINDOW_MS = 1000;
+
 /** A run that has just begun. */
 export class RunEvidence {
   private readonly startedAtMs: number;
   private firstEventAtMs: number | undefined;
+  private lastEventAtMs = 0;
 
   /**
    * @param judges - Told of what the run shows.
@@ -47,12 +55,13 @@
 
   /**
    * @param sink - Receives the events of the run.
-   * @returns A sink that passes them on and notes when they begin.
+   * @returns A sink that passes them on and notes when they come.
    */
   watched(sink: EventSink): EventSink {
     return {
       events: (events, head) => {
-        this.firstEventAtMs ??= this.judges.crashSuspects.now();
+        this.lastEventAtMs = this.judges.crashSuspects.now();
+        this.firstEventAtMs ??= this.lastEventAtMs;
         return sink.events(events, head);
       },
     };
@@ -72,10 +81,17 @@
     }
     const hasCrashed = mayHaveCrashed(outcome);
     if (hasCrashed) promptSuspects.recordBrokenRun(prompt, target.id);
-    if (hasCrashed && this.firstEventAtMs === undefined)
+    if (hasCrashed && !this.hasLasted)
       crashSuspects.recordBrokenRun(fingerprint, target.id, prompt);
+    else if (!hasCrashed && this.hasLasted)
+      crashSuspects.recordCompletedRun(fingerprint, this.startedAtMs);
     else crashSuspects.recordUndecidedRun(fingerprint);
   }
+
+  private get hasLasted(): boolean {
+    if (this.firstEventAtMs === undefined) return false;
+    return this.lastEventAtMs - this.firstEventAtMs > CRASH_WINDOW_MS;
+  }
 }
 
 /**
--- a/packages/gateway/src/test/fakes/suspect_fleet.ts
+++ b/packages/gateway/src/test/fakes/suspect_fleet.ts
@@ -34,10 +34,10 @@
   sentInvalidData: false,
 };
 /** The end of a run that got through. */
-export const STREAMED: ExchangeOutcome = {
+export const STREAMED = {
   kind: 'streamed',
   head: {status: 200, headers: {}},
-};
+} as const satisfies ExchangeOutcome;
 
 /** Hosts that share a store and read its changes in each step. */
 export class SuspectFleet {
--- a/packages/gateway/src/test/request/run_evidence_test.ts
+++ b/packages/gateway/src/test/request/run_evidence_test.ts
@@ -1,6 +1,9 @@
 import test from 'ava';
 import type {ExchangeOutcome} from '../../lib/request/exchange.js';
-import type {JudgedRequest} from '../../lib/request/run_evidence.js';
+import type {
+  JudgedRequest,
+  RunEvidence,
+} from '../../lib/request/run_evidence.js';
 import {
   CRASHED,
   STEP_MS,
@@ -12,6 +15,8 @@
   fingerprint: 'poison',
   prompt: {service: 's', sharedParts: ['first']},
 };
+/** Longer than a crash follows the first event of the run that caused it. */
+const LASTING_MS = 1500;
 const TARGETS = ['t0', 't1', 't2'] as const;
 
 async function newFleet(): Promise<SuspectFleet> {
@@ -84,3 +89,48 @@
     fleet.hosts[0]!.beginRun(POISON).recordOutcome(CRASHED, {id: target});
   t.is(await fleet.hosts[0]!.refusal(POISON), 'suspect');
 });
+
+/** A run of the request that has been answered with events for some time. */
+async function answeringRun(
+  fleet: SuspectFleet,
+  forMs: number,
+): Promise<RunEvidence> {
+  const run = fleet.hosts[0]!.beginRun(POISON);
+  const sink = run.watched({events: () => true});
+  sink.events([], STREAMED.head);
+  await fleet.run(forMs);
+  sink.events([], STREAMED.head);
+  return run;
+}
+
+// Guards against a poison request that is never blocked, because each target sends
+// its first event before it crashes.
+test('a crash right after the first event counts against the request', async t => {
+  const fleet = await newFleet();
+  for (const target of TARGETS) {
+    const run = await answeringRun(fleet, STEP_MS);
+    run.recordOutcome(CRASHED, {id: target});
+  }
+  t.is(await fleet.hosts[0]!.refusal(POISON), 'suspect');
+});
+
+// Guards against long sound streams that are held because they ran beside poison
+// requests.
+test('a crash long after the first event counts against no request', async t => {
+  const fleet = await newFleet();
+  for (const target of TARGETS) {
+    const run = await answeringRun(fleet, LASTING_MS);
+    run.recordOutcome(CRASHED, {id: target});
+  }
+  t.is(await fleet.hosts[0]!.refusal(POISON), 'none');
+});
+
+// Guards against a harmless item that stays blocked because requests take its slot
+// each time before it has come to its end.
+test('a run that lasts clears its request, whoever ends it', async t => {
+  const fleet = await newFleet();
+  await crashThree(fleet);
+  const run = await answeringRun(fleet, LASTING_MS);
+  run.recordOutcome({kind: 'ended', by: 'yield'}, {id: 'alive'});
+  t.is(await fleet.hosts[0]!.refusal(POISON), 'none');
+});
