A request with two blocked parts uses up no trial of one alone

A part whose targets are mended would stay blocked for minutes: each request with it also had another blocked part, used up the trial of the first one and was refused for the second. Cause: the parts of a prompt were admitted one after the other. Change: a request tries its blocked parts again only when all are due. Evidence: prompt_suspects_test 'a request with two blocked parts uses up no trial of one alone' failed before and passes. That a trial's own retry is held was suspected not to be so: 'a request that tries a part again is not sent a second time' passed before, too.

--- a/packages/gateway/src/lib/process/prompt_suspects.ts
+++ b/packages/gateway/src/lib/process/prompt_suspects.ts
@@ -122,15 +122,13 @@
    */
   async admit(prompt: PromptParts): Promise<PromptAdmission> {
     const {service} = prompt;
-    let admission: PromptAdmission = 'free';
-    for (const key of partKeysOf(prompt)) {
+    const verdicts = partKeysOf(prompt).flatMap(key => {
       const verdict = this.verdictOn(service, key);
-      if (!verdict) continue;
-      admission = (await this.mayTry(key, verdict)) ? 'trial' : 'blocked';
-      if (admission === 'blocked') break;
-    }
-    if (admission !== 'free')
-      this.context.counters.count('prompt_parts', {outcome: admission});
+      return verdict ? [{key, verdict}] : [];
+    });
+    if (verdicts.length === 0) return 'free';
+    const admission = (await this.mayTryAll(verdicts)) ? 'trial' : 'blocked';
+    this.context.counters.count('prompt_parts', {outcome: admission});
     return admission;
   }
 
@@ -422,16 +420,37 @@
     this.context.log.event('prompt-part-spared', {service, part, targets});
   }
 
+  /**
+   * Whether this request is the one that tries all its blocked parts again. It
+   * uses up no trial of one while that of another is not due.
+   */
+  private async mayTryAll(
+    verdicts: ReadonlyArray<{
+      readonly key: string;
+      readonly verdict: KnownVerdict;
+    }>,
+  ): Promise<boolean> {
+    if (!verdicts.every(({verdict}) => this.isTrialDue(verdict))) return false;
+    for (const {key, verdict} of verdicts)
+      if (!(await this.mayTry(key, verdict))) return false;
+    return true;
+  }
+
+  private isTrialDue({version, trials, triedAt, at}: KnownVerdict): boolean {
+    const pauseMs = FIRST_TRIAL_MS * TRIAL_GROWTH ** trials;
+    const isDue = this.now() - (triedAt ?? at) >= pauseMs;
+    return isDue && version !== undefined;
+  }
+
   /**
    * Whether this request is the one that tries whether a part still crashes
    * targets. The write decides, so that there is one on the whole fleet.
    */
   private async mayTry(key: string, verdict: KnownVerdict): Promise<boolean> {
     const {version, crashed, ...last} = verdict;
-    const pauseMs = FIRST_TRIAL_MS * TRIAL_GROWTH ** last.trials;
+    // Another request may have begun to try it while this one waited.
+    if (version === undefined) return false;
     const now = this.now();
-    const isDue = now - (last.triedAt ?? last.at) >= pauseMs;
-    if (!isDue || version === undefined) return false;
     const next = {...last, trials: last.trials + 1, triedAt: now};
     this.verdicts.set(key, {...next, version: undefined, crashed});
     const ref = verdictRef(key);
--- a/packages/gateway/src/test/process/prompt_suspects_test.ts
+++ b/packages/gateway/src/test/process/prompt_suspects_test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import {partKeyOf} from '../../lib/process/prompt_parts.js';
 import {
+  CRASHED,
   EXPIRY_MS,
   STEP_MS,
   SuspectFleet,
@@ -9,6 +10,7 @@
 import {newTarget} from '../fakes/targets.js';
 
 const BAD = {service: 's', sharedParts: ['first', 'bad']};
+const WORSE = {service: 's', sharedParts: ['worse']};
 const SOUND = {service: 's', sharedParts: ['first']};
 
 /** A fleet whose hosts have seen one crash each under the bad part. */
@@ -121,3 +123,31 @@
   await fleet.run(1000);
   t.deepEqual(await admissionsAt([host, other]), ['free', 'free']);
 });
+
+// Guards against a part that is never tried again: the only requests that have it
+// also have another blocked part, whose next trial is due at another time.
+test('a request with two blocked parts uses up no trial of one alone', async t => {
+  const fleet = await newFleet(5);
+  await fleet.run(3000);
+  const both = {...BAD, sharedParts: ['bad', 'worse']};
+  for (let i = 0; i < 5; i++) {
+    fleet.hosts[i]!.promptSuspects.recordBrokenRun(WORSE, `w${i}`);
+    await fleet.run(STEP_MS);
+  }
+  await fleet.run(9000);
+  const early = await fleet.hosts[0]!.promptSuspects.admit(both);
+  t.is(early, 'blocked', 'the second verdict is younger');
+  t.is(await fleet.hosts[0]!.promptSuspects.admit(BAD), 'trial');
+});
+
+// Guards against a trial that costs a target for each target that its request may
+// be sent to.
+test('a request that tries a part again is not sent a second time', async t => {
+  const fleet = await newFleet(5);
+  await fleet.run(14_000);
+  const check = fleet.hosts[0]!.checkOf({fingerprint: 'f', prompt: BAD});
+  t.is(await check.refusal(), undefined);
+  t.is(check.recheck(), undefined);
+  check.beginRun().recordOutcome(CRASHED, {id: 't9'});
+  t.is(await check.refusal(), 'prompt part blocked');
+});
