A request that is held for crashes is told no time to return

Callers of a blocked request were asked to come back after some 20 to 900 ms, to be refused again: it is held for seconds at least, up to a minute. Cause: of the two refusals for crashes only the one for parts counted as final. Change: both are 503 without Retry-After. Evidence: poison_beside_sound_test asks once more at its end; both cases failed before and pass.

--- a/packages/gateway/src/lib/request/online_request.ts
+++ b/packages/gateway/src/lib/request/online_request.ts
@@ -78,12 +78,18 @@
 const VERSION_GONE = 'software version gone';
 /** Several versions may have begun the stream, and no host knows which one. */
 const VERSION_UNKNOWN = 'software version unknown';
-const PART_BLOCKED: CrashRefusal = 'prompt part blocked';
-/** Refusals of requests that nobody can serve later either. */
+const CRASH_REFUSALS: readonly CrashRefusal[] = [
+  'suspect',
+  'prompt part blocked',
+];
+/**
+ * Refusals of requests that nobody can serve before their callers have given
+ * them up: a time to return would only bring them back to be refused again.
+ */
 const FINAL_REASONS: ReadonlySet<string> = new Set([
   VERSION_GONE,
   VERSION_UNKNOWN,
-  PART_BLOCKED,
+  ...CRASH_REFUSALS,
 ]);
 
 /** Serves one online request. */
