A part is blocked in spite of an earlier verdict that one request explains

Requests with a bad part would end targets without an end: a verdict on the part that is not in force, since one request accounts for its crashes (of a host of an earlier build, or passed before the request's record was read), stood in the way of a new one. Cause: what was asked was only whether the known verdict was in force. Change: the evidence is looked at again, and a new verdict replaces the row of the old one. Verdicts and what is in force of them are in PartVerdicts now, out of PromptSuspects.

--- a/packages/gateway/src/lib/process/prompt_suspects.ts
+++ b/packages/gateway/src/lib/process/prompt_suspects.ts
@@ -6,7 +6,6 @@
 import {
   PART_CRASH_LIFETIME_MS,
   PartSuspicion,
-  isUnderOneRequest,
   type Clock,
   type Counters,
   type EventLog,
@@ -21,6 +20,12 @@
 } from '@oathead/stores';
 import {LRUCache} from 'lru-cache';
 import type {CrashRecords} from './crash_records.js';
+import {
+  PartVerdicts,
+  VERDICT_LIFETIME_MS,
+  type KnownVerdict,
+  type VerdictEnd,
+} from './part_verdicts.js';
 import {partKeysOf, type PromptParts} from './prompt_parts.js';
 import {
   CRASH,
@@ -57,51 +62,24 @@
   readonly expiryMs: () => number;
 }
 
-interface KnownVerdict extends Verdict {
-  /** Version of its row; undefined until the row is read. */
-  readonly version: number | undefined;
-  /** IDs of all targets that are known to have crashed under its part. */
-  readonly crashed: ReadonlySet<string>;
-}
-
-/** How a verdict ends. */
-type VerdictEnd =
-  /** A run with the part got through at this host. */
-  | 'got-through'
-  /** Another host has removed it. */
-  | 'removed'
-  | 'expired'
-  /** Its targets are listed still, so they have not crashed. */
-  | 'listed'
-  /** It could not be written, so that nobody could try the part again. */
-  | 'unwritten';
-
-/** Number of crashed targets that a verdict needs. */
-const MIN_TARGETS = 3;
 /**
  * Time from a verdict to the first request that tries again, in milliseconds,
  * and the growth of that time with each further one.
  */
 const FIRST_TRIAL_MS = 10_000;
 const TRIAL_GROWTH = 4;
-/** How long a verdict lasts, in milliseconds. */
-const VERDICT_LIFETIME_MS = 600_000;
-/** Time until hosts have read that an entry has expired, in milliseconds. */
-const LIST_READ_MARGIN_MS = 2700;
 /** Interval between two looks at suspected parts, in milliseconds. */
 const WATCH_INTERVAL_MS = 200;
-const MAX_VERDICTS = 1024;
-const MAX_CRASHED_TARGETS = 1024;
+/** Maximum number of parts whose last log line is remembered. */
+const MAX_LOGGED = 1024;
 
 /** Parts that crash targets, as one host knows them. */
 export class PromptSuspects {
   private readonly suspicion = new PartSuspicion();
-  private readonly verdicts = new LRUCache<string, KnownVerdict>({
-    max: MAX_VERDICTS,
-  });
+  private readonly verdicts: PartVerdicts;
   /** Number of crashes at which a part was last logged as spared. */
   private readonly loggedSpared = new LRUCache<string, number>({
-    max: MAX_VERDICTS,
+    max: MAX_LOGGED,
   });
   private readonly rows: SuspectRowWriter;
   private isWatching = false;
@@ -109,6 +87,7 @@
   /** @param context - The store, and the list of targets. */
   constructor(private readonly context: PromptSuspectsContext) {
     this.rows = new SuspectRowWriter(context);
+    this.verdicts = new PartVerdicts({...context, now: () => this.now()});
   }
 
   /**
@@ -138,18 +117,12 @@
   }
 
   /**
-   * Looks at the verdicts in force, so that a crash counts against requests
-   * again as soon as the verdict that accounts for it ends, however it does.
-   *
    * @param target - ID of a target.
    * @returns The key of the guilty part that crashed it; undefined if none is
    *     known.
    */
   explanationOf(target: string): string | undefined {
-    for (const [part, verdict] of this.verdicts.entries())
-      if (verdict.crashed.has(target) && this.isInForce(part, verdict))
-        return part;
-    return undefined;
+    return this.verdicts.explanationOf(target);
   }
 
   /**
@@ -165,7 +138,7 @@
         target,
         atMs: at,
       });
-      this.addCrash(key, target);
+      this.verdicts.addCrash(key, target);
       if (!isNew) continue;
       const value = encodeJson({service, targets: [target], at});
       this.rows.put({...crashRef(key, target), value});
@@ -185,8 +158,8 @@
     const refs = [...cleared].flatMap(([key, crashes]) =>
       crashes.map(({target}) => crashRef(key, target)),
     );
-    const acquitted = keys.filter(key => this.verdicts.has(key));
-    for (const key of acquitted) this.endVerdict(key, 'got-through');
+    const acquitted = keys.filter(key => this.verdicts.get(key));
+    for (const key of acquitted) this.verdicts.end(key, 'got-through');
     const removes = [...refs, ...acquitted.map(verdictRef)];
     if (removes.length > 0) this.rows.remove(removes);
   }
@@ -225,20 +198,7 @@
     this.rows.noteRemoved(rowKey);
     const {part, target} = parseRowKey(rowKey);
     if (target !== undefined) this.suspicion.forgetCrash(part, target);
-    else this.endVerdict(part, 'removed');
-  }
-
-  private endVerdict(key: string, reason: VerdictEnd): void {
-    const known = this.verdicts.peek(key);
-    if (!known) return;
-    this.verdicts.delete(key);
-    const {service, targets} = known;
-    this.context.log.event('prompt-part-cleared', {
-      service,
-      part: key,
-      targets,
-      reason,
-    });
+    else this.verdicts.end(part, 'removed');
   }
 
   private apply(row: VersionedRow): void {
@@ -260,7 +220,7 @@
     if (!crash.ok) return crash.err.message;
     const {service, at} = crash.value;
     const [target] = crash.value.targets;
-    this.addCrash(part, target);
+    this.verdicts.addCrash(part, target);
     if (this.now() - at <= PART_CRASH_LIFETIME_MS)
       this.suspicion.recordCrash(service, part, {target, atMs: at});
     return undefined;
@@ -281,46 +241,42 @@
 
   private verdictOn(service: string, key: string): KnownVerdict | undefined {
     const known = this.verdicts.get(key);
-    if (known && this.isOver(known)) this.strikeOff(key, known);
-    else if (known) return this.isInForce(key, known) ? known : undefined;
+    const end = known && this.verdicts.endOf(known);
+    if (known && end) this.strikeOff(key, known, end);
+    else if (known && this.verdicts.isInForce(key, known)) return known;
     const crashes = this.suspicion.guiltyOf(key, this.now());
     if (!crashes) return undefined;
-    const alive = crashes.filter(crash => this.isStillListed(crash));
+    const alive = crashes.filter(({target, atMs}) =>
+      this.verdicts.isStillListed(target, atMs),
+    );
     if (alive.length === 0) return this.pass(service, key, crashes);
     for (const {target} of alive) this.suspicion.forgetCrash(key, target);
     return this.verdictOn(service, key);
   }
 
-  /** Whether the target has lost a connection, but has not crashed. */
-  private isStillListed({target, atMs}: PartCrash): boolean {
-    const knownAfterMs = this.expiryKnownAfterMs();
-    const isKnown = this.now() - atMs >= knownAfterMs;
-    return isKnown && this.context.directory.isListedFor(target, knownAfterMs);
-  }
-
-  /** Time until hosts know whether the entry of a target has expired. */
-  private expiryKnownAfterMs(): number {
-    return this.context.expiryMs() + LIST_READ_MARGIN_MS;
-  }
-
-  /** Drops a verdict that is over, or whose targets have not crashed. */
-  private strikeOff(key: string, {targets, at}: Verdict): void {
-    const isExpired = this.now() - at >= VERDICT_LIFETIME_MS;
-    this.endVerdict(key, isExpired ? 'expired' : 'listed');
+  /** Drops a verdict that is over. */
+  private strikeOff(
+    key: string,
+    {targets}: KnownVerdict,
+    reason: VerdictEnd,
+  ): void {
+    this.verdicts.end(key, reason);
     for (const target of targets) this.suspicion.forgetCrash(key, target);
     this.rows.remove([verdictRef(key)]);
   }
 
+  /** Passes a verdict, in place of one that is not in force. */
   private pass(
     service: string,
     key: string,
     crashes: readonly PartCrash[],
   ): KnownVerdict | undefined {
     const targets = crashes.map(({target}) => target);
-    if (this.areUnderOneRequest(key, targets)) {
+    if (this.verdicts.areUnderOneRequest(key, targets)) {
       this.logSpared(service, key, targets);
       return undefined;
     }
+    const before = this.verdicts.get(key)?.version ?? 0;
     const verdict = {service, targets, at: this.now(), trials: 0};
     const known = this.setVerdict(key, verdict, undefined);
     this.context.log.event('prompt-part-blocked', {
@@ -328,7 +284,7 @@
       part: key,
       targets,
     });
-    void this.publish(key, verdict);
+    void this.publish(key, verdict, before);
     return known;
   }
 
@@ -337,28 +293,19 @@
     verdict: Verdict,
     version: number | undefined,
   ): KnownVerdict {
-    const before = this.verdicts.peek(key)?.crashed ?? [];
-    const known = this.suspicion.targetsOf(key);
-    const crashed = new Set([...before, ...known, ...verdict.targets]);
-    const set = {...verdict, version, crashed};
-    this.verdicts.set(key, set);
-    return set;
+    const crashes = this.suspicion.targetsOf(key);
+    return this.verdicts.set(key, verdict, version, crashes);
   }
 
-  /** Adds a crash to the verdict on a part, if there is one. */
-  private addCrash(key: string, target: string): void {
-    const known = this.verdicts.peek(key);
-    if (!known || known.crashed.has(target)) return;
-    const crashed = new Set([...known.crashed, target]);
-    const [oldest] = crashed;
-    if (crashed.size > MAX_CRASHED_TARGETS) crashed.delete(oldest!);
-    this.verdicts.set(key, {...known, crashed});
-  }
-
-  private async publish(key: string, verdict: Verdict): Promise<void> {
+  /** @param before - Version of the row that it replaces; 0 if there is none. */
+  private async publish(
+    key: string,
+    verdict: Verdict,
+    before: number,
+  ): Promise<void> {
     const ref = verdictRef(key);
     const written = await this.context.store.transact({
-      expect: [{...ref, version: 0}],
+      expect: [{...ref, version: before}],
       puts: [{...ref, value: encodeJson(verdict)}],
       removes: [],
     });
@@ -369,42 +316,10 @@
     // nowhere, so it ends by itself.
     this.context.clock.after(FIRST_TRIAL_MS, () => {
       if (this.verdicts.get(key)?.version === undefined)
-        this.endVerdict(key, 'unwritten');
+        this.verdicts.end(key, 'unwritten');
     });
   }
 
-  /**
-   * Whether a verdict holds by what this host knows. Guards against sound
-   * requests that are refused for crashes of which one request is the cause,
-   * also if another host passed the verdict before it knew.
-   */
-  private isInForce(key: string, verdict: Verdict): boolean {
-    const crashed = this.crashedOf(verdict);
-    return !this.isOver(verdict) && !this.areUnderOneRequest(key, crashed);
-  }
-
-  /** Whether a verdict is too old, or its targets have not crashed. */
-  private isOver(verdict: Verdict): boolean {
-    const isExpired = this.now() - verdict.at >= VERDICT_LIFETIME_MS;
-    return isExpired || this.crashedOf(verdict).length < MIN_TARGETS;
-  }
-
-  /** The targets of a verdict that are not known to live. */
-  private crashedOf({targets, at}: Verdict): readonly string[] {
-    const knownAfterMs = this.expiryKnownAfterMs();
-    if (this.now() - at < knownAfterMs) return targets;
-    const {directory} = this.context;
-    return targets.filter(id => !directory.isListedFor(id, knownAfterMs));
-  }
-
-  private areUnderOneRequest(key: string, crashes: readonly string[]): boolean {
-    const requests = this.context.records.withPart(key);
-    return isUnderOneRequest(
-      crashes,
-      requests.map(({targets}) => targets),
-    );
-  }
-
   /** Logs once for each number of crashes: parts are looked at often. */
   private logSpared(
     service: string,
@@ -448,7 +363,7 @@
     if (version === undefined) return false;
     const now = this.now();
     const next = {...last, trials: last.trials + 1, triedAt: now};
-    this.verdicts.set(key, {...next, version: undefined, crashed});
+    this.verdicts.set(key, next, undefined, [...crashed]);
     const ref = verdictRef(key);
     const written = await this.context.store.transact({
       expect: [{...ref, version}],
@@ -462,7 +377,7 @@
       outcome: written.ok ? 'written' : written.err.kind,
     });
     if (!written.ok && written.err.kind !== 'conflict')
-      this.verdicts.set(key, {...verdict, triedAt: now});
+      this.verdicts.set(key, {...last, triedAt: now}, version, []);
     return written.ok;
   }
 
--- a/packages/gateway/src/test/process/suspects_together_test.ts
+++ b/packages/gateway/src/test/process/suspects_together_test.ts
@@ -1,4 +1,6 @@
 import test from 'ava';
+import {partKeyOf} from '../../lib/process/prompt_parts.js';
+import {verdictRef} from '../../lib/process/prompt_suspect_rows.js';
 import type {JudgedRequest} from '../../lib/request/run_evidence.js';
 import {SOUND, STEP_MS, SuspectFleet} from '../fakes/suspect_fleet.js';
 
@@ -9,6 +11,9 @@
 /** Time after which crashes do not count against a part, in milliseconds. */
 const FORGOTTEN_MS = 36_000;
 
+/** Time after which a blocked part is tried again, in milliseconds. */
+const TRIAL_MS = 10_000;
+
 function requestOf(fingerprint: string): JudgedRequest {
   const prompt = {service: 's', sharedParts: ['first', 'middle']};
   return {fingerprint, prompt};
@@ -122,3 +127,27 @@
   await crashUnderPoison(fleet);
   t.is(waiting.recheck(), SUSPECT);
 });
+
+// Guards against a part that is never blocked: a host of an earlier build has put
+// crashes of one request down to it, and others with it crash targets since then.
+test('a part is blocked in spite of an earlier verdict that one request explains', async t => {
+  const fleet = await newFleet();
+  await crashUnderPoison(fleet);
+  const key = partKeyOf('s', 'middle');
+  const targets = ['t0', 't1', 't2'];
+  const at = fleet.clock.now();
+  const verdict = {service: 's', targets, at, trials: 0};
+  const value = Buffer.from(JSON.stringify(verdict));
+  const puts = [{...verdictRef(key), value}];
+  await fleet.store.transact({expect: [], puts, removes: []});
+  await fleet.run(STEP_MS);
+  t.deepEqual(await fleet.refusals(NEIGHBOUR), all(fleet, 'none'));
+  for (const [i, other] of OTHERS.entries()) {
+    fleet.hosts[i]!.crash(other, `u${i}`);
+    await fleet.run(STEP_MS);
+  }
+  await fleet.run(DECIDED_MS);
+  t.deepEqual(await fleet.refusals(NEIGHBOUR), all(fleet, PART_BLOCKED));
+  await fleet.run(TRIAL_MS);
+  t.is(await fleet.hosts[0]!.refusal(NEIGHBOUR), 'none', 'it is tried again');
+});
