--- a/packages/gateway/src/lib/process/crash_suspects.ts
+++ b/packages/gateway/src/lib/process/crash_suspects.ts
@@ -1,13 +1,13 @@
 /**
  * Detects poison requests, which crash the targets that run them.
  *
- * The run of such a request ends with a broken connection before any response.
- * Its caller then sends it again to any host, and each run costs a target and
- * all other requests on it. The targets at which runs of a request broke off
- * are recorded by fingerprint of the request in the store, so that all hosts
- * know them; after three targets the request is blocked. A harmless request
- * that ran beside it is recorded as well, but its next run succeeds and clears
- * the record. Each target counts once: a server that crashed comes back as a
+ * The run of such a request ends with a broken connection before any response,
+ * or right after its first event. Its caller then sends it again to any host,
+ * and each run costs a target and all other requests on it. `CrashRecords` holds
+ * the targets at which runs of a request broke off; after three targets the
+ * request is blocked, unless parts of prompts account for them. A harmless
+ * request that ran beside it is recorded as well, but its next run succeeds and
+ * clears the record. Each target counts once: a server that crashed comes back as a
  * new incarnation, and thus as another target, so several broken runs at one
  * target are lost responses of a target that is alive.
  */
@@ -183,8 +183,8 @@
   }
 
   /**
-   * @param requestFingerprint - Fingerprint of a request whose run broke off
-   *     before any response.
+   * @param requestFingerprint - Fingerprint of a request whose run broke off as
+   *     a crash breaks it off.
    * @param targetId - ID of the target of the run.
    * @param prompt - Parts of the prompt of the request.
    */
