A test of the command line says what the command saw when it fails

Cause: a known red, an empty table seen once, told neither the command's error nor what its server had received, so that it could not be traced. What the test asks is unchanged. Measured: its file passes.

--- a/packages/cli/src/test/process/verbs/resource_verbs_test.ts
+++ b/packages/cli/src/test/process/verbs/resource_verbs_test.ts
@@ -20,9 +20,11 @@
     json(model),
   );
   const url = ['--url', server.url];
+  const table = await runCli(['get', ...url]);
   t.regex(
-    (await runCli(['get', ...url])).out,
+    table.out,
     /models +m +1 +not Ready \(NoTarget, 3m\)\n/,
+    `${table.err} ${JSON.stringify(server.received)}`,
   );
   const {out} = await runCli(['get', 'models', 'm', '-o', 'json', ...url]);
   t.deepEqual(JSON.parse(out), model);
