Soak: sound requests seldom enough for their part to be suspected

Change: one such request every 3.5 s and four long streams from before the first crash; others share the first part only.

--- a/packages/soak/src/lib/process/poison_handlers.ts
+++ b/packages/soak/src/lib/process/poison_handlers.ts
@@ -22,17 +22,23 @@
   readonly sound: readonly SoundRequest[];
 }
 
-/** The parts that the poison request shares with sound ones. */
-const SHARED_PARTS = 'a:100,shared:50';
+/** The first part, which nearly all requests have, and one of other requests. */
+const FIRST_PART = 'a:100';
+const OTHER_PART = 'other:50';
 const ROUTES = ['flags', 'notes'] as const;
 /** How long copies of the request are sent, and between two of them, in
  * milliseconds. */
 const POISON_MS = 12_000;
 const COPY_PAUSE_MS = 150;
-/** Between two sound requests, and between two long ones, in milliseconds. */
+/** Between two sound requests with the first part, in milliseconds. */
 const SOUND_PAUSE_MS = 70;
-const LONG_PAUSE_MS = 1000;
-const LONG_STREAMS = POISON_MS / LONG_PAUSE_MS;
+/**
+ * Between two with all its parts, in milliseconds: seldom enough for the parts
+ * to be suspected, and often enough to clear them again and again.
+ */
+const NEIGHBOUR_PAUSE_MS = 3500;
+/** Streams with all its parts that begin before the first crash. */
+const LONG_STREAMS = 4;
 /** How long a long sound stream lasts, in milliseconds. */
 const LONG_STREAM_MS = 3600;
 /** A server that the request has ended is back after this, in milliseconds. */
@@ -56,6 +62,7 @@
 async function playBout({fleet, random}: FaultCall): Promise<PoisonBout> {
   const id = random.int(Number.MAX_SAFE_INTEGER);
   const path = `/${ROUTES[random.int(ROUTES.length)]!}/poison${id}`;
+  const sharedParts = `${FIRST_PART},shared${id}:50`;
   const longPath = (i: number) => `/notes/long${id}-${i}`;
   const struck = fleet.servers.filter(one => one.service === BATCH_SERVICE);
   for (const {server} of struck) {
@@ -65,11 +72,21 @@
       server.slowPaths.set(longPath(i), LONG_STREAM_MS / EVENTS);
   }
   const from = Date.now();
+  const long = [...Array(LONG_STREAMS).keys()].map(i =>
+    sendOne(fleet, {path: longPath(i), parts: sharedParts}, i),
+  );
   const [sound] = await Promise.all([
-    sendRepeatedly(fleet, i => `/notes/beside${id}-${i}`, SOUND_PAUSE_MS),
-    sendRepeatedly(fleet, longPath, LONG_PAUSE_MS),
-    sendRepeatedly(fleet, () => path, COPY_PAUSE_MS),
+    sendRepeatedly(fleet, NEIGHBOUR_PAUSE_MS, i => ({
+      path: `/notes/beside${id}-${i}`,
+      parts: sharedParts,
+    })),
+    sendRepeatedly(fleet, SOUND_PAUSE_MS, i => ({
+      path: `/notes/other${id}-${i}`,
+      parts: `${FIRST_PART},${OTHER_PART}`,
+    })),
+    sendRepeatedly(fleet, COPY_PAUSE_MS, () => ({path, parts: sharedParts})),
   ]);
+  await Promise.all(long);
   const to = Date.now();
   for (const {server} of struck) {
     server.crashPaths.delete(path);
@@ -78,28 +95,35 @@
   return {path, from, to, sound};
 }
 
+/** What is asked for. */
+interface Asked {
+  readonly path: string;
+  /** The parts of its prompt that other requests have, too. */
+  readonly parts: string;
+}
+
 /** Sends requests to all programs in turn. */
 async function sendRepeatedly(
   fleet: SoakFleet,
-  pathOf: (i: number) => string,
   pauseMs: number,
+  asked: (i: number) => Asked,
 ): Promise<readonly SoundRequest[]> {
   const until = Date.now() + POISON_MS;
   const sent: Array<Promise<SoundRequest>> = [];
   for (let i = 0; Date.now() < until; i++) {
-    sent.push(sendOne(fleet, pathOf(i), i));
     await sleep(SYSTEM_CLOCK, pauseMs);
+    sent.push(sendOne(fleet, asked(i), i));
   }
   return Promise.all(sent);
 }
 
 async function sendOne(
   fleet: SoakFleet,
-  path: string,
+  {path, parts}: Asked,
   i: number,
 ): Promise<SoundRequest> {
   const {front} = fleet.programs[i % fleet.programs.length]!.program;
-  const headers = {'x-prompt-prefix': `${SHARED_PARTS},own:250`};
+  const headers = {'x-prompt-prefix': `${parts},own:250`};
   const sentAt = Date.now();
   const status = await new Caller(front, fleet.key).stream(path, headers).then(
     response => response.status,
