An item is run once more when the verdict on a part ends

Change: targets that a verdict once accounted for still hold the item, but do not use up its additional run, which comes when the list has been read.

--- a/packages/gateway/src/lib/process/crash_suspects.ts
+++ b/packages/gateway/src/lib/process/crash_suspects.ts
@@ -55,6 +55,8 @@
    *     undefined if none is.
    */
   readonly explanationOf: (targetId: string) => string | undefined;
+  /** @returns Whether a part of prompts was ever taken to have crashed it. */
+  readonly wasExplained: (targetId: string) => boolean;
 }
 
 /** Why a request may run although targets have crashed under it. */
@@ -143,7 +145,9 @@
    * them, a host cannot tell it from a poison request, and the item would be
    * delayed by a minute. One more run decides, at the cost of one target at
    * most: only the owner of the item starts it, and if a fourth target is lost,
-   * the item stays blocked.
+   * the item stays blocked. Targets that a verdict on a part of prompts has
+   * accounted for are no such: a harmless item would wait for a minute when the
+   * verdict ends.
    *
    * @param requestFingerprint - Fingerprint of an item.
    * @returns Whether the item must not be started, because it is blocked and
@@ -153,13 +157,15 @@
     if (!this.isBlocked(requestFingerprint)) return false;
     const suspect = this.context.records.get(requestFingerprint)!;
     const {at} = suspect;
-    const targets = this.unexplained(suspect);
+    const decisive = this.unexplained(suspect).filter(
+      id => !this.context.wasExplained(id),
+    );
     const lastRunAt = Math.max(
       at,
       this.lastExtraRunAt.get(requestFingerprint) ?? 0,
     );
     const isDue = this.now() - lastRunAt >= this.expiryKnownAfterMs();
-    return targets.length > TARGETS_TO_BLOCK || !isDue;
+    return decisive.length > TARGETS_TO_BLOCK || !isDue;
   }
 
   /** @param requestFingerprint - Fingerprint of an item that is started. */
--- a/packages/gateway/src/lib/process/prompt_suspects.ts
+++ b/packages/gateway/src/lib/process/prompt_suspects.ts
@@ -125,6 +125,11 @@
     return this.verdicts.explanationOf(target);
   }
 
+  /** @returns Whether some verdict has accounted for the crash of the target. */
+  wasExplained(target: string): boolean {
+    return this.verdicts.wasExplained(target);
+  }
+
   /**
    * @param prompt - Parts of a request whose run broke off as a crash breaks it
    *     off.
--- a/packages/gateway/src/test/fakes/suspect_fleet.ts
+++ b/packages/gateway/src/test/fakes/suspect_fleet.ts
@@ -102,6 +102,7 @@
       ...context,
       records,
       explanationOf: target => this.promptSuspects.explanationOf(target),
+      wasExplained: target => this.promptSuspects.wasExplained(target),
     });
   }
 
--- a/packages/gateway/src/test/process/crash_suspects_test.ts
+++ b/packages/gateway/src/test/process/crash_suspects_test.ts
@@ -33,6 +33,7 @@
     explained,
     suspects: new CrashSuspects({
       explanationOf: id => (explained.has(id) ? 'part' : undefined),
+      wasExplained: () => false,
       store,
       records,
       clock,
--- a/packages/serving/src/lib/process/serving_components.ts
+++ b/packages/serving/src/lib/process/serving_components.ts
@@ -144,6 +144,7 @@
     ...suspectContext,
     records: crashRecords,
     explanationOf: target => promptSuspects.explanationOf(target),
+    wasExplained: target => promptSuspects.wasExplained(target),
   });
   const hosts = () => membership.live().length;
   const preferredTargets = new PreferredTargets({
