--- a/review/2/main.mjs
+++ b/review/2/main.mjs
@@ -113,6 +113,13 @@
       record.add(
         `request ${id} on a kept connection of ${edge.node}: passed on to a sound server, connection closed without an answer after ${endedAt - sentAt} ms`,
       );
+    for (const {id, edge, sentAt, status, kept, endedAt} of all) {
+      const server = servers.find(({ran}) => ran.has(id));
+      record.note(
+        sentAt,
+        `${id} sent to ${edge.node} on a ${kept ? 'kept' : 'new'} connection: status ${status ?? 'none'} after ${endedAt - sentAt} ms, ${server ? `ran at ${server.id}` : 'did not run'}`,
+      );
+    }
     const answered = all.filter(({status}) => status === 200).length;
     record.add(
       `${all.length} requests, ${answered} answered with 200; ${exits.length} processes have ended by themselves; ${closed.length} kept connections closed without an answer to a request that a sound server got (allowed: ${MAX_CLOSED})`,
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -107,8 +107,18 @@
     this.lines.push(`${seconds.padStart(8)} ${text}`);
   }
 
+  /** Adds a line of an earlier time, in milliseconds of the time of day. */
+  note(at, text) {
+    const seconds = ((at - this.startedAt) / 1000).toFixed(3);
+    this.lines.push(`${seconds.padStart(8)} ${text}`);
+  }
+
   write(folder) {
-    writeFileSync(join(folder, 'record.txt'), `${this.lines.join('\n')}\n`);
+    // Stable: lines of the same time stay in their order.
+    const lines = this.lines.toSorted(
+      (a, b) => Number(a.slice(0, 8)) - Number(b.slice(0, 8)),
+    );
+    writeFileSync(join(folder, 'record.txt'), `${lines.join('\n')}\n`);
   }
 }
 
@@ -291,6 +301,24 @@
   }
 }
 
+/** All client attempts of the run, as their clients saw them. */
+const attempts = [];
+
+/** Notes all attempts, and all runs at the servers of the fleet. */
+function noteAll(fleet, record) {
+  for (const {at, edge, path, id, status, whole, endedAt} of attempts)
+    record.note(
+      at,
+      `${id} ${path} sent to ${edge.node}: status ${status ?? 'none'}, ${whole ? 'whole' : 'broken off'} after ${endedAt - at} ms`,
+    );
+  for (const server of fleet.servers)
+    for (const {id, path, at, firstEvent, endedAt, whole} of server.ran)
+      record.note(
+        at,
+        `${id} ${path} runs at ${server.options.id} from event ${firstEvent} on, ${whole ? 'whole' : 'not whole'}${endedAt ? ` after ${endedAt - at} ms` : ''}`,
+      );
+}
+
 /**
  * Sends one client attempt on a new connection and reads the answer to its end.
  * Never rejects: `status` is undefined without an answer, and `whole` tells
@@ -299,7 +327,15 @@
 export function attempt(edge, path, headers, body) {
   return new Promise(resolve => {
     const got = {status: undefined, headers: {}, text: '', whole: false};
-    const settle = () => resolve(got);
+    const seen = {at: Date.now(), edge, path, id: headers['x-attempt-id']};
+    const settle = () => {
+      if (seen.endedAt) return;
+      seen.endedAt = Date.now();
+      attempts.push(
+        Object.assign(seen, {status: got.status, whole: got.whole}),
+      );
+      resolve(got);
+    };
     const req = http.request(
       {
         host: edge.ip,
@@ -342,6 +378,7 @@
   try {
     await fleet.configure();
     const broken = await play(fleet, record);
+    noteAll(fleet, record);
     code = broken ? 1 : 0;
   } catch (err) {
     record.add(`could not run: ${String(err?.stack ?? err)}`);
