Log on what the continuation of a stream rests

The log line of a stream that is taken up said 'anywhere' both for a list that is followed and for one that has not been read for seconds, so that the two could not be told apart.

Change: stream-taken-up has 'evidence' and 'listed', the counter streams_taken_up has the label 'listed'. No decision changes.

--- a/packages/gateway/src/lib/process/stream_versions.ts
+++ b/packages/gateway/src/lib/process/stream_versions.ts
@@ -21,7 +21,19 @@
 import {HostRing} from './host_ring.js';
 import type {LoadPeer} from './load_reporter.js';
 import {StreamOrigins} from './stream_origins.js';
-import type {TargetDirectory} from './target_directory.js';
+import type {TargetDirectory, VersionView} from './target_directory.js';
+
+/** How a host came to what may be done with a stream. */
+export type StreamEvidence =
+  'one-version' | 'known' | 'learned' | 'inferred' | 'unknown';
+
+/** A decision and the knowledge behind it, for the log. */
+export interface StreamFinding {
+  readonly continuation: StreamContinuation;
+  readonly evidence: StreamEvidence;
+  /** What the list of targets says of the versions of the service. */
+  readonly listed: VersionView['kind'];
+}
 
 /** What may be done with a stream that has begun. */
 export type StreamContinuation =
@@ -40,7 +52,7 @@
   readonly counters: Counters;
   readonly directory: Pick<
     TargetDirectory,
-    'onlyVersion' | 'versions' | 'onVersionListed'
+    'onlyVersion' | 'versionView' | 'versions' | 'onVersionListed'
   >;
   /** @returns All live hosts except this one. */
   readonly peers: () => readonly P[];
@@ -133,20 +145,24 @@
   async continuationOf(
     service: string,
     stream: string | undefined,
-  ): Promise<StreamContinuation> {
-    if (!this.isMixed(service)) return this.counted('one-version', ANYWHERE);
+  ): Promise<StreamFinding> {
+    const counted = (
+      evidence: StreamEvidence,
+      continuation: StreamContinuation,
+    ) => this.counted(service, evidence, continuation);
+    if (!this.isMixed(service)) return counted('one-version', ANYWHERE);
     const known = stream === undefined ? undefined : this.origins.get(stream);
-    if (known) return this.counted('known', continuationAt(service, known));
+    if (known) return counted('known', continuationAt(service, known));
     const {began, only} = await this.ask(service, stream);
-    if (began) return this.counted('learned', continuationAt(service, began));
+    if (began) return counted('learned', continuationAt(service, began));
     if (only !== undefined) {
       const origin = {service, softwareVersion: only};
-      return this.counted('inferred', continuationAt(service, origin));
+      return counted('inferred', continuationAt(service, origin));
     }
     const {versions} = this.context.directory;
     return versions.seen(service).size <= 1
-      ? this.counted('one-version', ANYWHERE)
-      : this.counted('unknown', UNKNOWN);
+      ? counted('one-version', ANYWHERE)
+      : counted('unknown', UNKNOWN);
   }
 
   /** @param message - A message of another host. */
@@ -275,11 +291,14 @@
   }
 
   private counted(
-    outcome: string,
+    service: string,
+    evidence: StreamEvidence,
     continuation: StreamContinuation,
-  ): StreamContinuation {
-    this.context.counters.count('streams_taken_up', {outcome});
-    return continuation;
+  ): StreamFinding {
+    const {counters, directory} = this.context;
+    const {kind: listed} = directory.versionView(service);
+    counters.count('streams_taken_up', {outcome: evidence, listed});
+    return {continuation, evidence, listed};
   }
 }
 
--- a/packages/gateway/src/lib/process/target_directory.ts
+++ b/packages/gateway/src/lib/process/target_directory.ts
@@ -22,6 +22,19 @@
  */
 const OUTAGE_MS = 1500;
 
+/** What the list of targets says of the software versions of a service. */
+export type VersionView =
+  /** One version for {@link STREAM_LIFETIME_MS}, and it is read now. */
+  | {readonly kind: 'only'; readonly softwareVersion: string}
+  /** One version, but the list has not been read for that long. */
+  | {readonly kind: 'only-lately'; readonly softwareVersion: string}
+  /** Several versions within that time. */
+  | {readonly kind: 'several'}
+  /** No target is listed. */
+  | {readonly kind: 'none'}
+  /** The list is not read now, so that what it holds may be out of date. */
+  | {readonly kind: 'not-read'};
+
 /** Maintains the set of targets from updates of the target list. */
 export class TargetDirectory {
   /** Software versions of the listed targets. */
@@ -80,9 +93,22 @@
    *     list has not been read without an outage for that long.
    */
   onlyVersion(service: string): string | undefined {
-    if (!this.isFollowedFor(STREAM_LIFETIME_MS)) return undefined;
-    const [first, ...others] = this.versions.seen(service);
-    return others.length === 0 ? first : undefined;
+    const view = this.versionView(service);
+    return view.kind === 'only' ? view.softwareVersion : undefined;
+  }
+
+  /**
+   * @param service - A service.
+   * @returns What the list says of its software versions, and whether the list
+   *     can be relied on.
+   */
+  versionView(service: string): VersionView {
+    if (!this.isFollowedFor(0)) return {kind: 'not-read'};
+    const [softwareVersion, ...others] = this.versions.seen(service);
+    if (softwareVersion === undefined) return {kind: 'none'};
+    if (others.length > 0) return {kind: 'several'};
+    const isFollowed = this.isFollowedFor(STREAM_LIFETIME_MS);
+    return {kind: isFollowed ? 'only' : 'only-lately', softwareVersion};
   }
 
   /**
--- a/packages/gateway/src/lib/request/stream_continuation.ts
+++ b/packages/gateway/src/lib/request/stream_continuation.ts
@@ -48,16 +48,20 @@
     const {lastEventId, resumes} = metadata;
     if (lastEventId === undefined) return true;
     const {log, streamVersions} = this.context;
-    const found = await streamVersions.continuationOf(service, resumes);
+    const {continuation, evidence, listed} =
+      await streamVersions.continuationOf(service, resumes);
     log.event('stream-taken-up', {
       request: metadata.requestId,
       resumes,
       afterEvent: lastEventId,
       service,
-      ...found,
+      ...continuation,
+      evidence,
+      listed,
     });
-    if (found.kind === 'at-version') search.restrictTo(found.softwareVersion);
-    return found.kind !== 'unknown';
+    if (continuation.kind === 'at-version')
+      search.restrictTo(continuation.softwareVersion);
+    return continuation.kind !== 'unknown';
   }
 
   /**
--- a/packages/gateway/src/test/process/stream_versions_test.ts
+++ b/packages/gateway/src/test/process/stream_versions_test.ts
@@ -112,6 +112,7 @@
     let isSettled = false;
     const found = this.versions
       .continuationOf(SERVICE, stream)
+      .then(({continuation}) => continuation)
       .finally(() => (isSettled = true));
     await settlePromises();
     while (!isSettled) {
@@ -234,7 +235,7 @@
     clock.advance(80);
     await settlePromises();
   }
-  t.deepEqual(await found, unknown);
+  t.deepEqual((await found).continuation, unknown);
   t.is(clock.now() - since, 160);
 });
 
