A host relies only on a list of targets that it has read anew

Cause: isMixed had one value for 'the list is not followed' and 'several versions', and continuationOf fell back to the versions of the old list when nobody answered.

The own list counts only if it is read anew after the stream was taken up (TableWatch.refresh), never if another host has seen several versions; entries from a peer's copy count as no read. What no host knows is refused otherwise, at once.

--- a/packages/gateway/src/lib/process/stream_versions.ts
+++ b/packages/gateway/src/lib/process/stream_versions.ts
@@ -6,26 +6,36 @@
 import {
   DisposableStore,
   repeat,
+  sleep,
   type Clock,
   type Counters,
   type EventLog,
 } from '@oathead/core';
-import {
-  MAX_TOLD_STREAMS,
-  type StreamOrigin,
-  type StreamVersionAnswer,
-  type StreamVersionAsk,
-  type StreamVersionMessage,
-  type ToldStream,
+import type {
+  StreamOrigin,
+  StreamVersionAsk,
+  StreamVersionMessage,
 } from '../connection/stream_version_message.js';
 import {HostRing} from './host_ring.js';
 import type {LoadPeer} from './load_reporter.js';
 import {StreamOrigins} from './stream_origins.js';
+import {StreamTeller} from './stream_teller.js';
+import {
+  NO_ANSWERS,
+  StreamVersionAsker,
+  type StreamVersionAnswers,
+} from './stream_version_asker.js';
 import type {TargetDirectory, VersionView} from './target_directory.js';
 
 /** How a host came to what may be done with a stream. */
 export type StreamEvidence =
-  'one-version' | 'known' | 'learned' | 'inferred' | 'unknown';
+  /** This host knows the stream. */
+  | 'known'
+  /** Another host knew it. */
+  | 'learned'
+  /** Nobody knows it, but it can have begun at one version only. */
+  | 'inferred'
+  | 'unknown';
 
 /** A decision and the knowledge behind it, for the log. */
 export interface StreamFinding {
@@ -52,8 +62,14 @@
   readonly counters: Counters;
   readonly directory: Pick<
     TargetDirectory,
-    'onlyVersion' | 'versionView' | 'versions' | 'onVersionListed'
+    'onlyVersion' | 'versionView' | 'onVersionListed'
   >;
+  /**
+   * Reads the list of targets.
+   *
+   * @returns Whether it was read; the directory has its entries then.
+   */
+  readonly readTargets: () => Promise<boolean>;
   /** @returns All live hosts except this one. */
   readonly peers: () => readonly P[];
   /** @returns The host with this ID; undefined if it is not known. */
@@ -61,64 +77,59 @@
   readonly send: (message: StreamVersionMessage, to: readonly P[]) => void;
 }
 
-/** Number of hosts that are told of a stream. */
-const TOLD_HOSTS = 4;
 /**
  * Number of hosts that are asked for one: more than are told, because hosts may
  * differ for a moment on who is alive.
  */
 const ASKED_HOSTS = 6;
-/**
- * How long a host waits for answers, in milliseconds, and how often it asks:
- * several round trips between data centres, and datagrams may be lost.
- */
-const ANSWER_TIMEOUT_MS = 80;
-const MAX_ASKS = 2;
 /** How long the ring of hosts is used before it is built anew. */
 const RING_LIFETIME_MS = 250;
 /**
- * Interval at which a host notices that it does not follow the list of targets
- * any more, in milliseconds.
+ * Interval at which a host notices that others are to be told of its streams, in
+ * milliseconds.
+ */
+const TELL_INTERVAL_MS = 500;
+/**
+ * How long a stream that no host knows waits for the list of targets to be read,
+ * in milliseconds: several times what the store takes while it is well.
  */
-const OUTAGE_CHECK_MS = 500;
+const LIST_READ_TIMEOUT_MS = 500;
 
 const ANYWHERE: StreamContinuation = {kind: 'anywhere'};
 const UNKNOWN: StreamContinuation = {kind: 'unknown'};
 
-type AnswerHandler = (answer: StreamVersionAnswer) => void;
-
-/** What the hosts that were asked have answered. */
-interface Answers {
-  readonly began: StreamOrigin | undefined;
-  readonly only: string | undefined;
-}
-
 /** The streams of one host, and what it knows of those of others. */
 export class StreamVersions<
   P extends LoadPeer = LoadPeer,
 > implements Disposable {
   private readonly origins: StreamOrigins;
-  /** Streams of this host of which no other host has been told, by service. */
-  private readonly untold = new Map<string, StreamOrigins>();
-  private readonly pendingAsks = new Map<number, AnswerHandler>();
+  private readonly teller: StreamTeller<P>;
+  private readonly asker: StreamVersionAsker<P>;
   private readonly disposables = new DisposableStore();
   private ring: HostRing<P> | undefined;
   private ringBuiltAt = -Infinity;
-  private askId = 0;
 
   /** @param context - The targets and the other hosts. */
   constructor(private readonly context: StreamVersionsContext<P>) {
-    this.origins = new StreamOrigins(() => context.clock.now());
-    context.directory.onVersionListed(() => this.tell());
+    const {self, clock, directory, send} = context;
+    this.origins = new StreamOrigins(() => clock.now());
+    this.teller = new StreamTeller({
+      clock,
+      ring: () => this.hosts(),
+      isMixed: service => directory.onlyVersion(service) === undefined,
+      send: (streams, to) => send({kind: 'told', streams}, [to]),
+    });
+    this.asker = new StreamVersionAsker({self, clock, send});
+    directory.onVersionListed(() => this.tell());
   }
 
-  /** Starts to watch for outages of the list of targets. */
+  /** Starts to tell others again when hosts come or go. */
   start(): void {
     const {clock} = this.context;
-    this.disposables.add(repeat(clock, OUTAGE_CHECK_MS, () => this.tell()));
+    this.disposables.add(repeat(clock, TELL_INTERVAL_MS, () => this.tell()));
   }
 
-  /** Stops watching. */
+  /** Stops that. */
   [Symbol.dispose](): void {
     this.disposables[Symbol.dispose]();
   }
@@ -132,8 +143,12 @@
    */
   record(stream: string, origin: StreamOrigin): void {
     this.origins.set(stream, origin);
-    this.untoldOf(origin.service).set(stream, origin);
-    if (this.isMixed(origin.service)) this.tell();
+    this.teller.record(stream, origin);
+  }
+
+  /** Tells the hosts that are to know of streams of this one and do not. */
+  tell(): void {
+    this.teller.tellAll();
   }
 
   /**
@@ -146,23 +161,16 @@
     service: string,
     stream: string | undefined,
   ): Promise<StreamFinding> {
-    const counted = (
-      evidence: StreamEvidence,
-      continuation: StreamContinuation,
-    ) => this.counted(service, evidence, continuation);
-    if (!this.isMixed(service)) return counted('one-version', ANYWHERE);
+    const finding = (evidence: StreamEvidence, origin?: StreamOrigin) =>
+      this.counted(service, evidence, origin);
     const known = stream === undefined ? undefined : this.origins.get(stream);
-    if (known) return counted('known', continuationAt(service, known));
-    const {began, only} = await this.ask(service, stream);
-    if (began) return counted('learned', continuationAt(service, began));
-    if (only !== undefined) {
-      const origin = {service, softwareVersion: only};
-      return counted('inferred', continuationAt(service, origin));
-    }
-    const {versions} = this.context.directory;
-    return versions.seen(service).size <= 1
-      ? counted('one-version', ANYWHERE)
-      : counted('unknown', UNKNOWN);
+    if (known) return finding('known', known);
+    const answers = await this.ask(service, stream);
+    if (answers.began) return finding('learned', answers.began);
+    const isRead = await this.readTargets(service);
+    const softwareVersion = this.onlyPossible(service, answers, isRead);
+    if (softwareVersion === undefined) return finding('unknown');
+    return finding('inferred', {service, softwareVersion});
   }
 
   /** @param message - A message of another host. */
@@ -176,46 +184,7 @@
         this.answer(message);
         return;
       case 'answer':
-        this.pendingAsks.get(message.askId)?.(message);
-    }
-  }
-
-  /** @returns Whether streams of a service may have begun at several versions. */
-  private isMixed(service: string): boolean {
-    return this.context.directory.onlyVersion(service) === undefined;
-  }
-
-  private untoldOf(service: string): StreamOrigins {
-    const known = this.untold.get(service);
-    if (known) return known;
-    const streams = new StreamOrigins(() => this.context.clock.now());
-    this.untold.set(service, streams);
-    return streams;
-  }
-
-  /** Tells of all streams of services that may have several versions. */
-  private tell(): void {
-    for (const [service, streams] of this.untold)
-      if (this.isMixed(service)) this.tellOf(streams.takeAll());
-  }
-
-  private tellOf(
-    streams: ReadonlyArray<readonly [string, StreamOrigin]>,
-  ): void {
-    const ring = this.hosts();
-    const byHost = new Map<P, ToldStream[]>();
-    for (const [stream, {service, softwareVersion}] of streams) {
-      for (const host of ring.after(stream, TOLD_HOSTS)) {
-        const told = byHost.get(host) ?? [];
-        byHost.set(host, told);
-        told.push([stream, service, softwareVersion]);
-      }
-    }
-    for (const [host, told] of byHost) {
-      for (let i = 0; i < told.length; i += MAX_TOLD_STREAMS) {
-        const part = told.slice(i, i + MAX_TOLD_STREAMS);
-        this.context.send({kind: 'told', streams: part}, [host]);
-      }
+        this.asker.receive(message);
     }
   }
 
@@ -230,54 +199,52 @@
       softwareVersion: origin.softwareVersion,
     };
     const only = directory.onlyVersion(service);
-    send({kind: 'answer', askId, began, only}, [to]);
+    const hasSeveral = directory.versionView(service).kind === 'several';
+    send({kind: 'answer', askId, began, only, hasSeveral}, [to]);
   }
 
   private async ask(
     service: string,
     stream: string | undefined,
-  ): Promise<Answers> {
-    const nothing: Answers = {began: undefined, only: undefined};
-    if (stream === undefined) return nothing;
+  ): Promise<StreamVersionAnswers> {
+    if (stream === undefined) return NO_ANSWERS;
     const hosts = this.hosts().after(stream, ASKED_HOSTS);
-    if (hosts.length === 0) return nothing;
-    let only: string | undefined;
-    for (let i = 0; i < MAX_ASKS; i++) {
-      const answers = await this.askOnce(service, stream, hosts);
-      if (answers.began) {
-        this.origins.set(stream, answers.began);
-        return answers;
-      }
-      only ??= answers.only;
-      if (answers.areAll) break;
-    }
-    return {began: undefined, only};
+    const answers = await this.asker.ask(service, stream, hosts);
+    if (answers.began) this.origins.set(stream, answers.began);
+    return answers;
   }
 
-  /** Asks several hosts at once; the first one that knows the stream decides. */
-  private askOnce(
+  /**
+   * @param isRead - Whether this host has read the list of targets since the
+   *     stream was taken up. A list that is older may lack the version at which
+   *     it began.
+   * @returns The only version at which a stream of the service can have begun
+   *     that no host knows; undefined if there may be several.
+   */
+  private onlyPossible(
     service: string,
-    stream: string,
-    hosts: readonly P[],
-  ): Promise<Answers & {readonly areAll: boolean}> {
-    const {self, clock, send} = this.context;
-    const askId = ++this.askId;
-    return new Promise(resolve => {
-      let only: string | undefined;
-      let left = hosts.length;
-      const settle = (began: StreamOrigin | undefined) => {
-        this.pendingAsks.delete(askId);
-        timer[Symbol.dispose]();
-        resolve({began, only, areAll: left === 0});
-      };
-      const timer = clock.after(ANSWER_TIMEOUT_MS, () => settle(undefined));
-      this.pendingAsks.set(askId, answer => {
-        left--;
-        only ??= answer.only;
-        if (answer.began || left === 0) settle(answer.began);
-      });
-      send({kind: 'ask', host: self.id, askId, service, stream}, hosts);
-    });
+    answers: StreamVersionAnswers,
+    isRead: boolean,
+  ): string | undefined {
+    if (answers.hasSeveral) return undefined;
+    const view = this.context.directory.versionView(service);
+    const possible = new Set(answers.only);
+    if (isRead && (view.kind === 'only' || view.kind === 'only-lately'))
+      possible.add(view.softwareVersion);
+    const [first, ...others] = possible;
+    return others.length === 0 ? first : undefined;
+  }
+
+  /**
+   * @returns Whether the list of targets has been read anew. It is read only if
+   *     it may tell at which version a stream of the service began.
+   */
+  private async readTargets(service: string): Promise<boolean> {
+    const {clock, directory, readTargets} = this.context;
+    const {kind} = directory.versionView(service);
+    if (kind !== 'only' && kind !== 'only-lately') return false;
+    const timeout = sleep(clock, LIST_READ_TIMEOUT_MS).then(() => false);
+    return Promise.race([readTargets(), timeout]);
   }
 
   private hosts(): HostRing<P> {
@@ -293,11 +260,12 @@
   private counted(
     service: string,
     evidence: StreamEvidence,
-    continuation: StreamContinuation,
+    origin: StreamOrigin | undefined,
   ): StreamFinding {
     const {counters, directory} = this.context;
     const {kind: listed} = directory.versionView(service);
     counters.count('streams_taken_up', {outcome: evidence, listed});
+    const continuation = origin ? continuationAt(service, origin) : UNKNOWN;
     return {continuation, evidence, listed};
   }
 }
--- a/packages/serving/src/lib/process/serving_components.ts
+++ b/packages/serving/src/lib/process/serving_components.ts
@@ -92,12 +92,14 @@
  * @param platform - What the platform provides.
  * @param context - Clock, randomness, log, counters and tracer.
  * @param disposables - Owns the components.
+ * @param readTargets - Reads the list of targets; returns whether it was read.
  * @returns The components; none of them is started.
  */
 export function createServingComponents(
   platform: ServingPlatform,
   context: ServingContext,
   disposables: DisposableStore,
+  readTargets: () => Promise<boolean>,
 ): ServingComponents {
   const {clock, log, random} = context;
   const {identity} = platform;
@@ -250,6 +252,7 @@
       ...context,
       self,
       directory,
+      readTargets,
       peers: () => membership.peers().map(hostPeerOf),
       peer,
     }),
--- a/packages/serving/src/lib/process/serving_process.ts
+++ b/packages/serving/src/lib/process/serving_process.ts
@@ -56,6 +56,7 @@
       platform,
       context,
       this.disposables,
+      () => this.feeds.readTargets(),
     );
     const {store, routing, online, jobOperations} = this.components;
     this.feeds = this.disposables.add(
--- a/packages/serving/src/lib/process/table_feeds.ts
+++ b/packages/serving/src/lib/process/table_feeds.ts
@@ -19,7 +19,12 @@
   type JobGarbageCollector,
   type JobOwnership,
 } from '@oathead/jobs';
-import {TableWatch, type RowStore, type TableUpdate} from '@oathead/stores';
+import {
+  SEEDED_STORE_TIME_MS,
+  TableWatch,
+  type RowStore,
+  type TableUpdate,
+} from '@oathead/stores';
 import {LRUCache} from 'lru-cache';
 import type {PeerClients} from '../connection/peer_clients.js';
 import type {Snapshot} from '../connection/peer_router.js';
@@ -145,6 +150,16 @@
     });
   }
 
+  /**
+   * Reads the list of targets.
+   *
+   * @returns Whether it was read. Never rejects.
+   */
+  async readTargets(): Promise<boolean> {
+    const watch = this.watches.get(this.platform.targets.table);
+    return watch !== undefined && watch.refresh();
+  }
+
   /** Stops all watches. */
   [Symbol.dispose](): void {
     this.disposables[Symbol.dispose]();
@@ -219,9 +234,12 @@
     }
   }
 
-  private updateTargets({put, removed}: TableUpdate): void {
+  private updateTargets({put, removed, storeTimeMs}: TableUpdate): void {
     const {directory} = this.consumers;
-    const graceMs = directory.recordListRead() ? EXPIRED_TARGET_GRACE_MS : 0;
+    // Entries that a peer has handed over may be as old as its copy.
+    const isSeeded = storeTimeMs === SEEDED_STORE_TIME_MS;
+    const isAfterOutage = !isSeeded && directory.recordListRead();
+    const graceMs = isAfterOutage ? EXPIRED_TARGET_GRACE_MS : 0;
     for (const {key} of removed) directory.remove(key, graceMs);
     for (const row of put) {
       const target = this.platform.targets.decode(row);
--- a/packages/stores/src/lib/process/table_watch.ts
+++ b/packages/stores/src/lib/process/table_watch.ts
@@ -42,6 +42,9 @@
   readonly pageRows: number;
 }
 
+/** Time of rows that come from another host's copy, which may be old. */
+export const SEEDED_STORE_TIME_MS = 0;
+
 /** A change of the in-memory copy. */
 export interface TableUpdate {
   /** Rows that are new or have a higher version. */
@@ -49,8 +52,8 @@
   /** The last known versions of rows that have been removed. */
   readonly removed: readonly VersionedRow[];
   /**
-   * The store's monotonic clock when the update was current, in milliseconds; 0
-   * for seeded rows.
+   * The store's monotonic clock when the update was current, in milliseconds;
+   * {@link SEEDED_STORE_TIME_MS} for seeded rows.
    */
   readonly storeTimeMs: number;
 }
@@ -70,6 +73,11 @@
  * second while the store is unavailable, half of its call budget per second.
  */
 const RETRY_DELAY_MS = 200;
+/**
+ * Delay of a read that was asked for, in milliseconds: all who ask within it
+ * share the read.
+ */
+const REFRESH_DELAY_MS = 50;
 /** Maximum number of keys of skipped rows in a log line. */
 const MAX_SKIPPED_KEYS = 10;
 
@@ -80,6 +88,8 @@
   private readonly position = new FeedPosition();
   private lastFullReadAt = -Infinity;
   private failing = false;
+  /** The read that was asked for and has not begun. */
+  private nextRefresh: Promise<boolean> | undefined;
   private lastReadAt = -Infinity;
 
   /**
@@ -111,7 +121,19 @@
    */
   seed(rows: readonly VersionedRow[]): void {
     const put = rows.filter(row => this.updateRow(row));
-    if (put.length > 0) this.onUpdate({put, removed: [], storeTimeMs: 0});
+    if (put.length > 0)
+      this.onUpdate({put, removed: [], storeTimeMs: SEEDED_STORE_TIME_MS});
+  }
+
+  /**
+   * Reads the whole table soon. Unlike the feed, which may keep changes back, it
+   * shows all that was written before the call.
+   *
+   * @returns Whether it was read; {@link all} has its rows then. Never rejects.
+   */
+  refresh(): Promise<boolean> {
+    this.nextRefresh ??= this.refreshOnce();
+    return this.nextRefresh;
   }
 
   /** Whether at least one response has been received from the store. */
@@ -157,6 +179,13 @@
     return (await this.readChanges()) && this.lastFullReadAt > -Infinity;
   }
 
+  private async refreshOnce(): Promise<boolean> {
+    await sleep(this.context.clock, REFRESH_DELAY_MS, this.stop.signal);
+    this.nextRefresh = undefined;
+    if (this.stop.signal.aborted) return false;
+    return (await this.readAll()) === 'done';
+  }
+
   private async readChanges(): Promise<boolean> {
     const {table, waitMs} = this.options;
     const renewal = this.context.freshness?.startRenewal();
--- a/packages/stores/src/test/process/table_watch_test.ts
+++ b/packages/stores/src/test/process/table_watch_test.ts
@@ -218,6 +218,44 @@
   t.deepEqual(skipped, [['c']]);
 });
 
+// Guards against decisions that rest on a copy of the table from which the feed
+// keeps back changes.
+test('a read that was asked for has what the feed keeps back', async t => {
+  const store = new MemoryRowStore(SYSTEM_CLOCK);
+  let reads = 0;
+  const silentFeed: RowStore = {
+    ...delegateTo(store),
+    read: query => {
+      reads++;
+      return store.read(query);
+    },
+    changes: async () => {
+      await setTimeout(OPTIONS.waitMs);
+      return success({changes: [], version: 1, storeTimeMs: 1});
+    },
+  };
+  const {watch, keys} = follow(silentFeed);
+  t.teardown(() => watch[Symbol.dispose]());
+  await setTimeout(60);
+  await put(store, 'late');
+  const before = reads;
+  const shared = await Promise.all([watch.refresh(), watch.refresh()]);
+  t.deepEqual(shared, [true, true]);
+  t.deepEqual(keys(), ['late']);
+  t.is(reads - before, OPTIONS.partitions.length);
+});
+
+test('a read that fails says so', async t => {
+  const store = new MemoryRowStore(SYSTEM_CLOCK);
+  const unavailable: RowStore = {
+    ...delegateTo(store),
+    read: async () => failure({kind: 'unknown', message: 'down'}),
+  };
+  const {watch} = follow(unavailable);
+  t.teardown(() => watch[Symbol.dispose]());
+  t.false(await watch.refresh());
+});
+
 function delegateTo(store: MemoryRowStore): RowStore {
   return {
     transact: transaction => store.transact(transaction),
