Streams are told to hosts that come later, too

Cause: a stream was told once, to the hosts known then. A host that knows no other one, as right after its start, struck its streams from the list and told nobody; when the hosts that had been told were lost, nobody took their place.

Tests that failed before: 'streams are told once there is another host to tell', 'streams are told again when a host that knew them is lost'.

--- a/packages/gateway/src/lib/process/stream_teller.ts
+++ b/packages/gateway/src/lib/process/stream_teller.ts
@@ -31,8 +31,8 @@
 interface OwnStream {
   readonly origin: StreamOrigin;
   readonly at: number;
-  /** Whether others have been told. */
-  isTold: boolean;
+  /** IDs of the hosts that have been told. */
+  readonly told: Set<string>;
 }
 
 /** The streams of this host, and who has been told of them. */
@@ -50,14 +50,21 @@
    * @param origin - Where it began.
    */
   record(stream: string, origin: StreamOrigin): void {
-    const own = {origin, at: this.context.clock.now(), isTold: false};
+    const own = {
+      origin,
+      at: this.context.clock.now(),
+      told: new Set<string>(),
+    };
     this.streams.delete(stream);
     this.streams.set(stream, own);
     this.dropOld();
     this.tell(this.streams);
   }
 
-  /** Tells of streams of services that have a second version by now. */
+  /**
+   * Tells hosts that have not been told although they are now those to ask:
+   * other hosts have come or gone, or a service has a second version.
+   */
   tellAll(): void {
     this.dropOld();
     this.tell(this.streams);
@@ -67,12 +74,13 @@
     const {ring, isMixed, send} = this.context;
     const hosts = ring();
     const byHost = new Map<P, ToldStream[]>();
-    for (const [stream, own] of streams) {
-      const {service, softwareVersion} = own.origin;
+    for (const [stream, {origin, told}] of streams) {
+      const {service, softwareVersion} = origin;
       // Nothing can be joined wrongly while there is one version.
-      if (own.isTold || !isMixed(service)) continue;
-      own.isTold = true;
+      if (!isMixed(service)) continue;
       for (const host of hosts.after(stream, TOLD_HOSTS)) {
+        if (told.has(host.id)) continue;
+        told.add(host.id);
         const entries = byHost.get(host) ?? [];
         byHost.set(host, entries);
         entries.push([stream, service, softwareVersion]);
--- a/packages/gateway/src/test/process/stream_versions_test.ts
+++ b/packages/gateway/src/test/process/stream_versions_test.ts
@@ -334,6 +334,38 @@
   t.is(found.kind, 'unknown');
 });
 
+// Guards against streams that are forgotten by a host that knows no other one
+// yet, as right after the start of all.
+test('streams are told once there is another host to tell', async t => {
+  const fleet = new Fleet(1);
+  fleet.list('v1');
+  fleet.list('v2');
+  for (const id of streamIds()) fleet.get('h0').versions.record(id, FIRST);
+  for (const name of ['h1', 'h2', 'h3', 'h4']) {
+    const host = fleet.start(name);
+    host.list('v1');
+    host.list('v2');
+  }
+  fleet.follow(READ_INTERVAL_MS);
+  fleet.get('h0').versions.tell();
+  fleet.hosts.delete('h0');
+  for (const id of streamIds())
+    t.deepEqual(await fleet.get('h1').continuationOf(fleet, id), AT_FIRST);
+});
+
+// Guards against streams that nobody knows when the hosts that were told of them
+// are lost before the one that serves them.
+test('streams are told again when a host that knew them is lost', async t => {
+  const fleet = newMixedFleet(9);
+  for (const id of streamIds()) fleet.get('h0').versions.record(id, FIRST);
+  for (const name of ['h1', 'h2', 'h3', 'h4', 'h5']) fleet.hosts.delete(name);
+  fleet.follow(READ_INTERVAL_MS);
+  fleet.get('h0').versions.tell();
+  fleet.hosts.delete('h0');
+  for (const id of streamIds())
+    t.deepEqual(await fleet.get('h6').continuationOf(fleet, id), AT_FIRST);
+});
+
 test('bytes that are no message are refused', t => {
   for (const bytes of BAD_DATAGRAMS)
     t.is(decodeStreamVersion(Uint8Array.from(bytes)), undefined);
