One response ends its exchange only

Cause: undici hands a header that comes twice over as a list, readResponse throws after the exchange has set its head and before its metadata, the exchange never settles, and giving its request up throws in a timer. Stack traces of all three processes show it.

Change: the types say that any header may be a list; a response whose deciding headers come twice is invalid; head and metadata are one field; what a handler throws ends the exchange, logged, and is no crash of the target.

--- a/packages/gateway/src/lib/request/exchange.ts
+++ b/packages/gateway/src/lib/request/exchange.ts
@@ -59,13 +59,20 @@
   readonly now: () => number;
   /** Called whenever data is received from the target. */
   readonly onActivity: () => void;
+  /** Called with what the handling of a response has thrown. */
+  readonly onError: (err: unknown) => void;
+}
+
+/** A response whose head was received, and what the head says. */
+interface ReceivedHead {
+  readonly head: ResponseHead;
+  readonly metadata: ResponseMetadata;
 }
 
 /** A request in flight at a target. */
 export class Exchange implements ExchangeControl, Dispatcher.DispatchHandler {
   private readonly content: ResponseContent;
-  private head: ResponseHead | undefined;
-  private metadata: ResponseMetadata | undefined;
+  private received: ReceivedHead | undefined;
   private isFirstRequest = false;
   private settled = false;
   private readonly startedAt: number;
@@ -152,18 +159,7 @@
     >
   ): void {
     if (this.settled || status < 200) return;
-    this.recordActivity();
-    this.headAfterMs = this.lastActivityAt - this.startedAt;
-    this.head = {status, headers};
-    this.metadata = this.context.protocol.readResponse(status, headers);
-    const unattributed = unattributedReason({
-      responseId: this.metadata.requestId,
-      requestId: this.req.requestId,
-      isFirstRequest: this.isFirstRequest,
-      success: isSuccess(status) && !this.metadata.notRun,
-    });
-    if (unattributed) this.failUnattributed(unattributed);
-    else this.checkSuccess(this.metadata, status);
+    this.guarded(() => this.receiveHead({status, headers}));
   }
 
   /**
@@ -179,47 +175,90 @@
     >
   ): void {
     if (this.settled) return;
-    this.recordActivity();
-    if (this.isEventStream()) this.forwardEvents(chunk);
-    else this.bufferChunk(chunk);
+    this.guarded(() => this.receiveChunk(chunk));
   }
 
   /** Called by undici at the end of the response. */
   onResponseEnd(): void {
     if (this.settled) return;
+    this.guarded(() => this.receiveEnd(this.received!));
+  }
+
+  /** Called by undici when the response cannot be completed. */
+  onResponseError(
+    ...[, err]: Parameters<
+      NonNullable<Dispatcher.DispatchHandler['onResponseError']>
+    >
+  ): void {
+    const reason = reasonOf(err);
+    if (!this.connection.wasConnected) this.finish({kind: 'unsent', reason});
+    else if (err instanceof errors.HTTPParserError) this.failInvalid(reason);
+    else this.failDisconnected(reason);
+  }
+
+  /**
+   * Guards against an exchange that never settles, and against a process that
+   * ends with all its requests, because of one response: what its handling
+   * throws ends this exchange only.
+   */
+  private guarded(handle: () => void): void {
+    try {
+      handle();
+    } catch (err) {
+      this.context.onError(err);
+      this.failInvalid('response could not be handled');
+    }
+  }
+
+  private receiveHead(head: ResponseHead): void {
+    this.recordActivity();
+    this.headAfterMs = this.lastActivityAt - this.startedAt;
+    const {status, headers} = head;
+    const metadata = this.context.protocol.readResponse(status, headers);
+    if (!metadata.ok) {
+      this.failInvalid(metadata.err);
+      return;
+    }
+    this.received = {head, metadata: metadata.value};
+    const {requestId: responseId, notRun} = metadata.value;
+    const unattributed = unattributedReason({
+      responseId,
+      requestId: this.req.requestId,
+      isFirstRequest: this.isFirstRequest,
+      success: isSuccess(status) && !notRun,
+    });
+    if (unattributed) this.failUnattributed(unattributed);
+    else this.checkSuccess(metadata.value, status);
+  }
+
+  private receiveChunk(chunk: Buffer): void {
+    this.recordActivity();
+    if (isEventStream(this.received!)) this.forwardEvents(chunk);
+    else this.bufferChunk(chunk);
+  }
+
+  private receiveEnd(received: ReceivedHead): void {
+    const {head, metadata} = received;
     const {wasBrokenOff} = this.connection;
     // The headers alone state a refusal. A target that refuses a request before
     // it has read all of it resets the connection.
-    if (this.metadata!.notRun) {
-      this.finish({kind: 'declined', status: this.head!.status}, !wasBrokenOff);
+    if (metadata.notRun) {
+      this.finish({kind: 'declined', status: head.status}, !wasBrokenOff);
       return;
     }
     if (wasBrokenOff) {
       this.failDisconnected('reset during the answer');
       return;
     }
-    if (!this.isEventStream()) {
+    if (!isEventStream(received)) {
       const {body} = this.content;
-      const head = this.head!;
-      const doubt = failureDoubt(head, this.metadata!);
+      const doubt = failureDoubt(head, metadata);
       this.finish({kind: 'answered', head, body, doubt}, true);
       return;
     }
     if (this.content.hasPartialEvent)
       this.failDisconnected('ended inside an event');
-    else this.finish({kind: 'streamed', head: this.head!}, true);
-  }
-
-  /** Called by undici when the response cannot be completed. */
-  onResponseError(
-    ...[, err]: Parameters<
-      NonNullable<Dispatcher.DispatchHandler['onResponseError']>
-    >
-  ): void {
-    const reason = reasonOf(err);
-    if (!this.connection.wasConnected) this.finish({kind: 'unsent', reason});
-    else if (err instanceof errors.HTTPParserError) this.failInvalid(reason);
-    else this.failDisconnected(reason);
+    else this.finish({kind: 'streamed', head}, true);
   }
 
   private recordActivity(): void {
@@ -228,10 +267,6 @@
     this.context.onActivity();
   }
 
-  private isEventStream(): boolean {
-    return this.metadata!.isEventStream && this.head!.status === 200;
-  }
-
   /** Rejects a success whose body the target does not vouch for. */
   private checkSuccess(metadata: ResponseMetadata, status: number): void {
     if (metadata.notRun || !isSuccess(status)) return;
@@ -247,7 +282,7 @@
       return;
     }
     if (events.value.length === 0) return;
-    if (!this.context.sink.events(events.value, this.head!))
+    if (!this.context.sink.events(events.value, this.received!.head))
       this.end('caller-slow');
   }
 
@@ -281,8 +316,8 @@
 
   /** What is known of a failure that is incomplete. */
   private failurePart(): {readonly failedStatus?: number} {
-    if (!this.head || this.metadata!.notRun) return {};
-    const {status} = this.head;
+    if (!this.received || this.received.metadata.notRun) return {};
+    const {status} = this.received.head;
     return isSuccess(status) ? {} : {failedStatus: status};
   }
 
@@ -297,3 +332,7 @@
     this.resolveOutcome(outcome);
   }
 }
+
+function isEventStream({head, metadata}: ReceivedHead): boolean {
+  return metadata.isEventStream && head.status === 200;
+}
--- a/packages/gateway/src/lib/request/target_protocol.ts
+++ b/packages/gateway/src/lib/request/target_protocol.ts
@@ -3,9 +3,17 @@
  * works with the meaning of requests and responses; an implementation maps it
  * to the headers on the wire.
  */
-import type {IncomingHttpHeaders} from 'node:http';
+import type {Outcome} from '@oathead/core';
 import type {Target} from '../connection/target.js';
 
+/**
+ * Headers as received, by lower-case name. A header that comes twice is a list,
+ * whichever one it is: the types of Node.js say so only for some of them.
+ */
+export type ReceivedHeaders = Readonly<
+  Record<string, string | readonly string[] | undefined>
+>;
+
 /** Headers of a request or response, by lower-case name. */
 export type Headers = Readonly<Record<string, string | readonly string[]>>;
 
@@ -81,7 +89,7 @@
    * @param headers - Headers of a caller's request.
    * @returns The metadata of the request.
    */
-  readRequest(headers: IncomingHttpHeaders): RequestMetadata;
+  readRequest(headers: ReceivedHeaders): RequestMetadata;
   /**
    * @param headers - Headers of the caller that are forwarded.
    * @param metadata - Metadata that the gateway adds.
@@ -91,9 +99,13 @@
   /**
    * @param status - HTTP status of a target's response.
    * @param headers - Headers of a target's response.
-   * @returns The metadata of the response.
+   * @returns The metadata of the response; what is wrong with its head if it is
+   *     none that a target would send.
    */
-  readResponse(status: number, headers: IncomingHttpHeaders): ResponseMetadata;
+  readResponse(
+    status: number,
+    headers: ReceivedHeaders,
+  ): Outcome<ResponseMetadata, string>;
   /**
    * @param ms - Delay before the caller should retry, in milliseconds.
    * @returns The headers that state it.
--- a/packages/gateway/src/lib/request/target_send.ts
+++ b/packages/gateway/src/lib/request/target_send.ts
@@ -2,7 +2,7 @@
  * Sends a request to a target and records its effect on load, connections and
  * health.
  */
-import type {Clock, Counters} from '@oathead/core';
+import type {Clock, Counters, EventLog} from '@oathead/core';
 import type {ConnectionPool} from '../connection/connection_pool.js';
 import {targetKey} from '../connection/load_message.js';
 import type {Target} from '../connection/target.js';
@@ -41,6 +41,7 @@
   readonly overload: ServiceOverload;
   readonly clock: Clock;
   readonly counters: Counters;
+  readonly log: EventLog;
 }
 
 /** A request in flight and its outcome. */
@@ -75,6 +76,7 @@
     sink: run.measured(sink),
     now,
     onActivity,
+    onError: err => logError(context, target, req, err),
   });
   exchange.start();
   const sentAt = clock.now();
@@ -123,6 +125,19 @@
   return online + batch > slots;
 }
 
+function logError(
+  {log}: SendContext,
+  target: Target,
+  {requestId}: TargetRequest,
+  err: unknown,
+): void {
+  log.event('response-handling-failed', {
+    request: requestId,
+    target: target.id,
+    error: err instanceof Error ? err.stack : String(err),
+  });
+}
+
 /** Updates suspensions and health of the target after a request. */
 function recordOutcome(
   context: SendContext,
--- a/packages/gateway/src/test/connection/connect_hang_test.ts
+++ b/packages/gateway/src/test/connection/connect_hang_test.ts
@@ -56,6 +56,7 @@
     sink: SINK,
     now,
     onActivity: () => {},
+    onError: () => {},
   });
   exchange.start();
   t.is((await exchange.outcome$).kind, 'unsent');
--- a/packages/gateway/src/test/fakes/raw_target.ts
+++ b/packages/gateway/src/test/fakes/raw_target.ts
@@ -4,6 +4,7 @@
  */
 import {once} from 'node:events';
 import {createServer, type AddressInfo, type Socket} from 'node:net';
+import {failure, success} from '@oathead/core';
 import type {TargetProtocol} from '../../lib/request/target_protocol.js';
 
 /** Header protocol with short header names. */
@@ -17,13 +18,17 @@
     key: undefined,
   }),
   requestHeaders: headers => headers,
-  readResponse: (status, headers) => ({
-    requestId: headers['id'] as string | undefined,
-    sealed: headers['seal'] !== undefined,
-    notRun: headers['not-run'] !== undefined || status === 421,
-    hasUnexpectedEncoding: headers['content-encoding'] !== undefined,
-    isEventStream: headers['content-type'] === 'text/event-stream',
-  }),
+  readResponse: (status, headers) => {
+    if (Array.isArray(headers['content-type']))
+      return failure('content-type comes twice');
+    return success({
+      requestId: headers['id'] as string | undefined,
+      sealed: headers['seal'] !== undefined,
+      notRun: headers['not-run'] !== undefined || status === 421,
+      hasUnexpectedEncoding: headers['content-encoding'] !== undefined,
+      isEventStream: headers['content-type'] === 'text/event-stream',
+    });
+  },
   retryAfter: () => ({}),
   maxRetryAfterMs: leftMs => leftMs,
 };
--- a/packages/gateway/src/test/fakes/send_context.ts
+++ b/packages/gateway/src/test/fakes/send_context.ts
@@ -42,5 +42,6 @@
     overload: new ServiceOverload({clock, random, directory, hosts}),
     clock,
     counters,
+    log: NO_EVENT_LOG,
   };
 }
--- a/packages/gateway/src/test/request/exchange_test.ts
+++ b/packages/gateway/src/test/request/exchange_test.ts
@@ -76,6 +76,11 @@
     bytes: 'I am not HTTP\r\n\r\n',
     expected: 'broken',
   },
+  {
+    name: 'a head that names its content type twice',
+    bytes: `${HEAD}content-type: a/b\r\ncontent-type: a/b\r\ncontent-length: 2\r\n\r\nok`,
+    expected: 'broken',
+  },
   {
     name: 'a refusal that states the request did not run',
     bytes: 'HTTP/1.1 503 X\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n',
@@ -141,6 +146,49 @@
   });
 }
 
+const BUG = new Error('a bug in the handling');
+
+/** Handlers of a response that throw, by what they handle. */
+const THROWING: Readonly<Record<string, Overrides>> = {
+  head: {
+    protocol: {
+      ...PROTOCOL,
+      readResponse: () => {
+        throw BUG;
+      },
+    },
+  },
+  events: {
+    sink: {
+      events: () => {
+        throw BUG;
+      },
+    },
+  },
+};
+
+// Guards against a process that ends, with all its requests, because of one
+// response: its exchange never settles, and throws when it is given up.
+for (const [part, overrides] of Object.entries(THROWING)) {
+  test(`a response whose ${part} cannot be handled ends its exchange only`, async t => {
+    const bytes = `${STREAM}content-length: ${EVENTS.length}\r\n\r\n${EVENTS}`;
+    const script = {name: '', bytes, expected: 'broken'} as const;
+    await using target = await listen(socket => answer(socket, script));
+    using pool = new ConnectionPool(NO_COUNTERS);
+    const connection = pool.acquire({id: 't', address: target.address}, 'r1');
+    const thrown: unknown[] = [];
+    const onError = (err: unknown) => void thrown.push(err);
+    const exchange = newExchange(connection, [], {...overrides, onError});
+    exchange.start();
+    const outcome = await exchange.outcome$;
+    t.is(outcome.kind, 'broken');
+    t.false(mayHaveCrashed(outcome));
+    t.deepEqual(thrown, [BUG]);
+    t.notThrows(() => exchange.end('timeout'));
+    t.false(exchange.isConnectionReusable);
+  });
+}
+
 test('a failed connection attempt leaves the request unsent', async t => {
   const target = await listen(() => {});
   await target[Symbol.asyncDispose]();
@@ -201,9 +249,13 @@
   t.pass();
 });
 
+/** What a test replaces in the context of an exchange. */
+type Overrides = Partial<ConstructorParameters<typeof Exchange>[2]>;
+
 function newExchange(
   connection: ReturnType<ConnectionPool['acquire']>,
   events: StreamEvent[],
+  overrides: Overrides = {},
 ): Exchange {
   const req = {
     requestId: 'r1',
@@ -224,6 +276,10 @@
     sink,
     now: () => performance.now(),
     onActivity: () => {},
+    onError: err => {
+      throw err;
+    },
+    ...overrides,
   });
 }
 
@@ -284,6 +340,7 @@
       sink: {events: () => true},
       now: () => performance.now(),
       onActivity: () => activities++,
+      onError: err => t.fail(String(err)),
     },
   );
   exchange.start();
--- a/packages/gateway/src/test/request/reset_with_data_test.ts
+++ b/packages/gateway/src/test/request/reset_with_data_test.ts
@@ -47,6 +47,7 @@
     sink: {events: () => true},
     now: () => performance.now(),
     onActivity: () => {},
+    onError: () => {},
   });
   exchange.start();
   return exchange.outcome$;
--- a/packages/gateway/src/test/request/stalled_host_test.ts
+++ b/packages/gateway/src/test/request/stalled_host_test.ts
@@ -61,6 +61,7 @@
       sink: {events: () => true},
       now: () => performance.now(),
       onActivity: () => {},
+      onError: () => {},
     });
     exchange.start();
     await once(worker, 'message');
--- a/packages/soak/src/lib/process/fault_handlers.ts
+++ b/packages/soak/src/lib/process/fault_handlers.ts
@@ -35,6 +35,7 @@
   'wrong-id',
   'unsealed',
   'answer-lost',
+  'doubled-head',
 ];
 const STORE_AWAY: readonly StoreFault[] = ['down', 'busy', 'silent', 'reset'];
 const SLOW_STORE_MS = 200;
