Items are owed however many targets crashed under them

Cause: items were judged like requests of callers that resend. Above three crashes isItemBlocked held an item for a minute from the last one; a verdict on a part held all items with it, and a trial that was ended early was used up.

Change: crashes under items are no evidence, and no memory of crashes holds an item. From the third crash in a row it waits 0.5, 1, then 2 s. While a part is blocked, one item with it runs at a time on each host; a run that lasts a second after its first event acquits the part.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -63,6 +63,7 @@
 export * from './lib/request/pick_service.js';
 export * from './lib/request/request_trace.js';
 export * from './lib/request/run_evidence.js';
+export * from './lib/request/run_progress.js';
 export * from './lib/request/stream_events.js';
 export * from './lib/request/target_protocol.js';
 export * from './lib/request/target_send.js';
--- a/packages/gateway/src/lib/process/crash_suspects.ts
+++ b/packages/gateway/src/lib/process/crash_suspects.ts
@@ -55,8 +55,6 @@
    *     undefined if none is.
    */
   readonly explanationOf: (targetId: string) => string | undefined;
-  /** @returns Whether a part of prompts was ever taken to have crashed it. */
-  readonly wasExplained: (targetId: string) => boolean;
 }
 
 /** Why a request may run although targets have crashed under it. */
@@ -70,12 +68,6 @@
 
 /** Tracks requests whose runs broke off before a response. */
 export class CrashSuspects {
-  /**
-   * Time at which a blocked item was last given another run, by fingerprint.
-   */
-  private readonly lastExtraRunAt = new LRUCache<string, number>({
-    max: MAX_SUSPECTS,
-  });
   /** What was last logged of why a request may run, by fingerprint. */
   private readonly loggedReleases = new LRUCache<string, string>({
     max: MAX_SUSPECTS,
@@ -112,7 +104,7 @@
     return crashed.length >= TARGETS_TO_BLOCK ? undefined : 'listed';
   }
 
-  /** Logs once for each reason and set of targets: items are asked about often. */
+  /** Logs once for each reason and set of targets: a caller asks again and again. */
   private logRelease(
     requestFingerprint: string,
     {targets}: CrashRecord,
@@ -138,56 +130,6 @@
     return targets.filter(id => this.context.explanationOf(id) === undefined);
   }
 
-  /**
-   * Whether a batch item is blocked. A blocked item gets one more run.
-   *
-   * If three targets crashed for other reasons while a harmless item ran on
-   * them, a host cannot tell it from a poison request, and the item would be
-   * delayed by a minute. One more run decides, at the cost of one target at
-   * most: only the owner of the item starts it, and if a fourth target is lost,
-   * the item stays blocked. Targets that a verdict on a part of prompts has
-   * accounted for are no such: a harmless item would wait for a minute when the
-   * verdict ends.
-   *
-   * @param requestFingerprint - Fingerprint of an item.
-   * @returns Whether the item must not be started, because it is blocked and
-   *     its additional run has been used or is not due yet.
-   */
-  isItemBlocked(requestFingerprint: string): boolean {
-    if (!this.isBlocked(requestFingerprint)) return false;
-    const suspect = this.context.records.get(requestFingerprint)!;
-    const {at} = suspect;
-    const decisive = this.unexplained(suspect).filter(
-      id => !this.context.wasExplained(id),
-    );
-    const lastRunAt = Math.max(
-      at,
-      this.lastExtraRunAt.get(requestFingerprint) ?? 0,
-    );
-    const isDue = this.now() - lastRunAt >= this.expiryKnownAfterMs();
-    return decisive.length > TARGETS_TO_BLOCK || !isDue;
-  }
-
-  /** @param requestFingerprint - Fingerprint of an item that is started. */
-  recordItemStart(requestFingerprint: string): void {
-    if (!this.isBlocked(requestFingerprint)) return;
-    this.lastExtraRunAt.set(requestFingerprint, this.now());
-    this.context.log.event('suspect-tried-again', {
-      fingerprint: requestFingerprint,
-    });
-  }
-
-  /**
-   * Grants a blocked item its additional run again. Guards against an item that
-   * waits for seconds each time a request takes its slot.
-   *
-   * @param requestFingerprint - Fingerprint of an item whose run was ended
-   *     before it showed whether it crashes its target.
-   */
-  recordUndecidedRun(requestFingerprint: string): void {
-    this.lastExtraRunAt.delete(requestFingerprint);
-  }
-
   /**
    * @param requestFingerprint - Fingerprint of a request whose run broke off as
    *     a crash breaks it off.
@@ -203,8 +145,7 @@
   }
 
   /**
-   * Clears a request on all hosts. Guards against a harmless item that stays
-   * blocked on the host that takes its job over. A run whose answer began before
+   * Clears a request on all hosts. A run whose answer began before
    * the last crash clears nothing: the request may crash targets since then.
    *
    * @param requestFingerprint - Fingerprint of a request that was answered.
@@ -226,7 +167,6 @@
   }
 
   private forget(requestFingerprint: string): void {
-    this.lastExtraRunAt.delete(requestFingerprint);
     this.loggedReleases.delete(requestFingerprint);
   }
 
--- a/packages/gateway/src/lib/process/part_verdicts.ts
+++ b/packages/gateway/src/lib/process/part_verdicts.ts
@@ -36,7 +36,6 @@
 const LIST_READ_MARGIN_MS = 2700;
 const MAX_VERDICTS = 1024;
 const MAX_CRASHED_TARGETS = 1024;
-const MAX_ONCE_EXPLAINED = 4096;
 
 /** Dependencies of {@link PartVerdicts}. */
 export interface PartVerdictsContext {
@@ -59,11 +58,6 @@
     max: MAX_VERDICTS,
   });
 
-  /** Targets whose crashes some verdict has accounted for, also if it ended. */
-  private readonly onceExplained = new LRUCache<string, true>({
-    max: MAX_ONCE_EXPLAINED,
-  });
-
   /** @param context - What else the host knows of crashes. */
   constructor(private readonly context: PartVerdictsContext) {}
 
@@ -89,7 +83,6 @@
     const crashed = new Set([...before, ...crashes, ...verdict.targets]);
     const known = {...verdict, version, crashed};
     this.verdicts.set(part, known);
-    for (const target of crashed) this.onceExplained.set(target, true);
     return known;
   }
 
@@ -101,12 +94,6 @@
     const [oldest] = crashed;
     if (crashed.size > MAX_CRASHED_TARGETS) crashed.delete(oldest!);
     this.verdicts.set(part, {...known, crashed});
-    this.onceExplained.set(target, true);
-  }
-
-  /** @returns Whether some verdict has accounted for the crash of the target. */
-  wasExplained(target: string): boolean {
-    return this.onceExplained.has(target);
   }
 
   /**
--- a/packages/gateway/src/lib/process/prompt_suspects.ts
+++ b/packages/gateway/src/lib/process/prompt_suspects.ts
@@ -112,8 +112,16 @@
    *     {@link admit}, it lets no request through to try again.
    */
   isBlocked(prompt: PromptParts): boolean {
+    return this.blockedParts(prompt).length > 0;
+  }
+
+  /**
+   * @param prompt - Parts of a request.
+   * @returns The keys of those that are known to crash targets.
+   */
+  blockedParts(prompt: PromptParts): readonly string[] {
     const {service} = prompt;
-    return partKeysOf(prompt).some(key => this.verdictOn(service, key));
+    return partKeysOf(prompt).filter(key => this.verdictOn(service, key));
   }
 
   /**
@@ -125,11 +133,6 @@
     return this.verdicts.explanationOf(target);
   }
 
-  /** @returns Whether some verdict has accounted for the crash of the target. */
-  wasExplained(target: string): boolean {
-    return this.verdicts.wasExplained(target);
-  }
-
   /**
    * @param prompt - Parts of a request whose run broke off as a crash breaks it
    *     off.
--- a/packages/gateway/src/lib/request/exchange.ts
+++ b/packages/gateway/src/lib/request/exchange.ts
@@ -24,6 +24,7 @@
 import type {EventSink, TargetRequest} from './target_request.js';
 
 export {
+  isWholeSuccess,
   mayHaveCrashed,
   type AbortReason,
   type CompleteResponse,
--- a/packages/gateway/src/lib/request/exchange_outcome.ts
+++ b/packages/gateway/src/lib/request/exchange_outcome.ts
@@ -87,6 +87,18 @@
   return outcome.kind === 'ended' && outcome.by === 'restarted';
 }
 
+/**
+ * Whether a run shows that its request can be answered. A failure does not: a
+ * target that is held up or out of order may send it without having begun.
+ *
+ * @param outcome - Outcome of a request.
+ * @returns Whether it is a whole success.
+ */
+export function isWholeSuccess(outcome: ExchangeOutcome): boolean {
+  if (outcome.kind === 'streamed') return true;
+  return outcome.kind === 'answered' && isSuccess(outcome.head.status);
+}
+
 /**
  * @param head - Status and headers of a complete response.
  * @param metadata - What its headers say.
--- a/packages/gateway/src/lib/request/run_evidence.ts
+++ b/packages/gateway/src/lib/request/run_evidence.ts
@@ -1,20 +1,21 @@
-/** What one run of a request shows of crashes. */
+/** What one run of an online request shows of crashes. */
 import type {Target} from '../connection/target.js';
 import type {CrashSuspects} from '../process/crash_suspects.js';
 import type {PromptParts} from '../process/prompt_parts.js';
 import type {PromptSuspects} from '../process/prompt_suspects.js';
 import {
-  isSuccess,
+  isWholeSuccess,
   mayHaveCrashed,
   type ExchangeOutcome,
 } from './exchange_outcome.js';
+import {RunProgress} from './run_progress.js';
 import type {EventSink} from './target_request.js';
 
 /** Who judges crashes: by request, and by parts of prompts. */
 export interface CrashJudges {
   readonly crashSuspects: Pick<
     CrashSuspects,
-    'now' | 'recordCompletedRun' | 'recordBrokenRun' | 'recordUndecidedRun'
+    'now' | 'recordCompletedRun' | 'recordBrokenRun'
   >;
   readonly promptSuspects: Pick<
     PromptSuspects,
@@ -29,17 +30,9 @@
   readonly prompt: PromptParts;
 }
 
-/**
- * A request that crashes its target does so when the target begins to answer it,
- * at most this long after its first event, in milliseconds. A run that has
- * lasted longer was broken by another one.
- */
-const CRASH_WINDOW_MS = 1000;
-
 /** A run that has just begun. */
 export class RunEvidence {
-  private firstEventAtMs: number | undefined;
-  private lastEventAtMs = 0;
+  private readonly progress: RunProgress;
 
   /**
    * @param judges - Told of what the run shows.
@@ -48,20 +41,19 @@
   constructor(
     private readonly judges: CrashJudges,
     private readonly request: JudgedRequest,
-  ) {}
+  ) {
+    this.progress = new RunProgress(
+      () => judges.crashSuspects.now(),
+      () => {},
+    );
+  }
 
   /**
    * @param sink - Receives the events of the run.
    * @returns A sink that passes them on and notes when they come.
    */
   watched(sink: EventSink): EventSink {
-    return {
-      events: (events, head) => {
-        this.lastEventAtMs = this.judges.crashSuspects.now();
-        this.firstEventAtMs ??= this.lastEventAtMs;
-        return sink.events(events, head);
-      },
-    };
+    return this.progress.watched(sink);
   }
 
   /**
@@ -71,36 +63,20 @@
   recordOutcome(outcome: ExchangeOutcome, target: Pick<Target, 'id'>): void {
     const {crashSuspects, promptSuspects} = this.judges;
     const {fingerprint, prompt} = this.request;
-    if (isWholeSuccess(outcome)) {
-      promptSuspects.recordCompletedRun(prompt);
-      crashSuspects.recordCompletedRun(fingerprint, this.answeredSinceMs);
-      return;
-    }
+    const {hasLasted} = this.progress;
+    const isSuccess = isWholeSuccess(outcome);
     const hasCrashed = mayHaveCrashed(outcome);
+    if (isSuccess) promptSuspects.recordCompletedRun(prompt);
+    if (isSuccess || (hasLasted && !hasCrashed))
+      crashSuspects.recordCompletedRun(fingerprint, this.answeredSinceMs);
     if (hasCrashed) promptSuspects.recordBrokenRun(prompt, target.id);
-    if (hasCrashed && !this.hasLasted)
+    if (hasCrashed && !hasLasted)
       crashSuspects.recordBrokenRun(fingerprint, target.id, prompt);
-    else if (!hasCrashed && this.hasLasted)
-      crashSuspects.recordCompletedRun(fingerprint, this.answeredSinceMs);
-    else crashSuspects.recordUndecidedRun(fingerprint);
   }
 
   /** When its target began to answer, or had the whole answer. */
   private get answeredSinceMs(): number {
-    return this.firstEventAtMs ?? this.judges.crashSuspects.now();
+    const {crashSuspects} = this.judges;
+    return this.progress.firstEventAtMs ?? crashSuspects.now();
   }
-
-  private get hasLasted(): boolean {
-    if (this.firstEventAtMs === undefined) return false;
-    return this.lastEventAtMs - this.firstEventAtMs > CRASH_WINDOW_MS;
-  }
-}
-
-/**
- * Whether a run shows that its request can be answered. A failure does not: a
- * target that is held up or out of order may send it without having begun.
- */
-function isWholeSuccess(outcome: ExchangeOutcome): boolean {
-  if (outcome.kind === 'streamed') return true;
-  return outcome.kind === 'answered' && isSuccess(outcome.head.status);
 }
--- a/packages/jobs/src/lib/process/batch_scheduler.ts
+++ b/packages/jobs/src/lib/process/batch_scheduler.ts
@@ -22,6 +22,7 @@
   type ItemSearchContext,
 } from './item_target_search.js';
 import type {OwnedJob} from './owned_job.js';
+import {PartTrials} from './part_trials.js';
 import {WaitExplainer} from './wait_explainer.js';
 import {WaitingReport} from './waiting_report.js';
 
@@ -60,10 +61,10 @@
 const MAX_STARTS_PER_TICK = 3;
 
 /**
- * How long an item waits after it was not started for a part of its prompt that
- * crashes targets, in milliseconds.
+ * How long an item waits after it was not started because another one tries a
+ * blocked part of its prompt, in milliseconds.
  */
-const BLOCKED_ITEM_DELAY_MS = 1000;
+const BLOCKED_ITEM_DELAY_MS = 250;
 
 function byPriority(a: ItemCandidate, b: ItemCandidate): number {
   return compareEstimates(a.estimate, b.estimate);
@@ -77,6 +78,7 @@
   private readonly routes: ItemRoutes;
   private readonly search: ItemTargetSearch;
   private readonly explainer: WaitExplainer;
+  private readonly trials: PartTrials;
   private paused = false;
   private starting = false;
 
@@ -91,6 +93,7 @@
     this.waitingReport = new WaitingReport(context);
     this.routes = new ItemRoutes(context);
     this.search = new ItemTargetSearch(context);
+    this.trials = new PartTrials(() => context.clock.now());
     this.explainer = new WaitExplainer({
       ...context,
       routes: this.routes,
@@ -190,8 +193,6 @@
     for (const candidate of this.candidates()) {
       const route = this.routes.resolve(candidate);
       if (!route || this.search.isFull(route, candidate)) continue;
-      if (this.context.crashSuspects.isItemBlocked(candidate.work.fingerprint))
-        continue;
       // A few items that wait for certain targets must not hold back all that
       // come after them.
       if ((await this.startItem(candidate, route)) === 'selective') continue;
@@ -207,7 +208,6 @@
     candidate: ItemCandidate,
     route: Route,
   ): Promise<'placed' | 'full' | 'selective'> {
-    const {crashSuspects} = this.context;
     const {job, work} = candidate;
     const {stage} = work;
     const found = await this.search.search(route, candidate);
@@ -222,18 +222,16 @@
       return found.isSelective ? 'selective' : 'full';
     }
     if (isStale()) return 'placed';
-    // Guards against one that came to be blocked while it was being placed.
-    if (crashSuspects.isItemBlocked(work.fingerprint)) return 'selective';
     const prompt = promptOf(this.context, work, found.target);
-    const admission = await this.context.promptSuspects.admit(prompt);
-    if (isStale()) return 'placed';
-    if (admission === 'blocked') {
+    const blocked = this.context.promptSuspects.blockedParts(prompt);
+    if (!this.trials.mayStart(blocked)) {
       const notBefore = this.context.clock.now() + BLOCKED_ITEM_DELAY_MS;
       work.stage = {kind: 'waiting', notBefore};
       return 'selective';
     }
-    crashSuspects.recordItemStart(work.fingerprint);
+    const trial = this.trials.start(blocked);
     runItem(this.context, job, work, route, found.target, run => {
+      trial.end(run.hasCrashed);
       this.durations.addRun(job.head, run);
       if (run.isComplete) this.durations.add(job.head, work);
     });
--- a/packages/jobs/src/lib/process/item_runner.ts
+++ b/packages/jobs/src/lib/process/item_runner.ts
@@ -5,11 +5,9 @@
   endToEndHeaders,
   eventData,
   RequestTrace,
-  RunEvidence,
   sendToTarget,
   type AbortReason,
   type ResponseHead,
-  type CrashSuspects,
   type EventSink,
   type ExchangeOutcome,
   type FailureDoubt,
@@ -23,6 +21,8 @@
 } from '@oathead/gateway';
 import type {Clock, Counters, EventLog} from '@oathead/core';
 import type {RunSpeed} from './item_durations.js';
+import {crashPauseMs} from './crash_pause.js';
+import {ItemEvidence} from './item_evidence.js';
 import {continueAt, type ItemWork} from './item_work.js';
 import type {FailedResponse, OwnedJob} from './owned_job.js';
 
@@ -30,16 +30,17 @@
 export interface EndedRun extends RunSpeed {
   /** Whether the text of the item is complete. */
   readonly isComplete: boolean;
+  /** Whether its target seems to have crashed when it began to answer. */
+  readonly hasCrashed: boolean;
 }
 
 /** Dependencies for running items. */
 export interface ItemRunContext extends SendContext {
   readonly log: EventLog;
   readonly counters: Counters;
-  readonly crashSuspects: CrashSuspects;
   readonly promptSuspects: Pick<
     PromptSuspects,
-    'admit' | 'recordBrokenRun' | 'recordCompletedRun'
+    'blockedParts' | 'recordCompletedRun'
   >;
   readonly tracer: Tracer;
 }
@@ -126,10 +127,7 @@
     afterEvent: work.lastEventId,
   });
   const sink = new TextSink(work, context.clock);
-  const evidence = new RunEvidence(context, {
-    fingerprint: work.fingerprint,
-    prompt: promptOf(context, work, target),
-  });
+  const evidence = new ItemEvidence(context, promptOf(context, work, target));
   const watched = evidence.watched(sink);
   const activeSend = sendToTarget(context, target, 'batch', req, watched);
   work.stage = {
@@ -148,13 +146,16 @@
     });
     hop.end(end.kind);
     trace.end(end.kind === 'streamed' ? undefined : end.kind);
+    const hasCrashed = evidence.recordOutcome(end);
+    if (hasCrashed) work.crashes++;
+    else if (evidence.hasLasted) work.crashes = 0;
     onEnd({
       texts: sink.texts,
       streamedMs: endedAt - (sink.firstEventAtMs ?? endedAt),
       isComplete: end.kind === 'streamed',
+      hasCrashed,
     });
-    evidence.recordOutcome(end, target);
-    handleRunEnd(context, job, work, end, target);
+    handleRunEnd(context, job, work, end, target, hasCrashed);
   });
 }
 
@@ -211,6 +212,7 @@
   work: ItemWork,
   end: ExchangeOutcome,
   target: Target,
+  hasCrashed: boolean,
 ): void {
   const now = context.clock.now();
   const failed = failedRunOf(end, target);
@@ -223,6 +225,7 @@
     reason: endReasonOf(end),
     doubt: failed?.doubt,
     failures: failed && !failed.doubt ? work.failures + 1 : undefined,
+    crashes: work.crashes > 0 ? work.crashes : undefined,
     afterEvent: work.lastEventId,
   });
   if (end.kind === 'streamed') {
@@ -235,7 +238,9 @@
     handleFailedRun(job, work, failed, now);
     return;
   }
-  work.stage = {kind: 'waiting', notBefore: now + retryDelayMsAfter(end)};
+  const pauseMs = hasCrashed ? crashPauseMs(work.crashes) : 0;
+  const delayMs = Math.max(retryDelayMsAfter(end), pauseMs);
+  work.stage = {kind: 'waiting', notBefore: now + delayMs};
 }
 
 function recordFailedTarget(work: ItemWork, {id}: Target, now: number): void {
--- a/packages/jobs/src/lib/process/item_work.ts
+++ b/packages/jobs/src/lib/process/item_work.ts
@@ -1,5 +1,5 @@
 /** State of one item while its job is processed. */
-import {CrashSuspects, type ExchangeControl} from '@oathead/gateway';
+import type {ExchangeControl} from '@oathead/gateway';
 import type {JobItem} from '../request/job.js';
 import type {FailedRun} from '../request/job_rows.js';
 import {ItemTimeline} from './item_timeline.js';
@@ -36,11 +36,11 @@
 export interface ItemWork {
   readonly index: number;
   readonly item: JobItem;
-  /** Fingerprint of the item's path and body. */
-  readonly fingerprint: string;
   /** Shared parts of its prompt; undefined until they are needed. */
   sharedParts: readonly string[] | undefined;
   stage: ItemStage;
+  /** Number of targets that have crashed in a row when they began to run it. */
+  crashes: number;
   failures: number;
   /** Number of runs of which it is in doubt whether they failed. */
   doubts: number;
@@ -102,9 +102,9 @@
   return {
     index,
     item,
-    fingerprint: CrashSuspects.fingerprintOf(item.path, item.body),
     sharedParts: undefined,
     stage: {kind: 'waiting', notBefore: 0},
+    crashes: 0,
     failures,
     doubts,
     incompleteFailures: 0,
--- a/packages/jobs/src/lib/process/wait_explainer.ts
+++ b/packages/jobs/src/lib/process/wait_explainer.ts
@@ -2,7 +2,6 @@
 import type {Clock} from '@oathead/core';
 import {
   itemView,
-  type CrashSuspects,
   type ItemView,
   type ItemViewContext,
   type RoutingState,
@@ -20,7 +19,6 @@
 export interface WaitExplainerContext extends ItemViewContext {
   readonly clock: Clock;
   readonly routing: Pick<RoutingState, 'current'>;
-  readonly crashSuspects: Pick<CrashSuspects, 'isItemBlocked'>;
   readonly routes: Pick<ItemRoutes, 'routeOf'>;
   readonly search: Pick<ItemTargetSearch, 'refusedBy' | 'pendingMs'>;
   readonly isPaused: () => boolean;
@@ -76,7 +74,7 @@
     forMs: number,
     now: number,
   ): LongestWait {
-    const {routing, crashSuspects, routes, search, isPaused} = this.context;
+    const {routing, routes, search, isPaused} = this.context;
     const {job, work, estimate} = candidate;
     const {stage} = work;
     const route = routes.routeOf(job, work);
@@ -90,7 +88,6 @@
       isAfterFailure: isDelayedByFailure(candidate, now),
       hasConfiguration: routing.current !== undefined,
       hasRoute: route !== undefined,
-      isBlocked: crashSuspects.isItemBlocked(work.fingerprint),
       searchMs: search.pendingMs(),
       refusedBy: route && search.refusedBy(route, candidate),
       ...view,
--- a/packages/jobs/src/lib/process/wait_reason.ts
+++ b/packages/jobs/src/lib/process/wait_reason.ts
@@ -9,14 +9,15 @@
   | 'recording-failure'
   /** This host is stopping and starts no more items. */
   | 'paused'
-  /** Shortly after a run that does not count as a failure. */
+  /**
+   * Shortly after a run that does not count as a failure, or while another item
+   * tries a part of its prompt that is held to crash targets.
+   */
   | 'after-run'
   /** After a failed run. */
   | 'after-failure'
   | 'no-configuration'
   | 'no-route'
-  /** Targets crashed while they ran it, and its additional run is not due. */
-  | 'crash-suspect'
   /** The search for a target of some item has not ended. */
   | 'placement-pending'
   /** Its service has no targets. */
@@ -38,7 +39,6 @@
   readonly isAfterFailure: boolean;
   readonly hasConfiguration: boolean;
   readonly hasRoute: boolean;
-  readonly isBlocked: boolean;
   /** How long the current search has taken, in milliseconds; 0 without one. */
   readonly searchMs: number;
   /** Who found no free slot last; undefined if a target was found. */
@@ -62,7 +62,6 @@
   ['after-failure', ({isAfterFailure}) => isAfterFailure],
   ['no-configuration', ({hasConfiguration}) => !hasConfiguration],
   ['no-route', ({hasRoute}) => !hasRoute],
-  ['crash-suspect', ({isBlocked}) => isBlocked],
   ['placement-pending', ({searchMs}) => searchMs > LONG_SEARCH_MS],
   ['no-target', ({targets}) => targets === 0],
   ['all-suspended', ({targets, suspended}) => suspended === targets],
--- a/packages/serving/src/lib/process/serving_components.ts
+++ b/packages/serving/src/lib/process/serving_components.ts
@@ -146,7 +146,6 @@
     ...suspectContext,
     records: crashRecords,
     explanationOf: target => promptSuspects.explanationOf(target),
-    wasExplained: target => promptSuspects.wasExplained(target),
   });
   const hosts = () => membership.live().length;
   const preferredTargets = new PreferredTargets({
@@ -283,7 +282,7 @@
   );
   const schedulerContext = {
     ...online,
-    crashSuspects,
+    promptSuspects,
     directory,
     routing,
     freshness,
