A run that lasts is no evidence against parts of its prompt

What callers saw: after a burst of crashes sound requests are refused for some ten seconds, since a part of their prompts is held guilty. One cause: runs that had been answered for seconds counted against their parts when their targets crashed, though a part crashes a target when it begins to answer; and a long run acquitted its parts only at its end, seconds later.

Change: parts are judged by the same window as requests, a second after the first event; a run that lasts longer acquits its parts at that moment. Test 'a crash long after the first event counts against no part' failed before ('t0' was recorded, 'got through' was not).

--- a/packages/gateway/src/lib/request/run_evidence.ts
+++ b/packages/gateway/src/lib/request/run_evidence.ts
@@ -44,7 +44,7 @@
   ) {
     this.progress = new RunProgress(
       () => judges.crashSuspects.now(),
-      () => {},
+      () => judges.promptSuspects.recordCompletedRun(request.prompt),
     );
   }
 
@@ -66,12 +66,12 @@
     const {hasLasted} = this.progress;
     const isSuccess = isWholeSuccess(outcome);
     const hasCrashed = mayHaveCrashed(outcome);
-    if (isSuccess) promptSuspects.recordCompletedRun(prompt);
+    if (isSuccess && !hasLasted) promptSuspects.recordCompletedRun(prompt);
     if (isSuccess || (hasLasted && !hasCrashed))
       crashSuspects.recordCompletedRun(fingerprint, this.answeredSinceMs);
-    if (hasCrashed) promptSuspects.recordBrokenRun(prompt, target.id);
-    if (hasCrashed && !hasLasted)
-      crashSuspects.recordBrokenRun(fingerprint, target.id, prompt);
+    if (!hasCrashed || hasLasted) return;
+    promptSuspects.recordBrokenRun(prompt, target.id);
+    crashSuspects.recordBrokenRun(fingerprint, target.id, prompt);
   }
 
   /** When its target began to answer, or had the whole answer. */
--- a/packages/gateway/src/test/request/run_evidence_test.ts
+++ b/packages/gateway/src/test/request/run_evidence_test.ts
@@ -1,8 +1,8 @@
 import test from 'ava';
 import type {ExchangeOutcome} from '../../lib/request/exchange.js';
-import type {
-  JudgedRequest,
+import {
   RunEvidence,
+  type JudgedRequest,
 } from '../../lib/request/run_evidence.js';
 import {
   CRASHED,
@@ -150,3 +150,28 @@
   run.recordOutcome({kind: 'ended', by: 'yield'}, {id: 'alive'});
   t.is(await fleet.hosts[0]!.refusal(POISON), 'none');
 });
+
+// Guards against sound parts of prompts that are blocked after a burst of crashes:
+// runs with them had been answered for seconds when their targets crashed.
+test('a crash long after the first event counts against no part', async t => {
+  const fleet = await newFleet();
+  const recorded: string[] = [];
+  const [host] = fleet.hosts;
+  const run = new RunEvidence(
+    {
+      crashSuspects: host!.crashSuspects,
+      promptSuspects: {
+        recordBrokenRun: (prompt, target) => void recorded.push(target),
+        recordCompletedRun: () => void recorded.push('got through'),
+      },
+    },
+    POISON,
+  );
+  const sink = run.watched({events: () => true});
+  sink.events([], STREAMED.head);
+  await fleet.run(LASTING_MS);
+  sink.events([], STREAMED.head);
+  t.deepEqual(recorded, ['got through']);
+  run.recordOutcome(CRASHED, {id: 't0'});
+  t.deepEqual(recorded, ['got through']);
+});
