A head that is too long is no crash of its target

What callers saw: a request whose targets answer with header lines without end counts as one that crashes them, and is refused after three. Cause: the parser's HeadersOverflowError is no HTTPParserError, so the exchange took it for a lost connection. Found by the tests of responses without end.

Change: both are invalid responses, which show that the target is alive.

--- a/packages/gateway/src/lib/request/exchange.ts
+++ b/packages/gateway/src/lib/request/exchange.ts
@@ -193,7 +193,7 @@
   ): void {
     const reason = reasonOf(err);
     if (!this.connection.wasConnected) this.finish({kind: 'unsent', reason});
-    else if (err instanceof errors.HTTPParserError) this.failInvalid(reason);
+    else if (isInvalidResponse(err)) this.failInvalid(reason);
     else this.failDisconnected(reason);
   }
 
@@ -337,3 +337,11 @@
 function isEventStream({head, metadata}: ReceivedHead): boolean {
   return metadata.isEventStream && head.status === 200;
 }
+
+/** Whether the target has sent bytes that the parser refuses. */
+function isInvalidResponse(err: unknown): boolean {
+  return (
+    err instanceof errors.HTTPParserError ||
+    err instanceof errors.HeadersOverflowError
+  );
+}
--- a/packages/gateway/src/test/request/exchange_test.ts
+++ b/packages/gateway/src/test/request/exchange_test.ts
@@ -76,6 +76,11 @@
     bytes: 'I am not HTTP\r\n\r\n',
     expected: 'broken',
   },
+  {
+    name: 'a head that is too long',
+    bytes: `${HEAD}${'name: value\r\n'.repeat(4000)}content-length: 2\r\n\r\nok`,
+    expected: 'broken',
+  },
   {
     name: 'a head that names its content type twice',
     bytes: `${HEAD}content-type: a/b\r\ncontent-type: a/b\r\ncontent-length: 2\r\n\r\nok`,
