A response without end is cut off

Cause: the splitter copied and searched all pending bytes with each chunk, without a bound; the parser reports nothing before a head is whole, and nobody counted bytes; bytes without an event counted as progress.

Change: each byte is looked at once and an event may have 2 MB; bytes outside a body are counted and bounded; the head of a refusal is enough; only whole events are progress of a stream. A response that is cut off is invalid, not a crash.

--- a/packages/gateway/src/lib/connection/target_connection.ts
+++ b/packages/gateway/src/lib/connection/target_connection.ts
@@ -52,6 +52,8 @@
    * it did not take at once.
    */
   onDrained: () => void = () => {};
+  /** Called when bytes have arrived, before they are parsed. */
+  onBytes: () => void = () => {};
   private socket: Socket | undefined;
   private endedByReset = false;
   private lost = false;
@@ -89,6 +91,11 @@
     });
   }
 
+  /** Number of bytes that have arrived on the connection. */
+  get bytesRead(): number {
+    return this.socket?.bytesRead ?? 0;
+  }
+
   /** Whether the connection was ever established. */
   get wasConnected(): boolean {
     return this.socket !== undefined;
@@ -130,6 +137,7 @@
   private observeSocket(socket: Socket): void {
     this.socket = socket;
     socket.on('drain', () => this.onDrained());
+    socket.on('readable', () => this.onBytes());
     // Registered before undici's own listener, so that it is called first.
     socket.on('end', () => {
       this.endedByReset = !hasPeer(socket);
--- a/packages/gateway/src/lib/request/exchange.ts
+++ b/packages/gateway/src/lib/request/exchange.ts
@@ -44,8 +44,9 @@
   end(by: AbortReason): void;
   /**
    * @param now - The current time on the monotonic clock, in milliseconds.
-   * @returns Milliseconds since the target last sent data, or since the whole
-   *     request was sent.
+   * @returns Milliseconds since the response last got on (its head, bytes of
+   *     a body, or a whole event of a stream), or since the whole request was
+   *     sent.
    */
   silentMs(now: number): number;
 }
@@ -64,6 +65,18 @@
   readonly onError: (err: unknown) => void;
 }
 
+/**
+ * Maximum number of bytes outside the body of a response (its heads, and what
+ * chunks add), in bytes: several times the largest head that is accepted. The
+ * parser limits the fields of one head only, and reports nothing before it is
+ * whole.
+ */
+const MAX_FRAMING_BYTES = 128 * 1024;
+/** What chunks add at most to each byte of a body: the shortest chunk has one. */
+const MAX_CHUNK_OVERHEAD = 8;
+/** Body of a refusal that is read to keep its connection, in bytes. */
+const MAX_REFUSAL_BYTES = 16 * 1024;
+
 /** A response whose head was received, and what the head says. */
 interface ReceivedHead {
   readonly head: ResponseHead;
@@ -77,8 +90,11 @@
   private isFirstRequest = false;
   private settled = false;
   private readonly startedAt: number;
-  private lastActivityAt: number;
+  private lastProgressAt: number;
   private headAfterMs: number | undefined;
+  /** Bytes on the connection before the response. */
+  private bytesBefore = 0;
+  private bodyBytes = 0;
   private resolveOutcome!: (end: ExchangeOutcome) => void;
 
   /** The outcome; never rejects. */
@@ -95,7 +111,7 @@
     private readonly context: ExchangeContext,
   ) {
     this.startedAt = context.now();
-    this.lastActivityAt = this.startedAt;
+    this.lastProgressAt = this.startedAt;
     this.content = new ResponseContent(req.firstEventId);
     this.outcome$ = new Promise(resolve => {
       this.resolveOutcome = resolve;
@@ -116,7 +132,9 @@
       blocking: false,
     };
     // A target that reads a long request slowly is not silent.
-    this.connection.onDrained = () => this.recordActivity();
+    this.connection.onDrained = () => this.recordProgress();
+    this.bytesBefore = this.connection.bytesRead;
+    this.connection.onBytes = () => this.checkFraming();
     this.isFirstRequest = this.connection.carried.add(this.req.requestId);
     try {
       this.connection.client.dispatch(options, this);
@@ -132,7 +150,7 @@
 
   /** {@inheritDoc ExchangeControl.silentMs} */
   silentMs(now: number): number {
-    return now - this.lastActivityAt;
+    return now - this.lastProgressAt;
   }
 
   /**
@@ -211,9 +229,28 @@
     }
   }
 
+  /**
+   * Guards against bytes without end that are no part of a body, which the parser
+   * reads on and on without a word.
+   */
+  private checkFraming(): void {
+    if (this.settled || !this.hasTooMuchFraming) return;
+    // What has just arrived may be body, which has not been parsed yet.
+    setImmediate(() => {
+      if (!this.settled && this.hasTooMuchFraming)
+        this.failInvalid('too many bytes outside the body');
+    });
+  }
+
+  private get hasTooMuchFraming(): boolean {
+    const bytes = this.connection.bytesRead - this.bytesBefore;
+    const allowed = MAX_FRAMING_BYTES + MAX_CHUNK_OVERHEAD * this.bodyBytes;
+    return bytes - this.bodyBytes > allowed;
+  }
+
   private receiveHead(head: ResponseHead): void {
-    this.recordActivity();
-    this.headAfterMs = this.lastActivityAt - this.startedAt;
+    this.recordProgress();
+    this.headAfterMs = this.lastProgressAt - this.startedAt;
     const {status, headers} = head;
     const metadata = this.context.protocol.readResponse(status, headers);
     if (!metadata.ok) {
@@ -233,11 +270,19 @@
   }
 
   private receiveChunk(chunk: Buffer): void {
-    this.recordActivity();
-    if (isEventStream(this.received!)) this.forwardEvents(chunk);
+    this.bodyBytes += chunk.length;
+    const {head, metadata} = this.received!;
+    if (metadata.notRun) this.skipRefusalBody(head);
+    else if (isEventStream(this.received!)) this.forwardEvents(chunk);
     else this.bufferChunk(chunk);
   }
 
+  /** The head alone states a refusal, so its body is not waited for at length. */
+  private skipRefusalBody({status}: ResponseHead): void {
+    if (this.bodyBytes > MAX_REFUSAL_BYTES)
+      this.finish({kind: 'declined', status});
+  }
+
   private receiveEnd(received: ReceivedHead): void {
     const {head, metadata} = received;
     const {wasBrokenOff} = this.connection;
@@ -262,9 +307,9 @@
     else this.finish({kind: 'streamed', head}, true);
   }
 
-  private recordActivity(): void {
+  private recordProgress(): void {
     if (this.settled) return;
-    this.lastActivityAt = this.context.now();
+    this.lastProgressAt = this.context.now();
     this.context.onActivity();
   }
 
@@ -283,11 +328,13 @@
       return;
     }
     if (events.value.length === 0) return;
+    this.recordProgress();
     if (!this.context.sink.events(events.value, this.received!.head))
       this.end('caller-slow');
   }
 
   private bufferChunk(chunk: Buffer): void {
+    this.recordProgress();
     if (!this.content.buffer(chunk)) this.failInvalid('answer too large');
   }
 
--- a/packages/gateway/src/lib/request/response_content.ts
+++ b/packages/gateway/src/lib/request/response_content.ts
@@ -7,6 +7,11 @@
  * for request bodies.
  */
 const MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
+/**
+ * Maximum size of one event, in bytes: many times that of an event with several
+ * tokens.
+ */
+const MAX_EVENT_BYTES = 2 * 1024 * 1024;
 
 /** Buffers a body, or splits a stream and checks the order of its events. */
 export class ResponseContent {
@@ -44,7 +49,7 @@
   /**
    * @param chunk - The next bytes of a stream.
    * @returns The events that this chunk completes; what is wrong if they are
-   *     not numbered consecutively.
+   *     not numbered consecutively, or if one is too long.
    */
   split(chunk: Buffer): Outcome<readonly StreamEvent[], string> {
     const events = this.splitter.push(chunk);
@@ -55,6 +60,8 @@
         return failure(`event ${id} in place of ${expected}`);
       this.nextEventId = id + 1;
     }
+    if (this.splitter.pendingBytes > MAX_EVENT_BYTES)
+      return failure('event too large');
     return success(events);
   }
 }
--- a/packages/gateway/src/lib/request/stream_events.ts
+++ b/packages/gateway/src/lib/request/stream_events.ts
@@ -19,20 +19,35 @@
 
 /** Splits a byte stream at the ends of its events. */
 export class EventSplitter {
-  private pending: Buffer = Buffer.alloc(0);
+  /** Bytes of an incomplete event, in which no end was found. */
+  private pending: Buffer[] = [];
+  private bytesPending = 0;
 
   /** Whether the bytes of an incomplete event are buffered. */
   get hasPartialEvent(): boolean {
-    return this.pending.length > 0;
+    return this.bytesPending > 0;
+  }
+
+  /** Number of bytes of an incomplete event that are buffered. */
+  get pendingBytes(): number {
+    return this.bytesPending;
   }
 
   /**
+   * Looks at each byte once, and copies the pending ones only when an event ends.
+   * Guards against a process that is kept busy by an event without end.
+   *
    * @param chunk - The next bytes of the stream.
    * @returns The events that this chunk completes.
    */
   push(chunk: Buffer): readonly StreamEvent[] {
-    const bytes =
-      this.pending.length > 0 ? Buffer.concat([this.pending, chunk]) : chunk;
+    if (!this.completesEvent(chunk)) {
+      this.keep(chunk);
+      return [];
+    }
+    const bytes = Buffer.concat([...this.pending, chunk]);
+    this.pending = [];
+    this.bytesPending = 0;
     const events: StreamEvent[] = [];
     let start = 0;
     for (;;) {
@@ -43,9 +58,21 @@
       events.push(parseEvent(bytes.subarray(start, end)));
       start = end;
     }
-    this.pending = bytes.subarray(start);
+    this.keep(bytes.subarray(start));
     return events;
   }
+
+  private completesEvent(chunk: Buffer): boolean {
+    const isSplitEnd =
+      this.pending.at(-1)?.at(-1) === LINE_FEED && chunk[0] === LINE_FEED;
+    return isSplitEnd || chunk.includes(EVENT_END);
+  }
+
+  private keep(bytes: Buffer): void {
+    if (bytes.length === 0) return;
+    this.pending.push(bytes);
+    this.bytesPending += bytes.length;
+  }
 }
 
 /**
