One host of the fleet tries a blocked request again

Cause: the record's lifetime ended on all hosts at the same moment.

Change: after the minute one request tries, granted by a write into the record; a crash makes the next trial four times as late, a trial that shows nothing is followed by another one after 10 s. Tests 'one host of the whole fleet tries a blocked request again' and 'a trial that crashes a target delays the next one for longer' failed before.

--- a/packages/gateway/src/lib/process/crash_records.ts
+++ b/packages/gateway/src/lib/process/crash_records.ts
@@ -27,6 +27,10 @@
    * earlier builds write none.
    */
   parts: z.array(z.string()).readonly().default([]),
+  /** Number of times that the request was tried again. */
+  trials: z.number().int().nonnegative().default(0),
+  /** When it was tried last, in store time in milliseconds; 0 if never. */
+  triedAt: z.number().default(0),
 });
 /** Crashes under one request. */
 export type CrashRecord = Readonly<z.infer<typeof RECORD>>;
@@ -52,6 +56,8 @@
   targets: [],
   at: 0,
   parts: [],
+  trials: 0,
+  triedAt: 0,
   version: 0,
   stored: [],
 };
@@ -128,6 +134,40 @@
     return true;
   }
 
+  /**
+   * Takes the right to try a request again. The write decides, so that one
+   * request of the whole fleet has it.
+   *
+   * @param requestFingerprint - Fingerprint of the request.
+   * @returns Whether this host has it. Never rejects.
+   */
+  async claimTrial(requestFingerprint: string): Promise<boolean> {
+    const known = this.records.get(requestFingerprint);
+    if (!known) return false;
+    const {targets, at, parts, version} = known;
+    const trials = known.trials + 1;
+    const triedAt = this.now();
+    // Other requests of this host see it while the write is on its way.
+    this.set(requestFingerprint, {...known, trials, triedAt});
+    // No other host knows of a record that could not be written.
+    if (version === 0) return true;
+    const ref = recordRef(requestFingerprint);
+    const value = encodeJson({targets, at, parts, trials, triedAt});
+    const written = await this.context.store.transact({
+      expect: [{...ref, version}],
+      puts: [{...ref, value}],
+      removes: [],
+    });
+    this.context.log.event('suspect-tried-again', {
+      fingerprint: requestFingerprint,
+      trials,
+      outcome: written.ok ? 'written' : written.err.kind,
+    });
+    if (written.ok)
+      this.noteRow(requestFingerprint, written.value.version, targets);
+    return written.ok;
+  }
+
   /** @param update - Changes of {@link SUSPECT_TABLE}. */
   update({put, removed}: TableUpdate): void {
     for (const {key} of removed) this.removeStored(key);
@@ -160,12 +200,14 @@
   /** @returns Whether the store has answered, by a conflict also. */
   private async writeOnce(
     requestFingerprint: string,
-    {targets, at, parts, version}: KnownRecord,
+    {targets, at, parts, trials, triedAt, version}: KnownRecord,
   ): Promise<boolean> {
     const ref = recordRef(requestFingerprint);
     const written = await this.context.store.transact({
       expect: [{...ref, version}],
-      puts: [{...ref, value: encodeJson({targets, at, parts})}],
+      puts: [
+        {...ref, value: encodeJson({targets, at, parts, trials, triedAt})},
+      ],
       removes: [],
     });
     if (written.ok) {
@@ -228,11 +270,13 @@
       return;
     }
     const known = this.records.get(key) ?? NO_CRASHES;
-    const {targets, at, parts} = row.value;
+    const {targets, at, parts, trials, triedAt} = row.value;
     this.set(key, {
       targets: [...new Set([...known.targets, ...targets])],
       at: Math.max(known.at, at),
       parts: [...new Set([...known.parts, ...parts])],
+      trials: Math.max(known.trials, trials),
+      triedAt: Math.max(known.triedAt, triedAt),
       version,
       stored: targets,
     });
--- a/packages/gateway/src/lib/process/crash_suspects.ts
+++ b/packages/gateway/src/lib/process/crash_suspects.ts
@@ -24,10 +24,16 @@
  */
 const TARGETS_TO_BLOCK = 3;
 /**
- * Lifetime of a suspect, in milliseconds: long enough for the crashed targets
- * to be back before a new run shows whether the request still crashes them.
+ * Time from the last crash to the first request that tries again, in
+ * milliseconds, and the growth of that time with each trial that crashed a
+ * target: long enough for the crashed targets to be back.
  */
-const SUSPECT_LIFETIME_MS = 60_000;
+const FIRST_TRIAL_MS = 60_000;
+const TRIAL_GROWTH = 4;
+/** Time from a trial that showed nothing to the next one, in milliseconds. */
+const NEXT_TRIAL_MS = 10_000;
+/** Lifetime of a suspect, in milliseconds. */
+const SUSPECT_LIFETIME_MS = 600_000;
 /** Maximum number of requests of which more than the crashes is known. */
 const MAX_SUSPECTS = 4096;
 
@@ -57,6 +63,13 @@
   readonly explanationOf: (targetId: string) => string | undefined;
 }
 
+/** Whether a request may run. */
+export type SuspectAdmission =
+  | 'free'
+  /** It tries whether the request still crashes targets. */
+  | 'trial'
+  | 'blocked';
+
 /** Why a request may run although targets have crashed under it. */
 type ReleaseReason =
   /** Parts of prompts are known to have crashed the targets. */
@@ -81,7 +94,25 @@
     return fingerprint(`${path}\n${Buffer.from(body).toString('latin1')}`);
   }
 
-  /** @returns Whether the request must not be sent. */
+  /**
+   * Guards against a poison request that all hosts let through at once when its
+   * crashes are old: only one request of the whole fleet tries it again.
+   *
+   * @param requestFingerprint - Fingerprint of a request.
+   * @returns Whether it may be sent. Never rejects.
+   */
+  async admit(requestFingerprint: string): Promise<SuspectAdmission> {
+    if (!this.isBlocked(requestFingerprint)) return 'free';
+    const suspect = this.context.records.get(requestFingerprint)!;
+    if (!this.isTrialDue(suspect)) return 'blocked';
+    const isMine = await this.context.records.claimTrial(requestFingerprint);
+    return isMine ? 'trial' : 'blocked';
+  }
+
+  /**
+   * @returns Whether the request must not be sent. Unlike {@link admit}, it lets
+   *     none through to try again.
+   */
   isBlocked(requestFingerprint: string): boolean {
     const suspect = this.context.records.get(requestFingerprint);
     if (!suspect || suspect.targets.length < TARGETS_TO_BLOCK) return false;
@@ -104,6 +135,12 @@
     return crashed.length >= TARGETS_TO_BLOCK ? undefined : 'listed';
   }
 
+  private isTrialDue({at, trials, triedAt}: CrashRecord): boolean {
+    const afterCrashMs = FIRST_TRIAL_MS * TRIAL_GROWTH ** trials;
+    const dueAt = triedAt > at ? triedAt + NEXT_TRIAL_MS : at + afterCrashMs;
+    return this.now() >= dueAt;
+  }
+
   /** Logs once for each reason and set of targets: a caller asks again and again. */
   private logRelease(
     requestFingerprint: string,
--- a/packages/gateway/src/lib/request/crash_check.ts
+++ b/packages/gateway/src/lib/request/crash_check.ts
@@ -10,7 +10,7 @@
 /** Dependencies of {@link CrashCheck}. */
 export interface CrashCheckContext {
   readonly crashSuspects: CrashJudges['crashSuspects'] &
-    Pick<CrashSuspects, 'isBlocked'>;
+    Pick<CrashSuspects, 'admit' | 'isBlocked'>;
   readonly promptSuspects: CrashJudges['promptSuspects'] &
     Pick<PromptSuspects, 'admit' | 'isBlocked'>;
 }
@@ -25,6 +25,7 @@
 /** The crashes of one request. */
 export class CrashCheck {
   private isTrial = false;
+  private isSuspectTrial = false;
 
   /**
    * @param context - What the hosts know of crashes.
@@ -41,7 +42,9 @@
   async refusal(): Promise<CrashRefusal | undefined> {
     const {crashSuspects, promptSuspects} = this.context;
     const {fingerprint, prompt} = this.request;
-    if (crashSuspects.isBlocked(fingerprint)) return 'suspect';
+    const suspicion = await crashSuspects.admit(fingerprint);
+    this.isSuspectTrial = suspicion === 'trial';
+    if (suspicion === 'blocked') return 'suspect';
     const admission = await promptSuspects.admit(prompt);
     this.isTrial = admission === 'trial';
     return admission === 'blocked' ? 'prompt part blocked' : undefined;
@@ -56,7 +59,8 @@
   recheck(): CrashRefusal | undefined {
     const {crashSuspects, promptSuspects} = this.context;
     const {fingerprint, prompt} = this.request;
-    if (crashSuspects.isBlocked(fingerprint)) return 'suspect';
+    if (!this.isSuspectTrial && crashSuspects.isBlocked(fingerprint))
+      return 'suspect';
     const isBlocked = !this.isTrial && promptSuspects.isBlocked(prompt);
     return isBlocked ? 'prompt part blocked' : undefined;
   }
--- a/packages/gateway/src/test/process/suspects_together_test.ts
+++ b/packages/gateway/src/test/process/suspects_together_test.ts
@@ -151,3 +151,57 @@
   await fleet.run(TRIAL_MS);
   t.is(await fleet.hosts[0]!.refusal(NEIGHBOUR), 'none', 'it is tried again');
 });
+
+/** Time from the last crash to the first request that tries again. */
+const FIRST_TRIAL_MS = 60_000;
+
+/** What becomes of copies of a request that come to all hosts at once. */
+async function copiesAtAll(fleet: SuspectFleet): Promise<readonly string[]> {
+  const refusals = await fleet.refusals(POISON);
+  return [...refusals].sort();
+}
+
+// Guards against a poison request that all hosts let through at once when its last
+// crash is old.
+test('one host of the whole fleet tries a blocked request again', async t => {
+  const fleet = await newFleet();
+  await crashUnderPoison(fleet);
+  await fleet.run(FIRST_TRIAL_MS / 2);
+  t.deepEqual(await fleet.refusals(POISON), all(fleet, SUSPECT));
+  await fleet.run(FIRST_TRIAL_MS / 2);
+  const [tried, ...others] = await copiesAtAll(fleet);
+  t.is(tried, 'none');
+  t.deepEqual(new Set(others), new Set([SUSPECT]));
+  t.deepEqual(await fleet.refusals(POISON), all(fleet, SUSPECT));
+});
+
+test('a trial that crashes a target delays the next one for longer', async t => {
+  const fleet = await newFleet();
+  await crashUnderPoison(fleet);
+  await fleet.run(FIRST_TRIAL_MS);
+  await copiesAtAll(fleet);
+  fleet.hosts[1]!.crash(POISON, 'tried');
+  await fleet.run(2 * FIRST_TRIAL_MS);
+  t.deepEqual(await fleet.refusals(POISON), all(fleet, SUSPECT));
+});
+
+// Guards against a harmless request that is held for minutes because the caller of
+// its trial has left.
+test('a trial that shows nothing is followed by another one', async t => {
+  const fleet = await newFleet();
+  await crashUnderPoison(fleet);
+  await fleet.run(FIRST_TRIAL_MS);
+  await copiesAtAll(fleet);
+  await fleet.run(TRIAL_MS + STEP_MS);
+  t.true((await copiesAtAll(fleet)).includes('none'));
+});
+
+test('a trial that gets through frees the request on all hosts', async t => {
+  const fleet = await newFleet();
+  await crashUnderPoison(fleet);
+  await fleet.run(FIRST_TRIAL_MS);
+  await copiesAtAll(fleet);
+  fleet.hosts[0]!.complete(POISON);
+  await fleet.run(STEP_MS);
+  t.deepEqual(await fleet.refusals(POISON), all(fleet, 'none'));
+});
