A quota owner that was cut off takes itself for a new one

Cause: an owner distrusts its ledger when it was suspended or its list of hosts changes; one that is cut off does neither, while another host counts its accounts.

Change: a host knows when it heard another one last. After two seconds without any it was cut off, and counts like a new owner when it hears one again; quota-owner-resumed has a reason. Test 'an owner that was cut off takes itself for a new one' fails with the check switched off.

--- a/packages/gateway/src/lib/connection/host_socket.ts
+++ b/packages/gateway/src/lib/connection/host_socket.ts
@@ -4,7 +4,12 @@
  * datagram that arrives late is of no use.
  */
 import {createSocket, type Socket} from 'node:dgram';
-import {DisposableStore, type Counters, type EventLog} from '@oathead/core';
+import {
+  DisposableStore,
+  type Clock,
+  type Counters,
+  type EventLog,
+} from '@oathead/core';
 
 /** Address at which a host listens. */
 export interface HostAddress {
@@ -22,6 +27,7 @@
 /** Dependencies of a {@link HostSocket}. */
 export interface HostSocketContext {
   readonly self: HostAddress;
+  readonly clock: Clock;
   readonly log: EventLog;
   readonly counters: Counters;
 }
@@ -38,9 +44,20 @@
   private readonly disposables = new DisposableStore();
   private readonly handlers = new Map<number, DatagramHandler>();
   private readonly socket: Socket = createSocket('udp4');
+  private lastHeardAt: number;
 
   /** @param context - The own address, the log and the counters. */
-  constructor(private readonly context: HostSocketContext) {}
+  constructor(private readonly context: HostSocketContext) {
+    this.lastHeardAt = context.clock.now();
+  }
+
+  /**
+   * When another host was heard last, or this one started, on the monotonic
+   * clock in milliseconds.
+   */
+  get heardAt(): number {
+    return this.lastHeardAt;
+  }
 
   /**
    * @param kind - Message type: the number in the first field of the datagram.
@@ -52,8 +69,9 @@
 
   /** Binds the socket and starts to receive. */
   start(): void {
-    const {self, log, counters} = this.context;
+    const {self, clock, log, counters} = this.context;
     this.socket.on('message', datagram => {
+      this.lastHeardAt = clock.now();
       const handler = this.handlers.get(datagram[KIND_BYTE] ?? 0);
       if (!handler?.(datagram)) counters.count('datagrams_unreadable');
     });
--- a/packages/gateway/src/lib/connection/quota_exchange.ts
+++ b/packages/gateway/src/lib/connection/quota_exchange.ts
@@ -14,10 +14,11 @@
  */
 export function createAccountQuotas(
   socket: HostSocket,
-  context: Omit<AccountQuotasContext, 'send'>,
+  context: Omit<AccountQuotasContext, 'send' | 'heardAt'>,
 ): AccountQuotas {
   const quotas = new AccountQuotas({
     ...context,
+    heardAt: () => socket.heardAt,
     send: (message, to) =>
       socket.send(encodeQuota(message), [to], `quota-${message.kind}`),
   });
--- a/packages/gateway/src/lib/process/quota_owner.ts
+++ b/packages/gateway/src/lib/process/quota_owner.ts
@@ -29,6 +29,11 @@
   readonly log: EventLog;
   readonly counters: Counters;
   readonly tolerance: () => QuotaTolerance;
+  /**
+   * @returns When another host was heard last, on the monotonic clock in
+   *     milliseconds.
+   */
+  readonly heardAt: () => number;
   /**
    * Accounts ahead of an even pace; undefined if no host goes ahead of it.
    */
@@ -51,6 +56,12 @@
  */
 const SUSPENDED_MS = 1500;
 
+/**
+ * A host that has heard none of the others for this long, in milliseconds, was
+ * cut off from them. Hosts send their loads several times a second.
+ */
+const CUT_OFF_MS = 2000;
+
 const NOT_AHEAD: EarlierGrants = {kind: 'even'};
 
 /** Counts the accounts that this host owns. */
@@ -61,6 +72,7 @@
   private hostCount = 1;
   private mayGoAhead = false;
   private checkedAt: readonly [number, number];
+  private isCutOff = false;
   /** Kinds of calls to the record that are not to be made yet. */
   private readonly pausedCalls = new Set<QuotaNeed>();
 
@@ -94,6 +106,7 @@
     owns: (account: string) => boolean,
   ): void {
     this.checkSuspension();
+    this.checkCutOff();
     this.hostCount = hosts.length;
     // Any of them may be the next owner.
     this.mayGoAhead = hosts.every(({readsAheadRecord}) => readsAheadRecord);
@@ -116,6 +129,7 @@
     demand: QuotaDemand,
   ): QuotaVerdict {
     this.checkSuspension();
+    this.checkCutOff();
     const now = this.context.clock.now();
     const verdict = this.enforcer.take(account, quota, demand, now);
     this.countLapsed();
@@ -161,18 +175,37 @@
    * monotonic clock may not count a suspension, the time of day does.
    */
   private checkSuspension(): void {
-    const {clock, log, counters} = this.context;
+    const {clock} = this.context;
     const now = [clock.now(), clock.wallTime()] as const;
     const pauseMs = Math.max(...now.map((at, i) => at - this.checkedAt[i]!));
-    if (pauseMs > SUSPENDED_MS) {
-      this.history.restart(now[0]);
-      this.enforcer.distrust(now[0]);
-      log.event('quota-owner-resumed', {pauseMs: Math.round(pauseMs)});
-      counters.count('quota_owner', {event: 'resumed'});
-    }
+    if (pauseMs > SUSPENDED_MS) this.resume('suspended', pauseMs);
     this.checkedAt = now;
   }
 
+  /**
+   * Detects that this host was cut off from all others: they may have counted
+   * its accounts meanwhile, though its own list of hosts has not changed.
+   */
+  private checkCutOff(): void {
+    const {clock, heardAt} = this.context;
+    const silentMs = this.hostCount > 1 ? clock.now() - heardAt() : 0;
+    if (silentMs > CUT_OFF_MS) this.isCutOff = true;
+    else if (this.isCutOff) {
+      this.isCutOff = false;
+      this.resume('cut-off', silentMs);
+    }
+  }
+
+  /** Counts like a host that has just become the owner. */
+  private resume(reason: 'suspended' | 'cut-off', pauseMs: number): void {
+    const {clock, log, counters} = this.context;
+    const now = clock.now();
+    this.history.restart(now);
+    this.enforcer.distrust(now);
+    log.event('quota-owner-resumed', {reason, pauseMs: Math.round(pauseMs)});
+    counters.count('quota_owner', {event: 'resumed'});
+  }
+
   private meetNeed(account: string, now: number): void {
     const {aheadRecord, clock} = this.context;
     const need = this.enforcer.needOf(account, RENEW_MS, now);
--- a/packages/gateway/src/test/connection/host_socket_test.ts
+++ b/packages/gateway/src/test/connection/host_socket_test.ts
@@ -6,6 +6,7 @@
   NO_COUNTERS,
   NO_EVENT_LOG,
   type Counters,
+  SYSTEM_CLOCK,
 } from '@oathead/core';
 import test from 'ava';
 import {HostSocket} from '../../lib/connection/host_socket.js';
@@ -31,7 +32,12 @@
 
 async function newSocket(counters: Counters = NO_COUNTERS) {
   const self = {ip: IP, port: await freePort()};
-  const socket = new HostSocket({self, log: NO_EVENT_LOG, counters});
+  const socket = new HostSocket({
+    self,
+    clock: SYSTEM_CLOCK,
+    log: NO_EVENT_LOG,
+    counters,
+  });
   socket.start();
   return {socket, self};
 }
--- a/packages/gateway/src/test/fakes/quota_fleet.ts
+++ b/packages/gateway/src/test/fakes/quota_fleet.ts
@@ -247,6 +247,7 @@
       hosts: () => this.hosts[i]!.view.map(other => this.hosts[other]!.address),
       tolerance: () => this.scenario.tolerance,
       quotaOf: account => this.scenario.quotas[account],
+      heardAt: () => clock.now(),
       aheadRecord: this.aheadRecord(),
       send: (message, to) => this.send(i, to.port, encodeQuota(message)),
     });
--- a/packages/gateway/src/test/process/account_quotas_test.ts
+++ b/packages/gateway/src/test/process/account_quotas_test.ts
@@ -224,6 +224,7 @@
       counters: NO_COUNTERS,
       hosts: () => hosts,
       tolerance: () => TOLERANCE,
+      heardAt: () => clock.now(),
       quotaOf: () => SMALL,
       send: message => void sent.push(message),
     });
--- a/packages/gateway/src/test/process/quota_owner_test.ts
+++ b/packages/gateway/src/test/process/quota_owner_test.ts
@@ -8,13 +8,17 @@
 const HOSTS = [{host: 'a'}, {host: 'b'}];
 const SELF = 'a';
 
-function ownerAt(clock: FakeClock): QuotaOwner {
+function ownerAt(
+  clock: FakeClock,
+  heardAt: () => number = () => clock.now(),
+): QuotaOwner {
   const owner = new QuotaOwner(SELF, {
     clock,
     random: seededRandom(1),
     log: NO_EVENT_LOG,
     counters: NO_COUNTERS,
     tolerance: () => TOLERANCE,
+    heardAt,
   });
   owner.check(HOSTS, () => true);
   return owner;
@@ -56,3 +60,30 @@
   }
   t.is(grantsOf(owner), 78);
 });
+
+// Guards against a window that is granted twice: while the owner was cut off,
+// another host has counted its accounts, and its own list of hosts is the same.
+test('an owner that was cut off takes itself for a new one', t => {
+  const clock = new FakeClock();
+  let heardAt = 0;
+  const owner = ownerAt(clock, () => heardAt);
+  for (let ms = 0; ms < 10_000; ms += 250) {
+    heardAt = clock.now();
+    advance(clock, owner, 250);
+  }
+  t.is(grantsOf(owner), 78);
+  advance(clock, owner, 10_000);
+  heardAt = clock.now();
+  t.true(grantsOf(owner) <= 2);
+});
+
+test('a single host is not cut off', t => {
+  const clock = new FakeClock();
+  const owner = ownerAt(clock, () => 0);
+  const alone = [{host: SELF}];
+  for (let ms = 0; ms < 10_000; ms += 250) {
+    clock.advance(250);
+    owner.check(alone, () => true);
+  }
+  t.is(grantsOf(owner), 78);
+});
