Crashes apart from each other show a part at little traffic

Cause: a host had to see two other runs get through within 0.7 s of a crash, which at a sound request each two seconds none ever does.

Change: three crashes a second apart from each other, with other runs that get through in between, show a new part that stands in four fifths of the crashes. 'three crashes apart show a new part at little traffic' failed before; sound parts in one burst and in some of several crashes are not blocked by it.

--- a/packages/core/src/lib/process/part_suspicion.ts
+++ b/packages/core/src/lib/process/part_suspicion.ts
@@ -47,6 +47,12 @@
  * of these crashes: targets may then crash faster than anything gets through.
  */
 const LASTING = {crashes: 5, spanMs: 1500, coverage: 0.8} as const;
+/**
+ * A new part is also guilty if it stands in nearly all of several crashes that
+ * come apart from each other, while the service works in between. Answers a load
+ * with little traffic, in which hardly anything gets through within a second.
+ */
+const APART = {crashes: 3, gapMs: 1000, coverage: 0.8} as const;
 /**
  * A part is new if it has not got through for this long, in milliseconds, and
  * if runs have been observed for long enough to know that.
@@ -203,7 +209,8 @@
         (isNew ? EVIDENCE_OF_NEW_PART : EVIDENCE).some(evidence =>
           isShownBy(evidence, crashes, history, nowMs),
         )) ||
-      (isNew && coverage >= LASTING.coverage && isLasting(crashes));
+      (isNew && coverage >= LASTING.coverage && isLasting(crashes)) ||
+      (isNew && coverage >= APART.coverage && areApart(crashes, history));
     if (!isShown || this.isExplained(part, crashes, nowMs)) return undefined;
     return crashes;
   }
@@ -294,3 +301,22 @@
   const spanMs = crashes.at(-1)!.atMs - crashes[0]!.atMs;
   return crashes.length >= LASTING.crashes && spanMs >= LASTING.spanMs;
 }
+
+/**
+ * Whether enough crashes come apart from each other, with runs of others that get
+ * through between them. One burst of crashes is one event, whatever ran there.
+ */
+function areApart(
+  crashes: readonly PartCrash[],
+  history: ServiceHistory,
+): boolean {
+  let events = 1;
+  let lastMs = crashes[0]!.atMs;
+  for (const {atMs} of crashes) {
+    if (atMs - lastMs < APART.gapMs) continue;
+    if (history.completedWithin(lastMs, atMs) === 0) continue;
+    events++;
+    lastMs = atMs;
+  }
+  return events >= APART.crashes;
+}
--- a/packages/core/src/test/process/part_suspicion_test.ts
+++ b/packages/core/src/test/process/part_suspicion_test.ts
@@ -103,6 +103,53 @@
   t.is(suspicion.guiltyOf('part', 31_000), undefined);
 });
 
+/** A host that has seen sound runs for long, one each two seconds. */
+function withLittleTraffic(untilMs: number): PartSuspicion {
+  const suspicion = new PartSuspicion();
+  for (let at = 0; at <= untilMs; at += 2000)
+    suspicion.recordCompletedRun(SERVICE, ['first'], at);
+  return suspicion;
+}
+
+// Guards against a part that crashes target after target at little traffic and is
+// never found: no host sees two other runs get through within a second.
+test('three crashes apart show a new part at little traffic', t => {
+  const suspicion = withLittleTraffic(14_000);
+  const crashAt = (atMs: number) => {
+    for (const part of ['first', 'bad'])
+      suspicion.recordCrash(SERVICE, part, {target: `${atMs}`, atMs});
+    suspicion.recordCompletedRun(SERVICE, ['first'], atMs + 1500);
+  };
+  crashAt(14_500);
+  crashAt(22_500);
+  t.is(suspicion.guiltyOf('bad', 29_000), undefined);
+  crashAt(30_500);
+  t.is(suspicion.guiltyOf('bad', 30_500)?.length, 3);
+  t.is(suspicion.guiltyOf('first', 30_500), undefined);
+});
+
+// Guards against sound parts that are blocked after one burst of crashes.
+test('crashes of one burst do not show a part that is seldom asked for', t => {
+  const suspicion = withLittleTraffic(14_000);
+  for (const atMs of [14_100, 14_300, 14_500, 14_700])
+    suspicion.recordCrash(SERVICE, 'rare', {target: `${atMs}`, atMs});
+  suspicion.recordCompletedRun(SERVICE, ['first'], 16_000);
+  t.is(suspicion.guiltyOf('rare', 16_100), undefined);
+});
+
+// The same if targets crash again and again for another reason.
+test('a part that stands in some of the crashes apart is not shown by them', t => {
+  const suspicion = withLittleTraffic(14_000);
+  for (let i = 0; i < 7; i++) {
+    const atMs = 14_500 + 2500 * i;
+    const part = i % 2 === 0 ? 'rare' : 'other';
+    suspicion.recordCrash(SERVICE, part, {target: `${atMs}`, atMs});
+    suspicion.recordCompletedRun(SERVICE, ['first'], atMs + 500);
+  }
+  t.is(suspicion.guiltyOf('rare', 32_000), undefined);
+  t.is(suspicion.guiltyOf('other', 32_000), undefined);
+});
+
 /** What befalls the fleet of a replay. */
 interface Replay {
   readonly soundPerSecond: number;
