--- a/packages/gateway/src/lib/request/exchange.ts
+++ b/packages/gateway/src/lib/request/exchange.ts
@@ -19,6 +19,7 @@
   type ExchangeOutcome,
   type ResponseHead,
 } from './exchange_outcome.js';
+import {ResponseBytes} from './response_bytes.js';
 import {ResponseContent} from './response_content.js';
 import type {ResponseMetadata, TargetProtocol} from './target_protocol.js';
 import type {EventSink, TargetRequest} from './target_request.js';
@@ -65,18 +66,6 @@
   readonly onError: (err: unknown) => void;
 }
 
-/**
- * Maximum number of bytes outside the body of a response (its heads, and what
- * chunks add), in bytes: several times the largest head that is accepted. The
- * parser limits the fields of one head only, and reports nothing before it is
- * whole.
- */
-const MAX_FRAMING_BYTES = 128 * 1024;
-/** What chunks add at most to each byte of a body: the shortest chunk has one. */
-const MAX_CHUNK_OVERHEAD = 8;
-/** Body of a refusal that is read to keep its connection, in bytes. */
-const MAX_REFUSAL_BYTES = 16 * 1024;
-
 /** A response whose head was received, and what the head says. */
 interface ReceivedHead {
   readonly head: ResponseHead;
@@ -92,9 +81,7 @@
   private readonly startedAt: number;
   private lastProgressAt: number;
   private headAfterMs: number | undefined;
-  /** Bytes on the connection before the response. */
-  private bytesBefore = 0;
-  private bodyBytes = 0;
+  private readonly bytes: ResponseBytes;
   private resolveOutcome!: (end: ExchangeOutcome) => void;
 
   /** The outcome; never rejects. */
@@ -113,6 +100,7 @@
     this.startedAt = context.now();
     this.lastProgressAt = this.startedAt;
     this.content = new ResponseContent(req.firstEventId);
+    this.bytes = new ResponseBytes(() => connection.bytesRead);
     this.outcome$ = new Promise(resolve => {
       this.resolveOutcome = resolve;
     });
@@ -133,7 +121,6 @@
     };
     // A target that reads a long request slowly is not silent.
     this.connection.onDrained = () => this.recordProgress();
-    this.bytesBefore = this.connection.bytesRead;
     this.connection.onBytes = () => this.checkFraming();
     this.isFirstRequest = this.connection.carried.add(this.req.requestId);
     try {
@@ -234,20 +221,14 @@
    * reads on and on without a word.
    */
   private checkFraming(): void {
-    if (this.settled || !this.hasTooMuchFraming) return;
+    if (this.settled || !this.bytes.hasTooMuchFraming) return;
     // What has just arrived may be body, which has not been parsed yet.
     setImmediate(() => {
-      if (!this.settled && this.hasTooMuchFraming)
+      if (!this.settled && this.bytes.hasTooMuchFraming)
         this.failInvalid('too many bytes outside the body');
     });
   }
 
-  private get hasTooMuchFraming(): boolean {
-    const bytes = this.connection.bytesRead - this.bytesBefore;
-    const allowed = MAX_FRAMING_BYTES + MAX_CHUNK_OVERHEAD * this.bodyBytes;
-    return bytes - this.bodyBytes > allowed;
-  }
-
   private receiveHead(head: ResponseHead): void {
     this.recordProgress();
     this.headAfterMs = this.lastProgressAt - this.startedAt;
@@ -270,7 +251,7 @@
   }
 
   private receiveChunk(chunk: Buffer): void {
-    this.bodyBytes += chunk.length;
+    this.bytes.addBody(chunk.length);
     const {head, metadata} = this.received!;
     if (metadata.notRun) this.skipRefusalBody(head);
     else if (isEventStream(this.received!)) this.forwardEvents(chunk);
@@ -279,8 +260,7 @@
 
   /** The head alone states a refusal, so its body is not waited for at length. */
   private skipRefusalBody({status}: ResponseHead): void {
-    if (this.bodyBytes > MAX_REFUSAL_BYTES)
-      this.finish({kind: 'declined', status});
+    if (this.bytes.isTooLongForRefusal) this.finish({kind: 'declined', status});
   }
 
   private receiveEnd(received: ReceivedHead): void {
