--- a/packages/jobs/src/lib/process/item_evidence.ts
+++ b/packages/jobs/src/lib/process/item_evidence.ts
@@ -1,8 +1,7 @@
 /**
- * What one run of an item shows of crashes. Items are no requests that crash
- * targets: one under which a target crashed is a witness of the crash, and
- * neither it nor the parts of its prompt are suspected. One that gets through
- * shows that its parts crash nothing.
+ * What one run of an item shows of crashes. Items are never requests that crash
+ * targets: a crash under one is no evidence against it or the parts of its
+ * prompt. One that gets through shows that its parts crash nothing.
  */
 import {
   isWholeSuccess,
--- a/packages/jobs/src/lib/process/part_trials.ts
+++ b/packages/jobs/src/lib/process/part_trials.ts
@@ -1,8 +1,8 @@
 /**
- * Lets items run whose prompts have a part that is held to crash targets. An item
- * is owed, and no part of it crashes targets, so the part is held wrongly: the
- * first item that lasts acquits it. Until then one item with the part runs at a
- * time on each host, which bounds the damage if it does crash targets.
+ * Lets items run whose prompts have a blocked part. Items are owed and no part of
+ * them crashes targets, so the part is blocked wrongly: the first item that lasts
+ * clears it. Until then one item with the part runs at a time on each host, which
+ * bounds the damage if it does crash targets.
  */
 import {crashPauseMs} from './crash_pause.js';
 
--- a/packages/jobs/src/test/process/item_evidence_test.ts
+++ b/packages/jobs/src/test/process/item_evidence_test.ts
@@ -13,44 +13,44 @@
 };
 const LASTING_MS = 1500;
 
-/** A run of an item, and how often its parts were acquitted. */
+/** A run of an item, and how often its parts were cleared. */
 function newRun() {
   const clock = new VirtualClock();
-  const acquitted: unknown[] = [];
+  const cleared: unknown[] = [];
   const promptSuspects = {
-    recordCompletedRun: (prompt: unknown) => void acquitted.push(prompt),
+    recordCompletedRun: (prompt: unknown) => void cleared.push(prompt),
   };
   const prompt = {service: 's', sharedParts: ['shared']};
   const run = new ItemEvidence({clock, promptSuspects}, prompt);
   const sink = run.watched({events: () => true});
   const receive = () => void sink.events([], HEAD);
-  return {clock, run, receive, acquitted};
+  return {clock, run, receive, cleared};
 }
 
 // Guards against parts that stay blocked although items with them are answered:
 // requests take the slots of the items before they have come to their end.
-test('an item that lasts acquits its parts, whoever ends it', async t => {
-  const {clock, run, receive, acquitted} = newRun();
+test('an item that lasts clears its parts, whoever ends it', async t => {
+  const {clock, run, receive, cleared} = newRun();
   receive();
   await clock.advance(LASTING_MS);
   receive();
-  t.is(acquitted.length, 1);
+  t.is(cleared.length, 1);
   t.false(run.recordOutcome(YIELDED));
-  t.is(acquitted.length, 1);
+  t.is(cleared.length, 1);
 });
 
-test('an item that is whole acquits its parts once', t => {
-  const {run, receive, acquitted} = newRun();
+test('an item that is whole clears its parts once', t => {
+  const {run, receive, cleared} = newRun();
   receive();
   t.false(run.recordOutcome(STREAMED));
-  t.is(acquitted.length, 1);
+  t.is(cleared.length, 1);
 });
 
-test('an item whose target crashed as it began is a witness of the crash', t => {
-  const {run, receive, acquitted} = newRun();
+test('an item whose target crashed as it began speaks against none of its parts', t => {
+  const {run, receive, cleared} = newRun();
   receive();
   t.true(run.recordOutcome(BROKEN));
-  t.deepEqual(acquitted, []);
+  t.deepEqual(cleared, []);
 });
 
 // Guards against items that wait longer with each crash, though they had run for
