Log why each item that nobody works on waits

Logs could not tell the hypotheses of the incident apart: items-waiting explains one item a second, and nothing said afterwards why a given one was not running; the wait for the trial of a blocked part was named after-run. Now item-neglected names items that no target has worked on for 5 s (10, 20, 40), item-listed has the waits by reason, blocked-part is a reason of its own. A run that its host ends within a second is no work, as in the users' rule. Five lines a second at most.

--- a/packages/jobs/src/lib/process/batch_scheduler.ts
+++ b/packages/jobs/src/lib/process/batch_scheduler.ts
@@ -21,9 +21,10 @@
   ItemTargetSearch,
   type ItemSearchContext,
 } from './item_target_search.js';
+import {NeglectReport} from './neglect_report.js';
 import type {OwnedJob} from './owned_job.js';
 import {PartTrials} from './part_trials.js';
-import {WaitExplainer} from './wait_explainer.js';
+import {longestWait, WaitExplainer} from './wait_explainer.js';
 import {WaitingReport} from './waiting_report.js';
 
 /** Dependencies of a {@link BatchScheduler}. */
@@ -75,6 +76,7 @@
   private readonly disposables = new DisposableStore();
   private readonly durations = new ItemDurations();
   private readonly waitingReport: WaitingReport;
+  private readonly neglectReport: NeglectReport;
   private readonly routes: ItemRoutes;
   private readonly search: ItemTargetSearch;
   private readonly explainer: WaitExplainer;
@@ -91,6 +93,7 @@
     private readonly jobs: () => Iterable<OwnedJob>,
   ) {
     this.waitingReport = new WaitingReport(context);
+    this.neglectReport = new NeglectReport(context);
     this.routes = new ItemRoutes(context);
     this.search = new ItemTargetSearch(context);
     this.trials = new PartTrials(() => context.clock.now());
@@ -149,7 +152,9 @@
 
   private reportWaiting(): void {
     const items = this.unfinishedItems();
-    this.waitingReport.write(items, this.explainer.longest(items));
+    const waits = this.explainer.explain(items);
+    this.neglectReport.write(waits, REPORT_INTERVAL_MS);
+    this.waitingReport.write(items, longestWait(waits));
   }
 
   private checkpoint(): void {
@@ -226,7 +231,7 @@
     const blocked = this.context.promptSuspects.blockedParts(prompt);
     if (!this.trials.mayStart(blocked)) {
       const notBefore = this.context.clock.now() + BLOCKED_ITEM_DELAY_MS;
-      work.stage = {kind: 'waiting', notBefore};
+      work.stage = {kind: 'waiting', notBefore, isBehindTrial: true};
       return 'selective';
     }
     const trial = this.trials.start(blocked);
--- a/packages/jobs/src/lib/process/item_candidate.ts
+++ b/packages/jobs/src/lib/process/item_candidate.ts
@@ -57,3 +57,16 @@
 ): number {
   return now - (work.timeline.progressAtMs ?? job.adoptedAtMs);
 }
+
+/**
+ * @param candidate - A waiting item.
+ * @param now - The current time on the monotonic clock, in milliseconds.
+ * @returns Time since a target last worked on the item under this owner, or
+ *   since this host became its owner, in milliseconds.
+ */
+export function neglectedMs(
+  {job, work}: Pick<ItemCandidate, 'job' | 'work'>,
+  now: number,
+): number {
+  return now - (work.timeline.workedAtMs ?? job.adoptedAtMs);
+}
--- a/packages/jobs/src/lib/process/item_report.ts
+++ b/packages/jobs/src/lib/process/item_report.ts
@@ -3,6 +3,7 @@
 import type {ItemResult} from '../request/job.js';
 import type {JobHead} from '../request/job_rows.js';
 import type {ItemWork} from './item_work.js';
+import {waitTimesText} from './neglect_report.js';
 
 /** Dependencies of {@link reportListedItem}. */
 export interface ItemReportContext {
@@ -59,6 +60,7 @@
     listMs: rounded(listMs),
     runs: work.runs,
     preemptions: work.preemptions,
+    waits: waitTimesText(work.waits),
     inheritedTexts: work.inheritedTexts,
   });
   latencies.record('item_first_wait', firstWaitMs);
--- a/packages/jobs/src/lib/process/item_runner.ts
+++ b/packages/jobs/src/lib/process/item_runner.ts
@@ -64,6 +64,9 @@
  */
 const RUN_DEADLINE_MS = 60_000;
 
+/** Reasons of this host's own to end a run of a target that answers. */
+const OWN_REASONS: ReadonlySet<AbortReason> = new Set(['yield', 'stop']);
+
 const STATUS_OK = 200;
 const STATUS_UNPROCESSABLE = 422;
 const STATUS_SERVER_ERROR = 500;
@@ -143,6 +146,7 @@
       firstEventAtMs: sink.firstEventAtMs,
       endedAtMs: endedAt,
       isComplete: end.kind === 'streamed',
+      isTakenBack: end.kind === 'ended' && OWN_REASONS.has(end.by),
     });
     hop.end(end.kind);
     trace.end(end.kind === 'streamed' ? undefined : end.kind);
--- a/packages/jobs/src/lib/process/item_timeline.ts
+++ b/packages/jobs/src/lib/process/item_timeline.ts
@@ -12,12 +12,21 @@
   readonly endedAtMs: number;
   /** Whether the run completed the text of the item. */
   readonly isComplete: boolean;
+  /** Whether this host ended the run early. */
+  readonly isTakenBack: boolean;
 }
 
+/**
+ * A run that its host ends sooner is no work on its item, in milliseconds: it
+ * has read the prompt for nothing.
+ */
+const MIN_WORK_MS = 1000;
+
 /** Collects the times of the runs of one item. */
 export class ItemTimeline {
   private firstSentAt: number | undefined;
   private progressAt: number | undefined;
+  private workedAt: number | undefined;
   private untilFirstEvents = 0;
   private lost = 0;
   private total = 0;
@@ -32,6 +41,11 @@
     return this.progressAt;
   }
 
+  /** End of the last run that was work on the item; undefined before it. */
+  get workedAtMs(): number | undefined {
+    return this.workedAt;
+  }
+
   /**
    * Time from the send to the first event over all runs, in milliseconds: the
    * queue of the target and the reading of the prompt.
@@ -58,12 +72,20 @@
    *
    * @param run - Times and outcome of the run.
    */
-  add({sentAtMs, firstEventAtMs, endedAtMs, isComplete}: RunTimes): void {
+  add(run: RunTimes): void {
+    const {sentAtMs, firstEventAtMs, endedAtMs, isComplete} = run;
     const untilFirstEvent = (firstEventAtMs ?? endedAtMs) - sentAtMs;
     this.firstSentAt ??= sentAtMs;
     if (firstEventAtMs !== undefined) this.progressAt = endedAtMs;
+    if (isWork(run)) this.workedAt = endedAtMs;
     this.total += endedAtMs - sentAtMs;
     this.untilFirstEvents += untilFirstEvent;
     if (!isComplete) this.lost += untilFirstEvent;
   }
 }
+
+function isWork(run: RunTimes): boolean {
+  const {sentAtMs, firstEventAtMs, endedAtMs, isTakenBack} = run;
+  if (endedAtMs - sentAtMs >= MIN_WORK_MS) return true;
+  return firstEventAtMs !== undefined && !isTakenBack;
+}
--- a/packages/jobs/src/lib/process/item_work.ts
+++ b/packages/jobs/src/lib/process/item_work.ts
@@ -3,6 +3,7 @@
 import type {JobItem} from '../request/job.js';
 import type {FailedRun} from '../request/job_rows.js';
 import {ItemTimeline} from './item_timeline.js';
+import type {WaitReason} from './wait_reason.js';
 
 /** Partial text of an interrupted item and the event after which it resumes. */
 export interface PartialText {
@@ -20,7 +21,12 @@
 /** Stage of an item. */
 export type ItemStage =
   /** Waits to be run, at the earliest at `notBefore`. */
-  | {readonly kind: 'waiting'; readonly notBefore: number}
+  | {
+      readonly kind: 'waiting';
+      readonly notBefore: number;
+      /** Whether another item tries a blocked part of its prompt. */
+      readonly isBehindTrial?: boolean;
+    }
   /** Runs on a target. */
   | {
       readonly kind: 'running';
@@ -76,6 +82,10 @@
   idleTimeouts: number;
   /** Total time on targets, in milliseconds. */
   runTimeMs: number;
+  /** How long each reason has kept it waiting under the current owner. */
+  readonly waits: Map<WaitReason, number>;
+  /** Number of log lines that say that no target works on it. */
+  neglectLines: number;
   /** Times of the runs under the current owner. */
   readonly timeline: ItemTimeline;
 }
@@ -121,6 +131,8 @@
     preemptions: 0,
     idleTimeouts: 0,
     runTimeMs: 0,
+    waits: new Map(),
+    neglectLines: 0,
     timeline: new ItemTimeline(),
   };
 }
--- a/packages/jobs/src/lib/process/wait_explainer.ts
+++ b/packages/jobs/src/lib/process/wait_explainer.ts
@@ -1,4 +1,4 @@
-/** Finds the item that has waited longest, and why it is not running. */
+/** Finds out why items wait, and which of them has waited longest. */
 import type {Clock} from '@oathead/core';
 import {
   itemView,
@@ -8,6 +8,7 @@
 } from '@oathead/gateway';
 import {
   isDelayedByFailure,
+  neglectedMs,
   waitedMs,
   type ItemCandidate,
 } from './item_candidate.js';
@@ -24,6 +25,18 @@
   readonly isPaused: () => boolean;
 }
 
+/** An item that waits, and why. */
+export interface ExplainedWait {
+  readonly candidate: ItemCandidate;
+  /** How long it has received nothing, in milliseconds. */
+  readonly waitedMs: number;
+  /** How long no target has worked on it, in milliseconds. */
+  readonly neglectedMs: number;
+  readonly reason: WaitReason;
+  readonly service: string | undefined;
+  readonly view: ItemView;
+}
+
 /** The item that has waited longest. */
 export interface LongestWait extends ItemView {
   readonly job: string;
@@ -45,45 +58,43 @@
 
 const NO_VIEW: ItemView = {targets: 0, suspended: 0, underHalf: 0};
 
-/** Explains the longest wait on this host. */
+/** Explains the waits on this host. */
 export class WaitExplainer {
   /** @param context - What decides on the start of an item. */
   constructor(private readonly context: WaitExplainerContext) {}
 
   /**
    * @param items - The unfinished items of this host.
-   * @returns The longest wait; undefined if no item waits for long.
+   * @returns The long waits.
    */
-  longest(items: readonly ItemCandidate[]): LongestWait | undefined {
+  explain(items: readonly ItemCandidate[]): readonly ExplainedWait[] {
     const now = this.context.clock.now();
-    let longest: ItemCandidate | undefined;
-    let longestMs = LONG_WAIT_MS;
-    for (const candidate of items) {
-      const {kind} = candidate.work.stage;
-      if (kind !== 'waiting' && kind !== 'recording') continue;
-      const ms = waitedMs(candidate, now);
-      if (ms <= longestMs) continue;
-      longest = candidate;
-      longestMs = ms;
-    }
-    return longest && this.explain(longest, longestMs, now);
+    const views = new Map<string, ItemView>();
+    return items
+      .filter(({work}) => isWaiting(work.stage.kind))
+      .filter(
+        candidate =>
+          waitedMs(candidate, now) > LONG_WAIT_MS ||
+          neglectedMs(candidate, now) > LONG_WAIT_MS,
+      )
+      .map(candidate => this.explainOne(candidate, now, views));
   }
 
-  private explain(
+  private explainOne(
     candidate: ItemCandidate,
-    forMs: number,
     now: number,
-  ): LongestWait {
+    views: Map<string, ItemView>,
+  ): ExplainedWait {
     const {routing, routes, search, isPaused} = this.context;
-    const {job, work, estimate} = candidate;
+    const {job, work} = candidate;
     const {stage} = work;
     const route = routes.routeOf(job, work);
     const service = route?.services[0]?.service;
-    const view =
-      service === undefined ? NO_VIEW : itemView(this.context, service);
+    const view = this.viewOf(service, views);
     const reason = waitReason({
       isRecording: stage.kind === 'recording',
       isPaused: isPaused(),
+      isBehindTrial: stage.kind === 'waiting' && stage.isBehindTrial === true,
       isAfterRun: stage.kind === 'waiting' && stage.notBefore > now,
       isAfterFailure: isDelayedByFailure(candidate, now),
       hasConfiguration: routing.current !== undefined,
@@ -93,14 +104,51 @@
       ...view,
     });
     return {
-      job: job.head.id,
-      item: work.item.id,
-      waitedMs: Math.round(forMs),
-      urgency: estimate.urgency,
+      candidate,
+      waitedMs: waitedMs(candidate, now),
+      neglectedMs: neglectedMs(candidate, now),
       reason,
-      runs: work.runs,
       service,
-      ...view,
+      view,
     };
   }
+
+  private viewOf(
+    service: string | undefined,
+    views: Map<string, ItemView>,
+  ): ItemView {
+    if (service === undefined) return NO_VIEW;
+    const view = views.get(service) ?? itemView(this.context, service);
+    views.set(service, view);
+    return view;
+  }
+}
+
+/**
+ * @param waits - Explained waits.
+ * @returns The longest; undefined if no item has received nothing for long.
+ */
+export function longestWait(
+  waits: readonly ExplainedWait[],
+): LongestWait | undefined {
+  let longest: ExplainedWait | undefined;
+  for (const wait of waits)
+    if (wait.waitedMs > (longest?.waitedMs ?? LONG_WAIT_MS)) longest = wait;
+  if (!longest) return undefined;
+  const {candidate, reason, service, view} = longest;
+  const {job, work, estimate} = candidate;
+  return {
+    job: job.head.id,
+    item: work.item.id,
+    waitedMs: Math.round(longest.waitedMs),
+    urgency: estimate.urgency,
+    reason,
+    runs: work.runs,
+    service,
+    ...view,
+  };
+}
+
+function isWaiting(kind: string): boolean {
+  return kind === 'waiting' || kind === 'recording';
 }
--- a/packages/jobs/src/lib/process/wait_reason.ts
+++ b/packages/jobs/src/lib/process/wait_reason.ts
@@ -9,10 +9,9 @@
   | 'recording-failure'
   /** This host is stopping and starts no more items. */
   | 'paused'
-  /**
-   * Shortly after a run that does not count as a failure, or while another item
-   * tries a part of its prompt that is held to crash targets.
-   */
+  /** Another item tries a part of its prompt that is held to crash targets. */
+  | 'blocked-part'
+  /** Shortly after a run that does not count as a failure. */
   | 'after-run'
   /** After a failed run. */
   | 'after-failure'
@@ -35,6 +34,7 @@
 export interface WaitSituation {
   readonly isRecording: boolean;
   readonly isPaused: boolean;
+  readonly isBehindTrial: boolean;
   readonly isAfterRun: boolean;
   readonly isAfterFailure: boolean;
   readonly hasConfiguration: boolean;
@@ -58,6 +58,7 @@
 > = [
   ['recording-failure', ({isRecording}) => isRecording],
   ['paused', ({isPaused}) => isPaused],
+  ['blocked-part', ({isBehindTrial}) => isBehindTrial],
   ['after-run', ({isAfterRun}) => isAfterRun],
   ['after-failure', ({isAfterFailure}) => isAfterFailure],
   ['no-configuration', ({hasConfiguration}) => !hasConfiguration],
--- a/packages/jobs/src/test/process/wait_explainer_test.ts
+++ b/packages/jobs/src/test/process/wait_explainer_test.ts
@@ -3,6 +3,7 @@
 import {ItemTimeline} from '../../lib/process/item_timeline.js';
 import type {ItemStage} from '../../lib/process/item_work.js';
 import {
+  longestWait,
   WaitExplainer,
   type WaitExplainerContext,
 } from '../../lib/process/wait_explainer.js';
@@ -43,7 +44,7 @@
     isPaused: () => false,
     ...parts,
   } as unknown as WaitExplainerContext;
-  return new WaitExplainer(context).longest(items);
+  return longestWait(new WaitExplainer(context).explain(items));
 }
 
 // An item lay beside free slots until the end of its job, and no log line told
@@ -90,6 +91,10 @@
   const stages: ReadonlyArray<readonly [string, ItemStage]> = [
     ['recording-failure', {kind: 'recording'}],
     ['after-run', {kind: 'waiting', notBefore: NOW_MS + 1}],
+    [
+      'blocked-part',
+      {kind: 'waiting', notBefore: NOW_MS + 1, isBehindTrial: true},
+    ],
   ];
   for (const [reason, stage] of stages)
     t.is(longestOf([newItem('one', 2000, stage)])?.reason, reason as never);
@@ -103,12 +108,14 @@
     ...times,
     firstEventAtMs: undefined,
     isComplete: false,
+    isTakenBack: false,
   });
   t.is(longestOf([item])?.waitedMs, 6000);
   item.work.timeline.add({
     ...times,
     firstEventAtMs: NOW_MS - 2000,
     isComplete: false,
+    isTakenBack: false,
   });
   t.is(longestOf([item])?.waitedMs, 1200);
 });
