Soak: the load of the incident's site, crashes together, the users' rule at the end

The soak had one load, under which nearly all slots are in use all the time, and looked at 10 s in which jobs lie, not at the end.

--- a/packages/soak/src/lib/process/evidence.ts
+++ b/packages/soak/src/lib/process/evidence.ts
@@ -12,6 +12,9 @@
   readonly jobs: readonly JobRecord[];
   /** Planned changes with no fault around them. */
   readonly calm: CalmChanges;
+  /** When the last online request had ended, and no job was handed in any more,
+   * on the time of day in milliseconds. */
+  readonly loadEndedAt: number;
   /** When the run ended, on the time of day in milliseconds. */
   readonly endedAt: number;
 }
--- a/packages/soak/src/lib/process/fault_handlers.ts
+++ b/packages/soak/src/lib/process/fault_handlers.ts
@@ -7,6 +7,7 @@
 } from '@oathead/platform/stand_ins';
 import type {ProxyMode} from '../connection/fault_proxy.js';
 import {failRuns, mixAnswers} from './answer_handlers.js';
+import {crashTogether} from './crash_handlers.js';
 import type {FaultCall, FaultHandler} from './fault_call.js';
 import {
   hearNothing,
@@ -90,6 +91,7 @@
   'bad-part': sendBadPart,
   'poison-request': sendPoison,
   'poison-beside-bad-part': sendPoisonBesideBadPart,
+  'servers-crash-together': crashTogether,
 };
 
 function killOne(call: FaultCall): Promise<void> {
--- a/packages/soak/src/lib/process/job_promises.ts
+++ b/packages/soak/src/lib/process/job_promises.ts
@@ -9,15 +9,20 @@
 import type {JobRecord} from '../request/batch_load.js';
 import type {Evidence, PromiseCheck} from './evidence.js';
 import {RETENTION_MS} from './promise_bounds.js';
-import {BATCH_SERVICE, SLOTS} from './soak_fleet.js';
+import {BATCH_SERVICE} from './soak_fleet.js';
 
 const STATUS_OK = 200;
+/** For the items that are left when the load ends, in milliseconds. */
+const FINISH_MS = 18_000;
+/** For so long before its end a job must not be left by all, in milliseconds. */
+const LAST_SPAN_MS = 5000;
 /** An item that a target has failed may rest for so long, in milliseconds. */
 const FAILED_REST_MS = 20_000;
 
 /** Promises about jobs by name. */
 export const JOB_PROMISES: Readonly<Record<string, PromiseCheck>> = {
   'an accepted job is not left lying': jobsAreWorkedOn,
+  'no open job is left by all at the end': jobsAreWorkedOnAtTheEnd,
 };
 
 function jobsAreWorkedOn(evidence: Evidence): readonly string[] {
@@ -35,6 +40,22 @@
   });
 }
 
+/** The users' rule for the end of a day. */
+function jobsAreWorkedOnAtTheEnd(evidence: Evidence): readonly string[] {
+  const to = evidence.loadEndedAt + FINISH_MS;
+  const last = [{from: to - LAST_SPAN_MS, to}];
+  const targets = targetsOf(evidence);
+  return evidence.jobs.flatMap(job => {
+    const {id, acceptedAt} = job;
+    if (acceptedAt === undefined) return [];
+    const items = itemsOf(job, targets.runs);
+    const idle = longestIdleSpan(acceptedAt, items, targets, last);
+    if (!idle || idle.to - idle.from < LAST_SPAN_MS) return [];
+    const open = items.filter(({doneAt}) => doneAt >= to).length;
+    return [`${id}: ${open} items are open and at no target`];
+  });
+}
+
 type Run = TargetRecord['runs'][number] & Pick<ReceivedRequest, 'status'>;
 
 /** Items may run at servers of another service while their route is moved. */
@@ -49,7 +70,7 @@
       )
       .map(withRest),
   );
-  return {runs, slots: engines.length * SLOTS};
+  return {runs, slots: engines.length * fleet.slots};
 }
 
 function withRest(run: ReceivedRequest): Run {
--- a/packages/soak/src/lib/process/run_soak.ts
+++ b/packages/soak/src/lib/process/run_soak.ts
@@ -7,12 +7,13 @@
 import {makeCalmChanges} from './calm_changes.js';
 import {FAULT_HANDLERS} from './fault_handlers.js';
 import type {Evidence} from './evidence.js';
+import {LOAD_SHAPES, type LoadShape} from './load_shape.js';
 import {PROMISES} from './promises.js';
 import {ACCOUNT, accountOf} from './soak_accounts.js';
 import {SoakFleet} from './soak_fleet.js';
 import {storedHeads} from './stored_heads.js';
 import {
-  FAULT_KINDS,
+  DEFAULT_FAULT_KINDS,
   planFaults,
   type FaultKind,
   type PlannedFault,
@@ -65,11 +66,12 @@
  * @returns What it came to; all processes have ended.
  */
 export async function runSoak(options: SoakOptions): Promise<SoakReport> {
-  await using fleet = new SoakFleet();
+  const load: LoadShape = LOAD_SHAPES[options.load ?? 'steady'];
+  await using fleet = new SoakFleet(load);
   await fleet.start(options.programs, options.engines);
   const random = seededRandom(options.seed + 1);
-  const online = new OnlineLoad(fleet, random);
-  const batch = new BatchLoad(fleet, random);
+  const online = new OnlineLoad(fleet, random, load);
+  const batch = new BatchLoad(fleet, random, load);
   const accounts = new AccountLoad(fleet, online);
   const faults = planFaults(options);
   online.start();
@@ -84,6 +86,7 @@
   const calm = await makeCalmChanges(fleet, random);
   await batch.finish();
   await online.stop();
+  const loadEndedAt = Date.now();
   await readAll(batch);
   const last = await lastRequests(fleet, online);
   const evidence: Evidence = {
@@ -91,6 +94,7 @@
     online: online.records,
     jobs: batch.jobs,
     calm,
+    loadEndedAt,
     endedAt: Date.now(),
   };
   const violations = [...violationsOf(evidence), ...last];
@@ -127,7 +131,7 @@
  * read all jobs again. */
 async function strikeLast(
   fleet: SoakFleet,
-  {kinds = FAULT_KINDS, seed}: SoakOptions,
+  {kinds = DEFAULT_FAULT_KINDS, seed}: SoakOptions,
 ): Promise<void> {
   for (const kind of LAST_KINDS) {
     if (!kinds.includes(kind)) continue;
--- a/packages/soak/src/lib/process/soak_fleet.ts
+++ b/packages/soak/src/lib/process/soak_fleet.ts
@@ -13,6 +13,7 @@
 import {FaultProxy} from '../connection/fault_proxy.js';
 import {EVENTS, markedWord} from '../request/expected_text.js';
 import {Disturbances} from './disturbances.js';
+import type {LoadShape} from './load_shape.js';
 import type {PoisonBout} from './poison_handlers.js';
 import {addedRoute} from './added_route.js';
 import {ACCOUNT, ACCOUNTS, QUOTA_BOUNDS} from './soak_accounts.js';
@@ -50,10 +51,7 @@
 /** Software version of all servers at the start. */
 export const FIRST_VERSION = 'v1';
 const ZONES = ['hall-a', 'hall-b'] as const;
-const EVENT_MS = 20;
 const PLAIN_ANSWER_MS = 10;
-/** Slots of each server. */
-export const SLOTS = 6;
 const QUEUE = 16;
 const PLAIN_SERVERS = 2;
 const READY_POLL_MS = 50;
@@ -100,6 +98,14 @@
   private version = INITIAL_CONFIG.version;
   private starts = 0;
 
+  /** @param load - What it has to bear. */
+  constructor(private readonly load: LoadShape) {}
+
+  /** Slots of each server. */
+  get slots(): number {
+    return this.load.slots;
+  }
+
   /**
    * Starts everything and waits until all programs take callers.
    *
@@ -287,10 +293,10 @@
       service,
       softwareVersion,
       zone: ZONES[this.starts % ZONES.length]!,
-      slots: SLOTS,
+      slots: this.load.slots,
       maxQueueLength: QUEUE,
       events: EVENTS,
-      eventMs: service === 'llm' ? EVENT_MS : PLAIN_ANSWER_MS,
+      eventMs: service === 'llm' ? this.load.eventMs : PLAIN_ANSWER_MS,
       eventData: (path, n) => markedWord(softwareVersion, path, n),
       listedAddress: async address => {
         proxy = await FaultProxy.before(address);
--- a/packages/soak/src/lib/process/soak_main.ts
+++ b/packages/soak/src/lib/process/soak_main.ts
@@ -4,6 +4,7 @@
 import {systemSeed} from '@oathead/core';
 import yargs from 'yargs';
 import {KEPT_SEEDS} from './kept_seeds.js';
+import {LOAD_SHAPES, type LoadShapeName} from './load_shape.js';
 import {runSoak, type SoakReport} from './run_soak.js';
 import {FAULT_KINDS, type FaultKind, type SoakOptions} from './soak_plan.js';
 
@@ -37,7 +38,14 @@
         type: 'string',
         array: true,
         choices: FAULT_KINDS,
-        describe: 'Kinds of faults; all by default',
+        describe:
+          'Kinds of faults; by default all that no run has to name itself',
+      },
+      load: {
+        type: 'string',
+        choices: Object.keys(LOAD_SHAPES) as readonly LoadShapeName[],
+        default: 'steady' as LoadShapeName,
+        describe: 'What callers ask for',
       },
       kept: {
         type: 'boolean',
@@ -60,6 +68,7 @@
     programs: options.programs,
     engines: options.engines,
     kinds: options.kinds as readonly FaultKind[] | undefined,
+    load: options.load,
   }));
   const kept = KEPT_SEEDS.map(seed => seed.options);
   return playAll(options.kept ? kept : drawn, options.out);
--- a/packages/soak/src/lib/process/soak_plan.ts
+++ b/packages/soak/src/lib/process/soak_plan.ts
@@ -1,5 +1,6 @@
 /** Which faults a run has, drawn from its seed. */
 import {seededRandom, type Random} from '@oathead/core';
+import type {LoadShapeName} from './load_shape.js';
 
 /** Kinds that kept seeds draw from: their draws must stay as they are. */
 export const FIRST_FAULT_KINDS = [
@@ -59,8 +60,8 @@
   'poison-beside-bad-part',
 ] as const;
 
-/** Everything that a run can do to the system. */
-export const FAULT_KINDS = [
+/** Everything that a run does to the system unless kinds are named. */
+export const DEFAULT_FAULT_KINDS = [
   ...FIRST_FAULT_KINDS,
   'server-answer-mixes',
   ...GIVING_UP_FAULT_KINDS,
@@ -70,6 +71,16 @@
   ...POISON_FAULT_KINDS,
 ] as const;
 
+/** Kinds that only runs have that name them: the draws of seeds that were kept
+ * without kinds must stay as they are. */
+export const NAMED_FAULT_KINDS = ['servers-crash-together'] as const;
+
+/** Everything that a run can do to the system. */
+export const FAULT_KINDS = [
+  ...DEFAULT_FAULT_KINDS,
+  ...NAMED_FAULT_KINDS,
+] as const;
+
 /** One kind of fault. */
 export type FaultKind = (typeof FAULT_KINDS)[number];
 
@@ -92,6 +103,8 @@
   readonly engines: number;
   /** Kinds that are drawn; all by default. */
   readonly kinds?: readonly FaultKind[];
+  /** What callers ask for; `steady` by default. */
+  readonly load?: LoadShapeName;
 }
 
 /** The first fault comes when the load runs already, in milliseconds. */
@@ -108,7 +121,7 @@
  */
 export function planFaults(options: SoakOptions): readonly PlannedFault[] {
   const random = seededRandom(options.seed);
-  const kinds = options.kinds ?? FAULT_KINDS;
+  const kinds = options.kinds ?? DEFAULT_FAULT_KINDS;
   const faults: PlannedFault[] = [];
   let atMs = FIRST_MS;
   while (atMs < options.loadMs) {
--- a/packages/soak/src/lib/request/batch_load.ts
+++ b/packages/soak/src/lib/request/batch_load.ts
@@ -2,6 +2,7 @@
 import {sleep, SYSTEM_CLOCK, type Random} from '@oathead/core';
 import {Caller, type ReadResult} from '@oathead/platform/stand_ins';
 import {readMarks, type MarkedText} from './expected_text.js';
+import type {LoadShape} from '../process/load_shape.js';
 import type {ProgramPlace, SoakFleet} from '../process/soak_fleet.js';
 
 /** A result, whose text has no marks. */
@@ -37,7 +38,6 @@
   readonly flaws: string[];
 }
 
-const PAUSE_MS = 700;
 const READ_PAUSE_MS = 120;
 const MAX_TRIES = 12;
 /** Tries to read a job from one program when nothing is wrong. */
@@ -45,7 +45,6 @@
 const RETRY_MS = 300;
 /** One job in so many is ended by its caller. */
 const ENDED_SHARE = 6;
-const MOST_ITEMS = 5;
 /** For so long after its acceptance a job may be unknown, in milliseconds. */
 const SETTLE_MS = 1000;
 /** Statuses that say that there is no such item. */
@@ -61,10 +60,12 @@
   /**
    * @param fleet - Whom to ask.
    * @param random - Draws sizes, readers and what is ended.
+   * @param load - How many jobs, and how large.
    */
   constructor(
     private readonly fleet: SoakFleet,
     private readonly random: Random,
+    private readonly load: LoadShape,
   ) {}
 
   /** Begins to hand in and to read. */
@@ -155,7 +156,7 @@
   private async handIn(): Promise<void> {
     while (!this.stopping.signal.aborted) {
       const id = `job-${this.jobs.length}`;
-      const items = 1 + this.random.int(MOST_ITEMS);
+      const items = 1 + this.random.int(this.load.mostItems);
       const job: JobRecord = {
         id,
         items,
@@ -172,15 +173,16 @@
       this.jobs.push(job);
       const ends = this.random.int(ENDED_SHARE) === 0;
       this.running.push(this.accept(job, ends));
-      await sleep(SYSTEM_CLOCK, PAUSE_MS);
+      await sleep(SYSTEM_CLOCK, this.load.jobPauseMs);
     }
   }
 
   private async accept(job: JobRecord, ends: boolean): Promise<void> {
+    const headers = this.itemHeaders();
     for (let i = 0; i < MAX_TRIES; i++) {
       const place = this.anyPlace();
       const answer = await this.attempt(
-        caller => caller.submit(job.id, job.items),
+        caller => caller.submit(job.id, job.items, headers),
         place,
       );
       job.tries.push(answer?.status);
@@ -194,6 +196,13 @@
     if (ends && job.acceptedAt !== undefined) await this.end(job);
   }
 
+  private itemHeaders(): Readonly<Record<string, string>> {
+    const {itemParts} = this.load;
+    if (itemParts === 1) return {};
+    const part = this.random.int(itemParts);
+    return {'x-prompt-prefix': `item${part}:100,b:250`};
+  }
+
   private async end(job: JobRecord): Promise<void> {
     job.endAskedAt ??= Date.now();
     for (let i = 0; i < MAX_TRIES; i++) {
--- a/packages/soak/src/lib/request/online_load.ts
+++ b/packages/soak/src/lib/request/online_load.ts
@@ -1,6 +1,7 @@
 /** Callers of online requests, who keep using their connections. */
 import {sleep, SYSTEM_CLOCK, type Random} from '@oathead/core';
 import {BrokenResponseError, Caller} from '@oathead/platform/stand_ins';
+import {onlinePauseAt, type LoadShape} from '../process/load_shape.js';
 import type {ProgramPlace, SoakFleet} from '../process/soak_fleet.js';
 import {readMarks, type MarkedText} from './expected_text.js';
 
@@ -48,8 +49,6 @@
   readonly seal: string | undefined;
 }
 
-/** Between two requests to a program, in milliseconds. */
-const PAUSE_MS = 25;
 /** Each so many requests one is sent by a key that was taken away. */
 const WITHDRAWN_EACH = 8;
 const STATUS_OK = 200;
@@ -72,10 +71,12 @@
   /**
    * @param fleet - Whom to ask.
    * @param random - Draws what is asked.
+   * @param load - How often.
    */
   constructor(
     private readonly fleet: SoakFleet,
     private readonly random: Random,
+    private readonly load: LoadShape,
   ) {}
 
   /** Begins to ask all programs. */
@@ -139,13 +140,15 @@
   }
 
   private async ask(place: ProgramPlace): Promise<void> {
+    const startedAt = SYSTEM_CLOCK.now();
     while (!this.stopping.signal.aborted) {
       const kind = KINDS[this.random.int(KINDS.length)]!;
       const request = this.once(place, kind, this.nextKey()).then(() => {
         this.open.delete(request);
       });
       this.open.add(request);
-      await sleep(SYSTEM_CLOCK, PAUSE_MS);
+      const sinceMs = SYSTEM_CLOCK.now() - startedAt;
+      await sleep(SYSTEM_CLOCK, onlinePauseAt(this.load, sinceMs));
     }
   }
 
--- a/packages/soak/src/test/process/job_promises_test.ts
+++ b/packages/soak/src/test/process/job_promises_test.ts
@@ -4,8 +4,12 @@
 import {Disturbances} from '../../lib/process/disturbances.js';
 
 const PROMISE = 'an accepted job is not left lying';
+const LAST_PROMISE = 'no open job is left by all at the end';
+const SLOTS = 6;
 const ACCEPTED_AT = 1000;
 const ENDED_AT = 60_000;
+/** Users look at the 5 s up to 18 s after this: 37 s to 42 s. */
+const LOAD_ENDED_AT = 24_000;
 const RUN = {
   id: 'j1-0',
   path: '/files/j1/0',
@@ -24,18 +28,20 @@
 };
 const NOT_LISTED = {results: [], listedAt: []};
 
-function flaws(run: object, job: object): readonly string[] {
+function flaws(run: object, job: object, promise = PROMISE): readonly string[] {
   const ran = [{...RUN, ...run}];
   const evidence = {
     fleet: {
+      slots: SLOTS,
       disturbances: new Disturbances(),
       servers: [{service: 'llm'}],
       incarnations: [{id: 'llm-1', service: 'llm', server: {ran}}],
     },
     jobs: [{...JOB, ...job}],
+    loadEndedAt: LOAD_ENDED_AT,
     endedAt: ENDED_AT,
   };
-  return JOB_PROMISES[PROMISE]!(evidence as unknown as Evidence);
+  return JOB_PROMISES[promise]!(evidence as unknown as Evidence);
 }
 
 /** Whether a job was left lying, by its run and what its caller saw. */
@@ -62,6 +68,32 @@
   });
 }
 
+/** Whether a job was left at the end, by its run and what its caller saw. */
+const SEEN_AT_THE_END = [
+  [true, 'it ran long before', {}, NOT_LISTED],
+  [
+    true,
+    'its run was taken back',
+    {at: 40_000, endedAt: 40_900, left: true},
+    NOT_LISTED,
+  ],
+  [
+    false,
+    'it ran for a second',
+    {at: 40_000, endedAt: 41_000, left: true},
+    NOT_LISTED,
+  ],
+  [false, 'it has a result', {}, {}],
+  [false, 'its end was asked for', {}, {...NOT_LISTED, endAskedAt: 36_000}],
+] as const;
+
+// Users find items of open jobs at the end that no target works on.
+for (const [isLeft, why, run, job] of SEEN_AT_THE_END) {
+  test(`the soak sees whether a job is left at the end: ${why}`, t => {
+    t.is(flaws(run, job, LAST_PROMISE).length, isLeft ? 1 : 0);
+  });
+}
+
 test('a job may lie while a fault is in force', async t => {
   const disturbances = new Disturbances();
   const {promise, undo} = fault();
