--- a/packages/jobs/src/lib/process/batch_scheduler.ts
+++ b/packages/jobs/src/lib/process/batch_scheduler.ts
@@ -6,7 +6,6 @@
 import {DisposableStore} from '@oathead/core';
 import {
   targetKey,
-  type Route,
   type TargetChooser,
   type TargetDirectory,
 } from '@oathead/gateway';
@@ -14,16 +13,16 @@
 import type {ItemWork} from './item_work.js';
 import {isDelayedByFailure, type ItemCandidate} from './item_candidate.js';
 import {compareEstimates, ItemDurations} from './item_durations.js';
-import {promptOf, runItem, type ItemRunContext} from './item_runner.js';
+import type {ItemRunContext} from './item_runner.js';
 import {idleTimeoutMs} from './item_idle_timeout.js';
 import {ItemRoutes, type ItemRoutesContext} from './item_routes.js';
+import {ItemStarter} from './item_starter.js';
 import {
   ItemTargetSearch,
   type ItemSearchContext,
 } from './item_target_search.js';
 import {NeglectReport} from './neglect_report.js';
 import type {OwnedJob} from './owned_job.js';
-import {PartTrials} from './part_trials.js';
 import {longestWait, WaitExplainer} from './wait_explainer.js';
 import {WaitingReport} from './waiting_report.js';
 
@@ -61,12 +60,6 @@
  */
 const MAX_STARTS_PER_TICK = 3;
 
-/**
- * How long an item waits after it was not started because another one tries a
- * blocked part of its prompt, in milliseconds.
- */
-const BLOCKED_ITEM_DELAY_MS = 250;
-
 function byPriority(a: ItemCandidate, b: ItemCandidate): number {
   return compareEstimates(a.estimate, b.estimate);
 }
@@ -80,7 +73,7 @@
   private readonly routes: ItemRoutes;
   private readonly search: ItemTargetSearch;
   private readonly explainer: WaitExplainer;
-  private readonly trials: PartTrials;
+  private readonly starter: ItemStarter;
   private paused = false;
   private starting = false;
 
@@ -96,7 +89,13 @@
     this.neglectReport = new NeglectReport(context);
     this.routes = new ItemRoutes(context);
     this.search = new ItemTargetSearch(context);
-    this.trials = new PartTrials(() => context.clock.now());
+    this.starter = new ItemStarter({
+      ...context,
+      durations: this.durations,
+      search: this.search,
+      waitingReport: this.waitingReport,
+      isPaused: () => this.paused,
+    });
     this.explainer = new WaitExplainer({
       ...context,
       routes: this.routes,
@@ -200,49 +199,12 @@
       if (!route || this.search.isFull(route, candidate)) continue;
       // A few items that wait for certain targets must not hold back all that
       // come after them.
-      if ((await this.startItem(candidate, route)) === 'selective') continue;
+      if ((await this.starter.start(candidate, route)) === 'selective')
+        continue;
       if (++started >= MAX_STARTS_PER_TICK) return;
     }
   }
 
-  /**
-   * @returns Whether a target has a free slot for the item; 'selective' if only
-   *     those that it avoids may have one.
-   */
-  private async startItem(
-    candidate: ItemCandidate,
-    route: Route,
-  ): Promise<'placed' | 'full' | 'selective'> {
-    const {job, work} = candidate;
-    const {stage} = work;
-    const found = await this.search.search(route, candidate);
-    const {urgency} = candidate.estimate;
-    this.waitingReport.countPlacement(urgency, found.kind);
-    // While the placement was pending, the item may have failed, or its job may
-    // have been cancelled or handed over.
-    const isStale = () => work.stage !== stage || job.closed || this.paused;
-    if (found.kind === 'full') {
-      if (found.isSelective && !isStale())
-        work.stage = {kind: 'waiting', notBefore: found.until};
-      return found.isSelective ? 'selective' : 'full';
-    }
-    if (isStale()) return 'placed';
-    const prompt = promptOf(this.context, work, found.target);
-    const blocked = this.context.promptSuspects.blockedParts(prompt);
-    if (!this.trials.mayStart(blocked)) {
-      const notBefore = this.context.clock.now() + BLOCKED_ITEM_DELAY_MS;
-      work.stage = {kind: 'waiting', notBefore, isBehindTrial: true};
-      return 'selective';
-    }
-    const trial = this.trials.start(blocked);
-    runItem(this.context, job, work, route, found.target, run => {
-      trial.end(run.hasCrashed);
-      this.durations.addRun(job.head, run);
-      if (run.isComplete) this.durations.add(job.head, work);
-    });
-    return 'placed';
-  }
-
   /** @returns The items that may start now, in order of priority. */
   private candidates(): readonly ItemCandidate[] {
     const now = this.context.clock.now();
--- /dev/null
+++ b/packages/jobs/src/lib/process/item_starter.ts
@@ -0,0 +1,75 @@
+/** Starts one item on a target with a free slot for it. */
+import type {Route} from '@oathead/gateway';
+import type {ItemCandidate} from './item_candidate.js';
+import type {ItemDurations} from './item_durations.js';
+import {promptOf, runItem, type ItemRunContext} from './item_runner.js';
+import type {ItemTargetSearch} from './item_target_search.js';
+import {PartTrials} from './part_trials.js';
+import type {WaitingReport} from './waiting_report.js';
+
+/** Dependencies of an {@link ItemStarter}. */
+export interface ItemStarterContext extends ItemRunContext {
+  readonly durations: Pick<ItemDurations, 'add' | 'addRun'>;
+  readonly search: Pick<ItemTargetSearch, 'search'>;
+  readonly waitingReport: Pick<WaitingReport, 'countPlacement'>;
+  readonly isPaused: () => boolean;
+}
+
+/**
+ * Outcome of an attempt to start an item: `selective` if only targets that it
+ * avoids may have a free slot, or if it has to wait for itself.
+ */
+export type StartOutcome = 'placed' | 'full' | 'selective';
+
+/**
+ * How long an item waits after it was not started because another one tries a
+ * blocked part of its prompt, in milliseconds.
+ */
+const BLOCKED_ITEM_DELAY_MS = 250;
+
+/** Starts the items of this host, one after another. */
+export class ItemStarter {
+  private readonly trials: PartTrials;
+
+  /** @param context - Target search and what runs need. */
+  constructor(private readonly context: ItemStarterContext) {
+    this.trials = new PartTrials(() => context.clock.now());
+  }
+
+  /**
+   * @param candidate - A waiting item.
+   * @param route - Its route.
+   * @returns Whether a target had a free slot for it.
+   */
+  async start(candidate: ItemCandidate, route: Route): Promise<StartOutcome> {
+    const {job, work} = candidate;
+    const {stage} = work;
+    const found = await this.context.search.search(route, candidate);
+    const {urgency} = candidate.estimate;
+    this.context.waitingReport.countPlacement(urgency, found.kind);
+    // While the placement was pending, the item may have failed, or its job may
+    // have been cancelled or handed over.
+    const isStale = () =>
+      work.stage !== stage || job.closed || this.context.isPaused();
+    if (found.kind === 'full') {
+      if (found.isSelective && !isStale())
+        work.stage = {kind: 'waiting', notBefore: found.until};
+      return found.isSelective ? 'selective' : 'full';
+    }
+    if (isStale()) return 'placed';
+    const prompt = promptOf(this.context, work, found.target);
+    const blocked = this.context.promptSuspects.blockedParts(prompt);
+    if (!this.trials.mayStart(blocked)) {
+      const notBefore = this.context.clock.now() + BLOCKED_ITEM_DELAY_MS;
+      work.stage = {kind: 'waiting', notBefore, isBehindTrial: true};
+      return 'selective';
+    }
+    const trial = this.trials.start(blocked);
+    runItem(this.context, job, work, route, found.target, run => {
+      trial.end(run.hasCrashed);
+      this.context.durations.addRun(job.head, run);
+      if (run.isComplete) this.context.durations.add(job.head, work);
+    });
+    return 'placed';
+  }
+}
