An item behind the trial of a blocked part takes no slot

What is seen: items of jobs with a blocked part are granted a slot each 250 ms and do not use it; each grant counts as load of the target for up to 500 ms, so that targets look full to online requests and other items.

Cause: the scheduler searched for a target before it asked whether the trial of the part was free. Now it asks first, for each service of the route, and once more for the target that was found.

The fixture of batch_scheduler_test says that no part is blocked, which start did not ask before a target was found; its assertions are as they were.

--- a/packages/jobs/src/lib/process/item_starter.ts
+++ b/packages/jobs/src/lib/process/item_starter.ts
@@ -1,9 +1,10 @@
 /** Starts one item on a target with a free slot for it. */
-import type {Route} from '@oathead/gateway';
+import type {Route, Target} from '@oathead/gateway';
 import type {ItemCandidate} from './item_candidate.js';
 import type {ItemDurations} from './item_durations.js';
 import {promptOf, runItem, type ItemRunContext} from './item_runner.js';
 import type {ItemTargetSearch} from './item_target_search.js';
+import type {ItemWork} from './item_work.js';
 import {PartTrials} from './part_trials.js';
 import type {WaitingReport} from './waiting_report.js';
 
@@ -43,6 +44,7 @@
    */
   async start(candidate: ItemCandidate, route: Route): Promise<StartOutcome> {
     const {job, work} = candidate;
+    if (this.isBehindTrial(work, route)) return this.waitForTrial(work);
     const {stage} = work;
     const found = await this.context.search.search(route, candidate);
     const {urgency} = candidate.estimate;
@@ -57,13 +59,8 @@
       return found.isSelective ? 'selective' : 'full';
     }
     if (isStale()) return 'placed';
-    const prompt = promptOf(this.context, work, found.target);
-    const blocked = this.context.promptSuspects.blockedParts(prompt);
-    if (!this.trials.mayStart(blocked)) {
-      const notBefore = this.context.clock.now() + BLOCKED_ITEM_DELAY_MS;
-      work.stage = {kind: 'waiting', notBefore, isBehindTrial: true};
-      return 'selective';
-    }
+    const blocked = this.blockedParts(work, found.target);
+    if (!this.trials.mayStart(blocked)) return this.waitForTrial(work);
     const trial = this.trials.start(blocked);
     runItem(this.context, job, work, route, found.target, run => {
       trial.end(run.hasCrashed);
@@ -72,4 +69,28 @@
     });
     return 'placed';
   }
+
+  /**
+   * Guards against items that take free slots from others without using them:
+   * what is placed counts as load until it is reported.
+   */
+  private isBehindTrial(work: ItemWork, {services}: Route): boolean {
+    return services.every(
+      service => !this.trials.mayStart(this.blockedParts(work, service)),
+    );
+  }
+
+  private blockedParts(
+    work: ItemWork,
+    target: Pick<Target, 'service'>,
+  ): readonly string[] {
+    const prompt = promptOf(this.context, work, target);
+    return this.context.promptSuspects.blockedParts(prompt);
+  }
+
+  private waitForTrial(work: ItemWork): StartOutcome {
+    const notBefore = this.context.clock.now() + BLOCKED_ITEM_DELAY_MS;
+    work.stage = {kind: 'waiting', notBefore, isBehindTrial: true};
+    return 'selective';
+  }
 }
--- a/packages/jobs/src/test/process/batch_scheduler_test.ts
+++ b/packages/jobs/src/test/process/batch_scheduler_test.ts
@@ -21,6 +21,11 @@
 const RUN_MS = 300;
 /** The scheduling interval, in milliseconds. */
 const INTERVAL_MS = 25;
+/** No part of a prompt is blocked. */
+const NO_BLOCKED_PARTS = {
+  protocol: {readRequest: () => ({sharedParts: []})},
+  promptSuspects: {blockedParts: () => []},
+};
 /** Step of the clock between two looks of a host that runs, in milliseconds. */
 const STEP_MS = 500;
 /** Enough calls for the list of jobs to contain a whole interval. */
@@ -66,6 +71,7 @@
     freshness: {ageMs: 0},
     loads: {onChange: () => {}},
     storeTimeMs: () => 0,
+    ...NO_BLOCKED_PARTS,
     ...parts,
   } as unknown as SchedulerContext;
   const scheduler = new BatchScheduler(context, () => jobs);
@@ -191,6 +197,7 @@
       routing: this.routing,
       loads: {onChange: () => {}},
       storeTimeMs: () => 0,
+      ...NO_BLOCKED_PARTS,
     } as unknown as SchedulerContext;
     this.scheduler = new BatchScheduler(context, () => {
       this.looks++;
