An item that fails to start costs neither its host nor the trial

What would be seen: a blocked part whose items never run again on a host, or a host that ends, because the start of one item throws.

Cause: what runItem throws left startItems as a rejection that nobody handles, which ends the process, after the trial of the part had been marked as running for good. No way to make it throw from outside was found: headers, paths and bodies are checked when a job is handed in. Now the item waits for a second, the trial is given back, and item-start-failed says what was thrown.

Evidence: 'an item that fails to start leaves the trial to others' failed before (rejected with 'no connection').

--- a/packages/jobs/src/lib/process/item_starter.ts
+++ b/packages/jobs/src/lib/process/item_starter.ts
@@ -27,6 +27,8 @@
  * blocked part of its prompt, in milliseconds.
  */
 const BLOCKED_ITEM_DELAY_MS = 250;
+/** How long an item waits after its start has thrown, in milliseconds. */
+const FAILED_START_DELAY_MS = 1000;
 
 /** Starts the items of this host, one after another. */
 export class ItemStarter {
@@ -61,15 +63,37 @@
     if (isStale()) return 'placed';
     const blocked = this.blockedParts(work, found.target);
     if (!this.trials.mayStart(blocked)) return this.waitForTrial(work);
-    const trial = this.trials.start(blocked);
-    runItem(this.context, job, work, route, found.target, run => {
-      trial.end(run.hasCrashed);
-      this.context.durations.addRun(job.head, run);
-      if (run.isComplete) this.context.durations.add(job.head, work);
-    });
+    this.run(candidate, route, found.target, blocked);
     return 'placed';
   }
 
+  private run(
+    {job, work}: ItemCandidate,
+    route: Route,
+    target: Target,
+    blocked: readonly string[],
+  ): void {
+    const {context} = this;
+    const trial = this.trials.start(blocked);
+    try {
+      runItem(context, job, work, route, target, run => {
+        trial.end(run.hasCrashed);
+        context.durations.addRun(job.head, run);
+        if (run.isComplete) context.durations.add(job.head, work);
+      });
+    } catch (err) {
+      trial.end(false);
+      const notBefore = context.clock.now() + FAILED_START_DELAY_MS;
+      work.stage = {kind: 'waiting', notBefore};
+      context.log.event('item-start-failed', {
+        job: job.head.id,
+        item: work.item.id,
+        target: target.id,
+        error: err instanceof Error ? err.stack : String(err),
+      });
+    }
+  }
+
   /**
    * Guards against items that take free slots from others without using them:
    * what is placed counts as load until it is reported.
--- a/packages/jobs/src/test/process/item_starter_test.ts
+++ b/packages/jobs/src/test/process/item_starter_test.ts
@@ -86,3 +86,19 @@
   t.like(second.work.stage, {kind: 'waiting', isBehindTrial: true});
   t.is(host.searches, 1);
 });
+
+// Guards against a blocked part whose items are never run again on a host, and
+// against a host that ends because one item cannot be started.
+test('an item that fails to start leaves the trial to others', async t => {
+  const host = new StarterFixture();
+  const [first, second] = [newCandidate('first'), newCandidate('second')];
+  host.failure = new Error('no connection');
+  await t.notThrowsAsync(host.starter.start(first, ROUTE));
+  t.is(first.work.stage.kind, 'waiting');
+  t.like(host.recorded.events.at(-1), {
+    name: 'item-start-failed',
+    item: 'first',
+  });
+  host.failure = undefined;
+  t.is(await host.starter.start(second, ROUTE), 'placed');
+});
