Silent targets lengthen an item's idle timeout only if they answer others

What is seen: an item lies at a target that has lost it for 16, 32 or 60 s although targets have room; no run of it has failed.

Cause: each run that ended by idle timeout doubled the next one for as long as the host owned the item, from 4 to 60 s. The doubling is meant for engines that are slow for all; it also counted targets that were dark for everybody, and silences long before.

Now only a silence counts whose target sent something to this host in the second half of the run, and a run with events that does not end in silence starts anew.

That the incident's items lay so is not shown.

--- a/packages/jobs/src/lib/process/item_runner.ts
+++ b/packages/jobs/src/lib/process/item_runner.ts
@@ -22,6 +22,7 @@
 import type {Clock, Counters, EventLog} from '@oathead/core';
 import type {RunSpeed} from './item_durations.js';
 import {crashPauseMs} from './crash_pause.js';
+import {idleTimeoutsAfter} from './item_idle_timeout.js';
 import {ItemEvidence} from './item_evidence.js';
 import {continueAt, type ItemWork} from './item_work.js';
 import type {FailedResponse, OwnedJob} from './owned_job.js';
@@ -141,6 +142,14 @@
   void activeSend.end.then(end => {
     const endedAt = context.clock.now();
     work.runTimeMs += endedAt - startedAt;
+    work.idleTimeouts = idleTimeoutsAfter(work.idleTimeouts, {
+      isSilent: end.kind === 'ended' && end.by === 'silent',
+      isTargetActive: context.suspensions.hasActivitySince(
+        target.id,
+        (startedAt + endedAt) / 2,
+      ),
+      hasEvents: sink.texts > 0,
+    });
     work.timeline.add({
       sentAtMs: startedAt,
       firstEventAtMs: sink.firstEventAtMs,
@@ -259,7 +268,6 @@
   by: AbortReason,
 ): void {
   counters.count('item_runs_aborted', {by});
-  if (by === 'silent') work.idleTimeouts++;
   if (by === 'yield') work.preemptions++;
 }
 
--- a/packages/jobs/src/lib/process/item_work.ts
+++ b/packages/jobs/src/lib/process/item_work.ts
@@ -78,7 +78,7 @@
   runs: number;
   /** Number of runs that ended by preemption. */
   preemptions: number;
-  /** Number of runs that ended by idle timeout. */
+  /** Number of runs that ended by idle timeout and lengthen the next one. */
   idleTimeouts: number;
   /** Total time on targets, in milliseconds. */
   runTimeMs: number;
--- /dev/null
+++ b/packages/jobs/src/test/fakes/item_run_fixture.ts
@@ -0,0 +1,83 @@
+/** A host that runs items on targets whose responses the test decides. */
+import {NO_COUNTERS, SYSTEM_CLOCK} from '@oathead/core';
+import type {Route} from '@oathead/gateway';
+import {trace} from '@opentelemetry/api';
+import type {ItemCandidate} from '../../lib/process/item_candidate.js';
+import type {ItemStarterContext} from '../../lib/process/item_starter.js';
+import {newItemWork} from '../../lib/process/item_work.js';
+import {RecordedEvents} from './recorded_events.js';
+
+/** The only route. */
+export const ROUTE = {
+  name: 'r',
+  services: [{service: 's', weight: 1}],
+} as unknown as Route;
+
+const TARGET = {id: 't', serverId: 't', service: 's', softwareVersion: 'v1'};
+const NOTHING = {[Symbol.dispose]: () => {}};
+
+/** @returns An item that waits. */
+export function newCandidate(id: string): ItemCandidate {
+  const item = {id, path: '/', headers: {}, body: Buffer.of(), tokens: 1};
+  return {
+    job: {head: {id: 'j', hostName: 'h'}, adoptedAtMs: 0},
+    work: newItemWork(0, item, 0, undefined),
+    estimate: {urgency: 'relaxed'},
+  } as unknown as ItemCandidate;
+}
+
+/** The host; its target takes each request and sends nothing by itself. */
+export class ItemRunFixture {
+  /** Number of searches for a target. */
+  searches = 0;
+  /** What taking a connection throws. */
+  failure: Error | undefined;
+  /** Keys of the blocked parts of each prompt. */
+  blocked: readonly string[] = [];
+  /** Whether the target sends something to other requests of this host. */
+  isTargetActive = true;
+  readonly recorded = new RecordedEvents();
+  readonly context: ItemStarterContext;
+
+  constructor() {
+    this.context = {
+      clock: {...SYSTEM_CLOCK, after: () => NOTHING},
+      log: this.recorded,
+      counters: NO_COUNTERS,
+      tracer: trace.getTracer('test'),
+      protocol: {
+        readRequest: () => ({sharedParts: ['shared']}),
+        requestHeaders: () => ({}),
+      },
+      promptSuspects: {blockedParts: () => this.blocked},
+      directory: {onlyVersion: () => 'v1', onRestarted: () => NOTHING},
+      loads: {begin: () => NOTHING, totalAt: () => ({online: 0, batch: 0})},
+      overload: {speeds: {slownessAt: () => 1}},
+      health: {recordFailure: () => {}},
+      suspensions: {
+        hasActivitySince: () => this.isTargetActive,
+        recordFailure: () => {},
+      },
+      pool: {acquire: () => this.connect()},
+      search: {
+        search: async () => {
+          this.searches++;
+          return {kind: 'placed', target: TARGET};
+        },
+      },
+      waitingReport: {countPlacement: () => {}},
+      durations: {add: () => {}, addRun: () => {}},
+      isPaused: () => false,
+    } as unknown as ItemStarterContext;
+  }
+
+  private connect() {
+    if (this.failure) throw this.failure;
+    return {
+      client: {dispatch: () => true},
+      carried: {add: () => true},
+      bytesRead: 0,
+      ...NOTHING,
+    };
+  }
+}
--- a/packages/jobs/src/test/process/item_idle_timeout_test.ts
+++ b/packages/jobs/src/test/process/item_idle_timeout_test.ts
@@ -1,5 +1,8 @@
 import test from 'ava';
-import {idleTimeoutMs} from '../../lib/process/item_idle_timeout.js';
+import {
+  idleTimeoutMs,
+  idleTimeoutsAfter,
+} from '../../lib/process/item_idle_timeout.js';
 
 /**
  * Longer than callers of online requests wait for a slot on a fully loaded
@@ -25,3 +28,12 @@
   t.true(limits.some(limit => limit > requiredMs));
   t.true(limits.every(limit => limit <= 60_000));
 });
+
+// Guards against an item that waits long for a silent target, because others
+// were silent long before.
+test('an item that has received events starts with the short timeout again', t => {
+  const received = {isSilent: false, isTargetActive: true, hasEvents: true};
+  t.is(idleTimeoutsAfter(3, received), 0);
+  t.is(idleTimeoutsAfter(3, {...received, hasEvents: false}), 3);
+  t.is(idleTimeoutsAfter(3, {...received, isSilent: true}), 4);
+});
