Items leave a slot free at targets whose slots are no multiple of eight

What is seen: at targets of five to seven slots, or of nine, items that can wait fill the last slot; the first online request of a burst preempts one that has just begun, and its prompt was read for nothing.

Cause: items start while less than 7/8 of the slots are in use, which is up to six of six, five of five, nine of ten. Now the limit is the nearest whole number of slots. At 8, 16 and 32 slots, and below five, nothing changes, so that the users' deployments are as before.

--- a/packages/gateway/src/lib/process/item_target_chooser.ts
+++ b/packages/gateway/src/lib/process/item_target_chooser.ts
@@ -126,7 +126,7 @@
     const share = this.startShare[pressure];
     const available = targets.filter(({id}) => !excluded.has(id));
     const hasCapacity: HasCapacity = (target, load) =>
-      load.online + load.batch < target.slots * share &&
+      load.online + load.batch < Math.round(target.slots * share) &&
       !slowsWhenNearlyFull(target, load, speeds.slownessOf(target));
     const scoreOf = this.score.scorer(service, {lane: 'batch', pressure});
     return lowestScored(available, {loads, scoreOf, hasCapacity});
--- a/packages/gateway/src/test/process/target_chooser_test.ts
+++ b/packages/gateway/src/test/process/target_chooser_test.ts
@@ -82,6 +82,20 @@
   t.is(chooser.forRequest('s', URGENT, NONE)?.id, 'only');
 });
 
+// Guards against items that fill a target of few slots to the last one, and are
+// preempted by the first online request.
+test('items that can wait leave a slot free at targets of five slots and more', t => {
+  for (const slots of [1, 2, 3, 4, 5, 6, 7, 8, 16, 32]) {
+    const {chooser, load} = newFleet(newTarget('only', {slots}));
+    let filled = 0;
+    while (chooser.items.forItem('s', 'relaxed', NONE))
+      load('only', 0, ++filled);
+    const free = slots - filled;
+    t.true(slots < 5 ? free === 0 : free >= 1, `${free} of ${slots}`);
+    t.true(free <= slots / 4, `${free} of ${slots}`);
+  }
+});
+
 /**
  * Number of items that each of three hosts preempts at a target with two items
  * of each host and four online requests: ten are in flight, of which eight may
