A host tells the owner of a job that it has written in its name

What is seen: an accepted job lies for up to 60 s beside free slots after a planned stop; its owner is alive and logs nothing about it.

Cause: a stopping host hands its jobs over, passes them on, or accepts new ones in the name of another host, which learns of it from its change feed only. If the feed skips the row, the owner doesn't know its job, and nobody claims the job of a live owner.

Now the host that wrote the head tells the owner over the control connection; heads go by version, so that a late or doubled message changes nothing.

--- a/packages/jobs/src/lib/process/job_ownership.ts
+++ b/packages/jobs/src/lib/process/job_ownership.ts
@@ -10,9 +10,15 @@
   type Outcome,
 } from '@oathead/core';
 import type {Membership} from '@oathead/gateway';
-import {decodeJson, type TableUpdate, type VersionedRow} from '@oathead/stores';
+import {
+  decodeJson,
+  encodeJson,
+  type TableUpdate,
+  type VersionedRow,
+} from '@oathead/stores';
 import type {JobReader} from '../request/job_reader.js';
 import {
+  headRef,
   JOB_HEAD,
   type JobHead,
   type VersionedHead,
@@ -30,6 +36,13 @@
   readonly reader: JobReader;
   readonly membership: Membership;
   readonly counters: Counters;
+  /**
+   * Tells another host of a job that it owns, without waiting for an answer.
+   *
+   * @param owner - Member ID of the host.
+   * @param row - The job's head.
+   */
+  readonly tellOwner: (owner: string, row: VersionedRow) => void;
 }
 
 /** Interval between checks for orphaned jobs, in milliseconds. */
@@ -84,6 +97,17 @@
    */
   adoptAccepted(accepted: VersionedHead): void {
     void this.learn(accepted, 'accepted');
+    this.tellOwnerOf(accepted);
+  }
+
+  /**
+   * Applies the head of a job that another host has written in the name of this
+   * one.
+   *
+   * @param row - The head.
+   */
+  learnTold(row: VersionedRow): void {
+    this.handleHeadRow(row, 'told');
   }
 
   /**
@@ -112,7 +136,7 @@
    * @param update - Changes reported by the watch on the heads.
    */
   update({put, removed}: TableUpdate): void {
-    for (const row of put) this.handleHeadRow(row);
+    for (const row of put) this.handleHeadRow(row, 'handed over');
     for (const {key, version} of removed)
       if (this.heads.remove(key, version)) this.search.forget(key);
   }
@@ -133,6 +157,8 @@
     const {id} = job.head;
     try {
       await job.handOver(rendezvous(id, peers)[0] ?? '');
+      const newest = this.heads.get(id);
+      if (newest) this.tellOwnerOf(newest);
     } catch (err) {
       this.context.log.event('job-hand-over-failed', {
         job: id,
@@ -149,7 +175,7 @@
     return this.context.membership.self.id;
   }
 
-  private handleHeadRow(row: VersionedRow): void {
+  private handleHeadRow(row: VersionedRow, how: string): void {
     const decoded = decodeJson(row.value, JOB_HEAD);
     if (!decoded.ok) {
       this.context.log.event('job-head-unreadable', {
@@ -159,7 +185,7 @@
       return;
     }
     const found = {head: decoded.value, version: row.version};
-    void this.learn(found, 'handed over');
+    void this.learn(found, how);
   }
 
   /**
@@ -280,7 +306,21 @@
       outcome: written.ok ? 'written' : written.err.kind,
     });
     const newest = written.ok ? written.value : written.err.newest;
-    if (newest) await this.learn(newest, 'conflict');
+    if (!newest) return;
+    await this.learn(newest, 'conflict');
+    this.tellOwnerOf(newest);
+  }
+
+  /**
+   * Guards against a job whose owner is alive and doesn't know it, since its
+   * feed has skipped the row: nobody claims the job, and it lies until the owner
+   * reads all heads again.
+   */
+  private tellOwnerOf({head, version}: VersionedHead): void {
+    const {id, owner, state} = head;
+    if (owner === this.self || owner === '' || state !== 'open') return;
+    const row = {...headRef(id), value: encodeJson(head), version};
+    this.context.tellOwner(owner, row);
   }
 
   private sinceAcceptedMs({acceptedAtMs}: JobHead): number | undefined {
--- a/packages/jobs/src/test/fakes/ownership_fleet.ts
+++ b/packages/jobs/src/test/fakes/ownership_fleet.ts
@@ -95,6 +95,8 @@
       },
       reader: options.reader ?? EMPTY_READER,
       membership: membership as Membership,
+      tellOwner: (owner, row) =>
+        fleet.hosts.find(host => host.name === owner)?.ownership.learnTold(row),
     });
   }
 
--- a/packages/jobs/src/test/process/job_ownership_test.ts
+++ b/packages/jobs/src/test/process/job_ownership_test.ts
@@ -77,6 +77,7 @@
     },
     reader,
     membership: membership as Membership,
+    tellOwner: () => {},
   });
 }
 
@@ -229,6 +230,7 @@
       allResults: async () => success([]),
     } as unknown as JobReader,
     membership: membership as Membership,
+    tellOwner: () => {},
   });
   for (let i = 0; i < jobs; i++) {
     const head = {...OPEN, id: `j${i}`, owner: 'other'};
--- a/packages/jobs/src/test/process/ownership_disagreement_test.ts
+++ b/packages/jobs/src/test/process/ownership_disagreement_test.ts
@@ -97,6 +97,7 @@
         limits: LIMITS,
         reader: READER,
         membership: this.membership,
+        tellOwner: () => {},
       }),
     );
     const watch = (
--- a/packages/serving/src/lib/connection/peer_clients.ts
+++ b/packages/serving/src/lib/connection/peer_clients.ts
@@ -33,6 +33,15 @@
     return addresses.map(address => this.clientFor(address));
   }
 
+  /**
+   * @param id - Member ID of a peer.
+   * @returns Its client; undefined if it is not a live member.
+   */
+  clientOf(id: string): PeerClient | undefined {
+    const member = this.members().find(member => member.id === id);
+    return member && this.clientFor(member.controlAddress);
+  }
+
   /**
    * Asks all peers for a snapshot.
    *
--- a/packages/serving/src/lib/connection/peer_router.ts
+++ b/packages/serving/src/lib/connection/peer_router.ts
@@ -18,6 +18,8 @@
   readonly store: RowStoreRelay;
   /** @returns The shared tables that this process watches. */
   readonly snapshot: () => Snapshot;
+  /** Takes the head of a job that a peer has written in its name. */
+  readonly learnJobHead: (row: VersionedRow) => void;
 }
 
 const ROW_REF = {table: z.string(), partition: z.string(), key: z.string()};
@@ -57,7 +59,7 @@
  */
 const PEER_TIMEOUT_MARGIN_MS = 900;
 
-function routerOf({store, snapshot}: PeerService) {
+function routerOf({store, snapshot, learnJobHead}: PeerService) {
   return t.router({
     transact: t.procedure
       .input(TRANSACTION)
@@ -71,6 +73,9 @@
         store.changes(table, after, waitMs),
       ),
     snapshot: t.procedure.mutation(() => snapshot()),
+    tellJobHead: t.procedure
+      .input(ROW)
+      .mutation(({input}) => learnJobHead(input)),
   });
 }
 
@@ -128,6 +133,16 @@
     return toOutcome(this.client.changes.mutate(input, callOptions(waitMs)));
   }
 
+  /**
+   * Tells the peer of a job that it owns.
+   *
+   * @param row - The job's head.
+   * @returns Rejects if the peer did not take it, as one of an earlier build.
+   */
+  async tellJobHead(row: VersionedRow): Promise<void> {
+    await this.client.tellJobHead.mutate(ROW.parse(row), callOptions(0));
+  }
+
   /**
    * @returns The shared tables of the peer; undefined if it did not respond.
    */
--- a/packages/serving/src/lib/process/serving_components.ts
+++ b/packages/serving/src/lib/process/serving_components.ts
@@ -4,6 +4,7 @@
   readClocks,
   repeat,
   type DisposableStore,
+  type EventLog,
 } from '@oathead/core';
 import {
   CallerAdmission,
@@ -50,8 +51,9 @@
   JobOwnership,
   JobReader,
 } from '@oathead/jobs';
-import {RelayedRowStore} from '@oathead/stores';
+import {RelayedRowStore, type VersionedRow} from '@oathead/stores';
 import {PeerClients} from '../connection/peer_clients.js';
+import type {PeerClient} from '../connection/peer_router.js';
 import type {ServingOptions} from './serving_options.js';
 import type {
   JobOperations,
@@ -275,7 +277,12 @@
   const reader = new JobReader(store);
   const {storeLimits: limits} = platform;
   const jobContext = {...context, store, limits, reader, membership};
-  const jobOwnership = disposables.add(new JobOwnership(jobContext));
+  const tellOwner = (owner: string, row: VersionedRow) => {
+    void tellJobHead(peers.clientOf(owner), row, log);
+  };
+  const jobOwnership = disposables.add(
+    new JobOwnership({...jobContext, tellOwner}),
+  );
   const closedJobRetentionMs = () => platform.tunables().closedJobRetentionMs;
   const garbageCollector = disposables.add(
     new JobGarbageCollector({...jobContext, closedJobRetentionMs}),
@@ -419,6 +426,20 @@
   };
 }
 
+/** A peer that is not told learns of its job from the store. */
+async function tellJobHead(
+  peer: PeerClient | undefined,
+  row: VersionedRow,
+  log: EventLog,
+): Promise<void> {
+  try {
+    await peer?.tellJobHead(row);
+  } catch (err) {
+    const error = String(err);
+    log.event('job-owner-not-told', {job: row.key, to: peer?.address, error});
+  }
+}
+
 function ownMember(
   {host, dataCentre, loads, control}: ServingIdentity,
   nonce: string,
--- a/packages/serving/src/lib/process/serving_process.ts
+++ b/packages/serving/src/lib/process/serving_process.ts
@@ -9,6 +9,7 @@
   ReadinessServer,
   type LifecycleState,
 } from '@oathead/gateway';
+import type {VersionedRow} from '@oathead/stores';
 import {servePeers} from '../connection/peer_router.js';
 import type {ServingContext, ServingPlatform} from './serving_platform.js';
 import {
@@ -152,10 +153,12 @@
 
   private startPeerServer(): Disposable {
     const {identity} = this.platform;
+    const {jobOwnership} = this.components;
     const store = this.components.store.relayForPeers;
     const snapshot = () => this.feeds.snapshot();
     const {ip, port} = identity.control;
-    return servePeers({store, snapshot}, ip, port);
+    const learnJobHead = (row: VersionedRow) => jobOwnership.learnTold(row);
+    return servePeers({store, snapshot, learnJobHead}, ip, port);
   }
 
   /** Becomes ready once the configuration and at least one target are known. */
