A full read of a table goes on where a call has failed

What is seen: while the store loses responses, or turns calls away, a host hears of no job for ten seconds and more: it runs items of a job that was ended, and takes up none that was left to it.

Cause: the heads of jobs lie in 16 partitions, which are read one after another; one failed call threw away what had been read. At a loss of one response in three, one read of a thousand comes to its end.

Now a read goes on with the call that failed, for ten seconds at most; the lowest version of its pages counts, as before, and the freshness lease counts from the start of the read.

--- a/packages/stores/src/lib/process/table_watch.ts
+++ b/packages/stores/src/lib/process/table_watch.ts
@@ -17,9 +17,11 @@
   type LeaseRenewal,
 } from '@oathead/core';
 import {FeedPosition} from './feed_position.js';
+import {FullRead, type FullReadOutcome} from './full_read.js';
 import type {
   RowChange,
   RowStore,
+  RowRef,
   RowStoreError,
   VersionedRow,
 } from './row_store.js';
@@ -78,15 +80,33 @@
  * share the read.
  */
 const REFRESH_DELAY_MS = 50;
+/**
+ * Age from which an unfinished read starts over, in milliseconds: the store may
+ * keep no changes that are older than its first pages.
+ */
+const MAX_READ_AGE_MS = 10_000;
 /** Maximum number of keys of skipped rows in a log line. */
 const MAX_SKIPPED_KEYS = 10;
 
+/** How a full read has ended. */
+type FullReadResult = FullReadOutcome['kind'];
+
+/** A full read, and what depends on its start. */
+interface StartedRead {
+  readonly read: FullRead;
+  /** On the monotonic clock, in milliseconds. */
+  readonly startedAtMs: number;
+  readonly renewal: LeaseRenewal | undefined;
+}
+
 /** Keeps a copy of a table up to date until disposed. */
 export class TableWatch implements Disposable {
   private readonly rows = new Map<string, VersionedRow>();
   private readonly stop = new AbortController();
   private readonly position = new FeedPosition();
   private lastFullReadAt = -Infinity;
+  /** The read in which a call has failed. */
+  private unfinished: StartedRead | undefined;
   private failing = false;
   /** The read that was asked for and has not begun. */
   private nextRefresh: Promise<boolean> | undefined;
@@ -171,7 +191,7 @@
   private async poll(): Promise<boolean> {
     const due = this.lastFullReadAt + this.options.fullReadMs;
     if (this.context.clock.now() < due) return this.readChanges();
-    const read = await this.readAll();
+    const read = await this.continueFullRead();
     if (read !== 'out-of-date') return read === 'done';
     const {table} = this.options;
     this.context.counters.count('table_answers_out_of_date', {table});
@@ -183,7 +203,7 @@
     await sleep(this.context.clock, REFRESH_DELAY_MS, this.stop.signal);
     this.nextRefresh = undefined;
     if (this.stop.signal.aborted) return false;
-    return (await this.readAll()) === 'done';
+    return (await this.finish(this.startFullRead())) === 'done';
   }
 
   private async readChanges(): Promise<boolean> {
@@ -225,7 +245,7 @@
       if (this.updateRow(change.row)) put.push(change.row);
       return;
     }
-    const key = rowKey(change.ref.partition, change.ref.key);
+    const key = keyOf(change.ref);
     const known = this.rows.get(key);
     if (!known || known.version > change.version) return;
     this.rows.delete(key);
@@ -233,60 +253,55 @@
   }
 
   private updateRow(row: VersionedRow): boolean {
-    const key = rowKey(row.partition, row.key);
+    const key = keyOf(row);
     const known = this.rows.get(key);
     if (known && known.version >= row.version) return false;
     this.rows.set(key, row);
     return true;
   }
 
-  private async readAll(): Promise<'done' | 'failed' | 'out-of-date'> {
-    const found = new Map<string, VersionedRow>();
-    let version = Infinity;
-    let storeTimeMs = 0;
-    const renewal = this.context.freshness?.startRenewal();
-    for (const partition of this.options.partitions) {
-      let from: string | undefined;
-      do {
-        const {table, pageRows: limit} = this.options;
-        const result = await this.context.store.read({
-          table,
-          partition,
-          from,
-          limit,
-        });
-        if (!result.ok) {
-          this.recordFailure(result.err);
-          return 'failed';
-        }
-        if (result.value.version < this.position.newestVersion)
-          return 'out-of-date';
-        const {rows, hasMore} = result.value;
-        for (const row of rows) found.set(rowKey(partition, row.key), row);
-        version = Math.min(version, result.value.version);
-        storeTimeMs = result.value.storeTimeMs;
-        from = hasMore ? nextKey(rows.at(-1)!.key) : undefined;
-      } while (from !== undefined);
-    }
+  /** Goes on with a read in which a call has failed a moment ago. */
+  private async continueFullRead(): Promise<FullReadResult> {
+    const now = this.context.clock.now();
+    const {unfinished} = this;
+    const isRecent =
+      unfinished && now - unfinished.startedAtMs < MAX_READ_AGE_MS;
+    const started = isRecent ? unfinished : this.startFullRead();
+    this.unfinished = undefined;
+    const result = await this.finish(started);
+    if (result === 'failed') this.unfinished = started;
+    return result;
+  }
+
+  private startFullRead(): StartedRead {
+    const {store, clock, freshness} = this.context;
+    return {
+      read: new FullRead(store, this.options),
+      startedAtMs: clock.now(),
+      renewal: freshness?.startRenewal(),
+    };
+  }
+
+  private async finish({read, renewal}: StartedRead): Promise<FullReadResult> {
+    const outcome = await read.run(() => this.position.newestVersion);
+    if (outcome.kind === 'failed') this.recordFailure(outcome.err);
+    if (outcome.kind !== 'done') return outcome.kind;
     this.recordSuccess();
     this.lastFullReadAt = this.context.clock.now();
-    this.replaceRows(found, version, storeTimeMs);
-    this.renewFreshness(renewal, version);
+    this.replaceRows(read);
+    this.renewFreshness(renewal, read.version);
     return 'done';
   }
 
-  private replaceRows(
-    found: ReadonlyMap<string, VersionedRow>,
-    version: number,
-    storeTimeMs: number,
-  ): void {
+  private replaceRows({rows, version, storeTimeMs}: FullRead): void {
+    const found = new Set(rows.map(keyOf));
     const removed: VersionedRow[] = [];
     for (const [key, row] of this.rows) {
       if (found.has(key) || row.version > version) continue;
       this.rows.delete(key);
       removed.push(row);
     }
-    const put = [...found.values()].filter(row => this.updateRow(row));
+    const put = rows.filter(row => this.updateRow(row));
     this.reportFullRead(found.size, put);
     this.position.recordFullRead(version);
     this.onUpdate({put, removed, storeTimeMs});
@@ -347,14 +362,6 @@
   }
 }
 
-/**
- * Returns a key that sorts directly after `key`. Keys contain no character that
- * sorts below `!`, so no key lies between the two.
- */
-function nextKey(key: string): string {
-  return `${key}!`;
-}
-
-function rowKey(partition: string, key: string): string {
+function keyOf({partition, key}: RowRef): string {
   return `${partition}\n${key}`;
 }
--- a/packages/stores/src/test/process/table_watch_test.ts
+++ b/packages/stores/src/test/process/table_watch_test.ts
@@ -7,6 +7,7 @@
   SYSTEM_CLOCK,
   type EventLog,
 } from '@oathead/core';
+import {install} from '@sinonjs/fake-timers';
 import test from 'ava';
 import {MemoryRowStore} from '../../lib/process/memory_row_store.js';
 import type {RowStore} from '../../lib/process/row_store.js';
@@ -21,6 +22,9 @@
   pageRows: 2,
 };
 
+/** How long the store loses responses, in milliseconds. */
+const LOSSES_MS = 4500;
+
 function put(store: MemoryRowStore, key: string, partition = '') {
   const row = {table: 't', partition, key, value: Buffer.from(key)};
   return store.transact({expect: [], puts: [row], removes: []});
@@ -245,6 +249,29 @@
   t.is(reads - before, OPTIONS.partitions.length);
 });
 
+// Guards against a host that hears of no job for many seconds, while the store
+// loses a part of its responses: its read started over with each failed call.
+test.serial('a full read goes on where a call has failed', async t => {
+  const store = new MemoryRowStore(SYSTEM_CLOCK);
+  const partitions = [...Array(16).keys()].map(i => `p${i}`);
+  for (const partition of partitions) await put(store, partition, partition);
+  let calls = 0;
+  const losingStore: RowStore = {
+    ...delegateTo(store),
+    read: async query =>
+      ++calls % 3 === 0
+        ? failure({kind: 'unknown', message: 'lost'})
+        : store.read(query),
+  };
+  const timers = install();
+  t.teardown(() => timers.uninstall());
+  const options = {...OPTIONS, partitions};
+  const {watch, keys} = follow(losingStore, NO_EVENT_LOG, options);
+  await timers.tickAsync(LOSSES_MS);
+  watch[Symbol.dispose]();
+  t.is(keys().length, partitions.length);
+});
+
 test('a read that fails says so', async t => {
   const store = new MemoryRowStore(SYSTEM_CLOCK);
   const unavailable: RowStore = {
