The owner of a job is told that it was ended

What is seen: items of a job run on for many seconds after its end was acknowledged.

Cause: the same as for jobs that are handed over: the host that writes the head of another host's job leaves it to that host's change feed to tell. Now it tells the owner as well, and itself at once if it is the owner.

Evidence: 'the owner of a job that is ended lets it go though no feed tells of it' failed before.

--- a/packages/jobs/src/lib/process/job_ownership.ts
+++ b/packages/jobs/src/lib/process/job_ownership.ts
@@ -10,17 +10,13 @@
   type Outcome,
 } from '@oathead/core';
 import type {Membership} from '@oathead/gateway';
-import {
-  decodeJson,
-  encodeJson,
-  type TableUpdate,
-  type VersionedRow,
-} from '@oathead/stores';
+import {decodeJson, type TableUpdate, type VersionedRow} from '@oathead/stores';
 import type {JobReader} from '../request/job_reader.js';
 import {
-  headRef,
+  headRow,
   JOB_HEAD,
   type JobHead,
+  type TellOwner,
   type VersionedHead,
 } from '../request/job_rows.js';
 import {AdoptionReport} from './adoption_report.js';
@@ -36,13 +32,7 @@
   readonly reader: JobReader;
   readonly membership: Membership;
   readonly counters: Counters;
-  /**
-   * Tells another host of a job that it owns, without waiting for an answer.
-   *
-   * @param owner - Member ID of the host.
-   * @param row - The job's head.
-   */
-  readonly tellOwner: (owner: string, row: VersionedRow) => void;
+  readonly tellOwner: TellOwner;
 }
 
 /** Interval between checks for orphaned jobs, in milliseconds. */
@@ -316,11 +306,10 @@
    * feed has skipped the row: nobody claims the job, and it lies until the owner
    * reads all heads again.
    */
-  private tellOwnerOf({head, version}: VersionedHead): void {
-    const {id, owner, state} = head;
+  private tellOwnerOf(found: VersionedHead): void {
+    const {owner, state} = found.head;
     if (owner === this.self || owner === '' || state !== 'open') return;
-    const row = {...headRef(id), value: encodeJson(head), version};
-    this.context.tellOwner(owner, row);
+    this.context.tellOwner(owner, headRow(found));
   }
 
   private sinceAcceptedMs({acceptedAtMs}: JobHead): number | undefined {
--- a/packages/jobs/src/lib/request/job_cancellation.ts
+++ b/packages/jobs/src/lib/request/job_cancellation.ts
@@ -2,7 +2,7 @@
 import {sleep, type Clock, type EventLog, type Random} from '@oathead/core';
 import {encodeJson, type RowStore} from '@oathead/stores';
 import type {JobReader} from './job_reader.js';
-import {headRef} from './job_rows.js';
+import {headRef, headRow, type JobHead, type TellOwner} from './job_rows.js';
 
 /** Outcome of cancelling a job. A cancelled job has the state `ended`. */
 export type CancelResult = 'ended' | 'not-found' | 'unsure';
@@ -14,6 +14,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly log: EventLog;
+  readonly tellOwner: TellOwner;
 }
 
 /**
@@ -50,7 +51,7 @@
     const {head, version} = found.value;
     if (head.state !== 'open') return 'ended';
     const ref = headRef(jobId);
-    const ended = {
+    const ended: JobHead = {
       ...head,
       state: 'ended',
       nonce: random.id(),
@@ -63,6 +64,8 @@
     });
     if (written.ok) {
       log.event('job-ended', {job: jobId, owner: head.owner, rounds: i + 1});
+      const row = headRow({head: ended, version: written.value.version});
+      if (head.owner !== '') context.tellOwner(head.owner, row);
       return 'ended';
     }
     // Without a response, the next attempt reads whether the write took effect.
--- a/packages/jobs/src/lib/request/job_rows.ts
+++ b/packages/jobs/src/lib/request/job_rows.ts
@@ -6,7 +6,12 @@
  * of each partition.
  */
 import {hash32} from '@oathead/core';
-import {decodeJson, type RowRef, type VersionedRow} from '@oathead/stores';
+import {
+  decodeJson,
+  encodeJson,
+  type RowRef,
+  type VersionedRow,
+} from '@oathead/stores';
 import {z} from 'zod';
 
 /** Heads: one small row per job, which holds its state. */
@@ -111,6 +116,21 @@
   return {table: HEAD_TABLE, partition: partitionOf(jobId), key: jobId};
 }
 
+/**
+ * Tells a host of the head of its job that another host has written, without
+ * waiting for an answer. The host learns of it from the store as well, unless
+ * its feed skips the row.
+ *
+ * @param owner - Member ID of the host.
+ * @param row - The head.
+ */
+export type TellOwner = (owner: string, row: VersionedRow) => void;
+
+/** @returns The row of a head in the store. */
+export function headRow({head, version}: VersionedHead): VersionedRow {
+  return {...headRef(head.id), value: encodeJson(head), version};
+}
+
 /**
  * @param rows - Rows of a conflict.
  * @param jobId - ID of the job.
--- a/packages/jobs/src/test/fakes/ownership_fleet.ts
+++ b/packages/jobs/src/test/fakes/ownership_fleet.ts
@@ -1,7 +1,12 @@
 /** Hosts that own jobs, on one store and in virtual time. */
 import {NO_LATENCIES, seededRandom, success} from '@oathead/core';
 import type {Membership} from '@oathead/gateway';
-import {encodeJson, MemoryRowStore, type RowStore} from '@oathead/stores';
+import {
+  encodeJson,
+  MemoryRowStore,
+  type RowStore,
+  type VersionedRow,
+} from '@oathead/stores';
 import {JobOwnership} from '../../lib/process/job_ownership.js';
 import type {JobReader} from '../../lib/request/job_reader.js';
 import {
@@ -95,8 +100,7 @@
       },
       reader: options.reader ?? EMPTY_READER,
       membership: membership as Membership,
-      tellOwner: (owner, row) =>
-        fleet.hosts.find(host => host.name === owner)?.ownership.learnTold(row),
+      tellOwner: fleet.tellOwner,
     });
   }
 
@@ -133,6 +137,12 @@
     readonly store: MemoryRowStore = new MemoryRowStore(new VirtualClock()),
   ) {}
 
+  /** Tells a host of a job that it owns, at once. */
+  readonly tellOwner = (owner: string, row: VersionedRow): void => {
+    const host = this.hosts.find(({name}) => name === owner);
+    host?.ownership.learnTold(row);
+  };
+
   /** Member IDs of the live hosts. */
   live(): readonly string[] {
     return this.hosts.map(({name}) => name);
--- a/packages/jobs/src/test/process/owner_told_test.ts
+++ b/packages/jobs/src/test/process/owner_told_test.ts
@@ -1,5 +1,8 @@
 /** A host that gets a job from another one learns of it, whatever its feed does. */
+import {NO_EVENT_LOG, seededRandom, success} from '@oathead/core';
 import test from 'ava';
+import {cancelJob} from '../../lib/request/job_cancellation.js';
+import type {JobReader} from '../../lib/request/job_reader.js';
 import {
   OPEN_JOB,
   OwnershipFleet,
@@ -54,3 +57,25 @@
   await all.advance(FORGOTTEN_MS);
   t.deepEqual(staying.jobs, [OPEN_JOB.id]);
 });
+
+// Guards against items of an ended job that run on, since the feed of the owner
+// skips the row.
+test('the owner of a job that is ended lets it go though no feed tells of it', async t => {
+  using fleet = new OwnershipFleet();
+  const owner = fleet.add('owner', {skips: version => version > 1});
+  const open = await fleet.write({...OPEN_JOB, owner: 'owner'});
+  await fleet.advance(1000);
+  t.deepEqual(owner.jobs, [OPEN_JOB.id]);
+  const reader = {head: async () => success(open)} as unknown as JobReader;
+  const context = {
+    store: fleet.store,
+    reader,
+    clock: fleet.clock,
+    random: seededRandom(1),
+    log: NO_EVENT_LOG,
+    tellOwner: fleet.tellOwner,
+  };
+  t.is(await cancelJob(context, OPEN_JOB.id), 'ended');
+  await fleet.advance(FORGOTTEN_MS);
+  t.deepEqual(owner.jobs, []);
+});
--- a/packages/serving/src/lib/process/serving_components.ts
+++ b/packages/serving/src/lib/process/serving_components.ts
@@ -50,6 +50,7 @@
   JobGarbageCollector,
   JobOwnership,
   JobReader,
+  type TellOwner,
 } from '@oathead/jobs';
 import {RelayedRowStore, type VersionedRow} from '@oathead/stores';
 import {PeerClients} from '../connection/peer_clients.js';
@@ -276,12 +277,20 @@
   };
   const reader = new JobReader(store);
   const {storeLimits: limits} = platform;
-  const jobContext = {...context, store, limits, reader, membership};
-  const tellOwner = (owner: string, row: VersionedRow) => {
-    void tellJobHead(peers.clientOf(owner), row, log);
+  const tellOwner: TellOwner = (owner, row) => {
+    if (owner === self.id) jobOwnership.learnTold(row);
+    else void tellJobHead(peers.clientOf(owner), row, log);
   };
-  const jobOwnership = disposables.add(
-    new JobOwnership({...jobContext, tellOwner}),
+  const jobContext = {
+    ...context,
+    store,
+    limits,
+    reader,
+    membership,
+    tellOwner,
+  };
+  const jobOwnership: JobOwnership = disposables.add(
+    new JobOwnership(jobContext),
   );
   const closedJobRetentionMs = () => platform.tunables().closedJobRetentionMs;
   const garbageCollector = disposables.add(
@@ -403,6 +412,7 @@
     readonly store: RelayedRowStore;
     readonly limits: ServingPlatform['storeLimits'];
     readonly reader: JobReader;
+    readonly tellOwner: TellOwner;
   },
   jobOwnership: JobOwnership,
 ): JobOperations {
