An item whose runs are fruitless is started less and less often

What is seen: in an overload an item is started and preempted some hundred times until it is given up (89 runs in a minute, 88 of them ended by yield after 10 to 500 ms, in the soak of 20 programs and 20 engines), each time reading its prompt for nothing.

Cause: each preemption was followed by the same 250 ms, however many runs in a row had ended before an event came. Now the pause grows from the fifth such run on, up to 2 s; an event ends the count.

It does not free a slot for an item that finds none.

--- a/packages/jobs/src/lib/process/item_runner.ts
+++ b/packages/jobs/src/lib/process/item_runner.ts
@@ -26,6 +26,7 @@
 import {ItemEvidence} from './item_evidence.js';
 import {continueAt, type ItemWork} from './item_work.js';
 import type {FailedResponse, OwnedJob} from './owned_job.js';
+import {preemptionPauseMs} from './preemption_pause.js';
 
 /** What a run of an item has received when it ends. */
 export interface EndedRun extends RunSpeed {
@@ -48,12 +49,9 @@
 
 /**
  * Delay before an item is retried after a run that does not count as its
- * failure, in milliseconds. After a preemption, the delay lasts until the next
- * requests of the burst have been placed; after a run without a usable
- * response, until the target may have recovered.
+ * failure, in milliseconds: until the target may have recovered.
  */
 const RETRY_DELAY_MS = {
-  yield: 250,
   declined: 60,
   unsent: 60,
   broken: 100,
@@ -157,6 +155,9 @@
       isComplete: end.kind === 'streamed',
       isTakenBack: end.kind === 'ended' && OWN_REASONS.has(end.by),
     });
+    const isPreempted = end.kind === 'ended' && end.by === 'yield';
+    if (sink.texts > 0) work.fruitlessRuns = 0;
+    else if (isPreempted) work.fruitlessRuns++;
     hop.end(end.kind);
     trace.end(end.kind === 'streamed' ? undefined : end.kind);
     const hasCrashed = evidence.recordOutcome(end);
@@ -252,7 +253,7 @@
     return;
   }
   const pauseMs = hasCrashed ? crashPauseMs(work.crashes) : 0;
-  const delayMs = Math.max(retryDelayMsAfter(end), pauseMs);
+  const delayMs = Math.max(retryDelayMsAfter(end, work), pauseMs);
   work.stage = {kind: 'waiting', notBefore: now + delayMs};
 }
 
@@ -314,10 +315,15 @@
     : undefined;
 }
 
-function retryDelayMsAfter({kind}: ExchangeOutcome): number {
+function retryDelayMsAfter(
+  {kind}: ExchangeOutcome,
+  {fruitlessRuns}: ItemWork,
+): number {
   if (kind === 'answered' || kind === 'streamed')
     return RETRY_DELAY_MS.unexpectedStatus;
-  return kind === 'ended' ? RETRY_DELAY_MS.yield : RETRY_DELAY_MS[kind];
+  return kind === 'ended'
+    ? preemptionPauseMs(fruitlessRuns)
+    : RETRY_DELAY_MS[kind];
 }
 
 function endReasonOf(end: ExchangeOutcome): string | undefined {
--- a/packages/jobs/src/lib/process/item_work.ts
+++ b/packages/jobs/src/lib/process/item_work.ts
@@ -78,6 +78,11 @@
   runs: number;
   /** Number of runs that ended by preemption. */
   preemptions: number;
+  /**
+   * Number of runs in a row that ended by preemption before the item received
+   * an event.
+   */
+  fruitlessRuns: number;
   /** Number of runs that ended by idle timeout and lengthen the next one. */
   idleTimeouts: number;
   /** Total time on targets, in milliseconds. */
@@ -129,6 +134,7 @@
     checkpointedTexts: partial?.texts.length ?? 0,
     runs: 0,
     preemptions: 0,
+    fruitlessRuns: 0,
     idleTimeouts: 0,
     runTimeMs: 0,
     waits: new Map(),
--- a/packages/jobs/src/test/fakes/item_run_fixture.ts
+++ b/packages/jobs/src/test/fakes/item_run_fixture.ts
@@ -28,6 +28,7 @@
 
 /** The host; its target takes each request and sends nothing by itself. */
 export class ItemRunFixture {
+  nowMs = 0;
   /** Number of searches for a target. */
   searches = 0;
   /** What taking a connection throws. */
@@ -41,7 +42,7 @@
 
   constructor() {
     this.context = {
-      clock: {...SYSTEM_CLOCK, after: () => NOTHING},
+      clock: {...SYSTEM_CLOCK, now: () => this.nowMs, after: () => NOTHING},
       log: this.recorded,
       counters: NO_COUNTERS,
       tracer: trace.getTracer('test'),
