A feed is followed while full reads of its table fail

What is seen: a store that refuses reads and serves feeds leaves a host without any change (configuration, targets, jobs) from the moment on at which its next periodic read is due.

Cause: a failed periodic read was tried again in place of the feed. Now the feed is followed and the read tried again after two seconds; only a host whose feed has lost its history depends on the read. Such a failure no longer counts as a lost feed: table-read-failed says it once.

Evidence: 'the feed is followed while full reads fail' failed before.

--- a/packages/stores/src/lib/process/table_watch.ts
+++ b/packages/stores/src/lib/process/table_watch.ts
@@ -75,6 +75,11 @@
  * second while the store is unavailable, half of its call budget per second.
  */
 const RETRY_DELAY_MS = 200;
+/**
+ * Delay after a full read that has failed while the feed is followed, in
+ * milliseconds.
+ */
+const READ_RETRY_DELAY_MS = 2000;
 /**
  * Delay of a read that was asked for, in milliseconds: all who ask within it
  * share the read.
@@ -104,10 +109,14 @@
   private readonly rows = new Map<string, VersionedRow>();
   private readonly stop = new AbortController();
   private readonly position = new FeedPosition();
-  private lastFullReadAt = -Infinity;
+  /** When the next full read is due, on the monotonic clock. */
+  private nextReadAt = -Infinity;
+  /** Whether the feed goes on from a full read. */
+  private hasHistory = false;
   /** The read in which a call has failed. */
   private unfinished: StartedRead | undefined;
   private failing = false;
+  private failingReads = false;
   /** The read that was asked for and has not begun. */
   private nextRefresh: Promise<boolean> | undefined;
   private lastReadAt = -Infinity;
@@ -189,14 +198,18 @@
   }
 
   private async poll(): Promise<boolean> {
-    const due = this.lastFullReadAt + this.options.fullReadMs;
-    if (this.context.clock.now() < due) return this.readChanges();
+    if (this.context.clock.now() < this.nextReadAt) return this.readChanges();
     const read = await this.continueFullRead();
-    if (read !== 'out-of-date') return read === 'done';
+    if (read === 'done') return true;
     const {table} = this.options;
-    this.context.counters.count('table_answers_out_of_date', {table});
+    if (read === 'out-of-date')
+      this.context.counters.count('table_answers_out_of_date', {table});
+    if (read === 'failed') {
+      if (!this.hasHistory) return false;
+      this.nextReadAt = this.context.clock.now() + READ_RETRY_DELAY_MS;
+    }
     // The feed is followed meanwhile, unless it has lost its history.
-    return (await this.readChanges()) && this.lastFullReadAt > -Infinity;
+    return (await this.readChanges()) && this.hasHistory;
   }
 
   private async refreshOnce(): Promise<boolean> {
@@ -284,10 +297,12 @@
 
   private async finish({read, renewal}: StartedRead): Promise<FullReadResult> {
     const outcome = await read.run(() => this.position.newestVersion);
-    if (outcome.kind === 'failed') this.recordFailure(outcome.err);
+    if (outcome.kind === 'failed') this.recordFailedRead(outcome.err);
     if (outcome.kind !== 'done') return outcome.kind;
     this.recordSuccess();
-    this.lastFullReadAt = this.context.clock.now();
+    this.failingReads = false;
+    this.hasHistory = true;
+    this.nextReadAt = this.context.clock.now() + this.options.fullReadMs;
     this.replaceRows(read);
     this.renewFreshness(renewal, read.version);
     return 'done';
@@ -330,6 +345,23 @@
     });
   }
 
+  /** While the feed is followed, a read that fails loses nothing. */
+  private recordFailedRead(err: RowStoreError): void {
+    const {table} = this.options;
+    if (!this.hasHistory) {
+      this.recordFailure(err);
+      return;
+    }
+    this.context.counters.count('table_reads_failed', {table});
+    if (this.failingReads) return;
+    this.failingReads = true;
+    this.context.log.event('table-read-failed', {
+      table,
+      reason: err.kind,
+      message: 'message' in err ? err.message : undefined,
+    });
+  }
+
   private recordSuccess(): void {
     this.lastReadAt = this.context.clock.now();
     if (!this.failing) return;
@@ -339,7 +371,8 @@
 
   private recordFailure(err: RowStoreError): boolean {
     if (err.kind === 'history-lost') {
-      this.lastFullReadAt = -Infinity;
+      this.hasHistory = false;
+      this.nextReadAt = -Infinity;
       this.position.recordLostHistory();
       this.context.log.event('table-history-lost', {
         table: this.options.table,
--- a/packages/stores/src/test/process/table_watch_test.ts
+++ b/packages/stores/src/test/process/table_watch_test.ts
@@ -272,6 +272,32 @@
   t.is(keys().length, partitions.length);
 });
 
+// Guards against a host that hears of no change while the store refuses reads and
+// serves feeds, since the time for its next full read has come.
+test('the feed is followed while full reads fail', async t => {
+  const store = new MemoryRowStore(SYSTEM_CLOCK);
+  await put(store, 'a');
+  let failsReads = false;
+  const refusingStore: RowStore = {
+    ...delegateTo(store),
+    read: async query =>
+      failsReads ? failure({kind: 'refused', message: ''}) : store.read(query),
+  };
+  const events: string[] = [];
+  const log = {event: (name: string) => void events.push(name)};
+  const options = {...OPTIONS, fullReadMs: 50};
+  const {watch, keys} = follow(refusingStore, log, options);
+  t.teardown(() => watch[Symbol.dispose]());
+  await setTimeout(60);
+  failsReads = true;
+  await setTimeout(60);
+  await put(store, 'b');
+  await setTimeout(300);
+  t.deepEqual(keys(), ['a', 'b']);
+  t.is(events.filter(name => name === 'table-read-failed').length, 1);
+  t.false(events.includes('table-feed-lost'));
+});
+
 test('a read that fails says so', async t => {
   const store = new MemoryRowStore(SYSTEM_CLOCK);
   const unavailable: RowStore = {
