At most 256 waits of a host are explained a second

Each second the reason of every waiting item was worked out, which would take a share of a core with the jobs of 61,000 items that the system is designed for (not measured). The longest wait is still among those explained. 'the number of explained waits is bounded' fails with the bound out of reach.

--- a/packages/jobs/src/lib/process/wait_explainer.ts
+++ b/packages/jobs/src/lib/process/wait_explainer.ts
@@ -56,6 +56,12 @@
  */
 const LONG_WAIT_MS = 1000;
 
+/**
+ * Maximum number of waits that are explained at a time: with a job of tens of
+ * thousands of items, the reasons of all would take a share of a core.
+ */
+const MAX_EXPLAINED = 256;
+
 const NO_VIEW: ItemView = {targets: 0, suspended: 0, underHalf: 0};
 
 /** Explains the waits on this host. */
@@ -65,19 +71,23 @@
 
   /**
    * @param items - The unfinished items of this host.
-   * @returns The long waits.
+   * @returns Long waits: the first ones in the order of the items, and the
+   *     longest one.
    */
   explain(items: readonly ItemCandidate[]): readonly ExplainedWait[] {
     const now = this.context.clock.now();
-    const views = new Map<string, ItemView>();
-    return items
+    const long = items
       .filter(({work}) => isWaiting(work.stage.kind))
       .filter(
         candidate =>
           waitedMs(candidate, now) > LONG_WAIT_MS ||
           neglectedMs(candidate, now) > LONG_WAIT_MS,
-      )
-      .map(candidate => this.explainOne(candidate, now, views));
+      );
+    const explained = new Set(long.slice(0, MAX_EXPLAINED));
+    const longest = longestOf(long, now);
+    if (longest) explained.add(longest);
+    const views = new Map<string, ItemView>();
+    return [...explained].map(item => this.explainOne(item, now, views));
   }
 
   private explainOne(
@@ -149,6 +159,17 @@
   };
 }
 
+function longestOf(
+  items: readonly ItemCandidate[],
+  now: number,
+): ItemCandidate | undefined {
+  let longest: ItemCandidate | undefined;
+  for (const item of items)
+    if (!longest || waitedMs(item, now) > waitedMs(longest, now))
+      longest = item;
+  return longest;
+}
+
 function isWaiting(kind: string): boolean {
   return kind === 'waiting' || kind === 'recording';
 }
--- a/packages/jobs/src/test/process/wait_explainer_test.ts
+++ b/packages/jobs/src/test/process/wait_explainer_test.ts
@@ -26,8 +26,8 @@
   } as unknown as ItemCandidate;
 }
 
-/** Explains the longest wait on a host whose targets are one free, one full. */
-function longestOf(items: readonly ItemCandidate[], parts: object = {}) {
+/** A host whose targets are one free, one full. */
+function newExplainer(parts: object = {}): WaitExplainer {
   const context = {
     clock: {now: () => NOW_MS},
     routing: {current: {}},
@@ -44,7 +44,12 @@
     isPaused: () => false,
     ...parts,
   } as unknown as WaitExplainerContext;
-  return longestWait(new WaitExplainer(context).explain(items));
+  return new WaitExplainer(context);
+}
+
+/** Explains the longest wait on such a host. */
+function longestOf(items: readonly ItemCandidate[], parts: object = {}) {
+  return longestWait(newExplainer(parts).explain(items));
 }
 
 // An item lay beside free slots until the end of its job, and no log line told
@@ -119,3 +124,12 @@
   });
   t.is(longestOf([item])?.waitedMs, 1200);
 });
+
+// Guards against a host that spends its time on explanations while a job of tens
+// of thousands of items waits.
+test('the number of explained waits is bounded, with the longest among them', t => {
+  const others = [...Array(5000).keys()].map(i => newItem(`i${i}`, 2000));
+  const waits = newExplainer().explain([...others, newItem('long', 9000)]);
+  t.true(waits.length <= 257);
+  t.is(longestWait(waits)?.item, 'long');
+});
