Plain names for runs that their host ends; a load is counted once the connection is there

A connection that cannot be had no longer leaves the load of its target counted for good; no way to bring that about from outside was found.

--- a/packages/gateway/src/lib/request/target_send.ts
+++ b/packages/gateway/src/lib/request/target_send.ts
@@ -67,8 +67,8 @@
 ): ActiveSend {
   const {pool, loads, clock, protocol} = context;
   const run = new RunMeasurement(context, target, lane);
-  const load = loads.begin(targetKey(target.id), lane);
   const connection = pool.acquire(target, req.requestId);
+  const load = loads.begin(targetKey(target.id), lane);
   const now = () => clock.now();
   const onActivity = () => context.suspensions.recordActivity(target.id);
   const exchange = new Exchange(connection, req, {
--- a/packages/jobs/src/lib/process/item_runner.ts
+++ b/packages/jobs/src/lib/process/item_runner.ts
@@ -153,7 +153,7 @@
       firstEventAtMs: sink.firstEventAtMs,
       endedAtMs: endedAt,
       isComplete: end.kind === 'streamed',
-      isTakenBack: end.kind === 'ended' && OWN_REASONS.has(end.by),
+      isAborted: end.kind === 'ended' && OWN_REASONS.has(end.by),
     });
     const isPreempted = end.kind === 'ended' && end.by === 'yield';
     if (sink.texts > 0) work.fruitlessRuns = 0;
--- a/packages/jobs/src/lib/process/item_timeline.ts
+++ b/packages/jobs/src/lib/process/item_timeline.ts
@@ -13,7 +13,7 @@
   /** Whether the run completed the text of the item. */
   readonly isComplete: boolean;
   /** Whether this host ended the run early. */
-  readonly isTakenBack: boolean;
+  readonly isAborted: boolean;
 }
 
 /**
@@ -85,7 +85,7 @@
 }
 
 function isWork(run: RunTimes): boolean {
-  const {sentAtMs, firstEventAtMs, endedAtMs, isTakenBack} = run;
+  const {sentAtMs, firstEventAtMs, endedAtMs, isAborted} = run;
   if (endedAtMs - sentAtMs >= MIN_WORK_MS) return true;
-  return firstEventAtMs !== undefined && !isTakenBack;
+  return firstEventAtMs !== undefined && !isAborted;
 }
--- a/packages/jobs/src/test/process/item_report_test.ts
+++ b/packages/jobs/src/test/process/item_report_test.ts
@@ -36,7 +36,7 @@
     firstEventAtMs: 40,
     endedAtMs: 90,
     isComplete: true,
-    isTakenBack: false,
+    isAborted: false,
   });
   const context = {log: recorded, counters: recorded, latencies: recorded};
   reportListedItem(context, HEAD, work, 'succeeded', {
--- a/packages/jobs/src/test/process/item_timeline_test.ts
+++ b/packages/jobs/src/test/process/item_timeline_test.ts
@@ -10,21 +10,21 @@
     firstEventAtMs: undefined,
     endedAtMs: 150,
     isComplete: false,
-    isTakenBack: false,
+    isAborted: false,
   });
   timeline.add({
     sentAtMs: 200,
     firstEventAtMs: 230,
     endedAtMs: 300,
     isComplete: false,
-    isTakenBack: false,
+    isAborted: false,
   });
   timeline.add({
     sentAtMs: 400,
     firstEventAtMs: 420,
     endedAtMs: 500,
     isComplete: true,
-    isTakenBack: false,
+    isAborted: false,
   });
   t.is(timeline.firstSentAtMs, 100);
   t.is(timeline.runMs, 250);
@@ -36,10 +36,10 @@
 test('a short run that its host ends is no work on the item', t => {
   const timeline = new ItemTimeline();
   const run = {sentAtMs: 0, firstEventAtMs: 10, isComplete: false};
-  timeline.add({...run, endedAtMs: 900, isTakenBack: true});
+  timeline.add({...run, endedAtMs: 900, isAborted: true});
   t.is(timeline.workedAtMs, undefined);
-  timeline.add({...run, endedAtMs: 1000, isTakenBack: true});
+  timeline.add({...run, endedAtMs: 1000, isAborted: true});
   t.is(timeline.workedAtMs, 1000);
-  timeline.add({...run, sentAtMs: 2000, endedAtMs: 2100, isTakenBack: false});
+  timeline.add({...run, sentAtMs: 2000, endedAtMs: 2100, isAborted: false});
   t.is(timeline.workedAtMs, 2100);
 });
--- a/packages/jobs/src/test/process/wait_explainer_test.ts
+++ b/packages/jobs/src/test/process/wait_explainer_test.ts
@@ -113,14 +113,14 @@
     ...times,
     firstEventAtMs: undefined,
     isComplete: false,
-    isTakenBack: false,
+    isAborted: false,
   });
   t.is(longestOf([item])?.waitedMs, 6000);
   item.work.timeline.add({
     ...times,
     firstEventAtMs: NOW_MS - 2000,
     isComplete: false,
-    isTakenBack: false,
+    isAborted: false,
   });
   t.is(longestOf([item])?.waitedMs, 1200);
 });
