--- a/packages/jobs/src/test/fakes/item_run_fixture.ts
+++ b/packages/jobs/src/test/fakes/item_run_fixture.ts
@@ -1,6 +1,6 @@
 /** A host that runs items on targets whose responses the test decides. */
 import {NO_COUNTERS, SYSTEM_CLOCK} from '@oathead/core';
-import type {Route} from '@oathead/gateway';
+import {TargetSuspensions, type Route} from '@oathead/gateway';
 import {trace} from '@opentelemetry/api';
 import type {ItemCandidate} from '../../lib/process/item_candidate.js';
 import type {ItemStarterContext} from '../../lib/process/item_starter.js';
@@ -13,7 +13,14 @@
   services: [{service: 's', weight: 1}],
 } as unknown as Route;
 
-const TARGET = {id: 't', serverId: 't', service: 's', softwareVersion: 'v1'};
+/** ID of the only target. */
+export const TARGET_ID = 't';
+const TARGET = {
+  id: TARGET_ID,
+  serverId: 't',
+  service: 's',
+  softwareVersion: 'v1',
+};
 const NOTHING = {[Symbol.dispose]: () => {}};
 
 /** @returns An item that waits. */
@@ -35,14 +42,19 @@
   failure: Error | undefined;
   /** Keys of the blocked parts of each prompt. */
   blocked: readonly string[] = [];
-  /** Whether the target sends something to other requests of this host. */
-  isTargetActive = true;
+  readonly suspensions: TargetSuspensions;
   readonly recorded = new RecordedEvents();
   readonly context: ItemStarterContext;
 
   constructor() {
+    const clock = {
+      ...SYSTEM_CLOCK,
+      now: () => this.nowMs,
+      after: () => NOTHING,
+    };
+    this.suspensions = new TargetSuspensions(clock, this.recorded);
     this.context = {
-      clock: {...SYSTEM_CLOCK, now: () => this.nowMs, after: () => NOTHING},
+      clock,
       log: this.recorded,
       counters: NO_COUNTERS,
       tracer: trace.getTracer('test'),
@@ -55,10 +67,7 @@
       loads: {begin: () => NOTHING, totalAt: () => ({online: 0, batch: 0})},
       overload: {speeds: {slownessAt: () => 1}},
       health: {recordFailure: () => {}},
-      suspensions: {
-        hasActivitySince: () => this.isTargetActive,
-        recordFailure: () => {},
-      },
+      suspensions: this.suspensions,
       pool: {acquire: () => this.connect()},
       search: {
         search: async () => {
