--- a/packages/serving/src/lib/process/serving_components.ts
+++ b/packages/serving/src/lib/process/serving_components.ts
@@ -4,7 +4,6 @@
   readClocks,
   repeat,
   type DisposableStore,
-  type EventLog,
 } from '@oathead/core';
 import {
   CallerAdmission,
@@ -52,9 +51,9 @@
   JobReader,
   type TellOwner,
 } from '@oathead/jobs';
-import {RelayedRowStore, type VersionedRow} from '@oathead/stores';
+import {RelayedRowStore} from '@oathead/stores';
+import {createTellOwner} from '../connection/job_owner_notice.js';
 import {PeerClients} from '../connection/peer_clients.js';
-import type {PeerClient} from '../connection/peer_router.js';
 import type {ServingOptions} from './serving_options.js';
 import type {
   JobOperations,
@@ -277,10 +276,12 @@
   };
   const reader = new JobReader(store);
   const {storeLimits: limits} = platform;
-  const tellOwner: TellOwner = (owner, row) => {
-    if (owner === self.id) jobOwnership.learnTold(row);
-    else void tellJobHead(peers.clientOf(owner), row, log);
-  };
+  const tellOwner = createTellOwner({
+    self: self.id,
+    peers,
+    log,
+    learn: row => jobOwnership.learnTold(row),
+  });
   const jobContext = {
     ...context,
     store,
@@ -436,20 +437,6 @@
   };
 }
 
-/** A peer that is not told learns of its job from the store. */
-async function tellJobHead(
-  peer: PeerClient | undefined,
-  row: VersionedRow,
-  log: EventLog,
-): Promise<void> {
-  try {
-    await peer?.tellJobHead(row);
-  } catch (err) {
-    const error = String(err);
-    log.event('job-owner-not-told', {job: row.key, to: peer?.address, error});
-  }
-}
-
 function ownMember(
   {host, dataCentre, loads, control}: ServingIdentity,
   nonce: string,
