A part that keeps its service down is held for a moment

Callers saw a service that stays down for as long as requests with one bad part come: each target that is back crashes before anything else gets through, and no part is ever blocked. Cause: what shows a part is that others get through, and the part takes that evidence away; the rule without it asks for a new part, which hosts that have just started, or that served the part a minute ago, cannot see.

While hardly anything gets through, the part in nearly all crashes is held provisionally. Whether the crashes end with it is the evidence: one request tries again after 3 s, and crashes that go on free it.

Trials of verdicts and the history of a service are modules of their own.

--- a/packages/core/src/lib/process/part_suspicion.ts
+++ b/packages/core/src/lib/process/part_suspicion.ts
@@ -4,14 +4,9 @@
  * there, while sound requests share all other parts.
  */
 import {LRUCache} from 'lru-cache';
+import {ServiceHistory, type PartCrash} from './service_history.js';
 
-/** A crash of a target at which a run with some part broke off. */
-export interface PartCrash {
-  /** Identifies the crash: the incarnation of the target. */
-  readonly target: string;
-  /** When it was noticed, in milliseconds. */
-  readonly atMs: number;
-}
+export type {PartCrash} from './service_history.js';
 
 /**
  * What shows that a part is guilty: so many crashes, and then so long a time, in
@@ -53,6 +48,24 @@
  * with little traffic, in which hardly anything gets through within a second.
  */
 const APART = {crashes: 3, gapMs: 1000, coverage: 0.8} as const;
+/**
+ * What speaks against a part while hardly anything of its service gets through,
+ * so that nothing can be seen of others: it stands in nearly all of the crashes,
+ * and runs without it exist. It is held for a short time to see whether the
+ * crashes end with it.
+ */
+const WHILE_DOWN = {
+  ...LASTING,
+  maxCompletedRuns: 1,
+  completedSpanMs: 1500,
+  minOtherRuns: 2,
+} as const;
+/**
+ * Time after which a part that is held is in no run any more, in milliseconds,
+ * and the number of crashes after that which show that others are the cause.
+ */
+const HELD_AFTER_MS = 1000;
+const MIN_CRASHES_WITHOUT_PART = 3;
 /**
  * A part is new if it has not got through for this long, in milliseconds, and
  * if runs have been observed for long enough to know that.
@@ -66,10 +79,6 @@
 const MAX_CRASHES = 32;
 /** Number of the first crashes of a part, which are all remembered. */
 const FIRST_CRASHES = 5;
-/** Bounds of what is remembered of a service. */
-const MAX_COMPLETED_RUNS = 256;
-const MAX_CRASHED_TARGETS = 256;
-
 /** Crashes under one part, in order of time. */
 interface SuspectedPart {
   readonly service: string;
@@ -78,36 +87,6 @@
 
 const NO_CRASHES: readonly PartCrash[] = [];
 
-/** Runs and crashes of one service. */
-class ServiceHistory {
-  private readonly completedAt: number[] = [];
-  private readonly crashedAt = new Map<string, number>();
-
-  /** @param since - When its first run was observed. */
-  constructor(readonly since: number) {}
-
-  addCompleted(atMs: number): void {
-    this.completedAt.push(atMs);
-    if (this.completedAt.length > MAX_COMPLETED_RUNS) this.completedAt.shift();
-  }
-
-  addCrash({target, atMs}: PartCrash): void {
-    if (this.crashedAt.has(target)) return;
-    this.crashedAt.set(target, atMs);
-    const [oldest] = this.crashedAt.keys();
-    if (this.crashedAt.size > MAX_CRASHED_TARGETS)
-      this.crashedAt.delete(oldest!);
-  }
-
-  completedWithin(fromMs: number, toMs: number): number {
-    return this.completedAt.filter(at => at > fromMs && at <= toMs).length;
-  }
-
-  crashesSince(fromMs: number): number {
-    return [...this.crashedAt.values()].filter(at => at >= fromMs).length;
-  }
-}
-
 /** Crashes and completed runs by part, as one host knows them. */
 export class PartSuspicion {
   private readonly suspected = new LRUCache<string, SuspectedPart>({
@@ -132,6 +111,22 @@
     return true;
   }
 
+  /**
+   * @param service - Service of a run of this host that broke off.
+   * @param parts - The parts of its prompt.
+   * @param crash - The crash.
+   * @returns The parts for which the crash was not known.
+   */
+  recordBrokenRun(
+    service: string,
+    parts: readonly string[],
+    crash: PartCrash,
+  ): readonly string[] {
+    const run = {parts, endedAtMs: crash.atMs};
+    this.historyOf(service, crash.atMs).addRun(run);
+    return parts.filter(part => this.recordCrash(service, part, crash));
+  }
+
   /**
    * Forgets one crash, because the part has got through elsewhere.
    *
@@ -157,7 +152,9 @@
     parts: readonly string[],
     nowMs: number,
   ): ReadonlyMap<string, readonly PartCrash[]> {
-    this.historyOf(service, nowMs).addCompleted(nowMs);
+    const history = this.historyOf(service, nowMs);
+    history.addCompleted(nowMs);
+    history.addRun({parts, endedAtMs: nowMs});
     const cleared = new Map<string, readonly PartCrash[]>();
     for (const part of parts) {
       const crashes = this.crashesOf(part);
@@ -197,12 +194,10 @@
    */
   guiltyOf(part: string, nowMs: number): readonly PartCrash[] | undefined {
     const crashes = this.countingCrashes(part, nowMs);
-    const service = this.suspected.peek(part)?.service ?? '';
-    const history = this.services.get(service);
+    const history = this.historyOfPart(part);
     if (crashes.length < EVIDENCE[0]!.crashes || !history) return undefined;
     const first = crashes[0]!.atMs;
-    const ofService = Math.min(MAX_CRASHES, history.crashesSince(first));
-    const coverage = crashes.length / ofService;
+    const coverage = coverageOf(crashes, history);
     const isNew = this.isNew(part, history, first);
     const isShown =
       (coverage >= MIN_COVERAGE &&
@@ -211,10 +206,49 @@
         )) ||
       (isNew && coverage >= LASTING.coverage && isLasting(crashes)) ||
       (isNew && coverage >= APART.coverage && areApart(crashes, history));
-    if (!isShown || this.isExplained(part, crashes, nowMs)) return undefined;
+    if (!isShown || this.isExplained(part, crashes, history, nowMs))
+      return undefined;
     return crashes;
   }
 
+  /**
+   * Guards against a service that stays down for good because of one part: its
+   * targets crash as fast as they come back, so that nothing gets through that
+   * could show the part. Holding it for a moment shows whether they go on.
+   *
+   * @param part - A part of a prompt.
+   * @param nowMs - The current time, in milliseconds.
+   * @returns The crashes for which it is to be held for a short time; undefined
+   *     if it is not.
+   */
+  suspectedWhileDown(
+    part: string,
+    nowMs: number,
+  ): readonly PartCrash[] | undefined {
+    const crashes = this.countingCrashes(part, nowMs);
+    const history = this.historyOfPart(part);
+    if (crashes.length < WHILE_DOWN.crashes || !history) return undefined;
+    const since = nowMs - WHILE_DOWN.completedSpanMs;
+    const isSuspected =
+      history.completedWithin(since, nowMs) <= WHILE_DOWN.maxCompletedRuns &&
+      coverageOf(crashes, history) >= WHILE_DOWN.coverage &&
+      isLasting(crashes) &&
+      history.runsWithout(part, crashes[0]!.atMs) >= WHILE_DOWN.minOtherRuns &&
+      !this.isExplained(part, crashes, history, nowMs);
+    return isSuspected ? crashes : undefined;
+  }
+
+  /**
+   * @param service - A service.
+   * @param heldSinceMs - Since when a part of its prompts is held.
+   * @returns Whether its targets crash all the same.
+   */
+  crashesGoOn(service: string, heldSinceMs: number): boolean {
+    const history = this.services.get(service);
+    const crashes = history?.crashesSince(heldSinceMs + HELD_AFTER_MS) ?? 0;
+    return crashes >= MIN_CRASHES_WITHOUT_PART;
+  }
+
   /**
    * Whether another part stands in all of these crashes and is more suspect:
    * the runs beside a request that crashes its target break off with it, and
@@ -223,6 +257,7 @@
   private isExplained(
     part: string,
     crashes: readonly PartCrash[],
+    history: ServiceHistory,
     nowMs: number,
   ): boolean {
     const lastAt = (one: string) => this.completedAt.peek(one) ?? -Infinity;
@@ -231,10 +266,11 @@
       const targets = this.countingCrashes(other, nowMs).map(
         ({target}) => target,
       );
-      const isMoreSuspect =
-        targets.length > crashes.length || lastAt(other) < lastAt(part);
+      if (!crashes.every(({target}) => targets.includes(target))) return false;
       return (
-        isMoreSuspect && crashes.every(({target}) => targets.includes(target))
+        targets.length > crashes.length ||
+        lastAt(other) < lastAt(part) ||
+        history.isNarrower(other, part)
       );
     });
   }
@@ -260,6 +296,11 @@
     return isKnownEnough && firstCrashMs - completedAt >= NEW_PART_MS;
   }
 
+  private historyOfPart(part: string): ServiceHistory | undefined {
+    const service = this.suspected.peek(part)?.service;
+    return service === undefined ? undefined : this.services.get(service);
+  }
+
   private historyOf(service: string, nowMs: number): ServiceHistory {
     const known = this.services.get(service);
     if (known) return known;
@@ -297,6 +338,15 @@
   });
 }
 
+/** The part of the crashes of a service that these are, from their first on. */
+function coverageOf(
+  crashes: readonly PartCrash[],
+  history: ServiceHistory,
+): number {
+  const ofService = history.crashesSince(crashes[0]!.atMs);
+  return crashes.length / Math.min(MAX_CRASHES, ofService);
+}
+
 function isLasting(crashes: readonly PartCrash[]): boolean {
   const spanMs = crashes.at(-1)!.atMs - crashes[0]!.atMs;
   return crashes.length >= LASTING.crashes && spanMs >= LASTING.spanMs;
--- a/packages/core/src/test/process/part_suspicion_test.ts
+++ b/packages/core/src/test/process/part_suspicion_test.ts
@@ -157,6 +157,20 @@
   readonly badPerSecond: number;
   /** Targets that crash at once for another reason, every four seconds. */
   readonly otherCrashes: number;
+  /** When the bad requests begin; {@link BAD_FROM_MS} by default. */
+  readonly badFromMs?: number;
+}
+
+/** Whether requests with a part are refused, for good or for a short time. */
+function isRefused(
+  suspicion: PartSuspicion,
+  part: string,
+  nowMs: number,
+): boolean {
+  const crashes =
+    suspicion.guiltyOf(part, nowMs) ??
+    suspicion.suspectedWhileDown(part, nowMs);
+  return crashes !== undefined;
 }
 
 /**
@@ -169,7 +183,7 @@
  */
 function replay(
   seed: number,
-  {soundPerSecond, badPerSecond, otherCrashes}: Replay,
+  {soundPerSecond, badPerSecond, otherCrashes, badFromMs = BAD_FROM_MS}: Replay,
 ) {
   const random = seededRandom(seed);
   const suspicion = new PartSuspicion();
@@ -182,8 +196,8 @@
     const broken = runs.filter(run => run.target === target);
     runs = runs.filter(run => run.target !== target);
     const id = `${target} ${targets[target]!.starts++}`;
-    for (const part of [...parts, ...broken.flatMap(run => run.parts)])
-      suspicion.recordCrash(SERVICE, part, {target: id, atMs: now});
+    for (const run of [{parts}, ...broken])
+      suspicion.recordBrokenRun(SERVICE, run.parts, {target: id, atMs: now});
     targets[target]!.upAt = now + 3000;
   };
   for (let now = 0; now < REPLAY_MS; now += STEP_MS) {
@@ -199,13 +213,13 @@
       random.float() < (perSecond * STEP_MS) / 1000;
     if (isDue(soundPerSecond)) {
       const part = `first ${Math.max(0, random.int(16) - 7)}`;
-      if (suspicion.guiltyOf(part, now)) innocentsRefused++;
+      if (isRefused(suspicion, part, now)) innocentsRefused++;
       const endAt = now + RUN_MS * (0.7 + 0.6 * random.float());
       runs.push({target, parts: [part], endAt});
     }
-    if (now < BAD_FROM_MS || foundAt !== undefined || !isDue(badPerSecond))
+    if (now < badFromMs || foundAt !== undefined || !isDue(badPerSecond))
       continue;
-    if (suspicion.guiltyOf('bad', now)) foundAt = now;
+    if (isRefused(suspicion, 'bad', now)) foundAt = now;
     else {
       crashAt(target, now, ['first 0', 'bad']);
       crashes++;
@@ -256,3 +270,75 @@
   const sent = (SEEDS.length * load.soundPerSecond * REPLAY_MS) / 1000;
   t.true(refused < sent / 100, `${refused} of some ${sent}`);
 });
+
+// Guards against a service that stays down for good: hosts that have just started
+// do not know whether a part is new, and its targets crash as they come back, so
+// that nothing gets through that could show it.
+test('a bad part is found while nothing gets through', t => {
+  const badFromMs = 200;
+  const load = {
+    soundPerSecond: 14,
+    badPerSecond: 14,
+    otherCrashes: 0,
+    badFromMs,
+  };
+  const found = SEEDS.map(seed => replay(seed, load));
+  const late = found.filter(({foundAt = Infinity}) => foundAt > 4000);
+  t.deepEqual(late, []);
+  t.deepEqual(
+    found.filter(one => one.innocentsRefused > 0),
+    [],
+  );
+});
+
+/** Lets targets crash one after the other under requests with these parts. */
+function crashAll(
+  suspicion: PartSuspicion,
+  runs: ReadonlyArray<readonly string[]>,
+  fromMs: number,
+): void {
+  for (const [i, parts] of runs.entries()) {
+    const atMs = fromMs + i * 300;
+    const crash = {target: `${atMs}`, atMs};
+    suspicion.recordBrokenRun(SERVICE, parts, crash);
+  }
+}
+
+// Guards against a service all of whose requests are refused because its targets
+// crash for another reason.
+test('a part of all requests is not held while a service is down', t => {
+  const suspicion = new PartSuspicion();
+  crashAll(suspicion, Array(20).fill(['first']), 0);
+  t.is(suspicion.suspectedWhileDown('first', 6000), undefined);
+});
+
+test('a part of half of the requests is not held while a service is down', t => {
+  const suspicion = new PartSuspicion();
+  const runs = Array.from({length: 20}, (unused, i) => [`${i % 2}`]);
+  crashAll(suspicion, runs, 0);
+  t.is(suspicion.suspectedWhileDown('0', 6000), undefined);
+  t.is(suspicion.suspectedWhileDown('1', 6000), undefined);
+});
+
+test('crashes that go on without a part show that it is not the cause', t => {
+  const suspicion = new PartSuspicion();
+  const runs = Array.from({length: 10}, (unused, i) =>
+    i === 4 || i === 9 ? ['other'] : ['most'],
+  );
+  crashAll(suspicion, runs, 0);
+  t.not(suspicion.suspectedWhileDown('most', 3000), undefined);
+  t.false(suspicion.crashesGoOn(SERVICE, 3000));
+  crashAll(suspicion, [['other'], ['other'], ['other']], 4100);
+  t.true(suspicion.crashesGoOn(SERVICE, 3000));
+});
+
+test('a part is not held while others get through', t => {
+  const suspicion = new PartSuspicion();
+  crashAll(suspicion, Array(8).fill(['bad']), 0);
+  suspicion.recordBrokenRun(SERVICE, ['other'], {target: 'x', atMs: 2100});
+  suspicion.recordBrokenRun(SERVICE, ['other'], {target: 'y', atMs: 2200});
+  t.not(suspicion.suspectedWhileDown('bad', 2300), undefined);
+  suspicion.recordCompletedRun(SERVICE, ['other'], 2310);
+  suspicion.recordCompletedRun(SERVICE, ['other'], 2320);
+  t.is(suspicion.suspectedWhileDown('bad', 2330), undefined);
+});
--- a/packages/gateway/src/lib/process/part_verdicts.ts
+++ b/packages/gateway/src/lib/process/part_verdicts.ts
@@ -23,6 +23,8 @@
   /** Another host has removed it. */
   | 'removed'
   | 'expired'
+  /** Targets go on crashing though the part is held. */
+  | 'crashes-go-on'
   /** Its targets are listed still, so they have not crashed. */
   | 'listed'
   /** It could not be written, so that nobody could try the part again. */
--- a/packages/gateway/src/lib/process/prompt_suspect_rows.ts
+++ b/packages/gateway/src/lib/process/prompt_suspect_rows.ts
@@ -20,6 +20,11 @@
   trials: z.number().int().nonnegative(),
   /** Time of the last of them, in store time in milliseconds. */
   triedAt: z.number().optional(),
+  /**
+   * Whether it was passed while nothing got through, so that a request tries
+   * soon whether the part is the cause.
+   */
+  isProvisional: z.boolean().optional(),
 });
 /** A part that is guilty, and when it was tried again. */
 export type Verdict = Readonly<z.infer<typeof VERDICT>>;
--- a/packages/gateway/src/lib/process/prompt_suspects.ts
+++ b/packages/gateway/src/lib/process/prompt_suspects.ts
@@ -38,6 +38,7 @@
 import {isPartKey} from './suspect_table.js';
 import {SuspectRowWriter} from './suspect_row_writer.js';
 import type {TargetDirectory} from './target_directory.js';
+import {trialPauseMs, VerdictTrials} from './verdict_trials.js';
 
 /** Whether a request may run. */
 export type PromptAdmission =
@@ -62,12 +63,6 @@
   readonly expiryMs: () => number;
 }
 
-/**
- * Time from a verdict to the first request that tries again, in milliseconds,
- * and the growth of that time with each further one.
- */
-const FIRST_TRIAL_MS = 10_000;
-const TRIAL_GROWTH = 4;
 /** Interval between two looks at suspected parts, in milliseconds. */
 const WATCH_INTERVAL_MS = 200;
 /** Maximum number of parts whose last log line is remembered. */
@@ -77,6 +72,7 @@
 export class PromptSuspects {
   private readonly suspicion = new PartSuspicion();
   private readonly verdicts: PartVerdicts;
+  private readonly trials: VerdictTrials;
   /** Number of crashes at which a part was last logged as spared. */
   private readonly loggedSpared = new LRUCache<string, number>({
     max: MAX_LOGGED,
@@ -87,7 +83,9 @@
   /** @param context - The store, and the list of targets. */
   constructor(private readonly context: PromptSuspectsContext) {
     this.rows = new SuspectRowWriter(context);
-    this.verdicts = new PartVerdicts({...context, now: () => this.now()});
+    const now = () => this.now();
+    this.verdicts = new PartVerdicts({...context, now});
+    this.trials = new VerdictTrials({...context, now, verdicts: this.verdicts});
   }
 
   /**
@@ -101,7 +99,8 @@
       return verdict ? [{key, verdict}] : [];
     });
     if (verdicts.length === 0) return 'free';
-    const admission = (await this.mayTryAll(verdicts)) ? 'trial' : 'blocked';
+    const mayTry = await this.trials.mayTryAll(verdicts);
+    const admission = mayTry ? 'trial' : 'blocked';
     this.context.counters.count('prompt_parts', {outcome: admission});
     return admission;
   }
@@ -141,16 +140,12 @@
   recordBrokenRun(prompt: PromptParts, target: string): void {
     const {service} = prompt;
     const at = this.now();
-    for (const key of partKeysOf(prompt)) {
-      const isNew = this.suspicion.recordCrash(service, key, {
-        target,
-        atMs: at,
-      });
-      this.verdicts.addCrash(key, target);
-      if (!isNew) continue;
-      const value = encodeJson({service, targets: [target], at});
-      this.rows.put({...crashRef(key, target), value});
-    }
+    const keys = partKeysOf(prompt);
+    const crash = {target, atMs: at};
+    const added = this.suspicion.recordBrokenRun(service, keys, crash);
+    for (const key of keys) this.verdicts.addCrash(key, target);
+    const value = encodeJson({service, targets: [target], at});
+    for (const key of added) this.rows.put({...crashRef(key, target), value});
     this.watchSuspects();
   }
 
@@ -249,19 +244,34 @@
 
   private verdictOn(service: string, key: string): KnownVerdict | undefined {
     const known = this.verdicts.get(key);
-    const end = known && this.verdicts.endOf(known);
+    const end = known && this.endOf(known);
     if (known && end) this.strikeOff(key, known, end);
     else if (known && this.verdicts.isInForce(key, known)) return known;
-    const crashes = this.suspicion.guiltyOf(key, this.now());
+    const now = this.now();
+    const shown = this.suspicion.guiltyOf(key, now);
+    const crashes = shown ?? this.suspicion.suspectedWhileDown(key, now);
     if (!crashes) return undefined;
     const alive = crashes.filter(({target, atMs}) =>
       this.verdicts.isStillListed(target, atMs),
     );
-    if (alive.length === 0) return this.pass(service, key, crashes);
+    const isProvisional = shown === undefined;
+    if (alive.length === 0)
+      return this.pass(service, key, crashes, isProvisional);
     for (const {target} of alive) this.suspicion.forgetCrash(key, target);
     return this.verdictOn(service, key);
   }
 
+  private endOf(verdict: KnownVerdict): VerdictEnd | undefined {
+    const {service, at, isProvisional, trials} = verdict;
+    if (
+      isProvisional &&
+      trials === 0 &&
+      this.suspicion.crashesGoOn(service, at)
+    )
+      return 'crashes-go-on';
+    return this.verdicts.endOf(verdict);
+  }
+
   /** Drops a verdict that is over. */
   private strikeOff(
     key: string,
@@ -278,6 +288,7 @@
     service: string,
     key: string,
     crashes: readonly PartCrash[],
+    isProvisional: boolean,
   ): KnownVerdict | undefined {
     const targets = crashes.map(({target}) => target);
     if (this.verdicts.areUnderOneRequest(key, targets)) {
@@ -285,12 +296,14 @@
       return undefined;
     }
     const before = this.verdicts.get(key)?.version ?? 0;
-    const verdict = {service, targets, at: this.now(), trials: 0};
+    const at = this.now();
+    const verdict = {service, targets, at, trials: 0, isProvisional};
     const known = this.setVerdict(key, verdict, undefined);
     this.context.log.event('prompt-part-blocked', {
       service,
       part: key,
       targets,
+      isProvisional,
     });
     void this.publish(key, verdict, before);
     return known;
@@ -322,7 +335,7 @@
     this.context.log.event('suspects-unwritten', {rows: 1, reason});
     // Nobody can try again whether a part crashes targets whose verdict is
     // nowhere, so it ends by itself.
-    this.context.clock.after(FIRST_TRIAL_MS, () => {
+    this.context.clock.after(trialPauseMs(verdict), () => {
       if (this.verdicts.get(key)?.version === undefined)
         this.verdicts.end(key, 'unwritten');
     });
@@ -339,56 +352,6 @@
     this.context.log.event('prompt-part-spared', {service, part, targets});
   }
 
-  /**
-   * Whether this request is the one that tries all its blocked parts again. It
-   * uses up no trial of one while that of another is not due.
-   */
-  private async mayTryAll(
-    verdicts: ReadonlyArray<{
-      readonly key: string;
-      readonly verdict: KnownVerdict;
-    }>,
-  ): Promise<boolean> {
-    if (!verdicts.every(({verdict}) => this.isTrialDue(verdict))) return false;
-    for (const {key, verdict} of verdicts)
-      if (!(await this.mayTry(key, verdict))) return false;
-    return true;
-  }
-
-  private isTrialDue({version, trials, triedAt, at}: KnownVerdict): boolean {
-    const pauseMs = FIRST_TRIAL_MS * TRIAL_GROWTH ** trials;
-    const isDue = this.now() - (triedAt ?? at) >= pauseMs;
-    return isDue && version !== undefined;
-  }
-
-  /**
-   * Whether this request is the one that tries whether a part still crashes
-   * targets. The write decides, so that there is one on the whole fleet.
-   */
-  private async mayTry(key: string, verdict: KnownVerdict): Promise<boolean> {
-    const {version, crashed, ...last} = verdict;
-    // Another request may have begun to try it while this one waited.
-    if (version === undefined) return false;
-    const now = this.now();
-    const next = {...last, trials: last.trials + 1, triedAt: now};
-    this.verdicts.set(key, next, undefined, [...crashed]);
-    const ref = verdictRef(key);
-    const written = await this.context.store.transact({
-      expect: [{...ref, version}],
-      puts: [{...ref, value: encodeJson(next)}],
-      removes: [],
-    });
-    this.context.log.event('prompt-part-tried-again', {
-      service: last.service,
-      part: key,
-      trials: next.trials,
-      outcome: written.ok ? 'written' : written.err.kind,
-    });
-    if (!written.ok && written.err.kind !== 'conflict')
-      this.verdicts.set(key, {...last, triedAt: now}, version, []);
-    return written.ok;
-  }
-
   private now(): number {
     return this.context.store.storeTimeMs() ?? this.context.clock.now();
   }
--- a/packages/gateway/src/test/process/prompt_suspects_test.ts
+++ b/packages/gateway/src/test/process/prompt_suspects_test.ts
@@ -12,6 +12,7 @@
 const BAD = {service: 's', sharedParts: ['first', 'bad']};
 const WORSE = {service: 's', sharedParts: ['worse']};
 const SOUND = {service: 's', sharedParts: ['first']};
+const OTHER = {service: 's', sharedParts: ['first', 'other']};
 
 /** A fleet whose hosts have seen one crash each under the bad part. */
 async function newFleet(hosts: number): Promise<SuspectFleet> {
@@ -25,6 +26,14 @@
   return fleet;
 }
 
+/** Two hosts that have seen no run yet. */
+function newQuietFleet(): SuspectFleet {
+  const fleet = new SuspectFleet();
+  fleet.add();
+  fleet.add();
+  return fleet;
+}
+
 async function admissionsAt(hosts: readonly SuspectHost[]) {
   return Promise.all(
     hosts.map(({promptSuspects: suspects}) => suspects.admit(BAD)),
@@ -167,3 +176,49 @@
   await fleet.run(3000);
   t.deepEqual(new Set(await admissionsAt(fleet.hosts)), new Set(['blocked']));
 });
+
+/**
+ * Lets targets crash under the bad part, two hosts seeing each second one. A
+ * sound run breaks off with most of them.
+ */
+async function crashWhileDown(fleet: SuspectFleet): Promise<void> {
+  for (let i = 0; i < 6; i++) {
+    const {promptSuspects: suspects} = fleet.hosts[i % 2]!;
+    suspects.recordBrokenRun(BAD, `down ${i}`);
+    if (i < 4) suspects.recordBrokenRun(OTHER, `down ${i}`);
+    await fleet.run(400, []);
+  }
+}
+
+// Guards against a service that stays down for good, because nothing gets through
+// that could show which part crashes its targets.
+test('a part is held for a moment while nothing gets through', async t => {
+  const fleet = newQuietFleet();
+  await crashWhileDown(fleet);
+  t.deepEqual(await admissionsAt(fleet.hosts), ['blocked', 'blocked']);
+  for (const {promptSuspects: suspects} of fleet.hosts)
+    t.is(await suspects.admit(OTHER), 'free');
+  await fleet.run(3000);
+  const admissions = await admissionsAt(fleet.hosts);
+  t.deepEqual([...admissions].sort(), ['blocked', 'trial']);
+  fleet.hosts[0]!.promptSuspects.recordBrokenRun(BAD, 'tried');
+  await fleet.run(9000);
+  t.deepEqual(await admissionsAt(fleet.hosts), ['blocked', 'blocked']);
+  await fleet.run(2000);
+  t.true((await admissionsAt(fleet.hosts)).includes('trial'));
+});
+
+// Guards against sound requests that are refused after an outage with another
+// cause.
+test('a part is not held any more if targets go on crashing', async t => {
+  const fleet = newQuietFleet();
+  await crashWhileDown(fleet);
+  t.deepEqual(await admissionsAt(fleet.hosts), ['blocked', 'blocked']);
+  await fleet.run(1000, []);
+  for (let i = 0; i < 3; i++) {
+    fleet.hosts[0]!.promptSuspects.recordBrokenRun(OTHER, `more ${i}`);
+    await fleet.run(200, []);
+  }
+  await fleet.run(300, []);
+  t.deepEqual(await admissionsAt(fleet.hosts), ['free', 'free']);
+});
