An item of a job that nobody works on gets any free slot

Callers saw jobs that lie for ten seconds and more until their items are given up, with slots free: an item that can wait, or is late, starts only where a slot is left for bursts, at the targets that its host prefers, and the coordinator grants it targets of its own data centre; that claim never grows.

One item of a host has the claim at a time, so that hosts with long queues do not fill the slots that are left free for online requests, which preempt it as any other.

Evidence: 'an item with the claim gets any free slot' (relaxed, late) finds none without the claim, a target of another data centre with it; 'an item of a neglected job is placed as an urgent one'.

--- a/packages/jobs/src/lib/process/batch_scheduler.ts
+++ b/packages/jobs/src/lib/process/batch_scheduler.ts
@@ -21,6 +21,7 @@
   ItemTargetSearch,
   type ItemSearchContext,
 } from './item_target_search.js';
+import {NeglectClaim} from './neglect_claim.js';
 import {NeglectReport} from './neglect_report.js';
 import type {OwnedJob} from './owned_job.js';
 import {longestWait, WaitExplainer} from './wait_explainer.js';
@@ -74,6 +75,7 @@
   private readonly search: ItemTargetSearch;
   private readonly explainer: WaitExplainer;
   private readonly starter: ItemStarter;
+  private readonly claim = new NeglectClaim();
   private paused = false;
   private starting = false;
 
@@ -197,14 +199,27 @@
     for (const candidate of this.candidates()) {
       const route = this.routes.resolve(candidate);
       if (!route || this.search.isFull(route, candidate)) continue;
+      const outcome = await this.starter.start(candidate, route);
+      if (candidate.hasClaim) this.noteClaim(candidate);
       // A few items that wait for certain targets must not hold back all that
       // come after them.
-      if ((await this.starter.start(candidate, route)) === 'selective')
-        continue;
+      if (outcome === 'selective') continue;
       if (++started >= MAX_STARTS_PER_TICK) return;
     }
   }
 
+  private noteClaim({job, work}: ItemCandidate): void {
+    const {stage} = work;
+    if (stage.kind !== 'running') return;
+    this.claim.take(work);
+    this.context.log.event('neglected-item-placed', {
+      job: job.head.id,
+      item: work.item.id,
+      target: stage.targetId,
+      preemptions: work.preemptions,
+    });
+  }
+
   /** @returns The items that may start now, in order of priority. */
   private candidates(): readonly ItemCandidate[] {
     const now = this.context.clock.now();
@@ -218,11 +233,15 @@
         if (!isDelayedByFailure(candidate, now)) candidates.push(candidate);
       }
     }
-    return inAccountTurns(
+    const inTurns = inAccountTurns(
       candidates.sort(byPriority),
       runningByAccount(this.jobs()),
       name => this.context.routing.weightOf(name),
     );
+    const next = this.claim.next(inTurns, now);
+    if (!next) return inTurns;
+    const others = inTurns.filter(candidate => candidate !== next);
+    return [{...next, hasClaim: true}, ...others];
   }
 
   private unfinishedItems(): readonly ItemCandidate[] {
@@ -283,7 +302,8 @@
   }
 
   private preemptLeastUrgent(candidates: ItemCandidate[], count: number): void {
-    candidates.sort((a, b) => byPriority(b, a));
+    const held = ({work}: ItemCandidate) => Number(this.claim.isHeldBy(work));
+    candidates.sort((a, b) => held(a) - held(b) || byPriority(b, a));
     for (const {work} of candidates.slice(0, count))
       if (work.stage.kind === 'running') work.stage.control.end('yield');
   }
--- a/packages/jobs/src/lib/process/item_candidate.ts
+++ b/packages/jobs/src/lib/process/item_candidate.ts
@@ -12,6 +12,14 @@
   readonly estimate: ItemEstimate;
   /** Time until its job is no longer kept, in milliseconds. */
   readonly untilExpiryMs: number;
+  /** Whether it gets any free slot, because its job was neglected. */
+  readonly hasClaim?: boolean;
+}
+
+/** An item, and what tells how long its host has had it. */
+export interface WorkOfJob {
+  readonly job: Pick<OwnedJob, 'adoptedAtMs'>;
+  readonly work: Pick<ItemWork, 'timeline'>;
 }
 
 /**
@@ -64,9 +72,6 @@
  * @returns Time since a target last worked on the item under this owner, or
  *   since this host became its owner, in milliseconds.
  */
-export function neglectedMs(
-  {job, work}: Pick<ItemCandidate, 'job' | 'work'>,
-  now: number,
-): number {
+export function neglectedMs({job, work}: WorkOfJob, now: number): number {
   return now - (work.timeline.workedAtMs ?? job.adoptedAtMs);
 }
--- a/packages/jobs/src/lib/process/item_target_search.ts
+++ b/packages/jobs/src/lib/process/item_target_search.ts
@@ -69,13 +69,17 @@
 
 const NO_TARGETS: ReadonlySet<string> = new Set();
 
+function pressureOf({estimate, hasClaim}: ItemCandidate): BatchPressure {
+  return hasClaim ? 'pressed' : PRESSURE[estimate.urgency];
+}
+
 /**
  * Key of the backoff of a route. It includes the pressure, since slots are
  * reserved for urgent items: a route that is full for relaxed items may have
  * slots for urgent ones.
  */
-function fullRouteKey({name}: Route, {estimate}: ItemCandidate): string {
-  return `${PRESSURE[estimate.urgency]} ${name}`;
+function fullRouteKey({name}: Route, candidate: ItemCandidate): string {
+  return `${pressureOf(candidate)} ${name}`;
 }
 
 /** Searches one after another, for all items of this host. */
@@ -191,7 +195,7 @@
     wanted: WantedVersion,
   ): Promise<ItemPlacementOutcome> {
     const {placement} = this.context;
-    const pressure = PRESSURE[candidate.estimate.urgency];
+    const pressure = pressureOf(candidate);
     const avoided = this.avoidedTargets(service, candidate);
     const placed = await placement.forItem(service, pressure, avoided, wanted);
     if (placed.kind === 'placed' || avoided.size === 0) return placed;
--- a/packages/jobs/src/test/process/batch_scheduler_test.ts
+++ b/packages/jobs/src/test/process/batch_scheduler_test.ts
@@ -166,6 +166,26 @@
   },
 );
 
+// Guards against an item that is given up because only urgent ones find a slot.
+test.serial(
+  'an item of a neglected job is placed as an urgent one',
+  async t => {
+    const late = jobDueIn('late', -GOAL_MS);
+    const adoptedAtMs = SYSTEM_CLOCK.now() - GOAL_MS;
+    const neglected = Object.assign(late, {adoptedAtMs});
+    const asked: string[] = [];
+    const placement = {
+      usesPeerCoordinator: false,
+      forItem: async (service: string, pressure: BatchPressure) => {
+        asked.push(pressure);
+        return FULL;
+      },
+    };
+    await runScheduler([neglected], {placement});
+    t.deepEqual(new Set(asked), new Set(['pressed']));
+  },
+);
+
 /** A scheduler without targets, whose clock and routes the test sets. */
 class RouteFixture implements Disposable {
   nowMs = 0;
--- a/packages/jobs/src/test/process/item_target_search_test.ts
+++ b/packages/jobs/src/test/process/item_target_search_test.ts
@@ -146,3 +146,25 @@
   t.is((await host.findUntil(0, candidate))?.id, free);
   t.not(full, free);
 });
+
+// Guards against items that lie until their retention ends while their data centre
+// is full and others have free slots.
+for (const urgency of ['relaxed', 'late'] as const)
+  test(`an item with the claim gets any free slot: ${urgency}`, async t => {
+    const {fleet, host, all} = newFleet();
+    for (const {id} of NEAR) fleet.fill(all, id, 8);
+    const candidate = newCandidate(urgency);
+    t.is(await host.findUntil(2000, candidate), undefined);
+    const found = await host.findUntil(2500, {...candidate, hasClaim: true});
+    t.is(found?.id, FAR[0]!.id);
+  });
+
+// Guards against the slots that are left free for online requests: only an item
+// with the claim may take the last one.
+test('an item with the claim gets the last free slot', async t => {
+  const {fleet, host, all} = newFleet(NEAR);
+  for (const {id} of NEAR) fleet.fill(all, id, 7);
+  const candidate = newCandidate('late');
+  t.is(await host.findUntil(500, candidate), undefined);
+  t.truthy(await host.findUntil(1000, {...candidate, hasClaim: true}));
+});
