--- a/packages/jobs/src/lib/process/batch_scheduler.ts
+++ b/packages/jobs/src/lib/process/batch_scheduler.ts
@@ -4,17 +4,18 @@
  * items when a target fills up.
  */
 import {DisposableStore} from '@oathead/core';
-import {
-  targetKey,
-  type TargetChooser,
-  type TargetDirectory,
-} from '@oathead/gateway';
+import type {TargetChooser, TargetDirectory} from '@oathead/gateway';
 import {inAccountTurns, runningByAccount} from './account_turns.js';
 import type {ItemWork} from './item_work.js';
-import {isDelayedByFailure, type ItemCandidate} from './item_candidate.js';
-import {compareEstimates, ItemDurations} from './item_durations.js';
+import {
+  byPriority,
+  isDelayedByFailure,
+  type ItemCandidate,
+} from './item_candidate.js';
+import {ItemDurations} from './item_durations.js';
 import type {ItemRunContext} from './item_runner.js';
 import {idleTimeoutMs} from './item_idle_timeout.js';
+import {ItemPreemption} from './item_preemption.js';
 import {ItemRoutes, type ItemRoutesContext} from './item_routes.js';
 import {ItemStarter} from './item_starter.js';
 import {
@@ -61,10 +62,6 @@
  */
 const MAX_STARTS_PER_TICK = 3;
 
-function byPriority(a: ItemCandidate, b: ItemCandidate): number {
-  return compareEstimates(a.estimate, b.estimate);
-}
-
 /** Starts and preempts runs of items until it is disposed. */
 export class BatchScheduler implements Disposable {
   private readonly disposables = new DisposableStore();
@@ -76,6 +73,7 @@
   private readonly explainer: WaitExplainer;
   private readonly starter: ItemStarter;
   private readonly claim = new NeglectClaim();
+  private readonly preemption: ItemPreemption;
   private paused = false;
   private starting = false;
 
@@ -98,6 +96,10 @@
       waitingReport: this.waitingReport,
       isPaused: () => this.paused,
     });
+    this.preemption = new ItemPreemption(context, {
+      running: () => this.runningItems(),
+      isLast: ({work}) => this.claim.isHeldBy(work),
+    });
     this.explainer = new WaitExplainer({
       ...context,
       routes: this.routes,
@@ -123,7 +125,7 @@
       REPORT_INTERVAL_MS,
     );
     this.disposables.defer(() => clearInterval(reportTimer));
-    this.context.loads.onChange(() => this.preemptExcessItems());
+    this.context.loads.onChange(() => this.preemption.preemptExcess());
     this.context.routing.onAdopted(() =>
       this.routes.forgetReturned(this.jobs()),
     );
@@ -142,8 +144,7 @@
    * @param count - Number of items of this host to preempt.
    */
   preemptItems(targetId: string, count: number): void {
-    const running = this.runningByTarget().get(targetId);
-    if (running) this.preemptLeastUrgent(running, count);
+    this.preemption.preempt(targetId, count);
   }
 
   /** Stops scheduling. Running items continue until their jobs are disposed. */
@@ -165,7 +166,7 @@
   private tick(): void {
     this.routes.checkConfigAge();
     this.endIdleRuns();
-    this.preemptExcessItems();
+    this.preemption.preemptExcess();
     if (!this.paused) void this.startItems();
   }
 
@@ -272,39 +273,11 @@
       if (work.stage.kind === 'waiting') job.giveUp(work, 'retention');
   }
 
-  private preemptExcessItems(): void {
-    const running = this.runningByTarget();
-    for (const [targetId, candidates] of running) {
-      const target = this.context.directory.get(targetId);
-      if (!target) continue;
-      const {chooser, loads, self} = this.context;
-      const nearlyDone = candidates.filter(
-        candidate => candidate.estimate.nearlyDone,
-      );
-      loads.markNearlyDone(targetKey(targetId), nearlyDone.length);
-      const excess = chooser.itemsToPreempt(target, self);
-      if (excess > 0) this.preemptLeastUrgent(candidates, excess);
-    }
-  }
-
-  private runningByTarget(): ReadonlyMap<string, ItemCandidate[]> {
-    const running = new Map<string, ItemCandidate[]>();
-    for (const job of this.jobs()) {
-      for (const work of job.work) {
-        if (work.stage.kind !== 'running') continue;
-        const {targetId} = work.stage;
-        const atTarget = running.get(targetId) ?? [];
-        running.set(targetId, atTarget);
-        atTarget.push(this.candidate(job, work));
-      }
-    }
-    return running;
-  }
-
-  private preemptLeastUrgent(candidates: ItemCandidate[], count: number): void {
-    const held = ({work}: ItemCandidate) => Number(this.claim.isHeldBy(work));
-    candidates.sort((a, b) => held(a) - held(b) || byPriority(b, a));
-    for (const {work} of candidates.slice(0, count))
-      if (work.stage.kind === 'running') work.stage.control.end('yield');
+  private runningItems(): readonly ItemCandidate[] {
+    return [...this.jobs()].flatMap(job =>
+      job.work
+        .filter(({stage}) => stage.kind === 'running')
+        .map(work => this.candidate(job, work)),
+    );
   }
 }
--- a/packages/jobs/src/lib/process/item_candidate.ts
+++ b/packages/jobs/src/lib/process/item_candidate.ts
@@ -1,6 +1,6 @@
 /** A waiting or running item with its job and estimate. */
 import type {AccountItem} from './account_turns.js';
-import type {ItemEstimate} from './item_durations.js';
+import {compareEstimates, type ItemEstimate} from './item_durations.js';
 import type {ItemWork} from './item_work.js';
 import type {OwnedJob} from './owned_job.js';
 import {retryDelayMs} from './retry_delay.js';
@@ -22,6 +22,15 @@
   readonly work: Pick<ItemWork, 'timeline'>;
 }
 
+/**
+ * @param a - An item.
+ * @param b - Another item.
+ * @returns Negative if `a` starts first and is preempted last.
+ */
+export function byPriority(a: ItemCandidate, b: ItemCandidate): number {
+  return compareEstimates(a.estimate, b.estimate);
+}
+
 /**
  * @param candidate - A waiting item.
  * @returns Whether it should run on other targets than those that failed it.
