--- a/packages/core/src/lib/process/part_suspicion.ts
+++ b/packages/core/src/lib/process/part_suspicion.ts
@@ -49,10 +49,9 @@
  */
 const APART = {crashes: 3, gapMs: 1000, coverage: 0.8} as const;
 /**
- * What speaks against a part while hardly anything of its service gets through,
- * so that nothing can be seen of others: it stands in nearly all of the crashes,
- * and runs without it exist. It is held for a short time to see whether the
- * crashes end with it.
+ * What speaks against a part while hardly anything of its service gets through:
+ * it stands in nearly all of the crashes, and runs without it exist. It is held
+ * for a short time to see whether the crashes end with it.
  */
 const WHILE_DOWN = {
   ...LASTING,
--- a/packages/jobs/src/lib/process/item_target_search.ts
+++ b/packages/jobs/src/lib/process/item_target_search.ts
@@ -60,7 +60,10 @@
  */
 const MAX_VERSION_WAIT_MS = 1000;
 
-/** Items that are already late only use slots that nothing else needs. */
+/**
+ * Items that are already late only use slots that nothing else needs, unless
+ * their job has been neglected.
+ */
 const PRESSURE: Readonly<Record<Urgency, BatchPressure>> = {
   pressed: 'pressed',
   relaxed: 'relaxed',
