A take-up logs who was asked, what they said and what the host knew

The line stream-taken-up could not tell a host that had lost its memory from one that relied on another host's old list. It now names how long the host has been up, the age of its list, since when it knows each version, the hosts that were asked and their answers with the age of their lists. No decision changes. Test: 'a decision on a stream says who was asked and what was known'.

--- a/packages/gateway/src/lib/connection/stream_version_message.ts
+++ b/packages/gateway/src/lib/connection/stream_version_message.ts
@@ -57,6 +57,13 @@
    * of a host of an earlier release.
    */
   hasSeveral: z.boolean().optional(),
+  /** ID of the process incarnation that answers; absent in earlier releases. */
+  host: NAME.optional(),
+  /**
+   * Time since it has read the list of targets, in milliseconds; absent if it
+   * has never read it, and in earlier releases.
+   */
+  listAgeMs: COUNT.optional(),
 });
 
 const MESSAGE = z.discriminatedUnion('kind', [TOLD, ASK, ANSWER]);
--- a/packages/gateway/src/lib/process/service_versions.ts
+++ b/packages/gateway/src/lib/process/service_versions.ts
@@ -14,6 +14,8 @@
 /** The versions by service. */
 export class ServiceVersions {
   private readonly current = new Map<string, ReadonlySet<string>>();
+  /** Time at which a version was first listed, by service and version. */
+  private readonly listedAt = new Map<string, Map<string, number>>();
   /** Time at which a version left the list, by service and version. */
   private readonly leftAt = new Map<string, Map<string, number>>();
 
@@ -34,6 +36,7 @@
     for (const version of listed) left.delete(version);
     this.current.set(service, listed);
     this.leftAt.set(service, left);
+    this.recordListed(service, listed);
     return [...listed].some(version => !seen.has(version));
   }
 
@@ -53,4 +56,26 @@
     for (const [version, at] of left) if (at < since) left.delete(version);
     return new Set([...this.listed(service), ...left.keys()]);
   }
+
+  /**
+   * @param service - A service.
+   * @returns For how long this host has known the versions that have been listed
+   *     within {@link STREAM_LIFETIME_MS}, in milliseconds.
+   */
+  knownForMs(service: string): ReadonlyMap<string, number> {
+    const now = this.now();
+    const since = this.listedAt.get(service);
+    const seen = [...this.seen(service)];
+    return new Map(seen.map(version => [version, now - since!.get(version)!]));
+  }
+
+  private recordListed(service: string, listed: ReadonlySet<string>): void {
+    const known = this.listedAt.get(service);
+    const now = this.now();
+    const seen = [...this.seen(service), ...listed];
+    const since = seen.map(
+      version => [version, known?.get(version) ?? now] as const,
+    );
+    this.listedAt.set(service, new Map(since));
+  }
 }
--- a/packages/gateway/src/lib/process/stream_version_asker.ts
+++ b/packages/gateway/src/lib/process/stream_version_asker.ts
@@ -25,6 +25,10 @@
   readonly only: ReadonlySet<string>;
   /** Whether one of them has seen several versions of the service. */
   readonly hasSeveral: boolean;
+  /** IDs of the hosts that were asked. */
+  readonly asked: readonly string[];
+  /** Each answer, for the log. */
+  readonly received: readonly StreamVersionAnswer[];
 }
 
 /** Dependencies of {@link StreamVersionAsker}. */
@@ -39,6 +43,8 @@
   began: undefined,
   only: new Set(),
   hasSeveral: false,
+  asked: [],
+  received: [],
 };
 
 type AnswerHandler = (answer: StreamVersionAnswer) => void;
@@ -67,7 +73,10 @@
     stream: string,
     hosts: readonly P[],
   ): Promise<StreamVersionAnswers> {
-    let all = NO_ANSWERS;
+    let all: StreamVersionAnswers = {
+      ...NO_ANSWERS,
+      asked: hosts.map(({id}) => id),
+    };
     if (hosts.length === 0) return all;
     for (let i = 0; i < MAX_ASKS; i++) {
       const answers = await this.askOnce(service, stream, hosts);
@@ -103,10 +112,13 @@
 }
 
 function withAnswer(
-  {began, only, hasSeveral}: StreamVersionAnswers,
+  all: StreamVersionAnswers,
   answer: StreamVersionAnswer,
 ): StreamVersionAnswers {
+  const {began, only, hasSeveral, received} = all;
   return {
+    ...all,
+    received: [...received, answer],
     began: began ?? answer.began,
     only: answer.only === undefined ? only : new Set([...only, answer.only]),
     hasSeveral: hasSeveral || answer.hasSeveral === true,
--- a/packages/gateway/src/lib/process/stream_versions.ts
+++ b/packages/gateway/src/lib/process/stream_versions.ts
@@ -13,6 +13,7 @@
 } from '@oathead/core';
 import type {
   StreamOrigin,
+  StreamVersionAnswer,
   StreamVersionAsk,
   StreamVersionMessage,
 } from '../connection/stream_version_message.js';
@@ -43,8 +44,40 @@
   readonly evidence: StreamEvidence;
   /** What the list of targets says of the versions of the service. */
   readonly listed: VersionView['kind'];
+  readonly knowledge: StreamKnowledge;
 }
 
+/** What a decision on a stream could rest on, for the log. */
+export interface StreamKnowledge {
+  /** How long this host has been up, in milliseconds. */
+  readonly upMs: number;
+  /** Time since it has read the list of targets, in milliseconds. */
+  readonly listAgeMs: number | undefined;
+  /** The versions of the service that it has known within a stream's life. */
+  readonly versions: readonly KnownVersion[];
+  /** IDs of the hosts that were asked. */
+  readonly asked: readonly string[];
+  /** What they answered. */
+  readonly answers: readonly HostAnswer[];
+}
+
+/** A version that this host has known. */
+export type KnownVersion = Readonly<{
+  softwareVersion: string;
+  /** Since when, in milliseconds ago. */
+  knownMs: number;
+}>;
+
+/** What one host has answered. */
+export type HostAnswer = Readonly<{
+  host: string | undefined;
+  began: string | undefined;
+  only: string | undefined;
+  hasSeveral: boolean | undefined;
+  /** How old its list of targets was, in milliseconds. */
+  listAgeMs: number | undefined;
+}>;
+
 /** What may be done with a stream that has begun. */
 export type StreamContinuation =
   /** Nothing can be joined wrongly. */
@@ -62,7 +95,7 @@
   readonly counters: Counters;
   readonly directory: Pick<
     TargetDirectory,
-    'onlyVersion' | 'versionView' | 'onVersionListed'
+    'onlyVersion' | 'versionView' | 'onVersionListed' | 'versions' | 'listAgeMs'
   >;
   /**
    * Reads the list of targets.
@@ -108,10 +141,12 @@
   private readonly disposables = new DisposableStore();
   private ring: HostRing<P> | undefined;
   private ringBuiltAt = -Infinity;
+  private readonly startedAt: number;
 
   /** @param context - The targets and the other hosts. */
   constructor(private readonly context: StreamVersionsContext<P>) {
     const {self, clock, directory, send} = context;
+    this.startedAt = clock.now();
     this.origins = new StreamOrigins(() => clock.now());
     this.teller = new StreamTeller({
       clock,
@@ -161,11 +196,14 @@
     service: string,
     stream: string | undefined,
   ): Promise<StreamFinding> {
-    const finding = (evidence: StreamEvidence, origin?: StreamOrigin) =>
-      this.counted(service, evidence, origin);
+    let answers = NO_ANSWERS;
+    const finding = (evidence: StreamEvidence, origin?: StreamOrigin) => ({
+      ...this.counted(service, evidence, origin),
+      knowledge: this.knowledge(service, answers),
+    });
     const known = stream === undefined ? undefined : this.origins.get(stream);
     if (known) return finding('known', known);
-    const answers = await this.ask(service, stream);
+    answers = await this.ask(service, stream);
     if (answers.began) return finding('learned', answers.began);
     const isRead = await this.readTargets(service);
     const softwareVersion = this.onlyPossible(service, answers, isRead);
@@ -189,7 +227,7 @@
   }
 
   private answer({host, askId, service, stream}: StreamVersionAsk): void {
-    const {peer, directory, send} = this.context;
+    const {self, peer, directory, send} = this.context;
     const to = peer(host);
     // A sender that is not known yet asks other hosts as well.
     if (!to) return;
@@ -200,7 +238,9 @@
     };
     const only = directory.onlyVersion(service);
     const hasSeveral = directory.versionView(service).kind === 'several';
-    send({kind: 'answer', askId, began, only, hasSeveral}, [to]);
+    const {listAgeMs} = directory;
+    const answer = {askId, began, only, hasSeveral, host: self.id, listAgeMs};
+    send({kind: 'answer', ...answer}, [to]);
   }
 
   private async ask(
@@ -261,13 +301,36 @@
     service: string,
     evidence: StreamEvidence,
     origin: StreamOrigin | undefined,
-  ): StreamFinding {
+  ): Omit<StreamFinding, 'knowledge'> {
     const {counters, directory} = this.context;
     const {kind: listed} = directory.versionView(service);
     counters.count('streams_taken_up', {outcome: evidence, listed});
     const continuation = origin ? continuationAt(service, origin) : UNKNOWN;
     return {continuation, evidence, listed};
   }
+
+  private knowledge(
+    service: string,
+    {asked, received}: StreamVersionAnswers,
+  ): StreamKnowledge {
+    const {clock, directory} = this.context;
+    const known = directory.versions.knownForMs(service);
+    const versions = [...known].map(([softwareVersion, ms]) => {
+      return {softwareVersion, knownMs: Math.round(ms)};
+    });
+    return {
+      upMs: Math.round(clock.now() - this.startedAt),
+      listAgeMs: directory.listAgeMs,
+      versions,
+      asked,
+      answers: received.map(hostAnswer),
+    };
+  }
+}
+
+function hostAnswer(answer: StreamVersionAnswer): HostAnswer {
+  const {host, began, only, hasSeveral, listAgeMs} = answer;
+  return {host, began: began?.softwareVersion, only, hasSeveral, listAgeMs};
 }
 
 /**
--- a/packages/gateway/src/lib/process/target_directory.ts
+++ b/packages/gateway/src/lib/process/target_directory.ts
@@ -111,6 +111,14 @@
     return {kind: isFollowed ? 'only' : 'only-lately', softwareVersion};
   }
 
+  /**
+   * Time since the list was read, in milliseconds; undefined if it never was.
+   */
+  get listAgeMs(): number | undefined {
+    const ageMs = this.context.clock.now() - this.lastReadAt;
+    return Number.isFinite(ageMs) ? Math.round(ageMs) : undefined;
+  }
+
   /**
    * @param service - A service.
    * @param softwareVersion - A version of its software.
--- a/packages/gateway/src/lib/request/stream_continuation.ts
+++ b/packages/gateway/src/lib/request/stream_continuation.ts
@@ -48,7 +48,7 @@
     const {lastEventId, resumes} = metadata;
     if (lastEventId === undefined) return true;
     const {log, streamVersions} = this.context;
-    const {continuation, evidence, listed} =
+    const {continuation, evidence, listed, knowledge} =
       await streamVersions.continuationOf(service, resumes);
     log.event('stream-taken-up', {
       request: metadata.requestId,
@@ -58,6 +58,7 @@
       ...continuation,
       evidence,
       listed,
+      ...knowledge,
     });
     if (continuation.kind === 'at-version')
       search.restrictTo(continuation.softwareVersion);
--- a/packages/gateway/src/test/process/stream_versions_test.ts
+++ b/packages/gateway/src/test/process/stream_versions_test.ts
@@ -121,10 +121,14 @@
 
   /** What may be done with a stream; asks that get no answer time out. */
   async continuationOf(fleet: Fleet, stream: string | undefined) {
+    return (await this.findingOf(fleet, stream)).continuation;
+  }
+
+  /** The same, with what the decision rests on. */
+  async findingOf(fleet: Fleet, stream: string | undefined) {
     let isSettled = false;
     const found = this.versions
       .continuationOf(SERVICE, stream)
-      .then(({continuation}) => continuation)
       .finally(() => (isSettled = true));
     await settlePromises();
     while (!isSettled) {
@@ -267,6 +271,24 @@
 
 // Guards against refusals where all hosts have just started: nothing can be
 // joined wrongly if there is one version only.
+// Guards against a decision on a stream that cannot be explained afterwards.
+test('a decision on a stream says who was asked and what was known', async t => {
+  const fleet = new Fleet(2);
+  fleet.list('v1');
+  fleet.follow(STREAM_LIFETIME_MS);
+  const asking = fleet.start('h2');
+  asking.list('v1');
+  const {knowledge} = await asking.findingOf(fleet, 'r1');
+  t.is(knowledge.upMs, 0);
+  t.deepEqual(knowledge.versions, [{softwareVersion: 'v1', knownMs: 0}]);
+  const others = [...fleet.hosts.values()].filter(host => host !== asking);
+  const ids = others.map(({self}) => self.id).sort();
+  t.deepEqual([...knowledge.asked].sort(), ids);
+  t.deepEqual(knowledge.answers.map(({host}) => host).sort(), ids);
+  for (const {only, listAgeMs} of knowledge.answers)
+    t.deepEqual({only, listAgeMs}, {only: 'v1', listAgeMs: 0});
+});
+
 test('a stream goes on at the only version that is listed', async t => {
   const fleet = new Fleet(3);
   fleet.list('v1');
