--- a/packages/gateway/src/test/process/stream_versions_test.ts
+++ b/packages/gateway/src/test/process/stream_versions_test.ts
@@ -34,6 +34,8 @@
     true;
   /** Whether the hosts reach the store. */
   isStoreReached = true;
+  /** Names of hosts that reach only each other. */
+  readonly cutOff = new Set<string>();
   private started = 0;
 
   constructor(count: number) {
@@ -61,18 +63,33 @@
     return this.hosts.get(name)!;
   }
 
-  /** Lists a target of a software version at all hosts. */
+  /** Lists a target of a software version at all hosts that reach the store. */
   list(softwareVersion: string): void {
-    for (const host of this.hosts.values()) host.list(softwareVersion);
+    for (const host of this.reaching()) host.list(softwareVersion);
   }
 
-  /** Lets all hosts read an unchanged list for some time. */
+  /** Lets these hosts read an unchanged list for some time. */
   follow(ms: number): void {
     for (let i = 0; i < ms; i += READ_INTERVAL_MS) {
       this.clock.advance(READ_INTERVAL_MS);
-      for (const {directory} of this.hosts.values()) directory.recordListRead();
+      for (const {directory} of this.reaching()) directory.recordListRead();
     }
   }
+
+  /** Whether a host reaches the store. */
+  reachesStore(name: string): boolean {
+    return this.isStoreReached && !this.cutOff.has(name);
+  }
+
+  /** Whether datagrams pass between two hosts. */
+  isLinked(a: string, b: string): boolean {
+    return this.cutOff.has(a) === this.cutOff.has(b);
+  }
+
+  private reaching(): readonly Host[] {
+    const reaching = [...this.hosts].filter(([name]) => !this.cutOff.has(name));
+    return reaching.map(([, host]) => host);
+  }
 }
 
 class Host {
@@ -84,6 +101,7 @@
     readonly self: LoadPeer,
   ) {
     const {clock} = fleet;
+    const name = nameOf(self.id);
     const log = NO_EVENT_LOG;
     this.directory = new TargetDirectory({clock, log});
     const peers = () =>
@@ -97,8 +115,9 @@
       counters: NO_COUNTERS,
       directory: this.directory,
       readTargets: async () => {
-        if (fleet.isStoreReached) this.directory.recordListRead();
-        return fleet.isStoreReached;
+        const isReached = fleet.reachesStore(name);
+        if (isReached) this.directory.recordListRead();
+        return isReached;
       },
       peers,
       peer: id => peers().find(peer => peer.id === id),
@@ -106,8 +125,9 @@
         const datagram = encodeStreamVersion(message);
         for (const {id} of to) {
           fleet.sent.push(message);
-          const host = fleet.hosts.get(id.split('.')[0]!);
+          const host = fleet.hosts.get(nameOf(id));
           if (host?.self.id !== id || !fleet.isDelivered(message, id)) continue;
+          if (!fleet.isLinked(name, nameOf(id))) continue;
           host.versions.receive(decodeStreamVersion(datagram)!);
         }
       },
@@ -139,6 +159,10 @@
   }
 }
 
+function nameOf(id: string): string {
+  return id.split('.')[0]!;
+}
+
 async function settlePromises(): Promise<void> {
   for (let turn = 0; turn < 10; turn++) await Promise.resolve();
 }
@@ -271,6 +295,23 @@
 
 // Guards against refusals where all hosts have just started: nothing can be
 // joined wrongly if there is one version only.
+// Guards against a stream of two software versions: two hosts that are cut off
+// together take each other's old list for what is listed now.
+test('hosts that are cut off together rely on no list of each other', async t => {
+  const fleet = new Fleet(4);
+  fleet.list('v1');
+  fleet.follow(STREAM_LIFETIME_MS);
+  fleet.cutOff.add('h0').add('h1');
+  fleet.list('v2');
+  fleet.get('h2').versions.record('r1', {
+    service: SERVICE,
+    softwareVersion: 'v2',
+  });
+  fleet.follow(READ_INTERVAL_MS);
+  const found = await fleet.get('h0').continuationOf(fleet, 'r1');
+  t.deepEqual(found, {kind: 'unknown'});
+});
+
 // Guards against a decision on a stream that cannot be explained afterwards.
 test('a decision on a stream says who was asked and what was known', async t => {
   const fleet = new Fleet(2);
