Where streams begin is recorded in the store

What callers saw: after all hosts were lost in a release, each stream that was taken up held events of two software versions, or, with both versions in use, none went on. Two hosts that were cut off together joined streams as well.

Cause: what hosts know of versions and streams lived in their memory. A host that has just started takes the versions that are listed now for all there were; and a host relied on another one's word that there is one version, which is no newer than the last read of that host's list.

Change: each host incarnation keeps a row in the store with the versions at which it may begin streams and the streams that it has begun lately. A target of a new version is used only once its host's row names that version. A host that is asked for a stream which no other host knows reads these rows; it infers a version only if all rows together name one. The word of other hosts that there is one version does not count any more and is not given.

'a host that has just started relies on what others have seen' asked for an inference from another host's older list, which is the fault; in its place a host that has just started finds the stream in the store, and refuses one that is not there.

--- a/packages/gateway/src/lib/connection/stream_version_message.ts
+++ b/packages/gateway/src/lib/connection/stream_version_message.ts
@@ -46,12 +46,6 @@
   askId: COUNT,
   /** Set if the answering host knows the stream. */
   began: z.object({service: NAME, softwareVersion: NAME}).optional(),
-  /**
-   * The only version of the service that the answering host has seen for as
-   * long as a stream lasts; absent if there were several, or if it has not read
-   * the list of targets for that long.
-   */
-  only: NAME.optional(),
   /**
    * Whether it reads the list and has seen several versions; absent in answers
    * of a host of an earlier release.
--- a/packages/gateway/src/lib/process/service_versions.ts
+++ b/packages/gateway/src/lib/process/service_versions.ts
@@ -57,6 +57,19 @@
     return new Set([...this.listed(service), ...left.keys()]);
   }
 
+  /** @returns The versions of {@link seen} of all services. */
+  allSeen(): ReadonlyArray<{
+    readonly service: string;
+    readonly softwareVersion: string;
+  }> {
+    return [...this.current.keys()].flatMap(service =>
+      [...this.seen(service)].map(softwareVersion => ({
+        service,
+        softwareVersion,
+      })),
+    );
+  }
+
   /**
    * @param service - A service.
    * @returns For how long this host has known the versions that have been listed
--- /dev/null
+++ b/packages/gateway/src/lib/process/stream_record.ts
@@ -0,0 +1,272 @@
+/**
+ * Keeps the record of the streams of this host in the store, so that other hosts
+ * know where they began when this host and all that it has told are lost. See
+ * `docs/design/stream-versions.md`.
+ */
+import {DisposableStore, sleep, type Clock, type EventLog} from '@oathead/core';
+import type {RowStore, RowStoreError} from '@oathead/stores';
+import type {StreamOrigin} from '../connection/stream_version_message.js';
+import {STREAM_LIFETIME_MS} from './service_versions.js';
+import {
+  encodeStreamRow,
+  streamRowRef,
+  type BegunStreams,
+  type StreamRow,
+} from './stream_record_rows.js';
+
+/** Dependencies of {@link StreamRecord}. */
+export interface StreamRecordContext {
+  /** ID of this host incarnation. */
+  readonly memberId: string;
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly store: Pick<RowStore, 'transact' | 'storeTimeMs'>;
+  /** Maximum rate of writes by all hosts together, per second. */
+  readonly maxWritesPerS: number;
+  /** @returns Number of live hosts, with this one. */
+  readonly hosts: () => number;
+  /** @returns The versions of all services that have been listed lately. */
+  readonly listedVersions: () => readonly StreamOrigin[];
+}
+
+/**
+ * Minimum interval of writes, in milliseconds. A stream that is taken up after
+ * the loss of all hosts goes on if it began that much before.
+ */
+const MIN_WRITE_INTERVAL_MS = 100;
+/** Interval of writes while nothing has changed, in milliseconds. */
+const REFRESH_INTERVAL_MS = 20_000;
+/** Interval at which a change of the versions is noticed, in milliseconds. */
+const CHECK_INTERVAL_MS = 500;
+/** Delay after a failed write, in milliseconds. */
+const RETRY_DELAY_MS = 500;
+/**
+ * How long a stream stays in the record after it has ended, in milliseconds: its
+ * last bytes may be lost with this host.
+ */
+const ENDED_LIFETIME_MS = 1000;
+/** Bounds the size of the row, in bytes of stream IDs. */
+const MAX_ID_BYTES = 32_768;
+const MS_PER_SECOND = 1000;
+
+interface OwnStream {
+  readonly origin: StreamOrigin;
+  /** Time from which it cannot be taken up any more, in monotonic ms. */
+  endsAt: number;
+}
+
+/** A version that is to be in the record before streams begin there. */
+interface Announcement {
+  readonly origin: StreamOrigin;
+  readonly done: Promise<void>;
+  readonly settle: () => void;
+}
+
+/** The record of this host. */
+export class StreamRecord implements Disposable {
+  private readonly disposables = new DisposableStore();
+  /** By ID, the oldest first. */
+  private readonly streams = new Map<string, OwnStream>();
+  /** By version, until the store has taken them. */
+  private readonly announcements = new Map<string, Announcement>();
+  /** Versions in the row that the store has taken last. */
+  private announced: ReadonlySet<string> = new Set();
+  private rowVersion = 0;
+  private lastWriteAt = -Infinity;
+  private isDirty = false;
+  private isWriting = false;
+  private isFailing = false;
+
+  /** @param context - The store and the list of targets. */
+  constructor(private readonly context: StreamRecordContext) {}
+
+  /** Starts to keep the row up to date. */
+  start(): void {
+    const stop = new AbortController();
+    this.disposables.defer(() => stop.abort());
+    void this.follow(stop.signal);
+  }
+
+  /** Stops that. */
+  [Symbol.dispose](): void {
+    this.disposables[Symbol.dispose]();
+  }
+
+  /**
+   * @param stream - ID of a stream that begins.
+   * @param origin - Where it begins.
+   */
+  begin(stream: string, origin: StreamOrigin): void {
+    const endsAt = this.context.clock.now() + STREAM_LIFETIME_MS;
+    this.streams.delete(stream);
+    this.streams.set(stream, {origin, endsAt});
+    this.requestWrite();
+  }
+
+  /** @param stream - ID of a stream that its caller has got to its end. */
+  end(stream: string): void {
+    const own = this.streams.get(stream);
+    if (own) own.endsAt = this.context.clock.now() + ENDED_LIFETIME_MS;
+  }
+
+  /** @returns Whether the store knows that streams may begin at a version. */
+  isAnnounced(origin: StreamOrigin): boolean {
+    return this.announced.has(keyOf(origin));
+  }
+
+  /**
+   * Records that streams may begin at a version.
+   *
+   * @param origin - The service and the version.
+   * @returns Resolves when the store knows it. Never rejects.
+   */
+  announce(origin: StreamOrigin): Promise<void> {
+    const key = keyOf(origin);
+    const known = this.announcements.get(key);
+    if (known) return known.done;
+    if (this.announced.has(key)) return Promise.resolve();
+    let settle = () => {};
+    const done = new Promise<void>(resolve => (settle = resolve));
+    this.announcements.set(key, {origin, done, settle});
+    this.isDirty = true;
+    void this.write();
+    return done;
+  }
+
+  /** Maximum rate of writes divided among the hosts, as an interval. */
+  private get writeIntervalMs(): number {
+    const {hosts, maxWritesPerS} = this.context;
+    const sharedMs = (hosts() / maxWritesPerS) * MS_PER_SECOND;
+    return Math.max(MIN_WRITE_INTERVAL_MS, sharedMs);
+  }
+
+  private requestWrite(): void {
+    if (this.isDirty) return;
+    this.isDirty = true;
+    this.scheduleWrite();
+  }
+
+  private scheduleWrite(): void {
+    const {clock} = this.context;
+    const pauseMs = this.isFailing ? RETRY_DELAY_MS : this.writeIntervalMs;
+    const delayMs = Math.max(0, this.lastWriteAt + pauseMs - clock.now());
+    clock.after(delayMs, () => void this.write());
+  }
+
+  private async follow(signal: AbortSignal): Promise<void> {
+    const {clock} = this.context;
+    while (!signal.aborted) {
+      await sleep(clock, CHECK_INTERVAL_MS, signal);
+      const isDue = clock.now() - this.lastWriteAt >= REFRESH_INTERVAL_MS;
+      if (isDue || this.haveVersionsChanged()) this.requestWrite();
+    }
+  }
+
+  private haveVersionsChanged(): boolean {
+    const now = new Set(this.versions().map(keyOf));
+    const isSame = now.size === this.announced.size;
+    return !isSame || [...now].some(key => !this.announced.has(key));
+  }
+
+  private async write(): Promise<void> {
+    if (this.isWriting || !this.isDirty || this.disposables.disposed) return;
+    this.isWriting = true;
+    this.isDirty = false;
+    this.lastWriteAt = this.context.clock.now();
+    const row = this.row();
+    this.withdrawMissing(row);
+    const error = await this.put(row);
+    this.isWriting = false;
+    this.reportOutcome(error);
+    if (error) this.isDirty = true;
+    else this.adopt(row);
+    if (this.announcements.size > 0 && !error) void this.write();
+    else if (this.isDirty) this.scheduleWrite();
+  }
+
+  /**
+   * Writes the row over the version that is known. Guards against a write
+   * without a response that is performed late, over a newer one.
+   */
+  private async put(row: StreamRow): Promise<RowStoreError | undefined> {
+    const {store, memberId} = this.context;
+    const ref = streamRowRef(memberId);
+    const puts = [{...ref, value: encodeStreamRow(row)}];
+    for (let isRepeated = false; ; isRepeated = true) {
+      const expect = [{...ref, version: this.rowVersion}];
+      const written = await store.transact({expect, puts, removes: []});
+      if (written.ok) {
+        this.rowVersion = written.value.version;
+        return undefined;
+      }
+      if (written.err.kind !== 'conflict' || isRepeated) return written.err;
+      this.rowVersion = written.err.rows[0]?.version ?? 0;
+    }
+  }
+
+  /** Until the write has an outcome, the store may know less than before. */
+  private withdrawMissing({begun}: StreamRow): void {
+    const kept = begun.map(keyOf).filter(key => this.announced.has(key));
+    this.announced = new Set(kept);
+  }
+
+  private adopt({begun}: StreamRow): void {
+    this.announced = new Set(begun.map(keyOf));
+    for (const [key, {settle}] of [...this.announcements]) {
+      if (!this.announced.has(key)) continue;
+      this.announcements.delete(key);
+      settle();
+    }
+  }
+
+  /** Logs when writes begin to fail, and when they get through again. */
+  private reportOutcome(error: RowStoreError | undefined): void {
+    const isFailing = error !== undefined;
+    if (isFailing === this.isFailing) return;
+    this.isFailing = isFailing;
+    const {log} = this.context;
+    if (error) log.event('streams-unrecorded', {reason: error.kind});
+    else log.event('streams-recorded', {streams: this.streams.size});
+  }
+
+  private row(): StreamRow {
+    this.dropOld();
+    const writtenAtMs = this.context.store.storeTimeMs() ?? 0;
+    const begun = new Map<string, BegunStreams & {streams: string[]}>();
+    for (const origin of this.versions())
+      begun.set(keyOf(origin), {...origin, streams: []});
+    for (const [id, {origin}] of this.streams) {
+      const known = begun.get(keyOf(origin)) ?? {...origin, streams: []};
+      begun.set(keyOf(origin), known);
+      known.streams.push(id);
+    }
+    return {writtenAtMs, begun: [...begun.values()]};
+  }
+
+  private versions(): readonly StreamOrigin[] {
+    const announced = [...this.announcements.values()];
+    return [
+      ...this.context.listedVersions(),
+      ...announced.map(({origin}) => origin),
+    ];
+  }
+
+  private dropOld(): void {
+    const now = this.context.clock.now();
+    for (const [id, {endsAt}] of this.streams)
+      if (endsAt <= now) this.streams.delete(id);
+    let bytes = [...this.streams.keys()].reduce(
+      (sum, id) => sum + id.length,
+      0,
+    );
+    for (const id of this.streams.keys()) {
+      if (bytes <= MAX_ID_BYTES) return;
+      this.streams.delete(id);
+      bytes -= id.length;
+    }
+  }
+}
+
+function keyOf({service, softwareVersion}: StreamOrigin): string {
+  return JSON.stringify([service, softwareVersion]);
+}
--- /dev/null
+++ b/packages/gateway/src/lib/process/stream_record_rows.ts
@@ -0,0 +1,68 @@
+/**
+ * Rows of the record of streams: each host incarnation keeps one, which says at
+ * which software versions it may begin streams and which streams it has begun.
+ */
+import {hash32} from '@oathead/core';
+import {
+  decodeJson,
+  encodeJson,
+  type RowRef,
+  type UnreadableRow,
+} from '@oathead/stores';
+import type {Outcome} from '@oathead/core';
+import {z} from 'zod';
+import {hostOfMember} from './member.js';
+
+/** Table of the record. */
+export const STREAM_TABLE = 'streams';
+/**
+ * Partitions of the table: the store performs the writes of one partition one
+ * after another.
+ */
+export const STREAM_PARTITIONS = ['0', '1', '2', '3'] as const;
+
+const BEGUN = z.object({
+  service: z.string(),
+  softwareVersion: z.string(),
+  /** IDs of the streams that began there, the oldest first. */
+  streams: z.array(z.string()).readonly(),
+});
+
+const ROW = z.object({
+  /** Store time at which it was written, in milliseconds. */
+  writtenAtMs: z.number(),
+  begun: z.array(BEGUN).readonly(),
+});
+
+/** The streams that a host has begun at one version, which may be none yet. */
+export type BegunStreams = Readonly<z.infer<typeof BEGUN>>;
+/** What a host incarnation has recorded. */
+export type StreamRow = Readonly<z.infer<typeof ROW>>;
+
+/**
+ * @param memberId - ID of a host incarnation.
+ * @returns Its row.
+ */
+export function streamRowRef(memberId: string): RowRef {
+  const at = hash32(hostOfMember(memberId)) % STREAM_PARTITIONS.length;
+  const partition = STREAM_PARTITIONS[at]!;
+  return {table: STREAM_TABLE, partition, key: memberId};
+}
+
+/**
+ * @param row - What a host incarnation records.
+ * @returns The value of its row.
+ */
+export function encodeStreamRow(row: StreamRow): Uint8Array {
+  return encodeJson(row);
+}
+
+/**
+ * @param value - Value of a row of {@link STREAM_TABLE}.
+ * @returns What it records, or why it cannot be read.
+ */
+export function decodeStreamRow(
+  value: Uint8Array,
+): Outcome<StreamRow, UnreadableRow> {
+  return decodeJson(value, ROW);
+}
--- a/packages/gateway/src/lib/process/stream_version_asker.ts
+++ b/packages/gateway/src/lib/process/stream_version_asker.ts
@@ -21,8 +21,6 @@
 export interface StreamVersionAnswers {
   /** Where the stream began; undefined if none of them knows it. */
   readonly began: StreamOrigin | undefined;
-  /** The versions that hosts have seen as the only one of the service. */
-  readonly only: ReadonlySet<string>;
   /** Whether one of them has seen several versions of the service. */
   readonly hasSeveral: boolean;
   /** IDs of the hosts that were asked. */
@@ -41,7 +39,6 @@
 /** What is known if no host has answered. */
 export const NO_ANSWERS: StreamVersionAnswers = {
   began: undefined,
-  only: new Set(),
   hasSeveral: false,
   asked: [],
   received: [],
@@ -115,12 +112,11 @@
   all: StreamVersionAnswers,
   answer: StreamVersionAnswer,
 ): StreamVersionAnswers {
-  const {began, only, hasSeveral, received} = all;
+  const {began, hasSeveral, received} = all;
   return {
     ...all,
     received: [...received, answer],
     began: began ?? answer.began,
-    only: answer.only === undefined ? only : new Set([...only, answer.only]),
     hasSeveral: hasSeveral || answer.hasSeveral === true,
   };
 }
--- a/packages/gateway/src/lib/process/stream_versions.ts
+++ b/packages/gateway/src/lib/process/stream_versions.ts
@@ -19,6 +19,8 @@
 } from '../connection/stream_version_message.js';
 import {HostRing} from './host_ring.js';
 import type {LoadPeer} from './load_reporter.js';
+import type {RecordedStreams} from './recorded_streams.js';
+import type {StreamRecord} from './stream_record.js';
 import {StreamOrigins} from './stream_origins.js';
 import {StreamTeller} from './stream_teller.js';
 import {
@@ -34,6 +36,8 @@
   | 'known'
   /** Another host knew it. */
   | 'learned'
+  /** The record in the store knew it. */
+  | 'recorded'
   /** Nobody knows it, but it can have begun at one version only. */
   | 'inferred'
   | 'unknown';
@@ -72,7 +76,6 @@
 export type HostAnswer = Readonly<{
   host: string | undefined;
   began: string | undefined;
-  only: string | undefined;
   hasSeveral: boolean | undefined;
   /** How old its list of targets was, in milliseconds. */
   listAgeMs: number | undefined;
@@ -103,6 +106,9 @@
    * @returns Whether it was read; the directory has its entries then.
    */
   readonly readTargets: () => Promise<boolean>;
+  readonly record: Pick<StreamRecord, 'begin' | 'end'>;
+  /** Reads what all hosts have recorded; undefined if it cannot be read. */
+  readonly readRecord: () => Promise<RecordedStreams | undefined>;
   /** @returns All live hosts except this one. */
   readonly peers: () => readonly P[];
   /** @returns The host with this ID; undefined if it is not known. */
@@ -123,11 +129,10 @@
  */
 const TELL_INTERVAL_MS = 500;
 /**
- * How long a stream that no host knows waits for the list of targets to be read,
- * in milliseconds: several times what the store takes while it is well.
+ * How long a stream that no host knows waits for the store to be read, in
+ * milliseconds: several times what the store takes while it is well.
  */
-const LIST_READ_TIMEOUT_MS = 500;
-
+const STORE_READ_TIMEOUT_MS = 500;
 const ANYWHERE: StreamContinuation = {kind: 'anywhere'};
 const UNKNOWN: StreamContinuation = {kind: 'unknown'};
 
@@ -178,9 +183,15 @@
    */
   record(stream: string, origin: StreamOrigin): void {
     this.origins.set(stream, origin);
+    this.context.record.begin(stream, origin);
     this.teller.record(stream, origin);
   }
 
+  /** @param stream - ID of a stream that its caller has got to its end. */
+  recordEnd(stream: string): void {
+    this.context.record.end(stream);
+  }
+
   /** Tells the hosts that are to know of streams of this one and do not. */
   tell(): void {
     this.teller.tellAll();
@@ -196,19 +207,7 @@
     service: string,
     stream: string | undefined,
   ): Promise<StreamFinding> {
-    let answers = NO_ANSWERS;
-    const finding = (evidence: StreamEvidence, origin?: StreamOrigin) => ({
-      ...this.counted(service, evidence, origin),
-      knowledge: this.knowledge(service, answers),
-    });
-    const known = stream === undefined ? undefined : this.origins.get(stream);
-    if (known) return finding('known', known);
-    answers = await this.ask(service, stream);
-    if (answers.began) return finding('learned', answers.began);
-    const isRead = await this.readTargets(service);
-    const softwareVersion = this.onlyPossible(service, answers, isRead);
-    if (softwareVersion === undefined) return finding('unknown');
-    return finding('inferred', {service, softwareVersion});
+    return this.counted((await this.find(service, stream)).finding);
   }
 
   /** @param message - A message of another host. */
@@ -226,6 +225,30 @@
     }
   }
 
+  /** @returns What is known now, and whether more may be known soon. */
+  private async find(
+    service: string,
+    stream: string | undefined,
+  ): Promise<{finding: StreamFinding; isDecided: boolean}> {
+    let answers = NO_ANSWERS;
+    const decided = (evidence: StreamEvidence, origin?: StreamOrigin) => {
+      const finding = this.finding(service, evidence, answers, origin);
+      return {finding, isDecided: true};
+    };
+    const known = stream === undefined ? undefined : this.origins.get(stream);
+    if (known) return decided('known', known);
+    answers = await this.ask(service, stream);
+    if (answers.began) return decided('learned', answers.began);
+    const recorded = await this.readRecord();
+    const origin =
+      stream === undefined ? undefined : recorded?.origins.get(stream);
+    if (origin) return decided('recorded', origin);
+    if (!recorded) return {...decided('unknown'), isDecided: false};
+    const softwareVersion = await this.onlyPossible(service, answers, recorded);
+    if (softwareVersion === undefined) return decided('unknown');
+    return decided('inferred', {service, softwareVersion});
+  }
+
   private answer({host, askId, service, stream}: StreamVersionAsk): void {
     const {self, peer, directory, send} = this.context;
     const to = peer(host);
@@ -236,10 +259,9 @@
       service: origin.service,
       softwareVersion: origin.softwareVersion,
     };
-    const only = directory.onlyVersion(service);
     const hasSeveral = directory.versionView(service).kind === 'several';
     const {listAgeMs} = directory;
-    const answer = {askId, began, only, hasSeveral, host: self.id, listAgeMs};
+    const answer = {askId, began, hasSeveral, host: self.id, listAgeMs};
     send({kind: 'answer', ...answer}, [to]);
   }
 
@@ -255,36 +277,41 @@
   }
 
   /**
-   * @param isRead - Whether this host has read the list of targets since the
-   *     stream was taken up. A list that is older may lack the version at which
-   *     it began.
+   * What hosts have recorded tells of each version at which streams can have
+   * begun, because they record it before they use it. The list of targets stands
+   * in where nothing is recorded of the service, as by earlier releases.
+   *
    * @returns The only version at which a stream of the service can have begun
    *     that no host knows; undefined if there may be several.
    */
-  private onlyPossible(
+  private async onlyPossible(
     service: string,
-    answers: StreamVersionAnswers,
-    isRead: boolean,
-  ): string | undefined {
-    if (answers.hasSeveral) return undefined;
-    const view = this.context.directory.versionView(service);
-    const possible = new Set(answers.only);
-    if (isRead && (view.kind === 'only' || view.kind === 'only-lately'))
-      possible.add(view.softwareVersion);
+    {hasSeveral}: StreamVersionAnswers,
+    {versions}: RecordedStreams,
+  ): Promise<string | undefined> {
+    if (hasSeveral) return undefined;
+    const possible = versions.get(service);
+    if (!possible) return this.onlyListed(service);
     const [first, ...others] = possible;
     return others.length === 0 ? first : undefined;
   }
 
-  /**
-   * @returns Whether the list of targets has been read anew. It is read only if
-   *     it may tell at which version a stream of the service began.
-   */
-  private async readTargets(service: string): Promise<boolean> {
-    const {clock, directory, readTargets} = this.context;
-    const {kind} = directory.versionView(service);
-    if (kind !== 'only' && kind !== 'only-lately') return false;
-    const timeout = sleep(clock, LIST_READ_TIMEOUT_MS).then(() => false);
-    return Promise.race([readTargets(), timeout]);
+  /** @returns The only version in the list, if it has been read anew. */
+  private async onlyListed(service: string): Promise<string | undefined> {
+    const {directory, readTargets} = this.context;
+    if (!(await this.inTime(readTargets(), false))) return undefined;
+    const view = directory.versionView(service);
+    return 'softwareVersion' in view ? view.softwareVersion : undefined;
+  }
+
+  private readRecord(): Promise<RecordedStreams | undefined> {
+    return this.inTime(this.context.readRecord(), undefined);
+  }
+
+  private inTime<T>(read: Promise<T>, otherwise: T): Promise<T> {
+    const {clock} = this.context;
+    const timeout = sleep(clock, STORE_READ_TIMEOUT_MS).then(() => otherwise);
+    return Promise.race([read, timeout]);
   }
 
   private hosts(): HostRing<P> {
@@ -297,16 +324,22 @@
     return this.ring;
   }
 
-  private counted(
+  private finding(
     service: string,
     evidence: StreamEvidence,
+    answers: StreamVersionAnswers,
     origin: StreamOrigin | undefined,
-  ): Omit<StreamFinding, 'knowledge'> {
-    const {counters, directory} = this.context;
-    const {kind: listed} = directory.versionView(service);
-    counters.count('streams_taken_up', {outcome: evidence, listed});
+  ): StreamFinding {
+    const {kind: listed} = this.context.directory.versionView(service);
     const continuation = origin ? continuationAt(service, origin) : UNKNOWN;
-    return {continuation, evidence, listed};
+    const knowledge = this.knowledge(service, answers);
+    return {continuation, evidence, listed, knowledge};
+  }
+
+  private counted(finding: StreamFinding): StreamFinding {
+    const {evidence: outcome, listed} = finding;
+    this.context.counters.count('streams_taken_up', {outcome, listed});
+    return finding;
   }
 
   private knowledge(
@@ -329,8 +362,8 @@
 }
 
 function hostAnswer(answer: StreamVersionAnswer): HostAnswer {
-  const {host, began, only, hasSeveral, listAgeMs} = answer;
-  return {host, began: began?.softwareVersion, only, hasSeveral, listAgeMs};
+  const {host, began, hasSeveral, listAgeMs} = answer;
+  return {host, began: began?.softwareVersion, hasSeveral, listAgeMs};
 }
 
 /**
--- a/packages/gateway/src/lib/request/online_request.ts
+++ b/packages/gateway/src/lib/request/online_request.ts
@@ -241,6 +241,7 @@
         return this.finish('answered', outcome.head.status, target);
       case 'streamed':
         this.writer.endStream(outcome.head);
+        this.stream.end();
         return this.finish('streamed', undefined, target);
       case 'declined':
         this.declines++;
--- a/packages/gateway/src/lib/request/stream_continuation.ts
+++ b/packages/gateway/src/lib/request/stream_continuation.ts
@@ -13,7 +13,10 @@
 /** Dependencies of {@link StreamContinuation}. */
 export interface StreamContinuationContext {
   readonly log: EventLog;
-  readonly streamVersions: Pick<StreamVersions, 'record' | 'continuationOf'>;
+  readonly streamVersions: Pick<
+    StreamVersions,
+    'record' | 'recordEnd' | 'continuationOf'
+  >;
 }
 
 /** The request whose response may be a stream. */
@@ -82,13 +85,25 @@
     };
   }
 
+  /** Records that the caller has got the whole stream. */
+  end(): void {
+    const {streamId} = this;
+    if (streamId !== undefined) this.context.streamVersions.recordEnd(streamId);
+  }
+
   /** Records where the stream begins, before its caller gets anything of it. */
   private begin({service, softwareVersion}: Target): void {
-    const {metadata, isResumable, search} = this.request;
+    const {streamId} = this;
+    this.request.search.restrictTo(softwareVersion);
+    if (streamId === undefined) return;
+    this.context.streamVersions.record(streamId, {service, softwareVersion});
+  }
+
+  /** ID of the attempt that got its first event; undefined if none may follow. */
+  private get streamId(): string | undefined {
+    const {metadata, isResumable} = this.request;
     const {requestId, lastEventId, resumes} = metadata;
-    search.restrictTo(softwareVersion);
-    const stream = lastEventId === undefined ? requestId : resumes;
-    if (stream === undefined || !isResumable) return;
-    this.context.streamVersions.record(stream, {service, softwareVersion});
+    if (!isResumable) return undefined;
+    return lastEventId === undefined ? requestId : resumes;
   }
 }
--- a/packages/gateway/src/test/process/stream_versions_test.ts
+++ b/packages/gateway/src/test/process/stream_versions_test.ts
@@ -1,4 +1,5 @@
-import {NO_COUNTERS, NO_EVENT_LOG} from '@oathead/core';
+import {failure, NO_COUNTERS, NO_EVENT_LOG} from '@oathead/core';
+import {MemoryRowStore, type RowStore} from '@oathead/stores';
 import test from 'ava';
 import {
   decodeStreamVersion,
@@ -7,7 +8,9 @@
 } from '../../lib/connection/stream_version_message.js';
 import {HostRing} from '../../lib/process/host_ring.js';
 import type {LoadPeer} from '../../lib/process/load_reporter.js';
+import {RecordedStreamsReader} from '../../lib/process/recorded_streams.js';
 import {STREAM_LIFETIME_MS} from '../../lib/process/service_versions.js';
+import {StreamRecord} from '../../lib/process/stream_record.js';
 import {StreamVersions} from '../../lib/process/stream_versions.js';
 import {TargetDirectory} from '../../lib/process/target_directory.js';
 import {FakeClock} from '../fakes/fake_clock.js';
@@ -29,6 +32,7 @@
 class Fleet {
   readonly clock = new FakeClock();
   readonly hosts = new Map<string, Host>();
+  readonly rows = new MemoryRowStore(this.clock);
   readonly sent: StreamVersionMessage[] = [];
   isDelivered: (message: StreamVersionMessage, to: string) => boolean = () =>
     true;
@@ -81,6 +85,19 @@
     return this.isStoreReached && !this.cutOff.has(name);
   }
 
+  /** @returns The store, as a host reaches it. */
+  storeOf(name: string): Pick<RowStore, 'transact' | 'read' | 'storeTimeMs'> {
+    const {rows} = this;
+    const refused = failure({kind: 'refused', message: 'cut off'} as const);
+    const isReached = () => this.reachesStore(name);
+    return {
+      transact: async transaction =>
+        isReached() ? rows.transact(transaction) : refused,
+      read: async query => (isReached() ? rows.read(query) : refused),
+      storeTimeMs: () => rows.storeTimeMs(),
+    };
+  }
+
   /** Whether datagrams pass between two hosts. */
   isLinked(a: string, b: string): boolean {
     return this.cutOff.has(a) === this.cutOff.has(b);
@@ -95,6 +112,7 @@
 class Host {
   readonly directory: TargetDirectory;
   readonly versions: StreamVersions;
+  private readonly record: StreamRecord;
 
   constructor(
     fleet: Fleet,
@@ -108,7 +126,20 @@
       [...fleet.hosts.values()]
         .map(host => host.self)
         .filter(peer => peer !== self);
+    const store = fleet.storeOf(name);
+    this.record = new StreamRecord({
+      memberId: self.id,
+      clock,
+      log,
+      store,
+      maxWritesPerS: 100,
+      hosts: () => fleet.hosts.size,
+      listedVersions: () => this.directory.versions.allSeen(),
+    });
+    const recorded = new RecordedStreamsReader({clock, log, store});
     this.versions = new StreamVersions({
+      record: this.record,
+      readRecord: () => recorded.read(),
       self,
       clock,
       log,
@@ -137,6 +168,7 @@
   list(softwareVersion: string): void {
     const id = `t-${softwareVersion}`;
     this.directory.put(newTarget(id, {service: SERVICE, softwareVersion}));
+    void this.record.announce({service: SERVICE, softwareVersion});
   }
 
   /** What may be done with a stream; asks that get no answer time out. */
@@ -164,7 +196,7 @@
 }
 
 async function settlePromises(): Promise<void> {
-  for (let turn = 0; turn < 10; turn++) await Promise.resolve();
+  for (let turn = 0; turn < 60; turn++) await Promise.resolve();
 }
 
 /** A fleet that follows a list of two software versions. */
@@ -281,20 +313,53 @@
   t.is(clock.now() - since, 160);
 });
 
-// Guards against refusals by a host that has just started and has not followed
-// the list for long enough, while all others know that there is one version.
-test('a host that has just started relies on what others have seen', async t => {
+// Guards against refusals by a host that has just started, when a second version
+// is listed and no host was told of the stream.
+test('a host that has just started finds in the store where a stream began', async t => {
   const fleet = new Fleet(3);
   fleet.list('v1');
   fleet.follow(STREAM_LIFETIME_MS);
+  fleet.isDelivered = () => false;
+  fleet.get('h0').versions.record('one', FIRST);
+  fleet.clock.advance(READ_INTERVAL_MS);
+  await settlePromises();
   const started = fleet.start('h1');
   started.list('v1');
   started.list('v2');
   t.deepEqual(await started.continuationOf(fleet, 'one'), AT_FIRST);
+  const unknown = await started.continuationOf(fleet, 'unrecorded');
+  t.deepEqual(unknown, {kind: 'unknown'});
+});
+
+// Guards against the loss of what all hosts knew, at once, while both versions
+// serve.
+test('streams are known after all hosts are lost', async t => {
+  const fleet = newMixedFleet();
+  for (const [i, id] of streamIds().entries())
+    fleet.get(`h${i % 9}`).versions.record(id, FIRST);
+  fleet.clock.advance(READ_INTERVAL_MS);
+  await settlePromises();
+  for (const name of [...fleet.hosts.keys()]) fleet.start(name);
+  fleet.list('v1');
+  fleet.list('v2');
+  for (const id of streamIds())
+    t.deepEqual(await fleet.get('h1').continuationOf(fleet, id), AT_FIRST);
+});
+
+// Guards against a stream of two software versions: all hosts are lost, and the
+// only version that is left is taken for the one that began it.
+test('a version that hosts have recorded counts after it has left the list', async t => {
+  const fleet = new Fleet(3);
+  fleet.list('v1');
+  fleet.follow(STREAM_LIFETIME_MS);
+  await settlePromises();
+  for (const name of [...fleet.hosts.keys()]) fleet.start(name);
+  fleet.list('v2');
+  fleet.follow(STREAM_LIFETIME_MS);
+  const found = await fleet.get('h1').continuationOf(fleet, 'unrecorded');
+  t.deepEqual(found, {kind: 'unknown'});
 });
 
-// Guards against refusals where all hosts have just started: nothing can be
-// joined wrongly if there is one version only.
 // Guards against a stream of two software versions: two hosts that are cut off
 // together take each other's old list for what is listed now.
 test('hosts that are cut off together rely on no list of each other', async t => {
@@ -326,10 +391,11 @@
   const ids = others.map(({self}) => self.id).sort();
   t.deepEqual([...knowledge.asked].sort(), ids);
   t.deepEqual(knowledge.answers.map(({host}) => host).sort(), ids);
-  for (const {only, listAgeMs} of knowledge.answers)
-    t.deepEqual({only, listAgeMs}, {only: 'v1', listAgeMs: 0});
+  for (const {listAgeMs} of knowledge.answers) t.is(listAgeMs, 0);
 });
 
+// Guards against refusals where all hosts have just started: nothing can be
+// joined wrongly if there is one version only.
 test('a stream goes on at the only version that is listed', async t => {
   const fleet = new Fleet(3);
   fleet.list('v1');
--- a/packages/serving/src/lib/process/serving_components.ts
+++ b/packages/serving/src/lib/process/serving_components.ts
@@ -6,6 +6,7 @@
   type DisposableStore,
 } from '@oathead/core';
 import {
+  AnnouncedTargets,
   CallerAdmission,
   CallerRetryDetector,
   ConnectionPool,
@@ -14,6 +15,7 @@
   CrashSuspects,
   PreferredTargets,
   PromptSuspects,
+  RecordedStreamsReader,
   HostSocket,
   LateQueue,
   LoadExchange,
@@ -31,6 +33,7 @@
   ShareAdmission,
   SpeedExchange,
   StoredAheadRecord,
+  StreamRecord,
   TargetChooser,
   TargetDirectory,
   TargetSpeeds,
@@ -69,6 +72,8 @@
   readonly peers: PeerClients;
   readonly routing: RoutingState;
   readonly directory: TargetDirectory;
+  readonly announcedTargets: AnnouncedTargets;
+  readonly streamRecord: StreamRecord;
   readonly membership: Membership;
   readonly socket: HostSocket;
   readonly exchange: LoadExchange;
@@ -85,23 +90,35 @@
   readonly jobOperations: JobOperations;
 }
 
+/**
+ * Part of the writes that the store takes which may record where streams begin.
+ */
+const STREAM_RECORD_WRITE_SHARE = 0.15;
 /** Interval at which the health records of targets decay, in milliseconds. */
 const HEALTH_DECAY_INTERVAL_MS = 1000;
 
+/** What the components need of the watched tables. */
+export interface FeedAccess {
+  /** Reads the list of targets; returns whether it was read. */
+  readonly readTargets: () => Promise<boolean>;
+  /** Called when targets have come into use later than they were listed. */
+  readonly onTargetsReleased: () => void;
+}
+
 /**
  * Creates the components of a serving process.
  *
  * @param platform - What the platform provides.
  * @param context - Clock, randomness, log, counters and tracer.
  * @param disposables - Owns the components.
- * @param readTargets - Reads the list of targets; returns whether it was read.
+ * @param feeds - What the components need of the tables.
  * @returns The components; none of them is started.
  */
 export function createServingComponents(
   platform: ServingPlatform,
   context: ServingContext,
   disposables: DisposableStore,
-  readTargets: () => Promise<boolean>,
+  feeds: FeedAccess,
 ): ServingComponents {
   const {clock, log, random} = context;
   const {identity} = platform;
@@ -248,12 +265,33 @@
     quotas,
     counters,
   });
+  const streamRecord = disposables.add(
+    new StreamRecord({
+      ...context,
+      memberId: self.id,
+      store,
+      maxWritesPerS: platform.storeWritesPerS * STREAM_RECORD_WRITE_SHARE,
+      hosts,
+      listedVersions: () => directory.versions.allSeen(),
+    }),
+  );
+  const announcedTargets = disposables.add(
+    new AnnouncedTargets({
+      ...context,
+      directory,
+      record: streamRecord,
+      onReleased: feeds.onTargetsReleased,
+    }),
+  );
+  const recordedStreams = new RecordedStreamsReader({...context, store});
   const streamVersions = disposables.add(
     createStreamVersions(socket, {
       ...context,
       self,
       directory,
-      readTargets,
+      readTargets: feeds.readTargets,
+      record: streamRecord,
+      readRecord: () => recordedStreams.read(),
       peers: () => membership.peers().map(hostPeerOf),
       peer,
     }),
@@ -314,6 +352,8 @@
     peers,
     routing,
     directory,
+    announcedTargets,
+    streamRecord,
     membership,
     socket,
     exchange,
--- a/packages/serving/src/lib/process/serving_platform.ts
+++ b/packages/serving/src/lib/process/serving_platform.ts
@@ -91,6 +91,8 @@
   tunables(): ServingTunables;
   readonly store: RowStore;
   readonly storeLimits: StoreLimits;
+  /** Writes that the store takes from all hosts together, per second. */
+  readonly storeWritesPerS: number;
   readonly protocol: TargetProtocol;
   readonly config: SourceTable<RoutingTable>;
   readonly targets: SourceTable<Target>;
--- a/packages/serving/src/lib/process/serving_process.ts
+++ b/packages/serving/src/lib/process/serving_process.ts
@@ -57,7 +57,10 @@
       platform,
       context,
       this.disposables,
-      () => this.feeds.readTargets(),
+      {
+        readTargets: () => this.feeds.readTargets(),
+        onTargetsReleased: () => this.becomeReadyIfPrepared(),
+      },
     );
     const {store, routing, online, jobOperations} = this.components;
     this.feeds = this.disposables.add(
@@ -97,8 +100,8 @@
       scheduler,
       peers,
     } = this.components;
-    const {socket, exchange, speedExchange, quotas, streamVersions} =
-      this.components;
+    const {socket, exchange, speedExchange, quotas} = this.components;
+    const {streamRecord, streamVersions} = this.components;
     this.context.log.event('process-started', {
       member: membership.self.id,
       dataCentre: identity.dataCentre,
@@ -116,6 +119,7 @@
       exchange,
       speedExchange,
       quotas,
+      streamRecord,
       streamVersions,
       jobOwnership,
       garbageCollector,
--- a/packages/serving/src/lib/process/table_feeds.ts
+++ b/packages/serving/src/lib/process/table_feeds.ts
@@ -7,6 +7,7 @@
 import {
   MEMBER_TABLE,
   SUSPECT_TABLE,
+  type AnnouncedTargets,
   type CrashSuspects,
   type Membership,
   type PromptSuspects,
@@ -36,6 +37,7 @@
   readonly freshness: FreshnessLease;
   readonly routing: RoutingState;
   readonly directory: TargetDirectory;
+  readonly announcedTargets: AnnouncedTargets;
   readonly membership: Membership;
   readonly crashSuspects: CrashSuspects;
   readonly promptSuspects: PromptSuspects;
@@ -235,22 +237,22 @@
   }
 
   private updateTargets({put, removed, storeTimeMs}: TableUpdate): void {
-    const {directory} = this.consumers;
+    const {directory, announcedTargets} = this.consumers;
     // Entries that a peer has handed over may be as old as its copy.
     const isSeeded = storeTimeMs === SEEDED_STORE_TIME_MS;
     const isAfterOutage = !isSeeded && directory.recordListRead();
     const graceMs = isAfterOutage ? EXPIRED_TARGET_GRACE_MS : 0;
-    for (const {key} of removed) directory.remove(key, graceMs);
+    for (const {key} of removed) announcedTargets.remove(key, graceMs);
     for (const row of put) {
       const target = this.platform.targets.decode(row);
       if (!target) continue;
       if (target.ok) {
-        directory.put(target.value);
+        announcedTargets.put(target.value);
         this.unreadableRows.delete(unreadableRowKey('target', row.key));
         continue;
       }
       // An entry that cannot be decoded does not describe a usable target.
-      directory.remove(row.key, 0);
+      announcedTargets.remove(row.key, 0);
       this.reportUnreadableRow('target', row.key, target.err.message);
     }
     this.onTargets();
