The record of streams waits until the time of the store is known

A row that was written before the first response of the store bore the time 0: others counted it as long out of date, while its host took its versions for announced. Nothing is written until the time is known. Test: 'the record waits until the time of the store is known' fails without the change.

--- a/packages/gateway/src/lib/process/stream_record.ts
+++ b/packages/gateway/src/lib/process/stream_record.ts
@@ -170,10 +170,13 @@
 
   private async write(): Promise<void> {
     if (this.isWriting || !this.isDirty || this.disposables.disposed) return;
+    this.lastWriteAt = this.context.clock.now();
+    const writtenAtMs = this.context.store.storeTimeMs();
+    // A row without its age would count for nobody.
+    if (writtenAtMs === undefined) return this.scheduleWrite();
     this.isWriting = true;
     this.isDirty = false;
-    this.lastWriteAt = this.context.clock.now();
-    const row = this.row();
+    const row = this.row(writtenAtMs);
     this.withdrawMissing(row);
     const error = await this.put(row);
     this.isWriting = false;
@@ -229,9 +232,8 @@
     else log.event('streams-recorded', {streams: this.streams.size});
   }
 
-  private row(): StreamRow {
+  private row(writtenAtMs: number): StreamRow {
     this.dropOld();
-    const writtenAtMs = this.context.store.storeTimeMs() ?? 0;
     const begun = new Map<string, BegunStreams & {streams: string[]}>();
     for (const origin of this.versions())
       begun.set(keyOf(origin), {...origin, streams: []});
--- a/packages/gateway/src/test/process/stream_record_test.ts
+++ b/packages/gateway/src/test/process/stream_record_test.ts
@@ -30,6 +30,7 @@
   readonly written: RowTransaction[] = [];
   hosts = 1;
   listed = [V1];
+  isStoreTimeKnown = true;
   transact: Transact = transaction => this.rows.transact(transaction);
   readonly record = new StreamRecord({
     memberId: MEMBER,
@@ -40,7 +41,8 @@
         this.written.push(transaction);
         return this.transact(transaction);
       },
-      storeTimeMs: () => this.rows.storeTimeMs(),
+      storeTimeMs: () =>
+        this.isStoreTimeKnown ? this.rows.storeTimeMs() : undefined,
     },
     maxWritesPerS: MAX_WRITES_PER_S,
     hosts: () => this.hosts,
@@ -100,6 +102,18 @@
   t.deepEqual(await fixture.versions(), ['v1']);
 });
 
+// Guards against a row that counts as written long ago, so that nobody reads it.
+test('the record waits until the time of the store is known', async t => {
+  const fixture = new Fixture();
+  fixture.isStoreTimeKnown = false;
+  void fixture.record.announce(V1);
+  await fixture.wait(1000);
+  t.false(fixture.record.isAnnounced(V1));
+  fixture.isStoreTimeKnown = true;
+  await fixture.wait(1000);
+  t.true(fixture.record.isAnnounced(V1));
+});
+
 // Guards against a version that counts as announced after it has been taken out
 // of the row, when it is listed again.
 test('a version that has left is announced anew', async t => {
