--- a/packages/gateway/src/lib/process/stream_versions.ts
+++ b/packages/gateway/src/lib/process/stream_versions.ts
@@ -13,7 +13,6 @@
 } from '@oathead/core';
 import type {
   StreamOrigin,
-  StreamVersionAnswer,
   StreamVersionAsk,
   StreamVersionMessage,
 } from '../connection/stream_version_message.js';
@@ -21,6 +20,13 @@
 import type {LoadPeer} from './load_reporter.js';
 import type {RecordedStreams} from './recorded_streams.js';
 import type {StreamRecord} from './stream_record.js';
+import {
+  continuationAt,
+  hostAnswer,
+  type StreamEvidence,
+  type StreamFinding,
+  type StreamKnowledge,
+} from './stream_finding.js';
 import {StreamOrigins} from './stream_origins.js';
 import {StreamTeller} from './stream_teller.js';
 import {
@@ -28,67 +34,7 @@
   StreamVersionAsker,
   type StreamVersionAnswers,
 } from './stream_version_asker.js';
-import type {TargetDirectory, VersionView} from './target_directory.js';
-
-/** How a host came to what may be done with a stream. */
-export type StreamEvidence =
-  /** This host knows the stream. */
-  | 'known'
-  /** Another host knew it. */
-  | 'learned'
-  /** The record in the store knew it. */
-  | 'recorded'
-  /** Nobody knows it, but it can have begun at one version only. */
-  | 'inferred'
-  | 'unknown';
-
-/** A decision and the knowledge behind it, for the log. */
-export interface StreamFinding {
-  readonly continuation: StreamContinuation;
-  readonly evidence: StreamEvidence;
-  /** What the list of targets says of the versions of the service. */
-  readonly listed: VersionView['kind'];
-  readonly knowledge: StreamKnowledge;
-}
-
-/** What a decision on a stream could rest on, for the log. */
-export interface StreamKnowledge {
-  /** How long this host has been up, in milliseconds. */
-  readonly upMs: number;
-  /** Time since it has read the list of targets, in milliseconds. */
-  readonly listAgeMs: number | undefined;
-  /** The versions of the service that it has known within a stream's life. */
-  readonly versions: readonly KnownVersion[];
-  /** IDs of the hosts that were asked. */
-  readonly asked: readonly string[];
-  /** What they answered. */
-  readonly answers: readonly HostAnswer[];
-}
-
-/** A version that this host has known. */
-export type KnownVersion = Readonly<{
-  softwareVersion: string;
-  /** Since when, in milliseconds ago. */
-  knownMs: number;
-}>;
-
-/** What one host has answered. */
-export type HostAnswer = Readonly<{
-  host: string | undefined;
-  began: string | undefined;
-  hasSeveral: boolean | undefined;
-  /** How old its list of targets was, in milliseconds. */
-  listAgeMs: number | undefined;
-}>;
-
-/** What may be done with a stream that has begun. */
-export type StreamContinuation =
-  /** Nothing can be joined wrongly. */
-  | {readonly kind: 'anywhere'}
-  /** Only targets of this version may go on with it. */
-  | {readonly kind: 'at-version'; readonly softwareVersion: string}
-  /** The version cannot be learned. */
-  | {readonly kind: 'unknown'};
+import type {TargetDirectory} from './target_directory.js';
 
 /** Dependencies of {@link StreamVersions}. */
 export interface StreamVersionsContext<P extends LoadPeer> {
@@ -141,9 +87,6 @@
 const OUT_OF_TOUCH_PATIENCE_MS = 1000;
 const RETRY_PAUSE_MS = 200;
 
-const ANYWHERE: StreamContinuation = {kind: 'anywhere'};
-const UNKNOWN: StreamContinuation = {kind: 'unknown'};
-
 /** The streams of one host, and what it knows of those of others. */
 export class StreamVersions<
   P extends LoadPeer = LoadPeer,
@@ -345,7 +288,7 @@
     origin: StreamOrigin | undefined,
   ): StreamFinding {
     const {kind: listed} = this.context.directory.versionView(service);
-    const continuation = origin ? continuationAt(service, origin) : UNKNOWN;
+    const continuation = continuationAt(service, origin);
     const knowledge = this.knowledge(service, answers);
     return {continuation, evidence, listed, knowledge};
   }
@@ -362,34 +305,15 @@
   ): StreamKnowledge {
     const {clock, directory} = this.context;
     const known = directory.versions.knownForMs(service);
-    const versions = [...known].map(([softwareVersion, ms]) => {
-      return {softwareVersion, knownMs: Math.round(ms)};
-    });
     return {
       upMs: Math.round(clock.now() - this.startedAt),
       listAgeMs: directory.listAgeMs,
-      versions,
+      versions: [...known].map(([softwareVersion, ms]) => ({
+        softwareVersion,
+        knownMs: Math.round(ms),
+      })),
       asked,
       answers: received.map(hostAnswer),
     };
   }
 }
-
-function hostAnswer(answer: StreamVersionAnswer): HostAnswer {
-  const {host, began, hasSeveral, listAgeMs} = answer;
-  return {host, began: began?.softwareVersion, hasSeveral, listAgeMs};
-}
-
-/**
- * Versions are those of one service: what has moved to another one is not
- * bound by them.
- */
-function continuationAt(
-  service: string,
-  origin: StreamOrigin,
-): StreamContinuation {
-  const {softwareVersion} = origin;
-  return origin.service === service
-    ? {kind: 'at-version', softwareVersion}
-    : ANYWHERE;
-}
