A stream goes on after its last event, also if a comment follows it

Cause: of the events that arrive together only the last one was asked for its number. A comment has none, so the events before it did not count: when the stream broke off then, the next target was asked to go on before them.

What callers saw: events twice in one answer of a stream that may be resumed, answered 200 and complete.

Change: the last event that has a number counts.

Tests: response_writer_test failed before (3 in place of 4). Real programs, broken_stream_test before the fix: in each of the three 'a stream that is broken off ... is whole' (in chunks reset or closed, without a length) events 1 and 2 came twice where the break follows the comment; all 11 tests of the file pass with it. The other tests of the file passed before as well: a stream that its caller takes up two times and more, and targets that go on with event n, event n + 2 or all events.

--- a/packages/gateway/src/lib/request/response_writer.ts
+++ b/packages/gateway/src/lib/request/response_writer.ts
@@ -69,7 +69,9 @@
   /** {@inheritDoc EventSink.events} */
   events(events: readonly StreamEvent[], head: ResponseHead): boolean {
     if (!this.hasStarted) this.writeHead(head);
-    this.lastWrittenId = events.at(-1)!.id ?? this.lastWrittenId;
+    // A comment that follows an event has no number.
+    const numbered = events.findLast(({id}) => id !== undefined);
+    this.lastWrittenId = numbered?.id ?? this.lastWrittenId;
     const bytes = events.map(event => event.bytes);
     // What is written now doesn't count: the caller had no time to read it.
     const unreadBytes = this.res.writableLength;
