A stream is not joined with events that have no numbers

Cause: only numbers were compared. Events without one passed wherever they came: as those of a target that was asked to go on after event n, and as the ones after which a stream that had brought none was asked for once more.

What callers saw: a stream with its events twice, answered 200 and complete, if a target numbers none of its events or forgets to when it goes on.

Change: a run that is to go on begins with the number that is due, before any data (comments may come first). No run is asked to go on after data without a number: the answer is broken off, and the caller may come back.

--- a/packages/gateway/src/lib/request/online_request.ts
+++ b/packages/gateway/src/lib/request/online_request.ts
@@ -295,6 +295,7 @@
     const {route} = this.admitted;
     return (
       this.isRepeatable &&
+      this.writer.canGoOn &&
       this.runs + 1 < route.maxAttempts &&
       !this.abortReason
     );
--- a/packages/gateway/src/lib/request/response_content.ts
+++ b/packages/gateway/src/lib/request/response_content.ts
@@ -1,6 +1,10 @@
 /** Content of a response as it arrives: a body, or the events of a stream. */
 import {failure, success, type Outcome} from '@oathead/core';
-import {EventSplitter, type StreamEvent} from './stream_events.js';
+import {
+  EventSplitter,
+  isUnnumberedData,
+  type StreamEvent,
+} from './stream_events.js';
 
 /**
  * Maximum size of a buffered response body, in bytes: twice the default limit
@@ -18,12 +22,16 @@
   private readonly splitter = new EventSplitter();
   private readonly chunks: Buffer[] = [];
   private bytes = 0;
+  /** Whether the stream goes on with another one, and has not done so yet. */
+  private hasToGoOn: boolean;
 
   /**
    * @param nextEventId - Number that the first event of a stream must have;
    *     undefined if unknown.
    */
-  constructor(private nextEventId: number | undefined) {}
+  constructor(private nextEventId: number | undefined) {
+    this.hasToGoOn = nextEventId !== undefined;
+  }
 
   /** The buffered body. */
   get body(): Buffer {
@@ -53,12 +61,16 @@
    */
   split(chunk: Buffer): Outcome<readonly StreamEvent[], string> {
     const events = this.splitter.push(chunk);
-    for (const {id} of events) {
+    for (const event of events) {
+      const {id} = event;
+      if (this.hasToGoOn && isUnnumberedData(event))
+        return failure(`no number in place of ${this.nextEventId}`);
       if (id === undefined) continue;
       const expected = this.nextEventId ?? id;
       if (id !== expected)
         return failure(`event ${id} in place of ${expected}`);
       this.nextEventId = id + 1;
+      this.hasToGoOn = false;
     }
     if (this.splitter.pendingBytes > MAX_EVENT_BYTES)
       return failure('event too large');
--- a/packages/gateway/src/lib/request/response_writer.ts
+++ b/packages/gateway/src/lib/request/response_writer.ts
@@ -6,7 +6,7 @@
 import type {ResponseHead, EventSink} from './exchange.js';
 import {endToEndHeaders} from './forwarded_headers.js';
 import {endsWithConnection} from './response_framing.js';
-import type {StreamEvent} from './stream_events.js';
+import {isUnnumberedData, type StreamEvent} from './stream_events.js';
 import type {Headers} from './target_protocol.js';
 
 /**
@@ -19,6 +19,7 @@
 /** Writes the response to one request. */
 export class ResponseWriter implements EventSink {
   private lastWrittenId: number | undefined;
+  private endsWithoutNumber = false;
   private startTime: number | undefined;
 
   /**
@@ -66,12 +67,15 @@
       : this.lastWrittenId + 1;
   }
 
+  /** Whether a run can be asked for the events that follow what was written. */
+  get canGoOn(): boolean {
+    return !this.endsWithoutNumber;
+  }
+
   /** {@inheritDoc EventSink.events} */
   events(events: readonly StreamEvent[], head: ResponseHead): boolean {
     if (!this.hasStarted) this.writeHead(head);
-    // A comment that follows an event has no number.
-    const numbered = events.findLast(({id}) => id !== undefined);
-    this.lastWrittenId = numbered?.id ?? this.lastWrittenId;
+    this.recordNumbers(events);
     const bytes = events.map(event => event.bytes);
     // What is written now doesn't count: the caller had no time to read it.
     const unreadBytes = this.res.writableLength;
@@ -140,6 +144,16 @@
     this.res.shouldKeepAlive = false;
   }
 
+  private recordNumbers(events: readonly StreamEvent[]): void {
+    // A comment that follows an event has no number.
+    const last = events.findLast(
+      event => event.id !== undefined || isUnnumberedData(event),
+    );
+    if (last) this.endsWithoutNumber = last.id === undefined;
+    const numbered = events.findLast(({id}) => id !== undefined);
+    this.lastWrittenId = numbered?.id ?? this.lastWrittenId;
+  }
+
   private writeHead(head: ResponseHead): void {
     this.startTime = this.now();
     this.res.writeHead(
--- a/packages/gateway/src/lib/request/stream_events.ts
+++ b/packages/gateway/src/lib/request/stream_events.ts
@@ -16,6 +16,7 @@
 const ID_LINE = /^id: ?(\d+)\r?$/m;
 const LINE_END = /\r\n|\n|\r/;
 const DATA_FIELD = /^data: ?/;
+const DATA_LINE = /^data(?::|$)/m;
 
 /** Splits a byte stream at the ends of its events. */
 export class EventSplitter {
@@ -87,6 +88,15 @@
     .join('\n');
 }
 
+/**
+ * @param event - An event of a stream.
+ * @returns Whether it is an event without a number, and not just a comment. No
+ *     run can be asked to go on after it.
+ */
+export function isUnnumberedData({id, bytes}: StreamEvent): boolean {
+  return id === undefined && DATA_LINE.test(bytes.toString('latin1'));
+}
+
 function parseEvent(bytes: Buffer): StreamEvent {
   const id = ID_LINE.exec(bytes.toString('latin1'))?.[1];
   return {id: id === undefined ? undefined : Number(id), bytes};
