A stream of a route without resumption is not joined with another run

Cause: a request that may be repeated was sent to another target with the last event number even if its answer was a stream that had begun, whether or not the route may be resumed.

What callers saw: pieces of two runs in one answer, 200 and complete, on a route that may be repeated but not resumed and answers with a stream.

Change: once a stream has begun, only a route with resumption goes on with it; else the answer is broken off, and the caller repeats it from the start.

Test: 'a stream of a route without resumption is not joined with another run' (real program) failed before: a whole answer of two runs.

--- a/packages/gateway/src/lib/request/online_request.ts
+++ b/packages/gateway/src/lib/request/online_request.ts
@@ -293,11 +293,11 @@
 
   private canRetry(): boolean {
     const {route} = this.admitted;
+    const mayRunAgain = this.writer.hasStarted
+      ? route.resumable && this.writer.canGoOn
+      : this.isRepeatable;
     return (
-      this.isRepeatable &&
-      this.writer.canGoOn &&
-      this.runs + 1 < route.maxAttempts &&
-      !this.abortReason
+      mayRunAgain && this.runs + 1 < route.maxAttempts && !this.abortReason
     );
   }
 
