A text of an item whose software version is not known starts afresh

A text may be older than that: the version that began it has left and is forgotten.

What callers saw: a result with the first part from one version and the rest from another, listed as succeeded.

Change: what is not known to fit is read anew. Texts with a version go on as before; a host that takes over from a build without versions runs these items from their start once.

'a text of unknown version starts afresh' is in place of one that asked for the going on, which is the fault; it allows less.

--- a/packages/jobs/src/lib/process/item_runner.ts
+++ b/packages/jobs/src/lib/process/item_runner.ts
@@ -95,9 +95,8 @@
     host: job.head.hostName,
   };
   work.runs++;
-  const {softwareVersion, service} = target;
-  const onlyVersion = context.directory.onlyVersion(service);
-  const isAfresh = continueAt(work, softwareVersion, onlyVersion);
+  const {softwareVersion} = target;
+  const isAfresh = continueAt(work, softwareVersion);
   const trace = new RequestTrace(context.tracer, 'item', headers, {
     job: job.head.id,
     item: item.id,
--- a/packages/jobs/src/lib/process/item_work.ts
+++ b/packages/jobs/src/lib/process/item_work.ts
@@ -146,21 +146,16 @@
 /**
  * Prepares an item for a run at a target. What targets of two software versions
  * send for one item does not fit together, so its text starts afresh if another
- * version has begun it.
+ * version has begun it, or if it is not known which one: a text may be stored for
+ * longer than versions that have left are known.
  *
  * @param work - An item that is about to run.
  * @param softwareVersion - Version of the target.
- * @param onlyVersion - The only version that its service has had lately;
- *   undefined if there were others.
  * @returns Whether a part of a text was dropped.
  */
-export function continueAt(
-  work: ItemWork,
-  softwareVersion: string,
-  onlyVersion: string | undefined,
-): boolean {
-  const begunAt = work.softwareVersion ?? onlyVersion;
-  const isDropped = work.texts.length > 0 && begunAt !== softwareVersion;
+export function continueAt(work: ItemWork, softwareVersion: string): boolean {
+  const isDropped =
+    work.texts.length > 0 && work.softwareVersion !== softwareVersion;
   if (isDropped) {
     work.lastEventId = undefined;
     work.texts = [];
--- a/packages/jobs/src/test/fakes/item_run_fixture.ts
+++ b/packages/jobs/src/test/fakes/item_run_fixture.ts
@@ -63,7 +63,7 @@
         requestHeaders: () => ({}),
       },
       promptSuspects: {blockedParts: () => this.blocked},
-      directory: {onlyVersion: () => 'v1', onRestarted: () => NOTHING},
+      directory: {onRestarted: () => NOTHING},
       loads: {begin: () => NOTHING, totalAt: () => ({online: 0, batch: 0})},
       overload: {speeds: {slownessAt: () => 1}},
       health: {recordFailure: () => {}},
--- a/packages/jobs/src/test/process/item_version_test.ts
+++ b/packages/jobs/src/test/process/item_version_test.ts
@@ -16,14 +16,14 @@
 
 test('a text goes on at the software version that began it', t => {
   const work = workBegunAt('v1');
-  t.false(continueAt(work, 'v1', undefined));
+  t.false(continueAt(work, 'v1'));
   t.like(work, {...TEXT, softwareVersion: 'v1'});
 });
 
 // Guards against a text that holds events of two software versions.
 test('a text starts afresh at another software version', t => {
   const work = workBegunAt('v1');
-  t.true(continueAt(work, 'v2', undefined));
+  t.true(continueAt(work, 'v2'));
   t.like(work, {
     lastEventId: undefined,
     texts: [],
@@ -34,14 +34,15 @@
 });
 
 // Guards against the same with a text that a build stored which does not record
-// versions.
-test('a text of unknown version goes on only while there is one version', t => {
-  t.false(continueAt(workBegunAt(undefined), 'v1', 'v1'));
-  t.true(continueAt(workBegunAt(undefined), 'v1', undefined));
+// versions: it may be older than all that is known of versions.
+test('a text of unknown version starts afresh', t => {
+  const work = workBegunAt(undefined);
+  t.true(continueAt(work, 'v1'));
+  t.like(work, {lastEventId: undefined, texts: [], softwareVersion: 'v1'});
 });
 
 test('an item without a text may run anywhere', t => {
   const work = newItemWork(0, ITEM, 0, undefined);
-  t.false(continueAt(work, 'v1', undefined));
+  t.false(continueAt(work, 'v1'));
   t.is(work.softwareVersion, 'v1');
 });
