A connection that cannot even be opened counts as refused by its target

Cause: what opening a connection throws went up through sendToTarget and ended the request; nothing suspended the target, which stayed the one with the least load, and no other one was tried. Callers saw: 500 within milliseconds; items were put back for a second each time. Change: sendToTarget never throws for it. The outcome is unsent, as after a refused connection: the target is suspended, another one is tried, no load stays behind, and connection-not-opened has the error.

--- a/packages/gateway/src/lib/request/target_send.ts
+++ b/packages/gateway/src/lib/request/target_send.ts
@@ -2,10 +2,18 @@
  * Sends a request to a target and records its effect on load, connections and
  * health.
  */
-import type {Clock, Counters, EventLog} from '@oathead/core';
+import {
+  failure,
+  success,
+  type Clock,
+  type Counters,
+  type EventLog,
+  type Outcome,
+} from '@oathead/core';
 import type {ConnectionPool} from '../connection/connection_pool.js';
 import {targetKey} from '../connection/load_message.js';
 import type {Target} from '../connection/target.js';
+import type {TargetConnection} from '../connection/target_connection.js';
 import type {Lane, LoadTable} from '../process/load_table.js';
 import type {ServiceHealth} from '../process/service_health.js';
 import type {ServiceOverload} from '../process/service_overload.js';
@@ -18,6 +26,7 @@
   type ExchangeOutcome,
   type TargetRequest,
 } from './exchange.js';
+import {reasonOf} from './exchange_outcome.js';
 import {RunMeasurement} from './run_measurement.js';
 import type {TargetProtocol} from './target_protocol.js';
 
@@ -51,6 +60,9 @@
 }
 
 /**
+ * Never throws: a target to which no connection can be opened counts as one that
+ * refuses connections.
+ *
  * @param context - Connections, loads and health of the targets.
  * @param target - The target.
  * @param lane - Whether the request counts as online or as batch load.
@@ -67,7 +79,9 @@
 ): ActiveSend {
   const {pool, loads, clock, protocol} = context;
   const run = new RunMeasurement(context, target, lane);
-  const connection = pool.acquire(target, req.requestId);
+  const acquired = acquire(context, target, req);
+  if (!acquired.ok) return unsent(context, target, lane, acquired.err);
+  const connection = acquired.value;
   const load = loads.begin(targetKey(target.id), lane);
   const now = () => clock.now();
   const onActivity = () => context.suspensions.recordActivity(target.id);
@@ -76,7 +90,8 @@
     sink: run.measured(sink),
     now,
     onActivity,
-    onError: err => logError(context, target, req, err),
+    onError: err =>
+      logError('response-handling-failed', context, target, req, err),
   });
   exchange.start();
   const sentAt = clock.now();
@@ -106,6 +121,38 @@
   return {control: exchange, end};
 }
 
+/**
+ * Guards against one target that ends each request which is sent to it, while
+ * others could serve it: a connection may not even be possible to open.
+ *
+ * @returns A connection, or why there is none.
+ */
+function acquire(
+  context: SendContext,
+  target: Target,
+  req: TargetRequest,
+): Outcome<TargetConnection, string> {
+  try {
+    return success(context.pool.acquire(target, req.requestId));
+  } catch (err) {
+    logError('connection-not-opened', context, target, req, err);
+    return failure(reasonOf(err));
+  }
+}
+
+/** @returns The end of a request for which there was no connection. */
+function unsent(
+  context: SendContext,
+  target: Target,
+  lane: Lane,
+  reason: string,
+): ActiveSend {
+  const outcome: ExchangeOutcome = {kind: 'unsent', reason};
+  recordOutcome(context, target, lane, outcome, undefined);
+  const control = {end: () => {}, silentMs: () => 0};
+  return {control, end: Promise.resolve(outcome)};
+}
+
 /**
  * Time to the first byte relative to the known speed of the target, in
  * milliseconds: a slow target is not faulty, and its lower speed counts
@@ -126,12 +173,13 @@
 }
 
 function logError(
+  event: string,
   {log}: SendContext,
   target: Target,
   {requestId}: TargetRequest,
   err: unknown,
 ): void {
-  log.event('response-handling-failed', {
+  log.event(event, {
     request: requestId,
     target: target.id,
     error: err instanceof Error ? err.stack : String(err),
--- a/packages/gateway/src/test/request/target_send_test.ts
+++ b/packages/gateway/src/test/request/target_send_test.ts
@@ -8,6 +8,7 @@
 import {newIncarnation, newTarget} from '../fakes/targets.js';
 
 const SINK = {events: () => true};
+const NO_LOAD = {online: 0, batch: 0};
 const COMPLETE_RESPONSE =
   'HTTP/1.1 200 OK\r\nid: r1\r\nseal: s\r\ncontent-length: 2\r\n\r\nok';
 const DECLINED_RESPONSE =
@@ -151,3 +152,23 @@
   context.directory.put(newIncarnation('i-1', 1000, {address: raw.address}));
   t.is((await end).kind, 'answered');
 });
+
+// Guards against a target that makes each request which is sent to it throw,
+// while others could serve it: no URL can hold its address. It must be suspended
+// like one that refuses connections, and no load may stay behind.
+for (const lane of ['online', 'batch'] as const)
+  test(`a target that no connection can be opened to fails a request as unsent (${lane})`, async t => {
+    const context = newSendContext();
+    const target = targetAt('[fe80::1%eth0]:80');
+    const {control, end} = sendToTarget(
+      context,
+      target,
+      lane,
+      requestTo('/a'),
+      SINK,
+    );
+    control.end('timeout');
+    t.like(await end, {kind: 'unsent', reason: 'ERR_INVALID_URL'});
+    t.true(context.suspensions.isFailing(target.id));
+    t.deepEqual(context.loads.totalAt(targetKey(target.id)), NO_LOAD);
+  });
--- a/packages/jobs/src/test/fakes/item_run_fixture.ts
+++ b/packages/jobs/src/test/fakes/item_run_fixture.ts
@@ -38,8 +38,10 @@
   nowMs = 0;
   /** Number of searches for a target. */
   searches = 0;
-  /** What taking a connection throws. */
+  /** What preparing a request to the target throws. */
   failure: Error | undefined;
+  /** What opening a connection to the target throws. */
+  connectFailure: Error | undefined;
   /** Keys of the blocked parts of each prompt. */
   blocked: readonly string[] = [];
   readonly suspensions: TargetSuspensions;
@@ -60,7 +62,7 @@
       tracer: trace.getTracer('test'),
       protocol: {
         readRequest: () => ({sharedParts: ['shared']}),
-        requestHeaders: () => ({}),
+        requestHeaders: () => this.headers(),
       },
       promptSuspects: {blockedParts: () => this.blocked},
       directory: {onlyVersion: () => 'v1', onRestarted: () => NOTHING},
@@ -81,8 +83,13 @@
     } as unknown as ItemStarterContext;
   }
 
-  private connect() {
+  private headers() {
     if (this.failure) throw this.failure;
+    return {};
+  }
+
+  private connect() {
+    if (this.connectFailure) throw this.connectFailure;
     return {
       client: {dispatch: () => true},
       carried: {add: () => true},
--- a/packages/jobs/src/test/process/item_runner_test.ts
+++ b/packages/jobs/src/test/process/item_runner_test.ts
@@ -59,3 +59,27 @@
   const last = await timeoutAfter([first - 1, 2 * first - 1, 4 * first - 1]);
   t.is(last, idleTimeoutMs(3));
 });
+
+// Guards against an item that a target to which no connection can be opened
+// holds up, and against a run of it that never ends: the target must count as
+// one that refuses connections, and the item as not sent.
+test('an item waits for another target if no connection can be opened', async t => {
+  const host = new ItemRunFixture();
+  const starter = new ItemStarter(host.context);
+  const candidate = newCandidate('i');
+  host.connectFailure = new Error('Invalid URL');
+  t.is(await starter.start(candidate, ROUTE), 'placed');
+  await setImmediate();
+  const {work} = candidate;
+  t.is(work.stage.kind, 'waiting');
+  t.is(work.failures, 0);
+  t.deepEqual(work.failedTargets, []);
+  t.true(host.suspensions.isFailing(TARGET_ID));
+  const ended = host.recorded.events.find(
+    ({name}) => name === 'item-run-ended',
+  );
+  t.like(ended, {end: 'unsent', target: TARGET_ID});
+  host.connectFailure = undefined;
+  t.is(await starter.start(candidate, ROUTE), 'placed');
+  t.is(work.stage.kind, 'running');
+});
--- a/packages/jobs/src/test/process/item_starter_test.ts
+++ b/packages/jobs/src/test/process/item_starter_test.ts
@@ -29,7 +29,7 @@
 test('an item that fails to start leaves the trial to others', async t => {
   const {host, starter} = newBlockingHost();
   const [first, second] = [newCandidate('first'), newCandidate('second')];
-  host.failure = new Error('no connection');
+  host.failure = new Error('no headers');
   await t.notThrowsAsync(starter.start(first, ROUTE));
   t.is(first.work.stage.kind, 'waiting');
   t.like(host.recorded.events.at(-1), {
