Rows of hosts with addresses that cannot be sent to are refused

Cause: the schema of a host's row took any integer as the port of its datagrams; sending to a port out of range throws in the loop that sends load reports, and nothing catches it. What was seen: one such row ends every host within a second of reading it, and again after each start. Change: a row needs an IPv4 address, a port from 1 to 65535 and a socket address for requests; otherwise it is left out as member-unreadable, logged once while it stays as it is, since its writer repeats it each second. A host whose row becomes unreadable keeps its lease to the end. The hosts of the tests have addresses that can be sent to.

--- a/packages/gateway/src/lib/process/member.ts
+++ b/packages/gateway/src/lib/process/member.ts
@@ -1,4 +1,6 @@
 /** The rows by which hosts know of each other. */
+import {isIPv4} from 'node:net';
+import {isSocketAddress} from '@oathead/core';
 import {z} from 'zod';
 
 /** A process incarnation on a host. */
@@ -52,14 +54,21 @@
   return id.slice(0, id.lastIndexOf('.'));
 }
 
-/** Schema of the rows of {@link MEMBER_TABLE}. */
+const MAX_PORT = 65_535;
+
+/**
+ * Schema of the rows of {@link MEMBER_TABLE}. The addresses are those that can be
+ * sent to: Node.js throws when a datagram is sent to a port out of range, which
+ * would end this process, and looks up anything that is no IP address for each
+ * datagram.
+ */
 export const MEMBER = z.object({
   id: z.string(),
   host: z.string(),
   dataCentre: z.string(),
-  ip: z.string(),
-  loadPort: z.number().int(),
-  controlAddress: z.string(),
+  ip: z.string().refine(isIPv4),
+  loadPort: z.number().int().positive().max(MAX_PORT),
+  controlAddress: z.string().refine(isSocketAddress),
   startedAtMs: z.number().optional(),
   replaces: z.string().optional(),
   isLeaving: z.boolean().optional(),
--- a/packages/gateway/src/lib/process/membership.ts
+++ b/packages/gateway/src/lib/process/membership.ts
@@ -16,6 +16,7 @@
 import {Incarnations, type HeartbeatMeaning} from './incarnations.js';
 import {silentMsIn} from './lease_gap.js';
 import {hostOfMember, MEMBER, type Member} from './member.js';
+import {UnreadableRows} from './unreadable_rows.js';
 
 /**
  * Maximum rate of heartbeat writes by all hosts together, per second: a tenth
@@ -71,6 +72,7 @@
   private readonly members = new Map<string, MemberRecord>();
   private readonly expired = new Set<string>();
   private readonly incarnations = new Incarnations();
+  private readonly unreadable: UnreadableRows;
   private storeTimeMs = 0;
 
   /**
@@ -81,6 +83,7 @@
     readonly self: Member,
     private readonly context: MembershipContext,
   ) {
+    this.unreadable = new UnreadableRows(context.log, 'member-unreadable');
     this.heartbeats = new HeartbeatSender(self, {
       ...context,
       knowsHosts: () => this.isInitialized,
@@ -242,12 +245,10 @@
   private applyRow(row: VersionedRow): void {
     const decoded = decodeJson(row.value, MEMBER);
     if (!decoded.ok) {
-      this.context.log.event('member-unreadable', {
-        key: row.key,
-        message: decoded.err.message,
-      });
+      this.unreadable.report(row.key, decoded.err.message);
       return;
     }
+    this.unreadable.recordReadable(row.key);
     const known = this.members.get(row.key);
     const member = stillLeaving(decoded.value, known?.member);
     this.heartbeats.notePredecessor(member);
--- a/packages/gateway/src/test/fakes/heartbeats.ts
+++ b/packages/gateway/src/test/fakes/heartbeats.ts
@@ -4,6 +4,7 @@
 import {MEMBER_TABLE, memberId, type Member} from '../../lib/process/member.js';
 import {Membership} from '../../lib/process/membership.js';
 
+const IP = '127.0.0.1';
 let version = 0;
 
 /**
@@ -18,7 +19,7 @@
   optional: Partial<Member> = {},
 ): Member {
   const id = memberId(host, nonce);
-  const addresses = {ip: '', loadPort: 1, controlAddress: ''};
+  const addresses = {ip: IP, loadPort: 1, controlAddress: `${IP}:2`};
   return {id, host, dataCentre: 'a', ...addresses, ...optional};
 }
 
--- a/packages/jobs/src/test/process/ownership_disagreement_test.ts
+++ b/packages/jobs/src/test/process/ownership_disagreement_test.ts
@@ -64,7 +64,12 @@
 
 function memberOf(host: string, nonce: string): Member {
   const id = memberId(host, nonce);
-  return {id, host, dataCentre: 'a', ip: '', loadPort: 1, controlAddress: ''};
+  const addresses = {
+    ip: '127.0.0.1',
+    loadPort: 1,
+    controlAddress: '127.0.0.1:2',
+  };
+  return {id, host, dataCentre: 'a', ...addresses};
 }
 
 function heartbeatOf(member: Member): RowPut {
