Heads that no job has are refused

Cause: a head was accepted whatever its ID and its number of pieces. What would be seen: the host that is to remove the job ends, and the next one after it; or no closed job is removed any more and the store gets calls without end. Change: decodeHead refuses an ID that no URL can hold, a head in the row of another job, and more than 10000 pieces; job-head-unreadable is logged as for other heads.

--- a/packages/jobs/src/lib/process/job_garbage_collector.ts
+++ b/packages/jobs/src/lib/process/job_garbage_collector.ts
@@ -20,8 +20,8 @@
 import {STORED_RESULT} from '../request/job_reader.js';
 import {
   CONTENT_TABLE,
+  decodeHead,
   headRef,
-  JOB_HEAD,
   jobRowRange,
   PARTIAL_TABLE,
   RESULT_TABLE,
@@ -76,11 +76,11 @@
    * @param update - Changes reported by the watch on the heads.
    */
   update({put, removed}: TableUpdate): void {
-    for (const {key, value, version} of put) {
-      const head = decodeJson(value, JOB_HEAD);
+    for (const row of put) {
+      const head = decodeHead(row);
       // JobOwnership logs heads that cannot be decoded.
       if (!head.ok || head.value.state === 'open') continue;
-      this.closed.set(key, {head: head.value, version});
+      this.closed.set(row.key, {head: head.value, version: row.version});
     }
     for (const {key} of removed) this.closed.delete(key);
   }
--- a/packages/jobs/src/lib/process/job_ownership.ts
+++ b/packages/jobs/src/lib/process/job_ownership.ts
@@ -10,11 +10,11 @@
   type Outcome,
 } from '@oathead/core';
 import type {Membership} from '@oathead/gateway';
-import {decodeJson, type TableUpdate, type VersionedRow} from '@oathead/stores';
+import type {TableUpdate, VersionedRow} from '@oathead/stores';
 import type {JobReader} from '../request/job_reader.js';
 import {
   headRow,
-  JOB_HEAD,
+  decodeHead,
   type JobHead,
   type TellOwner,
   type VersionedHead,
@@ -166,7 +166,7 @@
   }
 
   private handleHeadRow(row: VersionedRow, how: string): void {
-    const decoded = decodeJson(row.value, JOB_HEAD);
+    const decoded = decodeHead(row);
     if (!decoded.ok) {
       this.context.log.event('job-head-unreadable', {
         job: row.key,
--- a/packages/jobs/src/lib/request/job_reader.ts
+++ b/packages/jobs/src/lib/request/job_reader.ts
@@ -14,7 +14,7 @@
 import {
   headRef,
   indexOfKey,
-  JOB_HEAD,
+  decodeHead,
   jobRowRange,
   RESULT_TABLE,
   type VersionedHead,
@@ -86,7 +86,7 @@
     if (!page.ok) return failure(toReadError(page.err));
     const row = page.value.rows[0];
     if (row?.key !== key) return failure({kind: 'not-found'});
-    const head = decodeJson(row.value, JOB_HEAD);
+    const head = decodeHead(row);
     if (!head.ok) return failure(toReadError(head.err));
     this.totalCache.set(jobId, head.value.items);
     return success({head: head.value, version: row.version});
--- a/packages/jobs/src/lib/request/job_rows.ts
+++ b/packages/jobs/src/lib/request/job_rows.ts
@@ -5,11 +5,12 @@
  * fixed; there are several because the store limits the transactions per second
  * of each partition.
  */
-import {hash32} from '@oathead/core';
+import {failure, hash32, type Outcome} from '@oathead/core';
 import {
   decodeJson,
   encodeJson,
   type RowRef,
+  type UnreadableRow,
   type VersionedRow,
 } from '@oathead/stores';
 import {z} from 'zod';
@@ -33,6 +34,13 @@
 ].map(i => `p${String(i).padStart(PARTITION_DIGITS, '0')}`);
 
 const COUNT = z.number().int().nonnegative();
+/**
+ * Maximum number of pieces of a job's content: more than any submission has. The
+ * pieces are read and removed one by one.
+ */
+const MAX_PIECES = 10_000;
+/** Half of a character; no URL can hold it. */
+const LONE_SURROGATE = /\p{Surrogate}/u;
 
 const FAILED_RUN = z.object({
   target: z.string(),
@@ -48,9 +56,9 @@
 /** A run of an item that failed or may have failed. */
 export type FailedRun = Readonly<z.infer<typeof FAILED_RUN>>;
 
-/** Schema of a job head. */
+/** Schema of a job head; see {@link decodeHead} for the row of one. */
 export const JOB_HEAD = z.object({
-  id: z.string(),
+  id: z.string().refine(id => !LONE_SURROGATE.test(id)),
   hostName: z.string(),
   /**
    * Client account under which the items run; absent if there were no accounts.
@@ -94,7 +102,10 @@
   nonce: z.string(),
   /** Time at which the job was done or cancelled, on the store's clock. */
   closedAtMs: z.number().optional(),
-  content: z.object({kind: z.enum(['rows', 'objects']), pieces: COUNT}),
+  content: z.object({
+    kind: z.enum(['rows', 'objects']),
+    pieces: COUNT.max(MAX_PIECES),
+  }),
 });
 
 /** State of a job. */
@@ -106,6 +117,22 @@
   readonly version: number;
 }
 
+/**
+ * Decodes a head.
+ *
+ * @param row - A row of {@link HEAD_TABLE}.
+ * @returns The head; an error if it is none, or if it is not in the row of its
+ *   job, so that what is done for it would be done to another job.
+ */
+export function decodeHead({
+  key,
+  value,
+}: Pick<VersionedRow, 'key' | 'value'>): Outcome<JobHead, UnreadableRow> {
+  const head = decodeJson(value, JOB_HEAD);
+  if (!head.ok || head.value.id === key) return head;
+  return failure({kind: 'unreadable', message: 'the head of another job'});
+}
+
 /** @returns The partition of a job. */
 export function partitionOf(jobId: string): string {
   return JOB_PARTITIONS[hash32(jobId) % PARTITION_COUNT]!;
@@ -144,7 +171,7 @@
   const row = rows.find(
     ({table, key}) => table === HEAD_TABLE && key === jobId,
   );
-  const head = row && decodeJson(row.value, JOB_HEAD);
+  const head = row && decodeHead(row);
   return head?.ok ? {head: head.value, version: row!.version} : undefined;
 }
 
--- a/packages/jobs/src/test/process/job_garbage_collector_test.ts
+++ b/packages/jobs/src/test/process/job_garbage_collector_test.ts
@@ -1,3 +1,4 @@
+import {setImmediate, setTimeout} from 'node:timers/promises';
 import {failure, NO_EVENT_LOG, SYSTEM_CLOCK} from '@oathead/core';
 import {Membership, memberId} from '@oathead/gateway';
 import {
@@ -5,6 +6,7 @@
   MemoryRowStore,
   type RowTransaction,
   type TableUpdate,
+  type VersionedRow,
 } from '@oathead/stores';
 import test from 'ava';
 import {JobGarbageCollector} from '../../lib/process/job_garbage_collector.js';
@@ -20,6 +22,7 @@
 } from '../../lib/request/job_rows.js';
 
 const RETENTION_MS = 1000;
+const SWEEP_TIMEOUT_MS = 5000;
 
 async function insertClosedJob(
   store: MemoryRowStore,
@@ -145,3 +148,46 @@
   await store.performLate();
   t.is(await countRows(store, 'j'), 122);
 });
+
+const OBJECTS = {kind: 'objects', pieces: 1};
+/** Heads that no job has, in the row `odd`. */
+const ODD_HEADS = {
+  'an ID that no URL can hold': {id: '\ud800', content: OBJECTS},
+  'the ID of another job': {id: 'new', content: OBJECTS},
+  'pieces without end': {
+    id: 'odd',
+    content: {...OBJECTS, pieces: Number.MAX_SAFE_INTEGER},
+  },
+} as const;
+
+/** Removes objects one in a turn of the event loop. */
+class TurnStore extends MemoryRowStore {
+  override async removeObject(name: string) {
+    await setImmediate();
+    return super.removeObject(name);
+  }
+}
+
+// Guards against a host that ends, and after it each other one, and against jobs
+// that are removed too early or never: another writer has left a head.
+for (const [what, odd] of Object.entries(ODD_HEADS))
+  test(`a head with ${what} leaves the removal of others alone`, async t => {
+    const store = new TurnStore(SYSTEM_CLOCK);
+    await insertClosedJob(store, 'odd', RETENTION_MS + 500);
+    const {key, partition} = headRef('odd');
+    const read = await store.read({table: HEAD_TABLE, partition, from: key});
+    const head = read.ok ? readJson(read.value.rows[0]!) : {};
+    const value = encodeJson({...head, ...odd});
+    const puts = [{...headRef('odd'), value}];
+    await store.transact({expect: [], puts, removes: []});
+    await insertClosedJob(store, 'old', RETENTION_MS + 500);
+    await insertClosedJob(store, 'new', 0);
+    const isOver = setTimeout(SWEEP_TIMEOUT_MS, 'not over');
+    t.is(await Promise.race([sweepOnce(store), isOver]), undefined);
+    t.is(await countRows(store, 'old'), 0);
+    t.is(await countRows(store, 'new'), 122);
+  });
+
+function readJson({value}: VersionedRow): object {
+  return JSON.parse(Buffer.from(value).toString()) as object;
+}
