Soak: callers take a stream up until it is whole or their time is over

Its callers took a stream that broke off up once, at any program, also one that was not listening; a second try would have named the second attempt and counted its events alone. So a run that lost all programs saw hardly any stream go on, and judged no stream over more than two tries.

A stream is now taken up for 5 s from its begin (the 4 s of its caller and a second for a busy machine), at programs that say that they are ready, after a refusal and after another break, four times at most: under the attempt that brought its first event, after the last event of all tries. Texts and software versions are judged over all tries.

--- a/packages/soak/src/lib/process/promises.ts
+++ b/packages/soak/src/lib/process/promises.ts
@@ -2,7 +2,7 @@
 import type {ReceivedRequest} from '@oathead/platform/stand_ins';
 import type {JobRecord} from '../request/batch_load.js';
 import {wholeStream, wholeText} from '../request/expected_text.js';
-import {eventsIn, type OnlineRecord} from '../request/online_load.js';
+import {eventsUpTo, type OnlineRecord} from '../request/online_load.js';
 import {ACCOUNT_PROMISES} from './account_promises.js';
 import {CALM_BOUND_MS} from './calm_changes.js';
 import {allRuns, type Evidence, type PromiseCheck} from './evidence.js';
@@ -76,7 +76,7 @@
 function bodyOf({kind, path, takesUp}: OnlineRecord): string {
   const streams = kind === 'notes' || kind === 'flags';
   if (!streams) return 'answer to question';
-  return wholeStream(path, takesUp ? eventsIn(takesUp) : 0);
+  return wholeStream(path, takesUp ? eventsUpTo(takesUp) : 0);
 }
 
 function flawsOf(record: OnlineRecord): readonly string[] {
--- a/packages/soak/src/lib/process/version_promises.ts
+++ b/packages/soak/src/lib/process/version_promises.ts
@@ -1,6 +1,7 @@
 /** What holds while servers of two software versions serve, and when one part of
  * prompts crashes servers. */
 import {sharedPartsOf} from '@oathead/platform/stand_ins';
+import {triesOf} from '../request/online_load.js';
 import {allRuns, type Evidence, type PromiseCheck} from './evidence.js';
 import {BAD_PART} from './version_handlers.js';
 
@@ -17,15 +18,17 @@
 };
 
 function versionsAreNotMixed({online, jobs}: Evidence): readonly string[] {
-  const streams = online.filter(({softwareVersions, takesUp}) => {
-    const before = takesUp?.softwareVersions ?? [];
-    return new Set([...before, ...softwareVersions]).size > 1;
+  const streams = online.filter(record => {
+    const versions = triesOf(record).flatMap(one => one.softwareVersions);
+    return record.softwareVersions.length > 0 && new Set(versions).size > 1;
   });
   const items = jobs
     .flatMap(({results}) => results)
     .filter(({softwareVersions}) => softwareVersions.length > 1);
   return [
-    ...streams.map(({id, takesUp}) => `${id} after ${takesUp?.id}`),
+    ...streams.map(({id, path, takesUp}) => {
+      return `${id} ${path} after ${takesUp?.id}`;
+    }),
     ...items.map(({id, softwareVersions}) => `${id}: ${softwareVersions}`),
   ];
 }
--- a/packages/soak/src/lib/request/online_load.ts
+++ b/packages/soak/src/lib/request/online_load.ts
@@ -43,7 +43,7 @@
   readonly text: string;
   /** Software versions of the servers that sent it. */
   readonly softwareVersions: readonly string[];
-  /** The request whose stream this one goes on with. */
+  /** The try before this one, whose stream it goes on with. */
   readonly takesUp?: OnlineRecord;
   readonly answeredId: string | undefined;
   readonly seal: string | undefined;
@@ -52,6 +52,14 @@
 /** Each so many requests one is sent by a key that was taken away. */
 const WITHDRAWN_EACH = 8;
 const STATUS_OK = 200;
+/** A stream that broke off is taken up until so long after its begin: the time
+ * that its caller has, and a second for a busy machine, in milliseconds. */
+const TAKE_UP_MS = 5000;
+/** So many programs may refuse it or break it off. */
+const MOST_TAKE_UPS = 4;
+/** Before the next try, in milliseconds. */
+const TAKE_UP_PAUSE_MS = 100;
+const STATUS_UNAVAILABLE = 503;
 const EVENT_END = '\n\n';
 /** Codes of connections that were never made. */
 const UNCONNECTED: ReadonlySet<unknown> = new Set([
@@ -94,35 +102,57 @@
    * @param place - Whom to ask.
    * @param kind - What to ask for.
    * @param key - Of the account.
-   * @returns What came of it.
+   * @param path - Its path; a new one by default.
+   * @returns What came of it; a stream that broke off is taken up later.
    */
   async once(
     place: ProgramPlace,
     kind: OnlineKind,
     key = this.fleet.key,
+    path?: string,
   ): Promise<OnlineRecord> {
     const id = `r${++this.sent}`;
     const first = await this.send(place, {
       id,
       kind,
       key,
-      path: this.pathOf(kind, id),
+      path: path ?? this.pathOf(kind, id),
     });
     const isBroken = first.failure === 'broken' && first.text !== '';
-    if (kind === 'notes' && isBroken) void this.takeUp(first);
+    if (kind === 'notes' && isBroken) this.follow(first);
     return first;
   }
 
-  /** Goes on with a stream that has broken off, at another program. */
-  private takeUp(first: OnlineRecord): Promise<OnlineRecord> {
-    const id = `r${++this.sent}`;
-    const {programs} = this.fleet;
-    const place = programs[this.sent % programs.length]!;
-    const {kind, key, path} = first;
-    const going = this.send(place, {id, kind, key, path, takesUp: first});
-    const done = going.then(() => void this.open.delete(done));
+  private follow(first: OnlineRecord): void {
+    const done = this.takeUp(first).then(() => void this.open.delete(done));
     this.open.add(done);
-    return going;
+  }
+
+  /** Goes on with a stream that has broken off, at one program after another. */
+  private async takeUp(first: OnlineRecord): Promise<void> {
+    const {kind, key, path} = first;
+    const until = first.sentAt + TAKE_UP_MS;
+    let takesUp = first;
+    for (let tries = 0; tries < MOST_TAKE_UPS && Date.now() < until;) {
+      const id = `r${++this.sent}`;
+      const place = await this.readyPlace(this.sent);
+      const next =
+        place && (await this.send(place, {id, kind, key, path, takesUp}));
+      if (next && next.failure !== 'unconnected') {
+        if (!mayGoOn(next)) return;
+        takesUp = next;
+        tries++;
+      }
+      await sleep(SYSTEM_CLOCK, TAKE_UP_PAUSE_MS);
+    }
+  }
+
+  /** The platform hands new connections to nodes that say that they are ready. */
+  private async readyPlace(turn: number): Promise<ProgramPlace | undefined> {
+    const {programs} = this.fleet;
+    const place = programs[turn % programs.length]!;
+    if (place.ending || place.paused) return undefined;
+    return (await place.program.isReady()) ? place : undefined;
   }
 
   private async send(
@@ -200,16 +230,35 @@
   }
 }
 
+function mayGoOn({status, failure}: OnlineRecord): boolean {
+  return failure === 'broken' || status === STATUS_UNAVAILABLE;
+}
+
 function resumption(
   takesUp: OnlineRecord | undefined,
 ): Readonly<Record<string, string>> {
   if (!takesUp) return {};
-  return {'last-event-id': String(eventsIn(takesUp)), resumes: takesUp.id};
+  return {
+    'last-event-id': String(eventsUpTo(takesUp)),
+    resumes: triesOf(takesUp)[0]!.id,
+  };
+}
+
+/**
+ * @param record - A try of a stream.
+ * @returns All its tries up to this one, the first one first. It brought the
+ *     first event, or there would be nothing to take up.
+ */
+export function triesOf(record: OnlineRecord): readonly OnlineRecord[] {
+  const {takesUp} = record;
+  return takesUp ? [...triesOf(takesUp), record] : [record];
 }
 
-/** @returns The number of events of a stream that arrived. */
-export function eventsIn({text}: Pick<OnlineRecord, 'text'>): number {
-  return text.split(EVENT_END).length - 1;
+/** @returns The number of events that arrived up to this try of a stream. */
+export function eventsUpTo(record: OnlineRecord): number {
+  return triesOf(record).reduce((sum, {text}) => {
+    return sum + text.split(EVENT_END).length - 1;
+  }, 0);
 }
 
 /** @returns The part of a successful answer that arrived. */
