Soak: all hosts are lost while two software versions serve

The soak killed all programs and replaced servers by ones of another version, but its streams of 240 ms seldom lived through both, and nothing judged whether streams that are taken up go on.

Five kinds kill all programs in the same moment, with streams of 3 s under way, while servers of a second version join or those of the first leave, before the kill or while the programs are away. At the end of a run each comes once more with nothing else wrong; then the users' rule LOST is judged: of 12 or more streams that are taken up while two servers of their version serve, the share that goes on is at least half of that of new streams that begin. Runs draw these kinds only if they name them, so that kept draws stay as they are.

--- a/packages/soak/src/lib/process/calm_changes.ts
+++ b/packages/soak/src/lib/process/calm_changes.ts
@@ -5,8 +5,8 @@
  */
 import {sleep, SYSTEM_CLOCK, type Random} from '@oathead/core';
 import {FAULT_HANDLERS} from './fault_handlers.js';
+import type {FaultCall} from './fault_call.js';
 import type {SoakFleet} from './soak_fleet.js';
-import type {FaultKind} from './soak_plan.js';
 
 /** What was changed. */
 export interface CalmChanges {
@@ -33,19 +33,20 @@
 /**
  * Stops a program, replaces a server and adds a route.
  *
- * @param fleet - What is changed, with no fault at work.
- * @param random - Draws which program and which server.
+ * @param call - What is changed, with no fault at work, and what draws which
+ *     program and which server.
  * @returns What was changed; all of it is in force.
  */
 export async function makeCalmChanges(
-  fleet: SoakFleet,
-  random: Random,
+  call: Omit<FaultCall, 'forMs'>,
 ): Promise<CalmChanges> {
+  const {fleet, random} = call;
   const since = Date.now();
   const stoppedAt = await stopOne(fleet, random);
   const before = new Set(fleet.leavingSince.keys());
   // It serves on beyond the bound, so that a late request is seen.
-  await change(fleet, random, 'server-replace', CALM_BOUND_MS);
+  const forMs = CALM_BOUND_MS;
+  await FAULT_HANDLERS['server-replace']({...call, forMs});
   const left = [...fleet.leavingSince.keys()].filter(id => !before.has(id));
   const route = await fleet.addRoute();
   await sleep(SYSTEM_CLOCK, CALM_BOUND_MS);
@@ -76,12 +77,3 @@
   await fleet.restart(place);
   return new Map([[program.pid, stoppedAt]]);
 }
-
-function change(
-  fleet: SoakFleet,
-  random: Random,
-  kind: FaultKind,
-  forMs = 0,
-): Promise<void> {
-  return FAULT_HANDLERS[kind]({fleet, random, forMs});
-}
--- a/packages/soak/src/lib/process/fault_call.ts
+++ b/packages/soak/src/lib/process/fault_call.ts
@@ -1,10 +1,13 @@
 /** What a handler of a fault is given. */
 import type {Random} from '@oathead/core';
+import type {OnlineLoad} from '../request/online_load.js';
 import type {SoakFleet} from './soak_fleet.js';
 
 /** What a fault strikes, and for how long. */
 export interface FaultCall {
   readonly fleet: SoakFleet;
+  /** Sends requests that are recorded, and takes streams up. */
+  readonly online: Pick<OnlineLoad, 'once'>;
   readonly random: Random;
   readonly forMs: number;
 }
--- a/packages/soak/src/lib/process/fault_handlers.ts
+++ b/packages/soak/src/lib/process/fault_handlers.ts
@@ -20,6 +20,7 @@
 import {sendPoison, sendPoisonBesideBadPart} from './poison_handlers.js';
 import type {ProgramPlace, ServerPlace} from './soak_fleet.js';
 import type {FaultKind} from './soak_plan.js';
+import {TAKE_UP_HANDLERS} from './take_up_handlers.js';
 import {releaseServers, sendBadPart} from './version_handlers.js';
 
 /** A server that leaves serves so long after the store knows, in ms. */
@@ -92,6 +93,7 @@
   'poison-request': sendPoison,
   'poison-beside-bad-part': sendPoisonBesideBadPart,
   'servers-crash-together': crashTogether,
+  ...TAKE_UP_HANDLERS,
 };
 
 function killOne(call: FaultCall): Promise<void> {
--- a/packages/soak/src/lib/process/promises.ts
+++ b/packages/soak/src/lib/process/promises.ts
@@ -9,6 +9,7 @@
 import {JOB_PROMISES} from './job_promises.js';
 import {POISON_PROMISES} from './poison_promises.js';
 import {RETENTION_MS} from './promise_bounds.js';
+import {TAKE_UP_PROMISES} from './take_up_promises.js';
 import {VERSION_PROMISES} from './version_promises.js';
 
 /** Answers that promise that the request has not run and never will. */
@@ -50,6 +51,7 @@
   'an ended job stops': endedJobsStop,
   ...JOB_PROMISES,
   ...VERSION_PROMISES,
+  ...TAKE_UP_PROMISES,
   ...POISON_PROMISES,
   'a leaving target gets nothing new': leavingTargetsRest,
   'a configuration never goes back': configurationsStay,
--- a/packages/soak/src/lib/process/run_soak.ts
+++ b/packages/soak/src/lib/process/run_soak.ts
@@ -5,6 +5,7 @@
 import {BatchLoad} from '../request/batch_load.js';
 import {OnlineLoad, type OnlineKind} from '../request/online_load.js';
 import {makeCalmChanges} from './calm_changes.js';
+import type {FaultCall} from './fault_call.js';
 import {FAULT_HANDLERS} from './fault_handlers.js';
 import type {Evidence} from './evidence.js';
 import {LOAD_SHAPES, type LoadShape} from './load_shape.js';
@@ -12,9 +13,11 @@
 import {ACCOUNT, accountOf} from './soak_accounts.js';
 import {SoakFleet} from './soak_fleet.js';
 import {storedHeads} from './stored_heads.js';
+import {takeUpFigures, type TakeUpFigures} from './take_up_promises.js';
 import {
   DEFAULT_FAULT_KINDS,
   planFaults,
+  TAKE_UP_FAULT_KINDS,
   type FaultKind,
   type PlannedFault,
   type SoakOptions,
@@ -33,6 +36,8 @@
   /** Online requests by status, and by kind or flooded account. */
   readonly requests: Readonly<Record<string, number>>;
   readonly jobs: {readonly accepted: number; readonly ended: number};
+  /** Of each time in which streams were taken up with nothing else wrong. */
+  readonly takeUps: readonly TakeUpFigures[];
   readonly violations: readonly Violation[];
   /** What callers saw of each job, with its row in the store as it was at the
    * end, if a promise was broken. */
@@ -41,6 +46,9 @@
   readonly logs: Readonly<Record<string, string>>;
 }
 
+/** What faults strike. */
+type Struck = Pick<FaultCall, 'fleet' | 'online'>;
+
 /** After the last fault all programs are to serve again, in milliseconds. */
 const CALM_MS = 6000;
 /** For the items that are left when the load ends, in milliseconds. */
@@ -55,6 +63,7 @@
   'bad-part',
   'poison-request',
   'poison-beside-bad-part',
+  ...TAKE_UP_FAULT_KINDS,
 ];
 /** Requests to each program in the calm at the end. */
 const LAST_REQUESTS = 20;
@@ -78,12 +87,13 @@
   accounts.start();
   batch.start();
   const rotation = repeat(SYSTEM_CLOCK, ROTATE_MS, () => fleet.rotateKey());
-  await strike(fleet, faults);
+  const struck = {fleet, online};
+  await strike(struck, faults);
   rotation[Symbol.dispose]();
-  await strikeLast(fleet, options);
+  await strikeLast(struck, options);
   await accounts.stop();
   await sleep(SYSTEM_CLOCK, CALM_MS);
-  const calm = await makeCalmChanges(fleet, random);
+  const calm = await makeCalmChanges({...struck, random});
   await batch.finish();
   await online.stop();
   const loadEndedAt = Date.now();
@@ -106,6 +116,7 @@
       accepted: batch.jobs.filter(job => job.acceptedAt !== undefined).length,
       ended: batch.jobs.filter(job => job.endedAt !== undefined).length,
     },
+    takeUps: takeUpFigures(evidence),
     violations,
     jobRecords: violations.length > 0 ? await jobRecords(fleet, batch) : [],
     logs: violations.length > 0 ? logsOf(fleet) : {},
@@ -114,7 +125,7 @@
 
 /** Brings all faults about, each at its time, and waits until all are undone. */
 async function strike(
-  fleet: SoakFleet,
+  struck: Struck,
   faults: readonly PlannedFault[],
 ): Promise<void> {
   const startedAt = SYSTEM_CLOCK.now();
@@ -122,7 +133,7 @@
   for (const {kind, atMs, forMs, seed} of faults) {
     const waitMs = startedAt + atMs - SYSTEM_CLOCK.now();
     await sleep(SYSTEM_CLOCK, Math.max(0, waitMs));
-    undone.push(bringAbout(fleet, {kind, forMs, seed}));
+    undone.push(bringAbout(struck, {kind, forMs, seed}));
   }
   await Promise.all(undone);
 }
@@ -130,22 +141,23 @@
 /** Has hosts miss an accepted job, with no fault to follow that would have them
  * read all jobs again. */
 async function strikeLast(
-  fleet: SoakFleet,
+  struck: Struck,
   {kinds = DEFAULT_FAULT_KINDS, seed}: SoakOptions,
 ): Promise<void> {
   for (const kind of LAST_KINDS) {
     if (!kinds.includes(kind)) continue;
-    await fleet.untilReady();
-    await bringAbout(fleet, {kind, forMs: 0, seed});
+    await struck.fleet.untilReady();
+    await bringAbout(struck, {kind, forMs: 0, seed});
   }
 }
 
 function bringAbout(
-  fleet: SoakFleet,
+  struck: Struck,
   {kind, forMs, seed}: Omit<PlannedFault, 'atMs'>,
 ): Promise<void> {
   const random = seededRandom(seed);
-  const fault = FAULT_HANDLERS[kind]({fleet, random, forMs});
+  const {fleet} = struck;
+  const fault = FAULT_HANDLERS[kind]({...struck, random, forMs});
   void fleet.disturbances.during(fault.then(() => fleet.untilReady()));
   return fault;
 }
--- a/packages/soak/src/lib/process/soak_fleet.ts
+++ b/packages/soak/src/lib/process/soak_fleet.ts
@@ -15,6 +15,7 @@
 import {Disturbances} from './disturbances.js';
 import type {LoadShape} from './load_shape.js';
 import type {PoisonBout} from './poison_handlers.js';
+import type {TakeUpBout} from './take_up_handlers.js';
 import {addedRoute} from './added_route.js';
 import {ACCOUNT, ACCOUNTS, QUOTA_BOUNDS} from './soak_accounts.js';
 
@@ -84,6 +85,11 @@
     [];
   /** Times in which one request crashed servers, and nothing else was wrong. */
   readonly poisonBouts: PoisonBout[] = [];
+  /** Times in which streams were taken up after all programs were killed, and
+   * nothing else was wrong. */
+  readonly takeUpBouts: TakeUpBout[] = [];
+  /** Whether such a time is now. */
+  isLosingAllHosts = false;
   readonly disturbances = new Disturbances();
   /** Called when a job is accepted, before its caller does anything else. */
   onAccepted: ((by: ProgramPlace) => void) | undefined;
--- a/packages/soak/src/lib/process/soak_main.ts
+++ b/packages/soak/src/lib/process/soak_main.ts
@@ -94,7 +94,7 @@
 }
 
 function summaryOf(report: SoakReport): string {
-  const {options, faults, requests, jobs, violations} = report;
+  const {options, faults, requests, jobs, takeUps, violations} = report;
   const broken = violations.map(
     ({promise, found}) =>
       `\n  BROKEN ${promise}: ${found.length}, first: ${found[0]}`,
@@ -102,6 +102,7 @@
   return (
     `seed ${options.seed}: ${faults.length} faults, ` +
     `${JSON.stringify(requests)}, jobs ${JSON.stringify(jobs)}` +
+    (takeUps.length > 0 ? `, take-ups ${JSON.stringify(takeUps)}` : '') +
     broken.join('')
   );
 }
--- a/packages/soak/src/lib/process/soak_plan.ts
+++ b/packages/soak/src/lib/process/soak_plan.ts
@@ -71,9 +71,24 @@
   ...POISON_FAULT_KINDS,
 ] as const;
 
+/** Kinds after which no host remembers at which software version streams began. */
+export const TAKE_UP_FAULT_KINDS = [
+  'programs-kill-versions-serve',
+  'programs-kill-version-left',
+  'programs-kill-version-leaves',
+  'programs-kill-version-joins',
+  'programs-kill-version-changes',
+] as const;
+
+/** One of them. */
+export type TakeUpFaultKind = (typeof TAKE_UP_FAULT_KINDS)[number];
+
 /** Kinds that only runs have that name them: the draws of seeds that were kept
  * without kinds must stay as they are. */
-export const NAMED_FAULT_KINDS = ['servers-crash-together'] as const;
+export const NAMED_FAULT_KINDS = [
+  'servers-crash-together',
+  ...TAKE_UP_FAULT_KINDS,
+] as const;
 
 /** Everything that a run can do to the system. */
 export const FAULT_KINDS = [
