--- a/packages/soak/src/lib/process/kept_seeds.ts
+++ b/packages/soak/src/lib/process/kept_seeds.ts
@@ -55,6 +55,8 @@
     ...VERSION_FAULT_KINDS,
   ],
 } as const;
+/** What was played when streams were taken up after all hosts were lost. */
+const LOST_HOSTS = {loadMs: 3000, programs: 3, engines: 6} as const;
 /** Load with faults, in milliseconds. */
 const BRIEF_MS = 9000;
 const SHORT_MS = 12_000;
@@ -123,4 +125,50 @@
       'requests took the slot of an item before its run showed whether it crashes targets',
     inTests: false,
   },
+  {
+    options: {
+      seed: 65_011,
+      ...LOST_HOSTS,
+      kinds: ['programs-kill-versions-serve'],
+    },
+    cause: 'no host remembered streams of two versions that served',
+    inTests: false,
+  },
+  {
+    options: {
+      seed: 65_012,
+      ...LOST_HOSTS,
+      kinds: ['programs-kill-version-left'],
+    },
+    cause: 'a host took the version that was left for that of each stream',
+    inTests: false,
+  },
+  {
+    options: {
+      seed: 65_013,
+      ...LOST_HOSTS,
+      kinds: ['programs-kill-version-leaves'],
+    },
+    cause: 'the same; the other one left while no host followed the list',
+    inTests: false,
+  },
+  {
+    options: {
+      seed: 65_014,
+      ...LOST_HOSTS,
+      kinds: ['programs-kill-version-joins'],
+    },
+    cause: 'no host remembered streams from before a second version',
+    inTests: false,
+  },
+  {
+    options: {
+      seed: 65_015,
+      ...LOST_HOSTS,
+      kinds: ['programs-kill-version-changes'],
+    },
+    cause:
+      'a host took the only version that it had seen for that of streams from before',
+    inTests: false,
+  },
 ];
--- a/packages/soak/src/test/process/soak_plan_test.ts
+++ b/packages/soak/src/test/process/soak_plan_test.ts
@@ -15,6 +15,11 @@
   [47107, '673445ff5c65b595'],
   [47506, '426da450f90c78e2'],
   [50303, '57c1f0f2c85f7e94'],
+  [65011, 'f430e44025feb4f9'],
+  [65012, 'd7011fa20fcbadf7'],
+  [65013, 'bfb1c60480128975'],
+  [65014, 'a70cb08747a2a8c1'],
+  [65015, 'aa6912b9ae080037'],
 ]);
 const HASH_LENGTH = 16;
 
--- a/packages/soak/src/test/process/soak_test.ts
+++ b/packages/soak/src/test/process/soak_test.ts
@@ -9,6 +9,7 @@
   OVERLOAD_FAULT_KINDS,
   planFaults,
   POISON_FAULT_KINDS,
+  TAKE_UP_FAULT_KINDS,
   VERSION_FAULT_KINDS,
   type SoakOptions,
 } from '../../lib/process/soak_plan.js';
@@ -56,6 +57,20 @@
   ],
 };
 
+const LOST_HOSTS: SoakOptions = {
+  ...SHORT,
+  loadMs: 6000,
+  programs: 4,
+  engines: 6,
+  kinds: [
+    ...TAKE_UP_FAULT_KINDS,
+    'programs-kill-all',
+    'program-kill',
+    'server-crash',
+    'connections-reset',
+  ],
+};
+
 const STOP_PROMISE = 'a planned stop cuts off nothing';
 
 /**
@@ -131,6 +146,12 @@
   t.regex(await brokenRuns(POISON), /1 runs, 0 with a broken promise/);
 });
 
+// Callers take streams up after all hosts were lost in a release, and they go on
+// at another software version, or are refused though their own one serves.
+test('a short run with all hosts lost in releases keeps all promises', async t => {
+  t.regex(await brokenRuns(LOST_HOSTS), /1 runs, 0 with a broken promise/);
+});
+
 // Callers see their connection break in the middle of an answer: a program is
 // stopped as planned, new connections go on coming, and at the end of its time
 // it cuts what is under way. It had gone on listening after callers should have
