A host that does not reach the store waits a moment before it refuses a stream

What callers saw: a host back from a pause or a cut refused streams for up to 1.5 s that other hosts know, and its callers had no attempt left.

Cause: it asked once, before it was heard again, and took the silence for an answer. Change: while the record cannot be read, it asks and reads again for up to a second. A host that reads the record refuses at once, as before. Test: 'a host that is back in touch soon goes on with a stream that nobody tells' fails without the change (refused).

--- a/packages/gateway/src/lib/process/stream_versions.ts
+++ b/packages/gateway/src/lib/process/stream_versions.ts
@@ -133,6 +133,14 @@
  * milliseconds: several times what the store takes while it is well.
  */
 const STORE_READ_TIMEOUT_MS = 500;
+/**
+ * How long a stream that nobody knows waits at a host that does not reach the
+ * store, and between two attempts, in milliseconds: most such hosts were frozen
+ * or cut off and are back within that time, and its caller has no attempt left.
+ */
+const OUT_OF_TOUCH_PATIENCE_MS = 1000;
+const RETRY_PAUSE_MS = 200;
+
 const ANYWHERE: StreamContinuation = {kind: 'anywhere'};
 const UNKNOWN: StreamContinuation = {kind: 'unknown'};
 
@@ -207,7 +215,13 @@
     service: string,
     stream: string | undefined,
   ): Promise<StreamFinding> {
-    return this.counted((await this.find(service, stream)).finding);
+    const giveUpAt = this.context.clock.now() + OUT_OF_TOUCH_PATIENCE_MS;
+    for (;;) {
+      const {finding, isDecided} = await this.find(service, stream);
+      const isLast = this.context.clock.now() >= giveUpAt;
+      if (isDecided || isLast) return this.counted(finding);
+      await sleep(this.context.clock, RETRY_PAUSE_MS);
+    }
   }
 
   /** @param message - A message of another host. */
--- a/packages/gateway/src/test/process/stream_versions_test.ts
+++ b/packages/gateway/src/test/process/stream_versions_test.ts
@@ -360,6 +360,21 @@
   t.deepEqual(found, {kind: 'unknown'});
 });
 
+// Guards against a refusal by a host that was frozen or cut off and is not heard
+// yet by those that know the stream.
+test('a host that is back in touch soon goes on with a stream that nobody tells', async t => {
+  const fleet = newMixedFleet(3);
+  fleet.isDelivered = () => false;
+  fleet.get('h0').versions.record('one', FIRST);
+  fleet.clock.advance(READ_INTERVAL_MS);
+  await settlePromises();
+  fleet.cutOff.add('h1');
+  const found = fleet.get('h1').continuationOf(fleet, 'one');
+  fleet.clock.advance(READ_INTERVAL_MS);
+  fleet.cutOff.delete('h1');
+  t.deepEqual(await found, AT_FIRST);
+});
+
 // Guards against a stream of two software versions: two hosts that are cut off
 // together take each other's old list for what is listed now.
 test('hosts that are cut off together rely on no list of each other', async t => {
