--- a/packages/gateway/src/lib/connection/stream_version_message.ts
+++ b/packages/gateway/src/lib/connection/stream_version_message.ts
@@ -46,17 +46,18 @@
   askId: COUNT,
   /** Set if the answering host knows the stream. */
   began: z.object({service: NAME, softwareVersion: NAME}).optional(),
-  /**
-   * The only version of the service that the answering host has seen for as
-   * long as a stream lasts; absent if there were several, or if it has not read
-   * the list of targets for that long.
-   */
-  only: NAME.optional(),
   /**
    * Whether it reads the list and has seen several versions; absent in answers
    * of a host of an earlier release.
    */
   hasSeveral: z.boolean().optional(),
+  /** ID of the process incarnation that answers; absent in earlier releases. */
+  host: NAME.optional(),
+  /**
+   * Time since it has read the list of targets, in milliseconds; absent if it
+   * has never read it, and in earlier releases.
+   */
+  listAgeMs: COUNT.optional(),
 });
 
 const MESSAGE = z.discriminatedUnion('kind', [TOLD, ASK, ANSWER]);
--- a/packages/gateway/src/lib/process/stream_version_asker.ts
+++ b/packages/gateway/src/lib/process/stream_version_asker.ts
@@ -21,10 +21,12 @@
 export interface StreamVersionAnswers {
   /** Where the stream began; undefined if none of them knows it. */
   readonly began: StreamOrigin | undefined;
-  /** The versions that hosts have seen as the only one of the service. */
-  readonly only: ReadonlySet<string>;
   /** Whether one of them has seen several versions of the service. */
   readonly hasSeveral: boolean;
+  /** IDs of the hosts that were asked. */
+  readonly asked: readonly string[];
+  /** Each answer, for the log. */
+  readonly received: readonly StreamVersionAnswer[];
 }
 
 /** Dependencies of {@link StreamVersionAsker}. */
@@ -37,8 +39,9 @@
 /** What is known if no host has answered. */
 export const NO_ANSWERS: StreamVersionAnswers = {
   began: undefined,
-  only: new Set(),
   hasSeveral: false,
+  asked: [],
+  received: [],
 };
 
 type AnswerHandler = (answer: StreamVersionAnswer) => void;
@@ -67,7 +70,10 @@
     stream: string,
     hosts: readonly P[],
   ): Promise<StreamVersionAnswers> {
-    let all = NO_ANSWERS;
+    let all: StreamVersionAnswers = {
+      ...NO_ANSWERS,
+      asked: hosts.map(({id}) => id),
+    };
     if (hosts.length === 0) return all;
     for (let i = 0; i < MAX_ASKS; i++) {
       const answers = await this.askOnce(service, stream, hosts);
@@ -103,12 +109,14 @@
 }
 
 function withAnswer(
-  {began, only, hasSeveral}: StreamVersionAnswers,
+  all: StreamVersionAnswers,
   answer: StreamVersionAnswer,
 ): StreamVersionAnswers {
+  const {began, hasSeveral, received} = all;
   return {
+    ...all,
+    received: [...received, answer],
     began: began ?? answer.began,
-    only: answer.only === undefined ? only : new Set([...only, answer.only]),
     hasSeveral: hasSeveral || answer.hasSeveral === true,
   };
 }
--- a/packages/gateway/src/lib/process/stream_versions.ts
+++ b/packages/gateway/src/lib/process/stream_versions.ts
@@ -13,11 +13,14 @@
 } from '@oathead/core';
 import type {
   StreamOrigin,
+  StreamVersionAnswer,
   StreamVersionAsk,
   StreamVersionMessage,
 } from '../connection/stream_version_message.js';
 import {HostRing} from './host_ring.js';
 import type {LoadPeer} from './load_reporter.js';
+import type {RecordedStreams} from './recorded_streams.js';
+import type {StreamRecord} from './stream_record.js';
 import {StreamOrigins} from './stream_origins.js';
 import {StreamTeller} from './stream_teller.js';
 import {
@@ -33,6 +36,8 @@
   | 'known'
   /** Another host knew it. */
   | 'learned'
+  /** The record in the store knew it. */
+  | 'recorded'
   /** Nobody knows it, but it can have begun at one version only. */
   | 'inferred'
   | 'unknown';
@@ -43,8 +48,39 @@
   readonly evidence: StreamEvidence;
   /** What the list of targets says of the versions of the service. */
   readonly listed: VersionView['kind'];
+  readonly knowledge: StreamKnowledge;
 }
 
+/** What a decision on a stream could rest on, for the log. */
+export interface StreamKnowledge {
+  /** How long this host has been up, in milliseconds. */
+  readonly upMs: number;
+  /** Time since it has read the list of targets, in milliseconds. */
+  readonly listAgeMs: number | undefined;
+  /** The versions of the service that it has known within a stream's life. */
+  readonly versions: readonly KnownVersion[];
+  /** IDs of the hosts that were asked. */
+  readonly asked: readonly string[];
+  /** What they answered. */
+  readonly answers: readonly HostAnswer[];
+}
+
+/** A version that this host has known. */
+export type KnownVersion = Readonly<{
+  softwareVersion: string;
+  /** Since when, in milliseconds ago. */
+  knownMs: number;
+}>;
+
+/** What one host has answered. */
+export type HostAnswer = Readonly<{
+  host: string | undefined;
+  began: string | undefined;
+  hasSeveral: boolean | undefined;
+  /** How old its list of targets was, in milliseconds. */
+  listAgeMs: number | undefined;
+}>;
+
 /** What may be done with a stream that has begun. */
 export type StreamContinuation =
   /** Nothing can be joined wrongly. */
@@ -62,7 +98,7 @@
   readonly counters: Counters;
   readonly directory: Pick<
     TargetDirectory,
-    'onlyVersion' | 'versionView' | 'onVersionListed'
+    'onlyVersion' | 'versionView' | 'onVersionListed' | 'versions' | 'listAgeMs'
   >;
   /**
    * Reads the list of targets.
@@ -70,6 +106,9 @@
    * @returns Whether it was read; the directory has its entries then.
    */
   readonly readTargets: () => Promise<boolean>;
+  readonly record: Pick<StreamRecord, 'begin' | 'end'>;
+  /** Reads what all hosts have recorded; undefined if it cannot be read. */
+  readonly readRecord: () => Promise<RecordedStreams | undefined>;
   /** @returns All live hosts except this one. */
   readonly peers: () => readonly P[];
   /** @returns The host with this ID; undefined if it is not known. */
@@ -90,10 +129,17 @@
  */
 const TELL_INTERVAL_MS = 500;
 /**
- * How long a stream that no host knows waits for the list of targets to be read,
- * in milliseconds: several times what the store takes while it is well.
+ * How long a stream that no host knows waits for the store to be read, in
+ * milliseconds: several times what the store takes while it is well.
  */
-const LIST_READ_TIMEOUT_MS = 500;
+const STORE_READ_TIMEOUT_MS = 500;
+/**
+ * How long a stream that nobody knows waits at a host that does not reach the
+ * store, and between two attempts, in milliseconds: most such hosts were frozen
+ * or cut off and are back within that time, and its caller has no attempt left.
+ */
+const OUT_OF_TOUCH_PATIENCE_MS = 1000;
+const RETRY_PAUSE_MS = 200;
 
 const ANYWHERE: StreamContinuation = {kind: 'anywhere'};
 const UNKNOWN: StreamContinuation = {kind: 'unknown'};
@@ -108,10 +154,12 @@
   private readonly disposables = new DisposableStore();
   private ring: HostRing<P> | undefined;
   private ringBuiltAt = -Infinity;
+  private readonly startedAt: number;
 
   /** @param context - The targets and the other hosts. */
   constructor(private readonly context: StreamVersionsContext<P>) {
     const {self, clock, directory, send} = context;
+    this.startedAt = clock.now();
     this.origins = new StreamOrigins(() => clock.now());
     this.teller = new StreamTeller({
       clock,
@@ -143,9 +191,15 @@
    */
   record(stream: string, origin: StreamOrigin): void {
     this.origins.set(stream, origin);
+    this.context.record.begin(stream, origin);
     this.teller.record(stream, origin);
   }
 
+  /** @param stream - ID of a stream that its caller has got to its end. */
+  recordEnd(stream: string): void {
+    this.context.record.end(stream);
+  }
+
   /** Tells the hosts that are to know of streams of this one and do not. */
   tell(): void {
     this.teller.tellAll();
@@ -161,16 +215,13 @@
     service: string,
     stream: string | undefined,
   ): Promise<StreamFinding> {
-    const finding = (evidence: StreamEvidence, origin?: StreamOrigin) =>
-      this.counted(service, evidence, origin);
-    const known = stream === undefined ? undefined : this.origins.get(stream);
-    if (known) return finding('known', known);
-    const answers = await this.ask(service, stream);
-    if (answers.began) return finding('learned', answers.began);
-    const isRead = await this.readTargets(service);
-    const softwareVersion = this.onlyPossible(service, answers, isRead);
-    if (softwareVersion === undefined) return finding('unknown');
-    return finding('inferred', {service, softwareVersion});
+    const giveUpAt = this.context.clock.now() + OUT_OF_TOUCH_PATIENCE_MS;
+    for (;;) {
+      const {finding, isDecided} = await this.find(service, stream);
+      const isLast = this.context.clock.now() >= giveUpAt;
+      if (isDecided || isLast) return this.counted(finding);
+      await sleep(this.context.clock, RETRY_PAUSE_MS);
+    }
   }
 
   /** @param message - A message of another host. */
@@ -188,8 +239,32 @@
     }
   }
 
+  /** @returns What is known now, and whether more may be known soon. */
+  private async find(
+    service: string,
+    stream: string | undefined,
+  ): Promise<{finding: StreamFinding; isDecided: boolean}> {
+    let answers = NO_ANSWERS;
+    const decided = (evidence: StreamEvidence, origin?: StreamOrigin) => {
+      const finding = this.finding(service, evidence, answers, origin);
+      return {finding, isDecided: true};
+    };
+    const known = stream === undefined ? undefined : this.origins.get(stream);
+    if (known) return decided('known', known);
+    answers = await this.ask(service, stream);
+    if (answers.began) return decided('learned', answers.began);
+    const recorded = await this.readRecord();
+    const origin =
+      stream === undefined ? undefined : recorded?.origins.get(stream);
+    if (origin) return decided('recorded', origin);
+    if (!recorded) return {...decided('unknown'), isDecided: false};
+    const softwareVersion = await this.onlyPossible(service, answers, recorded);
+    if (softwareVersion === undefined) return decided('unknown');
+    return decided('inferred', {service, softwareVersion});
+  }
+
   private answer({host, askId, service, stream}: StreamVersionAsk): void {
-    const {peer, directory, send} = this.context;
+    const {self, peer, directory, send} = this.context;
     const to = peer(host);
     // A sender that is not known yet asks other hosts as well.
     if (!to) return;
@@ -198,9 +273,10 @@
       service: origin.service,
       softwareVersion: origin.softwareVersion,
     };
-    const only = directory.onlyVersion(service);
     const hasSeveral = directory.versionView(service).kind === 'several';
-    send({kind: 'answer', askId, began, only, hasSeveral}, [to]);
+    const {listAgeMs} = directory;
+    const answer = {askId, began, hasSeveral, host: self.id, listAgeMs};
+    send({kind: 'answer', ...answer}, [to]);
   }
 
   private async ask(
@@ -215,36 +291,41 @@
   }
 
   /**
-   * @param isRead - Whether this host has read the list of targets since the
-   *     stream was taken up. A list that is older may lack the version at which
-   *     it began.
+   * What hosts have recorded tells of each version at which streams can have
+   * begun, because they record it before they use it. The list of targets stands
+   * in where nothing is recorded of the service, as by earlier releases.
+   *
    * @returns The only version at which a stream of the service can have begun
    *     that no host knows; undefined if there may be several.
    */
-  private onlyPossible(
+  private async onlyPossible(
     service: string,
-    answers: StreamVersionAnswers,
-    isRead: boolean,
-  ): string | undefined {
-    if (answers.hasSeveral) return undefined;
-    const view = this.context.directory.versionView(service);
-    const possible = new Set(answers.only);
-    if (isRead && (view.kind === 'only' || view.kind === 'only-lately'))
-      possible.add(view.softwareVersion);
+    {hasSeveral}: StreamVersionAnswers,
+    {versions}: RecordedStreams,
+  ): Promise<string | undefined> {
+    if (hasSeveral) return undefined;
+    const possible = versions.get(service);
+    if (!possible) return this.onlyListed(service);
     const [first, ...others] = possible;
     return others.length === 0 ? first : undefined;
   }
 
-  /**
-   * @returns Whether the list of targets has been read anew. It is read only if
-   *     it may tell at which version a stream of the service began.
-   */
-  private async readTargets(service: string): Promise<boolean> {
-    const {clock, directory, readTargets} = this.context;
-    const {kind} = directory.versionView(service);
-    if (kind !== 'only' && kind !== 'only-lately') return false;
-    const timeout = sleep(clock, LIST_READ_TIMEOUT_MS).then(() => false);
-    return Promise.race([readTargets(), timeout]);
+  /** @returns The only version in the list, if it has been read anew. */
+  private async onlyListed(service: string): Promise<string | undefined> {
+    const {directory, readTargets} = this.context;
+    if (!(await this.inTime(readTargets(), false))) return undefined;
+    const view = directory.versionView(service);
+    return 'softwareVersion' in view ? view.softwareVersion : undefined;
+  }
+
+  private readRecord(): Promise<RecordedStreams | undefined> {
+    return this.inTime(this.context.readRecord(), undefined);
+  }
+
+  private inTime<T>(read: Promise<T>, otherwise: T): Promise<T> {
+    const {clock} = this.context;
+    const timeout = sleep(clock, STORE_READ_TIMEOUT_MS).then(() => otherwise);
+    return Promise.race([read, timeout]);
   }
 
   private hosts(): HostRing<P> {
@@ -257,17 +338,46 @@
     return this.ring;
   }
 
-  private counted(
+  private finding(
     service: string,
     evidence: StreamEvidence,
+    answers: StreamVersionAnswers,
     origin: StreamOrigin | undefined,
   ): StreamFinding {
-    const {counters, directory} = this.context;
-    const {kind: listed} = directory.versionView(service);
-    counters.count('streams_taken_up', {outcome: evidence, listed});
+    const {kind: listed} = this.context.directory.versionView(service);
     const continuation = origin ? continuationAt(service, origin) : UNKNOWN;
-    return {continuation, evidence, listed};
+    const knowledge = this.knowledge(service, answers);
+    return {continuation, evidence, listed, knowledge};
   }
+
+  private counted(finding: StreamFinding): StreamFinding {
+    const {evidence: outcome, listed} = finding;
+    this.context.counters.count('streams_taken_up', {outcome, listed});
+    return finding;
+  }
+
+  private knowledge(
+    service: string,
+    {asked, received}: StreamVersionAnswers,
+  ): StreamKnowledge {
+    const {clock, directory} = this.context;
+    const known = directory.versions.knownForMs(service);
+    const versions = [...known].map(([softwareVersion, ms]) => {
+      return {softwareVersion, knownMs: Math.round(ms)};
+    });
+    return {
+      upMs: Math.round(clock.now() - this.startedAt),
+      listAgeMs: directory.listAgeMs,
+      versions,
+      asked,
+      answers: received.map(hostAnswer),
+    };
+  }
+}
+
+function hostAnswer(answer: StreamVersionAnswer): HostAnswer {
+  const {host, began, hasSeveral, listAgeMs} = answer;
+  return {host, began: began?.softwareVersion, hasSeveral, listAgeMs};
 }
 
 /**
