--- a/packages/soak/src/lib/process/promises.ts
+++ b/packages/soak/src/lib/process/promises.ts
@@ -2,13 +2,14 @@
 import type {ReceivedRequest} from '@oathead/platform/stand_ins';
 import type {JobRecord} from '../request/batch_load.js';
 import {wholeStream, wholeText} from '../request/expected_text.js';
-import {eventsIn, type OnlineRecord} from '../request/online_load.js';
+import {eventsUpTo, type OnlineRecord} from '../request/online_load.js';
 import {ACCOUNT_PROMISES} from './account_promises.js';
 import {CALM_BOUND_MS} from './calm_changes.js';
 import {allRuns, type Evidence, type PromiseCheck} from './evidence.js';
 import {JOB_PROMISES} from './job_promises.js';
 import {POISON_PROMISES} from './poison_promises.js';
 import {RETENTION_MS} from './promise_bounds.js';
+import {TAKE_UP_PROMISES} from './take_up_promises.js';
 import {VERSION_PROMISES} from './version_promises.js';
 
 /** Answers that promise that the request has not run and never will. */
@@ -50,6 +51,7 @@
   'an ended job stops': endedJobsStop,
   ...JOB_PROMISES,
   ...VERSION_PROMISES,
+  ...TAKE_UP_PROMISES,
   ...POISON_PROMISES,
   'a leaving target gets nothing new': leavingTargetsRest,
   'a configuration never goes back': configurationsStay,
@@ -76,7 +78,7 @@
 function bodyOf({kind, path, takesUp}: OnlineRecord): string {
   const streams = kind === 'notes' || kind === 'flags';
   if (!streams) return 'answer to question';
-  return wholeStream(path, takesUp ? eventsIn(takesUp) : 0);
+  return wholeStream(path, takesUp ? eventsUpTo(takesUp) : 0);
 }
 
 function flawsOf(record: OnlineRecord): readonly string[] {
