A row that cannot be applied does not end its reader

What would be seen: a process that ends again and again, or does not follow the list any more, because one row of another writer makes a component throw. Cause: what a component throws for a row ended the watch of the table, as a rejection that nothing handles. Change: the row is logged (row-not-applied) and the others are applied. Test: 'a row that cannot be applied does not keep others from being' ended with an unhandled rejection before.

--- a/packages/serving/src/lib/process/table_feeds.ts
+++ b/packages/serving/src/lib/process/table_feeds.ts
@@ -25,6 +25,7 @@
   TableWatch,
   type RowStore,
   type TableUpdate,
+  type VersionedRow,
 } from '@oathead/stores';
 import {LRUCache} from 'lru-cache';
 import type {PeerClients} from '../connection/peer_clients.js';
@@ -231,7 +232,11 @@
     for (const row of put) {
       const table = this.platform.config.decode(row);
       if (!table) continue;
-      if (table.ok) this.consumers.routing.adopt(table.value, row, 'store');
+      const {routing} = this.consumers;
+      if (table.ok)
+        this.apply('config', row, () =>
+          routing.adopt(table.value, row, 'store'),
+        );
       else this.reportUnreadableRow('config', row.key, table.err.message);
     }
   }
@@ -247,7 +252,7 @@
       const target = this.platform.targets.decode(row);
       if (!target) continue;
       if (target.ok) {
-        announcedTargets.put(target.value);
+        this.apply('target', row, () => announcedTargets.put(target.value));
         this.unreadableRows.delete(unreadableRowKey('target', row.key));
         continue;
       }
@@ -258,6 +263,20 @@
     this.onTargets();
   }
 
+  /**
+   * Guards against one row of another writer that ends this process, again and
+   * again: whatever fails for it, the table is followed on.
+   */
+  private apply(what: string, {key}: VersionedRow, apply: () => void): void {
+    try {
+      apply();
+    } catch (err) {
+      const error = err instanceof Error ? err.stack : String(err);
+      this.context.counters.count('rows_unreadable', {what});
+      this.context.log.event('row-not-applied', {what, key, error});
+    }
+  }
+
   private reportUnreadableRow(
     what: string,
     key: string,
