What is used is in the record all the time, and a part of it infers nothing

Announced versions stay in the row for a second, one write announces all versions of a list, and nothing is inferred unless the list, read anew, names the same single version. - A server that is back under its ID with another version was used as before while its new version waited. The earlier incarnation leaves at once. - A row that cannot be read, or that its host could not renew for a minute, did not count. Nothing is inferred beside an unreadable row; rows count for ten minutes, at the price of refused streams that nobody knows. - Of two rows with one stream the younger one counts.

Streams refused without need: a read that took over half a second was thrown away; one partition that is not served hid all others; targets waited for an announcement although their version was in use, or the store took no writes.

Load: each reader removed up to 160 old rows at once. A host removes the rows of its own earlier incarnations only. IDs of over 200 characters are not recorded.

--- a/packages/gateway/src/lib/process/announced_targets.ts
+++ b/packages/gateway/src/lib/process/announced_targets.ts
@@ -14,7 +14,7 @@
   readonly log: EventLog;
   readonly directory: Pick<
     TargetDirectory,
-    'get' | 'put' | 'remove' | 'ofService'
+    'get' | 'put' | 'remove' | 'removeEarlier' | 'hasVersion' | 'ofService'
   >;
   readonly record: Pick<StreamRecord, 'isAnnounced' | 'announce'>;
   /** Called when targets have come into use later than they were listed. */
@@ -41,12 +41,16 @@
   /** @param target - A target that is new or has changed. */
   put(target: Target): void {
     const {directory, record} = this.context;
-    const isInUse = directory.get(target.id) !== undefined;
+    const {service, softwareVersion} = target;
+    const isInUse =
+      directory.get(target.id) !== undefined ||
+      directory.hasVersion(service, softwareVersion);
     if (isInUse || record.isAnnounced(target)) {
       this.waiting.delete(target.serverId);
       directory.put(target);
       return;
     }
+    directory.removeEarlier(target);
     const isPending = this.waitingOf(target).length > 0;
     this.waiting.set(target.serverId, target);
     if (!isPending) void this.release(target);
@@ -86,12 +90,18 @@
   }
 
   /** Without another target, the callers of the service would be refused. */
-  private putIfNeeded(version: Version): void {
+  private putIfNeeded({service}: Version): void {
     const {directory, log} = this.context;
-    if (directory.ofService(version.service).length > 0) return;
-    const targets = this.waitingOf(version).length;
-    log.event('version-unannounced', {...version, targets});
-    this.putWaiting(version);
+    if (directory.ofService(service).length > 0) return;
+    const waiting = [...this.waiting.values()];
+    const versions = waiting.filter(target => target.service === service);
+    for (const {softwareVersion} of versions) {
+      const version = {service, softwareVersion};
+      const targets = this.waitingOf(version).length;
+      if (targets === 0) continue;
+      log.event('version-unannounced', {...version, targets});
+      this.putWaiting(version);
+    }
   }
 
   private putWaiting(version: Version): void {
--- a/packages/gateway/src/lib/process/recorded_streams.ts
+++ b/packages/gateway/src/lib/process/recorded_streams.ts
@@ -7,17 +7,16 @@
   decodeStreamRow,
   STREAM_PARTITIONS,
   STREAM_TABLE,
+  streamRowsOfHost,
   type BegunStreams,
 } from './stream_record_rows.js';
 
 /**
- * How long a row counts after it was written, in milliseconds. A host that was
- * cut off may have gone on at the versions in it for some time, and targets that
- * have left the list serve on for seconds.
+ * How long the versions of a row count after it was written, in milliseconds. A
+ * host that cannot write may go on at the versions in it meanwhile. While a row
+ * counts too long, streams that nobody knows are refused.
  */
-export const RECORD_LIFETIME_MS = 60_000;
-/** Maximum number of rows that one read removes. */
-const MAX_REMOVES = 40;
+export const RECORD_LIFETIME_MS = 600_000;
 
 /** What the rows of all hosts say. */
 export interface RecordedStreams {
@@ -25,18 +24,28 @@
   readonly origins: ReadonlyMap<string, StreamOrigin>;
   /** Versions at which hosts may have begun streams, by service. */
   readonly versions: ReadonlyMap<string, ReadonlySet<string>>;
+  /** Whether all rows were read: else there may be more versions and streams. */
+  readonly isComplete: boolean;
 }
 
 /** Dependencies of {@link RecordedStreamsReader}. */
 export interface RecordedStreamsContext {
-  readonly store: Pick<RowStore, 'read' | 'transact'>;
+  readonly store: Pick<RowStore, 'read'>;
   readonly clock: Clock;
   readonly log: EventLog;
 }
 
+/** Maximum number of rows that are removed at once. */
+const MAX_REMOVES = 40;
+
+/** What was read of a partition. */
+interface PartOfRecord {
+  readonly rows: readonly AgedRow[];
+  readonly isComplete: boolean;
+}
+
 /** What one host incarnation has recorded. */
 interface AgedRow {
-  readonly row: VersionedRow;
   readonly begun: readonly BegunStreams[];
   /** Time since it was written, in milliseconds. */
   readonly ageMs: number;
@@ -44,8 +53,8 @@
 
 /** Reads the whole record; all who ask during a read share the next one. */
 export class RecordedStreamsReader {
-  private running: Promise<RecordedStreams | undefined> | undefined;
-  private next: Promise<RecordedStreams | undefined> | undefined;
+  private running: Promise<RecordedStreams> | undefined;
+  private next: Promise<RecordedStreams> | undefined;
 
   /** @param context - The store. */
   constructor(private readonly context: RecordedStreamsContext) {}
@@ -53,9 +62,9 @@
   /**
    * Reads what all hosts have recorded before the call.
    *
-   * @returns The record; undefined if it could not be read. Never rejects.
+   * @returns What could be read of it. Never rejects.
    */
-  read(): Promise<RecordedStreams | undefined> {
+  read(): Promise<RecordedStreams> {
     if (!this.running) return this.start();
     this.next ??= this.running.then(() => {
       this.next = undefined;
@@ -64,7 +73,7 @@
     return this.next;
   }
 
-  private start(): Promise<RecordedStreams | undefined> {
+  private start(): Promise<RecordedStreams> {
     const running = this.readAll().finally(() => {
       if (this.running === running) this.running = undefined;
     });
@@ -72,68 +81,85 @@
     return running;
   }
 
-  private async readAll(): Promise<RecordedStreams | undefined> {
+  private async readAll(): Promise<RecordedStreams> {
     const parts = await Promise.all(
       STREAM_PARTITIONS.map(partition => this.readPartition(partition)),
     );
+    const rows = parts.flatMap(part => part.rows);
+    // Of a stream that is in two rows, the younger one says where it goes on.
+    rows.sort((a, b) => b.ageMs - a.ageMs);
     const origins = new Map<string, StreamOrigin>();
     const versions = new Map<string, Set<string>>();
-    for (const rows of parts) {
-      if (!rows) return undefined;
-      for (const {begun, ageMs} of rows)
-        for (const {service, softwareVersion, streams} of begun) {
-          const known = versions.get(service) ?? new Set<string>();
-          versions.set(service, known.add(softwareVersion));
-          if (ageMs > STREAM_LIFETIME_MS) continue;
-          for (const id of streams) origins.set(id, {service, softwareVersion});
-        }
-    }
-    return {origins, versions};
+    for (const {begun, ageMs} of rows)
+      for (const {service, softwareVersion, streams} of begun) {
+        const known = versions.get(service) ?? new Set<string>();
+        versions.set(service, known.add(softwareVersion));
+        if (ageMs > STREAM_LIFETIME_MS) continue;
+        for (const id of streams) origins.set(id, {service, softwareVersion});
+      }
+    const isComplete = parts.every(part => part.isComplete);
+    return {origins, versions, isComplete};
   }
 
-  /** @returns The rows that count; undefined if they could not be read. */
-  private async readPartition(
-    partition: string,
-  ): Promise<readonly AgedRow[] | undefined> {
+  /** Reads the rows of a partition that count. */
+  private async readPartition(partition: string): Promise<PartOfRecord> {
     const found: AgedRow[] = [];
+    let isComplete = true;
     for (let from: string | undefined = ''; from !== undefined;) {
       const query = {table: STREAM_TABLE, partition, from};
       const page = await this.context.store.read(query);
       if (!page.ok) {
         const reason = page.err.kind;
         this.context.log.event('stream-record-unread', {partition, reason});
-        return undefined;
+        return {rows: found, isComplete: false};
       }
       const {rows, hasMore, storeTimeMs} = page.value;
-      const decoded = rows.flatMap(row => this.decode(row, storeTimeMs));
-      const isOld = ({ageMs}: AgedRow) => ageMs > RECORD_LIFETIME_MS;
-      this.removeOld(decoded.filter(isOld));
-      found.push(...decoded.filter(row => !isOld(row)));
+      for (const row of rows) {
+        const aged = this.decode(row, storeTimeMs);
+        if (!aged) isComplete = false;
+        else if (aged.ageMs <= RECORD_LIFETIME_MS) found.push(aged);
+      }
       const last = rows.at(-1);
       from = hasMore && last ? `${last.key}\u0000` : undefined;
     }
-    return found;
+    return {rows: found, isComplete};
   }
 
-  /** @returns The row; none if it cannot be read. */
-  private decode(row: VersionedRow, storeTimeMs: number): readonly AgedRow[] {
-    const decoded = decodeStreamRow(row.value);
+  /** @returns The row; undefined if it cannot be read. */
+  private decode(
+    {key, value}: VersionedRow,
+    storeTimeMs: number,
+  ): AgedRow | undefined {
+    const decoded = decodeStreamRow(value);
     if (decoded.ok) {
       const {begun, writtenAtMs} = decoded.value;
-      return [{row, begun, ageMs: storeTimeMs - writtenAtMs}];
+      return {begun, ageMs: storeTimeMs - writtenAtMs};
     }
     const {message} = decoded.err;
-    this.context.log.event('stream-record-unreadable', {key: row.key, message});
-    return [];
+    this.context.log.event('stream-record-unreadable', {key, message});
+    return undefined;
   }
+}
 
-  /** Removes rows of hosts that are gone; one that is written anew stays. */
-  private removeOld(rows: readonly AgedRow[]): void {
-    for (const {row} of rows.slice(0, MAX_REMOVES))
-      void this.context.store.transact({
-        expect: [row],
-        puts: [],
-        removes: [row],
-      });
-  }
+/**
+ * Removes the rows of earlier incarnations of a host that do not count any more.
+ *
+ * @param store - The store. What it does not remove now stays for the next call.
+ * @param memberId - ID of the incarnation that runs now.
+ */
+export async function removeOldRows(
+  store: Pick<RowStore, 'read' | 'transact'>,
+  memberId: string,
+): Promise<void> {
+  const page = await store.read(streamRowsOfHost(memberId));
+  if (!page.ok) return;
+  const {rows, storeTimeMs} = page.value;
+  const removes = rows.filter(({key, value}) => {
+    const row = decodeStreamRow(value);
+    const ageMs = row.ok ? storeTimeMs - row.value.writtenAtMs : Infinity;
+    return key !== memberId && ageMs > RECORD_LIFETIME_MS;
+  });
+  if (removes.length === 0) return;
+  const some = removes.slice(0, MAX_REMOVES);
+  await store.transact({expect: some, puts: [], removes: some});
 }
--- a/packages/gateway/src/lib/process/stream_record.ts
+++ b/packages/gateway/src/lib/process/stream_record.ts
@@ -7,6 +7,7 @@
 import type {RowStore, RowStoreError} from '@oathead/stores';
 import type {StreamOrigin} from '../connection/stream_version_message.js';
 import {STREAM_LIFETIME_MS} from './service_versions.js';
+import {removeOldRows} from './recorded_streams.js';
 import {
   encodeStreamRow,
   streamRowRef,
@@ -20,7 +21,7 @@
   readonly memberId: string;
   readonly clock: Clock;
   readonly log: EventLog;
-  readonly store: Pick<RowStore, 'transact' | 'storeTimeMs'>;
+  readonly store: Pick<RowStore, 'transact' | 'read' | 'storeTimeMs'>;
   /** Maximum rate of writes by all hosts together, per second. */
   readonly maxWritesPerS: number;
   /** @returns Number of live hosts, with this one. */
@@ -36,8 +37,15 @@
 const MIN_WRITE_INTERVAL_MS = 100;
 /** Interval of writes while nothing has changed, in milliseconds. */
 const REFRESH_INTERVAL_MS = 20_000;
+/** Interval at which old rows of this host are removed, in milliseconds. */
+const SWEEP_INTERVAL_MS = 60_000;
 /** Interval at which a change of the versions is noticed, in milliseconds. */
 const CHECK_INTERVAL_MS = 500;
+/**
+ * How long a version stays in the row after it was announced, in milliseconds:
+ * its targets come into use after that.
+ */
+const TAKEN_LIFETIME_MS = 1000;
 /** Delay after a failed write, in milliseconds. */
 const RETRY_DELAY_MS = 500;
 /**
@@ -45,6 +53,8 @@
  * last bytes may be lost with this host.
  */
 const ENDED_LIFETIME_MS = 1000;
+/** Longer IDs are not recorded, as hosts do not tell each other of them. */
+const MAX_ID_LENGTH = 200;
 /** Bounds the size of the row, in bytes of stream IDs. */
 const MAX_ID_BYTES = 32_768;
 const MS_PER_SECOND = 1000;
@@ -62,6 +72,13 @@
   readonly settle: () => void;
 }
 
+/** A version that the store has taken a moment ago. */
+interface TakenVersion {
+  readonly origin: StreamOrigin;
+  /** Until when it stays in the row without being listed, in monotonic ms. */
+  readonly keptUntil: number;
+}
+
 /** The record of this host. */
 export class StreamRecord implements Disposable {
   private readonly disposables = new DisposableStore();
@@ -71,6 +88,8 @@
   private readonly announcements = new Map<string, Announcement>();
   /** Versions in the row that the store has taken last. */
   private announced: ReadonlySet<string> = new Set();
+  /** Versions that the store has just taken, as long as they may be unused. */
+  private readonly taken = new Map<string, TakenVersion>();
   private rowVersion = 0;
   private lastWriteAt = -Infinity;
   private isDirty = false;
@@ -97,6 +116,8 @@
    * @param origin - Where it begins.
    */
   begin(stream: string, origin: StreamOrigin): void {
+    // Callers choose IDs; a few long ones are not to take the room of others.
+    if (stream.length > MAX_ID_LENGTH) return;
     const endsAt = this.context.clock.now() + STREAM_LIFETIME_MS;
     this.streams.delete(stream);
     this.streams.set(stream, {origin, endsAt});
@@ -129,7 +150,8 @@
     const done = new Promise<void>(resolve => (settle = resolve));
     this.announcements.set(key, {origin, done, settle});
     this.isDirty = true;
-    void this.write();
+    // All versions of one read of the list are announced by one write.
+    queueMicrotask(() => void this.write());
     return done;
   }
 
@@ -155,10 +177,14 @@
 
   private async follow(signal: AbortSignal): Promise<void> {
     const {clock} = this.context;
+    let sweptAt = clock.now();
     while (!signal.aborted) {
       await sleep(clock, CHECK_INTERVAL_MS, signal);
       const isDue = clock.now() - this.lastWriteAt >= REFRESH_INTERVAL_MS;
       if (isDue || this.haveVersionsChanged()) this.requestWrite();
+      if (clock.now() - sweptAt < SWEEP_INTERVAL_MS) continue;
+      sweptAt = clock.now();
+      await removeOldRows(this.context.store, this.context.memberId);
     }
   }
 
@@ -215,9 +241,11 @@
 
   private adopt({begun}: StreamRow): void {
     this.announced = new Set(begun.map(keyOf));
-    for (const [key, {settle}] of [...this.announcements]) {
+    const keptUntil = this.context.clock.now() + TAKEN_LIFETIME_MS;
+    for (const [key, {origin, settle}] of [...this.announcements]) {
       if (!this.announced.has(key)) continue;
       this.announcements.delete(key);
+      this.taken.set(key, {origin, keptUntil});
       settle();
     }
   }
@@ -246,7 +274,10 @@
   }
 
   private versions(): readonly StreamOrigin[] {
-    const announced = [...this.announcements.values()];
+    const now = this.context.clock.now();
+    for (const [key, {keptUntil}] of this.taken)
+      if (keptUntil <= now) this.taken.delete(key);
+    const announced = [...this.announcements.values(), ...this.taken.values()];
     return [
       ...this.context.listedVersions(),
       ...announced.map(({origin}) => origin),
@@ -257,18 +288,21 @@
     const now = this.context.clock.now();
     for (const [id, {endsAt}] of this.streams)
       if (endsAt <= now) this.streams.delete(id);
-    let bytes = [...this.streams.keys()].reduce(
-      (sum, id) => sum + id.length,
-      0,
-    );
-    for (const id of this.streams.keys()) {
+    const ids = [...this.streams.keys()];
+    let bytes = ids.reduce((sum, id) => sum + sizeOf(id), 0);
+    for (const id of ids) {
       if (bytes <= MAX_ID_BYTES) return;
       this.streams.delete(id);
-      bytes -= id.length;
+      bytes -= sizeOf(id);
     }
   }
 }
 
+/** @returns Size of an ID in the row, with its separator, in bytes. */
+function sizeOf(id: string): number {
+  return Buffer.byteLength(JSON.stringify(id)) + 1;
+}
+
 function keyOf({service, softwareVersion}: StreamOrigin): string {
   return JSON.stringify([service, softwareVersion]);
 }
--- a/packages/gateway/src/lib/process/stream_record_rows.ts
+++ b/packages/gateway/src/lib/process/stream_record_rows.ts
@@ -6,6 +6,7 @@
 import {
   decodeJson,
   encodeJson,
+  type RowQuery,
   type RowRef,
   type UnreadableRow,
 } from '@oathead/stores';
@@ -49,6 +50,17 @@
   return {table: STREAM_TABLE, partition, key: memberId};
 }
 
+/**
+ * @param memberId - ID of a host incarnation.
+ * @returns The rows of all incarnations of its host.
+ */
+export function streamRowsOfHost(memberId: string): RowQuery {
+  const {table, partition} = streamRowRef(memberId);
+  const host = hostOfMember(memberId);
+  // The character after the separator of IDs ends the range.
+  return {table, partition, from: `${host}.`, to: `${host}/`};
+}
+
 /**
  * @param row - What a host incarnation records.
  * @returns The value of its row.
--- a/packages/gateway/src/lib/process/stream_versions.ts
+++ b/packages/gateway/src/lib/process/stream_versions.ts
@@ -53,8 +53,8 @@
    */
   readonly readTargets: () => Promise<boolean>;
   readonly record: Pick<StreamRecord, 'begin' | 'end'>;
-  /** Reads what all hosts have recorded; undefined if it cannot be read. */
-  readonly readRecord: () => Promise<RecordedStreams | undefined>;
+  /** Reads what all hosts have recorded. */
+  readonly readRecord: () => Promise<RecordedStreams>;
   /** @returns All live hosts except this one. */
   readonly peers: () => readonly P[];
   /** @returns The host with this ID; undefined if it is not known. */
@@ -74,11 +74,6 @@
  * milliseconds.
  */
 const TELL_INTERVAL_MS = 500;
-/**
- * How long a stream that no host knows waits for the store to be read, in
- * milliseconds: several times what the store takes while it is well.
- */
-const STORE_READ_TIMEOUT_MS = 500;
 /**
  * How long a stream that nobody knows waits at a host that does not reach the
  * store, and between two attempts, in milliseconds: most such hosts were frozen
@@ -87,6 +82,20 @@
 const OUT_OF_TOUCH_PATIENCE_MS = 1000;
 const RETRY_PAUSE_MS = 200;
 
+/** A stream that is taken up. */
+interface Attempt {
+  readonly service: string;
+  readonly stream: string | undefined;
+  /** When it is refused if nobody knows it, on the monotonic clock. */
+  readonly giveUpAt: number;
+}
+
+interface Found {
+  readonly finding: StreamFinding;
+  /** Whether nothing more can be known soon. */
+  readonly isDecided: boolean;
+}
+
 /** The streams of one host, and what it knows of those of others. */
 export class StreamVersions<
   P extends LoadPeer = LoadPeer,
@@ -160,7 +169,8 @@
   ): Promise<StreamFinding> {
     const giveUpAt = this.context.clock.now() + OUT_OF_TOUCH_PATIENCE_MS;
     for (;;) {
-      const {finding, isDecided} = await this.find(service, stream);
+      const attempt = {service, stream, giveUpAt};
+      const {finding, isDecided} = await this.find(attempt);
       const isLast = this.context.clock.now() >= giveUpAt;
       if (isDecided || isLast) return this.counted(finding);
       await sleep(this.context.clock, RETRY_PAUSE_MS);
@@ -183,10 +193,7 @@
   }
 
   /** @returns What is known now, and whether more may be known soon. */
-  private async find(
-    service: string,
-    stream: string | undefined,
-  ): Promise<{finding: StreamFinding; isDecided: boolean}> {
+  private async find({service, stream, giveUpAt}: Attempt): Promise<Found> {
     let answers = NO_ANSWERS;
     const decided = (evidence: StreamEvidence, origin?: StreamOrigin) => {
       const finding = this.finding(service, evidence, answers, origin);
@@ -196,13 +203,16 @@
     if (known) return decided('known', known);
     answers = await this.ask(service, stream);
     if (answers.began) return decided('learned', answers.began);
-    const recorded = await this.readRecord();
+    const recorded = await this.until(giveUpAt, this.context.readRecord());
     const origin =
       stream === undefined ? undefined : recorded?.origins.get(stream);
     if (origin) return decided('recorded', origin);
-    if (!recorded) return {...decided('unknown'), isDecided: false};
-    const softwareVersion = await this.onlyPossible(service, answers, recorded);
-    if (softwareVersion === undefined) return decided('unknown');
+    if (!recorded?.isComplete) return {...decided('unknown'), isDecided: false};
+    const {hasSeveral} = answers;
+    const only = hasSeveral ? undefined : onlyRecorded(service, recorded);
+    const softwareVersion =
+      only && (await this.confirmed(service, only, giveUpAt));
+    if (!softwareVersion) return decided('unknown');
     return decided('inferred', {service, softwareVersion});
   }
 
@@ -234,40 +244,28 @@
   }
 
   /**
-   * What hosts have recorded tells of each version at which streams can have
-   * begun, because they record it before they use it. The list of targets stands
-   * in where nothing is recorded of the service, as by earlier releases.
-   *
-   * @returns The only version at which a stream of the service can have begun
-   *     that no host knows; undefined if there may be several.
+   * @returns The version, if the list of targets names no other one when it is
+   *     read anew; undefined if it does, or cannot be read.
    */
-  private async onlyPossible(
+  private async confirmed(
     service: string,
-    {hasSeveral}: StreamVersionAnswers,
-    {versions}: RecordedStreams,
+    softwareVersion: string,
+    giveUpAt: number,
   ): Promise<string | undefined> {
-    if (hasSeveral) return undefined;
-    const possible = versions.get(service);
-    if (!possible) return this.onlyListed(service);
-    const [first, ...others] = possible;
-    return others.length === 0 ? first : undefined;
-  }
-
-  /** @returns The only version in the list, if it has been read anew. */
-  private async onlyListed(service: string): Promise<string | undefined> {
     const {directory, readTargets} = this.context;
-    if (!(await this.inTime(readTargets(), false))) return undefined;
-    const view = directory.versionView(service);
-    return 'softwareVersion' in view ? view.softwareVersion : undefined;
-  }
-
-  private readRecord(): Promise<RecordedStreams | undefined> {
-    return this.inTime(this.context.readRecord(), undefined);
+    if (!(await this.until(giveUpAt, readTargets()))) return undefined;
+    const {kind} = directory.versionView(service);
+    if (kind !== 'only' && kind !== 'only-lately') return undefined;
+    return directory.versions.seen(service).has(softwareVersion)
+      ? softwareVersion
+      : undefined;
   }
 
-  private inTime<T>(read: Promise<T>, otherwise: T): Promise<T> {
+  /** @returns What a read has brought; undefined if it takes too long. */
+  private until<T>(giveUpAt: number, read: Promise<T>): Promise<T | undefined> {
     const {clock} = this.context;
-    const timeout = sleep(clock, STORE_READ_TIMEOUT_MS).then(() => otherwise);
+    const leftMs = Math.max(0, giveUpAt - clock.now());
+    const timeout = sleep(clock, leftMs).then(() => undefined);
     return Promise.race([read, timeout]);
   }
 
@@ -317,3 +315,18 @@
     };
   }
 }
+
+/**
+ * What hosts have recorded tells of each version at which streams can have begun,
+ * because they record it before they use it.
+ *
+ * @returns The only version at which a stream of the service can have begun that
+ *     no host knows; undefined if there may be several.
+ */
+function onlyRecorded(
+  service: string,
+  {versions}: RecordedStreams,
+): string | undefined {
+  const [first, ...others] = versions.get(service) ?? [];
+  return others.length === 0 ? first : undefined;
+}
--- a/packages/gateway/src/lib/process/target_directory.ts
+++ b/packages/gateway/src/lib/process/target_directory.ts
@@ -256,6 +256,20 @@
     );
   }
 
+  /**
+   * Removes the incarnation of a server that another one has replaced, also if
+   * the later one is not to be used yet.
+   *
+   * @param target - The later incarnation.
+   */
+  removeEarlier(target: Target): void {
+    const newest = this.latestIncarnations.get(target.serverId);
+    if (!newest || newest.id === target.id) return;
+    if (isEarlierIncarnation(target, newest)) return;
+    this.latestIncarnations.set(target.serverId, target);
+    this.handleRestart(newest, target);
+  }
+
   private listedIncarnation(serverId: string): Target | undefined {
     const newest = this.latestIncarnations.get(serverId);
     return newest && this.targets.get(newest.id);
