Events whose lines end with a carriage return and a line feed are passed on

Cause: only two line feeds in a row ended an event, though the lines of an event, its number and its data were read with either line end.

What callers saw: nothing of a stream whose lines end so until its target had ended it, then a failure of each try; items of such targets were never done.

Change: an empty line ends an event with either line end, also if it arrives byte by byte. Each byte is looked at once, as before.

--- a/packages/gateway/src/lib/request/stream_events.ts
+++ b/packages/gateway/src/lib/request/stream_events.ts
@@ -12,7 +12,7 @@
 }
 
 const LINE_FEED = 0x0a;
-const EVENT_END = '\n\n';
+const CARRIAGE_RETURN = 0x0d;
 const ID_LINE = /^id: ?(\d+)\r?$/m;
 const LINE_END = /\r\n|\n|\r/;
 const DATA_FIELD = /^data: ?/;
@@ -23,6 +23,8 @@
   /** Bytes of an incomplete event, in which no end was found. */
   private pending: Buffer[] = [];
   private bytesPending = 0;
+  /** How much of an empty line the pending bytes end with. */
+  private pendingEnd: 'none' | 'line-end' | 'carriage-return' = 'none';
 
   /** Whether the bytes of an incomplete event are buffered. */
   get hasPartialEvent(): boolean {
@@ -49,12 +51,12 @@
     const bytes = Buffer.concat([...this.pending, chunk]);
     this.pending = [];
     this.bytesPending = 0;
+    this.pendingEnd = 'none';
     const events: StreamEvent[] = [];
     let start = 0;
     for (;;) {
-      const found = bytes.indexOf(EVENT_END, start);
-      if (found < 0) break;
-      let end = found + EVENT_END.length;
+      let end = eventEnd(bytes, start);
+      if (end < 0) break;
       while (bytes[end] === LINE_FEED) end++;
       events.push(parseEvent(bytes.subarray(start, end)));
       start = end;
@@ -64,15 +66,46 @@
   }
 
   private completesEvent(chunk: Buffer): boolean {
-    const isSplitEnd =
-      this.pending.at(-1)?.at(-1) === LINE_FEED && chunk[0] === LINE_FEED;
-    return isSplitEnd || chunk.includes(EVENT_END);
+    return this.completesSplitEnd(chunk) || eventEnd(chunk, 0) >= 0;
+  }
+
+  private completesSplitEnd(chunk: Buffer): boolean {
+    if (this.pendingEnd === 'none') return false;
+    if (chunk[0] === LINE_FEED) return true;
+    const isNextLine = this.pendingEnd === 'line-end';
+    return isNextLine && chunk[0] === CARRIAGE_RETURN && chunk[1] === LINE_FEED;
   }
 
   private keep(bytes: Buffer): void {
     if (bytes.length === 0) return;
     this.pending.push(bytes);
     this.bytesPending += bytes.length;
+    this.pendingEnd = this.endOf(bytes);
+  }
+
+  private endOf(bytes: Buffer): typeof this.pendingEnd {
+    const last = bytes[bytes.length - 1];
+    if (last === LINE_FEED) return 'line-end';
+    if (last !== CARRIAGE_RETURN) return 'none';
+    const isAfterLine =
+      bytes.length === 1
+        ? this.pendingEnd === 'line-end'
+        : bytes[bytes.length - 2] === LINE_FEED;
+    return isAfterLine ? 'carriage-return' : 'none';
+  }
+}
+
+/**
+ * Looks at each line once.
+ *
+ * @returns The position after the first empty line; -1 if there is none.
+ */
+function eventEnd(bytes: Buffer, start: number): number {
+  for (let at = start - 1; ;) {
+    at = bytes.indexOf(LINE_FEED, at + 1);
+    if (at < 0) return -1;
+    const end = bytes[at + 1] === CARRIAGE_RETURN ? at + 2 : at + 1;
+    if (bytes[end] === LINE_FEED) return end + 1;
   }
 }
 
--- a/packages/gateway/src/test/request/stream_events_test.ts
+++ b/packages/gateway/src/test/request/stream_events_test.ts
@@ -8,9 +8,11 @@
     fc.property(
       fc.array(text, {minLength: 1}),
       fc.array(fc.nat({max: 200})),
-      (texts, cuts) => {
+      fc.constantFrom('\n', '\r\n'),
+      (texts, cuts, lineEnd) => {
         const stream = texts
-          .map((data, i) => `id: ${i + 1}\ndata: ${data}\n\n`)
+          .map((data, i) => [`id: ${i + 1}`, `data: ${data}`, '', ''])
+          .map(lines => lines.join(lineEnd))
           .join('');
         const splitter = new EventSplitter();
         const events = splitAt(Buffer.from(stream), cuts).flatMap(chunk =>
@@ -28,6 +30,33 @@
   );
 });
 
+// Guards against a stream of which nothing is passed on, because its lines end
+// in another way that the format allows.
+for (const end of ['\n', '\r\n'])
+  test(`events come out at each byte with lines that end with ${JSON.stringify(end)}`, t => {
+    const events = [['id: 1', 'data: a'], [': b'], ['data: c', 'id: 2']].map(
+      lines => `${[...lines, ''].join(end)}${end}`,
+    );
+    const splitter = new EventSplitter();
+    const found = [...events.join('')].flatMap(byte =>
+      splitter.push(Buffer.from(byte)),
+    );
+    t.deepEqual(
+      found.map(({bytes}) => bytes.toString()),
+      events,
+    );
+    t.deepEqual(
+      found.map(({id}) => id),
+      [1, undefined, 2],
+    );
+    t.false(splitter.hasPartialEvent);
+    const whole = new EventSplitter().push(Buffer.from(events.join('')));
+    t.deepEqual(
+      whole.map(({bytes}) => bytes.toString()),
+      events,
+    );
+  });
+
 test('an incomplete event is buffered', t => {
   const splitter = new EventSplitter();
   t.is(splitter.push(Buffer.from('id: 1\ndata: a\n')).length, 0);
