--- a/packages/gateway/src/lib/process/stream_record.ts
+++ b/packages/gateway/src/lib/process/stream_record.ts
@@ -6,10 +6,11 @@
 import {DisposableStore, sleep, type Clock, type EventLog} from '@oathead/core';
 import type {RowStore, RowStoreError} from '@oathead/stores';
 import type {StreamOrigin} from '../connection/stream_version_message.js';
-import {STREAM_LIFETIME_MS} from './service_versions.js';
+import {OwnStreams} from './own_streams.js';
 import {removeOldRows} from './recorded_streams.js';
 import {
   encodeStreamRow,
+  keyOf,
   streamRowRef,
   type BegunStreams,
   type StreamRow,
@@ -48,23 +49,8 @@
 const TAKEN_LIFETIME_MS = 1000;
 /** Delay after a failed write, in milliseconds. */
 const RETRY_DELAY_MS = 500;
-/**
- * How long a stream stays in the record after it has ended, in milliseconds: its
- * last bytes may be lost with this host.
- */
-const ENDED_LIFETIME_MS = 1000;
-/** Longer IDs are not recorded, as hosts do not tell each other of them. */
-const MAX_ID_LENGTH = 200;
-/** Bounds the size of the row, in bytes of stream IDs. */
-const MAX_ID_BYTES = 32_768;
 const MS_PER_SECOND = 1000;
 
-interface OwnStream {
-  readonly origin: StreamOrigin;
-  /** Time from which it cannot be taken up any more, in monotonic ms. */
-  endsAt: number;
-}
-
 /** A version that is to be in the record before streams begin there. */
 interface Announcement {
   readonly origin: StreamOrigin;
@@ -82,8 +68,7 @@
 /** The record of this host. */
 export class StreamRecord implements Disposable {
   private readonly disposables = new DisposableStore();
-  /** By ID, the oldest first. */
-  private readonly streams = new Map<string, OwnStream>();
+  private readonly streams: OwnStreams;
   /** By version, until the store has taken them. */
   private readonly announcements = new Map<string, Announcement>();
   /** Versions in the row that the store has taken last. */
@@ -97,7 +82,9 @@
   private isFailing = false;
 
   /** @param context - The store and the list of targets. */
-  constructor(private readonly context: StreamRecordContext) {}
+  constructor(private readonly context: StreamRecordContext) {
+    this.streams = new OwnStreams(() => context.clock.now());
+  }
 
   /** Starts to keep the row up to date. */
   start(): void {
@@ -116,18 +103,12 @@
    * @param origin - Where it begins.
    */
   begin(stream: string, origin: StreamOrigin): void {
-    // Callers choose IDs; a few long ones are not to take the room of others.
-    if (stream.length > MAX_ID_LENGTH) return;
-    const endsAt = this.context.clock.now() + STREAM_LIFETIME_MS;
-    this.streams.delete(stream);
-    this.streams.set(stream, {origin, endsAt});
-    this.requestWrite();
+    if (this.streams.begin(stream, origin)) this.requestWrite();
   }
 
   /** @param stream - ID of a stream that its caller has got to its end. */
   end(stream: string): void {
-    const own = this.streams.get(stream);
-    if (own) own.endsAt = this.context.clock.now() + ENDED_LIFETIME_MS;
+    this.streams.end(stream);
   }
 
   /** @returns Whether the store knows that streams may begin at a version. */
@@ -261,15 +242,11 @@
   }
 
   private row(writtenAtMs: number): StreamRow {
-    this.dropOld();
-    const begun = new Map<string, BegunStreams & {streams: string[]}>();
+    const begun = new Map<string, BegunStreams>();
     for (const origin of this.versions())
       begun.set(keyOf(origin), {...origin, streams: []});
-    for (const [id, {origin}] of this.streams) {
-      const known = begun.get(keyOf(origin)) ?? {...origin, streams: []};
-      begun.set(keyOf(origin), known);
-      known.streams.push(id);
-    }
+    for (const streams of this.streams.byOrigin())
+      begun.set(keyOf(streams), streams);
     return {writtenAtMs, begun: [...begun.values()]};
   }
 
@@ -283,26 +260,4 @@
       ...announced.map(({origin}) => origin),
     ];
   }
-
-  private dropOld(): void {
-    const now = this.context.clock.now();
-    for (const [id, {endsAt}] of this.streams)
-      if (endsAt <= now) this.streams.delete(id);
-    const ids = [...this.streams.keys()];
-    let bytes = ids.reduce((sum, id) => sum + sizeOf(id), 0);
-    for (const id of ids) {
-      if (bytes <= MAX_ID_BYTES) return;
-      this.streams.delete(id);
-      bytes -= sizeOf(id);
-    }
-  }
-}
-
-/** @returns Size of an ID in the row, with its separator, in bytes. */
-function sizeOf(id: string): number {
-  return Buffer.byteLength(JSON.stringify(id)) + 1;
-}
-
-function keyOf({service, softwareVersion}: StreamOrigin): string {
-  return JSON.stringify([service, softwareVersion]);
 }
--- a/packages/gateway/src/lib/process/stream_record_rows.ts
+++ b/packages/gateway/src/lib/process/stream_record_rows.ts
@@ -12,6 +12,7 @@
 } from '@oathead/stores';
 import type {Outcome} from '@oathead/core';
 import {z} from 'zod';
+import type {StreamOrigin} from '../connection/stream_version_message.js';
 import {hostOfMember} from './member.js';
 
 /** Table of the record. */
@@ -78,3 +79,11 @@
 ): Outcome<StreamRow, UnreadableRow> {
   return decodeJson(value, ROW);
 }
+
+/**
+ * @param origin - Where a stream began.
+ * @returns A key for its service and version.
+ */
+export function keyOf({service, softwareVersion}: StreamOrigin): string {
+  return JSON.stringify([service, softwareVersion]);
+}
--- a/packages/gateway/src/lib/process/stream_versions.ts
+++ b/packages/gateway/src/lib/process/stream_versions.ts
@@ -27,6 +27,7 @@
   type StreamFinding,
   type StreamKnowledge,
 } from './stream_finding.js';
+import {before, onlyPossible} from './stream_inference.js';
 import {StreamOrigins} from './stream_origins.js';
 import {StreamTeller} from './stream_teller.js';
 import {
@@ -203,15 +204,15 @@
     if (known) return decided('known', known);
     answers = await this.ask(service, stream);
     if (answers.began) return decided('learned', answers.began);
-    const recorded = await this.until(giveUpAt, this.context.readRecord());
+    const {clock, readRecord} = this.context;
+    const recorded = await before(clock, giveUpAt, readRecord());
     const origin =
       stream === undefined ? undefined : recorded?.origins.get(stream);
     if (origin) return decided('recorded', origin);
     if (!recorded?.isComplete) return {...decided('unknown'), isDecided: false};
-    const {hasSeveral} = answers;
-    const only = hasSeveral ? undefined : onlyRecorded(service, recorded);
-    const softwareVersion =
-      only && (await this.confirmed(service, only, giveUpAt));
+    const softwareVersion = answers.hasSeveral
+      ? undefined
+      : await onlyPossible(this.context, {service, recorded, giveUpAt});
     if (!softwareVersion) return decided('unknown');
     return decided('inferred', {service, softwareVersion});
   }
@@ -243,32 +244,6 @@
     return answers;
   }
 
-  /**
-   * @returns The version, if the list of targets names no other one when it is
-   *     read anew; undefined if it does, or cannot be read.
-   */
-  private async confirmed(
-    service: string,
-    softwareVersion: string,
-    giveUpAt: number,
-  ): Promise<string | undefined> {
-    const {directory, readTargets} = this.context;
-    if (!(await this.until(giveUpAt, readTargets()))) return undefined;
-    const {kind} = directory.versionView(service);
-    if (kind !== 'only' && kind !== 'only-lately') return undefined;
-    return directory.versions.seen(service).has(softwareVersion)
-      ? softwareVersion
-      : undefined;
-  }
-
-  /** @returns What a read has brought; undefined if it takes too long. */
-  private until<T>(giveUpAt: number, read: Promise<T>): Promise<T | undefined> {
-    const {clock} = this.context;
-    const leftMs = Math.max(0, giveUpAt - clock.now());
-    const timeout = sleep(clock, leftMs).then(() => undefined);
-    return Promise.race([read, timeout]);
-  }
-
   private hosts(): HostRing<P> {
     const {clock, peers} = this.context;
     const now = clock.now();
@@ -315,18 +290,3 @@
     };
   }
 }
-
-/**
- * What hosts have recorded tells of each version at which streams can have begun,
- * because they record it before they use it.
- *
- * @returns The only version at which a stream of the service can have begun that
- *     no host knows; undefined if there may be several.
- */
-function onlyRecorded(
-  service: string,
-  {versions}: RecordedStreams,
-): string | undefined {
-  const [first, ...others] = versions.get(service) ?? [];
-  return others.length === 0 ? first : undefined;
-}
