Soak: servers stay until all take-ups have been sent on

The programs started so late that the former servers left the list while streams were being taken up: all 14 had been found in the record (at-version, recorded) and were then given up with "software version gone". The soak itself had taken the servers away that LOST asks for.

The time in which take-ups count now runs from the kill, for as long as callers come back (5 s), and the servers leave 1.5 s after it, when programs have sent the last ones on.

--- a/packages/soak/src/lib/process/take_up_handlers.ts
+++ b/packages/soak/src/lib/process/take_up_handlers.ts
@@ -47,9 +47,10 @@
 const MAX_BEFORE_KILL_MS = 700;
 /** How long programs are away before they start again, in milliseconds. */
 const AWAY_MS = {least: 500, most: 1200} as const;
-/** From the begin of the last streams until their callers have ended: they come
- * back for 5 s, in milliseconds. */
-const OVER_MS = 6000;
+/** From the kill: no caller takes a stream up any more, in milliseconds. */
+const TAKE_UP_MS = 5000;
+/** In which programs have sent the last take-ups on, in milliseconds. */
+const SENT_ON_MS = 1500;
 const MIN_SERVING = 2;
 
 /** The handlers by kind. */
@@ -101,17 +102,19 @@
   if (joining === 'before-kill') await join();
   await sleep(SYSTEM_CLOCK, LISTED_MS);
   beginStreams(call, paths.slice(STREAMS_EACH));
-  const over = sleep(SYSTEM_CLOCK, OVER_MS);
   await sleep(SYSTEM_CLOCK, BEGUN_MS);
   if (leaving === 'before-kill') await leave();
   await sleep(SYSTEM_CLOCK, random.int(MAX_BEFORE_KILL_MS));
   const killedAt = Date.now();
+  const over = sleep(SYSTEM_CLOCK, TAKE_UP_MS);
   await killAll(call, async () => {
     if (joining === 'while-away') await join();
     if (leaving === 'while-away') await leave();
   });
   await over;
   const to = Date.now();
+  // A server that left now would be missed by what was sent before.
+  await sleep(SYSTEM_CLOCK, SENT_ON_MS);
   if (leaving === 'after-take-up') await leave();
   await Promise.all(former.map(({server}) => server.crash()));
 
