--- a/packages/gateway/src/lib/process/stream_finding.ts
+++ b/packages/gateway/src/lib/process/stream_finding.ts
@@ -3,6 +3,7 @@
   StreamOrigin,
   StreamVersionAnswer,
 } from '../connection/stream_version_message.js';
+import type {RecordedStreams} from './recorded_streams.js';
 import type {VersionView} from './target_directory.js';
 
 /** How a host came to what may be done with a stream. */
@@ -38,8 +39,13 @@
   readonly asked: readonly string[];
   /** What they answered. */
   readonly answers: readonly HostAnswer[];
+  /** How much of the record in the store was read; undefined if none was asked. */
+  readonly record: RecordState | undefined;
 }
 
+/** How much of the record a host has read in time. */
+export type RecordState = 'whole' | 'part' | 'none';
+
 /** A version that this host has known. */
 export type KnownVersion = Readonly<{
   softwareVersion: string;
@@ -95,3 +101,14 @@
   const {host, began, hasSeveral, listAgeMs} = answer;
   return {host, began: began?.softwareVersion, hasSeveral, listAgeMs};
 }
+
+/**
+ * @param recorded - What was read of the record; undefined if nothing in time.
+ * @returns How much that is.
+ */
+export function recordState(
+  recorded: Pick<RecordedStreams, 'isComplete'> | undefined,
+): RecordState {
+  if (!recorded) return 'none';
+  return recorded.isComplete ? 'whole' : 'part';
+}
--- a/packages/gateway/src/lib/process/stream_versions.ts
+++ b/packages/gateway/src/lib/process/stream_versions.ts
@@ -23,6 +23,8 @@
 import {
   continuationAt,
   hostAnswer,
+  recordState,
+  type RecordState,
   type StreamEvidence,
   type StreamFinding,
   type StreamKnowledge,
@@ -196,9 +198,11 @@
   /** @returns What is known now, and whether more may be known soon. */
   private async find({service, stream, giveUpAt}: Attempt): Promise<Found> {
     let answers = NO_ANSWERS;
+    let record: RecordState | undefined;
     const decided = (evidence: StreamEvidence, origin?: StreamOrigin) => {
-      const finding = this.finding(service, evidence, answers, origin);
-      return {finding, isDecided: true};
+      const knowledge = this.knowledge(service, answers, record);
+      const finding = this.finding(service, evidence, origin);
+      return {finding: {...finding, knowledge}, isDecided: true};
     };
     const known = stream === undefined ? undefined : this.origins.get(stream);
     if (known) return decided('known', known);
@@ -206,6 +210,7 @@
     if (answers.began) return decided('learned', answers.began);
     const {clock, readRecord} = this.context;
     const recorded = await before(clock, giveUpAt, readRecord());
+    record = recordState(recorded);
     const origin =
       stream === undefined ? undefined : recorded?.origins.get(stream);
     if (origin) return decided('recorded', origin);
@@ -257,13 +262,11 @@
   private finding(
     service: string,
     evidence: StreamEvidence,
-    answers: StreamVersionAnswers,
     origin: StreamOrigin | undefined,
-  ): StreamFinding {
+  ): Omit<StreamFinding, 'knowledge'> {
     const {kind: listed} = this.context.directory.versionView(service);
     const continuation = continuationAt(service, origin);
-    const knowledge = this.knowledge(service, answers);
-    return {continuation, evidence, listed, knowledge};
+    return {continuation, evidence, listed};
   }
 
   private counted(finding: StreamFinding): StreamFinding {
@@ -275,6 +278,7 @@
   private knowledge(
     service: string,
     {asked, received}: StreamVersionAnswers,
+    record: RecordState | undefined,
   ): StreamKnowledge {
     const {clock, directory} = this.context;
     const known = directory.versions.knownForMs(service);
@@ -287,6 +291,7 @@
       })),
       asked,
       answers: received.map(hostAnswer),
+      record,
     };
   }
 }
--- a/packages/gateway/src/test/process/recorded_versions_test.ts
+++ b/packages/gateway/src/test/process/recorded_versions_test.ts
@@ -258,7 +258,9 @@
   const host = world.start('h0.1');
   host.list(V1);
   await settle();
-  t.deepEqual((await host.takeUp('one')).continuation, UNKNOWN);
+  const {continuation, knowledge} = await host.takeUp('one');
+  t.deepEqual(continuation, UNKNOWN);
+  t.is(knowledge.record, 'part');
 });
 
 // Guards against refusals of streams that are in the rows that could be read.
