--- a/packages/gateway/src/lib/process/stream_versions.ts
+++ b/packages/gateway/src/lib/process/stream_versions.ts
@@ -198,7 +198,7 @@
   /** @returns What is known now, and whether more may be known soon. */
   private async find({service, stream, giveUpAt}: Attempt): Promise<Found> {
     let answers = NO_ANSWERS;
-    let record: RecordState | undefined;
+    let record = undefined as RecordState | undefined;
     const decided = (evidence: StreamEvidence, origin?: StreamOrigin) => {
       const knowledge = this.knowledge(service, answers, record);
       const finding = this.finding(service, evidence, origin);
