--- a/packages/gateway/src/lib/process/recorded_streams.ts
+++ b/packages/gateway/src/lib/process/recorded_streams.ts
@@ -17,6 +17,8 @@
  * counts too long, streams that nobody knows are refused.
  */
 export const RECORD_LIFETIME_MS = 600_000;
+/** Maximum number of rows that are removed at once. */
+const MAX_REMOVES = 40;
 
 /** What the rows of all hosts say. */
 export interface RecordedStreams {
@@ -35,9 +37,6 @@
   readonly log: EventLog;
 }
 
-/** Maximum number of rows that are removed at once. */
-const MAX_REMOVES = 40;
-
 /** What was read of a partition. */
 interface PartOfRecord {
   readonly rows: readonly AgedRow[];
--- a/packages/gateway/src/lib/process/stream_record_rows.ts
+++ b/packages/gateway/src/lib/process/stream_record_rows.ts
@@ -2,7 +2,7 @@
  * Rows of the record of streams: each host incarnation keeps one, which says at
  * which software versions it may begin streams and which streams it has begun.
  */
-import {hash32} from '@oathead/core';
+import {hash32, type Outcome} from '@oathead/core';
 import {
   decodeJson,
   encodeJson,
@@ -10,7 +10,6 @@
   type RowRef,
   type UnreadableRow,
 } from '@oathead/stores';
-import type {Outcome} from '@oathead/core';
 import {z} from 'zod';
 import type {StreamOrigin} from '../connection/stream_version_message.js';
 import {hostOfMember} from './member.js';
