A host is not ready while a service waits for its first target

What would be seen: requests of a service that are refused right after a start, because its host is ready with the targets of another service, while those of this one wait for the store to take their version.

Cause: readiness asked for any target; since versions are recorded before they are used, services may come into use one after the other. Change: a host becomes ready when no service waits for its first target. Test: 'a service that waits for its first target is told apart'.

--- a/packages/gateway/src/lib/process/announced_targets.ts
+++ b/packages/gateway/src/lib/process/announced_targets.ts
@@ -38,6 +38,14 @@
   /** @param context - The directory and the record. */
   constructor(private readonly context: AnnouncedTargetsContext) {}
 
+  /** Whether a service has targets, but none of them is in use yet. */
+  get hasIdleService(): boolean {
+    const {directory} = this.context;
+    return [...this.waiting.values()].some(
+      ({service}) => directory.ofService(service).length === 0,
+    );
+  }
+
   /** @param target - A target that is new or has changed. */
   put(target: Target): void {
     const {directory, record} = this.context;
--- a/packages/gateway/src/test/process/announced_targets_test.ts
+++ b/packages/gateway/src/test/process/announced_targets_test.ts
@@ -41,8 +41,13 @@
     await this.settle();
   }
 
-  put(id: string, softwareVersion: string, leaving = false): void {
-    this.targets.put(newTarget(id, {service: 's', softwareVersion, leaving}));
+  put(
+    id: string,
+    softwareVersion: string,
+    leaving = false,
+    service = 's',
+  ): void {
+    this.targets.put(newTarget(id, {service, softwareVersion, leaving}));
   }
 
   inUse(): readonly string[] {
@@ -100,3 +105,17 @@
   fixture.put('a', 'v1', true);
   t.deepEqual(fixture.inUse(), []);
 });
+
+// Guards against a host that is ready while one of its services has no targets
+// yet, so that its first callers are refused.
+test('a service that waits for its first target is told apart', async t => {
+  const fixture = new Fixture();
+  t.false(fixture.targets.hasIdleService);
+  fixture.put('a', 'v1');
+  fixture.put('b', 'w1', false, 'w');
+  await fixture.take('v1');
+  t.true(fixture.targets.hasIdleService);
+  fixture.put('c', 'v2');
+  await fixture.take('w1');
+  t.false(fixture.targets.hasIdleService);
+});
--- a/packages/serving/src/lib/process/serving_process.ts
+++ b/packages/serving/src/lib/process/serving_process.ts
@@ -165,11 +165,15 @@
     return servePeers({store, snapshot, learnJobHead}, ip, port);
   }
 
-  /** Becomes ready once the configuration and at least one target are known. */
+  /**
+   * Becomes ready once the configuration and at least one target are known, and
+   * no service waits for its first one.
+   */
   private becomeReadyIfPrepared(): void {
-    const {routing, directory} = this.components;
+    const {routing, directory, announcedTargets} = this.components;
     if (this.lifecycle.state !== 'starting') return;
     if (!routing.current || directory.size === 0) return;
+    if (announcedTargets.hasIdleService) return;
     this.lifecycle.send({type: 'PREPARED'});
   }
 
