Log each request that the end of a planned stop cuts off

What operators would see: a caller of a host that stopped got no whole answer, and no line of the host says so; process-drained has the number of such requests alone. So a request that came late, an answer that was not flushed and a process that ended early look alike.

Change: the front server keeps the requests in progress. request-cut names each one that a stop cuts: when it came relative to the signal, on a new or a kept connection, the target it was sent to last, whether its response had ended, the bytes that were sent and not sent. The time of a stop is a value, PlannedStop, that the front server gets in place of 'draining'. What a stop does is unchanged.

--- a/packages/gateway/src/lib/process/front_server.ts
+++ b/packages/gateway/src/lib/process/front_server.ts
@@ -6,10 +6,18 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
-import type {ClientAccount, EventLog, QuotaVerdict} from '@oathead/core';
+import type {AddressInfo} from 'node:net';
+import type {
+  ClientAccount,
+  EventLog,
+  PlannedStop,
+  QuotaVerdict,
+} from '@oathead/core';
+import {CallerConnections} from '../connection/caller_connections.js';
 import {OnlineRequest, type OnlineContext} from '../request/online_request.js';
 import type {AdmissionRefusal} from './caller_admission.js';
 import {CrashSuspects} from './crash_suspects.js';
+import {OpenRequests, type OpenRequest} from './open_requests.js';
 import {quotaDemand} from '../request/quota_demand.js';
 import {readBody} from '../request/read_body.js';
 import type {RouteMatcher} from '../version/route_matcher.js';
@@ -63,8 +71,8 @@
   readonly routing: RoutingState;
   readonly batch: BatchApi;
   readonly log: EventLog;
-  /** Whether a planned shutdown is in progress. */
-  readonly draining: () => boolean;
+  /** @returns The planned stop in progress; undefined if there is none. */
+  readonly plannedStop: () => PlannedStop | undefined;
 }
 
 /**
@@ -98,10 +106,12 @@
 /** Serves callers until it is closed. */
 export class FrontServer {
   private readonly server: Server;
-  private openCount = 0;
+  private readonly connections = new CallerConnections();
+  private readonly open: OpenRequests;
 
   /** @param context - Routes, targets and the batch API. */
   constructor(private readonly context: FrontServerContext) {
+    this.open = new OpenRequests({...context.online, ...context});
     this.server = createServer(
       {maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: REQUEST_TIMEOUT_MS},
       (req, res) => {
@@ -110,6 +120,7 @@
         );
       },
     );
+    this.server.on('connection', socket => this.connections.add(socket));
     this.server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
       context.online.counters.count('front_client_errors', {
         code: err.code ?? 'unknown',
@@ -121,19 +132,21 @@
 
   /** Number of requests in progress. */
   get openRequests(): number {
-    return this.openCount;
+    return this.open.count;
   }
 
   /**
    * @param ip - IP address to listen on.
-   * @param port - Port to listen on.
-   * @returns Resolves when the server listens; rejects if the address is
+   * @param port - Port to listen on; 0 for any free one.
+   * @returns The port, once the server listens; rejects if the address is
    *     unavailable.
    */
-  listen(ip: string, port: number): Promise<void> {
+  listen(ip: string, port: number): Promise<number> {
     return new Promise((resolve, reject) => {
       this.server.once('error', reject);
-      this.server.listen(port, ip, () => resolve());
+      this.server.listen(port, ip, () => {
+        resolve((this.server.address() as AddressInfo).port);
+      });
     });
   }
 
@@ -155,8 +168,9 @@
     if (this.server.listening) this.server.close();
   }
 
-  /** Closes the server and all its connections. */
+  /** Closes the server and all its connections, with the requests on them. */
   close(): void {
+    this.open.reportCut();
     this.server.close();
     this.server.closeAllConnections();
   }
@@ -170,11 +184,11 @@
     req: IncomingMessage,
     res: ServerResponse,
   ): Promise<void> {
-    this.openCount++;
-    res.on('close', () => this.openCount--);
+    const connection = this.connections.beginRequest(req.socket);
+    const open = this.open.begin(req, res, connection);
     // Makes the client send its next request on a new connection, to another
     // host.
-    if (this.context.draining()) res.setHeader('connection', 'close');
+    if (this.context.plannedStop()) res.setHeader('connection', 'close');
     const matcher = this.context.routing.current;
     if (!matcher) return this.refuse({req, res}, NO_CONFIG);
     const route = this.context.batch.overridesRoute(req, matcher)
@@ -190,7 +204,7 @@
       return this.refuseUnadmitted(found, admitted.reason);
     const routed: RoutedRequest = {...found, account: admitted.account};
     if (isBatch || !route) return this.handleBatch(routed, matcher);
-    return this.handleOnline(routed, route, matcher);
+    return this.handleOnline({...routed, route}, matcher, open);
   }
 
   /**
@@ -214,15 +228,15 @@
   }
 
   private async handleOnline(
-    routed: RoutedRequest,
-    route: Route,
+    routed: RoutedRequest & {readonly route: Route},
     matcher: RouteMatcher,
+    open: OpenRequest,
   ): Promise<void> {
     const startedAt = this.context.online.clock.now();
     const body = await this.readBodyOrRefuse(routed, matcher);
     if (!body) return;
     const {online} = this.context;
-    const {req, res, account} = routed;
+    const {req, res, route, account} = routed;
     const {deadlineMs} = online.protocol.readRequest(req.headers);
     const returning = online.retryDetector.isRetry(route.name, deadlineMs);
     const fingerprint = CrashSuspects.fingerprintOf(req.url ?? '/', body);
@@ -232,7 +246,8 @@
     const quota = await online.admission.takeQuota(account, demand);
     if (quota.kind === 'over') return this.refuseOverQuota(routed, quota);
     const {grantedAt} = quota;
-    await new OnlineRequest(online, {...request, grantedAt}).serve();
+    open.online = new OnlineRequest(online, {...request, grantedAt});
+    await open.online.serve();
   }
 
   /**
--- a/packages/gateway/src/lib/request/online_request.ts
+++ b/packages/gateway/src/lib/request/online_request.ts
@@ -106,6 +106,7 @@
   private readonly crashes: CrashCheck;
   private lastFailedResponse: CompleteResponse | undefined;
   private activeSend: ActiveSend | undefined;
+  private sentTo: Target | undefined;
   private abortReason: AbortReason | undefined;
   private runs = 0;
   private declines = 0;
@@ -158,6 +159,14 @@
     this.admission = new SendAdmission(context, admitted, this.metadata.key);
   }
 
+  /**
+   * ID of the target that the request was last sent to; undefined if it was not
+   * sent yet.
+   */
+  get targetId(): string | undefined {
+    return this.sentTo?.id;
+  }
+
   /** Serves the request; never rejects. */
   async serve(): Promise<void> {
     const {res} = this.admitted;
@@ -204,6 +213,7 @@
 
   private async send(target: Target): Promise<ExchangeOutcome> {
     const {context, writer} = this;
+    this.sentTo = target;
     this.search.tried.add(target.id);
     const load = context.loads.totalAt(targetKey(target.id));
     this.report.sent(target, load, this.progress());
--- a/packages/gateway/src/test/process/front_server_test.ts
+++ b/packages/gateway/src/test/process/front_server_test.ts
@@ -20,6 +20,7 @@
   const lines: EventFields[] = [];
   const context = {
     online: {
+      clock: new FakeClock(),
       protocol: PROTOCOL,
       admission: {admit: () => ({kind: 'admitted', account: undefined})},
     },
@@ -39,7 +40,7 @@
       event: (event: string, fields: EventFields) =>
         lines.push({event, ...fields}),
     },
-    draining: () => false,
+    plannedStop: () => undefined,
   };
   const front = new FrontServer(context as never);
   await front.listen(IP, PORT);
@@ -99,7 +100,7 @@
       event: (event: string, fields: EventFields) =>
         lines.push({event, ...fields}),
     },
-    draining: () => false,
+    plannedStop: () => undefined,
   };
   const front = new FrontServer(context as never);
   await front.listen(IP, PORT + 1);
--- a/packages/serving/src/lib/process/serving_process.ts
+++ b/packages/serving/src/lib/process/serving_process.ts
@@ -2,7 +2,12 @@
  * A serving process: serves online requests and processes its share of the
  * batch jobs. It keeps no state that another process could not recover.
  */
-import {DisposableStore, hashesReady, sleep} from '@oathead/core';
+import {
+  DisposableStore,
+  hashesReady,
+  sleep,
+  type PlannedStop,
+} from '@oathead/core';
 import {
   FrontServer,
   Lifecycle,
@@ -44,6 +49,7 @@
   private readonly readiness: ReadinessServer;
   private readonly lifecycle: Lifecycle;
   private stopping: Promise<void> | undefined;
+  private plannedStop: PlannedStop | undefined;
 
   /**
    * @param platform - What the platform provides.
@@ -76,7 +82,7 @@
       routing,
       batch: platform.createBatchApi(jobOperations),
       log: context.log,
-      draining: () => this.lifecycle.state === 'draining',
+      plannedStop: () => this.plannedStop,
     });
     this.readiness = new ReadinessServer(
       platform.readyPath,
@@ -150,8 +156,12 @@
   }
 
   private async stopOnce(): Promise<void> {
+    const startedAt = this.context.clock.now();
+    const {shutdownTimeoutMs} = this.platform.tunables();
+    const endsAt = startedAt + shutdownTimeoutMs - EXIT_MARGIN_MS;
+    this.plannedStop = {startedAt, endsAt};
     this.lifecycle.send({type: 'STOP'});
-    await this.drain();
+    await this.drain(this.plannedStop);
     this.lifecycle.send({type: 'IDLE'});
   }
 
@@ -190,14 +200,11 @@
     this.disposables[Symbol.dispose]();
   }
 
-  private async drain(): Promise<void> {
+  private async drain({startedAt, endsAt}: PlannedStop): Promise<void> {
     const {clock, log} = this.context;
     const {scheduler, jobOwnership, membership, online} = this.components;
-    const startedAt = clock.now();
-    const deadline =
-      startedAt + this.platform.tunables().shutdownTimeoutMs - EXIT_MARGIN_MS;
     scheduler.pause();
-    online.lateQueue.close(deadline);
+    online.lateQueue.close(endsAt);
     void membership.leave();
     // Jobs cannot be handed over while the store does not respond. Callers must
     // not notice: they leave and their requests end in the meantime.
@@ -208,7 +215,7 @@
     for (;;) {
       const now = clock.now();
       const lingering = now < startedAt + DRAIN_LINGER_MS;
-      if (now >= deadline) break;
+      if (now >= endsAt) break;
       if (!lingering) {
         this.front.stopListening();
         this.front.closeIdle();
