A planned stop does not cut off responses that have ended but are not sent

What callers saw: a response with status 200 and a length, broken off 3 s after SIGTERM to its host, on a link that is slow or with a reader that stands still.

Cause: to Node's HTTP server a connection is idle once its response has ended, even if none of it is sent. closeIdleConnections destroys it, and close calls that method too, so a stop did it when it stopped listening and each 50 ms from then on. It also leaves connections open that have not carried a request yet.

Change: the front server knows its connections: one is idle while no response on it is unsent and nothing of a request has arrived. It stops listening by the method of the plain server, which closes no connections.

--- a/packages/gateway/src/lib/process/front_server.ts
+++ b/packages/gateway/src/lib/process/front_server.ts
@@ -6,7 +6,7 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
-import type {AddressInfo} from 'node:net';
+import {Server as NetServer, type AddressInfo} from 'node:net';
 import type {
   ClientAccount,
   EventLog,
@@ -152,7 +152,7 @@
 
   /** Closes connections without a request in progress. */
   closeIdle(): void {
-    this.server.closeIdleConnections();
+    this.connections.closeIdle();
   }
 
   /**
@@ -165,7 +165,9 @@
    * safely retry elsewhere.
    */
   stopListening(): void {
-    if (this.server.listening) this.server.close();
+    // The HTTP server's own method would also close connections whose response
+    // has ended but is not sent.
+    if (this.server.listening) NetServer.prototype.close.call(this.server);
   }
 
   /** Closes the server and all its connections, with the requests on them. */
@@ -185,6 +187,7 @@
     res: ServerResponse,
   ): Promise<void> {
     const connection = this.connections.beginRequest(req.socket);
+    res.on('close', () => this.connections.endRequest(req.socket));
     const open = this.open.begin(req, res, connection);
     // Makes the client send its next request on a new connection, to another
     // host.
