A stopping host takes only requests that are certain to end before it does

What callers saw: a stream or a decision that they sent up to 7.6 s after SIGTERM to its host reached a target and was cut off without an answer when the host's time was over, also where it may run once only.

Cause: nothing compared the time that a request may need with the time that the host had left. Requests come late on connections whose response had begun before the signal, so that its head told nobody to close; on connections that had not carried a request yet; and from callers whom the load balancer still sends.

Change: a host that stops refuses a request that may outlast it, by its deadline and its route's timeout: 503, 'Connection: close', a retry after 50 ms, at once and again right before it is sent to a target, for it may have waited. Responses that have not begun at the signal tell their callers to close the connection, too. The wait for the end of the requests is a module of its own.

--- a/packages/gateway/src/lib/process/front_server.ts
+++ b/packages/gateway/src/lib/process/front_server.ts
@@ -2,24 +2,31 @@
 import {
   createServer,
   type IncomingMessage,
-  type OutgoingHttpHeaders,
   type Server,
   type ServerResponse,
 } from 'node:http';
 import {Server as NetServer, type AddressInfo} from 'node:net';
-import type {
-  ClientAccount,
-  EventLog,
-  PlannedStop,
-  QuotaVerdict,
+import {
+  admitDuringStop,
+  type ClientAccount,
+  type EventLog,
+  type PlannedStop,
+  type QuotaVerdict,
 } from '@oathead/core';
 import {CallerConnections} from '../connection/caller_connections.js';
-import {OnlineRequest, type OnlineContext} from '../request/online_request.js';
+import {refuse, type Call, type Refusal} from '../request/host_refusal.js';
+import {
+  OnlineRequest,
+  OUTLASTS_STOP,
+  STOPPING_RETRY_DELAY_MS,
+  type OnlineContext,
+} from '../request/online_request.js';
 import type {AdmissionRefusal} from './caller_admission.js';
 import {CrashSuspects} from './crash_suspects.js';
 import {OpenRequests, type OpenRequest} from './open_requests.js';
 import {quotaDemand} from '../request/quota_demand.js';
 import {readBody} from '../request/read_body.js';
+import {requestDeadline} from '../request/request_deadline.js';
 import type {RouteMatcher} from '../version/route_matcher.js';
 import type {RoutingState} from '../version/routing_state.js';
 import type {CallerBounds, Route} from '../version/routing_table.js';
@@ -54,17 +61,6 @@
   handle(request: RoutedRequest, body: Buffer): Promise<void>;
 }
 
-/** An error response from the host itself, to a request that has not run. */
-interface Refusal {
-  readonly status: number;
-  readonly reason: string;
-  /** Delay after which the caller should retry, in milliseconds. */
-  readonly returnAfterMs?: number;
-  /** Whether room in the quota is reserved for the returning caller. */
-  readonly isReserved?: boolean;
-  readonly account?: string;
-}
-
 /** Dependencies of {@link FrontServer}. */
 export interface FrontServerContext {
   readonly online: OnlineContext;
@@ -84,6 +80,11 @@
 /** Timeout for clients that never complete their request, in milliseconds. */
 const REQUEST_TIMEOUT_MS = 30_000;
 const MAX_HEADER_BYTES = 64 * 1024;
+/**
+ * Longest time that a call of the batch API usually takes, in milliseconds: four
+ * writes to a store that does not respond, and the pauses between them.
+ */
+const MAX_JOB_CALL_MS = 5500;
 /**
  * Retry delay for callers of a host whose configuration is stale, in
  * milliseconds. It is short because the caller can retry at another host
@@ -100,9 +101,6 @@
 const NO_CONFIG: Refusal = {status: STATUS_UNAVAILABLE, reason: 'no config'};
 const NO_ROUTE: Refusal = {status: STATUS_NOT_FOUND, reason: 'no route'};
 
-/** A request and its response. */
-type Call = Pick<RoutedRequest, 'req' | 'res'>;
-
 /** Serves callers until it is closed. */
 export class FrontServer {
   private readonly server: Server;
@@ -155,6 +153,14 @@
     this.connections.closeIdle();
   }
 
+  /**
+   * Tells callers to close their connections after the response that is due.
+   * Later requests are told so as they arrive.
+   */
+  beginStop(): void {
+    this.open.closeAfterResponse();
+  }
+
   /**
    * Stops accepting connections; open ones stay.
    *
@@ -205,6 +211,8 @@
     const admitted = admission.admit(key, route);
     if (admitted.kind === 'refused')
       return this.refuseUnadmitted(found, admitted.reason);
+    const endsAt = this.latestEnd(open, isBatch ? undefined : route);
+    if (this.refuseDuringStop(open, endsAt)) return undefined;
     const routed: RoutedRequest = {...found, account: admitted.account};
     if (isBatch || !route) return this.handleBatch(routed, matcher);
     return this.handleOnline({...routed, route}, matcher, open);
@@ -230,12 +238,49 @@
     if (body) await this.context.batch.handle(routed, body);
   }
 
+  /**
+   * Refuses a request that may outlast the planned stop. Its caller can send it
+   * to another host at once, whereas one that is cut off may have run.
+   *
+   * @returns Whether it is refused.
+   */
+  private refuseDuringStop(open: OpenRequest, endsAt: number): boolean {
+    const {online, plannedStop} = this.context;
+    const now = online.clock.now();
+    const verdict = admitDuringStop(plannedStop(), endsAt, now);
+    if (verdict.kind === 'take') return false;
+    const {connection} = open;
+    online.counters.count('requests_refused_by_stop', {connection});
+    this.refuse(open, {
+      status: STATUS_UNAVAILABLE,
+      reason: OUTLASTS_STOP,
+      returnAfterMs: STOPPING_RETRY_DELAY_MS,
+      fields: {
+        connection,
+        sinceStopMs: Math.round(verdict.sinceStopMs),
+        leftMs: Math.round(verdict.leftMs),
+        neededMs: Math.round(verdict.neededMs),
+      },
+    });
+    return true;
+  }
+
+  /** @returns When the request has ended at the latest, in monotonic ms. */
+  private latestEnd(
+    {req, arrivedAt}: OpenRequest,
+    route: Route | undefined,
+  ): number {
+    if (!route) return arrivedAt + MAX_JOB_CALL_MS;
+    const {deadlineMs} = this.context.online.protocol.readRequest(req.headers);
+    return requestDeadline(route, deadlineMs, arrivedAt);
+  }
+
   private async handleOnline(
     routed: RoutedRequest & {readonly route: Route},
     matcher: RouteMatcher,
     open: OpenRequest,
   ): Promise<void> {
-    const startedAt = this.context.online.clock.now();
+    const {arrivedAt: startedAt} = open;
     const body = await this.readBodyOrRefuse(routed, matcher);
     if (!body) return;
     const {online} = this.context;
@@ -249,8 +294,9 @@
     const quota = await online.admission.takeQuota(account, demand);
     if (quota.kind === 'over') return this.refuseOverQuota(routed, quota);
     const {grantedAt} = quota;
-    open.online = new OnlineRequest(online, {...request, grantedAt});
-    await open.online.serve();
+    const onlineRequest = new OnlineRequest(online, {...request, grantedAt});
+    open.online = onlineRequest;
+    await onlineRequest.serve();
   }
 
   /**
@@ -268,7 +314,7 @@
     const account = routed.account?.name;
     const reason = 'over-quota';
     const refusal = {status: STATUS_OVER_QUOTA, reason, returnAfterMs};
-    this.refuse(routed, {...refusal, isReserved, account});
+    this.refuse(routed, {...refusal, fields: {isReserved, account}});
   }
 
   /**
@@ -308,29 +354,9 @@
     return undefined;
   }
 
-  private refuse(
-    {req, res}: Call,
-    {status, reason, returnAfterMs, isReserved, account}: Refusal,
-  ): void {
+  private refuse(call: Call, refusal: Refusal): void {
     const {online, log} = this.context;
-    const {requestId} = online.protocol.readRequest(req.headers);
-    log.event('request-refused', {
-      request: requestId,
-      path: req.url,
-      host: req.headers.host,
-      status,
-      reason,
-      account,
-      returnAfterMs,
-      isReserved,
-      ...online.admission.logFields,
-    });
-    const retry =
-      returnAfterMs === undefined
-        ? {}
-        : online.protocol.retryAfter(returnAfterMs);
-    const headers = {...retry, 'content-length': 0} as OutgoingHttpHeaders;
-    res.writeHead(status, headers).end();
-    req.resume();
+    const fields = {...refusal.fields, ...online.admission.logFields};
+    refuse({...online, log}, call, {...refusal, fields});
   }
 }
--- a/packages/gateway/src/lib/process/open_requests.ts
+++ b/packages/gateway/src/lib/process/open_requests.ts
@@ -60,11 +60,18 @@
     };
     this.requests.add(open);
     res.on('close', () => this.requests.delete(open));
-    if (this.context.plannedStop())
-      this.context.counters.count('requests_during_stop', {connection});
     return open;
   }
 
+  /**
+   * Has the callers of all requests whose response has not begun close their
+   * connections after it.
+   */
+  closeAfterResponse(): void {
+    for (const {res} of this.requests)
+      if (!res.headersSent) res.setHeader('connection', 'close');
+  }
+
   /** Logs and counts each request in progress, which is about to be cut off. */
   reportCut(): void {
     for (const open of this.requests) this.report(open);
--- a/packages/gateway/src/lib/request/online_request.ts
+++ b/packages/gateway/src/lib/request/online_request.ts
@@ -2,7 +2,12 @@
  * Serves one request of a caller. Tries one target after another, as far as the
  * route allows, until there is a complete response or the deadline has passed.
  */
-import {DisposableStore, type Random} from '@oathead/core';
+import {
+  admitDuringStop,
+  DisposableStore,
+  type PlannedStop,
+  type Random,
+} from '@oathead/core';
 import {targetKey} from '../connection/load_message.js';
 import type {Target} from '../connection/target.js';
 import type {CallerAdmission} from '../process/caller_admission.js';
@@ -26,6 +31,7 @@
 import {forwardedRequest} from './forwarded_request.js';
 import {endToEndHeaders} from './forwarded_headers.js';
 import {pickService} from './pick_service.js';
+import {requestDeadline} from './request_deadline.js';
 import {
   RequestReport,
   type ReportContext,
@@ -42,7 +48,7 @@
   type SendContext,
   type ActiveSend,
 } from './target_send.js';
-import {TargetSearch} from './target_search.js';
+import {TargetSearch, type RetryAdvice} from './target_search.js';
 import type {RequestMetadata} from './target_protocol.js';
 
 /** Dependencies shared by all online requests of a process. */
@@ -60,8 +66,17 @@
   readonly random: Random;
   readonly retryDetector: CallerRetryDetector;
   readonly admission: CallerAdmission;
+  /** @returns The planned stop in progress; undefined if there is none. */
+  readonly plannedStop: () => PlannedStop | undefined;
 }
 
+/** Why a stopping host refuses a request: it may outlast the host. */
+export const OUTLASTS_STOP = 'stopping';
+/**
+ * Delay after which the caller of a stopping host should retry, in milliseconds.
+ * It is short because other hosts can serve the request at once.
+ */
+export const STOPPING_RETRY_DELAY_MS = 50;
 /** How many times targets may decline a request before it is refused. */
 const MAX_DECLINES = 4;
 /**
@@ -122,8 +137,8 @@
     const {req, res, route, startedAt, account} = admitted;
     this.startedAt = startedAt;
     this.metadata = context.protocol.readRequest(req.headers);
-    const requestedMs = this.metadata.deadlineMs ?? route.timeoutMs;
-    this.deadlineAt = startedAt + Math.min(requestedMs, route.timeoutMs);
+    const {deadlineMs} = this.metadata;
+    this.deadlineAt = requestDeadline(route, deadlineMs, startedAt);
     const headers = endToEndHeaders(req.headers);
     this.report = new RequestReport(
       context,
@@ -205,7 +220,9 @@
         this.search.isVersionGone ? VERSION_GONE : 'no target',
       );
     const late = hasRun ? undefined : await this.admission.renewQuota();
-    const reason = this.abortReason ?? late ?? this.crashes.recheck();
+    const stopping = hasRun ? undefined : this.stopRefusal();
+    const reason =
+      this.abortReason ?? late ?? this.crashes.recheck() ?? stopping;
     if (reason) return this.giveUp(reason);
     const outcome = await this.send(target);
     return this.handleOutcome(outcome, target);
@@ -264,12 +281,19 @@
       case 'broken':
         return this.retryOrGiveUp(outcome.reason, target);
       case 'ended':
-        return RETRYABLE_ABORTS.has(outcome.by)
-          ? this.retryOrGiveUp(outcome.by, target)
-          : this.giveUp(outcome.by);
+        if (RETRYABLE_ABORTS.has(outcome.by))
+          return this.retryOrGiveUp(outcome.by, target);
+        return this.giveUp(outcome.by);
     }
   }
 
+  /** @returns Why a stopping host must not run the request; undefined if it may. */
+  private stopRefusal(): typeof OUTLASTS_STOP | undefined {
+    const stop = this.context.plannedStop();
+    const verdict = admitDuringStop(stop, this.deadlineAt, this.now());
+    return verdict.kind === 'refuse' ? OUTLASTS_STOP : undefined;
+  }
+
   /**
    * Keeps the error response of a target for a request that can be retried. It
    * is sent to the caller only if no other target succeeds.
@@ -335,7 +359,7 @@
     const status = failureStatus(reason, this.runs);
     const mayReturn =
       status === STATUS_UNAVAILABLE && !FINAL_REASONS.has(reason);
-    const retry = mayReturn ? this.search.retry() : undefined;
+    const retry = mayReturn ? this.retryAdvice(reason) : undefined;
     const view = this.context.chooser.view(service);
     this.report.givenUp(service, reason, view, {
       retry,
@@ -347,6 +371,13 @@
     return this.finish(reason, status);
   }
 
+  private retryAdvice(reason: string): RetryAdvice {
+    const advice = this.search.retry();
+    return reason === OUTLASTS_STOP
+      ? {...advice, delayMs: STOPPING_RETRY_DELAY_MS, isPromised: false}
+      : advice;
+  }
+
   private abort(by: AbortReason): void {
     this.abortReason ??= by;
     this.search.stop();
--- /dev/null
+++ b/packages/serving/src/lib/process/drain.ts
@@ -0,0 +1,61 @@
+/** Lets a stopping process finish its requests and hand over its jobs. */
+import {
+  sleep,
+  type Clock,
+  type EventLog,
+  type PlannedStop,
+} from '@oathead/core';
+import type {FrontServer} from '@oathead/gateway';
+
+/** Dependencies of {@link drain}. */
+export interface DrainContext {
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly front: Pick<
+    FrontServer,
+    'openRequests' | 'beginStop' | 'stopListening' | 'closeIdle'
+  >;
+  /** Hands the jobs of this host over; resolves when all have other owners. */
+  handOver(): Promise<void>;
+}
+
+/**
+ * How long callers may still arrive after readiness is withdrawn, in
+ * milliseconds: the load balancer checks once a second and removes a host after
+ * two failed checks.
+ */
+const LINGER_MS = 3000;
+/** Interval at which is checked whether all has ended, in milliseconds. */
+const POLL_INTERVAL_MS = 50;
+/**
+ * Waits until no request is in progress and all jobs are handed over, or until
+ * the stop ends. Requests that are in progress then get an answer.
+ *
+ * @param stop - When it began and ends.
+ * @param context - Clock, log, the server for callers, and the jobs.
+ * @returns Resolves when the process may exit.
+ */
+export async function drain(
+  {startedAt, endsAt}: PlannedStop,
+  {clock, log, front, handOver}: DrainContext,
+): Promise<void> {
+  // Jobs cannot be handed over while the store does not respond. Callers must
+  // not notice: they leave and their requests end in the meantime.
+  let handedOver = false;
+  void handOver().then(() => {
+    handedOver = true;
+  });
+  front.beginStop();
+  while (clock.now() < endsAt) {
+    const lingers = clock.now() < startedAt + LINGER_MS;
+    if (!lingers) {
+      front.stopListening();
+      front.closeIdle();
+    }
+    if (!lingers && handedOver && front.openRequests === 0) break;
+    await sleep(clock, POLL_INTERVAL_MS);
+  }
+  const open = front.openRequests;
+  const ms = Math.round(clock.now() - startedAt);
+  log.event('process-drained', {ms, open, handedOver});
+}
--- a/packages/serving/src/lib/process/serving_components.ts
+++ b/packages/serving/src/lib/process/serving_components.ts
@@ -4,6 +4,7 @@
   readClocks,
   repeat,
   type DisposableStore,
+  type PlannedStop,
 } from '@oathead/core';
 import {
   AnnouncedTargets,
@@ -105,20 +106,26 @@
   readonly onTargetsReleased: () => void;
 }
 
+/** What the components need of the process. */
+export interface ProcessAccess extends FeedAccess {
+  /** @returns The planned stop in progress; undefined if there is none. */
+  readonly plannedStop: () => PlannedStop | undefined;
+}
+
 /**
  * Creates the components of a serving process.
  *
  * @param platform - What the platform provides.
  * @param context - Clock, randomness, log, counters and tracer.
  * @param disposables - Owns the components.
- * @param feeds - What the components need of the tables.
+ * @param process - What the components need of the process and its tables.
  * @returns The components; none of them is started.
  */
 export function createServingComponents(
   platform: ServingPlatform,
   context: ServingContext,
   disposables: DisposableStore,
-  feeds: FeedAccess,
+  process: ProcessAccess,
 ): ServingComponents {
   const {clock, log, random} = context;
   const {identity} = platform;
@@ -280,7 +287,7 @@
       ...context,
       directory,
       record: streamRecord,
-      onReleased: feeds.onTargetsReleased,
+      onReleased: process.onTargetsReleased,
     }),
   );
   const recordedStreams = new RecordedStreamsReader({...context, store});
@@ -289,7 +296,7 @@
       ...context,
       self,
       directory,
-      readTargets: feeds.readTargets,
+      readTargets: process.readTargets,
       record: streamRecord,
       readRecord: () => recordedStreams.read(),
       peers: () => membership.peers().map(hostPeerOf),
@@ -311,6 +318,7 @@
     lateQueue,
     schedulesReturns,
     streamVersions,
+    plannedStop: process.plannedStop,
   };
   const reader = new JobReader(store);
   const {storeLimits: limits} = platform;
@@ -400,6 +408,7 @@
   | 'lateQueue'
   | 'schedulesReturns'
   | 'streamVersions'
+  | 'plannedStop'
 > {
   const {directory, loads, preferredTargets, overload} = state;
   const {crashSuspects, promptSuspects} = state;
--- a/packages/serving/src/lib/process/serving_process.ts
+++ b/packages/serving/src/lib/process/serving_process.ts
@@ -2,12 +2,7 @@
  * A serving process: serves online requests and processes its share of the
  * batch jobs. It keeps no state that another process could not recover.
  */
-import {
-  DisposableStore,
-  hashesReady,
-  sleep,
-  type PlannedStop,
-} from '@oathead/core';
+import {DisposableStore, hashesReady, type PlannedStop} from '@oathead/core';
 import {
   FrontServer,
   Lifecycle,
@@ -16,6 +11,7 @@
 } from '@oathead/gateway';
 import type {VersionedRow} from '@oathead/stores';
 import {servePeers} from '../connection/peer_router.js';
+import {drain} from './drain.js';
 import type {ServingContext, ServingPlatform} from './serving_platform.js';
 import {
   createServingComponents,
@@ -23,20 +19,9 @@
 } from './serving_components.js';
 import {TableFeeds} from './table_feeds.js';
 
-/**
- * How long callers may still arrive after readiness is withdrawn, in
- * milliseconds: the load balancer checks once a second and removes a host after
- * two failed checks.
- */
-const DRAIN_LINGER_MS = 3000;
-/**
- * Interval at which a shutdown checks whether all requests have ended, in
- * milliseconds.
- */
-const DRAIN_POLL_INTERVAL_MS = 50;
 /**
  * Part of the shutdown time that is reserved for the exit itself, in
- * milliseconds.
+ * milliseconds, with what is sent last.
  */
 const EXIT_MARGIN_MS = 400;
 
@@ -66,6 +51,7 @@
       {
         readTargets: () => this.feeds.readTargets(),
         onTargetsReleased: () => this.becomeReadyIfPrepared(),
+        plannedStop: () => this.plannedStop,
       },
     );
     const {store, routing, online, jobOperations} = this.components;
@@ -159,9 +145,18 @@
     const startedAt = this.context.clock.now();
     const {shutdownTimeoutMs} = this.platform.tunables();
     const endsAt = startedAt + shutdownTimeoutMs - EXIT_MARGIN_MS;
-    this.plannedStop = {startedAt, endsAt};
+    const stop = {startedAt, endsAt};
+    this.plannedStop = stop;
     this.lifecycle.send({type: 'STOP'});
-    await this.drain(this.plannedStop);
+    const {scheduler, jobOwnership, membership, online} = this.components;
+    scheduler.pause();
+    online.lateQueue.close(endsAt);
+    void membership.leave();
+    await drain(stop, {
+      ...this.context,
+      front: this.front,
+      handOver: () => jobOwnership.handOverAll(),
+    });
     this.lifecycle.send({type: 'IDLE'});
   }
 
@@ -199,35 +194,4 @@
     this.readiness.close();
     this.disposables[Symbol.dispose]();
   }
-
-  private async drain({startedAt, endsAt}: PlannedStop): Promise<void> {
-    const {clock, log} = this.context;
-    const {scheduler, jobOwnership, membership, online} = this.components;
-    scheduler.pause();
-    online.lateQueue.close(endsAt);
-    void membership.leave();
-    // Jobs cannot be handed over while the store does not respond. Callers must
-    // not notice: they leave and their requests end in the meantime.
-    let handedOver = false;
-    void jobOwnership.handOverAll().then(() => {
-      handedOver = true;
-    });
-    for (;;) {
-      const now = clock.now();
-      const lingering = now < startedAt + DRAIN_LINGER_MS;
-      if (now >= endsAt) break;
-      if (!lingering) {
-        this.front.stopListening();
-        this.front.closeIdle();
-      }
-      const idle = this.front.openRequests === 0 && handedOver;
-      if (!lingering && idle) break;
-      await sleep(clock, DRAIN_POLL_INTERVAL_MS);
-    }
-    log.event('process-drained', {
-      ms: Math.round(clock.now() - startedAt),
-      open: this.front.openRequests,
-      handedOver,
-    });
-  }
 }
