What outlasts a planned stop gets an answer at its end

What callers saw: a connection that was closed without a word 7.6 s after SIGTERM to its host, for requests whose route allows more time than the grace period.

Cause: the end of a stop destroyed all connections, also those of requests that could still be told what became of them.

Change: at the end each request in progress without a response gets one: 503 if it cannot have run (its body had not arrived, or it waited for a target), 502 if it may have run, 504 for a call about a job. A stream that has begun is broken off, as before. 250 ms of the time for the exit are for sending this. request-cut says how far the request had come.

--- a/packages/gateway/src/lib/process/front_server.ts
+++ b/packages/gateway/src/lib/process/front_server.ts
@@ -161,6 +161,16 @@
     this.open.closeAfterResponse();
   }
 
+  /**
+   * Ends the requests in progress, which outlast the planned stop. Those without
+   * a response get one.
+   *
+   * @returns Number of these requests.
+   */
+  endOpenRequests(): number {
+    return this.open.endAll();
+  }
+
   /**
    * Stops accepting connections; open ones stay.
    *
@@ -178,7 +188,6 @@
 
   /** Closes the server and all its connections, with the requests on them. */
   close(): void {
-    this.open.reportCut();
     this.server.close();
     this.server.closeAllConnections();
   }
@@ -214,7 +223,7 @@
     const endsAt = this.latestEnd(open, isBatch ? undefined : route);
     if (this.refuseDuringStop(open, endsAt)) return undefined;
     const routed: RoutedRequest = {...found, account: admitted.account};
-    if (isBatch || !route) return this.handleBatch(routed, matcher);
+    if (isBatch || !route) return this.handleBatch(routed, matcher, open);
     return this.handleOnline({...routed, route}, matcher, open);
   }
 
@@ -233,9 +242,12 @@
   private async handleBatch(
     routed: RoutedRequest,
     matcher: RouteMatcher,
+    open: OpenRequest,
   ): Promise<void> {
     const body = await this.readBodyOrRefuse(routed, matcher);
-    if (body) await this.context.batch.handle(routed, body);
+    if (!body || routed.res.headersSent) return;
+    open.work = {kind: 'job-call'};
+    await this.context.batch.handle(routed, body);
   }
 
   /**
@@ -292,10 +304,12 @@
     const request = {req, res, route, body, startedAt, ...caller};
     const demand = quotaDemand(request, online);
     const quota = await online.admission.takeQuota(account, demand);
+    // The process may have come to its end meanwhile.
+    if (res.headersSent) return;
     if (quota.kind === 'over') return this.refuseOverQuota(routed, quota);
     const {grantedAt} = quota;
     const onlineRequest = new OnlineRequest(online, {...request, grantedAt});
-    open.online = onlineRequest;
+    open.work = {kind: 'online', request: onlineRequest};
     await onlineRequest.serve();
   }
 
--- a/packages/gateway/src/lib/process/open_requests.ts
+++ b/packages/gateway/src/lib/process/open_requests.ts
@@ -2,9 +2,18 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Clock, Counters, EventLog, PlannedStop} from '@oathead/core';
 import type {ConnectionUse} from '../connection/caller_connections.js';
-import type {OnlineRequest} from '../request/online_request.js';
+import {refuse} from '../request/host_refusal.js';
+import {OUTLASTS_STOP, type OnlineRequest} from '../request/online_request.js';
 import type {TargetProtocol} from '../request/target_protocol.js';
 
+/** How far a request has come. */
+export type RequestWork =
+  /** Its body is still arriving, or it is not admitted yet. */
+  | {readonly kind: 'unread'}
+  | {readonly kind: 'online'; readonly request: OnlineRequest}
+  /** A call of the batch API. */
+  | {readonly kind: 'job-call'};
+
 /** A request in progress, as its connection has it. */
 export interface OpenRequest {
   readonly req: IncomingMessage;
@@ -14,8 +23,7 @@
   readonly connection: ConnectionUse;
   /** Bytes that its connection had sent before it. */
   readonly sentBefore: number;
-  /** Undefined until its body has arrived, and for requests of other kinds. */
-  online?: OnlineRequest;
+  work: RequestWork;
 }
 
 /** Dependencies of {@link OpenRequests}. */
@@ -23,12 +31,15 @@
   readonly clock: Clock;
   readonly log: EventLog;
   readonly counters: Counters;
-  readonly protocol: Pick<TargetProtocol, 'readRequest'>;
+  readonly protocol: Pick<TargetProtocol, 'readRequest' | 'retryAfter'>;
   /** @returns The planned stop in progress; undefined if there is none. */
   readonly plannedStop: () => PlannedStop | undefined;
 }
 
-/** Keeps the requests in progress, and reports those that a stop cuts off. */
+const STATUS_UNAVAILABLE = 503;
+const STATUS_GATEWAY_TIMEOUT = 504;
+
+/** Keeps the requests in progress, and ends those that outlast a stop. */
 export class OpenRequests {
   private readonly requests = new Set<OpenRequest>();
 
@@ -57,6 +68,7 @@
       arrivedAt: this.context.clock.now(),
       connection,
       sentBefore: req.socket.bytesWritten,
+      work: {kind: 'unread'},
     };
     this.requests.add(open);
     res.on('close', () => this.requests.delete(open));
@@ -72,14 +84,38 @@
       if (!res.headersSent) res.setHeader('connection', 'close');
   }
 
-  /** Logs and counts each request in progress, which is about to be cut off. */
-  reportCut(): void {
-    for (const open of this.requests) this.report(open);
+  /**
+   * Ends each request in progress, because the process ends: with an answer if
+   * none has begun.
+   *
+   * @returns Number of these requests.
+   */
+  endAll(): number {
+    const requests = [...this.requests];
+    for (const open of requests) {
+      this.reportCut(open);
+      this.end(open);
+    }
+    return requests.length;
+  }
+
+  private end({req, res, work}: OpenRequest): void {
+    if (work.kind === 'online') {
+      work.request.stop();
+      return;
+    }
+    if (res.headersSent) return;
+    if (work.kind === 'unread') {
+      const status = STATUS_UNAVAILABLE;
+      refuse(this.context, {req, res}, {status, reason: OUTLASTS_STOP});
+      return;
+    }
+    res.writeHead(STATUS_GATEWAY_TIMEOUT, {'content-length': 0}).end();
   }
 
-  private report(open: OpenRequest): void {
+  private reportCut(open: OpenRequest): void {
     const {clock, log, counters, protocol} = this.context;
-    const {req, res, arrivedAt, connection, sentBefore, online} = open;
+    const {req, res, arrivedAt, connection, sentBefore, work} = open;
     const stop = this.context.plannedStop();
     const {writableLength, bytesWritten} = req.socket;
     counters.count('requests_cut_by_stop', {connection});
@@ -91,7 +127,8 @@
       arrivedAfterStopMs: stop && Math.round(arrivedAt - stop.startedAt),
       openMs: Math.round(clock.now() - arrivedAt),
       isRead: req.complete,
-      target: online?.targetId,
+      work: work.kind,
+      target: work.kind === 'online' ? work.request.targetId : undefined,
       hasEnded: res.writableEnded,
       sentBytes: bytesWritten - writableLength - sentBefore,
       unsentBytes: writableLength,
--- a/packages/gateway/src/lib/request/online_request.ts
+++ b/packages/gateway/src/lib/request/online_request.ts
@@ -203,6 +203,14 @@
     while (!(await this.attempt()));
   }
 
+  /**
+   * Ends the request because the process ends: with a status that says whether
+   * it may have run, or by breaking off the response that has begun.
+   */
+  stop(): void {
+    this.abort('stop');
+  }
+
   /** @returns Whether the request is finished. */
   private async attempt(): Promise<boolean> {
     const blocked = await this.crashes.refusal();
@@ -283,6 +291,8 @@
       case 'ended':
         if (RETRYABLE_ABORTS.has(outcome.by))
           return this.retryOrGiveUp(outcome.by, target);
+        // Its status must not say that it has not run.
+        if (outcome.by === 'stop') this.runs++;
         return this.giveUp(outcome.by);
     }
   }
--- a/packages/serving/src/lib/process/drain.ts
+++ b/packages/serving/src/lib/process/drain.ts
@@ -13,7 +13,11 @@
   readonly log: EventLog;
   readonly front: Pick<
     FrontServer,
-    'openRequests' | 'beginStop' | 'stopListening' | 'closeIdle'
+    | 'openRequests'
+    | 'beginStop'
+    | 'stopListening'
+    | 'closeIdle'
+    | 'endOpenRequests'
   >;
   /** Hands the jobs of this host over; resolves when all have other owners. */
   handOver(): Promise<void>;
@@ -27,6 +31,12 @@
 const LINGER_MS = 3000;
 /** Interval at which is checked whether all has ended, in milliseconds. */
 const POLL_INTERVAL_MS = 50;
+/**
+ * Time in which the last responses are sent, in milliseconds. It is less than
+ * what is reserved for the exit.
+ */
+const LAST_RESPONSES_MS = 250;
+
 /**
  * Waits until no request is in progress and all jobs are handed over, or until
  * the stop ends. Requests that are in progress then get an answer.
@@ -55,7 +65,10 @@
     if (!lingers && handedOver && front.openRequests === 0) break;
     await sleep(clock, POLL_INTERVAL_MS);
   }
-  const open = front.openRequests;
+  const open = front.endOpenRequests();
   const ms = Math.round(clock.now() - startedAt);
   log.event('process-drained', {ms, open, handedOver});
+  const closesAt = clock.now() + LAST_RESPONSES_MS;
+  while (front.openRequests > 0 && clock.now() < closesAt)
+    await sleep(clock, POLL_INTERVAL_MS);
 }
