The server for callers is a module of its own

Connections, open requests and listening move from the front server to CallerServer; the front server keeps the admission of requests. No behaviour changes.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -25,6 +25,7 @@
 export * from './lib/process/ahead_record.js';
 export * from './lib/process/announced_targets.js';
 export * from './lib/process/caller_admission.js';
+export * from './lib/process/caller_server.js';
 export * from './lib/process/caller_retry_detector.js';
 export * from './lib/process/coordinator.js';
 export * from './lib/process/crash_records.js';
--- a/packages/gateway/src/lib/process/front_server.ts
+++ b/packages/gateway/src/lib/process/front_server.ts
@@ -1,11 +1,5 @@
-/** HTTP server that callers connect to. */
-import {
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from 'node:http';
-import {Server as NetServer, type AddressInfo} from 'node:net';
+/** Admits the requests of callers and hands them to what serves them. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
   admitDuringStop,
   type ClientAccount,
@@ -13,7 +7,6 @@
   type PlannedStop,
   type QuotaVerdict,
 } from '@oathead/core';
-import {CallerConnections} from '../connection/caller_connections.js';
 import {refuse, type Call, type Refusal} from '../request/host_refusal.js';
 import {
   OnlineRequest,
@@ -23,13 +16,14 @@
 } from '../request/online_request.js';
 import type {AdmissionRefusal} from './caller_admission.js';
 import {CrashSuspects} from './crash_suspects.js';
-import {OpenRequests, type OpenRequest} from './open_requests.js';
+import {CallerServer} from './caller_server.js';
+import type {OpenRequest} from './open_requests.js';
 import {quotaDemand} from '../request/quota_demand.js';
 import {readBody} from '../request/read_body.js';
 import {requestDeadline} from '../request/request_deadline.js';
 import type {RouteMatcher} from '../version/route_matcher.js';
 import type {RoutingState} from '../version/routing_state.js';
-import type {CallerBounds, Route} from '../version/routing_table.js';
+import type {Route} from '../version/routing_table.js';
 
 /** A request together with the configuration that applies to it. */
 export interface RoutedRequest {
@@ -71,15 +65,6 @@
   readonly plannedStop: () => PlannedStop | undefined;
 }
 
-/**
- * Margin by which an idle connection is kept open beyond the idle timeout that
- * callers use, in milliseconds, so that a request in transit does not meet a
- * closed connection.
- */
-const IDLE_MARGIN_MS = 1000;
-/** Timeout for clients that never complete their request, in milliseconds. */
-const REQUEST_TIMEOUT_MS = 30_000;
-const MAX_HEADER_BYTES = 64 * 1024;
 /**
  * Longest time that a call of the batch API usually takes, in milliseconds: four
  * writes to a store that does not respond, and the pauses between them.
@@ -101,112 +86,24 @@
 const NO_CONFIG: Refusal = {status: STATUS_UNAVAILABLE, reason: 'no config'};
 const NO_ROUTE: Refusal = {status: STATUS_NOT_FOUND, reason: 'no route'};
 
-/** Serves callers until it is closed. */
+/** Serves callers. */
 export class FrontServer {
-  private readonly server: Server;
-  private readonly connections = new CallerConnections();
-  private readonly open: OpenRequests;
+  /** Accepts the callers. */
+  readonly server: CallerServer;
 
   /** @param context - Routes, targets and the batch API. */
   constructor(private readonly context: FrontServerContext) {
-    this.open = new OpenRequests({...context.online, ...context});
-    this.server = createServer(
-      {maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: REQUEST_TIMEOUT_MS},
-      (req, res) => {
-        this.handle(req, res).catch((err: unknown) =>
-          this.failUnexpectedly({req, res}, err),
-        );
-      },
-    );
-    this.server.on('connection', socket => this.connections.add(socket));
-    this.server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
-      context.online.counters.count('front_client_errors', {
-        code: err.code ?? 'unknown',
-      });
-      socket.destroy();
-    });
-    context.routing.onAdopted(table => this.applyLimits(table.bounds));
-  }
-
-  /** Number of requests in progress. */
-  get openRequests(): number {
-    return this.open.count;
-  }
-
-  /**
-   * @param ip - IP address to listen on.
-   * @param port - Port to listen on; 0 for any free one.
-   * @returns The port, once the server listens; rejects if the address is
-   *     unavailable.
-   */
-  listen(ip: string, port: number): Promise<number> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, ip, () => {
-        resolve((this.server.address() as AddressInfo).port);
-      });
+    this.server = new CallerServer({...context.online, ...context}, open => {
+      this.handle(open).catch((err: unknown) =>
+        this.failUnexpectedly(open, err),
+      );
     });
+    const {routing} = context;
+    routing.onAdopted(table => this.server.applyBounds(table.bounds));
   }
 
-  /** Closes connections without a request in progress. */
-  closeIdle(): void {
-    this.connections.closeIdle();
-  }
-
-  /**
-   * Tells callers to close their connections after the response that is due.
-   * Later requests are told so as they arrive.
-   */
-  beginStop(): void {
-    this.open.closeAfterResponse();
-  }
-
-  /**
-   * Ends the requests in progress, which outlast the planned stop. Those without
-   * a response get one.
-   *
-   * @returns Number of these requests.
-   */
-  endOpenRequests(): number {
-    return this.open.endAll();
-  }
-
-  /**
-   * Stops accepting connections; open ones stay.
-   *
-   * A load balancer that has not noticed the changed readiness keeps opening
-   * connections. If these were accepted, there would always be a request in
-   * progress, and a planned shutdown would run into its time limit and abort
-   * requests. A refused connection has carried no request, so its caller can
-   * safely retry elsewhere.
-   */
-  stopListening(): void {
-    // The HTTP server's own method would also close connections whose response
-    // has ended but is not sent.
-    if (this.server.listening) NetServer.prototype.close.call(this.server);
-  }
-
-  /** Closes the server and all its connections, with the requests on them. */
-  close(): void {
-    this.server.close();
-    this.server.closeAllConnections();
-  }
-
-  private applyLimits(bounds: CallerBounds): void {
-    this.server.keepAliveTimeout = bounds.idleTimeoutMs + IDLE_MARGIN_MS;
-    this.server.headersTimeout = bounds.headerTimeoutMs + IDLE_MARGIN_MS;
-  }
-
-  private async handle(
-    req: IncomingMessage,
-    res: ServerResponse,
-  ): Promise<void> {
-    const connection = this.connections.beginRequest(req.socket);
-    res.on('close', () => this.connections.endRequest(req.socket));
-    const open = this.open.begin(req, res, connection);
-    // Makes the client send its next request on a new connection, to another
-    // host.
-    if (this.context.plannedStop()) res.setHeader('connection', 'close');
+  private async handle(open: OpenRequest): Promise<void> {
+    const {req, res} = open;
     const matcher = this.context.routing.current;
     if (!matcher) return this.refuse({req, res}, NO_CONFIG);
     const route = this.context.batch.overridesRoute(req, matcher)
--- a/packages/serving/src/lib/process/drain.ts
+++ b/packages/serving/src/lib/process/drain.ts
@@ -5,14 +5,14 @@
   type EventLog,
   type PlannedStop,
 } from '@oathead/core';
-import type {FrontServer} from '@oathead/gateway';
+import type {CallerServer} from '@oathead/gateway';
 
 /** Dependencies of {@link drain}. */
 export interface DrainContext {
   readonly clock: Clock;
   readonly log: EventLog;
-  readonly front: Pick<
-    FrontServer,
+  readonly server: Pick<
+    CallerServer,
     | 'openRequests'
     | 'beginStop'
     | 'stopListening'
@@ -47,7 +47,7 @@
  */
 export async function drain(
   {startedAt, endsAt}: PlannedStop,
-  {clock, log, front, handOver}: DrainContext,
+  {clock, log, server, handOver}: DrainContext,
 ): Promise<void> {
   // Jobs cannot be handed over while the store does not respond. Callers must
   // not notice: they leave and their requests end in the meantime.
@@ -55,20 +55,20 @@
   void handOver().then(() => {
     handedOver = true;
   });
-  front.beginStop();
+  server.beginStop();
   while (clock.now() < endsAt) {
     const lingers = clock.now() < startedAt + LINGER_MS;
     if (!lingers) {
-      front.stopListening();
-      front.closeIdle();
+      server.stopListening();
+      server.closeIdle();
     }
-    if (!lingers && handedOver && front.openRequests === 0) break;
+    if (!lingers && handedOver && server.openRequests === 0) break;
     await sleep(clock, POLL_INTERVAL_MS);
   }
-  const open = front.endOpenRequests();
+  const open = server.endOpenRequests();
   const ms = Math.round(clock.now() - startedAt);
   log.event('process-drained', {ms, open, handedOver});
   const closesAt = clock.now() + LAST_RESPONSES_MS;
-  while (front.openRequests > 0 && clock.now() < closesAt)
+  while (server.openRequests > 0 && clock.now() < closesAt)
     await sleep(clock, POLL_INTERVAL_MS);
 }
--- a/packages/serving/src/lib/process/serving_process.ts
+++ b/packages/serving/src/lib/process/serving_process.ts
@@ -119,7 +119,7 @@
     ])
       component.start();
     await this.readiness.listen(identity.ready.ip, identity.ready.port);
-    await this.front.listen(identity.front.ip, identity.front.port);
+    await this.front.server.listen(identity.front.ip, identity.front.port);
   }
 
   /**
@@ -154,7 +154,7 @@
     void membership.leave();
     await drain(stop, {
       ...this.context,
-      front: this.front,
+      server: this.front.server,
       handOver: () => jobOwnership.handOverAll(),
     });
     this.lifecycle.send({type: 'IDLE'});
@@ -190,7 +190,7 @@
       targets: directory.size,
     });
     if (state !== 'stopped') return;
-    this.front.close();
+    this.front.server.close();
     this.readiness.close();
     this.disposables[Symbol.dispose]();
   }
