What a stop does with pipelined requests, half-sent bodies and its last moments

Change: only the response to the latest request of a connection says 'close', and a request behind a response that has said so is not taken. Requests end with their connection. At the end of a stop answers go out before log lines, of which there are 100 at most, and half-sent requests are not read any further; the margin for the exit is 600 ms. The line is request-outlasted-stop: most of what it names gets an answer. A call about a job is looked at again once its body has arrived. Connections are closed if nothing is in progress on them, whatever has arrived.

--- a/packages/gateway/src/lib/connection/caller_connections.ts
+++ b/packages/gateway/src/lib/connection/caller_connections.ts
@@ -10,8 +10,6 @@
   total: number;
   /** Number of requests whose response has not been sent to its end. */
   open: number;
-  /** Bytes that had arrived when its latest request ended. */
-  readBytes: number;
 }
 
 /**
@@ -26,7 +24,7 @@
 
   /** @param socket - A connection that has just been accepted. */
   add(socket: Socket): void {
-    this.connections.set(socket, {total: 0, open: 0, readBytes: 0});
+    this.connections.set(socket, {total: 0, open: 0});
     socket.once('close', () => this.connections.delete(socket));
   }
 
@@ -51,19 +49,12 @@
    */
   endRequest(socket: Socket): void {
     const carried = this.connections.get(socket);
-    if (!carried) return;
-    carried.open--;
-    carried.readBytes = socket.bytesRead;
+    if (carried) carried.open--;
   }
 
-  /**
-   * Closes the connections on which no request is in progress or has begun to
-   * arrive.
-   */
+  /** Closes the connections on which no request is in progress. */
   closeIdle(): void {
-    for (const [socket, {open, readBytes}] of this.connections) {
-      const isIdle = open === 0 && socket.bytesRead === readBytes;
-      if (isIdle) socket.destroySoon();
-    }
+    for (const [socket, {open}] of this.connections)
+      if (open === 0) socket.destroySoon();
   }
 }
--- a/packages/gateway/src/lib/process/caller_server.ts
+++ b/packages/gateway/src/lib/process/caller_server.ts
@@ -43,7 +43,10 @@
       {maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: REQUEST_TIMEOUT_MS},
       (req, res) => this.begin(req, res),
     );
-    this.server.on('connection', socket => this.connections.add(socket));
+    this.server.on('connection', socket => {
+      this.connections.add(socket);
+      socket.once('close', () => this.open.removeAllOn(socket));
+    });
     this.server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
       context.counters.count('front_client_errors', {
         code: err.code ?? 'unknown',
@@ -88,7 +91,7 @@
    * Later requests are told so as they arrive.
    */
   beginStop(): void {
-    this.open.closeAfterResponse();
+    this.open.closeAfterResponses();
   }
 
   /**
@@ -124,12 +127,13 @@
 
   private begin(req: IncomingMessage, res: ServerResponse): void {
     const {socket} = req;
-    const connection = this.connections.beginRequest(socket);
+    const use = this.connections.beginRequest(socket);
     res.on('close', () => this.connections.endRequest(socket));
-    const open = this.open.begin(req, res, connection);
+    const open = this.open.begin(req, res, use);
+    const isStopping = this.context.plannedStop() !== undefined;
     // Makes the client send its next request on a new connection, to another
-    // host.
-    if (this.context.plannedStop()) res.setHeader('connection', 'close');
+    // host. A request that cannot be answered is not taken.
+    if (isStopping && !this.open.closeAfterResponse(open)) return;
     this.onRequest(open);
   }
 }
--- a/packages/gateway/src/lib/process/front_server.ts
+++ b/packages/gateway/src/lib/process/front_server.ts
@@ -66,8 +66,10 @@
 }
 
 /**
- * Longest time that a call of the batch API usually takes, in milliseconds: four
- * writes to a store that does not respond, and the pauses between them.
+ * Longest time of a call of the batch API once its body has arrived, in
+ * milliseconds: four writes to a store that does not respond, and the pauses
+ * between them. A call that stores large objects first may take longer; it can be
+ * repeated, and is told at the end of a stop that its outcome is not known.
  */
 const MAX_JOB_CALL_MS = 5500;
 /**
@@ -117,8 +119,8 @@
     const admitted = admission.admit(key, route);
     if (admitted.kind === 'refused')
       return this.refuseUnadmitted(found, admitted.reason);
-    const endsAt = this.latestEnd(open, isBatch ? undefined : route);
-    if (this.refuseDuringStop(open, endsAt)) return undefined;
+    const onlineRoute = isBatch ? undefined : route;
+    if (this.refuseDuringStop(open, onlineRoute)) return undefined;
     const routed: RoutedRequest = {...found, account: admitted.account};
     if (isBatch || !route) return this.handleBatch(routed, matcher, open);
     return this.handleOnline({...routed, route}, matcher, open);
@@ -143,6 +145,8 @@
   ): Promise<void> {
     const body = await this.readBodyOrRefuse(routed, matcher);
     if (!body || routed.res.headersSent) return;
+    // Its body may have taken long to arrive.
+    if (this.refuseDuringStop(open, undefined)) return;
     open.work = {kind: 'job-call'};
     await this.context.batch.handle(routed, body);
   }
@@ -153,12 +157,18 @@
    *
    * @returns Whether it is refused.
    */
-  private refuseDuringStop(open: OpenRequest, endsAt: number): boolean {
+  private refuseDuringStop(
+    open: OpenRequest,
+    onlineRoute: Route | undefined,
+  ): boolean {
     const {online, plannedStop} = this.context;
+    const stop = plannedStop();
+    if (!stop) return false;
     const now = online.clock.now();
-    const verdict = admitDuringStop(plannedStop(), endsAt, now);
+    const endsAt = this.latestEnd(open, onlineRoute);
+    const verdict = admitDuringStop(stop, endsAt, now);
     if (verdict.kind === 'take') return false;
-    const {connection} = open;
+    const {connectionUse: connection} = open;
     online.counters.count('requests_refused_by_stop', {connection});
     this.refuse(open, {
       status: STATUS_UNAVAILABLE,
@@ -179,8 +189,9 @@
     {req, arrivedAt}: OpenRequest,
     route: Route | undefined,
   ): number {
-    if (!route) return arrivedAt + MAX_JOB_CALL_MS;
-    const {deadlineMs} = this.context.online.protocol.readRequest(req.headers);
+    const {clock, protocol} = this.context.online;
+    if (!route) return clock.now() + MAX_JOB_CALL_MS;
+    const {deadlineMs} = protocol.readRequest(req.headers);
     return requestDeadline(route, deadlineMs, arrivedAt);
   }
 
--- a/packages/gateway/src/lib/process/open_requests.ts
+++ b/packages/gateway/src/lib/process/open_requests.ts
@@ -1,9 +1,22 @@
 /** The requests of callers that are in progress. */
-import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {Clock, Counters, EventLog, PlannedStop} from '@oathead/core';
+import type {
+  IncomingMessage,
+  OutgoingHttpHeaders,
+  ServerResponse,
+} from 'node:http';
+import type {Socket} from 'node:net';
+import type {
+  Clock,
+  Counters,
+  EventFields,
+  EventLog,
+  PlannedStop,
+} from '@oathead/core';
 import type {ConnectionUse} from '../connection/caller_connections.js';
-import {refuse} from '../request/host_refusal.js';
-import {OUTLASTS_STOP, type OnlineRequest} from '../request/online_request.js';
+import {
+  STOPPING_RETRY_DELAY_MS,
+  type OnlineRequest,
+} from '../request/online_request.js';
 import type {TargetProtocol} from '../request/target_protocol.js';
 
 /** How far a request has come. */
@@ -20,7 +33,7 @@
   readonly res: ServerResponse;
   /** When its head arrived, in monotonic milliseconds. */
   readonly arrivedAt: number;
-  readonly connection: ConnectionUse;
+  readonly connectionUse: ConnectionUse;
   /** Bytes that its connection had sent before it. */
   readonly sentBefore: number;
   work: RequestWork;
@@ -36,6 +49,8 @@
   readonly plannedStop: () => PlannedStop | undefined;
 }
 
+/** Requests with a line of their own at the end of a stop. */
+const MAX_LINES = 100;
 const STATUS_UNAVAILABLE = 503;
 const STATUS_GATEWAY_TIMEOUT = 504;
 
@@ -54,19 +69,20 @@
   /**
    * @param req - A request whose head has arrived.
    * @param res - Its response.
-   * @param connection - Whether its connection had carried a request before.
-   * @returns The request, which is open until its response closes.
+   * @param connectionUse - Whether its connection had carried a request before.
+   * @returns The request, which is open until its response or its connection
+   *     closes.
    */
   begin(
     req: IncomingMessage,
     res: ServerResponse,
-    connection: ConnectionUse,
+    connectionUse: ConnectionUse,
   ): OpenRequest {
     const open: OpenRequest = {
       req,
       res,
       arrivedAt: this.context.clock.now(),
-      connection,
+      connectionUse,
       sentBefore: req.socket.bytesWritten,
       work: {kind: 'unread'},
     };
@@ -75,13 +91,49 @@
     return open;
   }
 
+  /**
+   * Guards against requests that are never forgotten: a response that waits
+   * behind another one on its connection does not close with it.
+   *
+   * @param socket - A connection that has closed.
+   */
+  removeAllOn(socket: Socket): void {
+    for (const open of this.requests)
+      if (open.req.socket === socket) this.requests.delete(open);
+  }
+
   /**
    * Has the callers of all requests whose response has not begun close their
    * connections after it.
    */
-  closeAfterResponse(): void {
-    for (const {res} of this.requests)
-      if (!res.headersSent) res.setHeader('connection', 'close');
+  closeAfterResponses(): void {
+    for (const open of this.requests) this.closeAfterResponse(open);
+  }
+
+  /**
+   * Has a caller close its connection after the response to its latest request.
+   * What follows a response that says so is never sent, so no earlier response
+   * on the connection may say it.
+   *
+   * @param latest - The latest request of a connection.
+   * @returns Whether it can be answered: no earlier response has said so.
+   */
+  closeAfterResponse(latest: OpenRequest): boolean {
+    const {res, req} = latest;
+    const earlier = this.earlierOnConnection(latest);
+    for (const {res: before} of earlier) {
+      if (before.headersSent && isLastResponse(before)) return false;
+      if (!before.headersSent) before.removeHeader('connection');
+    }
+    if (!res.headersSent && req.socket) res.setHeader('connection', 'close');
+    return true;
+  }
+
+  private earlierOnConnection(latest: OpenRequest): readonly OpenRequest[] {
+    const all = [...this.requests];
+    return all
+      .slice(0, all.indexOf(latest))
+      .filter(({req}) => req.socket === latest.req.socket);
   }
 
   /**
@@ -92,10 +144,12 @@
    */
   endAll(): number {
     const requests = [...this.requests];
-    for (const open of requests) {
-      this.reportCut(open);
-      this.end(open);
-    }
+    const lines = requests.slice(0, MAX_LINES).map(open => this.lineOf(open));
+    for (const open of requests) this.end(open);
+    // After the answers: writing a line for each of many takes time.
+    const {log, counters} = this.context;
+    for (const line of lines) log.event('request-outlasted-stop', line);
+    counters.count('requests_outlasted_stop', {}, requests.length);
     return requests.length;
   }
 
@@ -105,25 +159,25 @@
       return;
     }
     if (res.headersSent) return;
-    if (work.kind === 'unread') {
-      const status = STATUS_UNAVAILABLE;
-      refuse(this.context, {req, res}, {status, reason: OUTLASTS_STOP});
-      return;
-    }
-    res.writeHead(STATUS_GATEWAY_TIMEOUT, {'content-length': 0}).end();
+    const hasNotRun = work.kind === 'unread';
+    const status = hasNotRun ? STATUS_UNAVAILABLE : STATUS_GATEWAY_TIMEOUT;
+    const {protocol} = this.context;
+    const retry = hasNotRun ? protocol.retryAfter(STOPPING_RETRY_DELAY_MS) : {};
+    const headers = {...retry, 'content-length': 0} as OutgoingHttpHeaders;
+    res.writeHead(status, headers).end();
+    req.resume();
   }
 
-  private reportCut(open: OpenRequest): void {
-    const {clock, log, counters, protocol} = this.context;
-    const {req, res, arrivedAt, connection, sentBefore, work} = open;
+  private lineOf(open: OpenRequest): EventFields {
+    const {clock, protocol} = this.context;
+    const {req, res, arrivedAt, connectionUse, sentBefore, work} = open;
     const stop = this.context.plannedStop();
     const {writableLength, bytesWritten} = req.socket;
-    counters.count('requests_cut_by_stop', {connection});
-    log.event('request-cut', {
+    return {
       request: protocol.readRequest(req.headers).requestId,
       path: req.url,
       host: req.headers.host,
-      connection,
+      connection: connectionUse,
       arrivedAfterStopMs: stop && Math.round(arrivedAt - stop.startedAt),
       openMs: Math.round(clock.now() - arrivedAt),
       isRead: req.complete,
@@ -132,6 +186,10 @@
       hasEnded: res.writableEnded,
       sentBytes: bytesWritten - writableLength - sentBefore,
       unsentBytes: writableLength,
-    });
+    };
   }
 }
+
+function isLastResponse(res: ServerResponse): boolean {
+  return res.getHeader('connection') === 'close';
+}
--- a/packages/gateway/src/lib/request/host_refusal.ts
+++ b/packages/gateway/src/lib/request/host_refusal.ts
@@ -50,6 +50,8 @@
 ): void {
   const {log, protocol} = context;
   const {req, res} = call;
+  // It has been answered already, at the end of a planned stop.
+  if (res.headersSent) return;
   log.event('request-refused', {
     request: protocol.readRequest(req.headers).requestId,
     path: req.url,
--- a/packages/gateway/src/lib/request/online_request.ts
+++ b/packages/gateway/src/lib/request/online_request.ts
@@ -383,7 +383,7 @@
 
   private retryAdvice(reason: string): RetryAdvice {
     const advice = this.search.retry();
-    return reason === OUTLASTS_STOP
+    return reason === OUTLASTS_STOP || reason === 'stop'
       ? {...advice, delayMs: STOPPING_RETRY_DELAY_MS, isPromised: false}
       : advice;
   }
--- a/packages/serving/src/lib/process/serving_components.ts
+++ b/packages/serving/src/lib/process/serving_components.ts
@@ -118,14 +118,14 @@
  * @param platform - What the platform provides.
  * @param context - Clock, randomness, log, counters and tracer.
  * @param disposables - Owns the components.
- * @param process - What the components need of the process and its tables.
+ * @param access - What the components need of the process and its tables.
  * @returns The components; none of them is started.
  */
 export function createServingComponents(
   platform: ServingPlatform,
   context: ServingContext,
   disposables: DisposableStore,
-  process: ProcessAccess,
+  access: ProcessAccess,
 ): ServingComponents {
   const {clock, log, random} = context;
   const {identity} = platform;
@@ -287,7 +287,7 @@
       ...context,
       directory,
       record: streamRecord,
-      onReleased: process.onTargetsReleased,
+      onReleased: access.onTargetsReleased,
     }),
   );
   const recordedStreams = new RecordedStreamsReader({...context, store});
@@ -296,7 +296,7 @@
       ...context,
       self,
       directory,
-      readTargets: process.readTargets,
+      readTargets: access.readTargets,
       record: streamRecord,
       readRecord: () => recordedStreams.read(),
       peers: () => membership.peers().map(hostPeerOf),
@@ -318,7 +318,7 @@
     lateQueue,
     schedulesReturns,
     streamVersions,
-    plannedStop: process.plannedStop,
+    plannedStop: access.plannedStop,
   };
   const reader = new JobReader(store);
   const {storeLimits: limits} = platform;
--- a/packages/serving/src/lib/process/serving_process.ts
+++ b/packages/serving/src/lib/process/serving_process.ts
@@ -23,7 +23,7 @@
  * Part of the shutdown time that is reserved for the exit itself, in
  * milliseconds, with what is sent last.
  */
-const EXIT_MARGIN_MS = 400;
+const EXIT_MARGIN_MS = 600;
 
 /** Serves requests and jobs until it is stopped. */
 export class ServingProcess {
