A stop counts its time from when its signal may have come

What callers see: requests that a host took during its stop are cut without an answer when the platform kills it.

Cause: the host stood still when SIGTERM came. The grace period runs from the signal, the host counted it from when it handled the signal, so its own end lay after the kill, and it took requests that fitted into that time only.

Without a stall this costs a stop up to 100 ms of its time.

--- a/packages/observe/src/lib/process/stall_watch.ts
+++ b/packages/observe/src/lib/process/stall_watch.ts
@@ -8,6 +8,7 @@
  */
 import {cpuUsage} from 'node:process';
 import type {Clock, Counters, EventLog} from '@oathead/core';
+import {earliestArrival} from './signal_arrival.js';
 
 /**
  * Interval between checks, in milliseconds: a tenth of the shortest route
@@ -29,6 +30,15 @@
   readonly log: EventLog;
 }
 
+/** Detects stalls until it is disposed. */
+export interface StallWatch extends Disposable {
+  /**
+   * @returns The earliest moment at which a signal may have come that is handled
+   *     now, in monotonic milliseconds.
+   */
+  earliestSignalAt(): number;
+}
+
 /**
  * @returns Processor time that all threads of this process have used, in their
  *     own code and in the kernel, in milliseconds.
@@ -46,13 +56,15 @@
  *     {@link STALL_THRESHOLD_MS} of stalled time.
  * @returns Stops the detection when disposed.
  */
-export function watchStalls(context: StallContext): Disposable {
+export function watchStalls(context: StallContext): StallWatch {
   const {clock, counters, log} = context;
   let lastCheckAt = clock.now();
+  let previousCheckAt = lastCheckAt;
   let lastProcessorMs = context.processorTimeMs();
   const timer = setInterval(() => {
     const now = clock.now();
     const stalledMs = Math.round(now - lastCheckAt - CHECK_INTERVAL_MS);
+    previousCheckAt = lastCheckAt;
     lastCheckAt = now;
     const totalProcessorMs = context.processorTimeMs();
     const processorMs = Math.round(totalProcessorMs - lastProcessorMs);
@@ -63,5 +75,13 @@
     log.event('process-stalled', {ms: stalledMs, processorMs});
   }, CHECK_INTERVAL_MS);
   timer.unref();
-  return {[Symbol.dispose]: () => clearInterval(timer)};
+  return {
+    earliestSignalAt: () =>
+      earliestArrival({
+        lastAt: lastCheckAt,
+        previousAt: previousCheckAt,
+        longestGapMs: CHECK_INTERVAL_MS + STALL_THRESHOLD_MS,
+      }),
+    [Symbol.dispose]: () => clearInterval(timer),
+  };
 }
--- a/packages/observe/src/test/process/stall_watch_test.ts
+++ b/packages/observe/src/test/process/stall_watch_test.ts
@@ -46,3 +46,29 @@
   t.true(ms > STALL_MS / 2);
   t.true(processorMs < ms / 2, `${processorMs} of ${ms} ms`);
 });
+
+function standStill(): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, STALL_MS);
+}
+
+const after = (ms: number) =>
+  new Promise<void>(resolve => setTimeout(resolve, ms));
+
+// Guards against a process that counts its time to stop from when it handles the
+// signal: it stood still when that came, and is killed before it has ended.
+test.serial('a signal may be as old as the stall before it', async t => {
+  using watch = watchStalls({
+    clock: SYSTEM_CLOCK,
+    processorTimeMs,
+    counters: {count: () => {}},
+    log: {event: () => {}},
+  });
+  await after(AROUND_MS);
+  const stalledAt = SYSTEM_CLOCK.now();
+  standStill();
+  t.true(watch.earliestSignalAt() <= stalledAt, 'before the next check');
+  await after(0);
+  t.true(watch.earliestSignalAt() <= stalledAt, 'right after the check');
+  await after(AROUND_MS);
+  t.true(watch.earliestSignalAt() >= stalledAt + STALL_MS, 'later');
+});
--- a/packages/serving/src/lib/process/serving_process.ts
+++ b/packages/serving/src/lib/process/serving_process.ts
@@ -129,10 +129,12 @@
    * Guards against a second call that cuts off requests which the first one
    * lets end: further calls wait for the shutdown in progress.
    *
+   * @param signalledAt - When the process was told to stop, in monotonic
+   *     milliseconds; the time that it has runs from then.
    * @returns Resolves when the process may exit.
    */
-  stop(): Promise<void> {
-    this.stopping ??= this.stopOnce();
+  stop(signalledAt = this.context.clock.now()): Promise<void> {
+    this.stopping ??= this.stopOnce(signalledAt);
     return this.stopping;
   }
 
@@ -141,8 +143,7 @@
     return this.components.membership.live().length;
   }
 
-  private async stopOnce(): Promise<void> {
-    const startedAt = this.context.clock.now();
+  private async stopOnce(startedAt: number): Promise<void> {
     const {shutdownTimeoutMs} = this.platform.tunables();
     const endsAt = startedAt + shutdownTimeoutMs - EXIT_MARGIN_MS;
     const stop = {startedAt, endsAt};
