Hosts without the store call it through hosts that stay

What callers see: a host without a way to the store of its own serves by an old configuration for longer than the 2 s that are allowed, after a stop of another host; or it answers the submission of a job with 504.

Cause: such a host chose among all live hosts, those that stop included, and went on with the one that had answered last until it was gone. The calls that are open at its end get no answer, and those after it, until its lease is over, fail and pause all relaying for 400 ms.

Change: a host that has announced that it leaves relays no calls if another one can. The function `staying`, by which jobs choose their hosts, moves to the package that knows the members.

Writes that are cut in the middle were safe before: their outcome is `unknown`, and each write expects versions or may be repeated.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -49,6 +49,7 @@
 export * from './lib/process/service_overload.js';
 export * from './lib/process/share_admission.js';
 export * from './lib/process/speed_reporter.js';
+export * from './lib/process/staying_hosts.js';
 export * from './lib/process/suspect_table.js';
 export * from './lib/process/stream_record.js';
 export * from './lib/process/stream_record_rows.js';
--- a/packages/jobs/src/lib/process/job_ownership.ts
+++ b/packages/jobs/src/lib/process/job_ownership.ts
@@ -9,7 +9,7 @@
   type Counters,
   type Outcome,
 } from '@oathead/core';
-import type {Membership} from '@oathead/gateway';
+import {staying, staysOn, type Membership} from '@oathead/gateway';
 import type {TableUpdate, VersionedRow} from '@oathead/stores';
 import type {JobReader} from '../request/job_reader.js';
 import {
@@ -25,7 +25,6 @@
 import {OrphanSearch} from './orphan_search.js';
 import {OwnedJob, type OwnedJobContext} from './owned_job.js';
 import {writeOwner} from './owner_write.js';
-import {staying, staysOn} from './staying_hosts.js';
 
 /** Dependencies of {@link JobOwnership}. */
 export interface JobOwnershipContext extends OwnedJobContext {
--- a/packages/jobs/src/lib/process/orphan_search.ts
+++ b/packages/jobs/src/lib/process/orphan_search.ts
@@ -10,7 +10,7 @@
   type Counters,
   type EventLog,
 } from '@oathead/core';
-import type {Membership} from '@oathead/gateway';
+import {staying, type Membership} from '@oathead/gateway';
 import type {JobHead, VersionedHead} from '../request/job_rows.js';
 import {claimRanks} from './claim_turns.js';
 import {JobPool} from './job_pool.js';
@@ -18,7 +18,6 @@
 import {OrphanReport, type OwnerAbsence} from './orphan_report.js';
 import {OrphanTimes} from './orphan_times.js';
 import {writeOwner, type OwnerWriteContext} from './owner_write.js';
-import {staying} from './staying_hosts.js';
 
 /** Dependencies of an {@link OrphanSearch}. */
 export interface OrphanSearchContext extends OwnerWriteContext {
--- a/packages/serving/src/lib/connection/peer_clients.ts
+++ b/packages/serving/src/lib/connection/peer_clients.ts
@@ -1,5 +1,5 @@
 /** Clients of the other serving processes. */
-import type {Member} from '@oathead/gateway';
+import {staying, type Member} from '@oathead/gateway';
 import {PeerClient, type Snapshot} from './peer_router.js';
 
 /** Snapshot of a peer and the address it came from. */
@@ -9,8 +9,8 @@
 }
 
 /**
- * Clients by address: of the live members, or of the seeds while no member is
- * known.
+ * Clients by address: of the live members that may be called, or of the seeds
+ * while no member is known.
  */
 export class PeerClients {
   private readonly clients = new Map<string, PeerClient>();
@@ -24,9 +24,13 @@
     private readonly members: () => readonly Member[],
   ) {}
 
-  /** @returns Clients of the peers that are currently known. */
+  /**
+   * @returns Clients of the peers that are currently known, without those that
+   *     are shutting down if others are not.
+   */
   available(): readonly PeerClient[] {
-    const members = this.members().map(({controlAddress}) => controlAddress);
+    const staysOn = staying(this.members());
+    const members = staysOn.map(({controlAddress}) => controlAddress);
     const addresses = members.length > 0 ? members : this.seeds();
     for (const known of this.clients.keys())
       if (!addresses.includes(known)) this.clients.delete(known);
