Serve a keyed request here when its home is stopping

Cause: an entry passes a keyed request on to the home of its key. A home that stops, or whose targets do, ends it with 'leaving', and this went to the caller as it was; until the shares are handed over (up to the whole grace period) each resend would meet the same home again.

Change: 'leaving' from the home is treated as a home that cannot be reached: the request is served at the entry that it came to, where claims and the targets' memory keep it from running twice. 'Not run' of a home that says so stays true; after 'may-have-run' the end is unsure as it was for a lost home.

--- a/packages/entry/src/lib/request/online_service.ts
+++ b/packages/entry/src/lib/request/online_service.ts
@@ -75,8 +75,9 @@
   }
 
   /**
-   * The home can be lost with the request in flight. Then it is served here:
-   * the outcome is found again by the key, or the request runs if none has run.
+   * The home can be lost with the request in flight, or stop. Then it is served
+   * here: the outcome is found again by the key, or the request runs if none has
+   * run.
    */
   private async *serveAt(
     home: Peer,
@@ -84,8 +85,13 @@
     signal: AbortSignal,
   ): AsyncGenerator<ServeEvent> {
     const delivered = new Delivered();
+    let unrun = false;
     try {
       for await (const event of this.deps.peers.forward(home, call, signal)) {
+        if (isLeaving(event)) {
+          unrun = event.refusal.ran === 'not-run';
+          break;
+        }
         delivered.note(event);
         yield event;
         if (isFinalEvent(event)) return;
@@ -98,7 +104,7 @@
     for await (const event of delivered.rest(
       this.deps.keyed.serve(call, signal),
     )) {
-      yield unsure(event);
+      yield unrun ? event : unsure(event);
     }
   }
 }
@@ -112,6 +118,12 @@
   return {...event, refusal: {...event.refusal, ran: 'may-have-run'}};
 }
 
+type Refused = Extract<ServeEvent, {readonly kind: 'refused'}>;
+
+function isLeaving(event: ServeEvent): event is Refused {
+  return event.kind === 'refused' && event.refusal.kind === 'leaving';
+}
+
 const BROKEN: ServeEvent = {
   kind: 'refused',
   refusal: mayHaveRun('internal', 'the stream ended without an outcome'),
