A stopping entry takes only what ends before it does, and answers the rest

Callers saw: requests that came over open connections after SIGTERM were taken whatever their deadline, with 'keep-alive'; those that ran when the grace period was over got no answer: their connections were left open until the process was killed. Connections that had carried no request did so too. An answer that was handed over but not sent was cut when listening ended.

Cause: the entry compared nothing with the time that it has left, waited for online requests alone, and left connections to Node's close and closeIdleConnections, which close an ended, unsent answer and never a connection without a request.

Change: EntryStop (with admitDuringStop) refuses what may end after the time for work, which is the grace period less a tenth of it, at most 1 s: at the head of a request by its deadline, and again when it is served; what no deadline ends (jobs, results, operators' routes) is refused; 'leaving', not run, 'Connection: close'. A refusal before the body has come keeps the connection until it has. When the time for work is over, online requests end with 'leaving', may have run (a stream as its last event); a handler that has not answered is answered for, a body in parts is broken off. ApiConnections keeps the list of connections: idle is what has no unsent answer, and all are closed at the end. Watches end with the signal. Writing answers waits no longer than the stop. Counters requests_refused_by_stop and requests_cut_by_stop, and debug lines.

--- a/packages/entry/src/lib/process/entry.ts
+++ b/packages/entry/src/lib/process/entry.ts
@@ -34,10 +34,10 @@
 import {batchRoutes} from '../request/batch_routes.js';
 import {BatchRunner} from '../request/batch_runner.js';
 import {completionRoutes} from '../request/completion_routes.js';
-import {Dispatcher} from '../request/dispatcher.js';
+import {Dispatcher, latestEndOf} from '../request/dispatcher.js';
 import {KeyedRequests} from '../request/keyed_requests.js';
 import {OnlineService} from '../request/online_service.js';
-import type {Serve} from '../request/online_call.js';
+import type {Serve, ServeCall} from '../request/online_call.js';
 import {Recall} from '../request/recall.js';
 import {resourceRoutes} from '../request/resource_routes.js';
 import {resultRoutes} from '../request/result_routes.js';
@@ -47,6 +47,7 @@
 import type {AnswerStoreSettings} from './answer_store.js';
 import {ClaimStore} from './claim_store.js';
 import {Control} from './control.js';
+import {EntryStop} from './entry_stop.js';
 import {KeyAuthenticator} from './key_authenticator.js';
 import {LimitGate} from './limit_gate.js';
 import type {UseReport, UseReports} from './limit_gate.js';
@@ -88,6 +89,8 @@
 export class Entry implements PeerHandler, Disposable {
   /** Answers callers and operators. */
   readonly router: Router;
+  /** What becomes of requests while it stops. */
+  readonly plannedStop: EntryStop;
   private readonly held = new DisposableStore();
   private readonly membership: LeasedMembership;
   private readonly control: Control;
@@ -102,13 +105,13 @@
   private readonly limits: LimitGate;
   private knownPeers: ReadonlySet<string> = new Set();
   private inFlight = 0;
-  private stopping = false;
 
   /** @param parts - What it is made of. */
   constructor(private readonly parts: EntryParts) {
     const {clock, random, counters, platform, settings} = parts;
     const {table, objects} = platform;
     const base = {clock, random, counters, table, objects};
+    this.plannedStop = new EntryStop(clock, counters);
     this.membership = new LeasedMembership(base, settings.membership);
     this.peers = this.held.add(
       new Peers(clock, this.membership, parts.peerLinkTo),
@@ -187,7 +190,7 @@
 
   /** Whether callers can be served. */
   get ready(): boolean {
-    return this.control.cache.ready && !this.stopping;
+    return this.control.cache.ready && !this.plannedStop.begun.aborted;
   }
 
   /**
@@ -219,9 +222,8 @@
   ): AsyncGenerator<ServeEvent> {
     const {timeoutMs, ...rest} = call;
     const deadline = this.parts.clock.now() + timeoutMs;
-    yield* this.counted(
-      this.keyed.serve({...rest, class: 'online', deadline}, signal),
-    );
+    const served = {...rest, class: 'online', deadline} as const;
+    yield* this.counted(this.keyed.serve(served, signal), served);
   }
 
   configSince({entryId, since}: ConfigQuestion): ConfigDelta | undefined {
@@ -238,21 +240,28 @@
   }
 
   /**
-   * Stops as planned: takes nothing new, lets what is in flight end, writes
-   * what is unwritten, and hands its shares over.
+   * Stops as planned: takes only what ends before it does, lets what is in
+   * flight end, writes what is unwritten, and hands its shares over. What is in
+   * flight when the time for work is over is told so.
    *
    * @param graceMs - At most so long, in milliseconds.
+   * @param connections - Waited for too, while they have answers to send.
    */
-  async stop(graceMs: number): Promise<void> {
+  async stop(
+    graceMs: number,
+    connections: {readonly busy: boolean} = {busy: false},
+  ): Promise<void> {
     const {clock} = this.parts;
-    const deadline = clock.now() + graceMs;
-    this.stopping = true;
-    const batchStopped = this.jobs.stop(graceMs);
-    await this.settle(deadline);
+    const {startedAt, endsAt} = this.plannedStop.begin(graceMs);
+    const deadline = startedAt + graceMs;
+    const busy = () => this.busy || connections.busy;
+    const batchStopped = this.jobs.stop(endsAt - startedAt);
+    await this.settle(busy, endsAt, deadline);
     await batchStopped;
     await this.membership.stop(Math.max(0, deadline - clock.now()));
-    // A request that was on its way when the stop began came in meanwhile.
-    await this.settle(deadline);
+    // A request that was on its way when the stop began came in meanwhile, and
+    // what is left has its last answer to send.
+    await this.settle(busy, deadline, deadline);
     this[Symbol.dispose]();
   }
 
@@ -264,12 +273,22 @@
   }
 
   /** Waits until nothing is in flight, and writes what is unwritten. */
-  private async settle(deadline: number): Promise<void> {
+  private async settle(
+    busy: () => boolean,
+    until: number,
+    deadline: number,
+  ): Promise<void> {
     const {clock} = this.parts;
-    while (this.busy && clock.now() < deadline) {
+    while (busy() && clock.now() < until) {
       await sleep(clock, STOP_CHECK_MS);
     }
-    await this.answers.flush();
+    // Without the store, targets hold the answers for whoever comes after.
+    const written = new AbortController();
+    await Promise.race([
+      this.answers.flush(),
+      sleep(clock, Math.max(0, deadline - clock.now()), written.signal),
+    ]);
+    written.abort();
   }
 
   private get busy(): boolean {
@@ -280,16 +299,17 @@
     const limited = this.limits.limited((call, signal) =>
       this.online.serve(call, signal),
     );
-    return (call, signal) => this.counted(limited(call, signal));
+    return (call, signal) => this.counted(limited(call, signal), call);
   }
 
   /** A planned stop waits for what is counted here. */
   private async *counted(
     events: AsyncIterable<ServeEvent>,
+    {deadline, id}: ServeCall,
   ): AsyncGenerator<ServeEvent> {
     this.inFlight++;
     try {
-      yield* events;
+      yield* this.plannedStop.serve(events, latestEndOf(deadline), id);
     } finally {
       this.inFlight--;
     }
--- a/packages/entry/src/lib/process/http_server.ts
+++ b/packages/entry/src/lib/process/http_server.ts
@@ -1,10 +1,13 @@
 /** The HTTP side of the API: limits, bodies and streams over Node's `http`. */
 import type {IncomingMessage, RequestListener, ServerResponse} from 'node:http';
+import {finished} from 'node:stream';
 import {failure, mayHaveRun, notRun, success} from '@oathead/core';
-import type {Counters, Outcome, Refusal} from '@oathead/core';
+import type {Clock, Counters, Outcome, Refusal} from '@oathead/core';
 import {refusalResponse} from '../request/api.js';
 import type {ApiRequest, ApiResponse} from '../request/api.js';
 import type {Router} from '../request/router.js';
+import {CUT} from './entry_stop.js';
+import type {EntryStop} from './entry_stop.js';
 
 /** Bounds on what one caller can make the server hold. */
 export interface HttpLimits {
@@ -25,8 +28,14 @@
   readonly limits: HttpLimits;
   readonly open: OpenPaths;
   readonly counters: Counters;
+  readonly clock: Clock;
+  /** The stop of the process, from its begin on. */
+  readonly stop: EntryStop;
 }
 
+/** Time for handlers to answer by themselves when a stop ends, in ms. */
+const LAST_ANSWER_MS = 50;
+
 /**
  * @param options - What the server needs.
  * @returns The listener for a server's requests.
@@ -35,6 +44,7 @@
   let running = 0;
   return (req, res) => {
     running++;
+    heedStop(req, res, options);
     void serve(req, res, options, running)
       .catch(err => answerCrash(res, err, options.counters))
       .finally(() => running--);
@@ -58,6 +68,14 @@
   if (unknown) {
     return send(res, refusalResponse(unknown));
   }
+  const late = options.stop.refusal(
+    options.router.latestEnd(
+      req.method ?? 'GET',
+      url.pathname,
+      plainHeaders(req),
+    ),
+  );
+  if (late) return sendUnread(req, res, refusalResponse(late));
   const limit =
     options.router.maxBodyBytes(req.method ?? 'GET', url.pathname) ??
     options.limits.maxBodyBytes;
@@ -65,19 +83,55 @@
   if (!body.ok) return send(res, refusalResponse(body.err), true);
   return send(
     res,
-    await options.router.handle(apiRequest(req, res, url, body.value)),
+    await options.router.handle(
+      apiRequest(req, res, url, body.value, options.stop),
+    ),
   );
 }
 
+/**
+ * Answers in a stop tell their callers to close. What has no answer when it ends
+ * gets one, or is seen to be broken off.
+ */
+function heedStop(
+  req: IncomingMessage,
+  res: ServerResponse,
+  {stop, clock}: HttpServerOptions,
+): void {
+  const end = () => {
+    if (res.writableEnded || res.destroyed) return;
+    stop.countCut(`${req.method} ${req.url}`);
+    if (res.headersSent) res.destroy();
+    else void send(res, refusalResponse(req.complete ? CUT : NOT_WHOLE), true);
+  };
+  const {begun, over} = stop;
+  const closeAfter = () => (res.shouldKeepAlive = false);
+  const onOver = () => void clock.after(LAST_ANSWER_MS, end);
+  if (begun.aborted) closeAfter();
+  else begun.addEventListener('abort', closeAfter, {once: true});
+  if (over.aborted) onOver();
+  else over.addEventListener('abort', onOver, {once: true});
+  res.once('close', () => {
+    begun.removeEventListener('abort', closeAfter);
+    over.removeEventListener('abort', onOver);
+  });
+}
+
 function apiRequest(
   req: IncomingMessage,
   res: ServerResponse,
   url: URL,
   body: string,
+  {begun}: EntryStop,
 ): ApiRequest {
   const gone = new AbortController();
+  const leave = () => gone.abort();
+  // A watch has no end of its own; whoever watches goes on at another entry.
+  const watches = req.method === 'GET' && url.searchParams.has('watch');
+  if (watches) begun.addEventListener('abort', leave, {once: true});
   res.once('close', () => {
-    if (!res.writableFinished) gone.abort();
+    begun.removeEventListener('abort', leave);
+    if (!res.writableFinished) leave();
   });
   return {
     method: req.method ?? 'GET',
@@ -115,11 +169,32 @@
   return success(Buffer.concat(parts).toString('utf8'));
 }
 
+/**
+ * Answers a request whose body is not read. The connection is closed after the
+ * body has come: closed with unread data it is reset, and the answer with it.
+ */
+function sendUnread(
+  req: IncomingMessage,
+  res: ServerResponse,
+  {status, headers, body}: ApiResponse,
+): void {
+  res.writeHead(status, {
+    ...headers,
+    connection: 'close',
+    'content-length': Buffer.byteLength(body as string),
+  });
+  res.write(body);
+  finished(req, () => res.end());
+  req.resume();
+}
+
 async function send(
   res: ServerResponse,
   answer: ApiResponse,
   close = false,
 ): Promise<void> {
+  // A stop that ended before this answer has answered in its place.
+  if (res.headersSent) return;
   const headers = close
     ? {...answer.headers, connection: 'close'}
     : answer.headers;
@@ -168,4 +243,5 @@
   void send(res, refusalResponse(refusal));
 }
 
+const NOT_WHOLE = notRun('leaving', 'this entry stopped before it was whole');
 const TOO_MANY = notRun('overloaded', 'too many requests in progress', 1000);
--- a/packages/entry/src/lib/process/run_entry.ts
+++ b/packages/entry/src/lib/process/run_entry.ts
@@ -19,6 +19,7 @@
 import type {ClientTls} from '@oathead/wire';
 import {applyWSSHandler} from '@trpc/server/adapters/ws';
 import {WebSocketServer} from 'ws';
+import {ApiConnections} from '../connection/api_connections.js';
 import {TrpcPeerLink} from '../connection/peer_link.js';
 import {peerRouter} from '../connection/peer_router.js';
 import {jsonResponse} from '../request/api.js';
@@ -65,6 +66,7 @@
   );
   const sockets = servePeers(peers, entry);
   const api = createApiServer(settings, entry, metrics);
+  const connections = new ApiConnections(api);
   await listen(api, settings.listen);
   const {port} = api.address() as AddressInfo;
   log('%s listens on %d, peers on %s', settings.entryId, port, peerAddress);
@@ -75,9 +77,10 @@
     port,
     stop: async () => {
       // Callers with open connections still get answers; new ones go elsewhere.
-      api.close();
-      await entry.stop(settings.graceMs);
-      api.closeIdleConnections();
+      connections.stopListening();
+      connections.closeIdle();
+      await entry.stop(settings.graceMs, connections);
+      connections.closeAll();
       sockets.close();
       peers.close();
       peers.closeAllConnections();
@@ -163,6 +166,8 @@
     limits,
     open: openPaths(entry, metrics),
     counters: metrics,
+    clock: SYSTEM_CLOCK,
+    stop: entry.plannedStop,
   });
   if (!tls) return createHttpServer(options, listener);
   return createHttpsServer(
--- a/packages/entry/src/lib/request/call_options.ts
+++ b/packages/entry/src/lib/request/call_options.ts
@@ -2,6 +2,7 @@
 import {failure, success} from '@oathead/core';
 import type {Clock, Outcome, Random, Refusal} from '@oathead/core';
 import type {ApiCall} from './api.js';
+import {latestEndOf} from './dispatcher.js';
 
 /** What reading the headers needs. */
 export interface CallOptionsDeps {
@@ -45,9 +46,7 @@
   if (idempotent === undefined) {
     return invalidHeader('oathead-idempotent', 'true or false');
   }
-  const timeoutMs = Number(
-    call.headers['oathead-deadline-ms'] ?? deps.defaultDeadlineMs,
-  );
+  const timeoutMs = timeoutOf(call.headers, deps);
   if (!(timeoutMs > 0 && timeoutMs <= deps.maxDeadlineMs)) {
     return invalidHeader('oathead-deadline-ms', `1 to ${deps.maxDeadlineMs}`);
   }
@@ -64,6 +63,27 @@
   });
 }
 
+/**
+ * @param headers - Headers of a request that has just come.
+ * @param deps - Clock and bounds.
+ * @returns When it ends at the latest, on the process's clock, in milliseconds.
+ */
+export function latestEnd(
+  headers: Readonly<Record<string, string>>,
+  deps: CallOptionsDeps,
+): number {
+  const timeoutMs = timeoutOf(headers, deps);
+  // One that is no number is refused as such, at once.
+  return latestEndOf(deps.clock.now() + (timeoutMs > 0 ? timeoutMs : 0));
+}
+
+function timeoutOf(
+  headers: Readonly<Record<string, string>>,
+  {defaultDeadlineMs}: CallOptionsDeps,
+): number {
+  return Number(headers['oathead-deadline-ms'] ?? defaultDeadlineMs);
+}
+
 /**
  * @param id - The request.
  * @param resultId - Where its answer can be read again, if it is kept.
--- a/packages/entry/src/lib/request/completion_routes.ts
+++ b/packages/entry/src/lib/request/completion_routes.ts
@@ -11,7 +11,7 @@
 import {jsonResponse, refusalResponse} from './api.js';
 import type {ApiCall, ApiResponse} from './api.js';
 import {parseBody} from './body.js';
-import {callOptions, resultHeaders} from './call_options.js';
+import {callOptions, latestEnd, resultHeaders} from './call_options.js';
 import type {CallOptionsDeps} from './call_options.js';
 import {
   CHAT_CALL,
@@ -61,6 +61,7 @@
     method: 'POST',
     path,
     access: 'caller',
+    latestEnd: headers => latestEnd(headers, deps),
     handle: call => complete(call, schema, format, deps),
   };
 }
--- a/packages/entry/src/lib/request/dispatcher.ts
+++ b/packages/entry/src/lib/request/dispatcher.ts
@@ -52,6 +52,14 @@
 /** Time for a target to say itself that the deadline has come, in ms. */
 const DEADLINE_GRACE_MS = 250;
 
+/**
+ * @param deadline - Deadline of a request, in milliseconds.
+ * @returns When its dispatch ends at the latest, on the same clock.
+ */
+export function latestEndOf(deadline: number): number {
+  return deadline + DEADLINE_GRACE_MS;
+}
+
 /** Sends requests to targets. */
 export class Dispatcher {
   /** @param deps - The fleet, and what decides on retries. */
--- a/packages/entry/src/lib/request/router.ts
+++ b/packages/entry/src/lib/request/router.ts
@@ -17,6 +17,13 @@
   readonly access: Access;
   /** Largest body; the server's default where absent. */
   readonly maxBodyBytes?: number;
+  /**
+   * Absent on routes whose work no deadline ends.
+   *
+   * @param headers - Headers of a request that has just come.
+   * @returns When it ends at the latest, on the process's clock, in ms.
+   */
+  latestEnd?(headers: Readonly<Record<string, string>>): number;
   handle(call: ApiCall): Promise<ApiResponse>;
 }
 
@@ -48,6 +55,24 @@
     return this.find(method, path)?.route.maxBodyBytes;
   }
 
+  /**
+   * @param method - HTTP method.
+   * @param path - Path without query.
+   * @param headers - Headers of the request, by names in lower case.
+   * @returns When the request ends at the latest, on the process's clock, in
+   *     milliseconds; infinity where nothing ends it.
+   */
+  latestEnd(
+    method: string,
+    path: string,
+    headers: Readonly<Record<string, string>>,
+  ): number {
+    const found = this.find(method, path);
+    // What has no route is refused in any case.
+    if (!found) return -Infinity;
+    return found.route.latestEnd?.(headers) ?? Infinity;
+  }
+
   /**
    * Checks the key alone, before a body is read.
    *
--- a/packages/entry/src/lib/request/service_routes.ts
+++ b/packages/entry/src/lib/request/service_routes.ts
@@ -3,7 +3,7 @@
 import type {ConfigView, ServiceCall} from '@oathead/core';
 import {refusalResponse} from './api.js';
 import type {ApiCall, ApiResponse} from './api.js';
-import {callOptions, resultHeaders} from './call_options.js';
+import {callOptions, latestEnd, resultHeaders} from './call_options.js';
 import type {CallOptionsDeps} from './call_options.js';
 import type {Serve} from './online_call.js';
 import {outcomeOf, refusalOf} from './outcome_of.js';
@@ -26,6 +26,7 @@
     method,
     path: '/v1/services/{service}/{path*}',
     access: 'caller',
+    latestEnd: headers => latestEnd(headers, deps),
     handle: call => callService(call, deps),
   }));
 }
--- a/packages/entry/src/test/process/http_server_test.ts
+++ b/packages/entry/src/test/process/http_server_test.ts
@@ -1,10 +1,13 @@
+import {once} from 'node:events';
 import {createServer} from 'node:http';
 import type {Server} from 'node:http';
+import {connect} from 'node:net';
 import type {AddressInfo} from 'node:net';
 import test from 'ava';
 import type {ExecutionContext} from 'ava';
-import {NO_COUNTERS} from '@oathead/core';
+import {NO_COUNTERS, SYSTEM_CLOCK, sleep} from '@oathead/core';
 import {fetch} from 'undici';
+import {EntryStop} from '../../lib/process/entry_stop.js';
 import {apiListener} from '../../lib/process/http_server.js';
 import {jsonResponse} from '../../lib/request/api.js';
 import {Router} from '../../lib/request/router.js';
@@ -16,6 +19,8 @@
   requestTimeoutMs: 60_000,
   maxConcurrent: 100,
 };
+const GRACE_MS = 60_000;
+const PART = 'a'.repeat(1_000_000);
 const KEY = {authorization: 'Bearer any'};
 
 function route(path: string, handle: Route['handle']): Route {
@@ -25,6 +30,14 @@
 async function serve(
   t: ExecutionContext,
   ...routes: readonly Route[]
+): Promise<string> {
+  return serveUntil(new EntryStop(SYSTEM_CLOCK, NO_COUNTERS), t, routes);
+}
+
+async function serveUntil(
+  stop: EntryStop,
+  t: ExecutionContext,
+  routes: readonly Route[],
 ): Promise<string> {
   const authenticator = {
     identify: (key?: string) =>
@@ -32,7 +45,14 @@
   };
   const router = new Router(routes, authenticator, NO_COUNTERS);
   const server: Server = createServer(
-    apiListener({router, limits: LIMITS, open: {}, counters: NO_COUNTERS}),
+    apiListener({
+      router,
+      limits: LIMITS,
+      open: {},
+      counters: NO_COUNTERS,
+      clock: SYSTEM_CLOCK,
+      stop,
+    }),
   );
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
   t.teardown(() => {
@@ -113,3 +133,39 @@
   await noticed;
   t.pass();
 });
+
+// A caller of a stopping entry is still sending when it is refused. A connection
+// that is closed with unread data is reset, and the refusal is lost with it.
+test('a refusal by a stop reaches a caller that is still sending', async t => {
+  const stop = new EntryStop(SYSTEM_CLOCK, NO_COUNTERS);
+  const url = await serveUntil(stop, t, [
+    route('/x', async () => jsonResponse({})),
+  ]);
+  stop.begin(GRACE_MS);
+  const caller = connect(Number(new URL(url).port), '127.0.0.1');
+  caller.write(
+    'POST /x HTTP/1.1\r\nhost: a\r\nauthorization: Bearer any\r\n' +
+      `content-length: ${2 * PART.length}\r\n\r\n${PART}`,
+  );
+  const [answer] = (await once(caller, 'data')) as [Buffer];
+  t.regex(String(answer), /^HTTP\/1\.1 503 [^]*connection: close/i);
+  t.true(String(answer).includes('"ran":"not-run"'));
+  caller.write(PART);
+  t.deepEqual(await once(caller.resume(), 'close'), [false]);
+});
+
+// A handler waits for the store, which is away, until the process ends: its caller
+// gets no answer and doesn't know whether its change was made.
+test('a handler that is not done when a stop ends is answered for', async t => {
+  const stop = new EntryStop(SYSTEM_CLOCK, NO_COUNTERS);
+  const url = await serveUntil(stop, t, [
+    route('/x', () => new Promise(() => {})),
+  ]);
+  const answer = post(`${url}/x`, '');
+  await sleep(SYSTEM_CLOCK, 100);
+  stop.begin(100);
+  const {status, headers} = await answer;
+  t.is(status, 503);
+  t.is(headers.get('oathead-ran'), 'may-have-run');
+  t.is(headers.get('connection'), 'close');
+});
