A stopping target tells what it cuts off within its grace period

Callers see: a target that still runs requests when its grace period is over cut them at that moment and stayed up for attachGraceMs (2 s) more. A platform that kills it at the end of the same grace period ends it while its entries are being told, or before a broken link has attached again.

Change: what is left is cut off attachGraceMs before the end, at most a tenth of the grace period, and the whole stop stays within it. Counter target_cut_by_stop, a debug line for each.

--- a/packages/target/src/lib/process/run_director.ts
+++ b/packages/target/src/lib/process/run_director.ts
@@ -1,6 +1,7 @@
 /** Takes runs from their arrival to their outcome, as admission decides. */
 import {invariant, mayHaveRun, notRun} from '@oathead/core';
 import type {Refusal, ServeOutcome, ServeRequest} from '@oathead/core';
+import {createDebugLog} from '@oathead/observe';
 import type {Backend} from '../request/backend_call.js';
 import {takeTurn} from '../request/backend_turn.js';
 import {LiveRun} from '../request/live_run.js';
@@ -22,6 +23,8 @@
   readonly engineLost: () => void;
 }
 
+const log = createDebugLog('target:stop');
+
 /** Longest delay that a timer of the platform takes. */
 const MAX_DELAY_MS = 2 ** 31 - 1;
 
@@ -133,7 +136,9 @@
 
   /** Ends what is left when the grace period of a stop is over. */
   cutOff(): void {
-    for (const {run} of [...this.live.values()]) {
+    for (const {run, labels} of [...this.live.values()]) {
+      this.parts.metrics.count('target_cut_by_stop', labels);
+      log('cut off at the end of the stop: %s', run.key);
       this.stop(run, 'leaving', 'the grace period is over');
     }
   }
--- a/packages/target/src/lib/process/target_service.ts
+++ b/packages/target/src/lib/process/target_service.ts
@@ -54,6 +54,8 @@
 }
 
 const IDLE_CHECK_MS = 10;
+/** Part of a grace period, at its end, in which nothing runs any more. */
+const END_SHARE = 0.1;
 const MAX_CACHED_PREFIXES = 64;
 
 /** Serves the entries of one target. */
@@ -216,17 +218,21 @@
    * Stops without cutting off what is in flight: says so, takes nothing new,
    * gives batch work back and finishes the rest.
    *
-   * @param graceMs - Longest wait for the rest, in milliseconds.
+   * @param graceMs - Longest wait, in milliseconds. What is left shortly before
+   *     its end is cut off, so that its followers are told in time.
    * @returns Resolves when the followers of all requests have their outcomes,
    *     or when the grace period is over.
    */
   async drain(graceMs: number): Promise<void> {
     const {clock, settings} = this.parts;
+    const startedAt = clock.now();
     this.stopping = true;
     this.director.leave();
-    if (await this.idle(clock.now() + graceMs)) return;
-    this.director.cutOff();
-    await this.idle(clock.now() + settings.attachGraceMs);
+    const endMs = Math.min(settings.attachGraceMs, graceMs * END_SHARE);
+    const workMs = graceMs - endMs;
+    const end = clock.after(workMs, () => this.director.cutOff());
+    await this.idle(startedAt + graceMs);
+    end[Symbol.dispose]();
   }
 
   /** Stops watching the engine and driving admission. */
@@ -289,18 +295,17 @@
    * became of the request. So it stays until it was idle for as long as a link
    * may take to attach again.
    *
-   * @returns Whether it was idle for so long; else the time was over.
+   * @param until - Ends the wait, on the process's clock, in milliseconds.
    */
-  private async idle(until: number): Promise<boolean> {
+  private async idle(until: number): Promise<void> {
     const {clock, settings} = this.parts;
     const busy = () => this.memory.runningCount + this.followers.count > 0;
     let busyAt = clock.now();
     while (clock.now() < until) {
       if (busy()) busyAt = clock.now();
-      else if (clock.now() - busyAt >= settings.attachGraceMs) return true;
+      else if (clock.now() - busyAt >= settings.attachGraceMs) return;
       await sleep(clock, IDLE_CHECK_MS);
     }
-    return false;
   }
 }
 
--- a/packages/target/src/test/process/drain_test.ts
+++ b/packages/target/src/test/process/drain_test.ts
@@ -75,6 +75,20 @@
   t.true(stream.signal.aborted);
 });
 
+// The platform kills a target that stops for longer than its grace period, as its
+// entries are being told what was cut off.
+test('what a stop cuts off is told within the grace period', async t => {
+  const {service, engine, pass} = await startService({capacity: 1});
+  const running = send(service, request({timeoutMs: 90_000}));
+  await engine.stream(0);
+  let drained = false;
+  void service.drain(30_000).then(() => (drained = true));
+  await pass(29_000);
+  t.deepEqual(running.got.slice(-1).map(refusalText), ['leaving may-have-run']);
+  await pass(1_010);
+  t.true(drained);
+});
+
 // An operator declares a target out and, an hour later, back in; an entry that
 // lags offers the earlier declaration once more.
 test('a target declared out and back in serves again, and stays in', async t => {
