A stopping target refuses waiting calls that may run only once and not end

Callers see: a call that may run only once waits at a target that is told to stop. The target starts it whenever a place is free, also in its last second, and cuts it off: 'leaving', may have run, and nobody can say whether it did.

Change: when the stop begins, a waiting request that may run only once and whose deadline comes after the time for work (admitDuringStop) is refused: 'leaving', not run, so that it goes to another target. What may be repeated stays in the queue: cut off, its entry goes on with it elsewhere, and a refusal of the whole queue at once would use up the entries' budget of retries. Counter target_refused_by_stop, a debug line for each.

--- a/packages/target/src/lib/process/run_director.ts
+++ b/packages/target/src/lib/process/run_director.ts
@@ -1,6 +1,11 @@
 /** Takes runs from their arrival to their outcome, as admission decides. */
-import {invariant, mayHaveRun, notRun} from '@oathead/core';
-import type {Refusal, ServeOutcome, ServeRequest} from '@oathead/core';
+import {admitDuringStop, invariant, mayHaveRun, notRun} from '@oathead/core';
+import type {
+  PlannedStop,
+  Refusal,
+  ServeOutcome,
+  ServeRequest,
+} from '@oathead/core';
 import {createDebugLog} from '@oathead/observe';
 import type {Backend} from '../request/backend_call.js';
 import {takeTurn} from '../request/backend_turn.js';
@@ -134,6 +139,24 @@
     this.driver = this.createDriver();
   }
 
+  /**
+   * Refuses what waits, may run only once and may outlast the stop: started and
+   * cut off, nobody could say whether it ran. What may be repeated stays: cut
+   * off, its entry goes on with it elsewhere.
+   *
+   * @param stop - The stop of the process.
+   */
+  refuseUnsafe(stop: PlannedStop): void {
+    const now = this.parts.clock.now();
+    for (const {run, deadline, labels} of [...this.live.values()]) {
+      if (run.req.idempotent || !run.unseen) continue;
+      if (admitDuringStop(stop, deadline, now).kind === 'take') continue;
+      this.parts.metrics.count('target_refused_by_stop', labels);
+      log('refused, as it may outlast the stop: %s', run.key);
+      this.stop(run, 'leaving', 'this target stops before it would end');
+    }
+  }
+
   /** Ends what is left when the grace period of a stop is over. */
   cutOff(): void {
     for (const {run, labels} of [...this.live.values()]) {
--- a/packages/target/src/lib/process/target_service.ts
+++ b/packages/target/src/lib/process/target_service.ts
@@ -230,6 +230,7 @@
     this.director.leave();
     const endMs = Math.min(settings.attachGraceMs, graceMs * END_SHARE);
     const workMs = graceMs - endMs;
+    this.director.refuseUnsafe({startedAt, endsAt: startedAt + workMs});
     const end = clock.after(workMs, () => this.director.cutOff());
     await this.idle(startedAt + graceMs);
     end[Symbol.dispose]();
--- a/packages/target/src/lib/request/live_run.ts
+++ b/packages/target/src/lib/request/live_run.ts
@@ -31,7 +31,8 @@
   readonly owned = new DisposableStore();
   readonly labels: Labels;
   private readonly span: Span;
-  private readonly deadline: number;
+  /** When nobody wants its outcome any more, on the process's clock, in ms. */
+  readonly deadline: number;
   /** When it arrived, or had its last token. */
   private lastAt: number;
 
--- a/packages/target/src/test/process/drain_test.ts
+++ b/packages/target/src/test/process/drain_test.ts
@@ -75,6 +75,28 @@
   t.true(stream.signal.aborted);
 });
 
+// A call that may run only once waits when its target is told to stop. It is
+// started in the last second and cut off, and nobody knows whether it ran.
+test('a stop starts nothing that may run only once and not end in time', async t => {
+  const {service, engine, pass} = await startService({capacity: 1});
+  const running = send(service, request());
+  const once = {idempotent: false, stream: false};
+  const long = send(service, request({...once, timeoutMs: 90_000}));
+  const short = send(service, request({...once, timeoutMs: 20_000}));
+  const stream = await engine.stream(0);
+  const drain = service.drain(30_000);
+  await pass(10);
+  t.deepEqual(long.got.map(refusalText), ['leaving not-run']);
+  t.deepEqual(short.got, []);
+  await pass(10_000);
+  stream.done();
+  t.is((await running.ended)?.kind, 'done');
+  (await engine.stream(1)).done();
+  t.is((await short.ended)?.kind, 'done');
+  await pass(ATTACH_GRACE_MS + 20);
+  await drain;
+});
+
 // The platform kills a target that stops for longer than its grace period, as its
 // entries are being told what was cut off.
 test('what a stop cuts off is told within the grace period', async t => {
