A second SIGTERM does not cut off the streams of a demo that stops

Cause: the handlers of SIGTERM are there for one signal; the verb 'entry' adds one that stays, the verb 'demo' did not.

Change: the demo adds it too while it serves; two Ctrl-C end it at once, as before.

--- a/packages/cli/src/lib/process/registered.ts
+++ b/packages/cli/src/lib/process/registered.ts
@@ -84,6 +84,7 @@
   demo: async () => {
     const {runDemo} = await import('@oathead/demo');
     return async ({serve, port}) => {
+      if (serve) outliveSigterm();
       const code = await runDemo({serve, port});
       return code === EXIT.ok
         ? success(undefined)
@@ -94,7 +95,7 @@
 };
 
 /**
- * Guards against a second SIGTERM, which cuts off the callers of an entry that is
+ * Guards against a second SIGTERM, which cuts off the callers of entries that are
  * stopping: the handler that begins the stop is there for one signal, and without
  * a handler the next one ends the process at once.
  */
--- a/packages/cli/src/test/process/main_test.ts
+++ b/packages/cli/src/test/process/main_test.ts
@@ -22,6 +22,13 @@
   platform: {kind: 'http', url: 'http://127.0.0.1:9'},
   graceMs: 5000,
 };
+/** Work of about two seconds for an engine of the demo. */
+const SLOW_STREAM = {
+  model: 'review-llm',
+  prompt: '[[slow]]',
+  max_tokens: 100,
+  stream: true,
+};
 const SIGNAL_PAUSE_MS = 200;
 
 test('each verb has help with an example', async t => {
@@ -157,3 +164,24 @@
   caller.destroy();
   t.deepEqual(await ended, [0, null]);
 });
+
+// Whoever tries the demo by hand has a stream broken off: the second SIGTERM finds
+// no handler and ends the process at once.
+test('a demo that is asked to stop again ends its streams', async t => {
+  const demo = spawn(process.execPath, [BINARY, 'demo', '--serve']);
+  t.teardown(() => demo.kill('SIGKILL'));
+  let out = '';
+  demo.stdout.on('data', (data: Buffer) => (out += String(data)));
+  while (!/caller key: .*\n/.test(out)) await setTimeout(SIGNAL_PAUSE_MS);
+  const ended = once(demo, 'exit');
+  const res = await fetch(`${/http:\S+/.exec(out)![0]}/v1/completions`, {
+    method: 'POST',
+    headers: {authorization: `Bearer ${/caller key: (.*)\n/.exec(out)![1]}`},
+    body: JSON.stringify(SLOW_STREAM),
+  });
+  demo.kill('SIGTERM');
+  await setTimeout(SIGNAL_PAUSE_MS);
+  demo.kill('SIGTERM');
+  t.true((await res.text()).includes('[DONE]'));
+  t.deepEqual(await ended, [0, null]);
+});
