A stopping entry waits for a request whose head is on its way

Found by 'an entry that is asked to stop again ends by itself', which failed under load with the signal as its exit: the process had ended before its caller left.

Change: a connection counts as in use as well when bytes have been read since its last answer, and is neither closed as idle nor left out of what the stop waits for (to its end at most). With TLS, connections are known after their handshake.

'a handler that is not done when a stop ends is answered for' waited 100 ms for its request and failed once under load: it now waits for the handler.

--- a/packages/entry/src/lib/connection/api_connections.ts
+++ b/packages/entry/src/lib/connection/api_connections.ts
@@ -7,14 +7,24 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {Server as NetServer} from 'node:net';
 import type {Socket} from 'node:net';
+import {Server as TlsServer} from 'node:tls';
+
+/** What one connection is used for. */
+interface Use {
+  /** Requests whose answers have not been sent to their end. */
+  unanswered: number;
+  /** Bytes that had been read when the last answer was sent. */
+  readBefore: number;
+}
 
 /** Knows which connections are open, and which are in use. */
 export class ApiConnections {
   /** All connections, also those whose TLS handshake has not ended. */
   private readonly open = new Set<Socket>();
-  /** Requests on each connection that have no whole answer, if it had any. */
-  private readonly unanswered = new Map<Socket, number>();
-  private count = 0;
+  /** Connections that can carry requests. */
+  private readonly uses = new Map<Socket, Use>();
+  /** Requests on all connections, as {@link Use.unanswered}. */
+  private unanswered = 0;
 
   /** @param server - A server that does not listen yet. */
   constructor(private readonly server: Server) {
@@ -22,12 +32,17 @@
       this.open.add(socket);
       socket.once('close', () => this.open.delete(socket));
     });
+    const isTls = (server as NetServer) instanceof TlsServer;
+    server.on(isTls ? 'secureConnection' : 'connection', (socket: Socket) => {
+      this.uses.set(socket, {unanswered: 0, readBefore: socket.bytesRead});
+      socket.once('close', () => this.uses.delete(socket));
+    });
     server.prependListener('request', (req, res) => this.begin(req, res));
   }
 
-  /** Whether an answer has not been sent to its end. */
+  /** Whether a request is on its way, or an answer not sent to its end. */
   get busy(): boolean {
-    return this.count > 0;
+    return this.unanswered > 0 || [...this.uses].some(isInUse);
   }
 
   /** Takes no new connections; the open ones stay. */
@@ -38,8 +53,9 @@
 
   /** Closes kept connections on which nothing is under way. */
   closeIdle(): void {
-    for (const [socket, unanswered] of [...this.unanswered]) {
-      if (unanswered === 0 && socket.writableLength === 0) socket.destroy();
+    for (const [socket, use] of [...this.uses]) {
+      const kept = use.readBefore > 0;
+      if (kept && !isInUse([socket, use])) socket.destroy();
     }
   }
 
@@ -50,18 +66,21 @@
   }
 
   private begin({socket}: IncomingMessage, res: ServerResponse): void {
-    const before = this.unanswered.get(socket);
-    if (before === undefined) {
-      socket.once('close', () => this.unanswered.delete(socket));
-    }
-    this.unanswered.set(socket, (before ?? 0) + 1);
-    this.count++;
+    const use = this.uses.get(socket);
+    this.unanswered++;
+    if (use) use.unanswered++;
     // Comes when the last byte was handed to the system, or the connection is
     // closed.
     res.once('close', () => {
-      this.count--;
-      const left = this.unanswered.get(socket);
-      if (left !== undefined) this.unanswered.set(socket, left - 1);
+      this.unanswered--;
+      if (!use) return;
+      use.unanswered--;
+      use.readBefore = socket.bytesRead;
     });
   }
 }
+
+function isInUse([socket, use]: readonly [Socket, Use]): boolean {
+  if (use.unanswered > 0 || socket.writableLength > 0) return true;
+  return socket.bytesRead > use.readBefore;
+}
--- a/packages/entry/src/test/connection/api_connections_test.ts
+++ b/packages/entry/src/test/connection/api_connections_test.ts
@@ -59,3 +59,19 @@
   await closed[1];
   t.pass();
 });
+
+// A stop resets a connection on which a request is just arriving.
+test('a request whose head is on its way is waited for by a stop', async t => {
+  const {connections, open} = await start(Buffer.from('a'));
+  const caller = await open();
+  caller.write('GET / HTTP/1.1\r\n');
+  while (!connections.busy) await sleep(SYSTEM_CLOCK, 1);
+  connections.stopListening();
+  connections.closeIdle();
+  caller.write('host: a\r\n\r\n');
+  const [answer] = (await once(caller, 'data')) as [Buffer];
+  t.regex(String(answer), /^HTTP\/1\.1 200 /);
+  while (connections.busy) await sleep(SYSTEM_CLOCK, 1);
+  connections.closeAll();
+  await once(caller.resume(), 'close');
+});
--- a/packages/entry/src/test/process/http_server_test.ts
+++ b/packages/entry/src/test/process/http_server_test.ts
@@ -5,7 +5,7 @@
 import type {AddressInfo} from 'node:net';
 import test from 'ava';
 import type {ExecutionContext} from 'ava';
-import {NO_COUNTERS, SYSTEM_CLOCK, sleep} from '@oathead/core';
+import {NO_COUNTERS, SYSTEM_CLOCK} from '@oathead/core';
 import {fetch} from 'undici';
 import {EntryStop} from '../../lib/process/entry_stop.js';
 import {apiListener} from '../../lib/process/http_server.js';
@@ -158,11 +158,15 @@
 // gets no answer and doesn't know whether its change was made.
 test('a handler that is not done when a stop ends is answered for', async t => {
   const stop = new EntryStop(SYSTEM_CLOCK, NO_COUNTERS);
-  const url = await serveUntil(stop, t, [
-    route('/x', () => new Promise(() => {})),
-  ]);
+  let begin = () => {};
+  const begun = new Promise<void>(resolve => (begin = resolve));
+  const waits = () => {
+    begin();
+    return new Promise<never>(() => {});
+  };
+  const url = await serveUntil(stop, t, [route('/x', waits)]);
   const answer = post(`${url}/x`, '');
-  await sleep(SYSTEM_CLOCK, 100);
+  await begun;
   stop.begin(100);
   const {status, headers} = await answer;
   t.is(status, 503);
