Keep the bytes of a body or event, not each chunk in which it came

What others saw: a faulty server sent bytes without end, and the machine that had called it kept them all and ran out of memory.

Cause: the limits of a body (8 MB), an event (2 MB) and a request's body count bytes, but each chunk was kept as a buffer of its own, some 120 bytes for each byte if chunks have one byte. The framing of such chunks is within the limit for bytes outside a body.

A request that is too large is no longer kept while the rest of it comes in.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -52,6 +52,7 @@
 export * from './lib/process/step_detector.js';
 export * from './lib/process/step_model.js';
 export * from './lib/request/batch_item.js';
+export * from './lib/request/byte_buffer.js';
 export * from './lib/request/item_machine.js';
 export * from './lib/request/job_machine.js';
 export * from './lib/request/late_slots.js';
--- a/packages/gateway/src/lib/request/read_body.ts
+++ b/packages/gateway/src/lib/request/read_body.ts
@@ -1,6 +1,6 @@
 /** Reads a complete request body up to a size limit. */
 import type {IncomingMessage} from 'node:http';
-import {failure, success, type Outcome} from '@oathead/core';
+import {ByteBuffer, failure, success, type Outcome} from '@oathead/core';
 
 /**
  * Why the body could not be read: it exceeds the limit, or the connection
@@ -18,14 +18,18 @@
   maxBytes: number,
 ): Promise<Outcome<Buffer, BodyError>> {
   return new Promise(resolve => {
-    const chunks: Buffer[] = [];
+    const body = new ByteBuffer();
     let bytes = 0;
     req.on('data', (chunk: Buffer) => {
       bytes += chunk.length;
-      if (bytes > maxBytes) resolve(failure('too-large'));
-      else chunks.push(chunk);
+      if (bytes <= maxBytes) {
+        body.push(chunk);
+        return;
+      }
+      resolve(failure('too-large'));
+      body.clear();
     });
-    req.on('end', () => resolve(success(Buffer.concat(chunks))));
+    req.on('end', () => resolve(success(body.bytes())));
     req.on('error', () => resolve(failure('cut')));
     req.on('close', () => resolve(failure('cut')));
   });
--- a/packages/gateway/src/lib/request/response_content.ts
+++ b/packages/gateway/src/lib/request/response_content.ts
@@ -1,5 +1,5 @@
 /** Content of a response as it arrives: a body, or the events of a stream. */
-import {failure, success, type Outcome} from '@oathead/core';
+import {ByteBuffer, failure, success, type Outcome} from '@oathead/core';
 import {
   EventSplitter,
   isUnnumberedData,
@@ -20,8 +20,7 @@
 /** Buffers a body, or splits a stream and checks the order of its events. */
 export class ResponseContent {
   private readonly splitter = new EventSplitter();
-  private readonly chunks: Buffer[] = [];
-  private bytes = 0;
+  private readonly buffered = new ByteBuffer();
   /** Whether the stream goes on with another one, and has not done so yet. */
   private hasToGoOn: boolean;
 
@@ -35,7 +34,7 @@
 
   /** The buffered body. */
   get body(): Buffer {
-    return Buffer.concat(this.chunks);
+    return this.buffered.bytes();
   }
 
   /** Whether the bytes of an incomplete event are buffered. */
@@ -48,9 +47,9 @@
    * @returns Whether the body is short enough so far.
    */
   buffer(chunk: Buffer): boolean {
-    this.bytes += chunk.length;
-    if (this.bytes > MAX_RESPONSE_BYTES) return false;
-    this.chunks.push(chunk);
+    const length = this.buffered.length + chunk.length;
+    if (length > MAX_RESPONSE_BYTES) return false;
+    this.buffered.push(chunk);
     return true;
   }
 
--- a/packages/gateway/src/lib/request/stream_events.ts
+++ b/packages/gateway/src/lib/request/stream_events.ts
@@ -3,6 +3,8 @@
  * original bytes.
  */
 
+import {ByteBuffer} from '@oathead/core';
+
 /** One complete event of a stream. */
 export interface StreamEvent {
   /** Number of the event, from its `id` field; undefined if it has none. */
@@ -21,19 +23,18 @@
 /** Splits a byte stream at the ends of its events. */
 export class EventSplitter {
   /** Bytes of an incomplete event, in which no end was found. */
-  private pending: Buffer[] = [];
-  private bytesPending = 0;
+  private readonly pending = new ByteBuffer();
   /** How much of an empty line the pending bytes end with. */
   private pendingEnd: 'none' | 'line-end' | 'carriage-return' = 'none';
 
   /** Whether the bytes of an incomplete event are buffered. */
   get hasPartialEvent(): boolean {
-    return this.bytesPending > 0;
+    return this.pending.length > 0;
   }
 
   /** Number of bytes of an incomplete event that are buffered. */
   get pendingBytes(): number {
-    return this.bytesPending;
+    return this.pending.length;
   }
 
   /**
@@ -48,9 +49,9 @@
       this.keep(chunk);
       return [];
     }
-    const bytes = Buffer.concat([...this.pending, chunk]);
-    this.pending = [];
-    this.bytesPending = 0;
+    this.pending.push(chunk);
+    const bytes = this.pending.bytes();
+    this.pending.clear();
     this.pendingEnd = 'none';
     const events: StreamEvent[] = [];
     let start = 0;
@@ -79,7 +80,6 @@
   private keep(bytes: Buffer): void {
     if (bytes.length === 0) return;
     this.pending.push(bytes);
-    this.bytesPending += bytes.length;
     this.pendingEnd = this.endOf(bytes);
   }
 
