Limit what a peer's request or response may take

Cause: calls between hosts read a body of any length until their timeout (0.9 s, and up to the wait of a feed on top); the peer server had no limit of a request's body.

Change: a response may have 24 MB, a request 8 MB; beyond, the connection is closed and the call fails as unknown, with the reason in its message.

Heads were limited before.

--- a/packages/serving/src/lib/connection/peer_router.ts
+++ b/packages/serving/src/lib/connection/peer_router.ts
@@ -1,5 +1,6 @@
 /** RPC interface between serving processes, over tRPC. */
-import {failure} from '@oathead/core';
+import type {IncomingMessage} from 'node:http';
+import {ByteBuffer, failure} from '@oathead/core';
 import type {RowStoreRelay, VersionedRow} from '@oathead/stores';
 import {createTRPCClient, httpLink} from '@trpc/client';
 import {initTRPC} from '@trpc/server';
@@ -59,6 +60,18 @@
  */
 const PEER_TIMEOUT_MARGIN_MS = 900;
 
+/**
+ * Maximum size of the body of a response of a peer, in bytes: several times all
+ * shared tables. Bounds the memory that a peer can take by a body that doesn't
+ * end.
+ */
+const MAX_RESPONSE_BYTES = 24 * 1024 * 1024;
+/**
+ * Maximum size of the body of a request of a peer, in bytes: several times the
+ * largest transaction.
+ */
+const MAX_REQUEST_BYTES = 8 * 1024 * 1024;
+
 function routerOf({store, snapshot, learnJobHead}: PeerService) {
   return t.router({
     transact: t.procedure
@@ -95,7 +108,11 @@
   ip: string,
   port: number,
 ): Disposable {
-  const server = createHTTPServer({router: routerOf(service)});
+  const server = createHTTPServer({
+    router: routerOf(service),
+    maxBodySize: MAX_REQUEST_BYTES,
+  });
+  server.on('request', closeIfEndless);
   server.listen(port, ip);
   return {
     [Symbol.dispose]: () => {
@@ -112,7 +129,13 @@
   /** @param address - IP address and port of the peer's server. */
   constructor(readonly address: string) {
     this.client = createTRPCClient<PeerRouter>({
-      links: [httpLink({url: `http://${address}`, transformer: MSGPACK})],
+      links: [
+        httpLink({
+          url: `http://${address}`,
+          transformer: MSGPACK,
+          fetch: fetchBounded,
+        }),
+      ],
     });
   }
 
@@ -160,6 +183,30 @@
   }
 }
 
+/** Closes the connection of a request whose body is too large. */
+function closeIfEndless(req: IncomingMessage): void {
+  let bytes = 0;
+  req.on('data', (chunk: Buffer) => {
+    bytes += chunk.length;
+    if (bytes > MAX_REQUEST_BYTES) req.socket.destroy();
+  });
+}
+
+/** Reads a response up to the largest size that a peer sends. */
+async function fetchBounded(
+  ...call: Parameters<typeof fetch>
+): Promise<Response> {
+  const {status, headers, body} = await fetch(...call);
+  const bytes = new ByteBuffer();
+  // Leaving the loop closes the connection.
+  for await (const chunk of body ?? []) {
+    bytes.push(chunk as Uint8Array);
+    if (bytes.length > MAX_RESPONSE_BYTES)
+      throw new Error('response of the peer is too large');
+  }
+  return new Response(bytes.bytes(), {status, headers});
+}
+
 function callOptions(waitMs: number) {
   return {signal: AbortSignal.timeout(waitMs + PEER_TIMEOUT_MARGIN_MS)};
 }
