Limit what a response of an engine or service may take

Cause: the process beside an engine read a response of any length until its sender gave up, and one event of any length.

Change: a response that is read as a whole may have 16 MB, an exported cache 64 MB, the body of a failure 1 MB, what comes before an event is whole 2 MB. Beyond, the connection is closed and the call is lost, as for a backend that breaks off: it may have run.

--- a/packages/target/src/lib/connection/backend_request.ts
+++ b/packages/target/src/lib/connection/backend_request.ts
@@ -10,6 +10,8 @@
   readonly body?: string | Uint8Array;
   readonly contentType?: string;
   readonly traceparent?: string;
+  /** Maximum size of the response, in bytes; a usual one by default. */
+  readonly maxBytes?: number;
 }
 
 /** Errors that come before any byte of a request is sent. */
@@ -20,6 +22,13 @@
   'ENOTFOUND',
   'UND_ERR_CONNECT_TIMEOUT',
 ]);
+/**
+ * Maximum size of a response that is read as a whole, in bytes: many times the
+ * longest answer. Bounds the memory that a backend can take.
+ */
+const MAX_WHOLE_BYTES = 16 * 1024 * 1024;
+/** Maximum size of the body of a failure, in bytes. */
+const MAX_FAILURE_BYTES = 1024 * 1024;
 const CONNECT_TIMEOUT_MS = 1000;
 const FIRST_CLIENT_ERROR_STATUS = 400;
 
@@ -56,6 +65,7 @@
     // The sender's signal bounds the time.
     headersTimeout: 0,
     bodyTimeout: 0,
+    maxResponseSize: req.maxBytes ?? MAX_WHOLE_BYTES,
   });
   try {
     const res = await client.request(toOptions(baseUrl, req, signal));
@@ -99,7 +109,15 @@
  */
 export async function checkStatus(res: Dispatcher.ResponseData): Promise<void> {
   if (res.statusCode < FIRST_CLIENT_ERROR_STATUS) return;
-  const text = await res.body.text();
+  const chunks: Uint8Array[] = [];
+  let bytes = 0;
+  for await (const chunk of res.body as AsyncIterable<Uint8Array>) {
+    bytes += chunk.length;
+    if (bytes > MAX_FAILURE_BYTES)
+      throw new EngineError('lost', `status ${res.statusCode}, without end`);
+    chunks.push(chunk);
+  }
+  const text = Buffer.concat(chunks).toString('utf8');
   throw toldError(text) ?? new EngineError('lost', `status ${res.statusCode}`);
 }
 
--- a/packages/target/src/lib/connection/http_engine_client.ts
+++ b/packages/target/src/lib/connection/http_engine_client.ts
@@ -22,6 +22,13 @@
   type BackendRequest,
 } from './backend_request.js';
 
+/** No limit of the whole length: a stream is read event by event. */
+const UNBOUNDED = -1;
+/** Maximum size of one event of a stream, in bytes. */
+const MAX_EVENT_BYTES = 2 * 1024 * 1024;
+/** Maximum size of an exported cache, in bytes. */
+const MAX_CACHE_BYTES = 64 * 1024 * 1024;
+
 const COUNT = z.number().int().nonnegative();
 
 const EVENT_SCHEMA = z.discriminatedUnion('kind', [
@@ -75,7 +82,8 @@
     signal: AbortSignal,
   ): AsyncGenerator<EngineEvent> {
     const {traceparent} = req;
-    const post = {...postJson('v1/generate', req), traceparent};
+    const maxBytes = UNBOUNDED;
+    const post = {...postJson('v1/generate', req), traceparent, maxBytes};
     return backendRequest(this.baseUrl, post, signal, readEvents);
   }
 
@@ -100,7 +108,7 @@
 
   exportCache(prefix: string, signal: AbortSignal): Promise<Uint8Array> {
     const path = `v1/cache/${encodeURIComponent(prefix)}`;
-    const get = {method: 'GET', path};
+    const get = {method: 'GET', path, maxBytes: MAX_CACHE_BYTES};
     return wholeRequest(this.baseUrl, get, signal, async res => {
       await checkStatus(res);
       return res.body.bytes();
@@ -134,8 +142,13 @@
   const messages: EventSourceMessage[] = [];
   const parser = createParser({onEvent: message => messages.push(message)});
   const decoder = new TextDecoder();
-  for await (const chunk of res.body) {
-    parser.feed(decoder.decode(chunk as Uint8Array, {stream: true}));
+  let bytes = 0;
+  for await (const chunk of res.body as AsyncIterable<Uint8Array>) {
+    bytes += chunk.length;
+    parser.feed(decoder.decode(chunk, {stream: true}));
+    if (messages.length > 0) bytes = 0;
+    if (bytes > MAX_EVENT_BYTES)
+      throw new EngineError('lost', 'event too large');
     for (const message of messages.splice(0)) {
       const event = toEvent(message);
       yield event;
