--- a/packages/soak/src/lib/process/run_soak.ts
+++ b/packages/soak/src/lib/process/run_soak.ts
@@ -201,10 +201,10 @@
 
 function countsOf({online}: Evidence): Readonly<Record<string, number>> {
   const counts: Record<string, number> = {};
-  for (const {key, kind, status} of online) {
+  for (const {key, kind, status, failure} of online) {
     const account = accountOf(key);
     const of = account === ACCOUNT ? kind : account;
-    const name = `${of} ${status ?? 'broken'}`;
+    const name = `${of} ${status ?? failure}`;
     counts[name] = (counts[name] ?? 0) + 1;
   }
   return counts;
