Bodies of all responses together take a bounded part of the memory

What others saw: a faulty server sent bytes without end, and the machine that had called it ran out of memory.

Cause: one response may have 8 MB, but nothing limited what all of them take together: 64 that do not end took 539 MB of a host's 370.

Change: the bodies of responses in progress may take 96 MB together. Beyond that a response fails as one that is too large, but for the first 256 KB of each, so that usual ones are not hit by long ones of a faulty target.

--- a/packages/gateway/src/lib/request/exchange.ts
+++ b/packages/gateway/src/lib/request/exchange.ts
@@ -357,6 +357,7 @@
     if (this.settled) return;
     this.settled = true;
     if (!complete) this.connection[Symbol.dispose]();
+    this.content[Symbol.dispose]();
     this.resolveOutcome(outcome);
   }
 }
--- a/packages/gateway/src/lib/request/response_content.ts
+++ b/packages/gateway/src/lib/request/response_content.ts
@@ -1,5 +1,6 @@
 /** Content of a response as it arrives: a body, or the events of a stream. */
 import {ByteBuffer, failure, success, type Outcome} from '@oathead/core';
+import {RESPONSE_MEMORY} from '../process/response_memory.js';
 import {
   EventSplitter,
   isUnnumberedData,
@@ -18,7 +19,7 @@
 const MAX_EVENT_BYTES = 2 * 1024 * 1024;
 
 /** Buffers a body, or splits a stream and checks the order of its events. */
-export class ResponseContent {
+export class ResponseContent implements Disposable {
   private readonly splitter = new EventSplitter();
   private readonly buffered = new ByteBuffer();
   /** Whether the stream goes on with another one, and has not done so yet. */
@@ -44,15 +45,22 @@
 
   /**
    * @param chunk - The next bytes of a body.
-   * @returns Whether the body is short enough so far.
+   * @returns Whether the body is short enough so far, and there is memory.
    */
   buffer(chunk: Buffer): boolean {
     const length = this.buffered.length + chunk.length;
     if (length > MAX_RESPONSE_BYTES) return false;
+    if (!RESPONSE_MEMORY.take(chunk.length, length)) return false;
     this.buffered.push(chunk);
     return true;
   }
 
+  /** Forgets the body. */
+  [Symbol.dispose](): void {
+    RESPONSE_MEMORY.release(this.buffered.length);
+    this.buffered.clear();
+  }
+
   /**
    * @param chunk - The next bytes of a stream.
    * @returns The events that this chunk completes; what is wrong if they are
