The body of a refused request is read for five seconds at most

What others saw: bytes without end. From a caller, behind a head that is refused (404, 401, 413), they were read and dropped until the request's timeout, which is 30 s and looked at each 30 s.

Change: five seconds after the refusal the connection is closed.

Evidence: 'a body without end is not read long after its request was refused' does not end on the code before (60 s) and passes.

--- a/packages/gateway/src/lib/request/host_refusal.ts
+++ b/packages/gateway/src/lib/request/host_refusal.ts
@@ -35,6 +35,11 @@
  * milliseconds.
  */
 const BODY_WAIT_MS = 1000;
+/**
+ * Time for which the body of a refused request is read to keep its connection, in
+ * milliseconds.
+ */
+const DISCARDED_BODY_MS = 5000;
 
 /**
  * Sends the refusal at once and logs it.
@@ -70,18 +75,19 @@
 
 /**
  * Guards against a refusal that its caller does not get: closing a connection
- * on which a body is still arriving resets it, with what has been sent.
+ * on which a body is still arriving resets it, with what has been sent. Guards
+ * also against a body without end, which is read for nothing.
  */
 function endRefused({clock}: RefusalContext, {req, res}: Call): void {
   const isLast = res.getHeader('connection') === 'close';
   req.resume();
-  if (req.complete || !isLast) {
-    res.end();
-    return;
-  }
   // Without a body the response is whole once its head has been sent.
-  res.flushHeaders();
-  const timer = clock.after(BODY_WAIT_MS, () => res.end());
+  if (req.complete || !isLast) res.end();
+  else res.flushHeaders();
+  if (req.complete) return;
+  const timer = isLast
+    ? clock.after(BODY_WAIT_MS, () => res.end())
+    : clock.after(DISCARDED_BODY_MS, () => req.socket.destroy());
   const end = () => {
     timer[Symbol.dispose]();
     res.end();
