An entry's requests listen to its stop without a warning

Each request in progress listens to two signals, and Node warns of a leak from the eleventh listener on: a line on standard error with eleven requests at once. The signals allow any number.

--- a/packages/entry/src/lib/process/entry_stop.ts
+++ b/packages/entry/src/lib/process/entry_stop.ts
@@ -1,4 +1,5 @@
 /** What an entry does with requests from the moment it was told to stop. */
+import {setMaxListeners} from 'node:events';
 import {admitDuringStop, mayHaveRun, notRun} from '@oathead/core';
 import type {
   Clock,
@@ -29,7 +30,10 @@
   constructor(
     private readonly clock: Clock,
     private readonly counters: Counters,
-  ) {}
+  ) {
+    // Each request in progress listens.
+    setMaxListeners(0, this.begins.signal, this.ends.signal);
+  }
 
   /** Aborted when the stop begins. */
   get begun(): AbortSignal {
