--- a/packages/gateway/src/lib/process/front_server.ts
+++ b/packages/gateway/src/lib/process/front_server.ts
@@ -8,12 +8,7 @@
   type QuotaVerdict,
 } from '@oathead/core';
 import {refuse, type Call, type Refusal} from '../request/host_refusal.js';
-import {
-  OnlineRequest,
-  OUTLASTS_STOP,
-  STOPPING_RETRY_DELAY_MS,
-  type OnlineContext,
-} from '../request/online_request.js';
+import {OnlineRequest, type OnlineContext} from '../request/online_request.js';
 import type {AdmissionRefusal} from './caller_admission.js';
 import {CrashSuspects} from './crash_suspects.js';
 import {CallerServer} from './caller_server.js';
@@ -21,6 +16,10 @@
 import {quotaDemand} from '../request/quota_demand.js';
 import {readBody} from '../request/read_body.js';
 import {requestDeadline} from '../request/request_deadline.js';
+import {
+  OUTLASTS_STOP,
+  STOPPING_RETRY_DELAY_MS,
+} from '../request/stop_refusal.js';
 import type {RouteMatcher} from '../version/route_matcher.js';
 import type {RoutingState} from '../version/routing_state.js';
 import type {Route} from '../version/routing_table.js';
--- a/packages/gateway/src/lib/process/open_requests.ts
+++ b/packages/gateway/src/lib/process/open_requests.ts
@@ -13,10 +13,8 @@
   PlannedStop,
 } from '@oathead/core';
 import type {ConnectionUse} from '../connection/caller_connections.js';
-import {
-  STOPPING_RETRY_DELAY_MS,
-  type OnlineRequest,
-} from '../request/online_request.js';
+import type {OnlineRequest} from '../request/online_request.js';
+import {STOPPING_RETRY_DELAY_MS} from '../request/stop_refusal.js';
 import type {TargetProtocol} from '../request/target_protocol.js';
 
 /** How far a request has come. */
@@ -119,13 +117,12 @@
    * @returns Whether it can be answered: no earlier response has said so.
    */
   closeAfterResponse(latest: OpenRequest): boolean {
-    const {res, req} = latest;
-    const earlier = this.earlierOnConnection(latest);
-    for (const {res: before} of earlier) {
+    const {res} = latest;
+    for (const {res: before} of this.earlierOnConnection(latest)) {
       if (before.headersSent && isLastResponse(before)) return false;
       if (!before.headersSent) before.removeHeader('connection');
     }
-    if (!res.headersSent && req.socket) res.setHeader('connection', 'close');
+    if (!res.headersSent) res.setHeader('connection', 'close');
     return true;
   }
 
--- a/packages/gateway/src/lib/request/online_request.ts
+++ b/packages/gateway/src/lib/request/online_request.ts
@@ -2,12 +2,7 @@
  * Serves one request of a caller. Tries one target after another, as far as the
  * route allows, until there is a complete response or the deadline has passed.
  */
-import {
-  admitDuringStop,
-  DisposableStore,
-  type PlannedStop,
-  type Random,
-} from '@oathead/core';
+import {DisposableStore, type PlannedStop, type Random} from '@oathead/core';
 import {targetKey} from '../connection/load_message.js';
 import type {Target} from '../connection/target.js';
 import type {CallerAdmission} from '../process/caller_admission.js';
@@ -39,6 +34,11 @@
 } from './request_report.js';
 import {SendAdmission} from './send_admission.js';
 import {watchSilence} from './silence_watch.js';
+import {
+  OUTLASTS_STOP,
+  STOPPING_RETRY_DELAY_MS,
+  stopRefusal,
+} from './stop_refusal.js';
 import {
   StreamContinuation,
   type StreamContinuationContext,
@@ -70,13 +70,6 @@
   readonly plannedStop: () => PlannedStop | undefined;
 }
 
-/** Why a stopping host refuses a request: it may outlast the host. */
-export const OUTLASTS_STOP = 'stopping';
-/**
- * Delay after which the caller of a stopping host should retry, in milliseconds.
- * It is short because other hosts can serve the request at once.
- */
-export const STOPPING_RETRY_DELAY_MS = 50;
 /** How many times targets may decline a request before it is refused. */
 const MAX_DECLINES = 4;
 /**
@@ -228,7 +221,8 @@
         this.search.isVersionGone ? VERSION_GONE : 'no target',
       );
     const late = hasRun ? undefined : await this.admission.renewQuota();
-    const stopping = hasRun ? undefined : this.stopRefusal();
+    const stop = hasRun ? undefined : this.context.plannedStop();
+    const stopping = stopRefusal(stop, this.deadlineAt, this.now());
     const reason =
       this.abortReason ?? late ?? this.crashes.recheck() ?? stopping;
     if (reason) return this.giveUp(reason);
@@ -297,13 +291,6 @@
     }
   }
 
-  /** @returns Why a stopping host must not run the request; undefined if it may. */
-  private stopRefusal(): typeof OUTLASTS_STOP | undefined {
-    const stop = this.context.plannedStop();
-    const verdict = admitDuringStop(stop, this.deadlineAt, this.now());
-    return verdict.kind === 'refuse' ? OUTLASTS_STOP : undefined;
-  }
-
   /**
    * Keeps the error response of a target for a request that can be retried. It
    * is sent to the caller only if no other target succeeds.
