A stopping host reads what has arrived before it closes connections

What callers would see: a connection that is reset although they sent a request on it, at a host that stood still while it stopped.

Cause: a process that stood still handles its timers before it reads what has arrived. The stop then found no request in progress, closed the connections without one, and exited.

Change: each look of the stop comes after what has arrived has been read.

Evidence: 'what has arrived is read before the process exits' failed before and passes.

--- a/packages/serving/src/lib/process/drain.ts
+++ b/packages/serving/src/lib/process/drain.ts
@@ -37,6 +37,16 @@
  */
 const LAST_RESPONSES_MS = 250;
 
+/**
+ * Guards against a request that is cut off unread. A process that stood still
+ * handles its timers before it reads what has arrived meanwhile.
+ *
+ * @returns Resolves once what has arrived by now has been read.
+ */
+function inputRead(): Promise<void> {
+  return new Promise(resolve => setImmediate(() => setImmediate(resolve)));
+}
+
 /**
  * Waits until no request is in progress and all jobs are handed over, or until
  * the stop ends. Requests that are in progress then get an answer.
@@ -57,6 +67,7 @@
   });
   server.beginStop();
   while (clock.now() < endsAt) {
+    await inputRead();
     const lingers = clock.now() < startedAt + LINGER_MS;
     if (!lingers) {
       server.stopListening();
--- a/packages/serving/src/test/process/drain_test.ts
+++ b/packages/serving/src/test/process/drain_test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {NO_EVENT_LOG, type Clock} from '@oathead/core';
+import {NO_EVENT_LOG, sleep, type Clock} from '@oathead/core';
 import {drain} from '../../lib/process/drain.js';
 
 const STOP = {startedAt: 0, endsAt: 7600};
@@ -66,6 +66,25 @@
   t.true(clock.now() < GRACE_MS - 100);
 });
 
+// Guards against a request that is cut off unread: it arrived while the process
+// stood still, and the end of the stop was decided before it was read.
+test('what has arrived is read before the process exits', async t => {
+  const clock = hastyClock();
+  const endsAt = LINGER_MS + 500;
+  let hasRead = false;
+  const openAt = (now: number) => {
+    if (now >= LINGER_MS && !hasRead) setImmediate(() => (hasRead = true));
+    return hasRead && now < endsAt ? 1 : 0;
+  };
+  const server = recordingServer(clock, openAt);
+  const handOver = async () => {
+    while (clock.now() < LINGER_MS) await sleep(clock, 1);
+    openAt(clock.now());
+  };
+  await drain(STOP, {clock, log: NO_EVENT_LOG, server, handOver});
+  t.true(clock.now() >= endsAt);
+});
+
 test('the process exits as soon as the last responses are sent', async t => {
   const clock = hastyClock();
   const server = recordingServer(clock, now =>
