Streams are remembered for as long as they may run and be taken up

Cause: one constant of 10 s, counted from the begin of a stream, stood for its run, the time to take it up, the age of a row and the memory of versions. A stream is bounded by its route's timeout and its caller's deadline. The version of a stream also went with its ID where that had no room in the row.

Why it works: each host keeps its streams by their own deadlines, told hosts by the longest route that may have begun them, and a version stays in the row from before a request is sent until its stream cannot be taken up any more.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -54,6 +54,7 @@
 export * from './lib/process/suspect_table.js';
 export * from './lib/process/stream_record.js';
 export * from './lib/process/stream_record_rows.js';
+export * from './lib/process/stream_lifetime.js';
 export * from './lib/process/stream_versions.js';
 export * from './lib/process/item_target_chooser.js';
 export * from './lib/process/target_chooser.js';
--- a/packages/gateway/src/lib/process/host_ring.ts
+++ b/packages/gateway/src/lib/process/host_ring.ts
@@ -15,12 +15,21 @@
 /** Hosts in the order of their hashes. */
 export class HostRing<P extends LoadPeer> {
   private readonly positions: ReadonlyArray<Position<P>>;
+  private readonly ids: ReadonlySet<string>;
 
   /** @param hosts - The hosts; a restarted one keeps its place. */
   constructor(hosts: readonly P[]) {
     this.positions = hosts
       .map(host => ({at: hash32(hostOfMember(host.id)), host}))
       .sort((a, b) => a.at - b.at);
+    this.ids = new Set(hosts.map(({id}) => id));
+  }
+
+  /** @returns Whether the ring has these hosts and no others. */
+  hasOnly(hosts: readonly P[]): boolean {
+    return (
+      hosts.length === this.ids.size && hosts.every(({id}) => this.ids.has(id))
+    );
   }
 
   /**
--- a/packages/gateway/src/lib/process/recorded_streams.ts
+++ b/packages/gateway/src/lib/process/recorded_streams.ts
@@ -2,19 +2,19 @@
 import type {Clock, EventLog} from '@oathead/core';
 import type {RowStore, VersionedRow} from '@oathead/stores';
 import type {StreamOrigin} from '../connection/stream_version_message.js';
-import {STREAM_LIFETIME_MS} from './service_versions.js';
 import {
   decodeStreamRow,
   STREAM_PARTITIONS,
   STREAM_TABLE,
   streamRowsOfHost,
   type BegunStreams,
+  type StreamRow,
 } from './stream_record_rows.js';
 
 /**
- * How long the versions of a row count after it was written, in milliseconds. A
- * host that cannot write may go on at the versions in it meanwhile. While a row
- * counts too long, streams that nobody knows are refused.
+ * How long a row counts after it was written, in milliseconds, if its streams do
+ * not last longer. A host that cannot write may go on at the versions in it
+ * meanwhile. While a row counts too long, streams that nobody knows are refused.
  */
 export const RECORD_LIFETIME_MS = 600_000;
 /** Maximum number of rows that are removed at once. */
@@ -48,6 +48,8 @@
   readonly begun: readonly BegunStreams[];
   /** Time since it was written, in milliseconds. */
   readonly ageMs: number;
+  /** How long after that its streams may be taken up, in milliseconds. */
+  readonly lastsMs: number;
 }
 
 /** Reads the whole record; all who ask during a read share the next one. */
@@ -89,11 +91,11 @@
     rows.sort((a, b) => b.ageMs - a.ageMs);
     const origins = new Map<string, StreamOrigin>();
     const versions = new Map<string, Set<string>>();
-    for (const {begun, ageMs} of rows)
+    for (const {begun, ageMs, lastsMs} of rows)
       for (const {service, softwareVersion, streams} of begun) {
         const known = versions.get(service) ?? new Set<string>();
         versions.set(service, known.add(softwareVersion));
-        if (ageMs > STREAM_LIFETIME_MS) continue;
+        if (ageMs > lastsMs) continue;
         for (const id of streams) origins.set(id, {service, softwareVersion});
       }
     const isComplete = parts.every(part => part.isComplete);
@@ -116,7 +118,7 @@
       for (const row of rows) {
         const aged = this.decode(row, storeTimeMs);
         if (!aged) isComplete = false;
-        else if (aged.ageMs <= RECORD_LIFETIME_MS) found.push(aged);
+        else if (counts(aged)) found.push(aged);
       }
       const last = rows.at(-1);
       from = hasMore && last ? `${last.key}\u0000` : undefined;
@@ -131,8 +133,7 @@
   ): AgedRow | undefined {
     const decoded = decodeStreamRow(value);
     if (decoded.ok) {
-      const {begun, writtenAtMs} = decoded.value;
-      return {begun, ageMs: storeTimeMs - writtenAtMs};
+      return agedRow(decoded.value, storeTimeMs);
     }
     const {message} = decoded.err;
     this.context.log.event('stream-record-unreadable', {key, message});
@@ -155,10 +156,22 @@
   const {rows, storeTimeMs} = page.value;
   const removes = rows.filter(({key, value}) => {
     const row = decodeStreamRow(value);
-    const ageMs = row.ok ? storeTimeMs - row.value.writtenAtMs : Infinity;
-    return key !== memberId && ageMs > RECORD_LIFETIME_MS;
+    if (key === memberId) return false;
+    return !row.ok || !counts(agedRow(row.value, storeTimeMs));
   });
   if (removes.length === 0) return;
   const some = removes.slice(0, MAX_REMOVES);
   await store.transact({expect: some, puts: [], removes: some});
 }
+
+function agedRow(
+  {begun, writtenAtMs, lastsMs = RECORD_LIFETIME_MS}: StreamRow,
+  storeTimeMs: number,
+): AgedRow {
+  return {begun, ageMs: storeTimeMs - writtenAtMs, lastsMs};
+}
+
+/** @returns Whether the versions of a row count. */
+function counts({ageMs, lastsMs}: AgedRow): boolean {
+  return ageMs <= Math.max(RECORD_LIFETIME_MS, lastsMs);
+}
--- a/packages/gateway/src/lib/process/service_versions.ts
+++ b/packages/gateway/src/lib/process/service_versions.ts
@@ -1,14 +1,8 @@
 /**
- * Software versions of the targets of each service, as listed now and a short
- * time ago.
+ * Software versions of the targets of each service, as listed now and as long
+ * ago as streams that began there may still be taken up.
  */
 
-/**
- * How long a stream can still be taken up after it has begun, in milliseconds:
- * longer than callers wait for all of their attempts together.
- */
-export const STREAM_LIFETIME_MS = 10_000;
-
 const NO_VERSIONS: ReadonlySet<string> = new Set();
 
 /** The versions by service. */
@@ -19,8 +13,15 @@
   /** Time at which a version left the list, by service and version. */
   private readonly leftAt = new Map<string, Map<string, number>>();
 
-  /** @param now - Returns the monotonic time, in milliseconds. */
-  constructor(private readonly now: () => number) {}
+  /**
+   * @param now - Returns the monotonic time, in milliseconds.
+   * @param lifetimeMs - Returns how long a version counts after it has left the
+   *     list, in milliseconds; see `StreamLifetime`.
+   */
+  constructor(
+    private readonly now: () => number,
+    private readonly lifetimeMs: () => number,
+  ) {}
 
   /**
    * @param service - A service.
@@ -46,13 +47,13 @@
   }
 
   /**
-   * @returns The versions that have been listed for a service within
-   *     {@link STREAM_LIFETIME_MS}.
+   * @returns The versions that have been listed for a service within the
+   *     lifetime of a stream.
    */
   seen(service: string): ReadonlySet<string> {
     const left = this.leftAt.get(service);
     if (!left || left.size === 0) return this.listed(service);
-    const since = this.now() - STREAM_LIFETIME_MS;
+    const since = this.now() - this.lifetimeMs();
     for (const [version, at] of left) if (at < since) left.delete(version);
     return new Set([...this.listed(service), ...left.keys()]);
   }
@@ -73,7 +74,7 @@
   /**
    * @param service - A service.
    * @returns For how long this host has known the versions that have been listed
-   *     within {@link STREAM_LIFETIME_MS}, in milliseconds.
+   *     within the lifetime of a stream, in milliseconds.
    */
   knownForMs(service: string): ReadonlyMap<string, number> {
     const now = this.now();
--- a/packages/gateway/src/lib/process/stream_origins.ts
+++ b/packages/gateway/src/lib/process/stream_origins.ts
@@ -3,22 +3,28 @@
  * hosts have told it.
  */
 import type {StreamOrigin} from '../connection/stream_version_message.js';
-import {STREAM_LIFETIME_MS} from './service_versions.js';
 
 /** Bounds the memory that streams can take. */
-const MAX_STREAMS = 20_000;
+const MAX_STREAMS = 40_000;
 
 interface Kept extends StreamOrigin {
   readonly at: number;
 }
 
-/** Streams by ID, for {@link STREAM_LIFETIME_MS}. */
+/** Streams by ID, as long as they may be taken up. */
 export class StreamOrigins {
   /** The oldest first. */
   private readonly streams = new Map<string, Kept>();
 
-  /** @param now - Returns the monotonic time, in milliseconds. */
-  constructor(private readonly now: () => number) {}
+  /**
+   * @param now - Returns the monotonic time, in milliseconds.
+   * @param lifetimeMs - Returns how long streams may be taken up after they have
+   *     begun, in milliseconds; see `StreamLifetime`.
+   */
+  constructor(
+    private readonly now: () => number,
+    private readonly lifetimeMs: () => number,
+  ) {}
 
   /** @returns Where a stream began; undefined if that is not known. */
   get(stream: string): StreamOrigin | undefined {
@@ -49,7 +55,7 @@
   }
 
   private dropOld(): void {
-    const since = this.now() - STREAM_LIFETIME_MS;
+    const since = this.now() - this.lifetimeMs();
     for (const [stream, {at}] of this.streams) {
       if (at >= since && this.streams.size <= MAX_STREAMS) return;
       this.streams.delete(stream);
--- a/packages/gateway/src/lib/process/stream_record.ts
+++ b/packages/gateway/src/lib/process/stream_record.ts
@@ -36,6 +36,11 @@
  * the loss of all hosts goes on if it began that much before.
  */
 const MIN_WRITE_INTERVAL_MS = 100;
+/**
+ * Bounds what a host sends to the store where many long streams run, in bytes per
+ * second: a part of what a node may spend on control.
+ */
+const MAX_ROW_BYTES_PER_S = 5000;
 /** Interval of writes while nothing has changed, in milliseconds. */
 const REFRESH_INTERVAL_MS = 20_000;
 /** Interval at which old rows of this host are removed, in milliseconds. */
@@ -77,6 +82,7 @@
   private readonly taken = new Map<string, TakenVersion>();
   private rowVersion = 0;
   private lastWriteAt = -Infinity;
+  private lastRowBytes = 0;
   private isDirty = false;
   private isWriting = false;
   private isFailing = false;
@@ -98,12 +104,24 @@
     this.disposables[Symbol.dispose]();
   }
 
+  /**
+   * To be called before a request is sent whose response may be a stream that
+   * callers can take up.
+   *
+   * @param origin - Where it may begin.
+   * @param endsAt - When it ends at the latest, in monotonic milliseconds.
+   */
+  use(origin: StreamOrigin, endsAt: number): void {
+    this.streams.use(origin, endsAt);
+  }
+
   /**
    * @param stream - ID of a stream that begins.
    * @param origin - Where it begins.
+   * @param endsAt - When it ends at the latest, in monotonic milliseconds.
    */
-  begin(stream: string, origin: StreamOrigin): void {
-    if (this.streams.begin(stream, origin)) this.requestWrite();
+  begin(stream: string, origin: StreamOrigin, endsAt: number): void {
+    if (this.streams.begin(stream, origin, endsAt)) this.requestWrite();
   }
 
   /** @param stream - ID of a stream that its caller has got to its end. */
@@ -136,11 +154,15 @@
     return done;
   }
 
-  /** Maximum rate of writes divided among the hosts, as an interval. */
+  /**
+   * Interval of writes by which all hosts together stay within what the store
+   * takes, and this one within what it may send.
+   */
   private get writeIntervalMs(): number {
     const {hosts, maxWritesPerS} = this.context;
     const sharedMs = (hosts() / maxWritesPerS) * MS_PER_SECOND;
-    return Math.max(MIN_WRITE_INTERVAL_MS, sharedMs);
+    const ownMs = (this.lastRowBytes / MAX_ROW_BYTES_PER_S) * MS_PER_SECOND;
+    return Math.max(MIN_WRITE_INTERVAL_MS, sharedMs, ownMs);
   }
 
   private requestWrite(): void {
@@ -201,7 +223,9 @@
   private async put(row: StreamRow): Promise<RowStoreError | undefined> {
     const {store, memberId} = this.context;
     const ref = streamRowRef(memberId);
-    const puts = [{...ref, value: encodeStreamRow(row)}];
+    const value = encodeStreamRow(row);
+    this.lastRowBytes = value.byteLength;
+    const puts = [{...ref, value}];
     for (let isRepeated = false; ; isRepeated = true) {
       const expect = [{...ref, version: this.rowVersion}];
       const written = await store.transact({expect, puts, removes: []});
@@ -247,7 +271,8 @@
       begun.set(keyOf(origin), {...origin, streams: []});
     for (const streams of this.streams.byOrigin())
       begun.set(keyOf(streams), streams);
-    return {writtenAtMs, begun: [...begun.values()]};
+    const {lastsMs} = this.streams;
+    return {writtenAtMs, lastsMs, begun: [...begun.values()]};
   }
 
   private versions(): readonly StreamOrigin[] {
@@ -257,6 +282,7 @@
     const announced = [...this.announcements.values(), ...this.taken.values()];
     return [
       ...this.context.listedVersions(),
+      ...this.streams.versions(),
       ...announced.map(({origin}) => origin),
     ];
   }
--- a/packages/gateway/src/lib/process/stream_record_rows.ts
+++ b/packages/gateway/src/lib/process/stream_record_rows.ts
@@ -32,6 +32,11 @@
 const ROW = z.object({
   /** Store time at which it was written, in milliseconds. */
   writtenAtMs: z.number(),
+  /**
+   * How long after that its streams may be taken up, in milliseconds; absent in
+   * rows of earlier releases.
+   */
+  lastsMs: z.number().nonnegative().optional(),
   begun: z.array(BEGUN).readonly(),
 });
 
--- a/packages/gateway/src/lib/process/stream_versions.ts
+++ b/packages/gateway/src/lib/process/stream_versions.ts
@@ -55,7 +55,12 @@
    * @returns Whether it was read; the directory has its entries then.
    */
   readonly readTargets: () => Promise<boolean>;
-  readonly record: Pick<StreamRecord, 'begin' | 'end'>;
+  readonly record: Pick<StreamRecord, 'use' | 'begin' | 'end'>;
+  /**
+   * Returns how long streams of other hosts may be taken up after they have
+   * begun, in milliseconds; see `StreamLifetime`.
+   */
+  readonly streamLifetimeMs: () => number;
   /** Reads what all hosts have recorded. */
   readonly readRecord: () => Promise<RecordedStreams>;
   /** @returns All live hosts except this one. */
@@ -115,7 +120,10 @@
   constructor(private readonly context: StreamVersionsContext<P>) {
     const {self, clock, directory, send} = context;
     this.startedAt = clock.now();
-    this.origins = new StreamOrigins(() => clock.now());
+    this.origins = new StreamOrigins(
+      () => clock.now(),
+      context.streamLifetimeMs,
+    );
     this.teller = new StreamTeller({
       clock,
       ring: () => this.hosts(),
@@ -137,22 +145,34 @@
     this.disposables[Symbol.dispose]();
   }
 
+  /**
+   * Notes that a stream may begin; to be called before its request is sent.
+   *
+   * @param origin - Where it may begin.
+   * @param endsAt - When it ends at the latest, in monotonic milliseconds.
+   */
+  use(origin: StreamOrigin, endsAt: number): void {
+    this.context.record.use(origin, endsAt);
+  }
+
   /**
    * Records where a stream of this host begins; to be called before its caller
    * gets the first event.
    *
    * @param stream - ID of the caller's attempt that gets the first event.
    * @param origin - Where the event comes from.
+   * @param endsAt - When it ends at the latest, in monotonic milliseconds.
    */
-  record(stream: string, origin: StreamOrigin): void {
+  record(stream: string, origin: StreamOrigin, endsAt: number): void {
     this.origins.set(stream, origin);
-    this.context.record.begin(stream, origin);
-    this.teller.record(stream, origin);
+    this.context.record.begin(stream, origin, endsAt);
+    this.teller.record(stream, origin, endsAt);
   }
 
   /** @param stream - ID of a stream that its caller has got to its end. */
   recordEnd(stream: string): void {
     this.context.record.end(stream);
+    this.teller.end(stream);
   }
 
   /** Tells the hosts that are to know of streams of this one and do not. */
@@ -254,7 +274,8 @@
     const now = clock.now();
     if (this.ring && now - this.ringBuiltAt < RING_LIFETIME_MS)
       return this.ring;
-    this.ring = new HostRing(peers());
+    const hosts = peers();
+    if (!this.ring?.hasOnly(hosts)) this.ring = new HostRing(hosts);
     this.ringBuiltAt = now;
     return this.ring;
   }
--- a/packages/gateway/src/lib/process/target_directory.ts
+++ b/packages/gateway/src/lib/process/target_directory.ts
@@ -3,12 +3,17 @@
 import type {Clock, EventLog} from '@oathead/core';
 import {LRUCache} from 'lru-cache';
 import type {Target} from '../connection/target.js';
-import {ServiceVersions, STREAM_LIFETIME_MS} from './service_versions.js';
+import {ServiceVersions} from './service_versions.js';
 
 /** Dependencies of {@link TargetDirectory}. */
 export interface TargetDirectoryContext {
   readonly clock: Clock;
   readonly log: EventLog;
+  /**
+   * Returns how long a software version counts after it has left the list, in
+   * milliseconds; see `StreamLifetime`. Without it, versions count for good.
+   */
+  readonly streamLifetimeMs?: () => number;
 }
 
 /**
@@ -24,7 +29,7 @@
 
 /** What the list of targets says of the software versions of a service. */
 export type VersionView =
-  /** One version for {@link STREAM_LIFETIME_MS}, and it is read now. */
+  /** One version for the lifetime of a stream, and the list is read now. */
   | {readonly kind: 'only'; readonly softwareVersion: string}
   /** One version, but the list has not been read for that long. */
   | {readonly kind: 'only-lately'; readonly softwareVersion: string}
@@ -60,7 +65,10 @@
 
   /** @param context - The clock, and the log for changes. */
   constructor(private readonly context: TargetDirectoryContext) {
-    this.versions = new ServiceVersions(() => context.clock.now());
+    this.versions = new ServiceVersions(
+      () => context.clock.now(),
+      () => this.streamLifetimeMs,
+    );
   }
 
   /**
@@ -88,9 +96,9 @@
 
   /**
    * @param service - A service.
-   * @returns The only software version that its targets have had for
-   *     {@link STREAM_LIFETIME_MS}; undefined if there were others, or if the
-   *     list has not been read without an outage for that long.
+   * @returns The only software version that its targets have had for the
+   *     lifetime of a stream; undefined if there were others, or if the list has
+   *     not been read without an outage for that long.
    */
   onlyVersion(service: string): string | undefined {
     const view = this.versionView(service);
@@ -107,7 +115,7 @@
     const [softwareVersion, ...others] = this.versions.seen(service);
     if (softwareVersion === undefined) return {kind: 'none'};
     if (others.length > 0) return {kind: 'several'};
-    const isFollowed = this.isFollowedFor(STREAM_LIFETIME_MS);
+    const isFollowed = this.isFollowedFor(this.streamLifetimeMs);
     return {kind: isFollowed ? 'only' : 'only-lately', softwareVersion};
   }
 
@@ -304,6 +312,10 @@
     this.pendingRemovals.delete(serverId);
   }
 
+  private get streamLifetimeMs(): number {
+    return this.context.streamLifetimeMs?.() ?? Infinity;
+  }
+
   private isFollowedFor(forMs: number): boolean {
     const now = this.context.clock.now();
     const isFollowed = now - this.lastReadAt <= OUTAGE_MS;
--- a/packages/gateway/src/lib/request/online_request.ts
+++ b/packages/gateway/src/lib/request/online_request.ts
@@ -161,6 +161,7 @@
     this.stream = new StreamContinuation(context, {
       metadata: this.metadata,
       isResumable: route.resumable,
+      deadlineAt: this.deadlineAt,
       search: this.search,
       writer: this.writer,
     });
--- a/packages/gateway/src/lib/request/stream_continuation.ts
+++ b/packages/gateway/src/lib/request/stream_continuation.ts
@@ -15,7 +15,7 @@
   readonly log: EventLog;
   readonly streamVersions: Pick<
     StreamVersions,
-    'record' | 'recordEnd' | 'continuationOf'
+    'use' | 'record' | 'recordEnd' | 'continuationOf'
   >;
 }
 
@@ -24,6 +24,8 @@
   readonly metadata: RequestMetadata;
   /** Whether its caller may take the stream up after it broke off. */
   readonly isResumable: boolean;
+  /** When it ends at the latest, in monotonic milliseconds. */
+  readonly deadlineAt: number;
   readonly search: Pick<TargetSearch, 'restrictTo'>;
   readonly writer: ResponseWriter;
 }
@@ -76,7 +78,8 @@
    * @returns Receives the events of that run.
    */
   sinkFor(target: Target): EventSink {
-    const {writer} = this.request;
+    const {writer, isResumable, deadlineAt} = this.request;
+    if (isResumable) this.context.streamVersions.use(target, deadlineAt);
     return {
       events: (events, head) => {
         if (!writer.hasStarted) this.begin(target);
@@ -94,9 +97,11 @@
   /** Records where the stream begins, before its caller gets anything of it. */
   private begin({service, softwareVersion}: Target): void {
     const {streamId} = this;
-    this.request.search.restrictTo(softwareVersion);
+    const {search, deadlineAt} = this.request;
+    search.restrictTo(softwareVersion);
     if (streamId === undefined) return;
-    this.context.streamVersions.record(streamId, {service, softwareVersion});
+    const origin = {service, softwareVersion};
+    this.context.streamVersions.record(streamId, origin, deadlineAt);
   }
 
   /** ID of the attempt that got its first event; undefined if none may follow. */
--- a/packages/gateway/src/test/process/recorded_versions_test.ts
+++ b/packages/gateway/src/test/process/recorded_versions_test.ts
@@ -1,11 +1,13 @@
 import {failure, NO_COUNTERS, NO_EVENT_LOG} from '@oathead/core';
 import {MemoryRowStore, type RowQuery, type RowStore} from '@oathead/stores';
 import test from 'ava';
+import type {StreamOrigin} from '../../lib/connection/stream_version_message.js';
 import type {Target} from '../../lib/connection/target.js';
 import {AnnouncedTargets} from '../../lib/process/announced_targets.js';
 import type {LoadPeer} from '../../lib/process/load_reporter.js';
 import {RecordedStreamsReader} from '../../lib/process/recorded_streams.js';
 import type {StreamFinding} from '../../lib/process/stream_finding.js';
+import {TAKE_UP_MS} from '../../lib/process/stream_lifetime.js';
 import {StreamRecord} from '../../lib/process/stream_record.js';
 import {streamRowRef} from '../../lib/process/stream_record_rows.js';
 import {StreamVersions} from '../../lib/process/stream_versions.js';
@@ -22,6 +24,9 @@
 const UNKNOWN = {kind: 'unknown'};
 const LONG_MS = 30_000;
 const READ_INTERVAL_MS = 500;
+/** Timeout of the route of the streams, in milliseconds. */
+const TIMEOUT_MS = 5000;
+const STREAM_LIFETIME_MS = TIMEOUT_MS + TAKE_UP_MS;
 
 /** The store and the hosts of one test, of which each knows no other one. */
 class World {
@@ -59,7 +64,8 @@
     const {clock} = world;
     const log = NO_EVENT_LOG;
     const store = this.storeOf(world);
-    this.directory = new TargetDirectory({clock, log});
+    const streamLifetimeMs = () => STREAM_LIFETIME_MS;
+    this.directory = new TargetDirectory({clock, log, streamLifetimeMs});
     const {directory} = this;
     this.record = new StreamRecord({
       memberId,
@@ -84,6 +90,7 @@
       log,
       counters: NO_COUNTERS,
       directory,
+      streamLifetimeMs,
       readTargets: async () => {
         this.list(...this.listed);
         return true;
@@ -112,6 +119,12 @@
     }
   }
 
+  /** A stream of this host begins. */
+  begin(stream: string, origin: StreamOrigin): void {
+    const endsAt = this.world.clock.now() + TIMEOUT_MS;
+    this.versions.record(stream, origin, endsAt);
+  }
+
   inUse(): readonly string[] {
     const targets = this.directory.ofService(SERVICE);
     return targets.map(({id}) => id).sort();
@@ -179,7 +192,7 @@
   host.list(V1, V2, atOther('c', 'w1'), atOther('d', 'w2'));
   await settle();
   t.deepEqual(host.inUse(), ['a', 'b']);
-  host.versions.record('one', AT_V2);
+  host.begin('one', AT_V2);
   host.record[Symbol.dispose]();
   await world.pass(1000);
   const next = world.start('h0.2');
@@ -240,7 +253,7 @@
   const host = world.start('h0.1');
   host.list(V1, V2);
   await world.pass(1000);
-  host.versions.record('one', AT_V2);
+  host.begin('one', AT_V2);
   await world.pass(1000);
   const next = world.start('h0.2');
   next.list(V1, V2);
@@ -269,7 +282,7 @@
   const host = world.start('h0.1');
   host.list(V1, V2);
   await world.pass(1000);
-  host.versions.record('one', AT_V2);
+  host.begin('one', AT_V2);
   await world.pass(1000);
   const next = world.start('h0.2');
   next.list(V1, V2);
@@ -288,7 +301,7 @@
   await world.pass(1000);
   host.takesWrites = false;
   await host.follow(120_000);
-  host.versions.record('one', {...AT_V2, softwareVersion: 'v1'});
+  host.begin('one', {...AT_V2, softwareVersion: 'v1'});
   host.record[Symbol.dispose]();
   const next = world.start('h0.2');
   next.list(V2);
@@ -306,13 +319,13 @@
     const before = world.start(first);
     before.list(V1);
     await world.pass(100);
-    before.record.begin('one', {service: SERVICE, softwareVersion: 'v1'});
+    before.begin('one', {service: SERVICE, softwareVersion: 'v1'});
     await world.pass(200);
     before.record[Symbol.dispose]();
     const after = world.start(second);
     after.list(atOther('c', 'w1'));
     await world.pass(100);
-    after.record.begin('one', {service: OTHER_SERVICE, softwareVersion: 'w1'});
+    after.begin('one', {service: OTHER_SERVICE, softwareVersion: 'w1'});
     await world.pass(200);
     const next = world.start('h2.1');
     t.deepEqual((await next.takeUp('one')).continuation, {kind: 'anywhere'});
--- a/packages/gateway/src/test/process/service_versions_test.ts
+++ b/packages/gateway/src/test/process/service_versions_test.ts
@@ -1,16 +1,20 @@
 import {NO_EVENT_LOG} from '@oathead/core';
 import test from 'ava';
-import {STREAM_LIFETIME_MS} from '../../lib/process/service_versions.js';
 import {TargetDirectory} from '../../lib/process/target_directory.js';
 import {FakeClock} from '../fakes/fake_clock.js';
 import {newTarget} from '../fakes/targets.js';
 
 const READ_INTERVAL_MS = 500;
+const STREAM_LIFETIME_MS = 15_000;
 
 /** A host that reads a list with one target of software version v1. */
 function newHost() {
   const clock = new FakeClock();
-  const directory = new TargetDirectory({clock, log: NO_EVENT_LOG});
+  const directory = new TargetDirectory({
+    clock,
+    log: NO_EVENT_LOG,
+    streamLifetimeMs: () => STREAM_LIFETIME_MS,
+  });
   const follow = (ms: number) => {
     for (let i = 0; i < ms; i += READ_INTERVAL_MS) {
       clock.advance(READ_INTERVAL_MS);
--- a/packages/gateway/src/test/process/stream_versions_test.ts
+++ b/packages/gateway/src/test/process/stream_versions_test.ts
@@ -4,12 +4,13 @@
 import {
   decodeStreamVersion,
   encodeStreamVersion,
+  type StreamOrigin,
   type StreamVersionMessage,
 } from '../../lib/connection/stream_version_message.js';
 import {HostRing} from '../../lib/process/host_ring.js';
 import type {LoadPeer} from '../../lib/process/load_reporter.js';
 import {RecordedStreamsReader} from '../../lib/process/recorded_streams.js';
-import {STREAM_LIFETIME_MS} from '../../lib/process/service_versions.js';
+import {TAKE_UP_MS} from '../../lib/process/stream_lifetime.js';
 import {StreamRecord} from '../../lib/process/stream_record.js';
 import {StreamVersions} from '../../lib/process/stream_versions.js';
 import {TargetDirectory} from '../../lib/process/target_directory.js';
@@ -18,6 +19,11 @@
 
 const SERVICE = 's';
 const READ_INTERVAL_MS = 500;
+/** Timeout of the route of the streams, in milliseconds. */
+const TIMEOUT_MS = 5000;
+/** The same for streams that run for long. */
+const LONG_TIMEOUT_MS = 60_000;
+const STREAM_LIFETIME_MS = TIMEOUT_MS + TAKE_UP_MS;
 const STREAMS = 200;
 const FIRST = {service: SERVICE, softwareVersion: 'v1'};
 /** Datagrams of two bytes and more that are no message. */
@@ -38,6 +44,8 @@
     true;
   /** Whether the hosts reach the store. */
   isStoreReached = true;
+  /** How long streams last at the most by the configuration of all hosts. */
+  streamLifetimeMs = STREAM_LIFETIME_MS;
   /** Names of hosts that reach only each other. */
   readonly cutOff = new Set<string>();
   private started = 0;
@@ -113,15 +121,18 @@
   readonly directory: TargetDirectory;
   readonly versions: StreamVersions;
   private readonly record: StreamRecord;
+  private readonly clock: FakeClock;
 
   constructor(
     fleet: Fleet,
     readonly self: LoadPeer,
   ) {
     const {clock} = fleet;
+    this.clock = clock;
     const name = nameOf(self.id);
     const log = NO_EVENT_LOG;
-    this.directory = new TargetDirectory({clock, log});
+    const streamLifetimeMs = () => fleet.streamLifetimeMs;
+    this.directory = new TargetDirectory({clock, log, streamLifetimeMs});
     const peers = () =>
       [...fleet.hosts.values()]
         .map(host => host.self)
@@ -145,6 +156,7 @@
       log,
       counters: NO_COUNTERS,
       directory: this.directory,
+      streamLifetimeMs,
       readTargets: async () => {
         const isReached = fleet.reachesStore(name);
         if (isReached) this.directory.recordListRead();
@@ -165,6 +177,11 @@
     });
   }
 
+  /** A stream of this host begins. */
+  begin(stream: string, origin: StreamOrigin, timeoutMs = TIMEOUT_MS): void {
+    this.versions.record(stream, origin, this.clock.now() + timeoutMs);
+  }
+
   list(softwareVersion: string): void {
     const id = `t-${softwareVersion}`;
     this.directory.put(newTarget(id, {service: SERVICE, softwareVersion}));
@@ -218,7 +235,7 @@
   const fleet = new Fleet(9);
   fleet.list('v1');
   fleet.follow(STREAM_LIFETIME_MS);
-  fleet.get('h0').versions.record('one', FIRST);
+  fleet.get('h0').begin('one', FIRST);
   t.is(fleet.sent.length, 2);
   t.true(fleet.sent.every(({kind}) => kind === 'told'));
   const since = fleet.clock.now();
@@ -229,7 +246,7 @@
 // Guards against streams that change their version when their host is killed.
 test('any host learns where the streams of a killed host began', async t => {
   const fleet = newMixedFleet();
-  for (const id of streamIds()) fleet.get('h0').versions.record(id, FIRST);
+  for (const id of streamIds()) fleet.get('h0').begin(id, FIRST);
   t.is(fleet.sent.length, 4 * STREAMS);
   fleet.hosts.delete('h0');
   for (const [i, id] of streamIds().entries()) {
@@ -241,7 +258,7 @@
 // Guards against refused streams after a loss of most hosts at once.
 test('most streams are known after six of nine hosts are lost', async t => {
   const fleet = newMixedFleet();
-  for (const id of streamIds()) fleet.get('h0').versions.record(id, FIRST);
+  for (const id of streamIds()) fleet.get('h0').begin(id, FIRST);
   for (let i = 0; i < 6; i++) fleet.start(`h${i}`).list('v1');
   for (let i = 0; i < 6; i++) fleet.get(`h${i}`).list('v2');
   let known = 0;
@@ -257,7 +274,7 @@
   const fleet = newMixedFleet();
   let sent = 0;
   fleet.isDelivered = () => sent++ % 2 === 0;
-  for (const id of streamIds()) fleet.get('h0').versions.record(id, FIRST);
+  for (const id of streamIds()) fleet.get('h0').begin(id, FIRST);
   fleet.hosts.delete('h0');
   fleet.isDelivered = ({kind}) => kind === 'told' || sent++ % 5 > 0;
   for (const id of streamIds())
@@ -270,7 +287,7 @@
   const fleet = new Fleet(9);
   fleet.list('v1');
   fleet.follow(STREAM_LIFETIME_MS);
-  for (const id of streamIds()) fleet.get('h0').versions.record(id, FIRST);
+  for (const id of streamIds()) fleet.get('h0').begin(id, FIRST);
   t.is(fleet.sent.length, 2 * STREAMS);
   fleet.list('v2');
   fleet.hosts.delete('h0');
@@ -285,9 +302,9 @@
   fleet.list('v1');
   fleet.follow(STREAM_LIFETIME_MS);
   const cutOff = fleet.get('h0');
-  cutOff.versions.record('before', FIRST);
+  cutOff.begin('before', FIRST);
   fleet.clock.advance(2000);
-  cutOff.versions.record('after', FIRST);
+  cutOff.begin('after', FIRST);
   fleet.hosts.delete('h0');
   fleet.list('v2');
   for (const id of ['before', 'after'])
@@ -320,7 +337,7 @@
   fleet.list('v1');
   fleet.follow(STREAM_LIFETIME_MS);
   fleet.isDelivered = () => false;
-  fleet.get('h0').versions.record('one', FIRST);
+  fleet.get('h0').begin('one', FIRST);
   fleet.clock.advance(READ_INTERVAL_MS);
   await settlePromises();
   const started = fleet.start('h1');
@@ -336,7 +353,7 @@
 test('streams are known after all hosts are lost', async t => {
   const fleet = newMixedFleet();
   for (const [i, id] of streamIds().entries())
-    fleet.get(`h${i % 9}`).versions.record(id, FIRST);
+    fleet.get(`h${i % 9}`).begin(id, FIRST);
   fleet.clock.advance(READ_INTERVAL_MS);
   await settlePromises();
   for (const name of [...fleet.hosts.keys()]) fleet.start(name);
@@ -365,7 +382,7 @@
 test('a host that is back in touch soon goes on with a stream that nobody tells', async t => {
   const fleet = newMixedFleet(3);
   fleet.isDelivered = () => false;
-  fleet.get('h0').versions.record('one', FIRST);
+  fleet.get('h0').begin('one', FIRST);
   fleet.clock.advance(READ_INTERVAL_MS);
   await settlePromises();
   fleet.cutOff.add('h1');
@@ -382,7 +399,7 @@
   fleet.follow(STREAM_LIFETIME_MS);
   fleet.cutOff.add('h0').add('h1');
   fleet.list('v2');
-  fleet.get('h2').versions.record('r1', {
+  fleet.get('h2').begin('r1', {
     service: SERVICE,
     softwareVersion: 'v2',
   });
@@ -418,19 +435,48 @@
 
 test('a stream that has moved to another service may go on anywhere', async t => {
   const fleet = newMixedFleet();
-  fleet.get('h0').versions.record('one', {...FIRST, service: 'other'});
+  fleet.get('h0').begin('one', {...FIRST, service: 'other'});
   const {kind} = await fleet.get('h1').continuationOf(fleet, 'one');
   t.is(kind, 'anywhere');
 });
 
 test('a stream is forgotten when it cannot be taken up any more', async t => {
   const fleet = newMixedFleet();
-  fleet.get('h0').versions.record('one', FIRST);
+  fleet.get('h0').begin('one', FIRST);
   fleet.follow(STREAM_LIFETIME_MS + READ_INTERVAL_MS);
   const {kind} = await fleet.get('h1').continuationOf(fleet, 'one');
   t.is(kind, 'unknown');
 });
 
+// Guards against refused streams whose host is killed late in their run.
+test('a stream is known for as long as its route lets it run', async t => {
+  const fleet = newMixedFleet();
+  fleet.streamLifetimeMs = LONG_TIMEOUT_MS + TAKE_UP_MS;
+  for (const id of streamIds())
+    fleet.get('h0').begin(id, FIRST, LONG_TIMEOUT_MS);
+  fleet.follow(LONG_TIMEOUT_MS);
+  fleet.hosts.delete('h0');
+  for (const id of streamIds())
+    t.deepEqual(await fleet.get('h1').continuationOf(fleet, id), AT_FIRST);
+});
+
+// Guards against the same when all hosts that were told are lost before.
+test('a stream is told of again for as long as it runs', async t => {
+  const fleet = newMixedFleet();
+  fleet.streamLifetimeMs = LONG_TIMEOUT_MS + TAKE_UP_MS;
+  fleet.get('h0').begin('one', FIRST, LONG_TIMEOUT_MS);
+  fleet.follow(LONG_TIMEOUT_MS);
+  for (let i = 1; i < 9; i++) {
+    const host = fleet.start(`h${i}`);
+    host.list('v1');
+    host.list('v2');
+  }
+  fleet.follow(READ_INTERVAL_MS);
+  fleet.get('h0').versions.tell();
+  fleet.hosts.delete('h0');
+  t.is((await fleet.get('h1').findingOf(fleet, 'one')).evidence, 'learned');
+});
+
 // Guards against streams that go on at another software version, at a host that
 // was cut off before that version was listed and gets no answer either.
 test('a host that does not read the list refuses what it does not know', async t => {
@@ -484,7 +530,7 @@
   const fleet = new Fleet(9);
   fleet.list('v1');
   fleet.follow(STREAM_LIFETIME_MS);
-  for (const id of streamIds()) fleet.get('h0').versions.record(id, FIRST);
+  for (const id of streamIds()) fleet.get('h0').begin(id, FIRST);
   fleet.hosts.delete('h0');
   fleet.list('v2');
   for (const [i, id] of streamIds().entries())
@@ -500,7 +546,7 @@
   const fleet = new Fleet(1);
   fleet.list('v1');
   fleet.list('v2');
-  for (const id of streamIds()) fleet.get('h0').versions.record(id, FIRST);
+  for (const id of streamIds()) fleet.get('h0').begin(id, FIRST);
   for (const name of ['h1', 'h2', 'h3', 'h4']) {
     const host = fleet.start(name);
     host.list('v1');
@@ -517,7 +563,7 @@
 // are lost before the one that serves them.
 test('streams are told again when a host that knew them is lost', async t => {
   const fleet = newMixedFleet(9);
-  for (const id of streamIds()) fleet.get('h0').versions.record(id, FIRST);
+  for (const id of streamIds()) fleet.get('h0').begin(id, FIRST);
   for (const name of ['h1', 'h2', 'h3', 'h4', 'h5']) fleet.hosts.delete(name);
   fleet.follow(READ_INTERVAL_MS);
   fleet.get('h0').versions.tell();
--- a/packages/serving/src/lib/process/serving_components.ts
+++ b/packages/serving/src/lib/process/serving_components.ts
@@ -34,6 +34,7 @@
   ShareAdmission,
   SpeedExchange,
   StoredAheadRecord,
+  StreamLifetime,
   StreamRecord,
   TargetChooser,
   TargetDirectory,
@@ -143,7 +144,10 @@
     new Membership(self, {store, clock, log}),
   );
   const routing = new RoutingState(log);
-  const directory = new TargetDirectory({clock, log});
+  const streamLifetime = new StreamLifetime(() => clock.now());
+  routing.onAdopted(({routes}) => streamLifetime.adopt(routes));
+  const streamLifetimeMs = () => streamLifetime.ms;
+  const directory = new TargetDirectory({clock, log, streamLifetimeMs});
   const loads = new LoadTable(() => clock.now());
   const socket = disposables.add(
     new HostSocket({...context, self: identity.loads}),
@@ -296,6 +300,7 @@
       ...context,
       self,
       directory,
+      streamLifetimeMs,
       readTargets: access.readTargets,
       record: streamRecord,
       readRecord: () => recordedStreams.read(),
