Evidence against a part that crashes targets is kept until a run clears it

What callers saw: a part whose requests come each 31 s, no two alike, was never held: each request crashed three servers, six or seven requests reached servers later than 3 s after the fifth crash (three are allowed), and all that ran beside them broke off.

Cause: crashes counted for 30 s, and those of one request alone don't count against its parts, so that each request began anew. Rows, verdicts, records of requests and the memory of completed runs had like spans; coverage of all crashes was diluted by any other crash in between.

Why it works: a second rule judges all crashes since the part last got through by how likely a sound part is to stand in them; what runs of others show around each crash decides, not the time. The number of trials is bounded by what targets bear. A target that lost a connection only is told from a crash while the list shows it.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -38,6 +38,7 @@
 export * from './lib/process/outcome.js';
 export * from './lib/process/overload_forecast.js';
 export * from './lib/process/part_suspicion.js';
+export * from './lib/process/trials_allowed.js';
 export * from './lib/process/planned_stop.js';
 export * from './lib/process/quota_enforcer.js';
 export * from './lib/process/quota_ledger.js';
--- a/packages/core/src/lib/process/part_suspicion.ts
+++ b/packages/core/src/lib/process/part_suspicion.ts
@@ -4,6 +4,7 @@
  * there, while sound requests share all other parts.
  */
 import {LRUCache} from 'lru-cache';
+import {areRepeated} from './repeated_crashes.js';
 import {ServiceHistory, type PartCrash} from './service_history.js';
 
 export type {PartCrash} from './service_history.js';
@@ -71,8 +72,17 @@
  */
 const NEW_PART_MS = 60_000;
 const MIN_OBSERVED_MS = 10_000;
-/** Crashes that are older do not count, in milliseconds. */
-export const PART_CRASH_LIFETIME_MS = 30_000;
+/**
+ * Crashes that are older say nothing of what happens at the moment, in
+ * milliseconds. Whether they come again and again is another question; see
+ * `repeated_crashes.ts`.
+ */
+const RECENT_MS = 30_000;
+/**
+ * How long evidence of crashes is kept that no run has cleared, in milliseconds.
+ * It bounds the memory and the rows for parts that do not come again.
+ */
+export const CRASH_EVIDENCE_LIFETIME_MS = 3_600_000;
 /** Bounds of the memory for parts, and for crashes of one part. */
 const MAX_PARTS = 4096;
 const MAX_CRASHES = 32;
@@ -84,6 +94,12 @@
   readonly crashes: readonly PartCrash[];
 }
 
+/** A part and the crashes under it that count. */
+interface CrashesOfPart {
+  readonly part: string;
+  readonly crashes: readonly PartCrash[];
+}
+
 const NO_CRASHES: readonly PartCrash[] = [];
 
 /** Crashes and completed runs by part, as one host knows them. */
@@ -122,7 +138,7 @@
     crash: PartCrash,
   ): readonly string[] {
     const run = {parts, endedAtMs: crash.atMs};
-    this.historyOf(service, crash.atMs).addRun(run);
+    this.historyOf(service, crash.atMs).addBroken(run);
     return parts.filter(part => this.recordCrash(service, part, crash));
   }
 
@@ -180,7 +196,7 @@
   suspects(nowMs: number): ReadonlyArray<readonly [string, string]> {
     return [...this.suspected.entries()]
       .filter(([part]) => {
-        const {length} = this.countingCrashes(part, nowMs);
+        const {length} = this.countingCrashes(part, nowMs, RECENT_MS);
         return length >= EVIDENCE[0]!.crashes;
       })
       .map(([part, {service}]) => [part, service]);
@@ -192,9 +208,22 @@
    * @returns The crashes of which the part is guilty; undefined if it is not.
    */
   guiltyOf(part: string, nowMs: number): readonly PartCrash[] | undefined {
-    const crashes = this.countingCrashes(part, nowMs);
     const history = this.historyOfPart(part);
-    if (crashes.length < EVIDENCE[0]!.crashes || !history) return undefined;
+    if (!history) return undefined;
+    return (
+      this.guiltyOfRecent(part, nowMs, history) ??
+      this.guiltyOfRepeated(part, nowMs, history)
+    );
+  }
+
+  /** The same by what has happened in the last moments. */
+  private guiltyOfRecent(
+    part: string,
+    nowMs: number,
+    history: ServiceHistory,
+  ): readonly PartCrash[] | undefined {
+    const crashes = this.countingCrashes(part, nowMs, RECENT_MS);
+    if (crashes.length < EVIDENCE[0]!.crashes) return undefined;
     const first = crashes[0]!.atMs;
     const coverage = coverageOf(crashes, history);
     const isNew = this.isNew(part, history, first);
@@ -205,9 +234,34 @@
         )) ||
       (isNew && coverage >= LASTING.coverage && isLasting(crashes)) ||
       (isNew && coverage >= APART.coverage && areApart(crashes, history));
-    if (!isShown || this.isExplained(part, crashes, history, nowMs))
-      return undefined;
-    return crashes;
+    if (!isShown) return undefined;
+    const rivals = this.rivalsOf(part, crashes, nowMs, RECENT_MS);
+    const isExplained = rivals.some(rival =>
+      this.isMoreSuspect(rival, {part, crashes}, history),
+    );
+    return isExplained ? undefined : crashes;
+  }
+
+  /**
+   * The same by crashes that come far apart. Guards against a host that has just
+   * started and takes the first part of all prompts for the guilty one: of two
+   * parts in the same crashes it has to know which is the more suspect.
+   */
+  private guiltyOfRepeated(
+    part: string,
+    nowMs: number,
+    history: ServiceHistory,
+  ): readonly PartCrash[] | undefined {
+    const lifetimeMs = CRASH_EVIDENCE_LIFETIME_MS;
+    const crashes = this.countingCrashes(part, nowMs, lifetimeMs);
+    if (!areRepeated(crashes, history)) return undefined;
+    const rivals = this.rivalsOf(part, crashes, nowMs, lifetimeMs);
+    const isClear = rivals.every(
+      rival =>
+        !this.isMoreSuspect(rival, {part, crashes}, history) &&
+        this.isMoreSuspect({part, crashes}, rival, history),
+    );
+    return isClear ? crashes : undefined;
   }
 
   /**
@@ -224,7 +278,7 @@
     part: string,
     nowMs: number,
   ): readonly PartCrash[] | undefined {
-    const crashes = this.countingCrashes(part, nowMs);
+    const crashes = this.countingCrashes(part, nowMs, RECENT_MS);
     const history = this.historyOfPart(part);
     if (crashes.length < WHILE_DOWN.crashes || !history) return undefined;
     const since = nowMs - WHILE_DOWN.completedSpanMs;
@@ -233,7 +287,9 @@
       coverageOf(crashes, history) >= WHILE_DOWN.coverage &&
       isLasting(crashes) &&
       history.runsWithout(part, crashes[0]!.atMs) >= WHILE_DOWN.minOtherRuns &&
-      !this.isExplained(part, crashes, history, nowMs);
+      !this.rivalsOf(part, crashes, nowMs, RECENT_MS).some(rival =>
+        this.isMoreSuspect(rival, {part, crashes}, history),
+      );
     return isSuspected ? crashes : undefined;
   }
 
@@ -249,34 +305,47 @@
   }
 
   /**
-   * Whether another part stands in all of these crashes and is more suspect:
-   * the runs beside a request that crashes its target break off with it, and
-   * its other parts are in each of its runs.
+   * The other parts that stand in all of these crashes: the runs beside a request
+   * that crashes its target break off with it, and its other parts are in each of
+   * its runs.
    */
-  private isExplained(
+  private rivalsOf(
     part: string,
     crashes: readonly PartCrash[],
-    history: ServiceHistory,
     nowMs: number,
-  ): boolean {
-    const lastAt = (one: string) => this.completedAt.peek(one) ?? -Infinity;
-    return [...this.suspected.keys()].some(other => {
-      if (other === part) return false;
-      const targets = this.countingCrashes(other, nowMs).map(
-        ({target}) => target,
-      );
-      if (!crashes.every(({target}) => targets.includes(target))) return false;
-      return (
-        targets.length > crashes.length ||
-        lastAt(other) < lastAt(part) ||
-        history.isNarrower(other, part)
-      );
+    lifetimeMs: number,
+  ): readonly CrashesOfPart[] {
+    return [...this.suspected.keys()].flatMap(other => {
+      if (other === part) return [];
+      const known = this.countingCrashes(other, nowMs, lifetimeMs);
+      const targets = known.map(({target}) => target);
+      const isRival = crashes.every(({target}) => targets.includes(target));
+      return isRival ? [{part: other, crashes: known}] : [];
     });
   }
 
-  private countingCrashes(part: string, nowMs: number): readonly PartCrash[] {
+  /** Whether one of two parts in the same crashes is the likelier cause. */
+  private isMoreSuspect(
+    one: CrashesOfPart,
+    other: CrashesOfPart,
+    history: ServiceHistory,
+  ): boolean {
+    const lastAt = ({part}: CrashesOfPart) =>
+      this.completedAt.peek(part) ?? -Infinity;
+    return (
+      one.crashes.length > other.crashes.length ||
+      lastAt(one) < lastAt(other) ||
+      history.isNarrower(one.part, other.part)
+    );
+  }
+
+  private countingCrashes(
+    part: string,
+    nowMs: number,
+    lifetimeMs: number,
+  ): readonly PartCrash[] {
     const completedAt = this.completedAt.peek(part) ?? -Infinity;
-    const since = Math.max(completedAt, nowMs - PART_CRASH_LIFETIME_MS);
+    const since = Math.max(completedAt, nowMs - lifetimeMs);
     return this.crashesOf(part).filter(({atMs}) => atMs > since);
   }
 
--- a/packages/core/src/lib/process/service_history.ts
+++ b/packages/core/src/lib/process/service_history.ts
@@ -3,6 +3,8 @@
  * the suspicion of parts of prompts rests.
  */
 
+import {RunTallies} from './run_tallies.js';
+
 /** A crash of a target at which a run with some part broke off. */
 export interface PartCrash {
   /** Identifies the crash: the incarnation of the target. */
@@ -13,8 +15,18 @@
 
 /** Bounds of what is remembered of a service. */
 const MAX_COMPLETED_RUNS = 256;
-const MAX_CRASHED_TARGETS = 256;
+const MAX_CRASHED_TARGETS = 4096;
 const MAX_OBSERVED_RUNS = 64;
+/**
+ * How far around a moment runs are looked for until there are enough to tell how
+ * many of them broke off, in milliseconds.
+ */
+const MIN_AROUND_MS = 1000;
+const MAX_AROUND_MS = 64_000;
+const ENOUGH_RUNS = 8;
+/** What is assumed before any run is seen: that one of four breaks off. */
+const PRIOR_BROKEN = 1;
+const PRIOR_RUNS = 4;
 
 /** A run that this host has seen end, and the parts of its prompt. */
 interface ObservedRun {
@@ -26,6 +38,7 @@
 export class ServiceHistory {
   private readonly completedAt: number[] = [];
   private readonly crashedAt = new Map<string, number>();
+  private readonly tallies = new RunTallies();
   /** The latest runs that got through or broke off. */
   private readonly runs: ObservedRun[] = [];
 
@@ -34,6 +47,7 @@
 
   /** Adds a run that got through. */
   addCompleted(atMs: number): void {
+    this.tallies.addCompleted(atMs);
     this.completedAt.push(atMs);
     if (this.completedAt.length > MAX_COMPLETED_RUNS) this.completedAt.shift();
   }
@@ -44,6 +58,12 @@
     if (this.runs.length > MAX_OBSERVED_RUNS) this.runs.shift();
   }
 
+  /** Adds a run that broke off as a crash breaks it off. */
+  addBroken(run: ObservedRun): void {
+    this.tallies.addBroken(run.endedAtMs);
+    this.addRun(run);
+  }
+
   /** @returns Number of runs without a part that have ended since. */
   runsWithout(part: string, fromMs: number): number {
     return this.runs.filter(
@@ -88,4 +108,37 @@
   crashesSince(fromMs: number): number {
     return [...this.crashedAt.values()].filter(at => at >= fromMs).length;
   }
+
+  /**
+   * @param atMs - A moment.
+   * @param exceptTargets - Targets whose crashes are left out.
+   * @returns The share of the runs that broke off around then, from 0 to 1; each
+   *     crash that only other hosts have seen counts as one.
+   */
+  breakRateAround(atMs: number, exceptTargets: ReadonlySet<string>): number {
+    let aroundMs = MIN_AROUND_MS;
+    let {broken, runs} = this.runsAround(atMs, aroundMs, exceptTargets);
+    while (runs < ENOUGH_RUNS && aroundMs < MAX_AROUND_MS) {
+      aroundMs *= 2;
+      ({broken, runs} = this.runsAround(atMs, aroundMs, exceptTargets));
+    }
+    return (broken + PRIOR_BROKEN) / (runs + PRIOR_RUNS);
+  }
+
+  private runsAround(
+    atMs: number,
+    aroundMs: number,
+    exceptTargets: ReadonlySet<string>,
+  ): {readonly broken: number; readonly runs: number} {
+    const fromMs = atMs - aroundMs;
+    const toMs = atMs + aroundMs;
+    const tally = this.tallies.within(fromMs, toMs);
+    const crashed = [...this.crashedAt]
+      .filter(([, at]) => at >= fromMs && at <= toMs)
+      .map(([target]) => target);
+    const others = crashed.filter(target => !exceptTargets.has(target)).length;
+    const own = crashed.length - others;
+    const broken = Math.max(tally.broken - own, others);
+    return {broken, runs: tally.completed + broken};
+  }
 }
--- a/packages/gateway/src/lib/process/crash_suspects.ts
+++ b/packages/gateway/src/lib/process/crash_suspects.ts
@@ -11,7 +11,12 @@
  * new incarnation, and thus as another target, so several broken runs at one
  * target are lost responses of a target that is alive.
  */
-import {fingerprint, type Clock, type EventLog} from '@oathead/core';
+import {
+  CRASH_EVIDENCE_LIFETIME_MS,
+  fingerprint,
+  type Clock,
+  type EventLog,
+} from '@oathead/core';
 import type {RowStore, TableUpdate} from '@oathead/stores';
 import {LRUCache} from 'lru-cache';
 import type {CrashRecord, CrashRecords} from './crash_records.js';
@@ -32,8 +37,6 @@
 const TRIAL_GROWTH = 4;
 /** Time from a trial that showed nothing to the next one, in milliseconds. */
 const NEXT_TRIAL_MS = 10_000;
-/** Lifetime of a suspect, in milliseconds. */
-const SUSPECT_LIFETIME_MS = 600_000;
 /** Maximum number of requests of which more than the crashes is known. */
 const MAX_SUSPECTS = 4096;
 
@@ -125,7 +128,7 @@
     const targets = this.unexplained(suspect);
     if (targets.length < TARGETS_TO_BLOCK) return 'explained';
     const sinceMs = this.now() - suspect.at;
-    if (sinceMs >= SUSPECT_LIFETIME_MS) return 'expired';
+    if (sinceMs >= CRASH_EVIDENCE_LIFETIME_MS) return 'expired';
     const {directory} = this.context;
     const knownAfterMs = this.expiryKnownAfterMs();
     if (sinceMs < knownAfterMs) return undefined;
--- a/packages/gateway/src/lib/process/part_verdicts.ts
+++ b/packages/gateway/src/lib/process/part_verdicts.ts
@@ -2,7 +2,11 @@
  * The verdicts on parts of prompts that a host knows, and whether they are in
  * force by what it knows otherwise.
  */
-import {isUnderOneRequest, type EventLog} from '@oathead/core';
+import {
+  CRASH_EVIDENCE_LIFETIME_MS,
+  isUnderOneRequest,
+  type EventLog,
+} from '@oathead/core';
 import {LRUCache} from 'lru-cache';
 import type {CrashRecords} from './crash_records.js';
 import type {Verdict} from './prompt_suspect_rows.js';
@@ -32,8 +36,6 @@
 
 /** Number of crashed targets that a verdict needs. */
 const MIN_TARGETS = 3;
-/** How long a verdict lasts, in milliseconds. */
-export const VERDICT_LIFETIME_MS = 600_000;
 /** Time until hosts have read that an entry has expired, in milliseconds. */
 const LIST_READ_MARGIN_MS = 2700;
 const MAX_VERDICTS = 1024;
@@ -145,8 +147,7 @@
    *     crashed; undefined if it is not.
    */
   endOf(verdict: Verdict): VerdictEnd | undefined {
-    const isExpired = this.context.now() - verdict.at >= VERDICT_LIFETIME_MS;
-    if (isExpired) return 'expired';
+    if (isExpired(verdict, this.context.now())) return 'expired';
     const {length} = this.crashedOf(verdict);
     return length < MIN_TARGETS ? 'listed' : undefined;
   }
@@ -171,10 +172,17 @@
    *     of a crashed one would have expired.
    */
   isStillListed(target: string, atMs: number): boolean {
-    const {directory, expiryMs, now} = this.context;
-    const knownAfterMs = expiryMs() + LIST_READ_MARGIN_MS;
-    const isKnown = now() - atMs >= knownAfterMs;
-    return isKnown && directory.isListedFor(target, knownAfterMs);
+    const {directory, now} = this.context;
+    const isKnown = now() - atMs >= this.knownAfterMs;
+    return isKnown && directory.isListedFor(target, this.knownAfterMs);
+  }
+
+  /**
+   * Time until hosts know whether the entry of a target has expired, in
+   * milliseconds.
+   */
+  get knownAfterMs(): number {
+    return this.context.expiryMs() + LIST_READ_MARGIN_MS;
   }
 
   /** The targets of a verdict that are not known to live. */
@@ -182,3 +190,15 @@
     return targets.filter(target => !this.isStillListed(target, at));
   }
 }
+
+/**
+ * A verdict lasts as long as evidence does, counted from the last request that
+ * tried its part again without getting through.
+ *
+ * @param verdict - A verdict.
+ * @param nowMs - The current time, by which verdicts are dated.
+ * @returns Whether it is over for its age.
+ */
+export function isExpired({at, triedAt}: Verdict, nowMs: number): boolean {
+  return nowMs - (triedAt ?? at) >= CRASH_EVIDENCE_LIFETIME_MS;
+}
--- a/packages/gateway/src/lib/process/prompt_suspect_rows.ts
+++ b/packages/gateway/src/lib/process/prompt_suspect_rows.ts
@@ -25,6 +25,11 @@
    * soon whether the part is the cause.
    */
   isProvisional: z.boolean().optional(),
+  /**
+   * Number of requests that may be let through, to try again; absent in rows of
+   * earlier releases.
+   */
+  maxTrials: z.number().int().positive().optional(),
 });
 /** A part that is guilty, and when it was tried again. */
 export type Verdict = Readonly<z.infer<typeof VERDICT>>;
--- a/packages/gateway/src/lib/process/prompt_suspects.ts
+++ b/packages/gateway/src/lib/process/prompt_suspects.ts
@@ -4,8 +4,9 @@
  * decides, this module shares its evidence and its verdicts through the store.
  */
 import {
-  PART_CRASH_LIFETIME_MS,
+  CRASH_EVIDENCE_LIFETIME_MS,
   PartSuspicion,
+  trialsAllowed,
   type Clock,
   type Counters,
   type EventLog,
@@ -21,8 +22,8 @@
 import {LRUCache} from 'lru-cache';
 import type {CrashRecords} from './crash_records.js';
 import {
+  isExpired,
   PartVerdicts,
-  VERDICT_LIFETIME_MS,
   type KnownVerdict,
   type VerdictEnd,
 } from './part_verdicts.js';
@@ -63,6 +64,11 @@
   readonly expiryMs: () => number;
 }
 
+/**
+ * Number of times that a host looks whether a target that seems to have crashed is
+ * listed still: the list may be away at first.
+ */
+const MAX_LISTED_CHECKS = 3;
 /** Interval between two looks at suspected parts, in milliseconds. */
 const WATCH_INTERVAL_MS = 200;
 /** Maximum number of parts whose last log line is remembered. */
@@ -146,9 +152,30 @@
     for (const key of keys) this.verdicts.addCrash(key, target);
     const value = encodeJson({service, targets: [target], at});
     for (const key of added) this.rows.put({...crashRef(key, target), value});
+    if (added.length > 0) this.checkListed(added, crash, MAX_LISTED_CHECKS);
     this.watchSuspects();
   }
 
+  /**
+   * Forgets a crash if its target lives. Guards against a sound part that is held
+   * much later, when the target has left as planned: it had lost a connection only.
+   */
+  private checkListed(
+    keys: readonly string[],
+    crash: PartCrash,
+    checks: number,
+  ): void {
+    const {target, atMs} = crash;
+    this.context.clock.after(this.verdicts.knownAfterMs, () => {
+      if (!this.verdicts.isStillListed(target, atMs)) {
+        if (checks > 1) this.checkListed(keys, crash, checks - 1);
+        return;
+      }
+      for (const key of keys) this.suspicion.forgetCrash(key, target);
+      this.rows.remove(keys.map(key => crashRef(key, target)));
+    });
+  }
+
   /** @param prompt - Parts of a request whose run came to its end. */
   recordCompletedRun(prompt: PromptParts): void {
     const {service} = prompt;
@@ -224,8 +251,9 @@
     const {service, at} = crash.value;
     const [target] = crash.value.targets;
     this.verdicts.addCrash(part, target);
-    if (this.now() - at <= PART_CRASH_LIFETIME_MS)
+    if (this.now() - at <= CRASH_EVIDENCE_LIFETIME_MS)
       this.suspicion.recordCrash(service, part, {target, atMs: at});
+    else this.rows.remove([crashRef(part, target)]);
     return undefined;
   }
 
@@ -236,9 +264,9 @@
   ): string | undefined {
     const verdict = decodeJson(value, VERDICT);
     if (!verdict.ok) return verdict.err.message;
-    if (this.now() - verdict.value.at < VERDICT_LIFETIME_MS)
-      this.setVerdict(part, verdict.value, version);
-    else this.rows.remove([verdictRef(part)]);
+    if (isExpired(verdict.value, this.now()))
+      this.rows.remove([verdictRef(part)]);
+    else this.setVerdict(part, verdict.value, version);
     return undefined;
   }
 
@@ -297,13 +325,15 @@
     }
     const before = this.verdicts.get(key)?.version ?? 0;
     const at = this.now();
-    const verdict = {service, targets, at, trials: 0, isProvisional};
+    const maxTrials = isProvisional ? undefined : trialsAllowed(crashes);
+    const verdict = {service, targets, at, trials: 0, isProvisional, maxTrials};
     const known = this.setVerdict(key, verdict, undefined);
     this.context.log.event('prompt-part-blocked', {
       service,
       part: key,
       targets,
       isProvisional,
+      maxTrials,
     });
     void this.publish(key, verdict, before);
     return known;
--- a/packages/gateway/src/lib/process/suspect_row_writer.ts
+++ b/packages/gateway/src/lib/process/suspect_row_writer.ts
@@ -3,13 +3,15 @@
  * once, again if the store does not take them, and removes them when they are
  * too old to count.
  */
-import {PART_CRASH_LIFETIME_MS, type Clock, type EventLog} from '@oathead/core';
+import {
+  CRASH_EVIDENCE_LIFETIME_MS,
+  type Clock,
+  type EventLog,
+} from '@oathead/core';
 import type {RowPut, RowRef, RowStore} from '@oathead/stores';
 import {LRUCache} from 'lru-cache';
 import {MAX_WRITES, WriteBackoff} from './write_backoff.js';
 
-/** When a host removes the evidence that it has written, in milliseconds. */
-const ROW_LIFETIME_MS = 2 * PART_CRASH_LIFETIME_MS;
 /** Evidence of this long is written at once, in milliseconds. */
 const WRITE_INTERVAL_MS = 20;
 const MAX_ROWS_PER_TRANSACTION = 100;
@@ -45,7 +47,7 @@
       const puts = this.pending;
       this.pending = [];
       void this.write(puts, []);
-      clock.after(ROW_LIFETIME_MS, () => this.remove(puts));
+      clock.after(CRASH_EVIDENCE_LIFETIME_MS, () => this.remove(puts));
     });
   }
 
--- a/packages/gateway/src/lib/process/verdict_trials.ts
+++ b/packages/gateway/src/lib/process/verdict_trials.ts
@@ -33,6 +33,8 @@
  * crashed targets are back and would crash again, in milliseconds.
  */
 const PROVISIONAL_TRIAL_MS = 3000;
+/** Number of trials of a verdict that does not say how many there may be. */
+const DEFAULT_MAX_TRIALS = 3;
 
 /**
  * @param verdict - A verdict.
@@ -65,7 +67,9 @@
   }
 
   private isTrialDue(verdict: KnownVerdict): boolean {
-    const {version, triedAt, at} = verdict;
+    const {version, triedAt, at, trials} = verdict;
+    const {maxTrials = DEFAULT_MAX_TRIALS} = verdict;
+    if (trials >= maxTrials) return false;
     const isDue = this.context.now() - (triedAt ?? at) >= trialPauseMs(verdict);
     return isDue && version !== undefined;
   }
--- a/packages/gateway/src/test/process/suspects_together_test.ts
+++ b/packages/gateway/src/test/process/suspects_together_test.ts
@@ -1,8 +1,9 @@
 import test from 'ava';
 import {partKeyOf} from '../../lib/process/prompt_parts.js';
-import {verdictRef} from '../../lib/process/prompt_suspect_rows.js';
+import {crashRef, verdictRef} from '../../lib/process/prompt_suspect_rows.js';
 import type {JudgedRequest} from '../../lib/request/run_evidence.js';
 import {SOUND, STEP_MS, SuspectFleet} from '../fakes/suspect_fleet.js';
+import {newTarget} from '../fakes/targets.js';
 
 const SUSPECT = 'suspect';
 const PART_BLOCKED = 'prompt part blocked';
@@ -205,3 +206,107 @@
   await fleet.run(STEP_MS);
   t.deepEqual(await fleet.refusals(POISON), all(fleet, 'none'));
 });
+
+/** Pause between two requests with the part, longer than a trial is waited for. */
+const SLOW_PACE_MS = 31_000;
+/** How often a request is sent until its caller gives up. */
+const SENDS = 3;
+const CRASHES = 5;
+/** Bounds of the users: three requests later than that after the fifth crash. */
+const STABILITY_MS = 3000;
+const MAX_LATER = 3;
+
+/**
+ * Requests come at a slow pace to all hosts in turn, each sent again until it is
+ * refused; those that run crash their target.
+ *
+ * @returns When they reached targets.
+ */
+async function comeSlowly(
+  fleet: SuspectFleet,
+  requests: readonly JudgedRequest[],
+): Promise<readonly number[]> {
+  const reachedAt: number[] = [];
+  for (const request of requests) {
+    for (let i = 0; i < SENDS; i++) {
+      const host = fleet.hosts[reachedAt.length % fleet.hosts.length]!;
+      if ((await host.refusal(request)) !== 'none') break;
+      host.crash(request, `slow ${reachedAt.length}`);
+      reachedAt.push(fleet.clock.now());
+      await fleet.run(STEP_MS);
+    }
+    await fleet.run(SLOW_PACE_MS);
+  }
+  return reachedAt;
+}
+
+function isWithinBounds(reachedAt: readonly number[]): boolean {
+  const fifthAt = reachedAt[CRASHES - 1] ?? Infinity;
+  const later = reachedAt.filter(at => at > fifthAt + STABILITY_MS);
+  return later.length <= MAX_LATER;
+}
+
+// Guards against a part that is never held, since its requests come so seldom, and
+// each of them accounts for the crashes under it.
+test('a part is blocked when requests with it come at a slow pace', async t => {
+  const fleet = await newFleet();
+  await fleet.run(TRIAL_MS);
+  const requests = [...Array(30).keys()].map(i => requestOf(`slow-${i}`));
+  const reachedAt = await comeSlowly(fleet, requests);
+  t.true(isWithinBounds(reachedAt), reachedAt.join(' '));
+  t.deepEqual(await fleet.refusals(SOUND), all(fleet, 'none'));
+});
+
+// Guards against the same by a request that comes again and again.
+test('a poison request at a slow pace stays blocked, and its parts free', async t => {
+  const fleet = await newFleet();
+  await fleet.run(TRIAL_MS);
+  const reachedAt = await comeSlowly(fleet, Array(30).fill(POISON));
+  const thirdAt = reachedAt[2]!;
+  const retries = reachedAt.filter(at => at > thirdAt + STABILITY_MS);
+  t.true(retries.length <= MAX_LATER, reachedAt.join(' '));
+  t.deepEqual(await fleet.refusals(NEIGHBOUR), all(fleet, 'none'));
+});
+
+// Guards against verdicts that end while the part still crashes targets: they
+// lasted for ten minutes.
+test('verdicts outlast a long pause of their requests', async t => {
+  const fleet = await newFleetWithVerdict();
+  await fleet.run(TRIAL_MS);
+  t.is(await fleet.hosts[0]!.refusal(NEIGHBOUR), 'none');
+  fleet.hosts[0]!.crash(NEIGHBOUR, 'tried');
+  await fleet.run(650_000);
+  const [first, ...others] = await fleet.refusals(NEIGHBOUR);
+  t.deepEqual([first, ...others].sort(), ['none', PART_BLOCKED, PART_BLOCKED]);
+  t.false((await fleet.refusals(POISON)).includes('none'));
+});
+
+// Guards against sound requests that are held because targets that had lost
+// connections left as planned, long after.
+test('a connection that a live target lost is no crash when the target leaves', async t => {
+  const fleet = await newFleet();
+  const [host] = fleet.hosts;
+  const targets = [...Array(6).keys()].map(i => `lossy-${i}`);
+  for (const {directory} of fleet.hosts)
+    for (const id of targets) directory.put(newTarget(id));
+  for (const [i, id] of targets.entries()) {
+    host!.crash(requestOf(`sound-${i}`), id);
+    await fleet.run(TRIAL_MS);
+  }
+  for (const {directory} of fleet.hosts)
+    for (const id of targets) directory.remove(id, 0);
+  await fleet.run(TRIAL_MS);
+  t.deepEqual(await fleet.refusals(NEIGHBOUR), all(fleet, 'none'));
+});
+
+// Guards against the same at a host that starts while the rows are there.
+test('rows of crashes that were none are removed', async t => {
+  const fleet = await newFleet();
+  for (const {directory} of fleet.hosts) directory.put(newTarget('lossy'));
+  fleet.hosts[0]!.crash(NEIGHBOUR, 'lossy');
+  await fleet.run(TRIAL_MS);
+  const key = partKeyOf('s', 'middle');
+  const {table, partition, key: crash} = crashRef(key, 'lossy');
+  const page = await fleet.store.read({table, partition, from: crash});
+  t.false(page.ok && page.value.rows.some(row => row.key === crash));
+});
