A reset after the end of a response to a long request breaks it off

What callers would see (reported on other systems, and shown here): a part of an answer as a whole one with status 200, when a server answers a long request at once without a length, ends its side and resets the connection while the request is still on its way. An item was listed as succeeded with such a part.

Cause: the end of the connection is the end of such a response; the host closed the connection at once and never saw the reset that followed.

Why it works: the end is passed on 50 ms later for successes without a length to long requests; by then the reset has come, or the rest of the request is sent.

--- a/packages/gateway/src/lib/connection/target_connection.ts
+++ b/packages/gateway/src/lib/connection/target_connection.ts
@@ -41,6 +41,14 @@
  */
 const KEEP_ALIVE_PROBE_MS = 1000;
 
+/**
+ * How long the end of a connection is held back where it is the only end of a
+ * response and a long request may still be on its way, in milliseconds: several
+ * round trips between data centres. A target that has closed the connection resets
+ * it when more of the request arrives.
+ */
+const END_LINGER_MS = 50;
+
 /** A connection that carries one request at a time. */
 export class TargetConnection implements Disposable {
   /** The requests that were sent on the connection. */
@@ -55,6 +63,11 @@
   /** Called when bytes have arrived, before they are parsed. */
   onBytes: () => void = () => {};
   private socket: Socket | undefined;
+  /**
+   * Whether the end of the connection shows only after {@link END_LINGER_MS}, so
+   * that a reset that follows it is seen.
+   */
+  lingersAtEnd = false;
   private endedByReset = false;
   private lost = false;
 
@@ -110,8 +123,7 @@
    * it, so the buffer of the socket is checked here.
    */
   get usable(): boolean {
-    const unsent = this.socket?.writableLength ?? 0;
-    return !this.lost && !this.client.destroyed && unsent === 0;
+    return !this.lost && !this.client.destroyed && !this.hasUnsentBytes;
   }
 
   /**
@@ -125,6 +137,11 @@
     return this.endedByReset || (destroyed && !readableEnded);
   }
 
+  /** Whether the operating system has not taken over a part of the request. */
+  get hasUnsentBytes(): boolean {
+    return (this.socket?.writableLength ?? 0) > 0;
+  }
+
   /**
    * Closes the connection immediately, so that the target can cancel the
    * request.
@@ -136,6 +153,7 @@
 
   private observeSocket(socket: Socket): void {
     this.socket = socket;
+    this.delayEnd(socket);
     socket.on('drain', () => this.onDrained());
     socket.on('readable', () => this.onBytes());
     // Registered before undici's own listener, so that it is called first.
@@ -143,6 +161,17 @@
       this.endedByReset = !hasPeer(socket);
     });
   }
+
+  /** Holds back the end of the connection where that is asked for. */
+  private delayEnd(socket: Socket): void {
+    const push = socket.push.bind(socket);
+    socket.push = (chunk: unknown, encoding?: BufferEncoding) => {
+      const isEnd = chunk === null;
+      if (!isEnd || !this.lingersAtEnd) return push(chunk, encoding);
+      setTimeout(() => push(null), END_LINGER_MS);
+      return false;
+    };
+  }
 }
 
 /**
--- a/packages/gateway/src/lib/request/exchange.ts
+++ b/packages/gateway/src/lib/request/exchange.ts
@@ -13,6 +13,7 @@
 } from './attribution.js';
 import {
   failureDoubt,
+  hasFraming,
   isSuccess,
   reasonOf,
   type AbortReason,
@@ -35,6 +36,9 @@
 } from './exchange_outcome.js';
 export type {EventSink, TargetRequest} from './target_request.js';
 
+/** Bodies up to this size arrive with the head of their request, in bytes. */
+const LONG_BODY_BYTES = 8192;
+
 /** Controls a request in flight. */
 export interface ExchangeControl {
   /**
@@ -248,6 +252,13 @@
     });
     if (unattributed) this.failUnattributed(unattributed);
     else this.checkSuccess(metadata.value, status);
+    this.connection.lingersAtEnd =
+      isSuccess(status) && !hasFraming(head) && this.isLongRequest;
+  }
+
+  /** Whether the target may begin to answer before the request has arrived. */
+  private get isLongRequest(): boolean {
+    return this.req.body.length > LONG_BODY_BYTES;
   }
 
   private receiveChunk(chunk: Buffer): void {
@@ -276,6 +287,10 @@
       this.failDisconnected('reset during the answer');
       return;
     }
+    if (this.connection.lingersAtEnd && this.connection.hasUnsentBytes) {
+      this.failDisconnected('ended before the request was sent');
+      return;
+    }
     if (!isEventStream(received)) {
       const {body} = this.content;
       const doubt = failureDoubt(head, metadata);
--- a/packages/gateway/src/lib/request/exchange_outcome.ts
+++ b/packages/gateway/src/lib/request/exchange_outcome.ts
@@ -106,17 +106,26 @@
  *     success and for a failure beyond doubt.
  */
 export function failureDoubt(
-  {status, headers}: ResponseHead,
+  head: ResponseHead,
   metadata: ResponseMetadata,
 ): FailureDoubt | undefined {
-  if (isSuccess(status)) return undefined;
+  if (isSuccess(head.status)) return undefined;
   if (metadata.requestId === undefined) return 'no-id';
   if (!metadata.sealed) return 'no-seal';
   if (metadata.hasUnexpectedEncoding) return 'unasked-coding';
-  const hasLength =
+  return hasFraming(head) ? undefined : 'no-length';
+}
+
+/**
+ * @param head - Headers of a response.
+ * @returns Whether its body has a length or comes in chunks. Otherwise it ends with
+ *     its connection.
+ */
+export function hasFraming({headers}: Pick<ResponseHead, 'headers'>): boolean {
+  return (
     headers['content-length'] !== undefined ||
-    headers['transfer-encoding'] !== undefined;
-  return hasLength ? undefined : 'no-length';
+    headers['transfer-encoding'] !== undefined
+  );
 }
 
 /**
