Rules for crashes of the last moments are a module of their own

What happened around a crash is looked up second by second, so that a judgement costs the same after a crash of thousands of targets.

--- a/packages/core/src/lib/process/part_suspicion.ts
+++ b/packages/core/src/lib/process/part_suspicion.ts
@@ -4,62 +4,18 @@
  * there, while sound requests share all other parts.
  */
 import {LRUCache} from 'lru-cache';
+import {
+  areShown,
+  areSuspectWhileDown,
+  MAX_CRASHES,
+  MIN_CRASHES,
+  RECENT_MS,
+} from './recent_crashes.js';
 import {areRepeated} from './repeated_crashes.js';
 import {ServiceHistory, type PartCrash} from './service_history.js';
 
 export type {PartCrash} from './service_history.js';
 
-/**
- * What shows that a part is guilty: so many crashes, and then so long a time, in
- * milliseconds, in which nothing with the part gets through and others do.
- */
-interface Evidence {
-  readonly crashes: number;
-  readonly silentMs: number;
-}
-
-/**
- * A part that is not guilty gets through on other targets within a second, and
- * hosts learn of that within half a second.
- */
-const EVIDENCE: readonly Evidence[] = [
-  {crashes: 3, silentMs: 2500},
-  {crashes: 5, silentMs: 2000},
-];
-/** The same for a part that has not got through lately. */
-const EVIDENCE_OF_NEW_PART: readonly Evidence[] = [{crashes: 3, silentMs: 700}];
-/**
- * Number of other runs that must get through in that time. Otherwise the
- * service itself is down, and the part may have nothing to do with it.
- */
-const MIN_COMPLETED_RUNS = 2;
-/**
- * Part of the latest crashes of a service that the part must stand in: one that
- * is not guilty stands in some of them.
- */
-const MIN_COVERAGE = 0.5;
-/**
- * A new part is also guilty if targets keep crashing and it stands in nearly all
- * of these crashes: targets may then crash faster than anything gets through.
- */
-const LASTING = {crashes: 5, spanMs: 1500, coverage: 0.8} as const;
-/**
- * A new part is also guilty if it stands in nearly all of several crashes that
- * come apart from each other, while the service works in between. Answers a load
- * with little traffic, in which hardly anything gets through within a second.
- */
-const APART = {crashes: 3, gapMs: 1000, coverage: 0.8} as const;
-/**
- * What speaks against a part while hardly anything of its service gets through:
- * it stands in nearly all of the crashes, and runs without it exist. It is held
- * for a short time to see whether the crashes end with it.
- */
-const WHILE_DOWN = {
-  ...LASTING,
-  maxCompletedRuns: 1,
-  completedSpanMs: 1500,
-  minOtherRuns: 2,
-} as const;
 /**
  * Time after which a part that is held is in no run any more, in milliseconds,
  * and the number of crashes after that which show that others are the cause.
@@ -72,22 +28,16 @@
  */
 const NEW_PART_MS = 60_000;
 const MIN_OBSERVED_MS = 10_000;
-/**
- * Crashes that are older say nothing of what happens at the moment, in
- * milliseconds. Whether they come again and again is another question; see
- * `repeated_crashes.ts`.
- */
-const RECENT_MS = 30_000;
 /**
  * How long evidence of crashes is kept that no run has cleared, in milliseconds.
  * It bounds the memory and the rows for parts that do not come again.
  */
 export const CRASH_EVIDENCE_LIFETIME_MS = 3_600_000;
-/** Bounds of the memory for parts, and for crashes of one part. */
+/** Bounds the memory for parts. */
 const MAX_PARTS = 4096;
-const MAX_CRASHES = 32;
 /** Number of the first crashes of a part, which are all remembered. */
 const FIRST_CRASHES = 5;
+
 /** Crashes under one part, in order of time. */
 interface SuspectedPart {
   readonly service: string;
@@ -197,7 +147,7 @@
     return [...this.suspected.entries()]
       .filter(([part]) => {
         const {length} = this.countingCrashes(part, nowMs, RECENT_MS);
-        return length >= EVIDENCE[0]!.crashes;
+        return length >= MIN_CRASHES;
       })
       .map(([part, {service}]) => [part, service]);
   }
@@ -223,23 +173,11 @@
     history: ServiceHistory,
   ): readonly PartCrash[] | undefined {
     const crashes = this.countingCrashes(part, nowMs, RECENT_MS);
-    if (crashes.length < EVIDENCE[0]!.crashes) return undefined;
-    const first = crashes[0]!.atMs;
-    const coverage = coverageOf(crashes, history);
-    const isNew = this.isNew(part, history, first);
-    const isShown =
-      (coverage >= MIN_COVERAGE &&
-        (isNew ? EVIDENCE_OF_NEW_PART : EVIDENCE).some(evidence =>
-          isShownBy(evidence, crashes, history, nowMs),
-        )) ||
-      (isNew && coverage >= LASTING.coverage && isLasting(crashes)) ||
-      (isNew && coverage >= APART.coverage && areApart(crashes, history));
-    if (!isShown) return undefined;
-    const rivals = this.rivalsOf(part, crashes, nowMs, RECENT_MS);
-    const isExplained = rivals.some(rival =>
-      this.isMoreSuspect(rival, {part, crashes}, history),
-    );
-    return isExplained ? undefined : crashes;
+    if (crashes.length < MIN_CRASHES) return undefined;
+    const isNew = this.isNew(part, history, crashes[0]!.atMs);
+    if (!areShown(crashes, {history, isNew, nowMs})) return undefined;
+    if (this.isExplained(part, crashes, nowMs, history)) return undefined;
+    return crashes;
   }
 
   /**
@@ -280,17 +218,12 @@
   ): readonly PartCrash[] | undefined {
     const crashes = this.countingCrashes(part, nowMs, RECENT_MS);
     const history = this.historyOfPart(part);
-    if (crashes.length < WHILE_DOWN.crashes || !history) return undefined;
-    const since = nowMs - WHILE_DOWN.completedSpanMs;
-    const isSuspected =
-      history.completedWithin(since, nowMs) <= WHILE_DOWN.maxCompletedRuns &&
-      coverageOf(crashes, history) >= WHILE_DOWN.coverage &&
-      isLasting(crashes) &&
-      history.runsWithout(part, crashes[0]!.atMs) >= WHILE_DOWN.minOtherRuns &&
-      !this.rivalsOf(part, crashes, nowMs, RECENT_MS).some(rival =>
-        this.isMoreSuspect(rival, {part, crashes}, history),
-      );
-    return isSuspected ? crashes : undefined;
+    if (!history) return undefined;
+    const otherRuns = (fromMs: number) => history.runsWithout(part, fromMs);
+    if (!areSuspectWhileDown(crashes, {history, otherRuns, nowMs}))
+      return undefined;
+    if (this.isExplained(part, crashes, nowMs, history)) return undefined;
+    return crashes;
   }
 
   /**
@@ -324,6 +257,19 @@
     });
   }
 
+  /** Whether another part is the likelier cause of crashes of the last moments. */
+  private isExplained(
+    part: string,
+    crashes: readonly PartCrash[],
+    nowMs: number,
+    history: ServiceHistory,
+  ): boolean {
+    const rivals = this.rivalsOf(part, crashes, nowMs, RECENT_MS);
+    return rivals.some(rival =>
+      this.isMoreSuspect(rival, {part, crashes}, history),
+    );
+  }
+
   /** Whether one of two parts in the same crashes is the likelier cause. */
   private isMoreSuspect(
     one: CrashesOfPart,
@@ -391,50 +337,3 @@
   const closest = gaps.indexOf(Math.min(...gaps));
   return crashes.filter((crash, i) => i !== closest);
 }
-
-/** Whether only runs without the part got through after one of the crashes. */
-function isShownBy(
-  {crashes: count, silentMs}: Evidence,
-  crashes: readonly PartCrash[],
-  history: ServiceHistory,
-  nowMs: number,
-): boolean {
-  return crashes.slice(count - 1).some(({atMs}) => {
-    const endMs = atMs + silentMs;
-    const completed = history.completedWithin(atMs, endMs);
-    return nowMs >= endMs && completed >= MIN_COMPLETED_RUNS;
-  });
-}
-
-/** The part of the crashes of a service that these are, from their first on. */
-function coverageOf(
-  crashes: readonly PartCrash[],
-  history: ServiceHistory,
-): number {
-  const ofService = history.crashesSince(crashes[0]!.atMs);
-  return crashes.length / Math.min(MAX_CRASHES, ofService);
-}
-
-function isLasting(crashes: readonly PartCrash[]): boolean {
-  const spanMs = crashes.at(-1)!.atMs - crashes[0]!.atMs;
-  return crashes.length >= LASTING.crashes && spanMs >= LASTING.spanMs;
-}
-
-/**
- * Whether enough crashes come apart from each other, with runs of others that get
- * through between them. One burst of crashes is one event, whatever ran there.
- */
-function areApart(
-  crashes: readonly PartCrash[],
-  history: ServiceHistory,
-): boolean {
-  let events = 1;
-  let lastMs = crashes[0]!.atMs;
-  for (const {atMs} of crashes) {
-    if (atMs - lastMs < APART.gapMs) continue;
-    if (history.completedWithin(lastMs, atMs) === 0) continue;
-    events++;
-    lastMs = atMs;
-  }
-  return events >= APART.crashes;
-}
--- a/packages/core/src/lib/process/service_history.ts
+++ b/packages/core/src/lib/process/service_history.ts
@@ -94,6 +94,7 @@
   addCrash({target, atMs}: PartCrash): void {
     if (this.crashedAt.has(target)) return;
     this.crashedAt.set(target, atMs);
+    this.tallies.addCrash(atMs, target);
     const [oldest] = this.crashedAt.keys();
     if (this.crashedAt.size > MAX_CRASHED_TARGETS)
       this.crashedAt.delete(oldest!);
@@ -130,12 +131,8 @@
     aroundMs: number,
     exceptTargets: ReadonlySet<string>,
   ): {readonly broken: number; readonly runs: number} {
-    const fromMs = atMs - aroundMs;
-    const toMs = atMs + aroundMs;
-    const tally = this.tallies.within(fromMs, toMs);
-    const crashed = [...this.crashedAt]
-      .filter(([, at]) => at >= fromMs && at <= toMs)
-      .map(([target]) => target);
+    const tally = this.tallies.within(atMs - aroundMs, atMs + aroundMs);
+    const {crashed} = tally;
     const others = crashed.filter(target => !exceptTargets.has(target)).length;
     const own = crashed.length - others;
     const broken = Math.max(tally.broken - own, others);
