--- a/packages/serving/src/lib/process/serving_components.ts
+++ b/packages/serving/src/lib/process/serving_components.ts
@@ -7,16 +7,13 @@
   type PlannedStop,
 } from '@oathead/core';
 import {
-  AnnouncedTargets,
   CallerAdmission,
   CallerRetryDetector,
   ConnectionPool,
   Coordinator,
-  CrashRecords,
-  CrashSuspects,
   PreferredTargets,
-  PromptSuspects,
-  RecordedStreamsReader,
+  type CrashSuspects,
+  type PromptSuspects,
   HostSocket,
   LateQueue,
   LoadExchange,
@@ -26,7 +23,6 @@
   Membership,
   createPlacement,
   createAccountQuotas,
-  createStreamVersions,
   ReturnPromises,
   RoutingState,
   ServiceHealth,
@@ -35,16 +31,17 @@
   SpeedExchange,
   StoredAheadRecord,
   StreamLifetime,
-  StreamRecord,
   TargetChooser,
   TargetDirectory,
   TargetSpeeds,
   TargetSuspensions,
   type AccountQuotas,
+  type AnnouncedTargets,
   type QuotaHost,
   type HostPeer,
   type Member,
   type OnlineContext,
+  type StreamRecord,
   type StreamVersions,
 } from '@oathead/gateway';
 import {
@@ -58,6 +55,8 @@
 } from '@oathead/jobs';
 import {RelayedRowStore} from '@oathead/stores';
 import {createTellOwner} from '../connection/job_owner_notice.js';
+import {createCrashJudges} from './crash_judges.js';
+import {createStreamComponents} from './stream_components.js';
 import {PeerClients} from '../connection/peer_clients.js';
 import type {ServingOptions} from './serving_options.js';
 import type {
@@ -92,10 +91,6 @@
   readonly jobOperations: JobOperations;
 }
 
-/**
- * Part of the writes that the store takes which may record where streams begin.
- */
-const STREAM_RECORD_WRITE_SHARE = 0.15;
 /** Interval at which the health records of targets decay, in milliseconds. */
 const HEALTH_DECAY_INTERVAL_MS = 1000;
 
@@ -161,21 +156,11 @@
       peers: () => membership.peers().map(hostPeerOf),
     }),
   );
-  const suspectContext = {
+  const {crashSuspects, promptSuspects} = createCrashJudges({
     ...context,
     store,
     directory,
     expiryMs: () => platform.tunables().targetExpiryMs,
-  };
-  const crashRecords = new CrashRecords(suspectContext);
-  const promptSuspects = new PromptSuspects({
-    ...suspectContext,
-    records: crashRecords,
-  });
-  const crashSuspects = new CrashSuspects({
-    ...suspectContext,
-    records: crashRecords,
-    explanationOf: target => promptSuspects.explanationOf(target),
   });
   const hosts = () => membership.live().length;
   const preferredTargets = new PreferredTargets({
@@ -276,38 +261,23 @@
     quotas,
     counters,
   });
-  const streamRecord = disposables.add(
-    new StreamRecord({
-      ...context,
-      memberId: self.id,
-      store,
-      maxWritesPerS: platform.storeWritesPerS * STREAM_RECORD_WRITE_SHARE,
-      hosts,
-      listedVersions: () => directory.versions.allSeen(),
-    }),
-  );
-  const announcedTargets = disposables.add(
-    new AnnouncedTargets({
-      ...context,
-      directory,
-      record: streamRecord,
-      onReleased: access.onTargetsReleased,
-    }),
-  );
-  const recordedStreams = new RecordedStreamsReader({...context, store});
-  const streamVersions = disposables.add(
-    createStreamVersions(socket, {
-      ...context,
-      self,
-      directory,
-      streamLifetimeMs,
-      readTargets: access.readTargets,
-      record: streamRecord,
-      readRecord: () => recordedStreams.read(),
-      peers: () => membership.peers().map(hostPeerOf),
-      peer,
-    }),
-  );
+  const {streamRecord, announcedTargets, streamVersions} =
+    createStreamComponents(
+      {
+        ...context,
+        self,
+        store,
+        directory,
+        streamLifetimeMs,
+        writesPerS: platform.storeWritesPerS,
+        hosts,
+        peers: () => membership.peers().map(hostPeerOf),
+        peer,
+        ...access,
+      },
+      socket,
+      disposables,
+    );
   const lateQueue = new LateQueue({
     ...requestContext,
     placement,
