The soak takes up streams that run for long, and sends a bad part seldom

Three kinds that runs have to name: programs-kill-long-streams, programs-kill-long-version-left and bad-part-slow. A stand-in's streams may have another number of events by path.

--- a/packages/soak/src/lib/process/fault_handlers.ts
+++ b/packages/soak/src/lib/process/fault_handlers.ts
@@ -22,7 +22,11 @@
 import type {ProgramPlace, ServerPlace} from './soak_fleet.js';
 import type {FaultKind} from './soak_plan.js';
 import {TAKE_UP_HANDLERS} from './take_up_handlers.js';
-import {releaseServers, sendBadPart} from './version_handlers.js';
+import {
+  releaseServers,
+  sendBadPart,
+  sendBadPartSlowly,
+} from './version_handlers.js';
 
 /** A server that leaves serves so long after the store knows, in ms. */
 const DRAIN_MS = 3000;
@@ -91,6 +95,7 @@
   'programs-kill-mixed': killMixed,
   'server-release': releaseServers(replacePlace),
   'bad-part': sendBadPart,
+  'bad-part-slow': sendBadPartSlowly,
   'poison-request': sendPoison,
   'poison-beside-bad-part': sendPoisonBesideBadPart,
   'servers-crash-together': crashTogether,
--- a/packages/soak/src/lib/process/long_stop_handlers.ts
+++ b/packages/soak/src/lib/process/long_stop_handlers.ts
@@ -66,8 +66,6 @@
 const USUAL_SHARE = {least: 0.1, most: 0.88} as const;
 /** Between a response and the next request on its connection, in ms. */
 const NEXT_REQUEST_MS = {least: 0, most: 30} as const;
-/** In which all programs know the routes, in milliseconds. */
-const ROUTES_KNOWN_MS = 2000;
 const SEEDS = 0x7fffffff;
 const BODY_CHUNKS = ['qu', 'est', 'ion'] as const;
 /** Between two chunks of a body, in milliseconds. */
@@ -81,7 +79,6 @@
   if (fleet.isStoppingInSeries) return;
   fleet.isStoppingInSeries = true;
   await fleet.openLongRoutes();
-  await sleep(SYSTEM_CLOCK, ROUTES_KNOWN_MS);
   await playSeries(call, seriesOf(call));
   fleet.isStoppingInSeries = false;
 }
--- a/packages/soak/src/lib/process/run_soak.ts
+++ b/packages/soak/src/lib/process/run_soak.ts
@@ -61,6 +61,7 @@
 const LAST_KINDS: readonly FaultKind[] = [
   'owner-kill-deaf-feeds',
   'bad-part',
+  'bad-part-slow',
   'poison-request',
   'poison-beside-bad-part',
   ...TAKE_UP_FAULT_KINDS,
--- a/packages/soak/src/lib/process/soak_fleet.ts
+++ b/packages/soak/src/lib/process/soak_fleet.ts
@@ -11,7 +11,7 @@
   type StoreEndpoint,
 } from '@oathead/platform/stand_ins';
 import {FaultProxy} from '../connection/fault_proxy.js';
-import {EVENTS, markedWord} from '../request/expected_text.js';
+import {EVENTS, eventsOf, markedWord} from '../request/expected_text.js';
 import {longRoutes} from '../request/long_kinds.js';
 import {Disturbances} from './disturbances.js';
 import type {LoadShape} from './load_shape.js';
@@ -58,6 +58,8 @@
 const QUEUE = 16;
 const PLAIN_SERVERS = 2;
 const READY_POLL_MS = 50;
+/** In which all programs know the routes, in milliseconds. */
+const ROUTES_KNOWN_MS = 2000;
 
 /** All that runs. */
 export class SoakFleet implements AsyncDisposable {
@@ -164,11 +166,12 @@
     await this.configure();
   }
 
-  /** Adds the routes of requests that last long, once. */
+  /** Adds the routes of requests that last long, once; all programs know them then. */
   async openLongRoutes(): Promise<void> {
     if (this.hasLongRoutes) return;
     this.hasLongRoutes = true;
     await this.configure();
+    await sleep(SYSTEM_CLOCK, ROUTES_KNOWN_MS);
   }
 
   /**
@@ -317,6 +320,7 @@
       slots: this.load.slots,
       maxQueueLength: QUEUE,
       events: EVENTS,
+      eventsOf,
       eventMs: service === 'llm' ? this.load.eventMs : PLAIN_ANSWER_MS,
       eventData: (path, n) => markedWord(softwareVersion, path, n),
       listedAddress: async address => {
--- a/packages/soak/src/lib/process/soak_plan.ts
+++ b/packages/soak/src/lib/process/soak_plan.ts
@@ -78,6 +78,8 @@
   'programs-kill-version-leaves',
   'programs-kill-version-joins',
   'programs-kill-version-changes',
+  'programs-kill-long-streams',
+  'programs-kill-long-version-left',
 ] as const;
 
 /** One of them. */
@@ -89,6 +91,7 @@
   'servers-crash-together',
   ...TAKE_UP_FAULT_KINDS,
   'program-stops-long',
+  'bad-part-slow',
 ] as const;
 
 /** Everything that a run can do to the system. */
--- a/packages/soak/src/lib/process/take_up_handlers.ts
+++ b/packages/soak/src/lib/process/take_up_handlers.ts
@@ -5,7 +5,7 @@
  */
 import {sleep, SYSTEM_CLOCK} from '@oathead/core';
 import type {ServerStandIn} from '@oathead/platform/stand_ins';
-import {EVENTS} from '../request/expected_text.js';
+import {eventsOf} from '../request/expected_text.js';
 import type {FaultCall, FaultHandler} from './fault_call.js';
 import type {TakeUpFaultKind} from './soak_plan.js';
 import {BATCH_SERVICE, type ServerPlace, type SoakFleet} from './soak_fleet.js';
@@ -20,12 +20,35 @@
 interface VersionCourse {
   readonly joining: Joining;
   readonly leaving: Leaving;
+  /** Which streams are taken up; those that last some seconds by default. */
+  readonly streams?: StreamCourse;
 }
 
+/** Streams that break off when their programs are killed. */
+interface StreamCourse {
+  readonly kind: TakenUpKind;
+  /** How long one lasts, in milliseconds: most run when they break off. */
+  readonly lastsMs: number;
+  /** From the last change of the servers before the kill, in milliseconds. */
+  readonly killedAfterMs: number;
+}
+
+/** Kinds of streams that callers take up. */
+type TakenUpKind = 'notes' | 'chapters';
+
+const SHORT: StreamCourse = {kind: 'notes', lastsMs: 3000, killedAfterMs: 0};
+/** Longer than callers usually wait, and than a planned stop. */
+const LONG: StreamCourse = {
+  kind: 'chapters',
+  lastsMs: 20_000,
+  killedAfterMs: 11_500,
+};
+
 /** A time in which streams were taken up, and nothing else was wrong. */
 export interface TakeUpBout {
   readonly killedAt: number;
   readonly to: number;
+  readonly kind: TakenUpKind;
   /** The key of its callers. */
   readonly key: string;
   /** Software versions of which two servers served all the while. */
@@ -37,8 +60,6 @@
 
 /** Streams that begin before the second version joins, and as many after. */
 const STREAMS_EACH = 12;
-/** How long one lasts, in milliseconds: most run when their programs are killed. */
-const STREAM_MS = 3000;
 /** In which programs have read a change of the server list, in milliseconds. */
 const LISTED_MS = 600;
 /** In which each stream has brought an event, in milliseconds. */
@@ -56,23 +77,45 @@
 /** The handlers by kind. */
 export const TAKE_UP_HANDLERS: Readonly<Record<TakeUpFaultKind, FaultHandler>> =
   {
-    'programs-kill-versions-serve': loseAllHosts(
-      'before-kill',
-      'after-take-up',
-    ),
-    'programs-kill-version-left': loseAllHosts('before-kill', 'before-kill'),
-    'programs-kill-version-leaves': loseAllHosts('before-kill', 'while-away'),
-    'programs-kill-version-joins': loseAllHosts('while-away', 'after-take-up'),
-    'programs-kill-version-changes': loseAllHosts('while-away', 'while-away'),
+    'programs-kill-versions-serve': loseAllHosts({
+      joining: 'before-kill',
+      leaving: 'after-take-up',
+    }),
+    'programs-kill-version-left': loseAllHosts({
+      joining: 'before-kill',
+      leaving: 'before-kill',
+    }),
+    'programs-kill-version-leaves': loseAllHosts({
+      joining: 'before-kill',
+      leaving: 'while-away',
+    }),
+    'programs-kill-version-joins': loseAllHosts({
+      joining: 'while-away',
+      leaving: 'after-take-up',
+    }),
+    'programs-kill-version-changes': loseAllHosts({
+      joining: 'while-away',
+      leaving: 'while-away',
+    }),
+    'programs-kill-long-streams': loseAllHosts({
+      joining: 'before-kill',
+      leaving: 'after-take-up',
+      streams: LONG,
+    }),
+    'programs-kill-long-version-left': loseAllHosts({
+      joining: 'before-kill',
+      leaving: 'before-kill',
+      streams: LONG,
+    }),
   };
 
-function loseAllHosts(joining: Joining, leaving: Leaving): FaultHandler {
+function loseAllHosts(course: VersionCourse): FaultHandler {
   return async call => {
     const {fleet, forMs} = call;
     // Another one at the same time would end its programs or its servers.
     if (fleet.isLosingAllHosts) return;
     fleet.isLosingAllHosts = true;
-    const bout = await playBout(call, {joining, leaving});
+    const bout = await playBout(call, course);
     fleet.isLosingAllHosts = false;
     if (forMs === 0) fleet.takeUpBouts.push(bout);
   };
@@ -80,9 +123,11 @@
 
 async function playBout(
   call: FaultCall,
-  {joining, leaving}: VersionCourse,
+  {joining, leaving, streams = SHORT}: VersionCourse,
 ): Promise<TakeUpBout> {
   const {fleet, random} = call;
+  const {kind, lastsMs, killedAfterMs} = streams;
+  if (kind === 'chapters') await fleet.openLongRoutes();
   const places = fleet.servers.filter(
     ({service, up}) => service === BATCH_SERVICE && up,
   );
@@ -92,19 +137,19 @@
   // No server has had it: each start adds one.
   const version = `v${fleet.incarnations.length}`;
   const paths = [...Array(2 * STREAMS_EACH).keys()].map(
-    i => `/notes/again-${version}-${i}`,
+    i => `/${kind}/again-${version}-${i}`,
   );
-  for (const {server} of former) slowDown(server, paths);
-  const join = () => joinAs(fleet, places, version, paths);
+  for (const {server} of former) slowDown(server, paths, lastsMs);
+  const join = () => joinAs(fleet, places, version, {paths, lastsMs});
   const leave = () => leaveList(fleet, former);
 
-  beginStreams(call, paths.slice(0, STREAMS_EACH));
+  beginStreams(call, kind, paths.slice(0, STREAMS_EACH));
   if (joining === 'before-kill') await join();
   await sleep(SYSTEM_CLOCK, LISTED_MS);
-  beginStreams(call, paths.slice(STREAMS_EACH));
+  beginStreams(call, kind, paths.slice(STREAMS_EACH));
   await sleep(SYSTEM_CLOCK, BEGUN_MS);
   if (leaving === 'before-kill') await leave();
-  await sleep(SYSTEM_CLOCK, random.int(MAX_BEFORE_KILL_MS));
+  await sleep(SYSTEM_CLOCK, killedAfterMs + random.int(MAX_BEFORE_KILL_MS));
   const killedAt = Date.now();
   const over = sleep(SYSTEM_CLOCK, TAKE_UP_MS);
   await killAll(call, async () => {
@@ -122,21 +167,27 @@
     ...(leaving === 'after-take-up' ? former : []),
     ...(joining === 'before-kill' ? places : []),
   ];
-  return {killedAt, to, key: fleet.key, serving: versionsOfTwo(served)};
+  return {killedAt, to, kind, key: fleet.key, serving: versionsOfTwo(served)};
 }
 
-function slowDown(server: ServerStandIn, paths: readonly string[]): void {
-  for (const path of paths) server.slowPaths.set(path, STREAM_MS / EVENTS);
+function slowDown(
+  server: ServerStandIn,
+  paths: readonly string[],
+  lastsMs: number,
+): void {
+  for (const path of paths)
+    server.slowPaths.set(path, lastsMs / eventsOf(path));
 }
 
 function beginStreams(
   {fleet, online}: FaultCall,
+  kind: TakenUpKind,
   paths: readonly string[],
 ): void {
   const {programs} = fleet;
   for (const [i, path] of paths.entries()) {
     const place = programs[i % programs.length]!;
-    void online.once(place, 'notes', fleet.key, path);
+    void online.once(place, kind, fleet.key, path);
   }
 }
 
@@ -144,13 +195,16 @@
   fleet: SoakFleet,
   places: readonly ServerPlace[],
   softwareVersion: string,
-  paths: readonly string[],
+  {
+    paths,
+    lastsMs,
+  }: {readonly paths: readonly string[]; readonly lastsMs: number},
 ): Promise<void> {
   await Promise.all(
     places.map(async place => {
       place.softwareVersion = softwareVersion;
       await fleet.renew(place);
-      slowDown(place.server, paths);
+      slowDown(place.server, paths, lastsMs);
     }),
   );
 }
--- a/packages/soak/src/lib/process/take_up_promises.ts
+++ b/packages/soak/src/lib/process/take_up_promises.ts
@@ -7,6 +7,8 @@
 const MIN_TAKEN_UP = 12;
 /** Of the share of new streams that begin. */
 const LEAST_SHARE = 0.5;
+/** What new streams are asked for all the time. */
+const NEW_KIND = 'notes';
 const STATUS_OK = 200;
 
 /** The promises by name. */
@@ -40,7 +42,9 @@
 }: Pick<Evidence, 'fleet' | 'online'>): readonly TakeUpFigures[] {
   return fleet.takeUpBouts.map(bout => {
     const reached = online.filter(record => isOfBout(bout, record));
-    const again = reached.filter(({takesUp}) => takesUp !== undefined);
+    const again = reached.filter(({takesUp, kind}) => {
+      return takesUp !== undefined && kind === bout.kind;
+    });
     const owed = again.filter(record => isOwed(bout, record));
     const first = owed.filter(record => triesOf(record).length === 2);
     const firstAt = new Map<number, number>();
@@ -74,11 +78,13 @@
 }
 
 function isOfBout(
-  {killedAt, to, key}: TakeUpBout,
-  {kind, key: own, failure, sentAt}: OnlineRecord,
+  {killedAt, to, kind, key}: TakeUpBout,
+  {kind: asked, key: ownKey, failure, sentAt}: OnlineRecord,
 ): boolean {
   const isIn = sentAt >= killedAt && sentAt <= to;
-  return kind === 'notes' && own === key && failure !== 'unconnected' && isIn;
+  const isStream = asked === kind || asked === NEW_KIND;
+  const isReached = isStream && ownKey === key;
+  return isReached && failure !== 'unconnected' && isIn;
 }
 
 function isOwed({serving}: TakeUpBout, record: OnlineRecord): boolean {
--- a/packages/soak/src/lib/process/version_handlers.ts
+++ b/packages/soak/src/lib/process/version_handlers.ts
@@ -16,6 +16,11 @@
  * milliseconds. */
 const BAD_PART_MS = 9000;
 const BAD_PART_PAUSE_MS = 150;
+/** The same at a slow pace: longer than any crash is of the moment. */
+const SLOW_PART_REQUESTS = 4;
+const SLOW_PART_PAUSE_MS = 33_000;
+/** How often the caller of one of them sends it. */
+const SLOW_PART_SENDS = 2;
 /** A server that such a request has ended is back after this, in milliseconds. */
 const DOWNTIME_MS = 1000;
 
@@ -50,28 +55,59 @@
 /** Requests with one part in their prompts, no two alike, end each server that
  * begins to answer them. Only if nothing else is wrong, which takes no time from
  * the load, is it checked when they are held back. */
-export async function sendBadPart({fleet, forMs}: FaultCall): Promise<void> {
+export function sendBadPart(call: FaultCall): Promise<void> {
+  return whileBad(call, async () => {
+    const {fleet} = call;
+    const until = Date.now() + BAD_PART_MS;
+    const sent: Array<Promise<unknown>> = [];
+    for (let i = 0; Date.now() < until; i++) {
+      sent.push(sendOne(fleet, `/flags/bad${i}`, i));
+      await sleep(SYSTEM_CLOCK, BAD_PART_PAUSE_MS);
+    }
+    return sent;
+  });
+}
+
+/** The same with requests that seldom come, each of which ends several servers: it
+ * may be repeated, and its caller sends it once more. */
+export function sendBadPartSlowly(call: FaultCall): Promise<void> {
+  return whileBad(call, async () => {
+    const {fleet} = call;
+    for (let i = 0; i < SLOW_PART_REQUESTS; i++) {
+      if (i > 0) await sleep(SYSTEM_CLOCK, SLOW_PART_PAUSE_MS);
+      for (let send = 0; send < SLOW_PART_SENDS; send++)
+        await sendOne(fleet, `/notes/bad${i}`, i + send);
+    }
+    return [];
+  });
+}
+
+/** @param send - Sends the requests; returns those that it has not waited for. */
+async function whileBad(
+  {fleet, forMs}: FaultCall,
+  send: () => Promise<ReadonlyArray<Promise<unknown>>>,
+): Promise<void> {
   const struck = fleet.servers.filter(({service}) => service === BATCH_SERVICE);
   for (const {server} of struck) {
     server.crashDowntimeMs = DOWNTIME_MS;
     server.crashParts.add(BAD_PART);
   }
   const from = Date.now();
-  const sent: Array<Promise<unknown>> = [];
-  for (let i = 0; Date.now() < from + BAD_PART_MS; i++) {
-    sent.push(sendOne(fleet, i));
-    await sleep(SYSTEM_CLOCK, BAD_PART_PAUSE_MS);
-  }
+  const sent = await send();
   if (forMs === 0) fleet.badPartTimes.push({from, to: Date.now()});
   await Promise.all(sent);
   for (const {server} of struck) server.crashParts.clear();
 }
 
-async function sendOne(fleet: SoakFleet, i: number): Promise<void> {
-  const place = fleet.programs[i % fleet.programs.length]!;
+async function sendOne(
+  fleet: SoakFleet,
+  path: string,
+  turn: number,
+): Promise<void> {
+  const place = fleet.programs[turn % fleet.programs.length]!;
   const caller = new Caller(place.program.front, fleet.key);
-  const parts = `a:100,${BAD_PART}:50,bad${i}:250`;
+  const parts = `a:100,${BAD_PART}:50,own${path}:250`;
   const headers = {'x-prompt-prefix': parts};
   // How such a request ends is of no concern; what it ends is.
-  await caller.stream(`/flags/bad${i}`, headers).catch(() => undefined);
+  await caller.stream(path, headers).catch(() => undefined);
 }
--- a/packages/soak/src/lib/request/caller_answer.ts
+++ b/packages/soak/src/lib/request/caller_answer.ts
@@ -7,7 +7,7 @@
   type Caller,
 } from '@oathead/platform/stand_ins';
 import {readMarks, type MarkedText} from './expected_text.js';
-import {isLong, isStream} from './long_kinds.js';
+import {isLong, isStream, LONG_ROUTES, type LongKind} from './long_kinds.js';
 import type {OnlineKind} from './online_load.js';
 
 /** Why a caller got no whole answer. */
@@ -27,9 +27,9 @@
   readonly seal: string | undefined;
 }
 
-/** The caller's patience in long requests, in milliseconds: longer than the
- * routes'. */
-const LONG_DEADLINE_MS = 20_000;
+/** How much longer callers wait for long requests than their routes let them
+ * take, in milliseconds. */
+const PATIENCE_MARGIN_MS = 15_000;
 const STATUS_OK = 200;
 /** Codes of connections that were never made. */
 const UNCONNECTED: ReadonlySet<unknown> = new Set([
@@ -53,7 +53,7 @@
   body?: Readable,
 ): Promise<CallerAnswer> {
   const all = {
-    ...(isLong(kind) ? {'x-deadline-ms': String(LONG_DEADLINE_MS)} : {}),
+    ...(isLong(kind) ? {'x-deadline-ms': String(patienceMs(kind))} : {}),
     ...(isStream(kind) ? MODEL_HEADERS : {}),
     ...headers,
   };
@@ -78,6 +78,10 @@
   }
 }
 
+function patienceMs(kind: LongKind): number {
+  return LONG_ROUTES[kind].timeoutMs + PATIENCE_MARGIN_MS;
+}
+
 /** @returns The part of a successful answer that arrived. */
 function partOf(err: unknown): string {
   const isPart = err instanceof BrokenResponseError;
--- a/packages/soak/src/lib/request/expected_text.ts
+++ b/packages/soak/src/lib/request/expected_text.ts
@@ -3,6 +3,9 @@
 
 /** Events of a stream. */
 export const EVENTS = 12;
+/** The same of a stream that lasts for long: none pauses for long between two. */
+const CHAPTER_EVENTS = 60;
+const CHAPTERS_PATH = '/chapters/';
 
 /** Ends the data of each event, and names the version of the server's software. */
 const VERSION_MARK = /@(v\d+)$/gm;
@@ -35,7 +38,7 @@
  * @returns The text of the whole rest of its stream.
  */
 export function wholeStream(path: string, after = 0): string {
-  return eventNumbers()
+  return eventNumbers(eventsOf(path))
     .slice(after)
     .map(n => formatEvent(n, wordOf(path, n)))
     .join('');
@@ -46,13 +49,18 @@
  * @returns The item's text.
  */
 export function wholeText(path: string): string {
-  return eventNumbers()
+  return eventNumbers(EVENTS)
     .map(n => wordOf(path, n))
     .join('\n');
 }
 
-function eventNumbers(): readonly number[] {
-  return [...Array(EVENTS).keys()].map(i => i + 1);
+function eventNumbers(events: number): readonly number[] {
+  return [...Array(events).keys()].map(i => i + 1);
+}
+
+/** @returns Number of the events of the stream of a path. */
+export function eventsOf(path: string): number {
+  return path.startsWith(CHAPTERS_PATH) ? CHAPTER_EVENTS : EVENTS;
 }
 
 /**
--- a/packages/soak/src/lib/request/long_kinds.ts
+++ b/packages/soak/src/lib/request/long_kinds.ts
@@ -1,4 +1,4 @@
-/** Requests that may last nearly as long as a planned stop does. */
+/** Requests that may last nearly as long as a planned stop does, or longer. */
 import {HOST_NAME} from '@oathead/platform/stand_ins';
 import type {OnlineKind} from './online_load.js';
 
@@ -8,6 +8,8 @@
   | 'letters'
   /** A stream that may go on at another target. */
   | 'reports'
+  /** The like that outlasts a planned stop. */
+  | 'chapters'
   /** A plain request that may run once only. */
   | 'decisions'
   /** A plain request that may be repeated. */
@@ -28,6 +30,7 @@
 export const LONG_ROUTES: Readonly<Record<LongKind, LongRoute>> = {
   letters: {form: 'stream', timeoutMs: 5000, isRepeatable: false},
   reports: {form: 'stream', timeoutMs: 5000, isRepeatable: true},
+  chapters: {form: 'stream', timeoutMs: 30_000, isRepeatable: true},
   decisions: {form: 'plain', timeoutMs: 2500, isRepeatable: false},
   lookups: {form: 'plain', timeoutMs: 2500, isRepeatable: true},
 };
--- a/packages/soak/src/lib/request/online_load.ts
+++ b/packages/soak/src/lib/request/online_load.ts
@@ -9,7 +9,7 @@
 import {onlinePauseAt, type LoadShape} from '../process/load_shape.js';
 import type {ProgramPlace, SoakFleet} from '../process/soak_fleet.js';
 import {answerOf, type CallerAnswer} from './caller_answer.js';
-import type {LongKind} from './long_kinds.js';
+import {LONG_ROUTES, type LongKind} from './long_kinds.js';
 
 /** What a request asks for, and how often it may run. */
 export type OnlineKind =
@@ -51,9 +51,13 @@
 
 /** Each so many requests one is sent by a key that was taken away. */
 const WITHDRAWN_EACH = 8;
-/** A stream that broke off is taken up until so long after its begin: the time
- * that its caller has, and a second for a busy machine, in milliseconds. */
-const TAKE_UP_MS = 5000;
+/** Kinds of streams that are taken up when they break off, until so long after
+ * their begin: the time that their callers have, and a second for a busy machine, in
+ * milliseconds. */
+const TAKE_UP_MS: Partial<Readonly<Record<OnlineKind, number>>> = {
+  notes: 5000,
+  chapters: LONG_ROUTES.chapters.timeoutMs + 1000,
+};
 /** So many programs may refuse it or break it off. */
 const MOST_TAKE_UPS = 4;
 /** Before the next try, in milliseconds. */
@@ -113,19 +117,21 @@
       path: path ?? this.pathOf(kind, id),
     });
     const isBroken = first.failure === 'broken' && first.text !== '';
-    if (kind === 'notes' && isBroken) this.follow(first);
+    const takeUpMs = TAKE_UP_MS[kind];
+    if (takeUpMs !== undefined && isBroken) this.follow(first, takeUpMs);
     return first;
   }
 
-  private follow(first: OnlineRecord): void {
-    const done = this.takeUp(first).then(() => void this.open.delete(done));
+  private follow(first: OnlineRecord, takeUpMs: number): void {
+    const done = this.takeUp(first, first.sentAt + takeUpMs).then(
+      () => void this.open.delete(done),
+    );
     this.open.add(done);
   }
 
   /** Goes on with a stream that has broken off, at one program after another. */
-  private async takeUp(first: OnlineRecord): Promise<void> {
+  private async takeUp(first: OnlineRecord, until: number): Promise<void> {
     const {kind, key, path} = first;
-    const until = first.sentAt + TAKE_UP_MS;
     let takesUp = first;
     for (let tries = 0; tries < MOST_TAKE_UPS && Date.now() < until;) {
       const id = `r${++this.sent}`;
--- a/packages/soak/src/test/process/take_up_promises_test.ts
+++ b/packages/soak/src/test/process/take_up_promises_test.ts
@@ -10,6 +10,7 @@
 const BOUT = {
   killedAt: KILLED_AT,
   to: END,
+  kind: 'notes',
   key: 'k',
   serving: new Set(['v2']),
 };
