Old crashes read from the store do not make parts new to a host that starts

A host that had just started and read crashes of the last hour took the oldest of them for the begin of what it had seen itself. All parts were new to it then, so that three crashes and two other runs within 0.7 s were enough to hold a sound part that nearly all requests share (2.5 s are asked for where a host does not know what gets through).

--- a/packages/core/src/lib/process/part_suspicion.ts
+++ b/packages/core/src/lib/process/part_suspicion.ts
@@ -68,7 +68,7 @@
    * @returns Whether it was not known.
    */
   recordCrash(service: string, part: string, crash: PartCrash): boolean {
-    this.historyOf(service, crash.atMs).addCrash(crash);
+    this.historyOf(service).addCrash(crash);
     const known = this.crashesOf(part);
     if (known.some(({target}) => target === crash.target)) return false;
     const all = [...known, crash].sort((a, b) => a.atMs - b.atMs);
@@ -88,7 +88,7 @@
     crash: PartCrash,
   ): readonly string[] {
     const run = {parts, endedAtMs: crash.atMs};
-    this.historyOf(service, crash.atMs).addBroken(run);
+    this.historyOf(service).addBroken(run);
     return parts.filter(part => this.recordCrash(service, part, crash));
   }
 
@@ -117,7 +117,7 @@
     parts: readonly string[],
     nowMs: number,
   ): ReadonlyMap<string, readonly PartCrash[]> {
-    const history = this.historyOf(service, nowMs);
+    const history = this.historyOf(service);
     history.addCompleted(nowMs);
     history.addRun({parts, endedAtMs: nowMs});
     const cleared = new Map<string, readonly PartCrash[]>();
@@ -315,10 +315,10 @@
     return service === undefined ? undefined : this.services.get(service);
   }
 
-  private historyOf(service: string, nowMs: number): ServiceHistory {
+  private historyOf(service: string): ServiceHistory {
     const known = this.services.get(service);
     if (known) return known;
-    const history = new ServiceHistory(nowMs);
+    const history = new ServiceHistory();
     this.services.set(service, history);
     return history;
   }
--- a/packages/core/src/lib/process/service_history.ts
+++ b/packages/core/src/lib/process/service_history.ts
@@ -41,9 +41,15 @@
   private readonly tallies = new RunTallies();
   /** The latest runs that got through or broke off. */
   private readonly runs: ObservedRun[] = [];
+  private observedSince = Infinity;
 
-  /** @param since - When its first run was observed. */
-  constructor(readonly since: number) {}
+  /**
+   * When this host has seen its first run end, in milliseconds; infinite before
+   * that. Crashes that others have seen say nothing of what gets through.
+   */
+  get since(): number {
+    return this.observedSince;
+  }
 
   /** Adds a run that got through. */
   addCompleted(atMs: number): void {
@@ -54,6 +60,7 @@
 
   /** Adds a run that got through or broke off. */
   addRun(run: ObservedRun): void {
+    this.observedSince = Math.min(this.observedSince, run.endedAtMs);
     this.runs.push(run);
     if (this.runs.length > MAX_OBSERVED_RUNS) this.runs.shift();
   }
--- a/packages/core/src/test/process/part_suspicion_test.ts
+++ b/packages/core/src/test/process/part_suspicion_test.ts
@@ -111,6 +111,21 @@
   return suspicion;
 }
 
+// Guards against a sound part that is held at a host which has just started: it has
+// read old crashes, and has not seen for long which parts get through.
+test('crashes that others have seen do not tell which parts are new', t => {
+  const suspicion = new PartSuspicion();
+  suspicion.recordCrash(SERVICE, 'old', {target: 'old', atMs: 0});
+  const startedAt = 1_800_000;
+  for (let i = 0; i < 3; i++) {
+    const crash = {target: `${i}`, atMs: startedAt + i * 200};
+    suspicion.recordBrokenRun(SERVICE, ['first'], crash);
+  }
+  complete(suspicion, 'other', startedAt, startedAt + 4000);
+  t.is(suspicion.guiltyOf('first', startedAt + 1500), undefined);
+  t.is(suspicion.guiltyOf('first', startedAt + 3000)?.length, 3);
+});
+
 // Guards against a part that crashes target after target at little traffic and is
 // never found: no host sees two other runs get through within a second.
 test('three crashes apart show a new part at little traffic', t => {
