--- a/packages/gateway/src/test/process/stream_versions_test.ts
+++ b/packages/gateway/src/test/process/stream_versions_test.ts
@@ -460,6 +460,50 @@
     t.deepEqual(await fleet.get('h1').continuationOf(fleet, id), AT_FIRST);
 });
 
+// Guards against the same when the host that went on with it is lost as well.
+test('a long stream is known after two hosts were lost in turn', async t => {
+  const fleet = newMixedFleet();
+  fleet.streamLifetimeMs = LONG_TIMEOUT_MS + TAKE_UP_MS;
+  fleet.get('h0').begin('one', FIRST, LONG_TIMEOUT_MS);
+  for (const [lost, next] of [
+    ['h0', 'h1'],
+    ['h1', 'h2'],
+  ] as const) {
+    fleet.follow(LONG_TIMEOUT_MS);
+    fleet.hosts.delete(lost);
+    const found = await fleet.get(next).continuationOf(fleet, 'one');
+    t.deepEqual(found, AT_FIRST);
+    fleet.get(next).begin('one', FIRST, LONG_TIMEOUT_MS);
+  }
+});
+
+// Guards against the same while the store is away.
+test('a long stream is known to other hosts without the store', async t => {
+  const fleet = newMixedFleet();
+  fleet.streamLifetimeMs = LONG_TIMEOUT_MS + TAKE_UP_MS;
+  fleet.get('h0').begin('one', FIRST, LONG_TIMEOUT_MS);
+  fleet.isStoreReached = false;
+  fleet.follow(LONG_TIMEOUT_MS);
+  fleet.hosts.delete('h0');
+  t.deepEqual(await fleet.get('h1').continuationOf(fleet, 'one'), AT_FIRST);
+});
+
+// Guards against the same when the second version comes late in its run.
+test('a long stream is told to more hosts when a second version is listed', async t => {
+  const fleet = new Fleet(9);
+  fleet.streamLifetimeMs = LONG_TIMEOUT_MS + TAKE_UP_MS;
+  fleet.list('v1');
+  fleet.follow(fleet.streamLifetimeMs);
+  fleet.get('h0').begin('one', FIRST, LONG_TIMEOUT_MS);
+  t.is(fleet.sent.length, 2);
+  fleet.follow(LONG_TIMEOUT_MS / 2);
+  fleet.list('v2');
+  const told = fleet.sent.filter(({kind}) => kind === 'told');
+  t.is(told.length, 4);
+  fleet.hosts.delete('h0');
+  t.deepEqual(await fleet.get('h1').continuationOf(fleet, 'one'), AT_FIRST);
+});
+
 // Guards against the same when all hosts that were told are lost before.
 test('a stream is told of again for as long as it runs', async t => {
   const fleet = newMixedFleet();
