--- a/packages/core/src/lib/process/service_history.ts
+++ b/packages/core/src/lib/process/service_history.ts
@@ -2,7 +2,6 @@
  * The latest runs and crashes of one service, as one host knows them, on which
  * the suspicion of parts of prompts rests.
  */
-
 import {RunTallies} from './run_tallies.js';
 
 /** A crash of a target at which a run with some part broke off. */
--- a/packages/gateway/src/lib/connection/target_connection.ts
+++ b/packages/gateway/src/lib/connection/target_connection.ts
@@ -62,12 +62,12 @@
   onDrained: () => void = () => {};
   /** Called when bytes have arrived, before they are parsed. */
   onBytes: () => void = () => {};
-  private socket: Socket | undefined;
   /**
    * Whether the end of the connection shows only after {@link END_LINGER_MS}, so
    * that a reset that follows it is seen.
    */
   lingersAtEnd = false;
+  private socket: Socket | undefined;
   private endedByReset = false;
   private lost = false;
 
