A leaving server counts what arrives, not what begins to run

The check of leaving targets took the begin of a run for the time at which a request reaches the server.

--- a/packages/soak/src/lib/process/promises.ts
+++ b/packages/soak/src/lib/process/promises.ts
@@ -245,8 +245,10 @@
     const since = fleet.leavingSince.get(id) ?? Infinity;
     const boundMs = calm.left.has(id) ? CALM_BOUND_MS : LEAVING_BOUND_MS;
     return server.ran
-      .filter(({at}) => at > since + boundMs)
-      .map(({path, at}) => `${id} got ${path} ${at - since} ms after`);
+      .filter(({arrivedAt}) => arrivedAt > since + boundMs)
+      .map(({path, arrivedAt}) => {
+        return `${id} got ${path} ${arrivedAt - since} ms after`;
+      });
   });
 }
 
--- a/packages/soak/src/lib/process/run_soak.ts
+++ b/packages/soak/src/lib/process/run_soak.ts
@@ -16,6 +16,7 @@
 import {takeUpFigures, type TakeUpFigures} from './take_up_promises.js';
 import {
   DEFAULT_FAULT_KINDS,
+  LONG_TAKE_UP_FAULT_KINDS,
   planFaults,
   TAKE_UP_FAULT_KINDS,
   type FaultKind,
@@ -65,6 +66,7 @@
   'poison-request',
   'poison-beside-bad-part',
   ...TAKE_UP_FAULT_KINDS,
+  ...LONG_TAKE_UP_FAULT_KINDS,
   'program-stops-long',
 ];
 /** Requests to each program in the calm at the end. */
--- a/packages/soak/src/lib/process/soak_plan.ts
+++ b/packages/soak/src/lib/process/soak_plan.ts
@@ -78,18 +78,25 @@
   'programs-kill-version-leaves',
   'programs-kill-version-joins',
   'programs-kill-version-changes',
+] as const;
+
+/** The like with streams that run for long before their programs are killed. */
+export const LONG_TAKE_UP_FAULT_KINDS = [
   'programs-kill-long-streams',
   'programs-kill-long-version-left',
 ] as const;
 
 /** One of them. */
-export type TakeUpFaultKind = (typeof TAKE_UP_FAULT_KINDS)[number];
+export type TakeUpFaultKind =
+  | (typeof TAKE_UP_FAULT_KINDS)[number]
+  | (typeof LONG_TAKE_UP_FAULT_KINDS)[number];
 
 /** Kinds that only runs have that name them: the draws of seeds that were kept
  * without kinds must stay as they are. */
 export const NAMED_FAULT_KINDS = [
   'servers-crash-together',
   ...TAKE_UP_FAULT_KINDS,
+  ...LONG_TAKE_UP_FAULT_KINDS,
   'program-stops-long',
   'bad-part-slow',
 ] as const;
